--- /dev/null
+++ b/cmd/tillerfall/main.go
@@ -0,0 +1,4 @@
+// Command tillerfall is the product's one binary.
+package main
+
+func main() {}
--- /dev/null
+++ b/test/integration/doc.go
@@ -0,0 +1,2 @@
+// Package integration tests the product as separate processes.
+package integration
