--- a/internal/engine/protocol.go
+++ b/internal/engine/protocol.go
@@ -82,8 +82,8 @@
 // ErrorCode is the engine's machine-readable reason for a rejection.
 type ErrorCode string
 
-// Engine error codes. Each but ErrorInternal and ErrorEvicted is sent before
-// any work has been done.
+// Engine error codes. Each but ErrorInternal and ErrorCancelled is sent before
+// any work has been done for the dispatch that it answers.
 const (
 	ErrorWrongIncarnation ErrorCode = "wrong_incarnation"
 	ErrorWeightsNotLoaded ErrorCode = "weights_not_loaded"
@@ -96,6 +96,8 @@
 	ErrorBadRequest       ErrorCode = "bad_request"
 	ErrorChecksum         ErrorCode = "checksum"
 	ErrorInternal         ErrorCode = "internal"
+	// ErrorCancelled ends the frames of a stream that was cancelled.
+	ErrorCancelled ErrorCode = "cancelled"
 )
 
 // ErrorBody is the JSON body of every answer with a status of 400 or more.
