Add flow control: classes, fair shares and deadlines

A full router must decide which waiting request goes next without one tenant, one class or one set of engines blocking another.

Each lane (a set of engines that doesn't compete with others) keeps its classes by rank and, inside a class, its tenants by start-time fair queuing with tokens as cost. One fair queue over all lanes was ruled out: a tenant that is held back by a full set of engines would carry its unused share into a lane where it competes with others. A class of worse rank collects credit of its minimum share with each dispatch and goes first when it is owed a whole one. Next, Remove, Expire and Drain are the only ways out; an item that is due is never dispatched, also at the same instant. Waits are predicted from the service seen while a backlog stood; a prediction over the deadline or the class's limit is refused at once with a retry time that is spread.

--- /dev/null
+++ b/internal/flowcontrol/classqueue.go
@@ -0,0 +1,171 @@
+package flowcontrol
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// entry is one waiting item and where it stands.
+type entry struct {
+	item     Item
+	enqueued time.Duration
+	expires  time.Duration // 0 means never
+	// byDeadline tells that the item's deadline comes before the class's limit.
+	byDeadline bool
+	queue      *classQueue
+	flow       *flow
+	heapIndex  int
+}
+
+// flow is the queue of one tenant in one class and lane, first in first out.
+type flow struct {
+	tenant  fleet.TenantName
+	weight  float64
+	entries []*entry
+	cost    float64
+	// start is the virtual start time of the flow's next dispatch. It is kept
+	// while the flow is empty, so that leaving and coming back gains nothing.
+	start float64
+}
+
+// classQueue holds the waiting items of one class in one lane.
+type classQueue struct {
+	policy ClassPolicy
+	flows  map[fleet.TenantName]*flow
+	// active lists the flows that have items, by virtual start time.
+	active  []*flow
+	virtual float64
+	waiting int
+	cost    float64
+	// credit is the part of a dispatch that the class is owed by its minimum share.
+	credit float64
+	meter  rateMeter
+}
+
+func newClassQueue(policy ClassPolicy, now time.Duration) *classQueue {
+	return &classQueue{
+		policy: policy,
+		flows:  make(map[fleet.TenantName]*flow),
+		meter:  rateMeter{last: now},
+	}
+}
+
+func compareFlows(a, b *flow) int {
+	if order := cmp.Compare(a.start, b.start); order != 0 {
+		return order
+	}
+	return cmp.Compare(a.tenant, b.tenant)
+}
+
+func (q *classQueue) activate(f *flow) {
+	position, _ := slices.BinarySearchFunc(q.active, f, compareFlows)
+	q.active = slices.Insert(q.active, position, f)
+}
+
+func (q *classQueue) deactivate(f *flow) {
+	position, _ := slices.BinarySearchFunc(q.active, f, compareFlows)
+	q.active = slices.Delete(q.active, position, position+1)
+}
+
+func (q *classQueue) push(now time.Duration, e *entry, weight float64) {
+	q.meter.advance(now, q.waiting > 0)
+	f := q.flows[e.item.Tenant]
+	if f == nil {
+		f = &flow{tenant: e.item.Tenant}
+		q.flows[e.item.Tenant] = f
+	}
+	if len(f.entries) == 0 {
+		f.weight = weight
+		f.start = max(f.start, q.virtual)
+		q.activate(f)
+	}
+	f.entries = append(f.entries, e)
+	f.cost += e.item.Cost
+	q.waiting++
+	q.cost += e.item.Cost
+	e.flow = f
+	e.queue = q
+}
+
+// remove takes an entry out without charging its tenant.
+func (q *classQueue) remove(now time.Duration, e *entry) {
+	q.meter.advance(now, q.waiting > 0)
+	f := e.flow
+	if len(f.entries) == 1 {
+		q.deactivate(f)
+	}
+	if f.entries[0] == e {
+		f.entries[0] = nil
+		f.entries = f.entries[1:]
+	} else {
+		position := slices.Index(f.entries, e)
+		f.entries = slices.Delete(f.entries, position, position+1)
+	}
+	f.cost -= e.item.Cost
+	q.waiting--
+	q.cost -= e.item.Cost
+	if len(f.entries) == 0 {
+		f.entries = nil
+		f.cost = 0
+	}
+	if q.waiting == 0 {
+		q.cost = 0
+		q.credit = 0
+	}
+}
+
+// dispatch takes an entry out and charges its tenant's share.
+func (q *classQueue) dispatch(now time.Duration, e *entry) {
+	f := e.flow
+	q.remove(now, e)
+	if now > e.enqueued {
+		q.meter.serve(e.item.Cost)
+	}
+	stillActive := len(f.entries) > 0
+	if stillActive {
+		q.deactivate(f)
+	}
+	q.virtual = max(q.virtual, f.start)
+	f.start += e.item.Cost / f.weight
+	if stillActive {
+		q.activate(f)
+	}
+}
+
+// activeWeight returns the sum of the weights of the tenants that wait, the
+// given one included.
+func (q *classQueue) activeWeight(tenant fleet.TenantName, weight float64) float64 {
+	total := weight
+	for _, f := range q.active {
+		if f.tenant != tenant {
+			total += f.weight
+		}
+	}
+	return total
+}
+
+// workAhead returns the tokens that are served before a new item of a tenant:
+// its own waiting work at its fair share, and never more than all that waits.
+func (q *classQueue) workAhead(tenant fleet.TenantName, weight float64) float64 {
+	own := 0.0
+	if f := q.flows[tenant]; f != nil {
+		own = f.cost
+	}
+	return min(q.cost, own*q.activeWeight(tenant, weight)/weight)
+}
+
+// applyWeights takes over changed weights and forgets idle tenants that the
+// table no longer names.
+func (q *classQueue) applyWeights(table policyTable) {
+	for tenant, f := range q.flows {
+		_, known := table.tenants[tenant]
+		if !known && len(f.entries) == 0 {
+			delete(q.flows, tenant)
+			continue
+		}
+		f.weight = table.tenant(tenant).Weight
+	}
+}
--- /dev/null
+++ b/internal/flowcontrol/controller.go
@@ -0,0 +1,294 @@
+package flowcontrol
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+)
+
+// Controller holds the waiting items of one router. Every item that Enqueue
+// took leaves it exactly once: by Next, Remove, Expire or Drain.
+type Controller struct {
+	options Options
+	table   policyTable
+	entries map[Key]*entry
+	lanes   []*lane
+	byName  map[Lane]*lane
+	// firstLane is where the next decision starts, so that lanes take turns.
+	firstLane int
+	expiry    expiryHeap
+	// refused holds expired items that Expire hasn't returned yet.
+	refused []Refusal
+	waiting map[fleet.TenantName]int
+}
+
+// New returns a controller without any class; ApplyPolicy names them.
+func New(options Options) *Controller {
+	options = options.withDefaults()
+	return &Controller{
+		options: options,
+		table:   newPolicyTable(Policy{}, options.UnknownTenant),
+		entries: make(map[Key]*entry),
+		byName:  make(map[Lane]*lane),
+		waiting: make(map[fleet.TenantName]int),
+	}
+}
+
+// ApplyPolicy takes over a changed configuration. What waits keeps waiting
+// under the new ranks, weights and limits; items of a class that is gone keep
+// the class's last policy, while new ones are refused.
+func (c *Controller) ApplyPolicy(policy Policy) {
+	c.table = newPolicyTable(policy, c.options.UnknownTenant)
+	for _, l := range c.lanes {
+		for _, queue := range l.classes {
+			if class, found := c.table.classes[queue.policy.Name]; found {
+				queue.policy = class
+			}
+			queue.applyWeights(c.table)
+		}
+		slices.SortFunc(l.classes, compareClasses)
+	}
+	c.rebuildExpiry()
+}
+
+func (c *Controller) rebuildExpiry() {
+	c.expiry = c.expiry[:0]
+	for _, e := range c.entries {
+		e.heapIndex = notInHeap
+		e.setExpiry()
+		if e.expires > 0 {
+			e.heapIndex = len(c.expiry)
+			c.expiry = append(c.expiry, e)
+		}
+	}
+	heap.Init(&c.expiry)
+}
+
+// setExpiry works out when the entry must be refused.
+func (e *entry) setExpiry() {
+	e.expires = e.item.Deadline
+	e.byDeadline = e.item.Deadline > 0
+	limit := e.queue.policy.MaxWait
+	if limit <= 0 {
+		return
+	}
+	if !e.byDeadline || e.enqueued+limit < e.item.Deadline {
+		e.expires = e.enqueued + limit
+		e.byDeadline = false
+	}
+}
+
+// Enqueue takes an item or says why not. A key that already waits is left as
+// it is.
+func (c *Controller) Enqueue(now time.Duration, item Item) *Refusal {
+	if _, found := c.entries[item.Key]; found {
+		return nil
+	}
+	class, found := c.table.classes[item.Class]
+	if !found {
+		return &Refusal{
+			Key:    item.Key,
+			Code:   resultcode.ClassNotAllowed,
+			Reason: "the configuration has no class " + string(item.Class),
+		}
+	}
+	l := c.lane(item.Lane)
+	queue := l.class(item.Class)
+	if queue == nil {
+		queue = l.addClass(class, now)
+	}
+	tenant := c.table.tenant(item.Tenant)
+	tenant.Name = item.Tenant
+	if refusal := c.check(now, l, queue, tenant, item); refusal != nil {
+		return refusal
+	}
+	e := &entry{item: item, enqueued: now, heapIndex: notInHeap}
+	queue.push(now, e, tenant.Weight)
+	e.setExpiry()
+	c.expiry.add(e)
+	c.entries[item.Key] = e
+	c.waiting[item.Tenant]++
+	return nil
+}
+
+func (c *Controller) lane(name Lane) *lane {
+	l := c.byName[name]
+	if l == nil {
+		l = &lane{name: name}
+		c.byName[name] = l
+		c.lanes = append(c.lanes, l)
+	}
+	return l
+}
+
+// check refuses an item that has no room or no hope.
+func (c *Controller) check(now time.Duration, l *lane, queue *classQueue, tenant TenantPolicy, item Item) *Refusal {
+	queue.meter.advance(now, queue.waiting > 0)
+	wait, known := l.waitEstimate(queue, tenant)
+	if c.waiting[item.Tenant] >= tenant.MaxWaiting {
+		return c.refuse(item.Key, resultcode.TenantQueueFull, "the tenant's queue is full", wait)
+	}
+	if item.Deadline > 0 && item.Deadline <= now {
+		return c.refuse(item.Key, resultcode.DeadlineTooShort, "the deadline has passed", wait)
+	}
+	if !known {
+		return nil
+	}
+	if item.Deadline > 0 && now+wait >= item.Deadline {
+		return c.refuse(item.Key, resultcode.DeadlineTooShort,
+			"the predicted wait is over the deadline", now+wait-item.Deadline)
+	}
+	if limit := queue.policy.MaxWait; limit > 0 && wait > limit {
+		return c.refuse(item.Key, resultcode.Overloaded,
+			"the predicted wait is over the class's limit", wait-limit)
+	}
+	return nil
+}
+
+// refuse makes a refusal whose retry time is spread, so that callers refused
+// together don't come back together.
+func (c *Controller) refuse(key Key, code resultcode.Code, reason string, retryAfter time.Duration) *Refusal {
+	return &Refusal{Key: key, Code: code, Reason: reason, RetryAfter: c.Spread(retryAfter)}
+}
+
+// Spread bounds a retry time and lengthens it by a random part.
+func (c *Controller) Spread(retryAfter time.Duration) time.Duration {
+	bounded := min(max(retryAfter, c.options.MinRetryAfter), c.options.MaxRetryAfter)
+	extra := c.options.RetrySpread * c.options.Random.Float64()
+	return bounded + time.Duration(extra*float64(bounded))
+}
+
+// Next takes out the item that goes next among those that admit accepts.
+// Items that have expired are never offered.
+func (c *Controller) Next(now time.Duration, admit func(Item) bool) (Item, bool) {
+	c.collectExpired(now)
+	budget := c.options.MaxScan
+	for turn := range c.lanes {
+		position := (c.firstLane + turn) % len(c.lanes)
+		l := c.lanes[position]
+		e := c.nextInLane(l, &budget, admit)
+		if e == nil {
+			continue
+		}
+		e.queue.dispatch(now, e)
+		l.settle(e.queue, c.table.shareScale)
+		c.forget(e)
+		c.firstLane = position + 1
+		return e.item, true
+	}
+	if len(c.lanes) > 0 {
+		// A scan that ran out of budget goes on elsewhere the next time.
+		c.firstLane = (c.firstLane + 1) % len(c.lanes)
+	}
+	return Item{}, false
+}
+
+func (c *Controller) nextInLane(l *lane, budget *int, admit func(Item) bool) *entry {
+	for _, queue := range l.decisionOrder() {
+		for _, f := range queue.active {
+			depth := min(len(f.entries), c.options.ScanDepth, *budget)
+			for _, e := range f.entries[:depth] {
+				*budget--
+				if admit(e.item) {
+					return e
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// forget drops an entry that has left its queue from the indexes.
+func (c *Controller) forget(e *entry) {
+	c.expiry.drop(e)
+	delete(c.entries, e.item.Key)
+	c.waiting[e.item.Tenant]--
+	if c.waiting[e.item.Tenant] == 0 {
+		delete(c.waiting, e.item.Tenant)
+	}
+}
+
+// Remove withdraws an item. It returns false when the item doesn't wait any
+// more, because another transition has decided on it.
+func (c *Controller) Remove(now time.Duration, key Key) bool {
+	e, found := c.entries[key]
+	if !found {
+		return false
+	}
+	e.queue.remove(now, e)
+	c.forget(e)
+	return true
+}
+
+// Expire takes out and returns the items that have waited too long.
+func (c *Controller) Expire(now time.Duration) []Refusal {
+	c.collectExpired(now)
+	refused := c.refused
+	c.refused = nil
+	return refused
+}
+
+func (c *Controller) collectExpired(now time.Duration) {
+	for len(c.expiry) > 0 && c.expiry[0].expires <= now {
+		e := c.expiry[0]
+		e.queue.remove(now, e)
+		c.forget(e)
+		c.refused = append(c.refused, *c.expired(e))
+	}
+}
+
+func (c *Controller) expired(e *entry) *Refusal {
+	tenant := c.table.tenant(e.item.Tenant)
+	tenant.Name = e.item.Tenant
+	wait, _ := c.byName[e.item.Lane].waitEstimate(e.queue, tenant)
+	if e.byDeadline {
+		return c.refuse(e.item.Key, resultcode.DeadlineTooShort, "the deadline passed in the queue", wait)
+	}
+	return c.refuse(e.item.Key, resultcode.QueueTimeout, "no engine became free within the class's limit", wait)
+}
+
+// NextExpiry returns when the next item expires; false when none can.
+func (c *Controller) NextExpiry() (time.Duration, bool) {
+	if len(c.refused) > 0 {
+		return 0, true
+	}
+	if len(c.expiry) == 0 {
+		return 0, false
+	}
+	return c.expiry[0].expires, true
+}
+
+// Drain takes out and returns every waiting item, best class first and oldest
+// first within it. Items that have expired are left to Expire.
+func (c *Controller) Drain(now time.Duration) []Item {
+	c.collectExpired(now)
+	left := make([]*entry, 0, len(c.entries))
+	for _, e := range c.entries {
+		left = append(left, e)
+	}
+	slices.SortFunc(left, compareEntries)
+	items := make([]Item, len(left))
+	for position, e := range left {
+		e.queue.remove(now, e)
+		c.forget(e)
+		items[position] = e.item
+	}
+	return items
+}
+
+func compareEntries(a, b *entry) int {
+	if order := compareClasses(a.queue, b.queue); order != 0 {
+		return order
+	}
+	if order := cmp.Compare(a.enqueued, b.enqueued); order != 0 {
+		return order
+	}
+	return compareKeys(a.item.Key, b.item.Key)
+}
+
+// Waiting returns the number of waiting items.
+func (c *Controller) Waiting() int { return len(c.entries) }
--- /dev/null
+++ b/internal/flowcontrol/fairness_test.go
@@ -0,0 +1,188 @@
+package flowcontrol
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+)
+
+const (
+	urgent fleet.ClassName = "urgent"
+	batch  fleet.ClassName = "batch"
+)
+
+func newController(policy Policy) *Controller {
+	controller := New(Options{
+		Random:        rand.New(rand.NewPCG(1, 2)),
+		UnknownTenant: TenantPolicy{MaxWaiting: 100_000},
+	})
+	controller.ApplyPolicy(policy)
+	return controller
+}
+
+func twoClasses(minShare float64) Policy {
+	return Policy{Classes: []ClassPolicy{
+		{Name: urgent, Rank: 0},
+		{Name: batch, Rank: 5, MinShare: minShare},
+	}}
+}
+
+func item(name string, tenant fleet.TenantName, class fleet.ClassName, cost float64) Item {
+	return Item{Key: Key{Request: fleet.RequestID(name), Attempt: 1}, Tenant: tenant, Class: class, Cost: cost}
+}
+
+func anything(Item) bool { return true }
+
+// meanWait serves one item each 10 ms for 20 s and returns the mean wait of
+// the steady tenant, which offers somewhat under half of that, while the other
+// tenant offers perTick items each 10 ms.
+func meanWait(t *testing.T, perTick int, weight float64) time.Duration {
+	policy := twoClasses(0)
+	policy.Tenants = []TenantPolicy{
+		{Name: "other", Weight: 1, MaxWaiting: 1_000_000},
+		{Name: "steady", Weight: weight, MaxWaiting: 1_000_000},
+	}
+	controller := newController(policy)
+	const tick = 10 * time.Millisecond
+	var total time.Duration
+	served := 0
+	enqueued := map[Key]time.Duration{}
+	for step := range 2000 {
+		now := time.Duration(step+1) * tick
+		for extra := range perTick {
+			require.Nil(t, controller.Enqueue(now, item(fmt.Sprintf("o%d.%d", step, extra), "other", urgent, 100)))
+		}
+		if step%20 == 0 {
+			// A burst of eight in 200 ms is 0.4 of the capacity.
+			for burst := range 8 {
+				steady := item(fmt.Sprintf("s%d.%d", step, burst), "steady", urgent, 100)
+				enqueued[steady.Key] = now
+				require.Nil(t, controller.Enqueue(now, steady))
+			}
+		}
+		next, found := controller.Next(now, anything)
+		if found && next.Tenant == "steady" {
+			total += now - enqueued[next.Key]
+			served++
+		}
+	}
+	require.Greater(t, served, 700)
+	return total / time.Duration(served)
+}
+
+func TestFloodingTenantDoesNotDelayAnother(t *testing.T) {
+	calm := meanWait(t, 1, 1)
+	flooded := meanWait(t, 40, 1)
+	assert.InDelta(t, float64(calm), float64(flooded), float64(calm)/10)
+	assert.Less(t, meanWait(t, 40, 3), flooded, "a greater weight must shorten the wait")
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	policy := twoClasses(0)
+	policy.Tenants = []TenantPolicy{
+		{Name: "small", Weight: 1, MaxWaiting: 1000},
+		{Name: "large", Weight: 3, MaxWaiting: 1000},
+	}
+	controller := newController(policy)
+	for number := range 400 {
+		require.Nil(t, controller.Enqueue(0, item(fmt.Sprintf("s%d", number), "small", urgent, 10)))
+		require.Nil(t, controller.Enqueue(0, item(fmt.Sprintf("l%d", number), "large", urgent, 10)))
+	}
+	counts := map[fleet.TenantName]int{}
+	for range 400 {
+		next, found := controller.Next(0, anything)
+		require.True(t, found)
+		counts[next.Tenant]++
+	}
+	assert.InDelta(t, 300, counts["large"], 2)
+}
+
+func TestMinimumShareBoundsStarvation(t *testing.T) {
+	controller := newController(twoClasses(0.1))
+	require.Nil(t, controller.Enqueue(0, item("b0", "night", batch, 10)))
+	sinceBatch, batches := 0, 0
+	for number := range 1000 {
+		require.Nil(t, controller.Enqueue(0, item(fmt.Sprintf("u%d", number), "counter", urgent, 10)))
+		require.Nil(t, controller.Enqueue(0, item(fmt.Sprintf("b%d", number+1), "night", batch, 10)))
+		next, found := controller.Next(0, anything)
+		require.True(t, found)
+		sinceBatch++
+		if next.Class == batch {
+			batches++
+			sinceBatch = 0
+		}
+		require.LessOrEqual(t, sinceBatch, 11, "batch starved")
+	}
+	assert.InDelta(t, 100, batches, 2, "batch takes no more than its share either")
+}
+
+func TestRankIsStrictWithoutMinimumShare(t *testing.T) {
+	controller := newController(twoClasses(0))
+	require.Nil(t, controller.Enqueue(0, item("b", "night", batch, 1)))
+	require.Nil(t, controller.Enqueue(1, item("u", "counter", urgent, 1000)))
+	next, _ := controller.Next(2, anything)
+	assert.Equal(t, urgent, next.Class)
+}
+
+func TestUnadmittedItemBlocksNeitherLaneNorNeighbour(t *testing.T) {
+	controller := newController(twoClasses(0))
+	for number := range 5 {
+		blocked := item(fmt.Sprintf("blocked%d", number), "a", urgent, 1)
+		blocked.Lane = "full"
+		require.Nil(t, controller.Enqueue(0, blocked))
+	}
+	behind := item("behind", "a", urgent, 1)
+	behind.Lane = "full"
+	require.Nil(t, controller.Enqueue(0, behind))
+	other := item("other", "a", batch, 1)
+	other.Lane = "free"
+	require.Nil(t, controller.Enqueue(0, other))
+
+	admitted := func(candidate Item) bool {
+		return candidate.Lane == "free" || candidate.Key.Request == "behind"
+	}
+	first, found := controller.Next(1, admitted)
+	require.True(t, found)
+	second, found := controller.Next(1, admitted)
+	require.True(t, found)
+	assert.ElementsMatch(t, []fleet.RequestID{"behind", "other"},
+		[]fleet.RequestID{first.Key.Request, second.Key.Request})
+	_, found = controller.Next(1, admitted)
+	assert.False(t, found)
+}
+
+func TestHopelessDeadlineIsRefusedAtOnceAndReturnsSpread(t *testing.T) {
+	controller := newController(twoClasses(0))
+	for number := range 300 {
+		require.Nil(t, controller.Enqueue(0, item(fmt.Sprintf("r%d", number), "a", urgent, 100)))
+	}
+	now := time.Duration(0)
+	for range 100 {
+		now += 10 * time.Millisecond
+		_, found := controller.Next(now, anything)
+		require.True(t, found)
+	}
+	// 200 items of 100 tokens at 10,000 tokens a second are two seconds.
+	fits := item("fits", "a", urgent, 100)
+	fits.Deadline = now + 2500*time.Millisecond
+	require.Nil(t, controller.Enqueue(now, fits))
+	seen := map[time.Duration]bool{}
+	for number := range 20 {
+		hopeless := item(fmt.Sprintf("h%d", number), "a", urgent, 100)
+		hopeless.Deadline = now + time.Second
+		refusal := controller.Enqueue(now, hopeless)
+		require.NotNil(t, refusal)
+		assert.Equal(t, resultcode.DeadlineTooShort, refusal.Code)
+		assert.Greater(t, refusal.RetryAfter, 900*time.Millisecond)
+		assert.Less(t, refusal.RetryAfter, 1700*time.Millisecond)
+		seen[refusal.RetryAfter] = true
+	}
+	assert.Greater(t, len(seen), 15, "retry times must be spread")
+}
--- /dev/null
+++ b/internal/flowcontrol/lane.go
@@ -0,0 +1,94 @@
+package flowcontrol
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// lane holds the classes that compete for one set of engines.
+type lane struct {
+	name Lane
+	// classes is sorted by rank, then name.
+	classes []*classQueue
+	// order is scratch space for the order of one decision.
+	order []*classQueue
+}
+
+func compareClasses(a, b *classQueue) int {
+	if order := cmp.Compare(a.policy.Rank, b.policy.Rank); order != 0 {
+		return order
+	}
+	return cmp.Compare(a.policy.Name, b.policy.Name)
+}
+
+func (l *lane) class(name fleet.ClassName) *classQueue {
+	for _, queue := range l.classes {
+		if queue.policy.Name == name {
+			return queue
+		}
+	}
+	return nil
+}
+
+func (l *lane) addClass(policy ClassPolicy, now time.Duration) *classQueue {
+	queue := newClassQueue(policy, now)
+	l.classes = append(l.classes, queue)
+	slices.SortFunc(l.classes, compareClasses)
+	return queue
+}
+
+// decisionOrder lists the classes in the order in which they may dispatch:
+// first those owed a whole dispatch by their minimum share, then by rank.
+func (l *lane) decisionOrder() []*classQueue {
+	l.order = l.order[:0]
+	for _, queue := range l.classes {
+		if queue.waiting > 0 && queue.credit >= 1 {
+			l.order = append(l.order, queue)
+		}
+	}
+	for _, queue := range l.classes {
+		if queue.waiting > 0 && queue.credit < 1 {
+			l.order = append(l.order, queue)
+		}
+	}
+	return l.order
+}
+
+// settle books one dispatch against the minimum shares. Credit is capped, so
+// that a class which couldn't use it doesn't save it up for a burst.
+func (l *lane) settle(served *classQueue, scale float64) {
+	for _, queue := range l.classes {
+		if queue.waiting == 0 {
+			continue
+		}
+		queue.credit = min(queue.credit+queue.policy.MinShare*scale, 2)
+	}
+	served.credit = max(served.credit-1, 0)
+}
+
+// waitEstimate predicts how long a new item would wait; false when too little
+// service has been seen to tell.
+func (l *lane) waitEstimate(queue *classQueue, tenant TenantPolicy) (time.Duration, bool) {
+	ahead := queue.workAhead(tenant.Name, tenant.Weight)
+	if ahead <= 0 {
+		return 0, true
+	}
+	rate, known := queue.meter.perSecond()
+	if !known {
+		return 0, false
+	}
+	return secondsToDuration(ahead / rate), true
+}
+
+// maxEstimate keeps a prediction from overflowing a duration.
+const maxEstimate = 24 * time.Hour
+
+func secondsToDuration(seconds float64) time.Duration {
+	if seconds >= maxEstimate.Seconds() {
+		return maxEstimate
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
