Generate request traces of both fleets from a seed

Cause: emulator, load generator and simulation need the same traffic. Traces have prompts nested three deep with Zipf popularity, quick lookups, a batch flood and a shift of the hottest prefix; block hashes come without text.

--- /dev/null
+++ b/lab/workload/blocks.go
@@ -0,0 +1,62 @@
+package workload
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Blocks returns the chained hashes of the request's whole blocks, without
+// making its text. Requests of one scope share hashes exactly as far as they
+// share tokens.
+func (r Request) Blocks(blockTokens int) []fleet.BlockHash {
+	total := r.PromptTokens() / blockTokens
+	hashes := make([]fleet.BlockHash, 0, total)
+	cursor := segmentCursor{segments: r.Segments}
+	parent := xxhash.Sum64String(string(r.Tenant) + "\x00" + string(r.Weights.Model) +
+		"\x00" + string(r.Weights.Adapter) + "\x00" + string(r.Weights.Version))
+	for range total {
+		parent = cursor.hashBlock(parent, blockTokens)
+		hashes = append(hashes, fleet.BlockHash(parent))
+	}
+	return hashes
+}
+
+// segmentCursor walks through the segments token by token.
+type segmentCursor struct {
+	segments []Segment
+	segment  int
+	offset   int
+}
+
+// hashBlock folds the next count tokens into the parent's hash. A block that
+// crosses a segment's end covers a part of each segment.
+func (c *segmentCursor) hashBlock(parent uint64, count int) uint64 {
+	hash := parent
+	for count > 0 {
+		current := c.segments[c.segment]
+		taken := min(count, current.Tokens-c.offset)
+		hash = mix(hash, current.ID, uint64(c.offset), uint64(taken))
+		c.advance(taken)
+		count -= taken
+	}
+	return hash
+}
+
+func (c *segmentCursor) advance(tokens int) {
+	c.offset += tokens
+	if c.offset == c.segments[c.segment].Tokens {
+		c.segment++
+		c.offset = 0
+	}
+}
+
+func mix(values ...uint64) uint64 {
+	var buffer [32]byte
+	for i, value := range values {
+		binary.LittleEndian.PutUint64(buffer[i*8:], value)
+	}
+	return xxhash.Sum64(buffer[:len(values)*8])
+}
--- /dev/null
+++ b/lab/workload/fleet.go
@@ -0,0 +1,135 @@
+package workload
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Priority classes of both fleets, best first.
+const (
+	ClassUrgent   fleet.ClassName = "urgent"
+	ClassStandard fleet.ClassName = "standard"
+	ClassBatch    fleet.ClassName = "batch"
+)
+
+// Fleet describes one users' fleet: its machines and the shape of its traffic.
+type Fleet struct {
+	Name    string
+	Zones   []fleet.ZoneName
+	Engines int
+	Routers int
+	Weights fleet.Weights
+	Pool    fleet.PoolName
+	// ZoneLatency is one way between zones, ClientLatency one way to clients.
+	ZoneLatency   time.Duration
+	ClientLatency time.Duration
+	// MaxLoads is the number of engines that can load weights at once at full speed.
+	MaxLoads int
+	Tenants  []Tenant
+	Traffic  Traffic
+}
+
+// Tenant is one tenant of a fleet and its part of the traffic.
+type Tenant struct {
+	Name   fleet.TenantName
+	Weight float64
+	// Share is the part of all requests that this tenant sends.
+	Share float64
+}
+
+// Traffic describes the requests of a fleet.
+type Traffic struct {
+	// Top, Middle and Leaf describe the nested levels of long prompts. The leaf is
+	// unique to a request.
+	Top, Middle  Level
+	LeafTokens   int
+	LookupTokens int
+	// Parts of all requests by kind; the rest are drafts.
+	QuestionPart, LookupPart, BatchPart float64
+	// Output tokens by kind.
+	QuestionOutput, DraftOutput, LookupOutput, BatchOutput int
+	// NonRepeatablePart is the part of lookups that must run at most once.
+	NonRepeatablePart float64
+}
+
+// Level is one level of nested prefixes of a tenant.
+type Level struct {
+	// Variants is the number of different texts; with Skew the exponent of
+	// their Zipf popularity.
+	Variants int
+	Skew     float64
+	Tokens   int
+}
+
+const (
+	tenantCount     = 8
+	bigTenantShare  = 0.25
+	bigTenants      = 3
+	bigTenantWeight = 3
+)
+
+// FlagFleet is the first users' fleet: tail time to first token counts most.
+func FlagFleet() Fleet {
+	return Fleet{
+		Name:          "ahd-west",
+		Zones:         []fleet.ZoneName{"paldi-hall", "vasna-hall", "bopal-hall"},
+		Engines:       12,
+		Routers:       3,
+		Weights:       fleet.Weights{Model: "sahayak-llm", Version: "v1"},
+		Pool:          "sahayak",
+		ZoneLatency:   1500 * time.Microsecond,
+		ClientLatency: time.Millisecond,
+		MaxLoads:      2,
+		Tenants:       tenants(),
+		Traffic: Traffic{
+			Top:          Level{Variants: 6, Skew: 1.4, Tokens: 6000},
+			Middle:       Level{Variants: 40, Skew: 1.2, Tokens: 1500},
+			LeafTokens:   120,
+			LookupTokens: 300,
+			QuestionPart: 0.45, LookupPart: 0.25, BatchPart: 0.2,
+			QuestionOutput: 60, DraftOutput: 250, LookupOutput: 20, BatchOutput: 120,
+			NonRepeatablePart: 0.2,
+		},
+	}
+}
+
+// FabFleet is the second users' fleet: hit rate and wasted recompute count most.
+func FabFleet() Fleet {
+	return Fleet{
+		Name:          "wp-colombo",
+		Zones:         []fleet.ZoneName{"rajagiriya", "kelaniya", "nugegoda", "ratmalana"},
+		Engines:       18,
+		Routers:       4,
+		Weights:       fleet.Weights{Model: "lm-fab", Version: "v1"},
+		Pool:          "fab",
+		ZoneLatency:   1500 * time.Microsecond,
+		ClientLatency: time.Millisecond,
+		MaxLoads:      3,
+		Tenants:       tenants(),
+		Traffic: Traffic{
+			Top:          Level{Variants: 4, Skew: 1.3, Tokens: 16000},
+			Middle:       Level{Variants: 120, Skew: 1.1, Tokens: 3000},
+			LeafTokens:   200,
+			LookupTokens: 250,
+			QuestionPart: 0.3, LookupPart: 0.35, BatchPart: 0.1,
+			QuestionOutput: 80, DraftOutput: 300, LookupOutput: 15, BatchOutput: 150,
+			NonRepeatablePart: 0.2,
+		},
+	}
+}
+
+// tenants returns eight tenants, three of them large.
+func tenants() []Tenant {
+	names := []fleet.TenantName{"t-amber", "t-birch", "t-cedar", "t-dune", "t-elm", "t-fern", "t-grove", "t-heath"}
+	small := (1 - bigTenants*bigTenantShare) / (tenantCount - bigTenants)
+	result := make([]Tenant, 0, tenantCount)
+	for i, name := range names {
+		if i < bigTenants {
+			result = append(result, Tenant{Name: name, Weight: bigTenantWeight, Share: bigTenantShare})
+			continue
+		}
+		result = append(result, Tenant{Name: name, Weight: 1, Share: small})
+	}
+	return result
+}
--- /dev/null
+++ b/lab/workload/generate.go
@@ -0,0 +1,192 @@
+package workload
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Options says what to generate for a fleet.
+type Options struct {
+	Seed uint64
+	// Rate is the mean number of requests a second; arrivals are Poisson.
+	Rate     float64
+	Duration time.Duration
+	// ShiftAt makes a new top-level prefix appear, which takes ShiftPart of all
+	// long prompts from then on; 0 means never.
+	ShiftAt   time.Duration
+	ShiftPart float64
+	// FloodFrom and FloodTo bound a flood of batch requests at FloodRate a
+	// second by the first tenant.
+	FloodFrom, FloodTo time.Duration
+	FloodRate          float64
+}
+
+// Generate returns the trace that the options describe. Equal options give
+// equal traces.
+func Generate(description Fleet, options Options) Trace {
+	g := newGenerator(description, options)
+	requests := g.steady()
+	requests = append(requests, g.flood()...)
+	sort.SliceStable(requests, func(i, j int) bool { return requests[i].At < requests[j].At })
+	for i := range requests {
+		requests[i].ID = fleet.RequestID(fmt.Sprintf("r%06d", i))
+	}
+	return Trace{Fleet: description, Requests: requests, Duration: options.Duration}
+}
+
+type generator struct {
+	fleet   Fleet
+	options Options
+	random  *rand.Rand
+	top     *zipf
+	middle  *zipf
+	leaves  uint64
+}
+
+func newGenerator(description Fleet, options Options) *generator {
+	random := rand.New(rand.NewPCG(options.Seed, uint64(len(description.Name))))
+	return &generator{
+		fleet:   description,
+		options: options,
+		random:  random,
+		top:     newZipf(description.Traffic.Top),
+		middle:  newZipf(description.Traffic.Middle),
+	}
+}
+
+func (g *generator) steady() []Request {
+	var requests []Request
+	for at := g.gap(g.options.Rate); at < g.options.Duration; at += g.gap(g.options.Rate) {
+		requests = append(requests, g.request(at, g.kind(), g.tenant()))
+	}
+	return requests
+}
+
+func (g *generator) flood() []Request {
+	if g.options.FloodRate <= 0 {
+		return nil
+	}
+	var requests []Request
+	at := g.options.FloodFrom + g.gap(g.options.FloodRate)
+	for ; at < g.options.FloodTo; at += g.gap(g.options.FloodRate) {
+		requests = append(requests, g.request(at, KindBatch, g.fleet.Tenants[0].Name))
+	}
+	return requests
+}
+
+// gap returns an exponentially distributed time between arrivals.
+func (g *generator) gap(rate float64) time.Duration {
+	return time.Duration(g.random.ExpFloat64() / rate * float64(time.Second))
+}
+
+func (g *generator) kind() Kind {
+	traffic := g.fleet.Traffic
+	draw := g.random.Float64()
+	switch {
+	case draw < traffic.QuestionPart:
+		return KindQuestion
+	case draw < traffic.QuestionPart+traffic.LookupPart:
+		return KindLookup
+	case draw < traffic.QuestionPart+traffic.LookupPart+traffic.BatchPart:
+		return KindBatch
+	default:
+		return KindDraft
+	}
+}
+
+func (g *generator) tenant() fleet.TenantName {
+	draw := g.random.Float64()
+	for _, tenant := range g.fleet.Tenants {
+		draw -= tenant.Share
+		if draw < 0 {
+			return tenant.Name
+		}
+	}
+	return g.fleet.Tenants[len(g.fleet.Tenants)-1].Name
+}
+
+func (g *generator) request(at time.Duration, kind Kind, tenant fleet.TenantName) Request {
+	request := Request{
+		At:      at,
+		Kind:    kind,
+		Tenant:  tenant,
+		Weights: g.fleet.Weights,
+		Zone:    g.fleet.Zones[g.random.IntN(len(g.fleet.Zones))],
+	}
+	traffic := g.fleet.Traffic
+	switch kind {
+	case KindLookup:
+		request.Class, request.OutputTokens = ClassUrgent, g.length(traffic.LookupOutput)
+		request.NonRepeatable = g.random.Float64() < traffic.NonRepeatablePart
+		request.Segments = g.lookupSegments(tenant)
+		return request
+	case KindQuestion:
+		request.Class, request.OutputTokens = ClassUrgent, g.length(traffic.QuestionOutput)
+	case KindBatch:
+		request.Class, request.OutputTokens = ClassBatch, g.length(traffic.BatchOutput)
+	default:
+		request.Class, request.OutputTokens = ClassStandard, g.length(traffic.DraftOutput)
+	}
+	request.Segments = g.nestedSegments(at, tenant)
+	return request
+}
+
+// length spreads a mean uniformly between half and one and a half of it.
+func (g *generator) length(mean int) int {
+	return max(1, mean/2+g.random.IntN(mean+1))
+}
+
+// lookupSegments shares its first half among all lookups of a tenant.
+func (g *generator) lookupSegments(tenant fleet.TenantName) []Segment {
+	half := g.fleet.Traffic.LookupTokens / 2
+	return []Segment{
+		{ID: segmentID(tenant, levelLookup, 0, 0), Tokens: half},
+		{ID: g.leafID(tenant), Tokens: half},
+	}
+}
+
+func (g *generator) nestedSegments(at time.Duration, tenant fleet.TenantName) []Segment {
+	traffic := g.fleet.Traffic
+	top := uint64(g.top.draw(g.random))
+	if g.shifted(at) {
+		top = uint64(traffic.Top.Variants)
+	}
+	middle := uint64(g.middle.draw(g.random))
+	return []Segment{
+		{ID: segmentID(tenant, levelTop, top, 0), Tokens: traffic.Top.Tokens},
+		{ID: segmentID(tenant, levelMiddle, top, middle), Tokens: traffic.Middle.Tokens},
+		{ID: g.leafID(tenant), Tokens: max(1, g.length(traffic.LeafTokens))},
+	}
+}
+
+func (g *generator) shifted(at time.Duration) bool {
+	if g.options.ShiftAt == 0 || at < g.options.ShiftAt {
+		return false
+	}
+	return g.random.Float64() < g.options.ShiftPart
+}
+
+func (g *generator) leafID(tenant fleet.TenantName) uint64 {
+	g.leaves++
+	return segmentID(tenant, levelLeaf, g.leaves, 0)
+}
+
+// Levels keep the identifiers of different levels apart.
+const (
+	levelTop uint64 = iota + 1
+	levelMiddle
+	levelLeaf
+	levelLookup
+)
+
+func segmentID(tenant fleet.TenantName, level, first, second uint64) uint64 {
+	hash := uint64(14695981039346656037)
+	for _, character := range []byte(tenant) {
+		hash = mix(hash, uint64(character))
+	}
+	return mix(hash, level, first, second)
+}
