Add configuration parser, view, changes and holder

Agents and routers need one checked configuration with constant-time lookups, and must never fall back to an older revision.

The YAML library's strict mode stops at the first unknown field or wrong type, so strictyaml walks the library's syntax tree instead and lists every problem with line, column and field path.

The holder accepts the highest revision from any source and keeps 256 changes for its peers. The field rules now demand non-empty lists and lower-case key hashes, and directives are checked, too.

--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,144 @@
+package config
+
+import (
+	"fmt"
+
+	"github.com/tillerfall/tillerfall/internal/config/strictyaml"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// check runs the rules of the fields and then those between fields.
+func check(document *Document, positions strictyaml.Positions) Problems {
+	checker := &crossChecker{
+		positions: positions,
+		problems:  strictyaml.Validate(document, positions),
+		classes:   make(map[fleet.ClassName]bool, len(document.Classes)),
+		models:    make(map[fleet.ModelName]bool, len(document.Models)),
+		pools:     make(map[fleet.PoolName]bool, len(document.Pools)),
+		keyOwners: make(map[string]string, len(document.Tenants)),
+	}
+	checker.collectNames(document)
+	checker.checkTenants(document.Tenants)
+	checker.checkClasses(document.Classes)
+	checker.checkModels(document.Models)
+	checker.checkDirectives(document.Directives)
+	checker.problems.Sort()
+	return checker.problems
+}
+
+// crossChecker checks what one field demands of others.
+type crossChecker struct {
+	positions strictyaml.Positions
+	problems  Problems
+	classes   map[fleet.ClassName]bool
+	models    map[fleet.ModelName]bool
+	pools     map[fleet.PoolName]bool
+	// keyOwners gives the path at which a key hash was first seen.
+	keyOwners map[string]string
+}
+
+func (c *crossChecker) report(field, format string, arguments ...any) {
+	c.problems = append(c.problems, c.positions.Problem(field, fmt.Sprintf(format, arguments...)))
+}
+
+func (c *crossChecker) collectNames(document *Document) {
+	for _, class := range document.Classes {
+		c.classes[class.Name] = true
+	}
+	for _, model := range document.Models {
+		c.models[model.Name] = true
+	}
+	for _, pool := range document.Pools {
+		c.pools[pool.Name] = true
+	}
+}
+
+func (c *crossChecker) checkTenants(tenants []Tenant) {
+	for index, tenant := range tenants {
+		path := fmt.Sprintf("tenants[%d]", index)
+		checkReferences(c, path+".classes", "class", tenant.Classes, c.classes)
+		checkReferences(c, path+".models", "model", tenant.Models, c.models)
+		c.checkKeys(path+".key_hashes", tenant.KeyHashes)
+	}
+}
+
+func (c *crossChecker) checkKeys(path string, hashes []string) {
+	for index, hash := range hashes {
+		field := fmt.Sprintf("%s[%d]", path, index)
+		if owner, taken := c.keyOwners[hash]; taken {
+			c.report(field, "the key occurs already as %s", owner)
+			continue
+		}
+		c.keyOwners[hash] = field
+	}
+}
+
+// checkReferences demands that a list names known items, each once.
+func checkReferences[Name ~string](c *crossChecker, path, noun string, names []Name, known map[Name]bool) {
+	seen := make(map[Name]bool, len(names))
+	for index, name := range names {
+		field := fmt.Sprintf("%s[%d]", path, index)
+		if !known[name] {
+			c.report(field, "unknown %s %q", noun, string(name))
+		}
+		if seen[name] {
+			c.report(field, "%s %q is listed twice", noun, string(name))
+		}
+		seen[name] = true
+	}
+}
+
+func (c *crossChecker) checkClasses(classes []Class) {
+	byRank := make(map[int]fleet.ClassName, len(classes))
+	totalShare := 0.0
+	for index, class := range classes {
+		if other, taken := byRank[class.Rank]; taken {
+			c.report(fmt.Sprintf("classes[%d].rank", index), "class %q has rank %d already", other, class.Rank)
+		} else {
+			byRank[class.Rank] = class.Name
+		}
+		totalShare += class.MinShare
+	}
+	if totalShare >= 1 {
+		c.report("classes", "the min_share values must add up to less than 1, they add up to %g", totalShare)
+	}
+}
+
+func (c *crossChecker) checkModels(models []Model) {
+	for index, model := range models {
+		path := fmt.Sprintf("models[%d]", index)
+		if model.Pool != "" && !c.pools[model.Pool] {
+			c.report(path+".pool", "unknown pool %q", string(model.Pool))
+		}
+		c.checkVersions(path+".versions", model.Versions)
+		for adapterIndex, adapter := range model.Adapters {
+			c.checkVersions(fmt.Sprintf("%s.adapters[%d].versions", path, adapterIndex), adapter.Versions)
+		}
+	}
+}
+
+func (c *crossChecker) checkVersions(path string, versions []Version) {
+	if len(versions) == 0 {
+		return
+	}
+	serving := 0
+	for _, version := range versions {
+		if version.State == VersionServing {
+			serving++
+		}
+	}
+	if serving != 1 {
+		c.report(path, "exactly one version must be serving, found %d", serving)
+	}
+}
+
+func (c *crossChecker) checkDirectives(directives []Directive) {
+	seen := make(map[directiveKey]bool, len(directives))
+	for index, directive := range directives {
+		key := keyOf(directive)
+		if seen[key] {
+			c.report(fmt.Sprintf("directives[%d]", index), "engine %q has a directive %s already", directive.Engine, directive.Kind)
+		}
+		seen[key] = true
+	}
+}
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -14,16 +14,16 @@
 	// Revision is set by the table service at commit; operators leave it out.
 	Revision fleet.Revision `yaml:"-" json:"revision"`
 	// Tenants lists who may call, and on what terms.
-	Tenants []Tenant `yaml:"tenants" json:"tenants" validate:"required,unique=Name,dive"`
+	Tenants []Tenant `yaml:"tenants" json:"tenants" validate:"required,min=1,unique=Name,dive"`
 	// Classes lists the priority classes, in any order.
-	Classes []Class `yaml:"classes" json:"classes" validate:"required,unique=Name,dive"`
+	Classes []Class `yaml:"classes" json:"classes" validate:"required,min=1,unique=Name,dive"`
 	// Models lists the models that callers may ask for.
-	Models []Model `yaml:"models" json:"models" validate:"required,unique=Name,dive"`
+	Models []Model `yaml:"models" json:"models" validate:"required,min=1,unique=Name,dive"`
 	// Pools lists the sets of engines.
-	Pools []Pool `yaml:"pools" json:"pools" validate:"required,unique=Name,dive"`
+	Pools []Pool `yaml:"pools" json:"pools" validate:"required,min=1,unique=Name,dive"`
 	// Directives holds what operators have ordered of single engines. The
 	// command language writes them; a YAML file leaves them out.
-	Directives []Directive `yaml:"-" json:"directives,omitempty"`
+	Directives []Directive `yaml:"-" json:"directives,omitempty" validate:"dive"`
 }
 
 // Tenant is one paying customer of the fleet.
@@ -32,7 +32,7 @@
 	Name fleet.TenantName `yaml:"name" json:"name" validate:"required,name"`
 	// KeyHashes lists the accepted API keys, each as the lower-case hexadecimal
 	// SHA-256 of the key.
-	KeyHashes []string `yaml:"key_hashes" json:"key_hashes" validate:"required,dive,len=64,hexadecimal"`
+	KeyHashes []string `yaml:"key_hashes" json:"key_hashes" validate:"required,min=1,dive,len=64,hexadecimal,lowercase"`
 	// Weight is the tenant's share of a class relative to other tenants.
 	Weight float64 `yaml:"weight" json:"weight" validate:"gt=0,lte=1000"`
 	// Classes lists the classes that the tenant may use; the first is the default.
@@ -125,15 +125,21 @@
 // Directive is an operator's standing order about one run of an engine. It
 // ends with that run: a later incarnation starts without it.
 type Directive struct {
-	Engine      fleet.EngineID    `json:"engine"`
+	// Engine and Incarnation name the run that the order is for.
+	Engine      fleet.EngineID    `json:"engine" validate:"required"`
 	Incarnation fleet.Incarnation `json:"incarnation"`
-	Kind        DirectiveKind     `json:"kind"`
-	Role        string            `json:"role,omitempty"`
+	// Kind is drain, retire or role; a run has at most one directive of a kind.
+	Kind DirectiveKind `json:"kind" validate:"oneof=drain retire role"`
+	// Role is the new role, with kind role.
+	Role string `json:"role,omitempty" validate:"required_if=Kind role"`
 }
 
 // Duration is a time.Duration written as "1.5s" in YAML and JSON.
 type Duration time.Duration
 
+// String formats the duration as in YAML.
+func (d Duration) String() string { return time.Duration(d).String() }
+
 // MarshalText implements encoding.TextMarshaler.
 func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
 
--- /dev/null
+++ b/internal/config/holder.go
@@ -0,0 +1,137 @@
+package config
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// MaxLoggedChanges bounds the changes that a holder keeps for its peers.
+const MaxLoggedChanges = 256
+
+// Holder keeps the configuration in force at one node. Offers come from any
+// source in any order: the highest revision wins, and a lower or equal one is
+// ignored for ever. A document that fails its checks never replaces a valid one.
+// Its methods may be called from any goroutine.
+type Holder struct {
+	current atomic.Pointer[View]
+
+	mutex sync.Mutex
+	// log holds consecutive changes that end at the current revision.
+	log     []Change
+	updated chan struct{}
+}
+
+// NewHolder returns a holder that knows no configuration.
+func NewHolder() *Holder {
+	return &Holder{updated: make(chan struct{})}
+}
+
+// Current returns the configuration in force, or nil before the first.
+func (h *Holder) Current() *View { return h.current.Load() }
+
+// Revision returns the revision in force, or 0 before the first.
+func (h *Holder) Revision() fleet.Revision {
+	if view := h.current.Load(); view != nil {
+		return view.Revision()
+	}
+	return 0
+}
+
+// Updated returns a channel that is closed when the next revision is accepted.
+// Take the channel before reading Current, so that no revision is missed.
+func (h *Holder) Updated() <-chan struct{} {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.updated
+}
+
+// OfferSnapshot offers a whole document. It is accepted if its revision is
+// higher than the one in force; an error means that it fails its checks.
+func (h *Holder) OfferSnapshot(document Document) (accepted bool, err error) {
+	if document.Revision <= h.Revision() {
+		return false, nil
+	}
+	view, err := NewView(document)
+	if err != nil {
+		return false, err
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if view.Revision() <= h.Revision() {
+		return false, nil
+	}
+	h.log = nil
+	h.install(view)
+	return true, nil
+}
+
+// OfferChanges offers consecutive changes in ascending order. Those up to the
+// revision in force are skipped. With gap set, a change is missing before one
+// that was offered and the caller should fetch the changes after Revision; the
+// changes before the gap have been applied. An error means that a change can't
+// be applied or its result fails the checks; then nothing is accepted.
+func (h *Holder) OfferChanges(changes []Change) (accepted, gap bool, err error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	document := Document{}
+	if view := h.current.Load(); view != nil {
+		document = view.Document()
+	}
+	var applied []Change
+	for _, change := range changes {
+		if change.Revision <= document.Revision {
+			continue
+		}
+		if change.Revision > document.Revision+1 {
+			gap = true
+			break
+		}
+		if document, err = Apply(document, change); err != nil {
+			return false, false, err
+		}
+		applied = append(applied, change)
+	}
+	if len(applied) == 0 {
+		return false, gap, nil
+	}
+	view, err := NewView(document)
+	if err != nil {
+		return false, false, err
+	}
+	h.appendLog(applied)
+	h.install(view)
+	return true, gap, nil
+}
+
+// ChangesAfter returns the changes that lead from a revision to the one in
+// force. ok is false if they are no longer held: then send the whole document.
+func (h *Holder) ChangesAfter(revision fleet.Revision) (changes []Change, ok bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	current := h.Revision()
+	if revision >= current {
+		return nil, true
+	}
+	missing := uint64(current - revision)
+	if missing > uint64(len(h.log)) {
+		return nil, false
+	}
+	return append(changes, h.log[uint64(len(h.log))-missing:]...), true
+}
+
+// install puts a view in force; the mutex is held.
+func (h *Holder) install(view *View) {
+	h.current.Store(view)
+	close(h.updated)
+	h.updated = make(chan struct{})
+}
+
+// appendLog records applied changes and drops the oldest; the mutex is held.
+func (h *Holder) appendLog(applied []Change) {
+	h.log = append(h.log, applied...)
+	if excess := len(h.log) - MaxLoggedChanges; excess > 0 {
+		h.log = append([]Change(nil), h.log[excess:]...)
+	}
+}
--- /dev/null
+++ b/internal/config/strictyaml/validate.go
@@ -0,0 +1,121 @@
+package strictyaml
+
+import (
+	"fmt"
+	"reflect"
+	"regexp"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/go-playground/validator/v10"
+)
+
+// namePattern is what identifiers look like. The colon is left out because it
+// separates a model from its adapter.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+const nameRule = "name"
+
+var checker = newChecker()
+
+func newChecker() *validator.Validate {
+	checker := validator.New(validator.WithRequiredStructEnabled())
+	checker.RegisterTagNameFunc(displayName)
+	matchName := func(field validator.FieldLevel) bool { return namePattern.MatchString(field.Field().String()) }
+	if err := checker.RegisterValidation(nameRule, matchName); err != nil {
+		panic(err)
+	}
+	return checker
+}
+
+// displayName is a field's YAML key or, for a field that YAML leaves out, its
+// JSON key.
+func displayName(field reflect.StructField) string {
+	if key := fieldKey(field); key != "" {
+		return key
+	}
+	key, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+	return key
+}
+
+// Validate checks the "validate" tags of a struct and reports every failure,
+// located by positions, which may be nil.
+func Validate(target any, positions Positions) Problems {
+	err := checker.Struct(target)
+	if err == nil {
+		return nil
+	}
+	var failures validator.ValidationErrors
+	if !errors.As(err, &failures) {
+		return Problems{positions.Problem("", err.Error())}
+	}
+	var problems Problems
+	for _, failure := range failures {
+		problems = append(problems, failureProblems(failure, positions)...)
+	}
+	problems.Sort()
+	return problems
+}
+
+func failureProblems(failure validator.FieldError, positions Positions) Problems {
+	_, field, _ := strings.Cut(failure.Namespace(), ".")
+	if failure.Tag() == "unique" {
+		return repeatProblems(failure, field, positions)
+	}
+	return Problems{positions.Problem(field, failureMessage(failure))}
+}
+
+// repeatProblems reports each element whose key occurred before.
+func repeatProblems(failure validator.FieldError, field string, positions Positions) Problems {
+	var problems Problems
+	elements := reflect.ValueOf(failure.Value())
+	first := make(map[any]int, elements.Len())
+	for index := range elements.Len() {
+		key, keyField := elements.Index(index), ""
+		if failure.Param() != "" {
+			structField, _ := key.Type().FieldByName(failure.Param())
+			key, keyField = key.FieldByIndex(structField.Index), "."+displayName(structField)
+		}
+		earlier, repeated := first[key.Interface()]
+		if !repeated {
+			first[key.Interface()] = index
+			continue
+		}
+		path := fmt.Sprintf("%s[%d]%s", field, index, keyField)
+		message := fmt.Sprintf("%q occurs already as %s[%d]", fmt.Sprint(key.Interface()), field, earlier)
+		problems = append(problems, positions.Problem(path, message))
+	}
+	return problems
+}
+
+func failureMessage(failure validator.FieldError) string {
+	value := fmt.Sprintf("%v", failure.Value())
+	isList := failure.Kind() == reflect.Slice
+	switch failure.Tag() {
+	case "required":
+		return "is required"
+	case nameRule:
+		return fmt.Sprintf("%q isn't a name: use 1 to 63 letters, digits, '.', '_' or '-', the first a letter or digit", value)
+	case "oneof":
+		return fmt.Sprintf("%q must be one of: %s", value, failure.Param())
+	case "hexadecimal":
+		return "must be hexadecimal"
+	case "len":
+		return fmt.Sprintf("must be %s characters long, has %d", failure.Param(), len(value))
+	case "gt":
+		return fmt.Sprintf("must be greater than %s, is %s", failure.Param(), value)
+	case "gte", "min":
+		if isList {
+			return fmt.Sprintf("needs at least %s element(s)", failure.Param())
+		}
+		return fmt.Sprintf("must be at least %s, is %s", failure.Param(), value)
+	case "lt":
+		return fmt.Sprintf("must be less than %s, is %s", failure.Param(), value)
+	case "lte", "max":
+		return fmt.Sprintf("must be at most %s, is %s", failure.Param(), value)
+	case "hostname_port", "tcp_addr":
+		return fmt.Sprintf("%q must be HOST:PORT", value)
+	default:
+		return fmt.Sprintf("%q fails the rule %s %s", value, failure.Tag(), failure.Param())
+	}
+}
--- /dev/null
+++ b/internal/config/view.go
@@ -0,0 +1,206 @@
+package config
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// AdapterSeparator stands between a model's and an adapter's name in what
+// callers ask for.
+const AdapterSeparator = ":"
+
+// View is one configuration with its lookups, each in constant time. It never
+// changes; a new revision gets a new view. What its methods return must not be
+// modified.
+type View struct {
+	document    Document
+	tenants     map[fleet.TenantName]Tenant
+	tenantByKey map[string]fleet.TenantName
+	classes     map[fleet.ClassName]Class
+	byRank      []Class
+	models      map[fleet.ModelName]Model
+	pools       map[fleet.PoolName]Pool
+	serving     map[variant]fleet.VersionName
+	states      map[fleet.Weights]VersionState
+	directives  map[fleet.EngineRun][]Directive
+}
+
+// variant is a model or one of its adapters.
+type variant struct {
+	model   fleet.ModelName
+	adapter fleet.AdapterName
+}
+
+// NewView checks a document and builds its lookups. The error is a Problems.
+func NewView(document Document) (*View, error) {
+	if err := Check(document).Err(); err != nil {
+		return nil, err
+	}
+	view := &View{
+		document:    Canonical(document),
+		tenants:     make(map[fleet.TenantName]Tenant, len(document.Tenants)),
+		tenantByKey: make(map[string]fleet.TenantName, len(document.Tenants)),
+		classes:     make(map[fleet.ClassName]Class, len(document.Classes)),
+		models:      make(map[fleet.ModelName]Model, len(document.Models)),
+		pools:       make(map[fleet.PoolName]Pool, len(document.Pools)),
+		serving:     make(map[variant]fleet.VersionName),
+		states:      make(map[fleet.Weights]VersionState),
+		directives:  make(map[fleet.EngineRun][]Directive),
+	}
+	view.indexTenants()
+	view.indexClasses()
+	view.indexModels()
+	view.indexEngines()
+	return view, nil
+}
+
+func (v *View) indexTenants() {
+	for _, tenant := range v.document.Tenants {
+		v.tenants[tenant.Name] = tenant
+		for _, hash := range tenant.KeyHashes {
+			v.tenantByKey[hash] = tenant.Name
+		}
+	}
+}
+
+func (v *View) indexClasses() {
+	for _, class := range v.document.Classes {
+		v.classes[class.Name] = class
+	}
+	v.byRank = slices.Clone(v.document.Classes)
+	slices.SortFunc(v.byRank, func(a, b Class) int { return cmp.Compare(a.Rank, b.Rank) })
+}
+
+func (v *View) indexModels() {
+	for _, model := range v.document.Models {
+		v.models[model.Name] = model
+		v.indexVersions(variant{model: model.Name}, model.Versions)
+		for _, adapter := range model.Adapters {
+			v.indexVersions(variant{model: model.Name, adapter: adapter.Name}, adapter.Versions)
+		}
+	}
+}
+
+func (v *View) indexVersions(of variant, versions []Version) {
+	for _, version := range versions {
+		weights := fleet.Weights{Model: of.model, Adapter: of.adapter, Version: version.Name}
+		v.states[weights] = version.State
+		if version.State == VersionServing {
+			v.serving[of] = version.Name
+		}
+	}
+}
+
+func (v *View) indexEngines() {
+	for _, pool := range v.document.Pools {
+		v.pools[pool.Name] = pool
+	}
+	for _, directive := range v.document.Directives {
+		run := fleet.EngineRun{Engine: directive.Engine, Incarnation: directive.Incarnation}
+		v.directives[run] = append(v.directives[run], directive)
+	}
+}
+
+// Revision returns the configuration's revision.
+func (v *View) Revision() fleet.Revision { return v.document.Revision }
+
+// Document returns the configuration in canonical order. Use Canonical to get
+// a copy that may be changed.
+func (v *View) Document() Document { return v.document }
+
+// HashKey returns the form in which a configuration holds an API key: the
+// lower-case hexadecimal SHA-256.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// TenantByKey returns the tenant that an API key belongs to.
+func (v *View) TenantByKey(key string) (Tenant, bool) {
+	return v.TenantByKeyHash(HashKey(key))
+}
+
+// TenantByKeyHash returns the tenant that a hashed API key belongs to.
+func (v *View) TenantByKeyHash(hash string) (Tenant, bool) {
+	name, found := v.tenantByKey[hash]
+	if !found {
+		return Tenant{}, false
+	}
+	return v.Tenant(name)
+}
+
+// Tenant returns a tenant by name.
+func (v *View) Tenant(name fleet.TenantName) (Tenant, bool) {
+	tenant, found := v.tenants[name]
+	return tenant, found
+}
+
+// Class returns a priority class by name.
+func (v *View) Class(name fleet.ClassName) (Class, bool) {
+	class, found := v.classes[name]
+	return class, found
+}
+
+// Classes returns the priority classes in order of rank, most urgent first.
+func (v *View) Classes() []Class { return v.byRank }
+
+// Model returns a model by name.
+func (v *View) Model(name fleet.ModelName) (Model, bool) {
+	model, found := v.models[name]
+	return model, found
+}
+
+// Pool returns a pool by name.
+func (v *View) Pool(name fleet.PoolName) (Pool, bool) {
+	pool, found := v.pools[name]
+	return pool, found
+}
+
+// ServingVersion returns the version that new requests for a model or, with a
+// non-empty adapter, for one of its adapters get.
+func (v *View) ServingVersion(model fleet.ModelName, adapter fleet.AdapterName) (fleet.VersionName, bool) {
+	version, found := v.serving[variant{model: model, adapter: adapter}]
+	return version, found
+}
+
+// ResolveModel returns the weights and the model that serve what a caller asks
+// for, "model" or "model:adapter".
+func (v *View) ResolveModel(requested string) (fleet.Weights, Model, bool) {
+	modelName, adapterName, hasAdapter := strings.Cut(requested, AdapterSeparator)
+	if hasAdapter && adapterName == "" {
+		return fleet.Weights{}, Model{}, false
+	}
+	weights := fleet.Weights{Model: fleet.ModelName(modelName), Adapter: fleet.AdapterName(adapterName)}
+	version, found := v.ServingVersion(weights.Model, weights.Adapter)
+	if !found {
+		return fleet.Weights{}, Model{}, false
+	}
+	weights.Version = version
+	return weights, v.models[weights.Model], true
+}
+
+// VersionState returns where weights are in their life; false means that the
+// configuration doesn't know them.
+func (v *View) VersionState(weights fleet.Weights) (VersionState, bool) {
+	state, found := v.states[weights]
+	return state, found
+}
+
+// Directives returns the operators' orders for one run of an engine.
+func (v *View) Directives(run fleet.EngineRun) []Directive { return v.directives[run] }
+
+// AllowsClass tells whether the tenant may use a class.
+func (t Tenant) AllowsClass(name fleet.ClassName) bool { return slices.Contains(t.Classes, name) }
+
+// AllowsModel tells whether the tenant may use a model.
+func (t Tenant) AllowsModel(name fleet.ModelName) bool {
+	return len(t.Models) == 0 || slices.Contains(t.Models, name)
+}
+
+// DefaultClass returns the class of a request that names none.
+func (t Tenant) DefaultClass() fleet.ClassName { return t.Classes[0] }
