Add the prefix index and the cache event feed

The router has to know which engine runs hold which blocks, from events that come late, twice, out of order or not at all, and has to forget a dead run at once.

A map from hash to a set of runs was ruled out for its size, a search by halves over a prompt's hashes because engines may evict a parent before its children. The index is an open-addressing table of 16-byte entries, a hash and a mask of 64 run slots, split into 1,024 segments that grow and are swept one at a time; more than 64 runs take a further bank.

--- /dev/null
+++ b/internal/prefixindex/bank.go
@@ -0,0 +1,148 @@
+package prefixindex
+
+import (
+	"math/bits"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Slot is a small dense number that stands for one engine run in its bank.
+// A new incarnation gets a new slot, so that forgetting a dead run is one step.
+type Slot uint16
+
+const (
+	// slotsPerBank is the number of bits in an entry's mask.
+	slotsPerBank = 64
+	// segmentBits and segmentCount split a bank, so that growing or sweeping one
+	// part takes microseconds and never stalls a decision.
+	segmentBits  = 10
+	segmentCount = 1 << segmentBits
+	// sweptPerChange is how many entries are swept for each changed block while
+	// a removed run waits to be reclaimed.
+	sweptPerChange = 4
+)
+
+// bank holds the blocks of up to 64 runs.
+type bank struct {
+	segments [segmentCount]segment
+	entries  int
+	runs     [slotsPerBank]fleet.EngineRun
+	counts   [slotsPerBank]int
+	// Every slot is free or has its bit in exactly one of live and dead.
+	live uint64
+	dead uint64
+
+	// sweeping is the set of dead slots that the present sweep clears,
+	// nextSwept the segment it has come to, sweepCredit the entries it may visit.
+	sweeping    uint64
+	nextSwept   int
+	sweepCredit int
+}
+
+func newBank() *bank { return &bank{} }
+
+func bit(slot Slot) uint64 { return 1 << slot }
+
+// allocate gives a run a free slot, if there is one.
+func (b *bank) allocate(run fleet.EngineRun) (Slot, bool) {
+	free := ^(b.live | b.dead)
+	if free == 0 {
+		return 0, false
+	}
+	slot := Slot(bits.TrailingZeros64(free))
+	b.live |= bit(slot)
+	b.runs[slot] = run
+	b.counts[slot] = 0
+	return slot, true
+}
+
+// retire makes a slot's entries void.
+func (b *bank) retire(slot Slot) {
+	b.live &^= bit(slot)
+	b.dead |= bit(slot)
+	b.runs[slot] = fleet.EngineRun{}
+	b.counts[slot] = 0
+}
+
+// add records a holder and tells whether that took a new entry.
+func (b *bank) add(hash fleet.BlockHash, slot Slot) bool {
+	mixed := mix(hash)
+	segment := b.segmentOf(mixed)
+	position, found := segment.find(hash, mixed)
+	if !found {
+		segment.insert(hash, mixed, bit(slot))
+		b.entries++
+		b.counts[slot]++
+		return true
+	}
+	holders := &segment.table[position].holders
+	if *holders&bit(slot) == 0 {
+		*holders |= bit(slot)
+		b.counts[slot]++
+	}
+	return false
+}
+
+// remove takes a holder away, and the entry with the last one.
+func (b *bank) remove(hash fleet.BlockHash, slot Slot) {
+	mixed := mix(hash)
+	segment := b.segmentOf(mixed)
+	position, found := segment.find(hash, mixed)
+	if !found || segment.table[position].holders&bit(slot) == 0 {
+		return
+	}
+	b.counts[slot]--
+	remaining := segment.table[position].holders &^ bit(slot) &^ b.dead
+	if remaining == 0 {
+		segment.delete(position)
+		b.entries--
+		return
+	}
+	segment.table[position].holders = remaining
+}
+
+// holders returns the live holders of a block.
+func (b *bank) holders(hash fleet.BlockHash) uint64 {
+	mixed := mix(hash)
+	return b.segmentOf(mixed).holders(hash, mixed) & b.live
+}
+
+// lookup appends the runs that hold a prefix. It stops at the first block that
+// no run with an unbroken prefix holds.
+func (b *bank) lookup(hashes []fleet.BlockHash, matches []Match) []Match {
+	unbroken := b.live
+	for depth, hash := range hashes {
+		holding := unbroken & b.holders(hash)
+		if holding != unbroken {
+			matches = b.appendMatches(unbroken&^holding, depth, matches)
+			unbroken = holding
+		}
+		if unbroken == 0 {
+			return matches
+		}
+	}
+	return b.appendMatches(unbroken, len(hashes), matches)
+}
+
+func (b *bank) appendMatches(mask uint64, blocks int, matches []Match) []Match {
+	if blocks == 0 {
+		return matches
+	}
+	for ; mask != 0; mask &= mask - 1 {
+		run := b.runs[bits.TrailingZeros64(mask)]
+		matches = append(matches, Match{Run: run, Blocks: blocks})
+	}
+	return matches
+}
+
+func (b *bank) bytes() int {
+	total := bankBytes
+	for position := range b.segments {
+		total += b.segments[position].bytes()
+	}
+	return total
+}
+
+func (b *bank) segmentOf(mixed uint64) *segment {
+	return &b.segments[mixed%segmentCount]
+}
--- /dev/null
+++ b/internal/prefixindex/feed_test.go
@@ -0,0 +1,142 @@
+package prefixindex
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+func storedEvent(sequence uint64) engine.CacheEvent {
+	return engine.CacheEvent{
+		Sequence: sequence,
+		Kind:     engine.BlockStored,
+		Hashes:   []fleet.BlockHash{fleet.BlockHash(sequence)},
+	}
+}
+
+func newTestFeed() (*Index, *Feed) {
+	index := New(Options{})
+	feed := NewFeed(index, testRun(1, 7), FeedOptions{ReorderWindow: 4, ReplayLimit: 16})
+	feed.ApplySnapshot(0, engine.CacheSnapshot{Incarnation: 7})
+	return index, feed
+}
+
+func apply(feed *Feed, now time.Duration, events ...engine.CacheEvent) bool {
+	return feed.Apply(now, engine.CacheEvents{Incarnation: 7, Events: events})
+}
+
+func TestFeedReordersWithinWindow(t *testing.T) {
+	index, feed := newTestFeed()
+	removed := engine.CacheEvent{Sequence: 3, Kind: engine.BlockRemoved, Hashes: []fleet.BlockHash{2}}
+	require.True(t, apply(feed, 0, removed, storedEvent(1), storedEvent(1), storedEvent(2), removed))
+	assert.False(t, feed.Distrusted())
+	assert.Empty(t, index.HoldersOf(2), "the removal takes effect after the store")
+	assert.EqualValues(t, 3, feed.After())
+	assert.EqualValues(t, 2, feed.Counts().Duplicates)
+}
+
+func TestNewFeedWantsSnapshot(t *testing.T) {
+	index := New(Options{})
+	feed := NewFeed(index, testRun(1, 7), FeedOptions{})
+	apply(feed, 0, storedEvent(41))
+	assert.Equal(t, 1, index.BlocksOf(testRun(1, 7)), "events count before the snapshot")
+	require.True(t, feed.WantSnapshot(0))
+	feed.ApplySnapshot(0, engine.CacheSnapshot{Incarnation: 7, Sequence: 40, Hashes: testHashes(0, 3)})
+	assert.False(t, feed.Distrusted())
+	assert.Equal(t, 4, index.BlocksOf(testRun(1, 7)))
+}
+
+func TestFeedDropsOtherIncarnations(t *testing.T) {
+	index, feed := newTestFeed()
+	stale := engine.CacheEvents{Incarnation: 6, Events: []engine.CacheEvent{storedEvent(1)}}
+	assert.False(t, feed.Apply(0, stale))
+	assert.False(t, feed.ApplySnapshot(0, engine.CacheSnapshot{Incarnation: 8, Sequence: 9}))
+	assert.Zero(t, index.Blocks())
+	assert.EqualValues(t, 2, feed.Counts().StaleRuns)
+}
+
+func TestFeedDistrustsAfterGap(t *testing.T) {
+	index, feed := newTestFeed()
+	apply(feed, 0, storedEvent(1), storedEvent(3))
+	assert.False(t, feed.Distrusted(), "event 2 may still come")
+	feed.Tick(DefaultHoleTimeout)
+	require.True(t, feed.Distrusted())
+	assert.Equal(t, 2, index.BlocksOf(testRun(1, 7)))
+	assert.True(t, feed.WantSnapshot(time.Second))
+	assert.False(t, feed.WantSnapshot(time.Second+1), "asked for already")
+	assert.True(t, feed.WantSnapshot(2*time.Second), "the answer was lost")
+}
+
+func TestFeedSnapshotDropsOlderAndReplaysLater(t *testing.T) {
+	index, feed := newTestFeed()
+	apply(feed, 0, storedEvent(1), storedEvent(6), storedEvent(7), storedEvent(8))
+	require.True(t, feed.Distrusted())
+	snapshot := engine.CacheSnapshot{Incarnation: 7, Sequence: 7, Hashes: []fleet.BlockHash{50}}
+	require.True(t, feed.ApplySnapshot(0, snapshot))
+	assert.False(t, feed.Distrusted())
+	assert.Equal(t, 2, index.BlocksOf(testRun(1, 7)), "the snapshot and event 8")
+	apply(feed, 0, storedEvent(6))
+	assert.Empty(t, index.HoldersOf(6))
+	assert.False(t, feed.ApplySnapshot(0, engine.CacheSnapshot{Incarnation: 7, Sequence: 7}))
+	assert.Equal(t, 2, index.BlocksOf(testRun(1, 7)))
+}
+
+func TestFeedStaysDistrustedWhenSnapshotPredatesLoss(t *testing.T) {
+	_, feed := newTestFeed()
+	apply(feed, 0, storedEvent(1), storedEvent(9))
+	require.True(t, feed.ApplySnapshot(0, engine.CacheSnapshot{Incarnation: 7, Sequence: 3}))
+	assert.True(t, feed.Distrusted())
+	require.True(t, feed.ApplySnapshot(0, engine.CacheSnapshot{Incarnation: 7, Sequence: 8}))
+	assert.False(t, feed.Distrusted())
+	assert.EqualValues(t, 9, feed.After())
+}
+
+// TestFeedConvergesAfterLoss loses, doubles and swaps events at random; after
+// a snapshot and the rest of the events the index equals the engine's cache.
+func TestFeedConvergesAfterLoss(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		index, feed := newTestFeed()
+		cache := make(map[fleet.BlockHash]bool)
+		var delayed []engine.CacheEvent
+		total := rapid.IntRange(1, 60).Draw(t, "events")
+		for sequence := 1; sequence <= total; sequence++ {
+			event := engine.CacheEvent{Sequence: uint64(sequence), Kind: engine.BlockStored}
+			hash := fleet.BlockHash(rapid.IntRange(0, 9).Draw(t, "hash"))
+			event.Hashes = []fleet.BlockHash{hash}
+			if cache[hash] {
+				event.Kind = engine.BlockRemoved
+			}
+			cache[hash] = !cache[hash]
+			switch rapid.IntRange(0, 5).Draw(t, "fate") {
+			case 0:
+				continue
+			case 1:
+				delayed = append(delayed, event)
+			default:
+				apply(feed, 0, append([]engine.CacheEvent{event, event}, delayed...)...)
+				delayed = nil
+			}
+		}
+		apply(feed, 0, delayed...)
+		end := engine.CacheEvent{Sequence: uint64(total) + 100, Kind: engine.BlockStored}
+		apply(feed, 0, end)
+		require.True(t, feed.Distrusted())
+		snapshot := engine.CacheSnapshot{Incarnation: 7, Sequence: end.Sequence}
+		for hash := fleet.BlockHash(0); hash < 10; hash++ {
+			if cache[hash] {
+				snapshot.Hashes = append(snapshot.Hashes, hash)
+			}
+		}
+		require.True(t, feed.ApplySnapshot(0, snapshot))
+		require.False(t, feed.Distrusted())
+		for hash, held := range cache {
+			assert.Equal(t, held, len(index.HoldersOf(hash)) == 1, "block %d", hash)
+		}
+	})
+}
--- a/internal/prefixindex/prefixindex.go
+++ b/internal/prefixindex/prefixindex.go
@@ -1,18 +1,246 @@
 // Package prefixindex records which engine runs hold which cached blocks, as
 // far as cache events tell. It is a guess: the engine alone decides a hit. The
 // package has no I/O and no clock of its own.
+//
+// Runs are numbered by slots, 64 to a bank. A bank is an open-addressing table
+// from block hash to a bit mask of slots, 16 bytes an entry. Forgetting a run
+// clears one bit of the bank's live mask; its bits in the entries are reclaimed
+// by an incremental sweep, and only then is the slot used again.
 package prefixindex
 
 import (
+	"cmp"
+	"math/bits"
+	"slices"
+
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
-// Slot is a small dense number that stands for one engine run in the index.
-// A new incarnation gets a new slot, so that forgetting a dead run is one step.
-type Slot uint16
+// DefaultMaxBlocks bounds an index when Options leave it open: 4 Mi entries
+// take up to 96 MB.
+const DefaultMaxBlocks = 4 << 20
 
 // Match tells how many leading blocks of a prompt one engine run holds.
 type Match struct {
 	Run    fleet.EngineRun
 	Blocks int
 }
+
+// Options sets an index's limits.
+type Options struct {
+	// MaxBlocks bounds the number of entries; 0 means DefaultMaxBlocks. At the
+	// bound, storing a block drops another one.
+	MaxBlocks int
+}
+
+// location is where the index keeps a run.
+type location struct {
+	bank *bank
+	slot Slot
+}
+
+// Index maps block hashes to the engine runs that hold them. It isn't safe for
+// concurrent use.
+type Index struct {
+	maxBlocks int
+	banks     []*bank
+	runs      map[fleet.EngineRun]location
+	dropped   uint64
+}
+
+// New returns an empty index.
+func New(options Options) *Index {
+	maxBlocks := options.MaxBlocks
+	if maxBlocks <= 0 {
+		maxBlocks = DefaultMaxBlocks
+	}
+	return &Index{
+		maxBlocks: maxBlocks,
+		runs:      make(map[fleet.EngineRun]location),
+	}
+}
+
+// AddRun makes a run known, with no blocks. Adding a known run does nothing.
+func (x *Index) AddRun(run fleet.EngineRun) {
+	if _, known := x.runs[run]; known {
+		return
+	}
+	x.runs[run] = x.allocate(run)
+}
+
+// RemoveRun forgets a run at once and in constant time; the memory of its
+// blocks is reclaimed bit by bit by later calls of Store and Remove.
+func (x *Index) RemoveRun(run fleet.EngineRun) {
+	where, known := x.runs[run]
+	if !known {
+		return
+	}
+	where.bank.retire(where.slot)
+	delete(x.runs, run)
+}
+
+// Clear forgets the blocks of a run, which stays known.
+func (x *Index) Clear(run fleet.EngineRun) {
+	where, known := x.runs[run]
+	if !known || where.bank.counts[where.slot] == 0 {
+		return
+	}
+	where.bank.retire(where.slot)
+	x.runs[run] = x.allocate(run)
+}
+
+// Store records that a run holds blocks. It does nothing for an unknown run,
+// so that a late event can't revive a dead one.
+func (x *Index) Store(run fleet.EngineRun, hashes []fleet.BlockHash) {
+	where, known := x.runs[run]
+	if !known {
+		return
+	}
+	for _, hash := range hashes {
+		if where.bank.add(hash, where.slot) && x.Blocks() > x.maxBlocks {
+			x.drop(hash)
+		}
+	}
+	where.bank.reclaimFor(len(hashes))
+}
+
+// Remove records that a run no longer holds blocks.
+func (x *Index) Remove(run fleet.EngineRun, hashes []fleet.BlockHash) {
+	where, known := x.runs[run]
+	if !known {
+		return
+	}
+	for _, hash := range hashes {
+		where.bank.remove(hash, where.slot)
+	}
+	where.bank.reclaimFor(len(hashes))
+}
+
+// Replace makes hashes the whole set of a run's blocks.
+func (x *Index) Replace(run fleet.EngineRun, hashes []fleet.BlockHash) {
+	x.Clear(run)
+	x.Store(run, hashes)
+}
+
+// Correct applies what an engine itself said of a prompt: it held the first
+// held blocks and none of the others.
+func (x *Index) Correct(run fleet.EngineRun, hashes []fleet.BlockHash, held int) {
+	held = min(max(held, 0), len(hashes))
+	x.Store(run, hashes[:held])
+	x.Remove(run, hashes[held:])
+}
+
+// Lookup appends to into[:0] every run that holds at least the first block of
+// a prompt, with the length of the unbroken prefix that it holds: an engine may
+// evict a block and keep later ones, which then can't be used. Longer prefixes
+// come first, equal ones by engine and incarnation.
+func (x *Index) Lookup(hashes []fleet.BlockHash, into []Match) []Match {
+	matches := into[:0]
+	for _, bank := range x.banks {
+		matches = bank.lookup(hashes, matches)
+	}
+	slices.SortFunc(matches, compareMatches)
+	return matches
+}
+
+// HoldersOf returns the runs that hold a block, by engine and incarnation.
+func (x *Index) HoldersOf(hash fleet.BlockHash) []fleet.EngineRun {
+	var holders []fleet.EngineRun
+	for _, bank := range x.banks {
+		mask := bank.holders(hash)
+		for ; mask != 0; mask &= mask - 1 {
+			holders = append(holders, bank.runs[bits.TrailingZeros64(mask)])
+		}
+	}
+	slices.SortFunc(holders, compareRuns)
+	return holders
+}
+
+// Blocks returns the number of entries. It includes entries of removed runs
+// that haven't been reclaimed yet, and counts a block once for each bank of 64
+// runs that holds it.
+func (x *Index) Blocks() int {
+	total := 0
+	for _, bank := range x.banks {
+		total += bank.entries
+	}
+	return total
+}
+
+// BlocksOf returns the number of blocks that a run holds.
+func (x *Index) BlocksOf(run fleet.EngineRun) int {
+	where, known := x.runs[run]
+	if !known {
+		return 0
+	}
+	return where.bank.counts[where.slot]
+}
+
+// Bytes returns the memory that the tables take.
+func (x *Index) Bytes() int {
+	total := 0
+	for _, bank := range x.banks {
+		total += bank.bytes()
+	}
+	return total
+}
+
+// Dropped returns how many entries were dropped to stay within MaxBlocks.
+func (x *Index) Dropped() uint64 { return x.dropped }
+
+// Reclaim frees the memory of all removed runs at once. It walks the whole
+// index, so it suits idle moments only.
+func (x *Index) Reclaim() {
+	for _, bank := range x.banks {
+		bank.reclaimAll()
+	}
+}
+
+// allocate finds a slot: a free one, then one whose reclaim can be completed
+// now, then one in a new bank.
+func (x *Index) allocate(run fleet.EngineRun) location {
+	for _, bank := range x.banks {
+		if slot, found := bank.allocate(run); found {
+			return location{bank: bank, slot: slot}
+		}
+	}
+	for _, bank := range x.banks {
+		if bank.dead == 0 {
+			continue
+		}
+		bank.reclaimAll()
+		slot, _ := bank.allocate(run)
+		return location{bank: bank, slot: slot}
+	}
+	added := newBank()
+	x.banks = append(x.banks, added)
+	slot, _ := added.allocate(run)
+	return location{bank: added, slot: slot}
+}
+
+// drop removes one entry other than keep from the largest bank.
+func (x *Index) drop(keep fleet.BlockHash) {
+	largest := x.banks[0]
+	for _, bank := range x.banks[1:] {
+		if bank.entries > largest.entries {
+			largest = bank
+		}
+	}
+	if largest.drop(keep) {
+		x.dropped++
+	}
+}
+
+func compareMatches(a, b Match) int {
+	if a.Blocks != b.Blocks {
+		return cmp.Compare(b.Blocks, a.Blocks)
+	}
+	return compareRuns(a.Run, b.Run)
+}
+
+func compareRuns(a, b fleet.EngineRun) int {
+	if a.Engine != b.Engine {
+		return cmp.Compare(a.Engine, b.Engine)
+	}
+	return cmp.Compare(a.Incarnation, b.Incarnation)
+}
