Add the engine's model: batching, prefix cache, orders

The stand-in process, the emulator and the simulation need one model of an engine that runs on any clock. It is a state machine without I/O; times come from outside. Streams are dispatched with text (frames, verifiable token texts) or by block hashes alone (counts only, for the emulator).

Identifiers of ended streams are kept for the whole incarnation: dropping them after a time was ruled out, since a late dispatch could then run twice.

--- /dev/null
+++ b/lab/enginemodel/blocks.go
@@ -0,0 +1,190 @@
+package enginemodel
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// block is a cached block. Unpinned blocks are linked in the order of their
+// last use; links are positions in the slab.
+type block struct {
+	hash           fleet.BlockHash
+	references     int32
+	scope          int32
+	previous, next int32
+	idleSince      time.Duration
+}
+
+// anchor is the slab position that closes the list of unpinned blocks: its
+// next is the least recently used.
+const anchor = 0
+
+// blockStore is the engine's KV memory.
+type blockStore struct {
+	index    map[fleet.BlockHash]int32
+	slab     []block
+	free     []int32
+	capacity int
+	// pinned blocks are in use by running streams, reserved ones promised.
+	pinned   int
+	reserved int
+	evicted  int
+	events   *eventLog
+}
+
+func newBlockStore(capacity int, events *eventLog) *blockStore {
+	return &blockStore{
+		index:    make(map[fleet.BlockHash]int32),
+		slab:     make([]block, 1),
+		capacity: capacity,
+		events:   events,
+	}
+}
+
+// prefix returns how many leading hashes are cached and how many of these are
+// unpinned.
+func (s *blockStore) prefix(hashes []fleet.BlockHash) (cached, unpinned int) {
+	for _, hash := range hashes {
+		position, found := s.index[hash]
+		if !found {
+			return cached, unpinned
+		}
+		cached++
+		if s.slab[position].references == 0 {
+			unpinned++
+		}
+	}
+	return cached, unpinned
+}
+
+// room returns how many more blocks can be pinned or reserved.
+func (s *blockStore) room() int {
+	return s.capacity - s.pinned - s.reserved
+}
+
+// reserve promises room, which must be there, and evicts to make it real.
+func (s *blockStore) reserve(count int) {
+	s.reserved += count
+	s.shrink()
+}
+
+// shrink evicts unpinned blocks until the promises fit.
+func (s *blockStore) shrink() {
+	for len(s.index)+s.reserved > s.capacity && s.slab[anchor].next != anchor {
+		s.evict(s.slab[anchor].next)
+	}
+}
+
+// pin takes a cached block into use.
+func (s *blockStore) pin(hash fleet.BlockHash) {
+	position := s.index[hash]
+	entry := &s.slab[position]
+	if entry.references == 0 {
+		s.unlink(position)
+		s.pinned++
+	}
+	entry.references++
+}
+
+// unpin gives a block up.
+func (s *blockStore) unpin(hash fleet.BlockHash, now time.Duration) {
+	position := s.index[hash]
+	entry := &s.slab[position]
+	entry.references--
+	if entry.references > 0 {
+		return
+	}
+	s.pinned--
+	entry.idleSince = now
+	s.link(position)
+}
+
+// storeReserved turns a promise into a pinned block.
+func (s *blockStore) storeReserved(hash fleet.BlockHash, scope int32) {
+	s.reserved--
+	if _, found := s.index[hash]; !found {
+		s.insert(hash, scope)
+		s.link(s.index[hash])
+	}
+	s.pin(hash)
+}
+
+// storeIdle keeps the blocks of a prefix that no stream uses, as far as there
+// is room beside the pinned ones, and returns how many. The end goes in first,
+// so that the beginning counts as used last.
+func (s *blockStore) storeIdle(hashes []fleet.BlockHash, scope int32, now time.Duration) int {
+	count := max(min(len(hashes), s.room()), 0)
+	for i := count - 1; i >= 0; i-- {
+		position, found := s.index[hashes[i]]
+		switch {
+		case !found:
+			position = s.insert(hashes[i], scope)
+		case s.slab[position].references > 0:
+			continue
+		default:
+			s.unlink(position)
+		}
+		s.slab[position].idleSince = now
+		s.link(position)
+		s.shrink()
+	}
+	return count
+}
+
+// expire evicts the blocks that have been idle since before a time.
+func (s *blockStore) expire(before time.Duration) {
+	for {
+		oldest := s.slab[anchor].next
+		if oldest == anchor || s.slab[oldest].idleSince > before {
+			return
+		}
+		s.evict(oldest)
+	}
+}
+
+func (s *blockStore) insert(hash fleet.BlockHash, scope int32) int32 {
+	var position int32
+	if last := len(s.free) - 1; last >= 0 {
+		position = s.free[last]
+		s.free = s.free[:last]
+	} else {
+		position = int32(len(s.slab))
+		s.slab = append(s.slab, block{})
+	}
+	s.slab[position] = block{hash: hash, scope: scope}
+	s.index[hash] = position
+	s.events.record(engine.BlockStored, hash)
+	return position
+}
+
+func (s *blockStore) evict(position int32) {
+	hash := s.slab[position].hash
+	s.unlink(position)
+	delete(s.index, hash)
+	s.free = append(s.free, position)
+	s.evicted++
+	s.events.record(engine.BlockRemoved, hash)
+}
+
+// link appends a block to the list as the most recently used.
+func (s *blockStore) link(position int32) {
+	last := s.slab[anchor].previous
+	s.slab[position].previous = last
+	s.slab[position].next = anchor
+	s.slab[last].next = position
+	s.slab[anchor].previous = position
+}
+
+func (s *blockStore) unlink(position int32) {
+	entry := &s.slab[position]
+	s.slab[entry.previous].next = entry.next
+	s.slab[entry.next].previous = entry.previous
+}
+
+// owns tells whether a cached block belongs to a scope.
+func (s *blockStore) owns(hash fleet.BlockHash, scope int32) bool {
+	position, found := s.index[hash]
+	return found && s.slab[position].scope == scope
+}
--- /dev/null
+++ b/lab/enginemodel/dispatch.go
@@ -0,0 +1,140 @@
+package enginemodel
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/prompt"
+)
+
+// HashedRequest is a dispatch without text. Its stream has no frames; its
+// progress shows in TakeStreamEvents.
+type HashedRequest struct {
+	StreamID    fleet.StreamID
+	Incarnation fleet.Incarnation
+	Tenant      fleet.TenantName
+	Weights     engine.Weights
+	// Hashes are the whole blocks of the prompt; the engine keeps the slice.
+	Hashes []fleet.BlockHash
+	// PromptTokens and OutputTokens are lengths in tokens.
+	PromptTokens int
+	OutputTokens int
+	Priority     int
+}
+
+// Dispatch accepts a stream or returns an *engine.Error. It checks, in this
+// order: incarnation, barring, duplicate, draining, weights, shape and the
+// bound of the queue.
+func (e *Engine) Dispatch(now time.Duration, request engine.DispatchRequest) error {
+	e.Advance(now)
+	if failure := e.admissible(request.StreamID, request.Incarnation, request.Weights); failure != nil {
+		return failure
+	}
+	if request.StreamID == "" || request.MaxTokens < 1 || request.Prompt == "" {
+		return e.failure(engine.ErrorBadRequest, "stream_id, prompt and a positive max_tokens are required")
+	}
+	if failure := e.checkQueue(); failure != nil {
+		return failure
+	}
+	scope := cacheScope(request.Tenant, request.Weights)
+	s := &stream{
+		id:           request.StreamID,
+		scope:        e.scope(request.Tenant, request.Weights),
+		priority:     request.Priority,
+		hashes:       prompt.HashBlocks(scope, request.Prompt, e.config.BlockTokens),
+		promptTokens: prompt.CountTokens(request.Prompt),
+		carried:      len(request.Continuation),
+		produced:     len(request.Continuation),
+		limit:        min(request.MaxTokens, e.config.MaxOutputTokens),
+		finishReason: finishLength,
+		text:         e.newOutput(request, scope),
+	}
+	if stop := e.config.StopTokens; stop > 0 && stop < s.limit {
+		s.limit = stop
+		s.finishReason = finishStop
+	}
+	e.accept(s)
+	return nil
+}
+
+// DispatchHashed is Dispatch for a request without text.
+func (e *Engine) DispatchHashed(now time.Duration, request HashedRequest) error {
+	e.Advance(now)
+	if failure := e.admissible(request.StreamID, request.Incarnation, request.Weights); failure != nil {
+		return failure
+	}
+	if request.StreamID == "" || request.OutputTokens < 1 || request.PromptTokens < 1 {
+		return e.failure(engine.ErrorBadRequest, "an identifier and positive lengths are required")
+	}
+	if failure := e.checkQueue(); failure != nil {
+		return failure
+	}
+	e.accept(&stream{
+		id:           request.StreamID,
+		scope:        e.scope(request.Tenant, request.Weights),
+		priority:     request.Priority,
+		hashes:       request.Hashes,
+		promptTokens: request.PromptTokens,
+		limit:        request.OutputTokens,
+		finishReason: finishLength,
+	})
+	return nil
+}
+
+// admissible makes the checks that need no more than the stream's identity.
+func (e *Engine) admissible(id fleet.StreamID, incarnation fleet.Incarnation, weights engine.Weights) error {
+	if incarnation != e.incarnation {
+		return e.failure(engine.ErrorWrongIncarnation, "dispatch is for another run of this engine")
+	}
+	if ended, found := e.closed[id]; found && ended.state != engine.CancelFinished {
+		return e.failure(engine.ErrorBarred, "stream was cancelled")
+	}
+	if _, found := e.closed[id]; found {
+		return e.failure(engine.ErrorDuplicate, "stream has finished")
+	}
+	if _, found := e.streams[id]; found {
+		return e.failure(engine.ErrorDuplicate, "stream exists")
+	}
+	if e.control.leaving {
+		return e.failure(engine.ErrorDraining, "engine is leaving")
+	}
+	if !e.control.has(weights) {
+		return e.failure(engine.ErrorWeightsNotLoaded, "weights are not loaded")
+	}
+	return nil
+}
+
+func (e *Engine) checkQueue() error {
+	if len(e.waiting.streams) >= e.config.MaxWaiting {
+		return e.failure(engine.ErrorOverloaded, "queue is full")
+	}
+	return nil
+}
+
+func (e *Engine) accept(s *stream) {
+	e.streams[s.id] = s
+	if s.produced >= s.limit {
+		e.finish(s)
+		return
+	}
+	cached, _ := e.blocks.prefix(s.hashes)
+	s.cachedTokens = min(cached*e.config.BlockTokens, s.promptTokens-1)
+	e.waiting.push(s, e.config.BlockTokens, cached)
+	e.startStep()
+	e.events.flush(e.now)
+}
+
+func (e *Engine) newOutput(request engine.DispatchRequest, scope fleet.CacheScope) *output {
+	run := fleet.EngineRun{Engine: e.config.ID, Incarnation: e.incarnation}
+	return &output{
+		scope:        scope,
+		prompt:       request.Prompt,
+		promptDigest: xxhash.Sum64String(request.Prompt),
+		variant:      variantOf(run, request.StreamID),
+		tokens:       slices.Clone(request.Continuation),
+	}
+}
--- /dev/null
+++ b/lab/enginemodel/frames.go
@@ -0,0 +1,163 @@
+package enginemodel
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Accepted returns the first frame of a stream with text.
+func (e *Engine) Accepted(id fleet.StreamID) (engine.Frame, error) {
+	s, err := e.withText(id)
+	if err != nil {
+		return engine.Frame{}, err
+	}
+	return engine.Frame{
+		Kind:         engine.FrameAccepted,
+		Stream:       id,
+		PromptTokens: s.promptTokens,
+		CachedTokens: s.cachedTokens,
+	}, nil
+}
+
+// Frames returns what a stream with text has yielded from a token index on,
+// and whether that includes its last frame. Output that was carried into the
+// stream by its dispatch can be read too. Frames of ended streams are kept for
+// Config.FrameRetention; then the stream is unknown.
+func (e *Engine) Frames(id fleet.StreamID, fromIndex int) (frames []engine.Frame, ended bool, err error) {
+	s, err := e.withText(id)
+	if err != nil {
+		return nil, false, err
+	}
+	ended = s.state == streamFinished || s.state == streamCancelled
+	if fromIndex < 0 || (ended && fromIndex > s.produced) {
+		return nil, false, e.failure(engine.ErrorBadRequest, "offset is outside the stream")
+	}
+	for index := fromIndex; index < s.produced; index++ {
+		frames = append(frames, engine.Frame{
+			Kind:   engine.FrameToken,
+			Stream: id,
+			Index:  index,
+			Text:   s.text.tokens[index],
+		})
+	}
+	if ended {
+		frames = append(frames, lastFrame(s))
+	}
+	return frames, ended, nil
+}
+
+func lastFrame(s *stream) engine.Frame {
+	if s.state == streamCancelled {
+		return engine.Frame{
+			Kind:    engine.FrameError,
+			Stream:  s.id,
+			Error:   engine.ErrorCancelled,
+			Message: "stream was cancelled",
+		}
+	}
+	return engine.Frame{
+		Kind:         engine.FrameDone,
+		Stream:       s.id,
+		Count:        s.produced,
+		FinishReason: s.finishReason,
+		PromptTokens: s.promptTokens,
+		CachedTokens: s.cachedTokens,
+	}
+}
+
+func (e *Engine) withText(id fleet.StreamID) (*stream, error) {
+	s, found := e.streams[id]
+	if !found || s.text == nil {
+		return nil, e.failure(engine.ErrorUnknownStream, "no such stream is held")
+	}
+	return s, nil
+}
+
+// Cancel stops a stream and bars its identifier for the rest of the
+// incarnation. It is idempotent. A stream that only waited counts as never
+// run, and is barred as well.
+func (e *Engine) Cancel(now time.Duration, id fleet.StreamID, incarnation fleet.Incarnation) (engine.CancelResponse, error) {
+	e.Advance(now)
+	if incarnation != e.incarnation {
+		return engine.CancelResponse{}, e.failure(engine.ErrorWrongIncarnation, "stream belongs to another run of this engine")
+	}
+	if ended, found := e.closed[id]; found {
+		return engine.CancelResponse{State: ended.state, Tokens: ended.tokens}, nil
+	}
+	s, found := e.streams[id]
+	if !found {
+		e.closed[id] = closedStream{state: engine.CancelNeverRan}
+		return engine.CancelResponse{State: engine.CancelNeverRan}, nil
+	}
+	switch s.state {
+	case streamFinished:
+		return engine.CancelResponse{State: engine.CancelFinished, Tokens: s.produced}, nil
+	case streamWaiting:
+		e.waiting.remove(s)
+		e.stop(s)
+		e.closed[id] = closedStream{state: engine.CancelNeverRan}
+		return engine.CancelResponse{State: engine.CancelNeverRan}, nil
+	case streamRunning:
+		e.stop(s)
+	}
+	e.closed[id] = closedStream{state: engine.CancelCancelled, tokens: s.produced}
+	return engine.CancelResponse{State: engine.CancelCancelled, Tokens: s.produced}, nil
+}
+
+// stop ends a live stream before its time. A batch under way is computed to
+// its end, as accelerators do, without this stream's results.
+func (e *Engine) stop(s *stream) {
+	s.state = streamCancelled
+	e.dropReservations(s)
+	e.unpinAll(s)
+	for position, other := range e.running {
+		if other == s {
+			e.running = append(e.running[:position], e.running[position+1:]...)
+			break
+		}
+	}
+	e.end(s, StreamCancelled)
+	e.events.flush(e.now)
+}
+
+// StreamEventKind tells what became of a stream without text.
+type StreamEventKind uint8
+
+// Kinds of stream events.
+const (
+	StreamFirstToken StreamEventKind = iota
+	StreamDone
+	StreamCancelled
+)
+
+// StreamEvent is progress of a stream that was dispatched by its hashes.
+type StreamEvent struct {
+	Stream fleet.StreamID
+	Kind   StreamEventKind
+	// At is the end of the step that brought it about.
+	At           time.Duration
+	PromptTokens int
+	CachedTokens int
+	OutputTokens int
+}
+
+// TakeStreamEvents returns the progress since the last call, oldest first. The
+// slice is valid until the next call on the engine.
+func (e *Engine) TakeStreamEvents() []StreamEvent {
+	reports := e.reports
+	e.reports = e.reports[:0]
+	return reports
+}
+
+func (e *Engine) report(s *stream, kind StreamEventKind) {
+	e.reports = append(e.reports, StreamEvent{
+		Stream:       s.id,
+		Kind:         kind,
+		At:           e.now,
+		PromptTokens: s.promptTokens,
+		CachedTokens: s.cachedTokens,
+		OutputTokens: s.produced,
+	})
+}
--- /dev/null
+++ b/lab/enginemodel/kv.go
@@ -0,0 +1,60 @@
+package enginemodel
+
+import (
+	"sort"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// pendingImport is a bundle that is on its way into the cache.
+type pendingImport struct {
+	readyAt time.Duration
+	scope   int32
+	hashes  []fleet.BlockHash
+}
+
+// Export returns the cached beginning of a prefix, as far as its blocks belong
+// to the tenant and weights of the request.
+func (e *Engine) Export(now time.Duration, request engine.KVExportRequest) (engine.KVBundle, error) {
+	e.Advance(now)
+	bundle := engine.KVBundle{Tenant: request.Tenant, Weights: request.Weights}
+	scope, known := e.scopes[cacheScope(request.Tenant, request.Weights)]
+	for _, hash := range request.Hashes {
+		if !known || !e.blocks.owns(hash, scope) {
+			break
+		}
+		bundle.Hashes = append(bundle.Hashes, hash)
+	}
+	bundle.Checksum = bundle.Sum()
+	return bundle, nil
+}
+
+// Import checks a bundle and takes it into the cache at the returned time.
+// The engine must have loaded the weights that computed the blocks.
+func (e *Engine) Import(now time.Duration, bundle engine.KVBundle) (readyAt time.Duration, err error) {
+	e.Advance(now)
+	if bundle.Sum() != bundle.Checksum {
+		return 0, e.failure(engine.ErrorChecksum, "bundle fails its check")
+	}
+	if !e.control.has(bundle.Weights) {
+		return 0, e.failure(engine.ErrorWeightsNotLoaded, "weights of the bundle are not loaded")
+	}
+	readyAt = e.now + time.Duration(len(bundle.Hashes))*e.config.Costs.ImportPerBlock
+	pending := pendingImport{readyAt: readyAt, scope: e.scope(bundle.Tenant, bundle.Weights), hashes: bundle.Hashes}
+	position := sort.Search(len(e.imports), func(i int) bool { return e.imports[i].readyAt > readyAt })
+	e.imports = append(e.imports, pendingImport{})
+	copy(e.imports[position+1:], e.imports[position:])
+	e.imports[position] = pending
+	return readyAt, nil
+}
+
+func (e *Engine) finishImports() {
+	for len(e.imports) > 0 && e.imports[0].readyAt <= e.now {
+		pending := e.imports[0]
+		e.imports = e.imports[1:]
+		stored := e.blocks.storeIdle(pending.hashes, pending.scope, e.now)
+		e.counters.ImportedBlocks += int64(stored)
+	}
+}
