Add the platform's HTTP client, model and stand-in

Everything that must last lives in the platform's services, so the product needs their client, and tests and simulation need services that fail on demand.

The client maps failures to what a caller may conclude: no connection means that nothing happened, a connection that broke means that a write's outcome is unknown, and a read is merely unavailable. net/http sends a GET again by itself when a reused connection dies; each request therefore has a body that can't be rewound.

Telling by bytes counted on the connection whether a commit had left was ruled out: after a cancel net/http may still be writing, so a connection obtained counts as sent.

The model has no I/O and no clock, so that the stand-in and the simulation run the same code.

--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,174 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Defaults of ClientOptions.
+const (
+	DefaultTimeout        = 2 * time.Second
+	DefaultConnectTimeout = time.Second
+)
+
+// ClientOptions configures a Client.
+type ClientOptions struct {
+	// Address is the service's "host:port".
+	Address fleet.Address
+	// Timeout bounds one call from connect to the last byte of the answer;
+	// 0 means DefaultTimeout.
+	Timeout time.Duration
+	// ConnectTimeout bounds the connect alone; 0 means DefaultConnectTimeout.
+	ConnectTimeout time.Duration
+}
+
+// Client calls the platform over HTTP. It implements Tables, Objects and
+// Machines. Each method sends at most one request and never repeats it: the
+// caller decides on retries, because the service is rate-limited.
+type Client struct {
+	base    url.URL
+	timeout time.Duration
+	http    *http.Client
+}
+
+var (
+	_ Tables   = (*Client)(nil)
+	_ Objects  = (*Client)(nil)
+	_ Machines = (*Client)(nil)
+)
+
+// NewClient returns a client; it doesn't connect.
+func NewClient(options ClientOptions) *Client {
+	if options.Timeout <= 0 {
+		options.Timeout = DefaultTimeout
+	}
+	if options.ConnectTimeout <= 0 {
+		options.ConnectTimeout = DefaultConnectTimeout
+	}
+	return &Client{
+		base:    url.URL{Scheme: "http", Host: string(options.Address)},
+		timeout: options.Timeout,
+		http:    newHTTPClient(options.ConnectTimeout),
+	}
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get implements Tables.
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	query := url.Values{ParameterKey: {key}}
+	body, err := c.read(ctx, PathRow, query)
+	if err != nil {
+		return Row{}, errors.Wrap(err, "get row")
+	}
+	row, err := decodeRow(body, key)
+	return row, wrap(err, "get row")
+}
+
+// List implements Tables. The service returns at most MaxListRows.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	query := url.Values{
+		ParameterPrefix: {prefix},
+		ParameterAfter:  {after},
+		ParameterLimit:  {strconv.Itoa(limit)},
+	}
+	body, err := c.read(ctx, PathRows, query)
+	if err != nil {
+		return nil, errors.Wrap(err, "list rows")
+	}
+	rows, err := decodeRows(body, prefix, after)
+	return rows, wrap(err, "list rows")
+}
+
+// Commit implements Tables.
+func (c *Client) Commit(ctx context.Context, transaction Transaction) error {
+	body, err := json.Marshal(transaction)
+	if err != nil {
+		return errors.Wrap(err, "encode transaction")
+	}
+	return wrap(c.write(ctx, http.MethodPost, PathCommit, nil, body), "commit")
+}
+
+// GetObject implements Objects.
+func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
+	body, err := c.read(ctx, PathObject, url.Values{ParameterName: {name}})
+	return body, wrap(err, "get object")
+}
+
+// PutObject implements Objects. ErrUnknownOutcome means that the object may
+// have been replaced.
+func (c *Client) PutObject(ctx context.Context, name string, body []byte) error {
+	query := url.Values{ParameterName: {name}}
+	return wrap(c.write(ctx, http.MethodPut, PathObject, query, body), "put object")
+}
+
+// ListMachines implements Machines.
+func (c *Client) ListMachines(ctx context.Context) ([]Machine, error) {
+	body, err := c.read(ctx, PathMachines, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "list machines")
+	}
+	machines, err := decodeMachines(body)
+	return machines, wrap(err, "list machines")
+}
+
+// WeightStore returns how busy the weight store is.
+func (c *Client) WeightStore(ctx context.Context) (WeightStoreStatus, error) {
+	body, err := c.read(ctx, PathWeights, nil)
+	if err != nil {
+		return WeightStoreStatus{}, errors.Wrap(err, "weight store status")
+	}
+	status, err := decodeWeightStoreStatus(body)
+	return status, wrap(err, "weight store status")
+}
+
+// wrap adds the operation to an error. errors.Wrap makes an error of nil too.
+func wrap(err error, operation string) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Wrap(err, operation)
+}
+
+// read sends a request without effect: whatever fails is ErrUnavailable unless
+// the service said otherwise.
+func (c *Client) read(ctx context.Context, path string, query url.Values) ([]byte, error) {
+	answer, err := c.do(ctx, http.MethodGet, path, query, nil)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	if answer.status == http.StatusOK {
+		if answer.bodyErr != nil {
+			return nil, errors.Wrap(ErrUnavailable, answer.bodyErr.Error())
+		}
+		return answer.body, nil
+	}
+	err = statusError(answer)
+	if errors.Is(err, ErrUnknownOutcome) {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return nil, err
+}
+
+// write sends a request that has an effect. Success is known from the status
+// line, so that a body that breaks off changes nothing.
+func (c *Client) write(ctx context.Context, method, path string, query url.Values, body []byte) error {
+	answer, err := c.do(ctx, method, path, query, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	if answer.status >= http.StatusOK && answer.status < http.StatusMultipleChoices {
+		return nil
+	}
+	return statusError(answer)
+}
--- /dev/null
+++ b/internal/platform/decode.go
@@ -0,0 +1,120 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrMalformedAnswer means that the service's answer can't be trusted.
+var ErrMalformedAnswer = errors.New("malformed answer")
+
+// maxErrorText bounds the part of an error body that goes into an error.
+const maxErrorText = 200
+
+// statusError maps an answer that isn't a success. Statuses that an
+// intermediary may send after the service took effect leave the outcome open.
+func statusError(answer answer) error {
+	return errors.Wrapf(statusKind(answer.status), "status %d: %s", answer.status, errorText(answer.body))
+}
+
+func statusKind(status int) error {
+	switch status {
+	case http.StatusTooManyRequests:
+		return ErrRateLimited
+	case http.StatusConflict:
+		return ErrConflict
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusServiceUnavailable:
+		return ErrUnavailable
+	}
+	if status >= http.StatusBadRequest && status < http.StatusInternalServerError {
+		return ErrInvalid
+	}
+	return ErrUnknownOutcome
+}
+
+func errorText(body []byte) string {
+	var response ErrorResponse
+	text := string(body)
+	if err := json.Unmarshal(body, &response); err == nil {
+		text = response.Message
+	}
+	if len(text) > maxErrorText {
+		text = text[:maxErrorText]
+	}
+	return strings.ToValidUTF8(text, "?")
+}
+
+// decodeRow accepts only the row that was asked for.
+func decodeRow(body []byte, key string) (Row, error) {
+	var row Row
+	if err := json.Unmarshal(body, &row); err != nil {
+		return Row{}, errors.Wrap(ErrMalformedAnswer, err.Error())
+	}
+	if row.Key != key || row.Revision == 0 {
+		return Row{}, errors.Wrapf(ErrMalformedAnswer, "row %q revision %d for key %q", row.Key, row.Revision, key)
+	}
+	return row, nil
+}
+
+// decodeRows accepts only rows in order that begin with prefix and follow
+// after, so that paging by the last key always ends.
+func decodeRows(body []byte, prefix, after string) ([]Row, error) {
+	var response RowsResponse
+	if err := json.Unmarshal(body, &response); err != nil {
+		return nil, errors.Wrap(ErrMalformedAnswer, err.Error())
+	}
+	previous := after
+	for index, row := range response.Rows {
+		inOrder := row.Key > previous || (index == 0 && after == "")
+		if !inOrder || !strings.HasPrefix(row.Key, prefix) || row.Revision == 0 {
+			return nil, errors.Wrapf(ErrMalformedAnswer, "row %q revision %d", row.Key, row.Revision)
+		}
+		previous = row.Key
+	}
+	return response.Rows, nil
+}
+
+// decodeMachines accepts only complete entries with distinct identifiers.
+func decodeMachines(body []byte) ([]Machine, error) {
+	var response MachinesResponse
+	if err := json.Unmarshal(body, &response); err != nil {
+		return nil, errors.Wrap(ErrMalformedAnswer, err.Error())
+	}
+	seen := make(map[string]bool, len(response.Machines))
+	for _, machine := range response.Machines {
+		if err := checkMachine(machine); err != nil {
+			return nil, err
+		}
+		if seen[machine.ID] {
+			return nil, errors.Wrapf(ErrMalformedAnswer, "machine %q listed twice", machine.ID)
+		}
+		seen[machine.ID] = true
+	}
+	return response.Machines, nil
+}
+
+func checkMachine(machine Machine) error {
+	if machine.ID == "" || machine.Address == "" {
+		return errors.Wrapf(ErrMalformedAnswer, "machine %q lacks its identifier or address", machine.ID)
+	}
+	if machine.State != MachineLive && machine.State != MachineLeaving {
+		return errors.Wrapf(ErrMalformedAnswer, "machine %q has state %q", machine.ID, machine.State)
+	}
+	return nil
+}
+
+func decodeWeightStoreStatus(body []byte) (WeightStoreStatus, error) {
+	var status WeightStoreStatus
+	if err := json.Unmarshal(body, &status); err != nil {
+		return WeightStoreStatus{}, errors.Wrap(ErrMalformedAnswer, err.Error())
+	}
+	if status.Loading < 0 || status.Limit < 0 {
+		return WeightStoreStatus{}, errors.Wrap(ErrMalformedAnswer, "negative count")
+	}
+	return status, nil
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -21,8 +21,11 @@
 	ErrRateLimited = errors.New("rate limited")
 	// ErrUnknownOutcome means that the request may or may not have taken effect.
 	ErrUnknownOutcome = errors.New("outcome unknown")
-	// ErrUnavailable means that the request certainly did not reach the service.
+	// ErrUnavailable means that the request certainly had no effect: it did not
+	// reach the service, the service refused it unread, or it was a read.
 	ErrUnavailable = errors.New("platform unavailable")
+	// ErrInvalid means that the service rejected the request as malformed.
+	ErrInvalid = errors.New("invalid request")
 )
 
 // Row is one versioned value of the table service. Revision is 1 for a row
@@ -99,6 +102,14 @@
 	State       MachineState      `json:"state"`
 }
 
+// WeightStoreStatus tells how busy the weight store is.
+type WeightStoreStatus struct {
+	// Loading is the number of loads in progress.
+	Loading int `json:"loading"`
+	// Limit is the number of loads that run at full speed together.
+	Limit int `json:"limit"`
+}
+
 // Machines is the lagging list of live and leaving machines; it may show an
 // older state again.
 type Machines interface {
--- /dev/null
+++ b/internal/platform/transport.go
@@ -0,0 +1,103 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// maxAnswerBytes bounds the memory of one answer.
+	maxAnswerBytes = 64 << 20
+	// maxIdleConnections bounds the connections kept to the service.
+	maxIdleConnections = 4
+	// idleTimeout closes a connection before the service is likely to.
+	idleTimeout = 20 * time.Second
+)
+
+// newHTTPClient returns a client that uses no proxy and follows no redirect:
+// either could send a write twice.
+func newHTTPClient(connectTimeout time.Duration) *http.Client {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: maxIdleConnections,
+			IdleConnTimeout:     idleTimeout,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+}
+
+// answer is what came back; bodyErr tells that the body broke off.
+type answer struct {
+	status  int
+	body    []byte
+	bodyErr error
+}
+
+// do sends one request. Its error is ErrUnavailable if no connection was had,
+// and ErrUnknownOutcome if one was: net/http doesn't tell for certain whether
+// a byte has left by then.
+func (c *Client) do(ctx context.Context, method, path string, query url.Values, body *bytes.Reader) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	request, err := c.newRequest(ctx, method, path, query, body)
+	if err != nil {
+		return answer{}, errors.Wrap(ErrInvalid, err.Error())
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		if connected.Load() {
+			return answer{}, errors.Wrap(ErrUnknownOutcome, err.Error())
+		}
+		return answer{}, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	defer response.Body.Close()
+	content, err := readBounded(response.Body)
+	return answer{status: response.StatusCode, body: content, bodyErr: err}, nil
+}
+
+// newRequest builds a request that net/http can't send again by itself: it has
+// a body that can't be rewound, also where the body is empty.
+func (c *Client) newRequest(ctx context.Context, method, path string, query url.Values, body *bytes.Reader) (*http.Request, error) {
+	target := c.base
+	target.Path = path
+	target.RawQuery = query.Encode()
+	if body == nil {
+		body = bytes.NewReader(nil)
+	}
+	length := int64(body.Len())
+	request, err := http.NewRequestWithContext(ctx, method, target.String(), io.NopCloser(body))
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = length
+	request.GetBody = nil
+	return request, nil
+}
+
+func readBounded(body io.Reader) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(content) > maxAnswerBytes {
+		return nil, errors.Errorf("answer exceeds %d bytes", maxAnswerBytes)
+	}
+	return content, nil
+}
--- /dev/null
+++ b/lab/standin/platformserver/server.go
@@ -0,0 +1,125 @@
+// Package platformserver serves the platform's model over HTTP, with faults on
+// demand, as a stand-in for the platform in tests and in the embedded fleet.
+package platformserver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"github.com/uptrace/bunrouter"
+	"gopkg.in/tomb.v2"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/platform"
+	"github.com/tillerfall/tillerfall/lab/standin/platformmodel"
+)
+
+// Paths of the control endpoints. Faults don't touch them.
+const (
+	// PathFaults takes POST of Faults.
+	PathFaults = "/control/faults"
+	// PathSetMachines takes POST of platform.MachinesResponse.
+	PathSetMachines = "/control/machines"
+	// PathCounters answers GET with Counters.
+	PathCounters = "/control/counters"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	stopTimeout   = time.Second
+)
+
+// Server is the stand-in.
+type Server struct {
+	logger   zerolog.Logger
+	clock    fleet.Clock
+	life     tomb.Tomb
+	server   *http.Server
+	listener net.Listener
+
+	mutex    sync.Mutex
+	model    *platformmodel.Platform
+	faults   Faults
+	counters Counters
+}
+
+// New returns a server with an empty platform. Its rate limit and the lag of
+// its machine list come from faults.
+func New(options platformmodel.Options, logger zerolog.Logger) *Server {
+	return &Server{
+		logger: logger,
+		clock:  fleet.NewClock(),
+		model:  platformmodel.New(options),
+		faults: Faults{Rate: options.Rate, MachineLag: config.Duration(options.MachineLag)},
+	}
+}
+
+// Start listens on address, whose port may be 0, and serves until Stop.
+func (s *Server) Start(address fleet.Address) error {
+	listener, err := net.Listen("tcp", string(address))
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	s.listener = listener
+	s.server = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout}
+	s.life.Go(func() error {
+		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve")
+		}
+		return nil
+	})
+	s.logger.Info().Stringer("address", listener.Addr()).Msg("platform_stand_in_listening")
+	return nil
+}
+
+// Address returns where the started server listens.
+func (s *Server) Address() fleet.Address { return fleet.Address(s.listener.Addr().String()) }
+
+// Stop ends all calls and waits for the server's goroutine.
+func (s *Server) Stop() error {
+	s.life.Kill(nil)
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := s.server.Shutdown(ctx); err != nil {
+		s.server.Close()
+	}
+	return s.life.Wait()
+}
+
+// Dead is closed when the server has ended.
+func (s *Server) Dead() <-chan struct{} { return s.life.Dead() }
+
+// SetMachines replaces the true list of machines.
+func (s *Server) SetMachines(machines []platform.Machine) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.model.SetMachines(s.clock.Now(), machines)
+}
+
+// Counters returns the calls so far.
+func (s *Server) Counters() Counters {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.counters
+}
+
+func (s *Server) routes() http.Handler {
+	router := bunrouter.New()
+	router.GET(platform.PathRow, s.call(s.getRow, read))
+	router.GET(platform.PathRows, s.call(s.listRows, read))
+	router.POST(platform.PathCommit, s.call(s.commit, write))
+	router.GET(platform.PathObject, s.call(s.getObject, read))
+	router.PUT(platform.PathObject, s.call(s.putObject, write))
+	router.GET(platform.PathMachines, s.call(s.listMachines, read))
+	router.GET(platform.PathWeights, s.call(s.weightStore, read))
+	router.POST(PathFaults, s.controlFaults)
+	router.POST(PathSetMachines, s.controlMachines)
+	router.GET(PathCounters, s.controlCounters)
+	return router
+}
