--- a/internal/config/strictyaml/validate.go
+++ b/internal/config/strictyaml/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"reflect"
 	"regexp"
 	"strings"
@@ -14,18 +15,33 @@
 // separates a model from its adapter.
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
 
-const nameRule = "name"
+// Rules of this package besides the validator's own.
+const (
+	nameRule = "name"
+	// addressRule demands HOST:PORT with a numeric host.
+	addressRule = "address"
+)
 
 var checker = newChecker()
 
 func newChecker() *validator.Validate {
 	checker := validator.New(validator.WithRequiredStructEnabled())
 	checker.RegisterTagNameFunc(displayName)
-	matchName := func(field validator.FieldLevel) bool { return namePattern.MatchString(field.Field().String()) }
-	if err := checker.RegisterValidation(nameRule, matchName); err != nil {
+	mustRegister(checker, nameRule, namePattern.MatchString)
+	mustRegister(checker, addressRule, isAddress)
+	return checker
+}
+
+func mustRegister(checker *validator.Validate, rule string, matches func(string) bool) {
+	check := func(field validator.FieldLevel) bool { return matches(field.Field().String()) }
+	if err := checker.RegisterValidation(rule, check); err != nil {
 		panic(err)
 	}
-	return checker
+}
+
+func isAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
 }
 
 // displayName is a field's YAML key or, for a field that YAML leaves out, its
@@ -113,8 +129,8 @@
 		return fmt.Sprintf("must be less than %s, is %s", failure.Param(), value)
 	case "lte", "max":
 		return fmt.Sprintf("must be at most %s, is %s", failure.Param(), value)
-	case "hostname_port", "tcp_addr":
-		return fmt.Sprintf("%q must be HOST:PORT", value)
+	case addressRule:
+		return fmt.Sprintf("%q must be HOST:PORT with a numeric host", value)
 	default:
 		return fmt.Sprintf("%q fails the rule %s %s", value, failure.Tag(), failure.Param())
 	}
