Add the operators' query and command language

Operators need to ask what a router sees and to change the configuration with a definite outcome. Statements are parsed by participle, planned against a router's view and run; a command becomes a pure mutation that the table service commits, so that a retry on a newer configuration repeats it safely.

apply keeps its rest as YAML outside the grammar: a configuration isn't words. A whole configuration that moves the serving version is held to the same readiness check as promote, or apply would be a way around it.

--- /dev/null
+++ b/internal/operator/parse.go
@@ -0,0 +1,92 @@
+package operator
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/go-faster/errors"
+)
+
+// SyntaxError says which word of a statement is wrong.
+type SyntaxError struct {
+	// Column is the place of the wrong word, from 1, in characters.
+	Column int
+	// Message says what was found.
+	Message string
+	// Suggestion is the nearest keyword that could stand there; empty if none is near.
+	Suggestion string
+}
+
+// Error implements error.
+func (e *SyntaxError) Error() string {
+	text := fmt.Sprintf("column %d: %s", e.Column, e.Message)
+	if e.Suggestion != "" {
+		text += fmt.Sprintf("; did you mean %q?", e.Suggestion)
+	}
+	return text
+}
+
+// applyKeyword begins the one statement whose rest isn't words.
+const applyKeyword = "apply"
+
+// MaxStatementBytes bounds a statement, a whole configuration included.
+const MaxStatementBytes = 4 << 20
+
+// maxWordsBytes bounds every statement but apply.
+const maxWordsBytes = 64 << 10
+
+// Parse turns text into a syntax tree or returns a *SyntaxError.
+func Parse(text string) (*Statement, error) {
+	if document, found := cutApply(text); found {
+		return &Statement{Apply: &document}, nil
+	}
+	if len(text) > maxWordsBytes {
+		return nil, &SyntaxError{Column: 1, Message: fmt.Sprintf("the statement is over %d bytes", maxWordsBytes)}
+	}
+	statement, err := statementParser.ParseString("", text)
+	if err != nil {
+		return nil, describe(text, err)
+	}
+	return statement, nil
+}
+
+// cutApply returns the YAML after the keyword apply.
+func cutApply(text string) (string, bool) {
+	rest, found := strings.CutPrefix(strings.TrimLeft(text, " \t\r\n"), applyKeyword)
+	if !found || rest == "" {
+		return "", found
+	}
+	if !strings.ContainsAny(rest[:1], " \t\r\n") {
+		return "", false
+	}
+	return rest, true
+}
+
+func describe(text string, err error) error {
+	var unexpected *participle.UnexpectedTokenError
+	if errors.As(err, &unexpected) {
+		return describeToken(text, unexpected)
+	}
+	var located participle.Error
+	if errors.As(err, &located) {
+		return &SyntaxError{Column: located.Position().Column, Message: "this can't be read as a word, a quoted text or an operator"}
+	}
+	return &SyntaxError{Column: 1, Message: err.Error()}
+}
+
+func describeToken(text string, err *participle.UnexpectedTokenError) error {
+	token := err.Unexpected
+	before := text[:min(max(token.Pos.Offset, 0), len(text))]
+	expected := expectedKeywords(before)
+	result := &SyntaxError{Column: token.Pos.Column, Message: fmt.Sprintf("unexpected %q", token.Value)}
+	if token.EOF() {
+		result.Message = "the statement ends too early"
+	} else {
+		result.Suggestion = nearest(token.Value, expected)
+	}
+	if len(expected) > 0 && result.Suggestion == "" {
+		result.Message += "; expected " + strings.Join(expected, ", ")
+	}
+	return result
+}
--- /dev/null
+++ b/internal/operator/plan.go
@@ -0,0 +1,226 @@
+package operator
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/prompt"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+)
+
+// PlanError is a statement that can be parsed but not planned.
+type PlanError struct {
+	Code resultcode.Code
+	// Column is the place of the word that is wrong, from 1; 0 if none is.
+	Column  int
+	Message string
+}
+
+// Error implements error.
+func (e *PlanError) Error() string {
+	if e.Column == 0 {
+		return e.Message
+	}
+	return fmt.Sprintf("column %d: %s", e.Column, e.Message)
+}
+
+// Plan is what a statement asks for: exactly one field is set.
+type Plan struct {
+	// Query reads the router's view.
+	Query func() Result
+	// Command changes the configuration.
+	Command *Command
+	// LookupToken is the token of a command whose outcome is wanted.
+	LookupToken string
+}
+
+// Command is a change of the configuration.
+type Command struct {
+	Mutate Mutation
+	// Promotes lists the weights that the command makes serving, given the
+	// configuration that it is applied to.
+	Promotes func(before config.Document) []fleet.Weights
+}
+
+// MakePlan resolves the names in a statement against a router's view. Its
+// errors are *PlanError.
+func MakePlan(statement *Statement, source Source) (Plan, error) {
+	switch {
+	case statement.Show != nil:
+		return planShow(statement.Show, source)
+	case statement.Where != nil:
+		return planWhere(statement.Where, source)
+	case statement.Explain != nil:
+		request := fleet.RequestID(statement.Explain.Text)
+		return Plan{Query: func() Result { return explain(source, request) }}, nil
+	case statement.Lookup != nil:
+		return Plan{LookupToken: statement.Lookup.Text}, nil
+	case statement.Apply != nil:
+		return planApply(*statement.Apply)
+	}
+	return planCommand(statement, source)
+}
+
+func planCommand(statement *Statement, source Source) (Plan, error) {
+	switch {
+	case statement.Admit != nil:
+		return planEngine(statement.Admit, source, admitEngine)
+	case statement.Drain != nil:
+		return planEngine(statement.Drain, source, directive(config.DirectiveDrain, ""))
+	case statement.Retire != nil && statement.Retire.Engine != nil:
+		return planEngine(statement.Retire.Engine, source, directive(config.DirectiveRetire, ""))
+	case statement.Role != nil:
+		return planEngine(statement.Role.Engine, source, directive(config.DirectiveRole, statement.Role.Role))
+	case statement.Retire != nil:
+		return planVersion(statement.Retire.Version, false)
+	case statement.Promote != nil:
+		return planVersion(statement.Promote, true)
+	}
+	return Plan{}, &PlanError{Code: resultcode.StatementUnknown, Column: 1, Message: "unknown statement"}
+}
+
+func directive(kind config.DirectiveKind, role string) func(fleet.EngineRun) Mutation {
+	return func(run fleet.EngineRun) Mutation { return directEngine(run, kind, role) }
+}
+
+func planEngine(name *Word, source Source, mutation func(fleet.EngineRun) Mutation) (Plan, error) {
+	for _, engine := range source.Engines() {
+		if string(engine.Run.Engine) == name.Text {
+			return Plan{Command: &Command{Mutate: mutation(engine.Run)}}, nil
+		}
+	}
+	return Plan{}, notFound(name, "engine")
+}
+
+func notFound(name *Word, noun string) *PlanError {
+	return &PlanError{Code: resultcode.TargetNotFound, Column: name.Pos.Column, Message: fmt.Sprintf("no %s %q", noun, name.Text)}
+}
+
+func planVersion(reference *VersionReference, promote bool) (Plan, error) {
+	target := parseWeights(reference.Target.Text)
+	target.Version = fleet.VersionName(reference.Version.Text)
+	if target.Model == "" {
+		return Plan{}, notFound(reference.Target, "model")
+	}
+	if !promote {
+		return Plan{Command: &Command{Mutate: retireVersion(target)}}, nil
+	}
+	promotes := func(config.Document) []fleet.Weights { return []fleet.Weights{target} }
+	return Plan{Command: &Command{Mutate: promoteVersion(target), Promotes: promotes}}, nil
+}
+
+func parseWeights(text string) fleet.Weights {
+	model, adapter, _ := strings.Cut(text, config.AdapterSeparator)
+	return fleet.Weights{Model: fleet.ModelName(model), Adapter: fleet.AdapterName(adapter)}
+}
+
+func planApply(source string) (Plan, error) {
+	document, problems := config.Parse([]byte(source))
+	if err := problems.Err(); err != nil {
+		return Plan{}, &PlanError{Code: resultcode.ConfigInvalid, Message: err.Error()}
+	}
+	promotes := func(before config.Document) []fleet.Weights { return newlyServing(before, *document) }
+	return Plan{Command: &Command{Mutate: replaceAll(*document), Promotes: promotes}}, nil
+}
+
+// newlyServing returns the weights that serve after a change in place of
+// others. Models and adapters that are new take no traffic away from weights
+// that are loaded, so they aren't among them.
+func newlyServing(before, after config.Document) []fleet.Weights {
+	served := servingWeights(before)
+	var changed []fleet.Weights
+	for _, weights := range servingWeights(after) {
+		replaces := func(old fleet.Weights) bool {
+			return old.Model == weights.Model && old.Adapter == weights.Adapter && old.Version != weights.Version
+		}
+		if slices.ContainsFunc(served, replaces) {
+			changed = append(changed, weights)
+		}
+	}
+	return changed
+}
+
+func servingWeights(document config.Document) []fleet.Weights {
+	var serving []fleet.Weights
+	add := func(model fleet.ModelName, adapter fleet.AdapterName, versions []config.Version) {
+		for _, version := range versions {
+			if version.State == config.VersionServing {
+				serving = append(serving, fleet.Weights{Model: model, Adapter: adapter, Version: version.Name})
+			}
+		}
+	}
+	for _, model := range document.Models {
+		add(model.Name, "", model.Versions)
+		for _, adapter := range model.Adapters {
+			add(model.Name, adapter.Name, adapter.Versions)
+		}
+	}
+	return serving
+}
+
+func planWhere(where *WhereStatement, source Source) (Plan, error) {
+	if where.Request != nil {
+		return planRequestPrefix(where.Request, source)
+	}
+	if where.Prefix.Hash != nil {
+		return planHash(where.Prefix.Hash, source)
+	}
+	return planText(where.Prefix.Text, source)
+}
+
+func planRequestPrefix(name *Word, source Source) (Plan, error) {
+	hashes, found := source.RequestBlocks(fleet.RequestID(name.Text))
+	if !found {
+		return Plan{}, notFound(name, "recent request")
+	}
+	return planHolders(hashes, source), nil
+}
+
+func planHash(word *Word, source Source) (Plan, error) {
+	hash, err := strconv.ParseUint(strings.TrimPrefix(word.Text, "0x"), 16, 64)
+	if err != nil {
+		return Plan{}, &PlanError{
+			Code: resultcode.StatementSyntax, Column: word.Pos.Column,
+			Message: fmt.Sprintf("%q is not a hexadecimal block hash of up to 16 digits", word.Text),
+		}
+	}
+	return planHolders([]fleet.BlockHash{fleet.BlockHash(hash)}, source), nil
+}
+
+func planText(prefix *PrefixByScoped, source Source) (Plan, error) {
+	document, known := source.Configuration()
+	if !known {
+		return Plan{}, &PlanError{Code: resultcode.NoConfiguration, Message: "no configuration is known yet"}
+	}
+	if !slices.ContainsFunc(document.Tenants, func(t config.Tenant) bool { return string(t.Name) == prefix.Tenant.Text }) {
+		return Plan{}, notFound(prefix.Tenant, "tenant")
+	}
+	wanted := parseWeights(prefix.Model.Text)
+	for _, weights := range servingWeights(document) {
+		if weights.Model != wanted.Model || weights.Adapter != wanted.Adapter {
+			continue
+		}
+		scope := fleet.CacheScope{Tenant: fleet.TenantName(prefix.Tenant.Text), Weights: weights}
+		hashes := prompt.HashBlocks(scope, prefix.Text.Text, blockTokens(document, weights.Model))
+		if len(hashes) == 0 {
+			return Plan{}, &PlanError{
+				Code: resultcode.StatementSyntax, Column: prefix.Text.Pos.Column, Message: "the text is shorter than one cache block",
+			}
+		}
+		return planHolders(hashes, source), nil
+	}
+	return Plan{}, notFound(prefix.Model, "model")
+}
+
+func blockTokens(document config.Document, name fleet.ModelName) int {
+	position := slices.IndexFunc(document.Models, func(model config.Model) bool { return model.Name == name })
+	return document.Models[position].BlockTokens
+}
+
+func planHolders(hashes []fleet.BlockHash, source Source) Plan {
+	return Plan{Query: func() Result { return holders(source, hashes) }}
+}
