Add the per-request state machine of the agent

Placing, dispatching, resuming and cancelling a request must be decided in one place that the simulation can drive too, or "at most once" and "not run" rest on the order of goroutines. Deciding inside the HTTP handler was ruled out for that reason; letting routers dispatch was ruled out by the design, since a dead router would then leave the outcome open.

internal/attempt takes events with the time and returns actions. Every call to a router or engine has an operation number, and answers to any but the latest are dropped and counted. A dispatch with unknown outcome of a request that isn't repeatable is resumed, else cancelled and barred, at the same engine run; only "never ran" lets it be placed again. The retry budget is asked by the machine itself, so there is no event for its denial.

A late frame of a stream that was being barred was first ignored; the property test found it, and it now counts as proof that the stream has begun.

--- /dev/null
+++ b/internal/attempt/budget.go
@@ -0,0 +1,78 @@
+package attempt
+
+import "time"
+
+// RetryBudget is shared by the requests of one agent. It keeps retries a
+// bounded part of the first attempts, so that a failing fleet isn't pressed
+// harder by those who notice.
+type RetryBudget interface {
+	// Deposit notes a first attempt.
+	Deposit(now time.Duration)
+	// Withdraw takes one retry and tells whether there was one left.
+	Withdraw(now time.Duration) bool
+}
+
+// BudgetOptions sets up a Budget. A zero field takes its default.
+type BudgetOptions struct {
+	// Ratio is the number of retries earned by one first attempt.
+	Ratio float64
+	// FloorPerSecond is earned by time alone, so that a quiet agent can retry.
+	FloorPerSecond float64
+	// Burst bounds what can be saved up; it covers the streams that one engine
+	// loses at once.
+	Burst float64
+}
+
+// Defaults of BudgetOptions.
+const (
+	DefaultBudgetRatio = 0.15
+	DefaultBudgetFloor = 1
+	DefaultBudgetBurst = 100
+)
+
+// Budget is a token bucket filled by first attempts. It isn't safe for
+// concurrent use.
+type Budget struct {
+	options BudgetOptions
+	tokens  float64
+	filled  time.Duration
+}
+
+// NewBudget returns a full budget.
+func NewBudget(options BudgetOptions) *Budget {
+	if options.Ratio <= 0 {
+		options.Ratio = DefaultBudgetRatio
+	}
+	if options.FloorPerSecond <= 0 {
+		options.FloorPerSecond = DefaultBudgetFloor
+	}
+	if options.Burst <= 0 {
+		options.Burst = DefaultBudgetBurst
+	}
+	return &Budget{options: options, tokens: options.Burst}
+}
+
+// Deposit implements RetryBudget.
+func (b *Budget) Deposit(now time.Duration) {
+	b.fill(now)
+	b.tokens = min(b.tokens+b.options.Ratio, b.options.Burst)
+}
+
+// Withdraw implements RetryBudget.
+func (b *Budget) Withdraw(now time.Duration) bool {
+	b.fill(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+func (b *Budget) fill(now time.Duration) {
+	if now <= b.filled {
+		return
+	}
+	earned := (now - b.filled).Seconds() * b.options.FloorPerSecond
+	b.tokens = min(b.tokens+earned, b.options.Burst)
+	b.filled = now
+}
--- /dev/null
+++ b/internal/attempt/machine.go
@@ -0,0 +1,218 @@
+package attempt
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+)
+
+// Machine carries one request. It isn't safe for concurrent use.
+type Machine struct {
+	request Request
+	policy  Policy
+	budget  RetryBudget
+	random  *rand.Rand
+
+	phase     Phase
+	operation Operation
+	attempt   fleet.Attempt
+	now       time.Duration
+	actions   []Action
+	stats     Stats
+
+	// grant is what the present attempt was granted; granted tells whether its
+	// router is still owed a last report.
+	grant   Granted
+	granted bool
+	// mayRun is true while the present attempt may run or have run, mayHaveRun
+	// if an earlier one may.
+	mayRun     bool
+	mayHaveRun bool
+	// accepted is true once the engine has said that it holds the stream.
+	accepted   bool
+	firstToken bool
+
+	excluded   []fleet.EngineRun
+	emitted    []string
+	placements int
+	resumes    int
+	cancels    int
+
+	promptTokens int
+	cachedTokens int
+}
+
+// New returns a machine for one request. The generator spreads delays; it may
+// be shared by machines that one goroutine drives.
+func New(request Request, policy Policy, budget RetryBudget, random *rand.Rand) *Machine {
+	return &Machine{request: request, policy: policy.withDefaults(), budget: budget, random: random}
+}
+
+// Start returns the first actions. It must be called once, before Handle.
+func (m *Machine) Start(now time.Duration) []Action {
+	m.now = now
+	m.budget.Deposit(now)
+	m.place(nil, 0)
+	return m.take()
+}
+
+// Phase tells what the machine waits for.
+func (m *Machine) Phase() Phase { return m.phase }
+
+// Stats returns the counts so far.
+func (m *Machine) Stats() Stats { return m.stats }
+
+// Emitted counts the tokens passed on to the caller.
+func (m *Machine) Emitted() int { return len(m.emitted) }
+
+// Handle takes an event and returns what is to be done. It may be called after
+// the terminal action; a grant that comes then is reported as abandoned.
+func (m *Machine) Handle(now time.Duration, event Event) []Action {
+	m.now = max(m.now, now)
+	if m.current(event) {
+		m.handle(event)
+	} else {
+		m.drop(event)
+	}
+	return m.take()
+}
+
+func (m *Machine) take() []Action {
+	actions := m.actions
+	m.actions = nil
+	return actions
+}
+
+func (m *Machine) emit(action Action) { m.actions = append(m.actions, action) }
+
+func (m *Machine) handle(event Event) {
+	switch event := event.(type) {
+	case Granted:
+		m.onGranted(event)
+	case Refused:
+		m.fail(event.Code, event.Reason, event.RetryAfter)
+	case HandedBack:
+		m.placeAgain(event.Routers)
+	case PlacementFailed:
+		m.placeAgain(nil)
+	case DispatchNotSent:
+		m.onNotDispatched(resultcode.NoEngine, "engine can't be reached", true)
+	case DispatchRejected:
+		m.onDispatchRejected(event)
+	case DispatchUnknown:
+		m.onDispatchUnknown()
+	case FrameReceived:
+		m.onFrame(event.Frame)
+	case StreamBroken:
+		m.onStreamBroken()
+	case ResumeRejected:
+		m.onResumeRejected(event)
+	case ResumeFailed:
+		m.onResumeFailed()
+	case CancelAnswered:
+		m.onCancelAnswered(event.State)
+	case CancelFailed:
+		m.onCancelFailed(event.Code)
+	case CallerGone:
+		m.onCallerGone()
+	case DeadlinePassed:
+		m.onDeadline()
+	case Stopping:
+		m.onStopping()
+	}
+}
+
+// current tells whether an event belongs to the operation under way.
+func (m *Machine) current(event Event) bool {
+	if m.phase == PhaseFinished {
+		return false
+	}
+	operation, phases := origin(event)
+	if operation == 0 {
+		return phases == nil
+	}
+	if operation != m.operation {
+		return false
+	}
+	for _, phase := range phases {
+		if phase == m.phase {
+			return true
+		}
+	}
+	return false
+}
+
+// origin returns the operation that an event answers and the phases in which
+// it can be an answer; nil phases mean that it answers none.
+func origin(event Event) (Operation, []Phase) {
+	switch event := event.(type) {
+	case Granted:
+		return event.Operation, []Phase{PhasePlacing}
+	case Refused:
+		return event.Operation, []Phase{PhasePlacing}
+	case HandedBack:
+		return event.Operation, []Phase{PhasePlacing}
+	case PlacementFailed:
+		return event.Operation, []Phase{PhasePlacing}
+	case DispatchNotSent:
+		return event.Operation, []Phase{PhaseDispatching}
+	case DispatchRejected:
+		return event.Operation, []Phase{PhaseDispatching}
+	case DispatchUnknown:
+		return event.Operation, []Phase{PhaseDispatching}
+	case FrameReceived:
+		return event.Operation, []Phase{PhaseDispatching, PhaseResuming, PhaseStreaming}
+	case StreamBroken:
+		return event.Operation, []Phase{PhaseDispatching, PhaseResuming, PhaseStreaming}
+	case ResumeRejected:
+		return event.Operation, []Phase{PhaseResuming}
+	case ResumeFailed:
+		return event.Operation, []Phase{PhaseResuming}
+	case CancelAnswered:
+		return event.Operation, []Phase{PhaseBarring}
+	case CancelFailed:
+		return event.Operation, []Phase{PhaseBarring}
+	default:
+		return 0, nil
+	}
+}
+
+// drop counts an event of an operation that is over. A grant among them is
+// given back to its router.
+func (m *Machine) drop(event Event) {
+	operation, _ := origin(event)
+	if operation == 0 {
+		return
+	}
+	m.stats.DroppedEvents++
+	switch late := event.(type) {
+	case Granted:
+		if late.Operation != m.grant.Operation {
+			m.emit(Report{Attempt: late.Attempt, Run: late.Run, Phase: ReportAbandoned})
+		}
+	case FrameReceived:
+		// Too late to be passed on, but it proves that the stream has begun.
+		m.accepted = m.accepted || late.Frame.Stream == m.stream()
+	}
+}
+
+// next starts a new operation.
+func (m *Machine) next(phase Phase) Operation {
+	m.phase = phase
+	m.operation++
+	return m.operation
+}
+
+func (m *Machine) stream() fleet.StreamID {
+	return fleet.NewStreamID(m.request.ID, m.attempt)
+}
+
+// rejectedBeforeWork tells whether an engine's error code proves that the
+// dispatch it answers did not run.
+func rejectedBeforeWork(code engine.ErrorCode) bool {
+	failure := engine.Error{Code: code, Sent: true}
+	return failure.Outcome() == engine.OutcomeRejected
+}
--- /dev/null
+++ b/internal/attempt/placing.go
@@ -0,0 +1,156 @@
+package attempt
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+)
+
+// place asks a router for an engine under a new attempt number.
+func (m *Machine) place(preferred []fleet.Address, delay time.Duration) {
+	m.attempt++
+	m.accepted = false
+	m.firstToken = false
+	m.resumes = 0
+	m.cancels = 0
+	m.emit(AskRouter{
+		Operation:          m.next(PhasePlacing),
+		Attempt:            m.attempt,
+		Excluded:           slices.Clone(m.excluded),
+		ContinuationTokens: len(m.emitted),
+		Preferred:          preferred,
+		Delay:              delay,
+	})
+}
+
+// placeAgain asks another router after one that placed nothing. No engine has
+// had the attempt, so the retry budget isn't charged. The first such question
+// goes out at once, later ones back off.
+func (m *Machine) placeAgain(preferred []fleet.Address) {
+	m.placements++
+	if m.placements >= m.policy.MaxPlacements {
+		m.fail(resultcode.NoRouter, "no router placed the request", 0)
+		return
+	}
+	var delay time.Duration
+	if m.placements > 1 {
+		delay = m.backoff(m.placements - 2)
+	}
+	if m.pastDeadline(m.now + delay) {
+		m.fail(resultcode.NoRouter, "no router placed the request before its deadline", 0)
+		return
+	}
+	m.place(preferred, delay)
+}
+
+func (m *Machine) onGranted(grant Granted) {
+	if grant.Attempt != m.attempt {
+		m.stats.DroppedEvents++
+		m.placeAgain(nil)
+		return
+	}
+	m.grant = grant
+	m.granted = true
+	if m.pastDeadline(m.now) {
+		m.onDeadline()
+		return
+	}
+	if grant.ValidUntil > 0 && m.now > grant.ValidUntil {
+		m.report(ReportAbandoned, false)
+		m.placeAgain(nil)
+		return
+	}
+	m.dispatch()
+}
+
+func (m *Machine) dispatch() {
+	m.mayRun = true
+	m.placements = 0
+	m.stats.Dispatches++
+	m.emit(Dispatch{
+		Operation:    m.next(PhaseDispatching),
+		Attempt:      m.attempt,
+		Run:          m.grant.Run,
+		Address:      m.grant.Address,
+		Stream:       m.stream(),
+		Priority:     m.grant.Priority,
+		Continuation: slices.Clone(m.emitted),
+	})
+}
+
+// retryElsewhere asks for another engine, if bounds, budget and deadline let
+// it. The present attempt must have been left or settled before.
+func (m *Machine) retryElsewhere(cause resultcode.Code, reason string) {
+	if m.stats.Dispatches >= m.policy.MaxDispatches {
+		m.fail(cause, reason, 0)
+		return
+	}
+	delay := m.backoff(m.stats.Dispatches - 1)
+	if m.pastDeadline(m.now + delay) {
+		m.fail(cause, reason, 0)
+		return
+	}
+	if !m.budget.Withdraw(m.now) {
+		m.fail(resultcode.RetryBudget, reason+"; the retry budget is spent", 0)
+		return
+	}
+	m.stats.Retries++
+	m.place(nil, delay)
+}
+
+// leave gives the present attempt up: its stream is cancelled as far as the
+// engine can be reached, and its run isn't tried again.
+func (m *Machine) leave(engineLost bool) {
+	if m.mayRun {
+		m.emit(CancelAndBar{Run: m.grant.Run, Address: m.grant.Address, Stream: m.stream()})
+	}
+	m.mayHaveRun = m.mayHaveRun || m.mayRun
+	m.mayRun = false
+	m.exclude(m.grant.Run)
+	m.report(ReportFailed, engineLost)
+}
+
+// settleNotRun notes that the present attempt certainly did not run.
+func (m *Machine) settleNotRun(engineLost bool) {
+	m.mayRun = false
+	m.exclude(m.grant.Run)
+	m.report(ReportFailed, engineLost)
+}
+
+func (m *Machine) exclude(run fleet.EngineRun) {
+	if !slices.Contains(m.excluded, run) {
+		m.excluded = append(m.excluded, run)
+	}
+}
+
+// report tells the router about the grant. The last report of a grant ends it.
+func (m *Machine) report(phase ReportPhase, engineLost bool) {
+	if !m.granted {
+		return
+	}
+	m.emit(Report{
+		Attempt:      m.grant.Attempt,
+		Run:          m.grant.Run,
+		Phase:        phase,
+		CachedTokens: m.cachedTokens,
+		OutputTokens: len(m.emitted),
+		EngineLost:   engineLost,
+	})
+	m.granted = phase == ReportAccepted || phase == ReportFirstToken
+}
+
+func (m *Machine) pastDeadline(at time.Duration) bool {
+	return m.request.Deadline > 0 && at >= m.request.Deadline
+}
+
+// backoff returns a random delay below a bound that doubles with each try
+// ("full jitter": Brooker, "Exponential Backoff And Jitter", AWS 2015).
+func (m *Machine) backoff(try int) time.Duration {
+	bound := m.policy.BackoffBase
+	for range try {
+		bound = min(2*bound, m.policy.BackoffMax)
+	}
+	return time.Duration(m.random.Int64N(int64(bound)))
+}
--- /dev/null
+++ b/internal/attempt/streaming.go
@@ -0,0 +1,233 @@
+package attempt
+
+import (
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+)
+
+func (m *Machine) onDispatchRejected(event DispatchRejected) {
+	if !rejectedBeforeWork(event.Code) {
+		m.onDispatchUnknown()
+		return
+	}
+	reason := "engine: " + event.Message
+	switch event.Code {
+	case engine.ErrorBadRequest:
+		m.settleNotRun(false)
+		m.fail(resultcode.InvalidParameter, reason, 0)
+	case engine.ErrorOverloaded:
+		m.onNotDispatched(resultcode.Overloaded, reason, false)
+	case engine.ErrorWeightsNotLoaded:
+		m.onNotDispatched(resultcode.StaleWeights, reason, false)
+	default:
+		m.onNotDispatched(resultcode.NoEngine, reason, event.Code == engine.ErrorWrongIncarnation)
+	}
+}
+
+func (m *Machine) onNotDispatched(cause resultcode.Code, reason string, engineLost bool) {
+	m.settleNotRun(engineLost)
+	m.retryElsewhere(cause, reason)
+}
+
+// onDispatchUnknown goes on elsewhere with a repeatable request. Any other has
+// to learn what became of the dispatch, and first asks for its tokens.
+func (m *Machine) onDispatchUnknown() {
+	if m.request.Repeatable {
+		m.leave(false)
+		m.retryElsewhere(resultcode.EngineFailed, "dispatch failed")
+		return
+	}
+	m.resume()
+}
+
+func (m *Machine) onFrame(frame engine.Frame) {
+	if frame.Stream != m.stream() {
+		m.stats.DroppedEvents++
+		return
+	}
+	if m.phase != PhaseStreaming {
+		m.phase = PhaseStreaming
+	}
+	switch frame.Kind {
+	case engine.FrameAccepted:
+		m.onAccepted(frame)
+	case engine.FrameToken:
+		m.onToken(frame)
+	case engine.FrameDone:
+		m.onDone(frame)
+	case engine.FrameError:
+		m.onEngineGaveUp(frame)
+	}
+}
+
+func (m *Machine) onAccepted(frame engine.Frame) {
+	m.promptTokens = frame.PromptTokens
+	m.cachedTokens = frame.CachedTokens
+	if m.accepted {
+		return
+	}
+	m.accepted = true
+	m.report(ReportAccepted, false)
+}
+
+func (m *Machine) onToken(frame engine.Frame) {
+	m.accepted = true
+	switch {
+	case frame.Index < len(m.emitted):
+		m.stats.DroppedEvents++
+		return
+	case frame.Index > len(m.emitted):
+		m.resume()
+		return
+	}
+	m.emitted = append(m.emitted, frame.Text)
+	m.resumes = 0
+	m.emit(EmitToken{Index: frame.Index, Text: frame.Text})
+	if !m.firstToken {
+		m.firstToken = true
+		m.report(ReportFirstToken, false)
+	}
+}
+
+func (m *Machine) onDone(frame engine.Frame) {
+	m.accepted = true
+	if frame.Count != len(m.emitted) {
+		m.resume()
+		return
+	}
+	m.promptTokens = frame.PromptTokens
+	m.cachedTokens = frame.CachedTokens
+	m.report(ReportFinished, false)
+	m.finish(Finish{
+		Reason:       frame.FinishReason,
+		PromptTokens: m.promptTokens,
+		CachedTokens: m.cachedTokens,
+		OutputTokens: len(m.emitted),
+	})
+}
+
+// onEngineGaveUp handles a stream that its engine has ended with an error: it
+// won't go on there.
+func (m *Machine) onEngineGaveUp(frame engine.Frame) {
+	m.accepted = true
+	m.leave(false)
+	m.continueOrFail("engine: " + frame.Message)
+}
+
+func (m *Machine) onStreamBroken() {
+	if m.phase == PhaseDispatching {
+		m.onDispatchUnknown()
+		return
+	}
+	m.resume()
+}
+
+// resume reads the stream again at the same engine run, which neither computes
+// nor runs anything twice.
+func (m *Machine) resume() {
+	if m.resumes >= m.policy.MaxResumes {
+		m.onResumesSpent()
+		return
+	}
+	delay := m.backoff(m.resumes)
+	if m.resumes == 0 {
+		delay = 0
+	}
+	m.resumes++
+	m.stats.Resumes++
+	m.emit(Resume{
+		Operation: m.next(PhaseResuming),
+		Run:       m.grant.Run,
+		Address:   m.grant.Address,
+		Stream:    m.stream(),
+		Offset:    len(m.emitted),
+		Delay:     delay,
+	})
+}
+
+func (m *Machine) onResumeFailed() {
+	if m.request.Repeatable {
+		m.leave(true)
+		m.continueOrFail("engine can't be reached")
+		return
+	}
+	m.resume()
+}
+
+func (m *Machine) onResumeRejected(event ResumeRejected) {
+	replaced := event.Incarnation != 0 && event.Incarnation != m.grant.Run.Incarnation
+	if m.mustBar() && !replaced {
+		m.cancelAndBar()
+		return
+	}
+	m.leave(replaced)
+	m.continueOrFail("engine no longer holds the stream")
+}
+
+func (m *Machine) onResumesSpent() {
+	if m.mustBar() {
+		m.cancelAndBar()
+		return
+	}
+	m.leave(false)
+	m.continueOrFail("stream could not be resumed")
+}
+
+// mustBar tells whether a cancel can still show that the dispatch never took
+// effect: once the engine has accepted the stream, it has begun.
+func (m *Machine) mustBar() bool { return !m.request.Repeatable && !m.accepted }
+
+func (m *Machine) cancelAndBar() {
+	if m.cancels >= m.policy.MaxCancels {
+		m.leave(true)
+		m.fail(resultcode.OutcomeUnknown, "engine can't be asked what became of the dispatch", 0)
+		return
+	}
+	delay := m.backoff(m.cancels)
+	if m.cancels == 0 {
+		delay = 0
+	}
+	m.cancels++
+	m.emit(CancelAndBar{
+		Operation: m.next(PhaseBarring),
+		Run:       m.grant.Run,
+		Address:   m.grant.Address,
+		Stream:    m.stream(),
+		Delay:     delay,
+	})
+}
+
+// onCancelAnswered acts on what a cancel found. Only a stream that never ran,
+// and is barred now, may be placed again.
+func (m *Machine) onCancelAnswered(state engine.CancelState) {
+	switch {
+	case state == engine.CancelNeverRan && !m.accepted:
+		m.onNotDispatched(resultcode.NoEngine, "dispatch was lost", false)
+	case state == engine.CancelFinished:
+		m.accepted = true
+		m.resumes = m.policy.MaxResumes - 1
+		m.resume()
+	default:
+		m.leave(false)
+		m.fail(resultcode.OutcomeUnknown, "request was stopped after it had begun", 0)
+	}
+}
+
+func (m *Machine) onCancelFailed(code engine.ErrorCode) {
+	if code == engine.ErrorWrongIncarnation {
+		m.leave(true)
+		m.fail(resultcode.OutcomeUnknown, "engine was replaced after the dispatch", 0)
+		return
+	}
+	m.cancelAndBar()
+}
+
+// continueOrFail goes on at another engine with exactly the tokens that the
+// caller has. A request that isn't repeatable has begun and ends here.
+func (m *Machine) continueOrFail(reason string) {
+	if !m.request.Repeatable {
+		m.fail(resultcode.OutcomeUnknown, reason, 0)
+		return
+	}
+	m.retryElsewhere(resultcode.EngineFailed, reason)
+}
