Add the membership core, engine ownership and change dissemination

Routers need to know which routers are alive and which of them owns an engine without any node set aside for it, and the platform's list of machines lags.

Ruled out: probing all by all (460,000 messages a second at 680 nodes), and liveness through the table service, which is rate-limited and may be down.

The core is SWIM with suspicion, incarnations and indirect probes. It is a state machine without I/O. Dead members and unknown seeds are probed now and then, with what is believed of them, so that they refute at once. A death heard from another region, or in a whole exchange, makes a member suspect and has it probed instead of dead. A node that answers at another's address ends the other. Forgotten members leave a tombstone with their incarnation.

--- /dev/null
+++ b/internal/membership/dissemination.go
@@ -0,0 +1,198 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// DisseminationOptions sets up a Dissemination. Zero counts and durations take
+// the defaults.
+type DisseminationOptions struct {
+	// Random drives every choice.
+	Random *rand.Rand
+	// Fanout is how many members get a fresh change at once.
+	Fanout int
+	// Retransmits is how often a change is piggybacked after that.
+	Retransmits int
+	// PullInterval is the least time between two pulls.
+	PullInterval time.Duration
+	// MaxPatchBytes bounds the patches carried by one message.
+	MaxPatchBytes int
+}
+
+// Defaults of DisseminationOptions.
+const (
+	DefaultFanout        = 4
+	DefaultRetransmits   = 4
+	DefaultPullInterval  = 300 * time.Millisecond
+	DefaultMaxPatchBytes = 8 << 10
+)
+
+// Dissemination spreads configuration changes epidemically (Demers et al.,
+// "Epidemic Algorithms for Replicated Database Maintenance", PODC 1987): a
+// fresh change is pushed to a few random members at once and then piggybacked;
+// a node that hears of a higher revision than it holds pulls what it lacks.
+// It does no I/O. What the changes contain, and whether they may be applied,
+// is the caller's business.
+type Dissemination struct {
+	options DisseminationOptions
+	held    fleet.Revision
+	fresh   []freshChange
+	// source is a member known to hold more, ahead the revision it holds.
+	source   fleet.Address
+	ahead    fleet.Revision
+	nextPull time.Duration
+}
+
+// freshChange is a change that is still passed on.
+type freshChange struct {
+	Change
+	transmits int
+}
+
+// Pull asks the member at an address for the changes after a revision.
+type Pull struct {
+	From  fleet.Address
+	After fleet.Revision
+}
+
+// NewDissemination returns a dissemination that holds no revision.
+func NewDissemination(options DisseminationOptions) *Dissemination {
+	setDefault(&options.Fanout, DefaultFanout)
+	setDefault(&options.Retransmits, DefaultRetransmits)
+	setDefault(&options.PullInterval, DefaultPullInterval)
+	setDefault(&options.MaxPatchBytes, DefaultMaxPatchBytes)
+	return &Dissemination{options: options}
+}
+
+// Held returns the highest revision that this node holds.
+func (d *Dissemination) Held() fleet.Revision { return d.held }
+
+// Hold says that this node now holds a revision, whichever way it came.
+// Lower revisions than the held one are ignored.
+func (d *Dissemination) Hold(revision fleet.Revision) {
+	d.held = max(d.held, revision)
+}
+
+// Publish takes changes that this node has just begun to hold and returns the
+// messages that push them to random members. Changes must follow each other;
+// those already held are left out.
+func (d *Dissemination) Publish(changes []Change, view *View) []Message {
+	var pushed []Change
+	for _, change := range changes {
+		if change.Revision <= d.held {
+			continue
+		}
+		d.held = change.Revision
+		d.fresh = append(d.fresh, freshChange{Change: change})
+		pushed = append(pushed, change)
+	}
+	if len(pushed) == 0 {
+		return nil
+	}
+	return d.push(view)
+}
+
+// push sends the freshest changes to random members.
+func (d *Dissemination) push(view *View) []Message {
+	changes := d.latest()
+	var messages []Message
+	for _, peer := range d.pick(view) {
+		messages = append(messages, Message{
+			Kind: Ack, To: peer.Address, Sender: view.Self, Target: view.Self.Node,
+			KnownRevision: d.held, Changes: changes,
+		})
+	}
+	return messages
+}
+
+// latest returns the newest fresh changes within the bound of bytes, oldest first.
+// A change beyond the bound isn't carried: members see the higher revision and pull.
+func (d *Dissemination) latest() []Change {
+	first, size := len(d.fresh), 0
+	for first > 0 {
+		size += len(d.fresh[first-1].Patch)
+		if size > d.options.MaxPatchBytes {
+			break
+		}
+		first--
+	}
+	changes := make([]Change, 0, len(d.fresh)-first)
+	for _, change := range d.fresh[first:] {
+		changes = append(changes, change.Change)
+	}
+	return changes
+}
+
+// pick returns random live members other than this node.
+func (d *Dissemination) pick(view *View) []Member {
+	peers := make([]Member, 0, len(view.Members()))
+	for _, member := range view.Members() {
+		if member.Node != view.Self.Node {
+			peers = append(peers, member)
+		}
+	}
+	count := min(d.options.Fanout, len(peers))
+	for i := range count {
+		other := i + d.options.Random.IntN(len(peers)-i)
+		peers[i], peers[other] = peers[other], peers[i]
+	}
+	return peers[:count]
+}
+
+// Decorate adds the held revision and fresh changes to a message that is about
+// to be sent. Messages that carry changes already are left alone.
+func (d *Dissemination) Decorate(message *Message) {
+	message.KnownRevision = d.held
+	if len(message.Changes) > 0 || len(d.fresh) == 0 {
+		return
+	}
+	message.Changes = d.latest()
+	for i := range d.fresh {
+		d.fresh[i].transmits++
+	}
+	d.fresh = slices.DeleteFunc(d.fresh, func(change freshChange) bool {
+		return change.transmits >= d.options.Retransmits
+	})
+}
+
+// Next returns the changes of a message that directly follow the held
+// revision, in order. The caller applies them and then calls Publish.
+func (d *Dissemination) Next(changes []Change) []Change {
+	var next []Change
+	expected := d.held + 1
+	for _, change := range changes {
+		if change.Revision == expected {
+			next = append(next, change)
+			expected++
+		}
+	}
+	return next
+}
+
+// Observe takes note of the revision that a member holds.
+func (d *Dissemination) Observe(address fleet.Address, revision fleet.Revision) {
+	if revision > d.held && revision >= d.ahead {
+		d.source = address
+		d.ahead = revision
+	}
+}
+
+// Pull returns the pull that is due, if this node is behind. While it goes
+// unanswered, another follows after the pull interval, from whoever was last
+// seen ahead.
+func (d *Dissemination) Pull(now time.Duration) (Pull, bool) {
+	if d.ahead <= d.held || d.source == "" || now < d.nextPull {
+		return Pull{}, false
+	}
+	d.nextPull = now + d.options.PullInterval
+	return Pull{From: d.source, After: d.held}, true
+}
+
+// NextPull returns when Pull should be called next, and whether it is needed.
+func (d *Dissemination) NextPull() (time.Duration, bool) {
+	return d.nextPull, d.ahead > d.held
+}
--- /dev/null
+++ b/internal/membership/harness_test.go
@@ -0,0 +1,284 @@
+package membership
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// delivery is a message on its way, or with an empty kind the wake-up of a node.
+type delivery struct {
+	at      time.Duration
+	order   uint64
+	to      fleet.Address
+	message Message
+	wake    bool
+	pull    *pullRequest
+}
+
+// pullRequest asks for the changes after a revision, as the Changes call does.
+type pullRequest struct {
+	from  fleet.Address
+	after fleet.Revision
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int      { return len(d) }
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d deliveries) Less(i, j int) bool {
+	return d[i].at < d[j].at || (d[i].at == d[j].at && d[i].order < d[j].order)
+}
+func (d *deliveries) Push(x any) { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	old := *d
+	last := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return last
+}
+
+// node is one core with its place in the simulated network.
+type node struct {
+	core   *Core
+	spread *Dissemination
+	down   bool
+	frozen bool
+	wakeAt time.Duration
+	held   []delivery
+	log    []Change
+	bytes  int
+	sent   int
+}
+
+// network is a seeded network on a virtual clock.
+type network struct {
+	t       *testing.T
+	random  *rand.Rand
+	now     time.Duration
+	order   uint64
+	queue   deliveries
+	nodes   map[fleet.Address]*node
+	all     []*node
+	loss    float64
+	count   bool
+	regions int
+	// blocked tells whether a message from one member to another is lost.
+	blocked func(from, to Member) bool
+}
+
+func newNetwork(t *testing.T, seed uint64, regions int) *network {
+	return &network{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), regions: regions,
+		nodes: make(map[fleet.Address]*node),
+	}
+}
+
+func (n *network) member(index int) Member {
+	region := index % n.regions
+	return Member{
+		Node:    fleet.NodeID(fmt.Sprintf("router-%04d-8f14e45fceea", index)),
+		Address: fleet.Address(fmt.Sprintf("10.0.%d.%d:7070", index/250, index%250)),
+		Region:  fleet.RegionName(fmt.Sprintf("region-%d", region)),
+		Zone:    fleet.ZoneName(fmt.Sprintf("region-%d-zone-%d", region, index/n.regions%2)),
+	}
+}
+
+// start adds nodes up to the given count; each joins by the first three.
+func (n *network) start(count int) {
+	for index := len(n.all); index < count; index++ {
+		n.run(n.member(index))
+	}
+}
+
+func (n *network) run(self Member) *node {
+	seed := n.random.Uint64()
+	started := &node{
+		core:   New(Options{Self: self, Random: rand.New(rand.NewPCG(seed, 2))}),
+		spread: NewDissemination(DisseminationOptions{Random: rand.New(rand.NewPCG(seed, 3))}),
+	}
+	n.nodes[self.Address] = started
+	n.all = append(n.all, started)
+	n.send(started, started.core.Join(n.now, n.seeds()))
+	return started
+}
+
+func (n *network) seeds() []fleet.Address {
+	return []fleet.Address{n.member(0).Address, n.member(1).Address, n.member(2).Address}
+}
+
+// startKnown adds nodes that know each other from the start, to save the joins.
+func (n *network) startKnown(count int) {
+	members := make([]Member, count)
+	for index := range members {
+		members[index] = n.member(index)
+		members[index].State = Alive
+	}
+	for _, self := range members {
+		started := n.run(self)
+		for _, member := range members {
+			started.core.merge(n.now, member, claimSource{complete: true})
+		}
+		started.core.queue = broadcastQueue{}
+		started.core.join.pending = false
+		started.core.returned.pending = false
+	}
+	n.queue = slices.DeleteFunc(n.queue, func(d delivery) bool { return !d.wake })
+	heap.Init(&n.queue)
+}
+
+func (n *network) push(d delivery) {
+	n.order++
+	d.order = n.order
+	heap.Push(&n.queue, d)
+}
+
+func (n *network) send(from *node, messages []Message) {
+	for _, message := range messages {
+		from.spread.Decorate(&message)
+		if n.count {
+			from.sent++
+			from.bytes += proto.Size(message.Encode())
+		}
+		target, exists := n.nodes[message.To]
+		lost := n.loss > 0 && n.random.Float64() < n.loss
+		if !exists || lost || (n.blocked != nil && n.blocked(from.core.Self(), target.core.Self())) {
+			continue
+		}
+		delay := time.Millisecond + time.Duration(n.random.Int64N(int64(3*time.Millisecond)))
+		n.push(delivery{at: n.now + delay, to: message.To, message: message})
+	}
+	if from.core.NextWake() != from.wakeAt {
+		from.wakeAt = from.core.NextWake()
+		n.push(delivery{at: from.wakeAt, to: from.core.Self().Address, wake: true})
+	}
+}
+
+// pass lets virtual time pass.
+func (n *network) pass(duration time.Duration) {
+	until := n.now + duration
+	for len(n.queue) > 0 && n.queue[0].at <= until {
+		next := heap.Pop(&n.queue).(delivery)
+		n.now = next.at
+		if target := n.nodes[next.to]; target != nil && !target.down {
+			n.deliver(target, next)
+		}
+	}
+	n.now = until
+}
+
+func (n *network) deliver(target *node, next delivery) {
+	switch {
+	case target.frozen:
+		target.held = append(target.held, next)
+	case next.pull != nil:
+		changes := target.log[min(int(next.pull.after), len(target.log)):]
+		answer := Message{Kind: Ack, To: next.pull.from, Sender: target.core.Self(), Changes: changes}
+		n.send(target, []Message{answer})
+	case !next.wake:
+		messages := target.core.Receive(n.now, next.message)
+		n.send(target, append(messages, target.takeChanges(next.message)...))
+		n.pull(target)
+	case next.at == target.wakeAt:
+		n.send(target, target.core.Tick(n.now))
+	}
+}
+
+// takeChanges applies the changes of a message and passes them on.
+func (x *node) takeChanges(message Message) []Message {
+	x.spread.Observe(message.Sender.Address, message.KnownRevision)
+	next := x.spread.Next(message.Changes)
+	x.log = append(x.log, next...)
+	return x.spread.Publish(next, x.core.View())
+}
+
+// pull sends the pull that is due, if any.
+func (n *network) pull(from *node) {
+	pull, due := from.spread.Pull(n.now)
+	if !due || n.random.Float64() < n.loss {
+		return
+	}
+	request := &pullRequest{from: from.core.Self().Address, after: pull.After}
+	n.push(delivery{at: n.now + time.Millisecond, to: pull.From, pull: request})
+}
+
+// thaw delivers to a frozen node what has reached it meanwhile.
+func (n *network) thaw(target *node) {
+	target.frozen = false
+	target.wakeAt = -1
+	n.send(target, target.core.Tick(n.now))
+	for _, held := range target.held {
+		if !held.wake {
+			held.at = n.now
+			n.push(held)
+		}
+	}
+	target.held = nil
+}
+
+// restart replaces the process at a node's address by a new one.
+func (n *network) restart(index int, generation string) *node {
+	old := n.all[index]
+	old.down = true
+	self := n.member(index)
+	self.Node += fleet.NodeID(generation)
+	return n.run(self)
+}
+
+// live returns the nodes that run.
+func (n *network) running() []*node {
+	return slices.DeleteFunc(slices.Clone(n.all), func(x *node) bool { return x.down })
+}
+
+// until passes time until the condition holds and returns how long it took.
+func (n *network) until(limit time.Duration, condition func() bool) time.Duration {
+	n.t.Helper()
+	start := n.now
+	for !condition() {
+		require.Less(n.t, n.now-start, limit, "condition not met in time")
+		n.pass(100 * time.Millisecond)
+	}
+	return n.now - start
+}
+
+// converged tells whether all running nodes know exactly each other as alive.
+func (n *network) converged() bool {
+	running := n.running()
+	for _, x := range running {
+		members := x.core.Members()
+		if len(members) != len(running) {
+			return false
+		}
+		for _, member := range members {
+			if owner := n.nodes[member.Address]; member.State != Alive || owner.down || owner.core.Self().Node != member.Node {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// state returns what one node believes of another.
+func (x *node) state(of *node) State {
+	if record, known := x.core.table.byNode[of.core.Self().Node]; known {
+		return record.State
+	}
+	return 0
+}
+
+// believe tells whether all other running nodes hold a node in one of the states.
+func (n *network) believe(of *node, states ...State) bool {
+	for _, x := range n.running() {
+		if x != of && !slices.Contains(states, x.state(of)) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/membership/merge.go
@@ -0,0 +1,187 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// claimSource tells where a claim about a member comes from.
+type claimSource struct {
+	// region is the region of the node that passed the claim on.
+	region fleet.RegionName
+	// complete claims are part of a whole exchange and may be old.
+	complete bool
+}
+
+// merge takes one claim about a member into the table.
+func (c *Core) merge(now time.Duration, claim Member, source claimSource) {
+	if claim.Node == "" || claim.State < Alive || claim.State > Dead {
+		return
+	}
+	if claim.Node == c.self.Node {
+		c.refute(claim)
+		return
+	}
+	current, known := c.table.byNode[claim.Node]
+	if !known {
+		c.learn(now, claim)
+		return
+	}
+	if !claim.supersedes(current.Member) {
+		if source.complete && current.State == Dead && claim.Incarnation == current.Incarnation && claim.State != Dead {
+			c.contest(claim.Node)
+		}
+		return
+	}
+	if claim.State == Dead && c.contestable(current, source) {
+		c.contest(claim.Node)
+		claim.State = Suspect
+		if !claim.supersedes(current.Member) {
+			return
+		}
+	}
+	c.apply(now, current, claim)
+}
+
+// contestable tells whether a death may be hearsay from across a lost link:
+// the member then becomes suspect and gets the time to refute.
+func (c *Core) contestable(current *record, source claimSource) bool {
+	if current.State == Leaving || current.State == Dead {
+		return false
+	}
+	return source.complete || (current.Region == c.self.Region && source.region != c.self.Region)
+}
+
+// contest has the member probed soon: the probe tells it what is believed of it.
+func (c *Core) contest(node fleet.NodeID) {
+	for _, other := range c.contested {
+		if other == node {
+			return
+		}
+	}
+	position := c.random.IntN(len(c.contested) + 1)
+	c.contested = append(c.contested, node)
+	last := len(c.contested) - 1
+	c.contested[position], c.contested[last] = c.contested[last], c.contested[position]
+}
+
+// learn adds a member that wasn't in the table.
+func (c *Core) learn(now time.Duration, claim Member) {
+	if buried, found := c.table.tombstones[claim.Node]; found {
+		if claim.Incarnation <= buried {
+			return
+		}
+		c.table.unbury(claim.Node)
+	}
+	added := c.table.insert(claim, now)
+	if claim.State == Dead {
+		return
+	}
+	c.countLive(now, claim.Region, 1)
+	c.entered(now, added, Dead)
+}
+
+// apply replaces a record by a claim that supersedes it.
+func (c *Core) apply(now time.Duration, current *record, claim Member) {
+	previous := current.State
+	if claim.Address == "" {
+		claim.Address = current.Address
+	}
+	claim.Region, claim.Zone = current.Region, current.Zone
+	current.Member = claim
+	if previous == Suspect {
+		c.suspects--
+	}
+	if previous != claim.State {
+		current.since = now
+	}
+	switch {
+	case previous == Dead && claim.State != Dead:
+		c.countLive(now, claim.Region, 1)
+	case previous != Dead && claim.State == Dead:
+		c.countLive(now, claim.Region, -1)
+	}
+	c.entered(now, current, previous)
+}
+
+// entered does what follows a changed record: it is passed on and its timer started.
+func (c *Core) entered(now time.Duration, current *record, previous State) {
+	c.version++
+	c.queue.push(current.Node)
+	switch current.State {
+	case Suspect:
+		c.suspects++
+		current.deadline = now + c.options.suspicionTimeout(c.liveTotal)
+	case Leaving:
+		if previous != Leaving && previous != Dead {
+			c.announce(current.Member, leaveFanout)
+		}
+	}
+}
+
+// countLive keeps the counts by region and notices a region's return.
+func (c *Core) countLive(now time.Duration, region fleet.RegionName, change int) {
+	c.live[region] += change
+	c.liveTotal += change
+	if change > 0 && c.live[region] == 1 {
+		c.regionReturned(now, region)
+	}
+}
+
+// refute answers a claim about this node that isn't true.
+func (c *Core) refute(claim Member) {
+	if !claim.supersedes(c.self) {
+		return
+	}
+	c.self.Incarnation = claim.Incarnation + 1
+	c.version++
+	c.queue.push(c.self.Node)
+}
+
+// confirmSuspects declares dead the suspects whose time to refute is over.
+func (c *Core) confirmSuspects(now time.Duration) {
+	if c.suspects > 0 {
+		for _, record := range c.table.sorted {
+			if record.State == Suspect && now >= record.deadline {
+				c.declare(now, record, Dead)
+			}
+		}
+	}
+}
+
+// declare changes a member's state on this node's own findings.
+func (c *Core) declare(now time.Duration, current *record, state State) {
+	claim := current.Member
+	claim.State = state
+	if claim.supersedes(current.Member) {
+		c.apply(now, current, claim)
+	}
+}
+
+// announce tells a few random members at once of a changed record.
+func (c *Core) announce(member Member, fanout int) {
+	for _, peer := range c.pick(fanout, func(r *record) bool { return r.Node != member.Node }) {
+		message := Message{Kind: Ack, To: peer.Address, Target: c.self.Node}
+		if member.Node != c.self.Node {
+			message.Updates = []Member{member}
+		}
+		c.outbox = append(c.outbox, message)
+	}
+}
+
+// pick returns up to count random live members that match.
+func (c *Core) pick(count int, matches func(*record) bool) []Member {
+	var candidates []Member
+	for _, record := range c.table.sorted {
+		if record.State != Dead && matches(record) {
+			candidates = append(candidates, record.Member)
+		}
+	}
+	count = min(count, len(candidates))
+	for i := range count {
+		other := i + c.random.IntN(len(candidates)-i)
+		candidates[i], candidates[other] = candidates[other], candidates[i]
+	}
+	return candidates[:count]
+}
--- /dev/null
+++ b/internal/membership/probe.go
@@ -0,0 +1,172 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// pendingProbe is the probe that waits for an answer.
+type pendingProbe struct {
+	active     bool
+	target     fleet.NodeID
+	indirect   bool
+	indirectAt time.Duration
+}
+
+// relay is a probe sent on behalf of another member.
+type relay struct {
+	target    fleet.NodeID
+	requester Member
+	expires   time.Duration
+}
+
+// probeRing visits all matching live members in random order before it visits
+// one again, which bounds the time to detection (section 4.3 of the SWIM paper).
+type probeRing struct {
+	member func(*record) bool
+	order  []fleet.NodeID
+}
+
+func (c *Core) nextInRing(ring *probeRing) (*record, bool) {
+	for range 2 {
+		for len(ring.order) > 0 {
+			node := ring.order[len(ring.order)-1]
+			ring.order = ring.order[:len(ring.order)-1]
+			if record, known := c.table.byNode[node]; known && record.State != Dead {
+				return record, true
+			}
+		}
+		for _, member := range c.pick(len(c.table.sorted), ring.member) {
+			ring.order = append(ring.order, member.Node)
+		}
+	}
+	return nil, false
+}
+
+// startProbe probes the next member; the last one that didn't answer becomes suspect.
+func (c *Core) startProbe(now time.Duration) {
+	c.endProbe(now)
+	jitter := time.Duration(c.random.Int64N(int64(c.options.ProbeInterval)/5+1)) - c.options.ProbeInterval/10
+	c.nextProbe = now + c.options.ProbeInterval + jitter
+	target, found := c.nextTarget()
+	if !found {
+		return
+	}
+	c.probe = pendingProbe{active: true, target: target.Node, indirectAt: now + c.options.ProbeTimeout}
+	c.send(Probe, target.Member, target.Node)
+}
+
+func (c *Core) nextTarget() (*record, bool) {
+	c.probes++
+	first, second := &c.local, &c.remote
+	if c.probes%c.options.RemoteEvery == 0 {
+		first, second = second, first
+	}
+	if target, found := c.nextInRing(first); found {
+		return target, true
+	}
+	return c.nextInRing(second)
+}
+
+// advanceProbe asks other members to probe a target that doesn't answer.
+func (c *Core) advanceProbe(now time.Duration) {
+	if !c.probe.active || c.probe.indirect || now < c.probe.indirectAt {
+		return
+	}
+	c.probe.indirect = true
+	for _, helper := range c.helpers(c.probe.target) {
+		c.send(IndirectProbe, helper, c.probe.target)
+	}
+}
+
+// helpers picks members of this node's region and, for at least one, of
+// another, so that a cut between two regions alone suspects nobody.
+func (c *Core) helpers(target fleet.NodeID) []Member {
+	count := c.options.IndirectProbes
+	others := c.pick(max(1, count/2), func(r *record) bool {
+		return r.Region != c.self.Region && r.Node != target && r.State == Alive
+	})
+	near := c.pick(count-len(others), func(r *record) bool {
+		return r.Region == c.self.Region && r.Node != target && r.State == Alive
+	})
+	return append(others, near...)
+}
+
+func (c *Core) endProbe(now time.Duration) {
+	if !c.probe.active {
+		return
+	}
+	c.probe.active = false
+	record, known := c.table.byNode[c.probe.target]
+	if !known {
+		return
+	}
+	if record.State == Leaving {
+		c.declare(now, record, Dead)
+		return
+	}
+	c.declare(now, record, Suspect)
+}
+
+// probeContested probes members about which beliefs differ.
+func (c *Core) probeContested() {
+	for range min(contestedPerInterval, len(c.contested)) {
+		last := len(c.contested) - 1
+		node := c.contested[last]
+		c.contested = c.contested[:last]
+		record, known := c.table.byNode[node]
+		if known && record.State != Alive {
+			c.send(Probe, record.Member, node)
+		}
+	}
+}
+
+func (c *Core) answerProbe(message Message) {
+	if message.Target != "" && message.Target != c.self.Node {
+		c.send(Nack, message.Sender, message.Target)
+		return
+	}
+	c.send(Ack, message.Sender, c.self.Node)
+}
+
+func (c *Core) takeAck(now time.Duration, message Message, known bool) {
+	if c.probe.active && c.probe.target == message.Target {
+		c.probe.active = false
+	}
+	if message.Target != message.Sender.Node {
+		return
+	}
+	c.joined()
+	c.relays = slices.DeleteFunc(c.relays, func(pending relay) bool {
+		if pending.target != message.Target {
+			return false
+		}
+		c.send(Ack, pending.requester, message.Target)
+		return true
+	})
+	c.reached(now, message.Sender, known)
+}
+
+// takeNack learns that another node has taken a member's address: the member is gone.
+func (c *Core) takeNack(now time.Duration, message Message) {
+	record, known := c.table.byNode[message.Target]
+	if known && record.Address == message.Sender.Address && message.Target != message.Sender.Node {
+		c.declare(now, record, Dead)
+	}
+}
+
+func (c *Core) relayProbe(now time.Duration, message Message) {
+	record, known := c.table.byNode[message.Target]
+	if !known {
+		return
+	}
+	expires := now + c.options.ProbeInterval
+	c.relays = append(c.relays, relay{target: message.Target, requester: message.Sender, expires: expires})
+	c.send(Probe, record.Member, message.Target)
+}
+
+func (c *Core) dropRelays(now time.Duration) {
+	c.relays = slices.DeleteFunc(c.relays, func(pending relay) bool { return now >= pending.expires })
+}
--- /dev/null
+++ b/internal/membership/reconnect.go
@@ -0,0 +1,229 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// joinState is the attempt to find a first member.
+type joinState struct {
+	seeds   []fleet.Address
+	pending bool
+	retryAt time.Duration
+	delay   time.Duration
+}
+
+// outreach is a probe of an address that may answer with a lost member.
+type outreach struct {
+	address fleet.Address
+	expires time.Duration
+}
+
+// returnedRegion is a region with which a whole exchange is due.
+type returnedRegion struct {
+	pending bool
+	region  fleet.RegionName
+	at      time.Duration
+}
+
+// Join sets the addresses of possible members and asks some of them for the
+// whole membership, again and again until one answers. Seeds that aren't
+// members are probed now and then for ever.
+func (c *Core) Join(now time.Duration, seeds []fleet.Address) []Message {
+	c.join.seeds = slices.DeleteFunc(slices.Clone(seeds), func(address fleet.Address) bool {
+		return address == c.self.Address
+	})
+	c.setTimers(now)
+	if c.liveTotal == 1 && len(c.join.seeds) > 0 {
+		c.join.pending = true
+		c.join.delay = c.options.ProbeInterval / 2
+		c.join.retryAt = now
+		c.retryJoin(now)
+	}
+	return c.flush()
+}
+
+// setTimers starts the periodic work, spread over time against a herd.
+func (c *Core) setTimers(now time.Duration) {
+	if c.nextProbe != 0 {
+		return
+	}
+	c.nextProbe = now + 1 + c.spread(c.options.ProbeInterval)
+	c.nextDead = now + c.spread(c.options.ReconnectInterval)
+	c.nextSeed = now + c.spread(c.options.SeedInterval)
+	c.nextExchange = now + c.spread(c.options.ExchangeInterval)
+}
+
+// spread returns a random time from zero up to the given one.
+func (c *Core) spread(upTo time.Duration) time.Duration {
+	return time.Duration(c.random.Int64N(int64(upTo) + 1))
+}
+
+func (c *Core) retryJoin(now time.Duration) {
+	if !c.join.pending || now < c.join.retryAt {
+		return
+	}
+	c.join.retryAt = now + c.join.delay + c.spread(c.join.delay)
+	c.join.delay = min(c.join.delay*2, maxJoinDelay)
+	seeds := slices.Clone(c.join.seeds)
+	c.random.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	for _, address := range seeds[:min(joinSeeds, len(seeds))] {
+		c.sendAll(now, Join, address, "")
+	}
+}
+
+// joined ends the attempts to join: a member has answered.
+func (c *Core) joined() { c.join.pending = false }
+
+func (c *Core) answerJoin(now time.Duration, sender Member) {
+	c.joined()
+	c.setTimers(now)
+	c.sendAll(now, Ack, sender.Address, sender.Node)
+}
+
+// sendAll queues a message with the whole membership. The receiver is told if
+// this node holds it for dead.
+func (c *Core) sendAll(now time.Duration, kind Kind, to fleet.Address, receiver fleet.NodeID) {
+	updates := make([]Member, 0, c.liveTotal)
+	for _, record := range c.table.sorted {
+		recent := now-record.since < deadShareTime
+		if record.State != Dead || recent || record.Node == receiver {
+			updates = append(updates, record.Member)
+		}
+	}
+	if incarnation, buried := c.table.tombstones[receiver]; buried {
+		updates = append(updates, Member{Node: receiver, Address: to, Incarnation: incarnation, State: Dead})
+	}
+	message := Message{Kind: kind, To: to, Updates: updates, Complete: true}
+	if kind == Ack {
+		message.Target = c.self.Node
+	}
+	c.outbox = append(c.outbox, message)
+}
+
+// reconnect probes one member believed dead and one seed that isn't a member,
+// each in its own interval, and forgets the long dead.
+func (c *Core) reconnect(now time.Duration) {
+	c.outreach = slices.DeleteFunc(c.outreach, func(o outreach) bool { return now >= o.expires })
+	if now >= c.nextDead {
+		c.nextDead = now + c.options.ReconnectInterval/2 + c.spread(c.options.ReconnectInterval)
+		c.table.forgetDead(now - c.options.DeadRetention)
+		if target, found := c.deadCandidate(); found {
+			c.reach(now, target)
+		}
+	}
+	if now >= c.nextSeed {
+		c.nextSeed = now + c.options.SeedInterval/2 + c.spread(c.options.SeedInterval)
+		if address, found := c.seedCandidate(); found {
+			c.reach(now, Member{Address: address})
+		}
+	}
+}
+
+func (c *Core) reach(now time.Duration, target Member) {
+	c.outreach = append(c.outreach, outreach{address: target.Address, expires: now + outreachMemory})
+	c.send(Probe, target, target.Node)
+}
+
+// deadCandidate picks a random dead member, of a lost region if there is one.
+func (c *Core) deadCandidate() (Member, bool) {
+	var lost, others []Member
+	for _, record := range c.table.sorted {
+		switch {
+		case record.State != Dead:
+		case c.live[record.Region] == 0:
+			lost = append(lost, record.Member)
+		default:
+			others = append(others, record.Member)
+		}
+	}
+	if len(lost) > 0 {
+		others = lost
+	}
+	if len(others) == 0 {
+		return Member{}, false
+	}
+	return others[c.random.IntN(len(others))], true
+}
+
+func (c *Core) seedCandidate() (fleet.Address, bool) {
+	known := make(map[fleet.Address]bool, c.liveTotal)
+	for _, record := range c.table.sorted {
+		if record.State != Dead {
+			known[record.Address] = true
+		}
+	}
+	var unknown []fleet.Address
+	for _, address := range c.join.seeds {
+		if !known[address] {
+			unknown = append(unknown, address)
+		}
+	}
+	if len(unknown) == 0 {
+		return "", false
+	}
+	return unknown[c.random.IntN(len(unknown))], true
+}
+
+// reached starts a whole exchange with a lost member that answered.
+func (c *Core) reached(now time.Duration, sender Member, known bool) {
+	for i, pending := range c.outreach {
+		if pending.address != sender.Address {
+			continue
+		}
+		c.outreach = slices.Delete(c.outreach, i, i+1)
+		if !known {
+			c.postponeExchange(now)
+			c.sendAll(now, Join, sender.Address, sender.Node)
+		}
+		return
+	}
+}
+
+// regionReturned has this node exchange everything with a region that it
+// holds no live member of, at a random time against a herd.
+func (c *Core) regionReturned(now time.Duration, region fleet.RegionName) {
+	if region != c.self.Region && c.countDead(region) > 0 {
+		c.returned = returnedRegion{pending: true, region: region, at: now + c.spread(returnSpread)}
+	}
+}
+
+func (c *Core) countDead(region fleet.RegionName) int {
+	dead := 0
+	for _, record := range c.table.sorted {
+		if record.State == Dead && record.Region == region {
+			dead++
+		}
+	}
+	return dead
+}
+
+// exchange starts a whole exchange with a random member now and then, and
+// with a returned region of which most members still seem dead.
+func (c *Core) exchange(now time.Duration) {
+	if c.returned.pending && now >= c.returned.at {
+		c.returned.pending = false
+		region := c.returned.region
+		if c.countDead(region) > c.live[region] {
+			c.exchangeWith(now, func(r *record) bool { return r.Region == region })
+			return
+		}
+	}
+	if now >= c.nextExchange {
+		c.exchangeWith(now, func(*record) bool { return true })
+	}
+}
+
+func (c *Core) exchangeWith(now time.Duration, matches func(*record) bool) {
+	c.postponeExchange(now)
+	for _, peer := range c.pick(1, matches) {
+		c.sendAll(now, Join, peer.Address, peer.Node)
+	}
+}
+
+func (c *Core) postponeExchange(now time.Duration) {
+	delay := c.options.exchangeDelay(c.liveTotal)
+	c.nextExchange = now + delay/2 + c.spread(delay)
+}
--- /dev/null
+++ b/internal/membership/rendezvous.go
@@ -0,0 +1,136 @@
+package membership
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// zoneWeight is how much likelier a router of the caller's own zone is to come
+// first in Rank than a router elsewhere. It is bounded so that callers of
+// different zones still mostly agree on the router of a prefix when the zone
+// has few routers.
+const zoneWeight = 2.0
+
+// Location is a place in the fleet.
+type Location struct {
+	Region fleet.RegionName
+	Zone   fleet.ZoneName
+}
+
+// proximity orders a member by its distance: 0 same zone, 1 same region, 2 elsewhere.
+func (l Location) proximity(member Member) int {
+	switch {
+	case member.Zone == l.Zone && member.Region == l.Region:
+		return 0
+	case member.Region == l.Region:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// Owners returns the routers that index an engine, best first, by rendezvous
+// hashing (Thaler and Ravishankar 1998): when a member comes or goes, only the
+// engines that it gains or loses change owner. Members that aren't routable
+// own nothing. With 0 replicas every routable member is an owner.
+func Owners(engine fleet.EngineID, members []Member, replicas int) []fleet.NodeID {
+	return firstOwners(rankEngine(engine, members, nil), replicas)
+}
+
+// OwnersNear is Owners that takes routers of the engine's zone first, then of
+// its region, then others.
+func OwnersNear(engine fleet.EngineID, location Location, members []Member, replicas int) []fleet.NodeID {
+	return firstOwners(rankEngine(engine, members, &location), replicas)
+}
+
+// Rank returns the routable members in the order in which an agent in the
+// given zone tries them for a prefix key. All agents of a zone agree on it.
+// The weights follow Schindelhauer and Schomaker, "Weighted Distributed Hash
+// Tables" (SPAA 2005).
+func Rank(key uint64, zone fleet.ZoneName, members []Member) []Member {
+	scored := make([]scoredMember, 0, len(members))
+	for _, member := range members {
+		if !member.Routable() {
+			continue
+		}
+		weight := 1.0
+		if zone != "" && member.Zone == zone {
+			weight = zoneWeight
+		}
+		hash := mix(key ^ xxhash.Sum64String(string(member.Node)))
+		scored = append(scored, scoredMember{member: member, score: weightedScore(hash, weight)})
+	}
+	return sortScored(scored)
+}
+
+type scoredMember struct {
+	member    Member
+	proximity int
+	score     float64
+}
+
+func rankEngine(engine fleet.EngineID, members []Member, near *Location) []Member {
+	key := xxhash.Sum64String(string(engine))
+	scored := make([]scoredMember, 0, len(members))
+	for _, member := range members {
+		if !member.Routable() {
+			continue
+		}
+		entry := scoredMember{member: member}
+		entry.score = weightedScore(mix(key^xxhash.Sum64String(string(member.Node))), 1)
+		if near != nil {
+			entry.proximity = near.proximity(member)
+		}
+		scored = append(scored, entry)
+	}
+	return sortScored(scored)
+}
+
+// sortScored orders by proximity, then by falling score, then by node.
+func sortScored(scored []scoredMember) []Member {
+	slices.SortFunc(scored, func(a, b scoredMember) int {
+		if order := cmp.Compare(a.proximity, b.proximity); order != 0 {
+			return order
+		}
+		if order := cmp.Compare(b.score, a.score); order != 0 {
+			return order
+		}
+		return compareNodes(a.member, b.member)
+	})
+	members := make([]Member, len(scored))
+	for i, entry := range scored {
+		members[i] = entry.member
+	}
+	return members
+}
+
+func firstOwners(ranked []Member, replicas int) []fleet.NodeID {
+	if replicas <= 0 || replicas > len(ranked) {
+		replicas = len(ranked)
+	}
+	owners := make([]fleet.NodeID, replicas)
+	for i := range owners {
+		owners[i] = ranked[i].Node
+	}
+	return owners
+}
+
+// weightedScore maps a uniform hash to -weight/ln(u) with u in (0, 1).
+func weightedScore(hash uint64, weight float64) float64 {
+	const mantissaBits = 53
+	uniform := (float64(hash>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
+	return -weight / math.Log(uniform)
+}
+
+// mix spreads a hash over all bits (the finalizer of SplitMix64).
+func mix(hash uint64) uint64 {
+	hash += 0x9e3779b97f4a7c15
+	hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9
+	hash = (hash ^ (hash >> 27)) * 0x94d049bb133111eb
+	return hash ^ (hash >> 31)
+}
--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,80 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// record is a member with what this node alone knows of it.
+type record struct {
+	Member
+	// since is when the present state was entered.
+	since time.Duration
+	// deadline is when a suspect is confirmed dead.
+	deadline time.Duration
+}
+
+// table holds the records, in order of node, and the tombstones of forgotten ones.
+type table struct {
+	byNode map[fleet.NodeID]*record
+	sorted []*record
+	// tombstones holds the last incarnation of forgotten members, so that a
+	// stale claim never brings one back; tombstoneOrder is oldest first.
+	tombstones     map[fleet.NodeID]fleet.Incarnation
+	tombstoneOrder []fleet.NodeID
+	maxTombstones  int
+}
+
+func newTable(maxTombstones int) table {
+	return table{
+		byNode:        make(map[fleet.NodeID]*record),
+		tombstones:    make(map[fleet.NodeID]fleet.Incarnation),
+		maxTombstones: maxTombstones,
+	}
+}
+
+func compareRecordNode(r *record, node fleet.NodeID) int {
+	return compareNodes(r.Member, Member{Node: node})
+}
+
+func (t *table) insert(member Member, now time.Duration) *record {
+	added := &record{Member: member, since: now}
+	index, _ := slices.BinarySearchFunc(t.sorted, member.Node, compareRecordNode)
+	t.sorted = slices.Insert(t.sorted, index, added)
+	t.byNode[member.Node] = added
+	return added
+}
+
+// forgetDead turns the records that died before the given time into tombstones.
+func (t *table) forgetDead(before time.Duration) {
+	t.sorted = slices.DeleteFunc(t.sorted, func(r *record) bool {
+		if r.State != Dead || r.since >= before {
+			return false
+		}
+		delete(t.byNode, r.Node)
+		t.bury(r.Member)
+		return true
+	})
+}
+
+func (t *table) bury(member Member) {
+	if _, known := t.tombstones[member.Node]; !known {
+		t.tombstoneOrder = append(t.tombstoneOrder, member.Node)
+	}
+	t.tombstones[member.Node] = member.Incarnation
+	if len(t.tombstoneOrder) > t.maxTombstones {
+		delete(t.tombstones, t.tombstoneOrder[0])
+		t.tombstoneOrder = t.tombstoneOrder[1:]
+	}
+}
+
+// unbury removes the tombstone of a member that came back with a higher incarnation.
+func (t *table) unbury(node fleet.NodeID) {
+	if _, known := t.tombstones[node]; !known {
+		return
+	}
+	delete(t.tombstones, node)
+	t.tombstoneOrder = slices.DeleteFunc(t.tombstoneOrder, func(other fleet.NodeID) bool { return other == node })
+}
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,47 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// View is an immutable snapshot of the membership. It is safe for concurrent use.
+type View struct {
+	// Version is the core's version at which the snapshot was taken.
+	Version uint64
+	// Self is the node that took it.
+	Self Member
+
+	members  []Member
+	routable []Member
+}
+
+// NewView returns a view of the given members, which need not be sorted.
+func NewView(version uint64, self Member, members []Member) *View {
+	view := &View{Version: version, Self: self, members: slices.Clone(members)}
+	slices.SortFunc(view.members, compareNodes)
+	for _, member := range view.members {
+		if member.Routable() {
+			view.routable = append(view.routable, member)
+		}
+	}
+	return view
+}
+
+// Members returns all members that aren't dead, self included, sorted by node.
+// Callers must not write to the slice.
+func (v *View) Members() []Member { return v.members }
+
+// Routable returns the members that may get new work, sorted by node. Callers
+// must not write to the slice.
+func (v *View) Routable() []Member { return v.routable }
+
+// Find returns the member with the given node identifier.
+func (v *View) Find(node fleet.NodeID) (Member, bool) {
+	index, found := slices.BinarySearchFunc(v.members, Member{Node: node}, compareNodes)
+	if !found {
+		return Member{}, false
+	}
+	return v.members[index], true
+}
--- /dev/null
+++ b/internal/membership/wire.go
@@ -0,0 +1,107 @@
+package membership
+
+import (
+	"net/netip"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// ErrMalformed means that a message from another node can't be used.
+var ErrMalformed = errors.New("malformed membership message")
+
+// maxNameBytes bounds every name taken from a message.
+const maxNameBytes = 256
+
+// Encode returns the message in its transmitted form.
+func (m *Message) Encode() *rpc.GossipMessage {
+	encoded := &rpc.GossipMessage{
+		Header: &rpc.Header{Sender: string(m.Sender.Node), KnownRevision: uint64(m.KnownRevision)},
+		Kind:   rpc.GossipKind(m.Kind),
+		Sender: EncodeMember(m.Sender),
+		Target: string(m.Target),
+	}
+	for _, update := range m.Updates {
+		encoded.Updates = append(encoded.Updates, EncodeMember(update))
+	}
+	for _, change := range m.Changes {
+		encoded.Changes = append(encoded.Changes, &rpc.ConfigChange{Revision: uint64(change.Revision), Patch: change.Patch})
+	}
+	return encoded
+}
+
+// DecodeMessage reads a message from its transmitted form. It returns
+// ErrMalformed for a message that no member sends.
+func DecodeMessage(encoded *rpc.GossipMessage) (Message, error) {
+	sender, err := DecodeMember(encoded.GetSender())
+	if err != nil {
+		return Message{}, errors.Wrap(err, "sender")
+	}
+	if sender.State != Alive && sender.State != Leaving {
+		return Message{}, errors.Wrap(ErrMalformed, "sender is neither alive nor leaving")
+	}
+	message := Message{
+		Kind:          Kind(encoded.GetKind()),
+		Sender:        sender,
+		Target:        fleet.NodeID(encoded.GetTarget()),
+		KnownRevision: fleet.Revision(encoded.GetHeader().GetKnownRevision()),
+	}
+	if encoded.GetKind() < rpc.GossipKind_GOSSIP_KIND_PROBE || encoded.GetKind() > rpc.GossipKind_GOSSIP_KIND_JOIN {
+		return Message{}, errors.Wrapf(ErrMalformed, "kind %d", encoded.GetKind())
+	}
+	for _, update := range encoded.GetUpdates() {
+		member, err := DecodeMember(update)
+		if err != nil {
+			return Message{}, errors.Wrap(err, "update")
+		}
+		message.Updates = append(message.Updates, member)
+	}
+	message.Changes = DecodeChanges(encoded.GetChanges())
+	return message, nil
+}
+
+// DecodeChanges reads configuration changes from their transmitted form.
+func DecodeChanges(encoded []*rpc.ConfigChange) []Change {
+	var changes []Change
+	for _, change := range encoded {
+		changes = append(changes, Change{Revision: fleet.Revision(change.GetRevision()), Patch: change.GetPatch()})
+	}
+	return changes
+}
+
+// EncodeMember returns a member in its transmitted form.
+func EncodeMember(m Member) *rpc.Member {
+	return &rpc.Member{
+		Node:        string(m.Node),
+		Address:     string(m.Address),
+		Region:      string(m.Region),
+		Zone:        string(m.Zone),
+		Incarnation: uint64(m.Incarnation),
+		State:       rpc.MemberState(m.State),
+	}
+}
+
+// DecodeMember reads a member from its transmitted form. It returns
+// ErrMalformed for one without a usable name, address or state.
+func DecodeMember(encoded *rpc.Member) (Member, error) {
+	member := Member{
+		Node:        fleet.NodeID(encoded.GetNode()),
+		Address:     fleet.Address(encoded.GetAddress()),
+		Region:      fleet.RegionName(encoded.GetRegion()),
+		Zone:        fleet.ZoneName(encoded.GetZone()),
+		Incarnation: fleet.Incarnation(encoded.GetIncarnation()),
+		State:       State(encoded.GetState()),
+	}
+	if encoded.GetState() < rpc.MemberState_MEMBER_STATE_ALIVE || encoded.GetState() > rpc.MemberState_MEMBER_STATE_DEAD {
+		return Member{}, errors.Wrapf(ErrMalformed, "state %d", encoded.GetState())
+	}
+	if member.Node == "" || len(member.Node) > maxNameBytes || len(member.Region) > maxNameBytes || len(member.Zone) > maxNameBytes {
+		return Member{}, errors.Wrap(ErrMalformed, "name")
+	}
+	if _, err := netip.ParseAddrPort(string(member.Address)); err != nil {
+		return Member{}, errors.Wrap(ErrMalformed, "address")
+	}
+	return member, nil
+}
