Add the engine stand-in and test the engine's model

The model runs in real time behind HTTP: one mutex, one stepping goroutine, a goroutine for each reader that fetches frames at its connection's pace, so that a slow reader holds nobody up. Streams outlive their connections for a grace time, then they are cancelled.

Load was sampled only at calls from outside, so a lagging report could miss a stream that had run for a second; a test found it, and each step samples now.

The stand-in's own tests follow.

--- /dev/null
+++ b/lab/enginemodel/batch_test.go
@@ -0,0 +1,182 @@
+package enginemodel
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+func TestStepTimesFollowTheCostModel(t *testing.T) {
+	e := New(testConfig())
+	require.NoError(t, e.Dispatch(0, request(e, "a", promptOf("a", 50), 3)))
+	due, found := e.NextStep()
+	require.True(t, found)
+	assert.Equal(t, 15*time.Millisecond, due, "base and 50 prompt tokens")
+	e.Advance(due)
+	frames, ended, err := e.Frames("a", 0)
+	require.NoError(t, err)
+	require.False(t, ended)
+	require.Len(t, frames, 1, "the prompt's last step yields the first token")
+	due, _ = e.NextStep()
+	assert.Equal(t, 26*time.Millisecond, due, "base and one output token")
+	assert.Equal(t, 37*time.Millisecond, runDry(e))
+	assert.NoError(t, VerifyOutput(promptOf("a", 50), tokensOf(t, e, "a")))
+}
+
+func TestLongPromptIsChunkedAndDecodingGoesFirst(t *testing.T) {
+	e := New(testConfig())
+	require.NoError(t, e.Dispatch(0, request(e, "short", promptOf("s", 8), 4)))
+	e.Advance(11 * time.Millisecond)
+	require.NoError(t, e.Dispatch(11*time.Millisecond, request(e, "long", promptOf("l", 250), 1)))
+	runDry(e)
+	// 242 tokens would fill two and a half steps; the running stream's output
+	// takes its token of the budget in each.
+	counters := e.Counters()
+	assert.EqualValues(t, 258, counters.PrefillTokens)
+	assert.EqualValues(t, 5, counters.OutputTokens)
+	assert.EqualValues(t, 5, counters.Steps)
+}
+
+func TestUrgentWaitingWorkOvertakesWaitingWorkOnly(t *testing.T) {
+	config := testConfig()
+	config.MaxRunning = 1
+	e := New(config)
+	dispatch := func(id fleet.StreamID, priority int) {
+		body := request(e, id, promptOf(string(id[0]), 20), 2)
+		body.Priority = priority
+		require.NoError(t, e.Dispatch(0, body))
+	}
+	dispatch("running", 9)
+	dispatch("batch", 5)
+	dispatch("counter", 0)
+	dispatch("desk", 0)
+	var order []fleet.StreamID
+	for {
+		due, found := e.NextStep()
+		if !found {
+			break
+		}
+		e.Advance(due)
+		for _, s := range e.retained[len(order):] {
+			order = append(order, s.id)
+		}
+	}
+	assert.Equal(t, []fleet.StreamID{"running", "counter", "desk", "batch"}, order)
+}
+
+func TestContinuationGoesOnFromExactlyTheGivenTokens(t *testing.T) {
+	text := promptOf("c", 40)
+	first := New(testConfig())
+	require.NoError(t, first.Dispatch(0, request(first, "r.1", text, 10)))
+	runDry(first)
+	sent := tokensOf(t, first, "r.1")[:4]
+
+	config := testConfig()
+	config.ID = "engine-2"
+	second := New(config)
+	body := request(second, "r.2", text, 10)
+	body.Continuation = sent
+	require.NoError(t, second.Dispatch(0, body))
+	runDry(second)
+	whole := tokensOf(t, second, "r.2")
+	require.Len(t, whole, 10)
+	assert.Equal(t, sent, whole[:4])
+	require.NoError(t, VerifyOutput(text, whole))
+	assert.EqualValues(t, 6, second.Counters().OutputTokens)
+
+	frames, _, err := second.Frames("r.2", 7)
+	require.NoError(t, err)
+	assert.Equal(t, 7, frames[0].Index)
+
+	body.StreamID = "r.3"
+	body.Continuation = whole
+	require.NoError(t, second.Dispatch(second.now, body))
+	assert.Equal(t, whole, tokensOf(t, second, "r.3"), "a whole output ends at once")
+}
+
+func TestVerifyOutputFindsWhatIsWrong(t *testing.T) {
+	text := promptOf("v", 12)
+	output := func(id fleet.EngineID, text string) []string {
+		config := testConfig()
+		config.ID = id
+		e := New(config)
+		require.NoError(t, e.Dispatch(0, request(e, "s", text, 8)))
+		runDry(e)
+		return tokensOf(t, e, "s")
+	}
+	one, two := output("engine-1", text), output("engine-7", text)
+	require.NotEqual(t, one, two)
+	require.NoError(t, VerifyOutput(text, one))
+	assert.Error(t, VerifyOutput(text, append(one[:4:4], two[4:]...)), "spliced")
+	assert.Error(t, VerifyOutput(text, append(one[:2:2], one[3:]...)), "gap")
+	assert.Error(t, VerifyOutput(text, append(one[:2:2], one[1:]...)), "repeat")
+	assert.Error(t, VerifyOutput(promptOf("w", 12), one), "another prompt")
+	assert.Error(t, VerifyOutput(text, []string{"0a"}), "torn")
+	joined := ""
+	for _, token := range one {
+		joined += token
+	}
+	assert.Equal(t, one, SplitOutput(joined))
+}
+
+func TestLoadReportsLag(t *testing.T) {
+	config := testConfig()
+	config.LoadLag = time.Second
+	e := New(config)
+	e.Advance(5 * time.Second)
+	require.NoError(t, e.Dispatch(5*time.Second, request(e, "a", promptOf("a", 20), 1000)))
+	assert.Zero(t, e.Status(5900*time.Millisecond).Load.RunningStreams)
+	load := e.Status(6200 * time.Millisecond).Load
+	assert.Equal(t, 1, load.RunningStreams)
+	assert.LessOrEqual(t, load.MeasuredAtMillis, int64(5200))
+	assert.Equal(t, 1, e.RunningStreams())
+}
+
+// hashedRun sends a seeded load through one engine and returns its counts and
+// the digest of its progress.
+func hashedRun(requests int) (Counters, time.Duration) {
+	random := rand.New(rand.NewPCG(7, 7))
+	e := New(Config{ID: "e", Loaded: []engine.Weights{testWeights}, BlockIdleTTL: 5 * time.Second, EventLoss: 0.3})
+	now, total := time.Duration(0), time.Duration(0)
+	for i := range requests {
+		now += time.Duration(random.IntN(int(80 * time.Millisecond)))
+		prefix := uint64(random.IntN(20)) << 32
+		hashes := make([]fleet.BlockHash, 0, 120)
+		for block := range uint64(100) {
+			hashes = append(hashes, fleet.BlockHash(prefix|block))
+		}
+		for block := range uint64(20) {
+			hashes = append(hashes, fleet.BlockHash(1<<60|uint64(i)<<8|block))
+		}
+		_ = e.DispatchHashed(now, HashedRequest{
+			StreamID: fleet.StreamID(fmt.Sprint(i)), Incarnation: 1, Weights: testWeights, Tenant: "ward",
+			Hashes: hashes, PromptTokens: 120*16 + 3, OutputTokens: 40, Priority: i % 3,
+		})
+		for _, event := range e.TakeStreamEvents() {
+			total += event.At
+		}
+		e.TakeCacheEvents(now)
+	}
+	return e.Counters(), total
+}
+
+func TestHashedRunsAreDeterministic(t *testing.T) {
+	counters, total := hashedRun(400)
+	again, totalAgain := hashedRun(400)
+	assert.Equal(t, counters, again)
+	assert.Equal(t, total, totalAgain)
+	assert.Positive(t, counters.HitTokens)
+	assert.Positive(t, counters.PrefillTokens)
+}
+
+func BenchmarkHashedRequest(b *testing.B) {
+	b.ReportAllocs()
+	hashedRun(b.N)
+}
--- /dev/null
+++ b/lab/enginemodel/cache_test.go
@@ -0,0 +1,222 @@
+package enginemodel
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+func TestCacheIsNotSharedAcrossScopes(t *testing.T) {
+	adapter := engine.Weights{Model: "sahayak", Adapter: "flags", Version: "v1"}
+	newer := engine.Weights{Model: "sahayak", Version: "v2"}
+	config := testConfig()
+	config.Loaded = append(config.Loaded, adapter, newer)
+	e := New(config)
+	text := promptOf("p", 40)
+	require.NoError(t, e.Dispatch(0, request(e, "warm", text, 1)))
+	runDry(e)
+	for name, change := range map[string]struct {
+		tenant  fleet.TenantName
+		weights engine.Weights
+		cached  int
+	}{
+		"same":    {"ward", testWeights, 39},
+		"tenant":  {"shop", testWeights, 0},
+		"adapter": {"ward", adapter, 0},
+		"version": {"ward", newer, 0},
+	} {
+		body := request(e, fleet.StreamID(name), text, 1)
+		body.Tenant, body.Weights = change.tenant, change.weights
+		require.NoError(t, e.Dispatch(e.now, body))
+		runDry(e)
+		frames, _, err := e.Frames(body.StreamID, 1)
+		require.NoError(t, err)
+		assert.Equal(t, change.cached, frames[0].CachedTokens, name)
+	}
+}
+
+func TestEvictionTakesTheLeastRecentlyUsedAndNeverPinnedBlocks(t *testing.T) {
+	config := testConfig()
+	config.CacheBlocks = 26
+	e := New(config)
+	text := map[string]string{}
+	for _, letter := range []string{"a", "b", "c"} {
+		text[letter] = promptOf(letter, 40)
+	}
+	cached := func(letter string) int { return e.CachedPrefix(hashesOf("ward", testWeights, text[letter])) }
+	require.NoError(t, e.Dispatch(0, request(e, "a", text["a"], 1)))
+	runDry(e)
+	require.NoError(t, e.Dispatch(e.now, request(e, "b", text["b"], 1)))
+	runDry(e)
+	require.NoError(t, e.Dispatch(e.now, request(e, "a2", text["a"], 1)))
+	runDry(e)
+	// "b" is now the older one. A third prompt takes from its end.
+	require.NoError(t, e.Dispatch(e.now, request(e, "c", text["c"], 20)))
+	e.Advance(e.now + 15*time.Millisecond)
+	assert.Equal(t, 10, cached("a"))
+	assert.Equal(t, 1, cached("b"))
+	assert.Equal(t, 10, cached("c"))
+	// While "c" runs, room for others must not come from it.
+	require.NoError(t, e.Dispatch(e.now, request(e, "b2", text["b"], 1)))
+	e.Advance(e.now + 30*time.Millisecond)
+	assert.Equal(t, 10, cached("c"))
+	runDry(e)
+	assert.EqualValues(t, len(e.blocks.index), 26-e.blocks.room()+unpinned(e))
+}
+
+func unpinned(e *Engine) int {
+	count := 0
+	for position := e.blocks.slab[anchor].next; position != anchor; position = e.blocks.slab[position].next {
+		count++
+	}
+	return count
+}
+
+func TestIdleBlocksExpire(t *testing.T) {
+	config := testConfig()
+	config.BlockIdleTTL = 2 * time.Second
+	e := New(config)
+	hashes := hashesOf("ward", testWeights, promptOf("a", 40))
+	require.NoError(t, e.Dispatch(0, request(e, "a", promptOf("a", 40), 200)))
+	ended := runDry(e)
+	require.Greater(t, ended, 2*time.Second, "blocks in use don't expire")
+	assert.Equal(t, 10, e.CachedPrefix(hashes))
+	e.Advance(ended + 1999*time.Millisecond)
+	assert.Equal(t, 10, e.CachedPrefix(hashes))
+	e.Advance(ended + 2*time.Second)
+	assert.Zero(t, e.CachedPrefix(hashes))
+}
+
+func TestPromptLargerThanTheCacheStillRuns(t *testing.T) {
+	config := testConfig()
+	config.CacheBlocks = 5
+	e := New(config)
+	require.NoError(t, e.Dispatch(0, request(e, "big", promptOf("b", 400), 30)))
+	require.NoError(t, e.Dispatch(0, request(e, "small", promptOf("s", 8), 2)))
+	runDry(e)
+	assert.Len(t, tokensOf(t, e, "big"), 30)
+	assert.Len(t, tokensOf(t, e, "small"), 2)
+	assert.LessOrEqual(t, len(e.blocks.index), 5)
+}
+
+func TestEventsComeLateAndWithGaps(t *testing.T) {
+	config := testConfig()
+	config.EventDelay = 300 * time.Millisecond
+	config.EventLoss = 0.5
+	config.Random = rand.New(rand.NewPCG(3, 4))
+	e := New(config)
+	require.NoError(t, e.Dispatch(0, request(e, "a", promptOf("a", 390), 1)))
+	ended := runDry(e)
+	assert.Empty(t, e.TakeCacheEvents(200*time.Millisecond))
+	due, found := e.NextCacheEvent()
+	require.True(t, found)
+	assert.Empty(t, e.TakeCacheEvents(due-1))
+	events := e.TakeCacheEvents(ended + time.Second)
+	assert.Less(t, uint64(len(events)), e.EventSequence(), "some are lost")
+	assert.NotEmpty(t, events)
+	assert.Empty(t, e.TakeCacheEvents(ended+time.Second), "each is taken once")
+	assert.Equal(t, events, e.CacheEventsAfter(e.now, 0))
+	assert.Equal(t, e.EventSequence(), e.CacheSnapshot(e.now).Sequence)
+}
+
+func TestExportAndImportCheckOwnerAndSum(t *testing.T) {
+	text := promptOf("k", 40)
+	source := New(testConfig())
+	require.NoError(t, source.Dispatch(0, request(source, "a", text, 1)))
+	runDry(source)
+	hashes := hashesOf("ward", testWeights, text)
+	stolen, err := source.Export(source.now, engine.KVExportRequest{Tenant: "shop", Weights: testWeights, Hashes: hashes})
+	require.NoError(t, err)
+	assert.Empty(t, stolen.Hashes, "another tenant's blocks stay")
+	bundle, err := source.Export(source.now, engine.KVExportRequest{Tenant: "ward", Weights: testWeights, Hashes: hashes})
+	require.NoError(t, err)
+	require.Equal(t, hashes, bundle.Hashes)
+
+	target := New(testConfig())
+	relabelled := bundle
+	relabelled.Tenant = "shop"
+	_, err = target.Import(0, relabelled)
+	requireCode(t, engine.ErrorChecksum, err)
+	older := bundle
+	older.Weights.Version = "v0"
+	older.Checksum = older.Sum()
+	_, err = target.Import(0, older)
+	requireCode(t, engine.ErrorWeightsNotLoaded, err)
+	readyAt, err := target.Import(0, bundle)
+	require.NoError(t, err)
+	assert.Equal(t, 10*time.Millisecond, readyAt)
+	target.Advance(readyAt - 1)
+	assert.Zero(t, target.CachedPrefix(hashes))
+	target.Advance(readyAt)
+	assert.Equal(t, 10, target.CachedPrefix(hashes))
+}
+
+// TestRandomWorkKeepsTheBooks checks after each of many random operations that
+// memory is within its bound and that the events, none being lost, rebuild the
+// cache.
+func TestRandomWorkKeepsTheBooks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := testConfig()
+		config.CacheBlocks = rapid.IntRange(1, 60).Draw(t, "blocks")
+		config.MaxRunning = rapid.IntRange(1, 4).Draw(t, "running")
+		config.BlockIdleTTL = time.Duration(rapid.IntRange(0, 200).Draw(t, "ttl")) * time.Millisecond
+		e := New(config)
+		mirror := map[fleet.BlockHash]bool{}
+		prompts := map[fleet.StreamID]string{}
+		live := map[fleet.StreamID]bool{}
+		for i := range rapid.IntRange(1, 40).Draw(t, "operations") {
+			now := e.now + time.Duration(rapid.IntRange(0, 60).Draw(t, "pause"))*time.Millisecond
+			id := fleet.StreamID(fmt.Sprint(i))
+			if rapid.IntRange(0, 4).Draw(t, "kind") > 0 {
+				prompts[id] = promptOf(rapid.StringMatching("[abc]").Draw(t, "letter"), rapid.IntRange(1, 120).Draw(t, "length"))
+				body := request(e, id, prompts[id], rapid.IntRange(1, 12).Draw(t, "output"))
+				body.Priority = rapid.IntRange(0, 2).Draw(t, "priority")
+				require.NoError(t, e.Dispatch(now, body))
+				live[id] = true
+			} else {
+				victim := fleet.StreamID(fmt.Sprint(rapid.IntRange(0, i).Draw(t, "victim")))
+				outcome, err := e.Cancel(now, victim, 1)
+				require.NoError(t, err)
+				if outcome.State != engine.CancelFinished {
+					delete(live, victim)
+				}
+			}
+			checkBooks(t, e, mirror)
+		}
+		runDry(e)
+		checkBooks(t, e, mirror)
+		require.Zero(t, e.blocks.pinned+e.blocks.reserved+e.QueuedPrefillTokens())
+		for id := range live {
+			require.NoError(t, VerifyOutput(prompts[id], tokensOf(t, e, id)))
+		}
+	})
+}
+
+func checkBooks(t *rapid.T, e *Engine, mirror map[fleet.BlockHash]bool) {
+	for _, event := range e.TakeCacheEvents(e.now) {
+		for _, hash := range event.Hashes {
+			if event.Kind == engine.BlockStored {
+				mirror[hash] = true
+			} else {
+				delete(mirror, hash)
+			}
+		}
+	}
+	rebuilt := make([]fleet.BlockHash, 0, len(mirror))
+	for hash := range mirror {
+		rebuilt = append(rebuilt, hash)
+	}
+	slices.Sort(rebuilt)
+	require.Equal(t, e.CacheSnapshot(e.now).Hashes, rebuilt)
+	require.LessOrEqual(t, len(e.blocks.index)+e.blocks.reserved, e.config.CacheBlocks)
+	require.Equal(t, len(e.blocks.index), e.blocks.pinned+unpinned(e))
+}
--- /dev/null
+++ b/lab/enginemodel/control_test.go
@@ -0,0 +1,152 @@
+package enginemodel
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// TestDispatchChecksInOrder removes one reason after another from a dispatch
+// that has all of them.
+func TestDispatchChecksInOrder(t *testing.T) {
+	config := testConfig()
+	config.MaxRunning, config.MaxWaiting = 1, 1
+	e := New(config)
+	require.NoError(t, e.Dispatch(0, request(e, "running", promptOf("a", 40), 5)))
+	require.NoError(t, e.Dispatch(0, request(e, "waiting", promptOf("b", 40), 5)))
+	_, err := e.Cancel(0, "barred", 1)
+	require.NoError(t, err)
+	require.NoError(t, e.Order(0, engine.Order{Incarnation: 1, Fence: 1, Kind: engine.OrderRetire}))
+
+	body := request(e, "barred", "", 0)
+	body.Incarnation = 2
+	body.Weights.Version = "v9"
+	requireCode(t, engine.ErrorWrongIncarnation, e.Dispatch(0, body))
+	body.Incarnation = 1
+	requireCode(t, engine.ErrorBarred, e.Dispatch(0, body))
+	body.StreamID = "running"
+	requireCode(t, engine.ErrorDuplicate, e.Dispatch(0, body))
+	body.StreamID = "fresh"
+	requireCode(t, engine.ErrorDraining, e.Dispatch(0, body))
+	require.NoError(t, e.Order(0, engine.Order{Incarnation: 1, Fence: 1, Kind: engine.OrderResume}))
+	requireCode(t, engine.ErrorWeightsNotLoaded, e.Dispatch(0, body))
+	body.Weights = testWeights
+	requireCode(t, engine.ErrorBadRequest, e.Dispatch(0, body))
+	body.Prompt, body.MaxTokens = promptOf("c", 4), 1
+	requireCode(t, engine.ErrorOverloaded, e.Dispatch(0, body))
+	runDry(e)
+	require.NoError(t, e.Dispatch(e.now, body))
+	assert.Len(t, tokensOf(t, e, "waiting"), 5, "a leaving engine ends what it has accepted")
+}
+
+func TestCancelTellsWhatItFoundAndBars(t *testing.T) {
+	config := testConfig()
+	config.MaxRunning = 1
+	e := New(config)
+	require.NoError(t, e.Dispatch(0, request(e, "done", promptOf("a", 8), 2)))
+	runDry(e)
+	require.NoError(t, e.Dispatch(e.now, request(e, "running", promptOf("b", 8), 50)))
+	require.NoError(t, e.Dispatch(e.now, request(e, "waiting", promptOf("c", 8), 50)))
+	e.Advance(e.now + 40*time.Millisecond)
+	for range 2 {
+		for id, state := range map[fleet.StreamID]engine.CancelState{
+			"done": engine.CancelFinished, "running": engine.CancelCancelled,
+			"waiting": engine.CancelNeverRan, "unheard": engine.CancelNeverRan,
+		} {
+			outcome, err := e.Cancel(e.now, id, 1)
+			require.NoError(t, err)
+			assert.Equal(t, state, outcome.State, id)
+		}
+	}
+	outcome, err := e.Cancel(e.now, "running", 1)
+	require.NoError(t, err)
+	assert.Equal(t, 3, outcome.Tokens)
+	frames, ended, err := e.Frames("running", 3)
+	require.NoError(t, err)
+	assert.True(t, ended)
+	assert.Equal(t, engine.ErrorCancelled, frames[0].Error)
+	_, err = e.Cancel(e.now, "running", 2)
+	requireCode(t, engine.ErrorWrongIncarnation, err)
+
+	// Long after the frames are gone, no late dispatch may run any of them.
+	e.Advance(e.now + time.Hour)
+	_, _, err = e.Frames("done", 0)
+	requireCode(t, engine.ErrorUnknownStream, err)
+	requireCode(t, engine.ErrorDuplicate, e.Dispatch(e.now, request(e, "done", promptOf("a", 8), 2)))
+	for _, id := range []fleet.StreamID{"running", "waiting", "unheard"} {
+		requireCode(t, engine.ErrorBarred, e.Dispatch(e.now, request(e, id, promptOf("a", 8), 2)))
+	}
+	outcome, err = e.Cancel(e.now, "done", 1)
+	require.NoError(t, err)
+	assert.Equal(t, engine.CancelResponse{State: engine.CancelFinished, Tokens: 2}, outcome)
+}
+
+func TestRetainedStreamsAreBounded(t *testing.T) {
+	config := testConfig()
+	config.MaxRetained = 2
+	e := New(config)
+	for _, id := range []fleet.StreamID{"a", "b", "c"} {
+		require.NoError(t, e.Dispatch(e.now, request(e, id, promptOf("a", 8), 1)))
+		runDry(e)
+	}
+	_, _, err := e.Frames("a", 0)
+	requireCode(t, engine.ErrorUnknownStream, err)
+	assert.Len(t, tokensOf(t, e, "c"), 1)
+}
+
+func TestOrdersAreFenced(t *testing.T) {
+	e := New(testConfig())
+	newer := engine.Weights{Model: "sahayak", Version: "v2"}
+	order := engine.Order{Incarnation: 1, Fence: 7, Kind: engine.OrderLoad, Weights: newer}
+	require.NoError(t, e.Order(0, order))
+	require.NoError(t, e.Order(100*time.Millisecond, order), "orders are idempotent")
+	assert.Equal(t, []engine.Weights{newer}, e.Status(599*time.Millisecond).Loading)
+	assert.Equal(t, []engine.Weights{testWeights, newer}, e.Status(600*time.Millisecond).Loaded)
+
+	stale := engine.Order{Incarnation: 1, Fence: 6, Kind: engine.OrderUnload, Weights: testWeights}
+	requireCode(t, engine.ErrorStaleFence, e.Order(e.now, stale))
+	stale.Fence, stale.Incarnation = 8, 2
+	requireCode(t, engine.ErrorWrongIncarnation, e.Order(e.now, stale))
+	assert.Equal(t, fleet.FencingToken(7), e.Status(e.now).Fence, "a rejected order leaves nothing")
+	requireCode(t, engine.ErrorBadRequest, e.Order(e.now, engine.Order{Incarnation: 1, Fence: 9, Kind: "explode"}))
+
+	stale.Incarnation = 1
+	require.NoError(t, e.Order(e.now, stale))
+	assert.Equal(t, []engine.Weights{newer}, e.Status(e.now).Loaded)
+	require.NoError(t, e.Order(e.now, engine.Order{Incarnation: 1, Fence: 8, Kind: engine.OrderRole, Role: engine.RoleDecode}))
+	assert.Equal(t, engine.RoleDecode, e.Status(e.now).Role)
+}
+
+func TestRestartLeavesNothing(t *testing.T) {
+	e := New(testConfig())
+	text := promptOf("a", 40)
+	late := request(e, "late", text, 4)
+	require.NoError(t, e.Dispatch(0, request(e, "a", text, 4)))
+	require.NoError(t, e.Order(0, engine.Order{Incarnation: 1, Fence: 5, Kind: engine.OrderRetire}))
+	e.Advance(20 * time.Millisecond)
+	require.NotZero(t, e.EventSequence())
+	e.Restart(30 * time.Millisecond)
+
+	requireCode(t, engine.ErrorWrongIncarnation, e.Dispatch(e.now, late))
+	_, err := e.Cancel(e.now, "a", 1)
+	requireCode(t, engine.ErrorWrongIncarnation, err)
+	_, _, err = e.Frames("a", 0)
+	requireCode(t, engine.ErrorUnknownStream, err)
+	assert.Equal(t, engine.CacheSnapshot{Incarnation: 2, Hashes: []fleet.BlockHash{}}, e.CacheSnapshot(e.now))
+	status := e.Status(e.now)
+	assert.Empty(t, status.Loaded)
+	assert.False(t, status.Leaving)
+	_, found := e.NextStep()
+	assert.False(t, found)
+
+	require.NoError(t, e.Order(e.now, engine.Order{Incarnation: 2, Fence: 1, Kind: engine.OrderLoad, Weights: testWeights}))
+	runDry(e)
+	require.NoError(t, e.Dispatch(e.now, request(e, "late", text, 4)), "an identifier is new to a new run")
+	runDry(e)
+	assert.Equal(t, uint64(1), e.TakeCacheEvents(e.now)[0].Sequence)
+}
--- a/lab/enginemodel/engine.go
+++ b/lab/enginemodel/engine.go
@@ -135,6 +135,7 @@
 	}
 	e.startStep()
 	e.events.flush(e.now)
+	e.loads.sampleIfOld(e)
 }
 
 // expire drops idle blocks and the frames of streams that ended long ago.
--- /dev/null
+++ b/lab/enginemodel/helpers_test.go
@@ -0,0 +1,89 @@
+package enginemodel
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/prompt"
+)
+
+var testWeights = engine.Weights{Model: "sahayak", Version: "v1"}
+
+// testCosts make step times easy to read: 10 ms, 1 ms a token of output and
+// 0.1 ms a token of prompt.
+func testCosts() Costs {
+	return Costs{
+		StepBase:        10 * time.Millisecond,
+		DecodePerToken:  time.Millisecond,
+		PrefillPerToken: 100 * time.Microsecond,
+		StepTokens:      100,
+		ImportPerBlock:  time.Millisecond,
+		LoadTime:        600 * time.Millisecond,
+	}
+}
+
+func testConfig() Config {
+	return Config{
+		ID:          "engine-1",
+		Costs:       testCosts(),
+		CacheBlocks: 100,
+		BlockTokens: 4,
+		Loaded:      []engine.Weights{testWeights},
+	}
+}
+
+// promptOf returns a prompt of so many tokens that repeats a letter.
+func promptOf(letter string, tokens int) string { return strings.Repeat(letter, 4*tokens) }
+
+func request(e *Engine, id fleet.StreamID, text string, maxTokens int) engine.DispatchRequest {
+	return engine.DispatchRequest{
+		StreamID:    id,
+		Incarnation: e.Incarnation(),
+		Tenant:      "ward",
+		Weights:     testWeights,
+		Prompt:      text,
+		MaxTokens:   maxTokens,
+	}
+}
+
+func hashesOf(tenant fleet.TenantName, weights engine.Weights, text string) []fleet.BlockHash {
+	return prompt.HashBlocks(cacheScope(tenant, weights), text, 4)
+}
+
+// runDry advances until nothing is left to do and returns the time.
+func runDry(e *Engine) time.Duration {
+	for {
+		due, found := e.NextStep()
+		if !found {
+			return e.now
+		}
+		e.Advance(due)
+	}
+}
+
+func tokensOf(t require.TestingT, e *Engine, id fleet.StreamID) []string {
+	frames, ended, err := e.Frames(id, 0)
+	require.NoError(t, err)
+	require.True(t, ended)
+	last := frames[len(frames)-1]
+	require.Equal(t, engine.FrameDone, last.Kind)
+	require.Equal(t, len(frames)-1, last.Count)
+	var tokens []string
+	for _, frame := range frames[:len(frames)-1] {
+		tokens = append(tokens, frame.Text)
+	}
+	return tokens
+}
+
+func requireCode(t *testing.T, code engine.ErrorCode, err error) {
+	t.Helper()
+	var failure *engine.Error
+	require.True(t, errors.As(err, &failure), "error is %v", err)
+	require.Equal(t, code, failure.Code)
+}
--- /dev/null
+++ b/lab/standin/engineserver/streams.go
@@ -0,0 +1,160 @@
+package engineserver
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/uptrace/bunrouter"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// reader copies one stream to one connection, at the connection's own pace.
+type reader struct {
+	handlers    *handlers
+	writer      http.ResponseWriter
+	request     bunrouter.Request
+	stream      fleet.StreamID
+	incarnation fleet.Incarnation
+	next        int
+}
+
+func (h *handlers) dispatch(writer http.ResponseWriter, request bunrouter.Request) error {
+	var body engine.DispatchRequest
+	if err := engine.ReadRequest(request.Request, maxBodyBytes, &body); err != nil {
+		return h.fail(writer, err)
+	}
+	s := h.server
+	s.mutex.Lock()
+	err := s.model.Dispatch(s.now(), body)
+	if err == nil {
+		s.attach(body.StreamID)
+		s.notify()
+	}
+	s.mutex.Unlock()
+	if err != nil {
+		return h.fail(writer, err)
+	}
+	return h.read(writer, request, body.StreamID, body.Incarnation, len(body.Continuation))
+}
+
+func (h *handlers) resume(writer http.ResponseWriter, request bunrouter.Request) error {
+	id := streamID(request)
+	offset, err := strconv.Atoi(request.URL.Query().Get("offset"))
+	if err != nil {
+		return h.fail(writer, &engine.Error{Code: engine.ErrorBadRequest, Message: "offset must be a number"})
+	}
+	s := h.server
+	s.mutex.Lock()
+	s.model.Advance(s.now())
+	incarnation := s.model.Incarnation()
+	_, _, err = s.model.Frames(id, offset)
+	if err == nil {
+		s.attach(id)
+	}
+	s.mutex.Unlock()
+	if err != nil {
+		return h.fail(writer, err)
+	}
+	return h.read(writer, request, id, incarnation, offset)
+}
+
+// streamID returns the identifier in the path. The router matches the escaped
+// path where escaping makes a difference, and leaves its parameters escaped.
+func streamID(request bunrouter.Request) fleet.StreamID {
+	id := request.Param("id")
+	if request.URL.RawPath == "" {
+		return fleet.StreamID(id)
+	}
+	if plain, err := url.PathUnescape(id); err == nil {
+		id = plain
+	}
+	return fleet.StreamID(id)
+}
+
+// read writes a stream that the caller has attached to.
+func (h *handlers) read(
+	writer http.ResponseWriter, request bunrouter.Request,
+	id fleet.StreamID, incarnation fleet.Incarnation, offset int,
+) error {
+	defer h.server.detach(id, incarnation)
+	r := &reader{handlers: h, writer: writer, request: request, stream: id, incarnation: incarnation, next: offset}
+	accepted, err := r.accepted()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	writer.Header().Set("Content-Type", engine.EventStreamType)
+	writer.WriteHeader(http.StatusOK)
+	if err := r.write([]engine.Frame{accepted}); err != nil {
+		return nil
+	}
+	r.copy()
+	return nil
+}
+
+// copy writes frames until the last one, or until the connection, the
+// incarnation or the stand-in ends.
+func (r *reader) copy() {
+	for {
+		frames, ended, changed, err := r.pending()
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if err := r.write(frames); err != nil || ended {
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.request.Context().Done():
+			return
+		case <-r.handlers.life.Dying():
+			panic(http.ErrAbortHandler)
+		}
+		r.handlers.awaitThaw(r.request)
+	}
+}
+
+var errGone = errors.New("the stream's engine is gone")
+
+func (r *reader) accepted() (engine.Frame, error) {
+	s := r.handlers.server
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.model.Incarnation() != r.incarnation {
+		return engine.Frame{}, errGone
+	}
+	return s.model.Accepted(r.stream)
+}
+
+// pending takes the frames that the connection hasn't had.
+func (r *reader) pending() (frames []engine.Frame, ended bool, changed <-chan struct{}, err error) {
+	s := r.handlers.server
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.faults.Down || s.model.Incarnation() != r.incarnation {
+		return nil, false, nil, errGone
+	}
+	frames, ended, err = s.model.Frames(r.stream, r.next)
+	return frames, ended, s.changed, err
+}
+
+func (r *reader) write(frames []engine.Frame) error {
+	if len(frames) == 0 {
+		return nil
+	}
+	controller := http.NewResponseController(r.writer)
+	_ = controller.SetWriteDeadline(time.Now().Add(r.handlers.server.config.WriteTimeout))
+	for _, frame := range frames {
+		if err := engine.WriteFrame(r.writer, frame); err != nil {
+			return err
+		}
+		if frame.Kind == engine.FrameToken {
+			r.next = frame.Index + 1
+		}
+	}
+	return controller.Flush()
+}
