Add the router's decision core

A router needs one place that joins the machine list, engines' status, cache events, waiting requests and grants, and that the process, the emulator and the simulation can all drive.

placement.Core takes these as calls with a time and returns outcomes; it has no I/O and no clock. An engine gets a bounded queue, what is over it waits in flow control. A request whose long prefix is being computed waits for that computation, since an engine that has both in one batch computes it twice.

Ruled out: taking the whole queue of an engine against an urgent request; engines honour priorities, so work of worse rank isn't ahead of it.

--- /dev/null
+++ b/internal/placement/core.go
@@ -0,0 +1,357 @@
+// Package placement is the whole decision state of a router: which engines
+// there are and what they hold, which requests wait, and which engine each one
+// gets. It joins the prefix index, the scheduler and flow control. A Core has
+// no I/O, goroutine or clock; the same calls with the same seed give the same
+// outcomes. It isn't safe for concurrent use.
+//
+// Work waits here rather than at the engines, because its order can still
+// change here: an engine gets no more than a bounded queue.
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/flowcontrol"
+	"github.com/tillerfall/tillerfall/internal/prefixindex"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+	"github.com/tillerfall/tillerfall/internal/scheduling"
+)
+
+// waitingRequest is a submitted request that has no outcome yet.
+type waitingRequest struct {
+	request   Request
+	sequence  uint64
+	submitted time.Duration
+	deadline  time.Duration // absolute; 0 means none
+	rank      int
+	model     config.Model
+
+	// reconsiderAt is when the next look is worth its cost; heldFor is the
+	// grant whose computation of a common prefix is waited for, if any.
+	reconsiderAt time.Duration
+	heldFor      *grantState
+	parkedAt     *engineState
+	parkedTokens int
+	// reason says why the last look placed it nowhere.
+	reason string
+}
+
+// Core is a router's decision state.
+type Core struct {
+	options   Options
+	now       time.Duration
+	view      *config.View
+	bestRank  int
+	draining  bool
+	owned     func(fleet.EngineID) bool
+	flow      *flowcontrol.Controller
+	index     *prefixindex.Index
+	scheduler *scheduling.Scheduler
+
+	engines map[fleet.EngineID]*engineState
+	// ordered lists every engine by identifier, byPool those of each pool that
+	// are listed, owned and not leaving.
+	ordered []*engineState
+	byPool  map[fleet.PoolName][]*engineState
+
+	waiting  map[Key]*waitingRequest
+	sequence uint64
+
+	grants      map[Key]*grantState
+	grantExpiry grantHeap
+	lostGrants  uint64
+
+	outcomes []Outcome
+	history  *history
+
+	choice   choice
+	hopeless []*waitingRequest
+	rooms    map[roomKey]room
+	nextLook time.Duration
+
+	matches   []prefixindex.Match
+	matchStep uint64
+	endpoints []scheduling.Endpoint
+}
+
+// New returns a core that owns every engine and has no configuration.
+func New(options Options) *Core {
+	options = options.withDefaults()
+	return &Core{
+		options:   options,
+		owned:     func(fleet.EngineID) bool { return true },
+		flow:      flowcontrol.New(options.Flow),
+		index:     prefixindex.New(options.Index),
+		scheduler: scheduling.New(options.Scheduling),
+		engines:   make(map[fleet.EngineID]*engineState),
+		byPool:    make(map[fleet.PoolName][]*engineState),
+		waiting:   make(map[Key]*waitingRequest),
+		grants:    make(map[Key]*grantState),
+		history:   newHistory(options.ExplainRing),
+		rooms:     make(map[roomKey]room),
+	}
+}
+
+// ApplyConfig takes over a configuration. A revision that isn't higher than the
+// present one is ignored. Waiting requests of weights that don't serve any
+// more are refused.
+func (c *Core) ApplyConfig(now time.Duration, view *config.View) {
+	if c.view != nil && view.Revision() <= c.view.Revision() {
+		return
+	}
+	c.view = view
+	c.flow.ApplyPolicy(policyOf(view))
+	c.bestRank = 0
+	if classes := view.Classes(); len(classes) > 0 {
+		c.bestRank = classes[0].Rank
+	}
+	for _, state := range c.ordered {
+		c.applyDirectives(state)
+		c.place(state)
+	}
+	c.refreshRequests()
+	c.recheck(now)
+	c.Tick(now)
+}
+
+func policyOf(view *config.View) flowcontrol.Policy {
+	var policy flowcontrol.Policy
+	for _, class := range view.Classes() {
+		policy.Classes = append(policy.Classes, flowcontrol.ClassPolicy{
+			Name:     class.Name,
+			Rank:     class.Rank,
+			MaxWait:  time.Duration(class.MaxWait),
+			MinShare: class.MinShare,
+		})
+	}
+	for _, tenant := range view.Document().Tenants {
+		policy.Tenants = append(policy.Tenants, flowcontrol.TenantPolicy{
+			Name:       tenant.Name,
+			Weight:     tenant.Weight,
+			MaxWaiting: tenant.MaxWaiting,
+		})
+	}
+	return policy
+}
+
+// refreshRequests brings what waiting requests hold of the configuration up to
+// date. Models that are gone are dealt with by recheck.
+func (c *Core) refreshRequests() {
+	for _, waiting := range c.waiting {
+		c.unpark(waiting)
+		if class, found := c.view.Class(waiting.request.Class); found {
+			waiting.rank = class.Rank
+		}
+		if model, found := c.view.Model(waiting.request.Weights.Model); found {
+			waiting.model = model
+		}
+	}
+}
+
+// Submit asks for a placement. Exactly one outcome follows, at once or later,
+// unless Withdraw returns true first. A key that already waits is left as it
+// is and shares its outcome; a key with a grant gives the grant up, because an
+// agent that asks again hasn't got it.
+func (c *Core) Submit(now time.Duration, request Request) {
+	c.advance(now)
+	if _, found := c.waiting[request.Key]; found {
+		return
+	}
+	if grant := c.grants[request.Key]; grant != nil {
+		c.endGrant(now, grant, grant.phase == 0)
+	}
+	waiting := &waitingRequest{request: request, submitted: now}
+	if outcome := c.reject(&request); outcome != nil {
+		c.conclude(waiting, outcome)
+		return
+	}
+	c.enqueue(now, waiting)
+	c.pump(now)
+}
+
+func (c *Core) enqueue(now time.Duration, waiting *waitingRequest) {
+	request := &waiting.request
+	if request.Deadline > 0 {
+		waiting.deadline = now + request.Deadline
+	}
+	waiting.model, _ = c.view.Model(request.Weights.Model)
+	if class, found := c.view.Class(request.Class); found {
+		waiting.rank = class.Rank
+	}
+	refusal := c.flow.Enqueue(now, flowcontrol.Item{
+		Key:      request.Key,
+		Tenant:   request.Tenant,
+		Class:    request.Class,
+		Lane:     flowcontrol.Lane(waiting.model.Pool),
+		Cost:     float64(request.PromptTokens + request.MaxTokens),
+		Deadline: waiting.deadline,
+	})
+	if refusal != nil {
+		c.conclude(waiting, Refusal(*refusal))
+		return
+	}
+	c.sequence++
+	waiting.sequence = c.sequence
+	c.waiting[request.Key] = waiting
+}
+
+// reject returns the outcome of a request that can't wait here, or nil.
+func (c *Core) reject(request *Request) Outcome {
+	if c.draining {
+		return HandBack{Key: request.Key, Reason: HandBackDraining}
+	}
+	if c.view == nil {
+		return Refusal{
+			Key:        request.Key,
+			Code:       resultcode.NoConfiguration,
+			Reason:     "this router has no configuration yet",
+			RetryAfter: c.flow.Spread(0),
+		}
+	}
+	if outcome := c.rejectWeights(request); outcome != nil {
+		return outcome
+	}
+	model, _ := c.view.Model(request.Weights.Model)
+	if c.hasEngine(model.Pool, request.Excluded) {
+		return nil
+	}
+	if request.Hops < c.options.MaxHops {
+		return HandBack{Key: request.Key, Reason: HandBackNoEngine}
+	}
+	return Refusal{
+		Key:        request.Key,
+		Code:       resultcode.NoEngine,
+		Reason:     "no engine of pool " + string(model.Pool) + " takes requests",
+		RetryAfter: c.flow.Spread(time.Second),
+	}
+}
+
+func (c *Core) rejectWeights(request *Request) Outcome {
+	state, _ := c.view.VersionState(request.Weights)
+	if state == config.VersionServing {
+		return nil
+	}
+	if request.KnownRevision > c.view.Revision() {
+		return HandBack{Key: request.Key, Reason: HandBackBehind}
+	}
+	return Refusal{
+		Key:    request.Key,
+		Code:   resultcode.StaleWeights,
+		Reason: "version " + string(request.Weights.Version) + " isn't serving",
+	}
+}
+
+func (c *Core) hasEngine(pool fleet.PoolName, excluded []fleet.EngineRun) bool {
+	for _, state := range c.byPool[pool] {
+		if !slices.Contains(excluded, state.run) {
+			return true
+		}
+	}
+	return false
+}
+
+// Withdraw takes back a request whose caller is gone. It returns true when the
+// request still waited; then no outcome follows.
+func (c *Core) Withdraw(now time.Duration, key Key) bool {
+	c.advance(now)
+	waiting := c.waiting[key]
+	if waiting == nil || !c.flow.Remove(now, key) {
+		return false
+	}
+	c.leaveQueue(waiting)
+	return true
+}
+
+// Drain hands every waiting request back, and from now on every new one.
+// Grants in flight are still counted and reported on.
+func (c *Core) Drain(now time.Duration) {
+	c.advance(now)
+	c.draining = true
+	for _, item := range c.flow.Drain(now) {
+		c.conclude(c.waiting[item.Key], HandBack{Key: item.Key, Reason: HandBackDraining})
+	}
+}
+
+// Tick does what is due at now. Call it at NextWake or earlier.
+func (c *Core) Tick(now time.Duration) {
+	c.advance(now)
+	for _, state := range c.ordered {
+		if state.feed != nil {
+			state.feed.Tick(now)
+		}
+	}
+	c.pump(now)
+}
+
+// advance moves the time and refuses and expires what is overdue.
+func (c *Core) advance(now time.Duration) {
+	c.now = max(c.now, now)
+	c.expireGrants(now)
+	for _, refusal := range c.flow.Expire(now) {
+		c.conclude(c.waiting[refusal.Key], Refusal(refusal))
+	}
+}
+
+// NextWake returns when Tick is due next; false when nothing is.
+func (c *Core) NextWake() (time.Duration, bool) {
+	wake, found := c.flow.NextExpiry()
+	consider := func(at time.Duration) {
+		if !found || at < wake {
+			wake, found = at, true
+		}
+	}
+	if len(c.grantExpiry) > 0 {
+		consider(c.grantExpiry[0].expires)
+	}
+	if len(c.waiting) > 0 && c.nextLook > 0 {
+		consider(c.nextLook)
+	}
+	return wake, found
+}
+
+// TakeOutcomes returns the outcomes since the last call, in order.
+func (c *Core) TakeOutcomes() []Outcome {
+	outcomes := c.outcomes
+	c.outcomes = nil
+	return outcomes
+}
+
+// conclude gives a request its one outcome.
+func (c *Core) conclude(waiting *waitingRequest, outcome Outcome) {
+	c.leaveQueue(waiting)
+	c.outcomes = append(c.outcomes, outcome)
+	c.history.add(Explanation{
+		Key:       waiting.request.Key,
+		Tenant:    waiting.request.Tenant,
+		Class:     waiting.request.Class,
+		Weights:   waiting.request.Weights,
+		Submitted: waiting.submitted,
+		Decided:   c.now,
+		Outcome:   outcome,
+	})
+}
+
+func (c *Core) leaveQueue(waiting *waitingRequest) {
+	c.unpark(waiting)
+	delete(c.waiting, waiting.request.Key)
+}
+
+// recheck gives an outcome to the waiting requests that can't wait here any
+// more, in order of submission.
+func (c *Core) recheck(now time.Duration) {
+	queued := make([]*waitingRequest, 0, len(c.waiting))
+	for _, waiting := range c.waiting {
+		queued = append(queued, waiting)
+	}
+	slices.SortFunc(queued, func(a, b *waitingRequest) int { return cmp.Compare(a.sequence, b.sequence) })
+	for _, waiting := range queued {
+		outcome := c.reject(&waiting.request)
+		if outcome != nil && c.flow.Remove(now, waiting.request.Key) {
+			c.conclude(waiting, outcome)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/enginestate.go
@@ -0,0 +1,173 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/platform"
+	"github.com/tillerfall/tillerfall/internal/prefixindex"
+)
+
+// LeavingSource tells who said first that an engine run is leaving.
+type LeavingSource string
+
+// Sources of the word that an engine is leaving.
+const (
+	LeavingNone     LeavingSource = ""
+	LeavingList     LeavingSource = "machine_list"
+	LeavingOperator LeavingSource = "operator"
+	LeavingEngine   LeavingSource = "engine"
+)
+
+// engineState is what is known of the newest run of one engine. It is kept
+// after the machine is forgotten, so that a lagging list can't bring back an
+// older run or make a leaving one stay.
+type engineState struct {
+	run     fleet.EngineRun
+	machine platform.Machine
+	// listed is false after ForgetMachine.
+	listed  bool
+	owned   bool
+	leaving LeavingSource
+	// inPool tells that the core's list of pool has the engine.
+	inPool bool
+	pool   fleet.PoolName
+
+	// heard is when the run last gave its status; valid if status isn't nil.
+	heard       time.Duration
+	unreachable bool
+	status      *engine.Status
+	loaded      map[fleet.Weights]struct{}
+	serves      func(fleet.Weights) bool
+
+	feed *prefixindex.Feed
+	load loadEstimate
+	// computing lists the grants whose prompt isn't known to be computed, in
+	// order of grant.
+	computing []*grantState
+	inFlight  int
+
+	// parked is the work in tokens, by rank, that waits here for this engine.
+	parked [maxRank + 1]int
+
+	// matchedBlocks belongs to the decision numbered by matchedAt.
+	matchedBlocks int
+	matchedAt     uint64
+}
+
+func newEngineState(id fleet.EngineID) *engineState {
+	state := &engineState{run: fleet.EngineRun{Engine: id}}
+	state.serves = state.servesWeights
+	return state
+}
+
+// begin starts over with a newer run: nothing of the old one holds.
+func (e *engineState) begin(incarnation fleet.Incarnation) {
+	e.run.Incarnation = incarnation
+	e.leaving = LeavingNone
+	e.unreachable = false
+	e.status = nil
+	e.loaded = nil
+	e.feed = nil
+	e.load = loadEstimate{}
+	e.computing = nil
+	e.inFlight = 0
+}
+
+// leave notes the first source that says the run is leaving. It sticks.
+func (e *engineState) leave(source LeavingSource) {
+	if e.leaving == LeavingNone {
+		e.leaving = source
+	}
+}
+
+func (e *engineState) servesWeights(weights fleet.Weights) bool {
+	_, loaded := e.loaded[weights]
+	return loaded && takesRequests(e.status.Role)
+}
+
+func takesRequests(role engine.Role) bool { return role == engine.RoleServe || role == "" }
+
+func (e *engineState) ready(now, readyFor time.Duration) bool {
+	return e.status != nil && !e.unreachable && now-e.heard <= readyFor
+}
+
+// placeable tells whether the engine may get work here once it is ready.
+func (e *engineState) placeable() bool {
+	return e.listed && e.owned && e.leaving == LeavingNone
+}
+
+func (e *engineState) takeStatus(now time.Duration, status engine.Status) {
+	e.heard = now
+	e.unreachable = false
+	e.status = &status
+	e.loaded = make(map[fleet.Weights]struct{}, len(status.Loaded))
+	for _, weights := range status.Loaded {
+		e.loaded[fleet.Weights(weights)] = struct{}{}
+	}
+}
+
+// streams returns the streams at the engine: those placed here and not known
+// to have ended, and those of others by the last report.
+func (e *engineState) streams() int { return e.inFlight + e.load.foreignStreams }
+
+// pendingBlocks returns how many leading blocks are being computed for an
+// earlier grant, and for which. Grants of worse rank don't count: the engine
+// may put them off for a long time.
+func (e *engineState) pendingBlocks(blocks []fleet.BlockHash, rank int) (int, *grantState) {
+	longest := 0
+	var computing *grantState
+	for _, grant := range e.computing {
+		if grant.rank > rank {
+			continue
+		}
+		common := commonPrefix(blocks, grant.request.Blocks)
+		if common > longest {
+			longest = common
+			computing = grant
+		}
+	}
+	return longest, computing
+}
+
+// commonPrefix returns the number of leading blocks that two prompts share.
+// Hashes are chained, so equal hashes at one position mean equal prefixes and
+// a binary search finds the end.
+func commonPrefix(a, b []fleet.BlockHash) int {
+	low, high := 0, min(len(a), len(b))
+	for low < high {
+		middle := (low + high) / 2
+		if a[middle] == b[middle] {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+// maxRank is the highest rank that a configuration allows.
+const maxRank = 100
+
+// parkedTokens returns the work that waits for this engine and goes before a
+// request of the given rank.
+func (e *engineState) parkedTokens(rank int) int {
+	total := 0
+	for _, tokens := range e.parked[:rank+1] {
+		total += tokens
+	}
+	return total
+}
+
+// worseRankTokens returns the prompt work placed here that an engine which
+// honours priorities computes after a request of the given rank.
+func (e *engineState) worseRankTokens(rank int) int {
+	total := 0
+	for _, grant := range e.computing {
+		if grant.rank > rank {
+			total += grant.uncachedTokens
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/internal/placement/observe.go
@@ -0,0 +1,245 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/platform"
+	"github.com/tillerfall/tillerfall/internal/prefixindex"
+)
+
+// ObserveMachine takes one entry of the list of machines. Entries of other
+// kinds and of a run older than the newest known are ignored.
+func (c *Core) ObserveMachine(now time.Duration, machine platform.Machine) {
+	if machine.Kind != platform.MachineEngine {
+		return
+	}
+	c.advance(now)
+	id := fleet.EngineID(machine.ID)
+	state := c.engines[id]
+	if state == nil {
+		state = c.addEngine(id)
+	}
+	if machine.Incarnation < state.run.Incarnation {
+		return
+	}
+	c.beginIfNewer(now, state, machine.Incarnation)
+	state.machine = machine
+	state.listed = true
+	if machine.State == platform.MachineLeaving {
+		state.leave(LeavingList)
+	}
+	c.applyDirectives(state)
+	c.engineChanged(now, state)
+	c.pump(now)
+}
+
+func (c *Core) addEngine(id fleet.EngineID) *engineState {
+	state := newEngineState(id)
+	state.owned = c.owned(id)
+	c.engines[id] = state
+	position, _ := slices.BinarySearchFunc(c.ordered, state, compareEngines)
+	c.ordered = slices.Insert(c.ordered, position, state)
+	return state
+}
+
+// ForgetMachine notes that the list doesn't show an engine any more.
+func (c *Core) ForgetMachine(now time.Duration, id fleet.EngineID) {
+	state := c.engines[id]
+	if state == nil || !state.listed {
+		return
+	}
+	c.advance(now)
+	state.listed = false
+	c.engineChanged(now, state)
+	c.pump(now)
+}
+
+// ObserveStatus takes an engine's word about itself. An engine that the list
+// doesn't show is ignored, since its address isn't known.
+func (c *Core) ObserveStatus(now time.Duration, status engine.Status) {
+	state := c.engines[status.Engine]
+	if state == nil || !state.listed || status.Incarnation < state.run.Incarnation {
+		return
+	}
+	c.advance(now)
+	c.beginIfNewer(now, state, status.Incarnation)
+	state.takeStatus(now, status)
+	state.load.take(now, status.Load, c.options.DispatchDelay)
+	if status.Leaving {
+		state.leave(LeavingEngine)
+	}
+	c.engineChanged(now, state)
+	c.pump(now)
+}
+
+// ObserveUnreachable notes that an engine didn't answer. It gets no work until
+// its next status.
+func (c *Core) ObserveUnreachable(now time.Duration, id fleet.EngineID) {
+	if state := c.engines[id]; state != nil {
+		c.advance(now)
+		state.unreachable = true
+		c.pump(now)
+	}
+}
+
+// NeedsStatus returns the engines whose status is wanted at once, by
+// identifier: those that haven't given one or were said to be lost.
+func (c *Core) NeedsStatus() []fleet.EngineID {
+	return c.selectEngines(func(state *engineState) bool {
+		return state.status == nil || state.unreachable
+	})
+}
+
+// ObserveCacheEvents takes an engine's answer to a poll for cache events.
+func (c *Core) ObserveCacheEvents(now time.Duration, id fleet.EngineID, events engine.CacheEvents) {
+	state := c.cacheSource(now, id, events.Incarnation)
+	if state == nil {
+		return
+	}
+	state.feed.Apply(now, events)
+}
+
+// ObserveCacheSnapshot takes the whole set of an engine's cached blocks.
+func (c *Core) ObserveCacheSnapshot(now time.Duration, id fleet.EngineID, snapshot engine.CacheSnapshot) {
+	state := c.cacheSource(now, id, snapshot.Incarnation)
+	if state == nil {
+		return
+	}
+	state.feed.ApplySnapshot(now, snapshot)
+}
+
+// cacheSource returns the engine whose feed takes an answer of the given
+// incarnation, or nil. An answer of a newer one ends the run known so far.
+func (c *Core) cacheSource(now time.Duration, id fleet.EngineID, incarnation fleet.Incarnation) *engineState {
+	state := c.engines[id]
+	if state == nil || incarnation < state.run.Incarnation {
+		return nil
+	}
+	c.now = max(c.now, now)
+	if state.feed == nil {
+		return nil
+	}
+	if c.beginIfNewer(now, state, incarnation) {
+		c.engineChanged(now, state)
+		c.pump(now)
+	}
+	return state
+}
+
+// NeedsSnapshot returns the engines whose cached blocks are to be fetched whole
+// now, by identifier. Each is named once until the feed asks again.
+func (c *Core) NeedsSnapshot() []fleet.EngineID {
+	return c.selectEngines(func(state *engineState) bool {
+		return state.feed != nil && state.feed.WantSnapshot(c.now)
+	})
+}
+
+// EventsAfter returns the sequence number and the incarnation from which an
+// engine's cache events are to be polled; false when they aren't followed.
+func (c *Core) EventsAfter(id fleet.EngineID) (uint64, fleet.Incarnation, bool) {
+	state := c.engines[id]
+	if state == nil || state.feed == nil {
+		return 0, 0, false
+	}
+	return state.feed.After(), state.run.Incarnation, true
+}
+
+// SetOwned says which engines this router owns. Only these get requests here
+// and only their caches are followed.
+func (c *Core) SetOwned(owned func(fleet.EngineID) bool) {
+	c.owned = owned
+	for _, state := range c.ordered {
+		state.owned = owned(state.run.Engine)
+		c.follow(state)
+		c.place(state)
+	}
+	c.recheck(c.now)
+	c.pump(c.now)
+}
+
+// selectEngines returns the owned and listed engines that match, by identifier.
+func (c *Core) selectEngines(match func(*engineState) bool) []fleet.EngineID {
+	var selected []fleet.EngineID
+	for _, state := range c.ordered {
+		if state.listed && state.owned && match(state) {
+			selected = append(selected, state.run.Engine)
+		}
+	}
+	return selected
+}
+
+func compareEngines(a, b *engineState) int { return cmp.Compare(a.run.Engine, b.run.Engine) }
+
+// beginIfNewer starts over with a newer run of an engine.
+func (c *Core) beginIfNewer(now time.Duration, state *engineState, incarnation fleet.Incarnation) bool {
+	if incarnation <= state.run.Incarnation {
+		return false
+	}
+	c.dropGrantsOf(now, state)
+	c.index.RemoveRun(state.run)
+	state.begin(incarnation)
+	c.applyDirectives(state)
+	c.follow(state)
+	return true
+}
+
+// applyDirectives notes an operator's standing order about the present run.
+func (c *Core) applyDirectives(state *engineState) {
+	if c.view == nil {
+		return
+	}
+	for _, directive := range c.view.Directives(state.run) {
+		if directive.Kind == config.DirectiveDrain || directive.Kind == config.DirectiveRetire {
+			state.leave(LeavingOperator)
+		}
+	}
+}
+
+// follow starts or stops keeping the index of an engine's cache.
+func (c *Core) follow(state *engineState) {
+	wanted := state.listed && state.owned
+	if wanted && state.feed == nil {
+		state.feed = prefixindex.NewFeed(c.index, state.run, c.options.Feed)
+	}
+	if !wanted && state.feed != nil {
+		state.feed = nil
+		c.index.RemoveRun(state.run)
+	}
+}
+
+// engineChanged brings the lists up to date after a change of one engine, and
+// gives an outcome to the requests that no engine is left for.
+func (c *Core) engineChanged(now time.Duration, state *engineState) {
+	c.follow(state)
+	if c.place(state) {
+		c.recheck(now)
+	}
+}
+
+// place brings an engine's place in the pools up to date. It returns true when
+// a pool lost the engine.
+func (c *Core) place(state *engineState) bool {
+	wanted := state.placeable()
+	if wanted && state.inPool && state.pool == state.machine.Pool {
+		return false
+	}
+	lost := state.inPool
+	if lost {
+		members := c.byPool[state.pool]
+		position, _ := slices.BinarySearchFunc(members, state, compareEngines)
+		c.byPool[state.pool] = slices.Delete(members, position, position+1)
+	}
+	state.inPool = wanted
+	if wanted {
+		state.pool = state.machine.Pool
+		members := c.byPool[state.pool]
+		position, _ := slices.BinarySearchFunc(members, state, compareEngines)
+		c.byPool[state.pool] = slices.Insert(members, position, state)
+	}
+	return lost
+}
--- /dev/null
+++ b/internal/placement/snapshot.go
@@ -0,0 +1,139 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/flowcontrol"
+)
+
+// EngineCondition sums up whether an engine gets requests.
+type EngineCondition string
+
+// Conditions of an engine.
+const (
+	EngineReady       EngineCondition = "ready"
+	EngineLeaving     EngineCondition = "leaving"
+	EngineUnreachable EngineCondition = "unreachable"
+	// EngineUnknown means that the present run hasn't given its status lately.
+	EngineUnknown EngineCondition = "unknown"
+)
+
+// EngineSnapshot describes one listed engine.
+type EngineSnapshot struct {
+	Run       fleet.EngineRun
+	Address   fleet.Address
+	Zone      fleet.ZoneName
+	Pool      fleet.PoolName
+	Role      engine.Role
+	Condition EngineCondition
+	Leaving   LeavingSource
+	Owned     bool
+	Loaded    []fleet.Weights
+	// InFlight counts the streams granted here and not known to have ended,
+	// Streams also those of other routers.
+	InFlight int
+	Streams  int
+	// QueueTokens and QueueTime are the estimated prompt work.
+	QueueTokens int
+	QueueTime   time.Duration
+	// CachedBlocks is the number of blocks that the index has for the run;
+	// CacheTrusted is false after lost events, until a snapshot.
+	CachedBlocks int
+	CacheTrusted bool
+}
+
+// Snapshot is a router's state for operators.
+type Snapshot struct {
+	Node     fleet.NodeID
+	Revision fleet.Revision
+	Draining bool
+	Engines  []EngineSnapshot
+	Waiting  []flowcontrol.ClassWaiting
+	// WaitingRequests and InFlight count requests and grants; LostGrants counts
+	// grants whose end was never reported.
+	WaitingRequests int
+	InFlight        int
+	LostGrants      uint64
+	IndexBlocks     int
+	IndexBytes      int
+}
+
+// Snapshot returns the state at now, engines by identifier.
+func (c *Core) Snapshot(now time.Duration) Snapshot {
+	snapshot := Snapshot{
+		Node:            c.options.Node,
+		Draining:        c.draining,
+		Waiting:         c.flow.Snapshot(now),
+		WaitingRequests: len(c.waiting),
+		InFlight:        len(c.grants),
+		LostGrants:      c.lostGrants,
+		IndexBlocks:     c.index.Blocks(),
+		IndexBytes:      c.index.Bytes(),
+	}
+	if c.view != nil {
+		snapshot.Revision = c.view.Revision()
+	}
+	for _, state := range c.ordered {
+		if state.listed {
+			snapshot.Engines = append(snapshot.Engines, c.describe(now, state))
+		}
+	}
+	return snapshot
+}
+
+func (c *Core) describe(now time.Duration, state *engineState) EngineSnapshot {
+	tokens := state.load.tokens(now)
+	described := EngineSnapshot{
+		Run:          state.run,
+		Address:      state.machine.Address,
+		Zone:         state.machine.Zone,
+		Pool:         state.machine.Pool,
+		Condition:    state.condition(now, c.options.ReadyFor),
+		Leaving:      state.leaving,
+		Owned:        state.owned,
+		InFlight:     state.inFlight,
+		Streams:      state.streams(),
+		QueueTokens:  tokens,
+		QueueTime:    time.Duration(tokens) * state.load.speed(),
+		CachedBlocks: c.index.BlocksOf(state.run),
+		CacheTrusted: state.feed != nil && !state.feed.Distrusted(),
+	}
+	if state.status != nil {
+		described.Role = state.status.Role
+		for _, weights := range state.status.Loaded {
+			described.Loaded = append(described.Loaded, fleet.Weights(weights))
+		}
+	}
+	return described
+}
+
+func (e *engineState) condition(now, readyFor time.Duration) EngineCondition {
+	switch {
+	case e.leaving != LeavingNone:
+		return EngineLeaving
+	case e.unreachable:
+		return EngineUnreachable
+	case !e.ready(now, readyFor):
+		return EngineUnknown
+	default:
+		return EngineReady
+	}
+}
+
+// HoldersOf returns the engine runs believed to hold a block.
+func (c *Core) HoldersOf(hash fleet.BlockHash) []fleet.EngineRun { return c.index.HoldersOf(hash) }
+
+// Position tells where a waiting attempt stands; false when it doesn't wait.
+func (c *Core) Position(now time.Duration, key Key) (flowcontrol.Position, bool) {
+	return c.flow.Position(now, key)
+}
+
+func sortNewestAttempt(explanations []Explanation) {
+	slices.SortFunc(explanations, func(a, b Explanation) int {
+		return cmp.Compare(b.Key.Attempt, a.Key.Attempt)
+	})
+}
