--- /dev/null
+++ b/internal/engine/frames_test.go
@@ -0,0 +1,117 @@
+package engine_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+const testLineBytes = 512
+
+// wholeStream returns the bytes of a stream and its frames.
+func wholeStream(t testing.TB) ([]byte, []engine.Frame) {
+	frames := []engine.Frame{
+		{Kind: engine.FrameAccepted, Stream: "r.1", PromptTokens: 9},
+		{Kind: engine.FrameToken, Stream: "r.1", Index: 0, Text: "0a1234 "},
+		{Kind: engine.FrameToken, Stream: "r.1", Index: 1, Text: "line\nbreak\r\n\r\n"},
+		{Kind: engine.FrameDone, Stream: "r.1", Count: 2, FinishReason: "stop"},
+	}
+	var buffer bytes.Buffer
+	for _, frame := range frames {
+		require.NoError(t, engine.WriteFrame(&buffer, frame))
+	}
+	return buffer.Bytes(), frames
+}
+
+func decodeAll(reader io.Reader) ([]engine.Frame, error) {
+	decoder := engine.NewFrameDecoder(reader, testLineBytes)
+	frames := []engine.Frame{}
+	for {
+		frame, err := decoder.Decode()
+		if err != nil {
+			return frames, err
+		}
+		frames = append(frames, frame)
+	}
+}
+
+func TestDecoderYieldsOnlyWholeFramesWhereverTheInputIsCut(t *testing.T) {
+	stream, want := wholeStream(t)
+	for cut := range len(stream) + 1 {
+		frames, err := decodeAll(iotest.OneByteReader(bytes.NewReader(stream[:cut])))
+		whole := bytes.Count(stream[:cut], []byte("\n\n"))
+		require.Len(t, frames, whole, "cut at %d", cut)
+		require.Equal(t, want[:whole], frames)
+		if bytes.HasSuffix(stream[:cut], []byte("\n\n")) || cut == 0 {
+			require.Equal(t, io.EOF, err, "cut at %d", cut)
+		} else {
+			require.Equal(t, io.ErrUnexpectedEOF, err, "cut at %d", cut)
+		}
+	}
+}
+
+func TestDecoderRefusesWhatIsNoFrame(t *testing.T) {
+	for name, test := range map[string]struct {
+		input string
+		want  error
+	}{
+		"long line":     {"data: " + strings.Repeat("x", testLineBytes) + "\n\n", engine.ErrLineTooLong},
+		"no JSON":       {"event: token\ndata: {\n\n", engine.ErrMalformedFrame},
+		"other kind":    {"event: done\ndata: {\"kind\":\"token\"}\n\n", engine.ErrMalformedFrame},
+		"no event name": {"data: {\"kind\":\"token\"}\n\n", engine.ErrMalformedFrame},
+		"unknown kind":  {"event: x\ndata: {\"kind\":\"x\"}\n\n", engine.ErrMalformedFrame},
+		"negative":      {"event: token\ndata: {\"kind\":\"token\",\"index\":-1}\n\n", engine.ErrMalformedFrame},
+		"two data":      {"event: token\ndata: {\ndata: }\n\n", engine.ErrMalformedFrame},
+	} {
+		frames, err := decodeAll(strings.NewReader(test.input))
+		assert.ErrorIs(t, err, test.want, name)
+		assert.Empty(t, frames, name)
+	}
+	frames, err := decodeAll(strings.NewReader(": ping\n\n\nid: 4\r\nevent:token\r\ndata:{\"kind\":\"token\"}\r\n\r\n"))
+	assert.Equal(t, io.EOF, err)
+	assert.Len(t, frames, 1)
+}
+
+func FuzzFrameDecoder(f *testing.F) {
+	stream, _ := wholeStream(f)
+	f.Add(stream)
+	f.Add([]byte(": comment\n\nevent: token\r\ndata: {\"kind\":\"token\",\"stream\":\"a\"}\r\n\r\n"))
+	f.Add([]byte("event: done\ndata: {\"kind\":\"done\",\"count\":-1}\n\n"))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		frames, err := decodeAll(bytes.NewReader(input))
+		require.Error(t, err)
+		var buffer bytes.Buffer
+		for _, frame := range frames {
+			require.NoError(t, engine.WriteFrame(&buffer, frame))
+		}
+		decoder := engine.NewFrameDecoder(&buffer, 8*len(input)+testLineBytes)
+		for _, frame := range frames {
+			again, err := decoder.Decode()
+			require.NoError(t, err)
+			require.Equal(t, frame, again)
+		}
+	})
+}
+
+func TestChecksumCoversOwnerWeightsAndHashes(t *testing.T) {
+	bundle := engine.KVBundle{Tenant: "a", Weights: engine.Weights{Model: "m", Version: "v"}, Hashes: []fleet.BlockHash{1, 2}}
+	sum := bundle.Sum()
+	for _, change := range []func(*engine.KVBundle){
+		func(b *engine.KVBundle) { b.Tenant = "b" },
+		func(b *engine.KVBundle) { b.Weights.Model, b.Weights.Adapter = "", "m" },
+		func(b *engine.KVBundle) { b.Weights.Version = "w" },
+		func(b *engine.KVBundle) { b.Hashes = []fleet.BlockHash{2, 1} },
+	} {
+		changed := bundle
+		change(&changed)
+		assert.NotEqual(t, sum, changed.Sum())
+	}
+}
