Add the callers' protocol: OpenAI-compatible requests and answers

The agent needs one package that alone knows what callers speak, so that another dialect touches nothing else. internal/openai decodes completions and chat completions, renders chat messages to prompt text whose beginning doesn't change when the end does, and writes plain answers, server-sent events and errors with the numbered result code, not_run and request id.

Unknown fields are ignored as that API does; stop sequences, n, best_of and echo would change the output and can't be honoured by the engines, so they are refused rather than ignored.

--- /dev/null
+++ b/internal/openai/headers.go
@@ -0,0 +1,92 @@
+package openai
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+)
+
+// Bounds of header values.
+const (
+	maxDeadline       = 24 * time.Hour
+	maxIdempotencyKey = 255
+	maxRequestID      = 64
+	bearerScheme      = "bearer"
+)
+
+// Options is what a request's headers ask for.
+type Options struct {
+	// Class is empty when the tenant's default applies.
+	Class         fleet.ClassName
+	NotRepeatable bool
+	// Deadline is the time left for the answer; 0 means none.
+	Deadline       time.Duration
+	IdempotencyKey string
+}
+
+// ParseKey returns the API key.
+func ParseKey(header http.Header) (string, *Failure) {
+	scheme, key, _ := strings.Cut(header.Get(HeaderAuthorization), " ")
+	key = strings.TrimSpace(key)
+	if !strings.EqualFold(scheme, bearerScheme) || key == "" {
+		return "", &Failure{Code: resultcode.MissingKey, Message: "send the header Authorization: Bearer KEY"}
+	}
+	return key, nil
+}
+
+// ParseOptions reads the headers of our own.
+func ParseOptions(header http.Header) (Options, *Failure) {
+	var options Options
+	for _, name := range []string{HeaderClass, HeaderNotRepeatable, HeaderDeadline, HeaderIdempotencyKey} {
+		if len(header.Values(name)) > 1 {
+			return Options{}, headerFailure(name, "must be given once")
+		}
+	}
+	options.Class = fleet.ClassName(header.Get(HeaderClass))
+	if value := header.Get(HeaderNotRepeatable); value != "" {
+		parsed, err := strconv.ParseBool(value)
+		if err != nil {
+			return Options{}, headerFailure(HeaderNotRepeatable, "must be true or false")
+		}
+		options.NotRepeatable = parsed
+	}
+	if value := header.Get(HeaderDeadline); value != "" {
+		millis, err := strconv.ParseInt(value, 10, 64)
+		if err != nil || millis < 1 || millis > maxDeadline.Milliseconds() {
+			return Options{}, headerFailure(HeaderDeadline, "must be a whole number of milliseconds from 1 to 86400000")
+		}
+		options.Deadline = time.Duration(millis) * time.Millisecond
+	}
+	options.IdempotencyKey = header.Get(HeaderIdempotencyKey)
+	if len(options.IdempotencyKey) > maxIdempotencyKey {
+		return Options{}, headerFailure(HeaderIdempotencyKey, "is longer than 255 bytes")
+	}
+	return options, nil
+}
+
+// ParseRequestID returns the caller's identifier, or "". It isn't unique: two
+// callers may send the same.
+func ParseRequestID(header http.Header) (string, *Failure) {
+	id := header.Get(HeaderRequestID)
+	if len(id) > maxRequestID || strings.ContainsFunc(id, notIdentifier) {
+		return "", headerFailure(HeaderRequestID, "must be at most 64 letters, digits, '-' and '_'")
+	}
+	return id, nil
+}
+
+func notIdentifier(char rune) bool {
+	switch {
+	case 'a' <= char && char <= 'z', 'A' <= char && char <= 'Z', '0' <= char && char <= '9':
+		return false
+	default:
+		return char != '-' && char != '_'
+	}
+}
+
+func headerFailure(name, message string) *Failure {
+	return &Failure{Code: resultcode.HeaderInvalid, Message: name + " " + message, Param: name}
+}
--- /dev/null
+++ b/internal/openai/messages.go
@@ -0,0 +1,83 @@
+package openai
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// message is one entry of a chat.
+type message struct {
+	Role    *string         `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type contentPart struct {
+	Type *string `json:"type"`
+	Text *string `json:"text"`
+}
+
+const roleAssistant = "assistant"
+
+var roles = []string{"system", "developer", "user", roleAssistant, "tool", "function"}
+
+// A message begins with a line that holds its role between these marks.
+const (
+	headerStart        = "<|"
+	headerEnd          = "|>\n"
+	escapedHeaderStart = `<\|`
+	messageEnd         = "\n"
+)
+
+// renderMessages turns a chat into prompt text. Each message is a header line
+// and its content; an open assistant header ends the text. Whatever is added to
+// the end of a message or chat leaves the text before it as it was, so that
+// equal beginnings share cached blocks. Content can't forge a header.
+func renderMessages(messages []message) (string, *Failure) {
+	if len(messages) == 0 {
+		return "", invalid("messages", "messages must have at least one entry")
+	}
+	var text strings.Builder
+	for index, message := range messages {
+		param := fmt.Sprintf("messages[%d]", index)
+		if message.Role == nil || !slices.Contains(roles, *message.Role) {
+			return "", invalid(param+".role", "role must be one of "+strings.Join(roles, ", "))
+		}
+		content, failure := message.text(param + ".content")
+		if failure != nil {
+			return "", failure
+		}
+		text.WriteString(headerStart + *message.Role + headerEnd)
+		text.WriteString(strings.ReplaceAll(content, headerStart, escapedHeaderStart))
+		text.WriteString(messageEnd)
+	}
+	text.WriteString(headerStart + roleAssistant + headerEnd)
+	return text.String(), nil
+}
+
+// text returns the content: a string, or the texts of a list of parts.
+func (m message) text(param string) (string, *Failure) {
+	if absent(m.Content) {
+		if *m.Role == roleAssistant {
+			return "", nil
+		}
+		return "", invalid(param, "content is required")
+	}
+	var text string
+	if json.Unmarshal(m.Content, &text) == nil {
+		return text, nil
+	}
+	var parts []contentPart
+	if json.Unmarshal(m.Content, &parts) != nil {
+		return "", malformed(param, "content must be a string or a list of text parts")
+	}
+	var joined strings.Builder
+	for _, part := range parts {
+		if part.Type == nil || *part.Type != "text" || part.Text == nil {
+			return "", invalid(param, "only text parts are supported")
+		}
+		joined.WriteString(*part.Text)
+	}
+	return joined.String(), nil
+}
--- /dev/null
+++ b/internal/openai/request.go
@@ -0,0 +1,183 @@
+package openai
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// Ranges of the API's parameters.
+const (
+	maxTemperature = 2
+	maxTopP        = 1
+)
+
+// embeddedPrefix is what encoding/json puts before a field of the embedded
+// sharedBody.
+const embeddedPrefix = "sharedBody."
+
+// sharedBody holds the fields of both endpoints. Unknown fields are ignored,
+// as the API does; fields that would change the output and that the engines
+// can't honour are refused.
+type sharedBody struct {
+	Model               *string         `json:"model"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Stream              *bool           `json:"stream"`
+	StreamOptions       *streamOptions  `json:"stream_options"`
+	Choices             *int            `json:"n"`
+	Temperature         *float64        `json:"temperature"`
+	TopP                *float64        `json:"top_p"`
+	Stop                json.RawMessage `json:"stop"`
+}
+
+type streamOptions struct {
+	IncludeUsage *bool `json:"include_usage"`
+}
+
+type chatBody struct {
+	sharedBody
+	Messages []message `json:"messages"`
+}
+
+type completionBody struct {
+	sharedBody
+	Prompt json.RawMessage `json:"prompt"`
+	BestOf *int            `json:"best_of"`
+	Echo   *bool           `json:"echo"`
+}
+
+// Parse decodes a request body of an endpoint.
+func Parse(endpoint Endpoint, body []byte) (Request, *Failure) {
+	if endpoint == Chat {
+		return parseChat(body)
+	}
+	return parseCompletion(body)
+}
+
+func parseChat(data []byte) (Request, *Failure) {
+	var body chatBody
+	if failure := decode(data, &body); failure != nil {
+		return Request{}, failure
+	}
+	request, failure := body.request(Chat)
+	if failure != nil {
+		return Request{}, failure
+	}
+	request.Prompt, failure = renderMessages(body.Messages)
+	return request, failure
+}
+
+func parseCompletion(data []byte) (Request, *Failure) {
+	var body completionBody
+	if failure := decode(data, &body); failure != nil {
+		return Request{}, failure
+	}
+	request, failure := body.request(Completion)
+	if failure != nil {
+		return Request{}, failure
+	}
+	if body.BestOf != nil && *body.BestOf != 1 {
+		return Request{}, invalid("best_of", "best_of must be 1")
+	}
+	if body.Echo != nil && *body.Echo {
+		return Request{}, invalid("echo", "echo is not supported")
+	}
+	request.Prompt, failure = parsePrompt(body.Prompt)
+	return request, failure
+}
+
+// decode reads a JSON object. Its messages name the field or the offset.
+func decode(data []byte, target any) *Failure {
+	if trimmed := bytes.TrimSpace(data); len(trimmed) == 0 || trimmed[0] != '{' {
+		return malformed("", "the body must be a JSON object")
+	}
+	err := json.Unmarshal(data, target)
+	var typeError *json.UnmarshalTypeError
+	var syntaxError *json.SyntaxError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &typeError):
+		field := strings.TrimPrefix(typeError.Field, embeddedPrefix)
+		return malformed(field, fmt.Sprintf("%q can't be a %s", field, typeError.Value))
+	case errors.As(err, &syntaxError):
+		return malformed("", fmt.Sprintf("malformed JSON at offset %d: %s", syntaxError.Offset, syntaxError.Error()))
+	default:
+		return malformed("", "malformed JSON: "+err.Error())
+	}
+}
+
+func (b *sharedBody) request(endpoint Endpoint) (Request, *Failure) {
+	if failure := b.check(); failure != nil {
+		return Request{}, failure
+	}
+	request := Request{Endpoint: endpoint, Model: *b.Model}
+	if b.MaxTokens != nil {
+		request.MaxTokens = *b.MaxTokens
+	}
+	if b.MaxCompletionTokens != nil {
+		request.MaxTokens = *b.MaxCompletionTokens
+	}
+	request.Stream = b.Stream != nil && *b.Stream
+	options := b.StreamOptions
+	request.IncludeUsage = options != nil && options.IncludeUsage != nil && *options.IncludeUsage
+	return request, nil
+}
+
+func (b *sharedBody) check() *Failure {
+	switch {
+	case b.Model == nil || *b.Model == "":
+		return invalid("model", "model is required")
+	case b.MaxTokens != nil && *b.MaxTokens < 1:
+		return invalid("max_tokens", "max_tokens must be at least 1")
+	case b.MaxCompletionTokens != nil && *b.MaxCompletionTokens < 1:
+		return invalid("max_completion_tokens", "max_completion_tokens must be at least 1")
+	case b.Choices != nil && *b.Choices != 1:
+		return invalid("n", "n must be 1")
+	case outside(b.Temperature, maxTemperature):
+		return invalid("temperature", fmt.Sprintf("temperature must be between 0 and %d", maxTemperature))
+	case outside(b.TopP, maxTopP):
+		return invalid("top_p", fmt.Sprintf("top_p must be between 0 and %d", maxTopP))
+	case !absent(b.Stop) && string(b.Stop) != "[]":
+		return invalid("stop", "stop sequences are not supported")
+	}
+	return nil
+}
+
+func outside(value *float64, highest float64) bool {
+	return value != nil && (*value < 0 || *value > highest)
+}
+
+func absent(value json.RawMessage) bool {
+	return len(value) == 0 || string(value) == "null"
+}
+
+// parsePrompt takes a string or a list of one string.
+func parsePrompt(value json.RawMessage) (string, *Failure) {
+	if absent(value) {
+		return "", invalid("prompt", "prompt is required")
+	}
+	var text string
+	if json.Unmarshal(value, &text) == nil {
+		return nonEmptyPrompt(text)
+	}
+	var list []string
+	if json.Unmarshal(value, &list) != nil {
+		return "", malformed("prompt", "prompt must be a string or a list of one string")
+	}
+	if len(list) != 1 {
+		return "", invalid("prompt", "a list of prompts must have one entry")
+	}
+	return nonEmptyPrompt(list[0])
+}
+
+func nonEmptyPrompt(text string) (string, *Failure) {
+	if text == "" {
+		return "", invalid("prompt", "prompt must not be empty")
+	}
+	return text, nil
+}
--- /dev/null
+++ b/internal/openai/stream.go
@@ -0,0 +1,99 @@
+package openai
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// StreamWriter answers with server-sent events. A whole stream ends with
+// "data: [DONE]"; a broken one with an error event and without that mark.
+type StreamWriter struct {
+	answer  Answer
+	writer  http.ResponseWriter
+	started bool
+}
+
+// NewStreamWriter returns a writer that sends nothing before the first token,
+// so that an early failure still gets its own status.
+func NewStreamWriter(writer http.ResponseWriter, answer Answer) *StreamWriter {
+	return &StreamWriter{answer: answer, writer: writer}
+}
+
+// Token sends one token.
+func (s *StreamWriter) Token(text string) error {
+	next := choice{}
+	if s.answer.Endpoint == Chat {
+		next.Delta = &messageDelta{Content: &text}
+		if !s.started {
+			next.Delta.Role = roleAssistant
+		}
+	} else {
+		next.Text = &text
+	}
+	return s.send(s.answer.body(true, next))
+}
+
+// Finish ends a whole stream.
+func (s *StreamWriter) Finish(reason string, usage Usage) error {
+	last := choice{FinishReason: &reason}
+	if s.answer.Endpoint == Chat {
+		last.Delta = &messageDelta{}
+	} else {
+		last.Text = new(string)
+	}
+	if err := s.send(s.answer.body(true, last)); err != nil {
+		return err
+	}
+	if s.answer.IncludeUsage {
+		body := s.answer.body(true)
+		body.Choices = []choice{}
+		body.Usage = usage.body()
+		if err := s.send(body); err != nil {
+			return err
+		}
+	}
+	return s.write([]byte("[DONE]"))
+}
+
+// Fail ends the answer with an error: with its status if nothing was sent yet,
+// else as an event of the stream.
+func (s *StreamWriter) Fail(failure *Failure) error {
+	if !s.started {
+		setWriteDeadline(s.writer, s.answer.WriteTimeout)
+		return WriteFailure(s.writer, failure)
+	}
+	return s.send(failure.body())
+}
+
+func (s *StreamWriter) send(body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	return s.write(data)
+}
+
+func (s *StreamWriter) write(data []byte) error {
+	s.start()
+	setWriteDeadline(s.writer, s.answer.WriteTimeout)
+	event := make([]byte, 0, len(data)+len("data: \n\n"))
+	event = append(event, "data: "...)
+	event = append(event, data...)
+	event = append(event, "\n\n"...)
+	if _, err := s.writer.Write(event); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.writer).Flush()
+}
+
+func (s *StreamWriter) start() {
+	if s.started {
+		return
+	}
+	s.started = true
+	header := s.writer.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-cache")
+	header.Set(HeaderRequestID, string(s.answer.RequestID))
+	s.writer.WriteHeader(http.StatusOK)
+}
