Add configuration store with one outcome for each command

Operators race, and the table service can lose answers after their effect. Each commit therefore writes the document, the head, the change and the command's outcome in one transaction that compares the document's row and demands that the token is unused. Refusals are recorded under the token, too: a repeated command that was refused must not run later.

Comparing the head's row instead of the document's was left out: both are written together, and the document must be read anyway.

--- /dev/null
+++ b/internal/config/transaction.go
@@ -0,0 +1,79 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/platform"
+)
+
+// Old outcomes are searched for once in sweepInterval revisions, up to
+// sweepRows of them, so that a commit seldom costs a call more.
+const (
+	sweepInterval = 16
+	sweepRows     = 64
+)
+
+// transactionBuilder collects a transaction and the first encoding error.
+type transactionBuilder struct {
+	transaction platform.Transaction
+	err         error
+}
+
+func (b *transactionBuilder) compare(key string, revision uint64) {
+	b.transaction.Compares = append(b.transaction.Compares, platform.Compare{Key: key, Revision: revision})
+}
+
+func (b *transactionBuilder) put(key string, value any) {
+	encoded, err := json.Marshal(value)
+	if err != nil && b.err == nil {
+		b.err = errors.Wrapf(err, "encode %s", key)
+	}
+	b.transaction.Writes = append(b.transaction.Writes, platform.Write{Key: key, Value: encoded})
+}
+
+func (b *transactionBuilder) delete(key string) {
+	b.transaction.Writes = append(b.transaction.Writes, platform.Write{Key: key, Delete: true})
+}
+
+// expiredKeys returns the rows that a commit of a revision deletes.
+func (s *Store) expiredKeys(ctx context.Context, revision fleet.Revision) []string {
+	var keys []string
+	if uint64(revision) > s.options.KeptChanges {
+		keys = append(keys, changeKey(revision-fleet.Revision(s.options.KeptChanges)))
+	}
+	if revision%sweepInterval == 0 && uint64(revision) > s.options.KeptOutcomes {
+		keys = append(keys, s.expiredOutcomes(ctx, revision-fleet.Revision(s.options.KeptOutcomes))...)
+	}
+	return keys
+}
+
+// expiredOutcomes goes on through the outcomes where the last sweep ended. An
+// error ends the sweep without harm: a later one deletes what this one left.
+func (s *Store) expiredOutcomes(ctx context.Context, oldest fleet.Revision) []string {
+	s.mutex.Lock()
+	after := s.sweepAfter
+	s.mutex.Unlock()
+	rows, err := s.tables.List(ctx, prefixCommand, after, sweepRows)
+	if err != nil {
+		return nil
+	}
+	next := ""
+	if len(rows) == sweepRows {
+		next = rows[len(rows)-1].Key
+	}
+	s.mutex.Lock()
+	s.sweepAfter = next
+	s.mutex.Unlock()
+	var keys []string
+	for _, row := range rows {
+		var outcome Outcome
+		if json.Unmarshal(row.Value, &outcome) == nil && outcome.Revision < oldest {
+			keys = append(keys, row.Key)
+		}
+	}
+	return keys
+}
