Prove the decision core under failure; wait for streams too

A full engine is now a candidate with a predicted wait for a stream, from the mean time that streams last there; the scheduler weighs it against recomputing. Work that waits for an engine counts, by rank, against those behind it.

--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -9,15 +9,12 @@
 package placement
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/config"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/flowcontrol"
 	"github.com/tillerfall/tillerfall/internal/prefixindex"
-	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
 )
 
@@ -33,6 +30,7 @@
 	// reconsiderAt is when the next look is worth its cost; heldFor is the
 	// grant whose computation of a common prefix is waited for, if any.
 	reconsiderAt time.Duration
+	looks        int
 	heldFor      *grantState
 	parkedAt     *engineState
 	parkedTokens int
@@ -199,61 +197,6 @@
 	c.waiting[request.Key] = waiting
 }
 
-// reject returns the outcome of a request that can't wait here, or nil.
-func (c *Core) reject(request *Request) Outcome {
-	if c.draining {
-		return HandBack{Key: request.Key, Reason: HandBackDraining}
-	}
-	if c.view == nil {
-		return Refusal{
-			Key:        request.Key,
-			Code:       resultcode.NoConfiguration,
-			Reason:     "this router has no configuration yet",
-			RetryAfter: c.flow.Spread(0),
-		}
-	}
-	if outcome := c.rejectWeights(request); outcome != nil {
-		return outcome
-	}
-	model, _ := c.view.Model(request.Weights.Model)
-	if c.hasEngine(model.Pool, request.Excluded) {
-		return nil
-	}
-	if request.Hops < c.options.MaxHops {
-		return HandBack{Key: request.Key, Reason: HandBackNoEngine}
-	}
-	return Refusal{
-		Key:        request.Key,
-		Code:       resultcode.NoEngine,
-		Reason:     "no engine of pool " + string(model.Pool) + " takes requests",
-		RetryAfter: c.flow.Spread(time.Second),
-	}
-}
-
-func (c *Core) rejectWeights(request *Request) Outcome {
-	state, _ := c.view.VersionState(request.Weights)
-	if state == config.VersionServing {
-		return nil
-	}
-	if request.KnownRevision > c.view.Revision() {
-		return HandBack{Key: request.Key, Reason: HandBackBehind}
-	}
-	return Refusal{
-		Key:    request.Key,
-		Code:   resultcode.StaleWeights,
-		Reason: "version " + string(request.Weights.Version) + " isn't serving",
-	}
-}
-
-func (c *Core) hasEngine(pool fleet.PoolName, excluded []fleet.EngineRun) bool {
-	for _, state := range c.byPool[pool] {
-		if !slices.Contains(excluded, state.run) {
-			return true
-		}
-	}
-	return false
-}
-
 // Withdraw takes back a request whose caller is gone. It returns true when the
 // request still waited; then no outcome follows.
 func (c *Core) Withdraw(now time.Duration, key Key) bool {
@@ -339,19 +282,3 @@
 	c.unpark(waiting)
 	delete(c.waiting, waiting.request.Key)
 }
-
-// recheck gives an outcome to the waiting requests that can't wait here any
-// more, in order of submission.
-func (c *Core) recheck(now time.Duration) {
-	queued := make([]*waitingRequest, 0, len(c.waiting))
-	for _, waiting := range c.waiting {
-		queued = append(queued, waiting)
-	}
-	slices.SortFunc(queued, func(a, b *waitingRequest) int { return cmp.Compare(a.sequence, b.sequence) })
-	for _, waiting := range queued {
-		outcome := c.reject(&waiting.request)
-		if outcome != nil && c.flow.Remove(now, waiting.request.Key) {
-			c.conclude(waiting, outcome)
-		}
-	}
-}
--- /dev/null
+++ b/internal/placement/core_test.go
@@ -0,0 +1,292 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/platform"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+)
+
+func refusalCode(t require.TestingT, outcomes []Outcome) resultcode.Code {
+	require.Len(t, outcomes, 1)
+	require.IsType(t, Refusal{}, outcomes[0])
+	return outcomes[0].(Refusal).Code
+}
+
+func TestRequestsThatCannotWaitHere(t *testing.T) {
+	b := newUnconfiguredBench(t)
+	assert.Equal(t, resultcode.NoConfiguration, refusalCode(t, b.submit(request("r", urgent, "p", 1))))
+	b.configure(testDocument(3))
+	assert.Equal(t, []Outcome{HandBack{Key: keyOf("r"), Reason: HandBackNoEngine}}, b.submit(request("r", urgent, "p", 1)))
+	last := request("r", urgent, "p", 1)
+	last.Hops = DefaultMaxHops
+	assert.Equal(t, resultcode.NoEngine, refusalCode(t, b.submit(last)))
+
+	b.addEngine("engine0", 1)
+	loading := request("r", urgent, "p", 1)
+	loading.Weights.Version = "v2"
+	assert.Equal(t, resultcode.StaleWeights, refusalCode(t, b.submit(loading)))
+	loading.KnownRevision = 4
+	assert.Equal(t, []Outcome{HandBack{Key: keyOf("r"), Reason: HandBackBehind}}, b.submit(loading))
+	excluded := request("r", urgent, "p", 1)
+	excluded.Excluded = []fleet.EngineRun{{Engine: "engine0", Incarnation: 1}}
+	assert.Equal(t, []Outcome{HandBack{Key: keyOf("r"), Reason: HandBackNoEngine}}, b.submit(excluded))
+	assert.Equal(t, resultcode.ClassNotAllowed, refusalCode(t, b.submit(request("r", "unheard", "p", 1))))
+}
+
+// fill takes every stream of a bench's engines.
+func (b *bench) fill() []Grant {
+	var grants []Grant
+	for number := 0; ; number++ {
+		outcomes := b.submit(request(fmt.Sprintf("fill%d", number), urgent, fmt.Sprintf("fill%d", number), 1))
+		if len(outcomes) == 0 {
+			require.True(b.t, b.core.Withdraw(b.now, keyOf(fmt.Sprintf("fill%d", number))))
+			return grants
+		}
+		grants = append(grants, outcomes[0].(Grant))
+	}
+}
+
+func TestWaitingRequestsOfRetiredWeightsAreRefused(t *testing.T) {
+	b := newBench(t, 1)
+	b.fill()
+	require.Empty(t, b.submit(request("waits", urgent, "p", 1)))
+	document := testDocument(2)
+	document.Models[0].Versions[0].State = config.VersionRetired
+	document.Models[0].Versions[1].State = config.VersionServing
+	b.configure(document)
+	assert.Equal(t, resultcode.StaleWeights, refusalCode(t, b.core.TakeOutcomes()))
+	b.configure(testDocument(1))
+	assert.Equal(t, fleet.Revision(2), b.core.Snapshot(b.now).Revision, "a lower revision is ignored")
+}
+
+func TestDrainHandsBackEverythingOnce(t *testing.T) {
+	b := newBench(t, 1)
+	grants := b.fill()
+	var want []Key
+	for number := range 20 {
+		waiting := request(fmt.Sprintf("w%d", number), batch, "p", 1)
+		require.Empty(t, b.submit(waiting))
+		want = append(want, waiting.Key)
+	}
+	b.core.Drain(b.now)
+	assert.ElementsMatch(t, want, keysOf(b.core.TakeOutcomes()))
+	assert.Equal(t, []Outcome{HandBack{Key: keyOf("late"), Reason: HandBackDraining}}, b.submit(request("late", urgent, "p", 1)))
+	for _, grant := range grants {
+		assert.Empty(t, b.report(grant, PhaseFinished))
+	}
+	assert.Zero(t, b.inFlight())
+	assert.Empty(t, b.advance(time.Hour))
+}
+
+func TestHopelessDeadlineIsRefusedAtOnce(t *testing.T) {
+	b := newBench(t, 1)
+	hopeless := request("r", urgent, "p", 1000) // 1.6 s of prefill
+	hopeless.Deadline = time.Second
+	assert.Equal(t, resultcode.DeadlineTooShort, refusalCode(t, b.submit(hopeless)))
+	hopeless.Deadline = 3 * time.Second
+	b.submitGranted(hopeless)
+}
+
+func TestQueueTimeoutIsRefusedWhenDue(t *testing.T) {
+	b := newBench(t, 1)
+	b.fill()
+	require.Empty(t, b.submit(request("r", urgent, "p", 1)))
+	assert.Empty(t, b.advance(time.Second))
+	wake, found := b.core.NextWake()
+	require.True(t, found)
+	assert.LessOrEqual(t, wake, 6*time.Second)
+	b.core.ObserveUnreachable(b.now, "engine0")
+	assert.Equal(t, resultcode.QueueTimeout, refusalCode(t, b.advance(4*time.Second)))
+}
+
+func TestColdHotPrefixIsComputedOnce(t *testing.T) {
+	b := newBench(t, 12)
+	first := b.submitGranted(request("r0", urgent, "circular", 200))
+	for number := 1; number < 30; number++ {
+		// The same 200 blocks, then a question of its own.
+		follower := request(fmt.Sprintf("r%d", number), urgent, "circular", 200)
+		follower.PromptTokens += 8
+		require.Empty(t, b.submit(follower), "a second engine must not compute the prefix too")
+	}
+	b.now += 330 * time.Millisecond
+	granted := b.report(first, PhaseFirstToken)
+	granted = append(granted, b.advance(50*time.Millisecond)...)
+	assert.Len(t, granted, 9, "the warm engine has ten streams")
+	for _, outcome := range granted {
+		assert.GreaterOrEqual(t, outcome.(Grant).ExpectedCachedTokens, 200*testBlockTokens)
+		assert.Equal(t, first.Run, outcome.(Grant).Run)
+	}
+}
+
+func TestLostFirstTokenReportHoldsNobodyForLong(t *testing.T) {
+	b := newBench(t, 2)
+	b.submitGranted(request("r0", urgent, "circular", 200))
+	require.Empty(t, b.submit(request("r1", urgent, "circular", 200)))
+	start := b.now
+	var outcomes []Outcome
+	for len(outcomes) == 0 {
+		wake, found := b.core.NextWake()
+		require.True(t, found)
+		require.Less(t, wake-start, time.Second)
+		outcomes = b.advance(wake - b.now)
+	}
+	assert.IsType(t, Grant{}, outcomes[0])
+}
+
+func TestUrgentRequestDoesNotWaitForBatchPrefix(t *testing.T) {
+	b := newBench(t, 1)
+	b.submitGranted(request("b", batch, "circular", 200))
+	b.submitGranted(request("u", urgent, "circular", 200))
+}
+
+func TestBatchLeavesRoomForUrgentWork(t *testing.T) {
+	b := newBench(t, 1)
+	granted := 0
+	for number := range 20 {
+		granted += len(b.submit(request(fmt.Sprintf("b%d", number), batch, fmt.Sprintf("b%d", number), 1)))
+	}
+	assert.Equal(t, 8, granted, "a fifth of ten streams is kept")
+	b.submitGranted(request("u0", urgent, "u0", 1))
+	b.submitGranted(request("u1", urgent, "u1", 1))
+	assert.Empty(t, b.submit(request("u2", urgent, "u2", 1)))
+}
+
+func TestEngineQueueIsBoundedAndWaitingWorkIsReordered(t *testing.T) {
+	b := newBench(t, 1)
+	b.submitGranted(request("b0", batch, "b0", 300)) // 480 ms, over the bound
+	require.Empty(t, b.submit(request("b1", batch, "b1", 1)))
+	b.submitGranted(request("u0", urgent, "u0", 300))
+	require.Empty(t, b.submit(request("u1", urgent, "u1", 1)), "urgent work has its bound too")
+	outcomes := b.advance(300 * time.Millisecond)
+	assert.Equal(t, []Key{keyOf("u1")}, keysOf(outcomes))
+	outcomes = b.advance(time.Second)
+	assert.Equal(t, []Key{keyOf("b1")}, keysOf(outcomes))
+}
+
+func TestResubmittedAttemptGivesItsGrantUp(t *testing.T) {
+	b := newBench(t, 1)
+	for range 50 {
+		b.submitGranted(request("r", urgent, "p", 1))
+		assert.Equal(t, 1, b.inFlight())
+	}
+}
+
+// TestEverySubmitHasOneOutcome runs random histories of everything that a core
+// can be told and counts the outcomes.
+func TestEverySubmitHasOneOutcome(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench(t, 2)
+		open := map[Key]bool{}
+		var grants []Grant
+		revision := fleet.Revision(1)
+		incarnation := fleet.Incarnation(1)
+		sequence := 0
+		collect := func() {
+			for _, outcome := range b.core.TakeOutcomes() {
+				require.True(t, open[outcome.OutcomeKey()], "%v has a second outcome", outcome.OutcomeKey())
+				delete(open, outcome.OutcomeKey())
+				if grant, granted := outcome.(Grant); granted {
+					grants = append(grants, grant)
+				}
+			}
+		}
+		anEngine := rapid.SampledFrom([]fleet.EngineID{"engine0", "engine1"})
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				for range rapid.IntRange(1, 8).Draw(t, "burst") {
+					sequence++
+					made := request(fmt.Sprint(sequence), rapid.SampledFrom([]fleet.ClassName{urgent, batch}).Draw(t, "class"),
+						rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "prompt"), rapid.IntRange(0, 200).Draw(t, "blocks"))
+					made.Deadline = time.Duration(rapid.IntRange(0, 2000).Draw(t, "deadline")) * time.Millisecond
+					open[made.Key] = true
+					b.core.Submit(b.now, made)
+				}
+			},
+			"withdraw": func(t *rapid.T) {
+				key := keyOf(fmt.Sprint(rapid.IntRange(0, sequence).Draw(t, "key")))
+				if b.core.Withdraw(b.now, key) {
+					require.True(t, open[key])
+					delete(open, key)
+				}
+			},
+			"report": func(t *rapid.T) {
+				if len(grants) == 0 {
+					return
+				}
+				grant := rapid.SampledFrom(grants).Draw(t, "grant")
+				phase := Phase(rapid.IntRange(1, 5).Draw(t, "phase"))
+				lost := rapid.IntRange(0, 9).Draw(t, "lost") == 0
+				b.core.Report(b.now, AttemptReport{Key: grant.Key, Run: grant.Run, Phase: phase, EngineLost: lost})
+			},
+			"tick": func(t *rapid.T) {
+				b.now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
+				b.core.Tick(b.now)
+			},
+			"status": func(t *rapid.T) {
+				status := b.status(anEngine.Draw(t, "engine"), incarnation)
+				status.Leaving = rapid.IntRange(0, 19).Draw(t, "leaving") == 0
+				status.Load.RunningStreams = rapid.IntRange(0, 5).Draw(t, "running")
+				status.Load.MeasuredAtMillis -= int64(rapid.IntRange(0, 1000).Draw(t, "lag"))
+				b.core.ObserveStatus(b.now, status)
+			},
+			"restart": func(t *rapid.T) {
+				incarnation++
+				b.core.ObserveMachine(b.now, machine(anEngine.Draw(t, "engine"), incarnation))
+			},
+			"list": func(t *rapid.T) {
+				id := anEngine.Draw(t, "engine")
+				if rapid.Bool().Draw(t, "gone") {
+					b.core.ForgetMachine(b.now, id)
+					return
+				}
+				entry := machine(id, fleet.Incarnation(rapid.IntRange(1, int(incarnation)).Draw(t, "seen")))
+				if rapid.IntRange(0, 9).Draw(t, "state") == 0 {
+					entry.State = platform.MachineLeaving
+				}
+				b.core.ObserveMachine(b.now, entry)
+			},
+			"unreachable": func(t *rapid.T) { b.core.ObserveUnreachable(b.now, anEngine.Draw(t, "engine")) },
+			"events": func(t *rapid.T) {
+				b.core.ObserveCacheEvents(b.now, anEngine.Draw(t, "engine"), engine.CacheEvents{Incarnation: incarnation})
+			},
+			"config": func(t *rapid.T) {
+				revision++
+				document := testDocument(revision)
+				if rapid.IntRange(0, 4).Draw(t, "promote") == 0 {
+					document.Models[0].Versions[0].State = config.VersionRetired
+					document.Models[0].Versions[1].State = config.VersionServing
+				}
+				b.configure(document)
+			},
+			"": func(t *rapid.T) {
+				collect()
+				snapshot := b.core.Snapshot(b.now)
+				require.Equal(t, len(open), snapshot.WaitingRequests)
+				inFlight := 0
+				for _, state := range b.core.ordered {
+					require.Zero(t, min(state.inFlight, 0))
+					inFlight += state.inFlight
+				}
+				require.Equal(t, snapshot.InFlight, inFlight)
+			},
+		})
+		b.core.Drain(b.now)
+		collect()
+		require.Empty(t, open)
+		b.advance(24 * time.Hour)
+		require.Zero(t, b.inFlight())
+		for _, state := range b.core.ordered {
+			require.Zero(t, state.parkedBefore(maxRank))
+		}
+	})
+}
--- /dev/null
+++ b/internal/placement/endpoint.go
@@ -0,0 +1,89 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/scheduling"
+)
+
+// explainedEndpoints is the number of engines up to which decisions are kept
+// with every candidate.
+const explainedEndpoints = 64
+
+// schedule lets the scheduler choose among all engines of the pool, those with
+// a full queue or no free stream included: waiting for one may be cheaper than
+// computing again. The wait for a stream is given as prompt work of its length.
+func (c *Core) schedule(now time.Duration, waiting *waitingRequest) (scheduling.Decision, bool) {
+	request := &waiting.request
+	c.matchBlocks(request.Blocks)
+	limit := c.streamLimit(waiting.model.Pool, waiting.rank)
+	c.endpoints = c.endpoints[:0]
+	for _, state := range c.byPool[waiting.model.Pool] {
+		c.endpoints = append(c.endpoints, c.endpoint(now, waiting, state, limit))
+	}
+	query := scheduling.Request{
+		ID:           request.Key.Request,
+		Tenant:       request.Tenant,
+		Class:        request.Class,
+		Rank:         waiting.rank,
+		Weights:      request.Weights,
+		Pool:         waiting.model.Pool,
+		AgentZone:    request.AgentZone,
+		PromptTokens: waiting.tokens(),
+		MaxTokens:    request.MaxTokens,
+		BlockTokens:  waiting.model.BlockTokens,
+		Excluded:     request.Excluded,
+		Explain:      len(c.endpoints) <= explainedEndpoints,
+	}
+	if query.AgentZone == "" {
+		query.AgentZone = c.options.Zone
+	}
+	if waiting.deadline > 0 {
+		query.Deadline = max(waiting.deadline-now, 1)
+	}
+	return c.scheduler.Schedule(query, c.endpoints, c.options.Random)
+}
+
+// matchBlocks marks the engines with the prefix that each holds.
+func (c *Core) matchBlocks(blocks []fleet.BlockHash) {
+	c.matchStep++
+	c.matches = c.index.Lookup(blocks, c.matches)
+	for _, match := range c.matches {
+		state := c.engines[match.Run.Engine]
+		if state != nil && state.run == match.Run {
+			state.matchedBlocks = match.Blocks
+			state.matchedAt = c.matchStep
+		}
+	}
+}
+
+func (c *Core) endpoint(now time.Duration, waiting *waitingRequest, state *engineState, limit int) scheduling.Endpoint {
+	parked := state.parkedBefore(waiting.rank)
+	output := time.Duration(waiting.request.MaxTokens) * state.load.step
+	slot := state.slotWait(limit, parked.requests, output)
+	ahead := c.queueTokens(now, state, waiting.rank) + parked.tokens
+	endpoint := scheduling.Endpoint{
+		Run:             state.run,
+		Address:         state.machine.Address,
+		Zone:            state.machine.Zone,
+		Pool:            state.machine.Pool,
+		Ready:           state.ready(now, c.options.ReadyFor),
+		Leaving:         state.leaving != LeavingNone,
+		Serves:          state.serves,
+		InFlight:        state.streams(),
+		PrefillTokens:   max(ahead, int(slot/state.load.speed())),
+		PrefillPerToken: state.load.perToken,
+		Step:            state.load.step,
+		StepTokens:      state.load.stepTokens,
+	}
+	if state.matchedAt == c.matchStep {
+		endpoint.CachedBlocks = state.matchedBlocks
+	}
+	pending, computing := state.pendingBlocks(waiting.request.Blocks, waiting.rank)
+	endpoint.PendingBlocks = max(pending, endpoint.CachedBlocks)
+	if pending > endpoint.CachedBlocks {
+		endpoint.PendingRemaining = max(computing.computedAt-now, 0)
+	}
+	return endpoint
+}
--- /dev/null
+++ b/internal/placement/engines_test.go
@@ -0,0 +1,177 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/platform"
+)
+
+// TestLeavingSticksToTheRun lets each source say that an engine leaves and
+// then take it back.
+func TestLeavingSticksToTheRun(t *testing.T) {
+	leave := map[LeavingSource]func(*bench){
+		LeavingList: func(b *bench) {
+			leaving := machine("engine0", 1)
+			leaving.State = platform.MachineLeaving
+			b.core.ObserveMachine(b.now, leaving)
+		},
+		LeavingOperator: func(b *bench) {
+			document := testDocument(2)
+			document.Directives = []config.Directive{{Engine: "engine0", Incarnation: 1, Kind: config.DirectiveDrain}}
+			b.configure(document)
+		},
+		LeavingEngine: func(b *bench) {
+			status := b.status("engine0", 1)
+			status.Leaving = true
+			b.core.ObserveStatus(b.now, status)
+		},
+	}
+	for source, say := range leave {
+		t.Run(string(source), func(t *testing.T) {
+			b := newBench(t, 1)
+			say(b)
+			b.now += time.Second
+			b.core.ForgetMachine(b.now, "engine0")
+			b.addEngine("engine0", 1)
+			b.configure(testDocument(3))
+			assert.Equal(t, source, b.core.Snapshot(b.now).Engines[0].Leaving)
+			assert.Equal(t, []Outcome{HandBack{Key: keyOf("r"), Reason: HandBackNoEngine}},
+				b.submit(request("r", urgent, "p", 1)))
+
+			b.addEngine("engine0", 2)
+			grant := b.submitGranted(request("r", urgent, "p", 1))
+			assert.Equal(t, fleet.Incarnation(2), grant.Run.Incarnation, "a new run starts without it")
+		})
+	}
+}
+
+func TestNewIncarnationForgetsTheOldRun(t *testing.T) {
+	b := newBench(t, 1)
+	prompt := request("old", urgent, "p", 64)
+	old := b.submitGranted(prompt)
+	b.report(old, PhaseAccepted)
+	b.core.ObserveCacheSnapshot(b.now, "engine0", engine.CacheSnapshot{Incarnation: 1, Sequence: 7, Hashes: prompt.Blocks})
+	require.NotEmpty(t, b.core.HoldersOf(prompt.Blocks[0]))
+
+	// The cache poll is the first to meet the new run.
+	b.core.ObserveCacheEvents(b.now, "engine0", engine.CacheEvents{Incarnation: 2})
+	assert.Empty(t, b.core.HoldersOf(prompt.Blocks[0]))
+	assert.Zero(t, b.inFlight())
+	assert.Empty(t, b.submit(request("waits", urgent, "p", 1)), "the new run hasn't given its status")
+
+	// Old words about the old run come late.
+	b.core.ObserveStatus(b.now, b.status("engine0", 1))
+	stale := machine("engine0", 1)
+	stale.Address = "127.0.0.9:9"
+	b.core.ObserveMachine(b.now, stale)
+	b.core.ObserveCacheSnapshot(b.now, "engine0", engine.CacheSnapshot{Incarnation: 1, Sequence: 9, Hashes: prompt.Blocks})
+	b.report(old, PhaseFirstToken)
+	assert.Empty(t, b.core.HoldersOf(prompt.Blocks[0]))
+	assert.Empty(t, b.core.TakeOutcomes())
+
+	b.core.ObserveStatus(b.now, b.status("engine0", 2))
+	outcomes := b.core.TakeOutcomes()
+	require.Len(t, outcomes, 1)
+	granted := outcomes[0].(Grant)
+	assert.Equal(t, fleet.Incarnation(2), granted.Run.Incarnation)
+	assert.Equal(t, fleet.Address("127.0.0.1:1"), granted.Address)
+	assert.Zero(t, granted.ExpectedCachedTokens)
+}
+
+func TestUnreportedGrantsDoNotLeak(t *testing.T) {
+	b := newBench(t, 1)
+	lost := b.submitGranted(request("lost", urgent, "a", 1))
+	accepted := b.submitGranted(request("accepted", urgent, "b", 1))
+	b.report(accepted, PhaseAccepted)
+	require.Equal(t, 2, b.inFlight())
+
+	b.advance(DefaultGrantValid)
+	assert.Equal(t, 2, b.inFlight(), "the agent may still dispatch and its report be under way")
+	b.advance(DefaultReportGrace)
+	assert.Equal(t, 1, b.inFlight(), "no report of acceptance came")
+	b.report(lost, PhaseFinished)
+	b.report(accepted, PhaseFirstToken)
+	b.advance(time.Hour)
+	assert.Zero(t, b.inFlight(), "the report of the end was lost")
+	b.report(accepted, PhaseFinished)
+	b.report(accepted, PhaseFinished)
+	snapshot := b.core.Snapshot(b.now)
+	assert.Zero(t, snapshot.InFlight)
+	assert.Zero(t, snapshot.Engines[0].InFlight)
+	assert.Equal(t, uint64(2), snapshot.LostGrants)
+}
+
+// TestLateLoadReportIsCorrected grants 1,601 tokens (160 ms at 100 µs a token),
+// then gives reports from before and after the engine had the request.
+func TestLateLoadReportIsCorrected(t *testing.T) {
+	b := newBench(t, 1)
+	early := b.status("engine0", 1)
+	b.now += 20 * time.Millisecond
+	grant := b.submitGranted(request("r", urgent, "p", 100))
+	queue := func() EngineSnapshot { return b.core.Snapshot(b.now).Engines[0] }
+	b.now += 30 * time.Millisecond
+	assert.InDelta(t, 1300, queue().QueueTokens, 20)
+
+	early.Load.MeasuredAtMillis += 15
+	b.core.ObserveStatus(b.now, early)
+	assert.InDelta(t, 1350, queue().QueueTokens, 70, "an older report must not hide the grant")
+	assert.Equal(t, 1, queue().Streams)
+
+	including := b.status("engine0", 1)
+	including.Load.WaitingPrefillTokens = 1300
+	including.Load.RunningStreams = 1
+	b.core.ObserveStatus(b.now, including)
+	assert.InDelta(t, 1300, queue().QueueTokens, 20, "a report that includes the grant must not double it")
+	assert.Equal(t, 1, queue().Streams)
+
+	foreign := b.status("engine0", 1)
+	foreign.Load.MeasuredAtMillis++
+	foreign.Load.RunningStreams = 4
+	b.core.ObserveStatus(b.now, foreign)
+	assert.Equal(t, 4, queue().Streams, "three streams were placed by other routers")
+
+	b.report(grant, PhaseAbandoned)
+	assert.Equal(t, 3, queue().Streams)
+}
+
+func TestSlowEngineClockDoesNotAgeReports(t *testing.T) {
+	var load loadEstimate
+	const slowBy = 5000 // the engine's clock loses one part in 5,000
+	for second := range 36_000 {
+		now := time.Duration(second) * time.Second
+		load.take(now, engine.Load{MeasuredAtMillis: (now - now/slowBy).Milliseconds()}, DefaultDispatchDelay)
+	}
+	assert.InDelta(t, float64(35_999*time.Second), float64(load.measured), float64(5*time.Millisecond))
+}
+
+func TestSuspectEngineGetsNoWorkUntilItsNextStatus(t *testing.T) {
+	b := newBench(t, 1)
+	grant := b.submitGranted(request("r", urgent, "p", 1))
+	b.core.Report(b.now, AttemptReport{Key: grant.Key, Run: grant.Run, Phase: PhaseFailed, EngineLost: true})
+	assert.Equal(t, []fleet.EngineID{"engine0"}, b.core.NeedsStatus())
+	assert.Empty(t, b.submit(request("next", urgent, "p", 1)))
+	b.core.ObserveStatus(b.now, b.status("engine0", 1))
+	assert.Len(t, b.core.TakeOutcomes(), 1)
+	assert.Empty(t, b.core.NeedsStatus())
+}
+
+func TestOwnershipDecidesWhatIsFollowedAndPlaced(t *testing.T) {
+	b := newBench(t, 2)
+	assert.Equal(t, []fleet.EngineID{"engine0", "engine1"}, b.core.NeedsSnapshot())
+	b.core.SetOwned(func(id fleet.EngineID) bool { return id == "engine1" })
+	for range 3 {
+		grant := b.submitGranted(request("r", urgent, "p", 1))
+		assert.Equal(t, fleet.EngineID("engine1"), grant.Run.Engine)
+	}
+	_, _, followed := b.core.EventsAfter("engine0")
+	assert.False(t, followed)
+	b.core.SetOwned(func(fleet.EngineID) bool { return false })
+	assert.IsType(t, HandBack{}, b.submit(request("s", urgent, "p", 1))[0])
+}
--- a/internal/placement/enginestate.go
+++ b/internal/placement/enginestate.go
@@ -48,8 +48,11 @@
 	computing []*grantState
 	inFlight  int
 
-	// parked is the work in tokens, by rank, that waits here for this engine.
-	parked [maxRank + 1]int
+	// parked is the work that waits here for this engine, by rank.
+	parked [maxRank + 1]parkedWork
+
+	// streamTime is the mean time that streams have lasted here; 0 if none ended.
+	streamTime time.Duration
 
 	// matchedBlocks belongs to the decision numbered by matchedAt.
 	matchedBlocks int
@@ -150,16 +153,50 @@
 // maxRank is the highest rank that a configuration allows.
 const maxRank = 100
 
-// parkedTokens returns the work that waits for this engine and goes before a
+// parkedWork counts requests that wait for one engine and the prompt tokens
+// that it would compute for them.
+type parkedWork struct {
+	requests int
+	tokens   int
+}
+
+// parkedBefore returns the work that waits for this engine and goes before a
 // request of the given rank.
-func (e *engineState) parkedTokens(rank int) int {
-	total := 0
-	for _, tokens := range e.parked[:rank+1] {
-		total += tokens
+func (e *engineState) parkedBefore(rank int) parkedWork {
+	var total parkedWork
+	for _, work := range e.parked[:rank+1] {
+		total.requests += work.requests
+		total.tokens += work.tokens
 	}
 	return total
 }
 
+// streamTimeShare is the weight of the newest stream in the mean.
+const streamTimeShare = 0.1
+
+func (e *engineState) noteStreamTime(lasted time.Duration) {
+	if e.streamTime == 0 {
+		e.streamTime = lasted
+		return
+	}
+	e.streamTime += time.Duration(streamTimeShare * float64(lasted-e.streamTime))
+}
+
+// slotWait predicts how long a request waits for a stream to end, behind the
+// given number of others that wait too. Streams count as ending evenly.
+func (e *engineState) slotWait(limit, waitingBefore int, output time.Duration) time.Duration {
+	streams := e.streams()
+	missing := streams + waitingBefore + 1 - limit
+	if missing <= 0 {
+		return 0
+	}
+	lasting := e.streamTime
+	if lasting == 0 {
+		lasting = output
+	}
+	return lasting * time.Duration(missing) / time.Duration(max(streams, 1))
+}
+
 // worseRankTokens returns the prompt work placed here that an engine which
 // honours priorities computes after a request of the given rank.
 func (e *engineState) worseRankTokens(rank int) int {
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -174,6 +174,9 @@
 	if report.Phase <= grant.phase {
 		return
 	}
+	if report.Phase == PhaseFinished {
+		grant.engine.noteStreamTime(now - grant.grantedAt)
+	}
 	if report.Phase.ended() {
 		c.endGrant(now, grant, report.Phase != PhaseFinished && grant.phase == 0)
 		return
--- a/internal/placement/helpers_test.go
+++ b/internal/placement/helpers_test.go
@@ -96,10 +96,12 @@
 	}
 }
 
+func keyOf(request string) Key { return Key{Request: fleet.RequestID(request), Attempt: 1} }
+
 // request has a prompt of the given blocks; equal prompts have equal blocks.
 func request(name string, class fleet.ClassName, prompt string, blocks int) Request {
 	made := Request{
-		Key: Key{Request: fleet.RequestID(name), Attempt: 1}, Tenant: "tenant", Weights: testWeights, Class: class,
+		Key: keyOf(name), Tenant: "tenant", Weights: testWeights, Class: class,
 		PromptTokens: blocks*testBlockTokens + 1, MaxTokens: 10, AgentZone: "zone",
 	}
 	seed := uint64(len(prompt)) << 32
--- /dev/null
+++ b/internal/placement/reject.go
@@ -0,0 +1,82 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+)
+
+// reject returns the outcome of a request that can't wait here, or nil.
+func (c *Core) reject(request *Request) Outcome {
+	if c.draining {
+		return HandBack{Key: request.Key, Reason: HandBackDraining}
+	}
+	if c.view == nil {
+		return Refusal{
+			Key:        request.Key,
+			Code:       resultcode.NoConfiguration,
+			Reason:     "this router has no configuration yet",
+			RetryAfter: c.flow.Spread(0),
+		}
+	}
+	if outcome := c.rejectWeights(request); outcome != nil {
+		return outcome
+	}
+	model, _ := c.view.Model(request.Weights.Model)
+	if c.hasEngine(model.Pool, request.Excluded) {
+		return nil
+	}
+	if request.Hops < c.options.MaxHops {
+		return HandBack{Key: request.Key, Reason: HandBackNoEngine}
+	}
+	return Refusal{
+		Key:        request.Key,
+		Code:       resultcode.NoEngine,
+		Reason:     "no engine of pool " + string(model.Pool) + " takes requests",
+		RetryAfter: c.flow.Spread(time.Second),
+	}
+}
+
+func (c *Core) rejectWeights(request *Request) Outcome {
+	state, _ := c.view.VersionState(request.Weights)
+	if state == config.VersionServing {
+		return nil
+	}
+	if request.KnownRevision > c.view.Revision() {
+		return HandBack{Key: request.Key, Reason: HandBackBehind}
+	}
+	return Refusal{
+		Key:    request.Key,
+		Code:   resultcode.StaleWeights,
+		Reason: "version " + string(request.Weights.Version) + " isn't serving",
+	}
+}
+
+func (c *Core) hasEngine(pool fleet.PoolName, excluded []fleet.EngineRun) bool {
+	for _, state := range c.byPool[pool] {
+		if !slices.Contains(excluded, state.run) {
+			return true
+		}
+	}
+	return false
+}
+
+// recheck gives an outcome to the waiting requests that can't wait here any
+// more, in order of submission.
+func (c *Core) recheck(now time.Duration) {
+	queued := make([]*waitingRequest, 0, len(c.waiting))
+	for _, waiting := range c.waiting {
+		queued = append(queued, waiting)
+	}
+	slices.SortFunc(queued, func(a, b *waitingRequest) int { return cmp.Compare(a.sequence, b.sequence) })
+	for _, waiting := range queued {
+		outcome := c.reject(&waiting.request)
+		if outcome != nil && c.flow.Remove(now, waiting.request.Key) {
+			c.conclude(waiting, outcome)
+		}
+	}
+}
