--- /dev/null
+++ b/internal/config/reference/reference_test.go
@@ -0,0 +1,83 @@
+package reference
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+)
+
+const (
+	repositoryRoot = "../../.."
+	pagePath       = repositoryRoot + "/docs/CONFIGURATION.md"
+)
+
+var update = flag.Bool("update", false, "write the tables into docs/CONFIGURATION.md")
+
+// documented lists the structs whose tables stand in the page.
+var documented = []struct{ source, typeName string }{
+	{"internal/config/document.go", "Document"},
+	{"internal/config/document.go", "Tenant"},
+	{"internal/config/document.go", "Class"},
+	{"internal/config/document.go", "Model"},
+	{"internal/config/document.go", "Adapter"},
+	{"internal/config/document.go", "Version"},
+	{"internal/config/document.go", "Pool"},
+	{"internal/settings/common.go", "Node"},
+	{"internal/settings/common.go", "Logging"},
+	{"internal/settings/common.go", "Platform"},
+}
+
+func TestPageHoldsTableOfEveryStruct(t *testing.T) {
+	source, err := os.ReadFile(pagePath)
+	require.NoError(t, err)
+	page := string(source)
+	for _, entry := range documented {
+		table, err := Table(filepath.Join(repositoryRoot, entry.source), entry.typeName)
+		require.NoError(t, err)
+		begin := fmt.Sprintf("<!-- begin %s -->\n", entry.typeName)
+		end := fmt.Sprintf("<!-- end %s -->\n", entry.typeName)
+		before, rest, found := strings.Cut(page, begin)
+		require.True(t, found, "%s isn't in the page", entry.typeName)
+		held, after, found := strings.Cut(rest, end)
+		require.True(t, found, "%s has no end mark", entry.typeName)
+		if *update {
+			page = before + begin + table + end + after
+			continue
+		}
+		assert.Equal(t, table, held, "run go test ./internal/config/reference -update")
+	}
+	if *update {
+		require.NoError(t, os.WriteFile(pagePath, []byte(page), 0o644))
+	}
+}
+
+func TestTableRefusesFieldWithoutComment(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "bare.go")
+	require.NoError(t, os.WriteFile(path, []byte("package p\ntype T struct {\n\tA int `yaml:\"a\"`\n}\n"), 0o600))
+	_, err := Table(path, "T")
+	assert.ErrorContains(t, err, `field "a" has no comment`)
+	_, err = Table(path, "Missing")
+	assert.ErrorContains(t, err, "no struct Missing")
+}
+
+func TestExampleIsValid(t *testing.T) {
+	source, err := os.ReadFile(filepath.Join(repositoryRoot, "examples", "config.yaml"))
+	require.NoError(t, err)
+	document, problems := config.Parse(source)
+	require.Empty(t, problems)
+	view, err := config.NewView(*document)
+	require.NoError(t, err)
+	for key, name := range map[string]string{"example-key-counter": "citizen-app", "example-key-batch": "billing-batch"} {
+		tenant, found := view.TenantByKey(key)
+		require.True(t, found, key)
+		assert.Equal(t, name, string(tenant.Name))
+	}
+}
