Add leases with fencing tokens on the table service

Fenced orders need one holder at a time among processes that freeze, whose clocks differ and whose commits may take effect after their answer is lost.

A holder believes from the start of its last successful renewal, a challenger counts from the end of the read that first showed the row's revision, and a commit of unknown outcome is settled by reading. Of several unknown commits on one revision the earliest start counts, because the row doesn't tell which took effect. Comparing expiry times written into the row was ruled out: wall clocks jump.

--- /dev/null
+++ b/internal/lease/election.go
@@ -0,0 +1,187 @@
+package lease
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/platform"
+)
+
+// ActionKind tells what an election needs next.
+type ActionKind int
+
+// Kinds of actions.
+const (
+	// ActionWait asks for Next again at Until.
+	ActionWait ActionKind = iota
+	// ActionRead asks for a read of Settings.Key, then ReadDone.
+	ActionRead
+	// ActionCommit asks for a commit of Transaction, then CommitDone.
+	ActionCommit
+	// ActionDone means that the election has ended after Resign.
+	ActionDone
+)
+
+// Action is what an election needs next.
+type Action struct {
+	Kind        ActionKind
+	Until       time.Duration
+	Transaction platform.Transaction
+}
+
+// observation is the row as last seen.
+type observation struct {
+	record   Record
+	revision uint64
+	// since is when this revision was first seen, at the end of the call that
+	// showed it: the write can't have been later.
+	since time.Duration
+}
+
+// commit is a write that was sent.
+type commit struct {
+	record   Record
+	compared uint64
+	start    time.Duration
+}
+
+// Election is one process's part in a lease. It has no I/O and no clock; now is
+// the process's elapsed time. At most one read or commit is in progress: after
+// such an action the caller reports its end before it calls Next again. It
+// isn't safe for concurrent use.
+type Election struct {
+	settings Settings
+	holder   HolderID
+	random   *rand.Rand
+
+	row          observation
+	highestToken fleet.FencingToken
+	// mustRead is set while the row's state isn't known.
+	mustRead bool
+	// sent is the commit in progress.
+	sent *commit
+	// unresolved is the earliest commit on its revision whose outcome is
+	// unknown. It may still take effect while the row is at that revision.
+	unresolved *commit
+
+	nextAt        time.Duration
+	believedUntil time.Duration
+	ineligible    bool
+	resigning     bool
+	resigned      bool
+}
+
+// NewElection returns an election that hasn't read its row. The holder must be
+// unique to the process's run; random spreads retries and polls.
+func NewElection(settings Settings, holder HolderID, random *rand.Rand) (*Election, error) {
+	if err := settings.Validate(); err != nil {
+		return nil, err
+	}
+	if holder == "" {
+		return nil, errors.New("lease needs a holder")
+	}
+	return &Election{settings: settings, holder: holder, random: random, mustRead: true}, nil
+}
+
+// Fence returns the token to send with an order, and whether the lease is held
+// at now. It must be called right before each order.
+func (e *Election) Fence(now time.Duration) (fleet.FencingToken, bool) {
+	if !e.Valid(now) {
+		return 0, false
+	}
+	return e.row.record.Token, true
+}
+
+// Valid tells whether the lease is held at now.
+func (e *Election) Valid(now time.Duration) bool { return !e.resigning && now < e.believedUntil }
+
+// Observed returns the lease's record as last seen; false before the first read.
+func (e *Election) Observed() (Record, bool) { return e.row.record, e.row.revision != 0 }
+
+// SetEligible tells whether the process takes the lease when it is free. In a
+// large fleet only a few processes need to poll. A holder stays one.
+func (e *Election) SetEligible(eligible bool) { e.ineligible = !eligible }
+
+// Resign ends the process's part: it stops believing at once, and Next asks for
+// the lease's release if it is held for certain. Else the lease runs out.
+func (e *Election) Resign() { e.resigning = true }
+
+// Next returns what to do at now.
+func (e *Election) Next(now time.Duration) Action {
+	if e.resigning {
+		return e.nextRelease(now)
+	}
+	if now < e.nextAt {
+		return Action{Kind: ActionWait, Until: e.nextAt}
+	}
+	if e.ineligible && !e.mine() {
+		e.nextAt = now + e.pollInterval()
+		return Action{Kind: ActionWait, Until: e.nextAt}
+	}
+	if e.mustRead || !e.mayWrite(now) {
+		return Action{Kind: ActionRead}
+	}
+	return e.startCommit(now, e.claim())
+}
+
+func (e *Election) nextRelease(now time.Duration) Action {
+	if e.resigned || e.mustRead || !e.mine() {
+		return Action{Kind: ActionDone}
+	}
+	e.resigned = true
+	released := e.row.record
+	released.Holder = ""
+	return e.startCommit(now, released)
+}
+
+// mine tells whether the row as last seen names this process.
+func (e *Election) mine() bool { return e.row.record.Holder == e.holder }
+
+// mayWrite tells whether the row is this process's, free or run out.
+func (e *Election) mayWrite(now time.Duration) bool {
+	if e.mine() || e.row.record.Holder == "" {
+		return true
+	}
+	return now >= e.row.since+e.row.record.Duration()+e.settings.Margin
+}
+
+// claim returns the record that makes or keeps this process the holder.
+func (e *Election) claim() Record {
+	token := e.highestToken
+	if !e.mine() {
+		token++
+	}
+	return Record{Holder: e.holder, Token: token, DurationMillis: e.settings.Duration.Milliseconds()}
+}
+
+func (e *Election) startCommit(now time.Duration, record Record) Action {
+	e.sent = &commit{record: record, compared: e.row.revision, start: now}
+	return Action{
+		Kind: ActionCommit,
+		Transaction: platform.Transaction{
+			Compares: []platform.Compare{{Key: e.settings.Key, Revision: e.row.revision}},
+			Writes:   []platform.Write{{Key: e.settings.Key, Value: encodeRecord(record)}},
+		},
+	}
+}
+
+// pollInterval is the time between a challenger's reads.
+func (e *Election) pollInterval() time.Duration {
+	return e.jitter(e.settings.Duration / pollFraction)
+}
+
+// retryInterval is the time until a holder repeats what failed.
+func (e *Election) retryInterval() time.Duration {
+	if !e.mine() {
+		return e.pollInterval()
+	}
+	return e.jitter(e.settings.Duration / retryFraction)
+}
+
+// jitter returns a time between half of mean and one and a half of it.
+func (e *Election) jitter(mean time.Duration) time.Duration {
+	return mean/2 + time.Duration(e.random.Int64N(int64(mean)+1))
+}
--- /dev/null
+++ b/internal/lease/election_test.go
@@ -0,0 +1,236 @@
+package lease
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/platform"
+	"github.com/tillerfall/tillerfall/lab/standin/platformmodel"
+)
+
+var testSettings = Settings{Key: "lease/rollout", Duration: 10 * time.Second, Margin: time.Second}
+
+func newElection(t require.TestingT, name string, seed uint64) *Election {
+	election, err := NewElection(testSettings, NewHolderID(fleet.NodeID(name), seed), rand.New(rand.NewPCG(seed, 1)))
+	require.NoError(t, err)
+	return election
+}
+
+// world drives elections on one virtual clock against a model of the platform.
+type world struct {
+	t     *testing.T
+	now   time.Duration
+	model *platformmodel.Platform
+	// down makes each call fail without effect; lose loses commit answers after
+	// their effect.
+	down, lose bool
+}
+
+func newWorld(t *testing.T) *world {
+	return &world{t: t, model: platformmodel.New(platformmodel.Options{})}
+}
+
+// step performs the election's next action at once; false if it waits.
+func (w *world) step(election *Election) bool {
+	switch action := election.Next(w.now); action.Kind {
+	case ActionRead:
+		if w.down {
+			require.NoError(w.t, election.ReadDone(w.now, platform.Row{}, platform.ErrUnavailable))
+			return true
+		}
+		row, err := w.model.Get(w.now, testSettings.Key)
+		require.NoError(w.t, election.ReadDone(w.now, row, err))
+	case ActionCommit:
+		election.CommitDone(w.now, w.commit(action.Transaction))
+	default:
+		return false
+	}
+	return true
+}
+
+func (w *world) commit(transaction platform.Transaction) error {
+	if w.down {
+		return errors.Wrap(platform.ErrUnavailable, "commit")
+	}
+	err := w.model.Commit(w.now, transaction)
+	if w.lose {
+		return errors.Wrap(platform.ErrUnknownOutcome, "commit")
+	}
+	return err
+}
+
+// run advances the clock by duration, with the elections awake.
+func (w *world) run(duration time.Duration, elections ...*Election) {
+	for end := w.now + duration; w.now < end; w.now += 100 * time.Millisecond {
+		for _, election := range elections {
+			for w.step(election) {
+			}
+		}
+	}
+}
+
+func (w *world) token(election *Election) fleet.FencingToken {
+	token, held := election.Fence(w.now)
+	require.True(w.t, held)
+	return token
+}
+
+func TestHolderRenewsAndChallengerWaits(t *testing.T) {
+	w := newWorld(t)
+	a, b := newElection(t, "a", 1), newElection(t, "b", 2)
+	w.run(time.Second, a)
+	for range 600 {
+		w.run(100*time.Millisecond, a, b)
+		require.EqualValues(t, 1, w.token(a))
+		require.False(t, b.Valid(w.now))
+	}
+}
+
+func TestChallengerWaitsForDurationAndMargin(t *testing.T) {
+	w := newWorld(t)
+	w.run(time.Second, newElection(t, "a", 1))
+	b := newElection(t, "b", 2)
+	require.True(t, w.step(b))
+	runsOut := w.now + testSettings.Duration + testSettings.Margin
+	assert.Equal(t, ActionRead, b.Next(runsOut-1).Kind)
+	assert.Equal(t, ActionCommit, b.Next(runsOut).Kind)
+}
+
+func TestFrozenHolderStopsBelievingBeforeTakeoverAndLearnsOnThaw(t *testing.T) {
+	w := newWorld(t)
+	a, b := newElection(t, "a", 1), newElection(t, "b", 2)
+	w.run(time.Second, a, b)
+	require.True(t, a.Valid(w.now))
+	for !b.Valid(w.now) {
+		w.run(100*time.Millisecond, b)
+		require.False(t, a.Valid(w.now) && b.Valid(w.now))
+		require.Less(t, w.now, time.Minute)
+	}
+	_, held := a.Fence(w.now)
+	assert.False(t, held, "the thawed holder's first check fails, before any call")
+	w.run(time.Second, a, b)
+	assert.False(t, a.Valid(w.now))
+	assert.EqualValues(t, 2, w.token(b))
+}
+
+func TestLostAnswerIsResolvedByReadingAndCountsFromTheCommitsStart(t *testing.T) {
+	w := newWorld(t)
+	a := newElection(t, "a", 1)
+	require.True(t, w.step(a)) // reads: the row doesn't exist
+	w.lose = true
+	start := w.now
+	require.True(t, w.step(a))
+	require.False(t, a.Valid(w.now))
+	w.now += 5 * time.Second
+	require.True(t, w.step(a)) // reads back
+	assert.EqualValues(t, 1, w.token(a))
+	lapse := start + testSettings.Duration - testSettings.Margin
+	assert.True(t, a.Valid(lapse-1))
+	assert.False(t, a.Valid(lapse))
+}
+
+func TestTwoLostAnswersOnOneRevisionCountFromTheEarlier(t *testing.T) {
+	w := newWorld(t)
+	a := newElection(t, "a", 1)
+	require.True(t, w.step(a))
+	first := a.Next(w.now)
+	require.Equal(t, ActionCommit, first.Kind)
+	a.CommitDone(w.now, platform.ErrUnknownOutcome)
+	w.now += 4 * time.Second
+	require.True(t, w.step(a)) // reads: still no row
+	require.NoError(t, w.commit(first.Transaction), "the first arrives late")
+	w.now += time.Second
+	w.lose = true
+	require.True(t, w.step(a)) // the second commit conflicts, unseen
+	w.now += 2 * time.Second
+	require.True(t, w.step(a)) // reads its own row
+	assert.True(t, a.Valid(9*time.Second-1))
+	assert.False(t, a.Valid(9*time.Second))
+}
+
+func TestSlowRenewalCountsFromItsStart(t *testing.T) {
+	w := newWorld(t)
+	a := newElection(t, "a", 1)
+	require.True(t, w.step(a))
+	action := a.Next(w.now)
+	require.Equal(t, ActionCommit, action.Kind)
+	require.NoError(t, w.commit(action.Transaction))
+	w.now += 9 * time.Second
+	a.CommitDone(w.now, nil)
+	assert.False(t, a.Valid(w.now), "the answer came when the lease had run out")
+}
+
+func TestPlatformDownEndsBeliefAndKeepsTheTokenOnReturn(t *testing.T) {
+	w := newWorld(t)
+	a, b := newElection(t, "a", 1), newElection(t, "b", 2)
+	w.run(time.Second, a, b)
+	w.down = true
+	w.run(9*time.Second, a, b)
+	assert.False(t, a.Valid(w.now))
+	w.run(time.Hour, a, b)
+	w.down = false
+	w.run(time.Minute, a, b)
+	assert.NotEqual(t, a.Valid(w.now), b.Valid(w.now), "exactly one holds it again")
+	record, _ := a.Observed()
+	assert.LessOrEqual(t, record.Token, fleet.FencingToken(2))
+}
+
+func TestTwoChallengersRaceAndOneWins(t *testing.T) {
+	w := newWorld(t)
+	a, b := newElection(t, "a", 1), newElection(t, "b", 2)
+	require.True(t, w.step(a))
+	require.True(t, w.step(b))
+	first, second := a.Next(w.now), b.Next(w.now)
+	require.Equal(t, ActionCommit, first.Kind)
+	require.Equal(t, ActionCommit, second.Kind)
+	a.CommitDone(w.now, w.commit(first.Transaction))
+	b.CommitDone(w.now, w.commit(second.Transaction))
+	w.run(time.Second, b)
+	assert.EqualValues(t, 1, w.token(a))
+	assert.False(t, b.Valid(w.now))
+}
+
+func TestNewRunOfTheSameNodeIsAnotherHolder(t *testing.T) {
+	w := newWorld(t)
+	before, after := newElection(t, "a", 1), newElection(t, "a", 2)
+	w.run(time.Second, before)
+	w.run(5*time.Second, after)
+	assert.False(t, after.Valid(w.now))
+	w.run(15*time.Second, after)
+	assert.EqualValues(t, 2, w.token(after))
+}
+
+func TestReleaseLetsAnotherTakeOverAtOnce(t *testing.T) {
+	w := newWorld(t)
+	a, b := newElection(t, "a", 1), newElection(t, "b", 2)
+	w.run(time.Second, a, b)
+	a.Resign()
+	require.False(t, a.Valid(w.now))
+	w.run(5*time.Second, a, b)
+	assert.Equal(t, ActionDone, a.Next(w.now).Kind)
+	assert.EqualValues(t, 2, w.token(b))
+}
+
+func TestIneligibleProcessMakesNoCalls(t *testing.T) {
+	w := newWorld(t)
+	a := newElection(t, "a", 1)
+	a.SetEligible(false)
+	w.run(time.Minute, a)
+	_, observed := a.Observed()
+	assert.False(t, observed)
+}
+
+func TestMalformedRowIsNeitherTakenNorBelieved(t *testing.T) {
+	a := newElection(t, "a", 1)
+	for _, value := range []string{"", "{}", `{"token":1}`, `{"token":-1,"duration_ms":1}`} {
+		err := a.ReadDone(0, platform.Row{Key: testSettings.Key, Value: []byte(value), Revision: 3}, nil)
+		require.ErrorIs(t, err, ErrMalformedRecord, value)
+		assert.NotEqual(t, ActionCommit, a.Next(time.Hour).Kind)
+	}
+}
--- /dev/null
+++ b/internal/lease/record.go
@@ -0,0 +1,56 @@
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// ErrMalformedRecord means that the lease's row can't be read, so that the
+// lease can neither be challenged nor taken.
+var ErrMalformedRecord = errors.New("malformed lease record")
+
+// HolderID names one run of one process. Empty means that nobody holds the lease.
+type HolderID string
+
+// NewHolderID joins a node's name to a random nonce of the process, so that a
+// process never takes an earlier run's lease for its own.
+func NewHolderID(node fleet.NodeID, nonce uint64) HolderID {
+	return HolderID(fmt.Sprintf("%s/%016x", node, nonce))
+}
+
+// Record is the value of a lease's row.
+type Record struct {
+	// Holder is empty after a release.
+	Holder HolderID `json:"holder"`
+	// Token rises by one with each change of holder. A release keeps it.
+	Token fleet.FencingToken `json:"token"`
+	// DurationMillis is the time that the holder counts on, in milliseconds.
+	DurationMillis int64 `json:"duration_ms"`
+}
+
+// Duration returns the time that the holder counts on.
+func (r Record) Duration() time.Duration { return time.Duration(r.DurationMillis) * time.Millisecond }
+
+func decodeRecord(value []byte) (Record, error) {
+	var record Record
+	if err := json.Unmarshal(value, &record); err != nil {
+		return Record{}, errors.Wrap(ErrMalformedRecord, err.Error())
+	}
+	if record.Token == 0 || record.DurationMillis <= 0 {
+		return Record{}, errors.Wrapf(ErrMalformedRecord, "token %d, duration %d ms", record.Token, record.DurationMillis)
+	}
+	return record, nil
+}
+
+func encodeRecord(record Record) []byte {
+	value, err := json.Marshal(record)
+	if err != nil {
+		panic(err) // a struct of strings and integers always encodes
+	}
+	return value
+}
--- /dev/null
+++ b/internal/lease/settings.go
@@ -0,0 +1,44 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Defaults of Settings.
+const (
+	DefaultDuration = 6 * time.Second
+	DefaultMargin   = time.Second
+)
+
+// Fractions of a lease's duration.
+const (
+	renewFraction = 3  // a holder renews three times within a duration
+	pollFraction  = 4  // a challenger reads four times within a duration
+	retryFraction = 10 // a holder retries a failed renewal after this part
+)
+
+// Settings sets up an Election.
+type Settings struct {
+	// Key is the lease's row in the table service.
+	Key string
+	// Duration is how long a holder may rely on one renewal, less Margin.
+	Duration time.Duration
+	// Margin covers the differences between the rates of the machines' clocks.
+	Margin time.Duration
+}
+
+// Validate returns an error if the settings can't keep two holders apart.
+func (s Settings) Validate() error {
+	if s.Key == "" {
+		return errors.New("lease needs a key")
+	}
+	if s.Duration < time.Millisecond || s.Duration%time.Millisecond != 0 {
+		return errors.Errorf("lease duration %s isn't a whole number of milliseconds", s.Duration)
+	}
+	if s.Margin <= 0 || s.Margin >= s.Duration/2 {
+		return errors.Errorf("lease margin %s isn't within 0 and half the duration %s", s.Margin, s.Duration)
+	}
+	return nil
+}
