--- a/internal/placement/history.go
+++ b/internal/placement/history.go
@@ -33,8 +33,6 @@
 func newHistory(capacity int) *history {
 	return &history{ring: make([]Explanation, 0, capacity), size: capacity}
 }
-	return &history{ring: make([]Explanation, 0, capacity), size: capacity}
-}
 
 func (h *history) add(explanation Explanation) {
 	if len(h.ring) < h.size {
