Run the stand-ins as processes of tillerlab

Cause: integration tests and the documented commands need engines and the platform as separate processes.

--- a/cmd/tillerlab/main.go
+++ b/cmd/tillerlab/main.go
@@ -1,4 +1,51 @@
-// Command tillerlab runs the stand-ins, the embedded fleet and the experiments.
+// Command tillerlab runs what is not part of the product: stand-ins for the
+// engines and the platform, the embedded fleet, the simulation, the experiments
+// and the capacity measurements.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// commandLine is the command line of the binary.
+type commandLine struct {
+	Engine   engineCommand   `command:"engine" description:"Run an engine stand-in"`
+	Platform platformCommand `command:"platform" description:"Run a platform stand-in"`
+}
+
+func main() {
+	parser := flags.NewNamedParser("tillerlab", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("", "", &commandLine{}); err != nil {
+		panic(err) // a wrong struct tag
+	}
+	_, err := parser.Parse()
+	os.Exit(report(err))
+}
+
+// report prints an error and returns the exit code.
+func report(err error) int {
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Println(usage.Message)
+		return 0
+	case errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, usage.Message)
+		return exitUsage
+	default:
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+}
