--- /dev/null
+++ b/cmd/tillerfall/control.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"github.com/twitchtv/twirp"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/operator"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// operatorFlags are the flags of the commands that ask a router.
+type operatorFlags struct {
+	Router  string        `long:"router" short:"r" default:"127.0.0.1:7700" env:"TILLERFALL_ROUTER" description:"Numeric HOST:PORT of any router"`
+	Token   string        `long:"token" description:"Token that identifies a command across retries; a random one by default"`
+	Expect  uint64        `long:"expect" description:"Revision that the command is based on; 0 accepts any"`
+	JSON    bool          `long:"json" description:"Print the result as JSON"`
+	Timeout time.Duration `long:"timeout" default:"15s" description:"Longest wait for the router"`
+}
+
+// controlCommand runs one statement, from its arguments or standard input.
+type controlCommand struct {
+	operatorFlags
+	Args struct {
+		Words []string `positional-arg-name:"STATEMENT" description:"Statement; standard input if left out"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *controlCommand) Execute([]string) error {
+	statement := strings.Join(c.Args.Words, " ")
+	if statement == "" {
+		input, err := io.ReadAll(io.LimitReader(os.Stdin, operator.MaxStatementBytes))
+		if err != nil {
+			return errors.Wrap(err, "read standard input")
+		}
+		statement = strings.TrimSpace(string(input))
+	}
+	return c.execute(statement)
+}
+
+// applyCommand commits a configuration file.
+type applyCommand struct {
+	operatorFlags
+	Args struct {
+		File string `positional-arg-name:"FILE" description:"Configuration (YAML)"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *applyCommand) Execute([]string) error {
+	source, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return resultcode.New(resultcode.ConfigInvalid, err.Error())
+	}
+	// The YAML begins on the statement's first line, so that the lines of
+	// errors are those of the file.
+	return c.execute("apply " + string(source))
+}
+
+// execute sends a statement to the router and prints the result.
+func (f operatorFlags) execute(statement string) error {
+	token := f.Token
+	if token == "" {
+		token = uuid.NewString()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), f.Timeout)
+	defer cancel()
+	client := rpc.NewOperationsProtobufClient("http://"+f.Router, newOperationsClient())
+	response, err := client.Execute(ctx, &rpc.ExecuteRequest{
+		Header: &rpc.Header{Sender: "ctl"}, Statement: statement, Token: token, ExpectedRevision: f.Expect,
+	})
+	if err != nil {
+		return callFailure(err, token)
+	}
+	return f.print(decodeResult(response))
+}
+
+// newOperationsClient returns a client that never repeats a call by itself.
+func newOperationsClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
+// callFailure tells a call that certainly reached no router from one whose
+// effect is unknown.
+func callFailure(err error, token string) error {
+	var refused twirp.Error
+	if errors.As(err, &refused) && refused.Code() == twirp.Malformed {
+		return resultcode.New(resultcode.StatementSyntax, refused.Msg())
+	}
+	return resultcode.New(resultcode.CommandUncertain,
+		"the router's answer was lost: "+err.Error()+"; a query can be repeated; for a command ask with: lookup "+token)
+}
+
+func decodeResult(response *rpc.ExecuteResponse) operator.Result {
+	result := operator.Result{
+		Code:        resultcode.Code(response.GetCode()),
+		Message:     response.GetMessage(),
+		Token:       response.GetToken(),
+		Revision:    fleet.Revision(response.GetRevision()),
+		ErrorColumn: int(response.GetErrorColumn()),
+	}
+	for _, column := range response.GetColumns() {
+		result.Columns = append(result.Columns, operator.Column{Name: column.GetName()})
+	}
+	for _, row := range response.GetRows() {
+		result.Rows = append(result.Rows, operator.Row(row.GetCells()))
+	}
+	return result
+}
+
+// print writes a result to standard output and returns a failed one as an error.
+func (f operatorFlags) print(result operator.Result) error {
+	if f.JSON {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(result); err != nil {
+			return err
+		}
+	}
+	if result.Code != resultcode.OK {
+		return resultcode.New(result.Code, result.Message)
+	}
+	if f.JSON {
+		return nil
+	}
+	return result.WriteText(os.Stdout)
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -251,6 +251,7 @@
 	assert.Contains(t, result.Message, "weight")
 	assert.Contains(t, result.Message, "max_stream")
 	require.Equal(t, resultcode.OK, f.run("apply "+baseYAML).Code)
+	require.Equal(t, resultcode.OK, f.run("apply "+strings.TrimSpace(baseYAML)).Code, "the first line keeps its indentation")
 	assert.Len(t, f.store.document.Directives, 1)
 }
 
--- a/internal/operator/parse.go
+++ b/internal/operator/parse.go
@@ -51,7 +51,8 @@
 	return statement, nil
 }
 
-// cutApply returns the YAML after the keyword apply.
+// cutApply returns the YAML after the keyword apply and the one space or line
+// break behind it, so that the first line keeps its indentation.
 func cutApply(text string) (string, bool) {
 	rest, found := strings.CutPrefix(strings.TrimLeft(text, " \t\r\n"), applyKeyword)
 	if !found || rest == "" {
@@ -60,7 +61,7 @@
 	if !strings.ContainsAny(rest[:1], " \t\r\n") {
 		return "", false
 	}
-	return rest, true
+	return rest[1:], true
 }
 
 func describe(text string, err error) error {
--- a/internal/operator/query.go
+++ b/internal/operator/query.go
@@ -217,6 +217,8 @@
 
 func formatDuration(duration time.Duration) string { return duration.Round(time.Millisecond).String() }
 
+func formatCost(cost time.Duration) string { return cost.Round(time.Microsecond).String() }
+
 func revisionRows(source Source) []Row {
 	document, known := source.Configuration()
 	if !known {
@@ -242,13 +244,15 @@
 	}
 	result := Result{
 		Message: explanation.Outcome,
-		Columns: columnsOf([]string{"engine", "incarnation", "chosen", "rejected", "cached_blocks", "in_flight", "prefill_tokens", "cost"}),
+		Columns: columnsOf([]string{
+			"engine", "incarnation", "chosen", "rejected", "cached_tokens", "queue", "prefill", "interference", "zone", "recompute",
+		}),
 	}
 	for _, candidate := range explanation.Candidates {
 		result.Rows = append(result.Rows, Row{
 			string(candidate.Run.Engine), formatIncarnation(candidate.Run), strconv.FormatBool(candidate.Chosen), candidate.Rejected,
-			strconv.Itoa(candidate.CachedBlocks), strconv.Itoa(candidate.InFlight), strconv.Itoa(candidate.PrefillTokens),
-			candidate.Cost.Round(time.Microsecond).String(),
+			strconv.Itoa(candidate.CachedTokens), formatCost(candidate.Queue), formatCost(candidate.Prefill),
+			formatCost(candidate.Interference), formatCost(candidate.Zone), formatCost(candidate.Recompute),
 		})
 	}
 	return result
--- a/internal/operator/source.go
+++ b/internal/operator/source.go
@@ -78,10 +78,13 @@
 	Run    fleet.EngineRun
 	Chosen bool
 	// Rejected names the filter that removed the engine; empty if it was scored.
-	Rejected      string
-	CachedBlocks  int
-	InFlight      int
-	PrefillTokens int
-	// Cost is the predicted time to the first token.
-	Cost time.Duration
+	Rejected string
+	// CachedTokens is the part of the prompt expected in the engine's cache.
+	CachedTokens int
+	// Queue, Prefill, Interference, Zone and Recompute are the predicted costs.
+	Queue        time.Duration
+	Prefill      time.Duration
+	Interference time.Duration
+	Zone         time.Duration
+	Recompute    time.Duration
 }
--- /dev/null
+++ b/internal/router/configuration.go
@@ -0,0 +1,101 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/placement"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// learnConfiguration offers a configuration that another node sent. The holder
+// ignores revisions that aren't higher than its own.
+func (r *Router) learnConfiguration(message *rpc.ConfigSnapshot, sender string) {
+	if message == nil || fleet.Revision(message.GetRevision()) <= r.holder.Revision() {
+		return
+	}
+	document, err := config.DocumentFromMessage(message)
+	if err == nil {
+		_, err = r.holder.OfferSnapshot(document)
+	}
+	if err != nil {
+		r.logger.Warn().Str("sender", sender).Uint64("revision", message.GetRevision()).Err(err).Msg("configuration_rejected")
+		return
+	}
+	r.logger.Info().Str("sender", sender).Uint64("revision", message.GetRevision()).Msg("configuration_learned")
+}
+
+// applyConfigurations hands each accepted configuration to the core.
+func (r *Router) applyConfigurations() error {
+	for {
+		updated := r.holder.Updated()
+		if view := r.holder.Current(); view != nil {
+			r.applyConfiguration(view)
+		}
+		select {
+		case <-r.life.Dying():
+			return nil
+		case <-updated:
+		}
+	}
+}
+
+func (r *Router) applyConfiguration(view *config.View) {
+	r.placer.do(func(now time.Duration, core *placement.Core) { core.ApplyConfig(now, view) })
+	r.logger.Info().Uint64("revision", uint64(view.Revision())).Msg("configuration_applied")
+}
+
+// snapshotCache keeps the encoded form of the configuration in force, which
+// many agents ask for after a change.
+type snapshotCache struct {
+	mutex    sync.Mutex
+	revision fleet.Revision
+	message  *rpc.ConfigSnapshot
+}
+
+// encode returns the encoded form of a view; nil for none.
+func (c *snapshotCache) encode(view *config.View, logger zerolog.Logger) *rpc.ConfigSnapshot {
+	if view == nil {
+		return nil
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.message != nil && c.revision == view.Revision() {
+		return c.message
+	}
+	message, err := config.SnapshotMessage(view.Document())
+	if err != nil {
+		logger.Error().Err(err).Msg("configuration_encode_failed")
+		return nil
+	}
+	c.revision = view.Revision()
+	c.message = message
+	return message
+}
+
+func (r *Router) configurationMessage() *rpc.ConfigSnapshot {
+	return r.snapshots.encode(r.holder.Current(), r.logger)
+}
+
+// followConfiguration reads the configuration's head from the table service.
+func (r *Router) followConfiguration() error {
+	interval := time.Duration(r.options.Settings.ConfigurationInterval)
+	return r.pollPlatform("configuration", interval, func(ctx context.Context) error {
+		_, err := r.store.Refresh(ctx, r.holder)
+		return err
+	})
+}
+
+// refreshConfiguration reads the head at once, after a command.
+func (r *Router) refreshConfiguration() {
+	ctx, cancel := context.WithTimeout(r.life.Context(context.Background()), time.Duration(r.options.Settings.Platform.Timeout))
+	defer cancel()
+	if _, err := r.store.Refresh(ctx, r.holder); err != nil {
+		r.logger.Debug().Err(err).Msg("configuration_refresh_failed")
+	}
+}
--- /dev/null
+++ b/internal/router/enginefleet.go
@@ -0,0 +1,178 @@
+package router
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/placement"
+	"github.com/tillerfall/tillerfall/internal/platform"
+)
+
+// needsInterval is the time between two questions to the core which engines
+// want an extra poll.
+const needsInterval = 100 * time.Millisecond
+
+// engineFleet keeps a watcher for each engine that is listed and owned, and
+// tells the core which engines there are.
+type engineFleet struct {
+	node     fleet.NodeID
+	placer   *placer
+	metrics  *metrics
+	settings Settings
+	logger   zerolog.Logger
+
+	mutex    sync.Mutex
+	machines map[fleet.EngineID]platform.Machine
+	watchers map[fleet.EngineID]*engineWatcher
+	routers  []membership.Member
+	stopped  bool
+}
+
+func newEngineFleet(node fleet.NodeID, placer *placer, metrics *metrics, settings Settings, logger zerolog.Logger) *engineFleet {
+	return &engineFleet{
+		node:     node,
+		placer:   placer,
+		metrics:  metrics,
+		settings: settings,
+		logger:   logger,
+		machines: make(map[fleet.EngineID]platform.Machine),
+		watchers: make(map[fleet.EngineID]*engineWatcher),
+	}
+}
+
+// setMachines takes a new list of machines.
+func (f *engineFleet) setMachines(listed []platform.Machine) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	present := make(map[fleet.EngineID]bool, len(listed))
+	for _, machine := range listed {
+		if machine.Kind != platform.MachineEngine {
+			continue
+		}
+		id := fleet.EngineID(machine.ID)
+		present[id] = true
+		f.observeMachine(id, machine)
+	}
+	for id := range f.machines {
+		if !present[id] {
+			f.forgetMachine(id)
+		}
+	}
+	f.reconcile()
+}
+
+func (f *engineFleet) observeMachine(id fleet.EngineID, machine platform.Machine) {
+	if known, found := f.machines[id]; found && known == machine {
+		return
+	}
+	f.machines[id] = machine
+	f.logger.Info().Str("engine", machine.ID).Uint64("incarnation", uint64(machine.Incarnation)).
+		Str("address", string(machine.Address)).Str("state", string(machine.State)).Msg("machine_listed")
+	f.placer.do(func(now time.Duration, core *placement.Core) { core.ObserveMachine(now, machine) })
+}
+
+func (f *engineFleet) forgetMachine(id fleet.EngineID) {
+	delete(f.machines, id)
+	f.logger.Info().Str("engine", string(id)).Msg("machine_gone")
+	f.placer.do(func(now time.Duration, core *placement.Core) { core.ForgetMachine(now, id) })
+}
+
+// setRouters takes a new view of the routers, which share the engines.
+func (f *engineFleet) setRouters(routable []membership.Member) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if slices.Equal(f.routers, routable) {
+		return
+	}
+	f.routers = slices.Clone(routable)
+	routers := f.routers
+	f.placer.do(func(_ time.Duration, core *placement.Core) {
+		core.SetOwned(func(id fleet.EngineID) bool { return f.owns(id, routers) })
+	})
+	f.reconcile()
+}
+
+// owns tells whether this router indexes an engine.
+func (f *engineFleet) owns(id fleet.EngineID, routers []membership.Member) bool {
+	if f.settings.IndexReplicas == 0 || len(routers) == 0 {
+		return true
+	}
+	return slices.Contains(membership.Owners(id, routers, f.settings.IndexReplicas), f.node)
+}
+
+// reconcile starts and stops watchers; the mutex is held.
+func (f *engineFleet) reconcile() {
+	if f.stopped {
+		return
+	}
+	for id, watcher := range f.watchers {
+		machine, listed := f.machines[id]
+		if listed && machine.Address == watcher.address && f.owns(id, f.routers) {
+			continue
+		}
+		delete(f.watchers, id)
+		watcher.stop()
+	}
+	for id, machine := range f.machines {
+		if f.watchers[id] != nil || !f.owns(id, f.routers) {
+			continue
+		}
+		watcher := newEngineWatcher(machine, f.placer, f.metrics, f.settings, f.logger)
+		f.watchers[id] = watcher
+		watcher.start()
+	}
+}
+
+// run passes the core's wishes on to the watchers until dying is closed.
+func (f *engineFleet) run(dying <-chan struct{}) error {
+	ticker := time.NewTicker(needsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-dying:
+			f.stop()
+			return nil
+		case <-ticker.C:
+			f.passNeeds()
+		}
+	}
+}
+
+func (f *engineFleet) passNeeds() {
+	var status, snapshots []fleet.EngineID
+	f.placer.do(func(_ time.Duration, core *placement.Core) {
+		status = core.NeedsStatus()
+		snapshots = core.NeedsSnapshot()
+	})
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, id := range status {
+		if watcher := f.watchers[id]; watcher != nil {
+			notify(watcher.statusWanted)
+		}
+	}
+	for _, id := range snapshots {
+		if watcher := f.watchers[id]; watcher != nil {
+			notify(watcher.snapshotWanted)
+		}
+	}
+}
+
+func (f *engineFleet) stop() {
+	f.mutex.Lock()
+	f.stopped = true
+	watchers := f.watchers
+	f.watchers = make(map[fleet.EngineID]*engineWatcher)
+	f.mutex.Unlock()
+	for _, watcher := range watchers {
+		watcher.life.Kill(nil)
+	}
+	for _, watcher := range watchers {
+		watcher.stop()
+	}
+}
--- /dev/null
+++ b/internal/router/http.go
@@ -0,0 +1,88 @@
+package router
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uptrace/bunrouter"
+
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// Paths besides those of the twirp services.
+const (
+	PathHealth  = "/healthz"
+	PathReady   = "/readyz"
+	PathMetrics = "/metrics"
+)
+
+// Limits of the HTTP server. There is no limit on an answer's time: placement
+// calls wait.
+const (
+	readHeaderTimeout = 5 * time.Second
+	readBodyTimeout   = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 16 << 10
+)
+
+func (r *Router) newServer(handlers ...rpc.TwirpServer) *http.Server {
+	mux := bunrouter.New()
+	mux.GET(PathHealth, bunrouter.HTTPHandlerFunc(r.serveHealth))
+	mux.GET(PathReady, bunrouter.HTTPHandlerFunc(r.serveReady))
+	mux.GET(PathMetrics, bunrouter.HTTPHandler(promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{})))
+	for _, handler := range handlers {
+		mux.POST(handler.PathPrefix()+"*method", bunrouter.HTTPHandler(r.bounded(handler)))
+	}
+	return &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// bounded reads a body of bounded size within a bounded time before the handler
+// begins. The server's own ReadTimeout would go on to run while a placement
+// call waits, and cancel it.
+func (r *Router) bounded(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		controller := http.NewResponseController(writer)
+		_ = controller.SetReadDeadline(time.Now().Add(readBodyTimeout))
+		body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, r.options.Settings.MaxBodyBytes))
+		if err != nil {
+			http.Error(writer, "the body can't be read or is too large", http.StatusRequestEntityTooLarge)
+			return
+		}
+		_ = controller.SetReadDeadline(time.Time{})
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		handler.ServeHTTP(writer, request)
+	})
+}
+
+func (r *Router) serveHealth(writer http.ResponseWriter, _ *http.Request) {
+	_, _ = writer.Write([]byte("ok\n"))
+}
+
+func (r *Router) serveReady(writer http.ResponseWriter, _ *http.Request) {
+	if reason := r.notReady(); reason != "" {
+		http.Error(writer, reason, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = writer.Write([]byte("ready\n"))
+}
+
+// notReady says why the router can't place requests; empty when it can.
+func (r *Router) notReady() string {
+	switch {
+	case r.isStopping():
+		return "stopping"
+	case r.holder.Current() == nil:
+		return "no configuration is known yet"
+	case !r.machines.isKnown():
+		return "no list of machines is known yet"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/router/machinelist.go
@@ -0,0 +1,180 @@
+package router
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/platform"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// machineList is what this router knows of the machines. The platform's list
+// is the authority on which machines exist. Until it has been read, lists that
+// agents and peers remember stand in: an entry that is out of date costs failed
+// status polls and nothing else, since an engine proves its identity itself.
+// It is safe for concurrent use.
+type machineList struct {
+	mutex        sync.Mutex
+	known        bool
+	fromPlatform bool
+	// machines is sorted by ID and replaced as a whole.
+	machines []platform.Machine
+	message  *rpc.MachineList
+	changed  chan struct{}
+}
+
+func newMachineList() *machineList {
+	return &machineList{changed: make(chan struct{}, 1)}
+}
+
+// setFromPlatform takes a list that the platform gave.
+func (l *machineList) setFromPlatform(listed []platform.Machine) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.fromPlatform = true
+	l.replace(l.newest(listed, nil))
+}
+
+// offer takes a list that an agent or peer remembers. It is merged with others
+// until the platform has been heard, and ignored afterwards.
+func (l *machineList) offer(message *rpc.MachineList) {
+	if len(message.GetMachines()) == 0 {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.fromPlatform {
+		return
+	}
+	l.replace(l.newest(decodeMachines(message), l.machines))
+}
+
+// newest returns the newest entry of each machine. A run that was once seen
+// leaving stays so, because a lagging list may show older states again.
+func (l *machineList) newest(listed, others []platform.Machine) []platform.Machine {
+	byID := make(map[string]platform.Machine, len(listed))
+	for _, machine := range slices.Concat(listed, others) {
+		kept, found := byID[machine.ID]
+		if !found || supersedes(machine, kept) {
+			byID[machine.ID] = machine
+		}
+	}
+	for _, machine := range l.machines {
+		if kept, found := byID[machine.ID]; found && supersedes(machine, kept) {
+			byID[machine.ID] = machine
+		}
+	}
+	merged := make([]platform.Machine, 0, len(byID))
+	for _, machine := range byID {
+		merged = append(merged, machine)
+	}
+	slices.SortFunc(merged, func(a, b platform.Machine) int { return cmp.Compare(a.ID, b.ID) })
+	return merged
+}
+
+func supersedes(machine, other platform.Machine) bool {
+	if machine.Incarnation != other.Incarnation {
+		return machine.Incarnation > other.Incarnation
+	}
+	return machine.State == platform.MachineLeaving && other.State != platform.MachineLeaving
+}
+
+// replace puts a list in place; the mutex is held.
+func (l *machineList) replace(machines []platform.Machine) {
+	if l.known && slices.Equal(l.machines, machines) {
+		return
+	}
+	l.known = true
+	l.machines = machines
+	l.message = encodeMachines(machines)
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
+}
+
+// isKnown tells whether a list has been seen from any source.
+func (l *machineList) isKnown() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.known
+}
+
+// current returns the list, which must not be written to.
+func (l *machineList) current() []platform.Machine {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.machines
+}
+
+// encoded returns the list for other nodes, or nil if none is known. It must
+// not be written to.
+func (l *machineList) encoded() *rpc.MachineList {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.message
+}
+
+func encodeMachines(machines []platform.Machine) *rpc.MachineList {
+	message := &rpc.MachineList{}
+	digest := xxhash.New()
+	for _, machine := range machines {
+		if machine.Kind != platform.MachineEngine {
+			continue
+		}
+		message.Machines = append(message.Machines, &rpc.Machine{
+			Id:          machine.ID,
+			Address:     string(machine.Address),
+			Region:      string(machine.Region),
+			Zone:        string(machine.Zone),
+			Pool:        string(machine.Pool),
+			Incarnation: uint64(machine.Incarnation),
+			Leaving:     machine.State == platform.MachineLeaving,
+		})
+		digestMachine(digest, machine)
+	}
+	message.Digest = max(digest.Sum64(), 1)
+	return message
+}
+
+// digestMachine adds one machine; a separator keeps adjacent fields apart.
+func digestMachine(digest *xxhash.Digest, machine platform.Machine) {
+	const separator = "\x00"
+	for _, field := range []string{
+		machine.ID, string(machine.Address), string(machine.Region), string(machine.Zone), string(machine.Pool), string(machine.State),
+	} {
+		_, _ = digest.WriteString(field + separator)
+	}
+	var incarnation [8]byte
+	binary.LittleEndian.PutUint64(incarnation[:], uint64(machine.Incarnation))
+	_, _ = digest.Write(incarnation[:])
+}
+
+func decodeMachines(message *rpc.MachineList) []platform.Machine {
+	machines := make([]platform.Machine, 0, len(message.GetMachines()))
+	for _, machine := range message.GetMachines() {
+		if machine.GetId() == "" || machine.GetAddress() == "" {
+			continue
+		}
+		state := platform.MachineLive
+		if machine.GetLeaving() {
+			state = platform.MachineLeaving
+		}
+		machines = append(machines, platform.Machine{
+			ID:          machine.GetId(),
+			Kind:        platform.MachineEngine,
+			Address:     fleet.Address(machine.GetAddress()),
+			Region:      fleet.RegionName(machine.GetRegion()),
+			Zone:        fleet.ZoneName(machine.GetZone()),
+			Pool:        fleet.PoolName(machine.GetPool()),
+			Incarnation: fleet.Incarnation(machine.GetIncarnation()),
+			State:       state,
+		})
+	}
+	return machines
+}
--- /dev/null
+++ b/internal/router/message.go
@@ -0,0 +1,128 @@
+package router
+
+import (
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/placement"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// maxBlockHashes bounds the hashes of one message: a prompt of a million
+// tokens in blocks of sixteen.
+const maxBlockHashes = 1 << 16
+
+// decodePlace reads a placement request from its transmitted form.
+func decodePlace(message *rpc.PlaceRequest) (placement.Request, error) {
+	switch {
+	case message.GetRequestId() == "":
+		return placement.Request{}, twirp.RequiredArgumentError("request_id")
+	case message.GetAttempt() == 0:
+		return placement.Request{}, twirp.InvalidArgumentError("attempt", "must be positive")
+	case len(message.GetBlockHashes()) > maxBlockHashes:
+		return placement.Request{}, twirp.InvalidArgumentError("block_hashes", "too many")
+	}
+	request := placement.Request{
+		Key:                keyOf(message.GetRequestId(), message.GetAttempt()),
+		Tenant:             fleet.TenantName(message.GetTenant()),
+		Weights:            decodeWeights(message.GetWeights()),
+		Class:              fleet.ClassName(message.GetClass()),
+		PromptTokens:       int(message.GetPromptTokens()),
+		MaxTokens:          int(message.GetMaxTokens()),
+		Blocks:             make([]fleet.BlockHash, 0, len(message.GetBlockHashes())),
+		Deadline:           time.Duration(message.GetDeadlineMillis()) * time.Millisecond,
+		ContinuationTokens: int(message.GetContinuationTokens()),
+		AgentZone:          fleet.ZoneName(message.GetAgentZone()),
+		Hops:               int(message.GetHops()),
+		KnownRevision:      fleet.Revision(message.GetHeader().GetKnownRevision()),
+	}
+	for _, hash := range message.GetBlockHashes() {
+		request.Blocks = append(request.Blocks, fleet.BlockHash(hash))
+	}
+	for _, run := range message.GetExcluded() {
+		request.Excluded = append(request.Excluded, decodeRun(run))
+	}
+	return request, nil
+}
+
+func keyOf(request string, attempt uint32) placement.Key {
+	return placement.Key{Request: fleet.RequestID(request), Attempt: fleet.Attempt(attempt)}
+}
+
+func decodeWeights(message *rpc.Weights) fleet.Weights {
+	return fleet.Weights{
+		Model:   fleet.ModelName(message.GetModel()),
+		Adapter: fleet.AdapterName(message.GetAdapter()),
+		Version: fleet.VersionName(message.GetVersion()),
+	}
+}
+
+func decodeRun(message *rpc.EngineRun) fleet.EngineRun {
+	return fleet.EngineRun{
+		Engine:      fleet.EngineID(message.GetEngine()),
+		Incarnation: fleet.Incarnation(message.GetIncarnation()),
+	}
+}
+
+func encodeRun(run fleet.EngineRun) *rpc.EngineRun {
+	return &rpc.EngineRun{Engine: string(run.Engine), Incarnation: uint64(run.Incarnation)}
+}
+
+// encodeOutcome fills a response with an outcome; routers is where a request
+// that is handed back may go.
+func encodeOutcome(response *rpc.PlaceResponse, outcome placement.Outcome, routers []string) {
+	switch outcome := outcome.(type) {
+	case placement.Grant:
+		response.Outcome = &rpc.PlaceResponse_Grant{Grant: encodeGrant(outcome)}
+	case placement.Refusal:
+		response.Outcome = &rpc.PlaceResponse_Refusal{Refusal: &rpc.Refusal{
+			Code:             uint32(outcome.Code),
+			Reason:           outcome.Reason,
+			RetryAfterMillis: millis(outcome.RetryAfter),
+		}}
+	case placement.HandBack:
+		response.Outcome = &rpc.PlaceResponse_HandBack{HandBack: &rpc.HandBack{
+			Reason:  string(outcome.Reason),
+			Routers: routers,
+		}}
+	}
+}
+
+func encodeGrant(grant placement.Grant) *rpc.Grant {
+	return &rpc.Grant{
+		Run:                  encodeRun(grant.Run),
+		Address:              string(grant.Address),
+		Priority:             int32(grant.Priority),
+		ExpectedCachedTokens: uint32(max(grant.ExpectedCachedTokens, 0)),
+		ValidMillis:          millis(grant.ValidFor),
+		BlockTokens:          uint32(grant.BlockTokens),
+	}
+}
+
+// millis rounds up, so that a wait is never told shorter than it is.
+func millis(duration time.Duration) uint32 {
+	return uint32(max((duration+time.Millisecond-1)/time.Millisecond, 0))
+}
+
+var phases = map[rpc.AttemptPhase]placement.Phase{
+	rpc.AttemptPhase_ATTEMPT_PHASE_ACCEPTED:    placement.PhaseAccepted,
+	rpc.AttemptPhase_ATTEMPT_PHASE_FIRST_TOKEN: placement.PhaseFirstToken,
+	rpc.AttemptPhase_ATTEMPT_PHASE_FINISHED:    placement.PhaseFinished,
+	rpc.AttemptPhase_ATTEMPT_PHASE_FAILED:      placement.PhaseFailed,
+	rpc.AttemptPhase_ATTEMPT_PHASE_ABANDONED:   placement.PhaseAbandoned,
+}
+
+// decodeReport reads a report; false means that its phase is unknown.
+func decodeReport(message *rpc.AttemptReport) (placement.AttemptReport, bool) {
+	phase, known := phases[message.GetPhase()]
+	return placement.AttemptReport{
+		Key:          keyOf(message.GetRequestId(), message.GetAttempt()),
+		Run:          decodeRun(message.GetRun()),
+		Phase:        phase,
+		CachedTokens: int(message.GetCachedTokens()),
+		OutputTokens: int(message.GetOutputTokens()),
+		EngineLost:   message.GetEngineLost(),
+	}, known
+}
--- /dev/null
+++ b/internal/router/operationsserver.go
@@ -0,0 +1,97 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/operator"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// operationsServer answers operators.
+type operationsServer struct {
+	router  *Router
+	runner  *operator.Runner
+	timeout time.Duration
+	logger  zerolog.Logger
+}
+
+var _ rpc.Operations = (*operationsServer)(nil)
+
+// maxLoggedStatement bounds the part of a statement that is logged.
+const maxLoggedStatement = 200
+
+// Execute implements rpc.Operations. A command goes on when its caller is gone,
+// so that its outcome is recorded under its token.
+func (s *operationsServer) Execute(ctx context.Context, message *rpc.ExecuteRequest) (*rpc.ExecuteResponse, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.timeout)
+	defer cancel()
+	result := s.runner.Run(ctx, operator.Request{
+		Statement:        message.GetStatement(),
+		Token:            message.GetToken(),
+		ExpectedRevision: fleet.Revision(message.GetExpectedRevision()),
+	})
+	statement := message.GetStatement()
+	s.logger.Info().Str("statement", statement[:min(len(statement), maxLoggedStatement)]).Str("token", result.Token).
+		Uint32("code", uint32(result.Code)).Uint64("revision", uint64(result.Revision)).Msg("statement_executed")
+	return encodeResult(s.router.header(), result), nil
+}
+
+func encodeResult(header *rpc.Header, result operator.Result) *rpc.ExecuteResponse {
+	response := &rpc.ExecuteResponse{
+		Header:      header,
+		Code:        uint32(result.Code),
+		Message:     result.Message,
+		Revision:    uint64(result.Revision),
+		ErrorColumn: uint32(result.ErrorColumn),
+		Token:       result.Token,
+	}
+	for _, column := range result.Columns {
+		response.Columns = append(response.Columns, &rpc.Column{Name: column.Name})
+	}
+	for _, row := range result.Rows {
+		response.Rows = append(response.Rows, &rpc.ResultRow{Cells: row})
+	}
+	return response
+}
+
+// commandStore commits operators' commands to the table service and brings this
+// router's own configuration up to date with them.
+type commandStore struct {
+	store   *config.Store
+	refresh func()
+}
+
+var _ operator.Store = (*commandStore)(nil)
+
+// Commit implements operator.Store.
+func (s *commandStore) Commit(ctx context.Context, change operator.Change) (operator.Outcome, error) {
+	outcome, err := s.store.Commit(ctx, config.CommitRequest{
+		Token:            change.Token,
+		ExpectedRevision: change.ExpectedRevision,
+		Statement:        change.Statement,
+		Mutate:           change.Mutate,
+	})
+	s.refresh()
+	if err != nil {
+		return operator.Outcome{}, err
+	}
+	return decodeOutcome(outcome), nil
+}
+
+// Lookup implements operator.Store.
+func (s *commandStore) Lookup(ctx context.Context, token string) (operator.Outcome, bool, error) {
+	outcome, found, err := s.store.Lookup(ctx, token)
+	if err != nil || !found {
+		return operator.Outcome{}, false, err
+	}
+	return decodeOutcome(outcome), true, nil
+}
+
+func decodeOutcome(outcome config.Outcome) operator.Outcome {
+	return operator.Outcome{Code: outcome.Code, Revision: outcome.Revision, Message: outcome.Message}
+}
--- /dev/null
+++ b/internal/router/placementserver.go
@@ -0,0 +1,95 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/twitchtv/twirp"
+
+	"github.com/tillerfall/tillerfall/internal/placement"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// maxHandBackRouters bounds the routers that a hand-back names.
+const maxHandBackRouters = 4
+
+// placementServer answers agents.
+type placementServer struct {
+	router *Router
+	logger zerolog.Logger
+}
+
+var _ rpc.Placement = (*placementServer)(nil)
+
+// Place implements rpc.Placement. It waits for the core's outcome; a call that
+// the agent cancels withdraws the request.
+func (s *placementServer) Place(ctx context.Context, message *rpc.PlaceRequest) (*rpc.PlaceResponse, error) {
+	request, err := decodePlace(message)
+	if err != nil {
+		return nil, err
+	}
+	started := s.router.clock.Now()
+	outcome, err := s.router.placer.place(ctx, request)
+	waited := s.router.clock.Now() - started
+	if err != nil {
+		s.logger.Info().Str("request", message.GetRequestId()).Uint32("attempt", message.GetAttempt()).
+			Dur("waited_ms", waited).Err(err).Msg("place_withdrawn")
+		return nil, twirp.Canceled.Error(err.Error())
+	}
+	s.logOutcome(request, outcome, waited)
+	response := &rpc.PlaceResponse{
+		Header:    s.router.header(),
+		RequestId: message.GetRequestId(),
+		Attempt:   message.GetAttempt(),
+	}
+	encodeOutcome(response, outcome, s.router.otherRouters(maxHandBackRouters))
+	return response, nil
+}
+
+func (s *placementServer) logOutcome(request placement.Request, outcome placement.Outcome, waited time.Duration) {
+	event := s.logger.Info().Str("request", string(request.Key.Request)).Uint32("attempt", uint32(request.Key.Attempt)).
+		Str("tenant", string(request.Tenant)).Str("class", string(request.Class)).Dur("waited_ms", waited)
+	switch outcome := outcome.(type) {
+	case placement.Grant:
+		event.Str("engine", string(outcome.Run.Engine)).Uint64("incarnation", uint64(outcome.Run.Incarnation)).
+			Int("expected_cached_tokens", outcome.ExpectedCachedTokens).Msg("place_granted")
+	case placement.Refusal:
+		event.Uint32("code", uint32(outcome.Code)).Str("reason", outcome.Reason).
+			Dur("retry_after_ms", outcome.RetryAfter).Msg("place_refused")
+	case placement.HandBack:
+		event.Str("reason", string(outcome.Reason)).Msg("place_handed_back")
+	}
+}
+
+// Report implements rpc.Placement.
+func (s *placementServer) Report(_ context.Context, message *rpc.ReportRequest) (*rpc.ReportResponse, error) {
+	s.router.placer.do(func(now time.Duration, core *placement.Core) {
+		for _, encoded := range message.GetReports() {
+			if report, known := decodeReport(encoded); known {
+				core.Report(now, report)
+			}
+		}
+	})
+	return &rpc.ReportResponse{Header: s.router.header()}, nil
+}
+
+// Sync implements rpc.Placement. Configuration and machine list go to the side
+// that lacks them.
+func (s *placementServer) Sync(_ context.Context, message *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	s.router.learnConfiguration(message.GetConfig(), message.GetHeader().GetSender())
+	s.router.machines.offer(message.GetMachines())
+	response := &rpc.SyncResponse{
+		Header:         s.router.header(),
+		Members:        s.router.routableMembers(),
+		Stopping:       s.router.isStopping(),
+		MachinesWanted: !s.router.machines.isKnown(),
+	}
+	if known := message.GetHeader().GetKnownRevision(); known < response.GetHeader().GetKnownRevision() {
+		response.Config = s.router.configurationMessage()
+	}
+	if machines := s.router.machines.encoded(); machines.GetDigest() != message.GetMachinesDigest() {
+		response.Machines = machines
+	}
+	return response, nil
+}
--- /dev/null
+++ b/internal/router/placer.go
@@ -0,0 +1,218 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/placement"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+)
+
+// errSuperseded ends a call whose attempt was asked for again: the agent has
+// given the earlier call up.
+var errSuperseded = errors.New("superseded by a later call for the same attempt")
+
+// overloadedRetryAfter is when an agent should come back after a refusal for
+// too many open calls.
+const overloadedRetryAfter = time.Second
+
+// openCall is one placement call that waits for its outcome.
+type openCall struct {
+	request   placement.Request
+	submitted time.Duration
+	// outcome is closed without a value when the call is superseded.
+	outcome chan placement.Outcome
+}
+
+// placer guards the placement core by a mutex, gives outcomes to the calls that
+// wait for them and wakes the core when something is due.
+type placer struct {
+	clock    fleet.Clock
+	metrics  *metrics
+	maxCalls int
+	// wake tells the timer that something is due earlier than it knows.
+	wake chan struct{}
+
+	mutex sync.Mutex
+	core  *placement.Core
+	calls map[placement.Key]*openCall
+	// recent remembers the blocks of late requests for operators.
+	recent *recentRequests
+	nextAt time.Duration
+	armed  bool
+}
+
+func newPlacer(core *placement.Core, clock fleet.Clock, metrics *metrics, maxCalls int) *placer {
+	return &placer{
+		clock:    clock,
+		metrics:  metrics,
+		maxCalls: maxCalls,
+		wake:     make(chan struct{}, 1),
+		core:     core,
+		calls:    make(map[placement.Key]*openCall),
+		recent:   newRecentRequests(),
+	}
+}
+
+// do runs a step on the core and delivers the outcomes that it gave.
+func (p *placer) do(step func(now time.Duration, core *placement.Core)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.step(step)
+}
+
+// step is do with the mutex held.
+func (p *placer) step(step func(now time.Duration, core *placement.Core)) {
+	now := p.clock.Now()
+	step(now, p.core)
+	for _, outcome := range p.core.TakeOutcomes() {
+		p.deliver(now, outcome)
+	}
+	p.arm()
+}
+
+func (p *placer) deliver(now time.Duration, outcome placement.Outcome) {
+	key := outcome.OutcomeKey()
+	call := p.calls[key]
+	if call == nil {
+		p.abandon(now, outcome)
+		return
+	}
+	delete(p.calls, key)
+	p.metrics.observeOutcome(call.request.Class, outcome, now-call.submitted)
+	call.outcome <- outcome
+}
+
+// abandon gives back a grant that nobody waits for.
+func (p *placer) abandon(now time.Duration, outcome placement.Outcome) {
+	grant, granted := outcome.(placement.Grant)
+	if !granted {
+		return
+	}
+	p.core.Report(now, placement.AttemptReport{Key: grant.Key, Run: grant.Run, Phase: placement.PhaseAbandoned})
+}
+
+// arm wakes the timer if the core is due earlier than the timer knows.
+func (p *placer) arm() {
+	at, due := p.core.NextWake()
+	if !due || (p.armed && p.nextAt <= at) {
+		return
+	}
+	p.armed = true
+	p.nextAt = at
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run ticks the core when something is due, until dying is closed.
+func (p *placer) run(dying <-chan struct{}) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-dying:
+			return nil
+		case <-p.wake:
+		case <-timer.C:
+		}
+		timer.Reset(p.tick())
+	}
+}
+
+// idleTick is the longest time between two ticks.
+const idleTick = time.Second
+
+// tick does what is due and returns the time until the next tick.
+func (p *placer) tick() time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.step(func(now time.Duration, core *placement.Core) {
+		if at, due := core.NextWake(); due && at <= now {
+			core.Tick(now)
+		}
+	})
+	at, due := p.core.NextWake()
+	p.armed = due
+	p.nextAt = at
+	if !due {
+		return idleTick
+	}
+	return min(max(at-p.clock.Now(), time.Millisecond), idleTick)
+}
+
+// place submits a request and waits for its outcome. When the context ends
+// first, the request is withdrawn, or its grant given back.
+func (p *placer) place(ctx context.Context, request placement.Request) (placement.Outcome, error) {
+	call := p.submit(request)
+	select {
+	case outcome, delivered := <-call.outcome:
+		if !delivered {
+			return nil, errSuperseded
+		}
+		return outcome, nil
+	case <-ctx.Done():
+		p.withdraw(call)
+		return nil, ctx.Err()
+	}
+}
+
+func (p *placer) submit(request placement.Request) *openCall {
+	call := &openCall{request: request, outcome: make(chan placement.Outcome, 1)}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if earlier := p.calls[request.Key]; earlier != nil {
+		close(earlier.outcome)
+		delete(p.calls, request.Key)
+	}
+	if len(p.calls) >= p.maxCalls {
+		refusal := placement.Refusal{
+			Key: request.Key, Code: resultcode.Overloaded,
+			Reason: "too many requests wait at this router", RetryAfter: overloadedRetryAfter,
+		}
+		p.metrics.observeOutcome(request.Class, refusal, 0)
+		call.outcome <- refusal
+		return call
+	}
+	p.calls[request.Key] = call
+	p.recent.add(request.Key.Request, request.Blocks)
+	p.step(func(now time.Duration, core *placement.Core) {
+		call.submitted = now
+		started := time.Now()
+		core.Submit(now, request)
+		p.metrics.decisionTime.Observe(time.Since(started).Seconds())
+	})
+	return call
+}
+
+// withdraw takes back a call whose agent is gone.
+func (p *placer) withdraw(call *openCall) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	key := call.request.Key
+	if p.calls[key] == call {
+		delete(p.calls, key)
+		p.step(func(now time.Duration, core *placement.Core) { core.Withdraw(now, key) })
+		p.metrics.withdrawn.Inc()
+		return
+	}
+	select {
+	case outcome, delivered := <-call.outcome:
+		if delivered {
+			p.step(func(now time.Duration, _ *placement.Core) { p.abandon(now, outcome) })
+		}
+	default:
+	}
+}
+
+// openCalls returns the number of calls that wait.
+func (p *placer) openCalls() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.calls)
+}
--- /dev/null
+++ b/internal/router/platformpoll.go
@@ -0,0 +1,77 @@
+package router
+
+import (
+	"context"
+	"time"
+)
+
+// Pauses after failed calls to the platform, which is rate-limited and may be
+// down for long: they grow to the second bound.
+const (
+	minPlatformBackoff = 500 * time.Millisecond
+	maxPlatformBackoff = 30 * time.Second
+)
+
+// pollMachines reads the list of machines until the router stops.
+func (r *Router) pollMachines() error {
+	return r.pollPlatform("machines", time.Duration(r.options.Settings.MachineInterval), func(ctx context.Context) error {
+		machines, err := r.options.Machines.ListMachines(ctx)
+		if err == nil {
+			r.machines.setFromPlatform(machines)
+		}
+		return err
+	})
+}
+
+// followMachines hands each new list of machines on.
+func (r *Router) followMachines() error {
+	for {
+		select {
+		case <-r.life.Dying():
+			return nil
+		case <-r.machines.changed:
+			r.engines.setMachines(r.machines.current())
+		}
+	}
+}
+
+// pollPlatform repeats a read at a mean interval, with jitter, and backs off
+// while it fails.
+func (r *Router) pollPlatform(call string, interval time.Duration, read func(context.Context) error) error {
+	pauses := newBackoff(minPlatformBackoff, maxPlatformBackoff)
+	failing := false
+	for {
+		ctx, cancel := context.WithTimeout(r.life.Context(context.Background()), time.Duration(r.options.Settings.Platform.Timeout))
+		err := read(ctx)
+		cancel()
+		pause := jitter(interval)
+		if err != nil && r.life.Alive() {
+			r.metrics.platformErrors.WithLabelValues(call).Inc()
+			pause = max(pauses.NextBackOff(), pause)
+			if !failing {
+				r.logger.Warn().Str("call", call).Err(err).Msg("platform_failed")
+			}
+		} else {
+			pauses.Reset()
+			if failing {
+				r.logger.Info().Str("call", call).Msg("platform_recovered")
+			}
+		}
+		failing = err != nil
+		if !r.sleep(pause) {
+			return nil
+		}
+	}
+}
+
+// sleep waits and tells whether the router goes on.
+func (r *Router) sleep(pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-r.life.Dying():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,254 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/operator"
+	"github.com/tillerfall/tillerfall/internal/placement"
+	"github.com/tillerfall/tillerfall/internal/platform"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// Options sets up a Router.
+type Options struct {
+	Settings Settings
+	Logger   zerolog.Logger
+	// Version is the version of the program, for operators.
+	Version string
+	// Tables, Objects and Machines are the platform's services; nil means the
+	// platform of the settings.
+	Tables   platform.Tables
+	Objects  platform.Objects
+	Machines platform.Machines
+}
+
+// Router is one router process.
+type Router struct {
+	options   Options
+	node      fleet.NodeID
+	clock     fleet.Clock
+	logger    zerolog.Logger
+	metrics   *metrics
+	placer    *placer
+	engines   *engineFleet
+	machines  *machineList
+	holder    *config.Holder
+	store     *config.Store
+	snapshots snapshotCache
+
+	address  fleet.Address
+	listener net.Listener
+	server   *http.Server
+	peers    *peers
+	rollout  *rolloutRunner
+
+	life     tomb.Tomb
+	stopping atomic.Bool
+	stopOnce sync.Once
+	stopErr  error
+}
+
+// New returns a router that hasn't started.
+func New(options Options) *Router {
+	node := options.Settings.Node.NewNodeID()
+	if options.Tables == nil {
+		client := platform.NewClient(platform.ClientOptions{
+			Address: options.Settings.Platform.Address,
+			Timeout: time.Duration(options.Settings.Platform.Timeout),
+		})
+		options.Tables, options.Objects, options.Machines = client, client, client
+	}
+	clock := fleet.NewClock()
+	metrics := newMetrics()
+	core := placement.New(placement.Options{Node: node, Zone: options.Settings.Node.Zone, Random: newRandom()})
+	placer := newPlacer(core, clock, metrics, options.Settings.MaxWaitingCalls)
+	metrics.registry.MustRegister(collector{placer: placer})
+	return &Router{
+		options:  options,
+		node:     node,
+		clock:    clock,
+		logger:   options.Logger,
+		metrics:  metrics,
+		placer:   placer,
+		engines:  newEngineFleet(node, placer, metrics, options.Settings, options.Logger),
+		machines: newMachineList(),
+		holder:   config.NewHolder(),
+		store:    config.NewStore(options.Tables, options.Objects, config.StoreOptions{}),
+	}
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// Start listens and begins to serve. It returns once the router's address is
+// known; readiness follows when configuration and machines are known.
+func (r *Router) Start() error {
+	listener, err := net.Listen("tcp", string(r.options.Settings.Node.Address))
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	r.listener = listener
+	r.address = fleet.Address(listener.Addr().String())
+	if err := r.startParts(); err != nil {
+		_ = listener.Close()
+		return err
+	}
+	r.life.Go(r.run)
+	r.logger.Info().Str("address", string(r.address)).Str("version", r.options.Version).Msg("router_started")
+	return nil
+}
+
+func (r *Router) startParts() error {
+	var err error
+	if r.rollout, err = newRolloutRunner(r); err != nil {
+		return err
+	}
+	if r.peers, err = newPeers(r); err != nil {
+		return err
+	}
+	r.server = r.newServer(
+		rpc.NewPlacementServer(&placementServer{router: r, logger: r.logger}),
+		rpc.NewOperationsServer(r.newOperationsServer()),
+		rpc.NewPeerServer(r.peers.server()),
+	)
+	return nil
+}
+
+func (r *Router) newOperationsServer() *operationsServer {
+	store := &commandStore{store: r.store, refresh: r.refreshConfiguration}
+	return &operationsServer{
+		router:  r,
+		runner:  operator.NewRunner(operatorSource{router: r}, store, r.rollout),
+		timeout: time.Duration(r.options.Settings.CommandTimeout),
+		logger:  r.logger,
+	}
+}
+
+// run starts the goroutines of the router.
+func (r *Router) run() error {
+	r.life.Go(r.serve)
+	r.life.Go(func() error { return r.placer.run(r.life.Dying()) })
+	r.life.Go(func() error { return r.engines.run(r.life.Dying()) })
+	r.life.Go(r.pollMachines)
+	r.life.Go(r.followMachines)
+	r.life.Go(r.followConfiguration)
+	r.life.Go(r.applyConfigurations)
+	r.life.Go(r.followMembers)
+	r.peers.start()
+	r.rollout.start()
+	return nil
+}
+
+func (r *Router) serve() error {
+	err := r.server.Serve(r.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve")
+}
+
+// Address returns the address that the router listens on, after Start.
+func (r *Router) Address() fleet.Address { return r.address }
+
+// Node returns the identifier of this run.
+func (r *Router) Node() fleet.NodeID { return r.node }
+
+// Ready tells whether the router can place requests.
+func (r *Router) Ready() bool { return r.notReady() == "" }
+
+// Dead is closed when the router has ended, by itself or by Stop.
+func (r *Router) Dead() <-chan struct{} { return r.life.Dead() }
+
+// Err returns why the router ended; nil after a planned stop.
+func (r *Router) Err() error { return r.life.Err() }
+
+func (r *Router) isStopping() bool { return r.stopping.Load() }
+
+// Stop stops the router as planned: not ready, out of the membership, waiting
+// requests handed back, open calls answered, lease released. It takes no
+// longer than the settings allow, whatever peers and platform do. Further
+// calls wait for the first.
+func (r *Router) Stop() error {
+	r.stopOnce.Do(func() { r.stopErr = r.stop() })
+	return r.stopErr
+}
+
+func (r *Router) stop() error {
+	r.stopping.Store(true)
+	r.logger.Info().Int("waiting", r.placer.openCalls()).Msg("router_stopping")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(r.options.Settings.StopTimeout))
+	defer cancel()
+	r.placer.do(func(now time.Duration, core *placement.Core) { core.Drain(now) })
+	var parts sync.WaitGroup
+	parts.Go(r.peers.leave)
+	parts.Go(r.rollout.stop)
+	parts.Go(func() { r.stopServer(ctx) })
+	waitFor(ctx, &parts)
+	r.life.Kill(nil)
+	r.peers.stop()
+	err := r.life.Wait()
+	r.logger.Info().Msg("router_stopped")
+	return err
+}
+
+// stopServer answers the open calls and closes what is left at the time limit.
+func (r *Router) stopServer(ctx context.Context) {
+	if err := r.server.Shutdown(ctx); err != nil {
+		r.logger.Warn().Err(err).Msg("open_calls_cut")
+		_ = r.server.Close()
+	}
+}
+
+// waitFor waits for the parts or until the context ends.
+func waitFor(ctx context.Context, parts *sync.WaitGroup) {
+	done := make(chan struct{})
+	go func() {
+		parts.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func (r *Router) header() *rpc.Header {
+	return &rpc.Header{Sender: string(r.node), KnownRevision: uint64(r.holder.Revision())}
+}
+
+// routableMembers lists the routers that agents may use.
+func (r *Router) routableMembers() []*rpc.Member {
+	var members []*rpc.Member
+	for _, member := range r.peers.View().Routable() {
+		members = append(members, membership.EncodeMember(member))
+	}
+	return members
+}
+
+// otherRouters names up to limit routers besides this one, those of its zone first.
+func (r *Router) otherRouters(limit int) []string {
+	var near, far []string
+	for _, member := range r.peers.View().Routable() {
+		switch {
+		case member.Node == r.node:
+		case member.Zone == r.options.Settings.Node.Zone:
+			near = append(near, string(member.Node))
+		default:
+			far = append(far, string(member.Node))
+		}
+	}
+	all := append(near, far...)
+	return all[:min(len(all), limit)]
+}
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,197 @@
+package router
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/placement"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/lab/standin/platformserver"
+)
+
+func TestPlaceGrantsAnEngine(t *testing.T) {
+	f := newTestFleet(t, 2)
+	f.commitConfiguration()
+	r := f.startReadyRouter("r")
+	response := place(t, r, "q1")
+	grant := response.GetGrant()
+	require.NotNil(t, grant, "%v", response)
+	assert.Equal(t, "q1", response.GetRequestId())
+	assert.Equal(t, uint64(1), response.GetHeader().GetKnownRevision())
+	assert.Equal(t, uint32(16), grant.GetBlockTokens())
+	assert.Equal(t, uint64(1), grant.GetRun().GetIncarnation())
+	explained := execute(t, r, "explain q1")
+	assert.Contains(t, explained.GetMessage(), "granted "+grant.GetRun().GetEngine())
+	assert.Len(t, explained.GetRows(), 2)
+}
+
+func TestMalformedPlaceIsRefused(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.commitConfiguration()
+	r := f.startReadyRouter("r")
+	_, err := placementClient(r).Place(context.Background(), &rpc.PlaceRequest{})
+	require.Error(t, err)
+	unknown := placeRequest("q")
+	unknown.Weights.Model = "unknown"
+	response, err := placementClient(r).Place(context.Background(), unknown)
+	require.NoError(t, err)
+	assert.Equal(t, uint32(resultcode.StaleWeights), response.GetRefusal().GetCode())
+	assert.NotNil(t, place(t, r, "next").GetGrant(), "the router goes on")
+}
+
+func TestCancelledCallGivesItsPlaceBack(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.commitConfiguration()
+	r := f.startReadyRouter("r")
+	granted := f.fill(r)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancelled := placeAsync(ctx, r, "gone")
+	require.Eventually(t, func() bool { return r.placer.openCalls() == 1 }, patience, pollTime)
+	listed := execute(t, r, "show waiting tenant ward")
+	require.Len(t, listed.GetRows(), 1)
+	assert.Equal(t, "gone", listed.GetRows()[0].GetCells()[0])
+	cancel()
+	require.Nil(t, <-cancelled)
+	require.Eventually(t, func() bool { return r.placer.snapshot().WaitingRequests == 0 }, patience, pollTime)
+	waiting := placeAsync(context.Background(), r, "stays")
+	reportPhase(t, r, granted[0], rpc.AttemptPhase_ATTEMPT_PHASE_FINISHED)
+	assert.NotNil(t, (<-waiting).GetGrant())
+}
+
+func TestSupersededCallLeavesTheRequestToTheLaterOne(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.commitConfiguration()
+	r := f.startReadyRouter("r")
+	granted := f.fill(r)
+	earlier := placeAsync(context.Background(), r, "twice")
+	require.Eventually(t, func() bool { return r.placer.openCalls() == 1 }, patience, pollTime)
+	later := placeAsync(context.Background(), r, "twice")
+	require.Nil(t, <-earlier)
+	reportPhase(t, r, granted[0], rpc.AttemptPhase_ATTEMPT_PHASE_FINISHED)
+	assert.NotNil(t, (<-later).GetGrant())
+}
+
+func TestUndeliveredGrantIsGivenBack(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.commitConfiguration()
+	r := f.startReadyRouter("r")
+	request, err := decodePlace(placeRequest("q"))
+	require.NoError(t, err)
+	call := r.placer.submit(request)
+	require.Len(t, call.outcome, 1)
+	require.Equal(t, 1, r.placer.snapshot().InFlight)
+	r.placer.withdraw(call)
+	assert.Zero(t, r.placer.snapshot().InFlight)
+}
+
+func TestStopHandsWaitingRequestsBack(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.commitConfiguration()
+	r := f.startReadyRouter("r")
+	f.fill(r)
+	var waiting []<-chan *rpc.PlaceResponse
+	for _, id := range []string{"a", "b", "c"} {
+		waiting = append(waiting, placeAsync(context.Background(), r, id))
+	}
+	require.Eventually(t, func() bool { return r.placer.openCalls() == len(waiting) }, patience, pollTime)
+	f.platform.SetFaults(platformserver.Faults{Down: true})
+	go func() { _ = r.Stop() }()
+	require.NoError(t, r.Stop(), "a second stop waits for the first")
+	for _, answer := range waiting {
+		assert.Equal(t, string(placement.HandBackDraining), (<-answer).GetHandBack().GetReason())
+	}
+	assert.Zero(t, r.placer.openCalls())
+	<-r.Dead()
+}
+
+func TestReadiness(t *testing.T) {
+	f := newTestFleet(t, 1)
+	r := f.startRouter("r")
+	status := func(path string) (int, string) {
+		response, err := http.Get("http://" + string(r.Address()) + path)
+		require.NoError(t, err)
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		return response.StatusCode, string(body)
+	}
+	code, body := status(PathReady)
+	assert.Equal(t, http.StatusServiceUnavailable, code)
+	assert.Contains(t, body, "no configuration")
+	code, _ = status(PathHealth)
+	assert.Equal(t, http.StatusOK, code)
+	assert.Equal(t, uint32(resultcode.NoConfiguration), place(t, r, "early").GetRefusal().GetCode())
+	f.commitConfiguration()
+	f.awaitEngines(r)
+	code, _ = status(PathReady)
+	assert.Equal(t, http.StatusOK, code)
+	_, body = status(PathMetrics)
+	assert.Contains(t, body, `tillerfall_router_engines{condition="ready"} 1`)
+	assert.Contains(t, body, `tillerfall_router_outcomes_total{class="counter",code="2008",outcome="refused"} 1`)
+}
+
+func TestRestartWithThePlatformDownLearnsFromAnAgent(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.commitConfiguration()
+	first := f.startReadyRouter("r")
+	known, err := placementClient(first).Sync(context.Background(), &rpc.SyncRequest{})
+	require.NoError(t, err)
+	require.NotNil(t, known.GetConfig())
+	require.NotNil(t, known.GetMachines())
+	require.NoError(t, first.Stop())
+	f.platform.SetFaults(platformserver.Faults{Down: true})
+	restarted := f.startRouter("r")
+	client := placementClient(restarted)
+	header := &rpc.Header{Sender: "agent", KnownRevision: known.GetConfig().GetRevision()}
+	digest := known.GetMachines().GetDigest()
+	answer, err := client.Sync(context.Background(), &rpc.SyncRequest{Header: header, MachinesDigest: digest})
+	require.NoError(t, err)
+	assert.Zero(t, answer.GetHeader().GetKnownRevision())
+	assert.True(t, answer.GetMachinesWanted())
+	answer, err = client.Sync(context.Background(), &rpc.SyncRequest{
+		Header: header, Config: known.GetConfig(), Machines: known.GetMachines(), MachinesDigest: digest,
+	})
+	require.NoError(t, err)
+	assert.Equal(t, known.GetConfig().GetRevision(), answer.GetHeader().GetKnownRevision())
+	assert.False(t, answer.GetMachinesWanted())
+	assert.Nil(t, answer.GetMachines(), "the agent has this list")
+	f.awaitEngines(restarted)
+	assert.NotNil(t, place(t, restarted, "q").GetGrant())
+}
+
+func TestLowerRevisionIsIgnored(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.commitConfiguration()
+	r := f.startReadyRouter("r")
+	old := r.configurationMessage()
+	require.Zero(t, execute(t, r, "drain e0").GetCode())
+	require.Eventually(t, func() bool { return r.holder.Revision() == 2 }, patience, pollTime)
+	_, err := placementClient(r).Sync(context.Background(), &rpc.SyncRequest{Config: old})
+	require.NoError(t, err)
+	assert.EqualValues(t, 2, r.holder.Revision())
+}
+
+func TestOperatorsCommands(t *testing.T) {
+	f := newTestFleet(t, 2)
+	f.commitConfiguration()
+	r := f.startReadyRouter("r")
+	assert.Equal(t, uint32(resultcode.CommandImpossible), execute(t, r, "promote m v2").GetCode(), "v2 isn't loaded")
+	drained := execute(t, r, "drain e0")
+	assert.Zero(t, drained.GetCode(), drained.GetMessage())
+	assert.Equal(t, drained.GetRevision(), execute(t, r, "lookup "+drained.GetToken()).GetRevision())
+	require.Eventually(t, func() bool {
+		return len(execute(t, r, "show engines where state = leaving").GetRows()) == 1
+	}, patience, pollTime)
+	for _, id := range []string{"a", "b"} {
+		assert.Equal(t, "e1", place(t, r, id).GetGrant().GetRun().GetEngine())
+	}
+	f.platform.SetFaults(platformserver.Faults{Down: true})
+	lost := execute(t, r, "drain e1")
+	assert.Contains(t, []uint32{uint32(resultcode.PlatformUnavailable), uint32(resultcode.CommandUncertain)}, lost.GetCode())
+}
--- /dev/null
+++ b/internal/router/settings.go
@@ -0,0 +1,69 @@
+package router
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/settings"
+)
+
+// Settings is a router's own settings. The field comments are the reference.
+type Settings struct {
+	// Node tells where the router runs and on which address it listens.
+	Node settings.Node `yaml:"node"`
+	// Logging says what is logged.
+	Logging settings.Logging `yaml:"logging"`
+	// Platform says how the platform is reached.
+	Platform settings.Platform `yaml:"platform"`
+	// Peers lists the numeric HOST:PORT of routers to join through. Those in the
+	// platform's list of machines are added.
+	Peers []fleet.Address `yaml:"peers" validate:"dive,address"`
+	// IndexReplicas is the number of routers that index one engine; 0 means all.
+	IndexReplicas int `yaml:"index_replicas" validate:"gte=0,lte=16"`
+	// StatusInterval is the mean time between two polls of an engine's status.
+	StatusInterval settings.Duration `yaml:"status_interval" validate:"gt=0"`
+	// EventWait bounds one long poll for an engine's cache events.
+	EventWait settings.Duration `yaml:"event_wait" validate:"gt=0"`
+	// MachineInterval is the mean time between two reads of the list of machines.
+	MachineInterval settings.Duration `yaml:"machine_interval" validate:"gt=0"`
+	// ConfigurationInterval is the mean time between two reads of the
+	// configuration's head in the table service.
+	ConfigurationInterval settings.Duration `yaml:"configuration_interval" validate:"gt=0"`
+	// CommandTimeout bounds one operator's command.
+	CommandTimeout settings.Duration `yaml:"command_timeout" validate:"gt=0"`
+	// StopTimeout bounds a planned stop; open calls are cut after it.
+	StopTimeout settings.Duration `yaml:"stop_timeout" validate:"gt=0"`
+	// MaxBodyBytes bounds a message from an agent, peer or operator.
+	MaxBodyBytes int64 `yaml:"max_body_bytes" validate:"gte=65536"`
+	// MaxWaitingCalls bounds the placement calls that are open at once; more
+	// are refused with "overloaded".
+	MaxWaitingCalls int `yaml:"max_waiting_calls" validate:"gte=1"`
+}
+
+// Defaults of the settings.
+const (
+	defaultStatusInterval        = 250 * time.Millisecond
+	defaultEventWait             = 5 * time.Second
+	defaultMachineInterval       = 2 * time.Second
+	defaultConfigurationInterval = time.Second
+	defaultCommandTimeout        = 10 * time.Second
+	defaultStopTimeout           = 10 * time.Second
+	defaultMaxBodyBytes          = 8 << 20
+	defaultMaxWaitingCalls       = 20_000
+)
+
+// DefaultSettings returns the settings that a file or flags complete.
+func DefaultSettings() Settings {
+	return Settings{
+		Logging:               settings.DefaultLogging(),
+		Platform:              settings.DefaultPlatform(),
+		StatusInterval:        settings.Duration(defaultStatusInterval),
+		EventWait:             settings.Duration(defaultEventWait),
+		MachineInterval:       settings.Duration(defaultMachineInterval),
+		ConfigurationInterval: settings.Duration(defaultConfigurationInterval),
+		CommandTimeout:        settings.Duration(defaultCommandTimeout),
+		StopTimeout:           settings.Duration(defaultStopTimeout),
+		MaxBodyBytes:          defaultMaxBodyBytes,
+		MaxWaitingCalls:       defaultMaxWaitingCalls,
+	}
+}
