Add the agent process

Callers need a process beside them that turns the state machine's actions into calls. internal/agent takes requests through internal/openai, checks them against the configuration it learned from routers, asks a router by the prompt's first blocks, dispatches to the engine itself and passes tokens on.

Frames go from the engine's connection to the caller one at a time over an unbuffered channel, so a slow caller leaves its tokens at the engine rather than in memory; a queue per stream was ruled out for its bound would only move the same stop. A router that stops answering the once-a-second exchange loses the requests that wait there to others; waiting for the long poll to time out was ruled out as it can outlast the deadline. A stop refuses new requests, lets running streams end within the grace, and further stops only wait.

Measured: the package's tests pass under -race against the engine stand-in and a router made for the tests, including a killed engine in mid-stream, lost answers for a request that isn't repeatable, a frozen router, a router that lost its configuration and a stop with a second signal. Not tested: a caller that reads too slowly for the write timeout.

--- /dev/null
+++ b/internal/agent/admission.go
@@ -0,0 +1,135 @@
+package agent
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/openai"
+	"github.com/tillerfall/tillerfall/internal/prompt"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+)
+
+// authenticate returns the tenant of a request's key.
+func (a *Agent) authenticate(header http.Header) (*config.View, config.Tenant, *openai.Failure) {
+	key, failure := openai.ParseKey(header)
+	if failure != nil {
+		return nil, config.Tenant{}, failure
+	}
+	view := a.config.Current()
+	if view == nil {
+		return nil, config.Tenant{}, a.notNow(resultcode.NoConfiguration, "no configuration is known yet")
+	}
+	tenant, found := view.TenantByKey(key)
+	if !found {
+		return nil, config.Tenant{}, &openai.Failure{Code: resultcode.WrongKey, Message: "the API key belongs to no tenant"}
+	}
+	return view, tenant, nil
+}
+
+// admit checks a request against the configuration and prepares it.
+func (a *Agent) admit(
+	endpoint openai.Endpoint, view *config.View, tenant config.Tenant, writer http.ResponseWriter, request *http.Request,
+) (*call, *openai.Failure) {
+	options, failure := openai.ParseOptions(request.Header)
+	if failure != nil {
+		return nil, failure
+	}
+	class, failure := chooseClass(view, tenant, options.Class)
+	if failure != nil {
+		return nil, failure
+	}
+	data, failure := a.readBody(writer, request)
+	if failure != nil {
+		return nil, failure
+	}
+	body, failure := openai.Parse(endpoint, data)
+	if failure != nil {
+		return nil, failure
+	}
+	weights, model, found := view.ResolveModel(body.Model)
+	switch {
+	case !found:
+		return nil, &openai.Failure{Code: resultcode.UnknownModel, Message: fmt.Sprintf("no model %q is served", body.Model), Param: "model"}
+	case !tenant.AllowsModel(model.Name):
+		return nil, &openai.Failure{Code: resultcode.ModelNotAllowed, Message: fmt.Sprintf("model %q is not allowed", body.Model), Param: "model"}
+	}
+	return a.prepare(&call{
+		tenant:  tenant,
+		class:   class.Name,
+		maxWait: time.Duration(class.MaxWait),
+		weights: weights,
+		options: options,
+		body:    body,
+	}, model)
+}
+
+// prepare fills in what follows from the model. An output limit over the
+// model's own is lowered to it.
+func (a *Agent) prepare(admitted *call, model config.Model) (*call, *openai.Failure) {
+	text := admitted.body.Prompt
+	admitted.promptTokens = prompt.CountTokens(text)
+	if admitted.promptTokens > model.MaxPromptTokens {
+		message := fmt.Sprintf("the prompt has %d tokens; the model takes %d", admitted.promptTokens, model.MaxPromptTokens)
+		return nil, &openai.Failure{Code: resultcode.PromptTooLong, Message: message}
+	}
+	admitted.maxTokens = model.MaxOutputTokens
+	if asked := admitted.body.MaxTokens; asked > 0 {
+		admitted.maxTokens = min(asked, model.MaxOutputTokens)
+	}
+	timeout := admitted.options.Deadline
+	if timeout == 0 {
+		timeout = time.Duration(a.settings.Requests.DefaultDeadline)
+	}
+	admitted.deadline = a.clock.Now() + timeout
+	scope := fleet.CacheScope{Tenant: admitted.tenant.Name, Weights: admitted.weights}
+	admitted.hashes = prompt.HashBlocks(scope, text, model.BlockTokens)
+	admitted.prefixKey = prefixKey(admitted.hashes, text, a.settings.Requests.AffinityBlocks)
+	return admitted, nil
+}
+
+// prefixKey is equal for prompts that begin alike. A prompt of less than a
+// block can't share a cached one, and goes by its whole text.
+func prefixKey(hashes []fleet.BlockHash, text string, affinityBlocks int) uint64 {
+	if len(hashes) == 0 {
+		return xxhash.Sum64String(text)
+	}
+	return uint64(hashes[min(len(hashes), affinityBlocks)-1])
+}
+
+func chooseClass(view *config.View, tenant config.Tenant, asked fleet.ClassName) (config.Class, *openai.Failure) {
+	if asked == "" {
+		asked = tenant.DefaultClass()
+	}
+	class, found := view.Class(asked)
+	if !found || !tenant.AllowsClass(asked) {
+		message := fmt.Sprintf("class %q is not allowed", asked)
+		return config.Class{}, &openai.Failure{Code: resultcode.ClassNotAllowed, Message: message, Param: openai.HeaderClass}
+	}
+	return class, nil
+}
+
+// readBody reads the body within its limits of size and time.
+func (a *Agent) readBody(writer http.ResponseWriter, request *http.Request) ([]byte, *openai.Failure) {
+	limits := a.settings.HTTP
+	controller := http.NewResponseController(writer)
+	_ = controller.SetReadDeadline(time.Now().Add(time.Duration(limits.BodyTimeout)))
+	data, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, limits.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		message := fmt.Sprintf("the body is over %d bytes", limits.MaxBodyBytes)
+		return nil, &openai.Failure{Code: resultcode.BodyTooLarge, Message: message}
+	case err != nil:
+		return nil, &openai.Failure{Code: resultcode.MalformedBody, Message: "the body did not arrive whole"}
+	}
+	// From here on a read only waits for the caller to go away.
+	_ = controller.SetReadDeadline(time.Time{})
+	return data, nil
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,209 @@
+// Package agent is the process beside each caller. It takes requests in the
+// callers' protocol, asks a router which engine gets each, dispatches it there
+// itself, passes the tokens on, and resumes, cancels or tries again as package
+// attempt decides.
+//
+// An agent learns its configuration from the routers, takes the highest
+// revision from any of them and brings routers that are behind up to date. It
+// can't tell whether the revision that it has is the newest: while no router
+// can be reached it goes on checking requests by the last one, without a limit
+// of time, isn't ready, and refuses them as "no_router" with a Retry-After,
+// since nothing can be placed. Streams that run at engines go on.
+package agent
+
+import (
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+
+	"github.com/tillerfall/tillerfall/internal/attempt"
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// maxEngineClients bounds the engines whose connections are kept.
+const maxEngineClients = 4096
+
+// Dependencies are what an agent gets from its process.
+type Dependencies struct {
+	Logger zerolog.Logger
+	// Registry takes the agent's metrics; nil makes a new one.
+	Registry *prometheus.Registry
+}
+
+// Agent is one run of the process. It can't be started again.
+type Agent struct {
+	settings Settings
+	node     fleet.NodeID
+	logger   zerolog.Logger
+	clock    fleet.Clock
+	registry *prometheus.Registry
+	metrics  *metrics
+
+	config      *config.Holder
+	routers     *routers
+	engines     *lru.Cache[fleet.Address, *engine.Client]
+	budget      attempt.RetryBudget
+	concurrency *concurrency
+	duplicates  *duplicates
+	running     *gate
+
+	server   *http.Server
+	listener net.Listener
+	syncNow  chan *link
+
+	// life runs the agent; calls runs what requests have under way, which ends
+	// after the requests themselves.
+	life      tomb.Tomb
+	calls     tomb.Tomb
+	graceOver chan struct{}
+	drained   chan struct{}
+}
+
+// New returns an agent that isn't started. The settings must have been checked.
+func New(settings Settings, dependencies Dependencies) (*Agent, error) {
+	registry := dependencies.Registry
+	if registry == nil {
+		registry = prometheus.NewRegistry()
+	}
+	engines, err := lru.NewWithEvict(maxEngineClients, closeEngineClient)
+	if err != nil {
+		return nil, errors.Wrap(err, "make cache of engine clients")
+	}
+	node := settings.Node.NewNodeID()
+	clock := fleet.NewClock()
+	a := &Agent{
+		settings:    settings,
+		node:        node,
+		logger:      dependencies.Logger.With().Str("node", string(node)).Logger(),
+		clock:       clock,
+		registry:    registry,
+		metrics:     newMetrics(registry),
+		config:      config.NewHolder(),
+		routers:     newRouters(clock, settings.Node.Zone, settings.Routers, time.Duration(settings.Sync.BackoffMax)),
+		engines:     engines,
+		budget:      &sharedBudget{budget: attempt.NewBudget(settings.Requests.budget())},
+		concurrency: newConcurrency(settings.Requests.MaxConcurrent),
+		duplicates:  newDuplicates(settings.Requests.IdempotencyKeys),
+		running:     newGate(),
+		syncNow:     make(chan *link, 1),
+		graceOver:   make(chan struct{}),
+		drained:     make(chan struct{}),
+	}
+	a.server = a.newServer()
+	return a, nil
+}
+
+func closeEngineClient(_ fleet.Address, client *engine.Client) { client.CloseIdle() }
+
+func (a *Agent) newServer() *http.Server {
+	limits := a.settings.HTTP
+	return &http.Server{
+		Handler:           a.routes(),
+		ReadHeaderTimeout: time.Duration(limits.HeaderTimeout),
+		IdleTimeout:       time.Duration(limits.IdleTimeout),
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		ErrorLog:          log.New(a.logger.With().Str("source", "http").Logger(), "", 0),
+	}
+}
+
+// Start listens and serves until Stop is called or the context ends; the end of
+// the context is a planned stop too.
+func (a *Agent) Start(ctx context.Context) error {
+	listener, err := net.Listen("tcp", string(a.settings.Node.Address))
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	a.listener = listener
+	a.calls.Go(func() error {
+		<-a.calls.Dying()
+		return nil
+	})
+	a.life.Go(a.serve)
+	a.life.Go(a.syncLoop)
+	a.life.Go(func() error { return a.supervise(ctx) })
+	a.logger.Info().Str("address", listener.Addr().String()).Msg("agent_started")
+	return nil
+}
+
+// Address returns the address that a started agent listens on.
+func (a *Agent) Address() fleet.Address { return fleet.Address(a.listener.Addr().String()) }
+
+// Dead is closed when the agent has ended.
+func (a *Agent) Dead() <-chan struct{} { return a.life.Dead() }
+
+// Stop refuses new requests, lets running ones finish within the grace and
+// returns when the agent has ended. Further calls wait for the same end.
+func (a *Agent) Stop() error {
+	a.life.Kill(nil)
+	return a.life.Wait()
+}
+
+func (a *Agent) serve() error {
+	if err := a.server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
+
+func (a *Agent) supervise(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		a.life.Kill(nil)
+	case <-a.life.Dying():
+	}
+	a.drain()
+	return nil
+}
+
+// drain ends the agent. New requests are refused, not cut off, for as long as
+// old ones run.
+func (a *Agent) drain() {
+	grace := time.Duration(a.settings.StopGrace)
+	idle := a.running.shut()
+	a.server.SetKeepAlivesEnabled(false)
+	a.logger.Info().Dur("grace", grace).Msg("agent_stopping")
+	select {
+	case <-idle:
+	case <-time.After(grace):
+		a.logger.Warn().Msg("stop_grace_over")
+	}
+	close(a.graceOver)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(a.settings.HTTP.WriteTimeout))
+	defer cancel()
+	if err := a.server.Shutdown(ctx); err != nil {
+		a.server.Close()
+	}
+	<-idle
+	close(a.drained)
+	a.calls.Kill(nil)
+	if err := a.calls.Wait(); err != nil {
+		a.logger.Error().Err(err).Msg("call_failed")
+	}
+	a.routers.client.CloseIdleConnections()
+	a.logger.Info().Msg("agent_stopped")
+}
+
+// engineAt returns the client of the engine at an address.
+func (a *Agent) engineAt(address fleet.Address) *engine.Client {
+	if client, found := a.engines.Get(address); found {
+		return client
+	}
+	client := engine.New(address, engine.Options{
+		ConnectTimeout: time.Duration(a.settings.Engines.ConnectTimeout),
+		HeaderTimeout:  time.Duration(a.settings.Engines.HeaderTimeout),
+	})
+	if earlier, found, _ := a.engines.PeekOrAdd(address, client); found {
+		return earlier
+	}
+	return client
+}
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,264 @@
+package agent_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/agent"
+	"github.com/tillerfall/tillerfall/internal/openai"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/internal/settings"
+	"github.com/tillerfall/tillerfall/lab/enginemodel"
+	"github.com/tillerfall/tillerfall/lab/standin/engineserver"
+)
+
+type answerBody struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Usage *struct {
+		PromptTokens        int `json:"prompt_tokens"`
+		CompletionTokens    int `json:"completion_tokens"`
+		PromptTokensDetails struct {
+			CachedTokens int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+	Error *struct {
+		ResultCode resultcode.Code `json:"result_code"`
+		NotRun     bool            `json:"not_run"`
+		RequestID  string          `json:"request_id"`
+	} `json:"error"`
+}
+
+func decode(t *testing.T, response *http.Response) (int, answerBody) {
+	status, body := readAll(t, response)
+	var answer answerBody
+	require.NoError(t, json.Unmarshal([]byte(body), &answer), body)
+	return status, answer
+}
+
+// readEvents reads a stream's events up to its end or to a number of them.
+func readEvents(t *testing.T, response *http.Response, most int) (tokens, events []string) {
+	scanner := bufio.NewScanner(response.Body)
+	for len(events) < most && scanner.Scan() {
+		data, isData := strings.CutPrefix(scanner.Text(), "data: ")
+		if !isData {
+			continue
+		}
+		events = append(events, data)
+		var chunk answerBody
+		if data != "[DONE]" {
+			require.NoError(t, json.Unmarshal([]byte(data), &chunk))
+		}
+		for _, choice := range chunk.Choices {
+			if choice.Text != "" {
+				tokens = append(tokens, choice.Text)
+			}
+		}
+	}
+	return tokens, events
+}
+
+const allEvents = 10000
+
+func TestBadRequestsGetNumberedErrors(t *testing.T) {
+	a := startAgent(t, nil, startRouter(t, startEngine(t, "a", time.Millisecond)))
+	cases := map[string]struct {
+		path, body, header string
+		status             int
+		code               resultcode.Code
+	}{
+		"no key":          {openai.PathCompletions, "{}", "Authorization: ", 401, resultcode.MissingKey},
+		"wrong key":       {openai.PathCompletions, "{}", "Authorization: Bearer x", 401, resultcode.WrongKey},
+		"malformed":       {openai.PathCompletions, `{"model"`, "", 400, resultcode.MalformedBody},
+		"too large":       {openai.PathCompletions, strings.Repeat(" ", maxBody+1), "", 413, resultcode.BodyTooLarge},
+		"unknown model":   {openai.PathCompletions, `{"model":"x","prompt":"p"}`, "", 404, resultcode.UnknownModel},
+		"negative limit":  {openai.PathCompletions, `{"model":"notes","prompt":"p","max_tokens":-1}`, "", 400, resultcode.InvalidParameter},
+		"prompt too long": {openai.PathCompletions, `{"model":"notes","prompt":"` + strings.Repeat("p", 8001) + `"}`, "", 400, resultcode.PromptTooLong},
+		"unknown class":   {openai.PathCompletions, "{}", "X-Tillerfall-Class: x", 403, resultcode.ClassNotAllowed},
+		"other's class":   {openai.PathCompletions, "{}", "X-Tillerfall-Class: batch", 403, resultcode.ClassNotAllowed},
+		"bad deadline":    {openai.PathCompletions, "{}", "X-Tillerfall-Deadline-Ms: soon", 400, resultcode.HeaderInvalid},
+		"bad request id":  {openai.PathCompletions, "{}", "X-Request-Id: a b", 400, resultcode.HeaderInvalid},
+		"unknown path":    {"/v1/files", "{}", "", 404, resultcode.UnknownPath},
+		"wrong method":    {openai.PathModels, "{}", "", 404, resultcode.UnknownPath},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			status, answer := decode(t, post(t, a, test.path, test.body, test.header))
+			require.NotNil(t, answer.Error)
+			assert.Equal(t, test.status, status)
+			assert.Equal(t, test.code, answer.Error.ResultCode)
+			assert.True(t, answer.Error.NotRun)
+			assert.NotEmpty(t, answer.Error.RequestID)
+		})
+	}
+	status, _ := decode(t, post(t, a, openai.PathCompletions, completionBody(2, false)))
+	assert.Equal(t, http.StatusOK, status)
+}
+
+func TestStreamAndPlainAnswerAreWhole(t *testing.T) {
+	router := startRouter(t, startEngine(t, "a", time.Millisecond))
+	a := startAgent(t, nil, router)
+	response := post(t, a, openai.PathCompletions, completionBody(20, true), "X-Request-Id: caller")
+	defer response.Body.Close()
+	assert.True(t, strings.HasPrefix(response.Header.Get("X-Request-Id"), "caller-"))
+	tokens, events := readEvents(t, response, allEvents)
+	require.NoError(t, enginemodel.VerifyOutput(testPrompt, tokens))
+	assert.Len(t, tokens, 20)
+	assert.Equal(t, "[DONE]", events[len(events)-1])
+	assert.Contains(t, events[len(events)-2], `"completion_tokens":20`)
+
+	status, answer := decode(t, post(t, a, openai.PathCompletions, completionBody(20, false)))
+	assert.Equal(t, http.StatusOK, status)
+	assert.Equal(t, 20, answer.Usage.CompletionTokens)
+	whole := enginemodel.SplitOutput(answer.Choices[0].Text)
+	require.NoError(t, enginemodel.VerifyOutput(testPrompt, whole))
+	assert.Len(t, whole, 20)
+	assert.Positive(t, answer.Usage.PromptTokensDetails.CachedTokens)
+	require.Eventually(t, func() bool {
+		phases := router.phases()
+		return len(phases) == 6 && phases[5] == rpc.AttemptPhase_ATTEMPT_PHASE_FINISHED
+	}, patience, pollEvery)
+	_, metrics := get(t, a, agent.PathMetrics)
+	assert.Contains(t, metrics, `tillerfall_agent_requests_total{class="urgent",code="ok"} 2`)
+}
+
+func TestCallerThatClosesEarlyCancelsAtTheEngine(t *testing.T) {
+	server := startEngine(t, "a", 5*time.Millisecond)
+	router := startRouter(t, server)
+	a := startAgent(t, nil, router)
+	response := post(t, a, openai.PathCompletions, completionBody(400, true))
+	_, events := readEvents(t, response, 2)
+	require.Len(t, events, 2)
+	response.Body.Close()
+	require.Eventually(t, func() bool { return server.Status().Load.RunningStreams == 0 }, patience, pollEvery)
+	require.Eventually(t, func() bool {
+		phases := router.phases()
+		return len(phases) > 0 && phases[len(phases)-1] == rpc.AttemptPhase_ATTEMPT_PHASE_FAILED
+	}, patience, pollEvery)
+}
+
+func TestStreamContinuesElsewhereAfterItsEngineDied(t *testing.T) {
+	first := startEngine(t, "a", 5*time.Millisecond)
+	second := startEngine(t, "b", time.Millisecond)
+	router := startRouter(t, first, second)
+	a := startAgent(t, nil, router)
+	response := post(t, a, openai.PathCompletions, completionBody(200, true))
+	defer response.Body.Close()
+	begin, events := readEvents(t, response, 3)
+	require.Len(t, events, 3)
+	first.Kill()
+	rest, events := readEvents(t, response, allEvents)
+	require.Equal(t, "[DONE]", events[len(events)-1])
+	whole := append(begin, rest...)
+	require.NoError(t, enginemodel.VerifyOutput(testPrompt, whole))
+	assert.Len(t, whole, 200)
+}
+
+func TestNotRepeatableRequestWithLostAnswersIsDispatchedOnce(t *testing.T) {
+	first := startEngine(t, "a", time.Millisecond)
+	second := startEngine(t, "b", time.Millisecond)
+	router := startRouter(t, first, second)
+	a := startAgent(t, nil, router)
+	first.SetFaults(engineserver.Faults{LoseAnswers: 1})
+	headers := []string{"X-Tillerfall-Not-Repeatable: true", "Idempotency-Key: booking-1"}
+	response := post(t, a, openai.PathCompletions, completionBody(5, false), headers...)
+	assert.Equal(t, "false", response.Header.Get("X-Should-Retry"))
+	_, answer := decode(t, response)
+	require.NotNil(t, answer.Error)
+	assert.Equal(t, resultcode.OutcomeUnknown, answer.Error.ResultCode)
+	assert.False(t, answer.Error.NotRun)
+	assert.Zero(t, second.Counters().PromptTokens)
+
+	_, answer = decode(t, post(t, a, openai.PathCompletions, completionBody(5, false), headers...))
+	require.NotNil(t, answer.Error)
+	assert.Equal(t, resultcode.DuplicateRequest, answer.Error.ResultCode)
+}
+
+func TestDeadRouterLosesItsWaitingRequests(t *testing.T) {
+	server := startEngine(t, "a", time.Millisecond)
+	routers := []*fakeRouter{startRouter(t, server), startRouter(t, server)}
+	a := startAgent(t, func(s *agent.Settings) { s.Sync.Timeout = settings.Duration(300 * time.Millisecond) }, routers...)
+	for _, frozen := range routers {
+		hold := make(chan struct{})
+		frozen.mutex.Lock()
+		frozen.hold = hold
+		frozen.mutex.Unlock()
+		status, _ := decode(t, post(t, a, openai.PathCompletions, completionBody(2, false)))
+		assert.Equal(t, http.StatusOK, status)
+		frozen.mutex.Lock()
+		frozen.hold = nil
+		frozen.mutex.Unlock()
+		close(hold)
+	}
+}
+
+func TestNoRouterIsAnsweredAtOnce(t *testing.T) {
+	router := startRouter(t, startEngine(t, "a", time.Millisecond))
+	a := startAgent(t, nil, router)
+	router.server.CloseClientConnections()
+	router.server.Close()
+	response := post(t, a, openai.PathCompletions, completionBody(2, false))
+	assert.NotEmpty(t, response.Header.Get("Retry-After"))
+	_, answer := decode(t, response)
+	require.NotNil(t, answer.Error)
+	assert.Equal(t, resultcode.NoRouter, answer.Error.ResultCode)
+	assert.True(t, answer.Error.NotRun)
+}
+
+func TestAgentBringsARestartedRouterUpToDate(t *testing.T) {
+	router := startRouter(t, startEngine(t, "a", time.Millisecond))
+	startAgent(t, nil, router)
+	router.mutex.Lock()
+	router.revision, router.config = 0, nil
+	router.mutex.Unlock()
+	require.Eventually(t, func() bool {
+		router.mutex.Lock()
+		defer router.mutex.Unlock()
+		return router.revision == uint64(testDocument().Revision) && router.config != nil
+	}, patience, pollEvery)
+}
+
+func TestPlannedStopCutsNoStream(t *testing.T) {
+	a := startAgent(t, nil, startRouter(t, startEngine(t, "a", 5*time.Millisecond)))
+	response := post(t, a, openai.PathCompletions, completionBody(100, true))
+	defer response.Body.Close()
+	_, events := readEvents(t, response, 1)
+	require.Len(t, events, 1)
+	stopped := make(chan error, 2)
+	for range cap(stopped) { // the second signal must not cut what the first promised
+		go func() { stopped <- a.Stop() }()
+	}
+	require.Eventually(t, func() bool {
+		status, _ := get(t, a, agent.PathReady)
+		return status == http.StatusServiceUnavailable
+	}, patience, time.Millisecond)
+	_, answer := decode(t, post(t, a, openai.PathCompletions, completionBody(2, false)))
+	require.NotNil(t, answer.Error)
+	assert.Equal(t, resultcode.Stopping, answer.Error.ResultCode)
+	_, events = readEvents(t, response, allEvents)
+	assert.Equal(t, "[DONE]", events[len(events)-1])
+	require.NoError(t, <-stopped)
+	require.NoError(t, <-stopped)
+}
+
+func TestTenantConcurrencyIsBounded(t *testing.T) {
+	a := startAgent(t, nil, startRouter(t, startEngine(t, "a", 5*time.Millisecond)))
+	for range 4 {
+		response := post(t, a, openai.PathCompletions, completionBody(400, true))
+		defer response.Body.Close()
+	}
+	response := post(t, a, openai.PathCompletions, completionBody(2, false))
+	assert.NotEmpty(t, response.Header.Get("Retry-After"))
+	status, answer := decode(t, response)
+	assert.Equal(t, http.StatusTooManyRequests, status)
+	assert.Equal(t, resultcode.TenantConcurrency, answer.Error.ResultCode)
+}
--- /dev/null
+++ b/internal/agent/enginecalls.go
@@ -0,0 +1,147 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/attempt"
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// cancelTries is how often a best-effort cancel is sent.
+const cancelTries = 3
+
+// cancelPause is the time between two tries of a best-effort cancel.
+const cancelPause = 200 * time.Millisecond
+
+func (c *carrier) dispatch(ctx context.Context, action attempt.Dispatch) {
+	weights := c.call.weights
+	stream, err := c.agent.engineAt(action.Address).Dispatch(ctx, engine.DispatchRequest{
+		StreamID:     action.Stream,
+		Incarnation:  action.Run.Incarnation,
+		Tenant:       c.call.tenant.Name,
+		Weights:      engine.Weights{Model: weights.Model, Adapter: weights.Adapter, Version: weights.Version},
+		Prompt:       c.call.body.Prompt,
+		MaxTokens:    c.call.maxTokens,
+		Priority:     action.Priority,
+		Continuation: action.Continuation,
+	})
+	if err != nil {
+		c.logEngineError("dispatch_failed", action.Run, err)
+		c.deliver(ctx, dispatchFailure(action.Operation, err))
+		return
+	}
+	c.read(ctx, action.Operation, action.Run, stream)
+}
+
+func dispatchFailure(operation attempt.Operation, err error) attempt.Event {
+	failure := engineError(err)
+	switch failure.Outcome() {
+	case engine.OutcomeNotSent:
+		return attempt.DispatchNotSent{Operation: operation}
+	case engine.OutcomeRejected:
+		return attempt.DispatchRejected{Operation: operation, Code: failure.Code, Message: failure.Message}
+	default:
+		return attempt.DispatchUnknown{Operation: operation}
+	}
+}
+
+func (c *carrier) resume(ctx context.Context, action attempt.Resume) {
+	stream, err := c.agent.engineAt(action.Address).Resume(ctx, action.Stream, action.Offset)
+	if err == nil {
+		c.read(ctx, action.Operation, action.Run, stream)
+		return
+	}
+	c.logEngineError("resume_failed", action.Run, err)
+	failure := engineError(err)
+	if failure.Code == engine.ErrorUnknownStream {
+		c.deliver(ctx, attempt.ResumeRejected{
+			Operation:   action.Operation,
+			Code:        failure.Code,
+			Incarnation: failure.Incarnation,
+		})
+		return
+	}
+	c.deliver(ctx, attempt.ResumeFailed{Operation: action.Operation})
+}
+
+// read delivers a stream's frames until its end. Each is taken from the
+// connection only after the one before has been handled. The time that the
+// handling takes doesn't count as the engine's silence.
+func (c *carrier) read(ctx context.Context, operation attempt.Operation, run fleet.EngineRun, stream *engine.Stream) {
+	defer stream.Close()
+	idle := time.Duration(c.agent.settings.Engines.StreamIdleTimeout)
+	silence := time.AfterFunc(idle, stream.Close)
+	defer silence.Stop()
+	for {
+		silence.Reset(idle)
+		frame, err := stream.Next(ctx)
+		silence.Stop()
+		if err != nil {
+			c.logEngineError("stream_broken", run, err)
+			c.deliver(ctx, attempt.StreamBroken{Operation: operation})
+			return
+		}
+		if !c.deliver(ctx, attempt.FrameReceived{Operation: operation, Frame: frame}) {
+			return
+		}
+		if frame.Kind == engine.FrameDone || frame.Kind == engine.FrameError {
+			return
+		}
+	}
+}
+
+// cancel stops a stream. A best-effort cancel outlives its request.
+func (c *carrier) cancel(action attempt.CancelAndBar) {
+	if action.Operation != 0 {
+		c.start(action.Delay, func(ctx context.Context) {
+			c.deliver(ctx, c.cancelOnce(ctx, action))
+		})
+		return
+	}
+	c.agent.calls.Go(func() error {
+		for range cancelTries {
+			failed, isFailure := c.cancelOnce(context.Background(), action).(attempt.CancelFailed)
+			if !isFailure || failed.Code == engine.ErrorWrongIncarnation {
+				return nil
+			}
+			time.Sleep(cancelPause)
+		}
+		return nil
+	})
+}
+
+func (c *carrier) cancelOnce(ctx context.Context, action attempt.CancelAndBar) attempt.Event {
+	ctx, stop := context.WithTimeout(ctx, time.Duration(c.agent.settings.Engines.CancelTimeout))
+	defer stop()
+	answer, err := c.agent.engineAt(action.Address).Cancel(ctx, action.Stream, action.Run.Incarnation)
+	if err != nil {
+		c.logEngineError("cancel_failed", action.Run, err)
+		return attempt.CancelFailed{Operation: action.Operation, Code: engineError(err).Code}
+	}
+	c.logger.Debug().Str("engine", string(action.Run.Engine)).Str("stream", string(action.Stream)).
+		Str("found", string(answer.State)).Msg("stream_cancelled")
+	return attempt.CancelAnswered{Operation: action.Operation, State: answer.State}
+}
+
+// logEngineError logs a failed exchange, unless the agent has ended it itself.
+func (c *carrier) logEngineError(event string, run fleet.EngineRun, err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	c.logger.Warn().Err(err).Str("engine", string(run.Engine)).
+		Uint64("incarnation", uint64(run.Incarnation)).Msg(event)
+}
+
+// engineError returns the typed error of an exchange. The engine's client gives
+// no other; one that comes all the same says nothing of what was done.
+func engineError(err error) *engine.Error {
+	var failure *engine.Error
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return &engine.Error{Code: engine.ErrorProtocol, Message: err.Error(), Sent: true}
+}
--- /dev/null
+++ b/internal/agent/output.go
@@ -0,0 +1,48 @@
+package agent
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/openai"
+)
+
+func (a *Agent) newOutput(admitted *call, writer http.ResponseWriter) output {
+	answer := openai.Answer{
+		Endpoint:     admitted.body.Endpoint,
+		RequestID:    admitted.id,
+		Model:        admitted.body.Model,
+		Created:      time.Now(),
+		IncludeUsage: admitted.body.IncludeUsage,
+		WriteTimeout: time.Duration(a.settings.HTTP.WriteTimeout),
+	}
+	if admitted.body.Stream {
+		return openai.NewStreamWriter(writer, answer)
+	}
+	return &wholeOutput{answer: answer, writer: writer}
+}
+
+// wholeOutput gathers the tokens of an answer that isn't streamed. The model's
+// output limit bounds it.
+type wholeOutput struct {
+	answer openai.Answer
+	writer http.ResponseWriter
+	text   strings.Builder
+}
+
+// Token implements output.
+func (w *wholeOutput) Token(text string) error {
+	w.text.WriteString(text)
+	return nil
+}
+
+// Finish implements output.
+func (w *wholeOutput) Finish(reason string, usage openai.Usage) error {
+	return w.answer.WriteWhole(w.writer, w.text.String(), reason, usage)
+}
+
+// Fail implements output. Nothing of a broken answer is shown.
+func (w *wholeOutput) Fail(failure *openai.Failure) error {
+	return w.answer.WriteFailure(w.writer, failure)
+}
--- /dev/null
+++ b/internal/agent/placement.go
@@ -0,0 +1,142 @@
+package agent
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/attempt"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// placeMargin is added to a class's longest wait before a router that holds a
+// question counts as failed.
+const placeMargin = 5 * time.Second
+
+var errCrossedAnswer = errors.New("answer to another question")
+
+// place asks one router for an engine and returns its answer as an event.
+func (c *carrier) place(ctx context.Context, ask attempt.AskRouter) attempt.Event {
+	at := c.agent.routers.choose(c.call.prefixKey, ask.Preferred, c.tried)
+	c.tried[at.address]++
+	c.askedAt[ask.Attempt] = at
+	failed := c.agent.routers.enter(at)
+	defer c.agent.routers.leave(at)
+	ctx, cancel := context.WithTimeoutCause(ctx, c.call.maxWait+placeMargin, errors.New("router holds the question too long"))
+	defer cancel()
+	go func() {
+		select {
+		case <-failed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	answer, err := at.client.Place(ctx, c.placeRequest(ask))
+	if err == nil && (answer.GetRequestId() != string(c.call.id) || answer.GetAttempt() != uint32(ask.Attempt)) {
+		err = errCrossedAnswer
+	}
+	if err != nil {
+		c.notePlacementFailure(ctx, at, err)
+		return attempt.PlacementFailed{Operation: ask.Operation}
+	}
+	c.agent.noteAnswer(at, answer.GetHeader())
+	return c.placementEvent(ask, at, answer)
+}
+
+// notePlacementFailure blames the router, unless the question was withdrawn or
+// the router has been blamed already.
+func (c *carrier) notePlacementFailure(ctx context.Context, at *link, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	c.agent.routerFailed(at, "place", err)
+}
+
+func (c *carrier) placeRequest(ask attempt.AskRouter) *rpc.PlaceRequest {
+	excluded := make([]*rpc.EngineRun, 0, len(ask.Excluded))
+	for _, run := range ask.Excluded {
+		excluded = append(excluded, encodeRun(run))
+	}
+	hashes := make([]uint64, 0, len(c.call.hashes))
+	for _, hash := range c.call.hashes {
+		hashes = append(hashes, uint64(hash))
+	}
+	weights := c.call.weights
+	return &rpc.PlaceRequest{
+		Header:    c.agent.header(),
+		RequestId: string(c.call.id),
+		Attempt:   uint32(ask.Attempt),
+		Tenant:    string(c.call.tenant.Name),
+		Weights: &rpc.Weights{
+			Model:   string(weights.Model),
+			Adapter: string(weights.Adapter),
+			Version: string(weights.Version),
+		},
+		Class:              string(c.call.class),
+		PromptTokens:       uint32(c.call.promptTokens),
+		MaxTokens:          uint32(c.call.maxTokens),
+		BlockHashes:        hashes,
+		DeadlineMillis:     uint32(max(c.call.deadline-c.agent.clock.Now(), time.Millisecond).Milliseconds()),
+		Excluded:           excluded,
+		ContinuationTokens: uint32(ask.ContinuationTokens),
+		AgentZone:          string(c.agent.settings.Node.Zone),
+	}
+}
+
+func (c *carrier) placementEvent(ask attempt.AskRouter, at *link, answer *rpc.PlaceResponse) attempt.Event {
+	switch outcome := answer.GetOutcome().(type) {
+	case *rpc.PlaceResponse_Grant:
+		return c.grantEvent(ask, outcome.Grant)
+	case *rpc.PlaceResponse_Refusal:
+		return c.refusalEvent(ask, at, outcome.Refusal)
+	case *rpc.PlaceResponse_HandBack:
+		routers := make([]fleet.Address, 0, len(outcome.HandBack.GetRouters()))
+		for _, address := range outcome.HandBack.GetRouters() {
+			routers = append(routers, fleet.Address(address))
+		}
+		return attempt.HandedBack{Operation: ask.Operation, Routers: routers}
+	default:
+		return attempt.PlacementFailed{Operation: ask.Operation}
+	}
+}
+
+func (c *carrier) grantEvent(ask attempt.AskRouter, grant *rpc.Grant) attempt.Event {
+	if _, err := netip.ParseAddrPort(grant.GetAddress()); err != nil || grant.GetRun().GetEngine() == "" {
+		c.agent.logger.Error().Str("request_id", string(c.call.id)).Str("address", grant.GetAddress()).Msg("grant_malformed")
+		return attempt.PlacementFailed{Operation: ask.Operation}
+	}
+	event := attempt.Granted{
+		Operation: ask.Operation,
+		Attempt:   ask.Attempt,
+		Run: fleet.EngineRun{
+			Engine:      fleet.EngineID(grant.GetRun().GetEngine()),
+			Incarnation: fleet.Incarnation(grant.GetRun().GetIncarnation()),
+		},
+		Address:  fleet.Address(grant.GetAddress()),
+		Priority: int(grant.GetPriority()),
+	}
+	if valid := grant.GetValidMillis(); valid > 0 {
+		event.ValidUntil = c.agent.clock.Now() + time.Duration(valid)*time.Millisecond
+	}
+	return event
+}
+
+// refusalEvent treats a router that has no configuration yet as one that hands
+// back: the exchange started by its answer brings it up to date.
+func (c *carrier) refusalEvent(ask attempt.AskRouter, at *link, refusal *rpc.Refusal) attempt.Event {
+	code := resultcode.Code(refusal.GetCode())
+	if code == resultcode.NoConfiguration {
+		c.agent.requestSync(at)
+		return attempt.HandedBack{Operation: ask.Operation}
+	}
+	return attempt.Refused{
+		Operation:  ask.Operation,
+		Code:       code,
+		Reason:     refusal.GetReason(),
+		RetryAfter: time.Duration(refusal.GetRetryAfterMillis()) * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/agent/reports.go
@@ -0,0 +1,138 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/attempt"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// maxReportBatch bounds the reports of one message.
+const maxReportBatch = 256
+
+// reportTries is how often a batch is sent; reports are idempotent.
+const reportTries = 2
+
+// reportQueue holds the reports for one router. At most one sender empties it.
+type reportQueue struct {
+	mutex   sync.Mutex
+	pending []*rpc.AttemptReport
+	sending bool
+	// urgent is signalled when a report must not wait for the interval.
+	urgent chan struct{}
+}
+
+// add appends a report. start tells that the caller has to start a sender;
+// without room the report is dropped.
+func (q *reportQueue) add(report *rpc.AttemptReport, limit int, final bool) (start, dropped bool) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if len(q.pending) >= limit {
+		return false, true
+	}
+	if q.urgent == nil {
+		q.urgent = make(chan struct{}, 1)
+	}
+	q.pending = append(q.pending, report)
+	if final {
+		select {
+		case q.urgent <- struct{}{}:
+		default:
+		}
+	}
+	start = !q.sending
+	q.sending = true
+	return start, false
+}
+
+// take removes the next batch. An empty one ends the sender.
+func (q *reportQueue) take() []*rpc.AttemptReport {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	count := min(len(q.pending), maxReportBatch)
+	batch := q.pending[:count:count]
+	q.pending = q.pending[count:]
+	if count == 0 {
+		q.pending = nil
+		q.sending = false
+	}
+	return batch
+}
+
+func (q *reportQueue) idle() bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return !q.sending
+}
+
+var reportPhases = map[attempt.ReportPhase]rpc.AttemptPhase{
+	attempt.ReportAccepted:   rpc.AttemptPhase_ATTEMPT_PHASE_ACCEPTED,
+	attempt.ReportFirstToken: rpc.AttemptPhase_ATTEMPT_PHASE_FIRST_TOKEN,
+	attempt.ReportFinished:   rpc.AttemptPhase_ATTEMPT_PHASE_FINISHED,
+	attempt.ReportFailed:     rpc.AttemptPhase_ATTEMPT_PHASE_FAILED,
+	attempt.ReportAbandoned:  rpc.AttemptPhase_ATTEMPT_PHASE_ABANDONED,
+}
+
+// report queues a report for the router that granted the attempt.
+func (a *Agent) report(to *link, request fleet.RequestID, report attempt.Report) {
+	if to == nil {
+		return
+	}
+	message := &rpc.AttemptReport{
+		RequestId:    string(request),
+		Attempt:      uint32(report.Attempt),
+		Run:          encodeRun(report.Run),
+		Phase:        reportPhases[report.Phase],
+		CachedTokens: uint32(max(report.CachedTokens, 0)),
+		OutputTokens: uint32(max(report.OutputTokens, 0)),
+		EngineLost:   report.EngineLost,
+	}
+	final := report.Phase != attempt.ReportAccepted && report.Phase != attempt.ReportFirstToken
+	start, dropped := to.reports.add(message, a.settings.Sync.ReportQueue, final)
+	if dropped {
+		a.metrics.droppedReports.Inc()
+	}
+	if start {
+		a.calls.Go(func() error { return a.sendReports(to) })
+	}
+}
+
+// sendReports sends batches until none are left: a final report at once, with
+// all that wait, others after the interval.
+func (a *Agent) sendReports(to *link) error {
+	for {
+		select {
+		case <-to.reports.urgent:
+		case <-time.After(time.Duration(a.settings.Sync.ReportInterval)):
+		}
+		batch := to.reports.take()
+		if len(batch) == 0 {
+			return nil
+		}
+		a.sendBatch(to, batch)
+	}
+}
+
+func (a *Agent) sendBatch(to *link, batch []*rpc.AttemptReport) {
+	for try := 1; ; try++ {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(a.settings.Sync.Timeout))
+		answer, err := to.client.Report(ctx, &rpc.ReportRequest{Header: a.header(), Reports: batch})
+		cancel()
+		if err == nil {
+			a.noteAnswer(to, answer.GetHeader())
+			return
+		}
+		if try == reportTries {
+			a.metrics.droppedReports.Add(float64(len(batch)))
+			a.routerFailed(to, "report", err)
+			return
+		}
+	}
+}
+
+func encodeRun(run fleet.EngineRun) *rpc.EngineRun {
+	return &rpc.EngineRun{Engine: string(run.Engine), Incarnation: uint64(run.Incarnation)}
+}
--- /dev/null
+++ b/internal/agent/routers.go
@@ -0,0 +1,281 @@
+package agent
+
+import (
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// Bounds of the connections to routers. A waiting request holds one.
+const (
+	routerConnectTimeout = time.Second
+	routerIdleTimeout    = time.Minute
+	maxIdleToRouter      = 64
+	// firstBackoff is how long a router isn't chosen after its first failure.
+	firstBackoff = 200 * time.Millisecond
+	// maxSyncTargets bounds the routers of one round of exchanges.
+	maxSyncTargets = 8
+)
+
+// link is what the agent knows of one router. Its fields but address, client
+// and reports are guarded by the mutex of routers.
+type link struct {
+	address fleet.Address
+	client  rpc.Placement
+	reports reportQueue
+
+	failures int
+	retryAt  time.Duration
+	stopping bool
+	// revision is the router's configuration as of its last answer; answered
+	// is false before the first.
+	revision fleet.Revision
+	answered bool
+	// waiting counts the requests that wait at the router.
+	waiting int
+	// failed is closed when the router stops answering, and then replaced.
+	failed chan struct{}
+}
+
+// routers is the set of routers that the agent may ask.
+type routers struct {
+	clock      fleet.Clock
+	zone       fleet.ZoneName
+	seeds      []fleet.Address
+	backoffMax time.Duration
+	client     *http.Client
+
+	mutex    sync.Mutex
+	members  []membership.Member
+	links    map[fleet.Address]*link
+	rotation int
+	lastSeen time.Duration
+	seen     bool
+}
+
+func newRouters(clock fleet.Clock, zone fleet.ZoneName, seeds []fleet.Address, backoffMax time.Duration) *routers {
+	dialer := &net.Dialer{Timeout: routerConnectTimeout}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdleToRouter,
+		IdleConnTimeout:     routerIdleTimeout,
+	}
+	return &routers{
+		clock:      clock,
+		zone:       zone,
+		seeds:      seeds,
+		backoffMax: backoffMax,
+		client:     &http.Client{Transport: transport},
+		links:      make(map[fleet.Address]*link),
+	}
+}
+
+// link returns the link to an address; the mutex is held.
+func (r *routers) link(address fleet.Address) *link {
+	if known, found := r.links[address]; found {
+		return known
+	}
+	created := &link{
+		address: address,
+		client:  rpc.NewPlacementProtobufClient("http://"+string(address), r.client),
+		failed:  make(chan struct{}),
+	}
+	r.links[address] = created
+	return created
+}
+
+// choose returns the router to ask for a prefix key. Routers that the request
+// has tried, that have failed lately or that are stopping come last.
+func (r *routers) choose(key uint64, preferred []fleet.Address, tried map[fleet.Address]int) *link {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var best *link
+	bestPenalty := 0
+	for _, address := range r.candidates(key, preferred) {
+		candidate := r.link(address)
+		penalty := r.penalty(candidate) + tried[address]*(penaltyStopping+1)
+		if best == nil || penalty < bestPenalty {
+			best, bestPenalty = candidate, penalty
+		}
+	}
+	return best
+}
+
+// Penalties of routers in choose.
+const (
+	penaltyFailed   = 1
+	penaltyStopping = 2
+)
+
+func (r *routers) penalty(candidate *link) int {
+	switch {
+	case candidate.stopping:
+		return penaltyStopping
+	case candidate.retryAt > r.clock.Now():
+		return penaltyFailed
+	default:
+		return 0
+	}
+}
+
+// candidates lists preferred routers, then the members by rank, then the seeds.
+func (r *routers) candidates(key uint64, preferred []fleet.Address) []fleet.Address {
+	var addresses []fleet.Address
+	for _, address := range preferred {
+		if _, err := netip.ParseAddrPort(string(address)); err == nil {
+			addresses = append(addresses, address)
+		}
+	}
+	for _, member := range membership.Rank(key, r.zone, r.members) {
+		addresses = append(addresses, member.Address)
+	}
+	return append(addresses, r.rankedSeeds(key)...)
+}
+
+// rankedSeeds orders the seeds like members, so that agents agree on the router
+// of a prefix before they know any member.
+func (r *routers) rankedSeeds(key uint64) []fleet.Address {
+	seeds := make([]membership.Member, 0, len(r.seeds))
+	for _, address := range r.seeds {
+		seeds = append(seeds, membership.Member{Node: fleet.NodeID(address), Address: address, State: membership.Alive})
+	}
+	addresses := make([]fleet.Address, 0, len(seeds))
+	for _, seed := range membership.Rank(key, "", seeds) {
+		addresses = append(addresses, seed.Address)
+	}
+	return addresses
+}
+
+// enter counts a request that begins to wait at a router. The channel is
+// closed if the router fails meanwhile.
+func (r *routers) enter(at *link) <-chan struct{} {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	at.waiting++
+	return at.failed
+}
+
+func (r *routers) leave(at *link) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	at.waiting--
+}
+
+// answered notes an answer and the revision in its header.
+func (r *routers) answered(by *link, header *rpc.Header) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	by.failures = 0
+	by.retryAt = 0
+	by.answered = true
+	by.revision = fleet.Revision(header.GetKnownRevision())
+	r.lastSeen = r.clock.Now()
+	r.seen = true
+}
+
+// fail notes that a router didn't answer, and releases the requests that wait
+// there.
+func (r *routers) fail(at *link) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	at.answered = false
+	close(at.failed)
+	at.failed = make(chan struct{})
+	now := r.clock.Now()
+	if at.retryAt > now {
+		return // one outage, noticed by several calls
+	}
+	backoff := firstBackoff << min(at.failures, maxBackoffShift)
+	at.failures++
+	at.retryAt = now + min(backoff, r.backoffMax)
+}
+
+const maxBackoffShift = 10
+
+func (r *routers) setStopping(at *link, stopping bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	at.stopping = stopping
+}
+
+// behind tells whether a router has answered with an older revision than ours.
+func (r *routers) behind(at *link, ours fleet.Revision) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return at.answered && at.revision < ours
+}
+
+// learn takes over the members that a router knows; none means no news.
+func (r *routers) learn(encoded []*rpc.Member) {
+	members := make([]membership.Member, 0, len(encoded))
+	for _, entry := range encoded {
+		if member, err := membership.DecodeMember(entry); err == nil {
+			members = append(members, member)
+		}
+	}
+	if len(members) == 0 {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.members = members
+	r.prune()
+}
+
+// prune forgets the routers that are no members any more and hold nothing.
+func (r *routers) prune() {
+	keep := make(map[fleet.Address]bool, len(r.members)+len(r.seeds))
+	for _, member := range r.members {
+		keep[member.Address] = true
+	}
+	for _, seed := range r.seeds {
+		keep[seed] = true
+	}
+	for address, known := range r.links {
+		if !keep[address] && known.waiting == 0 && known.reports.idle() {
+			delete(r.links, address)
+		}
+	}
+}
+
+// syncTargets returns the routers to exchange news with: those where requests
+// wait, so that a dead one is noticed, and the next in turn of all.
+func (r *routers) syncTargets() []*link {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	addresses := make([]fleet.Address, 0, len(r.members)+len(r.seeds))
+	for _, member := range r.members {
+		if member.State != membership.Dead {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	if len(addresses) == 0 || !r.seen {
+		addresses = append(addresses, r.seeds...)
+	}
+	r.rotation++
+	next := r.rotation % len(addresses)
+	addresses = append(slices.Clone(addresses[next:]), addresses[:next]...)
+	var targets []*link
+	for index, address := range addresses {
+		candidate := r.link(address)
+		wanted := index == 0 || candidate.waiting > 0 || !r.seen
+		if wanted && len(targets) < maxSyncTargets && !slices.Contains(targets, candidate) {
+			targets = append(targets, candidate)
+		}
+	}
+	return targets
+}
+
+// reachable tells whether some router has answered within a time.
+func (r *routers) reachable(within time.Duration) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.seen && r.clock.Now()-r.lastSeen <= within
+}
--- a/internal/openai/answer.go
+++ b/internal/openai/answer.go
@@ -100,6 +100,12 @@
 	return writeJSON(writer, http.StatusOK, a.RequestID, body)
 }
 
+// WriteFailure answers with an error in place of the output.
+func (a Answer) WriteFailure(writer http.ResponseWriter, failure *Failure) error {
+	setWriteDeadline(writer, a.WriteTimeout)
+	return WriteFailure(writer, failure)
+}
+
 type modelList struct {
 	Object string      `json:"object"`
 	Data   []modelBody `json:"data"`
--- a/internal/openai/stream.go
+++ b/internal/openai/stream.go
@@ -59,8 +59,7 @@
 // else as an event of the stream.
 func (s *StreamWriter) Fail(failure *Failure) error {
 	if !s.started {
-		setWriteDeadline(s.writer, s.answer.WriteTimeout)
-		return WriteFailure(s.writer, failure)
+		return s.answer.WriteFailure(s.writer, failure)
 	}
 	return s.send(failure.body())
 }
