Add configuration follower with a fleet-wide call budget

Every router polling the table service each second makes 680 calls a second at the target's size, and a herd restart makes them at once.

The follower asks peers as soon as a higher revision is heard of and the platform at an interval that grows with the number of nodes, so that all together stay near 20 calls a second; it is a state machine on elapsed time with a seeded generator, and PlatformFollower runs it. A first pause drawn evenly over the interval was tried and left out: the second calls of a herd then bunched to 26.5 calls a second over ten seconds. The first pause now comes from the residual life of the jittered interval, and 680 nodes that restart at once stay under 24 calls a second in every window of ten seconds, with the platform up and down.

--- /dev/null
+++ b/internal/config/follow.go
@@ -0,0 +1,161 @@
+package config
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Peers fetches configurations from other nodes.
+type Peers interface {
+	// Fetch asks one peer for what follows the holder's revision and offers
+	// the answer to the holder. It returns at once if there is no peer.
+	Fetch(ctx context.Context, holder *Holder) error
+	// Count returns the number of nodes that poll the platform, this one
+	// included. Configured peers that haven't been heard from count, too:
+	// otherwise a herd of restarted nodes would take itself for a small fleet.
+	Count() int
+}
+
+// FollowOptions configures a PlatformFollower.
+type FollowOptions struct {
+	Follower FollowerOptions
+	// Timeout bounds one call to a peer or to the platform.
+	Timeout time.Duration
+	Clock   fleet.Clock
+	Random  *rand.Rand
+	Logger  zerolog.Logger
+	// PlatformDone is called after each platform call, for metrics; nil means none.
+	PlatformDone func(error)
+}
+
+// PlatformFollower keeps a holder up to date from peers and the platform until
+// it is stopped.
+type PlatformFollower struct {
+	life    tomb.Tomb
+	store   *Store
+	holder  *Holder
+	peers   Peers
+	options FollowOptions
+	wake    chan struct{}
+
+	mutex    sync.Mutex // guards follower
+	follower *Follower
+	failing  bool
+}
+
+// FollowPlatform starts to follow. Stop it with Stop.
+func FollowPlatform(store *Store, holder *Holder, peers Peers, options FollowOptions) *PlatformFollower {
+	follower := &PlatformFollower{
+		store:    store,
+		holder:   holder,
+		peers:    peers,
+		options:  options,
+		wake:     make(chan struct{}, 1),
+		follower: NewFollower(options.Follower, options.Random, options.Clock.Now(), peers.Count()),
+	}
+	follower.life.Go(follower.run)
+	return follower
+}
+
+// Hear notes a revision that another node's message named. A higher one than
+// the holder's makes the follower ask a peer at once.
+func (p *PlatformFollower) Hear(revision fleet.Revision) {
+	if revision <= p.holder.Revision() {
+		return
+	}
+	p.mutex.Lock()
+	p.follower.Hear(p.options.Clock.Now(), revision)
+	p.mutex.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Stop ends the following and waits for it.
+func (p *PlatformFollower) Stop() error {
+	p.life.Kill(nil)
+	return p.life.Wait()
+}
+
+func (p *PlatformFollower) run() error {
+	ctx := p.life.Context(context.Background())
+	for p.life.Alive() {
+		now := p.options.Clock.Now()
+		action := p.next(now)
+		switch action.Source {
+		case SourcePeer:
+			p.askPeer(ctx)
+		case SourcePlatform:
+			p.askPlatform(ctx)
+		case SourceNone:
+			p.wait(action.Until - now)
+		}
+	}
+	return nil
+}
+
+func (p *PlatformFollower) next(now time.Duration) Action {
+	nodes := p.peers.Count()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.follower.SetNodes(nodes)
+	p.follower.Learn(p.holder.Revision())
+	return p.follower.Next(now)
+}
+
+func (p *PlatformFollower) wait(pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-p.life.Dying():
+	case <-p.wake:
+	case <-timer.C:
+	}
+}
+
+func (p *PlatformFollower) askPeer(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, p.options.Timeout)
+	defer cancel()
+	if err := p.peers.Fetch(ctx, p.holder); err != nil {
+		p.options.Logger.Debug().Err(err).Msg("configuration_fetch_failed")
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.follower.PeerDone(p.options.Clock.Now())
+}
+
+func (p *PlatformFollower) askPlatform(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, p.options.Timeout)
+	defer cancel()
+	_, err := p.store.Refresh(ctx, p.holder)
+	if !p.life.Alive() {
+		return
+	}
+	if p.options.PlatformDone != nil {
+		p.options.PlatformDone(err)
+	}
+	p.logTransition(err)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.follower.PlatformDone(p.options.Clock.Now(), err == nil)
+}
+
+// logTransition logs the first failure and the recovery, not each call.
+func (p *PlatformFollower) logTransition(err error) {
+	failing := err != nil
+	if failing && !p.failing {
+		p.options.Logger.Warn().Err(err).Msg("platform_failed")
+	}
+	if !failing && p.failing {
+		p.options.Logger.Info().Msg("platform_recovered")
+	}
+	p.failing = failing
+}
--- /dev/null
+++ b/internal/config/follower_test.go
@@ -0,0 +1,155 @@
+package config
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
+
+// TestHerdKeepsToFleetBudget restarts 680 nodes at once, with the platform up
+// and down, and counts the platform's calls on a virtual clock.
+func TestHerdKeepsToFleetBudget(t *testing.T) {
+	const (
+		nodes   = 680
+		span    = 120 * time.Second
+		tick    = 10 * time.Millisecond
+		ceiling = 1.2 * DefaultFleetCallsPerSecond
+	)
+	for _, up := range []bool{true, false} {
+		var herd []*Follower
+		for node := range nodes {
+			herd = append(herd, NewFollower(FollowerOptions{}, seeded(uint64(node)), 0, nodes))
+		}
+		calls := make([]int, span/(10*time.Second))
+		for now := time.Duration(0); now < span; now += tick {
+			for _, follower := range herd {
+				switch follower.Next(now).Source {
+				case SourcePeer:
+					follower.PeerDone(now)
+				case SourcePlatform:
+					calls[now/(10*time.Second)]++
+					follower.PlatformDone(now, up)
+				}
+			}
+		}
+		for window, count := range calls {
+			assert.LessOrEqual(t, float64(count)/10, ceiling, "up=%v window %d", up, window)
+		}
+		assert.Positive(t, calls[len(calls)-1], "the platform is still asked")
+	}
+}
+
+func TestLoneNodeAsksPlatformAtOnce(t *testing.T) {
+	follower := NewFollower(FollowerOptions{}, seeded(1), 0, 1)
+	require.Equal(t, SourcePeer, follower.Next(0).Source)
+	follower.PeerDone(0)
+	assert.Equal(t, SourcePlatform, follower.Next(0).Source)
+}
+
+func TestHeardRevisionSendsToPeers(t *testing.T) {
+	follower := NewFollower(FollowerOptions{}, seeded(1), 0, 680)
+	follower.Learn(5)
+	follower.Hear(0, 4)
+	require.Equal(t, SourceNone, follower.Next(0).Source, "a lower revision is no news")
+	follower.Hear(0, 6)
+	require.Equal(t, SourcePeer, follower.Next(0).Source)
+	follower.PeerDone(0)
+	first := follower.Next(0)
+	require.Equal(t, SourceNone, first.Source)
+	assert.LessOrEqual(t, first.Until, 3*DefaultPeerRetry/2)
+	follower.Hear(0, 7)
+	assert.Equal(t, SourcePeer, follower.Next(0).Source, "a newer one is asked for at once")
+	follower.Learn(7)
+	assert.Equal(t, SourceNone, follower.Next(time.Millisecond).Source)
+}
+
+func TestPlatformFailuresBackOff(t *testing.T) {
+	follower := NewFollower(FollowerOptions{}, seeded(1), 0, 1)
+	follower.Learn(1)
+	now := time.Duration(0)
+	calls := 0
+	for now < time.Hour {
+		action := follower.Next(now)
+		if action.Source == SourcePlatform {
+			calls++
+			follower.PlatformDone(now, false)
+			continue
+		}
+		require.Greater(t, action.Until, now)
+		now = action.Until
+	}
+	assert.Less(t, calls, 100)
+	follower.PlatformDone(now, true)
+	assert.LessOrEqual(t, follower.Next(now).Until-now, 3*DefaultPollInterval/2)
+}
+
+// fakePeers offers a document when asked, if it has one.
+type fakePeers struct {
+	document Document
+	asked    chan struct{}
+}
+
+func (f *fakePeers) Count() int { return 1000 }
+
+func (f *fakePeers) Fetch(_ context.Context, holder *Holder) error {
+	select {
+	case f.asked <- struct{}{}:
+	default:
+	}
+	if f.document.Revision == 0 {
+		return errors.New("no peer")
+	}
+	_, err := holder.OfferSnapshot(f.document)
+	return err
+}
+
+func waitFor(t *testing.T, event <-chan struct{}) {
+	select {
+	case <-event:
+	case <-time.After(30 * time.Second):
+		t.Fatal("nothing happened")
+	}
+}
+
+func followOptions() FollowOptions {
+	return FollowOptions{Timeout: time.Second, Clock: fleet.NewClock(), Random: seeded(1), Logger: zerolog.Nop()}
+}
+
+func TestFollowLearnsFromPeersWhilePlatformIsDown(t *testing.T) {
+	tables := newFakeTables()
+	tables.nextFault = func() fault { return faultUnavailable }
+	holder := NewHolder()
+	updated := holder.Updated()
+	peers := &fakePeers{document: validDocument(7), asked: make(chan struct{}, 1)}
+	follower := FollowPlatform(newTestStore(tables, StoreOptions{}), holder, peers, followOptions())
+	waitFor(t, updated)
+	assert.Equal(t, fleet.Revision(7), holder.Revision())
+	waitFor(t, peers.asked)
+	follower.Hear(7)
+	follower.Hear(8)
+	waitFor(t, peers.asked)
+	require.NoError(t, follower.Stop())
+}
+
+func TestFollowLearnsFromPlatform(t *testing.T) {
+	store := newTestStore(newFakeTables(), StoreOptions{})
+	commitAll(t, store, 3)
+	holder := NewHolder()
+	updated := holder.Updated()
+	options := followOptions()
+	options.Follower = FollowerOptions{PollInterval: time.Millisecond, FleetCallsPerSecond: 1e6}
+	follower := FollowPlatform(store, holder, &fakePeers{asked: make(chan struct{}, 1)}, options)
+	waitFor(t, updated)
+	require.NoError(t, follower.Stop())
+	assert.Equal(t, fleet.Revision(3), holder.Revision())
+}
