Share connections among engine clients, count work that is due

Cause: a client of its own connections for each engine and a 64 KB read buffer for each open stream are too much for a process that knows thousands of engines. And the exact view that the limit in experiments needs counted one new prefix once for every stream that waited with it.

Change: engine.NewConnections holds what clients share (New stays); the frame decoder starts with 2 KB and grows only for a long line, up to its bound. ExpectedPrefix tells cached blocks and those due for accepted streams; QueuedPrefillTokens counts a due block once.

Two guards had no test that missed them: the owner check of an export (the test's stranger was unknown to the engine) and the cut of open streams when the stand-in goes down. Both tests are stricter now.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -20,42 +19,6 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
-// Defaults of Options.
-const (
-	DefaultConnectTimeout = 2 * time.Second
-	DefaultHeaderTimeout  = 10 * time.Second
-	DefaultMaxBodyBytes   = 64 << 20
-)
-
-// Options tune a Client. Zero values mean the defaults.
-type Options struct {
-	// ConnectTimeout bounds the making of a connection.
-	ConnectTimeout time.Duration
-	// HeaderTimeout bounds the wait for the head of an answer; the wait of a
-	// long poll is added to it.
-	HeaderTimeout time.Duration
-	// MaxLineBytes bounds one line of an event stream.
-	MaxLineBytes int
-	// MaxBodyBytes bounds the body of any other answer.
-	MaxBodyBytes int64
-}
-
-func (o Options) withDefaults() Options {
-	if o.ConnectTimeout <= 0 {
-		o.ConnectTimeout = DefaultConnectTimeout
-	}
-	if o.HeaderTimeout <= 0 {
-		o.HeaderTimeout = DefaultHeaderTimeout
-	}
-	if o.MaxLineBytes <= 0 {
-		o.MaxLineBytes = DefaultMaxLineBytes
-	}
-	if o.MaxBodyBytes <= 0 {
-		o.MaxBodyBytes = DefaultMaxBodyBytes
-	}
-	return o
-}
-
 // Client talks to one engine. It is safe for concurrent use. It never retries;
 // net/http may repeat a read (GET) on a reused connection, never a POST.
 // All its errors are *Error.
@@ -68,35 +31,11 @@
 
 // New returns a client of the engine at an address.
 func New(address fleet.Address, options Options) *Client {
-	options = options.withDefaults()
-	return &Client{
-		base:    "http://" + string(address),
-		options: options,
-		streams: newHTTPClient(options, true),
-		control: newHTTPClient(options, false),
-	}
-}
-
-// newHTTPClient makes a client of its own connections. Streams get a fresh
-// connection each: on a reused one, an idle connection that the engine has
-// dropped could not be told from a request that was lost after it arrived.
-func newHTTPClient(options Options, fresh bool) *http.Client {
-	dialer := &net.Dialer{Timeout: options.ConnectTimeout}
-	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableKeepAlives:   fresh,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     time.Minute,
-	}
-	if fresh {
-		transport.ResponseHeaderTimeout = options.HeaderTimeout
-	}
-	refuse := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{Transport: transport, CheckRedirect: refuse}
+	return NewConnections(options).Client(address)
 }
 
-// CloseIdle closes the connections that no exchange uses.
+// CloseIdle closes the connections that no exchange uses, also those of other
+// clients of the same Connections.
 func (c *Client) CloseIdle() {
 	c.streams.CloseIdleConnections()
 	c.control.CloseIdleConnections()
--- a/internal/engine/frames.go
+++ b/internal/engine/frames.go
@@ -47,12 +47,21 @@
 // FrameDecoder reads frames from server-sent events (WHATWG HTML, section
 // 9.2), of which it takes the fields event and data, the latter on one line.
 type FrameDecoder struct {
-	reader *bufio.Reader
+	reader       *bufio.Reader
+	maxLineBytes int
+	// long gathers a line that is longer than the reader's buffer.
+	long []byte
 }
 
-// NewFrameDecoder returns a decoder that refuses lines over maxLineBytes.
+// decoderBufferBytes is the memory of an open stream for reading; ordinary
+// frames fit into it.
+const decoderBufferBytes = 2 << 10
+
+// NewFrameDecoder returns a decoder that refuses lines over maxLineBytes, line
+// ending included.
 func NewFrameDecoder(reader io.Reader, maxLineBytes int) *FrameDecoder {
-	return &FrameDecoder{reader: bufio.NewReaderSize(reader, maxLineBytes)}
+	size := min(decoderBufferBytes, maxLineBytes)
+	return &FrameDecoder{reader: bufio.NewReaderSize(reader, size), maxLineBytes: maxLineBytes}
 }
 
 // Decode returns the next frame. It returns io.EOF when the input ends between
@@ -94,8 +103,11 @@
 // next call.
 func (d *FrameDecoder) readLine() ([]byte, error) {
 	line, err := d.reader.ReadSlice('\n')
+	if err == bufio.ErrBufferFull {
+		line, err = d.readLongLine(line)
+	}
 	switch {
-	case err == bufio.ErrBufferFull:
+	case len(line) > d.maxLineBytes:
 		return nil, ErrLineTooLong
 	case err == io.EOF && len(line) > 0:
 		return nil, io.ErrUnexpectedEOF
@@ -106,6 +118,19 @@
 	return bytes.TrimSuffix(line, []byte("\r")), nil
 }
 
+// readLongLine goes on with a line that fills the reader's buffer, up to one
+// buffer over the bound.
+func (d *FrameDecoder) readLongLine(start []byte) ([]byte, error) {
+	d.long = append(d.long[:0], start...)
+	for {
+		part, err := d.reader.ReadSlice('\n')
+		d.long = append(d.long, part...)
+		if err != bufio.ErrBufferFull || len(d.long) > d.maxLineBytes {
+			return d.long, err
+		}
+	}
+}
+
 func parseFrame(kind, data []byte) (Frame, error) {
 	var frame Frame
 	if err := json.Unmarshal(data, &frame); err != nil {
--- a/lab/enginemodel/batch_test.go
+++ b/lab/enginemodel/batch_test.go
@@ -71,6 +71,23 @@
 	assert.Equal(t, []fleet.StreamID{"running", "counter", "desk", "batch"}, order)
 }
 
+func TestExpectedPrefixCountsWorkUnderWayOnce(t *testing.T) {
+	e := New(testConfig())
+	text := promptOf("x", 200)
+	hashes := hashesOf("ward", testWeights, text)
+	require.NoError(t, e.Dispatch(0, request(e, "a", text, 1)))
+	require.NoError(t, e.Dispatch(0, request(e, "b", text+promptOf("y", 20), 1)))
+	assert.Zero(t, e.CachedPrefix(hashes))
+	assert.Equal(t, 50, e.ExpectedPrefix(hashes))
+	assert.Equal(t, 220, e.QueuedPrefillTokens())
+	e.Advance(20 * time.Millisecond)
+	assert.Equal(t, 25, e.CachedPrefix(hashes))
+	assert.Equal(t, 50, e.ExpectedPrefix(hashes))
+	_, err := e.Cancel(e.now, "a", 1)
+	require.NoError(t, err)
+	assert.Equal(t, 25, e.ExpectedPrefix(hashes), "cancelled work isn't expected any more")
+}
+
 func TestContinuationGoesOnFromExactlyTheGivenTokens(t *testing.T) {
 	text := promptOf("c", 40)
 	first := New(testConfig())
--- a/lab/enginemodel/blocks.go
+++ b/lab/enginemodel/blocks.go
@@ -30,13 +30,17 @@
 	// pinned blocks are in use by running streams, reserved ones promised.
 	pinned   int
 	reserved int
-	evicted  int
-	events   *eventLog
+	// due counts, for blocks not stored yet, the accepted streams that will
+	// compute them.
+	due     map[fleet.BlockHash]int32
+	evicted int
+	events  *eventLog
 }
 
 func newBlockStore(capacity int, events *eventLog) *blockStore {
 	return &blockStore{
 		index:    make(map[fleet.BlockHash]int32),
+		due:      make(map[fleet.BlockHash]int32),
 		slab:     make([]block, 1),
 		capacity: capacity,
 		events:   events,
@@ -59,6 +63,31 @@
 	return cached, unpinned
 }
 
+// expected returns how many leading hashes are cached or due.
+func (s *blockStore) expected(hashes []fleet.BlockHash) int {
+	for position, hash := range hashes {
+		if _, found := s.index[hash]; !found && s.due[hash] == 0 {
+			return position
+		}
+	}
+	return len(hashes)
+}
+
+func (s *blockStore) addDue(hashes []fleet.BlockHash) {
+	for _, hash := range hashes {
+		s.due[hash]++
+	}
+}
+
+func (s *blockStore) removeDue(hashes []fleet.BlockHash) {
+	for _, hash := range hashes {
+		s.due[hash]--
+		if s.due[hash] == 0 {
+			delete(s.due, hash)
+		}
+	}
+}
+
 // room returns how many more blocks can be pinned or reserved.
 func (s *blockStore) room() int {
 	return s.capacity - s.pinned - s.reserved
--- a/lab/enginemodel/cache_test.go
+++ b/lab/enginemodel/cache_test.go
@@ -132,6 +132,9 @@
 	text := promptOf("k", 40)
 	source := New(testConfig())
 	require.NoError(t, source.Dispatch(0, request(source, "a", text, 1)))
+	foreign := request(source, "b", text, 1)
+	foreign.Tenant = "shop"
+	require.NoError(t, source.Dispatch(0, foreign))
 	runDry(source)
 	hashes := hashesOf("ward", testWeights, text)
 	stolen, err := source.Export(source.now, engine.KVExportRequest{Tenant: "shop", Weights: testWeights, Hashes: hashes})
@@ -194,7 +197,7 @@
 		}
 		runDry(e)
 		checkBooks(t, e, mirror)
-		require.Zero(t, e.blocks.pinned+e.blocks.reserved+e.QueuedPrefillTokens())
+		require.Zero(t, e.blocks.pinned+e.blocks.reserved+e.QueuedPrefillTokens()+len(e.blocks.due))
 		for id := range live {
 			require.NoError(t, VerifyOutput(prompts[id], tokensOf(t, e, id)))
 		}
--- a/lab/enginemodel/dispatch.go
+++ b/lab/enginemodel/dispatch.go
@@ -123,7 +123,10 @@
 	}
 	cached, _ := e.blocks.prefix(s.hashes)
 	s.cachedTokens = min(cached*e.config.BlockTokens, s.promptTokens-1)
-	e.waiting.push(s, e.config.BlockTokens, cached)
+	s.dueFrom = e.blocks.expected(s.hashes)
+	s.expectedPrefill = s.promptTokens - min(s.dueFrom*e.config.BlockTokens, s.promptTokens-1) + s.carried
+	e.blocks.addDue(s.hashes[s.dueFrom:])
+	e.waiting.push(s)
 	e.startStep()
 	e.events.flush(e.now)
 }
--- a/lab/enginemodel/engine.go
+++ b/lab/enginemodel/engine.go
@@ -196,9 +196,15 @@
 	return cached
 }
 
+// ExpectedPrefix returns how many leading blocks are cached or will be computed
+// for streams already accepted.
+func (e *Engine) ExpectedPrefix(hashes []fleet.BlockHash) int {
+	return e.blocks.expected(hashes)
+}
+
 // QueuedPrefillTokens returns the prompt tokens still to be computed for
-// accepted streams. A waiting stream counts with what was cached on its
-// arrival, so that streams that wait with one new prefix count it once each.
+// accepted streams. A waiting stream counts without what was cached, or due to
+// be computed for an earlier stream, on its arrival.
 func (e *Engine) QueuedPrefillTokens() int {
 	tokens := e.waiting.prefillTokens
 	for _, running := range e.running {
--- a/lab/enginemodel/step.go
+++ b/lab/enginemodel/step.go
@@ -80,6 +80,7 @@
 	e.blocks.reserve(missing + outputBlocks)
 	s.cachedTokens = min(cached*e.config.BlockTokens, s.promptTokens-1)
 	s.remainingPrefill = s.promptTokens - s.cachedTokens + s.carried
+	e.settleDue(s, cached)
 	e.running = append(e.running, s)
 	e.counters.HitTokens += int64(s.cachedTokens)
 	e.counters.PromptTokens += int64(s.promptTokens)
@@ -115,6 +116,15 @@
 		s.pinned++
 		s.reserved--
 	}
+	e.settleDue(s, whole)
+}
+
+// settleDue takes the stream's blocks before a position off the due ones.
+func (e *Engine) settleDue(s *stream, before int) {
+	if before > s.dueFrom {
+		e.blocks.removeDue(s.hashes[s.dueFrom:before])
+		s.dueFrom = before
+	}
 }
 
 // produce gives a stream its next output token.
@@ -167,6 +177,7 @@
 // end moves a stream of any end out of the live ones.
 func (e *Engine) end(s *stream, kind StreamEventKind) {
 	s.endedAt = e.now
+	e.settleDue(s, len(s.hashes))
 	s.hashes = nil
 	if s.text == nil {
 		e.report(s, kind)
--- a/lab/enginemodel/stream.go
+++ b/lab/enginemodel/stream.go
@@ -30,7 +30,6 @@
 	id       fleet.StreamID
 	scope    int32
 	priority int
-	arrival  uint64
 	state    streamState
 
 	hashes       []fleet.BlockHash
@@ -41,6 +40,9 @@
 	produced int
 	limit    int
 
+	// dueFrom is the first block of the prompt that counts as due for this
+	// stream; those before it are stored or due for an earlier stream.
+	dueFrom int
 	// expectedPrefill is the prompt work that the waiting queue counts.
 	expectedPrefill int
 	// remainingPrefill includes the carried output tokens.
@@ -96,14 +98,10 @@
 // waitingQueue is in the order of admission: by priority, then arrival.
 type waitingQueue struct {
 	streams       []*stream
-	arrivals      uint64
 	prefillTokens int
 }
 
-func (q *waitingQueue) push(s *stream, blockTokens, cachedBlocks int) {
-	q.arrivals++
-	s.arrival = q.arrivals
-	s.expectedPrefill = s.promptTokens - min(cachedBlocks*blockTokens, s.promptTokens-1) + s.carried
+func (q *waitingQueue) push(s *stream) {
 	q.prefillTokens += s.expectedPrefill
 	position := sort.Search(len(q.streams), func(i int) bool { return q.streams[i].priority > s.priority })
 	q.streams = append(q.streams, nil)
--- a/lab/standin/engineserver/server_test.go
+++ b/lab/standin/engineserver/server_test.go
@@ -280,7 +280,11 @@
 	require.NoError(t, err, "the dispatch had its effect")
 	requireWhole(t, stream, 3)
 
+	cut, err := client.Dispatch(t.Context(), dispatchOf("cut", 4000))
+	require.NoError(t, err)
 	setFaults(t, server, `{"down":true}`)
+	_, _, err = readTokens(t.Context(), cut)
+	requireCode(t, engine.ErrorConnectionLost, err)
 	_, err = client.Dispatch(t.Context(), dispatchOf("down", 3))
 	requireCode(t, engine.ErrorConnectionLost, err)
 	setFaults(t, server, `{"down":false}`)
