--- a/cmd/tillerfall/process.go
+++ b/cmd/tillerfall/process.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/signal"
+	"strconv"
 	"strings"
 	"syscall"
 
@@ -21,7 +22,6 @@
 	Region   string   `long:"region" description:"Region of the machine; node.region"`
 	Zone     string   `long:"zone" description:"Zone of the machine; node.zone"`
 	Address  string   `long:"address" description:"Numeric HOST:PORT to listen on; node.address"`
-	Platform string   `long:"platform" description:"Numeric HOST:PORT of the platform; platform.address"`
 	LogLevel string   `long:"log-level" description:"Least level that is logged; logging.level"`
 }
 
@@ -33,7 +33,6 @@
 		{Field: "node.region", Value: f.Region},
 		{Field: "node.zone", Value: f.Zone},
 		{Field: "node.address", Value: f.Address},
-		{Field: "platform.address", Value: f.Platform},
 		{Field: "logging.level", Value: f.LogLevel},
 	} {
 		if flag.Value != "" {
@@ -62,6 +61,15 @@
 	return nil
 }
 
+// yamlList writes texts as a YAML list on one line.
+func yamlList(texts []string) string {
+	quoted := make([]string, 0, len(texts))
+	for _, text := range texts {
+		quoted = append(quoted, strconv.Quote(text))
+	}
+	return "[" + strings.Join(quoted, ", ") + "]"
+}
+
 func indent(text string) string { return "  " + strings.ReplaceAll(text, "\n", "\n  ") }
 
 // process is a part of the system that runs until it is stopped.
--- a/cmd/tillerfall/router.go
+++ b/cmd/tillerfall/router.go
@@ -11,10 +11,25 @@
 // routerCommand runs a router.
 type routerCommand struct {
 	settingsFlags
+	Platform string   `long:"platform" value-name:"HOST:PORT" description:"Numeric address of the platform; platform.address"`
+	Peers    []string `long:"peer" value-name:"HOST:PORT" description:"Numeric address of a router to join through, in place of those in the file; may be given more than once"`
+}
+
+// flagsAsSettings puts the router's own flags before --set, which wins.
+func (c *routerCommand) flagsAsSettings() {
+	var own []string
+	if c.Platform != "" {
+		own = append(own, "platform.address="+c.Platform)
+	}
+	if len(c.Peers) > 0 {
+		own = append(own, "peers="+yamlList(c.Peers))
+	}
+	c.Set = append(own, c.Set...)
 }
 
 // Execute implements flags.Commander.
 func (c *routerCommand) Execute([]string) error {
+	c.flagsAsSettings()
 	settings := router.DefaultSettings()
 	if err := c.load(&settings); err != nil {
 		return err
--- a/internal/router/enginefleet.go
+++ b/internal/router/enginefleet.go
@@ -25,6 +25,7 @@
 	metrics  *metrics
 	settings Settings
 	logger   zerolog.Logger
+	board    *statusBoard
 
 	mutex    sync.Mutex
 	machines map[fleet.EngineID]platform.Machine
@@ -40,6 +41,7 @@
 		metrics:  metrics,
 		settings: settings,
 		logger:   logger,
+		board:    newStatusBoard(placer.clock),
 		machines: make(map[fleet.EngineID]platform.Machine),
 		watchers: make(map[fleet.EngineID]*engineWatcher),
 	}
@@ -78,6 +80,7 @@
 
 func (f *engineFleet) forgetMachine(id fleet.EngineID) {
 	delete(f.machines, id)
+	f.board.forget(id)
 	f.logger.Info().Str("engine", string(id)).Msg("machine_gone")
 	f.placer.do(func(now time.Duration, core *placement.Core) { core.ForgetMachine(now, id) })
 }
@@ -122,7 +125,7 @@
 		if f.watchers[id] != nil || !f.owns(id, f.routers) {
 			continue
 		}
-		watcher := newEngineWatcher(machine, f.placer, f.metrics, f.settings, f.logger)
+		watcher := newEngineWatcher(machine, f)
 		f.watchers[id] = watcher
 		watcher.start()
 	}
--- a/internal/router/enginewatcher.go
+++ b/internal/router/enginewatcher.go
@@ -38,6 +38,7 @@
 	address  fleet.Address
 	client   *engine.Client
 	placer   *placer
+	board    *statusBoard
 	metrics  *metrics
 	settings Settings
 	logger   zerolog.Logger
@@ -47,15 +48,16 @@
 	snapshotWanted chan struct{}
 }
 
-func newEngineWatcher(machine platform.Machine, placer *placer, metrics *metrics, settings Settings, logger zerolog.Logger) *engineWatcher {
+func newEngineWatcher(machine platform.Machine, engines *engineFleet) *engineWatcher {
 	return &engineWatcher{
 		id:             fleet.EngineID(machine.ID),
 		address:        machine.Address,
 		client:         engine.New(machine.Address, engine.Options{}),
-		placer:         placer,
-		metrics:        metrics,
-		settings:       settings,
-		logger:         logger.With().Str("engine", machine.ID).Str("address", string(machine.Address)).Logger(),
+		placer:         engines.placer,
+		board:          engines.board,
+		metrics:        engines.metrics,
+		settings:       engines.settings,
+		logger:         engines.logger.With().Str("engine", machine.ID).Str("address", string(machine.Address)).Logger(),
 		statusWanted:   make(chan struct{}, 1),
 		snapshotWanted: make(chan struct{}, 1),
 	}
@@ -114,6 +116,7 @@
 	if status.Engine != w.id {
 		return errors.Errorf("engine %q answers at this address", status.Engine)
 	}
+	w.board.note(status)
 	w.placer.do(func(now time.Duration, core *placement.Core) { core.ObserveStatus(now, status) })
 	return nil
 }
--- a/internal/router/fixture_test.go
+++ b/internal/router/fixture_test.go
@@ -64,6 +64,15 @@
 	return f
 }
 
+// slowLoads keeps engines from ever loading further weights.
+func (f *testFleet) slowLoads() {
+	for _, server := range f.engines {
+		faults := server.Faults()
+		faults.LoadTimeMillis = time.Hour.Milliseconds()
+		server.SetFaults(faults)
+	}
+}
+
 func (f *testFleet) machines() []platform.Machine {
 	var machines []platform.Machine
 	for number, server := range f.engines {
--- a/internal/router/operationsserver.go
+++ b/internal/router/operationsserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -35,12 +36,18 @@
 		Token:            message.GetToken(),
 		ExpectedRevision: fleet.Revision(message.GetExpectedRevision()),
 	})
-	statement := message.GetStatement()
-	s.logger.Info().Str("statement", statement[:min(len(statement), maxLoggedStatement)]).Str("token", result.Token).
+	s.logger.Info().Str("statement", summarize(message.GetStatement())).Str("token", result.Token).
 		Uint32("code", uint32(result.Code)).Uint64("revision", uint64(result.Revision)).Msg("statement_executed")
 	return encodeResult(s.router.header(), result), nil
 }
 
+// summarize returns the start of a statement's first line: a whole
+// configuration doesn't belong in a log.
+func summarize(statement string) string {
+	line, _, _ := strings.Cut(statement, "\n")
+	return line[:min(len(line), maxLoggedStatement)]
+}
+
 func encodeResult(header *rpc.Header, result operator.Result) *rpc.ExecuteResponse {
 	response := &rpc.ExecuteResponse{
 		Header:      header,
--- a/internal/router/placementserver.go
+++ b/internal/router/placementserver.go
@@ -33,7 +33,7 @@
 	outcome, err := s.router.placer.place(ctx, request)
 	waited := s.router.clock.Now() - started
 	if err != nil {
-		s.logger.Info().Str("request", message.GetRequestId()).Uint32("attempt", message.GetAttempt()).
+		s.logger.Info().Str("request_id", message.GetRequestId()).Uint32("attempt", message.GetAttempt()).
 			Dur("waited_ms", waited).Err(err).Msg("place_withdrawn")
 		return nil, twirp.Canceled.Error(err.Error())
 	}
@@ -48,7 +48,7 @@
 }
 
 func (s *placementServer) logOutcome(request placement.Request, outcome placement.Outcome, waited time.Duration) {
-	event := s.logger.Info().Str("request", string(request.Key.Request)).Uint32("attempt", uint32(request.Key.Attempt)).
+	event := s.logger.Info().Str("request_id", string(request.Key.Request)).Uint32("attempt", uint32(request.Key.Attempt)).
 		Str("tenant", string(request.Tenant)).Str("class", string(request.Class)).Dur("waited_ms", waited)
 	switch outcome := outcome.(type) {
 	case placement.Grant:
--- a/internal/router/rolloutrunner.go
+++ b/internal/router/rolloutrunner.go
@@ -1,42 +1,102 @@
 package router
 
 import (
-	"fmt"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/engine"
 	"github.com/tillerfall/tillerfall/internal/fleet"
-	"github.com/tillerfall/tillerfall/internal/placement"
+	"github.com/tillerfall/tillerfall/internal/lease"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rollout"
 )
 
+// rolloutLeaseKey is the lease's row in the table service.
+const rolloutLeaseKey = "lease/rollout"
+
+// rolloutCandidates is the number of routers that poll the lease, so that its
+// load on the table service doesn't grow with the fleet.
+const rolloutCandidates = 3
+
 // rolloutRunner turns the configuration into orders to engines while this
 // router holds the lease.
 type rolloutRunner struct {
-	router *Router
+	router     *Router
+	keeper     *lease.Keeper
+	controller *rollout.Controller
+}
+
+func newRolloutRunner(r *Router) (*rolloutRunner, error) {
+	settings := lease.Settings{
+		Key:      rolloutLeaseKey,
+		Duration: time.Duration(r.options.Settings.LeaseDuration),
+		Margin:   time.Duration(r.options.Settings.LeaseMargin),
+	}
+	election, err := lease.NewElection(settings, lease.NewHolderID(r.node, rand.Uint64()), newRandom())
+	if err != nil {
+		return nil, errors.Wrap(err, "lease")
+	}
+	runner := &rolloutRunner{router: r, keeper: lease.NewKeeper(election, r.options.Tables, r.clock, r.logger)}
+	runner.controller = rollout.NewController(rollout.ControllerOptions{
+		Lease:    runner.keeper,
+		Orderer:  runner,
+		Document: r.document,
+		Engines:  func() []rollout.Engine { return r.engines.allStatuses(r.life.Context(context.Background())) },
+		Planner:  rollout.NewPlanner(rollout.PlannerSettings{}),
+		Clock:    r.clock,
+		Logger:   r.logger,
+	})
+	return runner, nil
 }
 
-func newRolloutRunner(r *Router) (*rolloutRunner, error) { return &rolloutRunner{router: r}, nil }
+func (r *rolloutRunner) start() {
+	r.keeper.Start()
+	r.controller.Start()
+}
 
-func (r *rolloutRunner) start() {}
-func (r *rolloutRunner) stop()  {}
+// stop ends the orders under way and then gives up the lease.
+func (r *rolloutRunner) stop() {
+	_ = r.controller.Stop()
+	_ = r.keeper.Stop()
+}
+
+// setRouters chooses the routers that poll the lease.
+func (r *rolloutRunner) setRouters(routable []membership.Member) {
+	candidates := membership.Owners(rolloutLeaseKey, routable, rolloutCandidates)
+	r.keeper.SetEligible(slices.Contains(candidates, r.router.node))
+}
+
+// Order implements rollout.Orderer.
+func (r *rolloutRunner) Order(ctx context.Context, id fleet.EngineID, order engine.Order) error {
+	client, release, found := r.router.engines.client(id)
+	if !found {
+		return errors.Errorf("engine %q isn't listed any more", id)
+	}
+	defer release()
+	return client.Order(ctx, order)
+}
 
 // ReadyToPromote implements operator.Readiness.
-func (r *rolloutRunner) ReadyToPromote(_ config.Document, weights fleet.Weights) error {
-	loaded, total := 0, 0
-	for _, engine := range r.router.placer.snapshot().Engines {
-		if engine.Condition != placement.EngineReady {
-			continue
-		}
-		total++
-		for _, held := range engine.Loaded {
-			if held == weights {
-				loaded++
-			}
-		}
+func (r *rolloutRunner) ReadyToPromote(document config.Document, weights fleet.Weights) error {
+	engines := r.router.engines.allStatuses(r.router.life.Context(context.Background()))
+	ready, loaded, wanted := rollout.ReadyToPromote(&document, engines, weights.Model, weights.Adapter, weights.Version)
+	if ready {
+		return nil
 	}
-	if loaded*2 <= total {
-		return errors.New(fmt.Sprintf("%d of %d engines have version %q loaded", loaded, total, weights.Version))
+	return errors.Errorf("%d of %d engines have version %q loaded", loaded, wanted, weights.Version)
+}
+
+// document returns the configuration in force; nil if none is known.
+func (r *Router) document() *config.Document {
+	view := r.holder.Current()
+	if view == nil {
+		return nil
 	}
-	return nil
+	document := view.Document()
+	return &document
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -71,6 +71,7 @@
 		})
 		options.Tables, options.Objects, options.Machines = client, client, client
 	}
+	options.Logger = options.Logger.With().Str("node", string(node)).Logger()
 	clock := fleet.NewClock()
 	metrics := newMetrics()
 	core := placement.New(placement.Options{Node: node, Zone: options.Settings.Node.Zone, Random: newRandom()})
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -179,6 +179,7 @@
 
 func TestOperatorsCommands(t *testing.T) {
 	f := newTestFleet(t, 2)
+	f.slowLoads()
 	f.commitConfiguration()
 	r := f.startReadyRouter("r")
 	assert.Equal(t, uint32(resultcode.CommandImpossible), execute(t, r, "promote m v2").GetCode(), "v2 isn't loaded")
@@ -195,3 +196,28 @@
 	lost := execute(t, r, "drain e1")
 	assert.Contains(t, []uint32{uint32(resultcode.PlatformUnavailable), uint32(resultcode.CommandUncertain)}, lost.GetCode())
 }
+
+func TestPromotionFollowsTheLoadOfTheWeights(t *testing.T) {
+	f := newTestFleet(t, 2)
+	f.commitConfiguration()
+	first, second := f.startReadyRouter("r1"), f.startReadyRouter("r2")
+	require.Eventually(t, func() bool { return execute(t, first, "promote m v2").GetCode() == 0 }, patience, 20*pollTime)
+	require.Eventually(t, func() bool { return second.holder.Revision() == 2 }, patience, pollTime)
+	request := placeRequest("q")
+	request.Weights.Version = "v2"
+	response, err := placementClient(second).Place(context.Background(), request)
+	require.NoError(t, err)
+	assert.NotNil(t, response.GetGrant(), "%v", response)
+}
+
+func TestFailedOverLeaseStillRetiresAnEngine(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.slowLoads()
+	f.commitConfiguration()
+	first := f.startReadyRouter("r1")
+	require.Eventually(t, func() bool { _, held := first.rollout.keeper.Fence(); return held }, patience, pollTime)
+	second := f.startReadyRouter("r2")
+	require.NoError(t, first.Stop())
+	require.Zero(t, execute(t, second, "retire e0").GetCode())
+	require.Eventually(t, func() bool { return f.engines[0].Status().Leaving }, patience, pollTime)
+}
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/lease"
 	"github.com/tillerfall/tillerfall/internal/settings"
 )
 
@@ -29,6 +30,13 @@
 	// ConfigurationInterval is the mean time between two reads of the
 	// configuration's head in the table service.
 	ConfigurationInterval settings.Duration `yaml:"configuration_interval" validate:"gt=0"`
+	// LeaseDuration is how long the router that orders engines may rely on one
+	// renewal of its lease. After its death no engine gets orders for about as
+	// long.
+	LeaseDuration settings.Duration `yaml:"lease_duration" validate:"gt=0"`
+	// LeaseMargin covers the differences between the rates of the machines'
+	// clocks; it is less than half of the duration.
+	LeaseMargin settings.Duration `yaml:"lease_margin" validate:"gt=0"`
 	// CommandTimeout bounds one operator's command.
 	CommandTimeout settings.Duration `yaml:"command_timeout" validate:"gt=0"`
 	// StopTimeout bounds a planned stop; open calls are cut after it.
@@ -61,9 +69,21 @@
 		EventWait:             settings.Duration(defaultEventWait),
 		MachineInterval:       settings.Duration(defaultMachineInterval),
 		ConfigurationInterval: settings.Duration(defaultConfigurationInterval),
+		LeaseDuration:         settings.Duration(lease.DefaultDuration),
+		LeaseMargin:           settings.Duration(lease.DefaultMargin),
 		CommandTimeout:        settings.Duration(defaultCommandTimeout),
 		StopTimeout:           settings.Duration(defaultStopTimeout),
 		MaxBodyBytes:          defaultMaxBodyBytes,
 		MaxWaitingCalls:       defaultMaxWaitingCalls,
 	}
 }
+
+// CheckAcross implements settings.CrossChecker.
+func (s *Settings) CheckAcross(report func(field, message string)) {
+	if s.LeaseMargin >= s.LeaseDuration/2 {
+		report("lease_margin", "must be less than half of lease_duration")
+	}
+	if time.Duration(s.LeaseDuration)%time.Millisecond != 0 {
+		report("lease_duration", "must be a whole number of milliseconds")
+	}
+}
