Add settings of agent and router to the reference

Each limit of an agent has to stand in the docs. The tables come from the field comments of both processes' settings now and are tested; marks carry the package's name because both types are called Settings.

go test -race passes for the package.

--- a/internal/config/reference/reference.go
+++ b/internal/config/reference/reference.go
@@ -78,6 +78,7 @@
 var scalarNames = map[string]string{
 	"float64":   "number",
 	"int":       "whole number",
+	"int64":     "whole number",
 	"bool":      "true or false",
 	"Duration":  "duration, such as `1.5s`",
 	"string":    "string",
--- a/internal/config/reference/reference_test.go
+++ b/internal/config/reference/reference_test.go
@@ -21,7 +21,8 @@
 
 var update = flag.Bool("update", false, "write the tables into docs/CONFIGURATION.md")
 
-// documented lists the structs whose tables stand in the page.
+// documented lists the structs whose tables stand in the page, each between
+// marks with the package's and the type's name.
 var documented = []struct{ source, typeName string }{
 	{"internal/config/document.go", "Document"},
 	{"internal/config/document.go", "Tenant"},
@@ -33,6 +34,12 @@
 	{"internal/settings/common.go", "Node"},
 	{"internal/settings/common.go", "Logging"},
 	{"internal/settings/common.go", "Platform"},
+	{"internal/agent/settings.go", "Settings"},
+	{"internal/agent/settings.go", "HTTPSettings"},
+	{"internal/agent/settings.go", "RequestSettings"},
+	{"internal/agent/settings.go", "EngineSettings"},
+	{"internal/agent/settings.go", "SyncSettings"},
+	{"internal/router/settings.go", "Settings"},
 }
 
 func TestPageHoldsTableOfEveryStruct(t *testing.T) {
@@ -42,12 +49,13 @@
 	for _, entry := range documented {
 		table, err := Table(filepath.Join(repositoryRoot, entry.source), entry.typeName)
 		require.NoError(t, err)
-		begin := fmt.Sprintf("<!-- begin %s -->\n", entry.typeName)
-		end := fmt.Sprintf("<!-- end %s -->\n", entry.typeName)
+		mark := filepath.Base(filepath.Dir(entry.source)) + "." + entry.typeName
+		begin := fmt.Sprintf("<!-- begin %s -->\n", mark)
+		end := fmt.Sprintf("<!-- end %s -->\n", mark)
 		before, rest, found := strings.Cut(page, begin)
-		require.True(t, found, "%s isn't in the page", entry.typeName)
+		require.True(t, found, "%s isn't in the page", mark)
 		held, after, found := strings.Cut(rest, end)
-		require.True(t, found, "%s has no end mark", entry.typeName)
+		require.True(t, found, "%s has no end mark", mark)
 		if *update {
 			page = before + begin + table + end + after
 			continue
