--- a/cmd/tillerfall/control.go
+++ b/cmd/tillerfall/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -94,6 +95,10 @@
 // callFailure tells a call that certainly reached no router from one whose
 // effect is unknown.
 func callFailure(err error, token string) error {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return resultcode.New(resultcode.NoRouter, dial.Error())
+	}
 	var refused twirp.Error
 	if errors.As(err, &refused) && refused.Code() == twirp.Malformed {
 		return resultcode.New(resultcode.StatementSyntax, refused.Msg())
