--- /dev/null
+++ b/internal/rollout/weights.go
@@ -0,0 +1,81 @@
+package rollout
+
+import (
+	"slices"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// weightsState is the configuration's word about one set of weights.
+type weightsState struct {
+	weights engine.Weights
+	pool    fleet.PoolName
+	state   config.VersionState
+}
+
+// listWeights returns every version of every model and adapter, in the
+// document's order.
+func listWeights(document *config.Document) []weightsState {
+	var all []weightsState
+	for _, model := range document.Models {
+		all = appendVersions(all, model, "", model.Versions)
+		for _, adapter := range model.Adapters {
+			all = appendVersions(all, model, adapter.Name, adapter.Versions)
+		}
+	}
+	return all
+}
+
+func appendVersions(all []weightsState, model config.Model, adapter fleet.AdapterName, versions []config.Version) []weightsState {
+	for _, version := range versions {
+		weights := engine.Weights{Model: model.Name, Adapter: adapter, Version: version.Name}
+		all = append(all, weightsState{weights: weights, pool: model.Pool, state: version.State})
+	}
+	return all
+}
+
+// catalogue sorts the configuration's weights by what engines should do with
+// them.
+type catalogue struct {
+	serving []weightsState
+	loading []weightsState
+	retired []weightsState
+}
+
+func newCatalogue(document *config.Document) catalogue {
+	var sorted catalogue
+	for _, candidate := range listWeights(document) {
+		switch candidate.state {
+		case config.VersionServing:
+			sorted.serving = append(sorted.serving, candidate)
+		case config.VersionLoading:
+			sorted.loading = append(sorted.loading, candidate)
+		case config.VersionRetired:
+			sorted.retired = append(sorted.retired, candidate)
+		}
+	}
+	return sorted
+}
+
+// needed returns what engines should hold: what serves goes before what is
+// being brought in, because an engine without it can't work.
+func (c catalogue) needed() []weightsState { return slices.Concat(c.serving, c.loading) }
+
+// inPool keeps the weights that one pool should hold.
+func inPool(all []weightsState, pool fleet.PoolName) []weightsState {
+	var kept []weightsState
+	for _, candidate := range all {
+		if candidate.pool == pool {
+			kept = append(kept, candidate)
+		}
+	}
+	return kept
+}
+
+// sameVariant tells whether two sets of weights are versions of one model or
+// of one adapter.
+func sameVariant(a, b engine.Weights) bool {
+	return a.Model == b.Model && a.Adapter == b.Adapter
+}
