Close the gaps that broken guards showed in the placement tests

Each guard of flow control and of the decision core was taken out on a scratch copy. Eleven removals went unnoticed: the first source that says an engine leaves, hand-back with the last engine, reports of another run, crossed phases, the hold for a shared prefix, the wait for a warm engine, its predicted wait for a stream, a doubled submit, grants that ended after a late measurement, and in flow control a tenant that saves share up while idle, and the share in the predicted wait. Each has a test now that fails without its guard (tried, one by one). One removal is left unnoticed on purpose: the older-incarnation check of cache answers, which the feed makes a second time.

--- a/internal/flowcontrol/fairness_test.go
+++ b/internal/flowcontrol/fairness_test.go
@@ -104,6 +104,25 @@
 	assert.InDelta(t, 300, counts["large"], 2)
 }
 
+func TestIdleTenantSavesNoShareUp(t *testing.T) {
+	controller := newController(twoClasses(0))
+	for number := range 200 {
+		require.Nil(t, controller.Enqueue(0, item(fmt.Sprintf("a%d", number), "a", urgent, 10)))
+	}
+	for range 100 {
+		controller.Next(0, anything)
+	}
+	for number := range 100 {
+		require.Nil(t, controller.Enqueue(0, item(fmt.Sprintf("b%d", number), "b", urgent, 10)))
+	}
+	counts := map[fleet.TenantName]int{}
+	for range 100 {
+		next, _ := controller.Next(0, anything)
+		counts[next.Tenant]++
+	}
+	assert.InDelta(t, 50, counts["b"], 1)
+}
+
 func TestMinimumShareBoundsStarvation(t *testing.T) {
 	controller := newController(twoClasses(0.1))
 	require.Nil(t, controller.Enqueue(0, item("b0", "night", batch, 10)))
@@ -173,6 +192,11 @@
 	fits := item("fits", "a", urgent, 100)
 	fits.Deadline = now + 2500*time.Millisecond
 	require.Nil(t, controller.Enqueue(now, fits))
+	// A tenant with little of its own before it waits only for its share.
+	require.Nil(t, controller.Enqueue(now, item("light", "b", urgent, 100)))
+	light := item("light2", "b", urgent, 100)
+	light.Deadline = now + 100*time.Millisecond
+	require.Nil(t, controller.Enqueue(now, light))
 	seen := map[time.Duration]bool{}
 	for number := range 20 {
 		hopeless := item(fmt.Sprintf("h%d", number), "a", urgent, 100)
--- a/internal/placement/core_test.go
+++ b/internal/placement/core_test.go
@@ -128,6 +128,65 @@
 	}
 }
 
+func TestRequestWaitsForASharedPrefixUnderTheQueueBound(t *testing.T) {
+	b := newBench(t, 2)
+	first := b.submitGranted(request("r0", urgent, "circular", 100)) // 160 ms
+	require.Empty(t, b.submit(request("r1", urgent, "circular", 100)))
+	b.now += 170 * time.Millisecond
+	outcomes := b.report(first, PhaseFirstToken)
+	require.Len(t, outcomes, 1)
+	assert.Equal(t, first.Run, outcomes[0].(Grant).Run)
+}
+
+// TestWarmEngineIsWaitedForOnlyWhileCheaper has a prefix of 1.6 s at an engine
+// with work of 0.4 s or of 3 s before it.
+func TestWarmEngineIsWaitedForOnlyWhileCheaper(t *testing.T) {
+	b := newBench(t, 2)
+	warm := request("r", urgent, "circular", 1000)
+	b.core.ObserveCacheSnapshot(b.now, "engine0", engine.CacheSnapshot{Incarnation: 1, Sequence: 1, Hashes: warm.Blocks})
+	busy := b.status("engine0", 1)
+	busy.Load.WaitingPrefillTokens = 4_000
+	b.core.ObserveStatus(b.now, busy)
+	require.Empty(t, b.submit(warm))
+	require.Empty(t, b.submit(warm), "asked again, it still has one outcome")
+	outcomes := b.advance(300 * time.Millisecond)
+	require.Len(t, outcomes, 1)
+	assert.Zero(t, b.core.engines["engine0"].parkedBefore(maxRank))
+	assert.Equal(t, fleet.EngineID("engine0"), outcomes[0].(Grant).Run.Engine)
+
+	busy = b.status("engine0", 1)
+	busy.Load.WaitingPrefillTokens = 30_000
+	b.core.ObserveStatus(b.now, busy)
+	warm.Key.Attempt = 2
+	assert.Equal(t, fleet.EngineID("engine1"), b.submitGranted(warm).Run.Engine)
+}
+
+// TestLongStreamsAreNotWaitedFor has a prefix of 160 ms at an engine whose ten
+// streams last four seconds, so that one ends each 400 ms.
+func TestLongStreamsAreNotWaitedFor(t *testing.T) {
+	b := newBench(t, 1)
+	warm := request("r", urgent, "circular", 100)
+	b.core.ObserveCacheSnapshot(b.now, "engine0", engine.CacheSnapshot{Incarnation: 1, Sequence: 1, Hashes: warm.Blocks})
+	grants := b.fill()
+	for _, grant := range grants {
+		b.report(grant, PhaseAccepted)
+	}
+	b.now += 4 * time.Second
+	b.report(grants[0], PhaseFinished)
+	b.addEngine("engine0", 1)
+	b.submitGranted(request("last", urgent, "last", 1))
+	b.addEngine("engine1", 1)
+	assert.Equal(t, fleet.EngineID("engine1"), b.submitGranted(warm).Run.Engine)
+}
+
+func TestWaitingRequestsLeaveWithTheLastEngine(t *testing.T) {
+	b := newBench(t, 1)
+	b.fill()
+	require.Empty(t, b.submit(request("w", urgent, "p", 1)))
+	b.core.ForgetMachine(b.now, "engine0")
+	assert.Equal(t, []Outcome{HandBack{Key: keyOf("w"), Reason: HandBackNoEngine}}, b.core.TakeOutcomes())
+}
+
 func TestLostFirstTokenReportHoldsNobodyForLong(t *testing.T) {
 	b := newBench(t, 2)
 	b.submitGranted(request("r0", urgent, "circular", 200))
@@ -176,8 +235,10 @@
 func TestResubmittedAttemptGivesItsGrantUp(t *testing.T) {
 	b := newBench(t, 1)
 	for range 50 {
-		b.submitGranted(request("r", urgent, "p", 1))
-		assert.Equal(t, 1, b.inFlight())
+		grant := b.submitGranted(request("r", urgent, "p", 1))
+		grant.Run.Incarnation++
+		b.report(grant, PhaseFinished)
+		assert.Equal(t, 1, b.inFlight(), "a report of another run changes nothing")
 	}
 }
 
@@ -212,6 +273,13 @@
 					b.core.Submit(b.now, made)
 				}
 			},
+			"resubmit": func(t *rapid.T) {
+				key := keyOf(fmt.Sprint(rapid.IntRange(0, sequence).Draw(t, "key")))
+				if open[key] {
+					again := request(string(key.Request), batch, "a", 100)
+					b.core.Submit(b.now, again)
+				}
+			},
 			"withdraw": func(t *rapid.T) {
 				key := keyOf(fmt.Sprint(rapid.IntRange(0, sequence).Draw(t, "key")))
 				if b.core.Withdraw(b.now, key) {
--- a/internal/placement/engines_test.go
+++ b/internal/placement/engines_test.go
@@ -37,6 +37,9 @@
 		t.Run(string(source), func(t *testing.T) {
 			b := newBench(t, 1)
 			say(b)
+			for _, sayToo := range leave {
+				sayToo(b)
+			}
 			b.now += time.Second
 			b.core.ForgetMachine(b.now, "engine0")
 			b.addEngine("engine0", 1)
@@ -98,6 +101,8 @@
 	assert.Equal(t, 1, b.inFlight(), "no report of acceptance came")
 	b.report(lost, PhaseFinished)
 	b.report(accepted, PhaseFirstToken)
+	b.report(accepted, PhaseAccepted)
+	assert.Equal(t, PhaseFirstToken, b.core.grants[accepted.Key].phase, "reports may be crossed")
 	b.advance(time.Hour)
 	assert.Zero(t, b.inFlight(), "the report of the end was lost")
 	b.report(accepted, PhaseFinished)
@@ -137,8 +142,15 @@
 	b.core.ObserveStatus(b.now, foreign)
 	assert.Equal(t, 4, queue().Streams, "three streams were placed by other routers")
 
-	b.report(grant, PhaseAbandoned)
+	b.now += 10 * time.Millisecond
+	b.report(grant, PhaseAccepted)
+	b.report(grant, PhaseFinished)
 	assert.Equal(t, 3, queue().Streams)
+	older := foreign
+	older.Load.RunningStreams = 1
+	b.now += 10 * time.Millisecond
+	b.core.ObserveStatus(b.now, older)
+	assert.Zero(t, queue().Streams, "the one stream reported is ours, which has ended since")
 }
 
 func TestSlowEngineClockDoesNotAgeReports(t *testing.T) {
