Read index buckets of a prompt together, and measure decisions

A first benchmark of a lookup of 2,048 blocks spent its time waiting for memory, one cache miss after another: the compare after each read kept the processor from running ahead.

Tables are now divided into buckets of four entries, one cache line, and a lookup takes 64 blocks at a time: it works out all home buckets, reads a word of each in a short loop, and compares only then.

--- a/internal/prefixindex/bank.go
+++ b/internal/prefixindex/bank.go
@@ -20,6 +20,8 @@
 	// sweptPerChange is how many entries are swept for each changed block while
 	// a removed run waits to be reclaimed.
 	sweptPerChange = 4
+	// lookAhead is how many blocks of a prompt are read together.
+	lookAhead = 64
 )
 
 // bank holds the blocks of up to 64 runs.
@@ -111,19 +113,53 @@
 // no run with an unbroken prefix holds.
 func (b *bank) lookup(hashes []fleet.BlockHash, matches []Match) []Match {
 	unbroken := b.live
-	for depth, hash := range hashes {
-		holding := unbroken & b.holders(hash)
-		if holding != unbroken {
-			matches = b.appendMatches(unbroken&^holding, depth, matches)
-			unbroken = holding
-		}
-		if unbroken == 0 {
-			return matches
+	var holders [lookAhead]uint64
+	for depth := 0; depth < len(hashes); {
+		chunk := hashes[depth:min(depth+lookAhead, len(hashes))]
+		b.holdersOfAll(chunk, &holders)
+		for position := range chunk {
+			holding := unbroken & holders[position]
+			if holding != unbroken {
+				matches = b.appendMatches(unbroken&^holding, depth+position, matches)
+				unbroken = holding
+			}
+			if unbroken == 0 {
+				return matches
+			}
 		}
+		depth += len(chunk)
 	}
 	return b.appendMatches(unbroken, len(hashes), matches)
 }
 
+// holdersOfAll finds the holders of up to lookAhead blocks, dead slots
+// included. It works out all home buckets, reads one word of each, and only
+// then compares: in the short loop of reads the processor waits for many cache
+// misses at once instead of for one after another.
+func (b *bank) holdersOfAll(hashes []fleet.BlockHash, holders *[lookAhead]uint64) {
+	var homes [lookAhead]*bucket
+	for position, hash := range hashes {
+		mixed := mix(hash)
+		homes[position] = b.segmentOf(mixed).homeBucket(mixed)
+	}
+	touched := uint64(0)
+	for position := range hashes {
+		touched |= homes[position][0].holders
+	}
+	if touched == 0 {
+		// A block whose home position is empty has no entry at all.
+		clear(holders[:])
+		return
+	}
+	for position, hash := range hashes {
+		holders[position] = homes[position].holders(hash)
+		if holders[position] == 0 {
+			mixed := mix(hash)
+			holders[position] = b.segmentOf(mixed).holders(hash, mixed)
+		}
+	}
+}
+
 func (b *bank) appendMatches(mask uint64, blocks int, matches []Match) []Match {
 	if blocks == 0 {
 		return matches
--- a/internal/prefixindex/segment.go
+++ b/internal/prefixindex/segment.go
@@ -14,6 +14,8 @@
 	// A table grows when more than maxLoadNumerator/maxLoadDenominator is used.
 	maxLoadNumerator   = 4
 	maxLoadDenominator = 5
+	// bucketEntries share a cache line of 64 bytes. Capacities are multiples of it.
+	bucketEntries = 4
 	// minCapacity is the first capacity of a segment.
 	minCapacity = 8
 	// pageEntries fill one 8 KiB page of the allocator, to which large tables
@@ -29,9 +31,33 @@
 	holders uint64
 }
 
-// segment is an open-addressing table with linear probing and deletion by
-// backward shift (Knuth, The Art of Computer Programming, 6.4, algorithm R), so
-// that no tombstones gather.
+// holdersIf returns the mask if the entry is of a block, else 0.
+func (e *entry) holdersIf(hash fleet.BlockHash) uint64 {
+	holders := e.holders
+	if e.hash != hash {
+		holders = 0
+	}
+	return holders
+}
+
+// bucket is an aligned group of entries.
+type bucket [bucketEntries]entry
+
+// emptyBucket stands for any bucket of a segment without entries.
+var emptyBucket bucket
+
+// holders returns the mask of a block if its entry is in the bucket, else 0.
+// It compares without branching: which entry matches can't be predicted.
+func (b *bucket) holders(hash fleet.BlockHash) uint64 {
+	return b[0].holdersIf(hash) |
+		b[1].holdersIf(hash) |
+		b[2].holdersIf(hash) |
+		b[3].holdersIf(hash)
+}
+
+// segment is an open-addressing table with linear probing from the first entry
+// of a bucket, and deletion by backward shift (Knuth, The Art of Computer
+// Programming, 6.4, algorithm R), so that no tombstones gather.
 type segment struct {
 	table []entry
 	used  int
@@ -49,10 +75,11 @@
 	return mixed
 }
 
-// home maps the upper bits of a mixed hash to a position without division.
+// home maps the upper bits of a mixed hash to the first position of a bucket,
+// without division.
 func (s *segment) home(mixed uint64) int {
-	high, _ := bits.Mul64(mixed, uint64(len(s.table)))
-	return int(high)
+	bucket, _ := bits.Mul64(mixed, uint64(len(s.table)/bucketEntries))
+	return int(bucket) * bucketEntries
 }
 
 func (s *segment) next(position int) int {
@@ -78,6 +105,15 @@
 	return 0, false
 }
 
+// homeBucket returns the home bucket of a mixed hash.
+func (s *segment) homeBucket(mixed uint64) *bucket {
+	if s.used == 0 {
+		return &emptyBucket
+	}
+	home := s.home(mixed)
+	return (*bucket)(s.table[home : home+bucketEntries])
+}
+
 // holders returns the mask of a block, 0 if it has no entry.
 func (s *segment) holders(hash fleet.BlockHash, mixed uint64) uint64 {
 	position, found := s.find(hash, mixed)
@@ -139,9 +175,13 @@
 	}
 	grown := capacity + max(capacity/growthDivisor, minCapacity)
 	if grown <= 4*pageEntries {
-		return grown
+		return roundUp(grown, bucketEntries)
 	}
-	return (grown + pageEntries - 1) / pageEntries * pageEntries
+	return roundUp(grown, pageEntries)
+}
+
+func roundUp(value, multiple int) int {
+	return (value + multiple - 1) / multiple * multiple
 }
 
 func (s *segment) resize(capacity int) {
--- /dev/null
+++ b/internal/scheduling/benchmark_test.go
@@ -0,0 +1,121 @@
+package scheduling_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/prefixindex"
+	"github.com/tillerfall/tillerfall/internal/scheduling"
+)
+
+const (
+	indexBlocks  = 2_500_000
+	sharedBlocks = 250_000
+	promptTokens = 32 << 10
+)
+
+// bench is an index of full size and a snapshot of engines, as a router has them.
+type bench struct {
+	index     *prefixindex.Index
+	endpoints []scheduling.Endpoint
+	positions map[fleet.EngineRun]int
+	shared    []fleet.BlockHash
+	random    *rand.Rand
+}
+
+// newBench shares sharedBlocks among all engines and gives the other blocks to
+// one engine each.
+func newBench(engines int) *bench {
+	result := &bench{
+		index:     prefixindex.New(prefixindex.Options{}),
+		positions: make(map[fleet.EngineRun]int),
+		random:    rand.New(rand.NewPCG(1, uint64(engines))),
+	}
+	result.shared = result.randomHashes(sharedBlocks)
+	for number := range engines {
+		run := fleet.EngineRun{Engine: fleet.EngineID(fmt.Sprintf("engine-%03d", number)), Incarnation: 1}
+		result.index.AddRun(run)
+		result.index.Store(run, result.shared)
+		result.index.Store(run, result.randomHashes((indexBlocks-sharedBlocks)/engines))
+		result.positions[run] = number
+		result.endpoints = append(result.endpoints, scheduling.Endpoint{
+			Run: run, Pool: "pool", Ready: true,
+			Serves:        func(weights fleet.Weights) bool { return weights.Model == "m" },
+			InFlight:      result.random.IntN(8),
+			PrefillTokens: result.random.IntN(60_000),
+		})
+	}
+	return result
+}
+
+func (b *bench) randomHashes(count int) []fleet.BlockHash {
+	hashes := make([]fleet.BlockHash, count)
+	for position := range hashes {
+		hashes[position] = fleet.BlockHash(b.random.Uint64())
+	}
+	return hashes
+}
+
+// prompt returns a chain at another place of the index each time: nine tenths
+// shared by all engines, the end held by none.
+func (b *bench) prompt(blocks int) []fleet.BlockHash {
+	start := b.random.IntN(sharedBlocks - blocks)
+	prompt := append([]fleet.BlockHash(nil), b.shared[start:start+blocks]...)
+	copy(prompt[blocks*9/10:], b.randomHashes(blocks-blocks*9/10))
+	return prompt
+}
+
+// decide is one whole decision, from block hashes to an engine.
+func (b *bench) decide(scheduler *scheduling.Scheduler, request scheduling.Request, prompt []fleet.BlockHash, matches []prefixindex.Match) ([]prefixindex.Match, bool) {
+	matches = b.index.Lookup(prompt, matches)
+	for position := range b.endpoints {
+		b.endpoints[position].CachedBlocks = 0
+	}
+	for _, match := range matches {
+		b.endpoints[b.positions[match.Run]].CachedBlocks = match.Blocks
+	}
+	_, found := scheduler.Schedule(request, b.endpoints, b.random)
+	return matches, found
+}
+
+// BenchmarkDecision measures lookup and scheduling together for a prompt of
+// 32 Ki tokens over an index of 2.5 million blocks.
+func BenchmarkDecision(b *testing.B) {
+	for _, engines := range []int{16, 64} {
+		state := newBench(engines)
+		for _, blockTokens := range []int{64, 16} {
+			name := fmt.Sprintf("engines=%d/blocks=%d", engines, promptTokens/blockTokens)
+			b.Run(name, func(b *testing.B) { benchmarkDecision(b, state, blockTokens) })
+		}
+	}
+}
+
+func benchmarkDecision(b *testing.B, state *bench, blockTokens int) {
+	scheduler := scheduling.New(scheduling.DefaultOptions())
+	request := scheduling.Request{
+		Weights: fleet.Weights{Model: "m"}, Pool: "pool",
+		PromptTokens: promptTokens, BlockTokens: blockTokens,
+	}
+	histogram := hdrhistogram.New(1, int64(time.Second), 3)
+	var matches []prefixindex.Match
+	b.ReportAllocs()
+	for range b.N {
+		prompt := state.prompt(promptTokens / blockTokens)
+		start := time.Now()
+		var found bool
+		matches, found = state.decide(scheduler, request, prompt, matches)
+		elapsed := time.Since(start)
+		if !found {
+			b.Fatal("no endpoint was found")
+		}
+		_ = histogram.RecordValue(int64(elapsed))
+	}
+	const nanosPerMicro = 1e3
+	b.ReportMetric(float64(histogram.ValueAtQuantile(50))/nanosPerMicro, "p50-µs")
+	b.ReportMetric(float64(histogram.ValueAtQuantile(99))/nanosPerMicro, "p99-µs")
+}
