Hand requests back while a restarted router knows no configuration

A restarted router refused the requests of agents that know a configuration, though it lacks only what the agent is about to send. It now hands them back; the answer's revision shows the agent that the router is behind. Hand-backs name routers by address, which is what agents dial. The Retry-After of a refusal for too many open calls is spread.

--- a/internal/router/placementserver.go
+++ b/internal/router/placementserver.go
@@ -30,7 +30,7 @@
 		return nil, err
 	}
 	started := s.router.clock.Now()
-	outcome, err := s.router.placer.place(ctx, request)
+	outcome, err := s.decide(ctx, request)
 	waited := s.router.clock.Now() - started
 	if err != nil {
 		s.logger.Info().Str("request_id", message.GetRequestId()).Uint32("attempt", message.GetAttempt()).
@@ -47,6 +47,18 @@
 	return response, nil
 }
 
+// decide asks the core. A router that has just started and knows no
+// configuration hands requests back to an agent that knows one: the answer
+// shows the agent that this router is behind, and the agent brings it up to date.
+func (s *placementServer) decide(ctx context.Context, request placement.Request) (placement.Outcome, error) {
+	if request.KnownRevision > 0 && s.router.holder.Current() == nil {
+		outcome := placement.HandBack{Key: request.Key, Reason: placement.HandBackBehind}
+		s.router.metrics.observeOutcome(request.Class, outcome, 0)
+		return outcome, nil
+	}
+	return s.router.placer.place(ctx, request)
+}
+
 func (s *placementServer) logOutcome(request placement.Request, outcome placement.Outcome, waited time.Duration) {
 	event := s.logger.Info().Str("request_id", string(request.Key.Request)).Uint32("attempt", uint32(request.Key.Attempt)).
 		Str("tenant", string(request.Tenant)).Str("class", string(request.Class)).Dur("waited_ms", waited)
--- a/internal/router/placer.go
+++ b/internal/router/placer.go
@@ -16,8 +16,8 @@
 // given the earlier call up.
 var errSuperseded = errors.New("superseded by a later call for the same attempt")
 
-// overloadedRetryAfter is when an agent should come back after a refusal for
-// too many open calls.
+// overloadedRetryAfter is the mean time after which an agent should come back
+// after a refusal for too many open calls.
 const overloadedRetryAfter = time.Second
 
 // openCall is one placement call that waits for its outcome.
@@ -173,7 +173,7 @@
 	if len(p.calls) >= p.maxCalls {
 		refusal := placement.Refusal{
 			Key: request.Key, Code: resultcode.Overloaded,
-			Reason: "too many requests wait at this router", RetryAfter: overloadedRetryAfter,
+			Reason: "too many requests wait at this router", RetryAfter: jitter(overloadedRetryAfter),
 		}
 		p.metrics.observeOutcome(request.Class, refusal, 0)
 		call.outcome <- refusal
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -238,16 +238,16 @@
 	return members
 }
 
-// otherRouters names up to limit routers besides this one, those of its zone first.
+// otherRouters returns the addresses of up to limit routers besides this one, those of its zone first.
 func (r *Router) otherRouters(limit int) []string {
 	var near, far []string
 	for _, member := range r.peers.View().Routable() {
 		switch {
 		case member.Node == r.node:
 		case member.Zone == r.options.Settings.Node.Zone:
-			near = append(near, string(member.Node))
+			near = append(near, string(member.Address))
 		default:
-			far = append(far, string(member.Node))
+			far = append(far, string(member.Address))
 		}
 	}
 	all := append(near, far...)
