Reject lease records whose numbers overflow

A record with a duration near the greatest int64 overflowed to a negative time.Duration, so that a challenger saw the lease as run out and took it at once; one with the greatest token would have raised it to 0. Both are now malformed, which leaves the row to a person; saturating them was ruled out, as no process writes them.

--- a/internal/lease/election_test.go
+++ b/internal/lease/election_test.go
@@ -228,9 +228,41 @@
 
 func TestMalformedRowIsNeitherTakenNorBelieved(t *testing.T) {
 	a := newElection(t, "a", 1)
-	for _, value := range []string{"", "{}", `{"token":1}`, `{"token":-1,"duration_ms":1}`} {
+	for _, value := range []string{"", "{}", `{"token":1}`, `{"token":-1,"duration_ms":1}`, `{"token":1,"duration_ms":9223372036854775807}`} {
 		err := a.ReadDone(0, platform.Row{Key: testSettings.Key, Value: []byte(value), Revision: 3}, nil)
 		require.ErrorIs(t, err, ErrMalformedRecord, value)
 		assert.NotEqual(t, ActionCommit, a.Next(time.Hour).Kind)
 	}
 }
+
+func FuzzDecodeRecord(f *testing.F) {
+	f.Add(encodeRecord(Record{Holder: "a/1", Token: 1, DurationMillis: 6000}))
+	f.Add([]byte(`{"holder":"","token":18446744073709551615,"duration_ms":9223372036854775807}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		a := newElection(t, "a", 1)
+		if a.ReadDone(0, platform.Row{Value: value, Revision: 1}, nil) != nil {
+			return
+		}
+		action := a.Next(0)
+		record, _ := a.Observed()
+		if action.Kind == ActionCommit {
+			assert.Empty(t, record.Holder, "a lease that hasn't run out is taken over")
+			written, err := decodeRecord(action.Transaction.Writes[0].Value)
+			require.NoError(t, err)
+			assert.Greater(t, written.Token, record.Token)
+		}
+	})
+}
+
+func TestSettingsThatCannotKeepHoldersApartAreRejected(t *testing.T) {
+	for _, settings := range []Settings{
+		{Duration: time.Second, Margin: time.Millisecond},
+		{Key: "k", Duration: time.Second},
+		{Key: "k", Duration: time.Second, Margin: time.Second / 2},
+		{Key: "k", Duration: time.Microsecond, Margin: 1},
+		{Key: "k", Duration: 2 * MaxDuration, Margin: time.Second},
+	} {
+		assert.Error(t, settings.Validate(), "%+v", settings)
+	}
+	assert.NoError(t, Settings{Key: "k", Duration: DefaultDuration, Margin: DefaultMargin}.Validate())
+}
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -41,7 +42,9 @@
 	if err := json.Unmarshal(value, &record); err != nil {
 		return Record{}, errors.Wrap(ErrMalformedRecord, err.Error())
 	}
-	if record.Token == 0 || record.DurationMillis <= 0 {
+	validToken := record.Token > 0 && record.Token < math.MaxUint64
+	validDuration := record.DurationMillis > 0 && record.DurationMillis <= MaxDuration.Milliseconds()
+	if !validToken || !validDuration {
 		return Record{}, errors.Wrapf(ErrMalformedRecord, "token %d, duration %d ms", record.Token, record.DurationMillis)
 	}
 	return record, nil
--- a/internal/lease/settings.go
+++ b/internal/lease/settings.go
@@ -12,6 +12,10 @@
 	DefaultMargin   = time.Second
 )
 
+// MaxDuration bounds a lease's duration: a row that names a longer one is
+// malformed, and would overflow a time.Duration.
+const MaxDuration = time.Hour
+
 // Fractions of a lease's duration.
 const (
 	renewFraction = 3  // a holder renews three times within a duration
@@ -37,6 +41,9 @@
 	if s.Duration < time.Millisecond || s.Duration%time.Millisecond != 0 {
 		return errors.Errorf("lease duration %s isn't a whole number of milliseconds", s.Duration)
 	}
+	if s.Duration > MaxDuration {
+		return errors.Errorf("lease duration %s exceeds %s", s.Duration, MaxDuration)
+	}
 	if s.Margin <= 0 || s.Margin >= s.Duration/2 {
 		return errors.Errorf("lease margin %s isn't within 0 and half the duration %s", s.Margin, s.Duration)
 	}
