Move waiting requests to the promoted version, mend a flaky agent test

A request whose version is retired while it waits was refused as stale_weights although it could run on the version that serves now. The agent then fetches the router's configuration, resolves the model again and asks anew, as long as the caller has no output; weights never change within an output.

A Retry-After went with outcome_unknown, which invites the caller to run the request twice; it is left out now when a request that isn't repeatable may have run. A router's failure ends a context in place of a channel with a goroutine of its own for each waiting request.

TestStreamContinuesElsewhereAfterItsEngineDied failed once in two runs: the test read one answer through two scanners and lost what the first had read ahead. The agent's stream was whole; the test now keeps one scanner and checks the same.

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -73,8 +73,7 @@
 // prepare fills in what follows from the model. An output limit over the
 // model's own is lowered to it.
 func (a *Agent) prepare(admitted *call, model config.Model) (*call, *openai.Failure) {
-	text := admitted.body.Prompt
-	admitted.promptTokens = prompt.CountTokens(text)
+	admitted.promptTokens = prompt.CountTokens(admitted.body.Prompt)
 	if admitted.promptTokens > model.MaxPromptTokens {
 		message := fmt.Sprintf("the prompt has %d tokens; the model takes %d", admitted.promptTokens, model.MaxPromptTokens)
 		return nil, &openai.Failure{Code: resultcode.PromptTooLong, Message: message}
@@ -88,12 +87,17 @@
 		timeout = time.Duration(a.settings.Requests.DefaultDeadline)
 	}
 	admitted.deadline = a.clock.Now() + timeout
-	scope := fleet.CacheScope{Tenant: admitted.tenant.Name, Weights: admitted.weights}
-	admitted.hashes = prompt.HashBlocks(scope, text, model.BlockTokens)
-	admitted.prefixKey = prefixKey(admitted.hashes, text, a.settings.Requests.AffinityBlocks)
+	admitted.hashPrompt(model, a.settings.Requests.AffinityBlocks)
 	return admitted, nil
 }
 
+// hashPrompt fills in what follows from the weights.
+func (c *call) hashPrompt(model config.Model, affinityBlocks int) {
+	scope := fleet.CacheScope{Tenant: c.tenant.Name, Weights: c.weights}
+	c.hashes = prompt.HashBlocks(scope, c.body.Prompt, model.BlockTokens)
+	c.prefixKey = prefixKey(c.hashes, c.body.Prompt, affinityBlocks)
+}
+
 // prefixKey is equal for prompts that begin alike. A prompt of less than a
 // block can't share a cached one, and goes by its whole text.
 func prefixKey(hashes []fleet.BlockHash, text string, affinityBlocks int) uint64 {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -144,6 +144,9 @@
 // Stop refuses new requests, lets running ones finish within the grace and
 // returns when the agent has ended. Further calls wait for the same end.
 func (a *Agent) Stop() error {
+	if a.listener == nil {
+		return nil // never started
+	}
 	a.life.Kill(nil)
 	return a.life.Wait()
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tillerfall/tillerfall/internal/agent"
+	"github.com/tillerfall/tillerfall/internal/config"
 	"github.com/tillerfall/tillerfall/internal/openai"
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/rpc"
@@ -45,9 +46,11 @@
 	return status, answer
 }
 
+// scan returns the one scanner that reads an answer; it reads ahead.
+func scan(response *http.Response) *bufio.Scanner { return bufio.NewScanner(response.Body) }
+
 // readEvents reads a stream's events up to its end or to a number of them.
-func readEvents(t *testing.T, response *http.Response, most int) (tokens, events []string) {
-	scanner := bufio.NewScanner(response.Body)
+func readEvents(t *testing.T, scanner *bufio.Scanner, most int) (tokens, events []string) {
 	for len(events) < most && scanner.Scan() {
 		data, isData := strings.CutPrefix(scanner.Text(), "data: ")
 		if !isData {
@@ -110,7 +113,7 @@
 	response := post(t, a, openai.PathCompletions, completionBody(20, true), "X-Request-Id: caller")
 	defer response.Body.Close()
 	assert.True(t, strings.HasPrefix(response.Header.Get("X-Request-Id"), "caller-"))
-	tokens, events := readEvents(t, response, allEvents)
+	tokens, events := readEvents(t, scan(response), allEvents)
 	require.NoError(t, enginemodel.VerifyOutput(testPrompt, tokens))
 	assert.Len(t, tokens, 20)
 	assert.Equal(t, "[DONE]", events[len(events)-1])
@@ -136,7 +139,7 @@
 	router := startRouter(t, server)
 	a := startAgent(t, nil, router)
 	response := post(t, a, openai.PathCompletions, completionBody(400, true))
-	_, events := readEvents(t, response, 2)
+	_, events := readEvents(t, scan(response), 2)
 	require.Len(t, events, 2)
 	response.Body.Close()
 	require.Eventually(t, func() bool { return server.Status().Load.RunningStreams == 0 }, patience, pollEvery)
@@ -153,10 +156,11 @@
 	a := startAgent(t, nil, router)
 	response := post(t, a, openai.PathCompletions, completionBody(200, true))
 	defer response.Body.Close()
-	begin, events := readEvents(t, response, 3)
+	stream := scan(response)
+	begin, events := readEvents(t, stream, 3)
 	require.Len(t, events, 3)
 	first.Kill()
-	rest, events := readEvents(t, response, allEvents)
+	rest, events := readEvents(t, stream, allEvents)
 	require.Equal(t, "[DONE]", events[len(events)-1])
 	whole := append(begin, rest...)
 	require.NoError(t, enginemodel.VerifyOutput(testPrompt, whole))
@@ -231,7 +235,8 @@
 	a := startAgent(t, nil, startRouter(t, startEngine(t, "a", 5*time.Millisecond)))
 	response := post(t, a, openai.PathCompletions, completionBody(100, true))
 	defer response.Body.Close()
-	_, events := readEvents(t, response, 1)
+	stream := scan(response)
+	_, events := readEvents(t, stream, 1)
 	require.Len(t, events, 1)
 	stopped := make(chan error, 2)
 	for range cap(stopped) { // the second signal must not cut what the first promised
@@ -244,7 +249,7 @@
 	_, answer := decode(t, post(t, a, openai.PathCompletions, completionBody(2, false)))
 	require.NotNil(t, answer.Error)
 	assert.Equal(t, resultcode.Stopping, answer.Error.ResultCode)
-	_, events = readEvents(t, response, allEvents)
+	_, events = readEvents(t, stream, allEvents)
 	assert.Equal(t, "[DONE]", events[len(events)-1])
 	require.NoError(t, <-stopped)
 	require.NoError(t, <-stopped)
@@ -262,3 +267,20 @@
 	assert.Equal(t, http.StatusTooManyRequests, status)
 	assert.Equal(t, resultcode.TenantConcurrency, answer.Error.ResultCode)
 }
+
+func TestWaitingRequestMovesToThePromotedVersion(t *testing.T) {
+	router := startRouter(t, startEngine(t, "a", time.Millisecond))
+	a := startAgent(t, func(s *agent.Settings) { s.Sync.Interval = settings.Duration(time.Hour) }, router)
+	promoted := testDocument()
+	promoted.Revision++
+	promoted.Models[0].Versions = []config.Version{
+		{Name: "v1", State: config.VersionRetired}, {Name: "v2", State: config.VersionServing},
+	}
+	snapshot, err := config.SnapshotMessage(promoted)
+	require.NoError(t, err)
+	router.mutex.Lock()
+	router.config, router.revision, router.retired = snapshot, snapshot.GetRevision(), "v1"
+	router.mutex.Unlock()
+	status, _ := decode(t, post(t, a, openai.PathCompletions, completionBody(2, false)))
+	assert.Equal(t, http.StatusOK, status)
+}
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -18,6 +18,7 @@
 	"github.com/tillerfall/tillerfall/internal/config"
 	"github.com/tillerfall/tillerfall/internal/engine"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/rpc"
 	"github.com/tillerfall/tillerfall/internal/settings"
 	"github.com/tillerfall/tillerfall/lab/enginemodel"
@@ -65,6 +66,8 @@
 	places   int
 	// hold keeps every answer back until it is closed.
 	hold chan struct{}
+	// retired is refused as a version that no longer serves.
+	retired string
 }
 
 func startRouter(t *testing.T, engines ...*engineserver.Server) *fakeRouter {
@@ -101,6 +104,13 @@
 	f.wait(ctx)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if request.GetWeights().GetVersion() == f.retired {
+		refusal := &rpc.Refusal{Code: uint32(resultcode.StaleWeights)}
+		return &rpc.PlaceResponse{
+			Header: f.header(), RequestId: request.GetRequestId(), Attempt: request.GetAttempt(),
+			Outcome: &rpc.PlaceResponse_Refusal{Refusal: refusal},
+		}, nil
+	}
 	chosen := f.engines[f.places%len(f.engines)]
 	f.places++
 	status := chosen.Status()
@@ -151,7 +161,7 @@
 	server := engineserver.New(engineserver.Config{
 		Model: enginemodel.Config{
 			ID: id, Incarnation: 1, KeepWeights: true, BlockTokens: blockTokens,
-			Loaded: []engine.Weights{{Model: "notes", Version: "v1"}},
+			Loaded: []engine.Weights{{Model: "notes", Version: "v1"}, {Model: "notes", Version: "v2"}},
 			Costs:  enginemodel.Costs{StepBase: step},
 		},
 		Logger: zerolog.Nop(),
--- a/internal/agent/placement.go
+++ b/internal/agent/placement.go
@@ -24,17 +24,11 @@
 	at := c.agent.routers.choose(c.call.prefixKey, ask.Preferred, c.tried)
 	c.tried[at.address]++
 	c.askedAt[ask.Attempt] = at
-	failed := c.agent.routers.enter(at)
+	routerLife := c.agent.routers.enter(at)
 	defer c.agent.routers.leave(at)
-	ctx, cancel := context.WithTimeoutCause(ctx, c.call.maxWait+placeMargin, errors.New("router holds the question too long"))
+	ctx, cancel := context.WithTimeout(ctx, c.call.maxWait+placeMargin)
 	defer cancel()
-	go func() {
-		select {
-		case <-failed:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
+	defer context.AfterFunc(routerLife, cancel)()
 	answer, err := at.client.Place(ctx, c.placeRequest(ask))
 	if err == nil && (answer.GetRequestId() != string(c.call.id) || answer.GetAttempt() != uint32(ask.Attempt)) {
 		err = errCrossedAnswer
@@ -129,9 +123,14 @@
 // back: the exchange started by its answer brings it up to date.
 func (c *carrier) refusalEvent(ask attempt.AskRouter, at *link, refusal *rpc.Refusal) attempt.Event {
 	code := resultcode.Code(refusal.GetCode())
-	if code == resultcode.NoConfiguration {
+	switch code {
+	case resultcode.NoConfiguration:
 		c.agent.requestSync(at)
 		return attempt.HandedBack{Operation: ask.Operation}
+	case resultcode.StaleWeights:
+		if ask.ContinuationTokens == 0 && c.takeNewVersion(at) {
+			return attempt.HandedBack{Operation: ask.Operation}
+		}
 	}
 	return attempt.Refused{
 		Operation:  ask.Operation,
@@ -140,3 +139,18 @@
 		RetryAfter: time.Duration(refusal.GetRetryAfterMillis()) * time.Millisecond,
 	}
 }
+
+// takeNewVersion moves a request whose version was retired while it waited to
+// the one that serves now. It must not have any output yet: weights never
+// change within one.
+func (c *carrier) takeNewVersion(at *link) bool {
+	c.agent.syncWith(at)
+	view := c.agent.config.Current()
+	weights, model, found := view.ResolveModel(c.call.body.Model)
+	if !found || weights == c.call.weights {
+		return false
+	}
+	c.call.weights = weights
+	c.call.hashPrompt(model, c.agent.settings.Requests.AffinityBlocks)
+	return true
+}
--- a/internal/agent/routers.go
+++ b/internal/agent/routers.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/netip"
@@ -40,8 +41,9 @@
 	answered bool
 	// waiting counts the requests that wait at the router.
 	waiting int
-	// failed is closed when the router stops answering, and then replaced.
-	failed chan struct{}
+	// life ends when the router stops answering, and is then replaced.
+	life context.Context
+	end  context.CancelFunc
 }
 
 // routers is the set of routers that the agent may ask.
@@ -85,8 +87,8 @@
 	created := &link{
 		address: address,
 		client:  rpc.NewPlacementProtobufClient("http://"+string(address), r.client),
-		failed:  make(chan struct{}),
 	}
+	created.life, created.end = context.WithCancel(context.Background())
 	r.links[address] = created
 	return created
 }
@@ -153,13 +155,13 @@
 	return addresses
 }
 
-// enter counts a request that begins to wait at a router. The channel is
-// closed if the router fails meanwhile.
-func (r *routers) enter(at *link) <-chan struct{} {
+// enter counts a request that begins to wait at a router. The context ends if
+// the router fails meanwhile.
+func (r *routers) enter(at *link) context.Context {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	at.waiting++
-	return at.failed
+	return at.life
 }
 
 func (r *routers) leave(at *link) {
@@ -186,8 +188,8 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	at.answered = false
-	close(at.failed)
-	at.failed = make(chan struct{})
+	at.end()
+	at.life, at.end = context.WithCancel(context.Background())
 	now := r.clock.Now()
 	if at.retryAt > now {
 		return // one outage, noticed by several calls
@@ -240,6 +242,7 @@
 	}
 	for address, known := range r.links {
 		if !keep[address] && known.waiting == 0 && known.reports.idle() {
+			known.end()
 			delete(r.links, address)
 		}
 	}
--- a/internal/attempt/actions.go
+++ b/internal/attempt/actions.go
@@ -86,7 +86,8 @@
 type Fail struct {
 	Code   resultcode.Code
 	Reason string
-	// RetryAfter is when to come back; 0 means that nothing is known.
+	// RetryAfter is when to come back; 0 means not at all, or that nothing is
+	// known.
 	RetryAfter time.Duration
 }
 
--- a/internal/attempt/ending.go
+++ b/internal/attempt/ending.go
@@ -18,7 +18,9 @@
 	m.phase = PhaseFinished
 	code = m.truthful(code)
 	entry := resultcode.Lookup(code)
-	if retryAfter <= 0 && entry.Status >= statusRetryable {
+	if !entry.NotRun && !m.request.Repeatable {
+		retryAfter = 0 // coming back could run it twice
+	} else if retryAfter <= 0 && entry.Status >= statusRetryable {
 		retryAfter = m.policy.RetryAfter + time.Duration(m.random.Int64N(int64(m.policy.RetryAfter)))
 	}
 	m.emit(Fail{Code: code, Reason: reason, RetryAfter: retryAfter})
--- a/internal/attempt/machine_test.go
+++ b/internal/attempt/machine_test.go
@@ -146,6 +146,7 @@
 			}
 			failure := find[attempt.Fail](d)
 			assert.Equal(t, resultcode.OutcomeUnknown, failure.Code)
+			assert.Zero(t, failure.RetryAfter)
 			assert.Equal(t, 1, d.machine.Stats().Dispatches)
 		})
 	}
