Follow the configuration from peers and platform in the router

Every router polled the table service by itself. The follower bounds the calls of the whole fleet and asks peers as soon as a message names a higher revision. A router without a list of machines asks peers for theirs, too.

--- a/cmd/tillerfall/main_test.go
+++ b/cmd/tillerfall/main_test.go
@@ -184,8 +184,8 @@
 		require.NoError(t, syscall.Kill(os.Getpid(), signal))
 	}
 	select {
-	case <-ended:
-		t.Fatal("the second signal ended the process")
+	case err := <-ended:
+		t.Fatalf("the second signal ended the process: %v", err)
 	case <-time.After(20 * time.Millisecond):
 	}
 	close(process.release)
--- a/internal/router/configuration.go
+++ b/internal/router/configuration.go
@@ -82,15 +82,30 @@
 	return r.snapshots.encode(r.holder.Current(), r.logger)
 }
 
-// followConfiguration reads the configuration's head from the table service.
-func (r *Router) followConfiguration() error {
-	interval := time.Duration(r.options.Settings.ConfigurationInterval)
-	return r.pollPlatform("configuration", interval, func(ctx context.Context) error {
-		_, err := r.store.Refresh(ctx, r.holder)
-		return err
+// followConfiguration starts to read the configuration from peers and platform.
+func (r *Router) followConfiguration() {
+	settings := r.options.Settings
+	r.follower = config.FollowPlatform(r.store, r.holder, r.fetcher, config.FollowOptions{
+		Follower:     config.FollowerOptions{PollInterval: time.Duration(settings.ConfigurationInterval)},
+		Timeout:      time.Duration(settings.Platform.Timeout),
+		Clock:        r.clock,
+		Random:       newRandom(),
+		Logger:       r.logger,
+		PlatformDone: r.countConfigurationRead,
 	})
 }
 
+func (r *Router) countConfigurationRead(err error) {
+	if err != nil {
+		r.metrics.platformErrors.WithLabelValues("configuration").Inc()
+	}
+}
+
+// hear notes the revision that another node's message names.
+func (r *Router) hear(header *rpc.Header) {
+	r.follower.Hear(fleet.Revision(header.GetKnownRevision()))
+}
+
 // refreshConfiguration reads the head at once, after a command.
 func (r *Router) refreshConfiguration() {
 	ctx, cancel := context.WithTimeout(r.life.Context(context.Background()), time.Duration(r.options.Settings.Platform.Timeout))
--- /dev/null
+++ b/internal/router/peerfetch.go
@@ -0,0 +1,97 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// peerFetcher fetches configurations and the list of machines from other routers.
+type peerFetcher struct {
+	router *Router
+	http   *http.Client
+}
+
+var _ config.Peers = (*peerFetcher)(nil)
+
+func newPeerFetcher(r *Router) *peerFetcher {
+	return &peerFetcher{router: r, http: &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute}}}
+}
+
+// Count implements config.Peers.
+func (p *peerFetcher) Count() int { return len(p.router.peers.View().Routable()) }
+
+// Fetch implements config.Peers.
+func (p *peerFetcher) Fetch(ctx context.Context, holder *config.Holder) error {
+	peer, found := p.anyPeer()
+	if !found {
+		return nil
+	}
+	client := rpc.NewPeerProtobufClient("http://"+string(peer.Address), p.http)
+	answer, err := client.Changes(ctx, &rpc.ChangesRequest{
+		Header:         p.router.header(),
+		After:          uint64(holder.Revision()),
+		MachinesWanted: !p.router.machines.isKnown(),
+	})
+	if err != nil {
+		return errors.Wrapf(err, "ask router %s", peer.Node)
+	}
+	p.router.machines.offer(answer.GetMachines())
+	return p.take(holder, peer, answer)
+}
+
+func (p *peerFetcher) take(holder *config.Holder, peer membership.Member, answer *rpc.ChangesResponse) error {
+	if snapshot := answer.GetSnapshot(); snapshot != nil {
+		p.router.learnConfiguration(snapshot, string(peer.Node))
+		return nil
+	}
+	changes, err := config.ChangesFromMessages(answer.GetChanges())
+	if err != nil {
+		return err
+	}
+	_, _, err = holder.OfferChanges(changes)
+	return err
+}
+
+// anyPeer returns a random router that takes work, other than this one.
+func (p *peerFetcher) anyPeer() (membership.Member, bool) {
+	var others []membership.Member
+	for _, member := range p.router.peers.View().Routable() {
+		if member.Node != p.router.node {
+			others = append(others, member)
+		}
+	}
+	if len(others) == 0 {
+		return membership.Member{}, false
+	}
+	return others[rand.IntN(len(others))], true
+}
+
+// machineFetchInterval is the mean time between two questions to peers for a
+// list of machines, while none is known.
+const machineFetchInterval = 500 * time.Millisecond
+
+// fetchMachines asks peers for a list of machines until one is known.
+func (r *Router) fetchMachines() error {
+	for r.sleep(jitter(machineFetchInterval)) {
+		if r.machines.isKnown() {
+			return nil
+		}
+		ctx, cancel := context.WithTimeout(r.life.Context(context.Background()), peerTimeout)
+		if err := r.fetcher.Fetch(ctx, r.holder); err != nil {
+			r.logger.Debug().Err(err).Msg("machine_fetch_failed")
+		}
+		cancel()
+	}
+	return nil
+}
+
+// peerTimeout bounds one question to a peer.
+const peerTimeout = time.Second
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -1,12 +1,7 @@
 package router
 
 import (
-	"context"
-
-	"github.com/twitchtv/twirp"
-
 	"github.com/tillerfall/tillerfall/internal/membership"
-	"github.com/tillerfall/tillerfall/internal/rpc"
 )
 
 // peers is this router's place among the routers.
@@ -27,16 +22,4 @@
 func (p *peers) leave() {}
 func (p *peers) stop()  {}
 
-func (p *peers) server() rpc.Peer { return peerServer{} }
-
-type peerServer struct{}
-
-func (peerServer) Gossip(context.Context, *rpc.GossipMessage) (*rpc.GossipMessage, error) {
-	return nil, twirp.Unimplemented.Error("no peers")
-}
-
-func (peerServer) Changes(context.Context, *rpc.ChangesRequest) (*rpc.ChangesResponse, error) {
-	return nil, twirp.Unimplemented.Error("no peers")
-}
-
 func (r *Router) followMembers() error { return nil }
--- a/internal/router/placementserver.go
+++ b/internal/router/placementserver.go
@@ -29,6 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.router.hear(message.GetHeader())
 	started := s.router.clock.Now()
 	outcome, err := s.decide(ctx, request)
 	waited := s.router.clock.Now() - started
@@ -76,6 +77,7 @@
 
 // Report implements rpc.Placement.
 func (s *placementServer) Report(_ context.Context, message *rpc.ReportRequest) (*rpc.ReportResponse, error) {
+	s.router.hear(message.GetHeader())
 	s.router.placer.do(func(now time.Duration, core *placement.Core) {
 		for _, encoded := range message.GetReports() {
 			if report, known := decodeReport(encoded); known {
@@ -90,6 +92,7 @@
 // that lacks them.
 func (s *placementServer) Sync(_ context.Context, message *rpc.SyncRequest) (*rpc.SyncResponse, error) {
 	s.router.learnConfiguration(message.GetConfig(), message.GetHeader().GetSender())
+	s.router.hear(message.GetHeader())
 	s.router.machines.offer(message.GetMachines())
 	response := &rpc.SyncResponse{
 		Header:         s.router.header(),
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -47,6 +47,8 @@
 	machines  *machineList
 	holder    *config.Holder
 	store     *config.Store
+	follower  *config.PlatformFollower
+	fetcher   *peerFetcher
 	snapshots snapshotCache
 
 	address  fleet.Address
@@ -122,8 +124,10 @@
 	r.server = r.newServer(
 		rpc.NewPlacementServer(&placementServer{router: r, logger: r.logger}),
 		rpc.NewOperationsServer(r.newOperationsServer()),
-		rpc.NewPeerServer(r.peers.server()),
+		rpc.NewPeerServer(&peerServer{router: r}),
 	)
+	r.fetcher = newPeerFetcher(r)
+	r.followConfiguration()
 	return nil
 }
 
@@ -144,7 +148,7 @@
 	r.life.Go(func() error { return r.engines.run(r.life.Dying()) })
 	r.life.Go(r.pollMachines)
 	r.life.Go(r.followMachines)
-	r.life.Go(r.followConfiguration)
+	r.life.Go(r.fetchMachines)
 	r.life.Go(r.applyConfigurations)
 	r.life.Go(r.followMembers)
 	r.peers.start()
@@ -198,6 +202,7 @@
 	parts.Go(func() { r.stopServer(ctx) })
 	waitFor(ctx, &parts)
 	r.life.Kill(nil)
+	_ = r.follower.Stop()
 	r.peers.stop()
 	err := r.life.Wait()
 	r.logger.Info().Msg("router_stopped")
