--- a/cmd/tillerlab/main.go
+++ b/cmd/tillerlab/main.go
@@ -19,6 +19,7 @@
 
 // commandLine is the command line of the binary.
 type commandLine struct {
+	Fleet    fleetCommand    `command:"fleet" description:"Run an embedded fleet on loopback"`
 	Engine   engineCommand   `command:"engine" description:"Run an engine stand-in"`
 	Platform platformCommand `command:"platform" description:"Run a platform stand-in"`
 }
--- /dev/null
+++ b/lab/localfleet/localfleet.go
@@ -0,0 +1,236 @@
+// Package localfleet runs a whole small fleet in one process on loopback: the
+// platform's and the engines' stand-ins beside the product's routers and agent.
+// It is for trying the product and for tests; nothing of it is in the product.
+package localfleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/tillerfall/tillerfall/internal/agent"
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/platform"
+	"github.com/tillerfall/tillerfall/internal/router"
+	"github.com/tillerfall/tillerfall/internal/settings"
+	"github.com/tillerfall/tillerfall/lab/enginemodel"
+	"github.com/tillerfall/tillerfall/lab/standin/engineserver"
+	"github.com/tillerfall/tillerfall/lab/standin/platformmodel"
+	"github.com/tillerfall/tillerfall/lab/standin/platformserver"
+)
+
+const (
+	loopback      fleet.Address  = "127.0.0.1:0"
+	zone          fleet.ZoneName = "zone-1"
+	cacheBlocks                  = 8192
+	eventDelay                   = 50 * time.Millisecond
+	loadLag                      = 200 * time.Millisecond
+	readyInterval                = 20 * time.Millisecond
+	firstToken                   = "initial"
+)
+
+// Options says what to run.
+type Options struct {
+	// Document is the configuration that is committed at the start.
+	Document config.Document
+	Routers  int
+	Engines  int
+	// AgentAddress is where the agent listens.
+	AgentAddress fleet.Address
+	Logger       zerolog.Logger
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	options  Options
+	platform *platformserver.Server
+	client   *platform.Client
+	engines  []*engineserver.Server
+	routers  []*router.Router
+	agent    *agent.Agent
+}
+
+// Start starts every process and waits until the agent is ready or the context
+// ends. A fleet that fails to start is stopped.
+func Start(ctx context.Context, options Options) (*Fleet, error) {
+	f := &Fleet{options: options}
+	if err := f.start(ctx); err != nil {
+		return nil, errors.Join(err, f.Stop())
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	steps := []func(context.Context) error{
+		f.startPlatform, f.startEngines, f.commitConfiguration, f.startRouters, f.startAgent,
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startPlatform(context.Context) error {
+	f.platform = platformserver.New(platformmodel.Options{FullSpeedLoads: 2}, f.options.Logger)
+	if err := f.platform.Start(loopback); err != nil {
+		return errors.Wrap(err, "start platform")
+	}
+	f.client = platform.NewClient(platform.ClientOptions{Address: f.platform.Address()})
+	return nil
+}
+
+func (f *Fleet) startEngines(context.Context) error {
+	model := f.options.Document.Models[0]
+	machines := make([]platform.Machine, 0, f.options.Engines)
+	for i := range f.options.Engines {
+		id := fleet.EngineID(fmt.Sprintf("engine-%d", i+1))
+		server := engineserver.New(engineserver.Config{
+			Model:  f.engineModel(id, model),
+			Logger: f.options.Logger,
+		})
+		if err := server.Start(loopback); err != nil {
+			return errors.Wrapf(err, "start %s", id)
+		}
+		f.engines = append(f.engines, server)
+		machines = append(machines, platform.Machine{
+			ID: string(id), Kind: platform.MachineEngine, Address: server.Address(), Zone: zone,
+			Pool: model.Pool, Incarnation: server.Status().Incarnation, State: platform.MachineLive,
+		})
+	}
+	f.platform.SetMachines(machines)
+	return nil
+}
+
+// engineModel returns an engine that has the model's weights in memory.
+func (f *Fleet) engineModel(id fleet.EngineID, model config.Model) enginemodel.Config {
+	return enginemodel.Config{
+		ID:          id,
+		Zone:        zone,
+		Costs:       enginemodel.DefaultCosts(),
+		CacheBlocks: cacheBlocks,
+		BlockTokens: model.BlockTokens,
+		EventDelay:  eventDelay,
+		LoadLag:     loadLag,
+		Loaded:      []engine.Weights{{Model: model.Name, Version: model.Versions[0].Name}},
+		KeepWeights: true,
+	}
+}
+
+func (f *Fleet) commitConfiguration(ctx context.Context) error {
+	store := config.NewStore(f.client, f.client, config.StoreOptions{})
+	_, err := store.Commit(ctx, config.CommitRequest{
+		Token:     firstToken,
+		Statement: "apply",
+		Mutate:    func(config.Document) (config.Document, error) { return f.options.Document, nil },
+	})
+	if err != nil {
+		return errors.Wrap(err, "commit configuration")
+	}
+	return nil
+}
+
+func (f *Fleet) startRouters(ctx context.Context) error {
+	var peers []fleet.Address
+	for i := range f.options.Routers {
+		own := router.DefaultSettings()
+		own.Node = node(fmt.Sprintf("router-%d", i+1), loopback)
+		own.Platform.Address = f.platform.Address()
+		own.Peers = peers
+		instance := router.New(router.Options{Settings: own, Logger: f.options.Logger, Version: "embedded"})
+		if err := instance.Start(); err != nil {
+			return errors.Wrapf(err, "start %s", own.Node.ID)
+		}
+		f.routers = append(f.routers, instance)
+		peers = append(peers, instance.Address())
+	}
+	for _, instance := range f.routers {
+		if err := waitUntil(ctx, instance.Ready); err != nil {
+			return errors.Wrap(err, "wait for routers")
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startAgent(ctx context.Context) error {
+	own := agent.DefaultSettings()
+	own.Node = node("agent-1", f.options.AgentAddress)
+	for _, instance := range f.routers {
+		own.Routers = append(own.Routers, instance.Address())
+	}
+	instance, err := agent.New(own, agent.Dependencies{Logger: f.options.Logger})
+	if err != nil {
+		return errors.Wrap(err, "set up agent")
+	}
+	if err := instance.Start(ctx); err != nil {
+		return errors.Wrap(err, "start agent")
+	}
+	f.agent = instance
+	if err := waitUntil(ctx, func() bool { return answersReady(ctx, instance.Address()) }); err != nil {
+		return errors.Wrap(err, "wait for agent")
+	}
+	return nil
+}
+
+// answersReady asks a process's readiness endpoint.
+func answersReady(ctx context.Context, address fleet.Address) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(address)+agent.PathReady, nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func node(id string, address fleet.Address) settings.Node {
+	return settings.Node{ID: id, Region: "region-1", Zone: zone, Address: address}
+}
+
+func waitUntil(ctx context.Context, ready func() bool) error {
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	for !ready() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// AgentAddress is where callers send requests.
+func (f *Fleet) AgentAddress() fleet.Address { return f.agent.Address() }
+
+// RouterAddress is where operators send statements.
+func (f *Fleet) RouterAddress() fleet.Address { return f.routers[0].Address() }
+
+// Stop stops every process, callers' side first, and returns all errors.
+func (f *Fleet) Stop() error {
+	var failures []error
+	if f.agent != nil {
+		failures = append(failures, f.agent.Stop())
+	}
+	for _, instance := range f.routers {
+		failures = append(failures, instance.Stop())
+	}
+	for _, server := range f.engines {
+		failures = append(failures, server.Stop())
+	}
+	if f.client != nil {
+		f.client.Close()
+		failures = append(failures, f.platform.Stop())
+	}
+	return errors.Join(failures...)
+}
