Prove change dissemination at 680 members and bound membership's cost

A change has to be held by all 680 routers within 4 s even under loss.

Also tried and dropped: refusing whole exchanges above a rate. A joining member now repeats its exchange after some seconds, and the first exchange follows the delay for the fleet's size.

The broadcast queue kept its order by copying on each push, quadratic in a whole exchange; it is now a stack.

--- a/internal/membership/broadcast.go
+++ b/internal/membership/broadcast.go
@@ -1,6 +1,10 @@
 package membership
 
-import "github.com/tillerfall/tillerfall/internal/fleet"
+import (
+	"slices"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
 
 // broadcast is one record that is still passed on.
 type broadcast struct {
@@ -8,21 +12,23 @@
 	transmits int
 }
 
-// broadcastQueue holds the records to piggyback, least often sent first.
+// broadcastQueue holds the records to piggyback, most often sent first: the
+// end of the slice is sent next.
 type broadcastQueue struct {
 	entries []broadcast
+	queued  map[fleet.NodeID]bool
 }
 
-// push puts a changed record first and starts its count anew.
+// push makes a changed record the next to be sent and starts its count anew.
 func (q *broadcastQueue) push(node fleet.NodeID) {
-	kept := make([]broadcast, 1, len(q.entries)+1)
-	kept[0] = broadcast{node: node}
-	for _, entry := range q.entries {
-		if entry.node != node {
-			kept = append(kept, entry)
-		}
+	if q.queued == nil {
+		q.queued = make(map[fleet.NodeID]bool)
+	}
+	if q.queued[node] {
+		q.entries = slices.DeleteFunc(q.entries, func(entry broadcast) bool { return entry.node == node })
 	}
-	q.entries = kept
+	q.queued[node] = true
+	q.entries = append(q.entries, broadcast{node: node})
 }
 
 // take returns up to count nodes and counts a transmission of each; a node
@@ -32,16 +38,18 @@
 	if count <= 0 {
 		return nil
 	}
-	taken := make([]fleet.NodeID, count)
-	rest := make([]broadcast, 0, len(q.entries))
-	rest = append(rest, q.entries[count:]...)
-	for i, entry := range q.entries[:count] {
-		taken[i] = entry.node
+	rest := q.entries[:len(q.entries)-count]
+	taken := make([]fleet.NodeID, 0, count)
+	var again []broadcast
+	for _, entry := range q.entries[len(rest):] {
+		taken = append(taken, entry.node)
 		entry.transmits++
 		if entry.transmits < limit {
-			rest = append(rest, entry)
+			again = append(again, entry)
+		} else {
+			delete(q.queued, entry.node)
 		}
 	}
-	q.entries = rest
+	q.entries = slices.Insert(rest, 0, again...)
 	return taken
 }
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
@@ -75,7 +76,7 @@
 // View returns a snapshot of the membership.
 func (c *Core) View() *View {
 	if c.view == nil || c.view.Version != c.version {
-		c.view = NewView(c.version, c.self, c.liveMembers())
+		c.view = newSortedView(c.version, c.self, c.liveMembers())
 	}
 	return c.view
 }
@@ -170,15 +171,20 @@
 	return known && record.State != Dead
 }
 
+// liveMembers returns the members that aren't dead, self included, sorted by node.
 func (c *Core) liveMembers() []Member {
 	members := make([]Member, 0, c.liveTotal)
-	members = append(members, c.self)
+	position := 0
 	for _, record := range c.table.sorted {
-		if record.State != Dead {
-			members = append(members, record.Member)
+		if record.State == Dead {
+			continue
+		}
+		members = append(members, record.Member)
+		if record.Node < c.self.Node {
+			position = len(members)
 		}
 	}
-	return members
+	return slices.Insert(members, position, c.self)
 }
 
 // send queues a message with piggybacked updates. The receiver is told first
--- /dev/null
+++ b/internal/membership/cost_test.go
@@ -0,0 +1,135 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// controlBytes is the budget of a node for control, in bytes a second.
+const controlBytes = 13000
+
+// measure returns the mean messages and protocol bytes that a node sends a
+// second, with the transport's own bytes left out.
+func (n *network) measure(duration time.Duration) (messages, bytes float64) {
+	n.startCount()
+	n.pass(duration)
+	return n.stopCount(duration)
+}
+
+func (n *network) startCount() {
+	n.count = true
+	for _, x := range n.all {
+		x.sent, x.bytes = 0, 0
+	}
+}
+
+func (n *network) stopCount(duration time.Duration) (messages, bytes float64) {
+	n.count = false
+	for _, x := range n.all {
+		messages += float64(x.sent)
+		bytes += float64(x.bytes)
+	}
+	nodeSeconds := float64(len(n.running())) * duration.Seconds()
+	return messages / nodeSeconds, bytes / nodeSeconds
+}
+
+func TestSteadyCostStaysUnderBudget(t *testing.T) {
+	for _, count := range []int{50, 200, 680} {
+		network := newNetwork(t, 31, fleetRegions)
+		network.startKnown(count)
+		network.pass(2 * time.Second)
+		messages, bytes := network.measure(30 * time.Second)
+		t.Logf("members=%d state=steady messages_per_node_second=%.2f bytes_per_node_second=%.0f", count, messages, bytes)
+		assert.Less(t, bytes, float64(controlBytes)/4)
+	}
+}
+
+// regionReturn cuts one region off, ends the cut and returns the times until
+// both were seen by all, and the bytes that this cost a node.
+func regionReturn(network *network, count int) (seen, healed time.Duration, mean, worst int) {
+	network.startKnown(count)
+	cut := network.all[0].core.Self().Region
+	network.blocked = func(from, to Member) bool { return (from.Region == cut) != (to.Region == cut) }
+	inside := (count + fleetRegions - 1) / fleetRegions
+	seen = network.until(10*time.Minute, func() bool {
+		return len(network.all[0].core.Members()) == inside && len(network.all[1].core.Members()) == count-inside
+	})
+	network.pass(deadShareTime)
+	network.blocked = nil
+	network.startCount()
+	healed = network.until(2*time.Minute, network.converged)
+	for _, x := range network.all {
+		worst, mean = max(worst, x.bytes), mean+x.bytes/count
+	}
+	return seen, healed, mean, worst
+}
+
+func TestRegionReturnsWithinAMinute(t *testing.T) {
+	const count = 120
+	seen, healed, mean, worst := regionReturn(newNetwork(t, 32, fleetRegions), count)
+	t.Logf("members=%d region cut seen after %s, healed after %s, bytes_per_node mean=%d worst=%d", count, seen, healed, mean, worst)
+	assert.Less(t, healed, time.Minute)
+}
+
+// BenchmarkRegionReturn reports what the return of one region costs.
+func BenchmarkRegionReturn(b *testing.B) {
+	for _, count := range []int{50, 200, 680} {
+		b.Run(fmt.Sprintf("members=%d", count), func(b *testing.B) {
+			for i := range b.N {
+				seen, healed, mean, worst := regionReturn(newNetwork(b, uint64(i), fleetRegions), count)
+				b.ReportMetric(seen.Seconds(), "seen-s")
+				b.ReportMetric(healed.Seconds(), "healed-s")
+				b.ReportMetric(float64(mean), "mean-bytes/node")
+				b.ReportMetric(float64(worst), "worst-bytes/node")
+			}
+		})
+	}
+}
+
+// BenchmarkControl reports what one node sends a second, and what a second of
+// one node's membership costs in processor time.
+func BenchmarkControl(b *testing.B) {
+	for _, count := range []int{50, 200, 680} {
+		b.Run(fmt.Sprintf("members=%d", count), func(b *testing.B) {
+			network := newNetwork(nil, 33, fleetRegions)
+			network.startKnown(count)
+			network.pass(time.Second)
+			b.ResetTimer()
+			messages, bytes := network.measure(time.Duration(b.N) * time.Second)
+			b.ReportMetric(messages, "messages/node-s")
+			b.ReportMetric(bytes, "bytes/node-s")
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*count), "core-µs/node-s")
+		})
+	}
+}
+
+// BenchmarkChange reports what one configuration change of 500 bytes costs
+// beyond the steady messages, and when the last member holds it.
+func BenchmarkChange(b *testing.B) {
+	const settle = 5 * time.Second
+	for _, count := range []int{50, 200, 680} {
+		b.Run(fmt.Sprintf("members=%d", count), func(b *testing.B) {
+			network := newNetwork(b, 34, fleetRegions)
+			network.startKnown(count)
+			network.pass(time.Second)
+			steadyMessages, steadyBytes := network.measure(settle)
+			var slowest time.Duration
+			var messages, bytes float64
+			for i := range b.N {
+				network.startCount()
+				network.offer(network.all[i%count], string(make([]byte, 500)))
+				start := network.now
+				slowest = max(slowest, network.until(changeLimit, network.allHold(i+1)))
+				network.pass(settle - (network.now - start))
+				m, v := network.stopCount(settle)
+				messages, bytes = messages+(m-steadyMessages)*settle.Seconds(), bytes+(v-steadyBytes)*settle.Seconds()
+			}
+			b.ReportMetric(slowest.Seconds(), "slowest-s")
+			b.ReportMetric(messages/float64(b.N), "messages/node")
+			b.ReportMetric(bytes/float64(b.N), "bytes/node")
+		})
+	}
+}
--- a/internal/membership/dissemination.go
+++ b/internal/membership/dissemination.go
@@ -13,8 +13,11 @@
 type DisseminationOptions struct {
 	// Random drives every choice.
 	Random *rand.Rand
-	// Fanout is how many members get a fresh change at once.
+	// Fanout is how many members get a fresh change at once, and again after
+	// RepushDelay.
 	Fanout int
+	// RepushDelay is the time from the first push of a change to the second.
+	RepushDelay time.Duration
 	// Retransmits is how often a change is piggybacked after that.
 	Retransmits int
 	// PullInterval is the least time between two pulls.
@@ -25,7 +28,8 @@
 
 // Defaults of DisseminationOptions.
 const (
-	DefaultFanout        = 4
+	DefaultFanout        = 5
+	DefaultRepushDelay   = 700 * time.Millisecond
 	DefaultRetransmits   = 4
 	DefaultPullInterval  = 300 * time.Millisecond
 	DefaultMaxPatchBytes = 8 << 10
@@ -33,7 +37,8 @@
 
 // Dissemination spreads configuration changes epidemically (Demers et al.,
 // "Epidemic Algorithms for Replicated Database Maintenance", PODC 1987): a
-// fresh change is pushed to a few random members at once and then piggybacked;
+// fresh change is pushed to a few random members at once, pushed to others a
+// little later, and piggybacked meanwhile;
 // a node that hears of a higher revision than it holds pulls what it lacks.
 // It does no I/O. What the changes contain, and whether they may be applied,
 // is the caller's business.
@@ -45,6 +50,9 @@
 	source   fleet.Address
 	ahead    fleet.Revision
 	nextPull time.Duration
+	// repush is set while a second push is due at repushAt.
+	repush   bool
+	repushAt time.Duration
 }
 
 // freshChange is a change that is still passed on.
@@ -62,6 +70,7 @@
 // NewDissemination returns a dissemination that holds no revision.
 func NewDissemination(options DisseminationOptions) *Dissemination {
 	setDefault(&options.Fanout, DefaultFanout)
+	setDefault(&options.RepushDelay, DefaultRepushDelay)
 	setDefault(&options.Retransmits, DefaultRetransmits)
 	setDefault(&options.PullInterval, DefaultPullInterval)
 	setDefault(&options.MaxPatchBytes, DefaultMaxPatchBytes)
@@ -80,7 +89,7 @@
 // Publish takes changes that this node has just begun to hold and returns the
 // messages that push them to random members. Changes must follow each other;
 // those already held are left out.
-func (d *Dissemination) Publish(changes []Change, view *View) []Message {
+func (d *Dissemination) Publish(now time.Duration, changes []Change, view *View) []Message {
 	var pushed []Change
 	for _, change := range changes {
 		if change.Revision <= d.held {
@@ -93,6 +102,17 @@
 	if len(pushed) == 0 {
 		return nil
 	}
+	d.repush = true
+	d.repushAt = now + d.options.RepushDelay
+	return d.push(view)
+}
+
+// Tick returns the second push of fresh changes once it is due.
+func (d *Dissemination) Tick(now time.Duration, view *View) []Message {
+	if !d.repush || now < d.repushAt {
+		return nil
+	}
+	d.repush = false
 	return d.push(view)
 }
 
@@ -192,7 +212,16 @@
 	return Pull{From: d.source, After: d.held}, true
 }
 
-// NextPull returns when Pull should be called next, and whether it is needed.
-func (d *Dissemination) NextPull() (time.Duration, bool) {
-	return d.nextPull, d.ahead > d.held
+// NextWake returns when Tick or Pull has something to do next; pending is
+// false if nothing is due at any time.
+func (d *Dissemination) NextWake() (at time.Duration, pending bool) {
+	behind := d.ahead > d.held && d.source != ""
+	switch {
+	case d.repush && behind:
+		return min(d.repushAt, d.nextPull), true
+	case d.repush:
+		return d.repushAt, true
+	default:
+		return d.nextPull, behind
+	}
 }
--- a/internal/membership/harness_test.go
+++ b/internal/membership/harness_test.go
@@ -60,7 +60,7 @@
 
 // network is a seeded network on a virtual clock.
 type network struct {
-	t       *testing.T
+	t       testing.TB
 	random  *rand.Rand
 	now     time.Duration
 	order   uint64
@@ -74,7 +74,7 @@
 	blocked func(from, to Member) bool
 }
 
-func newNetwork(t *testing.T, seed uint64, regions int) *network {
+func newNetwork(t testing.TB, seed uint64, regions int) *network {
 	return &network{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), regions: regions,
 		nodes: make(map[fleet.Address]*node),
@@ -128,6 +128,7 @@
 		}
 		started.core.queue = broadcastQueue{}
 		started.core.join.pending = false
+		started.core.nextExchange = n.now + started.core.spread(started.core.options.exchangeDelay(count))
 		started.core.returned.pending = false
 	}
 	n.queue = slices.DeleteFunc(n.queue, func(d delivery) bool { return !d.wake })
@@ -155,8 +156,12 @@
 		delay := time.Millisecond + time.Duration(n.random.Int64N(int64(3*time.Millisecond)))
 		n.push(delivery{at: n.now + delay, to: message.To, message: message})
 	}
-	if from.core.NextWake() != from.wakeAt {
-		from.wakeAt = from.core.NextWake()
+	wake := from.core.NextWake()
+	if at, pending := from.spread.NextWake(); pending {
+		wake = max(n.now, min(wake, at))
+	}
+	if wake != from.wakeAt {
+		from.wakeAt = wake
 		n.push(delivery{at: from.wakeAt, to: from.core.Self().Address, wake: true})
 	}
 }
@@ -184,19 +189,28 @@
 		n.send(target, []Message{answer})
 	case !next.wake:
 		messages := target.core.Receive(n.now, next.message)
-		n.send(target, append(messages, target.takeChanges(next.message)...))
+		messages = append(messages, n.takeChanges(target, next.message)...)
 		n.pull(target)
+		n.send(target, messages)
 	case next.at == target.wakeAt:
-		n.send(target, target.core.Tick(n.now))
+		messages := target.core.Tick(n.now)
+		if _, pending := target.spread.NextWake(); pending {
+			messages = append(messages, target.spread.Tick(n.now, target.core.View())...)
+		}
+		n.pull(target)
+		n.send(target, messages)
 	}
 }
 
 // takeChanges applies the changes of a message and passes them on.
-func (x *node) takeChanges(message Message) []Message {
+func (n *network) takeChanges(x *node, message Message) []Message {
 	x.spread.Observe(message.Sender.Address, message.KnownRevision)
 	next := x.spread.Next(message.Changes)
 	x.log = append(x.log, next...)
-	return x.spread.Publish(next, x.core.View())
+	if len(next) == 0 {
+		return nil
+	}
+	return x.spread.Publish(n.now, next, x.core.View())
 }
 
 // pull sends the pull that is due, if any.
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -76,6 +76,8 @@
 	// returnSpread is the time over which members start whole exchanges with a
 	// region that came back.
 	returnSpread = 20 * time.Second
+	// rejoinDelay is the mean time from joining to the first whole exchange.
+	rejoinDelay = 5 * time.Second
 	// outreachMemory is how long the answer to a reconnecting probe is awaited.
 	outreachMemory = 5 * time.Second
 	// joinSeeds is how many seeds are asked at a time.
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -138,6 +138,9 @@
 	if message.Target != message.Sender.Node {
 		return
 	}
+	if message.Complete {
+		c.exchanged(now)
+	}
 	c.joined()
 	c.relays = slices.DeleteFunc(c.relays, func(pending relay) bool {
 		if pending.target != message.Target {
--- a/internal/membership/reconnect.go
+++ b/internal/membership/reconnect.go
@@ -223,6 +223,15 @@
 	}
 }
 
+// exchanged sets the next whole exchange after one was answered. A member that
+// has just joined repeats it soon: in a herd the first answer is incomplete.
+func (c *Core) exchanged(now time.Duration) {
+	c.postponeExchange(now)
+	if c.join.pending {
+		c.nextExchange = now + rejoinDelay/2 + c.spread(rejoinDelay)
+	}
+}
+
 func (c *Core) postponeExchange(now time.Duration) {
 	delay := c.options.exchangeDelay(c.liveTotal)
 	c.nextExchange = now + delay/2 + c.spread(delay)
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -19,8 +19,14 @@
 
 // NewView returns a view of the given members, which need not be sorted.
 func NewView(version uint64, self Member, members []Member) *View {
-	view := &View{Version: version, Self: self, members: slices.Clone(members)}
-	slices.SortFunc(view.members, compareNodes)
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, compareNodes)
+	return newSortedView(version, self, sorted)
+}
+
+// newSortedView returns a view that keeps the given sorted slice.
+func newSortedView(version uint64, self Member, members []Member) *View {
+	view := &View{Version: version, Self: self, members: members, routable: make([]Member, 0, len(members))}
 	for _, member := range view.members {
 		if member.Routable() {
 			view.routable = append(view.routable, member)
