Let agents carry the machine list and ask for a lost dispatch's tokens

A router that restarts while the platform is down finds its engines only if someone remembers them: the agent now keeps the last machine list that isn't empty and gives it to a router that asks. It also counts the hand-backs of a request, without which routers pass a request that no engine takes around until the agent gives up, and the caller learns "no router" in place of "no engine".

A repeatable dispatch that broke was sent elsewhere at once and its engine excluded, which in a fleet of one engine fails the request for one reset connection and otherwise computes the prompt twice. The machine asks the same run for the tokens first; only an engine that was silent for its whole time-out isn't waited for again.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,7 @@
 	"log"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -28,6 +29,7 @@
 	"github.com/tillerfall/tillerfall/internal/config"
 	"github.com/tillerfall/tillerfall/internal/engine"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/rpc"
 )
 
 // maxEngineClients bounds the engines whose connections are kept.
@@ -49,7 +51,10 @@
 	registry *prometheus.Registry
 	metrics  *metrics
 
-	config      *config.Holder
+	config *config.Holder
+	// machines is the routers' list of engines, remembered for those of them
+	// that restart while the platform is down.
+	machines    atomic.Pointer[rpc.MachineList]
 	routers     *routers
 	engines     *lru.Cache[fleet.Address, *engine.Client]
 	budget      attempt.RetryBudget
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -222,12 +222,12 @@
 	router := startRouter(t, startEngine(t, "a", time.Millisecond))
 	startAgent(t, nil, router)
 	router.mutex.Lock()
-	router.revision, router.config = 0, nil
+	router.revision, router.config, router.machines = 0, nil, nil
 	router.mutex.Unlock()
 	require.Eventually(t, func() bool {
 		router.mutex.Lock()
 		defer router.mutex.Unlock()
-		return router.revision == uint64(testDocument().Revision) && router.config != nil
+		return router.revision == uint64(testDocument().Revision) && router.config != nil && router.machines.GetDigest() == 5
 	}, patience, pollEvery)
 }
 
--- a/internal/agent/carrier.go
+++ b/internal/agent/carrier.go
@@ -57,10 +57,11 @@
 	context         context.Context
 	cancelOperation context.CancelFunc
 
-	// tried and askedAt are written by the placing call alone, which the
-	// machine never has two of at a time.
-	tried   map[fleet.Address]int
-	askedAt map[fleet.Attempt]*link
+	// tried, askedAt and handBacks are written by the placing call alone, which
+	// the machine never has two of at a time.
+	tried     map[fleet.Address]int
+	askedAt   map[fleet.Attempt]*link
+	handBacks uint32
 
 	outputBroken bool
 	firstToken   time.Duration
--- a/internal/agent/enginecalls.go
+++ b/internal/agent/enginecalls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -45,10 +46,15 @@
 	case engine.OutcomeRejected:
 		return attempt.DispatchRejected{Operation: operation, Code: failure.Code, Message: failure.Message}
 	default:
-		return attempt.DispatchUnknown{Operation: operation}
+		return attempt.DispatchUnknown{Operation: operation, EngineSilent: isTimeout(failure)}
 	}
 }
 
+func isTimeout(err error) bool {
+	var failure net.Error
+	return errors.As(err, &failure) && failure.Timeout()
+}
+
 func (c *carrier) resume(ctx context.Context, action attempt.Resume) {
 	stream, err := c.agent.engineAt(action.Address).Resume(ctx, action.Stream, action.Offset)
 	if err == nil {
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -62,6 +62,7 @@
 	engines  []*engineserver.Server
 	revision uint64
 	config   *rpc.ConfigSnapshot
+	machines *rpc.MachineList
 	reports  []*rpc.AttemptReport
 	places   int
 	// hold keeps every answer back until it is closed.
@@ -74,6 +75,7 @@
 	snapshot, err := config.SnapshotMessage(testDocument())
 	require.NoError(t, err)
 	router := &fakeRouter{engines: engines, config: snapshot, revision: snapshot.GetRevision()}
+	router.machines = &rpc.MachineList{Digest: 5, Machines: []*rpc.Machine{{Id: "a"}}}
 	router.server = httptest.NewServer(rpc.NewPlacementServer(router))
 	t.Cleanup(router.server.Close)
 	return router
@@ -140,7 +142,13 @@
 		f.revision = pushed.GetRevision()
 		f.config = pushed
 	}
-	answer := &rpc.SyncResponse{Header: f.header()}
+	if pushed := request.GetMachines(); pushed != nil {
+		f.machines = pushed
+	}
+	answer := &rpc.SyncResponse{Header: f.header(), MachinesWanted: f.machines == nil}
+	if request.GetMachinesDigest() != f.machines.GetDigest() {
+		answer.Machines = f.machines
+	}
 	if request.GetHeader().GetKnownRevision() < f.revision {
 		answer.Config = f.config
 	}
--- a/internal/agent/placement.go
+++ b/internal/agent/placement.go
@@ -78,6 +78,7 @@
 		Excluded:           excluded,
 		ContinuationTokens: uint32(ask.ContinuationTokens),
 		AgentZone:          string(c.agent.settings.Node.Zone),
+		Hops:               c.handBacks,
 	}
 }
 
@@ -88,6 +89,7 @@
 	case *rpc.PlaceResponse_Refusal:
 		return c.refusalEvent(ask, at, outcome.Refusal)
 	case *rpc.PlaceResponse_HandBack:
+		c.handBacks++
 		routers := make([]fleet.Address, 0, len(outcome.HandBack.GetRouters()))
 		for _, address := range outcome.HandBack.GetRouters() {
 			routers = append(routers, fleet.Address(address))
--- a/internal/agent/routers.go
+++ b/internal/agent/routers.go
@@ -39,6 +39,8 @@
 	// is false before the first.
 	revision fleet.Revision
 	answered bool
+	// machinesWanted is set when the router has asked for the machine list.
+	machinesWanted bool
 	// waiting counts the requests that wait at the router.
 	waiting int
 	// life ends when the router stops answering, and is then replaced.
@@ -201,10 +203,18 @@
 
 const maxBackoffShift = 10
 
-func (r *routers) setStopping(at *link, stopping bool) {
+// synced notes what a router has said about itself in an exchange.
+func (r *routers) synced(with *link, answer *rpc.SyncResponse) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	at.stopping = stopping
+	with.stopping = answer.GetStopping()
+	with.machinesWanted = answer.GetMachinesWanted()
+}
+
+func (r *routers) wantsMachines(at *link) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return at.machinesWanted
 }
 
 // behind tells whether a router has answered with an older revision than ours.
--- a/internal/agent/sync.go
+++ b/internal/agent/sync.go
@@ -51,26 +51,41 @@
 }
 
 // syncWith exchanges news with one router, and a second time at once if its
-// answer shows it to be behind.
+// answer shows that it lacks something.
 func (a *Agent) syncWith(at *link) {
-	if !a.exchange(at) || !a.routers.behind(at, a.config.Revision()) {
+	if !a.exchange(at) {
 		return
 	}
-	a.exchange(at)
+	lacksMachines := a.routers.wantsMachines(at) && a.machines.Load() != nil
+	if lacksMachines || a.routers.behind(at, a.config.Revision()) {
+		a.exchange(at)
+	}
 }
 
 func (a *Agent) exchange(at *link) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(a.settings.Sync.Timeout))
 	defer cancel()
-	request := &rpc.SyncRequest{Header: a.header(), Config: a.snapshotFor(at)}
+	machines := a.machines.Load()
+	request := &rpc.SyncRequest{
+		Header:         a.header(),
+		Config:         a.snapshotFor(at),
+		MachinesDigest: machines.GetDigest(),
+	}
+	if a.routers.wantsMachines(at) {
+		request.Machines = machines
+	}
 	answer, err := at.client.Sync(ctx, request)
 	if err != nil {
 		a.routerFailed(at, "sync", err)
 		return false
 	}
 	a.routers.answered(at, answer.GetHeader())
-	a.routers.setStopping(at, answer.GetStopping())
+	a.routers.synced(at, answer)
 	a.routers.learn(answer.GetMembers())
+	// An empty list would be of no help to a router that restarts.
+	if list := answer.GetMachines(); len(list.GetMachines()) > 0 {
+		a.machines.Store(list)
+	}
 	if snapshot := answer.GetConfig(); snapshot != nil {
 		a.takeConfig(at, snapshot)
 	}
--- a/internal/attempt/events.go
+++ b/internal/attempt/events.go
@@ -59,7 +59,12 @@
 }
 
 // DispatchUnknown means that the dispatch failed when the engine may have had it.
-type DispatchUnknown struct{ Operation Operation }
+type DispatchUnknown struct {
+	Operation Operation
+	// EngineSilent is set when the engine gave no answer in time, rather than
+	// that the connection broke.
+	EngineSilent bool
+}
 
 // FrameReceived is one frame of a dispatched or resumed stream.
 type FrameReceived struct {
--- a/internal/attempt/machine.go
+++ b/internal/attempt/machine.go
@@ -103,11 +103,11 @@
 	case DispatchRejected:
 		m.onDispatchRejected(event)
 	case DispatchUnknown:
-		m.onDispatchUnknown()
+		m.onDispatchUnknown(event.EngineSilent)
 	case FrameReceived:
 		m.onFrame(event.Frame)
 	case StreamBroken:
-		m.onStreamBroken()
+		m.resume()
 	case ResumeRejected:
 		m.onResumeRejected(event)
 	case ResumeFailed:
--- a/internal/attempt/machine_test.go
+++ b/internal/attempt/machine_test.go
@@ -128,6 +128,19 @@
 	assert.NotEqual(t, first.Stream, second.Stream)
 }
 
+func TestMachineAsksForTheTokensOfALostDispatch(t *testing.T) {
+	d := newDriver(t, attempt.Request{Repeatable: true}, newBudget())
+	first := d.dispatched("a")
+	d.send(attempt.DispatchUnknown{Operation: first.Operation})
+	resume := find[attempt.Resume](d)
+	assert.Equal(t, first.Stream, resume.Stream)
+	d.send(attempt.ResumeRejected{Operation: resume.Operation, Code: engine.ErrorUnknownStream})
+	second := d.dispatched("b")
+	d.send(attempt.DispatchUnknown{Operation: second.Operation, EngineSilent: true})
+	assert.Equal(t, second.Stream, find[attempt.CancelAndBar](d).Stream)
+	assert.Len(t, find[attempt.AskRouter](d).Excluded, 2)
+}
+
 func TestMachineReportsAnUnknownOutcome(t *testing.T) {
 	for name, answer := range map[string]attempt.CancelFailed{
 		"another incarnation": {Code: engine.ErrorWrongIncarnation},
--- a/internal/attempt/streaming.go
+++ b/internal/attempt/streaming.go
@@ -7,7 +7,7 @@
 
 func (m *Machine) onDispatchRejected(event DispatchRejected) {
 	if !rejectedBeforeWork(event.Code) {
-		m.onDispatchUnknown()
+		m.onDispatchUnknown(false)
 		return
 	}
 	reason := "engine: " + event.Message
@@ -29,10 +29,11 @@
 	m.retryElsewhere(cause, reason)
 }
 
-// onDispatchUnknown goes on elsewhere with a repeatable request. Any other has
-// to learn what became of the dispatch, and first asks for its tokens.
-func (m *Machine) onDispatchUnknown() {
-	if m.request.Repeatable {
+// onDispatchUnknown asks for the tokens of a dispatch that may have taken
+// effect, which costs one exchange and computes nothing twice. A repeatable
+// request doesn't wait for a silent engine a second time, but goes elsewhere.
+func (m *Machine) onDispatchUnknown(engineSilent bool) {
+	if m.request.Repeatable && engineSilent {
 		m.leave(false)
 		m.retryElsewhere(resultcode.EngineFailed, "dispatch failed")
 		return
@@ -114,14 +115,6 @@
 	m.continueOrFail("engine: " + frame.Message)
 }
 
-func (m *Machine) onStreamBroken() {
-	if m.phase == PhaseDispatching {
-		m.onDispatchUnknown()
-		return
-	}
-	m.resume()
-}
-
 // resume reads the stream again at the same engine run, which neither computes
 // nor runs anything twice.
 func (m *Machine) resume() {
