Admit drained engines only, and test a stop under load

admit removed the retirement of a run, though a retired engine has been told to leave and nothing takes that back. It is refused now and says what happens.

Tested: 32 callers against a router that stops; none is refused.

--- a/internal/operator/mutate.go
+++ b/internal/operator/mutate.go
@@ -14,21 +14,31 @@
 // *resultcode.Error.
 type Mutation func(config.Document) (config.Document, error)
 
-// admitEngine ends the orders that keep work from a run of an engine.
+// admitEngine ends the drain of a run of an engine. A retired run has been told
+// itself to leave, which sticks to it; its next run is admitted by itself.
 func admitEngine(run fleet.EngineRun) Mutation {
 	return func(document config.Document) (config.Document, error) {
+		if hasDirective(document, run, config.DirectiveRetire) {
+			return document, resultcode.New(resultcode.CommandImpossible,
+				fmt.Sprintf("this run of engine %q is retired; its next run is admitted by itself", run.Engine))
+		}
+		if !hasDirective(document, run, config.DirectiveDrain) {
+			return document, resultcode.New(resultcode.CommandImpossible, fmt.Sprintf("engine %q isn't drained", run.Engine))
+		}
 		next := config.Canonical(document)
 		next.Directives = slices.DeleteFunc(next.Directives, func(directive config.Directive) bool {
-			return concerns(directive, run) && directive.Kind != config.DirectiveRole
+			return concerns(directive, run) && directive.Kind == config.DirectiveDrain
 		})
-		if len(next.Directives) == len(document.Directives) {
-			return document, resultcode.New(resultcode.CommandImpossible,
-				fmt.Sprintf("engine %q is neither drained nor retired", run.Engine))
-		}
 		return next, nil
 	}
 }
 
+func hasDirective(document config.Document, run fleet.EngineRun, kind config.DirectiveKind) bool {
+	return slices.ContainsFunc(document.Directives, func(directive config.Directive) bool {
+		return concerns(directive, run) && directive.Kind == kind
+	})
+}
+
 // directEngine sets a standing order, in place of an earlier one of its kind.
 func directEngine(run fleet.EngineRun, kind config.DirectiveKind, role string) Mutation {
 	return func(document config.Document) (config.Document, error) {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -216,6 +216,7 @@
 	}, f.store.document.Directives)
 	require.Equal(t, resultcode.OK, f.run("admit e1").Code)
 	assert.Len(t, f.store.document.Directives, 2, "the role outlives an admit")
+	assert.Equal(t, resultcode.CommandImpossible, f.run("admit e2").Code, "a retired run doesn't come back")
 }
 
 func TestVersionsMoveOnlyForward(t *testing.T) {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -227,3 +231,52 @@
 	require.Zero(t, execute(t, second, "retire e0").GetCode())
 	require.Eventually(t, func() bool { return f.engines[0].Status().Leaving }, patience, pollTime)
 }
+
+// callUntilStopped places and finishes requests one after another, until the
+// router hands one back or can't be reached. It returns the refusals.
+func callUntilStopped(r *Router, caller int) (granted int, refused []*rpc.Refusal) {
+	client := placementClient(r)
+	for number := 0; ; number++ {
+		response, err := client.Place(context.Background(), placeRequest(fmt.Sprintf("load-%d-%d", caller, number)))
+		if err != nil || response.GetHandBack() != nil {
+			return granted, refused
+		}
+		if refusal := response.GetRefusal(); refusal != nil {
+			return granted, append(refused, refusal)
+		}
+		granted++
+		_, _ = client.Report(context.Background(), &rpc.ReportRequest{Reports: []*rpc.AttemptReport{{
+			RequestId: response.GetRequestId(), Attempt: 1, Run: response.GetGrant().GetRun(),
+			Phase: rpc.AttemptPhase_ATTEMPT_PHASE_FINISHED,
+		}}})
+	}
+}
+
+func TestStopUnderLoadRefusesNothing(t *testing.T) {
+	f := newTestFleet(t, 2)
+	f.commitConfiguration()
+	r := f.startReadyRouter("r")
+	const callers = 32
+	var group sync.WaitGroup
+	var granted atomic.Int32
+	refusals := make(chan *rpc.Refusal, callers)
+	for caller := range callers {
+		group.Go(func() {
+			count, refused := callUntilStopped(r, caller)
+			granted.Add(int32(count))
+			for _, refusal := range refused {
+				refusals <- refusal
+			}
+		})
+	}
+	require.Eventually(t, func() bool {
+		return testutil.CollectAndCount(r.metrics.outcomes) > 0 && r.placer.openCalls() > 0
+	}, patience, pollTime)
+	require.NoError(t, r.Stop())
+	group.Wait()
+	close(refusals)
+	for refusal := range refusals {
+		t.Errorf("refused: %v", refusal)
+	}
+	assert.Positive(t, granted.Load())
+}
