--- a/internal/prefixindex/bank.go
+++ b/internal/prefixindex/bank.go
@@ -30,9 +30,11 @@
 	entries  int
 	runs     [slotsPerBank]fleet.EngineRun
 	counts   [slotsPerBank]int
-	// Every slot is free or has its bit in exactly one of live and dead.
-	live uint64
-	dead uint64
+	// Every slot is free or has its bit in exactly one of these: live slots
+	// match, hidden ones belong to a Replacement, dead ones wait for a sweep.
+	live   uint64
+	hidden uint64
+	dead   uint64
 
 	// sweeping is the set of dead slots that the present sweep clears,
 	// nextSwept the segment it has come to, sweepCredit the entries it may visit.
@@ -47,7 +49,7 @@
 
 // allocate gives a run a free slot, if there is one.
 func (b *bank) allocate(run fleet.EngineRun) (Slot, bool) {
-	free := ^(b.live | b.dead)
+	free := ^(b.live | b.hidden | b.dead)
 	if free == 0 {
 		return 0, false
 	}
@@ -61,6 +63,7 @@
 // retire makes a slot's entries void.
 func (b *bank) retire(slot Slot) {
 	b.live &^= bit(slot)
+	b.hidden &^= bit(slot)
 	b.dead |= bit(slot)
 	b.runs[slot] = fleet.EngineRun{}
 	b.counts[slot] = 0
@@ -171,6 +174,9 @@
 	return matches
 }
 
+// kept is the set of slots whose entries are of use.
+func (b *bank) kept() uint64 { return b.live | b.hidden }
+
 func (b *bank) bytes() int {
 	total := bankBytes
 	for position := range b.segments {
--- a/internal/prefixindex/feed.go
+++ b/internal/prefixindex/feed.go
@@ -84,7 +84,9 @@
 	// askedAt is when a snapshot was last asked for, if ever.
 	askedAt time.Duration
 	asked   bool
-	counts  FeedCounts
+	// load is the snapshot that is being stored, if any.
+	load   *snapshotLoad
+	counts FeedCounts
 }
 
 // NewFeed returns the feed of a run and adds the run to the index. The feed is
@@ -147,7 +149,7 @@
 // WantSnapshot tells whether a snapshot is to be fetched now, and notes that it
 // is. It stays false for ResyncInterval afterwards.
 func (f *Feed) WantSnapshot(now time.Duration) bool {
-	if !f.distrusted {
+	if !f.distrusted || f.load != nil {
 		return false
 	}
 	if f.asked && now-f.askedAt < f.options.ResyncInterval {
@@ -158,30 +160,6 @@
 	return true
 }
 
-// ApplySnapshot replaces the run's blocks by a snapshot and replays the events
-// after it. It returns false, and changes nothing, when the snapshot is of
-// another incarnation or older than what is already applied.
-func (f *Feed) ApplySnapshot(now time.Duration, snapshot engine.CacheSnapshot) bool {
-	if snapshot.Incarnation != f.run.Incarnation {
-		f.counts.StaleRuns++
-		return false
-	}
-	if snapshot.Sequence < f.applied {
-		f.counts.StaleSnapshots++
-		return false
-	}
-	f.counts.Snapshots++
-	f.index.Replace(f.run, snapshot.Hashes)
-	f.applied = snapshot.Sequence
-	f.ahead = slices.DeleteFunc(f.ahead, func(event engine.CacheEvent) bool {
-		return event.Sequence <= snapshot.Sequence
-	})
-	f.distrusted = false
-	f.applyReady()
-	f.resumeWaiting(now)
-	return true
-}
-
 // accept sorts one event into place.
 func (f *Feed) accept(now time.Duration, event engine.CacheEvent) {
 	position, present := slices.BinarySearchFunc(f.ahead, event.Sequence, compareSequence)
@@ -239,18 +217,6 @@
 	f.ahead = slices.Delete(f.ahead, 0, ready)
 }
 
-// resumeWaiting decides, after a snapshot, whether events missing beyond it may
-// still come or are lost too.
-func (f *Feed) resumeWaiting(now time.Duration) {
-	f.holeSince = now
-	if len(f.ahead) == 0 {
-		return
-	}
-	if f.After()-f.applied > f.options.ReorderWindow {
-		f.distrust()
-	}
-}
-
 func (f *Feed) applyNow(event engine.CacheEvent) {
 	f.counts.Applied++
 	switch event.Kind {
--- a/internal/prefixindex/feed_test.go
+++ b/internal/prefixindex/feed_test.go
@@ -87,6 +87,29 @@
 	assert.Equal(t, 2, index.BlocksOf(testRun(1, 7)))
 }
 
+func TestFeedSnapshotInPieces(t *testing.T) {
+	index, feed := newTestFeed()
+	run := testRun(1, 7)
+	apply(feed, 0, storedEvent(1))
+	snapshot := engine.CacheSnapshot{Incarnation: 7, Sequence: 2, Hashes: testHashes(100, 10)}
+	require.True(t, feed.BeginSnapshot(snapshot))
+	require.False(t, feed.ContinueSnapshot(0, 6))
+	apply(feed, 0, storedEvent(2), storedEvent(3))
+	assert.Equal(t, 3, index.BlocksOf(run), "the old set counts")
+	assert.Empty(t, index.Lookup(testHashes(100, 1), nil), "the new set doesn't yet")
+	assert.False(t, feed.WantSnapshot(time.Hour))
+	require.True(t, feed.ContinueSnapshot(0, 6))
+	assert.False(t, feed.Distrusted())
+	assert.Equal(t, 11, index.BlocksOf(run), "the snapshot and event 3")
+	assert.Empty(t, index.HoldersOf(1))
+
+	require.True(t, feed.BeginSnapshot(engine.CacheSnapshot{Incarnation: 7, Sequence: 9, Hashes: testHashes(0, 4)}))
+	index.RemoveRun(run)
+	assert.False(t, feed.ContinueSnapshot(0, 4), "the run died meanwhile")
+	index.Reclaim()
+	assert.Zero(t, index.Blocks())
+}
+
 func TestFeedStaysDistrustedWhenSnapshotPredatesLoss(t *testing.T) {
 	_, feed := newTestFeed()
 	apply(feed, 0, storedEvent(1), storedEvent(9))
--- a/internal/prefixindex/prefixindex.go
+++ b/internal/prefixindex/prefixindex.go
@@ -96,6 +96,10 @@
 	if !known {
 		return
 	}
+	x.storeAt(where, hashes)
+}
+
+func (x *Index) storeAt(where location, hashes []fleet.BlockHash) {
 	for _, hash := range hashes {
 		if where.bank.add(hash, where.slot) && x.Blocks() > x.maxBlocks {
 			x.drop(hash)
@@ -116,7 +120,8 @@
 	where.bank.reclaimFor(len(hashes))
 }
 
-// Replace makes hashes the whole set of a run's blocks.
+// Replace makes hashes the whole set of a run's blocks. Its time grows with
+// their number; BeginReplace does the same in pieces.
 func (x *Index) Replace(run fleet.EngineRun, hashes []fleet.BlockHash) {
 	x.Clear(run)
 	x.Store(run, hashes)
--- a/internal/prefixindex/prefixindex_test.go
+++ b/internal/prefixindex/prefixindex_test.go
@@ -80,7 +80,7 @@
 			engine := rapid.IntRange(0, len(incarnations)-1).Draw(t, "engine")
 			run := testRun(engine, incarnations[engine])
 			hashes := testHashes(rapid.IntRange(0, 48).Draw(t, "from"), rapid.IntRange(0, 16).Draw(t, "count"))
-			switch rapid.IntRange(0, 7).Draw(t, "operation") {
+			switch rapid.IntRange(0, 8).Draw(t, "operation") {
 			case 0:
 				index.AddRun(run)
 				if expected[run] == nil {
@@ -97,6 +97,10 @@
 				index.Replace(run, hashes)
 				clear(expected[run])
 				expected.store(run, hashes)
+			case 8:
+				replaceInPieces(index, run, hashes)
+				clear(expected[run])
+				expected.store(run, hashes)
 			case 4:
 				index.Remove(run, hashes)
 				for _, hash := range hashes {
@@ -114,6 +118,15 @@
 	})
 }
 
+func replaceInPieces(index *Index, run fleet.EngineRun, hashes []fleet.BlockHash) {
+	replacement := index.BeginReplace(run)
+	half := len(hashes) / 2
+	replacement.Store(hashes[:half])
+	index.Remove(run, hashes)
+	replacement.Store(hashes[half:])
+	replacement.Commit()
+}
+
 func (m model) store(run fleet.EngineRun, hashes []fleet.BlockHash) {
 	if m[run] == nil {
 		return
--- a/internal/prefixindex/reclaim.go
+++ b/internal/prefixindex/reclaim.go
@@ -80,7 +80,7 @@
 	holders  int
 }
 
-// drop removes the entry with the fewest live holders among a few neighbours
+// drop removes the entry with the fewest holders among a few neighbours
 // of keep's position: block hashes are random, so neighbours are a sample, and
 // a block that many runs hold is likelier to be asked for again.
 func (b *bank) drop(keep fleet.BlockHash) bool {
@@ -89,12 +89,12 @@
 	sampled := 0
 	for offset := 0; offset < segmentCount && sampled < dropSample; offset++ {
 		segment := &b.segments[(int(mixed%segmentCount)+offset)%segmentCount]
-		sampled += segment.sample(keep, b.live, dropSample-sampled, &best)
+		sampled += segment.sample(keep, b.kept(), dropSample-sampled, &best)
 	}
 	if best.segment == nil {
 		return false
 	}
-	b.forget(best.segment.table[best.position].holders & b.live)
+	b.forget(best.segment.table[best.position].holders & b.kept())
 	best.segment.delete(best.position)
 	b.entries--
 	return true
@@ -109,14 +109,14 @@
 
 // sample looks at up to wanted entries from the home position of keep on, never
 // at keep's own, updates best and returns how many it has seen.
-func (s *segment) sample(keep fleet.BlockHash, live uint64, wanted int, best *candidate) int {
+func (s *segment) sample(keep fleet.BlockHash, kept uint64, wanted int, best *candidate) int {
 	sampled := 0
 	position := s.home(mix(keep))
 	for range s.table {
 		seen := s.table[position]
 		if seen.holders != 0 && seen.hash != keep {
 			sampled++
-			holders := bits.OnesCount64(seen.holders & live)
+			holders := bits.OnesCount64(seen.holders & kept)
 			if holders < best.holders {
 				*best = candidate{segment: s, position: position, holders: holders}
 			}
--- /dev/null
+++ b/internal/prefixindex/replacement.go
@@ -0,0 +1,53 @@
+package prefixindex
+
+import "github.com/tillerfall/tillerfall/internal/fleet"
+
+// Replacement is a new set of blocks for a run, built in pieces while lookups
+// go on with the old set. It has a slot of its own that no lookup matches until
+// Commit. Exactly one of Commit and Abort must be called.
+type Replacement struct {
+	index *Index
+	run   fleet.EngineRun
+	where location
+}
+
+// BeginReplace starts a replacement of a run's blocks.
+func (x *Index) BeginReplace(run fleet.EngineRun) *Replacement {
+	where := x.allocate(run)
+	where.bank.hide(where.slot)
+	return &Replacement{index: x, run: run, where: where}
+}
+
+// Store adds blocks to the new set.
+func (r *Replacement) Store(hashes []fleet.BlockHash) {
+	r.index.storeAt(r.where, hashes)
+}
+
+// Commit makes the new set the run's blocks. It returns false, and forgets the
+// set, when the run was removed meanwhile.
+func (r *Replacement) Commit() bool {
+	old, known := r.index.runs[r.run]
+	if !known {
+		r.Abort()
+		return false
+	}
+	old.bank.retire(old.slot)
+	r.where.bank.show(r.where.slot)
+	r.index.runs[r.run] = r.where
+	return true
+}
+
+// Abort forgets the new set.
+func (r *Replacement) Abort() { r.where.bank.retire(r.where.slot) }
+
+// hide takes a slot out of lookups but keeps its entries.
+func (b *bank) hide(slot Slot) {
+	b.live &^= bit(slot)
+	b.hidden |= bit(slot)
+}
+
+// show ends hide.
+func (b *bank) show(slot Slot) {
+	b.hidden &^= bit(slot)
+	b.live |= bit(slot)
+}
