Test slow callers, share the connections to engines

The agent kept a cache of clients with connections of their own for each engine; the engine package now shares them, so the cache goes.

Slow callers were not tested. A caller that reads nothing must hold up nobody and still get every token; one over the write timeout must be cancelled at the engine. Both are tested with a writer that blocks, since the buffers of loopback sockets take whole answers of this size.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,7 +20,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"gopkg.in/tomb.v2"
@@ -32,9 +31,6 @@
 	"github.com/tillerfall/tillerfall/internal/rpc"
 )
 
-// maxEngineClients bounds the engines whose connections are kept.
-const maxEngineClients = 4096
-
 // Dependencies are what an agent gets from its process.
 type Dependencies struct {
 	Logger zerolog.Logger
@@ -56,7 +52,7 @@
 	// that restart while the platform is down.
 	machines    atomic.Pointer[rpc.MachineList]
 	routers     *routers
-	engines     *lru.Cache[fleet.Address, *engine.Client]
+	engines     *engine.Connections
 	budget      attempt.RetryBudget
 	concurrency *concurrency
 	duplicates  *duplicates
@@ -80,22 +76,21 @@
 	if registry == nil {
 		registry = prometheus.NewRegistry()
 	}
-	engines, err := lru.NewWithEvict(maxEngineClients, closeEngineClient)
-	if err != nil {
-		return nil, errors.Wrap(err, "make cache of engine clients")
-	}
 	node := settings.Node.NewNodeID()
 	clock := fleet.NewClock()
 	a := &Agent{
-		settings:    settings,
-		node:        node,
-		logger:      dependencies.Logger.With().Str("node", string(node)).Logger(),
-		clock:       clock,
-		registry:    registry,
-		metrics:     newMetrics(registry),
-		config:      config.NewHolder(),
-		routers:     newRouters(clock, settings.Node.Zone, settings.Routers, time.Duration(settings.Sync.BackoffMax)),
-		engines:     engines,
+		settings: settings,
+		node:     node,
+		logger:   dependencies.Logger.With().Str("node", string(node)).Logger(),
+		clock:    clock,
+		registry: registry,
+		metrics:  newMetrics(registry),
+		config:   config.NewHolder(),
+		routers:  newRouters(clock, settings.Node.Zone, settings.Routers, time.Duration(settings.Sync.BackoffMax)),
+		engines: engine.NewConnections(engine.Options{
+			ConnectTimeout: time.Duration(settings.Engines.ConnectTimeout),
+			HeaderTimeout:  time.Duration(settings.Engines.HeaderTimeout),
+		}),
 		budget:      &sharedBudget{budget: attempt.NewBudget(settings.Requests.budget())},
 		concurrency: newConcurrency(settings.Requests.MaxConcurrent),
 		duplicates:  newDuplicates(settings.Requests.IdempotencyKeys),
@@ -108,8 +103,6 @@
 	return a, nil
 }
 
-func closeEngineClient(_ fleet.Address, client *engine.Client) { client.CloseIdle() }
-
 func (a *Agent) newServer() *http.Server {
 	limits := a.settings.HTTP
 	return &http.Server{
@@ -200,18 +193,3 @@
 	a.routers.client.CloseIdleConnections()
 	a.logger.Info().Msg("agent_stopped")
 }
-
-// engineAt returns the client of the engine at an address.
-func (a *Agent) engineAt(address fleet.Address) *engine.Client {
-	if client, found := a.engines.Get(address); found {
-		return client
-	}
-	client := engine.New(address, engine.Options{
-		ConnectTimeout: time.Duration(a.settings.Engines.ConnectTimeout),
-		HeaderTimeout:  time.Duration(a.settings.Engines.HeaderTimeout),
-	})
-	if earlier, found, _ := a.engines.PeekOrAdd(address, client); found {
-		return earlier
-	}
-	return client
-}
--- a/internal/agent/enginecalls.go
+++ b/internal/agent/enginecalls.go
@@ -20,7 +20,7 @@
 
 func (c *carrier) dispatch(ctx context.Context, action attempt.Dispatch) {
 	weights := c.call.weights
-	stream, err := c.agent.engineAt(action.Address).Dispatch(ctx, engine.DispatchRequest{
+	stream, err := c.agent.engines.Client(action.Address).Dispatch(ctx, engine.DispatchRequest{
 		StreamID:     action.Stream,
 		Incarnation:  action.Run.Incarnation,
 		Tenant:       c.call.tenant.Name,
@@ -56,7 +56,7 @@
 }
 
 func (c *carrier) resume(ctx context.Context, action attempt.Resume) {
-	stream, err := c.agent.engineAt(action.Address).Resume(ctx, action.Stream, action.Offset)
+	stream, err := c.agent.engines.Client(action.Address).Resume(ctx, action.Stream, action.Offset)
 	if err == nil {
 		c.read(ctx, action.Operation, action.Run, stream)
 		return
@@ -123,7 +123,7 @@
 func (c *carrier) cancelOnce(ctx context.Context, action attempt.CancelAndBar) attempt.Event {
 	ctx, stop := context.WithTimeout(ctx, time.Duration(c.agent.settings.Engines.CancelTimeout))
 	defer stop()
-	answer, err := c.agent.engineAt(action.Address).Cancel(ctx, action.Stream, action.Run.Incarnation)
+	answer, err := c.agent.engines.Client(action.Address).Cancel(ctx, action.Stream, action.Run.Incarnation)
 	if err != nil {
 		c.logEngineError("cancel_failed", action.Run, err)
 		return attempt.CancelFailed{Operation: action.Operation, Code: engineError(err).Code}
--- /dev/null
+++ b/internal/agent/slow_test.go
@@ -0,0 +1,86 @@
+package agent_test
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/openai"
+)
+
+// slowWriter is the connection of a caller that reads nothing until it is
+// released, or whose writes then time out.
+type slowWriter struct {
+	header  http.Header
+	blocked chan struct{}
+	release chan struct{}
+	failure error
+
+	once sync.Once
+	body bytes.Buffer
+}
+
+func newSlowWriter(failure error) *slowWriter {
+	return &slowWriter{
+		header: http.Header{}, blocked: make(chan struct{}), release: make(chan struct{}), failure: failure,
+	}
+}
+
+func (w *slowWriter) Header() http.Header { return w.header }
+
+func (w *slowWriter) WriteHeader(int) {}
+
+func (w *slowWriter) Flush() {}
+
+func (w *slowWriter) Write(data []byte) (int, error) {
+	w.once.Do(func() { close(w.blocked) })
+	<-w.release
+	if w.failure != nil {
+		return 0, w.failure
+	}
+	return w.body.Write(data)
+}
+
+func slowRequest(maxTokens int) *http.Request {
+	body := strings.NewReader(completionBody(maxTokens, true))
+	request := httptest.NewRequest(http.MethodPost, openai.PathCompletions, body)
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	return request
+}
+
+func TestSlowCallerGetsAllAndHoldsUpNobody(t *testing.T) {
+	a := startAgent(t, nil, startRouter(t, startEngine(t, "a", time.Millisecond)))
+	slow := newSlowWriter(nil)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		a.Handler().ServeHTTP(slow, slowRequest(100))
+	}()
+	<-slow.blocked
+	for range 3 {
+		status, _ := decode(t, post(t, a, openai.PathCompletions, completionBody(20, false)))
+		require.Equal(t, http.StatusOK, status)
+	}
+	close(slow.release)
+	<-served
+	assert.Equal(t, 101, strings.Count(slow.body.String(), `"text":"`)) // the last is empty
+	assert.True(t, strings.HasSuffix(slow.body.String(), "data: [DONE]\n\n"))
+}
+
+func TestCallerOverTheWriteTimeoutIsCancelledAtTheEngine(t *testing.T) {
+	server := startEngine(t, "a", 5*time.Millisecond)
+	a := startAgent(t, nil, startRouter(t, server))
+	stuck := newSlowWriter(os.ErrDeadlineExceeded)
+	close(stuck.release)
+	a.Handler().ServeHTTP(stuck, slowRequest(400))
+	require.Eventually(t, func() bool { return server.Status().Load.RunningStreams == 0 }, patience, pollEvery)
+	assert.Less(t, server.Counters().OutputTokens, int64(400))
+}
