Add the router's peer: membership and changes over twirp

The membership core needs a process side: real time, calls and a configuration that comes in by any way and has to go on to the others.

An answer goes back on its request's connection. Every revision that the holder accepts is published; a router that hears of a higher one pulls, at growing intervals while that brings nothing, so that a change that it must refuse isn't asked for three times a second for ever.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -110,8 +110,8 @@
 	return c.flush()
 }
 
-// Receive takes one message in and returns the messages to send. The first
-// message that goes to the sender answers it.
+// Receive takes one message in and returns the messages to send. The last one
+// that goes to the sender answers it.
 func (c *Core) Receive(now time.Duration, message Message) []Message {
 	sender := message.Sender
 	if sender.Node == "" || sender.Node == c.self.Node {
--- a/internal/membership/dissemination.go
+++ b/internal/membership/dissemination.go
@@ -20,8 +20,11 @@
 	RepushDelay time.Duration
 	// Retransmits is how often a change is piggybacked after that.
 	Retransmits int
-	// PullInterval is the least time between two pulls.
+	// PullInterval is the time between two pulls; it doubles up to MaxPullInterval
+	// while they bring nothing.
 	PullInterval time.Duration
+	// MaxPullInterval bounds the time between two pulls.
+	MaxPullInterval time.Duration
 	// MaxPatchBytes bounds the patches carried by one message.
 	MaxPatchBytes int
 }
@@ -32,6 +35,7 @@
 	DefaultRepushDelay   = 700 * time.Millisecond
 	DefaultRetransmits   = 4
 	DefaultPullInterval  = 300 * time.Millisecond
+	DefaultMaxPull       = 5 * time.Second
 	DefaultMaxPatchBytes = 8 << 10
 )
 
@@ -50,6 +54,8 @@
 	source   fleet.Address
 	ahead    fleet.Revision
 	nextPull time.Duration
+	// pullDelay is the time from the next pull to the one after it.
+	pullDelay time.Duration
 	// repush is set while a second push is due at repushAt.
 	repush   bool
 	repushAt time.Duration
@@ -73,8 +79,9 @@
 	setDefault(&options.RepushDelay, DefaultRepushDelay)
 	setDefault(&options.Retransmits, DefaultRetransmits)
 	setDefault(&options.PullInterval, DefaultPullInterval)
+	setDefault(&options.MaxPullInterval, DefaultMaxPull)
 	setDefault(&options.MaxPatchBytes, DefaultMaxPatchBytes)
-	return &Dissemination{options: options}
+	return &Dissemination{options: options, pullDelay: options.PullInterval}
 }
 
 // Held returns the highest revision that this node holds.
@@ -83,7 +90,10 @@
 // Hold says that this node now holds a revision, whichever way it came.
 // Lower revisions than the held one are ignored.
 func (d *Dissemination) Hold(revision fleet.Revision) {
-	d.held = max(d.held, revision)
+	if revision > d.held {
+		d.held = revision
+		d.pullDelay = d.options.PullInterval
+	}
 }
 
 // Publish takes changes that this node has just begun to hold and returns the
@@ -95,7 +105,7 @@
 		if change.Revision <= d.held {
 			continue
 		}
-		d.held = change.Revision
+		d.Hold(change.Revision)
 		d.fresh = append(d.fresh, freshChange{Change: change})
 		pushed = append(pushed, change)
 	}
@@ -202,13 +212,14 @@
 }
 
 // Pull returns the pull that is due, if this node is behind. While it goes
-// unanswered, another follows after the pull interval, from whoever was last
+// unanswered, others follow at growing intervals, each from whoever was last
 // seen ahead.
 func (d *Dissemination) Pull(now time.Duration) (Pull, bool) {
 	if d.ahead <= d.held || d.source == "" || now < d.nextPull {
 		return Pull{}, false
 	}
-	d.nextPull = now + d.options.PullInterval
+	d.nextPull = now + d.pullDelay
+	d.pullDelay = min(2*d.pullDelay, d.options.MaxPullInterval)
 	return Pull{From: d.source, After: d.held}, true
 }
 
--- /dev/null
+++ b/internal/peer/drive.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+)
+
+// drive calls the core when it is due.
+func (p *Peer) drive() error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	refresh := time.NewTicker(seedRefresh)
+	defer refresh.Stop()
+	for {
+		select {
+		case <-p.life.Dying():
+			return nil
+		case <-refresh.C:
+			p.refreshSeeds()
+		case <-timer.C:
+			p.tick()
+		case <-p.kick:
+		}
+		timer.Reset(p.untilWake())
+	}
+}
+
+// untilWake returns the time until something is due.
+func (p *Peer) untilWake() time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	wake := p.core.NextWake()
+	if at, pending := p.spread.NextWake(); pending {
+		wake = min(wake, at)
+	}
+	return max(0, wake-p.clock.Now())
+}
+
+func (p *Peer) tick() {
+	var pull membership.Pull
+	var due bool
+	p.send(p.step(func(now time.Duration) []membership.Message {
+		messages := p.core.Tick(now)
+		pull, due = p.spread.Pull(now)
+		return append(messages, p.spread.Tick(now, p.core.View())...)
+	}))
+	if due {
+		p.enqueue(call{pull: &pull})
+	}
+}
+
+// refreshSeeds gives the core all addresses at which routers may be found.
+func (p *Peer) refreshSeeds() {
+	seeds := append([]fleet.Address(nil), p.options.Seeds...)
+	if p.options.Machines != nil {
+		seeds = append(seeds, p.options.Machines()...)
+	}
+	p.send(p.step(func(now time.Duration) []membership.Message { return p.core.Join(now, seeds) }))
+}
+
+// followHolder spreads each new revision that the holder accepts, whichever
+// way it came.
+func (p *Peer) followHolder() error {
+	for {
+		updated := p.options.Holder.Updated()
+		p.send(p.step(p.spreadHeld))
+		select {
+		case <-p.life.Dying():
+			return nil
+		case <-updated:
+		}
+	}
+}
+
+// spreadHeld publishes the changes up to the held revision. When they are not
+// known one by one, the revision in each header has the others pull.
+func (p *Peer) spreadHeld(now time.Duration) []membership.Message {
+	revision := p.options.Holder.Revision()
+	changes, known := p.options.Holder.ChangesAfter(p.spread.Held())
+	if !known {
+		p.spread.Hold(revision)
+		return nil
+	}
+	encoded, err := encodeChanges(changes)
+	if err != nil {
+		p.options.Logger.Error().Err(err).Msg("configuration_encode_failed")
+		p.spread.Hold(revision)
+		return nil
+	}
+	return p.spread.Publish(now, encoded, p.core.View())
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,60 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+var _ rpc.Peer = (*Peer)(nil)
+
+// Gossip implements rpc.Peer. The answer of unspecified kind carries a header alone.
+func (p *Peer) Gossip(_ context.Context, request *rpc.GossipMessage) (*rpc.GossipMessage, error) {
+	p.metrics.count(directionReceived, request.GetKind().String(), proto.Size(request))
+	message, err := membership.DecodeMessage(request)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("message", err.Error())
+	}
+	answer, others := splitAnswer(p.receive(message), message.Sender.Address)
+	p.send(others)
+	if answer == nil {
+		return &rpc.GossipMessage{Header: p.header()}, nil
+	}
+	encoded := answer.Encode()
+	p.metrics.count(directionSent, encoded.GetKind().String(), proto.Size(encoded))
+	return encoded, nil
+}
+
+// splitAnswer takes out the last message that goes to the sender.
+func splitAnswer(messages []membership.Message, sender fleet.Address) (*membership.Message, []membership.Message) {
+	for i := len(messages) - 1; i >= 0; i-- {
+		if messages[i].To == sender {
+			answer := messages[i]
+			return &answer, append(messages[:i], messages[i+1:]...)
+		}
+	}
+	return nil, messages
+}
+
+// Changes implements rpc.Peer. It sends the whole document when the changes
+// after the asked revision are no longer held.
+func (p *Peer) Changes(_ context.Context, request *rpc.ChangesRequest) (*rpc.ChangesResponse, error) {
+	response := &rpc.ChangesResponse{Header: p.header()}
+	changes, held := p.options.Holder.ChangesAfter(fleet.Revision(request.GetAfter()))
+	var err error
+	if held {
+		response.Changes, err = config.ChangeMessages(changes)
+	} else if view := p.options.Holder.Current(); view != nil {
+		response.Snapshot, err = config.SnapshotMessage(view.Document())
+	}
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return response, nil
+}
--- /dev/null
+++ b/internal/peer/transport.go
@@ -0,0 +1,185 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// call is one call to make: a message or, if set, a pull.
+type call struct {
+	message membership.Message
+	pull    *membership.Pull
+}
+
+func newHTTPClient() *http.Client {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConns:        idleConnections,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     idleTimeout,
+	}}
+}
+
+func (p *Peer) client(address fleet.Address) rpc.Peer {
+	return rpc.NewPeerProtobufClient("http://"+string(address), p.http)
+}
+
+func (p *Peer) send(messages []membership.Message) {
+	for _, message := range messages {
+		p.enqueue(call{message: message})
+	}
+}
+
+func (p *Peer) enqueue(next call) {
+	select {
+	case p.calls <- next:
+	default:
+		p.metrics.dropped.Inc()
+	}
+}
+
+// carry makes queued calls, one at a time.
+func (p *Peer) carry() error {
+	ctx := p.life.Context(context.Background())
+	for {
+		select {
+		case <-p.life.Dying():
+			return nil
+		case next := <-p.calls:
+			if next.pull != nil {
+				p.fetch(ctx, *next.pull)
+			} else {
+				p.deliver(ctx, next.message)
+			}
+		}
+	}
+}
+
+// deliver sends one message and takes the answer in.
+func (p *Peer) deliver(ctx context.Context, message membership.Message) {
+	timeout := probeTimeout
+	if message.Kind == membership.Join {
+		timeout = transferTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request := message.Encode()
+	p.metrics.count(directionSent, request.GetKind().String(), proto.Size(request))
+	answer, err := p.client(message.To).Gossip(ctx, request)
+	if err != nil {
+		p.metrics.failed.Inc()
+		p.options.Logger.Debug().Err(err).Str("address", string(message.To)).Msg("peer_call_failed")
+		return
+	}
+	p.metrics.count(directionReceived, answer.GetKind().String(), proto.Size(answer))
+	if answer.GetKind() == rpc.GossipKind_GOSSIP_KIND_UNSPECIFIED {
+		p.observe(message.To, answer.GetHeader())
+		return
+	}
+	received, err := membership.DecodeMessage(answer)
+	if err != nil {
+		p.options.Logger.Warn().Err(err).Str("address", string(message.To)).Msg("peer_answer_malformed")
+		return
+	}
+	received.Complete = message.Kind == membership.Join
+	p.send(p.receive(received))
+}
+
+// receive takes one message in and returns what is to be sent.
+func (p *Peer) receive(message membership.Message) []membership.Message {
+	p.offer(message.Sender.Address, message.Changes)
+	return p.step(func(now time.Duration) []membership.Message {
+		p.spread.Observe(message.Sender.Address, message.KnownRevision)
+		return p.core.Receive(now, message)
+	})
+}
+
+// observe takes note of the revision in a header.
+func (p *Peer) observe(address fleet.Address, header *rpc.Header) {
+	p.step(func(time.Duration) []membership.Message {
+		p.spread.Observe(address, fleet.Revision(header.GetKnownRevision()))
+		return nil
+	})
+}
+
+// offer gives the holder the changes of another router. Those that don't
+// follow its revision are pulled later.
+func (p *Peer) offer(from fleet.Address, changes []membership.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	decoded, err := decodeChanges(changes)
+	if err == nil {
+		_, _, err = p.options.Holder.OfferChanges(decoded)
+	}
+	if err != nil {
+		p.options.Logger.Warn().Err(err).Str("address", string(from)).Msg("configuration_change_refused")
+	}
+}
+
+// fetch pulls the changes that this router lacks.
+func (p *Peer) fetch(ctx context.Context, pull membership.Pull) {
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	request := &rpc.ChangesRequest{Header: p.header(), After: uint64(pull.After)}
+	p.metrics.count(directionSent, kindPull, proto.Size(request))
+	answer, err := p.client(pull.From).Changes(ctx, request)
+	if err != nil {
+		p.metrics.failed.Inc()
+		p.options.Logger.Debug().Err(err).Str("address", string(pull.From)).Msg("configuration_pull_failed")
+		return
+	}
+	p.metrics.count(directionReceived, kindPull, proto.Size(answer))
+	if err := p.takeAnswer(answer); err != nil {
+		p.options.Logger.Warn().Err(err).Str("address", string(pull.From)).Msg("configuration_refused")
+	}
+}
+
+func (p *Peer) takeAnswer(answer *rpc.ChangesResponse) error {
+	if snapshot := answer.GetSnapshot(); snapshot != nil {
+		document, err := config.DocumentFromMessage(snapshot)
+		if err != nil {
+			return err
+		}
+		_, err = p.options.Holder.OfferSnapshot(document)
+		return errors.Wrap(err, "snapshot")
+	}
+	changes, err := config.ChangesFromMessages(answer.GetChanges())
+	if err != nil {
+		return err
+	}
+	_, _, err = p.options.Holder.OfferChanges(changes)
+	return errors.Wrap(err, "changes")
+}
+
+func (p *Peer) header() *rpc.Header {
+	return &rpc.Header{
+		Sender:        string(p.options.Membership.Self.Node),
+		KnownRevision: uint64(p.options.Holder.Revision()),
+	}
+}
+
+// encodeChanges returns changes as the membership messages carry them.
+func encodeChanges(changes []config.Change) ([]membership.Change, error) {
+	encoded, err := config.ChangeMessages(changes)
+	if err != nil {
+		return nil, err
+	}
+	return membership.DecodeChanges(encoded), nil
+}
+
+func decodeChanges(changes []membership.Change) ([]config.Change, error) {
+	message := membership.Message{Changes: changes}
+	return config.ChangesFromMessages(message.Encode().GetChanges())
+}
