Add an emulator of both fleets and the rival routers

Routing quality could not be measured: nothing replayed a workload against the engines' model. The emulator runs the product's placement core, attempt machine, retry budget and choice of router on a virtual clock, with the fleet's latencies, late and lossy cache events, lagging load and an engine's crash. Rivals implement the same Router interface as placement.Core, so all meet one trace, one network and one agent: round robin, least loaded, static hash of the prefix, prefix match only, and a clairvoyant router on the true state, which is the limit.

Workload fleets now say how large an engine's cache is and when it lets go of idle blocks, since the prefixes of all tenants must exceed one cache.

--- /dev/null
+++ b/lab/emulator/agent.go
@@ -0,0 +1,107 @@
+package emulator
+
+import (
+	"math/rand/v2"
+
+	"github.com/tillerfall/tillerfall/internal/agent"
+	"github.com/tillerfall/tillerfall/internal/attempt"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/placement"
+)
+
+// agentHost is the agent of one zone.
+type agentHost struct {
+	emulator *Emulator
+	zone     fleet.ZoneName
+	budget   *attempt.Budget
+	random   *rand.Rand
+	policy   attempt.Policy
+	affinity int
+	// reports holds, for each router, the reports that wait to be sent.
+	reports []reportQueue
+	turn    int
+}
+
+type reportQueue struct {
+	pending []placement.AttemptReport
+	planned bool
+}
+
+func newAgentHost(e *Emulator, zone fleet.ZoneName) *agentHost {
+	settings := agent.DefaultSettings().Requests
+	return &agentHost{
+		emulator: e,
+		zone:     zone,
+		budget: attempt.NewBudget(attempt.BudgetOptions{
+			Ratio:          settings.RetryRatio,
+			FloorPerSecond: settings.RetryFloor,
+			Burst:          settings.RetryBurst,
+		}),
+		random:   e.newRandom(),
+		affinity: settings.AffinityBlocks,
+		policy: attempt.Policy{
+			MaxDispatches: settings.MaxDispatches,
+			MaxPlacements: settings.MaxPlacements,
+			MaxResumes:    settings.MaxResumes,
+		},
+		reports: make([]reportQueue, len(e.routers)),
+	}
+}
+
+// rank lists the routers in the order in which a request tries them.
+func (a *agentHost) rank(call *call) []*routerHost {
+	routers := a.emulator.routers
+	if a.emulator.options.Policy.Routing != RouteByPrefix {
+		a.turn++
+		ranked := make([]*routerHost, 0, len(routers))
+		for offset := range routers {
+			ranked = append(ranked, routers[(a.turn+offset)%len(routers)])
+		}
+		return ranked
+	}
+	key := prefixKey(call.blocks, a.affinity)
+	ranked := make([]*routerHost, 0, len(routers))
+	for _, member := range membership.Rank(key, a.zone, a.emulator.members) {
+		ranked = append(ranked, a.emulator.routerByNode[member.Node])
+	}
+	return ranked
+}
+
+// prefixKey is the agent's key for the choice of a router. Every prompt of the
+// workloads has a whole block.
+func prefixKey(blocks []fleet.BlockHash, affinityBlocks int) uint64 {
+	if len(blocks) == 0 {
+		return 0
+	}
+	return uint64(blocks[min(len(blocks), affinityBlocks)-1])
+}
+
+// report queues a report. A final one is sent at once, with all that wait;
+// others wait for the interval.
+func (a *agentHost) report(to *routerHost, report placement.AttemptReport) {
+	if to == nil {
+		return
+	}
+	queue := &a.reports[to.index]
+	queue.pending = append(queue.pending, report)
+	final := report.Phase >= placement.PhaseFinished
+	switch {
+	case final || to.central:
+		a.sendReports(to)
+	case !queue.planned:
+		queue.planned = true
+		a.emulator.queue.After(reportInterval, func() { a.sendReports(to) })
+	}
+}
+
+func (a *agentHost) sendReports(to *routerHost) {
+	queue := &a.reports[to.index]
+	batch := queue.pending
+	queue.pending = nil
+	queue.planned = false
+	if len(batch) == 0 {
+		return
+	}
+	a.emulator.queue.After(to.latency(a.zone), func() { to.takeReports(batch) })
+}
--- /dev/null
+++ b/lab/emulator/clairvoyant.go
@@ -0,0 +1,387 @@
+package emulator
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/flowcontrol"
+	"github.com/tillerfall/tillerfall/internal/placement"
+	"github.com/tillerfall/tillerfall/internal/platform"
+	"github.com/tillerfall/tillerfall/internal/scheduling"
+)
+
+// Clairvoyant is the limit: one router that knows every cache and queue exactly
+// and at once, and is told of each engine's every step. It uses the product's
+// scheduler on the true state and the product's fair queue in front of all
+// engines, and gives an engine no more than its next step can take, so that
+// the order of the rest can still change. It doesn't know the future.
+func Clairvoyant() Policy {
+	return Policy{Name: PolicyClairvoyant, Routing: RouteCentral, New: newClairvoyant}
+}
+
+const (
+	// clairvoyantQueueSteps bounds an engine's prompt work, in steps: the one
+	// under way and the next.
+	clairvoyantQueueSteps = 2
+	// clairvoyantWaiting bounds the streams that wait at an engine: more wait
+	// for memory, not for a step.
+	clairvoyantWaiting = 8
+	// clairvoyantHoldTokens is the length of a prefix from which on a request
+	// waits until the engine that computes it is done.
+	clairvoyantHoldTokens = 256
+	// clairvoyantRelook is the least time between two looks at a request whose
+	// engine hasn't changed.
+	clairvoyantRelook = 20 * time.Millisecond
+	clairvoyantScan   = 48
+)
+
+type clairvoyant struct {
+	setup     Setup
+	flow      *flowcontrol.Controller
+	scheduler *scheduling.Scheduler
+	engines   []*clairvoyantEngine
+	waiting   map[placement.Key]*clairvoyantItem
+	outcomes  []placement.Outcome
+	nextLook  time.Duration
+
+	chosen    *clairvoyantItem
+	endpoints []scheduling.Endpoint
+}
+
+// clairvoyantItem is a waiting request.
+type clairvoyantItem struct {
+	request placement.Request
+	rank    int
+	model   config.Model
+	expires time.Duration
+	// engine is where the last look placed it; version is that engine's then.
+	engine  *clairvoyantEngine
+	version uint64
+	lookAt  time.Duration
+	tokens  int
+}
+
+// clairvoyantEngine is an engine and what is on its way there.
+type clairvoyantEngine struct {
+	host    *engineHost
+	version uint64
+	transit []clairvoyantTransit
+	// parked is the work of the requests that wait for this engine, by class.
+	parked map[int]int
+}
+
+type clairvoyantTransit struct {
+	stream fleet.StreamID
+	blocks []fleet.BlockHash
+	tokens int
+}
+
+func newClairvoyant(setup Setup) Router {
+	c := &clairvoyant{
+		setup:     setup,
+		flow:      flowcontrol.New(flowcontrol.Options{Random: setup.Random, ScanDepth: clairvoyantScan}),
+		scheduler: scheduling.New(scheduling.DefaultOptions()),
+		waiting:   make(map[placement.Key]*clairvoyantItem),
+	}
+	for _, host := range setup.engines {
+		c.engines = append(c.engines, &clairvoyantEngine{host: host, parked: make(map[int]int)})
+	}
+	var policy flowcontrol.Policy
+	for _, class := range setup.View.Classes() {
+		policy.Classes = append(policy.Classes, flowcontrol.ClassPolicy{
+			Name: class.Name, Rank: class.Rank, MaxWait: time.Duration(class.MaxWait), MinShare: class.MinShare,
+		})
+	}
+	for _, tenant := range setup.View.Document().Tenants {
+		policy.Tenants = append(policy.Tenants, flowcontrol.TenantPolicy{
+			Name: tenant.Name, Weight: tenant.Weight, MaxWaiting: tenant.MaxWaiting,
+		})
+	}
+	c.flow.ApplyPolicy(policy)
+	return c
+}
+
+// Submit implements Router.
+func (c *clairvoyant) Submit(now time.Duration, request placement.Request) {
+	c.expire(now)
+	class, _ := c.setup.View.Class(request.Class)
+	model, _ := c.setup.View.Model(request.Weights.Model)
+	item := &clairvoyantItem{request: request, rank: class.Rank, model: model, expires: now + request.Deadline}
+	refusal := c.flow.Enqueue(now, flowcontrol.Item{
+		Key:      request.Key,
+		Tenant:   request.Tenant,
+		Class:    request.Class,
+		Cost:     float64(request.PromptTokens + request.MaxTokens),
+		Deadline: item.expires,
+	})
+	if refusal != nil {
+		c.outcomes = append(c.outcomes, placement.Refusal(*refusal))
+		return
+	}
+	c.waiting[request.Key] = item
+	c.pump(now)
+}
+
+// Withdraw implements Router.
+func (c *clairvoyant) Withdraw(now time.Duration, key placement.Key) bool {
+	item := c.waiting[key]
+	if item == nil || !c.flow.Remove(now, key) {
+		return false
+	}
+	c.forget(item)
+	return true
+}
+
+func (c *clairvoyant) forget(item *clairvoyantItem) {
+	item.unpark()
+	delete(c.waiting, item.request.Key)
+}
+
+func (c *clairvoyant) expire(now time.Duration) {
+	for _, refusal := range c.flow.Expire(now) {
+		c.forget(c.waiting[refusal.Key])
+		c.outcomes = append(c.outcomes, placement.Refusal(refusal))
+	}
+}
+
+// pump places waiting requests as long as engines take them.
+func (c *clairvoyant) pump(now time.Duration) {
+	c.expire(now)
+	c.nextLook = 0
+	for len(c.waiting) > 0 {
+		_, found := c.flow.Next(now, func(item flowcontrol.Item) bool { return c.admit(now, c.waiting[item.Key]) })
+		if !found {
+			return
+		}
+		c.grant()
+	}
+}
+
+// admit tells whether a request goes to an engine now, and notes which.
+func (c *clairvoyant) admit(now time.Duration, item *clairvoyantItem) bool {
+	if item.engine != nil && item.version == item.engine.version && now < item.lookAt {
+		c.lookAgain(item.lookAt)
+		return false
+	}
+	if !c.anyOpen(item.rank) {
+		return false // an engine's next step opens it
+	}
+	item.unpark()
+	decision, found := c.schedule(now, item)
+	if !found {
+		return false
+	}
+	engine := c.engines[decision.Index]
+	item.tokens = max(item.request.PromptTokens-decision.CachedTokens, 0)
+	endpoint := &decision.Endpoint
+	uncomputed := (endpoint.PendingBlocks - endpoint.CachedBlocks) * item.model.BlockTokens
+	if !engine.open(item.rank) || uncomputed >= clairvoyantHoldTokens {
+		item.park(engine, now)
+		c.lookAgain(item.lookAt)
+		return false
+	}
+	item.engine = engine
+	c.chosen = item
+	return true
+}
+
+func (c *clairvoyant) lookAgain(at time.Duration) {
+	if c.nextLook == 0 || at < c.nextLook {
+		c.nextLook = at
+	}
+}
+
+func (i *clairvoyantItem) park(engine *clairvoyantEngine, now time.Duration) {
+	i.engine = engine
+	i.version = engine.version
+	i.lookAt = now + clairvoyantRelook
+	engine.parked[i.rank] += i.tokens
+}
+
+func (i *clairvoyantItem) unpark() {
+	if i.engine != nil {
+		i.engine.parked[i.rank] -= i.tokens
+		i.engine = nil
+	}
+}
+
+func (c *clairvoyant) anyOpen(rank int) bool {
+	for _, engine := range c.engines {
+		if engine.open(rank) {
+			return true
+		}
+	}
+	return false
+}
+
+// open tells whether an engine's next step has room. Classes behind the first
+// leave half of it.
+func (e *clairvoyantEngine) open(rank int) bool {
+	model := e.host.model
+	limit := clairvoyantQueueSteps * model.Config().Costs.StepTokens
+	if rank > 0 {
+		limit /= 2
+	}
+	streams := model.RunningStreams() + model.WaitingStreams() + len(e.transit)
+	return !e.host.down && e.queued() < limit && streams < model.Config().MaxRunning &&
+		model.WaitingStreams()+len(e.transit) < clairvoyantWaiting
+}
+
+// queued returns the prompt work at the engine and on its way there.
+func (e *clairvoyantEngine) queued() int {
+	tokens := e.host.model.QueuedPrefillTokens()
+	for _, grant := range e.transit {
+		tokens += grant.tokens
+	}
+	return tokens
+}
+
+func (c *clairvoyant) schedule(now time.Duration, item *clairvoyantItem) (scheduling.Decision, bool) {
+	request := &item.request
+	c.endpoints = c.endpoints[:0]
+	for _, engine := range c.engines {
+		c.endpoints = append(c.endpoints, engine.endpoint(now, item))
+	}
+	return c.scheduler.Schedule(scheduling.Request{
+		ID:           request.Key.Request,
+		Tenant:       request.Tenant,
+		Class:        request.Class,
+		Rank:         item.rank,
+		Weights:      request.Weights,
+		Pool:         item.model.Pool,
+		AgentZone:    request.AgentZone,
+		PromptTokens: request.PromptTokens,
+		MaxTokens:    request.MaxTokens,
+		BlockTokens:  item.model.BlockTokens,
+		Excluded:     request.Excluded,
+		Deadline:     max(item.expires-now, 1),
+	}, c.endpoints, c.setup.Random)
+}
+
+func (e *clairvoyantEngine) endpoint(now time.Duration, item *clairvoyantItem) scheduling.Endpoint {
+	model := e.host.model
+	if !e.host.down {
+		model.Advance(now)
+	}
+	costs := model.Config().Costs
+	blocks := item.request.Blocks
+	endpoint := scheduling.Endpoint{
+		Run:             e.host.run(),
+		Address:         e.host.machine.Address,
+		Zone:            e.host.machine.Zone,
+		Pool:            e.host.machine.Pool,
+		Ready:           !e.host.down,
+		Serves:          servesAll,
+		InFlight:        model.RunningStreams() + model.WaitingStreams() + len(e.transit),
+		PrefillTokens:   e.queued(),
+		PrefillPerToken: costs.PrefillPerToken,
+		Step:            costs.StepBase + time.Duration(model.RunningStreams())*costs.DecodePerToken,
+		StepTokens:      costs.StepTokens,
+		CachedBlocks:    model.CachedPrefix(blocks),
+		PendingBlocks:   model.ExpectedPrefix(blocks),
+	}
+	for rank, tokens := range e.parked {
+		if rank <= item.rank {
+			endpoint.PrefillTokens += tokens
+		}
+	}
+	for _, grant := range e.transit {
+		endpoint.PendingBlocks = max(endpoint.PendingBlocks, commonPrefix(blocks, grant.blocks))
+	}
+	return endpoint
+}
+
+func servesAll(fleet.Weights) bool { return true }
+
+func commonPrefix(a, b []fleet.BlockHash) int {
+	length := 0
+	for length < min(len(a), len(b)) && a[length] == b[length] {
+		length++
+	}
+	return length
+}
+
+// grant gives the chosen request its engine.
+func (c *clairvoyant) grant() {
+	item := c.chosen
+	engine := item.engine
+	item.engine = nil // it was unparked before
+	key := item.request.Key
+	engine.transit = append(engine.transit, clairvoyantTransit{
+		stream: fleet.NewStreamID(key.Request, key.Attempt),
+		blocks: item.request.Blocks,
+		tokens: item.tokens,
+	})
+	delete(c.waiting, key)
+	c.outcomes = append(c.outcomes, placement.Grant{
+		Key:      key,
+		Run:      engine.host.run(),
+		Address:  engine.host.machine.Address,
+		Priority: item.rank,
+		ValidFor: placement.DefaultGrantValid,
+	})
+}
+
+// engineChanged implements engineObserver.
+func (c *clairvoyant) engineChanged(now time.Duration, host *engineHost) {
+	c.engines[host.index].version++
+	c.pump(now)
+}
+
+// dispatchArrived implements engineObserver.
+func (c *clairvoyant) dispatchArrived(_ time.Duration, host *engineHost, stream fleet.StreamID) {
+	engine := c.engines[host.index]
+	for position, grant := range engine.transit {
+		if grant.stream == stream {
+			engine.transit = append(engine.transit[:position], engine.transit[position+1:]...)
+			return
+		}
+	}
+}
+
+// Tick implements Router.
+func (c *clairvoyant) Tick(now time.Duration) { c.pump(now) }
+
+// NextWake implements Router.
+func (c *clairvoyant) NextWake() (time.Duration, bool) {
+	wake, found := c.flow.NextExpiry()
+	if c.nextLook > 0 && (!found || c.nextLook < wake) {
+		return c.nextLook, true
+	}
+	return wake, found
+}
+
+// TakeOutcomes implements Router.
+func (c *clairvoyant) TakeOutcomes() []placement.Outcome {
+	outcomes := c.outcomes
+	c.outcomes = nil
+	return outcomes
+}
+
+// Report implements Router. The truth needs no reports.
+func (c *clairvoyant) Report(time.Duration, placement.AttemptReport) {}
+
+// ObserveMachine implements Router.
+func (c *clairvoyant) ObserveMachine(time.Duration, platform.Machine) {}
+
+// ObserveStatus implements Router.
+func (c *clairvoyant) ObserveStatus(time.Duration, engine.Status) {}
+
+// ObserveUnreachable implements Router.
+func (c *clairvoyant) ObserveUnreachable(time.Duration, fleet.EngineID) {}
+
+// ObserveCacheEvents implements Router.
+func (c *clairvoyant) ObserveCacheEvents(time.Duration, fleet.EngineID, engine.CacheEvents) {}
+
+// ObserveCacheSnapshot implements Router.
+func (c *clairvoyant) ObserveCacheSnapshot(time.Duration, fleet.EngineID, engine.CacheSnapshot) {}
+
+// EventsAfter implements Router. It follows no events.
+func (c *clairvoyant) EventsAfter(fleet.EngineID) (uint64, fleet.Incarnation, bool) {
+	return 0, 0, false
+}
+
+// NeedsSnapshot implements Router.
+func (c *clairvoyant) NeedsSnapshot() []fleet.EngineID { return nil }
--- /dev/null
+++ b/lab/emulator/collect.go
@@ -0,0 +1,211 @@
+package emulator
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/lab/enginemodel"
+	"github.com/tillerfall/tillerfall/lab/workload"
+)
+
+// collector sums up the calls of a run.
+type collector struct {
+	result     *Result
+	firstToken histograms[fleet.ClassName]
+	byKind     histograms[workload.Kind]
+	byTenant   histograms[fleet.TenantName]
+	queueWait  histograms[fleet.ClassName]
+	routerWait histograms[fleet.ClassName]
+	finish     histograms[fleet.ClassName]
+	retryAfter *hdrhistogram.Histogram
+
+	prompt, cached, reachable, recomputed int64
+	good                                  int
+	splits                                map[workload.Kind]*splitSum
+	samples                               []sampleSum
+}
+
+type splitSum struct {
+	requests                  int
+	prompt, cached, reachable int64
+}
+
+type sampleSum struct{ prompt, cached int64 }
+
+// histograms holds a histogram for each key.
+type histograms[K comparable] map[K]*hdrhistogram.Histogram
+
+func (h histograms[K]) record(key K, value time.Duration) {
+	histogram := h[key]
+	if histogram == nil {
+		histogram = newHistogram()
+		h[key] = histogram
+	}
+	_ = histogram.RecordValue(max(value.Microseconds(), histogramMinimum)) // within the bounds: runs are shorter
+}
+
+func (h histograms[K]) quantiles() map[K]Quantiles {
+	summed := make(map[K]Quantiles, len(h))
+	for key, histogram := range h {
+		summed[key] = quantilesOf(histogram)
+	}
+	return summed
+}
+
+// result sums the run up.
+func (e *Emulator) result() *Result {
+	c := &collector{
+		result: &Result{
+			Fleet:          e.options.Trace.Fleet.Name,
+			Policy:         e.options.Policy.Name,
+			Endings:        make(map[Ending]int),
+			EndingsByClass: make(map[fleet.ClassName]map[Ending]int),
+		},
+		firstToken: make(histograms[fleet.ClassName]),
+		byKind:     make(histograms[workload.Kind]),
+		byTenant:   make(histograms[fleet.TenantName]),
+		queueWait:  make(histograms[fleet.ClassName]),
+		routerWait: make(histograms[fleet.ClassName]),
+		finish:     make(histograms[fleet.ClassName]),
+		retryAfter: newHistogram(),
+		splits:     make(map[workload.Kind]*splitSum),
+	}
+	for _, call := range e.calls {
+		c.sample(call, e.options.SampleEvery)
+		if call.request.At >= e.options.Warmup {
+			c.add(call)
+		}
+	}
+	c.finishRates(e)
+	return c.result
+}
+
+func (c *collector) add(call *call) {
+	class := call.request.Class
+	c.result.Requests++
+	c.result.Endings[call.ending]++
+	if c.result.EndingsByClass[class] == nil {
+		c.result.EndingsByClass[class] = make(map[Ending]int)
+	}
+	c.result.EndingsByClass[class][call.ending]++
+	c.result.Refusals += call.refusals
+	c.result.Retries += call.stats.Retries
+	c.result.Dispatches += call.stats.Dispatches
+	if call.retryAfter > 0 {
+		_ = c.retryAfter.RecordValue(call.retryAfter.Microseconds())
+	}
+	if call.good() {
+		c.good++
+	}
+	if call.gotToken {
+		c.addFirstToken(call)
+	}
+	if call.ending == EndingFinished {
+		c.finish.record(class, call.finished)
+	}
+	if call.hasComputed {
+		c.addPrompt(call)
+	}
+}
+
+func (c *collector) addFirstToken(call *call) {
+	class := call.request.Class
+	c.firstToken.record(class, call.firstToken)
+	c.byKind.record(call.request.Kind, call.firstToken)
+	if class == workload.ClassUrgent {
+		c.byTenant.record(call.request.Tenant, call.firstToken)
+	}
+	c.queueWait.record(class, call.firstToken-ownTime(call.promptTokens-call.cachedTokens))
+	c.routerWait.record(class, call.dispatchedAt)
+}
+
+// ownTime is the time that an idle engine takes to compute prompt tokens.
+func ownTime(tokens int) time.Duration {
+	costs := enginemodel.DefaultCosts()
+	steps := (tokens + costs.StepTokens - 1) / costs.StepTokens
+	return time.Duration(steps)*costs.StepBase + time.Duration(tokens)*costs.PrefillPerToken
+}
+
+func (c *collector) addPrompt(call *call) {
+	c.prompt += int64(call.promptTokens)
+	c.cached += int64(call.cachedTokens)
+	c.reachable += int64(call.reachableTokens)
+	c.recomputed += int64(call.recomputedTokens())
+	split := c.splits[call.request.Kind]
+	if split == nil {
+		split = &splitSum{}
+		c.splits[call.request.Kind] = split
+	}
+	split.requests++
+	split.prompt += int64(call.promptTokens)
+	split.cached += int64(call.cachedTokens)
+	split.reachable += int64(call.reachableTokens)
+}
+
+// sample books a prompt in the interval of its arrival.
+func (c *collector) sample(call *call, every time.Duration) {
+	if !call.hasComputed {
+		return
+	}
+	interval := int(call.request.At / every)
+	for len(c.samples) <= interval {
+		c.samples = append(c.samples, sampleSum{})
+	}
+	c.samples[interval].prompt += int64(call.promptTokens)
+	c.samples[interval].cached += int64(call.cachedTokens)
+}
+
+func (c *collector) finishRates(e *Emulator) {
+	r := c.result
+	measured := e.options.Trace.Duration - e.options.Warmup
+	r.Goodput = float64(c.good) / measured.Seconds()
+	r.HitRate = ratio(c.cached, c.prompt)
+	r.ReachableRate = ratio(c.reachable, c.prompt)
+	r.RecomputedRate = ratio(c.recomputed, c.prompt)
+	for _, host := range e.engines {
+		counters := host.model.Counters()
+		r.PrefillTokens += counters.PrefillTokens
+		r.PromptTokens += counters.PromptTokens
+	}
+	r.UnavoidableTokens = e.ledger.unavoidable
+	r.WasteRate = ratio(r.PrefillTokens-r.UnavoidableTokens, r.PromptTokens)
+	r.FirstTokenByClass = c.firstToken.quantiles()
+	r.FirstTokenByKind = c.byKind.quantiles()
+	r.UrgentByTenant = c.byTenant.quantiles()
+	r.QueueWaitByClass = c.queueWait.quantiles()
+	r.RouterWaitByClass = c.routerWait.quantiles()
+	r.FinishTimeByClass = c.finish.quantiles()
+	r.RetryAfter = quantilesOf(c.retryAfter)
+	r.PromptByKind = c.promptSplits()
+	every := e.options.SampleEvery
+	for i, sample := range c.samples {
+		r.HitOverTime = append(r.HitOverTime, HitSample{
+			Seconds:      (time.Duration(i) * every).Seconds(),
+			HitRate:      ratio(sample.cached, sample.prompt),
+			PromptTokens: sample.prompt,
+		})
+	}
+}
+
+func (c *collector) promptSplits() map[workload.Kind]PromptSplit {
+	splits := make(map[workload.Kind]PromptSplit, len(c.splits))
+	for kind, sum := range c.splits {
+		count := int64(sum.requests)
+		splits[kind] = PromptSplit{
+			Requests:  sum.requests,
+			Prompt:    ratio(sum.prompt, count),
+			Cached:    ratio(sum.cached, count),
+			Reachable: ratio(sum.reachable, count),
+		}
+	}
+	return splits
+}
+
+func ratio(part, whole int64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/lab/emulator/emulator_test.go
@@ -0,0 +1,58 @@
+package emulator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/lab/workload"
+)
+
+// smallOptions is a short run of a small fleet, under the target's conditions.
+func smallOptions(policy Policy, rate float64) Options {
+	description := workload.FlagFleet()
+	description.Engines = 4
+	trace := workload.Generate(description, workload.Options{Seed: 3, Rate: rate, Duration: 8 * time.Second})
+	return Options{
+		Trace:      trace,
+		Policy:     policy,
+		Seed:       5,
+		Warmup:     2 * time.Second,
+		EventDelay: DefaultEventDelay,
+		EventLoss:  TargetEventLoss,
+		LoadLag:    TargetLoadLag,
+	}
+}
+
+func TestEqualOptionsGiveEqualResults(t *testing.T) {
+	for _, policy := range Policies() {
+		t.Run(policy.Name, func(t *testing.T) {
+			first, err := Run(smallOptions(policy, 60))
+			require.NoError(t, err)
+			second, err := Run(smallOptions(policy, 60))
+			require.NoError(t, err)
+			assert.Equal(t, first, second)
+		})
+	}
+}
+
+func TestEachRequestEndsInExactlyOneWay(t *testing.T) {
+	for _, policy := range Policies() {
+		t.Run(policy.Name, func(t *testing.T) {
+			options := smallOptions(policy, 150) // far over capacity
+			options.Warmup = 0
+			options.Crash = &Crash{Engine: 1, At: 3 * time.Second, Down: 2 * time.Second}
+			result, err := Run(options)
+			require.NoError(t, err)
+			require.Equal(t, len(options.Trace.Requests), result.Requests)
+			total := 0
+			for _, ending := range []Ending{EndingFinished, EndingRefused, EndingExpired, EndingFailed} {
+				total += result.Endings[ending]
+			}
+			assert.Equal(t, result.Requests, total)
+			assert.Positive(t, result.Endings[EndingFinished])
+		})
+	}
+}
--- /dev/null
+++ b/lab/emulator/network.go
@@ -0,0 +1,35 @@
+package emulator
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/lab/workload"
+)
+
+// network gives the latencies between processes, one way.
+type network struct {
+	zone   time.Duration
+	client time.Duration
+}
+
+func newNetwork(description workload.Fleet) network {
+	return network{zone: description.ZoneLatency, client: description.ClientLatency}
+}
+
+// between returns the latency between a router and an engine.
+func (n network) between(a, b fleet.ZoneName) time.Duration {
+	if a == b {
+		return localLatency
+	}
+	return localLatency + n.zone
+}
+
+// fromAgent returns the latency between an agent, which is beside its callers,
+// and a router or engine.
+func (n network) fromAgent(agent, other fleet.ZoneName) time.Duration {
+	if agent == other {
+		return n.client
+	}
+	return n.client + n.zone
+}
--- /dev/null
+++ b/lab/emulator/policy.go
@@ -0,0 +1,91 @@
+package emulator
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/placement"
+	"github.com/tillerfall/tillerfall/internal/platform"
+)
+
+// Router decides where attempts go. placement.Core is the product's; its
+// documentation tells what the methods mean.
+type Router interface {
+	Submit(now time.Duration, request placement.Request)
+	Withdraw(now time.Duration, key placement.Key) bool
+	Report(now time.Duration, report placement.AttemptReport)
+	ObserveMachine(now time.Duration, machine platform.Machine)
+	ObserveStatus(now time.Duration, status engine.Status)
+	ObserveUnreachable(now time.Duration, id fleet.EngineID)
+	ObserveCacheEvents(now time.Duration, id fleet.EngineID, events engine.CacheEvents)
+	ObserveCacheSnapshot(now time.Duration, id fleet.EngineID, snapshot engine.CacheSnapshot)
+	EventsAfter(id fleet.EngineID) (uint64, fleet.Incarnation, bool)
+	NeedsSnapshot() []fleet.EngineID
+	Tick(now time.Duration)
+	NextWake() (time.Duration, bool)
+	TakeOutcomes() []placement.Outcome
+}
+
+// Setup is what a policy may use to make a router.
+type Setup struct {
+	Node      fleet.NodeID
+	Zone      fleet.ZoneName
+	View      *config.View
+	Random    *rand.Rand
+	Placement placement.Options
+	// engines is the truth, for the clairvoyant policy alone.
+	engines []*engineHost
+}
+
+// Routing tells how agents choose a router.
+type Routing int
+
+// Ways to choose a router.
+const (
+	// RouteByPrefix ranks the routers by the prompt's first blocks, as agents do.
+	RouteByPrefix Routing = iota
+	// RouteSpread takes the routers in turn.
+	RouteSpread
+	// RouteCentral means one router that agents reach without delay.
+	RouteCentral
+)
+
+// Policy makes the routers of a run.
+type Policy struct {
+	Name    string
+	Routing Routing
+	New     func(setup Setup) Router
+}
+
+// Names of the policies.
+const (
+	PolicyTillerfall  = "tillerfall"
+	PolicyRoundRobin  = "round-robin"
+	PolicyLeastLoaded = "least-loaded"
+	PolicyPrefixHash  = "prefix-hash"
+	PolicyPrefixMatch = "prefix-match"
+	PolicyClairvoyant = "clairvoyant"
+)
+
+// Policies returns all policies, the product first and the limit last.
+func Policies() []Policy {
+	return []Policy{Tillerfall(), RoundRobin(), LeastLoaded(), PrefixHash(), PrefixMatch(), Clairvoyant()}
+}
+
+// Tillerfall is the product.
+func Tillerfall() Policy {
+	return Policy{Name: PolicyTillerfall, Routing: RouteByPrefix, New: newProductRouter}
+}
+
+func newProductRouter(setup Setup) Router {
+	options := setup.Placement
+	options.Node = setup.Node
+	options.Zone = setup.Zone
+	options.Random = setup.Random
+	core := placement.New(options)
+	core.ApplyConfig(0, setup.View)
+	return core
+}
--- /dev/null
+++ b/lab/emulator/rivals.go
@@ -0,0 +1,102 @@
+package emulator
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tillerfall/tillerfall/internal/placement"
+	"github.com/tillerfall/tillerfall/internal/prefixindex"
+)
+
+// RoundRobin takes the engines in turn, at each router from another start.
+func RoundRobin() Policy {
+	return Policy{Name: PolicyRoundRobin, Routing: RouteSpread, New: newRival(chooseInTurn, false)}
+}
+
+func chooseInTurn(r *rival, _ *placement.Request, candidates []*rivalEngine) *rivalEngine {
+	r.turn++
+	return candidates[r.turn%len(candidates)]
+}
+
+// LeastLoaded takes the engine with the fewest streams: those of the lagging
+// report and the router's own grants since its measurement. Ties go by chance.
+func LeastLoaded() Policy {
+	return Policy{Name: PolicyLeastLoaded, Routing: RouteSpread, New: newRival(chooseLeastLoaded, false)}
+}
+
+func chooseLeastLoaded(r *rival, _ *placement.Request, candidates []*rivalEngine) *rivalEngine {
+	var best *rivalEngine
+	equal := 0
+	for _, candidate := range candidates {
+		switch {
+		case best == nil || candidate.streams() < best.streams():
+			best, equal = candidate, 1
+		case candidate.streams() == best.streams():
+			equal++
+			if r.random.IntN(equal) == 0 {
+				best = candidate
+			}
+		}
+	}
+	return best
+}
+
+func (e *rivalEngine) streams() int {
+	return e.load.RunningStreams + e.load.WaitingStreams + len(e.granted)
+}
+
+// PrefixHash gives equal beginnings of prompts to one engine, by rendezvous
+// hashing (Thaler and Ravishankar 1998) of the key by which agents choose a
+// router. It looks at no load.
+func PrefixHash() Policy {
+	return Policy{Name: PolicyPrefixHash, Routing: RouteSpread, New: newRival(chooseByHash, false)}
+}
+
+// hashedBlocks is the number of leading blocks that choose the engine.
+const hashedBlocks = 4
+
+func chooseByHash(_ *rival, request *placement.Request, candidates []*rivalEngine) *rivalEngine {
+	key := prefixKey(request.Blocks, hashedBlocks)
+	var best *rivalEngine
+	var bestScore uint64
+	for _, candidate := range candidates {
+		var digest xxhash.Digest
+		digest.ResetWithSeed(key)
+		_, _ = digest.WriteString(string(candidate.run.Engine))
+		if score := digest.Sum64(); best == nil || score > bestScore {
+			best, bestScore = candidate, score
+		}
+	}
+	return best
+}
+
+// PrefixMatch takes the engine that holds the longest prefix by the router's
+// lagging index, of equal ones the least loaded.
+func PrefixMatch() Policy {
+	return Policy{Name: PolicyPrefixMatch, Routing: RouteByPrefix, New: newRival(chooseByMatch, true)}
+}
+
+func chooseByMatch(r *rival, request *placement.Request, candidates []*rivalEngine) *rivalEngine {
+	r.matches = r.index.Lookup(request.Blocks, r.matches)
+	longest := 0
+	var holders []*rivalEngine
+	for _, candidate := range candidates {
+		blocks := matchOf(r.matches, candidate)
+		if blocks > longest {
+			longest = blocks
+			holders = holders[:0]
+		}
+		if blocks == longest {
+			holders = append(holders, candidate)
+		}
+	}
+	return chooseLeastLoaded(r, request, holders)
+}
+
+func matchOf(matches []prefixindex.Match, candidate *rivalEngine) int {
+	for _, match := range matches {
+		if match.Run == candidate.run {
+			return match.Blocks
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/lab/emulator/routerhost.go
@@ -0,0 +1,253 @@
+package emulator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/attempt"
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/placement"
+)
+
+// routerHost runs one router on the queue: it polls engines, wakes the router
+// and carries its outcomes to the agents.
+type routerHost struct {
+	emulator *Emulator
+	index    int
+	node     fleet.NodeID
+	zone     fleet.ZoneName
+	central  bool
+	router   Router
+	asking   map[placement.Key]question
+	wakeAt   time.Duration
+	feeds    []eventFeed
+}
+
+// question is an open placement call.
+type question struct {
+	carrier   *carrier
+	operation attempt.Operation
+}
+
+// eventFeed is a router's long poll for the cache events of one engine.
+type eventFeed struct {
+	// waiting tells that the poll is at the engine and finds nothing yet.
+	waiting bool
+}
+
+func (r *routerHost) now() time.Duration { return r.emulator.queue.Now() }
+
+// latency returns the time of one way from or to an agent.
+func (r *routerHost) latency(agent fleet.ZoneName) time.Duration {
+	if r.central {
+		return 0
+	}
+	return r.emulator.network.fromAgent(agent, r.zone)
+}
+
+// do runs a step on the router, delivers its outcomes and plans its next wake.
+func (r *routerHost) do(step func(now time.Duration, router Router)) {
+	step(r.now(), r.router)
+	for _, outcome := range r.router.TakeOutcomes() {
+		r.deliver(outcome)
+	}
+	r.plan()
+}
+
+func (r *routerHost) deliver(outcome placement.Outcome) {
+	key := outcome.OutcomeKey()
+	asked, found := r.asking[key]
+	if !found {
+		r.abandon(outcome)
+		return
+	}
+	delete(r.asking, key)
+	latency := r.latency(asked.carrier.agent.zone)
+	r.emulator.queue.After(latency, func() { asked.carrier.answered(asked.operation, outcome) })
+}
+
+// abandon gives back a grant that nobody waits for.
+func (r *routerHost) abandon(outcome placement.Outcome) {
+	if grant, granted := outcome.(placement.Grant); granted {
+		r.router.Report(r.now(), placement.AttemptReport{Key: grant.Key, Run: grant.Run, Phase: placement.PhaseAbandoned})
+	}
+}
+
+func (r *routerHost) plan() {
+	at, found := r.router.NextWake()
+	if !found {
+		return
+	}
+	at = max(at, r.now()+minimumTick)
+	if r.wakeAt != 0 && r.wakeAt <= at {
+		return
+	}
+	r.wakeAt = at
+	r.emulator.queue.At(at, func() { r.wake(at) })
+}
+
+func (r *routerHost) wake(planned time.Duration) {
+	if r.wakeAt != planned {
+		return
+	}
+	r.wakeAt = 0
+	r.do(func(now time.Duration, router Router) { router.Tick(now) })
+}
+
+func (r *routerHost) submit(from *carrier, operation attempt.Operation, request placement.Request) {
+	if from.machine.Phase() == attempt.PhaseFinished {
+		return // the agent's call was cancelled on its way
+	}
+	r.asking[request.Key] = question{carrier: from, operation: operation}
+	r.do(func(now time.Duration, router Router) { router.Submit(now, request) })
+}
+
+// withdraw takes back the open question of a carrier whose request is over.
+func (r *routerHost) withdraw(key placement.Key) {
+	if _, found := r.asking[key]; !found {
+		return
+	}
+	delete(r.asking, key)
+	r.do(func(now time.Duration, router Router) { router.Withdraw(now, key) })
+}
+
+func (r *routerHost) takeReports(batch []placement.AttemptReport) {
+	r.do(func(now time.Duration, router Router) {
+		for _, report := range batch {
+			router.Report(now, report)
+		}
+	})
+}
+
+// start makes the engines known and begins to poll them.
+func (r *routerHost) start() {
+	r.feeds = make([]eventFeed, len(r.emulator.engines))
+	for _, host := range r.emulator.engines {
+		status := host.model.Status(0)
+		r.do(func(now time.Duration, router Router) {
+			router.ObserveMachine(now, host.machine)
+			router.ObserveStatus(now, status)
+		})
+		if r.central {
+			continue
+		}
+		r.emulator.queue.After(r.jitter(statusInterval), func() { r.pollStatus(host) })
+		r.pollEvents(host)
+	}
+	if !r.central {
+		r.emulator.queue.After(needsInterval, r.passNeeds)
+	}
+}
+
+// jitter returns a time between three quarters of mean and five quarters.
+func (r *routerHost) jitter(mean time.Duration) time.Duration {
+	return mean*3/4 + time.Duration(r.emulator.queue.Random().Int64N(int64(mean/2+1)))
+}
+
+func (r *routerHost) pollStatus(host *engineHost) {
+	queue := r.emulator.queue
+	latency := r.emulator.network.between(r.zone, host.machine.Zone)
+	queue.After(latency, func() {
+		var status engine.Status
+		reachable := !host.down
+		if reachable {
+			status = host.model.Status(queue.Now())
+			host.changed()
+		}
+		queue.After(latency, func() { r.takeStatus(host, status, reachable) })
+	})
+	queue.After(r.jitter(statusInterval), func() { r.pollStatus(host) })
+}
+
+func (r *routerHost) takeStatus(host *engineHost, status engine.Status, reachable bool) {
+	r.do(func(now time.Duration, router Router) {
+		if reachable {
+			router.ObserveStatus(now, status)
+		} else {
+			router.ObserveUnreachable(now, host.id())
+		}
+	})
+}
+
+// pollEvents sends a long poll for an engine's cache events.
+func (r *routerHost) pollEvents(host *engineHost) {
+	latency := r.emulator.network.between(r.zone, host.machine.Zone)
+	r.emulator.queue.After(latency, func() { r.waitForEvents(host) })
+}
+
+// waitForEvents answers the poll as soon as there is something to see.
+func (r *routerHost) waitForEvents(host *engineHost) {
+	feed := &r.feeds[host.index]
+	feed.waiting = true
+	after, _, followed := r.router.EventsAfter(host.id())
+	if !followed || host.down {
+		return
+	}
+	next, found := host.model.NextCacheEventAfter(after)
+	if !found {
+		return
+	}
+	feed.waiting = false
+	r.emulator.queue.At(next+eventPause, func() { r.answerPoll(host) })
+}
+
+func (r *routerHost) answerPoll(host *engineHost) {
+	latency := r.emulator.network.between(r.zone, host.machine.Zone)
+	after, _, followed := r.router.EventsAfter(host.id())
+	if !followed || host.down {
+		r.feeds[host.index].waiting = true
+		return
+	}
+	events := engine.CacheEvents{
+		Incarnation: host.model.Incarnation(),
+		Events:      host.model.CacheEventsAfter(r.now(), after),
+	}
+	host.changed()
+	r.emulator.queue.After(latency, func() {
+		id := host.id()
+		r.do(func(now time.Duration, router Router) { router.ObserveCacheEvents(now, id, events) })
+		r.pollEvents(host)
+	})
+}
+
+// engineChanged looks whether a waiting poll can be answered now.
+func (r *routerHost) engineChanged(host *engineHost) {
+	if len(r.feeds) > 0 && r.feeds[host.index].waiting {
+		r.waitForEvents(host)
+	}
+	if observer, observes := r.router.(engineObserver); observes {
+		r.do(func(now time.Duration, _ Router) { observer.engineChanged(now, host) })
+	}
+}
+
+// engineObserver is a router that knows at once what happens at engines.
+type engineObserver interface {
+	engineChanged(now time.Duration, host *engineHost)
+	dispatchArrived(now time.Duration, host *engineHost, stream fleet.StreamID)
+}
+
+// passNeeds fetches the caches that the router wants whole.
+func (r *routerHost) passNeeds() {
+	wanted := r.router.NeedsSnapshot()
+	for _, host := range r.emulator.engines {
+		if slices.Contains(wanted, host.id()) {
+			r.fetchSnapshot(host)
+		}
+	}
+	r.emulator.queue.After(needsInterval, r.passNeeds)
+}
+
+func (r *routerHost) fetchSnapshot(host *engineHost) {
+	latency := r.emulator.network.between(r.zone, host.machine.Zone)
+	r.emulator.queue.After(latency, func() {
+		if host.down {
+			return
+		}
+		snapshot := host.model.CacheSnapshot(r.now())
+		host.changed()
+		r.emulator.queue.After(latency, func() {
+			r.do(func(now time.Duration, router Router) { router.ObserveCacheSnapshot(now, host.id(), snapshot) })
+		})
+	})
+}
--- a/lab/workload/fleet.go
+++ b/lab/workload/fleet.go
@@ -26,8 +26,13 @@
 	ClientLatency time.Duration
 	// MaxLoads is the number of engines that can load weights at once at full speed.
 	MaxLoads int
-	Tenants  []Tenant
-	Traffic  Traffic
+	// BlockTokens is the length of a cache block, CacheBlocks the cache of one
+	// engine. BlockIdleTTL evicts blocks that nobody has used for so long.
+	BlockTokens  int
+	CacheBlocks  int
+	BlockIdleTTL time.Duration
+	Tenants      []Tenant
+	Traffic      Traffic
 }
 
 // Tenant is one tenant of a fleet and its part of the traffic.
@@ -81,6 +86,9 @@
 		ZoneLatency:   1500 * time.Microsecond,
 		ClientLatency: time.Millisecond,
 		MaxLoads:      2,
+		BlockTokens:   64,
+		CacheBlocks:   2048,
+		BlockIdleTTL:  10 * time.Second,
 		Tenants:       tenants(),
 		Traffic: Traffic{
 			Top:          Level{Variants: 6, Skew: 1.4, Tokens: 6000},
@@ -106,6 +114,9 @@
 		ZoneLatency:   1500 * time.Microsecond,
 		ClientLatency: time.Millisecond,
 		MaxLoads:      3,
+		BlockTokens:   64,
+		CacheBlocks:   4096,
+		BlockIdleTTL:  10 * time.Second,
 		Tenants:       tenants(),
 		Traffic: Traffic{
 			Top:          Level{Variants: 4, Skew: 1.3, Tokens: 16000},
