Keep batch's minimum share and urgent work's queue room under overload

The batch class got 19 of some 30,000 dispatches at the highest load although its minimum share is a tenth: urgent streams filled all engines, and the part kept free for urgent work never lets batch in. And one tenant's waiting batch used up its queue bound, so that its urgent requests were refused.

The reserve is now open to a class that is owed a dispatch by its minimum share (flowcontrol.Owed). An urgent item that meets a full queue displaces the tenant's newest item of its worst class, which gets a true refusal; a bound for each class was ruled out, since max_waiting is documented as the bound of the tenant.

--- a/internal/flowcontrol/controller.go
+++ b/internal/flowcontrol/controller.go
@@ -83,7 +83,9 @@
 }
 
 // Enqueue takes an item or says why not. A key that already waits is left as
-// it is.
+// it is. When the tenant's queue is full, the item displaces the tenant's
+// newest one of the worst class if that ranks behind it, so that a tenant's
+// batch can't shut out its urgent requests; Expire returns the displaced one.
 func (c *Controller) Enqueue(now time.Duration, item Item) *Refusal {
 	if _, found := c.entries[item.Key]; found {
 		return nil
@@ -107,6 +109,9 @@
 		return refusal
 	}
 	e := &entry{item: item, enqueued: now, heapIndex: notInHeap}
+	if c.waiting[item.Tenant] >= tenant.MaxWaiting {
+		c.displace(now, c.displaceable(item.Tenant, queue.policy.Rank))
+	}
 	queue.push(now, e, tenant.Weight)
 	e.setExpiry()
 	c.expiry.add(e)
@@ -125,43 +130,6 @@
 	return l
 }
 
-// check refuses an item that has no room or no hope.
-func (c *Controller) check(now time.Duration, l *lane, queue *classQueue, tenant TenantPolicy, item Item) *Refusal {
-	queue.meter.advance(now, queue.waiting > 0)
-	wait, known := l.waitEstimate(queue, tenant)
-	if c.waiting[item.Tenant] >= tenant.MaxWaiting {
-		return c.refuse(item.Key, resultcode.TenantQueueFull, "the tenant's queue is full", wait)
-	}
-	if item.Deadline > 0 && item.Deadline <= now {
-		return c.refuse(item.Key, resultcode.DeadlineTooShort, "the deadline has passed", wait)
-	}
-	if !known {
-		return nil
-	}
-	if item.Deadline > 0 && now+wait >= item.Deadline {
-		return c.refuse(item.Key, resultcode.DeadlineTooShort,
-			"the predicted wait is over the deadline", now+wait-item.Deadline)
-	}
-	if limit := queue.policy.MaxWait; limit > 0 && wait > limit {
-		return c.refuse(item.Key, resultcode.Overloaded,
-			"the predicted wait is over the class's limit", wait-limit)
-	}
-	return nil
-}
-
-// refuse makes a refusal whose retry time is spread, so that callers refused
-// together don't come back together.
-func (c *Controller) refuse(key Key, code resultcode.Code, reason string, retryAfter time.Duration) *Refusal {
-	return &Refusal{Key: key, Code: code, Reason: reason, RetryAfter: c.Spread(retryAfter)}
-}
-
-// Spread bounds a retry time and lengthens it by a random part.
-func (c *Controller) Spread(retryAfter time.Duration) time.Duration {
-	bounded := min(max(retryAfter, c.options.MinRetryAfter), c.options.MaxRetryAfter)
-	extra := c.options.RetrySpread * c.options.Random.Float64()
-	return bounded + time.Duration(extra*float64(bounded))
-}
-
 // Next takes out the item that goes next among those that admit accepts.
 // Items that have expired are never offered.
 func (c *Controller) Next(now time.Duration, admit func(Item) bool) (Item, bool) {
@@ -202,6 +170,17 @@
 	return nil
 }
 
+// Owed tells whether a class has waiting items in a lane and is owed a dispatch
+// by its minimum share. Next offers its items first then.
+func (c *Controller) Owed(name Lane, class fleet.ClassName) bool {
+	l := c.byName[name]
+	if l == nil {
+		return false
+	}
+	queue := l.class(class)
+	return queue != nil && queue.waiting > 0 && queue.credit >= 1
+}
+
 // forget drops an entry that has left its queue from the indexes.
 func (c *Controller) forget(e *entry) {
 	c.expiry.drop(e)
@@ -224,7 +203,8 @@
 	return true
 }
 
-// Expire takes out and returns the items that have waited too long.
+// Expire takes out and returns the items that have waited too long, and
+// returns those that Enqueue has displaced.
 func (c *Controller) Expire(now time.Duration) []Refusal {
 	c.collectExpired(now)
 	refused := c.refused
@@ -241,16 +221,6 @@
 	}
 }
 
-func (c *Controller) expired(e *entry) *Refusal {
-	tenant := c.table.tenant(e.item.Tenant)
-	tenant.Name = e.item.Tenant
-	wait, _ := c.byName[e.item.Lane].waitEstimate(e.queue, tenant)
-	if e.byDeadline {
-		return c.refuse(e.item.Key, resultcode.DeadlineTooShort, "the deadline passed in the queue", wait)
-	}
-	return c.refuse(e.item.Key, resultcode.QueueTimeout, "no engine became free within the class's limit", wait)
-}
-
 // NextExpiry returns when the next item expires; false when none can.
 func (c *Controller) NextExpiry() (time.Duration, bool) {
 	if len(c.refused) > 0 {
--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -6,10 +6,10 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
-// roomKey names a pool as seen by one rank.
+// roomKey names a pool as seen by one class.
 type roomKey struct {
-	pool fleet.PoolName
-	rank int
+	pool  fleet.PoolName
+	class fleet.ClassName
 }
 
 // room tells whether any engine of a pool may get work, and if not, when its
@@ -22,18 +22,18 @@
 // roomIn tells whether any engine may get the request now, without regard to
 // its prefix.
 func (c *Core) roomIn(now time.Duration, waiting *waitingRequest) room {
-	key := roomKey{pool: waiting.model.Pool, rank: waiting.rank}
+	key := roomKey{pool: waiting.model.Pool, class: waiting.request.Class}
 	known, found := c.rooms[key]
 	if found {
 		return known
 	}
 	var result room
-	limit := c.streamLimit(key.pool, waiting.rank)
+	limit := c.streamLimit(waiting)
 	for _, state := range c.byPool[key.pool] {
 		if !state.ready(now, c.options.ReadyFor) || state.streams() >= limit {
 			continue
 		}
-		excess := c.queueExcess(now, state, waiting.rank)
+		excess := c.queueExcess(now, state, waiting)
 		if excess <= 0 {
 			result = room{open: true}
 			break
@@ -46,18 +46,23 @@
 	return result
 }
 
-// share returns the part of an engine that a rank may use.
-func (c *Core) share(rank int) float64 {
-	if rank <= c.bestRank || c.options.ReserveFraction <= 0 {
+// share returns the part of an engine that a request may use. The reserve is
+// open to a class that is owed a dispatch by its minimum share: better classes
+// may hold all the rest for as long as they have work.
+func (c *Core) share(waiting *waitingRequest) float64 {
+	if waiting.rank <= c.bestRank || c.options.ReserveFraction <= 0 {
+		return 1
+	}
+	if c.flow.Owed(waiting.lane, waiting.request.Class) {
 		return 1
 	}
 	return 1 - c.options.ReserveFraction
 }
 
-// streamLimit returns the bound on an engine's streams for a rank.
-func (c *Core) streamLimit(pool fleet.PoolName, rank int) int {
-	policy, _ := c.view.Pool(pool)
-	return max(int(float64(policy.MaxStreams)*c.share(rank)), 1)
+// streamLimit returns the bound on an engine's streams for a request.
+func (c *Core) streamLimit(waiting *waitingRequest) int {
+	policy, _ := c.view.Pool(waiting.model.Pool)
+	return max(int(float64(policy.MaxStreams)*c.share(waiting)), 1)
 }
 
 // queueTokens returns the prompt work at an engine ahead of a rank.
@@ -67,8 +72,8 @@
 }
 
 // queueExcess returns by how much an engine's queue is over the bound for a
-// rank; it may get work at 0 or less.
-func (c *Core) queueExcess(now time.Duration, state *engineState, rank int) time.Duration {
-	queue := time.Duration(c.queueTokens(now, state, rank)) * state.load.speed()
-	return queue - time.Duration(float64(c.options.MaxEngineQueue)*c.share(rank))
+// request; it may get work at 0 or less.
+func (c *Core) queueExcess(now time.Duration, state *engineState, waiting *waitingRequest) time.Duration {
+	queue := time.Duration(c.queueTokens(now, state, waiting.rank)) * state.load.speed()
+	return queue - time.Duration(float64(c.options.MaxEngineQueue)*c.share(waiting))
 }
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -26,6 +26,9 @@
 	deadline  time.Duration // absolute; 0 means none
 	rank      int
 	model     config.Model
+	// lane is where flow control holds the request; its model may have moved to
+	// another pool since.
+	lane flowcontrol.Lane
 
 	// reconsiderAt is when the next look is worth its cost; heldFor is the
 	// grant whose computation of a common prefix is waited for, if any.
@@ -180,11 +183,12 @@
 	if class, found := c.view.Class(request.Class); found {
 		waiting.rank = class.Rank
 	}
+	waiting.lane = flowcontrol.Lane(waiting.model.Pool)
 	refusal := c.flow.Enqueue(now, flowcontrol.Item{
 		Key:      request.Key,
 		Tenant:   request.Tenant,
 		Class:    request.Class,
-		Lane:     flowcontrol.Lane(waiting.model.Pool),
+		Lane:     waiting.lane,
 		Cost:     float64(request.PromptTokens + request.MaxTokens),
 		Deadline: waiting.deadline,
 	})
@@ -195,6 +199,7 @@
 	c.sequence++
 	waiting.sequence = c.sequence
 	c.waiting[request.Key] = waiting
+	c.concludeRefused(now)
 }
 
 // Withdraw takes back a request whose caller is gone. It returns true when the
@@ -234,6 +239,11 @@
 func (c *Core) advance(now time.Duration) {
 	c.now = max(c.now, now)
 	c.expireGrants(now)
+	c.concludeRefused(now)
+}
+
+// concludeRefused gives the requests that flow control gave up their outcome.
+func (c *Core) concludeRefused(now time.Duration) {
 	for _, refusal := range c.flow.Expire(now) {
 		c.conclude(c.waiting[refusal.Key], Refusal(refusal))
 	}
--- a/internal/placement/core_test.go
+++ b/internal/placement/core_test.go
@@ -220,6 +220,31 @@
 	assert.Empty(t, b.submit(request("u2", urgent, "u2", 1)))
 }
 
+// TestMinimumShareHoldsWhileUrgentWorkFillsEveryEngine ends one stream after
+// the other while both classes always have work.
+func TestMinimumShareHoldsWhileUrgentWorkFillsEveryEngine(t *testing.T) {
+	b := newBench(t, 1)
+	running := b.fill()
+	batches := 0
+	for number := range 300 {
+		for _, class := range []fleet.ClassName{urgent, batch} {
+			name := fmt.Sprint(class, number)
+			require.Empty(t, b.submit(request(name, class, name, 1)))
+		}
+		b.now += 10 * time.Millisecond
+		b.core.ObserveStatus(b.now, b.status("engine0", 1))
+		outcomes := b.report(running[0], PhaseFinished)
+		running = running[1:]
+		require.Len(t, outcomes, 1)
+		grant := outcomes[0].(Grant)
+		running = append(running, grant)
+		if grant.Priority > 0 {
+			batches++
+		}
+	}
+	assert.InDelta(t, 30, batches, 3, "a tenth of the dispatches")
+}
+
 func TestEngineQueueIsBoundedAndWaitingWorkIsReordered(t *testing.T) {
 	b := newBench(t, 1)
 	b.submitGranted(request("b0", batch, "b0", 300)) // 480 ms, over the bound
--- a/internal/placement/dispatch.go
+++ b/internal/placement/dispatch.go
@@ -92,13 +92,13 @@
 // mustWait tells whether the cheapest engine is one to wait for: it has enough
 // queued, or computes now what the request would otherwise compute again.
 func (c *Core) mustWait(now time.Duration, waiting *waitingRequest, state *engineState, decision scheduling.Decision) bool {
-	if state.streams() >= c.streamLimit(waiting.model.Pool, waiting.rank) {
+	if state.streams() >= c.streamLimit(waiting) {
 		waiting.reason = "the cheapest engine's streams are taken"
 		c.park(waiting, state, decision)
 		c.postpone(waiting, now)
 		return true
 	}
-	if c.queueExcess(now, state, waiting.rank) > 0 {
+	if c.queueExcess(now, state, waiting) > 0 {
 		waiting.reason = "the cheapest engine's queue is full"
 		c.park(waiting, state, decision)
 		c.postpone(waiting, now)
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -17,7 +17,7 @@
 func (c *Core) schedule(now time.Duration, waiting *waitingRequest) (scheduling.Decision, bool) {
 	request := &waiting.request
 	c.matchBlocks(request.Blocks)
-	limit := c.streamLimit(waiting.model.Pool, waiting.rank)
+	limit := c.streamLimit(waiting)
 	c.endpoints = c.endpoints[:0]
 	for _, state := range c.byPool[waiting.model.Pool] {
 		c.endpoints = append(c.endpoints, c.endpoint(now, waiting, state, limit))
