Join the routers: membership, shared engines and lease candidates

Each router counted itself as the only one. It now runs the peer: engines are shared among the routable members, three of them poll the rollout lease, a hand-back names the others, and a planned stop tells them. Listening on all addresses of a machine needs an advertised address, or peers couldn't dial it.

Tested against the stand-ins with -race: a router whose platform never answers gets configuration, machines and a later change from its peer; a stopping router is known as leaving and not suspected; a dead peer holds no stop up; with one replica each of four engines has one owner, and moves when it stops; routers in the list of machines are found.

--- a/internal/router/fixture_test.go
+++ b/internal/router/fixture_test.go
@@ -95,22 +95,32 @@
 	require.NoError(f.t, err)
 }
 
-func (f *testFleet) startRouter(name string, peers ...fleet.Address) *Router {
+func (f *testFleet) startRouter(name string, adjustments ...func(*Settings)) *Router {
 	options := DefaultSettings()
 	options.Node = settings.Node{ID: name, Zone: "z", Address: anyPort}
 	options.Platform.Address = f.platform.Address()
-	options.Peers = peers
 	options.StatusInterval = settings.Duration(20 * time.Millisecond)
 	options.MachineInterval = settings.Duration(50 * time.Millisecond)
 	options.ConfigurationInterval = settings.Duration(50 * time.Millisecond)
+	for _, adjust := range adjustments {
+		adjust(&options)
+	}
 	r := New(Options{Settings: options, Logger: zerolog.Nop(), Version: "test"})
 	require.NoError(f.t, r.Start())
 	f.t.Cleanup(func() { _ = r.Stop() })
 	return r
 }
 
-func (f *testFleet) startReadyRouter(name string, peers ...fleet.Address) *Router {
-	r := f.startRouter(name, peers...)
+// joining has a router join through another.
+func joining(other *Router) func(*Settings) {
+	return func(options *Settings) { options.Peers = []fleet.Address{other.Address()} }
+}
+
+// cutOff gives a router a platform that never answers.
+func cutOff(options *Settings) { options.Platform.Address = "127.0.0.1:1" }
+
+func (f *testFleet) startReadyRouter(name string, adjustments ...func(*Settings)) *Router {
+	r := f.startRouter(name, adjustments...)
 	f.awaitEngines(r)
 	return r
 }
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -1,25 +1,82 @@
 package router
 
 import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/peer"
+	"github.com/tillerfall/tillerfall/internal/platform"
 )
 
-// peers is this router's place among the routers.
-type peers struct {
-	view *membership.View
-}
+// leaveTimeout bounds the announcement of a planned stop: dead peers must not
+// hold it up.
+const leaveTimeout = time.Second
 
-func newPeers(r *Router) (*peers, error) {
+// newPeer returns this router's place among the routers.
+func (r *Router) newPeer() (*peer.Peer, error) {
 	node := r.options.Settings.Node
-	self := membership.Member{Node: r.node, Address: r.address, Region: node.Region, Zone: node.Zone, State: membership.Alive}
-	return &peers{view: membership.NewView(1, self, []membership.Member{self})}, nil
+	return peer.New(peer.Options{
+		Membership: membership.Options{
+			Self:   membership.Member{Node: r.node, Address: r.address, Region: node.Region, Zone: node.Zone},
+			Random: newRandom(),
+		},
+		Seeds:      r.options.Settings.Peers,
+		Machines:   r.listedRouters,
+		Holder:     r.holder,
+		Logger:     r.logger,
+		Registerer: r.metrics.registry,
+	})
 }
 
-// View returns the routers as this one knows them.
-func (p *peers) View() *membership.View { return p.view }
+// advertisedAddress is where others reach the router.
+func (r *Router) advertisedAddress() fleet.Address {
+	if advertised := r.options.Settings.Advertise; advertised != "" {
+		return advertised
+	}
+	return fleet.Address(r.listener.Addr().String())
+}
 
-func (p *peers) start() {}
-func (p *peers) leave() {}
-func (p *peers) stop()  {}
+// isUnspecified tells whether an address stands for all of a machine's own.
+func isUnspecified(address fleet.Address) bool {
+	parsed, err := netip.ParseAddrPort(string(address))
+	return err == nil && parsed.Addr().IsUnspecified()
+}
 
-func (r *Router) followMembers() error { return nil }
+// listedRouters returns the addresses of other routers in the list of machines.
+func (r *Router) listedRouters() []fleet.Address {
+	var addresses []fleet.Address
+	for _, machine := range r.machines.current() {
+		if machine.Kind == platform.MachineRouter && machine.State == platform.MachineLive && machine.Address != r.address {
+			addresses = append(addresses, machine.Address)
+		}
+	}
+	return addresses
+}
+
+// followMembers shares the engines and the lease anew with each change of the
+// membership.
+func (r *Router) followMembers() error {
+	for {
+		changed := r.peers.Changed()
+		routable := r.peers.View().Routable()
+		r.engines.setRouters(routable)
+		r.rollout.setRouters(routable)
+		select {
+		case <-r.life.Dying():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// leaveMembership tells other routers of the planned stop.
+func (r *Router) leaveMembership() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := r.peers.Leave(ctx); err != nil {
+		r.logger.Warn().Err(err).Msg("leave_not_confirmed")
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/operator"
+	"github.com/tillerfall/tillerfall/internal/peer"
 	"github.com/tillerfall/tillerfall/internal/placement"
 	"github.com/tillerfall/tillerfall/internal/platform"
 	"github.com/tillerfall/tillerfall/internal/rpc"
@@ -54,7 +55,7 @@
 	address  fleet.Address
 	listener net.Listener
 	server   *http.Server
-	peers    *peers
+	peers    *peer.Peer
 	rollout  *rolloutRunner
 
 	life     tomb.Tomb
@@ -103,7 +104,7 @@
 		return errors.Wrap(err, "listen")
 	}
 	r.listener = listener
-	r.address = fleet.Address(listener.Addr().String())
+	r.address = r.advertisedAddress()
 	if err := r.startParts(); err != nil {
 		_ = listener.Close()
 		return err
@@ -118,13 +119,13 @@
 	if r.rollout, err = newRolloutRunner(r); err != nil {
 		return err
 	}
-	if r.peers, err = newPeers(r); err != nil {
+	if r.peers, err = r.newPeer(); err != nil {
 		return err
 	}
 	r.server = r.newServer(
 		rpc.NewPlacementServer(&placementServer{router: r, logger: r.logger}),
 		rpc.NewOperationsServer(r.newOperationsServer()),
-		rpc.NewPeerServer(&peerServer{router: r}),
+		rpc.NewPeerServer(&peerServer{Peer: r.peers, router: r}),
 	)
 	r.fetcher = newPeerFetcher(r)
 	r.followConfiguration()
@@ -151,7 +152,7 @@
 	r.life.Go(r.fetchMachines)
 	r.life.Go(r.applyConfigurations)
 	r.life.Go(r.followMembers)
-	r.peers.start()
+	r.peers.Start()
 	r.rollout.start()
 	return nil
 }
@@ -164,7 +165,7 @@
 	return errors.Wrap(err, "serve")
 }
 
-// Address returns the address that the router listens on, after Start.
+// Address returns the address at which others reach the router, after Start.
 func (r *Router) Address() fleet.Address { return r.address }
 
 // Node returns the identifier of this run.
@@ -197,13 +198,13 @@
 	defer cancel()
 	r.placer.do(func(now time.Duration, core *placement.Core) { core.Drain(now) })
 	var parts sync.WaitGroup
-	parts.Go(r.peers.leave)
+	parts.Go(r.leaveMembership)
 	parts.Go(r.rollout.stop)
 	parts.Go(func() { r.stopServer(ctx) })
 	waitFor(ctx, &parts)
 	r.life.Kill(nil)
 	_ = r.follower.Stop()
-	r.peers.stop()
+	_ = r.peers.Stop()
 	err := r.life.Wait()
 	r.logger.Info().Msg("router_stopped")
 	return err
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -12,6 +12,9 @@
 type Settings struct {
 	// Node tells where the router runs and on which address it listens.
 	Node settings.Node `yaml:"node"`
+	// Advertise is the numeric HOST:PORT at which others reach the router, if
+	// that isn't the address it listens on.
+	Advertise fleet.Address `yaml:"advertise" validate:"omitempty,address"`
 	// Logging says what is logged.
 	Logging settings.Logging `yaml:"logging"`
 	// Platform says how the platform is reached.
@@ -80,6 +83,9 @@
 
 // CheckAcross implements settings.CrossChecker.
 func (s *Settings) CheckAcross(report func(field, message string)) {
+	if s.Advertise == "" && isUnspecified(s.Node.Address) {
+		report("advertise", "is required when node.address stands for all addresses of the machine")
+	}
 	if s.LeaseMargin >= s.LeaseDuration/2 {
 		report("lease_margin", "must be less than half of lease_duration")
 	}
