--- a/internal/flowcontrol/fairness_test.go
+++ b/internal/flowcontrol/fairness_test.go
@@ -210,3 +210,25 @@
 	}
 	assert.Greater(t, len(seen), 15, "retry times must be spread")
 }
+
+func TestWaitNearTheLimitIsRefusedAtOnce(t *testing.T) {
+	policy := twoClasses(0)
+	policy.Classes[0].MaxWait = 2 * time.Second
+	controller := newController(policy)
+	accepted := 0
+	for tick := range 1000 {
+		now := time.Duration(tick) * 10 * time.Millisecond
+		require.Empty(t, controller.Expire(now), "an accepted item must not time out at a steady rate")
+		controller.Next(now, anything)
+		for number := range 3 {
+			refusal := controller.Enqueue(now, item(fmt.Sprintf("r%d.%d", tick, number), "a", urgent, 100))
+			if refusal == nil {
+				accepted++
+				continue
+			}
+			assert.Equal(t, resultcode.Overloaded, refusal.Code)
+		}
+	}
+	assert.Greater(t, accepted, 1100, "the queue must not run dry")
+	assert.Less(t, accepted, 1200)
+}
--- a/internal/flowcontrol/refuse.go
+++ b/internal/flowcontrol/refuse.go
@@ -7,6 +7,11 @@
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 )
 
+// predictedShare is the part of a class's longest wait up to which a predicted
+// wait is accepted. Predictions err to both sides; at the limit itself, half of
+// the accepted items would wait in full and then be refused.
+const predictedShare = 0.8
+
 // check refuses an item that has no room or no hope.
 func (c *Controller) check(now time.Duration, l *lane, queue *classQueue, tenant TenantPolicy, item Item) *Refusal {
 	queue.meter.advance(now, queue.waiting > 0)
@@ -25,9 +30,10 @@
 		return c.refuse(item.Key, resultcode.DeadlineTooShort,
 			"the predicted wait is over the deadline", now+wait-item.Deadline)
 	}
-	if limit := queue.policy.MaxWait; limit > 0 && wait > limit {
+	limit := time.Duration(predictedShare * float64(queue.policy.MaxWait))
+	if limit > 0 && wait > limit {
 		return c.refuse(item.Key, resultcode.Overloaded,
-			"the predicted wait is over the class's limit", wait-limit)
+			"the predicted wait is near or over the class's limit", wait-limit)
 	}
 	return nil
 }
--- a/internal/placement/core_test.go
+++ b/internal/placement/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -383,3 +384,32 @@
 		}
 	})
 }
+
+// TestSameCallsGiveSameOutcomes replays one history, with more waiting requests
+// and engines than a map would iterate alike twice.
+func TestSameCallsGiveSameOutcomes(t *testing.T) {
+	replay := func() []Outcome {
+		b := newBench(t, 8)
+		script := rand.New(rand.NewPCG(5, 6))
+		var outcomes []Outcome
+		for step := range 400 {
+			class := []fleet.ClassName{urgent, batch}[script.IntN(2)]
+			prompt := fmt.Sprint("p", script.IntN(5))
+			outcomes = append(outcomes, b.submit(request(fmt.Sprint(step), class, prompt, script.IntN(300)))...)
+			outcomes = append(outcomes, b.advance(time.Duration(script.IntN(5))*time.Millisecond)...)
+			if script.IntN(100) == 0 {
+				b.addEngine(engineName(script.IntN(8)), fleet.Incarnation(step+2))
+			}
+		}
+		b.configure(testDocument(2))
+		for number := range 8 {
+			b.core.ForgetMachine(b.now, engineName(number))
+		}
+		return append(outcomes, b.core.TakeOutcomes()...)
+	}
+	first := replay()
+	require.Len(t, first, 400)
+	for range 3 {
+		require.Equal(t, first, replay())
+	}
+}
