--- a/cmd/tillerlab/main.go
+++ b/cmd/tillerlab/main.go
@@ -22,6 +22,7 @@
 	Fleet    fleetCommand    `command:"fleet" description:"Run an embedded fleet on loopback"`
 	Engine   engineCommand   `command:"engine" description:"Run an engine stand-in"`
 	Platform platformCommand `command:"platform" description:"Run a platform stand-in"`
+	Simulate simulateCommand `command:"simulate" description:"Check seeded histories of a fleet on a virtual clock"`
 }
 
 func main() {
--- a/lab/enginemodel/blocks.go
+++ b/lab/enginemodel/blocks.go
@@ -35,6 +35,8 @@
 	due     map[fleet.BlockHash]int32
 	evicted int
 	events  *eventLog
+	// everStored notes every block that was stored, unless it is nil.
+	everStored map[fleet.BlockHash]struct{}
 }
 
 func newBlockStore(capacity int, events *eventLog) *blockStore {
@@ -184,6 +186,9 @@
 	}
 	s.slab[position] = block{hash: hash, scope: scope}
 	s.index[hash] = position
+	if s.everStored != nil {
+		s.everStored[hash] = struct{}{}
+	}
 	s.events.record(engine.BlockStored, hash)
 	return position
 }
--- a/lab/enginemodel/engine.go
+++ b/lab/enginemodel/engine.go
@@ -34,6 +34,7 @@
 	control controlState
 
 	counters Counters
+	truth    truth
 }
 
 // Counters count an engine's work since its model was made; restarts don't
@@ -74,6 +75,10 @@
 func (e *Engine) clear() {
 	e.events = &eventLog{delay: e.config.EventDelay, loss: e.config.EventLoss, random: e.config.Random}
 	e.blocks = newBlockStore(e.config.CacheBlocks, e.events)
+	if e.config.KeepTruth {
+		e.truth.stored = make(map[fleet.BlockHash]struct{})
+		e.blocks.everStored = e.truth.stored
+	}
 	e.scopes = make(map[fleet.CacheScope]int32)
 	e.imports = nil
 	e.streams = make(map[fleet.StreamID]*stream)
--- a/lab/enginemodel/step.go
+++ b/lab/enginemodel/step.go
@@ -81,6 +81,7 @@
 	s.cachedTokens = min(cached*e.config.BlockTokens, s.promptTokens-1)
 	s.remainingPrefill = s.promptTokens - s.cachedTokens + s.carried
 	e.settleDue(s, cached)
+	e.noteExecution(s, cached)
 	e.running = append(e.running, s)
 	e.counters.HitTokens += int64(s.cachedTokens)
 	e.counters.PromptTokens += int64(s.promptTokens)
--- /dev/null
+++ b/lab/enginemodel/truth.go
@@ -0,0 +1,57 @@
+package enginemodel
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Execution is the start of a stream's computation: its admission to a batch.
+type Execution struct {
+	Stream fleet.StreamID
+	At     time.Duration
+	// Scope is the cache scope that the stream computes in; streams without
+	// text have none.
+	Scope fleet.CacheScope
+	// CachedBlocks counts the leading blocks taken from the cache, ForeignBlocks
+	// those of them that were computed for another scope.
+	CachedBlocks  int
+	ForeignBlocks int
+}
+
+// truth is kept for checkers if Config.KeepTruth is set.
+type truth struct {
+	executions []Execution
+	stored     map[fleet.BlockHash]struct{}
+}
+
+func (e *Engine) noteExecution(s *stream, cached int) {
+	if !e.config.KeepTruth {
+		return
+	}
+	execution := Execution{Stream: s.id, At: e.now, CachedBlocks: cached}
+	if s.text != nil {
+		execution.Scope = s.text.scope
+	}
+	for _, hash := range s.hashes[:cached] {
+		if !e.blocks.owns(hash, s.scope) {
+			execution.ForeignBlocks++
+		}
+	}
+	e.truth.executions = append(e.truth.executions, execution)
+}
+
+// TakeExecutions returns the executions begun since the last call, oldest
+// first. Config.KeepTruth must be set.
+func (e *Engine) TakeExecutions() []Execution {
+	executions := e.truth.executions
+	e.truth.executions = nil
+	return executions
+}
+
+// EverStored tells whether the present run has held a block at any time.
+// Config.KeepTruth must be set.
+func (e *Engine) EverStored(hash fleet.BlockHash) bool {
+	_, stored := e.truth.stored[hash]
+	return stored
+}
--- /dev/null
+++ b/lab/history/calm.go
@@ -0,0 +1,53 @@
+package history
+
+import "time"
+
+// interval is a stretch of virtual time.
+type interval struct{ from, to time.Duration }
+
+// disturbances returns the merged times at which some fault lasted, in order.
+func disturbances(history *History) []interval {
+	var merged []interval
+	open := make(map[int]bool)
+	for _, entry := range history.Entries {
+		switch event := entry.Event.(type) {
+		case FaultBegan:
+			if len(open) == 0 {
+				merged = append(merged, interval{from: entry.At, to: history.End})
+			}
+			open[event.Fault] = true
+		case FaultEnded:
+			delete(open, event.Fault)
+			if len(open) == 0 && len(merged) > 0 {
+				merged[len(merged)-1].to = entry.At
+			}
+		}
+	}
+	return merged
+}
+
+// overdue returns when a thing that takes at most limit without a fault is
+// overdue, if it begins at a time: the end of the first stretch of that length
+// without a fault; false if the run has none.
+func overdue(history *History, faults []interval, from, limit time.Duration) (time.Duration, bool) {
+	for _, fault := range faults {
+		if fault.to <= from {
+			continue
+		}
+		if fault.from >= from+limit {
+			break
+		}
+		from = max(from, fault.to)
+	}
+	return from + limit, from+limit <= history.End
+}
+
+// calm tells whether no fault lasted in a stretch.
+func calm(faults []interval, from, to time.Duration) bool {
+	for _, fault := range faults {
+		if fault.from <= to && fault.to >= from {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/lab/history/commands.go
@@ -0,0 +1,155 @@
+package history
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+)
+
+// commandTimeLimit bounds the search for a linearization.
+const commandTimeLimit = 5 * time.Second
+
+// commandState is the configuration as a register: its revision, and the
+// recorded outcome of each token.
+type commandState struct {
+	revision fleet.Revision
+	outcomes map[string]CommandReturned
+}
+
+func (s commandState) with(token string, outcome CommandReturned) commandState {
+	next := commandState{revision: s.revision, outcomes: maps.Clone(s.outcomes)}
+	if next.outcomes == nil {
+		next.outcomes = make(map[string]CommandReturned)
+	}
+	outcome.Call = 0
+	next.outcomes[token] = outcome
+	if outcome.Code == resultcode.OK {
+		next.revision = max(next.revision, outcome.Revision)
+	}
+	return next
+}
+
+func (s commandState) equal(other commandState) bool {
+	return s.revision == other.revision && maps.Equal(s.outcomes, other.outcomes)
+}
+
+// stepCommand returns the states that a call can have led to.
+func stepCommand(state commandState, call CommandInvoked, result CommandReturned) []commandState {
+	if result.NoEffect {
+		return []commandState{state}
+	}
+	recorded, known := state.outcomes[call.Token]
+	if result.Definite {
+		result.Call = 0
+		switch {
+		case known && recorded == result:
+			return []commandState{state}
+		case known || !state.allows(call, result):
+			return nil
+		}
+		return []commandState{state.with(call.Token, result)}
+	}
+	// The call may have been recorded now, or not.
+	states := []commandState{state}
+	if known {
+		return states
+	}
+	for _, end := range state.ends(call) {
+		states = append(states, state.with(call.Token, end))
+	}
+	return states
+}
+
+// ends returns the outcomes that a first call with a token can have in a state.
+func (s commandState) ends(call CommandInvoked) []CommandReturned {
+	if call.Expected != 0 && call.Expected != s.revision {
+		return []CommandReturned{{Code: resultcode.RevisionConflict, Revision: s.revision, Definite: true}}
+	}
+	return []CommandReturned{
+		{Code: resultcode.OK, Revision: s.revision, Definite: true},
+		{Code: resultcode.OK, Revision: s.revision + 1, Definite: true},
+		{Code: resultcode.CommandImpossible, Revision: s.revision, Definite: true},
+	}
+}
+
+// allows tells whether a first call with a token can end so in this state.
+func (s commandState) allows(call CommandInvoked, result CommandReturned) bool {
+	behind := call.Expected != 0 && call.Expected != s.revision
+	switch {
+	case result.Code == resultcode.RevisionConflict:
+		return behind && result.Revision == s.revision
+	case behind:
+		return false
+	case result.Code == resultcode.OK:
+		return result.Revision == s.revision+1 || result.Revision == s.revision
+	default:
+		return result.Revision == s.revision
+	}
+}
+
+// checkCommands checks that operators' commands are linearizable: each takes
+// effect at one moment between its call and its answer, at most once for a
+// token, and only on the revision that it expects.
+func checkCommands(history *History, _ Limits) []Violation {
+	operations := commandOperations(history)
+	if len(operations) == 0 {
+		return nil
+	}
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{commandState{revision: firstRevision(history)}} },
+		Step: func(state, input, output any) []any {
+			var next []any
+			for _, reached := range stepCommand(state.(commandState), input.(CommandInvoked), output.(CommandReturned)) {
+				next = append(next, reached)
+			}
+			return next
+		},
+		Equal: func(a, b any) bool { return a.(commandState).equal(b.(commandState)) },
+	}
+	if porcupine.CheckOperationsTimeout(model.ToModel(), operations, commandTimeLimit) != porcupine.Illegal {
+		return nil
+	}
+	return []Violation{{
+		Invariant: Commands, At: history.End,
+		Message: fmt.Sprintf("%d commands have no linearization", len(operations)),
+	}}
+}
+
+// firstRevision is the revision before the first command.
+func firstRevision(history *History) fleet.Revision {
+	for _, entry := range history.Entries {
+		if committed, isCommit := entry.Event.(Committed); isCommit {
+			return committed.Revision
+		}
+	}
+	return 0
+}
+
+// commandOperations pairs calls with their results. A call without a result,
+// or with an uncertain one, may take effect at any later time.
+func commandOperations(history *History) []porcupine.Operation {
+	var operations []porcupine.Operation
+	position := make(map[int]int)
+	for index, entry := range history.Entries {
+		switch event := entry.Event.(type) {
+		case CommandInvoked:
+			position[event.Call] = len(operations)
+			operations = append(operations, porcupine.Operation{
+				ClientId: event.Call, Input: event, Call: int64(index), Output: CommandReturned{}, Return: math.MaxInt64,
+			})
+		case CommandReturned:
+			operation := &operations[position[event.Call]]
+			operation.Output = event
+			if event.Definite || event.NoEffect {
+				operation.Return = int64(index)
+			}
+		}
+	}
+	return operations
+}
--- /dev/null
+++ b/lab/history/leaving.go
@@ -0,0 +1,56 @@
+package history
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// OperatorSource is the source of EngineLeaving events that an operator's drain
+// or retirement causes.
+const OperatorSource = "operator"
+
+// leavingRun tells since when a run is known to leave, by source.
+type leavingRun map[string]time.Duration
+
+// first returns the earliest word that the run leaves.
+func (l leavingRun) first() (source string, since time.Duration, leaving bool) {
+	for candidate, at := range l {
+		if !leaving || at < since || (at == since && candidate < source) {
+			source, since, leaving = candidate, at, true
+		}
+	}
+	return source, since, leaving
+}
+
+// checkLeavingEngine checks that a run which is known to leave accepts no
+// dispatch after a few seconds.
+func checkLeavingEngine(history *History, limits Limits) []Violation {
+	var violations []Violation
+	runs := make(map[fleet.EngineRun]leavingRun)
+	faults := disturbances(history)
+	for _, entry := range history.Entries {
+		switch event := entry.Event.(type) {
+		case EngineLeaving:
+			if runs[event.Run] == nil {
+				runs[event.Run] = make(leavingRun)
+			}
+			if _, known := runs[event.Run][event.Source]; !known {
+				runs[event.Run][event.Source] = entry.At
+			}
+		case EngineAdmitted:
+			delete(runs[event.Run], OperatorSource)
+		case Accepted:
+			source, since, leaving := runs[event.Run].first()
+			due, within := overdue(history, faults, since, limits.Leaving)
+			if leaving && within && entry.At > due {
+				violations = append(violations, Violation{
+					Invariant: LeavingEngine, At: entry.At,
+					Message: fmt.Sprintf("%v, leaving since %.6f (%s), got stream %s", event.Run, since.Seconds(), source, event.Stream),
+				})
+			}
+		}
+	}
+	return violations
+}
--- /dev/null
+++ b/lab/history/requests.go
@@ -0,0 +1,125 @@
+package history
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// checkOwnAnswer checks that every token comes from a stream of the request
+// that gets it.
+func checkOwnAnswer(history *History, _ Limits) []Violation {
+	var violations []Violation
+	for _, entry := range history.Entries {
+		token, isToken := entry.Event.(TokenDelivered)
+		if !isToken || RequestOf(token.Stream) == token.Request {
+			continue
+		}
+		violations = append(violations, Violation{
+			Invariant: OwnAnswer, At: entry.At,
+			Message: fmt.Sprintf("request %s got token %d of stream %s", token.Request, token.Index, token.Stream),
+		})
+	}
+	return violations
+}
+
+// RequestOf returns the request that a stream belongs to.
+func RequestOf(stream fleet.StreamID) fleet.RequestID {
+	request, _, _ := cutLast(string(stream), ".")
+	return fleet.RequestID(request)
+}
+
+func cutLast(text, separator string) (before, after string, found bool) {
+	position := strings.LastIndex(text, separator)
+	if position < 0 {
+		return text, "", false
+	}
+	return text[:position], text[position+len(separator):], true
+}
+
+// checkNotRun checks that no request whose caller was told "not run" was
+// computed, before or after.
+func checkNotRun(history *History, _ Limits) []Violation {
+	var violations []Violation
+	executed := make(map[fleet.RequestID]Executed)
+	for _, entry := range history.Entries {
+		if execution, isExecution := entry.Event.(Executed); isExecution {
+			executed[execution.Request] = execution
+		}
+	}
+	for _, entry := range history.Entries {
+		failed, isFailure := entry.Event.(Failed)
+		if !isFailure || !failed.NotRun {
+			continue
+		}
+		if execution, ran := executed[failed.Request]; ran {
+			violations = append(violations, Violation{
+				Invariant: NotRun, At: entry.At,
+				Message: fmt.Sprintf("request %s was refused as not run (%s) and ran at %v", failed.Request, failed.Code, execution.Run),
+			})
+		}
+	}
+	return violations
+}
+
+// checkAtMostOnce checks that a request which isn't repeatable was computed
+// once at most.
+func checkAtMostOnce(history *History, _ Limits) []Violation {
+	var violations []Violation
+	once := make(map[fleet.RequestID]bool)
+	first := make(map[fleet.RequestID]Executed)
+	for _, entry := range history.Entries {
+		switch event := entry.Event.(type) {
+		case Requested:
+			once[event.Request] = !event.Repeatable
+		case Executed:
+			earlier, again := first[event.Request]
+			if again && once[event.Request] {
+				violations = append(violations, Violation{
+					Invariant: AtMostOnce, At: entry.At,
+					Message: fmt.Sprintf("request %s ran as %s at %v and as %s at %v",
+						event.Request, earlier.Stream, earlier.Run, event.Stream, event.Run),
+				})
+			}
+			first[event.Request] = event
+		}
+	}
+	return violations
+}
+
+// checkRequestOutcome checks that every request has exactly one end, soon after
+// its deadline at the latest.
+func checkRequestOutcome(history *History, limits Limits) []Violation {
+	var violations []Violation
+	ends := make(map[fleet.RequestID][]time.Duration)
+	end := func(request fleet.RequestID, at time.Duration) { ends[request] = append(ends[request], at) }
+	for _, entry := range history.Entries {
+		switch event := entry.Event.(type) {
+		case Finished:
+			end(event.Request, entry.At)
+		case Failed:
+			end(event.Request, entry.At)
+		case CallerLost:
+			end(event.Request, entry.At)
+		}
+	}
+	faults := disturbances(history)
+	for _, entry := range history.Entries {
+		request, isRequest := entry.Event.(Requested)
+		if !isRequest {
+			continue
+		}
+		due, within := overdue(history, faults, request.Deadline, limits.Answer)
+		times := ends[request.Request]
+		if len(times) == 1 && (times[0] <= due || !within) || (len(times) == 0 && !within) {
+			continue
+		}
+		violations = append(violations, Violation{
+			Invariant: RequestOutcome, At: due,
+			Message: fmt.Sprintf("request %s, due at %.6f, has %d ends: %v", request.Request, request.Deadline.Seconds(), len(times), times),
+		})
+	}
+	return violations
+}
--- /dev/null
+++ b/lab/simulation/enginecalls.go
@@ -0,0 +1,121 @@
+package simulation
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/attempt"
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// dispatch starts a stream at an engine.
+func (c *carrier) dispatch(action attempt.Dispatch) {
+	a := c.agent
+	target := a.world.engineAt(action.Address)
+	incoming := dispatchCall{granted: action.Run, request: engine.DispatchRequest{
+		StreamID: action.Stream, Incarnation: action.Run.Incarnation, Tenant: c.request.tenant, Weights: engine.Weights(c.weights),
+		Prompt: c.request.prompt, MaxTokens: c.request.maxTokens, Priority: action.Priority, Continuation: action.Continuation,
+	}}
+	if a.world.options.Variant == DropContinuation {
+		incoming.request.Continuation = nil
+	}
+	opened := c.open(target, action.Operation, action.Stream)
+	serve := func(reply func(any) time.Duration) { target.dispatch(incoming, opened, reply) }
+	a.world.network.call(&a.process, &target.process, headerTimeout, serve, func(answer any, how failure) {
+		if frame, accepted := answer.(engine.Frame); accepted {
+			c.begin(opened, frame)
+			return
+		}
+		opened.closed = true
+		c.handle(c.dispatchFailure(action.Operation, engineError(answer), how), "")
+	})
+}
+
+func (c *carrier) dispatchFailure(operation attempt.Operation, rejection *engine.Error, how failure) attempt.Event {
+	if how == refused || (how != answered && c.agent.world.options.Variant == AssumeNotSent) {
+		return attempt.DispatchNotSent{Operation: operation}
+	}
+	if rejection != nil && rejection.Outcome() == engine.OutcomeRejected {
+		return attempt.DispatchRejected{Operation: operation, Code: rejection.Code, Message: rejection.Message}
+	}
+	return attempt.DispatchUnknown{Operation: operation, EngineSilent: how == timedOut}
+}
+
+// open makes the connection of a dispatch or resume.
+func (c *carrier) open(target *engineHost, operation attempt.Operation, stream fleet.StreamID) *connection {
+	if c.reading != nil {
+		c.reading.closed = true
+	}
+	c.reading = &connection{engine: target, carrier: c, operation: operation, stream: stream}
+	return c.reading
+}
+
+// begin takes the first frame of a connection.
+func (c *carrier) begin(opened *connection, accepted engine.Frame) {
+	if opened.closed {
+		return
+	}
+	c.handle(attempt.FrameReceived{Operation: opened.operation, Frame: accepted}, accepted.Stream)
+	opened.read()
+}
+
+// resume reads a stream again from a token on.
+func (c *carrier) resume(action attempt.Resume) {
+	if c.over() {
+		return
+	}
+	a := c.agent
+	target := a.world.engineAt(action.Address)
+	opened := c.open(target, action.Operation, action.Stream)
+	serve := func(reply func(any) time.Duration) { target.resume(action.Stream, action.Offset, opened, reply) }
+	a.world.network.call(&a.process, &target.process, headerTimeout, serve, func(answer any, how failure) {
+		if frame, accepted := answer.(engine.Frame); accepted {
+			c.begin(opened, frame)
+			return
+		}
+		opened.closed = true
+		rejection := engineError(answer)
+		if how == answered && rejection.Code == engine.ErrorUnknownStream {
+			c.handle(attempt.ResumeRejected{Operation: action.Operation, Code: rejection.Code, Incarnation: rejection.Incarnation}, "")
+			return
+		}
+		c.handle(attempt.ResumeFailed{Operation: action.Operation}, "")
+	})
+}
+
+// Bounds of best-effort cancels.
+const (
+	cancelTries = 3
+	cancelPause = 200 * time.Millisecond
+)
+
+// cancel stops a stream. A best-effort cancel outlives its request and is
+// repeated.
+func (c *carrier) cancel(action attempt.CancelAndBar, try int) {
+	if action.Operation != 0 && c.over() {
+		return
+	}
+	a := c.agent
+	target := a.world.engineAt(action.Address)
+	serve := func(reply func(any) time.Duration) { target.cancel(action.Stream, action.Run.Incarnation, reply) }
+	a.world.network.call(&a.process, &target.process, cancelTimeout, serve, func(answer any, how failure) {
+		code := engine.ErrorConnectionLost
+		switch answer := answer.(type) {
+		case engine.CancelResponse:
+			if action.Operation != 0 {
+				c.handle(attempt.CancelAnswered{Operation: action.Operation, State: answer.State}, "")
+			}
+			return
+		case error:
+			code = engineError(answer).Code
+		}
+		switch {
+		case action.Operation != 0 && a.world.options.Variant == TrustLostCancel:
+			c.handle(attempt.CancelAnswered{Operation: action.Operation, State: engine.CancelNeverRan}, "")
+		case action.Operation != 0:
+			c.handle(attempt.CancelFailed{Operation: action.Operation, Code: code}, "")
+		case code != engine.ErrorWrongIncarnation && try < cancelTries:
+			a.after(cancelPause, func() { c.cancel(action, try+1) })
+		}
+	})
+}
--- /dev/null
+++ b/lab/simulation/engines.go
@@ -0,0 +1,170 @@
+package simulation
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/platform"
+)
+
+// Times of a router's watch over the engines.
+const (
+	statusInterval  = 250 * time.Millisecond
+	statusTimeout   = time.Second
+	needsInterval   = 100 * time.Millisecond
+	eventInterval   = 100 * time.Millisecond
+	eventTimeout    = 2 * time.Second
+	machineInterval = time.Second
+	statusFresh     = 5 * time.Second
+	// unreachableAfter is the number of failed polls in a row after which an
+	// engine that accepts connections counts as unreachable.
+	unreachableAfter = 2
+)
+
+// heardStatus is an engine's last word about itself.
+type heardStatus struct {
+	status engine.Status
+	at     time.Duration
+}
+
+// startEngines begins to follow the list of machines and the engines.
+func (r *router) startEngines() {
+	r.pollMachines()
+	r.passNeeds()
+}
+
+// pollMachines reads the platform's list.
+func (r *router) pollMachines() {
+	if machines, reached := r.world.readMachines(&r.process); reached {
+		r.fromPlatform = true
+		r.setMachines(machines)
+	}
+	pause := machineInterval*3/4 + time.Duration(r.world.random.Int64N(int64(machineInterval/2)))
+	r.after(pause, r.pollMachines)
+}
+
+// offerMachines takes a list that an agent or peer remembers, until the
+// platform has been heard.
+func (r *router) offerMachines(machines []platform.Machine) {
+	if len(machines) > 0 && !r.fromPlatform {
+		r.setMachines(machines)
+	}
+}
+
+func (r *router) setMachines(machines []platform.Machine) {
+	listed := make(map[string]bool, len(machines))
+	for _, machine := range machines {
+		listed[machine.ID] = true
+	}
+	for _, known := range r.machines {
+		if !listed[known.ID] {
+			r.step(func(now time.Duration) { r.core.ForgetMachine(now, fleet.EngineID(known.ID)) })
+		}
+	}
+	r.machines = machines
+	for _, machine := range machines {
+		r.step(func(now time.Duration) { r.core.ObserveMachine(now, machine) })
+		if id := fleet.EngineID(machine.ID); !r.polled[id] {
+			r.polled[id] = true
+			r.pollStatus(id, 0)
+			r.pollEvents(id)
+		}
+	}
+}
+
+// pollStatus asks an engine for its status, again and again.
+func (r *router) pollStatus(id fleet.EngineID, failures int) {
+	r.askStatus(id, func(reached bool, how failure) {
+		pause := statusInterval*3/4 + time.Duration(r.world.random.Int64N(int64(statusInterval/2)))
+		if reached {
+			r.after(pause, func() { r.pollStatus(id, 0) })
+			return
+		}
+		failures++
+		if failures == unreachableAfter || (failures == 1 && how == refused) {
+			r.step(func(now time.Duration) { r.core.ObserveUnreachable(now, id) })
+		}
+		r.after(pause, func() { r.pollStatus(id, failures) })
+	})
+}
+
+func (r *router) askStatus(id fleet.EngineID, done func(reached bool, how failure)) {
+	host := r.world.engineByID(id)
+	serve := func(reply func(any) time.Duration) {
+		status := host.model.Status(host.now())
+		host.changed()
+		reply(status)
+	}
+	r.world.network.call(&r.process, &host.process, statusTimeout, serve, func(answer any, how failure) {
+		if how == answered {
+			status := answer.(engine.Status)
+			if known := r.statuses[id]; status.Incarnation >= known.status.Incarnation {
+				r.statuses[id] = heardStatus{status: status, at: r.now()}
+			}
+			r.step(func(now time.Duration) { r.core.ObserveStatus(now, status) })
+		}
+		done(how == answered, how)
+	})
+}
+
+// pollEvents asks an engine for its cache events, again and again.
+func (r *router) pollEvents(id fleet.EngineID) {
+	again := func() { r.after(eventInterval, func() { r.pollEvents(id) }) }
+	after, incarnation, followed := r.core.EventsAfter(id)
+	if !followed {
+		again()
+		return
+	}
+	host := r.world.engineByID(id)
+	serve := func(reply func(any) time.Duration) {
+		events := engine.CacheEvents{Incarnation: host.model.Incarnation(), Events: host.model.CacheEventsAfter(host.now(), after)}
+		host.changed()
+		reply(events)
+	}
+	r.world.network.call(&r.process, &host.process, eventTimeout, serve, func(answer any, how failure) {
+		if how == answered {
+			events := answer.(engine.CacheEvents)
+			if r.world.options.Variant == MixRunsOfEngine {
+				events.Incarnation = max(incarnation, r.statuses[id].status.Incarnation)
+			}
+			r.step(func(now time.Duration) { r.core.ObserveCacheEvents(now, id, events) })
+		}
+		again()
+	})
+}
+
+// passNeeds does the extra polls that the core wants.
+func (r *router) passNeeds() {
+	for _, id := range r.core.NeedsSnapshot() {
+		r.fetchSnapshot(id)
+	}
+	r.after(needsInterval, r.passNeeds)
+}
+
+func (r *router) fetchSnapshot(id fleet.EngineID) {
+	host := r.world.engineByID(id)
+	serve := func(reply func(any) time.Duration) {
+		snapshot := host.model.CacheSnapshot(host.now())
+		host.changed()
+		reply(snapshot)
+	}
+	r.world.network.call(&r.process, &host.process, eventTimeout, serve, func(answer any, how failure) {
+		if how == answered {
+			r.step(func(now time.Duration) { r.core.ObserveCacheSnapshot(now, id, answer.(engine.CacheSnapshot)) })
+		}
+	})
+}
+
+// freshStatuses returns the statuses young enough for the rollout, by identifier.
+func (r *router) freshStatuses() []engine.Status {
+	var fresh []engine.Status
+	for _, heard := range r.statuses {
+		if r.now()-heard.at <= statusFresh {
+			fresh = append(fresh, heard.status)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b engine.Status) int { return compareStrings(a.Engine, b.Engine) })
+	return fresh
+}
--- /dev/null
+++ b/lab/simulation/network.go
@@ -0,0 +1,184 @@
+package simulation
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Times of the network.
+const (
+	localLatency   = 300 * time.Microsecond
+	zoneLatency    = 1500 * time.Microsecond
+	latencyJitter  = 500 * time.Microsecond
+	connectTimeout = time.Second
+	// lateChance is the probability that a message held up by a cut arrives
+	// after it, rather than never.
+	lateChance = 0.5
+)
+
+// cut blocks one direction between two addresses.
+type cut struct {
+	from, to fleet.Address
+	until    time.Duration
+}
+
+// slowdown adds up to a delay to each message of one direction.
+type slowdown struct {
+	from, to fleet.Address
+	until    time.Duration
+	most     time.Duration
+}
+
+// network carries messages between processes. An empty address in a fault
+// stands for every address.
+type network struct {
+	world *world
+	cuts  []cut
+	slow  []slowdown
+}
+
+func (n *network) now() time.Duration { return n.world.queue.Now() }
+
+func matches(pattern, address fleet.Address) bool { return pattern == "" || pattern == address }
+
+// blockedUntil returns when the last cut of a direction ends; 0 if it is open.
+func (n *network) blockedUntil(from, to *process) time.Duration {
+	var until time.Duration
+	n.cuts = slices.DeleteFunc(n.cuts, func(c cut) bool { return c.until <= n.now() })
+	for _, c := range n.cuts {
+		if matches(c.from, from.address) && matches(c.to, to.address) {
+			until = max(until, c.until)
+		}
+	}
+	return until
+}
+
+func (n *network) latency(from, to *process) time.Duration {
+	latency := localLatency + time.Duration(n.world.random.Int64N(int64(latencyJitter)))
+	if from.zone != to.zone {
+		latency += zoneLatency
+	}
+	n.slow = slices.DeleteFunc(n.slow, func(s slowdown) bool { return s.until <= n.now() })
+	for _, s := range n.slow {
+		if matches(s.from, from.address) && matches(s.to, to.address) {
+			latency += time.Duration(n.world.random.Int64N(int64(s.most)))
+		}
+	}
+	return latency
+}
+
+// arrival returns when a message sent now arrives; false if it is lost.
+func (n *network) arrival(from, to *process) (time.Duration, bool) {
+	at := n.now() + n.latency(from, to)
+	until := n.blockedUntil(from, to)
+	if until == 0 {
+		return at, true
+	}
+	return until + at - n.now(), n.world.random.Float64() < lateChance
+}
+
+// send carries a message one way, if it isn't lost.
+func (n *network) send(from, to *process, deliver func()) {
+	at, arrives := n.arrival(from, to)
+	if !arrives {
+		return
+	}
+	life := to.life
+	n.world.queue.At(at, func() { to.run(life, deliver) })
+}
+
+// failure tells how a call failed.
+type failure int
+
+// Failures of a call.
+const (
+	// answered means that there was none.
+	answered failure = iota
+	// refused means that nothing was sent.
+	refused
+	// broken means that the connection ended after the request was sent.
+	broken
+	// timedOut means that no answer came in time after the request was sent.
+	timedOut
+)
+
+// call is a request on its way and its answer.
+type call struct {
+	network *network
+	from    *process
+	to      *process
+	life    int
+	over    bool
+	done    func(answer any, how failure)
+}
+
+// call sends a request, has the target serve it and gives the answer to done,
+// on the caller's process, exactly once, unless that dies first. serve may
+// answer later; it returns when the answer arrives at the caller, or 0.
+func (n *network) call(
+	from, to *process, timeout time.Duration, serve func(reply func(answer any) time.Duration), done func(any, failure),
+) *call {
+	c := &call{network: n, from: from, to: to, life: from.life, done: done}
+	blocked := n.blockedUntil(from, to) > 0
+	switch {
+	case blocked && n.world.random.Float64() < lateChance:
+		c.finishAt(n.now()+min(timeout, connectTimeout), nil, refused)
+		return c
+	case !blocked && !to.alive:
+		c.finishAt(n.now()+n.latency(from, to)+n.latency(to, from), nil, refused)
+		return c
+	}
+	c.finishAt(n.now()+timeout, nil, timedOut)
+	to.watch(c)
+	life := to.life
+	if at, arrives := n.arrival(from, to); arrives {
+		n.world.queue.At(at, func() { to.run(life, func() { serve(c.reply) }) })
+	}
+	return c
+}
+
+// watch notes a call that a death of the process breaks.
+func (p *process) watch(c *call) {
+	const sweepAt = 64
+	if len(p.inbound) >= sweepAt {
+		p.inbound = slices.DeleteFunc(p.inbound, func(other *call) bool { return other.over })
+	}
+	p.inbound = append(p.inbound, c)
+}
+
+// reply sends the answer and returns when it arrives, or 0.
+func (c *call) reply(answer any) time.Duration {
+	at, arrives := c.network.arrival(c.to, c.from)
+	if !arrives {
+		return 0
+	}
+	c.finishAt(at, answer, answered)
+	return at
+}
+
+// broken tells the caller that the connection is gone.
+func (c *call) broken() {
+	if c.over {
+		return
+	}
+	if at, arrives := c.network.arrival(c.to, c.from); arrives {
+		c.finishAt(at, nil, broken)
+	}
+}
+
+// cancel ends the call for its caller: no answer is given.
+func (c *call) cancel() { c.over = true }
+
+func (c *call) finishAt(at time.Duration, answer any, how failure) {
+	c.network.world.queue.At(at, func() {
+		c.from.run(c.life, func() {
+			if c.over {
+				return
+			}
+			c.over = true
+			c.done(answer, how)
+		})
+	})
+}
--- /dev/null
+++ b/lab/simulation/operators.go
@@ -0,0 +1,206 @@
+package simulation
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/operator"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+	"github.com/tillerfall/tillerfall/lab/history"
+)
+
+const (
+	commandTimeout = 2 * time.Second
+	commandTries   = 4
+	operatorCount  = 2
+	// expectChance is the probability that a command names the revision that
+	// its operator saw last.
+	expectChance = 0.5
+)
+
+// command is one statement of an operator, across its tries.
+type command struct {
+	operator  int
+	token     string
+	statement string
+	expected  fleet.Revision
+}
+
+// commandResult is what a router answers to an operator.
+type commandResult struct {
+	code     resultcode.Code
+	revision fleet.Revision
+	definite bool
+	noEffect bool
+}
+
+// planCommands draws the times of the operators' commands.
+func (w *world) planCommands() {
+	if w.options.Commands <= 0 {
+		return
+	}
+	for range w.random.IntN(w.options.Commands + 1) {
+		at := time.Second + time.Duration(w.random.Int64N(int64(w.options.Load)))
+		w.queue.At(at, func() { w.send(w.newCommand(), 1) })
+	}
+}
+
+// newCommand draws a statement.
+func (w *world) newCommand() command {
+	w.commands++
+	drawn := command{operator: w.commands % operatorCount, token: fmt.Sprintf("token-%d", w.commands)}
+	if w.random.Float64() < expectChance {
+		drawn.expected = w.tables.revision
+	}
+	engineName := w.engines[w.random.IntN(max(len(w.engines)/3, 1))].id
+	version := versions[w.random.IntN(len(versions))]
+	statements := []string{
+		fmt.Sprintf("drain %s", engineName),
+		fmt.Sprintf("admit %s", engineName),
+		fmt.Sprintf("retire %s", engineName),
+		fmt.Sprintf("promote %s %s", model, version),
+		fmt.Sprintf("promote %s %s", model, version),
+		fmt.Sprintf("retire version %s %s", model, version),
+	}
+	drawn.statement = statements[w.random.IntN(len(statements))]
+	return drawn
+}
+
+// send sends a command to a router and, while its outcome isn't known, again
+// with the same token to another.
+func (w *world) send(sent command, try int) {
+	target := w.routers[w.random.IntN(len(w.routers))]
+	console := &process{world: w, address: "10.5.0.1:0", zone: zones[0], alive: true}
+	number := w.invoke(sent, target)
+	serve := func(reply func(any) time.Duration) { reply(target.execute(sent)) }
+	w.network.call(console, &target.process, commandTimeout, serve, func(answer any, how failure) {
+		result := commandResult{noEffect: how == refused}
+		if how == answered {
+			result = answer.(commandResult)
+		}
+		w.returned(number, result)
+		if !result.definite && try < commandTries {
+			console.after(time.Duration(w.random.Int64N(int64(time.Second))), func() { w.send(sent, try+1) })
+		}
+	})
+}
+
+func (w *world) invoke(sent command, target *router) int {
+	w.calls++
+	w.record(history.CommandInvoked{
+		Call: w.calls, Operator: sent.operator, Router: target.node, Token: sent.token, Expected: sent.expected, Statement: sent.statement,
+	})
+	return w.calls
+}
+
+func (w *world) returned(number int, result commandResult) {
+	w.record(history.CommandReturned{
+		Call: number, Code: result.code, Revision: result.revision, Definite: result.definite, NoEffect: result.noEffect,
+	})
+}
+
+// race lets a command of another operator run to its end now and then, while
+// one is between its reads and its commit.
+func (w *world) race(from *process) {
+	if w.racing || w.random.Float64() >= raceChance {
+		return
+	}
+	w.racing = true
+	defer func() { w.racing = false }()
+	for _, rival := range w.routers {
+		if rival.alive && &rival.process != from && rival.now() >= rival.frozenUntil {
+			sent := w.newCommand()
+			number := w.invoke(sent, rival)
+			w.returned(number, rival.execute(sent))
+			return
+		}
+	}
+}
+
+// execute serves a statement.
+func (r *router) execute(sent command) commandResult {
+	store := &commandStore{store: r.store}
+	runner := operator.NewRunner(source{router: r}, store, r)
+	result := runner.Run(context.Background(), operator.Request{
+		Statement: sent.statement, Token: sent.token, ExpectedRevision: sent.expected,
+	})
+	_, err := r.store.Refresh(context.Background(), r.holder)
+	if err == nil {
+		r.noteConfiguration()
+	}
+	return commandResult{
+		code: result.Code, revision: result.Revision,
+		definite: store.definite, noEffect: !store.definite && result.Code != resultcode.CommandUncertain,
+	}
+}
+
+// commandStore is the router's store for commands. It notes whether an outcome
+// is the recorded one.
+type commandStore struct {
+	store    *config.Store
+	definite bool
+}
+
+var _ operator.Store = (*commandStore)(nil)
+
+// Commit implements operator.Store.
+func (s *commandStore) Commit(ctx context.Context, change operator.Change) (operator.Outcome, error) {
+	outcome, err := s.store.Commit(ctx, config.CommitRequest{
+		Token: change.Token, ExpectedRevision: change.ExpectedRevision, Statement: change.Statement, Mutate: change.Mutate,
+	})
+	s.definite = err == nil
+	return operator.Outcome{Code: outcome.Code, Revision: outcome.Revision, Message: outcome.Message}, err
+}
+
+// Lookup implements operator.Store.
+func (s *commandStore) Lookup(context.Context, string) (operator.Outcome, bool, error) {
+	return operator.Outcome{}, false, errors.New("the simulation's operators repeat commands instead")
+}
+
+// source is a router's view for statements.
+type source struct{ router *router }
+
+var _ operator.Source = source{}
+
+// Configuration implements operator.Source.
+func (s source) Configuration() (config.Document, bool) {
+	view := s.router.holder.Current()
+	if view == nil {
+		return config.Document{}, false
+	}
+	return view.Document(), true
+}
+
+// Engines implements operator.Source.
+func (s source) Engines() []operator.Engine {
+	var engines []operator.Engine
+	for _, snapshot := range s.router.core.Snapshot(s.router.now()).Engines {
+		engines = append(engines, operator.Engine{Run: snapshot.Run})
+	}
+	return engines
+}
+
+// Routers implements operator.Source.
+func (s source) Routers() []operator.Router { return nil }
+
+// Waiting implements operator.Source.
+func (s source) Waiting() []operator.Waiting { return nil }
+
+// Holders implements operator.Source.
+func (s source) Holders([]fleet.BlockHash) []operator.Holder { return nil }
+
+// RequestBlocks implements operator.Source.
+func (s source) RequestBlocks(fleet.RequestID) ([]fleet.BlockHash, bool) { return nil, false }
+
+// Explain implements operator.Source.
+func (s source) Explain(fleet.RequestID) (operator.Explanation, bool) {
+	return operator.Explanation{}, false
+}
+
+// Version implements operator.Source.
+func (s source) Version() string { return "simulation" }
--- /dev/null
+++ b/lab/simulation/router.go
@@ -0,0 +1,249 @@
+package simulation
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/lease"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/placement"
+	"github.com/tillerfall/tillerfall/internal/platform"
+	"github.com/tillerfall/tillerfall/internal/rollout"
+	"github.com/tillerfall/tillerfall/lab/history"
+)
+
+// leaseSettings are shorter than the product's, so that freezes outlast them.
+var leaseSettings = lease.Settings{Key: "lease/rollout", Duration: 2 * time.Second, Margin: 400 * time.Millisecond}
+
+// router is one router process.
+type router struct {
+	process
+	index int
+	node  fleet.NodeID
+
+	core *placement.Core
+	// calls are the open placement calls.
+	calls  map[placement.Key]func(answer any) time.Duration
+	wakeAt time.Duration
+	served bool
+
+	members    *membership.Core
+	spread     *membership.Dissemination
+	memberWake time.Duration
+	routable   []membership.Member
+
+	holder    *config.Holder
+	inForce   fleet.Revision
+	store     *config.Store
+	follower  *config.Follower
+	following bool
+
+	machines     []platform.Machine
+	fromPlatform bool
+	statuses     map[fleet.EngineID]heardStatus
+	polled       map[fleet.EngineID]bool
+
+	election *lease.Election
+	// electing is set while a call of the election is under way.
+	electing bool
+	planner  *rollout.Planner
+	stopping bool
+}
+
+func newRouter(w *world, index int) *router {
+	return &router{
+		process: process{world: w, address: fleet.Address(fmt.Sprintf("10.3.0.%d:8300", index)), zone: w.zone(index)},
+		index:   index,
+	}
+}
+
+func (r *router) start() {
+	informed := r.world.informed()
+	r.begin()
+	r.node = fleet.NodeID(fmt.Sprintf("router-%d-%d", r.index, r.life))
+	r.core = placement.New(placement.Options{Node: r.node, Zone: r.zone, Random: r.world.newRandom()})
+	r.calls = make(map[placement.Key]func(any) time.Duration)
+	r.wakeAt, r.memberWake = 0, 0
+	r.served, r.stopping, r.following, r.electing = false, false, false, false
+	r.election = nil
+	r.inForce = 0
+	r.machines, r.fromPlatform = nil, false
+	r.statuses = make(map[fleet.EngineID]heardStatus)
+	r.polled = make(map[fleet.EngineID]bool)
+	r.holder = config.NewHolder()
+	r.world.record(history.NodeStarted{Node: r.node, Kind: history.RouterNode, Informed: informed})
+	r.startPeers()
+	r.startConfiguration()
+	r.startEngines()
+	r.startRollout()
+	r.probe()
+}
+
+// kill ends the router without warning.
+func (r *router) kill() {
+	r.world.record(history.NodeKilled{Node: r.node})
+	r.end()
+}
+
+// stop is a planned stop: what waits is handed back, the others are told.
+func (r *router) stop() {
+	const linger = 200 * time.Millisecond
+	r.stopping = true
+	r.world.record(history.NodeStopping{Node: r.node})
+	r.step(func(now time.Duration) { r.core.Drain(now) })
+	r.sendPeers(r.members.Leave(r.now()))
+	r.election.Resign()
+	r.elect()
+	r.after(linger, func() {
+		r.world.record(history.NodeStopped{Node: r.node})
+		r.end()
+	})
+}
+
+// step runs a step on the placement core and delivers the outcomes.
+func (r *router) step(action func(now time.Duration)) {
+	action(r.now())
+	for _, outcome := range r.core.TakeOutcomes() {
+		r.deliver(outcome)
+	}
+	r.wake()
+}
+
+// wake plans the core's next tick.
+func (r *router) wake() {
+	at, due := r.core.NextWake()
+	if !due || (r.wakeAt > r.now() && r.wakeAt <= at) {
+		return
+	}
+	at = max(at, r.now()+time.Millisecond)
+	r.wakeAt = at
+	r.after(at-r.now(), func() {
+		if r.wakeAt == at {
+			r.wakeAt = 0
+			r.step(r.core.Tick)
+		}
+	})
+}
+
+// placeAnswer is a router's answer to a placement call.
+type placeAnswer struct {
+	router    fleet.NodeID
+	revision  fleet.Revision
+	outcome   placement.Outcome
+	others    []fleet.Address
+	unfounded int
+}
+
+// place serves a placement call.
+func (r *router) place(request placement.Request, reply func(any) time.Duration) {
+	r.hear(request.KnownRevision)
+	if request.KnownRevision > 0 && r.holder.Current() == nil {
+		reply(r.placeAnswer(placement.HandBack{Key: request.Key, Reason: placement.HandBackBehind}, 0))
+		return
+	}
+	blocks := request.Blocks
+	r.calls[request.Key] = func(outcome any) time.Duration {
+		grant, granted := outcome.(placement.Grant)
+		unfounded := 0
+		if granted {
+			unfounded = r.world.unfounded(grant, blocks)
+		}
+		return reply(r.placeAnswer(outcome.(placement.Outcome), unfounded))
+	}
+	r.step(func(now time.Duration) { r.core.Submit(now, request) })
+}
+
+func (r *router) placeAnswer(outcome placement.Outcome, unfounded int) placeAnswer {
+	answer := placeAnswer{router: r.node, revision: r.holder.Revision(), outcome: outcome, unfounded: unfounded}
+	if _, handedBack := outcome.(placement.HandBack); handedBack {
+		for _, member := range r.members.View().Routable() {
+			if member.Node != r.node {
+				answer.others = append(answer.others, member.Address)
+			}
+		}
+	}
+	return answer
+}
+
+func (r *router) deliver(outcome placement.Outcome) {
+	key := outcome.OutcomeKey()
+	grant, granted := outcome.(placement.Grant)
+	if granted && !r.served {
+		r.served = true
+		r.world.record(history.RouterServed{Node: r.node})
+	}
+	reply := r.calls[key]
+	delete(r.calls, key)
+	switch {
+	case reply != nil:
+		reply(outcome)
+	case granted:
+		r.abandon(grant)
+	}
+}
+
+// abandon gives back a grant that nobody waits for.
+func (r *router) abandon(grant placement.Grant) {
+	r.core.Report(r.now(), placement.AttemptReport{Key: grant.Key, Run: grant.Run, Phase: placement.PhaseAbandoned})
+}
+
+// withdraw takes back a call whose agent is gone.
+func (r *router) withdraw(key placement.Key) {
+	delete(r.calls, key)
+	r.step(func(now time.Duration) { r.core.Withdraw(now, key) })
+}
+
+// report serves an agent's report.
+func (r *router) report(report placement.AttemptReport) fleet.Revision {
+	r.step(func(now time.Duration) { r.core.Report(now, report) })
+	return r.holder.Revision()
+}
+
+// sync serves an exchange with an agent.
+func (r *router) sync(request syncRequest) syncAnswer {
+	if request.document != nil {
+		r.offer(*request.document)
+	}
+	r.hear(request.revision)
+	r.offerMachines(request.machines)
+	answer := syncAnswer{
+		revision: r.holder.Revision(), members: slices.Clone(r.members.View().Routable()), stopping: r.stopping,
+		machines: r.machines, machinesWanted: len(r.machines) == 0,
+	}
+	behind := request.revision < answer.revision
+	if view := r.holder.Current(); view != nil && (behind || r.world.options.Variant == TakeAnyRevision) {
+		document := view.Document()
+		answer.document = &document
+	}
+	return answer
+}
+
+// probe asks the router for a placement until it grants one, as a caller would
+// whose agent knows this router alone.
+func (r *router) probe() {
+	const interval = 200 * time.Millisecond
+	r.after(interval, func() {
+		if r.served || r.stopping {
+			return
+		}
+		if view := r.holder.Current(); view != nil {
+			weights, _, _ := view.ResolveModel(string(model))
+			r.step(func(now time.Duration) {
+				key := placement.Key{Request: fleet.RequestID("probe-" + string(r.node)), Attempt: 1}
+				r.core.Submit(now, placement.Request{
+					Key: key, Tenant: tenants[0], Class: classes[0], Weights: weights, PromptTokens: 1, MaxTokens: 1,
+				})
+			})
+		}
+		r.probe()
+	})
+}
+
+// newRandom returns a generator of its own for one part of the run.
+func (w *world) newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(w.random.Uint64(), w.random.Uint64()))
+}
--- /dev/null
+++ b/lab/simulation/sync.go
@@ -0,0 +1,123 @@
+package simulation
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/platform"
+)
+
+// syncRequest and syncAnswer are an exchange between an agent and a router.
+type syncRequest struct {
+	revision fleet.Revision
+	document *config.Document
+	machines []platform.Machine
+}
+
+type syncAnswer struct {
+	revision       fleet.Revision
+	document       *config.Document
+	members        []membership.Member
+	stopping       bool
+	machines       []platform.Machine
+	machinesWanted bool
+}
+
+// syncLoop exchanges news with the routers in turn.
+func (a *agent) syncLoop() {
+	for _, target := range a.syncTargets() {
+		a.sync(target)
+	}
+	pause := syncInterval
+	if !a.seen {
+		pause /= 4
+	}
+	a.after(pause*9/10+time.Duration(a.world.random.Int64N(int64(pause/5))), a.syncLoop)
+}
+
+// syncTargets returns the routers where requests wait, and the next in turn.
+func (a *agent) syncTargets() []*link {
+	var addresses []fleet.Address
+	for _, member := range a.members {
+		if member.State != membership.Dead {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	if len(addresses) == 0 || !a.seen {
+		addresses = append(addresses, a.world.seeds()...)
+	}
+	a.rotation++
+	next := a.rotation % len(addresses)
+	addresses = append(slices.Clone(addresses[next:]), addresses[:next]...)
+	var targets []*link
+	for index, address := range addresses {
+		candidate := a.link(address)
+		candidate.placing = slices.DeleteFunc(candidate.placing, func(c *call) bool { return c.over })
+		wanted := index == 0 || len(candidate.placing) > 0 || !a.seen
+		if wanted && !slices.Contains(targets, candidate) {
+			targets = append(targets, candidate)
+		}
+	}
+	return targets
+}
+
+// sync exchanges news with a router, and once more at once if its answer shows
+// that it lacks something.
+func (a *agent) sync(with *link) { a.exchange(with, true) }
+
+func (a *agent) exchange(with *link, again bool) {
+	target := a.world.routerAt(with.address)
+	if target == nil {
+		return
+	}
+	request := syncRequest{revision: a.holder.Revision()}
+	variant := a.world.options.Variant
+	if with.answered && with.revision < request.revision && variant != KeepConfiguration {
+		document := a.holder.Current().Document()
+		request.document = &document
+	}
+	if with.machinesWanted && variant != KeepConfiguration {
+		request.machines = a.machines
+	}
+	serve := func(reply func(any) time.Duration) { reply(target.sync(request)) }
+	a.world.network.call(&a.process, &target.process, syncTimeout, serve, func(answer any, how failure) {
+		if how != answered {
+			a.failed(with)
+			return
+		}
+		a.takeSync(with, answer.(syncAnswer))
+		lacksMachines := with.machinesWanted && len(a.machines) > 0
+		if again && (lacksMachines || with.revision < a.holder.Revision()) {
+			a.exchange(with, false)
+		}
+	})
+}
+
+func (a *agent) takeSync(from *link, answer syncAnswer) {
+	a.noteAnswer(from, answer.revision)
+	from.stopping = answer.stopping
+	from.machinesWanted = answer.machinesWanted
+	if len(answer.members) > 0 {
+		a.members = answer.members
+	}
+	if len(answer.machines) > 0 {
+		a.machines = answer.machines
+	}
+	if answer.document != nil {
+		a.offer(*answer.document)
+	}
+}
+
+// offer gives the holder a configuration that a router sent.
+func (a *agent) offer(document config.Document) {
+	if a.world.options.Variant == TakeAnyRevision && document.Revision < a.holder.Revision() {
+		a.holder = config.NewHolder()
+	}
+	if _, err := a.holder.OfferSnapshot(document); err != nil {
+		panic(err) // the fleet's configurations are valid
+	}
+	a.noteConfiguration()
+}
--- /dev/null
+++ b/lab/simulation/tables.go
@@ -0,0 +1,256 @@
+package simulation
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/platform"
+	"github.com/tillerfall/tillerfall/lab/history"
+	"github.com/tillerfall/tillerfall/lab/standin/platformmodel"
+)
+
+// Fates of a commit while the table service loses answers.
+const (
+	lostAfterEffect  = 0.3
+	lostBeforeEffect = 0.45
+	lostLateEffect   = 0.6
+	mostLateEffect   = 2 * time.Second
+	mostStaleness    = 2 * time.Second
+	// raceChance is the probability that another operator's command comes
+	// between a command's reads and its commit.
+	raceChance = 0.15
+	machineLag = 500 * time.Millisecond
+)
+
+// tableService is the platform's table service.
+type tableService struct {
+	process
+	model                            *platformmodel.Platform
+	downUntil, lossyUntil, slowUntil time.Duration
+	// past holds the versions of each row that was written, oldest first.
+	past map[string][]pastRow
+	// revision is that of the last committed configuration.
+	revision   fleet.Revision
+	directives map[fleet.EngineRun]bool
+}
+
+type pastRow struct {
+	at    time.Duration
+	row   platform.Row
+	found bool
+}
+
+func newTableService(w *world) *tableService {
+	const address fleet.Address = "10.4.0.1:8400"
+	service := &tableService{
+		process:    process{world: w, address: address, zone: zones[0]},
+		model:      platformmodel.New(platformmodel.Options{MachineLag: machineLag, Rate: platformmodel.Rate{PerSecond: 200, Burst: 100}}),
+		past:       make(map[string][]pastRow),
+		directives: make(map[fleet.EngineRun]bool),
+	}
+	service.begin()
+	return service
+}
+
+func (s *tableService) down() bool { return s.now() < s.downUntil }
+
+func (s *tableService) unreachable(from *process) bool {
+	network := s.world.network
+	return s.down() || network.blockedUntil(from, &s.process) > 0 || network.blockedUntil(&s.process, from) > 0
+}
+
+// commit applies a transaction and records a new configuration.
+func (s *tableService) commit(transaction platform.Transaction) error {
+	if s.world.options.Variant == CommitWithoutCompare {
+		transaction.Compares = nil
+	}
+	if err := s.model.Commit(s.now(), transaction); err != nil {
+		return err
+	}
+	for _, write := range transaction.Writes {
+		s.remember(write)
+	}
+	s.recordConfiguration()
+	return nil
+}
+
+func (s *tableService) remember(write platform.Write) {
+	past := s.past[write.Key]
+	revision := uint64(1)
+	if len(past) > 0 && past[len(past)-1].found {
+		revision = past[len(past)-1].row.Revision + 1
+	}
+	row := platform.Row{Key: write.Key, Value: slices.Clone(write.Value), Revision: revision}
+	s.past[write.Key] = append(past, pastRow{at: s.now(), row: row, found: !write.Delete})
+}
+
+// recordConfiguration records the configuration at the head, if it is new.
+func (s *tableService) recordConfiguration() {
+	document, err := config.NewStore(truth{s}, nil, config.StoreOptions{}).Load(context.Background())
+	if err != nil {
+		panic(err) // the truth can always be read
+	}
+	digest := s.world.digest(document)
+	if document.Revision == s.revision {
+		return
+	}
+	s.revision = document.Revision
+	s.world.record(history.Committed{Revision: document.Revision, Digest: digest})
+	s.recordDirectives(document)
+}
+
+// recordDirectives records the engines that operators began or ceased to drain.
+func (s *tableService) recordDirectives(document config.Document) {
+	directed := make(map[fleet.EngineRun]bool)
+	for _, directive := range document.Directives {
+		run := fleet.EngineRun{Engine: directive.Engine, Incarnation: directive.Incarnation}
+		if directive.Kind == config.DirectiveRole || directed[run] {
+			continue
+		}
+		directed[run] = true
+		if !s.directives[run] {
+			s.world.record(history.EngineLeaving{Run: run, Source: history.OperatorSource})
+		}
+	}
+	for _, host := range s.world.engines {
+		if run := host.run(); s.directives[run] && !directed[run] {
+			s.world.record(history.EngineAdmitted{Run: run})
+		}
+	}
+	s.directives = directed
+}
+
+// commitFirst commits the configuration that the fleet starts with.
+func (s *tableService) commitFirst(document config.Document) {
+	store := config.NewStore(truth{s}, nil, config.StoreOptions{Random: s.world.newRandom()})
+	_, err := store.Commit(context.Background(), config.CommitRequest{
+		Token: "first", Mutate: func(config.Document) (config.Document, error) { return document, nil },
+	})
+	if err != nil {
+		panic(err) // no fault has begun
+	}
+}
+
+// read returns a row as it was at a time.
+func (s *tableService) read(key string, at time.Duration) (platform.Row, error) {
+	past := s.past[key]
+	for _, version := range slices.Backward(past) {
+		if version.at > at {
+			continue
+		}
+		if !version.found {
+			break
+		}
+		return version.row, nil
+	}
+	return platform.Row{}, platform.ErrNotFound
+}
+
+// serveRead answers an election's read.
+func (s *tableService) serveRead(key string, reply func(any) time.Duration) {
+	if s.down() {
+		reply(tableAnswer{err: platform.ErrUnavailable})
+		return
+	}
+	row, err := s.read(key, s.now())
+	reply(tableAnswer{row: row, err: err})
+}
+
+// serveCommit answers an election's commit, unless its answer is lost.
+func (s *tableService) serveCommit(transaction platform.Transaction, reply func(any) time.Duration) {
+	if s.down() {
+		reply(tableAnswer{err: platform.ErrUnavailable})
+		return
+	}
+	if err := s.commitOrLose(transaction); err != platform.ErrUnknownOutcome {
+		reply(tableAnswer{err: err})
+	}
+}
+
+// commitOrLose commits a transaction whose answer may be lost, with or without
+// an effect, which may also come late.
+func (s *tableService) commitOrLose(transaction platform.Transaction) error {
+	if s.now() >= s.lossyUntil {
+		return s.commit(transaction)
+	}
+	switch fate := s.world.random.Float64(); {
+	case fate < lostAfterEffect:
+		_ = s.commit(transaction)
+	case fate < lostBeforeEffect:
+	case fate < lostLateEffect:
+		s.after(time.Duration(s.world.random.Int64N(int64(mostLateEffect))), func() { _ = s.commit(transaction) })
+	default:
+		return s.commit(transaction)
+	}
+	return platform.ErrUnknownOutcome
+}
+
+// tables is one process's client of the table service. Reads may show what was
+// there a moment ago, as late answers do, but never go back.
+type tables struct {
+	world *world
+	from  *process
+	seen  time.Duration
+}
+
+var _ platform.Tables = (*tables)(nil)
+
+// readAt returns the time whose state a read shows.
+func (t *tables) readAt() time.Duration {
+	now := t.world.queue.Now()
+	if now < t.world.tables.slowUntil {
+		now -= time.Duration(t.world.random.Int64N(int64(mostStaleness)))
+	}
+	t.seen = max(t.seen, now)
+	return t.seen
+}
+
+// Get implements platform.Tables.
+func (t *tables) Get(_ context.Context, key string) (platform.Row, error) {
+	if t.world.tables.unreachable(t.from) {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	return t.world.tables.read(key, t.readAt())
+}
+
+// List implements platform.Tables.
+func (t *tables) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	service := t.world.tables
+	if service.unreachable(t.from) {
+		return nil, platform.ErrUnavailable
+	}
+	return service.model.List(service.now(), prefix, after, limit)
+}
+
+// Commit implements platform.Tables.
+func (t *tables) Commit(_ context.Context, transaction platform.Transaction) error {
+	service := t.world.tables
+	if service.unreachable(t.from) {
+		return platform.ErrUnavailable
+	}
+	t.world.race(t.from)
+	return service.commitOrLose(transaction)
+}
+
+// truth reads and writes the table service without faults.
+type truth struct{ service *tableService }
+
+var _ platform.Tables = truth{}
+
+// Get implements platform.Tables.
+func (t truth) Get(_ context.Context, key string) (platform.Row, error) {
+	return t.service.read(key, t.service.now())
+}
+
+// List implements platform.Tables.
+func (t truth) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	return t.service.model.List(t.service.now(), prefix, after, limit)
+}
+
+// Commit implements platform.Tables.
+func (t truth) Commit(_ context.Context, transaction platform.Transaction) error {
+	return t.service.commit(transaction)
+}
