Keep only the newest run of engines that the list has dropped

Only the newest incarnation and whether it was leaving are kept now. Grants in flight at a forgotten engine are dropped; should the list show it again, its load report counts their streams. Remembering nothing after a time was ruled out: the list's lag has no bound.

go test -race passes for the package.

--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -54,8 +54,10 @@
 	scheduler *scheduling.Scheduler
 
 	engines map[fleet.EngineID]*engineState
+	// past remembers the engines that the list doesn't show any more.
+	past map[fleet.EngineID]pastRun
 	// ordered lists every engine by identifier, byPool those of each pool that
-	// are listed, owned and not leaving.
+	// are owned and not leaving.
 	ordered []*engineState
 	byPool  map[fleet.PoolName][]*engineState
 
@@ -89,6 +91,7 @@
 		index:     prefixindex.New(options.Index),
 		scheduler: scheduling.New(options.Scheduling),
 		engines:   make(map[fleet.EngineID]*engineState),
+		past:      make(map[fleet.EngineID]pastRun),
 		byPool:    make(map[fleet.PoolName][]*engineState),
 		waiting:   make(map[Key]*waitingRequest),
 		grants:    make(map[Key]*grantState),
--- a/internal/placement/engines_test.go
+++ b/internal/placement/engines_test.go
@@ -88,6 +88,22 @@
 	assert.Zero(t, granted.ExpectedCachedTokens)
 }
 
+func TestForgottenEngineIsRememberedInShort(t *testing.T) {
+	b := newBench(t, 1)
+	b.submitGranted(request("r", urgent, "p", 1))
+	b.addEngine("engine0", 5)
+	b.submitGranted(request("s", urgent, "p", 1))
+	b.core.ForgetMachine(b.now, "engine0")
+	assert.Empty(t, b.core.engines)
+	assert.Empty(t, b.core.ordered)
+	assert.Zero(t, b.inFlight())
+	b.addEngine("engine0", 4)
+	assert.Empty(t, b.core.Snapshot(b.now).Engines, "an older run stays gone")
+	b.addEngine("engine0", 5)
+	b.submitGranted(request("t", urgent, "p", 1))
+	assert.Equal(t, []fleet.EngineID{"engine0"}, b.core.NeedsSnapshot())
+}
+
 func TestUnreportedGrantsDoNotLeak(t *testing.T) {
 	b := newBench(t, 1)
 	lost := b.submitGranted(request("lost", urgent, "a", 1))
--- a/internal/placement/enginestate.go
+++ b/internal/placement/enginestate.go
@@ -20,14 +20,17 @@
 	LeavingEngine   LeavingSource = "engine"
 )
 
-// engineState is what is known of the newest run of one engine. It is kept
-// after the machine is forgotten, so that a lagging list can't bring back an
-// older run or make a leaving one stay.
+// pastRun is what is kept of an engine after its machine is forgotten, so that
+// a lagging list can't bring back an older run or make a leaving one stay.
+type pastRun struct {
+	incarnation fleet.Incarnation
+	leaving     LeavingSource
+}
+
+// engineState is what is known of the newest run of one listed engine.
 type engineState struct {
 	run     fleet.EngineRun
 	machine platform.Machine
-	// listed is false after ForgetMachine.
-	listed  bool
 	owned   bool
 	leaving LeavingSource
 	// inPool tells that the core's list of pool has the engine.
@@ -59,8 +62,11 @@
 	matchedAt     uint64
 }
 
-func newEngineState(id fleet.EngineID) *engineState {
-	state := &engineState{run: fleet.EngineRun{Engine: id}}
+func newEngineState(id fleet.EngineID, past pastRun) *engineState {
+	state := &engineState{
+		run:     fleet.EngineRun{Engine: id, Incarnation: past.incarnation},
+		leaving: past.leaving,
+	}
 	state.serves = state.servesWeights
 	return state
 }
@@ -98,7 +104,7 @@
 
 // placeable tells whether the engine may get work here once it is ready.
 func (e *engineState) placeable() bool {
-	return e.listed && e.owned && e.leaving == LeavingNone
+	return e.owned && e.leaving == LeavingNone
 }
 
 func (e *engineState) takeStatus(now time.Duration, status engine.Status) {
--- a/internal/placement/observe.go
+++ b/internal/placement/observe.go
@@ -20,16 +20,15 @@
 	}
 	c.advance(now)
 	id := fleet.EngineID(machine.ID)
+	if machine.Incarnation < c.newestRun(id) {
+		return
+	}
 	state := c.engines[id]
 	if state == nil {
 		state = c.addEngine(id)
 	}
-	if machine.Incarnation < state.run.Incarnation {
-		return
-	}
 	c.beginIfNewer(now, state, machine.Incarnation)
 	state.machine = machine
-	state.listed = true
 	if machine.State == platform.MachineLeaving {
 		state.leave(LeavingList)
 	}
@@ -38,8 +37,17 @@
 	c.pump(now)
 }
 
+// newestRun returns the highest incarnation ever known of an engine.
+func (c *Core) newestRun(id fleet.EngineID) fleet.Incarnation {
+	if state := c.engines[id]; state != nil {
+		return state.run.Incarnation
+	}
+	return c.past[id].incarnation
+}
+
 func (c *Core) addEngine(id fleet.EngineID) *engineState {
-	state := newEngineState(id)
+	state := newEngineState(id, c.past[id])
+	delete(c.past, id)
 	state.owned = c.owned(id)
 	c.engines[id] = state
 	position, _ := slices.BinarySearchFunc(c.ordered, state, compareEngines)
@@ -47,14 +55,20 @@
 	return state
 }
 
-// ForgetMachine notes that the list doesn't show an engine any more.
+// ForgetMachine notes that the list doesn't show an engine any more. All that
+// stays known is its newest run and whether that was leaving.
 func (c *Core) ForgetMachine(now time.Duration, id fleet.EngineID) {
 	state := c.engines[id]
-	if state == nil || !state.listed {
+	if state == nil {
 		return
 	}
 	c.advance(now)
-	state.listed = false
+	c.dropGrantsOf(now, state)
+	c.past[id] = pastRun{incarnation: state.run.Incarnation, leaving: state.leaving}
+	delete(c.engines, id)
+	position, _ := slices.BinarySearchFunc(c.ordered, state, compareEngines)
+	c.ordered = slices.Delete(c.ordered, position, position+1)
+	state.owned = false
 	c.engineChanged(now, state)
 	c.pump(now)
 }
@@ -63,7 +77,7 @@
 // doesn't show is ignored, since its address isn't known.
 func (c *Core) ObserveStatus(now time.Duration, status engine.Status) {
 	state := c.engines[status.Engine]
-	if state == nil || !state.listed || status.Incarnation < state.run.Incarnation {
+	if state == nil || status.Incarnation < state.run.Incarnation {
 		return
 	}
 	c.advance(now)
@@ -162,11 +176,11 @@
 	c.pump(c.now)
 }
 
-// selectEngines returns the owned and listed engines that match, by identifier.
+// selectEngines returns the owned engines that match, by identifier.
 func (c *Core) selectEngines(match func(*engineState) bool) []fleet.EngineID {
 	var selected []fleet.EngineID
 	for _, state := range c.ordered {
-		if state.listed && state.owned && match(state) {
+		if state.owned && match(state) {
 			selected = append(selected, state.run.Engine)
 		}
 	}
@@ -202,11 +216,10 @@
 
 // follow starts or stops keeping the index of an engine's cache.
 func (c *Core) follow(state *engineState) {
-	wanted := state.listed && state.owned
-	if wanted && state.feed == nil {
+	if state.owned && state.feed == nil {
 		state.feed = prefixindex.NewFeed(c.index, state.run, c.options.Feed)
 	}
-	if !wanted && state.feed != nil {
+	if !state.owned && state.feed != nil {
 		state.feed = nil
 		c.index.RemoveRun(state.run)
 	}
--- a/internal/placement/snapshot.go
+++ b/internal/placement/snapshot.go
@@ -78,9 +78,7 @@
 		snapshot.Revision = c.view.Revision()
 	}
 	for _, state := range c.ordered {
-		if state.listed {
-			snapshot.Engines = append(snapshot.Engines, c.describe(now, state))
-		}
+		snapshot.Engines = append(snapshot.Engines, c.describe(now, state))
 	}
 	return snapshot
 }
