Count a router as ready when its core is, and ask silent engines

A router called itself ready when it held a configuration that its core hadn't applied yet, and refused the first request; readiness and hand-backs now follow the core. And promote counted only the engines whose status had been heard, so that a router that had just started could have accepted it early; every listed engine without a late status is now asked first.

--- a/internal/router/configuration.go
+++ b/internal/router/configuration.go
@@ -47,6 +47,7 @@
 
 func (r *Router) applyConfiguration(view *config.View) {
 	r.placer.do(func(now time.Duration, core *placement.Core) { core.ApplyConfig(now, view) })
+	r.configured.Store(true)
 	r.logger.Info().Uint64("revision", uint64(view.Revision())).Msg("configuration_applied")
 }
 
--- a/internal/router/enginestatus.go
+++ b/internal/router/enginestatus.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -16,10 +17,10 @@
 const (
 	// statusFresh is the age up to which an engine's status is used for rollout.
 	statusFresh = 5 * time.Second
-	// foreignStatusAge is the age up to which the status of an engine that
-	// another router owns isn't asked for again.
-	foreignStatusAge = 2 * time.Second
-	// parallelStatusCalls bounds the calls to engines of other routers.
+	// askedStatusAge is the age up to which an engine isn't asked again, whether
+	// it answered or not.
+	askedStatusAge = 2 * time.Second
+	// parallelStatusCalls bounds the calls to engines at a time.
 	parallelStatusCalls = 32
 )
 
@@ -31,13 +32,22 @@
 
 // statusBoard keeps the last status of each engine. It is safe for concurrent use.
 type statusBoard struct {
-	clock    fleet.Clock
+	clock fleet.Clock
+	// asking lets one caller at a time ask engines, so that none mistakes a
+	// question under way for an engine that doesn't answer.
+	asking sync.Mutex
+
 	mutex    sync.Mutex
 	statuses map[fleet.EngineID]heardStatus
+	asked    map[fleet.EngineID]time.Duration
 }
 
 func newStatusBoard(clock fleet.Clock) *statusBoard {
-	return &statusBoard{clock: clock, statuses: make(map[fleet.EngineID]heardStatus)}
+	return &statusBoard{
+		clock:    clock,
+		statuses: make(map[fleet.EngineID]heardStatus),
+		asked:    make(map[fleet.EngineID]time.Duration),
+	}
 }
 
 func (b *statusBoard) note(status engine.Status) {
@@ -53,6 +63,21 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	delete(b.statuses, id)
+	delete(b.asked, id)
+}
+
+// shouldAsk tells whether an engine is to be asked now, and notes that it is.
+func (b *statusBoard) shouldAsk(id fleet.EngineID) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := b.clock.Now()
+	heard, known := b.statuses[id]
+	asked, everAsked := b.asked[id]
+	if known && now-heard.at <= askedStatusAge || everAsked && now-asked <= askedStatusAge {
+		return false
+	}
+	b.asked[id] = now
+	return true
 }
 
 // find returns a status that isn't older than an age.
@@ -64,10 +89,12 @@
 }
 
 // allStatuses returns the listed engines with a fresh status, by identifier.
-// Those that this router doesn't follow are asked now.
+// Those that no watcher of this router has heard lately are asked now.
 func (f *engineFleet) allStatuses(ctx context.Context) []rollout.Engine {
-	listed, foreign := f.listedEngines()
-	f.askForeign(ctx, foreign)
+	listed := f.listedEngines()
+	f.board.asking.Lock()
+	f.askSilent(ctx, listed)
+	f.board.asking.Unlock()
 	var engines []rollout.Engine
 	for _, machine := range listed {
 		if status, fresh := f.board.find(fleet.EngineID(machine.ID), statusFresh); fresh {
@@ -77,33 +104,27 @@
 	return engines
 }
 
-// listedEngines returns the listed engines by identifier, and those among them
-// that have no watcher.
-func (f *engineFleet) listedEngines() (listed, foreign []platform.Machine) {
+// listedEngines returns the listed engines by identifier.
+func (f *engineFleet) listedEngines() []platform.Machine {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	for id, machine := range f.machines {
-		listed = append(listed, machine)
-		if f.watchers[id] == nil {
-			foreign = append(foreign, machine)
-		}
-	}
+	listed := slices.Collect(maps.Values(f.machines))
 	slices.SortFunc(listed, func(a, b platform.Machine) int { return cmp.Compare(a.ID, b.ID) })
-	return listed, foreign
+	return listed
 }
 
-func (f *engineFleet) askForeign(ctx context.Context, foreign []platform.Machine) {
+func (f *engineFleet) askSilent(ctx context.Context, listed []platform.Machine) {
 	queue := make(chan platform.Machine)
 	var workers sync.WaitGroup
-	for range min(len(foreign), parallelStatusCalls) {
+	for range min(len(listed), parallelStatusCalls) {
 		workers.Go(func() {
 			for machine := range queue {
 				f.askStatus(ctx, machine)
 			}
 		})
 	}
-	for _, machine := range foreign {
-		if _, fresh := f.board.find(fleet.EngineID(machine.ID), foreignStatusAge); !fresh {
+	for _, machine := range listed {
+		if f.board.shouldAsk(fleet.EngineID(machine.ID)) {
 			queue <- machine
 		}
 	}
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -79,9 +79,9 @@
 	switch {
 	case r.isStopping():
 		return "stopping"
-	case r.holder.Current() == nil:
+	case !r.configured.Load():
 		return "no configuration is known yet"
-	case !r.machines.isKnown():
+	case !r.listed.Load():
 		return "no list of machines is known yet"
 	}
 	return ""
--- a/internal/router/placementserver.go
+++ b/internal/router/placementserver.go
@@ -48,18 +48,31 @@
 	return response, nil
 }
 
-// decide asks the core. A router that has just started and knows no
-// configuration hands requests back to an agent that knows one: the answer
-// shows the agent that this router is behind, and the agent brings it up to date.
+// decide asks the core, once it knows configuration and engines.
 func (s *placementServer) decide(ctx context.Context, request placement.Request) (placement.Outcome, error) {
-	if request.KnownRevision > 0 && s.router.holder.Current() == nil {
-		outcome := placement.HandBack{Key: request.Key, Reason: placement.HandBackBehind}
+	if reason := s.unprepared(request); reason != "" {
+		outcome := placement.HandBack{Key: request.Key, Reason: reason}
 		s.router.metrics.observeOutcome(request.Class, outcome, 0)
 		return outcome, nil
 	}
 	return s.router.placer.place(ctx, request)
 }
 
+// unprepared says why a router that has just started hands a request back;
+// empty when it doesn't. The answer shows an agent that knows a configuration
+// that this router is behind, and the agent brings it up to date.
+func (s *placementServer) unprepared(request placement.Request) placement.HandBackReason {
+	switch {
+	case request.KnownRevision == 0:
+		return ""
+	case !s.router.configured.Load():
+		return placement.HandBackBehind
+	case !s.router.listed.Load():
+		return placement.HandBackNoEngine
+	}
+	return ""
+}
+
 func (s *placementServer) logOutcome(request placement.Request, outcome placement.Outcome, waited time.Duration) {
 	event := s.logger.Info().Str("request_id", string(request.Key.Request)).Uint32("attempt", uint32(request.Key.Attempt)).
 		Str("tenant", string(request.Tenant)).Str("class", string(request.Class)).Dur("waited_ms", waited)
--- a/internal/router/platformpoll.go
+++ b/internal/router/platformpoll.go
@@ -31,6 +31,7 @@
 			return nil
 		case <-r.machines.changed:
 			r.engines.setMachines(r.machines.current())
+			r.listed.Store(true)
 		}
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -60,8 +60,12 @@
 
 	life     tomb.Tomb
 	stopping atomic.Bool
-	stopOnce sync.Once
-	stopErr  error
+	// configured and listed are set once the core has a configuration and a
+	// list of engines.
+	configured atomic.Bool
+	listed     atomic.Bool
+	stopOnce   sync.Once
+	stopErr    error
 }
 
 // New returns a router that hasn't started.
