Run the whole path as separate processes by the documented commands

A fault-injecting TCP proxy for the tests to come is part of the scaffolding.

Processes are killed by their handles at a test's end and before the test binary's time-out, which runs no cleanup.

--- /dev/null
+++ b/test/integration/fleet_test.go
@@ -0,0 +1,317 @@
+package integration
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/agent"
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/platform"
+	"github.com/tillerfall/tillerfall/internal/router"
+	"github.com/tillerfall/tillerfall/lab/standin/engineserver"
+	"github.com/tillerfall/tillerfall/lab/standin/platformserver"
+)
+
+// commandPatience is the ctl flag that bounds one command.
+const commandPatience = "--timeout=20s"
+
+// httpPatience bounds one short exchange of the tests' own.
+const httpPatience = 30 * time.Second
+
+var shortExchanges = &http.Client{Timeout: httpPatience}
+
+// fleetOptions says how a fleet differs from the documented one.
+type fleetOptions struct {
+	// flags are added to the command of the process of that name; the names
+	// "router" and "engine" stand for all of their kind.
+	flags map[string][]string
+	// engineProxies, routerProxies and platformProxy put a fault-injecting proxy
+	// before each engine, each router and the platform.
+	engineProxies bool
+	routerProxies bool
+	platformProxy bool
+}
+
+// testFleet is a fleet of real processes, started by the documented commands.
+type testFleet struct {
+	t         *testing.T
+	options   fleetOptions
+	directory string
+	// addresses translates documented addresses into those of this fleet.
+	addresses map[string]string
+	// proxies holds the proxy before each process that has one.
+	proxies   map[string]*faultProxy
+	processes map[string]*process
+	// listens holds the address on which each process listens.
+	listens  map[string]string
+	machines []platform.Machine
+}
+
+// startFleet runs the documented commands up to a ready agent. The calling test
+// runs in parallel with others, as far as there are slots.
+func startFleet(t *testing.T, options fleetOptions) *testFleet {
+	t.Helper()
+	t.Parallel()
+	fleetSlots <- struct{}{}
+	t.Cleanup(func() { <-fleetSlots })
+	f := &testFleet{
+		t:         t,
+		options:   options,
+		directory: t.TempDir(),
+		addresses: make(map[string]string),
+		proxies:   make(map[string]*faultProxy),
+		processes: make(map[string]*process),
+		listens:   make(map[string]string),
+	}
+	documented := readDocumentation(t)
+	f.reserveAddresses(documented)
+	for _, command := range documented.commands {
+		switch {
+		case command.isOfBinary() && command.background:
+			f.startDocumented(command)
+		case command.isOfBinary():
+			result := f.runDocumented(command)
+			require.Zero(t, result.exitCode, "%s\n%s%s", command.line, result.output, result.diagnostics)
+		case strings.Contains(command.line, platformserver.PathSetMachines):
+			f.postMachines(documented.machines)
+		case strings.Contains(command.line, agent.PathReady):
+			f.awaitReady(f.agentAddress())
+		}
+	}
+	f.awaitSettled()
+	return f
+}
+
+// reserveAddresses gives each documented address one of this fleet, and puts
+// the wanted proxies before them.
+func (f *testFleet) reserveAddresses(documented documentation) {
+	for _, command := range documented.commands {
+		if !command.isOfBinary() || !command.background {
+			continue
+		}
+		name := command.name()
+		listens := freeAddress(f.t)
+		f.listens[name] = listens
+		reached := listens
+		if f.wantsProxy(name) {
+			f.proxies[name] = newFaultProxy(f.t, listens)
+			reached = f.proxies[name].address()
+		}
+		f.addresses[command.flag("--address")] = reached
+	}
+}
+
+func (f *testFleet) wantsProxy(name string) bool {
+	switch kindOf(name) {
+	case "engine":
+		return f.options.engineProxies
+	case "router":
+		return f.options.routerProxies
+	case "platform":
+		return f.options.platformProxy
+	}
+	return false
+}
+
+// kindOf returns the name without its number.
+func kindOf(name string) string {
+	kind, _, _ := strings.Cut(name, "-")
+	return kind
+}
+
+// translate replaces documented addresses.
+func (f *testFleet) translate(text string) string {
+	return documentedSocket.ReplaceAllStringFunc(text, func(documented string) string {
+		address, found := f.addresses[documented]
+		require.True(f.t, found, "no process listens on %s", documented)
+		return address
+	})
+}
+
+func (f *testFleet) startDocumented(command documentedCommand) {
+	name := command.name()
+	flags := make([]string, 0, len(command.flags))
+	for position, flag := range command.flags {
+		if position > 0 && command.flags[position-1] == "--address" {
+			flags = append(flags, f.listens[name])
+			continue
+		}
+		flags = append(flags, f.translate(flag))
+	}
+	if kindOf(name) == "router" && f.options.routerProxies {
+		flags = append(flags, "--set", "advertise="+f.proxies[name].address())
+	}
+	flags = slices.Concat(flags, f.options.flags[kindOf(name)], f.options.flags[name])
+	f.processes[name] = newProcess(f.t, f.directory, name, filepath.Base(command.program), flags)
+	f.awaitListening(name)
+}
+
+// awaitListening waits until a process answers any HTTP request.
+func (f *testFleet) awaitListening(name string) {
+	f.t.Helper()
+	eventually(f.t, name+" listens", func() bool {
+		response, err := shortExchanges.Get("http://" + f.listens[name] + router.PathHealth)
+		if err != nil {
+			return false
+		}
+		return response.Body.Close() == nil
+	})
+}
+
+func (f *testFleet) runDocumented(command documentedCommand) commandResult {
+	flags := make([]string, 0, len(command.flags))
+	for _, flag := range command.flags {
+		flags = append(flags, f.translate(flag))
+	}
+	return runCommand(f.t, filepath.Base(command.program), flags...)
+}
+
+func (f *testFleet) postMachines(documented string) {
+	var body platform.MachinesResponse
+	require.NoError(f.t, json.Unmarshal([]byte(f.translate(documented)), &body))
+	f.setMachines(body.Machines)
+}
+
+// setMachines replaces the platform's list of machines.
+func (f *testFleet) setMachines(machines []platform.Machine) {
+	f.t.Helper()
+	f.machines = machines
+	f.control("platform", platformserver.PathSetMachines, platform.MachinesResponse{Machines: machines})
+}
+
+// setPlatformFaults replaces the faults of the platform.
+func (f *testFleet) setPlatformFaults(faults platformserver.Faults) {
+	f.t.Helper()
+	f.control("platform", platformserver.PathFaults, faults)
+}
+
+// setEngineFaults changes the faults of an engine that the JSON names.
+func (f *testFleet) setEngineFaults(name, faults string) {
+	f.t.Helper()
+	f.control(name, engineserver.PathFaults, json.RawMessage(faults))
+}
+
+// control posts to a stand-in's control endpoint, which suffers no faults.
+func (f *testFleet) control(name, path string, body any) {
+	f.t.Helper()
+	encoded, err := json.Marshal(body)
+	require.NoError(f.t, err)
+	response, err := shortExchanges.Post("http://"+f.listens[name]+path, "application/json", bytes.NewReader(encoded))
+	require.NoError(f.t, err)
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	require.NoError(f.t, err)
+	require.Equal(f.t, http.StatusOK, response.StatusCode, "%s", answer)
+}
+
+func (f *testFleet) agentAddress() string { return f.listens["agent-1"] }
+
+// answersReady asks a process's readiness endpoint.
+func answersReady(address string) bool {
+	response, err := shortExchanges.Get("http://" + address + agent.PathReady)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (f *testFleet) awaitReady(address string) {
+	f.t.Helper()
+	eventually(f.t, address+" is ready", func() bool { return answersReady(address) })
+}
+
+// awaitSettled waits until each router is ready and sees every engine and
+// router, so that a test knows what it disturbs.
+func (f *testFleet) awaitSettled() {
+	f.t.Helper()
+	for _, name := range f.names("router") {
+		f.awaitReady(f.listens[name])
+		f.awaitRows(name, "show engines where state = ready", len(f.names("engine")))
+		f.awaitRows(name, "show routers where state = alive", len(f.names("router")))
+	}
+}
+
+// awaitRows waits until a router answers a query with so many rows.
+func (f *testFleet) awaitRows(routerName, statement string, count int) {
+	f.t.Helper()
+	eventually(f.t, fmt.Sprintf("%s: %s has %d rows", routerName, statement, count), func() bool {
+		return len(f.query(routerName, statement)) == count
+	})
+}
+
+// names lists the processes of a kind in order.
+func (f *testFleet) names(kind string) []string {
+	var names []string
+	for name := range f.listens {
+		if kindOf(name) == kind {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// operatorAnswer is what ctl prints with --json.
+type operatorAnswer struct {
+	Code        int        `json:"code"`
+	Name        string     `json:"name"`
+	Message     string     `json:"message"`
+	Token       string     `json:"token"`
+	Revision    uint64     `json:"revision"`
+	ErrorColumn int        `json:"error_column"`
+	Columns     []string   `json:"columns"`
+	Rows        [][]string `json:"rows"`
+}
+
+// operate runs a statement at a router by the command line. The answer is nil
+// if the router gave none.
+func (f *testFleet) operate(routerName, statement string, flags ...string) (*operatorAnswer, commandResult) {
+	f.t.Helper()
+	words := slices.Concat([]string{"ctl", "--json", commandPatience, "--router", f.listens[routerName]}, flags, strings.Fields(statement))
+	result := runCommand(f.t, "tillerfall", words...)
+	var answer operatorAnswer
+	if json.Unmarshal([]byte(result.output), &answer) != nil {
+		return nil, result
+	}
+	return &answer, result
+}
+
+// mustOperate runs a statement that succeeds.
+func (f *testFleet) mustOperate(routerName, statement string, flags ...string) *operatorAnswer {
+	f.t.Helper()
+	answer, result := f.operate(routerName, statement, flags...)
+	require.Zero(f.t, result.exitCode, "%s: %s", statement, result.diagnostics)
+	require.NotNil(f.t, answer)
+	return answer
+}
+
+// query returns the rows of a query; none if it failed.
+func (f *testFleet) query(routerName, statement string) [][]string {
+	answer, _ := f.operate(routerName, statement)
+	if answer == nil {
+		return nil
+	}
+	return answer.Rows
+}
+
+// engineStatus asks an engine itself, past its proxy.
+func (f *testFleet) engineStatus(name string) engine.Status {
+	f.t.Helper()
+	client := engine.New(fleet.Address(f.listens[name]), engine.Options{})
+	defer client.CloseIdle()
+	status, err := client.Status(f.t.Context())
+	require.NoError(f.t, err)
+	return status
+}
--- /dev/null
+++ b/test/integration/main_test.go
@@ -0,0 +1,96 @@
+package integration
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+)
+
+// maxFleets bounds the fleets that run at once, whatever -parallel says: each
+// is about nine processes.
+const maxFleets = 4
+
+// killBeforeTimeout is how long before the test binary's own timeout, which
+// runs no cleanup, every process is killed.
+const killBeforeTimeout = 10 * time.Second
+
+var (
+	// repository is the root of the source tree.
+	repository = filepath.Join("..", "..")
+	// binaries is the directory of the built programs.
+	binaries string
+	// fleetSlots holds one entry for each fleet that runs.
+	fleetSlots = make(chan struct{}, maxFleets)
+	// started holds the processes that have been started and not yet waited for.
+	started processRegistry
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "tillerfall-integration-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(directory)
+	binaries = directory
+	build := exec.Command("go", "build", "-o", directory+string(filepath.Separator), "./cmd/tillerfall", "./cmd/tillerlab")
+	build.Dir = repository
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, output)
+		return 1
+	}
+	defer started.killAll()
+	if timeout := testTimeout(); timeout > killBeforeTimeout {
+		timer := time.AfterFunc(timeout-killBeforeTimeout, started.killAll)
+		defer timer.Stop()
+	}
+	return m.Run()
+}
+
+func testTimeout() time.Duration {
+	value, ok := flag.Lookup("test.timeout").Value.(flag.Getter)
+	if !ok {
+		return 0
+	}
+	timeout, _ := value.Get().(time.Duration)
+	return timeout
+}
+
+// processRegistry knows the running processes, so that none outlives the tests.
+type processRegistry struct {
+	mutex     sync.Mutex
+	processes map[*os.Process]struct{}
+}
+
+func (r *processRegistry) add(process *os.Process) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.processes == nil {
+		r.processes = make(map[*os.Process]struct{})
+	}
+	r.processes[process] = struct{}{}
+}
+
+func (r *processRegistry) remove(process *os.Process) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.processes, process)
+}
+
+func (r *processRegistry) killAll() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for process := range r.processes {
+		_ = process.Kill()
+	}
+}
--- /dev/null
+++ b/test/integration/proxy_test.go
@@ -0,0 +1,301 @@
+package integration
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// direction tells which way bytes go through a proxy.
+type direction int
+
+const (
+	// towardsServer is from the process that connected.
+	towardsServer direction = iota
+	towardsClient
+)
+
+// ending tells what becomes of a connection whose rule has struck.
+type ending int
+
+const (
+	// endClose closes both sides.
+	endClose ending = iota
+	// endReset aborts both sides with a TCP reset.
+	endReset
+	// endDiscard swallows what comes this way and leaves the other way open.
+	endDiscard
+	// endHold keeps what comes this way until the proxy is released.
+	endHold
+)
+
+// rule strikes a connection in one direction.
+type rule struct {
+	way direction
+	// match strikes with the piece that holds this text, which must not be
+	// split over pieces; empty strikes by count alone.
+	match string
+	// after is the number of bytes, from the match on, that still pass.
+	after int64
+	// end is what happens then.
+	end ending
+	// times bounds the connections that are struck; 0 means all.
+	times int
+}
+
+// proxyBuffer is large enough that the head of a request comes as one piece.
+const proxyBuffer = 64 << 10
+
+// faultProxy passes TCP connections on to a process, and delays, cuts, resets
+// or holds them as its rules say.
+type faultProxy struct {
+	target   string
+	listener net.Listener
+	pumps    sync.WaitGroup
+
+	mutex       sync.Mutex
+	rules       []*rule
+	delay       time.Duration
+	connections map[*proxied]struct{}
+	struck      int
+	release     chan struct{}
+	closed      chan struct{}
+	seen        bytes.Buffer
+}
+
+// proxied is one connection through a proxy.
+type proxied struct {
+	client net.Conn
+	server net.Conn
+}
+
+func (p *proxied) close() {
+	p.client.Close()
+	p.server.Close()
+}
+
+// reset makes the close of both sides an abort.
+func (p *proxied) reset() {
+	for _, side := range []net.Conn{p.client, p.server} {
+		if connection, isTCP := side.(*net.TCPConn); isTCP {
+			_ = connection.SetLinger(0)
+		}
+	}
+	p.close()
+}
+
+func newFaultProxy(t *testing.T, target string) *faultProxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", freeAddress(t))
+	require.NoError(t, err)
+	p := &faultProxy{
+		target:      target,
+		listener:    listener,
+		connections: make(map[*proxied]struct{}),
+		release:     make(chan struct{}),
+		closed:      make(chan struct{}),
+	}
+	p.pumps.Go(p.accept)
+	t.Cleanup(p.stop)
+	return p
+}
+
+func (p *faultProxy) address() string { return p.listener.Addr().String() }
+
+func (p *faultProxy) stop() {
+	p.listener.Close()
+	close(p.closed)
+	p.cutAll()
+	p.pumps.Wait()
+}
+
+func (p *faultProxy) accept() {
+	for {
+		client, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		p.pumps.Go(func() { p.connect(client) })
+	}
+}
+
+func (p *faultProxy) connect(client net.Conn) {
+	server, err := net.DialTimeout("tcp", p.target, httpPatience)
+	if err != nil {
+		// The server's refusal shows as a reset.
+		(&proxied{client: client, server: client}).reset()
+		return
+	}
+	connection := &proxied{client: client, server: server}
+	p.mutex.Lock()
+	p.connections[connection] = struct{}{}
+	p.mutex.Unlock()
+	select {
+	case <-p.closed:
+		connection.close()
+	default:
+	}
+	p.pumps.Go(func() { p.pump(connection, towardsServer) })
+	p.pump(connection, towardsClient)
+	p.mutex.Lock()
+	delete(p.connections, connection)
+	p.mutex.Unlock()
+}
+
+// pump copies one direction until an end or a rule stops it. An end of one side
+// closes both, as the death of either process does.
+func (p *faultProxy) pump(connection *proxied, way direction) {
+	defer connection.close()
+	from, to := connection.client, connection.server
+	if way == towardsClient {
+		from, to = to, from
+	}
+	buffer := make([]byte, proxyBuffer)
+	var striking *rule
+	var left int64
+	for {
+		count, err := from.Read(buffer)
+		piece := buffer[:count]
+		p.note(way, piece)
+		p.pause()
+		if striking == nil && count > 0 {
+			if striking = p.strike(way, piece); striking != nil {
+				left = striking.after
+			}
+		}
+		if striking != nil {
+			passing := min(left, int64(len(piece)))
+			left -= passing
+			if _, failure := to.Write(piece[:passing]); failure != nil {
+				return
+			}
+			if passing < int64(len(piece)) && !p.finish(connection, striking, from, to, piece[passing:]) {
+				return
+			}
+		} else if _, failure := to.Write(piece); failure != nil {
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// finish carries out a rule's ending and tells whether the pump goes on.
+func (p *faultProxy) finish(connection *proxied, striking *rule, from io.Reader, to io.Writer, rest []byte) bool {
+	switch striking.end {
+	case endReset:
+		connection.reset()
+	case endDiscard:
+		_, _ = io.Copy(io.Discard, from)
+	case endHold:
+		p.mutex.Lock()
+		release := p.release
+		p.mutex.Unlock()
+		select {
+		case <-release:
+			_, err := to.Write(rest)
+			if err == nil {
+				_, _ = io.Copy(to, from)
+			}
+		case <-p.closed:
+		}
+	}
+	return false
+}
+
+// strike returns the first rule for a piece.
+func (p *faultProxy) strike(way direction, piece []byte) *rule {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for position, candidate := range p.rules {
+		if candidate.way != way || !bytes.Contains(piece, []byte(candidate.match)) {
+			continue
+		}
+		p.struck++
+		if candidate.times > 0 {
+			candidate.times--
+			if candidate.times == 0 {
+				p.rules = append(p.rules[:position:position], p.rules[position+1:]...)
+			}
+		}
+		return candidate
+	}
+	return nil
+}
+
+// note keeps what the server has answered, for tests that look for a text.
+func (p *faultProxy) note(way direction, piece []byte) {
+	if way != towardsClient {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.seen.Write(piece)
+}
+
+// answered tells whether the server has sent a text.
+func (p *faultProxy) answered(text string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return bytes.Contains(p.seen.Bytes(), []byte(text))
+}
+
+func (p *faultProxy) pause() {
+	p.mutex.Lock()
+	delay := p.delay
+	p.mutex.Unlock()
+	if delay <= 0 {
+		return
+	}
+	select {
+	case <-time.After(delay):
+	case <-p.closed:
+	}
+}
+
+// setDelay delays each piece in both directions.
+func (p *faultProxy) setDelay(delay time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.delay = delay
+}
+
+// setRules replaces the rules; connections that were struck stay so.
+func (p *faultProxy) setRules(rules ...rule) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.rules = nil
+	for _, added := range rules {
+		p.rules = append(p.rules, &added)
+	}
+}
+
+// strikes is the number of connections that rules have struck.
+func (p *faultProxy) strikes() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.struck
+}
+
+// releaseHeld lets held connections go on.
+func (p *faultProxy) releaseHeld() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	close(p.release)
+	p.release = make(chan struct{})
+}
+
+// cutAll resets every open connection.
+func (p *faultProxy) cutAll() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for connection := range p.connections {
+		connection.reset()
+	}
+}
