Bound what the YAML reader spends on a hostile file

Routers parse the configuration that an operator sends, and the YAML library's parser takes time that grows with the square of the nesting, of a mapping's size and of a line's length: 50,000 nested brackets took 4.0 s, 50,000 nested braces 9.9 s, 50,000 keys of one mapping 4.9 s, and the duplicate check of our own problem lists 12 s for 50,000 elements.

Another library was not weighed, since positions come from this one. The reader now counts the tokens, whose lexing is linear, and refuses files over 1 MiB, 32 levels, 256 fields in a mapping or 4,096 tokens in a line. The list of problems merges by a map. What is left: a file near 1 MiB made of list elements can still take seconds.

--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -16,11 +16,7 @@
 func Parse(source []byte) (*Document, Problems) {
 	var document Document
 	positions, problems := strictyaml.Decode(source, &document)
-	for _, problem := range check(&document, positions) {
-		if !locatedBefore(problems, problem) {
-			problems = append(problems, problem)
-		}
-	}
+	problems = problems.AppendNew(check(&document, positions))
 	if len(problems) > 0 {
 		problems.Sort()
 		return nil, problems
@@ -29,17 +25,6 @@
 	return &canonical, nil
 }
 
-// locatedBefore tells whether reading has already reported the field: a value
-// of a wrong type would otherwise be reported as missing, too.
-func locatedBefore(problems Problems, problem Problem) bool {
-	for _, earlier := range problems {
-		if earlier.Field == problem.Field {
-			return true
-		}
-	}
-	return false
-}
-
 // Check reports every error of a document; the problems carry fields only.
 func Check(document Document) Problems {
 	return check(&document, nil)
--- a/internal/config/parse_test.go
+++ b/internal/config/parse_test.go
@@ -94,6 +94,25 @@
 	}
 }
 
+// TestParseRefusesHostileFile gives files on which the syntax parser would
+// take minutes.
+func TestParseRefusesHostileFile(t *testing.T) {
+	cases := map[string]string{
+		"[":       "levels of nesting",
+		"{a: ":    "levels of nesting",
+		"- ":      "levels of nesting",
+		"&a ":     "levels of nesting",
+		"a: ":     "fields in one mapping",
+		"a:\n ":   "fields in one mapping",
+		`"x"`:     "words and signs in one line",
+		"# 234\n": "over 1048576 bytes",
+	}
+	for unit, message := range cases {
+		_, problems := Parse([]byte("tenants:\n " + strings.Repeat(unit, 200_000)))
+		assert.Contains(t, problems.Error(), message, unit)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(validYAML))
 	f.Add([]byte("tenants: [{name: 1, classes: {}}]"))
--- a/internal/config/strictyaml/decode.go
+++ b/internal/config/strictyaml/decode.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
 )
 
@@ -31,7 +32,14 @@
 
 // parseDocument returns the one document of a file; nil means an empty file.
 func parseDocument(source []byte) (ast.Node, *Problem) {
-	file, err := parser.ParseBytes(source, 0, parser.AllowDuplicateMapKey())
+	if len(source) > MaxBytes {
+		return nil, &Problem{Line: 1, Column: 1, Message: fmt.Sprintf("the file is over %d bytes", MaxBytes)}
+	}
+	tokens := lexer.Tokenize(string(source))
+	if problem := checkLimits(tokens); problem != nil {
+		return nil, problem
+	}
+	file, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		return nil, syntaxProblem(err)
 	}
--- /dev/null
+++ b/internal/config/strictyaml/limits.go
@@ -0,0 +1,83 @@
+package strictyaml
+
+import (
+	"fmt"
+
+	"github.com/goccy/go-yaml/token"
+)
+
+// Limits of a file. The syntax parser's time grows with the square of the
+// nesting, of a mapping's size and of a line's length, so that a hostile file could otherwise hold
+// up a process.
+const (
+	MaxBytes      = 1 << 20
+	MaxNesting    = 32
+	MaxKeys       = 256
+	MaxLineTokens = 4096
+)
+
+// checkLimits returns a problem at the first place that is over a limit.
+func checkLimits(tokens token.Tokens) *Problem {
+	counter := limitCounter{keysByColumn: make(map[int]int)}
+	for _, current := range tokens {
+		counter.count(current)
+		switch {
+		case counter.brackets > MaxNesting || counter.opened > MaxNesting:
+			return limitProblem(current, "more than %d levels of nesting", MaxNesting)
+		case counter.keysInLine > MaxKeys || counter.keysByColumn[current.Position.Column] > MaxKeys:
+			return limitProblem(current, "more than %d fields in one mapping", MaxKeys)
+		case counter.tokensInLine > MaxLineTokens:
+			return limitProblem(current, "more than %d words and signs in one line", MaxLineTokens)
+		}
+	}
+	return nil
+}
+
+func limitProblem(at *token.Token, format string, limit int) *Problem {
+	return &Problem{Line: at.Position.Line, Column: at.Position.Column, Message: fmt.Sprintf(format, limit)}
+}
+
+// limitCounter counts, without parsing, what bounds the parser's work.
+type limitCounter struct {
+	line int
+	// brackets is the number of open brackets and braces.
+	brackets int
+	// opened is the number of levels and properties that begin in this line.
+	opened       int
+	keysInLine   int
+	tokensInLine int
+	// keysByColumn counts the keys that begin in the same column, as those of
+	// one block mapping do, until a line begins further left.
+	keysByColumn map[int]int
+}
+
+func (c *limitCounter) count(current *token.Token) {
+	if current.Position.Line != c.line {
+		c.beginLine(current.Position)
+	}
+	c.tokensInLine++
+	switch current.Type {
+	case token.SequenceStartType, token.MappingStartType:
+		c.brackets++
+	case token.SequenceEndType, token.MappingEndType:
+		c.brackets = max(c.brackets-1, 0)
+	case token.SequenceEntryType, token.MappingKeyType, token.AnchorType, token.AliasType, token.TagType:
+		c.opened++
+	}
+	if next := current.Next; next != nil && next.Type == token.MappingValueType {
+		c.keysInLine++
+		c.keysByColumn[current.Position.Column]++
+	}
+}
+
+func (c *limitCounter) beginLine(position *token.Position) {
+	c.line = position.Line
+	c.opened = 0
+	c.keysInLine = 0
+	c.tokensInLine = 0
+	for column := range c.keysByColumn {
+		if column > position.Column {
+			delete(c.keysByColumn, column)
+		}
+	}
+}
--- a/internal/config/strictyaml/problem.go
+++ b/internal/config/strictyaml/problem.go
@@ -56,6 +56,21 @@
 	return p
 }
 
+// AppendNew appends the problems of fields that have none yet: a value of a
+// wrong type would otherwise be reported as missing, too.
+func (p Problems) AppendNew(more Problems) Problems {
+	known := make(map[string]bool, len(p))
+	for _, problem := range p {
+		known[problem.Field] = true
+	}
+	for _, problem := range more {
+		if !known[problem.Field] {
+			p = append(p, problem)
+		}
+	}
+	return p
+}
+
 // Sort orders problems by place, then by field.
 func (p Problems) Sort() {
 	slices.SortStableFunc(p, func(a, b Problem) int {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -54,8 +54,8 @@
 		problems = append(problems, strictyaml.Set(target, override.Field, override.Value)...)
 		positions[override.Field] = strictyaml.Position{}
 	}
-	problems = appendNew(problems, strictyaml.Validate(target, positions))
-	problems = appendNew(problems, checkAcross(target, positions))
+	problems = problems.AppendNew(strictyaml.Validate(target, positions))
+	problems = problems.AppendNew(checkAcross(target, positions))
 	problems.Sort()
 	return problems
 }
@@ -71,17 +71,3 @@
 	})
 	return problems
 }
-
-// appendNew adds the problems of fields that have none yet.
-func appendNew(problems, more Problems) Problems {
-	known := make(map[string]bool, len(problems))
-	for _, problem := range problems {
-		known[problem.Field] = true
-	}
-	for _, problem := range more {
-		if !known[problem.Field] {
-			problems = append(problems, problem)
-		}
-	}
-	return problems
-}
