Log no refusal of an accepted configuration, nor another member's name as one's own

It logged a false warning; nothing else depended on it. The two places now wrap errors only. A search of the tree for other unguarded wraps found none.

member_changed put the other member's name under node=, the key that carries the own node on every line; it is member= now.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -169,13 +169,13 @@
 	for _, member := range after.Members() {
 		old, known := before.Find(member.Node)
 		if !known || old.State != member.State {
-			p.options.Logger.Info().Str("node", string(member.Node)).Str("address", string(member.Address)).
+			p.options.Logger.Info().Str("member", string(member.Node)).Str("address", string(member.Address)).
 				Str("zone", string(member.Zone)).Stringer("state", member.State).Msg("member_changed")
 		}
 	}
 	for _, member := range before.Members() {
 		if _, known := after.Find(member.Node); !known {
-			p.options.Logger.Info().Str("node", string(member.Node)).Stringer("state", membership.Dead).Msg("member_changed")
+			p.options.Logger.Info().Str("member", string(member.Node)).Stringer("state", membership.Dead).Msg("member_changed")
 		}
 	}
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -164,3 +164,17 @@
 	assert.Equal(t, rpc.GossipKind_GOSSIP_KIND_ACK, answer.GetKind())
 	assert.Zero(t, first.holder.Revision())
 }
+
+func TestAcceptedAnswersGiveNoError(t *testing.T) {
+	first := startPeer(t, "first")
+	snapshot, err := config.SnapshotMessage(document(1, 1))
+	require.NoError(t, err)
+	require.NoError(t, first.takeAnswer(&rpc.ChangesResponse{Snapshot: snapshot}))
+	change, err := config.Diff(document(1, 1), document(2, 2))
+	require.NoError(t, err)
+	changes, err := config.ChangeMessages([]config.Change{change})
+	require.NoError(t, err)
+	require.NoError(t, first.takeAnswer(&rpc.ChangesResponse{Changes: changes}))
+	assert.EqualValues(t, 2, first.holder.Revision())
+	assert.Error(t, first.takeAnswer(&rpc.ChangesResponse{Snapshot: &rpc.ConfigSnapshot{Revision: 3, Document: []byte("no JSON")}}))
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -152,15 +152,19 @@
 		if err != nil {
 			return err
 		}
-		_, err = p.options.Holder.OfferSnapshot(document)
-		return errors.Wrap(err, "snapshot")
+		if _, err = p.options.Holder.OfferSnapshot(document); err != nil {
+			return errors.Wrap(err, "snapshot")
+		}
+		return nil
 	}
 	changes, err := config.ChangesFromMessages(answer.GetChanges())
 	if err != nil {
 		return err
 	}
-	_, _, err = p.options.Holder.OfferChanges(changes)
-	return errors.Wrap(err, "changes")
+	if _, _, err = p.options.Holder.OfferChanges(changes); err != nil {
+		return errors.Wrap(err, "changes")
+	}
+	return nil
 }
 
 func (p *Peer) header() *rpc.Header {
