Let the engine stand-in say which streams it has accepted

An integration test of "at most once" needs the engine's own count, over all its incarnations: GET /control/executions lists the accepted streams.

--- /dev/null
+++ b/lab/standin/engineserver/executions.go
@@ -0,0 +1,42 @@
+package engineserver
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// PathExecutions (GET) answers with Executions. It suffers no faults.
+const PathExecutions = "/control/executions"
+
+// maxExecutions bounds the streams that are remembered.
+const maxExecutions = 1 << 16
+
+// Executions are the streams that the stand-in has accepted since its process
+// began, in order, over all its incarnations.
+type Executions struct {
+	Streams []fleet.StreamID `json:"streams"`
+}
+
+// noteExecution remembers an accepted stream. The caller holds the mutex.
+func (s *Server) noteExecution(id fleet.StreamID) {
+	if len(s.executions) < maxExecutions {
+		s.executions = append(s.executions, id)
+	}
+}
+
+// Executions returns the streams accepted so far.
+func (s *Server) Executions() Executions {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return Executions{Streams: slices.Clone(s.executions)}
+}
+
+func (h *handlers) getExecutions(writer http.ResponseWriter, _ bunrouter.Request) error {
+	engine.WriteAnswer(writer, h.server.Executions())
+	return nil
+}
--- a/lab/standin/engineserver/handlers.go
+++ b/lab/standin/engineserver/handlers.go
@@ -25,6 +25,7 @@
 	router.GET(PathFaults, h.getFaults)
 	router.POST(PathFaults, h.postFaults)
 	router.POST(PathRestart, h.postRestart)
+	router.GET(PathExecutions, h.getExecutions)
 	faulty := router.NewGroup("", bunrouter.WithMiddleware(h.applyFaults))
 	faulty.POST(engine.PathStreams, h.dispatch)
 	faulty.GET(engine.PathResume, h.resume)
--- a/lab/standin/engineserver/server.go
+++ b/lab/standin/engineserver/server.go
@@ -61,6 +61,8 @@
 	readers map[fleet.StreamID]int
 	// orphans are streams without a reader, with the time they lost the last.
 	orphans map[fleet.StreamID]time.Duration
+	// executions are the accepted streams, for Executions.
+	executions []fleet.StreamID
 	// changed is closed and replaced whenever there may be something to read.
 	changed chan struct{}
 	// shown is what the model had done when changed was last closed.
--- a/lab/standin/engineserver/server_test.go
+++ b/lab/standin/engineserver/server_test.go
@@ -224,6 +224,7 @@
 	server.Kill()
 	_, err = client.Dispatch(t.Context(), dispatchOf("r.2", 4))
 	requireCode(t, engine.ErrorConnect, err)
+	assert.Equal(t, []fleet.StreamID{"r.1"}, server.Executions().Streams, "one dispatch was accepted")
 }
 
 func TestStreamWithoutReaderIsCancelledAfterItsGrace(t *testing.T) {
--- a/lab/standin/engineserver/streams.go
+++ b/lab/standin/engineserver/streams.go
@@ -32,6 +32,7 @@
 	s.mutex.Lock()
 	err := s.model.Dispatch(s.now(), body)
 	if err == nil {
+		s.noteExecution(body.StreamID)
 		s.attach(body.StreamID)
 		s.notify()
 	}
