Name the token of every uncertain command, count cache resyncs

The store reports an uncertain command as a coded error, which lost the hint to look its token up. Errors of the HTTP server are logged as events.

--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -262,10 +262,12 @@
 	assert.Equal(t, resultcode.RevisionConflict, stale.Code)
 	assert.NotEmpty(t, stale.Token, "a command without a token gets one")
 	assert.Equal(t, resultcode.TargetNotFound, f.run("lookup token").Code)
-	f.store.failure = errors.New("answer lost")
-	uncertain := f.run("drain e1")
-	assert.Equal(t, resultcode.CommandUncertain, uncertain.Code)
-	assert.Contains(t, uncertain.Message, "lookup token")
+	for _, lost := range []error{errors.New("answer lost"), resultcode.New(resultcode.CommandUncertain, "answer lost")} {
+		f.store.failure = lost
+		uncertain := f.run("drain e1")
+		assert.Equal(t, resultcode.CommandUncertain, uncertain.Code)
+		assert.Contains(t, uncertain.Message, "answer lost; ask with: lookup token")
+	}
 	assert.Equal(t, resultcode.PlatformUnavailable, f.run("lookup token").Code)
 	f.store.failure = nil
 	f.run("drain e1")
--- a/internal/operator/run.go
+++ b/internal/operator/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
@@ -138,12 +137,18 @@
 	}
 }
 
+// commitFailure reports a command without an outcome. One that may have taken
+// effect says how to find out.
 func commitFailure(token string, err error) Result {
-	result := failure(resultcode.CommandUncertain, fmt.Sprintf("%v; ask with: lookup %s", err, token))
+	code, message := resultcode.CommandUncertain, err.Error()
 	var coded *resultcode.Error
 	if errors.As(err, &coded) {
-		result = failure(coded.Code, coded.Message)
+		code, message = coded.Code, coded.Message
 	}
+	if code == resultcode.CommandUncertain {
+		message += "; ask with: lookup " + token
+	}
+	result := failure(code, message)
 	result.Token = token
 	return result
 }
--- a/internal/router/enginewatcher.go
+++ b/internal/router/enginewatcher.go
@@ -197,6 +197,7 @@
 	if err != nil {
 		return err
 	}
+	w.metrics.resyncs.Inc()
 	w.placer.do(func(now time.Duration, core *placement.Core) { core.ObserveCacheSnapshot(now, w.id, snapshot) })
 	return nil
 }
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"log"
 	"net/http"
 	"time"
 
@@ -41,6 +42,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.New(r.logger.With().Str("source", "http").Logger(), "", 0),
 	}
 }
 
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -30,6 +30,7 @@
 	decisionTime   prometheus.Histogram
 	withdrawn      prometheus.Counter
 	eventsReceived prometheus.Counter
+	resyncs        prometheus.Counter
 	engineErrors   *prometheus.CounterVec
 	platformErrors *prometheus.CounterVec
 }
@@ -59,6 +60,10 @@
 			Namespace: metricsNamespace, Name: "cache_events_total",
 			Help: "Cache events received from engines.",
 		}),
+		resyncs: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "cache_resyncs_total",
+			Help: "Whole caches fetched from engines, at the start of a run and after lost events.",
+		}),
 		engineErrors: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Name: "engine_errors_total",
 			Help: "Failed calls to engines by kind.",
@@ -68,7 +73,7 @@
 			Help: "Failed calls to the platform by kind.",
 		}, []string{"call"}),
 	}
-	m.registry.MustRegister(m.outcomes, m.queueWait, m.decisionTime, m.withdrawn, m.eventsReceived, m.engineErrors, m.platformErrors,
+	m.registry.MustRegister(m.outcomes, m.queueWait, m.decisionTime, m.withdrawn, m.eventsReceived, m.resyncs, m.engineErrors, m.platformErrors,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
