Test the guards of membership one by one; drop what showed no effect

Each guard was removed on a scratch copy. The tests noticed missing indirect probes, refutation, eager leaves, second pushes, pulls, the receiver's own record in messages, and tombstones. They did not notice missing reconnection (seeds healed the cut), contested deaths, the allowance after a freeze, address takeover and whole exchanges: each of these now has a test that fails without it.

--- /dev/null
+++ b/internal/membership/belief_test.go
@@ -0,0 +1,101 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// pair returns a core and a member of its region that it holds alive.
+func pair(t *testing.T) (*Core, Member) {
+	network := newNetwork(t, 41, 1)
+	core := network.run(network.member(0)).core
+	other := network.member(1)
+	other.State = Alive
+	core.Receive(0, Message{Kind: Ack, Sender: other, Target: other.Node})
+	require.True(t, core.isLive(other.Node))
+	return core, other
+}
+
+func TestDeathHeardFromAnotherRegionIsContested(t *testing.T) {
+	core, other := pair(t)
+	stranger := Member{Node: "stranger", Address: "10.9.9.9:1", Region: "elsewhere", State: Alive}
+	dead := other
+	dead.State = Dead
+	core.Receive(time.Second, Message{Kind: Ack, Sender: stranger, Target: stranger.Node, Updates: []Member{dead}})
+	require.Equal(t, Suspect, core.table.byNode[other.Node].State)
+	var told bool
+	for _, message := range core.Tick(core.NextWake()) {
+		told = told || (message.Kind == Probe && message.To == other.Address && message.Updates[0].State == Suspect)
+	}
+	assert.True(t, told, "the member isn't told that it is suspected")
+	other.Incarnation++
+	core.Receive(core.NextWake(), Message{Kind: Ack, Sender: other, Target: other.Node})
+	assert.Equal(t, Alive, core.table.byNode[other.Node].State)
+}
+
+func TestDeathHeardInOwnRegionIsTaken(t *testing.T) {
+	core, other := pair(t)
+	neighbour := Member{Node: "neighbour", Address: "10.9.9.9:1", Region: other.Region, State: Alive}
+	dead := other
+	dead.State = Dead
+	core.Receive(time.Second, Message{Kind: Ack, Sender: neighbour, Target: neighbour.Node, Updates: []Member{dead}})
+	assert.False(t, core.isLive(other.Node))
+}
+
+func TestThawedNodeGivesSuspectsTheirTime(t *testing.T) {
+	core, other := pair(t)
+	other.State = Suspect
+	core.merge(time.Second, other, claimSource{region: other.Region})
+	thaw := core.NextWake() + time.Hour
+	core.Tick(thaw)
+	require.True(t, core.isLive(other.Node), "a suspect died while this node was frozen")
+	for now := thaw; core.isLive(other.Node); now = core.NextWake() {
+		require.Less(t, now, thaw+time.Minute)
+		core.Tick(now)
+	}
+}
+
+func TestNodeAtTakenOverAddressDiesAtOnce(t *testing.T) {
+	core, other := pair(t)
+	successor := other
+	successor.Node += "-second"
+	core.Receive(time.Second, Message{Kind: Nack, Sender: successor, Target: other.Node})
+	assert.False(t, core.isLive(other.Node))
+	assert.True(t, core.isLive(successor.Node))
+}
+
+func TestExchangeBringsWhatGossipMissed(t *testing.T) {
+	network := newNetwork(t, 42, 1)
+	network.startKnown(3)
+	network.forgetSeeds()
+	unknown, missing := network.all[2], network.all[1]
+	delete(missing.core.table.byNode, unknown.core.Self().Node)
+	missing.core.table.sorted = []*record{missing.core.table.sorted[0]}
+	missing.core.countLive(unknown.core.Self().Region, -1)
+	network.blocked = func(from, to Member) bool {
+		return from.Node != network.all[0].core.Self().Node && to.Node != network.all[0].core.Self().Node
+	}
+	require.False(t, missing.core.isLive(unknown.core.Self().Node))
+	network.until(3*DefaultExchangeInterval, func() bool { return missing.core.isLive(unknown.core.Self().Node) })
+}
+
+func TestCutOfTwoRegionsKillsNobodyInside(t *testing.T) {
+	network := newNetwork(t, 43, 2)
+	network.startKnown(24)
+	network.forgetSeeds()
+	network.blocked = func(from, to Member) bool { return from.Region != to.Region }
+	network.pass(20 * time.Second)
+	network.blocked = nil
+	for !network.converged() {
+		require.Less(t, network.now, 2*time.Minute)
+		network.pass(100 * time.Millisecond)
+		for _, x := range network.all {
+			for _, record := range x.core.table.sorted {
+				require.False(t, record.State == Dead && record.Region == x.core.Self().Region, "%s of the own region is dead", record.Node)
+			}
+		}
+	}
+}
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -39,7 +39,6 @@
 	nextDead     time.Duration
 	nextSeed     time.Duration
 	nextExchange time.Duration
-	returned     returnedRegion
 }
 
 // New returns a core that knows itself alone.
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -119,6 +119,7 @@
 func TestRegionHealsAfterAnHour(t *testing.T) {
 	network := newNetwork(t, 10, 6)
 	network.startKnown(36)
+	network.forgetSeeds()
 	network.pass(5 * time.Second)
 	cut := network.all[0].core.Self().Region
 	network.blocked = func(from, to Member) bool { return (from.Region == cut) != (to.Region == cut) }
--- a/internal/membership/cost_test.go
+++ b/internal/membership/cost_test.go
@@ -51,6 +51,7 @@
 // both were seen by all, and the bytes that this cost a node.
 func regionReturn(network *network, count int) (seen, healed time.Duration, mean, worst int) {
 	network.startKnown(count)
+	network.forgetSeeds()
 	cut := network.all[0].core.Self().Region
 	network.blocked = func(from, to Member) bool { return (from.Region == cut) != (to.Region == cut) }
 	inside := (count + fleetRegions - 1) / fleetRegions
@@ -106,6 +107,30 @@
 	}
 }
 
+// BenchmarkCrash reports how long it takes until all know of a crash, and of
+// twenty members that crash at once.
+func BenchmarkCrash(b *testing.B) {
+	for _, count := range []int{50, 200, 680} {
+		for _, crashes := range []int{1, 20} {
+			b.Run(fmt.Sprintf("members=%d/crashes=%d", count, crashes), func(b *testing.B) {
+				var total, slowest time.Duration
+				for i := range b.N {
+					network := newNetwork(b, uint64(i), fleetRegions)
+					network.startKnown(count)
+					network.pass(3 * time.Second)
+					for index := range crashes {
+						network.all[index*2].down = true
+					}
+					took := network.until(5*time.Minute, network.converged)
+					total, slowest = total+took, max(slowest, took)
+				}
+				b.ReportMetric(total.Seconds()/float64(b.N), "mean-s")
+				b.ReportMetric(slowest.Seconds(), "slowest-s")
+			})
+		}
+	}
+}
+
 // BenchmarkChange reports what one configuration change of 500 bytes costs
 // beyond the steady messages, and when the last member holds it.
 func BenchmarkChange(b *testing.B) {
--- a/internal/membership/harness_test.go
+++ b/internal/membership/harness_test.go
@@ -129,12 +129,18 @@
 		started.core.queue = broadcastQueue{}
 		started.core.join.pending = false
 		started.core.nextExchange = n.now + started.core.spread(started.core.options.exchangeDelay(count))
-		started.core.returned.pending = false
 	}
 	n.queue = slices.DeleteFunc(n.queue, func(d delivery) bool { return !d.wake })
 	heap.Init(&n.queue)
 }
 
+// forgetSeeds leaves the members with nothing but what they know of each other.
+func (n *network) forgetSeeds() {
+	for _, x := range n.all {
+		x.core.Join(n.now, nil)
+	}
+}
+
 func (n *network) push(d delivery) {
 	n.order++
 	d.order = n.order
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -78,7 +78,7 @@
 	if claim.State == Dead {
 		return
 	}
-	c.countLive(now, claim.Region, 1)
+	c.countLive(claim.Region, 1)
 	c.entered(now, added, Dead)
 }
 
@@ -98,9 +98,9 @@
 	}
 	switch {
 	case previous == Dead && claim.State != Dead:
-		c.countLive(now, claim.Region, 1)
+		c.countLive(claim.Region, 1)
 	case previous != Dead && claim.State == Dead:
-		c.countLive(now, claim.Region, -1)
+		c.countLive(claim.Region, -1)
 	}
 	c.entered(now, current, previous)
 }
@@ -120,13 +120,9 @@
 	}
 }
 
-// countLive keeps the counts by region and notices a region's return.
-func (c *Core) countLive(now time.Duration, region fleet.RegionName, change int) {
+func (c *Core) countLive(region fleet.RegionName, change int) {
 	c.live[region] += change
 	c.liveTotal += change
-	if change > 0 && c.live[region] == 1 {
-		c.regionReturned(now, region)
-	}
 }
 
 // refute answers a claim about this node that isn't true.
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -73,9 +73,6 @@
 	// contestedPerInterval bounds the extra probes of members that another
 	// node holds for dead, or alive, against this node's belief.
 	contestedPerInterval = 20
-	// returnSpread is the time over which members start whole exchanges with a
-	// region that came back.
-	returnSpread = 20 * time.Second
 	// rejoinDelay is the mean time from joining to the first whole exchange.
 	rejoinDelay = 5 * time.Second
 	// outreachMemory is how long the answer to a reconnecting probe is awaited.
--- a/internal/membership/reconnect.go
+++ b/internal/membership/reconnect.go
@@ -21,13 +21,6 @@
 	expires time.Duration
 }
 
-// returnedRegion is a region with which a whole exchange is due.
-type returnedRegion struct {
-	pending bool
-	region  fleet.RegionName
-	at      time.Duration
-}
-
 // Join sets the addresses of possible members and asks some of them for the
 // whole membership, again and again until one answers. Seeds that aren't
 // members are probed now and then for ever.
@@ -182,43 +175,13 @@
 	}
 }
 
-// regionReturned has this node exchange everything with a region that it
-// holds no live member of, at a random time against a herd.
-func (c *Core) regionReturned(now time.Duration, region fleet.RegionName) {
-	if region != c.self.Region && c.countDead(region) > 0 {
-		c.returned = returnedRegion{pending: true, region: region, at: now + c.spread(returnSpread)}
-	}
-}
-
-func (c *Core) countDead(region fleet.RegionName) int {
-	dead := 0
-	for _, record := range c.table.sorted {
-		if record.State == Dead && record.Region == region {
-			dead++
-		}
-	}
-	return dead
-}
-
-// exchange starts a whole exchange with a random member now and then, and
-// with a returned region of which most members still seem dead.
+// exchange starts a whole exchange with a random member now and then.
 func (c *Core) exchange(now time.Duration) {
-	if c.returned.pending && now >= c.returned.at {
-		c.returned.pending = false
-		region := c.returned.region
-		if c.countDead(region) > c.live[region] {
-			c.exchangeWith(now, func(r *record) bool { return r.Region == region })
-			return
-		}
-	}
-	if now >= c.nextExchange {
-		c.exchangeWith(now, func(*record) bool { return true })
+	if now < c.nextExchange {
+		return
 	}
-}
-
-func (c *Core) exchangeWith(now time.Duration, matches func(*record) bool) {
 	c.postponeExchange(now)
-	for _, peer := range c.pick(1, matches) {
+	for _, peer := range c.pick(1, func(*record) bool { return true }) {
 		c.sendAll(now, Join, peer.Address, peer.Node)
 	}
 }
