Let an operator's admit end a drain of the same run

Cause: placement kept the operator's drain as it keeps the word of the machine list and of the engine, for the whole run. admit took the directive out of the configuration, and no router gave the engine work again. Ruled out: the command (it commits the right document) and rollout (drain sends no order).

Change: list and engine lag or may be seen again in an older state, so their word sticks to the run. A directive comes with a revision that never reverts, so the newest configuration alone says whether it holds.

After: internal/placement and internal/router pass, 3 runs with -race.

--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -69,7 +69,7 @@
 		Zone:            state.machine.Zone,
 		Pool:            state.machine.Pool,
 		Ready:           state.ready(now, c.options.ReadyFor),
-		Leaving:         state.leaving != LeavingNone,
+		Leaving:         state.leavingBy() != LeavingNone,
 		Serves:          state.serves,
 		InFlight:        state.streams(),
 		PrefillTokens:   max(ahead, int(slot/state.load.speed())),
--- a/internal/placement/enginestate.go
+++ b/internal/placement/enginestate.go
@@ -32,7 +32,11 @@
 	run     fleet.EngineRun
 	machine platform.Machine
 	owned   bool
-	leaving LeavingSource
+	// leaving is the word of the list or the engine, which lag: it sticks.
+	// directed is the standing order in the configuration, which never reverts
+	// to a lower revision: an operator can end a drain.
+	leaving  LeavingSource
+	directed bool
 	// inPool tells that the core's list of pool has the engine.
 	inPool bool
 	pool   fleet.PoolName
@@ -75,6 +79,7 @@
 func (e *engineState) begin(incarnation fleet.Incarnation) {
 	e.run.Incarnation = incarnation
 	e.leaving = LeavingNone
+	e.directed = false
 	e.unreachable = false
 	e.status = nil
 	e.loaded = nil
@@ -84,13 +89,22 @@
 	e.inFlight = 0
 }
 
-// leave notes the first source that says the run is leaving. It sticks.
+// leave notes the first of list and engine that says the run is leaving. It
+// sticks.
 func (e *engineState) leave(source LeavingSource) {
 	if e.leaving == LeavingNone {
 		e.leaving = source
 	}
 }
 
+// leavingBy tells who says that the run is leaving.
+func (e *engineState) leavingBy() LeavingSource {
+	if e.leaving == LeavingNone && e.directed {
+		return LeavingOperator
+	}
+	return e.leaving
+}
+
 func (e *engineState) servesWeights(weights fleet.Weights) bool {
 	_, loaded := e.loaded[weights]
 	return loaded && takesRequests(e.status.Role)
@@ -104,7 +118,7 @@
 
 // placeable tells whether the engine may get work here once it is ready.
 func (e *engineState) placeable() bool {
-	return e.owned && e.leaving == LeavingNone
+	return e.owned && e.leavingBy() == LeavingNone
 }
 
 func (e *engineState) takeStatus(now time.Duration, status engine.Status) {
--- a/internal/placement/observe.go
+++ b/internal/placement/observe.go
@@ -202,16 +202,15 @@
 	return true
 }
 
-// applyDirectives notes an operator's standing order about the present run.
+// applyDirectives takes over the operators' standing orders about the present
+// run, as the newest known configuration has them.
 func (c *Core) applyDirectives(state *engineState) {
 	if c.view == nil {
 		return
 	}
-	for _, directive := range c.view.Directives(state.run) {
-		if directive.Kind == config.DirectiveDrain || directive.Kind == config.DirectiveRetire {
-			state.leave(LeavingOperator)
-		}
-	}
+	state.directed = slices.ContainsFunc(c.view.Directives(state.run), func(directive config.Directive) bool {
+		return directive.Kind == config.DirectiveDrain || directive.Kind == config.DirectiveRetire
+	})
 }
 
 // follow starts or stops keeping the index of an engine's cache.
--- a/internal/placement/snapshot.go
+++ b/internal/placement/snapshot.go
@@ -91,7 +91,7 @@
 		Zone:         state.machine.Zone,
 		Pool:         state.machine.Pool,
 		Condition:    state.condition(now, c.options.ReadyFor),
-		Leaving:      state.leaving,
+		Leaving:      state.leavingBy(),
 		Owned:        state.owned,
 		InFlight:     state.inFlight,
 		Streams:      state.streams(),
@@ -111,7 +111,7 @@
 
 func (e *engineState) condition(now, readyFor time.Duration) EngineCondition {
 	switch {
-	case e.leaving != LeavingNone:
+	case e.leavingBy() != LeavingNone:
 		return EngineLeaving
 	case e.unreachable:
 		return EngineUnreachable
