--- a/internal/router/fixture_test.go
+++ b/internal/router/fixture_test.go
@@ -42,12 +42,12 @@
 
 // testFleet is a platform with engines on loopback.
 type testFleet struct {
-	t        *testing.T
+	t        testing.TB
 	platform *platformserver.Server
 	engines  []*engineserver.Server
 }
 
-func newTestFleet(t *testing.T, engines int) *testFleet {
+func newTestFleet(t testing.TB, engines int) *testFleet {
 	f := &testFleet{t: t, platform: platformserver.New(platformmodel.Options{}, zerolog.Nop())}
 	require.NoError(t, f.platform.Start(anyPort))
 	t.Cleanup(func() { _ = f.platform.Stop() })
@@ -150,7 +150,7 @@
 	}
 }
 
-func place(t *testing.T, r *Router, id string) *rpc.PlaceResponse {
+func place(t testing.TB, r *Router, id string) *rpc.PlaceResponse {
 	response, err := placementClient(r).Place(context.Background(), placeRequest(id))
 	require.NoError(t, err)
 	return response
@@ -166,7 +166,7 @@
 	return answers
 }
 
-func reportPhase(t *testing.T, r *Router, response *rpc.PlaceResponse, phase rpc.AttemptPhase) {
+func reportPhase(t testing.TB, r *Router, response *rpc.PlaceResponse, phase rpc.AttemptPhase) {
 	_, err := placementClient(r).Report(context.Background(), &rpc.ReportRequest{Reports: []*rpc.AttemptReport{{
 		RequestId: response.GetRequestId(), Attempt: response.GetAttempt(), Run: response.GetGrant().GetRun(), Phase: phase,
 	}}})
@@ -185,7 +185,7 @@
 	return granted
 }
 
-func execute(t *testing.T, r *Router, statement string) *rpc.ExecuteResponse {
+func execute(t testing.TB, r *Router, statement string) *rpc.ExecuteResponse {
 	client := rpc.NewOperationsProtobufClient("http://"+string(r.Address()), &http.Client{})
 	response, err := client.Execute(context.Background(), &rpc.ExecuteRequest{Statement: statement})
 	require.NoError(t, err)
