--- a/lab/localfleet/localfleet.go
+++ b/lab/localfleet/localfleet.go
@@ -43,7 +43,9 @@
 	Engines  int
 	// AgentAddress is where the agent listens.
 	AgentAddress fleet.Address
-	Logger       zerolog.Logger
+	// Costs is the engines' speed; the zero value means the model's default.
+	Costs  enginemodel.Costs
+	Logger zerolog.Logger
 }
 
 // Fleet is a running fleet.
@@ -59,6 +61,9 @@
 // Start starts every process and waits until the agent is ready or the context
 // ends. A fleet that fails to start is stopped.
 func Start(ctx context.Context, options Options) (*Fleet, error) {
+	if options.Costs == (enginemodel.Costs{}) {
+		options.Costs = enginemodel.DefaultCosts()
+	}
 	f := &Fleet{options: options}
 	if err := f.start(ctx); err != nil {
 		return nil, errors.Join(err, f.Stop())
@@ -114,7 +119,7 @@
 	return enginemodel.Config{
 		ID:          id,
 		Zone:        zone,
-		Costs:       enginemodel.DefaultCosts(),
+		Costs:       f.options.Costs,
 		CacheBlocks: cacheBlocks,
 		BlockTokens: model.BlockTokens,
 		EventDelay:  eventDelay,
@@ -169,7 +174,7 @@
 	if err != nil {
 		return errors.Wrap(err, "set up agent")
 	}
-	if err := instance.Start(ctx); err != nil {
+	if err := instance.Start(context.WithoutCancel(ctx)); err != nil {
 		return errors.Wrap(err, "start agent")
 	}
 	f.agent = instance
@@ -216,6 +221,12 @@
 // RouterAddress is where operators send statements.
 func (f *Fleet) RouterAddress() fleet.Address { return f.routers[0].Address() }
 
+// EngineAddress is where one engine listens, counted from 0.
+func (f *Fleet) EngineAddress(index int) fleet.Address { return f.engines[index].Address() }
+
+// EngineStatus is an engine's word about itself, counted from 0.
+func (f *Fleet) EngineStatus(index int) engine.Status { return f.engines[index].Status() }
+
 // Stop stops every process, callers' side first, and returns all errors.
 func (f *Fleet) Stop() error {
 	var failures []error
