--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -306,6 +308,53 @@
 	return answer.Rows
 }
 
+// apply commits a configuration through a router, and returns when every router
+// and the agent have it in force.
+func (f *testFleet) apply(routerName, configuration string) *operatorAnswer {
+	f.t.Helper()
+	path := filepath.Join(f.t.TempDir(), "config.yaml")
+	require.NoError(f.t, os.WriteFile(path, []byte(configuration), 0o600))
+	result := runCommand(f.t, "tillerfall", "apply", "--json", commandPatience, "--router", f.listens[routerName], path)
+	require.Zero(f.t, result.exitCode, result.diagnostics)
+	var answer operatorAnswer
+	require.NoError(f.t, json.Unmarshal([]byte(result.output), &answer))
+	f.awaitRevision(answer.Revision)
+	return &answer
+}
+
+// awaitRevision waits until every router and the agent have a revision.
+func (f *testFleet) awaitRevision(revision uint64) {
+	f.t.Helper()
+	for _, name := range f.names("router") {
+		eventually(f.t, fmt.Sprintf("%s has revision %d", name, revision), func() bool {
+			rows := f.query(name, "show revision")
+			return len(rows) == 1 && rows[0][0] == strconv.FormatUint(revision, 10)
+		})
+	}
+	eventually(f.t, fmt.Sprintf("the agent has revision %d", revision), func() bool {
+		return f.processes["agent-1"].logged("event=config_accepted", fmt.Sprintf("revision=%d ", revision)) > 0
+	})
+}
+
+// executions counts the dispatches of a request that engines have accepted.
+func (f *testFleet) executions(requestID string) int {
+	f.t.Helper()
+	count := 0
+	for _, name := range f.names("engine") {
+		response, err := shortExchanges.Get("http://" + f.listens[name] + engineserver.PathExecutions)
+		require.NoError(f.t, err)
+		var executions engineserver.Executions
+		require.NoError(f.t, json.NewDecoder(response.Body).Decode(&executions))
+		require.NoError(f.t, response.Body.Close())
+		for _, stream := range executions.Streams {
+			if strings.HasPrefix(string(stream), requestID+".") {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // engineStatus asks an engine itself, past its proxy.
 func (f *testFleet) engineStatus(name string) engine.Status {
 	f.t.Helper()
