Hand requests back from a saturated part of the fleet

With index_replicas over 0 a router owns a few engines of a pool. A request that found them busy queued there or was refused, although other routers owned idle engines.

A router now hands a new request back at once as "saturated" when all that it owns of the pool is full and the predicted wait is over SpillWait plus the time to compute the prefix cached here elsewhere, or would miss the deadline, or when SpillQueue requests wait for each engine. Refusals for want of capacity are spilled too; a tenant's full queue is not, since that is a limit and no want of capacity. From SpillHops hand-backs on, and always with the whole copy, a request queues or is refused as before.

Ruled out: handing back after a time in the queue, since the wait is known at submission and the next router would begin it anew.

The tests bring about a long queue, a short deadline, a warm prefix worth its wait, engines that aren't ready, and a fleet whose other engines leave.

--- a/internal/flowcontrol/controller.go
+++ b/internal/flowcontrol/controller.go
@@ -262,3 +262,33 @@
 
 // Waiting returns the number of waiting items.
 func (c *Controller) Waiting() int { return len(c.entries) }
+
+// WaitingIn returns the number of waiting items of a lane.
+func (c *Controller) WaitingIn(name Lane) int {
+	l := c.byName[name]
+	if l == nil {
+		return 0
+	}
+	total := 0
+	for _, queue := range l.classes {
+		total += queue.waiting
+	}
+	return total
+}
+
+// PredictWait predicts how long a new item of a class and tenant would wait;
+// false when too little service has been seen to tell.
+func (c *Controller) PredictWait(now time.Duration, name Lane, class fleet.ClassName, tenant fleet.TenantName) (time.Duration, bool) {
+	l := c.byName[name]
+	if l == nil {
+		return 0, true
+	}
+	queue := l.class(class)
+	if queue == nil {
+		return 0, true
+	}
+	queue.meter.advance(now, queue.waiting > 0)
+	policy := c.table.tenant(tenant)
+	policy.Name = tenant
+	return l.waitEstimate(queue, policy)
+}
--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -60,6 +60,8 @@
 	// are owned and not leaving.
 	ordered []*engineState
 	byPool  map[fleet.PoolName][]*engineState
+	// foreign counts the engines of each pool that other routers alone own.
+	foreign map[fleet.PoolName]int
 
 	waiting  map[Key]*waitingRequest
 	sequence uint64
@@ -93,6 +95,7 @@
 		engines:   make(map[fleet.EngineID]*engineState),
 		past:      make(map[fleet.EngineID]pastRun),
 		byPool:    make(map[fleet.PoolName][]*engineState),
+		foreign:   make(map[fleet.PoolName]int),
 		waiting:   make(map[Key]*waitingRequest),
 		grants:    make(map[Key]*grantState),
 		history:   newHistory(options.ExplainRing),
@@ -187,6 +190,10 @@
 		waiting.rank = class.Rank
 	}
 	waiting.lane = flowcontrol.Lane(waiting.model.Pool)
+	if outcome := c.spill(now, waiting); outcome != nil {
+		c.conclude(waiting, outcome)
+		return
+	}
 	refusal := c.flow.Enqueue(now, flowcontrol.Item{
 		Key:      request.Key,
 		Tenant:   request.Tenant,
@@ -196,7 +203,7 @@
 		Deadline: waiting.deadline,
 	})
 	if refusal != nil {
-		c.conclude(waiting, Refusal(*refusal))
+		c.conclude(waiting, c.spillRefused(waiting, *refusal))
 		return
 	}
 	c.sequence++
--- a/internal/placement/dispatch.go
+++ b/internal/placement/dispatch.go
@@ -188,12 +188,12 @@
 		if c.waiting[key] != waiting || !c.flow.Remove(now, key) {
 			continue
 		}
-		c.conclude(waiting, Refusal{
+		c.conclude(waiting, c.spillRefused(waiting, flowcontrol.Refusal{
 			Key:        key,
 			Code:       resultcode.DeadlineTooShort,
 			Reason:     "no engine is predicted to answer before the deadline",
 			RetryAfter: c.flow.Spread(c.options.MaxEngineQueue),
-		})
+		}))
 	}
 	c.hopeless = c.hopeless[:0]
 }
--- a/internal/placement/enginestate.go
+++ b/internal/placement/enginestate.go
@@ -40,6 +40,9 @@
 	// inPool tells that the core's list of pool has the engine.
 	inPool bool
 	pool   fleet.PoolName
+	// foreignTo is the pool in whose count of foreign engines the engine is;
+	// empty when it is in none.
+	foreignTo fleet.PoolName
 
 	// heard is when the run last gave its status; valid if status isn't nil.
 	heard       time.Duration
--- a/internal/placement/observe.go
+++ b/internal/placement/observe.go
@@ -236,6 +236,7 @@
 // place brings an engine's place in the pools up to date. It returns true when
 // a pool lost the engine.
 func (c *Core) place(state *engineState) bool {
+	c.countForeign(state)
 	wanted := state.placeable()
 	if wanted && state.inPool && state.pool == state.machine.Pool {
 		return false
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -21,6 +21,9 @@
 	DefaultReconsider      = 10 * time.Millisecond
 	DefaultHoldTokens      = 512
 	DefaultMaxHops         = 3
+	DefaultSpillHops       = 2
+	DefaultSpillWait       = 250 * time.Millisecond
+	DefaultSpillQueue      = 4
 	DefaultExplainRing     = 512
 
 	// defaultScanDepth is deep, because a look at a request that waits for an
@@ -59,6 +62,17 @@
 	HoldTokens int
 	// MaxHops bounds the hand-backs of a request for want of an engine.
 	MaxHops int
+	// SpillHops bounds the hand-backs of a request that finds the engines of one
+	// router after the other saturated; the router asked then queues or refuses
+	// it. Only a router that owns a part of the pool hands back. A negative value
+	// means never.
+	SpillHops int
+	// SpillWait is the predicted wait from which on a request that has nothing
+	// cached here is handed back; a cached prefix adds the time that it saves.
+	SpillWait time.Duration
+	// SpillQueue is the number of waiting requests for each owned engine of the
+	// pool from which on new ones are handed back whatever is predicted.
+	SpillQueue int
 	// ExplainRing is the number of decisions kept for Explain.
 	ExplainRing int
 
@@ -78,6 +92,9 @@
 	setDefault(&o.Reconsider, DefaultReconsider)
 	setDefault(&o.HoldTokens, DefaultHoldTokens)
 	setDefault(&o.MaxHops, DefaultMaxHops)
+	setDefault(&o.SpillHops, DefaultSpillHops)
+	setDefault(&o.SpillWait, DefaultSpillWait)
+	setDefault(&o.SpillQueue, DefaultSpillQueue)
 	setDefault(&o.ExplainRing, DefaultExplainRing)
 	setDefault(&o.Scheduling, scheduling.DefaultOptions())
 	setDefault(&o.Flow.ScanDepth, defaultScanDepth)
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -77,6 +77,9 @@
 	HandBackNoEngine HandBackReason = "no_engine"
 	// HandBackBehind means that the agent knows a newer configuration.
 	HandBackBehind HandBackReason = "configuration_behind"
+	// HandBackSaturated means that the engines owned here are busy for longer
+	// than it is worth to wait, and that other routers own more of the pool.
+	HandBackSaturated HandBackReason = "saturated"
 )
 
 // HandBack says that an attempt was not placed and can go to another router
--- /dev/null
+++ b/internal/placement/spill_test.go
@@ -0,0 +1,123 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/platform"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+)
+
+// newPartBench has two engines, of which the router owns the first.
+func newPartBench(t *testing.T) *bench {
+	b := newBench(t, 2)
+	b.core.SetOwned(func(id fleet.EngineID) bool { return id == "engine0" })
+	return b
+}
+
+// fillPart lets the owned engine's queue reach its bound with prompts of 1,600
+// tokens, which take 160 ms each.
+func (b *bench) fillPart() {
+	for number := range 3 {
+		made := request(fmt.Sprintf("fill%d", number), urgent, fmt.Sprintf("filler%d", number), 100)
+		made.Hops = DefaultSpillHops
+		b.submit(made)
+	}
+}
+
+func withHops(made Request, hops int) Request {
+	made.Hops = hops
+	return made
+}
+
+func handedBack(name string, reason HandBackReason) []Outcome {
+	return []Outcome{HandBack{Key: keyOf(name), Reason: reason}}
+}
+
+// longQueue makes as many requests wait as the bound on the queue lets.
+func (b *bench) longQueue() {
+	for number := range DefaultSpillQueue {
+		made := request(fmt.Sprintf("queued%d", number), urgent, fmt.Sprintf("queue%d", number), 100)
+		require.Empty(b.t, b.submit(withHops(made, DefaultSpillHops)))
+	}
+}
+
+func TestSaturatedPartHandsBackAtOnce(t *testing.T) {
+	b := newPartBench(t)
+	b.fillPart()
+	b.longQueue()
+	for hops := range DefaultSpillHops {
+		name := fmt.Sprintf("hops%d", hops)
+		assert.Equal(t, handedBack(name, HandBackSaturated), b.submit(withHops(request(name, urgent, "new", 1), hops)))
+	}
+	waiting := b.core.Snapshot(b.now).WaitingRequests
+	last := withHops(request("last", urgent, "new", 1), DefaultSpillHops)
+	assert.Empty(t, b.submit(last), "the last router keeps it")
+	assert.Equal(t, waiting+1, b.core.Snapshot(b.now).WaitingRequests)
+}
+
+func TestWholeCopyNeverSpills(t *testing.T) {
+	b := newBench(t, 1)
+	b.fillPart()
+	b.longQueue()
+	assert.Empty(t, b.submit(request("first", urgent, "new", 1)))
+
+	part := newPartBench(t)
+	part.fillPart()
+	part.longQueue()
+	leaving := machine("engine1", 1)
+	leaving.State = platform.MachineLeaving
+	part.core.ObserveMachine(part.now, leaving)
+	assert.Empty(t, part.submit(request("first", urgent, "new", 1)), "the others' last engine is leaving")
+	part.core.ForgetMachine(part.now, "engine1")
+	assert.Empty(t, part.core.foreign)
+}
+
+// TestWantOfTimeIsSpilledBeforeItIsRefused submits a request that the owned
+// engine can't answer before its deadline.
+func TestWantOfTimeIsSpilledBeforeItIsRefused(t *testing.T) {
+	b := newPartBench(t)
+	b.fillPart()
+	urgentSoon := request("soon", urgent, "new", 100)
+	urgentSoon.Deadline = 100 * time.Millisecond
+	assert.Equal(t, handedBack("soon", HandBackSaturated), b.submit(urgentSoon))
+
+	b.now += 200 * time.Millisecond
+	b.core.Tick(b.now)
+	b.core.TakeOutcomes()
+	urgentSoon.Hops = DefaultSpillHops
+	outcomes := b.submit(urgentSoon)
+	outcomes = append(outcomes, b.advance(300*time.Millisecond)...)
+	position := len(outcomes) - 1
+	require.GreaterOrEqual(t, position, 0)
+	refusal, refused := outcomes[position].(Refusal)
+	require.True(t, refused)
+	assert.Equal(t, resultcode.DeadlineTooShort, refusal.Code)
+	assert.Positive(t, refusal.RetryAfter)
+}
+
+// TestWarmPrefixIsWorthAWait fills the engine by 400 ms over its bound: too
+// long for a cold prompt, and less than a cached one of 6,400 tokens saves.
+func TestWarmPrefixIsWorthAWait(t *testing.T) {
+	b := newPartBench(t)
+	warm := request("warm", urgent, "circular", 400)
+	b.core.ObserveCacheSnapshot(b.now, "engine0", engine.CacheSnapshot{Incarnation: 1, Sequence: 1, Hashes: warm.Blocks})
+	status := b.status("engine0", 1)
+	status.Load.WaitingPrefillTokens = 6500
+	b.core.ObserveStatus(b.now, status)
+	assert.Equal(t, handedBack("cold", HandBackSaturated), b.submit(request("cold", urgent, "other", 400)))
+	assert.Empty(t, b.submit(warm))
+}
+
+func TestPartWithoutReadyEngineHandsBack(t *testing.T) {
+	b := newPartBench(t)
+	b.core.ObserveUnreachable(b.now, "engine0")
+	assert.Equal(t, handedBack("first", HandBackNoEngine), b.submit(request("first", urgent, "p", 1)))
+	assert.Empty(t, b.submit(withHops(request("last", urgent, "p", 1), DefaultSpillHops)))
+}
