Add affinity: how many routers a prefix needs

Agents ranked the routers by one key over the first blocks. All prompts of a tenant with a common beginning then meet one router, whatever they ask of it, and a saturated router's requests go to the next in the rank without any memory of it.

A Table keeps a width for each first key: 1 at first and not remembered, doubled when a saturated router's request is placed by another one, halved with time. Within the width, longer keys choose the router, so that a hot short beginning is split by what follows it and only a long hot prefix is replicated. Keys are bounded by an LRU.

Ruled out: one fixed depth, which replicates every child of a hot beginning in each of its routers; going to a longer key without bound, which scatters the unique ends of one hot prefix over all routers.

--- /dev/null
+++ b/internal/affinity/affinity_test.go
@@ -0,0 +1,158 @@
+package affinity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+)
+
+func newTable(options Options) *Table {
+	options.Random = rand.New(rand.NewPCG(1, 2))
+	return New(options)
+}
+
+func routers(count int) []membership.Member {
+	list := make([]membership.Member, count)
+	for number := range list {
+		list[number] = membership.Member{Node: fleet.NodeID(fmt.Sprintf("router-%d", number)), State: membership.Alive}
+	}
+	return list
+}
+
+// blocks makes a prompt of 80 blocks: the first 8 belong to the family, those up
+// to 32 to the child, the rest to the request.
+func blocks(family, child, request uint64) []fleet.BlockHash {
+	made := make([]fleet.BlockHash, 80)
+	for position := range made {
+		hash := family<<40 | uint64(position)
+		if position >= 8 {
+			hash |= child << 24
+		}
+		if position >= 32 {
+			hash |= request << 8
+		}
+		made[position] = fleet.BlockHash(hash * 0x9e3779b97f4a7c15)
+	}
+	return made
+}
+
+// widen makes a family's width grow by spilling.
+func widen(table *Table, family uint64, times int) time.Duration {
+	var now time.Duration
+	for range times {
+		now += DefaultGrowEvery
+		table.Spilled(now, table.Choose(now, blocks(family, 0, 0), 0), 64)
+	}
+	return now
+}
+
+func TestColdPrefixStaysAtOneRouterWithoutMemory(t *testing.T) {
+	table, list := newTable(Options{}), routers(16)
+	for request := range uint64(100) {
+		choice := table.Choose(0, blocks(1, request%5, request), 0)
+		ranked := membership.Rank(choice.Key(), "", list)
+		assert.Equal(t, ranked, choice.Order(ranked)[:16])
+	}
+	assert.Zero(t, table.Len())
+	assert.Equal(t, uint64(7), table.Choose(0, nil, 7).Key())
+}
+
+func TestWidthDoublesOncePerStepAndDecays(t *testing.T) {
+	table := newTable(Options{})
+	prompt := blocks(1, 1, 1)
+	narrow := table.Choose(0, prompt, 0)
+	for range 50 {
+		table.Spilled(0, narrow, 16)
+	}
+	two := table.Choose(0, prompt, 0)
+	require.Equal(t, 2, two.Width(), "a burst of hand-backs is one reason to grow")
+	table.Spilled(DefaultGrowEvery, narrow, 16)
+	require.Equal(t, 2, table.Choose(DefaultGrowEvery, prompt, 0).Width(), "chosen before it grew")
+	table.Spilled(DefaultGrowEvery/2, two, 16)
+	require.Equal(t, 2, table.Choose(DefaultGrowEvery, prompt, 0).Width(), "too early")
+	table.Spilled(DefaultGrowEvery, two, 3)
+	require.Equal(t, 3, table.Choose(DefaultGrowEvery, prompt, 0).Width(), "there are no more routers")
+	assert.Equal(t, 2, table.Choose(DefaultGrowEvery+DefaultHalfLife, prompt, 0).Width())
+	assert.Equal(t, 1, table.Choose(10*DefaultHalfLife, prompt, 0).Width())
+	assert.NotContains(t, table.entries.Keys(), two.Key(), "what needs one router isn't remembered")
+}
+
+// TestFamilyIsSplitByItsChildren gives a family of forty equal children four
+// routers: each child must stay at one.
+func TestFamilyIsSplitByItsChildren(t *testing.T) {
+	table, list := newTable(Options{}), routers(16)
+	now := widen(table, 1, 2)
+	used := make(map[fleet.NodeID]int)
+	homes := make(map[uint64][]fleet.NodeID)
+	for request := range uint64(4000) {
+		child := request % 40
+		choice := table.Choose(now, blocks(1, child+1, request), 0)
+		require.Equal(t, 4, choice.Width())
+		node := choice.Order(membership.Rank(choice.Key(), "", list))[0].Node
+		if request < 400 {
+			continue
+		}
+		used[node]++
+		if !slices.Contains(homes[child], node) {
+			homes[child] = append(homes[child], node)
+		}
+	}
+	assert.Len(t, used, 4)
+	for child, nodes := range homes {
+		assert.Len(t, nodes, 1, "child %d", child)
+	}
+}
+
+// TestOneHotPrefixIsReplicated gives a long common prefix with different ends
+// four routers: each must get its part.
+func TestOneHotPrefixIsReplicated(t *testing.T) {
+	table, list := newTable(Options{}), routers(16)
+	now := widen(table, 1, 2)
+	used := make(map[fleet.NodeID]int)
+	const requests = 4000
+	for request := range uint64(requests) {
+		choice := table.Choose(now, blocks(1, 1, request), 0)
+		used[choice.Order(membership.Rank(choice.Key(), "", list))[0].Node]++
+	}
+	require.Len(t, used, 4)
+	for node, count := range used {
+		assert.InDelta(t, requests/4, count, requests/16, node)
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	table := newTable(Options{MaxKeys: 10})
+	for family := range uint64(100) {
+		widen(table, family, 3)
+	}
+	assert.Equal(t, 10, table.Len())
+}
+
+// TestOrderAsksEveryRouterOnce checks what failover relies on, and that a
+// saturated first choice is followed by a router that a wider key would use.
+func TestOrderAsksEveryRouterOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := newTable(Options{})
+		list := routers(rapid.IntRange(1, 20).Draw(t, "routers"))
+		now := widen(table, 1, rapid.IntRange(0, 6).Draw(t, "doublings"))
+		choice := table.Choose(now, blocks(1, rapid.Uint64Range(0, 3).Draw(t, "child"), 1), 0)
+		ranked := membership.Rank(choice.Key(), "", list)
+		ordered := choice.Order(ranked)
+		require.ElementsMatch(t, ranked, ordered)
+		width := min(choice.Width(), len(list))
+		require.Contains(t, ranked[:width], ordered[0])
+		if width < len(list) {
+			require.Contains(t, ranked[width:min(2*width, len(list))], ordered[1])
+		}
+		require.Empty(t, choice.Order(nil))
+	})
+}
--- /dev/null
+++ b/internal/affinity/choice.go
@@ -0,0 +1,59 @@
+package affinity
+
+import (
+	"slices"
+
+	"github.com/tillerfall/tillerfall/internal/membership"
+)
+
+// Choice is how one prompt is routed.
+type Choice struct {
+	// keys are the prompt's keys, spreads the numbers of routers that those
+	// after the first are spread over; none when width is 1.
+	keys    []uint64
+	width   int
+	spreads []int
+	// ticket picks among routers that are as good as each other.
+	ticket uint64
+}
+
+// Key ranks the routers; see membership.Rank.
+func (c Choice) Key() uint64 { return c.keys[0] }
+
+// Width is the number of routers that serve the prompts with this first key.
+func (c Choice) Width() int { return c.width }
+
+// Order returns the routers in the order in which they are asked, given their
+// rank for Key: the one chosen; then, for the case that it is saturated, those
+// that a doubled width would add; then the rest.
+func (c Choice) Order(ranked []membership.Member) []membership.Member {
+	width := min(max(c.width, 1), len(ranked))
+	if width == 0 {
+		return nil
+	}
+	last := c.keys[len(c.keys)-1]
+	within := c.chosen(ranked[:width])
+	wider := min(2*width, len(ranked))
+	ordered := make([]membership.Member, 0, len(ranked))
+	ordered = append(ordered, within[0])
+	ordered = append(ordered, membership.Rank(last, "", ranked[width:wider])...)
+	ordered = append(ordered, within[1:]...)
+	return append(ordered, ranked[wider:]...)
+}
+
+// chosen orders the routers within the width, the one chosen first. Each longer
+// key narrows them down to the first of its own rank.
+func (c Choice) chosen(routers []membership.Member) []membership.Member {
+	ordered := slices.Clone(routers)
+	count := len(ordered)
+	for level, spread := range c.spreads {
+		if count == 1 {
+			break
+		}
+		copy(ordered, membership.Rank(c.keys[level+1], "", ordered[:count]))
+		count = min(spread, count)
+	}
+	picked := int(c.ticket % uint64(count))
+	ordered[0], ordered[picked] = ordered[picked], ordered[0]
+	return ordered
+}
