--- /dev/null
+++ b/test/integration/engines_test.go
@@ -0,0 +1,90 @@
+package integration
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/openai"
+	"github.com/tillerfall/tillerfall/lab/standin/engineserver"
+)
+
+// Texts by which a proxy knows an exchange with an engine.
+const (
+	dispatchLine = "POST /v1/streams HTTP/1.1"
+	orderLine    = "POST /v1/orders HTTP/1.1"
+	streamHeader = "text/event-stream"
+)
+
+// executionsAt counts the dispatches of a request that one engine has accepted.
+func (f *testFleet) executionsAt(engineName, requestID string) int {
+	f.t.Helper()
+	response, err := shortExchanges.Get("http://" + f.listens[engineName] + engineserver.PathExecutions)
+	require.NoError(f.t, err)
+	defer response.Body.Close()
+	var executions engineserver.Executions
+	require.NoError(f.t, json.NewDecoder(response.Body).Decode(&executions))
+	count := 0
+	for _, stream := range executions.Streams {
+		if strings.HasPrefix(string(stream), requestID+".") {
+			count++
+		}
+	}
+	return count
+}
+
+// executions counts the dispatches of a request that any engine has accepted.
+func (f *testFleet) executions(requestID string) int {
+	f.t.Helper()
+	count := 0
+	for _, name := range f.names("engine") {
+		count += f.executionsAt(name, requestID)
+	}
+	return count
+}
+
+// engineOf returns the one engine that has accepted a request.
+func (f *testFleet) engineOf(requestID string) string {
+	f.t.Helper()
+	var found []string
+	for _, name := range f.names("engine") {
+		if f.executionsAt(name, requestID) > 0 {
+			found = append(found, name)
+		}
+	}
+	require.Len(f.t, found, 1)
+	return found[0]
+}
+
+// ruleEngines gives every engine's proxy the same rules.
+func (f *testFleet) ruleEngines(rules ...rule) {
+	for _, name := range f.names("engine") {
+		f.proxies[name].setRules(rules...)
+	}
+}
+
+// awaitStrike waits until a rule of an engine's proxy has struck, takes all
+// rules away and returns the engine's name.
+func (f *testFleet) awaitStrike() string {
+	f.t.Helper()
+	var struck string
+	eventually(f.t, "a rule strikes", func() bool {
+		for _, name := range f.names("engine") {
+			if f.proxies[name].strikes() > 0 {
+				struck = name
+			}
+		}
+		return struck != ""
+	})
+	f.ruleEngines()
+	return struck
+}
+
+// requestID is the whole identifier that the agent has given a request.
+func (a answer) requestID() string {
+	if a.failure != nil {
+		return a.failure.RequestID
+	}
+	return a.header.Get(openai.HeaderRequestID)
+}
--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -36,7 +36,7 @@
 // fleetOptions says how a fleet differs from the documented one.
 type fleetOptions struct {
 	// flags are added to the command of the process of that name; the names
-	// "router" and "engine" stand for all of their kind.
+	// "router", "engine" and "agent" stand for all of their kind.
 	flags map[string][]string
 	// engineProxies, routerProxies and platformProxy put a fault-injecting proxy
 	// before each engine, each router and the platform.
@@ -336,25 +336,6 @@
 	})
 }
 
-// executions counts the dispatches of a request that engines have accepted.
-func (f *testFleet) executions(requestID string) int {
-	f.t.Helper()
-	count := 0
-	for _, name := range f.names("engine") {
-		response, err := shortExchanges.Get("http://" + f.listens[name] + engineserver.PathExecutions)
-		require.NoError(f.t, err)
-		var executions engineserver.Executions
-		require.NoError(f.t, json.NewDecoder(response.Body).Decode(&executions))
-		require.NoError(f.t, response.Body.Close())
-		for _, stream := range executions.Streams {
-			if strings.HasPrefix(string(stream), requestID+".") {
-				count++
-			}
-		}
-	}
-	return count
-}
-
 // engineStatus asks an engine itself, past its proxy.
 func (f *testFleet) engineStatus(name string) engine.Status {
 	f.t.Helper()
--- a/test/integration/proxy_test.go
+++ b/test/integration/proxy_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,14 +41,26 @@
 	// match strikes with the piece that holds this text, which must not be
 	// split over pieces; empty strikes by count alone.
 	match string
-	// after is the number of bytes, from the match on, that still pass.
+	// after is the number of bytes, from the start of the matching piece, that
+	// still pass.
 	after int64
 	// end is what happens then.
 	end ending
-	// times bounds the connections that are struck; 0 means all.
-	times int
+	// times bounds the connections that are struck; nil means all. Several
+	// proxies may share it.
+	times *atomic.Int32
 }
 
+// times bounds the strikes of a rule.
+func times(count int32) *atomic.Int32 {
+	left := &atomic.Int32{}
+	left.Store(count)
+	return left
+}
+
+// take uses up one strike.
+func (r rule) take() bool { return r.times == nil || r.times.Add(-1) >= 0 }
+
 // proxyBuffer is large enough that the head of a request comes as one piece.
 const proxyBuffer = 64 << 10
 
@@ -59,7 +72,7 @@
 	pumps    sync.WaitGroup
 
 	mutex       sync.Mutex
-	rules       []*rule
+	rules       []rule
 	delay       time.Duration
 	connections map[*proxied]struct{}
 	struck      int
@@ -72,6 +85,8 @@
 type proxied struct {
 	client net.Conn
 	server net.Conn
+	// answered is closed when nothing more comes from the server.
+	answered chan struct{}
 }
 
 func (p *proxied) close() {
@@ -131,7 +146,7 @@
 		(&proxied{client: client, server: client}).reset()
 		return
 	}
-	connection := &proxied{client: client, server: server}
+	connection := &proxied{client: client, server: server, answered: make(chan struct{})}
 	p.mutex.Lock()
 	p.connections[connection] = struct{}{}
 	p.mutex.Unlock()
@@ -142,6 +157,7 @@
 	}
 	p.pumps.Go(func() { p.pump(connection, towardsServer) })
 	p.pump(connection, towardsClient)
+	close(connection.answered)
 	p.mutex.Lock()
 	delete(p.connections, connection)
 	p.mutex.Unlock()
@@ -174,7 +190,8 @@
 			if _, failure := to.Write(piece[:passing]); failure != nil {
 				return
 			}
-			if passing < int64(len(piece)) && !p.finish(connection, striking, from, to, piece[passing:]) {
+			if passing < int64(len(piece)) {
+				p.finish(connection, striking, from, to, piece[passing:])
 				return
 			}
 		} else if _, failure := to.Write(piece); failure != nil {
@@ -186,45 +203,48 @@
 	}
 }
 
-// finish carries out a rule's ending and tells whether the pump goes on.
-func (p *faultProxy) finish(connection *proxied, striking *rule, from io.Reader, to io.Writer, rest []byte) bool {
+// finish carries out a rule's ending.
+func (p *faultProxy) finish(connection *proxied, striking *rule, from io.Reader, to io.Writer, rest []byte) {
 	switch striking.end {
 	case endReset:
 		connection.reset()
 	case endDiscard:
 		_, _ = io.Copy(io.Discard, from)
 	case endHold:
-		p.mutex.Lock()
-		release := p.release
-		p.mutex.Unlock()
-		select {
-		case <-release:
-			_, err := to.Write(rest)
-			if err == nil {
-				_, _ = io.Copy(to, from)
-			}
-		case <-p.closed:
-		}
+		p.hold(connection, from, to, rest)
+	}
+}
+
+// hold keeps a piece until the proxy is released. The server may answer it even
+// if the client is gone by then.
+func (p *faultProxy) hold(connection *proxied, from io.Reader, to io.Writer, rest []byte) {
+	p.mutex.Lock()
+	release := p.release
+	p.mutex.Unlock()
+	select {
+	case <-release:
+	case <-p.closed:
+		return
+	}
+	if _, err := to.Write(rest); err != nil {
+		return
+	}
+	_, _ = io.Copy(to, from)
+	select {
+	case <-connection.answered:
+	case <-p.closed:
 	}
-	return false
 }
 
 // strike returns the first rule for a piece.
 func (p *faultProxy) strike(way direction, piece []byte) *rule {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for position, candidate := range p.rules {
-		if candidate.way != way || !bytes.Contains(piece, []byte(candidate.match)) {
-			continue
+	for _, candidate := range p.rules {
+		if candidate.way == way && bytes.Contains(piece, []byte(candidate.match)) && candidate.take() {
+			p.struck++
+			return &candidate
 		}
-		p.struck++
-		if candidate.times > 0 {
-			candidate.times--
-			if candidate.times == 0 {
-				p.rules = append(p.rules[:position:position], p.rules[position+1:]...)
-			}
-		}
-		return candidate
 	}
 	return nil
 }
@@ -270,10 +290,7 @@
 func (p *faultProxy) setRules(rules ...rule) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.rules = nil
-	for _, added := range rules {
-		p.rules = append(p.rules, &added)
-	}
+	p.rules = rules
 }
 
 // strikes is the number of connections that rules have struck.
