--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -202,6 +202,10 @@
 	for _, id := range []string{"a", "b"} {
 		assert.Equal(t, "e1", place(t, r, id).GetGrant().GetRun().GetEngine())
 	}
+	require.Zero(t, execute(t, r, "admit e0").GetCode())
+	require.Eventually(t, func() bool {
+		return len(execute(t, r, "show engines where state = ready").GetRows()) == 2
+	}, patience, pollTime)
 	f.platform.SetFaults(platformserver.Faults{Down: true})
 	lost := execute(t, r, "drain e1")
 	assert.Contains(t, []uint32{uint32(resultcode.PlatformUnavailable), uint32(resultcode.CommandUncertain)}, lost.GetCode())
