--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -312,8 +312,7 @@
 // and the agent have it in force.
 func (f *testFleet) apply(routerName, configuration string) *operatorAnswer {
 	f.t.Helper()
-	path := filepath.Join(f.t.TempDir(), "config.yaml")
-	require.NoError(f.t, os.WriteFile(path, []byte(configuration), 0o600))
+	path := writeConfiguration(f.t, configuration)
 	result := runCommand(f.t, "tillerfall", "apply", "--json", commandPatience, "--router", f.listens[routerName], path)
 	require.Zero(f.t, result.exitCode, result.diagnostics)
 	var answer operatorAnswer
@@ -322,6 +321,24 @@
 	return &answer
 }
 
+func writeConfiguration(t *testing.T, configuration string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.yaml")
+	require.NoError(t, os.WriteFile(path, []byte(configuration), 0o600))
+	return path
+}
+
+// platformCounters returns the calls that have reached the platform.
+func (f *testFleet) platformCounters() platformserver.Counters {
+	f.t.Helper()
+	response, err := shortExchanges.Get("http://" + f.listens["platform"] + platformserver.PathCounters)
+	require.NoError(f.t, err)
+	defer response.Body.Close()
+	var counters platformserver.Counters
+	require.NoError(f.t, json.NewDecoder(response.Body).Decode(&counters))
+	return counters
+}
+
 // awaitRevision waits until every router and the agent have a revision.
 func (f *testFleet) awaitRevision(revision uint64) {
 	f.t.Helper()
--- /dev/null
+++ b/test/integration/lease_test.go
@@ -0,0 +1,119 @@
+package integration
+
+import (
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// shortLease lets a lease lapse within the test.
+var shortLease = map[string][]string{"router": {"--set", "lease_duration=1500ms", "--set", "lease_margin=300ms"}}
+
+// withVersion is the narrow configuration with one more version of the model.
+func withVersion(state string) string {
+	return strings.Replace(narrowConfiguration, "{name: v1, state: serving}", "{name: v1, state: serving}, {name: v2, state: "+state+"}", 1)
+}
+
+// leaseHolder returns the router that took the lease last, and its token.
+func (f *testFleet) leaseHolder() (holder string, token int) {
+	for _, name := range f.names("router") {
+		for line := range strings.Lines(f.processes[name].log()) {
+			if acquired := logNumber(line, "event=lease_acquired", "token"); acquired > token {
+				holder, token = name, acquired
+			}
+		}
+	}
+	return holder, token
+}
+
+// TestFrozenLeaseHolder freezes the router that holds the lease while its order
+// to load a version is on the way, and lets it thaw after another router has
+// unloaded that version under a newer token. The old order must have no effect.
+func TestFrozenLeaseHolder(t *testing.T) {
+	f := startFleet(t, fleetOptions{engineProxies: true, flags: shortLease})
+	holder := ""
+	eventually(t, "a router holds the lease", func() bool {
+		holder, _ = f.leaseHolder()
+		return holder != ""
+	})
+	f.ruleEngines(rule{way: towardsServer, match: orderLine, end: endHold})
+	f.apply(f.otherRouter(holder), withVersion("loading"))
+	held := ""
+	eventually(t, "an order is on the way", func() bool {
+		for _, name := range f.names("engine") {
+			if f.proxies[name].strikes() > 0 {
+				held = name
+			}
+		}
+		return held != ""
+	})
+	holder, oldToken := f.leaseHolder()
+	f.processes[holder].signal(syscall.SIGSTOP)
+	f.ruleEngines()
+	eventually(t, "another router takes the lease", func() bool {
+		next, token := f.leaseHolder()
+		return next != holder && token > oldToken
+	})
+	eventually(t, "every engine has the version by a newer order", func() bool { return f.everyEngine(loadedByNewer(oldToken)) })
+	retired := f.mustOperate(f.otherRouter(holder), "retire version "+model+" v2")
+	eventually(t, "every engine has unloaded the version", func() bool { return f.everyEngine(hasUnloaded) })
+
+	before := f.engineStatus(held).Fence
+	f.proxies[held].releaseHeld()
+	eventually(t, "the engine rejects the old order", func() bool {
+		return f.proxies[held].answered(string(engine.ErrorStaleFence))
+	})
+	assert.True(t, hasUnloaded(f.engineStatus(held)), "the old order has had an effect")
+	f.processes[holder].signal(syscall.SIGCONT)
+	f.awaitRevision(retired.Revision)
+	assert.GreaterOrEqual(t, f.engineStatus(held).Fence, before)
+	assert.True(t, f.everyEngine(hasUnloaded))
+	running := startLoad(t, f, 6, 10)
+	running.requireAllWhole(t)
+}
+
+func (f *testFleet) otherRouter(name string) string {
+	for _, other := range f.names("router") {
+		if other != name {
+			return other
+		}
+	}
+	require.FailNow(f.t, "there is one router only")
+	return ""
+}
+
+func (f *testFleet) everyEngine(condition func(engine.Status) bool) bool {
+	for _, name := range f.names("engine") {
+		if !condition(f.engineStatus(name)) {
+			return false
+		}
+	}
+	return true
+}
+
+var secondVersion = engine.Weights{Model: model, Version: "v2"}
+
+func loadedByNewer(token int) func(engine.Status) bool {
+	return func(status engine.Status) bool {
+		return status.Fence > fleet.FencingToken(token) && contains(status.Loaded, secondVersion)
+	}
+}
+
+func hasUnloaded(status engine.Status) bool {
+	return !contains(status.Loaded, secondVersion) && !contains(status.Loading, secondVersion)
+}
+
+func contains(weights []engine.Weights, wanted engine.Weights) bool {
+	for _, loaded := range weights {
+		if loaded == wanted {
+			return true
+		}
+	}
+	return false
+}
