--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -22,6 +22,9 @@
 	Zone   fleet.ZoneName
 }
 
+// proximities is the number of values of proximity.
+const proximities = 3
+
 // proximity orders a member by its distance: 0 same zone, 1 same region, 2 elsewhere.
 func (l Location) proximity(member Member) int {
 	switch {
