Prove two guards of the agent that no test held

The dead-router test now gives a deadline below the class's longest wait, and a new test has a caller leave while its question still waits at a router.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -192,19 +194,39 @@
 	routers := []*fakeRouter{startRouter(t, server), startRouter(t, server)}
 	a := startAgent(t, func(s *agent.Settings) { s.Sync.Timeout = settings.Duration(300 * time.Millisecond) }, routers...)
 	for _, frozen := range routers {
-		hold := make(chan struct{})
-		frozen.mutex.Lock()
-		frozen.hold = hold
-		frozen.mutex.Unlock()
-		status, _ := decode(t, post(t, a, openai.PathCompletions, completionBody(2, false)))
+		thaw := frozen.freeze()
+		// The deadline is below the class's longest wait, so that a question left
+		// at the frozen router fails.
+		response := post(t, a, openai.PathCompletions, completionBody(2, false), "X-Tillerfall-Deadline-Ms: 15000")
+		status, _ := decode(t, response)
 		assert.Equal(t, http.StatusOK, status)
-		frozen.mutex.Lock()
-		frozen.hold = nil
-		frozen.mutex.Unlock()
-		close(hold)
+		thaw()
 	}
 }
 
+func TestCallerThatLeavesWithdrawsItsQuestion(t *testing.T) {
+	router := startRouter(t, startEngine(t, "a", time.Millisecond))
+	a := startAgent(t, func(s *agent.Settings) { s.Sync.Interval = settings.Duration(time.Hour) }, router)
+	defer router.freeze()()
+	ctx, leave := context.WithCancel(context.Background())
+	request := httptest.NewRequestWithContext(ctx, http.MethodPost, openai.PathCompletions, strings.NewReader(completionBody(2, false)))
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		a.Handler().ServeHTTP(httptest.NewRecorder(), request)
+	}()
+	counts := func() (held, withdrawn int) {
+		router.mutex.Lock()
+		defer router.mutex.Unlock()
+		return router.held, router.withdrawn
+	}
+	require.Eventually(t, func() bool { held, _ := counts(); return held == 1 }, patience, pollEvery)
+	leave()
+	require.Eventually(t, func() bool { _, withdrawn := counts(); return withdrawn == 1 }, patience, pollEvery)
+	<-served
+}
+
 func TestNoRouterIsAnsweredAtOnce(t *testing.T) {
 	router := startRouter(t, startEngine(t, "a", time.Millisecond))
 	a := startAgent(t, nil, router)
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -65,8 +65,11 @@
 	machines *rpc.MachineList
 	reports  []*rpc.AttemptReport
 	places   int
-	// hold keeps every answer back until it is closed.
-	hold chan struct{}
+	// hold keeps every answer back until it is closed; held and withdrawn count
+	// the questions that met it and that were given up meanwhile.
+	hold      chan struct{}
+	held      int
+	withdrawn int
 	// retired is refused as a version that no longer serves.
 	retired string
 }
@@ -92,6 +95,9 @@
 func (f *fakeRouter) wait(ctx context.Context) {
 	f.mutex.Lock()
 	hold := f.hold
+	if hold != nil {
+		f.held++
+	}
 	f.mutex.Unlock()
 	if hold == nil {
 		return
@@ -99,6 +105,23 @@
 	select {
 	case <-hold:
 	case <-ctx.Done():
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		f.withdrawn++
+	}
+}
+
+// freeze keeps all answers back until the returned function is called.
+func (f *fakeRouter) freeze() (thaw func()) {
+	hold := make(chan struct{})
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.hold = hold
+	return func() {
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		f.hold = nil
+		close(hold)
 	}
 }
 
