Point at the word when promote or retire names no known version

The integration test of bad statements failed: "promote sahayak-llm v9" was refused as target_not_found without a column, unlike every other wrong name. Versions are looked up by the mutation on the configuration that it changes, for a router's own view may be behind, and the mutation knew no columns. Checking in the plan against the router's view was ruled out for that reason.

The mutation of a version command now turns target_not_found into a PlanError with the column of the model or of the version; the recorded message has it too. The stub store of the unit tests records coded refusals as the real one does.

Measured: go test -race ./internal/operator passed; the three statements of the unit test had column 0 before.

--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -62,6 +63,10 @@
 		return Outcome{}, resultcode.New(resultcode.RevisionConflict, "changed")
 	}
 	next, err := change.Mutate(s.document)
+	var refusal *resultcode.Error
+	if errors.As(err, &refusal) {
+		return Outcome{Code: refusal.Code, Message: refusal.Message}, nil
+	}
 	if err != nil {
 		return Outcome{}, err
 	}
@@ -225,8 +230,12 @@
 	assert.Equal(t, resultcode.CommandImpossible, f.run("retire version m v1").Code, "v1 serves")
 	assert.Equal(t, resultcode.CommandImpossible, f.run("promote m v1").Code, "v1 serves already")
 	assert.Equal(t, resultcode.CommandImpossible, f.run("promote m:a a2").Code, "a2 is retired")
-	assert.Equal(t, resultcode.TargetNotFound, f.run("promote m v9").Code)
-	assert.Equal(t, resultcode.TargetNotFound, f.run("retire version m:z v1").Code)
+	for statement, column := range map[string]int{"promote m v9": 11, "promote x v9": 9, "retire version m:z v1": 16} {
+		result := f.run(statement)
+		assert.Equal(t, resultcode.TargetNotFound, result.Code, statement)
+		assert.Equal(t, column, result.ErrorColumn, statement)
+		assert.Contains(t, result.Message, fmt.Sprintf("column %d: ", column))
+	}
 	require.Equal(t, resultcode.OK, f.run("promote m v2").Code)
 	assert.Equal(t, config.VersionServing, before.Models[0].Versions[0].State, "the mutation is pure")
 	require.Equal(t, resultcode.OK, f.run("retire version m v1").Code)
--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/go-faster/errors"
+
 	"github.com/tillerfall/tillerfall/internal/config"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/prompt"
@@ -28,6 +30,9 @@
 	return fmt.Sprintf("column %d: %s", e.Column, e.Message)
 }
 
+// Unwrap returns the numbered error that is recorded if a mutation fails so.
+func (e *PlanError) Unwrap() error { return resultcode.New(e.Code, e.Error()) }
+
 // Plan is what a statement asks for: exactly one field is set.
 type Plan struct {
 	// Query reads the router's view.
@@ -107,10 +112,27 @@
 		return Plan{}, notFound(reference.Target, "model")
 	}
 	if !promote {
-		return Plan{Command: &Command{Mutate: retireVersion(target)}}, nil
+		return Plan{Command: &Command{Mutate: locate(reference, target, retireVersion(target))}}, nil
 	}
 	promotes := func(config.Document) []fleet.Weights { return []fleet.Weights{target} }
-	return Plan{Command: &Command{Mutate: promoteVersion(target), Promotes: promotes}}, nil
+	return Plan{Command: &Command{Mutate: locate(reference, target, promoteVersion(target)), Promotes: promotes}}, nil
+}
+
+// locate makes a mutation that doesn't find its version point at the word that
+// is wrong. Only the mutation can tell: the router's view may be behind.
+func locate(reference *VersionReference, target fleet.Weights, mutation Mutation) Mutation {
+	return func(document config.Document) (config.Document, error) {
+		next, err := mutation(document)
+		var coded *resultcode.Error
+		if !errors.As(err, &coded) || coded.Code != resultcode.TargetNotFound {
+			return next, err
+		}
+		word := reference.Version
+		if _, missing := versionsOf(&document, target); missing != nil {
+			word = reference.Target
+		}
+		return next, &PlanError{Code: coded.Code, Column: word.Pos.Column, Message: coded.Message}
+	}
 }
 
 func parseWeights(text string) fleet.Weights {
--- a/internal/operator/run.go
+++ b/internal/operator/run.go
@@ -108,16 +108,34 @@
 	if token == "" {
 		token = uuid.NewString()
 	}
+	wrongColumn := 0
 	outcome, err := r.store.Commit(ctx, Change{
 		Token:            token,
 		ExpectedRevision: request.ExpectedRevision,
 		Statement:        request.Statement,
-		Mutate:           r.guard(command),
+		Mutate:           noteColumn(&wrongColumn, r.guard(command)),
 	})
 	if err != nil {
 		return commitFailure(token, err)
 	}
-	return outcomeResult(token, outcome)
+	result := outcomeResult(token, outcome)
+	if outcome.Code == resultcode.TargetNotFound {
+		result.ErrorColumn = wrongColumn
+	}
+	return result
+}
+
+// noteColumn keeps the place of the wrong word of the last run of a mutation.
+func noteColumn(column *int, mutation Mutation) Mutation {
+	return func(document config.Document) (config.Document, error) {
+		next, err := mutation(document)
+		*column = 0
+		var planning *PlanError
+		if errors.As(err, &planning) {
+			*column = planning.Column
+		}
+		return next, err
+	}
 }
 
 // guard refuses a promotion while the weights aren't loaded widely enough. It
