--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -198,12 +198,6 @@
 	f.control("platform", platformserver.PathFaults, faults)
 }
 
-// setEngineFaults changes the faults of an engine that the JSON names.
-func (f *testFleet) setEngineFaults(name, faults string) {
-	f.t.Helper()
-	f.control(name, engineserver.PathFaults, json.RawMessage(faults))
-}
-
 // control posts to a stand-in's control endpoint, which suffers no faults.
 func (f *testFleet) control(name, path string, body any) {
 	f.t.Helper()
--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -41,7 +41,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer os.RemoveAll(directory)
+	defer func() { _ = os.RemoveAll(directory) }()
 	binaries = directory
 	build := exec.Command("go", "build", "-o", directory+string(filepath.Separator), "./cmd/tillerfall", "./cmd/tillerlab")
 	build.Dir = repository
