Route by pool and by the width of a prefix in agents and routers

Routers share the engines by the pool map instead of by rendezvous over all routers, and tell agents index_replicas in Sync (2 bytes when set). Agents build the same map, rank the routers that own engines of the model's pool first, and order them by the prefix's affinity.

A hand-back for want of engines names no routers any more: the list was the same for every prefix, its first entries got all of them.

With index_replicas 0 nothing is shared, and no map is built.

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -87,24 +87,16 @@
 		timeout = time.Duration(a.settings.Requests.DefaultDeadline)
 	}
 	admitted.deadline = a.clock.Now() + timeout
-	admitted.hashPrompt(model, a.settings.Requests.AffinityBlocks)
+	admitted.hashPrompt(model)
 	return admitted, nil
 }
 
 // hashPrompt fills in what follows from the weights.
-func (c *call) hashPrompt(model config.Model, affinityBlocks int) {
+func (c *call) hashPrompt(model config.Model) {
 	scope := fleet.CacheScope{Tenant: c.tenant.Name, Weights: c.weights}
 	c.hashes = prompt.HashBlocks(scope, c.body.Prompt, model.BlockTokens)
-	c.prefixKey = prefixKey(c.hashes, c.body.Prompt, affinityBlocks)
-}
-
-// prefixKey is equal for prompts that begin alike. A prompt of less than a
-// block can't share a cached one, and goes by its whole text.
-func prefixKey(hashes []fleet.BlockHash, text string, affinityBlocks int) uint64 {
-	if len(hashes) == 0 {
-		return xxhash.Sum64String(text)
-	}
-	return uint64(hashes[min(len(hashes), affinityBlocks)-1])
+	c.wholeKey = xxhash.Sum64String(c.body.Prompt)
+	c.pool = model.Pool
 }
 
 func chooseClass(view *config.View, tenant config.Tenant, asked fleet.ClassName) (config.Class, *openai.Failure) {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -86,7 +86,7 @@
 		registry: registry,
 		metrics:  newMetrics(registry),
 		config:   config.NewHolder(),
-		routers:  newRouters(clock, settings.Node.Zone, settings.Routers, time.Duration(settings.Sync.BackoffMax)),
+		routers:  newRouters(clock, settings.ranking(), settings.Routers, time.Duration(settings.Sync.BackoffMax)),
 		engines: engine.NewConnections(engine.Options{
 			ConnectTimeout: time.Duration(settings.Engines.ConnectTimeout),
 			HeaderTimeout:  time.Duration(settings.Engines.HeaderTimeout),
--- a/internal/agent/carrier.go
+++ b/internal/agent/carrier.go
@@ -29,8 +29,10 @@
 	maxTokens    int
 	promptTokens int
 	hashes       []fleet.BlockHash
-	// prefixKey chooses the router.
-	prefixKey uint64
+	// wholeKey chooses the router for a prompt of less than a block, which can't
+	// share a cached one.
+	wholeKey uint64
+	pool     fleet.PoolName
 }
 
 // output is where a request's answer goes. An error means that the caller
@@ -62,6 +64,10 @@
 	tried     map[fleet.Address]int
 	askedAt   map[fleet.Attempt]*link
 	handBacks uint32
+	// routing is set when the request is first placed; spills counts the
+	// saturated routers since its last grant. Both belong to the placing call.
+	routing *routing
+	spills  int
 
 	outputBroken bool
 	firstToken   time.Duration
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -31,6 +31,7 @@
 	running        prometheus.Gauge
 	revision       prometheus.Gauge
 	routerFailures prometheus.Counter
+	spills         prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -52,9 +53,10 @@
 		running:        newGauge("running_requests", "Unfinished requests."),
 		revision:       newGauge("config_revision", "Revision of the configuration in force."),
 		routerFailures: newCounter("router_failures_total", "Calls to routers that got no answer."),
+		spills:         newCounter("spills_total", "Requests handed back by saturated routers."),
 	}
 	registry.MustRegister(m.requests, m.firstToken, m.promptTokens, m.cachedTokens, m.outputTokens, m.retries,
-		m.resumes, m.droppedEvents, m.droppedReports, m.running, m.revision, m.routerFailures)
+		m.resumes, m.droppedEvents, m.droppedReports, m.running, m.revision, m.routerFailures, m.spills)
 	return m
 }
 
--- a/internal/agent/placement.go
+++ b/internal/agent/placement.go
@@ -7,8 +7,10 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tillerfall/tillerfall/internal/affinity"
 	"github.com/tillerfall/tillerfall/internal/attempt"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/placement"
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/rpc"
 )
@@ -21,8 +23,7 @@
 
 // place asks one router for an engine and returns its answer as an event.
 func (c *carrier) place(ctx context.Context, ask attempt.AskRouter) attempt.Event {
-	at := c.agent.routers.choose(c.call.prefixKey, ask.Preferred, c.tried)
-	c.tried[at.address]++
+	at := c.chooseRouter(ask)
 	c.askedAt[ask.Attempt] = at
 	routerLife := c.agent.routers.enter(at)
 	defer c.agent.routers.leave(at)
@@ -41,6 +42,17 @@
 	return c.placementEvent(ask, at, answer)
 }
 
+// chooseRouter returns the router to ask and counts the try.
+func (c *carrier) chooseRouter(ask attempt.AskRouter) *link {
+	if c.routing == nil {
+		by := c.agent.routers.route(c.call)
+		c.routing = &by
+	}
+	at := c.agent.routers.choose(*c.routing, ask.Preferred, c.tried)
+	c.tried[at.address]++
+	return at
+}
+
 // notePlacementFailure blames the router, unless the question was withdrawn or
 // the router has been blamed already.
 func (c *carrier) notePlacementFailure(ctx context.Context, at *link, err error) {
@@ -85,11 +97,12 @@
 func (c *carrier) placementEvent(ask attempt.AskRouter, at *link, answer *rpc.PlaceResponse) attempt.Event {
 	switch outcome := answer.GetOutcome().(type) {
 	case *rpc.PlaceResponse_Grant:
+		c.noteGrant()
 		return c.grantEvent(ask, outcome.Grant)
 	case *rpc.PlaceResponse_Refusal:
 		return c.refusalEvent(ask, at, outcome.Refusal)
 	case *rpc.PlaceResponse_HandBack:
-		c.handBacks++
+		c.noteHandBack(outcome.HandBack)
 		routers := make([]fleet.Address, 0, len(outcome.HandBack.GetRouters()))
 		for _, address := range outcome.HandBack.GetRouters() {
 			routers = append(routers, fleet.Address(address))
@@ -100,6 +113,29 @@
 	}
 }
 
+// noteHandBack counts a hand-back. When several routers are saturated, the
+// request goes back to its first choice and waits there.
+func (c *carrier) noteHandBack(handBack *rpc.HandBack) {
+	c.handBacks++
+	if handBack.GetReason() != string(placement.HandBackSaturated) {
+		return
+	}
+	c.agent.metrics.spills.Inc()
+	c.spills++
+	if c.spills >= affinity.MaxSpills {
+		clear(c.tried)
+	}
+}
+
+// noteGrant widens the prefix's routing if another router than the saturated
+// one had room.
+func (c *carrier) noteGrant() {
+	if c.spills > 0 && c.spills < affinity.MaxSpills {
+		c.agent.routers.spilled(*c.routing)
+	}
+	c.spills = 0
+}
+
 func (c *carrier) grantEvent(ask attempt.AskRouter, grant *rpc.Grant) attempt.Event {
 	if _, err := netip.ParseAddrPort(grant.GetAddress()); err != nil || grant.GetRun().GetEngine() == "" {
 		c.agent.logger.Error().Str("request_id", string(c.call.id)).Str("address", grant.GetAddress()).Msg("grant_malformed")
@@ -153,6 +189,7 @@
 		return false
 	}
 	c.call.weights = weights
-	c.call.hashPrompt(model, c.agent.settings.Requests.AffinityBlocks)
+	c.call.hashPrompt(model)
+	c.routing = nil
 	return true
 }
--- a/internal/agent/routers.go
+++ b/internal/agent/routers.go
@@ -51,20 +51,19 @@
 // routers is the set of routers that the agent may ask.
 type routers struct {
 	clock      fleet.Clock
-	zone       fleet.ZoneName
 	seeds      []fleet.Address
 	backoffMax time.Duration
 	client     *http.Client
 
 	mutex    sync.Mutex
-	members  []membership.Member
+	ranking  ranking
 	links    map[fleet.Address]*link
 	rotation int
 	lastSeen time.Duration
 	seen     bool
 }
 
-func newRouters(clock fleet.Clock, zone fleet.ZoneName, seeds []fleet.Address, backoffMax time.Duration) *routers {
+func newRouters(clock fleet.Clock, ranking ranking, seeds []fleet.Address, backoffMax time.Duration) *routers {
 	dialer := &net.Dialer{Timeout: routerConnectTimeout}
 	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
@@ -73,7 +72,7 @@
 	}
 	return &routers{
 		clock:      clock,
-		zone:       zone,
+		ranking:    ranking,
 		seeds:      seeds,
 		backoffMax: backoffMax,
 		client:     &http.Client{Transport: transport},
@@ -95,14 +94,14 @@
 	return created
 }
 
-// choose returns the router to ask for a prefix key. Routers that the request
+// choose returns the router to ask for a request. Routers that the request
 // has tried, that have failed lately or that are stopping come last.
-func (r *routers) choose(key uint64, preferred []fleet.Address, tried map[fleet.Address]int) *link {
+func (r *routers) choose(by routing, preferred []fleet.Address, tried map[fleet.Address]int) *link {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var best *link
 	bestPenalty := 0
-	for _, address := range r.candidates(key, preferred) {
+	for _, address := range r.candidates(by, preferred) {
 		candidate := r.link(address)
 		penalty := r.penalty(candidate) + tried[address]*(penaltyStopping+1)
 		if best == nil || penalty < bestPenalty {
@@ -130,17 +129,17 @@
 }
 
 // candidates lists preferred routers, then the members by rank, then the seeds.
-func (r *routers) candidates(key uint64, preferred []fleet.Address) []fleet.Address {
+func (r *routers) candidates(by routing, preferred []fleet.Address) []fleet.Address {
 	var addresses []fleet.Address
 	for _, address := range preferred {
 		if _, err := netip.ParseAddrPort(string(address)); err == nil {
 			addresses = append(addresses, address)
 		}
 	}
-	for _, member := range membership.Rank(key, r.zone, r.members) {
+	for _, member := range r.ranking.rank(by) {
 		addresses = append(addresses, member.Address)
 	}
-	return append(addresses, r.rankedSeeds(key)...)
+	return append(addresses, r.rankedSeeds(by.choice.Key())...)
 }
 
 // rankedSeeds orders the seeds like members, so that agents agree on the router
@@ -224,27 +223,26 @@
 	return at.answered && at.revision < ours
 }
 
-// learn takes over the members that a router knows; none means no news.
-func (r *routers) learn(encoded []*rpc.Member) {
-	members := make([]membership.Member, 0, len(encoded))
-	for _, entry := range encoded {
+// learn takes over what a router knows of the routers and the engines.
+func (r *routers) learn(answer *rpc.SyncResponse) {
+	members := make([]membership.Member, 0, len(answer.GetMembers()))
+	for _, entry := range answer.GetMembers() {
 		if member, err := membership.DecodeMember(entry); err == nil {
 			members = append(members, member)
 		}
 	}
-	if len(members) == 0 {
-		return
-	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.members = members
-	r.prune()
+	r.ranking.learn(members, answer.GetMachines(), int(answer.GetIndexReplicas()))
+	if len(members) > 0 {
+		r.prune()
+	}
 }
 
 // prune forgets the routers that are no members any more and hold nothing.
 func (r *routers) prune() {
-	keep := make(map[fleet.Address]bool, len(r.members)+len(r.seeds))
-	for _, member := range r.members {
+	keep := make(map[fleet.Address]bool, len(r.ranking.members)+len(r.seeds))
+	for _, member := range r.ranking.members {
 		keep[member.Address] = true
 	}
 	for _, seed := range r.seeds {
@@ -263,8 +261,8 @@
 func (r *routers) syncTargets() []*link {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	addresses := make([]fleet.Address, 0, len(r.members)+len(r.seeds))
-	for _, member := range r.members {
+	addresses := make([]fleet.Address, 0, len(r.ranking.members)+len(r.seeds))
+	for _, member := range r.ranking.members {
 		if member.State != membership.Dead {
 			addresses = append(addresses, member.Address)
 		}
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/tillerfall/tillerfall/internal/attempt"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/settings"
 )
 
@@ -73,6 +74,7 @@
 	// this agent alone and forgotten when it ends.
 	IdempotencyKeys int `yaml:"idempotency_keys" validate:"gte=1"`
 	// AffinityBlocks is the number of leading blocks that choose the router.
+	// Longer beginnings count where one router can't carry the shorter one.
 	AffinityBlocks int `yaml:"affinity_blocks" validate:"gte=1"`
 }
 
@@ -158,3 +160,9 @@
 func (s RequestSettings) budget() attempt.BudgetOptions {
 	return attempt.BudgetOptions{Ratio: s.RetryRatio, FloorPerSecond: s.RetryFloor, Burst: s.RetryBurst}
 }
+
+// ranking returns how this agent orders the routers.
+func (s Settings) ranking() ranking {
+	near := membership.Location{Region: s.Node.Region, Zone: s.Node.Zone}
+	return newRanking(near, s.Requests.AffinityBlocks)
+}
--- a/internal/agent/sync.go
+++ b/internal/agent/sync.go
@@ -81,7 +81,7 @@
 	}
 	a.routers.answered(at, answer.GetHeader())
 	a.routers.synced(at, answer)
-	a.routers.learn(answer.GetMembers())
+	a.routers.learn(answer)
 	// An empty list would be of no help to a router that restarts.
 	if list := answer.GetMachines(); len(list.GetMachines()) > 0 {
 		a.machines.Store(list)
--- a/internal/router/enginefleet.go
+++ b/internal/router/enginefleet.go
@@ -31,7 +31,10 @@
 	machines map[fleet.EngineID]platform.Machine
 	watchers map[fleet.EngineID]*engineWatcher
 	routers  []membership.Member
-	stopped  bool
+	// shared says which engines are owned here, listed is the list that it is by.
+	shared  *ownership
+	listed  []platform.Machine
+	stopped bool
 }
 
 func newEngineFleet(node fleet.NodeID, placer *placer, metrics *metrics, settings Settings, logger zerolog.Logger) *engineFleet {
@@ -42,6 +45,7 @@
 		settings: settings,
 		logger:   logger,
 		board:    newStatusBoard(placer.clock),
+		shared:   newOwnership(node, nil, nil, settings.IndexReplicas),
 		machines: make(map[fleet.EngineID]platform.Machine),
 		watchers: make(map[fleet.EngineID]*engineWatcher),
 	}
@@ -51,6 +55,8 @@
 func (f *engineFleet) setMachines(listed []platform.Machine) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.listed = listed
+	f.share()
 	present := make(map[fleet.EngineID]bool, len(listed))
 	for _, machine := range listed {
 		if machine.Kind != platform.MachineEngine {
@@ -93,19 +99,19 @@
 		return
 	}
 	f.routers = slices.Clone(routable)
-	routers := f.routers
-	f.placer.do(func(_ time.Duration, core *placement.Core) {
-		core.SetOwned(func(id fleet.EngineID) bool { return f.owns(id, routers) })
-	})
+	f.share()
 	f.reconcile()
 }
 
-// owns tells whether this router indexes an engine.
-func (f *engineFleet) owns(id fleet.EngineID, routers []membership.Member) bool {
-	if f.settings.IndexReplicas == 0 || len(routers) == 0 {
-		return true
+// share shares the engines anew among the routers; the mutex is held. The core
+// learns of it before it learns of a new engine.
+func (f *engineFleet) share() {
+	if f.settings.IndexReplicas == 0 {
+		return
 	}
-	return slices.Contains(membership.Owners(id, routers, f.settings.IndexReplicas), f.node)
+	f.shared = newOwnership(f.node, f.listed, f.routers, f.settings.IndexReplicas)
+	owned := f.shared.owns
+	f.placer.do(func(_ time.Duration, core *placement.Core) { core.SetOwned(owned) })
 }
 
 // reconcile starts and stops watchers; the mutex is held.
@@ -115,14 +121,14 @@
 	}
 	for id, watcher := range f.watchers {
 		machine, listed := f.machines[id]
-		if listed && machine.Address == watcher.address && f.owns(id, f.routers) {
+		if listed && machine.Address == watcher.address && f.shared.owns(id) {
 			continue
 		}
 		delete(f.watchers, id)
 		watcher.stop()
 	}
 	for id, machine := range f.machines {
-		if f.watchers[id] != nil || !f.owns(id, f.routers) {
+		if f.watchers[id] != nil || !f.shared.owns(id) {
 			continue
 		}
 		watcher := newEngineWatcher(machine, f)
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -71,7 +71,8 @@
 }
 
 // encodeOutcome fills a response with an outcome; routers is where a request
-// that is handed back may go.
+// that is handed back may go. After a hand-back for want of engines the agent
+// chooses itself, because it knows the prefix's rank of routers.
 func encodeOutcome(response *rpc.PlaceResponse, outcome placement.Outcome, routers []string) {
 	switch outcome := outcome.(type) {
 	case placement.Grant:
@@ -83,10 +84,11 @@
 			RetryAfterMillis: millis(outcome.RetryAfter),
 		}}
 	case placement.HandBack:
-		response.Outcome = &rpc.PlaceResponse_HandBack{HandBack: &rpc.HandBack{
-			Reason:  string(outcome.Reason),
-			Routers: routers,
-		}}
+		handBack := &rpc.HandBack{Reason: string(outcome.Reason)}
+		if outcome.Reason != placement.HandBackSaturated && outcome.Reason != placement.HandBackNoEngine {
+			handBack.Routers = routers
+		}
+		response.Outcome = &rpc.PlaceResponse_HandBack{HandBack: handBack}
 	}
 }
 
--- a/internal/router/placementserver.go
+++ b/internal/router/placementserver.go
@@ -112,6 +112,7 @@
 		Members:        s.router.routableMembers(),
 		Stopping:       s.router.isStopping(),
 		MachinesWanted: !s.router.machines.isKnown(),
+		IndexReplicas:  uint32(s.router.options.Settings.IndexReplicas),
 	}
 	if known := message.GetHeader().GetKnownRevision(); known < response.GetHeader().GetKnownRevision() {
 		response.Config = s.router.configurationMessage()
