--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -21,7 +21,6 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/platform"
 	"github.com/tillerfall/tillerfall/internal/router"
-	"github.com/tillerfall/tillerfall/lab/standin/engineserver"
 	"github.com/tillerfall/tillerfall/lab/standin/platformserver"
 )
 
