Add the experiment: policies, loads and failures beside the limit

`tillerlab experiment` runs both fleets against all policies at seven loads and through a shift of the hottest prefix, a flood of batch requests and an engine's crash, in parallel, and writes results/LABEL/table.md, results.json and plots. It compares with the latest results that are kept and ends in one line a fleet.

Capacity is the greatest rate at which the clairvoyant router serves 99 % of the requests within their class's objective; a limit on the urgent class alone was tried first and doesn't bind, since the clairvoyant lets the batch wait. The engines' batch was raised from 64 streams to 256, because 64 streams ran out before the engines' time did and made places in the batch what was measured.

--- a/lab/emulator/call.go
+++ b/lab/emulator/call.go
@@ -39,10 +39,13 @@
 
 	// returned tells that the caller has come back after a refusal; refusals
 	// counts both.
-	returned   bool
-	refusals   int
-	retryAfter time.Duration
-	stats      attempt.Stats
+	returned bool
+	refusals int
+	// refusedAfter is the time from the arrival to the first refusal, retryAfter
+	// what the last one told.
+	refusedAfter time.Duration
+	retryAfter   time.Duration
+	stats        attempt.Stats
 
 	// Of the last attempt that computed its prompt: tokens taken from the cache,
 	// the longest prefix that any live engine held on arrival of its dispatch,
--- a/lab/emulator/carrier.go
+++ b/lab/emulator/carrier.go
@@ -191,9 +191,12 @@
 // refused lets the caller come back once, after the time that it was told, if
 // its deadline lets it.
 func (c *carrier) refused(action attempt.Fail) {
+	queue := c.agent.emulator.queue
+	if c.call.refusals == 0 {
+		c.call.refusedAfter = queue.Now() - c.call.request.At
+	}
 	c.call.refusals++
 	c.call.retryAfter = action.RetryAfter
-	queue := c.agent.emulator.queue
 	back := queue.Now() + action.RetryAfter
 	deadline := c.call.request.At + termsOf[c.call.request.Class].deadline
 	if c.call.returned || action.RetryAfter <= 0 || back >= deadline {
@@ -217,7 +220,7 @@
 	c.call.code = code
 	c.call.finished = c.agent.emulator.queue.Now() - c.call.request.At
 	c.withdraw()
-	c.agent.emulator.ended()
+	c.agent.emulator.ended(c.call)
 }
 
 // withdraw takes back the last question, in case it is still open.
--- a/lab/emulator/clairvoyant.go
+++ b/lab/emulator/clairvoyant.go
@@ -32,9 +32,10 @@
 	// waits until the engine that computes it is done.
 	clairvoyantHoldTokens = 256
 	// clairvoyantRelook is the least time between two looks at a request whose
-	// engine hasn't changed.
-	clairvoyantRelook = 20 * time.Millisecond
-	clairvoyantScan   = 48
+	// engine hasn't changed or has no room.
+	clairvoyantRelook = 50 * time.Millisecond
+	// clairvoyantScan bounds the requests of a tenant and class in one look.
+	clairvoyantScan = 32
 )
 
 type clairvoyant struct {
@@ -68,6 +69,11 @@
 	host    *engineHost
 	version uint64
 	transit []clairvoyantTransit
+	// queued is the prompt work at the engine and on its way there, streams and
+	// waiting its streams; refresh brings them up to date.
+	queued  int
+	streams int
+	waiting int
 	// parked is the work of the requests that wait for this engine, by class.
 	parked map[int]int
 }
@@ -161,7 +167,7 @@
 
 // admit tells whether a request goes to an engine now, and notes which.
 func (c *clairvoyant) admit(now time.Duration, item *clairvoyantItem) bool {
-	if item.engine != nil && item.version == item.engine.version && now < item.lookAt {
+	if item.engine != nil && now < item.lookAt && (item.version == item.engine.version || !item.engine.open(item.rank)) {
 		c.lookAgain(item.lookAt)
 		return false
 	}
@@ -219,23 +225,23 @@
 // open tells whether an engine's next step has room. Classes behind the first
 // leave half of it.
 func (e *clairvoyantEngine) open(rank int) bool {
-	model := e.host.model
-	limit := clairvoyantQueueSteps * model.Config().Costs.StepTokens
+	settings := e.host.model.Config()
+	limit := clairvoyantQueueSteps * settings.Costs.StepTokens
 	if rank > 0 {
 		limit /= 2
 	}
-	streams := model.RunningStreams() + model.WaitingStreams() + len(e.transit)
-	return !e.host.down && e.queued() < limit && streams < model.Config().MaxRunning &&
-		model.WaitingStreams()+len(e.transit) < clairvoyantWaiting
+	return !e.host.down && e.queued < limit && e.streams < settings.MaxRunning && e.waiting < clairvoyantWaiting
 }
 
-// queued returns the prompt work at the engine and on its way there.
-func (e *clairvoyantEngine) queued() int {
-	tokens := e.host.model.QueuedPrefillTokens()
+// refresh reads the engine's true state.
+func (e *clairvoyantEngine) refresh() {
+	model := e.host.model
+	e.queued = model.QueuedPrefillTokens()
 	for _, grant := range e.transit {
-		tokens += grant.tokens
+		e.queued += grant.tokens
 	}
-	return tokens
+	e.waiting = model.WaitingStreams() + len(e.transit)
+	e.streams = model.RunningStreams() + e.waiting
 }
 
 func (c *clairvoyant) schedule(now time.Duration, item *clairvoyantItem) (scheduling.Decision, bool) {
@@ -274,8 +280,8 @@
 		Pool:            e.host.machine.Pool,
 		Ready:           !e.host.down,
 		Serves:          servesAll,
-		InFlight:        model.RunningStreams() + model.WaitingStreams() + len(e.transit),
-		PrefillTokens:   e.queued(),
+		InFlight:        e.streams,
+		PrefillTokens:   e.queued,
 		PrefillPerToken: costs.PrefillPerToken,
 		Step:            costs.StepBase + time.Duration(model.RunningStreams())*costs.DecodePerToken,
 		StepTokens:      costs.StepTokens,
@@ -314,6 +320,7 @@
 		blocks: item.request.Blocks,
 		tokens: item.tokens,
 	})
+	engine.refresh()
 	delete(c.waiting, key)
 	c.outcomes = append(c.outcomes, placement.Grant{
 		Key:      key,
@@ -327,6 +334,7 @@
 // engineChanged implements engineObserver.
 func (c *clairvoyant) engineChanged(now time.Duration, host *engineHost) {
 	c.engines[host.index].version++
+	c.engines[host.index].refresh()
 	c.pump(now)
 }
 
@@ -336,6 +344,7 @@
 	for position, grant := range engine.transit {
 		if grant.stream == stream {
 			engine.transit = append(engine.transit[:position], engine.transit[position+1:]...)
+			engine.refresh()
 			return
 		}
 	}
--- a/lab/emulator/collect.go
+++ b/lab/emulator/collect.go
@@ -12,14 +12,17 @@
 
 // collector sums up the calls of a run.
 type collector struct {
-	result     *Result
-	firstToken histograms[fleet.ClassName]
-	byKind     histograms[workload.Kind]
-	byTenant   histograms[fleet.TenantName]
-	queueWait  histograms[fleet.ClassName]
-	routerWait histograms[fleet.ClassName]
-	finish     histograms[fleet.ClassName]
-	retryAfter *hdrhistogram.Histogram
+	result       *Result
+	firstToken   histograms[fleet.ClassName]
+	byKind       histograms[workload.Kind]
+	byTenant     histograms[fleet.TenantName]
+	queueWait    histograms[fleet.ClassName]
+	routerWait   histograms[fleet.ClassName]
+	finish       histograms[fleet.ClassName]
+	retryAfter   *hdrhistogram.Histogram
+	refusedAfter *hdrhistogram.Histogram
+	others       *hdrhistogram.Histogram
+	flooding     fleet.TenantName
 
 	prompt, cached, reachable, recomputed int64
 	good                                  int
@@ -43,7 +46,12 @@
 		histogram = newHistogram()
 		h[key] = histogram
 	}
-	_ = histogram.RecordValue(max(value.Microseconds(), histogramMinimum)) // within the bounds: runs are shorter
+	record(histogram, value)
+}
+
+// record adds a time. None is over the bound, since runs are shorter.
+func record(histogram *hdrhistogram.Histogram, value time.Duration) {
+	_ = histogram.RecordValue(max(value.Microseconds(), histogramMinimum))
 }
 
 func (h histograms[K]) quantiles() map[K]Quantiles {
@@ -63,14 +71,17 @@
 			Endings:        make(map[Ending]int),
 			EndingsByClass: make(map[fleet.ClassName]map[Ending]int),
 		},
-		firstToken: make(histograms[fleet.ClassName]),
-		byKind:     make(histograms[workload.Kind]),
-		byTenant:   make(histograms[fleet.TenantName]),
-		queueWait:  make(histograms[fleet.ClassName]),
-		routerWait: make(histograms[fleet.ClassName]),
-		finish:     make(histograms[fleet.ClassName]),
-		retryAfter: newHistogram(),
-		splits:     make(map[workload.Kind]*splitSum),
+		firstToken:   make(histograms[fleet.ClassName]),
+		byKind:       make(histograms[workload.Kind]),
+		byTenant:     make(histograms[fleet.TenantName]),
+		queueWait:    make(histograms[fleet.ClassName]),
+		routerWait:   make(histograms[fleet.ClassName]),
+		finish:       make(histograms[fleet.ClassName]),
+		retryAfter:   newHistogram(),
+		refusedAfter: newHistogram(),
+		others:       newHistogram(),
+		flooding:     e.options.Trace.Fleet.Tenants[0].Name,
+		splits:       make(map[workload.Kind]*splitSum),
 	}
 	for _, call := range e.calls {
 		c.sample(call, e.options.SampleEvery)
@@ -93,8 +104,15 @@
 	c.result.Refusals += call.refusals
 	c.result.Retries += call.stats.Retries
 	c.result.Dispatches += call.stats.Dispatches
-	if call.retryAfter > 0 {
-		_ = c.retryAfter.RecordValue(call.retryAfter.Microseconds())
+	if call.refusals > 0 {
+		record(c.retryAfter, call.retryAfter)
+		record(c.refusedAfter, call.refusedAfter)
+	}
+	if call.returned {
+		c.result.Returned++
+		if call.ending == EndingFinished {
+			c.result.ReturnedFinished++
+		}
 	}
 	if call.good() {
 		c.good++
@@ -116,6 +134,9 @@
 	c.byKind.record(call.request.Kind, call.firstToken)
 	if class == workload.ClassUrgent {
 		c.byTenant.record(call.request.Tenant, call.firstToken)
+		if call.request.Tenant != c.flooding {
+			record(c.others, call.firstToken)
+		}
 	}
 	c.queueWait.record(class, call.firstToken-ownTime(call.promptTokens-call.cachedTokens))
 	c.routerWait.record(class, call.dispatchedAt)
@@ -178,6 +199,8 @@
 	r.RouterWaitByClass = c.routerWait.quantiles()
 	r.FinishTimeByClass = c.finish.quantiles()
 	r.RetryAfter = quantilesOf(c.retryAfter)
+	r.RefusedAfter = quantilesOf(c.refusedAfter)
+	r.UrgentOfOthers = quantilesOf(c.others)
 	r.PromptByKind = c.promptSplits()
 	every := e.options.SampleEvery
 	for i, sample := range c.samples {
--- a/lab/emulator/emulator.go
+++ b/lab/emulator/emulator.go
@@ -182,7 +182,11 @@
 	e.planArrival()
 }
 
-func (e *Emulator) ended() { e.open-- }
+// ended lets go of the blocks, which are most of a request's memory.
+func (e *Emulator) ended(call *call) {
+	e.open--
+	call.blocks = nil
+}
 
 // engineChanged tells the routers that may learn of it at once.
 func (e *Emulator) engineChanged(host *engineHost) {
--- a/lab/emulator/enginehost.go
+++ b/lab/emulator/enginehost.go
@@ -50,9 +50,13 @@
 	h.emulator.queue.After(latency, func() { to.handle(event) })
 }
 
-// dispatch takes a dispatch that has arrived.
+// dispatch takes a dispatch that has arrived. One whose request has ended
+// meanwhile is followed closely by its cancel, so it is left out.
 func (h *engineHost) dispatch(from *carrier, action attempt.Dispatch) {
 	defer h.emulator.dispatchArrived(h, action.Stream)
+	if from.machine.Phase() == attempt.PhaseFinished {
+		return
+	}
 	if h.down {
 		h.answer(from, attempt.DispatchNotSent{Operation: action.Operation})
 		return
--- a/lab/emulator/options.go
+++ b/lab/emulator/options.go
@@ -79,6 +79,7 @@
 		CacheBlocks:  description.CacheBlocks,
 		BlockTokens:  description.BlockTokens,
 		BlockIdleTTL: description.BlockIdleTTL,
+		MaxRunning:   maxStreams,
 		EventDelay:   o.EventDelay,
 		EventLoss:    o.EventLoss,
 		LoadLag:      o.LoadLag,
--- a/lab/emulator/terms.go
+++ b/lab/emulator/terms.go
@@ -32,11 +32,13 @@
 // classes lists the classes, most urgent first.
 var classes = []fleet.ClassName{workload.ClassUrgent, workload.ClassStandard, workload.ClassBatch}
 
-// Limits of the emulated configuration.
+// Limits of the emulated configuration. The bound of streams leaves the engines'
+// speed as what limits them: with 64 streams an engine would run out of places
+// in its batch before it runs out of time.
 const (
 	maxPromptTokens = 1 << 16
 	maxOutputTokens = 4096
-	maxStreams      = 64
+	maxStreams      = 256
 	maxConcurrent   = 1 << 16
 	maxWaiting      = 1 << 12
 )
--- /dev/null
+++ b/lab/experiment/calibrate.go
@@ -0,0 +1,56 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/lab/emulator"
+	"github.com/tillerfall/tillerfall/lab/workload"
+)
+
+const (
+	// calibratedPart is the part of all requests that must meet their class's
+	// objective at capacity.
+	calibratedPart = 0.99
+	// Bounds and step of the search, in requests a second.
+	calibrationLow  = 50
+	calibrationHigh = 1000
+	calibrationStep = 5
+)
+
+// Calibrate finds each fleet's capacity: the greatest rate, by bisection, at
+// which the clairvoyant router serves 99 % of all requests within their class's
+// objective.
+func Calibrate(seed uint64, progress io.Writer) error {
+	for _, description := range fleets() {
+		low, high := float64(calibrationLow), float64(calibrationHigh)
+		for high-low > calibrationStep {
+			rate := (low + high) / 2
+			part, err := servedWell(description, rate, seed)
+			if err != nil {
+				return errors.Wrap(err, description.Name)
+			}
+			_, _ = fmt.Fprintf(progress, "%s rate=%.1f served_well=%.4f\n", description.Name, rate, part)
+			if part >= calibratedPart {
+				low = rate
+			} else {
+				high = rate
+			}
+		}
+		_, _ = fmt.Fprintf(progress, "fleet=%s capacity=%.0f\n", description.Name, low)
+	}
+	return nil
+}
+
+// servedWell returns the part of the requests that the clairvoyant router
+// serves within their objectives.
+func servedWell(description workload.Fleet, rate float64, seed uint64) (float64, error) {
+	trace := workload.Generate(description, workload.Options{Seed: seed, Rate: rate, Duration: duration})
+	result, err := emulator.Run(Case{}.emulatorOptions(trace, emulator.Clairvoyant(), seed))
+	if err != nil {
+		return 0, err
+	}
+	return result.Goodput * (duration - warmup).Seconds() / float64(result.Requests), nil
+}
--- /dev/null
+++ b/lab/experiment/plan.go
@@ -0,0 +1,69 @@
+package experiment
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/tillerfall/tillerfall/lab/emulator"
+)
+
+// Selection limits an experiment; an empty list means all.
+type Selection struct {
+	Fleets    []string
+	Policies  []string
+	Scenarios []string
+	Loads     []float64
+}
+
+// Cases lists the selected runs in the order of the report.
+func (s Selection) Cases() []Case {
+	var cases []Case
+	for _, description := range fleets() {
+		for _, scenario := range scenarios {
+			for _, load := range loadsOf(scenario) {
+				for _, policy := range emulator.Policies() {
+					made := Case{Fleet: description.Name, Scenario: scenario, Load: load, Policy: policy.Name}
+					if s.includes(made) {
+						cases = append(cases, made)
+					}
+				}
+			}
+		}
+	}
+	return cases
+}
+
+func loadsOf(scenario Scenario) []float64 {
+	if scenario == ScenarioSteady {
+		return steadyLoads
+	}
+	return []float64{scenarioLoads[scenario]}
+}
+
+func (s Selection) includes(c Case) bool {
+	return selected(s.Fleets, c.Fleet) && selected(s.Policies, c.Policy) &&
+		selected(s.Scenarios, string(c.Scenario)) && selected(s.Loads, c.Load)
+}
+
+func selected[T comparable](wanted []T, value T) bool {
+	return len(wanted) == 0 || slices.Contains(wanted, value)
+}
+
+// longestFirst orders runs for a pool of workers: the busiest ones begin, so
+// that none of them is left for the end.
+func longestFirst(cases []Case) []int {
+	order := make([]int, len(cases))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(cases[b].work(), cases[a].work()) })
+	return order
+}
+
+// work grows with the expected time of a run.
+func (c Case) work() float64 {
+	if c.Scenario == ScenarioFlood {
+		return c.Load + 1
+	}
+	return c.Load
+}
--- /dev/null
+++ b/lab/experiment/publish.go
@@ -0,0 +1,36 @@
+package experiment
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+)
+
+// tableFile is the name of the report in the directory of its results.
+const tableFile = "table.md"
+
+// Publish writes a record, its report and its plots into the directory of its
+// label under root, and compares it with the latest other record there.
+func Publish(root string, record *Record) (directory string, err error) {
+	earlier, err := latestKept(root, record.Label)
+	if err != nil {
+		return "", errors.Wrap(err, "read earlier results")
+	}
+	directory = filepath.Join(root, record.Label)
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return "", err
+	}
+	if err := record.save(directory); err != nil {
+		return "", err
+	}
+	if err := os.WriteFile(filepath.Join(directory, tableFile), []byte(record.Markdown(earlier)), 0o644); err != nil {
+		return "", err
+	}
+	for _, description := range fleets() {
+		if err := record.writePlots(directory, description.Name); err != nil {
+			return "", err
+		}
+	}
+	return directory, nil
+}
--- /dev/null
+++ b/lab/experiment/reportscenarios.go
@@ -0,0 +1,103 @@
+package experiment
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/tillerfall/tillerfall/lab/emulator"
+	"github.com/tillerfall/tillerfall/lab/workload"
+)
+
+// writeFairness compares the urgent requests of the tenants that don't flood
+// with and without the flood.
+func (r *Record) writeFairness(text *strings.Builder, fleetName string) {
+	floods := r.of(fleetName, ScenarioFlood)
+	if len(floods) == 0 {
+		return
+	}
+	text.WriteString("\n### Flood of batch requests by one tenant\n\n")
+	rows := newTable(text, "policy", "others' urgent p99 without", "with the flood", "ratio",
+		"worst tenant's ratio", "standard p99 without", "with", "batch finished", "batch refused", "batch p99")
+	for _, flood := range floods {
+		calm := r.find(Case{Fleet: fleetName, Scenario: ScenarioCalm, Load: flood.Case.Load, Policy: flood.Case.Policy})
+		if calm == nil {
+			continue
+		}
+		batch := flood.Result.EndingsByClass[workload.ClassBatch]
+		rows.row(flood.Case.Policy,
+			millis(calm.Result.UrgentOfOthers.P99), millis(flood.Result.UrgentOfOthers.P99),
+			part(flood.Result.UrgentOfOthers.P99/calm.Result.UrgentOfOthers.P99),
+			part(worstRatio(calm.Result, flood.Result, fleetName)),
+			millis(calm.Result.FirstTokenByClass[workload.ClassStandard].P99),
+			millis(flood.Result.FirstTokenByClass[workload.ClassStandard].P99),
+			fmt.Sprint(batch[emulator.EndingFinished]), fmt.Sprint(batch[emulator.EndingRefused]),
+			millis(flood.Result.FirstTokenByClass[workload.ClassBatch].P99))
+	}
+}
+
+// worstRatio returns the greatest ratio of a tenant's p99 with the flood to
+// that without. Small tenants have few requests, so it is rough.
+func worstRatio(calm, flood *emulator.Result, fleetName string) float64 {
+	worst := 0.0
+	for _, description := range fleets() {
+		if description.Name != fleetName {
+			continue
+		}
+		for _, tenant := range description.Tenants[1:] {
+			worst = max(worst, flood.UrgentByTenant[tenant.Name].P99/calm.UrgentByTenant[tenant.Name].P99)
+		}
+	}
+	return worst
+}
+
+// writeOverload tells what became of the offered load at its highest.
+func (r *Record) writeOverload(text *strings.Builder, fleetName string) {
+	peaks := make(map[string]float64)
+	var highest []Outcome
+	for _, outcome := range r.of(fleetName, ScenarioSteady) {
+		peaks[outcome.Case.Policy] = max(peaks[outcome.Case.Policy], outcome.Result.Goodput)
+		if outcome.Case.Load == steadyLoads[len(steadyLoads)-1] {
+			highest = append(highest, outcome)
+		}
+	}
+	if len(highest) == 0 {
+		return
+	}
+	fmt.Fprintf(text, "\n### Overload %.2f\n\n", steadyLoads[len(steadyLoads)-1])
+	rows := newTable(text, "policy", "goodput in parts of its peak", "finished", "refused", "expired", "failed",
+		"refused after p50", "p99", "retry-after p50", "p99", "came back", "of these served", "retries a dispatch")
+	for _, outcome := range highest {
+		result := outcome.Result
+		rows.row(outcome.Case.Policy, part(result.Goodput/peaks[outcome.Case.Policy]),
+			fmt.Sprint(result.Endings[emulator.EndingFinished]), fmt.Sprint(result.Endings[emulator.EndingRefused]),
+			fmt.Sprint(result.Endings[emulator.EndingExpired]), fmt.Sprint(result.Endings[emulator.EndingFailed]),
+			millis(result.RefusedAfter.P50), millis(result.RefusedAfter.P99),
+			millis(result.RetryAfter.P50), millis(result.RetryAfter.P99),
+			fmt.Sprint(result.Returned), fmt.Sprint(result.ReturnedFinished),
+			part(float64(result.Retries)/float64(max(result.Dispatches, 1))))
+	}
+}
+
+// writeComparison sets the product's results beside its own earlier ones.
+func (r *Record) writeComparison(text *strings.Builder, fleetName string, earlier *Record) {
+	if earlier == nil {
+		return
+	}
+	fmt.Fprintf(text, "\n### Against the earlier results %s\n\n", earlier.Label)
+	rows := newTable(text, "scenario", "load", "hit before", "now", "waste before", "now", "urgent p99 before", "now",
+		"goodput before", "now")
+	for _, now := range r.Outcomes {
+		if now.Case.Fleet != fleetName || now.Case.Policy != emulator.PolicyTillerfall {
+			continue
+		}
+		before := earlier.find(now.Case)
+		if before == nil {
+			continue
+		}
+		rows.row(string(now.Case.Scenario), load(now.Case.Load),
+			part(before.Result.HitRate), part(now.Result.HitRate),
+			part(before.Result.WasteRate), part(now.Result.WasteRate),
+			millis(urgentP99(before)), millis(urgentP99(&now)),
+			fmt.Sprintf("%.1f", before.Result.Goodput), fmt.Sprintf("%.1f", now.Result.Goodput))
+	}
+}
--- /dev/null
+++ b/lab/experiment/summary.go
@@ -0,0 +1,62 @@
+package experiment
+
+import (
+	"fmt"
+
+	"github.com/tillerfall/tillerfall/lab/emulator"
+	"github.com/tillerfall/tillerfall/lab/workload"
+)
+
+// Headline compares the product at HeadlineLoad with the limit and with the
+// least loaded rival. Each field is the product's value in parts of the other's.
+type Headline struct {
+	Fleet                   string
+	HitVsLimit              float64
+	WasteVsLimit            float64
+	FirstTokenVsLimit       float64
+	FirstTokenVsLeastLoaded float64
+}
+
+// String returns the line that an experiment ends in.
+func (h Headline) String() string {
+	return fmt.Sprintf("fleet=%s hit_vs_limit=%.3f waste_vs_limit=%.3f ttft_p99_vs_limit=%.3f ttft_p99_vs_least_loaded=%.3f",
+		h.Fleet, h.HitVsLimit, h.WasteVsLimit, h.FirstTokenVsLimit, h.FirstTokenVsLeastLoaded)
+}
+
+// headline returns a fleet's headline; false if a run for it is missing.
+func (r *Record) headline(fleetName string) (Headline, bool) {
+	base := Case{Fleet: fleetName, Scenario: ScenarioSteady, Load: HeadlineLoad}
+	product := r.find(base.with(emulator.PolicyTillerfall))
+	limit := r.find(base.with(emulator.PolicyClairvoyant))
+	leastLoaded := r.find(base.with(emulator.PolicyLeastLoaded))
+	if product == nil || limit == nil || leastLoaded == nil {
+		return Headline{}, false
+	}
+	return Headline{
+		Fleet:                   fleetName,
+		HitVsLimit:              product.Result.HitRate / limit.Result.HitRate,
+		WasteVsLimit:            product.Result.WasteRate / limit.Result.WasteRate,
+		FirstTokenVsLimit:       urgentP99(product) / urgentP99(limit),
+		FirstTokenVsLeastLoaded: urgentP99(product) / urgentP99(leastLoaded),
+	}, true
+}
+
+// Headlines returns the headline of each fleet that has one.
+func (r *Record) Headlines() []Headline {
+	var headlines []Headline
+	for _, description := range fleets() {
+		if headline, found := r.headline(description.Name); found {
+			headlines = append(headlines, headline)
+		}
+	}
+	return headlines
+}
+
+func (c Case) with(policy string) Case {
+	c.Policy = policy
+	return c
+}
+
+func urgentP99(outcome *Outcome) float64 {
+	return outcome.Result.FirstTokenByClass[workload.ClassUrgent].P99
+}
