Test faults together: engines and routers in turn, a cut and slow platform

An engine and a router killed twice under one stream; the agent killed under its streams and started again with the platform down; transactions cut before and after their effect on a slow platform, each repeated under its token. The planned stop of a router must also hand waiting requests back.

--- a/test/integration/engines_test.go
+++ b/test/integration/engines_test.go
@@ -57,6 +57,22 @@
 	return found[0]
 }
 
+// awaitEngineOf waits until an engine has accepted a request. An engine that was
+// started again since knows of none.
+func (f *testFleet) awaitEngineOf(requestID string) string {
+	f.t.Helper()
+	var found string
+	eventually(f.t, "an engine has the request", func() bool {
+		for _, name := range f.names("engine") {
+			if f.executionsAt(name, requestID) > 0 {
+				found = name
+			}
+		}
+		return found != ""
+	})
+	return found
+}
+
 // ruleEngines gives every engine's proxy the same rules.
 func (f *testFleet) ruleEngines(rules ...rule) {
 	for _, name := range f.names("engine") {
--- a/test/integration/router_test.go
+++ b/test/integration/router_test.go
@@ -178,6 +178,7 @@
 	}
 	assert.Zero(t, stopped.exitCode())
 	assert.Equal(t, 1, stopped.logged("event=router_stopped"))
+	assert.Positive(t, stopped.logged("event=place_handed_back", "reason=draining"))
 	running.requireAllWhole(t)
 }
 
--- /dev/null
+++ b/test/integration/together_test.go
@@ -0,0 +1,83 @@
+package integration
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+	"github.com/tillerfall/tillerfall/lab/standin/platformserver"
+)
+
+// commitLine begins a transaction at the platform.
+const commitLine = "POST /v1/tables/commit HTTP/1.1"
+
+// TestEnginesAndRoutersKilledInTurn kills the engine under a stream, and then
+// the engine that goes on with it, each time with a router.
+func TestEnginesAndRoutersKilledInTurn(t *testing.T) {
+	f := startFleet(t, fleetOptions{})
+	request := chat(model, 300, "You answer clerks.", "Which flag covers tankers?")
+	opened := send(t, f.agentAddress(), request)
+	for round := range 2 {
+		opened.readTokens(len(opened.answer.tokens) + 5)
+		require.Nil(t, opened.answer.failure, "%+v", opened.answer.failure)
+		f.processes["router-"+strconv.Itoa(round+1)].kill()
+		killed := f.awaitEngineOf(opened.answer.requestID())
+		f.processes[killed].kill()
+		f.processes[killed].start()
+		f.awaitListening(killed)
+	}
+	requireWhole(t, request, opened.readAll())
+}
+
+// TestAgentKilledUnderItsStreams kills the agent, whose callers see a stream
+// without an end, and starts it again. The new one serves at once.
+func TestAgentKilledUnderItsStreams(t *testing.T) {
+	f := startFleet(t, fleetOptions{})
+	request := chat(model, 300, "You answer clerks.", "Which flag covers tankers?")
+	opened := send(t, f.agentAddress(), request)
+	opened.readTokens(5)
+	f.processes["agent-1"].kill()
+	got := opened.readAll()
+	assert.False(t, got.done, "a cut stream has a proper end")
+	f.setPlatformFaults(platformserver.Faults{Down: true})
+	f.processes["agent-1"].start()
+	f.awaitListening("agent-1")
+	f.awaitReady(f.agentAddress())
+	request.MaxTokens = 10
+	requireWhole(t, request, ask(t, f.agentAddress(), request))
+}
+
+// TestCommandsCutOnTheWayToThePlatform cuts transactions before and after their
+// effect, on a platform that is slow besides.
+func TestCommandsCutOnTheWayToThePlatform(t *testing.T) {
+	f := startFleet(t, fleetOptions{platformProxy: true})
+	f.setPlatformFaults(platformserver.Faults{Slow: config.Duration(100 * time.Millisecond)})
+	revision := uint64(1)
+	for round, cut := range []rule{
+		{way: towardsServer, match: commitLine, end: endReset, times: times(2)},
+		{way: towardsServer, match: commitLine, after: 250, end: endClose, times: times(2)},
+		{way: towardsClient, match: "HTTP/1.1 200 OK", after: 20, end: endReset, times: times(6)},
+		{way: towardsClient, match: "HTTP/1.1 200 OK", end: endClose, times: times(6)},
+	} {
+		f.proxies["platform"].setRules(cut)
+		token := "cut-" + strconv.Itoa(round)
+		statement := []string{"drain engine-1", "admit engine-1"}[round%2]
+		reported, _ := f.operate("router-2", statement, "--token", token)
+		f.proxies["platform"].setRules()
+		require.NotNil(t, reported)
+		repeated := f.mustOperate("router-3", statement, "--token", token)
+		revision++
+		assert.Equal(t, revision, repeated.Revision, "the command has taken effect once")
+		if resultcode.Code(reported.Code) == resultcode.OK {
+			assert.Equal(t, revision, reported.Revision)
+		} else {
+			assert.Contains(t, []resultcode.Code{resultcode.CommandUncertain, resultcode.PlatformUnavailable}, resultcode.Code(reported.Code))
+		}
+		f.awaitRevision(revision)
+	}
+}
