Add fleetsync: agents' lists at the cost of their changes

Cause: an agent fetched the whole list of routers in each exchange, and the whole list of engines whenever one of them had changed.

A Publisher at the router stamps entries with the version at which they last changed and remembers the last 4,096 removals; a Subscriber at the agent names the run and the version that it holds and gets the step from there, or the whole list. Suspicion of a router is no change for agents any more.

Ruled out: a digest alone for both lists. It spares steady traffic but sends the whole list twice per change while routers' views converge. Versions agreed among routers would need one more protocol.

--- /dev/null
+++ b/internal/fleetsync/changelog.go
@@ -0,0 +1,149 @@
+package fleetsync
+
+import (
+	"cmp"
+	"slices"
+)
+
+// maxRemovals bounds the removed entries that a changelog remembers. A
+// subscriber that lacks older ones gets the whole list.
+const maxRemovals = 4096
+
+// changelog is a list of named entries that knows at which version each has
+// last changed.
+type changelog[T any] struct {
+	name  func(T) string
+	equal func(a, b T) bool
+	// version is raised by each change; 0 means that nothing was ever set.
+	version uint64
+	// entries is sorted by name.
+	entries []versioned[T]
+	// removals holds the last removed names in the order of their versions.
+	removals []removal
+	// floor is the oldest version from which the changes are known.
+	floor uint64
+}
+
+type versioned[T any] struct {
+	value   T
+	changed uint64
+}
+
+type removal struct {
+	name    string
+	version uint64
+}
+
+// delta is the step from one version to another.
+type delta[T any] struct {
+	changed []T
+	removed []string
+}
+
+// set puts a list in place, which must be sorted by name and without doubles.
+func (l *changelog[T]) set(listed []T) {
+	next := l.version + 1
+	entries := make([]versioned[T], 0, len(listed))
+	var removed []removal
+	changes := 0
+	rest := l.entries
+	for _, value := range listed {
+		for len(rest) > 0 && l.name(rest[0].value) < l.name(value) {
+			removed = append(removed, removal{name: l.name(rest[0].value), version: next})
+			rest = rest[1:]
+		}
+		entry := versioned[T]{value: value, changed: next}
+		if len(rest) > 0 && l.name(rest[0].value) == l.name(value) {
+			if l.equal(rest[0].value, value) {
+				entry.changed = rest[0].changed
+			}
+			rest = rest[1:]
+		}
+		if entry.changed == next {
+			changes++
+		}
+		entries = append(entries, entry)
+	}
+	for _, gone := range rest {
+		removed = append(removed, removal{name: l.name(gone.value), version: next})
+	}
+	if changes+len(removed) == 0 && l.version > 0 {
+		return
+	}
+	l.version = next
+	l.entries = entries
+	l.remember(removed)
+}
+
+func (l *changelog[T]) remember(removed []removal) {
+	l.removals = append(l.removals, removed...)
+	excess := len(l.removals) - maxRemovals
+	if excess <= 0 {
+		return
+	}
+	l.floor = l.removals[excess-1].version
+	l.removals = slices.Clone(l.removals[excess:])
+}
+
+// since returns the changes after a version; false if they aren't known.
+func (l *changelog[T]) since(version uint64) (delta[T], bool) {
+	var step delta[T]
+	switch {
+	case version == 0 || version < l.floor || version > l.version:
+		return step, false
+	case version == l.version:
+		return step, true
+	}
+	for _, entry := range l.entries {
+		if entry.changed > version {
+			step.changed = append(step.changed, entry.value)
+		}
+	}
+	first, _ := slices.BinarySearchFunc(l.removals, version+1, func(r removal, from uint64) int {
+		return cmp.Compare(r.version, from)
+	})
+	for _, gone := range l.removals[first:] {
+		if !l.holds(gone.name) {
+			step.removed = append(step.removed, gone.name)
+		}
+	}
+	return step, true
+}
+
+// holds tells whether the list has an entry now, as one that was removed and
+// came back.
+func (l *changelog[T]) holds(name string) bool {
+	_, found := slices.BinarySearchFunc(l.entries, name, func(entry versioned[T], name string) int {
+		return cmp.Compare(l.name(entry.value), name)
+	})
+	return found
+}
+
+// all returns the whole list.
+func (l *changelog[T]) all() []T {
+	values := make([]T, 0, len(l.entries))
+	for _, entry := range l.entries {
+		values = append(values, entry.value)
+	}
+	return values
+}
+
+// apply returns a sorted list after a step.
+func apply[T any](listed []T, step delta[T], name func(T) string) []T {
+	byName := func(entry T, wanted string) int { return cmp.Compare(name(entry), wanted) }
+	merged := slices.Clone(listed)
+	for _, gone := range step.removed {
+		if index, found := slices.BinarySearchFunc(merged, gone, byName); found {
+			merged = slices.Delete(merged, index, index+1)
+		}
+	}
+	for _, value := range step.changed {
+		index, found := slices.BinarySearchFunc(merged, name(value), byName)
+		if found {
+			merged[index] = value
+			continue
+		}
+		merged = slices.Insert(merged, index, value)
+	}
+	return merged
+}
--- /dev/null
+++ b/internal/fleetsync/doc.go
@@ -0,0 +1,11 @@
+// Package fleetsync keeps an agent's copy of a router's two lists, of routers
+// and of engines, at the cost of their changes. A Publisher is the router's
+// side, a Subscriber the agent's. Neither does I/O or reads a clock, and both
+// are safe for concurrent use.
+//
+// A list has a version that counts its changes at one run of one router. The
+// versions of two routers, or of two runs, have nothing to do with each other:
+// a Subscriber names the router that its versions are of, and a Publisher that
+// is another sends the whole list. The list of engines has a digest as well, by
+// which a Subscriber that changes routers learns that its copy is right.
+package fleetsync
--- /dev/null
+++ b/internal/fleetsync/fleetsync_test.go
@@ -0,0 +1,224 @@
+package fleetsync
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"pgregory.net/rapid"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// source is a router's two lists beside its publisher.
+type source struct {
+	publisher *Publisher
+	view      *membership.View
+	machines  *rpc.MachineList
+}
+
+func newSource(node fleet.NodeID, members []membership.Member, machines []*rpc.Machine) *source {
+	s := &source{publisher: NewPublisher(node)}
+	s.setMembers(members)
+	s.setMachines(machines)
+	return s
+}
+
+func (s *source) setMembers(members []membership.Member) {
+	version := uint64(1)
+	if s.view != nil {
+		version = s.view.Version + 1
+	}
+	s.view = membership.NewView(version, membership.Member{}, members)
+}
+
+// setMachines gives the list a digest that tells its content.
+func (s *source) setMachines(machines []*rpc.Machine) {
+	digest := uint64(1)
+	for _, machine := range machines {
+		for _, char := range fmt.Sprint(machine.GetId(), machine.GetIncarnation()) {
+			digest = digest*1099511628211 + uint64(char)
+		}
+	}
+	s.machines = &rpc.MachineList{Digest: digest, Machines: machines}
+}
+
+func (s *source) answer(request *rpc.SyncRequest) *rpc.SyncResponse {
+	response := &rpc.SyncResponse{Header: &rpc.Header{Sender: string(s.publisher.node)}}
+	s.publisher.Answer(s.view, s.machines, request, response)
+	return response
+}
+
+func exchange(subscriber *Subscriber, with *source) (*rpc.SyncRequest, *rpc.SyncResponse) {
+	request := &rpc.SyncRequest{Header: &rpc.Header{Sender: "agent-0123456789abcdef"}}
+	subscriber.Request(request)
+	answer := with.answer(request)
+	subscriber.Apply(request, answer)
+	return request, answer
+}
+
+func requireSame(t require.TestingT, subscriber *Subscriber, with *source) {
+	require.Equal(t, published(with.view.Routable()), subscriber.Members())
+	require.True(t, proto.Equal(with.machines, subscriber.Machines()), "machines differ")
+}
+
+func member(number, run int) membership.Member {
+	return membership.Member{
+		Node:    fleet.NodeID(fmt.Sprintf("router-%03d-%016x", number, run)),
+		Address: fleet.Address(fmt.Sprintf("10.0.%d.%d:7400", number/256, number%256)),
+		Region:  "region-1", Zone: "zone-01", Incarnation: 1, State: membership.Alive,
+	}
+}
+
+func machine(number, run int) *rpc.Machine {
+	return &rpc.Machine{
+		Id: fmt.Sprintf("engine-%05d", number), Address: fmt.Sprintf("10.1.%d.%d:7500", number/256, number%256),
+		Region: "region-1", Zone: "zone-01", Pool: "pool-01", Incarnation: uint64(run),
+	}
+}
+
+// draw fills a list with a random part of eight names, each of some run.
+func draw[T any](t *rapid.T, label string, entry func(number, run int) T) []T {
+	var entries []T
+	for number := range 8 {
+		if run := rapid.IntRange(0, 3).Draw(t, label); run > 0 {
+			entries = append(entries, entry(number, run))
+		}
+	}
+	if len(entries) == 0 {
+		entries = append(entries, entry(0, 1))
+	}
+	return entries
+}
+
+// TestSubscriberEndsWithTheListsOfTheRouterItAsked changes lists, restarts
+// routers, moves between them, and loses, delays and repeats answers.
+func TestSubscriberEndsWithTheListsOfTheRouterItAsked(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sources := make([]*source, 2)
+		runs := 0
+		start := func(index int) {
+			runs++
+			node := fleet.NodeID(fmt.Sprintf("router-%d-%d", index, runs))
+			sources[index] = newSource(node, draw(t, "members", member), draw(t, "machines", machine))
+		}
+		start(0)
+		start(1)
+		subscriber := &Subscriber{}
+		type late struct {
+			request *rpc.SyncRequest
+			answer  *rpc.SyncResponse
+		}
+		var held []late
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			index := rapid.IntRange(0, 1).Draw(t, "router")
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0:
+				sources[index].setMembers(draw(t, "members", member))
+			case 1:
+				sources[index].setMachines(draw(t, "machines", machine))
+			case 2:
+				start(index)
+			case 3:
+				request := &rpc.SyncRequest{}
+				subscriber.Request(request)
+				held = append(held, late{request: request, answer: sources[index].answer(request)})
+			case 4:
+				if len(held) > 0 {
+					chosen := held[rapid.IntRange(0, len(held)-1).Draw(t, "late")]
+					subscriber.Apply(chosen.request, chosen.answer)
+				}
+			default:
+				exchange(subscriber, sources[index])
+				requireSame(t, subscriber, sources[index])
+			}
+		}
+		exchange(subscriber, sources[0])
+		requireSame(t, subscriber, sources[0])
+	})
+}
+
+func fleetOf(routers, engines int) *source {
+	var members []membership.Member
+	for number := range routers {
+		members = append(members, member(number, 1))
+	}
+	var machines []*rpc.Machine
+	for number := range engines {
+		machines = append(machines, machine(number, 1))
+	}
+	return newSource("router-000-0000000000000001", members, machines)
+}
+
+func TestSuspicionIsNoChange(t *testing.T) {
+	with := fleetOf(3, 1)
+	subscriber := &Subscriber{}
+	exchange(subscriber, with)
+	suspected := []membership.Member{member(0, 1), member(1, 1), member(2, 1)}
+	suspected[1].State = membership.Suspect
+	suspected[2].Incarnation = 2
+	with.setMembers(suspected)
+	_, answer := exchange(subscriber, with)
+	assert.Nil(t, answer.GetMembersStep())
+}
+
+func TestForgottenRemovalsBringTheWholeList(t *testing.T) {
+	with := fleetOf(2, 1)
+	subscriber := &Subscriber{}
+	exchange(subscriber, with)
+	for run := range maxRemovals + 2 {
+		with.setMembers([]membership.Member{member(0, 1), member(1, run+2)})
+		with.answer(&rpc.SyncRequest{})
+	}
+	_, answer := exchange(subscriber, with)
+	assert.Zero(t, answer.GetMembersStep().GetBase())
+	requireSame(t, subscriber, with)
+	assert.LessOrEqual(t, len(with.publisher.members.removals), maxRemovals)
+}
+
+func TestExchangeWithoutListsLeavesThemAlone(t *testing.T) {
+	with := fleetOf(3, 3)
+	subscriber := &Subscriber{}
+	answer := with.answer(&rpc.SyncRequest{WithoutLists: true})
+	subscriber.Apply(&rpc.SyncRequest{}, answer)
+	assert.Empty(t, answer.GetMembers())
+	assert.Empty(t, subscriber.Members())
+}
+
+// TestEveryFieldOfAMachineCounts fails when a field is added that
+// equalMachines doesn't compare.
+func TestEveryFieldOfAMachineCounts(t *testing.T) {
+	fields := (&rpc.Machine{}).ProtoReflect().Descriptor().Fields()
+	for index := range fields.Len() {
+		field := fields.Get(index)
+		changed := &rpc.Machine{}
+		value := map[protoreflect.Kind]protoreflect.Value{
+			protoreflect.StringKind: protoreflect.ValueOfString("other"),
+			protoreflect.Uint64Kind: protoreflect.ValueOfUint64(1),
+			protoreflect.BoolKind:   protoreflect.ValueOfBool(true),
+		}[field.Kind()]
+		changed.ProtoReflect().Set(field, value)
+		assert.False(t, equalMachines(&rpc.Machine{}, changed), field.Name())
+	}
+	assert.True(t, equalMachines(machine(1, 1), machine(1, 1)))
+}
+
+func TestEmptyListsAreNoNews(t *testing.T) {
+	with := fleetOf(2, 2)
+	subscriber := &Subscriber{}
+	exchange(subscriber, with)
+	with.setMembers(nil)
+	with.setMachines(nil)
+	exchange(subscriber, with)
+	assert.Len(t, subscriber.Members(), 2)
+	assert.Len(t, subscriber.Machines().GetMachines(), 2)
+	with.setMembers([]membership.Member{member(7, 1)})
+	with.setMachines([]*rpc.Machine{machine(7, 1)})
+	exchange(subscriber, with)
+	requireSame(t, subscriber, with)
+}
--- /dev/null
+++ b/internal/fleetsync/publisher.go
@@ -0,0 +1,136 @@
+package fleetsync
+
+import (
+	"sync"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// Publisher is one run of a router's side.
+type Publisher struct {
+	node fleet.NodeID
+
+	mutex sync.Mutex
+	// view is the version of the membership's last view, source the machine
+	// list as last given.
+	view     uint64
+	source   *rpc.MachineList
+	members  changelog[membership.Member]
+	machines changelog[*rpc.Machine]
+}
+
+// NewPublisher returns the side of a router's run, which knows no list yet.
+func NewPublisher(node fleet.NodeID) *Publisher {
+	return &Publisher{
+		node: node,
+		members: changelog[membership.Member]{
+			name:  memberName,
+			equal: func(a, b membership.Member) bool { return a == b },
+		},
+		machines: changelog[*rpc.Machine]{
+			name:  (*rpc.Machine).GetId,
+			equal: equalMachines,
+		},
+	}
+}
+
+func memberName(member membership.Member) string { return string(member.Node) }
+
+// equalMachines compares field by field, since proto.Equal is too slow for
+// each of ten thousand machines at each change.
+func equalMachines(a, b *rpc.Machine) bool {
+	return a == b ||
+		a.GetId() == b.GetId() &&
+			a.GetAddress() == b.GetAddress() &&
+			a.GetRegion() == b.GetRegion() &&
+			a.GetZone() == b.GetZone() &&
+			a.GetPool() == b.GetPool() &&
+			a.GetIncarnation() == b.GetIncarnation() &&
+			a.GetLeaving() == b.GetLeaving()
+}
+
+// Answer adds to a response what a request's sender lacks of the two lists.
+// Machines must be sorted by identifier and not be written to afterwards; nil
+// means that they aren't known.
+func (p *Publisher) Answer(
+	view *membership.View, machines *rpc.MachineList, request *rpc.SyncRequest, response *rpc.SyncResponse,
+) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.update(view, machines)
+	if request.GetWithoutLists() {
+		return
+	}
+	p.answerMembers(request, response)
+	if p.source != nil {
+		p.answerMachines(request, response)
+	}
+}
+
+// update takes over lists that have changed; the mutex is held.
+func (p *Publisher) update(view *membership.View, machines *rpc.MachineList) {
+	if view.Version > p.view || p.members.version == 0 {
+		p.view = view.Version
+		p.members.set(published(view.Routable()))
+	}
+	if machines != nil && machines != p.source {
+		p.source = machines
+		p.machines.set(machines.GetMachines())
+	}
+}
+
+// published strips members of what agents don't use, so that a suspicion that
+// comes to nothing is no change for them.
+func published(routable []membership.Member) []membership.Member {
+	members := make([]membership.Member, 0, len(routable))
+	for _, member := range routable {
+		member.State = membership.Alive
+		member.Incarnation = 0
+		members = append(members, member)
+	}
+	return members
+}
+
+func (p *Publisher) answerMembers(request *rpc.SyncRequest, response *rpc.SyncResponse) {
+	base := p.known(request, request.GetMembershipVersion())
+	step, known := p.members.since(base)
+	if known && base == p.members.version {
+		return
+	}
+	if !known {
+		base = 0
+		step = delta[membership.Member]{changed: p.members.all()}
+	}
+	response.MembersStep = &rpc.ListStep{Version: p.members.version, Base: base, Removed: step.removed}
+	for _, member := range step.changed {
+		response.Members = append(response.Members, membership.EncodeMember(member))
+	}
+}
+
+func (p *Publisher) answerMachines(request *rpc.SyncRequest, response *rpc.SyncResponse) {
+	base := p.known(request, request.GetMachinesVersion())
+	isSame := request.GetMachinesDigest() == p.source.GetDigest()
+	step, known := p.machines.since(base)
+	switch {
+	case isSame && base == p.machines.version:
+		return
+	case isSame:
+		response.MachinesStep = &rpc.ListStep{Version: p.machines.version, Base: p.machines.version}
+		return
+	case !known || base == p.machines.version:
+		base = 0
+		step = delta[*rpc.Machine]{changed: p.source.GetMachines()}
+	}
+	response.MachinesStep = &rpc.ListStep{Version: p.machines.version, Base: base, Removed: step.removed}
+	response.Machines = &rpc.MachineList{Digest: p.source.GetDigest(), Machines: step.changed}
+}
+
+// known returns a version that a request names, or 0 if it is of another run.
+func (p *Publisher) known(request *rpc.SyncRequest, version uint64) uint64 {
+	if request.GetVersionsOf() != string(p.node) {
+		return 0
+	}
+	return version
+}
--- /dev/null
+++ b/internal/fleetsync/subscriber.go
@@ -0,0 +1,134 @@
+package fleetsync
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// Subscriber is an agent's side. Its zero value holds nothing.
+type Subscriber struct {
+	mutex sync.Mutex
+	// router is the run that the versions are of. A version of 0 means that
+	// the list, if there is one, is of another run.
+	router          string
+	membersVersion  uint64
+	machinesVersion uint64
+	members         []membership.Member
+	machines        *rpc.MachineList
+}
+
+// Request adds to a request what the subscriber holds.
+func (s *Subscriber) Request(request *rpc.SyncRequest) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	request.VersionsOf = s.router
+	request.MembershipVersion = s.membersVersion
+	request.MachinesVersion = s.machinesVersion
+	request.MachinesDigest = s.machines.GetDigest()
+}
+
+// Apply takes over the answer to a request that Request has filled. Answers
+// may come in any order: one that doesn't follow from what is held now is
+// dropped, and the next exchange brings what it had. Lists that would be empty
+// are no news, since they are of no help.
+func (s *Subscriber) Apply(request *rpc.SyncRequest, answer *rpc.SyncResponse) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if answer.GetMembersStep() == nil && answer.GetMachinesStep() == nil {
+		return
+	}
+	sender := answer.GetHeader().GetSender()
+	if sender != s.router {
+		s.router = sender
+		s.membersVersion = 0
+		s.machinesVersion = 0
+	}
+	s.applyMembers(answer)
+	s.applyMachines(request, answer)
+}
+
+func (s *Subscriber) applyMembers(answer *rpc.SyncResponse) {
+	step := answer.GetMembersStep()
+	if !follows(step, s.membersVersion) {
+		return
+	}
+	changed := make([]membership.Member, 0, len(answer.GetMembers()))
+	for _, encoded := range answer.GetMembers() {
+		if member, err := membership.DecodeMember(encoded); err == nil {
+			changed = append(changed, member)
+		}
+	}
+	members := changed
+	if step.GetBase() == 0 {
+		slices.SortFunc(members, func(a, b membership.Member) int { return cmp.Compare(a.Node, b.Node) })
+	} else {
+		members = apply(s.members, delta[membership.Member]{changed: changed, removed: step.GetRemoved()}, memberName)
+	}
+	if len(members) == 0 {
+		s.membersVersion = 0
+		return
+	}
+	s.members = members
+	s.membersVersion = step.GetVersion()
+}
+
+func (s *Subscriber) applyMachines(request *rpc.SyncRequest, answer *rpc.SyncResponse) {
+	step := answer.GetMachinesStep()
+	if step.GetBase() != 0 && step.GetBase() == step.GetVersion() {
+		s.adoptMachines(request, step)
+		return
+	}
+	if !follows(step, s.machinesVersion) {
+		return
+	}
+	machines := answer.GetMachines().GetMachines()
+	if step.GetBase() == 0 {
+		slices.SortFunc(machines, func(a, b *rpc.Machine) int { return cmp.Compare(a.GetId(), b.GetId()) })
+	} else {
+		change := delta[*rpc.Machine]{changed: machines, removed: step.GetRemoved()}
+		machines = apply(s.machines.GetMachines(), change, (*rpc.Machine).GetId)
+	}
+	if len(machines) == 0 {
+		s.machinesVersion = 0
+		return
+	}
+	s.machines = &rpc.MachineList{Digest: answer.GetMachines().GetDigest(), Machines: machines}
+	s.machinesVersion = step.GetVersion()
+}
+
+// adoptMachines takes over the version of a router whose list has the digest
+// that the request named.
+func (s *Subscriber) adoptMachines(request *rpc.SyncRequest, step *rpc.ListStep) {
+	if request.GetMachinesDigest() == s.machines.GetDigest() {
+		s.machinesVersion = step.GetVersion()
+	}
+}
+
+// follows tells whether a step leads on from the version that is held. A whole
+// list replaces any that isn't newer.
+func follows(step *rpc.ListStep, held uint64) bool {
+	if step.GetVersion() == 0 || step.GetVersion() < held {
+		return false
+	}
+	return step.GetBase() == 0 || step.GetBase() == held
+}
+
+// Members returns the routers that may be asked, sorted by node. The slice
+// must not be written to.
+func (s *Subscriber) Members() []membership.Member {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.members
+}
+
+// Machines returns the list of engines, or nil if none is held. It must not be
+// written to.
+func (s *Subscriber) Machines() *rpc.MachineList {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.machines
+}
