Measure how costs grow with the size of the fleet

Processor time comes from getrusage, since elapsed time on a shared machine says little. Membership runs on a virtual clock with every message encoded and decoded as the transport does; its tests' harness can't be imported and knows neither calls with answers nor distances, so the network model is a new one.

--- a/cmd/tillerlab/main.go
+++ b/cmd/tillerlab/main.go
@@ -19,10 +19,12 @@
 
 // commandLine is the command line of the binary.
 type commandLine struct {
-	Fleet    fleetCommand    `command:"fleet" description:"Run an embedded fleet on loopback"`
-	Engine   engineCommand   `command:"engine" description:"Run an engine stand-in"`
-	Platform platformCommand `command:"platform" description:"Run a platform stand-in"`
-	Simulate simulateCommand `command:"simulate" description:"Check seeded histories of a fleet on a virtual clock"`
+	Fleet      fleetCommand      `command:"fleet" description:"Run an embedded fleet on loopback"`
+	Engine     engineCommand     `command:"engine" description:"Run an engine stand-in"`
+	Platform   platformCommand   `command:"platform" description:"Run a platform stand-in"`
+	Experiment experimentCommand `command:"experiment" description:"Measure the routing against rivals in the emulator"`
+	Simulate   simulateCommand   `command:"simulate" description:"Check seeded histories of a fleet on a virtual clock"`
+	Capacity   capacityCommand   `command:"capacity" description:"Measure how costs grow with the size of the fleet"`
 }
 
 func main() {
--- /dev/null
+++ b/lab/capacity/calls.go
@@ -0,0 +1,320 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/platform"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// countingListener counts the bytes of its connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn, bytes: &l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(data []byte) (int, error) {
+	count, err := c.Conn.Read(data)
+	c.bytes.Add(int64(count))
+	return count, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(data []byte) (int, error) {
+	count, err := c.Conn.Write(data)
+	c.bytes.Add(int64(count))
+	return count, err
+}
+
+// endpoint is a server of fixed answers on loopback.
+type endpoint struct {
+	listener *countingListener
+	server   *http.Server
+	client   *http.Client
+	url      string
+}
+
+func newEndpoint(handler http.Handler) (*endpoint, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &endpoint{
+		listener: &countingListener{Listener: listener},
+		server:   &http.Server{Handler: handler},
+		client:   &http.Client{Transport: &http.Transport{}},
+		url:      "http://" + listener.Addr().String(),
+	}
+	go func() { _ = e.server.Serve(e.listener) }()
+	return e, nil
+}
+
+func (e *endpoint) stop() {
+	e.client.CloseIdleConnections()
+	_ = e.server.Close()
+}
+
+// callCost is what one call on an open connection costs both ends together,
+// HTTP included.
+type callCost struct {
+	bytes        float64
+	microseconds float64
+}
+
+// cost repeats a call.
+func (e *endpoint) cost(o Options, call func(ctx context.Context) error) (callCost, error) {
+	var failed error
+	ctx := context.Background()
+	if err := call(ctx); err != nil {
+		return callCost{}, err
+	}
+	before := e.listener.bytes.Load()
+	if err := call(ctx); err != nil {
+		return callCost{}, err
+	}
+	bytes := e.listener.bytes.Load() - before
+	taken := processorTimeOf(o.Sizes.ProcessorTime, func(int) {
+		if err := call(ctx); err != nil && failed == nil {
+			failed = err
+		}
+	})
+	return callCost{bytes: float64(bytes), microseconds: microseconds(taken)}, failed
+}
+
+// fixedAnswers implements the services with answers made beforehand.
+type fixedAnswers struct {
+	place  *rpc.PlaceResponse
+	sync   *rpc.SyncResponse
+	gossip *rpc.GossipMessage
+}
+
+func (f *fixedAnswers) Place(context.Context, *rpc.PlaceRequest) (*rpc.PlaceResponse, error) {
+	return f.place, nil
+}
+
+func (f *fixedAnswers) Report(context.Context, *rpc.ReportRequest) (*rpc.ReportResponse, error) {
+	return &rpc.ReportResponse{Header: header()}, nil
+}
+
+func (f *fixedAnswers) Sync(context.Context, *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	return f.sync, nil
+}
+
+func (f *fixedAnswers) Gossip(context.Context, *rpc.GossipMessage) (*rpc.GossipMessage, error) {
+	return f.gossip, nil
+}
+
+func (f *fixedAnswers) Changes(context.Context, *rpc.ChangesRequest) (*rpc.ChangesResponse, error) {
+	return &rpc.ChangesResponse{Header: header()}, nil
+}
+
+func header() *rpc.Header {
+	return &rpc.Header{Sender: string(member(0, 0).Node), KnownRevision: 1 << 20}
+}
+
+// placeCost is the cost of a Place call with so many block hashes.
+func placeCost(o Options, blocks int) (callCost, error) {
+	weights := servedWeights()
+	request := &rpc.PlaceRequest{
+		Header: header(), RequestId: "0123456789abcdef0123456789abcdef", Attempt: 1, Tenant: string(tenantName(0)),
+		Weights: &rpc.Weights{Model: string(weights.Model), Version: string(weights.Version)}, Class: string(className),
+		PromptTokens: uint32(blocks * blockTokens), MaxTokens: 200, DeadlineMillis: 60_000, AgentZone: string(zoneName(0)),
+	}
+	for _, hash := range randomHashes(rand.New(rand.NewPCG(o.Seed, 5)), blocks) {
+		request.BlockHashes = append(request.BlockHashes, uint64(hash))
+	}
+	answers := &fixedAnswers{place: &rpc.PlaceResponse{
+		Header: header(), RequestId: request.RequestId, Attempt: 1,
+		Outcome: &rpc.PlaceResponse_Grant{Grant: &rpc.Grant{
+			Run: &rpc.EngineRun{Engine: string(engineName(0)), Incarnation: 1}, Address: "10.1.0.0:9000",
+			ExpectedCachedTokens: 1 << 14, ValidMillis: 2000, BlockTokens: blockTokens,
+		}},
+	}}
+	return placementCost(o, answers, func(ctx context.Context, client rpc.Placement) error {
+		_, err := client.Place(ctx, request)
+		return err
+	})
+}
+
+// syncCost is the cost of a Sync call that answers with routers, a
+// configuration and a list of engines, each only if its number isn't 0.
+func syncCost(o Options, routers, tenants, engines int) (callCost, error) {
+	answer := &rpc.SyncResponse{Header: header()}
+	for _, listed := range members(routers) {
+		answer.Members = append(answer.Members, membership.EncodeMember(listed))
+	}
+	if tenants > 0 {
+		snapshot, err := config.SnapshotMessage(document(1, tenants, targetModels))
+		if err != nil {
+			return callCost{}, err
+		}
+		answer.Config = snapshot
+	}
+	if engines > 0 {
+		answer.Machines = machineList(engines)
+	}
+	return placementCost(o, &fixedAnswers{sync: answer}, func(ctx context.Context, client rpc.Placement) error {
+		_, err := client.Sync(ctx, &rpc.SyncRequest{Header: header()})
+		return err
+	})
+}
+
+func placementCost(o Options, answers *fixedAnswers, call func(context.Context, rpc.Placement) error) (callCost, error) {
+	e, err := newEndpoint(rpc.NewPlacementServer(answers))
+	if err != nil {
+		return callCost{}, err
+	}
+	defer e.stop()
+	client := rpc.NewPlacementProtobufClient(e.url, e.client)
+	return e.cost(o, func(ctx context.Context) error { return call(ctx, client) })
+}
+
+// machineList returns the list of engines as nodes pass it on.
+func machineList(engines int) *rpc.MachineList {
+	list := &rpc.MachineList{Digest: 1 << 60}
+	for number := range engines {
+		listed := machine(number, poolName(number%targetModels))
+		list.Machines = append(list.Machines, &rpc.Machine{
+			Id: listed.ID, Address: string(listed.Address), Region: string(listed.Region), Zone: string(listed.Zone),
+			Pool: string(listed.Pool), Incarnation: uint64(listed.Incarnation),
+		})
+	}
+	return list
+}
+
+// gossipOverhead returns what HTTP and twirp add to the bytes of one gossip
+// exchange, and the exchange's processor time at both ends.
+func gossipOverhead(o Options) (callCost, error) {
+	probe := membership.Message{Kind: membership.Probe, Sender: member(0, 0), Target: member(1, 0).Node}
+	answer := membership.Message{Kind: membership.Ack, Sender: member(1, 0), Target: member(1, 0).Node}
+	encoded := &fixedAnswers{gossip: answer.Encode()}
+	e, err := newEndpoint(rpc.NewPeerServer(encoded))
+	if err != nil {
+		return callCost{}, err
+	}
+	defer e.stop()
+	client := rpc.NewPeerProtobufClient(e.url, e.client)
+	request := probe.Encode()
+	cost, err := e.cost(o, func(ctx context.Context) error {
+		_, err := client.Gossip(ctx, request)
+		return err
+	})
+	cost.bytes -= float64(proto.Size(request) + proto.Size(encoded.gossip))
+	return cost, err
+}
+
+// statusCost is the cost of one poll of an engine's status, both ends.
+func statusCost(o Options) (callCost, error) {
+	body, err := json.Marshal(status(0, 0))
+	if err != nil {
+		return callCost{}, err
+	}
+	e, err := newEndpoint(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { _, _ = writer.Write(body) }))
+	if err != nil {
+		return callCost{}, err
+	}
+	defer e.stop()
+	return e.cost(o, func(ctx context.Context) error {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, e.url, nil)
+		if err != nil {
+			return err
+		}
+		answer, err := e.client.Do(request)
+		if err != nil {
+			return err
+		}
+		defer answer.Body.Close()
+		decoded := status(0, 0)
+		return json.NewDecoder(answer.Body).Decode(&decoded)
+	})
+}
+
+// platformList returns the encoded list of machines as the platform gives it.
+func platformList(engines int) ([]byte, error) {
+	answer := platform.MachinesResponse{}
+	for number := range engines {
+		answer.Machines = append(answer.Machines, machine(number, poolName(number%targetModels)))
+	}
+	return json.Marshal(answer)
+}
+
+// platformListTime returns the processor time to decode the list of machines.
+func platformListTime(o Options, engines int) (float64, error) {
+	body, err := platformList(engines)
+	if err != nil {
+		return 0, err
+	}
+	var failed error
+	taken := processorTimeOf(o.Sizes.ProcessorTime, func(int) {
+		var answer platform.MachinesResponse
+		if err := json.Unmarshal(body, &answer); err != nil || len(answer.Machines) != engines {
+			failed = errors.Errorf("list not decoded: %v", err)
+		}
+	})
+	return microseconds(taken), failed
+}
+
+// callBytes and callTime pick one part of a call's cost.
+func callBytes(cost callCost, err error) (float64, error) { return cost.bytes, err }
+func callTime(cost callCost, err error) (float64, error)  { return cost.microseconds, err }
+
+// measureCalls measures the calls between agents, routers, engines and platform.
+func measureCalls(o Options) ([]Slope, error) {
+	linear := func(name, size, unit string, sizes []int, measure func(int) (float64, error)) quantity {
+		return quantity{name: name, size: size, unit: unit, growth: GrowthLinear, sizes: sizes, measure: measure}
+	}
+	const bothEnds = "core-µs, both ends"
+	return sweepAll(
+		linear("Place call", "blocks in the prompt", "B", o.Sizes.PromptBlocks, func(size int) (float64, error) { return callBytes(placeCost(o, size)) }),
+		linear("Place call", "blocks in the prompt", bothEnds, o.Sizes.PromptBlocks, func(size int) (float64, error) { return callTime(placeCost(o, size)) }),
+		linear("Sync call, nothing new", "routers", "B", o.Sizes.Members, func(size int) (float64, error) { return callBytes(syncCost(o, size, 0, 0)) }),
+		linear("Sync call, nothing new", "routers", bothEnds, o.Sizes.Members, func(size int) (float64, error) { return callTime(syncCost(o, size, 0, 0)) }),
+		linear("Sync call with a configuration, no routers", "tenants", "B", o.Sizes.Tenants, func(size int) (float64, error) { return callBytes(syncCost(o, 0, size, 0)) }),
+		linear("Sync call with the list of engines, no routers", "engines", "B", o.Sizes.Engines, func(size int) (float64, error) { return callBytes(syncCost(o, 0, 0, size)) }),
+		linear("platform's list of machines", "engines", "B", o.Sizes.Engines, func(size int) (float64, error) {
+			body, err := platformList(size)
+			return float64(len(body)), err
+		}),
+		linear("platform's list of machines, decoded", "engines", "core-µs", o.Sizes.Engines, func(size int) (float64, error) { return platformListTime(o, size) }),
+	)
+}
+
+// measureExchanges measures the calls whose cost depends on no size.
+func measureExchanges(o Options) ([]Figure, error) {
+	gossip, err := gossipOverhead(o)
+	if err != nil {
+		return nil, err
+	}
+	engineStatus, err := statusCost(o)
+	return []Figure{
+		{Name: "gossip exchange, bytes of HTTP and twirp", Unit: "B", Value: gossip.bytes},
+		{Name: "gossip exchange, both ends", Unit: "core-µs", Value: gossip.microseconds},
+		{Name: "poll of an engine's status", Unit: "B", Value: engineStatus.bytes},
+		{Name: "poll of an engine's status, both ends", Unit: "core-µs", Value: engineStatus.microseconds},
+	}, err
+}
--- /dev/null
+++ b/lab/capacity/capacity_test.go
@@ -0,0 +1,129 @@
+package capacity
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// smallSizes make a run of seconds.
+func smallSizes() Sizes {
+	return Sizes{
+		IndexBlocks:    []int{5_000, 10_000, 20_000},
+		PromptBlocks:   []int{4, 8, 16},
+		Candidates:     []int{2, 4, 8},
+		Engines:        []int{10, 20, 40},
+		Members:        []int{8, 16, 32},
+		Tenants:        []int{4, 8, 16},
+		Models:         []int{2, 4, 8},
+		Waiting:        []int{50, 100, 200},
+		Streams:        []int{4, 8, 16},
+		Tokens:         []int{8, 16, 32},
+		FailureMembers: 39,
+		FleetEngines:   200,
+		SteadyTime:     5 * time.Second,
+		CutTime:        10 * time.Second,
+		ProcessorTime:  time.Millisecond,
+	}
+}
+
+func TestFitFindsEachGrowth(t *testing.T) {
+	for _, growth := range []Growth{GrowthLinear, GrowthLogarithmic, GrowthLinearithmic} {
+		slope, err := sweep(quantity{
+			name: "exact", growth: growth, sizes: []int{2, 8, 32, 128},
+			measure: func(size int) (float64, error) { return 5 + 3*growth.of(float64(size)), nil },
+		})
+		require.NoError(t, err)
+		assert.InDelta(t, 5, slope.Intercept, 1e-6, growth)
+		assert.InDelta(t, 3, slope.PerUnit, 1e-6, growth)
+		assert.InDelta(t, 0, slope.Residual, 1e-6, growth)
+		assert.InDelta(t, 5+3*growth.of(1000), slope.At(1000), 1e-4, growth)
+	}
+}
+
+func TestResidualShowsAnotherGrowth(t *testing.T) {
+	slope, err := sweep(quantity{
+		name: "square", growth: GrowthLinear, sizes: []int{1, 10, 100},
+		measure: func(size int) (float64, error) { return float64(size * size), nil },
+	})
+	require.NoError(t, err)
+	assert.Greater(t, slope.Residual, 0.05)
+}
+
+func TestTwoSizesAreTooFew(t *testing.T) {
+	_, err := sweep(quantity{
+		name: "short", growth: GrowthLinear, sizes: []int{1, 2},
+		measure: func(int) (float64, error) { return 1, nil },
+	})
+	assert.ErrorContains(t, err, "want 3")
+}
+
+func TestRunMeasuresEveryPart(t *testing.T) {
+	var measured []string
+	report, err := Run(Options{Sizes: smallSizes(), Seed: 1, Progress: func(part string) { measured = append(measured, part) }})
+	require.NoError(t, err)
+	assert.Len(t, measured, len(parts()))
+	for _, slope := range report.Slopes {
+		assert.GreaterOrEqual(t, len(slope.Points), minimumPoints, slope.Name)
+		assert.NotEmpty(t, slope.Unit, slope.Name)
+	}
+	for _, figure := range report.Figures {
+		assert.NotContains(t, figure.Name, "NOT", figure.Name)
+	}
+
+	var encoded, text bytes.Buffer
+	require.NoError(t, report.WriteJSON(&encoded))
+	var decoded Report
+	require.NoError(t, json.Unmarshal(encoded.Bytes(), &decoded))
+	assert.Equal(t, report, decoded)
+	require.NoError(t, report.WriteMarkdown(&text))
+	assert.Equal(t, len(report.Slopes)+len(report.Figures), strings.Count(text.String(), "\n| ")-2)
+}
+
+func TestMembershipCountsDependOnTheSeedAlone(t *testing.T) {
+	o := Options{Sizes: smallSizes(), Seed: 7}
+	first, second := steady(o, 30), steady(o, 30)
+	assert.Equal(t, first.exchanges, second.exchanges)
+	assert.Equal(t, first.bytes, second.bytes)
+	assert.Positive(t, first.bytes)
+
+	lossyChange := func() changeCost {
+		n := newNetwork(7)
+		n.startKnown(30)
+		cost, err := spreadChanges(n, 300, heavyLoss)
+		require.NoError(t, err)
+		return cost
+	}
+	changeA, changeB := lossyChange(), lossyChange()
+	assert.Equal(t, changeA, changeB)
+	assert.Less(t, changeA.toAll, 4.0)
+}
+
+func TestCrashedRoutersAreFoundByAll(t *testing.T) {
+	n := newNetwork(3)
+	n.startKnown(40)
+	require.True(t, n.converged())
+	crash(func(number int, _ *networkNode) bool { return number < 5 })(n)
+	require.False(t, n.converged())
+	_, agreed := n.until(convergenceLimit, n.converged)
+	assert.True(t, agreed)
+}
+
+func TestHerdJoins(t *testing.T) {
+	n := newNetwork(4)
+	n.startCold(40)
+	_, agreed := n.until(convergenceLimit, n.converged)
+	assert.True(t, agreed)
+}
+
+func TestSharedTableBudgetDoesNotGrowWithTheFleet(t *testing.T) {
+	o := Options{Seed: 5}
+	few := configurationPolls(o, 100, membershipKnownAfter).steadyRate()
+	many := configurationPolls(o, 680, membershipKnownAfter).steadyRate()
+	assert.InEpsilon(t, few, many, 0.2)
+}
--- /dev/null
+++ b/lab/capacity/failures.go
@@ -0,0 +1,155 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+)
+
+// failure is one event that the routers have to agree on again.
+type failure struct {
+	name string
+	// begin brings the failure about.
+	begin func(n *network)
+}
+
+// crash stops the nodes for which the condition holds.
+func crash(condition func(number int, node *networkNode) bool) func(*network) {
+	return func(n *network) {
+		for number, node := range n.all {
+			if condition(number, node) {
+				node.down = true
+			}
+		}
+	}
+}
+
+// replace ends a node as planned and starts another process at its address.
+func replace(number int) func(*network) {
+	return func(n *network) {
+		old := n.all[number]
+		old.send(old.core.Leave(n.now()))
+		n.pass(2 * time.Second)
+		old.down = true
+		started := n.add(member(number, 1))
+		seeds := []fleet.Address{n.all[number+1].member.Address, n.all[number+2].member.Address, n.all[number+3].member.Address}
+		started.send(started.core.Join(n.now(), seeds))
+	}
+}
+
+// rackSizes are the numbers of nodes that a rack or a switch takes away.
+var rackSizes = []int{15, 50}
+
+func failures() []failure {
+	listed := []failure{
+		{"one router crashes", crash(func(number int, _ *networkNode) bool { return number == 3 })},
+		{"one router is replaced as planned", replace(4)},
+	}
+	for zone, size := range rackSizes {
+		listed = append(listed, failure{
+			fmt.Sprintf("a rack of %d crashes", size),
+			crash(func(number int, _ *networkNode) bool { return number%zones == zone && number/zones < size }),
+		})
+	}
+	return append(listed, failure{
+		"a zone of 13 crashes",
+		crash(func(_ int, node *networkNode) bool { return node.member.Zone == zoneName(zones-1) }),
+	})
+}
+
+// failurePause is the virtual time between two failures of one fleet, in which
+// the news of the first passes from all queues.
+const failurePause = 30 * time.Second
+
+// measureFailures lets failures befall a fleet, one after the other and each in
+// another place, and measures what it costs the routers to agree on the
+// membership again.
+func measureFailures(o Options) ([]Figure, error) {
+	count := o.Sizes.FailureMembers
+	n := newNetwork(o.Seed)
+	n.startKnown(count)
+	n.startCount()
+	n.pass(o.Sizes.SteadyTime)
+	_, bytes := n.counted()
+	steadyRate := bytes / float64(count) / o.Sizes.SteadyTime.Seconds()
+	var figures []Figure
+	for _, listed := range failures() {
+		n.startCount()
+		start := n.now()
+		listed.begin(n)
+		n.until(convergenceLimit, n.converged)
+		figures = append(figures, recovery(n, listed.name, n.now()-start, steadyRate)...)
+		n.counting = false
+		n.pass(failurePause)
+	}
+	region, err := regionCut(o, steadyRate)
+	if err != nil {
+		return figures, err
+	}
+	return append(figures, region...), nil
+}
+
+// recovery describes how the routers came to agree again.
+func recovery(n *network, name string, took time.Duration, steadyRate float64) []Figure {
+	mean, worst := 0.0, 0.0
+	running := n.running()
+	for _, node := range running {
+		mean += float64(node.bytes) / float64(len(running))
+		worst = max(worst, float64(node.bytes))
+	}
+	state := "all agree"
+	if !n.converged() {
+		state = "NOT all agree"
+	}
+	return []Figure{
+		{Name: name + ": until " + state, Unit: "s", Value: took.Seconds()},
+		{Name: name + ": encoded bytes sent a node, beyond the steady ones", Unit: "B", Value: mean - steadyRate*took.Seconds()},
+		{Name: name + ": encoded bytes sent by the busiest node", Unit: "B", Value: worst},
+	}
+}
+
+// regionCut cuts one region off and joins it again.
+func regionCut(o Options, steadyRate float64) ([]Figure, error) {
+	n := newNetwork(o.Seed)
+	n.startKnown(o.Sizes.FailureMembers)
+	region := regionName(0)
+	inside := 0
+	for _, node := range n.all {
+		if node.member.Region == region {
+			inside++
+		}
+	}
+	outside := len(n.all) - inside
+	n.cut = func(from, to membership.Member) bool { return (from.Region == region) != (to.Region == region) }
+	start := n.now()
+	n.startCount()
+	seen, agreed := n.until(convergenceLimit, func() bool {
+		for _, node := range n.all {
+			want := outside
+			if node.member.Region == region {
+				want = inside
+			}
+			if len(node.core.Members()) != want {
+				return false
+			}
+		}
+		return true
+	})
+	state := "all have seen it"
+	if !agreed {
+		state = "NOT all have seen it"
+	}
+	n.pass(max(0, o.Sizes.CutTime-(n.now()-start)))
+	_, during := n.counted()
+	cutRate := during / float64(len(n.all)) / (n.now() - start).Seconds()
+	n.cut = nil
+	n.startCount()
+	healed, _ := n.until(convergenceLimit, n.converged)
+	name := fmt.Sprintf("region of %d cut off", inside)
+	return append([]Figure{
+		{Name: name + ": until " + state, Unit: "s", Value: seen.Seconds()},
+		{Name: name + ": encoded bytes sent a node while cut", Unit: "B/s", Value: cutRate},
+	}, recovery(n, name+", back", healed, steadyRate)...), nil
+}
--- /dev/null
+++ b/lab/capacity/index.go
@@ -0,0 +1,145 @@
+package capacity
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/prefixindex"
+)
+
+const (
+	// ownedEngines is the number of engines that fill the measured index: those
+	// of one router at the target with one index replica.
+	ownedEngines = 15
+	// eventBatch is the number of cache events in one measured batch.
+	eventBatch = 64
+)
+
+func randomHashes(random *rand.Rand, count int) []fleet.BlockHash {
+	hashes := make([]fleet.BlockHash, count)
+	for i := range hashes {
+		hashes[i] = fleet.BlockHash(random.Uint64())
+	}
+	return hashes
+}
+
+func runOf(id fleet.EngineID) fleet.EngineRun { return fleet.EngineRun{Engine: id, Incarnation: 1} }
+
+// filledIndex returns an index of distinct blocks, each held by one engine.
+func filledIndex(random *rand.Rand, blocks int) *prefixindex.Index {
+	index := prefixindex.New(prefixindex.Options{MaxBlocks: 2 * blocks})
+	const batch = 4096
+	for done := 0; done < blocks; done += batch {
+		run := runOf(engineName(done / batch % ownedEngines))
+		index.AddRun(run)
+		index.Store(run, randomHashes(random, min(batch, blocks-done)))
+	}
+	return index
+}
+
+// eventSource applies events to the feed of one engine over a filled index.
+type eventSource struct {
+	random   *rand.Rand
+	feed     *prefixindex.Feed
+	sequence uint64
+	pending  []fleet.BlockHash
+}
+
+func newEventSource(random *rand.Rand, blocks int) (*eventSource, error) {
+	index := filledIndex(random, blocks)
+	run := runOf("measured")
+	feed := prefixindex.NewFeed(index, run, prefixindex.FeedOptions{})
+	if !feed.ApplySnapshot(0, engine.CacheSnapshot{Incarnation: run.Incarnation}) {
+		return nil, errors.New("the feed refused an empty snapshot")
+	}
+	return &eventSource{random: random, feed: feed}, nil
+}
+
+// next returns events of one block each: each stored block is removed by a
+// later batch, so that the index keeps its size.
+func (s *eventSource) next(count int) engine.CacheEvents {
+	answer := engine.CacheEvents{Incarnation: 1, Events: make([]engine.CacheEvent, count)}
+	kind := engine.BlockRemoved
+	hashes := s.pending
+	s.pending = nil
+	if len(hashes) < count {
+		kind = engine.BlockStored
+		hashes = randomHashes(s.random, count)
+		s.pending = hashes
+	}
+	for i := range answer.Events {
+		s.sequence++
+		answer.Events[i] = engine.CacheEvent{Sequence: s.sequence, Kind: kind, Hashes: hashes[i : i+1]}
+	}
+	return answer
+}
+
+// eventTime returns the processor time in microseconds to apply one event that
+// comes in answers of a number of events, decoded from JSON or not.
+func eventTime(random *rand.Rand, blocks, batch int, decoded bool, atLeast time.Duration) (float64, error) {
+	source, err := newEventSource(random, blocks)
+	if err != nil {
+		return 0, err
+	}
+	const prepared = 256
+	var taken time.Duration
+	applied := 0
+	for taken < atLeast {
+		answers := make([]engine.CacheEvents, prepared)
+		bodies := make([][]byte, prepared)
+		for i := range answers {
+			answers[i] = source.next(batch)
+			if bodies[i], err = json.Marshal(answers[i]); err != nil {
+				return 0, err
+			}
+		}
+		start := processorTime()
+		for i := range answers {
+			answer := answers[i]
+			if decoded {
+				answer = engine.CacheEvents{}
+				if err := json.Unmarshal(bodies[i], &answer); err != nil {
+					return 0, err
+				}
+			}
+			source.feed.Apply(0, answer)
+		}
+		taken += processorTime() - start
+		applied += prepared * batch
+	}
+	if counts := source.feed.Counts(); counts.Gaps > 0 || counts.Applied != uint64(applied) {
+		return 0, errors.Errorf("%d of %d events applied", counts.Applied, applied)
+	}
+	return microseconds(taken) / float64(applied), nil
+}
+
+// measureIndex measures the prefix index: its memory and its events.
+func measureIndex(o Options) ([]Slope, error) {
+	timing := func(batch int, decoded bool) func(int) (float64, error) {
+		return func(blocks int) (float64, error) {
+			return eventTime(rand.New(rand.NewPCG(o.Seed, 1)), blocks, batch, decoded, o.Sizes.ProcessorTime)
+		}
+	}
+	event := func(name string, batch int, decoded bool) quantity {
+		return quantity{
+			name: name, size: "blocks in the index", unit: "core-µs/event", growth: GrowthLogarithmic,
+			sizes: o.Sizes.IndexBlocks, measure: timing(batch, decoded),
+		}
+	}
+	return sweepAll(
+		quantity{
+			name: "memory of the index", size: "blocks", unit: "B", growth: GrowthLinear, sizes: o.Sizes.IndexBlocks,
+			measure: func(blocks int) (float64, error) {
+				return memoryOf(func() (any, error) { return filledIndex(rand.New(rand.NewPCG(o.Seed, 1)), blocks), nil })
+			},
+		},
+		event("cache event applied one by one", 1, false),
+		event("cache event applied in batches of 64", eventBatch, false),
+		event("cache event read and applied, batches of 64", eventBatch, true),
+	)
+}
--- /dev/null
+++ b/lab/capacity/network.go
@@ -0,0 +1,359 @@
+package capacity
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/lab/eventqueue"
+)
+
+// One-way delays of the modelled network.
+const (
+	zoneDelay   = 250 * time.Microsecond
+	regionDelay = 1500 * time.Microsecond
+	remoteDelay = 40 * time.Millisecond
+	// connectTrips is the number of one-way trips before a request's first byte
+	// on a connection that isn't open yet; every exchange is taken for one.
+	connectTrips = 2
+)
+
+// networkNode is one router's membership core on the virtual network.
+type networkNode struct {
+	network *network
+	member  membership.Member
+	core    *membership.Core
+	spread  *membership.Dissemination
+	log     []membership.Change
+	down    bool
+	wakeAt  time.Duration
+
+	// calls counts the exchanges that the node began, bytes the encoded
+	// messages that it sent, requests and answers alike.
+	calls int
+	bytes int
+}
+
+// network joins many cores by exchanges of encoded messages on a virtual clock.
+type network struct {
+	queue  *eventqueue.Queue
+	random *rand.Rand
+	nodes  map[fleet.Address]*networkNode
+	all    []*networkNode
+	// loss is the probability that a request is lost, and that an answer is.
+	loss float64
+	// cut tells whether messages between two members are lost.
+	cut func(from, to membership.Member) bool
+	// counting has messages encoded and counted.
+	counting bool
+}
+
+func newNetwork(seed uint64) *network {
+	queue := eventqueue.New(seed)
+	return &network{queue: queue, random: queue.Random(), nodes: make(map[fleet.Address]*networkNode)}
+}
+
+// add starts a router that knows nobody.
+func (n *network) add(self membership.Member) *networkNode {
+	seed := n.random.Uint64()
+	node := &networkNode{
+		network: n,
+		member:  self,
+		core:    membership.New(membership.Options{Self: self, Random: rand.New(rand.NewPCG(seed, 1))}),
+		spread:  membership.NewDissemination(membership.DisseminationOptions{Random: rand.New(rand.NewPCG(seed, 2))}),
+		wakeAt:  -1,
+	}
+	n.nodes[self.Address] = node
+	n.all = append(n.all, node)
+	return node
+}
+
+// startKnown starts routers that know each other, and lets the news of that
+// pass from their queues.
+func (n *network) startKnown(count int) {
+	known := members(count)
+	for _, self := range known {
+		node := n.add(self)
+		node.core.Join(0, nil)
+		greeter := known[0]
+		if self.Node == greeter.Node {
+			greeter = known[1]
+		}
+		node.core.Receive(0, membership.Message{Kind: membership.Ack, Sender: greeter, Updates: known, Complete: true})
+		node.plan()
+	}
+	// A node passes each of count records on about 4 log10(count) times, 32 to
+	// a message, with more than two messages a second.
+	n.pass(20*time.Second + time.Duration(count)*200*time.Millisecond)
+}
+
+// startCold starts a herd of routers that know nothing but each other's addresses.
+func (n *network) startCold(count int) {
+	known := members(count)
+	seeds := make([]fleet.Address, count)
+	for i, self := range known {
+		seeds[i] = self.Address
+	}
+	for _, self := range known {
+		node := n.add(self)
+		n.queue.After(time.Duration(n.random.Int64N(int64(time.Second))), func() {
+			node.send(node.core.Join(n.now(), seeds))
+		})
+	}
+}
+
+func (n *network) now() time.Duration { return n.queue.Now() }
+
+func (n *network) pass(duration time.Duration) { n.queue.RunUntil(n.now() + duration) }
+
+// until passes time until the condition holds, and returns how long that took;
+// false when the limit came first.
+func (n *network) until(limit time.Duration, condition func() bool) (time.Duration, bool) {
+	const step = 50 * time.Millisecond
+	start := n.now()
+	for !condition() {
+		if n.now()-start >= limit {
+			return limit, false
+		}
+		n.pass(step)
+	}
+	return n.now() - start, true
+}
+
+// running returns the nodes that aren't down.
+func (n *network) running() []*networkNode {
+	var running []*networkNode
+	for _, node := range n.all {
+		if !node.down {
+			running = append(running, node)
+		}
+	}
+	return running
+}
+
+// startCount sets the counters to 0 and counts from here on.
+func (n *network) startCount() {
+	n.counting = true
+	for _, node := range n.all {
+		node.calls, node.bytes = 0, 0
+	}
+}
+
+// counted returns the sums of the counters.
+func (n *network) counted() (calls, bytes float64) {
+	for _, node := range n.all {
+		calls += float64(node.calls)
+		bytes += float64(node.bytes)
+	}
+	return calls, bytes
+}
+
+// converged tells whether the running routers know exactly each other.
+func (n *network) converged() bool {
+	running := n.running()
+	for _, node := range running {
+		view := node.core.View()
+		if len(view.Members()) != len(running) {
+			return false
+		}
+		for _, listed := range view.Members() {
+			known := n.nodes[listed.Address]
+			if listed.State != membership.Alive || known.down || known.member.Node != listed.Node {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// delay is the time of one trip between two members.
+func (n *network) delay(from, to membership.Member) time.Duration {
+	mean := remoteDelay
+	switch {
+	case from.Zone == to.Zone:
+		mean = zoneDelay
+	case from.Region == to.Region:
+		mean = regionDelay
+	}
+	return mean/2 + time.Duration(n.random.Int64N(int64(mean)))
+}
+
+// lost tells whether a message doesn't arrive.
+func (n *network) lost(from, to membership.Member) bool {
+	return (n.loss > 0 && n.random.Float64() < n.loss) || (n.cut != nil && n.cut(from, to))
+}
+
+// send begins an exchange for each message.
+func (node *networkNode) send(messages []membership.Message) {
+	for _, message := range messages {
+		node.spread.Decorate(&message)
+		node.exchange(message)
+	}
+	node.plan()
+}
+
+// exchange carries one message and its answer, as one call does.
+func (node *networkNode) exchange(message membership.Message) {
+	n := node.network
+	node.calls++
+	message = node.transmit(message)
+	target, exists := n.nodes[message.To]
+	if !exists || n.lost(node.member, target.member) {
+		return
+	}
+	trip := n.delay(node.member, target.member) * (connectTrips + 1)
+	n.queue.After(trip, func() {
+		if target.down {
+			return
+		}
+		answer := target.receive(message)
+		if answer.Kind == 0 || n.lost(target.member, node.member) {
+			return
+		}
+		answer.Complete = message.Kind == membership.Join
+		n.queue.After(n.delay(target.member, node.member), func() {
+			if !node.down {
+				node.send(node.take(answer))
+			}
+		})
+	})
+}
+
+// receive takes a request in and returns its answer: the last message that
+// goes to the sender. Without one only a header goes back.
+func (node *networkNode) receive(message membership.Message) membership.Message {
+	messages := node.take(message)
+	for i := len(messages) - 1; i >= 0; i-- {
+		if messages[i].To != message.Sender.Address {
+			continue
+		}
+		answer := messages[i]
+		node.send(append(messages[:i:i], messages[i+1:]...))
+		node.spread.Decorate(&answer)
+		return node.transmit(answer)
+	}
+	node.send(messages)
+	if node.network.counting {
+		node.bytes += proto.Size(&rpc.GossipMessage{Header: header()})
+	}
+	return membership.Message{}
+}
+
+// take brings a message into core and dissemination.
+func (node *networkNode) take(message membership.Message) []membership.Message {
+	now := node.network.now()
+	node.spread.Observe(message.Sender.Address, message.KnownRevision)
+	messages := node.core.Receive(now, message)
+	next := node.spread.Next(message.Changes)
+	if len(next) == 0 {
+		return messages
+	}
+	node.log = append(node.log, next...)
+	return append(messages, node.spread.Publish(now, next, node.core.View())...)
+}
+
+// transmit encodes and decodes a message as the transport does, and counts it.
+func (node *networkNode) transmit(message membership.Message) membership.Message {
+	if !node.network.counting {
+		return message
+	}
+	data, err := proto.Marshal(message.Encode())
+	if err != nil {
+		panic(err) // a message that can't be encoded is a fault of the core
+	}
+	node.bytes += len(data)
+	received := &rpc.GossipMessage{}
+	if err := proto.Unmarshal(data, received); err != nil {
+		panic(err)
+	}
+	decoded, err := membership.DecodeMessage(received)
+	if err != nil {
+		panic(err)
+	}
+	decoded.To = message.To
+	decoded.Complete = message.Complete
+	return decoded
+}
+
+// plan has the node called when it is due next.
+func (node *networkNode) plan() {
+	wake := node.core.NextWake()
+	if at, pending := node.spread.NextWake(); pending {
+		wake = min(wake, at)
+	}
+	wake = max(wake, node.network.now()+time.Millisecond)
+	if wake == node.wakeAt {
+		return
+	}
+	node.wakeAt = wake
+	node.network.queue.At(wake, func() {
+		if node.wakeAt == wake && !node.down {
+			node.wakeAt = -1
+			node.tick()
+		}
+	})
+}
+
+func (node *networkNode) tick() {
+	now := node.network.now()
+	messages := node.core.Tick(now)
+	if pull, due := node.spread.Pull(now); due {
+		node.pull(pull)
+	}
+	node.send(append(messages, node.spread.Tick(now, node.core.View())...))
+}
+
+// pull asks a node for the changes after a revision.
+func (node *networkNode) pull(pull membership.Pull) {
+	n := node.network
+	node.calls++
+	node.bytes += proto.Size(&rpc.ChangesRequest{Header: header(), After: uint64(pull.After)})
+	source, exists := n.nodes[pull.From]
+	if !exists || n.lost(node.member, source.member) {
+		return
+	}
+	n.queue.After(n.delay(node.member, source.member)*(connectTrips+1), func() {
+		if source.down || n.lost(source.member, node.member) {
+			return
+		}
+		changes := source.log[min(int(pull.After), len(source.log)):]
+		answer := membership.Message{Kind: membership.Ack, Sender: source.member, Changes: changes}
+		source.bytes += proto.Size(answer.Encode())
+		n.queue.After(n.delay(source.member, node.member), func() { node.takePulled(changes) })
+	})
+}
+
+func (node *networkNode) takePulled(changes []membership.Change) {
+	if node.down {
+		return
+	}
+	next := node.spread.Next(changes)
+	if len(next) == 0 {
+		return
+	}
+	node.log = append(node.log, next...)
+	node.send(node.spread.Publish(node.network.now(), next, node.core.View()))
+}
+
+// publish gives the node a change that follows the last one.
+func (node *networkNode) publish(patch []byte) fleet.Revision {
+	revision := node.spread.Held() + 1
+	changes := []membership.Change{{Revision: revision, Patch: patch}}
+	node.log = append(node.log, changes...)
+	node.send(node.spread.Publish(node.network.now(), changes, node.core.View()))
+	return revision
+}
+
+// allHold tells whether all running nodes hold a revision.
+func (n *network) allHold(revision fleet.Revision) bool {
+	for _, node := range n.running() {
+		if node.spread.Held() < revision {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/lab/capacity/placement.go
@@ -0,0 +1,216 @@
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/placement"
+	"github.com/tillerfall/tillerfall/internal/prefixindex"
+)
+
+// statusEvery is the number of placements between two status reports of all engines.
+const statusEvery = 1000
+
+// router drives a placement core as a router does.
+type router struct {
+	core    *placement.Core
+	random  *rand.Rand
+	now     time.Duration
+	engines int
+	placed  int
+}
+
+// newRouter returns a core of one pool with so many candidate engines, whose
+// caches hold so many blocks together.
+func newRouter(seed uint64, engines, indexBlocks int) (*router, error) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	r := &router{random: random, now: time.Second, engines: engines}
+	r.core = placement.New(placement.Options{
+		Node: "router", Zone: zoneName(0), Random: random,
+		Index: prefixindex.Options{MaxBlocks: 2*indexBlocks + 1<<16},
+	})
+	if err := r.configure(document(1, 1, 1)); err != nil {
+		return nil, err
+	}
+	for number := range engines {
+		r.core.ObserveMachine(r.now, machine(number, poolName(0)))
+	}
+	r.observeStatuses()
+	const batch = 4096
+	for done := 0; done < indexBlocks; done += batch {
+		r.store(done/batch%engines, uint64(done/batch/engines+1), randomHashes(random, min(batch, indexBlocks-done)))
+	}
+	return r, nil
+}
+
+func (r *router) configure(made config.Document) error {
+	view, err := config.NewView(made)
+	if err != nil {
+		return err
+	}
+	r.core.ApplyConfig(r.now, view)
+	return nil
+}
+
+func (r *router) observeStatuses() {
+	for number := range r.engines {
+		r.core.ObserveStatus(r.now, status(number, r.now))
+	}
+}
+
+// store brings blocks into the index as an engine's event.
+func (r *router) store(number int, sequence uint64, hashes []fleet.BlockHash) {
+	r.core.ObserveCacheEvents(r.now, engineName(number), engine.CacheEvents{
+		Incarnation: 1,
+		Events:      []engine.CacheEvent{{Sequence: sequence, Kind: engine.BlockStored, Hashes: hashes}},
+	})
+}
+
+func placementRequest(id string, blocks []fleet.BlockHash) placement.Request {
+	return placement.Request{
+		Key:          placement.Key{Request: fleet.RequestID(id), Attempt: 1},
+		Tenant:       tenantName(0),
+		Weights:      servedWeights(),
+		Class:        className,
+		PromptTokens: len(blocks)*blockTokens + 1,
+		MaxTokens:    200,
+		Blocks:       blocks,
+		AgentZone:    zoneName(0),
+	}
+}
+
+// grant submits a request and returns its grant.
+func (r *router) grant(request placement.Request) (placement.Grant, error) {
+	r.core.Submit(r.now, request)
+	outcomes := r.core.TakeOutcomes()
+	if len(outcomes) != 1 {
+		return placement.Grant{}, errors.Errorf("%d outcomes, want 1", len(outcomes))
+	}
+	granted, isGrant := outcomes[0].(placement.Grant)
+	if !isGrant {
+		return placement.Grant{}, errors.Errorf("%+v instead of a grant", outcomes[0])
+	}
+	return granted, nil
+}
+
+func (r *router) report(grant placement.Grant, phases ...placement.Phase) {
+	for _, phase := range phases {
+		r.core.Report(r.now, placement.AttemptReport{Key: grant.Key, Run: grant.Run, Phase: phase})
+	}
+}
+
+// place does one whole placement: submit, decision and three reports.
+func (r *router) place(blocks []fleet.BlockHash) error {
+	r.now += time.Millisecond
+	r.placed++
+	if r.placed%statusEvery == 0 {
+		r.observeStatuses()
+	}
+	granted, err := r.grant(placementRequest("measured", blocks))
+	if err != nil {
+		return err
+	}
+	r.report(granted, placement.PhaseAccepted, placement.PhaseFirstToken, placement.PhaseFinished)
+	return nil
+}
+
+// placementTime returns the microseconds of one placement of a prompt whose
+// first half every engine holds.
+func placementTime(o Options, engines, indexBlocks, promptBlocks int) (float64, error) {
+	r, err := newRouter(o.Seed, engines, indexBlocks)
+	if err != nil {
+		return 0, err
+	}
+	const prompts = 16
+	var made [prompts][]fleet.BlockHash
+	for i := range made {
+		made[i] = randomHashes(r.random, promptBlocks)
+		for number := range engines {
+			r.store(number, uint64(1<<40+i), made[i][:promptBlocks/2])
+		}
+	}
+	var failed error
+	taken := processorTimeOf(o.Sizes.ProcessorTime, func(repetition int) {
+		if err := r.place(made[repetition%prompts]); err != nil && failed == nil {
+			failed = err
+		}
+	})
+	return microseconds(taken), failed
+}
+
+// Sizes that stay fixed while another one grows.
+const (
+	usualCandidates   = 30
+	usualIndexBlocks  = 500_000
+	usualPromptBlocks = 128
+)
+
+// measurePlacement measures a placement over the three sizes that it depends on.
+func measurePlacement(o Options) ([]Slope, error) {
+	quantityOf := func(by, size string, growth Growth, sizes []int, measure func(int) (float64, error)) quantity {
+		return quantity{name: "placement (submit, decision, 3 reports) by " + by, size: size, unit: "core-µs", growth: growth, sizes: sizes, measure: measure}
+	}
+	indexBlocks := min(usualIndexBlocks, o.Sizes.IndexBlocks[0])
+	return sweepAll(
+		quantityOf("index", "blocks in the index", GrowthLogarithmic, o.Sizes.IndexBlocks, func(size int) (float64, error) {
+			return placementTime(o, usualCandidates, size, usualPromptBlocks)
+		}),
+		quantityOf("prompt", "blocks in the prompt", GrowthLinear, o.Sizes.PromptBlocks, func(size int) (float64, error) {
+			return placementTime(o, usualCandidates, indexBlocks, size)
+		}),
+		quantityOf("candidates", "candidate engines", GrowthLinear, o.Sizes.Candidates, func(size int) (float64, error) {
+			return placementTime(o, size, indexBlocks, usualPromptBlocks)
+		}),
+	)
+}
+
+// waitingRouter returns a router at which so many requests wait, each with a
+// prompt of its own.
+func waitingRouter(seed uint64, waiting int) (*router, error) {
+	r, err := newRouter(seed, 1, 0)
+	if err != nil {
+		return nil, err
+	}
+	full := document(2, 1, 1)
+	full.Pools[0].MaxStreams = 1
+	if err := r.configure(full); err != nil {
+		return nil, err
+	}
+	if _, err := r.grant(placementRequest("running", randomHashes(r.random, 1))); err != nil {
+		return nil, err
+	}
+	for number := range waiting {
+		r.core.Submit(r.now, placementRequest(fmt.Sprintf("waiting-%012d", number), randomHashes(r.random, usualPromptBlocks)))
+	}
+	if outcomes := r.core.TakeOutcomes(); len(outcomes) > 0 {
+		return nil, errors.Errorf("%+v instead of a wait", outcomes[0])
+	}
+	return r, nil
+}
+
+// grantingRouter returns a router with so many grants whose streams are open.
+func grantingRouter(seed uint64, grants int) (*router, error) {
+	r, err := newRouter(seed, usualCandidates, 0)
+	if err != nil {
+		return nil, err
+	}
+	prompt := randomHashes(r.random, usualPromptBlocks)
+	for number := range grants {
+		if number%usualCandidates == 0 {
+			r.now += 10 * time.Millisecond
+			r.observeStatuses()
+		}
+		granted, err := r.grant(placementRequest(fmt.Sprintf("open-%012d", number), prompt))
+		if err != nil {
+			return nil, err
+		}
+		r.report(granted, placement.PhaseAccepted, placement.PhaseFirstToken)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/lab/capacity/tables.go
@@ -0,0 +1,191 @@
+package capacity
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/lease"
+	routerprocess "github.com/tillerfall/tillerfall/internal/router"
+	"github.com/tillerfall/tillerfall/lab/eventqueue"
+	"github.com/tillerfall/tillerfall/lab/standin/platformmodel"
+)
+
+const (
+	// platformDelay is how long a call to the platform takes.
+	platformDelay = 20 * time.Millisecond
+	// leaseCandidates is the number of routers that poll the lease.
+	leaseCandidates = 3
+	// countedTime is the virtual time over which calls are counted.
+	countedTime = 60 * time.Second
+)
+
+// callCounter counts calls by second of virtual time.
+type callCounter struct {
+	bySecond [countedTime / time.Second]int
+}
+
+func (c *callCounter) count(at time.Duration) {
+	if second := int(at / time.Second); second < len(c.bySecond) {
+		c.bySecond[second]++
+	}
+}
+
+// steadyRate is the mean rate of the last half of the time.
+func (c *callCounter) steadyRate() float64 {
+	half := c.bySecond[len(c.bySecond)/2:]
+	sum := 0
+	for _, calls := range half {
+		sum += calls
+	}
+	return float64(sum) / float64(len(half))
+}
+
+func (c *callCounter) peak() float64 {
+	most := 0
+	for _, calls := range c.bySecond {
+		most = max(most, calls)
+	}
+	return float64(most)
+}
+
+// configurationPolls counts the reads of the configuration's head by a herd of
+// followers. Until a follower has been told by its peers, it knows itself alone.
+func configurationPolls(o Options, count int, knownAfter time.Duration) *callCounter {
+	queue := eventqueue.New(o.Seed)
+	counter := &callCounter{}
+	interval := time.Duration(routerprocess.DefaultSettings().ConfigurationInterval)
+	for range count {
+		random := rand.New(rand.NewPCG(queue.Random().Uint64(), 1))
+		follower := config.NewFollower(config.FollowerOptions{PollInterval: interval}, random, 0, 1)
+		follower.Learn(1)
+		var step func()
+		step = func() {
+			if queue.Now() >= knownAfter {
+				follower.SetNodes(count)
+			}
+			action := follower.Next(queue.Now())
+			if action.Source != config.SourcePlatform {
+				queue.At(min(action.Until, max(knownAfter, queue.Now()+time.Second)), step)
+				return
+			}
+			counter.count(queue.Now())
+			queue.After(platformDelay, func() {
+				follower.PlatformDone(queue.Now(), true)
+				step()
+			})
+		}
+		queue.At(0, step)
+	}
+	queue.RunUntil(countedTime)
+	return counter
+}
+
+// machinePolls counts the reads of the list of machines, which each router
+// repeats at an interval that doesn't depend on their number.
+func machinePolls(o Options, count int) *callCounter {
+	queue := eventqueue.New(o.Seed)
+	counter := &callCounter{}
+	interval := time.Duration(routerprocess.DefaultSettings().MachineInterval)
+	for range count {
+		var step func()
+		step = func() {
+			counter.count(queue.Now())
+			pause := interval/2 + time.Duration(queue.Random().Int64N(int64(interval)))
+			queue.After(platformDelay+pause, step)
+		}
+		queue.At(0, step)
+	}
+	queue.RunUntil(countedTime)
+	return counter
+}
+
+// leaseCalls counts the table calls of the elections of so many routers.
+func leaseCalls(o Options, count int) (*callCounter, error) {
+	queue := eventqueue.New(o.Seed)
+	tables := platformmodel.New(platformmodel.Options{})
+	counter := &callCounter{}
+	for number := range count {
+		settings := lease.Settings{Key: "lease/measured", Duration: lease.DefaultDuration, Margin: lease.DefaultMargin}
+		random := rand.New(rand.NewPCG(queue.Random().Uint64(), 1))
+		election, err := lease.NewElection(settings, lease.NewHolderID(member(number, 0).Node, uint64(number)), random)
+		if err != nil {
+			return nil, errors.Wrap(err, "election")
+		}
+		election.SetEligible(number < leaseCandidates)
+		var step func()
+		step = func() {
+			action := election.Next(queue.Now())
+			switch action.Kind {
+			case lease.ActionRead:
+				counter.count(queue.Now())
+				row, err := tables.Get(queue.Now(), settings.Key)
+				queue.After(platformDelay, func() {
+					_ = election.ReadDone(queue.Now(), row, err) // only a malformed row is an error
+					step()
+				})
+			case lease.ActionCommit:
+				counter.count(queue.Now())
+				err := tables.Commit(queue.Now(), action.Transaction)
+				queue.After(platformDelay, func() {
+					election.CommitDone(queue.Now(), err)
+					step()
+				})
+			default:
+				queue.At(max(action.Until, queue.Now()+time.Millisecond), step)
+			}
+		}
+		queue.At(0, step)
+	}
+	queue.RunUntil(countedTime)
+	return counter, nil
+}
+
+// membershipKnownAfter is when a router of a herd counts the others, counted
+// from its start.
+const membershipKnownAfter = 3 * time.Second
+
+// measurePlatformCalls measures the platform calls of all routers together.
+func measurePlatformCalls(o Options) ([]Slope, error) {
+	slopes, err := sweepParts(o.Sizes.Members, func(count int) ([]float64, error) {
+		polls := configurationPolls(o, count, membershipKnownAfter)
+		machines := machinePolls(o, count)
+		leases, err := leaseCalls(o, count)
+		if err != nil {
+			return nil, err
+		}
+		return []float64{
+			polls.steadyRate(), polls.peak(), leases.steadyRate(), machines.steadyRate(), machines.peak(),
+		}, nil
+	},
+		quantity{name: "table reads of the configuration, all routers, steady", size: "routers", unit: "1/s", growth: GrowthLogarithmic},
+		quantity{name: "table reads of the configuration, all routers, busiest second of a herd restart", size: "routers", unit: "1/s", growth: GrowthLinear},
+		quantity{name: "table calls of the lease, all routers, steady", size: "routers", unit: "1/s", growth: GrowthLinear},
+		quantity{name: "reads of the list of machines, all routers, steady", size: "routers", unit: "1/s", growth: GrowthLinear},
+		quantity{name: "reads of the list of machines, all routers, busiest second of a herd restart", size: "routers", unit: "1/s", growth: GrowthLinear},
+	)
+	return slopes, err
+}
+
+// measureHerd restarts a whole fleet at once and measures how it finds itself.
+func measureHerd(o Options) []Figure {
+	n := newNetwork(o.Seed)
+	n.startCount()
+	n.startCold(o.Sizes.FailureMembers)
+	const name = "herd restart of all routers"
+	half, _ := n.until(convergenceLimit, func() bool {
+		for _, node := range n.all {
+			if len(node.core.Members()) < o.Sizes.FailureMembers/2 {
+				return false
+			}
+		}
+		return true
+	})
+	took, _ := n.until(convergenceLimit, n.converged)
+	return append(
+		[]Figure{{Name: name + ": until each knows half of them", Unit: "s", Value: half.Seconds()}},
+		recovery(n, name, half+took, 0)...,
+	)
+}
