Simulate scarce fleets, lost frames and callers that leave

A seed now draws the engines' speed, the streams of an engine and the retry budget; frames get lost while streams are reset; some callers go away.

--- a/lab/history/event.go
+++ b/lab/history/event.go
@@ -74,7 +74,9 @@
 // or the agent beside it was gone.
 type CallerLost struct {
 	Request fleet.RequestID
-	Reason  string
+	// Left is set when the caller went away by itself.
+	Left   bool
+	Reason string
 }
 
 // Accepted means that an engine accepted a dispatch made under a grant.
--- a/lab/history/stop.go
+++ b/lab/history/stop.go
@@ -40,7 +40,7 @@
 		case CallerLost:
 			began := requests[event.Request]
 			stopped, isStopping := stopping[began.Event.(Requested).Agent]
-			if isStopping && began.At <= stopped && calm(faults, stopped, entry.At) {
+			if !event.Left && isStopping && began.At <= stopped && calm(faults, stopped, entry.At) {
 				breach(entry, event.Request, event.Reason)
 			}
 		}
--- a/lab/simulation/agent.go
+++ b/lab/simulation/agent.go
@@ -75,7 +75,7 @@
 	a.holder = config.NewHolder()
 	a.inForce = 0
 	a.machines = nil
-	a.budget = attempt.NewBudget(attempt.BudgetOptions{})
+	a.budget = attempt.NewBudget(attempt.BudgetOptions{Burst: a.world.options.RetryBurst})
 	a.members = nil
 	a.links = make(map[fleet.Address]*link)
 	a.seen = false
--- a/lab/simulation/carrier.go
+++ b/lab/simulation/carrier.go
@@ -81,6 +81,9 @@
 	if w.options.Variant != ForgetDeadline {
 		c.after(incoming.timeout, func() { c.handle(attempt.DeadlinePassed{}, "") })
 	}
+	if w.random.Float64() < leaveChance {
+		c.after(time.Duration(w.random.Int64N(int64(incoming.timeout))), func() { c.handle(attempt.CallerGone{}, "") })
+	}
 	c.perform(c.machine.Start(a.now()))
 	return true
 }
@@ -161,7 +164,7 @@
 	case attempt.Fail:
 		w.record(history.Failed{Request: c.request.id, Code: action.Code, NotRun: action.NotRun(), Reason: action.Reason})
 	case attempt.Abort:
-		w.record(history.CallerLost{Request: c.request.id, Reason: "caller went away"})
+		w.record(history.CallerLost{Request: c.request.id, Left: true, Reason: "caller went away"})
 	}
 }
 
--- a/lab/simulation/enginehost.go
+++ b/lab/simulation/enginehost.go
@@ -241,7 +241,7 @@
 
 // take gives a frame to the carrier.
 func (c *connection) take(frame engine.Frame) {
-	if c.closed {
+	if c.closed || c.carrier.agent.world.loses(c) {
 		return
 	}
 	c.heard = c.carrier.agent.now()
--- a/lab/simulation/faults.go
+++ b/lab/simulation/faults.go
@@ -55,8 +55,10 @@
 	// after or during the first.
 	twiceChance = 0.25
 	resetRate   = 0.03
-	staleBy     = 6 * time.Second
-	restartWait = 500 * time.Millisecond
+	// lostFrameRate is the part of the frames that get lost while streams are reset.
+	lostFrameRate = 0.02
+	staleBy       = 6 * time.Second
+	restartWait   = 500 * time.Millisecond
 )
 
 // planFaults draws the faults and their times.
--- a/lab/simulation/options.go
+++ b/lab/simulation/options.go
@@ -39,6 +39,12 @@
 	// CrossedFrames that a frame of another stream comes under an operation.
 	LateRepeats   float64
 	CrossedFrames float64
+	// Slowness multiplies the costs of the engines, RetryBurst bounds the agents'
+	// retry budget and MaxStreams the streams of one engine: a scarce fleet
+	// refuses and gives up more.
+	Slowness   int
+	RetryBurst float64
+	MaxStreams int
 }
 
 // Defaults of Options: the size of the users' smaller fleet.
@@ -60,6 +66,9 @@
 	mostLoadLag       = time.Second
 	mostLateRepeats   = 0.02
 	mostCrossedFrames = 0.005
+	mostSlowness      = 5
+	mostRetryBurst    = 20
+	mostStreams       = 16
 )
 
 func (o Options) withDefaults() Options {
@@ -91,12 +100,17 @@
 	o.LoadLag = time.Duration(part() * float64(mostLoadLag))
 	o.LateRepeats = part() * mostLateRepeats
 	o.CrossedFrames = part() * mostCrossedFrames
+	o.Slowness = 1 + w.random.IntN(mostSlowness)
+	o.RetryBurst = 1 + part()*mostRetryBurst
+	o.MaxStreams = 1 + w.random.IntN(mostStreams)
 }
 
 // costs makes loads of weights quick enough for several in a run.
 func (o Options) costs() enginemodel.Costs {
 	costs := enginemodel.DefaultCosts()
 	costs.LoadTime = 300 * time.Millisecond
+	costs.StepBase *= time.Duration(o.Slowness)
+	costs.PrefillPerToken *= time.Duration(o.Slowness)
 	return costs
 }
 
--- a/lab/simulation/requests.go
+++ b/lab/simulation/requests.go
@@ -17,6 +17,8 @@
 	leastOutput = 2
 	// onceChance is the part of the requests that must run at most once.
 	onceChance = 0.3
+	// leaveChance is the part of the callers that may go away before the answer.
+	leaveChance = 0.1
 	// batchChance is the part of the requests of the last class.
 	batchChance   = 0.3
 	topVariants   = 3
--- a/lab/simulation/world.go
+++ b/lab/simulation/world.go
@@ -67,7 +67,7 @@
 	for index := range w.options.Agents {
 		w.agents = append(w.agents, newAgent(w, index))
 	}
-	w.tables.commitFirst(firstDocument())
+	w.tables.commitFirst(w.firstDocument())
 	for _, host := range w.engines {
 		host.start()
 	}
@@ -175,6 +175,11 @@
 	return w.resetRate > 0 && w.random.Float64() < w.resetRate
 }
 
+// loses tells whether a frame is lost though its connection stays.
+func (w *world) loses(*connection) bool {
+	return w.resetRate > 0 && w.random.Float64() < lostFrameRate
+}
+
 // strayFrame returns a frame of another request now and then.
 func (w *world) strayFrame(request fleet.RequestID, frame engine.Frame) (engine.Frame, bool) {
 	last := w.lastFrame
@@ -188,12 +193,12 @@
 }
 
 // firstDocument is the configuration that the fleet starts with.
-func firstDocument() config.Document {
+func (w *world) firstDocument() config.Document {
 	document := config.Document{
 		Models: []config.Model{{
 			Name: model, Pool: pool, MaxPromptTokens: 1 << 16, MaxOutputTokens: 1 << 10, BlockTokens: blockTokens,
 		}},
-		Pools: []config.Pool{{Name: pool, MaxStreams: 32, MaxLoads: 3}},
+		Pools: []config.Pool{{Name: pool, MaxStreams: w.options.MaxStreams, MaxLoads: 3}},
 	}
 	for _, version := range versions {
 		state := config.VersionLoading
