Bound a prefix's width by the routers that serve its pool

The pool map now says how many of the rank serve in the agent's region, and widths and spills stay among them.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -123,8 +123,9 @@
 
 // Spilled notes that a router handed a request back as saturated and that
 // another one placed it at once. A choice made under an earlier width says
-// nothing about the present one. Widths are bounded by the number of routers.
-func (t *Table) Spilled(now time.Duration, choice Choice, routers int) {
+// nothing about the present one. Widths are bounded by the number of routers
+// that serve.
+func (t *Table) Spilled(now time.Duration, choice Choice, serving int) {
 	root, found := t.entries.Get(choice.Key())
 	if !found {
 		root = &entry{width: 1, asOf: now, grownAt: now - t.options.GrowEvery}
@@ -134,7 +135,7 @@
 	if choice.width < int(math.Round(root.width)) || now-root.grownAt < t.options.GrowEvery {
 		return
 	}
-	root.width = math.Min(2*float64(choice.width), math.Max(float64(routers), 1))
+	root.width = math.Min(2*float64(choice.width), math.Max(float64(serving), 1))
 	root.grownAt = now
 }
 
--- a/internal/affinity/affinity_test.go
+++ b/internal/affinity/affinity_test.go
@@ -60,7 +60,7 @@
 	for request := range uint64(100) {
 		choice := table.Choose(0, blocks(1, request%5, request), 0)
 		ranked := membership.Rank(choice.Key(), "", list)
-		assert.Equal(t, ranked, choice.Order(ranked)[:16])
+		assert.Equal(t, ranked, choice.Order(ranked, 16))
 	}
 	assert.Zero(t, table.Len())
 	assert.Equal(t, uint64(7), table.Choose(0, nil, 7).Key())
@@ -97,7 +97,7 @@
 		child := request % 40
 		choice := table.Choose(now, blocks(1, child+1, request), 0)
 		require.Equal(t, 4, choice.Width())
-		node := choice.Order(membership.Rank(choice.Key(), "", list))[0].Node
+		node := choice.Order(membership.Rank(choice.Key(), "", list), 16)[0].Node
 		if request < 400 {
 			continue
 		}
@@ -121,7 +121,7 @@
 	const requests = 4000
 	for request := range uint64(requests) {
 		choice := table.Choose(now, blocks(1, 1, request), 0)
-		used[choice.Order(membership.Rank(choice.Key(), "", list))[0].Node]++
+		used[choice.Order(membership.Rank(choice.Key(), "", list), 16)[0].Node]++
 	}
 	require.Len(t, used, 4)
 	for node, count := range used {
@@ -146,13 +146,15 @@
 		now := widen(table, 1, rapid.IntRange(0, 6).Draw(t, "doublings"))
 		choice := table.Choose(now, blocks(1, rapid.Uint64Range(0, 3).Draw(t, "child"), 1), 0)
 		ranked := membership.Rank(choice.Key(), "", list)
-		ordered := choice.Order(ranked)
+		serving := rapid.IntRange(1, len(list)).Draw(t, "serving")
+		ordered := choice.Order(ranked, serving)
 		require.ElementsMatch(t, ranked, ordered)
-		width := min(choice.Width(), len(list))
+		width := min(choice.Width(), serving)
 		require.Contains(t, ranked[:width], ordered[0])
-		if width < len(list) {
-			require.Contains(t, ranked[width:min(2*width, len(list))], ordered[1])
+		if width < serving {
+			require.Contains(t, ranked[width:min(2*width, serving)], ordered[1])
 		}
-		require.Empty(t, choice.Order(nil))
+		require.ElementsMatch(t, ranked[:serving], ordered[:serving], "those that serve come first")
+		require.Empty(t, choice.Order(nil, 0))
 	})
 }
--- a/internal/affinity/choice.go
+++ b/internal/affinity/choice.go
@@ -24,16 +24,18 @@
 func (c Choice) Width() int { return c.width }
 
 // Order returns the routers in the order in which they are asked, given their
-// rank for Key: the one chosen; then, for the case that it is saturated, those
-// that a doubled width would add; then the rest.
-func (c Choice) Order(ranked []membership.Member) []membership.Member {
-	width := min(max(c.width, 1), len(ranked))
-	if width == 0 {
+// rank for Key, of which the first serving ones may be used as long as they
+// answer: the one chosen; then, for the case that it is saturated, those that a
+// doubled width would add; then the rest.
+func (c Choice) Order(ranked []membership.Member, serving int) []membership.Member {
+	if len(ranked) == 0 {
 		return nil
 	}
+	serving = min(max(serving, 1), len(ranked))
+	width := min(max(c.width, 1), serving)
 	last := c.keys[len(c.keys)-1]
 	within := c.chosen(ranked[:width])
-	wider := min(2*width, len(ranked))
+	wider := min(2*width, serving)
 	ordered := make([]membership.Member, 0, len(ranked))
 	ordered = append(ordered, within[0])
 	ordered = append(ordered, membership.Rank(last, "", ranked[width:wider])...)
--- a/internal/agent/ranking.go
+++ b/internal/agent/ranking.go
@@ -70,12 +70,17 @@
 }
 
 // rank returns the members in the order in which a request asks them.
-func (k *ranking) rank(by routing) []membership.Member {
+func (k *ranking) rank(by routing) []membership.Member { return by.choice.Order(k.byPrefix(by)) }
+
+// byPrefix returns the members in the order of the prefix's rank, and how many
+// of them serve the pool.
+func (k *ranking) byPrefix(by routing) ([]membership.Member, int) {
 	key := by.choice.Key()
 	if k.pools != nil {
-		return by.choice.Order(k.pools.Rank(key, by.pool, k.near))
+		return k.pools.Rank(key, by.pool, k.near)
 	}
-	return by.choice.Order(membership.Rank(key, k.near.Zone, k.members))
+	ranked := membership.Rank(key, k.near.Zone, k.members)
+	return ranked, len(ranked)
 }
 
 // route decides how a call's prompt is routed and counts it.
@@ -89,5 +94,6 @@
 func (r *routers) spilled(by routing) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.ranking.table.Spilled(r.clock.Now(), by.choice, len(r.ranking.members))
+	_, serving := r.ranking.byPrefix(by)
+	r.ranking.table.Spilled(r.clock.Now(), by.choice, serving)
 }
--- a/internal/membership/poolmap.go
+++ b/internal/membership/poolmap.go
@@ -149,13 +149,22 @@
 // Rank returns the routers in the order in which an agent tries them for a
 // prefix key of a pool. Those of the agent's region that own engines of the
 // pool come first, the likelier the more they own, and likelier in the agent's
-// zone; then those of other regions; then the routers that own none.
-func (m *PoolMap) Rank(key uint64, pool fleet.PoolName, near Location) []Member {
+// zone; then those of other regions; then the routers that own none. The number
+// is that of the first group, or of the second if the first is empty.
+func (m *PoolMap) Rank(key uint64, pool fleet.PoolName, near Location) ([]Member, int) {
 	scored := make([]scoredMember, 0, len(m.members))
 	serving := make(map[fleet.NodeID]bool)
+	local := 0
 	for _, part := range m.merged(pool) {
 		serving[part.member.Node] = true
-		scored = append(scored, rankEntry(key, part, near))
+		entry := rankEntry(key, part, near)
+		if entry.proximity == 0 {
+			local++
+		}
+		scored = append(scored, entry)
+	}
+	if local == 0 {
+		local = len(serving)
 	}
 	for _, member := range m.members {
 		if !serving[member.Node] {
@@ -164,7 +173,7 @@
 			scored = append(scored, entry)
 		}
 	}
-	return sortScored(scored)
+	return sortScored(scored), local
 }
 
 // merged returns one share of the pool for each router.
--- a/internal/membership/poolmap_test.go
+++ b/internal/membership/poolmap_test.go
@@ -60,7 +60,9 @@
 				require.True(t, isLocal || len(local) < replicas, "%s is owned from afar", id)
 			}
 		}
-		require.ElementsMatch(t, routable, shared.Rank(7, "pool-00", Location{Zone: dead.Zone}))
+		ranked, serving := shared.Rank(7, "pool-00", Location{Zone: dead.Zone})
+		require.ElementsMatch(t, routable, ranked)
+		require.LessOrEqual(t, serving, len(routable))
 	})
 }
 
@@ -80,8 +82,12 @@
 	near := Location{Region: list[0].Region, Zone: list[0].Zone}
 	first := make(map[fleet.NodeID]int)
 	for key := range uint64(2000) {
-		ranked := shared.Rank(key, "pool-02", near)
+		ranked, serving := shared.Rank(key, "pool-02", near)
 		require.Len(t, ranked, len(list))
+		for position, member := range ranked {
+			local := member.Region == near.Region && owned[member.Node] > 0
+			require.Equal(t, local, position < serving)
+		}
 		require.Positive(t, owned[ranked[0].Node])
 		first[ranked[0].Node]++
 	}
