Follow one router's lists in an agent, and send it changes alone

Cause: an agent exchanged with every router in turn, one a second, so versions of a router's lists would never have matched; each answer carried the whole list of routers. An agent that was behind by one revision of the configuration got the whole document.

Routers with waiting requests are asked each round as before. Seeds are asked again once no member is in good order: before, an agent whose members had all gone asked only those. The router sends configuration changes while it holds them; changes that can't be applied make the agent ask for the document.

Tests: 20 routers, one followed and all surveyed; a failed or stopping router is left; 400 agents spread over 20 routers; changes that can't be applied give way to the document.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -28,7 +28,7 @@
 	"github.com/tillerfall/tillerfall/internal/config"
 	"github.com/tillerfall/tillerfall/internal/engine"
 	"github.com/tillerfall/tillerfall/internal/fleet"
-	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/internal/fleetsync"
 )
 
 // Dependencies are what an agent gets from its process.
@@ -48,15 +48,17 @@
 	metrics  *metrics
 
 	config *config.Holder
-	// machines is the routers' list of engines, remembered for those of them
-	// that restart while the platform is down.
-	machines    atomic.Pointer[rpc.MachineList]
-	routers     *routers
-	engines     *engine.Connections
-	budget      attempt.RetryBudget
-	concurrency *concurrency
-	duplicates  *duplicates
-	running     *gate
+	// lists are the routers' lists. That of engines is remembered also for
+	// those routers that restart while the platform is down.
+	lists fleetsync.Subscriber
+	// snapshotWanted is set when changes of the configuration couldn't be applied.
+	snapshotWanted atomic.Bool
+	routers        *routers
+	engines        *engine.Connections
+	budget         attempt.RetryBudget
+	concurrency    *concurrency
+	duplicates     *duplicates
+	running        *gate
 
 	server   *http.Server
 	listener net.Listener
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -306,3 +306,22 @@
 	status, _ := decode(t, post(t, a, openai.PathCompletions, completionBody(2, false)))
 	assert.Equal(t, http.StatusOK, status)
 }
+
+func TestChangesOfTheConfigurationThatCannotBeAppliedGiveWayToTheDocument(t *testing.T) {
+	router := startRouter(t, startEngine(t, "a", time.Millisecond))
+	a := startAgent(t, nil, router)
+	document := testDocument()
+	document.Revision = 9
+	document.Models[0].Name = "drafts"
+	snapshot, err := config.SnapshotMessage(document)
+	require.NoError(t, err)
+	router.mutex.Lock()
+	router.changes = []*rpc.ConfigChange{{Revision: 8, Patch: []byte("no patch")}}
+	router.config = snapshot
+	router.revision = snapshot.GetRevision()
+	router.mutex.Unlock()
+	require.Eventually(t, func() bool {
+		status, _ := decode(t, post(t, a, openai.PathCompletions, `{"model":"drafts","prompt":"p","max_tokens":1}`))
+		return status != http.StatusNotFound
+	}, patience, pollEvery)
+}
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -18,6 +18,8 @@
 	"github.com/tillerfall/tillerfall/internal/config"
 	"github.com/tillerfall/tillerfall/internal/engine"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/fleetsync"
+	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/rpc"
 	"github.com/tillerfall/tillerfall/internal/settings"
@@ -62,7 +64,10 @@
 	engines  []*engineserver.Server
 	revision uint64
 	config   *rpc.ConfigSnapshot
+	// changes are sent instead of the snapshot.
+	changes  []*rpc.ConfigChange
 	machines *rpc.MachineList
+	lists    *fleetsync.Publisher
 	reports  []*rpc.AttemptReport
 	places   int
 	// hold keeps every answer back until it is closed; held and withdrawn count
@@ -80,6 +85,7 @@
 	router := &fakeRouter{engines: engines, config: snapshot, revision: snapshot.GetRevision()}
 	router.machines = &rpc.MachineList{Digest: 5, Machines: []*rpc.Machine{{Id: "a"}}}
 	router.server = httptest.NewServer(rpc.NewPlacementServer(router))
+	router.lists = fleetsync.NewPublisher(router.node())
 	t.Cleanup(router.server.Close)
 	return router
 }
@@ -88,8 +94,10 @@
 	return fleet.Address(strings.TrimPrefix(f.server.URL, "http://"))
 }
 
+func (f *fakeRouter) node() fleet.NodeID { return fleet.NodeID("router-" + string(f.address())) }
+
 func (f *fakeRouter) header() *rpc.Header {
-	return &rpc.Header{Sender: "router", KnownRevision: f.revision}
+	return &rpc.Header{Sender: string(f.node()), KnownRevision: f.revision}
 }
 
 func (f *fakeRouter) wait(ctx context.Context) {
@@ -169,10 +177,12 @@
 		f.machines = pushed
 	}
 	answer := &rpc.SyncResponse{Header: f.header(), MachinesWanted: f.machines == nil}
-	if request.GetMachinesDigest() != f.machines.GetDigest() {
-		answer.Machines = f.machines
-	}
+	f.lists.Answer(membership.NewView(1, membership.Member{}, nil), f.machines, request, answer)
 	if request.GetHeader().GetKnownRevision() < f.revision {
+		if f.changes != nil && !request.GetConfigSnapshotWanted() {
+			answer.ConfigChanges = f.changes
+			return answer, nil
+		}
 		answer.Config = f.config
 	}
 	return answer, nil
--- a/internal/agent/routers.go
+++ b/internal/agent/routers.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -21,8 +22,6 @@
 	maxIdleToRouter      = 64
 	// firstBackoff is how long a router isn't chosen after its first failure.
 	firstBackoff = 200 * time.Millisecond
-	// maxSyncTargets bounds the routers of one round of exchanges.
-	maxSyncTargets = 8
 )
 
 // link is what the agent knows of one router. Its fields but address, client
@@ -55,9 +54,11 @@
 	backoffMax time.Duration
 	client     *http.Client
 
-	mutex    sync.Mutex
-	ranking  ranking
-	links    map[fleet.Address]*link
+	mutex   sync.Mutex
+	ranking ranking
+	links   map[fleet.Address]*link
+	// followed is the router that the lists are followed from.
+	followed *link
 	rotation int
 	lastSeen time.Duration
 	seen     bool
@@ -77,6 +78,7 @@
 		backoffMax: backoffMax,
 		client:     &http.Client{Transport: transport},
 		links:      make(map[fleet.Address]*link),
+		rotation:   rand.IntN(math.MaxInt32),
 	}
 }
 
@@ -223,17 +225,11 @@
 	return at.answered && at.revision < ours
 }
 
-// learn takes over what a router knows of the routers and the engines.
-func (r *routers) learn(answer *rpc.SyncResponse) {
-	members := make([]membership.Member, 0, len(answer.GetMembers()))
-	for _, entry := range answer.GetMembers() {
-		if member, err := membership.DecodeMember(entry); err == nil {
-			members = append(members, member)
-		}
-	}
+// learn takes over what the routers know of the routers and the engines.
+func (r *routers) learn(members []membership.Member, machines *rpc.MachineList, replicas int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.ranking.learn(members, answer.GetMachines(), int(answer.GetIndexReplicas()))
+	r.ranking.learn(members, machines, replicas)
 	if len(members) > 0 {
 		r.prune()
 	}
@@ -256,34 +252,6 @@
 	}
 }
 
-// syncTargets returns the routers to exchange news with: those where requests
-// wait, so that a dead one is noticed, and the next in turn of all.
-func (r *routers) syncTargets() []*link {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	addresses := make([]fleet.Address, 0, len(r.ranking.members)+len(r.seeds))
-	for _, member := range r.ranking.members {
-		if member.State != membership.Dead {
-			addresses = append(addresses, member.Address)
-		}
-	}
-	if len(addresses) == 0 || !r.seen {
-		addresses = append(addresses, r.seeds...)
-	}
-	r.rotation++
-	next := r.rotation % len(addresses)
-	addresses = append(slices.Clone(addresses[next:]), addresses[:next]...)
-	var targets []*link
-	for index, address := range addresses {
-		candidate := r.link(address)
-		wanted := index == 0 || candidate.waiting > 0 || !r.seen
-		if wanted && len(targets) < maxSyncTargets && !slices.Contains(targets, candidate) {
-			targets = append(targets, candidate)
-		}
-	}
-	return targets
-}
-
 // reachable tells whether some router has answered within a time.
 func (r *routers) reachable(within time.Duration) bool {
 	r.mutex.Lock()
--- a/internal/agent/sync.go
+++ b/internal/agent/sync.go
@@ -56,7 +56,7 @@
 	if !a.exchange(at) {
 		return
 	}
-	lacksMachines := a.routers.wantsMachines(at) && a.machines.Load() != nil
+	lacksMachines := a.routers.wantsMachines(at) && a.lists.Machines() != nil
 	if lacksMachines || a.routers.behind(at, a.config.Revision()) {
 		a.exchange(at)
 	}
@@ -65,15 +65,7 @@
 func (a *Agent) exchange(at *link) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(a.settings.Sync.Timeout))
 	defer cancel()
-	machines := a.machines.Load()
-	request := &rpc.SyncRequest{
-		Header:         a.header(),
-		Config:         a.snapshotFor(at),
-		MachinesDigest: machines.GetDigest(),
-	}
-	if a.routers.wantsMachines(at) {
-		request.Machines = machines
-	}
+	request := a.syncRequest(at)
 	answer, err := at.client.Sync(ctx, request)
 	if err != nil {
 		a.routerFailed(at, "sync", err)
@@ -81,15 +73,27 @@
 	}
 	a.routers.answered(at, answer.GetHeader())
 	a.routers.synced(at, answer)
-	a.routers.learn(answer)
-	// An empty list would be of no help to a router that restarts.
-	if list := answer.GetMachines(); len(list.GetMachines()) > 0 {
-		a.machines.Store(list)
+	a.lists.Apply(request, answer)
+	a.routers.learn(a.lists.Members(), a.lists.Machines(), int(answer.GetIndexReplicas()))
+	a.takeConfig(at, answer)
+	return true
+}
+
+// syncRequest asks for the lists only of the router that they are followed from.
+func (a *Agent) syncRequest(at *link) *rpc.SyncRequest {
+	request := &rpc.SyncRequest{
+		Header:               a.header(),
+		Config:               a.snapshotFor(at),
+		ConfigSnapshotWanted: a.snapshotWanted.Load(),
+		WithoutLists:         !a.routers.follows(at),
 	}
-	if snapshot := answer.GetConfig(); snapshot != nil {
-		a.takeConfig(at, snapshot)
+	if !request.GetWithoutLists() {
+		a.lists.Request(request)
 	}
-	return true
+	if a.routers.wantsMachines(at) {
+		request.Machines = a.lists.Machines()
+	}
+	return request
 }
 
 // snapshotFor returns the configuration for a router that is behind, else nil.
@@ -106,12 +110,14 @@
 	return snapshot
 }
 
-func (a *Agent) takeConfig(from *link, snapshot *rpc.ConfigSnapshot) {
-	document, err := config.DocumentFromMessage(snapshot)
-	accepted := false
-	if err == nil {
-		accepted, err = a.config.OfferSnapshot(document)
+// takeConfig takes over what an answer brings of the configuration. If changes
+// can't be applied, the next exchange asks for the whole document.
+func (a *Agent) takeConfig(from *link, answer *rpc.SyncResponse) {
+	if answer.GetConfig() == nil && len(answer.GetConfigChanges()) == 0 {
+		return
 	}
+	accepted, err := a.offerConfig(answer)
+	a.snapshotWanted.Store(err != nil)
 	if err != nil {
 		a.logger.Warn().Err(err).Str("router", string(from.address)).Msg("config_rejected")
 		return
@@ -123,6 +129,22 @@
 	}
 }
 
+func (a *Agent) offerConfig(answer *rpc.SyncResponse) (accepted bool, err error) {
+	if snapshot := answer.GetConfig(); snapshot != nil {
+		document, err := config.DocumentFromMessage(snapshot)
+		if err != nil {
+			return false, err
+		}
+		return a.config.OfferSnapshot(document)
+	}
+	changes, err := config.ChangesFromMessages(answer.GetConfigChanges())
+	if err != nil {
+		return false, err
+	}
+	accepted, _, err = a.config.OfferChanges(changes)
+	return accepted, err
+}
+
 // noteAnswer takes the header of a router's answer and starts an exchange if
 // either side is behind.
 func (a *Agent) noteAnswer(by *link, header *rpc.Header) {
--- /dev/null
+++ b/internal/agent/synctargets_test.go
@@ -0,0 +1,84 @@
+package agent
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+func knownRouters(count int) *routers {
+	r := newRouters(fleet.NewClock(), newRanking(membership.Location{}, 1), []fleet.Address{"127.0.0.1:1"}, time.Minute)
+	var members []membership.Member
+	for number := range count {
+		members = append(members, membership.Member{
+			Node:    fleet.NodeID(fmt.Sprintf("r%03d", number)),
+			Address: fleet.Address(fmt.Sprintf("10.0.0.%d:7400", number+1)), State: membership.Alive,
+		})
+	}
+	r.learn(members, nil, 0)
+	r.answered(r.link(members[0].Address), &rpc.Header{})
+	return r
+}
+
+func TestRoundsFollowOneRouterAndSurveyAllInTurn(t *testing.T) {
+	const count = 20
+	r := knownRouters(count)
+	surveyed := make(map[fleet.Address]bool)
+	exchanges := 0
+	for range count * surveyRounds {
+		targets := r.syncTargets()
+		exchanges += len(targets)
+		assert.True(t, r.follows(targets[0]))
+		for _, target := range targets[1:] {
+			surveyed[target.address] = true
+		}
+	}
+	assert.GreaterOrEqual(t, len(surveyed), count-1)
+	assert.LessOrEqual(t, exchanges, count*surveyRounds+count)
+}
+
+func TestFailedOrStoppingRouterIsFollowedNoMore(t *testing.T) {
+	r := knownRouters(3)
+	first := r.syncTargets()[0]
+	r.fail(first)
+	second := r.syncTargets()[0]
+	require.NotSame(t, first, second)
+	r.synced(second, &rpc.SyncResponse{Stopping: true})
+	third := r.syncTargets()[0]
+	assert.NotSame(t, first, third)
+	assert.NotSame(t, second, third)
+}
+
+func TestSeedsAreAskedOnceAllMembersFail(t *testing.T) {
+	r := knownRouters(1)
+	r.fail(r.syncTargets()[0])
+	assert.EqualValues(t, "127.0.0.1:1", r.syncTargets()[0].address)
+}
+
+func TestRouterWithWaitingRequestsIsAsked(t *testing.T) {
+	r := knownRouters(20)
+	waitedFor := r.link("10.0.0.7:7400")
+	r.enter(waitedFor)
+	for range surveyRounds {
+		assert.Contains(t, r.syncTargets(), waitedFor)
+	}
+}
+
+func TestAgentsSpreadOverTheRouters(t *testing.T) {
+	const routerCount, agents = 20, 400
+	followers := make(map[fleet.Address]int)
+	for range agents {
+		followers[knownRouters(routerCount).syncTargets()[0].address]++
+	}
+	for address, count := range followers {
+		assert.Less(t, count, 4*agents/routerCount, address)
+	}
+	assert.Len(t, followers, routerCount)
+}
--- a/internal/router/placementserver.go
+++ b/internal/router/placementserver.go
@@ -100,25 +100,3 @@
 	})
 	return &rpc.ReportResponse{Header: s.router.header()}, nil
 }
-
-// Sync implements rpc.Placement. Configuration and machine list go to the side
-// that lacks them.
-func (s *placementServer) Sync(_ context.Context, message *rpc.SyncRequest) (*rpc.SyncResponse, error) {
-	s.router.learnConfiguration(message.GetConfig(), message.GetHeader().GetSender())
-	s.router.hear(message.GetHeader())
-	s.router.machines.offer(message.GetMachines())
-	response := &rpc.SyncResponse{
-		Header:         s.router.header(),
-		Members:        s.router.routableMembers(),
-		Stopping:       s.router.isStopping(),
-		MachinesWanted: !s.router.machines.isKnown(),
-		IndexReplicas:  uint32(s.router.options.Settings.IndexReplicas),
-	}
-	if known := message.GetHeader().GetKnownRevision(); known < response.GetHeader().GetKnownRevision() {
-		response.Config = s.router.configurationMessage()
-	}
-	if machines := s.router.machines.encoded(); machines.GetDigest() != message.GetMachinesDigest() {
-		response.Machines = machines
-	}
-	return response, nil
-}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,7 +15,7 @@
 
 	"github.com/tillerfall/tillerfall/internal/config"
 	"github.com/tillerfall/tillerfall/internal/fleet"
-	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/fleetsync"
 	"github.com/tillerfall/tillerfall/internal/operator"
 	"github.com/tillerfall/tillerfall/internal/peer"
 	"github.com/tillerfall/tillerfall/internal/placement"
@@ -46,6 +46,7 @@
 	placer    *placer
 	engines   *engineFleet
 	machines  *machineList
+	lists     *fleetsync.Publisher
 	holder    *config.Holder
 	store     *config.Store
 	follower  *config.PlatformFollower
@@ -93,6 +94,7 @@
 		placer:   placer,
 		engines:  newEngineFleet(node, placer, metrics, options.Settings, options.Logger),
 		machines: newMachineList(),
+		lists:    fleetsync.NewPublisher(node),
 		holder:   config.NewHolder(),
 		store:    config.NewStore(options.Tables, options.Objects, config.StoreOptions{}),
 	}
@@ -239,15 +241,6 @@
 	return &rpc.Header{Sender: string(r.node), KnownRevision: uint64(r.holder.Revision())}
 }
 
-// routableMembers lists the routers that agents may use.
-func (r *Router) routableMembers() []*rpc.Member {
-	var members []*rpc.Member
-	for _, member := range r.peers.View().Routable() {
-		members = append(members, membership.EncodeMember(member))
-	}
-	return members
-}
-
 // otherRouters returns the addresses of up to limit routers besides this one, those of its zone first.
 func (r *Router) otherRouters(limit int) []string {
 	var near, far []string
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -175,6 +175,25 @@
 	assert.NotNil(t, place(t, restarted, "q").GetGrant())
 }
 
+func TestAgentThatIsBehindGetsTheChangesAlone(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.commitConfiguration()
+	r := f.startReadyRouter("r")
+	require.Zero(t, execute(t, r, "drain e0").GetCode())
+	require.Eventually(t, func() bool { return r.holder.Revision() == 2 }, patience, pollTime)
+	request := &rpc.SyncRequest{Header: &rpc.Header{Sender: "agent", KnownRevision: 1}}
+	answer, err := placementClient(r).Sync(context.Background(), request)
+	require.NoError(t, err)
+	require.Len(t, answer.GetConfigChanges(), 1)
+	assert.EqualValues(t, 2, answer.GetConfigChanges()[0].GetRevision())
+	assert.Nil(t, answer.GetConfig())
+	request.ConfigSnapshotWanted = true
+	answer, err = placementClient(r).Sync(context.Background(), request)
+	require.NoError(t, err)
+	assert.Empty(t, answer.GetConfigChanges())
+	assert.EqualValues(t, 2, answer.GetConfig().GetRevision())
+}
+
 func TestLowerRevisionIsIgnored(t *testing.T) {
 	f := newTestFleet(t, 1)
 	f.commitConfiguration()
