--- a/lab/emulator/carrier.go
+++ b/lab/emulator/carrier.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/affinity"
 	"github.com/tillerfall/tillerfall/internal/attempt"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/placement"
@@ -15,11 +16,14 @@
 	call    *call
 	id      fleet.RequestID
 	machine *attempt.Machine
+	choice  affinity.Choice
 	ranked  []*routerHost
 	tried   []int
 	asked   map[fleet.Attempt]*routerHost
 	last    placement.Key
-	hops    int
+	// handBacks counts the hand-backs, spills those of saturated routers in a row.
+	handBacks int
+	spills    int
 }
 
 func newCarrier(agent *agentHost, call *call, id fleet.RequestID) *carrier {
@@ -28,12 +32,14 @@
 		Repeatable: !call.request.NonRepeatable,
 		Deadline:   call.request.At + termsOf[call.request.Class].deadline,
 	}
+	choice := agent.ranking.choose(agent.emulator.queue.Now(), call.blocks)
 	return &carrier{
 		agent:   agent,
 		call:    call,
 		id:      id,
 		machine: attempt.New(request, agent.policy, agent.budget, agent.random),
-		ranked:  agent.rank(call),
+		choice:  choice,
+		ranked:  agent.ranking.rank(choice),
 		tried:   make([]int, len(agent.emulator.routers)),
 		asked:   make(map[fleet.Attempt]*routerHost),
 	}
@@ -117,7 +123,7 @@
 		Excluded:           action.Excluded,
 		ContinuationTokens: action.ContinuationTokens,
 		AgentZone:          c.agent.zone,
-		Hops:               c.hops,
+		Hops:               c.handBacks,
 		KnownRevision:      1,
 	}
 	c.agent.emulator.queue.After(chosen.latency(c.agent.zone), func() {
@@ -129,6 +135,7 @@
 func (c *carrier) answered(operation attempt.Operation, outcome placement.Outcome) {
 	switch outcome := outcome.(type) {
 	case placement.Grant:
+		c.noteGrant()
 		c.handle(attempt.Granted{
 			Operation:  operation,
 			Attempt:    outcome.Key.Attempt,
@@ -145,11 +152,33 @@
 			RetryAfter: outcome.RetryAfter,
 		})
 	case placement.HandBack:
-		c.hops++
+		c.noteHandBack(outcome)
 		c.handle(attempt.HandedBack{Operation: operation})
 	}
 }
 
+// noteHandBack counts a hand-back. When several routers are saturated, the
+// request goes back to its first choice and waits there.
+func (c *carrier) noteHandBack(handBack placement.HandBack) {
+	c.handBacks++
+	if handBack.Reason != placement.HandBackSaturated {
+		return
+	}
+	c.spills++
+	if c.spills >= affinity.MaxSpills {
+		clear(c.tried)
+	}
+}
+
+// noteGrant widens the prefix's routing if another router than the saturated
+// one had room.
+func (c *carrier) noteGrant() {
+	if c.spills > 0 && c.spills < affinity.MaxSpills {
+		c.agent.ranking.spilled(c.agent.emulator.queue.Now(), c.choice)
+	}
+	c.spills = 0
+}
+
 var reportPhases = map[attempt.ReportPhase]placement.Phase{
 	attempt.ReportAccepted:   placement.PhaseAccepted,
 	attempt.ReportFirstToken: placement.PhaseFirstToken,
--- a/lab/emulator/enginehost.go
+++ b/lab/emulator/enginehost.go
@@ -10,6 +10,7 @@
 	"github.com/tillerfall/tillerfall/internal/attempt"
 	"github.com/tillerfall/tillerfall/internal/engine"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/platform"
 	"github.com/tillerfall/tillerfall/lab/enginemodel"
 )
@@ -42,6 +43,10 @@
 	return fleet.EngineRun{Engine: h.id(), Incarnation: h.model.Incarnation()}
 }
 
+func (h *engineHost) site() membership.EngineSite {
+	return membership.EngineSite{Pool: h.machine.Pool, Location: membership.Location{Zone: h.machine.Zone}}
+}
+
 func (h *engineHost) now() time.Duration { return h.emulator.queue.Now() }
 
 // answer sends an event to a stream's agent.
--- a/lab/emulator/policy.go
+++ b/lab/emulator/policy.go
@@ -36,6 +36,8 @@
 	View      *config.View
 	Random    *rand.Rand
 	Placement placement.Options
+	// Owned tells which engines the router indexes and places on.
+	Owned func(fleet.EngineID) bool
 	// engines is the truth, for the clairvoyant policy alone.
 	engines []*engineHost
 }
@@ -57,12 +59,15 @@
 type Policy struct {
 	Name    string
 	Routing Routing
-	New     func(setup Setup) Router
+	// IndexReplicas is the number of routers that own an engine; 0 means all.
+	IndexReplicas int
+	New           func(setup Setup) Router
 }
 
 // Names of the policies.
 const (
 	PolicyTillerfall  = "tillerfall"
+	PolicySharded     = "tillerfall-sharded"
 	PolicyRoundRobin  = "round-robin"
 	PolicyLeastLoaded = "least-loaded"
 	PolicyPrefixHash  = "prefix-hash"
@@ -72,14 +77,20 @@
 
 // Policies returns all policies, the product first and the limit last.
 func Policies() []Policy {
-	return []Policy{Tillerfall(), RoundRobin(), LeastLoaded(), PrefixHash(), PrefixMatch(), Clairvoyant()}
+	return []Policy{Tillerfall(), Sharded(), RoundRobin(), LeastLoaded(), PrefixHash(), PrefixMatch(), Clairvoyant()}
 }
 
-// Tillerfall is the product.
+// Tillerfall is the product with its defaults: every router owns every engine.
 func Tillerfall() Policy {
 	return Policy{Name: PolicyTillerfall, Routing: RouteByPrefix, New: newProductRouter}
 }
 
+// Sharded is the product with one owner for each engine, so that what is known
+// of an engine's work isn't split among routers.
+func Sharded() Policy {
+	return Policy{Name: PolicySharded, Routing: RouteByPrefix, IndexReplicas: 1, New: newProductRouter}
+}
+
 func newProductRouter(setup Setup) Router {
 	options := setup.Placement
 	options.Node = setup.Node
@@ -87,5 +98,6 @@
 	options.Random = setup.Random
 	core := placement.New(options)
 	core.ApplyConfig(0, setup.View)
+	core.SetOwned(setup.Owned)
 	return core
 }
--- a/lab/emulator/rivals.go
+++ b/lab/emulator/rivals.go
@@ -51,11 +51,12 @@
 	return Policy{Name: PolicyPrefixHash, Routing: RouteSpread, New: newRival(chooseByHash, false)}
 }
 
-// hashedBlocks is the number of leading blocks that choose the engine.
+// hashedBlocks is the number of leading blocks that choose the engine. Every
+// prompt of the workloads has one.
 const hashedBlocks = 4
 
 func chooseByHash(_ *rival, request *placement.Request, candidates []*rivalEngine) *rivalEngine {
-	key := prefixKey(request.Blocks, hashedBlocks)
+	key := uint64(request.Blocks[min(len(request.Blocks), hashedBlocks)-1])
 	var best *rivalEngine
 	var bestScore uint64
 	for _, candidate := range candidates {
