--- a/lab/capacity/calls.go
+++ b/lab/capacity/calls.go
@@ -184,7 +184,7 @@
 	})
 }
 
-func placementCost(o Options, answers *fixedAnswers, call func(context.Context, rpc.Placement) error) (callCost, error) {
+func placementCost(o Options, answers rpc.Placement, call func(context.Context, rpc.Placement) error) (callCost, error) {
 	e, err := newEndpoint(rpc.NewPlacementServer(answers))
 	if err != nil {
 		return callCost{}, err
@@ -292,8 +292,9 @@
 	return sweepAll(
 		linear("Place call", "blocks in the prompt", "B", o.Sizes.PromptBlocks, func(size int) (float64, error) { return callBytes(placeCost(o, size)) }),
 		linear("Place call", "blocks in the prompt", bothEnds, o.Sizes.PromptBlocks, func(size int) (float64, error) { return callTime(placeCost(o, size)) }),
-		linear("Sync call, nothing new", "routers", "B", o.Sizes.Members, func(size int) (float64, error) { return callBytes(syncCost(o, size, 0, 0)) }),
-		linear("Sync call, nothing new", "routers", bothEnds, o.Sizes.Members, func(size int) (float64, error) { return callTime(syncCost(o, size, 0, 0)) }),
+		linear("Sync call, nothing new", "routers", "B", o.Sizes.Members, func(size int) (float64, error) { return callBytes(followedSyncCost(o, size)) }),
+		linear("Sync call, nothing new", "routers", bothEnds, o.Sizes.Members, func(size int) (float64, error) { return callTime(followedSyncCost(o, size)) }),
+		linear("Sync call with the whole list of routers", "routers", "B", o.Sizes.Members, func(size int) (float64, error) { return callBytes(syncCost(o, size, 0, 0)) }),
 		linear("Sync call with a configuration, no routers", "tenants", "B", o.Sizes.Tenants, func(size int) (float64, error) { return callBytes(syncCost(o, 0, size, 0)) }),
 		linear("Sync call with the list of engines, no routers", "engines", "B", o.Sizes.Engines, func(size int) (float64, error) { return callBytes(syncCost(o, 0, 0, size)) }),
 		linear("platform's list of machines", "engines", "B", o.Sizes.Engines, func(size int) (float64, error) {
--- a/lab/capacity/capacity.go
+++ b/lab/capacity/capacity.go
@@ -63,7 +63,7 @@
 // holds what was measured before it.
 func Run(o Options) (Report, error) {
 	started := time.Now()
-	startedProcessor := processorTime()
+	startedProcessor := ProcessorTime()
 	report := Report{Seed: o.Seed, Processors: runtime.NumCPU(), GoVersion: runtime.Version()}
 	for _, next := range parts() {
 		if o.Progress != nil {
@@ -73,7 +73,7 @@
 			return report, errors.Wrap(err, next.name)
 		}
 	}
-	report.ProcessorSeconds = (processorTime() - startedProcessor).Seconds()
+	report.ProcessorSeconds = (ProcessorTime() - startedProcessor).Seconds()
 	report.ElapsedSeconds = time.Since(started).Seconds()
 	return report, nil
 }
--- a/lab/capacity/cost.go
+++ b/lab/capacity/cost.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// processorTime returns the processor time that this process has used, in user
+// ProcessorTime returns the processor time that this process has used, in user
 // and system mode. Unlike elapsed time it doesn't grow while other processes
 // hold the processors. It includes the garbage collector.
-func processorTime() time.Duration {
+func ProcessorTime() time.Duration {
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
 		panic(err) // only for a wrong argument
@@ -23,13 +23,13 @@
 func processorTimeOf(atLeast time.Duration, run func(repetition int)) time.Duration {
 	repetition := 0
 	runtime.GC()
-	start := processorTime()
+	start := ProcessorTime()
 	for batch := 1; ; batch *= 2 {
 		for range batch {
 			run(repetition)
 			repetition++
 		}
-		if used := processorTime() - start; used >= atLeast {
+		if used := ProcessorTime() - start; used >= atLeast {
 			return used / time.Duration(repetition)
 		}
 	}
@@ -37,8 +37,8 @@
 
 func microseconds(duration time.Duration) float64 { return float64(duration.Nanoseconds()) / 1e3 }
 
-// memoryInUse returns the bytes of live heap objects and of stacks.
-func memoryInUse() float64 {
+// MemoryInUse returns the bytes of live heap objects and of stacks.
+func MemoryInUse() float64 {
 	runtime.GC()
 	runtime.GC()
 	var statistics runtime.MemStats
@@ -48,9 +48,9 @@
 
 // memoryOf returns the bytes that stay in use for what build returns.
 func memoryOf(build func() (any, error)) (float64, error) {
-	before := memoryInUse()
+	before := MemoryInUse()
 	kept, err := build()
-	grown := memoryInUse() - before
+	grown := MemoryInUse() - before
 	runtime.KeepAlive(kept)
 	return grown, err
 }
--- a/lab/capacity/index.go
+++ b/lab/capacity/index.go
@@ -98,7 +98,7 @@
 				return 0, err
 			}
 		}
-		start := processorTime()
+		start := ProcessorTime()
 		for i := range answers {
 			answer := answers[i]
 			if decoded {
@@ -109,7 +109,7 @@
 			}
 			source.feed.Apply(0, answer)
 		}
-		taken += processorTime() - start
+		taken += ProcessorTime() - start
 		applied += prepared * batch
 	}
 	if counts := source.feed.Counts(); counts.Gaps > 0 || counts.Applied != uint64(applied) {
--- /dev/null
+++ b/lab/capacity/lists.go
@@ -0,0 +1,46 @@
+package capacity
+
+import (
+	"context"
+
+	"github.com/tillerfall/tillerfall/internal/fleetsync"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// listServer answers exchanges with what the agent lacks of routers and engines.
+type listServer struct {
+	fixedAnswers
+	publisher *fleetsync.Publisher
+	view      *membership.View
+	machines  *rpc.MachineList
+}
+
+// Sync implements rpc.Placement.
+func (s *listServer) Sync(_ context.Context, request *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	response := &rpc.SyncResponse{Header: header()}
+	s.publisher.Answer(s.view, s.machines, request, response)
+	return response, nil
+}
+
+// followedSyncCost is the cost of an exchange of an agent that holds the
+// newest lists of routers and engines already.
+func followedSyncCost(o Options, routers int) (callCost, error) {
+	listed := members(routers)
+	server := &listServer{
+		publisher: fleetsync.NewPublisher(listed[0].Node),
+		view:      membership.NewView(1, listed[0], listed),
+		machines:  machineList(o.Sizes.Engines[0]),
+	}
+	var subscriber fleetsync.Subscriber
+	return placementCost(o, server, func(ctx context.Context, client rpc.Placement) error {
+		request := &rpc.SyncRequest{Header: header()}
+		subscriber.Request(request)
+		answer, err := client.Sync(ctx, request)
+		if err != nil {
+			return err
+		}
+		subscriber.Apply(request, answer)
+		return nil
+	})
+}
--- a/lab/capacity/membership.go
+++ b/lab/capacity/membership.go
@@ -31,9 +31,9 @@
 	n := newNetwork(o.Seed)
 	n.startKnown(count)
 	n.startCount()
-	start := processorTime()
+	start := ProcessorTime()
 	n.pass(o.Sizes.SteadyTime)
-	taken := processorTime() - start
+	taken := ProcessorTime() - start
 	exchanges, bytes := n.counted()
 	nodeSeconds := float64(count) * o.Sizes.SteadyTime.Seconds()
 	return steadyCost{
--- a/lab/capacity/ownership.go
+++ b/lab/capacity/ownership.go
@@ -11,59 +11,94 @@
 // ownershipReplicas are the values of index_replicas that are weighed.
 var ownershipReplicas = []int{1, 2, 3}
 
+// engineSite spreads the engines over zones and pools independently.
+func engineSite(number int) membership.EngineSite {
+	return membership.EngineSite{
+		Pool:     poolName(number / zones % targetModels),
+		Location: membership.Location{Region: regionName(number), Zone: zoneName(number)},
+	}
+}
+
+func engineSites(count int) []membership.EngineSite {
+	sites := make([]membership.EngineSite, count)
+	for number := range sites {
+		sites[number] = engineSite(number)
+	}
+	return sites
+}
+
+// routerShare is what one router owns.
+type routerShare struct {
+	engines int
+	pools   map[fleet.PoolName]int
+}
+
+// shareEngines shares engines among routers as routers and agents do.
+func shareEngines(engines int, routers []membership.Member, replicas int) map[fleet.NodeID]*routerShare {
+	shares := make(map[fleet.NodeID]*routerShare, len(routers))
+	for _, router := range routers {
+		shares[router.Node] = &routerShare{pools: make(map[fleet.PoolName]int)}
+	}
+	pools := membership.NewPoolMap(engineSites(engines), routers, replicas)
+	for number := range engines {
+		site := engineSite(number)
+		for _, node := range pools.Owners(engineName(number), site) {
+			shares[node].engines++
+			shares[node].pools[site.Pool]++
+		}
+	}
+	return shares
+}
+
 // measureOwnership shares the target's engines among the routers.
 func measureOwnership(o Options) []Figure {
 	routers := members(o.Sizes.FailureMembers)
 	var figures []Figure
 	for _, replicas := range ownershipReplicas {
-		owned := make(map[fleet.NodeID]int)
-		ofPool := make(map[fleet.NodeID]*[targetModels]int)
-		for number := range o.Sizes.FleetEngines {
-			for _, node := range membership.Owners(engineName(number), routers, replicas) {
-				owned[node]++
-				if ofPool[node] == nil {
-					ofPool[node] = &[targetModels]int{}
-				}
-				ofPool[node][number%targetModels]++
+		shares := shareEngines(o.Sizes.FleetEngines, routers, replicas)
+		name := fmt.Sprintf("index_replicas %d: ", replicas)
+		var engines, ofPool []int
+		for _, router := range routers {
+			share := shares[router.Node]
+			engines = append(engines, share.engines)
+			for _, count := range share.pools {
+				ofPool = append(ofPool, count)
 			}
 		}
-		figures = append(figures, ownershipFigures(replicas, routers, owned, ofPool)...)
+		slices.Sort(engines)
+		slices.Sort(ofPool)
+		figures = append(figures,
+			Figure{Name: name + "engines of the median router", Unit: "1", Value: float64(engines[len(engines)/2])},
+			Figure{Name: name + "engines of the router with the most", Unit: "1", Value: float64(engines[len(engines)-1])},
+			Figure{Name: name + "pools of a router, mean", Unit: "1", Value: float64(len(ofPool)) / float64(len(routers))},
+			Figure{Name: name + "engines of one pool at a router that has any, median", Unit: "1", Value: float64(ofPool[len(ofPool)/2])},
+		)
 	}
 	return figures
 }
 
-func ownershipFigures(replicas int, routers []membership.Member, owned map[fleet.NodeID]int, ofPool map[fleet.NodeID]*[targetModels]int) []Figure {
-	counts := make([]int, 0, len(routers))
-	empty := 0
-	for _, router := range routers {
-		counts = append(counts, owned[router.Node])
-		pools := ofPool[router.Node]
-		for pool := range targetModels {
-			if pools == nil || pools[pool] == 0 {
-				empty++
-			}
-		}
-	}
-	slices.Sort(counts)
-	name := fmt.Sprintf("index_replicas %d: ", replicas)
-	return []Figure{
-		{Name: name + "engines of the median router", Unit: "1", Value: float64(counts[len(counts)/2])},
-		{Name: name + "engines of the router with the most", Unit: "1", Value: float64(counts[len(counts)-1])},
-		{Name: name + "routers without an engine of a given one of 13 pools", Unit: "part", Value: float64(empty) / float64(len(routers)*targetModels)},
-	}
-}
-
 // measureOwnershipTime measures what a router spends to share the engines anew
-// after a change of the membership.
+// after a change of the membership: to build the map and ask for each engine.
 func measureOwnershipTime(o Options) ([]Slope, error) {
-	return sweepAll(quantity{
-		name: "owners of one engine", size: "routers", unit: "core-µs", growth: GrowthLinearithmic, sizes: o.Sizes.Members,
-		measure: func(count int) (float64, error) {
-			routers := members(count)
-			taken := processorTimeOf(o.Sizes.ProcessorTime, func(repetition int) {
-				membership.Owners(engineName(repetition), routers, 1)
-			})
-			return microseconds(taken), nil
+	sharing := func(engines, routers int) (float64, error) {
+		listed := members(routers)
+		sites := engineSites(engines)
+		taken := processorTimeOf(o.Sizes.ProcessorTime, func(int) {
+			pools := membership.NewPoolMap(sites, listed, 1)
+			for number := range engines {
+				pools.Owners(engineName(number), sites[number])
+			}
+		})
+		return microseconds(taken), nil
+	}
+	return sweepAll(
+		quantity{
+			name: "engines shared among all routers", size: "engines", unit: "core-µs", growth: GrowthLinear, sizes: o.Sizes.Engines,
+			measure: func(size int) (float64, error) { return sharing(size, o.Sizes.FailureMembers) },
+		},
+		quantity{
+			name: "all engines shared", size: "routers", unit: "core-µs", growth: GrowthLinear, sizes: o.Sizes.Members,
+			measure: func(size int) (float64, error) { return sharing(o.Sizes.FleetEngines, size) },
 		},
-	})
+	)
 }
--- a/lab/capacity/report.go
+++ b/lab/capacity/report.go
@@ -27,8 +27,18 @@
 	for i := range r.Slopes {
 		writeSlope(&text, &r.Slopes[i])
 	}
-	text.WriteString("\n| figure | unit | value |\n|---|---|---|\n")
-	for _, figure := range r.Figures {
+	text.WriteString("\n")
+	if _, err := io.WriteString(writer, text.String()); err != nil {
+		return err
+	}
+	return WriteFigures(writer, r.Figures)
+}
+
+// WriteFigures writes figures as a Markdown table.
+func WriteFigures(writer io.Writer, figures []Figure) error {
+	var text strings.Builder
+	text.WriteString("| figure | unit | value |\n|---|---|---|\n")
+	for _, figure := range figures {
 		fmt.Fprintf(&text, "| %s | %s | %s |\n", figure.Name, figure.Unit, formatValue(figure.Value))
 	}
 	_, err := io.WriteString(writer, text.String())
