Read long prompts in fewer passes

Cause: stages of a routed call with a prompt of 32 kB (timed by log events in a scratch copy, 400 calls, loaded machine): the answer took 4.2 ms, of which the agent's reading of the JSON took 0.6 ms, the second largest part after the engine itself. A prompt went through json.RawMessage: checked, skipped, checked again, scanned and unquoted. Decoded into an interface it is checked, scanned and unquoted once. The body is read into a buffer of its announced size up to 64 kB, so that it isn't copied as it grows. The benchmark's caller quoted the prompt by fmt's %q, which took 0.46 ms a call, against 0.11 ms by json.Marshal as the direct call's client does; it uses the latter now.

A content part whose text isn't a string is now an invalid parameter (1008) instead of a malformed body (1003).

--- a/internal/agent/admission.go
+++ b/internal/agent/admission.go
@@ -1,8 +1,8 @@
 package agent
 
 import (
+	"bytes"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -116,7 +116,8 @@
 	limits := a.settings.HTTP
 	controller := http.NewResponseController(writer)
 	_ = controller.SetReadDeadline(time.Now().Add(time.Duration(limits.BodyTimeout)))
-	data, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, limits.MaxBodyBytes))
+	buffer := bytes.NewBuffer(make([]byte, 0, min(max(request.ContentLength, 0)+bytes.MinRead, maxEarlyBuffer)))
+	_, err := buffer.ReadFrom(http.MaxBytesReader(writer, request.Body, limits.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -127,5 +128,9 @@
 	}
 	// From here on a read only waits for the caller to go away.
 	_ = controller.SetReadDeadline(time.Time{})
-	return data, nil
+	return buffer.Bytes(), nil
 }
+
+// maxEarlyBuffer bounds the memory that a caller gets for a body before it
+// arrives. Most bodies fit into it and are read without growing it.
+const maxEarlyBuffer = 64 << 10
--- a/internal/openai/messages.go
+++ b/internal/openai/messages.go
@@ -1,7 +1,6 @@
 package openai
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -9,13 +8,9 @@
 
 // message is one entry of a chat.
 type message struct {
-	Role    *string         `json:"role"`
-	Content json.RawMessage `json:"content"`
-}
-
-type contentPart struct {
-	Type *string `json:"type"`
-	Text *string `json:"text"`
+	Role *string `json:"role"`
+	// Content is a string or a list of parts; see completionBody.Prompt.
+	Content any `json:"content"`
 }
 
 const roleAssistant = "assistant"
@@ -58,26 +53,35 @@
 
 // text returns the content: a string, or the texts of a list of parts.
 func (m message) text(param string) (string, *Failure) {
-	if absent(m.Content) {
+	switch content := m.Content.(type) {
+	case nil:
 		if *m.Role == roleAssistant {
 			return "", nil
 		}
 		return "", invalid(param, "content is required")
+	case string:
+		return content, nil
+	case []any:
+		return joinParts(content, param)
+	default:
+		return "", malformed(param, contentShape)
 	}
-	var text string
-	if json.Unmarshal(m.Content, &text) == nil {
-		return text, nil
-	}
-	var parts []contentPart
-	if json.Unmarshal(m.Content, &parts) != nil {
-		return "", malformed(param, "content must be a string or a list of text parts")
-	}
+}
+
+const contentShape = "content must be a string or a list of text parts"
+
+func joinParts(parts []any, param string) (string, *Failure) {
 	var joined strings.Builder
 	for _, part := range parts {
-		if part.Type == nil || *part.Type != "text" || part.Text == nil {
+		fields, isObject := part.(map[string]any)
+		if !isObject {
+			return "", malformed(param, contentShape)
+		}
+		text, isText := fields["text"].(string)
+		if fields["type"] != "text" || !isText {
 			return "", invalid(param, "only text parts are supported")
 		}
-		joined.WriteString(*part.Text)
+		joined.WriteString(text)
 	}
 	return joined.String(), nil
 }
--- a/internal/openai/request.go
+++ b/internal/openai/request.go
@@ -45,9 +45,11 @@
 
 type completionBody struct {
 	sharedBody
-	Prompt json.RawMessage `json:"prompt"`
-	BestOf *int            `json:"best_of"`
-	Echo   *bool           `json:"echo"`
+	// Prompt is a string or a list. A long string is read by fewer passes into
+	// an interface than by way of json.RawMessage.
+	Prompt any   `json:"prompt"`
+	BestOf *int  `json:"best_of"`
+	Echo   *bool `json:"echo"`
 }
 
 // Parse decodes a request body of an endpoint.
@@ -157,22 +159,31 @@
 }
 
 // parsePrompt takes a string or a list of one string.
-func parsePrompt(value json.RawMessage) (string, *Failure) {
-	if absent(value) {
+func parsePrompt(value any) (string, *Failure) {
+	switch value := value.(type) {
+	case nil:
 		return "", invalid("prompt", "prompt is required")
+	case string:
+		return nonEmptyPrompt(value)
+	case []any:
+		return parsePromptList(value)
+	default:
+		return "", malformed("prompt", promptShape)
 	}
-	var text string
-	if json.Unmarshal(value, &text) == nil {
-		return nonEmptyPrompt(text)
-	}
-	var list []string
-	if json.Unmarshal(value, &list) != nil {
-		return "", malformed("prompt", "prompt must be a string or a list of one string")
+}
+
+const promptShape = "prompt must be a string or a list of one string"
+
+func parsePromptList(list []any) (string, *Failure) {
+	for _, entry := range list {
+		if _, isText := entry.(string); !isText {
+			return "", malformed("prompt", promptShape)
+		}
 	}
 	if len(list) != 1 {
 		return "", invalid("prompt", "a list of prompts must have one entry")
 	}
-	return nonEmptyPrompt(list[0])
+	return nonEmptyPrompt(list[0].(string))
 }
 
 func nonEmptyPrompt(text string) (string, *Failure) {
--- a/internal/openai/request_test.go
+++ b/internal/openai/request_test.go
@@ -42,6 +42,12 @@
 		"image part":          {openai.Chat, `{"model":"m","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, resultcode.InvalidParameter, "messages[0].content"},
 		"no prompt":           {openai.Completion, `{"model":"m"}`, resultcode.InvalidParameter, "prompt"},
 		"two prompts":         {openai.Completion, `{"model":"m","prompt":["a","b"]}`, resultcode.InvalidParameter, "prompt"},
+		"part of a number":    {openai.Chat, `{"model":"m","messages":[{"role":"user","content":[7]}]}`, resultcode.MalformedBody, "messages[0].content"},
+		"text of a number":    {openai.Chat, `{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":7}]}]}`, resultcode.InvalidParameter, "messages[0].content"},
+		"null content":        {openai.Chat, `{"model":"m","messages":[{"role":"user","content":null}]}`, resultcode.InvalidParameter, "messages[0].content"},
+		"null prompt":         {openai.Completion, `{"model":"m","prompt":null}`, resultcode.InvalidParameter, "prompt"},
+		"empty prompt list":   {openai.Completion, `{"model":"m","prompt":[]}`, resultcode.InvalidParameter, "prompt"},
+		"object prompt":       {openai.Completion, `{"model":"m","prompt":{}}`, resultcode.MalformedBody, "prompt"},
 		"token prompt":        {openai.Completion, `{"model":"m","prompt":[1,2]}`, resultcode.MalformedBody, "prompt"},
 	}
 	for name, test := range cases {
--- a/lab/localfleet/benchmark_test.go
+++ b/lab/localfleet/benchmark_test.go
@@ -1,7 +1,9 @@
 package localfleet
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -75,9 +77,10 @@
 // routedCall sends the same request through agent and router.
 func routedCall(tb testing.TB, running *Fleet, model fleet.ModelName, text string) {
 	tb.Helper()
-	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":1,"stream":true}`, model, text)
+	body, err := json.Marshal(map[string]any{"model": model, "prompt": text, "max_tokens": 1, "stream": true})
+	require.NoError(tb, err)
 	request, err := http.NewRequest(http.MethodPost,
-		"http://"+string(running.AgentAddress())+"/v1/completions", strings.NewReader(body))
+		"http://"+string(running.AgentAddress())+"/v1/completions", bytes.NewReader(body))
 	require.NoError(tb, err)
 	request.Header.Set("Authorization", "Bearer example-key-counter")
 	response, err := http.DefaultClient.Do(request)
