Measure shared engines on a virtual clock

lab/spill drives the product's placement cores, pool map and affinity over engine models: 16 routers, 240 engines, 3 pools, prompts nested under a tenant's common beginning, one prefix that needs more than one router's engines.

--- /dev/null
+++ b/lab/spill/engine.go
@@ -0,0 +1,93 @@
+package spill
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/placement"
+	"github.com/tillerfall/tillerfall/internal/platform"
+	"github.com/tillerfall/tillerfall/lab/enginemodel"
+)
+
+// engineHost runs one engine model on the queue.
+type engineHost struct {
+	world   *world
+	model   *enginemodel.Engine
+	machine platform.Machine
+	site    membership.EngineSite
+	streams map[fleet.StreamID]*call
+	planned time.Duration
+	// most is the greatest number of streams that it had at once.
+	most int
+}
+
+func newEngineHost(w *world, id string, pool, zone int) *engineHost {
+	model := enginemodel.New(enginemodel.Config{
+		ID: fleet.EngineID(id), Zone: zoneName(zone), BlockTokens: blockTokens, MaxRunning: maxStreams, CacheBlocks: w.options.CacheBlocks,
+		EventDelay: eventDelay, LoadLag: loadLag, Loaded: []engine.Weights{engine.Weights(weightsOf(pool))},
+	})
+	location := membership.Location{Zone: zoneName(zone)}
+	return &engineHost{
+		world: w,
+		model: model,
+		machine: platform.Machine{
+			ID: id, Kind: platform.MachineEngine, Address: fleet.Address(id), Zone: location.Zone,
+			Pool: poolName(pool), Incarnation: model.Incarnation(), State: platform.MachineLive,
+		},
+		site:    membership.EngineSite{Pool: poolName(pool), Location: location},
+		streams: make(map[fleet.StreamID]*call),
+	}
+}
+
+func (h *engineHost) id() fleet.EngineID { return fleet.EngineID(h.machine.ID) }
+
+// dispatch takes a granted request that has arrived.
+func (h *engineHost) dispatch(c *call, grant placement.Grant) {
+	now := h.world.queue.Now()
+	stream := fleet.StreamID(c.request.ID)
+	err := h.model.DispatchHashed(now, enginemodel.HashedRequest{
+		StreamID: stream, Incarnation: grant.Run.Incarnation, Tenant: c.request.Tenant,
+		Weights: engine.Weights(c.request.Weights), Hashes: c.blocks,
+		PromptTokens: c.request.PromptTokens(), OutputTokens: c.request.OutputTokens, Priority: grant.Priority,
+	})
+	if err != nil {
+		c.report(placement.PhaseFailed)
+		c.end(endedFailed)
+		return
+	}
+	h.streams[stream] = c
+	h.most = max(h.most, len(h.streams))
+	c.report(placement.PhaseAccepted)
+	h.changed()
+}
+
+// changed passes on what the model reports and plans its next step.
+func (h *engineHost) changed() {
+	for _, event := range h.model.TakeStreamEvents() {
+		c := h.streams[event.Stream]
+		if event.Kind == enginemodel.StreamFirstToken {
+			c.sawFirstToken(event)
+			continue
+		}
+		delete(h.streams, event.Stream)
+		c.report(placement.PhaseFinished)
+		c.end(endedFinished)
+	}
+	next, found := h.model.NextStep()
+	if !found || (h.planned != 0 && h.planned <= next) {
+		return
+	}
+	h.planned = next
+	h.world.queue.At(next, func() { h.step(next) })
+}
+
+func (h *engineHost) step(planned time.Duration) {
+	if h.planned != planned {
+		return
+	}
+	h.planned = 0
+	h.model.Advance(h.world.queue.Now())
+	h.changed()
+}
--- /dev/null
+++ b/lab/spill/router.go
@@ -0,0 +1,139 @@
+package spill
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/placement"
+)
+
+// routerHost runs one router's core on the queue.
+type routerHost struct {
+	world  *world
+	member membership.Member
+	core   *placement.Core
+	alive  bool
+	owned  []*engineHost
+	asking map[placement.Key]*call
+	wakeAt time.Duration
+}
+
+// start begins a run with an empty core that owns nothing.
+func (r *routerHost) start() {
+	w := r.world
+	options := placement.Options{Node: r.member.Node, Zone: r.member.Zone, Random: w.newRandom()}
+	if !w.options.Policy.Spill {
+		options.SpillHops = -1
+	}
+	r.core = placement.New(options)
+	r.core.SetOwned(func(fleet.EngineID) bool { return false })
+	r.asking = make(map[placement.Key]*call)
+	r.alive = true
+	r.core.ApplyConfig(w.queue.Now(), w.view)
+	for _, host := range w.engines {
+		r.core.ObserveMachine(w.queue.Now(), host.machine)
+	}
+	w.queue.After(w.jitter(pollInterval), r.poll)
+}
+
+// die ends a run: the questions that wait there fail, its grants stay.
+func (r *routerHost) die() {
+	r.alive = false
+	waiting := r.asking
+	r.asking = nil
+	for _, c := range sortedCalls(waiting) {
+		r.world.queue.After(latency, c.routerFailed)
+	}
+}
+
+// share takes over a view of the routers.
+func (r *routerHost) share(owners func(*engineHost) []fleet.NodeID) {
+	r.owned = nil
+	ids := make(map[fleet.EngineID]bool)
+	for _, host := range r.world.engines {
+		if slices.Contains(owners(host), r.member.Node) {
+			r.owned = append(r.owned, host)
+			ids[host.id()] = true
+		}
+	}
+	r.do(func(time.Duration) { r.core.SetOwned(func(id fleet.EngineID) bool { return ids[id] }) })
+	r.observe()
+}
+
+func (r *routerHost) poll() {
+	if !r.alive {
+		return
+	}
+	r.observe()
+	r.world.queue.After(r.world.jitter(pollInterval), r.poll)
+}
+
+// observe reads the owned engines' status, cache events and, where wanted,
+// whole caches.
+func (r *routerHost) observe() {
+	r.do(func(now time.Duration) {
+		for _, host := range r.owned {
+			r.core.ObserveStatus(now, host.model.Status(now))
+			if after, incarnation, followed := r.core.EventsAfter(host.id()); followed {
+				events := host.model.CacheEventsAfter(now, after)
+				r.core.ObserveCacheEvents(now, host.id(), engine.CacheEvents{Incarnation: incarnation, Events: events})
+			}
+			host.changed()
+		}
+		for _, id := range r.core.NeedsSnapshot() {
+			r.core.ObserveCacheSnapshot(now, id, r.world.engineByID[id].model.CacheSnapshot(now))
+			r.world.result.Snapshots++
+		}
+	})
+}
+
+// do runs a step on the core, delivers its outcomes and plans its next wake.
+func (r *routerHost) do(step func(now time.Duration)) {
+	now := r.world.queue.Now()
+	step(now)
+	for _, outcome := range r.core.TakeOutcomes() {
+		c := r.asking[outcome.OutcomeKey()]
+		delete(r.asking, outcome.OutcomeKey())
+		if c != nil {
+			r.world.queue.After(latency, func() { c.answered(outcome) })
+		}
+	}
+	r.plan(now)
+}
+
+func (r *routerHost) plan(now time.Duration) {
+	at, found := r.core.NextWake()
+	if !found {
+		return
+	}
+	at = max(at, now+time.Millisecond)
+	if r.wakeAt > now && r.wakeAt <= at {
+		return
+	}
+	r.wakeAt = at
+	r.world.queue.At(at, func() {
+		if r.alive && r.wakeAt == at {
+			r.wakeAt = 0
+			r.do(r.core.Tick)
+		}
+	})
+}
+
+// submit takes a question that has arrived.
+func (r *routerHost) submit(c *call, request placement.Request) {
+	if !r.alive {
+		r.world.queue.After(connectTimeout, c.routerFailed)
+		return
+	}
+	r.asking[request.Key] = c
+	r.do(func(now time.Duration) { r.core.Submit(now, request) })
+}
+
+func (r *routerHost) report(report placement.AttemptReport) {
+	if r.alive {
+		r.do(func(now time.Duration) { r.core.Report(now, report) })
+	}
+}
--- /dev/null
+++ b/lab/spill/world.go
@@ -0,0 +1,178 @@
+package spill
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/affinity"
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/lab/eventqueue"
+)
+
+// world is one run under way.
+type world struct {
+	options      Options
+	queue        *eventqueue.Queue
+	view         *config.View
+	engines      []*engineHost
+	engineByID   map[fleet.EngineID]*engineHost
+	routers      []*routerHost
+	routerByNode map[fleet.NodeID]*routerHost
+	agents       []*agentHost
+	// members and pools are what everyone knows of the routers.
+	members []membership.Member
+	pools   *membership.PoolMap
+	result  *Result
+}
+
+// Run carries out one run. Equal options give equal results.
+func Run(options Options) (*Result, error) {
+	view, err := config.NewView(document(options.Pools))
+	if err != nil {
+		return nil, errors.Wrap(err, "configuration")
+	}
+	w := &world{
+		options: options, queue: eventqueue.New(options.Seed), view: view,
+		engineByID:   make(map[fleet.EngineID]*engineHost),
+		routerByNode: make(map[fleet.NodeID]*routerHost),
+		result:       &Result{warmup: options.Warmup},
+	}
+	w.build()
+	w.arrive(newGenerator(options, w.newRandom()))
+	w.queue.RunUntil(options.Duration + deadline)
+	for _, host := range w.engines {
+		w.result.MostStreams = max(w.result.MostStreams, host.most)
+	}
+	return w.result, nil
+}
+
+func zoneName(zone int) fleet.ZoneName { return fleet.ZoneName(fmt.Sprintf("zone-%d", zone)) }
+
+func (w *world) build() {
+	for pool := range w.options.Pools {
+		for number := range w.options.EnginesPerPool {
+			host := newEngineHost(w, fmt.Sprintf("engine-%d-%03d", pool, number), pool, number%w.options.Zones)
+			w.engines = append(w.engines, host)
+			w.engineByID[host.id()] = host
+		}
+	}
+	for number := range w.options.Routers {
+		zone := zoneName(number % w.options.Zones)
+		node := fleet.NodeID(fmt.Sprintf("router-%02d", number))
+		host := &routerHost{world: w, member: membership.Member{Node: node, Zone: zone, State: membership.Alive}}
+		w.routers = append(w.routers, host)
+		w.routerByNode[node] = host
+	}
+	w.startRouters()
+	for number := range w.options.Agents * w.options.Zones {
+		table := w.options.Policy.Affinity
+		table.Random = w.newRandom()
+		w.agents = append(w.agents, &agentHost{
+			world: w, near: membership.Location{Zone: zoneName(number % w.options.Zones)},
+			table: affinity.New(table), failed: make(map[fleet.NodeID]time.Duration),
+		})
+	}
+}
+
+// startRouters starts those that don't join later and plans the failures.
+func (w *world) startRouters() {
+	late := make(map[int]bool)
+	for _, failure := range w.options.Failures {
+		for _, number := range failure.routers() {
+			late[number] = late[number] || failure.Join
+		}
+		w.queue.At(failure.At, func() { w.fail(failure) })
+	}
+	for number, host := range w.routers {
+		if !late[number] {
+			host.start()
+		}
+	}
+	w.shareEngines()
+}
+
+func (f Failure) routers() []int {
+	var numbers []int
+	for position := range f.Count {
+		numbers = append(numbers, f.Router+position*f.Step)
+	}
+	return numbers
+}
+
+func (w *world) fail(failure Failure) {
+	for _, number := range failure.routers() {
+		if failure.Join {
+			w.routers[number].start()
+		} else {
+			w.routers[number].die()
+		}
+	}
+	w.queue.After(detectionDelay, w.shareEngines)
+}
+
+// shareEngines tells everyone of the routers that are alive. Routers learn of
+// it one after the other, so that engines have two owners or none meanwhile.
+func (w *world) shareEngines() {
+	w.members = nil
+	for _, host := range w.routers {
+		if host.alive {
+			w.members = append(w.members, host.member)
+		}
+	}
+	sites := make([]membership.EngineSite, len(w.engines))
+	for position, host := range w.engines {
+		sites[position] = host.site
+	}
+	w.pools = membership.NewPoolMap(sites, w.members, w.options.Replicas)
+	members, pools := w.members, w.pools
+	owners := func(host *engineHost) []fleet.NodeID {
+		if w.options.Policy.ByPool {
+			return pools.Owners(host.id(), host.site)
+		}
+		return membership.Owners(host.id(), members, w.options.Replicas)
+	}
+	for _, host := range w.routers {
+		if host.alive {
+			w.queue.After(w.spreadAtStart(), func() {
+				if host.alive {
+					host.share(owners)
+				}
+			})
+		}
+	}
+}
+
+// spreadAtStart is how much later than others a router learns of a change.
+func (w *world) spreadAtStart() time.Duration {
+	if w.queue.Now() == 0 {
+		return 0
+	}
+	return time.Duration(w.queue.Random().Int64N(int64(time.Second)))
+}
+
+// arrive plans the next request; the times between them are exponential.
+func (w *world) arrive(from *generator) {
+	gap := time.Duration(w.queue.Random().ExpFloat64() / w.options.Rate * float64(time.Second))
+	if w.queue.Now()+gap >= w.options.Duration {
+		return
+	}
+	w.queue.After(gap, func() {
+		w.agents[w.queue.Random().IntN(len(w.agents))].serve(from.next(w.queue.Now()))
+		w.arrive(from)
+	})
+}
+
+func (w *world) newRandom() *rand.Rand {
+	random := w.queue.Random()
+	return rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
+}
+
+// jitter returns a time between three quarters of mean and five quarters.
+func (w *world) jitter(mean time.Duration) time.Duration {
+	return mean*3/4 + time.Duration(w.queue.Random().Int64N(int64(mean/2+1)))
+}
