--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -50,6 +52,7 @@
 		return 1
 	}
 	defer started.killAll()
+	go killOnSignal()
 	if timeout := testTimeout(); timeout > killBeforeTimeout {
 		timer := time.AfterFunc(timeout-killBeforeTimeout, started.killAll)
 		defer timer.Stop()
@@ -57,6 +60,15 @@
 	return m.Run()
 }
 
+// killOnSignal ends the tests and what they have started.
+func killOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	<-signals
+	started.killAll()
+	os.Exit(1)
+}
+
 func testTimeout() time.Duration {
 	value, ok := flag.Lookup("test.timeout").Value.(flag.Getter)
 	if !ok {
