Count saturated routers apart from routers without an engine

In an in-process fleet with index_replicas 1, routers that had just become owners hadn't heard from their engines yet and handed requests back; these hand-backs used up the hops after which a router keeps a request, so the third router got all of a burst and queued it. A request now carries the number of saturated routers apart; hops in vain have their own bound, as before.

Machines listed without a region count as standing in any: their zone alone decides which routers are near.

The metric owned_engines shows what a router owns, by condition.

--- a/internal/agent/placement.go
+++ b/internal/agent/placement.go
@@ -91,6 +91,7 @@
 		ContinuationTokens: uint32(ask.ContinuationTokens),
 		AgentZone:          string(c.agent.settings.Node.Zone),
 		Hops:               c.handBacks,
+		Spills:             uint32(c.spills),
 	}
 }
 
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -25,12 +25,14 @@
 // proximities is the number of values of proximity.
 const proximities = 3
 
-// proximity orders a member by its distance: 0 same zone, 1 same region, 2 elsewhere.
+// proximity orders a member by its distance: 0 same zone, 1 same region, 2
+// elsewhere. A location without a region may be in any.
 func (l Location) proximity(member Member) int {
+	sameRegion := l.Region == "" || member.Region == l.Region
 	switch {
-	case member.Zone == l.Zone && member.Region == l.Region:
+	case sameRegion && member.Zone == l.Zone:
 		return 0
-	case member.Region == l.Region:
+	case sameRegion:
 		return 1
 	default:
 		return 2
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/affinity"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/flowcontrol"
 	"github.com/tillerfall/tillerfall/internal/prefixindex"
@@ -21,7 +22,7 @@
 	DefaultReconsider      = 10 * time.Millisecond
 	DefaultHoldTokens      = 512
 	DefaultMaxHops         = 3
-	DefaultSpillHops       = 2
+	DefaultMaxSpills       = affinity.MaxSpills
 	DefaultSpillWait       = 250 * time.Millisecond
 	DefaultSpillQueue      = 4
 	DefaultExplainRing     = 512
@@ -62,11 +63,11 @@
 	HoldTokens int
 	// MaxHops bounds the hand-backs of a request for want of an engine.
 	MaxHops int
-	// SpillHops bounds the hand-backs of a request that finds the engines of one
+	// MaxSpills bounds the hand-backs of a request that finds the engines of one
 	// router after the other saturated; the router asked then queues or refuses
 	// it. Only a router that owns a part of the pool hands back. A negative value
 	// means never.
-	SpillHops int
+	MaxSpills int
 	// SpillWait is the predicted wait from which on a request that has nothing
 	// cached here is handed back; a cached prefix adds the time that it saves.
 	SpillWait time.Duration
@@ -92,7 +93,7 @@
 	setDefault(&o.Reconsider, DefaultReconsider)
 	setDefault(&o.HoldTokens, DefaultHoldTokens)
 	setDefault(&o.MaxHops, DefaultMaxHops)
-	setDefault(&o.SpillHops, DefaultSpillHops)
+	setDefault(&o.MaxSpills, DefaultMaxSpills)
 	setDefault(&o.SpillWait, DefaultSpillWait)
 	setDefault(&o.SpillQueue, DefaultSpillQueue)
 	setDefault(&o.ExplainRing, DefaultExplainRing)
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -32,6 +32,9 @@
 	AgentZone          fleet.ZoneName
 	// Hops counts the routers that have handed this request back already.
 	Hops int
+	// Spills counts those of them, since the request's last grant, that were
+	// saturated.
+	Spills int
 	// KnownRevision is the configuration that the agent resolved the request by;
 	// 0 means unknown.
 	KnownRevision fleet.Revision
--- a/internal/placement/reject.go
+++ b/internal/placement/reject.go
@@ -30,7 +30,7 @@
 	if c.hasEngine(model.Pool, request.Excluded) {
 		return nil
 	}
-	if request.Hops < c.options.MaxHops {
+	if request.vainHops() < c.options.MaxHops {
 		return HandBack{Key: request.Key, Reason: HandBackNoEngine}
 	}
 	return Refusal{
--- a/internal/placement/spill.go
+++ b/internal/placement/spill.go
@@ -12,24 +12,26 @@
 // engines here saturated: some engines of the pool belong to others only, and
 // the agent hasn't been handed the request back too often.
 func (c *Core) spillable(waiting *waitingRequest) bool {
-	return waiting.request.Hops < c.options.SpillHops && c.foreign[waiting.model.Pool] > 0
+	return waiting.request.Spills < c.options.MaxSpills && c.foreign[waiting.model.Pool] > 0
 }
 
 // spill returns the hand-back of a new request that would do better at another
 // router, or nil.
 func (c *Core) spill(now time.Duration, waiting *waitingRequest) Outcome {
-	if !c.spillable(waiting) {
-		return nil
-	}
-	if !c.anyReady(now, waiting) {
+	foreign := c.foreign[waiting.model.Pool] > 0
+	if foreign && waiting.request.vainHops() < c.options.MaxHops && !c.anyReady(now, waiting) {
 		return HandBack{Key: waiting.request.Key, Reason: HandBackNoEngine}
 	}
-	if c.saturated(now, waiting) {
+	if c.spillable(waiting) && c.saturated(now, waiting) {
 		return HandBack{Key: waiting.request.Key, Reason: HandBackSaturated}
 	}
 	return nil
 }
 
+// vainHops counts the routers that handed the request back for another reason
+// than being saturated.
+func (r *Request) vainHops() int { return r.Hops - r.Spills }
+
 // spillRefused returns the outcome of a request that is refused here: a
 // hand-back if it is for want of capacity and another router may have some.
 func (c *Core) spillRefused(waiting *waitingRequest, refusal flowcontrol.Refusal) Outcome {
--- a/internal/placement/spill_test.go
+++ b/internal/placement/spill_test.go
@@ -26,13 +26,13 @@
 func (b *bench) fillPart() {
 	for number := range 3 {
 		made := request(fmt.Sprintf("fill%d", number), urgent, fmt.Sprintf("filler%d", number), 100)
-		made.Hops = DefaultSpillHops
+		made = withSpills(made, DefaultMaxSpills)
 		b.submit(made)
 	}
 }
 
-func withHops(made Request, hops int) Request {
-	made.Hops = hops
+func withSpills(made Request, spills int) Request {
+	made.Hops, made.Spills = spills, spills
 	return made
 }
 
@@ -44,7 +44,7 @@
 func (b *bench) longQueue() {
 	for number := range DefaultSpillQueue {
 		made := request(fmt.Sprintf("queued%d", number), urgent, fmt.Sprintf("queue%d", number), 100)
-		require.Empty(b.t, b.submit(withHops(made, DefaultSpillHops)))
+		require.Empty(b.t, b.submit(withSpills(made, DefaultMaxSpills)))
 	}
 }
 
@@ -52,12 +52,12 @@
 	b := newPartBench(t)
 	b.fillPart()
 	b.longQueue()
-	for hops := range DefaultSpillHops {
-		name := fmt.Sprintf("hops%d", hops)
-		assert.Equal(t, handedBack(name, HandBackSaturated), b.submit(withHops(request(name, urgent, "new", 1), hops)))
+	for spills := range DefaultMaxSpills {
+		name := fmt.Sprintf("spills%d", spills)
+		assert.Equal(t, handedBack(name, HandBackSaturated), b.submit(withSpills(request(name, urgent, "new", 1), spills)))
 	}
 	waiting := b.core.Snapshot(b.now).WaitingRequests
-	last := withHops(request("last", urgent, "new", 1), DefaultSpillHops)
+	last := withSpills(request("last", urgent, "new", 1), DefaultMaxSpills)
 	assert.Empty(t, b.submit(last), "the last router keeps it")
 	assert.Equal(t, waiting+1, b.core.Snapshot(b.now).WaitingRequests)
 }
@@ -91,8 +91,7 @@
 	b.now += 200 * time.Millisecond
 	b.core.Tick(b.now)
 	b.core.TakeOutcomes()
-	urgentSoon.Hops = DefaultSpillHops
-	outcomes := b.submit(urgentSoon)
+	outcomes := b.submit(withSpills(urgentSoon, DefaultMaxSpills))
 	outcomes = append(outcomes, b.advance(300*time.Millisecond)...)
 	position := len(outcomes) - 1
 	require.GreaterOrEqual(t, position, 0)
@@ -118,6 +117,9 @@
 func TestPartWithoutReadyEngineHandsBack(t *testing.T) {
 	b := newPartBench(t)
 	b.core.ObserveUnreachable(b.now, "engine0")
-	assert.Equal(t, handedBack("first", HandBackNoEngine), b.submit(request("first", urgent, "p", 1)))
-	assert.Empty(t, b.submit(withHops(request("last", urgent, "p", 1), DefaultSpillHops)))
+	spilled := withSpills(request("spilled", urgent, "p", 1), DefaultMaxSpills)
+	assert.Equal(t, handedBack("spilled", HandBackNoEngine), b.submit(spilled), "spills aren't hops in vain")
+	last := request("last", urgent, "p", 1)
+	last.Hops = DefaultMaxHops
+	assert.Empty(t, b.submit(last))
 }
--- a/internal/router/collector.go
+++ b/internal/router/collector.go
@@ -15,6 +15,8 @@
 		"Waiting requests by class.", []string{"class"}, nil)
 	enginesDescription = prometheus.NewDesc(metricsNamespace+"_engines",
 		"Listed engines by condition.", []string{"condition"}, nil)
+	ownedDescription = prometheus.NewDesc(metricsNamespace+"_owned_engines",
+		"Listed engines that this router indexes and places on, by condition.", []string{"condition"}, nil)
 	inFlightDescription = prometheus.NewDesc(metricsNamespace+"_in_flight",
 		"Grants that aren't known to have ended.", nil, nil)
 	lostGrantsDescription = prometheus.NewDesc(metricsNamespace+"_lost_grants_total",
@@ -37,7 +39,7 @@
 // Describe implements prometheus.Collector.
 func (c collector) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, description := range []*prometheus.Desc{
-		waitingDescription, enginesDescription, inFlightDescription, lostGrantsDescription,
+		waitingDescription, enginesDescription, ownedDescription, inFlightDescription, lostGrantsDescription,
 		indexBlocksDescription, indexBytesDescription, distrustedDescription, revisionDescription,
 	} {
 		descriptions <- description
@@ -60,15 +62,20 @@
 	conditions := map[placement.EngineCondition]int{
 		placement.EngineReady: 0, placement.EngineLeaving: 0, placement.EngineUnreachable: 0, placement.EngineUnknown: 0,
 	}
+	owned := make(map[placement.EngineCondition]int)
 	distrusted := 0
 	for _, engine := range snapshot.Engines {
 		conditions[engine.Condition]++
+		if engine.Owned {
+			owned[engine.Condition]++
+		}
 		if engine.Owned && !engine.CacheTrusted {
 			distrusted++
 		}
 	}
 	for condition, count := range conditions {
 		gauge(enginesDescription, count, string(condition))
+		gauge(ownedDescription, owned[condition], string(condition))
 	}
 	gauge(distrustedDescription, distrusted)
 	gauge(inFlightDescription, snapshot.InFlight)
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -36,6 +36,7 @@
 		ContinuationTokens: int(message.GetContinuationTokens()),
 		AgentZone:          fleet.ZoneName(message.GetAgentZone()),
 		Hops:               int(message.GetHops()),
+		Spills:             int(min(message.GetSpills(), message.GetHops())),
 		KnownRevision:      fleet.Revision(message.GetHeader().GetKnownRevision()),
 	}
 	for _, hash := range message.GetBlockHashes() {
--- a/lab/localfleet/localfleet.go
+++ b/lab/localfleet/localfleet.go
@@ -41,6 +41,9 @@
 	Document config.Document
 	Routers  int
 	Engines  int
+	// IndexReplicas is the routers' setting: how many of them own one engine; 0
+	// means that all own all.
+	IndexReplicas int
 	// AgentAddress is where the agent listens.
 	AgentAddress fleet.Address
 	// Costs is the engines' speed; the zero value means the model's default.
@@ -149,6 +152,7 @@
 		own.Node = node(fmt.Sprintf("router-%d", i+1), loopback)
 		own.Platform.Address = f.platform.Address()
 		own.Peers = peers
+		own.IndexReplicas = f.options.IndexReplicas
 		instance := router.New(router.Options{Settings: own, Logger: f.options.Logger, Version: "embedded"})
 		if err := instance.Start(); err != nil {
 			return errors.Wrapf(err, "start %s", own.Node.ID)
--- a/lab/spill/agent.go
+++ b/lab/spill/agent.go
@@ -77,7 +77,7 @@
 		Key:    placement.Key{Request: c.request.ID, Attempt: c.attempt},
 		Tenant: c.request.Tenant, Weights: c.request.Weights, Class: c.request.Class,
 		PromptTokens: c.request.PromptTokens(), MaxTokens: c.request.OutputTokens,
-		Blocks: c.blocks, Deadline: left, AgentZone: c.agent.near.Zone, Hops: c.hops, KnownRevision: 1,
+		Blocks: c.blocks, Deadline: left, AgentZone: c.agent.near.Zone, Hops: c.hops, Spills: c.spills, KnownRevision: 1,
 	}
 	at := c.at
 	w.queue.After(latency, func() { at.submit(c, question) })
--- a/lab/spill/router.go
+++ b/lab/spill/router.go
@@ -26,7 +26,7 @@
 	w := r.world
 	options := placement.Options{Node: r.member.Node, Zone: r.member.Zone, Random: w.newRandom()}
 	if !w.options.Policy.Spill {
-		options.SpillHops = -1
+		options.MaxSpills = -1
 	}
 	r.core = placement.New(options)
 	r.core.SetOwned(func(fleet.EngineID) bool { return false })
