--- a/lab/simulation/tables.go
+++ b/lab/simulation/tables.go
@@ -22,6 +22,10 @@
 	// raceChance is the probability that another operator's command comes
 	// between a command's reads and its commit.
 	raceChance = 0.15
+	// darkChance is the probability that a client can't ask what became of a
+	// commit whose answer was lost, for darkTime.
+	darkChance = 0.5
+	darkTime   = 500 * time.Millisecond
 	machineLag = 500 * time.Millisecond
 )
 
@@ -194,10 +198,16 @@
 	world *world
 	from  *process
 	seen  time.Duration
+	// darkUntil is when the service can be reached again after a lost answer.
+	darkUntil time.Duration
 }
 
 var _ platform.Tables = (*tables)(nil)
 
+func (t *tables) unreachable() bool {
+	return t.world.tables.unreachable(t.from) || t.world.queue.Now() < t.darkUntil
+}
+
 // readAt returns the time whose state a read shows.
 func (t *tables) readAt() time.Duration {
 	now := t.world.queue.Now()
@@ -210,7 +220,7 @@
 
 // Get implements platform.Tables.
 func (t *tables) Get(_ context.Context, key string) (platform.Row, error) {
-	if t.world.tables.unreachable(t.from) {
+	if t.unreachable() {
 		return platform.Row{}, platform.ErrUnavailable
 	}
 	return t.world.tables.read(key, t.readAt())
@@ -219,7 +229,7 @@
 // List implements platform.Tables.
 func (t *tables) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
 	service := t.world.tables
-	if service.unreachable(t.from) {
+	if t.unreachable() {
 		return nil, platform.ErrUnavailable
 	}
 	return service.model.List(service.now(), prefix, after, limit)
@@ -228,11 +238,15 @@
 // Commit implements platform.Tables.
 func (t *tables) Commit(_ context.Context, transaction platform.Transaction) error {
 	service := t.world.tables
-	if service.unreachable(t.from) {
+	if t.unreachable() {
 		return platform.ErrUnavailable
 	}
 	t.world.race(t.from)
-	return service.commitOrLose(transaction)
+	err := service.commitOrLose(transaction)
+	if err == platform.ErrUnknownOutcome && t.world.random.Float64() < darkChance {
+		t.darkUntil = service.now() + darkTime
+	}
+	return err
 }
 
 // truth reads and writes the table service without faults.
