Bound what the kernel holds for callers that stop reading

The agent itself held nothing: it takes a frame from the engine after the one before was written.

The new setting http.write_buffer_bytes (128 kB) fixes the send buffer of callers' connections. A slow connection's throughput is bounded by it: at a round trip of 100 ms by 1.3 MB/s or more, far over any token stream.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -112,10 +112,20 @@
 		ReadHeaderTimeout: time.Duration(limits.HeaderTimeout),
 		IdleTimeout:       time.Duration(limits.IdleTimeout),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		ConnContext:       a.boundWriteBuffer,
 		ErrorLog:          log.New(a.logger.With().Str("source", "http").Logger(), "", 0),
 	}
 }
 
+// boundWriteBuffer keeps the kernel from growing the buffer of a caller that
+// doesn't read. A connection that can't be bounded works all the same.
+func (a *Agent) boundWriteBuffer(ctx context.Context, connection net.Conn) context.Context {
+	if tcp, isTCP := connection.(*net.TCPConn); isTCP {
+		_ = tcp.SetWriteBuffer(a.settings.HTTP.WriteBufferBytes)
+	}
+	return ctx
+}
+
 // Start listens and serves until Stop is called or the context ends; the end of
 // the context is a planned stop too.
 func (a *Agent) Start(ctx context.Context) error {
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -45,6 +45,9 @@
 	// WriteTimeout bounds one write to a caller that doesn't read; then the
 	// request is cancelled.
 	WriteTimeout settings.Duration `yaml:"write_timeout" validate:"gt=0"`
+	// WriteBufferBytes is the part of an answer that the kernel takes from the
+	// agent for a caller that doesn't read. The kernel may use twice as much.
+	WriteBufferBytes int `yaml:"write_buffer_bytes" validate:"gte=4096"`
 }
 
 // RequestSettings bounds the requests and their tries.
@@ -111,12 +114,13 @@
 	return Settings{
 		Logging: settings.DefaultLogging(),
 		HTTP: HTTPSettings{
-			MaxBodyBytes:   8 << 20,
-			MaxHeaderBytes: 64 << 10,
-			HeaderTimeout:  settings.Duration(10 * time.Second),
-			BodyTimeout:    settings.Duration(30 * time.Second),
-			IdleTimeout:    settings.Duration(2 * time.Minute),
-			WriteTimeout:   settings.Duration(30 * time.Second),
+			MaxBodyBytes:     8 << 20,
+			MaxHeaderBytes:   64 << 10,
+			HeaderTimeout:    settings.Duration(10 * time.Second),
+			BodyTimeout:      settings.Duration(30 * time.Second),
+			IdleTimeout:      settings.Duration(2 * time.Minute),
+			WriteTimeout:     settings.Duration(30 * time.Second),
+			WriteBufferBytes: 128 << 10,
 		},
 		Requests: RequestSettings{
 			MaxConcurrent:   4096,
