Test that a deadline passing in the queue is answered at once

Nothing needed mending: the agent answers queue_timeout, with not_run and a Retry-After, while the router still holds the question, and withdraws that. The test holds the router's answer until after the check, for a plain answer and a stream.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -325,3 +325,25 @@
 		return status != http.StatusNotFound
 	}, patience, pollEvery)
 }
+
+// TestDeadlineThatPassesWhileWaitingIsAnsweredAtOnce answers while the router
+// still holds the question, and withdraws that.
+func TestDeadlineThatPassesWhileWaitingIsAnsweredAtOnce(t *testing.T) {
+	router := startRouter(t, startEngine(t, "a", time.Millisecond))
+	a := startAgent(t, func(own *agent.Settings) { own.Sync.Timeout = settings.Duration(patience) }, router)
+	thaw := router.freeze()
+	defer thaw()
+	for _, stream := range []bool{false, true} {
+		response := post(t, a, openai.PathCompletions, completionBody(2, stream), "X-Tillerfall-Deadline-Ms: 200")
+		assert.NotEmpty(t, response.Header.Get("Retry-After"))
+		status, answer := decode(t, response)
+		assert.Equal(t, http.StatusServiceUnavailable, status)
+		assert.Equal(t, resultcode.QueueTimeout, answer.Error.ResultCode)
+		assert.True(t, answer.Error.NotRun)
+	}
+	require.Eventually(t, func() bool {
+		router.mutex.Lock()
+		defer router.mutex.Unlock()
+		return router.withdrawn == 2
+	}, patience, pollEvery)
+}
