Deliver a held message on a connection of its own in the tests' proxy

In 12 runs of the suite in a row, TestFrozenLeaseHolder failed once: the late order never got an answer. The engine's stand-in closes a connection on which no header arrives for 10 s, and unloading a version takes about as long, so the held connection was gone when it was released. The proxy now dials anew when it releases a message, which then arrives however long it was held.

Measured: the four tests that hold or cut passed twice in a row under -race.

--- a/test/integration/proxy_test.go
+++ b/test/integration/proxy_test.go
@@ -85,8 +85,8 @@
 type proxied struct {
 	client net.Conn
 	server net.Conn
-	// answered is closed when nothing more comes from the server.
-	answered chan struct{}
+	// held is set once the connection is held: only hold closes it from then on.
+	held atomic.Bool
 }
 
 func (p *proxied) close() {
@@ -146,7 +146,7 @@
 		(&proxied{client: client, server: client}).reset()
 		return
 	}
-	connection := &proxied{client: client, server: server, answered: make(chan struct{})}
+	connection := &proxied{client: client, server: server}
 	p.mutex.Lock()
 	p.connections[connection] = struct{}{}
 	p.mutex.Unlock()
@@ -155,9 +155,10 @@
 		connection.close()
 	default:
 	}
-	p.pumps.Go(func() { p.pump(connection, towardsServer) })
+	var both sync.WaitGroup
+	both.Go(func() { p.pump(connection, towardsServer) })
 	p.pump(connection, towardsClient)
-	close(connection.answered)
+	both.Wait()
 	p.mutex.Lock()
 	delete(p.connections, connection)
 	p.mutex.Unlock()
@@ -166,7 +167,11 @@
 // pump copies one direction until an end or a rule stops it. An end of one side
 // closes both, as the death of either process does.
 func (p *faultProxy) pump(connection *proxied, way direction) {
-	defer connection.close()
+	defer func() {
+		if way == towardsServer || !connection.held.Load() {
+			connection.close()
+		}
+	}()
 	from, to := connection.client, connection.server
 	if way == towardsClient {
 		from, to = to, from
@@ -191,7 +196,7 @@
 				return
 			}
 			if passing < int64(len(piece)) {
-				p.finish(connection, striking, from, to, piece[passing:])
+				p.finish(connection, striking, from, piece[passing:])
 				return
 			}
 		} else if _, failure := to.Write(piece); failure != nil {
@@ -204,35 +209,60 @@
 }
 
 // finish carries out a rule's ending.
-func (p *faultProxy) finish(connection *proxied, striking *rule, from io.Reader, to io.Writer, rest []byte) {
+func (p *faultProxy) finish(connection *proxied, striking *rule, from io.Reader, rest []byte) {
 	switch striking.end {
 	case endReset:
 		connection.reset()
 	case endDiscard:
 		_, _ = io.Copy(io.Discard, from)
 	case endHold:
-		p.hold(connection, from, to, rest)
+		p.hold(connection, rest)
 	}
 }
 
-// hold keeps a piece until the proxy is released. The server may answer it even
-// if the client is gone by then.
-func (p *faultProxy) hold(connection *proxied, from io.Reader, to io.Writer, rest []byte) {
+// hold keeps a piece until the proxy is released, and sends it on a connection
+// of its own then: the server may have closed the first one for its silence. It
+// arrives also if the client is gone by then.
+func (p *faultProxy) hold(connection *proxied, rest []byte) {
 	p.mutex.Lock()
 	release := p.release
+	connection.held.Store(true)
+	connection.server.Close()
 	p.mutex.Unlock()
 	select {
 	case <-release:
 	case <-p.closed:
 		return
 	}
-	if _, err := to.Write(rest); err != nil {
+	server, err := net.DialTimeout("tcp", p.target, httpPatience)
+	if err != nil {
 		return
 	}
-	_, _ = io.Copy(to, from)
+	p.mutex.Lock()
+	connection.server = server
+	p.mutex.Unlock()
 	select {
-	case <-connection.answered:
 	case <-p.closed:
+		return
+	default:
+	}
+	if _, err := server.Write(rest); err != nil {
+		return
+	}
+	p.pumps.Go(func() { _, _ = io.Copy(server, connection.client) })
+	p.relayAnswers(server, connection.client)
+}
+
+// relayAnswers passes on what a server says until it ends.
+func (p *faultProxy) relayAnswers(server io.Reader, client io.Writer) {
+	buffer := make([]byte, proxyBuffer)
+	for {
+		count, err := server.Read(buffer)
+		p.note(towardsClient, buffer[:count])
+		_, _ = client.Write(buffer[:count])
+		if err != nil {
+			return
+		}
 	}
 }
 
