Let one router place for a pool while every router owns every engine

Cause: routers that own the same engines see each other's grants only in an engine's next status, 250 ms to 1.25 s late. Each finds the same engine idle and recomputes whole prefixes there; with three routers the emulated fleets collapse at half of their capacity.

Ruled out: lost events (the collapse stays without any), the lag of load alone (it stays without any), sharing the engines (a prefix meets a third of the engines of a small fleet).

Change: agents and emulator order the routers by one function, affinity.Routers; with the whole copy at every router it goes by the pool's name and the routers' addresses. A router that has just started hands a request that wasn't handed back before to others until it knows status and cache of each engine, 3 s at most, and only if there are others. The emulator passes on the count of spills as the agent does, which it had forgotten; this concerns the sharded policy alone. The router tests' fixture waits for the warm-up too: stricter than before, the assertions are unchanged.

--- a/internal/agent/ranking.go
+++ b/internal/agent/ranking.go
@@ -70,17 +70,12 @@
 }
 
 // rank returns the members in the order in which a request asks them.
-func (k *ranking) rank(by routing) []membership.Member { return by.choice.Order(k.byPrefix(by)) }
+func (k *ranking) rank(by routing) []membership.Member {
+	return k.routers().Order(by.choice, by.pool)
+}
 
-// byPrefix returns the members in the order of the prefix's rank, and how many
-// of them serve the pool.
-func (k *ranking) byPrefix(by routing) ([]membership.Member, int) {
-	key := by.choice.Key()
-	if k.pools != nil {
-		return k.pools.Rank(key, by.pool, k.near)
-	}
-	ranked := membership.Rank(key, k.near.Zone, k.members)
-	return ranked, len(ranked)
+func (k *ranking) routers() affinity.Routers {
+	return affinity.Routers{Near: k.near, Members: k.members, Pools: k.pools}
 }
 
 // route decides how a call's prompt is routed and counts it.
@@ -94,6 +89,6 @@
 func (r *routers) spilled(by routing) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	_, serving := r.ranking.byPrefix(by)
+	serving := r.ranking.routers().Serving(by.choice, by.pool)
 	r.ranking.table.Spilled(r.clock.Now(), by.choice, serving)
 }
--- a/internal/agent/routers.go
+++ b/internal/agent/routers.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/affinity"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/rpc"
@@ -141,18 +142,18 @@
 	for _, member := range r.ranking.rank(by) {
 		addresses = append(addresses, member.Address)
 	}
-	return append(addresses, r.rankedSeeds(by.choice.Key())...)
+	return append(addresses, r.rankedSeeds(by)...)
 }
 
 // rankedSeeds orders the seeds like members, so that agents agree on the router
-// of a prefix before they know any member.
-func (r *routers) rankedSeeds(key uint64) []fleet.Address {
-	seeds := make([]membership.Member, 0, len(r.seeds))
+// of a request before they know any member.
+func (r *routers) rankedSeeds(by routing) []fleet.Address {
+	seeds := affinity.Routers{Members: make([]membership.Member, 0, len(r.seeds))}
 	for _, address := range r.seeds {
-		seeds = append(seeds, membership.Member{Node: fleet.NodeID(address), Address: address, State: membership.Alive})
+		seeds.Members = append(seeds.Members, membership.Member{Node: fleet.NodeID(address), Address: address, State: membership.Alive})
 	}
-	addresses := make([]fleet.Address, 0, len(seeds))
-	for _, seed := range membership.Rank(key, "", seeds) {
+	addresses := make([]fleet.Address, 0, len(r.seeds))
+	for _, seed := range seeds.Order(by.choice, by.pool) {
 		addresses = append(addresses, seed.Address)
 	}
 	return addresses
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -73,6 +73,27 @@
 	return sortScored(scored)
 }
 
+// RankForPool returns the routable members in the order in which agents ask them
+// for a pool whose engines every router owns: those of the agent's region first,
+// and by rendezvous hashing of the pool's name. All agents of a region agree on
+// it, and different pools have different first routers. A restarted router takes
+// its place again, since the order follows from addresses.
+func RankForPool(pool fleet.PoolName, near Location, members []Member) []Member {
+	key := xxhash.Sum64String(string(pool))
+	scored := make([]scoredMember, 0, len(members))
+	for _, member := range members {
+		if !member.Routable() {
+			continue
+		}
+		entry := share{member: member, weight: 1}.score(key, 1)
+		if near.proximity(member) == proximities-1 {
+			entry.proximity = 1
+		}
+		scored = append(scored, entry)
+	}
+	return sortScored(scored)
+}
+
 type scoredMember struct {
 	member    Member
 	proximity int
--- a/internal/placement/observe.go
+++ b/internal/placement/observe.go
@@ -153,6 +153,20 @@
 	})
 }
 
+// Synchronised tells whether every engine that gets requests here has given its
+// status and its whole cache once.
+func (c *Core) Synchronised() bool {
+	for _, state := range c.ordered {
+		if !state.placeable() {
+			continue
+		}
+		if state.status == nil || state.feed == nil || state.feed.Counts().Snapshots == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // EventsAfter returns the sequence number and the incarnation from which an
 // engine's cache events are to be polled; false when they aren't followed.
 func (c *Core) EventsAfter(id fleet.EngineID) (uint64, fleet.Incarnation, bool) {
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -80,6 +80,9 @@
 	HandBackNoEngine HandBackReason = "no_engine"
 	// HandBackBehind means that the agent knows a newer configuration.
 	HandBackBehind HandBackReason = "configuration_behind"
+	// HandBackWarming means that this router has just started and doesn't know the
+	// caches of its engines yet, and that others may.
+	HandBackWarming HandBackReason = "warming_up"
 	// HandBackSaturated means that the engines owned here are busy for longer
 	// than it is worth to wait, and that other routers own more of the pool.
 	HandBackSaturated HandBackReason = "saturated"
--- a/internal/router/fixture_test.go
+++ b/internal/router/fixture_test.go
@@ -125,7 +125,7 @@
 	return r
 }
 
-// awaitEngines waits until the router places on every engine.
+// awaitEngines waits until the router places on every engine and knows its cache.
 func (f *testFleet) awaitEngines(r *Router) {
 	require.Eventually(f.t, func() bool {
 		ready := 0
@@ -134,7 +134,7 @@
 				ready++
 			}
 		}
-		return r.Ready() && ready == len(f.engines)
+		return r.Ready() && ready == len(f.engines) && !r.warmingUp()
 	}, patience, pollTime)
 }
 
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -72,8 +72,7 @@
 }
 
 // encodeOutcome fills a response with an outcome; routers is where a request
-// that is handed back may go. After a hand-back for want of engines the agent
-// chooses itself, because it knows the prefix's rank of routers.
+// that is handed back may go, unless the agent chooses itself.
 func encodeOutcome(response *rpc.PlaceResponse, outcome placement.Outcome, routers []string) {
 	switch outcome := outcome.(type) {
 	case placement.Grant:
@@ -86,13 +85,24 @@
 		}}
 	case placement.HandBack:
 		handBack := &rpc.HandBack{Reason: string(outcome.Reason)}
-		if outcome.Reason != placement.HandBackSaturated && outcome.Reason != placement.HandBackNoEngine {
+		if !agentChooses(outcome.Reason) {
 			handBack.Routers = routers
 		}
 		response.Outcome = &rpc.PlaceResponse_HandBack{HandBack: handBack}
 	}
 }
 
+// agentChooses tells whether an agent follows its own order of the routers after
+// a hand-back.
+func agentChooses(reason placement.HandBackReason) bool {
+	switch reason {
+	case placement.HandBackSaturated, placement.HandBackNoEngine, placement.HandBackWarming:
+		return true
+	default:
+		return false
+	}
+}
+
 func encodeGrant(grant placement.Grant) *rpc.Grant {
 	return &rpc.Grant{
 		Run:                  encodeRun(grant.Run),
--- a/internal/router/placementserver.go
+++ b/internal/router/placementserver.go
@@ -60,7 +60,9 @@
 
 // unprepared says why a router that has just started hands a request back;
 // empty when it doesn't. The answer shows an agent that knows a configuration
-// that this router is behind, and the agent brings it up to date.
+// that this router is behind, and the agent brings it up to date. A request that
+// was handed back once is placed here even while the engines aren't known well:
+// when all routers have restarted, no other is better.
 func (s *placementServer) unprepared(request placement.Request) placement.HandBackReason {
 	switch {
 	case request.KnownRevision == 0:
@@ -69,6 +71,8 @@
 		return placement.HandBackBehind
 	case !s.router.listed.Load():
 		return placement.HandBackNoEngine
+	case request.Hops == 0 && s.router.warmingUp():
+		return placement.HandBackWarming
 	}
 	return ""
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -65,6 +65,7 @@
 	// list of engines.
 	configured atomic.Bool
 	listed     atomic.Bool
+	warmup     warmup
 	stopOnce   sync.Once
 	stopErr    error
 }
--- a/lab/emulator/carrier.go
+++ b/lab/emulator/carrier.go
@@ -124,6 +124,7 @@
 		ContinuationTokens: action.ContinuationTokens,
 		AgentZone:          c.agent.zone,
 		Hops:               c.handBacks,
+		Spills:             c.spills,
 		KnownRevision:      1,
 	}
 	c.agent.emulator.queue.After(chosen.latency(c.agent.zone), func() {
--- a/lab/emulator/policy.go
+++ b/lab/emulator/policy.go
@@ -47,8 +47,10 @@
 
 // Ways to choose a router.
 const (
-	// RouteByPrefix ranks the routers by the prompt's first blocks, as agents do.
-	RouteByPrefix Routing = iota
+	// RouteAsAgents orders the routers as the agent process does.
+	RouteAsAgents Routing = iota
+	// RouteByPrefix ranks the routers by the prompt's first blocks.
+	RouteByPrefix
 	// RouteSpread takes the routers in turn.
 	RouteSpread
 	// RouteCentral means one router that agents reach without delay.
@@ -80,15 +82,16 @@
 	return []Policy{Tillerfall(), Sharded(), RoundRobin(), LeastLoaded(), PrefixHash(), PrefixMatch(), Clairvoyant()}
 }
 
-// Tillerfall is the product with its defaults: every router owns every engine.
+// Tillerfall is the product with its defaults: every router owns every engine
+// and one of them places.
 func Tillerfall() Policy {
-	return Policy{Name: PolicyTillerfall, Routing: RouteByPrefix, New: newProductRouter}
+	return Policy{Name: PolicyTillerfall, Routing: RouteAsAgents, New: newProductRouter}
 }
 
 // Sharded is the product with one owner for each engine, so that what is known
 // of an engine's work isn't split among routers.
 func Sharded() Policy {
-	return Policy{Name: PolicySharded, Routing: RouteByPrefix, IndexReplicas: 1, New: newProductRouter}
+	return Policy{Name: PolicySharded, Routing: RouteAsAgents, IndexReplicas: 1, New: newProductRouter}
 }
 
 func newProductRouter(setup Setup) Router {
--- a/lab/emulator/ranking.go
+++ b/lab/emulator/ranking.go
@@ -35,33 +35,46 @@
 
 // rank lists the routers in the order in which a request tries them.
 func (k *ranking) rank(choice affinity.Choice) []*routerHost {
+	switch k.emulator.options.Policy.Routing {
+	case RouteAsAgents:
+		return k.hosts(k.routers().Order(choice, k.pool()))
+	case RouteByPrefix:
+		members := membership.Rank(choice.Key(), k.zone, k.emulator.members)
+		return k.hosts(choice.Order(members, len(members)))
+	default:
+		return k.inTurn()
+	}
+}
+
+func (k *ranking) hosts(members []membership.Member) []*routerHost {
+	hosts := make([]*routerHost, 0, len(members))
+	for _, member := range members {
+		hosts = append(hosts, k.emulator.routerByNode[member.Node])
+	}
+	return hosts
+}
+
+func (k *ranking) inTurn() []*routerHost {
 	routers := k.emulator.routers
 	ranked := make([]*routerHost, 0, len(routers))
-	if k.emulator.options.Policy.Routing != RouteByPrefix {
-		k.turn++
-		for offset := range routers {
-			ranked = append(ranked, routers[(k.turn+offset)%len(routers)])
-		}
-		return ranked
-	}
-	for _, member := range choice.Order(k.byPrefix(choice)) {
-		ranked = append(ranked, k.emulator.routerByNode[member.Node])
+	k.turn++
+	for offset := range routers {
+		ranked = append(ranked, routers[(k.turn+offset)%len(routers)])
 	}
 	return ranked
 }
 
-// byPrefix returns the members in the order of the prefix's rank, and how many
-// of them serve the fleet's pool.
-func (k *ranking) byPrefix(choice affinity.Choice) ([]membership.Member, int) {
-	if k.emulator.pools != nil {
-		return k.emulator.pools.Rank(choice.Key(), k.emulator.options.Trace.Fleet.Pool, membership.Location{Zone: k.zone})
+func (k *ranking) pool() fleet.PoolName { return k.emulator.options.Trace.Fleet.Pool }
+
+func (k *ranking) routers() affinity.Routers {
+	return affinity.Routers{
+		Near:    membership.Location{Zone: k.zone},
+		Members: k.emulator.members,
+		Pools:   k.emulator.pools,
 	}
-	ranked := membership.Rank(choice.Key(), k.zone, k.emulator.members)
-	return ranked, len(ranked)
 }
 
 // spilled notes that a router was saturated and another one had room.
 func (k *ranking) spilled(now time.Duration, choice affinity.Choice) {
-	_, serving := k.byPrefix(choice)
-	k.table.Spilled(now, choice, serving)
+	k.table.Spilled(now, choice, k.routers().Serving(choice, k.pool()))
 }
