Show an operator every router's view, standing orders and reused tokens

Trying every command against three routers and three engines showed: - A revision, a waiting request or a decision is known to one router, and nothing told which. A listed router that doesn't answer is a failure, after the others' rows. A revision in the membership's messages was the other way; it costs bytes in every message and is as old as the last one. - `apply` keeps drains, retirements and roles, which no query listed: `show directives`. - A second command under a used token printed "done" with the first one's revision, and nothing was done. It is now refused with both named; the same command under its token gets its outcome again, as before. - A script couldn't tell by the exit code a command that may have taken effect from a refused one: 3 for command_uncertain, 1 for the rest, as before. - `where request` says, as `explain` does, that it asks this router only.

--- a/cmd/tillerfall/control.go
+++ b/cmd/tillerfall/control.go
@@ -32,7 +32,8 @@
 // controlCommand runs one statement, from its arguments or standard input.
 type controlCommand struct {
 	operatorFlags
-	Args struct {
+	AllRouters bool `long:"all-routers" description:"Put a query to every router that the named one lists"`
+	Args       struct {
 		Words []string `positional-arg-name:"STATEMENT" description:"Statement; standard input if left out"`
 	} `positional-args:"yes"`
 }
@@ -47,6 +48,9 @@
 		}
 		statement = strings.TrimSpace(string(input))
 	}
+	if c.AllRouters {
+		return c.executeEverywhere(statement)
+	}
 	return c.execute(statement)
 }
 
@@ -71,20 +75,29 @@
 
 // execute sends a statement to the router and prints the result.
 func (f operatorFlags) execute(statement string) error {
+	result, err := f.ask(f.Router, statement)
+	if err != nil {
+		return err
+	}
+	return f.print(result)
+}
+
+// ask sends a statement to a router. Its errors are *resultcode.Error.
+func (f operatorFlags) ask(router, statement string) (operator.Result, error) {
 	token := f.Token
 	if token == "" {
 		token = uuid.NewString()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), f.Timeout)
 	defer cancel()
-	client := rpc.NewOperationsProtobufClient("http://"+f.Router, newOperationsClient())
+	client := rpc.NewOperationsProtobufClient("http://"+router, newOperationsClient())
 	response, err := client.Execute(ctx, &rpc.ExecuteRequest{
 		Header: &rpc.Header{Sender: "ctl"}, Statement: statement, Token: token, ExpectedRevision: f.Expect,
 	})
 	if err != nil {
-		return callFailure(err, token)
+		return operator.Result{}, callFailure(err, token)
 	}
-	return f.print(decodeResult(response))
+	return decodeResult(response), nil
 }
 
 // newOperationsClient returns a client that never repeats a call by itself.
@@ -124,20 +137,27 @@
 	return result
 }
 
-// print writes a result to standard output and returns a failed one as an error.
+// print writes a result to standard output and returns a failed one as an
+// error, which is told on standard error.
 func (f operatorFlags) print(result operator.Result) error {
-	if f.JSON {
-		encoder := json.NewEncoder(os.Stdout)
-		encoder.SetIndent("", "  ")
-		if err := encoder.Encode(result); err != nil {
-			return err
-		}
+	if err := f.write(result); err != nil {
+		return err
 	}
 	if result.Code != resultcode.OK {
 		return resultcode.New(result.Code, result.Message)
 	}
+	return nil
+}
+
+func (f operatorFlags) write(result operator.Result) error {
 	if f.JSON {
-		return nil
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(result)
+	}
+	if result.Code != resultcode.OK {
+		// Some routers may have answered before another failed.
+		result = operator.Result{Columns: result.Columns, Rows: result.Rows}
 	}
 	return result.WriteText(os.Stdout)
 }
--- a/cmd/tillerfall/main.go
+++ b/cmd/tillerfall/main.go
@@ -17,8 +17,9 @@
 
 // Exit codes.
 const (
-	exitFailure = 1 // the command failed; a numbered error was printed
-	exitUsage   = 2 // the command line is wrong
+	exitFailure   = 1 // the command failed; a numbered error was printed
+	exitUsage     = 2 // the command line is wrong
+	exitUncertain = 3 // the command may have taken effect; its token is to be looked up
 )
 
 // commandLine is the command line of the binary.
@@ -54,6 +55,9 @@
 		coded = resultcode.New(resultcode.Internal, err.Error())
 	}
 	fmt.Fprintf(os.Stderr, "error %d %s: %s\n", coded.Code, coded.Code, coded.Message)
+	if coded.Code == resultcode.CommandUncertain {
+		return exitUncertain
+	}
 	return exitFailure
 }
 
--- a/internal/operator/grammar.go
+++ b/internal/operator/grammar.go
@@ -23,6 +23,9 @@
 	Apply *string
 }
 
+// IsQuery tells whether the statement only reads one router's view.
+func (s *Statement) IsQuery() bool { return s.Show != nil || s.Where != nil || s.Explain != nil }
+
 // Word is a name with its place in the statement.
 type Word struct {
 	Pos  lexer.Position
@@ -31,7 +34,7 @@
 
 // ShowStatement lists one table.
 type ShowStatement struct {
-	Table   string    `parser:"@('engines'|'routers'|'tenants'|'models'|'waiting'|'revision'|'version')"`
+	Table   string    `parser:"@('engines'|'routers'|'tenants'|'models'|'directives'|'waiting'|'revision'|'version')"`
 	Class   *Word     `parser:"('class' @@)?"`
 	Tenant  *Word     `parser:"('tenant' @@)?"`
 	Filters []*Filter `parser:"('where' @@ ('and' @@)*)?"`
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -53,6 +53,8 @@
 	document config.Document
 	failure  error
 	done     map[string]Outcome
+	// remembers has a token that was used get its first outcome again.
+	remembers bool
 }
 
 func (s *stubStore) Commit(_ context.Context, change Change) (Outcome, error) {
@@ -62,17 +64,20 @@
 	if change.ExpectedRevision != 0 && change.ExpectedRevision != s.document.Revision {
 		return Outcome{}, resultcode.New(resultcode.RevisionConflict, "changed")
 	}
+	if outcome, known := s.done[change.Token]; known && s.remembers {
+		return outcome, nil
+	}
 	next, err := change.Mutate(s.document)
 	var refusal *resultcode.Error
 	if errors.As(err, &refusal) {
-		return Outcome{Code: refusal.Code, Message: refusal.Message}, nil
+		return Outcome{Code: refusal.Code, Message: refusal.Message, Statement: change.Statement}, nil
 	}
 	if err != nil {
 		return Outcome{}, err
 	}
 	next.Revision = s.document.Revision + 1
 	s.document = next
-	s.done[change.Token] = Outcome{Revision: next.Revision}
+	s.done[change.Token] = Outcome{Revision: next.Revision, Statement: change.Statement}
 	return s.done[change.Token], nil
 }
 
@@ -114,6 +119,7 @@
 	require.NoError(t, problems.Err())
 	document.Revision = 10
 	source := &stubSource{document: *document}
+	source.document.Directives = []config.Directive{{Engine: "e2", Incarnation: 7, Kind: config.DirectiveDrain}}
 	store := &stubStore{document: *document, done: map[string]Outcome{}}
 	return fixture{source, store, NewRunner(source, store, stubReadiness{readiness})}
 }
@@ -176,6 +182,8 @@
 		{"show routers", 1, "r1"},
 		{"show tenants", 1, "t"},
 		{"show models", 4, "m"},
+		{"show directives", 1, "e2"},
+		{"show directives where directive = role", 0, ""},
 		{"show waiting", 2, "q1"},
 		{"show waiting class batch", 1, "q2"},
 		{"show waiting class counter tenant u", 0, ""},
@@ -283,6 +291,18 @@
 	assert.Equal(t, fleet.Revision(11), f.run("lookup token").Revision)
 }
 
+func TestTokenOfAnotherCommandIsRefused(t *testing.T) {
+	f := newFixture(t, nil)
+	f.store.remembers = true
+	first := f.run("drain e1")
+	require.Equal(t, resultcode.OK, first.Code)
+	assert.Equal(t, first, f.run("drain e1"), "the same command again")
+	other := f.run("retire e1")
+	assert.Equal(t, resultcode.CommandImpossible, other.Code)
+	assert.Contains(t, other.Message, `"drain e1" at revision 11`)
+	assert.Equal(t, fleet.Revision(11), f.store.document.Revision)
+}
+
 func TestResultAsTextAndJSON(t *testing.T) {
 	f := newFixture(t, nil)
 	var text strings.Builder
--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -197,11 +197,18 @@
 func planRequestPrefix(name *Word, source Source) (Plan, error) {
 	hashes, found := source.RequestBlocks(fleet.RequestID(name.Text))
 	if !found {
-		return Plan{}, notFound(name, "recent request")
+		return Plan{}, &PlanError{
+			Code: resultcode.TargetNotFound, Column: name.Pos.Column, Message: unknownRequest(fleet.RequestID(name.Text)),
+		}
 	}
 	return planHolders(hashes, source), nil
 }
 
+// unknownRequest says that only the router which placed a request knows it.
+func unknownRequest(request fleet.RequestID) string {
+	return fmt.Sprintf("no recent request %q at this router", request)
+}
+
 func planHash(word *Word, source Source) (Plan, error) {
 	hash, err := strconv.ParseUint(strings.TrimPrefix(word.Text, "0x"), 16, 64)
 	if err != nil {
--- a/internal/operator/query.go
+++ b/internal/operator/query.go
@@ -36,6 +36,10 @@
 		columns: []string{"model", "version", "state", "pool", "loaded_by"},
 		rows:    modelRows,
 	},
+	"directives": {
+		columns: []string{"engine", "incarnation", "directive", "role"},
+		rows:    directiveRows,
+	},
 	"waiting": {
 		columns: []string{"request", "attempt", "tenant", "class", "model", "version", "waited", "reason"},
 		rows:    waitingRows,
@@ -204,6 +208,16 @@
 	return rows
 }
 
+func directiveRows(source Source) []Row {
+	document, _ := source.Configuration()
+	var rows []Row
+	for _, directive := range document.Directives {
+		run := fleet.EngineRun{Engine: directive.Engine, Incarnation: directive.Incarnation}
+		rows = append(rows, Row{string(directive.Engine), formatIncarnation(run), string(directive.Kind), directive.Role})
+	}
+	return rows
+}
+
 func waitingRows(source Source) []Row {
 	var rows []Row
 	for _, waiting := range source.Waiting() {
@@ -240,7 +254,7 @@
 func explain(source Source, request fleet.RequestID) Result {
 	explanation, found := source.Explain(request)
 	if !found {
-		return failure(resultcode.TargetNotFound, fmt.Sprintf("no recent request %q at this router", request))
+		return failure(resultcode.TargetNotFound, unknownRequest(request))
 	}
 	result := Result{
 		Message: explanation.Outcome,
--- a/internal/operator/run.go
+++ b/internal/operator/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
@@ -30,6 +32,8 @@
 	// Revision is the one at which it took effect.
 	Revision fleet.Revision
 	Message  string
+	// Statement is the command that the outcome is recorded for.
+	Statement string
 }
 
 // Store commits commands. An error that isn't a *resultcode.Error leaves open
@@ -118,6 +122,9 @@
 	if err != nil {
 		return commitFailure(token, err)
 	}
+	if outcome.Statement != request.Statement {
+		return tokenReused(token, outcome)
+	}
 	result := outcomeResult(token, outcome)
 	if outcome.Code == resultcode.TargetNotFound {
 		result.ErrorColumn = wrongColumn
@@ -171,6 +178,16 @@
 	return result
 }
 
+// tokenReused reports a command that wasn't run, because its token is that of
+// another one. The other's outcome must not pass for its own.
+func tokenReused(token string, other Outcome) Result {
+	first, _, _ := strings.Cut(other.Statement, "\n")
+	message := fmt.Sprintf("not done: this token is that of another command, %q at revision %d; give each command its own", first, other.Revision)
+	result := failure(resultcode.CommandImpossible, message)
+	result.Token = token
+	return result
+}
+
 func outcomeResult(token string, outcome Outcome) Result {
 	message := outcome.Message
 	if message == "" && outcome.Code == resultcode.OK {
--- a/internal/operator/suggest.go
+++ b/internal/operator/suggest.go
@@ -5,7 +5,7 @@
 // keywordsAfter gives the keywords that may follow a keyword directly.
 var keywordsAfter = map[string][]string{
 	"":        {"show", "where", "explain", "lookup", "admit", "drain", "retire", "role", "promote", applyKeyword},
-	"show":    {"engines", "routers", "tenants", "models", "waiting", "revision", "version"},
+	"show":    {"engines", "routers", "tenants", "models", "directives", "waiting", "revision", "version"},
 	"where":   {"prefix", "request"},
 	"prefix":  {"hash", "text"},
 	"waiting": {"class", "tenant", "where"},
--- a/internal/router/operationsserver.go
+++ b/internal/router/operationsserver.go
@@ -100,5 +100,7 @@
 }
 
 func decodeOutcome(outcome config.Outcome) operator.Outcome {
-	return operator.Outcome{Code: outcome.Code, Revision: outcome.Revision, Message: outcome.Message}
+	return operator.Outcome{
+		Code: outcome.Code, Revision: outcome.Revision, Message: outcome.Message, Statement: outcome.Statement,
+	}
 }
