Let requests outlast a change of engines' owners

After a change of the routers an engine has no owner for a moment, and a new owner has not heard from it. In the in-process test three hand-backs in vain came within milliseconds and the fourth router refused. While other routers own engines of the pool, hand-backs in vain now go up to MaxForeignHops; agents back off between them.

--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -22,6 +22,7 @@
 	DefaultReconsider      = 10 * time.Millisecond
 	DefaultHoldTokens      = 512
 	DefaultMaxHops         = 3
+	DefaultMaxForeignHops  = 8
 	DefaultMaxSpills       = affinity.MaxSpills
 	DefaultSpillWait       = 250 * time.Millisecond
 	DefaultSpillQueue      = 4
@@ -63,6 +64,10 @@
 	HoldTokens int
 	// MaxHops bounds the hand-backs of a request for want of an engine.
 	MaxHops int
+	// MaxForeignHops takes its place while other routers own engines of the pool:
+	// after a change of the routers an engine may have no owner for a moment, and
+	// agents back off between hand-backs.
+	MaxForeignHops int
 	// MaxSpills bounds the hand-backs of a request that finds the engines of one
 	// router after the other saturated; the router asked then queues or refuses
 	// it. Only a router that owns a part of the pool hands back. A negative value
@@ -93,6 +98,7 @@
 	setDefault(&o.Reconsider, DefaultReconsider)
 	setDefault(&o.HoldTokens, DefaultHoldTokens)
 	setDefault(&o.MaxHops, DefaultMaxHops)
+	setDefault(&o.MaxForeignHops, DefaultMaxForeignHops)
 	setDefault(&o.MaxSpills, DefaultMaxSpills)
 	setDefault(&o.SpillWait, DefaultSpillWait)
 	setDefault(&o.SpillQueue, DefaultSpillQueue)
--- a/internal/placement/reject.go
+++ b/internal/placement/reject.go
@@ -30,7 +30,7 @@
 	if c.hasEngine(model.Pool, request.Excluded) {
 		return nil
 	}
-	if request.vainHops() < c.options.MaxHops {
+	if request.vainHops() < c.maxHops(model.Pool) {
 		return HandBack{Key: request.Key, Reason: HandBackNoEngine}
 	}
 	return Refusal{
@@ -41,6 +41,14 @@
 	}
 }
 
+// maxHops bounds the hand-backs in vain of a request for a pool.
+func (c *Core) maxHops(pool fleet.PoolName) int {
+	if c.foreign[pool] > 0 {
+		return c.options.MaxForeignHops
+	}
+	return c.options.MaxHops
+}
+
 func (c *Core) rejectWeights(request *Request) Outcome {
 	state, _ := c.view.VersionState(request.Weights)
 	if state == config.VersionServing {
--- a/internal/placement/spill_test.go
+++ b/internal/placement/spill_test.go
@@ -123,3 +123,19 @@
 	last.Hops = DefaultMaxHops
 	assert.Empty(t, b.submit(last))
 }
+
+// TestPartWithoutEngineRefusesInTheEnd follows a request whose pool has no
+// owner among the routers that it reaches.
+func TestPartWithoutEngineRefusesInTheEnd(t *testing.T) {
+	b := newPartBench(t)
+	b.core.SetOwned(func(fleet.EngineID) bool { return false })
+	made := request("r", urgent, "p", 1)
+	for made.Hops = 0; made.Hops < DefaultMaxForeignHops; made.Hops++ {
+		require.Equal(t, handedBack("r", HandBackNoEngine), b.submit(made))
+	}
+	outcomes := b.submit(made)
+	require.Len(t, outcomes, 1)
+	refusal := outcomes[0].(Refusal)
+	assert.Equal(t, resultcode.NoEngine, refusal.Code)
+	assert.Positive(t, refusal.RetryAfter)
+}
--- a/lab/localfleet/sharded_test.go
+++ b/lab/localfleet/sharded_test.go
@@ -52,11 +52,17 @@
 	return running
 }
 
-// awaitOwners waits until the routers know each other, share the engines and
-// have heard from them.
+// awaitOwners waits until the engines have loaded all weights, and the routers
+// know each other, share the engines and have heard from them.
 func awaitOwners(t *testing.T, running *Fleet) {
 	t.Helper()
+	const weights = 3 // two models and an adapter
 	require.Eventually(t, func() bool {
+		for index := range running.engines {
+			if status := running.EngineStatus(index); len(status.Loaded) < weights {
+				return false
+			}
+		}
 		owned, ready := 0.0, 0.0
 		for _, instance := range running.routers {
 			owned += metric(t, instance.Address(), "tillerfall_router_owned_engines{.*}")
