Count configured and listed routers in the budget of configuration reads

Cause: a router counted only the routers that it had heard of, so each of a restarted herd took itself for alone, asked the table service at once and then about each second until the membership was known.

Change: peerFetcher.Count adds the configured peers and the routers in the list of machines. A pause after failures stays as it is.

--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -73,6 +73,14 @@
 	p.mutex.Lock()
 	p.follower.Hear(p.options.Clock.Now(), revision)
 	p.mutex.Unlock()
+	p.notify()
+}
+
+// Recount has the follower count the nodes anew, after the number may have
+// changed.
+func (p *PlatformFollower) Recount() { p.notify() }
+
+func (p *PlatformFollower) notify() {
 	select {
 	case p.wake <- struct{}{}:
 	default:
@@ -106,7 +114,7 @@
 	nodes := p.peers.Count()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.follower.SetNodes(nodes)
+	p.follower.SetNodes(now, nodes)
 	p.follower.Learn(p.holder.Revision())
 	return p.follower.Next(now)
 }
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -94,8 +94,20 @@
 	setDefault(&o.BackoffMax, DefaultFollowerBackoffMax)
 }
 
-// SetNodes tells how many nodes poll the platform, this one included.
-func (f *Follower) SetNodes(nodes int) { f.nodes = max(nodes, 1) }
+// SetNodes tells how many nodes poll the platform, this one included. The time
+// to the next platform call stretches or shrinks with the interval, unless it is
+// a pause after failures: a restarted node that took its fleet for smaller than
+// it is doesn't keep to the earlier time.
+func (f *Follower) SetNodes(now time.Duration, nodes int) {
+	before := f.interval()
+	f.nodes = max(nodes, 1)
+	left := f.nextPlatform - now
+	if f.failures > 0 || left <= 0 {
+		return
+	}
+	scale := float64(f.interval()) / float64(before)
+	f.nextPlatform = now + time.Duration(float64(left)*scale)
+}
 
 // Hear notes a revision that another node's message named.
 func (f *Follower) Hear(now time.Duration, revision fleet.Revision) {
--- a/internal/config/follower_test.go
+++ b/internal/config/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,6 +50,55 @@
 	}
 }
 
+// TestHerdThatLearnsItsSizeKeepsToFleetBudget has each node know three others
+// at first.
+func TestHerdThatLearnsItsSizeKeepsToFleetBudget(t *testing.T) {
+	const (
+		nodes     = 680
+		span      = 60 * time.Second
+		tick      = 10 * time.Millisecond
+		learnedAt = 50 * time.Millisecond
+	)
+	var herd []*Follower
+	for node := range nodes {
+		follower := NewFollower(FollowerOptions{}, seeded(uint64(node)), 0, 4)
+		follower.Learn(1)
+		herd = append(herd, follower)
+	}
+	calls := make([]int, span/time.Second)
+	for now := time.Duration(0); now < span; now += tick {
+		for _, follower := range herd {
+			if now >= learnedAt {
+				follower.SetNodes(now, nodes)
+			}
+			if follower.Next(now).Source == SourcePlatform {
+				calls[now/time.Second]++
+				follower.PlatformDone(now, true)
+			}
+		}
+	}
+	t.Logf("busiest second: %d calls", slices.Max(calls))
+	assert.Less(t, slices.Max(calls), 70, "those asked before the size was known, and the budget with its noise")
+	assert.InEpsilon(t, DefaultFleetCallsPerSecond*len(calls), total(calls), 0.3)
+}
+
+func total(counts []int) int {
+	sum := 0
+	for _, count := range counts {
+		sum += count
+	}
+	return sum
+}
+
+func TestSizeDoesNotShortenThePauseAfterFailures(t *testing.T) {
+	follower := NewFollower(FollowerOptions{}, seeded(1), 0, 1)
+	follower.Learn(1)
+	follower.PlatformDone(0, false)
+	until := follower.Next(0).Until
+	follower.SetNodes(0, 680)
+	assert.Equal(t, until, follower.Next(0).Until)
+}
+
 func TestLoneNodeAsksPlatformAtOnce(t *testing.T) {
 	follower := NewFollower(FollowerOptions{}, seeded(1), 0, 1)
 	require.Equal(t, SourcePeer, follower.Next(0).Source)
--- a/internal/router/peerfetch.go
+++ b/internal/router/peerfetch.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/rpc"
 )
@@ -25,8 +26,21 @@
 	return &peerFetcher{router: r, http: &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute}}}
 }
 
-// Count implements config.Peers.
-func (p *peerFetcher) Count() int { return len(p.router.peers.View().Routable()) }
+// Count implements config.Peers. A restarted router hears of the others one by
+// one, while it knows at once which it is configured with and which are listed.
+func (p *peerFetcher) Count() int {
+	known := map[fleet.Address]bool{p.router.address: true}
+	for _, member := range p.router.peers.View().Routable() {
+		known[member.Address] = true
+	}
+	for _, address := range p.router.options.Settings.Peers {
+		known[address] = true
+	}
+	for _, address := range p.router.listedRouters() {
+		known[address] = true
+	}
+	return len(known)
+}
 
 // Fetch implements config.Peers.
 func (p *peerFetcher) Fetch(ctx context.Context, holder *config.Holder) error {
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -101,6 +101,18 @@
 	awaitRoutable(t, 2, first, second)
 }
 
+func TestUnheardRoutersCount(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.platform.SetMachines(append(f.machines(),
+		platform.Machine{ID: "r1", Kind: platform.MachineRouter, Address: "127.0.0.1:1", Incarnation: 1, State: platform.MachineLive},
+		platform.Machine{ID: "r2", Kind: platform.MachineRouter, Address: "127.0.0.1:2", Incarnation: 1, State: platform.MachineLive},
+	))
+	seeds := []fleet.Address{"127.0.0.1:2", "127.0.0.1:3"}
+	router := f.startRouter("r3", func(options *Settings) { options.Peers = seeds })
+	assert.GreaterOrEqual(t, router.fetcher.Count(), 1+len(seeds))
+	require.Eventually(t, func() bool { return router.fetcher.Count() == 4 }, patience, pollTime)
+}
+
 func TestUnspecifiedAddressNeedsAnAdvertisedOne(t *testing.T) {
 	options := DefaultSettings()
 	options.Node.Address = "0.0.0.0:7700"
--- a/lab/capacity/capacity_test.go
+++ b/lab/capacity/capacity_test.go
@@ -123,7 +123,7 @@
 
 func TestSharedTableBudgetDoesNotGrowWithTheFleet(t *testing.T) {
 	o := Options{Seed: 5}
-	few := configurationPolls(o, 100, membershipKnownAfter).steadyRate()
-	many := configurationPolls(o, 680, membershipKnownAfter).steadyRate()
+	few := configurationPolls(o, 100, listedHerd).steadyRate()
+	many := configurationPolls(o, 680, listedHerd).steadyRate()
 	assert.InEpsilon(t, few, many, 0.2)
 }
--- a/lab/capacity/tables.go
+++ b/lab/capacity/tables.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -51,24 +52,35 @@
 	return float64(most)
 }
 
+// herdStart is what the routers of a herd know of each other: the configured
+// ones at once, themselves included, and all after a time.
+type herdStart struct {
+	configured int
+	knownAfter time.Duration
+}
+
 // configurationPolls counts the reads of the configuration's head by a herd of
-// followers. Until a follower has been told by its peers, it knows itself alone.
-func configurationPolls(o Options, count int, knownAfter time.Duration) *callCounter {
+// followers.
+func configurationPolls(o Options, count int, start herdStart) *callCounter {
 	queue := eventqueue.New(o.Seed)
 	counter := &callCounter{}
 	interval := time.Duration(routerprocess.DefaultSettings().ConfigurationInterval)
 	for range count {
 		random := rand.New(rand.NewPCG(queue.Random().Uint64(), 1))
-		follower := config.NewFollower(config.FollowerOptions{PollInterval: interval}, random, 0, 1)
+		follower := config.NewFollower(config.FollowerOptions{PollInterval: interval}, random, 0, min(count, start.configured))
 		follower.Learn(1)
 		var step func()
 		step = func() {
-			if queue.Now() >= knownAfter {
-				follower.SetNodes(count)
+			if queue.Now() >= start.knownAfter {
+				follower.SetNodes(queue.Now(), count)
 			}
 			action := follower.Next(queue.Now())
 			if action.Source != config.SourcePlatform {
-				queue.At(min(action.Until, max(knownAfter, queue.Now()+time.Second)), step)
+				wake := action.Until
+				if queue.Now() < start.knownAfter {
+					wake = min(wake, start.knownAfter)
+				}
+				queue.At(max(wake, queue.Now()+time.Millisecond), step)
 				return
 			}
 			counter.count(queue.Now())
@@ -143,25 +155,38 @@
 	return counter, nil
 }
 
-// membershipKnownAfter is when a router of a herd counts the others, counted
-// from its start.
-const membershipKnownAfter = 3 * time.Second
+// configuredRouters is the number of routers that a router is configured with,
+// itself included.
+const configuredRouters = 4
+
+var (
+	// listedHerd has read the list of machines, which names the routers.
+	listedHerd = herdStart{configured: configuredRouters, knownAfter: 2 * platformDelay}
+	// unlistedHerd waits for the membership, as when nobody knows a list.
+	unlistedHerd = herdStart{configured: configuredRouters, knownAfter: 3 * time.Second}
+	// configuredHerd is configured with all routers.
+	configuredHerd = herdStart{configured: math.MaxInt}
+)
 
 // measurePlatformCalls measures the platform calls of all routers together.
 func measurePlatformCalls(o Options) ([]Slope, error) {
 	slopes, err := sweepParts(o.Sizes.Members, func(count int) ([]float64, error) {
-		polls := configurationPolls(o, count, membershipKnownAfter)
+		polls := configurationPolls(o, count, listedHerd)
+		unlisted := configurationPolls(o, count, unlistedHerd)
+		configured := configurationPolls(o, count, configuredHerd)
 		machines := machinePolls(o, count)
 		leases, err := leaseCalls(o, count)
 		if err != nil {
 			return nil, err
 		}
 		return []float64{
-			polls.steadyRate(), polls.peak(), leases.steadyRate(), machines.steadyRate(), machines.peak(),
+			polls.steadyRate(), polls.peak(), configured.peak(), unlisted.peak(), leases.steadyRate(), machines.steadyRate(), machines.peak(),
 		}, nil
 	},
 		quantity{name: "table reads of the configuration, all routers, steady", size: "routers", unit: "1/s", growth: GrowthLogarithmic},
-		quantity{name: "table reads of the configuration, all routers, busiest second of a herd restart", size: "routers", unit: "1/s", growth: GrowthLinear},
+		quantity{name: "table reads of the configuration, all routers, busiest second of a herd restart", size: "routers", unit: "1/s", growth: GrowthLogarithmic},
+		quantity{name: "the same, each configured with all routers", size: "routers", unit: "1/s", growth: GrowthLogarithmic},
+		quantity{name: "the same, no list of machines, the membership known after 3 s", size: "routers", unit: "1/s", growth: GrowthLinear},
 		quantity{name: "table calls of the lease, all routers, steady", size: "routers", unit: "1/s", growth: GrowthLinear},
 		quantity{name: "reads of the list of machines, all routers, steady", size: "routers", unit: "1/s", growth: GrowthLinear},
 		quantity{name: "reads of the list of machines, all routers, busiest second of a herd restart", size: "routers", unit: "1/s", growth: GrowthLinear},
--- a/lab/simulation/configuration.go
+++ b/lab/simulation/configuration.go
@@ -22,7 +22,7 @@
 // follow does what the follower wants next. One question to a peer is under
 // way at a time.
 func (r *router) follow() {
-	r.follower.SetNodes(len(r.members.View().Routable()))
+	r.follower.SetNodes(r.now(), len(r.members.View().Routable()))
 	r.follower.Learn(r.holder.Revision())
 	switch action := r.follower.Next(r.now()); action.Source {
 	case config.SourcePeer:
