Take a leaving entry that names no run for one of the run last heard

A list of machines without incarnations, as docs/OPERATING.md shows one, could not take an engine out: the router's core ignored the entry, because run 0 is older than the run that the engine had named, so the engine stayed ready (seen at three routers). The integration test didn't meet it, since it lists the engine's present run. A change of zone or pool in such an entry was lost too.

The router now fills in the run that the engine last named, or, if it hasn't heard any, the first that it hears; a later run isn't meant. Binding the entry to whatever run is up was ruled out: a lagging list would bar a restarted engine for good. For the same reason the router's own memory of the list no longer holds on to a leaving entry without a run.

--- a/internal/router/enginefleet.go
+++ b/internal/router/enginefleet.go
@@ -30,7 +30,10 @@
 	mutex    sync.Mutex
 	machines map[fleet.EngineID]platform.Machine
 	watchers map[fleet.EngineID]*engineWatcher
-	routers  []membership.Member
+	// unheard holds the entries that say that an engine is leaving but name no
+	// run, until the engine's run is heard.
+	unheard map[fleet.EngineID]platform.Machine
+	routers []membership.Member
 	// shared says which engines are owned here, listed is the list that it is by.
 	shared  *ownership
 	listed  []platform.Machine
@@ -48,6 +51,7 @@
 		shared:   newOwnership(node, nil, nil, settings.IndexReplicas),
 		machines: make(map[fleet.EngineID]platform.Machine),
 		watchers: make(map[fleet.EngineID]*engineWatcher),
+		unheard:  make(map[fleet.EngineID]platform.Machine),
 	}
 }
 
@@ -81,11 +85,39 @@
 	f.machines[id] = machine
 	f.logger.Info().Str("engine", machine.ID).Uint64("incarnation", uint64(machine.Incarnation)).
 		Str("address", string(machine.Address)).Str("state", string(machine.State)).Msg("machine_listed")
-	f.placer.do(func(now time.Duration, core *placement.Core) { core.ObserveMachine(now, machine) })
+	named := f.nameRun(machine)
+	delete(f.unheard, id)
+	if named.Incarnation == 0 && named.State == platform.MachineLeaving {
+		f.unheard[id] = named
+	}
+	f.placer.do(func(now time.Duration, core *placement.Core) { core.ObserveMachine(now, named) })
+}
+
+// nameRun takes an entry that names no run for one of the run last heard: the
+// core ignores what the list says of older runs.
+func (f *engineFleet) nameRun(machine platform.Machine) platform.Machine {
+	if machine.Incarnation == 0 {
+		machine.Incarnation = f.board.lastRun(fleet.EngineID(machine.ID))
+	}
+	return machine
+}
+
+// observeUnheard tells the core that engines are leaving whose runs have been
+// heard by now; the mutex is held. Later runs are others.
+func (f *engineFleet) observeUnheard() {
+	for id, machine := range f.unheard {
+		named := f.nameRun(machine)
+		if named.Incarnation == 0 {
+			continue
+		}
+		delete(f.unheard, id)
+		f.placer.do(func(now time.Duration, core *placement.Core) { core.ObserveMachine(now, named) })
+	}
 }
 
 func (f *engineFleet) forgetMachine(id fleet.EngineID) {
 	delete(f.machines, id)
+	delete(f.unheard, id)
 	f.board.forget(id)
 	f.logger.Info().Str("engine", string(id)).Msg("machine_gone")
 	f.placer.do(func(now time.Duration, core *placement.Core) { core.ForgetMachine(now, id) })
@@ -160,6 +192,7 @@
 	})
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.observeUnheard()
 	for _, id := range status {
 		if watcher := f.watchers[id]; watcher != nil {
 			notify(watcher.statusWanted)
--- /dev/null
+++ b/internal/router/enginefleet_test.go
@@ -0,0 +1,47 @@
+package router
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/platform"
+)
+
+// setStateWithoutRun lists the first engine in a state, and no engine's run.
+func (f *testFleet) setStateWithoutRun(state platform.MachineState) {
+	machines := f.machines()
+	machines[0].State = state
+	for index := range machines {
+		machines[index].Incarnation = 0
+	}
+	f.platform.SetMachines(machines)
+}
+
+func (f *testFleet) awaitReady(r *Router, count int) {
+	require.Eventually(f.t, func() bool {
+		return len(execute(f.t, r, "show engines where state = ready").GetRows()) == count
+	}, patience, pollTime)
+}
+
+func TestLeavingEntryWithoutRunConcernsTheRunHeard(t *testing.T) {
+	f := newTestFleet(t, 2)
+	f.commitConfiguration()
+	f.setStateWithoutRun(platform.MachineLive)
+	r := f.startReadyRouter("r")
+	f.setStateWithoutRun(platform.MachineLeaving)
+	f.awaitReady(r, 1)
+	assert.Equal(t, "e1", place(t, r, "a").GetGrant().GetRun().GetEngine())
+
+	late := f.startRouter("late")
+	require.Eventually(t, func() bool {
+		return len(execute(t, late, "show engines where state = leaving").GetRows()) == 1
+	}, patience, pollTime, "a router that starts after the list said so")
+
+	f.setStateWithoutRun(platform.MachineLive)
+	require.Eventually(t, func() bool { return r.machines.current()[0].State == platform.MachineLive }, patience, pollTime)
+	f.awaitReady(r, 1)
+	require.NoError(t, f.engines[0].Restart())
+	f.awaitReady(r, 2)
+}
--- a/internal/router/enginestatus.go
+++ b/internal/router/enginestatus.go
@@ -88,6 +88,13 @@
 	return heard.status, found && b.clock.Now()-heard.at <= age
 }
 
+// lastRun returns the run that an engine last named; 0 if it was never heard.
+func (b *statusBoard) lastRun(id fleet.EngineID) fleet.Incarnation {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.statuses[id].status.Incarnation
+}
+
 // allStatuses returns the listed engines with a fresh status, by identifier.
 // Those that no watcher of this router has heard lately are asked now.
 func (f *engineFleet) allStatuses(ctx context.Context) []rollout.Engine {
--- a/internal/router/machinelist.go
+++ b/internal/router/machinelist.go
@@ -55,7 +55,8 @@
 }
 
 // newest returns the newest entry of each machine. A run that was once seen
-// leaving stays so, because a lagging list may show older states again.
+// leaving stays so, because a lagging list may show older states again. An entry
+// that names no run can't stay: it would bar the machine's later runs as well.
 func (l *machineList) newest(listed, others []platform.Machine) []platform.Machine {
 	byID := make(map[string]platform.Machine, len(listed))
 	for _, machine := range slices.Concat(listed, others) {
@@ -65,7 +66,8 @@
 		}
 	}
 	for _, machine := range l.machines {
-		if kept, found := byID[machine.ID]; found && supersedes(machine, kept) {
+		kept, found := byID[machine.ID]
+		if found && machine.Incarnation != 0 && supersedes(machine, kept) {
 			byID[machine.ID] = machine
 		}
 	}
--- a/internal/router/machinelist_test.go
+++ b/internal/router/machinelist_test.go
@@ -40,6 +40,9 @@
 	assert.Equal(t, []platform.Machine{machine("a", 2, platform.MachineLeaving), machine("b", 2, platform.MachineLive)}, list.current())
 	list.setFromPlatform([]platform.Machine{machine("a", 3, platform.MachineLive)})
 	assert.Equal(t, []platform.Machine{machine("a", 3, platform.MachineLive)}, list.current(), "a new run isn't leaving")
+	list.setFromPlatform([]platform.Machine{machine("c", 0, platform.MachineLeaving)})
+	list.setFromPlatform([]platform.Machine{machine("c", 0, platform.MachineLive)})
+	assert.Equal(t, []platform.Machine{machine("c", 0, platform.MachineLive)}, list.current(), "no run is named that stays leaving")
 }
 
 func TestMachineListDigestTellsListsApart(t *testing.T) {
