Pause between two polls for an engine's cache events

Cause: a long poll with news returns at once, so a busy engine was polled as fast as the round trip allows.

Change: the setting event_pause, 50 ms by default, is waited after each answer. Also after one without news, since an engine that doesn't wait would be polled in a tight loop otherwise; an empty answer comes after event_wait only, so the pause costs nothing there.

--- a/internal/router/enginewatcher.go
+++ b/internal/router/enginewatcher.go
@@ -153,6 +153,7 @@
 			w.pause(unfollowedPause, nil, false)
 		default:
 			pauses.Reset()
+			w.pause(time.Duration(w.settings.EventPause), nil, false)
 		}
 	}
 	return nil
--- /dev/null
+++ b/internal/router/enginewatcher_test.go
@@ -0,0 +1,64 @@
+package router
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/engine"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/settings"
+)
+
+// answerEventsAtOnce puts a proxy before the fleet's engine that lets no poll
+// for events wait, as an engine with news does, and counts the calls.
+func answerEventsAtOnce(t *testing.T, f *testFleet) (events, statuses *atomic.Int64) {
+	target, err := url.Parse("http://" + string(f.engines[0].Address()))
+	require.NoError(t, err)
+	forward := httputil.NewSingleHostReverseProxy(target)
+	events, statuses = &atomic.Int64{}, &atomic.Int64{}
+	proxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case engine.PathStatus:
+			statuses.Add(1)
+		case engine.PathEvents:
+			events.Add(1)
+			query := r.URL.Query()
+			query.Set("wait_ms", "0")
+			r.URL.RawQuery = query.Encode()
+		}
+		forward.ServeHTTP(w, r)
+	}))
+	t.Cleanup(proxy.Close)
+	machines := f.machines()
+	machines[0].Address = fleet.Address(strings.TrimPrefix(proxy.URL, "http://"))
+	f.platform.SetMachines(machines)
+	return events, statuses
+}
+
+func TestEventPollsPauseBetweenAnswers(t *testing.T) {
+	const enough = 20
+	for _, pause := range []time.Duration{0, time.Hour} {
+		f := newTestFleet(t, 1)
+		f.commitConfiguration()
+		events, statuses := answerEventsAtOnce(t, f)
+		r := f.startRouter("r", func(options *Settings) { options.EventPause = settings.Duration(pause) })
+		require.Eventually(t, func() bool { return events.Load() > 0 }, patience, pollTime)
+		if pause == 0 {
+			require.Eventually(t, func() bool { return events.Load() > enough }, patience, pollTime)
+			continue
+		}
+		before := statuses.Load()
+		require.Eventually(t, func() bool { return statuses.Load() > before+enough }, patience, pollTime)
+		assert.EqualValues(t, 1, events.Load(), "polled again within the pause")
+		require.NoError(t, r.Stop(), "the pause holds up no stop")
+	}
+}
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -28,6 +28,10 @@
 	StatusInterval settings.Duration `yaml:"status_interval" validate:"gt=0"`
 	// EventWait bounds one long poll for an engine's cache events.
 	EventWait settings.Duration `yaml:"event_wait" validate:"gt=0"`
+	// EventPause is the pause between the answer to one long poll for cache events
+	// and the next. Events that come meanwhile share an answer, which spares
+	// calls under load; they are known that much later.
+	EventPause settings.Duration `yaml:"event_pause" validate:"gte=0"`
 	// MachineInterval is the mean time between two reads of the list of machines.
 	MachineInterval settings.Duration `yaml:"machine_interval" validate:"gt=0"`
 	// ConfigurationInterval is the mean time between two reads of the
@@ -55,6 +59,7 @@
 const (
 	defaultStatusInterval        = 250 * time.Millisecond
 	defaultEventWait             = 5 * time.Second
+	defaultEventPause            = 50 * time.Millisecond
 	defaultMachineInterval       = 2 * time.Second
 	defaultConfigurationInterval = time.Second
 	defaultCommandTimeout        = 10 * time.Second
@@ -70,6 +75,7 @@
 		Platform:              settings.DefaultPlatform(),
 		StatusInterval:        settings.Duration(defaultStatusInterval),
 		EventWait:             settings.Duration(defaultEventWait),
+		EventPause:            settings.Duration(defaultEventPause),
 		MachineInterval:       settings.Duration(defaultMachineInterval),
 		ConfigurationInterval: settings.Duration(defaultConfigurationInterval),
 		LeaseDuration:         settings.Duration(lease.DefaultDuration),
