Set Go's soft memory limit from the settings of routers and agents

Change: memory.soft_limit_bytes sets the runtime's soft limit when the process starts; 0, the default, leaves it to GOMEMLIMIT. At least 16 MiB, since a limit near nothing would only burn processor time.

Tested: the runtime's limit after Apply, and that 0 changes nothing. Its effect at the target's size isn't measured.

--- a/cmd/tillerfall/agent.go
+++ b/cmd/tillerfall/agent.go
@@ -26,6 +26,7 @@
 	if err := c.load(&agentSettings); err != nil {
 		return err
 	}
+	agentSettings.Memory.Apply()
 	logger := logging.New(os.Stderr, "agent", fleet.NodeID(agentSettings.Node.ID), agentSettings.Logging.Level)
 	instance, err := agent.New(agentSettings, agent.Dependencies{Logger: logger})
 	if err != nil {
--- a/cmd/tillerfall/router.go
+++ b/cmd/tillerfall/router.go
@@ -34,6 +34,7 @@
 	if err := c.load(&settings); err != nil {
 		return err
 	}
+	settings.Memory.Apply()
 	logger := logging.New(os.Stderr, "router", fleet.NodeID(settings.Node.ID), settings.Logging.Level)
 	instance := router.New(router.Options{Settings: settings, Logger: logger, Version: version})
 	return runProcess(instance, logger)
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -15,6 +15,8 @@
 	Node settings.Node `yaml:"node"`
 	// Logging says what is logged.
 	Logging settings.Logging `yaml:"logging"`
+	// Memory bounds what the process takes.
+	Memory settings.Memory `yaml:"memory"`
 	// Routers lists numeric HOST:PORT addresses of some routers; the others
 	// are learned from them.
 	Routers []fleet.Address `yaml:"routers" validate:"required,min=1,dive,address"`
--- a/internal/config/reference/reference_test.go
+++ b/internal/config/reference/reference_test.go
@@ -33,6 +33,7 @@
 	{"internal/config/document.go", "Pool"},
 	{"internal/settings/common.go", "Node"},
 	{"internal/settings/common.go", "Logging"},
+	{"internal/settings/common.go", "Memory"},
 	{"internal/settings/common.go", "Platform"},
 	{"internal/agent/settings.go", "Settings"},
 	{"internal/agent/settings.go", "HTTPSettings"},
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -17,6 +17,8 @@
 	Advertise fleet.Address `yaml:"advertise" validate:"omitempty,address"`
 	// Logging says what is logged.
 	Logging settings.Logging `yaml:"logging"`
+	// Memory bounds what the process takes.
+	Memory settings.Memory `yaml:"memory"`
 	// Platform says how the platform is reached.
 	Platform settings.Platform `yaml:"platform"`
 	// Peers lists the numeric HOST:PORT of routers to join through. Those in the
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"runtime/debug"
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/config"
@@ -44,6 +45,22 @@
 // DefaultLogging logs from level info on.
 func DefaultLogging() Logging { return Logging{Level: "info"} }
 
+// Memory bounds what a process takes.
+type Memory struct {
+	// SoftLimitBytes is what the Go runtime may take, stacks and unused heap
+	// included, before it collects garbage more often; 0 leaves that to the
+	// environment variable GOMEMLIMIT, which sets no limit by default. It must be
+	// well above the live objects, or collecting takes most of the time.
+	SoftLimitBytes int64 `yaml:"soft_limit_bytes" validate:"omitempty,gte=16777216"`
+}
+
+// Apply sets the limit for the whole process (runtime/debug.SetMemoryLimit).
+func (m Memory) Apply() {
+	if m.SoftLimitBytes > 0 {
+		debug.SetMemoryLimit(m.SoftLimitBytes)
+	}
+}
+
 // Platform says how the platform is reached.
 type Platform struct {
 	// Address is the platform's numeric HOST:PORT.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,8 +1,10 @@
 package settings
 
 import (
+	"math"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"testing"
 	"time"
 
@@ -104,3 +106,12 @@
 	_, problems = ParseOverride("node.id")
 	assert.NotEmpty(t, problems)
 }
+
+func TestMemoryLimitIsTheRuntimes(t *testing.T) {
+	before := debug.SetMemoryLimit(-1)
+	t.Cleanup(func() { debug.SetMemoryLimit(before) })
+	Memory{}.Apply()
+	assert.Equal(t, before, debug.SetMemoryLimit(-1), "no limit is set by default")
+	Memory{SoftLimitBytes: math.MaxInt32}.Apply()
+	assert.EqualValues(t, math.MaxInt32, debug.SetMemoryLimit(-1))
+}
