Ask for a configuration again soon while an agent has none

Ruled out: the routers' side, which asks peers at once.

Change: an agent without a configuration pauses a quarter of the interval between rounds, as it already does without a router.

Before: the new test fails with a pause of 1.05 s where under 0.3 s is wanted. It narrows the window and doesn't close it: a configuration that no living process holds is out of reach while the platform is down.

--- a/internal/agent/sync.go
+++ b/internal/agent/sync.go
@@ -30,14 +30,20 @@
 	}
 }
 
+// syncPause returns the time until the next round. It is short while the agent
+// lacks what every request needs: a router, or a configuration. A router that
+// knows none yet answers all the same, and may learn one in the next moment.
 func (a *Agent) syncPause() time.Duration {
 	interval := time.Duration(a.settings.Sync.Interval)
-	if !a.routers.reachable(interval * unreachableIntervals) {
-		interval /= 4
+	if a.config.Current() == nil || !a.routers.reachable(interval*unreachableIntervals) {
+		interval /= urgentSyncs
 	}
 	return interval + time.Duration((rand.Float64()-0.5)*syncJitter*float64(interval))
 }
 
+// urgentSyncs is the number of rounds in an interval while something is lacking.
+const urgentSyncs = 4
+
 // unreachableIntervals is the number of rounds without any router's answer
 // after which the agent isn't ready and asks more often.
 const unreachableIntervals = 5
--- a/internal/agent/synctargets_test.go
+++ b/internal/agent/synctargets_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/tillerfall/tillerfall/internal/config"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/rpc"
@@ -82,3 +83,30 @@
 	}
 	assert.Len(t, followers, routerCount)
 }
+
+// TestAgentWithoutAConfigurationAsksAgainSoon hears a router that knows none
+// itself: a whole interval later the routers that did know may be gone.
+func TestAgentWithoutAConfigurationAsksAgainSoon(t *testing.T) {
+	own := DefaultSettings()
+	a, err := New(own, Dependencies{})
+	require.NoError(t, err)
+	a.routers = knownRouters(1)
+	longest := time.Duration(float64(own.Sync.Interval) * (1 + syncJitter))
+	assert.Less(t, a.syncPause(), longest/urgentSyncs)
+
+	_, err = a.config.OfferSnapshot(config.Document{
+		Revision: 1,
+		Tenants: []config.Tenant{{
+			Name: "t", KeyHashes: []string{config.HashKey("k")}, Weight: 1,
+			Classes: []fleet.ClassName{"c"}, MaxConcurrent: 1, MaxWaiting: 1,
+		}},
+		Classes: []config.Class{{Name: "c", MaxWait: config.Duration(time.Second)}},
+		Models: []config.Model{{
+			Name: "m", Pool: "p", Versions: []config.Version{{Name: "v", State: config.VersionServing}},
+			MaxPromptTokens: 1, MaxOutputTokens: 1, BlockTokens: 1,
+		}},
+		Pools: []config.Pool{{Name: "p", MaxStreams: 1, MaxLoads: 1}},
+	})
+	require.NoError(t, err)
+	assert.Greater(t, a.syncPause(), longest/urgentSyncs)
+}
