--- a/cmd/tillerfall/control.go
+++ b/cmd/tillerfall/control.go
@@ -95,7 +95,7 @@
 		Header: &rpc.Header{Sender: "ctl"}, Statement: statement, Token: token, ExpectedRevision: f.Expect,
 	})
 	if err != nil {
-		return operator.Result{}, callFailure(err, token)
+		return operator.Result{}, callFailure(err, statement, token)
 	}
 	return decodeResult(response), nil
 }
@@ -107,7 +107,7 @@
 
 // callFailure tells a call that certainly reached no router from one whose
 // effect is unknown.
-func callFailure(err error, token string) error {
+func callFailure(err error, statement, token string) error {
 	var dial *net.OpError
 	if errors.As(err, &dial) && dial.Op == "dial" {
 		return resultcode.New(resultcode.NoRouter, dial.Error())
@@ -116,8 +116,11 @@
 	if errors.As(err, &refused) && refused.Code() == twirp.Malformed {
 		return resultcode.New(resultcode.StatementSyntax, refused.Msg())
 	}
+	if parsed, unread := operator.Parse(statement); unread == nil && parsed.ReadsOnly() {
+		return resultcode.New(resultcode.NoRouter, "the router's answer was lost: "+err.Error())
+	}
 	return resultcode.New(resultcode.CommandUncertain,
-		"the router's answer was lost: "+err.Error()+"; a query can be repeated; for a command ask with: lookup "+token)
+		"the router's answer was lost: "+err.Error()+"; repeat the statement with --token "+token+", or ask with: lookup "+token)
 }
 
 func decodeResult(response *rpc.ExecuteResponse) operator.Result {
--- a/cmd/tillerfall/main_test.go
+++ b/cmd/tillerfall/main_test.go
@@ -145,6 +145,10 @@
 	_, _, err = run(t, "ctl", "-r", silent.Listener.Addr().String(), "--token", "t2", "drain", "e1")
 	assert.Equal(t, resultcode.CommandUncertain, codeOf(err))
 	assert.ErrorContains(t, err, "lookup t2")
+	for _, query := range []string{"show engines", "lookup t2"} {
+		_, _, err = run(t, "ctl", "-r", silent.Listener.Addr().String(), query)
+		assert.Equal(t, resultcode.NoRouter, codeOf(err), "%s has no effect that could be uncertain", query)
+	}
 }
 
 func TestApplySendsTheFileAsItIs(t *testing.T) {
--- /dev/null
+++ b/cmd/tillerfall/operatingpage_test.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const operatingPage = "../../docs/OPERATING.md"
+
+var (
+	// loggedEvent finds the name of an event where it is logged, or passed to
+	// the agent's method that logs an exchange with an engine.
+	loggedEvent = regexp.MustCompile(`(?:\bMsg\(|logEngineError\()"([a-z_]+)"`)
+	eventRow    = regexp.MustCompile("(?m)^\\| ((?:`[a-z_]+`(?: d)?(?:, )?)+) \\| (?:both|router|agent) \\|")
+	quotedName  = regexp.MustCompile("`([a-z_]+)`")
+	loggedLine  = regexp.MustCompile(`event=([a-z_]+)`)
+)
+
+// loggedEvents returns the names of the events that the product logs.
+func loggedEvents(t *testing.T) map[string]bool {
+	events := make(map[string]bool)
+	for _, root := range []string{"../../internal", "."} {
+		require.NoError(t, filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			source, err := os.ReadFile(path)
+			for _, found := range loggedEvent.FindAllSubmatch(source, -1) {
+				events[string(found[1])] = true
+			}
+			return err
+		}))
+	}
+	return events
+}
+
+// TestPageNamesTheLoggedEvents compares the table of events in
+// docs/OPERATING.md, and its examples of lines, with the code.
+func TestPageNamesTheLoggedEvents(t *testing.T) {
+	data, err := os.ReadFile(operatingPage)
+	require.NoError(t, err)
+	page := string(data)
+	documented := make(map[string]bool)
+	for _, row := range eventRow.FindAllStringSubmatch(page, -1) {
+		for _, name := range quotedName.FindAllStringSubmatch(row[1], -1) {
+			documented[name[1]] = true
+		}
+	}
+	assert.Equal(t, loggedEvents(t), documented)
+	for _, found := range loggedLine.FindAllStringSubmatch(page, -1) {
+		assert.True(t, documented[found[1]], "%s is in an example alone", found[1])
+	}
+}
+
+// TestPageNamesTheExitCodes holds the page's table to the constants.
+func TestPageNamesTheExitCodes(t *testing.T) {
+	page, err := os.ReadFile(operatingPage)
+	require.NoError(t, err)
+	for code, meaning := range map[int]string{
+		0: "done", exitFailure: "failed", exitUsage: "the command line is wrong", exitUncertain: "`command_uncertain`",
+	} {
+		assert.Contains(t, string(page), "\n| "+string(rune('0'+code))+" | "+meaning)
+	}
+}
--- /dev/null
+++ b/internal/agent/operatingpage_test.go
@@ -0,0 +1,35 @@
+package agent
+
+import (
+	"os"
+	"regexp"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestPageNamesTheAgentsMetrics compares docs/OPERATING.md with what an agent
+// registers.
+func TestPageNamesTheAgentsMetrics(t *testing.T) {
+	data, err := os.ReadFile("../../docs/OPERATING.md")
+	require.NoError(t, err)
+	registry := prometheus.NewRegistry()
+	newMetrics(registry)
+	descriptions := make(chan *prometheus.Desc)
+	go func() {
+		registry.Describe(descriptions)
+		close(descriptions)
+	}()
+	var registered []string
+	for description := range descriptions {
+		name := regexp.MustCompile(`fqName: "([a-z_]+)"`).FindStringSubmatch(description.String())
+		require.NotNil(t, name, description.String())
+		registered = append(registered, name[1])
+		assert.Contains(t, string(data), "\n| `"+name[1]+"` |")
+	}
+	for _, name := range regexp.MustCompile("tillerfall_agent_[a-z_]+").FindAllString(string(data), -1) {
+		assert.Contains(t, registered, name)
+	}
+}
--- a/internal/operator/grammar.go
+++ b/internal/operator/grammar.go
@@ -26,6 +26,9 @@
 // IsQuery tells whether the statement only reads one router's view.
 func (s *Statement) IsQuery() bool { return s.Show != nil || s.Where != nil || s.Explain != nil }
 
+// ReadsOnly tells whether the statement changes nothing.
+func (s *Statement) ReadsOnly() bool { return s.IsQuery() || s.Lookup != nil }
+
 // Word is a name with its place in the statement.
 type Word struct {
 	Pos  lexer.Position
