Report an engine's outage once, and its end only if it was reported

An engine that accepts no connection was reported as unreachable at the first failed poll and again at the second, while one lost poll, which is no outage, was reported as its end. The count of failures now says itself whether the engine counts as unreachable from this one on.

--- a/internal/router/enginewatcher.go
+++ b/internal/router/enginewatcher.go
@@ -86,21 +86,20 @@
 }
 
 func (w *engineWatcher) pollStatus() error {
-	failures := 0
+	var failing outage
 	pauses := newEngineBackoff()
 	for {
 		err := w.pollStatusOnce()
 		pause := jitter(time.Duration(w.settings.StatusInterval))
 		if err != nil {
-			failures++
-			w.statusFailed(failures, err)
+			w.statusFailed(&failing, err)
 			pause = pauses.NextBackOff()
 		} else {
-			w.statusRecovered(failures)
-			failures = 0
+			w.statusRecovered(failing)
+			failing = outage{}
 			pauses.Reset()
 		}
-		if !w.pause(pause, w.statusWanted, failures == 0) {
+		if !w.pause(pause, w.statusWanted, err == nil) {
 			return nil
 		}
 	}
@@ -121,23 +120,41 @@
 	return nil
 }
 
-func (w *engineWatcher) statusFailed(failures int, err error) {
+// outage counts failed status polls in a row.
+type outage struct {
+	failures int
+	// reported is set once the engine counts as unreachable.
+	reported bool
+}
+
+// add counts a failure and tells whether the engine counts as unreachable from
+// now on: at once if it accepts no connection.
+func (o *outage) add(err error) bool {
+	o.failures++
+	if o.reported {
+		return false
+	}
+	var exchange *engine.Error
+	refused := errors.As(err, &exchange) && !exchange.Sent
+	o.reported = refused || o.failures >= unreachableAfter
+	return o.reported
+}
+
+func (w *engineWatcher) statusFailed(failing *outage, err error) {
 	if !w.life.Alive() {
 		return
 	}
 	w.metrics.engineErrors.WithLabelValues("status").Inc()
-	var exchange *engine.Error
-	refused := errors.As(err, &exchange) && !exchange.Sent
-	if failures != unreachableAfter && (!refused || failures > 1) {
+	if !failing.add(err) {
 		return
 	}
 	w.logger.Warn().Err(err).Msg("engine_unreachable")
 	w.placer.do(func(now time.Duration, core *placement.Core) { core.ObserveUnreachable(now, w.id) })
 }
 
-func (w *engineWatcher) statusRecovered(failures int) {
-	if failures > 0 {
-		w.logger.Info().Int("failures", failures).Msg("engine_reachable")
+func (w *engineWatcher) statusRecovered(failing outage) {
+	if failing.reported {
+		w.logger.Info().Int("failures", failing.failures).Msg("engine_reachable")
 	}
 }
 
--- a/internal/router/enginewatcher_test.go
+++ b/internal/router/enginewatcher_test.go
@@ -62,3 +62,20 @@
 		require.NoError(t, r.Stop(), "the pause holds up no stop")
 	}
 }
+
+func TestOutageIsReportedOnce(t *testing.T) {
+	refused, lost := &engine.Error{}, &engine.Error{Sent: true}
+	for name, testCase := range map[string]struct {
+		errors   []error
+		reported []bool
+	}{
+		"no connection":                 {[]error{refused, refused, refused}, []bool{true, false, false}},
+		"no answer":                     {[]error{lost, lost, lost}, []bool{false, true, false}},
+		"no answer, then no connection": {[]error{lost, refused, lost}, []bool{false, true, false}},
+	} {
+		var failing outage
+		for index, err := range testCase.errors {
+			assert.Equal(t, testCase.reported[index], failing.add(err), "%s: failure %d", name, index+1)
+		}
+	}
+}
