Show who calls an engine leaving, who owns it and whether its cache is trusted

`show engines` said leaving without the source, though admit ends only an operator's drain, and a lost cache or an engine without an owner could be seen in metrics alone. No test or tool reads the columns by number.

--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -28,7 +28,7 @@
 	return []Engine{
 		{Run: fleet.EngineRun{Engine: "e1", Incarnation: 4}, State: "ready", Role: "serve",
 			Loaded: []fleet.Weights{{Model: "m", Version: "v1"}}},
-		{Run: fleet.EngineRun{Engine: "e2", Incarnation: 7}, State: "leaving", Role: "serve"},
+		{Run: fleet.EngineRun{Engine: "e2", Incarnation: 7}, State: "leaving", LeavingBy: "operator", Owned: true, Role: "serve"},
 	}
 }
 func (s *stubSource) Routers() []Router { return []Router{{Node: "r1", State: "alive"}} }
@@ -178,6 +178,7 @@
 	}{
 		{"show engines", 2, "e1"},
 		{"show engines where state = leaving", 1, "e2"},
+		{"show engines where leaving_by = operator and owned = yes and cache_trusted = no", 1, "e2"},
 		{"show engines where state != leaving and role = serve", 1, "e1"},
 		{"show routers", 1, "r1"},
 		{"show tenants", 1, "t"},
--- a/internal/operator/query.go
+++ b/internal/operator/query.go
@@ -21,8 +21,11 @@
 // tables holds what "show" can list.
 var tables = map[string]table{
 	"engines": {
-		columns: []string{"engine", "incarnation", "address", "zone", "pool", "role", "state", "in_flight", "prefill_tokens", "cached_blocks", "loaded"},
-		rows:    engineRows,
+		columns: []string{
+			"engine", "incarnation", "address", "zone", "pool", "role", "state", "leaving_by", "owned", "in_flight", "prefill_tokens",
+			"cached_blocks", "cache_trusted", "loaded",
+		},
+		rows: engineRows,
 	},
 	"routers": {
 		columns: []string{"router", "address", "region", "zone", "state"},
@@ -139,13 +142,20 @@
 		}
 		rows = append(rows, Row{
 			string(engine.Run.Engine), formatIncarnation(engine.Run), string(engine.Address), string(engine.Zone),
-			string(engine.Pool), engine.Role, engine.State, strconv.Itoa(engine.InFlight),
-			strconv.Itoa(engine.PrefillTokens), strconv.Itoa(engine.CachedBlocks), strings.Join(loaded, ","),
+			string(engine.Pool), engine.Role, engine.State, engine.LeavingBy, formatFlag(engine.Owned), strconv.Itoa(engine.InFlight),
+			strconv.Itoa(engine.PrefillTokens), strconv.Itoa(engine.CachedBlocks), formatFlag(engine.CacheTrusted), strings.Join(loaded, ","),
 		})
 	}
 	return rows
 }
 
+func formatFlag(flag bool) string {
+	if flag {
+		return "yes"
+	}
+	return "no"
+}
+
 func formatIncarnation(run fleet.EngineRun) string {
 	return strconv.FormatUint(uint64(run.Incarnation), 10)
 }
--- a/internal/operator/source.go
+++ b/internal/operator/source.go
@@ -28,16 +28,23 @@
 
 // Engine is a row of "show engines".
 type Engine struct {
-	Run           fleet.EngineRun
-	Address       fleet.Address
-	Zone          fleet.ZoneName
-	Pool          fleet.PoolName
-	Role          string
-	State         string
+	Run     fleet.EngineRun
+	Address fleet.Address
+	Zone    fleet.ZoneName
+	Pool    fleet.PoolName
+	Role    string
+	State   string
+	// LeavingBy names who said that the run is leaving; empty if nobody did.
+	LeavingBy string
+	// Owned tells that this router indexes the engine and places on it.
+	Owned         bool
 	Loaded        []fleet.Weights
 	InFlight      int
 	PrefillTokens int
 	CachedBlocks  int
+	// CacheTrusted is false from lost cache events on, until the cache has been
+	// read anew.
+	CacheTrusted bool
 }
 
 // Router is a row of "show routers".
--- a/internal/router/enginefleet_test.go
+++ b/internal/router/enginefleet_test.go
@@ -36,7 +36,7 @@
 
 	late := f.startRouter("late")
 	require.Eventually(t, func() bool {
-		return len(execute(t, late, "show engines where state = leaving").GetRows()) == 1
+		return len(execute(t, late, "show engines where state = leaving and leaving_by = machine_list").GetRows()) == 1
 	}, patience, pollTime, "a router that starts after the list said so")
 
 	f.setStateWithoutRun(platform.MachineLive)
--- a/internal/router/operatorsource.go
+++ b/internal/router/operatorsource.go
@@ -41,10 +41,13 @@
 			Pool:          snapshot.Pool,
 			Role:          string(snapshot.Role),
 			State:         string(snapshot.Condition),
+			LeavingBy:     string(snapshot.Leaving),
+			Owned:         snapshot.Owned,
 			Loaded:        snapshot.Loaded,
 			InFlight:      snapshot.InFlight,
 			PrefillTokens: snapshot.QueueTokens,
 			CachedBlocks:  snapshot.CachedBlocks,
+			CacheTrusted:  snapshot.CacheTrusted,
 		})
 	}
 	return engines
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -216,7 +216,7 @@
 	assert.Zero(t, drained.GetCode(), drained.GetMessage())
 	assert.Equal(t, drained.GetRevision(), execute(t, r, "lookup "+drained.GetToken()).GetRevision())
 	require.Eventually(t, func() bool {
-		return len(execute(t, r, "show engines where state = leaving").GetRows()) == 1
+		return len(execute(t, r, "show engines where state = leaving and leaving_by = operator and owned = yes").GetRows()) == 1
 	}, patience, pollTime)
 	for _, id := range []string{"a", "b"} {
 		assert.Equal(t, "e1", place(t, r, id).GetGrant().GetRun().GetEngine())
