--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/assert"
@@ -304,6 +305,19 @@
 	assert.Equal(t, fleet.Revision(11), f.store.document.Revision)
 }
 
+func TestLongStatementsAreRecordedByDigest(t *testing.T) {
+	f := newFixture(t, nil)
+	f.store.remembers = true
+	padding := strings.Repeat("# ü\n", maxRecordedStatement)
+	long := "apply " + padding + baseYAML
+	require.Equal(t, resultcode.OK, f.run(long).Code)
+	recorded := f.store.done["token"].Statement
+	assert.Less(t, len(recorded), maxRecordedStatement)
+	assert.True(t, utf8.ValidString(recorded))
+	assert.Equal(t, resultcode.OK, f.run(long).Code, "the same command again")
+	assert.Equal(t, resultcode.CommandImpossible, f.run(long+"\n").Code, "another of the same beginning")
+}
+
 func TestResultAsTextAndJSON(t *testing.T) {
 	f := newFixture(t, nil)
 	var text strings.Builder
--- a/internal/operator/run.go
+++ b/internal/operator/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"strings"
 
@@ -20,7 +21,8 @@
 	// ExpectedRevision is the revision that the operator based the command on;
 	// 0 accepts any.
 	ExpectedRevision fleet.Revision
-	// Statement is the command as the operator wrote it, for the record.
+	// Statement is the command as the operator wrote it, for the record; of a
+	// long one the beginning and a digest.
 	Statement string
 	Mutate    Mutation
 }
@@ -113,16 +115,17 @@
 		token = uuid.NewString()
 	}
 	wrongColumn := 0
+	statement := recordedStatement(request.Statement)
 	outcome, err := r.store.Commit(ctx, Change{
 		Token:            token,
 		ExpectedRevision: request.ExpectedRevision,
-		Statement:        request.Statement,
+		Statement:        statement,
 		Mutate:           noteColumn(&wrongColumn, r.guard(command)),
 	})
 	if err != nil {
 		return commitFailure(token, err)
 	}
-	if outcome.Statement != request.Statement {
+	if outcome.Statement != statement {
 		return tokenReused(token, outcome)
 	}
 	result := outcomeResult(token, outcome)
@@ -178,6 +181,23 @@
 	return result
 }
 
+// Bounds of a statement's record: a row of the table service is no place for a
+// whole configuration.
+const (
+	maxRecordedStatement = 1024
+	recordedBeginning    = 200
+)
+
+// recordedStatement returns a statement as it is recorded under its token.
+// Records of different statements differ.
+func recordedStatement(statement string) string {
+	if len(statement) <= maxRecordedStatement {
+		return statement
+	}
+	beginning := strings.ToValidUTF8(statement[:recordedBeginning], "")
+	return fmt.Sprintf("%s\n… %d bytes, SHA-256 %x", beginning, len(statement), sha256.Sum256([]byte(statement)))
+}
+
 // tokenReused reports a command that wasn't run, because its token is that of
 // another one. The other's outcome must not pass for its own.
 func tokenReused(token string, other Outcome) Result {
