Keep only run and place of engines that other routers own

Cause: the state of each listed engine held the counts of parked requests for all 101 ranks, 1,616 B, though a router places on 15 of 10,000 engines; and an engine that had changed owner kept status, weights and load.

Change: the counts are made when the first request parks and given back when an engine of another owner has no more of them. An engine that is no longer owned drops its status, weights and load. Its run, whether that is leaving, its entry in the list, and open grants stay. One that comes back needs a status before it gets work.

--- a/internal/placement/dispatch.go
+++ b/internal/placement/dispatch.go
@@ -139,16 +139,14 @@
 func (c *Core) park(waiting *waitingRequest, state *engineState, decision scheduling.Decision) {
 	waiting.parkedAt = state
 	waiting.parkedTokens = max(waiting.tokens()-decision.CachedTokens, 0)
-	state.parked[waiting.rank].requests++
-	state.parked[waiting.rank].tokens += waiting.parkedTokens
+	state.park(waiting.rank, waiting.parkedTokens)
 }
 
 func (c *Core) unpark(waiting *waitingRequest) {
 	if waiting.parkedAt == nil {
 		return
 	}
-	waiting.parkedAt.parked[waiting.rank].requests--
-	waiting.parkedAt.parked[waiting.rank].tokens -= waiting.parkedTokens
+	waiting.parkedAt.unpark(waiting.rank, waiting.parkedTokens)
 	waiting.parkedAt = nil
 	waiting.parkedTokens = 0
 }
--- a/internal/placement/engines_test.go
+++ b/internal/placement/engines_test.go
@@ -238,3 +238,26 @@
 	b.core.SetOwned(func(fleet.EngineID) bool { return false })
 	assert.IsType(t, HandBack{}, b.submit(request("s", urgent, "p", 1))[0])
 }
+
+// TestLostOwnershipLeavesOnlyTheRun takes an engine away while a request waits
+// for it and a grant is open, and gives it back.
+func TestLostOwnershipLeavesOnlyTheRun(t *testing.T) {
+	b := newBench(t, 1)
+	state := b.core.engines["engine0"]
+	grant := b.submitGranted(request("open", urgent, "p", 1))
+	b.report(grant, PhaseAccepted)
+	state.park(0, 100)
+	b.core.SetOwned(func(fleet.EngineID) bool { return false })
+	assert.Nil(t, state.status)
+	assert.Nil(t, state.feed)
+	state.unpark(0, 100)
+	assert.Nil(t, state.parked, "the counts outlast the work that waits")
+	b.report(grant, PhaseFinished)
+	assert.Zero(t, b.inFlight())
+
+	b.core.SetOwned(func(fleet.EngineID) bool { return true })
+	assert.Equal(t, []fleet.EngineID{"engine0"}, b.core.NeedsStatus())
+	assert.Empty(t, b.submit(request("waits", urgent, "p", 1)), "its status is of another time")
+	b.core.ObserveStatus(b.now, b.status("engine0", 1))
+	assert.Len(t, b.core.TakeOutcomes(), 1)
+}
--- a/internal/placement/enginestate.go
+++ b/internal/placement/enginestate.go
@@ -58,8 +58,9 @@
 	computing []*grantState
 	inFlight  int
 
-	// parked is the work that waits here for this engine, by rank.
-	parked [maxRank + 1]parkedWork
+	// parked is the work that waits here for this engine, by rank; nil while no
+	// work ever did.
+	parked []parkedWork
 
 	// streamTime is the mean time that streams have lasted here; 0 if none ended.
 	streamTime time.Duration
@@ -92,6 +93,16 @@
 	e.inFlight = 0
 }
 
+// disown drops what only the owner of an engine needs. Its run stays known, and
+// whether that is leaving; grants that are under way end by themselves.
+func (e *engineState) disown() {
+	e.status = nil
+	e.loaded = nil
+	e.load = loadEstimate{}
+	e.streamTime = 0
+	e.releaseParked()
+}
+
 // leave notes the first of list and engine that says the run is leaving. It
 // sticks.
 func (e *engineState) leave(source LeavingSource) {
@@ -173,27 +184,6 @@
 	return low
 }
 
-// maxRank is the highest rank that a configuration allows.
-const maxRank = 100
-
-// parkedWork counts requests that wait for one engine and the prompt tokens
-// that it would compute for them.
-type parkedWork struct {
-	requests int
-	tokens   int
-}
-
-// parkedBefore returns the work that waits for this engine and goes before a
-// request of the given rank.
-func (e *engineState) parkedBefore(rank int) parkedWork {
-	var total parkedWork
-	for _, work := range e.parked[:rank+1] {
-		total.requests += work.requests
-		total.tokens += work.tokens
-	}
-	return total
-}
-
 // streamTimeShare is the weight of the newest stream in the mean.
 const streamTimeShare = 0.1
 
--- a/internal/placement/observe.go
+++ b/internal/placement/observe.go
@@ -183,6 +183,9 @@
 	c.owned = owned
 	for _, state := range c.ordered {
 		state.owned = owned(state.run.Engine)
+		if !state.owned {
+			state.disown()
+		}
 		c.follow(state)
 		c.place(state)
 	}
