Refuse an order for an engine whose run isn't known

A directive concerns one run. At a router that hadn't heard the engine yet, from a list without incarnations, a drain was committed for run 0: "done", and never in force. It is command_impossible now, with the word's column.

Test: each order of an engine without a run, nothing committed. go test -race of operator and router and go test of the simulation pass on a clean copy of this commit; golangci-lint is clean.

--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -234,6 +234,24 @@
 	assert.Equal(t, resultcode.CommandImpossible, f.run("admit e2").Code, "a retired run doesn't come back")
 }
 
+// unheardSource lists an engine that hasn't named its run.
+type unheardSource struct{ *stubSource }
+
+func (unheardSource) Engines() []Engine {
+	return []Engine{{Run: fleet.EngineRun{Engine: "e1"}, State: "unknown"}}
+}
+
+func TestOrderNeedsARun(t *testing.T) {
+	f := newFixture(t, nil)
+	runner := NewRunner(unheardSource{f.source}, f.store, stubReadiness{})
+	for _, statement := range []string{"drain e1", "retire e1", "admit e1", "role e1 decode"} {
+		result := runner.Run(context.Background(), Request{Statement: statement})
+		assert.Equal(t, resultcode.CommandImpossible, result.Code, statement)
+		assert.Positive(t, result.ErrorColumn, statement)
+	}
+	assert.Equal(t, fleet.Revision(10), f.store.document.Revision, "nothing was committed")
+}
+
 func TestVersionsMoveOnlyForward(t *testing.T) {
 	f := newFixture(t, nil)
 	before := f.store.document
--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -93,12 +93,20 @@
 }
 
 func planEngine(name *Word, source Source, mutation func(fleet.EngineRun) Mutation) (Plan, error) {
-	for _, engine := range source.Engines() {
-		if string(engine.Run.Engine) == name.Text {
-			return Plan{Command: &Command{Mutate: mutation(engine.Run)}}, nil
+	engines := source.Engines()
+	position := slices.IndexFunc(engines, func(engine Engine) bool { return string(engine.Run.Engine) == name.Text })
+	if position < 0 {
+		return Plan{}, notFound(name, "engine")
+	}
+	run := engines[position].Run
+	if run.Incarnation == 0 {
+		// An order for no run would be committed and never take effect.
+		return Plan{}, &PlanError{
+			Code: resultcode.CommandImpossible, Column: name.Pos.Column,
+			Message: fmt.Sprintf("this router hasn't heard yet which run of engine %q is up", run.Engine),
 		}
 	}
-	return Plan{}, notFound(name, "engine")
+	return Plan{Command: &Command{Mutate: mutation(run)}}, nil
 }
 
 func notFound(name *Word, noun string) *PlanError {
