--- a/internal/router/placer.go
+++ b/internal/router/placer.go
@@ -166,17 +166,9 @@
 	call := &openCall{request: request, outcome: make(chan placement.Outcome, 1)}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if earlier := p.calls[request.Key]; earlier != nil {
-		close(earlier.outcome)
-		delete(p.calls, request.Key)
-	}
+	p.supersede(request.Key)
 	if len(p.calls) >= p.maxCalls {
-		refusal := placement.Refusal{
-			Key: request.Key, Code: resultcode.Overloaded,
-			Reason: "too many requests wait at this router", RetryAfter: jitter(overloadedRetryAfter),
-		}
-		p.metrics.observeOutcome(request.Class, refusal, 0)
-		call.outcome <- refusal
+		p.refuseOverload(call)
 		return call
 	}
 	p.calls[request.Key] = call
@@ -190,6 +182,26 @@
 	return call
 }
 
+// supersede ends the earlier call of an attempt; the mutex is held.
+func (p *placer) supersede(key placement.Key) {
+	if earlier := p.calls[key]; earlier != nil {
+		close(earlier.outcome)
+		delete(p.calls, key)
+	}
+}
+
+// refuseOverload refuses a call before the core hears of it.
+func (p *placer) refuseOverload(call *openCall) {
+	refusal := placement.Refusal{
+		Key:        call.request.Key,
+		Code:       resultcode.Overloaded,
+		Reason:     "too many requests wait at this router",
+		RetryAfter: jitter(overloadedRetryAfter),
+	}
+	p.metrics.observeOutcome(call.request.Class, refusal, 0)
+	call.outcome <- refusal
+}
+
 // withdraw takes back a call whose agent is gone.
 func (p *placer) withdraw(call *openCall) {
 	p.mutex.Lock()
