Ask a peer for the list of machines as soon as there is one

Cause: since routers with configured peers wait before their first read, one that restarts alone got its engines from a peer after 375 to 625 ms, the pause before the first question.

Change: the first question goes out when the membership shows another router. In a herd nobody knows a list yet and the answers are empty.

Tested: a router whose first read comes after an hour places requests once it has joined.

--- a/internal/router/peerfetch.go
+++ b/internal/router/peerfetch.go
@@ -95,20 +95,41 @@
 // list of machines, while none is known.
 const machineFetchInterval = 500 * time.Millisecond
 
-// fetchMachines asks peers for a list of machines until one is known.
+// fetchMachines asks peers for a list of machines until one is known, at first
+// as soon as there is a peer: a router that restarts alone serves at once.
 func (r *Router) fetchMachines() error {
-	for r.sleep(jitter(machineFetchInterval)) {
-		if r.machines.isKnown() {
-			return nil
-		}
+	r.awaitPeer(jitter(machineFetchInterval))
+	for !r.machines.isKnown() {
 		ctx, cancel := context.WithTimeout(r.life.Context(context.Background()), peerTimeout)
 		if err := r.fetcher.Fetch(ctx, r.holder); err != nil {
 			r.logger.Debug().Err(err).Msg("machine_fetch_failed")
 		}
 		cancel()
+		if !r.sleep(jitter(machineFetchInterval)) {
+			return nil
+		}
 	}
 	return nil
 }
 
+// awaitPeer waits until another router is known, for a bounded time.
+func (r *Router) awaitPeer(longest time.Duration) {
+	timer := time.NewTimer(longest)
+	defer timer.Stop()
+	for {
+		changed := r.peers.Changed()
+		if len(r.peers.View().Routable()) > 1 {
+			return
+		}
+		select {
+		case <-r.life.Dying():
+			return
+		case <-timer.C:
+			return
+		case <-changed:
+		}
+	}
+}
+
 // peerTimeout bounds one question to a peer.
 const peerTimeout = time.Second
