Raise the price of recomputation, and let it follow congestion

Cause: a recomputed token was priced at 25 us, less than its own computation takes (44 us), so that near capacity the fleet recomputed prefixes to avoid queues which the recomputation made.

Ruled out by trials (docs/design/0006 has them): one constant price (right at 0.8 of capacity is too low at 1.0, and what ends a collapse waits too long at 0.8), a price by the unbounded mean queue (one hot engine raises it for all), by the shortest queue (rises too late), by the square, and a discount for long waiters whatever the others do (collapses in overload).

A request that waits for a warm engine pays less the longer it waits while other engines are idle. The clairvoyant keeps its own price, so the limit doesn't move.

--- a/internal/placement/core.go
+++ b/internal/placement/core.go
@@ -25,7 +25,9 @@
 	submitted time.Duration
 	deadline  time.Duration // absolute; 0 means none
 	rank      int
-	model     config.Model
+	// maxWait is the longest wait of its class; 0 means no bound.
+	maxWait time.Duration
+	model   config.Model
 	// lane is where flow control holds the request; its model may have moved to
 	// another pool since.
 	lane flowcontrol.Lane
@@ -152,6 +154,7 @@
 		c.unpark(waiting)
 		if class, found := c.view.Class(waiting.request.Class); found {
 			waiting.rank = class.Rank
+			waiting.maxWait = time.Duration(class.MaxWait)
 		}
 		if model, found := c.view.Model(waiting.request.Weights.Model); found {
 			waiting.model = model
@@ -188,6 +191,7 @@
 	waiting.model, _ = c.view.Model(request.Weights.Model)
 	if class, found := c.view.Class(request.Class); found {
 		waiting.rank = class.Rank
+		waiting.maxWait = time.Duration(class.MaxWait)
 	}
 	waiting.lane = flowcontrol.Lane(waiting.model.Pool)
 	if outcome := c.spill(now, waiting); outcome != nil {
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -35,6 +35,8 @@
 		BlockTokens:  waiting.model.BlockTokens,
 		Excluded:     request.Excluded,
 		Explain:      len(c.endpoints) <= explainedEndpoints,
+
+		RecomputeDiscount: waiting.recomputeDiscount(now, c.options.WarmWaitFraction),
 	}
 	if query.AgentZone == "" {
 		query.AgentZone = c.options.Zone
@@ -45,6 +47,17 @@
 	return c.scheduler.Schedule(query, c.endpoints, c.options.Random)
 }
 
+// recomputeDiscount grows with the time that a request has waited, up to the
+// whole price at the given part of its longest wait. A better class, or requests
+// of which more is cached, may keep a warm engine busy for as long as they come.
+func (w *waitingRequest) recomputeDiscount(now time.Duration, fraction float64) float64 {
+	patience := float64(w.maxWait) * fraction
+	if patience <= 0 {
+		return 0
+	}
+	return min(float64(now-w.submitted)/patience, 1)
+}
+
 // matchBlocks marks the engines with the prefix that each holds.
 func (c *Core) matchBlocks(blocks []fleet.BlockHash) {
 	c.matchStep++
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -13,20 +13,21 @@
 
 // Defaults of Options.
 const (
-	DefaultGrantValid      = 2 * time.Second
-	DefaultReportGrace     = 3 * time.Second
-	DefaultMaxEngineQueue  = 250 * time.Millisecond
-	DefaultReserveFraction = 0.2
-	DefaultReadyFor        = 5 * time.Second
-	DefaultDispatchDelay   = 5 * time.Millisecond
-	DefaultReconsider      = 10 * time.Millisecond
-	DefaultHoldTokens      = 512
-	DefaultMaxHops         = 3
-	DefaultMaxForeignHops  = 8
-	DefaultMaxSpills       = affinity.MaxSpills
-	DefaultSpillWait       = 250 * time.Millisecond
-	DefaultSpillQueue      = 4
-	DefaultExplainRing     = 512
+	DefaultGrantValid       = 2 * time.Second
+	DefaultReportGrace      = 3 * time.Second
+	DefaultMaxEngineQueue   = 250 * time.Millisecond
+	DefaultReserveFraction  = 0.2
+	DefaultReadyFor         = 5 * time.Second
+	DefaultDispatchDelay    = 5 * time.Millisecond
+	DefaultWarmWaitFraction = 0.1
+	DefaultReconsider       = 10 * time.Millisecond
+	DefaultHoldTokens       = 512
+	DefaultMaxHops          = 3
+	DefaultMaxForeignHops   = 8
+	DefaultMaxSpills        = affinity.MaxSpills
+	DefaultSpillWait        = 250 * time.Millisecond
+	DefaultSpillQueue       = 4
+	DefaultExplainRing      = 512
 
 	// defaultScanDepth is deep, because a look at a request that waits for an
 	// engine or a prefix is cheap.
@@ -58,6 +59,10 @@
 	// Reconsider is the least time between two looks at a request that waits
 	// for a warm engine.
 	Reconsider time.Duration
+	// WarmWaitFraction is the part of its class's longest wait after which a
+	// request doesn't wait for a warm engine any more while others are idle. A
+	// negative value means never.
+	WarmWaitFraction float64
 	// HoldTokens is the length of an uncomputed common prefix from which on a
 	// request waits until the engine that computes it is done, since an engine
 	// that got both at once would compute it twice. A negative value means never.
@@ -96,6 +101,7 @@
 	setDefault(&o.ReadyFor, DefaultReadyFor)
 	setDefault(&o.DispatchDelay, DefaultDispatchDelay)
 	setDefault(&o.Reconsider, DefaultReconsider)
+	setDefault(&o.WarmWaitFraction, DefaultWarmWaitFraction)
 	setDefault(&o.HoldTokens, DefaultHoldTokens)
 	setDefault(&o.MaxHops, DefaultMaxHops)
 	setDefault(&o.MaxForeignHops, DefaultMaxForeignHops)
--- a/internal/scheduling/options.go
+++ b/internal/scheduling/options.go
@@ -4,11 +4,14 @@
 
 // Defaults of Options, and of endpoints that haven't reported their speed.
 const (
-	DefaultZonePenalty     = 3 * time.Millisecond
-	DefaultTieFraction     = 0.05
-	DefaultStepTokens      = 2048
-	DefaultPrefillPerToken = 50 * time.Microsecond
-	DefaultStep            = 10 * time.Millisecond
+	DefaultZonePenalty      = 3 * time.Millisecond
+	DefaultRecomputeWeight  = 100 * time.Microsecond
+	DefaultCongestionWeight = 300 * time.Microsecond
+	DefaultCongestedQueue   = 200 * time.Millisecond
+	DefaultTieFraction      = 0.05
+	DefaultStepTokens       = 2048
+	DefaultPrefillPerToken  = 50 * time.Microsecond
+	DefaultStep             = 10 * time.Millisecond
 )
 
 // Options sets the prices that a scheduler compares engines by. A zero field
@@ -21,6 +24,13 @@
 	// prompt token is worth. Prefill takes shared capacity, so at 0 a request
 	// would recompute a long prefix to gain a moment for itself.
 	RecomputeWeight time.Duration
+	// CongestionWeight is added to RecomputeWeight in proportion to the mean
+	// congestion of the candidates: the longer the queues, the more requests wait
+	// behind what is recomputed. Without it, recomputation could keep up the queues
+	// that it is meant to avoid. An engine is congested in full when its queue is
+	// CongestedQueue long.
+	CongestionWeight time.Duration
+	CongestedQueue   time.Duration
 	// TieFraction is how much dearer than the cheapest, in parts of its cost, a
 	// candidate may be and still count as equal. Equal candidates are taken by
 	// the fewest streams in flight, then at random: routers that decide from
@@ -31,8 +41,10 @@
 // DefaultOptions returns options that suit the stand-in engines.
 func DefaultOptions() Options {
 	return Options{
-		ZonePenalty:     DefaultZonePenalty,
-		RecomputeWeight: DefaultPrefillPerToken / 2,
-		TieFraction:     DefaultTieFraction,
+		ZonePenalty:      DefaultZonePenalty,
+		RecomputeWeight:  DefaultRecomputeWeight,
+		CongestionWeight: DefaultCongestionWeight,
+		CongestedQueue:   DefaultCongestedQueue,
+		TieFraction:      DefaultTieFraction,
 	}
 }
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -33,21 +33,29 @@
 	if request.Explain {
 		explanation = make([]Candidate, len(endpoints))
 	}
+	congestion := 0.0
 	for index := range endpoints {
 		endpoint := &endpoints[index]
 		filter := removedBy(&request, endpoint)
-		var scores Scores
 		if filter == "" {
-			scores = s.score(&request, endpoint)
-			candidates = append(candidates, rated{index: index, scores: scores})
+			candidates = append(candidates, rated{index: index})
+			congestion += s.congestionAt(endpoint)
 		}
 		if request.Explain {
-			explanation[index] = Candidate{Run: endpoint.Run, RemovedBy: filter, Scores: scores}
+			explanation[index] = Candidate{Run: endpoint.Run, RemovedBy: filter}
 		}
 	}
 	if len(candidates) == 0 {
 		return Decision{Candidates: explanation}, false
 	}
+	charged := s.prices(congestion/float64(len(candidates)), request.RecomputeDiscount)
+	for position := range candidates {
+		candidate := &candidates[position]
+		candidate.scores = s.score(&request, &endpoints[candidate.index], charged)
+		if request.Explain {
+			explanation[candidate.index].Scores = candidate.scores
+		}
+	}
 	picked, late := s.pick(&request, endpoints, candidates, random)
 	if request.Explain {
 		explanation[picked.index].Chosen = true
@@ -62,8 +70,8 @@
 	}, true
 }
 
-// score predicts the costs of an endpoint.
-func (s *Scheduler) score(request *Request, endpoint *Endpoint) Scores {
+// score predicts the costs of an endpoint, at the prices of a decision.
+func (s *Scheduler) score(request *Request, endpoint *Endpoint, charged prices) Scores {
 	cached := cachedTokens(request, endpoint)
 	uncached := request.PromptTokens - cached
 	return Scores{
@@ -72,6 +80,6 @@
 		Prefill:      prefillTime(endpoint, uncached),
 		Interference: interferenceTime(endpoint, uncached),
 		Zone:         s.zonePrice(request, endpoint),
-		Recompute:    s.recomputePrice(uncached),
+		Recompute:    charged.recompute(uncached),
 	}
 }
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -64,6 +64,9 @@
 	Excluded     []fleet.EngineRun
 	// Deadline is the time left until the first token is of no use; 0 means none.
 	Deadline time.Duration
+	// RecomputeDiscount is the part of the price of recomputation, 0 to 1, that
+	// isn't charged to this request, because it has waited for a warm engine.
+	RecomputeDiscount float64
 	// Explain asks for Decision.Candidates.
 	Explain bool
 }
--- a/lab/emulator/clairvoyant.go
+++ b/lab/emulator/clairvoyant.go
@@ -45,6 +45,7 @@
 func clairvoyantPrices() scheduling.Options {
 	options := scheduling.DefaultOptions()
 	options.RecomputeWeight = clairvoyantRecomputeWeight
+	options.CongestionWeight = 0
 	return options
 }
 
