--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -66,6 +66,7 @@
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	<-signals
 	started.killAll()
+	_ = os.RemoveAll(binaries)
 	os.Exit(1)
 }
 
