--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -78,8 +78,9 @@
 	// repeatable whose idempotency keys are remembered. They are known to
 	// this agent alone and forgotten when it ends.
 	IdempotencyKeys int `yaml:"idempotency_keys" validate:"gte=1"`
-	// AffinityBlocks is the number of leading blocks that choose the router.
-	// Longer beginnings count where one router can't carry the shorter one.
+	// AffinityBlocks is the number of leading blocks that choose the router
+	// while routers share the engines. Longer beginnings count where one router
+	// can't carry the shorter one.
 	AffinityBlocks int `yaml:"affinity_blocks" validate:"gte=1"`
 }
 
