Read the list of machines at once at the start of a router again

Cause: routers with configured peers waited about a second before their first read, to hear of the others. At a cold start agents then asked before there was a list. When all routers restarted within that second with the platform down, nobody knew the engines and requests were handed back for good: TestHerdRestartWithPlatformDown failed in two runs of four (and one earlier whole run of the package). It is the fault of that pause; the state before it passed three runs of three.

Change: the pause is gone.

--- a/internal/router/machinefollower_test.go
+++ b/internal/router/machinefollower_test.go
@@ -192,13 +192,14 @@
 	assert.Equal(t, newer[:1], list.current(), "leaving sticks; the reader has read again")
 }
 
-// TestFirstReadDoesNotHoldUpARestart gives a router an hour until its first read.
-func TestFirstReadDoesNotHoldUpARestart(t *testing.T) {
+// TestRestartedRouterTakesTheListFromAPeer starts a router beside a dead
+// platform, with an hour between two reads.
+func TestRestartedRouterTakesTheListFromAPeer(t *testing.T) {
 	f := newTestFleet(t, 1)
 	f.commitConfiguration()
 	first := f.startReadyRouter("r1")
-	second := f.startReadyRouter("r2", joining(first), func(options *Settings) {
-		options.MachineInterval = settings.Duration(2 * time.Hour)
+	second := f.startReadyRouter("r2", joining(first), cutOff, func(options *Settings) {
+		options.MachineInterval = settings.Duration(time.Hour)
 	})
 	assert.NotNil(t, place(t, second, "q").GetGrant())
 }
--- a/internal/router/platformpoll.go
+++ b/internal/router/platformpoll.go
@@ -11,13 +11,8 @@
 	maxPlatformBackoff = 30 * time.Second
 )
 
-// pollMachines keeps the list of machines up to date until the router stops. A
-// router that is configured with others waits a little to hear of them, so that
-// a restarted herd doesn't read the whole list once each.
+// pollMachines keeps the list of machines up to date until the router stops.
 func (r *Router) pollMachines() error {
-	if len(r.options.Settings.Peers) > 0 && !r.sleep(jitter(time.Duration(r.options.Settings.MachineInterval)/2)) {
-		return nil
-	}
 	return r.pollPlatform("machines", r.listing.interval, r.listing.refresh)
 }
 
--- a/lab/capacity/machinereads.go
+++ b/lab/capacity/machinereads.go
@@ -47,7 +47,7 @@
 			n.queue.After(platformDelay+jittered(random, pause), step)
 		}
 		started := time.Duration(random.Int64N(int64(time.Second)))
-		n.queue.After(started+jittered(random, machineInterval/2), step)
+		n.queue.After(started, step)
 	}
 	n.queue.RunUntil(countedTime)
 	return counter
