Ask for the engines again soon while an agent knows none

Cause: as with the configuration, an agent that has heard a router without a list of machines waited its whole interval. If the routers and the platform die in that second, nobody remembers the engines.

Change: the pause is a quarter of the interval until the list is known. A commit of the lease that lost an ordinary race is logged at debug, as every start of two routers had a warning for it.

Tests: the agent's test of the pause covers both lacks, a new one the level. internal/agent and internal/lease pass with -race.

--- a/internal/agent/routers.go
+++ b/internal/agent/routers.go
@@ -253,6 +253,13 @@
 	}
 }
 
+// knowsEngines tells whether the list of machines has been heard.
+func (r *routers) knowsEngines() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.ranking.machines.GetMachines()) > 0
+}
+
 // reachable tells whether some router has answered within a time.
 func (r *routers) reachable(within time.Duration) bool {
 	r.mutex.Lock()
--- a/internal/agent/sync.go
+++ b/internal/agent/sync.go
@@ -31,11 +31,12 @@
 }
 
 // syncPause returns the time until the next round. It is short while the agent
-// lacks what every request needs: a router, or a configuration. A router that
-// knows none yet answers all the same, and may learn one in the next moment.
+// lacks what every request needs: a router, a configuration, or the engines. A
+// router that knows none yet answers all the same, and may learn in the next
+// moment what the agent alone would remember if the routers died then.
 func (a *Agent) syncPause() time.Duration {
 	interval := time.Duration(a.settings.Sync.Interval)
-	if a.config.Current() == nil || !a.routers.reachable(interval*unreachableIntervals) {
+	if a.config.Current() == nil || !a.routers.knowsEngines() || !a.routers.reachable(interval*unreachableIntervals) {
 		interval /= urgentSyncs
 	}
 	return interval + time.Duration((rand.Float64()-0.5)*syncJitter*float64(interval))
--- a/internal/agent/synctargets_test.go
+++ b/internal/agent/synctargets_test.go
@@ -84,9 +84,10 @@
 	assert.Len(t, followers, routerCount)
 }
 
-// TestAgentWithoutAConfigurationAsksAgainSoon hears a router that knows none
-// itself: a whole interval later the routers that did know may be gone.
-func TestAgentWithoutAConfigurationAsksAgainSoon(t *testing.T) {
+// TestAgentThatLacksSomethingAsksAgainSoon hears a router that knows neither
+// configuration nor engines: a whole interval later the routers that did know
+// may be gone.
+func TestAgentThatLacksSomethingAsksAgainSoon(t *testing.T) {
 	own := DefaultSettings()
 	a, err := New(own, Dependencies{})
 	require.NoError(t, err)
@@ -108,5 +109,8 @@
 		Pools: []config.Pool{{Name: "p", MaxStreams: 1, MaxLoads: 1}},
 	})
 	require.NoError(t, err)
+	assert.Less(t, a.syncPause(), longest/urgentSyncs, "the engines aren't known yet")
+
+	a.routers.learn(nil, &rpc.MachineList{Digest: 1, Machines: []*rpc.Machine{{Id: "engine-1"}}}, 0)
 	assert.Greater(t, a.syncPause(), longest/urgentSyncs)
 }
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 	"gopkg.in/tomb.v2"
 
@@ -126,7 +127,7 @@
 	defer cancel()
 	err := k.tables.Commit(ctx, transaction)
 	if err != nil {
-		k.logger.Warn().Err(err).Msg("lease_commit_failed")
+		k.logger.WithLevel(commitFailureLevel(err)).Err(err).Msg("lease_commit_failed")
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -165,3 +166,11 @@
 	record, _ := k.election.Observed()
 	k.logger.Warn().Str("holder", string(record.Holder)).Uint64("token", uint64(record.Token)).Msg("lease_lost")
 }
+
+// commitFailureLevel is debug for a lost race: some candidate always loses.
+func commitFailureLevel(err error) zerolog.Level {
+	if errors.Is(err, platform.ErrConflict) {
+		return zerolog.DebugLevel
+	}
+	return zerolog.WarnLevel
+}
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -97,3 +98,9 @@
 		assert.LessOrEqual(t, clock.Now()-before, 2*testSettings.Duration/callFraction)
 	})
 }
+
+func TestLostRaceIsNoWarning(t *testing.T) {
+	lost := errors.Wrap(platform.ErrConflict, "commit")
+	assert.Equal(t, zerolog.DebugLevel, commitFailureLevel(lost))
+	assert.Equal(t, zerolog.WarnLevel, commitFailureLevel(errors.Wrap(platform.ErrUnknownOutcome, "commit")))
+}
