Name metrics and log events alike in agents and routers

The agent said config_revision, config_accepted, config_rejected and config_encode_failed where the router says configuration_...; its fields first_token, duration and grace had no unit while the router's end in _ms; platform_failed and platform_recovered of the configuration lacked the call that those of the machine list have; signal_received named the node without its run, so that it couldn't be told from the run before.

Both roles now use the router's names: the gauge is tillerfall_agent_configuration_revision, and the events configuration_learned, _rejected and _encode_failed.

Tests: signal_received is checked for the run's identifier.

--- a/cmd/tillerfall/main_test.go
+++ b/cmd/tillerfall/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http/httptest"
@@ -13,10 +14,11 @@
 
 	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/logging"
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/rpc"
 )
@@ -167,6 +169,7 @@
 	stops    atomic.Int32
 }
 
+func (p *stubProcess) Node() fleet.NodeID    { return "router-1-0a1b2c3d" }
 func (p *stubProcess) Start() error          { close(p.started); return nil }
 func (p *stubProcess) Dead() <-chan struct{} { return nil }
 func (p *stubProcess) Err() error            { return nil }
@@ -180,7 +183,8 @@
 func TestSecondSignalChangesNothing(t *testing.T) {
 	process := &stubProcess{started: make(chan struct{}), stopping: make(chan struct{}), release: make(chan struct{})}
 	ended := make(chan error, 1)
-	go func() { ended <- runProcess(process, zerolog.Nop()) }()
+	var log bytes.Buffer
+	go func() { ended <- runProcess(process, logging.New(&log, "router", "router-1", "info")) }()
 	<-process.started
 	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
 	<-process.stopping
@@ -195,4 +199,5 @@
 	close(process.release)
 	require.ErrorIs(t, <-ended, io.EOF)
 	assert.EqualValues(t, 1, process.stops.Load())
+	assert.Regexp(t, `node=router-1-0a1b2c3d event=signal_received signal=terminated\n$`, log.String())
 }
--- a/cmd/tillerfall/process.go
+++ b/cmd/tillerfall/process.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/settings"
 )
@@ -74,6 +75,8 @@
 
 // process is a part of the system that runs until it is stopped.
 type process interface {
+	// Node returns the identifier of this run.
+	Node() fleet.NodeID
 	Start() error
 	// Stop stops as planned and waits; it may be called more than once.
 	Stop() error
@@ -93,7 +96,7 @@
 	}
 	select {
 	case received := <-signals:
-		logger.Info().Str("signal", received.String()).Msg("signal_received")
+		logger.Info().Str("node", string(process.Node())).Str("signal", received.String()).Msg("signal_received")
 		return process.Stop()
 	case <-process.Dead():
 		return process.Err()
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -148,6 +148,9 @@
 // Address returns the address that a started agent listens on.
 func (a *Agent) Address() fleet.Address { return fleet.Address(a.listener.Addr().String()) }
 
+// Node returns the identifier of this run.
+func (a *Agent) Node() fleet.NodeID { return a.node }
+
 // Dead is closed when the agent has ended.
 func (a *Agent) Dead() <-chan struct{} { return a.life.Dead() }
 
@@ -184,7 +187,7 @@
 	grace := time.Duration(a.settings.StopGrace)
 	idle := a.running.shut()
 	a.server.SetKeepAlivesEnabled(false)
-	a.logger.Info().Dur("grace", grace).Msg("agent_stopping")
+	a.logger.Info().Dur("grace_ms", grace).Msg("agent_stopping")
 	select {
 	case <-idle:
 	case <-time.After(grace):
--- a/internal/agent/handlers.go
+++ b/internal/agent/handlers.go
@@ -136,7 +136,7 @@
 		Str("tenant", string(c.call.tenant.Name)).Str("class", string(c.call.class)).Str("model", c.call.body.Model).
 		Int("prompt_tokens", c.call.promptTokens).Int("cached_tokens", c.usage.CachedTokens).
 		Int("output_tokens", c.machine.Emitted()).Int("dispatches", stats.Dispatches).Int("resumes", stats.Resumes).
-		Dur("first_token", firstToken).Dur("duration", a.clock.Now()-c.call.arrived).
+		Dur("first_token_ms", firstToken).Dur("duration_ms", a.clock.Now()-c.call.arrived).
 		Msg("request_finished")
 }
 
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -51,7 +51,7 @@
 		droppedEvents:  newCounter("dropped_events_total", "Answers and frames that came for closed operations."),
 		droppedReports: newCounter("dropped_reports_total", "Reports to routers that were given up."),
 		running:        newGauge("running_requests", "Unfinished requests."),
-		revision:       newGauge("config_revision", "Revision of the configuration in force."),
+		revision:       newGauge("configuration_revision", "Revision of the configuration in force."),
 		routerFailures: newCounter("router_failures_total", "Calls to routers that got no answer."),
 		spills:         newCounter("spills_total", "Requests handed back by saturated routers."),
 	}
--- a/internal/agent/sync.go
+++ b/internal/agent/sync.go
@@ -111,7 +111,7 @@
 	}
 	snapshot, err := config.SnapshotMessage(view.Document())
 	if err != nil {
-		a.logger.Error().Err(err).Msg("config_encode_failed")
+		a.logger.Error().Err(err).Msg("configuration_encode_failed")
 		return nil
 	}
 	return snapshot
@@ -126,13 +126,13 @@
 	accepted, err := a.offerConfig(answer)
 	a.snapshotWanted.Store(err != nil)
 	if err != nil {
-		a.logger.Warn().Err(err).Str("router", string(from.address)).Msg("config_rejected")
+		a.logger.Warn().Err(err).Str("router", string(from.address)).Msg("configuration_rejected")
 		return
 	}
 	if accepted {
 		a.metrics.revision.Set(float64(a.config.Revision()))
 		a.logger.Info().Uint64("revision", uint64(a.config.Revision())).
-			Str("router", string(from.address)).Msg("config_accepted")
+			Str("router", string(from.address)).Msg("configuration_learned")
 	}
 }
 
--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -12,6 +12,10 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
+// platformCall names the reads of the configuration in log lines, as the
+// metrics of platform calls do.
+const platformCall = "configuration"
+
 // Peers fetches configurations from other nodes.
 type Peers interface {
 	// Fetch asks one peer for what follows the holder's revision and offers
@@ -160,10 +164,10 @@
 func (p *PlatformFollower) logTransition(err error) {
 	failing := err != nil
 	if failing && !p.failing {
-		p.options.Logger.Warn().Err(err).Msg("platform_failed")
+		p.options.Logger.Warn().Str("call", platformCall).Err(err).Msg("platform_failed")
 	}
 	if !failing && p.failing {
-		p.options.Logger.Info().Msg("platform_recovered")
+		p.options.Logger.Info().Str("call", platformCall).Msg("platform_recovered")
 	}
 	p.failing = failing
 }
--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -342,7 +342,7 @@
 		})
 	}
 	eventually(f.t, fmt.Sprintf("the agent has revision %d", revision), func() bool {
-		return f.processes["agent-1"].logged("event=config_accepted", fmt.Sprintf("revision=%d ", revision)) > 0
+		return f.processes["agent-1"].logged("event=configuration_learned", fmt.Sprintf("revision=%d ", revision)) > 0
 	})
 }
 
