Don't speak of an outcome where a read of the platform fails

The client named a broken read as it names a write, and wrapped that text into ErrUnavailable: "outcome unknown: platform unavailable". The code that callers branch on was right, the text wasn't: a read has no outcome.

A read's lost answer, or a gateway's status, is now ErrUnavailable from the start. Writes are unchanged. A read whose request can't be built is now ErrInvalid rather than ErrUnavailable; all paths are constants, so this can't be met.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -143,9 +143,9 @@
 // read sends a request without effect: whatever fails is ErrUnavailable unless
 // the service said otherwise.
 func (c *Client) read(ctx context.Context, path string, query url.Values) ([]byte, error) {
-	answer, err := c.do(ctx, http.MethodGet, path, query, nil)
+	answer, err := c.do(ctx, http.MethodGet, path, query, nil, ErrUnavailable)
 	if err != nil {
-		return nil, errors.Wrap(ErrUnavailable, err.Error())
+		return nil, err
 	}
 	if answer.status == http.StatusOK {
 		if answer.bodyErr != nil {
@@ -153,17 +153,17 @@
 		}
 		return answer.body, nil
 	}
-	err = statusError(answer)
-	if errors.Is(err, ErrUnknownOutcome) {
-		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	kind := statusKind(answer.status)
+	if errors.Is(kind, ErrUnknownOutcome) {
+		kind = ErrUnavailable
 	}
-	return nil, err
+	return nil, statusErrorOf(kind, answer)
 }
 
 // write sends a request that has an effect. Success is known from the status
 // line, so that a body that breaks off changes nothing.
 func (c *Client) write(ctx context.Context, method, path string, query url.Values, body []byte) error {
-	answer, err := c.do(ctx, method, path, query, bytes.NewReader(body))
+	answer, err := c.do(ctx, method, path, query, bytes.NewReader(body), ErrUnknownOutcome)
 	if err != nil {
 		return err
 	}
--- a/internal/platform/decode.go
+++ b/internal/platform/decode.go
@@ -14,10 +14,14 @@
 // maxErrorText bounds the part of an error body that goes into an error.
 const maxErrorText = 200
 
-// statusError maps an answer that isn't a success. Statuses that an
+// statusError maps a write's answer that isn't a success. Statuses that an
 // intermediary may send after the service took effect leave the outcome open.
 func statusError(answer answer) error {
-	return errors.Wrapf(statusKind(answer.status), "status %d: %s", answer.status, errorText(answer.body))
+	return statusErrorOf(statusKind(answer.status), answer)
+}
+
+func statusErrorOf(kind error, answer answer) error {
+	return errors.Wrapf(kind, "status %d: %s", answer.status, errorText(answer.body))
 }
 
 func statusKind(status int) error {
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -47,9 +47,9 @@
 }
 
 // do sends one request. Its error is ErrUnavailable if no connection was had,
-// and ErrUnknownOutcome if one was: net/http doesn't tell for certain whether
-// a byte has left by then.
-func (c *Client) do(ctx context.Context, method, path string, query url.Values, body *bytes.Reader) (answer, error) {
+// and lost if one was: net/http doesn't tell for certain whether a byte has
+// left by then.
+func (c *Client) do(ctx context.Context, method, path string, query url.Values, body *bytes.Reader, lost error) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var connected atomic.Bool
@@ -63,7 +63,7 @@
 	response, err := c.http.Do(request)
 	if err != nil {
 		if connected.Load() {
-			return answer{}, errors.Wrap(ErrUnknownOutcome, err.Error())
+			return answer{}, errors.Wrap(lost, err.Error())
 		}
 		return answer{}, errors.Wrap(ErrUnavailable, err.Error())
 	}
