Keep the counting of bytes, the lab's configuration and version changes once each

Three copies of a listener that counts bytes (the benchmark of internal/peer, lab/capacity, lab/hollow) did the same, except that the benchmark's gave a connection with Accept's error; so did the two readings of a configuration file in cmd/tillerlab, and the beginnings of promoteVersion and retireVersion.

They are now lab/bytecount, readConfiguration and changeVersions; the test of a directive's run and kind is one function too. Behaviour is unchanged.

Tests: lab/bytecount has its own; go test -race of lab/bytecount, lab/capacity, lab/hollow and internal/operator passes, and BenchmarkProbe runs (200 iterations). cmd/tillerlab has no tests; it was built and vetted.

--- a/cmd/tillerlab/fleet.go
+++ b/cmd/tillerlab/fleet.go
@@ -28,13 +28,9 @@
 
 // Execute implements flags.Commander.
 func (c *fleetCommand) Execute([]string) error {
-	source, err := os.ReadFile(c.Config)
+	document, err := readConfiguration(c.Config)
 	if err != nil {
-		return errors.Wrap(err, "read configuration")
-	}
-	document, problems := config.Parse(source)
-	if err := problems.Err(); err != nil {
-		return errors.Wrap(err, c.Config)
+		return err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
 	defer cancel()
--- a/cmd/tillerlab/hollow.go
+++ b/cmd/tillerlab/hollow.go
@@ -7,7 +7,6 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/tillerfall/tillerfall/internal/config"
 	"github.com/tillerfall/tillerfall/lab/capacity"
 	"github.com/tillerfall/tillerfall/lab/hollow"
 )
@@ -27,13 +26,9 @@
 
 // Execute implements flags.Commander.
 func (c *hollowCommand) Execute([]string) error {
-	source, err := os.ReadFile(c.Config)
+	document, err := readConfiguration(c.Config)
 	if err != nil {
-		return errors.Wrap(err, "read configuration")
-	}
-	document, problems := config.Parse(source)
-	if err := problems.Err(); err != nil {
-		return errors.Wrap(err, c.Config)
+		return err
 	}
 	if c.Kills >= c.Routers {
 		return errors.Errorf("%d of %d hollow routers can't crash: one has to see it", c.Kills, c.Routers)
--- a/internal/operator/mutate.go
+++ b/internal/operator/mutate.go
@@ -26,17 +26,19 @@
 			return document, resultcode.New(resultcode.CommandImpossible, fmt.Sprintf("engine %q isn't drained", run.Engine))
 		}
 		next := config.Canonical(document)
-		next.Directives = slices.DeleteFunc(next.Directives, func(directive config.Directive) bool {
-			return concerns(directive, run) && directive.Kind == config.DirectiveDrain
-		})
+		next.Directives = slices.DeleteFunc(next.Directives, isDirective(run, config.DirectiveDrain))
 		return next, nil
 	}
 }
 
 func hasDirective(document config.Document, run fleet.EngineRun, kind config.DirectiveKind) bool {
-	return slices.ContainsFunc(document.Directives, func(directive config.Directive) bool {
+	return slices.ContainsFunc(document.Directives, isDirective(run, kind))
+}
+
+func isDirective(run fleet.EngineRun, kind config.DirectiveKind) func(config.Directive) bool {
+	return func(directive config.Directive) bool {
 		return concerns(directive, run) && directive.Kind == kind
-	})
+	}
 }
 
 // directEngine sets a standing order, in place of an earlier one of its kind.
@@ -70,21 +72,12 @@
 // before stays loaded until it is retired, for requests that were admitted
 // under it and for a way back.
 func promoteVersion(target fleet.Weights) Mutation {
-	return func(document config.Document) (config.Document, error) {
-		next := config.Canonical(document)
-		versions, err := versionsOf(&next, target)
-		if err != nil {
-			return document, err
-		}
-		position, err := findVersion(versions, target)
-		if err != nil {
-			return document, err
-		}
+	return changeVersions(target, func(versions []config.Version, position int) error {
 		switch versions[position].State {
 		case config.VersionServing:
-			return document, resultcode.New(resultcode.CommandImpossible, fmt.Sprintf("version %q is serving already", target.Version))
+			return resultcode.New(resultcode.CommandImpossible, fmt.Sprintf("version %q is serving already", target.Version))
 		case config.VersionRetired:
-			return document, resultcode.New(resultcode.CommandImpossible, fmt.Sprintf("version %q is retired", target.Version))
+			return resultcode.New(resultcode.CommandImpossible, fmt.Sprintf("version %q is retired", target.Version))
 		}
 		for index := range versions {
 			if versions[index].State == config.VersionServing {
@@ -92,12 +85,26 @@
 			}
 		}
 		versions[position].State = config.VersionServing
-		return next, nil
-	}
+		return nil
+	})
 }
 
 // retireVersion takes a version that doesn't serve out of use.
 func retireVersion(target fleet.Weights) Mutation {
+	return changeVersions(target, func(versions []config.Version, position int) error {
+		if versions[position].State == config.VersionServing {
+			return resultcode.New(resultcode.CommandImpossible,
+				fmt.Sprintf("version %q is serving; promote another first", target.Version))
+		}
+		versions[position].State = config.VersionRetired
+		return nil
+	})
+}
+
+// changeVersions changes the versions of the model or adapter that a target is
+// a version of; position is the target's among them. If change fails, the
+// document stays as it was.
+func changeVersions(target fleet.Weights, change func(versions []config.Version, position int) error) Mutation {
 	return func(document config.Document) (config.Document, error) {
 		next := config.Canonical(document)
 		versions, err := versionsOf(&next, target)
@@ -108,11 +115,9 @@
 		if err != nil {
 			return document, err
 		}
-		if versions[position].State == config.VersionServing {
-			return document, resultcode.New(resultcode.CommandImpossible,
-				fmt.Sprintf("version %q is serving; promote another first", target.Version))
+		if err := change(versions, position); err != nil {
+			return document, err
 		}
-		versions[position].State = config.VersionRetired
 		return next, nil
 	}
 }
--- a/internal/peer/wire_test.go
+++ b/internal/peer/wire_test.go
@@ -13,48 +13,21 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/lab/bytecount"
 )
 
-// countingListener counts the bytes of all its connections, HTTP's included.
-type countingListener struct {
-	net.Listener
-	bytes atomic.Int64
-}
-
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	return &countingConn{Conn: conn, bytes: &l.bytes}, err
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c *countingConn) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c *countingConn) Write(buffer []byte) (int, error) {
-	n, err := c.Conn.Write(buffer)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // BenchmarkProbe reports what a probe and its answer cost in bytes of the TCP
 // stream and in time, on a connection that is kept.
 func BenchmarkProbe(b *testing.B) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b, err)
-	counting := &countingListener{Listener: listener}
+	var bytes atomic.Int64
 	address := fleet.Address(listener.Addr().String())
 	self := membership.Member{Node: "router-0001-8f14e45fceea", Address: address, Region: "region-0", Zone: "region-0-zone-0"}
 	target, err := New(Options{Membership: membership.Options{Self: self}, Holder: config.NewHolder(), Logger: zerolog.Nop()})
 	require.NoError(b, err)
 	server := &http.Server{Handler: rpc.NewPeerServer(target)}
-	go func() { _ = server.Serve(counting) }()
+	go func() { _ = server.Serve(bytecount.NewListener(listener, &bytes)) }()
 	defer server.Close()
 
 	sender := self
@@ -65,5 +38,5 @@
 		_, err := target.client(address).Gossip(b.Context(), message.Encode())
 		require.NoError(b, err)
 	}
-	b.ReportMetric(float64(counting.bytes.Load())/float64(b.N), "stream-bytes/probe")
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "stream-bytes/probe")
 }
--- a/lab/capacity/calls.go
+++ b/lab/capacity/calls.go
@@ -15,48 +15,16 @@
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/platform"
 	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/lab/bytecount"
 )
 
-// countingListener counts the bytes of its connections, both ways.
-type countingListener struct {
-	net.Listener
-	bytes atomic.Int64
-}
-
-// Accept implements net.Listener.
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: conn, bytes: &l.bytes}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c *countingConn) Read(data []byte) (int, error) {
-	count, err := c.Conn.Read(data)
-	c.bytes.Add(int64(count))
-	return count, err
-}
-
-// Write implements net.Conn.
-func (c *countingConn) Write(data []byte) (int, error) {
-	count, err := c.Conn.Write(data)
-	c.bytes.Add(int64(count))
-	return count, err
-}
-
 // endpoint is a server of fixed answers on loopback.
 type endpoint struct {
-	listener *countingListener
-	server   *http.Server
-	client   *http.Client
-	url      string
+	server *http.Server
+	client *http.Client
+	url    string
+	// bytes counts both directions.
+	bytes atomic.Int64
 }
 
 func newEndpoint(handler http.Handler) (*endpoint, error) {
@@ -65,12 +33,11 @@
 		return nil, err
 	}
 	e := &endpoint{
-		listener: &countingListener{Listener: listener},
-		server:   &http.Server{Handler: handler},
-		client:   &http.Client{Transport: &http.Transport{}},
-		url:      "http://" + listener.Addr().String(),
+		server: &http.Server{Handler: handler},
+		client: &http.Client{Transport: &http.Transport{}},
+		url:    "http://" + listener.Addr().String(),
 	}
-	go func() { _ = e.server.Serve(e.listener) }()
+	go func() { _ = e.server.Serve(bytecount.NewListener(listener, &e.bytes)) }()
 	return e, nil
 }
 
@@ -97,7 +64,7 @@
 			return callCost{}, err
 		}
 	}
-	before := e.listener.bytes.Load()
+	before := e.bytes.Load()
 	calls := 0
 	taken := processorTimeOf(o.Sizes.ProcessorTime, func(int) {
 		calls++
@@ -105,7 +72,7 @@
 			failed = err
 		}
 	})
-	bytes := float64(e.listener.bytes.Load()-before) / float64(calls)
+	bytes := float64(e.bytes.Load()-before) / float64(calls)
 	return callCost{bytes: bytes, microseconds: microseconds(taken)}, failed
 }
 
--- a/lab/hollow/node.go
+++ b/lab/hollow/node.go
@@ -17,6 +17,7 @@
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/peer"
 	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/lab/bytecount"
 )
 
 // Regions and zones over which the hollow routers are spread.
@@ -69,7 +70,7 @@
 		return nil, errors.Wrap(err, "set up peer")
 	}
 	started.server = &http.Server{Handler: counted.handler(rpc.NewPeerServer(started.peer))}
-	go func() { _ = started.server.Serve(&countingListener{Listener: listener, bytes: &counted.bytes}) }()
+	go func() { _ = started.server.Serve(bytecount.NewListener(listener, &counted.bytes)) }()
 	started.peer.Start()
 	return started, nil
 }
@@ -91,40 +92,6 @@
 	})
 }
 
-// countingListener counts the bytes of its connections, both ways.
-type countingListener struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-// Accept implements net.Listener.
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: conn, bytes: l.bytes}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c *countingConn) Read(data []byte) (int, error) {
-	count, err := c.Conn.Read(data)
-	c.bytes.Add(int64(count))
-	return count, err
-}
-
-// Write implements net.Conn.
-func (c *countingConn) Write(data []byte) (int, error) {
-	count, err := c.Conn.Write(data)
-	c.bytes.Add(int64(count))
-	return count, err
-}
-
 // operator sends statements to a real router.
 type operator struct{ client rpc.Operations }
 
