Make two tests give the same verdict every run

Change: bytes count before they are sent, less what wasn't; a test holds it. The stub's failure waits for the reads under way, so that none is served after it. Both assertions stand as they were.

--- a/internal/router/machinefollower_test.go
+++ b/internal/router/machinefollower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -23,17 +24,29 @@
 type countedMachines struct {
 	platform.Machines
 	reads atomic.Int64
-	down  atomic.Bool
+
+	// mutex is held for reading by each read of the list, so that none that
+	// began before setDown goes on after it.
+	mutex sync.RWMutex
+	down  bool
 }
 
 func (c *countedMachines) ListMachines(ctx context.Context) ([]platform.Machine, error) {
+	c.mutex.RLock()
+	defer c.mutex.RUnlock()
 	c.reads.Add(1)
-	if c.down.Load() {
+	if c.down {
 		return nil, errors.New("the platform is down")
 	}
 	return c.Machines.ListMachines(ctx)
 }
 
+func (c *countedMachines) setDown(down bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.down = down
+}
+
 // startCounted starts routers of one region that join through the first.
 func startCounted(t *testing.T, f *testFleet, count int) (routers []*Router, lists []*countedMachines) {
 	var seeds []fleet.Address
@@ -138,7 +151,7 @@
 	routers, lists := startCounted(t, f, 5)
 	awaitListed(t, []string{"a"}, routers...)
 	for _, list := range lists {
-		list.down.Store(true)
+		list.setDown(true)
 	}
 	f.platform.SetMachines([]platform.Machine{machine("b", 1, platform.MachineLive)})
 	for _, list := range lists {
@@ -146,7 +159,7 @@
 	}
 	awaitListed(t, []string{"a"}, routers...)
 	for _, list := range lists {
-		list.down.Store(false)
+		list.setDown(false)
 	}
 	awaitListed(t, []string{"b"}, routers...)
 }
@@ -156,10 +169,10 @@
 	f.platform.SetMachines([]platform.Machine{machine("a", 1, platform.MachineLive)})
 	routers, lists := startCounted(t, f, 2)
 	awaitListed(t, []string{"a"}, routers...)
-	lists[0].down.Store(true)
+	lists[0].setDown(true)
 	f.platform.SetMachines([]platform.Machine{machine("b", 1, platform.MachineLive)})
 	awaitListed(t, []string{"b"}, routers...)
-	lists[1].down.Store(true)
+	lists[1].setDown(true)
 	f.platform.SetMachines(nil)
 	awaitReads(t, lists[1], 2)
 	awaitListed(t, []string{"b"}, routers...)
@@ -173,7 +186,7 @@
 	answer := &rpc.ChangesResponse{}
 	r.listing.answer(&rpc.ChangesRequest{MachinesFollowed: true}, answer)
 	assert.True(t, answer.GetMachinesCurrent())
-	lists[0].down.Store(true)
+	lists[0].setDown(true)
 	require.Eventually(t, func() bool { return !r.listing.isCurrent() }, patience, pollTime)
 	answer = &rpc.ChangesResponse{}
 	r.listing.answer(&rpc.ChangesRequest{MachinesFollowed: true}, answer)
--- a/lab/bytecount/bytecount.go
+++ b/lab/bytecount/bytecount.go
@@ -39,9 +39,11 @@
 	return count, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. The bytes are counted before they are sent, so that
+// whoever has read an answer finds it counted.
 func (c *conn) Write(data []byte) (int, error) {
+	c.bytes.Add(int64(len(data)))
 	count, err := c.Conn.Write(data)
-	c.bytes.Add(int64(count))
+	c.bytes.Add(int64(count - len(data)))
 	return count, err
 }
--- a/lab/bytecount/bytecount_test.go
+++ b/lab/bytecount/bytecount_test.go
@@ -10,6 +10,27 @@
 	"github.com/stretchr/testify/require"
 )
 
+// sendingConn notes what is counted at the moment of sending, and sends a part.
+type sendingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+	seen  int64
+}
+
+func (c *sendingConn) Write(data []byte) (int, error) {
+	c.seen = c.bytes.Load()
+	return len(data) - 1, io.ErrShortWrite
+}
+
+func TestBytesAreCountedBeforeTheyAreSent(t *testing.T) {
+	var bytes atomic.Int64
+	inner := &sendingConn{bytes: &bytes}
+	_, err := (&conn{Conn: inner, bytes: &bytes}).Write([]byte("answer"))
+	require.ErrorIs(t, err, io.ErrShortWrite)
+	assert.EqualValues(t, 6, inner.seen)
+	assert.EqualValues(t, 5, bytes.Load(), "what wasn't sent doesn't count")
+}
+
 // TestBytesOfBothDirectionsAreCounted exchanges 5 and 3 bytes.
 func TestBytesOfBothDirectionsAreCounted(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
--- a/lab/capacity/calls.go
+++ b/lab/capacity/calls.go
@@ -57,8 +57,7 @@
 func (e *endpoint) cost(o Options, call func(ctx context.Context) error) (callCost, error) {
 	var failed error
 	ctx := context.Background()
-	// The server may count an answer after the client has read it: the second
-	// call makes sure that a large first one is counted.
+	// The first call may fetch a whole list; the second uses the kept connection.
 	for range 2 {
 		if err := call(ctx); err != nil {
 			return callCost{}, err
