Let Owners take any name, not leases dressed as engines

Cause: the readers of the machine list and the simulated lease passed their keys as engine identifiers, because Owners took nothing else; a newcomer looks for an engine of that name. Owners now takes any string type. The hash is of the same bytes, so nobody's owner changes.

Ran: membership, fleetsync, lab/simulation and lab/spill pass, lint is clean.

--- a/internal/fleetsync/readers.go
+++ b/internal/fleetsync/readers.go
@@ -27,7 +27,7 @@
 		}
 	}
 	var readers []membership.Member
-	for _, node := range membership.Owners(fleet.EngineID(readersKey+string(region)), local, readersPerRegion) {
+	for _, node := range membership.Owners(readersKey+string(region), local, readersPerRegion) {
 		index := slices.IndexFunc(local, func(member membership.Member) bool { return member.Node == node })
 		readers = append(readers, local[index])
 	}
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -39,12 +39,13 @@
 	}
 }
 
-// Owners returns the routers that index an engine, best first, by rendezvous
-// hashing (Thaler and Ravishankar 1998): when a member comes or goes, only the
-// engines that it gains or loses change owner. Members that aren't routable
-// own nothing. With 0 replicas every routable member is an owner.
-func Owners(engine fleet.EngineID, members []Member, replicas int) []fleet.NodeID {
-	return firstOwners(rankEngine(engine, members, nil), replicas)
+// Owners returns the routers that own what the name stands for, an engine or a
+// task such as a lease, best first, by rendezvous hashing (Thaler and
+// Ravishankar 1998): when a member comes or goes, only what it gains or loses
+// changes owner. Members that aren't routable own nothing. With 0 replicas every
+// routable member is an owner.
+func Owners[Name ~string](name Name, members []Member, replicas int) []fleet.NodeID {
+	return firstOwners(rankEngine(fleet.EngineID(name), members, nil), replicas)
 }
 
 // OwnersNear is Owners that takes routers of the engine's zone first, then of
--- a/lab/simulation/rollout.go
+++ b/lab/simulation/rollout.go
@@ -41,7 +41,7 @@
 }
 
 func (r *router) shareLease() {
-	candidates := membership.Owners(fleet.EngineID(leaseSettings.Key), r.members.View().Routable(), rolloutCandidates)
+	candidates := membership.Owners(leaseSettings.Key, r.members.View().Routable(), rolloutCandidates)
 	r.election.SetEligible(slices.Contains(candidates, r.node))
 }
 
