--- a/Makefile
+++ b/Makefile
@@ -17,14 +17,14 @@
 	go test -count=1 -timeout 20m ./...
 
 lint: $(BIN)/golangci-lint
-	test -z "$$(gofmt -l cmd internal lab test)"
+	test -z "$$(gofmt -l cmd internal lab platform test)"
 	$(BIN)/golangci-lint run ./...
 
 $(BIN)/golangci-lint:
 	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
 
 format:
-	gofmt -w cmd internal lab test
+	gofmt -w cmd internal lab platform test
 
 generate:
 	buf generate
--- /dev/null
+++ b/cmd/tillerfall/gateway.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog/diode"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/gateway"
+	"github.com/tillerfall/tillerfall/internal/logging"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+	"github.com/tillerfall/tillerfall/platform"
+)
+
+// gatewayCommand runs a gateway on the platform.
+type gatewayCommand struct {
+	Settings    string `long:"settings" description:"Settings file; by default the platform's variable names it"`
+	MetricsPort int    `long:"metrics-port" description:"Port that serves metrics at /metrics on the machine's address; 0 serves none"`
+	LogLevel    string `long:"log-level" default:"info" description:"Least level that is logged"`
+	Check       bool   `long:"check" description:"Check the settings file and end"`
+}
+
+// Constants of the process.
+const (
+	// logLines is the number of lines that wait for a slow reader of the logs;
+	// more are dropped and counted.
+	logLines = 4096
+	// gcPercent trades processor time for memory: the gateway's live heap is small.
+	gcPercent = 60
+	// memoryPart is the part of the machine's memory at which collections become
+	// frequent.
+	memoryPart = 0.7
+	megabyte   = 1 << 20
+)
+
+// Execute implements flags.Commander.
+func (c *gatewayCommand) Execute([]string) error {
+	path := c.Settings
+	if path == "" {
+		path = os.Getenv(platform.SettingsVariable)
+	}
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	if c.Check {
+		return nil
+	}
+	debug.SetGCPercent(gcPercent)
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryPart * megabyte))
+	}
+	output := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) {
+		_, _ = os.Stderr.WriteString("event=log_lines_lost count=" + strconv.Itoa(missed) + "\n")
+	})
+	defer func() { _ = output.Close() }()
+	logger := logging.New(output, "gateway", fleet.NodeID(settings.Node), c.LogLevel)
+	registry := prometheus.NewRegistry()
+	store := platform.NewStore(settings.StoreAddress)
+	process, err := gateway.New(*settings, gateway.Outside{
+		Platform: store,
+		Leases:   platform.NewLeaseTables(store),
+		Engines:  platform.NewEngines(),
+		Codec:    platform.Codec{},
+	}, logger, registry)
+	if err != nil {
+		return resultcode.New(resultcode.SettingsInvalid, err.Error())
+	}
+	if c.MetricsPort > 0 {
+		if err := serveMetrics(settings.FrontAddress, c.MetricsPort, registry); err != nil {
+			return err
+		}
+	}
+	return runProcess(process, logger)
+}
+
+// serveMetrics serves the registry on the host of an address.
+func serveMetrics(address string, port int, registry *prometheus.Registry) error {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return resultcode.New(resultcode.SettingsInvalid, err.Error())
+	}
+	listener, err := net.Listen("tcp4", net.JoinHostPort(host, strconv.Itoa(port)))
+	if err != nil {
+		return resultcode.New(resultcode.SettingsInvalid, "metrics: "+err.Error())
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
--- a/cmd/tillerfall/main.go
+++ b/cmd/tillerfall/main.go
@@ -1,5 +1,5 @@
-// Command tillerfall is the product's one binary: agent, router, and the
-// operator's tools.
+// Command tillerfall is the product's one binary: agent, router,
+// gateway, and the operator's tools.
 package main
 
 import (
@@ -26,6 +26,7 @@
 type commandLine struct {
 	Agent    agentCommand    `command:"agent" description:"Run the agent beside a caller"`
 	Router   routerCommand   `command:"router" description:"Run a router"`
+	Gateway  gatewayCommand  `command:"gateway" description:"Run a gateway on the platform"`
 	Validate validateCommand `command:"validate" description:"Check a configuration or settings file"`
 	Control  controlCommand  `command:"ctl" description:"Run a statement of the operators' language"`
 	Apply    applyCommand    `command:"apply" description:"Commit a whole configuration from a file"`
--- a/cmd/tillerfall/operatingpage_test.go
+++ b/cmd/tillerfall/operatingpage_test.go
@@ -12,13 +12,13 @@
 	"github.com/stretchr/testify/require"
 )
 
-const operatingPage = "../../docs/OPERATING.md"
+const operatingPage = "../../docs/OPERATIONS.md"
 
 var (
 	// loggedEvent finds the name of an event where it is logged, or passed to
 	// the agent's method that logs an exchange with an engine.
 	loggedEvent = regexp.MustCompile(`(?:\bMsg\(|logEngineError\()"([a-z_]+)"`)
-	eventRow    = regexp.MustCompile("(?m)^\\| ((?:`[a-z_]+`(?: d)?(?:, )?)+) \\| (?:both|router|agent) \\|")
+	eventRow    = regexp.MustCompile("(?m)^\\| ((?:`[a-z_]+`(?: d)?(?:, )?)+) \\| (?:both|router|agent|gateway|all) \\|")
 	quotedName  = regexp.MustCompile("`([a-z_]+)`")
 	loggedLine  = regexp.MustCompile(`event=([a-z_]+)`)
 )
@@ -42,7 +42,7 @@
 }
 
 // TestPageNamesTheLoggedEvents compares the table of events in
-// docs/OPERATING.md, and its examples of lines, with the code.
+// docs/OPERATIONS.md, and its examples of lines, with the code.
 func TestPageNamesTheLoggedEvents(t *testing.T) {
 	data, err := os.ReadFile(operatingPage)
 	require.NoError(t, err)
--- a/internal/agent/operatingpage_test.go
+++ b/internal/agent/operatingpage_test.go
@@ -10,10 +10,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestPageNamesTheAgentsMetrics compares docs/OPERATING.md with what an agent
+// TestPageNamesTheAgentsMetrics compares docs/OPERATIONS.md with what an agent
 // registers.
 func TestPageNamesTheAgentsMetrics(t *testing.T) {
-	data, err := os.ReadFile("../../docs/OPERATING.md")
+	data, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	registry := prometheus.NewRegistry()
 	newMetrics(registry)
--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -21,6 +21,10 @@
 	// Burst bounds what can be saved up; it covers the streams that one engine
 	// loses at once.
 	Burst float64
+	// Initial is what the budget holds at its start; 0 means Burst, and a
+	// negative one means nothing. Processes that share a bound and restart often
+	// start with nothing, so that restarts earn no retries.
+	Initial float64
 }
 
 // Defaults of BudgetOptions.
@@ -49,7 +53,11 @@
 	if options.Burst <= 0 {
 		options.Burst = DefaultBudgetBurst
 	}
-	return &Budget{options: options, tokens: options.Burst}
+	initial := options.Initial
+	if initial == 0 {
+		initial = options.Burst
+	}
+	return &Budget{options: options, tokens: min(max(initial, 0), options.Burst)}
 }
 
 // Deposit implements RetryBudget.
--- /dev/null
+++ b/internal/attempt/forwarding.go
@@ -0,0 +1,226 @@
+package attempt
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+)
+
+// Bounds on tries that don't count as runs.
+const (
+	// maxUnsent bounds the workers that could not be reached for one request.
+	maxUnsent = 4
+	// maxRejections bounds the workers that turned one request away unrun.
+	maxRejections = 3
+	// minTimeLeft is the time left below which no other worker is tried.
+	minTimeLeft = 15 * time.Millisecond
+)
+
+// ForwardingPolicy says what may be done for one opaque request.
+type ForwardingPolicy struct {
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	// Resumable streams may go on at another worker behind the last event.
+	Resumable bool
+	// RetryFailures has an idempotent request tried elsewhere when a worker
+	// answers that it failed.
+	RetryFailures bool
+	// MaxRuns bounds the workers at which the request may have run; at least 1.
+	MaxRuns int
+	// Deadline is when the final answer is due, on the caller's clock.
+	Deadline time.Duration
+	// RetryAfter is what a caller is told whose request did not run.
+	RetryAfter time.Duration
+}
+
+// Forwarding decides how one request is carried whose body and answer are
+// opaque: whether a failed try is followed by another, and what the caller is
+// told. It has no I/O and no clock, and isn't safe for concurrent use.
+//
+// It holds three guarantees. A request that isn't idempotent is sent again only
+// if every earlier send certainly did not run. A failure whose code says "not
+// run" is given only if no send may have run. Once an answer has begun to go to
+// the caller nothing is tried again but the rest of a resumable stream.
+type Forwarding struct {
+	policy ForwardingPolicy
+	budget RetryBudget
+
+	excluded   []fleet.EngineRun
+	sends      int
+	unsent     int
+	rejections int
+	// mayHaveRun counts the sends that may have run.
+	mayHaveRun int
+	delivering bool
+}
+
+// NewForwarding returns the machine of a new request and notes the request in
+// the budget of retries.
+func NewForwarding(now time.Duration, policy ForwardingPolicy, budget RetryBudget) *Forwarding {
+	policy.MaxRuns = max(policy.MaxRuns, 1)
+	budget.Deposit(now)
+	return &Forwarding{policy: policy, budget: budget}
+}
+
+// Excluded lists the runs that failed this request.
+func (f *Forwarding) Excluded() []fleet.EngineRun { return f.excluded }
+
+// Sends counts the sends so far.
+func (f *Forwarding) Sends() int { return f.sends }
+
+// MayHaveRun tells whether any send may have run.
+func (f *Forwarding) MayHaveRun() bool { return f.mayHaveRun > 0 }
+
+// StepKind tells what is to be done next.
+type StepKind int
+
+// Kinds of steps.
+const (
+	// StepSend asks for a worker outside Excluded and a send to it.
+	StepSend StepKind = iota
+	// StepDeliver passes the answer on.
+	StepDeliver
+	// StepFail ends the request with a failure of the system's own.
+	StepFail
+	// StepBreak breaks the answer off that is being passed on, so that the
+	// caller can't take it for complete.
+	StepBreak
+)
+
+// Step is what is to be done next.
+type Step struct {
+	Kind StepKind
+	// Code, Reason and RetryAfter belong to StepFail.
+	Code       resultcode.Code
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// NotSent takes in that no byte of a send left this side.
+func (f *Forwarding) NotSent(now time.Duration, run fleet.EngineRun) Step {
+	f.exclude(run)
+	f.unsent++
+	if f.unsent > maxUnsent {
+		return f.giveUp(resultcode.NoEngine, "workers unreachable")
+	}
+	return f.again(now, false)
+}
+
+// Rejected takes in a worker's word that it didn't run the request.
+func (f *Forwarding) Rejected(now time.Duration, run fleet.EngineRun) Step {
+	f.exclude(run)
+	f.sends++
+	f.rejections++
+	if f.rejections > maxRejections {
+		return f.giveUp(resultcode.Overloaded, "workers full")
+	}
+	return f.again(now, true)
+}
+
+// Unanswered takes in that a send got no answer, or none of its own: the worker
+// may have run it.
+func (f *Forwarding) Unanswered(now time.Duration, run fleet.EngineRun) Step {
+	f.exclude(run)
+	f.sends++
+	f.mayHaveRun++
+	return f.afterRun(now)
+}
+
+// Answered takes in a worker's own answer. failed is set for a failure of the
+// worker.
+func (f *Forwarding) Answered(now time.Duration, run fleet.EngineRun, failed bool) Step {
+	f.sends++
+	f.mayHaveRun++
+	if failed && f.policy.RetryFailures && f.policy.Idempotent && !f.delivering && f.runsLeft() &&
+		f.timeLeft(now) && f.budget.Withdraw(now) {
+		f.exclude(run)
+		return Step{Kind: StepSend}
+	}
+	return Step{Kind: StepDeliver}
+}
+
+// Began notes that the caller has got the beginning of an answer.
+func (f *Forwarding) Began() { f.delivering = true }
+
+// Broken takes in that an answer ended before its end, after Answered.
+func (f *Forwarding) Broken(now time.Duration, run fleet.EngineRun) Step {
+	f.exclude(run)
+	if !f.delivering {
+		return f.afterRun(now)
+	}
+	if !f.policy.Resumable || !f.runsLeft() || !f.timeLeft(now) || !f.budget.Withdraw(now) {
+		return Step{Kind: StepBreak}
+	}
+	return Step{Kind: StepSend}
+}
+
+// NoWorker takes in that no worker can be chosen. reason tells why.
+func (f *Forwarding) NoWorker(reason string) Step {
+	return f.giveUp(resultcode.NoEngine, reason)
+}
+
+// Expired takes in that the time for a final answer is over.
+func (f *Forwarding) Expired() Step {
+	if f.delivering {
+		return Step{Kind: StepBreak}
+	}
+	if f.mayHaveRun > 0 {
+		return Step{Kind: StepFail, Code: resultcode.DeadlineExceeded, Reason: "no answer in time"}
+	}
+	return f.giveUp(resultcode.DeadlineTooShort, "not begun in time")
+}
+
+// Interrupted takes in that a send was broken off by this side at its deadline.
+func (f *Forwarding) Interrupted() Step {
+	f.sends++
+	f.mayHaveRun++
+	return f.Expired()
+}
+
+// afterRun decides after a send that may have run.
+func (f *Forwarding) afterRun(now time.Duration) Step {
+	switch {
+	case f.delivering:
+		return f.Broken(now, fleet.EngineRun{})
+	case !f.policy.Idempotent:
+		return Step{Kind: StepFail, Code: resultcode.OutcomeUnknown, Reason: "the worker may have run it"}
+	case !f.runsLeft():
+		return Step{Kind: StepFail, Code: resultcode.EngineFailed, Reason: "no more workers allowed"}
+	default:
+		return f.again(now, true)
+	}
+}
+
+// again tries another worker if time and, for a send, the budget allow it.
+func (f *Forwarding) again(now time.Duration, spend bool) Step {
+	if !f.timeLeft(now) {
+		return f.Expired()
+	}
+	if spend && !f.budget.Withdraw(now) {
+		return f.giveUp(resultcode.RetryBudget, "retry budget spent")
+	}
+	return Step{Kind: StepSend}
+}
+
+// giveUp ends a request that can't be placed.
+func (f *Forwarding) giveUp(code resultcode.Code, reason string) Step {
+	switch {
+	case f.delivering:
+		return Step{Kind: StepBreak}
+	case f.mayHaveRun > 0:
+		return Step{Kind: StepFail, Code: resultcode.EngineFailed, Reason: reason}
+	default:
+		return Step{Kind: StepFail, Code: code, Reason: reason, RetryAfter: f.policy.RetryAfter}
+	}
+}
+
+func (f *Forwarding) runsLeft() bool { return f.mayHaveRun < f.policy.MaxRuns }
+
+func (f *Forwarding) timeLeft(now time.Duration) bool { return now+minTimeLeft < f.policy.Deadline }
+
+func (f *Forwarding) exclude(run fleet.EngineRun) {
+	if run != (fleet.EngineRun{}) {
+		f.excluded = append(f.excluded, run)
+	}
+}
--- /dev/null
+++ b/internal/backends/choose.go
@@ -0,0 +1,261 @@
+package backends
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Request is what a choice needs to know of a request.
+type Request struct {
+	Service  fleet.PoolName
+	Excluded []fleet.EngineRun
+	// Free tells whether this node has a connection left for a worker; nil
+	// means always.
+	Free func(worker *Worker) bool
+	// Engine is set for requests to language-model engines.
+	Engine *EngineRequest
+}
+
+// Reasons why no worker could be chosen.
+const (
+	ReasonNoWorker  = "no_worker"
+	ReasonExcluded  = "all_tried"
+	ReasonUnsettled = "none_ready"
+	ReasonFull      = "full"
+	ReasonVersion   = "none_at_version"
+)
+
+// Placement is a chosen worker, with what the choice went by. Exactly one call
+// of End must follow.
+type Placement struct {
+	Worker Worker
+	// InFlight and PrefillTokens are the worker's load over all nodes at the choice.
+	InFlight      int
+	PrefillTokens int
+	// Candidates counts the workers that could have been chosen.
+	Candidates int
+	// FailureRate is the worker's mean failure rate at the choice.
+	FailureRate float64
+	// Engine is set for engines.
+	Engine *EnginePlacement
+
+	registry *Registry
+	state    *state
+	begun    time.Duration
+	prefill  int
+	first    bool
+	ended    bool
+}
+
+// Outcome tells how a request at a worker went.
+type Outcome int
+
+// Outcomes.
+const (
+	// Succeeded means that the worker's whole answer came.
+	Succeeded Outcome = iota
+	// Failed means that the worker answered that it failed.
+	Failed
+	// Refused means that the worker didn't run the request because it was full
+	// or leaving.
+	Refused
+	// Mismatched means that another run, or another version, was found there.
+	Mismatched
+	// Unreachable means that nothing could be sent.
+	Unreachable
+	// Lost means that no whole answer came.
+	Lost
+	// Cancelled means that this side ended the request.
+	Cancelled
+)
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	return [...]string{"succeeded", "failed", "refused", "mismatched", "unreachable", "lost", "cancelled"}[o]
+}
+
+// Choose chooses a worker and counts the request there. Without one it returns
+// a reason.
+func (r *Registry) Choose(now time.Duration, request *Request) (*Placement, string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	candidates, reason := r.candidates(now, request)
+	if len(candidates) == 0 {
+		return nil, reason
+	}
+	if request.Engine != nil {
+		return r.chooseEngine(now, request, candidates)
+	}
+	return r.choosePlain(now, candidates), ""
+}
+
+// candidates returns the workers that may get a request: settled ones if there
+// are any, else also those about which there is doubt.
+func (r *Registry) candidates(now time.Duration, request *Request) ([]*state, string) {
+	listed := r.states[:0]
+	lapsed, excluded, full := 0, 0, 0
+	for _, known := range r.workers {
+		if known.worker.Service != request.Service {
+			continue
+		}
+		if !known.listed() && !known.lapsed(now) {
+			continue
+		}
+		if slices.Contains(request.Excluded, known.worker.Run()) {
+			excluded++
+			continue
+		}
+		if request.Free != nil && !request.Free(&known.worker) {
+			full++
+			continue
+		}
+		if known.gone {
+			lapsed++
+		}
+		listed = append(listed, known)
+	}
+	r.states = listed
+	if lapsed > 0 && lapsed < len(listed) {
+		listed = slices.DeleteFunc(listed, func(known *state) bool { return known.gone })
+	}
+	switch {
+	case len(listed) > 0:
+		return preferSettled(now, listed), ""
+	case full > 0:
+		return nil, ReasonFull
+	case excluded > 0:
+		return nil, ReasonExcluded
+	default:
+		return nil, ReasonNoWorker
+	}
+}
+
+// preferSettled leaves out workers that are in doubt, unless all are.
+func preferSettled(now time.Duration, listed []*state) []*state {
+	settled := 0
+	for _, known := range listed {
+		if known.settled(now) {
+			settled++
+		}
+	}
+	if settled == 0 || settled == len(listed) {
+		return listed
+	}
+	return slices.DeleteFunc(listed, func(known *state) bool { return !known.settled(now) })
+}
+
+// choosePlain takes the worker with the least load by its slots, failures and
+// slowness; the own zone breaks ties.
+func (r *Registry) choosePlain(now time.Duration, candidates []*state) *Placement {
+	mean := meanFailureRate(now, candidates)
+	var best *state
+	bestCost := math.Inf(1)
+	for _, known := range candidates {
+		cost := r.plainCost(now, known, mean)
+		if cost < bestCost {
+			best, bestCost = known, cost
+		}
+	}
+	return r.begin(now, best, len(candidates), 0)
+}
+
+// Parts of a plain worker's cost, in requests in flight at one slot.
+const (
+	foreignZoneCost = 0.04
+	tieCost         = 0.02
+)
+
+func (r *Registry) plainCost(now time.Duration, known *state, meanFailures float64) float64 {
+	load := r.total(now, known)
+	slots := float64(max(known.worker.Slots, 1))
+	cost := (float64(load.InFlight) + 1) / slots
+	cost *= max(known.slowness, 1)
+	excess := max(known.failureRate(now)-meanFailures, 0)
+	cost *= 1 + excess*8
+	if known.worker.Zone != r.options.Zone {
+		cost += foreignZoneCost
+	}
+	return cost + r.options.Random.Float64()*tieCost
+}
+
+// meanFailureRate returns the lowest rate among candidates: answers that fail
+// for the request's own sake fail everywhere.
+func meanFailureRate(now time.Duration, candidates []*state) float64 {
+	lowest := 1.0
+	for _, known := range candidates {
+		lowest = min(lowest, known.failureRate(now))
+	}
+	return lowest
+}
+
+// begin counts a request at a worker.
+func (r *Registry) begin(now time.Duration, chosen *state, candidates, prefill int) *Placement {
+	load := r.total(now, chosen)
+	chosen.inFlight++
+	chosen.prefill += prefill
+	return &Placement{
+		Worker:        chosen.worker,
+		InFlight:      load.InFlight,
+		PrefillTokens: load.PrefillTokens,
+		Candidates:    candidates,
+		FailureRate:   chosen.failureRate(now),
+		registry:      r,
+		state:         chosen,
+		begun:         now,
+		prefill:       prefill,
+	}
+}
+
+// FirstByte notes that the worker's answer has begun.
+func (p *Placement) FirstByte(now time.Duration) {
+	r := p.registry
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if p.first || p.ended {
+		return
+	}
+	p.first = true
+	p.state.prefill -= p.prefill
+	p.state.trust()
+	if p.Engine != nil {
+		p.state.measure(now-p.begun, p.Engine.Predicted)
+		r.noteHeld(now, p)
+	}
+}
+
+// End notes how the request went. Later calls do nothing.
+func (p *Placement) End(now time.Duration, outcome Outcome) {
+	r := p.registry
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if p.ended {
+		return
+	}
+	p.ended = true
+	known := p.state
+	known.inFlight--
+	if !p.first {
+		known.prefill -= p.prefill
+	}
+	switch outcome {
+	case Succeeded:
+		known.note(now, false)
+		known.trust()
+	case Failed, Refused:
+		known.note(now, true)
+	case Mismatched:
+		known.doubtUntil = now + doubtFor
+	case Unreachable:
+		known.note(now, true)
+		known.suspect(now)
+	case Lost:
+		known.note(now, true)
+		if !p.first {
+			known.suspect(now)
+		}
+	case Cancelled:
+	}
+}
--- /dev/null
+++ b/internal/backends/engine.go
@@ -0,0 +1,256 @@
+package backends
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/scheduling"
+)
+
+// EngineRequest is what a choice among engines needs besides.
+type EngineRequest struct {
+	ID       fleet.RequestID
+	Model    fleet.ModelName
+	Tenant   fleet.TenantName
+	Isolated bool
+	// Parts is the prompt; the last part belongs to the request or its session.
+	Parts        []Part
+	PromptTokens int
+	OutputTokens int
+	// TimeLeft is the time within which the first event should come; 0 if unknown.
+	TimeLeft time.Duration
+	// TokenBytes, LinkMegabits describe the engines, to predict moves of KV cache.
+	TokenBytes   int
+	LinkMegabits float64
+	// Store is a store of kept KV cache that may hold the parts; empty if none.
+	Store fleet.Address
+}
+
+// EnginePlacement is what a placement at an engine adds.
+type EnginePlacement struct {
+	// Version is the version of the weights that the engine is believed to run.
+	Version WeightsVersion
+	// Scope separates the cached parts that may be shared from all others.
+	Scope string
+	// CachedTokens and ImportedTokens are the expected parts of the prompt that
+	// need no prefill.
+	CachedTokens   int
+	ImportedTokens int
+	// ImportFrom is the holder from which the engine should take over what it
+	// lacks; empty if it lacks nothing that somebody holds.
+	ImportFrom fleet.Address
+	// SaveTo is the store that should get the parts; empty if it has them.
+	SaveTo fleet.Address
+	// Predicted is the time until the first event.
+	Predicted time.Duration
+	// Home is set when the engine is the one that all nodes choose first for
+	// the prompt's shared parts.
+	Home bool
+
+	hashes []fleet.BlockHash
+	store  fleet.EngineRun
+}
+
+// Predictions of moves of KV cache.
+const (
+	importSetup = 2 * time.Millisecond
+	// importSharing is the part of a link's bandwidth that a move is predicted to get.
+	importSharing = 0.5
+	bitsPerByte   = 8
+	megabit       = 1e6
+)
+
+// chooseEngine lets the scheduler choose; the mutex is held.
+func (r *Registry) chooseEngine(now time.Duration, request *Request, candidates []*state) (*Placement, string) {
+	engine := request.Engine
+	candidates = r.atVersion(engine.Model, candidates)
+	if len(candidates) == 0 {
+		return nil, ReasonVersion
+	}
+	shared := max(len(engine.Parts)-1, 0)
+	home := homeOf(engine, shared, candidates)
+	r.endpoints = r.endpoints[:0]
+	r.parts.expire(now)
+	scopes := make(map[WeightsVersion]*scoped)
+	for _, known := range candidates {
+		version := known.worker.Versions[engine.Model]
+		if scopes[version] == nil {
+			scopes[version] = r.lookUp(engine, version)
+		}
+		r.endpoints = append(r.endpoints, r.endpoint(now, engine, known, scopes[version], shared, home))
+	}
+	ends := cumulate(engine.Parts)
+	decision, found := r.scheduler.Schedule(scheduling.Request{
+		ID:           engine.ID,
+		Pool:         request.Service,
+		AgentZone:    r.options.Zone,
+		PromptTokens: engine.PromptTokens,
+		PartTokens:   ends,
+		Deadline:     engine.TimeLeft,
+	}, r.endpoints, r.options.Random)
+	if !found {
+		return nil, ReasonFull
+	}
+	chosen := candidates[decision.Index]
+	version := chosen.worker.Versions[engine.Model]
+	known := scopes[version]
+	prefill := engine.PromptTokens - decision.CachedTokens - decision.ImportedTokens
+	placement := r.begin(now, chosen, len(candidates), prefill)
+	placement.Engine = &EnginePlacement{
+		Version:        version,
+		Scope:          known.scope,
+		CachedTokens:   decision.CachedTokens,
+		ImportedTokens: decision.ImportedTokens,
+		Predicted:      decision.FirstToken,
+		Home:           chosen.worker.ID == home,
+		hashes:         known.hashes,
+		store:          storeRun(engine.Store),
+	}
+	r.chooseSources(placement, known, shared, home)
+	if engine.Store != "" && known.stored < shared {
+		placement.Engine.SaveTo = engine.Store
+	}
+	if placement.Engine.ImportFrom == "" && known.held[chosen.worker.ID] < shared {
+		placement.Engine.ImportFrom = engine.Store
+	}
+	return placement, ""
+}
+
+// atVersion keeps the engines whose version is new enough.
+func (r *Registry) atVersion(model fleet.ModelName, candidates []*state) []*state {
+	required := r.required[model]
+	kept := candidates[:0]
+	for _, known := range candidates {
+		version, serves := known.worker.Versions[model]
+		if serves && version >= required {
+			kept = append(kept, known)
+		}
+	}
+	return kept
+}
+
+// scoped is what is known of a prompt's parts in one scope.
+type scoped struct {
+	scope  string
+	hashes []fleet.BlockHash
+	// held counts, by engine, the leading parts that it is believed to hold.
+	held map[fleet.EngineID]int
+	// stored counts those that the store is believed to hold.
+	stored int
+}
+
+func (r *Registry) lookUp(engine *EngineRequest, version WeightsVersion) *scoped {
+	scope := Scope(engine.Model, version, engine.Tenant, engine.Isolated)
+	known := &scoped{scope: scope, hashes: hashParts(scope, engine.Parts), held: make(map[fleet.EngineID]int)}
+	r.matches = r.parts.index.Lookup(known.hashes, r.matches)
+	store := storeRun(engine.Store)
+	for _, match := range r.matches {
+		if match.Run == store {
+			known.stored = match.Blocks
+			continue
+		}
+		known.held[match.Run.Engine] = match.Blocks
+	}
+	return known
+}
+
+// homeOf returns the engine that every node chooses first for the shared parts
+// of a prompt, so that they are read at one engine without any talk.
+func homeOf(engine *EngineRequest, shared int, candidates []*state) fleet.EngineID {
+	if shared == 0 {
+		return ""
+	}
+	key := engine.Parts[shared-1].ID
+	if engine.Isolated {
+		key += "/" + string(engine.Tenant)
+	}
+	var home fleet.EngineID
+	var highest uint64
+	for _, known := range candidates {
+		weight := membership.RendezvousWeight(key, string(known.worker.ID))
+		if home == "" || weight > highest {
+			home, highest = known.worker.ID, weight
+		}
+	}
+	return home
+}
+
+// endpoint describes an engine to the scheduler.
+func (r *Registry) endpoint(now time.Duration, engine *EngineRequest, known *state, parts *scoped, shared int, home fleet.EngineID) scheduling.Endpoint {
+	load := r.total(now, known)
+	perToken := time.Duration(float64(r.options.PrefillPerToken) * max(known.slowness, 1))
+	held := parts.held[known.worker.ID]
+	if known.worker.ID == home {
+		held = max(held, shared)
+	}
+	endpoint := scheduling.Endpoint{
+		Run:             known.worker.Run(),
+		Address:         known.worker.Address,
+		Zone:            known.worker.Zone,
+		Pool:            known.worker.Service,
+		Ready:           true,
+		Serves:          servesAll,
+		InFlight:        load.InFlight,
+		MaxStreams:      maxStreams(known.worker.Slots),
+		PrefillTokens:   load.PrefillTokens,
+		PrefillPerToken: perToken,
+		Step:            r.options.Step,
+		CachedBlocks:    held,
+		Risk:            time.Duration(known.failureRate(now) * float64(riskTime)),
+	}
+	if shared > held && engine.LinkMegabits > 0 {
+		endpoint.ImportBlocks = shared
+		endpoint.ImportSetup = importSetup
+		bits := float64(engine.TokenBytes) * bitsPerByte
+		endpoint.ImportPerToken = time.Duration(bits / (engine.LinkMegabits * megabit * importSharing) * float64(time.Second))
+	}
+	return endpoint
+}
+
+// queuedPart is how many requests beyond its slots an engine may be sent, as a
+// part of the slots.
+const queuedPart = 2
+
+func maxStreams(slots int) int { return slots + slots/queuedPart }
+
+func servesAll(fleet.Weights) bool { return true }
+
+// chooseSources names the holder from which the engine takes what it lacks: an
+// engine believed to hold the shared parts, else their home, else the store.
+func (r *Registry) chooseSources(placement *Placement, known *scoped, shared int, home fleet.EngineID) {
+	engine := placement.Engine
+	own := known.held[placement.Worker.ID]
+	if shared == 0 || own >= shared {
+		return
+	}
+	best, bestHeld := fleet.Address(""), max(own, known.stored)
+	for id, held := range known.held {
+		source := r.workers[id]
+		if source == nil || id == placement.Worker.ID || !source.listed() || min(held, shared) <= bestHeld {
+			continue
+		}
+		best, bestHeld = source.worker.Address, min(held, shared)
+	}
+	if best == "" && !engine.Home && known.stored == 0 {
+		if source := r.workers[home]; source != nil {
+			best = source.worker.Address
+		}
+	}
+	engine.ImportFrom = best
+}
+
+// noteHeld records what the engine and the store hold once an answer has begun.
+func (r *Registry) noteHeld(now time.Duration, placement *Placement) {
+	engine := placement.Engine
+	r.parts.store(now, placement.Worker.Run(), engine.hashes)
+	if engine.SaveTo != "" && len(engine.hashes) > 1 {
+		r.parts.add(engine.store)
+		r.parts.store(now, engine.store, engine.hashes[:len(engine.hashes)-1])
+	}
+}
+
+// storeRun is the name under which the index holds a store's parts.
+func storeRun(address fleet.Address) fleet.EngineRun {
+	return fleet.EngineRun{Engine: fleet.EngineID("store:" + address)}
+}
--- /dev/null
+++ b/internal/backends/load.go
@@ -0,0 +1,70 @@
+package backends
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Load is one node's requests at one worker.
+type Load struct {
+	Engine fleet.EngineID
+	// InFlight counts the requests sent and not ended.
+	InFlight int
+	// PrefillTokens is the prompt work of those that haven't begun to answer.
+	PrefillTokens int
+}
+
+// peerLoad is another node's word on its load.
+type peerLoad struct {
+	at    time.Duration
+	loads map[fleet.EngineID]Load
+}
+
+// OwnLoad returns this node's load, workers without any left out.
+func (r *Registry) OwnLoad() []Load {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var loads []Load
+	for id, known := range r.workers {
+		if known.inFlight > 0 {
+			loads = append(loads, Load{Engine: id, InFlight: known.inFlight, PrefillTokens: known.prefill})
+		}
+	}
+	slices.SortFunc(loads, func(a, b Load) int { return cmp.Compare(a.Engine, b.Engine) })
+	return loads
+}
+
+// ObservePeer takes in another node's load.
+func (r *Registry) ObservePeer(now time.Duration, node fleet.NodeID, loads []Load) {
+	byEngine := make(map[fleet.EngineID]Load, len(loads))
+	for _, load := range loads {
+		byEngine[load.Engine] = load
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.peers[node] = peerLoad{at: now, loads: byEngine}
+}
+
+// ForgetPeer drops what a node that is gone has said.
+func (r *Registry) ForgetPeer(node fleet.NodeID) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.peers, node)
+}
+
+// total returns the load of a worker over all nodes; the mutex is held.
+func (r *Registry) total(now time.Duration, known *state) Load {
+	total := Load{Engine: known.worker.ID, InFlight: known.inFlight, PrefillTokens: known.prefill}
+	for _, peer := range r.peers {
+		if now > peer.at+peerLoadValid {
+			continue
+		}
+		load := peer.loads[known.worker.ID]
+		total.InFlight += load.InFlight
+		total.PrefillTokens += load.PrefillTokens
+	}
+	return total
+}
--- /dev/null
+++ b/internal/backends/registry.go
@@ -0,0 +1,232 @@
+package backends
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/prefixindex"
+	"github.com/tillerfall/tillerfall/internal/scheduling"
+)
+
+// Options sets up a Registry.
+type Options struct {
+	// Zone is where this node is.
+	Zone fleet.ZoneName
+	// Random breaks ties; required.
+	Random *rand.Rand
+	// Scheduling sets the prices of a choice among engines.
+	Scheduling scheduling.Options
+	// PrefillPerToken is the time that an engine takes for a prompt token before
+	// any was measured.
+	PrefillPerToken time.Duration
+	// Step is the time of an engine's batch step.
+	Step time.Duration
+	// MaxParts bounds the remembered cached parts.
+	MaxParts int
+}
+
+// Defaults of Options.
+const (
+	DefaultPrefillPerToken = 26 * time.Microsecond
+	DefaultStep            = 6 * time.Millisecond
+	DefaultMaxParts        = 1 << 16
+)
+
+// Registry is what a node knows of the workers.
+type Registry struct {
+	options   Options
+	scheduler *scheduling.Scheduler
+
+	mutex   sync.Mutex
+	workers map[fleet.EngineID]*state
+	// tombstones holds the revision at which a row went, for workers forgotten.
+	tombstones map[fleet.EngineID]fleet.Revision
+	peers      map[fleet.NodeID]peerLoad
+	required   map[fleet.ModelName]WeightsVersion
+	parts      *partIndex
+	// endpoints and states are buffers of a choice.
+	endpoints []scheduling.Endpoint
+	states    []*state
+	matches   []prefixindex.Match
+}
+
+// New returns an empty registry.
+func New(options Options) *Registry {
+	if options.PrefillPerToken <= 0 {
+		options.PrefillPerToken = DefaultPrefillPerToken
+	}
+	if options.Step <= 0 {
+		options.Step = DefaultStep
+	}
+	if options.MaxParts <= 0 {
+		options.MaxParts = DefaultMaxParts
+	}
+	return &Registry{
+		options:    options,
+		scheduler:  scheduling.New(options.Scheduling),
+		workers:    make(map[fleet.EngineID]*state),
+		tombstones: make(map[fleet.EngineID]fleet.Revision),
+		peers:      make(map[fleet.NodeID]peerLoad),
+		required:   make(map[fleet.ModelName]WeightsVersion),
+		parts:      newPartIndex(options.MaxParts),
+	}
+}
+
+// Change tells what an observation changed.
+type Change string
+
+// Changes of a worker.
+const (
+	Unchanged  Change = ""
+	Added      Change = "added"
+	Returned   Change = "returned"
+	Began      Change = "draining"
+	Gone       Change = "gone"
+	NewVersion Change = "version"
+)
+
+// Observe takes in a worker's row at a revision of the store.
+func (r *Registry) Observe(revision fleet.Revision, worker Worker) Change {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.workers[worker.ID]
+	if known == nil {
+		if revision <= r.tombstones[worker.ID] {
+			return Unchanged
+		}
+		r.workers[worker.ID] = &state{worker: worker, revision: revision, slowness: 1}
+		r.parts.add(worker.Run())
+		return Added
+	}
+	if revision <= known.revision {
+		return Unchanged
+	}
+	change := Unchanged
+	switch {
+	case worker.Draining && !known.worker.Draining:
+		change = Began
+	case known.gone:
+		change = Returned
+	case !maps.Equal(known.worker.Versions, worker.Versions):
+		change = NewVersion
+	}
+	worker.Draining = worker.Draining || known.worker.Draining
+	if !maps.Equal(known.worker.Versions, worker.Versions) {
+		known.doubtUntil = 0
+	}
+	known.worker, known.revision, known.gone = worker, revision, false
+	return change
+}
+
+// ObserveGone takes in that a worker's row went at a revision.
+func (r *Registry) ObserveGone(now time.Duration, revision fleet.Revision, id fleet.EngineID) Change {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.workers[id]
+	if known == nil {
+		r.tombstones[id] = max(r.tombstones[id], revision)
+		return Unchanged
+	}
+	if revision <= known.revision || known.gone {
+		known.revision = max(known.revision, revision)
+		return Unchanged
+	}
+	known.gone, known.goneAt, known.revision = true, now, revision
+	return Gone
+}
+
+// ObserveAll takes in a whole read of the rows as of a revision: workers that it
+// doesn't name, and whose rows are not newer than the read, are gone.
+func (r *Registry) ObserveAll(now time.Duration, revision fleet.Revision, named map[fleet.EngineID]bool) []fleet.EngineID {
+	r.mutex.Lock()
+	var missing []fleet.EngineID
+	for id, known := range r.workers {
+		if !known.gone && !named[id] && known.revision <= revision {
+			missing = append(missing, id)
+		}
+	}
+	r.mutex.Unlock()
+	slices.Sort(missing)
+	gone := missing[:0]
+	for _, id := range missing {
+		if r.ObserveGone(now, revision+1, id) == Gone {
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
+// Forget drops the workers that have been gone for keep and have no request in
+// flight, and returns them.
+func (r *Registry) Forget(now, keep time.Duration) []fleet.EngineID {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var forgotten []fleet.EngineID
+	for id, known := range r.workers {
+		if known.gone && known.inFlight == 0 && now >= known.goneAt+keep {
+			r.tombstones[id] = known.revision
+			r.parts.remove(known.worker.Run())
+			delete(r.workers, id)
+			forgotten = append(forgotten, id)
+		}
+	}
+	return forgotten
+}
+
+// Require says that requests of a model may begin on no older version.
+func (r *Registry) Require(model fleet.ModelName, version WeightsVersion) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.required[model] = max(r.required[model], version)
+}
+
+// NoteVersion takes in a version that the worker, or whoever ordered it, was
+// heard to have. It never goes down, since rows lag behind.
+func (r *Registry) NoteVersion(id fleet.EngineID, model fleet.ModelName, version WeightsVersion) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.workers[id]
+	if known == nil || known.worker.Versions[model] >= version {
+		return
+	}
+	versions := maps.Clone(known.worker.Versions)
+	if versions == nil {
+		versions = make(map[fleet.ModelName]WeightsVersion)
+	}
+	versions[model] = version
+	known.worker.Versions = versions
+	known.doubtUntil = 0
+	r.parts.clear(known.worker.Run())
+}
+
+// NoteOrder says until when a worker counts as under an order.
+func (r *Registry) NoteOrder(id fleet.EngineID, until time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if known := r.workers[id]; known != nil {
+		known.orderedUntil = until
+	}
+}
+
+// Workers returns the listed workers of all services, by identifier.
+func (r *Registry) Workers() []Worker {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	workers := make([]Worker, 0, len(r.workers))
+	for _, known := range r.workers {
+		if !known.gone {
+			workers = append(workers, known.worker)
+		}
+	}
+	slices.SortFunc(workers, func(a, b Worker) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return workers
+}
--- /dev/null
+++ b/internal/gateway/carry.go
@@ -0,0 +1,289 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/attempt"
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+	"github.com/tillerfall/tillerfall/internal/routes"
+	"github.com/tillerfall/tillerfall/internal/upstream"
+)
+
+// Constants of carrying.
+const (
+	// deadlineGrace is how much later than its deadline a request is broken off:
+	// the worker's own word on the deadline goes first.
+	deadlineGrace = 40 * time.Millisecond
+	// connectionSharers is the number of nodes that a worker's connections are
+	// divided by at the least: nodes may be added.
+	connectionSharers = 10
+	// tenantRanks is the width of one rank of tenants in an engine's priorities.
+	tenantRanks = 3
+	maxPriority = 9
+	// defaultPriority is that of a tenant without one.
+	defaultPriority = 1
+)
+
+// errLateAnswer is the cause of a send broken off at its deadline.
+var errLateAnswer = errors.New("deadline passed")
+
+// errForeign is the cause of an answer that isn't the request's own.
+var errForeign = errors.Wrap(upstream.ErrForeignAnswer, "request identifier differs")
+
+// carry sends a request to workers until there is a final answer.
+func (g *Gateway) carry(current *carried) {
+	current.machine = attempt.NewForwarding(current.began, attempt.ForwardingPolicy{
+		Idempotent:    current.route.Idempotent(),
+		Resumable:     current.route.Kind == routes.Streaming && current.route.Resumable,
+		RetryFailures: current.route.Kind == routes.Safe,
+		MaxRuns:       current.route.MaxAttempts,
+		Deadline:      current.deadline,
+		RetryAfter:    retrySoon,
+	}, g.budgets.of(current.service.Name))
+	ctx, cancel := context.WithDeadlineCause(current.request.Context(),
+		time.Now().Add(current.timeLeft(g.now())+deadlineGrace), errLateAnswer)
+	defer cancel()
+	step := attempt.Step{Kind: attempt.StepSend}
+	for {
+		switch step.Kind {
+		case attempt.StepSend:
+			step = g.send(ctx, current)
+		case attempt.StepDeliver:
+			return
+		case attempt.StepFail:
+			g.refuse(current, refusal{code: step.Code, reason: step.Reason, retryAfter: step.RetryAfter})
+			return
+		case attempt.StepBreak:
+			current.result, current.reason = resultcode.StreamInterrupted, "answer broke off"
+			panic(http.ErrAbortHandler)
+		}
+		if current.callerGone() {
+			current.reason = "caller gone"
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// send chooses a worker, sends the request there and passes the answer on.
+func (g *Gateway) send(ctx context.Context, current *carried) attempt.Step {
+	now := g.now()
+	if current.tenant != nil && !g.fresh.Within(now, g.freshBound()) {
+		return current.machine.NoWorker("configuration too old")
+	}
+	placement, reason := g.workers.Choose(now, g.choice(current))
+	if placement == nil {
+		return current.machine.NoWorker(reason)
+	}
+	current.worker = string(placement.Worker.ID)
+	g.logPlacement(current, placement)
+	answer, err := g.upstreams.Do(ctx, g.destination(current, &placement.Worker), g.outgoing(current, placement))
+	if err != nil {
+		return g.failed(ctx, current, placement, err)
+	}
+	defer answer.Close()
+	info := g.outside.Codec.Answer(answer.Status, answer.Header)
+	if info.HasVersion && placement.Engine != nil && !info.Mismatch {
+		g.workers.NoteVersion(placement.Worker.ID, current.metadata.Model, info.Version)
+	}
+	if info.NotExecuted {
+		return g.rejected(current, placement, answer, info)
+	}
+	if !acceptable(answer.Status, info) {
+		g.ended(current, placement, backends.Lost, "answer without signature")
+		return current.machine.Unanswered(g.now(), placement.Worker.Run())
+	}
+	return g.deliver(ctx, current, placement, answer)
+}
+
+// acceptable tells whether a worker's answer may be passed on: a success must
+// be signed, and so must a status that would promise that nothing ran.
+func acceptable(status int, info AnswerInfo) bool {
+	switch {
+	case status < http.StatusMultipleChoices:
+		return info.Signed
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable, status == http.StatusRequestTimeout:
+		return info.Signed
+	default:
+		return true
+	}
+}
+
+// failed takes in a send without an answer.
+func (g *Gateway) failed(ctx context.Context, current *carried, placement *backends.Placement, err error) attempt.Step {
+	run := placement.Worker.Run()
+	var failure *upstream.Failure
+	sent := !errors.As(err, &failure) || failure.Stage == upstream.Sent
+	switch {
+	case current.callerGone():
+		g.ended(current, placement, backends.Cancelled, "caller gone")
+		return attempt.Step{Kind: attempt.StepBreak}
+	case ctx.Err() != nil && sent:
+		g.ended(current, placement, backends.Lost, "deadline passed")
+		return current.machine.Interrupted()
+	case ctx.Err() != nil:
+		g.ended(current, placement, backends.Unreachable, "deadline passed")
+		return current.machine.Expired()
+	case errors.Is(err, upstream.ErrTooManyConnections):
+		g.ended(current, placement, backends.Cancelled, err.Error())
+		return current.machine.NotSent(g.now(), run)
+	case !sent:
+		g.ended(current, placement, backends.Unreachable, err.Error())
+		return current.machine.NotSent(g.now(), run)
+	default:
+		g.ended(current, placement, backends.Lost, err.Error())
+		return current.machine.Unanswered(g.now(), run)
+	}
+}
+
+// rejected takes in a worker's word that it did not run the request.
+func (g *Gateway) rejected(current *carried, placement *backends.Placement, answer *upstream.Answer, info AnswerInfo) attempt.Step {
+	drain(answer)
+	outcome := backends.Refused
+	if info.Mismatch {
+		outcome = backends.Mismatched
+	}
+	g.ended(current, placement, outcome, "status "+http.StatusText(answer.Status))
+	return current.machine.Rejected(g.now(), placement.Worker.Run())
+}
+
+// drainLimit bounds what is read of an answer that isn't passed on.
+const drainLimit = 4 << 10
+
+// drain reads a short answer to its end, so that its connection can be used again.
+func drain(answer *upstream.Answer) {
+	var buffer [512]byte
+	for total := 0; total < drainLimit; {
+		count, err := answer.Read(buffer[:])
+		total += count
+		if err != nil {
+			return
+		}
+	}
+}
+
+// ended notes and logs how a send went.
+func (g *Gateway) ended(current *carried, placement *backends.Placement, outcome backends.Outcome, cause string) {
+	placement.End(g.now(), outcome)
+	g.metrics.attempts.WithLabelValues(string(placement.Worker.Service), outcome.String()).Inc()
+	if outcome == backends.Succeeded {
+		return
+	}
+	g.events.line("send_failed").Str("request_id", current.metadata.RequestID).Str("worker", string(placement.Worker.ID)).
+		Str("address", string(placement.Worker.Address)).Str("outcome", outcome.String()).Str("cause", cause).
+		Dur("left", current.timeLeft(g.now())).Msg("send_failed")
+}
+
+func (g *Gateway) logPlacement(current *carried, placement *backends.Placement) {
+	line := g.events.line("placed").Str("request_id", current.metadata.RequestID).Str("worker", string(placement.Worker.ID)).
+		Int("in_flight", placement.InFlight).Int("candidates", placement.Candidates).Float64("failure_rate", placement.FailureRate)
+	if engine := placement.Engine; engine != nil {
+		line = line.Uint64("version", uint64(engine.Version)).Int("cached", engine.CachedTokens).
+			Int("imported", engine.ImportedTokens).Int("prompt", current.metadata.PromptTokens).
+			Str("import_from", string(engine.ImportFrom)).Bool("home", engine.Home).Int("prefill_ahead", placement.PrefillTokens).
+			Dur("predicted", engine.Predicted)
+	}
+	if age, proven := g.fresh.Age(g.now()); proven {
+		line = line.Dur("configuration_age", age)
+	}
+	line.Msg("placed")
+}
+
+// choice describes the request to the registry.
+func (g *Gateway) choice(current *carried) *backends.Request {
+	request := &backends.Request{
+		Service:  current.service.Name,
+		Excluded: current.machine.Excluded(),
+		Free: func(worker *backends.Worker) bool {
+			return g.upstreams.Free(g.destination(current, worker))
+		},
+	}
+	if engine := current.service.Engine; engine != nil {
+		request.Engine = &backends.EngineRequest{
+			ID:           fleet.RequestID(current.metadata.RequestID),
+			Model:        current.metadata.Model,
+			Parts:        current.metadata.Parts,
+			PromptTokens: current.metadata.PromptTokens,
+			OutputTokens: current.metadata.OutputTokens,
+			TokenBytes:   engine.TokenBytes,
+			LinkMegabits: engine.LinkMegabits,
+			Store:        g.keptStore(),
+		}
+		if current.tenant != nil {
+			request.Engine.Tenant, request.Engine.Isolated = current.tenant.Name, current.tenant.Isolated
+		}
+	}
+	return request
+}
+
+// keptStore returns the address of a store of kept KV cache, or "".
+func (g *Gateway) keptStore() fleet.Address {
+	held := g.holder.Current()
+	if held == nil {
+		return ""
+	}
+	stores := held.Table.Stores()
+	if len(stores) == 0 {
+		return ""
+	}
+	return stores[0].Address
+}
+
+// destination returns where to send, with this node's part of the worker's
+// connections.
+func (g *Gateway) destination(current *carried, worker *backends.Worker) upstream.Destination {
+	destination := upstream.Destination{Engine: worker.ID, Address: worker.Address}
+	if limit := current.service.MaxConnections; limit > 0 {
+		sharers := max(g.memberCount(), connectionSharers)
+		destination.MaxConnections = max(limit/sharers, 1)
+	}
+	return destination
+}
+
+// outgoing returns the request as it goes to a worker.
+func (g *Gateway) outgoing(current *carried, placement *backends.Placement) *upstream.Request {
+	header := forwardedHeader(current.request.Header)
+	g.outside.Codec.StripReserved(header)
+	dispatch := &Dispatch{
+		Worker:      placement.Worker.ID,
+		TimeLeft:    current.timeLeft(g.now()),
+		Priority:    priorityOf(current),
+		LastEventID: current.lastEventID,
+		Engine:      placement.Engine,
+	}
+	if current.tenant != nil {
+		dispatch.Tenant = current.tenant.Name
+	}
+	g.outside.Codec.WriteDispatch(header, dispatch)
+	id := current.metadata.RequestID
+	return &upstream.Request{
+		Method: current.request.Method,
+		Target: current.request.RequestURI,
+		Host:   current.request.Host,
+		Header: header,
+		Body:   current.body,
+		Accept: func(status int, header http.Header) error {
+			info := g.outside.Codec.Answer(status, header)
+			if info.RequestID != id && (info.RequestID != "" || !info.NotExecuted) {
+				return errForeign
+			}
+			return nil
+		},
+	}
+}
+
+// priorityOf returns the priority at an engine: the tenant's rank goes before
+// the route's.
+func priorityOf(current *carried) int {
+	rank := defaultPriority
+	if current.tenant != nil && current.tenant.HasPriority {
+		rank = current.tenant.Priority
+	}
+	priority := rank*tenantRanks + min(current.route.Priority, tenantRanks-1)
+	return min(max(priority, 0), maxPriority)
+}
--- /dev/null
+++ b/internal/gateway/contract.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/platform"
+	"github.com/tillerfall/tillerfall/internal/rollout"
+	"github.com/tillerfall/tillerfall/internal/routes"
+)
+
+// ErrHistoryGone means that changes can't be followed from a revision any more:
+// everything must be read again.
+var ErrHistoryGone = errors.New("history gone")
+
+// OperatorRows is what an operator has written, whole or as far as it changed.
+type OperatorRows struct {
+	// Revision is the store's revision as of which the rows are.
+	Revision fleet.Revision
+	// Document is the newest configuration, nil if it isn't among the rows.
+	Document         *routes.Document
+	DocumentRevision fleet.Revision
+	// Weights lists named versions.
+	Weights []NamedWeights
+}
+
+// NamedWeights is a version of a model's weights that an operator has named.
+type NamedWeights struct {
+	Model   fleet.ModelName
+	Version backends.WeightsVersion
+}
+
+// WorkerRows are rows of workers, whole or as far as they changed.
+type WorkerRows struct {
+	Revision fleet.Revision
+	Rows     []WorkerRow
+}
+
+// WorkerRow is one worker's row, or the word that it is gone.
+type WorkerRow struct {
+	Revision fleet.Revision
+	Worker   backends.Worker
+	Gone     bool
+}
+
+// Node is another gateway as the store knows it.
+type Node struct {
+	// Name is the machine's name.
+	Name    string
+	Address fleet.Address
+	Zone    fleet.ZoneName
+	Region  fleet.RegionName
+}
+
+// Platform is the store, as the gateway needs it. Reads return an error of
+// package platform, or ErrHistoryGone.
+type Platform interface {
+	// ReadOperator returns all that the operator has written. It may be behind.
+	ReadOperator(ctx context.Context) (*OperatorRows, error)
+	// FollowOperator returns what has changed after a revision, as soon as
+	// something has or after wait.
+	FollowOperator(ctx context.Context, after fleet.Revision, wait time.Duration) (*OperatorRows, error)
+	// ReadWorkers and FollowWorkers are the same for workers.
+	ReadWorkers(ctx context.Context) (*WorkerRows, error)
+	FollowWorkers(ctx context.Context, after fleet.Revision, wait time.Duration) (*WorkerRows, error)
+	// RegisterNode writes this node's row.
+	RegisterNode(ctx context.Context, node Node) error
+	// ReadNodes returns the nodes that have ever registered.
+	ReadNodes(ctx context.Context) ([]Node, error)
+}
+
+// EngineCalls are the calls to an engine besides requests.
+type EngineCalls interface {
+	Report(ctx context.Context, worker backends.Worker) (rollout.Report, error)
+	// OrderVersion sends an order; the error explains a result that isn't
+	// OrderAccepted or OrderHolds.
+	OrderVersion(ctx context.Context, worker backends.Worker, order rollout.VersionOrder) (rollout.OrderResult, error)
+}
+
+// Metadata is what a caller's headers say.
+type Metadata struct {
+	RequestID string
+	// Key is the caller's API key; empty if none was sent.
+	Key string
+	// TimeLeft is how long the caller will wait; 0 if it doesn't say.
+	TimeLeft time.Duration
+	// LastEventID is the last event of an earlier stream that the caller has.
+	LastEventID string
+
+	Model        fleet.ModelName
+	Parts        []backends.Part
+	PromptTokens int
+	OutputTokens int
+}
+
+// Dispatch is what the gateway adds to a request for a worker.
+type Dispatch struct {
+	// Worker is the run that must not be mistaken for another.
+	Worker   fleet.EngineID
+	Tenant   fleet.TenantName
+	TimeLeft time.Duration
+	// Priority orders requests at an engine, 0 to 9, 0 first.
+	Priority int
+	// LastEventID is set when a stream is resumed.
+	LastEventID string
+	Engine      *backends.EnginePlacement
+}
+
+// AnswerInfo is what the headers of a worker's answer say.
+type AnswerInfo struct {
+	RequestID string
+	// Signed is set if the worker has signed the answer.
+	Signed bool
+	// NotExecuted is the worker's word that it did not run the request.
+	NotExecuted bool
+	// Mismatch is set if another run, or another version, has answered.
+	Mismatch bool
+	Instance fleet.EngineID
+	// Version is the version of the weights, if HasVersion.
+	Version    backends.WeightsVersion
+	HasVersion bool
+}
+
+// Paths are the paths of the calls to the gateway's own services.
+type Paths struct {
+	Readiness  string
+	Resolution string
+}
+
+// ResolutionQuery asks which addresses to use.
+type ResolutionQuery struct {
+	Host   string
+	Zone   fleet.ZoneName
+	Region fleet.RegionName
+}
+
+// Codec translates between headers and the gateway's types. It is safe for
+// concurrent use.
+type Codec interface {
+	// Metadata reads a caller's headers.
+	Metadata(header http.Header) (Metadata, error)
+	// StripReserved removes what only the gateway may tell a worker, and the key.
+	StripReserved(header http.Header)
+	// WriteDispatch adds what the gateway tells a worker.
+	WriteDispatch(header http.Header, dispatch *Dispatch)
+	// Answer reads the headers of a worker's answer.
+	Answer(status int, header http.Header) AnswerInfo
+	// WriteRefusal writes the headers of an answer of the gateway's own.
+	WriteRefusal(header http.Header, requestID string, retryAfter time.Duration)
+	// Paths returns the paths of the gateway's own services.
+	Paths() Paths
+	// ResolutionQuery reads a question to the directory.
+	ResolutionQuery(request *http.Request) ResolutionQuery
+	// WriteResolution writes the directory's answer.
+	WriteResolution(writer http.ResponseWriter, addresses []fleet.Address, ttl time.Duration) error
+}
+
+// Outside is all that the gateway needs from where it runs.
+type Outside struct {
+	Platform Platform
+	// Leases is the table service for leases.
+	Leases  platform.Tables
+	Engines EngineCalls
+	Codec   Codec
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,224 @@
+// Package gateway is the process that stands between callers and workers where
+// callers run nothing of the project's: it takes requests, places them by the
+// product's cores, carries them and keeps the promises about them. Any number
+// of gateways serve side by side; all are equal.
+//
+// The package drives the cores in real time and holds no rule of its own that
+// a core could hold: routes, backends, attempt, rollout, lease and membership
+// decide.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"gopkg.in/tomb.v2"
+
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/lease"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/peer"
+	"github.com/tillerfall/tillerfall/internal/routes"
+	"github.com/tillerfall/tillerfall/internal/scheduling"
+	"github.com/tillerfall/tillerfall/internal/upstream"
+)
+
+// Gateway is one process. Start serves until Stop or a failure.
+type Gateway struct {
+	settings Settings
+	outside  Outside
+	clock    fleet.Clock
+	node     fleet.NodeID
+	logger   zerolog.Logger
+	events   *eventLog
+	metrics  *metrics
+	life     tomb.Tomb
+
+	holder    *routes.Holder
+	fresh     *routes.Freshness
+	workers   *backends.Registry
+	upstreams *upstream.Pool
+	budgets   *budgets
+	weights   *weights
+	peers     *peer.Peer
+	keeper    *lease.Keeper
+	seeds     *seedList
+
+	splitMutex sync.Mutex
+	splitter   *routes.Splitter
+
+	// workersKnown is set after the first whole list of workers.
+	workersKnown atomic.Bool
+	// stoppingSince is when the planned stop began, in nanoseconds of the steady
+	// clock; 0 before.
+	stoppingSince atomic.Int64
+	inFlight      atomic.Int64
+	lastRequest   atomic.Int64
+
+	servers   []*http.Server
+	front     *http.Server
+	idle      *idleConnections
+	listeners []net.Listener
+}
+
+// New returns a gateway that isn't started.
+func New(settings Settings, outside Outside, logger zerolog.Logger, registry *prometheus.Registry) (*Gateway, error) {
+	if err := settings.Validate(); err != nil {
+		return nil, err
+	}
+	random := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+	holderID := lease.NewHolderID(fleet.NodeID(settings.Node), rand.Uint64())
+	g := &Gateway{
+		settings: settings,
+		outside:  outside,
+		clock:    fleet.NewClock(),
+		node:     fleet.NodeID(holderID),
+		logger:   logger,
+		events:   newEventLog(logger),
+		metrics:  newMetrics(registry),
+		holder:   routes.NewHolder(),
+		fresh:    routes.NewFreshness(),
+		splitter: routes.NewSplitter(),
+		seeds:    &seedList{},
+		idle:     newIdleConnections(),
+	}
+	g.workers = backends.New(backends.Options{
+		Zone:       settings.Zone,
+		Random:     random(),
+		Scheduling: schedulingOptions(),
+	})
+	g.upstreams = upstream.NewPool(upstream.Options{
+		Dialed: func(fleet.EngineID) { g.metrics.connections.Inc() },
+	})
+	g.budgets = newBudgets(settings, g.memberCount)
+	g.weights = newWeights(settings)
+	var err error
+	if g.peers, err = g.newPeer(random()); err != nil {
+		return nil, err
+	}
+	election, err := lease.NewElection(leaseSettings(settings), holderID, random())
+	if err != nil {
+		return nil, errors.Wrap(err, "lease")
+	}
+	g.keeper = lease.NewKeeper(election, outside.Leases, g.clock, logger)
+	return g, nil
+}
+
+// schedulingOptions returns the prices for engines that can import.
+func schedulingOptions() scheduling.Options {
+	options := scheduling.DefaultOptions()
+	options.TieFraction = 0.1
+	return options
+}
+
+func (g *Gateway) newPeer(random *rand.Rand) (*peer.Peer, error) {
+	created, err := peer.New(peer.Options{
+		Membership: membership.Options{
+			Self: membership.Member{
+				Node:    g.node,
+				Address: fleet.Address(g.settings.PeerAddress),
+				Region:  g.settings.Region,
+				Zone:    g.settings.Zone,
+			},
+			Random: random,
+		},
+		Machines: g.seeds.addresses,
+		Holder:   config.NewHolder(),
+		Logger:   g.logger,
+		Loads:    g.answerLoad,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "peers")
+	}
+	return created, nil
+}
+
+// Node returns the identifier of this run.
+func (g *Gateway) Node() fleet.NodeID { return g.node }
+
+// Dead is closed when the gateway has ended.
+func (g *Gateway) Dead() <-chan struct{} { return g.life.Dead() }
+
+// Err returns why the gateway has ended.
+func (g *Gateway) Err() error { return g.life.Err() }
+
+// Start listens and serves.
+func (g *Gateway) Start() error {
+	if err := g.listen(); err != nil {
+		return err
+	}
+	g.logger.Info().
+		Str("front", g.settings.FrontAddress).
+		Str("peer_address", g.settings.PeerAddress).
+		Str("zone", string(g.settings.Zone)).
+		Str("store", g.settings.StoreAddress).
+		Msg("started")
+	g.life.Go(g.followOperator)
+	g.life.Go(g.followWorkers)
+	g.life.Go(g.register)
+	g.life.Go(g.shareLoads)
+	g.life.Go(g.driveRollout)
+	g.life.Go(g.housekeep)
+	g.peers.Start()
+	g.keeper.Start()
+	return nil
+}
+
+// now returns the time on the steady clock.
+func (g *Gateway) now() time.Duration { return g.clock.Now() }
+
+// stopping tells whether a planned stop has begun.
+func (g *Gateway) stopping() bool { return g.stoppingSince.Load() != 0 }
+
+// context returns a context that ends with the process.
+func (g *Gateway) context() context.Context { return g.life.Context(context.Background()) }
+
+// pause waits; it returns false when the process ends.
+func (g *Gateway) pause(duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-g.life.Dying():
+		return false
+	}
+}
+
+// Intervals of housekeeping.
+const (
+	housekeepInterval = time.Second
+	forgetWorkers     = 20 * time.Second
+)
+
+// housekeep drops what is not needed any more.
+func (g *Gateway) housekeep() error {
+	for g.pause(housekeepInterval) {
+		for _, engine := range g.workers.Forget(g.now(), forgetWorkers) {
+			g.upstreams.Forget(engine)
+		}
+		g.upstreams.Sweep()
+		g.idle.sweep(g.idleLimit())
+		g.events.report()
+	}
+	return nil
+}
+
+// idleLimit returns how long a caller's connection may rest.
+func (g *Gateway) idleLimit() time.Duration {
+	held := g.holder.Current()
+	if held == nil {
+		return 0
+	}
+	return held.Table.Limits().IdleTimeout
+}
--- /dev/null
+++ b/internal/gateway/headers.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+)
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// forwardedHeader returns a copy of the headers that travel along.
+func forwardedHeader(header http.Header) http.Header {
+	forwarded := make(http.Header, len(header)+8)
+	for name, values := range header {
+		forwarded[name] = values
+	}
+	for _, field := range header["Connection"] {
+		for _, name := range strings.Split(field, ",") {
+			if name = strings.TrimSpace(name); name != "" {
+				forwarded.Del(name)
+			}
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(forwarded, name)
+	}
+	delete(forwarded, "Content-Length")
+	return forwarded
+}
+
+// copyAnswerHeader copies a worker's headers to the caller's answer.
+func copyAnswerHeader(into, from http.Header) {
+	for name, values := range forwardedHeader(from) {
+		into[name] = values
+	}
+	if _, named := into["Content-Type"]; !named {
+		into["Content-Type"] = nil
+	}
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,48 @@
+package gateway
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are the counters and histograms of a gateway.
+type metrics struct {
+	requests      *prometheus.CounterVec
+	latency       *prometheus.HistogramVec
+	attempts      *prometheus.CounterVec
+	storeFailures *prometheus.CounterVec
+	shareFailures prometheus.Counter
+	connections   prometheus.Counter
+	orders        prometheus.Counter
+}
+
+// latencyBuckets are the upper bounds of the histograms, in seconds.
+var latencyBuckets = []float64{.01, .025, .05, .1, .2, .3, .5, .8, 1.2, 2, 4, 8}
+
+func newMetrics(registry *prometheus.Registry) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tillerfall_gateway_requests_total", Help: "Requests answered, by route and result.",
+		}, []string{"route", "result"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "tillerfall_gateway_first_byte_seconds", Help: "Time to the first byte of an answer, by route.",
+			Buckets: latencyBuckets,
+		}, []string{"route"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tillerfall_gateway_attempts_total", Help: "Sends to workers, by service and outcome.",
+		}, []string{"service", "outcome"}),
+		storeFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tillerfall_gateway_store_failures_total", Help: "Failed calls to the store, by table.",
+		}, []string{"table"}),
+		shareFailures: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tillerfall_gateway_share_failures_total", Help: "Failed exchanges with other gateways.",
+		}),
+		connections: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tillerfall_gateway_worker_connections_total", Help: "Connections made to workers.",
+		}),
+		orders: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tillerfall_gateway_orders_total", Help: "Orders sent to engines.",
+		}),
+	}
+	if registry != nil {
+		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders)
+	}
+	return m
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// Times of the talk between gateways.
+const (
+	// shareInterval is the time between two exchanges with the same peer. Each
+	// of the two calls the other, so that news travel twice as often.
+	shareInterval = 600 * time.Millisecond
+	shareTimeout  = 400 * time.Millisecond
+	// seedInterval is the time between two reads of the nodes' rows while no peer
+	// is known, and seedIntervalKnown otherwise.
+	seedInterval      = 700 * time.Millisecond
+	seedIntervalKnown = 15 * time.Second
+)
+
+// seedList is the addresses at which other gateways may be found.
+type seedList struct {
+	mutex sync.Mutex
+	list  []fleet.Address
+}
+
+func (s *seedList) addresses() []fleet.Address {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.list
+}
+
+func (s *seedList) set(addresses []fleet.Address) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.list = addresses
+}
+
+// memberCount returns how many gateways there are, this one included.
+func (g *Gateway) memberCount() int { return max(len(g.peers.View().Members()), 1) }
+
+// register writes this node's row and reads those of others.
+func (g *Gateway) register() error {
+	registered := false
+	for {
+		ctx, cancel := context.WithTimeout(g.context(), 2*time.Second)
+		if !registered {
+			err := g.outside.Platform.RegisterNode(ctx, Node{
+				Name:    g.settings.Node,
+				Address: fleet.Address(g.settings.PeerAddress),
+				Zone:    g.settings.Zone,
+				Region:  g.settings.Region,
+			})
+			registered = err == nil
+		}
+		g.readSeeds(ctx)
+		cancel()
+		interval := seedIntervalKnown
+		if !registered || g.memberCount() == 1 {
+			interval = seedInterval
+		}
+		if !g.pause(interval) {
+			return nil
+		}
+	}
+}
+
+func (g *Gateway) readSeeds(ctx context.Context) {
+	nodes, err := g.outside.Platform.ReadNodes(ctx)
+	if err != nil {
+		return
+	}
+	var addresses []fleet.Address
+	for _, node := range nodes {
+		if node.Address != fleet.Address(g.settings.PeerAddress) {
+			addresses = append(addresses, node.Address)
+		}
+	}
+	g.seeds.set(addresses)
+}
+
+// shareLoads exchanges reports with the other gateways.
+func (g *Gateway) shareLoads() error {
+	known := make(map[fleet.NodeID]bool)
+	for g.pause(shareInterval) {
+		view := g.peers.View()
+		present := make(map[fleet.NodeID]bool)
+		var group sync.WaitGroup
+		for _, member := range view.Routable() {
+			if member.Node == g.node {
+				continue
+			}
+			present[member.Node] = true
+			group.Go(func() { g.exchange(member) })
+		}
+		group.Wait()
+		for node := range known {
+			if !present[node] {
+				g.workers.ForgetPeer(node)
+			}
+		}
+		known = present
+	}
+	return nil
+}
+
+// exchange gives one member this node's report and takes its answer in.
+func (g *Gateway) exchange(member membership.Member) {
+	ctx, cancel := context.WithTimeout(g.context(), shareTimeout)
+	defer cancel()
+	begun := g.now()
+	report, err := g.peers.ExchangeLoad(ctx, member.Address, g.loadReport())
+	if err != nil {
+		g.metrics.shareFailures.Inc()
+		return
+	}
+	g.takeLoad(report)
+	g.takeProof(begun, report)
+}
+
+// answerLoad answers another gateway's report with this one's.
+func (g *Gateway) answerLoad(_ context.Context, report *rpc.LoadReport) *rpc.LoadReport {
+	g.takeLoad(report)
+	return g.loadReport()
+}
+
+// loadReport returns what this node knows.
+func (g *Gateway) loadReport() *rpc.LoadReport {
+	now := g.now()
+	report := &rpc.LoadReport{Node: string(g.node)}
+	for _, load := range g.workers.OwnLoad() {
+		report.Loads = append(report.Loads, &rpc.WorkerLoad{
+			Worker:        string(load.Engine),
+			InFlight:      uint32(max(load.InFlight, 0)),
+			PrefillTokens: uint32(max(load.PrefillTokens, 0)),
+		})
+	}
+	for id, remaining := range g.weights.underOrder(now) {
+		report.Orders = append(report.Orders, &rpc.WorkerOrder{
+			Worker: string(id), RemainingMillis: uint32(remaining.Milliseconds()),
+		})
+	}
+	if _, holds := g.keeper.Fence(); holds {
+		report.Weights = g.knownVersions()
+	}
+	if held := g.holder.Current(); held != nil {
+		if age, proven := g.fresh.Age(now); proven && age < g.settings.RevokeWithin {
+			report.ProofAgeMillis = uint32(age.Milliseconds()) + 1
+			report.ProofRevision = uint64(held.Revision)
+		}
+	}
+	return report
+}
+
+// knownVersions returns the engines' versions, by the word of the lease's holder.
+func (g *Gateway) knownVersions() []*rpc.WorkerWeights {
+	var versions []*rpc.WorkerWeights
+	for _, worker := range g.workers.Workers() {
+		for model, version := range worker.Versions {
+			versions = append(versions, &rpc.WorkerWeights{
+				Worker: string(worker.ID), Model: string(model), Version: uint64(version),
+			})
+		}
+	}
+	return versions
+}
+
+// takeLoad takes in another gateway's report.
+func (g *Gateway) takeLoad(report *rpc.LoadReport) {
+	now := g.now()
+	loads := make([]backends.Load, 0, len(report.GetLoads()))
+	for _, load := range report.GetLoads() {
+		loads = append(loads, backends.Load{
+			Engine:        fleet.EngineID(load.GetWorker()),
+			InFlight:      int(load.GetInFlight()),
+			PrefillTokens: int(load.GetPrefillTokens()),
+		})
+	}
+	g.workers.ObservePeer(now, fleet.NodeID(report.GetNode()), loads)
+	for _, order := range report.GetOrders() {
+		g.workers.NoteOrder(fleet.EngineID(order.GetWorker()), now+time.Duration(order.GetRemainingMillis())*time.Millisecond)
+	}
+	for _, versions := range report.GetWeights() {
+		g.workers.NoteVersion(fleet.EngineID(versions.GetWorker()), fleet.ModelName(versions.GetModel()),
+			backends.WeightsVersion(versions.GetVersion()))
+	}
+}
+
+// takeProof takes another gateway's proof as this one's: if it had proof of age a
+// when it answered a call begun at a time, and holds the same configuration,
+// then nothing newer was acknowledged up to that time less a.
+func (g *Gateway) takeProof(begun time.Duration, report *rpc.LoadReport) {
+	held := g.holder.Current()
+	if held == nil || report.GetProofRevision() == 0 || report.GetProofRevision() > uint64(held.Revision) {
+		return
+	}
+	g.fresh.Prove(begun - time.Duration(report.GetProofAgeMillis())*time.Millisecond)
+}
+
+// frontAddresses returns where callers find the gateways that are there. All
+// gateways serve on the same ports.
+func (g *Gateway) frontAddresses() []fleet.Address {
+	_, port, err := net.SplitHostPort(g.settings.FrontAddress)
+	if err != nil {
+		return nil
+	}
+	var addresses []fleet.Address
+	for _, member := range g.peers.View().Routable() {
+		if member.Node == g.node {
+			continue
+		}
+		if host, _, err := net.SplitHostPort(string(member.Address)); err == nil {
+			addresses = append(addresses, fleet.Address(net.JoinHostPort(host, port)))
+		}
+	}
+	if g.ready() {
+		addresses = append(addresses, fleet.Address(g.settings.FrontAddress))
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/gateway/server.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/uptrace/bunrouter"
+
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// Bounds of the servers.
+const (
+	// headerTimeout bounds the time for a request's head.
+	headerTimeout = 10 * time.Second
+	// maxHeaderBytes bounds a request's head whatever the configuration says.
+	maxHeaderBytes = 64 << 10
+	// directoryTTL is how long callers keep an answer of the directory.
+	directoryTTL = time.Second
+	// callerUserTimeout is how long bytes to a caller may stay unacknowledged.
+	callerUserTimeout = 5 * time.Second
+)
+
+// Socket options of Linux that package syscall lacks.
+const tcpUserTimeout = 0x12
+
+// listen opens all addresses before anything is served, so that a port in use
+// is a clear error.
+func (g *Gateway) listen() error {
+	g.front = &http.Server{
+		Handler:           http.HandlerFunc(g.serveFront),
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         g.idle.note,
+	}
+	handlers := []struct {
+		address string
+		server  *http.Server
+	}{
+		{g.settings.FrontAddress, g.front},
+		{g.settings.DirectoryAddress, &http.Server{Handler: g.directoryHandler()}},
+		{g.settings.ReadyAddress, &http.Server{Handler: g.readinessHandler()}},
+		{g.settings.PeerAddress, &http.Server{Handler: rpc.NewPeerServer(g.peers)}},
+	}
+	for _, entry := range handlers {
+		listener, err := listenTCP(entry.address)
+		if err != nil {
+			g.closeListeners()
+			return resultcode.New(resultcode.SettingsInvalid, "listen on "+entry.address+": "+err.Error())
+		}
+		g.listeners = append(g.listeners, listener)
+		g.servers = append(g.servers, entry.server)
+		if entry.server.ReadHeaderTimeout == 0 {
+			entry.server.ReadHeaderTimeout = headerTimeout
+		}
+	}
+	for index, server := range g.servers {
+		listener := g.listeners[index]
+		g.life.Go(func() error {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				return errors.Wrap(err, "serve")
+			}
+			return nil
+		})
+	}
+	return nil
+}
+
+func (g *Gateway) closeListeners() {
+	for _, listener := range g.listeners {
+		listener.Close()
+	}
+	g.listeners, g.servers = nil, nil
+}
+
+// listenTCP listens with a bound on unacknowledged bytes.
+func listenTCP(address string) (net.Listener, error) {
+	settings := net.ListenConfig{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var optionErr error
+			err := raw.Control(func(descriptor uintptr) {
+				optionErr = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout,
+					int(callerUserTimeout.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return optionErr
+		},
+	}
+	return settings.Listen(context.Background(), "tcp4", address)
+}
+
+// ready tells whether this node can serve.
+func (g *Gateway) ready() bool {
+	return !g.stopping() && g.holder.Current() != nil && g.workersKnown.Load()
+}
+
+func (g *Gateway) readinessHandler() http.Handler {
+	router := bunrouter.New()
+	router.GET(g.outside.Codec.Paths().Readiness, func(writer http.ResponseWriter, _ bunrouter.Request) error {
+		if !g.ready() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return nil
+	})
+	return router
+}
+
+func (g *Gateway) directoryHandler() http.Handler {
+	router := bunrouter.New()
+	router.GET(g.outside.Codec.Paths().Resolution, func(writer http.ResponseWriter, _ bunrouter.Request) error {
+		addresses := g.frontAddresses()
+		if len(addresses) == 0 {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return nil
+		}
+		ttl := min(directoryTTL, g.settings.MaxDirectoryTTL)
+		return g.outside.Codec.WriteResolution(writer, addresses, ttl)
+	})
+	return router
+}
+
+// idleConnections closes callers' connections that rest for too long. The
+// limit may change with each configuration, which a server's own can't.
+type idleConnections struct {
+	mutex sync.Mutex
+	since map[net.Conn]time.Time
+}
+
+func newIdleConnections() *idleConnections {
+	return &idleConnections{since: make(map[net.Conn]time.Time)}
+}
+
+// note implements the ConnState hook of a server.
+func (i *idleConnections) note(conn net.Conn, state http.ConnState) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if state == http.StateIdle {
+		i.since[conn] = time.Now()
+		return
+	}
+	delete(i.since, conn)
+}
+
+// sweep closes the connections that have rested for longer than limit; 0 means
+// no limit.
+func (i *idleConnections) sweep(limit time.Duration) {
+	if limit <= 0 {
+		return
+	}
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	now := time.Now()
+	for conn, since := range i.since {
+		if now.Sub(since) > limit {
+			conn.Close()
+			delete(i.since, conn)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Settings sets up one gateway. They are checked by Validate, apart from serving.
+type Settings struct {
+	// Node is the machine's name; a restart keeps it.
+	Node   string
+	Zone   fleet.ZoneName
+	Region fleet.RegionName
+
+	// FrontAddress serves callers' requests.
+	FrontAddress string
+	// DirectoryAddress tells callers which addresses to use.
+	DirectoryAddress string
+	// ReadyAddress answers checks of readiness.
+	ReadyAddress string
+	// PeerAddress serves other gateways.
+	PeerAddress string
+	// MetricsAddress serves metrics; empty serves none.
+	MetricsAddress string
+	// StoreAddress is where the store is.
+	StoreAddress string
+
+	// MemoryMB is the machine's memory for this process, in MB; 0 if unknown.
+	MemoryMB int
+
+	// StopGrace is the time between a planned stop's signal and the kill.
+	StopGrace time.Duration
+	// ApplyWithin is the time within which an acknowledged configuration must be
+	// in force.
+	ApplyWithin time.Duration
+	// RevokeWithin is the time after which a revoked key must not be served, also
+	// by a node out of touch, if RevokeEverywhere is set.
+	RevokeWithin     time.Duration
+	RevokeEverywhere bool
+	// RetryRatio and RetrySlack bound the retries of all nodes together, in any
+	// RetryWindow: the ratio of the requests plus the slack.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// LeaseGap is the least time between the orders of two holders.
+	LeaseGap time.Duration
+	// WeightsWithin is the time after the naming of a version after which no
+	// request may begin on an older one.
+	WeightsWithin time.Duration
+	// MaxDirectoryTTL bounds how long callers may keep an answer of the directory.
+	MaxDirectoryTTL time.Duration
+	// DrainWithin is the time after a worker's word that it leaves after which no
+	// request may reach it.
+	DrainWithin time.Duration
+}
+
+// Validate returns an error that names the first field that can't be used.
+func (s *Settings) Validate() error {
+	if s.Node == "" {
+		return errors.New("node: no name")
+	}
+	for name, address := range map[string]string{
+		"front": s.FrontAddress, "directory": s.DirectoryAddress, "ready": s.ReadyAddress,
+		"internal": s.PeerAddress, "store": s.StoreAddress,
+	} {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return errors.Errorf("%s address %q: not HOST:PORT", name, address)
+		}
+	}
+	for name, bound := range map[string]time.Duration{
+		"stop grace": s.StopGrace, "revocation bound": s.RevokeWithin, "lease gap": s.LeaseGap,
+		"weights bound": s.WeightsWithin, "retry window": s.RetryWindow,
+	} {
+		if bound <= 0 {
+			return errors.Errorf("%s: %s isn't above 0", name, bound)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/weights.go
@@ -0,0 +1,300 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/lease"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rollout"
+)
+
+// Constants of the duty of weights.
+const (
+	// rolloutLease is the lease of the one node that sends orders, and the task's
+	// name by which the candidates for it are chosen.
+	rolloutLease = "rollout"
+	// rolloutCandidates bounds the nodes that poll for the lease.
+	rolloutCandidates = 3
+	// rolloutInterval is the time between two looks at the engines.
+	rolloutInterval = 100 * time.Millisecond
+	// requireReserve is how much before the bound no request goes to an engine
+	// with an older version any more.
+	requireReserve = 500 * time.Millisecond
+	// quiesceFor is the time from the word that an engine is about to be ordered
+	// until the order: requests under way to it arrive meanwhile.
+	quiesceFor = 300 * time.Millisecond
+	// orderedFor is how long an engine counts as under an order, unless its new
+	// version is seen before.
+	orderedFor = 2 * time.Second
+	// reportInterval is the time between two questions to an engine under order.
+	reportInterval = 250 * time.Millisecond
+	// reorderAfter is when an order without effect is sent again.
+	reorderAfter = 1500 * time.Millisecond
+	// changeTimeout bounds the change of one engine, after which it is begun anew.
+	changeTimeout = 9 * time.Second
+	// gapSlack is added to the least time between the orders of two holders.
+	gapSlack = 150 * time.Millisecond
+)
+
+// Parts of the lease's duration, against the least gap between two holders.
+const (
+	leaseMarginNumerator   = 2
+	leaseMarginDenominator = 5
+)
+
+func leaseSettings(settings Settings) lease.Settings {
+	duration := settings.LeaseGap.Truncate(time.Millisecond)
+	return lease.Settings{
+		Key:      rolloutLease,
+		Duration: duration,
+		Margin:   duration * leaseMarginNumerator / leaseMarginDenominator,
+	}
+}
+
+// weights keeps the named versions and when the engines change to them.
+type weights struct {
+	within time.Duration
+	mutex  sync.Mutex
+	pacers map[fleet.ModelName]*rollout.Pacer
+	// changing holds the engines under order by this node.
+	changing map[fleet.EngineID]bool
+	// orders holds, by engine, until when it counts as under order.
+	orders map[fleet.EngineID]time.Duration
+}
+
+func newWeights(settings Settings) *weights {
+	return &weights{
+		within:   settings.WeightsWithin,
+		pacers:   make(map[fleet.ModelName]*rollout.Pacer),
+		changing: make(map[fleet.EngineID]bool),
+		orders:   make(map[fleet.EngineID]time.Duration),
+	}
+}
+
+// name takes in a named version and tells whether it is new.
+func (w *weights) name(now time.Duration, named NamedWeights) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	pacer := w.pacers[named.Model]
+	if pacer == nil {
+		pacer = rollout.NewPacer(rollout.PacerOptions{Within: w.within})
+		w.pacers[named.Model] = pacer
+	}
+	return pacer.Name(now, uint64(named.Version))
+}
+
+// due returns the versions older than which no request may begin.
+func (w *weights) due(now time.Duration) map[fleet.ModelName]backends.WeightsVersion {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	due := make(map[fleet.ModelName]backends.WeightsVersion, len(w.pacers))
+	for model, pacer := range w.pacers {
+		due[model] = backends.WeightsVersion(pacer.Due(now, w.within-requireReserve))
+	}
+	return due
+}
+
+// change is one engine that is to take a version.
+type change struct {
+	worker  backends.Worker
+	model   fleet.ModelName
+	version uint64
+}
+
+// next returns the changes to begin now and counts them as begun.
+func (w *weights) next(now time.Duration, workers []backends.Worker) []change {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var changes []change
+	for model, pacer := range w.pacers {
+		byID := make(map[fleet.EngineID]backends.Worker)
+		var engines []rollout.VersionedEngine
+		for _, worker := range workers {
+			version, serves := worker.Versions[model]
+			if !serves || worker.Draining {
+				continue
+			}
+			byID[worker.ID] = worker
+			engines = append(engines, rollout.VersionedEngine{
+				Engine: worker.ID, Version: uint64(version), Changing: w.changing[worker.ID],
+			})
+		}
+		for _, id := range pacer.Next(now, engines) {
+			w.changing[id] = true
+			changes = append(changes, change{worker: byID[id], model: model, version: pacer.Newest()})
+		}
+	}
+	return changes
+}
+
+// announce says until when an engine counts as under order.
+func (w *weights) announce(id fleet.EngineID, until time.Duration) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.orders[id] = until
+}
+
+// finish notes that a change has ended. took is 0 if it failed.
+func (w *weights) finish(done change, took time.Duration) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	delete(w.changing, done.worker.ID)
+	delete(w.orders, done.worker.ID)
+	if took > 0 {
+		w.pacers[done.model].Measured(took)
+	}
+}
+
+// underOrder returns the engines under this node's orders and for how long.
+func (w *weights) underOrder(now time.Duration) map[fleet.EngineID]time.Duration {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	remaining := make(map[fleet.EngineID]time.Duration, len(w.orders))
+	for id, until := range w.orders {
+		if until > now {
+			remaining[id] = until - now
+		}
+	}
+	return remaining
+}
+
+// newest returns the newest named version of a model.
+func (w *weights) newest(model fleet.ModelName) uint64 {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.pacers[model].Newest()
+}
+
+// driveRollout requires new versions when they are due and, while this node
+// holds the lease, changes the engines.
+func (g *Gateway) driveRollout() error {
+	var orderFrom time.Duration
+	held := false
+	for g.pause(rolloutInterval) {
+		now := g.now()
+		for model, version := range g.weights.due(now) {
+			g.workers.Require(model, version)
+		}
+		g.keeper.SetEligible(g.rolloutCandidate())
+		token, holds := g.keeper.Fence()
+		if holds && !held {
+			orderFrom = now + g.orderDelay(token)
+			g.logger.Info().Uint64("token", uint64(token)).Dur("order_delay", orderFrom-now).Msg("rollout_taken")
+		}
+		held = holds
+		if !holds || now < orderFrom || g.stopping() {
+			continue
+		}
+		for _, next := range g.weights.next(now, g.workers.Workers()) {
+			g.life.Go(func() error {
+				g.carryChange(next)
+				return nil
+			})
+		}
+	}
+	return nil
+}
+
+// orderDelay returns the time until a new holder may order, so that its orders
+// don't come within the least gap behind those of the holder before.
+func (g *Gateway) orderDelay(token fleet.FencingToken) time.Duration {
+	if token <= 1 {
+		return 0
+	}
+	delay := g.settings.LeaseGap + gapSlack
+	if g.keeper.Predecessor() != "" {
+		delay -= leaseSettings(g.settings).Margin * 2
+	}
+	return delay
+}
+
+// rolloutCandidate tells whether this node is among those that take the lease.
+func (g *Gateway) rolloutCandidate() bool {
+	if g.stopping() {
+		return false
+	}
+	for _, node := range membership.Owners(rolloutLease, g.peers.View().Routable(), rolloutCandidates) {
+		if node == g.node {
+			return true
+		}
+	}
+	return false
+}
+
+// carryChange brings one engine to a version: it keeps requests away, sends
+// the order, and asks until the engine has the version.
+func (g *Gateway) carryChange(next change) {
+	begun := g.now()
+	took := time.Duration(0)
+	defer func() { g.weights.finish(next, took) }()
+	g.keepAway(next.worker.ID)
+	if !g.pause(quiesceFor) {
+		return
+	}
+	ordered := time.Duration(-1)
+	orders := int64(0)
+	for g.now() < begun+changeTimeout {
+		report, err := g.outside.Engines.Report(g.context(), next.worker)
+		switch {
+		case err != nil:
+			g.logger.Warn().Str("worker", string(next.worker.ID)).Err(err).Msg("report_failed")
+		case report.Versions[next.model] >= next.version && !report.Busy:
+			took = g.now() - begun
+			g.changed(next, backends.WeightsVersion(report.Versions[next.model]), took)
+			return
+		case !report.Busy && (ordered < 0 || report.Orders != orders || g.now() > ordered+reorderAfter):
+			next.version = max(next.version, g.weights.newest(next.model))
+			if !g.order(next, report) {
+				return
+			}
+			ordered, orders = g.now(), report.Orders
+		}
+		g.keepAway(next.worker.ID)
+		if !g.pause(reportInterval) {
+			return
+		}
+	}
+}
+
+// keepAway has this node and, by its next reports, all others send no requests
+// to an engine for a while.
+func (g *Gateway) keepAway(id fleet.EngineID) {
+	until := g.now() + orderedFor
+	g.weights.announce(id, until)
+	g.workers.NoteOrder(id, until)
+}
+
+// order sends one order, if the lease is still held right before. It returns
+// false if it isn't.
+func (g *Gateway) order(next change, report rollout.Report) bool {
+	token, holds := g.keeper.Fence()
+	if !holds {
+		g.logger.Warn().Str("worker", string(next.worker.ID)).Msg("order_dropped_without_lease")
+		return false
+	}
+	ctx, cancel := context.WithTimeout(g.context(), time.Second)
+	defer cancel()
+	result, err := g.outside.Engines.OrderVersion(ctx, next.worker, rollout.VersionOrder{
+		Model:          next.model,
+		Version:        next.version,
+		Holder:         lease.HolderID(g.settings.Node),
+		Token:          token,
+		ExpectedOrders: report.Orders,
+	})
+	g.metrics.orders.Inc()
+	g.logger.Info().Str("worker", string(next.worker.ID)).Str("model", string(next.model)).
+		Uint64("version", next.version).Uint64("token", uint64(token)).Int64("expected_orders", report.Orders).
+		Int("running", report.Running).Int("result", int(result)).AnErr("cause", err).Msg("order_sent")
+	return true
+}
+
+// changed notes that an engine has its new version.
+func (g *Gateway) changed(done change, version backends.WeightsVersion, took time.Duration) {
+	g.workers.NoteVersion(done.worker.ID, done.model, version)
+	g.workers.NoteOrder(done.worker.ID, 0)
+	g.logger.Info().Str("worker", string(done.worker.ID)).Uint64("version", uint64(version)).Dur("took", took).Msg("weights_changed")
+}
--- a/internal/lease/election.go
+++ b/internal/lease/election.go
@@ -67,6 +67,9 @@
 	// unknown. It may still take effect while the row is at that revision.
 	unresolved *commit
 
+	// predecessor is whom the row named when this process last took it over.
+	predecessor HolderID
+
 	nextAt        time.Duration
 	believedUntil time.Duration
 	ineligible    bool
@@ -101,6 +104,12 @@
 // Observed returns the lease's record as last seen; false before the first read.
 func (e *Election) Observed() (Record, bool) { return e.row.record, e.row.revision != 0 }
 
+// Predecessor returns whom the row named when this process last took it over:
+// nobody, if the lease had been released or never held. A lease that ran out
+// has been without a holder for twice the margin when it is taken over; a
+// released one may be taken over at once.
+func (e *Election) Predecessor() HolderID { return e.predecessor }
+
 // SetEligible tells whether the process takes the lease when it is free. In a
 // large fleet only a few processes need to poll. A holder stays one.
 func (e *Election) SetEligible(eligible bool) { e.ineligible = !eligible }
@@ -153,6 +162,7 @@
 	token := e.highestToken
 	if !e.mine() {
 		token++
+		e.predecessor = e.row.record.Holder
 	}
 	return Record{Holder: e.holder, Token: token, DurationMillis: e.settings.Duration.Milliseconds()}
 }
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -74,6 +74,13 @@
 	return k.election.Observed()
 }
 
+// Predecessor returns whom the row named when this process last took it over.
+func (k *Keeper) Predecessor() HolderID {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.election.Predecessor()
+}
+
 // SetEligible tells whether this process takes the lease when it is free.
 func (k *Keeper) SetEligible(eligible bool) {
 	k.mutex.Lock()
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -147,6 +147,13 @@
 	return owners
 }
 
+// RendezvousWeight returns the weight of a candidate for a key: all processes
+// that take the candidate of the highest weight agree, and when candidates come
+// or go only the keys that they win or held change hands.
+func RendezvousWeight(key, candidate string) uint64 {
+	return mix(xxhash.Sum64String(key) ^ xxhash.Sum64String(candidate))
+}
+
 // weightedScore maps a uniform hash to -weight/ln(u) with u in (0, 1).
 func weightedScore(hash uint64, weight float64) float64 {
 	const mantissaBits = 53
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,6 +19,7 @@
 	"github.com/tillerfall/tillerfall/internal/config"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rpc"
 )
 
 // Options sets up a Peer.
@@ -37,6 +38,9 @@
 	Logger zerolog.Logger
 	// Registerer registers the metrics; nil leaves them unregistered.
 	Registerer prometheus.Registerer
+	// Loads answers another process's report on the workers with this one's; nil
+	// means that this process shares no load.
+	Loads func(ctx context.Context, report *rpc.LoadReport) *rpc.LoadReport
 }
 
 const (
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -58,3 +58,11 @@
 	}
 	return response, nil
 }
+
+// ShareLoad implements rpc.Peer for processes that share load.
+func (p *Peer) ShareLoad(ctx context.Context, request *rpc.LoadReport) (*rpc.LoadReport, error) {
+	if p.options.Loads == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this process shares no load")
+	}
+	return p.options.Loads(ctx, request), nil
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -35,6 +35,12 @@
 	return rpc.NewPeerProtobufClient("http://"+string(address), p.http)
 }
 
+// ExchangeLoad gives one member this process's report on the workers and returns
+// the member's own.
+func (p *Peer) ExchangeLoad(ctx context.Context, address fleet.Address, report *rpc.LoadReport) (*rpc.LoadReport, error) {
+	return p.client(address).ShareLoad(ctx, report)
+}
+
 func (p *Peer) send(messages []membership.Message) {
 	for _, message := range messages {
 		p.enqueue(call{message: message})
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -24,6 +24,7 @@
 	PromptTooLong    Code = 1009
 	UnknownPath      Code = 1010
 	HeaderInvalid    Code = 1011
+	BodyTimeout      Code = 1012
 
 	TenantConcurrency Code = 2001
 	TenantQueueFull   Code = 2002
@@ -84,6 +85,7 @@
 	{PromptTooLong, "prompt_too_long", http.StatusBadRequest, true, "The prompt is over the model's limit."},
 	{UnknownPath, "unknown_path", http.StatusNotFound, true, "No such path or method."},
 	{HeaderInvalid, "header_invalid", http.StatusBadRequest, true, "A Tillerfall header has a value that can't be read."},
+	{BodyTimeout, "body_timeout", http.StatusRequestTimeout, true, "The body did not come whole in time."},
 	{TenantConcurrency, "tenant_concurrency", http.StatusTooManyRequests, true, "The tenant has too many unfinished requests at this agent."},
 	{TenantQueueFull, "tenant_queue_full", http.StatusTooManyRequests, true, "The tenant has too many waiting requests."},
 	{QueueTimeout, "queue_timeout", http.StatusServiceUnavailable, true, "No engine became free within the class's limit."},
--- /dev/null
+++ b/internal/rollout/versions.go
@@ -0,0 +1,220 @@
+package rollout
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/lease"
+)
+
+// Report is an engine's own word on its state.
+type Report struct {
+	// Versions holds the version of each model.
+	Versions map[fleet.ModelName]uint64
+	// Busy is set while an order is being carried out.
+	Busy bool
+	// Orders counts the orders that this run has taken.
+	Orders int64
+	// Running counts the requests that it works on.
+	Running int
+}
+
+// VersionOrder has an engine take a version of a model's weights.
+type VersionOrder struct {
+	Model   fleet.ModelName
+	Version uint64
+	Holder  lease.HolderID
+	Token   fleet.FencingToken
+	// ExpectedOrders is the count of orders that the engine must have, so that an
+	// order which arrives late, behind another one, changes nothing.
+	ExpectedOrders int64
+}
+
+// OrderResult tells what became of an order.
+type OrderResult int
+
+// Results of orders.
+const (
+	// OrderUncertain means that no answer came: the order may still be carried out.
+	OrderUncertain OrderResult = iota
+	// OrderAccepted means that it is being carried out.
+	OrderAccepted
+	// OrderHolds means that the engine is in the ordered state already.
+	OrderHolds
+	// OrderRejected means that the engine did not take it.
+	OrderRejected
+)
+
+// Defaults of PacerOptions.
+const (
+	DefaultParallel = 4
+	DefaultLoadTime = 1200 * time.Millisecond
+	DefaultReserve  = 1200 * time.Millisecond
+)
+
+// PacerOptions sets up a Pacer; zero fields take the defaults.
+type PacerOptions struct {
+	// Within is the time from the naming of a version within which every engine
+	// is to have it or a newer one.
+	Within time.Duration
+	// Parallel bounds the engines that change at once.
+	Parallel int
+	// LoadTime is how long one engine takes before any was measured.
+	LoadTime time.Duration
+	// Reserve is the time that a pass is begun earlier than it must.
+	Reserve time.Duration
+}
+
+// VersionedEngine is an engine as the pacer needs to know it.
+type VersionedEngine struct {
+	Engine  fleet.EngineID
+	Version uint64
+	// Changing is set while an order to it is under way.
+	Changing bool
+}
+
+// naming is when a version was first heard of.
+type naming struct {
+	version uint64
+	at      time.Duration
+}
+
+// Pacer decides when which engines take a newly named version of one model's
+// weights. A change empties an engine's cache and costs a load, so a pass over
+// the engines begins as late as its slowest part allows: versions that are
+// named meanwhile are skipped. The pacer has no I/O and no clock.
+type Pacer struct {
+	options  PacerOptions
+	namings  []naming
+	loadTime time.Duration
+	// target is the version that the pass under way brings everywhere; 0 between passes.
+	target uint64
+}
+
+// NewPacer returns a pacer that knows of no version.
+func NewPacer(options PacerOptions) *Pacer {
+	if options.Parallel <= 0 {
+		options.Parallel = DefaultParallel
+	}
+	if options.LoadTime <= 0 {
+		options.LoadTime = DefaultLoadTime
+	}
+	if options.Reserve <= 0 {
+		options.Reserve = DefaultReserve
+	}
+	return &Pacer{options: options, loadTime: options.LoadTime}
+}
+
+// Name takes in that a version is named. It returns false for a version that
+// isn't newer than the newest known.
+func (p *Pacer) Name(now time.Duration, version uint64) bool {
+	if version <= p.Newest() {
+		return false
+	}
+	p.namings = append(p.namings, naming{version: version, at: now})
+	return true
+}
+
+// Newest returns the newest named version, or 0.
+func (p *Pacer) Newest() uint64 {
+	if len(p.namings) == 0 {
+		return 0
+	}
+	return p.namings[len(p.namings)-1].version
+}
+
+// Due returns the newest version that was named at least age before now, or 0.
+func (p *Pacer) Due(now, age time.Duration) uint64 {
+	due := uint64(0)
+	for _, named := range p.namings {
+		if named.at+age <= now {
+			due = named.version
+		}
+	}
+	return due
+}
+
+// Measured takes in how long a change of one engine took.
+func (p *Pacer) Measured(took time.Duration) {
+	const weight = 4
+	p.loadTime += (took - p.loadTime) / weight
+}
+
+// Next returns the engines to change to the newest version now, those furthest
+// behind first. A pass ends when every engine has what was newest at its start.
+func (p *Pacer) Next(now time.Duration, engines []VersionedEngine) []fleet.EngineID {
+	if len(behind(engines, p.target)) == 0 && !changing(engines, p.target) {
+		p.target = 0
+	}
+	if p.target == 0 && !p.begin(now, engines) {
+		return nil
+	}
+	waiting := behind(engines, p.target)
+	slices.SortFunc(waiting, func(a, b VersionedEngine) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Engine, b.Engine))
+	})
+	room := p.options.Parallel
+	for _, engine := range engines {
+		if engine.Changing {
+			room--
+		}
+	}
+	var chosen []fleet.EngineID
+	for _, engine := range waiting[:min(max(room, 0), len(waiting))] {
+		chosen = append(chosen, engine.Engine)
+	}
+	return chosen
+}
+
+// begin starts a pass if one is due.
+func (p *Pacer) begin(now time.Duration, engines []VersionedEngine) bool {
+	newest := p.Newest()
+	waiting := behind(engines, newest)
+	if len(waiting) == 0 {
+		return false
+	}
+	oldest := newest
+	for _, engine := range waiting {
+		oldest = min(oldest, engine.Version)
+	}
+	if now < p.latestStart(oldest, len(waiting)) {
+		return false
+	}
+	p.target = newest
+	return true
+}
+
+// behind returns the engines with an older version than target that aren't
+// changing.
+func behind(engines []VersionedEngine, target uint64) []VersionedEngine {
+	var older []VersionedEngine
+	for _, engine := range engines {
+		if !engine.Changing && engine.Version < target {
+			older = append(older, engine)
+		}
+	}
+	return older
+}
+
+// changing tells whether an engine with an older version than target is changing.
+func changing(engines []VersionedEngine, target uint64) bool {
+	return slices.ContainsFunc(engines, func(engine VersionedEngine) bool {
+		return engine.Changing && engine.Version < target
+	})
+}
+
+// latestStart returns when a pass over count engines must begin, so that the
+// first version newer than oldest is everywhere in time.
+func (p *Pacer) latestStart(oldest uint64, count int) time.Duration {
+	for _, named := range p.namings {
+		if named.version <= oldest {
+			continue
+		}
+		rounds := (count + p.options.Parallel - 1) / p.options.Parallel
+		pass := time.Duration(rounds) * p.loadTime
+		return named.at + p.options.Within - pass - p.options.Reserve
+	}
+	return 0
+}
--- a/internal/router/operatingpage_test.go
+++ b/internal/router/operatingpage_test.go
@@ -30,10 +30,10 @@
 	return names
 }
 
-// TestPageNamesTheRoutersMetrics compares docs/OPERATING.md with what a router
+// TestPageNamesTheRoutersMetrics compares docs/OPERATIONS.md with what a router
 // registers.
 func TestPageNamesTheRoutersMetrics(t *testing.T) {
-	data, err := os.ReadFile("../../docs/OPERATING.md")
+	data, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	registered := registeredMetrics(newTestFleet(t, 0).startRouter("r").metrics.registry)
 	for _, name := range registered {
--- /dev/null
+++ b/internal/routes/document.go
@@ -0,0 +1,124 @@
+// Package routes is the gateway's configuration: which service a request goes
+// to, who may send it, and within which bounds. A Document is what an operator
+// wrote; a Table is the document compiled for lookups, immutable and safe for
+// concurrent use. The package has no I/O.
+package routes
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Kind tells what may be repeated of a route's requests.
+type Kind string
+
+// Kinds of routes.
+const (
+	// Safe requests may run more than once.
+	Safe Kind = "safe"
+	// Unsafe requests run at most once.
+	Unsafe Kind = "unsafe"
+	// Streaming requests are answered by a series of events. They count as
+	// unsafe unless the route is resumable.
+	Streaming Kind = "streaming"
+)
+
+// Document is a whole configuration.
+type Document struct {
+	Version  fleet.Revision
+	Routes   []Route
+	Services []Service
+	Tenants  []Tenant
+	Limits   Limits
+}
+
+// Route says where requests of one host and path prefix go.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Split names the services and their shares.
+	Split []Share
+	// Timeout is the longest that a request may be held.
+	Timeout time.Duration
+	// TargetLatency is the time within which an answer has its full worth, to
+	// the first event for streams.
+	TargetLatency time.Duration
+	// TargetGap is the longest pause between events of an answer in time.
+	TargetGap time.Duration
+	// Priority orders routes; 0 is the most urgent.
+	Priority int
+	// MaxAttempts bounds the workers that one request may be sent to.
+	MaxAttempts int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may be continued by another worker.
+	Resumable bool
+}
+
+// Idempotent tells whether a request of the route may run more than once.
+func (r *Route) Idempotent() bool {
+	return r.Kind == Safe || (r.Kind == Streaming && r.Resumable)
+}
+
+// Share is one service's part of a route's requests.
+type Share struct {
+	Service fleet.PoolName
+	Weight  int
+}
+
+// Service is a set of workers that do the same work.
+type Service struct {
+	Name       fleet.PoolName
+	HealthPath string
+	// MaxConnections bounds the connections to one worker from all callers; 0
+	// means no bound.
+	MaxConnections int
+	// Engine is set for language-model engines.
+	Engine *EngineService
+	// Store is set for a store of kept KV cache, which serves no requests.
+	Store *StoreService
+}
+
+// EngineService describes the engines of a service.
+type EngineService struct {
+	// Slots is the number of requests that an engine runs at once.
+	Slots int
+	// CapacityTokens is an engine's memory for KV cache.
+	CapacityTokens int
+	// TokenBytes is the size of one token's KV cache.
+	TokenBytes int
+	// LinkMegabits is the bandwidth of an engine's link, in Mbit/s.
+	LinkMegabits float64
+	// Models lists what the engines serve.
+	Models []fleet.ModelName
+}
+
+// StoreService describes a store of kept KV cache.
+type StoreService struct {
+	Address fleet.Address
+	Zone    fleet.ZoneName
+	// CapacityTokens is the store's room.
+	CapacityTokens int
+}
+
+// Tenant is a caller with keys.
+type Tenant struct {
+	Name fleet.TenantName
+	Keys []string
+	// Priority goes before the route's where HasPriority is set.
+	Priority    int
+	HasPriority bool
+	// Isolated tenants share no cached prompt part with others.
+	Isolated bool
+}
+
+// Limits bound what a caller may send. A zero field means no limit.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
--- /dev/null
+++ b/internal/routes/freshness.go
@@ -0,0 +1,52 @@
+package routes
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Freshness is the proof of how new this process's knowledge of the
+// configuration is: everything acknowledged before the proof's time is in
+// force here. It is safe for concurrent use.
+//
+// A proof's time is the start of the call whose answer gave it, on the steady
+// clock, so that a slow answer or a freeze makes it old instead of new.
+type Freshness struct {
+	provenAt atomic.Int64
+}
+
+// never is before any time of the steady clock.
+const never = int64(-1 << 62)
+
+// NewFreshness returns a freshness without proof.
+func NewFreshness() *Freshness {
+	freshness := &Freshness{}
+	freshness.provenAt.Store(never)
+	return freshness
+}
+
+// Prove notes that all that was acknowledged before at is in force. An older
+// proof than the present one changes nothing.
+func (f *Freshness) Prove(at time.Duration) {
+	for {
+		present := f.provenAt.Load()
+		if int64(at) <= present || f.provenAt.CompareAndSwap(present, int64(at)) {
+			return
+		}
+	}
+}
+
+// Age returns how old the proof is at now; false without any proof.
+func (f *Freshness) Age(now time.Duration) (time.Duration, bool) {
+	at := f.provenAt.Load()
+	if at == never {
+		return 0, false
+	}
+	return now - time.Duration(at), true
+}
+
+// Within tells whether the proof is younger than bound at now.
+func (f *Freshness) Within(now, bound time.Duration) bool {
+	age, proven := f.Age(now)
+	return proven && age < bound
+}
--- /dev/null
+++ b/internal/routes/table.go
@@ -0,0 +1,116 @@
+package routes
+
+import (
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Table is a compiled document.
+type Table struct {
+	document Document
+	hosts    map[string][]*Route
+	services map[fleet.PoolName]*Service
+	keys     map[string]*Tenant
+}
+
+// Compile checks a document and prepares it for lookups.
+func Compile(document Document) (*Table, error) {
+	table := &Table{
+		document: document,
+		hosts:    make(map[string][]*Route),
+		services: make(map[fleet.PoolName]*Service, len(document.Services)),
+		keys:     make(map[string]*Tenant),
+	}
+	for index := range document.Services {
+		service := &document.Services[index]
+		table.services[service.Name] = service
+	}
+	for index := range document.Routes {
+		route := &document.Routes[index]
+		if err := table.checkRoute(route); err != nil {
+			return nil, errors.Wrapf(err, "route %q", route.Name)
+		}
+		host := strings.ToLower(route.Host)
+		table.hosts[host] = append(table.hosts[host], route)
+	}
+	for index := range document.Tenants {
+		tenant := &document.Tenants[index]
+		for _, key := range tenant.Keys {
+			table.keys[key] = tenant
+		}
+	}
+	return table, nil
+}
+
+func (t *Table) checkRoute(route *Route) error {
+	if !strings.HasPrefix(route.Prefix, "/") {
+		return errors.Errorf("prefix %q doesn't begin with a slash", route.Prefix)
+	}
+	if len(route.Split) == 0 {
+		return errors.New("no service")
+	}
+	for _, share := range route.Split {
+		if t.services[share.Service] == nil {
+			return errors.Errorf("unknown service %q", share.Service)
+		}
+		if share.Weight < 0 {
+			return errors.Errorf("negative weight %d", share.Weight)
+		}
+	}
+	switch route.Kind {
+	case Safe, Unsafe, Streaming:
+		return nil
+	default:
+		return errors.Errorf("unknown kind %q", route.Kind)
+	}
+}
+
+// Version returns the document's version.
+func (t *Table) Version() fleet.Revision { return t.document.Version }
+
+// Limits returns the bounds on callers.
+func (t *Table) Limits() Limits { return t.document.Limits }
+
+// Match returns the route of a host and raw path: the longest prefix that
+// begins the path wins. A port in the host is ignored.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	var best *Route
+	for _, route := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.Prefix) && (best == nil || len(route.Prefix) > len(best.Prefix)) {
+			best = route
+		}
+	}
+	return best, best != nil
+}
+
+// Tenant returns the holder of a key.
+func (t *Table) Tenant(key string) (*Tenant, bool) {
+	tenant, found := t.keys[key]
+	return tenant, found
+}
+
+// Keyed tells whether requests of routes that aren't public need a key.
+func (t *Table) Keyed() bool { return len(t.document.Tenants) > 0 }
+
+// Service returns a service by name.
+func (t *Table) Service(name fleet.PoolName) (*Service, bool) {
+	service, found := t.services[name]
+	return service, found
+}
+
+// Stores returns the stores of kept KV cache.
+func (t *Table) Stores() []*StoreService {
+	var stores []*StoreService
+	for index := range t.document.Services {
+		if store := t.document.Services[index].Store; store != nil {
+			stores = append(stores, store)
+		}
+	}
+	return stores
+}
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -61,25 +61,30 @@
 		explanation[picked.index].Chosen = true
 	}
 	return Decision{
-		Index:        picked.index,
-		Endpoint:     endpoints[picked.index],
-		CachedTokens: picked.scores.CachedTokens,
-		FirstToken:   picked.scores.FirstToken(),
-		Late:         late,
-		Candidates:   explanation,
+		Index:          picked.index,
+		Endpoint:       endpoints[picked.index],
+		CachedTokens:   picked.scores.CachedTokens,
+		ImportedTokens: picked.scores.ImportedTokens,
+		FirstToken:     picked.scores.FirstToken(),
+		Late:           late,
+		Candidates:     explanation,
 	}, true
 }
 
 // score predicts the costs of an endpoint, at the prices of a decision.
 func (s *Scheduler) score(request *Request, endpoint *Endpoint, charged prices) Scores {
 	cached := cachedTokens(request, endpoint)
-	uncached := request.PromptTokens - cached
+	imported, importing := importTime(request, endpoint, cached)
+	uncached := request.PromptTokens - cached - imported
 	return Scores{
-		CachedTokens: cached,
-		Queue:        queueTime(endpoint),
-		Prefill:      prefillTime(endpoint, uncached),
-		Interference: interferenceTime(endpoint, uncached),
-		Zone:         s.zonePrice(request, endpoint),
-		Recompute:    charged.recompute(uncached),
+		CachedTokens:   cached,
+		ImportedTokens: imported,
+		Import:         importing,
+		Queue:          queueTime(endpoint),
+		Prefill:        prefillTime(endpoint, uncached),
+		Interference:   interferenceTime(endpoint, uncached),
+		Zone:           s.zonePrice(request, endpoint),
+		Recompute:      charged.recompute(uncached),
+		Risk:           endpoint.Risk,
 	}
 }
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -47,6 +47,14 @@
 	// PendingRemaining is the time until PendingBlocks are computed. The work
 	// is part of PrefillTokens too.
 	PendingRemaining time.Duration
+	// ImportBlocks is the length of the request's prefix that this engine can
+	// take over from another holder before it computes, at ImportPerToken and
+	// ImportSetup; 0 means that nobody is known to hold more.
+	ImportBlocks   int
+	ImportPerToken time.Duration
+	ImportSetup    time.Duration
+	// Risk is the time that failures of this engine are expected to cost.
+	Risk time.Duration
 }
 
 // Request is what a decision needs to know of a request.
@@ -60,8 +68,12 @@
 	AgentZone    fleet.ZoneName
 	PromptTokens int
 	MaxTokens    int
-	BlockTokens  int
-	Excluded     []fleet.EngineRun
+	// BlockTokens is the size of every block of the prompt's prefix.
+	BlockTokens int
+	// PartTokens holds, for prompts of named parts of different sizes, the tokens
+	// up to the end of each part; nil for blocks of one size.
+	PartTokens []int
+	Excluded   []fleet.EngineRun
 	// Deadline is the time left until the first token is of no use; 0 means none.
 	Deadline time.Duration
 	// RecomputeDiscount is the part of the price of recomputation, 0 to 1, that
@@ -78,6 +90,8 @@
 	Endpoint Endpoint
 	// CachedTokens is the expected part of the prompt that needs no prefill.
 	CachedTokens int
+	// ImportedTokens is the part beyond it to be taken over from another holder.
+	ImportedTokens int
 	// FirstToken is the predicted time until the first token.
 	FirstToken time.Duration
 	// Late is true when no candidate is predicted to meet the deadline; the
@@ -104,6 +118,10 @@
 	CachedTokens int
 	// Queue is the time until the request's own prefill can begin.
 	Queue time.Duration
+	// ImportedTokens is the part of the prompt that is cheaper to take over from
+	// another holder than to compute, and Import the time that this takes.
+	ImportedTokens int
+	Import         time.Duration
 	// Prefill is the time to compute the uncached part of the prompt.
 	Prefill time.Duration
 	// Interference is the time that decoding streams take out of both.
@@ -113,12 +131,14 @@
 	// Recompute is the price of the capacity that recomputing takes from
 	// others. It doesn't delay this request.
 	Recompute time.Duration
+	// Risk is the price of the engine's failures.
+	Risk time.Duration
 }
 
 // FirstToken is the predicted time until the first token.
 func (s Scores) FirstToken() time.Duration {
-	return s.Queue + s.Prefill + s.Interference + s.Zone
+	return s.Queue + s.Import + s.Prefill + s.Interference + s.Zone
 }
 
 // Cost is what the picker minimises.
-func (s Scores) Cost() time.Duration { return s.FirstToken() + s.Recompute }
+func (s Scores) Cost() time.Duration { return s.FirstToken() + s.Recompute + s.Risk }
--- a/internal/scheduling/score_cached.go
+++ b/internal/scheduling/score_cached.go
@@ -7,5 +7,18 @@
 // token is sampled from it.
 func cachedTokens(request *Request, endpoint *Endpoint) int {
 	blocks := max(endpoint.CachedBlocks, endpoint.PendingBlocks)
-	return max(min(blocks*request.BlockTokens, request.PromptTokens-1), 0)
+	return max(min(prefixTokens(request, blocks), request.PromptTokens-1), 0)
+}
+
+// prefixTokens returns the tokens in the first blocks, or named parts, of a
+// prompt.
+func prefixTokens(request *Request, blocks int) int {
+	if request.PartTokens == nil {
+		return blocks * request.BlockTokens
+	}
+	blocks = min(blocks, len(request.PartTokens))
+	if blocks <= 0 {
+		return 0
+	}
+	return request.PartTokens[blocks-1]
 }
--- /dev/null
+++ b/internal/upstream/connection.go
@@ -0,0 +1,107 @@
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Socket options of Linux that package syscall lacks.
+const tcpUserTimeout = 0x12
+
+// readBuffer is the size of a connection's read buffer, in bytes.
+const readBuffer = 2 << 10
+
+// keepAliveMargin is how much earlier than the worker a connection is given up,
+// so that a request doesn't cross the worker's close.
+const keepAliveMargin = 700 * time.Millisecond
+
+// connection is one connection to a worker.
+type connection struct {
+	engine  fleet.EngineID
+	address fleet.Address
+	raw     net.Conn
+	reader  *bufio.Reader
+	// keepAlive is how long the worker keeps the connection idle.
+	keepAlive time.Duration
+	expires   time.Time
+	// written counts the bytes that were written.
+	written atomic.Int64
+}
+
+// Write implements io.Writer and counts.
+func (c *connection) Write(content []byte) (int, error) {
+	count, err := c.raw.Write(content)
+	c.written.Add(int64(count))
+	return count, err
+}
+
+// quiet tells whether an idle connection is open and has nothing to read. Bytes
+// that nobody asked for may be an answer that came late, which must not be
+// taken for the next one.
+func (c *connection) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	system, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		count, _, peekErr := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = count <= 0 && (peekErr == syscall.EAGAIN || peekErr == syscall.EWOULDBLOCK)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// noteKeepAlive takes the worker's word on how long it keeps the connection.
+func (c *connection) noteKeepAlive(header http.Header) {
+	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, found := strings.Cut(strings.TrimSpace(part), "=")
+		if !found || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(strings.TrimSpace(value))
+		if err != nil || seconds < 0 {
+			continue
+		}
+		c.keepAlive = max(time.Duration(seconds)*time.Second-keepAliveMargin, 0)
+	}
+}
+
+// newDialer returns a dialer whose connections notice a silent peer.
+func newDialer(userTimeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     DefaultKeepAliveIdle,
+			Interval: time.Second,
+			Count:    3,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var optionErr error
+			err := raw.Control(func(descriptor uintptr) {
+				optionErr = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout,
+					int(userTimeout.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return optionErr
+		},
+	}
+}
--- a/lab/capacity/calls.go
+++ b/lab/capacity/calls.go
@@ -98,6 +98,10 @@
 	return f.gossip, nil
 }
 
+func (f *fixedAnswers) ShareLoad(context.Context, *rpc.LoadReport) (*rpc.LoadReport, error) {
+	return &rpc.LoadReport{}, nil
+}
+
 func (f *fixedAnswers) Changes(context.Context, *rpc.ChangesRequest) (*rpc.ChangesResponse, error) {
 	return &rpc.ChangesResponse{Header: header()}, nil
 }
--- a/test/integration/documented_test.go
+++ b/test/integration/documented_test.go
@@ -10,9 +10,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-// The section of docs/OPERATING.md whose commands the tests run.
+// The section of docs/OPERATIONS.md whose commands the tests run.
 const (
-	operatingPage    = "docs/OPERATING.md"
+	operatingPage    = "docs/OPERATIONS.md"
 	documentedTitle  = "## Run the parts as separate processes"
 	nextSectionStart = "\n## "
 )
