Change weights under running requests, in three rounds, and share when versions were named

Ruled out: more engines at once with waiting orders: the load then moves to the rest, and their runs take longer still (46 running at the last). Left: rolling restarts move the lease from node to node.

--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -24,7 +24,9 @@
 	TokenBytes   int
 	LinkMegabits float64
 	// Store is a store of kept KV cache that may hold the parts; empty if none.
-	Store fleet.Address
+	// StoreMegabits is the bandwidth of its link, which all engines share.
+	Store         fleet.Address
+	StoreMegabits float64
 }
 
 // EnginePlacement is what a placement at an engine adds.
@@ -44,6 +46,8 @@
 	SaveTo fleet.Address
 	// Predicted is the time until the first event.
 	Predicted time.Duration
+	// Prefix names the last shared part of the prompt.
+	Prefix string
 	// Home is set when the engine is the one that all nodes choose first for
 	// the prompt's shared parts.
 	Home bool
@@ -55,8 +59,10 @@
 // Predictions of moves of KV cache.
 const (
 	importSetup = 2 * time.Millisecond
-	// importSharing is the part of a link's bandwidth that a move is predicted to get.
+	// importSharing is the part of an engine's link that a move is predicted to
+	// get, storeSharing that of the store's, which all engines use.
 	importSharing = 0.5
+	storeSharing  = 0.2
 	bitsPerByte   = 8
 	megabit       = 1e6
 )
@@ -103,20 +109,26 @@
 		CachedTokens:   decision.CachedTokens,
 		ImportedTokens: decision.ImportedTokens,
 		Predicted:      decision.FirstToken,
+		Prefix:         prefixName(engine.Parts, shared),
 		Home:           chosen.worker.ID == home,
 		hashes:         known.hashes,
 		store:          storeRun(engine.Store),
 	}
-	r.chooseSources(placement, known, shared, home)
+	r.chooseSources(placement, known, shared, home, engine)
 	if engine.Store != "" && known.stored < shared {
 		placement.Engine.SaveTo = engine.Store
 	}
-	if placement.Engine.ImportFrom == "" && known.held[chosen.worker.ID] < shared {
-		placement.Engine.ImportFrom = engine.Store
-	}
 	return placement, ""
 }
 
+// prefixName returns the name of the last shared part, or "".
+func prefixName(parts []Part, shared int) string {
+	if shared == 0 {
+		return ""
+	}
+	return parts[shared-1].ID
+}
+
 // atVersion keeps the engines whose version is new enough.
 func (r *Registry) atVersion(model fleet.ModelName, candidates []*state) []*state {
 	required := r.required[model]
@@ -199,15 +211,31 @@
 		CachedBlocks:    held,
 		Risk:            time.Duration(known.failureRate(now) * float64(riskTime)),
 	}
-	if shared > held && engine.LinkMegabits > 0 {
+	if shared > held {
 		endpoint.ImportBlocks = shared
 		endpoint.ImportSetup = importSetup
-		bits := float64(engine.TokenBytes) * bitsPerByte
-		endpoint.ImportPerToken = time.Duration(bits / (engine.LinkMegabits * megabit * importSharing) * float64(time.Second))
+		endpoint.ImportPerToken = importPerToken(engine, parts)
 	}
 	return endpoint
 }
 
+// importPerToken predicts the time to move a token's KV cache, from an engine
+// that is known to hold more than the store is known to, or from the store.
+func importPerToken(engine *EngineRequest, parts *scoped) time.Duration {
+	bandwidth := engine.StoreMegabits * storeSharing
+	for _, held := range parts.held {
+		if held > parts.stored {
+			bandwidth = engine.LinkMegabits * importSharing
+			break
+		}
+	}
+	if bandwidth <= 0 {
+		bandwidth = max(engine.LinkMegabits*importSharing, 1)
+	}
+	bits := float64(engine.TokenBytes) * bitsPerByte
+	return time.Duration(bits / (bandwidth * megabit) * float64(time.Second))
+}
+
 // queuedPart is how many requests beyond its slots an engine may be sent, as a
 // part of the slots.
 const queuedPart = 2
@@ -217,27 +245,32 @@
 func servesAll(fleet.Weights) bool { return true }
 
 // chooseSources names the holder from which the engine takes what it lacks: an
-// engine believed to hold the shared parts, else their home, else the store.
-func (r *Registry) chooseSources(placement *Placement, known *scoped, shared int, home fleet.EngineID) {
-	engine := placement.Engine
-	own := known.held[placement.Worker.ID]
-	if shared == 0 || own >= shared {
+// engine known to hold more of the shared parts than the store is known to, else
+// the store, which gets all that is read.
+func (r *Registry) chooseSources(placement *Placement, known *scoped, shared int, home fleet.EngineID, request *EngineRequest) {
+	engine, model := placement.Engine, request.Model
+	own := min(known.held[placement.Worker.ID], shared)
+	if own >= shared {
 		return
 	}
-	best, bestHeld := fleet.Address(""), max(own, known.stored)
+	engine.ImportFrom = request.Store
+	best := max(own, known.stored)
 	for id, held := range known.held {
 		source := r.workers[id]
-		if source == nil || id == placement.Worker.ID || !source.listed() || min(held, shared) <= bestHeld {
+		if source == nil || id == placement.Worker.ID || !source.listed() || min(held, shared) <= best {
 			continue
 		}
-		best, bestHeld = source.worker.Address, min(held, shared)
-	}
-	if best == "" && !engine.Home && known.stored == 0 {
-		if source := r.workers[home]; source != nil {
-			best = source.worker.Address
+		if source.worker.Versions[model] != engine.Version {
+			continue
 		}
+		engine.ImportFrom, best = source.worker.Address, min(held, shared)
+	}
+	if engine.ImportFrom != "" || engine.Home {
+		return
+	}
+	if source := r.workers[home]; source != nil {
+		engine.ImportFrom = source.worker.Address
 	}
-	engine.ImportFrom = best
 }
 
 // noteHeld records what the engine and the store hold once an answer has begun.
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -115,13 +115,29 @@
 		change = NewVersion
 	}
 	worker.Draining = worker.Draining || known.worker.Draining
-	if !maps.Equal(known.worker.Versions, worker.Versions) {
-		known.doubtUntil = 0
-	}
+	worker.Versions = r.newerVersions(known, worker.Versions)
 	known.worker, known.revision, known.gone = worker, revision, false
 	return change
 }
 
+// newerVersions returns the versions of a row, except where a newer one was
+// heard of before: rows lag behind. A newer version in the row drops what the
+// worker is believed to hold.
+func (r *Registry) newerVersions(known *state, row map[fleet.ModelName]WeightsVersion) map[fleet.ModelName]WeightsVersion {
+	if maps.Equal(known.worker.Versions, row) {
+		return row
+	}
+	newer := make(map[fleet.ModelName]WeightsVersion, len(row))
+	for model, version := range row {
+		newer[model] = max(version, known.worker.Versions[model])
+	}
+	if !maps.Equal(known.worker.Versions, newer) {
+		known.doubtUntil = 0
+		r.parts.clear(known.worker.Run())
+	}
+	return newer
+}
+
 // ObserveGone takes in that a worker's row went at a revision.
 func (r *Registry) ObserveGone(now time.Duration, revision fleet.Revision, id fleet.EngineID) Change {
 	r.mutex.Lock()
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -185,7 +185,8 @@
 	if engine := placement.Engine; engine != nil {
 		line = line.Uint64("version", uint64(engine.Version)).Int("cached", engine.CachedTokens).
 			Int("imported", engine.ImportedTokens).Int("prompt", current.metadata.PromptTokens).
-			Str("import_from", string(engine.ImportFrom)).Bool("home", engine.Home).Int("prefill_ahead", placement.PrefillTokens).
+			Str("prefix", engine.Prefix).Str("import_from", string(engine.ImportFrom)).
+			Str("save_to", string(engine.SaveTo)).Bool("home", engine.Home).Int("prefill_ahead", placement.PrefillTokens).
 			Dur("predicted", engine.Predicted)
 	}
 	if age, proven := g.fresh.Age(g.now()); proven {
@@ -212,7 +213,9 @@
 			OutputTokens: current.metadata.OutputTokens,
 			TokenBytes:   engine.TokenBytes,
 			LinkMegabits: engine.LinkMegabits,
-			Store:        g.keptStore(),
+		}
+		if store := g.keptStore(); store != nil {
+			request.Engine.Store, request.Engine.StoreMegabits = store.Address, store.LinkMegabits
 		}
 		if current.tenant != nil {
 			request.Engine.Tenant, request.Engine.Isolated = current.tenant.Name, current.tenant.Isolated
@@ -221,17 +224,17 @@
 	return request
 }
 
-// keptStore returns the address of a store of kept KV cache, or "".
-func (g *Gateway) keptStore() fleet.Address {
+// keptStore returns a store of kept KV cache, or nil.
+func (g *Gateway) keptStore() *routes.StoreService {
 	held := g.holder.Current()
 	if held == nil {
-		return ""
+		return nil
 	}
 	stores := held.Table.Stores()
 	if len(stores) == 0 {
-		return ""
+		return nil
 	}
-	return stores[0].Address
+	return stores[0]
 }
 
 // destination returns where to send, with this node's part of the worker's
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -28,8 +28,9 @@
 	name string
 	// read reads all rows and takes them in; it returns their revision.
 	read func(ctx context.Context) (fleet.Revision, error)
-	// follow takes in the changes after a revision and returns the new one.
-	follow func(ctx context.Context, after fleet.Revision, wait time.Duration) (fleet.Revision, error)
+	// follow takes in the changes after a revision and returns the new one. gap is
+	// set if the call before it failed, so that the changes may be older.
+	follow func(ctx context.Context, after fleet.Revision, wait time.Duration, gap bool) (fleet.Revision, error)
 	wait   time.Duration
 	// proven is called with the start of each call that followed the changes
 	// without a gap.
@@ -49,7 +50,7 @@
 		var revision fleet.Revision
 		var err error
 		if known {
-			revision, err = table.follow(ctx, after, wait)
+			revision, err = table.follow(ctx, after, wait, failures > 0)
 		} else {
 			revision, err = table.read(ctx)
 		}
@@ -101,41 +102,53 @@
 			if err != nil {
 				return 0, err
 			}
-			return rows.Revision, g.takeOperator(rows)
+			g.takeOperator(rows, true)
+			return rows.Revision, nil
 		},
-		follow: func(ctx context.Context, after fleet.Revision, wait time.Duration) (fleet.Revision, error) {
+		follow: func(ctx context.Context, after fleet.Revision, wait time.Duration, gap bool) (fleet.Revision, error) {
 			rows, err := g.outside.Platform.FollowOperator(ctx, after, wait)
 			if err != nil {
 				return 0, err
 			}
-			return rows.Revision, g.takeOperator(rows)
+			g.takeOperator(rows, gap)
+			return rows.Revision, nil
 		},
 		proven: g.fresh.Prove,
 	})
 }
 
-// takeOperator takes in what the operator has written.
-func (g *Gateway) takeOperator(rows *OperatorRows) error {
+// takeOperator takes in what the operator has written. After a gap the changes
+// may be as old as the last proof, or of unknown age if there was none.
+func (g *Gateway) takeOperator(rows *OperatorRows, gap bool) {
 	now := g.now()
+	at, known := now, true
+	if gap {
+		age, proven := g.fresh.Age(now)
+		at, known = now-age, proven
+	}
 	for _, named := range rows.Weights {
-		if g.weights.name(now, named) {
+		if g.weights.name(at, known, named) {
 			g.logger.Info().Str("model", string(named.Model)).Uint64("version", uint64(named.Version)).
-				Uint64("revision", uint64(rows.Revision)).Msg("weights_named")
+				Uint64("revision", uint64(rows.Revision)).Dur("age", now-at).Bool("age_known", known).Msg("weights_named")
 		}
 	}
-	if rows.Document == nil {
-		return nil
+	if rows.Document != nil {
+		g.takeDocument(now, rows)
 	}
+}
+
+// takeDocument takes a configuration over. One that can't be used is refused,
+// and the one in force stays.
+func (g *Gateway) takeDocument(now time.Duration, rows *OperatorRows) {
 	table, err := routes.Compile(*rows.Document)
 	if err != nil {
 		g.logger.Error().Uint64("version", uint64(rows.Document.Version)).Err(err).Msg("configuration_refused")
-		return nil
+		return
 	}
 	if g.holder.Offer(now, rows.DocumentRevision, table) {
 		g.logger.Info().Uint64("version", uint64(table.Version())).Uint64("revision", uint64(rows.DocumentRevision)).
 			Int("routes", len(rows.Document.Routes)).Int("tenants", len(rows.Document.Tenants)).Msg("configuration_in_force")
 	}
-	return nil
 }
 
 func (g *Gateway) followWorkers() error {
@@ -150,7 +163,7 @@
 			g.takeAllWorkers(rows)
 			return rows.Revision, nil
 		},
-		follow: func(ctx context.Context, after fleet.Revision, wait time.Duration) (fleet.Revision, error) {
+		follow: func(ctx context.Context, after fleet.Revision, wait time.Duration, _ bool) (fleet.Revision, error) {
 			rows, err := g.outside.Platform.FollowWorkers(ctx, after, wait)
 			if err != nil {
 				return 0, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,7 +117,6 @@
 // schedulingOptions returns the prices for engines that can import.
 func schedulingOptions() scheduling.Options {
 	options := scheduling.DefaultOptions()
-	options.TieFraction = 0.1
 	return options
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -146,6 +146,13 @@
 			Worker: string(id), RemainingMillis: uint32(remaining.Milliseconds()),
 		})
 	}
+	for model, namings := range g.weights.heard() {
+		for _, naming := range namings {
+			report.Named = append(report.Named, &rpc.NamedVersion{
+				Model: string(model), Version: naming.Version, AgeMillis: uint32(max(now-naming.At, 0).Milliseconds()),
+			})
+		}
+	}
 	if _, holds := g.keeper.Fence(); holds {
 		report.Weights = g.knownVersions()
 	}
@@ -186,6 +193,9 @@
 	for _, order := range report.GetOrders() {
 		g.workers.NoteOrder(fleet.EngineID(order.GetWorker()), now+time.Duration(order.GetRemainingMillis())*time.Millisecond)
 	}
+	for _, named := range report.GetNamed() {
+		g.weights.learn(now-time.Duration(named.GetAgeMillis())*time.Millisecond, fleet.ModelName(named.GetModel()), named.GetVersion())
+	}
 	for _, versions := range report.GetWeights() {
 		g.workers.NoteVersion(fleet.EngineID(versions.GetWorker()), fleet.ModelName(versions.GetModel()),
 			backends.WeightsVersion(versions.GetVersion()))
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/lease"
@@ -23,15 +25,26 @@
 	rolloutInterval = 100 * time.Millisecond
 	// requireReserve is how much before the bound no request goes to an engine
 	// with an older version any more.
-	requireReserve = 500 * time.Millisecond
+	requireReserve = 1200 * time.Millisecond
+	// startUnknown is the time after this process's start at which a version that
+	// was named before it counts as due, unless a peer knows better.
+	startUnknown = 3 * time.Second
 	// quiesceFor is the time from the word that an engine is about to be ordered
 	// until the order: requests under way to it arrive meanwhile.
 	quiesceFor = 300 * time.Millisecond
 	// orderedFor is how long an engine counts as under an order, unless its new
 	// version is seen before.
 	orderedFor = 2 * time.Second
-	// reportInterval is the time between two questions to an engine under order.
-	reportInterval = 250 * time.Millisecond
+	// loadAtLeast is the time from an order until an engine is asked for the first
+	// time, reportInterval the time between two questions after that.
+	loadAtLeast    = 650 * time.Millisecond
+	reportInterval = 150 * time.Millisecond
+	// maxFailedReports bounds the questions without an answer, after which the
+	// engine is left alone for changeBackoff.
+	maxFailedReports = 2
+	changeBackoff    = 1500 * time.Millisecond
+	// sharedNamings bounds the versions whose naming is told to peers.
+	sharedNamings = 4
 	// reorderAfter is when an order without effect is sent again.
 	reorderAfter = 1500 * time.Millisecond
 	// changeTimeout bounds the change of one engine, after which it is begun anew.
@@ -64,27 +77,55 @@
 	changing map[fleet.EngineID]bool
 	// orders holds, by engine, until when it counts as under order.
 	orders map[fleet.EngineID]time.Duration
+	// leftAlone holds, by engine, until when no change of it is begun.
+	leftAlone map[fleet.EngineID]time.Duration
 }
 
 func newWeights(settings Settings) *weights {
 	return &weights{
-		within:   settings.WeightsWithin,
-		pacers:   make(map[fleet.ModelName]*rollout.Pacer),
-		changing: make(map[fleet.EngineID]bool),
-		orders:   make(map[fleet.EngineID]time.Duration),
+		within:    settings.WeightsWithin,
+		pacers:    make(map[fleet.ModelName]*rollout.Pacer),
+		changing:  make(map[fleet.EngineID]bool),
+		orders:    make(map[fleet.EngineID]time.Duration),
+		leftAlone: make(map[fleet.EngineID]time.Duration),
 	}
 }
 
-// name takes in a named version and tells whether it is new.
-func (w *weights) name(now time.Duration, named NamedWeights) bool {
+// name takes in a named version and tells whether it is new. at is when it was
+// named at the latest; known is false for a version that was named at an unknown
+// time before.
+func (w *weights) name(at time.Duration, known bool, named NamedWeights) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	pacer := w.pacers[named.Model]
 	if pacer == nil {
-		pacer = rollout.NewPacer(rollout.PacerOptions{Within: w.within})
+		pacer = rollout.NewPacer(rollout.PacerOptions{Within: w.within - requireReserve})
 		w.pacers[named.Model] = pacer
 	}
-	return pacer.Name(now, uint64(named.Version))
+	if !known {
+		return pacer.Assume(at-w.within+startUnknown, uint64(named.Version))
+	}
+	return pacer.Name(at, uint64(named.Version))
+}
+
+// learn takes in a peer's word on when a version was named.
+func (w *weights) learn(at time.Duration, model fleet.ModelName, version uint64) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if pacer := w.pacers[model]; pacer != nil {
+		pacer.Learn(at, version)
+	}
+}
+
+// heard returns the namings that this node has heard of at once.
+func (w *weights) heard() map[fleet.ModelName][]rollout.Naming {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	heard := make(map[fleet.ModelName][]rollout.Naming, len(w.pacers))
+	for model, pacer := range w.pacers {
+		heard[model] = pacer.Heard(sharedNamings)
+	}
+	return heard
 }
 
 // due returns the versions older than which no request may begin.
@@ -115,7 +156,7 @@
 		var engines []rollout.VersionedEngine
 		for _, worker := range workers {
 			version, serves := worker.Versions[model]
-			if !serves || worker.Draining {
+			if !serves || worker.Draining || now < w.leftAlone[worker.ID] {
 				continue
 			}
 			byID[worker.ID] = worker
@@ -139,14 +180,17 @@
 }
 
 // finish notes that a change has ended. took is 0 if it failed.
-func (w *weights) finish(done change, took time.Duration) {
+func (w *weights) finish(now time.Duration, done change, took time.Duration) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	delete(w.changing, done.worker.ID)
 	delete(w.orders, done.worker.ID)
 	if took > 0 {
 		w.pacers[done.model].Measured(took)
+		delete(w.leftAlone, done.worker.ID)
+		return
 	}
+	w.leftAlone[done.worker.ID] = now + changeBackoff
 }
 
 // underOrder returns the engines under this node's orders and for how long.
@@ -230,18 +274,24 @@
 func (g *Gateway) carryChange(next change) {
 	begun := g.now()
 	took := time.Duration(0)
-	defer func() { g.weights.finish(next, took) }()
+	defer func() { g.weights.finish(g.now(), next, took) }()
 	g.keepAway(next.worker.ID)
 	if !g.pause(quiesceFor) {
 		return
 	}
 	ordered := time.Duration(-1)
 	orders := int64(0)
+	failed := 0
 	for g.now() < begun+changeTimeout {
+		wait := reportInterval
 		report, err := g.outside.Engines.Report(g.context(), next.worker)
 		switch {
 		case err != nil:
+			failed++
 			g.logger.Warn().Str("worker", string(next.worker.ID)).Err(err).Msg("report_failed")
+			if failed >= maxFailedReports || errors.Is(err, rollout.ErrOtherRun) {
+				return
+			}
 		case report.Versions[next.model] >= next.version && !report.Busy:
 			took = g.now() - begun
 			g.changed(next, backends.WeightsVersion(report.Versions[next.model]), took)
@@ -252,9 +302,10 @@
 				return
 			}
 			ordered, orders = g.now(), report.Orders
+			wait = loadAtLeast
 		}
 		g.keepAway(next.worker.ID)
-		if !g.pause(reportInterval) {
+		if !g.pause(wait) {
 			return
 		}
 	}
--- a/internal/rollout/versions.go
+++ b/internal/rollout/versions.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/lease"
 )
@@ -47,11 +49,15 @@
 	OrderRejected
 )
 
+// ErrOtherRun means that another run than the one asked has answered.
+var ErrOtherRun = errors.New("another run has the address")
+
 // Defaults of PacerOptions.
 const (
-	DefaultParallel = 4
-	DefaultLoadTime = 1200 * time.Millisecond
-	DefaultReserve  = 1200 * time.Millisecond
+	DefaultMinParallel = 4
+	DefaultRounds      = 3
+	DefaultLoadTime    = 1300 * time.Millisecond
+	DefaultReserve     = 400 * time.Millisecond
 )
 
 // PacerOptions sets up a Pacer; zero fields take the defaults.
@@ -59,8 +65,10 @@
 	// Within is the time from the naming of a version within which every engine
 	// is to have it or a newer one.
 	Within time.Duration
-	// Parallel bounds the engines that change at once.
-	Parallel int
+	// Rounds is the number of rounds that a pass over all engines takes: so many
+	// change at once that it takes no more, MinParallel at the least.
+	Rounds      int
+	MinParallel int
 	// LoadTime is how long one engine takes before any was measured.
 	LoadTime time.Duration
 	// Reserve is the time that a pass is begun earlier than it must.
@@ -75,10 +83,12 @@
 	Changing bool
 }
 
-// naming is when a version was first heard of.
+// naming is when a version was named, or first heard of.
 type naming struct {
 	version uint64
 	at      time.Duration
+	// assumed is set while nobody who heard of it at once has told when.
+	assumed bool
 }
 
 // Pacer decides when which engines take a newly named version of one model's
@@ -95,8 +105,11 @@
 
 // NewPacer returns a pacer that knows of no version.
 func NewPacer(options PacerOptions) *Pacer {
-	if options.Parallel <= 0 {
-		options.Parallel = DefaultParallel
+	if options.Rounds <= 0 {
+		options.Rounds = DefaultRounds
+	}
+	if options.MinParallel <= 0 {
+		options.MinParallel = DefaultMinParallel
 	}
 	if options.LoadTime <= 0 {
 		options.LoadTime = DefaultLoadTime
@@ -107,16 +120,51 @@
 	return &Pacer{options: options, loadTime: options.LoadTime}
 }
 
-// Name takes in that a version is named. It returns false for a version that
-// isn't newer than the newest known.
-func (p *Pacer) Name(now time.Duration, version uint64) bool {
+// Name takes in that a version was named at a time, at the latest. It returns
+// false for a version that isn't newer than the newest known.
+func (p *Pacer) Name(at time.Duration, version uint64) bool { return p.add(at, version, false) }
+
+// Assume takes in a version that was named at an unknown time, for which at is
+// taken until Learn tells better.
+func (p *Pacer) Assume(at time.Duration, version uint64) bool { return p.add(at, version, true) }
+
+func (p *Pacer) add(at time.Duration, version uint64, assumed bool) bool {
 	if version <= p.Newest() {
 		return false
 	}
-	p.namings = append(p.namings, naming{version: version, at: now})
+	p.namings = append(p.namings, naming{version: version, at: at, assumed: assumed})
 	return true
 }
 
+// Learn takes in another process's word on when a known version was named. The
+// earliest word is the nearest, since nobody hears of a version before.
+func (p *Pacer) Learn(at time.Duration, version uint64) {
+	for index := range p.namings {
+		known := &p.namings[index]
+		if known.version == version && (known.assumed || at < known.at) {
+			known.at, known.assumed = at, false
+		}
+	}
+}
+
+// Naming is a version and when it was named.
+type Naming struct {
+	Version uint64
+	At      time.Duration
+}
+
+// Heard returns the latest versions whose time of naming isn't assumed, at most
+// limit of them.
+func (p *Pacer) Heard(limit int) []Naming {
+	var heard []Naming
+	for _, named := range p.namings[max(len(p.namings)-limit, 0):] {
+		if !named.assumed {
+			heard = append(heard, Naming{Version: named.version, At: named.at})
+		}
+	}
+	return heard
+}
+
 // Newest returns the newest named version, or 0.
 func (p *Pacer) Newest() uint64 {
 	if len(p.namings) == 0 {
@@ -155,7 +203,7 @@
 	slices.SortFunc(waiting, func(a, b VersionedEngine) int {
 		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Engine, b.Engine))
 	})
-	room := p.options.Parallel
+	room := p.parallel(len(engines))
 	for _, engine := range engines {
 		if engine.Changing {
 			room--
@@ -179,7 +227,7 @@
 	for _, engine := range waiting {
 		oldest = min(oldest, engine.Version)
 	}
-	if now < p.latestStart(oldest, len(waiting)) {
+	if now < p.latestStart(oldest, len(waiting), p.parallel(len(engines))) {
 		return false
 	}
 	p.target = newest
@@ -205,14 +253,19 @@
 	})
 }
 
+// parallel returns how many of count engines change at once.
+func (p *Pacer) parallel(count int) int {
+	return max((count+p.options.Rounds-1)/p.options.Rounds, p.options.MinParallel)
+}
+
 // latestStart returns when a pass over count engines must begin, so that the
 // first version newer than oldest is everywhere in time.
-func (p *Pacer) latestStart(oldest uint64, count int) time.Duration {
+func (p *Pacer) latestStart(oldest uint64, count, parallel int) time.Duration {
 	for _, named := range p.namings {
 		if named.version <= oldest {
 			continue
 		}
-		rounds := (count + p.options.Parallel - 1) / p.options.Parallel
+		rounds := (count + parallel - 1) / parallel
 		pass := time.Duration(rounds) * p.loadTime
 		return named.at + p.options.Within - pass - p.options.Reserve
 	}
--- a/internal/routes/document.go
+++ b/internal/routes/document.go
@@ -100,6 +100,8 @@
 type StoreService struct {
 	Address fleet.Address
 	Zone    fleet.ZoneName
+	// LinkMegabits is the bandwidth of the store's link, in Mbit/s.
+	LinkMegabits float64
 	// CapacityTokens is the store's room.
 	CapacityTokens int
 }
