Learn from peers which versions were named before a start; tell in a released lease how long it was unused

A node that had restarted knew the newest named version only, so the one before it was not required of engines in time (log: v1 taken at 13.06 s, v2 named at 2.02 s); and each new holder of the lease waited the whole least gap, though the one before it had ordered nothing. Change: Pacer.Learn takes in versions that this process never heard of; a released lease's record holds for how long it was unused, and the successor waits for the rest of the gap only.

--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -251,9 +251,9 @@
 	}
 	delay := g.settings.LeaseGap + gapSlack
 	if g.keeper.Predecessor() != "" {
-		delay -= leaseSettings(g.settings).Margin * 2
+		return delay - leaseSettings(g.settings).Margin*2
 	}
-	return delay
+	return max(delay-g.keeper.IdleAtTakeover(), 0)
 }
 
 // rolloutCandidate tells whether this node is among those that take the lease.
@@ -327,6 +327,7 @@
 		g.logger.Warn().Str("worker", string(next.worker.ID)).Msg("order_dropped_without_lease")
 		return false
 	}
+	g.keeper.NoteUse()
 	ctx, cancel := context.WithTimeout(g.context(), time.Second)
 	defer cancel()
 	result, err := g.outside.Engines.OrderVersion(ctx, next.worker, rollout.VersionOrder{
--- a/internal/lease/election.go
+++ b/internal/lease/election.go
@@ -69,6 +69,10 @@
 
 	// predecessor is whom the row named when this process last took it over.
 	predecessor HolderID
+	// idleAtTakeover is how long the lease had not been used when it was released
+	// to this process.
+	idleAtTakeover time.Duration
+	usedAt         time.Duration
 
 	nextAt        time.Duration
 	believedUntil time.Duration
@@ -110,6 +114,13 @@
 // released one may be taken over at once.
 func (e *Election) Predecessor() HolderID { return e.predecessor }
 
+// IdleAtTakeover returns how long the lease had not been used when it was
+// released to this process.
+func (e *Election) IdleAtTakeover() time.Duration { return e.idleAtTakeover }
+
+// NoteUse notes that the lease was used, such as for an order.
+func (e *Election) NoteUse(now time.Duration) { e.usedAt = max(e.usedAt, now) }
+
 // SetEligible tells whether the process takes the lease when it is free. In a
 // large fleet only a few processes need to poll. A holder stays one.
 func (e *Election) SetEligible(eligible bool) { e.ineligible = !eligible }
@@ -143,6 +154,7 @@
 	e.resigned = true
 	released := e.row.record
 	released.Holder = ""
+	released.IdleMillis = max(now-e.usedAt, 0).Milliseconds()
 	return e.startCommit(now, released)
 }
 
@@ -163,6 +175,7 @@
 	if !e.mine() {
 		token++
 		e.predecessor = e.row.record.Holder
+		e.idleAtTakeover = time.Duration(e.row.record.IdleMillis) * time.Millisecond
 	}
 	return Record{Holder: e.holder, Token: token, DurationMillis: e.settings.Duration.Milliseconds()}
 }
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -81,6 +81,21 @@
 	return k.election.Predecessor()
 }
 
+// IdleAtTakeover returns how long the lease had not been used when it was
+// released to this process.
+func (k *Keeper) IdleAtTakeover() time.Duration {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.election.IdleAtTakeover()
+}
+
+// NoteUse notes that the lease is used at this moment.
+func (k *Keeper) NoteUse() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.election.NoteUse(k.clock.Now())
+}
+
 // SetEligible tells whether this process takes the lease when it is free.
 func (k *Keeper) SetEligible(eligible bool) {
 	k.mutex.Lock()
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -32,6 +32,9 @@
 	Token fleet.FencingToken `json:"token"`
 	// DurationMillis is the time that the holder counts on, in milliseconds.
 	DurationMillis int64 `json:"duration_ms"`
+	// IdleMillis is, in a released record, for how long at the release the holder
+	// had not used the lease, in milliseconds.
+	IdleMillis int64 `json:"idle_ms,omitempty"`
 }
 
 // Duration returns the time that the holder counts on.
--- a/internal/rollout/versions.go
+++ b/internal/rollout/versions.go
@@ -136,14 +136,21 @@
 	return true
 }
 
-// Learn takes in another process's word on when a known version was named. The
-// earliest word is the nearest, since nobody hears of a version before.
+// Learn takes in another process's word on when a version was named. The
+// earliest word is the nearest, since nobody hears of a version before. Versions
+// that this process never heard of count too: one that was named before it
+// started is due earlier than a newer one that it has seen.
 func (p *Pacer) Learn(at time.Duration, version uint64) {
-	for index := range p.namings {
-		known := &p.namings[index]
-		if known.version == version && (known.assumed || at < known.at) {
-			known.at, known.assumed = at, false
-		}
+	index, known := slices.BinarySearchFunc(p.namings, version, func(named naming, version uint64) int {
+		return cmp.Compare(named.version, version)
+	})
+	if !known {
+		p.namings = slices.Insert(p.namings, index, naming{version: version, at: at})
+		return
+	}
+	named := &p.namings[index]
+	if named.assumed || at < named.at {
+		named.at, named.assumed = at, false
 	}
 }
 
