--- /dev/null
+++ b/internal/attempt/forwarding_test.go
@@ -0,0 +1,151 @@
+package attempt
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+)
+
+// plenty is a budget that never runs out.
+type plenty struct{ spent int }
+
+func (*plenty) Deposit(time.Duration) {}
+
+func (p *plenty) Withdraw(time.Duration) bool { p.spent++; return true }
+
+func workerRun(number int) fleet.EngineRun {
+	return fleet.EngineRun{Engine: fleet.EngineID(fmt.Sprintf("w%d", number))}
+}
+
+func newTestForwarding(policy ForwardingPolicy) *Forwarding {
+	if policy.Deadline == 0 {
+		policy.Deadline = time.Second
+	}
+	policy.RetryAfter = 100 * time.Millisecond
+	return NewForwarding(0, policy, &plenty{})
+}
+
+func TestUnsafeRequestIsNotSentAgainOnceItMayHaveRun(t *testing.T) {
+	machine := newTestForwarding(ForwardingPolicy{MaxRuns: 3})
+	step := machine.Unanswered(0, workerRun(1))
+	assert.Equal(t, StepFail, step.Kind)
+	assert.Equal(t, resultcode.OutcomeUnknown, step.Code)
+	assert.False(t, resultcode.Lookup(step.Code).NotRun)
+}
+
+func TestUnsafeRequestThatDidNotRunGoesElsewhere(t *testing.T) {
+	machine := newTestForwarding(ForwardingPolicy{MaxRuns: 1})
+	assert.Equal(t, StepSend, machine.NotSent(0, workerRun(1)).Kind)
+	assert.Equal(t, StepSend, machine.Rejected(0, workerRun(2)).Kind)
+	assert.Equal(t, []fleet.EngineRun{workerRun(1), workerRun(2)}, machine.Excluded())
+	assert.Equal(t, StepDeliver, machine.Answered(0, workerRun(3), false).Kind)
+}
+
+func TestRejectionsEverywhereEndInARefusalWithAWait(t *testing.T) {
+	machine := newTestForwarding(ForwardingPolicy{MaxRuns: 1})
+	step := Step{}
+	for number := range maxRejections + 1 {
+		step = machine.Rejected(0, workerRun(number))
+	}
+	require.Equal(t, StepFail, step.Kind)
+	assert.True(t, resultcode.Lookup(step.Code).NotRun)
+	assert.Positive(t, step.RetryAfter)
+}
+
+func TestSafeRequestRunsAtNoMoreThanMaxRunsWorkers(t *testing.T) {
+	machine := newTestForwarding(ForwardingPolicy{Idempotent: true, RetryFailures: true, MaxRuns: 2})
+	assert.Equal(t, StepSend, machine.Unanswered(0, workerRun(1)).Kind)
+	step := machine.Unanswered(0, workerRun(2))
+	assert.Equal(t, StepFail, step.Kind)
+	assert.False(t, resultcode.Lookup(step.Code).NotRun)
+}
+
+func TestFailureOfASafeRequestIsTriedOnceMoreThenDelivered(t *testing.T) {
+	machine := newTestForwarding(ForwardingPolicy{Idempotent: true, RetryFailures: true, MaxRuns: 2})
+	assert.Equal(t, StepSend, machine.Answered(0, workerRun(1), true).Kind)
+	assert.Equal(t, StepDeliver, machine.Answered(0, workerRun(2), true).Kind)
+}
+
+func TestStreamThatBrokeOffResumesOnlyIfItMay(t *testing.T) {
+	for resumable, want := range map[bool]StepKind{true: StepSend, false: StepBreak} {
+		machine := newTestForwarding(ForwardingPolicy{Idempotent: resumable, Resumable: resumable, MaxRuns: 2})
+		require.Equal(t, StepDeliver, machine.Answered(0, workerRun(1), false).Kind)
+		machine.Began()
+		assert.Equal(t, want, machine.Broken(0, workerRun(1)).Kind, "resumable %t", resumable)
+	}
+}
+
+func TestAnswerThatBrokeOffUnseenIsNotTakenForUnrun(t *testing.T) {
+	machine := newTestForwarding(ForwardingPolicy{MaxRuns: 2})
+	require.Equal(t, StepDeliver, machine.Answered(0, workerRun(1), false).Kind)
+	step := machine.Broken(0, workerRun(1))
+	assert.Equal(t, StepFail, step.Kind)
+	assert.False(t, resultcode.Lookup(step.Code).NotRun)
+}
+
+func TestNothingIsTriedWithoutTimeOrBudget(t *testing.T) {
+	machine := newTestForwarding(ForwardingPolicy{MaxRuns: 1})
+	step := machine.Rejected(time.Second-minTimeLeft, workerRun(1))
+	assert.Equal(t, resultcode.DeadlineTooShort, step.Code)
+	empty := NewBudget(BudgetOptions{Ratio: 0.1, FloorPerSecond: 0.1, Burst: 2, Initial: -1})
+	machine = NewForwarding(0, ForwardingPolicy{MaxRuns: 1, Deadline: time.Second}, empty)
+	step = machine.Rejected(0, workerRun(1))
+	assert.Equal(t, resultcode.RetryBudget, step.Code)
+	assert.Equal(t, StepSend, machine.NotSent(0, workerRun(2)).Kind, "what was never written is no retry")
+}
+
+// TestForwardingKeepsItsGuarantees feeds random outcomes and checks each
+// guarantee of the machine's comment.
+func TestForwardingKeepsItsGuarantees(t *testing.T) {
+	for seed := range uint64(20000) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		policy := ForwardingPolicy{
+			Idempotent: random.IntN(2) == 0, RetryFailures: random.IntN(2) == 0,
+			MaxRuns: 1 + random.IntN(3), Deadline: time.Second, RetryAfter: time.Millisecond,
+		}
+		policy.Resumable = policy.Idempotent && random.IntN(2) == 0
+		machine := NewForwarding(0, policy, &plenty{})
+		ran, began := 0, false
+		step := Step{Kind: StepSend}
+		for number := 0; step.Kind == StepSend; number++ {
+			require.Less(t, number, 20, "seed %d", seed)
+			require.False(t, ran > 0 && !policy.Idempotent, "seed %d: sent again after it may have run", seed)
+			require.Less(t, ran, policy.MaxRuns, "seed %d", seed)
+			run := workerRun(number)
+			require.NotContains(t, machine.Excluded(), run)
+			now := time.Duration(random.Int64N(int64(1200 * time.Millisecond)))
+			switch random.IntN(6) {
+			case 0:
+				step = machine.NotSent(now, run)
+			case 1:
+				step = machine.Rejected(now, run)
+			case 2:
+				ran++
+				step = machine.Unanswered(now, run)
+			case 3:
+				step = machine.NoWorker("none")
+			default:
+				ran++
+				step = machine.Answered(now, run, random.IntN(2) == 0)
+				if step.Kind == StepDeliver && random.IntN(2) == 0 {
+					if random.IntN(2) == 0 {
+						machine.Began()
+						began = true
+					}
+					step = machine.Broken(now, run)
+				}
+			}
+			if step.Kind == StepFail {
+				require.False(t, began, "seed %d: a failure within an answer", seed)
+				require.False(t, ran > 0 && resultcode.Lookup(step.Code).NotRun, "seed %d: false refusal", seed)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/backends/backends_test.go
@@ -0,0 +1,308 @@
+package backends
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/scheduling"
+)
+
+const (
+	testModel   = fleet.ModelName("m")
+	testStore   = fleet.Address("10.9.9.9:1")
+	engineCount = 6
+)
+
+func newTestRegistry() *Registry {
+	return New(Options{
+		Zone: "a", Random: rand.New(rand.NewPCG(1, 2)), Scheduling: scheduling.DefaultOptions(),
+	})
+}
+
+func plainWorker(number int) Worker {
+	return Worker{
+		ID: fleet.EngineID(fmt.Sprintf("p%d", number)), Address: fleet.Address(fmt.Sprintf("10.0.0.%d:1", number)),
+		Zone: "a", Service: "plain", Slots: 4,
+	}
+}
+
+func engineWorker(number int, version WeightsVersion) Worker {
+	worker := plainWorker(number)
+	worker.ID = fleet.EngineID(fmt.Sprintf("e%d", number))
+	worker.Service, worker.Slots = "engines", 8
+	worker.Versions = map[fleet.ModelName]WeightsVersion{testModel: version}
+	return worker
+}
+
+func withPlain(count int) *Registry {
+	registry := newTestRegistry()
+	for number := range count {
+		registry.Observe(fleet.Revision(number+1), plainWorker(number))
+	}
+	return registry
+}
+
+func withEngines() *Registry {
+	registry := newTestRegistry()
+	for number := range engineCount {
+		registry.Observe(fleet.Revision(number+1), engineWorker(number, 1))
+	}
+	return registry
+}
+
+func choosePlain(t *testing.T, registry *Registry, now time.Duration) *Placement {
+	t.Helper()
+	placement, reason := registry.Choose(now, &Request{Service: "plain"})
+	require.NotNil(t, placement, reason)
+	return placement
+}
+
+func engineRequest(prefix string) *Request {
+	return &Request{Service: "engines", Engine: &EngineRequest{
+		Model: testModel, PromptTokens: 9000, TokenBytes: 160000, LinkMegabits: 1e6,
+		Store: testStore, StoreMegabits: 2e5, Tenant: "t",
+		Parts: []Part{{"common", 2500}, {prefix, 3500}, {"own-" + prefix, 3000}},
+	}}
+}
+
+func TestStaleRowsChangeNothing(t *testing.T) {
+	registry := withPlain(1)
+	worker := plainWorker(0)
+	assert.Equal(t, Gone, registry.ObserveGone(0, 10, worker.ID))
+	assert.Equal(t, Unchanged, registry.Observe(9, worker), "a late row doesn't bring a worker back")
+	assert.Equal(t, Returned, registry.Observe(11, worker))
+	assert.Equal(t, Unchanged, registry.ObserveGone(0, 10, worker.ID))
+	assert.Len(t, registry.Workers(), 1)
+}
+
+func TestForgottenWorkerIsNotRevivedByALateRow(t *testing.T) {
+	registry := withPlain(1)
+	registry.ObserveGone(0, 10, "p0")
+	assert.Equal(t, []fleet.EngineID{"p0"}, registry.Forget(time.Minute, time.Second))
+	assert.Equal(t, Unchanged, registry.Observe(9, plainWorker(0)))
+	assert.Empty(t, registry.Workers())
+}
+
+func TestWholeReadRemovesWhatItDoesNotName(t *testing.T) {
+	registry := withPlain(3)
+	gone := registry.ObserveAll(0, 2, map[fleet.EngineID]bool{"p0": true})
+	assert.Equal(t, []fleet.EngineID{"p1"}, gone, "p2's row is newer than the read")
+}
+
+// TestDrainingWorkerGetsNoRequest also once a row has called it ready again.
+func TestDrainingWorkerGetsNoRequest(t *testing.T) {
+	registry := withPlain(2)
+	draining := plainWorker(0)
+	draining.Draining = true
+	assert.Equal(t, Began, registry.Observe(10, draining))
+	registry.Observe(11, plainWorker(0))
+	for range 50 {
+		assert.Equal(t, fleet.EngineID("p1"), choosePlain(t, registry, 0).Worker.ID)
+	}
+	registry.ObserveGone(0, 12, "p1")
+	registry.ObserveGone(0, 13, "p0")
+	placement, reason := registry.Choose(lapseGrace, &Request{Service: "plain"})
+	assert.Nil(t, placement)
+	assert.Equal(t, ReasonNoWorker, reason)
+}
+
+// TestLapsedWorkersAreUsedForAMomentIfNobodyElseIsThere covers rows that go
+// while the store is down.
+func TestLapsedWorkersAreUsedForAMomentIfNobodyElseIsThere(t *testing.T) {
+	registry := withPlain(2)
+	registry.ObserveGone(time.Second, 10, "p0")
+	for range 20 {
+		assert.Equal(t, fleet.EngineID("p1"), choosePlain(t, registry, time.Second).Worker.ID)
+	}
+	registry.ObserveGone(time.Second, 11, "p1")
+	choosePlain(t, registry, time.Second+lapseGrace-1)
+	placement, _ := registry.Choose(time.Second+lapseGrace, &Request{Service: "plain"})
+	assert.Nil(t, placement)
+}
+
+func TestPlainRequestsGoWhereTheLeastAreInFlight(t *testing.T) {
+	registry := withPlain(3)
+	registry.ObservePeer(0, "peer", []Load{{Engine: "p0", InFlight: 6}})
+	counts := map[fleet.EngineID]int{}
+	for range 12 {
+		counts[choosePlain(t, registry, 0).Worker.ID]++
+	}
+	assert.Equal(t, map[fleet.EngineID]int{"p1": 6, "p2": 6}, counts, "another node's requests count")
+	counts = map[fleet.EngineID]int{}
+	for range 6 {
+		counts[choosePlain(t, registry, 2*peerLoadValid).Worker.ID]++
+	}
+	assert.Equal(t, 6, counts["p0"], "an old word doesn't")
+}
+
+func TestUnreachableWorkerIsLeftAloneForLongerEachTime(t *testing.T) {
+	registry := withPlain(2)
+	now := time.Duration(0)
+	state := registry.workers["p0"]
+	for _, want := range []time.Duration{firstSuspicion, 2 * firstSuspicion, 4 * firstSuspicion} {
+		for {
+			placement := choosePlain(t, registry, now)
+			if placement.Worker.ID == "p0" {
+				placement.End(now, Unreachable)
+				break
+			}
+			placement.End(now, Succeeded)
+			now += 50 * time.Millisecond
+		}
+		assert.Equal(t, want, state.suspectUntil-now)
+	}
+}
+
+func TestOnlyWorkerIsUsedAlsoInDoubt(t *testing.T) {
+	registry := withPlain(1)
+	choosePlain(t, registry, 0).End(0, Unreachable)
+	choosePlain(t, registry, 0)
+}
+
+func TestWorkerThatFailsItsRequestsGetsFewer(t *testing.T) {
+	registry := withPlain(3)
+	counts := map[fleet.EngineID]int{}
+	for step := range 600 {
+		now := time.Duration(step) * 20 * time.Millisecond
+		placement := choosePlain(t, registry, now)
+		counts[placement.Worker.ID]++
+		outcome := Succeeded
+		if placement.Worker.ID == "p0" && step%2 == 0 {
+			outcome = Failed
+		}
+		placement.End(now, outcome)
+	}
+	assert.Less(t, counts["p0"], 120)
+	assert.Positive(t, counts["p0"], "it is tried again")
+}
+
+func TestSamePrefixGoesToTheSameEngineFromEveryNode(t *testing.T) {
+	first, second := withEngines(), withEngines()
+	for number := range 20 {
+		prefix := fmt.Sprintf("prefix-%d", number)
+		one, _ := first.Choose(0, engineRequest(prefix))
+		other, _ := second.Choose(0, engineRequest(prefix))
+		require.NotNil(t, one)
+		require.NotNil(t, other)
+		assert.Equal(t, one.Worker.ID, other.Worker.ID)
+		assert.True(t, one.Engine.Home)
+		one.End(0, Cancelled)
+		other.End(0, Cancelled)
+	}
+}
+
+func TestMissingPartsComeFromAKnownHolderElseTheStore(t *testing.T) {
+	registry := withEngines()
+	cold, _ := registry.Choose(0, engineRequest("p"))
+	assert.Equal(t, testStore, cold.Engine.ImportFrom)
+	assert.Equal(t, testStore, cold.Engine.SaveTo)
+	cold.FirstByte(0)
+	warm, _ := registry.Choose(0, engineRequest("p"))
+	assert.Equal(t, cold.Worker.ID, warm.Worker.ID)
+	assert.Empty(t, warm.Engine.ImportFrom, "it holds the shared parts")
+	assert.Empty(t, warm.Engine.SaveTo, "the store has them")
+	request := engineRequest("p")
+	request.Excluded = []fleet.EngineRun{cold.Worker.Run()}
+	elsewhere, _ := registry.Choose(0, request)
+	assert.NotEqual(t, cold.Worker.ID, elsewhere.Worker.ID)
+	assert.Equal(t, cold.Worker.Address, elsewhere.Engine.ImportFrom, "an engine's link is faster than the store's")
+	registry.parts.clear(cold.Worker.Run())
+	elsewhere, _ = registry.Choose(0, request)
+	assert.Equal(t, testStore, elsewhere.Engine.ImportFrom)
+}
+
+// TestPartsAreNotTakenFromAnEngineOfAnotherVersion keeps cached parts of two
+// versions apart, also where an engine has kept both.
+func TestPartsAreNotTakenFromAnEngineOfAnotherVersion(t *testing.T) {
+	registry := withEngines()
+	cold, _ := registry.Choose(0, engineRequest("p"))
+	cold.FirstByte(0)
+	registry.NoteVersion(cold.Worker.ID, testModel, 2)
+	cold.FirstByte(0)
+	request := engineRequest("p")
+	request.Excluded = []fleet.EngineRun{cold.Worker.Run()}
+	registry.parts.clear(storeRun(testStore))
+	elsewhere, _ := registry.Choose(0, request)
+	assert.NotEqual(t, cold.Worker.Address, elsewhere.Engine.ImportFrom)
+	assert.NotEqual(t, Scope(testModel, 2, "t", false), elsewhere.Engine.Scope)
+}
+
+func TestIsolatedTenantSharesNoScope(t *testing.T) {
+	open := Scope(testModel, 1, "t", false)
+	assert.Equal(t, open, Scope(testModel, 1, "u", false))
+	assert.NotEqual(t, open, Scope(testModel, 1, "t", true))
+	assert.NotEqual(t, Scope(testModel, 1, "u", true), Scope(testModel, 1, "t", true))
+	assert.NotEqual(t, open, Scope(testModel, 2, "t", false))
+}
+
+func TestRequiredVersionExcludesOlderEngines(t *testing.T) {
+	registry := withEngines()
+	registry.NoteVersion("e3", testModel, 2)
+	registry.Require(testModel, 2)
+	for range 10 {
+		placement, _ := registry.Choose(0, engineRequest("p"))
+		require.NotNil(t, placement)
+		assert.Equal(t, fleet.EngineID("e3"), placement.Worker.ID)
+		assert.EqualValues(t, 2, placement.Engine.Version)
+	}
+	registry.Require(testModel, 3)
+	_, reason := registry.Choose(0, engineRequest("p"))
+	assert.Equal(t, ReasonVersion, reason)
+	registry.Observe(50, engineWorker(3, 1))
+	assert.EqualValues(t, 2, registry.workers["e3"].worker.Versions[testModel], "a row that lags doesn't take a version back")
+}
+
+func TestEngineUnderOrderIsLeftOut(t *testing.T) {
+	registry := withEngines()
+	home, _ := registry.Choose(0, engineRequest("p"))
+	registry.NoteOrder(home.Worker.ID, time.Second)
+	other, _ := registry.Choose(0, engineRequest("p"))
+	assert.NotEqual(t, home.Worker.ID, other.Worker.ID)
+	again, _ := registry.Choose(time.Second, engineRequest("q"))
+	require.NotNil(t, again)
+}
+
+// TestHotPrefixSpreadsOverEngines sends many requests for one prefix at once:
+// the queue at its home grows dearer than a move of the prefix.
+func TestHotPrefixSpreadsOverEngines(t *testing.T) {
+	registry := withEngines()
+	first, _ := registry.Choose(0, engineRequest("hot"))
+	first.FirstByte(0)
+	used := map[fleet.EngineID]bool{}
+	for number := range 12 {
+		request := engineRequest("hot")
+		request.Engine.Parts[2].ID = fmt.Sprint("own", number)
+		placement, _ := registry.Choose(0, request)
+		require.NotNil(t, placement)
+		used[placement.Worker.ID] = true
+	}
+	assert.Greater(t, len(used), 2)
+}
+
+func TestPartsRunOutUnused(t *testing.T) {
+	registry := withEngines()
+	cold, _ := registry.Choose(0, engineRequest("p"))
+	cold.FirstByte(0)
+	cold.End(0, Succeeded)
+	later, _ := registry.Choose(partLifetime, engineRequest("p"))
+	assert.NotEmpty(t, later.Engine.ImportFrom)
+	assert.NotEmpty(t, later.Engine.SaveTo)
+}
+
+func TestEndCountsOnce(t *testing.T) {
+	registry := withEngines()
+	placement, _ := registry.Choose(0, engineRequest("p"))
+	require.Len(t, registry.OwnLoad(), 1)
+	assert.Equal(t, 9000-6000, registry.OwnLoad()[0].PrefillTokens)
+	placement.End(0, Lost)
+	placement.End(0, Lost)
+	placement.FirstByte(0)
+	assert.Empty(t, registry.OwnLoad())
+	assert.Zero(t, registry.workers[placement.Worker.ID].prefill)
+}
--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -224,7 +224,7 @@
 func importPerToken(engine *EngineRequest, parts *scoped) time.Duration {
 	bandwidth := engine.StoreMegabits * storeSharing
 	for _, held := range parts.held {
-		if held > parts.stored {
+		if held > 0 && held >= parts.stored {
 			bandwidth = engine.LinkMegabits * importSharing
 			break
 		}
@@ -245,32 +245,44 @@
 func servesAll(fleet.Weights) bool { return true }
 
 // chooseSources names the holder from which the engine takes what it lacks: an
-// engine known to hold more of the shared parts than the store is known to, else
+// engine known to hold as much of the shared parts as the store is known to, else
 // the store, which gets all that is read.
 func (r *Registry) chooseSources(placement *Placement, known *scoped, shared int, home fleet.EngineID, request *EngineRequest) {
-	engine, model := placement.Engine, request.Model
+	engine := placement.Engine
 	own := min(known.held[placement.Worker.ID], shared)
 	if own >= shared {
 		return
 	}
 	engine.ImportFrom = request.Store
-	best := max(own, known.stored)
+	if source := r.holder(placement, known, shared, request.Model, max(own+1, known.stored)); source != nil {
+		engine.ImportFrom = source.worker.Address
+		return
+	}
+	if source := r.workers[home]; engine.ImportFrom == "" && !engine.Home && source != nil {
+		engine.ImportFrom = source.worker.Address
+	}
+}
+
+// holder returns the engine that holds the most of the shared parts, at least
+// so many of them, in the own zone if there is one.
+func (r *Registry) holder(placement *Placement, known *scoped, shared int, model fleet.ModelName, least int) *state {
+	var best *state
+	bestHeld := 0
 	for id, held := range known.held {
 		source := r.workers[id]
-		if source == nil || id == placement.Worker.ID || !source.listed() || min(held, shared) <= best {
+		held = min(held, shared)
+		if source == nil || id == placement.Worker.ID || !source.listed() || held < least {
 			continue
 		}
-		if source.worker.Versions[model] != engine.Version {
+		if source.worker.Versions[model] != placement.Engine.Version {
 			continue
 		}
-		engine.ImportFrom, best = source.worker.Address, min(held, shared)
-	}
-	if engine.ImportFrom != "" || engine.Home {
-		return
-	}
-	if source := r.workers[home]; source != nil {
-		engine.ImportFrom = source.worker.Address
+		near := source.worker.Zone == placement.Worker.Zone
+		if held > bestHeld || (held == bestHeld && near && best.worker.Zone != placement.Worker.Zone) {
+			best, bestHeld = source, held
+		}
 	}
+	return best
 }
 
 // noteHeld records what the engine and the store hold once an answer has begun.
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -15,6 +15,9 @@
 	// slackPart is the part of the allowed slack that all nodes spend together:
 	// a node that has just come may not be counted by all yet.
 	slackPart = 0.6
+	// initialPart is the part of its slack that a node has at its start. All may
+	// restart within one window, and have spent their slack just before.
+	initialPart = 0.5
 	// minSharers is the least number of nodes that the slack is divided by.
 	minSharers = 8
 	// slackFloor is what a node earns by time alone, per second.
@@ -23,7 +26,7 @@
 
 // budgets holds a retry budget for each service. Each node spends its part of
 // what all nodes may, so that no talk is needed; a node that has just started
-// has nothing saved up, so that restarts earn no retries.
+// has a part of it only.
 type budgets struct {
 	settings Settings
 	sharers  func() int
@@ -42,11 +45,12 @@
 	budget := b.services[service]
 	if budget == nil {
 		sharers := float64(max(b.sharers(), minSharers))
+		burst := max(b.settings.RetrySlack*slackPart/sharers, 1)
 		budget = attempt.NewBudget(attempt.BudgetOptions{
 			Ratio:          b.settings.RetryRatio * ratioPart,
 			FloorPerSecond: slackFloor,
-			Burst:          max(b.settings.RetrySlack*slackPart/sharers, 1),
-			Initial:        -1,
+			Burst:          burst,
+			Initial:        burst * initialPart,
 		})
 		b.services[service] = budget
 	}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -37,6 +37,10 @@
 // must fit into the rest.
 const freshPart = 0.7
 
+// deniedBound is how old the proof of the configuration may be for a refusal for
+// good: that of a node in touch is renewed each operatorWait.
+const deniedBound = operatorWait + 700*time.Millisecond
+
 // carried is one caller's request on its way.
 type carried struct {
 	writer   http.ResponseWriter
@@ -147,7 +151,7 @@
 // unlessBehind returns a refusal for good if this node is known to be up to
 // date; else one to come back after, since a newer configuration may allow it.
 func (g *Gateway) unlessBehind(refused refusal) *refusal {
-	if g.fresh.Within(g.now(), g.settings.ApplyWithin+operatorWait) {
+	if g.fresh.Within(g.now(), deniedBound) {
 		return &refused
 	}
 	return &refusal{code: resultcode.NoConfiguration, reason: refused.reason + ", configuration too old", retryAfter: retryLater}
