Follow caches by their events; let runs end before new weights; charge prompts that hold up streams

(2) Streams paused for over 0.5 s: new weights halt the runs that are retained, and long prompts fill all the steps between two events of other streams. Change: each node follows the events of every engine and of the kept store; the home of a prefix counts only where no engine holds it; runs end for up to 1.3 s before an order; the last round of a pass comes behind the bound; scheduling has a price for disturbance. The log tells what was known of a prompt's parts and a stream's longest gap.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -196,6 +196,7 @@
 	load := r.total(now, chosen)
 	chosen.inFlight++
 	chosen.prefill += prefill
+	chosen.prefilling++
 	return &Placement{
 		Worker:        chosen.worker,
 		InFlight:      load.InFlight,
@@ -219,6 +220,7 @@
 	}
 	p.first = true
 	p.state.prefill -= p.prefill
+	p.state.prefilling--
 	p.state.trust()
 	if p.Engine != nil {
 		p.state.measure(now-p.begun, p.Engine.Predicted)
@@ -239,6 +241,7 @@
 	known.inFlight--
 	if !p.first {
 		known.prefill -= p.prefill
+		known.prefilling--
 	}
 	switch outcome {
 	case Succeeded:
--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -20,6 +20,8 @@
 	OutputTokens int
 	// TimeLeft is the time within which the first event should come; 0 if unknown.
 	TimeLeft time.Duration
+	// EventTokens is the number of tokens in an event of a stream; 0 if unknown.
+	EventTokens int
 	// TokenBytes, LinkMegabits describe the engines, to predict moves of KV cache.
 	TokenBytes   int
 	LinkMegabits float64
@@ -48,6 +50,13 @@
 	Predicted time.Duration
 	// Prefix names the last shared part of the prompt.
 	Prefix string
+	// SharedParts is the number of the prompt's shared parts, of which the engine,
+	// the store and the engine with the most are believed to hold the first
+	// HeldParts, StoredParts and MostHeldParts.
+	SharedParts   int
+	HeldParts     int
+	StoredParts   int
+	MostHeldParts int
 	// Home is set when the engine is the one that all nodes choose first for
 	// the prompt's shared parts.
 	Home bool
@@ -110,9 +119,13 @@
 		ImportedTokens: decision.ImportedTokens,
 		Predicted:      decision.FirstToken,
 		Prefix:         prefixName(engine.Parts, shared),
+		SharedParts:    shared,
+		HeldParts:      known.held[chosen.worker.ID],
+		StoredParts:    known.stored,
+		MostHeldParts:  known.most(),
 		Home:           chosen.worker.ID == home,
 		hashes:         known.hashes,
-		store:          storeRun(engine.Store),
+		store:          StoreRun(engine.Store),
 	}
 	r.chooseSources(placement, known, shared, home, engine)
 	if engine.Store != "" && known.stored < shared {
@@ -152,11 +165,24 @@
 	stored int
 }
 
+// most returns the most leading parts that one engine is believed to hold.
+func (s *scoped) most() int {
+	most := 0
+	for _, held := range s.held {
+		most = max(most, held)
+	}
+	return most
+}
+
+// anyHolds tells whether an engine is believed to hold so many leading parts.
+// Where none is, all nodes send to the prompt's home, which reads them once.
+func (s *scoped) anyHolds(parts int) bool { return s.most() >= parts }
+
 func (r *Registry) lookUp(engine *EngineRequest, version WeightsVersion) *scoped {
 	scope := Scope(engine.Model, version, engine.Tenant, engine.Isolated)
 	known := &scoped{scope: scope, hashes: hashParts(scope, engine.Parts), held: make(map[fleet.EngineID]int)}
 	r.matches = r.parts.index.Lookup(known.hashes, r.matches)
-	store := storeRun(engine.Store)
+	store := StoreRun(engine.Store)
 	for _, match := range r.matches {
 		if match.Run == store {
 			known.stored = match.Blocks
@@ -193,8 +219,8 @@
 	load := r.total(now, known)
 	perToken := time.Duration(float64(r.options.PrefillPerToken) * max(known.slowness, 1))
 	held := parts.held[known.worker.ID]
-	if known.worker.ID == home {
-		held = max(held, shared)
+	if known.worker.ID == home && !parts.anyHolds(shared) {
+		held = shared
 	}
 	endpoint := scheduling.Endpoint{
 		Run:             known.worker.Run(),
@@ -208,6 +234,9 @@
 		PrefillTokens:   load.PrefillTokens,
 		PrefillPerToken: perToken,
 		Step:            r.options.Step,
+		StepTokens:      r.options.StepTokens,
+		Decoding:        max(load.InFlight-known.prefilling, 0),
+		EventSteps:      engine.EventTokens,
 		CachedBlocks:    held,
 		Risk:            time.Duration(known.failureRate(now) * float64(riskTime)),
 	}
@@ -245,7 +274,7 @@
 func servesAll(fleet.Weights) bool { return true }
 
 // chooseSources names the holder from which the engine takes what it lacks: an
-// engine known to hold as much of the shared parts as the store is known to, else
+// engine known to hold more of the shared parts than the store is known to, else
 // the store, which gets all that is read.
 func (r *Registry) chooseSources(placement *Placement, known *scoped, shared int, home fleet.EngineID, request *EngineRequest) {
 	engine := placement.Engine
@@ -254,7 +283,7 @@
 		return
 	}
 	engine.ImportFrom = request.Store
-	if source := r.holder(placement, known, shared, request.Model, max(own+1, known.stored)); source != nil {
+	if source := r.holder(placement, known, shared, request.Model, max(own, known.stored)+1); source != nil {
 		engine.ImportFrom = source.worker.Address
 		return
 	}
@@ -295,7 +324,7 @@
 	}
 }
 
-// storeRun is the name under which the index holds a store's parts.
-func storeRun(address fleet.Address) fleet.EngineRun {
+// StoreRun is the name under which the index holds a store's parts.
+func StoreRun(address fleet.Address) fleet.EngineRun {
 	return fleet.EngineRun{Engine: fleet.EngineID("store:" + address)}
 }
--- a/internal/backends/load.go
+++ b/internal/backends/load.go
@@ -37,6 +37,17 @@
 	return loads
 }
 
+// InFlight returns the requests in flight at a worker, over all nodes.
+func (r *Registry) InFlight(now time.Duration, id fleet.EngineID) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.workers[id]
+	if known == nil {
+		return 0
+	}
+	return r.total(now, known).InFlight
+}
+
 // ObservePeer takes in another node's load.
 func (r *Registry) ObservePeer(now time.Duration, node fleet.NodeID, loads []Load) {
 	byEngine := make(map[fleet.EngineID]Load, len(loads))
--- a/internal/backends/parts.go
+++ b/internal/backends/parts.go
@@ -27,6 +27,9 @@
 	// uses is a queue of the uses in order of time, which expire counts down.
 	uses []partUse
 	last map[partKey]time.Duration
+	// followed holds the runs whose changes are followed, so that nothing of
+	// theirs needs to run out.
+	followed map[fleet.EngineRun]bool
 }
 
 type partKey struct {
@@ -41,18 +44,26 @@
 
 func newPartIndex(maxParts int) *partIndex {
 	return &partIndex{
-		index: prefixindex.New(prefixindex.Options{MaxBlocks: maxParts}),
-		last:  make(map[partKey]time.Duration),
+		index:    prefixindex.New(prefixindex.Options{MaxBlocks: maxParts}),
+		last:     make(map[partKey]time.Duration),
+		followed: make(map[fleet.EngineRun]bool),
 	}
 }
 
-func (p *partIndex) add(run fleet.EngineRun)    { p.index.AddRun(run) }
-func (p *partIndex) remove(run fleet.EngineRun) { p.index.RemoveRun(run) }
-func (p *partIndex) clear(run fleet.EngineRun)  { p.index.Clear(run) }
+func (p *partIndex) add(run fleet.EngineRun) { p.index.AddRun(run) }
+func (p *partIndex) remove(run fleet.EngineRun) {
+	p.index.RemoveRun(run)
+	delete(p.followed, run)
+}
+
+func (p *partIndex) clear(run fleet.EngineRun) { p.index.Clear(run) }
 
 // store notes that a run holds parts, used at now.
 func (p *partIndex) store(now time.Duration, run fleet.EngineRun, hashes []fleet.BlockHash) {
 	p.index.Store(run, hashes)
+	if p.followed[run] {
+		return
+	}
 	for _, hash := range hashes {
 		key := partKey{run: run, hash: hash}
 		p.last[key] = now
@@ -90,16 +101,56 @@
 	return scope
 }
 
+// PartChange tells that a cache holds or has dropped a part.
+type PartChange struct {
+	Held  bool
+	Scope string
+	Part  string
+}
+
+// ObserveCache takes in changes of a cache, in order. anew is set if what was
+// known of it before doesn't hold any more.
+func (r *Registry) ObserveCache(now time.Duration, run fleet.EngineRun, anew bool, changes []PartChange) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.parts.add(run)
+	if anew {
+		r.parts.clear(run)
+	}
+	r.parts.followed[run] = true
+	var hash [1]fleet.BlockHash
+	for _, change := range changes {
+		hash[0] = hashPart(change.Scope, change.Part)
+		if change.Held {
+			r.parts.index.Store(run, hash[:])
+		} else {
+			r.parts.index.Remove(run, hash[:])
+		}
+	}
+}
+
+// LoseCache takes in that a cache can't be followed any more.
+func (r *Registry) LoseCache(run fleet.EngineRun) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.parts.clear(run)
+	delete(r.parts.followed, run)
+}
+
+func hashPart(scope, part string) fleet.BlockHash {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(scope)
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(part)
+	return fleet.BlockHash(digest.Sum64())
+}
+
 // hashParts returns the hashes of parts in a scope.
 func hashParts(scope string, parts []Part) []fleet.BlockHash {
 	hashes := make([]fleet.BlockHash, len(parts))
-	var digest xxhash.Digest
 	for index, part := range parts {
-		digest.Reset()
-		_, _ = digest.WriteString(scope)
-		_, _ = digest.WriteString("\x00")
-		_, _ = digest.WriteString(part.ID)
-		hashes[index] = fleet.BlockHash(digest.Sum64())
+		hashes[index] = hashPart(scope, part.ID)
 	}
 	return hashes
 }
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -23,8 +23,10 @@
 	// PrefillPerToken is the time that an engine takes for a prompt token before
 	// any was measured.
 	PrefillPerToken time.Duration
-	// Step is the time of an engine's batch step.
-	Step time.Duration
+	// Step is the time of an engine's batch step, StepTokens the most prompt
+	// tokens that one computes.
+	Step       time.Duration
+	StepTokens int
 	// MaxParts bounds the remembered cached parts.
 	MaxParts int
 }
@@ -33,6 +35,7 @@
 const (
 	DefaultPrefillPerToken = 26 * time.Microsecond
 	DefaultStep            = 6 * time.Millisecond
+	DefaultStepTokens      = 4096
 	DefaultMaxParts        = 1 << 16
 )
 
@@ -62,6 +65,9 @@
 	if options.Step <= 0 {
 		options.Step = DefaultStep
 	}
+	if options.StepTokens <= 0 {
+		options.StepTokens = DefaultStepTokens
+	}
 	if options.MaxParts <= 0 {
 		options.MaxParts = DefaultMaxParts
 	}
--- a/internal/backends/worker.go
+++ b/internal/backends/worker.go
@@ -76,6 +76,8 @@
 	// that haven't begun to answer.
 	inFlight int
 	prefill  int
+	// prefilling counts this node's requests that haven't begun to answer.
+	prefilling int
 
 	suspectUntil time.Duration
 	suspicion    time.Duration
--- /dev/null
+++ b/internal/gateway/caches.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Times of following caches.
+const (
+	// eventsWait is how long one call waits for events.
+	eventsWait = time.Second
+	// eventsPause is the pause between two calls, in which events gather.
+	eventsPause = 250 * time.Millisecond
+	// eventsRetry is the pause after a call that failed.
+	eventsRetry = time.Second
+	// cacheCheck is the time between two looks at which caches there are.
+	cacheCheck = 300 * time.Millisecond
+)
+
+// cacheRun is one cache that is followed.
+type cacheRun struct {
+	run     fleet.EngineRun
+	address fleet.Address
+}
+
+// followCaches follows the caches of the engines and of the store of kept KV
+// cache, each by a goroutine of its own.
+func (g *Gateway) followCaches() error {
+	following := make(map[cacheRun]context.CancelFunc)
+	for g.pause(cacheCheck) {
+		present := g.caches()
+		for cache := range present {
+			if following[cache] != nil {
+				continue
+			}
+			ctx, cancel := context.WithCancel(g.context())
+			following[cache] = cancel
+			g.life.Go(func() error {
+				g.followCache(ctx, cache)
+				return nil
+			})
+		}
+		for cache, cancel := range following {
+			if !present[cache] {
+				cancel()
+				delete(following, cache)
+			}
+		}
+	}
+	return nil
+}
+
+// caches returns the caches there are.
+func (g *Gateway) caches() map[cacheRun]bool {
+	present := make(map[cacheRun]bool)
+	for _, worker := range g.workers.Workers() {
+		if len(worker.Versions) > 0 {
+			present[cacheRun{run: worker.Run(), address: worker.Address}] = true
+		}
+	}
+	if store := g.keptStore(); store != nil {
+		present[cacheRun{run: backends.StoreRun(store.Address), address: store.Address}] = true
+	}
+	return present
+}
+
+// followCache takes in the changes of one cache until the context ends.
+func (g *Gateway) followCache(ctx context.Context, cache cacheRun) {
+	var epoch, since uint64
+	reachable := true
+	for ctx.Err() == nil {
+		events, err := g.outside.Engines.CacheEvents(ctx, cache.address, since, eventsWait)
+		if err != nil {
+			if ctx.Err() == nil && reachable {
+				g.logger.Warn().Str("dependency", string(cache.run.Engine)).Err(err).Msg("dependency_lost")
+			}
+			reachable = false
+			g.workers.LoseCache(cache.run)
+			sleep(ctx, eventsRetry)
+			continue
+		}
+		if !reachable {
+			g.logger.Info().Str("dependency", string(cache.run.Engine)).Msg("dependency_regained")
+		}
+		reachable = true
+		restarted := events.Epoch != epoch
+		epoch, since = events.Epoch, events.Next
+		g.takeEvents(cache.run, events, restarted)
+		sleep(ctx, eventsPause)
+	}
+}
+
+// takeEvents takes in the changes of one cache.
+func (g *Gateway) takeEvents(run fleet.EngineRun, events *CacheEvents, restarted bool) {
+	changes := make([]backends.PartChange, 0, len(events.Events))
+	for _, event := range events.Events {
+		changes = append(changes, backends.PartChange{Held: event.Held, Scope: event.Scope, Part: event.Part})
+	}
+	g.workers.ObserveCache(g.now(), run, restarted || events.Lost, changes)
+}
+
+// sleep waits for a time or until the context ends.
+func sleep(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -186,7 +186,8 @@
 		line = line.Uint64("version", uint64(engine.Version)).Int("cached", engine.CachedTokens).
 			Int("imported", engine.ImportedTokens).Int("prompt", current.metadata.PromptTokens).
 			Str("prefix", engine.Prefix).Str("import_from", string(engine.ImportFrom)).
-			Str("save_to", string(engine.SaveTo)).Bool("home", engine.Home).Int("prefill_ahead", placement.PrefillTokens).
+			Str("save_to", string(engine.SaveTo)).Int("shared_parts", engine.SharedParts).Int("held_parts", engine.HeldParts).
+			Int("stored_parts", engine.StoredParts).Int("most_held_parts", engine.MostHeldParts).Bool("home", engine.Home).Int("prefill_ahead", placement.PrefillTokens).
 			Dur("predicted", engine.Predicted)
 	}
 	if age, proven := g.fresh.Age(g.now()); proven {
@@ -211,6 +212,7 @@
 			Parts:        current.metadata.Parts,
 			PromptTokens: current.metadata.PromptTokens,
 			OutputTokens: current.metadata.OutputTokens,
+			EventTokens:  engine.EventTokens,
 			TokenBytes:   engine.TokenBytes,
 			LinkMegabits: engine.LinkMegabits,
 		}
--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -77,11 +77,32 @@
 // EngineCalls are the calls to an engine besides requests.
 type EngineCalls interface {
 	Report(ctx context.Context, worker backends.Worker) (rollout.Report, error)
+	// CacheEvents returns what changed in the cache of an engine, or of a store of
+	// kept KV cache, after a position; it waits for a change, up to a time.
+	CacheEvents(ctx context.Context, address fleet.Address, since uint64, wait time.Duration) (*CacheEvents, error)
 	// OrderVersion sends an order; the error explains a result that isn't
 	// OrderAccepted or OrderHolds.
 	OrderVersion(ctx context.Context, worker backends.Worker, order rollout.VersionOrder) (rollout.OrderResult, error)
 }
 
+// CacheEvents are changes of a cache, in order.
+type CacheEvents struct {
+	// Epoch is another after each restart, which empties the cache.
+	Epoch uint64
+	// Next is the position behind the events.
+	Next uint64
+	// Lost is set if events before these are no longer kept.
+	Lost   bool
+	Events []CacheEvent
+}
+
+// CacheEvent tells that a part is held or dropped.
+type CacheEvent struct {
+	Held  bool
+	Scope string
+	Part  string
+}
+
 // Metadata is what a caller's headers say.
 type Metadata struct {
 	RequestID string
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -61,10 +61,14 @@
 	lastEventID string
 	headSent    bool
 	firstByte   time.Duration
-	status      int
-	worker      string
-	result      resultcode.Code
-	reason      string
+	// lastEvent is when the last event went out, longestGap the longest time
+	// between two of them.
+	lastEvent  time.Duration
+	longestGap time.Duration
+	status     int
+	worker     string
+	result     resultcode.Code
+	reason     string
 }
 
 // refusal is a failure of the gateway's own.
@@ -280,6 +284,9 @@
 	if current.firstByte > 0 {
 		line = line.Dur("first_byte", current.firstByte-current.began)
 	}
+	if current.longestGap > 0 {
+		line = line.Dur("longest_gap", current.longestGap)
+	}
 	line.Msg("request_ended")
 	if cause != nil {
 		panic(cause)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -167,6 +167,7 @@
 	g.life.Go(g.register)
 	g.life.Go(g.shareLoads)
 	g.life.Go(g.driveRollout)
+	g.life.Go(g.followCaches)
 	g.life.Go(g.housekeep)
 	g.peers.Start()
 	g.keeper.Start()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -62,6 +62,11 @@
 	if !current.headSent {
 		g.sendHead(current, answer, unknownLength)
 	}
+	now := g.now()
+	if current.lastEvent > 0 {
+		current.longestGap = max(current.longestGap, now-current.lastEvent)
+	}
+	current.lastEvent = now
 	if _, err := current.writer.Write(events); err != nil {
 		return errors.Wrap(errCallerWrite, err.Error())
 	}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -29,9 +29,12 @@
 	// startUnknown is the time after this process's start at which a version that
 	// was named before it counts as due, unless a peer knows better.
 	startUnknown = 3 * time.Second
-	// quiesceFor is the time from the word that an engine is about to be ordered
-	// until the order: requests under way to it arrive meanwhile.
-	quiesceFor = 300 * time.Millisecond
+	// quiesceLeast and quiesceMost bound the time from the word that an engine is
+	// about to be ordered until the order. Requests under way to it arrive
+	// meanwhile, and its runs end, which new weights would halt for a while.
+	quiesceLeast = 300 * time.Millisecond
+	quiesceMost  = 1300 * time.Millisecond
+	quiescePoll  = 100 * time.Millisecond
 	// orderedFor is how long an engine counts as under an order, unless its new
 	// version is seen before.
 	orderedFor = 2 * time.Second
@@ -275,8 +278,7 @@
 	begun := g.now()
 	took := time.Duration(0)
 	defer func() { g.weights.finish(g.now(), next, took) }()
-	g.keepAway(next.worker.ID)
-	if !g.pause(quiesceFor) {
+	if !g.quiesce(begun, next.worker.ID) {
 		return
 	}
 	ordered := time.Duration(-1)
@@ -311,6 +313,22 @@
 	}
 }
 
+// quiesce keeps requests away from an engine until its runs have ended, for a
+// time at the most. It returns false when the process ends.
+func (g *Gateway) quiesce(begun time.Duration, id fleet.EngineID) bool {
+	g.keepAway(id)
+	if !g.pause(quiesceLeast) {
+		return false
+	}
+	for g.now() < begun+quiesceMost && g.workers.InFlight(g.now(), id) > 0 {
+		g.keepAway(id)
+		if !g.pause(quiescePoll) {
+			return false
+		}
+	}
+	return true
+}
+
 // keepAway has this node and, by its next reports, all others send no requests
 // to an engine for a while.
 func (g *Gateway) keepAway(id fleet.EngineID) {
--- a/internal/rollout/versions.go
+++ b/internal/rollout/versions.go
@@ -56,14 +56,14 @@
 const (
 	DefaultMinParallel = 4
 	DefaultRounds      = 3
-	DefaultLoadTime    = 1300 * time.Millisecond
-	DefaultReserve     = 400 * time.Millisecond
+	DefaultLoadTime    = 2000 * time.Millisecond
+	DefaultReserve     = 200 * time.Millisecond
 )
 
 // PacerOptions sets up a Pacer; zero fields take the defaults.
 type PacerOptions struct {
-	// Within is the time from the naming of a version within which every engine
-	// is to have it or a newer one.
+	// Within is the time from the naming of a version after which engines that
+	// don't have it or a newer one get no more requests.
 	Within time.Duration
 	// Rounds is the number of rounds that a pass over all engines takes: so many
 	// change at once that it takes no more, MinParallel at the least.
@@ -265,15 +265,16 @@
 	return max((count+p.options.Rounds-1)/p.options.Rounds, p.options.MinParallel)
 }
 
-// latestStart returns when a pass over count engines must begin, so that the
-// first version newer than oldest is everywhere in time.
+// latestStart returns when a pass over count engines must begin, so that all but
+// its last round have the first version newer than oldest in time. The engines
+// of the last round get no requests from then on; the others can carry them.
 func (p *Pacer) latestStart(oldest uint64, count, parallel int) time.Duration {
 	for _, named := range p.namings {
 		if named.version <= oldest {
 			continue
 		}
 		rounds := (count + parallel - 1) / parallel
-		pass := time.Duration(rounds) * p.loadTime
+		pass := time.Duration(max(rounds-1, 1)) * p.loadTime
 		return named.at + p.options.Within - pass - p.options.Reserve
 	}
 	return 0
--- a/internal/routes/document.go
+++ b/internal/routes/document.go
@@ -92,6 +92,8 @@
 	TokenBytes int
 	// LinkMegabits is the bandwidth of an engine's link, in Mbit/s.
 	LinkMegabits float64
+	// EventTokens is the number of tokens in an event of a stream.
+	EventTokens int
 	// Models lists what the engines serve.
 	Models []fleet.ModelName
 }
--- a/internal/scheduling/options.go
+++ b/internal/scheduling/options.go
@@ -9,6 +9,7 @@
 	DefaultCongestionWeight = 300 * time.Microsecond
 	DefaultCongestedQueue   = 200 * time.Millisecond
 	DefaultTieFraction      = 0.05
+	DefaultDisturbance      = 100 * time.Millisecond
 	DefaultStepTokens       = 2048
 	DefaultPrefillPerToken  = 50 * time.Microsecond
 	DefaultStep             = 10 * time.Millisecond
@@ -36,6 +37,9 @@
 	// the fewest streams in flight, then at random: routers that decide from
 	// the same late load reports then don't all choose the same engine.
 	TieFraction float64
+	// DisturbanceWeight is charged for each stream whose events a prompt holds up
+	// over all the steps between two of them.
+	DisturbanceWeight time.Duration
 }
 
 // DefaultOptions returns options that suit the stand-in engines.
@@ -46,5 +50,7 @@
 		CongestionWeight: DefaultCongestionWeight,
 		CongestedQueue:   DefaultCongestedQueue,
 		TieFraction:      DefaultTieFraction,
+
+		DisturbanceWeight: DefaultDisturbance,
 	}
 }
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -86,5 +86,6 @@
 		Zone:           s.zonePrice(request, endpoint),
 		Recompute:      charged.recompute(uncached),
 		Risk:           endpoint.Risk,
+		Disturbance:    s.disturbance(endpoint, uncached),
 	}
 }
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -55,6 +55,11 @@
 	ImportSetup    time.Duration
 	// Risk is the time that failures of this engine are expected to cost.
 	Risk time.Duration
+	// Decoding counts the streams that are past their prompts here.
+	Decoding int
+	// EventSteps is the number of batch steps between two events of a stream; 0
+	// if the streams' pauses don't matter.
+	EventSteps int
 }
 
 // Request is what a decision needs to know of a request.
@@ -133,6 +138,9 @@
 	Recompute time.Duration
 	// Risk is the price of the engine's failures.
 	Risk time.Duration
+	// Disturbance is the price of the pauses that the prompt makes in the streams
+	// of others.
+	Disturbance time.Duration
 }
 
 // FirstToken is the predicted time until the first token.
@@ -141,4 +149,4 @@
 }
 
 // Cost is what the picker minimises.
-func (s Scores) Cost() time.Duration { return s.FirstToken() + s.Recompute + s.Risk }
+func (s Scores) Cost() time.Duration { return s.FirstToken() + s.Recompute + s.Risk + s.Disturbance }
--- /dev/null
+++ b/internal/scheduling/score_disturbance_test.go
@@ -0,0 +1,25 @@
+package scheduling
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// TestLongPromptGoesWhereItHoldsUpFewStreams compares an idle engine's streams
+// with those of another, for prompts on both sides of the bound.
+func TestLongPromptGoesWhereItHoldsUpFewStreams(t *testing.T) {
+	busy, quiet := testEndpoint(0), testEndpoint(1)
+	busy.Decoding, busy.EventSteps = 5, 4
+	quiet.Decoding, quiet.EventSteps = 1, 4
+	quiet.PrefillTokens = 100
+	request := testRequest()
+	options := DefaultOptions()
+	options.TieFraction = 0
+	request.PromptTokens = 3 * 512
+	assert.Equal(t, 0, scheduleOne(t, options, request, busy, quiet).Index, "it fills three of four steps")
+	request.PromptTokens++
+	assert.Equal(t, 1, scheduleOne(t, options, request, busy, quiet).Index)
+	busy.EventSteps, quiet.EventSteps = 0, 0
+	assert.Equal(t, 0, scheduleOne(t, options, request, busy, quiet).Index, "pauses don't matter")
+}
