Keep to the engine that holds a prompt's parts; take them from engines before the store; keep long prompts apart

Copies filled the engines' memory, and moves from the store (8 Gbit each, 26 a second) took more than its 310 Gbit/s. Long prompts still met other streams within the time that nodes tell each other their load.

--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -67,7 +67,7 @@
 
 // Predictions of moves of KV cache.
 const (
-	importSetup = 2 * time.Millisecond
+	importSetup = 5 * time.Millisecond
 	// importSharing is the part of an engine's link that a move is predicted to
 	// get, storeSharing that of the store's, which all engines use.
 	importSharing = 0.5
@@ -84,7 +84,11 @@
 		return nil, ReasonVersion
 	}
 	shared := max(len(engine.Parts)-1, 0)
-	home := homeOf(engine, shared, candidates)
+	reserved := r.reservedFor(request.Service)
+	kept := func(known *state) bool {
+		return reserved != nil && reserved[known.worker.ID] != r.isLong(engine)
+	}
+	home := homeOf(engine, shared, candidates, kept)
 	r.endpoints = r.endpoints[:0]
 	r.parts.expire(now)
 	scopes := make(map[WeightsVersion]*scoped)
@@ -93,7 +97,11 @@
 		if scopes[version] == nil {
 			scopes[version] = r.lookUp(engine, version)
 		}
-		r.endpoints = append(r.endpoints, r.endpoint(now, engine, known, scopes[version], shared, home))
+		endpoint := r.endpoint(now, engine, known, scopes[version], shared, home)
+		if kept(known) {
+			endpoint.Reserved = reservedPrice
+		}
+		r.endpoints = append(r.endpoints, endpoint)
 	}
 	ends := cumulate(engine.Parts)
 	decision, found := r.scheduler.Schedule(scheduling.Request{
@@ -111,6 +119,7 @@
 	version := chosen.worker.Versions[engine.Model]
 	known := scopes[version]
 	prefill := engine.PromptTokens - decision.CachedTokens - decision.ImportedTokens
+	r.noteWork(now, request.Service, engine, prefill)
 	placement := r.begin(now, chosen, len(candidates), prefill)
 	placement.Engine = &EnginePlacement{
 		Version:        version,
@@ -194,8 +203,9 @@
 }
 
 // homeOf returns the engine that every node chooses first for the shared parts
-// of a prompt, so that they are read at one engine without any talk.
-func homeOf(engine *EngineRequest, shared int, candidates []*state) fleet.EngineID {
+// of a prompt, so that they are read at one engine without any talk. Engines that
+// are kept for others come last.
+func homeOf(engine *EngineRequest, shared int, candidates []*state, kept func(*state) bool) fleet.EngineID {
 	if shared == 0 {
 		return ""
 	}
@@ -205,10 +215,12 @@
 	}
 	var home fleet.EngineID
 	var highest uint64
+	homeKept := false
 	for _, known := range candidates {
 		weight := membership.RendezvousWeight(key, string(known.worker.ID))
-		if home == "" || weight > highest {
-			home, highest = known.worker.ID, weight
+		isKept := kept(known)
+		if home == "" || (homeKept && !isKept) || (homeKept == isKept && weight > highest) {
+			home, highest, homeKept = known.worker.ID, weight, isKept
 		}
 	}
 	return home
@@ -274,8 +286,8 @@
 func servesAll(fleet.Weights) bool { return true }
 
 // chooseSources names the holder from which the engine takes what it lacks: an
-// engine known to hold more of the shared parts than the store is known to, else
-// the store, which gets all that is read.
+// engine that holds as much of the shared parts as the store does, since all
+// share the store's link; else the store, which gets all that is read.
 func (r *Registry) chooseSources(placement *Placement, known *scoped, shared int, home fleet.EngineID, request *EngineRequest) {
 	engine := placement.Engine
 	own := min(known.held[placement.Worker.ID], shared)
@@ -283,7 +295,7 @@
 		return
 	}
 	engine.ImportFrom = request.Store
-	if source := r.holder(placement, known, shared, request.Model, max(own, known.stored)+1); source != nil {
+	if source := r.holder(placement, known, shared, request.Model, max(own+1, known.stored)); source != nil {
 		engine.ImportFrom = source.worker.Address
 		return
 	}
@@ -292,11 +304,12 @@
 	}
 }
 
-// holder returns the engine that holds the most of the shared parts, at least
-// so many of them, in the own zone if there is one.
+// holder returns an engine that holds the most of the shared parts, at least so
+// many of them: one of the engine's zone if there is one, and of several any, so
+// that no link carries all moves.
 func (r *Registry) holder(placement *Placement, known *scoped, shared int, model fleet.ModelName, least int) *state {
 	var best *state
-	bestHeld := 0
+	bestRank, equal := 0, 0
 	for id, held := range known.held {
 		source := r.workers[id]
 		held = min(held, shared)
@@ -306,9 +319,18 @@
 		if source.worker.Versions[model] != placement.Engine.Version {
 			continue
 		}
-		near := source.worker.Zone == placement.Worker.Zone
-		if held > bestHeld || (held == bestHeld && near && best.worker.Zone != placement.Worker.Zone) {
-			best, bestHeld = source, held
+		rank := 2 * held
+		if source.worker.Zone == placement.Worker.Zone {
+			rank++
+		}
+		switch {
+		case rank > bestRank:
+			best, bestRank, equal = source, rank, 1
+		case rank == bestRank:
+			equal++
+			if r.options.Random.IntN(equal) == 0 {
+				best = source
+			}
 		}
 	}
 	return best
--- a/internal/backends/parts.go
+++ b/internal/backends/parts.go
@@ -110,7 +110,7 @@
 
 // ObserveCache takes in changes of a cache, in order. anew is set if what was
 // known of it before doesn't hold any more.
-func (r *Registry) ObserveCache(now time.Duration, run fleet.EngineRun, anew bool, changes []PartChange) {
+func (r *Registry) ObserveCache(run fleet.EngineRun, anew bool, changes []PartChange) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.parts.add(run)
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -51,6 +51,7 @@
 	peers      map[fleet.NodeID]peerLoad
 	required   map[fleet.ModelName]WeightsVersion
 	parts      *partIndex
+	partitions map[fleet.PoolName]*partition
 	// endpoints and states are buffers of a choice.
 	endpoints []scheduling.Endpoint
 	states    []*state
@@ -79,6 +80,7 @@
 		peers:      make(map[fleet.NodeID]peerLoad),
 		required:   make(map[fleet.ModelName]WeightsVersion),
 		parts:      newPartIndex(options.MaxParts),
+		partitions: make(map[fleet.PoolName]*partition),
 	}
 }
 
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -99,7 +99,7 @@
 	for _, event := range events.Events {
 		changes = append(changes, backends.PartChange{Held: event.Held, Scope: event.Scope, Part: event.Part})
 	}
-	g.workers.ObserveCache(g.now(), run, restarted || events.Lost, changes)
+	g.workers.ObserveCache(run, restarted || events.Lost, changes)
 }
 
 // sleep waits for a time or until the context ends.
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -185,7 +185,7 @@
 	if engine := placement.Engine; engine != nil {
 		line = line.Uint64("version", uint64(engine.Version)).Int("cached", engine.CachedTokens).
 			Int("imported", engine.ImportedTokens).Int("prompt", current.metadata.PromptTokens).
-			Str("prefix", engine.Prefix).Str("import_from", string(engine.ImportFrom)).
+			Str("scope", engine.Scope).Str("prefix", engine.Prefix).Str("import_from", string(engine.ImportFrom)).
 			Str("save_to", string(engine.SaveTo)).Int("shared_parts", engine.SharedParts).Int("held_parts", engine.HeldParts).
 			Int("stored_parts", engine.StoredParts).Int("most_held_parts", engine.MostHeldParts).Bool("home", engine.Home).Int("prefill_ahead", placement.PrefillTokens).
 			Dur("predicted", engine.Predicted)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,9 +114,18 @@
 	return g, nil
 }
 
+// Prices of a choice among engines that can take KV cache over from each other:
+// a move must not count as a tie.
+const (
+	tieFraction  = 0.02
+	importWeight = 8 * time.Microsecond
+)
+
 // schedulingOptions returns the prices for engines that can import.
 func schedulingOptions() scheduling.Options {
 	options := scheduling.DefaultOptions()
+	options.TieFraction = tieFraction
+	options.ImportWeight = importWeight
 	return options
 }
 
--- a/internal/scheduling/options.go
+++ b/internal/scheduling/options.go
@@ -37,6 +37,10 @@
 	// the fewest streams in flight, then at random: routers that decide from
 	// the same late load reports then don't all choose the same engine.
 	TieFraction float64
+	// ImportWeight is charged for each token that is taken over from another
+	// holder: a move loads two links and may fail, and makes a second copy that
+	// takes the place of others.
+	ImportWeight time.Duration
 	// DisturbanceWeight is charged for each stream whose events a prompt holds up
 	// over all the steps between two of them.
 	DisturbanceWeight time.Duration
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -1,6 +1,9 @@
 package scheduling
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // stackCandidates is the number of candidates up to which a decision allocates
 // nothing.
@@ -85,7 +88,9 @@
 		Interference:   interferenceTime(endpoint, uncached),
 		Zone:           s.zonePrice(request, endpoint),
 		Recompute:      charged.recompute(uncached),
+		Move:           time.Duration(imported) * s.options.ImportWeight,
 		Risk:           endpoint.Risk,
+		Reserved:       endpoint.Reserved,
 		Disturbance:    s.disturbance(endpoint, uncached),
 	}
 }
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -55,6 +55,9 @@
 	ImportSetup    time.Duration
 	// Risk is the time that failures of this engine are expected to cost.
 	Risk time.Duration
+	// Reserved is the price of taking an engine that is kept for requests of
+	// another size.
+	Reserved time.Duration
 	// Decoding counts the streams that are past their prompts here.
 	Decoding int
 	// EventSteps is the number of batch steps between two events of a stream; 0
@@ -136,8 +139,12 @@
 	// Recompute is the price of the capacity that recomputing takes from
 	// others. It doesn't delay this request.
 	Recompute time.Duration
+	// Move is the price of what is taken over besides the time that it takes.
+	Move time.Duration
 	// Risk is the price of the engine's failures.
 	Risk time.Duration
+	// Reserved is the price of an engine that is kept for others.
+	Reserved time.Duration
 	// Disturbance is the price of the pauses that the prompt makes in the streams
 	// of others.
 	Disturbance time.Duration
@@ -149,4 +156,7 @@
 }
 
 // Cost is what the picker minimises.
-func (s Scores) Cost() time.Duration { return s.FirstToken() + s.Recompute + s.Risk + s.Disturbance }
+func (s Scores) Cost() time.Duration {
+	prices := s.Recompute + s.Move + s.Risk + s.Reserved + s.Disturbance
+	return s.FirstToken() + prices
+}
