Reload settings on SIGHUP and when their file changes

Change: the process reloads on SIGHUP and when the file changes; addresses and names stay; a file that can't be used is refused and logged.

--- a/cmd/tillerfall/gateway.go
+++ b/cmd/tillerfall/gateway.go
@@ -4,12 +4,15 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
@@ -78,9 +81,63 @@
 			return err
 		}
 	}
+	stop := make(chan struct{})
+	defer close(stop)
+	go watchSettings(path, process, logger, stop)
 	return runProcess(process, logger)
 }
 
+// settingsCheck is the time between two looks at the settings file, which may
+// change without a signal.
+const settingsCheck = time.Second
+
+// watchSettings reloads the settings when the file changes or SIGHUP says so. A
+// file that can't be used leaves those in force.
+func watchSettings(path string, process *gateway.Gateway, logger zerolog.Logger, stop <-chan struct{}) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ticker := time.NewTicker(settingsCheck)
+	defer ticker.Stop()
+	seen := fileState(path)
+	for {
+		signalled := false
+		select {
+		case <-stop:
+			return
+		case <-hangups:
+			signalled = true
+		case <-ticker.C:
+		}
+		present := fileState(path)
+		if !signalled && present == seen {
+			continue
+		}
+		seen = present
+		settings, err := platform.LoadSettings(path)
+		if err == nil {
+			err = process.Reload(*settings)
+		}
+		if err != nil {
+			logger.Error().Err(err).Msg("settings_refused")
+		}
+	}
+}
+
+// fileVersion tells one state of a file from another.
+type fileVersion struct {
+	size     int64
+	modified time.Time
+}
+
+func fileState(path string) fileVersion {
+	info, err := os.Stat(path)
+	if err != nil {
+		return fileVersion{}
+	}
+	return fileVersion{size: info.Size(), modified: info.ModTime()}
+}
+
 // serveMetrics serves the registry on the host of an address.
 func serveMetrics(address string, port int, registry *prometheus.Registry) error {
 	host, _, err := net.SplitHostPort(address)
--- a/cmd/tillerfall/process.go
+++ b/cmd/tillerfall/process.go
@@ -86,11 +86,15 @@
 }
 
 // runProcess runs a process until it ends or a signal asks it to stop. Signals
-// during a planned stop change nothing: the stop is bounded by itself.
+// during a planned stop change nothing: the stop is bounded by itself. SIGHUP is
+// for processes that reload; others go on unmoved.
 func runProcess(process process, logger zerolog.Logger) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	defer signal.Stop(signals)
+	unread := make(chan os.Signal, 1)
+	signal.Notify(unread, syscall.SIGHUP)
+	defer signal.Stop(unread)
 	if err := process.Start(); err != nil {
 		return errors.Wrap(err, "start")
 	}
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -38,6 +38,13 @@
 	return &budgets{settings: settings, sharers: sharers, services: make(map[fleet.PoolName]*attempt.Budget)}
 }
 
+// setSettings takes over other bounds, for services without a budget so far.
+func (b *budgets) setSettings(settings Settings) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.settings = settings
+}
+
 // of returns the budget of a service.
 func (b *budgets) of(service fleet.PoolName) attempt.RetryBudget {
 	b.mutex.Lock()
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -149,7 +149,7 @@
 
 // freshBound is how old the proof of the configuration may be for keyed requests.
 func (g *Gateway) freshBound() time.Duration {
-	return time.Duration(float64(g.settings.RevokeWithin) * freshPart)
+	return time.Duration(float64(g.settings().RevokeWithin) * freshPart)
 }
 
 // unlessBehind returns a refusal for good if this node is known to be up to
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,14 +35,15 @@
 
 // Gateway is one process. Start serves until Stop or a failure.
 type Gateway struct {
-	settings Settings
-	outside  Outside
-	clock    fleet.Clock
-	node     fleet.NodeID
-	logger   zerolog.Logger
-	events   *eventLog
-	metrics  *metrics
-	life     tomb.Tomb
+	// inForce is replaced as a whole by Reload.
+	inForce atomic.Pointer[Settings]
+	outside Outside
+	clock   fleet.Clock
+	node    fleet.NodeID
+	logger  zerolog.Logger
+	events  *eventLog
+	metrics *metrics
+	life    tomb.Tomb
 
 	holder    *routes.Holder
 	fresh     *routes.Freshness
@@ -79,7 +80,6 @@
 	random := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 	holderID := lease.NewHolderID(fleet.NodeID(settings.Node), rand.Uint64())
 	g := &Gateway{
-		settings: settings,
 		outside:  outside,
 		clock:    fleet.NewClock(),
 		node:     fleet.NodeID(holderID),
@@ -92,6 +92,7 @@
 		seeds:    &seedList{},
 		idle:     newIdleConnections(),
 	}
+	g.inForce.Store(&settings)
 	g.workers = backends.New(backends.Options{
 		Zone:       settings.Zone,
 		Random:     random(),
@@ -134,9 +135,9 @@
 		Membership: membership.Options{
 			Self: membership.Member{
 				Node:    g.node,
-				Address: fleet.Address(g.settings.PeerAddress),
-				Region:  g.settings.Region,
-				Zone:    g.settings.Zone,
+				Address: fleet.Address(g.settings().PeerAddress),
+				Region:  g.settings().Region,
+				Zone:    g.settings().Zone,
 			},
 			Random: random,
 		},
@@ -151,6 +152,25 @@
 	return created, nil
 }
 
+// settings returns the settings in force.
+func (g *Gateway) settings() *Settings { return g.inForce.Load() }
+
+// Reload puts other settings in force without a break. Addresses and names stay
+// as they were at the start: a change of these needs a restart, and is refused.
+func (g *Gateway) Reload(settings Settings) error {
+	if err := settings.Validate(); err != nil {
+		return err
+	}
+	if settings.identity() != g.settings().identity() {
+		return errors.New("names and addresses can't change while the gateway runs")
+	}
+	g.inForce.Store(&settings)
+	g.weights.setWithin(settings.WeightsWithin)
+	g.budgets.setSettings(settings)
+	g.logger.Info().Msg("settings_reloaded")
+	return nil
+}
+
 // Node returns the identifier of this run.
 func (g *Gateway) Node() fleet.NodeID { return g.node }
 
@@ -166,10 +186,10 @@
 		return err
 	}
 	g.logger.Info().
-		Str("front", g.settings.FrontAddress).
-		Str("peer_address", g.settings.PeerAddress).
-		Str("zone", string(g.settings.Zone)).
-		Str("store", g.settings.StoreAddress).
+		Str("front", g.settings().FrontAddress).
+		Str("peer_address", g.settings().PeerAddress).
+		Str("zone", string(g.settings().Zone)).
+		Str("store", g.settings().StoreAddress).
 		Msg("started")
 	g.life.Go(g.followOperator)
 	g.life.Go(g.followWorkers)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -52,10 +52,10 @@
 		ctx, cancel := context.WithTimeout(g.context(), 2*time.Second)
 		if !registered {
 			err := g.outside.Platform.RegisterNode(ctx, Node{
-				Name:    g.settings.Node,
-				Address: fleet.Address(g.settings.PeerAddress),
-				Zone:    g.settings.Zone,
-				Region:  g.settings.Region,
+				Name:    g.settings().Node,
+				Address: fleet.Address(g.settings().PeerAddress),
+				Zone:    g.settings().Zone,
+				Region:  g.settings().Region,
 			})
 			registered = err == nil
 		}
@@ -78,7 +78,7 @@
 	}
 	var addresses []fleet.Address
 	for _, node := range nodes {
-		if node.Address != fleet.Address(g.settings.PeerAddress) {
+		if node.Address != fleet.Address(g.settings().PeerAddress) {
 			addresses = append(addresses, node.Address)
 		}
 	}
@@ -157,7 +157,7 @@
 		report.Weights = g.knownVersions()
 	}
 	if held := g.holder.Current(); held != nil {
-		if age, proven := g.fresh.Age(now); proven && age < g.settings.RevokeWithin {
+		if age, proven := g.fresh.Age(now); proven && age < g.settings().RevokeWithin {
 			report.ProofAgeMillis = uint32(age.Milliseconds()) + 1
 			report.ProofRevision = uint64(held.Revision)
 		}
@@ -216,7 +216,7 @@
 // frontAddresses returns where callers find the gateways that are there. All
 // gateways serve on the same ports.
 func (g *Gateway) frontAddresses() []fleet.Address {
-	_, port, err := net.SplitHostPort(g.settings.FrontAddress)
+	_, port, err := net.SplitHostPort(g.settings().FrontAddress)
 	if err != nil {
 		return nil
 	}
@@ -230,7 +230,7 @@
 		}
 	}
 	if g.ready() {
-		addresses = append(addresses, fleet.Address(g.settings.FrontAddress))
+		addresses = append(addresses, fleet.Address(g.settings().FrontAddress))
 	}
 	return addresses
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -43,10 +43,10 @@
 		address string
 		server  *http.Server
 	}{
-		{g.settings.FrontAddress, g.front},
-		{g.settings.DirectoryAddress, &http.Server{Handler: g.directoryHandler()}},
-		{g.settings.ReadyAddress, &http.Server{Handler: g.readinessHandler()}},
-		{g.settings.PeerAddress, &http.Server{Handler: rpc.NewPeerServer(g.peers)}},
+		{g.settings().FrontAddress, g.front},
+		{g.settings().DirectoryAddress, &http.Server{Handler: g.directoryHandler()}},
+		{g.settings().ReadyAddress, &http.Server{Handler: g.readinessHandler()}},
+		{g.settings().PeerAddress, &http.Server{Handler: rpc.NewPeerServer(g.peers)}},
 	}
 	for _, entry := range handlers {
 		listener, err := listenTCP(entry.address)
@@ -122,7 +122,7 @@
 			writer.WriteHeader(http.StatusServiceUnavailable)
 			return nil
 		}
-		ttl := min(directoryTTL, g.settings.MaxDirectoryTTL)
+		ttl := min(directoryTTL, g.settings().MaxDirectoryTTL)
 		return g.outside.Codec.WriteResolution(writer, addresses, ttl)
 	})
 	return router
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -81,3 +81,19 @@
 	}
 	return nil
 }
+
+// identity is what of the settings holds for as long as a process runs.
+type identity struct {
+	node                           string
+	zone                           fleet.ZoneName
+	region                         fleet.RegionName
+	front, directory, ready, peers string
+	metrics, store                 string
+}
+
+func (s *Settings) identity() identity {
+	return identity{
+		node: s.Node, zone: s.Zone, region: s.Region, front: s.FrontAddress, directory: s.DirectoryAddress,
+		ready: s.ReadyAddress, peers: s.PeerAddress, metrics: s.MetricsAddress, store: s.StoreAddress,
+	}
+}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -49,7 +49,7 @@
 
 // awaitQuiet waits until callers have left, or until the grace runs out.
 func (g *Gateway) awaitQuiet(began time.Duration) {
-	end := began + g.settings.StopGrace - stopReserve
+	end := began + g.settings().StopGrace - stopReserve
 	for g.now() < end {
 		quiet := g.now()-time.Duration(g.lastRequest.Load()) > quietFor
 		if g.now() > began+leaveFor && quiet && g.inFlight.Load() == 0 {
@@ -61,7 +61,7 @@
 
 // shutdown closes the servers, the front last and with what is left of the grace.
 func (g *Gateway) shutdown(began time.Duration) {
-	left := max(began+g.settings.StopGrace-stopReserve/2-g.now(), stopPoll)
+	left := max(began+g.settings().StopGrace-stopReserve/2-g.now(), stopPoll)
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	var group sync.WaitGroup
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -111,6 +111,14 @@
 	return pacer.Name(at, uint64(named.Version))
 }
 
+// setWithin takes over another bound, for the versions of models that are named
+// from now on for the first time.
+func (w *weights) setWithin(within time.Duration) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.within = within
+}
+
 // learn takes in a peer's word on when a version was named.
 func (w *weights) learn(at time.Duration, model fleet.ModelName, version uint64) {
 	w.mutex.Lock()
@@ -252,9 +260,9 @@
 	if token <= 1 {
 		return 0
 	}
-	delay := g.settings.LeaseGap + gapSlack
+	delay := g.settings().LeaseGap + gapSlack
 	if g.keeper.Predecessor() != "" {
-		return delay - leaseSettings(g.settings).Margin*2
+		return delay - leaseSettings(*g.settings()).Margin*2
 	}
 	return max(delay-g.keeper.IdleAtTakeover(), 0)
 }
@@ -351,7 +359,7 @@
 	result, err := g.outside.Engines.OrderVersion(ctx, next.worker, rollout.VersionOrder{
 		Model:          next.model,
 		Version:        next.version,
-		Holder:         lease.HolderID(g.settings.Node),
+		Holder:         lease.HolderID(g.settings().Node),
 		Token:          token,
 		ExpectedOrders: report.Orders,
 	})
