Serve deployments with other bounds; follow caches and share loads within limits in larger fleets

Change: defaults for bounds that aren't set; keyed requests of a node out of touch are refused only where revocation holds everywhere; a cache is followed by its owners by rendezvous hashing where there are more nodes than it allows; a round of load goes to at most 12 peers in turn, and those heard stand for all.

--- a/internal/backends/load.go
+++ b/internal/backends/load.go
@@ -59,6 +59,14 @@
 	r.peers[node] = peerLoad{at: now, loads: byEngine}
 }
 
+// SetPeers says how many other nodes there are: where only some of them have
+// told their load lately, these stand for all.
+func (r *Registry) SetPeers(count int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.peerCount = count
+}
+
 // ForgetPeer drops what a node that is gone has said.
 func (r *Registry) ForgetPeer(node fleet.NodeID) {
 	r.mutex.Lock()
@@ -69,13 +77,21 @@
 // total returns the load of a worker over all nodes; the mutex is held.
 func (r *Registry) total(now time.Duration, known *state) Load {
 	total := Load{Engine: known.worker.ID, InFlight: known.inFlight, PrefillTokens: known.prefill}
+	heard, inFlight, prefill := 0, 0, 0
 	for _, peer := range r.peers {
 		if now > peer.at+peerLoadValid {
 			continue
 		}
+		heard++
 		load := peer.loads[known.worker.ID]
-		total.InFlight += load.InFlight
-		total.PrefillTokens += load.PrefillTokens
+		inFlight += load.InFlight
+		prefill += load.PrefillTokens
+	}
+	if heard == 0 {
+		return total
 	}
+	count := max(r.peerCount, heard)
+	total.InFlight += inFlight * count / heard
+	total.PrefillTokens += prefill * count / heard
 	return total
 }
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -49,6 +49,8 @@
 	// tombstones holds the revision at which a row went, for workers forgotten.
 	tombstones map[fleet.EngineID]fleet.Revision
 	peers      map[fleet.NodeID]peerLoad
+	// peerCount is the number of other nodes.
+	peerCount  int
 	required   map[fleet.ModelName]WeightsVersion
 	parts      *partIndex
 	partitions map[fleet.PoolName]*partition
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
 )
 
 // Times of following caches.
@@ -53,20 +55,43 @@
 	return nil
 }
 
-// caches returns the caches there are.
+// spareFollowers is how many fewer nodes than a cache allows follow it: nodes
+// don't all know the same members while some come or go.
+const spareFollowers = 3
+
+// caches returns the caches that this node follows: where there are more nodes
+// than may follow one, those that own it by rendezvous hashing.
 func (g *Gateway) caches() map[cacheRun]bool {
 	present := make(map[cacheRun]bool)
+	held := g.holder.Current()
+	if held == nil {
+		return present
+	}
 	for _, worker := range g.workers.Workers() {
-		if len(worker.Versions) > 0 {
+		service, known := held.Table.Service(worker.Service)
+		if known && len(worker.Versions) > 0 && g.follows(worker.ID, service.MaxFollowers) {
 			present[cacheRun{run: worker.Run(), address: worker.Address}] = true
 		}
 	}
 	if store := g.keptStore(); store != nil {
-		present[cacheRun{run: backends.StoreRun(store.Address), address: store.Address}] = true
+		run := backends.StoreRun(store.Store.Address)
+		if g.follows(run.Engine, store.MaxFollowers) {
+			present[cacheRun{run: run, address: store.Store.Address}] = true
+		}
 	}
 	return present
 }
 
+// follows tells whether this node is among those that follow a cache.
+func (g *Gateway) follows(cache fleet.EngineID, limit int) bool {
+	members := g.peers.View().Routable()
+	followers := max(limit-spareFollowers, 1)
+	if limit <= 0 || len(members) <= followers {
+		return true
+	}
+	return slices.Contains(membership.Owners(cache, members, followers), g.node)
+}
+
 // followCache takes in the changes of one cache until the context ends.
 func (g *Gateway) followCache(ctx context.Context, cache cacheRun) {
 	var epoch, since uint64
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -73,7 +73,7 @@
 // send chooses a worker, sends the request there and passes the answer on.
 func (g *Gateway) send(ctx context.Context, current *carried) attempt.Step {
 	now := g.now()
-	if current.tenant != nil && !g.fresh.Within(now, g.freshBound()) {
+	if current.tenant != nil && !g.mayServeKeyed() {
 		return current.machine.NoWorker("configuration too old")
 	}
 	placement, reason := g.workers.Choose(now, g.choice(current))
@@ -217,7 +217,7 @@
 			LinkMegabits: engine.LinkMegabits,
 		}
 		if store := g.keptStore(); store != nil {
-			request.Engine.Store, request.Engine.StoreMegabits = store.Address, store.LinkMegabits
+			request.Engine.Store, request.Engine.StoreMegabits = store.Store.Address, store.Store.LinkMegabits
 		}
 		if current.tenant != nil {
 			request.Engine.Tenant, request.Engine.Isolated = current.tenant.Name, current.tenant.Isolated
@@ -227,7 +227,7 @@
 }
 
 // keptStore returns a store of kept KV cache, or nil.
-func (g *Gateway) keptStore() *routes.StoreService {
+func (g *Gateway) keptStore() *routes.Service {
 	held := g.holder.Current()
 	if held == nil {
 		return nil
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -133,7 +133,7 @@
 	if current.route.Public || !table.Keyed() {
 		return nil
 	}
-	if !g.fresh.Within(g.now(), g.freshBound()) {
+	if !g.mayServeKeyed() {
 		return &refusal{code: resultcode.NoConfiguration, reason: "configuration too old", retryAfter: retryLater}
 	}
 	if current.metadata.Key == "" {
@@ -147,6 +147,12 @@
 	return nil
 }
 
+// mayServeKeyed tells whether this node knows the keys well enough: where a
+// revocation holds everywhere, a node out of touch serves no keyed request.
+func (g *Gateway) mayServeKeyed() bool {
+	return !g.settings().RevokeEverywhere || g.fresh.Within(g.now(), g.freshBound())
+}
+
 // freshBound is how old the proof of the configuration may be for keyed requests.
 func (g *Gateway) freshBound() time.Duration {
 	return time.Duration(float64(g.settings().RevokeWithin) * freshPart)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 	// of the two calls the other, so that news travel twice as often.
 	shareInterval = 600 * time.Millisecond
 	shareTimeout  = 400 * time.Millisecond
+	// shareFanout bounds the peers of one round of exchanges.
+	shareFanout = 12
 	// seedInterval is the time between two reads of the nodes' rows while no peer
 	// is known, and seedIntervalKnown otherwise.
 	seedInterval      = 700 * time.Millisecond
@@ -85,18 +88,18 @@
 	g.seeds.set(addresses)
 }
 
-// shareLoads exchanges reports with the other gateways.
+// shareLoads exchanges reports with the other gateways: with all of them in each
+// round while they are few, else with some, taking turns.
 func (g *Gateway) shareLoads() error {
 	known := make(map[fleet.NodeID]bool)
-	for g.pause(shareInterval) {
-		view := g.peers.View()
-		present := make(map[fleet.NodeID]bool)
-		var group sync.WaitGroup
-		for _, member := range view.Routable() {
-			if member.Node == g.node {
-				continue
-			}
+	for round := 0; g.pause(shareInterval); round++ {
+		peers := g.otherMembers()
+		present := make(map[fleet.NodeID]bool, len(peers))
+		for _, member := range peers {
 			present[member.Node] = true
+		}
+		var group sync.WaitGroup
+		for _, member := range turn(peers, round, shareFanout) {
 			group.Go(func() { g.exchange(member) })
 		}
 		group.Wait()
@@ -106,10 +109,31 @@
 			}
 		}
 		known = present
+		g.workers.SetPeers(len(peers))
 	}
 	return nil
 }
 
+// otherMembers returns the gateways that are there, without this one.
+func (g *Gateway) otherMembers() []membership.Member {
+	return slices.DeleteFunc(slices.Clone(g.peers.View().Routable()), func(member membership.Member) bool {
+		return member.Node == g.node
+	})
+}
+
+// turn returns at most limit elements, others in each round.
+func turn[Element any](all []Element, round, limit int) []Element {
+	if len(all) <= limit {
+		return all
+	}
+	start := round * limit % len(all)
+	chosen := make([]Element, 0, limit)
+	for offset := range limit {
+		chosen = append(chosen, all[(start+offset)%len(all)])
+	}
+	return chosen
+}
+
 // exchange gives one member this node's report and takes its answer in.
 func (g *Gateway) exchange(member membership.Member) {
 	ctx, cancel := context.WithTimeout(g.context(), shareTimeout)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -58,6 +58,39 @@
 	DrainWithin time.Duration
 }
 
+// Defaults of bounds that a deployment doesn't set.
+const (
+	DefaultStopGrace     = 8 * time.Second
+	DefaultApplyWithin   = 2 * time.Second
+	DefaultRevokeWithin  = 5 * time.Second
+	DefaultRetryRatio    = 0.1
+	DefaultRetryWindow   = 10 * time.Second
+	DefaultLeaseGap      = 3 * time.Second
+	DefaultWeightsWithin = 8 * time.Second
+	DefaultDirectoryTTL  = 5 * time.Second
+	DefaultDrainWithin   = 2 * time.Second
+)
+
+// ApplyDefaults sets the bounds that are 0, since a deployment names only those
+// of the parts that it has.
+func (s *Settings) ApplyDefaults() {
+	for _, bound := range []struct {
+		field    *time.Duration
+		fallback time.Duration
+	}{
+		{&s.StopGrace, DefaultStopGrace}, {&s.ApplyWithin, DefaultApplyWithin}, {&s.RevokeWithin, DefaultRevokeWithin},
+		{&s.RetryWindow, DefaultRetryWindow}, {&s.LeaseGap, DefaultLeaseGap}, {&s.WeightsWithin, DefaultWeightsWithin},
+		{&s.MaxDirectoryTTL, DefaultDirectoryTTL}, {&s.DrainWithin, DefaultDrainWithin},
+	} {
+		if *bound.field == 0 {
+			*bound.field = bound.fallback
+		}
+	}
+	if s.RetryRatio == 0 {
+		s.RetryRatio = DefaultRetryRatio
+	}
+}
+
 // Validate returns an error that names the first field that can't be used.
 func (s *Settings) Validate() error {
 	if s.Node == "" {
--- a/internal/routes/document.go
+++ b/internal/routes/document.go
@@ -76,6 +76,9 @@
 	// MaxConnections bounds the connections to one worker from all callers; 0
 	// means no bound.
 	MaxConnections int
+	// MaxFollowers bounds the callers that follow one worker's cache; 0 means no
+	// bound.
+	MaxFollowers int
 	// Engine is set for language-model engines.
 	Engine *EngineService
 	// Store is set for a store of kept KV cache, which serves no requests.
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -104,12 +104,12 @@
 	return service, found
 }
 
-// Stores returns the stores of kept KV cache.
-func (t *Table) Stores() []*StoreService {
-	var stores []*StoreService
+// Stores returns the services that are stores of kept KV cache.
+func (t *Table) Stores() []*Service {
+	var stores []*Service
 	for index := range t.document.Services {
-		if store := t.document.Services[index].Store; store != nil {
-			stores = append(stores, store)
+		if t.document.Services[index].Store != nil {
+			stores = append(stores, &t.document.Services[index])
 		}
 	}
 	return stores
