Let a later run on the holder's machine take the lease at once

Ruled out: declaring holders dead by membership or by the nodes' rows: a stale view could name a later run. Change: a machine runs one gateway, so a lease held by an earlier run on it is free to it at once and needs no gap; every node reads the lease's row once at its start. A version of unknown age is required 2.8 s after a start instead of 1.8 s: until 3 s after it a node isn't in touch.

--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -28,7 +28,7 @@
 	requireReserve = 1200 * time.Millisecond
 	// startUnknown is the time after this process's start at which a version that
 	// was named before it counts as due, unless a peer knows better.
-	startUnknown = 3 * time.Second
+	startUnknown = 2800 * time.Millisecond
 	// quiesceLeast and quiesceMost bound the time from the word that an engine is
 	// about to be ordered until the order. Requests under way to it arrive
 	// meanwhile, and its runs end, which new weights would halt for a while.
@@ -68,6 +68,8 @@
 		Key:      rolloutLease,
 		Duration: duration,
 		Margin:   duration * leaseMarginNumerator / leaseMarginDenominator,
+		// A machine runs one gateway, and counts as one holder.
+		Exclusive: true,
 	}
 }
 
@@ -106,7 +108,7 @@
 		w.pacers[named.Model] = pacer
 	}
 	if !known {
-		return pacer.Assume(at-w.within+startUnknown, uint64(named.Version))
+		return pacer.Assume(at-w.within+requireReserve+startUnknown, uint64(named.Version))
 	}
 	return pacer.Name(at, uint64(named.Version))
 }
@@ -260,6 +262,9 @@
 	if token <= 1 {
 		return 0
 	}
+	if g.keeper.Predecessor().Machine() == g.settings().Node {
+		return 0
+	}
 	delay := g.settings().LeaseGap + gapSlack
 	if g.keeper.Predecessor() != "" {
 		return delay - leaseSettings(*g.settings()).Margin*2
--- a/internal/lease/election.go
+++ b/internal/lease/election.go
@@ -137,7 +137,7 @@
 	if now < e.nextAt {
 		return Action{Kind: ActionWait, Until: e.nextAt}
 	}
-	if e.ineligible && !e.mine() {
+	if e.ineligible && !e.mustRead && !e.mine() && !e.earlierRun() {
 		e.nextAt = now + e.pollInterval()
 		return Action{Kind: ActionWait, Until: e.nextAt}
 	}
@@ -163,12 +163,18 @@
 
 // mayWrite tells whether the row is this process's, free or run out.
 func (e *Election) mayWrite(now time.Duration) bool {
-	if e.mine() || e.row.record.Holder == "" {
+	if e.mine() || e.row.record.Holder == "" || e.earlierRun() {
 		return true
 	}
 	return now >= e.row.since+e.row.record.Duration()+e.settings.Margin
 }
 
+// earlierRun tells whether the row names an earlier run on this machine, which
+// has ended.
+func (e *Election) earlierRun() bool {
+	return e.settings.Exclusive && !e.mine() && e.row.record.Holder.Machine() == e.holder.Machine()
+}
+
 // claim returns the record that makes or keeps this process the holder.
 func (e *Election) claim() Record {
 	token := e.highestToken
--- a/internal/lease/election_test.go
+++ b/internal/lease/election_test.go
@@ -266,3 +266,40 @@
 	}
 	assert.NoError(t, Settings{Key: "k", Duration: DefaultDuration, Margin: DefaultMargin}.Validate())
 }
+
+// TestLaterRunOnTheSameMachineTakesOverAtOnce where a machine runs one process at
+// a time, also if it isn't eligible; others wait.
+func TestLaterRunOnTheSameMachineTakesOverAtOnce(t *testing.T) {
+	w := newWorld(t)
+	settings := testSettings
+	settings.Exclusive = true
+	elect := func(name string, seed uint64) *Election {
+		election, err := NewElection(settings, NewHolderID(fleet.NodeID(name), seed), rand.New(rand.NewPCG(seed, 1)))
+		require.NoError(t, err)
+		return election
+	}
+	before, other, after := elect("a", 1), elect("b", 2), elect("a", 3)
+	w.run(time.Second, before)
+	after.SetEligible(false)
+	w.run(500*time.Millisecond, other)
+	require.True(t, w.step(after))
+	require.True(t, w.step(after))
+	assert.EqualValues(t, 2, w.token(after))
+	assert.Equal(t, "a", after.Predecessor().Machine())
+	w.run(5*time.Second, other, after)
+	assert.False(t, other.Valid(w.now))
+}
+
+// TestReleaseTellsHowLongTheLeaseWasUnused.
+func TestReleaseTellsHowLongTheLeaseWasUnused(t *testing.T) {
+	w := newWorld(t)
+	a, b := newElection(t, "a", 1), newElection(t, "b", 2)
+	w.run(time.Second, a)
+	a.NoteUse(w.now)
+	w.run(2*time.Second, a)
+	a.Resign()
+	w.run(time.Second, a, b)
+	require.True(t, b.Valid(w.now))
+	assert.Empty(t, b.Predecessor())
+	assert.InDelta(t, 2*time.Second, b.IdleAtTakeover(), float64(200*time.Millisecond))
+}
--- a/internal/lease/outcome.go
+++ b/internal/lease/outcome.go
@@ -41,7 +41,7 @@
 	if !e.mine() {
 		e.believedUntil = 0
 	}
-	if e.mine() || record.Holder == "" {
+	if e.mine() || record.Holder == "" || e.earlierRun() {
 		e.nextAt = now
 		return
 	}
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -24,6 +25,13 @@
 	return HolderID(fmt.Sprintf("%s/%016x", node, nonce))
 }
 
+// Machine returns the part of the identifier that names the machine: all runs of
+// a process on it share it.
+func (h HolderID) Machine() string {
+	machine, _, _ := strings.Cut(string(h), "/")
+	return machine
+}
+
 // Record is the value of a lease's row.
 type Record struct {
 	// Holder is empty after a release.
--- a/internal/lease/settings.go
+++ b/internal/lease/settings.go
@@ -31,6 +31,9 @@
 	Duration time.Duration
 	// Margin covers the differences between the rates of the machines' clocks.
 	Margin time.Duration
+	// Exclusive says that a machine runs one process at a time that takes part: a
+	// lease held by an earlier run on the same machine is then free at once.
+	Exclusive bool
 }
 
 // Validate returns an error if the settings can't keep two holders apart.
