Date versions named during trouble of the store by when it ended

Change: changes behind a dropped history count as made when the drop was seen (the store was not stable before); while no reachable node has proof younger than 2.5 s, the time of versions not due yet begins anew. What is due stays due, and a node that alone was cut off learns the earlier time from its peers.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -23,14 +23,30 @@
 	followRetryMax = 400 * time.Millisecond
 )
 
+// historyKept is a time for which the store keeps its history at the least while
+// nothing ails it: one that is gone sooner was dropped.
+const historyKept = 5 * time.Second
+
+// gap tells what is unknown of when changes were made.
+type gap int
+
+// Gaps in following a table.
+const (
+	// gapNone: the changes are as new as the answer that brought them.
+	gapNone gap = iota
+	// gapDropped: the store itself dropped its history a moment ago.
+	gapDropped
+	// gapUnreached: the store was out of reach, so changes may be older.
+	gapUnreached
+)
+
 // followed is one table that is followed: read whole, then by its changes.
 type followed struct {
 	name string
 	// read reads all rows and takes them in; it returns their revision.
-	read func(ctx context.Context) (fleet.Revision, error)
-	// follow takes in the changes after a revision and returns the new one. gap is
-	// set if the call before it failed, so that the changes may be older.
-	follow func(ctx context.Context, after fleet.Revision, wait time.Duration, gap bool) (fleet.Revision, error)
+	read func(ctx context.Context, since gap) (fleet.Revision, error)
+	// follow takes in the changes after a revision and returns the new one.
+	follow func(ctx context.Context, after fleet.Revision, wait time.Duration, since gap) (fleet.Revision, error)
 	wait   time.Duration
 	// proven is called with the start of each call that followed the changes
 	// without a gap.
@@ -45,20 +61,23 @@
 	known := false
 	wait := time.Duration(0)
 	failures := 0
+	since := gapUnreached
+	var answered time.Duration
 	for {
 		begun := g.now()
 		var revision fleet.Revision
 		var err error
 		if known {
-			revision, err = table.follow(ctx, after, wait, failures > 0)
+			revision, err = table.follow(ctx, after, wait, since)
 		} else {
-			revision, err = table.read(ctx)
+			revision, err = table.read(ctx, since)
 		}
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
 			g.noteStore(table.name, err, failures)
+			since = gapAfter(err, failures, begun-answered)
 			known = known && !errors.Is(err, ErrHistoryGone)
 			failures++
 			if !g.pause(min(followRetry*time.Duration(failures), followRetryMax)) {
@@ -67,12 +86,12 @@
 			continue
 		}
 		g.noteStore(table.name, nil, failures)
-		failures = 0
+		failures, answered = 0, g.now()
 		if !known {
 			known, wait, after = true, 0, revision
 			continue
 		}
-		wait = table.wait
+		wait, since = table.wait, gapNone
 		if revision >= after {
 			after = revision
 			table.proven(begun)
@@ -80,6 +99,15 @@
 	}
 }
 
+// gapAfter returns the gap that a failed call leaves. unanswered is the time from
+// the answer before to the call.
+func gapAfter(err error, failures int, unanswered time.Duration) gap {
+	if errors.Is(err, ErrHistoryGone) && failures == 0 && unanswered < historyKept {
+		return gapDropped
+	}
+	return gapUnreached
+}
+
 // noteStore logs that a table was lost or regained.
 func (g *Gateway) noteStore(table string, err error, failures int) {
 	switch {
@@ -97,32 +125,33 @@
 	return g.run(followed{
 		name: "operator",
 		wait: operatorWait,
-		read: func(ctx context.Context) (fleet.Revision, error) {
+		read: func(ctx context.Context, since gap) (fleet.Revision, error) {
 			rows, err := g.outside.Platform.ReadOperator(ctx)
 			if err != nil {
 				return 0, err
 			}
-			g.takeOperator(rows, true)
+			g.takeOperator(rows, since)
 			return rows.Revision, nil
 		},
-		follow: func(ctx context.Context, after fleet.Revision, wait time.Duration, gap bool) (fleet.Revision, error) {
+		follow: func(ctx context.Context, after fleet.Revision, wait time.Duration, since gap) (fleet.Revision, error) {
 			rows, err := g.outside.Platform.FollowOperator(ctx, after, wait)
 			if err != nil {
 				return 0, err
 			}
-			g.takeOperator(rows, gap)
+			g.takeOperator(rows, since)
 			return rows.Revision, nil
 		},
 		proven: g.fresh.Prove,
 	})
 }
 
-// takeOperator takes in what the operator has written. After a gap the changes
-// may be as old as the last proof, or of unknown age if there was none.
-func (g *Gateway) takeOperator(rows *OperatorRows, gap bool) {
+// takeOperator takes in what the operator has written. If the store was out of
+// reach before, the changes may be as old as the last proof, or of unknown age
+// if there was none.
+func (g *Gateway) takeOperator(rows *OperatorRows, since gap) {
 	now := g.now()
 	at, known := now, true
-	if gap {
+	if since == gapUnreached {
 		age, proven := g.fresh.Age(now)
 		at, known = now-age, proven
 	}
@@ -155,7 +184,7 @@
 	return g.run(followed{
 		name: "workers",
 		wait: workersWait,
-		read: func(ctx context.Context) (fleet.Revision, error) {
+		read: func(ctx context.Context, _ gap) (fleet.Revision, error) {
 			rows, err := g.outside.Platform.ReadWorkers(ctx)
 			if err != nil {
 				return 0, err
@@ -163,7 +192,7 @@
 			g.takeAllWorkers(rows)
 			return rows.Revision, nil
 		},
-		follow: func(ctx context.Context, after fleet.Revision, wait time.Duration, _ bool) (fleet.Revision, error) {
+		follow: func(ctx context.Context, after fleet.Revision, wait time.Duration, _ gap) (fleet.Revision, error) {
 			rows, err := g.outside.Platform.FollowWorkers(ctx, after, wait)
 			if err != nil {
 				return 0, err
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -46,6 +46,9 @@
 	// engine is left alone for changeBackoff.
 	maxFailedReports = 2
 	changeBackoff    = 1500 * time.Millisecond
+	// storeLostAfter is the age of the newest proof among all reachable nodes from
+	// which the store counts as out of everybody's reach.
+	storeLostAfter = 2500 * time.Millisecond
 	// sharedNamings bounds the versions whose naming is told to peers.
 	sharedNamings = 4
 	// reorderAfter is when an order without effect is sent again.
@@ -121,6 +124,15 @@
 	w.within = within
 }
 
+// hold has the time of versions that aren't due yet begin anew.
+func (w *weights) hold(now time.Duration) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, pacer := range w.pacers {
+		pacer.Hold(now, w.within-requireReserve)
+	}
+}
+
 // learn takes in a peer's word on when a version was named.
 func (w *weights) learn(at time.Duration, model fleet.ModelName, version uint64) {
 	w.mutex.Lock()
@@ -233,6 +245,9 @@
 	held := false
 	for g.pause(rolloutInterval) {
 		now := g.now()
+		if age, proven := g.fresh.Age(now); proven && age > storeLostAfter {
+			g.weights.hold(now)
+		}
 		for model, version := range g.weights.due(now) {
 			g.workers.Require(model, version)
 		}
--- a/internal/rollout/versions.go
+++ b/internal/rollout/versions.go
@@ -154,6 +154,18 @@
 	}
 }
 
+// Hold has the time of versions that aren't due yet begin anew: nobody could
+// have learnt of them, nor ordered them, while the store was out of everybody's
+// reach. A process that alone was out of reach learns better from the others.
+func (p *Pacer) Hold(now, age time.Duration) {
+	for index := range p.namings {
+		named := &p.namings[index]
+		if named.at+age > now {
+			named.at = max(named.at, now)
+		}
+	}
+}
+
 // Naming is a version and when it was named.
 type Naming struct {
 	Version uint64
--- a/internal/rollout/versions_test.go
+++ b/internal/rollout/versions_test.go
@@ -117,3 +117,15 @@
 	assert.Empty(t, pacer.Heard(4))
 	assert.False(t, pacer.Name(0, 2), "it is known already")
 }
+
+func TestHoldDelaysOnlyVersionsThatAreNotDue(t *testing.T) {
+	pacer := NewPacer(PacerOptions{Within: testWithin})
+	pacer.Name(0, 2)
+	pacer.Name(5*time.Second, 3)
+	pacer.Hold(8*time.Second, testWithin)
+	assert.EqualValues(t, 2, pacer.Due(8*time.Second, testWithin), "what is due stays due")
+	assert.EqualValues(t, 2, pacer.Due(14*time.Second, testWithin))
+	assert.EqualValues(t, 3, pacer.Due(15*time.Second, testWithin))
+	pacer.Learn(6*time.Second, 3)
+	assert.EqualValues(t, 3, pacer.Due(13*time.Second, testWithin), "another process was in reach")
+}
