Date versions named while nobody reached the store by when it is back

Change: changes that are heard of after an outage of the store for all reachable nodes begin their time when it is back; after one of this node alone they stay as old as the last proof. Test: TestWhenChangesWereMade.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -145,16 +145,10 @@
 	})
 }
 
-// takeOperator takes in what the operator has written. If the store was out of
-// reach before, the changes may be as old as the last proof, or of unknown age
-// if there was none.
+// takeOperator takes in what the operator has written.
 func (g *Gateway) takeOperator(rows *OperatorRows, since gap) {
 	now := g.now()
-	at, known := now, true
-	if since == gapUnreached {
-		age, proven := g.fresh.Age(now)
-		at, known = now-age, proven
-	}
+	at, known := g.changedAt(now, since)
 	for _, named := range rows.Weights {
 		if g.weights.name(at, known, named) {
 			g.logger.Info().Str("model", string(named.Model)).Uint64("version", uint64(named.Version)).
@@ -166,6 +160,25 @@
 	}
 }
 
+// changedAt returns when changes that are heard of now were made at the latest;
+// false if that isn't known. If the store was out of this node's reach they may
+// be as old as the last proof that any reachable node had; if it was out of
+// everybody's, their time begins now, as for versions named before.
+func (g *Gateway) changedAt(now time.Duration, since gap) (time.Duration, bool) {
+	if since != gapUnreached {
+		return now, true
+	}
+	age, proven := g.fresh.Age(now)
+	switch {
+	case !proven:
+		return now, false
+	case age > storeLostAfter:
+		return now, true
+	default:
+		return now - age, true
+	}
+}
+
 // takeDocument takes a configuration over. One that can't be used is refused,
 // and the one in force stays.
 func (g *Gateway) takeDocument(now time.Duration, rows *OperatorRows) {
--- /dev/null
+++ b/internal/gateway/follow_test.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/routes"
+)
+
+// TestWhenChangesWereMade dates what is heard of after each kind of gap.
+func TestWhenChangesWereMade(t *testing.T) {
+	const now = time.Minute
+	for name, test := range map[string]struct {
+		since    gap
+		provenAt time.Duration
+		proven   bool
+		at       time.Duration
+		known    bool
+	}{
+		"followed":                       {gapNone, now - 4*time.Second, true, now, true},
+		"history dropped":                {gapDropped, now - 2*time.Second, true, now, true},
+		"this node alone out of reach":   {gapUnreached, now - 2*time.Second, true, now - 2*time.Second, true},
+		"store out of everybody's reach": {gapUnreached, now - 6*time.Second, true, now, true},
+		"just started":                   {gapUnreached, 0, false, now, false},
+	} {
+		g := &Gateway{fresh: routes.NewFreshness()}
+		if test.proven {
+			g.fresh.Prove(test.provenAt)
+		}
+		at, known := g.changedAt(now, test.since)
+		assert.Equal(t, test.at, at, name)
+		assert.Equal(t, test.known, known, name)
+	}
+}
+
+func TestOnlyAHistoryGoneSoonIsTheStoresOwnDoing(t *testing.T) {
+	assert.Equal(t, gapDropped, gapAfter(ErrHistoryGone, 0, time.Second))
+	assert.Equal(t, gapUnreached, gapAfter(ErrHistoryGone, 0, historyKept))
+	assert.Equal(t, gapUnreached, gapAfter(ErrHistoryGone, 1, time.Second))
+	assert.Equal(t, gapUnreached, gapAfter(errors.New("silent"), 0, time.Second))
+}
+
+// TestPeersTakeTurnsInLargeFleets has each met within a few rounds.
+func TestPeersTakeTurnsInLargeFleets(t *testing.T) {
+	members := make([]membership.Member, 30)
+	for index := range members {
+		members[index].Incarnation = 1
+		members[index].Node = "n"
+	}
+	assert.Len(t, turn(members, 3, 40), 30)
+	numbers := make([]int, 30)
+	for index := range numbers {
+		numbers[index] = index
+	}
+	met := map[int]bool{}
+	for round := range 3 {
+		chosen := turn(numbers, round, 12)
+		assert.Len(t, chosen, 12)
+		for _, number := range chosen {
+			met[number] = true
+		}
+	}
+	assert.Len(t, met, 30, "all are met within three rounds")
+}
