Have the tests notice the removal of each guard of the gateway

A late answer in the place of the next, parts of another version, a stale read after lost history and an early answer to a long body were not: the tests did not bring the case about.

--- a/internal/backends/backends_test.go
+++ b/internal/backends/backends_test.go
@@ -224,7 +224,8 @@
 	cold, _ := registry.Choose(0, engineRequest("p"))
 	cold.FirstByte(0)
 	registry.NoteVersion(cold.Worker.ID, testModel, 2)
-	cold.FirstByte(0)
+	old := Scope(testModel, 1, "t", false)
+	registry.ObserveCache(cold.Worker.Run(), false, []PartChange{{true, old, "common"}, {true, old, "p"}})
 	request := engineRequest("p")
 	request.Excluded = []fleet.EngineRun{cold.Worker.Run()}
 	registry.parts.clear(StoreRun(testStore))
