--- a/internal/agent/operatingpage_test.go
+++ b/internal/agent/operationspage_test.go
@@ -8,6 +8,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/pagetest"
 )
 
 // TestPageNamesTheAgentsMetrics compares docs/OPERATIONS.md with what an agent
@@ -17,17 +19,10 @@
 	require.NoError(t, err)
 	registry := prometheus.NewRegistry()
 	newMetrics(registry)
-	descriptions := make(chan *prometheus.Desc)
-	go func() {
-		registry.Describe(descriptions)
-		close(descriptions)
-	}()
-	var registered []string
-	for description := range descriptions {
-		name := regexp.MustCompile(`fqName: "([a-z_]+)"`).FindStringSubmatch(description.String())
-		require.NotNil(t, name, description.String())
-		registered = append(registered, name[1])
-		assert.Contains(t, string(data), "\n| `"+name[1]+"` |")
+	registered := pagetest.MetricNames(registry)
+	require.NotEmpty(t, registered)
+	for _, name := range registered {
+		assert.Contains(t, string(data), "\n| `"+name+"` |")
 	}
 	for _, name := range regexp.MustCompile("tillerfall_agent_[a-z_]+").FindAllString(string(data), -1) {
 		assert.Contains(t, registered, name)
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -19,7 +19,7 @@
 	// eventsRetry is the pause after a call that failed.
 	eventsRetry = time.Second
 	// cacheCheck is the time between two looks at which caches there are.
-	cacheCheck = 300 * time.Millisecond
+	cacheCheck = 100 * time.Millisecond
 )
 
 // cacheRun is one cache that is followed.
--- /dev/null
+++ b/internal/gateway/rollout.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/lease"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rollout"
+)
+
+// driveRollout requires new versions when they are due and, while this node
+// holds the lease, changes the engines.
+func (g *Gateway) driveRollout() error {
+	var orderFrom time.Duration
+	held := false
+	for g.pause(rolloutInterval) {
+		now := g.now()
+		if age, proven := g.fresh.Age(now); proven && age > storeLostAfter {
+			g.weights.hold(now)
+		}
+		for model, version := range g.weights.due(now) {
+			g.workers.Require(model, version)
+		}
+		g.keeper.SetEligible(g.rolloutCandidate())
+		token, holds := g.keeper.Fence()
+		if holds && !held {
+			orderFrom = now + g.orderDelay(token)
+			g.logger.Info().Uint64("token", uint64(token)).Dur("order_delay", orderFrom-now).Msg("rollout_taken")
+		}
+		held = holds
+		if !holds || now < orderFrom || g.stopping() {
+			continue
+		}
+		for _, next := range g.weights.next(now, g.workers.Workers()) {
+			g.life.Go(func() error {
+				g.carryChange(next)
+				return nil
+			})
+		}
+	}
+	return nil
+}
+
+// orderDelay returns the time until a new holder may order, so that its orders
+// don't come within the least gap behind those of the holder before.
+func (g *Gateway) orderDelay(token fleet.FencingToken) time.Duration {
+	if token <= 1 {
+		return 0
+	}
+	if g.keeper.Predecessor().Machine() == g.settings().Node {
+		return 0
+	}
+	delay := g.settings().LeaseGap + gapSlack
+	if g.keeper.Predecessor() != "" {
+		return delay - leaseSettings(*g.settings()).Margin*2
+	}
+	return max(delay-g.keeper.IdleAtTakeover(), 0)
+}
+
+// rolloutCandidate tells whether this node is among those that take the lease.
+func (g *Gateway) rolloutCandidate() bool {
+	if g.stopping() {
+		return false
+	}
+	for _, node := range membership.Owners(rolloutLease, g.peers.View().Routable(), rolloutCandidates) {
+		if node == g.node {
+			return true
+		}
+	}
+	return false
+}
+
+// carryChange brings one engine to a version: it keeps requests away, sends
+// the order, and asks until the engine has the version.
+func (g *Gateway) carryChange(next change) {
+	begun := g.now()
+	took := time.Duration(0)
+	defer func() { g.weights.finish(g.now(), next, took) }()
+	if !g.quiesce(begun, next.worker.ID) {
+		return
+	}
+	ordered := time.Duration(-1)
+	orders := int64(0)
+	failed := 0
+	for g.now() < begun+changeTimeout {
+		wait := reportInterval
+		report, err := g.outside.Engines.Report(g.context(), next.worker)
+		switch {
+		case err != nil:
+			failed++
+			g.logger.Warn().Str("worker", string(next.worker.ID)).Err(err).Msg("report_failed")
+			if failed >= maxFailedReports || errors.Is(err, rollout.ErrOtherRun) {
+				return
+			}
+		case report.Versions[next.model] >= next.version && !report.Busy:
+			took = g.now() - begun
+			g.changed(next, backends.WeightsVersion(report.Versions[next.model]), took)
+			return
+		case !report.Busy && (ordered < 0 || report.Orders != orders || g.now() > ordered+reorderAfter):
+			next.version = max(next.version, g.weights.newest(next.model))
+			if !g.order(next, report) {
+				return
+			}
+			ordered, orders = g.now(), report.Orders
+			wait = loadAtLeast
+		}
+		g.keepAway(next.worker.ID)
+		if !g.pause(wait) {
+			return
+		}
+	}
+}
+
+// quiesce keeps requests away from an engine until its runs have ended, for a
+// time at the most. It returns false when the process ends.
+func (g *Gateway) quiesce(begun time.Duration, id fleet.EngineID) bool {
+	g.keepAway(id)
+	if !g.pause(quiesceLeast) {
+		return false
+	}
+	for g.now() < begun+quiesceMost && g.workers.InFlight(g.now(), id) > 0 {
+		g.keepAway(id)
+		if !g.pause(quiescePoll) {
+			return false
+		}
+	}
+	return true
+}
+
+// keepAway has this node and, by its next reports, all others send no requests
+// to an engine for a while.
+func (g *Gateway) keepAway(id fleet.EngineID) {
+	until := g.now() + orderedFor
+	g.weights.announce(id, until)
+	g.workers.NoteOrder(id, until)
+}
+
+// order sends one order, if the lease is still held right before. It returns
+// false if it isn't.
+func (g *Gateway) order(next change, report rollout.Report) bool {
+	token, holds := g.keeper.Fence()
+	if !holds {
+		g.logger.Warn().Str("worker", string(next.worker.ID)).Msg("order_dropped_without_lease")
+		return false
+	}
+	g.keeper.NoteUse()
+	ctx, cancel := context.WithTimeout(g.context(), time.Second)
+	defer cancel()
+	result, err := g.outside.Engines.OrderVersion(ctx, next.worker, rollout.VersionOrder{
+		Model:          next.model,
+		Version:        next.version,
+		Holder:         lease.HolderID(g.settings().Node),
+		Token:          token,
+		ExpectedOrders: report.Orders,
+	})
+	g.metrics.orders.Inc()
+	g.logger.Info().Str("worker", string(next.worker.ID)).Str("model", string(next.model)).
+		Uint64("version", next.version).Uint64("token", uint64(token)).Int64("expected_orders", report.Orders).
+		Int("running", report.Running).Int("result", int(result)).AnErr("cause", err).Msg("order_sent")
+	return true
+}
+
+// changed notes that an engine has its new version.
+func (g *Gateway) changed(done change, version backends.WeightsVersion, took time.Duration) {
+	g.workers.NoteVersion(done.worker.ID, done.model, version)
+	g.workers.NoteOrder(done.worker.ID, 0)
+	g.logger.Info().Str("worker", string(done.worker.ID)).Uint64("version", uint64(version)).Dur("took", took).Msg("weights_changed")
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -13,6 +12,7 @@
 
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
 // Bounds of the servers.
@@ -27,9 +27,6 @@
 	callerUserTimeout = 5 * time.Second
 )
 
-// Socket options of Linux that package syscall lacks.
-const tcpUserTimeout = 0x12
-
 // listen opens all addresses before anything is served, so that a port in use
 // is a clear error.
 func (g *Gateway) listen() error {
@@ -83,17 +80,7 @@
 func listenTCP(address string) (net.Listener, error) {
 	settings := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var optionErr error
-			err := raw.Control(func(descriptor uintptr) {
-				optionErr = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout,
-					int(callerUserTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return optionErr
-		},
+		Control:         upstream.LimitUnacknowledged(callerUserTimeout),
 	}
 	return settings.Listen(context.Background(), "tcp4", address)
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -34,9 +34,6 @@
 
 	// StopGrace is the time between a planned stop's signal and the kill.
 	StopGrace time.Duration
-	// ApplyWithin is the time within which an acknowledged configuration must be
-	// in force.
-	ApplyWithin time.Duration
 	// RevokeWithin is the time after which a revoked key must not be served, also
 	// by a node out of touch, if RevokeEverywhere is set.
 	RevokeWithin     time.Duration
@@ -53,22 +50,17 @@
 	WeightsWithin time.Duration
 	// MaxDirectoryTTL bounds how long callers may keep an answer of the directory.
 	MaxDirectoryTTL time.Duration
-	// DrainWithin is the time after a worker's word that it leaves after which no
-	// request may reach it.
-	DrainWithin time.Duration
 }
 
 // Defaults of bounds that a deployment doesn't set.
 const (
 	DefaultStopGrace     = 8 * time.Second
-	DefaultApplyWithin   = 2 * time.Second
 	DefaultRevokeWithin  = 5 * time.Second
 	DefaultRetryRatio    = 0.1
 	DefaultRetryWindow   = 10 * time.Second
 	DefaultLeaseGap      = 3 * time.Second
 	DefaultWeightsWithin = 8 * time.Second
 	DefaultDirectoryTTL  = 5 * time.Second
-	DefaultDrainWithin   = 2 * time.Second
 )
 
 // ApplyDefaults sets the bounds that are 0, since a deployment names only those
@@ -78,9 +70,9 @@
 		field    *time.Duration
 		fallback time.Duration
 	}{
-		{&s.StopGrace, DefaultStopGrace}, {&s.ApplyWithin, DefaultApplyWithin}, {&s.RevokeWithin, DefaultRevokeWithin},
+		{&s.StopGrace, DefaultStopGrace}, {&s.RevokeWithin, DefaultRevokeWithin},
 		{&s.RetryWindow, DefaultRetryWindow}, {&s.LeaseGap, DefaultLeaseGap}, {&s.WeightsWithin, DefaultWeightsWithin},
-		{&s.MaxDirectoryTTL, DefaultDirectoryTTL}, {&s.DrainWithin, DefaultDrainWithin},
+		{&s.MaxDirectoryTTL, DefaultDirectoryTTL},
 	} {
 		if *bound.field == 0 {
 			*bound.field = bound.fallback
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -13,9 +13,6 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
-// Socket options of Linux that package syscall lacks.
-const tcpUserTimeout = 0x12
-
 // readBuffer is the size of a connection's read buffer, in bytes.
 const readBuffer = 2 << 10
 
@@ -92,16 +89,6 @@
 			Interval: time.Second,
 			Count:    3,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var optionErr error
-			err := raw.Control(func(descriptor uintptr) {
-				optionErr = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout,
-					int(userTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return optionErr
-		},
+		Control: LimitUnacknowledged(userTimeout),
 	}
 }
