Take requests away that wait at an engine whose weights fall due

Ruled out: sending to older engines for a shorter time only, since a wait has no bound. Change: from 0.4 s before the bound on, a send to an engine with an older version whose answer has not begun is broken off; what is idempotent goes elsewhere, the rest ends as unknown.

--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -82,7 +82,9 @@
 	}
 	current.worker = string(placement.Worker.ID)
 	g.logPlacement(current, placement)
-	answer, err := g.upstreams.Do(ctx, g.destination(current, &placement.Worker), g.outgoing(current, placement))
+	sending, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	answer, err := g.exchangeWith(sending, cancel, current, placement)
 	if err != nil {
 		return g.failed(ctx, current, placement, err)
 	}
@@ -101,6 +103,17 @@
 	return g.deliver(ctx, current, placement, answer)
 }
 
+// exchangeWith carries out one exchange up to the answer's head. Until then it
+// may be broken off since the engine's weights are too old to begin on.
+func (g *Gateway) exchangeWith(ctx context.Context, cancel context.CancelCauseFunc, current *carried, placement *backends.Placement) (*upstream.Answer, error) {
+	if placement.Engine != nil {
+		send := &pendingSend{model: current.metadata.Model, version: placement.Engine.Version, cancel: cancel}
+		g.pending.add(send)
+		defer g.pending.remove(send)
+	}
+	return g.upstreams.Do(ctx, g.destination(current, &placement.Worker), g.outgoing(current, placement))
+}
+
 // acceptable tells whether a worker's answer may be passed on: a success must
 // be signed, and so must a status that would promise that nothing ran.
 func acceptable(status int, info AnswerInfo) bool {
@@ -129,6 +142,9 @@
 	case ctx.Err() != nil:
 		g.ended(current, placement, backends.Unreachable, "deadline passed")
 		return current.machine.Expired()
+	case errors.Is(err, errOutdated) && sent:
+		g.ended(current, placement, backends.Cancelled, err.Error())
+		return current.machine.Unanswered(g.now(), run)
 	case errors.Is(err, upstream.ErrTooManyConnections):
 		g.ended(current, placement, backends.Cancelled, err.Error())
 		return current.machine.NotSent(g.now(), run)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,7 @@
 	peers     *peer.Peer
 	keeper    *lease.Keeper
 	seeds     *seedList
+	pending   *pendingSends
 
 	splitMutex sync.Mutex
 	splitter   *routes.Splitter
@@ -90,6 +91,7 @@
 		fresh:    routes.NewFreshness(),
 		splitter: routes.NewSplitter(),
 		seeds:    &seedList{},
+		pending:  newPendingSends(),
 		idle:     newIdleConnections(),
 	}
 	g.inForce.Store(&settings)
--- /dev/null
+++ b/internal/gateway/pending_test.go
@@ -0,0 +1,32 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// TestOnlySendsThatWaitAtOlderWeightsAreBrokenOff.
+func TestOnlySendsThatWaitAtOlderWeightsAreBrokenOff(t *testing.T) {
+	pending := newPendingSends()
+	begin := func(model fleet.ModelName, version backends.WeightsVersion) (context.Context, *pendingSend) {
+		ctx, cancel := context.WithCancelCause(context.Background())
+		send := &pendingSend{model: model, version: version, cancel: cancel}
+		pending.add(send)
+		return ctx, send
+	}
+	older, _ := begin("m", 2)
+	newer, _ := begin("m", 3)
+	other, _ := begin("n", 1)
+	answered, send := begin("m", 2)
+	pending.remove(send)
+	pending.expire(map[fleet.ModelName]backends.WeightsVersion{"m": 3})
+	assert.ErrorIs(t, context.Cause(older), errOutdated)
+	assert.NoError(t, newer.Err())
+	assert.NoError(t, other.Err())
+	assert.NoError(t, answered.Err(), "its answer has begun")
+}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -23,9 +23,10 @@
 		if age, proven := g.fresh.Age(now); proven && age > storeLostAfter {
 			g.weights.hold(now)
 		}
-		for model, version := range g.weights.due(now) {
+		for model, version := range g.weights.due(now, requireReserve) {
 			g.workers.Require(model, version)
 		}
+		g.pending.expire(g.weights.due(now, beginReserve))
 		g.keeper.SetEligible(g.rolloutCandidate())
 		token, holds := g.keeper.Fence()
 		if holds && !held {
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -149,13 +149,14 @@
 	return heard
 }
 
-// due returns the versions older than which no request may begin.
-func (w *weights) due(now time.Duration) map[fleet.ModelName]backends.WeightsVersion {
+// due returns the versions older than which no request may begin from reserve
+// after now on.
+func (w *weights) due(now, reserve time.Duration) map[fleet.ModelName]backends.WeightsVersion {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	due := make(map[fleet.ModelName]backends.WeightsVersion, len(w.pacers))
 	for model, pacer := range w.pacers {
-		due[model] = backends.WeightsVersion(pacer.Due(now, w.within-requireReserve))
+		due[model] = backends.WeightsVersion(pacer.Due(now, w.within-reserve))
 	}
 	return due
 }
