Renew the proof of freshness in time for any bound on revocations

Cause: TestChangedSettingsAreReloadedWithoutABreak got 503 once in make test: with a bound of 2 s a proof counts for 1.4 s, while the feed's calls of 1 s renew it after 1 to 2 s. Change: a call waits for the bound's 0.7, divided by 2.5, at the most 1 s. Test: TestProofsAreRenewedBeforeTheyAreTooOld.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -121,10 +121,21 @@
 	}
 }
 
+// proofsWithinBound is how many waits fit into the time for which a proof counts:
+// a proof is as old as its call, and lasts until the next call has ended.
+const proofsWithinBound = 2.5
+
+// operatorWaitFor returns the wait of a call for the operator's rows with which
+// proofs are renewed before they are too old for a bound on revocations.
+func operatorWaitFor(revokeWithin time.Duration) time.Duration {
+	counts := float64(revokeWithin) * freshPart
+	return min(operatorWait, time.Duration(counts/proofsWithinBound))
+}
+
 func (g *Gateway) followOperator() error {
 	return g.run(followed{
 		name: "operator",
-		wait: operatorWait,
+		wait: operatorWaitFor(g.settings().RevokeWithin),
 		read: func(ctx context.Context, since gap) (fleet.Revision, error) {
 			rows, err := g.outside.Platform.ReadOperator(ctx)
 			if err != nil {
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -66,3 +66,11 @@
 	}
 	assert.Len(t, met, 30, "all are met within three rounds")
 }
+
+func TestProofsAreRenewedBeforeTheyAreTooOld(t *testing.T) {
+	assert.Equal(t, operatorWait, operatorWaitFor(5*time.Second))
+	for _, bound := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 5 * time.Second} {
+		counts := time.Duration(float64(bound) * freshPart)
+		assert.Less(t, 2*operatorWaitFor(bound), counts, "bound %s", bound)
+	}
+}
