--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -127,7 +127,7 @@
 		CachedTokens:   decision.CachedTokens,
 		ImportedTokens: decision.ImportedTokens,
 		Predicted:      decision.FirstToken,
-		Prefix:         prefixName(engine.Parts, shared),
+		Prefix:         PrefixName(engine.Parts),
 		SharedParts:    shared,
 		HeldParts:      known.held[chosen.worker.ID],
 		StoredParts:    known.stored,
@@ -143,12 +143,12 @@
 	return placement, ""
 }
 
-// prefixName returns the name of the last shared part, or "".
-func prefixName(parts []Part, shared int) string {
-	if shared == 0 {
+// PrefixName returns the name of the last shared part of a prompt, or "".
+func PrefixName(parts []Part) string {
+	if len(parts) < 2 {
 		return ""
 	}
-	return parts[shared-1].ID
+	return parts[len(parts)-2].ID
 }
 
 // atVersion keeps the engines whose version is new enough.
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -12,9 +12,11 @@
 const (
 	// ratioPart is the part of the allowed ratio that a node spends.
 	ratioPart = 0.85
-	// slackPart is the part of the allowed slack that all nodes spend together:
-	// a node that has just come may not be counted by all yet.
-	slackPart = 0.6
+	// slackPart is the part of the allowed slack that the nodes to which callers
+	// are sent spend together: a node that has just come may not be counted by all
+	// yet. The other nodes have idleSlackPart together.
+	slackPart     = 0.6
+	idleSlackPart = 0.2
 	// initialPart is the part of its slack that a node has at its start. All may
 	// restart within one window, and have spent their slack just before.
 	initialPart = 0.5
@@ -29,13 +31,23 @@
 // has a part of it only.
 type budgets struct {
 	settings Settings
-	sharers  func() int
+	// share returns the part of the slack that is this node's.
+	share    func() float64
 	mutex    sync.Mutex
 	services map[fleet.PoolName]*attempt.Budget
 }
 
-func newBudgets(settings Settings, sharers func() int) *budgets {
-	return &budgets{settings: settings, sharers: sharers, services: make(map[fleet.PoolName]*attempt.Budget)}
+func newBudgets(settings Settings, share func() float64) *budgets {
+	return &budgets{settings: settings, share: share, services: make(map[fleet.PoolName]*attempt.Budget)}
+}
+
+// retryShare returns the part of the slack that is this node's.
+func (g *Gateway) retryShare() float64 {
+	members, serving := g.memberCount(), g.servingCount()
+	if g.serves() {
+		return slackPart / float64(max(serving, minSharers))
+	}
+	return idleSlackPart / float64(max(members-serving, minSharers))
 }
 
 // setSettings takes over other bounds, for services without a budget so far.
@@ -49,10 +61,9 @@
 func (b *budgets) of(service fleet.PoolName) attempt.RetryBudget {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	burst := max(b.settings.RetrySlack*b.share(), 1)
 	budget := b.services[service]
 	if budget == nil {
-		sharers := float64(max(b.sharers(), minSharers))
-		burst := max(b.settings.RetrySlack*slackPart/sharers, 1)
 		budget = attempt.NewBudget(attempt.BudgetOptions{
 			Ratio:          b.settings.RetryRatio * ratioPart,
 			FloorPerSecond: slackFloor,
@@ -61,6 +72,7 @@
 		})
 		b.services[service] = budget
 	}
+	budget.SetBurst(burst)
 	return &sharedBudget{owner: b, budget: budget}
 }
 
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -59,12 +59,13 @@
 // don't all know the same members while some come or go.
 const spareFollowers = 3
 
-// caches returns the caches that this node follows: where there are more nodes
-// than may follow one, those that own it by rendezvous hashing.
+// caches returns the caches that this node follows: none unless it serves, and
+// where more nodes serve than may follow one, those that own it by rendezvous
+// hashing.
 func (g *Gateway) caches() map[cacheRun]bool {
 	present := make(map[cacheRun]bool)
 	held := g.holder.Current()
-	if held == nil {
+	if held == nil || !g.serves() {
 		return present
 	}
 	for _, worker := range g.workers.Workers() {
@@ -73,7 +74,7 @@
 			present[cacheRun{run: worker.Run(), address: worker.Address}] = true
 		}
 	}
-	if store := g.keptStore(); store != nil {
+	for _, store := range held.Table.Stores() {
 		run := backends.StoreRun(store.Store.Address)
 		if g.follows(run.Engine, store.MaxFollowers) {
 			present[cacheRun{run: run, address: store.Store.Address}] = true
@@ -84,7 +85,7 @@
 
 // follows tells whether this node is among those that follow a cache.
 func (g *Gateway) follows(cache fleet.EngineID, limit int) bool {
-	members := g.peers.View().Routable()
+	members := g.roles.Load().Serving
 	followers := max(limit-spareFollowers, 1)
 	if limit <= 0 || len(members) <= followers {
 		return true
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -10,6 +10,7 @@
 	"github.com/tillerfall/tillerfall/internal/attempt"
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/routes"
 	"github.com/tillerfall/tillerfall/internal/upstream"
@@ -232,7 +233,7 @@
 			TokenBytes:   engine.TokenBytes,
 			LinkMegabits: engine.LinkMegabits,
 		}
-		if store := g.keptStore(); store != nil {
+		if store := g.keptStore(current); store != nil {
 			request.Engine.Store, request.Engine.StoreMegabits = store.Store.Address, store.Store.LinkMegabits
 		}
 		if current.tenant != nil {
@@ -242,30 +243,53 @@
 	return request
 }
 
-// keptStore returns a store of kept KV cache, or nil.
-func (g *Gateway) keptStore() *routes.Service {
+// keptStore returns the store of kept KV cache for a request's prompt, or nil:
+// of several, all nodes take the same one for the same shared parts.
+func (g *Gateway) keptStore(current *carried) *routes.Service {
 	held := g.holder.Current()
 	if held == nil {
 		return nil
 	}
-	stores := held.Table.Stores()
-	if len(stores) == 0 {
-		return nil
+	key := backends.PrefixName(current.metadata.Parts)
+	var kept *routes.Service
+	highest := uint64(0)
+	for _, store := range held.Table.Stores() {
+		weight := membership.RendezvousWeight(key, string(store.Store.Address))
+		if kept == nil || weight > highest {
+			kept, highest = store, weight
+		}
 	}
-	return stores[0]
+	return kept
 }
 
+// servingPart is the part of a worker's connections that the nodes to which
+// callers are sent share; the other nodes share the rest.
+const servingPart = 0.6
+
 // destination returns where to send, with this node's part of the worker's
 // connections.
 func (g *Gateway) destination(current *carried, worker *backends.Worker) upstream.Destination {
 	destination := upstream.Destination{Engine: worker.ID, Address: worker.Address}
 	if limit := current.service.MaxConnections; limit > 0 {
-		sharers := max(g.memberCount(), connectionSharers)
-		destination.MaxConnections = max(limit/sharers, 1)
+		destination.MaxConnections = max(int(float64(limit)*g.connectionShare()), 1)
 	}
 	return destination
 }
 
+// connectionShare returns the part of a worker's connections that this node may
+// open.
+func (g *Gateway) connectionShare() float64 {
+	members, serving := g.memberCount(), g.servingCount()
+	switch {
+	case serving >= members:
+		return 1 / float64(max(members, connectionSharers))
+	case g.serves():
+		return servingPart / float64(max(serving, connectionSharers))
+	default:
+		return (1 - servingPart) / float64(max(members-serving, connectionSharers))
+	}
+}
+
 // outgoing returns the request as it goes to a worker.
 func (g *Gateway) outgoing(current *carried, placement *backends.Placement) *upstream.Request {
 	header := forwardedHeader(current.request.Header)
--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -12,16 +12,26 @@
 	"github.com/tillerfall/tillerfall/internal/platform"
 	"github.com/tillerfall/tillerfall/internal/rollout"
 	"github.com/tillerfall/tillerfall/internal/routes"
+	"github.com/tillerfall/tillerfall/internal/watchcache"
 )
 
 // ErrHistoryGone means that changes can't be followed from a revision any more:
 // everything must be read again.
 var ErrHistoryGone = errors.New("history gone")
 
-// OperatorRows is what an operator has written, whole or as far as it changed.
+// Table names a table of the store that gateways follow.
+type Table string
+
+// Tables that gateways follow.
+const (
+	// TableOperator holds the configuration and the named weights.
+	TableOperator Table = "operator"
+	// TableWorkers holds a row for each worker.
+	TableWorkers Table = "workers"
+)
+
+// OperatorRows is what an operator has written, as far as rows tell.
 type OperatorRows struct {
-	// Revision is the store's revision as of which the rows are.
-	Revision fleet.Revision
 	// Document is the newest configuration, nil if it isn't among the rows.
 	Document         *routes.Document
 	DocumentRevision fleet.Revision
@@ -33,12 +43,8 @@
 type NamedWeights struct {
 	Model   fleet.ModelName
 	Version backends.WeightsVersion
-}
-
-// WorkerRows are rows of workers, whole or as far as they changed.
-type WorkerRows struct {
+	// Revision is that of the row.
 	Revision fleet.Revision
-	Rows     []WorkerRow
 }
 
 // WorkerRow is one worker's row, or the word that it is gone.
@@ -60,14 +66,17 @@
 // Platform is the store, as the gateway needs it. Reads return an error of
 // package platform, or ErrHistoryGone.
 type Platform interface {
-	// ReadOperator returns all that the operator has written. It may be behind.
-	ReadOperator(ctx context.Context) (*OperatorRows, error)
-	// FollowOperator returns what has changed after a revision, as soon as
-	// something has or after wait.
-	FollowOperator(ctx context.Context, after fleet.Revision, wait time.Duration) (*OperatorRows, error)
-	// ReadWorkers and FollowWorkers are the same for workers.
-	ReadWorkers(ctx context.Context) (*WorkerRows, error)
-	FollowWorkers(ctx context.Context, after fleet.Revision, wait time.Duration) (*WorkerRows, error)
+	// ReadTable returns all rows of a table. It may be behind.
+	ReadTable(ctx context.Context, table Table) (*watchcache.Update, error)
+	// FollowTable returns what has changed after a revision, as soon as something
+	// has or after wait.
+	FollowTable(ctx context.Context, table Table, after fleet.Revision, wait time.Duration) (*watchcache.Update, error)
+	// DecodeOperator reads rows of the operator's table. Rows that can't be read
+	// are left out, and the error tells of the first.
+	DecodeOperator(rows []watchcache.Row) (*OperatorRows, error)
+	// DecodeWorkers reads rows of the workers' table. A row that can't be read is
+	// left out: its worker gets no requests.
+	DecodeWorkers(rows []watchcache.Row) []WorkerRow
 	// RegisterNode writes this node's row.
 	RegisterNode(ctx context.Context, node Node) error
 	// ReadNodes returns the nodes that have ever registered.
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -37,9 +37,9 @@
 // must fit into the rest.
 const freshPart = 0.7
 
-// deniedBound is how old the proof of the configuration may be for a refusal for
-// good: that of a node in touch is renewed each operatorWait.
-const deniedBound = operatorWait + 700*time.Millisecond
+// deniedPart is the part of the bound on configurations up to which the proof of
+// the one in force is new enough for a refusal for good.
+const deniedPart = 0.85
 
 // carried is one caller's request on its way.
 type carried struct {
@@ -84,6 +84,7 @@
 	defer g.inFlight.Add(-1)
 	now := g.now()
 	g.lastRequest.Store(int64(now))
+	g.demand.note()
 	current := &carried{writer: writer, request: request, began: now}
 	defer g.finish(current)
 	if refused := g.admit(current); refused != nil {
@@ -161,7 +162,7 @@
 // unlessBehind returns a refusal for good if this node is known to be up to
 // date; else one to come back after, since a newer configuration may allow it.
 func (g *Gateway) unlessBehind(refused refusal) *refusal {
-	if g.fresh.Within(g.now(), deniedBound) {
+	if g.fresh.Within(g.now(), time.Duration(float64(g.settings().ConfigureWithin)*deniedPart)) {
 		return &refused
 	}
 	return &refusal{code: resultcode.NoConfiguration, reason: refused.reason + ", configuration too old", retryAfter: retryLater}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,12 @@
 	keeper    *lease.Keeper
 	seeds     *seedList
 	pending   *pendingSends
+	tables    []*table
+	sources   *sources
+	demand    *demand
+	roles     atomic.Pointer[membership.Roles]
+	// joined is used by assign alone.
+	joined joinedMembers
 
 	splitMutex sync.Mutex
 	splitter   *routes.Splitter
@@ -93,8 +99,11 @@
 		seeds:    &seedList{},
 		pending:  newPendingSends(),
 		idle:     newIdleConnections(),
+		demand:   newDemand(),
 	}
 	g.inForce.Store(&settings)
+	g.sources = newSources(g.clock.Now(), g.node, random())
+	g.tables = g.newTables()
 	g.workers = backends.New(backends.Options{
 		Zone:       settings.Zone,
 		Random:     random(),
@@ -103,12 +112,13 @@
 	g.upstreams = upstream.NewPool(upstream.Options{
 		Dialed: func(fleet.EngineID) { g.metrics.connections.Inc() },
 	})
-	g.budgets = newBudgets(settings, g.memberCount)
+	g.budgets = newBudgets(settings, g.retryShare)
 	g.weights = newWeights(settings)
 	var err error
 	if g.peers, err = g.newPeer(random()); err != nil {
 		return nil, err
 	}
+	g.assign(g.clock.Now())
 	election, err := lease.NewElection(leaseSettings(settings), holderID, random())
 	if err != nil {
 		return nil, errors.Wrap(err, "lease")
@@ -136,17 +146,20 @@
 	created, err := peer.New(peer.Options{
 		Membership: membership.Options{
 			Self: membership.Member{
-				Node:    g.node,
-				Address: fleet.Address(g.settings().PeerAddress),
-				Region:  g.settings().Region,
-				Zone:    g.settings().Zone,
+				Node:     g.node,
+				Address:  fleet.Address(g.settings().PeerAddress),
+				Region:   g.settings().Region,
+				Zone:     g.settings().Zone,
+				Capacity: uint32(g.settings().ProcessorShare * perThousand),
 			},
 			Random: random,
 		},
+		Seeds:    g.settings().Seeds,
 		Machines: g.seeds.addresses,
 		Holder:   config.NewHolder(),
 		Logger:   g.logger,
 		Loads:    g.answerLoad,
+		Watch:    g.answerWatch,
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
@@ -193,14 +206,17 @@
 		Str("zone", string(g.settings().Zone)).
 		Str("store", g.settings().StoreAddress).
 		Msg("started")
-	g.life.Go(g.followOperator)
-	g.life.Go(g.followWorkers)
+	for _, followed := range g.tables {
+		g.life.Go(func() error { return g.followStore(followed) })
+	}
+	g.peers.Start()
+	g.life.Go(g.watchPeers)
+	g.life.Go(g.driveRoles)
 	g.life.Go(g.register)
 	g.life.Go(g.shareLoads)
 	g.life.Go(g.driveRollout)
 	g.life.Go(g.followCaches)
 	g.life.Go(g.housekeep)
-	g.peers.Start()
 	g.keeper.Start()
 	return nil
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -45,27 +44,19 @@
 	s.list = addresses
 }
 
-// memberCount returns how many gateways there are, this one included.
-func (g *Gateway) memberCount() int { return max(len(g.peers.View().Members()), 1) }
-
-// register writes this node's row and reads those of others.
+// register writes this node's row, so that others find it, and reads those of
+// others. In a larger fleet only nodes that read the store anyway do so, and
+// nodes that find nobody else.
 func (g *Gateway) register() error {
 	registered := false
 	for {
-		ctx, cancel := context.WithTimeout(g.context(), 2*time.Second)
-		if !registered {
-			err := g.outside.Platform.RegisterNode(ctx, Node{
-				Name:    g.settings().Node,
-				Address: fleet.Address(g.settings().PeerAddress),
-				Zone:    g.settings().Zone,
-				Region:  g.settings().Region,
-			})
-			registered = err == nil
+		reading, _ := g.sources.reads()
+		alone := g.memberCount() == 1
+		if reading || (alone && g.now() >= joinGrace) {
+			registered = g.meet(registered)
 		}
-		g.readSeeds(ctx)
-		cancel()
 		interval := seedIntervalKnown
-		if !registered || g.memberCount() == 1 {
+		if alone || (reading && !registered) {
 			interval = seedInterval
 		}
 		if !g.pause(interval) {
@@ -74,6 +65,23 @@
 	}
 }
 
+// meet makes the calls of register and tells whether this node's row is written.
+func (g *Gateway) meet(registered bool) bool {
+	ctx, cancel := context.WithTimeout(g.context(), 2*time.Second)
+	defer cancel()
+	if !registered {
+		err := g.outside.Platform.RegisterNode(ctx, Node{
+			Name:    g.settings().Node,
+			Address: fleet.Address(g.settings().PeerAddress),
+			Zone:    g.settings().Zone,
+			Region:  g.settings().Region,
+		})
+		registered = err == nil
+	}
+	g.readSeeds(ctx)
+	return registered
+}
+
 func (g *Gateway) readSeeds(ctx context.Context) {
 	nodes, err := g.outside.Platform.ReadNodes(ctx)
 	if err != nil {
@@ -88,12 +96,12 @@
 	g.seeds.set(addresses)
 }
 
-// shareLoads exchanges reports with the other gateways: with all of them in each
-// round while they are few, else with some, taking turns.
+// shareLoads exchanges reports with the other gateways that share loads: with
+// all of them in each round while they are few, else with some, taking turns.
 func (g *Gateway) shareLoads() error {
 	known := make(map[fleet.NodeID]bool)
 	for round := 0; g.pause(shareInterval); round++ {
-		peers := g.otherMembers()
+		peers := g.loadPeers()
 		present := make(map[fleet.NodeID]bool, len(peers))
 		for _, member := range peers {
 			present[member.Node] = true
@@ -106,6 +114,7 @@
 		for node := range known {
 			if !present[node] {
 				g.workers.ForgetPeer(node)
+				g.demand.forget(node)
 			}
 		}
 		known = present
@@ -114,13 +123,6 @@
 	return nil
 }
 
-// otherMembers returns the gateways that are there, without this one.
-func (g *Gateway) otherMembers() []membership.Member {
-	return slices.DeleteFunc(slices.Clone(g.peers.View().Routable()), func(member membership.Member) bool {
-		return member.Node == g.node
-	})
-}
-
 // turn returns at most limit elements, others in each round.
 func turn[Element any](all []Element, round, limit int) []Element {
 	if len(all) <= limit {
@@ -157,7 +159,11 @@
 // loadReport returns what this node knows.
 func (g *Gateway) loadReport() *rpc.LoadReport {
 	now := g.now()
-	report := &rpc.LoadReport{Node: string(g.node)}
+	report := &rpc.LoadReport{
+		Node:        string(g.node),
+		RequestRate: encodeRate(g.demand.own()),
+		Named:       g.namedVersions(now),
+	}
 	for _, load := range g.workers.OwnLoad() {
 		report.Loads = append(report.Loads, &rpc.WorkerLoad{
 			Worker:        string(load.Engine),
@@ -170,13 +176,6 @@
 			Worker: string(id), RemainingMillis: uint32(remaining.Milliseconds()),
 		})
 	}
-	for model, namings := range g.weights.heard() {
-		for _, naming := range namings {
-			report.Named = append(report.Named, &rpc.NamedVersion{
-				Model: string(model), Version: naming.Version, AgeMillis: uint32(max(now-naming.At, 0).Milliseconds()),
-			})
-		}
-	}
 	if _, holds := g.keeper.Fence(); holds {
 		report.Weights = g.knownVersions()
 	}
@@ -189,6 +188,28 @@
 	return report
 }
 
+// namedVersions returns when the newest versions of weights were named.
+func (g *Gateway) namedVersions(now time.Duration) []*rpc.NamedVersion {
+	var named []*rpc.NamedVersion
+	for model, namings := range g.weights.heard() {
+		for _, naming := range namings {
+			named = append(named, &rpc.NamedVersion{
+				Model: string(model), Version: naming.Version, AgeMillis: uint32(max(now-naming.At, 0).Milliseconds()),
+			})
+		}
+	}
+	return named
+}
+
+// learnNamed takes in when another node heard of versions.
+func (g *Gateway) learnNamed(named []*rpc.NamedVersion) {
+	now := g.now()
+	for _, version := range named {
+		at := now - time.Duration(version.GetAgeMillis())*time.Millisecond
+		g.weights.learn(at, fleet.ModelName(version.GetModel()), version.GetVersion())
+	}
+}
+
 // knownVersions returns the engines' versions, by the word of the lease's holder.
 func (g *Gateway) knownVersions() []*rpc.WorkerWeights {
 	var versions []*rpc.WorkerWeights
@@ -217,9 +238,8 @@
 	for _, order := range report.GetOrders() {
 		g.workers.NoteOrder(fleet.EngineID(order.GetWorker()), now+time.Duration(order.GetRemainingMillis())*time.Millisecond)
 	}
-	for _, named := range report.GetNamed() {
-		g.weights.learn(now-time.Duration(named.GetAgeMillis())*time.Millisecond, fleet.ModelName(named.GetModel()), named.GetVersion())
-	}
+	g.learnNamed(report.GetNamed())
+	g.demand.peer(now, fleet.NodeID(report.GetNode()), decodeRate(report.GetRequestRate()))
 	for _, versions := range report.GetWeights() {
 		g.workers.NoteVersion(fleet.EngineID(versions.GetWorker()), fleet.ModelName(versions.GetModel()),
 			backends.WeightsVersion(versions.GetVersion()))
@@ -237,7 +257,10 @@
 	g.fresh.Prove(begun - time.Duration(report.GetProofAgeMillis())*time.Millisecond)
 }
 
-// frontAddresses returns where callers find the gateways that are there. All
+// maxListed bounds the addresses of one answer of the directory.
+const maxListed = 64
+
+// frontAddresses returns where callers find the gateways that serve. All
 // gateways serve on the same ports.
 func (g *Gateway) frontAddresses() []fleet.Address {
 	_, port, err := net.SplitHostPort(g.settings().FrontAddress)
@@ -245,16 +268,13 @@
 		return nil
 	}
 	var addresses []fleet.Address
-	for _, member := range g.peers.View().Routable() {
-		if member.Node == g.node {
+	for _, member := range g.listed() {
+		if member.Node == g.node && !g.ready() {
 			continue
 		}
 		if host, _, err := net.SplitHostPort(string(member.Address)); err == nil {
 			addresses = append(addresses, fleet.Address(net.JoinHostPort(host, port)))
 		}
 	}
-	if g.ready() {
-		addresses = append(addresses, fleet.Address(g.settings().FrontAddress))
-	}
-	return addresses
+	return addresses[:min(len(addresses), maxListed)]
 }
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -9,7 +10,6 @@
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/lease"
-	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/rollout"
 )
 
@@ -68,12 +68,7 @@
 	if g.stopping() {
 		return false
 	}
-	for _, node := range membership.Owners(rolloutLease, g.peers.View().Routable(), rolloutCandidates) {
-		if node == g.node {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(g.roles.Load().Candidates(rolloutLease), g.node)
 }
 
 // carryChange brings one engine to a version: it keeps requests away, sends
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -29,6 +29,12 @@
 	// StoreAddress is where the store is.
 	StoreAddress string
 
+	// Seeds are addresses at which other gateways may be found; they may be stale.
+	Seeds []fleet.Address
+
+	// ProcessorShare is the machine's processor for this process, in cores; 0 if
+	// unknown.
+	ProcessorShare float64
 	// MemoryMB is the machine's memory for this process, in MB; 0 if unknown.
 	MemoryMB int
 
@@ -48,6 +54,9 @@
 	// WeightsWithin is the time after the naming of a version after which no
 	// request may begin on an older one.
 	WeightsWithin time.Duration
+	// ConfigureWithin is the time after a configuration's acknowledgement within
+	// which it must be in force.
+	ConfigureWithin time.Duration
 	// MaxDirectoryTTL bounds how long callers may keep an answer of the directory.
 	MaxDirectoryTTL time.Duration
 }
@@ -60,6 +69,7 @@
 	DefaultRetryWindow   = 10 * time.Second
 	DefaultLeaseGap      = 3 * time.Second
 	DefaultWeightsWithin = 8 * time.Second
+	DefaultConfigure     = 2 * time.Second
 	DefaultDirectoryTTL  = 5 * time.Second
 )
 
@@ -72,7 +82,7 @@
 	}{
 		{&s.StopGrace, DefaultStopGrace}, {&s.RevokeWithin, DefaultRevokeWithin},
 		{&s.RetryWindow, DefaultRetryWindow}, {&s.LeaseGap, DefaultLeaseGap}, {&s.WeightsWithin, DefaultWeightsWithin},
-		{&s.MaxDirectoryTTL, DefaultDirectoryTTL},
+		{&s.MaxDirectoryTTL, DefaultDirectoryTTL}, {&s.ConfigureWithin, DefaultConfigure},
 	} {
 		if *bound.field == 0 {
 			*bound.field = bound.fallback
@@ -98,7 +108,7 @@
 	}
 	for name, bound := range map[string]time.Duration{
 		"stop grace": s.StopGrace, "revocation bound": s.RevokeWithin, "lease gap": s.LeaseGap,
-		"weights bound": s.WeightsWithin, "retry window": s.RetryWindow,
+		"weights bound": s.WeightsWithin, "configuration bound": s.ConfigureWithin, "retry window": s.RetryWindow,
 	} {
 		if bound <= 0 {
 			return errors.Errorf("%s: %s isn't above 0", name, bound)
--- /dev/null
+++ b/internal/gateway/sources.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/relay"
+)
+
+// sources says from whom this node learns what changes in the store.
+type sources struct {
+	mutex    sync.Mutex
+	selector *relay.Selector
+	reading  bool
+	// changed is closed when reading changes.
+	changed chan struct{}
+}
+
+func newSources(now time.Duration, self fleet.NodeID, random *rand.Rand) *sources {
+	return &sources{
+		selector: relay.New(now, relay.Options{Self: self, Random: random}),
+		changed:  make(chan struct{}),
+	}
+}
+
+// setRole says whether it is this node's role to read, and whom it asks.
+func (s *sources) setRole(now time.Duration, reader bool, order []fleet.NodeID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.selector.SetRole(now, reader, order)
+	s.refresh(now)
+}
+
+// refresh takes over whether the node is to read now; the mutex is held.
+func (s *sources) refresh(now time.Duration) {
+	reading := s.selector.Reads(now)
+	if reading == s.reading {
+		return
+	}
+	s.reading = reading
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// reads tells whether this node is to read the store, and returns a channel
+// that is closed when that changes.
+func (s *sources) reads() (bool, <-chan struct{}) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reading, s.changed
+}
+
+// asks returns the peer to ask, if one is to be asked now.
+func (s *sources) asks(now time.Duration) (fleet.NodeID, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.selector.Asks(now) {
+		return "", false
+	}
+	return s.selector.Source()
+}
+
+// watched notes that another node asks this one.
+func (s *sources) watched(now time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.selector.Watched(now)
+	s.refresh(now)
+}
+
+// proven notes this node's own proof by the store.
+func (s *sources) proven(now, at time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.selector.Proven(now, now-at)
+}
+
+// answered takes in a peer's answer and tells whether another one is asked next.
+func (s *sources) answered(now time.Duration, from fleet.NodeID, age time.Duration, proven bool) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	moved := s.selector.Answered(now, from, age, proven)
+	s.refresh(now)
+	return moved
+}
+
+// failed takes in that a peer gave no answer.
+func (s *sources) failed(now time.Duration, from fleet.NodeID) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	moved := s.selector.Failed(now, from)
+	s.refresh(now)
+	return moved
+}
+
+// awaitReading waits until this node is to read the store; false if the process
+// ends before.
+func (g *Gateway) awaitReading() bool {
+	for {
+		reading, changed := g.sources.reads()
+		if reading {
+			return g.life.Alive()
+		}
+		select {
+		case <-changed:
+		case <-g.life.Dying():
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/storeclock_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestTranslatedTimeIsNeverLaterThanTheAnswer draws calls of all lengths, on a
+// clock that parts from the store's.
+func TestTranslatedTimeIsNeverLaterThanTheAnswer(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		rate := 1 + (random.Float64()*2-1)*maxClockDrift/2
+		start := time.Duration(random.Int64N(int64(time.Hour)))
+		storeTime := func(local time.Duration) time.Duration {
+			return start + time.Duration(float64(local)*rate)
+		}
+		var clock storeClock
+		now := time.Duration(0)
+		for range 200 {
+			begun := now + time.Duration(random.Int64N(int64(time.Second)))
+			answered := begun + time.Duration(random.Int64N(int64(time.Second)))
+			ended := answered + time.Duration(random.Int64N(int64(time.Second)))
+			at := clock.translate(begun, ended, storeTime(answered))
+			require.LessOrEqual(t, at, answered, "seed %d", seed)
+			require.GreaterOrEqual(t, at, begun)
+			now = ended
+		}
+	}
+}
+
+// TestLongWaitProvesItsEnd has a short call calibrate the clocks first.
+func TestLongWaitProvesItsEnd(t *testing.T) {
+	var clock storeClock
+	const ahead = time.Hour
+	assert.Equal(t, time.Second, clock.translate(time.Second, 1010*time.Millisecond, ahead+1005*time.Millisecond))
+	at := clock.translate(2*time.Second, 3010*time.Millisecond, ahead+3005*time.Millisecond)
+	assert.InDelta(t, float64(3*time.Second), float64(at), float64(time.Millisecond))
+	frozen := clock.translate(4*time.Second, 9*time.Second, ahead+5005*time.Millisecond)
+	assert.InDelta(t, float64(5*time.Second), float64(frozen), float64(2*time.Millisecond), "a freeze doesn't make it newer")
+	assert.Equal(t, 10*time.Second, clock.translate(10*time.Second, 11*time.Second, 0), "no store time")
+	assert.Equal(t, 12*time.Second, clock.translate(12*time.Second, 13*time.Second, 2*time.Hour), "the store's clock jumped")
+	back := clock.translate(14*time.Second, 15*time.Second, time.Minute)
+	assert.Equal(t, 14*time.Second, back, "the store's clock went back")
+}
--- /dev/null
+++ b/internal/gateway/watch.go
@@ -0,0 +1,297 @@
+package gateway
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"io"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/internal/watchcache"
+)
+
+// Times of watching another node.
+const (
+	// watchWait is the longest wait of one call, watchSlack how much longer it may
+	// take until the peer counts as silent.
+	watchWait  = 600 * time.Millisecond
+	watchSlack = 350 * time.Millisecond
+	// watchIdle is the pause while nobody is asked, watchRetry that after a failure.
+	watchIdle  = 200 * time.Millisecond
+	watchRetry = 100 * time.Millisecond
+	// maxWatchWait bounds what a caller may ask for.
+	maxWatchWait = 2 * time.Second
+)
+
+// Bounds of encoded rows, in bytes.
+const (
+	// compressAbove is the size from which on rows are compressed.
+	compressAbove = 1 << 10
+	// maxRowsBytes bounds the rows of one update, uncompressed.
+	maxRowsBytes = 32 << 20
+)
+
+// watchPeers learns from another node what changes in the store, while this
+// node is to ask one.
+func (g *Gateway) watchPeers() error {
+	for {
+		pause := watchIdle
+		if source, found := g.sources.asks(g.now()); found {
+			pause = g.watchOnce(source)
+		}
+		if !g.pause(pause) {
+			return nil
+		}
+	}
+}
+
+// watchOnce asks one node and returns the pause until the next call.
+func (g *Gateway) watchOnce(source fleet.NodeID) time.Duration {
+	member, found := g.peers.View().Find(source)
+	if !found {
+		g.noteSource(source, g.sources.failed(g.now(), source), "not a member")
+		return watchRetry
+	}
+	request := &rpc.WatchRequest{
+		Node:        string(g.node),
+		WaitMillis:  uint32(watchWait.Milliseconds()),
+		RequestRate: encodeRate(g.demand.summed(g.now())),
+	}
+	if _, proven := g.fresh.Age(g.now()); !proven {
+		request.WaitMillis = 0
+	}
+	request.PositionsOf = string(source)
+	for _, followed := range g.tables {
+		if followed.source != source {
+			followed.source, followed.seen = source, 0
+		}
+		request.Positions = append(request.Positions, &rpc.TablePosition{
+			Table: string(followed.name), Sequence: followed.seen,
+		})
+	}
+	ctx, cancel := context.WithTimeout(g.context(), time.Duration(request.GetWaitMillis())*time.Millisecond+watchSlack)
+	defer cancel()
+	begun := g.now()
+	response, err := g.peers.AskWatch(ctx, member.Address, request)
+	if g.context().Err() != nil {
+		return 0
+	}
+	if err != nil {
+		g.noteSource(source, g.sources.failed(g.now(), source), err.Error())
+		return watchRetry
+	}
+	return g.takeWatch(source, begun, response)
+}
+
+// takeWatch takes a peer's answer in. A peer that proved at its answer what it
+// holds by a proof of an age proves the same here, as of the call's start less
+// that age.
+func (g *Gateway) takeWatch(source fleet.NodeID, begun time.Duration, response *rpc.WatchResponse) time.Duration {
+	g.learnNamed(response.GetNamed())
+	for _, message := range response.GetUpdates() {
+		followed := g.table(Table(message.GetTable()))
+		if followed == nil {
+			continue
+		}
+		update, err := decodeUpdate(message)
+		if err != nil {
+			g.noteSource(source, g.sources.failed(g.now(), source), err.Error())
+			return watchRetry
+		}
+		followed.apply(update, gapUnreached)
+		followed.seen = update.Sequence
+	}
+	g.demand.told(g.now(), decodeRate(response.GetRequestRate()))
+	proven := response.GetProofAgeMillis() > 0
+	age := time.Duration(response.GetProofAgeMillis()) * time.Millisecond
+	if proven {
+		g.fresh.Prove(begun - age)
+	}
+	if moved := g.sources.answered(g.now(), source, age, proven); moved {
+		g.noteSource(source, moved, "proof too old, or first source again")
+		return watchRetry
+	}
+	return 0
+}
+
+// noteSource logs that another node is asked from now on.
+func (g *Gateway) noteSource(source fleet.NodeID, moved bool, reason string) {
+	if !moved {
+		return
+	}
+	next, _ := g.sources.asks(g.now())
+	g.events.line("source_changed").Str("from", string(source)).Str("to", string(next)).Str("reason", reason).Msg("source_changed")
+}
+
+// table returns the table with a name, or nil.
+func (g *Gateway) table(name Table) *table {
+	for _, followed := range g.tables {
+		if followed.name == name {
+			return followed
+		}
+	}
+	return nil
+}
+
+// answerWatch answers another node's call: at once if this node knows more than
+// the caller, else when it does or when the wait is over.
+func (g *Gateway) answerWatch(ctx context.Context, request *rpc.WatchRequest) *rpc.WatchResponse {
+	g.sources.watched(g.now())
+	g.demand.told(g.now(), decodeRate(request.GetRequestRate()))
+	wait := min(time.Duration(request.GetWaitMillis())*time.Millisecond, maxWatchWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changed := make([]<-chan struct{}, 0, len(g.tables))
+		for _, followed := range g.tables {
+			changed = append(changed, followed.cache.Changed())
+		}
+		response, news := g.watchResponse(request)
+		if news {
+			return response
+		}
+		select {
+		case <-changed[0]:
+		case <-changed[1]:
+		case <-timer.C:
+			response, _ = g.watchResponse(request)
+			return response
+		case <-ctx.Done():
+			return response
+		case <-g.life.Dying():
+			return response
+		}
+	}
+}
+
+// watchResponse returns what this node knows beyond the caller, and whether
+// that is anything.
+func (g *Gateway) watchResponse(request *rpc.WatchRequest) (*rpc.WatchResponse, bool) {
+	now := g.now()
+	// The proof is read before the tables: it holds for what they hold by then.
+	age, proven := g.fresh.Age(now)
+	response := &rpc.WatchResponse{
+		Named:       g.namedVersions(now),
+		RequestRate: encodeRate(g.demand.total(now)),
+	}
+	if proven {
+		response.ProofAgeMillis = uint32(max(age, 0).Milliseconds()) + 1
+	}
+	news := false
+	for _, position := range request.GetPositions() {
+		followed := g.table(Table(position.GetTable()))
+		if followed == nil {
+			continue
+		}
+		seen := position.GetSequence()
+		if request.GetPositionsOf() != string(g.node) {
+			seen = 0
+		}
+		update := followed.cache.After(seen)
+		if update == nil {
+			response.ProofAgeMillis = 0
+			continue
+		}
+		news = news || update.Complete || len(update.Rows) > 0
+		response.Updates = append(response.Updates, followed.encode(seen, update))
+	}
+	return response, news
+}
+
+// encode returns an update in its transmitted form. Watchers mostly ask after
+// the same position, so the last compressed one is kept.
+func (t *table) encode(after uint64, update *watchcache.Update) *rpc.TableUpdate {
+	message := &rpc.TableUpdate{
+		Table: string(t.name), Revision: uint64(update.Revision), Complete: update.Complete, Sequence: update.Sequence,
+	}
+	size := 0
+	for _, row := range update.Rows {
+		size += len(row.Key) + len(row.Value)
+		message.Rows = append(message.Rows, &rpc.TableRow{
+			Key: row.Key, Revision: uint64(row.Revision), Value: row.Value, Gone: row.Gone,
+		})
+	}
+	if size < compressAbove {
+		return message
+	}
+	if compressed, err := t.compress(after, update, message.GetRows()); err == nil {
+		message.Rows, message.CompressedRows = nil, compressed
+	}
+	return message
+}
+
+// encodedUpdate is the last update that was compressed: the changes after a
+// number up to another.
+type encodedUpdate struct {
+	after, upTo uint64
+	content     []byte
+}
+
+// compress returns an update's rows compressed.
+func (t *table) compress(after uint64, update *watchcache.Update, rows []*rpc.TableRow) ([]byte, error) {
+	t.encoding.Lock()
+	defer t.encoding.Unlock()
+	if t.encoded.content != nil && t.encoded.after == after && t.encoded.upTo == update.Sequence {
+		return t.encoded.content, nil
+	}
+	content, err := compressRows(rows)
+	if err != nil {
+		return nil, err
+	}
+	t.encoded = encodedUpdate{after: after, upTo: update.Sequence, content: content}
+	return content, nil
+}
+
+// compressRows returns rows compressed.
+func compressRows(rows []*rpc.TableRow) ([]byte, error) {
+	content, err := proto.Marshal(&rpc.TableRows{Rows: rows})
+	if err != nil {
+		return nil, err
+	}
+	var compressed bytes.Buffer
+	writer, err := flate.NewWriter(&compressed, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := writer.Write(content); err != nil {
+		return nil, err
+	}
+	if err := writer.Close(); err != nil {
+		return nil, err
+	}
+	return compressed.Bytes(), nil
+}
+
+// decodeUpdate reads an update from its transmitted form.
+func decodeUpdate(message *rpc.TableUpdate) (*watchcache.Update, error) {
+	rows := message.GetRows()
+	if compressed := message.GetCompressedRows(); len(compressed) > 0 {
+		reader := flate.NewReader(bytes.NewReader(compressed))
+		content, err := io.ReadAll(io.LimitReader(reader, maxRowsBytes+1))
+		if err != nil {
+			return nil, errors.Wrap(err, "decompress rows")
+		}
+		if len(content) > maxRowsBytes {
+			return nil, errors.New("rows too large")
+		}
+		var decompressed rpc.TableRows
+		if err := proto.Unmarshal(content, &decompressed); err != nil {
+			return nil, errors.Wrap(err, "rows")
+		}
+		rows = decompressed.GetRows()
+	}
+	update := &watchcache.Update{
+		Revision: fleet.Revision(message.GetRevision()), Complete: message.GetComplete(), Sequence: message.GetSequence(),
+	}
+	for _, row := range rows {
+		update.Rows = append(update.Rows, watchcache.Row{
+			Key: row.GetKey(), Revision: fleet.Revision(row.GetRevision()), Value: row.GetValue(), Gone: row.GetGone(),
+		})
+	}
+	return update, nil
+}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -15,8 +15,6 @@
 	// rolloutLease is the lease of the one node that sends orders, and the task's
 	// name by which the candidates for it are chosen.
 	rolloutLease = "rollout"
-	// rolloutCandidates bounds the nodes that poll for the lease.
-	rolloutCandidates = 3
 	// rolloutInterval is the time between two looks at the engines.
 	rolloutInterval = 100 * time.Millisecond
 	// requireReserve is how much before the bound no request goes to an engine
@@ -101,17 +99,23 @@
 func (w *weights) name(at time.Duration, known bool, named NamedWeights) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	pacer := w.pacers[named.Model]
-	if pacer == nil {
-		pacer = rollout.NewPacer(rollout.PacerOptions{Within: w.within - requireReserve})
-		w.pacers[named.Model] = pacer
-	}
+	pacer := w.pacer(named.Model)
 	if !known {
 		return pacer.Assume(at-w.within+requireReserve+startUnknown, uint64(named.Version))
 	}
 	return pacer.Name(at, uint64(named.Version))
 }
 
+// pacer returns a model's pacer; the mutex is held.
+func (w *weights) pacer(model fleet.ModelName) *rollout.Pacer {
+	pacer := w.pacers[model]
+	if pacer == nil {
+		pacer = rollout.NewPacer(rollout.PacerOptions{Within: w.within - requireReserve})
+		w.pacers[model] = pacer
+	}
+	return pacer
+}
+
 // setWithin takes over another bound, for the versions of models that are named
 // from now on for the first time.
 func (w *weights) setWithin(within time.Duration) {
@@ -133,9 +137,7 @@
 func (w *weights) learn(at time.Duration, model fleet.ModelName, version uint64) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if pacer := w.pacers[model]; pacer != nil {
-		pacer.Learn(at, version)
-	}
+	w.pacer(model).Learn(at, version)
 }
 
 // heard returns the namings that this node has heard of at once.
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -50,6 +50,8 @@
 	Address fleet.Address
 	Region  fleet.RegionName
 	Zone    fleet.ZoneName
+	// Capacity is the node's processor, in thousandths of a core; 0 if unknown.
+	Capacity uint32
 	// Incarnation is raised by the member alone, to refute a claim about it.
 	Incarnation fleet.Incarnation
 	State       State
--- /dev/null
+++ b/internal/membership/roles.go
@@ -0,0 +1,225 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// RoleOptions sets up Assign. Zero fields take the defaults.
+type RoleOptions struct {
+	// RequestCost is the processor time that a request takes of the node that
+	// carries it, in thousandths of a core and second.
+	RequestCost float64
+	// Utilization is the part of a node's processor that requests may take.
+	Utilization float64
+	// MinServing is the least size of the serving set.
+	MinServing int
+	// SmallFleet is the size up to which every node serves and reads the store.
+	SmallFleet int
+	// Candidates is the number of nodes that take a duty's lease.
+	Candidates int
+	// ReaderDepth is the number of readers of each zone that others ask in turn.
+	ReaderDepth int
+}
+
+// Defaults of RoleOptions.
+const (
+	DefaultRequestCost = 4
+	DefaultUtilization = 0.35
+	DefaultMinServing  = 6
+	DefaultSmallFleet  = 8
+	DefaultCandidates  = 3
+	DefaultReaderDepth = 3
+)
+
+// Names by which nodes are ordered for a role.
+const (
+	servingKey = "serving"
+	readerKey  = "reader"
+)
+
+func (o *RoleOptions) setDefaults() {
+	setDefault(&o.RequestCost, DefaultRequestCost)
+	setDefault(&o.Utilization, DefaultUtilization)
+	setDefault(&o.MinServing, DefaultMinServing)
+	setDefault(&o.SmallFleet, DefaultSmallFleet)
+	setDefault(&o.Candidates, DefaultCandidates)
+	setDefault(&o.ReaderDepth, DefaultReaderDepth)
+}
+
+// Roles says which members do what. All nodes with the same members and demand
+// agree; while they differ, each can still do everything.
+type Roles struct {
+	// Serving are the members that callers are sent to, sorted by node.
+	Serving []Member
+	// Small is set in a small fleet, in which all members serve and read the store.
+	Small bool
+
+	options  RoleOptions
+	routable []Member
+	serving  map[fleet.NodeID]bool
+}
+
+// Assign divides the roles among the members of a view. demand is the requests
+// per second that callers send to all members together.
+func Assign(view *View, demand float64, options RoleOptions) *Roles {
+	options.setDefaults()
+	roles := &Roles{
+		options:  options,
+		routable: view.Routable(),
+		Small:    len(view.Routable()) <= options.SmallFleet,
+		serving:  make(map[fleet.NodeID]bool),
+	}
+	roles.Serving = servingSet(view.Routable(), demand, options)
+	for _, member := range roles.Serving {
+		roles.serving[member.Node] = true
+	}
+	return roles
+}
+
+// servingSet returns the fewest members, the largest first, of which each can
+// carry an equal share of the demand. Where no number is enough, all serve.
+func servingSet(members []Member, demand float64, options RoleOptions) []Member {
+	ranked := slices.Clone(members)
+	if len(members) > options.SmallFleet {
+		slices.SortFunc(ranked, func(a, b Member) int {
+			return cmp.Or(cmp.Compare(b.Capacity, a.Capacity),
+				cmp.Compare(RendezvousWeight(servingKey, string(b.Node)), RendezvousWeight(servingKey, string(a.Node))))
+		})
+		ranked = ranked[:servingCount(ranked, demand, options)]
+	}
+	slices.SortFunc(ranked, compareNodes)
+	return ranked
+}
+
+// servingCount returns how many of the members, the largest first, are enough.
+func servingCount(ranked []Member, demand float64, options RoleOptions) int {
+	for count := options.MinServing; count < len(ranked); count++ {
+		share := demand / float64(count) * options.RequestCost
+		if share <= options.Utilization*float64(ranked[count-1].Capacity) {
+			return count
+		}
+	}
+	return len(ranked)
+}
+
+// Serves tells whether callers are sent to a node.
+func (r *Roles) Serves(node fleet.NodeID) bool { return r.serving[node] }
+
+// Candidates returns the nodes that take the lease of a duty: nodes outside of
+// the serving set if there are enough, so that their loss cuts no request.
+func (r *Roles) Candidates(duty string) []fleet.NodeID {
+	return firstOwners(rankEngine(fleet.EngineID(duty), r.preferIdle(r.options.Candidates), nil), r.options.Candidates)
+}
+
+// preferIdle returns the members outside of the serving set if there are least
+// of them, else all.
+func (r *Roles) preferIdle(least int) []Member {
+	var idle []Member
+	for _, member := range r.routable {
+		if !r.serving[member.Node] {
+			idle = append(idle, member)
+		}
+	}
+	if len(idle) < least {
+		return r.routable
+	}
+	return idle
+}
+
+// Reads tells whether it is a node's role to read the store: every node of a
+// small fleet, else the first of each zone.
+func (r *Roles) Reads(node fleet.NodeID) bool {
+	if r.Small {
+		return true
+	}
+	for _, ranked := range r.readersByZone() {
+		if ranked[0].Node == node {
+			return true
+		}
+	}
+	return false
+}
+
+// ReaderOrder returns the nodes that a node of a zone asks for the store's rows,
+// best first: by rank within each zone, and of each rank the own zone first.
+func (r *Roles) ReaderOrder(zone fleet.ZoneName) []fleet.NodeID {
+	byZone := r.readersByZone()
+	zones := make([]fleet.ZoneName, 0, len(byZone))
+	for name := range byZone {
+		zones = append(zones, name)
+	}
+	slices.SortFunc(zones, func(a, b fleet.ZoneName) int {
+		if (a == zone) != (b == zone) {
+			if a == zone {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a, b)
+	})
+	var order []fleet.NodeID
+	for rank := range r.options.ReaderDepth {
+		for _, name := range zones {
+			if ranked := byZone[name]; rank < len(ranked) {
+				order = append(order, ranked[rank].Node)
+			}
+		}
+	}
+	return order
+}
+
+// readersByZone ranks the members of each zone as readers, those outside of the
+// serving set first.
+func (r *Roles) readersByZone() map[fleet.ZoneName][]Member {
+	byZone := make(map[fleet.ZoneName][]Member)
+	for _, member := range r.routable {
+		byZone[member.Zone] = append(byZone[member.Zone], member)
+	}
+	for _, members := range byZone {
+		slices.SortFunc(members, func(a, b Member) int {
+			if r.serving[a.Node] != r.serving[b.Node] {
+				if r.serving[b.Node] {
+					return -1
+				}
+				return 1
+			}
+			return cmp.Compare(RendezvousWeight(readerKey, string(b.Node)), RendezvousWeight(readerKey, string(a.Node)))
+		})
+	}
+	return byZone
+}
+
+// Demand follows a rate so that the roles change seldom: up at once, down only
+// after the rate has been well below for a while.
+type Demand struct {
+	level   float64
+	belowAt time.Duration
+	below   bool
+}
+
+// Parts of Demand's hysteresis.
+const (
+	// demandStep is the factor between two levels.
+	demandStep = 1.25
+	// demandHold is how long the rate must be below before the level falls.
+	demandHold = 10 * time.Second
+)
+
+// Observe takes in the rate at now and returns the level to plan for.
+func (d *Demand) Observe(now time.Duration, rate float64) float64 {
+	switch {
+	case rate > d.level:
+		d.level, d.below = rate*demandStep, false
+	case rate*demandStep*demandStep >= d.level:
+		d.below = false
+	case !d.below:
+		d.below, d.belowAt = true, now
+	case now >= d.belowAt+demandHold:
+		d.level, d.below = rate*demandStep, false
+	}
+	return d.level
+}
--- /dev/null
+++ b/internal/membership/roles_test.go
@@ -0,0 +1,85 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// mixedFleet returns large and small members in three zones.
+func mixedFleet(large, small int) *View {
+	var members []Member
+	for number := range large + small {
+		member := Member{
+			Node: fleet.NodeID(fmt.Sprintf("node-%03d", number)), Zone: fleet.ZoneName(fmt.Sprint("z", number%3)),
+			State: Alive, Capacity: 200,
+		}
+		if number < large {
+			member.Capacity = 800
+		}
+		members = append(members, member)
+	}
+	return NewView(1, members[0], members)
+}
+
+func TestLargestMembersServeUntilTheirSharesAreTooLarge(t *testing.T) {
+	view := mixedFleet(6, 73)
+	roles := Assign(view, 400, RoleOptions{})
+	require.Len(t, roles.Serving, 6)
+	for _, member := range roles.Serving {
+		assert.EqualValues(t, 800, member.Capacity)
+		assert.True(t, roles.Serves(member.Node))
+	}
+	assert.Len(t, Assign(view, 0, RoleOptions{}).Serving, 6, "before any request")
+	more := Assign(view, 450, RoleOptions{})
+	assert.Len(t, more.Serving, 26, "a share must suit the smallest of the set")
+	assert.Len(t, Assign(view, 1e6, RoleOptions{}).Serving, 79)
+	assert.Len(t, Assign(mixedFleet(0, 5), 1e6, RoleOptions{}).Serving, 5)
+}
+
+func TestDutiesStayOutsideOfTheServingSet(t *testing.T) {
+	roles := Assign(mixedFleet(6, 73), 300, RoleOptions{})
+	candidates := roles.Candidates("duty")
+	require.Len(t, candidates, DefaultCandidates)
+	for _, node := range candidates {
+		assert.False(t, roles.Serves(node))
+	}
+	order := roles.ReaderOrder("z1")
+	require.Len(t, order, 9)
+	readers := 0
+	for _, node := range order {
+		assert.False(t, roles.Serves(node))
+	}
+	for number := range 79 {
+		if roles.Reads(fleet.NodeID(fmt.Sprintf("node-%03d", number))) {
+			readers++
+		}
+	}
+	assert.Equal(t, 3, readers, "one a zone")
+	assert.True(t, roles.Reads(order[0]))
+	assert.ElementsMatch(t, order, roles.ReaderOrder("z2"))
+	assert.NotEqual(t, order[0], roles.ReaderOrder("z2")[0], "the own zone first")
+}
+
+func TestSmallFleetReadsAndServesWithAllMembers(t *testing.T) {
+	roles := Assign(mixedFleet(0, 7), 100, RoleOptions{})
+	assert.True(t, roles.Small)
+	assert.True(t, roles.Reads("node-000"))
+	assert.Len(t, roles.Serving, 7)
+	assert.Len(t, roles.Candidates("duty"), DefaultCandidates)
+}
+
+func TestDemandRisesAtOnceAndFallsLate(t *testing.T) {
+	var demand Demand
+	assert.Equal(t, 125.0, demand.Observe(0, 100))
+	assert.Equal(t, 125.0, demand.Observe(time.Second, 120))
+	assert.Equal(t, 250.0, demand.Observe(2*time.Second, 200))
+	assert.Equal(t, 250.0, demand.Observe(3*time.Second, 100))
+	assert.Equal(t, 250.0, demand.Observe(12*time.Second, 100))
+	assert.Equal(t, 125.0, demand.Observe(13*time.Second, 100))
+}
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -80,6 +80,7 @@
 		Zone:        string(m.Zone),
 		Incarnation: uint64(m.Incarnation),
 		State:       rpc.MemberState(m.State),
+		Capacity:    m.Capacity,
 	}
 }
 
@@ -93,6 +94,7 @@
 		Zone:        fleet.ZoneName(encoded.GetZone()),
 		Incarnation: fleet.Incarnation(encoded.GetIncarnation()),
 		State:       State(encoded.GetState()),
+		Capacity:    encoded.GetCapacity(),
 	}
 	if encoded.GetState() < rpc.MemberState_MEMBER_STATE_ALIVE || encoded.GetState() > rpc.MemberState_MEMBER_STATE_DEAD {
 		return Member{}, errors.Wrapf(ErrMalformed, "state %d", encoded.GetState())
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -41,6 +41,9 @@
 	// Loads answers another process's report on the workers with this one's; nil
 	// means that this process shares no load.
 	Loads func(ctx context.Context, report *rpc.LoadReport) *rpc.LoadReport
+	// Watch answers another process that asks what changed in the store's tables;
+	// nil means that this process tells nobody.
+	Watch func(ctx context.Context, request *rpc.WatchRequest) *rpc.WatchResponse
 }
 
 const (
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -66,3 +66,11 @@
 	}
 	return p.options.Loads(ctx, request), nil
 }
+
+// Watch implements rpc.Peer for processes that keep the store's tables.
+func (p *Peer) Watch(ctx context.Context, request *rpc.WatchRequest) (*rpc.WatchResponse, error) {
+	if p.options.Watch == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this process keeps no tables")
+	}
+	return p.options.Watch(ctx, request), nil
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -26,7 +26,7 @@
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConns:        idleConnections,
-		MaxIdleConnsPerHost: 1,
+		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     idleTimeout,
 	}}
 }
@@ -41,6 +41,11 @@
 	return p.client(address).ShareLoad(ctx, report)
 }
 
+// AskWatch asks one member what changed in the store's tables.
+func (p *Peer) AskWatch(ctx context.Context, address fleet.Address, request *rpc.WatchRequest) (*rpc.WatchResponse, error) {
+	return p.client(address).Watch(ctx, request)
+}
+
 func (p *Peer) send(messages []membership.Message) {
 	for _, message := range messages {
 		p.enqueue(call{message: message})
--- /dev/null
+++ b/internal/relay/selector.go
@@ -0,0 +1,214 @@
+// Package relay decides from whom a node learns what changes in the store: from
+// the store itself, or from another node that reads it. It is a state machine
+// without I/O and clock.
+//
+// Invariants. A node that is to read by its role always reads, and asks peers
+// only while the store gives it no proof. A node that is
+// asked by others reads, so that a chain of nodes always ends at the store. A
+// node that hears nothing from any peer reads. A node whose peers answer but
+// have old proofs moves on among the first MaxSources of them, and tries the
+// store itself now and then.
+package relay
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Options sets up a Selector. Zero fields take the defaults.
+type Options struct {
+	Self fleet.NodeID
+	// Random spreads the nodes' own tries of the store; required.
+	Random *rand.Rand
+	// StaleAfter is the age of a proof from which on a peer counts as out of the
+	// store's reach.
+	StaleAfter time.Duration
+	// SilentAfter is the time without any answer of a peer after which the node
+	// reads itself.
+	SilentAfter time.Duration
+	// WatchedFor is how long a node reads after it was last asked.
+	WatchedFor time.Duration
+	// ReturnAfter is how long a node stays with a source that isn't its first.
+	ReturnAfter time.Duration
+	// TryInterval is the mean time between a node's own tries of the store while
+	// its peers answer with old proofs; TryFor is how long a try lasts.
+	TryInterval time.Duration
+	TryFor      time.Duration
+	// MaxSources bounds the peers that are asked in turn.
+	MaxSources int
+}
+
+// Defaults of Options.
+const (
+	DefaultStaleAfter  = 1300 * time.Millisecond
+	DefaultSilentAfter = 1200 * time.Millisecond
+	DefaultWatchedFor  = 3 * time.Second
+	DefaultReturnAfter = 4 * time.Second
+	DefaultTryInterval = 4 * time.Second
+	DefaultTryFor      = 400 * time.Millisecond
+	DefaultMaxSources  = 9
+)
+
+// Selector decides for one node. It isn't safe for concurrent use.
+type Selector struct {
+	options Options
+	// reader is set while the node's role is to read.
+	reader  bool
+	sources []fleet.NodeID
+	// position is that of the source in use, chosen at chosenAt.
+	position int
+	chosenAt time.Duration
+
+	started    time.Duration
+	answeredAt time.Duration
+	freshAt    time.Duration
+	watchedAt  time.Duration
+	tryAt      time.Duration
+	answered   bool
+	fresh      bool
+	watched    bool
+	// ownProvenAt is the time of the node's own newest proof.
+	ownProvenAt time.Duration
+	ownProven   bool
+}
+
+// New returns a selector of a node that starts at now.
+func New(now time.Duration, options Options) *Selector {
+	for _, bound := range []struct {
+		field    *time.Duration
+		fallback time.Duration
+	}{
+		{&options.StaleAfter, DefaultStaleAfter}, {&options.SilentAfter, DefaultSilentAfter},
+		{&options.WatchedFor, DefaultWatchedFor}, {&options.ReturnAfter, DefaultReturnAfter},
+		{&options.TryInterval, DefaultTryInterval}, {&options.TryFor, DefaultTryFor},
+	} {
+		if *bound.field <= 0 {
+			*bound.field = bound.fallback
+		}
+	}
+	if options.MaxSources <= 0 {
+		options.MaxSources = DefaultMaxSources
+	}
+	selector := &Selector{options: options, started: now}
+	selector.scheduleTry(now)
+	return selector
+}
+
+// SetRole says whether the node's role is to read, and whom it asks otherwise,
+// in order.
+func (s *Selector) SetRole(now time.Duration, reader bool, sources []fleet.NodeID) {
+	s.reader = reader
+	sources = slices.DeleteFunc(slices.Clone(sources), func(node fleet.NodeID) bool { return node == s.options.Self })
+	sources = sources[:min(len(sources), s.options.MaxSources)]
+	if slices.Equal(sources, s.sources) {
+		return
+	}
+	current, asked := s.Source()
+	s.sources = sources
+	s.position = 0
+	if kept := slices.Index(sources, current); asked && kept > 0 && now < s.chosenAt+s.options.ReturnAfter {
+		s.position = kept
+	}
+}
+
+// Source returns the peer to ask now; false if there is none.
+func (s *Selector) Source() (fleet.NodeID, bool) {
+	if s.position >= len(s.sources) {
+		return "", false
+	}
+	return s.sources[s.position], true
+}
+
+// Asks tells whether the node is to ask a peer at now. A node whose role is to
+// read asks only while it has no fresh proof of its own.
+func (s *Selector) Asks(now time.Duration) bool {
+	if _, found := s.Source(); !found {
+		return false
+	}
+	return !s.reader || !s.ownProven || now >= s.ownProvenAt+s.options.StaleAfter
+}
+
+// Proven takes in that the node itself has proof by the store, of an age.
+func (s *Selector) Proven(now, age time.Duration) {
+	s.ownProven, s.ownProvenAt = true, max(s.ownProvenAt, now-age)
+}
+
+// Reads tells whether the node is to read the store at now.
+func (s *Selector) Reads(now time.Duration) bool {
+	switch {
+	case s.reader:
+		return true
+	case s.watched && now < s.watchedAt+s.options.WatchedFor:
+		return true
+	case now >= s.lastAnswer()+s.options.SilentAfter:
+		return true
+	case now < s.lastFresh()+s.options.StaleAfter+s.options.SilentAfter:
+		return false
+	}
+	if now >= s.tryAt+s.options.TryFor {
+		s.scheduleTry(now)
+	}
+	return now >= s.tryAt
+}
+
+func (s *Selector) lastAnswer() time.Duration {
+	if s.answered {
+		return s.answeredAt
+	}
+	return s.started
+}
+
+func (s *Selector) lastFresh() time.Duration {
+	if s.fresh {
+		return s.freshAt
+	}
+	return s.started
+}
+
+// scheduleTry sets when the node next tries the store by itself.
+func (s *Selector) scheduleTry(now time.Duration) {
+	mean := int64(s.options.TryInterval)
+	s.tryAt = now + time.Duration(mean/2+s.options.Random.Int64N(mean+1))
+}
+
+// Watched notes that another node has asked this one.
+func (s *Selector) Watched(now time.Duration) { s.watched, s.watchedAt = true, now }
+
+// Answered takes in a source's answer: the age of its proof, and whether it has
+// one. It tells whether the node moved on to another source.
+func (s *Selector) Answered(now time.Duration, from fleet.NodeID, age time.Duration, proven bool) bool {
+	s.answered, s.answeredAt = true, now
+	if proven && age < s.options.StaleAfter {
+		s.fresh, s.freshAt = true, now
+		return s.returnToFirst(now)
+	}
+	return s.moveOn(now, from)
+}
+
+// Failed takes in that a source gave no answer. It tells whether the node moved
+// on to another one.
+func (s *Selector) Failed(now time.Duration, from fleet.NodeID) bool { return s.moveOn(now, from) }
+
+// moveOn takes the next source after one that was of no use.
+func (s *Selector) moveOn(now time.Duration, from fleet.NodeID) bool {
+	current, found := s.Source()
+	if !found || current != from || len(s.sources) < 2 {
+		return false
+	}
+	s.position = (s.position + 1) % len(s.sources)
+	s.chosenAt = now
+	return true
+}
+
+// returnToFirst goes back to the first source after a while, so that readers
+// by chance stop reading.
+func (s *Selector) returnToFirst(now time.Duration) bool {
+	if s.position == 0 || now < s.chosenAt+s.options.ReturnAfter {
+		return false
+	}
+	s.position, s.chosenAt = 0, now
+	return true
+}
--- /dev/null
+++ b/internal/relay/selector_test.go
@@ -0,0 +1,159 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+func newSelector(self fleet.NodeID, seed uint64) *Selector {
+	return New(0, Options{Self: self, Random: rand.New(rand.NewPCG(seed, 1))})
+}
+
+func source(t *testing.T, selector *Selector) fleet.NodeID {
+	t.Helper()
+	node, found := selector.Source()
+	require.True(t, found)
+	return node
+}
+
+func TestReaderReadsAndOthersAskTheFirst(t *testing.T) {
+	selector := newSelector("n", 1)
+	selector.SetRole(0, false, []fleet.NodeID{"n", "a", "b"})
+	assert.Equal(t, fleet.NodeID("a"), source(t, selector), "not itself")
+	assert.True(t, selector.Asks(0))
+	assert.False(t, selector.Reads(0))
+	selector.SetRole(0, true, []fleet.NodeID{"a"})
+	assert.True(t, selector.Reads(0))
+	assert.True(t, selector.Asks(0), "the store has proven nothing yet")
+	selector.Proven(time.Second, 200*time.Millisecond)
+	assert.False(t, selector.Asks(2*time.Second))
+	assert.True(t, selector.Asks(time.Second-200*time.Millisecond+DefaultStaleAfter), "the store gives no proof any more")
+	assert.True(t, selector.Reads(time.Minute))
+}
+
+func TestNodeWithoutAnAnswerReads(t *testing.T) {
+	selector := newSelector("n", 1)
+	selector.SetRole(0, false, []fleet.NodeID{"a"})
+	assert.False(t, selector.Reads(DefaultSilentAfter-1))
+	assert.True(t, selector.Reads(DefaultSilentAfter))
+	selector.Answered(2*time.Second, "a", time.Second, true)
+	assert.False(t, selector.Reads(2*time.Second))
+	assert.True(t, selector.Reads(2*time.Second+DefaultSilentAfter))
+}
+
+func TestSilentOrStaleSourceIsLeftAndFirstTriedAgainLater(t *testing.T) {
+	selector := newSelector("n", 1)
+	selector.SetRole(0, false, []fleet.NodeID{"a", "b", "c"})
+	assert.True(t, selector.Failed(time.Second, "a"))
+	assert.False(t, selector.Failed(time.Second, "a"), "it was left already")
+	assert.True(t, selector.Answered(time.Second, "b", DefaultStaleAfter, true))
+	assert.Equal(t, fleet.NodeID("c"), source(t, selector))
+	assert.False(t, selector.Answered(2*time.Second, "c", time.Second, true))
+	assert.Equal(t, fleet.NodeID("c"), source(t, selector))
+	assert.True(t, selector.Answered(time.Second+DefaultReturnAfter, "c", time.Second, true))
+	assert.Equal(t, fleet.NodeID("a"), source(t, selector))
+}
+
+func TestNewOrderKeepsASourceThatWasJustChosen(t *testing.T) {
+	selector := newSelector("n", 1)
+	selector.SetRole(0, false, []fleet.NodeID{"a", "b", "c"})
+	selector.Failed(time.Second, "a")
+	selector.SetRole(2*time.Second, false, []fleet.NodeID{"a", "d", "b"})
+	assert.Equal(t, fleet.NodeID("b"), source(t, selector))
+	selector.SetRole(3*time.Second, false, []fleet.NodeID{"a", "d"})
+	assert.Equal(t, fleet.NodeID("a"), source(t, selector), "b is gone")
+}
+
+func TestNodeThatIsAskedReadsForAWhile(t *testing.T) {
+	selector := newSelector("n", 1)
+	selector.SetRole(0, false, []fleet.NodeID{"a"})
+	selector.Answered(time.Second, "a", 0, true)
+	selector.Watched(time.Second)
+	assert.True(t, selector.Reads(2*time.Second))
+	for now := 2 * time.Second; now < 5*time.Second; now += time.Second / 2 {
+		selector.Answered(now, "a", 0, true)
+	}
+	assert.False(t, selector.Reads(time.Second+DefaultWatchedFor))
+}
+
+// TestStoreOutOfEverybodysReachIsNotStormed counts the nodes that read while
+// all peers answer with old proofs.
+func TestStoreOutOfEverybodysReachIsNotStormed(t *testing.T) {
+	const nodes = 79
+	reading := 0
+	looks := 0
+	for number := range uint64(nodes) {
+		selector := newSelector(fleet.NodeID(fmt.Sprint("n", number)), number)
+		selector.SetRole(0, false, []fleet.NodeID{"a", "b"})
+		for now := time.Second; now < 20*time.Second; now += 100 * time.Millisecond {
+			selector.Answered(now, source(t, selector), now, true)
+			if now < 5*time.Second {
+				continue
+			}
+			looks++
+			if selector.Reads(now) {
+				reading++
+			}
+		}
+	}
+	assert.Positive(t, reading, "some try")
+	assert.Less(t, float64(reading)/float64(looks), 0.15)
+}
+
+// TestWatchersMeetAtANodeThatReachesTheStore has a part of the nodes refused by
+// the store: the others end with a fresh proof all the same, and few nodes read.
+func TestWatchersMeetAtANodeThatReachesTheStore(t *testing.T) {
+	const nodes = 60
+	for seed := range uint64(40) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		order := make([]fleet.NodeID, nodes)
+		selectors := make(map[fleet.NodeID]*Selector)
+		refused := make(map[fleet.NodeID]bool)
+		provenAt := make(map[fleet.NodeID]time.Duration)
+		for number := range order {
+			node := fleet.NodeID(fmt.Sprint("n", number))
+			order[number] = node
+			selectors[node] = newSelector(node, seed*nodes+uint64(number))
+			refused[node] = random.IntN(100) < 40
+		}
+		refused[order[0]] = true
+		for now := time.Duration(0); now < 12*time.Second; now += 200 * time.Millisecond {
+			for _, node := range order {
+				selector := selectors[node]
+				selector.SetRole(now, node == order[0], order)
+				if selector.Reads(now) && !refused[node] {
+					provenAt[node] = now
+				}
+				if from, found := selector.Source(); found && selector.Asks(now) {
+					selectors[from].Watched(now)
+					at, proven := provenAt[from]
+					selector.Answered(now, from, now-at, proven)
+					if proven {
+						provenAt[node] = max(provenAt[node], at-200*time.Millisecond)
+					}
+				}
+			}
+			if now < 6*time.Second {
+				continue
+			}
+			for _, node := range order[1:] {
+				at, proven := provenAt[node]
+				require.True(t, proven && now-at < 4*time.Second, "seed %d: %s at %s", seed, node, now)
+			}
+		}
+		reading := 0
+		for _, node := range order {
+			if selectors[node].Reads(12 * time.Second) {
+				reading++
+			}
+		}
+		assert.LessOrEqual(t, reading, 2*DefaultMaxSources, "seed %d", seed)
+	}
+}
--- a/internal/routes/freshness.go
+++ b/internal/routes/freshness.go
@@ -9,8 +9,8 @@
 // configuration is: everything acknowledged before the proof's time is in
 // force here. It is safe for concurrent use.
 //
-// A proof's time is the start of the call whose answer gave it, on the steady
-// clock, so that a slow answer or a freeze makes it old instead of new.
+// A proof's time lies before the giving of the answer that proves it, on the
+// steady clock, so that a slow answer or a freeze makes it old instead of new.
 type Freshness struct {
 	provenAt atomic.Int64
 }
--- /dev/null
+++ b/internal/watchcache/cache.go
@@ -0,0 +1,211 @@
+// Package watchcache keeps a table of the store in memory, so that a process
+// can tell others what it has learnt since any moment.
+//
+// Invariants. A row is replaced by a newer revision of itself only, whatever the
+// order in which updates arrive. A row that went leaves a tombstone. Every
+// change gets the next number of the cache's own sequence: who has seen all up to
+// a number misses nothing, even where the store tells of an older revision late.
+//
+// The package has no I/O and no clock. A Cache is safe for concurrent use.
+package watchcache
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Row is one row of a table, or the word that it is gone.
+type Row struct {
+	Key string
+	// Revision is the store's revision at which the row was written, or at the
+	// latest when it went.
+	Revision fleet.Revision
+	Value    []byte
+	Gone     bool
+}
+
+// Update is what changed in a table, by the word of the store or of a cache.
+type Update struct {
+	// Revision is the store's revision up to which the store's word goes. Of a
+	// complete update, every row that isn't named and not newer is gone.
+	Revision fleet.Revision
+	// Complete is set if the rows are all that there are, rather than those that
+	// changed after the position that was asked for.
+	Complete bool
+	Rows     []Row
+	// Sequence is the number of the last change in the cache that tells; 0 from
+	// the store.
+	Sequence uint64
+	// StoreTime is the store's steady clock when it gave the answer; 0 if unknown.
+	StoreTime time.Duration
+}
+
+// DefaultMaxTombstones bounds the tombstones of a Cache.
+const DefaultMaxTombstones = 4096
+
+// Cache is a table.
+type Cache struct {
+	mutex sync.Mutex
+	rows  map[string]entry
+	// base is the highest revision of a complete update: 0 before the first.
+	base fleet.Revision
+	// sequence is the number of the last change, compacted that of the last
+	// tombstone that was dropped.
+	sequence      uint64
+	compacted     uint64
+	tombstones    int
+	maxTombstones int
+	changed       chan struct{}
+}
+
+// entry is a row and the number of the change that brought it.
+type entry struct {
+	Row
+	sequence uint64
+}
+
+// New returns an empty cache. maxTombstones of 0 takes the default.
+func New(maxTombstones int) *Cache {
+	if maxTombstones <= 0 {
+		maxTombstones = DefaultMaxTombstones
+	}
+	return &Cache{rows: make(map[string]entry), maxTombstones: maxTombstones, changed: make(chan struct{})}
+}
+
+// Known tells whether the whole table was ever told.
+func (c *Cache) Known() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.base > 0
+}
+
+// Changed returns a channel that is closed at the next change. Take it before
+// After, so that no change is missed.
+func (c *Cache) Changed() <-chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.changed
+}
+
+// Apply takes an update in and returns the rows that were news.
+func (c *Cache) Apply(update *Update) []Row {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var news []Row
+	for _, row := range update.Rows {
+		if c.take(row) {
+			news = append(news, row)
+		}
+	}
+	first := false
+	if update.Complete {
+		news = append(news, c.dropMissing(update)...)
+		first = c.base == 0
+		c.base = max(c.base, update.Revision)
+	}
+	if len(news) > 0 || first {
+		c.compact()
+		close(c.changed)
+		c.changed = make(chan struct{})
+	}
+	return news
+}
+
+// take stores a row if it is newer than the one held, and tells whether that
+// changes what there is.
+func (c *Cache) take(row Row) bool {
+	held, known := c.rows[row.Key]
+	if known && row.Revision <= held.Revision {
+		return false
+	}
+	if row.Gone {
+		row.Value = nil
+	}
+	c.put(row)
+	return !row.Gone || (known && !held.Gone)
+}
+
+// put replaces a row, numbers the change and counts tombstones.
+func (c *Cache) put(row Row) {
+	if held, known := c.rows[row.Key]; known && held.Gone {
+		c.tombstones--
+	}
+	if row.Gone {
+		c.tombstones++
+	}
+	c.sequence++
+	c.rows[row.Key] = entry{Row: row, sequence: c.sequence}
+}
+
+// dropMissing marks the rows as gone that a complete update doesn't name,
+// unless they are newer than it. It returns them in order of their keys.
+func (c *Cache) dropMissing(update *Update) []Row {
+	named := make(map[string]bool, len(update.Rows))
+	for _, row := range update.Rows {
+		named[row.Key] = true
+	}
+	var gone []Row
+	for key, held := range c.rows {
+		if held.Gone || named[key] || held.Revision > update.Revision {
+			continue
+		}
+		gone = append(gone, Row{Key: key, Revision: max(update.Revision, held.Revision+1), Gone: true})
+	}
+	slices.SortFunc(gone, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	for _, row := range gone {
+		c.put(row)
+	}
+	return gone
+}
+
+// compact drops the older half of the tombstones when there are too many.
+func (c *Cache) compact() {
+	if c.tombstones <= c.maxTombstones {
+		return
+	}
+	sequences := make([]uint64, 0, c.tombstones)
+	for _, row := range c.rows {
+		if row.Gone {
+			sequences = append(sequences, row.sequence)
+		}
+	}
+	slices.Sort(sequences)
+	c.compacted = sequences[len(sequences)/2]
+	for key, row := range c.rows {
+		if row.Gone && row.sequence <= c.compacted {
+			delete(c.rows, key)
+			c.tombstones--
+		}
+	}
+}
+
+// After returns what changed after a number of the sequence, in order. Where
+// that isn't known any more, and for 0, it returns a complete update. It returns
+// nil while the whole table was never told.
+func (c *Cache) After(sequence uint64) *Update {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.base == 0 {
+		return nil
+	}
+	update := &Update{Revision: c.base, Sequence: c.sequence}
+	update.Complete = sequence == 0 || sequence < c.compacted
+	var changed []entry
+	for _, row := range c.rows {
+		if update.Complete && row.Gone && row.Revision <= c.base {
+			continue
+		}
+		if update.Complete || row.sequence > sequence {
+			changed = append(changed, row)
+		}
+	}
+	slices.SortFunc(changed, func(a, b entry) int { return cmp.Compare(a.sequence, b.sequence) })
+	for _, row := range changed {
+		update.Rows = append(update.Rows, row.Row)
+	}
+	return update
+}
--- /dev/null
+++ b/internal/watchcache/cache_test.go
@@ -0,0 +1,166 @@
+package watchcache
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+func row(key string, revision fleet.Revision) Row {
+	return Row{Key: key, Revision: revision, Value: []byte(key + strconv.Itoa(int(revision)))}
+}
+
+func gone(key string, revision fleet.Revision) Row {
+	return Row{Key: key, Revision: revision, Gone: true}
+}
+
+func whole(revision fleet.Revision, rows ...Row) *Update {
+	return &Update{Revision: revision, Complete: true, Rows: rows}
+}
+
+func changes(revision fleet.Revision, rows ...Row) *Update {
+	return &Update{Revision: revision, Rows: rows}
+}
+
+func keys(rows []Row) []string {
+	var names []string
+	for _, row := range rows {
+		name := row.Key
+		if row.Gone {
+			name = "-" + name
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
+func TestUpdatesAfterANumberNameWhatChangedSince(t *testing.T) {
+	cache := New(0)
+	assert.Nil(t, cache.After(0), "nothing is known")
+	changed := cache.Changed()
+	assert.Equal(t, []string{"a", "b"}, keys(cache.Apply(whole(5, row("a", 3), row("b", 5)))))
+	<-changed
+	first := cache.After(0).Sequence
+	cache.Apply(changes(7, gone("a", 6), row("c", 7)))
+	later := cache.After(first)
+	assert.False(t, later.Complete)
+	assert.Equal(t, []string{"-a", "c"}, keys(later.Rows))
+	assert.Empty(t, cache.After(later.Sequence).Rows)
+	all := cache.After(0)
+	assert.True(t, all.Complete)
+	assert.Equal(t, []string{"b", "-a", "c"}, keys(all.Rows), "a went after the last complete update")
+}
+
+// TestEmptyTableIsKnown has watchers told of a table without rows.
+func TestEmptyTableIsKnown(t *testing.T) {
+	cache := New(0)
+	changed := cache.Changed()
+	cache.Apply(whole(3))
+	<-changed
+	assert.True(t, cache.Known())
+	assert.True(t, cache.After(0).Complete)
+}
+
+// TestNothingGoesBack has late and stale updates arrive.
+func TestNothingGoesBack(t *testing.T) {
+	cache := New(0)
+	cache.Apply(whole(9, row("a", 9), row("b", 4)))
+	assert.Equal(t, []string{"-b"}, keys(cache.Apply(whole(6, row("a", 2)))), "b went before 6, a is newer")
+	assert.Empty(t, cache.Apply(changes(8, gone("a", 8))))
+	assert.Equal(t, []byte("a9"), cache.After(0).Rows[0].Value)
+}
+
+// TestOlderRevisionThatIsToldLateReachesWatchers has a change missed that the
+// store tells of after newer ones.
+func TestOlderRevisionThatIsToldLateReachesWatchers(t *testing.T) {
+	cache, watcher := New(0), New(0)
+	cache.Apply(whole(5, row("a", 5)))
+	cache.Apply(changes(9, row("b", 9)))
+	seen := cache.After(0)
+	watcher.Apply(seen)
+	cache.Apply(changes(9, row("a", 7)))
+	assert.Equal(t, []string{"a"}, keys(watcher.Apply(cache.After(seen.Sequence))))
+}
+
+// TestCompleteUpdateNamesWhoIsGone, by the store's word or by a cache's.
+func TestCompleteUpdateNamesWhoIsGone(t *testing.T) {
+	cache, other := New(0), New(0)
+	cache.Apply(whole(5, row("a", 5), row("b", 5), row("c", 5)))
+	cache.Apply(changes(8, row("c", 8)))
+	assert.Equal(t, []string{"-b"}, keys(cache.Apply(whole(7, row("a", 5)))), "c is newer than the read")
+	other.Apply(whole(5, row("a", 5), row("b", 5)))
+	other.Apply(changes(9, row("d", 9)))
+	assert.Equal(t, []string{"c", "-b"}, keys(other.Apply(cache.After(0))), "d is newer than what the cache was told whole")
+}
+
+func TestDroppedTombstonesMakeOldNumbersReadAll(t *testing.T) {
+	cache := New(4)
+	cache.Apply(whole(1, row("x", 1)))
+	numbers := []uint64{cache.After(0).Sequence}
+	for revision := fleet.Revision(2); revision < 12; revision++ {
+		cache.Apply(changes(revision, row("k"+strconv.Itoa(int(revision)), revision)))
+		cache.Apply(changes(revision, gone("k"+strconv.Itoa(int(revision)), revision+100)))
+		numbers = append(numbers, cache.After(0).Sequence)
+	}
+	assert.True(t, cache.After(numbers[0]).Complete)
+	latest := cache.After(numbers[len(numbers)-2])
+	assert.False(t, latest.Complete)
+	assert.Equal(t, []string{"-k11"}, keys(latest.Rows))
+}
+
+// TestChainOfCachesEndsAlike has a second cache follow the first, and a third
+// the second, with updates that are lost, repeated and reordered.
+func TestChainOfCachesEndsAlike(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		store := New(0)
+		store.Apply(whole(1))
+		chain := []*Cache{store, New(0), New(0)}
+		positions := make([]uint64, len(chain))
+		var delayed []*Update
+		var delayedTo []int
+		for revision := fleet.Revision(2); revision < 60; revision++ {
+			changed := row("k"+strconv.Itoa(random.IntN(6)), revision)
+			changed.Gone = random.IntN(3) == 0
+			store.Apply(changes(revision, changed))
+			for to := 1; to < len(chain); to++ {
+				update := chain[to-1].After(positions[to])
+				if update == nil {
+					continue
+				}
+				switch random.IntN(4) {
+				case 0:
+				case 1:
+					delayed, delayedTo = append(delayed, update), append(delayedTo, to)
+				default:
+					chain[to].Apply(update)
+					positions[to] = update.Sequence
+				}
+			}
+			if len(delayed) > 0 && random.IntN(2) == 0 {
+				pick := random.IntN(len(delayed))
+				chain[delayedTo[pick]].Apply(delayed[pick])
+			}
+		}
+		for to := 1; to < len(chain); to++ {
+			chain[to].Apply(chain[to-1].After(positions[to]))
+			require.ElementsMatch(t, present(store), present(chain[to]), "seed %d", seed)
+		}
+	}
+}
+
+// present returns the rows that aren't gone.
+func present(cache *Cache) []Row {
+	var rows []Row
+	for _, row := range cache.After(0).Rows {
+		if !row.Gone {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
--- a/lab/capacity/calls.go
+++ b/lab/capacity/calls.go
@@ -102,6 +102,10 @@
 	return &rpc.LoadReport{}, nil
 }
 
+func (f *fixedAnswers) Watch(context.Context, *rpc.WatchRequest) (*rpc.WatchResponse, error) {
+	return &rpc.WatchResponse{}, nil
+}
+
 func (f *fixedAnswers) Changes(context.Context, *rpc.ChangesRequest) (*rpc.ChangesResponse, error) {
 	return &rpc.ChangesResponse{Header: header()}, nil
 }
