--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -27,8 +27,8 @@
 
 // Defaults of RoleOptions.
 const (
-	DefaultRequestCost = 4
-	DefaultUtilization = 0.35
+	DefaultRequestCost = 2
+	DefaultUtilization = 0.5
 	DefaultMinServing  = 6
 	DefaultSmallFleet  = 8
 	DefaultCandidates  = 3
