Agree on the engines for long prompts

Engines kept for long prompts were two for all nodes and others for some, since each node divided them by the work of its own requests; and an output token counted as eight prompt tokens, so that two of twelve engines were kept where two thirds of the prompt work is long.

Change: nodes tell each other the work that they have seen by length of prompt; an output token counts a tenth of what it did.

--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -84,7 +84,7 @@
 		return nil, ReasonVersion
 	}
 	shared := max(len(engine.Parts)-1, 0)
-	reserved := r.reservedFor(request.Service)
+	reserved := r.reservedFor(now, request.Service)
 	kept := func(known *state) bool {
 		return reserved != nil && reserved[known.worker.ID] != r.isLong(engine)
 	}
--- a/internal/backends/partition.go
+++ b/internal/backends/partition.go
@@ -18,7 +18,7 @@
 	longPromptSteps = 0.75
 	// outputTokenWork is the engine time that an output token takes: many streams
 	// share a batch step.
-	outputTokenWork = 300 * time.Microsecond
+	outputTokenWork = 30 * time.Microsecond
 	// workHalfLife is the time in which what was seen of the work halves.
 	workHalfLife = 8 * time.Second
 	// leastShare is the share of the work below which a size gets no engines of
@@ -28,23 +28,39 @@
 	reservedPrice = 25 * time.Millisecond
 )
 
-// partition keeps some engines of a service for long prompts and the others for
-// short ones: a long prompt holds up the streams of all requests beside it. The
-// shares follow the work seen. All nodes order the engines alike, so that nodes
-// which see somewhat different work differ about an engine or two at most.
+// Work is the work of requests with long and with short prompts, as seen of late.
+type Work struct {
+	Long, Short time.Duration
+}
+
+// add returns the sum of two.
+func (w Work) add(other Work) Work {
+	return Work{Long: w.Long + other.Long, Short: w.Short + other.Short}
+}
+
+// partition follows the work of this node's requests to a service. Some engines
+// of a service are kept for long prompts and the others for short ones: a long
+// prompt holds up the streams of all requests beside it. The shares follow the
+// work of all nodes, and all order the engines alike, so that they agree.
 type partition struct {
 	long, short float64
 	at          time.Duration
 }
 
-// note takes the work of a request in.
-func (p *partition) note(now time.Duration, long bool, work time.Duration) {
+// work returns what was seen of late.
+func (p *partition) work(now time.Duration) Work {
 	if idle := now - p.at; idle > 0 {
 		kept := math.Exp2(-float64(idle) / float64(workHalfLife))
 		p.long *= kept
 		p.short *= kept
 		p.at = now
 	}
+	return Work{Long: time.Duration(p.long * float64(time.Second)), Short: time.Duration(p.short * float64(time.Second))}
+}
+
+// note takes the work of a request in.
+func (p *partition) note(now time.Duration, long bool, work time.Duration) {
+	p.work(now)
 	if long {
 		p.long += work.Seconds()
 	} else {
@@ -54,12 +70,12 @@
 
 // forLong returns how many of count engines are kept for long prompts, and
 // whether any are kept for either size.
-func (p *partition) forLong(count int) (kept int, apart bool) {
-	total := p.long + p.short
+func (w Work) forLong(count int) (kept int, apart bool) {
+	total := w.Long + w.Short
 	if count < 2 || total <= 0 {
 		return 0, false
 	}
-	share := p.long / total
+	share := float64(w.Long) / float64(total)
 	if share < leastShare || share > 1-leastShare {
 		return 0, false
 	}
@@ -68,10 +84,10 @@
 
 // reservedFor returns the engines of a service that are kept for long prompts;
 // nil if none are kept for either size. The mutex is held.
-func (r *Registry) reservedFor(service fleet.PoolName) map[fleet.EngineID]bool {
-	current := r.partitions[service]
-	if current == nil {
-		return nil
+func (r *Registry) reservedFor(now time.Duration, service fleet.PoolName) map[fleet.EngineID]bool {
+	work := r.peers.told(now).work[service]
+	if own := r.partitions[service]; own != nil {
+		work = work.add(own.work(now))
 	}
 	var engines []fleet.EngineID
 	for id, known := range r.workers {
@@ -79,7 +95,7 @@
 			engines = append(engines, id)
 		}
 	}
-	kept, apart := current.forLong(len(engines))
+	kept, apart := work.forLong(len(engines))
 	if !apart {
 		return nil
 	}
@@ -93,6 +109,17 @@
 	return reserved
 }
 
+// OwnWork returns the work of this node's requests, by service.
+func (r *Registry) OwnWork(now time.Duration) map[fleet.PoolName]Work {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	work := make(map[fleet.PoolName]Work, len(r.partitions))
+	for service, own := range r.partitions {
+		work[service] = own.work(now)
+	}
+	return work
+}
+
 // isLong tells whether a prompt counts as long.
 func (r *Registry) isLong(engine *EngineRequest) bool {
 	return float64(engine.PromptTokens) >= longPromptSteps*float64(r.options.StepTokens)
--- /dev/null
+++ b/internal/backends/partition_test.go
@@ -0,0 +1,34 @@
+package backends
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// TestNodesWithDifferentRequestsAgreeOnTheEnginesForLongPrompts has one node see
+// long prompts only and another short ones.
+func TestNodesWithDifferentRequestsAgreeOnTheEnginesForLongPrompts(t *testing.T) {
+	first, second := withEngines(), withEngines()
+	service := engineRequest("p").Service
+	first.noteWork(0, service, &EngineRequest{PromptTokens: 9000}, 3000)
+	second.noteWork(0, service, &EngineRequest{PromptTokens: 500}, 1000)
+	assert.Nil(t, first.reservedFor(0, service), "it knows of one length only")
+	first.ObservePeer(0, "second", PeerReport{Work: second.OwnWork(0)})
+	second.ObservePeer(0, "first", PeerReport{Work: first.OwnWork(0)})
+	reserved := first.reservedFor(0, service)
+	assert.NotEmpty(t, reserved)
+	assert.Equal(t, reserved, second.reservedFor(0, service))
+	assert.Len(t, reserved, 5, "three quarters of six engines, rounded")
+}
+
+func TestWorkSeenHalvesWithTime(t *testing.T) {
+	own := &partition{}
+	own.note(0, true, 8*time.Second)
+	own.note(0, false, 4*time.Second)
+	assert.Equal(t, Work{Long: 4 * time.Second, Short: 2 * time.Second}, own.work(workHalfLife))
+	kept, apart := Work{Long: 4, Short: 2}.forLong(12)
+	assert.True(t, apart)
+	assert.Equal(t, 8, kept)
+}
--- a/internal/backends/peers.go
+++ b/internal/backends/peers.go
@@ -13,6 +13,8 @@
 	Suspects []fleet.EngineID
 	// Orders holds, by worker under an order of the node, until when it counts as so.
 	Orders map[fleet.EngineID]time.Duration
+	// Work holds the work of the node's requests by service.
+	Work map[fleet.PoolName]Work
 }
 
 // peerReports are the newest reports of other nodes, and their sum.
@@ -36,6 +38,7 @@
 	// heard counts the reports.
 	heard   int
 	workers map[fleet.EngineID]toldWorker
+	work    map[fleet.PoolName]Work
 }
 
 // toldWorker is what other nodes say of one worker.
@@ -68,7 +71,7 @@
 	if now < p.validUntil {
 		return &p.sum
 	}
-	p.sum = peerSum{workers: make(map[fleet.EngineID]toldWorker)}
+	p.sum = peerSum{workers: make(map[fleet.EngineID]toldWorker), work: make(map[fleet.PoolName]Work)}
 	p.validUntil = now + peerLoadValid
 	for _, report := range p.reports {
 		end := report.at + peerLoadValid
@@ -96,6 +99,9 @@
 		told.suspecting++
 		s.workers[id] = told
 	}
+	for service, work := range report.Work {
+		s.work[service] = s.work[service].add(work)
+	}
 	for id, until := range report.Orders {
 		told := s.workers[id]
 		told.orderedUntil = max(told.orderedUntil, until)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -172,6 +172,11 @@
 			MemoryTokens:  uint32(max(load.MemoryTokens, 0)),
 		})
 	}
+	for service, work := range g.workers.OwnWork(now) {
+		report.Work = append(report.Work, &rpc.ServiceWork{
+			Service: string(service), LongMillis: uint32(work.Long.Milliseconds()), ShortMillis: uint32(work.Short.Milliseconds()),
+		})
+	}
 	for _, suspect := range g.workers.Suspects(now) {
 		report.Suspects = append(report.Suspects, string(suspect))
 	}
@@ -247,7 +252,16 @@
 	for _, order := range report.GetOrders() {
 		orders[fleet.EngineID(order.GetWorker())] = now + time.Duration(order.GetRemainingMillis())*time.Millisecond
 	}
-	g.workers.ObservePeer(now, fleet.NodeID(report.GetNode()), backends.PeerReport{Loads: loads, Suspects: suspects, Orders: orders})
+	work := make(map[fleet.PoolName]backends.Work, len(report.GetWork()))
+	for _, told := range report.GetWork() {
+		work[fleet.PoolName(told.GetService())] = backends.Work{
+			Long:  time.Duration(told.GetLongMillis()) * time.Millisecond,
+			Short: time.Duration(told.GetShortMillis()) * time.Millisecond,
+		}
+	}
+	g.workers.ObservePeer(now, fleet.NodeID(report.GetNode()), backends.PeerReport{
+		Loads: loads, Suspects: suspects, Orders: orders, Work: work,
+	})
 	g.learnNamed(report.GetNamed())
 	g.demand.peer(now, fleet.NodeID(report.GetNode()), decodeRate(report.GetRequestRate()))
 	for _, versions := range report.GetWeights() {
