Let runs end for 1.2 s before new weights, and wait a second for others

Cause: with runs let end for up to 3 s an engine's change took 3.6 s at the median, so that half of twelve engines were away at once.

--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -20,6 +20,9 @@
 	// requireReserve is how much before the bound no request goes to an engine
 	// with an older version any more.
 	requireReserve = 1200 * time.Millisecond
+	// changeDelay is the time from a naming until engines take the version: others
+	// that are named within it are taken with it.
+	changeDelay = time.Second
 	// startUnknown is the time after this process's start at which a version that
 	// was named before it counts as due, unless a peer knows better.
 	startUnknown = 2800 * time.Millisecond
@@ -29,7 +32,7 @@
 	// quiesceIdle while the engines are far from full, and quiesceFull at the other
 	// end, since the engine does nothing else meanwhile.
 	quiesceLeast = 300 * time.Millisecond
-	quiesceIdle  = 3000 * time.Millisecond
+	quiesceIdle  = 1200 * time.Millisecond
 	quiesceFull  = 600 * time.Millisecond
 	quiescePoll  = 100 * time.Millisecond
 	// idleBelow and fullAbove are the parts of the engines' memory in use at which
@@ -120,7 +123,7 @@
 func (w *weights) pacer(model fleet.ModelName) *rollout.Pacer {
 	pacer := w.pacers[model]
 	if pacer == nil {
-		pacer = rollout.NewPacer(rollout.PacerOptions{Within: w.within - requireReserve})
+		pacer = rollout.NewPacer(rollout.PacerOptions{Within: w.within - requireReserve, Delay: changeDelay})
 		w.pacers[model] = pacer
 	}
 	return pacer
