Bound retries by a window, and repeat orders that may be lost soon

An order without an answer within 0.4 s is sent again 0.1 s later: both expect the same count of orders.

--- a/internal/attempt/budget.go
+++ b/internal/attempt/budget.go
@@ -60,13 +60,6 @@
 	return &Budget{options: options, tokens: min(max(initial, 0), options.Burst)}
 }
 
-// SetBurst sets another bound on what can be saved up, such as when those who
-// share it come and go. What is saved beyond it is lost.
-func (b *Budget) SetBurst(burst float64) {
-	b.options.Burst = burst
-	b.tokens = min(b.tokens, burst)
-}
-
 // Deposit implements RetryBudget.
 func (b *Budget) Deposit(now time.Duration) {
 	b.fill(now)
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -11,7 +11,7 @@
 // Parts of the retries that all nodes share.
 const (
 	// ratioPart is the part of the allowed ratio that a node spends.
-	ratioPart = 0.85
+	ratioPart = 0.95
 	// slackPart is the part of the allowed slack that the nodes to which callers
 	// are sent spend together: a node that has just come may not be counted by all
 	// yet. The other nodes have idleSlackPart together.
@@ -22,8 +22,6 @@
 	initialPart = 0.5
 	// minSharers is the least number of nodes that the slack is divided by.
 	minSharers = 8
-	// slackFloor is what a node earns by time alone, per second.
-	slackFloor = 0.05
 )
 
 // budgets holds a retry budget for each service. Each node spends its part of
@@ -34,11 +32,11 @@
 	// share returns the part of the slack that is this node's.
 	share    func() float64
 	mutex    sync.Mutex
-	services map[fleet.PoolName]*attempt.Budget
+	services map[fleet.PoolName]*attempt.WindowBudget
 }
 
 func newBudgets(settings Settings, share func() float64) *budgets {
-	return &budgets{settings: settings, share: share, services: make(map[fleet.PoolName]*attempt.Budget)}
+	return &budgets{settings: settings, share: share, services: make(map[fleet.PoolName]*attempt.WindowBudget)}
 }
 
 // retryShare returns the part of the slack that is this node's.
@@ -61,25 +59,23 @@
 func (b *budgets) of(service fleet.PoolName) attempt.RetryBudget {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	burst := max(b.settings.RetrySlack*b.share(), 1)
+	slack := max(b.settings.RetrySlack*b.share(), 1)
 	budget := b.services[service]
 	if budget == nil {
-		budget = attempt.NewBudget(attempt.BudgetOptions{
-			Ratio:          b.settings.RetryRatio * ratioPart,
-			FloorPerSecond: slackFloor,
-			Burst:          burst,
-			Initial:        burst * initialPart,
+		budget = attempt.NewWindowBudget(attempt.WindowOptions{
+			Window: b.settings.RetryWindow,
+			Ratio:  b.settings.RetryRatio * ratioPart,
 		})
 		b.services[service] = budget
 	}
-	budget.SetBurst(burst)
+	budget.SetSlack(slack, slack*initialPart)
 	return &sharedBudget{owner: b, budget: budget}
 }
 
 // sharedBudget is a budget that the requests of one service share.
 type sharedBudget struct {
 	owner  *budgets
-	budget *attempt.Budget
+	budget *attempt.WindowBudget
 }
 
 // Deposit implements attempt.RetryBudget.
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -80,8 +80,8 @@
 	if !g.quiesce(begun, next.worker.ID) {
 		return
 	}
-	ordered := time.Duration(-1)
-	orders := int64(0)
+	repeatAt := time.Duration(0)
+	orders := int64(-1)
 	failed := 0
 	for g.now() < begun+changeTimeout {
 		wait := reportInterval
@@ -97,13 +97,16 @@
 			took = g.now() - begun
 			g.changed(next, backends.WeightsVersion(report.Versions[next.model]), took)
 			return
-		case !report.Busy && (ordered < 0 || report.Orders != orders || g.now() > ordered+reorderAfter):
+		case !report.Busy && (report.Orders != orders || g.now() > repeatAt):
 			next.version = max(next.version, g.weights.newest(next.model))
-			if !g.order(next, report) {
+			result, sent := g.order(next, report)
+			if !sent {
 				return
 			}
-			ordered, orders = g.now(), report.Orders
-			wait = loadAtLeast
+			repeatAt, orders, wait = g.now()+repeatAfter(result), report.Orders, loadAtLeast
+			if result == rollout.OrderUncertain {
+				wait = reportInterval
+			}
 		}
 		g.keepAway(next.worker.ID)
 		if !g.pause(wait) {
@@ -144,16 +147,26 @@
 	g.workers.NoteOrder(id, until)
 }
 
+// repeatAfter returns how long after an order without effect it is sent again. One
+// that may have been lost is repeated soon: both expect the same count of orders,
+// so that only one of them is carried out.
+func repeatAfter(result rollout.OrderResult) time.Duration {
+	if result == rollout.OrderUncertain {
+		return reorderUncertain
+	}
+	return reorderAfter
+}
+
 // order sends one order, if the lease is still held right before. It returns
 // false if it isn't.
-func (g *Gateway) order(next change, report rollout.Report) bool {
+func (g *Gateway) order(next change, report rollout.Report) (rollout.OrderResult, bool) {
 	token, holds := g.keeper.Fence()
 	if !holds {
 		g.logger.Warn().Str("worker", string(next.worker.ID)).Msg("order_dropped_without_lease")
-		return false
+		return rollout.OrderUncertain, false
 	}
 	g.keeper.NoteUse()
-	ctx, cancel := context.WithTimeout(g.context(), time.Second)
+	ctx, cancel := context.WithTimeout(g.context(), orderTimeout)
 	defer cancel()
 	result, err := g.outside.Engines.OrderVersion(ctx, next.worker, rollout.VersionOrder{
 		Model:          next.model,
@@ -166,7 +179,7 @@
 	g.logger.Info().Str("worker", string(next.worker.ID)).Str("model", string(next.model)).
 		Uint64("version", next.version).Uint64("token", uint64(token)).Int64("expected_orders", report.Orders).
 		Int("running", report.Running).Int("result", int(result)).AnErr("cause", err).Msg("order_sent")
-	return true
+	return result, true
 }
 
 // changed notes that an engine has its new version.
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -20,9 +20,10 @@
 	// requireReserve is how much before the bound no request goes to an engine
 	// with an older version any more.
 	requireReserve = 1200 * time.Millisecond
-	// changeDelay is the time from a naming until engines take the version: others
-	// that are named within it are taken with it.
-	changeDelay = time.Second
+	// changeDelayPart is the time from a naming until engines take the version, as a
+	// part of the time within which they must: others that are named meanwhile are
+	// taken with it.
+	changeDelayPart = 0.15
 	// startUnknown is the time after this process's start at which a version that
 	// was named before it counts as due, unless a peer knows better.
 	startUnknown = 2800 * time.Millisecond
@@ -55,8 +56,11 @@
 	storeLostAfter = 2500 * time.Millisecond
 	// sharedNamings bounds the versions whose naming is told to peers.
 	sharedNamings = 4
-	// reorderAfter is when an order without effect is sent again.
-	reorderAfter = 1500 * time.Millisecond
+	// reorderAfter is when an order without effect is sent again, reorderUncertain
+	// when one is that got no answer within orderTimeout.
+	reorderAfter     = 1500 * time.Millisecond
+	reorderUncertain = 100 * time.Millisecond
+	orderTimeout     = 400 * time.Millisecond
 	// changeTimeout bounds the change of one engine, after which it is begun anew.
 	changeTimeout = 9 * time.Second
 	// gapSlack is added to the least time between the orders of two holders.
@@ -123,7 +127,8 @@
 func (w *weights) pacer(model fleet.ModelName) *rollout.Pacer {
 	pacer := w.pacers[model]
 	if pacer == nil {
-		pacer = rollout.NewPacer(rollout.PacerOptions{Within: w.within - requireReserve, Delay: changeDelay})
+		within := w.within - requireReserve
+		pacer = rollout.NewPacer(rollout.PacerOptions{Within: within, Delay: time.Duration(float64(within) * changeDelayPart)})
 		w.pacers[model] = pacer
 	}
 	return pacer
--- a/internal/rollout/versions.go
+++ b/internal/rollout/versions.go
@@ -57,7 +57,7 @@
 	DefaultMinParallel = 2
 	DefaultMaxPart     = 0.5
 	DefaultChangeTime  = 2000 * time.Millisecond
-	DefaultReserve     = 700 * time.Millisecond
+	DefaultReservePart = 0.1
 	DefaultDoubtful    = 2
 )
 
@@ -76,7 +76,8 @@
 	MaxPart     float64
 	// ChangeTime is how long one engine takes before any was measured.
 	ChangeTime time.Duration
-	// Reserve is how much before it is due the last engine should have changed.
+	// Reserve is how much before it is due the last engine should have changed; 0
+	// means a tenth of Within.
 	Reserve time.Duration
 	// Doubtful is the number of engines that changes are tried at once of those that
 	// can't be reached.
@@ -128,7 +129,7 @@
 		options.ChangeTime = DefaultChangeTime
 	}
 	if options.Reserve <= 0 {
-		options.Reserve = DefaultReserve
+		options.Reserve = time.Duration(float64(options.Within) * DefaultReservePart)
 	}
 	if options.Doubtful <= 0 {
 		options.Doubtful = DefaultDoubtful
@@ -245,9 +246,9 @@
 	}
 	sortByDue(waiting)
 	sortByDue(doubtful)
-	parallel, overdue := p.parallel(now, waiting, changing, len(engines))
+	parallel, urgent := p.parallel(now, waiting, changing, len(engines))
 	room := min(parallel-changing, p.spread(now, parallel))
-	chosen := first(waiting, max(room, overdue))
+	chosen := first(waiting, max(room, min(urgent, parallel-changing)))
 	p.credit -= float64(len(chosen))
 	return append(chosen, first(doubtful, p.options.Doubtful-trying)...)
 }
@@ -282,11 +283,15 @@
 
 // parallel returns how many engines are to change at once so that each of those
 // that wait, in order of when they are due, has changed in time, and how many of
-// them are overdue.
-func (p *Pacer) parallel(now time.Duration, waiting []VersionedEngine, changing, count int) (needed, overdue int) {
+// them must begin now for that.
+func (p *Pacer) parallel(now time.Duration, waiting []VersionedEngine, changing, count int) (needed, urgent int) {
 	needed = p.options.MinParallel
+	overdue := 0
 	for position, engine := range waiting {
 		left := p.dueAt(engine.Version) - p.options.Reserve - now
+		if left < p.changeTime {
+			urgent++
+		}
 		if left <= 0 {
 			// It gets no requests soon whether it changes or not.
 			overdue++
@@ -297,7 +302,7 @@
 		needed = max(needed, int((work+left-1)/left))
 	}
 	most := max(int(p.options.MaxPart*float64(count)), p.options.MinParallel)
-	return max(min(needed, most), changing+overdue), overdue
+	return max(min(needed, most), changing+overdue), urgent
 }
 
 // beginAt returns when an engine with a version may first take a newer one.
