Have a node that has just started read the store at once

Cause: after the restart of a whole fleet each node first asked its peers, who knew no more than it did, until it had seen no new member for 250 ms or a second was over.

Ruled out: the machines' start itself (the processes take 0.15 to 0.55 s after power is back, which includes up to 0.3 s of spread between machines).

Change: relay.Selector reads until the node knows everything once, whoever told, and asks peers at the same time. A request that comes within 0.3 s of the start is held until then (10 to 20 ms) instead of refused. A herd costs each node four calls to the store. The selector's older tests are of nodes that have known everything once, which they say now; TestNodeThatHasJustStartedReadsUntilItKnowsEverything is new.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -112,6 +112,7 @@
 	if g.refusesNew() {
 		return &refusal{code: resultcode.Stopping, reason: "stopping", retryAfter: retrySoon}
 	}
+	g.awaitKnown(current.request.Context())
 	held := g.holder.Current()
 	if held == nil || !g.workersKnown.Load() {
 		return &refusal{code: resultcode.NoConfiguration, reason: "no configuration yet", retryAfter: retryLater}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,7 @@
 	tables    []*table
 	sources   *sources
 	demand    *demand
+	readiness *readiness
 	roles     atomic.Pointer[membership.Roles]
 	// joined is used by assign alone.
 	joined joinedMembers
@@ -100,6 +101,8 @@
 		pending:  newPendingSends(),
 		idle:     newIdleConnections(),
 		demand:   newDemand(),
+
+		readiness: newReadiness(),
 	}
 	g.inForce.Store(&settings)
 	g.sources = newSources(g.clock.Now(), g.node, random())
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -279,6 +279,7 @@
 		return
 	}
 	g.fresh.Prove(begun - time.Duration(report.GetProofAgeMillis())*time.Millisecond)
+	g.noteKnown()
 }
 
 // maxListed bounds the addresses of one answer of the directory.
--- /dev/null
+++ b/internal/gateway/readiness.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// startHold is how long after the process's start a request is held until this
+// node knows the configuration for the first time: the store is being asked, and a
+// caller that is refused comes back later than the answer.
+const startHold = 300 * time.Millisecond
+
+// readiness tells when this node knows all that it needs to serve.
+type readiness struct {
+	once sync.Once
+	// known is closed when it does for the first time.
+	known chan struct{}
+}
+
+func newReadiness() *readiness { return &readiness{known: make(chan struct{})} }
+
+// knowsTables tells whether this node has a configuration and the list of workers.
+func (g *Gateway) knowsTables() bool { return g.holder.Current() != nil && g.workersKnown.Load() }
+
+// ready tells whether this node can serve.
+func (g *Gateway) ready() bool { return !g.stopping() && g.knowsTables() }
+
+// noteKnown is called after each step towards knowing all: both tables, and a
+// proof of how new they are.
+func (g *Gateway) noteKnown() {
+	if _, proven := g.fresh.Age(g.now()); !proven || !g.knowsTables() {
+		return
+	}
+	g.readiness.once.Do(func() {
+		close(g.readiness.known)
+		g.sources.inform(g.now())
+		g.logger.Info().Dur("took", g.now()).Msg("ready")
+	})
+}
+
+// awaitKnown waits a moment for what this node needs to serve, if it has just
+// started.
+func (g *Gateway) awaitKnown(ctx context.Context) {
+	left := startHold - g.now()
+	if left <= 0 {
+		return
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-g.readiness.known:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -85,11 +85,6 @@
 	return settings.Listen(context.Background(), "tcp4", address)
 }
 
-// ready tells whether this node can serve.
-func (g *Gateway) ready() bool {
-	return !g.stopping() && g.holder.Current() != nil && g.workersKnown.Load()
-}
-
 func (g *Gateway) readinessHandler() http.Handler {
 	router := bunrouter.New()
 	router.GET(g.outside.Codec.Paths().Readiness, func(writer http.ResponseWriter, _ bunrouter.Request) error {
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -70,6 +70,14 @@
 	s.refresh(now)
 }
 
+// inform notes that this node knows everything for the first time.
+func (s *sources) inform(now time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.selector.Inform()
+	s.refresh(now)
+}
+
 // proven notes this node's own proof by the store.
 func (s *sources) proven(now, at time.Duration) {
 	s.mutex.Lock()
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -20,6 +20,8 @@
 	pause time.Duration
 	// take takes rows that are news in.
 	take func(rows []watchcache.Row, since gap)
+	// taken is called after that.
+	taken func()
 	// proven is called for each call that followed the changes without a gap, with
 	// a time at which its answer had not been given yet.
 	proven func(at time.Duration)
@@ -42,6 +44,7 @@
 	defer t.mutex.Unlock()
 	if news := t.cache.Apply(update); len(news) > 0 || update.Complete {
 		t.take(news, since)
+		t.taken()
 	}
 }
 
@@ -53,6 +56,7 @@
 			cache:  watchcache.New(0),
 			wait:   operatorWaitFor(g.settings().RevokeWithin),
 			take:   g.takeOperator,
+			taken:  g.noteKnown,
 			proven: g.proveByStore,
 		},
 		{
@@ -61,6 +65,7 @@
 			wait:   workersWait,
 			pause:  workersPause,
 			take:   g.takeWorkers,
+			taken:  g.noteKnown,
 			proven: func(time.Duration) {},
 		},
 	}
@@ -70,6 +75,7 @@
 // without a gap.
 func (g *Gateway) proveByStore(at time.Duration) {
 	g.fresh.Prove(at)
+	g.noteKnown()
 	g.sources.proven(g.now(), at)
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -111,6 +111,7 @@
 	age := time.Duration(response.GetProofAgeMillis()) * time.Millisecond
 	if proven {
 		g.fresh.Prove(begun - age)
+		g.noteKnown()
 	}
 	if moved := g.sources.answered(g.now(), source, age, proven); moved {
 		g.noteSource(source, moved, "proof too old, or first source again")
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -5,9 +5,11 @@
 // Invariants. A node that is to read by its role always reads, and asks peers
 // only while the store gives it no proof. A node that is
 // asked by others reads, so that a chain of nodes always ends at the store. A
-// node that hears nothing from any peer reads. A node whose peers answer but
-// have old proofs moves on among the first MaxSources of them, and tries the
-// store itself now and then.
+// node that has just started reads until it knows everything once, whoever told:
+// after a restart of all nodes the peers know no more than it does. A node
+// that hears nothing from any peer reads. A node whose peers answer but have old
+// proofs moves on among the first MaxSources of them, and tries the store itself
+// now and then.
 package relay
 
 import (
@@ -70,6 +72,8 @@
 	answered   bool
 	fresh      bool
 	watched    bool
+	// informed is set once the node has known everything.
+	informed bool
 	// ownProvenAt is the time of the node's own newest proof.
 	ownProvenAt time.Duration
 	ownProven   bool
@@ -136,10 +140,13 @@
 	s.ownProven, s.ownProvenAt = true, max(s.ownProvenAt, now-age)
 }
 
+// Inform takes in that the node knows everything, by whoever told.
+func (s *Selector) Inform() { s.informed = true }
+
 // Reads tells whether the node is to read the store at now.
 func (s *Selector) Reads(now time.Duration) bool {
 	switch {
-	case s.reader:
+	case s.reader, !s.informed:
 		return true
 	case s.watched && now < s.watchedAt+s.options.WatchedFor:
 		return true
--- a/internal/relay/selector_test.go
+++ b/internal/relay/selector_test.go
@@ -12,10 +12,18 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
-func newSelector(self fleet.NodeID, seed uint64) *Selector {
+// newStarted returns the selector of a node that knows nothing yet.
+func newStarted(self fleet.NodeID, seed uint64) *Selector {
 	return New(0, Options{Self: self, Random: rand.New(rand.NewPCG(seed, 1))})
 }
 
+// newSelector returns the selector of a node that has known everything once.
+func newSelector(self fleet.NodeID, seed uint64) *Selector {
+	selector := newStarted(self, seed)
+	selector.Inform()
+	return selector
+}
+
 func source(t *testing.T, selector *Selector) fleet.NodeID {
 	t.Helper()
 	node, found := selector.Source()
@@ -38,6 +46,21 @@
 	assert.True(t, selector.Reads(time.Minute))
 }
 
+// TestNodeThatHasJustStartedReadsUntilItKnowsEverything has all nodes restart at
+// once: peers answer, but know nothing, or not everything.
+func TestNodeThatHasJustStartedReadsUntilItKnowsEverything(t *testing.T) {
+	selector := newStarted("n", 1)
+	selector.SetRole(0, false, []fleet.NodeID{"a"})
+	assert.True(t, selector.Reads(0))
+	assert.True(t, selector.Asks(0), "peers are asked at the same time")
+	selector.Answered(time.Millisecond, "a", 0, false)
+	assert.True(t, selector.Reads(time.Millisecond))
+	selector.Answered(2*time.Millisecond, "a", 0, true)
+	assert.True(t, selector.Reads(2*time.Millisecond), "a proof of one table isn't all")
+	selector.Inform()
+	assert.False(t, selector.Reads(2*time.Millisecond))
+}
+
 func TestNodeWithoutAnAnswerReads(t *testing.T) {
 	selector := newSelector("n", 1)
 	selector.SetRole(0, false, []fleet.NodeID{"a"})
