Tell other nodes at once where a long prompt was placed

Cause: nodes tell each other their loads each 0.6 s, in both directions. Prompts ahead of a request reached 66,000 tokens (1.2 s) at one engine while others had none.

The placement's line tells the shared tokens of its prompt.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -222,6 +222,9 @@
 	}
 }
 
+// Prefill returns the prompt work of the request, in tokens.
+func (p *Placement) Prefill() int { return p.prefill }
+
 // FirstByte notes that the worker's answer has begun.
 func (p *Placement) FirstByte(now time.Duration) {
 	r := p.registry
--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -50,10 +50,12 @@
 	Predicted time.Duration
 	// Prefix names the last shared part of the prompt.
 	Prefix string
-	// SharedParts is the number of the prompt's shared parts, of which the engine,
+	// SharedParts is the number of the prompt's shared parts, of SharedTokens
+	// together, of which the engine,
 	// the store and the engine with the most are believed to hold the first
 	// HeldParts, StoredParts and MostHeldParts.
 	SharedParts   int
+	SharedTokens  int
 	HeldParts     int
 	StoredParts   int
 	MostHeldParts int
@@ -129,6 +131,7 @@
 		Predicted:      decision.FirstToken,
 		Prefix:         PrefixName(engine.Parts),
 		SharedParts:    shared,
+		SharedTokens:   sharedTokens(ends, shared),
 		HeldParts:      known.held[chosen.worker.ID],
 		StoredParts:    known.stored,
 		MostHeldParts:  known.most(),
@@ -143,6 +146,14 @@
 	return placement, ""
 }
 
+// sharedTokens returns the tokens of a prompt's first parts, by their ends.
+func sharedTokens(ends []int, parts int) int {
+	if parts <= 0 {
+		return 0
+	}
+	return ends[parts-1]
+}
+
 // PrefixName returns the name of the last shared part of a prompt, or "".
 func PrefixName(parts []Part) string {
 	if len(parts) < 2 {
--- a/internal/backends/peers.go
+++ b/internal/backends/peers.go
@@ -1,6 +1,7 @@
 package backends
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
@@ -60,6 +61,21 @@
 	p.validUntil = 0
 }
 
+// update takes changed loads into a node's report; without one before, it does
+// nothing.
+func (p *peerReports) update(node fleet.NodeID, loads []Load) {
+	report, known := p.reports[node]
+	if !known {
+		return
+	}
+	kept := slices.DeleteFunc(slices.Clone(report.Loads), func(old Load) bool {
+		return slices.ContainsFunc(loads, func(load Load) bool { return load.Engine == old.Engine })
+	})
+	report.Loads = append(kept, loads...)
+	p.reports[node] = report
+	p.validUntil = 0
+}
+
 // forget drops a node's report.
 func (p *peerReports) forget(node fleet.NodeID) {
 	delete(p.reports, node)
@@ -116,6 +132,14 @@
 	r.peers.observe(now, node, report)
 }
 
+// UpdatePeer takes another node's word on single workers in, which it has given
+// between two reports.
+func (r *Registry) UpdatePeer(node fleet.NodeID, loads []Load) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.peers.update(node, loads)
+}
+
 // ForgetPeer drops what a node that is gone has said.
 func (r *Registry) ForgetPeer(node fleet.NodeID) {
 	r.mutex.Lock()
--- a/internal/backends/peers_test.go
+++ b/internal/backends/peers_test.go
@@ -48,6 +48,19 @@
 	assert.Equal(t, home.Worker.ID, late.Worker.ID, "old words don't count")
 }
 
+// TestPlacementToldAtOnceCountsUntilTheNextReport.
+func TestPlacementToldAtOnceCountsUntilTheNextReport(t *testing.T) {
+	reports := newPeerReports()
+	reports.update("a", []Load{{Engine: "e", PrefillTokens: 9}})
+	assert.Zero(t, reports.told(0).heard, "nothing else is known of the node")
+	reports.observe(0, "a", PeerReport{Loads: []Load{{Engine: "e", PrefillTokens: 1}, {Engine: "f", PrefillTokens: 2}}})
+	reports.update("a", []Load{{Engine: "e", PrefillTokens: 9}})
+	assert.Equal(t, 9, reports.told(0).workers["e"].PrefillTokens)
+	assert.Equal(t, 2, reports.told(0).workers["f"].PrefillTokens)
+	reports.observe(0, "a", PeerReport{})
+	assert.Zero(t, reports.told(0).workers["e"].PrefillTokens)
+}
+
 func TestReportsThatCountAreSummed(t *testing.T) {
 	reports := newPeerReports()
 	reports.observe(0, "a", PeerReport{Loads: []Load{{Engine: "e", InFlight: 2, MemoryTokens: 10}}})
--- /dev/null
+++ b/internal/gateway/announce.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// Constants of announcements.
+const (
+	// announceTokens is the prompt work from which on a placement is told at once: a
+	// few such prompts at one engine hold up all streams there, and other nodes would
+	// take it for idle until the next exchange of reports.
+	announceTokens = 1500
+	// announceGather is the time in which placements are gathered.
+	announceGather  = 3 * time.Millisecond
+	announceTimeout = 250 * time.Millisecond
+)
+
+// announcer tells the nodes that share loads at once where this node has just
+// placed much prompt work.
+type announcer struct {
+	mutex   sync.Mutex
+	engines map[fleet.EngineID]bool
+	// noted has one element while there is something to tell.
+	noted chan struct{}
+}
+
+func newAnnouncer() *announcer {
+	return &announcer{engines: make(map[fleet.EngineID]bool), noted: make(chan struct{}, 1)}
+}
+
+// note has an engine's load told.
+func (a *announcer) note(engine fleet.EngineID) {
+	a.mutex.Lock()
+	a.engines[engine] = true
+	a.mutex.Unlock()
+	select {
+	case a.noted <- struct{}{}:
+	default:
+	}
+}
+
+// take returns the engines whose load is to be told.
+func (a *announcer) take() map[fleet.EngineID]bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	taken := a.engines
+	a.engines = make(map[fleet.EngineID]bool)
+	return taken
+}
+
+// announcePlacement has a placement of much prompt work told to other nodes.
+func (g *Gateway) announcePlacement(placement *backends.Placement) {
+	if placement.Engine != nil && placement.Prefill() >= announceTokens {
+		g.announcer.note(placement.Worker.ID)
+	}
+}
+
+// announceLoads tells other nodes what is noted, until the process ends: all that
+// share loads while they are few, else some in turn.
+func (g *Gateway) announceLoads() error {
+	for round := 0; ; round++ {
+		select {
+		case <-g.announcer.noted:
+		case <-g.life.Dying():
+			return nil
+		}
+		if !g.pause(announceGather) {
+			return nil
+		}
+		report := g.partialReport(g.announcer.take())
+		for _, member := range turn(g.loadPeers(), round, shareFanout) {
+			go g.announce(member.Address, report)
+		}
+	}
+}
+
+// partialReport returns this node's load at some engines.
+func (g *Gateway) partialReport(engines map[fleet.EngineID]bool) *rpc.LoadReport {
+	report := &rpc.LoadReport{Node: string(g.node), Partial: true}
+	for _, load := range g.workers.OwnLoad() {
+		if engines[load.Engine] {
+			report.Loads = append(report.Loads, encodeLoad(load))
+		}
+	}
+	return report
+}
+
+// announce tells one node. A node that doesn't hear of it does by the next report.
+func (g *Gateway) announce(address fleet.Address, report *rpc.LoadReport) {
+	ctx, cancel := context.WithTimeout(g.context(), announceTimeout)
+	defer cancel()
+	if _, err := g.peers.ExchangeLoad(ctx, address, report); err != nil {
+		g.metrics.shareFailures.Inc()
+	}
+}
+
+// encodeLoad returns a load in its transmitted form.
+func encodeLoad(load backends.Load) *rpc.WorkerLoad {
+	return &rpc.WorkerLoad{
+		Worker:        string(load.Engine),
+		InFlight:      uint32(max(load.InFlight, 0)),
+		PrefillTokens: uint32(max(load.PrefillTokens, 0)),
+		MemoryTokens:  uint32(max(load.MemoryTokens, 0)),
+	}
+}
+
+// decodeLoads reads loads from their transmitted form.
+func decodeLoads(encoded []*rpc.WorkerLoad) []backends.Load {
+	loads := make([]backends.Load, 0, len(encoded))
+	for _, load := range encoded {
+		loads = append(loads, backends.Load{
+			Engine:        fleet.EngineID(load.GetWorker()),
+			InFlight:      int(load.GetInFlight()),
+			PrefillTokens: int(load.GetPrefillTokens()),
+			MemoryTokens:  int(load.GetMemoryTokens()),
+		})
+	}
+	return loads
+}
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -82,6 +82,7 @@
 		return current.machine.NoWorker(reason)
 	}
 	current.worker = string(placement.Worker.ID)
+	g.announcePlacement(placement)
 	g.logPlacement(current, placement)
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -203,7 +204,7 @@
 		line = line.Uint64("version", uint64(engine.Version)).Int("cached", engine.CachedTokens).
 			Int("imported", engine.ImportedTokens).Int("prompt", current.metadata.PromptTokens).
 			Str("scope", engine.Scope).Str("prefix", engine.Prefix).Str("import_from", string(engine.ImportFrom)).
-			Str("save_to", string(engine.SaveTo)).Int("shared_parts", engine.SharedParts).Int("held_parts", engine.HeldParts).
+			Str("save_to", string(engine.SaveTo)).Int("shared", engine.SharedTokens).Int("shared_parts", engine.SharedParts).Int("held_parts", engine.HeldParts).
 			Int("stored_parts", engine.StoredParts).Int("most_held_parts", engine.MostHeldParts).Bool("home", engine.Home).Int("prefill_ahead", placement.PrefillTokens).
 			Int("memory_used", placement.MemoryTokens).
 			Dur("predicted", engine.Predicted)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,7 @@
 	sources   *sources
 	demand    *demand
 	readiness *readiness
+	announcer *announcer
 	roles     atomic.Pointer[membership.Roles]
 	// joined is used by assign alone.
 	joined joinedMembers
@@ -103,6 +104,7 @@
 		demand:   newDemand(),
 
 		readiness: newReadiness(),
+		announcer: newAnnouncer(),
 	}
 	g.inForce.Store(&settings)
 	g.sources = newSources(g.clock.Now(), g.node, random())
@@ -217,6 +219,7 @@
 	g.life.Go(g.driveRoles)
 	g.life.Go(g.register)
 	g.life.Go(g.shareLoads)
+	g.life.Go(g.announceLoads)
 	g.life.Go(g.driveRollout)
 	g.life.Go(g.followCaches)
 	g.life.Go(g.housekeep)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -152,6 +152,10 @@
 
 // answerLoad answers another gateway's report with this one's.
 func (g *Gateway) answerLoad(_ context.Context, report *rpc.LoadReport) *rpc.LoadReport {
+	if report.GetPartial() {
+		g.workers.UpdatePeer(fleet.NodeID(report.GetNode()), decodeLoads(report.GetLoads()))
+		return &rpc.LoadReport{Node: string(g.node)}
+	}
 	g.takeLoad(report)
 	return g.loadReport()
 }
@@ -165,12 +169,7 @@
 		Named:       g.namedVersions(now),
 	}
 	for _, load := range g.workers.OwnLoad() {
-		report.Loads = append(report.Loads, &rpc.WorkerLoad{
-			Worker:        string(load.Engine),
-			InFlight:      uint32(max(load.InFlight, 0)),
-			PrefillTokens: uint32(max(load.PrefillTokens, 0)),
-			MemoryTokens:  uint32(max(load.MemoryTokens, 0)),
-		})
+		report.Loads = append(report.Loads, encodeLoad(load))
 	}
 	for service, work := range g.workers.OwnWork(now) {
 		report.Work = append(report.Work, &rpc.ServiceWork{
@@ -235,15 +234,6 @@
 // takeLoad takes in another gateway's report.
 func (g *Gateway) takeLoad(report *rpc.LoadReport) {
 	now := g.now()
-	loads := make([]backends.Load, 0, len(report.GetLoads()))
-	for _, load := range report.GetLoads() {
-		loads = append(loads, backends.Load{
-			Engine:        fleet.EngineID(load.GetWorker()),
-			InFlight:      int(load.GetInFlight()),
-			PrefillTokens: int(load.GetPrefillTokens()),
-			MemoryTokens:  int(load.GetMemoryTokens()),
-		})
-	}
 	suspects := make([]fleet.EngineID, 0, len(report.GetSuspects()))
 	for _, suspect := range report.GetSuspects() {
 		suspects = append(suspects, fleet.EngineID(suspect))
@@ -260,7 +250,7 @@
 		}
 	}
 	g.workers.ObservePeer(now, fleet.NodeID(report.GetNode()), backends.PeerReport{
-		Loads: loads, Suspects: suspects, Orders: orders, Work: work,
+		Loads: decodeLoads(report.GetLoads()), Suspects: suspects, Orders: orders, Work: work,
 	})
 	g.learnNamed(report.GetNamed())
 	g.demand.peer(now, fleet.NodeID(report.GetNode()), decodeRate(report.GetRequestRate()))
