Count as read again only what somebody holds

Cause: the choice among engines took every shared part for one that could be taken over from somebody, and the prompt's home for one that held them all, also where nobody did.

Change: an engine can take over what an engine or the store is known to hold. What nobody holds is charged no price of recomputation beyond its time, but for a fifth elsewhere than at home, since another node may have it read there at the same time.

--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -74,7 +74,11 @@
 	// importSharing is the part of an engine's link that a move is predicted to
 	// get, storeSharing that of the store's, which all engines use.
 	importSharing = 0.5
-	storeSharing  = 0.2
+	storeSharing  = 0.4
+	// apartPart is the part of the price of reading a prefix again that is charged
+	// for reading one that nobody holds elsewhere than at its home: another node
+	// may have it read there at the same time.
+	apartPart = 0.2
 	bitsPerByte   = 8
 	megabit       = 1e6
 )
@@ -203,6 +207,18 @@
 	return most
 }
 
+// heldBeside returns the most leading parts that another engine, or the store, is
+// believed to hold.
+func (s *scoped) heldBeside(engine fleet.EngineID) int {
+	most := s.stored
+	for id, held := range s.held {
+		if id != engine {
+			most = max(most, held)
+		}
+	}
+	return most
+}
+
 // anyHolds tells whether an engine is believed to hold so many leading parts.
 // Where none is, all nodes send to the prompt's home, which reads them once.
 func (s *scoped) anyHolds(parts int) bool { return s.most() >= parts }
@@ -251,9 +267,7 @@
 	load := r.total(now, known)
 	perToken := time.Duration(float64(r.options.PrefillPerToken) * max(known.slowness, 1))
 	held := parts.held[known.worker.ID]
-	if known.worker.ID == home && !parts.anyHolds(shared) {
-		held = shared
-	}
+	elsewhere := min(parts.heldBeside(known.worker.ID), shared)
 	endpoint := scheduling.Endpoint{
 		Run:             known.worker.Run(),
 		Address:         known.worker.Address,
@@ -277,11 +291,17 @@
 		endpoint.MemoryTokens = capacity
 		endpoint.MemoryUsed = load.MemoryTokens - known.memory.tokens() + known.memory.with(need)
 	}
-	if shared > held {
-		endpoint.ImportBlocks = shared
+	if elsewhere > held {
+		endpoint.ImportBlocks = elsewhere
 		endpoint.ImportSetup = importSetup
 		endpoint.ImportPerToken = importPerToken(engine, parts)
 	}
+	ends := cumulate(engine.Parts)
+	somewhere := sharedTokens(ends, max(held, elsewhere))
+	endpoint.UnreadTokens = max(engine.PromptTokens-somewhere, 0)
+	if known.worker.ID != home {
+		endpoint.ApartTokens = int(apartPart * float64(max(sharedTokens(ends, shared)-somewhere, 0)))
+	}
 	return endpoint
 }
 
--- a/internal/backends/peers_test.go
+++ b/internal/backends/peers_test.go
@@ -44,6 +44,7 @@
 	one.state.trust(time.Millisecond)
 	trusted, _ := registry.Choose(2*time.Millisecond, engineRequest("p"))
 	assert.Equal(t, home.Worker.ID, trusted.Worker.ID)
+	trusted.End(2*time.Millisecond, Cancelled)
 	late, _ := registry.Choose(peerLoadValid, engineRequest("p"))
 	assert.Equal(t, home.Worker.ID, late.Worker.ID, "old words don't count")
 }
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -79,6 +79,7 @@
 	cached := cachedTokens(request, endpoint)
 	imported, importing := importTime(request, endpoint, cached)
 	uncached := request.PromptTokens - cached - imported
+	unread := min(endpoint.UnreadTokens, uncached)
 	return Scores{
 		CachedTokens:   cached,
 		ImportedTokens: imported,
@@ -87,7 +88,7 @@
 		Prefill:        prefillTime(endpoint, uncached),
 		Interference:   interferenceTime(endpoint, uncached),
 		Zone:           s.zonePrice(request, endpoint),
-		Recompute:      charged.recompute(uncached),
+		Recompute:      charged.recompute(uncached - unread + endpoint.ApartTokens),
 		Move:           time.Duration(imported) * s.options.ImportWeight,
 		Risk:           endpoint.Risk,
 		Reserved:       endpoint.Reserved,
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -53,6 +53,12 @@
 	ImportBlocks   int
 	ImportPerToken time.Duration
 	ImportSetup    time.Duration
+	// UnreadTokens is the end of the prompt that nobody holds: computing it is no
+	// recomputation.
+	UnreadTokens int
+	// ApartTokens are charged like recomputed ones, since another request may have
+	// the unread prefix computed elsewhere at the same time.
+	ApartTokens int
 	// Risk is the time that failures of this engine are expected to cost.
 	Risk time.Duration
 	// Reserved is the price of taking an engine that is kept for requests of
