--- a/internal/backends/backends_test.go
+++ b/internal/backends/backends_test.go
@@ -274,6 +274,24 @@
 	assert.EqualValues(t, 2, registry.workers["e3"].worker.Versions[testModel], "a row that lags doesn't take a version back")
 }
 
+// TestReplacedWeightsAreLeftWhereThatCostsLittle has one engine of six with the
+// newest weights, idle first and then with a long queue.
+func TestReplacedWeightsAreLeftWhereThatCostsLittle(t *testing.T) {
+	registry := withEngines()
+	registry.NoteVersion("e3", testModel, 2)
+	registry.Prefer(testModel, 2)
+	for number := range 10 {
+		placement, _ := registry.Choose(0, engineRequest(fmt.Sprint("p", number)))
+		assert.Equal(t, fleet.EngineID("e3"), placement.Worker.ID)
+		placement.End(0, Cancelled)
+	}
+	registry.ObservePeer(0, "peer", PeerReport{Loads: []Load{{Engine: "e3", PrefillTokens: 30000}}})
+	placement, _ := registry.Choose(0, engineRequest("p"))
+	assert.NotEqual(t, fleet.EngineID("e3"), placement.Worker.ID)
+	registry.Prefer(testModel, 1)
+	assert.EqualValues(t, 2, registry.preferred[testModel], "it doesn't go back")
+}
+
 func TestEngineUnderOrderIsLeftOut(t *testing.T) {
 	registry := withEngines()
 	home, _ := registry.Choose(0, engineRequest("p"))
--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -68,6 +68,9 @@
 	store  fleet.EngineRun
 }
 
+// outdatedPrice is the price of an engine whose weights have been replaced.
+const outdatedPrice = 250 * time.Millisecond
+
 // Predictions of moves of KV cache.
 const (
 	importSetup = 5 * time.Millisecond
@@ -78,9 +81,9 @@
 	// apartPart is the part of the price of reading a prefix again that is charged
 	// for reading one that nobody holds elsewhere than at its home: another node
 	// may have it read there at the same time.
-	apartPart = 0.2
-	bitsPerByte   = 8
-	megabit       = 1e6
+	apartPart   = 0.2
+	bitsPerByte = 8
+	megabit     = 1e6
 )
 
 // chooseEngine lets the scheduler choose; the mutex is held.
@@ -108,6 +111,9 @@
 		if kept(known) {
 			endpoint.Reserved = reservedPrice
 		}
+		if version < r.preferred[engine.Model] {
+			endpoint.Outdated = outdatedPrice
+		}
 		r.endpoints = append(r.endpoints, endpoint)
 	}
 	ends := cumulate(engine.Parts)
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -50,6 +50,7 @@
 	tombstones map[fleet.EngineID]fleet.Revision
 	peers      *peerReports
 	required   map[fleet.ModelName]WeightsVersion
+	preferred  map[fleet.ModelName]WeightsVersion
 	// capacities holds, by service, the memory of an engine in tokens.
 	capacities map[fleet.PoolName]int
 	parts      *partIndex
@@ -81,6 +82,7 @@
 		tombstones: make(map[fleet.EngineID]fleet.Revision),
 		peers:      newPeerReports(),
 		required:   make(map[fleet.ModelName]WeightsVersion),
+		preferred:  make(map[fleet.ModelName]WeightsVersion),
 		capacities: make(map[fleet.PoolName]int),
 		parts:      newPartIndex(options.MaxParts),
 		partitions: make(map[fleet.PoolName]*partition),
@@ -211,6 +213,14 @@
 	r.required[model] = max(r.required[model], version)
 }
 
+// Prefer says that requests of a model should begin on no older version where that
+// costs little.
+func (r *Registry) Prefer(model fleet.ModelName, version WeightsVersion) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.preferred[model] = max(r.preferred[model], version)
+}
+
 // NoteVersion takes in a version that the worker, or whoever ordered it, was
 // heard to have. It never goes down, since rows lag behind.
 func (r *Registry) NoteVersion(id fleet.EngineID, model fleet.ModelName, version WeightsVersion) {
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -26,6 +26,9 @@
 		for model, version := range g.weights.due(now, requireReserve) {
 			g.workers.Require(model, version)
 		}
+		for model, version := range g.weights.replaced(now) {
+			g.workers.Prefer(model, version)
+		}
 		g.pending.expire(g.weights.due(now, beginReserve))
 		g.keeper.SetEligible(g.rolloutCandidate())
 		token, holds := g.keeper.Fence()
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -20,6 +20,9 @@
 	// requireReserve is how much before the bound no request goes to an engine
 	// with an older version any more.
 	requireReserve = 1200 * time.Millisecond
+	// preferAfter is the time from the naming of a version from which requests go to
+	// engines that have it where that costs little.
+	preferAfter = 1400 * time.Millisecond
 	// changeDelayPart is the time from a naming until engines take the version, as a
 	// part of the time within which they must: others that are named meanwhile are
 	// taken with it.
@@ -181,6 +184,18 @@
 	return due
 }
 
+// replaced returns the newest versions that were named preferAfter ago.
+func (w *weights) replaced(now time.Duration) map[fleet.ModelName]backends.WeightsVersion {
+	return w.due(now, w.bound()-preferAfter)
+}
+
+// bound returns the time after which no request may begin on an older version.
+func (w *weights) bound() time.Duration {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.within
+}
+
 // change is one engine that is to take a version.
 type change struct {
 	worker  backends.Worker
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -92,6 +92,7 @@
 		Move:           time.Duration(imported) * s.options.ImportWeight,
 		Risk:           endpoint.Risk,
 		Reserved:       endpoint.Reserved,
+		Outdated:       endpoint.Outdated,
 		Disturbance:    s.disturbance(endpoint, uncached),
 		Memory:         s.memoryPrice(endpoint),
 	}
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -64,6 +64,8 @@
 	// Reserved is the price of taking an engine that is kept for requests of
 	// another size.
 	Reserved time.Duration
+	// Outdated is the price of weights that have been replaced.
+	Outdated time.Duration
 	// MemoryTokens is the endpoint's memory for KV cache; 0 if it doesn't matter.
 	// MemoryUsed is what its requests would hold there with this one.
 	MemoryTokens int
@@ -155,6 +157,8 @@
 	Risk time.Duration
 	// Reserved is the price of an engine that is kept for others.
 	Reserved time.Duration
+	// Outdated is the price of weights that have been replaced.
+	Outdated time.Duration
 	// Disturbance is the price of the pauses that the prompt makes in the streams
 	// of others.
 	Disturbance time.Duration
@@ -169,6 +173,6 @@
 
 // Cost is what the picker minimises.
 func (s Scores) Cost() time.Duration {
-	prices := s.Recompute + s.Move + s.Risk + s.Reserved + s.Disturbance + s.Memory
+	prices := s.Recompute + s.Move + s.Risk + s.Reserved + s.Outdated + s.Disturbance + s.Memory
 	return s.FirstToken() + prices
 }
