Change weights from the naming on, with shorter waits, and tell of orders at once

Cause: a version's pass began 1.3 s after its naming; each engine then waited 0.3 s for the word to reach all nodes and up to 1.2 s for its runs, of which mostly one was left, loaded for 0.76 s and was asked after 0.65 s and each 0.15 s. Other nodes heard with the next exchange that an engine was under order or had changed.

Change: no delay; 0.1 s for the word, up to 0.6 s for runs (0.4 s where memory is full), the first question after 0.6 s, then each 80 ms. An engine's order and its end are told at once to the nodes that share loads.

--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -22,10 +22,12 @@
 )
 
 // announcer tells the nodes that share loads at once where this node has just
-// placed much prompt work.
+// placed much prompt work, and which engines it orders or has changed.
 type announcer struct {
 	mutex   sync.Mutex
 	engines map[fleet.EngineID]bool
+	// all is set if everything is to be told.
+	all bool
 	// noted has one element while there is something to tell.
 	noted chan struct{}
 }
@@ -39,19 +41,31 @@
 	a.mutex.Lock()
 	a.engines[engine] = true
 	a.mutex.Unlock()
+	a.wake()
+}
+
+// noteAll has everything told.
+func (a *announcer) noteAll() {
+	a.mutex.Lock()
+	a.all = true
+	a.mutex.Unlock()
+	a.wake()
+}
+
+func (a *announcer) wake() {
 	select {
 	case a.noted <- struct{}{}:
 	default:
 	}
 }
 
-// take returns the engines whose load is to be told.
-func (a *announcer) take() map[fleet.EngineID]bool {
+// take returns the engines whose load is to be told, and whether everything is.
+func (a *announcer) take() (engines map[fleet.EngineID]bool, all bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	taken := a.engines
-	a.engines = make(map[fleet.EngineID]bool)
-	return taken
+	engines, all = a.engines, a.all
+	a.engines, a.all = make(map[fleet.EngineID]bool), false
+	return engines, all
 }
 
 // announcePlacement has a placement of much prompt work told to other nodes.
@@ -73,8 +87,13 @@
 		if !g.pause(announceGather) {
 			return nil
 		}
-		report := g.partialReport(g.announcer.take())
+		engines, all := g.announcer.take()
+		report := g.partialReport(engines)
 		for _, member := range turn(g.loadPeers(), round, shareFanout) {
+			if all {
+				go g.exchange(member)
+				continue
+			}
 			go g.announce(member.Address, report)
 		}
 	}
--- a/internal/gateway/announce_test.go
+++ b/internal/gateway/announce_test.go
@@ -16,15 +16,22 @@
 	announcer.note("b")
 	announcer.note("a")
 	<-announcer.noted
-	assert.Equal(t, map[fleet.EngineID]bool{"a": true, "b": true}, announcer.take())
-	assert.Empty(t, announcer.take())
+	engines, all := announcer.take()
+	assert.Equal(t, map[fleet.EngineID]bool{"a": true, "b": true}, engines)
+	assert.False(t, all)
+	engines, _ = announcer.take()
+	assert.Empty(t, engines)
 	select {
 	case <-announcer.noted:
 		t.Fatal("all was told")
 	default:
 	}
-	announcer.note("c")
+	announcer.noteAll()
 	<-announcer.noted
+	_, all = announcer.take()
+	assert.True(t, all)
+	_, all = announcer.take()
+	assert.False(t, all)
 }
 
 func TestLoadsKeepTheirValuesOnTheWay(t *testing.T) {
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -142,12 +142,14 @@
 	return quiesceIdle - time.Duration(part*float64(quiesceIdle-quiesceFull))
 }
 
-// keepAway has this node and, by its next reports, all others send no requests
-// to an engine for a while.
+// keepAway has this node and all that share loads send no requests to an engine
+// for a while.
 func (g *Gateway) keepAway(id fleet.EngineID) {
 	until := g.now() + orderedFor
-	g.weights.announce(id, until)
 	g.workers.NoteOrder(id, until)
+	if g.weights.announce(id, until) {
+		g.announcer.noteAll()
+	}
 }
 
 // repeatAfter returns how long after an order without effect it is sent again. One
@@ -189,5 +191,7 @@
 func (g *Gateway) changed(done change, version backends.WeightsVersion, took time.Duration) {
 	g.workers.NoteVersion(done.worker.ID, done.model, version)
 	g.workers.NoteOrder(done.worker.ID, 0)
+	g.weights.retract(done.worker.ID)
+	g.announcer.noteAll()
 	g.logger.Info().Str("worker", string(done.worker.ID)).Uint64("version", uint64(version)).Dur("took", took).Msg("weights_changed")
 }
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -23,10 +23,6 @@
 	// preferAfter is the time from the naming of a version from which requests go to
 	// engines that have it where that costs little.
 	preferAfter = 1400 * time.Millisecond
-	// changeDelayPart is the time from a naming until engines take the version, as a
-	// part of the time within which they must: others that are named meanwhile are
-	// taken with it.
-	changeDelayPart = 0.15
 	// startUnknown is the time after this process's start at which a version that
 	// was named before it counts as due, unless a peer knows better.
 	startUnknown = 2800 * time.Millisecond
@@ -35,10 +31,10 @@
 	// its runs, which new weights would halt for a while, are let end for at most
 	// quiesceIdle while the engines are far from full, and quiesceFull at the other
 	// end, since the engine does nothing else meanwhile.
-	quiesceLeast = 300 * time.Millisecond
-	quiesceIdle  = 1200 * time.Millisecond
-	quiesceFull  = 600 * time.Millisecond
-	quiescePoll  = 100 * time.Millisecond
+	quiesceLeast = 100 * time.Millisecond
+	quiesceIdle  = 600 * time.Millisecond
+	quiesceFull  = 400 * time.Millisecond
+	quiescePoll  = 40 * time.Millisecond
 	// idleBelow and fullAbove are the parts of the engines' memory in use at which
 	// they count as idle and full.
 	idleBelow = 0.15
@@ -48,8 +44,8 @@
 	orderedFor = 2 * time.Second
 	// loadAtLeast is the time from an order until an engine is asked for the first
 	// time, reportInterval the time between two questions after that.
-	loadAtLeast    = 650 * time.Millisecond
-	reportInterval = 150 * time.Millisecond
+	loadAtLeast    = 600 * time.Millisecond
+	reportInterval = 80 * time.Millisecond
 	// maxFailedReports bounds the questions without an answer, after which the
 	// engine is left alone for changeBackoff.
 	maxFailedReports = 2
@@ -131,7 +127,7 @@
 	pacer := w.pacers[model]
 	if pacer == nil {
 		within := w.within - requireReserve
-		pacer = rollout.NewPacer(rollout.PacerOptions{Within: within, Delay: time.Duration(float64(within) * changeDelayPart)})
+		pacer = rollout.NewPacer(rollout.PacerOptions{Within: within})
 		w.pacers[model] = pacer
 	}
 	return pacer
@@ -231,11 +227,21 @@
 	return changes
 }
 
-// announce says until when an engine counts as under order.
-func (w *weights) announce(id fleet.EngineID, until time.Duration) {
+// announce says until when an engine counts as under order, and tells whether that
+// is news.
+func (w *weights) announce(id fleet.EngineID, until time.Duration) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	_, known := w.orders[id]
 	w.orders[id] = until
+	return !known
+}
+
+// retract says that an engine is no longer under order.
+func (w *weights) retract(id fleet.EngineID) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	delete(w.orders, id)
 }
 
 // finish notes that a change has ended. took is 0 if it failed.
