Change a fifth of the engines at once, and measure how fast engines read

Cause: the pacer spread changes evenly until they were due, two at a time at the least.

Change: a fifth of the engines changes at once; fewer if loads take 1.7 times as long as the shortest seen, as many again when they don't.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -239,6 +239,7 @@
 	p.state.trust(now)
 	if p.Engine != nil {
 		p.state.measure(now-p.begun, p.Engine.Predicted)
+		r.noteSpeed(p, now-p.begun)
 		r.noteHeld(now, p)
 	}
 }
--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -271,7 +271,7 @@
 // endpoint describes an engine to the scheduler.
 func (r *Registry) endpoint(now time.Duration, engine *EngineRequest, known *state, parts *scoped, shared int, home fleet.EngineID) scheduling.Endpoint {
 	load := r.total(now, known)
-	perToken := time.Duration(float64(r.options.PrefillPerToken) * max(known.slowness, 1))
+	perToken := time.Duration(float64(r.perToken(known.worker.Service)) * max(known.slowness, 1))
 	held := parts.held[known.worker.ID]
 	elsewhere := min(parts.heldBeside(known.worker.ID), shared)
 	endpoint := scheduling.Endpoint{
--- a/internal/backends/partition.go
+++ b/internal/backends/partition.go
@@ -132,6 +132,6 @@
 		current = &partition{at: now}
 		r.partitions[service] = current
 	}
-	work := time.Duration(uncached)*r.options.PrefillPerToken + time.Duration(engine.OutputTokens)*outputTokenWork
+	work := time.Duration(uncached)*r.perToken(service) + time.Duration(engine.OutputTokens)*outputTokenWork
 	current.note(now, r.isLong(engine), work)
 }
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -53,6 +53,8 @@
 	preferred  map[fleet.ModelName]WeightsVersion
 	// capacities holds, by service, the memory of an engine in tokens.
 	capacities map[fleet.PoolName]int
+	// speeds holds, by service, how fast its engines are.
+	speeds     map[fleet.PoolName]*speed
 	parts      *partIndex
 	partitions map[fleet.PoolName]*partition
 	// endpoints and states are buffers of a choice.
@@ -84,6 +86,7 @@
 		required:   make(map[fleet.ModelName]WeightsVersion),
 		preferred:  make(map[fleet.ModelName]WeightsVersion),
 		capacities: make(map[fleet.PoolName]int),
+		speeds:     make(map[fleet.PoolName]*speed),
 		parts:      newPartIndex(options.MaxParts),
 		partitions: make(map[fleet.PoolName]*partition),
 	}
--- /dev/null
+++ b/internal/backends/speed_test.go
@@ -0,0 +1,59 @@
+package backends
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestSpeedIsFoundThoughMostSamplesAreSlow has two of three requests wait for what
+// isn't known, or read more than is believed.
+func TestSpeedIsFoundThoughMostSamplesAreSlow(t *testing.T) {
+	const first, perToken = 16 * time.Millisecond, 18 * time.Microsecond
+	random := rand.New(rand.NewPCG(1, 2))
+	measured := &speed{perToken: DefaultPrefillPerToken}
+	for number := range 300 {
+		uncached := random.IntN(6000)
+		if number%2 == 0 {
+			uncached = random.IntN(shortUncached)
+		}
+		took := first + time.Duration(uncached)*perToken
+		if random.IntN(3) > 0 {
+			took += time.Duration(random.IntN(200)) * time.Millisecond
+		}
+		measured.note(uncached, took)
+	}
+	assert.InDelta(t, float64(first), float64(measured.first), 0.5*float64(first))
+	assert.InDelta(t, float64(perToken), float64(measured.perToken), 0.15*float64(perToken))
+}
+
+// TestSpeedOfAServiceIsMeasuredWhereNothingElseIsRead compares predictions before
+// and after some requests at a quicker engine than assumed.
+func TestSpeedOfAServiceIsMeasuredWhereNothingElseIsRead(t *testing.T) {
+	registry := withEngines()
+	ask := func(number int, took time.Duration) *Placement {
+		request := engineRequest("p")
+		request.Engine.Store = ""
+		request.Engine.Parts[2].ID = fmt.Sprint("own", number)
+		if number%2 == 0 {
+			request.Engine.PromptTokens, request.Engine.Parts = 200, []Part{{"only", 200}}
+		}
+		placement, _ := registry.Choose(0, request)
+		require.NotNil(t, placement)
+		placement.FirstByte(took)
+		placement.End(took, Succeeded)
+		return placement
+	}
+	for number := range 40 {
+		ask(number, 10*time.Millisecond+time.Duration((number%2)*30)*time.Millisecond)
+	}
+	assert.InDelta(t, float64(10*time.Microsecond), float64(registry.perToken("engines")), float64(2*time.Microsecond))
+	busy, _ := registry.Choose(0, engineRequest("q"))
+	busy.PrefillTokens = 5000
+	busy.FirstByte(time.Microsecond)
+	assert.Greater(t, registry.perToken("engines"), 8*time.Microsecond, "its time tells nothing")
+}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -78,8 +78,8 @@
 // the order, and asks until the engine has the version.
 func (g *Gateway) carryChange(next change) {
 	begun := g.now()
-	took := time.Duration(0)
-	defer func() { g.weights.finish(g.now(), next, took) }()
+	took, ordered := time.Duration(0), begun
+	defer func() { g.weights.finish(g.now(), next, took, begun+took-ordered) }()
 	if !g.quiesce(begun, next.worker.ID) {
 		return
 	}
@@ -106,7 +106,8 @@
 			if !sent {
 				return
 			}
-			repeatAt, orders, wait = g.now()+repeatAfter(result), report.Orders, loadAtLeast
+			ordered = g.now()
+			repeatAt, orders, wait = ordered+repeatAfter(result), report.Orders, loadAtLeast
 			if result == rollout.OrderUncertain {
 				wait = reportInterval
 			}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -244,14 +244,15 @@
 	delete(w.orders, id)
 }
 
-// finish notes that a change has ended. took is 0 if it failed.
-func (w *weights) finish(now time.Duration, done change, took time.Duration) {
+// finish notes that a change has ended. took is 0 if it failed, load the part of it
+// since the order.
+func (w *weights) finish(now time.Duration, done change, took, load time.Duration) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	delete(w.changing, done.worker.ID)
 	delete(w.orders, done.worker.ID)
 	if took > 0 {
-		w.pacers[done.model].Measured(took)
+		w.pacers[done.model].Measured(took, load)
 		delete(w.leftAlone, done.worker.ID)
 		delete(w.failures, done.worker.ID)
 		return
--- a/internal/rollout/versions.go
+++ b/internal/rollout/versions.go
@@ -55,6 +55,7 @@
 // Defaults of PacerOptions.
 const (
 	DefaultMinParallel = 2
+	DefaultUsualPart   = 0.2
 	DefaultMaxPart     = 0.5
 	DefaultChangeTime  = 2000 * time.Millisecond
 	DefaultReservePart = 0.1
@@ -66,13 +67,11 @@
 	// Within is the time from the naming of a version after which engines that
 	// don't have it or a newer one get no more requests.
 	Within time.Duration
-	// Delay is the time from the naming of a version until the first engines take
-	// it: versions that are named meanwhile are skipped.
-	Delay time.Duration
-	// MinParallel is the number of engines that may always change at once, and
-	// MaxPart the greatest part of the engines that changes at once before they are
-	// due.
+	// MinParallel is the number of engines that may always change at once, UsualPart
+	// the part of the engines that does while loads don't slow each other down, and
+	// MaxPart the greatest part that changes at once before the engines are due.
 	MinParallel int
+	UsualPart   float64
 	MaxPart     float64
 	// ChangeTime is how long one engine takes before any was measured.
 	ChangeTime time.Duration
@@ -105,13 +104,20 @@
 }
 
 // Pacer decides when which engines take a newly named version of one model's
-// weights. A change empties an engine's cache and keeps requests away from it, so
-// the changes are spread evenly over the time until they are due: as few engines
-// as possible change at once. The pacer has no I/O and no clock.
+// weights. A change empties an engine's cache and keeps requests away from it, and
+// what begins on replaced weights is worth less: so a usual part of the engines
+// changes at once, fewer if loads at once slow each other down, more if they are
+// due. The pacer has no I/O and no clock.
 type Pacer struct {
 	options    PacerOptions
 	namings    []naming
 	changeTime time.Duration
+	// usual is the part of the engines that changes at once, shortestLoad the
+	// shortest load of weights so far.
+	usual        float64
+	shortestLoad time.Duration
+	// full is set while about the usual part changes.
+	full bool
 	// credit is the part of a change that may begin, by the time since creditAt.
 	credit   float64
 	creditAt time.Duration
@@ -122,6 +128,9 @@
 	if options.MinParallel <= 0 {
 		options.MinParallel = DefaultMinParallel
 	}
+	if options.UsualPart <= 0 {
+		options.UsualPart = DefaultUsualPart
+	}
 	if options.MaxPart <= 0 {
 		options.MaxPart = DefaultMaxPart
 	}
@@ -134,7 +143,7 @@
 	if options.Doubtful <= 0 {
 		options.Doubtful = DefaultDoubtful
 	}
-	return &Pacer{options: options, changeTime: options.ChangeTime}
+	return &Pacer{options: options, changeTime: options.ChangeTime, usual: options.UsualPart}
 }
 
 // Name takes in that a version was named at a time, at the latest. It returns
@@ -220,10 +229,37 @@
 	return due
 }
 
-// Measured takes in how long a change of one engine took.
-func (p *Pacer) Measured(took time.Duration) {
+// Loads that take so many times as long as the shortest one have slowed each other
+// down, or have not.
+const (
+	slowLoad  = 1.7
+	quickLoad = 1.3
+)
+
+// Factors by which the usual part changes after a load, and its least value.
+const (
+	fewerAtOnce = 0.93
+	moreAtOnce  = 1.03
+	leastUsual  = 0.02
+	// fullPart is the part of the usual number from which on loads show whether more
+	// could be at once.
+	fullPart = 0.8
+)
+
+// Measured takes in how long a change of one engine took, and the load of weights
+// in it.
+func (p *Pacer) Measured(took, load time.Duration) {
 	const weight = 4
 	p.changeTime += (took - p.changeTime) / weight
+	if p.shortestLoad == 0 || load < p.shortestLoad {
+		p.shortestLoad = load
+	}
+	switch ratio := float64(load) / float64(max(p.shortestLoad, 1)); {
+	case ratio > slowLoad:
+		p.usual = max(p.usual*fewerAtOnce, leastUsual)
+	case ratio < quickLoad && p.full:
+		p.usual = min(p.usual*moreAtOnce, p.options.UsualPart)
+	}
 }
 
 // Next returns the engines to change to the newest version now, those that are
@@ -237,7 +273,7 @@
 			trying++
 		case engine.Changing:
 			changing++
-		case engine.Version >= p.Newest() || now < p.beginAt(engine.Version):
+		case engine.Version >= p.Newest() || now < p.firstAfter(engine.Version):
 		case engine.Doubtful:
 			doubtful = append(doubtful, engine)
 		default:
@@ -246,6 +282,7 @@
 	}
 	sortByDue(waiting)
 	sortByDue(doubtful)
+	p.full = float64(changing) >= fullPart*p.usual*float64(len(engines))
 	parallel, urgent := p.parallel(now, waiting, changing, len(engines))
 	room := min(parallel-changing, p.spread(now, parallel))
 	chosen := first(waiting, max(room, min(urgent, parallel-changing)))
@@ -285,7 +322,7 @@
 // that wait, in order of when they are due, has changed in time, and how many of
 // them must begin now for that.
 func (p *Pacer) parallel(now time.Duration, waiting []VersionedEngine, changing, count int) (needed, urgent int) {
-	needed = p.options.MinParallel
+	needed = max(p.options.MinParallel, int(p.usual*float64(count)))
 	overdue := 0
 	for position, engine := range waiting {
 		left := p.dueAt(engine.Version) - p.options.Reserve - now
@@ -305,11 +342,6 @@
 	return max(min(needed, most), changing+overdue), urgent
 }
 
-// beginAt returns when an engine with a version may first take a newer one.
-func (p *Pacer) beginAt(version uint64) time.Duration {
-	return p.firstAfter(version) + p.options.Delay
-}
-
 // dueAt returns when an engine with a version gets no more requests.
 func (p *Pacer) dueAt(version uint64) time.Duration {
 	return p.firstAfter(version) + p.options.Within
