Derive the roles only when members or demand change, and let idle nodes rest

Cause: each node derived who serves, who reads the store and who may hold the lease anew each 200 ms, and asked for the candidates again with each look at the roll-out (100 ms) and each round of loads. Comparisons of a sort hashed two names each. With 195 members that was most of an idle node's processor time. The lease's keeper was woken ten times a second without a change.

Change: membership.Roles is worked out once a view and demand and only looked up after; ranking hashes each name once. The gateway keeps what follows from it for itself (nodeRoles). A node that neither serves nor may hold the lease, nor has a request in flight, looks at the roll-out and the caches each 500 ms, and gathers news of the store for 400 ms; a request that comes meanwhile takes the due versions along (TestRequestAtRestIsPlacedByTheVersionsThatAreDue).

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -18,8 +18,10 @@
 	eventsPause = 250 * time.Millisecond
 	// eventsRetry is the pause after a call that failed.
 	eventsRetry = time.Second
-	// cacheCheck is the time between two looks at which caches there are.
+	// cacheCheck is the time between two looks at which caches there are, cacheRest
+	// the same at a node that follows none.
 	cacheCheck = 100 * time.Millisecond
+	cacheRest  = 500 * time.Millisecond
 )
 
 // cacheRun is one cache that is followed.
@@ -32,8 +34,12 @@
 // cache, each by a goroutine of its own.
 func (g *Gateway) followCaches() error {
 	following := make(map[cacheRun]context.CancelFunc)
-	for g.pause(cacheCheck) {
+	for pause := cacheCheck; g.pause(pause); {
 		present := g.caches()
+		pause = cacheRest
+		if g.serves() {
+			pause = cacheCheck
+		}
 		for cache := range present {
 			if following[cache] != nil {
 				continue
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -77,6 +77,7 @@
 	if current.tenant != nil && !g.mayServeKeyed() {
 		return current.machine.NoWorker("configuration too old")
 	}
+	g.requireDueSoon(now)
 	placement, reason := g.workers.Choose(now, g.choice(current))
 	if placement == nil {
 		return current.machine.NoWorker(reason)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,7 +60,7 @@
 	demand    *demand
 	readiness *readiness
 	announcer *announcer
-	roles     atomic.Pointer[membership.Roles]
+	roles     atomic.Pointer[nodeRoles]
 	// joined is used by assign alone.
 	joined joinedMembers
 
@@ -73,7 +73,9 @@
 	// clock; 0 before.
 	stoppingSince atomic.Int64
 	inFlight      atomic.Int64
-	lastRequest   atomic.Int64
+	// requiredAt is when requireDue was last called, in nanoseconds of the steady clock.
+	requiredAt  atomic.Int64
+	lastRequest atomic.Int64
 
 	servers   []*http.Server
 	front     *http.Server
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
 )
 
@@ -41,7 +42,48 @@
 	done    bool
 }
 
-// driveRoles derives this node's part from the membership and the demand.
+// nodeRoles are the roles of all members, and what follows from them for this
+// node. It is derived when the members or the planned demand change, and immutable.
+type nodeRoles struct {
+	*membership.Roles
+	// view and demand, in requests a second, are what it was derived from.
+	view   *membership.View
+	demand float64
+	// reader is set if it is this node's role to read the store, candidate if it
+	// takes the lease of the weights, and sharesLoads if it is among those that tell
+	// each other what they send: those that serve, and the candidates.
+	reader      bool
+	candidate   bool
+	sharesLoads bool
+	// readerOrder are the nodes that this one asks for the store's rows.
+	readerOrder []fleet.NodeID
+	// loadPeers are the other nodes that share loads; empty if this one doesn't.
+	loadPeers []membership.Member
+}
+
+// deriveRoles returns the roles of a view's members at a demand in requests a second.
+func deriveRoles(self fleet.NodeID, zone fleet.ZoneName, view *membership.View, demand float64) *nodeRoles {
+	all := membership.Assign(view, demand, membership.RoleOptions{})
+	candidates := all.Candidates(rolloutLease)
+	roles := &nodeRoles{
+		Roles: all, view: view, demand: demand,
+		reader:      all.Reads(self),
+		candidate:   slices.Contains(candidates, self),
+		readerOrder: all.ReaderOrder(zone),
+	}
+	roles.sharesLoads = roles.candidate || all.Serves(self)
+	if !roles.sharesLoads {
+		return roles
+	}
+	for _, member := range view.Routable() {
+		if member.Node != self && (all.Serves(member.Node) || slices.Contains(candidates, member.Node)) {
+			roles.loadPeers = append(roles.loadPeers, member)
+		}
+	}
+	return roles
+}
+
+// driveRoles keeps this node's part up to date with the membership and the demand.
 func (g *Gateway) driveRoles() error {
 	for {
 		now := g.now()
@@ -56,40 +98,24 @@
 // assign puts the roles of the present members in force.
 func (g *Gateway) assign(now time.Duration) {
 	before := g.roles.Load()
-	roles := membership.Assign(g.peers.View(), g.demand.planned(now), membership.RoleOptions{})
-	g.roles.Store(roles)
-	g.demand.setSharing(g.sharesLoads(roles))
-	reader := roles.Reads(g.node)
-	if g.joining(now) {
-		reader = false
+	roles := before
+	view, demand := g.peers.View(), g.demand.planned(now)
+	if before == nil || before.view != view || before.demand != demand {
+		roles = deriveRoles(g.node, g.settings().Zone, view, demand)
+		g.roles.Store(roles)
+		g.demand.setSharing(roles.sharesLoads)
 	}
-	g.sources.setRole(now, reader, roles.ReaderOrder(g.settings().Zone))
+	reader := roles.reader && !g.joining(now)
+	g.sources.setRole(now, reader, roles.readerOrder)
 	if serves := roles.Serves(g.node); before == nil || before.Serves(g.node) != serves || len(before.Serving) != len(roles.Serving) {
 		g.logger.Info().Bool("serves", serves).Int("serving", len(roles.Serving)).Bool("reads", reader).
-			Int("members", len(g.peers.View().Routable())).Float64("request_rate", g.demand.total(now)).Msg("roles_changed")
+			Int("members", len(view.Routable())).Float64("request_rate", g.demand.total(now)).Msg("roles_changed")
 	}
 }
 
-// sharesLoads tells whether this node is among those that tell each other what
-// they send: those that serve, and those that may hold the lease of the weights.
-func (g *Gateway) sharesLoads(roles *membership.Roles) bool {
-	return roles.Serves(g.node) || slices.Contains(roles.Candidates(rolloutLease), g.node)
-}
-
-// loadPeers returns the other nodes that share loads, if this one does.
-func (g *Gateway) loadPeers() []membership.Member {
-	roles := g.roles.Load()
-	if !g.sharesLoads(roles) {
-		return nil
-	}
-	nodes := roles.Candidates(rolloutLease)
-	for _, member := range roles.Serving {
-		nodes = append(nodes, member.Node)
-	}
-	return slices.DeleteFunc(slices.Clone(g.peers.View().Routable()), func(member membership.Member) bool {
-		return member.Node == g.node || !slices.Contains(nodes, member.Node)
-	})
-}
+// loadPeers returns the other nodes that share loads, if this one does. Callers
+// must not write to the slice.
+func (g *Gateway) loadPeers() []membership.Member { return g.roles.Load().loadPeers }
 
 // serves tells whether callers are sent to this node.
 func (g *Gateway) serves() bool { return g.roles.Load().Serves(g.node) }
--- /dev/null
+++ b/internal/gateway/roles_test.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// idleGateway returns a gateway that isn't started and has nothing outside.
+func idleGateway(t *testing.T) *Gateway {
+	settings := Settings{
+		Node: "node-000", Zone: "z0", FrontAddress: "127.0.0.1:1", DirectoryAddress: "127.0.0.1:2",
+		ReadyAddress: "127.0.0.1:3", PeerAddress: "127.0.0.1:4", StoreAddress: "127.0.0.1:5",
+	}
+	settings.ApplyDefaults()
+	g, err := New(settings, Outside{}, zerolog.Nop(), prometheus.NewRegistry())
+	require.NoError(t, err)
+	return g
+}
+
+// largeFleet returns a view of a fleet in which small members are far from serving.
+func largeFleet(members int) *membership.View {
+	all := make([]membership.Member, members)
+	for number := range all {
+		all[number] = membership.Member{
+			Node: fleet.NodeID(fmt.Sprintf("node-%03d", number)), Zone: fleet.ZoneName(fmt.Sprint("z", number%5)),
+			State: membership.Alive, Capacity: 200,
+		}
+		if number >= members-membership.DefaultMinServing {
+			all[number].Capacity = 800
+		}
+	}
+	return membership.NewView(1, all[0], all)
+}
+
+func TestRolesAreDerivedOnlyWhenMembersOrDemandChange(t *testing.T) {
+	g := idleGateway(t)
+	derived := g.roles.Load()
+	require.NotNil(t, derived)
+	g.assign(time.Second)
+	assert.Same(t, derived, g.roles.Load(), "nothing has changed")
+	for range 1000 {
+		g.demand.note()
+	}
+	g.demand.measure(2 * time.Second)
+	g.demand.setSharing(true)
+	g.assign(2 * time.Second)
+	assert.NotSame(t, derived, g.roles.Load(), "the demand has changed")
+}
+
+func TestLoadsAreSharedAmongServingNodesAndCandidates(t *testing.T) {
+	view := largeFleet(195)
+	all := membership.Assign(view, 100, membership.RoleOptions{})
+	candidates := all.Candidates(rolloutLease)
+	sharing := 0
+	for _, member := range view.Members() {
+		roles := deriveRoles(member.Node, member.Zone, view, 100)
+		if !roles.sharesLoads {
+			assert.Empty(t, roles.loadPeers)
+			continue
+		}
+		sharing++
+		assert.Len(t, roles.loadPeers, membership.DefaultMinServing+len(candidates)-1)
+		for _, peer := range roles.loadPeers {
+			assert.NotEqual(t, member.Node, peer.Node)
+		}
+	}
+	assert.Equal(t, membership.DefaultMinServing+len(candidates), sharing)
+}
+
+func TestNodeAtRestLooksSeldomAtTheRollout(t *testing.T) {
+	g := idleGateway(t)
+	assert.Equal(t, rolloutInterval, g.rolloutPause(), "alone it serves")
+	g.roles.Store(deriveRoles("node-000", "z0", largeFleet(195), 0))
+	require.False(t, g.roles.Load().sharesLoads)
+	assert.Equal(t, rolloutRest, g.rolloutPause())
+	g.inFlight.Store(1)
+	assert.Equal(t, rolloutInterval, g.rolloutPause())
+	assert.Less(t, rolloutRest+beginReserve, requireReserve)
+}
+
+// TestRequestAtRestIsPlacedByTheVersionsThatAreDue places a request between two
+// looks at the roll-out.
+func TestRequestAtRestIsPlacedByTheVersionsThatAreDue(t *testing.T) {
+	g := idleGateway(t)
+	g.workers.Observe(1, backends.Worker{
+		ID: "engine", Service: "pool", Address: "127.0.0.1:9", Slots: 1,
+		Versions: map[fleet.ModelName]backends.WeightsVersion{"model": 1},
+	})
+	require.True(t, g.weights.name(0, true, NamedWeights{Model: "model", Version: 2}))
+	request := &backends.Request{Service: "pool", Engine: &backends.EngineRequest{Model: "model", PromptTokens: 10}}
+	g.requireDueSoon(rolloutInterval)
+	placement, reason := g.workers.Choose(rolloutInterval, request)
+	require.NotNil(t, placement, reason)
+	placement.End(rolloutInterval, backends.Cancelled)
+	due := g.settings().WeightsWithin
+	g.requireDueSoon(due)
+	_, reason = g.workers.Choose(due, request)
+	assert.Equal(t, backends.ReasonVersion, reason)
+}
+
+func TestOnlyChangedRowsAreNews(t *testing.T) {
+	assert.False(t, news(&rpc.WatchResponse{Updates: []*rpc.TableUpdate{{Table: "workers"}, {Table: "operator"}}}))
+	assert.True(t, news(&rpc.WatchResponse{Updates: []*rpc.TableUpdate{{Rows: []*rpc.TableRow{{Key: "a"}}}}}))
+	assert.True(t, news(&rpc.WatchResponse{Updates: []*rpc.TableUpdate{{CompressedRows: []byte{1}}}}))
+}
+
+// BenchmarkDeriveRoles measures deriving the roles anew, by the number of members.
+func BenchmarkDeriveRoles(b *testing.B) {
+	for _, members := range []int{8, 79, 195, 680} {
+		b.Run(fmt.Sprint(members), func(b *testing.B) {
+			view := largeFleet(members)
+			for b.Loop() {
+				deriveRoles("node-000", "z0", view, 100)
+			}
+		})
+	}
+}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -18,17 +17,12 @@
 func (g *Gateway) driveRollout() error {
 	var orderFrom time.Duration
 	held := false
-	for g.pause(rolloutInterval) {
+	for g.pause(g.rolloutPause()) {
 		now := g.now()
 		if age, proven := g.fresh.Age(now); proven && age > storeLostAfter {
 			g.weights.hold(now)
 		}
-		for model, version := range g.weights.due(now, requireReserve) {
-			g.workers.Require(model, version)
-		}
-		for model, version := range g.weights.replaced(now) {
-			g.workers.Prefer(model, version)
-		}
+		g.requireDue(now)
 		g.pending.expire(g.weights.due(now, beginReserve))
 		g.keeper.SetEligible(g.rolloutCandidate())
 		token, holds := g.keeper.Fence()
@@ -50,6 +44,36 @@
 	return nil
 }
 
+// rolloutPause returns the time until the next look: short while this node carries
+// requests or may hold the lease, since in a large fleet most nodes do neither.
+func (g *Gateway) rolloutPause() time.Duration {
+	roles := g.roles.Load()
+	_, holds := g.keeper.Fence()
+	if roles.sharesLoads || holds || g.inFlight.Load() > 0 {
+		return rolloutInterval
+	}
+	return rolloutRest
+}
+
+// requireDue has requests go to engines with the versions that are due at now.
+func (g *Gateway) requireDue(now time.Duration) {
+	g.requiredAt.Store(int64(now))
+	for model, version := range g.weights.due(now, requireReserve) {
+		g.workers.Require(model, version)
+	}
+	for model, version := range g.weights.replaced(now) {
+		g.workers.Prefer(model, version)
+	}
+}
+
+// requireDueSoon is requireDue for a request that is placed at now, unless that was
+// done a moment ago.
+func (g *Gateway) requireDueSoon(now time.Duration) {
+	if now-time.Duration(g.requiredAt.Load()) >= rolloutInterval {
+		g.requireDue(now)
+	}
+}
+
 // orderDelay returns the time until a new holder may order, so that its orders
 // don't come within the least gap behind those of the holder before.
 func (g *Gateway) orderDelay(token fleet.FencingToken) time.Duration {
@@ -68,10 +92,7 @@
 
 // rolloutCandidate tells whether this node is among those that take the lease.
 func (g *Gateway) rolloutCandidate() bool {
-	if g.stopping() {
-		return false
-	}
-	return slices.Contains(g.roles.Load().Candidates(rolloutLease), g.node)
+	return !g.stopping() && g.roles.Load().candidate
 }
 
 // carryChange brings one engine to a version: it keeps requests away, sends
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"context"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -21,6 +22,10 @@
 	// take until the peer counts as silent.
 	watchWait  = 600 * time.Millisecond
 	watchSlack = 350 * time.Millisecond
+	// watchGather is the pause after news at a node that callers aren't sent to: one
+	// roll-out changes a row of each engine, and each change would have every node ask
+	// again. It adds to the time until a change is in force there.
+	watchGather = 400 * time.Millisecond
 	// watchIdle is the pause while nobody is asked, watchRetry that after a failure.
 	watchIdle  = 200 * time.Millisecond
 	watchRetry = 100 * time.Millisecond
@@ -117,9 +122,19 @@
 		g.noteSource(source, moved, "proof too old, or first source again")
 		return watchRetry
 	}
+	if !g.serves() && news(response) {
+		return watchGather
+	}
 	return 0
 }
 
+// news tells whether an answer brings changed rows.
+func news(response *rpc.WatchResponse) bool {
+	return slices.ContainsFunc(response.GetUpdates(), func(update *rpc.TableUpdate) bool {
+		return len(update.GetRows()) > 0 || len(update.GetCompressedRows()) > 0
+	})
+}
+
 // noteSource logs that another node is asked from now on.
 func (g *Gateway) noteSource(source fleet.NodeID, moved bool, reason string) {
 	if !moved {
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -15,8 +15,12 @@
 	// rolloutLease is the lease of the one node that sends orders, and the task's
 	// name by which the candidates for it are chosen.
 	rolloutLease = "rollout"
-	// rolloutInterval is the time between two looks at the engines.
+	// rolloutInterval is the time between two looks at the engines, rolloutRest the
+	// same at a node without requests that can't hold the lease: together with
+	// beginReserve it must stay below requireReserve, so that a request that comes
+	// meanwhile is still taken away from old weights in time.
 	rolloutInterval = 100 * time.Millisecond
+	rolloutRest     = 500 * time.Millisecond
 	// requireReserve is how much before the bound no request goes to an engine
 	// with an older version any more.
 	requireReserve = 1200 * time.Millisecond
--- a/internal/lease/election.go
+++ b/internal/lease/election.go
@@ -125,6 +125,9 @@
 // large fleet only a few processes need to poll. A holder stays one.
 func (e *Election) SetEligible(eligible bool) { e.ineligible = !eligible }
 
+// Eligible tells what SetEligible was last told; true before.
+func (e *Election) Eligible() bool { return !e.ineligible }
+
 // Resign ends the process's part: it stops believing at once, and Next asks for
 // the lease's release if it is held for certain. Else the lease runs out.
 func (e *Election) Resign() { e.resigning = true }
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -96,11 +96,16 @@
 	k.election.NoteUse(k.clock.Now())
 }
 
-// SetEligible tells whether this process takes the lease when it is free.
+// SetEligible tells whether this process takes the lease when it is free. Only a
+// change wakes the loop.
 func (k *Keeper) SetEligible(eligible bool) {
 	k.mutex.Lock()
+	changed := k.election.Eligible() != eligible
 	k.election.SetEligible(eligible)
 	k.mutex.Unlock()
+	if !changed {
+		return
+	}
 	select {
 	case k.changed <- struct{}{}:
 	default:
--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
@@ -51,7 +54,9 @@
 }
 
 // Roles says which members do what. All nodes with the same members and demand
-// agree; while they differ, each can still do everything.
+// agree; while they differ, each can still do everything. Roles is immutable and
+// safe for concurrent use: everything is worked out when the members or the demand
+// change, and only looked up in between.
 type Roles struct {
 	// Serving are the members that callers are sent to, sorted by node.
 	Serving []Member
@@ -61,6 +66,14 @@
 	options  RoleOptions
 	routable []Member
 	serving  map[fleet.NodeID]bool
+	// readers holds, by zone, the first ReaderDepth readers, best first; zones are
+	// its keys in order.
+	readers map[fleet.ZoneName][]fleet.NodeID
+	zones   []fleet.ZoneName
+
+	// candidates keeps what Candidates has worked out, by duty.
+	candidatesMutex sync.Mutex
+	candidates      map[string][]fleet.NodeID
 }
 
 // Assign divides the roles among the members of a view. demand is the requests
@@ -68,35 +81,59 @@
 func Assign(view *View, demand float64, options RoleOptions) *Roles {
 	options.setDefaults()
 	roles := &Roles{
-		options:  options,
-		routable: view.Routable(),
-		Small:    len(view.Routable()) <= options.SmallFleet,
-		serving:  make(map[fleet.NodeID]bool),
+		options:    options,
+		routable:   view.Routable(),
+		Small:      len(view.Routable()) <= options.SmallFleet,
+		serving:    make(map[fleet.NodeID]bool),
+		candidates: make(map[string][]fleet.NodeID),
 	}
 	roles.Serving = servingSet(view.Routable(), demand, options)
 	for _, member := range roles.Serving {
 		roles.serving[member.Node] = true
 	}
+	roles.rankReaders()
 	return roles
 }
 
+// weighted is a member with its rendezvous weight for a role, so that ranking
+// hashes each name once instead of twice a comparison.
+type weighted struct {
+	*Member
+	weight uint64
+}
+
+// weigh returns the members with their weights for a role.
+func weigh(role string, members []Member) []weighted {
+	key := xxhash.Sum64String(role)
+	all := make([]weighted, len(members))
+	for index := range members {
+		member := &members[index]
+		all[index] = weighted{Member: member, weight: mix(key ^ xxhash.Sum64String(string(member.Node)))}
+	}
+	return all
+}
+
 // servingSet returns the fewest members, the largest first, of which each can
 // carry an equal share of the demand. Where no number is enough, all serve.
 func servingSet(members []Member, demand float64, options RoleOptions) []Member {
-	ranked := slices.Clone(members)
-	if len(members) > options.SmallFleet {
-		slices.SortFunc(ranked, func(a, b Member) int {
-			return cmp.Or(cmp.Compare(b.Capacity, a.Capacity),
-				cmp.Compare(RendezvousWeight(servingKey, string(b.Node)), RendezvousWeight(servingKey, string(a.Node))))
-		})
-		ranked = ranked[:servingCount(ranked, demand, options)]
+	if len(members) <= options.SmallFleet {
+		return members
+	}
+	ranked := weigh(servingKey, members)
+	slices.SortFunc(ranked, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(b.weight, a.weight))
+	})
+	ranked = ranked[:servingCount(ranked, demand, options)]
+	serving := make([]Member, len(ranked))
+	for index, entry := range ranked {
+		serving[index] = *entry.Member
 	}
-	slices.SortFunc(ranked, compareNodes)
-	return ranked
+	slices.SortFunc(serving, compareNodes)
+	return serving
 }
 
 // servingCount returns how many of the members, the largest first, are enough.
-func servingCount(ranked []Member, demand float64, options RoleOptions) int {
+func servingCount(ranked []weighted, demand float64, options RoleOptions) int {
 	for count := options.MinServing; count < len(ranked); count++ {
 		share := demand / float64(count) * options.RequestCost
 		if share <= options.Utilization*float64(ranked[count-1].Capacity) {
@@ -111,8 +148,16 @@
 
 // Candidates returns the nodes that take the lease of a duty: nodes outside of
 // the serving set if there are enough, so that their loss cuts no request.
+// Callers must not write to the slice.
 func (r *Roles) Candidates(duty string) []fleet.NodeID {
-	return firstOwners(rankEngine(fleet.EngineID(duty), r.preferIdle(r.options.Candidates), nil), r.options.Candidates)
+	r.candidatesMutex.Lock()
+	defer r.candidatesMutex.Unlock()
+	candidates, known := r.candidates[duty]
+	if !known {
+		candidates = Owners(duty, r.preferIdle(r.options.Candidates), r.options.Candidates)
+		r.candidates[duty] = candidates
+	}
+	return candidates
 }
 
 // preferIdle returns the members outside of the serving set if there are least
@@ -136,8 +181,8 @@
 	if r.Small {
 		return true
 	}
-	for _, ranked := range r.readersByZone() {
-		if ranked[0].Node == node {
+	for _, ranked := range r.readers {
+		if ranked[0] == node {
 			return true
 		}
 	}
@@ -147,50 +192,44 @@
 // ReaderOrder returns the nodes that a node of a zone asks for the store's rows,
 // best first: by rank within each zone, and of each rank the own zone first.
 func (r *Roles) ReaderOrder(zone fleet.ZoneName) []fleet.NodeID {
-	byZone := r.readersByZone()
-	zones := make([]fleet.ZoneName, 0, len(byZone))
-	for name := range byZone {
-		zones = append(zones, name)
-	}
-	slices.SortFunc(zones, func(a, b fleet.ZoneName) int {
-		if (a == zone) != (b == zone) {
-			if a == zone {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(a, b)
-	})
 	var order []fleet.NodeID
 	for rank := range r.options.ReaderDepth {
-		for _, name := range zones {
-			if ranked := byZone[name]; rank < len(ranked) {
-				order = append(order, ranked[rank].Node)
+		if own := r.readers[zone]; rank < len(own) {
+			order = append(order, own[rank])
+		}
+		for _, name := range r.zones {
+			if ranked := r.readers[name]; name != zone && rank < len(ranked) {
+				order = append(order, ranked[rank])
 			}
 		}
 	}
 	return order
 }
 
-// readersByZone ranks the members of each zone as readers, those outside of the
+// rankReaders ranks the members of each zone as readers, those outside of the
 // serving set first.
-func (r *Roles) readersByZone() map[fleet.ZoneName][]Member {
-	byZone := make(map[fleet.ZoneName][]Member)
-	for _, member := range r.routable {
-		byZone[member.Zone] = append(byZone[member.Zone], member)
+func (r *Roles) rankReaders() {
+	byZone := make(map[fleet.ZoneName][]weighted)
+	for _, entry := range weigh(readerKey, r.routable) {
+		byZone[entry.Zone] = append(byZone[entry.Zone], entry)
 	}
-	for _, members := range byZone {
-		slices.SortFunc(members, func(a, b Member) int {
+	r.readers = make(map[fleet.ZoneName][]fleet.NodeID, len(byZone))
+	for zone, members := range byZone {
+		slices.SortFunc(members, func(a, b weighted) int {
 			if r.serving[a.Node] != r.serving[b.Node] {
 				if r.serving[b.Node] {
 					return -1
 				}
 				return 1
 			}
-			return cmp.Compare(RendezvousWeight(readerKey, string(b.Node)), RendezvousWeight(readerKey, string(a.Node)))
+			return cmp.Compare(b.weight, a.weight)
 		})
+		for _, entry := range members[:min(len(members), r.options.ReaderDepth)] {
+			r.readers[zone] = append(r.readers[zone], entry.Node)
+		}
+		r.zones = append(r.zones, zone)
 	}
-	return byZone
+	slices.Sort(r.zones)
 }
 
 // Demand follows a rate so that the roles change seldom: up at once, down only
