Have joining nodes exchange members until nothing is new, and read the store by role

Change: a node that has joined exchanges the whole membership each 0.4 s with a random member, every second time of its own zone, until two exchanges have brought nothing. A node reads the store by its role once that is settled, not until it knows a configuration; at the first start of the fleet, which the settings tell, it waits for its role (2 s) before it reads or joins the election. A node that has restarted still reads at once, so that it serves at once. It asks peers when its role is settled, or when the store doesn't answer. Tries of the store by nodes to which no callers are sent are 200 ms apart in the mean for all of them together. A node that doesn't know its role follows no caches and tells callers no addresses. Only readers register.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -65,13 +65,13 @@
 // don't all know the same members while some come or go.
 const spareFollowers = 3
 
-// caches returns the caches that this node follows: none unless it serves, and
-// where more nodes serve than may follow one, those that own it by rendezvous
+// caches returns the caches that this node follows: none unless it knows that it
+// serves, and where more nodes serve than may follow one, those that own it by rendezvous
 // hashing.
 func (g *Gateway) caches() map[cacheRun]bool {
 	present := make(map[cacheRun]bool)
 	held := g.holder.Current()
-	if held == nil || !g.serves() {
+	if held == nil || !g.settled.Load() || !g.serves() {
 		return present
 	}
 	for _, worker := range g.workers.Workers() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/tillerfall/tillerfall/internal/lease"
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/peer"
+	"github.com/tillerfall/tillerfall/internal/relay"
 	"github.com/tillerfall/tillerfall/internal/routes"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
 	"github.com/tillerfall/tillerfall/internal/upstream"
@@ -61,8 +62,9 @@
 	readiness *readiness
 	announcer *announcer
 	roles     atomic.Pointer[nodeRoles]
-	// joined is used by assign alone.
-	joined joinedMembers
+	// joined is used by assign alone; settled is set once this node knows its role.
+	joined  joinedMembers
+	settled atomic.Bool
 
 	splitMutex sync.Mutex
 	splitter   *routes.Splitter
@@ -109,7 +111,7 @@
 		announcer: newAnnouncer(),
 	}
 	g.inForce.Store(&settings)
-	g.sources = newSources(g.clock.Now(), g.node, random())
+	g.sources = newSources(g.clock.Now(), relay.Options{Self: g.node, Random: random(), AwaitRole: settings.FirstStart})
 	g.tables = g.newTables()
 	g.workers = backends.New(backends.Options{
 		Zone:       settings.Zone,
@@ -130,6 +132,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "lease")
 	}
+	election.SetEligible(false)
 	g.keeper = lease.NewKeeper(election, outside.Leases, g.clock, logger)
 	return g, nil
 }
@@ -226,7 +229,7 @@
 	g.life.Go(g.driveRollout)
 	g.life.Go(g.followCaches)
 	g.life.Go(g.housekeep)
-	g.keeper.Start()
+	g.life.Go(g.keepLease)
 	return nil
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -45,18 +45,18 @@
 }
 
 // register writes this node's row, so that others find it, and reads those of
-// others. In a larger fleet only nodes that read the store anyway do so, and
+// others. In a larger fleet only nodes whose role is to read the store do so, and
 // nodes that find nobody else.
 func (g *Gateway) register() error {
 	registered := false
 	for {
-		reading, _ := g.sources.reads()
+		reading := g.settled.Load() && g.roles.Load().reader
 		alone := g.memberCount() == 1
 		if reading || (alone && g.now() >= joinGrace) {
 			registered = g.meet(registered)
 		}
 		interval := seedIntervalKnown
-		if alone || (reading && !registered) {
+		if alone || !g.settled.Load() || (reading && !registered) {
 			interval = seedInterval
 		}
 		if !g.pause(interval) {
@@ -275,9 +275,13 @@
 // maxListed bounds the addresses of one answer of the directory.
 const maxListed = 64
 
-// frontAddresses returns where callers find the gateways that serve. All
-// gateways serve on the same ports.
+// frontAddresses returns where callers find the gateways that serve; none while
+// this node has just started and may know itself alone, since callers then keep the
+// addresses that they have. All gateways serve on the same ports.
 func (g *Gateway) frontAddresses() []fleet.Address {
+	if !g.settled.Load() {
+		return nil
+	}
 	_, port, err := net.SplitHostPort(g.settings().FrontAddress)
 	if err != nil {
 		return nil
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -14,6 +14,8 @@
 // readiness tells when this node knows all that it needs to serve.
 type readiness struct {
 	once sync.Once
+	// informed is done when it knows what the store holds.
+	informed sync.Once
 	// known is closed when it does for the first time.
 	known chan struct{}
 }
@@ -27,14 +29,18 @@
 func (g *Gateway) ready() bool { return !g.stopping() && g.knowsTables() }
 
 // noteKnown is called after each step towards knowing all: both tables, and a
-// proof of how new they are.
+// proof of how new they are. A node that knows both tables needs no more of the store,
+// even if no configuration is there yet; it is ready when there is.
 func (g *Gateway) noteKnown() {
-	if _, proven := g.fresh.Age(g.now()); !proven || !g.knowsTables() {
+	if _, proven := g.fresh.Age(g.now()); !proven || !g.workersKnown.Load() {
+		return
+	}
+	g.readiness.informed.Do(func() { g.sources.inform(g.now()) })
+	if !g.knowsTables() {
 		return
 	}
 	g.readiness.once.Do(func() {
 		close(g.readiness.known)
-		g.sources.inform(g.now())
 		g.logger.Info().Dur("took", g.now()).Msg("ready")
 	})
 }
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -13,11 +13,13 @@
 	// rolesInterval is the time between two looks at who does what.
 	rolesInterval = 200 * time.Millisecond
 	// joinSettled is how long a node that has just started must have seen no new
-	// member before it reads the store by its role, and joinGrace after how long it
-	// does in any case, if it was told where to find others: until then it asks
-	// them.
-	joinSettled = 250 * time.Millisecond
+	// member before it takes its role, and joinGrace after how long it does in any
+	// case, if it was told where to find others. At the first start of the whole fleet
+	// it takes its role after firstGrace: machines start within some 0.3 s, programs need
+	// as long to start on a slow machine, and nobody calls yet.
+	joinSettled = 400 * time.Millisecond
 	joinGrace   = time.Second
+	firstGrace  = 2 * time.Second
 )
 
 // joining tells whether this node has just started and may not know its role yet.
@@ -25,12 +27,17 @@
 	if members := g.memberCount(); members != g.joined.members {
 		g.joined = joinedMembers{members: members, at: now}
 	}
+	grace := joinGrace
+	if g.settings().FirstStart {
+		grace = firstGrace
+	}
 	switch {
-	case len(g.settings().Seeds) == 0 || g.joined.done || now >= joinGrace:
+	case len(g.settings().Seeds) == 0 || g.joined.done || now >= grace:
 		g.joined.done = true
-	case g.joined.members > 1 && now >= g.joined.at+joinSettled:
+	case !g.settings().FirstStart && g.joined.members > 1 && now >= g.joined.at+joinSettled:
 		g.joined.done = true
 	}
+	g.settled.Store(g.joined.done)
 	return !g.joined.done
 }
 
@@ -55,6 +62,9 @@
 	reader      bool
 	candidate   bool
 	sharesLoads bool
+	// others is the number of nodes that callers aren't sent to, if this is one of
+	// them.
+	others int
 	// readerOrder are the nodes that this one asks for the store's rows.
 	readerOrder []fleet.NodeID
 	// loadPeers are the other nodes that share loads; empty if this one doesn't.
@@ -71,6 +81,9 @@
 		candidate:   slices.Contains(candidates, self),
 		readerOrder: all.ReaderOrder(zone),
 	}
+	if !all.Serves(self) {
+		roles.others = len(view.Routable()) - len(all.Serving)
+	}
 	roles.sharesLoads = roles.candidate || all.Serves(self)
 	if !roles.sharesLoads {
 		return roles
@@ -105,8 +118,9 @@
 		g.roles.Store(roles)
 		g.demand.setSharing(roles.sharesLoads)
 	}
-	reader := roles.reader && !g.joining(now)
-	g.sources.setRole(now, reader, roles.readerOrder)
+	settled := !g.joining(now)
+	reader := roles.reader && settled
+	g.sources.setRole(now, sourceRole{settled: settled, reader: reader, order: roles.readerOrder, others: roles.others})
 	if serves := roles.Serves(g.node); before == nil || before.Serves(g.node) != serves || len(before.Serving) != len(roles.Serving) {
 		g.logger.Info().Bool("serves", serves).Int("serving", len(roles.Serving)).Bool("reads", reader).
 			Int("members", len(view.Routable())).Float64("request_rate", g.demand.total(now)).Msg("roles_changed")
--- a/internal/gateway/roles_test.go
+++ b/internal/gateway/roles_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -13,6 +14,8 @@
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/relay"
+	"github.com/tillerfall/tillerfall/internal/routes"
 	"github.com/tillerfall/tillerfall/internal/rpc"
 )
 
@@ -115,6 +118,58 @@
 	assert.True(t, news(&rpc.WatchResponse{Updates: []*rpc.TableUpdate{{CompressedRows: []byte{1}}}}))
 }
 
+// TestNodeAsksSeldomerWhileNobodyKnowsMore bounds what a large fleet asks its readers
+// while the store is out of everybody's reach.
+func TestNodeAsksSeldomerWhileNobodyKnowsMore(t *testing.T) {
+	g := idleGateway(t)
+	useless := 0
+	for range 20 {
+		useless = watchUseless.countUseless(useless)
+	}
+	assert.Equal(t, watchRetry, g.watchPause(watchUseless, 1))
+	assert.Equal(t, watchRetryMax, g.watchPause(watchUseless, useless))
+	assert.Zero(t, watchQuiet.countUseless(useless))
+	assert.Zero(t, g.watchPause(watchNews, 0), "callers are sent here")
+	g.roles.Store(deriveRoles("node-000", "z0", largeFleet(195), 0))
+	assert.Equal(t, watchGather, g.watchPause(watchNews, 0))
+	assert.Zero(t, g.watchPause(watchQuiet, 0))
+}
+
+// TestNodeThatDoesNotKnowItsRoleClaimsNone has a node that has just started, and knows
+// itself alone, neither follow caches nor name itself to callers.
+func TestNodeThatDoesNotKnowItsRoleClaimsNone(t *testing.T) {
+	g := idleGateway(t)
+	compiled, err := routes.Compile(routes.Document{Version: 1, Services: []routes.Service{{Name: "pool"}}})
+	require.NoError(t, err)
+	require.True(t, g.holder.Offer(0, 1, compiled))
+	g.workers.Observe(1, backends.Worker{
+		ID: "engine", Service: "pool", Address: "127.0.0.1:9", Versions: map[fleet.ModelName]backends.WeightsVersion{"model": 1},
+	})
+	g.workersKnown.Store(true)
+	g.settled.Store(false)
+	assert.Empty(t, g.caches())
+	assert.Empty(t, g.frontAddresses())
+	g.settled.Store(true)
+	assert.Len(t, g.caches(), 1)
+	assert.Len(t, g.frontAddresses(), 1)
+}
+
+// TestNodeThatKnowsTheTablesAsksNoMoreOfTheStore has a fleet start before its operator
+// has written a configuration.
+func TestNodeThatKnowsTheTablesAsksNoMoreOfTheStore(t *testing.T) {
+	g := idleGateway(t)
+	g.sources = newSources(0, relay.Options{Self: g.node, Random: rand.New(rand.NewPCG(1, 1))})
+	g.sources.setRole(0, sourceRole{order: []fleet.NodeID{"other"}})
+	reading, _ := g.sources.reads()
+	require.True(t, reading)
+	g.workersKnown.Store(true)
+	g.fresh.Prove(0)
+	g.noteKnown()
+	reading, _ = g.sources.reads()
+	assert.False(t, reading)
+	assert.False(t, g.ready())
+}
+
 // BenchmarkDeriveRoles measures deriving the roles anew, by the number of members.
 func BenchmarkDeriveRoles(b *testing.B) {
 	for _, members := range []int{8, 79, 195, 680} {
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -90,9 +90,22 @@
 	return max(delay-g.keeper.IdleAtTakeover(), 0)
 }
 
+// keepLease runs the lease's keeper, which first reads the lease. At the first start of
+// the whole fleet nobody has held it, so that a node waits until it may take it; after a
+// restart the keeper looks at once whether the lease is still its machine's.
+func (g *Gateway) keepLease() error {
+	for g.settings().FirstStart && !g.rolloutCandidate() && !g.stopping() {
+		if !g.pause(rolloutRest) {
+			return nil
+		}
+	}
+	g.keeper.Start()
+	return nil
+}
+
 // rolloutCandidate tells whether this node is among those that take the lease.
 func (g *Gateway) rolloutCandidate() bool {
-	return !g.stopping() && g.roles.Load().candidate
+	return !g.stopping() && g.settled.Load() && g.roles.Load().candidate
 }
 
 // carryChange brings one engine to a version: it keeps requests away, sends
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -32,6 +32,9 @@
 	// Seeds are addresses at which other gateways may be found; they may be stale.
 	Seeds []fleet.Address
 
+	// FirstStart is set if all nodes start for the first time: no caller is there yet.
+	FirstStart bool
+
 	// ProcessorShare is the machine's processor for this process, in cores; 0 if
 	// unknown.
 	ProcessorShare float64
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,18 +17,33 @@
 	changed chan struct{}
 }
 
-func newSources(now time.Duration, self fleet.NodeID, random *rand.Rand) *sources {
+func newSources(now time.Duration, options relay.Options) *sources {
 	return &sources{
-		selector: relay.New(now, relay.Options{Self: self, Random: random}),
+		selector: relay.New(now, options),
 		changed:  make(chan struct{}),
 	}
 }
 
-// setRole says whether it is this node's role to read, and whom it asks.
-func (s *sources) setRole(now time.Duration, reader bool, order []fleet.NodeID) {
+// sourceRole is what a node's role says of its reading.
+type sourceRole struct {
+	// settled is set once the role is known, reader if it is to read.
+	settled bool
+	reader  bool
+	// order is whom it asks otherwise, best first.
+	order []fleet.NodeID
+	// others is the number of nodes that callers aren't sent to, if this is one.
+	others int
+}
+
+// setRole says what this node's role is.
+func (s *sources) setRole(now time.Duration, role sourceRole) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.selector.SetRole(now, reader, order)
+	if role.settled {
+		s.selector.Settle(now)
+	}
+	s.selector.SetOthers(role.others)
+	s.selector.SetRole(now, role.reader, role.order)
 	s.refresh(now)
 }
 
@@ -78,6 +92,13 @@
 	s.refresh(now)
 }
 
+// storeAnswered notes whether this node's last call to the store was answered.
+func (s *sources) storeAnswered(answered bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.selector.StoreAnswered(answered)
+}
+
 // proven notes this node's own proof by the store.
 func (s *sources) proven(now, at time.Duration) {
 	s.mutex.Lock()
--- a/internal/gateway/storefeed.go
+++ b/internal/gateway/storefeed.go
@@ -84,6 +84,7 @@
 	if ctx.Err() != nil {
 		return 0
 	}
+	g.sources.storeAnswered(err == nil)
 	if err != nil {
 		g.noteStore(string(f.table.name), err, f.failures)
 		f.since = gapAfter(err, f.failures, begun-f.answered)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -26,9 +26,12 @@
 	// roll-out changes a row of each engine, and each change would have every node ask
 	// again. It adds to the time until a change is in force there.
 	watchGather = 400 * time.Millisecond
-	// watchIdle is the pause while nobody is asked, watchRetry that after a failure.
-	watchIdle  = 200 * time.Millisecond
-	watchRetry = 100 * time.Millisecond
+	// watchIdle is the pause while nobody is asked, watchRetry that after an answer
+	// of no use, which grows to watchRetryMax after several in a row: while the store is
+	// out of everybody's reach a large fleet would ask its readers all the time.
+	watchIdle     = 200 * time.Millisecond
+	watchRetry    = 100 * time.Millisecond
+	watchRetryMax = 500 * time.Millisecond
 	// maxWatchWait bounds what a caller may ask for.
 	maxWatchWait = 2 * time.Second
 )
@@ -44,10 +47,13 @@
 // watchPeers learns from another node what changes in the store, while this
 // node is to ask one.
 func (g *Gateway) watchPeers() error {
+	useless := 0
 	for {
 		pause := watchIdle
 		if source, found := g.sources.asks(g.now()); found {
-			pause = g.watchOnce(source)
+			outcome := g.watchOnce(source)
+			useless = outcome.countUseless(useless)
+			pause = g.watchPause(outcome, useless)
 		}
 		if !g.pause(pause) {
 			return nil
@@ -55,12 +61,47 @@
 	}
 }
 
-// watchOnce asks one node and returns the pause until the next call.
-func (g *Gateway) watchOnce(source fleet.NodeID) time.Duration {
+// watchOutcome tells what a call that watches another node has brought.
+type watchOutcome int
+
+// Outcomes of watching.
+const (
+	// watchQuiet means that nothing has changed.
+	watchQuiet watchOutcome = iota
+	// watchNews means that rows have changed.
+	watchNews
+	// watchUseless means that another node is to be asked: this one gave no answer, or
+	// its proof is too old.
+	watchUseless
+)
+
+// countUseless returns the number of useless outcomes in a row, this one included.
+func (o watchOutcome) countUseless(before int) int {
+	if o == watchUseless {
+		return before + 1
+	}
+	return 0
+}
+
+// watchPause returns the pause until the next call. useless counts the outcomes
+// of no use in a row.
+func (g *Gateway) watchPause(outcome watchOutcome, useless int) time.Duration {
+	switch {
+	case outcome == watchUseless:
+		return min(time.Duration(useless)*watchRetry, watchRetryMax)
+	case outcome == watchNews && !g.serves():
+		return watchGather
+	default:
+		return 0
+	}
+}
+
+// watchOnce asks one node and takes its answer in.
+func (g *Gateway) watchOnce(source fleet.NodeID) watchOutcome {
 	member, found := g.peers.View().Find(source)
 	if !found {
 		g.noteSource(source, g.sources.failed(g.now(), source), "not a member")
-		return watchRetry
+		return watchUseless
 	}
 	request := &rpc.WatchRequest{
 		Node:        string(g.node),
@@ -84,11 +125,11 @@
 	begun := g.now()
 	response, err := g.peers.AskWatch(ctx, member.Address, request)
 	if g.context().Err() != nil {
-		return 0
+		return watchQuiet
 	}
 	if err != nil {
 		g.noteSource(source, g.sources.failed(g.now(), source), err.Error())
-		return watchRetry
+		return watchUseless
 	}
 	return g.takeWatch(source, begun, response)
 }
@@ -96,7 +137,7 @@
 // takeWatch takes a peer's answer in. A peer that proved at its answer what it
 // holds by a proof of an age proves the same here, as of the call's start less
 // that age.
-func (g *Gateway) takeWatch(source fleet.NodeID, begun time.Duration, response *rpc.WatchResponse) time.Duration {
+func (g *Gateway) takeWatch(source fleet.NodeID, begun time.Duration, response *rpc.WatchResponse) watchOutcome {
 	g.learnNamed(response.GetNamed())
 	for _, message := range response.GetUpdates() {
 		followed := g.table(Table(message.GetTable()))
@@ -106,7 +147,7 @@
 		update, err := decodeUpdate(message)
 		if err != nil {
 			g.noteSource(source, g.sources.failed(g.now(), source), err.Error())
-			return watchRetry
+			return watchUseless
 		}
 		followed.apply(update, gapUnreached)
 		followed.seen = update.Sequence
@@ -120,12 +161,12 @@
 	}
 	if moved := g.sources.answered(g.now(), source, age, proven); moved {
 		g.noteSource(source, moved, "proof too old, or first source again")
-		return watchRetry
+		return watchUseless
 	}
-	if !g.serves() && news(response) {
-		return watchGather
+	if news(response) {
+		return watchNews
 	}
-	return 0
+	return watchQuiet
 }
 
 // news tells whether an answer brings changed rows.
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -39,6 +39,12 @@
 	nextDead     time.Duration
 	nextSeed     time.Duration
 	nextExchange time.Duration
+	// rejoins counts the whole exchanges that a node which has just joined still makes
+	// soon, rejoinLive is the number of members at the last one that knew of more than
+	// the one before, and quietRejoins counts those since.
+	rejoins      int
+	rejoinLive   int
+	quietRejoins int
 }
 
 // New returns a core that knows itself alone.
@@ -90,6 +96,9 @@
 	if c.join.pending {
 		wake = min(wake, c.join.retryAt)
 	}
+	if c.rejoins > 0 {
+		wake = min(wake, c.nextExchange)
+	}
 	return wake
 }
 
@@ -98,6 +107,9 @@
 	c.absorbStall(now)
 	c.retryJoin(now)
 	c.advanceProbe(now)
+	if c.rejoins > 0 {
+		c.exchange(now)
+	}
 	if now >= c.nextProbe {
 		c.confirmSuspects(now)
 		c.dropRelays(now)
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -73,8 +73,15 @@
 	// contestedPerInterval bounds the extra probes of members that another
 	// node holds for dead, or alive, against this node's belief.
 	contestedPerInterval = 20
-	// rejoinDelay is the mean time from joining to the first whole exchange.
-	rejoinDelay = 5 * time.Second
+	// rejoinDelay is the mean time between the whole exchanges of a node that has just
+	// joined, until quietRejoins in a row have brought no new member, and at most
+	// maxRejoins of them: in a herd nobody knows all at first, and each exchange squares
+	// the part that is missing, while gossip alone takes half a minute for 195 members.
+	// settledDelay is the mean time to the exchange after these.
+	rejoinDelay  = 400 * time.Millisecond
+	quietRejoins = 2
+	maxRejoins   = 8
+	settledDelay = 5 * time.Second
 	// outreachMemory is how long the answer to a reconnecting probe is awaited.
 	outreachMemory = 5 * time.Second
 	// joinSeeds is how many seeds are asked at a time.
--- a/internal/membership/reconnect.go
+++ b/internal/membership/reconnect.go
@@ -181,18 +181,46 @@
 		return
 	}
 	c.postponeExchange(now)
-	for _, peer := range c.pick(1, func(*record) bool { return true }) {
+	near := c.planRejoin(now)
+	for _, peer := range c.pick(1, func(r *record) bool { return !near || r.Zone == c.self.Zone }) {
 		c.sendAll(now, Join, peer.Address, peer.Node)
 	}
 }
 
 // exchanged sets the next whole exchange after one was answered. A member that
-// has just joined repeats it soon: in a herd the first answer is incomplete.
+// has just joined repeats it soon.
 func (c *Core) exchanged(now time.Duration) {
-	c.postponeExchange(now)
 	if c.join.pending {
+		c.rejoins = maxRejoins
 		c.nextExchange = now + rejoinDelay/2 + c.spread(rejoinDelay)
 	}
+	if c.rejoins == 0 {
+		c.postponeExchange(now)
+	}
+}
+
+// planRejoin sets the exchange after the one that begins now, if this node has just
+// joined: soon again, until two in a row have found no new member, since in a herd
+// the first answers are incomplete. It tells whether the one that begins is to stay
+// within the zone, as every second one does: bytes between zones are dear.
+func (c *Core) planRejoin(now time.Duration) bool {
+	if c.rejoins == 0 {
+		return false
+	}
+	c.rejoins--
+	c.quietRejoins++
+	if c.liveTotal > c.rejoinLive {
+		c.rejoinLive, c.quietRejoins = c.liveTotal, 0
+	}
+	delay := rejoinDelay
+	if c.quietRejoins >= quietRejoins {
+		c.rejoins = 0
+	}
+	if c.rejoins == 0 {
+		delay = settledDelay
+	}
+	c.nextExchange = now + delay/2 + c.spread(delay)
+	return c.rejoins%2 == 1
 }
 
 func (c *Core) postponeExchange(now time.Duration) {
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -5,11 +5,15 @@
 // Invariants. A node that is to read by its role always reads, and asks peers
 // only while the store gives it no proof. A node that is
 // asked by others reads, so that a chain of nodes always ends at the store. A
-// node that has just started reads until it knows everything once, whoever told:
-// after a restart of all nodes the peers know no more than it does. A node
+// node that has restarted reads until it knows everything once, whoever told, or
+// until its role is settled: after a restart of all nodes the peers know no more than
+// it does. At the first start of the whole fleet there are no callers yet, so nodes
+// wait for their roles instead. Until then a node asks peers only if the store
+// doesn't answer it: while all nodes learn of each other they would ask many
+// different ones, which would all read. A node
 // that hears nothing from any peer reads. A node whose peers answer but have old
 // proofs moves on among the first MaxSources of them, and tries the store itself
-// now and then.
+// now and then: the more nodes there are, the less often each.
 package relay
 
 import (
@@ -36,9 +40,15 @@
 	// ReturnAfter is how long a node stays with a source that isn't its first.
 	ReturnAfter time.Duration
 	// TryInterval is the mean time between a node's own tries of the store while
-	// its peers answer with old proofs; TryFor is how long a try lasts.
+	// its peers answer with old proofs; TryFor is how long a try lasts. In a large
+	// fleet the interval of a node that callers aren't sent to grows, so that the
+	// tries of all such nodes together are TrySpacing apart in the mean.
 	TryInterval time.Duration
 	TryFor      time.Duration
+	TrySpacing  time.Duration
+	// AwaitRole has the node wait for its role before it reads, instead of reading
+	// at once.
+	AwaitRole bool
 	// MaxSources bounds the peers that are asked in turn.
 	MaxSources int
 }
@@ -51,6 +61,7 @@
 	DefaultReturnAfter = 4 * time.Second
 	DefaultTryInterval = 4 * time.Second
 	DefaultTryFor      = 400 * time.Millisecond
+	DefaultTrySpacing  = 200 * time.Millisecond
 	DefaultMaxSources  = 9
 )
 
@@ -72,8 +83,16 @@
 	answered   bool
 	fresh      bool
 	watched    bool
-	// informed is set once the node has known everything.
-	informed bool
+	// informed is set once the node has known everything, settled once it knows its
+	// role.
+	informed  bool
+	settled   bool
+	settledAt time.Duration
+	// storeFailed is set while the node's last call to the store has failed.
+	storeFailed bool
+	// others is the number of nodes that callers aren't sent to if this is one of
+	// them, else 0.
+	others int
 	// ownProvenAt is the time of the node's own newest proof.
 	ownProvenAt time.Duration
 	ownProven   bool
@@ -88,6 +107,7 @@
 		{&options.StaleAfter, DefaultStaleAfter}, {&options.SilentAfter, DefaultSilentAfter},
 		{&options.WatchedFor, DefaultWatchedFor}, {&options.ReturnAfter, DefaultReturnAfter},
 		{&options.TryInterval, DefaultTryInterval}, {&options.TryFor, DefaultTryFor},
+		{&options.TrySpacing, DefaultTrySpacing},
 	} {
 		if *bound.field <= 0 {
 			*bound.field = bound.fallback
@@ -118,6 +138,20 @@
 	}
 }
 
+// Settle says that the node knows its role: from now on SetRole's word counts.
+func (s *Selector) Settle(now time.Duration) {
+	if !s.settled {
+		s.settled, s.settledAt = true, now
+	}
+}
+
+// SetOthers says how many nodes callers aren't sent to, this one among them; 0 if
+// callers are sent to this one.
+func (s *Selector) SetOthers(count int) { s.others = count }
+
+// StoreAnswered takes in whether the node's last call to the store was answered.
+func (s *Selector) StoreAnswered(answered bool) { s.storeFailed = !answered }
+
 // Source returns the peer to ask now; false if there is none.
 func (s *Selector) Source() (fleet.NodeID, bool) {
 	if s.position >= len(s.sources) {
@@ -132,6 +166,9 @@
 	if _, found := s.Source(); !found {
 		return false
 	}
+	if !s.settled && !s.storeFailed {
+		return false
+	}
 	return !s.reader || !s.ownProven || now >= s.ownProvenAt+s.options.StaleAfter
 }
 
@@ -146,8 +183,12 @@
 // Reads tells whether the node is to read the store at now.
 func (s *Selector) Reads(now time.Duration) bool {
 	switch {
-	case s.reader, !s.informed:
+	case s.reader:
+		return true
+	case !s.informed && !s.options.AwaitRole && (!s.settled || !s.answered):
 		return true
+	case !s.settled:
+		return false
 	case s.watched && now < s.watchedAt+s.options.WatchedFor:
 		return true
 	case now >= s.lastAnswer()+s.options.SilentAfter:
@@ -165,7 +206,7 @@
 	if s.answered {
 		return s.answeredAt
 	}
-	return s.started
+	return max(s.started, s.settledAt)
 }
 
 func (s *Selector) lastFresh() time.Duration {
@@ -177,7 +218,7 @@
 
 // scheduleTry sets when the node next tries the store by itself.
 func (s *Selector) scheduleTry(now time.Duration) {
-	mean := int64(s.options.TryInterval)
+	mean := int64(max(s.options.TryInterval, time.Duration(s.others)*s.options.TrySpacing))
 	s.tryAt = now + time.Duration(mean/2+s.options.Random.Int64N(mean+1))
 }
 
