Let a lease run out by the store's clock, for whoever sees it late

Cause: a challenger waits for duration and margin (4.2 s) from when it first saw the lease's newest revision.

Change: a record tells the store's time at the most when it was written, from now_ms of the writer's last read, plus a tenth of the time since. A reader takes a record for run out when the store's clock says so, though it sees it for the first time. The commit still compares the row's revision. The property test has clocks 9% off and passes with 1,500 histories.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -65,13 +65,26 @@
 // don't all know the same members while some come or go.
 const spareFollowers = 3
 
-// caches returns the caches that this node follows: none unless it knows that it
-// serves, and where more nodes serve than may follow one, those that own it by rendezvous
-// hashing.
+// carryingAfter is the number of requests from which on a node that doesn't know its
+// role yet counts as serving: callers kept its address. Fewer come to every node.
+const carryingAfter = 5
+
+// followsCaches tells whether this node follows caches at all: while it doesn't know
+// its role it takes itself for one of few nodes, and in a large fleet all would follow
+// all caches.
+func (g *Gateway) followsCaches() bool {
+	if !g.settled.Load() && g.taken.Load() < carryingAfter {
+		return false
+	}
+	return g.serves()
+}
+
+// caches returns the caches that this node follows: where more nodes serve than may
+// follow one, those that it owns by rendezvous hashing.
 func (g *Gateway) caches() map[cacheRun]bool {
 	present := make(map[cacheRun]bool)
 	held := g.holder.Current()
-	if held == nil || !g.settled.Load() || !g.serves() {
+	if held == nil || !g.followsCaches() {
 		return present
 	}
 	for _, worker := range g.workers.Workers() {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -81,6 +81,7 @@
 // serveFront takes one request from a caller.
 func (g *Gateway) serveFront(writer http.ResponseWriter, request *http.Request) {
 	g.inFlight.Add(1)
+	g.taken.Add(1)
 	defer g.inFlight.Add(-1)
 	now := g.now()
 	g.lastRequest.Store(int64(now))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,8 @@
 	// clock; 0 before.
 	stoppingSince atomic.Int64
 	inFlight      atomic.Int64
+	// taken counts the requests since the start.
+	taken atomic.Int64
 	// requiredAt is when requireDue was last called, in nanoseconds of the steady clock.
 	requiredAt  atomic.Int64
 	lastRequest atomic.Int64
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -276,10 +276,10 @@
 const maxListed = 64
 
 // frontAddresses returns where callers find the gateways that serve; none while
-// this node has just started and may know itself alone, since callers then keep the
+// this node has just started and knows itself alone, since callers then keep the
 // addresses that they have. All gateways serve on the same ports.
 func (g *Gateway) frontAddresses() []fleet.Address {
-	if !g.settled.Load() {
+	if !g.settled.Load() && g.memberCount() == 1 {
 		return nil
 	}
 	_, port, err := net.SplitHostPort(g.settings().FrontAddress)
--- a/internal/lease/election.go
+++ b/internal/lease/election.go
@@ -74,6 +74,11 @@
 	idleAtTakeover time.Duration
 	usedAt         time.Duration
 
+	// readBegun is when the last read began, reference the last answer that told the
+	// store's time.
+	readBegun time.Duration
+	reference storeReference
+
 	nextAt        time.Duration
 	believedUntil time.Duration
 	ineligible    bool
@@ -144,7 +149,8 @@
 		e.nextAt = now + e.pollInterval()
 		return Action{Kind: ActionWait, Until: e.nextAt}
 	}
-	if e.mustRead || !e.mayWrite(now) {
+	if e.mustRead || !e.mayWrite(now) || e.referenceTooOld(now) {
+		e.readBegun = now
 		return Action{Kind: ActionRead}
 	}
 	return e.startCommit(now, e.claim())
@@ -169,7 +175,7 @@
 	if e.mine() || e.row.record.Holder == "" || e.earlierRun() {
 		return true
 	}
-	return now >= e.row.since+e.row.record.Duration()+e.settings.Margin
+	return now >= e.runsOutAt()
 }
 
 // earlierRun tells whether the row names an earlier run on this machine, which
@@ -190,6 +196,7 @@
 }
 
 func (e *Election) startCommit(now time.Duration, record Record) Action {
+	record.WrittenMillis = e.writtenMillis(now)
 	e.sent = &commit{record: record, compared: e.row.revision, start: now}
 	return Action{
 		Kind: ActionCommit,
--- a/internal/lease/election_test.go
+++ b/internal/lease/election_test.go
@@ -303,3 +303,72 @@
 	assert.Empty(t, b.Predecessor())
 	assert.InDelta(t, 2*time.Second, b.IdleAtTakeover(), float64(200*time.Millisecond))
 }
+
+// readAt reports a read of the row at now, which began as long ago as the read took.
+func (w *world) readAt(election *Election, storeTime time.Duration) {
+	row, err := w.model.Get(w.now, testSettings.Key)
+	row.StoreTime = storeTime
+	require.NoError(w.t, election.ReadDone(w.now, row, err))
+}
+
+// TestLeaseThatRanOutUnseenIsTakenAtOnce has a process look for the first time when the
+// holder, which renewed unseen, has been gone for longer than its lease.
+func TestLeaseThatRanOutUnseenIsTakenAtOnce(t *testing.T) {
+	const epoch = time.Hour
+	w := newWorld(t)
+	holder := newElection(t, "holder", 1)
+	require.Equal(t, ActionRead, holder.Next(w.now).Kind)
+	w.readAt(holder, epoch+w.now)
+	require.True(t, w.step(holder))
+	require.True(t, holder.Valid(w.now))
+
+	late := newElection(t, "late", 2)
+	runOut := testSettings.Duration + testSettings.Margin
+	w.now = runOut - time.Second
+	require.Equal(t, ActionRead, late.Next(w.now).Kind)
+	w.readAt(late, epoch+w.now)
+	assert.NotEqual(t, ActionCommit, late.Next(w.now).Kind, "it may still be believed in")
+	w.now = runOut + time.Millisecond
+	action := late.Next(w.now)
+	require.Equal(t, ActionCommit, action.Kind, "nothing more to wait for, though the row was first seen a second ago")
+	late.CommitDone(w.now, w.commit(action.Transaction))
+	assert.True(t, late.Valid(w.now))
+}
+
+// TestLeaseIsWaitedForWhereTheStoreTellsNoTime falls back to the time since the row
+// was first seen.
+func TestLeaseIsWaitedForWhereTheStoreTellsNoTime(t *testing.T) {
+	w := newWorld(t)
+	holder := newElection(t, "holder", 1)
+	for w.step(holder) {
+	}
+	w.now = time.Minute
+	late := newElection(t, "late", 2)
+	require.True(t, w.step(late))
+	assert.Equal(t, ActionWait, late.Next(w.now).Kind)
+}
+
+// TestHolderKnowsTheStoresTimeNearly has a holder read now and then, since its clock
+// may run at another speed than the store's.
+func TestHolderKnowsTheStoresTimeNearly(t *testing.T) {
+	const epoch = time.Hour
+	w := newWorld(t)
+	holder := newElection(t, "holder", 1)
+	reads := 0
+	for w.now < 10*testSettings.Duration {
+		switch action := holder.Next(w.now); action.Kind {
+		case ActionRead:
+			reads++
+			w.readAt(holder, epoch+w.now)
+		case ActionCommit:
+			holder.CommitDone(w.now, w.commit(action.Transaction))
+			record, _ := holder.Observed()
+			written := time.Duration(record.WrittenMillis) * time.Millisecond
+			assert.GreaterOrEqual(t, written, epoch+w.now)
+			assert.Less(t, written, epoch+w.now+testSettings.Duration/2)
+		default:
+			w.now = action.Until
+		}
+	}
+	assert.GreaterOrEqual(t, reads, 4)
+}
--- a/internal/lease/outcome.go
+++ b/internal/lease/outcome.go
@@ -12,6 +12,7 @@
 // It returns ErrMalformedRecord if the row can't be understood, which a person
 // must mend.
 func (e *Election) ReadDone(now time.Duration, row platform.Row, err error) error {
+	e.noteStoreTime(now, row.StoreTime)
 	if errors.Is(err, platform.ErrNotFound) {
 		e.observe(now, 0, Record{})
 		return nil
@@ -45,8 +46,7 @@
 		e.nextAt = now
 		return
 	}
-	runsOut := e.row.since + record.Duration() + e.settings.Margin
-	e.nextAt = max(now, min(now+e.pollInterval(), runsOut))
+	e.nextAt = max(now, min(now+e.pollInterval(), e.runsOutAt()))
 }
 
 // resolve settles the commit whose answer was lost, by the row that was read.
--- a/internal/lease/property_test.go
+++ b/internal/lease/property_test.go
@@ -14,6 +14,9 @@
 	"github.com/tillerfall/tillerfall/lab/standin/platformmodel"
 )
 
+// storeEpoch is the store's clock when a history begins.
+const storeEpoch = 3 * time.Hour
+
 // process is an election on its own clock, whose call travels with delays.
 type process struct {
 	election *Election
@@ -133,6 +136,7 @@
 	p.call = nil
 	if call.Kind == ActionRead {
 		row, err := h.model.Get(h.now, testSettings.Key)
+		row.StoreTime = storeEpoch + h.now
 		h.freezeSometimes(p)
 		require.NoError(h.t, p.election.ReadDone(p.clock(max(h.now, p.thawsAt)), row, err))
 		return
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -43,6 +43,9 @@
 	// IdleMillis is, in a released record, for how long at the release the holder
 	// had not used the lease, in milliseconds.
 	IdleMillis int64 `json:"idle_ms,omitempty"`
+	// WrittenMillis is the store's time at the most when the record was written, in
+	// milliseconds; 0 if the writer didn't know it.
+	WrittenMillis int64 `json:"written_ms,omitempty"`
 }
 
 // Duration returns the time that the holder counts on.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -34,6 +35,8 @@
 	Key      string `json:"key"`
 	Value    []byte `json:"value"`
 	Revision uint64 `json:"revision"`
+	// StoreTime is the service's steady clock at the answer; 0 if it doesn't tell.
+	StoreTime time.Duration `json:"-"`
 }
 
 // Compare demands a row's revision; 0 demands that the row doesn't exist.
