Follow few caches at once after a start, many with the callers

Cause: after a loss of power of a small fleet nodes followed no caches until their roles were settled (0.4 to 1 s); requests of these seconds read what engines held.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -65,18 +65,15 @@
 // don't all know the same members while some come or go.
 const spareFollowers = 3
 
-// carryingAfter is the number of requests from which on a node that doesn't know its
-// role yet counts as serving: callers kept its address. Fewer come to every node.
-const carryingAfter = 5
+// cachesByRequest is how many caches a node that doesn't know its role yet follows for
+// each request that it has taken, and before the first: it takes itself for one of few
+// nodes, and in a large fleet all would connect to all engines; a node to which
+// callers come needs to know the caches at once.
+const cachesByRequest = 16
 
-// followsCaches tells whether this node follows caches at all: while it doesn't know
-// its role it takes itself for one of few nodes, and in a large fleet all would follow
-// all caches.
-func (g *Gateway) followsCaches() bool {
-	if !g.settled.Load() && g.taken.Load() < carryingAfter {
-		return false
-	}
-	return g.serves()
+// mayFollow tells whether this node may follow that many caches.
+func (g *Gateway) mayFollow(caches int) bool {
+	return g.settled.Load() || int64(caches) <= cachesByRequest*(1+g.taken.Load())
 }
 
 // caches returns the caches that this node follows: where more nodes serve than may
@@ -84,7 +81,7 @@
 func (g *Gateway) caches() map[cacheRun]bool {
 	present := make(map[cacheRun]bool)
 	held := g.holder.Current()
-	if held == nil || !g.followsCaches() {
+	if held == nil || !g.serves() {
 		return present
 	}
 	for _, worker := range g.workers.Workers() {
@@ -99,6 +96,9 @@
 			present[cacheRun{run: run, address: store.Store.Address}] = true
 		}
 	}
+	if !g.mayFollow(len(present)) {
+		clear(present)
+	}
 	return present
 }
 
