Name what can't be read instead of passing over it

Cause: a worker's row or a node's row that doesn't parse was skipped without a word, a count of tokens that isn't a number became 0, a part of a prompt that isn't ID:TOKENS ended the list silently, a version that isn't a number counted as none told, and calls that register a node or read the nodes dropped their errors.

Change: the adapter returns what it could not read (gateway.Unreadable) beside what it could; the gateway counts it by source and logs a bounded line that names row or request.

--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -93,6 +93,7 @@
 	}
 	defer answer.Close()
 	info := g.outside.Codec.Answer(answer.Status, answer.Header)
+	g.noteUnreadable(current.metadata.RequestID, info.Unreadable)
 	if info.HasVersion && placement.Engine != nil && !info.Mismatch {
 		g.workers.NoteVersion(placement.Worker.ID, current.metadata.Model, info.Version)
 	}
--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -54,6 +54,15 @@
 	Gone     bool
 }
 
+// Unreadable is something from outside that couldn't be read and counts as absent.
+type Unreadable struct {
+	// Source says what it is, such as a table or a header; it labels a metric.
+	Source string
+	// Key names the one among others of the source; empty if there is one.
+	Key string
+	Err error
+}
+
 // Node is another gateway as the store knows it.
 type Node struct {
 	// Name is the machine's name.
@@ -75,12 +84,13 @@
 	// are left out, and the error tells of the first.
 	DecodeOperator(rows []watchcache.Row) (*OperatorRows, error)
 	// DecodeWorkers reads rows of the workers' table. A row that can't be read is
-	// left out: its worker gets no requests.
-	DecodeWorkers(rows []watchcache.Row) []WorkerRow
+	// left out: its worker stays as it was.
+	DecodeWorkers(rows []watchcache.Row) ([]WorkerRow, []Unreadable)
 	// RegisterNode writes this node's row.
 	RegisterNode(ctx context.Context, node Node) error
-	// ReadNodes returns the nodes that have ever registered.
-	ReadNodes(ctx context.Context) ([]Node, error)
+	// ReadNodes returns the nodes that have ever registered, without rows that can't
+	// be read.
+	ReadNodes(ctx context.Context) ([]Node, []Unreadable, error)
 }
 
 // EngineCalls are the calls to an engine besides requests.
@@ -126,6 +136,9 @@
 	Parts        []backends.Part
 	PromptTokens int
 	OutputTokens int
+
+	// Unreadable lists the headers that couldn't be read.
+	Unreadable []Unreadable
 }
 
 // Dispatch is what the gateway adds to a request for a worker.
@@ -154,6 +167,9 @@
 	// Version is the version of the weights, if HasVersion.
 	Version    backends.WeightsVersion
 	HasVersion bool
+
+	// Unreadable lists the headers that couldn't be read.
+	Unreadable []Unreadable
 }
 
 // Paths are the paths of the calls to the gateway's own services.
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -104,6 +104,7 @@
 	metadata, err := g.outside.Codec.Metadata(current.request.Header)
 	current.metadata = metadata
 	current.lastEventID = metadata.LastEventID
+	g.noteUnreadable(metadata.RequestID, metadata.Unreadable)
 	if err != nil {
 		return &refusal{code: resultcode.HeaderInvalid, reason: err.Error()}
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,6 +11,7 @@
 	shareFailures prometheus.Counter
 	connections   prometheus.Counter
 	orders        prometheus.Counter
+	unreadable    *prometheus.CounterVec
 }
 
 // latencyBuckets are the upper bounds of the histograms, in seconds.
@@ -40,9 +41,12 @@
 		orders: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "tillerfall_gateway_orders_total", Help: "Orders sent to engines.",
 		}),
+		unreadable: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tillerfall_gateway_unreadable_total", Help: "Rows and headers that couldn't be read, by source.",
+		}, []string{"source"}),
 	}
 	if registry != nil {
-		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders)
+		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders, m.unreadable)
 	}
 	return m
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -76,6 +76,9 @@
 			Zone:    g.settings().Zone,
 			Region:  g.settings().Region,
 		})
+		if err != nil {
+			g.events.line("node_unregistered").Err(err).Msg("node_unregistered")
+		}
 		registered = err == nil
 	}
 	g.readSeeds(ctx)
@@ -83,10 +86,12 @@
 }
 
 func (g *Gateway) readSeeds(ctx context.Context) {
-	nodes, err := g.outside.Platform.ReadNodes(ctx)
+	nodes, unreadable, err := g.outside.Platform.ReadNodes(ctx)
 	if err != nil {
+		g.events.line("nodes_unread").Err(err).Msg("nodes_unread")
 		return
 	}
+	g.noteUnreadable("", unreadable)
 	var addresses []fleet.Address
 	for _, node := range nodes {
 		if node.Address != fleet.Address(g.settings().PeerAddress) {
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -139,7 +139,9 @@
 // takeWorkers takes in changed rows of workers.
 func (g *Gateway) takeWorkers(rows []watchcache.Row, _ gap) {
 	now := g.now()
-	for _, row := range g.outside.Platform.DecodeWorkers(rows) {
+	decoded, unreadable := g.outside.Platform.DecodeWorkers(rows)
+	g.noteUnreadable("", unreadable)
+	for _, row := range decoded {
 		var change backends.Change
 		if row.Gone {
 			change = g.workers.ObserveGone(now, row.Revision, row.Worker.ID)
