Ask peers soon after a start if the store doesn't answer

Change: it asks 150 ms after its start unless the store has answered. A herd whose store answers (in some 4 ms) still asks nobody before its roles are settled.

--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -9,7 +9,7 @@
 // until its role is settled: after a restart of all nodes the peers know no more than
 // it does. At the first start of the whole fleet there are no callers yet, so nodes
 // wait for their roles instead. Until then a node asks peers only if the store
-// doesn't answer it: while all nodes learn of each other they would ask many
+// doesn't answer it soon: while all nodes learn of each other they would ask many
 // different ones, which would all read. A node
 // that hears nothing from any peer reads. A node whose peers answer but have old
 // proofs moves on among the first MaxSources of them, and tries the store itself
@@ -46,6 +46,9 @@
 	TryInterval time.Duration
 	TryFor      time.Duration
 	TrySpacing  time.Duration
+	// PatientFor is how long a node that has just started leaves the store to answer
+	// before it asks peers as well.
+	PatientFor time.Duration
 	// AwaitRole has the node wait for its role before it reads, instead of reading
 	// at once.
 	AwaitRole bool
@@ -62,7 +65,10 @@
 	DefaultTryInterval = 4 * time.Second
 	DefaultTryFor      = 400 * time.Millisecond
 	DefaultTrySpacing  = 200 * time.Millisecond
-	DefaultMaxSources  = 9
+	// DefaultPatientFor is many times what the store takes for an answer when
+	// nothing ails it.
+	DefaultPatientFor = 150 * time.Millisecond
+	DefaultMaxSources = 9
 )
 
 // Selector decides for one node. It isn't safe for concurrent use.
@@ -88,8 +94,8 @@
 	informed  bool
 	settled   bool
 	settledAt time.Duration
-	// storeFailed is set while the node's last call to the store has failed.
-	storeFailed bool
+	// storeAnswered is set while the node's last call to the store was answered.
+	storeAnswered bool
 	// others is the number of nodes that callers aren't sent to if this is one of
 	// them, else 0.
 	others int
@@ -107,7 +113,7 @@
 		{&options.StaleAfter, DefaultStaleAfter}, {&options.SilentAfter, DefaultSilentAfter},
 		{&options.WatchedFor, DefaultWatchedFor}, {&options.ReturnAfter, DefaultReturnAfter},
 		{&options.TryInterval, DefaultTryInterval}, {&options.TryFor, DefaultTryFor},
-		{&options.TrySpacing, DefaultTrySpacing},
+		{&options.TrySpacing, DefaultTrySpacing}, {&options.PatientFor, DefaultPatientFor},
 	} {
 		if *bound.field <= 0 {
 			*bound.field = bound.fallback
@@ -150,7 +156,7 @@
 func (s *Selector) SetOthers(count int) { s.others = count }
 
 // StoreAnswered takes in whether the node's last call to the store was answered.
-func (s *Selector) StoreAnswered(answered bool) { s.storeFailed = !answered }
+func (s *Selector) StoreAnswered(answered bool) { s.storeAnswered = answered }
 
 // Source returns the peer to ask now; false if there is none.
 func (s *Selector) Source() (fleet.NodeID, bool) {
@@ -166,7 +172,7 @@
 	if _, found := s.Source(); !found {
 		return false
 	}
-	if !s.settled && !s.storeFailed {
+	if !s.settled && (s.options.AwaitRole || s.storeAnswered || now < s.started+s.options.PatientFor) {
 		return false
 	}
 	return !s.reader || !s.ownProven || now >= s.ownProvenAt+s.options.StaleAfter
