Design progressive delivery, and limit a choice by the workers' software version

Cause: an order to move a service to another version is read by nothing, and old and new workers are one pool to a choice, so a bad version gets half of the requests until it is taken away by others. Ruled out: reading it as a change of weights (package rollout): weights change within a worker, a version is a worker's for life. Measured: nothing yet; no request is limited before the gateway passes a limit.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/delivery"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
@@ -15,6 +16,9 @@
 	// Free tells whether this node has a connection left for a worker; nil
 	// means always.
 	Free func(worker *Worker) bool
+	// Versions limits the choice by the version of the workers' software; nil limits
+	// nothing.
+	Versions *delivery.Choice
 	// Engine is set for requests to language-model engines.
 	Engine *EngineRequest
 }
@@ -103,9 +107,23 @@
 	return r.choosePlain(now, candidates), Refusal{}
 }
 
-// candidates returns the workers that may get a request: settled ones if there
-// are any, else also those about which there is doubt.
+// candidates returns the workers that may get a request, by the versions that it is
+// limited to; without one, by what holds then.
 func (r *Registry) candidates(now time.Duration, request *Request) ([]*state, string) {
+	versions := request.Versions
+	for {
+		candidates, reason := r.candidatesOf(now, request, versions)
+		next := versions.Fallback()
+		if len(candidates) > 0 || next == nil || (reason != ReasonNoWorker && !versions.WantsTarget()) {
+			return candidates, reason
+		}
+		versions = next
+	}
+}
+
+// candidatesOf returns the workers of some versions that may get a request: settled
+// ones if there are any, else also those about which there is doubt.
+func (r *Registry) candidatesOf(now time.Duration, request *Request, versions *delivery.Choice) ([]*state, string) {
 	listed := r.states[:0]
 	lapsed, excluded, full := 0, 0, 0
 	for _, known := range r.workers {
@@ -115,6 +133,9 @@
 		if !known.listed() && !known.lapsed(now) {
 			continue
 		}
+		if !versions.Allows(known.worker.ID, known.worker.Software) {
+			continue
+		}
 		if slices.Contains(request.Excluded, known.worker.Run()) {
 			excluded++
 			continue
--- a/internal/backends/worker.go
+++ b/internal/backends/worker.go
@@ -29,6 +29,8 @@
 	// Slots is the number of requests that it works on at once.
 	Slots    int
 	Draining bool
+	// Software is the version of the worker's software; empty if its row names none.
+	Software fleet.SoftwareVersion
 	// Versions holds the version of each model that it serves; empty for
 	// services without models.
 	Versions map[fleet.ModelName]WeightsVersion
--- /dev/null
+++ b/internal/delivery/choice.go
@@ -0,0 +1,24 @@
+package delivery
+
+import (
+	"slices"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Allows tells whether a worker with a software version may get the request.
+func (c *Choice) Allows(worker fleet.EngineID, version fleet.SoftwareVersion) bool {
+	if c == nil {
+		return true
+	}
+	if slices.Contains(c.condemned, version) {
+		return false
+	}
+	if c.target == "" {
+		return true
+	}
+	if (version == c.target) != c.wantsTarget {
+		return false
+	}
+	return !c.wantsTarget || len(c.canaries) == 0 || c.canaries[worker]
+}
--- /dev/null
+++ b/internal/delivery/directive.go
@@ -0,0 +1,63 @@
+package delivery
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// DirectiveValid is how long a directive that isn't final counts after its issue. It is
+// the longest time for which a node that hears nothing goes on sending to a version that
+// may be bad; reports pass each 0.6 s, over one relay at most.
+const DirectiveValid = 2500 * time.Millisecond
+
+// Directive is what the director asks of every node for one service.
+type Directive struct {
+	Service fleet.PoolName
+	Target  fleet.SoftwareVersion
+	// Revision is the order's, Sequence counts the director's changes of stage and
+	// shares, across directors. Together they tell which of two directives is newer.
+	Revision fleet.Revision
+	Sequence uint64
+	Stage    Stage
+	// Issuer is the node that directs: evidence goes there first.
+	Issuer fleet.NodeID
+	// IssuedAt is when it was last renewed, on this process's steady clock.
+	IssuedAt time.Duration
+	// Shares holds the part of each route's requests that goes to the target, 0 to 1;
+	// DefaultShare is that of routes which aren't named.
+	Shares       map[RouteName]float64
+	DefaultShare float64
+	// Canaries are the target's workers that get the share; empty means all.
+	Canaries []fleet.EngineID
+	// Condemned lists versions of the service that were rolled back.
+	Condemned []fleet.SoftwareVersion
+}
+
+// Valid tells whether the directive counts at now.
+func (d *Directive) Valid(now time.Duration) bool {
+	return d.Stage.Final() || now <= d.IssuedAt+DirectiveValid
+}
+
+// Choice limits which workers of a service may get a request. The nil Choice
+// limits nothing.
+type Choice struct {
+	target fleet.SoftwareVersion
+	// wantsTarget is set for requests that go to the target, canaries then limits its workers.
+	wantsTarget bool
+	canaries    map[fleet.EngineID]bool
+	condemned   []fleet.SoftwareVersion
+	// fallback is what holds if nobody fits who is listed; nil if there is none.
+	fallback *Choice
+}
+
+// WantsTarget tells whether the request goes to the target.
+func (c *Choice) WantsTarget() bool { return c != nil && c.wantsTarget }
+
+// Fallback returns what holds if no listed worker fits, or nil.
+func (c *Choice) Fallback() *Choice {
+	if c == nil {
+		return nil
+	}
+	return c.fallback
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,9 @@
 // VersionName names one immutable set of weights of a model or adapter.
 type VersionName string
 
+// SoftwareVersion names a version of a worker's software. It says nothing of weights.
+type SoftwareVersion string
+
 // ClassName names a priority class.
 type ClassName string
 
