--- /dev/null
+++ b/internal/nodecapacity/capacity.go
@@ -0,0 +1,144 @@
+// Package nodecapacity says what one node can carry: from the limits of its machine
+// how many requests a second, and from what it uses at the moment how near to its
+// limits it is. Both are pure functions of their arguments.
+package nodecapacity
+
+import (
+	"math"
+
+	"github.com/go-faster/errors"
+)
+
+// Limits are what a machine gives one process. A zero field is unknown and limits
+// nothing.
+type Limits struct {
+	// ProcessorShare is the part of a core that the process gets, on one of Cores cores.
+	ProcessorShare float64
+	Cores          int
+	// MemoryMB is the memory in MiB at which the process is killed.
+	MemoryMB int
+	// FileDescriptors bounds the open descriptors, of which ReservedDescriptors are for
+	// files.
+	FileDescriptors int
+	// LinkMegabits is the bandwidth of the machine's link each way, in Mbit/s.
+	LinkMegabits float64
+}
+
+// What a request takes of a node. Each is rounded up from what was measured, since
+// the capacity is compared with a mean rate.
+const (
+	// RequestProcessor is processor time in seconds: 1.6 ms were measured at the busiest
+	// of 16 nodes with a share of 0.12, beyond what a node without requests uses.
+	RequestProcessor = 0.002
+	// RequestBytes is what a request sends over the link: its head and body to a worker and
+	// the answer to the caller, 1.1 KB and 1 KB of content in the mean, with heads, ACKs
+	// and one second try in ten.
+	RequestBytes = 4 << 10
+	// RequestSeconds is how long a request holds its connections and buffers. Streams take
+	// 0.04 to 1.4 s; connections rest for up to two seconds between two requests.
+	RequestSeconds = 4
+	// requestDescriptors are the connections that a request holds: its caller's and a
+	// worker's.
+	requestDescriptors = 2
+	// requestMemoryMB is the memory of an open request with both connections: 47 KB were
+	// measured for a stream (docs/CAPACITY.md), besides a body of up to some 100 KB.
+	requestMemoryMB = 0.15
+)
+
+// What a node uses without any request.
+const (
+	// ReservedDescriptors are those kept for files and listeners.
+	ReservedDescriptors = 200
+	// baseDescriptors are the connections to other nodes, to the store and to the caches
+	// that it follows: 475 at the busiest of 30 nodes, 1,239 of 100.
+	baseDescriptors = 1200
+	// baseMemoryMB is the memory of a node that serves, with its index of caches: 24 MB at
+	// the busiest of 30 nodes, 61 MB of 100.
+	baseMemoryMB = 64
+	// talkPart is the part of a link that may be taken by what nodes tell each other.
+	talkPart = 0.5
+)
+
+const bytesPerMegabit = 1e6 / 8
+
+// Validate returns an error that names the first limit that can't be used.
+func (l Limits) Validate() error {
+	switch {
+	case l.ProcessorShare < 0 || math.IsNaN(l.ProcessorShare) || math.IsInf(l.ProcessorShare, 0):
+		return errors.Errorf("processor share %v isn't a number of cores", l.ProcessorShare)
+	case l.Cores < 0:
+		return errors.Errorf("cores: %d is below 0", l.Cores)
+	case l.MemoryMB < 0:
+		return errors.Errorf("memory: %d MB is below 0", l.MemoryMB)
+	case l.FileDescriptors < 0:
+		return errors.Errorf("file descriptors: %d is below 0", l.FileDescriptors)
+	case l.FileDescriptors > 0 && l.FileDescriptors <= ReservedDescriptors:
+		return errors.Errorf("file descriptors: %d leave none beside the %d for files", l.FileDescriptors, ReservedDescriptors)
+	case l.LinkMegabits < 0 || math.IsNaN(l.LinkMegabits) || math.IsInf(l.LinkMegabits, 0):
+		return errors.Errorf("link: %v isn't a number of Mbit/s", l.LinkMegabits)
+	}
+	return nil
+}
+
+// Resource is what a node may run short of.
+type Resource uint8
+
+// Resources of a node.
+const (
+	Processor Resource = iota
+	Memory
+	Descriptors
+	Link
+	resources
+)
+
+// String returns the resource's lower-case name.
+func (r Resource) String() string {
+	return [resources]string{"processor", "memory", "descriptors", "link"}[min(r, resources-1)]
+}
+
+// RequestsPerSecond returns how many requests a second each limit allows a node to
+// carry; an unknown limit allows any number.
+func (l Limits) RequestsPerSecond() [resources]float64 {
+	unlimited := math.Inf(1)
+	allowed := [resources]float64{unlimited, unlimited, unlimited, unlimited}
+	if l.ProcessorShare > 0 {
+		allowed[Processor] = l.ProcessorShare / RequestProcessor
+	}
+	if l.MemoryMB > 0 {
+		left := math.Max(float64(l.MemoryMB-baseMemoryMB), 1)
+		allowed[Memory] = left / (requestMemoryMB * RequestSeconds)
+	}
+	if l.FileDescriptors > 0 {
+		left := math.Max(float64(l.FileDescriptors-ReservedDescriptors-baseDescriptors), 1)
+		allowed[Descriptors] = left / (requestDescriptors * RequestSeconds)
+	}
+	if l.LinkMegabits > 0 {
+		allowed[Link] = l.LinkMegabits * bytesPerMegabit * (1 - talkPart) / RequestBytes
+	}
+	return allowed
+}
+
+// Capacity returns the requests a second that a node can carry at the most, and which
+// limit binds; 0 if no limit is known.
+func (l Limits) Capacity() (float64, Resource) {
+	allowed := l.RequestsPerSecond()
+	least := Processor
+	for resource := range resources {
+		if allowed[resource] < allowed[least] {
+			least = resource
+		}
+	}
+	if math.IsInf(allowed[least], 1) {
+		return 0, least
+	}
+	return allowed[least], least
+}
+
+// Thousandths returns the capacity as thousandths of a core that requests can use, the
+// unit in which nodes tell it: a node whose link, memory or descriptors bind counts as
+// one with a smaller processor.
+func (l Limits) Thousandths() uint32 {
+	capacity, _ := l.Capacity()
+	return uint32(math.Round(capacity * RequestProcessor * 1000))
+}
