Choose who serves by place and weight, and answer callers near first

Cause: all serving nodes were named to all callers, with equal shares; two classes of machines differ fourfold, and callers crossed zones and regions by chance. Change: membership plans serving groups (a zone where the demand asks for two nodes in each, else a region), spreads demand near first as far as capacity goes, and answers by systematic sampling, so that a member is in a part of the answers in proportion to its weight. Property tests: nobody gets more than it carries while others have room, and shares add up.

--- /dev/null
+++ b/internal/membership/answer_test.go
@@ -0,0 +1,92 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// TestSamplesHoldEachCandidateByItsShare counts over evenly spaced answerers how often
+// each candidate is named.
+func TestSamplesHoldEachCandidateByItsShare(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 3))
+	const answerers = 2000
+	for range 50 {
+		candidates := make([]candidateShare, 4+random.IntN(100))
+		total, largest := 0.0, 0.0
+		for index := range candidates {
+			candidates[index].share = 0.2 + random.Float64()*0.8
+			candidates[index].member.Incarnation = fleet.Incarnation(index)
+			total += candidates[index].share
+			largest = max(largest, candidates[index].share)
+		}
+		if largest/total > 1.0/leastNear {
+			continue
+		}
+		named := make([]float64, len(candidates))
+		for number := range answerers {
+			sample := systematicSample(candidates, (float64(number)+0.5)/answerers)
+			require.LessOrEqual(t, len(sample), MaxAnswer)
+			require.GreaterOrEqual(t, len(sample), leastNear)
+			for _, candidate := range sample {
+				named[candidate.member.Incarnation] += 1 / float64(len(sample)) / answerers
+			}
+		}
+		for index, candidate := range candidates {
+			require.InDelta(t, candidate.share/total, named[index], 0.001)
+		}
+	}
+}
+
+func TestSampleOfFewCandidatesHoldsAll(t *testing.T) {
+	two := []candidateShare{{share: 0.9}, {share: 0.1}}
+	assert.Len(t, systematicSample(two, 0.3), 2, "a caller whose address fails has another one")
+	assert.Len(t, systematicSample(append(two, candidateShare{}), 0.3), 2)
+	assert.Empty(t, systematicSample(nil, 0.3))
+}
+
+func TestAnswersStayTheSameWhileNothingChanges(t *testing.T) {
+	view := fleetOf(zoned{northA, append(equal(2, 800), equal(20, 200)...)}, zoned{northB, equal(20, 200)}, zoned{southC, equal(20, 200)})
+	roles := Assign(view, 1500, RoleOptions{})
+	node := view.Members()[7].Node
+	assert.Equal(t, roles.Answer(northA, node, always), Assign(view, 1500, RoleOptions{}).Answer(northA, node, always))
+}
+
+// TestAnswerNamesWhatTheAskerReaches cuts a zone's serving members, and then the answerer.
+func TestAnswerNamesWhatTheAskerReaches(t *testing.T) {
+	view := fleetOf(zoned{northA, equal(5, 200)}, zoned{northB, equal(5, 200)}, zoned{southC, equal(5, 200)})
+	roles := Assign(view, 60, RoleOptions{})
+	node := view.Members()[0].Node
+	outsideA := func(member Member) bool { return member.Zone != "a" }
+	answer := roles.Answer(northA, node, outsideA)
+	require.Len(t, answer, 4)
+	for _, named := range answer {
+		assert.NotEqual(t, fleet.ZoneName("a"), named.Zone)
+	}
+	onlyA := func(member Member) bool { return member.Zone == "a" }
+	for _, named := range roles.Answer(northA, node, onlyA) {
+		assert.Equal(t, fleet.ZoneName("a"), named.Zone, "a zone that is cut off keeps to itself")
+	}
+	assert.Len(t, roles.Answer(northB, node, onlyA), 2, "the answerer is cut off: its word on others doesn't count")
+	assert.Empty(t, (&Roles{}).Answer(northA, node, always))
+}
+
+// TestEveryMemberOfASmallFleetIsNamed as before there were places.
+func TestEveryMemberOfASmallFleetIsNamed(t *testing.T) {
+	view := fleetOf(zoned{northA, equal(3, 200)}, zoned{northB, equal(2, 200)}, zoned{southC, equal(2, 200)})
+	roles := Assign(view, 60, RoleOptions{})
+	assert.Len(t, roles.Answer(northA, view.Members()[0].Node, always), 7)
+	assert.Len(t, roles.Answer(Place{}, "", always), 7)
+}
+
+func TestCallersOfAnUnknownPlaceGoToAll(t *testing.T) {
+	view := fleetOf(zoned{northA, equal(5, 200)}, zoned{northB, equal(5, 200)}, zoned{southC, equal(5, 200)})
+	roles := Assign(view, 60, RoleOptions{})
+	assert.Len(t, roles.Answer(Place{}, view.Members()[0].Node, always), 6)
+	named := roles.Answer(Place{Region: "north"}, view.Members()[0].Node, always)
+	assert.Len(t, named, 4, "a zone that nobody knows, of a known region")
+}
--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -26,6 +26,14 @@
 	Candidates int
 	// ReaderDepth is the number of readers of each zone that others ask in turn.
 	ReaderDepth int
+	// Origins is from which places the demand comes, in requests a second; empty if
+	// that isn't known.
+	Origins map[Place]float64
+	// Weights is by which part of their capacity members under pressure count; all others
+	// count whole.
+	Weights map[fleet.NodeID]float64
+	// Together has all callers sent to all serving members, wherever they are.
+	Together bool
 }
 
 // Defaults of RoleOptions.
@@ -65,7 +73,9 @@
 
 	options  RoleOptions
 	routable []Member
-	serving  map[fleet.NodeID]bool
+	// plan is nil in a small fleet.
+	plan    *servingPlan
+	serving map[fleet.NodeID]bool
 	// readers holds, by zone, the first ReaderDepth readers, best first; zones are
 	// its keys in order.
 	readers map[fleet.ZoneName][]fleet.NodeID
@@ -87,7 +97,7 @@
 		serving:    make(map[fleet.NodeID]bool),
 		candidates: make(map[string][]fleet.NodeID),
 	}
-	roles.Serving = servingSet(view.Routable(), demand, options)
+	roles.assignServing(demand)
 	for _, member := range roles.Serving {
 		roles.serving[member.Node] = true
 	}
@@ -113,34 +123,19 @@
 	return all
 }
 
-// servingSet returns the fewest members, the largest first, of which each can
-// carry an equal share of the demand. Where no number is enough, all serve.
-func servingSet(members []Member, demand float64, options RoleOptions) []Member {
-	if len(members) <= options.SmallFleet {
-		return members
-	}
-	ranked := weigh(servingKey, members)
-	slices.SortFunc(ranked, func(a, b weighted) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(b.weight, a.weight))
-	})
-	ranked = ranked[:servingCount(ranked, demand, options)]
-	serving := make([]Member, len(ranked))
-	for index, entry := range ranked {
-		serving[index] = *entry.Member
+// assignServing chooses the serving members.
+func (r *Roles) assignServing(demand float64) {
+	if r.Small {
+		r.Serving = r.routable
+		return
 	}
-	slices.SortFunc(serving, compareNodes)
-	return serving
-}
-
-// servingCount returns how many of the members, the largest first, are enough.
-func servingCount(ranked []weighted, demand float64, options RoleOptions) int {
-	for count := options.MinServing; count < len(ranked); count++ {
-		share := demand / float64(count) * options.RequestCost
-		if share <= options.Utilization*float64(ranked[count-1].Capacity) {
-			return count
+	r.plan = planServing(r.routable, demand, r.options)
+	for _, group := range r.plan.groups {
+		for _, entry := range group.members[:group.serving] {
+			r.Serving = append(r.Serving, *entry.Member)
 		}
 	}
-	return len(ranked)
+	slices.SortFunc(r.Serving, compareNodes)
 }
 
 // Serves tells whether callers are sent to a node.
--- /dev/null
+++ b/internal/membership/serving_test.go
@@ -0,0 +1,242 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// zoned is the members of one zone by their capacities in thousandths of a core.
+type zoned struct {
+	place      Place
+	capacities []uint32
+}
+
+// fleetOf returns a view of members of zones.
+func fleetOf(zones ...zoned) *View {
+	var members []Member
+	for _, zone := range zones {
+		for number, capacity := range zone.capacities {
+			members = append(members, Member{
+				Node:   fleet.NodeID(fmt.Sprintf("%s-%s-%03d", zone.place.Region, zone.place.Zone, number)),
+				Region: zone.place.Region, Zone: zone.place.Zone, State: Alive, Capacity: capacity,
+			})
+		}
+	}
+	return NewView(1, members[0], members)
+}
+
+// equal returns capacities of as many members.
+func equal(count int, capacity uint32) []uint32 {
+	capacities := make([]uint32, count)
+	for index := range capacities {
+		capacities[index] = capacity
+	}
+	return capacities
+}
+
+func always(Member) bool { return true }
+
+// expectedShares returns the part of a place's callers that each member gets, if its callers
+// ask its members evenly and take one address of an answer by chance.
+func expectedShares(t *testing.T, roles *Roles, from Place) map[fleet.NodeID]float64 {
+	shares := make(map[fleet.NodeID]float64)
+	answerers := 0.0
+	for _, member := range roles.routable {
+		if member.place() != from {
+			continue
+		}
+		answerers++
+		answer := roles.Answer(from, member.Node, always)
+		require.NotEmpty(t, answer)
+		require.LessOrEqual(t, len(answer), MaxAnswer)
+		for _, named := range answer {
+			shares[named.Node] += 1 / float64(len(answer))
+		}
+	}
+	for node := range shares {
+		shares[node] /= answerers
+	}
+	return shares
+}
+
+// sharesByZone adds up shares by zone.
+func sharesByZone(view *View, shares map[fleet.NodeID]float64) map[fleet.ZoneName]float64 {
+	byZone := make(map[fleet.ZoneName]float64)
+	for node, share := range shares {
+		member, _ := view.Find(node)
+		byZone[member.Zone] += share
+	}
+	return byZone
+}
+
+var (
+	northA = Place{"north", "a"}
+	northB = Place{"north", "b"}
+	southC = Place{"south", "c"}
+	southD = Place{"south", "d"}
+)
+
+func TestCallersAreSentToTheirZoneWhileItCarriesThem(t *testing.T) {
+	view := fleetOf(zoned{northA, equal(10, 200)}, zoned{northB, equal(10, 200)}, zoned{southC, equal(10, 200)})
+	roles := Assign(view, 150, RoleOptions{Origins: map[Place]float64{northA: 90, northB: 40, southC: 20}})
+	assert.Len(t, roles.Serving, 6, "two of 200 carry 100 requests a second")
+	for _, from := range []Place{northA, northB, southC} {
+		assert.InDelta(t, 1, sharesByZone(view, expectedShares(t, roles, from))[from.Zone], 1e-9)
+	}
+}
+
+func TestCallersOfManyZonesAreSentToTheirRegion(t *testing.T) {
+	view := fleetOf(zoned{northA, equal(5, 200)}, zoned{northB, equal(5, 200)}, zoned{southC, equal(5, 200)}, zoned{southD, equal(5, 200)})
+	roles := Assign(view, 60, RoleOptions{})
+	assert.Len(t, roles.Serving, 6, "four zones with two each would be eight")
+	for _, from := range []Place{northA, northB, southC, southD} {
+		for _, named := range roles.Answer(from, roles.Serving[0].Node, always) {
+			assert.Equal(t, from.Region, named.Region)
+		}
+	}
+	zones := map[fleet.ZoneName]int{}
+	for _, member := range roles.Serving {
+		zones[member.Zone]++
+	}
+	for _, zone := range []fleet.ZoneName{"a", "b", "c", "d"} {
+		assert.Positive(t, zones[zone], "spread over the region's zones")
+	}
+	roles = Assign(view, 380, RoleOptions{})
+	assert.InDelta(t, 1, sharesByZone(view, expectedShares(t, roles, northA))["a"], 1e-9, "enough serve for each zone")
+}
+
+// TestZoneThatIsFullIsRelievedByItsRegion has a zone's callers ask for more than all its
+// members carry.
+func TestZoneThatIsFullIsRelievedByItsRegion(t *testing.T) {
+	view := fleetOf(zoned{northA, equal(4, 200)}, zoned{northB, equal(20, 200)}, zoned{southC, equal(20, 200)})
+	origins := map[Place]float64{northA: 400, northB: 100, southC: 100}
+	roles := Assign(view, 600, RoleOptions{Origins: origins})
+	byZone := sharesByZone(view, expectedShares(t, roles, northA))
+	assert.InDelta(t, 0.5, byZone["a"], 0.02, "four carry 200 of 400")
+	assert.InDelta(t, 0.5, byZone["b"], 0.02)
+	assert.Zero(t, byZone["c"])
+	assert.InDelta(t, 1, sharesByZone(view, expectedShares(t, roles, northB))["b"], 1e-9)
+	carried := 0.0
+	for _, member := range roles.Serving {
+		if member.Zone == "b" {
+			carried += float64(member.Capacity) * DefaultUtilization / DefaultRequestCost
+		}
+	}
+	assert.GreaterOrEqual(t, carried, 300.0, "its own and those that come")
+}
+
+// TestRelievedZoneDoesNotSeemToNeedLess has the part that others take stay the zone's own.
+func TestRelievedZoneDoesNotSeemToNeedLess(t *testing.T) {
+	view := fleetOf(zoned{northA, equal(4, 200)}, zoned{northB, equal(20, 200)}, zoned{southC, equal(20, 200)})
+	origins := map[Place]float64{northA: 400, northB: 100, southC: 100}
+	roles := Assign(view, 600, RoleOptions{Origins: origins})
+	again := roles.Origins(map[Place]float64{northA: 200, northB: 300, southC: 100})
+	for place, rate := range origins {
+		assert.InDelta(t, rate, again[place], 1, place)
+	}
+	unplanned := roles.Origins(map[Place]float64{{"east", "e"}: 5})
+	assert.Equal(t, map[Place]float64{{"east", "e"}: 5}, unplanned)
+}
+
+// TestLostRegionIsTakenOverByRoom has a region's members vanish while its callers go on.
+func TestLostRegionIsTakenOverByRoom(t *testing.T) {
+	view := fleetOf(zoned{northA, equal(20, 200)}, zoned{northB, equal(8, 200)})
+	origins := map[Place]float64{northA: 100, northB: 350, southC: 500}
+	roles := Assign(view, 950, RoleOptions{Origins: origins})
+	parts := map[fleet.ZoneName]float64{}
+	for _, member := range view.Members() {
+		answer := roles.Answer(southC, member.Node, always)
+		require.NotEmpty(t, answer)
+		for _, named := range answer {
+			parts[named.Zone] += 1 / float64(len(answer)*len(view.Members()))
+		}
+	}
+	assert.InDelta(t, 0.9, parts["a"], 0.05, "900 free there, 50 in the other")
+	flow := 0.0
+	for from, group := range roles.plan.groups {
+		if to, found := roles.plan.byPlace[northB]; found {
+			flow += group.demand * roles.plan.flows[from][to]
+		}
+	}
+	assert.LessOrEqual(t, flow, 400.0, "no zone gets more than it carries")
+}
+
+// TestPlanKeepsItsBounds plans for random fleets: each caller goes somewhere, nobody gets
+// more than it carries while others have room, and all that is asked for is carried.
+func TestPlanKeepsItsBounds(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 7))
+	for range 500 {
+		var zones []zoned
+		origins := map[Place]float64{}
+		members, total := 0, 0.0
+		for zone := range 1 + random.IntN(6) {
+			place := Place{fleet.RegionName(fmt.Sprint("r", zone%3)), fleet.ZoneName(fmt.Sprint("z", zone))}
+			origins[place] = random.Float64() * 500
+			total += origins[place]
+			if count := random.IntN(20); count > 0 {
+				zones = append(zones, zoned{place, equal(count, uint32(100+random.IntN(800)))})
+				members += count
+			}
+		}
+		if members <= DefaultSmallFleet {
+			continue
+		}
+		plan := Assign(fleetOf(zones...), total, RoleOptions{Origins: origins}).plan
+		capacity := 0.0
+		for _, group := range plan.groups {
+			capacity += group.capacity
+		}
+		for to, group := range plan.groups {
+			incoming, carried := 0.0, 0.0
+			for from := range plan.groups {
+				incoming += plan.groups[from].demand * plan.flows[from][to]
+			}
+			for _, entry := range group.members[:group.serving] {
+				carried += plan.options.carries(entry.Member)
+			}
+			if total <= capacity {
+				require.LessOrEqual(t, incoming, group.capacity+0.01)
+				require.GreaterOrEqual(t, carried, incoming-0.01)
+			}
+			sum := 0.0
+			for _, part := range plan.flows[to] {
+				sum += part
+			}
+			require.InDelta(t, 1, sum, 1e-6)
+		}
+	}
+}
+
+func TestMembersUnderPressureCountLess(t *testing.T) {
+	view := fleetOf(zoned{northA, equal(10, 200)}, zoned{northB, equal(10, 200)}, zoned{southC, equal(10, 200)})
+	before := Assign(view, 90, RoleOptions{})
+	busy := before.Answer(northA, view.Members()[0].Node, always)[0].Node
+	after := Assign(view, 240, RoleOptions{Weights: map[fleet.NodeID]float64{busy: 0.5}})
+	shares := expectedShares(t, after, northA)
+	assert.Less(t, shares[busy], 0.51*0.5, "a half of what it got")
+}
+
+func BenchmarkPlanServing(b *testing.B) {
+	var zones []zoned
+	for zone := range 13 {
+		zones = append(zones, zoned{Place{fleet.RegionName(fmt.Sprint("r", zone%6)), fleet.ZoneName(fmt.Sprint("z", zone))}, equal(52, 200)})
+	}
+	view := fleetOf(zones...)
+	b.Run("assign at 676 members", func(b *testing.B) {
+		for b.Loop() {
+			Assign(view, 5000, RoleOptions{})
+		}
+	})
+	roles := Assign(view, 5000, RoleOptions{})
+	b.Run("answer at 676 members", func(b *testing.B) {
+		for b.Loop() {
+			roles.Answer(Place{"r0", "z0"}, view.Members()[3].Node, always)
+		}
+	})
+}
