Send callers near first by weight, tell pressure, and drop requests whose callers have left

Change: the directory answers by the asker's place; nodes tell their pressure with reports and watches; a full node refuses with 503 node_full and closes the connection; connections beyond a bound are closed unread; a send looks at the caller's connection first. Settings read all limits.

--- a/cmd/tillerfall/gateway.go
+++ b/cmd/tillerfall/gateway.go
@@ -57,8 +57,8 @@
 		return nil
 	}
 	debug.SetGCPercent(gcPercent)
-	if settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryPart * megabyte))
+	if settings.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMB) * memoryPart * megabyte))
 	}
 	output := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) {
 		_, _ = os.Stderr.WriteString("event=log_lines_lost count=" + strconv.Itoa(missed) + "\n")
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -63,6 +63,10 @@
 			g.refuse(current, refusal{code: step.Code, reason: step.Reason, retryAfter: step.RetryAfter})
 			return
 		case attempt.StepBreak:
+			if current.callerGone() {
+				current.reason = "caller gone"
+				panic(http.ErrAbortHandler)
+			}
 			current.result, current.reason = resultcode.StreamInterrupted, "answer broke off"
 			panic(http.ErrAbortHandler)
 		}
@@ -75,6 +79,9 @@
 
 // send chooses a worker, sends the request there and passes the answer on.
 func (g *Gateway) send(ctx context.Context, current *carried) attempt.Step {
+	if current.callerGone() {
+		return attempt.Step{Kind: attempt.StepBreak}
+	}
 	now := g.now()
 	if current.tenant != nil && !g.mayServeKeyed() {
 		return current.machine.NoWorker("configuration too old", 0)
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -123,6 +123,23 @@
 	return total
 }
 
+// nodeRates returns the own rates of the nodes that share loads, this one's included; nil
+// where this node isn't one of them.
+func (d *demand) nodeRates(now time.Duration, self fleet.NodeID) map[fleet.NodeID]float64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if !d.sharing {
+		return nil
+	}
+	rates := map[fleet.NodeID]float64{self: d.rate}
+	for node, peer := range d.peers {
+		if now <= peer.at+rateValid {
+			rates[node] = peer.rate
+		}
+	}
+	return rates
+}
+
 // total returns the rate of all as far as this node knows.
 func (d *demand) total(now time.Duration) float64 {
 	d.mutex.Lock()
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -12,6 +12,7 @@
 
 	"github.com/tillerfall/tillerfall/internal/attempt"
 	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/nodecapacity"
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/routes"
 )
@@ -119,6 +120,9 @@
 	if g.refusesNew() {
 		return &refusal{code: resultcode.Stopping, reason: "stopping", retryAfter: retrySoon}
 	}
+	if g.pressure.level() == nodecapacity.Full {
+		return &refusal{code: resultcode.NodeFull, reason: "short of " + g.pressure.scarce().String(), retryAfter: retrySoon}
+	}
 	g.awaitKnown(current.request.Context())
 	held := g.holder.Current()
 	if held == nil || !g.workersKnown.Load() {
@@ -319,4 +323,6 @@
 func (c *carried) timeLeft(now time.Duration) time.Duration { return c.deadline - now }
 
 // callerGone tells whether the caller has left.
-func (c *carried) callerGone() bool { return errors.Is(c.request.Context().Err(), context.Canceled) }
+func (c *carried) callerGone() bool {
+	return errors.Is(c.request.Context().Err(), context.Canceled) || hasLeft(c.request.Context())
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,8 @@
 	tables    []*table
 	sources   *sources
 	demand    *demand
+	origins   *origins
+	pressure  *pressure
 	readiness *readiness
 	announcer *announcer
 	roles     atomic.Pointer[nodeRoles]
@@ -109,6 +111,8 @@
 		pending:  newPendingSends(),
 		idle:     newIdleConnections(),
 		demand:   newDemand(),
+		origins:  newOrigins(),
+		pressure: &pressure{},
 
 		readiness: newReadiness(),
 		announcer: newAnnouncer(),
@@ -165,7 +169,7 @@
 				Address:  fleet.Address(g.settings().PeerAddress),
 				Region:   g.settings().Region,
 				Zone:     g.settings().Zone,
-				Capacity: uint32(g.settings().ProcessorShare * perThousand),
+				Capacity: g.settings().Limits.Thousandths(),
 			},
 			Random: random,
 		},
@@ -227,6 +231,7 @@
 	g.peers.Start()
 	g.life.Go(g.watchPeers)
 	g.life.Go(g.driveRoles)
+	g.life.Go(g.drivePressure)
 	g.life.Go(g.register)
 	g.life.Go(g.shareLoads)
 	g.life.Go(g.announceLoads)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,8 @@
 	unreadable    *prometheus.CounterVec
 	quotaUnits    *prometheus.CounterVec
 	quotaShare    *prometheus.GaugeVec
+	pressure      prometheus.Gauge
+	untaken       prometheus.Counter
 }
 
 // latencyBuckets are the upper bounds of the histograms, in seconds.
@@ -53,7 +55,14 @@
 			Name: "tillerfall_gateway_quota_share", Help: "Part of a tenant's quota that the node and those in touch had at the last refusal.",
 		}, []string{"tenant"}),
 	}
+	m.pressure = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "tillerfall_gateway_pressure", Help: "How near the node is to its limits: 0 free, 1 busy, 2 full.",
+	})
+	m.untaken = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "tillerfall_gateway_untaken_connections_total", Help: "Connections of callers closed for want of descriptors.",
+	})
 	if registry != nil {
+		registry.MustRegister(m.pressure, m.untaken)
 		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders, m.unreadable, m.quotaUnits, m.quotaShare)
 	}
 	return m
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -184,6 +183,7 @@
 	report := &rpc.LoadReport{
 		Node:        string(g.node),
 		RequestRate: encodeRate(g.demand.own()),
+		Pressure:    uint32(g.pressure.level()),
 		Named:       g.namedVersions(now),
 	}
 	for _, load := range g.workers.OwnLoad() {
@@ -274,6 +274,7 @@
 	g.learnNamed(report.GetNamed())
 	g.quotas.take(now, report)
 	g.demand.peer(now, fleet.NodeID(report.GetNode()), decodeRate(report.GetRequestRate()))
+	g.origins.press(now, fleet.NodeID(report.GetNode()), decodePressure(report.GetPressure()))
 	for _, versions := range report.GetWeights() {
 		g.workers.NoteVersion(fleet.EngineID(versions.GetWorker()), fleet.ModelName(versions.GetModel()),
 			backends.WeightsVersion(versions.GetVersion()))
@@ -291,33 +292,3 @@
 	g.fresh.Prove(begun - time.Duration(report.GetProofAgeMillis())*time.Millisecond)
 	g.noteKnown()
 }
-
-// maxListed bounds the addresses of one answer of the directory.
-const maxListed = 64
-
-// frontAddresses returns where callers find the gateways that serve; none while this
-// node has just started and knows itself alone, since callers then keep the addresses
-// that they have. If each node of a large fleet named itself after a loss of power,
-// small nodes that know neither loads nor caches would carry the requests: of callers'
-// requests in the worst seconds after it 0.62 to 0.69 instead of 0.32 to 0.41 were worth
-// their price (69 nodes, two days and two seeds, played with and without). All gateways
-// serve on the same ports.
-func (g *Gateway) frontAddresses() []fleet.Address {
-	if !g.settled.Load() && g.memberCount() == 1 {
-		return nil
-	}
-	_, port, err := net.SplitHostPort(g.settings().FrontAddress)
-	if err != nil {
-		return nil
-	}
-	var addresses []fleet.Address
-	for _, member := range g.listed() {
-		if member.Node == g.node && !g.ready() {
-			continue
-		}
-		if host, _, err := net.SplitHostPort(string(member.Address)); err == nil {
-			addresses = append(addresses, fleet.Address(net.JoinHostPort(host, port)))
-		}
-	}
-	return addresses[:min(len(addresses), maxListed)]
-}
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -56,6 +57,10 @@
 	// view and demand, in requests a second, are what it was derived from.
 	view   *membership.View
 	demand float64
+	// origins and weights are what else it was derived from: the demand by place, and the
+	// parts by which nodes under pressure count.
+	origins map[membership.Place]float64
+	weights map[fleet.NodeID]float64
 	// reader is set if it is this node's role to read the store, candidate if it
 	// takes the lease of the weights, and sharesLoads if it is among those that tell
 	// each other what they send: those that serve, and the candidates.
@@ -73,10 +78,15 @@
 
 // deriveRoles returns the roles of a view's members at a demand in requests a second.
 func deriveRoles(self fleet.NodeID, zone fleet.ZoneName, view *membership.View, demand float64) *nodeRoles {
-	all := membership.Assign(view, demand, membership.RoleOptions{})
+	return deriveRolesBy(self, zone, view, demand, membership.RoleOptions{})
+}
+
+// deriveRolesBy returns the roles by what else is known.
+func deriveRolesBy(self fleet.NodeID, zone fleet.ZoneName, view *membership.View, demand float64, options membership.RoleOptions) *nodeRoles {
+	all := membership.Assign(view, demand, options)
 	candidates := all.Candidates(rolloutLease)
 	roles := &nodeRoles{
-		Roles: all, view: view, demand: demand,
+		Roles: all, view: view, demand: demand, origins: options.Origins, weights: options.Weights,
 		reader:      all.Reads(self),
 		candidate:   slices.Contains(candidates, self),
 		readerOrder: all.ReaderOrder(zone),
@@ -113,8 +123,10 @@
 	before := g.roles.Load()
 	roles := before
 	view, demand := g.peers.View(), g.demand.planned(now)
-	if before == nil || before.view != view || before.demand != demand {
-		roles = deriveRoles(g.node, g.settings().Zone, view, demand)
+	options := membership.RoleOptions{Origins: g.origins.plan(g.originRates(now)), Weights: g.origins.planWeights(now)}
+	if before == nil || before.view != view || before.demand != demand ||
+		!maps.Equal(before.origins, options.Origins) || !maps.Equal(before.weights, options.Weights) {
+		roles = deriveRolesBy(g.node, g.settings().Zone, view, demand, options)
 		g.roles.Store(roles)
 		g.demand.setSharing(roles.sharesLoads)
 	}
@@ -139,19 +151,3 @@
 
 // memberCount returns how many gateways there are, this one included.
 func (g *Gateway) memberCount() int { return max(len(g.peers.View().Members()), 1) }
-
-// listed returns the members that the directory names: those that serve, without
-// suspects as long as half of them is left.
-func (g *Gateway) listed() []membership.Member {
-	serving := g.roles.Load().Serving
-	alive := make([]membership.Member, 0, len(serving))
-	for _, member := range serving {
-		if current, found := g.peers.View().Find(member.Node); found && current.State == membership.Alive {
-			alive = append(alive, current)
-		}
-	}
-	if 2*len(alive) < len(serving) {
-		return serving
-	}
-	return alive
-}
--- a/internal/gateway/roles_test.go
+++ b/internal/gateway/roles_test.go
@@ -152,7 +152,7 @@
 	g.workersKnown.Store(true)
 	g.settled.Store(false)
 	assert.Empty(t, g.caches())
-	assert.Empty(t, g.frontAddresses())
+	assert.Empty(t, g.frontAddresses(ResolutionQuery{}))
 	g.taken.Store(1)
 	assert.Empty(t, g.caches())
 	g.taken.Store(2)
@@ -160,7 +160,7 @@
 	g.taken.Store(0)
 	g.settled.Store(true)
 	assert.Len(t, g.caches(), engines)
-	assert.Len(t, g.frontAddresses(), 1)
+	assert.Len(t, g.frontAddresses(ResolutionQuery{}), 1)
 }
 
 // TestNodeThatKnowsTheTablesAsksNoMoreOfTheStore has a fleet start before its operator
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -34,7 +34,8 @@
 		Handler:           http.HandlerFunc(g.serveFront),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         g.idle.note,
+		ConnState:         g.noteFront,
+		ConnContext:       withCaller,
 	}
 	handlers := []struct {
 		address string
@@ -53,12 +54,18 @@
 		}
 		g.listeners = append(g.listeners, listener)
 		g.servers = append(g.servers, entry.server)
+		if entry.server.ConnState == nil {
+			entry.server.ConnState = g.pressure.countConnection
+		}
 		if entry.server.ReadHeaderTimeout == 0 {
 			entry.server.ReadHeaderTimeout = headerTimeout
 		}
 	}
 	for index, server := range g.servers {
 		listener := g.listeners[index]
+		if server == g.front {
+			listener = &boundedListener{Listener: listener, room: g.hasRoom, refused: g.noteUntaken}
+		}
 		g.life.Go(func() error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				return errors.Wrap(err, "serve")
@@ -69,6 +76,18 @@
 	return nil
 }
 
+// noteFront is the ConnState hook of the front server.
+func (g *Gateway) noteFront(conn net.Conn, state http.ConnState) {
+	g.idle.note(conn, state)
+	g.pressure.countConnection(conn, state)
+}
+
+// noteUntaken counts and logs a caller's connection that was closed for want of descriptors.
+func (g *Gateway) noteUntaken() {
+	g.metrics.untaken.Inc()
+	g.events.line("connection_refused").Int("descriptors", int(g.pressure.connections.Load())+g.upstreams.Open()).Msg("connection_refused")
+}
+
 func (g *Gateway) closeListeners() {
 	for _, listener := range g.listeners {
 		listener.Close()
@@ -98,8 +117,8 @@
 
 func (g *Gateway) directoryHandler() http.Handler {
 	router := bunrouter.New()
-	router.GET(g.outside.Codec.Paths().Resolution, func(writer http.ResponseWriter, _ bunrouter.Request) error {
-		addresses := g.frontAddresses()
+	router.GET(g.outside.Codec.Paths().Resolution, func(writer http.ResponseWriter, request bunrouter.Request) error {
+		addresses := g.frontAddresses(g.outside.Codec.ResolutionQuery(request.Request))
 		if len(addresses) == 0 {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 			return nil
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/nodecapacity"
 )
 
 // Settings sets up one gateway. They are checked by Validate, apart from serving.
@@ -36,11 +37,8 @@
 	// FirstStart is set if all nodes start for the first time: no caller is there yet.
 	FirstStart bool
 
-	// ProcessorShare is the machine's processor for this process, in cores; 0 if
-	// unknown.
-	ProcessorShare float64
-	// MemoryMB is the machine's memory for this process, in MB; 0 if unknown.
-	MemoryMB int
+	// Limits are what the machine gives this process.
+	Limits nodecapacity.Limits
 
 	// StopGrace is the time between a planned stop's signal and the kill.
 	StopGrace time.Duration
@@ -122,6 +120,9 @@
 			return errors.Errorf("%s address %q: not HOST:PORT", name, address)
 		}
 	}
+	if err := s.Limits.Validate(); err != nil {
+		return errors.Wrap(err, "limits")
+	}
 	for name, bound := range map[string]time.Duration{
 		"stop grace": s.StopGrace, "revocation bound": s.RevokeWithin, "lease gap": s.LeaseGap,
 		"weights bound": s.WeightsWithin, "configuration bound": s.ConfigureWithin, "retry window": s.RetryWindow,
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/tillerfall/tillerfall/internal/nodecapacity"
 )
 
 // Times of a planned stop.
@@ -83,7 +85,7 @@
 
 // markConnection asks the caller to open another connection next time.
 func (g *Gateway) markConnection(header http.Header) {
-	if g.stopping() {
+	if g.stopping() || g.pressure.level() == nodecapacity.Full {
 		header.Set("Connection", "close")
 	}
 }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -112,6 +112,9 @@
 		request.WaitMillis = 0
 	}
 	request.PositionsOf = string(source)
+	if request.GetRequestRate() > 0 {
+		request.Origins, request.Pressures = g.originReport(g.now())
+	}
 	for _, followed := range g.tables {
 		if followed.source != source {
 			followed.source, followed.seen = source, 0
@@ -153,6 +156,7 @@
 		followed.seen = update.Sequence
 	}
 	g.demand.told(g.now(), decodeRate(response.GetRequestRate()))
+	g.takeOrigins(g.now(), response.GetOrigins(), response.GetPressures())
 	proven := response.GetProofAgeMillis() > 0
 	age := time.Duration(response.GetProofAgeMillis()) * time.Millisecond
 	if proven {
@@ -200,6 +204,7 @@
 func (g *Gateway) answerWatch(ctx context.Context, request *rpc.WatchRequest) *rpc.WatchResponse {
 	g.sources.watched(g.now())
 	g.demand.told(g.now(), decodeRate(request.GetRequestRate()))
+	g.takeOrigins(g.now(), request.GetOrigins(), request.GetPressures())
 	wait := min(time.Duration(request.GetWaitMillis())*time.Millisecond, maxWatchWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -236,6 +241,7 @@
 		Named:       g.namedVersions(now),
 		RequestRate: encodeRate(g.demand.total(now)),
 	}
+	response.Origins, response.Pressures = g.originReport(now)
 	if proven {
 		response.ProofAgeMillis = uint32(max(age, 0).Milliseconds()) + 1
 	}
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -38,6 +38,7 @@
 	Overloaded        Code = 2010
 	StaleWeights      Code = 2011
 	QuotaExceeded     Code = 2012
+	NodeFull          Code = 2013
 
 	OutcomeUnknown    Code = 3001
 	StreamInterrupted Code = 3002
@@ -99,6 +100,7 @@
 	{Overloaded, "overloaded", http.StatusServiceUnavailable, true, "The fleet is full; come back after Retry-After."},
 	{StaleWeights, "stale_weights", http.StatusServiceUnavailable, true, "The version was retired while the request waited."},
 	{QuotaExceeded, "quota_exceeded", http.StatusTooManyRequests, true, "The tenant has used its quota; come back after Retry-After."},
+	{NodeFull, "node_full", http.StatusServiceUnavailable, true, "The node is short of memory or descriptors; come back, to another one."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, false, "The request may have run; it isn't repeatable and its engine can't be asked."},
 	{StreamInterrupted, "stream_interrupted", http.StatusBadGateway, false, "The stream broke and could not be continued; it is incomplete."},
 	{DeadlineExceeded, "deadline_exceeded", http.StatusGatewayTimeout, false, "The deadline passed while the request ran."},
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -80,6 +80,17 @@
 	return known.open < destination.MaxConnections
 }
 
+// Open returns the number of connections that are open, idle or in use.
+func (p *Pool) Open() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	open := 0
+	for _, known := range p.workers {
+		open += known.open
+	}
+	return open
+}
+
 // Forget closes the idle connections to a worker that is gone.
 func (p *Pool) Forget(engine fleet.EngineID) {
 	p.mutex.Lock()
