Let requests take seven tenths of a serving node's share instead of a half

Cause: a zone's serving nodes are counted for that zone alone, so small fleets rounded up to more nodes than before, and each tells each other its loads; the busiest used 0.03 to 0.05 of its 0.12 cores. Ruled out: fewer than two a zone, since a caller's second address must be there. Change: DefaultUtilization 0.7, below the 0.75 at which a node calls itself busy. Besides, the time before the first send is logged and measured.

--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -100,6 +100,10 @@
 func (g *Gateway) sendTo(ctx context.Context, current *carried, placement *backends.Placement) attempt.Step {
 	current.worker = string(placement.Worker.ID)
 	g.logPlacement(current, placement)
+	if current.firstSend == 0 {
+		current.firstSend = g.now()
+		g.metrics.beforeSend.Observe((current.firstSend - current.began).Seconds())
+	}
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	answer, err := g.exchangeWith(sending, cancel, current, placement)
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -65,8 +65,10 @@
 
 	// lastEventID is the last event that the caller has.
 	lastEventID string
-	headSent    bool
-	firstByte   time.Duration
+	// firstSend is when the request first went to a worker.
+	firstSend time.Duration
+	headSent  bool
+	firstByte time.Duration
 	// lastEvent is when the last event went out, longestGap the longest time
 	// between two of them.
 	lastEvent  time.Duration
@@ -304,6 +306,9 @@
 	if current.machine != nil {
 		line = line.Int("sends", current.machine.Sends()).Str("worker", current.worker)
 	}
+	if current.firstSend > 0 {
+		line = line.Dur("before_send", current.firstSend-current.began)
+	}
 	if current.firstByte > 0 {
 		line = line.Dur("first_byte", current.firstByte-current.began)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,11 +16,15 @@
 	quotaShare    *prometheus.GaugeVec
 	pressure      prometheus.Gauge
 	untaken       prometheus.Counter
+	beforeSend    prometheus.Histogram
 }
 
 // latencyBuckets are the upper bounds of the histograms, in seconds.
 var latencyBuckets = []float64{.01, .025, .05, .1, .2, .3, .5, .8, 1.2, 2, 4, 8}
 
+// ownTimeBuckets are the upper bounds of the time that a node takes itself, in seconds.
+var ownTimeBuckets = []float64{.0005, .001, .002, .005, .01, .025, .05, .1, .25}
+
 func newMetrics(registry *prometheus.Registry) *metrics {
 	m := &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -61,8 +65,12 @@
 	m.untaken = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tillerfall_gateway_untaken_connections_total", Help: "Connections of callers closed for want of descriptors.",
 	})
+	m.beforeSend = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "tillerfall_gateway_before_send_seconds", Help: "Time from a request's head to its first send to a worker.",
+		Buckets: ownTimeBuckets,
+	})
 	if registry != nil {
-		registry.MustRegister(m.pressure, m.untaken)
+		registry.MustRegister(m.pressure, m.untaken, m.beforeSend)
 		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders, m.unreadable, m.quotaUnits, m.quotaShare)
 	}
 	return m
--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -39,7 +39,7 @@
 // Defaults of RoleOptions.
 const (
 	DefaultRequestCost = 2
-	DefaultUtilization = 0.5
+	DefaultUtilization = 0.7
 	DefaultMinServing  = 6
 	DefaultSmallFleet  = 8
 	DefaultCandidates  = 3
