Keep serving groups from shrinking for 20 s

Change: SizeHold, pure; a group grows at once and shrinks to the largest need of 20 s. Besides, an answer with one address gets a near reserve.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,7 +65,8 @@
 	readiness *readiness
 	announcer *announcer
 	roles     atomic.Pointer[nodeRoles]
-	// joined is used by assign alone; settled is set once this node knows its role.
+	// sizes and joined are used by assign alone; settled is set once this node knows its role.
+	sizes   membership.SizeHold
 	joined  joinedMembers
 	settled atomic.Bool
 
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -61,6 +61,8 @@
 	// parts by which nodes under pressure count.
 	origins map[membership.Place]float64
 	weights map[fleet.NodeID]float64
+	// least is the least sizes of the serving groups.
+	least map[membership.Place]int
 	// reader is set if it is this node's role to read the store, candidate if it
 	// takes the lease of the weights, and sharesLoads if it is among those that tell
 	// each other what they send: those that serve, and the candidates.
@@ -86,7 +88,7 @@
 	all := membership.Assign(view, demand, options)
 	candidates := all.Candidates(rolloutLease)
 	roles := &nodeRoles{
-		Roles: all, view: view, demand: demand, origins: options.Origins, weights: options.Weights,
+		Roles: all, view: view, demand: demand, origins: options.Origins, weights: options.Weights, least: options.Least,
 		reader:      all.Reads(self),
 		candidate:   slices.Contains(candidates, self),
 		readerOrder: all.ReaderOrder(zone),
@@ -124,8 +126,11 @@
 	roles := before
 	view, demand := g.peers.View(), g.demand.planned(now)
 	options := membership.RoleOptions{Origins: g.origins.plan(g.originRates(now)), Weights: g.origins.planWeights(now)}
+	if before != nil {
+		options.Least = g.sizes.Observe(now, before.Needed())
+	}
 	if before == nil || before.view != view || before.demand != demand ||
-		!maps.Equal(before.origins, options.Origins) || !maps.Equal(before.weights, options.Weights) {
+		!maps.Equal(before.origins, options.Origins) || !maps.Equal(before.weights, options.Weights) || !maps.Equal(before.least, options.Least) {
 		roles = deriveRolesBy(g.node, g.settings().Zone, view, demand, options)
 		g.roles.Store(roles)
 		g.demand.setSharing(roles.sharesLoads)
--- a/internal/membership/answer.go
+++ b/internal/membership/answer.go
@@ -31,9 +31,45 @@
 	for index, candidate := range chosen {
 		answer[index] = candidate.member
 	}
+	if len(answer) < leastNear {
+		answer = r.withReserve(answer, from, answerer, alive)
+	}
 	return answer
 }
 
+// withReserve adds the nearest other serving member to an answer that is too short: a caller
+// whose only address fails would have none until it asks again. Answerers differ in whom they
+// add, so that nobody is flooded.
+func (r *Roles) withReserve(answer []Member, from Place, answerer fleet.NodeID, alive func(Member) bool) []Member {
+	var reserve *Member
+	distance := func(member *Member) int {
+		switch {
+		case member.place() == from:
+			return 0
+		case member.Region == from.Region:
+			return 1
+		default:
+			return 2
+		}
+	}
+	for index := range r.Serving {
+		member := &r.Serving[index]
+		if !alive(*member) || slices.ContainsFunc(answer, func(named Member) bool { return named.Node == member.Node }) {
+			continue
+		}
+		if reserve == nil || cmp.Or(
+			cmp.Compare(distance(member), distance(reserve)),
+			cmp.Compare(RendezvousWeight(string(answerer), string(reserve.Node)), RendezvousWeight(string(answerer), string(member.Node))),
+		) < 0 {
+			reserve = member
+		}
+	}
+	if reserve == nil {
+		return answer
+	}
+	return append(answer, *reserve)
+}
+
 // reachable leaves out the members that can't be reached.
 func (r *Roles) reachable(shares []candidateShare, alive func(Member) bool) []candidateShare {
 	if near := slices.DeleteFunc(slices.Clone(shares), func(c candidateShare) bool { return !alive(c.member) }); hasShare(near) {
--- a/internal/membership/answer_test.go
+++ b/internal/membership/answer_test.go
@@ -75,6 +75,27 @@
 	assert.Empty(t, (&Roles{}).Answer(northA, node, always))
 }
 
+// TestAnswerWithOneAddressGetsANearReserve has one of a zone's two serving members fail.
+func TestAnswerWithOneAddressGetsANearReserve(t *testing.T) {
+	view := fleetOf(zoned{northA, equal(5, 200)}, zoned{northB, equal(5, 200)}, zoned{southC, equal(5, 200)})
+	roles := Assign(view, 60, RoleOptions{})
+	var failed fleet.NodeID
+	for _, member := range roles.Serving {
+		if member.Zone == "a" {
+			failed = member.Node
+		}
+	}
+	reserves := map[fleet.NodeID]bool{}
+	for _, answerer := range view.Members() {
+		answer := roles.Answer(northA, answerer.Node, func(member Member) bool { return member.Node != failed })
+		require.Len(t, answer, leastNear)
+		assert.Equal(t, fleet.ZoneName("a"), answer[0].Zone)
+		assert.Equal(t, fleet.ZoneName("b"), answer[1].Zone, "of the same region")
+		reserves[answer[1].Node] = true
+	}
+	assert.Len(t, reserves, 2, "answerers differ in whom they add")
+}
+
 // TestEveryMemberOfASmallFleetIsNamed as before there were places.
 func TestEveryMemberOfASmallFleetIsNamed(t *testing.T) {
 	view := fleetOf(zoned{northA, equal(3, 200)}, zoned{northB, equal(2, 200)}, zoned{southC, equal(2, 200)})
--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -32,6 +32,8 @@
 	// Weights is by which part of their capacity members under pressure count; all others
 	// count whole.
 	Weights map[fleet.NodeID]float64
+	// Least is the least number of serving members of groups, by the group's place.
+	Least map[Place]int
 	// Together has all callers sent to all serving members, wherever they are.
 	Together bool
 }
--- a/internal/membership/serving.go
+++ b/internal/membership/serving.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
@@ -26,7 +27,9 @@
 	// place is without zone if the group is a region's, and empty if it holds all.
 	place   Place
 	members []weighted
-	// serving is how many of the members, the first ones, serve.
+	// needed is how many of the members, the first ones, the demand asks for, and serving
+	// how many serve.
+	needed  int
 	serving int
 	// capacity is the requests a second that all members can carry together, demand
 	// what its places' callers send.
@@ -189,10 +192,61 @@
 	}
 	least := max(leastNear, (p.options.MinServing+populated-1)/max(populated, 1))
 	carried := 0.0
-	for group.serving < len(group.members) && (group.serving < least || carried < demand) {
-		carried += p.options.carries(group.members[group.serving].Member)
-		group.serving++
+	for group.needed < len(group.members) && (group.needed < least || carried < demand) {
+		carried += p.options.carries(group.members[group.needed].Member)
+		group.needed++
 	}
+	group.serving = min(max(group.needed, p.options.Least[group.place]), len(group.members))
+}
+
+// Needed returns how many members of each group the demand asks for.
+func (r *Roles) Needed() map[Place]int {
+	needed := make(map[Place]int)
+	if r.plan == nil {
+		return needed
+	}
+	for _, group := range r.plan.groups {
+		needed[group.place] = group.needed
+	}
+	return needed
+}
+
+// SizeHold keeps groups from shrinking soon: a member that begins to serve reads what all
+// caches hold, and its callers leave it when it ends. Its zero value holds nothing. It isn't
+// safe for concurrent use.
+type SizeHold struct {
+	sizes map[Place]heldSize
+}
+
+// heldSize is a group's size, and the largest need since it was last as large.
+type heldSize struct {
+	size, lower int
+	lowerSince  time.Duration
+}
+
+// sizeHold is how long a group's need must have been lower until it shrinks to the largest
+// need of that time.
+const sizeHold = 20 * time.Second
+
+// Observe takes in at now what groups need and returns the least sizes to keep. The map isn't
+// written to again.
+func (h *SizeHold) Observe(now time.Duration, needed map[Place]int) map[Place]int {
+	kept := make(map[Place]heldSize, len(needed))
+	least := make(map[Place]int, len(needed))
+	for place, need := range needed {
+		held := h.sizes[place]
+		switch {
+		case need >= held.size:
+			held = heldSize{size: need, lowerSince: now}
+		case now >= held.lowerSince+sizeHold:
+			held = heldSize{size: max(held.lower, need), lowerSince: now}
+		default:
+			held.lower = max(held.lower, need)
+		}
+		kept[place], least[place] = held, held.size
+	}
+	h.sizes = kept
+	return least
 }
 
 // spreadFlows returns which part of each group's callers go to which group: as many as the
