Rank nodes for serving by capacity alone, whatever their pressure

A busy node fell behind others in rank and would have been replaced by one that must first read what all caches hold; it now stays with a smaller share, and others are added.

--- a/internal/membership/serving.go
+++ b/internal/membership/serving.go
@@ -55,7 +55,7 @@
 // many members of each as its part asks for.
 func planServing(members []Member, demand float64, options RoleOptions) *servingPlan {
 	plan := &servingPlan{options: options, byPlace: make(map[Place]int), byRegion: make(map[fleet.RegionName][]int)}
-	ranked := rankServing(members, options)
+	ranked := rankServing(members)
 	level := chooseLevel(ranked, demand, options)
 	for _, entry := range ranked {
 		plan.add(level(entry.place()), entry)
@@ -73,26 +73,27 @@
 }
 
 // rankServing orders members for serving: the largest first, those of equal size zone by
-// zone in turn, so that a group's first ones aren't all in one zone.
-func rankServing(members []Member, options RoleOptions) []weighted {
+// zone in turn, so that a group's first ones aren't all in one zone. Pressure changes no
+// rank: a busy member gets fewer callers beside others, and isn't replaced.
+func rankServing(members []Member) []weighted {
 	ranked := weigh(servingKey, members)
 	slices.SortFunc(ranked, func(a, b weighted) int {
-		return cmp.Or(cmp.Compare(options.weight(b.Member), options.weight(a.Member)), cmp.Compare(b.weight, a.weight))
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(b.weight, a.weight))
 	})
 	type rank struct {
 		place    Place
-		capacity float64
+		capacity uint32
 	}
 	seen := make(map[rank]int)
 	turn := make(map[fleet.NodeID]int, len(ranked))
 	for _, entry := range ranked {
-		key := rank{entry.place(), options.weight(entry.Member)}
+		key := rank{entry.place(), entry.Capacity}
 		turn[entry.Node] = seen[key]
 		seen[key]++
 	}
 	slices.SortStableFunc(ranked, func(a, b weighted) int {
 		return cmp.Or(
-			cmp.Compare(options.weight(b.Member), options.weight(a.Member)),
+			cmp.Compare(b.Capacity, a.Capacity),
 			cmp.Compare(turn[a.Node], turn[b.Node]))
 	})
 	return ranked
--- a/internal/membership/serving_test.go
+++ b/internal/membership/serving_test.go
@@ -221,6 +221,10 @@
 	after := Assign(view, 240, RoleOptions{Utilization: 0.5, Weights: map[fleet.NodeID]float64{busy: 0.5}})
 	shares := expectedShares(t, after, northA)
 	assert.Less(t, shares[busy], 0.51*0.5, "a half of what it got")
+	assert.True(t, after.Serves(busy), "it isn't replaced: that would move all that it knows")
+	for _, member := range before.Serving {
+		assert.True(t, after.Serves(member.Node))
+	}
 }
 
 func BenchmarkPlanServing(b *testing.B) {
