Have other nodes stand in when all candidates for the weights' lease lose the store

Cause: three nodes, by rendezvous, take the lease under which engines change weights. Ruled out: more candidates by rule (a cut of a third takes any fixed few with some chance, and each polls the lease); the directory or loads as the cause (first looked at: the refusals' reason is the version, not room). Change: a node with a proof of its own by the store that sees engines wait and none change for a lease's duration and 0.4 s takes the lease, and shares loads while it holds it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,10 @@
 	// joined is used by assign alone; settled is set once this node knows its role.
 	joined  joinedMembers
 	settled atomic.Bool
+	// duty is used by driveRollout alone; standIn is set while this node stands in for
+	// the candidates of the lease.
+	duty    dutyWatch
+	standIn atomic.Bool
 
 	splitMutex sync.Mutex
 	splitter   *routes.Splitter
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -56,9 +56,12 @@
 	// view and demand, in requests a second, are what it was derived from.
 	view   *membership.View
 	demand float64
+	// standsIn is set while this node stands in for the candidates.
+	standsIn bool
 	// reader is set if it is this node's role to read the store, candidate if it
 	// takes the lease of the weights, and sharesLoads if it is among those that tell
-	// each other what they send: those that serve, and the candidates.
+	// each other what they send: those that serve, the candidates, and who stands in for
+	// these.
 	reader      bool
 	candidate   bool
 	sharesLoads bool
@@ -72,11 +75,11 @@
 }
 
 // deriveRoles returns the roles of a view's members at a demand in requests a second.
-func deriveRoles(self fleet.NodeID, zone fleet.ZoneName, view *membership.View, demand float64) *nodeRoles {
+func deriveRoles(self fleet.NodeID, zone fleet.ZoneName, view *membership.View, demand float64, standsIn bool) *nodeRoles {
 	all := membership.Assign(view, demand, membership.RoleOptions{})
 	candidates := all.Candidates(rolloutLease)
 	roles := &nodeRoles{
-		Roles: all, view: view, demand: demand,
+		Roles: all, view: view, demand: demand, standsIn: standsIn,
 		reader:      all.Reads(self),
 		candidate:   slices.Contains(candidates, self),
 		readerOrder: all.ReaderOrder(zone),
@@ -84,7 +87,7 @@
 	if !all.Serves(self) {
 		roles.others = len(view.Routable()) - len(all.Serving)
 	}
-	roles.sharesLoads = roles.candidate || all.Serves(self)
+	roles.sharesLoads = roles.candidate || standsIn || all.Serves(self)
 	if !roles.sharesLoads {
 		return roles
 	}
@@ -112,9 +115,9 @@
 func (g *Gateway) assign(now time.Duration) {
 	before := g.roles.Load()
 	roles := before
-	view, demand := g.peers.View(), g.demand.planned(now)
-	if before == nil || before.view != view || before.demand != demand {
-		roles = deriveRoles(g.node, g.settings().Zone, view, demand)
+	view, demand, standsIn := g.peers.View(), g.demand.planned(now), g.standIn.Load()
+	if before == nil || before.view != view || before.demand != demand || before.standsIn != standsIn {
+		roles = deriveRoles(g.node, g.settings().Zone, view, demand, standsIn)
 		g.roles.Store(roles)
 		g.demand.setSharing(roles.sharesLoads)
 	}
--- a/internal/gateway/roles_test.go
+++ b/internal/gateway/roles_test.go
@@ -67,7 +67,7 @@
 	candidates := all.Candidates(rolloutLease)
 	sharing := 0
 	for _, member := range view.Members() {
-		roles := deriveRoles(member.Node, member.Zone, view, 100)
+		roles := deriveRoles(member.Node, member.Zone, view, 100, false)
 		if !roles.sharesLoads {
 			assert.Empty(t, roles.loadPeers)
 			continue
@@ -84,7 +84,7 @@
 func TestNodeAtRestLooksSeldomAtTheRollout(t *testing.T) {
 	g := idleGateway(t)
 	assert.Equal(t, rolloutInterval, g.rolloutPause(), "alone it serves")
-	g.roles.Store(deriveRoles("node-000", "z0", largeFleet(195), 0))
+	g.roles.Store(deriveRoles("node-000", "z0", largeFleet(195), 0, false))
 	require.False(t, g.roles.Load().sharesLoads)
 	assert.Equal(t, rolloutRest, g.rolloutPause())
 	g.inFlight.Store(1)
@@ -130,7 +130,7 @@
 	assert.Equal(t, watchRetryMax, g.watchPause(watchUseless, useless))
 	assert.Zero(t, watchQuiet.countUseless(useless))
 	assert.Zero(t, g.watchPause(watchNews, 0), "callers are sent here")
-	g.roles.Store(deriveRoles("node-000", "z0", largeFleet(195), 0))
+	g.roles.Store(deriveRoles("node-000", "z0", largeFleet(195), 0, false))
 	assert.Equal(t, watchGather, g.watchPause(watchNews, 0))
 	assert.Zero(t, g.watchPause(watchQuiet, 0))
 }
@@ -185,7 +185,7 @@
 		b.Run(fmt.Sprint(members), func(b *testing.B) {
 			view := largeFleet(members)
 			for b.Loop() {
-				deriveRoles("node-000", "z0", view, 100)
+				deriveRoles("node-000", "z0", view, 100, false)
 			}
 		})
 	}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -24,6 +24,7 @@
 		}
 		g.requireDue(now)
 		g.pending.expire(g.weights.due(now, beginReserve))
+		g.noteStandIn(now)
 		g.keeper.SetEligible(g.rolloutCandidate())
 		token, holds := g.keeper.Fence()
 		if holds && !held {
@@ -105,7 +106,7 @@
 
 // rolloutCandidate tells whether this node is among those that take the lease.
 func (g *Gateway) rolloutCandidate() bool {
-	return !g.stopping() && g.settled.Load() && g.roles.Load().candidate
+	return !g.stopping() && g.settled.Load() && (g.roles.Load().candidate || g.standIn.Load())
 }
 
 // carryChange brings one engine to a version: it keeps requests away, sends
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -106,6 +106,14 @@
 	s.selector.Proven(now, now-at)
 }
 
+// provenWithin tells whether this node has a proof of its own by the store that isn't
+// older than within.
+func (s *sources) provenWithin(now, within time.Duration) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.selector.ProvenWithin(now, within)
+}
+
 // answered takes in a peer's answer and tells whether another one is asked next.
 func (s *sources) answered(now time.Duration, from fleet.NodeID, age time.Duration, proven bool) bool {
 	s.mutex.Lock()
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -183,6 +183,12 @@
 	s.ownProven, s.ownProvenAt = true, max(s.ownProvenAt, now-age)
 }
 
+// ProvenWithin tells whether the node itself has a proof by the store that isn't older
+// than within.
+func (s *Selector) ProvenWithin(now, within time.Duration) bool {
+	return s.ownProven && now <= s.ownProvenAt+within
+}
+
 // Inform takes in that the node knows everything, by whoever told.
 func (s *Selector) Inform() { s.informed = true }
 
