--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,10 @@
 	sizes   membership.SizeHold
 	joined  joinedMembers
 	settled atomic.Bool
+	// duty is used by driveRollout alone; standIn is set while this node stands in for
+	// the candidates of the lease.
+	duty    dutyWatch
+	standIn atomic.Bool
 
 	splitMutex sync.Mutex
 	splitter   *routes.Splitter
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -57,15 +57,18 @@
 	// view and demand, in requests a second, are what it was derived from.
 	view   *membership.View
 	demand float64
+	// standsIn is set while this node stands in for the candidates.
+	standsIn bool
 	// origins and weights are what else it was derived from: the demand by place, and the
-	// parts by which nodes under pressure count.
+	// parts by which nodes under pressure count. least is the least sizes of the serving
+	// groups.
 	origins map[membership.Place]float64
 	weights map[fleet.NodeID]float64
-	// least is the least sizes of the serving groups.
-	least map[membership.Place]int
+	least   map[membership.Place]int
 	// reader is set if it is this node's role to read the store, candidate if it
 	// takes the lease of the weights, and sharesLoads if it is among those that tell
-	// each other what they send: those that serve, and the candidates.
+	// each other what they send: those that serve, the candidates, and who stands in for
+	// these.
 	reader      bool
 	candidate   bool
 	sharesLoads bool
@@ -79,16 +82,18 @@
 }
 
 // deriveRoles returns the roles of a view's members at a demand in requests a second.
-func deriveRoles(self fleet.NodeID, zone fleet.ZoneName, view *membership.View, demand float64) *nodeRoles {
-	return deriveRolesBy(self, zone, view, demand, membership.RoleOptions{})
+func deriveRoles(self fleet.NodeID, zone fleet.ZoneName, view *membership.View, demand float64, standsIn bool) *nodeRoles {
+	return deriveRolesBy(self, zone, view, demand, standsIn, membership.RoleOptions{})
 }
 
 // deriveRolesBy returns the roles by what else is known.
-func deriveRolesBy(self fleet.NodeID, zone fleet.ZoneName, view *membership.View, demand float64, options membership.RoleOptions) *nodeRoles {
+func deriveRolesBy(self fleet.NodeID, zone fleet.ZoneName, view *membership.View, demand float64, standsIn bool,
+	options membership.RoleOptions) *nodeRoles {
 	all := membership.Assign(view, demand, options)
 	candidates := all.Candidates(rolloutLease)
 	roles := &nodeRoles{
-		Roles: all, view: view, demand: demand, origins: options.Origins, weights: options.Weights, least: options.Least,
+		Roles: all, view: view, demand: demand, standsIn: standsIn,
+		origins: options.Origins, weights: options.Weights, least: options.Least,
 		reader:      all.Reads(self),
 		candidate:   slices.Contains(candidates, self),
 		readerOrder: all.ReaderOrder(zone),
@@ -96,7 +101,7 @@
 	if !all.Serves(self) {
 		roles.others = len(view.Routable()) - len(all.Serving)
 	}
-	roles.sharesLoads = roles.candidate || all.Serves(self)
+	roles.sharesLoads = roles.candidate || standsIn || all.Serves(self)
 	if !roles.sharesLoads {
 		return roles
 	}
@@ -108,6 +113,11 @@
 	return roles
 }
 
+// plannedOtherwise tells whether other roles may follow from the options.
+func (r *nodeRoles) plannedOtherwise(options membership.RoleOptions) bool {
+	return !maps.Equal(r.origins, options.Origins) || !maps.Equal(r.weights, options.Weights) || !maps.Equal(r.least, options.Least)
+}
+
 // driveRoles keeps this node's part up to date with the membership and the demand.
 func (g *Gateway) driveRoles() error {
 	for {
@@ -124,14 +134,13 @@
 func (g *Gateway) assign(now time.Duration) {
 	before := g.roles.Load()
 	roles := before
-	view, demand := g.peers.View(), g.demand.planned(now)
+	view, demand, standsIn := g.peers.View(), g.demand.planned(now), g.standIn.Load()
 	options := membership.RoleOptions{Origins: g.origins.plan(g.originRates(now)), Weights: g.origins.planWeights(now)}
 	if before != nil {
 		options.Least = g.sizes.Observe(now, before.Needed())
 	}
-	if before == nil || before.view != view || before.demand != demand ||
-		!maps.Equal(before.origins, options.Origins) || !maps.Equal(before.weights, options.Weights) || !maps.Equal(before.least, options.Least) {
-		roles = deriveRolesBy(g.node, g.settings().Zone, view, demand, options)
+	if before == nil || before.view != view || before.demand != demand || before.standsIn != standsIn || before.plannedOtherwise(options) {
+		roles = deriveRolesBy(g.node, g.settings().Zone, view, demand, standsIn, options)
 		g.roles.Store(roles)
 		g.demand.setSharing(roles.sharesLoads)
 	}
