--- a/internal/gateway/pressure.go
+++ b/internal/gateway/pressure.go
@@ -52,8 +52,10 @@
 	lastAt    time.Duration
 	current   atomic.Uint32
 	scarcest  atomic.Uint32
-	// connections counts those that servers have open.
-	connections atomic.Int64
+	// connections counts those that servers have open, and workerConnections those to
+	// workers at the last look.
+	connections       atomic.Int64
+	workerConnections atomic.Int64
 }
 
 // level returns this node's pressure at the last look.
@@ -120,13 +122,19 @@
 	}
 	samples := []runtimemetrics.Sample{{Name: totalMemory}, {Name: releasedMemory}}
 	runtimemetrics.Read(samples)
+	g.pressure.workerConnections.Store(int64(g.upstreams.Open()))
 	return consumption{
 		processor:   time.Duration(usage.Utime.Nano() + usage.Stime.Nano()),
 		memory:      samples[0].Value.Uint64() - samples[1].Value.Uint64(),
-		descriptors: int(g.pressure.connections.Load()) + g.upstreams.Open() + quietDescriptors,
+		descriptors: g.pressure.descriptors(),
 	}, nil
 }
 
+// descriptors returns the number of open descriptors, nearly.
+func (p *pressure) descriptors() int {
+	return int(p.connections.Load()+p.workerConnections.Load()) + quietDescriptors
+}
+
 // countConnection is a ConnState hook of all servers.
 func (p *pressure) countConnection(_ net.Conn, state http.ConnState) {
 	switch state {
@@ -168,5 +176,5 @@
 		return true
 	}
 	bound := float64(limits.FileDescriptors-nodecapacity.ReservedDescriptors) * connectionPart
-	return float64(int(g.pressure.connections.Load())+g.upstreams.Open()+quietDescriptors) < bound
+	return float64(g.pressure.descriptors()) < bound
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -85,7 +85,7 @@
 // noteUntaken counts and logs a caller's connection that was closed for want of descriptors.
 func (g *Gateway) noteUntaken() {
 	g.metrics.untaken.Inc()
-	g.events.line("connection_refused").Int("descriptors", int(g.pressure.connections.Load())+g.upstreams.Open()).Msg("connection_refused")
+	g.events.line("connection_refused").Int("descriptors", g.pressure.descriptors()).Msg("connection_refused")
 }
 
 func (g *Gateway) closeListeners() {
