Plan by equal parts after a start, count only admitted requests, and end the hold with the demand

Change: no origins and no sizes for 5 s after a start; only admitted requests are demand; sizes end when the planned demand falls.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -93,13 +93,15 @@
 	defer g.inFlight.Add(-1)
 	now := g.now()
 	g.lastRequest.Store(int64(now))
-	g.demand.note()
 	current := &carried{writer: writer, request: request, began: now}
 	defer g.finish(current)
 	if refused := g.admit(current); refused != nil {
 		g.refuse(current, *refused)
 		return
 	}
+	// What is refused costs little. After a loss of all nodes callers are refused and come
+	// back for a second, and twice as many nodes would serve as their requests need.
+	g.demand.note()
 	if refused := g.readBody(current); refused != nil {
 		g.refuse(current, *refused)
 		return
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -21,6 +21,11 @@
 	joinSettled = 400 * time.Millisecond
 	joinGrace   = time.Second
 	firstGrace  = 2 * time.Second
+	// planAfter is how long after its start a node plans by equal parts of the places and
+	// keeps no group's size. After a loss of all of 16 nodes 9.7 served in the mean instead
+	// of 6.0, as each had begun to plan at once; they took a fifth more of the processor and
+	// of the bytes between zones in the whole day.
+	planAfter = 5 * time.Second
 )
 
 // joining tells whether this node has just started and may not know its role yet.
@@ -113,6 +118,20 @@
 	return roles
 }
 
+// roleOptions returns what is planned for besides the demand. A node that has just started
+// hears of a few nodes' requests first: it would take one place for the origin of all, and
+// keep a group for it that is far too large.
+func (g *Gateway) roleOptions(now time.Duration, demand float64, before *nodeRoles) membership.RoleOptions {
+	options := membership.RoleOptions{Weights: g.origins.planWeights(now)}
+	origins := g.origins.plan(g.originRates(now))
+	if before == nil || now < planAfter {
+		return options
+	}
+	options.Origins = origins
+	options.Least = g.sizes.Observe(now, demand, before.Needed())
+	return options
+}
+
 // plannedOtherwise tells whether other roles may follow from the options.
 func (r *nodeRoles) plannedOtherwise(options membership.RoleOptions) bool {
 	return !maps.Equal(r.origins, options.Origins) || !maps.Equal(r.weights, options.Weights) || !maps.Equal(r.least, options.Least)
@@ -135,10 +154,7 @@
 	before := g.roles.Load()
 	roles := before
 	view, demand, standsIn := g.peers.View(), g.demand.planned(now), g.standIn.Load()
-	options := membership.RoleOptions{Origins: g.origins.plan(g.originRates(now)), Weights: g.origins.planWeights(now)}
-	if before != nil {
-		options.Least = g.sizes.Observe(now, before.Needed())
-	}
+	options := g.roleOptions(now, demand, before)
 	if before == nil || before.view != view || before.demand != demand || before.standsIn != standsIn || before.plannedOtherwise(options) {
 		roles = deriveRolesBy(g.node, g.settings().Zone, view, demand, standsIn, options)
 		g.roles.Store(roles)
--- a/internal/gateway/roles_test.go
+++ b/internal/gateway/roles_test.go
@@ -190,3 +190,20 @@
 		})
 	}
 }
+
+// TestNodeThatHasJustStartedPlansByEqualParts has the first rates that it hears come from one
+// place alone.
+func TestNodeThatHasJustStartedPlansByEqualParts(t *testing.T) {
+	g := idleGateway(t)
+	g.demand.setSharing(true)
+	first := func(now time.Duration) membership.RoleOptions {
+		g.demand.peer(now, g.node, 100)
+		return g.roleOptions(now, 100, g.roles.Load())
+	}
+	for now := time.Duration(0); now < planAfter; now += rolesInterval {
+		options := first(now)
+		require.Empty(t, options.Origins)
+		require.Empty(t, options.Least)
+	}
+	assert.NotEmpty(t, first(planAfter).Origins)
+}
--- a/internal/membership/serving.go
+++ b/internal/membership/serving.go
@@ -216,7 +216,8 @@
 // caches hold, and its callers leave it when it ends. Its zero value holds nothing. It isn't
 // safe for concurrent use.
 type SizeHold struct {
-	sizes map[Place]heldSize
+	sizes  map[Place]heldSize
+	demand float64
 }
 
 // heldSize is a group's size, and the largest need since it was last as large.
@@ -229,9 +230,14 @@
 // need of that time.
 const sizeHold = 20 * time.Second
 
-// Observe takes in at now what groups need and returns the least sizes to keep. The map isn't
-// written to again.
-func (h *SizeHold) Observe(now time.Duration, needed map[Place]int) map[Place]int {
+// Observe takes in at now what groups need at a planned demand, and returns the least sizes to
+// keep. The map isn't written to again. A planned demand that falls has been lower for a while
+// already: nothing is kept then.
+func (h *SizeHold) Observe(now time.Duration, demand float64, needed map[Place]int) map[Place]int {
+	if demand < h.demand {
+		h.sizes = nil
+	}
+	h.demand = demand
 	kept := make(map[Place]heldSize, len(needed))
 	least := make(map[Place]int, len(needed))
 	for place, need := range needed {
--- a/internal/membership/serving_test.go
+++ b/internal/membership/serving_test.go
@@ -249,7 +249,9 @@
 // TestGroupsGrowAtOnceAndShrinkLate has a zone's need vary by chance.
 func TestGroupsGrowAtOnceAndShrinkLate(t *testing.T) {
 	var hold SizeHold
-	at := func(now time.Duration, need int) int { return hold.Observe(now, map[Place]int{northA: need})[northA] }
+	at := func(now time.Duration, need int) int {
+		return hold.Observe(now, 100, map[Place]int{northA: need})[northA]
+	}
 	assert.Equal(t, 2, at(0, 2))
 	assert.Equal(t, 4, at(time.Second, 4))
 	assert.Equal(t, 4, at(2*time.Second, 2))
@@ -259,7 +261,9 @@
 	assert.Equal(t, 5, at(22*time.Second, 5))
 	assert.Equal(t, 5, at(41*time.Second, 1))
 	assert.Equal(t, 1, at(42*time.Second, 1))
-	assert.NotContains(t, hold.Observe(43*time.Second, nil), northA, "a group that is gone is forgotten")
+	assert.Equal(t, 7, at(43*time.Second, 7))
+	assert.Equal(t, 2, hold.Observe(44*time.Second, 50, map[Place]int{northA: 2})[northA], "the demand has been lower for a while")
+	assert.NotContains(t, hold.Observe(45*time.Second, 50, nil), northA, "a group that is gone is forgotten")
 	view := fleetOf(zoned{northA, equal(10, 200)}, zoned{northB, equal(10, 200)}, zoned{southC, equal(10, 200)})
 	roles := Assign(view, 60, RoleOptions{Least: map[Place]int{northA: 4, southC: 99}})
 	assert.Equal(t, map[Place]int{northA: 2, northB: 2, southC: 2}, roles.Needed())
