--- a/internal/membership/serving.go
+++ b/internal/membership/serving.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
@@ -212,121 +211,6 @@
 	return needed
 }
 
-// SizeHold keeps groups from shrinking soon: a member that begins to serve reads what all
-// caches hold, and its callers leave it when it ends. Its zero value holds nothing. It isn't
-// safe for concurrent use.
-type SizeHold struct {
-	sizes  map[Place]heldSize
-	demand float64
-}
-
-// heldSize is a group's size, and the largest need since it was last as large.
-type heldSize struct {
-	size, lower int
-	lowerSince  time.Duration
-}
-
-// sizeHold is how long a group's need must have been lower until it shrinks to the largest
-// need of that time.
-const sizeHold = 20 * time.Second
-
-// Observe takes in at now what groups need at a planned demand, and returns the least sizes to
-// keep. The map isn't written to again. A planned demand that falls has been lower for a while
-// already: nothing is kept then.
-func (h *SizeHold) Observe(now time.Duration, demand float64, needed map[Place]int) map[Place]int {
-	if demand < h.demand {
-		h.sizes = nil
-	}
-	h.demand = demand
-	kept := make(map[Place]heldSize, len(needed))
-	least := make(map[Place]int, len(needed))
-	for place, need := range needed {
-		held := h.sizes[place]
-		switch {
-		case need >= held.size:
-			held = heldSize{size: need, lowerSince: now}
-		case now >= held.lowerSince+sizeHold:
-			held = heldSize{size: max(held.lower, need), lowerSince: now}
-		default:
-			held.lower = max(held.lower, need)
-		}
-		kept[place], least[place] = held, held.size
-	}
-	h.sizes = kept
-	return least
-}
-
-// spreadFlows returns which part of each group's callers go to which group: as many as the
-// own group can carry stay, what is left goes to groups of the same region as far as they have
-// room, by that room, then to all others likewise. Where nobody has room left, the rest is
-// spread by capacity.
-func spreadFlows(groups []servingGroup) [][]float64 {
-	flows := make([][]float64, len(groups))
-	left := make([]float64, len(groups))
-	room := make([]float64, len(groups))
-	for index, group := range groups {
-		flows[index] = make([]float64, len(groups))
-		// A group without callers keeps a place for the first one.
-		demand := max(group.demand, leastDemand)
-		stays := min(1, group.capacity/demand)
-		flows[index][index] = stays
-		left[index] = demand * (1 - stays)
-		room[index] = max(group.capacity-demand, 0)
-	}
-	overflow(groups, flows, left, room, func(from, to Place) bool { return from.Region == to.Region })
-	overflow(groups, flows, left, room, func(Place, Place) bool { return true })
-	capacity := 0.0
-	for _, group := range groups {
-		capacity += group.capacity
-	}
-	for from, group := range groups {
-		rest := left[from] / max(group.demand, leastDemand)
-		for to := range groups {
-			if capacity > 0 {
-				flows[from][to] += rest * groups[to].capacity / capacity
-			} else {
-				flows[from][to] += rest / float64(len(groups))
-			}
-		}
-	}
-	return flows
-}
-
-// leastDemand is what a group without callers counts as, in requests a second.
-const leastDemand = 1e-6
-
-// overflow moves what is left of groups' callers to the room of groups near enough.
-func overflow(groups []servingGroup, flows [][]float64, left, room []float64, near func(from, to Place) bool) {
-	type wish struct{ left, room float64 }
-	wishes := make([]wish, len(groups))
-	for from := range groups {
-		for to := range groups {
-			if near(groups[from].place, groups[to].place) {
-				wishes[from].left += left[to]
-				wishes[from].room += room[to]
-			}
-		}
-	}
-	taken := make([]float64, len(groups))
-	for from, wish := range wishes {
-		if left[from] <= 0 || wish.room <= 0 {
-			continue
-		}
-		moved := left[from] * min(1, wish.room/wish.left)
-		for to := range groups {
-			if near(groups[from].place, groups[to].place) {
-				part := moved * room[to] / wish.room
-				flows[from][to] += part / max(groups[from].demand, leastDemand)
-				taken[to] += part
-			}
-		}
-		left[from] -= moved
-	}
-	for to := range room {
-		room[to] = max(room[to]-taken[to], 0)
-	}
-}
-
 // Origins returns from which places the requests come that members of places take, in
 // requests a second: what a group takes is divided among the groups whose callers are sent
 // to it. Without that, a place whose callers are partly sent elsewhere would seem to need
--- /dev/null
+++ b/internal/membership/sizehold.go
@@ -0,0 +1,47 @@
+package membership
+
+import "time"
+
+// SizeHold keeps groups from shrinking soon: a member that begins to serve reads what all
+// caches hold, and its callers leave it when it ends. Its zero value holds nothing. It isn't
+// safe for concurrent use.
+type SizeHold struct {
+	sizes  map[Place]heldSize
+	demand float64
+}
+
+// heldSize is a group's size, and the largest need since it was last as large.
+type heldSize struct {
+	size, lower int
+	lowerSince  time.Duration
+}
+
+// sizeHold is how long a group's need must have been lower until it shrinks to the largest
+// need of that time.
+const sizeHold = 20 * time.Second
+
+// Observe takes in at now what groups need at a planned demand, and returns the least sizes to
+// keep. The map isn't written to again. A planned demand that falls has been lower for a while
+// already: nothing is kept then.
+func (h *SizeHold) Observe(now time.Duration, demand float64, needed map[Place]int) map[Place]int {
+	if demand < h.demand {
+		h.sizes = nil
+	}
+	h.demand = demand
+	kept := make(map[Place]heldSize, len(needed))
+	least := make(map[Place]int, len(needed))
+	for place, need := range needed {
+		held := h.sizes[place]
+		switch {
+		case need >= held.size:
+			held = heldSize{size: need, lowerSince: now}
+		case now >= held.lowerSince+sizeHold:
+			held = heldSize{size: max(held.lower, need), lowerSince: now}
+		default:
+			held.lower = max(held.lower, need)
+		}
+		kept[place], least[place] = held, held.size
+	}
+	h.sizes = kept
+	return least
+}
