Begin the choice of a worker from few candidates

Cause: a choice looked at every worker of every service, hashed each engine for the prompt's home, sorted all engines for the partition, and asked all holders of a part for each engine: where all engines hold a common prefix it grew with the square of the fleet. Change: workers are kept by service and distance; a search looks at the holders of the prompt's parts, its home, the workers to which it is limited by name, and at workers drawn near first; fleets of up to 64 are still looked at whole. The home is taken from 64 neighbours on a ring, so that small fleets keep theirs. The prefix index finds few holders by a directory of banks; the sum of peers' reports takes in and out single reports. The scheduler's filters are not run a second time. Distances have prices for the delay, the bytes and moves (defaults; the gateway doesn't pass regions yet).

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/delivery"
@@ -19,6 +18,8 @@
 	// Versions limits the choice by the version of the workers' software; nil limits
 	// nothing.
 	Versions *delivery.Choice
+	// Bytes is the size of the request and of the answer that is expected.
+	Bytes int
 	// Engine is set for requests to language-model engines.
 	Engine *EngineRequest
 }
@@ -51,7 +52,7 @@
 	InFlight      int
 	PrefillTokens int
 	MemoryTokens  int
-	// Candidates counts the workers that could have been chosen.
+	// Candidates counts the workers that were compared.
 	Candidates int
 	// FailureRate is the worker's mean failure rate at the choice.
 	FailureRate float64
@@ -97,88 +98,34 @@
 func (r *Registry) Choose(now time.Duration, request *Request) (*Placement, Refusal) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	candidates, reason := r.candidates(now, request)
-	if len(candidates) == 0 {
+	found, reason := r.candidates(now, request)
+	switch {
+	case reason == ReasonFull && request.Engine != nil:
+		return nil, Refusal{Reason: reason, RetryAfter: r.slotTime(request.Service)}
+	case reason != "":
 		return nil, Refusal{Reason: reason}
+	case request.Engine != nil:
+		return r.chooseEngine(found)
+	default:
+		return r.choosePlain(now, found.candidates()), Refusal{}
 	}
-	if request.Engine != nil {
-		return r.chooseEngine(now, request, candidates)
-	}
-	return r.choosePlain(now, candidates), Refusal{}
 }
 
 // candidates returns the workers that may get a request, by the versions that it is
 // limited to; without one, by what holds then.
-func (r *Registry) candidates(now time.Duration, request *Request) ([]*state, string) {
+func (r *Registry) candidates(now time.Duration, request *Request) (*search, string) {
 	versions := request.Versions
 	for {
-		candidates, reason := r.candidatesOf(now, request, versions)
+		found := r.newSearch(now, request, versions)
+		reason := found.gather()
 		next := versions.Fallback()
-		if len(candidates) > 0 || next == nil || (reason != ReasonNoWorker && !versions.WantsTarget()) {
-			return candidates, reason
+		if reason == "" || next == nil || (reason != ReasonNoWorker && !versions.WantsTarget()) {
+			return found, reason
 		}
 		versions = next
 	}
 }
 
-// candidatesOf returns the workers of some versions that may get a request: settled
-// ones if there are any, else also those about which there is doubt.
-func (r *Registry) candidatesOf(now time.Duration, request *Request, versions *delivery.Choice) ([]*state, string) {
-	listed := r.states[:0]
-	lapsed, excluded, full := 0, 0, 0
-	for _, known := range r.workers {
-		if known.worker.Service != request.Service {
-			continue
-		}
-		if !known.listed() && !known.lapsed(now) {
-			continue
-		}
-		if !versions.Allows(known.worker.ID, known.worker.Software) {
-			continue
-		}
-		if slices.Contains(request.Excluded, known.worker.Run()) {
-			excluded++
-			continue
-		}
-		if request.Free != nil && !request.Free(&known.worker) {
-			full++
-			continue
-		}
-		if known.gone {
-			lapsed++
-		}
-		listed = append(listed, known)
-	}
-	r.states = listed
-	if lapsed > 0 && lapsed < len(listed) {
-		listed = slices.DeleteFunc(listed, func(known *state) bool { return known.gone })
-	}
-	switch {
-	case len(listed) > 0:
-		return r.preferSettled(now, listed), ""
-	case full > 0:
-		return nil, ReasonFull
-	case excluded > 0:
-		return nil, ReasonExcluded
-	default:
-		return nil, ReasonNoWorker
-	}
-}
-
-// preferSettled leaves out workers that are in doubt, unless all are.
-func (r *Registry) preferSettled(now time.Duration, listed []*state) []*state {
-	settled := 0
-	for _, known := range listed {
-		if r.settled(now, known) {
-			settled++
-		}
-	}
-	if settled == 0 || settled == len(listed) {
-		return listed
-	}
-	return slices.DeleteFunc(listed, func(known *state) bool { return !r.settled(now, known) })
-}
-
 // settled tells whether neither this node nor enough others know anything against
 // a worker right now.
 func (r *Registry) settled(now time.Duration, known *state) bool {
@@ -200,11 +147,9 @@
 	return r.begin(now, best, len(candidates), placedWork{})
 }
 
-// Parts of a plain worker's cost, in requests in flight at one slot.
-const (
-	foreignZoneCost = 0.04
-	tieCost         = 0.02
-)
+// tieCost is the part of a plain worker's cost that chance makes, in requests in flight at
+// one slot.
+const tieCost = 0.02
 
 func (r *Registry) plainCost(now time.Duration, known *state, meanFailures float64) float64 {
 	load := r.total(now, known)
@@ -213,9 +158,7 @@
 	cost *= max(known.slowness, 1)
 	excess := max(known.failureRate(now)-meanFailures, 0)
 	cost *= 1 + excess*8
-	if known.worker.Zone != r.options.Zone {
-		cost += foreignZoneCost
-	}
+	cost += r.options.Distances.Plain[r.from(known.worker.Zone)]
 	return cost + r.options.Random.Float64()*tieCost
 }
 
--- /dev/null
+++ b/internal/backends/choose_benchmark_test.go
@@ -0,0 +1,168 @@
+package backends
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/scheduling"
+)
+
+// Sizes and shares of a simulated fleet of engines, seen by one of a dozen nodes.
+const (
+	simulatedPeers = 12
+	simulatedSlots = 12
+	simulatedZones = 3
+	// prefixesPerEngine, holdersMost: long shared prefixes, each at some engines.
+	prefixesPerEngine = 4
+	holdersMost       = 6
+	// commonPrefixes are short and at all engines.
+	commonPrefixes = 16
+	longShare      = 0.08
+)
+
+// simulatedFleet is a registry with engines under load, and a stream of requests.
+type simulatedFleet struct {
+	registry *Registry
+	random   *rand.Rand
+	engines  int
+	// busy is the mean number of requests of all nodes at an engine.
+	busy   float64
+	now    time.Duration
+	number int
+	open   []*Placement
+}
+
+func newSimulatedFleet(engines int, busy float64, options Options) *simulatedFleet {
+	options.Random = rand.New(rand.NewPCG(1, 2))
+	options.Scheduling = scheduling.DefaultOptions()
+	options.Scheduling.TieFraction, options.Scheduling.ImportWeight = 0.02, 45*time.Microsecond
+	options.MaxParts = 1 << 21
+	f := &simulatedFleet{registry: New(options), random: rand.New(rand.NewPCG(3, uint64(engines))), engines: engines, busy: busy}
+	for number := range engines {
+		worker := engineWorker(number, 1)
+		worker.Slots = simulatedSlots
+		worker.Zone = fleet.ZoneName(fmt.Sprintf("z%d", number%simulatedZones))
+		f.registry.Observe(fleet.Revision(number+1), worker)
+	}
+	f.registry.SetCapacity("engines", 130_000)
+	f.registry.SetPeers(simulatedPeers)
+	f.fillCaches()
+	f.hearPeers()
+	return f
+}
+
+// fillCaches has all engines hold the common prefixes and a few each long one.
+func (f *simulatedFleet) fillCaches() {
+	scope := Scope(testModel, 1, "t", false)
+	changes := make([][]PartChange, f.engines)
+	for number := range changes {
+		for common := range commonPrefixes {
+			changes[number] = append(changes[number], PartChange{true, scope, fmt.Sprint("common-", common)})
+		}
+	}
+	for prefix := range prefixesPerEngine * f.engines {
+		for range 1 + f.random.IntN(holdersMost) {
+			at := f.random.IntN(f.engines)
+			changes[at] = append(changes[at], PartChange{true, scope, fmt.Sprint("long-", prefix)})
+		}
+	}
+	for number, held := range changes {
+		f.registry.ObserveCache(fleet.EngineRun{Engine: engineWorker(number, 1).ID}, true, held)
+	}
+}
+
+// hearPeers has each other node report its requests.
+func (f *simulatedFleet) hearPeers() {
+	for peer := range simulatedPeers {
+		var report PeerReport
+		for number := range f.engines {
+			if load, any := f.peerLoad(number); any {
+				report.Loads = append(report.Loads, load)
+			}
+		}
+		f.registry.ObservePeer(f.now, fleet.NodeID(fmt.Sprint(peer)), report)
+	}
+}
+
+// peerLoad returns what one other node has at an engine.
+func (f *simulatedFleet) peerLoad(number int) (Load, bool) {
+	load := Load{Engine: engineWorker(number, 1).ID}
+	for f.random.Float64() < f.busy/simulatedPeers/(1+f.busy/simulatedPeers) {
+		load.InFlight++
+		load.MemoryTokens += 2000
+		if f.random.IntN(4) == 0 {
+			load.PrefillTokens += f.random.IntN(4000)
+		}
+	}
+	load.Priorities[1] = PriorityLoad{InFlight: int32(load.InFlight), PrefillTokens: int32(load.PrefillTokens)}
+	return load, load.InFlight > 0
+}
+
+// request returns the next request: a short prompt with a common prefix, or a long one.
+func (f *simulatedFleet) request() *Request {
+	f.number++
+	own := fmt.Sprint("own-", f.number)
+	engine := &EngineRequest{
+		Model: testModel, Tenant: "t", TokenBytes: 160_000, LinkMegabits: 550_000, OutputTokens: 40, Priority: 1,
+		Target: 500 * time.Millisecond, TimeLeft: 500 * time.Millisecond, MayRefuse: true, EventTokens: 7,
+		Store: testStore, StoreMegabits: 340_000,
+	}
+	if f.random.Float64() < longShare {
+		prefix := fmt.Sprint("long-", f.random.IntN(prefixesPerEngine*f.engines))
+		engine.Parts = []Part{{prefix, 13_300}, {own, 3_720}}
+		engine.PromptTokens = 17_020
+	} else {
+		engine.Parts = []Part{{fmt.Sprint("common-", f.random.IntN(commonPrefixes)), 92}, {own, 291}}
+		engine.PromptTokens = 383
+	}
+	return &Request{Service: "engines", Engine: engine, Free: func(*Worker) bool { return true }}
+}
+
+// step lets time pass: some requests end, a peer tells a change.
+func (f *simulatedFleet) step() {
+	f.now += time.Millisecond
+	if len(f.open) > 64 {
+		f.open[0].FirstByte(f.now)
+		f.open[0].End(f.now, Succeeded)
+		f.open = f.open[1:]
+	}
+	load, _ := f.peerLoad(f.random.IntN(f.engines))
+	f.registry.UpdatePeer(fleet.NodeID(fmt.Sprint(f.random.IntN(simulatedPeers))), []Load{load})
+	if f.now%(600*time.Millisecond) == 0 {
+		f.hearPeers()
+	}
+}
+
+// BenchmarkChoose measures one choice of an engine, by the number of engines.
+func BenchmarkChoose(b *testing.B) {
+	for _, engines := range []int{12, 90, 1000, 3000, 10_000} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			simulated := newSimulatedFleet(engines, simulatedSlots/3, Options{Zone: "z0"})
+			histogram := hdrhistogram.New(1, int64(10*time.Second), 3)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				b.StopTimer()
+				simulated.step()
+				request := simulated.request()
+				b.StartTimer()
+				start := time.Now()
+				placement, refused := simulated.registry.Choose(simulated.now, request)
+				elapsed := time.Since(start)
+				if placement == nil {
+					b.Fatal(refused)
+				}
+				_ = histogram.RecordValue(int64(elapsed))
+				simulated.open = append(simulated.open, placement)
+			}
+			const nanosPerMicro = 1e3
+			b.ReportMetric(float64(histogram.ValueAtQuantile(50))/nanosPerMicro, "p50-µs")
+			b.ReportMetric(float64(histogram.ValueAtQuantile(99))/nanosPerMicro, "p99-µs")
+		})
+	}
+}
--- /dev/null
+++ b/internal/backends/distance.go
@@ -0,0 +1,74 @@
+package backends
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Distance is how far two places are apart.
+type Distance int
+
+// Distances.
+const (
+	SameZone Distance = iota
+	SameRegion
+	OtherRegion
+	distances
+)
+
+// Regions holds the region of each zone.
+type Regions map[fleet.ZoneName]fleet.RegionName
+
+// Between returns the distance of two zones. Zones count as in one region unless both
+// are known to be in different ones.
+func (r Regions) Between(one, other fleet.ZoneName) Distance {
+	if one == other {
+		return SameZone
+	}
+	region, known := r[one]
+	otherRegion, otherKnown := r[other]
+	if known && otherKnown && region != otherRegion {
+		return OtherRegion
+	}
+	return SameRegion
+}
+
+// DistancePrices are what distance costs a request, by Distance.
+type DistancePrices struct {
+	// Delay is by how much later the first byte of an answer comes from there.
+	Delay [distances]time.Duration
+	// PerKilobyte is the price of a kilobyte of the request or its answer that crosses,
+	// in the time of an engine that it is worth.
+	PerKilobyte [distances]time.Duration
+	// MoveFactor is how many times as long a move of KV cache takes.
+	MoveFactor [distances]int
+	// MovePrice is how many times as dear such a move is.
+	MovePrice [distances]int
+	// Plain is the price for a worker that isn't an engine, in requests in flight at one
+	// slot: 1 prefers a near worker until all its slots are taken.
+	Plain [distances]float64
+}
+
+// DefaultDistancePrices returns prices for zones a millisecond and regions a dozen
+// milliseconds apart.
+func DefaultDistancePrices() DistancePrices {
+	return DistancePrices{
+		Delay:       [distances]time.Duration{0, 3 * time.Millisecond, 24 * time.Millisecond},
+		PerKilobyte: [distances]time.Duration{0, time.Millisecond, 2500 * time.Microsecond},
+		MoveFactor:  [distances]int{1, 2, 10},
+		MovePrice:   [distances]int{1, 2, 3},
+		Plain:       [distances]float64{0, 0.5, 1},
+	}
+}
+
+// from returns the distance of a zone from this node.
+func (r *Registry) from(zone fleet.ZoneName) Distance {
+	return r.options.Regions.Between(r.options.Zone, zone)
+}
+
+// crossing returns the price of a request's bytes from this node to a distance.
+func (p *DistancePrices) crossing(distance Distance, bytes int) time.Duration {
+	const kilobyte = 1000
+	return p.PerKilobyte[distance] * time.Duration(bytes) / kilobyte
+}
--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -34,8 +34,10 @@
 	TokenBytes   int
 	LinkMegabits float64
 	// Store is a store of kept KV cache that may hold the parts; empty if none.
-	// StoreMegabits is the bandwidth of its link, which all engines share.
+	// StoreZone is where it is, StoreMegabits the bandwidth of its link, which all engines
+	// share.
 	Store         fleet.Address
+	StoreZone     fleet.ZoneName
 	StoreMegabits float64
 }
 
@@ -100,29 +102,62 @@
 	megabit     = 1e6
 )
 
-// chooseEngine lets the scheduler choose; the mutex is held.
-func (r *Registry) chooseEngine(now time.Duration, request *Request, candidates []*state) (*Placement, Refusal) {
-	engine := request.Engine
-	candidates = r.atVersion(engine.Model, candidates)
-	if len(candidates) == 0 {
-		return nil, Refusal{Reason: ReasonVersion}
-	}
-	shared := max(len(engine.Parts)-1, 0)
-	reserved := r.reservedFor(now, request.Service)
-	kept := func(known *state) bool {
-		return reserved != nil && reserved[known.worker.ID] != r.isLong(engine)
+// chooseEngine lets the scheduler choose among what a search has found. Where the request
+// would wait too long at each, it looks for engines with room before it refuses.
+func (r *Registry) chooseEngine(found *search) (*Placement, Refusal) {
+	r.parts.expire(found.now)
+	prompt := r.newPrompt(found)
+	decision := r.decide(found, prompt)
+	for {
+		refused, late := tooLate(prompt.engine, &decision)
+		if !late {
+			return r.placeAt(found, prompt, &decision), Refusal{}
+		}
+		if found.whole {
+			return nil, refused
+		}
+		allowed := allowedWait(prompt.engine, &decision)
+		least, added := found.spareFor(allowed)
+		if !added {
+			return nil, Refusal{Reason: ReasonLate, RetryAfter: least - allowed}
+		}
+		before := len(r.endpoints)
+		if decision = r.decide(found, prompt); len(r.endpoints) == before {
+			return nil, refused
+		}
 	}
-	home := homeOf(engine, shared, candidates, kept)
+}
+
+// prompt is what a choice works out of a request's prompt once.
+type prompt struct {
+	engine *EngineRequest
+	// shared is the number of the prompt's shared parts, ends the tokens up to the end of
+	// each part.
+	shared int
+	ends   []int
+	// home is where the shared parts are read first; nil if nowhere.
+	home *state
+	// kept tells which engines are kept for prompts of another size.
+	kept func(*state) bool
+}
+
+func (r *Registry) newPrompt(found *search) *prompt {
+	engine := found.request.Engine
+	p := &prompt{engine: engine, shared: max(len(engine.Parts)-1, 0), ends: cumulate(engine.Parts)}
+	p.kept = r.keptForOthers(found.now, found.pool, engine)
+	p.home = found.home(p.shared, p.kept)
+	found.keepBuffers()
+	return p
+}
+
+// decide has the scheduler compare the candidates.
+func (r *Registry) decide(found *search, prompt *prompt) scheduling.Decision {
+	engine := prompt.engine
 	r.endpoints = r.endpoints[:0]
-	r.parts.expire(now)
-	scopes := make(map[WeightsVersion]*scoped)
-	for _, known := range candidates {
+	for _, known := range found.candidates() {
 		version := known.worker.Versions[engine.Model]
-		if scopes[version] == nil {
-			scopes[version] = r.lookUp(engine, version)
-		}
-		endpoint := r.endpoint(now, engine, known, scopes[version], shared, home)
-		if kept(known) {
+		endpoint := r.endpoint(found, prompt, known, found.scopeOf(version))
+		if prompt.kept(known) {
 			endpoint.Reserved = reservedPrice
 		}
 		if version < r.preferred[engine.Model] {
@@ -130,27 +165,25 @@
 		}
 		r.endpoints = append(r.endpoints, endpoint)
 	}
-	ends := cumulate(engine.Parts)
-	decision, found := r.scheduler.Schedule(scheduling.Request{
+	return r.scheduler.Compare(scheduling.Request{
 		ID:           engine.ID,
-		Pool:         request.Service,
-		AgentZone:    r.options.Zone,
+		Pool:         found.request.Service,
 		PromptTokens: engine.PromptTokens,
-		PartTokens:   ends,
+		PartTokens:   prompt.ends,
 		Deadline:     engine.TimeLeft,
 	}, r.endpoints, r.options.Random)
-	if !found {
-		return nil, Refusal{Reason: ReasonFull, RetryAfter: r.slotTime(request.Service)}
-	}
-	if refused, late := tooLate(engine, &decision); late {
-		return nil, refused
-	}
+}
+
+// placeAt counts a request at the engine of a decision.
+func (r *Registry) placeAt(found *search, prompt *prompt, decision *scheduling.Decision) *Placement {
+	now, engine := found.now, prompt.engine
+	candidates := found.candidates()
 	chosen := candidates[decision.Index]
 	version := chosen.worker.Versions[engine.Model]
-	known := scopes[version]
+	known := found.scopeOf(version)
 	prefill := engine.PromptTokens - decision.CachedTokens - decision.ImportedTokens
-	r.noteWork(now, request.Service, engine, prefill)
-	placement := r.begin(now, chosen, len(candidates), placedWork{
+	r.noteWork(now, found.request.Service, engine, prefill)
+	placement := r.begin(now, chosen, found.looked, placedWork{
 		priority: engine.Priority, prefill: prefill, need: needOf(engine, known),
 	})
 	placement.Engine = &EnginePlacement{
@@ -160,23 +193,23 @@
 		ImportedTokens: decision.ImportedTokens,
 		Predicted:      decision.FirstToken,
 		Prefix:         PrefixName(engine.Parts),
-		SharedParts:    shared,
-		SharedTokens:   sharedTokens(ends, shared),
-		HeldParts:      known.held[chosen.worker.ID],
+		SharedParts:    prompt.shared,
+		SharedTokens:   sharedTokens(prompt.ends, prompt.shared),
+		HeldParts:      r.heldBy(known, chosen),
 		StoredParts:    known.stored,
 		MostHeldParts:  known.most(),
-		Home:           chosen.worker.ID == home,
+		Home:           chosen == prompt.home,
 		hashes:         known.hashes,
 		store:          StoreRun(engine.Store),
 	}
-	r.chooseSources(placement, known, shared, home, engine)
-	if savesTo(engine, known, shared) {
+	placement.Engine.ImportFrom = r.importFrom(prompt, known, chosen)
+	if savesTo(engine, known, prompt.shared) {
 		placement.Engine.SaveTo = engine.Store
 	}
 	if engine.WantsCopy {
 		placement.Engine.CopyTo = r.copyTarget(now, candidates, chosen, engine.Model)
 	}
-	return placement, Refusal{}
+	return placement
 }
 
 // sharedTokens returns the tokens of a prompt's first parts, by their ends.
@@ -194,16 +227,3 @@
 	}
 	return parts[len(parts)-2].ID
 }
-
-// atVersion keeps the engines whose version is new enough.
-func (r *Registry) atVersion(model fleet.ModelName, candidates []*state) []*state {
-	required := r.required[model]
-	kept := candidates[:0]
-	for _, known := range candidates {
-		version, serves := known.worker.Versions[model]
-		if serves && version >= required {
-			kept = append(kept, known)
-		}
-	}
-	return kept
-}
--- a/internal/backends/load.go
+++ b/internal/backends/load.go
@@ -90,10 +90,7 @@
 		return 0
 	}
 	used, held := 0, 0
-	for _, known := range r.workers {
-		if known.worker.Service != reference.worker.Service || !known.listed() {
-			continue
-		}
+	for _, known := range r.poolOf(reference.worker.Service).all() {
 		load := r.total(now, known)
 		if capacity := r.capacities[known.worker.Service]; capacity > 0 {
 			used, held = used+load.MemoryTokens, held+capacity
@@ -166,6 +163,16 @@
 	return total
 }
 
+// inFlight returns the requests in flight at a worker over all nodes; the mutex is held.
+func (r *Registry) inFlight(now time.Duration, known *state) int {
+	told := r.peers.told(now)
+	others := told.worker(known.worker.ID)
+	if others == nil {
+		return known.inFlight
+	}
+	return known.inFlight + r.scaled(told, others.InFlight)
+}
+
 // overtaken returns the requests over all nodes at a worker that are less urgent than a
 // priority; the mutex is held. They are summed before they are scaled: that is done for
 // each engine of each choice.
--- a/internal/backends/memory.go
+++ b/internal/backends/memory.go
@@ -5,8 +5,10 @@
 // memoryUse is what this node's requests hold, or will hold, in one engine's
 // memory: the shared part of a prompt once for all requests that have it.
 type memoryUse struct {
-	own    int
-	shared map[fleet.BlockHash]sharedUse
+	own int
+	// sharedTokens is the sum over shared.
+	sharedTokens int
+	shared       map[fleet.BlockHash]sharedUse
 }
 
 // sharedUse is a shared part of prompts and the requests that hold it.
@@ -25,13 +27,7 @@
 }
 
 // tokens returns the sum.
-func (m *memoryUse) tokens() int {
-	total := m.own
-	for _, use := range m.shared {
-		total += use.tokens
-	}
-	return total
-}
+func (m *memoryUse) tokens() int { return m.own + m.sharedTokens }
 
 // with returns the sum with one more request.
 func (m *memoryUse) with(need memoryNeed) int {
@@ -52,6 +48,7 @@
 		m.shared = make(map[fleet.BlockHash]sharedUse)
 	}
 	use := m.shared[need.prefix]
+	m.sharedTokens += max(need.sharedTokens-use.tokens, 0)
 	use.tokens = max(use.tokens, need.sharedTokens)
 	use.requests++
 	m.shared[need.prefix] = use
@@ -66,6 +63,7 @@
 	use := m.shared[need.prefix]
 	use.requests--
 	if use.requests <= 0 {
+		m.sharedTokens -= use.tokens
 		delete(m.shared, need.prefix)
 		return
 	}
--- a/internal/backends/partition.go
+++ b/internal/backends/partition.go
@@ -1,13 +1,9 @@
 package backends
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
@@ -82,33 +78,6 @@
 	return min(max(int(math.Round(share*float64(count))), 1), count-1), true
 }
 
-// reservedFor returns the engines of a service that are kept for long prompts;
-// nil if none are kept for either size. The mutex is held.
-func (r *Registry) reservedFor(now time.Duration, service fleet.PoolName) map[fleet.EngineID]bool {
-	work := r.peers.told(now).work[service]
-	if own := r.partitions[service]; own != nil {
-		work = work.add(own.work(now))
-	}
-	var engines []fleet.EngineID
-	for id, known := range r.workers {
-		if known.worker.Service == service && known.listed() {
-			engines = append(engines, id)
-		}
-	}
-	kept, apart := work.forLong(len(engines))
-	if !apart {
-		return nil
-	}
-	slices.SortFunc(engines, func(a, b fleet.EngineID) int {
-		return cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b)))
-	})
-	reserved := make(map[fleet.EngineID]bool, kept)
-	for _, id := range engines[:kept] {
-		reserved[id] = true
-	}
-	return reserved
-}
-
 // OwnWork returns the work of this node's requests, by service.
 func (r *Registry) OwnWork(now time.Duration) map[fleet.PoolName]Work {
 	r.mutex.Lock()
--- a/internal/backends/partition_test.go
+++ b/internal/backends/partition_test.go
@@ -5,8 +5,26 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
+// reservedFor returns the engines that are kept for long prompts; nil if none are kept for
+// either size.
+func (r *Registry) reservedFor(now time.Duration, service fleet.PoolName) map[fleet.EngineID]bool {
+	if _, apart := r.longSide(now, r.poolOf(service)); !apart {
+		return nil
+	}
+	forShort := r.keptForOthers(now, r.poolOf(service), &EngineRequest{PromptTokens: 1})
+	reserved := make(map[fleet.EngineID]bool)
+	for id, known := range r.workers {
+		if forShort(known) {
+			reserved[id] = true
+		}
+	}
+	return reserved
+}
+
 // TestNodesWithDifferentRequestsAgreeOnTheEnginesForLongPrompts has one node see
 // long prompts only and another short ones.
 func TestNodesWithDifferentRequestsAgreeOnTheEnginesForLongPrompts(t *testing.T) {
--- a/internal/backends/parts.go
+++ b/internal/backends/parts.go
@@ -44,7 +44,7 @@
 
 func newPartIndex(maxParts int) *partIndex {
 	return &partIndex{
-		index:    prefixindex.New(prefixindex.Options{MaxBlocks: maxParts}),
+		index:    prefixindex.New(prefixindex.Options{MaxBlocks: maxParts, Directory: true}),
 		last:     make(map[partKey]time.Duration),
 		followed: make(map[fleet.EngineRun]bool),
 	}
--- a/internal/backends/peers.go
+++ b/internal/backends/peers.go
@@ -25,6 +25,9 @@
 	sum   peerSum
 	// validUntil is when the first report of the sum is too old; 0 has it made anew.
 	validUntil time.Duration
+	// mostTold is the number of workers in the sum from which on it is made anew, without
+	// those of which nothing is told any more.
+	mostTold int
 }
 
 // heardReport is a report and when it came.
@@ -47,9 +50,9 @@
 	work    map[fleet.PoolName]Work
 }
 
-// worker returns what other nodes say of a worker, or nil.
+// worker returns what other nodes say of a worker, or nil if they say nothing.
 func (s *peerSum) worker(id fleet.EngineID) *toldWorker {
-	if at, told := s.index[id]; told {
+	if at, known := s.index[id]; known && s.workers[at] != (toldWorker{}) {
 		return &s.workers[at]
 	}
 	return nil
@@ -57,8 +60,8 @@
 
 // entry returns the place for what other nodes say of a worker.
 func (s *peerSum) entry(id fleet.EngineID) *toldWorker {
-	if known := s.worker(id); known != nil {
-		return known
+	if at, known := s.index[id]; known {
+		return &s.workers[at]
 	}
 	s.index[id] = len(s.workers)
 	s.workers = append(s.workers, toldWorker{})
@@ -96,8 +99,50 @@
 		loads[load.Engine] = load
 	}
 	report.Loads = nil
-	p.reports[node] = &heardReport{PeerReport: report, at: now, loads: loads}
-	p.validUntil = 0
+	p.forget(node)
+	heard := &heardReport{PeerReport: report, at: now, loads: loads}
+	p.reports[node] = heard
+	if p.validUntil > 0 {
+		p.include(heard)
+	}
+}
+
+// include takes a report into the sum.
+func (p *peerReports) include(report *heardReport) {
+	report.counted = true
+	p.sum.add(report)
+	p.validUntil = min(p.validUntil, report.at+peerLoadValid)
+}
+
+// exclude takes a report out of the sum. A sum made anew for each report that comes or
+// gets too old took milliseconds of some choices at thousands of engines.
+func (p *peerReports) exclude(report *heardReport) {
+	report.counted = false
+	p.sum.heard--
+	for id, load := range report.loads {
+		p.sum.entry(id).add(&load, -1)
+	}
+	for _, id := range report.Suspects {
+		p.sum.entry(id).suspecting--
+	}
+	for service, work := range report.Work {
+		p.sum.work[service] = p.sum.work[service].add(Work{Long: -work.Long, Short: -work.Short})
+	}
+	for id := range report.Orders {
+		p.sum.entry(id).orderedUntil = p.orderedUntil(id)
+	}
+}
+
+// orderedUntil returns until when a worker counts as under an order, by the reports that
+// count.
+func (p *peerReports) orderedUntil(id fleet.EngineID) time.Duration {
+	latest := time.Duration(0)
+	for _, report := range p.reports {
+		if report.counted {
+			latest = max(latest, report.Orders[id])
+		}
+	}
+	return latest
 }
 
 // update takes changed loads into a node's report; without one before, it does
@@ -122,27 +167,53 @@
 
 // forget drops a node's report.
 func (p *peerReports) forget(node fleet.NodeID) {
+	report := p.reports[node]
 	delete(p.reports, node)
-	p.validUntil = 0
+	if report != nil && report.counted && p.validUntil > 0 {
+		p.exclude(report)
+	}
 }
 
 // told returns what the reports that aren't too old say together.
 func (p *peerReports) told(now time.Duration) *peerSum {
-	if now < p.validUntil {
-		return &p.sum
+	switch {
+	case now < p.validUntil:
+	case p.validUntil == 0 || len(p.sum.workers) > p.mostTold:
+		p.sumAnew(now)
+	default:
+		p.expire(now)
 	}
+	return &p.sum
+}
+
+// spareTold is how many workers more than at first the sum may hold before it is made anew.
+const spareTold = 1024
+
+// sumAnew makes the sum of all reports that aren't too old.
+func (p *peerReports) sumAnew(now time.Duration) {
 	p.sum.reset()
 	p.validUntil = now + peerLoadValid
 	for _, report := range p.reports {
-		end := report.at + peerLoadValid
-		report.counted = now < end
-		if !report.counted {
-			continue
+		report.counted = false
+		if now < report.at+peerLoadValid {
+			p.include(report)
+		}
+	}
+	p.mostTold = 2*len(p.sum.workers) + spareTold
+}
+
+// expire takes the reports out that are too old.
+func (p *peerReports) expire(now time.Duration) {
+	p.validUntil = now + peerLoadValid
+	for _, report := range p.reports {
+		switch end := report.at + peerLoadValid; {
+		case !report.counted:
+		case now >= end:
+			p.exclude(report)
+		default:
+			p.validUntil = min(p.validUntil, end)
 		}
-		p.sum.add(report)
-		p.validUntil = min(p.validUntil, end)
 	}
-	return &p.sum
 }
 
 // add takes one report into the sum.
--- a/internal/backends/peers_test.go
+++ b/internal/backends/peers_test.go
@@ -1,6 +1,8 @@
 package backends
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -72,3 +74,51 @@
 	reports.forget("b")
 	assert.Zero(t, reports.told(peerLoadValid).heard)
 }
+
+// TestSumOfReportsIsKeptUp compares the sum that takes in single reports with one made
+// anew, over random reports, changes and departures of nodes.
+func TestSumOfReportsIsKeptUp(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	kept := newPeerReports()
+	now := time.Second
+	id := func() fleet.EngineID { return fleet.EngineID(fmt.Sprint("e", random.IntN(9))) }
+	for range 5000 {
+		now += time.Duration(random.IntN(300)) * time.Millisecond
+		node := fleet.NodeID(fmt.Sprint("n", random.IntN(4)))
+		load := Load{Engine: id(), InFlight: random.IntN(5), PrefillTokens: random.IntN(900)}
+		switch random.IntN(4) {
+		case 0, 1:
+			kept.observe(now, node, PeerReport{
+				Loads: []Load{load, {Engine: "all", InFlight: 1}}, Suspects: []fleet.EngineID{id()},
+				Orders: map[fleet.EngineID]time.Duration{id(): now + time.Duration(random.IntN(2000))*time.Millisecond},
+				Work:   map[fleet.PoolName]Work{"s": {Long: time.Duration(random.IntN(50)), Short: 1}},
+			})
+		case 2:
+			kept.update(node, []Load{load})
+		case 3:
+			kept.forget(node)
+		}
+		anew := &peerReports{reports: make(map[fleet.NodeID]*heardReport)}
+		for node, report := range kept.reports {
+			copied := *report
+			anew.reports[node] = &copied
+		}
+		one, other := kept.told(now), anew.told(now)
+		assert.Equal(t, other.heard, one.heard)
+		assert.Equal(t, other.work["s"], one.work["s"])
+		for number := range 10 {
+			engine := fleet.EngineID(fmt.Sprint("e", number))
+			if number == 9 {
+				engine = "all"
+			}
+			want, got := other.worker(engine), one.worker(engine)
+			if want == nil {
+				want = &toldWorker{}
+			}
+			if got == nil {
+				got = &toldWorker{}
+			}
+			require.Equal(t, *want, *got, "%s at %s", engine, now)
+		}
+	}
+}
--- a/internal/backends/refuse.go
+++ b/internal/backends/refuse.go
@@ -19,9 +19,14 @@
 	if !engine.MayRefuse || !decision.Late || engine.Target <= 0 {
 		return Refusal{}, false
 	}
-	allowed := max(engine.Target-decision.Own, time.Duration(leastWaitPart*float64(engine.Target)))
+	allowed := allowedWait(engine, decision)
 	if decision.Wait <= allowed {
 		return Refusal{}, false
 	}
 	return Refusal{Reason: ReasonLate, RetryAfter: decision.Wait - allowed}, true
 }
+
+// allowedWait returns for how long a request may wait for others.
+func allowedWait(engine *EngineRequest, decision *scheduling.Decision) time.Duration {
+	return max(engine.Target-decision.Own, time.Duration(leastWaitPart*float64(engine.Target)))
+}
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -16,6 +16,13 @@
 type Options struct {
 	// Zone is where this node is.
 	Zone fleet.ZoneName
+	// Regions holds the region of each zone; zones that it lacks count as near ones.
+	Regions Regions
+	// Distances are what distance costs; DefaultDistancePrices if all are 0.
+	Distances DistancePrices
+	// WholeUpTo is the number of a service's workers up to which a choice looks at all of
+	// them; 0 means DefaultWholeUpTo.
+	WholeUpTo int
 	// Random breaks ties; required.
 	Random *rand.Rand
 	// Scheduling sets the prices of a choice among engines.
@@ -57,10 +64,13 @@
 	speeds     map[fleet.PoolName]*speed
 	parts      *partIndex
 	partitions map[fleet.PoolName]*partition
-	// endpoints and states are buffers of a choice.
-	endpoints []scheduling.Endpoint
-	states    []*state
-	matches   []prefixindex.Match
+	pools      map[fleet.PoolName]*pool
+	// searches counts the searches for candidates.
+	searches uint64
+	// endpoints, fits, doubts and matches are buffers of a choice.
+	endpoints    []scheduling.Endpoint
+	fits, doubts []*state
+	matches      []prefixindex.Match
 }
 
 // New returns an empty registry.
@@ -77,6 +87,12 @@
 	if options.MaxParts <= 0 {
 		options.MaxParts = DefaultMaxParts
 	}
+	if options.WholeUpTo <= 0 {
+		options.WholeUpTo = DefaultWholeUpTo
+	}
+	if options.Distances == (DistancePrices{}) {
+		options.Distances = DefaultDistancePrices()
+	}
 	return &Registry{
 		options:    options,
 		scheduler:  scheduling.New(options.Scheduling),
@@ -89,6 +105,7 @@
 		speeds:     make(map[fleet.PoolName]*speed),
 		parts:      newPartIndex(options.MaxParts),
 		partitions: make(map[fleet.PoolName]*partition),
+		pools:      make(map[fleet.PoolName]*pool),
 	}
 }
 
@@ -114,7 +131,9 @@
 		if revision <= r.tombstones[worker.ID] {
 			return Unchanged
 		}
-		r.workers[worker.ID] = &state{worker: worker, revision: revision, slowness: 1}
+		known = &state{worker: worker, revision: revision, slowness: 1, tier: noTier, hash: hashName(string(worker.ID))}
+		r.workers[worker.ID] = known
+		r.enlist(known)
 		r.parts.add(worker.Run())
 		return Added
 	}
@@ -131,8 +150,10 @@
 		change = NewVersion
 	}
 	worker.Draining = worker.Draining || known.worker.Draining
-	worker.Versions = r.newerVersions(known, worker.Versions)
+	r.setVersions(known, r.newerVersions(known, worker.Versions))
+	worker.Versions = known.worker.Versions
 	known.worker, known.revision, known.gone = worker, revision, false
+	r.enlist(known)
 	return change
 }
 
@@ -168,6 +189,7 @@
 		return Unchanged
 	}
 	known.gone, known.goneAt, known.revision = true, now, revision
+	r.enlist(known)
 	return Gone
 }
 
@@ -202,6 +224,7 @@
 		if known.gone && known.inFlight == 0 && now >= known.goneAt+keep {
 			r.tombstones[id] = known.revision
 			r.parts.remove(known.worker.Run())
+			r.delist(known)
 			delete(r.workers, id)
 			forgotten = append(forgotten, id)
 		}
@@ -238,7 +261,7 @@
 		versions = make(map[fleet.ModelName]WeightsVersion)
 	}
 	versions[model] = version
-	known.worker.Versions = versions
+	r.setVersions(known, versions)
 	known.doubtUntil = 0
 	// The order that brought the version is carried out.
 	known.orderedUntil = 0
--- a/internal/backends/sources.go
+++ b/internal/backends/sources.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
-	"github.com/tillerfall/tillerfall/internal/membership"
 )
 
 // savesTo tells whether the store should get a prompt's shared parts: only where
@@ -15,96 +14,83 @@
 	return engine.Store != "" && known.stored < shared && !known.anyHolds(shared)
 }
 
-// homeOf returns the engine that every node chooses first for the shared parts
-// of a prompt, so that they are read at one engine without any talk. Engines that
-// are kept for others come last.
-func homeOf(engine *EngineRequest, shared int, candidates []*state, kept func(*state) bool) fleet.EngineID {
-	if shared == 0 {
-		return ""
-	}
-	key := engine.Parts[shared-1].ID
-	if engine.Isolated {
-		key += "/" + string(engine.Tenant)
-	}
-	var home fleet.EngineID
-	var highest uint64
-	homeKept := false
-	for _, known := range candidates {
-		weight := membership.RendezvousWeight(key, string(known.worker.ID))
-		isKept := kept(known)
-		if home == "" || (homeKept && !isKept) || (homeKept == isKept && weight > highest) {
-			home, highest, homeKept = known.worker.ID, weight, isKept
-		}
-	}
-	return home
+// source is from where an engine takes what it lacks of a prompt's shared parts.
+type source struct {
+	address fleet.Address
+	// parts is how many leading parts are there, distance how far it is.
+	parts    int
+	distance Distance
+	// perToken is the time to move a token's KV cache.
+	perToken time.Duration
 }
 
-// importPerToken predicts the time to move a token's KV cache, from an engine
-// that is known to hold more than the store is known to, or from the store.
-func importPerToken(engine *EngineRequest, parts *scoped) time.Duration {
-	bandwidth := engine.StoreMegabits * storeSharing
-	for _, held := range parts.held {
-		if held > 0 && held >= parts.stored {
-			bandwidth = engine.LinkMegabits * importSharing
+// sourceFor returns the best source for an engine that holds some leading parts: the one
+// with the most others, and of these the quickest; without one, no parts. An engine that
+// is as near as the store goes before it, since all share the store's link.
+func (r *Registry) sourceFor(prompt *prompt, parts *scoped, target *state, held int) source {
+	engine := prompt.engine
+	best := source{address: engine.Store, parts: min(parts.stored, prompt.shared)}
+	best.distance = r.options.Regions.Between(engine.StoreZone, target.worker.Zone)
+	if engine.StoreZone == "" {
+		best.distance = SameZone
+	}
+	best.perToken = r.movePerToken(engine, engine.StoreMegabits*storeSharing, best.distance)
+	equal := 0
+	for _, from := range parts.holders {
+		count := min(from.parts, prompt.shared)
+		if count < max(held+1, best.parts) {
 			break
 		}
+		if !sourceFits(from.known, target, parts, engine.Model) {
+			continue
+		}
+		distance := r.options.Regions.Between(from.known.worker.Zone, target.worker.Zone)
+		perToken := r.movePerToken(engine, engine.LinkMegabits*importSharing, distance)
+		switch {
+		case count > best.parts || perToken < best.perToken || (equal == 0 && distance <= best.distance):
+			equal = 1
+		case equal > 0 && perToken == best.perToken:
+			equal++
+		default:
+			continue
+		}
+		if r.options.Random.IntN(equal) == 0 {
+			best = source{address: from.known.worker.Address, parts: count, distance: distance, perToken: perToken}
+		}
 	}
+	return best
+}
+
+// sourceFits tells whether an engine may be a source for another one.
+func sourceFits(known, target *state, parts *scoped, model fleet.ModelName) bool {
+	return known != nil && known != target && known.listed() && known.worker.Versions[model] == parts.version
+}
+
+// movePerToken predicts the time to move a token's KV cache at a bandwidth in Mbit/s over
+// a distance.
+func (r *Registry) movePerToken(engine *EngineRequest, bandwidth float64, distance Distance) time.Duration {
 	if bandwidth <= 0 {
 		bandwidth = max(engine.LinkMegabits*importSharing, 1)
 	}
-	bits := float64(engine.TokenBytes) * bitsPerByte
+	bits := float64(engine.TokenBytes) * bitsPerByte * float64(r.options.Distances.MoveFactor[distance])
 	return time.Duration(bits / (bandwidth * megabit) * float64(time.Second))
 }
 
-// chooseSources names the holder from which the engine takes what it lacks: an
-// engine that holds as much of the shared parts as the store does, since all
-// share the store's link; else the store, which gets all that is read.
-func (r *Registry) chooseSources(placement *Placement, known *scoped, shared int, home fleet.EngineID, request *EngineRequest) {
-	engine := placement.Engine
-	own := min(known.held[placement.Worker.ID], shared)
-	if own >= shared {
-		return
-	}
-	engine.ImportFrom = request.Store
-	if source := r.holder(placement, known, shared, request.Model, max(own+1, known.stored)); source != nil {
-		engine.ImportFrom = source.worker.Address
-		return
+// importFrom names the holder from which an engine takes what it lacks: an engine that
+// holds as much of the shared parts as the store does, else the store, which gets all that
+// is read, else the prompt's home.
+func (r *Registry) importFrom(prompt *prompt, parts *scoped, chosen *state) fleet.Address {
+	held := min(r.heldBy(parts, chosen), prompt.shared)
+	if held >= prompt.shared {
+		return ""
 	}
-	if source := r.workers[home]; engine.ImportFrom == "" && !engine.Home && source != nil {
-		engine.ImportFrom = source.worker.Address
+	if best := r.sourceFor(prompt, parts, chosen, held); best.address != "" {
+		return best.address
 	}
-}
-
-// holder returns an engine that holds the most of the shared parts, at least so
-// many of them: one of the engine's zone if there is one, and of several any, so
-// that no link carries all moves.
-func (r *Registry) holder(placement *Placement, known *scoped, shared int, model fleet.ModelName, least int) *state {
-	var best *state
-	bestRank, equal := 0, 0
-	for id, held := range known.held {
-		source := r.workers[id]
-		held = min(held, shared)
-		if source == nil || id == placement.Worker.ID || !source.listed() || held < least {
-			continue
-		}
-		if source.worker.Versions[model] != placement.Engine.Version {
-			continue
-		}
-		rank := 2 * held
-		if source.worker.Zone == placement.Worker.Zone {
-			rank++
-		}
-		switch {
-		case rank > bestRank:
-			best, bestRank, equal = source, rank, 1
-		case rank == bestRank:
-			equal++
-			if r.options.Random.IntN(equal) == 0 {
-				best = source
-			}
-		}
+	if prompt.home != nil && prompt.home != chosen {
+		return prompt.home.worker.Address
 	}
-	return best
+	return ""
 }
 
 // noteHeld records what the engine and the store hold once an answer has begun.
--- a/internal/backends/worker.go
+++ b/internal/backends/worker.go
@@ -96,6 +96,15 @@
 	failuresAt time.Duration
 	// slowness is the mean of measured over predicted time to the first byte.
 	slowness float64
+
+	// hash is that of the identifier; pool, tier and at are where the worker is listed.
+	hash uint64
+	pool *pool
+	tier int
+	at   int
+	// seenBy is the last search that looked at the worker, and verdict what it found.
+	seenBy  uint64
+	verdict verdict
 }
 
 // begin counts a request.
--- a/internal/delivery/choice.go
+++ b/internal/delivery/choice.go
@@ -22,3 +22,12 @@
 	}
 	return !c.wantsTarget || len(c.canaries) == 0 || c.canaries[worker]
 }
+
+// Canaries returns the workers to which the request is limited; nil if it isn't limited to
+// single workers.
+func (c *Choice) Canaries() map[fleet.EngineID]bool {
+	if c == nil || !c.wantsTarget {
+		return nil
+	}
+	return c.canaries
+}
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -154,6 +154,10 @@
 	return mix(xxhash.Sum64String(key) ^ xxhash.Sum64String(candidate))
 }
 
+// RendezvousMix spreads a hash over all bits: RendezvousWeight of two names is that of
+// their hashes combined by exclusive or.
+func RendezvousMix(hash uint64) uint64 { return mix(hash) }
+
 // weightedScore maps a uniform hash to -weight/ln(u) with u in (0, 1).
 func weightedScore(hash uint64, weight float64) float64 {
 	const mantissaBits = 53
--- a/internal/prefixindex/bank.go
+++ b/internal/prefixindex/bank.go
@@ -26,6 +26,8 @@
 
 // bank holds the blocks of up to 64 runs.
 type bank struct {
+	// number is the bank's place in the index.
+	number   int
 	segments [segmentCount]segment
 	entries  int
 	runs     [slotsPerBank]fleet.EngineRun
@@ -43,7 +45,7 @@
 	sweepCredit int
 }
 
-func newBank() *bank { return &bank{} }
+func newBank(number int) *bank { return &bank{number: number} }
 
 func bit(slot Slot) uint64 { return 1 << slot }
 
--- a/internal/prefixindex/prefixindex.go
+++ b/internal/prefixindex/prefixindex.go
@@ -31,6 +31,9 @@
 	// MaxBlocks bounds the number of entries; 0 means DefaultMaxBlocks. At the
 	// bound, storing a block drops another one.
 	MaxBlocks int
+	// Directory keeps the banks of each block at hand, at some 60 bytes a block, so that
+	// LookupFew takes as long with thousands of runs as with hundreds.
+	Directory bool
 }
 
 // location is where the index keeps a run.
@@ -43,6 +46,8 @@
 // concurrent use.
 type Index struct {
 	maxBlocks int
+	directed  bool
+	directory directory
 	banks     []*bank
 	runs      map[fleet.EngineRun]location
 	dropped   uint64
@@ -56,6 +61,7 @@
 	}
 	return &Index{
 		maxBlocks: maxBlocks,
+		directed:  options.Directory,
 		runs:      make(map[fleet.EngineRun]location),
 	}
 }
@@ -101,7 +107,13 @@
 
 func (x *Index) storeAt(where location, hashes []fleet.BlockHash) {
 	for _, hash := range hashes {
-		if where.bank.add(hash, where.slot) && x.Blocks() > x.maxBlocks {
+		if !where.bank.add(hash, where.slot) {
+			continue
+		}
+		if x.directed {
+			x.noteEntry(hash, where.bank.number)
+		}
+		if x.Blocks() > x.maxBlocks {
 			x.drop(hash)
 		}
 	}
@@ -217,7 +229,7 @@
 		slot, _ := bank.allocate(run)
 		return location{bank: bank, slot: slot}
 	}
-	added := newBank()
+	added := newBank(len(x.banks))
 	x.banks = append(x.banks, added)
 	slot, _ := added.allocate(run)
 	return location{bank: added, slot: slot}
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduling/scheduler.go
@@ -54,15 +54,36 @@
 	if len(candidates) == 0 {
 		return Decision{Candidates: explanation}, false
 	}
+	return s.compare(&request, endpoints, candidates, congestion, explanation, random), true
+}
+
+// Compare chooses among endpoints that may all get the request: whoever calls it has
+// filtered them. There must be one at least.
+func (s *Scheduler) Compare(request Request, endpoints []Endpoint, random *rand.Rand) Decision {
+	var buffer [stackCandidates]rated
+	candidates := buffer[:0]
+	if len(endpoints) > stackCandidates {
+		candidates = make([]rated, 0, len(endpoints))
+	}
+	congestion := 0.0
+	for index := range endpoints {
+		candidates = append(candidates, rated{index: index})
+		congestion += s.congestionAt(&endpoints[index])
+	}
+	return s.compare(&request, endpoints, candidates, congestion, nil, random)
+}
+
+// compare scores the candidates, of a congestion together, and picks one.
+func (s *Scheduler) compare(request *Request, endpoints []Endpoint, candidates []rated, congestion float64, explanation []Candidate, random *rand.Rand) Decision {
 	charged := s.prices(congestion/float64(len(candidates)), request.RecomputeDiscount)
 	for position := range candidates {
 		candidate := &candidates[position]
-		candidate.scores = s.score(&request, &endpoints[candidate.index], charged)
+		candidate.scores = s.score(request, &endpoints[candidate.index], charged)
 		if request.Explain {
 			explanation[candidate.index].Scores = candidate.scores
 		}
 	}
-	picked, late := s.pick(&request, endpoints, candidates, random)
+	picked, late := s.pick(request, endpoints, candidates, random)
 	if request.Explain {
 		explanation[picked.index].Chosen = true
 	}
@@ -76,7 +97,7 @@
 		Wait:           picked.scores.Wait(),
 		Late:           late,
 		Candidates:     explanation,
-	}, true
+	}
 }
 
 // score predicts the costs of an endpoint, at the prices of a decision.
@@ -93,9 +114,10 @@
 		Overtaken:      prefillTime(endpoint, endpoint.OvertakenTokens),
 		Prefill:        prefillTime(endpoint, uncached),
 		Interference:   interferenceTime(endpoint, uncached),
-		Zone:           s.zonePrice(request, endpoint),
+		Zone:           s.zonePrice(request, endpoint) + endpoint.Delay,
+		Crossing:       endpoint.Crossing,
 		Recompute:      charged.recompute(uncached - unread + endpoint.ApartTokens),
-		Move:           time.Duration(imported) * s.options.ImportWeight,
+		Move:           time.Duration(imported*max(endpoint.ImportPrice, 1)) * s.options.ImportWeight,
 		Risk:           endpoint.Risk,
 		Reserved:       endpoint.Reserved,
 		Outdated:       endpoint.Outdated,
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -61,6 +61,12 @@
 	ImportBlocks   int
 	ImportPerToken time.Duration
 	ImportSetup    time.Duration
+	// ImportPrice is how many times as dear the move is as one nearby; 0 counts as 1.
+	ImportPrice int
+	// Delay is by how much later the first token comes from there, Crossing the price of
+	// the bytes that go there and back.
+	Delay    time.Duration
+	Crossing time.Duration
 	// UnreadTokens is the end of the prompt that nobody holds: computing it is no
 	// recomputation.
 	UnreadTokens int
@@ -161,8 +167,10 @@
 	Prefill time.Duration
 	// Interference is the time that decoding streams take out of both.
 	Interference time.Duration
-	// Zone is the price of leaving the agent's zone.
+	// Zone is the price of leaving the agent's zone, the delay from there included.
 	Zone time.Duration
+	// Crossing is the price of the bytes that leave the zone.
+	Crossing time.Duration
 	// Recompute is the price of the capacity that recomputing takes from
 	// others. It doesn't delay this request.
 	Recompute time.Duration
@@ -197,6 +205,6 @@
 
 // Cost is what the picker minimises.
 func (s Scores) Cost() time.Duration {
-	prices := s.Recompute + s.Move + s.Risk + s.Reserved + s.Outdated + s.Disturbance + s.Memory
+	prices := s.Recompute + s.Move + s.Risk + s.Reserved + s.Outdated + s.Disturbance + s.Memory + s.Crossing
 	return s.FirstToken() + prices
 }
