Tell the choice which region each zone is in, and how large a request is

Cause: the settings name the region of each zone, and nothing that serves used it. Change: settings' zones reach the registry; the store of kept KV cache has its zone in a choice; the size of the request is part of the price of a far worker. A worker's connection limit is worked out once a request, not for each worker.

--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -225,14 +225,21 @@
 	line.Msg("placed")
 }
 
+// messageBytes is the size of an exchange besides the request's body: headers both ways
+// and an answer of some hundred bytes.
+const messageBytes = 1500
+
 // choice describes the request to the registry.
 func (g *Gateway) choice(current *carried) *backends.Request {
+	destination := g.destination(current, &backends.Worker{})
 	request := &backends.Request{
 		Service:  current.service.Name,
 		Excluded: current.machine.Excluded(),
 		Free: func(worker *backends.Worker) bool {
-			return g.upstreams.Free(g.destination(current, worker))
+			destination.Engine, destination.Address = worker.ID, worker.Address
+			return g.upstreams.Free(destination)
 		},
+		Bytes: messageBytes + int(max(current.request.ContentLength, 0)),
 	}
 	if engine := current.service.Engine; engine != nil {
 		request.Engine = &backends.EngineRequest{
@@ -251,7 +258,8 @@
 			LinkMegabits: engine.LinkMegabits,
 		}
 		if store := g.keptStore(current); store != nil {
-			request.Engine.Store, request.Engine.StoreMegabits = store.Store.Address, store.Store.LinkMegabits
+			request.Engine.Store, request.Engine.StoreZone = store.Store.Address, store.Store.Zone
+			request.Engine.StoreMegabits = store.Store.LinkMegabits
 		}
 		if current.tenant != nil {
 			request.Engine.Tenant, request.Engine.Isolated = current.tenant.Name, current.tenant.Isolated
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,6 +118,8 @@
 	g.tables = g.newTables()
 	g.workers = backends.New(backends.Options{
 		Zone:       settings.Zone,
+		Regions:    settings.regions(),
+		Distances:  settings.Distances,
 		Random:     random(),
 		Scheduling: schedulingOptions(),
 	})
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"maps"
 	"net"
 	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
@@ -16,6 +18,11 @@
 	Node   string
 	Zone   fleet.ZoneName
 	Region fleet.RegionName
+	// Zones holds the region of each zone; zones that it lacks count as near ones.
+	Zones map[fleet.ZoneName]fleet.RegionName
+	// Distances are what distance costs a request; backends.DefaultDistancePrices if all
+	// are 0.
+	Distances backends.DistancePrices
 
 	// FrontAddress serves callers' requests.
 	FrontAddress string
@@ -133,6 +140,16 @@
 	return nil
 }
 
+// regions returns the region of each zone, this node's own included.
+func (s *Settings) regions() backends.Regions {
+	regions := make(backends.Regions, len(s.Zones)+1)
+	maps.Copy(regions, s.Zones)
+	if s.Region != "" {
+		regions[s.Zone] = s.Region
+	}
+	return regions
+}
+
 // identity is what of the settings holds for as long as a process runs.
 type identity struct {
 	node                           string
