Keep the workers by load, so that a choice draws the least loaded ones

Weighed: three ways to find candidates, besides the holders of the prompt's parts and its home, on the same states: drawn from all, taken from an index sorted by load, and all engines of this node's own twelfth of the fleet. Drawing from levels of load joins the first two.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -184,6 +184,7 @@
 func (r *Registry) begin(now time.Duration, chosen *state, candidates int, work placedWork) *Placement {
 	load := r.total(now, chosen)
 	chosen.begin(work)
+	r.relevel(chosen)
 	return &Placement{
 		Worker:        chosen.worker,
 		InFlight:      load.InFlight,
@@ -211,6 +212,7 @@
 	}
 	p.first = true
 	p.state.endPrefill(p.work)
+	r.relevel(p.state)
 	p.state.trust(now)
 	if p.Engine != nil {
 		p.state.measure(now-p.begun, p.Engine.Predicted)
@@ -233,6 +235,7 @@
 		known.endPrefill(p.work)
 	}
 	known.end(p.work)
+	r.relevel(known)
 	switch outcome {
 	case Succeeded:
 		r.noteSlotTime(p, now-p.begun)
--- a/internal/backends/choose_benchmark_test.go
+++ b/internal/backends/choose_benchmark_test.go
@@ -35,6 +35,8 @@
 	now    time.Duration
 	number int
 	open   []*Placement
+	// sorted holds the engines by load, own those of one node: for BenchmarkWays.
+	sorted, own []*state
 }
 
 func newSimulatedFleet(engines int, busy float64, options Options) *simulatedFleet {
--- /dev/null
+++ b/internal/backends/choose_ways_test.go
@@ -0,0 +1,163 @@
+package backends
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/scheduling"
+)
+
+// way finds the candidates of a choice.
+type way struct {
+	name  string
+	whole bool
+	// fill looks at workers; nil gathers as a choice does.
+	fill func(f *simulatedFleet, s *search)
+}
+
+// ways are those that were weighed against each other.
+func ways() []way {
+	return []way{
+		{name: "whole", whole: true},
+		{name: "few"},
+		{name: "sorted", fill: func(f *simulatedFleet, s *search) {
+			s.lookAtHolders()
+			for _, known := range f.sorted[:min(16, len(f.sorted))] {
+				s.look(known)
+			}
+		}},
+		{name: "partition", fill: func(f *simulatedFleet, s *search) {
+			s.lookAtHolders()
+			for _, known := range f.own {
+				s.look(known)
+			}
+		}},
+	}
+}
+
+// costs returns what a request costs at each engine, by the prices of a look at all.
+func (f *simulatedFleet) costs(request *Request) map[fleet.EngineRun]time.Duration {
+	s := f.registry.newSearch(f.now, request, nil)
+	s.whole = true
+	s.gather()
+	prompt := f.registry.newPrompt(s)
+	f.registry.decide(s, prompt)
+	for at := range f.registry.endpoints {
+		f.registry.endpoints[at].Serves = func(fleet.Weights) bool { return true }
+	}
+	decision, _ := f.registry.scheduler.Schedule(scheduling.Request{
+		Pool: request.Service, PromptTokens: prompt.engine.PromptTokens, PartTokens: prompt.ends,
+		Deadline: prompt.engine.TimeLeft, Explain: true,
+	}, f.registry.endpoints, f.random)
+	costs := make(map[fleet.EngineRun]time.Duration)
+	for _, candidate := range decision.Candidates {
+		if candidate.RemovedBy == "" {
+			costs[candidate.Run] = candidate.Scores.Cost()
+		}
+	}
+	return costs
+}
+
+// decideBy decides a request one way without placing it.
+func (f *simulatedFleet) decideBy(by way, request *Request) (decision scheduling.Decision, refused bool, took time.Duration) {
+	start := time.Now()
+	s := f.registry.newSearch(f.now, request, nil)
+	s.whole = by.whole
+	if by.fill == nil {
+		s.gather()
+	} else {
+		by.fill(f, s)
+		s.keepBuffers()
+		s.outcome()
+	}
+	prompt := f.registry.newPrompt(s)
+	if len(s.candidates()) == 0 {
+		return decision, true, time.Since(start)
+	}
+	decision = f.registry.decide(s, prompt)
+	if _, late := tooLate(prompt.engine, &decision); late && by.name == "few" {
+		if _, added := s.spareFor(allowedWait(prompt.engine, &decision)); added {
+			decision = f.registry.decide(s, prompt)
+		}
+	}
+	_, refused = tooLate(prompt.engine, &decision)
+	return decision, refused, time.Since(start)
+}
+
+// sortEngines keeps the engines by load, and those that one of the nodes would have for
+// itself.
+func (f *simulatedFleet) sortEngines() {
+	f.sorted, f.own = f.sorted[:0], f.own[:0]
+	for at, known := range f.registry.pools["engines"].all() {
+		f.sorted = append(f.sorted, known)
+		if at%simulatedPeers == 0 {
+			f.own = append(f.own, known)
+		}
+	}
+	slices.SortFunc(f.sorted, func(a, b *state) int {
+		return cmp.Or(cmp.Compare(f.registry.inFlight(f.now, a), f.registry.inFlight(f.now, b)), cmp.Compare(a.hash, b.hash))
+	})
+}
+
+// BenchmarkWays compares ways to find candidates by the time of a choice and by what its
+// decision costs beyond that of a look at all engines, at a third of the slots taken and at
+// nearly all.
+func BenchmarkWays(b *testing.B) {
+	for _, engines := range []int{12, 90, 1000, 3000, 10_000} {
+		for _, busy := range []float64{4, 13} {
+			b.Run(fmt.Sprintf("engines=%d/busy=%g", engines, busy), func(b *testing.B) {
+				benchmarkWays(b, newSimulatedFleet(engines, busy, Options{Zone: "z0"}))
+			})
+		}
+	}
+}
+
+func benchmarkWays(b *testing.B, f *simulatedFleet) {
+	b.Helper()
+	all := ways()
+	times := make([]*hdrhistogram.Histogram, len(all))
+	for at := range times {
+		times[at] = hdrhistogram.New(1, int64(100*time.Second), 3)
+	}
+	lost, refusals := make([]time.Duration, len(all)), make([]int, len(all))
+	compared := 0
+	for range b.N {
+		f.step()
+		f.sortEngines()
+		request := f.request()
+		costs := f.costs(request)
+		best, never, took := f.decideBy(all[0], request)
+		_ = times[0].RecordValue(int64(took))
+		if never {
+			refusals[0]++
+		} else {
+			compared++
+		}
+		for at, by := range all[1:] {
+			decision, refused, took := f.decideBy(by, request)
+			_ = times[at+1].RecordValue(int64(took))
+			switch {
+			case refused:
+				refusals[at+1]++
+			case !never:
+				lost[at+1] += costs[decision.Endpoint.Run] - costs[best.Endpoint.Run]
+			}
+		}
+		if placement, _ := f.registry.Choose(f.now, request); placement != nil {
+			f.open = append(f.open, placement)
+		}
+	}
+	for at, by := range all {
+		b.ReportMetric(float64(times[at].ValueAtQuantile(50))/1e3, by.name+"-p50-µs")
+		b.ReportMetric(float64(times[at].ValueAtQuantile(99))/1e3, by.name+"-p99-µs")
+		b.ReportMetric(lost[at].Seconds()*1e3/math.Max(float64(compared), 1), by.name+"-lost-ms")
+		b.ReportMetric(float64(refusals[at])/float64(b.N), by.name+"-refused")
+	}
+}
--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -137,15 +137,12 @@
 	ends   []int
 	// home is where the shared parts are read first; nil if nowhere.
 	home *state
-	// kept tells which engines are kept for prompts of another size.
-	kept func(*state) bool
 }
 
 func (r *Registry) newPrompt(found *search) *prompt {
 	engine := found.request.Engine
 	p := &prompt{engine: engine, shared: max(len(engine.Parts)-1, 0), ends: cumulate(engine.Parts)}
-	p.kept = r.keptForOthers(found.now, found.pool, engine)
-	p.home = found.home(p.shared, p.kept)
+	p.home = found.home(p.shared)
 	found.keepBuffers()
 	return p
 }
@@ -157,7 +154,7 @@
 	for _, known := range found.candidates() {
 		version := known.worker.Versions[engine.Model]
 		endpoint := r.endpoint(found, prompt, known, found.scopeOf(version))
-		if prompt.kept(known) {
+		if found.kept(known) {
 			endpoint.Reserved = reservedPrice
 		}
 		if version < r.preferred[engine.Model] {
--- a/internal/backends/peers.go
+++ b/internal/backends/peers.go
@@ -25,6 +25,10 @@
 	sum   peerSum
 	// validUntil is when the first report of the sum is too old; 0 has it made anew.
 	validUntil time.Duration
+	// changed is called for each worker of which something else is told, and changedAll
+	// when that may be any.
+	changed    func(fleet.EngineID)
+	changedAll func()
 	// mostTold is the number of workers in the sum from which on it is made anew, without
 	// those of which nothing is told any more.
 	mostTold int
@@ -89,7 +93,10 @@
 }
 
 func newPeerReports() *peerReports {
-	return &peerReports{reports: make(map[fleet.NodeID]*heardReport)}
+	return &peerReports{
+		reports: make(map[fleet.NodeID]*heardReport),
+		changed: func(fleet.EngineID) {}, changedAll: func() {},
+	}
 }
 
 // observe takes a report in place of the node's one before.
@@ -111,6 +118,9 @@
 func (p *peerReports) include(report *heardReport) {
 	report.counted = true
 	p.sum.add(report)
+	for id := range report.loads {
+		p.changed(id)
+	}
 	p.validUntil = min(p.validUntil, report.at+peerLoadValid)
 }
 
@@ -121,6 +131,7 @@
 	p.sum.heard--
 	for id, load := range report.loads {
 		p.sum.entry(id).add(&load, -1)
+		p.changed(id)
 	}
 	for _, id := range report.Suspects {
 		p.sum.entry(id).suspecting--
@@ -161,6 +172,7 @@
 			entry := p.sum.entry(load.Engine)
 			entry.add(&before, -1)
 			entry.add(&load, 1)
+			p.changed(load.Engine)
 		}
 	}
 }
@@ -199,6 +211,7 @@
 			p.include(report)
 		}
 	}
+	p.changedAll()
 	p.mostTold = 2*len(p.sum.workers) + spareTold
 }
 
--- a/internal/backends/peers_test.go
+++ b/internal/backends/peers_test.go
@@ -98,7 +98,7 @@
 		case 3:
 			kept.forget(node)
 		}
-		anew := &peerReports{reports: make(map[fleet.NodeID]*heardReport)}
+		anew := newPeerReports()
 		for node, report := range kept.reports {
 			copied := *report
 			anew.reports[node] = &copied
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -20,7 +20,7 @@
 // of them without a look at all.
 type pool struct {
 	service fleet.PoolName
-	tiers   [tiers][]*state
+	tiers   [tiers]levelled
 	ring    ring
 	// weights counts the listed workers by model and version.
 	weights map[modelVersion]int
@@ -37,8 +37,8 @@
 // listed returns the number of listed workers.
 func (p *pool) listed() int {
 	count := 0
-	for _, members := range p.tiers[:lapsedTier] {
-		count += len(members)
+	for tier := range lapsedTier {
+		count += p.tiers[tier].count
 	}
 	return count
 }
@@ -47,12 +47,14 @@
 func (p *pool) all() iter.Seq2[int, *state] {
 	return func(yield func(int, *state) bool) {
 		at := 0
-		for _, members := range p.tiers[:lapsedTier] {
-			for _, known := range members {
-				if !yield(at, known) {
-					return
+		for tier := range lapsedTier {
+			for _, members := range p.tiers[tier].members {
+				for _, known := range members {
+					if !yield(at, known) {
+						return
+					}
+					at++
 				}
-				at++
 			}
 		}
 	}
@@ -91,8 +93,8 @@
 		return
 	}
 	into := r.poolOf(known.worker.Service)
-	known.pool, known.tier, known.at = into, tier, len(into.tiers[tier])
-	into.tiers[tier] = append(into.tiers[tier], known)
+	known.pool, known.tier = into, tier
+	into.tiers[tier].add(known, r.levelOf(known))
 	if tier != lapsedTier {
 		into.ring.add(known)
 		into.count(known.worker.Versions, 1)
@@ -105,12 +107,7 @@
 	if from == nil {
 		return
 	}
-	members := from.tiers[known.tier]
-	last := len(members) - 1
-	members[known.at] = members[last]
-	members[known.at].at = known.at
-	members[last] = nil
-	from.tiers[known.tier] = members[:last]
+	from.tiers[known.tier].remove(known)
 	if known.tier != lapsedTier {
 		from.ring.remove(known)
 		from.count(known.worker.Versions, -1)
@@ -155,6 +152,9 @@
 // keptForOthers returns which engines are kept for prompts of another size than a
 // request's; the mutex is held.
 func (r *Registry) keptForOthers(now time.Duration, of *pool, engine *EngineRequest) func(*state) bool {
+	if engine == nil {
+		return func(*state) bool { return false }
+	}
 	bound, apart := r.longSide(now, of)
 	long := r.isLong(engine)
 	return func(known *state) bool { return apart && (known.hash <= bound) != long }
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -93,7 +93,7 @@
 	if options.Distances == (DistancePrices{}) {
 		options.Distances = DefaultDistancePrices()
 	}
-	return &Registry{
+	registry := &Registry{
 		options:    options,
 		scheduler:  scheduling.New(options.Scheduling),
 		workers:    make(map[fleet.EngineID]*state),
@@ -107,6 +107,8 @@
 		partitions: make(map[fleet.PoolName]*partition),
 		pools:      make(map[fleet.PoolName]*pool),
 	}
+	registry.peers.changed, registry.peers.changedAll = registry.relevelByID, registry.relevelAll
+	return registry
 }
 
 // Change tells what an observation changed.
--- a/internal/backends/search.go
+++ b/internal/backends/search.go
@@ -57,12 +57,14 @@
 	// whole is set if all workers are looked at.
 	whole bool
 	// number tells the workers that this search has looked at.
-	number   uint64
-	counts   [verdicts]int
-	looked   int
-	fits     []*state
-	doubts   []*state
-	draws    [tiers]draw
+	number uint64
+	counts [verdicts]int
+	looked int
+	fits   []*state
+	doubts []*state
+	draws  [tiers]draw
+	// kept tells which engines are kept for prompts of another size.
+	kept     func(*state) bool
 	scopes   []*scoped
 	accepted verdict
 }
@@ -70,13 +72,16 @@
 // newSearch returns a search among the workers of some software versions.
 func (r *Registry) newSearch(now time.Duration, request *Request, versions *delivery.Choice) *search {
 	r.searches++
+	// What too old reports told leaves the levels here, not while they are drawn from.
+	r.peers.told(now)
 	known := r.poolOf(request.Service)
 	s := &search{
 		Registry: r, now: now, request: request, versions: versions, pool: known, number: r.searches,
 		whole: known.listed() <= r.options.WholeUpTo, fits: r.fits[:0], doubts: r.doubts[:0], accepted: fit,
 	}
-	for tier, members := range known.tiers {
-		s.draws[tier] = newDraw(r.options.Random, members)
+	s.kept = r.keptForOthers(now, known, request.Engine)
+	for tier := range known.tiers {
+		s.draws[tier] = draw{list: &known.tiers[tier], random: r.options.Random, unseen: known.tiers[tier].count, level: -1}
 	}
 	return s
 }
--- a/internal/backends/search_draw.go
+++ b/internal/backends/search_draw.go
@@ -6,35 +6,45 @@
 // workers once, in an order that differs from choice to choice.
 var strides = [...]int{1_000_003, 1_299_709, 2_750_159, 4_256_233, 6_700_417, 7_368_787, 15_485_863, 32_452_843}
 
-// draw takes workers of a list one after the other in random order.
+// draw takes workers of a list one after the other, the least loaded first and in random
+// order among those of a level. The list must not change meanwhile.
 type draw struct {
-	members []*state
-	next    int
-	stride  int
-	left    int
-}
-
-func newDraw(random *rand.Rand, members []*state) draw {
-	if len(members) == 0 {
-		return draw{}
-	}
-	return draw{
-		members: members, left: len(members),
-		next: random.IntN(len(members)), stride: strides[random.IntN(len(strides))] % len(members),
-	}
+	list   *levelled
+	random *rand.Rand
+	// unseen is the number of workers left, left that of the level; next and stride say
+	// which of the level follows.
+	unseen int
+	level  int
+	left   int
+	next   int
+	stride int
 }
 
 // take returns the next worker, or nil after the last.
 func (d *draw) take() *state {
-	if d.left == 0 {
+	if d.unseen == 0 {
 		return nil
 	}
+	for d.left == 0 {
+		d.level++
+		d.begin(len(d.list.members[d.level]))
+	}
+	members := d.list.members[d.level]
+	d.unseen--
 	d.left--
-	taken := d.members[d.next]
-	d.next = (d.next + d.stride) % len(d.members)
+	taken := members[d.next]
+	d.next = (d.next + d.stride) % len(members)
 	return taken
 }
 
+// begin starts a level of so many workers anywhere in it.
+func (d *draw) begin(count int) {
+	d.left = count
+	if count > 0 {
+		d.next, d.stride = d.random.IntN(count), strides[d.random.IntN(len(strides))]%count
+	}
+}
+
 // lookAtDrawn looks at workers drawn from each distance, near first; what a distance
 // lacks is drawn from the next.
 func (s *search) lookAtDrawn() {
@@ -74,7 +84,7 @@
 func (s *search) lookUntilFit() {
 	wanted := fitsEnough
 	for tier := range drawn {
-		wanted -= s.lookAtSome(&s.draws[tier], wanted, s.draws[tier].left)
+		wanted -= s.lookAtSome(&s.draws[tier], wanted, s.draws[tier].unseen)
 	}
 }
 
--- a/internal/backends/search_spare.go
+++ b/internal/backends/search_spare.go
@@ -123,14 +123,12 @@
 // lookForSpare looks at all engines for the shortest waits.
 func (s *search) lookForSpare() *look {
 	found := &look{until: s.now + s.lookValid(), least: math.MaxInt64}
-	for _, members := range s.pool.tiers[:lapsedTier] {
-		for _, known := range members {
-			if known.seenBy == s.number && known.verdict != fit || known.seenBy != s.number && s.judge(known) != fit {
-				continue
-			}
-			endpoint := s.loaded(s.now, s.request.Engine, known)
-			found.note(known, scheduling.WaitAt(&endpoint))
+	for _, known := range s.pool.all() {
+		if known.seenBy == s.number && known.verdict != fit || known.seenBy != s.number && s.judge(known) != fit {
+			continue
 		}
+		endpoint := s.loaded(s.now, s.request.Engine, known)
+		found.note(known, scheduling.WaitAt(&endpoint))
 	}
 	return found
 }
--- a/internal/backends/worker.go
+++ b/internal/backends/worker.go
@@ -97,11 +97,12 @@
 	// slowness is the mean of measured over predicted time to the first byte.
 	slowness float64
 
-	// hash is that of the identifier; pool, tier and at are where the worker is listed.
-	hash uint64
-	pool *pool
-	tier int
-	at   int
+	// hash is that of the identifier; pool, tier, level and at are where the worker is listed.
+	hash  uint64
+	pool  *pool
+	tier  int
+	level int
+	at    int
 	// seenBy is the last search that looked at the worker, and verdict what it found.
 	seenBy  uint64
 	verdict verdict
