Test the search for candidates and the choice by distance, and go back to workers by name alone

Copies of runs go to the nearest engine, by zone and then region; parts come from the nearest holder, the store among them by its zone. A target side that is full falls back.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -98,6 +98,19 @@
 func (r *Registry) Choose(now time.Duration, request *Request) (*Placement, Refusal) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	placement, refusal := r.choose(now, request)
+	next := request.Versions.Fallback()
+	if placement != nil || next == nil || !request.Versions.WantsTarget() {
+		return placement, refusal
+	}
+	// A delivery's few target workers may be full or slow while others have room.
+	limited := *request
+	limited.Versions = next
+	return r.choose(now, &limited)
+}
+
+// choose is Choose; the mutex is held.
+func (r *Registry) choose(now time.Duration, request *Request) (*Placement, Refusal) {
 	found, reason := r.candidates(now, request)
 	switch {
 	case reason == ReasonFull && request.Engine != nil:
--- a/internal/backends/copies.go
+++ b/internal/backends/copies.go
@@ -11,21 +11,21 @@
 const copySamples = 6
 
 // copyTarget returns the engine that is to hold a copy of a run at another one: of a few
-// drawn at random the one in the same zone whose memory has the most room, since moves
-// between zones take longer. It returns an empty worker if there is no other engine with
+// drawn at random the nearest, and of these the one whose memory has the most room, since
+// moves over a distance take longer. It returns an empty worker if there is no other engine with
 // the same weights; the mutex is held.
 func (r *Registry) copyTarget(now time.Duration, candidates []*state, chosen *state, model fleet.ModelName) Worker {
 	var best *state
-	bestApart, bestTokens := false, 0
+	bestDistance, bestTokens := SameZone, 0
 	for range copySamples {
 		known := candidates[r.options.Random.IntN(len(candidates))]
 		if known == chosen || known.worker.Versions[model] != chosen.worker.Versions[model] {
 			continue
 		}
-		apart := known.worker.Zone != chosen.worker.Zone
+		distance := r.options.Regions.Between(known.worker.Zone, chosen.worker.Zone)
 		tokens := r.total(now, known).MemoryTokens
-		if best == nil || (bestApart && !apart) || (bestApart == apart && tokens < bestTokens) {
-			best, bestApart, bestTokens = known, apart, tokens
+		if best == nil || distance < bestDistance || (distance == bestDistance && tokens < bestTokens) {
+			best, bestDistance, bestTokens = known, distance, tokens
 		}
 	}
 	if best == nil {
--- /dev/null
+++ b/internal/backends/distance_test.go
@@ -0,0 +1,155 @@
+package backends
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/scheduling"
+)
+
+// twoRegions has zones a and b in the north and c in the south.
+var twoRegions = Regions{"a": "north", "b": "north", "c": "south"}
+
+// withZones returns a registry in zone a with engines in zones in turn.
+func withZones(engines int, zones ...fleet.ZoneName) *Registry {
+	registry := New(Options{
+		Zone: "a", Regions: twoRegions, Random: newTestRegistry().options.Random, Scheduling: scheduling.DefaultOptions(),
+	})
+	for number := range engines {
+		worker := engineWorker(number, 1)
+		worker.Zone = zones[number%len(zones)]
+		registry.Observe(1, worker)
+		plain := plainWorker(number)
+		plain.Zone = worker.Zone
+		registry.Observe(1, plain)
+	}
+	return registry
+}
+
+func TestDistanceOfUnknownZonesIsThatOfOneRegion(t *testing.T) {
+	assert.Equal(t, SameZone, twoRegions.Between("a", "a"))
+	assert.Equal(t, SameRegion, twoRegions.Between("a", "b"))
+	assert.Equal(t, OtherRegion, twoRegions.Between("b", "c"))
+	assert.Equal(t, SameRegion, twoRegions.Between("a", "nowhere"))
+	assert.Equal(t, SameZone, twoRegions.Between("nowhere", "nowhere"))
+	assert.Equal(t, SameRegion, Regions(nil).Between("a", "c"))
+}
+
+// TestNextZoneTakesOverWhenTheNearOneIsFull fills a plain service zone by zone.
+func TestNextZoneTakesOverWhenTheNearOneIsFull(t *testing.T) {
+	registry := withZones(3, "a", "b", "c")
+	counts := map[fleet.ZoneName]int{}
+	slots := plainWorker(0).Slots
+	for range slots / 2 {
+		counts[choosePlain(t, registry, 0).Worker.Zone]++
+	}
+	assert.Equal(t, map[fleet.ZoneName]int{"a": slots / 2}, counts)
+	for range 3 * slots {
+		counts[choosePlain(t, registry, 0).Worker.Zone]++
+	}
+	assert.GreaterOrEqual(t, counts["a"], counts["b"])
+	assert.Greater(t, counts["b"], counts["c"])
+	assert.Positive(t, counts["c"])
+	registry.ObserveGone(0, 100, "p0")
+	registry.ObserveGone(0, 100, "p1")
+	assert.EqualValues(t, "c", choosePlain(t, registry, 0).Worker.Zone, "the near ones are gone")
+}
+
+// TestEnginesNearAreTakenFirst until their queues are dearer than the way, in a fleet that
+// is looked at whole and in one that isn't.
+func TestEnginesNearAreTakenFirst(t *testing.T) {
+	for _, engines := range []int{9, 3 * manyEngines} {
+		t.Run(fmt.Sprint(engines), func(t *testing.T) {
+			registry := withZones(engines, "a", "b", "c")
+			request := func(number int) *Request {
+				request := engineRequest(fmt.Sprint("p", number))
+				request.Engine.Parts = request.Engine.Parts[2:]
+				request.Engine.PromptTokens = 300
+				request.Bytes = 2000
+				return request
+			}
+			placement, _ := registry.Choose(0, request(0))
+			assert.EqualValues(t, "a", placement.Worker.Zone)
+			queue(registry, "a", 2000)
+			placement, _ = registry.Choose(0, request(1))
+			assert.EqualValues(t, "b", placement.Worker.Zone)
+			queue(registry, "b", 8000)
+			queue(registry, "a", 8000)
+			placement, _ = registry.Choose(0, request(2))
+			assert.EqualValues(t, "c", placement.Worker.Zone)
+		})
+	}
+}
+
+// queue has each engine of a zone have prompt work.
+func queue(registry *Registry, zone fleet.ZoneName, tokens int) {
+	for _, known := range registry.workers {
+		if known.worker.Zone == zone && known.worker.Service == "engines" {
+			known.prefill, known.priorities[0].PrefillTokens = tokens, int32(tokens)
+			registry.relevel(known)
+		}
+	}
+}
+
+// TestPartsComeFromTheNearestHolder: another engine of the zone before one of the region,
+// the store of the own region before an engine of another one.
+func TestPartsComeFromTheNearestHolder(t *testing.T) {
+	registry := withZones(6, "a", "b", "c")
+	scope := Scope(testModel, 1, "t", false)
+	parts := []PartChange{{true, scope, "common"}, {true, scope, "p"}}
+	from := func(storeZone fleet.ZoneName) fleet.Address {
+		request := engineRequest("p")
+		request.Engine.StoreZone, request.Engine.StoreMegabits = storeZone, request.Engine.LinkMegabits
+		for _, id := range []fleet.EngineID{"e1", "e2", "e3", "e4", "e5"} {
+			request.Excluded = append(request.Excluded, fleet.EngineRun{Engine: id})
+		}
+		placement, refused := registry.Choose(0, request)
+		require.NotNil(t, placement, refused)
+		defer placement.End(0, Cancelled)
+		return placement.Engine.ImportFrom
+	}
+	registry.ObserveCache(fleet.EngineRun{Engine: "e2"}, true, parts)
+	assert.Equal(t, registry.workers["e2"].worker.Address, from("a"), "nobody else holds them")
+	registry.ObserveCache(StoreRun(testStore), true, parts)
+	assert.Equal(t, testStore, from("b"))
+	assert.Equal(t, registry.workers["e2"].worker.Address, from("c"), "as far as the engine: its link is the store's only")
+	registry.ObserveCache(fleet.EngineRun{Engine: "e4"}, true, parts)
+	assert.Equal(t, registry.workers["e4"].worker.Address, from("b"))
+	registry.ObserveCache(fleet.EngineRun{Engine: "e3"}, true, parts)
+	for range 10 {
+		assert.Equal(t, registry.workers["e3"].worker.Address, from("a"))
+	}
+}
+
+// TestCopyIsNear: in the zone of the run, else in its region.
+func TestCopyIsNear(t *testing.T) {
+	registry := withZones(30, "a", "b", "c")
+	zones := map[Distance]int{}
+	for range 100 {
+		placement, _ := registry.Choose(0, copiedRequest())
+		if target := placement.Engine.CopyTo; target.ID != "" {
+			zones[twoRegions.Between(placement.Worker.Zone, target.Zone)]++
+		}
+		placement.End(0, Succeeded)
+	}
+	assert.Greater(t, zones[SameZone], 4*zones[SameRegion])
+	assert.Greater(t, zones[SameRegion], zones[OtherRegion])
+	for id, known := range registry.workers {
+		if known.worker.Zone == "a" && id != "e0" {
+			registry.ObserveGone(0, 100, id)
+		}
+	}
+	far := 0
+	for range 50 {
+		placement, _ := registry.Choose(0, copiedRequest())
+		if placement.Worker.ID == "e0" && placement.Engine.CopyTo.Zone == "c" {
+			far++
+		}
+		placement.End(0, Succeeded)
+	}
+	assert.Less(t, far, 5, "the other zone of the region is nearer")
+}
--- a/internal/backends/search.go
+++ b/internal/backends/search.go
@@ -89,10 +89,12 @@
 // gather collects candidates. It returns the reason if there are none, which is only
 // said once all workers have been looked at.
 func (s *search) gather() (reason string) {
-	if s.whole {
+	switch {
+	case s.whole:
 		s.lookAtRest()
-	} else {
+	case len(s.versions.Canaries()) > 0:
 		s.lookAtCanaries()
+	default:
 		s.lookAtHolders()
 		s.lookAtDrawn()
 		if len(s.fits) == 0 && !s.knownFull() {
--- a/internal/backends/search_holders.go
+++ b/internal/backends/search_holders.go
@@ -18,7 +18,8 @@
 	}
 }
 
-// lookAtCanaries looks at the workers to which the request is limited by name.
+// lookAtCanaries looks at the workers to which the request is limited by name; no other may
+// get it.
 func (s *search) lookAtCanaries() {
 	for id := range s.versions.Canaries() {
 		if known := s.workers[id]; known != nil && known.listed() && known.pool == s.pool {
