Take the prices of distance from the settings

Cause: what another zone or region costs differs from deployment to deployment, and the prices were constants. A negative price or a factor below 1 is refused with the settings' code.

--- a/internal/backends/distance.go
+++ b/internal/backends/distance.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
@@ -62,6 +64,19 @@
 	}
 }
 
+// Validate returns an error if a price is negative, or a factor is below 1.
+func (p *DistancePrices) Validate() error {
+	for distance := range distances {
+		switch {
+		case p.Delay[distance] < 0 || p.PerKilobyte[distance] < 0 || p.Plain[distance] < 0:
+			return errors.Errorf("distance %d: a price is negative", distance)
+		case p.MoveFactor[distance] < 1 || p.MovePrice[distance] < 1:
+			return errors.Errorf("distance %d: a factor of moves is below 1", distance)
+		}
+	}
+	return nil
+}
+
 // from returns the distance of a zone from this node.
 func (r *Registry) from(zone fleet.ZoneName) Distance {
 	return r.options.Regions.Between(r.options.Zone, zone)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -21,7 +21,7 @@
 	// Zones holds the region of each zone; zones that it lacks count as near ones.
 	Zones map[fleet.ZoneName]fleet.RegionName
 	// Distances are what distance costs a request; backends.DefaultDistancePrices if all
-	// are 0.
+	// are 0. They hold from the start of the process on.
 	Distances backends.DistancePrices
 
 	// FrontAddress serves callers' requests.
@@ -93,6 +93,9 @@
 // ApplyDefaults sets the bounds that are 0, since a deployment names only those
 // of the parts that it has.
 func (s *Settings) ApplyDefaults() {
+	if s.Distances == (backends.DistancePrices{}) {
+		s.Distances = backends.DefaultDistancePrices()
+	}
 	for _, bound := range []struct {
 		field    *time.Duration
 		fallback time.Duration
@@ -129,6 +132,9 @@
 			return errors.Errorf("%s address %q: not HOST:PORT", name, address)
 		}
 	}
+	if err := s.Distances.Validate(); err != nil {
+		return errors.Wrap(err, "distances")
+	}
 	for name, bound := range map[string]time.Duration{
 		"stop grace": s.StopGrace, "revocation bound": s.RevokeWithin, "lease gap": s.LeaseGap,
 		"weights bound": s.WeightsWithin, "configuration bound": s.ConfigureWithin, "retry window": s.RetryWindow,
