Let the comparison of ways go on where every engine is full

Cause: BenchmarkWays priced a request at all engines also where none could get it, and ended in a panic at 12 full engines. Change: the test alone.

--- a/internal/backends/choose_ways_test.go
+++ b/internal/backends/choose_ways_test.go
@@ -46,7 +46,10 @@
 func (f *simulatedFleet) costs(request *Request) map[fleet.EngineRun]time.Duration {
 	s := f.registry.newSearch(f.now, request, nil)
 	s.whole = true
-	s.gather()
+	costs := make(map[fleet.EngineRun]time.Duration)
+	if reason := s.gather(); reason != "" {
+		return costs
+	}
 	prompt := f.registry.newPrompt(s)
 	f.registry.decide(s, prompt)
 	for at := range f.registry.endpoints {
@@ -56,7 +59,6 @@
 		Pool: request.Service, PromptTokens: prompt.engine.PromptTokens, PartTokens: prompt.ends,
 		Deadline: prompt.engine.TimeLeft, Explain: true,
 	}, f.registry.endpoints, f.random)
-	costs := make(map[fleet.EngineRun]time.Duration)
 	for _, candidate := range decision.Candidates {
 		if candidate.RemovedBy == "" {
 			costs[candidate.Run] = candidate.Scores.Cost()
