--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -52,8 +52,10 @@
 	InFlight      int
 	PrefillTokens int
 	MemoryTokens  int
-	// Candidates counts the workers that were compared.
+	// Candidates counts the workers that were compared, and Looked those that were looked
+	// at for it.
 	Candidates int
+	Looked     int
 	// FailureRate is the worker's mean failure rate at the choice.
 	FailureRate float64
 	// Engine is set for engines.
@@ -120,7 +122,7 @@
 	case request.Engine != nil:
 		return r.chooseEngine(found)
 	default:
-		return r.choosePlain(now, found.candidates()), Refusal{}
+		return r.choosePlain(found), Refusal{}
 	}
 }
 
@@ -147,17 +149,20 @@
 
 // choosePlain takes the worker with the least load by its slots, failures and
 // slowness; the own zone breaks ties.
-func (r *Registry) choosePlain(now time.Duration, candidates []*state) *Placement {
-	mean := meanFailureRate(now, candidates)
+func (r *Registry) choosePlain(found *search) *Placement {
+	candidates := found.candidates()
+	mean := meanFailureRate(found.now, candidates)
 	var best *state
 	bestCost := math.Inf(1)
 	for _, known := range candidates {
-		cost := r.plainCost(now, known, mean)
+		cost := r.plainCost(found.now, known, mean)
 		if cost < bestCost {
 			best, bestCost = known, cost
 		}
 	}
-	return r.begin(now, best, len(candidates), placedWork{})
+	placement := r.begin(found.now, best, len(candidates), placedWork{})
+	placement.Looked = found.looked
+	return placement
 }
 
 // tieCost is the part of a plain worker's cost that chance makes, in requests in flight at
--- a/internal/backends/choose_benchmark_test.go
+++ b/internal/backends/choose_benchmark_test.go
@@ -168,3 +168,26 @@
 		})
 	}
 }
+
+// BenchmarkObservePeer takes a report in, of requests at a quarter of the engines, in place
+// of the one before: choices wait meanwhile.
+func BenchmarkObservePeer(b *testing.B) {
+	for _, engines := range []int{90, 1000, 10_000} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			simulated := newSimulatedFleet(engines, simulatedSlots/3, Options{Zone: "z0"})
+			var reports [2]PeerReport
+			for at := range reports {
+				for number := range engines {
+					if load, any := simulated.peerLoad(number); any {
+						reports[at].Loads = append(reports[at].Loads, load)
+					}
+				}
+			}
+			turn := 0
+			for b.Loop() {
+				turn++
+				simulated.registry.ObservePeer(0, "0", reports[turn%len(reports)])
+			}
+		})
+	}
+}
--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -180,9 +180,10 @@
 	known := found.scopeOf(version)
 	prefill := engine.PromptTokens - decision.CachedTokens - decision.ImportedTokens
 	r.noteWork(now, found.request.Service, engine, prefill)
-	placement := r.begin(now, chosen, found.looked, placedWork{
+	placement := r.begin(now, chosen, len(candidates), placedWork{
 		priority: engine.Priority, prefill: prefill, need: needOf(engine, known),
 	})
+	placement.Looked = found.looked
 	placement.Engine = &EnginePlacement{
 		Version:        version,
 		Scope:          known.scope,
--- a/internal/backends/search_test.go
+++ b/internal/backends/search_test.go
@@ -43,7 +43,7 @@
 			times[number] = time.Since(start)
 			require.NotNil(t, placement, refused)
 			simulated.open = append(simulated.open, placement)
-			looked[engines] += placement.Candidates
+			looked[engines] += placement.Looked
 		}
 		slices.Sort(times)
 		took[engines] = times[choices/2]
@@ -134,7 +134,7 @@
 		placement, refused = choose(delivery.NewChoice("new", true, map[fleet.EngineID]bool{"e400": true}, nil))
 		require.NotNil(t, placement, refused)
 		assert.Equal(t, fleet.EngineID("e400"), placement.Worker.ID)
-		assert.Less(t, placement.Candidates, manyEngines/4)
+		assert.Less(t, placement.Looked, manyEngines/4)
 		placement.End(0, Cancelled)
 		placement, refused = choose(delivery.NewChoice("new", false, nil, nil))
 		require.NotNil(t, placement, refused)
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -209,7 +209,7 @@
 
 func (g *Gateway) logPlacement(current *carried, placement *backends.Placement) {
 	line := g.events.line("placed").Str("request_id", current.metadata.RequestID).Str("worker", string(placement.Worker.ID)).
-		Int("in_flight", placement.InFlight).Int("candidates", placement.Candidates).Float64("failure_rate", placement.FailureRate)
+		Int("in_flight", placement.InFlight).Int("candidates", placement.Candidates).Int("looked_at", placement.Looked).Float64("failure_rate", placement.FailureRate)
 	if engine := placement.Engine; engine != nil {
 		line = line.Uint64("version", uint64(engine.Version)).Int("cached", engine.CachedTokens).
 			Int("imported", engine.ImportedTokens).Int("prompt", current.metadata.PromptTokens).
