--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -220,7 +220,7 @@
 
 func (g *Gateway) logPlacement(current *carried, placement *backends.Placement) {
 	line := g.events.line("placed").Str("request_id", current.metadata.RequestID).Str("worker", string(placement.Worker.ID)).
-		Int("in_flight", placement.InFlight).Int("candidates", placement.Candidates).Float64("failure_rate", placement.FailureRate)
+		Int("in_flight", placement.InFlight).Int("candidates", placement.Candidates).Int("looked_at", placement.Looked).Float64("failure_rate", placement.FailureRate)
 	if engine := placement.Engine; engine != nil {
 		line = line.Uint64("version", uint64(engine.Version)).Int("cached", engine.CachedTokens).
 			Int("imported", engine.ImportedTokens).Int("prompt", current.metadata.PromptTokens).
@@ -236,14 +236,21 @@
 	line.Msg("placed")
 }
 
+// messageBytes is the size of an exchange besides the request's body: headers both ways
+// and an answer of some hundred bytes.
+const messageBytes = 1500
+
 // choice describes the request to the registry.
 func (g *Gateway) choice(current *carried) *backends.Request {
+	destination := g.destination(current, &backends.Worker{})
 	request := &backends.Request{
 		Service:  current.service.Name,
 		Excluded: current.machine.Excluded(),
 		Free: func(worker *backends.Worker) bool {
-			return g.upstreams.Free(g.destination(current, worker))
+			destination.Engine, destination.Address = worker.ID, worker.Address
+			return g.upstreams.Free(destination)
 		},
+		Bytes: messageBytes + int(max(current.request.ContentLength, 0)),
 	}
 	if engine := current.service.Engine; engine != nil {
 		request.Engine = &backends.EngineRequest{
@@ -262,7 +269,8 @@
 			LinkMegabits: engine.LinkMegabits,
 		}
 		if store := g.keptStore(current); store != nil {
-			request.Engine.Store, request.Engine.StoreMegabits = store.Store.Address, store.Store.LinkMegabits
+			request.Engine.Store, request.Engine.StoreZone = store.Store.Address, store.Store.Zone
+			request.Engine.StoreMegabits = store.Store.LinkMegabits
 		}
 		if current.tenant != nil {
 			request.Engine.Tenant, request.Engine.Isolated = current.tenant.Name, current.tenant.Isolated
