Count all bytes by what they are for and how far they go

Cause: bytes between zones and regions are a large loss, and nothing told which talk causes them. Ruled out: counting message sizes at each call site (without HTTP's heads, which are a third of small messages); one connection pool a purpose (more connections). Change: package traffic counts on connections; a call's context names purpose and distance, and a kept connection counts for the call that it carries. A metric and one line each 5 s tell the sums. Settings name the region of each zone.

--- a/cmd/tillerfall/gateway.go
+++ b/cmd/tillerfall/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/tillerfall/tillerfall/internal/gateway"
 	"github.com/tillerfall/tillerfall/internal/logging"
 	"github.com/tillerfall/tillerfall/internal/resultcode"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 	"github.com/tillerfall/tillerfall/platform"
 )
 
@@ -66,12 +67,14 @@
 	defer func() { _ = output.Close() }()
 	logger := logging.New(output, "gateway", fleet.NodeID(settings.Node), c.LogLevel)
 	registry := prometheus.NewRegistry()
-	store := platform.NewStore(settings.StoreAddress)
+	meter := &traffic.Meter{}
+	store := platform.NewStore(settings.StoreAddress, meter)
 	process, err := gateway.New(*settings, gateway.Outside{
 		Platform: store,
 		Leases:   platform.NewLeaseTables(store),
-		Engines:  platform.NewEngines(),
+		Engines:  platform.NewEngines(meter),
 		Codec:    platform.Codec{},
+		Traffic:  meter,
 	}, logger, registry)
 	if err != nil {
 		return resultcode.New(resultcode.SettingsInvalid, err.Error())
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -7,7 +7,9 @@
 
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 )
 
 // Constants of announcements.
@@ -94,7 +96,7 @@
 				go g.exchange(member)
 				continue
 			}
-			go g.announce(member.Address, report)
+			go g.announce(member, report)
 		}
 	}
 }
@@ -111,10 +113,10 @@
 }
 
 // announce tells one node. A node that doesn't hear of it does by the next report.
-func (g *Gateway) announce(address fleet.Address, report *rpc.LoadReport) {
-	ctx, cancel := context.WithTimeout(g.context(), announceTimeout)
+func (g *Gateway) announce(member membership.Member, report *rpc.LoadReport) {
+	ctx, cancel := context.WithTimeout(g.peerCall(traffic.Announcements, member), announceTimeout)
 	defer cancel()
-	if _, err := g.peers.ExchangeLoad(ctx, address, report); err != nil {
+	if _, err := g.peers.ExchangeLoad(ctx, member.Address, report); err != nil {
 		g.metrics.shareFailures.Inc()
 	}
 }
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -8,6 +8,7 @@
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 )
 
 // Times of following caches.
@@ -28,6 +29,7 @@
 type cacheRun struct {
 	run     fleet.EngineRun
 	address fleet.Address
+	zone    fleet.ZoneName
 }
 
 // followCaches follows the caches of the engines and of the store of kept KV
@@ -87,13 +89,13 @@
 	for _, worker := range g.workers.Workers() {
 		service, known := held.Table.Service(worker.Service)
 		if known && len(worker.Versions) > 0 && g.follows(worker.ID, service.MaxFollowers) {
-			present[cacheRun{run: worker.Run(), address: worker.Address}] = true
+			present[cacheRun{run: worker.Run(), address: worker.Address, zone: worker.Zone}] = true
 		}
 	}
 	for _, store := range held.Table.Stores() {
 		run := backends.StoreRun(store.Store.Address)
 		if g.follows(run.Engine, store.MaxFollowers) {
-			present[cacheRun{run: run, address: store.Store.Address}] = true
+			present[cacheRun{run: run, address: store.Store.Address, zone: store.Store.Zone}] = true
 		}
 	}
 	if !g.mayFollow(len(present)) {
@@ -114,6 +116,7 @@
 
 // followCache takes in the changes of one cache until the context ends.
 func (g *Gateway) followCache(ctx context.Context, cache cacheRun) {
+	ctx = traffic.With(ctx, traffic.CacheEvents, g.distanceTo(cache.zone))
 	var epoch, since uint64
 	reachable := true
 	for ctx.Err() == nil {
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -13,6 +13,7 @@
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/routes"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
@@ -123,6 +124,7 @@
 		g.pending.add(send)
 		defer g.pending.remove(send)
 	}
+	ctx = traffic.With(ctx, traffic.Requests, g.distanceTo(placement.Worker.Zone))
 	return g.upstreams.Do(ctx, g.destination(current, &placement.Worker), g.outgoing(current, placement))
 }
 
--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -12,6 +12,7 @@
 	"github.com/tillerfall/tillerfall/internal/platform"
 	"github.com/tillerfall/tillerfall/internal/rollout"
 	"github.com/tillerfall/tillerfall/internal/routes"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 	"github.com/tillerfall/tillerfall/internal/watchcache"
 )
 
@@ -218,4 +219,6 @@
 	Leases  platform.Tables
 	Engines EngineCalls
 	Codec   Codec
+	// Traffic counts the bytes of all connections; nil for a meter of the gateway's own.
+	Traffic *traffic.Meter
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/tillerfall/tillerfall/internal/relay"
 	"github.com/tillerfall/tillerfall/internal/routes"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
@@ -94,6 +95,9 @@
 		return nil, err
 	}
 	random := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+	if outside.Traffic == nil {
+		outside.Traffic = &traffic.Meter{}
+	}
 	holderID := lease.NewHolderID(fleet.NodeID(settings.Node), rand.Uint64())
 	g := &Gateway{
 		outside:  outside,
@@ -101,7 +105,7 @@
 		node:     fleet.NodeID(holderID),
 		logger:   logger,
 		events:   newEventLog(logger),
-		metrics:  newMetrics(registry),
+		metrics:  newMetrics(registry, outside.Traffic),
 		holder:   routes.NewHolder(),
 		fresh:    routes.NewFreshness(),
 		splitter: routes.NewSplitter(),
@@ -122,7 +126,8 @@
 		Scheduling: schedulingOptions(),
 	})
 	g.upstreams = upstream.NewPool(upstream.Options{
-		Dialed: func(fleet.EngineID) { g.metrics.connections.Inc() },
+		Traffic: g.outside.Traffic,
+		Dialed:  func(fleet.EngineID) { g.metrics.connections.Inc() },
 	})
 	g.budgets = newBudgets(settings, g.retryShare)
 	g.quotas = newQuotas(g.clock.Now(), settings)
@@ -174,6 +179,7 @@
 		Holder:   config.NewHolder(),
 		Logger:   g.logger,
 		Loads:    g.answerLoad,
+		Traffic:  g.outside.Traffic,
 		Watch:    g.answerWatch,
 	})
 	if err != nil {
@@ -235,6 +241,7 @@
 	g.life.Go(g.followCaches)
 	g.life.Go(g.housekeep)
 	g.life.Go(g.keepLease)
+	g.life.Go(g.reportTraffic)
 	return nil
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/tillerfall/tillerfall/internal/traffic"
+)
 
 // metrics are the counters and histograms of a gateway.
 type metrics struct {
@@ -16,10 +20,13 @@
 	quotaShare    *prometheus.GaugeVec
 }
 
+// bytesMetric is the name under which the bytes of all connections are counted.
+const bytesMetric = "tillerfall_gateway_bytes_total"
+
 // latencyBuckets are the upper bounds of the histograms, in seconds.
 var latencyBuckets = []float64{.01, .025, .05, .1, .2, .3, .5, .8, 1.2, 2, 4, 8}
 
-func newMetrics(registry *prometheus.Registry) *metrics {
+func newMetrics(registry *prometheus.Registry, meter *traffic.Meter) *metrics {
 	m := &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tillerfall_gateway_requests_total", Help: "Requests answered, by route and result.",
@@ -54,7 +61,8 @@
 		}, []string{"tenant"}),
 	}
 	if registry != nil {
-		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders, m.unreadable, m.quotaUnits, m.quotaShare)
+		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders, m.unreadable, m.quotaUnits, m.quotaShare,
+			traffic.NewCollector(meter, bytesMetric))
 	}
 	return m
 }
--- a/internal/gateway/operationspage_test.go
+++ b/internal/gateway/operationspage_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tillerfall/tillerfall/internal/pagetest"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 )
 
 // TestPageNamesTheGatewaysMetrics compares docs/OPERATIONS.md with what a gateway
@@ -18,7 +19,7 @@
 	data, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	registry := prometheus.NewRegistry()
-	newMetrics(registry)
+	newMetrics(registry, &traffic.Meter{})
 	registered := pagetest.MetricNames(registry)
 	require.NotEmpty(t, registered)
 	for _, name := range registered {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -10,6 +10,7 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 )
 
 // Times of the talk between gateways.
@@ -144,7 +145,7 @@
 
 // exchange gives one member this node's report and takes its answer in.
 func (g *Gateway) exchange(member membership.Member) {
-	ctx, cancel := context.WithTimeout(g.context(), shareTimeout)
+	ctx, cancel := context.WithTimeout(g.peerCall(traffic.Loads, member), shareTimeout)
 	defer cancel()
 	begun := g.now()
 	report, err := g.peers.ExchangeLoad(ctx, member.Address, g.loadReport(member.Node))
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -12,6 +12,7 @@
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/routes"
 	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 )
 
 // Times of the talk about quotas.
@@ -245,7 +246,7 @@
 	if member.Node == g.node {
 		return
 	}
-	ctx, cancel := context.WithTimeout(g.context(), useTimeout)
+	ctx, cancel := context.WithTimeout(g.peerCall(traffic.Uses, member), useTimeout)
 	defer cancel()
 	report := &rpc.LoadReport{Node: string(g.node), Partial: true}
 	g.quotas.write(g.now(), report, member.Node)
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -122,7 +122,7 @@
 	failed := 0
 	for g.now() < begun+changeTimeout {
 		wait := reportInterval
-		report, err := g.outside.Engines.Report(g.context(), next.worker)
+		report, err := g.outside.Engines.Report(g.workerCall(g.context(), next.worker.Zone), next.worker)
 		switch {
 		case err != nil:
 			failed++
@@ -206,7 +206,7 @@
 		return rollout.OrderUncertain, false
 	}
 	g.keeper.NoteUse()
-	ctx, cancel := context.WithTimeout(g.context(), orderTimeout)
+	ctx, cancel := context.WithTimeout(g.workerCall(g.context(), next.worker.Zone), orderTimeout)
 	defer cancel()
 	result, err := g.outside.Engines.OrderVersion(ctx, next.worker, rollout.VersionOrder{
 		Model:          next.model,
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
@@ -39,11 +40,14 @@
 	handlers := []struct {
 		address string
 		server  *http.Server
+		// counted is what the bytes that come in are for; Other if the side that calls
+		// counts them.
+		counted traffic.Purpose
 	}{
-		{g.settings().FrontAddress, g.front},
-		{g.settings().DirectoryAddress, &http.Server{Handler: g.directoryHandler()}},
-		{g.settings().ReadyAddress, &http.Server{Handler: g.readinessHandler()}},
-		{g.settings().PeerAddress, &http.Server{Handler: rpc.NewPeerServer(g.peers)}},
+		{g.settings().FrontAddress, g.front, traffic.Callers},
+		{g.settings().DirectoryAddress, &http.Server{Handler: g.directoryHandler()}, traffic.Directory},
+		{g.settings().ReadyAddress, &http.Server{Handler: g.readinessHandler()}, traffic.Other},
+		{g.settings().PeerAddress, &http.Server{Handler: rpc.NewPeerServer(g.peers)}, traffic.Other},
 	}
 	for _, entry := range handlers {
 		listener, err := listenTCP(entry.address)
@@ -51,6 +55,9 @@
 			g.closeListeners()
 			return resultcode.New(resultcode.SettingsInvalid, "listen on "+entry.address+": "+err.Error())
 		}
+		if entry.counted != traffic.Other {
+			listener = traffic.Listener{Listener: listener, Meter: g.outside.Traffic, Purpose: entry.counted}
+		}
 		g.listeners = append(g.listeners, listener)
 		g.servers = append(g.servers, entry.server)
 		if entry.server.ReadHeaderTimeout == 0 {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -16,6 +16,8 @@
 	Node   string
 	Zone   fleet.ZoneName
 	Region fleet.RegionName
+	// Regions is the region of each zone.
+	Regions map[fleet.ZoneName]fleet.RegionName
 
 	// FrontAddress serves callers' requests.
 	FrontAddress string
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -13,6 +13,7 @@
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 	"github.com/tillerfall/tillerfall/internal/watchcache"
 )
 
@@ -120,7 +121,7 @@
 			Table: string(followed.name), Sequence: followed.seen,
 		})
 	}
-	ctx, cancel := context.WithTimeout(g.context(), time.Duration(request.GetWaitMillis())*time.Millisecond+watchSlack)
+	ctx, cancel := context.WithTimeout(g.peerCall(traffic.Watches, member), time.Duration(request.GetWaitMillis())*time.Millisecond+watchSlack)
 	defer cancel()
 	begun := g.now()
 	response, err := g.peers.AskWatch(ctx, member.Address, request)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -20,6 +20,7 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 )
 
 // Options sets up a Peer.
@@ -44,6 +45,8 @@
 	// Watch answers another process that asks what changed in the store's tables;
 	// nil means that this process tells nobody.
 	Watch func(ctx context.Context, request *rpc.WatchRequest) *rpc.WatchResponse
+	// Traffic counts the bytes of calls to other processes; nil counts none.
+	Traffic *traffic.Meter
 }
 
 const (
@@ -89,7 +92,7 @@
 	p := &Peer{
 		options: options,
 		clock:   fleet.NewClock(),
-		http:    newHTTPClient(),
+		http:    newHTTPClient(options.Traffic),
 		metrics: newMetrics(),
 		calls:   make(chan call, queuedCalls),
 		kick:    make(chan struct{}, 1),
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -13,6 +13,7 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 )
 
 // call is one call to make: a message or, if set, a pull.
@@ -21,14 +22,14 @@
 	pull    *membership.Pull
 }
 
-func newHTTPClient() *http.Client {
+func newHTTPClient(meter *traffic.Meter) *http.Client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+	return &http.Client{Transport: traffic.RoundTripper{Next: &http.Transport{
+		DialContext:         meter.Dial(dialer.DialContext),
 		MaxIdleConns:        idleConnections,
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     idleTimeout,
-	}}
+	}}}
 }
 
 func (p *Peer) client(address fleet.Address) rpc.Peer {
@@ -46,6 +47,22 @@
 	return p.client(address).Watch(ctx, request)
 }
 
+// distance returns how far it is to the member at an address.
+func (p *Peer) distance(address fleet.Address) traffic.Distance {
+	view := p.View()
+	for _, member := range view.Members() {
+		if member.Address == address {
+			return traffic.Between(place(view.Self), place(member))
+		}
+	}
+	return traffic.Unknown
+}
+
+// place returns where a member is.
+func place(member membership.Member) traffic.Place {
+	return traffic.Place{Zone: member.Zone, Region: member.Region}
+}
+
 func (p *Peer) send(messages []membership.Message) {
 	for _, message := range messages {
 		p.enqueue(call{message: message})
@@ -79,10 +96,11 @@
 
 // deliver sends one message and takes the answer in.
 func (p *Peer) deliver(ctx context.Context, message membership.Message) {
-	timeout := probeTimeout
+	timeout, purpose := probeTimeout, traffic.Probes
 	if message.Kind == membership.Join {
-		timeout = transferTimeout
+		timeout, purpose = transferTimeout, traffic.Exchanges
 	}
+	ctx = traffic.With(ctx, purpose, p.distance(message.To))
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request := message.Encode()
--- /dev/null
+++ b/internal/traffic/traffic_test.go
@@ -0,0 +1,133 @@
+package traffic
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestBetween(t *testing.T) {
+	here := Place{Zone: "a", Region: "north"}
+	for name, entry := range map[string]struct {
+		other Place
+		want  Distance
+	}{
+		"same zone":       {Place{Zone: "a", Region: "north"}, SameZone},
+		"other zone":      {Place{Zone: "b", Region: "north"}, OtherZone},
+		"other region":    {Place{Zone: "c", Region: "south"}, OtherRegion},
+		"unknown region":  {Place{Zone: "b"}, OtherZone},
+		"unknown zone":    {Place{Region: "south"}, Unknown},
+		"nothing is told": {Place{}, Unknown},
+	} {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, entry.want, Between(here, entry.other)) })
+	}
+}
+
+// TestEveryByteOfKeptConnectionsCountsForItsCall makes calls of two purposes on one kept
+// connection: each counts for its own, and all bytes that the server saw are counted.
+func TestEveryByteOfKeptConnectionsCountsForItsCall(t *testing.T) {
+	served := &Meter{}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(writer, request.Body)
+	}))
+	server.Listener = Listener{Listener: server.Listener, Meter: served, Purpose: Callers}
+	server.Start()
+	t.Cleanup(server.Close)
+	meter := &Meter{}
+	dials := 0
+	dialer := &net.Dialer{}
+	client := &http.Client{Transport: RoundTripper{Next: &http.Transport{
+		DialContext: meter.Dial(func(ctx context.Context, network, address string) (net.Conn, error) {
+			dials++
+			return dialer.DialContext(ctx, network, address)
+		}),
+	}}}
+	call := func(purpose Purpose, distance Distance, size int) {
+		ctx := With(t.Context(), purpose, distance)
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, strings.NewReader(strings.Repeat("x", size)))
+		require.NoError(t, err)
+		response, err := client.Do(request)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+	}
+	call(Loads, OtherZone, 1000)
+	call(Watches, SameZone, 5000)
+	call(Loads, OtherZone, 1000)
+	client.CloseIdleConnections()
+	assert.Equal(t, 1, dials)
+
+	counts := make(map[Count]bool)
+	total := [directions]uint64{}
+	for _, count := range meter.Counts() {
+		total[count.Direction] += count.Bytes
+		count.Bytes = 0
+		counts[count] = true
+	}
+	assert.Equal(t, map[Count]bool{
+		{Purpose: Loads, Distance: OtherZone, Direction: Sent}:      true,
+		{Purpose: Loads, Distance: OtherZone, Direction: Received}:  true,
+		{Purpose: Watches, Distance: SameZone, Direction: Sent}:     true,
+		{Purpose: Watches, Distance: SameZone, Direction: Received}: true,
+	}, counts)
+	assert.Equal(t, served.account(Callers, Unknown)[Received].Load(), total[Sent])
+	assert.Equal(t, served.account(Callers, Unknown)[Sent].Load(), total[Received])
+	watched := meter.account(Watches, SameZone)[Sent].Load()
+	assert.Greater(t, watched, uint64(5000))
+	assert.Less(t, watched, uint64(5500))
+}
+
+// TestAbsentMeterLeavesTheDialer has a process without a meter dial as before.
+func TestAbsentMeterLeavesTheDialer(t *testing.T) {
+	var meter *Meter
+	near, far := net.Pipe()
+	t.Cleanup(func() { near.Close(); far.Close() })
+	conn, err := meter.Dial(func(context.Context, string, string) (net.Conn, error) { return near, nil })(t.Context(), "", "")
+	require.NoError(t, err)
+	assert.Same(t, near, conn)
+}
+
+// TestCountedConnectionGivesItsDescriptor has a wrapped TCP connection tell its descriptor,
+// by which a pool sees whether a kept connection is still open.
+func TestCountedConnectionGivesItsDescriptor(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	meter := &Meter{}
+	_, err = meter.Wrap(conn, Requests, SameZone).SyscallConn()
+	require.NoError(t, err)
+	near, far := net.Pipe()
+	t.Cleanup(func() { near.Close(); far.Close() })
+	_, err = meter.Wrap(near, Requests, SameZone).SyscallConn()
+	require.ErrorIs(t, err, errNoDescriptor)
+}
+
+func TestCollector(t *testing.T) {
+	meter := &Meter{}
+	meter.Add(Uses, OtherRegion, Received, 42)
+	registry := prometheus.NewRegistry()
+	require.NoError(t, registry.Register(NewCollector(meter, "bytes_total")))
+	families, err := registry.Gather()
+	require.NoError(t, err)
+	require.Len(t, families, 1)
+	require.Len(t, families[0].GetMetric(), 1)
+	metric := families[0].GetMetric()[0]
+	assert.InDelta(t, 42, metric.GetCounter().GetValue(), 0)
+	labels := make(map[string]string)
+	for _, pair := range metric.GetLabel() {
+		labels[pair.GetName()] = pair.GetValue()
+	}
+	assert.Equal(t, map[string]string{"purpose": "uses", "distance": "other_region", "direction": "received"}, labels)
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 )
 
 // Defaults of Options.
@@ -29,6 +30,8 @@
 	UserTimeout time.Duration
 	// Dial makes a connection; nil uses TCP.
 	Dial func(ctx context.Context, address fleet.Address) (net.Conn, error)
+	// Traffic counts the bytes of the connections that TCP makes; nil counts none.
+	Traffic *traffic.Meter
 	// Dialed is called for each connection made; nil for none.
 	Dialed func(engine fleet.EngineID)
 }
@@ -60,9 +63,9 @@
 		options.UserTimeout = DefaultUserTimeout
 	}
 	if options.Dial == nil {
-		dialer := newDialer(options.UserTimeout)
+		dial := options.Traffic.Dial(newDialer(options.UserTimeout).DialContext)
 		options.Dial = func(ctx context.Context, address fleet.Address) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp4", string(address))
+			return dial(ctx, "tcp4", string(address))
 		}
 	}
 	return &Pool{options: options, workers: make(map[fleet.EngineID]*worker)}
