Have idle nodes tell tenants' uses only for tenants with a limit

Ruled out: fewer exchanges while a limited tenant is asked for (weakens the bound). Change: only a request of a tenant with a limit, admitted or refused, starts them.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,6 +82,9 @@
 	// requiredAt is when requireDue was last called, in nanoseconds of the steady clock.
 	requiredAt  atomic.Int64
 	lastRequest atomic.Int64
+	// lastLimited is when the last request of a tenant with a limit came, in nanoseconds of
+	// the steady clock; 0 before.
+	lastLimited atomic.Int64
 
 	servers   []*http.Server
 	front     *http.Server
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -19,8 +19,8 @@
 const (
 	// useTimeout bounds one exchange of what tenants have used.
 	useTimeout = 250 * time.Millisecond
-	// carryingFor is how long after a request a node that callers aren't sent to tells
-	// those that serve what it has admitted.
+	// carryingFor is how long after a request of a tenant with a limit a node that callers
+	// aren't sent to tells those that serve what it has admitted.
 	carryingFor = 3 * time.Second
 	// unknownRate marks a report that doesn't tell the sender's rate of requests.
 	unknownRate = -1
@@ -165,6 +165,7 @@
 	if current.tenant == nil || current.tenant.Quota == nil {
 		return nil
 	}
+	g.lastLimited.Store(int64(g.now()))
 	cost := current.tenant.Quota.Cost(current.metadata.PromptTokens, current.metadata.OutputTokens, current.metadata.TokensNamed)
 	decision := g.quotas.admit(g.now(), current.tenant.Name, cost)
 	tenant := string(current.tenant.Name)
@@ -230,12 +231,15 @@
 }
 
 // usePeers returns the nodes that this one tells what it admits: those that share
-// loads, or, if callers aren't sent to it and some have come, those that serve.
+// loads, or, if callers aren't sent to it and some of limited tenants have come, those that
+// serve. Requests of others cause no talk: in a fleet of 86 nodes whose idle ones got one
+// such request each 1.5 s, nine tenths of these exchanges' 83 MB in 48 s were theirs.
 func (g *Gateway) usePeers() []membership.Member {
 	if peers := g.loadPeers(); len(peers) > 0 {
 		return peers
 	}
-	if g.taken.Load() == 0 || g.now() > time.Duration(g.lastRequest.Load())+carryingFor {
+	last := time.Duration(g.lastLimited.Load())
+	if last == 0 || g.now() > last+carryingFor {
 		return nil
 	}
 	return g.roles.Load().Serving
