Send short heads between nodes, and engines' versions only when they change

Cause: a call between nodes carried 350 bytes of heads, 180 of which say nothing; each report of the lease holder named the versions of all engines, 46% of the bytes of reports. Ruled out: HTTP/2 (heads of 70 bytes, but one silent connection stalls all calls to a node until it is noticed; tried by thought only); a connection pool without heads (the house style is twirp). Change: calls and answers name only what is read. Versions are told while they have changed in the last 3 s, and whole each 15 s and to a node that is new; rows of the store tell them besides.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,23 +47,24 @@
 	metrics *metrics
 	life    tomb.Tomb
 
-	holder    *routes.Holder
-	fresh     *routes.Freshness
-	workers   *backends.Registry
-	upstreams *upstream.Pool
-	budgets   *budgets
-	quotas    *quotas
-	weights   *weights
-	peers     *peer.Peer
-	keeper    *lease.Keeper
-	seeds     *seedList
-	pending   *pendingSends
-	tables    []*table
-	sources   *sources
-	demand    *demand
-	readiness *readiness
-	announcer *announcer
-	roles     atomic.Pointer[nodeRoles]
+	holder       *routes.Holder
+	fresh        *routes.Freshness
+	workers      *backends.Registry
+	upstreams    *upstream.Pool
+	budgets      *budgets
+	quotas       *quotas
+	weights      *weights
+	peers        *peer.Peer
+	keeper       *lease.Keeper
+	seeds        *seedList
+	pending      *pendingSends
+	tables       []*table
+	sources      *sources
+	demand       *demand
+	readiness    *readiness
+	announcer    *announcer
+	toldVersions *toldVersions
+	roles        atomic.Pointer[nodeRoles]
 	// joined is used by assign alone; settled is set once this node knows its role.
 	joined  joinedMembers
 	settled atomic.Bool
@@ -117,8 +118,9 @@
 		idle:     newIdleConnections(),
 		demand:   newDemand(),
 
-		readiness: newReadiness(),
-		announcer: newAnnouncer(),
+		readiness:    newReadiness(),
+		announcer:    newAnnouncer(),
+		toldVersions: newToldVersions(),
 	}
 	g.inForce.Store(&settings)
 	g.sources = newSources(g.clock.Now(), relay.Options{Self: g.node, Random: random(), AwaitRole: settings.FirstStart})
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -121,6 +121,7 @@
 			if !present[node] {
 				g.workers.ForgetPeer(node)
 				g.demand.forget(node)
+				g.toldVersions.forget(node)
 			}
 		}
 		known = present
@@ -204,7 +205,7 @@
 		})
 	}
 	if _, holds := g.keeper.Fence(); holds {
-		report.Weights = g.knownVersions()
+		report.Weights = g.versionsFor(now, to)
 	}
 	g.quotas.write(now, report, to)
 	if held := g.holder.Current(); held != nil {
@@ -238,17 +239,23 @@
 	}
 }
 
-// knownVersions returns the engines' versions, by the word of the lease's holder.
-func (g *Gateway) knownVersions() []*rpc.WorkerWeights {
-	var versions []*rpc.WorkerWeights
+// versionsFor returns the engines' versions, by the word of the lease's holder, as far as
+// a node is to be told of them.
+func (g *Gateway) versionsFor(now time.Duration, to fleet.NodeID) []*rpc.WorkerWeights {
+	var present []engineVersion
 	for _, worker := range g.workers.Workers() {
 		for model, version := range worker.Versions {
-			versions = append(versions, &rpc.WorkerWeights{
-				Worker: string(worker.ID), Model: string(model), Version: uint64(version),
-			})
+			present = append(present, engineVersion{engineModel{worker.ID, model}, uint64(version)})
 		}
 	}
-	return versions
+	due := g.toldVersions.due(now, to, present)
+	told := make([]*rpc.WorkerWeights, 0, len(due))
+	for _, version := range due {
+		told = append(told, &rpc.WorkerWeights{
+			Worker: string(version.engine), Model: string(version.model), Version: version.version,
+		})
+	}
+	return told
 }
 
 // takeLoad takes in another gateway's report.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/uptrace/bunrouter"
 
+	"github.com/tillerfall/tillerfall/internal/peer"
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/rpc"
 	"github.com/tillerfall/tillerfall/internal/traffic"
@@ -47,7 +48,7 @@
 		{g.settings().FrontAddress, g.front, traffic.Callers},
 		{g.settings().DirectoryAddress, &http.Server{Handler: g.directoryHandler()}, traffic.Directory},
 		{g.settings().ReadyAddress, &http.Server{Handler: g.readinessHandler()}, traffic.Other},
-		{g.settings().PeerAddress, &http.Server{Handler: rpc.NewPeerServer(g.peers)}, traffic.Other},
+		{g.settings().PeerAddress, &http.Server{Handler: peer.ShortAnswers(rpc.NewPeerServer(g.peers))}, traffic.Other},
 	}
 	for _, entry := range handlers {
 		listener, err := listenTCP(entry.address)
--- /dev/null
+++ b/internal/peer/heads_test.go
@@ -0,0 +1,84 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/config"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/internal/traffic"
+)
+
+// maxHeads is the most bytes that the heads of a call and of its answer may take.
+const maxHeads = 190
+
+// TestCallsHaveShortHeads counts what a call and its answer take besides their content.
+func TestCallsHaveShortHeads(t *testing.T) {
+	answered := &rpc.LoadReport{Node: "other", Partial: true}
+	options := Options{
+		Membership: membership.Options{Self: membership.Member{Node: "self", Address: "127.0.0.1:1"}},
+		Holder:     config.NewHolder(),
+	}
+	peer, err := New(options)
+	require.NoError(t, err)
+	server := httptest.NewServer(ShortAnswers(rpc.NewPeerServer(&answeringPeer{Peer: peer, answer: answered})))
+	t.Cleanup(server.Close)
+	meter := &traffic.Meter{}
+	options.Traffic = meter
+	caller, err := New(options)
+	require.NoError(t, err)
+	report := &rpc.LoadReport{Node: "self", Partial: true}
+	got, err := caller.ExchangeLoad(traffic.With(t.Context(), traffic.Loads, traffic.OtherZone), address(server), report)
+	require.NoError(t, err)
+	assert.Equal(t, answered.GetNode(), got.GetNode())
+	total := uint64(0)
+	for _, count := range meter.Counts() {
+		total += count.Bytes
+	}
+	content := uint64(len("self") + len("other") + 2*len("nnpp"))
+	assert.Greater(t, total, content)
+	assert.Less(t, total, content+maxHeads)
+}
+
+// TestFailuresKeepTheirType has a call fail: the answer tells its type and the caller reads it.
+func TestFailuresKeepTheirType(t *testing.T) {
+	options := Options{
+		Membership: membership.Options{Self: membership.Member{Node: "self", Address: "127.0.0.1:1"}},
+		Holder:     config.NewHolder(),
+	}
+	peer, err := New(options)
+	require.NoError(t, err)
+	server := httptest.NewServer(ShortAnswers(rpc.NewPeerServer(peer)))
+	t.Cleanup(server.Close)
+	_, err = peer.ExchangeLoad(t.Context(), address(server), &rpc.LoadReport{})
+	require.ErrorContains(t, err, "this process shares no load")
+	response, err := http.Post(server.URL+rpc.PeerPathPrefix+"ShareLoad", "application/protobuf", http.NoBody)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	assert.Equal(t, "application/json", response.Header.Get(headerContentType))
+}
+
+// answeringPeer answers each report the same.
+type answeringPeer struct {
+	*Peer
+	answer *rpc.LoadReport
+}
+
+// ShareLoad implements rpc.Peer.
+func (p *answeringPeer) ShareLoad(context.Context, *rpc.LoadReport) (*rpc.LoadReport, error) {
+	return p.answer, nil
+}
+
+func address(server *httptest.Server) fleet.Address {
+	return fleet.Address(server.Listener.Addr().String())
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -24,12 +24,13 @@
 
 func newHTTPClient(meter *traffic.Meter) *http.Client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &http.Client{Transport: traffic.RoundTripper{Next: &http.Transport{
+	return &http.Client{Transport: shortHeads{next: traffic.RoundTripper{Next: &http.Transport{
 		DialContext:         meter.Dial(dialer.DialContext),
 		MaxIdleConns:        idleConnections,
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     idleTimeout,
-	}}}
+		DisableCompression:  true,
+	}}}}
 }
 
 func (p *Peer) client(address fleet.Address) rpc.Peer {
