Learn what caches of other zones hold from a node there

Ruled out: longer pauses between polls (bytes are the events', not the calls'); one follower a cache for all (its loss is everybody's, and crosses zones all the same). Change: package cachefeed. A node of the zone keeps a log of changes by the hash of the part; others ask it with a position, get changes folded, and all of a cache of which they know nothing. Three nodes of a zone are asked in turn, those that serve first; an idle one follows its zone's caches while it is asked. With no answer a node follows the caches itself, as before, after 1.35 s for each that is silent. After a start it waits 1.5 s for a source that can tell. What a node believes of a far zone's cache: each change, up to two pauses of 250 ms late instead of one. On a source's failure what it told stays until the next tells all, 1.6 s later at the most if that answers. Shared parts read again as before.

--- a/internal/backends/parts.go
+++ b/internal/backends/parts.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/tillerfall/tillerfall/internal/cachefeed"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/prefixindex"
 )
@@ -109,8 +110,19 @@
 }
 
 // ObserveCache takes in changes of a cache, in order. anew is set if what was
-// known of it before doesn't hold any more.
-func (r *Registry) ObserveCache(run fleet.EngineRun, anew bool, changes []PartChange) {
+// known of it before doesn't hold any more. It returns the changes as other nodes are told
+// them.
+func (r *Registry) ObserveCache(run fleet.EngineRun, anew bool, changes []PartChange) []cachefeed.Change {
+	told := make([]cachefeed.Change, len(changes))
+	for index, change := range changes {
+		told[index] = cachefeed.Change{Part: hashPart(change.Scope, change.Part), Held: change.Held}
+	}
+	r.ObserveTold(run, anew, told)
+	return told
+}
+
+// ObserveTold is ObserveCache for changes by another node's word.
+func (r *Registry) ObserveTold(run fleet.EngineRun, anew bool, changes []cachefeed.Change) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.parts.add(run)
@@ -120,7 +132,7 @@
 	r.parts.followed[run] = true
 	var hash [1]fleet.BlockHash
 	for _, change := range changes {
-		hash[0] = hashPart(change.Scope, change.Part)
+		hash[0] = change.Part
 		if change.Held {
 			r.parts.index.Store(run, hash[:])
 		} else {
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -33,11 +33,13 @@
 }
 
 // followCaches follows the caches of the engines and of the store of kept KV
-// cache, each by a goroutine of its own.
+// cache, each by a goroutine of its own, and asks other zones' nodes about theirs.
 func (g *Gateway) followCaches() error {
 	following := make(map[cacheRun]context.CancelFunc)
 	for pause := cacheCheck; g.pause(pause); {
-		present := g.caches()
+		present, asked := g.caches()
+		g.askZones(asked)
+		g.cacheLog.follow(g.now(), g.inZone(present))
 		pause = cacheRest
 		if g.serves() {
 			pause = cacheCheck
@@ -57,6 +59,7 @@
 			if !present[cache] {
 				cancel()
 				delete(following, cache)
+				g.cacheLog.lose(cache.run.Engine)
 			}
 		}
 	}
@@ -78,40 +81,77 @@
 	return g.settled.Load() || int64(caches) <= cachesByRequest*(1+g.taken.Load())
 }
 
-// caches returns the caches that this node follows: where more nodes serve than may
-// follow one, those that it owns by rendezvous hashing.
-func (g *Gateway) caches() map[cacheRun]bool {
-	present := make(map[cacheRun]bool)
+// caches returns the caches that this node follows by itself, and those of which it asks
+// other nodes, by zone.
+func (g *Gateway) caches() (present map[cacheRun]bool, asked map[fleet.ZoneName]map[fleet.EngineID]bool) {
+	present = make(map[cacheRun]bool)
+	asked = make(map[fleet.ZoneName]map[fleet.EngineID]bool)
 	held := g.holder.Current()
-	if held == nil || !g.serves() {
-		return present
+	if held == nil || (!g.serves() && !g.cacheLog.wanted(g.now())) {
+		return present, asked
+	}
+	take := func(cache cacheRun, limit int) {
+		switch {
+		case g.followsItself(cache, limit):
+			present[cache] = true
+		case g.serves() && cache.zone != "":
+			if asked[cache.zone] == nil {
+				asked[cache.zone] = make(map[fleet.EngineID]bool)
+			}
+			asked[cache.zone][cache.run.Engine] = true
+		}
 	}
 	for _, worker := range g.workers.Workers() {
 		service, known := held.Table.Service(worker.Service)
-		if known && len(worker.Versions) > 0 && g.follows(worker.ID, service.MaxFollowers) {
-			present[cacheRun{run: worker.Run(), address: worker.Address, zone: worker.Zone}] = true
+		if known && len(worker.Versions) > 0 {
+			take(cacheRun{run: worker.Run(), address: worker.Address, zone: worker.Zone}, service.MaxFollowers)
 		}
 	}
 	for _, store := range held.Table.Stores() {
 		run := backends.StoreRun(store.Store.Address)
-		if g.follows(run.Engine, store.MaxFollowers) {
-			present[cacheRun{run: run, address: store.Store.Address, zone: store.Store.Zone}] = true
-		}
+		take(cacheRun{run: run, address: store.Store.Address, zone: store.Store.Zone}, store.MaxFollowers)
 	}
 	if !g.mayFollow(len(present)) {
 		clear(present)
+		clear(asked)
+	}
+	return present, asked
+}
+
+// inZone returns how many of the caches are of this node's zone.
+func (g *Gateway) inZone(present map[cacheRun]bool) int {
+	count := 0
+	for cache := range present {
+		if cache.zone == g.settings().Zone {
+			count++
+		}
 	}
-	return present
+	return count
 }
 
-// follows tells whether this node is among those that follow a cache.
-func (g *Gateway) follows(cache fleet.EngineID, limit int) bool {
+// followsItself tells whether this node follows a cache by itself: one of its own zone if it is
+// a source for others, or among the nodes that may; one of another zone only if it is among
+// those and nobody there answers.
+func (g *Gateway) followsItself(cache cacheRun, limit int) bool {
+	if cache.zone == g.settings().Zone && slices.Contains(g.roles.Load().CacheSources(cache.zone), g.node) {
+		return true
+	}
+	if !g.serves() || !g.mayOwn(cache, limit) {
+		return false
+	}
+	return cache.zone == g.settings().Zone || cache.zone == "" || g.zoneFeeds.silent(cache.zone)
+}
+
+// mayOwn tells whether this node is among those that serve and may follow a cache: where
+// more serve than may, the nearest, by rendezvous hashing.
+func (g *Gateway) mayOwn(cache cacheRun, limit int) bool {
 	members := g.roles.Load().Serving
 	followers := max(limit-spareFollowers, 1)
 	if limit <= 0 || len(members) <= followers {
 		return true
 	}
-	return slices.Contains(membership.Owners(cache, members, followers), g.node)
+	near := membership.Location{Region: g.settings().Regions[cache.zone], Zone: cache.zone}
+	return slices.Contains(membership.OwnersNear(cache.run.Engine, near, members, followers), g.node)
 }
 
 // followCache takes in the changes of one cache until the context ends.
@@ -127,27 +167,35 @@
 			}
 			reachable = false
 			g.workers.LoseCache(cache.run)
+			g.cacheLog.lose(cache.run.Engine)
 			sleep(ctx, eventsRetry)
 			continue
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		if !reachable {
 			g.logger.Info().Str("dependency", string(cache.run.Engine)).Msg("dependency_regained")
 		}
 		reachable = true
 		restarted := events.Epoch != epoch
 		epoch, since = events.Epoch, events.Next
-		g.takeEvents(cache.run, events, restarted)
+		g.takeEvents(cache, events, restarted)
 		sleep(ctx, eventsPause)
 	}
 }
 
 // takeEvents takes in the changes of one cache.
-func (g *Gateway) takeEvents(run fleet.EngineRun, events *CacheEvents, restarted bool) {
+func (g *Gateway) takeEvents(cache cacheRun, events *CacheEvents, restarted bool) {
 	changes := make([]backends.PartChange, 0, len(events.Events))
 	for _, event := range events.Events {
 		changes = append(changes, backends.PartChange{Held: event.Held, Scope: event.Scope, Part: event.Part})
 	}
-	g.workers.ObserveCache(run, restarted || events.Lost, changes)
+	anew := restarted || events.Lost
+	told := g.workers.ObserveCache(cache.run, anew, changes)
+	if cache.zone == g.settings().Zone {
+		g.cacheLog.observe(cache.run.Engine, anew, told)
+	}
 }
 
 // sleep waits for a time or until the context ends.
--- /dev/null
+++ b/internal/gateway/cachetalk_test.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/cachefeed"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/routes"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// TestNodeTellsOfCachesThatItFollows asks a node about the caches of its zone.
+func TestNodeTellsOfCachesThatItFollows(t *testing.T) {
+	g := idleGateway(t)
+	ask := func(question cachefeed.Question) (cachefeed.News, error) {
+		response, err := g.answerCaches(t.Context(), encodeQuestion(question, 20*time.Millisecond))
+		return decodeNews(response), err
+	}
+	_, err := ask(cachefeed.Question{})
+	require.ErrorIs(t, err, errFollowsNone, "it follows none")
+	assert.True(t, g.cacheLog.wanted(g.now()), "but does from now on")
+
+	g.cacheLog.follow(g.now(), 2)
+	g.cacheLog.observe("one", true, []cachefeed.Change{{Part: 1, Held: true}, {Part: 2, Held: true}})
+	_, err = ask(cachefeed.Question{})
+	require.ErrorIs(t, err, errFollowsNone, "what it told of two caches would have the other forgotten")
+	g.cacheLog.observe("two", true, nil)
+	news, err := ask(cachefeed.Question{})
+	require.NoError(t, err)
+	assert.True(t, news.Whole)
+	assert.Len(t, news.Updates, 2)
+
+	quiet, err := ask(cachefeed.Question{After: news.Next})
+	require.NoError(t, err)
+	assert.Equal(t, cachefeed.News{Next: news.Next}, quiet)
+	go func() {
+		time.Sleep(5 * time.Millisecond)
+		g.cacheLog.observe("one", false, []cachefeed.Change{{Part: 1}})
+	}()
+	response, err := g.answerCaches(t.Context(), encodeQuestion(cachefeed.Question{After: news.Next}, time.Minute))
+	require.NoError(t, err)
+	assert.Equal(t, []cachefeed.Update{{Cache: "one", Held: []fleet.BlockHash{}, Dropped: []fleet.BlockHash{1}}}, decodeNews(response).Updates)
+	news, err = ask(cachefeed.Question{After: decodeNews(response).Next, Missing: []fleet.EngineID{"one", "three"}})
+	require.NoError(t, err)
+	assert.Equal(t, []cachefeed.Update{{Cache: "one", Anew: true, Held: []fleet.BlockHash{2}, Dropped: []fleet.BlockHash{}}}, news.Updates)
+}
+
+// TestCachesOfOtherZonesAreAskedAbout has a node that serves follow the caches of its own
+// zone by itself, and those of another zone only while nobody there answers.
+func TestCachesOfOtherZonesAreAskedAbout(t *testing.T) {
+	g := idleGateway(t)
+	compiled, err := routes.Compile(routes.Document{Version: 1, Services: []routes.Service{{Name: "pool", MaxFollowers: 4}}})
+	require.NoError(t, err)
+	require.True(t, g.holder.Offer(0, 1, compiled))
+	for engine, zone := range map[fleet.EngineID]fleet.ZoneName{"near": "z0", "far": "z1", "somewhere": ""} {
+		g.workers.Observe(1, backends.Worker{
+			ID: engine, Service: "pool", Address: "127.0.0.1:9", Zone: zone,
+			Versions: map[fleet.ModelName]backends.WeightsVersion{"model": 1},
+		})
+	}
+	g.settled.Store(true)
+	near := cacheRun{run: fleet.EngineRun{Engine: "near"}, address: "127.0.0.1:9", zone: "z0"}
+	far := cacheRun{run: fleet.EngineRun{Engine: "far"}, address: "127.0.0.1:9", zone: "z1"}
+	somewhere := cacheRun{run: fleet.EngineRun{Engine: "somewhere"}, address: "127.0.0.1:9"}
+
+	present, asked := g.caches()
+	assert.Equal(t, map[cacheRun]bool{near: true, somewhere: true}, present)
+	assert.Equal(t, map[fleet.ZoneName]map[fleet.EngineID]bool{"z1": {"far": true}}, asked)
+
+	g.zoneFeeds.feeds["z1"] = &zoneFeed{silent: true}
+	present, asked = g.caches()
+	assert.Equal(t, map[cacheRun]bool{near: true, far: true, somewhere: true}, present)
+	assert.Empty(t, asked)
+
+	g.roles.Store(deriveRoles("node-000", "z0", largeFleet(195), 0))
+	require.False(t, g.serves())
+	present, asked = g.caches()
+	assert.Empty(t, present, "callers aren't sent here")
+	assert.Empty(t, asked)
+}
+
+// TestIdleNodeFollowsItsZonesCachesWhileAsked has a zone without a node that serves.
+func TestIdleNodeFollowsItsZonesCachesWhileAsked(t *testing.T) {
+	g := idleGateway(t)
+	compiled, err := routes.Compile(routes.Document{Version: 1, Services: []routes.Service{{Name: "pool"}}})
+	require.NoError(t, err)
+	require.True(t, g.holder.Offer(0, 1, compiled))
+	for engine, zone := range map[fleet.EngineID]fleet.ZoneName{"near": "z0", "far": "z1"} {
+		g.workers.Observe(1, backends.Worker{
+			ID: engine, Service: "pool", Address: "127.0.0.1:9", Zone: zone,
+			Versions: map[fleet.ModelName]backends.WeightsVersion{"model": 1},
+		})
+	}
+	g.settled.Store(true)
+	all := []membership.Member{{Node: g.node, Zone: "z0", State: membership.Alive, Capacity: 200}}
+	for _, node := range []fleet.NodeID{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		all = append(all, membership.Member{Node: node, Zone: "z1", State: membership.Alive, Capacity: 800})
+	}
+	g.roles.Store(deriveRoles(g.node, "z0", membership.NewView(1, all[0], all), 0))
+	require.False(t, g.serves())
+	assert.Equal(t, []fleet.NodeID{g.node}, g.roles.Load().CacheSources("z0"))
+	assert.Empty(t, present(g))
+	_, err = g.answerCaches(t.Context(), &rpc.CachesRequest{})
+	require.ErrorIs(t, err, errFollowsNone)
+	near := cacheRun{run: fleet.EngineRun{Engine: "near"}, address: "127.0.0.1:9", zone: "z0"}
+	following, asked := g.caches()
+	assert.Equal(t, map[cacheRun]bool{near: true}, following)
+	assert.Empty(t, asked)
+	g.cacheLog.ask(g.now() - cachesWanted - time.Millisecond)
+	assert.Empty(t, present(g))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,8 @@
 	readiness    *readiness
 	announcer    *announcer
 	toldVersions *toldVersions
+	cacheLog     *cacheLog
+	zoneFeeds    *zoneFeeds
 	roles        atomic.Pointer[nodeRoles]
 	// joined is used by assign alone; settled is set once this node knows its role.
 	joined  joinedMembers
@@ -121,6 +123,8 @@
 		readiness:    newReadiness(),
 		announcer:    newAnnouncer(),
 		toldVersions: newToldVersions(),
+		cacheLog:     newCacheLog(rand.Uint64()),
+		zoneFeeds:    newZoneFeeds(),
 	}
 	g.inForce.Store(&settings)
 	g.sources = newSources(g.clock.Now(), relay.Options{Self: g.node, Random: random(), AwaitRole: settings.FirstStart})
@@ -186,6 +190,7 @@
 		Loads:    g.answerLoad,
 		Traffic:  g.outside.Traffic,
 		Watch:    g.answerWatch,
+		Caches:   g.answerCaches,
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
--- a/internal/gateway/roles_test.go
+++ b/internal/gateway/roles_test.go
@@ -151,15 +151,15 @@
 	}
 	g.workersKnown.Store(true)
 	g.settled.Store(false)
-	assert.Empty(t, g.caches())
+	assert.Empty(t, present(g))
 	assert.Empty(t, g.frontAddresses())
 	g.taken.Store(1)
-	assert.Empty(t, g.caches())
+	assert.Empty(t, present(g))
 	g.taken.Store(2)
-	assert.Len(t, g.caches(), engines, "callers come all the same")
+	assert.Len(t, present(g), engines, "callers come all the same")
 	g.taken.Store(0)
 	g.settled.Store(true)
-	assert.Len(t, g.caches(), engines)
+	assert.Len(t, present(g), engines)
 	assert.Len(t, g.frontAddresses(), 1)
 }
 
@@ -190,3 +190,9 @@
 		})
 	}
 }
+
+// present returns the caches that a gateway follows itself.
+func present(g *Gateway) map[cacheRun]bool {
+	caches, _ := g.caches()
+	return caches
+}
--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -26,6 +26,9 @@
 	Candidates int
 	// ReaderDepth is the number of readers of each zone that others ask in turn.
 	ReaderDepth int
+	// CacheDepth is the number of nodes of each zone that follow its caches for others,
+	// in turn.
+	CacheDepth int
 }
 
 // Defaults of RoleOptions.
@@ -36,12 +39,14 @@
 	DefaultSmallFleet  = 8
 	DefaultCandidates  = 3
 	DefaultReaderDepth = 3
+	DefaultCacheDepth  = 3
 )
 
 // Names by which nodes are ordered for a role.
 const (
 	servingKey = "serving"
 	readerKey  = "reader"
+	cacheKey   = "cache source"
 )
 
 func (o *RoleOptions) setDefaults() {
@@ -51,6 +56,7 @@
 	setDefault(&o.SmallFleet, DefaultSmallFleet)
 	setDefault(&o.Candidates, DefaultCandidates)
 	setDefault(&o.ReaderDepth, DefaultReaderDepth)
+	setDefault(&o.CacheDepth, DefaultCacheDepth)
 }
 
 // Roles says which members do what. All nodes with the same members and demand
@@ -71,6 +77,10 @@
 	readers map[fleet.ZoneName][]fleet.NodeID
 	zones   []fleet.ZoneName
 
+	// cacheSources holds, by zone, the nodes that follow the zone's caches for others, best
+	// first.
+	cacheSources map[fleet.ZoneName][]fleet.NodeID
+
 	// candidates keeps what Candidates has worked out, by duty.
 	candidatesMutex sync.Mutex
 	candidates      map[string][]fleet.NodeID
@@ -92,6 +102,7 @@
 		roles.serving[member.Node] = true
 	}
 	roles.rankReaders()
+	roles.rankCacheSources()
 	return roles
 }
 
@@ -232,6 +243,34 @@
 	slices.Sort(r.zones)
 }
 
+// CacheSources returns the nodes of a zone that are asked, in turn, what changes in the
+// zone's caches: those that serve first, since they follow them for themselves. Callers must
+// not write to the slice.
+func (r *Roles) CacheSources(zone fleet.ZoneName) []fleet.NodeID { return r.cacheSources[zone] }
+
+// rankCacheSources ranks the members of each zone as sources of what its caches hold.
+func (r *Roles) rankCacheSources() {
+	byZone := make(map[fleet.ZoneName][]weighted)
+	for _, entry := range weigh(cacheKey, r.routable) {
+		byZone[entry.Zone] = append(byZone[entry.Zone], entry)
+	}
+	r.cacheSources = make(map[fleet.ZoneName][]fleet.NodeID, len(byZone))
+	for zone, members := range byZone {
+		slices.SortFunc(members, func(a, b weighted) int {
+			if r.serving[a.Node] != r.serving[b.Node] {
+				if r.serving[a.Node] {
+					return -1
+				}
+				return 1
+			}
+			return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(b.weight, a.weight))
+		})
+		for _, entry := range members[:min(len(members), r.options.CacheDepth)] {
+			r.cacheSources[zone] = append(r.cacheSources[zone], entry.Node)
+		}
+	}
+}
+
 // Demand follows a rate so that the roles change seldom: up at once, down only
 // after the rate has been well below for a while.
 type Demand struct {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -45,6 +45,9 @@
 	// Watch answers another process that asks what changed in the store's tables;
 	// nil means that this process tells nobody.
 	Watch func(ctx context.Context, request *rpc.WatchRequest) *rpc.WatchResponse
+	// Caches answers another process that asks what changed in the caches of this
+	// one's zone, or fails if it doesn't follow them; nil means that it follows none.
+	Caches func(ctx context.Context, request *rpc.CachesRequest) (*rpc.CachesResponse, error)
 	// Traffic counts the bytes of calls to other processes; nil counts none.
 	Traffic *traffic.Meter
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -74,3 +74,15 @@
 	}
 	return p.options.Watch(ctx, request), nil
 }
+
+// Caches implements rpc.Peer for processes that follow caches.
+func (p *Peer) Caches(ctx context.Context, request *rpc.CachesRequest) (*rpc.CachesResponse, error) {
+	if p.options.Caches == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this process follows no caches")
+	}
+	response, err := p.options.Caches(ctx, request)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return response, nil
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tillerfall/tillerfall/internal/config"
@@ -64,6 +65,19 @@
 	return traffic.Place{Zone: member.Zone, Region: member.Region}
 }
 
+// ErrUnavailable says that the other side can't tell what it was asked for now.
+var ErrUnavailable = errors.New("unavailable")
+
+// AskCaches asks one member what changed in the caches of its zone.
+func (p *Peer) AskCaches(ctx context.Context, address fleet.Address, request *rpc.CachesRequest) (*rpc.CachesResponse, error) {
+	response, err := p.client(address).Caches(ctx, request)
+	var failure twirp.Error
+	if errors.As(err, &failure) && failure.Code() == twirp.Unavailable {
+		return nil, errors.Wrap(ErrUnavailable, failure.Msg())
+	}
+	return response, err
+}
+
 func (p *Peer) send(messages []membership.Message) {
 	for _, message := range messages {
 		p.enqueue(call{message: message})
--- a/lab/capacity/calls.go
+++ b/lab/capacity/calls.go
@@ -106,6 +106,11 @@
 	return &rpc.WatchResponse{}, nil
 }
 
+// Caches implements rpc.Peer.
+func (f *fixedAnswers) Caches(context.Context, *rpc.CachesRequest) (*rpc.CachesResponse, error) {
+	return &rpc.CachesResponse{}, nil
+}
+
 func (f *fixedAnswers) Changes(context.Context, *rpc.ChangesRequest) (*rpc.ChangesResponse, error) {
 	return &rpc.ChangesResponse{Header: header()}, nil
 }
