Name workers by hashes in reports, and priorities by turns

Cause: an entry of a report took 45 bytes, 14 of them the worker's name and 20 its load by priority. Ruled out: deltas since the last report (a node's load at most workers that it uses changes between two); a dictionary by peer (state on both sides, lost at each restart). Change: a worker goes as a 32-bit hash of its name where that stands for one known worker alone, its name else; loads by priority as numbers by turns: 26 bytes. Units admitted since a node began as a newcomer are told by newcomers only, as they are read then only. A node of the release before reads such loads as those of no worker.

--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -46,6 +46,7 @@
 
 	mutex   sync.Mutex
 	workers map[fleet.EngineID]*state
+	names   shortNames
 	// tombstones holds the revision at which a row went, for workers forgotten.
 	tombstones map[fleet.EngineID]fleet.Revision
 	peers      *peerReports
@@ -81,6 +82,7 @@
 		options:    options,
 		scheduler:  scheduling.New(options.Scheduling),
 		workers:    make(map[fleet.EngineID]*state),
+		names:      newShortNames(),
 		tombstones: make(map[fleet.EngineID]fleet.Revision),
 		peers:      newPeerReports(),
 		required:   make(map[fleet.ModelName]WeightsVersion),
@@ -115,6 +117,7 @@
 			return Unchanged
 		}
 		r.workers[worker.ID] = &state{worker: worker, revision: revision, slowness: 1}
+		r.names.add(worker.ID)
 		r.parts.add(worker.Run())
 		return Added
 	}
@@ -203,6 +206,7 @@
 			r.tombstones[id] = known.revision
 			r.parts.remove(known.worker.Run())
 			delete(r.workers, id)
+			r.names.remove(id)
 			forgotten = append(forgotten, id)
 		}
 	}
--- a/internal/gateway/announce.go
+++ b/internal/gateway/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -104,11 +105,8 @@
 // partialReport returns this node's load at some engines.
 func (g *Gateway) partialReport(engines map[fleet.EngineID]bool) *rpc.LoadReport {
 	report := &rpc.LoadReport{Node: string(g.node), Partial: true}
-	for _, load := range g.workers.OwnLoad() {
-		if engines[load.Engine] {
-			report.Loads = append(report.Loads, encodeLoad(load))
-		}
-	}
+	loads := slices.DeleteFunc(g.workers.OwnLoad(), func(load backends.Load) bool { return !engines[load.Engine] })
+	report.Loads = g.encodeLoads(loads)
 	return report
 }
 
@@ -121,44 +119,73 @@
 	}
 }
 
-// encodeLoad returns a load in its transmitted form.
-func encodeLoad(load backends.Load) *rpc.WorkerLoad {
+// priorityFields is the number of values that tell of one priority.
+const priorityFields = 3
+
+// encodeLoads returns loads in their transmitted form.
+func (g *Gateway) encodeLoads(loads []backends.Load) []*rpc.WorkerLoad {
+	short := g.workers.ShortNames(loads)
+	encoded := make([]*rpc.WorkerLoad, len(loads))
+	for index := range loads {
+		encoded[index] = encodeLoad(&loads[index])
+		if short[index] != 0 {
+			encoded[index].ShortName = short[index]
+		} else {
+			encoded[index].Worker = string(loads[index].Engine)
+		}
+	}
+	return encoded
+}
+
+// encodeLoad returns a load in its transmitted form, without the worker's name.
+func encodeLoad(load *backends.Load) *rpc.WorkerLoad {
 	encoded := &rpc.WorkerLoad{
-		Worker:        string(load.Engine),
 		InFlight:      uint32(max(load.InFlight, 0)),
 		PrefillTokens: uint32(max(load.PrefillTokens, 0)),
 		MemoryTokens:  uint32(max(load.MemoryTokens, 0)),
 	}
 	for priority, part := range load.Priorities {
 		if part.InFlight > 0 {
-			encoded.Priorities = append(encoded.Priorities, &rpc.PriorityLoad{
-				Priority:      uint32(priority),
-				InFlight:      uint32(part.InFlight),
-				PrefillTokens: uint32(max(part.PrefillTokens, 0)),
-			})
+			encoded.ByPriority = append(encoded.ByPriority,
+				uint32(priority), uint32(part.InFlight), uint32(max(part.PrefillTokens, 0)))
 		}
 	}
 	return encoded
 }
 
-// decodeLoads reads loads from their transmitted form.
-func decodeLoads(encoded []*rpc.WorkerLoad) []backends.Load {
+// decodeLoads reads loads from their transmitted form. Those of workers that this node
+// doesn't know, or can't tell apart, are left out: a choice can't use them.
+func (g *Gateway) decodeLoads(encoded []*rpc.WorkerLoad) []backends.Load {
+	short := make([]uint32, len(encoded))
+	for index, load := range encoded {
+		short[index] = load.GetShortName()
+	}
+	full := g.workers.FullNames(short)
 	loads := make([]backends.Load, 0, len(encoded))
-	for _, load := range encoded {
-		decoded := backends.Load{
-			Engine:        fleet.EngineID(load.GetWorker()),
-			InFlight:      int(load.GetInFlight()),
-			PrefillTokens: int(load.GetPrefillTokens()),
-			MemoryTokens:  int(load.GetMemoryTokens()),
+	for index, load := range encoded {
+		decoded := decodeLoad(load)
+		if load.GetShortName() != 0 {
+			decoded.Engine = full[index]
 		}
-		for _, part := range load.GetPriorities() {
-			if part.GetPriority() < backends.Priorities {
-				decoded.Priorities[part.GetPriority()] = backends.PriorityLoad{
-					InFlight: int32(part.GetInFlight()), PrefillTokens: int32(part.GetPrefillTokens()),
-				}
-			}
+		if decoded.Engine != "" {
+			loads = append(loads, decoded)
 		}
-		loads = append(loads, decoded)
 	}
 	return loads
 }
+
+// decodeLoad reads a load from its transmitted form.
+func decodeLoad(load *rpc.WorkerLoad) backends.Load {
+	decoded := backends.Load{
+		Engine:        fleet.EngineID(load.GetWorker()),
+		InFlight:      int(load.GetInFlight()),
+		PrefillTokens: int(load.GetPrefillTokens()),
+		MemoryTokens:  int(load.GetMemoryTokens()),
+	}
+	for parts := load.GetByPriority(); len(parts) >= priorityFields; parts = parts[priorityFields:] {
+		if parts[0] < backends.Priorities {
+			decoded.Priorities[parts[0]] = backends.PriorityLoad{InFlight: int32(parts[1]), PrefillTokens: int32(parts[2])}
+		}
+	}
+	return decoded
+}
--- a/internal/gateway/announce_test.go
+++ b/internal/gateway/announce_test.go
@@ -34,8 +34,28 @@
 	assert.False(t, all)
 }
 
+// TestLoadsKeepTheirValuesOnTheWay has the names of known workers go as hashes, and loads of
+// workers that the receiver doesn't know be left out.
 func TestLoadsKeepTheirValuesOnTheWay(t *testing.T) {
-	loads := []backends.Load{{Engine: "a", InFlight: 3, PrefillTokens: 4000, MemoryTokens: 9000}, {Engine: "b"}}
-	encoded := []*rpc.WorkerLoad{encodeLoad(loads[0]), encodeLoad(loads[1])}
-	assert.Equal(t, loads, decodeLoads(encoded))
+	sender, receiver := idleGateway(t), idleGateway(t)
+	for _, g := range []*Gateway{sender, receiver} {
+		g.workers.Observe(1, backends.Worker{ID: "a"})
+		g.workers.Observe(2, backends.Worker{ID: "b"})
+	}
+	receiver.workers.Observe(3, backends.Worker{ID: "unknown-to-sender"})
+	sender.workers.Observe(3, backends.Worker{ID: "unknown-to-receiver"})
+	loads := []backends.Load{
+		{Engine: "a", InFlight: 3, PrefillTokens: 4000, MemoryTokens: 9000},
+		{Engine: "b"},
+		{Engine: "unknown-to-sender", InFlight: 1},
+	}
+	loads[0].Priorities[0] = backends.PriorityLoad{InFlight: 1, PrefillTokens: 1000}
+	loads[0].Priorities[backends.Priorities-1] = backends.PriorityLoad{InFlight: 2, PrefillTokens: 3000}
+	encoded := sender.encodeLoads(append(loads, backends.Load{Engine: "unknown-to-receiver", InFlight: 1}))
+	assert.Empty(t, encoded[0].GetWorker())
+	assert.Equal(t, "unknown-to-sender", encoded[2].GetWorker())
+	assert.Equal(t, loads, receiver.decodeLoads(encoded))
+	assert.Empty(t, receiver.decodeLoads([]*rpc.WorkerLoad{{InFlight: 1}}))
+	truncated := []*rpc.WorkerLoad{{Worker: "a", ByPriority: []uint32{backends.Priorities, 1, 1, 0, 1}}}
+	assert.Equal(t, []backends.Load{{Engine: "a"}}, receiver.decodeLoads(truncated), "no such priority, and a part")
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -172,7 +172,7 @@
 func (g *Gateway) answerPartial(report *rpc.LoadReport) *rpc.LoadReport {
 	answer := &rpc.LoadReport{Node: string(g.node), Partial: true}
 	if !report.GetUsesTold() {
-		g.workers.UpdatePeer(fleet.NodeID(report.GetNode()), decodeLoads(report.GetLoads()))
+		g.workers.UpdatePeer(fleet.NodeID(report.GetNode()), g.decodeLoads(report.GetLoads()))
 		return answer
 	}
 	g.quotas.take(g.now(), report)
@@ -188,9 +188,7 @@
 		RequestRate: encodeRate(g.demand.own()),
 		Named:       g.namedVersions(now),
 	}
-	for _, load := range g.workers.OwnLoad() {
-		report.Loads = append(report.Loads, encodeLoad(load))
-	}
+	report.Loads = g.encodeLoads(g.workers.OwnLoad())
 	for service, work := range g.workers.OwnWork(now) {
 		report.Work = append(report.Work, &rpc.ServiceWork{
 			Service: string(service), LongMillis: uint32(work.Long.Milliseconds()), ShortMillis: uint32(work.Short.Milliseconds()),
@@ -277,7 +275,7 @@
 		}
 	}
 	g.workers.ObservePeer(now, fleet.NodeID(report.GetNode()), backends.PeerReport{
-		Loads: decodeLoads(report.GetLoads()), Suspects: suspects, Orders: orders, Work: work,
+		Loads: g.decodeLoads(report.GetLoads()), Suspects: suspects, Orders: orders, Work: work,
 	})
 	g.learnNamed(report.GetNamed())
 	g.quotas.take(now, report)
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -100,9 +100,11 @@
 	report.UsesTold = true
 	report.QuotaNewcomer = q.limiter.Newcomer(now)
 	for _, use := range q.limiter.Uses(now, to) {
-		report.TenantUses = append(report.TenantUses, &rpc.TenantUse{
-			Tenant: string(use.Tenant), Total: use.Total, Recent: use.Recent, Deficit: use.Deficit, Heard: use.Heard,
-		})
+		told := &rpc.TenantUse{Tenant: string(use.Tenant), Total: use.Total, Deficit: use.Deficit, Heard: use.Heard}
+		if report.QuotaNewcomer {
+			told.Recent = use.Recent
+		}
+		report.TenantUses = append(report.TenantUses, told)
 	}
 }
 
