Learn caches of another region from one node of the own

Cause: each serving node asked each zone of the other region: each change crossed as often as nodes serve. Ruled out: relays that ask relays (a node tells only what it has from the zone itself, else two could believe each other). Change: two nodes of a region that serve, by rendezvous order, tell the others of it about a zone of another region; they are asked before the zone's own nodes. A node goes back to a better source after 10 s.

--- a/internal/cachefeed/log.go
+++ b/internal/cachefeed/log.go
@@ -45,6 +45,18 @@
 	Dropped []fleet.BlockHash
 }
 
+// Changes returns the parts that are held and dropped since.
+func (u *Update) Changes() []Change {
+	changes := make([]Change, 0, len(u.Held)+len(u.Dropped))
+	for _, part := range u.Held {
+		changes = append(changes, Change{Part: part, Held: true})
+	}
+	for _, part := range u.Dropped {
+		changes = append(changes, Change{Part: part})
+	}
+	return changes
+}
+
 // News is what a follower lacks.
 type News struct {
 	// Whole is set if Updates name all caches that the log knows of, so that any other is lost.
--- a/internal/cachefeed/selector.go
+++ b/internal/cachefeed/selector.go
@@ -16,11 +16,17 @@
 // thirds of these bytes of a day with such a loss.
 const Patience = 1500 * time.Millisecond
 
-// Selector says which node of a zone is asked about the zone's caches. It stays with one
-// that answers: a change of the source costs a whole transfer.
+// ReturnAfter is how long another source than the best is kept, if the best hasn't failed
+// meanwhile. A change of the source costs a whole transfer.
+const ReturnAfter = 10 * time.Second
+
+// Selector says which node is asked about a zone's caches. It stays with one that answers
+// for a while.
 type Selector struct {
 	current fleet.NodeID
-	failed  map[fleet.NodeID]time.Duration
+	// since is from when it is asked.
+	since  time.Duration
+	failed map[fleet.NodeID]time.Duration
 	// patient is until when it waits for sources that can't tell yet.
 	patient time.Duration
 }
@@ -48,13 +54,13 @@
 			delete(s.failed, node)
 		}
 	}
-	if s.current != "" && slices.Contains(order, s.current) {
+	if s.current != "" && now < s.since+ReturnAfter && slices.Contains(order, s.current) {
 		return s.current, true
 	}
 	s.current = ""
 	for _, node := range order {
 		if _, failed := s.failed[node]; !failed {
-			s.current = node
+			s.current, s.since = node, now
 			return node, true
 		}
 	}
--- a/internal/gateway/cachetalk.go
+++ b/internal/gateway/cachetalk.go
@@ -44,6 +44,15 @@
 	return &cacheLog{log: cachefeed.NewLog(generation, 0), changed: make(chan struct{})}
 }
 
+// restart forgets everything. The generation must be another one.
+func (c *cacheLog) restart(generation uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.log, c.following = cachefeed.NewLog(generation, 0), 0
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
 func (c *cacheLog) observe(cache fleet.EngineID, anew bool, changes []cachefeed.Change) {
 	c.update(func(log *cachefeed.Log) { log.Observe(cache, anew, changes) })
 }
@@ -52,6 +61,18 @@
 	c.update(func(log *cachefeed.Log) { log.Lose(cache) })
 }
 
+// takeTold takes in what another node tells of so many caches.
+func (c *cacheLog) takeTold(now time.Duration, updates []cachefeed.Update, caches int) {
+	c.follow(now, caches)
+	for _, update := range updates {
+		if update.Lost {
+			c.lose(update.Cache)
+			continue
+		}
+		c.observe(update.Cache, update.Anew, update.Changes())
+	}
+}
+
 // update changes the log and wakes those who wait for a change.
 func (c *cacheLog) update(change func(log *cachefeed.Log)) {
 	c.mutex.Lock()
@@ -102,17 +123,28 @@
 	return c.log.Answer(question), c.log.Answers(question), true, c.changed
 }
 
-// answerCaches answers another node's question about the caches of this one's zone.
+// logOf returns what this node tells others of a zone's caches, or nil if it doesn't. Of other
+// zones it tells only what it has from there: two nodes that asked each other would believe
+// for ever what they hold.
+func (g *Gateway) logOf(zone fleet.ZoneName) *cacheLog {
+	if zone == "" || zone == g.settings().Zone {
+		return g.cacheLog
+	}
+	return g.zoneFeeds.mirror(zone)
+}
+
+// answerCaches answers another node's question about the caches of a zone.
 func (g *Gateway) answerCaches(ctx context.Context, request *rpc.CachesRequest) (*rpc.CachesResponse, error) {
-	if g.stopping() {
+	log := g.logOf(fleet.ZoneName(request.GetZone()))
+	if log == nil || g.stopping() {
 		return nil, errFollowsNone
 	}
-	g.cacheLog.ask(g.now())
+	log.ask(g.now())
 	question := decodeQuestion(request)
 	timer := time.NewTimer(min(time.Duration(request.GetWaitMillis())*time.Millisecond, maxWatchWait))
 	defer timer.Stop()
 	for waiting := true; ; {
-		news, found, ready, changed := g.cacheLog.answer(g.now(), question)
+		news, found, ready, changed := log.answer(g.now(), question)
 		switch {
 		case found || (ready && !waiting):
 			return encodeNews(news), nil
--- a/internal/gateway/cachetalk_test.go
+++ b/internal/gateway/cachetalk_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -73,7 +74,7 @@
 	assert.Equal(t, map[cacheRun]bool{near: true, somewhere: true}, present)
 	assert.Equal(t, map[fleet.ZoneName]map[fleet.EngineID]bool{"z1": {"far": true}}, asked)
 
-	g.zoneFeeds.feeds["z1"] = &zoneFeed{silent: true}
+	g.zoneFeeds.feeds["z1"] = &zoneFeed{silent: true, mirror: newCacheLog(1)}
 	present, asked = g.caches()
 	assert.Equal(t, map[cacheRun]bool{near: true, far: true, somewhere: true}, present)
 	assert.Empty(t, asked)
@@ -115,3 +116,54 @@
 	g.cacheLog.ask(g.now() - cachesWanted - time.Millisecond)
 	assert.Empty(t, present(g))
 }
+
+// TestFarRegionIsAskedByOneNodeOfTheOwn has a zone of another region asked by one node, the
+// others ask that one, and a node tells only what it has from the zone itself.
+func TestFarRegionIsAskedByOneNodeOfTheOwn(t *testing.T) {
+	g := idleGateway(t)
+	settings := *g.settings()
+	settings.Region, settings.Regions = "north", map[fleet.ZoneName]fleet.RegionName{"z0": "north", "z1": "north", "far": "south"}
+	g.inForce.Store(&settings)
+	all := []membership.Member{{Node: g.node, Zone: "z0", Region: "north", State: membership.Alive}}
+	for _, node := range []fleet.NodeID{"a", "b", "c"} {
+		all = append(all, membership.Member{Node: node, Zone: "z1", Region: "north", State: membership.Alive})
+	}
+	for _, node := range []fleet.NodeID{"x", "y"} {
+		all = append(all, membership.Member{Node: node, Zone: "far", Region: "south", State: membership.Alive})
+	}
+	view := membership.NewView(1, all[0], all)
+	g.roles.Store(deriveRoles(g.node, "z0", view, 0))
+	mirrors := g.roles.Load().CacheMirrors("far", "north")
+	require.Len(t, mirrors, 2)
+	far := g.roles.Load().CacheSources("far")
+	require.ElementsMatch(t, []fleet.NodeID{"x", "y"}, far)
+	assert.ElementsMatch(t, []fleet.NodeID{"a", "b", "c"}, g.cacheSources("z1"), "the own region is asked by all")
+	node := g.node
+	for _, self := range []fleet.NodeID{node, "a", "b", "c"} {
+		g.node = self
+		want := slices.Concat(mirrors, far)
+		if own := slices.Index(mirrors, self); own >= 0 {
+			want = slices.Concat(mirrors[:own], far)
+		}
+		assert.Equal(t, want, g.cacheSources("far"), self)
+	}
+	g.node = node
+
+	ask := &rpc.CachesRequest{Zone: "far"}
+	_, err := g.answerCaches(t.Context(), ask)
+	require.ErrorIs(t, err, errFollowsNone, "it knows nothing of that zone")
+	feed := &zoneFeed{mirror: newCacheLog(5)}
+	g.zoneFeeds.feeds["far"] = feed
+	updates := []cachefeed.Update{{Cache: "engine", Anew: true, Held: []fleet.BlockHash{3}}, {Cache: "gone", Lost: true}}
+	feed.mirror.takeTold(g.now(), updates, 1)
+	_, err = g.answerCaches(t.Context(), ask)
+	require.ErrorIs(t, err, errFollowsNone, "what another node has told may come from here")
+	g.zoneFeeds.setSource(feed, false, true)
+	response, err := g.answerCaches(t.Context(), ask)
+	require.NoError(t, err)
+	assert.Equal(t, []cachefeed.Update{{Cache: "engine", Anew: true, Held: []fleet.BlockHash{3}, Dropped: []fleet.BlockHash{}}}, decodeNews(response).Updates)
+	assert.True(t, feed.mirror.wanted(g.now()))
+	feed.mirror.restart(6)
+	_, err = g.answerCaches(t.Context(), ask)
+	require.ErrorIs(t, err, errFollowsNone, "it begins anew")
+}
--- a/internal/gateway/zonefeeds.go
+++ b/internal/gateway/zonefeeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/tillerfall/tillerfall/internal/cachefeed"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/peer"
 	"github.com/tillerfall/tillerfall/internal/traffic"
 )
@@ -36,6 +38,10 @@
 	silent bool
 	// wanted are the caches of which this node asks; a set is replaced, never changed.
 	wanted map[fleet.EngineID]bool
+	// mirror is what this node tells others of its region about the zone, if first is set:
+	// then it learns it from the zone itself.
+	mirror *cacheLog
+	first  bool
 }
 
 func newZoneFeeds() *zoneFeeds { return &zoneFeeds{feeds: make(map[fleet.ZoneName]*zoneFeed)} }
@@ -48,10 +54,22 @@
 	return feed != nil && feed.silent
 }
 
-func (z *zoneFeeds) setSilent(feed *zoneFeed, silent bool) {
+// setSource notes whom a feed asks: nobody, as all are silent, or a node, of the zone itself or not.
+func (z *zoneFeeds) setSource(feed *zoneFeed, silent, first bool) {
 	z.mutex.Lock()
 	defer z.mutex.Unlock()
-	feed.silent = silent
+	feed.silent, feed.first = silent, first
+}
+
+// mirror returns what this node knows of a zone from the zone itself, or nil.
+func (z *zoneFeeds) mirror(zone fleet.ZoneName) *cacheLog {
+	z.mutex.Lock()
+	defer z.mutex.Unlock()
+	feed := z.feeds[zone]
+	if feed == nil || !feed.first {
+		return nil
+	}
+	return feed.mirror
 }
 
 func (z *zoneFeeds) wanted(feed *zoneFeed) map[fleet.EngineID]bool {
@@ -68,7 +86,7 @@
 	for zone, caches := range wanted {
 		feed := z.feeds[zone]
 		if feed == nil {
-			feed = &zoneFeed{}
+			feed = &zoneFeed{mirror: newCacheLog(rand.Uint64())}
 			z.feeds[zone] = feed
 			start(zone, feed)
 		}
@@ -103,20 +121,31 @@
 // the caches itself.
 func (g *Gateway) followZone(ctx context.Context, zone fleet.ZoneName, feed *zoneFeed) {
 	selector, follower := cachefeed.NewSelector(g.now()), cachefeed.NewFollower()
+	mirrored := false
 	for ctx.Err() == nil {
 		source, found := selector.Choose(g.now(), g.cacheSources(zone))
-		g.zoneFeeds.setSilent(feed, !found && selector.Alone(g.now()))
+		member, known := g.peers.View().Find(source)
+		g.zoneFeeds.setSource(feed, !found && selector.Alone(g.now()), known && member.Zone == zone)
 		wanted := g.zoneFeeds.wanted(feed)
 		if !found || len(wanted) == 0 {
 			follower.Reset()
 			sleep(ctx, cacheCheck)
 			continue
 		}
-		err := g.askCaches(ctx, source, follower, wanted)
+		if asked := feed.mirror.wanted(g.now()) || slices.Contains(g.cacheMirrors(zone), g.node); asked != mirrored {
+			mirrored = asked
+			feed.mirror.restart(rand.Uint64())
+			follower.Reset()
+		}
+		updates, err := g.askCaches(ctx, zone, member, follower, wanted)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err == nil:
+			g.takeTold(updates)
+			if mirrored {
+				feed.mirror.takeTold(g.now(), updates, len(wanted))
+			}
 			sleep(ctx, eventsPause)
 		case errors.Is(err, peer.ErrUnavailable):
 			g.noteCacheSource(zone, source, err)
@@ -136,39 +165,55 @@
 	g.events.line("cache_source_failed").Str("zone", string(zone)).Str("source", string(source)).Err(err).Msg("cache_source_failed")
 }
 
-// cacheSources returns the nodes to ask about the caches of a zone, best first.
+// cacheSources returns the nodes to ask about the caches of a zone, best first. Of a zone of
+// another region one node of this region asks there, and others that one, so that each change
+// crosses once; a second one stands by.
 func (g *Gateway) cacheSources(zone fleet.ZoneName) []fleet.NodeID {
-	sources := slices.Clone(g.roles.Load().CacheSources(zone))
+	mirrors := g.cacheMirrors(zone)
+	if own := slices.Index(mirrors, g.node); own >= 0 {
+		mirrors = mirrors[:own]
+	}
+	sources := slices.Concat(mirrors, g.roles.Load().CacheSources(zone))
 	return slices.DeleteFunc(sources, func(node fleet.NodeID) bool { return node == g.node })
 }
 
-// askCaches asks one node once and takes its answer in.
-func (g *Gateway) askCaches(ctx context.Context, source fleet.NodeID, follower *cachefeed.Follower, wanted map[fleet.EngineID]bool) error {
-	member, found := g.peers.View().Find(source)
-	if !found {
-		return errNotMember
+// cacheMirrors returns the nodes of this region that tell of a zone of another region; none
+// for one of this region.
+func (g *Gateway) cacheMirrors(zone fleet.ZoneName) []fleet.NodeID {
+	region, own := g.settings().Regions[zone], g.settings().Region
+	if region == "" || own == "" || region == own {
+		return nil
 	}
-	ctx = traffic.With(ctx, traffic.CacheEvents, g.distanceTo(member.Zone))
+	return g.roles.Load().CacheMirrors(zone, own)
+}
+
+// askCaches asks one node once about the caches of a zone and returns what is new.
+func (g *Gateway) askCaches(ctx context.Context, zone fleet.ZoneName, source membership.Member, follower *cachefeed.Follower, wanted map[fleet.EngineID]bool) ([]cachefeed.Update, error) {
+	if source.Node == "" {
+		return nil, errNotMember
+	}
+	ctx = traffic.With(ctx, traffic.CacheEvents, g.distanceTo(source.Zone))
 	ctx, cancel := context.WithTimeout(ctx, eventsWait+cachesSlack)
 	defer cancel()
-	response, err := g.peers.AskCaches(ctx, member.Address, encodeQuestion(follower.Ask(wanted), eventsWait))
+	request := encodeQuestion(follower.Ask(wanted), eventsWait)
+	if source.Zone != zone {
+		request.Zone = string(zone)
+	}
+	response, err := g.peers.AskCaches(ctx, source.Address, request)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	for _, update := range follower.Take(decodeNews(response), wanted) {
+	return follower.Take(decodeNews(response), wanted), nil
+}
+
+// takeTold takes another node's word on caches in.
+func (g *Gateway) takeTold(updates []cachefeed.Update) {
+	for _, update := range updates {
 		run := fleet.EngineRun{Engine: update.Cache}
 		if update.Lost {
 			g.workers.LoseCache(run)
 			continue
 		}
-		changes := make([]cachefeed.Change, 0, len(update.Held)+len(update.Dropped))
-		for _, part := range update.Held {
-			changes = append(changes, cachefeed.Change{Part: part, Held: true})
-		}
-		for _, part := range update.Dropped {
-			changes = append(changes, cachefeed.Change{Part: part})
-		}
-		g.workers.ObserveTold(run, update.Anew, changes)
+		g.workers.ObserveTold(run, update.Anew, update.Changes())
 	}
-	return nil
 }
--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -248,6 +248,22 @@
 // not write to the slice.
 func (r *Roles) CacheSources(zone fleet.ZoneName) []fleet.NodeID { return r.cacheSources[zone] }
 
+// cacheMirrors is the number of nodes of a region that tell the others of it, in turn, what
+// changes in the caches of another region's zone.
+const cacheMirrors = 2
+
+// CacheMirrors returns the nodes of a region that tell the others of it, in turn, what changes
+// in the caches of a zone of another region: of those that serve, since they need it themselves.
+func (r *Roles) CacheMirrors(zone fleet.ZoneName, region fleet.RegionName) []fleet.NodeID {
+	var near []Member
+	for _, member := range r.Serving {
+		if member.Region == region {
+			near = append(near, member)
+		}
+	}
+	return Owners(fleet.EngineID(zone), near, cacheMirrors)
+}
+
 // rankCacheSources ranks the members of each zone as sources of what its caches hold.
 func (r *Roles) rankCacheSources() {
 	byZone := make(map[fleet.ZoneName][]weighted)
