Have few nodes read a long table at a start of all, and watchers wait for them

Cause: at 300 machines and 2,700 workers nearly each node read the whole table of workers, 0.94 MB, at the first start (61.8 MB by 66 nodes in 10 s), which fills the link between the regions for 19 s. Watchers took a reader that sends all rows over 10 Mbit/s to fifty of them for silent after 0.35 s, or one that had just begun for useless, and asked the next for everything; each that was asked read the store. A whole read had 1.5 s for all pages, so on a full link it began again and again. Ruled out: a longer deadline alone (a frozen reader would be noticed late); fewer watchers a reader (more readers). Small tables are read as before.

--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -16,6 +16,9 @@
 	"github.com/tillerfall/tillerfall/internal/watchcache"
 )
 
+// ErrManyRows means that a whole read was given up since it would be a long one.
+var ErrManyRows = errors.New("many rows")
+
 // ErrHistoryGone means that changes can't be followed from a revision any more:
 // everything must be read again.
 var ErrHistoryGone = errors.New("history gone")
@@ -79,8 +82,9 @@
 // Platform is the store, as the gateway needs it. Reads return an error of
 // package platform, or ErrHistoryGone.
 type Platform interface {
-	// ReadTable returns all rows of a table. It may be behind.
-	ReadTable(ctx context.Context, table Table) (*watchcache.Update, error)
+	// ReadTable returns all rows of a table. It may be behind. Of a table with many rows it
+	// reads the first ones and asks readOn whether to go on; else it returns ErrManyRows.
+	ReadTable(ctx context.Context, table Table, readOn func() bool) (*watchcache.Update, error)
 	// FollowTable returns what has changed after a revision, as soon as something
 	// has or after wait.
 	FollowTable(ctx context.Context, table Table, after fleet.Revision, wait time.Duration) (*watchcache.Update, error)
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -92,6 +92,14 @@
 	s.refresh(now)
 }
 
+// awaitRole leaves reading to others until this node knows its role.
+func (s *sources) awaitRole(now time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.selector.AwaitRole()
+	s.refresh(now)
+}
+
 // storeAnswered notes whether this node's last call to the store was answered.
 func (s *sources) storeAnswered(answered bool) {
 	s.mutex.Lock()
--- a/internal/gateway/storefeed.go
+++ b/internal/gateway/storefeed.go
@@ -84,6 +84,11 @@
 	if ctx.Err() != nil {
 		return 0
 	}
+	if errors.Is(err, ErrManyRows) {
+		g.logger.Info().Str("table", string(f.table.name)).Msg("read_left_to_others")
+		g.sources.awaitRole(g.now())
+		return followRetry
+	}
 	g.sources.storeAnswered(err == nil)
 	if err != nil {
 		g.noteStore(string(f.table.name), err, f.failures)
@@ -116,7 +121,7 @@
 func (f *storeFeed) call(ctx context.Context) (*watchcache.Update, error) {
 	store := f.gateway.outside.Platform
 	if !f.known {
-		return store.ReadTable(ctx, f.table.name)
+		return store.ReadTable(ctx, f.table.name, f.gateway.settled.Load)
 	}
 	wait := f.table.wait
 	if f.since != gapNone {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -19,8 +19,8 @@
 
 // Times of watching another node.
 const (
-	// watchWait is the longest wait of one call, watchSlack how much longer it may
-	// take until the peer counts as silent.
+	// watchWait is the longest wait of one call, watchSlack how much longer the answer may
+	// take to begin until the peer counts as silent.
 	watchWait  = 600 * time.Millisecond
 	watchSlack = 350 * time.Millisecond
 	// watchGather is the pause after news at a node that callers aren't sent to: one
@@ -71,8 +71,8 @@
 	watchQuiet watchOutcome = iota
 	// watchNews means that rows have changed.
 	watchNews
-	// watchUseless means that another node is to be asked: this one gave no answer, or
-	// its proof is too old.
+	// watchUseless means that the next question is to wait a little, mostly at another node:
+	// this one gave no answer, has no proof, or an old one.
 	watchUseless
 )
 
@@ -121,10 +121,9 @@
 			Table: string(followed.name), Sequence: followed.seen,
 		})
 	}
-	ctx, cancel := context.WithTimeout(g.peerCall(traffic.Watches, member), time.Duration(request.GetWaitMillis())*time.Millisecond+watchSlack)
-	defer cancel()
 	begun := g.now()
-	response, err := g.peers.AskWatch(ctx, member.Address, request)
+	firstByte := time.Duration(request.GetWaitMillis())*time.Millisecond + watchSlack
+	response, err := g.peers.AskWatch(g.peerCall(traffic.Watches, member), member.Address, firstByte, request)
 	if g.context().Err() != nil {
 		return watchQuiet
 	}
@@ -164,6 +163,9 @@
 		g.noteSource(source, moved, "proof too old, or first source again")
 		return watchUseless
 	}
+	if !proven {
+		return watchUseless
+	}
 	if news(response) {
 		return watchNews
 	}
--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -218,7 +218,8 @@
 }
 
 // rankReaders ranks the members of each zone as readers, those outside of the
-// serving set first.
+// serving set first, the largest of them first: after a start of all, a reader tells all rows to
+// each node of its zone, and the smallest machines have a twentieth of the largest's link.
 func (r *Roles) rankReaders() {
 	byZone := make(map[fleet.ZoneName][]weighted)
 	for _, entry := range weigh(readerKey, r.routable) {
@@ -233,7 +234,7 @@
 				}
 				return 1
 			}
-			return cmp.Compare(b.weight, a.weight)
+			return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(b.weight, a.weight))
 		})
 		for _, entry := range members[:min(len(members), r.options.ReaderDepth)] {
 			r.readers[zone] = append(r.readers[zone], entry.Node)
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -44,8 +46,46 @@
 	return p.client(address).ShareLoad(ctx, report)
 }
 
-// AskWatch asks one member what changed in the store's tables.
-func (p *Peer) AskWatch(ctx context.Context, address fleet.Address, request *rpc.WatchRequest) (*rpc.WatchResponse, error) {
+// wholeAnswer bounds the time from the first byte of an answer to its last: a node that tells
+// the rows of 3,000 workers to fifty others at once takes a second over 200 Mbit/s.
+const wholeAnswer = 3 * time.Second
+
+// errSilent is the cause of a call whose answer didn't begin in time, errSlow of one whose
+// answer didn't end in time.
+var (
+	errSilent = errors.New("no answer has begun")
+	errSlow   = errors.New("the answer didn't end")
+)
+
+// awaitFirstByte returns a context that ends if an answer doesn't begin within a time, or
+// doesn't end within another after that. One time for both would have a node that sends a long
+// answer over a busy link taken for silent, and another asked for all of it again.
+func awaitFirstByte(ctx context.Context, first, whole time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	var begun atomic.Bool
+	timer := time.AfterFunc(first, func() {
+		if begun.Load() {
+			cancel(errSlow)
+			return
+		}
+		cancel(errSilent)
+	})
+	trace := &httptrace.ClientTrace{GotFirstResponseByte: func() {
+		begun.Store(true)
+		timer.Reset(whole)
+	}}
+	stop := func() {
+		timer.Stop()
+		cancel(nil)
+	}
+	return httptrace.WithClientTrace(ctx, trace), stop
+}
+
+// AskWatch asks one member what changed in the store's tables. firstByte bounds the time until
+// its answer begins.
+func (p *Peer) AskWatch(ctx context.Context, address fleet.Address, firstByte time.Duration, request *rpc.WatchRequest) (*rpc.WatchResponse, error) {
+	ctx, cancel := awaitFirstByte(ctx, firstByte, wholeAnswer)
+	defer cancel()
 	return p.client(address).Watch(ctx, request)
 }
 
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -52,6 +52,10 @@
 	// AwaitRole has the node wait for its role before it reads, instead of reading
 	// at once.
 	AwaitRole bool
+	// ProofAwaited is how long a node that has awaited its role stays with a source that
+	// answers without a proof: that one has just begun to read. If all moved on, each would ask
+	// many for everything, and these would all read the store.
+	ProofAwaited time.Duration
 	// MaxSources bounds the peers that are asked in turn.
 	MaxSources int
 }
@@ -69,6 +73,8 @@
 	// nothing ails it.
 	DefaultPatientFor = 150 * time.Millisecond
 	DefaultMaxSources = 9
+	// DefaultProofAwaited is some times what reading 3,000 rows over 12 ms takes.
+	DefaultProofAwaited = time.Second
 )
 
 // Selector decides for one node. It isn't safe for concurrent use.
@@ -114,6 +120,7 @@
 		{&options.WatchedFor, DefaultWatchedFor}, {&options.ReturnAfter, DefaultReturnAfter},
 		{&options.TryInterval, DefaultTryInterval}, {&options.TryFor, DefaultTryFor},
 		{&options.TrySpacing, DefaultTrySpacing}, {&options.PatientFor, DefaultPatientFor},
+		{&options.ProofAwaited, DefaultProofAwaited},
 	} {
 		if *bound.field <= 0 {
 			*bound.field = bound.fallback
@@ -151,6 +158,10 @@
 	}
 }
 
+// AwaitRole has a node that doesn't know its role yet wait for it: there is so much to read
+// that not all can at once.
+func (s *Selector) AwaitRole() { s.options.AwaitRole = true }
+
 // SetOthers says how many nodes callers aren't sent to, this one among them; 0 if
 // callers are sent to this one.
 func (s *Selector) SetOthers(count int) { s.others = count }
@@ -239,6 +250,9 @@
 		s.fresh, s.freshAt = true, now
 		return s.returnToFirst(now)
 	}
+	if s.options.AwaitRole && !s.fresh && now < s.settledAt+s.options.ProofAwaited {
+		return false
+	}
 	return s.moveOn(now, from)
 }
 
--- a/internal/relay/selector_test.go
+++ b/internal/relay/selector_test.go
@@ -240,3 +240,40 @@
 		assert.LessOrEqual(t, reading, 2*DefaultMaxSources, "seed %d", seed)
 	}
 }
+
+// TestNodeThatIsToldToAwaitItsRoleDoes has a node that has just restarted find that there is
+// much to read: it reads by its role, or if nobody tells it.
+func TestNodeThatIsToldToAwaitItsRoleDoes(t *testing.T) {
+	selector := newStarted("n", 1)
+	selector.SetRole(0, false, []fleet.NodeID{"a"})
+	assert.True(t, selector.Reads(0))
+	selector.AwaitRole()
+	assert.False(t, selector.Reads(DefaultSilentAfter))
+	selector.Settle(2 * time.Second)
+	assert.True(t, selector.Asks(2*time.Second))
+	assert.False(t, selector.Reads(2*time.Second+DefaultSilentAfter-1))
+	assert.True(t, selector.Reads(2*time.Second+DefaultSilentAfter), "no peer answers")
+	selector.SetRole(2*time.Second, true, []fleet.NodeID{"a"})
+	assert.True(t, selector.Reads(2*time.Second))
+}
+
+// TestNodeStaysWithAReaderThatHasJustBegun has all nodes learn their roles at once: the first
+// source has no proof yet.
+func TestNodeStaysWithAReaderThatHasJustBegun(t *testing.T) {
+	selector := New(0, Options{Self: "n", Random: rand.New(rand.NewPCG(1, 1)), AwaitRole: true})
+	selector.SetRole(0, false, []fleet.NodeID{"a", "b"})
+	selector.Settle(2 * time.Second)
+	soon := 2*time.Second + DefaultProofAwaited - 1
+	assert.False(t, selector.Answered(soon, "a", 0, false))
+	assert.Equal(t, fleet.NodeID("a"), source(t, selector))
+	assert.True(t, selector.Failed(soon, "a"), "no answer is another thing")
+	assert.Equal(t, fleet.NodeID("b"), source(t, selector))
+	assert.True(t, selector.Answered(soon+1, "b", 0, false))
+	assert.Equal(t, fleet.NodeID("a"), source(t, selector))
+
+	selector = New(0, Options{Self: "n", Random: rand.New(rand.NewPCG(1, 1)), AwaitRole: true})
+	selector.SetRole(0, false, []fleet.NodeID{"a", "b"})
+	selector.Settle(2 * time.Second)
+	assert.False(t, selector.Answered(soon-1, "a", 0, true))
+	assert.True(t, selector.Answered(soon, "a", 0, false), "it has had a proof before")
+}
