Tell all versions of engines once to each node, then only changes

Change: versions of the first look count as old; all are told anew each minute. Rows of the store tell versions besides.

--- a/internal/gateway/toldversions.go
+++ b/internal/gateway/toldversions.go
@@ -12,8 +12,9 @@
 	// versionsTold is how long a changed version is named in each report: several exchanges
 	// with each node, so that one which misses some still hears of it.
 	versionsTold = 3 * time.Second
-	// versionsWhole is the time between two reports to the same node that name all.
-	versionsWhole = 15 * time.Second
+	// versionsWhole is the time between two reports to the same node that name all: with
+	// 3,000 workers they are 100 KB. Rows of the store tell versions besides.
+	versionsWhole = time.Minute
 )
 
 // engineModel is one model of one engine.
@@ -61,12 +62,17 @@
 	return due
 }
 
-// observe notes which versions are new, and drops those that are gone.
+// observe notes which versions are new, and drops those that are gone. Those of the first
+// look count as old: each node is told all of them once.
 func (t *toldVersions) observe(now time.Duration, present []engineVersion) {
+	first := len(t.changed) == 0
 	changed := make(map[engineVersion]time.Duration, len(present))
 	for _, version := range present {
 		at, known := t.changed[version]
-		if !known {
+		switch {
+		case first:
+			at = now - versionsTold - 1
+		case !known:
 			at = now
 		}
 		changed[version] = at
