--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -53,6 +53,7 @@
 
 	mutex   sync.Mutex
 	workers map[fleet.EngineID]*state
+	names   shortNames
 	// tombstones holds the revision at which a row went, for workers forgotten.
 	tombstones map[fleet.EngineID]fleet.Revision
 	peers      *peerReports
@@ -97,6 +98,7 @@
 		options:    options,
 		scheduler:  scheduling.New(options.Scheduling),
 		workers:    make(map[fleet.EngineID]*state),
+		names:      newShortNames(),
 		tombstones: make(map[fleet.EngineID]fleet.Revision),
 		peers:      newPeerReports(),
 		required:   make(map[fleet.ModelName]WeightsVersion),
@@ -136,6 +138,7 @@
 		known = &state{worker: worker, revision: revision, slowness: 1, tier: noTier, hash: hashName(string(worker.ID))}
 		r.workers[worker.ID] = known
 		r.enlist(known)
+		r.names.add(worker.ID)
 		r.parts.add(worker.Run())
 		return Added
 	}
@@ -228,6 +231,7 @@
 			r.parts.remove(known.worker.Run())
 			r.delist(known)
 			delete(r.workers, id)
+			r.names.remove(id)
 			forgotten = append(forgotten, id)
 		}
 	}
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -23,7 +23,7 @@
 		return nil
 	}
 	var addresses []fleet.Address
-	from := membership.Place{Region: query.Region, Zone: query.Zone}
+	from := membership.Location{Region: query.Region, Zone: query.Zone}
 	for _, member := range g.roles.Load().Answer(from, g.node, g.reachable) {
 		if member.Node == g.node && !g.ready() {
 			continue
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,6 +9,7 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 )
 
 // Times of the talk between gateways.
@@ -119,6 +120,7 @@
 			if !present[node] {
 				g.workers.ForgetPeer(node)
 				g.demand.forget(node)
+				g.toldVersions.forget(node)
 			}
 		}
 		known = present
@@ -143,7 +145,7 @@
 
 // exchange gives one member this node's report and takes its answer in.
 func (g *Gateway) exchange(member membership.Member) {
-	ctx, cancel := context.WithTimeout(g.context(), shareTimeout)
+	ctx, cancel := context.WithTimeout(g.peerCall(traffic.Loads, member), shareTimeout)
 	defer cancel()
 	begun := g.now()
 	report, err := g.peers.ExchangeLoad(ctx, member.Address, g.loadReport(member.Node))
@@ -169,7 +171,7 @@
 func (g *Gateway) answerPartial(report *rpc.LoadReport) *rpc.LoadReport {
 	answer := &rpc.LoadReport{Node: string(g.node), Partial: true}
 	if !report.GetUsesTold() {
-		g.workers.UpdatePeer(fleet.NodeID(report.GetNode()), decodeLoads(report.GetLoads()))
+		g.workers.UpdatePeer(fleet.NodeID(report.GetNode()), g.decodeLoads(report.GetLoads()))
 		return answer
 	}
 	g.quotas.take(g.now(), report)
@@ -186,9 +188,7 @@
 		Pressure:    uint32(g.pressure.level()),
 		Named:       g.namedVersions(now),
 	}
-	for _, load := range g.workers.OwnLoad() {
-		report.Loads = append(report.Loads, encodeLoad(load))
-	}
+	report.Loads = g.encodeLoads(g.workers.OwnLoad())
 	for service, work := range g.workers.OwnWork(now) {
 		report.Work = append(report.Work, &rpc.ServiceWork{
 			Service: string(service), LongMillis: uint32(work.Long.Milliseconds()), ShortMillis: uint32(work.Short.Milliseconds()),
@@ -203,7 +203,7 @@
 		})
 	}
 	if _, holds := g.keeper.Fence(); holds {
-		report.Weights = g.knownVersions()
+		report.Weights = g.versionsFor(now, to)
 	}
 	g.quotas.write(now, report, to)
 	if held := g.holder.Current(); held != nil {
@@ -237,17 +237,23 @@
 	}
 }
 
-// knownVersions returns the engines' versions, by the word of the lease's holder.
-func (g *Gateway) knownVersions() []*rpc.WorkerWeights {
-	var versions []*rpc.WorkerWeights
+// versionsFor returns the engines' versions, by the word of the lease's holder, as far as
+// a node is to be told of them.
+func (g *Gateway) versionsFor(now time.Duration, to fleet.NodeID) []*rpc.WorkerWeights {
+	var present []engineVersion
 	for _, worker := range g.workers.Workers() {
 		for model, version := range worker.Versions {
-			versions = append(versions, &rpc.WorkerWeights{
-				Worker: string(worker.ID), Model: string(model), Version: uint64(version),
-			})
+			present = append(present, engineVersion{engineModel{worker.ID, model}, uint64(version)})
 		}
 	}
-	return versions
+	due := g.toldVersions.due(now, to, present)
+	told := make([]*rpc.WorkerWeights, 0, len(due))
+	for _, version := range due {
+		told = append(told, &rpc.WorkerWeights{
+			Worker: string(version.engine), Model: string(version.model), Version: version.version,
+		})
+	}
+	return told
 }
 
 // takeLoad takes in another gateway's report.
@@ -269,7 +275,7 @@
 		}
 	}
 	g.workers.ObservePeer(now, fleet.NodeID(report.GetNode()), backends.PeerReport{
-		Loads: decodeLoads(report.GetLoads()), Suspects: suspects, Orders: orders, Work: work,
+		Loads: g.decodeLoads(report.GetLoads()), Suspects: suspects, Orders: orders, Work: work,
 	})
 	g.learnNamed(report.GetNamed())
 	g.quotas.take(now, report)
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -67,9 +67,9 @@
 	// origins and weights are what else it was derived from: the demand by place, and the
 	// parts by which nodes under pressure count. least is the least sizes of the serving
 	// groups.
-	origins map[membership.Place]float64
+	origins map[membership.Location]float64
 	weights map[fleet.NodeID]float64
-	least   map[membership.Place]int
+	least   map[membership.Location]int
 	// reader is set if it is this node's role to read the store, candidate if it
 	// takes the lease of the weights, and sharesLoads if it is among those that tell
 	// each other what they send: those that serve, the candidates, and who stands in for
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -16,7 +16,7 @@
 // has few routers.
 const zoneWeight = 2.0
 
-// Location is a place in the fleet.
+// Location is a zone of a region: where a member is, or where callers come from.
 type Location struct {
 	Region fleet.RegionName
 	Zone   fleet.ZoneName
