--- a/internal/gateway/cachetalk_test.go
+++ b/internal/gateway/cachetalk_test.go
@@ -79,14 +79,15 @@
 	assert.Equal(t, map[cacheRun]bool{near: true, far: true, somewhere: true}, present)
 	assert.Empty(t, asked)
 
-	g.roles.Store(deriveRoles("node-000", "z0", largeFleet(195), 0))
+	g.roles.Store(deriveRoles("node-000", "z0", largeFleet(195), 0, false))
 	require.False(t, g.serves())
 	present, asked = g.caches()
 	assert.Empty(t, present, "callers aren't sent here")
 	assert.Empty(t, asked)
 }
 
-// TestIdleNodeFollowsItsZonesCachesWhileAsked has a zone without a node that serves.
+// TestIdleNodeFollowsItsZonesCachesWhileAsked has a node to which callers aren't sent be asked,
+// as when the one that serves in its zone has failed.
 func TestIdleNodeFollowsItsZonesCachesWhileAsked(t *testing.T) {
 	g := idleGateway(t)
 	compiled, err := routes.Compile(routes.Document{Version: 1, Services: []routes.Service{{Name: "pool"}}})
@@ -99,13 +100,16 @@
 		})
 	}
 	g.settled.Store(true)
-	all := []membership.Member{{Node: g.node, Zone: "z0", State: membership.Alive, Capacity: 200}}
+	all := []membership.Member{
+		{Node: g.node, Zone: "z0", State: membership.Alive, Capacity: 200},
+		{Node: "large", Zone: "z0", State: membership.Alive, Capacity: 800},
+	}
 	for _, node := range []fleet.NodeID{"a", "b", "c", "d", "e", "f", "g", "h"} {
 		all = append(all, membership.Member{Node: node, Zone: "z1", State: membership.Alive, Capacity: 800})
 	}
-	g.roles.Store(deriveRoles(g.node, "z0", membership.NewView(1, all[0], all), 0))
+	g.roles.Store(deriveRoles(g.node, "z0", membership.NewView(1, all[0], all), 0, false))
 	require.False(t, g.serves())
-	assert.Equal(t, []fleet.NodeID{g.node}, g.roles.Load().CacheSources("z0"))
+	assert.Equal(t, []fleet.NodeID{"large", g.node}, g.roles.Load().CacheSources("z0"))
 	assert.Empty(t, present(g))
 	_, err = g.answerCaches(t.Context(), &rpc.CachesRequest{})
 	require.ErrorIs(t, err, errFollowsNone)
@@ -132,7 +136,7 @@
 		all = append(all, membership.Member{Node: node, Zone: "far", Region: "south", State: membership.Alive})
 	}
 	view := membership.NewView(1, all[0], all)
-	g.roles.Store(deriveRoles(g.node, "z0", view, 0))
+	g.roles.Store(deriveRoles(g.node, "z0", view, 0, false))
 	mirrors := g.roles.Load().CacheMirrors("far", "north")
 	require.Len(t, mirrors, 2)
 	far := g.roles.Load().CacheSources("far")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,15 +61,22 @@
 	tables       []*table
 	sources      *sources
 	demand       *demand
+	origins      *origins
+	pressure     *pressure
 	readiness    *readiness
 	announcer    *announcer
 	toldVersions *toldVersions
 	cacheLog     *cacheLog
 	zoneFeeds    *zoneFeeds
 	roles        atomic.Pointer[nodeRoles]
-	// joined is used by assign alone; settled is set once this node knows its role.
+	// sizes and joined are used by assign alone; settled is set once this node knows its role.
+	sizes   membership.SizeHold
 	joined  joinedMembers
 	settled atomic.Bool
+	// duty is used by driveRollout alone; standIn is set while this node stands in for
+	// the candidates of the lease.
+	duty    dutyWatch
+	standIn atomic.Bool
 
 	splitMutex sync.Mutex
 	splitter   *routes.Splitter
@@ -119,6 +126,8 @@
 		pending:  newPendingSends(),
 		idle:     newIdleConnections(),
 		demand:   newDemand(),
+		origins:  newOrigins(),
+		pressure: &pressure{},
 
 		readiness:    newReadiness(),
 		announcer:    newAnnouncer(),
@@ -179,7 +188,7 @@
 				Address:  fleet.Address(g.settings().PeerAddress),
 				Region:   g.settings().Region,
 				Zone:     g.settings().Zone,
-				Capacity: uint32(g.settings().ProcessorShare * perThousand),
+				Capacity: g.settings().Limits.Thousandths(),
 			},
 			Random: random,
 		},
@@ -243,6 +252,7 @@
 	g.peers.Start()
 	g.life.Go(g.watchPeers)
 	g.life.Go(g.driveRoles)
+	g.life.Go(g.drivePressure)
 	g.life.Go(g.register)
 	g.life.Go(g.shareLoads)
 	g.life.Go(g.announceLoads)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,9 @@
 	unreadable    *prometheus.CounterVec
 	quotaUnits    *prometheus.CounterVec
 	quotaShare    *prometheus.GaugeVec
+	pressure      prometheus.Gauge
+	untaken       prometheus.Counter
+	beforeSend    prometheus.Histogram
 }
 
 // bytesMetric is the name under which the bytes of all connections are counted.
@@ -26,6 +29,9 @@
 // latencyBuckets are the upper bounds of the histograms, in seconds.
 var latencyBuckets = []float64{.01, .025, .05, .1, .2, .3, .5, .8, 1.2, 2, 4, 8}
 
+// ownTimeBuckets are the upper bounds of the time that a node takes itself, in seconds.
+var ownTimeBuckets = []float64{.0005, .001, .002, .005, .01, .025, .05, .1, .25}
+
 func newMetrics(registry *prometheus.Registry, meter *traffic.Meter) *metrics {
 	m := &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -60,9 +66,19 @@
 			Name: "tillerfall_gateway_quota_share", Help: "Part of a tenant's quota that the node and those in touch had at the last refusal.",
 		}, []string{"tenant"}),
 	}
+	m.pressure = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "tillerfall_gateway_pressure", Help: "How near the node is to its limits: 0 free, 1 busy, 2 full.",
+	})
+	m.untaken = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "tillerfall_gateway_untaken_connections_total", Help: "Connections of callers closed for want of descriptors.",
+	})
+	m.beforeSend = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "tillerfall_gateway_before_send_seconds", Help: "Time from a request's head to its first send to a worker.",
+		Buckets: ownTimeBuckets,
+	})
 	if registry != nil {
-		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders, m.unreadable, m.quotaUnits, m.quotaShare,
-			traffic.NewCollector(meter, bytesMetric))
+		registry.MustRegister(m.pressure, m.untaken, m.beforeSend, traffic.NewCollector(meter, bytesMetric))
+		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders, m.unreadable, m.quotaUnits, m.quotaShare)
 	}
 	return m
 }
--- a/internal/gateway/quotas_test.go
+++ b/internal/gateway/quotas_test.go
@@ -14,7 +14,7 @@
 // requests: those of tenants with a limit, whether admitted or not, have it talk about uses.
 func TestIdleNodeTellsUsesOnlyForLimitedTenants(t *testing.T) {
 	g := idleGateway(t)
-	g.roles.Store(deriveRoles("node-000", "z0", largeFleet(195), 0))
+	g.roles.Store(deriveRoles("node-000", "z0", largeFleet(195), 0, false))
 	require.False(t, g.serves())
 	require.Empty(t, g.loadPeers())
 	request := func(tenant *routes.Tenant) *carried {
--- a/internal/gateway/roles_test.go
+++ b/internal/gateway/roles_test.go
@@ -67,7 +67,7 @@
 	candidates := all.Candidates(rolloutLease)
 	sharing := 0
 	for _, member := range view.Members() {
-		roles := deriveRoles(member.Node, member.Zone, view, 100)
+		roles := deriveRoles(member.Node, member.Zone, view, 100, false)
 		if !roles.sharesLoads {
 			assert.Empty(t, roles.loadPeers)
 			continue
@@ -84,7 +84,7 @@
 func TestNodeAtRestLooksSeldomAtTheRollout(t *testing.T) {
 	g := idleGateway(t)
 	assert.Equal(t, rolloutInterval, g.rolloutPause(), "alone it serves")
-	g.roles.Store(deriveRoles("node-000", "z0", largeFleet(195), 0))
+	g.roles.Store(deriveRoles("node-000", "z0", largeFleet(195), 0, false))
 	require.False(t, g.roles.Load().sharesLoads)
 	assert.Equal(t, rolloutRest, g.rolloutPause())
 	g.inFlight.Store(1)
@@ -130,7 +130,7 @@
 	assert.Equal(t, watchRetryMax, g.watchPause(watchUseless, useless))
 	assert.Zero(t, watchQuiet.countUseless(useless))
 	assert.Zero(t, g.watchPause(watchNews, 0), "callers are sent here")
-	g.roles.Store(deriveRoles("node-000", "z0", largeFleet(195), 0))
+	g.roles.Store(deriveRoles("node-000", "z0", largeFleet(195), 0, false))
 	assert.Equal(t, watchGather, g.watchPause(watchNews, 0))
 	assert.Zero(t, g.watchPause(watchQuiet, 0))
 }
@@ -152,7 +152,7 @@
 	g.workersKnown.Store(true)
 	g.settled.Store(false)
 	assert.Empty(t, present(g))
-	assert.Empty(t, g.frontAddresses())
+	assert.Empty(t, g.frontAddresses(ResolutionQuery{}))
 	g.taken.Store(1)
 	assert.Empty(t, present(g))
 	g.taken.Store(2)
@@ -160,7 +160,7 @@
 	g.taken.Store(0)
 	g.settled.Store(true)
 	assert.Len(t, present(g), engines)
-	assert.Len(t, g.frontAddresses(), 1)
+	assert.Len(t, g.frontAddresses(ResolutionQuery{}), 1)
 }
 
 // TestNodeThatKnowsTheTablesAsksNoMoreOfTheStore has a fleet start before its operator
@@ -185,7 +185,7 @@
 		b.Run(fmt.Sprint(members), func(b *testing.B) {
 			view := largeFleet(members)
 			for b.Loop() {
-				deriveRoles("node-000", "z0", view, 100)
+				deriveRoles("node-000", "z0", view, 100, false)
 			}
 		})
 	}
@@ -196,3 +196,20 @@
 	caches, _ := g.caches()
 	return caches
 }
+
+// TestNodeThatHasJustStartedPlansByEqualParts has the first rates that it hears come from one
+// place alone.
+func TestNodeThatHasJustStartedPlansByEqualParts(t *testing.T) {
+	g := idleGateway(t)
+	g.demand.setSharing(true)
+	first := func(now time.Duration) membership.RoleOptions {
+		g.demand.peer(now, g.node, 100)
+		return g.roleOptions(now, 100, g.roles.Load())
+	}
+	for now := time.Duration(0); now < planAfter; now += rolesInterval {
+		options := first(now)
+		require.Empty(t, options.Origins)
+		require.Empty(t, options.Least)
+	}
+	assert.NotEmpty(t, first(planAfter).Origins)
+}
