Name a node that doesn't answer its peers to no caller before the membership knows

Change: nodes that share loads tell who hasn't answered twice in a row with the watches; nobody names it until it is heard or the word is 3 s old.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -41,5 +41,5 @@
 		return g.ready()
 	}
 	current, found := g.peers.View().Find(member.Node)
-	return found && current.State == membership.Alive
+	return found && current.State == membership.Alive && !g.origins.silent(g.now(), member.Node)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,7 @@
 	demand    *demand
 	origins   *origins
 	pressure  *pressure
+	silences  *silences
 	readiness *readiness
 	announcer *announcer
 	roles     atomic.Pointer[nodeRoles]
@@ -118,6 +119,7 @@
 		demand:   newDemand(),
 		origins:  newOrigins(),
 		pressure: &pressure{},
+		silences: newSilences(),
 
 		readiness: newReadiness(),
 		announcer: newAnnouncer(),
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -144,12 +144,24 @@
 	return pressed
 }
 
+// silent tells whether a node is said to be unreachable.
+func (o *origins) silent(now time.Duration, node fleet.NodeID) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	told, found := o.pressures[node]
+	return found && told.pressure == unreachable && now <= told.measured+rateValid
+}
+
 // planWeights returns by which part of their capacity nodes under pressure count; the same
 // map as long as nothing has changed.
 func (o *origins) planWeights(now time.Duration) map[fleet.NodeID]float64 {
 	weights := make(map[fleet.NodeID]float64)
 	for node, told := range o.pressed(now) {
-		weights[node] = told.pressure.Weight()
+		// A silent node's neighbours may be lost as well, unheard: none is taken in its
+		// place before the membership knows.
+		if told.pressure != unreachable {
+			weights[node] = told.pressure.Weight()
+		}
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -208,8 +220,8 @@
 	}
 }
 
-// decodePressure reads a pressure from its transmitted form; one that this node doesn't
-// know counts as the highest.
+// decodePressure reads a pressure, or the word that a node is unreachable, from its transmitted
+// form; one that this node doesn't know counts as the highest.
 func decodePressure(encoded uint32) nodecapacity.Pressure {
-	return nodecapacity.Pressure(min(encoded, uint32(nodecapacity.Full)))
+	return nodecapacity.Pressure(min(encoded, uint32(unreachable)))
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -119,6 +119,7 @@
 			if !present[node] {
 				g.workers.ForgetPeer(node)
 				g.demand.forget(node)
+				g.silences.forget(node)
 			}
 		}
 		known = present
@@ -147,6 +148,7 @@
 	defer cancel()
 	begun := g.now()
 	report, err := g.peers.ExchangeLoad(ctx, member.Address, g.loadReport(member.Node))
+	g.noteExchange(member.Node, err == nil)
 	if err != nil {
 		g.metrics.shareFailures.Inc()
 		return
