--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,7 @@
 	sources      *sources
 	demand       *demand
 	origins      *origins
+	silences     *silences
 	pressure     *pressure
 	readiness    *readiness
 	announcer    *announcer
@@ -128,6 +129,7 @@
 		demand:   newDemand(),
 		origins:  newOrigins(),
 		pressure: &pressure{},
+		silences: newSilences(),
 
 		readiness:    newReadiness(),
 		announcer:    newAnnouncer(),
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -120,6 +120,7 @@
 			if !present[node] {
 				g.workers.ForgetPeer(node)
 				g.demand.forget(node)
+				g.silences.forget(node)
 				g.toldVersions.forget(node)
 			}
 		}
@@ -149,6 +150,7 @@
 	defer cancel()
 	begun := g.now()
 	report, err := g.peers.ExchangeLoad(ctx, member.Address, g.loadReport(member.Node))
+	g.noteExchange(member.Node, err == nil)
 	if err != nil {
 		g.metrics.shareFailures.Inc()
 		return
