--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +21,11 @@
 	joinSettled = 400 * time.Millisecond
 	joinGrace   = time.Second
 	firstGrace  = 2 * time.Second
+	// planAfter is how long after its start a node plans by equal parts of the places and
+	// keeps no group's size. After a loss of all of 16 nodes 9.7 served in the mean instead
+	// of 6.0, as each had begun to plan at once; they took a fifth more of the processor and
+	// of the bytes between zones in the whole day.
+	planAfter = 5 * time.Second
 )
 
 // joining tells whether this node has just started and may not know its role yet.
@@ -58,6 +64,12 @@
 	demand float64
 	// standsIn is set while this node stands in for the candidates.
 	standsIn bool
+	// origins and weights are what else it was derived from: the demand by place, and the
+	// parts by which nodes under pressure count. least is the least sizes of the serving
+	// groups.
+	origins map[membership.Place]float64
+	weights map[fleet.NodeID]float64
+	least   map[membership.Place]int
 	// reader is set if it is this node's role to read the store, candidate if it
 	// takes the lease of the weights, and sharesLoads if it is among those that tell
 	// each other what they send: those that serve, the candidates, and who stands in for
@@ -76,10 +88,17 @@
 
 // deriveRoles returns the roles of a view's members at a demand in requests a second.
 func deriveRoles(self fleet.NodeID, zone fleet.ZoneName, view *membership.View, demand float64, standsIn bool) *nodeRoles {
-	all := membership.Assign(view, demand, membership.RoleOptions{})
+	return deriveRolesBy(self, zone, view, demand, standsIn, membership.RoleOptions{})
+}
+
+// deriveRolesBy returns the roles by what else is known.
+func deriveRolesBy(self fleet.NodeID, zone fleet.ZoneName, view *membership.View, demand float64, standsIn bool,
+	options membership.RoleOptions) *nodeRoles {
+	all := membership.Assign(view, demand, options)
 	candidates := all.Candidates(rolloutLease)
 	roles := &nodeRoles{
 		Roles: all, view: view, demand: demand, standsIn: standsIn,
+		origins: options.Origins, weights: options.Weights, least: options.Least,
 		reader:      all.Reads(self),
 		candidate:   slices.Contains(candidates, self),
 		readerOrder: all.ReaderOrder(zone),
@@ -99,6 +118,25 @@
 	return roles
 }
 
+// roleOptions returns what is planned for besides the demand. A node that has just started
+// hears of a few nodes' requests first: it would take one place for the origin of all, and
+// keep a group for it that is far too large.
+func (g *Gateway) roleOptions(now time.Duration, demand float64, before *nodeRoles) membership.RoleOptions {
+	options := membership.RoleOptions{Weights: g.origins.planWeights(now)}
+	origins := g.origins.plan(g.originRates(now))
+	if before == nil || now < planAfter {
+		return options
+	}
+	options.Origins = origins
+	options.Least = g.sizes.Observe(now, demand, before.Needed())
+	return options
+}
+
+// plannedOtherwise tells whether other roles may follow from the options.
+func (r *nodeRoles) plannedOtherwise(options membership.RoleOptions) bool {
+	return !maps.Equal(r.origins, options.Origins) || !maps.Equal(r.weights, options.Weights) || !maps.Equal(r.least, options.Least)
+}
+
 // driveRoles keeps this node's part up to date with the membership and the demand.
 func (g *Gateway) driveRoles() error {
 	for {
@@ -116,8 +154,9 @@
 	before := g.roles.Load()
 	roles := before
 	view, demand, standsIn := g.peers.View(), g.demand.planned(now), g.standIn.Load()
-	if before == nil || before.view != view || before.demand != demand || before.standsIn != standsIn {
-		roles = deriveRoles(g.node, g.settings().Zone, view, demand, standsIn)
+	options := g.roleOptions(now, demand, before)
+	if before == nil || before.view != view || before.demand != demand || before.standsIn != standsIn || before.plannedOtherwise(options) {
+		roles = deriveRolesBy(g.node, g.settings().Zone, view, demand, standsIn, options)
 		g.roles.Store(roles)
 		g.demand.setSharing(roles.sharesLoads)
 	}
@@ -142,19 +181,3 @@
 
 // memberCount returns how many gateways there are, this one included.
 func (g *Gateway) memberCount() int { return max(len(g.peers.View().Members()), 1) }
-
-// listed returns the members that the directory names: those that serve, without
-// suspects as long as half of them is left.
-func (g *Gateway) listed() []membership.Member {
-	serving := g.roles.Load().Serving
-	alive := make([]membership.Member, 0, len(serving))
-	for _, member := range serving {
-		if current, found := g.peers.View().Find(member.Node); found && current.State == membership.Alive {
-			alive = append(alive, current)
-		}
-	}
-	if 2*len(alive) < len(serving) {
-		return serving
-	}
-	return alive
-}
--- a/internal/gateway/roles_test.go
+++ b/internal/gateway/roles_test.go
@@ -152,7 +152,7 @@
 	g.workersKnown.Store(true)
 	g.settled.Store(false)
 	assert.Empty(t, g.caches())
-	assert.Empty(t, g.frontAddresses())
+	assert.Empty(t, g.frontAddresses(ResolutionQuery{}))
 	g.taken.Store(1)
 	assert.Empty(t, g.caches())
 	g.taken.Store(2)
@@ -160,7 +160,7 @@
 	g.taken.Store(0)
 	g.settled.Store(true)
 	assert.Len(t, g.caches(), engines)
-	assert.Len(t, g.frontAddresses(), 1)
+	assert.Len(t, g.frontAddresses(ResolutionQuery{}), 1)
 }
 
 // TestNodeThatKnowsTheTablesAsksNoMoreOfTheStore has a fleet start before its operator
@@ -190,3 +190,20 @@
 		})
 	}
 }
+
+// TestNodeThatHasJustStartedPlansByEqualParts has the first rates that it hears come from one
+// place alone.
+func TestNodeThatHasJustStartedPlansByEqualParts(t *testing.T) {
+	g := idleGateway(t)
+	g.demand.setSharing(true)
+	first := func(now time.Duration) membership.RoleOptions {
+		g.demand.peer(now, g.node, 100)
+		return g.roleOptions(now, 100, g.roles.Load())
+	}
+	for now := time.Duration(0); now < planAfter; now += rolesInterval {
+		options := first(now)
+		require.Empty(t, options.Origins)
+		require.Empty(t, options.Least)
+	}
+	assert.NotEmpty(t, first(planAfter).Origins)
+}
