Drive deliveries of services' versions at the gateway

Nothing read the operator's orders to move a service to a version. A directive that isn't final is taken from answers to own calls only: a call that lay in a frozen process's socket would make it younger than it is.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -64,6 +64,8 @@
 	work     placedWork
 	first    bool
 	ended    bool
+	// took is the time from the choice until the answer began.
+	took time.Duration
 }
 
 // Outcome tells how a request at a worker went.
@@ -97,6 +99,19 @@
 func (r *Registry) Choose(now time.Duration, request *Request) (*Placement, Refusal) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	placement, refusal := r.choose(now, request)
+	next := request.Versions.Fallback()
+	if placement != nil || next == nil || !request.Versions.WantsTarget() {
+		return placement, refusal
+	}
+	// A delivery's few target workers may be full or slow while others have room.
+	limited := *request
+	limited.Versions = next
+	return r.choose(now, &limited)
+}
+
+// choose is Choose; the mutex is held.
+func (r *Registry) choose(now time.Duration, request *Request) (*Placement, Refusal) {
 	candidates, reason := r.candidates(now, request)
 	if len(candidates) == 0 {
 		return nil, Refusal{Reason: reason}
@@ -258,6 +273,17 @@
 // Prefill returns the prompt work of the request, in tokens.
 func (p *Placement) Prefill() int { return p.work.prefill }
 
+// Took returns the time from the choice until the answer began, or until now if it hasn't.
+func (p *Placement) Took(now time.Duration) time.Duration {
+	r := p.registry
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if !p.first {
+		return now - p.begun
+	}
+	return p.took
+}
+
 // FirstByte notes that the worker's answer has begun.
 func (p *Placement) FirstByte(now time.Duration) {
 	r := p.registry
@@ -267,6 +293,7 @@
 		return
 	}
 	p.first = true
+	p.took = now - p.begun
 	p.state.endPrefill(p.work)
 	p.state.trust(now)
 	if p.Engine != nil {
--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -63,6 +63,9 @@
 	SaveTo fleet.Address
 	// Predicted is the time until the first event.
 	Predicted time.Duration
+	// Baseline is Predicted of an engine that isn't slower than the service's others: one
+	// version's times are compared with another's by it.
+	Baseline time.Duration
 	// Prefix names the last shared part of the prompt.
 	Prefix string
 	// SharedParts is the number of the prompt's shared parts, of SharedTokens
@@ -159,6 +162,7 @@
 		CachedTokens:   decision.CachedTokens,
 		ImportedTokens: decision.ImportedTokens,
 		Predicted:      decision.FirstToken,
+		Baseline:       time.Duration(float64(decision.FirstToken) / max(chosen.slowness, 1)),
 		Prefix:         PrefixName(engine.Parts),
 		SharedParts:    shared,
 		SharedTokens:   sharedTokens(ends, shared),
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -92,6 +92,9 @@
 // sendTo sends the request to a chosen worker and passes the answer on.
 func (g *Gateway) sendTo(ctx context.Context, current *carried, placement *backends.Placement) attempt.Step {
 	current.worker = string(placement.Worker.ID)
+	if g.deliveries.targets(placement.Worker.Service, placement.Worker.Software) {
+		current.wasAtTarget = true
+	}
 	g.logPlacement(current, placement)
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -197,6 +200,7 @@
 
 // ended notes and logs how a send went.
 func (g *Gateway) ended(current *carried, placement *backends.Placement, outcome backends.Outcome, cause string) {
+	g.noteDelivery(current, placement, outcome)
 	placement.End(g.now(), outcome)
 	g.metrics.attempts.WithLabelValues(string(placement.Worker.Service), outcome.String()).Inc()
 	if outcome == backends.Succeeded {
@@ -233,6 +237,7 @@
 		Free: func(worker *backends.Worker) bool {
 			return g.upstreams.Free(g.destination(current, worker))
 		},
+		Versions: g.versions(current),
 	}
 	if engine := current.service.Engine; engine != nil {
 		request.Engine = &backends.EngineRequest{
--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/delivery"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/platform"
 	"github.com/tillerfall/tillerfall/internal/rollout"
@@ -37,6 +38,10 @@
 	DocumentRevision fleet.Revision
 	// Weights lists named versions.
 	Weights []NamedWeights
+	// Deliveries lists orders to move a service to a version of its software.
+	Deliveries []delivery.Order
+	// RefusedDeliveries lists the orders of that kind that can't be used.
+	RefusedDeliveries []Unreadable
 	// Unreadable lists the parts of the configuration that couldn't be read and are left
 	// as they were.
 	Unreadable []Unreadable
@@ -66,6 +71,23 @@
 	Err error
 }
 
+// StoredDelivery is what the store holds of one service's delivery.
+type StoredDelivery struct {
+	delivery.Record
+	// Version is that of the record in the store; 0 if there is none.
+	Version fleet.Revision
+}
+
+// StoredDeliveries is what the store holds of deliveries.
+type StoredDeliveries struct {
+	// Records holds those that couldn't be read too, without a target.
+	Records []StoredDelivery
+	// Unreadable tells why records couldn't be read.
+	Unreadable []Unreadable
+	// StoreTime is the store's steady clock at the answer.
+	StoreTime time.Duration
+}
+
 // Node is another gateway as the store knows it.
 type Node struct {
 	// Name is the machine's name.
@@ -94,6 +116,13 @@
 	// ReadNodes returns the nodes that have ever registered, without rows that can't
 	// be read.
 	ReadNodes(ctx context.Context) ([]Node, []Unreadable, error)
+	// ReadDeliveries returns the records of deliveries.
+	ReadDeliveries(ctx context.Context) (*StoredDeliveries, error)
+	// WriteDelivery writes a record together with the status that operators read, if the
+	// store's record still has the version that was expected; 0 expects none. It returns
+	// what the store holds afterwards, together with platform.ErrConflict if that isn't the
+	// record. After another error nothing is known of the outcome.
+	WriteDelivery(ctx context.Context, record delivery.Record, expected fleet.Revision) (StoredDelivery, error)
 }
 
 // EngineCalls are the calls to an engine besides requests.
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -34,7 +34,8 @@
 	current.lost = nil
 	now := g.now()
 	var placement *backends.Placement
-	if current.tenant == nil || g.mayServeKeyed() {
+	allowed := g.versions(current).Allows(lost.Engine.CopyTo.ID, lost.Engine.CopyTo.Software)
+	if allowed && (current.tenant == nil || g.mayServeKeyed()) {
 		placement = g.workers.Continue(now, lost, current.metadata.Model)
 	}
 	if placement == nil {
--- /dev/null
+++ b/internal/gateway/deliverycodec.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/delivery"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// perMillion is the unit of transmitted shares.
+const perMillion = 1_000_000
+
+// encodeDirective returns a directive in its transmitted form; its age is never less than
+// the true one.
+func encodeDirective(now time.Duration, directive *delivery.Directive) *rpc.DeliveryDirective {
+	encoded := &rpc.DeliveryDirective{
+		Service:      string(directive.Service),
+		Target:       string(directive.Target),
+		Revision:     uint64(directive.Revision),
+		Sequence:     directive.Sequence,
+		Stage:        uint32(directive.Stage),
+		Issuer:       string(directive.Issuer),
+		AgeMillis:    uint32(min(max(now-directive.IssuedAt, 0).Milliseconds()+1, maxAgeMillis)),
+		DefaultShare: encodeShare(directive.DefaultShare),
+	}
+	for route, share := range directive.Shares {
+		encoded.Shares = append(encoded.Shares, &rpc.RouteShare{Route: string(route), Share: encodeShare(share)})
+	}
+	for _, worker := range directive.Canaries {
+		encoded.Canaries = append(encoded.Canaries, string(worker))
+	}
+	for _, version := range directive.Condemned {
+		encoded.Condemned = append(encoded.Condemned, string(version))
+	}
+	return encoded
+}
+
+// maxAgeMillis bounds transmitted ages.
+const maxAgeMillis = 1 << 31
+
+// decodeDirective reads a directive from its transmitted form. at is a time on this node's
+// clock at which its age was not yet what it tells.
+func decodeDirective(at time.Duration, encoded *rpc.DeliveryDirective) (delivery.Directive, bool) {
+	stage := delivery.Stage(encoded.GetStage())
+	if stage < delivery.StageCanary || stage > delivery.StageRolledBack || encoded.GetService() == "" || encoded.GetTarget() == "" {
+		return delivery.Directive{}, false
+	}
+	directive := delivery.Directive{
+		Service:      fleet.PoolName(encoded.GetService()),
+		Target:       fleet.SoftwareVersion(encoded.GetTarget()),
+		Revision:     fleet.Revision(encoded.GetRevision()),
+		Sequence:     encoded.GetSequence(),
+		Stage:        stage,
+		Issuer:       fleet.NodeID(encoded.GetIssuer()),
+		IssuedAt:     at - time.Duration(encoded.GetAgeMillis())*time.Millisecond,
+		Shares:       make(map[delivery.RouteName]float64, len(encoded.GetShares())),
+		DefaultShare: decodeShare(encoded.GetDefaultShare()),
+	}
+	for _, share := range encoded.GetShares() {
+		directive.Shares[delivery.RouteName(share.GetRoute())] = decodeShare(share.GetShare())
+	}
+	for _, worker := range encoded.GetCanaries() {
+		directive.Canaries = append(directive.Canaries, fleet.EngineID(worker))
+	}
+	for _, version := range encoded.GetCondemned() {
+		directive.Condemned = append(directive.Condemned, fleet.SoftwareVersion(version))
+	}
+	return directive, true
+}
+
+func encodeShare(share float64) uint32 { return uint32(min(max(share, 0), 1) * perMillion) }
+
+func decodeShare(share uint32) float64 { return min(float64(share)/perMillion, 1) }
+
+// encodeEvidence returns evidence in its transmitted form.
+func encodeEvidence(evidence *delivery.Evidence) *rpc.DeliveryEvidence {
+	encoded := &rpc.DeliveryEvidence{
+		Service: string(evidence.Service), Revision: uint64(evidence.Revision), Stopped: evidence.Stopped,
+	}
+	for route, counts := range evidence.Old {
+		encoded.Counts = append(encoded.Counts, encodeCounts(route, "", counts))
+	}
+	for route, workers := range evidence.New {
+		for worker, counts := range workers {
+			encoded.Counts = append(encoded.Counts, encodeCounts(route, worker, counts))
+		}
+	}
+	return encoded
+}
+
+func encodeCounts(route delivery.RouteName, worker fleet.EngineID, counts *delivery.Counts) *rpc.DeliveryCounts {
+	used := len(counts.Latency)
+	for used > 0 && counts.Latency[used-1] == 0 {
+		used--
+	}
+	latency := make([]uint32, used)
+	copy(latency, counts.Latency[:used])
+	return &rpc.DeliveryCounts{
+		Route: string(route), Worker: string(worker), Answers: counts.Answers, Failures: counts.Failures, Latency: latency,
+	}
+}
+
+// decodeEvidence reads evidence from its transmitted form.
+func decodeEvidence(encoded *rpc.DeliveryEvidence) delivery.Evidence {
+	evidence := delivery.Evidence{
+		Service:  fleet.PoolName(encoded.GetService()),
+		Revision: fleet.Revision(encoded.GetRevision()),
+		Old:      make(map[delivery.RouteName]*delivery.Counts),
+		New:      make(map[delivery.RouteName]map[fleet.EngineID]*delivery.Counts),
+		Stopped:  encoded.GetStopped(),
+	}
+	for _, told := range encoded.GetCounts() {
+		counts := &delivery.Counts{Answers: told.GetAnswers(), Failures: told.GetFailures()}
+		copy(counts.Latency[:], told.GetLatency())
+		route := delivery.RouteName(told.GetRoute())
+		if told.GetWorker() == "" {
+			evidence.Old[route] = counts
+			continue
+		}
+		if evidence.New[route] == nil {
+			evidence.New[route] = make(map[fleet.EngineID]*delivery.Counts)
+		}
+		evidence.New[route][fleet.EngineID(told.GetWorker())] = counts
+	}
+	return evidence
+}
--- /dev/null
+++ b/internal/gateway/deliverypeers.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/delivery"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+const (
+	// directiveOld is the age from which on a directive is asked for anew when another
+	// node names it.
+	directiveOld = delivery.DirectiveValid / 2
+	// deliveryTimeout bounds one exchange about deliveries alone.
+	deliveryTimeout = 250 * time.Millisecond
+)
+
+// takeOrders takes in the orders among the operator's rows, which were written at a time at
+// the latest.
+func (g *Gateway) takeOrders(now, at time.Duration, rows *OperatorRows) {
+	for _, refused := range rows.RefusedDeliveries {
+		g.refuseOrder(refused.Key, refused.Err)
+	}
+	for _, order := range rows.Deliveries {
+		news, err := g.deliveries.order(now, at, order)
+		if err != nil {
+			g.refuseOrder(string(order.Service), err)
+			continue
+		}
+		if news {
+			g.logger.Info().Str("service", string(order.Service)).Str("target", string(order.Target)).
+				Dur("duration", order.Duration).Uint64("revision", uint64(order.Revision)).Dur("age", now-at).Msg("delivery_ordered")
+		}
+	}
+}
+
+// refuseOrder logs that an order can't be used; the former state holds.
+func (g *Gateway) refuseOrder(key string, err error) {
+	g.logger.Error().Str("key", key).Err(err).Int("code", int(resultcode.DeliveryInvalid)).
+		Str("name", resultcode.DeliveryInvalid.String()).Msg("delivery_refused")
+}
+
+// versions returns what limits a request's choice of a worker to versions of the service.
+func (g *Gateway) versions(current *carried) *delivery.Choice {
+	return g.deliveries.choose(g.now(), current.service.Name, delivery.RouteName(current.route.Name), current.draw, current.wasAtTarget)
+}
+
+// noteDelivery counts what an answer says about its worker's version. A request that was
+// refused, not sent or cancelled says nothing.
+func (g *Gateway) noteDelivery(current *carried, placement *backends.Placement, outcome backends.Outcome) {
+	failed := outcome == backends.Failed || outcome == backends.Lost
+	worker := &placement.Worker
+	if (outcome != backends.Succeeded && !failed) || !g.deliveries.follows(worker.Service) {
+		return
+	}
+	noted := delivery.Outcome{
+		Service: worker.Service, Route: delivery.RouteName(current.route.Name), Worker: worker.ID, Version: worker.Software,
+		Failed: failed, Took: placement.Took(g.now()),
+	}
+	if placement.Engine != nil {
+		noted.Predicted = placement.Engine.Baseline
+	}
+	if placement.Engine != nil && noted.Predicted <= 0 && !failed {
+		// A run that goes on from a copy has no prediction to compare with.
+		return
+	}
+	result := "good"
+	if failed {
+		result = "failed"
+	}
+	g.metrics.deliveryAnswers.WithLabelValues(string(worker.Service), string(worker.Software), current.route.Name, result).Inc()
+	g.metrics.deliveryLatency.WithLabelValues(string(worker.Service), string(worker.Software), current.route.Name).Observe(noted.Took.Seconds())
+	if g.deliveries.note(g.now(), noted) {
+		g.logger.Warn().Str("service", string(worker.Service)).Str("target", string(worker.Software)).
+			Str("route", current.route.Name).Str("worker", string(worker.ID)).Msg("delivery_stopped")
+	}
+}
+
+// withDirectors returns members and those that direct deliveries besides.
+func (g *Gateway) withDirectors(members []membership.Member) []membership.Member {
+	for _, issuer := range g.deliveries.issuers(g.now()) {
+		if slices.ContainsFunc(members, func(member membership.Member) bool { return member.Node == issuer }) {
+			continue
+		}
+		if member, found := g.peers.View().Find(issuer); found {
+			members = append(slices.Clip(members), member)
+		}
+	}
+	return members
+}
+
+// takeDirectives takes in the directives of an answer to a call that was begun at a time:
+// they aren't younger than they were then.
+func (g *Gateway) takeDirectives(begun time.Duration, encoded []*rpc.DeliveryDirective) {
+	for _, told := range encoded {
+		if directive, readable := decodeDirective(begun, told); readable {
+			g.takeDirective(directive)
+		}
+	}
+}
+
+// takeDirective takes in a directive and logs a change.
+func (g *Gateway) takeDirective(directive delivery.Directive) {
+	now := g.now()
+	if !g.deliveries.take(now, directive) {
+		return
+	}
+	g.logger.Info().Str("service", string(directive.Service)).Str("target", string(directive.Target)).
+		Str("stage", directive.Stage.String()).Uint64("revision", uint64(directive.Revision)).Uint64("sequence", directive.Sequence).
+		Float64("default_share", directive.DefaultShare).Str("shares", shareText(directive.Shares)).Int("canaries", len(directive.Canaries)).
+		Str("issuer", string(directive.Issuer)).Dur("age", now-directive.IssuedAt).Msg("delivery_followed")
+}
+
+// shareText returns shares in order of the routes' names.
+func shareText(shares map[delivery.RouteName]float64) string {
+	parts := make([]string, 0, len(shares))
+	for route, share := range shares {
+		parts = append(parts, string(route)+":"+strconv.FormatFloat(share, 'g', 3, 64))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ",")
+}
+
+// heedPushed takes in what a call of another node tells of deliveries. The call may have
+// lain here while this process stood still, so that the age of a directive isn't known:
+// final ones count whatever their age, others are asked for.
+func (g *Gateway) heedPushed(report *rpc.LoadReport) {
+	now := g.now()
+	if report.GetDeliveriesOnly() {
+		g.deliveries.observe(now, fleet.NodeID(report.GetNode()), report.GetDeliveryEvidence())
+	}
+	for _, told := range report.GetDeliveries() {
+		directive, readable := decodeDirective(now, told)
+		switch {
+		case !readable:
+		case directive.Stage.Final():
+			g.takeDirective(directive)
+		case g.deliveries.lacks(now, &directive):
+			g.pullDeliveries(fleet.NodeID(report.GetNode()))
+		}
+	}
+}
+
+// pullDeliveries asks a node for what it knows of deliveries, unless one is being asked.
+func (g *Gateway) pullDeliveries(node fleet.NodeID) {
+	member, found := g.peers.View().Find(node)
+	if !found || !g.deliveries.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer g.deliveries.pulling.Store(false)
+		g.exchangeDeliveries(member)
+	}()
+}
+
+// deliveryReport returns what this node tells another one about deliveries alone.
+func (g *Gateway) deliveryReport(to fleet.NodeID) *rpc.LoadReport {
+	report := &rpc.LoadReport{Node: string(g.node), Partial: true, DeliveriesOnly: true}
+	g.deliveries.write(g.now(), report, to)
+	return report
+}
+
+// exchangeDeliveries tells a node about deliveries alone, and takes its answer in.
+func (g *Gateway) exchangeDeliveries(member membership.Member) {
+	if member.Node == g.node {
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.context(), deliveryTimeout)
+	defer cancel()
+	begun := g.now()
+	answer, err := g.peers.ExchangeLoad(ctx, member.Address, g.deliveryReport(member.Node))
+	if err != nil {
+		g.metrics.shareFailures.Inc()
+		return
+	}
+	g.deliveries.observe(g.now(), fleet.NodeID(answer.GetNode()), answer.GetDeliveryEvidence())
+	g.takeDirectives(begun, answer.GetDeliveries())
+}
+
+// announceDeliveries tells all nodes that share loads at once of a changed directive of
+// this node's, or that it has stopped sending to a target, until the process ends.
+func (g *Gateway) announceDeliveries() error {
+	for {
+		select {
+		case <-g.deliveries.announced:
+		case <-g.life.Dying():
+			return nil
+		}
+		for _, member := range g.loadPeers() {
+			go g.exchangeDeliveries(member)
+		}
+	}
+}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -55,6 +56,10 @@
 	// deadline is when the final answer is due.
 	deadline time.Duration
 	machine  *attempt.Forwarding
+	// draw is uniform in [0, 1): it decides once whether the request goes to the target of
+	// a delivery. wasAtTarget is set once it was sent there.
+	draw        float64
+	wasAtTarget bool
 	// lost is the placement whose run is to go on at another engine.
 	lost *backends.Placement
 	// cost is what the request has taken out of its tenant's quota.
@@ -91,7 +96,7 @@
 	now := g.now()
 	g.lastRequest.Store(int64(now))
 	g.demand.note()
-	current := &carried{writer: writer, request: request, began: now}
+	current := &carried{writer: writer, request: request, began: now, draw: rand.Float64()}
 	defer g.finish(current)
 	if refused := g.admit(current); refused != nil {
 		g.refuse(current, *refused)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,23 +46,24 @@
 	metrics *metrics
 	life    tomb.Tomb
 
-	holder    *routes.Holder
-	fresh     *routes.Freshness
-	workers   *backends.Registry
-	upstreams *upstream.Pool
-	budgets   *budgets
-	quotas    *quotas
-	weights   *weights
-	peers     *peer.Peer
-	keeper    *lease.Keeper
-	seeds     *seedList
-	pending   *pendingSends
-	tables    []*table
-	sources   *sources
-	demand    *demand
-	readiness *readiness
-	announcer *announcer
-	roles     atomic.Pointer[nodeRoles]
+	holder     *routes.Holder
+	fresh      *routes.Freshness
+	workers    *backends.Registry
+	upstreams  *upstream.Pool
+	budgets    *budgets
+	quotas     *quotas
+	weights    *weights
+	deliveries *deliveries
+	peers      *peer.Peer
+	keeper     *lease.Keeper
+	seeds      *seedList
+	pending    *pendingSends
+	tables     []*table
+	sources    *sources
+	demand     *demand
+	readiness  *readiness
+	announcer  *announcer
+	roles      atomic.Pointer[nodeRoles]
 	// joined is used by assign alone; settled is set once this node knows its role.
 	joined  joinedMembers
 	settled atomic.Bool
@@ -127,6 +128,7 @@
 	g.budgets = newBudgets(settings, g.retryShare)
 	g.quotas = newQuotas(g.clock.Now(), settings)
 	g.weights = newWeights(settings)
+	g.deliveries = newDeliveries(g.node, settings)
 	var err error
 	if g.peers, err = g.newPeer(random()); err != nil {
 		return nil, err
@@ -232,6 +234,8 @@
 	g.life.Go(g.announceLoads)
 	g.life.Go(g.shareUses)
 	g.life.Go(g.driveRollout)
+	g.life.Go(g.driveDeliveries)
+	g.life.Go(g.announceDeliveries)
 	g.life.Go(g.followCaches)
 	g.life.Go(g.housekeep)
 	g.life.Go(g.keepLease)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,10 @@
 	unreadable    *prometheus.CounterVec
 	quotaUnits    *prometheus.CounterVec
 	quotaShare    *prometheus.GaugeVec
+
+	deliveryAnswers *prometheus.CounterVec
+	deliveryLatency *prometheus.HistogramVec
+	deliveryShare   *prometheus.GaugeVec
 }
 
 // latencyBuckets are the upper bounds of the histograms, in seconds.
@@ -52,9 +56,20 @@
 		quotaShare: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "tillerfall_gateway_quota_share", Help: "Part of a tenant's quota that the node and those in touch had at the last refusal.",
 		}, []string{"tenant"}),
+		deliveryAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tillerfall_gateway_delivery_answers_total", Help: "Answers of a service with an order to deliver a version, by version, route and result.",
+		}, []string{"service", "version", "route", "result"}),
+		deliveryLatency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "tillerfall_gateway_delivery_first_byte_seconds", Help: "Time from a worker's choice to its first byte, by version and route.",
+			Buckets: latencyBuckets,
+		}, []string{"service", "version", "route"}),
+		deliveryShare: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "tillerfall_gateway_delivery_share", Help: "Part of a route's requests that a version's target is asked to get, and part of the answers that it gave.",
+		}, []string{"service", "route", "kind"}),
 	}
 	if registry != nil {
-		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders, m.unreadable, m.quotaUnits, m.quotaShare)
+		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders, m.unreadable, m.quotaUnits, m.quotaShare,
+			m.deliveryAnswers, m.deliveryLatency, m.deliveryShare)
 	}
 	return m
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -112,7 +112,7 @@
 			present[member.Node] = true
 		}
 		var group sync.WaitGroup
-		for _, member := range turn(peers, round, shareFanout) {
+		for _, member := range g.withDirectors(turn(peers, round, shareFanout)) {
 			group.Go(func() { g.exchange(member) })
 		}
 		group.Wait()
@@ -154,10 +154,15 @@
 	}
 	g.takeLoad(report)
 	g.takeProof(begun, report)
+	g.takeDirectives(begun, report.GetDeliveries())
 }
 
 // answerLoad answers another gateway's report with this one's.
 func (g *Gateway) answerLoad(_ context.Context, report *rpc.LoadReport) *rpc.LoadReport {
+	g.heedPushed(report)
+	if report.GetDeliveriesOnly() {
+		return g.deliveryReport(fleet.NodeID(report.GetNode()))
+	}
 	if report.GetPartial() {
 		return g.answerPartial(report)
 	}
@@ -206,6 +211,7 @@
 		report.Weights = g.knownVersions()
 	}
 	g.quotas.write(now, report, to)
+	g.deliveries.write(now, report, to)
 	if held := g.holder.Current(); held != nil {
 		if age, proven := g.fresh.Age(now); proven && age < g.settings().RevokeWithin {
 			report.ProofAgeMillis = uint32(age.Milliseconds()) + 1
@@ -274,6 +280,7 @@
 	g.learnNamed(report.GetNamed())
 	g.quotas.take(now, report)
 	g.demand.peer(now, fleet.NodeID(report.GetNode()), decodeRate(report.GetRequestRate()))
+	g.deliveries.observe(now, fleet.NodeID(report.GetNode()), report.GetDeliveryEvidence())
 	for _, versions := range report.GetWeights() {
 		g.workers.NoteVersion(fleet.EngineID(versions.GetWorker()), fleet.ModelName(versions.GetModel()),
 			backends.WeightsVersion(versions.GetVersion()))
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -226,6 +226,9 @@
 	for _, member := range peers {
 		go g.exchangeUses(member)
 	}
+	for _, member := range g.withDirectors(nil) {
+		go g.exchangeDeliveries(member)
+	}
 }
 
 // usePeers returns the nodes that this one tells what it admits: those that share
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -58,6 +58,12 @@
 	QuotaOvershoot float64
 	QuotaSlack     float64
 	QuotaWindow    time.Duration
+	// ExposureShare and ExposureSlack bound what a bad version of a service may get until
+	// its delivery's deadline: a part of the service's requests, and requests besides.
+	// RollbackWithin is the time after the first bad answers after which it must get none.
+	ExposureShare  float64
+	ExposureSlack  float64
+	RollbackWithin time.Duration
 	// LeaseGap is the least time between the orders of two holders.
 	LeaseGap time.Duration
 	// WeightsWithin is the time after the naming of a version after which no
@@ -78,6 +84,8 @@
 	DefaultRetryWindow   = 10 * time.Second
 	DefaultQuotaWindow   = 8 * time.Second
 	DefaultLeaseGap      = 3 * time.Second
+	DefaultExposureShare = 0.1
+	DefaultRollback      = 5 * time.Second
 	DefaultWeightsWithin = 8 * time.Second
 	DefaultConfigure     = 2 * time.Second
 	DefaultDirectoryTTL  = 5 * time.Second
@@ -93,6 +101,7 @@
 		{&s.StopGrace, DefaultStopGrace}, {&s.RevokeWithin, DefaultRevokeWithin},
 		{&s.RetryWindow, DefaultRetryWindow}, {&s.QuotaWindow, DefaultQuotaWindow},
 		{&s.LeaseGap, DefaultLeaseGap}, {&s.WeightsWithin, DefaultWeightsWithin},
+		{&s.RollbackWithin, DefaultRollback},
 		{&s.MaxDirectoryTTL, DefaultDirectoryTTL}, {&s.ConfigureWithin, DefaultConfigure},
 	} {
 		if *bound.field == 0 {
@@ -102,6 +111,9 @@
 	if s.RetryRatio == 0 {
 		s.RetryRatio = DefaultRetryRatio
 	}
+	if s.ExposureShare == 0 {
+		s.ExposureShare = DefaultExposureShare
+	}
 }
 
 // hasOtherSeeds tells whether other gateways may be there.
@@ -125,11 +137,18 @@
 	for name, bound := range map[string]time.Duration{
 		"stop grace": s.StopGrace, "revocation bound": s.RevokeWithin, "lease gap": s.LeaseGap,
 		"weights bound": s.WeightsWithin, "configuration bound": s.ConfigureWithin, "retry window": s.RetryWindow,
+		"rollback bound": s.RollbackWithin,
 	} {
 		if bound <= 0 {
 			return errors.Errorf("%s: %s isn't above 0", name, bound)
 		}
 	}
+	if !(s.ExposureShare >= 0 && s.ExposureShare <= 1) {
+		return errors.Errorf("exposure share: %v isn't between 0 and 1", s.ExposureShare)
+	}
+	if !(s.ExposureSlack >= 0) {
+		return errors.Errorf("exposure slack: %v is below 0", s.ExposureSlack)
+	}
 	return nil
 }
 
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -96,6 +96,7 @@
 	if decoded.Document != nil {
 		g.takeDocument(now, decoded)
 	}
+	g.takeOrders(now, at, decoded)
 }
 
 // changedAt returns when changes that are heard of now were made at the latest;
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -112,6 +112,7 @@
 		request.WaitMillis = 0
 	}
 	request.PositionsOf = string(source)
+	request.DeliveriesSeen = g.deliveries.seenOf(source)
 	for _, followed := range g.tables {
 		if followed.source != source {
 			followed.source, followed.seen = source, 0
@@ -139,6 +140,8 @@
 // that age.
 func (g *Gateway) takeWatch(source fleet.NodeID, begun time.Duration, response *rpc.WatchResponse) watchOutcome {
 	g.learnNamed(response.GetNamed())
+	g.takeDirectives(begun, response.GetDeliveries())
+	g.deliveries.noteSeen(source, response.GetDeliveriesSeen())
 	for _, message := range response.GetUpdates() {
 		followed := g.table(Table(message.GetTable()))
 		if followed == nil {
@@ -208,6 +211,7 @@
 		for _, followed := range g.tables {
 			changed = append(changed, followed.cache.Changed())
 		}
+		redirected := g.deliveries.changedAfter()
 		response, news := g.watchResponse(request)
 		if news {
 			return response
@@ -215,6 +219,7 @@
 		select {
 		case <-changed[0]:
 		case <-changed[1]:
+		case <-redirected:
 		case <-timer.C:
 			response, _ = g.watchResponse(request)
 			return response
@@ -236,10 +241,10 @@
 		Named:       g.namedVersions(now),
 		RequestRate: encodeRate(g.demand.total(now)),
 	}
+	news := g.deliveries.writeWatch(now, request, response)
 	if proven {
 		response.ProofAgeMillis = uint32(max(age, 0).Milliseconds()) + 1
 	}
-	news := false
 	for _, position := range request.GetPositions() {
 		followed := g.table(Table(position.GetTable()))
 		if followed == nil {
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -55,6 +55,7 @@
 	ConfigInvalid       Code = 5001
 	SettingsInvalid     Code = 5002
 	PlatformUnavailable Code = 5003
+	DeliveryInvalid     Code = 5004
 
 	Internal Code = 9001
 )
@@ -113,6 +114,7 @@
 	{ConfigInvalid, "config_invalid", http.StatusBadRequest, true, "The configuration has errors; each is listed."},
 	{SettingsInvalid, "settings_invalid", http.StatusBadRequest, true, "The settings file or a flag has errors; each is listed."},
 	{PlatformUnavailable, "platform_unavailable", http.StatusServiceUnavailable, true, "The platform can't be reached; nothing was changed."},
+	{DeliveryInvalid, "delivery_invalid", http.StatusBadRequest, true, "An order to deliver a service's version can't be used; the former state holds."},
 	{Internal, "internal", http.StatusInternalServerError, false, "A fault of the system itself; report the request id."},
 }
 
