Ask before a send whether a directive still allows it

A new connection may take some hundred ms, and a process may freeze between choice and send: a request chosen for the target under a directive that has lapsed since isn't sent there.

--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -80,7 +80,9 @@
 		return current.machine.NoWorker("configuration too old", 0)
 	}
 	g.requireDueSoon(now)
-	placement, refused := g.workers.Choose(now, g.choice(current))
+	choice := g.choice(current)
+	current.forTarget = choice.Versions.WantsTarget()
+	placement, refused := g.workers.Choose(now, choice)
 	if placement == nil {
 		return current.machine.NoWorker(refused.Reason, refused.RetryAfter)
 	}
@@ -92,9 +94,6 @@
 // sendTo sends the request to a chosen worker and passes the answer on.
 func (g *Gateway) sendTo(ctx context.Context, current *carried, placement *backends.Placement) attempt.Step {
 	current.worker = string(placement.Worker.ID)
-	if g.deliveries.targets(placement.Worker.Service, placement.Worker.Software) {
-		current.wasAtTarget = true
-	}
 	g.logPlacement(current, placement)
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -160,7 +159,7 @@
 	case errors.Is(err, errOutdated) && sent:
 		g.ended(current, placement, backends.Cancelled, err.Error())
 		return current.machine.Unanswered(g.now(), run)
-	case errors.Is(err, upstream.ErrTooManyConnections):
+	case errors.Is(err, upstream.ErrTooManyConnections), errors.Is(err, errNoTarget):
 		g.ended(current, placement, backends.Cancelled, err.Error())
 		return current.machine.NotSent(g.now(), run)
 	case !sent:
@@ -237,7 +236,7 @@
 		Free: func(worker *backends.Worker) bool {
 			return g.upstreams.Free(g.destination(current, worker))
 		},
-		Versions: g.versions(current),
+		Versions: g.versions(current, current.wasAtTarget),
 	}
 	if engine := current.service.Engine; engine != nil {
 		request.Engine = &backends.EngineRequest{
@@ -343,6 +342,7 @@
 		Host:   current.request.Host,
 		Header: header,
 		Body:   current.body,
+		Permit: func() error { return g.permitTarget(current, &placement.Worker) },
 		Accept: func(status int, header http.Header) error {
 			info := g.outside.Codec.Answer(status, header)
 			if info.RequestID != id && (info.RequestID != "" || !info.NotExecuted) {
--- a/internal/gateway/deliverypeers.go
+++ b/internal/gateway/deliverypeers.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/delivery"
 	"github.com/tillerfall/tillerfall/internal/fleet"
@@ -49,8 +51,24 @@
 }
 
 // versions returns what limits a request's choice of a worker to versions of the service.
-func (g *Gateway) versions(current *carried) *delivery.Choice {
-	return g.deliveries.choose(g.now(), current.service.Name, delivery.RouteName(current.route.Name), current.draw, current.wasAtTarget)
+// again is set if it was at the target and is to go elsewhere.
+func (g *Gateway) versions(current *carried, again bool) *delivery.Choice {
+	return g.deliveries.choose(g.now(), current.service.Name, delivery.RouteName(current.route.Name), current.draw, again)
+}
+
+// errNoTarget is the cause of a send that a directive allowed which counts no more.
+var errNoTarget = errors.New("target not allowed any more")
+
+// permitTarget returns an error if a request that was chosen to go to the target may not go
+// there any more: a new connection or a frozen process may have outlived the directive.
+func (g *Gateway) permitTarget(current *carried, worker *backends.Worker) error {
+	if !current.forTarget || !g.deliveries.targets(worker.Service, worker.Software) {
+		return nil
+	}
+	if !g.versions(current, false).WantsTarget() {
+		return errNoTarget
+	}
+	return nil
 }
 
 // noteDelivery counts what an answer says about its worker's version. A request that was
@@ -58,6 +76,9 @@
 func (g *Gateway) noteDelivery(current *carried, placement *backends.Placement, outcome backends.Outcome) {
 	failed := outcome == backends.Failed || outcome == backends.Lost
 	worker := &placement.Worker
+	if g.deliveries.targets(worker.Service, worker.Software) {
+		current.wasAtTarget = true
+	}
 	if (outcome != backends.Succeeded && !failed) || !g.deliveries.follows(worker.Service) {
 		return
 	}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -57,8 +57,11 @@
 	deadline time.Duration
 	machine  *attempt.Forwarding
 	// draw is uniform in [0, 1): it decides once whether the request goes to the target of
-	// a delivery. wasAtTarget is set once it was sent there.
-	draw        float64
+	// a delivery.
+	draw float64
+	// forTarget is set if the last choice was one for the target, wasAtTarget once the
+	// request was sent there.
+	forTarget   bool
 	wasAtTarget bool
 	// lost is the placement whose run is to go on at another engine.
 	lost *backends.Placement
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -89,6 +89,12 @@
 	if err != nil {
 		return nil, &Failure{Stage: NotSent, Cause: err}
 	}
+	if request.Permit != nil {
+		if err := request.Permit(); err != nil {
+			p.put(conn)
+			return nil, &Failure{Stage: NotSent, Cause: err}
+		}
+	}
 	current := &exchange{pool: p, conn: conn}
 	current.stop = context.AfterFunc(ctx, func() { conn.raw.Close() })
 	before := conn.written.Load()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -67,6 +67,9 @@
 	Header http.Header
 	// Body is the whole body; empty means none.
 	Body []byte
+	// Permit returns an error if the request may not be sent any more, right before it is:
+	// a connection may have taken its time. nil means that it always may.
+	Permit func() error
 	// Accept returns an error for an answer that belongs to another request.
 	Accept func(status int, header http.Header) error
 }
