--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -34,8 +34,7 @@
 	current.lost = nil
 	now := g.now()
 	var placement *backends.Placement
-	allowed := g.versions(current, false).Allows(lost.Engine.CopyTo.ID, lost.Engine.CopyTo.Software)
-	if allowed && (current.tenant == nil || g.mayServeKeyed()) {
+	if g.permits(current, &lost.Engine.CopyTo) && (current.tenant == nil || g.mayServeKeyed()) {
 		placement = g.workers.Continue(now, lost, current.metadata.Model)
 	}
 	if placement == nil {
--- a/internal/gateway/deliveries.go
+++ b/internal/gateway/deliveries.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -135,6 +136,21 @@
 	return found && order.Target == version
 }
 
+// condemned tells whether a version of a service was rolled back.
+func (d *deliveries) condemned(now time.Duration, service fleet.PoolName, version fleet.SoftwareVersion) bool {
+	if version == "" || !d.known.Load() {
+		return false
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, directive := range d.follower.Directives(now) {
+		if directive.Service == service && slices.Contains(directive.Condemned, version) {
+			return true
+		}
+	}
+	return false
+}
+
 // choose returns what limits the choice of a worker, nil if nothing does.
 func (d *deliveries) choose(now time.Duration, service fleet.PoolName, route delivery.RouteName, draw float64, again bool) *delivery.Choice {
 	if !d.known.Load() {
--- a/internal/gateway/deliverycodec.go
+++ b/internal/gateway/deliverycodec.go
@@ -24,6 +24,9 @@
 		AgeMillis:    uint32(min(max(now-directive.IssuedAt, 0).Milliseconds()+1, maxAgeMillis)),
 		DefaultShare: encodeShare(directive.DefaultShare),
 	}
+	if directive.ShiftAt > 0 {
+		encoded.ShiftInMillis = uint32(min(max(directive.ShiftAt-now, 0).Milliseconds(), maxAgeMillis)) + 1
+	}
 	for route, share := range directive.Shares {
 		encoded.Shares = append(encoded.Shares, &rpc.RouteShare{Route: string(route), Share: encodeShare(share)})
 	}
@@ -39,9 +42,10 @@
 // maxAgeMillis bounds transmitted ages.
 const maxAgeMillis = 1 << 31
 
-// decodeDirective reads a directive from its transmitted form. at is a time on this node's
-// clock at which its age was not yet what it tells.
-func decodeDirective(at time.Duration, encoded *rpc.DeliveryDirective) (delivery.Directive, bool) {
+// decodeDirective reads a directive from its transmitted form. begun is a time on this node's
+// clock at which it had not been told yet, received one after that: its age counts from
+// the first and the time until a shift from the second, so that neither is too short.
+func decodeDirective(begun, received time.Duration, encoded *rpc.DeliveryDirective) (delivery.Directive, bool) {
 	stage := delivery.Stage(encoded.GetStage())
 	if stage < delivery.StageCanary || stage > delivery.StageRolledBack || encoded.GetService() == "" || encoded.GetTarget() == "" {
 		return delivery.Directive{}, false
@@ -53,10 +57,13 @@
 		Sequence:     encoded.GetSequence(),
 		Stage:        stage,
 		Issuer:       fleet.NodeID(encoded.GetIssuer()),
-		IssuedAt:     at - time.Duration(encoded.GetAgeMillis())*time.Millisecond,
+		IssuedAt:     begun - time.Duration(encoded.GetAgeMillis())*time.Millisecond,
 		Shares:       make(map[delivery.RouteName]float64, len(encoded.GetShares())),
 		DefaultShare: decodeShare(encoded.GetDefaultShare()),
 	}
+	if encoded.GetShiftInMillis() > 0 {
+		directive.ShiftAt = received + time.Duration(encoded.GetShiftInMillis()-1)*time.Millisecond
+	}
 	for _, share := range encoded.GetShares() {
 		directive.Shares[delivery.RouteName(share.GetRoute())] = decodeShare(share.GetShare())
 	}
--- a/internal/gateway/deliverycodec_test.go
+++ b/internal/gateway/deliverycodec_test.go
@@ -25,7 +25,7 @@
 	sent := testDirective(10 * time.Second)
 	for _, age := range []time.Duration{0, time.Nanosecond, 700 * time.Microsecond, 2499500 * time.Microsecond, 100 * 24 * time.Hour} {
 		const at = 5 * time.Second
-		read, readable := decodeDirective(at, encodeDirective(sent.IssuedAt+age, &sent))
+		read, readable := decodeDirective(at, at, encodeDirective(sent.IssuedAt+age, &sent))
 		require.True(t, readable)
 		assert.GreaterOrEqual(t, at-read.IssuedAt, min(age, maxAgeMillis*time.Millisecond))
 		assert.LessOrEqual(t, at-read.IssuedAt, age+time.Millisecond)
@@ -34,6 +34,19 @@
 	}
 }
 
+// TestShiftIsNeverEarlierThanPlanned by more than a millisecond, however long the way was.
+func TestShiftIsNeverEarlierThanPlanned(t *testing.T) {
+	sent := testDirective(10 * time.Second)
+	sent.ShiftAt = 12 * time.Second
+	const began, way = 5 * time.Second, 300 * time.Millisecond
+	for _, told := range []time.Duration{10 * time.Second, 11500 * time.Millisecond, 12 * time.Second, 13 * time.Second} {
+		read, readable := decodeDirective(began, began+way, encodeDirective(told, &sent))
+		require.True(t, readable)
+		assert.InDelta(t, max(sent.ShiftAt-told, 0).Seconds(), (read.ShiftAt - began - way).Seconds(), 0.001)
+		assert.Equal(t, began, read.IssuedAt+(told-sent.IssuedAt)+time.Millisecond)
+	}
+}
+
 func TestUnreadableDirectiveIsLeftOut(t *testing.T) {
 	for _, change := range []func(*rpc.DeliveryDirective){
 		func(d *rpc.DeliveryDirective) { d.Stage = 0 },
@@ -44,13 +57,13 @@
 		directive := testDirective(0)
 		encoded := encodeDirective(0, &directive)
 		change(encoded)
-		_, readable := decodeDirective(0, encoded)
+		_, readable := decodeDirective(0, 0, encoded)
 		assert.False(t, readable)
 	}
 	directive := testDirective(0)
 	encoded := encodeDirective(0, &directive)
 	encoded.DefaultShare = 4_000_000
-	read, readable := decodeDirective(0, encoded)
+	read, readable := decodeDirective(0, 0, encoded)
 	require.True(t, readable)
 	assert.LessOrEqual(t, read.DefaultShare, 1.0)
 }
--- a/internal/gateway/deliverydriver.go
+++ b/internal/gateway/deliverydriver.go
@@ -9,6 +9,7 @@
 	"github.com/tillerfall/tillerfall/internal/delivery"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/platform"
+	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/rpc"
 )
 
@@ -108,7 +109,8 @@
 	_, observation.Known = held.Table.Service(service)
 	doubtful := g.workers.Doubtful(now)
 	for _, worker := range g.workers.Workers() {
-		if worker.Service != service {
+		isTarget := g.deliveries.targets(service, worker.Software)
+		if worker.Service != service || (isTarget && worker.Draining) {
 			continue
 		}
 		seen := delivery.TargetWorker{
@@ -117,7 +119,7 @@
 		}
 		if worker.Draining {
 			// It takes no requests; what runs there still counts.
-			seen.Slots, seen.Doubtful = 0, true
+			seen.Slots = 0
 		}
 		observation.Workers = append(observation.Workers, seen)
 	}
@@ -143,7 +145,11 @@
 
 // logDelivery logs a step or a verdict with what decided it.
 func (g *Gateway) logDelivery(event *delivery.Event) {
-	line := g.logger.Info().Str("service", string(event.Service)).Str("target", string(event.Target)).
+	line := g.logger.Info()
+	if event.Name == delivery.EventRefused {
+		line = g.logger.Error().Int("code", int(resultcode.DeliveryInvalid)).Str("name", resultcode.DeliveryInvalid.String())
+	}
+	line = line.Str("service", string(event.Service)).Str("target", string(event.Target)).
 		Str("stage", event.Stage.String()).Str("reason", event.Reason).
 		Str("route", string(event.Route)).Str("worker", string(event.Worker)).
 		Float64("score", event.Score).Float64("bound", event.Bound).
@@ -210,8 +216,7 @@
 		return delivery.Step{}
 	}
 	for _, evidence := range d.follower.Evidence(now) {
-		// The follower goes on counting in what it has returned.
-		d.director.Observe(now, d.self, decodeEvidence(encodeEvidence(&evidence)))
+		d.director.Observe(now, d.self, evidence)
 	}
 	return d.director.Look(now, observation)
 }
--- a/internal/gateway/deliverypeers.go
+++ b/internal/gateway/deliverypeers.go
@@ -62,15 +62,22 @@
 // permitTarget returns an error if a request that was chosen to go to the target may not go
 // there any more: a new connection or a frozen process may have outlived the directive.
 func (g *Gateway) permitTarget(current *carried, worker *backends.Worker) error {
-	if !current.forTarget || !g.deliveries.targets(worker.Service, worker.Software) {
-		return nil
-	}
-	if !g.versions(current, false).WantsTarget() {
+	if current.forTarget && !g.permits(current, worker) {
 		return errNoTarget
 	}
 	return nil
 }
 
+// permits tells whether a request that was chosen for a worker may go there still: runs of
+// the old side end there, those of a target only while it may get requests.
+func (g *Gateway) permits(current *carried, worker *backends.Worker) bool {
+	if g.deliveries.targets(worker.Service, worker.Software) {
+		choice := g.versions(current, false)
+		return choice.WantsTarget() || choice.Allows(worker.ID, worker.Software)
+	}
+	return !g.deliveries.condemned(g.now(), worker.Service, worker.Software)
+}
+
 // noteDelivery counts what an answer says about its worker's version. A request that was
 // refused, not sent or cancelled says nothing.
 func (g *Gateway) noteDelivery(current *carried, placement *backends.Placement, outcome backends.Outcome) {
@@ -121,8 +128,9 @@
 // takeDirectives takes in the directives of an answer to a call that was begun at a time:
 // they aren't younger than they were then.
 func (g *Gateway) takeDirectives(begun time.Duration, encoded []*rpc.DeliveryDirective) {
+	now := g.now()
 	for _, told := range encoded {
-		if directive, readable := decodeDirective(begun, told); readable {
+		if directive, readable := decodeDirective(begun, now, told); readable {
 			g.takeDirective(directive)
 		}
 	}
@@ -159,7 +167,7 @@
 		g.deliveries.observe(now, fleet.NodeID(report.GetNode()), report.GetDeliveryEvidence())
 	}
 	for _, told := range report.GetDeliveries() {
-		directive, readable := decodeDirective(now, told)
+		directive, readable := decodeDirective(now, now, told)
 		switch {
 		case !readable:
 		case directive.Stage.Final():
