Compare versions by the predicted time at an engine of the service's usual speed

Tried and reverted: the time at an idle engine. It made a slow version stand out (rolled back 4.5 s after the order instead of completed), but a good one too: short prompts wait for long ones that engines with empty caches read, and 14 of 72 answers were taken for slow. By the predicted time with what waits, a good version's ratio is 1.6 at the 99th percentile, the old side's 1.6 to 2.3 at the 90th, and that of a version with half of its answers 8 times slower 4.0 in the median; 2.8 times above the old side's nine tenths is too far from that.

--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -63,10 +63,10 @@
 	SaveTo fleet.Address
 	// Predicted is the time until the first event.
 	Predicted time.Duration
-	// Baseline is the time until the first event at an idle engine that isn't slower than
-	// the service's others: one version's times are compared with another's by it. Waits
-	// count against a version: a slow one makes its own. By Predicted, which explains them, 7
-	// of 100 answers of a version stood out of which half took 8 times as long.
+	// Baseline is Predicted of an engine that isn't slower than the service's others: one
+	// version's times are compared with another's by it. What waits at the engine belongs
+	// to it: short prompts wait for long ones that an engine with an empty cache reads, and
+	// without it 14 of 72 answers of a good version were taken for slow.
 	Baseline time.Duration
 	// Prefix names the last shared part of the prompt.
 	Prefix string
@@ -164,7 +164,7 @@
 		CachedTokens:   decision.CachedTokens,
 		ImportedTokens: decision.ImportedTokens,
 		Predicted:      decision.FirstToken,
-		Baseline:       time.Duration(float64(decision.Own)/max(chosen.slowness, 1)) + r.options.Step,
+		Baseline:       time.Duration(float64(decision.FirstToken) / max(chosen.slowness, 1)),
 		Prefix:         PrefixName(engine.Parts),
 		SharedParts:    shared,
 		SharedTokens:   sharedTokens(ends, shared),
