--- a/internal/delivery/judge_test.go
+++ b/internal/delivery/judge_test.go
@@ -272,3 +272,17 @@
 	}
 	return 0
 }
+
+// In a surge the failures, which are answered sooner, come first: twice as many as normal
+// say nothing then.
+func TestFailuresComeFirstInASurge(t *testing.T) {
+	for _, surging := range []bool{true, false} {
+		judge := newJudge()
+		judge.noteOld(testRoute, &Counts{Answers: 2000, Failures: 280})
+		for index := range 90 {
+			delta := Counts{Answers: 10, Failures: 3}
+			judge.noteNew(situation{now: time.Minute, surging: surging}, testRoute, fleet.EngineID(fmt.Sprint(index%30)), &delta)
+		}
+		require.Equal(t, !surging, judge.condemns(), "surging %t", surging)
+	}
+}
--- a/internal/delivery/scenario_test.go
+++ b/internal/delivery/scenario_test.go
@@ -131,6 +131,8 @@
 	}
 	play(seeds, build, time.Second, func(run *simulation) {
 		if run.stage() == StageCompleted && run.finalAt < run.duration {
+			require.True(t, run.killed == 0 || run.finalAt >= run.duration-finishReserve,
+				"seed %d: %d runs ended with the old workers at %s", run.seed, run.killed, run.finalAt)
 			return
 		}
 		failed++
@@ -160,8 +162,9 @@
 		"crashed_new_worker": func(s *scenario) {
 			s.faults = map[time.Duration]func(*simulation){3 * time.Second: func(run *simulation) { run.newSide[0].crashed = true }}
 		},
-		"wave":     func(s *scenario) { s.wave = wave },
-		"overload": func(s *scenario) { s.workers, s.rate = 6, 13.5*6*float64(s.slots) },
+		"callers_leave": func(s *scenario) { s.patience = 120 * time.Millisecond },
+		"wave":          func(s *scenario) { s.wave = wave },
+		"overload":      func(s *scenario) { s.workers, s.rate = 6, 13.5*6*float64(s.slots) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			requireCompletes(t, seedsOf(100), change)
--- a/internal/delivery/simulation_test.go
+++ b/internal/delivery/simulation_test.go
@@ -44,6 +44,8 @@
 	cold       bool // the first answers of a new worker on a route take up to four times as long
 	grey       map[fleet.EngineID]float64
 	wave       func(at time.Duration) float64
+	// patience is after what time callers leave: their answers say nothing. 0 is never.
+	patience time.Duration
 	// faults are called once, at their times.
 	faults map[time.Duration]func(*simulation)
 	// absent tells when the target's workers aren't listed.
@@ -401,7 +403,7 @@
 		if due.spoiled {
 			s.badAt = append(s.badAt, s.now)
 		}
-		if due.node.dead {
+		if due.node.dead || s.patience > 0 && due.outcome.Took > s.patience {
 			continue
 		}
 		if due.node.follower.Note(s.now, due.outcome) {
