Change shares only when they differ, and take a shift back after a pause

Cause: each second's shares were a change that is pushed to all nodes; the guard against a paused director had no test of its own, since silent nodes covered it. Change: shares that differ by less than a sixth stay; a deadline that is past is always extended; tests of a pause, of a service without requests and of the number of changes (below 20 in a minute).

--- a/internal/delivery/director_test.go
+++ b/internal/delivery/director_test.go
@@ -296,3 +296,29 @@
 		follower.Note(0, outcome)
 	}
 }
+
+// A director that was frozen in a shift and hears at once what nodes told before decides
+// nothing by it: everything has gone back to the old side by then.
+func TestPausedDirectorTakesTheShiftBack(t *testing.T) {
+	director := directing(t)
+	now := time.Duration(0)
+	answers := uint64(0)
+	look := func() Step {
+		answers += 10
+		director.Observe(now, "node-1", evidenceOf(10*answers, answers, 0))
+		return director.Look(now, observe(4, 4))
+	}
+	for ; now < 11700*time.Millisecond; now += LookInterval {
+		look()
+	}
+	require.Equal(t, StageShifting, look().Directive.Stage)
+	now += 3 * time.Second
+	step := look()
+	require.Equal(t, EventExtended, step.Event.Name)
+	require.Equal(t, ReasonPaused, step.Event.Reason)
+	require.Equal(t, StageCanary, step.Directive.Stage)
+	for end := now + shortestLate - finishReserve; now < end; now += LookInterval {
+		step = look()
+	}
+	require.Equal(t, StageShifting, step.Directive.Stage)
+}
--- a/internal/delivery/failure_test.go
+++ b/internal/delivery/failure_test.go
@@ -241,3 +241,36 @@
 	requireDecided(t, run, 0)
 	require.Less(t, run.target, 250.0)
 }
+
+// TestServiceWithoutRequests is completed: nothing speaks against it.
+func TestServiceWithoutRequests(t *testing.T) {
+	played := standardScenario(10)
+	played.rate = 0
+	run := newSimulation(played).run(0)
+	require.Equal(t, StageCompleted, run.stage(), "%+v", run.events)
+	require.Equal(t, ReasonIdle, run.record.Reason)
+}
+
+// TestDirectivesChangeSeldom: each change is pushed to all nodes.
+func TestDirectivesChangeSeldom(t *testing.T) {
+	played := standardScenario(11)
+	played.duration = 60 * time.Second
+	run := newSimulation(played)
+	changes := 0
+	before := uint64(0)
+	played.faults = map[time.Duration]func(*simulation){}
+	for from := time.Duration(0); from < played.duration; from += LookInterval {
+		at(played.faults, from+simTick, func(run *simulation) {
+			for _, directive := range run.leader.follower.Directives(run.now) {
+				if directive.Sequence != before {
+					changes++
+					before = directive.Sequence
+				}
+			}
+		})
+	}
+	run.faults = played.faults
+	run.run(0)
+	require.Equal(t, StageCompleted, run.stage())
+	require.Less(t, changes, 20)
+}
--- a/internal/delivery/progress.go
+++ b/internal/delivery/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -147,7 +148,8 @@
 // extend gives an order whose deadline is past, or close, the time that a delivery
 // needs. A shift can't be squeezed into less without more exposure.
 func (s *directed) extend(now time.Duration) {
-	if now <= s.schedule.deadline-shortestRest || now-s.schedule.start < shortestRest {
+	early := now <= s.schedule.deadline-shortestRest || now-s.schedule.start < shortestRest
+	if early && now < s.schedule.deadline {
 		return
 	}
 	s.schedule.start = now
@@ -423,22 +425,38 @@
 	return situation{now: now, single: !s.shifting && len(s.canaries) == 1, surging: s.shifting}
 }
 
-// setShares works out the canary share anew, each sharesHold.
+// setShares works out the canary share anew, each sharesHold. Shares that have hardly
+// changed stay: each change is told to all nodes at once.
 func (s *directed) setShares(now time.Duration) {
 	if s.shifting || s.sharesAt != 0 && now-s.sharesAt < sharesHold {
 		return
 	}
+	first := s.sharesAt == 0
 	s.sharesAt = now
 	s.suspected = s.judge.suspects()
 	seen := s.meter.traffic(now)
-	s.share = s.schedule.share(now, seen)
-	s.shares = nil
+	share := s.schedule.share(now, seen)
+	var shares map[RouteName]float64
 	if seen.rate > 0 {
-		s.shares = routeShares(s.share, s.meter.rates)
+		shares = routeShares(share, s.meter.rates)
 	}
+	if !first && similar(share, s.share) && similarShares(shares, s.shares) {
+		return
+	}
+	s.share, s.shares = share, shares
 	s.changed = true
 }
 
+// similar tells whether two shares differ by less than a sixth.
+func similar(a, b float64) bool {
+	return math.Abs(a-b) <= max(a, b)/6
+}
+
+// similarShares tells whether two sets of shares name the same routes with similar shares.
+func similarShares(a, b map[RouteName]float64) bool {
+	return maps.EqualFunc(a, b, similar)
+}
+
 // planShift announces the shift, takes it back, or begins it.
 func (s *directed) planShift(now time.Duration, counted workforce) Event {
 	if s.shifting {
