Compare versions of engines by first event and whole answer together

By whole answers alone a version that stayed good until its deadline was rolled back (6 of 85 answers bad, 4 of 4,087 on the old side): while its caches were empty, long prompts were read between the events of short answers.

--- a/internal/gateway/deliverypeers.go
+++ b/internal/gateway/deliverypeers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -94,7 +95,9 @@
 		Failed: failed, Took: placement.Took(g.now()),
 	}
 	if placement.Engine != nil {
-		noted.Took, noted.Predicted = g.now()-current.sentAt, wholeBaseline(current, placement.Engine)
+		whole := g.now() - current.sentAt
+		noted.Took = geometricMean(noted.Took, whole)
+		noted.Predicted = geometricMean(placement.Engine.Baseline, wholeBaseline(current, placement.Engine))
 	}
 	if placement.Engine != nil && noted.Predicted <= 0 && !failed {
 		// A run that goes on from a copy has no prediction to compare with.
@@ -112,10 +115,18 @@
 	}
 }
 
+// geometricMean returns the time whose ratio to another mean is the mean of two ratios.
+// Versions of engines are compared by the first event and the whole answer together: one with
+// half of its answers 8 times slower took 4 times the expected time to the first event,
+// hardly more than waits do on the old side, and 9 times that of whole answers; but
+// a good one with empty caches took some 10 times that of a whole answer, too, where long
+// prompts were read between its events, and less than twice that to the first.
+func geometricMean(one, other time.Duration) time.Duration {
+	return time.Duration(math.Sqrt(float64(one) * float64(other)))
+}
+
 // wholeBaseline returns what the whole answer of an engine is expected to take, 0 if that
-// isn't known. Versions are compared by whole answers: one of which the engines read and write
-// half of the requests 8 times slower brought 4 times the expected time to the first event,
-// hardly beyond what waits do on the old side, but 9 times that of whole answers.
+// isn't known.
 func wholeBaseline(current *carried, engine *backends.EnginePlacement) time.Duration {
 	if engine.Baseline <= 0 {
 		return 0
--- a/internal/gateway/wholebaseline_test.go
+++ b/internal/gateway/wholebaseline_test.go
@@ -21,3 +21,11 @@
 	assert.Equal(t, engine.Baseline+10*backends.DefaultStep, wholeBaseline(current, engine))
 	assert.Zero(t, wholeBaseline(current, &backends.EnginePlacement{}), "a run that goes on from a copy")
 }
+
+// TestRatiosOfTimesAreAveraged by a mean that a single high one doesn't decide.
+func TestRatiosOfTimesAreAveraged(t *testing.T) {
+	took := geometricMean(40*time.Millisecond, 900*time.Millisecond)
+	predicted := geometricMean(10*time.Millisecond, 100*time.Millisecond)
+	assert.InDelta(t, 6, float64(took)/float64(predicted), 0.001, "of 4 and 9")
+	assert.Zero(t, geometricMean(0, time.Second))
+}
