--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -12,6 +12,7 @@
 
 	"github.com/tillerfall/tillerfall/internal/attempt"
 	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/nodecapacity"
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/routes"
 )
@@ -64,8 +65,10 @@
 
 	// lastEventID is the last event that the caller has.
 	lastEventID string
-	headSent    bool
-	firstByte   time.Duration
+	// firstSend is when the request first went to a worker.
+	firstSend time.Duration
+	headSent  bool
+	firstByte time.Duration
 	// lastEvent is when the last event went out, longestGap the longest time
 	// between two of them.
 	lastEvent  time.Duration
@@ -90,13 +93,15 @@
 	defer g.inFlight.Add(-1)
 	now := g.now()
 	g.lastRequest.Store(int64(now))
-	g.demand.note()
 	current := &carried{writer: writer, request: request, began: now}
 	defer g.finish(current)
 	if refused := g.admit(current); refused != nil {
 		g.refuse(current, *refused)
 		return
 	}
+	// What is refused costs little. After a loss of all nodes callers are refused and come
+	// back for a second, and twice as many nodes would serve as their requests need.
+	g.demand.note()
 	if refused := g.readBody(current); refused != nil {
 		g.refuse(current, *refused)
 		return
@@ -119,6 +124,9 @@
 	if g.refusesNew() {
 		return &refusal{code: resultcode.Stopping, reason: "stopping", retryAfter: retrySoon}
 	}
+	if g.pressure.level() == nodecapacity.Full {
+		return &refusal{code: resultcode.NodeFull, reason: "short of " + g.pressure.scarce().String(), retryAfter: retrySoon}
+	}
 	g.awaitKnown(current.request.Context())
 	held := g.holder.Current()
 	if held == nil || !g.workersKnown.Load() {
@@ -300,6 +308,9 @@
 	if current.machine != nil {
 		line = line.Int("sends", current.machine.Sends()).Str("worker", current.worker)
 	}
+	if current.firstSend > 0 {
+		line = line.Dur("before_send", current.firstSend-current.began)
+	}
 	if current.firstByte > 0 {
 		line = line.Dur("first_byte", current.firstByte-current.began)
 	}
@@ -319,4 +330,6 @@
 func (c *carried) timeLeft(now time.Duration) time.Duration { return c.deadline - now }
 
 // callerGone tells whether the caller has left.
-func (c *carried) callerGone() bool { return errors.Is(c.request.Context().Err(), context.Canceled) }
+func (c *carried) callerGone() bool {
+	return errors.Is(c.request.Context().Err(), context.Canceled) || hasLeft(c.request.Context())
+}
