--- a/internal/delivery/schedule.go
+++ b/internal/delivery/schedule.go
@@ -70,9 +70,15 @@
 	return scheduleMargin * s.exposure * (s.deadline - s.start).Seconds()
 }
 
-// shift returns how long before the deadline everything is to go to the target.
+// shift returns how long before the deadline everything is to go to the target: a part of
+// the whole exposure, what was spent included, so that it doesn't shrink as time goes on.
 func (s schedule) shift(now time.Duration, seen traffic) time.Duration {
-	affordable := time.Duration(shiftPart * s.seconds(now, seen) * float64(time.Second))
+	left := s.seconds(now, seen)
+	whole := left
+	if seen.rate > 0 {
+		whole += seen.target / seen.rate
+	}
+	affordable := time.Duration(min(left, shiftPart*whole) * float64(time.Second))
 	return min(longestShift, max(shortestShift, affordable), (s.deadline-s.start)/4)
 }
 
--- a/internal/delivery/schedule_test.go
+++ b/internal/delivery/schedule_test.go
@@ -18,6 +18,7 @@
 				planned := schedule{deadline: duration, exposure: 0.1, slack: 50}
 				seen := traffic{}
 				share, target, all := 0.0, 0.0, 0.0
+				shifted := time.Duration(0)
 				for now := time.Duration(0); now < duration; now += step {
 					current := rate * (1 + (growth-1)*now.Seconds()/duration.Seconds())
 					if now > 1500*time.Millisecond {
@@ -26,8 +27,9 @@
 					if now%time.Second == 0 {
 						share = planned.share(now, seen)
 					}
-					if now >= duration-planned.shift(now, seen) {
+					if shifted > 0 || now >= duration-planned.shift(now, seen) {
 						share = 1
+						shifted += step
 					}
 					requests := current * step.Seconds()
 					all += requests
@@ -35,6 +37,8 @@
 					seen.all, seen.target = all, target
 				}
 				require.LessOrEqual(t, target, 0.1*all+50, "%s at %.0f/s growing to %.1f", duration, rate, growth)
+				intended := min(longestShift.Seconds(), shiftPart*scheduleMargin*0.1*duration.Seconds())
+				require.GreaterOrEqual(t, shifted.Seconds(), 0.7*intended, "%s at %.0f/s growing to %.1f: the shift is kept for", duration, rate, growth)
 				require.GreaterOrEqual(t, target, 0.5*(0.1*all), "%s at %.0f/s growing to %.1f: the evidence is used", duration, rate, growth)
 			}
 		}
--- a/internal/delivery/stages.go
+++ b/internal/delivery/stages.go
@@ -78,8 +78,8 @@
 	if s.verdict != 0 {
 		return Event{}
 	}
-	s.chooseCanaries(now, counted.target)
 	s.setShares(now)
+	s.chooseCanaries(now, counted.target)
 	if event := s.planShift(now, counted); event.Name != "" {
 		return event
 	}
