--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -88,7 +88,9 @@
 		return current.machine.NoWorker("configuration too old", 0)
 	}
 	g.requireDueSoon(now)
-	placement, refused := g.workers.Choose(now, g.choice(current))
+	choice := g.choice(current)
+	current.forTarget = choice.Versions.WantsTarget()
+	placement, refused := g.workers.Choose(now, choice)
 	if placement == nil {
 		return current.machine.NoWorker(refused.Reason, refused.RetryAfter)
 	}
@@ -100,6 +102,7 @@
 // sendTo sends the request to a chosen worker and passes the answer on.
 func (g *Gateway) sendTo(ctx context.Context, current *carried, placement *backends.Placement) attempt.Step {
 	current.worker = string(placement.Worker.ID)
+	current.sentAt, current.events = g.now(), 0
 	g.logPlacement(current, placement)
 	if current.firstSend == 0 {
 		current.firstSend = g.now()
@@ -170,7 +173,7 @@
 	case errors.Is(err, errOutdated) && sent:
 		g.ended(current, placement, backends.Cancelled, err.Error())
 		return current.machine.Unanswered(g.now(), run)
-	case errors.Is(err, upstream.ErrTooManyConnections):
+	case errors.Is(err, upstream.ErrTooManyConnections), errors.Is(err, errNoTarget):
 		g.ended(current, placement, backends.Cancelled, err.Error())
 		return current.machine.NotSent(g.now(), run)
 	case !sent:
@@ -210,6 +213,7 @@
 
 // ended notes and logs how a send went.
 func (g *Gateway) ended(current *carried, placement *backends.Placement, outcome backends.Outcome, cause string) {
+	g.noteDelivery(current, placement, outcome)
 	placement.End(g.now(), outcome)
 	g.metrics.attempts.WithLabelValues(string(placement.Worker.Service), outcome.String()).Inc()
 	if outcome == backends.Succeeded {
@@ -252,7 +256,8 @@
 			destination.Engine, destination.Address = worker.ID, worker.Address
 			return g.upstreams.Free(destination)
 		},
-		Bytes: messageBytes + int(max(current.request.ContentLength, 0)),
+		Bytes:    messageBytes + int(max(current.request.ContentLength, 0)),
+		Versions: g.versions(current, current.wasAtTarget),
 	}
 	if engine := current.service.Engine; engine != nil {
 		request.Engine = &backends.EngineRequest{
@@ -359,6 +364,7 @@
 		Host:   current.request.Host,
 		Header: header,
 		Body:   current.body,
+		Permit: func() error { return g.permitTarget(current, &placement.Worker) },
 		Accept: func(status int, header http.Header) error {
 			info := g.outside.Codec.Answer(status, header)
 			if info.RequestID != id && (info.RequestID != "" || !info.NotExecuted) {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -56,6 +57,16 @@
 	// deadline is when the final answer is due.
 	deadline time.Duration
 	machine  *attempt.Forwarding
+	// draw is uniform in [0, 1): it decides once whether the request goes to the target of
+	// a delivery.
+	draw float64
+	// forTarget is set if the last choice was one for the target, wasAtTarget once the
+	// request was sent there.
+	forTarget   bool
+	wasAtTarget bool
+	// sentAt is when the last send began, events the number of events that it has brought.
+	sentAt time.Duration
+	events int
 	// lost is the placement whose run is to go on at another engine.
 	lost *backends.Placement
 	// cost is what the request has taken out of its tenant's quota.
@@ -93,7 +104,7 @@
 	defer g.inFlight.Add(-1)
 	now := g.now()
 	g.lastRequest.Store(int64(now))
-	current := &carried{writer: writer, request: request, began: now}
+	current := &carried{writer: writer, request: request, began: now, draw: rand.Float64()}
 	defer g.finish(current)
 	if refused := g.admit(current); refused != nil {
 		g.refuse(current, *refused)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,7 @@
 	budgets      *budgets
 	quotas       *quotas
 	weights      *weights
+	deliveries   *deliveries
 	peers        *peer.Peer
 	keeper       *lease.Keeper
 	seeds        *seedList
@@ -154,6 +155,7 @@
 	g.budgets = newBudgets(settings, g.retryShare)
 	g.quotas = newQuotas(g.clock.Now(), settings)
 	g.weights = newWeights(settings)
+	g.deliveries = newDeliveries(g.node, settings)
 	var err error
 	if g.peers, err = g.newPeer(random()); err != nil {
 		return nil, err
@@ -262,6 +264,8 @@
 	g.life.Go(g.announceLoads)
 	g.life.Go(g.shareUses)
 	g.life.Go(g.driveRollout)
+	g.life.Go(g.driveDeliveries)
+	g.life.Go(g.announceDeliveries)
 	g.life.Go(g.followCaches)
 	g.life.Go(g.housekeep)
 	g.life.Go(g.keepLease)
--- /dev/null
+++ b/internal/gateway/wholebaseline_test.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/routes"
+)
+
+// TestWholeAnswersAreComparedByTheirLength so that long ones aren't taken for slow.
+func TestWholeAnswersAreComparedByTheirLength(t *testing.T) {
+	engine := &backends.EnginePlacement{Baseline: 20 * time.Millisecond}
+	current := &carried{service: &routes.Service{Engine: &routes.EngineService{EventTokens: 7}}}
+	assert.Equal(t, engine.Baseline, wholeBaseline(current, engine))
+	current.events = 10
+	assert.Equal(t, engine.Baseline+70*backends.DefaultStep, wholeBaseline(current, engine))
+	current.service.Engine.EventTokens = 0
+	assert.Equal(t, engine.Baseline+10*backends.DefaultStep, wholeBaseline(current, engine))
+	assert.Zero(t, wholeBaseline(current, &backends.EnginePlacement{}), "a run that goes on from a copy")
+}
+
+// TestRatiosOfTimesAreAveraged by a mean that a single high one doesn't decide.
+func TestRatiosOfTimesAreAveraged(t *testing.T) {
+	took := geometricMean(40*time.Millisecond, 900*time.Millisecond)
+	predicted := geometricMean(10*time.Millisecond, 100*time.Millisecond)
+	assert.InDelta(t, 6, float64(took)/float64(predicted), 0.001, "of 4 and 9")
+	assert.Zero(t, geometricMean(0, time.Second))
+}
