--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/tillerfall/tillerfall/internal/traffic"
+)
 
 // metrics are the counters and histograms of a gateway.
 type metrics struct {
@@ -19,13 +23,16 @@
 	beforeSend    prometheus.Histogram
 }
 
+// bytesMetric is the name under which the bytes of all connections are counted.
+const bytesMetric = "tillerfall_gateway_bytes_total"
+
 // latencyBuckets are the upper bounds of the histograms, in seconds.
 var latencyBuckets = []float64{.01, .025, .05, .1, .2, .3, .5, .8, 1.2, 2, 4, 8}
 
 // ownTimeBuckets are the upper bounds of the time that a node takes itself, in seconds.
 var ownTimeBuckets = []float64{.0005, .001, .002, .005, .01, .025, .05, .1, .25}
 
-func newMetrics(registry *prometheus.Registry) *metrics {
+func newMetrics(registry *prometheus.Registry, meter *traffic.Meter) *metrics {
 	m := &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tillerfall_gateway_requests_total", Help: "Requests answered, by route and result.",
@@ -71,7 +78,8 @@
 	})
 	if registry != nil {
 		registry.MustRegister(m.pressure, m.untaken, m.beforeSend)
-		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders, m.unreadable, m.quotaUnits, m.quotaShare)
+		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders, m.unreadable, m.quotaUnits, m.quotaShare,
+			traffic.NewCollector(meter, bytesMetric))
 	}
 	return m
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -130,12 +130,12 @@
 			return errors.Errorf("%s address %q: not HOST:PORT", name, address)
 		}
 	}
-	if err := s.Distances.Validate(); err != nil {
-		return errors.Wrap(err, "distances")
-	}
 	if err := s.Limits.Validate(); err != nil {
 		return errors.Wrap(err, "limits")
 	}
+	if err := s.Distances.Validate(); err != nil {
+		return errors.Wrap(err, "distances")
+	}
 	for name, bound := range map[string]time.Duration{
 		"stop grace": s.StopGrace, "revocation bound": s.RevokeWithin, "lease gap": s.LeaseGap,
 		"weights bound": s.WeightsWithin, "configuration bound": s.ConfigureWithin, "retry window": s.RetryWindow,
--- a/internal/membership/flows.go
+++ b/internal/membership/flows.go
@@ -17,8 +17,8 @@
 		left[index] = demand * (1 - stays)
 		room[index] = max(group.capacity-demand, 0)
 	}
-	overflow(groups, flows, left, room, func(from, to Place) bool { return from.Region == to.Region })
-	overflow(groups, flows, left, room, func(Place, Place) bool { return true })
+	overflow(groups, flows, left, room, func(from, to Location) bool { return from.Region == to.Region })
+	overflow(groups, flows, left, room, func(Location, Location) bool { return true })
 	capacity := 0.0
 	for _, group := range groups {
 		capacity += group.capacity
@@ -40,7 +40,7 @@
 const leastDemand = 1e-6
 
 // overflow moves what is left of groups' callers to the room of groups near enough.
-func overflow(groups []servingGroup, flows [][]float64, left, room []float64, near func(from, to Place) bool) {
+func overflow(groups []servingGroup, flows [][]float64, left, room []float64, near func(from, to Location) bool) {
 	type wish struct{ left, room float64 }
 	wishes := make([]wish, len(groups))
 	for from := range groups {
--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -28,14 +28,17 @@
 	ReaderDepth int
 	// Origins is from which places the demand comes, in requests a second; empty if
 	// that isn't known.
-	Origins map[Place]float64
+	Origins map[Location]float64
 	// Weights is by which part of their capacity members under pressure count; all others
 	// count whole.
 	Weights map[fleet.NodeID]float64
 	// Least is the least number of serving members of groups, by the group's place.
-	Least map[Place]int
+	Least map[Location]int
 	// Together has all callers sent to all serving members, wherever they are.
 	Together bool
+	// CacheDepth is the number of nodes of each zone that follow its caches for others,
+	// in turn.
+	CacheDepth int
 }
 
 // Defaults of RoleOptions.
@@ -46,12 +49,14 @@
 	DefaultSmallFleet  = 8
 	DefaultCandidates  = 3
 	DefaultReaderDepth = 3
+	DefaultCacheDepth  = 3
 )
 
 // Names by which nodes are ordered for a role.
 const (
 	servingKey = "serving"
 	readerKey  = "reader"
+	cacheKey   = "cache source"
 )
 
 func (o *RoleOptions) setDefaults() {
@@ -61,6 +66,7 @@
 	setDefault(&o.SmallFleet, DefaultSmallFleet)
 	setDefault(&o.Candidates, DefaultCandidates)
 	setDefault(&o.ReaderDepth, DefaultReaderDepth)
+	setDefault(&o.CacheDepth, DefaultCacheDepth)
 }
 
 // Roles says which members do what. All nodes with the same members and demand
@@ -83,6 +89,10 @@
 	readers map[fleet.ZoneName][]fleet.NodeID
 	zones   []fleet.ZoneName
 
+	// cacheSources holds, by zone, the nodes that follow the zone's caches for others, best
+	// first.
+	cacheSources map[fleet.ZoneName][]fleet.NodeID
+
 	// candidates keeps what Candidates has worked out, by duty.
 	candidatesMutex sync.Mutex
 	candidates      map[string][]fleet.NodeID
@@ -104,6 +114,7 @@
 		roles.serving[member.Node] = true
 	}
 	roles.rankReaders()
+	roles.rankCacheSources()
 	return roles
 }
 
@@ -204,7 +215,8 @@
 }
 
 // rankReaders ranks the members of each zone as readers, those outside of the
-// serving set first.
+// serving set first, the largest of them first: after a start of all, a reader tells all rows to
+// each node of its zone, and the smallest machines have a twentieth of the largest's link.
 func (r *Roles) rankReaders() {
 	byZone := make(map[fleet.ZoneName][]weighted)
 	for _, entry := range weigh(readerKey, r.routable) {
@@ -219,7 +231,7 @@
 				}
 				return 1
 			}
-			return cmp.Compare(b.weight, a.weight)
+			return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(b.weight, a.weight))
 		})
 		for _, entry := range members[:min(len(members), r.options.ReaderDepth)] {
 			r.readers[zone] = append(r.readers[zone], entry.Node)
@@ -229,6 +241,50 @@
 	slices.Sort(r.zones)
 }
 
+// CacheSources returns the nodes of a zone that are asked, in turn, what changes in the
+// zone's caches: those that serve first, since they follow them for themselves. Callers must
+// not write to the slice.
+func (r *Roles) CacheSources(zone fleet.ZoneName) []fleet.NodeID { return r.cacheSources[zone] }
+
+// cacheMirrors is the number of nodes of a region that tell the others of it, in turn, what
+// changes in the caches of another region's zone.
+const cacheMirrors = 2
+
+// CacheMirrors returns the nodes of a region that tell the others of it, in turn, what changes
+// in the caches of a zone of another region: of those that serve, since they need it themselves.
+func (r *Roles) CacheMirrors(zone fleet.ZoneName, region fleet.RegionName) []fleet.NodeID {
+	var near []Member
+	for _, member := range r.Serving {
+		if member.Region == region {
+			near = append(near, member)
+		}
+	}
+	return Owners(fleet.EngineID(zone), near, cacheMirrors)
+}
+
+// rankCacheSources ranks the members of each zone as sources of what its caches hold.
+func (r *Roles) rankCacheSources() {
+	byZone := make(map[fleet.ZoneName][]weighted)
+	for _, entry := range weigh(cacheKey, r.routable) {
+		byZone[entry.Zone] = append(byZone[entry.Zone], entry)
+	}
+	r.cacheSources = make(map[fleet.ZoneName][]fleet.NodeID, len(byZone))
+	for zone, members := range byZone {
+		slices.SortFunc(members, func(a, b weighted) int {
+			if r.serving[a.Node] != r.serving[b.Node] {
+				if r.serving[a.Node] {
+					return -1
+				}
+				return 1
+			}
+			return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(b.weight, a.weight))
+		})
+		for _, entry := range members[:min(len(members), r.options.CacheDepth)] {
+			r.cacheSources[zone] = append(r.cacheSources[zone], entry.Node)
+		}
+	}
+}
+
 // Demand follows a rate so that the roles change seldom: up at once, down only
 // after the rate has been well below for a while.
 type Demand struct {
