Let counted connections close in one direction, so that answers to unread requests arrive

Cause: net/http ends what it sends, and waits, before it closes a connection with an unread request; the connection that counts bytes hid that from it, so the system reset the connection and a caller could lose its answer. Change: traffic.Conn has CloseWrite. A test reads 20 answers to requests with unread bodies through a counted listener; without the method it fails.

--- a/internal/traffic/conn.go
+++ b/internal/traffic/conn.go
@@ -39,6 +39,20 @@
 	return count, err
 }
 
+// errWhole says that a connection can't be closed in one direction.
+var errWhole = errors.New("connection closes as a whole")
+
+// CloseWrite ends what is sent, as a TCP connection does. A server that refuses a request
+// which it hasn't read to its end does so and waits before it closes: without it the system
+// resets the connection, and the caller may lose the answer.
+func (c *Conn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errWhole
+	}
+	return half.CloseWrite()
+}
+
 // errNoDescriptor says that a connection has no descriptor of the system's.
 var errNoDescriptor = errors.New("connection has no descriptor")
 
--- a/internal/traffic/traffic_test.go
+++ b/internal/traffic/traffic_test.go
@@ -114,6 +114,31 @@
 	require.ErrorIs(t, err, errNoDescriptor)
 }
 
+// TestAnswerToAnUnreadRequestArrives has a server refuse a request whose body it doesn't
+// read: the caller reads the whole answer, since the connection is half closed first.
+func TestAnswerToAnUnreadRequestArrives(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Connection", "close")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	server.Listener = Listener{Listener: server.Listener, Meter: &Meter{}, Purpose: Callers}
+	server.Start()
+	t.Cleanup(server.Close)
+	for range 20 {
+		conn, err := net.Dial("tcp4", server.Listener.Addr().String())
+		require.NoError(t, err)
+		_, err = conn.Write([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 300_000)))
+		require.NoError(t, err)
+		answer, err := io.ReadAll(conn)
+		require.NoError(t, err)
+		assert.Contains(t, string(answer), "503 Service Unavailable")
+		require.NoError(t, conn.Close())
+	}
+	near, far := net.Pipe()
+	t.Cleanup(func() { near.Close(); far.Close() })
+	assert.ErrorIs(t, (&Meter{}).Wrap(near, Callers, Unknown).CloseWrite(), errWhole)
+}
+
 func TestCollector(t *testing.T) {
 	meter := &Meter{}
 	meter.Add(Uses, OtherRegion, Received, 42)
