--- a/internal/delivery/stages_test.go
+++ b/internal/delivery/stages_test.go
@@ -147,3 +147,38 @@
 	counted.answered = 0
 	require.Equal(t, counted.asked, counted.traffic(12*time.Second).target, "what was asked for counts before it is answered")
 }
+
+// At the last moment what speaks against the target counts, though it doesn't condemn.
+func TestSuspectedTargetIsNotCompleted(t *testing.T) {
+	director := directing(t)
+	director.Written(0, simService, *director.Look(0, observe(4, 4)).Write, nil, nil)
+	step := advanceTo(director, LookInterval, 11600*time.Millisecond, observe(4, 4))
+	require.Equal(t, StageShifting, step.Directive.Stage)
+	late := evidenceOf(50*116, 116, 0)
+	for _, counts := range late.New[testRoute] {
+		counts.Answers += 5
+		counts.Failures += 2
+	}
+	director.Observe(11700*time.Millisecond, "node-1", late)
+	require.Nil(t, director.Look(11700*time.Millisecond, observe(4, 4)).Write)
+	step = director.Look(11800*time.Millisecond, observe(4, 4))
+	require.NotNil(t, step.Write)
+	require.Equal(t, StageRolledBack, step.Write.Stage)
+	require.Equal(t, ReasonUndecided, step.Write.Reason)
+	require.Less(t, step.Event.Score, step.Event.Bound)
+}
+
+func TestRareRouteGetsALargerShare(t *testing.T) {
+	director := directing(t)
+	var step Step
+	for now := time.Duration(0); now <= 4*time.Second; now += LookInterval {
+		looks := uint64(now / LookInterval)
+		director.Observe(now, "node-1", Evidence{
+			Service: simService, Revision: 7,
+			Old: map[RouteName]*Counts{"common": {Answers: 50 * looks}, "rare": {Answers: looks}},
+		})
+		step = director.Look(now, observe(4, 4))
+	}
+	require.Equal(t, highestShare, step.Directive.Shares["rare"])
+	require.Less(t, step.Directive.Shares["common"], 0.1)
+}
