--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -23,7 +23,7 @@
 		return nil
 	}
 	var addresses []fleet.Address
-	from := membership.Place{Region: query.Region, Zone: query.Zone}
+	from := membership.Location{Region: query.Region, Zone: query.Zone}
 	for _, member := range g.roles.Load().Answer(from, g.node, g.reachable) {
 		if member.Node == g.node && !g.ready() {
 			continue
@@ -41,5 +41,5 @@
 		return g.ready()
 	}
 	current, found := g.peers.View().Find(member.Node)
-	return found && current.State == membership.Alive
+	return found && current.State == membership.Alive && !g.origins.silent(g.now(), member.Node)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/tillerfall/tillerfall/internal/relay"
 	"github.com/tillerfall/tillerfall/internal/routes"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
@@ -46,25 +47,29 @@
 	metrics *metrics
 	life    tomb.Tomb
 
-	holder    *routes.Holder
-	fresh     *routes.Freshness
-	workers   *backends.Registry
-	upstreams *upstream.Pool
-	budgets   *budgets
-	quotas    *quotas
-	weights   *weights
-	peers     *peer.Peer
-	keeper    *lease.Keeper
-	seeds     *seedList
-	pending   *pendingSends
-	tables    []*table
-	sources   *sources
-	demand    *demand
-	origins   *origins
-	pressure  *pressure
-	readiness *readiness
-	announcer *announcer
-	roles     atomic.Pointer[nodeRoles]
+	holder       *routes.Holder
+	fresh        *routes.Freshness
+	workers      *backends.Registry
+	upstreams    *upstream.Pool
+	budgets      *budgets
+	quotas       *quotas
+	weights      *weights
+	peers        *peer.Peer
+	keeper       *lease.Keeper
+	seeds        *seedList
+	pending      *pendingSends
+	tables       []*table
+	sources      *sources
+	demand       *demand
+	origins      *origins
+	silences     *silences
+	pressure     *pressure
+	readiness    *readiness
+	announcer    *announcer
+	toldVersions *toldVersions
+	cacheLog     *cacheLog
+	zoneFeeds    *zoneFeeds
+	roles        atomic.Pointer[nodeRoles]
 	// sizes and joined are used by assign alone; settled is set once this node knows its role.
 	sizes   membership.SizeHold
 	joined  joinedMembers
@@ -88,6 +93,9 @@
 	// requiredAt is when requireDue was last called, in nanoseconds of the steady clock.
 	requiredAt  atomic.Int64
 	lastRequest atomic.Int64
+	// lastLimited is when the last request of a tenant with a limit came, in nanoseconds of
+	// the steady clock; 0 before.
+	lastLimited atomic.Int64
 
 	servers   []*http.Server
 	front     *http.Server
@@ -101,6 +109,9 @@
 		return nil, err
 	}
 	random := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+	if outside.Traffic == nil {
+		outside.Traffic = &traffic.Meter{}
+	}
 	holderID := lease.NewHolderID(fleet.NodeID(settings.Node), rand.Uint64())
 	g := &Gateway{
 		outside:  outside,
@@ -108,7 +119,7 @@
 		node:     fleet.NodeID(holderID),
 		logger:   logger,
 		events:   newEventLog(logger),
-		metrics:  newMetrics(registry),
+		metrics:  newMetrics(registry, outside.Traffic),
 		holder:   routes.NewHolder(),
 		fresh:    routes.NewFreshness(),
 		splitter: routes.NewSplitter(),
@@ -118,20 +129,27 @@
 		demand:   newDemand(),
 		origins:  newOrigins(),
 		pressure: &pressure{},
+		silences: newSilences(),
 
-		readiness: newReadiness(),
-		announcer: newAnnouncer(),
+		readiness:    newReadiness(),
+		announcer:    newAnnouncer(),
+		toldVersions: newToldVersions(),
+		cacheLog:     newCacheLog(rand.Uint64()),
+		zoneFeeds:    newZoneFeeds(),
 	}
 	g.inForce.Store(&settings)
 	g.sources = newSources(g.clock.Now(), relay.Options{Self: g.node, Random: random(), AwaitRole: settings.FirstStart})
 	g.tables = g.newTables()
 	g.workers = backends.New(backends.Options{
 		Zone:       settings.Zone,
+		Regions:    settings.regions(),
+		Distances:  settings.Distances,
 		Random:     random(),
 		Scheduling: schedulingOptions(),
 	})
 	g.upstreams = upstream.NewPool(upstream.Options{
-		Dialed: func(fleet.EngineID) { g.metrics.connections.Inc() },
+		Traffic: g.outside.Traffic,
+		Dialed:  func(fleet.EngineID) { g.metrics.connections.Inc() },
 	})
 	g.budgets = newBudgets(settings, g.retryShare)
 	g.quotas = newQuotas(g.clock.Now(), settings)
@@ -183,7 +201,9 @@
 		Holder:   config.NewHolder(),
 		Logger:   g.logger,
 		Loads:    g.answerLoad,
+		Traffic:  g.outside.Traffic,
 		Watch:    g.answerWatch,
+		Caches:   g.answerCaches,
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
@@ -245,6 +265,7 @@
 	g.life.Go(g.followCaches)
 	g.life.Go(g.housekeep)
 	g.life.Go(g.keepLease)
+	g.life.Go(g.reportTraffic)
 	return nil
 }
 
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -33,10 +33,10 @@
 type origins struct {
 	mutex sync.Mutex
 	// source is the rates by another node's word.
-	source   map[membership.Place]float64
+	source   map[membership.Location]float64
 	sourceAt time.Duration
-	means    map[membership.Place]float64
-	planned  map[membership.Place]float64
+	means    map[membership.Location]float64
+	planned  map[membership.Location]float64
 
 	pressures map[fleet.NodeID]toldPressure
 	weights   map[fleet.NodeID]float64
@@ -51,13 +51,13 @@
 
 func newOrigins() *origins {
 	return &origins{
-		means:     make(map[membership.Place]float64),
+		means:     make(map[membership.Location]float64),
 		pressures: make(map[fleet.NodeID]toldPressure),
 	}
 }
 
 // told takes in another node's word on the rates by place. No rates say nothing.
-func (o *origins) told(now time.Duration, rates map[membership.Place]float64) {
+func (o *origins) told(now time.Duration, rates map[membership.Location]float64) {
 	if len(rates) == 0 {
 		return
 	}
@@ -67,7 +67,7 @@
 }
 
 // rates returns the last word of another node, if it isn't too old.
-func (o *origins) rates(now time.Duration) map[membership.Place]float64 {
+func (o *origins) rates(now time.Duration) map[membership.Location]float64 {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if now > o.sourceAt+rateValid {
@@ -78,7 +78,7 @@
 
 // plan takes in the rates at one look and returns those to plan for; the same map as long as
 // none has changed much.
-func (o *origins) plan(rates map[membership.Place]float64) map[membership.Place]float64 {
+func (o *origins) plan(rates map[membership.Location]float64) map[membership.Location]float64 {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	for place := range rates {
@@ -96,7 +96,7 @@
 		total += o.means[place]
 	}
 	if o.outdated(total) {
-		o.planned = make(map[membership.Place]float64, len(o.means))
+		o.planned = make(map[membership.Location]float64, len(o.means))
 		for place, mean := range o.means {
 			if mean > leastOrigin*total {
 				o.planned[place] = mean
@@ -144,12 +144,24 @@
 	return pressed
 }
 
+// silent tells whether a node is said to be unreachable.
+func (o *origins) silent(now time.Duration, node fleet.NodeID) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	told, found := o.pressures[node]
+	return found && told.pressure == unreachable && now <= told.measured+rateValid
+}
+
 // planWeights returns by which part of their capacity nodes under pressure count; the same
 // map as long as nothing has changed.
 func (o *origins) planWeights(now time.Duration) map[fleet.NodeID]float64 {
 	weights := make(map[fleet.NodeID]float64)
 	for node, told := range o.pressed(now) {
-		weights[node] = told.pressure.Weight()
+		// A silent node's neighbours may be lost as well, unheard: none is taken in its
+		// place before the membership knows.
+		if told.pressure != unreachable {
+			weights[node] = told.pressure.Weight()
+		}
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -160,16 +172,16 @@
 }
 
 // originRates returns from which places requests come, as far as this node knows.
-func (g *Gateway) originRates(now time.Duration) map[membership.Place]float64 {
+func (g *Gateway) originRates(now time.Duration) map[membership.Location]float64 {
 	rates := g.demand.nodeRates(now, g.node)
 	if rates == nil {
 		return g.origins.rates(now)
 	}
 	view := g.peers.View()
-	taken := make(map[membership.Place]float64)
+	taken := make(map[membership.Location]float64)
 	for node, rate := range rates {
 		if member, found := view.Find(node); found && rate > 0 {
-			taken[membership.Place{Region: member.Region, Zone: member.Zone}] += rate
+			taken[membership.Location{Region: member.Region, Zone: member.Zone}] += rate
 		}
 	}
 	if roles := g.roles.Load(); roles != nil {
@@ -196,9 +208,9 @@
 // takeOrigins takes in what another node tells of places and pressures. A word without a
 // summed rate comes from a node that doesn't know the rates itself.
 func (g *Gateway) takeOrigins(now time.Duration, places []*rpc.PlaceRate, nodes []*rpc.NodePressure) {
-	rates := make(map[membership.Place]float64, len(places))
+	rates := make(map[membership.Location]float64, len(places))
 	for _, told := range places {
-		place := membership.Place{Region: fleet.RegionName(told.GetRegion()), Zone: fleet.ZoneName(told.GetZone())}
+		place := membership.Location{Region: fleet.RegionName(told.GetRegion()), Zone: fleet.ZoneName(told.GetZone())}
 		rates[place] = decodeRate(told.GetRate())
 	}
 	g.origins.told(now, rates)
@@ -208,8 +220,8 @@
 	}
 }
 
-// decodePressure reads a pressure from its transmitted form; one that this node doesn't
-// know counts as the highest.
+// decodePressure reads a pressure, or the word that a node is unreachable, from its transmitted
+// form; one that this node doesn't know counts as the highest.
 func decodePressure(encoded uint32) nodecapacity.Pressure {
-	return nodecapacity.Pressure(min(encoded, uint32(nodecapacity.Full)))
+	return nodecapacity.Pressure(min(encoded, uint32(unreachable)))
 }
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -16,7 +16,7 @@
 // has few routers.
 const zoneWeight = 2.0
 
-// Location is a place in the fleet.
+// Location is a zone of a region: where a member is, or where callers come from.
 type Location struct {
 	Region fleet.RegionName
 	Zone   fleet.ZoneName
@@ -154,6 +154,10 @@
 	return mix(xxhash.Sum64String(key) ^ xxhash.Sum64String(candidate))
 }
 
+// RendezvousMix spreads a hash over all bits: RendezvousWeight of two names is that of
+// their hashes combined by exclusive or.
+func RendezvousMix(hash uint64) uint64 { return mix(hash) }
+
 // weightedScore maps a uniform hash to -weight/ln(u) with u in (0, 1).
 func weightedScore(hash uint64, weight float64) float64 {
 	const mantissaBits = 53
--- a/internal/membership/roles_test.go
+++ b/internal/membership/roles_test.go
@@ -39,7 +39,7 @@
 	more := Assign(view, 1750, RoleOptions{})
 	assert.Len(t, more.Serving, 9, "a small one more in each zone")
 	for _, zone := range []fleet.ZoneName{"z0", "z1", "z2"} {
-		shares := expectedShares(t, more, Place{Zone: zone})
+		shares := expectedShares(t, more, Location{Zone: zone})
 		carried := 0.0
 		for node, share := range shares {
 			member, _ := view.Find(node)
--- a/internal/membership/serving_test.go
+++ b/internal/membership/serving_test.go
@@ -14,7 +14,7 @@
 
 // zoned is the members of one zone by their capacities in thousandths of a core.
 type zoned struct {
-	place      Place
+	place      Location
 	capacities []uint32
 }
 
@@ -45,7 +45,7 @@
 
 // expectedShares returns the part of a place's callers that each member gets, if its callers
 // ask its members evenly and take one address of an answer by chance.
-func expectedShares(t *testing.T, roles *Roles, from Place) map[fleet.NodeID]float64 {
+func expectedShares(t *testing.T, roles *Roles, from Location) map[fleet.NodeID]float64 {
 	shares := make(map[fleet.NodeID]float64)
 	answerers := 0.0
 	for _, member := range roles.routable {
@@ -77,17 +77,17 @@
 }
 
 var (
-	northA = Place{"north", "a"}
-	northB = Place{"north", "b"}
-	southC = Place{"south", "c"}
-	southD = Place{"south", "d"}
+	northA = Location{"north", "a"}
+	northB = Location{"north", "b"}
+	southC = Location{"south", "c"}
+	southD = Location{"south", "d"}
 )
 
 func TestCallersAreSentToTheirZoneWhileItCarriesThem(t *testing.T) {
 	view := fleetOf(zoned{northA, equal(10, 200)}, zoned{northB, equal(10, 200)}, zoned{southC, equal(10, 200)})
-	roles := Assign(view, 150, RoleOptions{Utilization: 0.5, Origins: map[Place]float64{northA: 90, northB: 40, southC: 20}})
+	roles := Assign(view, 150, RoleOptions{Utilization: 0.5, Origins: map[Location]float64{northA: 90, northB: 40, southC: 20}})
 	assert.Len(t, roles.Serving, 6, "two of 200 carry 100 requests a second")
-	for _, from := range []Place{northA, northB, southC} {
+	for _, from := range []Location{northA, northB, southC} {
 		assert.InDelta(t, 1, sharesByZone(view, expectedShares(t, roles, from))[from.Zone], 1e-9)
 	}
 }
@@ -96,7 +96,7 @@
 	view := fleetOf(zoned{northA, equal(5, 200)}, zoned{northB, equal(5, 200)}, zoned{southC, equal(5, 200)}, zoned{southD, equal(5, 200)})
 	roles := Assign(view, 60, RoleOptions{Utilization: 0.5})
 	assert.Len(t, roles.Serving, 6, "four zones with two each would be eight")
-	for _, from := range []Place{northA, northB, southC, southD} {
+	for _, from := range []Location{northA, northB, southC, southD} {
 		for _, named := range roles.Answer(from, roles.Serving[0].Node, always) {
 			assert.Equal(t, from.Region, named.Region)
 		}
@@ -116,7 +116,7 @@
 // members carry.
 func TestZoneThatIsFullIsRelievedByItsRegion(t *testing.T) {
 	view := fleetOf(zoned{northA, equal(4, 200)}, zoned{northB, equal(20, 200)}, zoned{southC, equal(20, 200)})
-	origins := map[Place]float64{northA: 400, northB: 100, southC: 100}
+	origins := map[Location]float64{northA: 400, northB: 100, southC: 100}
 	roles := Assign(view, 600, RoleOptions{Utilization: 0.5, Origins: origins})
 	byZone := sharesByZone(view, expectedShares(t, roles, northA))
 	assert.InDelta(t, 0.5, byZone["a"], 0.02, "four carry 200 of 400")
@@ -135,20 +135,20 @@
 // TestRelievedZoneDoesNotSeemToNeedLess has the part that others take stay the zone's own.
 func TestRelievedZoneDoesNotSeemToNeedLess(t *testing.T) {
 	view := fleetOf(zoned{northA, equal(4, 200)}, zoned{northB, equal(20, 200)}, zoned{southC, equal(20, 200)})
-	origins := map[Place]float64{northA: 400, northB: 100, southC: 100}
+	origins := map[Location]float64{northA: 400, northB: 100, southC: 100}
 	roles := Assign(view, 600, RoleOptions{Utilization: 0.5, Origins: origins})
-	again := roles.Origins(map[Place]float64{northA: 200, northB: 300, southC: 100})
+	again := roles.Origins(map[Location]float64{northA: 200, northB: 300, southC: 100})
 	for place, rate := range origins {
 		assert.InDelta(t, rate, again[place], 1, place)
 	}
-	unplanned := roles.Origins(map[Place]float64{{"east", "e"}: 5})
-	assert.Equal(t, map[Place]float64{{"east", "e"}: 5}, unplanned)
+	unplanned := roles.Origins(map[Location]float64{{"east", "e"}: 5})
+	assert.Equal(t, map[Location]float64{{"east", "e"}: 5}, unplanned)
 }
 
 // TestLostRegionIsTakenOverByRoom has a region's members vanish while its callers go on.
 func TestLostRegionIsTakenOverByRoom(t *testing.T) {
 	view := fleetOf(zoned{northA, equal(20, 200)}, zoned{northB, equal(8, 200)})
-	origins := map[Place]float64{northA: 100, northB: 350, southC: 500}
+	origins := map[Location]float64{northA: 100, northB: 350, southC: 500}
 	roles := Assign(view, 950, RoleOptions{Utilization: 0.5, Origins: origins})
 	parts := map[fleet.ZoneName]float64{}
 	for _, member := range view.Members() {
@@ -174,10 +174,10 @@
 	random := rand.New(rand.NewPCG(7, 7))
 	for range 500 {
 		var zones []zoned
-		origins := map[Place]float64{}
+		origins := map[Location]float64{}
 		members, total := 0, 0.0
 		for zone := range 1 + random.IntN(6) {
-			place := Place{fleet.RegionName(fmt.Sprint("r", zone%3)), fleet.ZoneName(fmt.Sprint("z", zone))}
+			place := Location{fleet.RegionName(fmt.Sprint("r", zone%3)), fleet.ZoneName(fmt.Sprint("z", zone))}
 			origins[place] = random.Float64() * 500
 			total += origins[place]
 			if count := random.IntN(20); count > 0 {
@@ -230,7 +230,7 @@
 func BenchmarkPlanServing(b *testing.B) {
 	var zones []zoned
 	for zone := range 13 {
-		zones = append(zones, zoned{Place{fleet.RegionName(fmt.Sprint("r", zone%6)), fleet.ZoneName(fmt.Sprint("z", zone))}, equal(52, 200)})
+		zones = append(zones, zoned{Location{fleet.RegionName(fmt.Sprint("r", zone%6)), fleet.ZoneName(fmt.Sprint("z", zone))}, equal(52, 200)})
 	}
 	view := fleetOf(zones...)
 	b.Run("assign at 676 members", func(b *testing.B) {
@@ -241,7 +241,7 @@
 	roles := Assign(view, 5000, RoleOptions{Utilization: 0.5})
 	b.Run("answer at 676 members", func(b *testing.B) {
 		for b.Loop() {
-			roles.Answer(Place{"r0", "z0"}, view.Members()[3].Node, always)
+			roles.Answer(Location{"r0", "z0"}, view.Members()[3].Node, always)
 		}
 	})
 }
@@ -250,7 +250,7 @@
 func TestGroupsGrowAtOnceAndShrinkLate(t *testing.T) {
 	var hold SizeHold
 	at := func(now time.Duration, need int) int {
-		return hold.Observe(now, 100, map[Place]int{northA: need})[northA]
+		return hold.Observe(now, 100, map[Location]int{northA: need})[northA]
 	}
 	assert.Equal(t, 2, at(0, 2))
 	assert.Equal(t, 4, at(time.Second, 4))
@@ -262,10 +262,10 @@
 	assert.Equal(t, 5, at(41*time.Second, 1))
 	assert.Equal(t, 1, at(42*time.Second, 1))
 	assert.Equal(t, 7, at(43*time.Second, 7))
-	assert.Equal(t, 2, hold.Observe(44*time.Second, 50, map[Place]int{northA: 2})[northA], "the demand has been lower for a while")
+	assert.Equal(t, 2, hold.Observe(44*time.Second, 50, map[Location]int{northA: 2})[northA], "the demand has been lower for a while")
 	assert.NotContains(t, hold.Observe(45*time.Second, 50, nil), northA, "a group that is gone is forgotten")
 	view := fleetOf(zoned{northA, equal(10, 200)}, zoned{northB, equal(10, 200)}, zoned{southC, equal(10, 200)})
-	roles := Assign(view, 60, RoleOptions{Least: map[Place]int{northA: 4, southC: 99}})
-	assert.Equal(t, map[Place]int{northA: 2, northB: 2, southC: 2}, roles.Needed())
+	roles := Assign(view, 60, RoleOptions{Least: map[Location]int{northA: 4, southC: 99}})
+	assert.Equal(t, map[Location]int{northA: 2, northB: 2, southC: 2}, roles.Needed())
 	assert.Len(t, roles.Serving, 4+2+10)
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -20,6 +20,7 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 )
 
 // Options sets up a Peer.
@@ -44,6 +45,11 @@
 	// Watch answers another process that asks what changed in the store's tables;
 	// nil means that this process tells nobody.
 	Watch func(ctx context.Context, request *rpc.WatchRequest) *rpc.WatchResponse
+	// Caches answers another process that asks what changed in the caches of this
+	// one's zone, or fails if it doesn't follow them; nil means that it follows none.
+	Caches func(ctx context.Context, request *rpc.CachesRequest) (*rpc.CachesResponse, error)
+	// Traffic counts the bytes of calls to other processes; nil counts none.
+	Traffic *traffic.Meter
 }
 
 const (
@@ -89,7 +95,7 @@
 	p := &Peer{
 		options: options,
 		clock:   fleet.NewClock(),
-		http:    newHTTPClient(),
+		http:    newHTTPClient(options.Traffic),
 		metrics: newMetrics(),
 		calls:   make(chan call, queuedCalls),
 		kick:    make(chan struct{}, 1),
