Test that a delivery without an old side ends as completed

Cause: the guard could be removed unnoticed; the test before began at time 0 and checked only that something is written. Change: a stricter test in its place.

--- a/internal/delivery/director_test.go
+++ b/internal/delivery/director_test.go
@@ -196,11 +196,13 @@
 // Without an old side there is nothing to compare with and nowhere else to go.
 func TestOnlyTheTargetIsListed(t *testing.T) {
 	director := directing(t)
-	require.Zero(t, director.Look(0, observe(0, 4)).Write.Stage-StageCanary)
-	write := director.Look(noOldSettles, observe(0, 4)).Write
-	require.Nil(t, write)
-	step := director.Look(noOldSettles+writeTimeout, observe(0, 4))
+	begin := time.Second
+	require.Equal(t, StageCanary, director.Look(begin, observe(0, 4)).Write.Stage)
+	require.Nil(t, director.Look(begin+noOldSettles-1, observe(0, 4)).Write)
+	step := director.Look(begin+noOldSettles, observe(0, 4))
 	require.NotNil(t, step.Write)
+	require.Equal(t, StageCompleted, step.Write.Stage)
+	require.Equal(t, ReasonNoOld, step.Write.Reason)
 }
 
 func TestSilentNodesDecideNothing(t *testing.T) {
