Hold the page of events to the names that are constants too

Cause: the director of deliveries names its events by constants, which the check of docs/OPERATIONS.md didn't find, so that it called documented events unknown. Change: the check also reads constants whose names begin with Event: it sees more than before, nothing less. Measured: the test fails before and passes with it.

--- a/cmd/tillerfall/operationspage_test.go
+++ b/cmd/tillerfall/operationspage_test.go
@@ -17,7 +17,7 @@
 var (
 	// loggedEvent finds the name of an event where it is logged, or passed to
 	// the agent's method that logs an exchange with an engine.
-	loggedEvent = regexp.MustCompile(`(?:\bMsg\(|logEngineError\()"([a-z_]+)"`)
+	loggedEvent = regexp.MustCompile(`(?:\bMsg\(|logEngineError\(|\bEvent[A-Z][A-Za-z]* += )"([a-z_]+)"`)
 	eventRow    = regexp.MustCompile("(?m)^\\| ((?:`[a-z_]+`(?: d)?(?:, )?)+) \\| (?:both|router|agent|gateway|all) \\|")
 	quotedName  = regexp.MustCompile("`([a-z_]+)`")
 	loggedLine  = regexp.MustCompile(`event=([a-z_]+)`)
