Stand in also for a delivery that nobody directs; one type for a zone of a region

Cause: when all candidates for the lease lose the store a delivery had no director until they are back, like the change of weights before; three parts had each brought a type of region and zone. Change: a node in the store's reach takes the lease when a delivery has had no directive that counts for a lease's duration and 0.4 s. traffic uses membership.Location. Tests: TestDeliveryThatNobodyDirectsIsNoticed, TestDeliveryWithoutDirectiveIsUndirected.

--- a/internal/gateway/deliveries.go
+++ b/internal/gateway/deliveries.go
@@ -114,6 +114,26 @@
 	return services
 }
 
+// undirected tells whether a delivery runs for which no directive counts: nobody directs
+// it.
+func (d *deliveries) undirected(now time.Duration) bool {
+	if !d.known.Load() {
+		return false
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	directed := make(map[fleet.PoolName]fleet.Revision)
+	for _, directive := range d.follower.Directives(now) {
+		directed[directive.Service] = directive.Revision
+	}
+	for service, order := range d.orders {
+		if order.Revision > d.finished[service] && order.Revision > directed[service] {
+			return true
+		}
+	}
+	return false
+}
+
 // follows tells whether a service has an order.
 func (d *deliveries) follows(service fleet.PoolName) bool {
 	if !d.known.Load() {
--- a/internal/gateway/standin.go
+++ b/internal/gateway/standin.go
@@ -22,7 +22,8 @@
 	ownProofWithin = 1500 * time.Millisecond
 )
 
-// dutyWatch notices that engines wait for new weights and nobody changes them. The
+// dutyWatch notices that engines wait for new weights and nobody changes them, or that
+// nobody directs a delivery. The
 // few candidates for the lease can be out of the store's reach together: then no engine
 // was changed for 12 s, and all requests were refused for 4 s once the old weights were
 // not to be used any more: of the worst seconds' worth 0.35 was earned, and 0.73 with
@@ -34,7 +35,9 @@
 	// changedAt is when an engine was last seen to have taken a newer version, or when
 	// none waited for one.
 	changedAt time.Duration
-	undone    bool
+	// directedAt is when no delivery was last seen to be without a director.
+	directedAt time.Duration
+	undone     bool
 }
 
 // engineVersions is what a look shows of the engines.
@@ -44,6 +47,8 @@
 	waiting int
 	// sums holds, by engine, the sum of the versions of its models.
 	sums map[fleet.EngineID]uint64
+	// undirected is set if a delivery runs that nobody directs.
+	undirected bool
 }
 
 // due tells whether it is time for another look.
@@ -52,13 +57,16 @@
 // observe takes in a look and tells whether the duty has lain undone for longer than
 // within.
 func (d *dutyWatch) observe(now time.Duration, seen engineVersions, within time.Duration) bool {
-	unseen := now - d.lookedAt
+	begins := d.versions == nil || now-d.lookedAt > undoneBreak
 	d.lookedAt = now
-	if seen.waiting == 0 || d.versions == nil || unseen > undoneBreak || d.changed(seen.sums) {
+	if begins || seen.waiting == 0 || d.changed(seen.sums) {
 		d.changedAt = now
 	}
+	if begins || !seen.undirected {
+		d.directedAt = now
+	}
 	d.versions = seen.sums
-	d.undone = now-d.changedAt > within
+	d.undone = now-min(d.changedAt, d.directedAt) > within
 	return d.undone
 }
 
@@ -90,6 +98,7 @@
 		return g.duty.undone
 	}
 	seen := g.weights.seen(g.workers.Workers(), g.workers.Doubtful(now))
+	seen.undirected = g.deliveries.undirected(now)
 	return g.duty.observe(now, seen, g.settings().LeaseGap+undoneSlack)
 }
 
@@ -97,7 +106,7 @@
 func (g *Gateway) noteStandIn(now time.Duration) {
 	stands := g.standsIn(now)
 	if g.standIn.Swap(stands) != stands {
-		g.logger.Info().Bool("stands_in", stands).Dur("undone", now-g.duty.changedAt).Msg("lease_stand_in")
+		g.logger.Info().Bool("stands_in", stands).Dur("undone", now-min(g.duty.changedAt, g.duty.directedAt)).Msg("lease_stand_in")
 	}
 }
 
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/delivery"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
 )
@@ -45,6 +46,34 @@
 	assert.Zero(t, lookUntil(&duty, 30, 33, look(2, 1)), "nobody has looked for a while")
 }
 
+// TestDeliveryThatNobodyDirectsIsNoticed has engines change while nobody directs.
+func TestDeliveryThatNobodyDirectsIsNoticed(t *testing.T) {
+	var duty dutyWatch
+	undirected := look(2, 2)
+	undirected.undirected = true
+	assert.Equal(t, 4, lookUntil(&duty, 0, 4, undirected))
+	assert.Zero(t, lookUntil(&duty, 5, 5, look(2, 2)), "somebody directs")
+	assert.Equal(t, 9, lookUntil(&duty, 6, 9, undirected))
+}
+
+// TestDeliveryWithoutDirectiveIsUndirected has an order without and with a directive that
+// counts.
+func TestDeliveryWithoutDirectiveIsUndirected(t *testing.T) {
+	g := idleGateway(t)
+	assert.False(t, g.deliveries.undirected(0))
+	order := delivery.Order{Service: "app", Target: "v2", Duration: 12 * time.Second, Revision: 7}
+	_, err := g.deliveries.order(0, 0, order)
+	require.NoError(t, err)
+	assert.True(t, g.deliveries.undirected(0))
+	directive := delivery.Directive{Service: "app", Target: "v2", Revision: 7, Sequence: 1, Stage: delivery.StageCanary, IssuedAt: time.Second}
+	g.deliveries.take(time.Second, directive)
+	assert.False(t, g.deliveries.undirected(2*time.Second))
+	assert.True(t, g.deliveries.undirected(time.Second+delivery.DirectiveValid+time.Millisecond), "it has lapsed")
+	directive.Stage, directive.Sequence = delivery.StageRolledBack, 2
+	g.deliveries.take(5*time.Second, directive)
+	assert.False(t, g.deliveries.undirected(time.Minute), "it is over")
+}
+
 // TestEnginesThatComeAndGoAreNoProgress has an engine crash and come back as another run
 // while nobody changes any.
 func TestEnginesThatComeAndGoAreNoProgress(t *testing.T) {
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -14,18 +14,18 @@
 const trafficInterval = 5 * time.Second
 
 // place returns where this node is.
-func (g *Gateway) place() traffic.Place {
-	return traffic.Place{Zone: g.settings().Zone, Region: g.settings().Region}
+func (g *Gateway) place() membership.Location {
+	return membership.Location{Zone: g.settings().Zone, Region: g.settings().Region}
 }
 
 // distanceTo returns how far a zone is.
 func (g *Gateway) distanceTo(zone fleet.ZoneName) traffic.Distance {
-	return traffic.Between(g.place(), traffic.Place{Zone: zone, Region: g.settings().Zones[zone]})
+	return traffic.Between(g.place(), membership.Location{Zone: zone, Region: g.settings().Zones[zone]})
 }
 
 // peerCall returns a context for a call to another gateway.
 func (g *Gateway) peerCall(purpose traffic.Purpose, member membership.Member) context.Context {
-	distance := traffic.Between(g.place(), traffic.Place{Zone: member.Zone, Region: member.Region})
+	distance := traffic.Between(g.place(), membership.Location{Zone: member.Zone, Region: member.Region})
 	return traffic.With(g.context(), purpose, distance)
 }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -101,8 +101,8 @@
 }
 
 // place returns where a member is.
-func place(member membership.Member) traffic.Place {
-	return traffic.Place{Zone: member.Zone, Region: member.Region}
+func place(member membership.Member) membership.Location {
+	return membership.Location{Zone: member.Zone, Region: member.Region}
 }
 
 // ErrUnavailable says that the other side can't tell what it was asked for now.
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -11,7 +11,7 @@
 	"context"
 	"sync/atomic"
 
-	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
 )
 
 // Purpose tells what bytes are for.
@@ -88,14 +88,9 @@
 	return distanceNames[Unknown]
 }
 
-// Place is where a process is. Either name may be empty if it isn't known.
-type Place struct {
-	Zone   fleet.ZoneName
-	Region fleet.RegionName
-}
-
-// Between returns the distance between two places.
-func Between(one, other Place) Distance {
+// Between returns the distance between two places, of which names may be empty if they
+// aren't known.
+func Between(one, other membership.Location) Distance {
 	switch {
 	case one.Zone == "" || other.Zone == "":
 		return Unknown
--- a/internal/traffic/traffic_test.go
+++ b/internal/traffic/traffic_test.go
@@ -12,20 +12,22 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/membership"
 )
 
 func TestBetween(t *testing.T) {
-	here := Place{Zone: "a", Region: "north"}
+	here := membership.Location{Zone: "a", Region: "north"}
 	for name, entry := range map[string]struct {
-		other Place
+		other membership.Location
 		want  Distance
 	}{
-		"same zone":       {Place{Zone: "a", Region: "north"}, SameZone},
-		"other zone":      {Place{Zone: "b", Region: "north"}, OtherZone},
-		"other region":    {Place{Zone: "c", Region: "south"}, OtherRegion},
-		"unknown region":  {Place{Zone: "b"}, OtherZone},
-		"unknown zone":    {Place{Region: "south"}, Unknown},
-		"nothing is told": {Place{}, Unknown},
+		"same zone":       {membership.Location{Zone: "a", Region: "north"}, SameZone},
+		"other zone":      {membership.Location{Zone: "b", Region: "north"}, OtherZone},
+		"other region":    {membership.Location{Zone: "c", Region: "south"}, OtherRegion},
+		"unknown region":  {membership.Location{Zone: "b"}, OtherZone},
+		"unknown zone":    {membership.Location{Region: "south"}, Unknown},
+		"nothing is told": {membership.Location{}, Unknown},
 	} {
 		t.Run(name, func(t *testing.T) { assert.Equal(t, entry.want, Between(here, entry.other)) })
 	}
