--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -13,6 +13,7 @@
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/routes"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
@@ -137,6 +138,7 @@
 		g.pending.add(send)
 		defer g.pending.remove(send)
 	}
+	ctx = traffic.With(ctx, traffic.Requests, g.distanceTo(placement.Worker.Zone))
 	return g.upstreams.Do(ctx, g.destination(current, &placement.Worker), g.outgoing(current, placement))
 }
 
@@ -224,7 +226,7 @@
 
 func (g *Gateway) logPlacement(current *carried, placement *backends.Placement) {
 	line := g.events.line("placed").Str("request_id", current.metadata.RequestID).Str("worker", string(placement.Worker.ID)).
-		Int("in_flight", placement.InFlight).Int("candidates", placement.Candidates).Float64("failure_rate", placement.FailureRate)
+		Int("in_flight", placement.InFlight).Int("candidates", placement.Candidates).Int("looked_at", placement.Looked).Float64("failure_rate", placement.FailureRate)
 	if engine := placement.Engine; engine != nil {
 		line = line.Uint64("version", uint64(engine.Version)).Int("cached", engine.CachedTokens).
 			Int("imported", engine.ImportedTokens).Int("prompt", current.metadata.PromptTokens).
@@ -240,15 +242,22 @@
 	line.Msg("placed")
 }
 
+// messageBytes is the size of an exchange besides the request's body: headers both ways
+// and an answer of some hundred bytes.
+const messageBytes = 1500
+
 // choice describes the request to the registry.
 func (g *Gateway) choice(current *carried) *backends.Request {
+	destination := g.destination(current, &backends.Worker{})
 	request := &backends.Request{
 		Service:  current.service.Name,
 		Excluded: current.machine.Excluded(),
 		Free: func(worker *backends.Worker) bool {
-			return g.upstreams.Free(g.destination(current, worker))
+			destination.Engine, destination.Address = worker.ID, worker.Address
+			return g.upstreams.Free(destination)
 		},
 		Versions: g.versions(current, current.wasAtTarget),
+		Bytes:    messageBytes + int(max(current.request.ContentLength, 0)),
 	}
 	if engine := current.service.Engine; engine != nil {
 		request.Engine = &backends.EngineRequest{
@@ -267,7 +276,8 @@
 			LinkMegabits: engine.LinkMegabits,
 		}
 		if store := g.keptStore(current); store != nil {
-			request.Engine.Store, request.Engine.StoreMegabits = store.Store.Address, store.Store.LinkMegabits
+			request.Engine.Store, request.Engine.StoreZone = store.Store.Address, store.Store.Zone
+			request.Engine.StoreMegabits = store.Store.LinkMegabits
 		}
 		if current.tenant != nil {
 			request.Engine.Tenant, request.Engine.Isolated = current.tenant.Name, current.tenant.Isolated
--- a/internal/gateway/pressure_test.go
+++ b/internal/gateway/pressure_test.go
@@ -68,8 +68,10 @@
 	g.takeOrigins(now, nil, []*rpc.NodePressure{{Node: "other", Pressure: uint32(nodecapacity.Free), AgeMillis: 2000}})
 	assert.NotEmpty(t, g.origins.planWeights(now), "an older word doesn't count")
 	assert.Empty(t, g.origins.planWeights(now+rateValid+time.Second), "a word that isn't renewed ends")
-	g.takeLoad(&rpc.LoadReport{Node: "other", Pressure: 77})
+	g.takeLoad(&rpc.LoadReport{Node: "other", Pressure: uint32(nodecapacity.Full)})
 	assert.Equal(t, nodecapacity.Full.Weight(), g.origins.planWeights(g.now())["other"])
+	g.takeLoad(&rpc.LoadReport{Node: "other", Pressure: 77})
+	assert.True(t, g.origins.silent(g.now(), "other"), "an unknown word counts as the highest")
 	g.takeLoad(&rpc.LoadReport{Node: "other"})
 	assert.Empty(t, g.origins.planWeights(g.now()))
 }
@@ -91,11 +93,11 @@
 // demand is planned for by those that are left, and isn't added to what the region tells again.
 func TestLostRegionIsRememberedAndCountedOnce(t *testing.T) {
 	known := newOrigins()
-	north, south := membership.Place{Region: "north", Zone: "a"}, membership.Place{Region: "south", Zone: "b"}
-	both := map[membership.Place]float64{north: 100, south: 80}
-	alone := map[membership.Place]float64{north: 100}
-	looks := func(duration time.Duration, rates map[membership.Place]float64) map[membership.Place]float64 {
-		var planned map[membership.Place]float64
+	north, south := membership.Location{Region: "north", Zone: "a"}, membership.Location{Region: "south", Zone: "b"}
+	both := map[membership.Location]float64{north: 100, south: 80}
+	alone := map[membership.Location]float64{north: 100}
+	looks := func(duration time.Duration, rates map[membership.Location]float64) map[membership.Location]float64 {
+		var planned map[membership.Location]float64
 		for range int(duration / rolesInterval) {
 			planned = known.plan(rates)
 			for place, rate := range planned {
@@ -117,11 +119,11 @@
 	random := rand.New(rand.NewPCG(5, 5))
 	known := newOrigins()
 	changes := 0
-	var before map[membership.Place]float64
+	var before map[membership.Location]float64
 	for range 300 {
-		rates := map[membership.Place]float64{}
+		rates := map[membership.Location]float64{}
 		for zone := range 3 {
-			place := membership.Place{Region: "r", Zone: fleet.ZoneName(fmt.Sprint("z", zone))}
+			place := membership.Location{Region: "r", Zone: fleet.ZoneName(fmt.Sprint("z", zone))}
 			rates[place] = 30 * (1 + 0.17*random.NormFloat64())
 		}
 		planned := known.plan(rates)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"maps"
 	"net"
 	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/nodecapacity"
 )
@@ -17,6 +19,11 @@
 	Node   string
 	Zone   fleet.ZoneName
 	Region fleet.RegionName
+	// Zones holds the region of each zone; zones that it lacks count as near ones.
+	Zones map[fleet.ZoneName]fleet.RegionName
+	// Distances are what distance costs a request; backends.DefaultDistancePrices if all
+	// are 0. They hold from the start of the process on.
+	Distances backends.DistancePrices
 
 	// FrontAddress serves callers' requests.
 	FrontAddress string
@@ -92,6 +99,9 @@
 // ApplyDefaults sets the bounds that are 0, since a deployment names only those
 // of the parts that it has.
 func (s *Settings) ApplyDefaults() {
+	if s.Distances == (backends.DistancePrices{}) {
+		s.Distances = backends.DefaultDistancePrices()
+	}
 	for _, bound := range []struct {
 		field    *time.Duration
 		fallback time.Duration
@@ -135,6 +145,9 @@
 	if err := s.Limits.Validate(); err != nil {
 		return errors.Wrap(err, "limits")
 	}
+	if err := s.Distances.Validate(); err != nil {
+		return errors.Wrap(err, "distances")
+	}
 	for name, bound := range map[string]time.Duration{
 		"stop grace": s.StopGrace, "revocation bound": s.RevokeWithin, "lease gap": s.LeaseGap,
 		"weights bound": s.WeightsWithin, "configuration bound": s.ConfigureWithin, "retry window": s.RetryWindow,
@@ -153,6 +166,16 @@
 	return nil
 }
 
+// regions returns the region of each zone, this node's own included.
+func (s *Settings) regions() backends.Regions {
+	regions := make(backends.Regions, len(s.Zones)+1)
+	maps.Copy(regions, s.Zones)
+	if s.Region != "" {
+		regions[s.Zone] = s.Region
+	}
+	return regions
+}
+
 // identity is what of the settings holds for as long as a process runs.
 type identity struct {
 	node                           string
--- a/internal/membership/sizehold.go
+++ b/internal/membership/sizehold.go
@@ -6,7 +6,7 @@
 // caches hold, and its callers leave it when it ends. Its zero value holds nothing. It isn't
 // safe for concurrent use.
 type SizeHold struct {
-	sizes  map[Place]heldSize
+	sizes  map[Location]heldSize
 	demand float64
 }
 
@@ -23,13 +23,13 @@
 // Observe takes in at now what groups need at a planned demand, and returns the least sizes to
 // keep. The map isn't written to again. A planned demand that falls has been lower for a while
 // already: nothing is kept then.
-func (h *SizeHold) Observe(now time.Duration, demand float64, needed map[Place]int) map[Place]int {
+func (h *SizeHold) Observe(now time.Duration, demand float64, needed map[Location]int) map[Location]int {
 	if demand < h.demand {
 		h.sizes = nil
 	}
 	h.demand = demand
-	kept := make(map[Place]heldSize, len(needed))
-	least := make(map[Place]int, len(needed))
+	kept := make(map[Location]heldSize, len(needed))
+	least := make(map[Location]int, len(needed))
 	for place, need := range needed {
 		held := h.sizes[place]
 		switch {
