--- a/internal/traffic/traffic_test.go
+++ b/internal/traffic/traffic_test.go
@@ -12,20 +12,22 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/membership"
 )
 
 func TestBetween(t *testing.T) {
-	here := Place{Zone: "a", Region: "north"}
+	here := membership.Location{Zone: "a", Region: "north"}
 	for name, entry := range map[string]struct {
-		other Place
+		other membership.Location
 		want  Distance
 	}{
-		"same zone":       {Place{Zone: "a", Region: "north"}, SameZone},
-		"other zone":      {Place{Zone: "b", Region: "north"}, OtherZone},
-		"other region":    {Place{Zone: "c", Region: "south"}, OtherRegion},
-		"unknown region":  {Place{Zone: "b"}, OtherZone},
-		"unknown zone":    {Place{Region: "south"}, Unknown},
-		"nothing is told": {Place{}, Unknown},
+		"same zone":       {membership.Location{Zone: "a", Region: "north"}, SameZone},
+		"other zone":      {membership.Location{Zone: "b", Region: "north"}, OtherZone},
+		"other region":    {membership.Location{Zone: "c", Region: "south"}, OtherRegion},
+		"unknown region":  {membership.Location{Zone: "b"}, OtherZone},
+		"unknown zone":    {membership.Location{Region: "south"}, Unknown},
+		"nothing is told": {membership.Location{}, Unknown},
 	} {
 		t.Run(name, func(t *testing.T) { assert.Equal(t, entry.want, Between(here, entry.other)) })
 	}
@@ -114,6 +116,31 @@
 	require.ErrorIs(t, err, errNoDescriptor)
 }
 
+// TestAnswerToAnUnreadRequestArrives has a server refuse a request whose body it doesn't
+// read: the caller reads the whole answer, since the connection is half closed first.
+func TestAnswerToAnUnreadRequestArrives(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Connection", "close")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	server.Listener = Listener{Listener: server.Listener, Meter: &Meter{}, Purpose: Callers}
+	server.Start()
+	t.Cleanup(server.Close)
+	for range 20 {
+		conn, err := net.Dial("tcp4", server.Listener.Addr().String())
+		require.NoError(t, err)
+		_, err = conn.Write([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 300_000)))
+		require.NoError(t, err)
+		answer, err := io.ReadAll(conn)
+		require.NoError(t, err)
+		assert.Contains(t, string(answer), "503 Service Unavailable")
+		require.NoError(t, conn.Close())
+	}
+	near, far := net.Pipe()
+	t.Cleanup(func() { near.Close(); far.Close() })
+	assert.ErrorIs(t, (&Meter{}).Wrap(near, Callers, Unknown).CloseWrite(), errWhole)
+}
+
 func TestCollector(t *testing.T) {
 	meter := &Meter{}
 	meter.Add(Uses, OtherRegion, Received, 42)
