Keep canaries from more of a long route than workers carry, and try more of a version

A rare route got 0.3 of its requests at the canaries; its prompts are 4 in 5 of all work, so 3 of 60 engines were asked for 1.4 times what they can do and queued with the old version's answers as with the new one's: both sides' times tell nothing. 53 answers in 6 s, most within the first ten of a route and worker, which count as cold. Change: a route's share is held to 1.2 times what its load is when everything goes to the target; half of the exposure is kept for the shift instead of 0.7.

--- a/internal/delivery/canaries.go
+++ b/internal/delivery/canaries.go
@@ -17,6 +17,9 @@
 	leastCanaries = 3
 	// leastCanaryRate is the number of requests a second that each further one must get.
 	leastCanaryRate = 2.0
+	// canaryLoad is by how many times a route's load at a canary may exceed that of the
+	// workers when everything goes to them.
+	canaryLoad = 1.2
 	// sharesHold is the time for which shares stay, so that directives change seldom.
 	sharesHold = time.Second
 	// targetSettles is the time after an order within which the target's first workers
@@ -41,16 +44,16 @@
 // wantedCanaries returns how many of the target's workers get the share: with more than it
 // needs, their load would be below the old side's, and a fault under load wouldn't show; and
 // each must answer often enough to be known.
-func (s *directed) wantedCanaries(now time.Duration, targets int) int {
-	asLoaded := s.share * float64(targets)
-	answering := s.share * s.meter.traffic(now).rate / leastCanaryRate
+func (s *directed) wantedCanaries(now time.Duration, share float64, targets int) int {
+	asLoaded := share * float64(targets)
+	answering := share * s.meter.traffic(now).rate / leastCanaryRate
 	return max(leastCanaries, int(math.Round(min(asLoaded, answering))))
 }
 
 // chooseCanaries keeps those canaries that are still listed and fills up. A canary that
 // may be grey gives way to a worker that isn't suspected: it has shown what it can.
 func (s *directed) chooseCanaries(now time.Duration, targets []TargetWorker) {
-	wanted := s.wantedCanaries(now, len(targets))
+	wanted := s.wantedCanaries(now, s.share, len(targets))
 	ranked := s.rankTargets(targets)
 	chosen := ranked[:min(wanted, len(ranked))]
 	slices.Sort(chosen)
@@ -88,7 +91,7 @@
 
 // setShares works out the canary share anew, each sharesHold. Shares that have hardly
 // changed stay: each change is told to all nodes at once.
-func (s *directed) setShares(now time.Duration) {
+func (s *directed) setShares(now time.Duration, targets int) {
 	if s.shifting || s.sharesAt != 0 && now-s.sharesAt < sharesHold {
 		return
 	}
@@ -99,7 +102,7 @@
 	share := s.schedule.share(now, seen)
 	var shares map[RouteName]float64
 	if seen.rate > 0 {
-		shares = routeShares(share, s.meter.rates)
+		shares = routeShares(share, s.meter.rates, s.highestRouteShare(now, share, targets))
 	}
 	if !first && similar(share, s.share) && similarShares(shares, s.shares) {
 		return
@@ -108,6 +111,15 @@
 	s.changed = true
 }
 
+// highestRouteShare returns what a rare route may get at the most. Its requests may be the
+// longest: 0.3 of a route with 4 in 5 of all work, at 3 of 60 engines, kept these so busy
+// that a version which took 8 times as long looked like a good one (86 nodes, one of two
+// plays completed it).
+func (s *directed) highestRouteShare(now time.Duration, share float64, targets int) float64 {
+	canaries := min(s.wantedCanaries(now, share, targets), targets)
+	return min(highestShare, max(share, canaryLoad*float64(canaries)/float64(max(targets, 1))))
+}
+
 // similar tells whether two shares differ by less than a sixth.
 func similar(a, b float64) bool {
 	return math.Abs(a-b) <= max(a, b)/6
--- a/internal/delivery/schedule.go
+++ b/internal/delivery/schedule.go
@@ -16,8 +16,8 @@
 	// number of requests by some ten.
 	slackMargin = 0.5
 	// shiftPart is the part of the exposure that is kept for the shift: runs at old
-	// workers need time to end there, canaries gather their evidence at any share.
-	shiftPart = 0.7
+	// workers need time to end there, canaries need answers.
+	shiftPart = 0.5
 	// longestShift is the time after which nearly all runs at old workers have ended
 	// (0.3 to 1.5 s), with finishReserve.
 	longestShift = 1400 * time.Millisecond
@@ -96,8 +96,9 @@
 }
 
 // routeShares divides a share of all requests among routes by their rates. Each gets
-// the same number of requests, as far as it has them, since evidence counts by route.
-func routeShares(share float64, rates map[RouteName]float64) map[RouteName]float64 {
+// the same number of requests, as far as highest of its own allows, since evidence counts
+// by route.
+func routeShares(share float64, rates map[RouteName]float64, highest float64) map[RouteName]float64 {
 	total := 0.0
 	for _, rate := range rates {
 		total += rate
@@ -108,9 +109,9 @@
 		each := budget / float64(len(rates)-len(shares))
 		full := false
 		for name, rate := range rates {
-			if _, done := shares[name]; !done && rate*highestShare <= each {
-				shares[name] = highestShare
-				budget -= rate * highestShare
+			if _, done := shares[name]; !done && rate*highest <= each {
+				shares[name] = highest
+				budget -= rate * highest
 				full = true
 			}
 		}
--- a/internal/delivery/schedule_test.go
+++ b/internal/delivery/schedule_test.go
@@ -54,12 +54,12 @@
 
 // TestRouteSharesGiveEachRouteAsMany: evidence counts by route.
 func TestRouteSharesGiveEachRouteAsMany(t *testing.T) {
-	shares := routeShares(0.03, map[RouteName]float64{"a": 900, "b": 95, "c": 5})
+	shares := routeShares(0.03, map[RouteName]float64{"a": 900, "b": 95, "c": 5}, highestShare)
 	require.InDelta(t, 0.3, shares["c"], 1e-9, "the rarest gets all that it may")
 	require.InDelta(t, 900*shares["a"], 95*shares["b"], 1e-6)
 	require.InDelta(t, 30, 900*shares["a"]+95*shares["b"]+5*shares["c"], 1e-6)
-	require.Empty(t, routeShares(0.1, nil))
-	for _, share := range routeShares(0.9, map[RouteName]float64{"a": 1, "b": 0}) {
+	require.Empty(t, routeShares(0.1, nil, highestShare))
+	for _, share := range routeShares(0.9, map[RouteName]float64{"a": 1, "b": 0}, highestShare) {
 		require.Equal(t, highestShare, share)
 	}
 }
--- a/internal/delivery/stages.go
+++ b/internal/delivery/stages.go
@@ -78,7 +78,7 @@
 	if s.verdict != 0 {
 		return Event{}
 	}
-	s.setShares(now)
+	s.setShares(now, len(counted.target))
 	s.chooseCanaries(now, counted.target)
 	if event := s.planShift(now, counted); event.Name != "" {
 		return event
--- a/internal/delivery/stages_test.go
+++ b/internal/delivery/stages_test.go
@@ -107,11 +107,11 @@
 	state := directing(t).services[simService]
 	state.share = 0.3
 	state.meter.rates[testRoute] = 20
-	require.Equal(t, leastCanaries, state.wantedCanaries(time.Minute, 60))
+	require.Equal(t, leastCanaries, state.wantedCanaries(time.Minute, state.share, 60))
 	state.meter.rates[testRoute] = 700
-	require.Equal(t, 18, state.wantedCanaries(time.Minute, 60))
+	require.Equal(t, 18, state.wantedCanaries(time.Minute, state.share, 60))
 	state.share = 0.02
-	require.Equal(t, leastCanaries, state.wantedCanaries(time.Minute, 60))
+	require.Equal(t, leastCanaries, state.wantedCanaries(time.Minute, state.share, 60))
 }
 
 // A canary that has shown all that one worker may gives way.
