--- a/internal/delivery/stages_test.go
+++ b/internal/delivery/stages_test.go
@@ -168,6 +168,25 @@
 	require.Less(t, step.Event.Score, step.Event.Bound)
 }
 
+// A rare route may have the longest requests: few canaries of many workers get no more of it
+// than they carry, however rare it is.
+func TestRareRouteDoesNotOverloadFewCanaries(t *testing.T) {
+	director := directing(t)
+	var step Step
+	for now := time.Duration(0); now <= 4*time.Second; now += LookInterval {
+		looks := uint64(now / LookInterval)
+		director.Observe(now, "node-1", Evidence{
+			Service: simService, Revision: 7,
+			Old: map[RouteName]*Counts{"common": {Answers: 70 * looks}, "rare": {Answers: 4 * looks}},
+		})
+		step = director.Look(now, observe(60, 60))
+	}
+	canaries := float64(len(step.Directive.Canaries))
+	require.Less(t, canaries, 6.0)
+	require.LessOrEqual(t, step.Directive.Shares["rare"], canaryLoad*canaries/60)
+	require.Greater(t, step.Directive.Shares["rare"], step.Directive.Shares["common"])
+}
+
 func TestRareRouteGetsALargerShare(t *testing.T) {
 	director := directing(t)
 	var step Step
