Tell the director evidence ten times a second during a shift

Change: while everything goes to the target each node tells the node that directs what it has seen each 100 ms.

--- a/internal/gateway/deliveries.go
+++ b/internal/gateway/deliveries.go
@@ -231,6 +231,19 @@
 	return true
 }
 
+// shifts tells whether all requests of a service go to its target now, before a verdict.
+func (d *deliveries) shifts(now time.Duration) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, directive := range d.follower.Directives(now) {
+		planned := directive.ShiftAt > 0 && now >= directive.ShiftAt
+		if directive.Stage == delivery.StageShifting || (directive.Stage == delivery.StageCanary && planned) {
+			return true
+		}
+	}
+	return false
+}
+
 // issuers returns the nodes that direct deliveries now, without this one.
 func (d *deliveries) issuers(now time.Duration) []fleet.NodeID {
 	if !d.known.Load() {
--- a/internal/gateway/deliveries_test.go
+++ b/internal/gateway/deliveries_test.go
@@ -245,3 +245,25 @@
 	assert.InDelta(t, 1, shares["app"]["route"].had(), 0)
 	assert.InDelta(t, 1, shares["app"]["route"].asked, 0)
 }
+
+// TestShiftIsKnownFromItsMoment has a shift be told in advance, begin, and end.
+func TestShiftIsKnownFromItsMoment(t *testing.T) {
+	g := idleGateway(t)
+	assert.False(t, g.deliveries.shifts(0))
+	order := delivery.Order{Service: "app", Target: "v2", Duration: 12 * time.Second, Revision: 7}
+	_, err := g.deliveries.order(0, 0, order)
+	require.NoError(t, err)
+	directive := delivery.Directive{
+		Service: "app", Target: "v2", Revision: 7, Sequence: 1, Stage: delivery.StageCanary,
+		IssuedAt: time.Second, ShiftAt: 2 * time.Second,
+	}
+	g.deliveries.take(time.Second, directive)
+	assert.False(t, g.deliveries.shifts(time.Second))
+	assert.True(t, g.deliveries.shifts(2*time.Second), "as told in advance")
+	directive.Stage, directive.Sequence, directive.IssuedAt = delivery.StageShifting, 2, 2*time.Second
+	g.deliveries.take(2*time.Second, directive)
+	assert.True(t, g.deliveries.shifts(2500*time.Millisecond))
+	directive.Stage, directive.Sequence = delivery.StageCompleted, 3
+	g.deliveries.take(3*time.Second, directive)
+	assert.False(t, g.deliveries.shifts(3*time.Second), "it is over")
+}
--- a/internal/gateway/deliverydriver.go
+++ b/internal/gateway/deliverydriver.go
@@ -42,6 +42,9 @@
 			for _, service := range unfinished {
 				g.direct(service)
 			}
+		} else if g.deliveries.shifts(g.now()) {
+			interval = delivery.LookInterval
+			g.tellDirectors()
 		}
 		g.noteShares()
 		if !g.pause(interval) {
@@ -50,6 +53,16 @@
 	}
 }
 
+// tellDirectors tells those that direct what this node has seen. Faults that show only under
+// load show in a shift, which is shorter than a round of reports.
+func (g *Gateway) tellDirectors() {
+	for _, issuer := range g.deliveries.issuers(g.now()) {
+		if member, found := g.peers.View().Find(issuer); found {
+			go g.exchangeDeliveries(member)
+		}
+	}
+}
+
 // directs tells whether this node directs deliveries now. Before it begins to, it reads
 // the records of those before it.
 func (g *Gateway) directs() bool {
