Name requests by fingerprint in the logs, and tell when a worker ends and what ran there

Cause: the logs of the incident couldn't tell a request that comes again from others of the same prompt length, nor an ended worker from a broken answer.

The worker is asked by a new connection 50 ms later: refused means that it has ended; one that it takes is kept for the next exchange. A row that goes without word of leaving is the other proof. Lines request_ended and send_failed have the fingerprint, worker_ended is new, with a metric.

Ruled out: to take a broken connection itself for a crash (resets, cuts and spoilt answers look alike), and a hash that isn't cryptographic (a tenant could find a body with the fingerprint of another's request).

--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -283,6 +283,14 @@
 	}
 }
 
+// Draining tells whether a worker's row said, when last seen, that it was leaving.
+func (r *Registry) Draining(id fleet.EngineID) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.workers[id]
+	return known != nil && known.worker.Draining
+}
+
 // Workers returns the listed workers of all services, by identifier.
 func (r *Registry) Workers() []Worker {
 	r.mutex.Lock()
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -112,7 +112,7 @@
 	defer cancel(nil)
 	answer, err := g.exchangeWith(sending, cancel, current, placement)
 	if err != nil {
-		return g.failed(ctx, current, placement, err)
+		return g.failed(ctx, sending, current, placement, err)
 	}
 	defer answer.Close()
 	info := g.outside.Codec.Answer(answer.Status, answer.Header)
@@ -155,11 +155,15 @@
 	}
 }
 
-// failed takes in a send without an answer.
-func (g *Gateway) failed(ctx context.Context, current *carried, placement *backends.Placement, err error) attempt.Step {
+// failed takes in a send without an answer. sending is the context of the send, ctx that
+// of the request.
+func (g *Gateway) failed(ctx, sending context.Context, current *carried, placement *backends.Placement, err error) attempt.Step {
 	run := placement.Worker.Run()
 	var failure *upstream.Failure
 	sent := !errors.As(err, &failure) || failure.Stage == upstream.Sent
+	if sent {
+		g.noteLost(current, placement, abandonedBy(sending))
+	}
 	switch {
 	case current.callerGone():
 		g.ended(current, placement, backends.Cancelled, "caller gone")
@@ -177,6 +181,7 @@
 		g.ended(current, placement, backends.Cancelled, err.Error())
 		return current.machine.NotSent(g.now(), run)
 	case !sent:
+		g.noteUnreachable(placement.Worker.ID, err)
 		g.ended(current, placement, backends.Unreachable, err.Error())
 		return current.machine.NotSent(g.now(), run)
 	default:
@@ -220,7 +225,7 @@
 		return
 	}
 	g.events.line("send_failed").Str("request_id", current.metadata.RequestID).Str("worker", string(placement.Worker.ID)).
-		Str("address", string(placement.Worker.Address)).Str("outcome", outcome.String()).Str("cause", cause).
+		Str("address", string(placement.Worker.Address)).Str("fingerprint", current.fingerprint.Short()).Str("outcome", outcome.String()).Str("cause", cause).
 		Dur("left", current.timeLeft(g.now())).Msg("send_failed")
 }
 
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -14,6 +14,7 @@
 	"github.com/tillerfall/tillerfall/internal/attempt"
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/nodecapacity"
+	"github.com/tillerfall/tillerfall/internal/quarantine"
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/routes"
 )
@@ -53,7 +54,9 @@
 	service  *routes.Service
 	tenant   *routes.Tenant
 	body     []byte
-	began    time.Duration
+	// fingerprint is that of the request once its body has been read.
+	fingerprint quarantine.Fingerprint
+	began       time.Duration
 	// deadline is when the final answer is due.
 	deadline time.Duration
 	machine  *attempt.Forwarding
@@ -117,6 +120,7 @@
 		g.refuse(current, *refused)
 		return
 	}
+	current.fingerprint = fingerprintOf(current)
 	g.carry(current)
 }
 
@@ -317,7 +321,7 @@
 		line = line.Str("tenant", string(current.tenant.Name))
 	}
 	if current.machine != nil {
-		line = line.Int("sends", current.machine.Sends()).Str("worker", current.worker)
+		line = line.Int("sends", current.machine.Sends()).Str("worker", current.worker).Str("fingerprint", current.fingerprint.Short())
 	}
 	if current.firstSend > 0 {
 		line = line.Dur("before_send", current.firstSend-current.began)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,7 @@
 	toldVersions *toldVersions
 	cacheLog     *cacheLog
 	zoneFeeds    *zoneFeeds
+	crashes      *crashes
 	roles        atomic.Pointer[nodeRoles]
 	// sizes and joined are used by assign alone; settled is set once this node knows its role.
 	sizes   membership.SizeHold
@@ -139,6 +140,7 @@
 		toldVersions: newToldVersions(),
 		cacheLog:     newCacheLog(rand.Uint64()),
 		zoneFeeds:    newZoneFeeds(),
+		crashes:      newCrashes(),
 		versionsSeen: make(seenVersions),
 	}
 	g.inForce.Store(&settings)
@@ -311,6 +313,7 @@
 		}
 		g.upstreams.Sweep()
 		g.idle.sweep(g.idleLimit())
+		g.crashes.sweep(g.now())
 		g.events.report()
 	}
 	return nil
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,7 @@
 	quotaShare    *prometheus.GaugeVec
 	pressure      prometheus.Gauge
 	untaken       prometheus.Counter
+	lostRuns      prometheus.Counter
 	beforeSend    prometheus.Histogram
 
 	deliveryAnswers *prometheus.CounterVec
@@ -86,12 +87,15 @@
 	m.untaken = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tillerfall_gateway_untaken_connections_total", Help: "Connections of callers closed for want of descriptors.",
 	})
+	m.lostRuns = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "tillerfall_gateway_runs_ended_with_worker_total", Help: "Runs that were under way at a worker when it ended.",
+	})
 	m.beforeSend = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "tillerfall_gateway_before_send_seconds", Help: "Time from a request's head to its first send to a worker.",
 		Buckets: ownTimeBuckets,
 	})
 	if registry != nil {
-		registry.MustRegister(m.pressure, m.untaken, m.beforeSend)
+		registry.MustRegister(m.pressure, m.untaken, m.lostRuns, m.beforeSend)
 		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders, m.unreadable, m.quotaUnits, m.quotaShare,
 			m.deliveryAnswers, m.deliveryLatency, m.deliveryShare, traffic.NewCollector(meter, bytesMetric))
 	}
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -6,6 +6,7 @@
 
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/quarantine"
 	"github.com/tillerfall/tillerfall/internal/routes"
 	"github.com/tillerfall/tillerfall/internal/watchcache"
 )
@@ -167,6 +168,9 @@
 	if change == backends.Gone || change == backends.Began {
 		g.upstreams.Forget(worker.ID)
 	}
+	if change == backends.Gone && !g.workers.Draining(worker.ID) {
+		g.noteEnded(worker.ID, quarantine.RowGone)
+	}
 	g.logger.Info().Str("worker", string(worker.ID)).Str("address", string(worker.Address)).
 		Str("service", string(worker.Service)).Uint64("revision", uint64(revision)).
 		Str("change", string(change)).Msg("worker_changed")
--- /dev/null
+++ b/internal/quarantine/fingerprint_test.go
@@ -0,0 +1,57 @@
+package quarantine
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func subject() Subject {
+	return Subject{Caller: "tenant", Method: "POST", Host: "host.example", Target: "/a/b?c=d", Body: []byte("body")}
+}
+
+// TestSameRequestHasTheSameFingerprint whoever computes it: nodes compare them.
+func TestSameRequestHasTheSameFingerprint(t *testing.T) {
+	one, other := subject(), subject()
+	assert.Equal(t, one.Fingerprint(), other.Fingerprint())
+	assert.Equal(t, "43dfe41e11e7f707f78b6151f72c5a94", one.Fingerprint().String(), "no node may compute another one")
+	assert.Equal(t, one.Fingerprint().String()[:12], one.Fingerprint().Short())
+}
+
+// TestEachPartTellsRequestsApart, also where one field's end could be another's beginning.
+func TestEachPartTellsRequestsApart(t *testing.T) {
+	seen := map[Fingerprint]string{}
+	for name, change := range map[string]func(*Subject){
+		"as it is":       func(*Subject) {},
+		"caller":         func(s *Subject) { s.Caller = "other" },
+		"no caller":      func(s *Subject) { s.Caller = "" },
+		"method":         func(s *Subject) { s.Method = "PUT" },
+		"host":           func(s *Subject) { s.Host = "other.example" },
+		"path":           func(s *Subject) { s.Target = "/a/c?c=d" },
+		"query":          func(s *Subject) { s.Target = "/a/b?c=e" },
+		"body":           func(s *Subject) { s.Body = []byte("bodz") },
+		"no body":        func(s *Subject) { s.Body = nil },
+		"moved boundary": func(s *Subject) { s.Target, s.Body = "/a/b?c=dbo", []byte("dy") },
+		"moved host":     func(s *Subject) { s.Host, s.Target = "host.example/a", "/b?c=d" },
+	} {
+		changed := subject()
+		change(&changed)
+		fingerprint := changed.Fingerprint()
+		assert.Empty(t, seen[fingerprint], name)
+		seen[fingerprint] = name
+	}
+}
+
+func TestFingerprintsAreReadBack(t *testing.T) {
+	one := subject()
+	fingerprint := one.Fingerprint()
+	read, err := ParseFingerprint(fingerprint.String())
+	require.NoError(t, err)
+	assert.Equal(t, fingerprint, read)
+	for _, bad := range []string{"", "zz", "43df", strings.Repeat("0", 34)} {
+		_, err := ParseFingerprint(bad)
+		assert.Error(t, err, bad)
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -134,12 +134,18 @@
 	if !room {
 		return nil, false, ErrTooManyConnections
 	}
+	conn, err := p.dial(ctx, destination)
+	return conn, false, err
+}
+
+// dial makes a connection that was counted as open before.
+func (p *Pool) dial(ctx context.Context, destination Destination) (*connection, error) {
 	dialing, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
 	defer cancel()
 	raw, err := p.options.Dial(dialing, destination.Address)
 	if err != nil {
 		p.drop(destination.Engine)
-		return nil, false, errors.Wrap(err, "connect")
+		return nil, errors.Wrap(err, "connect")
 	}
 	if p.options.Dialed != nil {
 		p.options.Dialed(destination.Engine)
@@ -150,7 +156,7 @@
 		raw:       raw,
 		reader:    bufio.NewReaderSize(raw, readBuffer),
 		keepAlive: p.options.IdleTimeout,
-	}, false, nil
+	}, nil
 }
 
 func (e *exchange) run(request *Request) (*Answer, error) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -130,11 +130,7 @@
 func (p *Pool) take(destination Destination) (taken *connection, room bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	known := p.workers[destination.Engine]
-	if known == nil {
-		known = &worker{}
-		p.workers[destination.Engine] = known
-	}
+	known := p.workerOf(destination.Engine)
 	now := time.Now()
 	for len(known.idle) > 0 {
 		last := known.idle[len(known.idle)-1]
@@ -145,11 +141,33 @@
 		last.raw.Close()
 		known.open--
 	}
-	if destination.MaxConnections > 0 && known.open >= destination.MaxConnections {
-		return nil, false
+	return nil, known.reserve(destination.MaxConnections)
+}
+
+// reserve counts a new connection as open if there is room for one.
+func (p *Pool) reserve(destination Destination) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.workerOf(destination.Engine).reserve(destination.MaxConnections)
+}
+
+// workerOf returns what the pool holds of a worker; the mutex is held.
+func (p *Pool) workerOf(engine fleet.EngineID) *worker {
+	known := p.workers[engine]
+	if known == nil {
+		known = &worker{}
+		p.workers[engine] = known
+	}
+	return known
+}
+
+// reserve counts a new connection as open unless as many are as may be; 0 means no bound.
+func (w *worker) reserve(bound int) bool {
+	if bound > 0 && w.open >= bound {
+		return false
 	}
-	known.open++
-	return nil, true
+	w.open++
+	return true
 }
 
 // put gives a connection back for another exchange.
