Count the time in which the machine is suspended, and renew what then can't be trusted

Cause: the gateway's clock was the runtime's, which on Linux stands still while the machine is suspended. Leases, proofs, keys, quotas, retry windows and directives would count as young as before, and the runtime's deadlines would hold requests for that much longer than their callers wait.

Change: fleet.Clock reads CLOCK_BOOTTIME, so that all that compares an age counts that time. suspension.Detector compares it with the runtime's clock, five times a second and before each send; after a suspension idle connections to workers, peers, store and engines are closed, calls that wait for news are made anew, and requests' deadlines are set by the time that went on. Right before a send a node now also checks that it may still serve the key, and that the time left that the worker is told is true: a new connection may have taken its time. Tests that run on synctest's fake time take the runtime's clock, which synctest fakes.

--- a/cmd/tillerfall/gateway.go
+++ b/cmd/tillerfall/gateway.go
@@ -69,12 +69,17 @@
 	registry := prometheus.NewRegistry()
 	meter := &traffic.Meter{}
 	store := platform.NewStore(settings.StoreAddress, meter)
+	engines := platform.NewEngines(meter)
 	process, err := gateway.New(*settings, gateway.Outside{
 		Platform: store,
 		Leases:   platform.NewLeaseTables(store),
-		Engines:  platform.NewEngines(meter),
+		Engines:  engines,
 		Codec:    platform.Codec{},
 		Traffic:  meter,
+		CloseIdle: func() {
+			store.CloseIdle()
+			engines.CloseIdle()
+		},
 	}, logger, registry)
 	if err != nil {
 		return resultcode.New(resultcode.SettingsInvalid, err.Error())
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,10 +3,7 @@
 // validation and formatting.
 package fleet
 
-import (
-	"strconv"
-	"time"
-)
+import "strconv"
 
 // TenantName names a tenant, the unit of isolation and of fair sharing.
 type TenantName string
@@ -96,17 +93,3 @@
 	Engine      EngineID
 	Incarnation Incarnation
 }
-
-// Clock gives the time elapsed since an arbitrary fixed start. It never jumps
-// with the wall clock.
-type Clock interface {
-	Now() time.Duration
-}
-
-type monotonicClock struct{ start time.Time }
-
-// Now returns the monotonic time since the clock was made.
-func (c monotonicClock) Now() time.Duration { return time.Since(c.start) }
-
-// NewClock returns a clock on the process's monotonic time.
-func NewClock() Clock { return monotonicClock{start: time.Now()} }
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -22,6 +22,9 @@
 	// deadlineGrace is how much later than its deadline a request is broken off:
 	// the worker's own word on the deadline goes first.
 	deadlineGrace = 40 * time.Millisecond
+	// timeLeftSlack is by how much the time left that a worker is told may be too long: the
+	// making of a connection takes some milliseconds.
+	timeLeftSlack = 20 * time.Millisecond
 	// connectionSharers is the number of nodes that a worker's connections are
 	// divided by at the least: nodes may be added.
 	connectionSharers = 10
@@ -48,8 +51,7 @@
 		Deadline:      current.deadline,
 		RetryAfter:    retrySoon,
 	}, g.budgets.of(current.service.Name))
-	ctx, cancel := context.WithDeadlineCause(current.request.Context(),
-		time.Now().Add(current.timeLeft(g.now())+deadlineGrace), errLateAnswer)
+	ctx, cancel := g.deadlines.with(current.request.Context(), g.now(), current.deadline+deadlineGrace)
 	defer cancel()
 	step := attempt.Step{Kind: attempt.StepSend}
 	for {
@@ -83,6 +85,7 @@
 	if current.callerGone() {
 		return attempt.Step{Kind: attempt.StepBreak}
 	}
+	g.noteSuspension()
 	if verdict, held := g.holds(current); held {
 		return current.machine.Barred(resultcode.RequestQuarantined, reasonQuarantined, verdict.RetryAfter)
 	}
@@ -185,7 +188,7 @@
 	case errors.Is(err, errQuarantined):
 		g.ended(current, placement, backends.Cancelled, err.Error())
 		return current.machine.Barred(resultcode.RequestQuarantined, reasonQuarantined, 0)
-	case errors.Is(err, upstream.ErrTooManyConnections), errors.Is(err, errNoTarget):
+	case errors.Is(err, upstream.ErrTooManyConnections), errors.Is(err, errNoTarget), errors.Is(err, errUnproven), errors.Is(err, errLateAnswer):
 		g.ended(current, placement, backends.Cancelled, err.Error())
 		return current.machine.NotSent(g.now(), run)
 	case !sent:
@@ -380,7 +383,16 @@
 		Host:   current.request.Host,
 		Header: header,
 		Body:   current.body,
-		Permit: func() error { return g.permit(current, &placement.Worker) },
+		Permit: func() error {
+			if err := g.permit(current, &placement.Worker); err != nil {
+				return err
+			}
+			if left := current.timeLeft(g.now()); left < dispatch.TimeLeft-timeLeftSlack {
+				dispatch.TimeLeft = left
+				g.outside.Codec.WriteDispatch(header, dispatch)
+			}
+			return nil
+		},
 		Accept: func(status int, header http.Header) error {
 			info := g.outside.Codec.Answer(status, header)
 			if info.RequestID != id && (info.RequestID != "" || !info.NotExecuted) {
@@ -391,9 +403,19 @@
 	}
 }
 
-// permit returns an error if a request may not go to its worker any more: a new connection, or
-// a process that stood still, may have outlived what allowed it.
+// errUnproven is the cause of a send that isn't made since this node's word on keys has become
+// too old.
+var errUnproven = errors.New("configuration too old")
+
+// permit returns an error if a request may not go to its worker any more: a new connection, a
+// process that stood still or a machine that was suspended may have outlived what allowed it.
 func (g *Gateway) permit(current *carried, worker *backends.Worker) error {
+	if current.timeLeft(g.now()) <= 0 {
+		return errLateAnswer
+	}
+	if current.tenant != nil && !g.mayServeKeyed() {
+		return errUnproven
+	}
 	if _, held := g.holds(current); held {
 		return errQuarantined
 	}
--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -280,4 +280,9 @@
 	Codec   Codec
 	// Traffic counts the bytes of all connections; nil for a meter of the gateway's own.
 	Traffic *traffic.Meter
+	// Clock counts the time in which the machine is suspended; nil for the system's.
+	Clock fleet.Clock
+	// CloseIdle closes the idle connections to the store and of EngineCalls; nil if there are
+	// none to close.
+	CloseIdle func()
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -107,6 +107,7 @@
 	g.inFlight.Add(1)
 	g.taken.Add(1)
 	defer g.inFlight.Add(-1)
+	g.noteSuspension()
 	now := g.now()
 	g.lastRequest.Store(int64(now))
 	current := &carried{writer: writer, request: request, began: now, draw: rand.Float64()}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/tillerfall/tillerfall/internal/relay"
 	"github.com/tillerfall/tillerfall/internal/routes"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
+	"github.com/tillerfall/tillerfall/internal/suspension"
 	"github.com/tillerfall/tillerfall/internal/traffic"
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
@@ -72,6 +73,9 @@
 	zoneFeeds    *zoneFeeds
 	crashes      *crashes
 	quarantines  *quarantines
+	suspensions  *suspension.Detector
+	resumptions  *resumptions
+	deadlines    *deadlines
 	// quarantineTable is followed by those that read the store.
 	quarantineTable *table
 	roles           atomic.Pointer[nodeRoles]
@@ -119,10 +123,13 @@
 	if outside.Traffic == nil {
 		outside.Traffic = &traffic.Meter{}
 	}
+	if outside.Clock == nil {
+		outside.Clock = fleet.NewClock()
+	}
 	holderID := lease.NewHolderID(fleet.NodeID(settings.Node), rand.Uint64())
 	g := &Gateway{
 		outside:  outside,
-		clock:    fleet.NewClock(),
+		clock:    outside.Clock,
 		node:     fleet.NodeID(holderID),
 		logger:   logger,
 		events:   newEventLog(logger),
@@ -145,9 +152,12 @@
 		zoneFeeds:    newZoneFeeds(),
 		crashes:      newCrashes(),
 		quarantines:  newQuarantines(),
+		resumptions:  newResumptions(),
+		deadlines:    newDeadlines(),
 		versionsSeen: make(seenVersions),
 	}
 	g.inForce.Store(&settings)
+	g.suspensions = suspension.NewDetector(g.clock, fleet.NewRuntimeClock())
 	g.sources = newSources(g.clock.Now(), relay.Options{Self: g.node, Random: random(), AwaitRole: settings.FirstStart})
 	g.tables = g.newTables()
 	g.quarantineTable = g.newQuarantineTable()
@@ -286,7 +296,7 @@
 	return nil
 }
 
-// now returns the time on the steady clock.
+// now returns the time on the steady clock, which counts suspended time.
 func (g *Gateway) now() time.Duration { return g.clock.Now() }
 
 // stopping tells whether a planned stop has begun.
@@ -320,7 +330,7 @@
 			g.upstreams.Forget(engine)
 		}
 		g.upstreams.Sweep()
-		g.idle.sweep(g.idleLimit())
+		g.idle.sweep(g.now(), g.idleLimit())
 		g.crashes.sweep(g.now())
 		g.sweepQuarantines()
 		g.events.report()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,7 @@
 	pressure      prometheus.Gauge
 	untaken       prometheus.Counter
 	lostRuns      prometheus.Counter
+	suspensions   prometheus.Counter
 
 	quarantineRefusals prometheus.Counter
 	quarantined        prometheus.Gauge
@@ -93,6 +94,9 @@
 	m.lostRuns = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tillerfall_gateway_runs_ended_with_worker_total", Help: "Runs that were under way at a worker when it ended.",
 	})
+	m.suspensions = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "tillerfall_gateway_suspensions_total", Help: "Times that the machine was found to have been suspended.",
+	})
 	m.quarantineRefusals = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tillerfall_gateway_held_requests_total", Help: "Requests kept from workers since workers ended under them.",
 	})
@@ -104,7 +108,7 @@
 		Buckets: ownTimeBuckets,
 	})
 	if registry != nil {
-		registry.MustRegister(m.pressure, m.untaken, m.lostRuns, m.quarantineRefusals, m.quarantined, m.beforeSend)
+		registry.MustRegister(m.pressure, m.untaken, m.lostRuns, m.suspensions, m.quarantineRefusals, m.quarantined, m.beforeSend)
 		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders, m.unreadable, m.quotaUnits, m.quotaShare,
 			m.deliveryAnswers, m.deliveryLatency, m.deliveryShare, traffic.NewCollector(meter, bytesMetric))
 	}
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -79,6 +79,7 @@
 		metadata: Metadata{RequestID: "r"},
 		route:    &routes.Route{Name: "route"},
 		body:     []byte("body"),
+		deadline: g.now() + time.Minute,
 	}
 	current.fingerprint = fingerprintOf(current)
 	record := quarantine.Record{Fingerprint: current.fingerprint}
@@ -112,7 +113,7 @@
 	first, second := heldRequest(one, past), heldRequest(other, past)
 	assert.Nil(t, one.checkQuarantine(first))
 	assert.True(t, first.trial)
-	assert.NoError(t, one.permit(&carried{trial: true, fingerprint: first.fingerprint}, nil))
+	assert.NoError(t, one.permit(first, nil))
 	assert.NotNil(t, other.checkQuarantine(second), "the store holds one trial more than this node knows")
 	assert.NotNil(t, one.checkQuarantine(heldRequest(one, past)), "nor a second one here")
 	assert.Equal(t, 1, store.rows[first.fingerprint].Trials)
@@ -253,6 +254,20 @@
 	assert.True(t, untold[0].Answered)
 }
 
+// TestWhoeverBeginsToHoldTellsAll: nodes that missed one of the words before would let the
+// request through.
+func TestWhoeverBeginsToHoldTellsAll(t *testing.T) {
+	g := quarantineGateway(t, newQuarantineStore())
+	for number := range quarantine.DefaultThreshold {
+		assert.Empty(t, g.quarantines.takeUntold(), "what others have told isn't told on")
+		record := quarantine.Record{Fingerprint: quarantine.Fingerprint{7}, Ends: []quarantine.End{{Worker: fleet.EngineID(fmt.Sprint(number)), At: g.now()}}}
+		g.quarantines.merge(g.now(), &record)
+	}
+	untold := g.quarantines.takeUntold()
+	require.Len(t, untold, 1)
+	assert.Len(t, untold[0].Ends, quarantine.DefaultThreshold)
+}
+
 // TestOnlyEndsWithoutLeaveCount: a row that goes after word of leaving is no crash.
 func TestOnlyEndsWithoutLeaveCount(t *testing.T) {
 	for _, draining := range []bool{false, true} {
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -140,6 +140,7 @@
 // driveRoles keeps this node's part up to date with the membership and the demand.
 func (g *Gateway) driveRoles() error {
 	for {
+		g.noteSuspension()
 		now := g.now()
 		g.demand.measure(now)
 		g.assign(now)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -87,7 +87,7 @@
 
 // noteFront is the ConnState hook of the front server.
 func (g *Gateway) noteFront(conn net.Conn, state http.ConnState) {
-	g.idle.note(conn, state)
+	g.idle.note(g.now(), conn, state)
 	g.pressure.countConnection(conn, state)
 }
 
@@ -142,19 +142,19 @@
 // limit may change with each configuration, which a server's own can't.
 type idleConnections struct {
 	mutex sync.Mutex
-	since map[net.Conn]time.Time
+	since map[net.Conn]time.Duration
 }
 
 func newIdleConnections() *idleConnections {
-	return &idleConnections{since: make(map[net.Conn]time.Time)}
+	return &idleConnections{since: make(map[net.Conn]time.Duration)}
 }
 
-// note implements the ConnState hook of a server.
-func (i *idleConnections) note(conn net.Conn, state http.ConnState) {
+// note takes in a connection's new state, as the ConnState hook of a server tells it.
+func (i *idleConnections) note(now time.Duration, conn net.Conn, state http.ConnState) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	if state == http.StateIdle {
-		i.since[conn] = time.Now()
+		i.since[conn] = now
 		return
 	}
 	delete(i.since, conn)
@@ -162,15 +162,14 @@
 
 // sweep closes the connections that have rested for longer than limit; 0 means
 // no limit.
-func (i *idleConnections) sweep(limit time.Duration) {
+func (i *idleConnections) sweep(now, limit time.Duration) {
 	if limit <= 0 {
 		return
 	}
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	now := time.Now()
 	for conn, since := range i.since {
-		if now.Sub(since) > limit {
+		if now-since > limit {
 			conn.Close()
 			delete(i.since, conn)
 		}
--- a/internal/gateway/storefeed.go
+++ b/internal/gateway/storefeed.go
@@ -80,7 +80,9 @@
 	if f.answered != 0 && begun-f.answered > historyKept {
 		f.since = gapUnreached
 	}
-	update, err := f.call(ctx)
+	calling, stop := g.resumptions.bind(ctx)
+	defer stop()
+	update, err := f.call(calling)
 	if ctx.Err() != nil {
 		return 0
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -128,7 +128,9 @@
 	}
 	begun := g.now()
 	firstByte := time.Duration(request.GetWaitMillis())*time.Millisecond + watchSlack
-	response, err := g.peers.AskWatch(g.peerCall(traffic.Watches, member), member.Address, firstByte, request)
+	ctx, stop := g.resumptions.bind(g.peerCall(traffic.Watches, member))
+	defer stop()
+	response, err := g.peers.AskWatch(ctx, member.Address, firstByte, request)
 	if g.context().Err() != nil {
 		return watchQuiet
 	}
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -59,7 +59,7 @@
 
 func TestKeeperHoldsRenewsAndReleases(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		clock := fleet.NewClock()
+		clock := fleet.NewRuntimeClock()
 		service := &tables{clock: clock, model: platformmodel.New(platformmodel.Options{})}
 		first := NewKeeper(newElection(t, "a", 1), service, clock, zerolog.Nop())
 		second := NewKeeper(newElection(t, "b", 2), service, clock, zerolog.Nop())
@@ -84,7 +84,7 @@
 
 func TestKeeperStopsWhileThePlatformHangs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		clock := fleet.NewClock()
+		clock := fleet.NewRuntimeClock()
 		service := &tables{clock: clock, model: platformmodel.New(platformmodel.Options{})}
 		keeper := NewKeeper(newElection(t, "a", 1), service, clock, zerolog.Nop())
 		keeper.Start()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -128,6 +128,9 @@
 	return err
 }
 
+// CloseIdle closes the connections to other routers that aren't in use.
+func (p *Peer) CloseIdle() { p.http.CloseIdleConnections() }
+
 // View returns a snapshot of the membership.
 func (p *Peer) View() *membership.View { return p.view.Load() }
 
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -67,7 +67,7 @@
 		Document: func() *config.Document { return document },
 		Engines:  func() []Engine { return []Engine{testEngine("a"), testEngine("b")} },
 		Planner:  NewPlanner(PlannerSettings{}),
-		Clock:    fleet.NewClock(),
+		Clock:    fleet.NewRuntimeClock(),
 		Logger:   zerolog.Nop(),
 		Interval: time.Second,
 		// One at a time, so that the lease is lost between two orders.
