Take too old reports out before the engines' memory is summed up

MemoryUse walks the lists of workers by load; the first worker's load had reports of other nodes taken out that had become too old meanwhile, which moves workers between those lists: the walk came to a place that had just been emptied.

The choice of a worker has the reports taken out before it draws.

Change: MemoryUse does the same.

Conclusion: an older fault, mended.

--- a/internal/backends/load.go
+++ b/internal/backends/load.go
@@ -89,6 +89,9 @@
 	if reference == nil {
 		return 0
 	}
+	// What too old reports told leaves the levels here, not while they are walked: a gateway
+	// ended by itself on one day of 80.
+	r.peers.told(now)
 	used, held := 0, 0
 	for _, known := range r.poolOf(reference.worker.Service).all() {
 		load := r.total(now, known)
