Give test processes loopback hosts that no other test binary uses

A cause that could be removed whether or not it was this one: ports were chosen by process number, found free, closed, and taken later by the process under test. Binaries with neighbouring numbers begin 97 ports apart and use more than that, and another one may listen in between.

Change: lab/loopback claims a host by a listener that stays open until the test binary ends. Ports on it are nobody else's, so that none has to be found free first.

--- /dev/null
+++ b/lab/loopback/loopback_test.go
@@ -0,0 +1,68 @@
+package loopback
+
+import (
+	"net"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// helperVariable has the test binary print hosts and wait for its input to end.
+const helperVariable = "LOOPBACK_HELPER"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(helperVariable) == "" {
+		os.Exit(m.Run())
+	}
+	for range 20 {
+		host, err := Host()
+		if err != nil {
+			os.Exit(1)
+		}
+		_, _ = os.Stdout.WriteString(host + "\n")
+	}
+	_, _ = os.Stdin.Read(make([]byte, 1))
+}
+
+// TestNoTwoProcessesHaveTheSameHost, whose numbers begin at the same place.
+func TestNoTwoProcessesHaveTheSameHost(t *testing.T) {
+	seen := make(map[string]bool)
+	for range 4 {
+		helper := exec.Command(os.Args[0])
+		helper.Env = append(os.Environ(), helperVariable+"=1")
+		input, err := helper.StdinPipe()
+		require.NoError(t, err)
+		output, err := helper.StdoutPipe()
+		require.NoError(t, err)
+		require.NoError(t, helper.Start())
+		t.Cleanup(func() { input.Close(); _ = helper.Wait() })
+		printed := ""
+		for strings.Count(printed, "\n") < 20 {
+			buffer := make([]byte, 1024)
+			count, err := output.Read(buffer)
+			require.NoError(t, err)
+			printed += string(buffer[:count])
+		}
+		for _, host := range strings.Fields(printed) {
+			assert.False(t, seen[host], host)
+			seen[host] = true
+		}
+	}
+	own, err := Host()
+	require.NoError(t, err)
+	assert.False(t, seen[own])
+	assert.True(t, net.ParseIP(own).IsLoopback())
+}
+
+func TestHostsAreValid(t *testing.T) {
+	for _, number := range []int{0, 253, 254, hostsOfNetwork - 1, hostsOfNetwork, networks*hostsOfNetwork - 1, networks * hostsOfNetwork} {
+		assert.True(t, net.ParseIP(hostOf(number)).IsLoopback(), hostOf(number))
+	}
+	assert.Equal(t, hostOf(0), hostOf(networks*hostsOfNetwork))
+	assert.Equal(t, "127.64.0.1", hostOf(0))
+	assert.Equal(t, "127.127.255.254", hostOf(networks*hostsOfNetwork-1))
+}
--- a/test/integration/ports_test.go
+++ b/test/integration/ports_test.go
@@ -2,39 +2,30 @@
 
 import (
 	"net"
-	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
-)
 
-// Ports are taken from below the range that the system gives to outgoing
-// connections, so that a process that is started again finds its port free.
-const (
-	firstPort      = 20_000
-	portCount      = 12_000
-	portsOfProcess = 97
+	"github.com/tillerfall/tillerfall/lab/loopback"
 )
 
+// firstPort is the first port of the processes: below the range that the system gives to
+// outgoing connections.
+const firstPort = 20_000
+
 var nextPort atomic.Int64
 
-// freeAddress returns a loopback address on which nothing listens. Test
-// binaries that run at once begin at different ports.
+// ownHost returns the loopback host of this test binary, which no other one uses.
+var ownHost = sync.OnceValues(loopback.Host)
+
+// freeAddress returns a loopback address on which nothing listens, and which nobody else
+// takes.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	base := int64(os.Getpid()) * portsOfProcess
-	for range portCount {
-		port := firstPort + (base+nextPort.Add(1))%portCount
-		address := net.JoinHostPort("127.0.0.1", strconv.FormatInt(port, 10))
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		require.NoError(t, listener.Close())
-		return address
-	}
-	require.FailNow(t, "no free port")
-	return ""
+	host, err := ownHost()
+	require.NoError(t, err)
+	return net.JoinHostPort(host, strconv.FormatInt(firstPort+nextPort.Add(1), 10))
 }
