--- a/internal/attempt/forwarding_test.go
+++ b/internal/attempt/forwarding_test.go
@@ -176,3 +176,23 @@
 		}
 	}
 }
+
+// TestBarredRequestIsRefusedAsNotRunOnlyIfNoneMayHave.
+func TestBarredRequestIsRefusedAsNotRunOnlyIfNoneMayHave(t *testing.T) {
+	machine := newTestForwarding(ForwardingPolicy{Idempotent: true, MaxRuns: 3})
+	step := machine.Barred(resultcode.Quarantined, "held", time.Minute)
+	assert.Equal(t, Step{Kind: StepFail, Code: resultcode.Quarantined, Reason: "held", RetryAfter: time.Minute}, step)
+	assert.True(t, resultcode.Lookup(step.Code).NotRun)
+
+	machine = newTestForwarding(ForwardingPolicy{Idempotent: true, MaxRuns: 3})
+	require.Equal(t, StepSend, machine.Unanswered(0, workerRun(1)).Kind)
+	step = machine.Barred(resultcode.Quarantined, "held", time.Minute)
+	assert.Equal(t, resultcode.EngineFailed, step.Code)
+	assert.False(t, resultcode.Lookup(step.Code).NotRun)
+	assert.Zero(t, step.RetryAfter)
+
+	machine = newTestForwarding(ForwardingPolicy{Resumable: true, MaxRuns: 3})
+	machine.Answered(0, workerRun(1), false)
+	machine.Began()
+	assert.Equal(t, StepBreak, machine.Barred(resultcode.Quarantined, "held", 0).Kind)
+}
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -87,7 +87,7 @@
 	}
 	g.noteSuspension()
 	if verdict, held := g.holds(current); held {
-		return current.machine.Barred(resultcode.RequestQuarantined, reasonQuarantined, verdict.RetryAfter)
+		return current.machine.Barred(resultcode.Quarantined, reasonQuarantined, verdict.RetryAfter)
 	}
 	now := g.now()
 	if current.tenant != nil && !g.mayServeKeyed() {
@@ -187,7 +187,8 @@
 		return current.machine.Unanswered(g.now(), run)
 	case errors.Is(err, errQuarantined):
 		g.ended(current, placement, backends.Cancelled, err.Error())
-		return current.machine.Barred(resultcode.RequestQuarantined, reasonQuarantined, 0)
+		verdict := g.quarantines.check(g.now(), current.fingerprint)
+		return current.machine.Barred(resultcode.Quarantined, reasonQuarantined, verdict.RetryAfter)
 	case errors.Is(err, upstream.ErrTooManyConnections), errors.Is(err, errNoTarget), errors.Is(err, errUnproven), errors.Is(err, errLateAnswer):
 		g.ended(current, placement, backends.Cancelled, err.Error())
 		return current.machine.NotSent(g.now(), run)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -173,7 +173,7 @@
 		return nil
 	}
 	g.noteHeld(current, verdict)
-	return &refusal{code: resultcode.RequestQuarantined, reason: reasonQuarantined, retryAfter: max(verdict.RetryAfter, retryLater)}
+	return &refusal{code: resultcode.Quarantined, reason: reasonQuarantined, retryAfter: max(verdict.RetryAfter, retryLater)}
 }
 
 // reasonQuarantined is the reason of a request that is refused since it ends workers.
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -96,7 +96,7 @@
 	current := heldRequest(g, time.Second)
 	refused := g.checkQuarantine(current)
 	require.NotNil(t, refused)
-	assert.Equal(t, resultcode.RequestQuarantined, refused.code)
+	assert.Equal(t, resultcode.Quarantined, refused.code)
 	assert.True(t, resultcode.Lookup(refused.code).NotRun)
 	assert.InDelta(t, quarantine.DefaultHoldFor.Seconds()-1, refused.retryAfter.Seconds(), 0.5)
 	assert.ErrorIs(t, g.permit(current, nil), errQuarantined, "nor right before a send")
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -39,8 +39,7 @@
 	StaleWeights      Code = 2011
 	QuotaExceeded     Code = 2012
 	NodeFull          Code = 2013
-
-	RequestQuarantined Code = 2014
+	Quarantined       Code = 2014
 
 	OutcomeUnknown    Code = 3001
 	StreamInterrupted Code = 3002
@@ -104,7 +103,7 @@
 	{StaleWeights, "stale_weights", http.StatusServiceUnavailable, true, "The version was retired while the request waited."},
 	{QuotaExceeded, "quota_exceeded", http.StatusTooManyRequests, true, "The tenant has used its quota; come back after Retry-After."},
 	{NodeFull, "node_full", http.StatusServiceUnavailable, true, "The node is short of memory or descriptors; come back, to another one."},
-	{RequestQuarantined, "request_quarantined", http.StatusServiceUnavailable, true, "Workers ended each time that they ran this request; it is kept from them until Retry-After. Change it, or ask the operator."},
+	{Quarantined, "request_quarantined", http.StatusServiceUnavailable, true, "Workers ended each time that they ran this request; it is kept from them until Retry-After. Change it, or ask the operator."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, false, "The request may have run; it isn't repeatable and its engine can't be asked."},
 	{StreamInterrupted, "stream_interrupted", http.StatusBadGateway, false, "The stream broke and could not be continued; it is incomplete."},
 	{DeadlineExceeded, "deadline_exceeded", http.StatusGatewayTimeout, false, "The deadline passed while the request ran."},
