--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -9,38 +9,19 @@
 
 	"github.com/tillerfall/tillerfall/internal/attempt"
 	"github.com/tillerfall/tillerfall/internal/backends"
-	"github.com/tillerfall/tillerfall/internal/fleet"
-	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/routes"
 	"github.com/tillerfall/tillerfall/internal/traffic"
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
-// Constants of carrying.
-const (
-	// deadlineGrace is how much later than its deadline a request is broken off:
-	// the worker's own word on the deadline goes first.
-	deadlineGrace = 40 * time.Millisecond
-	// timeLeftSlack is by how much the time left that a worker is told may be too long: the
-	// making of a connection takes some milliseconds.
-	timeLeftSlack = 20 * time.Millisecond
-	// connectionSharers is the number of nodes that a worker's connections are
-	// divided by at the least: nodes may be added.
-	connectionSharers = 10
-	// tenantRanks is the width of one rank of tenants in an engine's priorities.
-	tenantRanks = 3
-	maxPriority = backends.Priorities - 1
-	// defaultPriority is that of a tenant without one.
-	defaultPriority = 1
-)
+// deadlineGrace is how much later than its deadline a request is broken off: the worker's own
+// word on the deadline goes first.
+const deadlineGrace = 40 * time.Millisecond
 
 // errLateAnswer is the cause of a send broken off at its deadline.
 var errLateAnswer = errors.New("deadline passed")
 
-// errForeign is the cause of an answer that isn't the request's own.
-var errForeign = errors.Wrap(upstream.ErrForeignAnswer, "request identifier differs")
-
 // carry sends a request to workers until there is a final answer.
 func (g *Gateway) carry(current *carried) {
 	current.machine = attempt.NewForwarding(current.began, attempt.ForwardingPolicy{
@@ -261,175 +242,3 @@
 	}
 	line.Msg("placed")
 }
-
-// messageBytes is the size of an exchange besides the request's body: headers both ways
-// and an answer of some hundred bytes.
-const messageBytes = 1500
-
-// choice describes the request to the registry.
-func (g *Gateway) choice(current *carried) *backends.Request {
-	destination := g.destination(current, &backends.Worker{})
-	request := &backends.Request{
-		Service:  current.service.Name,
-		Excluded: current.machine.Excluded(),
-		Free: func(worker *backends.Worker) bool {
-			destination.Engine, destination.Address = worker.ID, worker.Address
-			return g.upstreams.Free(destination)
-		},
-		Bytes:    messageBytes + int(max(current.request.ContentLength, 0)),
-		Versions: g.versions(current, current.wasAtTarget),
-	}
-	if engine := current.service.Engine; engine != nil {
-		request.Engine = &backends.EngineRequest{
-			ID:           fleet.RequestID(current.metadata.RequestID),
-			Model:        current.metadata.Model,
-			Parts:        current.metadata.Parts,
-			PromptTokens: current.metadata.PromptTokens,
-			OutputTokens: current.metadata.OutputTokens,
-			Priority:     priorityOf(current),
-			TimeLeft:     g.targetLeft(current),
-			Target:       current.route.TargetLatency,
-			MayRefuse:    current.machine.Sends() == 0,
-			WantsCopy:    wantsCopy(current),
-			EventTokens:  engine.EventTokens,
-			TokenBytes:   engine.TokenBytes,
-			LinkMegabits: engine.LinkMegabits,
-		}
-		if store := g.keptStore(current); store != nil {
-			request.Engine.Store, request.Engine.StoreZone = store.Store.Address, store.Store.Zone
-			request.Engine.StoreMegabits = store.Store.LinkMegabits
-		}
-		if current.tenant != nil {
-			request.Engine.Tenant, request.Engine.Isolated = current.tenant.Name, current.tenant.Isolated
-		}
-	}
-	return request
-}
-
-// targetLeft returns the time within which an answer should begin; 0 if the route
-// names none.
-func (g *Gateway) targetLeft(current *carried) time.Duration {
-	if current.route.TargetLatency <= 0 {
-		return 0
-	}
-	return max(current.began+current.route.TargetLatency-g.now(), time.Millisecond)
-}
-
-// keptStore returns the store of kept KV cache for a request's prompt, or nil:
-// of several, all nodes take the same one for the same shared parts.
-func (g *Gateway) keptStore(current *carried) *routes.Service {
-	held := g.holder.Current()
-	if held == nil {
-		return nil
-	}
-	key := backends.PrefixName(current.metadata.Parts)
-	var kept *routes.Service
-	highest := uint64(0)
-	for _, store := range held.Table.Stores() {
-		weight := membership.RendezvousWeight(key, string(store.Store.Address))
-		if kept == nil || weight > highest {
-			kept, highest = store, weight
-		}
-	}
-	return kept
-}
-
-// servingPart is the part of a worker's connections that the nodes to which
-// callers are sent share; the other nodes share the rest.
-const servingPart = 0.6
-
-// destination returns where to send, with this node's part of the worker's
-// connections.
-func (g *Gateway) destination(current *carried, worker *backends.Worker) upstream.Destination {
-	destination := upstream.Destination{Engine: worker.ID, Address: worker.Address}
-	if limit := current.service.MaxConnections; limit > 0 {
-		destination.MaxConnections = max(int(float64(limit)*g.connectionShare()), 1)
-	}
-	return destination
-}
-
-// connectionShare returns the part of a worker's connections that this node may
-// open.
-func (g *Gateway) connectionShare() float64 {
-	members, serving := g.memberCount(), g.servingCount()
-	switch {
-	case serving >= members:
-		return 1 / float64(max(members, connectionSharers))
-	case g.serves():
-		return servingPart / float64(max(serving, connectionSharers))
-	default:
-		return (1 - servingPart) / float64(max(members-serving, connectionSharers))
-	}
-}
-
-// outgoing returns the request as it goes to a worker.
-func (g *Gateway) outgoing(current *carried, placement *backends.Placement) *upstream.Request {
-	header := forwardedHeader(current.request.Header)
-	g.outside.Codec.StripReserved(header)
-	dispatch := &Dispatch{
-		Worker:      placement.Worker.ID,
-		TimeLeft:    current.timeLeft(g.now()),
-		Priority:    priorityOf(current),
-		LastEventID: current.lastEventID,
-		Engine:      placement.Engine,
-	}
-	if current.tenant != nil {
-		dispatch.Tenant = current.tenant.Name
-	}
-	g.outside.Codec.WriteDispatch(header, dispatch)
-	id := current.metadata.RequestID
-	return &upstream.Request{
-		Method: current.request.Method,
-		Target: current.request.RequestURI,
-		Host:   current.request.Host,
-		Header: header,
-		Body:   current.body,
-		Permit: func() error {
-			if err := g.permit(current, &placement.Worker); err != nil {
-				return err
-			}
-			if left := current.timeLeft(g.now()); left < dispatch.TimeLeft-timeLeftSlack {
-				dispatch.TimeLeft = left
-				g.outside.Codec.WriteDispatch(header, dispatch)
-			}
-			return nil
-		},
-		Accept: func(status int, header http.Header) error {
-			info := g.outside.Codec.Answer(status, header)
-			if info.RequestID != id && (info.RequestID != "" || !info.NotExecuted) {
-				return errForeign
-			}
-			return nil
-		},
-	}
-}
-
-// errUnproven is the cause of a send that isn't made since this node's word on keys has become
-// too old.
-var errUnproven = errors.New("configuration too old")
-
-// permit returns an error if a request may not go to its worker any more: a new connection, a
-// process that stood still or a machine that was suspended may have outlived what allowed it.
-func (g *Gateway) permit(current *carried, worker *backends.Worker) error {
-	if current.timeLeft(g.now()) <= 0 {
-		return errLateAnswer
-	}
-	if current.tenant != nil && !g.mayServeKeyed() {
-		return errUnproven
-	}
-	if _, held := g.holds(current); held {
-		return errQuarantined
-	}
-	return g.permitTarget(current, worker)
-}
-
-// priorityOf returns the priority at an engine: the tenant's rank goes before
-// the route's.
-func priorityOf(current *carried) int {
-	rank := defaultPriority
-	if current.tenant != nil && current.tenant.HasPriority {
-		rank = current.tenant.Priority
-	}
-	priority := rank*tenantRanks + min(current.route.Priority, tenantRanks-1)
-	return min(max(priority, 0), maxPriority)
-}
