Count workers that end right after a hold was ended by hand

Cause: a removed row was taken for a whole answer at that moment, which speaks for the request for ten seconds: a harmful one could have ended any number of workers in that time. Found by reading.

Change: Release speaks against the ends up to now only. The test of it has three workers end a second later; without the change they don't count.

--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -222,13 +222,14 @@
 	}
 }
 
-// Release takes in that a request isn't to be held any more: its row was removed.
+// Release takes in that a request isn't to be held any more: its row was removed. Nobody has
+// seen it answered, so that workers that end from now on count at once.
 func (l *Ledger) Release(now time.Duration, fingerprint Fingerprint) bool {
 	record := l.records[fingerprint]
 	if record == nil || l.ends(record) == 0 {
 		return false
 	}
-	record.Answered, record.AnsweredAt = true, now
+	record.Answered, record.AnsweredAt = true, now-l.options.SpokenFor
 	return true
 }
 
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -121,6 +121,10 @@
 	assert.True(t, ledger.Release(110*second, print(1)))
 	assert.False(t, ledger.Check(110*second, print(1)).Held)
 	assert.False(t, ledger.Release(111*second, print(1)))
+	for _, worker := range []fleet.EngineID{"x", "y", "z"} {
+		ledger.Ended(111*second, print(1), worker)
+	}
+	assert.True(t, ledger.Check(111*second, print(1)).Held, "it ends workers still")
 	assert.False(t, ledger.Release(111*second, print(2)))
 }
 
