Have the platform's stand-in take its list of machines over before it listens

The stand-in listened, and then took over the list of its file; without a file that is an empty one, and it replaced the list that the test had posted in between. Seen with the list printed after the post: there at 39.254, null at 39.306, while the stand-in's line that it listens is of 39.254.

Ruled out: ports taken by other binaries (the same with hosts of their own), routers and engines (the platform itself listed nothing; all engines took connections).

Change: the list is taken over before the start. A failed test of processes prints both ends of each log, and the rows that it had in place of those it waited for.

--- a/cmd/tillerlab/platform.go
+++ b/cmd/tillerlab/platform.go
@@ -26,21 +26,32 @@
 
 // Execute implements flags.Commander.
 func (c *platformCommand) Execute([]string) error {
-	machines, err := readMachines(c.Machines)
+	server, err := c.newServer()
 	if err != nil {
 		return err
 	}
-	logger := logging.New(os.Stderr, "platform", "platform", c.LogLevel)
-	server := platformserver.New(platformmodel.Options{FullSpeedLoads: c.FullSpeedLoads}, logger)
 	if err := server.Start(fleet.Address(c.Address)); err != nil {
 		return errors.Wrap(err, "start platform")
 	}
-	server.SetMachines(machines)
 	fmt.Printf("ready platform address=%s\n", server.Address())
 	waitForInterrupt()
 	return server.Stop()
 }
 
+// newServer returns a server that isn't started and has its list of machines. A list that is
+// taken over after the start replaces one that was posted at once: beside much load, one
+// fleet in some thirty of the integration tests never saw its engines.
+func (c *platformCommand) newServer() (*platformserver.Server, error) {
+	logger := logging.New(os.Stderr, "platform", "platform", c.LogLevel)
+	server := platformserver.New(platformmodel.Options{FullSpeedLoads: c.FullSpeedLoads}, logger)
+	machines, err := readMachines(c.Machines)
+	if err != nil {
+		return nil, err
+	}
+	server.SetMachines(machines)
+	return server, nil
+}
+
 func readMachines(path string) ([]platform.Machine, error) {
 	if path == "" {
 		return nil, nil
--- a/test/integration/fleet_test.go
+++ b/test/integration/fleet_test.go
@@ -241,8 +241,16 @@
 // awaitRows waits until a router answers a query with so many rows.
 func (f *testFleet) awaitRows(routerName, statement string, count int) {
 	f.t.Helper()
-	eventually(f.t, fmt.Sprintf("%s: %s has %d rows", routerName, statement, count), func() bool {
-		return len(f.query(routerName, statement)) == count
+	what := fmt.Sprintf("%s: %s has %d rows", routerName, statement, count)
+	var rows [][]string
+	f.t.Cleanup(func() {
+		if f.t.Failed() && len(rows) != count {
+			f.t.Logf("%s: %v", what, rows)
+		}
+	})
+	eventually(f.t, what, func() bool {
+		rows = f.query(routerName, statement)
+		return len(rows) == count
 	})
 }
 
--- a/test/integration/process_test.go
+++ b/test/integration/process_test.go
@@ -19,7 +19,7 @@
 	// patience bounds the wait for a condition. It is no verdict on speed:
 	// only a condition that never comes true takes so long.
 	patience = 60 * time.Second
-	// failureLogLines is how much of each log a failed test prints.
+	// failureLogLines is how much of each end of each log a failed test prints.
 	failureLogLines = 25
 )
 
@@ -56,7 +56,7 @@
 	t.Cleanup(func() {
 		p.kill()
 		if t.Failed() {
-			t.Logf("--- %s ---\n%s", name, lastLines(p.log(), failureLogLines))
+			t.Logf("--- %s ---\n%s", name, bothEnds(p.log(), failureLogLines))
 		}
 	})
 	return p
@@ -145,6 +145,16 @@
 	return strings.Join(lines[max(0, len(lines)-count):], "\n")
 }
 
+// bothEnds returns the first and the last lines of a text: what led to a failure may stand
+// before thousands of lines of the waiting for it.
+func bothEnds(text string, count int) string {
+	lines := strings.Split(strings.TrimSpace(text), "\n")
+	if len(lines) <= 2*count {
+		return strings.Join(lines, "\n")
+	}
+	return strings.Join(lines[:count], "\n") + "\n...\n" + lastLines(text, count)
+}
+
 // commandResult is what a program that ended by itself has left.
 type commandResult struct {
 	output      string
