Tell a single end with reports only where it was seen

Cause: for two seconds a changed record goes with each report. A node also told what others had just told it; when a tenth of some thousand engines ends at once, each of 40 nodes would have told some thousand lost runs to twelve others three times: 240 MB, worked out from 60 B a record.

Change: of records with one end only those of a node's own lost runs go with its reports; from two ends on all do, as the digest does. Two functions are named for what they note.

The test of reports fails without the change.

--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -151,7 +151,7 @@
 	var failure *upstream.Failure
 	sent := !errors.As(err, &failure) || failure.Stage == upstream.Sent
 	if sent {
-		g.noteLost(current, placement, abandonedBy(sending))
+		g.noteLostRun(current, placement, abandonedBy(sending))
 	}
 	switch {
 	case current.callerGone():
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -76,9 +76,9 @@
 	return subject.Fingerprint()
 }
 
-// noteLost takes in that a run brought no whole answer, and has its worker asked whether it
+// noteLostRun takes in that a run brought no whole answer, and has its worker asked whether it
 // has ended if its side broke off.
-func (g *Gateway) noteLost(current *carried, placement *backends.Placement, loss quarantine.Loss) {
+func (g *Gateway) noteLostRun(current *carried, placement *backends.Placement, loss quarantine.Loss) {
 	worker := placement.Worker.ID
 	blamed, check := g.crashes.note(g.now(), worker, current.fingerprint, loss)
 	switch {
@@ -98,7 +98,7 @@
 	case upstream.Alive:
 		g.crashes.alive(destination.Engine)
 	case upstream.Dead:
-		g.noteEnded(destination.Engine, quarantine.Refused)
+		g.noteWorkerEnded(destination.Engine, quarantine.Refused)
 	default:
 		g.crashes.undecided(destination.Engine)
 	}
@@ -107,12 +107,12 @@
 // noteUnreachable takes in that no connection to a worker could be made.
 func (g *Gateway) noteUnreachable(worker fleet.EngineID, err error) {
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		g.noteEnded(worker, quarantine.Refused)
+		g.noteWorkerEnded(worker, quarantine.Refused)
 	}
 }
 
-// noteEnded takes in that a worker has ended without word that it was leaving.
-func (g *Gateway) noteEnded(worker fleet.EngineID, proof quarantine.Proof) {
+// noteWorkerEnded takes in that a worker has ended without word that it was leaving.
+func (g *Gateway) noteWorkerEnded(worker fleet.EngineID, proof quarantine.Proof) {
 	if blamed := g.crashes.ended(g.now(), worker, proof); len(blamed) > 0 {
 		g.blame(worker, proof, blamed)
 	}
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -64,11 +64,11 @@
 	case writeErr == nil:
 		g.ended(current, placement, backends.Succeeded, "")
 	case errors.Is(writeErr, errCallerWrite):
-		g.noteLost(current, placement, quarantine.Abandoned)
+		g.noteLostRun(current, placement, quarantine.Abandoned)
 		g.ended(current, placement, backends.Cancelled, writeErr.Error())
 		return attempt.Step{Kind: attempt.StepBreak}
 	default:
-		g.noteLost(current, placement, abandonedBy(ctx))
+		g.noteLostRun(current, placement, abandonedBy(ctx))
 		g.ended(current, placement, backends.Lost, writeErr.Error())
 		return attempt.Step{Kind: attempt.StepBreak}
 	}
@@ -83,7 +83,7 @@
 // brokenBody takes in that an answer ended before its end, with nothing of it
 // passed on.
 func (g *Gateway) brokenBody(ctx context.Context, current *carried, placement *backends.Placement, err error) attempt.Step {
-	g.noteLost(current, placement, abandonedBy(ctx))
+	g.noteLostRun(current, placement, abandonedBy(ctx))
 	if current.callerGone() {
 		g.ended(current, placement, backends.Cancelled, "caller gone")
 		return attempt.Step{Kind: attempt.StepBreak}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -82,7 +82,10 @@
 	tell := change(q.ledger)
 	after := q.ledger.Check(now, fingerprint)
 	outcome := quarantineChange{verdict: after, began: !before.Held && after.Held, ended: before.Held && !after.Held}
-	if before.Ends != after.Ends || tell {
+	// A single end that another node has seen is that node's to tell: of some thousand runs
+	// that end at once each node would tell all to all, a second time and a third.
+	concerns := q.own[fingerprint] || after.Ends >= sharedEnds
+	if tell || (before.Ends != after.Ends && concerns) {
 		q.changed[fingerprint] = now
 	}
 	// Whoever begins to hold a request tells all: nodes that missed one of the words before
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -214,8 +214,15 @@
 // TestReportsCarryChangesAndWhatAnotherLacks.
 func TestReportsCarryChangesAndWhatAnotherLacks(t *testing.T) {
 	one, other := quarantineGateway(t, newQuarantineStore()), quarantineGateway(t, newQuarantineStore())
-	assert.Empty(t, one.loadReport("other").QuarantineRecords)
+	single := quarantine.Record{Fingerprint: quarantine.Fingerprint{9}, Ends: []quarantine.End{{Worker: "w", At: one.now()}}}
+	one.quarantines.merge(one.now(), &single)
+	assert.Empty(t, one.loadReport("other").QuarantineRecords, "another node's to tell")
 	assert.Zero(t, one.loadReport("other").QuarantineDigest)
+	one.blame("v", quarantine.Refused, []quarantine.Fingerprint{{8}})
+	assert.Len(t, one.loadReport("other").QuarantineRecords, 1)
+	one.quarantines.mutex.Lock()
+	clear(one.quarantines.changed)
+	one.quarantines.mutex.Unlock()
 	current := heldRequest(one, 5*time.Second)
 	report := one.loadReport("other")
 	require.Len(t, report.QuarantineRecords, 1, "it has changed a moment ago")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -46,15 +46,15 @@
 		g.ended(current, placement, backends.Succeeded, "")
 		return step
 	case current.callerGone() || errors.Is(err, errCallerWrite):
-		g.noteLost(current, placement, quarantine.Abandoned)
+		g.noteLostRun(current, placement, quarantine.Abandoned)
 		g.ended(current, placement, backends.Cancelled, "caller gone")
 		return attempt.Step{Kind: attempt.StepBreak}
 	case ctx.Err() != nil:
-		g.noteLost(current, placement, quarantine.Abandoned)
+		g.noteLostRun(current, placement, quarantine.Abandoned)
 		g.ended(current, placement, backends.Lost, "deadline passed")
 		return current.machine.Expired()
 	default:
-		g.noteLost(current, placement, quarantine.BrokenOff)
+		g.noteLostRun(current, placement, quarantine.BrokenOff)
 		g.ended(current, placement, backends.Lost, "stream: "+err.Error())
 		answer.Close()
 		return current.machine.Broken(g.now(), run, current.keepsCopy(placement))
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -169,7 +169,7 @@
 		g.upstreams.Forget(worker.ID)
 	}
 	if change == backends.Gone && !g.workers.Draining(worker.ID) {
-		g.noteEnded(worker.ID, quarantine.RowGone)
+		g.noteWorkerEnded(worker.ID, quarantine.RowGone)
 	}
 	g.logger.Info().Str("worker", string(worker.ID)).Str("address", string(worker.Address)).
 		Str("service", string(worker.Service)).Uint64("revision", uint64(revision)).
