Read rows of held requests less often, and drop those that a whole read lacks

Cause: the rows of requests that end workers were followed with calls of 3 s by each node that reads, also by all nodes of a fleet that has just restarted.

Ruled out: reading them with the operator's table, which has its own proofs and bounds.

Change: calls of 10 s, begun once the node knows what it needs to serve; a whole read ends the hold of a row that it lacks and that isn't newer, since a row may have been removed before this node read any.

Measured: TestRowThatAWholeReadLacksEndsTheHold.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -275,7 +275,7 @@
 	for _, followed := range g.tables {
 		g.life.Go(func() error { return g.followStore(followed) })
 	}
-	g.life.Go(func() error { return g.followStore(g.quarantineTable) })
+	g.life.Go(g.followQuarantine)
 	g.peers.Start()
 	g.life.Go(g.watchPeers)
 	g.life.Go(g.driveRoles)
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -195,6 +195,18 @@
 	assert.Len(t, g.quarantines.takeUntold(), 1, "it is told")
 }
 
+// TestRowThatAWholeReadLacksEndsTheHold: this node wrote it before it read any, and it was
+// removed meanwhile. A read that is older than the row says nothing.
+func TestRowThatAWholeReadLacksEndsTheHold(t *testing.T) {
+	g := quarantineGateway(t, newQuarantineStore())
+	current := heldRequest(g, time.Second)
+	g.quarantines.noteStored(&QuarantineRow{Fingerprint: current.fingerprint, Workers: []fleet.EngineID{"w0", "w1", "w2"}, Version: 7})
+	g.quarantineTable.apply(&watchcache.Update{Revision: 6, Complete: true}, gapNone)
+	assert.NotNil(t, g.checkQuarantine(current))
+	g.quarantineTable.apply(&watchcache.Update{Revision: 8, Complete: true}, gapNone)
+	assert.Nil(t, g.checkQuarantine(current))
+}
+
 // TestHoldBreaksOffWhatWaits at workers, but for a trial.
 func TestHoldBreaksOffWhatWaits(t *testing.T) {
 	g := quarantineGateway(t, newQuarantineStore())
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -14,8 +14,9 @@
 
 // Times and bounds of keeping requests that end workers in the store.
 const (
-	// quarantineWait is the longest wait of one call that follows the rows.
-	quarantineWait = 3 * time.Second
+	// quarantineWait is the longest wait of one call that follows the rows. They prove nothing,
+	// and a change ends the call at once: with 3 s seven nodes made 150 to 240 calls a day more.
+	quarantineWait = 10 * time.Second
 	// strandedAfter is how long after its last end a held request without a row is written
 	// by any node that reads the store: those that lost runs to it may all be gone.
 	strandedAfter = 3 * time.Second
@@ -41,11 +42,25 @@
 		wait:   quarantineWait,
 		pause:  workersPause,
 		take:   g.takeQuarantineRows,
+		whole:  g.takeWholeQuarantine,
 		taken:  func() {},
 		proven: func(time.Duration) {},
 	}
 }
 
+// followQuarantine follows the rows while this node reads the store, until the process ends.
+// It begins once this node knows what it needs to serve: until then each node reads, and most
+// are told of the records by a reader a moment later. 86 nodes that restarted at once made
+// 200 to 600 calls more on a day.
+func (g *Gateway) followQuarantine() error {
+	select {
+	case <-g.readiness.known:
+		return g.followStore(g.quarantineTable)
+	case <-g.life.Dying():
+		return nil
+	}
+}
+
 // takeQuarantineRows takes in changed rows.
 func (g *Gateway) takeQuarantineRows(rows []watchcache.Row, _ gap) {
 	decoded, unreadable := g.outside.Platform.DecodeQuarantine(rows)
@@ -55,6 +70,31 @@
 	}
 }
 
+// takeWholeQuarantine takes in what a whole read of the rows lacks. A row that this node wrote
+// itself before it read any may have been removed since.
+func (g *Gateway) takeWholeQuarantine(update *watchcache.Update) {
+	named := make(map[string]bool, len(update.Rows))
+	for _, row := range update.Rows {
+		named[row.Key] = true
+	}
+	for _, missing := range g.quarantines.storedBefore(update.Revision, named) {
+		g.takeQuarantineRow(&QuarantineRow{Fingerprint: missing, Gone: true})
+	}
+}
+
+// storedBefore returns the requests with a row of a revision at the latest that isn't named.
+func (q *quarantines) storedBefore(revision fleet.Revision, named map[string]bool) []quarantine.Fingerprint {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	var missing []quarantine.Fingerprint
+	for fingerprint, stored := range q.stored {
+		if stored.version <= revision && !named[fingerprint.String()] {
+			missing = append(missing, fingerprint)
+		}
+	}
+	return missing
+}
+
 // takeQuarantineRow takes one row in. Since it names no times, what it tells counts as if it
 // had happened now. A row that was removed, by a node that saw the request answered or by an
 // operator, ends the hold.
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -21,6 +21,8 @@
 	pause time.Duration
 	// take takes rows that are news in.
 	take func(rows []watchcache.Row, since gap)
+	// whole, if set, takes in the rows of an update that names all there are.
+	whole func(update *watchcache.Update)
 	// taken is called after that.
 	taken func()
 	// proven is called for each call that followed the changes without a gap, with
@@ -43,10 +45,15 @@
 func (t *table) apply(update *watchcache.Update, since gap) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if news := t.cache.Apply(update); len(news) > 0 || update.Complete {
-		t.take(news, since)
-		t.taken()
+	news := t.cache.Apply(update)
+	if len(news) == 0 && !update.Complete {
+		return
+	}
+	t.take(news, since)
+	if update.Complete && t.whole != nil {
+		t.whole(update)
 	}
+	t.taken()
 }
 
 // newTables returns the tables that every gateway keeps.
