Take a later start under the same id for another run, and bad rows for no worker

Cause: a worker's run was known by its id alone, and 'born' was decoded nowhere; a row that couldn't be decoded left the former one in force, and any state but 'draining' counted as ready.

Ruled out: the id joined with the start as the name of a run in all messages: nodes of the release before would name the same workers otherwise while machines are upgraded.

Change: the registry compares starts, of rows and reports, in any order: a later one replaces all that was believed (parts, versions, loads, doubts, orders, connections), and counts as the end of the former one; an earlier one changes nothing. Rows are checked for what each worker writes; one that lacks it names no worker to use, with one log line, and the others hold. More than 64 rows at once are one log line.

Not changed: what other nodes tell of a worker's load still counts for up to 1.5 s after its restart, and a record of requests that end workers counts two ends under one id as one.

--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -124,6 +124,10 @@
 	Began      Change = "draining"
 	Gone       Change = "gone"
 	NewVersion Change = "version"
+	// Restarted means that another run has the worker's identifier.
+	Restarted Change = "restarted"
+	// Unusable means that the worker's row names no worker to use any more.
+	Unusable Change = "unusable"
 )
 
 // Observe takes in a worker's row at a revision of the store.
@@ -135,16 +139,20 @@
 		if revision <= r.tombstones[worker.ID] {
 			return Unchanged
 		}
-		known = &state{worker: worker, revision: revision, slowness: 1, tier: noTier, hash: hashName(string(worker.ID))}
+		known = newState(worker, revision)
 		r.workers[worker.ID] = known
 		r.enlist(known)
 		r.names.add(worker.ID)
 		r.parts.add(worker.Run())
 		return Added
 	}
-	if revision <= known.revision {
+	if revision <= known.revision || worker.Born != 0 && worker.Born < known.worker.Born {
 		return Unchanged
 	}
+	if startedAgain(&known.worker, worker.Born) {
+		r.replaceRun(known, worker, revision)
+		return Restarted
+	}
 	change := Unchanged
 	switch {
 	case worker.Draining && !known.worker.Draining:
@@ -157,11 +165,63 @@
 	worker.Draining = worker.Draining || known.worker.Draining
 	r.setVersions(known, r.newerVersions(known, worker.Versions))
 	worker.Versions = known.worker.Versions
+	worker.Born = max(worker.Born, known.worker.Born)
 	known.worker, known.revision, known.gone = worker, revision, false
 	r.enlist(known)
 	return change
 }
 
+// startedAgain tells whether a start is that of another run than the one known. Where the
+// known one's start was never told, the first word on it says nothing of another run.
+func startedAgain(known *Worker, born StartTime) bool {
+	return known.Born != 0 && born > known.Born
+}
+
+// replaceRun has a new run take the place of the one known under the same identifier:
+// requests under way stay counted at the former one; the mutex is held.
+func (r *Registry) replaceRun(former *state, worker Worker, revision fleet.Revision) {
+	r.delist(former)
+	r.parts.clear(worker.Run())
+	next := newState(worker, revision)
+	r.workers[worker.ID] = next
+	r.enlist(next)
+}
+
+// ObserveStart takes in when a worker says that it started, other than by its row. It tells
+// whether that is another run than the one known.
+func (r *Registry) ObserveStart(id fleet.EngineID, born StartTime) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.workers[id]
+	if known == nil || !startedAgain(&known.worker, born) {
+		return false
+	}
+	worker := known.worker
+	worker.Born, worker.Draining = born, false
+	r.replaceRun(known, worker, known.revision)
+	r.workers[id].gone, r.workers[id].goneAt = known.gone, known.goneAt
+	r.enlist(r.workers[id])
+	return true
+}
+
+// ObserveUnusable takes in that a worker's row names no worker to use from a revision on:
+// it gets no requests, also where nobody else is there, until a newer row names one again.
+func (r *Registry) ObserveUnusable(now time.Duration, revision fleet.Revision, id fleet.EngineID) Change {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.workers[id]
+	if known == nil {
+		r.tombstones[id] = max(r.tombstones[id], revision)
+		return Unchanged
+	}
+	if revision <= known.revision {
+		return Unchanged
+	}
+	known.gone, known.goneAt, known.revision = true, now-lapseGrace, revision
+	r.enlist(known)
+	return Unusable
+}
+
 // newerVersions returns the versions of a row, except where a newer one was
 // heard of before: rows lag behind. A newer version in the row drops what the
 // worker is believed to hold.
--- a/internal/backends/worker.go
+++ b/internal/backends/worker.go
@@ -7,7 +7,9 @@
 //
 // Invariants. A row that is older than one already seen changes nothing, a
 // worker that is gone stays gone unless a newer row brings it back, and a
-// worker that was ever seen draining gets no new request in the same run.
+// worker that was ever seen draining gets no new request in the same run. A later start
+// under the same identifier is another run, of which nothing is believed that was true of
+// the one before; word of an earlier start changes nothing.
 package backends
 
 import (
@@ -19,10 +21,17 @@
 // WeightsVersion numbers the versions of a model's weights; a higher one is newer.
 type WeightsVersion uint64
 
+// StartTime is when a worker started, in milliseconds since 1970 by its own clock; 0 if
+// it didn't say.
+type StartTime uint64
+
 // Worker is one run of one worker as its row in the store describes it.
 type Worker struct {
-	// ID names the run: a restarted worker has another.
-	ID      fleet.EngineID
+	// ID names the worker. A restarted one mostly has another; where it has the same, Born
+	// tells the runs apart.
+	ID fleet.EngineID
+	// Born is when the run started.
+	Born    StartTime
 	Address fleet.Address
 	Zone    fleet.ZoneName
 	Service fleet.PoolName
@@ -108,6 +117,11 @@
 	verdict verdict
 }
 
+// newState returns what is known of a run by its first row alone.
+func newState(worker Worker, revision fleet.Revision) *state {
+	return &state{worker: worker, revision: revision, slowness: 1, tier: noTier, hash: hashName(string(worker.ID))}
+}
+
 // begin counts a request.
 func (s *state) begin(work placedWork) {
 	s.inFlight++
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -44,6 +44,13 @@
 		if g.serves() {
 			pause = cacheCheck
 		}
+		for cache, cancel := range following {
+			if !present[cache] {
+				cancel()
+				delete(following, cache)
+				g.cacheLog.lose(cache.run.Engine)
+			}
+		}
 		for cache := range present {
 			if following[cache] != nil {
 				continue
@@ -55,13 +62,6 @@
 				return nil
 			})
 		}
-		for cache, cancel := range following {
-			if !present[cache] {
-				cancel()
-				delete(following, cache)
-				g.cacheLog.lose(cache.run.Engine)
-			}
-		}
 	}
 	return nil
 }
--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -67,6 +67,9 @@
 	Revision fleet.Revision
 	Worker   backends.Worker
 	Gone     bool
+	// Unusable is set if the row names no worker to use: it can't be read, or lacks what
+	// every worker writes. Only the worker's identifier is known then.
+	Unusable bool
 }
 
 // Unreadable is something from outside that couldn't be read and counts as absent.
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -295,7 +295,7 @@
 		worker.Draining = draining
 		g.workers.Observe(1, worker)
 		g.crashes.note(g.now(), "w", quarantine.Fingerprint{1}, quarantine.BrokenOff)
-		g.noteWorker(worker, 2, g.workers.ObserveGone(g.now(), 2, "w"))
+		g.noteWorker(worker, g.workers.ObserveGone(g.now(), 2, "w"))
 		_, blamed := g.quarantines.record(quarantine.Fingerprint{1})
 		assert.Equal(t, !draining, blamed)
 	}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -124,6 +124,9 @@
 	for g.now() < begun+changeTimeout {
 		wait := reportInterval
 		report, err := g.outside.Engines.Report(g.workerCall(g.context(), next.worker.Zone), next.worker)
+		if err == nil {
+			g.noteStart(next.worker.ID, backends.StartTime(report.Born))
+		}
 		switch {
 		case err != nil:
 			failed++
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -155,30 +155,68 @@
 	now := g.now()
 	decoded, unreadable := g.outside.Platform.DecodeWorkers(rows)
 	g.noteUnreadable("", unreadable)
+	counts := make(map[backends.Change]int)
 	for _, row := range decoded {
-		var change backends.Change
-		if row.Gone {
-			change = g.workers.ObserveGone(now, row.Revision, row.Worker.ID)
-		} else {
-			change = g.workers.Observe(row.Revision, row.Worker)
+		change := g.observeWorker(now, &row)
+		counts[change]++
+		g.noteWorker(row.Worker, change)
+		if change != backends.Unchanged && len(decoded) <= mostNamedWorkers {
+			g.logger.Info().Str("worker", string(row.Worker.ID)).Str("address", string(row.Worker.Address)).
+				Str("service", string(row.Worker.Service)).Uint64("revision", uint64(row.Revision)).
+				Str("change", string(change)).Msg("worker_changed")
 		}
-		g.noteWorker(row.Worker, row.Revision, change)
+	}
+	if len(decoded) > mostNamedWorkers {
+		g.logger.Info().Int("rows", len(decoded)).Int("added", counts[backends.Added]).Int("gone", counts[backends.Gone]).
+			Int("draining", counts[backends.Began]).Int("restarted", counts[backends.Restarted]).
+			Int("unusable", counts[backends.Unusable]).Int("version", counts[backends.NewVersion]).Msg("workers_changed")
 	}
 	g.noteVersions(now, decoded)
 	g.workersKnown.Store(true)
 }
 
-func (g *Gateway) noteWorker(worker backends.Worker, revision fleet.Revision, change backends.Change) {
-	if change == backends.Unchanged {
+// forgetFormerRun drops what is believed of a worker's run that has ended, as another one
+// has its identifier.
+func (g *Gateway) forgetFormerRun(worker fleet.EngineID) {
+	g.upstreams.Forget(worker)
+	g.weights.forgetRun(worker)
+	g.noteWorkerEnded(worker, quarantine.RowGone)
+}
+
+// noteStart takes in when a worker says that it started, beside its row.
+func (g *Gateway) noteStart(worker fleet.EngineID, born backends.StartTime) {
+	if !g.workers.ObserveStart(worker, born) {
 		return
 	}
-	if change == backends.Gone || change == backends.Began {
+	g.forgetFormerRun(worker)
+	g.logger.Info().Str("worker", string(worker)).Str("change", string(backends.Restarted)).Msg("worker_changed")
+}
+
+// observeWorker takes one row in.
+func (g *Gateway) observeWorker(now time.Duration, row *WorkerRow) backends.Change {
+	switch {
+	case row.Gone:
+		return g.workers.ObserveGone(now, row.Revision, row.Worker.ID)
+	case row.Unusable:
+		return g.workers.ObserveUnusable(now, row.Revision, row.Worker.ID)
+	default:
+		return g.workers.Observe(row.Revision, row.Worker)
+	}
+}
+
+// mostNamedWorkers is the number of changed rows up to which each worker has a log line of its
+// own: a node that reads thousands would write as many lines at its start.
+const mostNamedWorkers = 64
+
+// noteWorker does what follows from a worker's change.
+func (g *Gateway) noteWorker(worker backends.Worker, change backends.Change) {
+	switch change {
+	case backends.Gone, backends.Began, backends.Unusable:
 		g.upstreams.Forget(worker.ID)
+	case backends.Restarted:
+		g.forgetFormerRun(worker.ID)
 	}
 	if change == backends.Gone && !g.workers.Draining(worker.ID) {
 		g.noteWorkerEnded(worker.ID, quarantine.RowGone)
 	}
-	g.logger.Info().Str("worker", string(worker.ID)).Str("address", string(worker.Address)).
-		Str("service", string(worker.Service)).Uint64("revision", uint64(revision)).
-		Str("change", string(change)).Msg("worker_changed")
 }
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -265,6 +265,43 @@
 	w.leftAlone[done.worker.ID] = now + changeBackoff
 }
 
+// namings returns a number that rises with each version that is named.
+func (w *weights) namings() uint64 {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	sum := uint64(len(w.pacers))
+	for _, pacer := range w.pacers {
+		sum += pacer.Newest()
+	}
+	return sum
+}
+
+// unfinished tells whether a worker is to take a newer version than it has, or is about to.
+func (w *weights) unfinished(workers []backends.Worker) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if len(w.changing) > 0 {
+		return true
+	}
+	for index := range workers {
+		for model, version := range workers[index].Versions {
+			if pacer := w.pacers[model]; pacer != nil && uint64(version) < pacer.Newest() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// forgetRun drops what is known of the orders to a run that has ended.
+func (w *weights) forgetRun(id fleet.EngineID) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	delete(w.orders, id)
+	delete(w.failures, id)
+	delete(w.leftAlone, id)
+}
+
 // underOrder returns the engines under this node's orders and for how long.
 func (w *weights) underOrder(now time.Duration) map[fleet.EngineID]time.Duration {
 	w.mutex.Lock()
--- a/internal/rollout/versions.go
+++ b/internal/rollout/versions.go
@@ -21,6 +21,9 @@
 	Orders int64
 	// Running counts the requests that it works on.
 	Running int
+	// Born is when the run that answers started, in milliseconds since 1970; 0 if it didn't
+	// say.
+	Born uint64
 }
 
 // VersionOrder has an engine take a version of a model's weights.
