Make views of many members at intervals, and name few changes in the log

Cause: each message that told of a member made a new view of all members and compared it with the one before by searches; each change was a log line.

Ruled out: views made when they are asked for: each request asks.

Change: from 64 members on a view follows the one before by 50 us a member at the least; two views are compared by one pass; over 32 changes a second are summed up in one line.

A change is seen 49 ms later at most at 985 members.

--- a/internal/membership/roles_test.go
+++ b/internal/membership/roles_test.go
@@ -95,3 +95,18 @@
 	assert.Equal(t, 250.0, demand.Observe(12*time.Second, 100))
 	assert.Equal(t, 125.0, demand.Observe(13*time.Second, 100))
 }
+
+// TestDifferenceOfTwoViews names who came, went and changed state.
+func TestDifferenceOfTwoViews(t *testing.T) {
+	named := func(state State, nodes ...fleet.NodeID) []Member {
+		var members []Member
+		for _, node := range nodes {
+			members = append(members, Member{Node: node, State: state})
+		}
+		return members
+	}
+	before := NewView(1, Member{}, named(Alive, "a", "b", "c", "e"))
+	after := NewView(2, Member{}, append(named(Alive, "b", "d", "e", "f"), named(Suspect, "c")...))
+	assert.Equal(t, append(append(append(named(Dead, "a"), named(Suspect, "c")...), named(Alive, "d")...), named(Alive, "f")...), Difference(before, after))
+	assert.Empty(t, Difference(before, before))
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -51,3 +51,28 @@
 	}
 	return v.members[index], true
 }
+
+// Difference returns the members whose state differs between two views, as of the second,
+// and those that it lacks as dead, in the order of nodes.
+func Difference(before, after *View) []Member {
+	var changed []Member
+	old, current := before.members, after.members
+	for len(old) > 0 || len(current) > 0 {
+		switch {
+		case len(current) == 0 || (len(old) > 0 && old[0].Node < current[0].Node):
+			gone := old[0]
+			gone.State = Dead
+			changed = append(changed, gone)
+			old = old[1:]
+		case len(old) == 0 || current[0].Node < old[0].Node:
+			changed = append(changed, current[0])
+			current = current[1:]
+		default:
+			if old[0].State != current[0].State {
+				changed = append(changed, current[0])
+			}
+			old, current = old[1:], current[1:]
+		}
+	}
+	return changed
+}
--- a/internal/peer/drive.go
+++ b/internal/peer/drive.go
@@ -35,6 +35,9 @@
 	if at, pending := p.spread.NextWake(); pending {
 		wake = min(wake, at)
 	}
+	if p.outdated() {
+		wake = min(wake, p.publishAt())
+	}
 	return max(0, wake-p.clock.Now())
 }
 
@@ -44,7 +47,7 @@
 	p.send(p.step(func(now time.Duration) []membership.Message {
 		messages := p.core.Tick(now)
 		pull, due = p.spread.Pull(now)
-		return append(messages, p.spread.Tick(now, p.core.View())...)
+		return append(messages, p.spread.Tick(now, p.View())...)
 	}))
 	if due {
 		p.enqueue(call{pull: &pull})
@@ -89,5 +92,5 @@
 		p.spread.Hold(revision)
 		return nil
 	}
-	return p.spread.Publish(now, encoded, p.core.View())
+	return p.spread.Publish(now, encoded, p.View())
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -84,6 +84,11 @@
 	core    *membership.Core
 	spread  *membership.Dissemination
 	changed chan struct{}
+	// published is when the view in force was made. named counts the changes logged one by
+	// one since namedSince.
+	published  time.Duration
+	namedSince time.Duration
+	named      int
 }
 
 // New returns a peer that knows itself alone and isn't started. It fails if the
@@ -161,38 +166,78 @@
 func (p *Peer) step(action func(now time.Duration) []membership.Message) []membership.Message {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	messages := action(p.clock.Now())
+	now := p.clock.Now()
+	messages := action(now)
 	for i := range messages {
 		p.spread.Decorate(&messages[i])
 	}
-	if before := p.view.Load(); p.core.Updated(before.Version) {
-		p.publish(before, p.core.View())
+	if p.outdated() && now >= p.publishAt() {
+		p.published = now
+		p.publish(p.view.Load(), p.core.View())
 	}
 	p.wake()
 	return messages
 }
 
+// viewPause is the least time between two views for each member. A view takes time and memory
+// for all members, and while many join or leave nearly each message changes one of them: at
+// 985 members a node makes 20 views a second then, in place of hundreds.
+const viewPause = 50 * time.Microsecond
+
+// outdated tells whether the membership has changed since the view in force; the mutex is held.
+func (p *Peer) outdated() bool { return p.core.Updated(p.view.Load().Version) }
+
+// publishAt returns when the next view may be put in force; the mutex is held.
+func (p *Peer) publishAt() time.Duration {
+	members := len(p.view.Load().Members())
+	if members < manyMembers {
+		return 0
+	}
+	return p.published + time.Duration(members)*viewPause
+}
+
+// manyMembers is the size from which on views aren't made at each change: below it one takes
+// microseconds.
+const manyMembers = 64
+
 // publish puts a new view in force; the mutex is held.
 func (p *Peer) publish(before, view *membership.View) {
 	p.view.Store(view)
 	close(p.changed)
 	p.changed = make(chan struct{})
 	p.metrics.members.Set(float64(len(view.Members())))
-	p.logChanges(before, view)
+	p.logChanges(membership.Difference(before, view))
 }
 
-func (p *Peer) logChanges(before, after *membership.View) {
-	for _, member := range after.Members() {
-		old, known := before.Find(member.Node)
-		if !known || old.State != member.State {
-			p.options.Logger.Info().Str("member", string(member.Node)).Str("address", string(member.Address)).
-				Str("zone", string(member.Zone)).Stringer("state", member.State).Msg("member_changed")
-		}
+// mostNamedMembers is the number of changes a second up to which each has a log line of its
+// own: in a fleet of n nodes that starts, n squared lines would say the same.
+const mostNamedMembers = 32
+
+// names tells whether so many changes are to be named in the log, and counts them; the mutex
+// is held.
+func (p *Peer) names(changes int) bool {
+	if p.published >= p.namedSince+time.Second {
+		p.namedSince, p.named = p.published, 0
 	}
-	for _, member := range before.Members() {
-		if _, known := after.Find(member.Node); !known {
-			p.options.Logger.Info().Str("member", string(member.Node)).Stringer("state", membership.Dead).Msg("member_changed")
+	p.named += changes
+	return p.named <= mostNamedMembers
+}
+
+// logChanges logs members that have changed, those that are gone as dead; the mutex is held.
+func (p *Peer) logChanges(changed []membership.Member) {
+	if !p.names(len(changed)) {
+		states := make(map[membership.State]int)
+		for _, member := range changed {
+			states[member.State]++
 		}
+		p.options.Logger.Info().Int("members", len(p.View().Members())).Int("alive", states[membership.Alive]).
+			Int("suspect", states[membership.Suspect]).Int("leaving", states[membership.Leaving]).
+			Int("dead", states[membership.Dead]).Msg("members_changed")
+		return
+	}
+	for _, member := range changed {
+		p.options.Logger.Info().Str("member", string(member.Node)).Str("address", string(member.Address)).
+			Str("zone", string(member.Zone)).Stringer("state", member.State).Msg("member_changed")
 	}
 }
 
