--- a/internal/membership/serving.go
+++ b/internal/membership/serving.go
@@ -78,16 +78,14 @@
 		capacity uint32
 	}
 	seen := make(map[rank]int)
-	turn := make(map[fleet.NodeID]int, len(ranked))
-	for _, entry := range ranked {
+	for index := range ranked {
+		entry := &ranked[index]
 		key := rank{entry.place(), entry.Capacity}
-		turn[entry.Node] = seen[key]
+		entry.turn = seen[key]
 		seen[key]++
 	}
 	slices.SortStableFunc(ranked, func(a, b weighted) int {
-		return cmp.Or(
-			cmp.Compare(b.Capacity, a.Capacity),
-			cmp.Compare(turn[a.Node], turn[b.Node]))
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.turn, b.turn))
 	})
 	return ranked
 }
