--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -122,8 +123,6 @@
 type weighted struct {
 	*Member
 	weight uint64
-	// turn is the member's rank among those of its place and capacity, for serving.
-	turn int
 }
 
 // weigh returns the members with their weights for a role.
@@ -225,39 +224,21 @@
 	}
 	r.readers = make(map[fleet.ZoneName][]fleet.NodeID, len(byZone))
 	for zone, members := range byZone {
-		r.readers[zone] = r.first(members, r.options.ReaderDepth, false)
-		r.zones = append(r.zones, zone)
-	}
-	slices.Sort(r.zones)
-}
-
-// first returns the best members for a role, best first: those that serve before others if
-// servingFirst, else after them, and of each the largest. It looks at each member once a place
-// that is filled: sorting all of them was most of the time that roles take in a large fleet.
-func (r *Roles) first(members []weighted, count int, servingFirst bool) []fleet.NodeID {
-	before := func(a, b *weighted) bool {
-		if serves := r.serving[a.Node]; serves != r.serving[b.Node] {
-			return serves == servingFirst
-		}
-		if a.Capacity != b.Capacity {
-			return a.Capacity > b.Capacity
-		}
-		return a.weight > b.weight
-	}
-	var chosen []fleet.NodeID
-	for range min(count, len(members)) {
-		best := -1
-		for index := range members {
-			if slices.Contains(chosen, members[index].Node) {
-				continue
-			}
-			if best < 0 || before(&members[index], &members[best]) {
-				best = index
+		slices.SortFunc(members, func(a, b weighted) int {
+			if r.serving[a.Node] != r.serving[b.Node] {
+				if r.serving[b.Node] {
+					return -1
+				}
+				return 1
 			}
+			return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(b.weight, a.weight))
+		})
+		for _, entry := range members[:min(len(members), r.options.ReaderDepth)] {
+			r.readers[zone] = append(r.readers[zone], entry.Node)
 		}
-		chosen = append(chosen, members[best].Node)
+		r.zones = append(r.zones, zone)
 	}
-	return chosen
+	slices.Sort(r.zones)
 }
 
 // CacheSources returns the nodes of a zone that are asked, in turn, what changes in the
@@ -289,7 +270,18 @@
 	}
 	r.cacheSources = make(map[fleet.ZoneName][]fleet.NodeID, len(byZone))
 	for zone, members := range byZone {
-		r.cacheSources[zone] = r.first(members, r.options.CacheDepth, true)
+		slices.SortFunc(members, func(a, b weighted) int {
+			if r.serving[a.Node] != r.serving[b.Node] {
+				if r.serving[a.Node] {
+					return -1
+				}
+				return 1
+			}
+			return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(b.weight, a.weight))
+		})
+		for _, entry := range members[:min(len(members), r.options.CacheDepth)] {
+			r.cacheSources[zone] = append(r.cacheSources[zone], entry.Node)
+		}
 	}
 }
 
--- a/internal/membership/serving.go
+++ b/internal/membership/serving.go
@@ -78,14 +78,16 @@
 		capacity uint32
 	}
 	seen := make(map[rank]int)
-	for index := range ranked {
-		entry := &ranked[index]
+	turn := make(map[fleet.NodeID]int, len(ranked))
+	for _, entry := range ranked {
 		key := rank{entry.place(), entry.Capacity}
-		entry.turn = seen[key]
+		turn[entry.Node] = seen[key]
 		seen[key]++
 	}
 	slices.SortStableFunc(ranked, func(a, b weighted) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.turn, b.turn))
+		return cmp.Or(
+			cmp.Compare(b.Capacity, a.Capacity),
+			cmp.Compare(turn[a.Node], turn[b.Node]))
 	})
 	return ranked
 }
