Look less often at what a node at rest uses

Cause: each of hundreds of nodes at rest woke some 25 times a second, four times for its own use of the machine and ten times for uses of tenants near a limit, also where no tenant has one.

Ruled out: fewer looks at the roles, which also notice that the machine was suspended.

--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -73,6 +73,13 @@
 	q.limiter.Refund(now, tenant, cost)
 }
 
+// unlimited tells whether no tenant has a limit.
+func (q *quotas) unlimited() bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.limiter.Unlimited()
+}
+
 func (q *quotas) near(now time.Duration) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -202,7 +209,7 @@
 // shareUses tells the nodes that share loads what tenants near their limits have used,
 // and asks them, more often than loads are shared.
 func (g *Gateway) shareUses() error {
-	for g.pause(quota.NearInterval) {
+	for g.pause(g.usesPause()) {
 		if !g.quotas.near(g.now()) && !g.quotas.newcomer(g.now()) {
 			continue
 		}
@@ -215,6 +222,17 @@
 	return nil
 }
 
+// unlimitedPause is the time between two looks at uses while no tenant has a limit.
+const unlimitedPause = time.Second
+
+// usesPause returns the time until the next look at what tenants near their limits have used.
+func (g *Gateway) usesPause() time.Duration {
+	if g.holder.Current() != nil && g.quotas.unlimited() {
+		return unlimitedPause
+	}
+	return quota.NearInterval
+}
+
 // followUsers keeps up to date whose use this node hears of. A node that carries
 // requests although callers aren't sent to it asks those to which they are.
 func (g *Gateway) followUsers() {
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -62,6 +62,9 @@
 	}
 }
 
+// Unlimited tells whether no tenant has a limit.
+func (l *Limiter) Unlimited() bool { return len(l.accounts) == 0 }
+
 // startUnits returns what is left of a bucket whose use so far isn't known.
 func (l *Limiter) startUnits(limit Limit) float64 {
 	if !l.newcomer {
