Tell few members to a node that joins a large fleet, packed, and keep no connection to drawn members

Cause: at a start of n nodes three seeds are asked by all and told each everything: n squared records over the links of three machines. A member met at random is met again a thousand probes later, but its connection was kept for 30 s at both ends, some 60 of 25 KB at each node that does nothing else.

Change: from 193 members on a joining node that knows under a quarter is told 96 drawn ones; its exchanges with drawn members bring the rest. Lists of more than 32 members travel compressed where the receiver says that it takes them. From 128 members on gossip makes a connection a call.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -144,7 +144,7 @@
 	case Nack:
 		c.takeNack(now, message)
 	case Join:
-		c.answerJoin(now, sender)
+		c.answerJoin(now, sender, len(message.Updates))
 	}
 	return c.flush()
 }
--- a/internal/membership/herd_test.go
+++ b/internal/membership/herd_test.go
@@ -11,8 +11,9 @@
 )
 
 // herdStart starts many nodes within a spread of time, each with three seeds, and
-// returns how long after the last start all know each other.
-func herdStart(t testing.TB, seed uint64, nodes int, spread time.Duration) (took time.Duration, bytes int) {
+// returns how long after the last start all know each other, and the bytes that all and the
+// busiest of them sent until then.
+func herdStart(t testing.TB, seed uint64, nodes int, spread time.Duration) (took time.Duration, bytes, busiest int) {
 	network := newNetwork(t, seed, 1)
 	network.count = true
 	for index := range nodes {
@@ -31,17 +32,34 @@
 	})
 	for _, started := range network.running() {
 		bytes += started.bytes
+		busiest = max(busiest, started.bytes)
 	}
-	return took, bytes
+	return took, bytes, busiest
 }
 
 // TestHerdKnowsAllMembersSoon starts a whole fleet at once: until nodes know each
 // other, they don't agree on who reads the store and who serves.
 func TestHerdKnowsAllMembersSoon(t *testing.T) {
 	for seed := range uint64(5) {
-		took, bytes := herdStart(t, seed, 195, 300*time.Millisecond)
+		took, bytes, _ := herdStart(t, seed, 195, 300*time.Millisecond)
 		t.Logf("seed %d: %s, %d bytes a node", seed, took, bytes/195)
 		assert.Less(t, took, 2500*time.Millisecond, "seed %d", seed)
 		assert.Less(t, bytes/195, 200_000, "seed %d", seed)
 	}
 }
+
+// TestSeedsAreNotSwampedAtAStartOfMany starts fleets of which one is twice as large: what the
+// busiest node, a seed, sends grows no faster than the fleet. Told everything, each node that
+// joins would make it grow with its square.
+func TestSeedsAreNotSwampedAtAStartOfMany(t *testing.T) {
+	sent := make(map[int]int)
+	for _, nodes := range []int{300, 600} {
+		took, bytes, busiest := herdStart(t, 1, nodes, 300*time.Millisecond)
+		t.Logf("%d nodes: %s, %d bytes a node, %d at the busiest", nodes, took, bytes/nodes, busiest)
+		assert.Less(t, took, 4*time.Second)
+		sent[nodes] = busiest
+	}
+	assert.Less(t, float64(sent[600]), 2.2*float64(sent[300]))
+	// 600 joins of 96 members of 85 bytes, and eight exchanges of all.
+	assert.Less(t, sent[600], 600*joinSample*85+8*2*600*85)
+}
--- a/internal/membership/reconnect.go
+++ b/internal/membership/reconnect.go
@@ -70,10 +70,26 @@
 // joined ends the attempts to join: a member has answered.
 func (c *Core) joined() { c.join.pending = false }
 
-func (c *Core) answerJoin(now time.Duration, sender Member) {
+// joinSample is the number of members that a node is told which knows few itself, and
+// fewKnown the part of the members, as a divisor, under which it does. A seed of a fleet that
+// starts at once is asked by all: told everything, n nodes are n squared records over one
+// link, some 40 MB at 985, while the samples of three seeds and two exchanges with drawn members
+// bring all as well.
+const (
+	joinSample = 96
+	fewKnown   = 4
+)
+
+// answerJoin answers a member that has told so many others.
+func (c *Core) answerJoin(now time.Duration, sender Member, told int) {
 	c.joined()
 	c.setTimers(now)
-	c.sendAll(now, Ack, sender.Address, sender.Node)
+	if c.liveTotal <= 2*joinSample || told >= c.liveTotal/fewKnown {
+		c.sendAll(now, Ack, sender.Address, sender.Node)
+		return
+	}
+	updates := c.pick(joinSample, func(r *record) bool { return r.Node != sender.Node })
+	c.sendList(Ack, sender.Address, sender.Node, updates)
 }
 
 // sendAll queues a message with the whole membership. The receiver is told if
@@ -82,10 +98,19 @@
 	updates := make([]Member, 0, c.liveTotal)
 	for _, record := range c.table.sorted {
 		recent := now-record.since < deadShareTime
-		if record.State != Dead || recent || record.Node == receiver {
+		if (record.State != Dead || recent) && record.Node != receiver {
 			updates = append(updates, record.Member)
 		}
 	}
+	c.sendList(kind, to, receiver, updates)
+}
+
+// sendList queues a message with some members. The receiver is told what is believed of it
+// besides.
+func (c *Core) sendList(kind Kind, to fleet.Address, receiver fleet.NodeID, updates []Member) {
+	if record, known := c.table.byNode[receiver]; known {
+		updates = append(updates, record.Member)
+	}
 	if incarnation, buried := c.table.tombstones[receiver]; buried {
 		updates = append(updates, Member{Node: receiver, Address: to, Incarnation: incarnation, State: Dead})
 	}
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/packed"
 	"github.com/tillerfall/tillerfall/internal/rpc"
 )
 
@@ -15,13 +16,21 @@
 // maxNameBytes bounds every name taken from a message.
 const maxNameBytes = 256
 
+// packedFrom is the number of updates from which on they are packed: a message with news
+// carries no more than DefaultMaxUpdates, and is too short to gain by it.
+const packedFrom = DefaultMaxUpdates + 1
+
+// maxListBytes bounds a list of members, uncompressed: some 40,000.
+const maxListBytes = 4 << 20
+
 // Encode returns the message in its transmitted form.
 func (m *Message) Encode() *rpc.GossipMessage {
 	encoded := &rpc.GossipMessage{
-		Header: &rpc.Header{Sender: string(m.Sender.Node), KnownRevision: uint64(m.KnownRevision)},
-		Kind:   rpc.GossipKind(m.Kind),
-		Sender: EncodeMember(m.Sender),
-		Target: string(m.Target),
+		Header:      &rpc.Header{Sender: string(m.Sender.Node), KnownRevision: uint64(m.KnownRevision)},
+		Kind:        rpc.GossipKind(m.Kind),
+		Sender:      EncodeMember(m.Sender),
+		Target:      string(m.Target),
+		TakesPacked: true,
 	}
 	for _, update := range m.Updates {
 		encoded.Updates = append(encoded.Updates, EncodeMember(update))
@@ -32,6 +41,21 @@
 	return encoded
 }
 
+// EncodePacked is Encode for a receiver that takes packed lists. A node of a release that
+// doesn't passes them over, and learns of the members by the answers to its own messages.
+func (m *Message) EncodePacked() (*rpc.GossipMessage, error) {
+	encoded := m.Encode()
+	if len(encoded.GetUpdates()) < packedFrom {
+		return encoded, nil
+	}
+	content, err := packed.Pack(&rpc.MemberList{Members: encoded.GetUpdates()})
+	if err != nil {
+		return nil, errors.Wrap(err, "members")
+	}
+	encoded.Updates, encoded.PackedUpdates = nil, content
+	return encoded, nil
+}
+
 // DecodeMessage reads a message from its transmitted form. It returns
 // ErrMalformed for a message that no member sends.
 func DecodeMessage(encoded *rpc.GossipMessage) (Message, error) {
@@ -51,7 +75,15 @@
 	if encoded.GetKind() < rpc.GossipKind_GOSSIP_KIND_PROBE || encoded.GetKind() > rpc.GossipKind_GOSSIP_KIND_JOIN {
 		return Message{}, errors.Wrapf(ErrMalformed, "kind %d", encoded.GetKind())
 	}
-	for _, update := range encoded.GetUpdates() {
+	updates := encoded.GetUpdates()
+	if content := encoded.GetPackedUpdates(); len(content) > 0 {
+		var list rpc.MemberList
+		if err := packed.Unpack(content, maxListBytes, &list); err != nil {
+			return Message{}, errors.Wrapf(ErrMalformed, "members: %s", err)
+		}
+		updates = append(updates, list.GetMembers()...)
+	}
+	for _, update := range updates {
 		member, err := DecodeMember(update)
 		if err != nil {
 			return Message{}, errors.Wrap(err, "update")
--- a/internal/membership/wire_test.go
+++ b/internal/membership/wire_test.go
@@ -1,12 +1,14 @@
 package membership
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/rpc"
 )
 
@@ -64,3 +66,30 @@
 		}
 	})
 }
+
+// TestLongListsTravelPacked, and short ones as before, also to nodes that know nothing of it.
+func TestLongListsTravelPacked(t *testing.T) {
+	message := Message{Kind: Join, Sender: Member{Node: "n", Address: "127.0.0.1:1", State: Alive}}
+	for number := range 1000 {
+		message.Updates = append(message.Updates, Member{
+			Node:    fleet.NodeID(fmt.Sprintf("front-some-zone-%d/%016x", number, uint64(number)*0x9e3779b97f4a7c15)),
+			Address: fleet.Address(fmt.Sprintf("10.1.%d.%d:7340", number/250, number%250)), Region: "some-region",
+			Zone: fleet.ZoneName(fmt.Sprint("some-zone-", number%5)), State: Alive, Incarnation: 3, Capacity: 192,
+		})
+	}
+	packed, err := message.EncodePacked()
+	require.NoError(t, err)
+	assert.Empty(t, packed.GetUpdates())
+	t.Logf("%d bytes, packed %d", proto.Size(message.Encode()), proto.Size(packed))
+	assert.Less(t, 2*proto.Size(packed), proto.Size(message.Encode()))
+	received, err := DecodeMessage(packed)
+	require.NoError(t, err)
+	assert.Equal(t, message.Updates, received.Updates)
+	message.Updates = message.Updates[:DefaultMaxUpdates]
+	short, err := message.EncodePacked()
+	require.NoError(t, err)
+	assert.True(t, proto.Equal(message.Encode(), short))
+	packed.PackedUpdates = packed.PackedUpdates[:len(packed.PackedUpdates)/2]
+	_, err = DecodeMessage(packed)
+	assert.ErrorIs(t, err, ErrMalformed)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -73,7 +73,9 @@
 type Peer struct {
 	options Options
 	clock   fleet.Clock
+	// http keeps connections, single makes one for each call.
 	http    *http.Client
+	single  *http.Client
 	metrics *metrics
 	life    tomb.Tomb
 	calls   chan call
@@ -100,7 +102,8 @@
 	p := &Peer{
 		options: options,
 		clock:   fleet.NewClock(),
-		http:    newHTTPClient(options.Traffic),
+		http:    newHTTPClient(options.Traffic, true),
+		single:  newHTTPClient(options.Traffic, false),
 		metrics: newMetrics(),
 		calls:   make(chan call, queuedCalls),
 		kick:    make(chan struct{}, 1),
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -27,6 +27,11 @@
 		return &rpc.GossipMessage{Header: p.header()}, nil
 	}
 	encoded := answer.Encode()
+	if request.GetTakesPacked() {
+		if encoded, err = answer.EncodePacked(); err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+	}
 	p.metrics.count(directionSent, encoded.GetKind().String(), proto.Size(encoded))
 	return encoded, nil
 }
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -25,7 +25,8 @@
 	pull    *membership.Pull
 }
 
-func newHTTPClient(meter *traffic.Meter) *http.Client {
+// newHTTPClient returns a client that keeps its connections, or makes one for each call.
+func newHTTPClient(meter *traffic.Meter, keep bool) *http.Client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	return &http.Client{Transport: shortHeads{next: traffic.RoundTripper{Next: &http.Transport{
 		DialContext:         meter.Dial(dialer.DialContext),
@@ -33,13 +34,28 @@
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+		DisableKeepAlives:   !keep,
 	}}}}
 }
 
+// seldomMet is the number of members from which on a kept connection to a random one is hardly
+// used again: a node probes one a second, and of 128 it meets a fifth again within idleTimeout.
+// Kept all the same, such connections are most of what a node holds that does nothing else:
+// two of some 25 KB for each second of idleTimeout.
+const seldomMet = 128
+
 func (p *Peer) client(address fleet.Address) rpc.Peer {
 	return rpc.NewPeerProtobufClient("http://"+string(address), p.http)
 }
 
+// gossipClient returns a client for calls to members that were drawn.
+func (p *Peer) gossipClient(address fleet.Address) rpc.Peer {
+	if len(p.Members()) < seldomMet {
+		return p.client(address)
+	}
+	return rpc.NewPeerProtobufClient("http://"+string(address), p.single)
+}
+
 // ExchangeLoad gives one member this process's report on the workers and returns
 // the member's own.
 func (p *Peer) ExchangeLoad(ctx context.Context, address fleet.Address, report *rpc.LoadReport) (*rpc.LoadReport, error) {
@@ -158,9 +174,13 @@
 	ctx = traffic.With(ctx, purpose, p.distance(message.To))
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request := message.Encode()
+	request, err := message.EncodePacked()
+	if err != nil {
+		p.options.Logger.Error().Err(err).Str("address", string(message.To)).Msg("peer_message_unencoded")
+		return
+	}
 	p.metrics.count(directionSent, request.GetKind().String(), proto.Size(request))
-	answer, err := p.client(message.To).Gossip(ctx, request)
+	answer, err := p.gossipClient(message.To).Gossip(ctx, request)
 	if err != nil {
 		p.metrics.failed.Inc()
 		p.options.Logger.Debug().Err(err).Str("address", string(message.To)).Msg("peer_call_failed")
