Have the largest idle machines take the lease of the weights

Cause: candidates were drawn among all idle nodes. A candidate knows all workers and orders them; in a fleet whose machines are for nine tenths the smallest, it was one of these nearly always.

Change: candidates are drawn among the idle members of the greatest capacity.

--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -162,12 +162,24 @@
 	defer r.candidatesMutex.Unlock()
 	candidates, known := r.candidates[duty]
 	if !known {
-		candidates = Owners(duty, r.preferIdle(r.options.Candidates), r.options.Candidates)
+		candidates = Owners(duty, largest(r.preferIdle(r.options.Candidates), r.options.Candidates), r.options.Candidates)
 		r.candidates[duty] = candidates
 	}
 	return candidates
 }
 
+// largest returns the members of the greatest capacity, and of the next ones until there are
+// so many: a holder of a duty knows all workers and gives orders to them, of which the smallest
+// machines of a large fleet can carry neither.
+func largest(members []Member, least int) []Member {
+	ranked := slices.SortedStableFunc(slices.Values(members), func(a, b Member) int { return cmp.Compare(b.Capacity, a.Capacity) })
+	count := min(least, len(ranked))
+	for count > 0 && count < len(ranked) && ranked[count].Capacity == ranked[count-1].Capacity {
+		count++
+	}
+	return ranked[:count]
+}
+
 // preferIdle returns the members outside of the serving set if there are least
 // of them, else all.
 func (r *Roles) preferIdle(least int) []Member {
--- a/internal/membership/roles_test.go
+++ b/internal/membership/roles_test.go
@@ -110,3 +110,22 @@
 	assert.Equal(t, append(append(append(named(Dead, "a"), named(Suspect, "c")...), named(Alive, "d")...), named(Alive, "f")...), Difference(before, after))
 	assert.Empty(t, Difference(before, before))
 }
+
+// TestLargestMembersTakeDuties: among hundreds of small ones that rest, the few large ones do.
+func TestLargestMembersTakeDuties(t *testing.T) {
+	for _, large := range []int{12, 40} {
+		roles := Assign(mixedFleet(large, 300), 100, RoleOptions{})
+		candidates := roles.Candidates("duty")
+		require.Len(t, candidates, DefaultCandidates)
+		for _, candidate := range candidates {
+			assert.False(t, roles.Serves(candidate))
+			found := 0
+			for _, member := range roles.routable {
+				if member.Node == candidate {
+					found = int(member.Capacity)
+				}
+			}
+			assert.Greater(t, found, 200)
+		}
+	}
+}
