Have the loops of a node at rest wake together

Cause: a node to which no callers are sent woke some 25 times a second by loops that each keep their own time.

Ruled out: one loop for all duties: their order and bounds differ where the node serves.

Change: at rest (no callers sent here, no duty, no request for 3 s) pauses end at ticks of 500 ms; the look at the roles so comes each 500 ms in place of 200.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -36,7 +36,7 @@
 // cache, each by a goroutine of its own, and asks other zones' nodes about theirs.
 func (g *Gateway) followCaches() error {
 	following := make(map[cacheRun]context.CancelFunc)
-	for pause := cacheCheck; g.pause(pause); {
+	for pause := cacheCheck; g.pauseOrRest(pause); {
 		present, asked := g.caches()
 		g.askZones(asked)
 		g.cacheLog.follow(g.now(), g.inZone(present))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -325,7 +325,7 @@
 
 // housekeep drops what is not needed any more.
 func (g *Gateway) housekeep() error {
-	for g.pause(housekeepInterval) {
+	for g.pauseOrRest(housekeepInterval) {
 		for _, engine := range g.workers.Forget(g.now(), forgetWorkers) {
 			g.upstreams.Forget(engine)
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -105,7 +105,7 @@
 // all of them in each round while they are few, else with some, taking turns.
 func (g *Gateway) shareLoads() error {
 	known := make(map[fleet.NodeID]bool)
-	for round := 0; g.pause(shareInterval); round++ {
+	for round := 0; g.pauseOrRest(shareInterval); round++ {
 		peers := g.loadPeers()
 		present := make(map[fleet.NodeID]bool, len(peers))
 		for _, member := range peers {
--- a/internal/gateway/pressure.go
+++ b/internal/gateway/pressure.go
@@ -17,10 +17,8 @@
 const (
 	// pressureInterval is the time between two looks at what this node uses.
 	pressureInterval = 250 * time.Millisecond
-	// pressureRest is the same at a node that has had no request for restAfter: its use
-	// changes slowly, and most nodes of a large fleet do nothing else.
+	// pressureRest is the same at a node at rest, whose use changes slowly.
 	pressureRest = time.Second
-	restAfter    = 3 * time.Second
 	// usageWeight is the part of one interval in the mean use of the processor, which so
 	// lasts some 0.8 s: a collection of garbage alone doesn't count.
 	usageWeight = 0.3
@@ -94,7 +92,7 @@
 
 // drivePressure measures what this node uses, until the process ends.
 func (g *Gateway) drivePressure() error {
-	for g.pause(g.pressurePause()) {
+	for g.pauseOrRest(g.pressurePause()) {
 		used, err := g.consumed()
 		if err != nil {
 			g.events.line("usage_unread").Err(err).Msg("usage_unread")
@@ -107,10 +105,10 @@
 
 // pressurePause returns the time until the next look.
 func (g *Gateway) pressurePause() time.Duration {
-	if g.serves() || g.inFlight.Load() > 0 || g.now() < time.Duration(g.lastRequest.Load())+restAfter {
-		return pressureInterval
+	if g.resting() {
+		return pressureRest
 	}
-	return pressureRest
+	return pressureInterval
 }
 
 // takeUsage takes in what this node uses at now.
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -209,7 +209,7 @@
 // shareUses tells the nodes that share loads what tenants near their limits have used,
 // and asks them, more often than loads are shared.
 func (g *Gateway) shareUses() error {
-	for g.pause(g.usesPause()) {
+	for g.pauseForUses() {
 		if !g.quotas.near(g.now()) && !g.quotas.newcomer(g.now()) {
 			continue
 		}
@@ -225,12 +225,13 @@
 // unlimitedPause is the time between two looks at uses while no tenant has a limit.
 const unlimitedPause = time.Second
 
-// usesPause returns the time until the next look at what tenants near their limits have used.
-func (g *Gateway) usesPause() time.Duration {
+// pauseForUses waits until the next look at what tenants near their limits have used. It
+// returns false when the process ends.
+func (g *Gateway) pauseForUses() bool {
 	if g.holder.Current() != nil && g.quotas.unlimited() {
-		return unlimitedPause
+		return g.pauseOrRest(unlimitedPause)
 	}
-	return quota.NearInterval
+	return g.pause(quota.NearInterval)
 }
 
 // followUsers keeps up to date whose use this node hears of. A node that carries
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -144,7 +144,7 @@
 		now := g.now()
 		g.demand.measure(now)
 		g.assign(now)
-		if !g.pause(rolesInterval) {
+		if !g.pauseOrRest(rolesInterval) {
 			return nil
 		}
 	}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -18,7 +18,7 @@
 	var orderFrom time.Duration
 	var finished rolloutMark
 	held := false
-	for g.pause(g.rolloutPause()) {
+	for g.pauseOrRest(g.rolloutPause()) {
 		now := g.now()
 		if age, proven := g.fresh.Age(now); proven && age > storeLostAfter {
 			g.weights.hold(now)
