Follow what is known, not the whole table, where a node reads the store for a moment

A third of the nodes was turned away by the store for 9 s. Followers of the readers among them all asked the same next reader, which didn't begin its answers in 0.95 s (source_changed in the kept log); nodes without an answer read the store, and a node that knew a part of the workers read all: 4 MB and 50 calls each, so some 250 of them are both figures. The node whose log was kept was out of processor then.

Ruled out: longer waits for answers (proofs would be too old), no reading at all (drains would be missed).

Change: what a part was told of carries the store's revision, and a node that reads for a moment follows the changes from there. All is read by readers, those whom others ask, those that may order, and those that nobody has answered for 5 s. Each node has its own order of the other zones' readers.

--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -101,7 +101,7 @@
 		origins: options.Origins, weights: options.Weights, least: options.Least,
 		reader:      all.Reads(self),
 		candidate:   slices.Contains(candidates, self),
-		readerOrder: all.ReaderOrder(zone),
+		readerOrder: all.ReaderOrder(zone, self),
 	}
 	if !all.Serves(self) {
 		roles.others = len(view.Routable()) - len(all.Serving)
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -84,6 +84,13 @@
 	s.refresh(now)
 }
 
+// needsAll tells whether this node is to know everything that the store holds.
+func (s *sources) needsAll(now time.Duration) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.selector.NeedsAll(now)
+}
+
 // inform notes that this node knows everything for the first time.
 func (s *sources) inform(now time.Duration) {
 	s.mutex.Lock()
--- a/internal/gateway/storefeed.go
+++ b/internal/gateway/storefeed.go
@@ -110,6 +110,7 @@
 	f.since = gapNone
 	if update.Revision >= f.after {
 		f.after = update.Revision
+		f.table.cache.Advance(update.Revision)
 		f.table.proven(provenAt)
 	}
 	if g.roles.Load().Small {
@@ -122,7 +123,11 @@
 // after a break doesn't wait, so that there is a proof at once.
 func (f *storeFeed) call(ctx context.Context) (*watchcache.Update, error) {
 	store := f.gateway.outside.Platform
-	if !f.known || f.table.cache.Partial() {
+	partial := f.table.cache.Partial()
+	switch {
+	case partial && !f.gateway.readsAll():
+		f.after, f.known = f.table.cache.Revision(), true
+	case partial, !f.known:
 		return store.ReadTable(ctx, f.table.name, f.gateway.settled.Load)
 	}
 	wait := f.table.wait
--- a/internal/gateway/subsets.go
+++ b/internal/gateway/subsets.go
@@ -20,6 +20,15 @@
 	return g.roles.Load().candidate || g.standIn.Load()
 }
 
+// readsAll tells whether this node, if it reads the store, is to read all workers: it tells
+// others of them, has to know them, or has had no answer of any peer for long. A node that
+// reads for a moment, since its peers are slow, follows the changes of what it knows: in a play of 985 machines
+// of which a third were turned away by the store, some 250 whole reads of 4 MB and 50 calls each
+// were two thirds of all prices.
+func (g *Gateway) readsAll() bool {
+	return g.roles.Load().reader || g.knowsAllWorkers() || g.sources.needsAll(g.now())
+}
+
 // workersTable returns the table of the workers.
 func (g *Gateway) workersTable() *table { return g.table(TableWorkers) }
 
--- a/internal/gateway/subsets_test.go
+++ b/internal/gateway/subsets_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -67,7 +68,7 @@
 	g := idleGateway(t)
 	g.outside.Platform = workerTable{}
 	roles := *g.roles.Load()
-	roles.candidate = false
+	roles.candidate, roles.reader = false, false
 	g.roles.Store(&roles)
 	return g
 }
@@ -248,3 +249,46 @@
 		reader.weights.next(reader.now(), reader.workers.Workers(), reader.workers.Doubtful(reader.now()))
 	}
 }
+
+// followedTables is a store that counts whole reads of the workers and has the changes after a
+// revision.
+type followedTables struct {
+	workerTable
+	whole   int
+	after   []fleet.Revision
+	changes *watchcache.Update
+}
+
+func (s *followedTables) ReadTable(context.Context, Table, func() bool) (*watchcache.Update, error) {
+	s.whole++
+	return &watchcache.Update{Revision: s.changes.Revision, Complete: true}, nil
+}
+
+func (s *followedTables) FollowTable(_ context.Context, _ Table, after fleet.Revision, _ time.Duration) (*watchcache.Update, error) {
+	s.after = append(s.after, after)
+	return s.changes, nil
+}
+
+// TestNodeThatReadsForAMomentFollowsWhatItKnows: its peers are slow, and it asks the store. In
+// a fleet of hundreds that all do so, whole reads of thousands of rows would swamp it.
+func TestNodeThatReadsForAMomentFollowsWhatItKnows(t *testing.T) {
+	reader, follower := readerOf(t, 5000), followerOf(t)
+	reader.workersTable().cache.Advance(7)
+	watch(t, follower, reader)
+	drained := follower.workers.Workers()[0].ID
+	number := 0
+	_, err := fmt.Sscanf(string(drained), "i-%05d", &number)
+	require.NoError(t, err)
+	store := &followedTables{changes: &watchcache.Update{Revision: 9, Rows: []watchcache.Row{workerNamed(number, 9, true)}}}
+	follower.outside.Platform = store
+	follower.sources.answered(follower.now(), "peer", 0, true)
+	feed := &storeFeed{gateway: follower, table: follower.workersTable(), since: gapUnreached}
+	feed.step(t.Context())
+	feed.step(t.Context())
+	assert.Equal(t, []fleet.Revision{7, 9}, store.after)
+	assert.Zero(t, store.whole)
+	assert.True(t, follower.workers.Draining(drained))
+	follower.sources.watched(follower.now())
+	feed.step(t.Context())
+	assert.Equal(t, 1, store.whole, "others ask it")
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -164,6 +164,7 @@
 			followed.apply(update, gapUnreached)
 		}
 		followed.seen = update.Sequence
+		followed.cache.Advance(update.Revision)
 	}
 	g.demand.told(g.now(), decodeRate(response.GetRequestRate()))
 	g.takeOrigins(g.now(), response.GetOrigins(), response.GetPressures())
--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -210,14 +210,18 @@
 }
 
 // ReaderOrder returns the nodes that a node of a zone asks for the store's rows,
-// best first: by rank within each zone, and of each rank the own zone first.
-func (r *Roles) ReaderOrder(zone fleet.ZoneName) []fleet.NodeID {
+// best first: by rank within each zone, and of each rank the own zone first. The others follow
+// in an order that starts elsewhere for each node, so that those who asked a reader that fails
+// don't all ask the same next one.
+func (r *Roles) ReaderOrder(zone fleet.ZoneName, self fleet.NodeID) []fleet.NodeID {
 	var order []fleet.NodeID
+	start := int(xxhash.Sum64String(string(self)) % uint64(max(len(r.zones), 1)))
+	zones := slices.Concat(r.zones[start:], r.zones[:start])
 	for rank := range r.options.ReaderDepth {
 		if own := r.readers[zone]; rank < len(own) {
 			order = append(order, own[rank])
 		}
-		for _, name := range r.zones {
+		for _, name := range zones {
 			if ranked := r.readers[name]; name != zone && rank < len(ranked) {
 				order = append(order, ranked[rank])
 			}
--- a/internal/membership/roles_test.go
+++ b/internal/membership/roles_test.go
@@ -61,7 +61,7 @@
 	for _, node := range candidates {
 		assert.False(t, roles.Serves(node))
 	}
-	order := roles.ReaderOrder("z1")
+	order := roles.ReaderOrder("z1", "self")
 	require.Len(t, order, 9)
 	readers := 0
 	for _, node := range order {
@@ -74,8 +74,8 @@
 	}
 	assert.Equal(t, 3, readers, "one a zone")
 	assert.True(t, roles.Reads(order[0]))
-	assert.ElementsMatch(t, order, roles.ReaderOrder("z2"))
-	assert.NotEqual(t, order[0], roles.ReaderOrder("z2")[0], "the own zone first")
+	assert.ElementsMatch(t, order, roles.ReaderOrder("z2", "self"))
+	assert.NotEqual(t, order[0], roles.ReaderOrder("z2", "self")[0], "the own zone first")
 }
 
 func TestSmallFleetReadsAndServesWithAllMembers(t *testing.T) {
@@ -129,3 +129,29 @@
 		}
 	}
 }
+
+// TestNodesWhoseReaderFailsAskDifferentOnes: each other zone's reader gets a like part of them,
+// and each node keeps to its order.
+func TestNodesWhoseReaderFailsAskDifferentOnes(t *testing.T) {
+	var members []Member
+	for number := range 500 {
+		members = append(members, Member{
+			Node: fleet.NodeID(fmt.Sprintf("node-%03d", number)), Zone: fleet.ZoneName(fmt.Sprint("z", number%5)),
+			State: Alive, Capacity: 200,
+		})
+	}
+	roles := Assign(NewView(1, members[0], members), 10, RoleOptions{})
+	first := roles.ReaderOrder("z1", "node-001")[0]
+	next := make(map[fleet.NodeID]int)
+	for number := 1; number < 500; number += 5 {
+		self := members[number].Node
+		order := roles.ReaderOrder("z1", self)
+		require.Equal(t, first, order[0], "the own zone's reader is first")
+		require.Equal(t, order, roles.ReaderOrder("z1", self))
+		next[order[1]]++
+	}
+	assert.Len(t, next, 4)
+	for _, count := range next {
+		assert.Less(t, count, 60, "of 100")
+	}
+}
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -56,6 +56,9 @@
 	// answers without a proof: that one has just begun to read. If all moved on, each would ask
 	// many for everything, and these would all read the store.
 	ProofAwaited time.Duration
+	// AloneAfter is the time without any answer of a peer after which the node is on its
+	// own: it needs everything that the store holds.
+	AloneAfter time.Duration
 	// MaxSources bounds the peers that are asked in turn.
 	MaxSources int
 }
@@ -73,6 +76,9 @@
 	// nothing ails it.
 	DefaultPatientFor = 150 * time.Millisecond
 	DefaultMaxSources = 9
+	// DefaultAloneAfter is some turns over all sources: slow peers are many, and all of a zone
+	// that read everything at once make the store slow too.
+	DefaultAloneAfter = 5 * time.Second
 	// DefaultProofAwaited is some times what reading 3,000 rows over 12 ms takes.
 	DefaultProofAwaited = time.Second
 )
@@ -120,7 +126,7 @@
 		{&options.WatchedFor, DefaultWatchedFor}, {&options.ReturnAfter, DefaultReturnAfter},
 		{&options.TryInterval, DefaultTryInterval}, {&options.TryFor, DefaultTryFor},
 		{&options.TrySpacing, DefaultTrySpacing}, {&options.PatientFor, DefaultPatientFor},
-		{&options.ProofAwaited, DefaultProofAwaited},
+		{&options.ProofAwaited, DefaultProofAwaited}, {&options.AloneAfter, DefaultAloneAfter},
 	} {
 		if *bound.field <= 0 {
 			*bound.field = bound.fallback
@@ -225,6 +231,13 @@
 	return now >= s.tryAt
 }
 
+// NeedsAll tells whether the node, if it reads, needs everything that the store holds, since
+// others ask it or nobody answers it. Otherwise it reads for its proof and for changes.
+func (s *Selector) NeedsAll(now time.Duration) bool {
+	asked := s.watched && now < s.watchedAt+s.options.WatchedFor
+	return asked || now >= s.lastAnswer()+s.options.AloneAfter
+}
+
 func (s *Selector) lastAnswer() time.Duration {
 	if s.answered {
 		return s.answeredAt
--- a/internal/relay/selector_test.go
+++ b/internal/relay/selector_test.go
@@ -277,3 +277,21 @@
 	assert.False(t, selector.Answered(soon-1, "a", 0, true))
 	assert.True(t, selector.Answered(soon, "a", 0, false), "it has had a proof before")
 }
+
+// TestNodeThatReadsForAMomentDoesNotNeedAll: its peers are slow, or answer with old proofs; one
+// that others ask, or that nobody answers for long, does.
+func TestNodeThatReadsForAMomentDoesNotNeedAll(t *testing.T) {
+	selector := New(0, Options{Self: "self", Random: rand.New(rand.NewPCG(1, 1))})
+	selector.Settle(0)
+	selector.SetRole(0, false, []fleet.NodeID{"a", "b"})
+	selector.Inform()
+	selector.Answered(time.Second, "a", 0, true)
+	now := time.Second + DefaultSilentAfter
+	assert.True(t, selector.Reads(now))
+	assert.False(t, selector.NeedsAll(now))
+	selector.Watched(now)
+	assert.True(t, selector.NeedsAll(now))
+	now += DefaultWatchedFor
+	assert.False(t, selector.NeedsAll(now))
+	assert.True(t, selector.NeedsAll(time.Second+DefaultAloneAfter))
+}
--- a/internal/watchcache/cache.go
+++ b/internal/watchcache/cache.go
@@ -54,7 +54,8 @@
 type Cache struct {
 	mutex sync.Mutex
 	rows  map[string]entry
-	// base is the highest revision of a complete update: 0 before the first.
+	// base is the store's revision up to which all changes are known: 0 before the first
+	// complete update.
 	base fleet.Revision
 	// partial is set while only a part of the table is kept.
 	partial bool
@@ -97,6 +98,24 @@
 	return c.base > 0
 }
 
+// Revision returns the store's revision up to which all changes are known; 0 if the table was
+// never told.
+func (c *Cache) Revision() fleet.Revision {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.base
+}
+
+// Advance says that all changes up to a revision have been taken in, since they followed what
+// was known without a gap.
+func (c *Cache) Advance(revision fleet.Revision) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.base > 0 {
+		c.base = max(c.base, revision)
+	}
+}
+
 // Whole tells whether all of the table is kept, rather than nothing yet or a part.
 func (c *Cache) Whole() bool {
 	c.mutex.Lock()
--- a/internal/watchcache/cache_test.go
+++ b/internal/watchcache/cache_test.go
@@ -164,3 +164,67 @@
 	}
 	return rows
 }
+
+// TestPartOfATableIsDroppedWithoutAWord has a cache be told of a part only: the rest isn't
+// gone, and comes back whole.
+func TestPartOfATableIsDroppedWithoutAWord(t *testing.T) {
+	cache := New(0)
+	cache.Apply(whole(9, row("a1", 1), row("a2", 2), row("b1", 3), gone("b2", 4)))
+	assert.True(t, cache.Whole())
+	ofA := func(key string) bool { return key[0] == 'a' }
+	told := cache.AfterOf(0, ofA)
+	assert.Equal(t, []string{"a1", "a2"}, keys(told.Rows))
+	part := whole(10, row("a2", 2))
+	part.Covers = ofA
+	assert.Equal(t, []string{"-a1"}, keys(cache.Apply(part)), "b1 isn't gone")
+	assert.True(t, cache.Partial())
+	assert.False(t, cache.Whole())
+	assert.Equal(t, []string{"b1"}, keys(cache.Apply(whole(11, row("a2", 2), row("b1", 3)))))
+	assert.True(t, cache.Whole())
+}
+
+// TestRevisionFollowsWhatIsKnown without a gap, and never goes back.
+func TestRevisionFollowsWhatIsKnown(t *testing.T) {
+	cache := New(0)
+	cache.Advance(5)
+	assert.Zero(t, cache.Revision(), "nothing was told yet")
+	cache.Apply(whole(9, row("a", 1)))
+	cache.Advance(12)
+	cache.Advance(10)
+	assert.EqualValues(t, 12, cache.Revision())
+	assert.EqualValues(t, 12, cache.After(0).Revision)
+}
+
+// TestChangesAreToldAsByALookAtAllRows compares the answers of a cache, through drawn updates,
+// with what a look at all of its rows says.
+func TestChangesAreToldAsByALookAtAllRows(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		cache := New(8)
+		cache.Apply(whole(1))
+		for step := range 300 {
+			key := strconv.Itoa(random.IntN(30))
+			revision := fleet.Revision(2 + step)
+			if random.IntN(4) == 0 {
+				cache.Apply(changes(revision, gone(key, revision)))
+			} else {
+				cache.Apply(changes(revision, row(key, revision)))
+			}
+			after := cache.sequence - min(cache.sequence, uint64(random.IntN(40)))
+			told := cache.After(after)
+			var expected []string
+			for _, held := range cache.rows {
+				if told.Complete && held.Gone && held.Revision <= cache.base || !told.Complete && held.sequence <= after {
+					continue
+				}
+				name := held.Key
+				if held.Gone {
+					name = "-" + name
+				}
+				expected = append(expected, name)
+			}
+			require.ElementsMatch(t, expected, keys(told.Rows), "seed %d step %d", seed, step)
+		}
+		assert.LessOrEqual(t, len(cache.order), 2*len(cache.rows)+orderSlack)
+	}
+}
