Don't pass on what a whole list told of members that are alive

Cause: a node that has just learnt of all members queued each of them for 12 sends, 32 in a message: for minutes after a start each probe carried all it could, n squared records in all.

Ruled out: fewer sends of each record: they are what spreads news.

Change: a member that is alive by a whole list is known, and not queued; who heard of it at first hand tells.

--- a/internal/membership/herd_test.go
+++ b/internal/membership/herd_test.go
@@ -48,6 +48,21 @@
 	}
 }
 
+// TestNothingIsPassedOnForLongAfterAStartOfMany counts what nodes send once all know each other:
+// news is over, and a probe carries little.
+func TestNothingIsPassedOnForLongAfterAStartOfMany(t *testing.T) {
+	const nodes, probes = 300, 20
+	network := newNetwork(t, 1, 1)
+	for index := range nodes {
+		network.run(network.member(index))
+		network.pass(time.Millisecond)
+	}
+	network.pass(10 * time.Second)
+	_, bytes := network.measure(probes * time.Second)
+	t.Logf("%.0f bytes a node and second", bytes)
+	assert.Less(t, bytes, 1000.0)
+}
+
 // TestSeedsAreNotSwampedAtAStartOfMany starts fleets of which one is twice as large: what the
 // busiest node, a seed, sends grows no faster than the fleet. Told everything, each node that
 // joins would make it grow with its square.
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -25,7 +25,7 @@
 	}
 	current, known := c.table.byNode[claim.Node]
 	if !known {
-		c.learn(now, claim)
+		c.learn(now, claim, source)
 		return
 	}
 	if !claim.supersedes(current.Member) {
@@ -66,8 +66,11 @@
 	c.contested[position], c.contested[last] = c.contested[last], c.contested[position]
 }
 
-// learn adds a member that wasn't in the table.
-func (c *Core) learn(now time.Duration, claim Member) {
+// learn adds a member that wasn't in the table. One that is alive by a whole list isn't passed
+// on: who heard of it at first hand does, and lists bring it to the others. Passed on by all who
+// have just learnt of all, n members would be sent n squared times over for minutes: 3 KB in
+// place of 0.3 with each probe at 985 members.
+func (c *Core) learn(now time.Duration, claim Member, source claimSource) {
 	if buried, found := c.table.tombstones[claim.Node]; found {
 		if claim.Incarnation <= buried {
 			return
@@ -79,6 +82,10 @@
 		return
 	}
 	c.countLive(claim.Region, 1)
+	if source.complete && claim.State == Alive {
+		c.version++
+		return
+	}
 	c.entered(now, added, Dead)
 }
 
