--- a/lab/capacity/capacity.go
+++ b/lab/capacity/capacity.go
@@ -1,6 +1,6 @@
 // Package capacity measures how the costs of the product's own code grow with
 // the size of the fleet: slopes in bytes, messages and processor time, each at
-// three sizes or more, from which docs/CAPACITY.md works out the target's size.
+// three sizes or more, from which docs/CAPACITY-ROUTERS.md works out the target's size.
 //
 // Processor time is the process's own, not elapsed time, since the machine may
 // be shared. What spreads among routers runs on a virtual clock with encoded
