--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -70,13 +70,11 @@
 	origins map[membership.Location]float64
 	weights map[fleet.NodeID]float64
 	least   map[membership.Location]int
-	// reader is set if it is this node's role to read the store, standby if others ask it
-	// when their reader fails, candidate if it
+	// reader is set if it is this node's role to read the store, candidate if it
 	// takes the lease of the weights, and sharesLoads if it is among those that tell
 	// each other what they send: those that serve, the candidates, and who stands in for
 	// these.
 	reader      bool
-	standby     bool
 	candidate   bool
 	sharesLoads bool
 	// others is the number of nodes that callers aren't sent to, if this is one of
@@ -102,7 +100,6 @@
 		Roles: all, view: view, demand: demand, standsIn: standsIn,
 		origins: options.Origins, weights: options.Weights, least: options.Least,
 		reader:      all.Reads(self),
-		standby:     all.StandsBy(self),
 		candidate:   slices.Contains(candidates, self),
 		readerOrder: all.ReaderOrder(zone, self),
 	}
--- a/internal/gateway/storefeed.go
+++ b/internal/gateway/storefeed.go
@@ -49,10 +49,8 @@
 	// after is the revision up to which the store has told all, and known is set
 	// while changes can be followed from there. Only the store's word counts here:
 	// after lost history the revision goes back to that of the read.
-	after fleet.Revision
-	known bool
-	// lost is set from lost history until the next whole read.
-	lost     bool
+	after    fleet.Revision
+	known    bool
 	failures int
 	since    gap
 	// answered is when the store last answered.
@@ -97,9 +95,7 @@
 	if err != nil {
 		g.noteStore(string(f.table.name), err, f.failures)
 		f.since = gapAfter(err, f.failures, begun-f.answered)
-		if errors.Is(err, ErrHistoryGone) {
-			f.known, f.lost = false, true
-		}
+		f.known = f.known && !errors.Is(err, ErrHistoryGone)
 		f.failures++
 		return min(followRetry*time.Duration(f.failures), followRetryMax)
 	}
@@ -108,7 +104,7 @@
 	provenAt := f.clock.translate(begun, f.answered, update.StoreTime)
 	f.table.apply(update, f.since)
 	if update.Complete {
-		f.known, f.lost, f.after = true, false, update.Revision
+		f.known, f.after = true, update.Revision
 		return 0
 	}
 	f.since = gapNone
@@ -129,7 +125,7 @@
 	store := f.gateway.outside.Platform
 	partial := f.table.cache.Partial()
 	switch {
-	case partial && !f.gateway.readsAll(), f.resumes():
+	case partial && !f.gateway.readsAll():
 		f.after, f.known = f.table.cache.Revision(), true
 	case partial, !f.known:
 		return store.ReadTable(ctx, f.table.name, f.gateway.settled.Load)
@@ -141,11 +137,6 @@
 	return store.FollowTable(ctx, f.table.name, f.after, wait)
 }
 
-// resumes tells whether changes can be followed from what peers have told.
-func (f *storeFeed) resumes() bool {
-	return !f.known && !f.lost && f.table.resumable && f.table.cache.Whole()
-}
-
 // gapAfter returns the gap that a failed call leaves. unanswered is the time from
 // the answer before to the call.
 func gapAfter(err error, failures int, unanswered time.Duration) gap {
--- a/internal/gateway/subsets.go
+++ b/internal/gateway/subsets.go
@@ -12,15 +12,12 @@
 )
 
 // knowsAllWorkers tells whether it is this node's part to know all workers, rather than those
-// in use: it orders them, or may have to soon, or others ask it when their reader fails. Without
-// the latter a day on which the store turned a third of 985 machines away for 9 s took 0.21 GB
-// and 3,480 calls of it, by a sum most of them for whole reads by nodes that were asked.
+// in use: it orders them, or may have to soon.
 func (g *Gateway) knowsAllWorkers() bool {
 	if _, holds := g.keeper.Fence(); holds {
 		return true
 	}
-	roles := g.roles.Load()
-	return roles.candidate || roles.standby || g.standIn.Load()
+	return g.roles.Load().candidate || g.standIn.Load()
 }
 
 // readsAll tells whether this node, if it reads the store, is to read all workers: it tells
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -19,9 +19,6 @@
 	// pause the least time between two such calls in a larger fleet.
 	wait  time.Duration
 	pause time.Duration
-	// resumable is set if a node that begins to read the store follows the changes from what
-	// peers have told. The operator's table, whose calls prove how new it is, is read whole.
-	resumable bool
 	// take takes rows that are news in.
 	take func(rows []watchcache.Row, since gap)
 	// whole, if set, takes in the rows of an update that names all there are.
@@ -71,15 +68,13 @@
 			proven: g.proveByStore,
 		},
 		{
-			name:  TableWorkers,
-			cache: watchcache.New(0),
-			wait:  workersWait,
-			pause: workersPause,
-
-			resumable: true,
-			take:      g.takeWorkers,
-			taken:     g.noteKnown,
-			proven:    func(time.Duration) {},
+			name:   TableWorkers,
+			cache:  watchcache.New(0),
+			wait:   workersWait,
+			pause:  workersPause,
+			take:   g.takeWorkers,
+			taken:  g.noteKnown,
+			proven: func(time.Duration) {},
 		},
 	}
 }
--- a/internal/membership/roles.go
+++ b/internal/membership/roles.go
@@ -209,21 +209,6 @@
 	return false
 }
 
-// standbyReaders is the number of readers of a zone that are ready to be asked: the one that
-// reads, and who is asked if it fails.
-const standbyReaders = 2
-
-// StandsBy tells whether a node is among the first readers of its zone, so that others may
-// ask it any moment.
-func (r *Roles) StandsBy(node fleet.NodeID) bool {
-	for _, ranked := range r.readers {
-		if slices.Contains(ranked[:min(standbyReaders, len(ranked))], node) {
-			return true
-		}
-	}
-	return false
-}
-
 // ReaderOrder returns the nodes that a node of a zone asks for the store's rows,
 // best first: by rank within each zone, and of each rank the own zone first. The others follow
 // in an order that starts elsewhere for each node, so that those who asked a reader that fails
