Tell what is complete by whole reads alone, not by what was followed since

A store that does so may pass over changes just before. Since readers told lists as complete up to the revision that they had followed, so a worker whose row one reader had missed and another not counted as gone up to that revision, and its own row, older than that, never brought it back.

Change: the revision that was followed is told beside that of the whole read; it only says from where a node that reads for a moment follows changes.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -164,7 +164,7 @@
 			followed.apply(update, gapUnreached)
 		}
 		followed.seen = update.Sequence
-		followed.cache.Advance(update.Revision)
+		followed.cache.Advance(update.Followed)
 	}
 	g.demand.told(g.now(), decodeRate(response.GetRequestRate()))
 	g.takeOrigins(g.now(), response.GetOrigins(), response.GetPressures())
@@ -299,6 +299,7 @@
 func (t *table) encode(after uint64, update *watchcache.Update, part uint64) *rpc.TableUpdate {
 	message := &rpc.TableUpdate{
 		Table: string(t.name), Revision: uint64(update.Revision), Complete: update.Complete, Sequence: update.Sequence,
+		Followed: uint64(update.Followed),
 	}
 	size := 0
 	for _, row := range update.Rows {
@@ -350,6 +351,7 @@
 	}
 	update := &watchcache.Update{
 		Revision: fleet.Revision(message.GetRevision()), Complete: message.GetComplete(), Sequence: message.GetSequence(),
+		Followed: fleet.Revision(message.GetFollowed()),
 	}
 	for _, row := range rows {
 		update.Rows = append(update.Rows, watchcache.Row{
--- a/internal/watchcache/cache.go
+++ b/internal/watchcache/cache.go
@@ -37,6 +37,9 @@
 	// changed after the position that was asked for.
 	Complete bool
 	Rows     []Row
+	// Followed is the store's revision up to which the one that tells has followed changes; 0
+	// from the store.
+	Followed fleet.Revision
 	// Sequence is the number of the last change in the cache that tells; 0 from
 	// the store.
 	Sequence uint64
@@ -54,9 +57,12 @@
 type Cache struct {
 	mutex sync.Mutex
 	rows  map[string]entry
-	// base is the store's revision up to which all changes are known: 0 before the first
-	// complete update.
-	base fleet.Revision
+	// base is the highest revision of a complete update: 0 before the first. followed is the
+	// one up to which changes were followed since. What is complete goes by base alone: a store
+	// that forgets its history may pass over changes just before, and a row that was passed over
+	// would count as gone up to followed, and not come back with its own revision.
+	base     fleet.Revision
+	followed fleet.Revision
 	// partial is set while only a part of the table is kept.
 	partial bool
 	// order holds the changes by number. Those of rows that changed again are passed over,
@@ -98,22 +104,19 @@
 	return c.base > 0
 }
 
-// Revision returns the store's revision up to which all changes are known; 0 if the table was
-// never told.
+// Revision returns the store's revision from which changes can be followed; 0 if the table
+// was never told.
 func (c *Cache) Revision() fleet.Revision {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.base
+	return max(c.base, c.followed)
 }
 
-// Advance says that all changes up to a revision have been taken in, since they followed what
-// was known without a gap.
+// Advance says that changes were followed up to a revision.
 func (c *Cache) Advance(revision fleet.Revision) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.base > 0 {
-		c.base = max(c.base, revision)
-	}
+	c.followed = max(c.followed, revision)
 }
 
 // Whole tells whether all of the table is kept, rather than nothing yet or a part.
@@ -273,7 +276,7 @@
 	if c.base == 0 {
 		return nil
 	}
-	update := &Update{Revision: c.base, Sequence: c.sequence, Covers: covers}
+	update := &Update{Revision: c.base, Followed: c.followed, Sequence: c.sequence, Covers: covers}
 	update.Complete = sequence == 0 || sequence < c.compacted
 	if update.Complete {
 		sequence = 0
