--- a/internal/gateway/rest.go
+++ b/internal/gateway/rest.go
@@ -8,8 +8,7 @@
 	restAfter = 3 * time.Second
 	// restTick is the time between two moments at which the loops of a node at rest look
 	// around, all at once. Most nodes of a large fleet rest, and wake-ups are most of what they
-	// cost: 25 a second when each loop has its own time, some 10 with one tick, most of them for
-	// calls of other nodes.
+	// cost: seven loops on one tick wake a node 2 times a second instead of 14.
 	restTick = 500 * time.Millisecond
 )
 
--- a/internal/packed/packed.go
+++ b/internal/packed/packed.go
@@ -1,5 +1,5 @@
 // Package packed compresses messages between nodes. Long lists of members or rows repeat the
-// names of zones, regions and services in each entry: 985 members take 22 KB in place of 84.
+// names of zones, regions and services in each entry: 1,000 members take 17 KB in place of 89.
 package packed
 
 import (
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -41,7 +41,7 @@
 // seldomMet is the number of members from which on a kept connection to a random one is hardly
 // used again: a node probes one a second, and of 128 it meets a fifth again within idleTimeout.
 // Kept all the same, such connections are most of what a node holds that does nothing else:
-// two of some 25 KB for each second of idleTimeout.
+// two, with buffers of some 25 KB, for each second of idleTimeout.
 const seldomMet = 128
 
 func (p *Peer) client(address fleet.Address) rpc.Peer {
