Tell what workers say of their limits, and what reaches them

Callers: nothing changes. The logs of a worker that got more than the limit it had named couldn't tell whether the limit was read anywhere, nor what besides requests reached it. A ledger keeps what each run said last, ordered by when its request was sent and when its answer came; worker_limit tells each change, worker_limit_use what a node sends to such a worker each second, by kind of call. Nothing goes by it yet.

--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -104,6 +104,7 @@
 	defer answer.Close()
 	info := g.outside.Codec.Answer(answer.Status, answer.Header)
 	g.noteUnreadable(current.metadata.RequestID, info.Unreadable)
+	g.noteLimit(current, &placement.Worker, info)
 	if info.HasVersion && placement.Engine != nil && !info.Mismatch {
 		g.workers.NoteVersion(placement.Worker.ID, current.metadata.Model, info.Version)
 	}
--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -16,6 +16,7 @@
 	"github.com/tillerfall/tillerfall/internal/routes"
 	"github.com/tillerfall/tillerfall/internal/traffic"
 	"github.com/tillerfall/tillerfall/internal/watchcache"
+	"github.com/tillerfall/tillerfall/internal/workerlimit"
 )
 
 // ErrManyRows means that a whole read was given up since it would be a long one.
@@ -235,6 +236,8 @@
 	// Version is the version of the weights, if HasVersion.
 	Version    backends.WeightsVersion
 	HasVersion bool
+	// Limit is what the answer says of the requests that the worker takes.
+	Limit workerlimit.Statement
 
 	// Unreadable lists the headers that couldn't be read.
 	Unreadable []Unreadable
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -104,6 +104,7 @@
 		dispatch.TimeLeft = left
 		g.outside.Codec.WriteDispatch(header, dispatch)
 	}
+	g.noteCall(worker.ID, callRequest)
 	return nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,7 @@
 	upstreams    *upstream.Pool
 	budgets      *budgets
 	quotas       *quotas
+	limits       *workerLimits
 	weights      *weights
 	deliveries   *deliveries
 	peers        *peer.Peer
@@ -154,6 +155,7 @@
 		quarantines:  newQuarantines(),
 		resumptions:  newResumptions(),
 		deadlines:    newDeadlines(),
+		limits:       newWorkerLimits(),
 		versionsSeen: make(seenVersions),
 	}
 	g.inForce.Store(&settings)
@@ -328,8 +330,10 @@
 	for g.pauseOrRest(housekeepInterval) {
 		for _, engine := range g.workers.Forget(g.now(), forgetWorkers) {
 			g.upstreams.Forget(engine)
+			g.limits.forget(engine)
 		}
 		g.upstreams.Sweep()
+		g.reportLimits()
 		g.idle.sweep(g.now(), g.idleLimit())
 		g.crashes.sweep(g.now())
 		g.sweepQuarantines()
--- /dev/null
+++ b/internal/gateway/limits.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/workerlimit"
+)
+
+// callKind tells what a call to a worker is for.
+type callKind string
+
+// Kinds of calls.
+const (
+	callRequest     callKind = "request"
+	callCacheEvents callKind = "cache_events"
+	callReport      callKind = "report"
+	callOrder       callKind = "order"
+)
+
+// workerLimits makes what this node knows of workers' limits safe for concurrent use.
+type workerLimits struct {
+	// any is set while something is known: without, requests need no lock.
+	any atomic.Bool
+
+	mutex  sync.Mutex
+	ledger *workerlimit.Ledger
+	// calls counts, by worker with a limit, this node's calls since the last line about them.
+	calls map[fleet.EngineID]map[callKind]int
+}
+
+func newWorkerLimits() *workerLimits {
+	return &workerLimits{ledger: workerlimit.NewLedger(), calls: make(map[fleet.EngineID]map[callKind]int)}
+}
+
+// observe takes in a word.
+func (l *workerLimits) observe(word workerlimit.Word) workerlimit.Change {
+	if !word.Limited && !l.any.Load() {
+		return workerlimit.Unchanged
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.any.Store(true)
+	change := l.ledger.Observe(word)
+	switch change {
+	case workerlimit.Began:
+		l.calls[word.Worker] = make(map[callKind]int)
+	case workerlimit.Ended:
+		delete(l.calls, word.Worker)
+	default:
+	}
+	return change
+}
+
+// forget drops what is known of a worker whose run has ended.
+func (l *workerLimits) forget(worker fleet.EngineID) {
+	if !l.any.Load() {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.ledger.Forget(worker)
+	delete(l.calls, worker)
+}
+
+// noteCall counts a call to a worker that has a limit.
+func (l *workerLimits) noteCall(worker fleet.EngineID, kind callKind) {
+	if !l.any.Load() {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if counts := l.calls[worker]; counts != nil {
+		counts[kind]++
+	}
+}
+
+// limitUse is what this node has sent to a worker with a limit since the last time.
+type limitUse struct {
+	word  workerlimit.Word
+	calls map[callKind]int
+}
+
+// uses returns what was sent to the workers with limits since the last call.
+func (l *workerLimits) uses(now time.Duration) []limitUse {
+	if !l.any.Load() {
+		return nil
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var uses []limitUse
+	for _, word := range l.ledger.Words(now) {
+		if counts := l.calls[word.Worker]; word.Limited && counts != nil {
+			uses = append(uses, limitUse{word: word, calls: counts})
+			l.calls[word.Worker] = make(map[callKind]int)
+		}
+	}
+	l.any.Store(!l.ledger.Empty())
+	return uses
+}
+
+// noteCall counts a call that is about to reach a worker.
+func (g *Gateway) noteCall(worker fleet.EngineID, kind callKind) {
+	g.metrics.workerCalls.WithLabelValues(string(kind)).Inc()
+	g.limits.noteCall(worker, kind)
+}
+
+// noteLimit takes in what an answer to a request says of its worker's limit.
+func (g *Gateway) noteLimit(current *carried, worker *backends.Worker, info AnswerInfo) {
+	if !saysLimit(info) {
+		return
+	}
+	word := workerlimit.Word{
+		Worker: worker.ID, Born: uint64(worker.Born),
+		Limited: info.Limit.Kind == workerlimit.Limited, Rate: info.Limit.Rate,
+		Asked: current.sentAt, Answered: g.now(),
+	}
+	if change := g.limits.observe(word); change != workerlimit.Unchanged {
+		g.logLimit(word, change, "answer")
+	}
+}
+
+// saysLimit tells whether an answer is the worker's own word on its limit. One by another run
+// says nothing, and one that rejects the request, which need not be the worker's whole answer,
+// doesn't end a limit.
+func saysLimit(info AnswerInfo) bool {
+	switch info.Limit.Kind {
+	case workerlimit.Limited:
+		return !info.Mismatch
+	case workerlimit.Unlimited:
+		return !info.Mismatch && !info.NotExecuted && info.Signed
+	default:
+		return false
+	}
+}
+
+// logLimit logs a change of what is known of a limit, and from where.
+func (g *Gateway) logLimit(word workerlimit.Word, change workerlimit.Change, source string) {
+	g.logger.Info().Str("worker", string(word.Worker)).Str("change", change.String()).Float64("rate", float64(word.Rate)).
+		Dur("answer_age", g.now()-word.Answered).Str("source", source).Msg("worker_limit")
+}
+
+// reportLimits logs what this node has sent to the workers with limits since the last time.
+func (g *Gateway) reportLimits() {
+	uses := g.limits.uses(g.now())
+	g.metrics.limited.Set(float64(len(uses)))
+	for _, use := range uses {
+		line := g.events.line("worker_limit_use").Str("worker", string(use.word.Worker)).Float64("rate", float64(use.word.Rate))
+		for _, kind := range []callKind{callRequest, callCacheEvents, callReport, callOrder} {
+			line = line.Int(string(kind), use.calls[kind])
+		}
+		line.Msg("worker_limit_use")
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,8 @@
 	untaken       prometheus.Counter
 	lostRuns      prometheus.Counter
 	suspensions   prometheus.Counter
+	workerCalls   *prometheus.CounterVec
+	limited       prometheus.Gauge
 
 	quarantineRefusals prometheus.Counter
 	quarantined        prometheus.Gauge
@@ -107,7 +109,14 @@
 		Name: "tillerfall_gateway_before_send_seconds", Help: "Time from a request's head to its first send to a worker.",
 		Buckets: ownTimeBuckets,
 	})
+	m.workerCalls = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tillerfall_gateway_worker_calls_total", Help: "Calls that reach workers, by what they are for.",
+	}, []string{"kind"})
+	m.limited = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "tillerfall_gateway_limited_workers", Help: "Workers that name a limit on their requests now.",
+	})
 	if registry != nil {
+		registry.MustRegister(m.workerCalls, m.limited)
 		registry.MustRegister(m.pressure, m.untaken, m.lostRuns, m.suspensions, m.quarantineRefusals, m.quarantined, m.beforeSend)
 		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders, m.unreadable, m.quotaUnits, m.quotaShare,
 			m.deliveryAnswers, m.deliveryLatency, m.deliveryShare, traffic.NewCollector(meter, bytesMetric))
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -140,6 +140,7 @@
 	failed := 0
 	for g.now() < begun+changeTimeout {
 		wait := reportInterval
+		g.noteCall(next.worker.ID, callReport)
 		report, err := g.outside.Engines.Report(g.workerCall(g.context(), next.worker.Zone), next.worker)
 		if err == nil {
 			g.noteStart(next.worker.ID, backends.StartTime(report.Born))
@@ -229,6 +230,7 @@
 	g.keeper.NoteUse()
 	ctx, cancel := context.WithTimeout(g.workerCall(g.context(), next.worker.Zone), orderTimeout)
 	defer cancel()
+	g.noteCall(next.worker.ID, callOrder)
 	result, err := g.outside.Engines.OrderVersion(ctx, next.worker, rollout.VersionOrder{
 		Model:          next.model,
 		Version:        next.version,
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -181,6 +181,7 @@
 func (g *Gateway) forgetFormerRun(worker fleet.EngineID) {
 	g.upstreams.Forget(worker)
 	g.weights.forgetRun(worker)
+	g.limits.forget(worker)
 	g.noteWorkerEnded(worker, quarantine.RowGone)
 }
 
--- /dev/null
+++ b/internal/workerlimit/ledger.go
@@ -0,0 +1,123 @@
+package workerlimit
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// endedFor is how long the end of a limit is remembered and told: some rounds of reports, so
+// that a node which still believes in the limit doesn't tell it anew.
+const endedFor = 10 * time.Second
+
+// Change tells what a word has changed.
+type Change uint8
+
+// Changes of a belief.
+const (
+	Unchanged Change = iota
+	// Began means that the worker has a limit and had none, Altered that it has another.
+	Began
+	Altered
+	// Ended means that it has none any more.
+	Ended
+)
+
+// String returns the change's name.
+func (c Change) String() string {
+	return [...]string{"unchanged", "began", "altered", "ended"}[c]
+}
+
+// Ledger is what one node believes of workers' limits. It holds nothing while no worker has
+// one.
+type Ledger struct {
+	entries map[fleet.EngineID]*entry
+}
+
+// entry is the belief on one worker.
+type entry struct {
+	word Word
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{entries: make(map[fleet.EngineID]*entry)}
+}
+
+// Observe takes in a word, this node's own or another's, and tells what it has changed.
+func (l *Ledger) Observe(word Word) Change {
+	known := l.entries[word.Worker]
+	if known == nil {
+		if !word.Limited {
+			return Unchanged
+		}
+		l.entries[word.Worker] = &entry{word: word}
+		return Began
+	}
+	before := known.word
+	switch {
+	case !otherRun(before.Born, word.Born):
+		known.word = merge(before, word)
+		known.word.Born = max(before.Born, word.Born)
+	case word.Born > before.Born:
+		known.word = word
+	}
+	return changeOf(&before, &known.word)
+}
+
+// changeOf tells what a belief that takes another's place changes.
+func changeOf(before, after *Word) Change {
+	switch {
+	case after.same(before):
+		return Unchanged
+	case !after.Limited:
+		return Ended
+	case !before.Limited:
+		return Began
+	default:
+		return Altered
+	}
+}
+
+// otherRun tells whether two starts, of which either may be unknown, are those of two runs.
+func otherRun(one, another uint64) bool { return one != 0 && another != 0 && one != another }
+
+// Limit returns the limit of a worker's run; false if it has none.
+func (l *Ledger) Limit(worker fleet.EngineID, born uint64) (Rate, bool) {
+	known := l.entries[worker]
+	if known == nil || !known.word.Limited || otherRun(known.word.Born, born) {
+		return 0, false
+	}
+	return known.word.Rate, true
+}
+
+// Word returns what is believed of a worker; false if nothing is.
+func (l *Ledger) Word(worker fleet.EngineID) (Word, bool) {
+	known := l.entries[worker]
+	if known == nil {
+		return Word{}, false
+	}
+	return known.word, true
+}
+
+// Words returns what is believed of all workers, by identifier, the ends of late among it.
+func (l *Ledger) Words(now time.Duration) []Word {
+	words := make([]Word, 0, len(l.entries))
+	for worker, known := range l.entries {
+		if !known.word.Limited && now >= known.word.Answered+endedFor {
+			delete(l.entries, worker)
+			continue
+		}
+		words = append(words, known.word)
+	}
+	slices.SortFunc(words, func(a, b Word) int { return strings.Compare(string(a.Worker), string(b.Worker)) })
+	return words
+}
+
+// Empty tells whether nothing is believed of any worker.
+func (l *Ledger) Empty() bool { return len(l.entries) == 0 }
+
+// Forget drops what is believed of a worker whose run has ended.
+func (l *Ledger) Forget(worker fleet.EngineID) { delete(l.entries, worker) }
--- /dev/null
+++ b/internal/workerlimit/ledger_test.go
@@ -0,0 +1,106 @@
+package workerlimit
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const second = time.Second
+
+func named(rate Rate, asked, answered time.Duration) Word {
+	return Word{Worker: "w", Limited: true, Rate: rate, Asked: asked, Answered: answered}
+}
+
+func unnamed(asked, answered time.Duration) Word {
+	return Word{Worker: "w", Asked: asked, Answered: answered}
+}
+
+func TestWordOnALimitHoldsUntilANewerOne(t *testing.T) {
+	for name, test := range map[string]struct {
+		words   []Word
+		limited bool
+		rate    Rate
+	}{
+		"none named":                    {words: []Word{unnamed(0, second)}},
+		"named":                         {words: []Word{named(2, 0, second)}, limited: true, rate: 2},
+		"ended":                         {words: []Word{named(2, 0, second), unnamed(second, 2*second)}},
+		"ended by one that began then":  {words: []Word{named(2, 0, 2*second), unnamed(second, 3*second)}, limited: true, rate: 2},
+		"head of before comes late":     {words: []Word{named(2, 2*second, 3*second), unnamed(0, second)}, limited: true, rate: 2},
+		"lower, crossing":               {words: []Word{named(5, 0, 2*second), named(2, second, 3*second)}, limited: true, rate: 2},
+		"higher, crossing":              {words: []Word{named(2, 0, 2*second), named(5, second, 3*second)}, limited: true, rate: 2},
+		"higher, newer":                 {words: []Word{named(2, 0, second), named(5, second, 3*second)}, limited: true, rate: 5},
+		"lower, older":                  {words: []Word{named(5, 2*second, 3*second), named(2, 0, second)}, limited: true, rate: 5},
+		"named again after its end":     {words: []Word{named(2, 0, second), unnamed(second, 2*second), named(3, 2*second, 3*second)}, limited: true, rate: 3},
+		"old limit after its end":       {words: []Word{named(2, 0, second), unnamed(2*second, 3*second), named(2, 0, second)}},
+		"renewed, end began in between": {words: []Word{named(2, 0, second), named(2, 3*second, 4*second), unnamed(2*second, 5*second)}, limited: true, rate: 2},
+		"takes nothing":                 {words: []Word{named(0, 0, second)}, limited: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ledger := NewLedger()
+			for _, word := range test.words {
+				ledger.Observe(word)
+			}
+			rate, limited := ledger.Limit("w", 0)
+			assert.Equal(t, test.limited, limited)
+			assert.Equal(t, test.rate, rate)
+		})
+	}
+}
+
+func TestLimitBelongsToARun(t *testing.T) {
+	ledger := NewLedger()
+	first := named(2, 0, second)
+	first.Born = 100
+	ledger.Observe(first)
+	_, limited := ledger.Limit("w", 0)
+	assert.True(t, limited, "the start of the run asked about isn't known")
+	_, limited = ledger.Limit("w", 200)
+	assert.False(t, limited, "another run")
+	next := unnamed(second, 2*second)
+	next.Born = 200
+	assert.Equal(t, Ended, ledger.Observe(next))
+	late := named(1, 5*second, 6*second)
+	late.Born = 100
+	assert.Equal(t, Unchanged, ledger.Observe(late), "an answer of the run before, though it comes later")
+	_, limited = ledger.Limit("w", 200)
+	assert.False(t, limited)
+}
+
+func TestLedgerHoldsNothingWhenNothingIsLimited(t *testing.T) {
+	ledger := NewLedger()
+	ledger.Observe(unnamed(0, second))
+	assert.True(t, ledger.Empty())
+	ledger.Observe(named(2, 0, second))
+	ledger.Observe(unnamed(second, 2*second))
+	assert.Len(t, ledger.Words(2*second), 1, "the end is told")
+	assert.Empty(t, ledger.Words(2*second+endedFor))
+	assert.True(t, ledger.Empty())
+}
+
+// In whatever order words come, a word that was asked for after all others were answered holds.
+func TestNewestWordHoldsInAnyOrder(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 2000 {
+		words := make([]Word, 2+random.IntN(5))
+		for index := range words {
+			asked := time.Duration(random.Int64N(int64(5 * second)))
+			words[index] = unnamed(asked, asked+time.Duration(random.Int64N(int64(3*second))))
+			if random.IntN(2) == 0 {
+				words[index].Limited, words[index].Rate = true, Rate(1+random.IntN(3))
+			}
+		}
+		last := named(7, 9*second, 10*second)
+		words = append(words, last)
+		random.Shuffle(len(words), func(i, j int) { words[i], words[j] = words[j], words[i] })
+		ledger := NewLedger()
+		for _, word := range words {
+			ledger.Observe(word)
+		}
+		rate, limited := ledger.Limit("w", 0)
+		assert.True(t, limited)
+		assert.Equal(t, last.Rate, rate)
+	}
+}
--- /dev/null
+++ b/internal/workerlimit/word.go
@@ -0,0 +1,77 @@
+package workerlimit
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Rate is a limit in requests a second from all nodes together.
+type Rate float64
+
+// Statement is what the head of one answer says of the worker's limit.
+type Statement struct {
+	Kind StatementKind
+	// Rate is set for Limited.
+	Rate Rate
+}
+
+// StatementKind tells whether an answer names a limit.
+type StatementKind uint8
+
+// Kinds of statements.
+const (
+	// Unlimited is an answer that names no limit: none holds any more.
+	Unlimited StatementKind = iota
+	// Limited is an answer that names one.
+	Limited
+	// Unreadable is an answer whose limit can't be read: it says nothing.
+	Unreadable
+)
+
+// Word is a statement of a run of a worker and when it was made.
+type Word struct {
+	Worker fleet.EngineID
+	// Born is when the run started, by the worker's clock; 0 if that isn't known.
+	Born uint64
+	// Limited is false if no limit holds; Rate is set otherwise.
+	Limited bool
+	Rate    Rate
+	// Asked and Answered are times between which the statement was made, on this process's
+	// steady clock: a time before the request reached the worker and one after its answer left.
+	Asked    time.Duration
+	Answered time.Duration
+}
+
+// stricter tells whether a word allows less than another.
+func (w *Word) stricter(than *Word) bool {
+	switch {
+	case !w.Limited:
+		return false
+	case !than.Limited:
+		return true
+	default:
+		return w.Rate < than.Rate
+	}
+}
+
+// same tells whether two words say the same.
+func (w *Word) same(other *Word) bool {
+	return w.Limited == other.Limited && w.Rate == other.Rate
+}
+
+// merge returns what two words on one run say together. Where neither is certainly the newer,
+// the stricter one holds until a request that was sent after it is answered otherwise.
+func merge(known, heard Word) Word {
+	switch {
+	case heard.same(&known):
+		known.Asked, known.Answered = max(known.Asked, heard.Asked), max(known.Answered, heard.Answered)
+		return known
+	case heard.Asked >= known.Answered:
+		return heard
+	case heard.Answered <= known.Asked || !heard.stricter(&known):
+		return known
+	default:
+		return heard
+	}
+}
