Have one node grant the requests of all to a worker that names a limit

Callers: a worker in need got as much as before and went on to fall behind; now it gets what it takes, and the rest goes to other workers or is refused at once with the time at which there is room.

Cause: what a worker says of its own need in an answer was read by nobody, and had no way from the node that hears it to the others that send. The choice, the retries and the resumed streams of each node decide for themselves.

Change: a node that hears of a limit tells the others that send at once; each send to such a worker asks the one node that grants for it right before it is written (permitSend: first tries, repeats, runs that go on), which keeps one bucket at the named rate. Owners are drawn from all members, near the worker, so that it doesn't matter which nodes serve. Nothing is kept or asked while no worker names a limit. A limited worker that rejects or is slow gives no evidence against itself, its version or the service's speed, and holds no copies.

--- a/internal/attempt/forwarding.go
+++ b/internal/attempt/forwarding.go
@@ -15,6 +15,9 @@
 	maxRejections = 3
 	// minTimeLeft is the time left below which no other worker is tried.
 	minTimeLeft = 15 * time.Millisecond
+	// maxWithheld bounds the sends of one request that were not made since the worker had no
+	// room.
+	maxWithheld = 8
 )
 
 // ForwardingPolicy says what may be done for one opaque request.
@@ -54,6 +57,7 @@
 	sends      int
 	unsent     int
 	rejections int
+	withheld   int
 	// mayHaveRun counts the sends that may have run.
 	mayHaveRun int
 	delivering bool
@@ -118,6 +122,19 @@
 	return f.again(now, false)
 }
 
+// Withheld takes in that a send wasn't made since the worker has no room, and when it has
+// again. Another worker is chosen, or the same one once it has room.
+func (f *Forwarding) Withheld(now time.Duration, opensIn time.Duration) Step {
+	if f.continuing {
+		return f.notContinued(now)
+	}
+	f.withheld++
+	if f.withheld > maxWithheld {
+		return f.NoWorker("workers at their limits", opensIn)
+	}
+	return f.again(now, false)
+}
+
 // Rejected takes in a worker's word that it didn't run the request.
 func (f *Forwarding) Rejected(now time.Duration, run fleet.EngineRun) Step {
 	f.exclude(run)
--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -15,6 +15,9 @@
 	// Free tells whether this node has a connection left for a worker; nil
 	// means always.
 	Free func(worker *Worker) bool
+	// Intake tells whether a worker takes more requests by the limit that it names; nil
+	// means that no worker has one.
+	Intake func(worker *Worker) (Intake, time.Duration)
 	// Versions limits the choice by the version of the workers' software; nil limits
 	// nothing.
 	Versions *delivery.Choice
@@ -24,6 +27,27 @@
 	Engine *EngineRequest
 }
 
+// Intake tells whether a worker takes more requests.
+type Intake uint8
+
+// Intakes.
+const (
+	// IntakeFree is a worker without a limit.
+	IntakeFree Intake = iota
+	// IntakeLimited is a worker with a limit that may have room.
+	IntakeLimited
+	// IntakeClosed is a worker with a limit that has no room for a time.
+	IntakeClosed
+)
+
+// intake returns whether a worker takes the request, and for how long not.
+func (r *Request) intake(worker *Worker) (Intake, time.Duration) {
+	if r.Intake == nil {
+		return IntakeFree, 0
+	}
+	return r.Intake(worker)
+}
+
 // Refusal tells why no worker was chosen.
 type Refusal struct {
 	Reason string
@@ -38,6 +62,9 @@
 	ReasonUnsettled = "none_ready"
 	ReasonFull      = "full"
 	ReasonVersion   = "none_at_version"
+	// ReasonLimited means that the workers that could get it have no room at the limits that
+	// they name.
+	ReasonLimited = "at_their_limits"
 	// ReasonLate means that each worker has more to do before the request than its
 	// target allows.
 	ReasonLate = "none_in_time"
@@ -60,6 +87,9 @@
 	FailureRate float64
 	// Engine is set for engines.
 	Engine *EnginePlacement
+	// Limited is set if the worker has a limit on its requests: what it takes or refuses then
+	// tells nothing of how fast or how sound it is.
+	Limited bool
 
 	registry *Registry
 	state    *state
@@ -122,6 +152,8 @@
 	switch {
 	case reason == ReasonFull && request.Engine != nil:
 		return nil, Refusal{Reason: reason, RetryAfter: r.slotTime(request.Service)}
+	case reason == ReasonLimited:
+		return nil, Refusal{Reason: reason, RetryAfter: found.opensIn}
 	case reason != "":
 		return nil, Refusal{Reason: reason}
 	case request.Engine != nil:
@@ -167,6 +199,7 @@
 	}
 	placement := r.begin(found.now, best, len(candidates), placedWork{})
 	placement.Looked = found.looked
+	placement.Limited = found.limited(best)
 	return placement
 }
 
@@ -249,10 +282,13 @@
 	p.state.endPrefill(p.work)
 	r.relevel(p.state)
 	p.state.trust(now)
-	if p.Engine != nil {
+	if p.Engine == nil {
+		return
+	}
+	r.noteHeld(now, p)
+	if !p.Limited {
 		p.state.measure(now-p.begun, p.Engine.Predicted)
 		r.noteSpeed(p, now-p.begun)
-		r.noteHeld(now, p)
 	}
 }
 
@@ -271,9 +307,15 @@
 	}
 	known.end(p.work)
 	r.relevel(known)
+	switch {
+	case outcome == Refused && p.Limited:
+		return
+	case outcome == Succeeded && !p.Limited:
+		r.noteSlotTime(p, now-p.begun)
+	default:
+	}
 	switch outcome {
 	case Succeeded:
-		r.noteSlotTime(p, now-p.begun)
 		known.note(now, false)
 		known.trust(now)
 	case Failed, Refused:
--- a/internal/backends/copies.go
+++ b/internal/backends/copies.go
@@ -12,18 +12,20 @@
 
 // copyTarget returns the engine that is to hold a copy of a run at another one: of a few
 // drawn at random the nearest, and of these the one whose memory has the most room, since
-// moves over a distance take longer. It returns an empty worker if there is no other engine with
-// the same weights; the mutex is held.
-func (r *Registry) copyTarget(now time.Duration, candidates []*state, chosen *state, model fleet.ModelName) Worker {
+// moves over a distance take longer. One with a limit may not take the run when it has to go on
+// there. It returns an empty worker if there is no other engine with the same weights; the mutex
+// is held.
+func (s *search) copyTarget(candidates []*state, chosen *state) Worker {
+	model := s.request.Engine.Model
 	var best *state
 	bestDistance, bestTokens := SameZone, 0
 	for range copySamples {
-		known := candidates[r.options.Random.IntN(len(candidates))]
-		if known == chosen || known.worker.Versions[model] != chosen.worker.Versions[model] {
+		known := candidates[s.options.Random.IntN(len(candidates))]
+		if known == chosen || s.limited(known) || known.worker.Versions[model] != chosen.worker.Versions[model] {
 			continue
 		}
-		distance := r.options.Regions.Between(known.worker.Zone, chosen.worker.Zone)
-		tokens := r.total(now, known).MemoryTokens
+		distance := s.options.Regions.Between(known.worker.Zone, chosen.worker.Zone)
+		tokens := s.total(s.now, known).MemoryTokens
 		if best == nil || distance < bestDistance || (distance == bestDistance && tokens < bestTokens) {
 			best, bestDistance, bestTokens = known, distance, tokens
 		}
--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -189,6 +189,7 @@
 		priority: engine.Priority, prefill: prefill, need: needOf(engine, known),
 	})
 	placement.Looked = found.looked
+	placement.Limited = found.limited(chosen)
 	placement.Engine = &EnginePlacement{
 		Version:        version,
 		Scope:          known.scope,
@@ -211,7 +212,7 @@
 		placement.Engine.SaveTo = engine.Store
 	}
 	if engine.WantsCopy {
-		placement.Engine.CopyTo = r.copyTarget(now, candidates, chosen, engine.Model)
+		placement.Engine.CopyTo = found.copyTarget(candidates, chosen)
 	}
 	return placement
 }
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -364,6 +364,17 @@
 	return known != nil && known.worker.Draining
 }
 
+// ZoneOf returns where a worker is; empty if it isn't known.
+func (r *Registry) ZoneOf(id fleet.EngineID) fleet.ZoneName {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.workers[id]
+	if known == nil {
+		return ""
+	}
+	return known.worker.Zone
+}
+
 // Workers returns the listed workers of all services, by identifier.
 func (r *Registry) Workers() []Worker {
 	return r.workersThat(func(known *state) bool { return !known.gone })
--- a/internal/backends/search.go
+++ b/internal/backends/search.go
@@ -39,6 +39,8 @@
 	crowded
 	// doubtful is one that something speaks against right now.
 	doubtful
+	// closed is one that has no room at the limit that it names.
+	closed
 	doubtfulOutdated
 	doubtfulCrowded
 	fit
@@ -67,6 +69,8 @@
 	kept     func(*state) bool
 	scopes   []*scoped
 	accepted verdict
+	// opensIn is the least time until a worker that is closed has room.
+	opensIn time.Duration
 }
 
 // newSearch returns a search among the workers of some software versions.
@@ -124,7 +128,7 @@
 
 // looksLapsed tells whether nobody listed may get the request.
 func (s *search) looksLapsed() bool {
-	return s.counts[fit]+s.counts[doubtful]+s.counts[outdated]+s.counts[crowded]+
+	return s.counts[fit]+s.counts[doubtful]+s.counts[outdated]+s.counts[crowded]+s.counts[closed]+
 		s.counts[doubtfulOutdated]+s.counts[doubtfulCrowded] == 0
 }
 
@@ -141,6 +145,8 @@
 	case counts[doubtful] > 0:
 		s.accepted = doubtful
 		return ""
+	case counts[closed] > 0:
+		return ReasonLimited
 	case counts[doubtfulCrowded]+counts[occupied] > 0:
 		return ReasonFull
 	case counts[doubtfulOutdated] > 0:
@@ -180,6 +186,10 @@
 	case s.request.Free != nil && !s.request.Free(&known.worker):
 		return occupied
 	}
+	if intake, opensIn := s.request.intake(&known.worker); intake == IntakeClosed {
+		s.noteClosed(opensIn)
+		return closed
+	}
 	settled := s.settled(s.now, known)
 	switch s.judgeEngine(known) {
 	case outdated:
@@ -191,6 +201,19 @@
 	}
 }
 
+// noteClosed notes when a worker that has no room at its limit is to have some.
+func (s *search) noteClosed(opensIn time.Duration) {
+	if s.opensIn == 0 || opensIn < s.opensIn {
+		s.opensIn = opensIn
+	}
+}
+
+// limited tells whether a worker names a limit.
+func (s *search) limited(known *state) bool {
+	intake, _ := s.request.intake(&known.worker)
+	return intake != IntakeFree
+}
+
 // judgeEngine tells what speaks against an engine: its weights or its streams.
 func (s *search) judgeEngine(known *state) verdict {
 	if s.request.Engine == nil {
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -79,6 +79,9 @@
 	current.forTarget = choice.Versions.WantsTarget()
 	placement, refused := g.chooseWorker(ctx, current, choice)
 	if placement == nil {
+		if refused.Reason == backends.ReasonLimited {
+			refused.RetryAfter = g.limits.returnAfter(g.now(), refused.RetryAfter, g.servingCount())
+		}
 		return current.machine.NoWorker(refused.Reason, refused.RetryAfter)
 	}
 	g.chargeAgain(current)
@@ -129,7 +132,7 @@
 	g.pending.add(send)
 	defer g.pending.remove(send)
 	ctx = traffic.With(ctx, traffic.Requests, g.distanceTo(placement.Worker.Zone))
-	return g.upstreams.Do(ctx, g.destination(current, &placement.Worker), g.outgoing(current, placement))
+	return g.upstreams.Do(ctx, g.destination(current, &placement.Worker), g.outgoing(ctx, current, placement))
 }
 
 // acceptable tells whether a worker's answer may be passed on: a success must
@@ -171,6 +174,9 @@
 		g.ended(current, placement, backends.Cancelled, err.Error())
 		verdict := g.quarantines.check(g.now(), current.fingerprint)
 		return current.machine.Barred(resultcode.Quarantined, reasonQuarantined, verdict.RetryAfter)
+	case errors.Is(err, errLimited):
+		g.ended(current, placement, backends.Cancelled, err.Error())
+		return current.machine.Withheld(g.now(), g.limits.closed(g.now(), placement.Worker.ID, limitPriority(current)))
 	case errors.Is(err, upstream.ErrTooManyConnections), errors.Is(err, errNoTarget), errors.Is(err, errUnproven), errors.Is(err, errLateAnswer):
 		g.ended(current, placement, backends.Cancelled, err.Error())
 		return current.machine.NotSent(g.now(), run)
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -26,6 +26,12 @@
 		Bytes:    messageBytes + int(max(current.request.ContentLength, 0)),
 		Versions: g.versions(current, current.wasAtTarget),
 	}
+	if g.limits.any.Load() {
+		now, priority := g.now(), limitPriority(current)
+		request.Intake = func(worker *backends.Worker) (backends.Intake, time.Duration) {
+			return g.limits.intake(now, worker, priority)
+		}
+	}
 	if engine := current.service.Engine; engine != nil {
 		request.Engine = &backends.EngineRequest{
 			ID:           fleet.RequestID(current.metadata.RequestID),
--- a/internal/gateway/deliverypeers.go
+++ b/internal/gateway/deliverypeers.go
@@ -87,7 +87,8 @@
 	if g.deliveries.targets(worker.Service, worker.Software) {
 		current.wasAtTarget = true
 	}
-	if (outcome != backends.Succeeded && !failed) || !g.deliveries.follows(worker.Service) {
+	// How fast a worker with a limit answers says nothing of its version.
+	if (outcome != backends.Succeeded && !failed) || (!failed && placement.Limited) || !g.deliveries.follows(worker.Service) {
 		return
 	}
 	noted := delivery.Outcome{
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -62,7 +63,7 @@
 }
 
 // outgoing returns the request as it goes to a worker.
-func (g *Gateway) outgoing(current *carried, placement *backends.Placement) *upstream.Request {
+func (g *Gateway) outgoing(ctx context.Context, current *carried, placement *backends.Placement) *upstream.Request {
 	header := forwardedHeader(current.request.Header)
 	g.outside.Codec.StripReserved(header)
 	dispatch := &Dispatch{
@@ -83,7 +84,7 @@
 		Host:   current.request.Host,
 		Header: header,
 		Body:   current.body,
-		Permit: func() error { return g.permitSend(current, &placement.Worker, dispatch, header) },
+		Permit: func() error { return g.permitSend(ctx, current, &placement.Worker, dispatch, header) },
 		Accept: func(status int, header http.Header) error {
 			info := g.outside.Codec.Answer(status, header)
 			if info.RequestID != id && (info.RequestID != "" || !info.NotExecuted) {
@@ -96,7 +97,10 @@
 
 // permitSend is called right before a request is written. It corrects the time left that the
 // worker is told: the making of the connection may have taken its time.
-func (g *Gateway) permitSend(current *carried, worker *backends.Worker, dispatch *Dispatch, header http.Header) error {
+func (g *Gateway) permitSend(ctx context.Context, current *carried, worker *backends.Worker, dispatch *Dispatch, header http.Header) error {
+	if err := g.permitLimit(ctx, limitPriority(current), worker); err != nil {
+		return err
+	}
 	if err := g.permit(current, worker); err != nil {
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -228,6 +228,7 @@
 		Traffic:  g.outside.Traffic,
 		Watch:    g.answerWatch,
 		Caches:   g.answerCaches,
+		Limits:   g.answerGrant,
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
@@ -290,6 +291,7 @@
 	g.life.Go(g.driveDeliveries)
 	g.life.Go(g.announceDeliveries)
 	g.life.Go(g.announceQuarantine)
+	g.life.Go(g.announceLimits)
 	g.life.Go(g.storeQuarantine)
 	g.life.Go(g.followCaches)
 	g.life.Go(g.housekeep)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -7,6 +7,7 @@
 
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/workerlimit"
 )
 
@@ -28,16 +29,39 @@
 
 	mutex  sync.Mutex
 	ledger *workerlimit.Ledger
+	// meter is used for the workers to which this node grants the requests of all.
+	meter   *workerlimit.Meter
+	returns workerlimit.Returns
+	touch   touch
 	// calls counts, by worker with a limit, this node's calls since the last line about them.
 	calls map[fleet.EngineID]map[callKind]int
+	// granters holds who grants the requests to a worker, best first, as of a view.
+	granters map[fleet.EngineID]granters
+	// silent holds until when a node that didn't grant is passed over.
+	silent map[fleet.NodeID]time.Duration
+	// untold holds the workers whose limits are to be told to others at once.
+	untold map[fleet.EngineID]bool
+	// announced has one element while there is something to tell.
+	announced chan struct{}
+}
+
+// granters are the nodes that grant the requests to a worker, best first.
+type granters struct {
+	view  *membership.View
+	nodes []fleet.NodeID
 }
 
 func newWorkerLimits() *workerLimits {
-	return &workerLimits{ledger: workerlimit.NewLedger(), calls: make(map[fleet.EngineID]map[callKind]int)}
+	return &workerLimits{
+		ledger: workerlimit.NewLedger(), meter: workerlimit.NewMeter(),
+		calls:    make(map[fleet.EngineID]map[callKind]int),
+		granters: make(map[fleet.EngineID]granters), silent: make(map[fleet.NodeID]time.Duration),
+		untold: make(map[fleet.EngineID]bool), announced: make(chan struct{}, 1),
+	}
 }
 
-// observe takes in a word.
-func (l *workerLimits) observe(word workerlimit.Word) workerlimit.Change {
+// observe takes in a word. tell has other nodes told of what it changes.
+func (l *workerLimits) observe(word workerlimit.Word, tell bool) workerlimit.Change {
 	if !word.Limited && !l.any.Load() {
 		return workerlimit.Unchanged
 	}
@@ -46,15 +70,28 @@
 	l.any.Store(true)
 	change := l.ledger.Observe(word)
 	switch change {
+	case workerlimit.Unchanged:
+		return change
 	case workerlimit.Began:
 		l.calls[word.Worker] = make(map[callKind]int)
 	case workerlimit.Ended:
-		delete(l.calls, word.Worker)
-	default:
+		l.drop(word.Worker)
+	case workerlimit.Altered:
+	}
+	if tell {
+		l.untold[word.Worker] = true
+		signal(l.announced)
 	}
 	return change
 }
 
+// drop forgets what belongs to the limit of a worker that has none any more; the mutex is held.
+func (l *workerLimits) drop(worker fleet.EngineID) {
+	delete(l.calls, worker)
+	delete(l.granters, worker)
+	l.meter.Forget(worker)
+}
+
 // forget drops what is known of a worker whose run has ended.
 func (l *workerLimits) forget(worker fleet.EngineID) {
 	if !l.any.Load() {
@@ -63,7 +100,59 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.ledger.Forget(worker)
-	delete(l.calls, worker)
+	l.drop(worker)
+}
+
+// word returns what is believed of the limit of a worker's run; false if it has none.
+func (l *workerLimits) word(worker fleet.EngineID, born backends.StartTime) (workerlimit.Word, bool) {
+	if !l.any.Load() {
+		return workerlimit.Word{}, false
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if _, limited := l.ledger.Limit(worker, uint64(born)); !limited {
+		return workerlimit.Word{}, false
+	}
+	return l.ledger.Word(worker)
+}
+
+// intake tells whether a worker takes a request of a priority, and for how long not.
+func (l *workerLimits) intake(now time.Duration, worker *backends.Worker, priority int) (backends.Intake, time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if _, limited := l.ledger.Limit(worker.ID, uint64(worker.Born)); !limited {
+		return backends.IntakeFree, 0
+	}
+	if closed := l.ledger.Closed(now, worker.ID, priority); closed > 0 {
+		return backends.IntakeClosed, closed
+	}
+	return backends.IntakeLimited, 0
+}
+
+// close takes in that a worker had no room for a request of a priority.
+func (l *workerLimits) close(now time.Duration, worker fleet.EngineID, priority int, refused workerlimit.Grant) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.ledger.Close(now, worker, priority, refused)
+}
+
+// closed returns how long a worker has no room for a request of a priority.
+func (l *workerLimits) closed(now time.Duration, worker fleet.EngineID, priority int) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.ledger.Closed(now, worker, priority)
+}
+
+// returnAfter returns when a caller is to come back that found all workers at their limits, of
+// which one opens after a time. sharers is the number of nodes that share their rates.
+func (l *workerLimits) returnAfter(now, opensIn time.Duration, sharers int) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var rate workerlimit.Rate
+	for _, word := range l.ledger.Words(now) {
+		rate += word.Rate
+	}
+	return l.returns.After(now, opensIn, rate/workerlimit.Rate(max(sharers, 1)))
 }
 
 // noteCall counts a call to a worker that has a limit.
@@ -84,7 +173,8 @@
 	calls map[callKind]int
 }
 
-// uses returns what was sent to the workers with limits since the last call.
+// uses returns what was sent to the workers with limits since the last call, and drops what is
+// over.
 func (l *workerLimits) uses(now time.Duration) []limitUse {
 	if !l.any.Load() {
 		return nil
@@ -98,6 +188,7 @@
 			l.calls[word.Worker] = make(map[callKind]int)
 		}
 	}
+	l.meter.Sweep(now)
 	l.any.Store(!l.ledger.Empty())
 	return uses
 }
@@ -118,7 +209,7 @@
 		Limited: info.Limit.Kind == workerlimit.Limited, Rate: info.Limit.Rate,
 		Asked: current.sentAt, Answered: g.now(),
 	}
-	if change := g.limits.observe(word); change != workerlimit.Unchanged {
+	if change := g.limits.observe(word, true); change != workerlimit.Unchanged {
 		g.logLimit(word, change, "answer")
 	}
 }
--- /dev/null
+++ b/internal/gateway/limittalk.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/internal/traffic"
+	"github.com/tillerfall/tillerfall/internal/workerlimit"
+)
+
+// Constants of the talk about limits.
+const (
+	// limitGather is the time in which changes are gathered before they are told at once.
+	limitGather  = 2 * time.Millisecond
+	limitTimeout = 250 * time.Millisecond
+	// limitCalls bounds the calls at a time that tell others.
+	limitCalls = 32
+)
+
+// announceLimits tells others at once of limits that have changed by answers to this node,
+// until the process ends.
+func (g *Gateway) announceLimits() error {
+	room := make(chan struct{}, limitCalls)
+	for {
+		select {
+		case <-g.limits.announced:
+		case <-g.life.Dying():
+			return nil
+		}
+		if !g.pause(limitGather) {
+			return nil
+		}
+		words := g.limits.takeUntold()
+		for _, member := range g.limitPeers(words) {
+			select {
+			case room <- struct{}{}:
+			case <-g.life.Dying():
+				return nil
+			}
+			go func() {
+				defer func() { <-room }()
+				g.tellLimits(member, words)
+			}()
+		}
+	}
+}
+
+// takeUntold returns what is to be told to others.
+func (l *workerLimits) takeUntold() []workerlimit.Word {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	words := make([]workerlimit.Word, 0, len(l.untold))
+	for worker := range l.untold {
+		if word, known := l.ledger.Word(worker); known {
+			words = append(words, word)
+		}
+	}
+	clear(l.untold)
+	return words
+}
+
+// limitPeers returns the nodes that are told of changes at once: those that send to workers,
+// and those that grant.
+func (g *Gateway) limitPeers(words []workerlimit.Word) []membership.Member {
+	told := make(map[fleet.NodeID]bool)
+	var peers []membership.Member
+	add := func(member membership.Member) {
+		if member.Node != g.node && !told[member.Node] {
+			told[member.Node] = true
+			peers = append(peers, member)
+		}
+	}
+	for _, member := range g.roles.Load().Serving {
+		add(member)
+	}
+	for _, member := range g.loadPeers() {
+		add(member)
+	}
+	for _, word := range words {
+		if granter, found := g.granter(word.Worker, g.workers.ZoneOf(word.Worker)); found {
+			add(granter)
+		}
+	}
+	return peers
+}
+
+// tellLimits tells one node, and learns what it knows. A node that misses it hears of it with
+// the next report.
+func (g *Gateway) tellLimits(member membership.Member, words []workerlimit.Word) {
+	ctx, cancel := context.WithTimeout(g.peerCall(traffic.Limits, member), limitTimeout)
+	defer cancel()
+	begun := g.now()
+	report := &rpc.LoadReport{Node: string(g.node), Partial: true, LimitsOnly: true, Limits: encodeLimits(begun, words)}
+	answer, err := g.peers.ExchangeLoad(ctx, member.Address, report)
+	if err != nil {
+		g.metrics.shareFailures.Inc()
+		return
+	}
+	g.takeLimits(answer, begun)
+}
+
+// encodedLimits returns what this node knows of limits, for a report.
+func (l *workerLimits) encodedLimits(now time.Duration) []*rpc.WorkerLimit {
+	if !l.any.Load() {
+		return nil
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return encodeLimits(now, l.ledger.Words(now))
+}
+
+// takeLimits takes in what another node's report tells of limits. begun is a time before it
+// was written.
+func (g *Gateway) takeLimits(report *rpc.LoadReport, begun time.Duration) {
+	for _, told := range report.GetLimits() {
+		g.takeLimit(told, begun, "peer")
+	}
+}
+
+// takeLimit takes in another node's word on a limit; nil says nothing.
+func (g *Gateway) takeLimit(told *rpc.WorkerLimit, begun time.Duration, source string) {
+	if told == nil {
+		return
+	}
+	word, err := decodeLimit(told, begun, g.now())
+	if err != nil {
+		g.noteUnreadable("", []Unreadable{{Source: "worker_limit", Key: told.GetWorker(), Err: err}})
+		return
+	}
+	if change := g.limits.observe(word, false); change != workerlimit.Unchanged {
+		g.logLimit(word, change, source)
+	}
+}
+
+// encodeLimits returns words in their transmitted form.
+func encodeLimits(now time.Duration, words []workerlimit.Word) []*rpc.WorkerLimit {
+	encoded := make([]*rpc.WorkerLimit, len(words))
+	for index := range words {
+		encoded[index] = encodeLimit(now, &words[index])
+	}
+	return encoded
+}
+
+// encodeLimit returns a word in its transmitted form.
+func encodeLimit(now time.Duration, word *workerlimit.Word) *rpc.WorkerLimit {
+	return &rpc.WorkerLimit{
+		Worker: string(word.Worker), Born: word.Born, Limited: word.Limited, Rate: float64(word.Rate),
+		AskedAgeMillis: millisUp(now - word.Asked), AnsweredAgeMillis: ageMillis(now, word.Answered),
+	}
+}
+
+// decodeLimit reads a word that was written between two times.
+func decodeLimit(told *rpc.WorkerLimit, begun, ended time.Duration) (workerlimit.Word, error) {
+	rate := told.GetRate()
+	if told.GetWorker() == "" || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return workerlimit.Word{}, errors.Errorf("limit of %q: %f", told.GetWorker(), rate)
+	}
+	return workerlimit.Word{
+		Worker: fleet.EngineID(told.GetWorker()), Born: told.GetBorn(), Limited: told.GetLimited(), Rate: workerlimit.Rate(rate),
+		Asked: atAge(begun, told.GetAskedAgeMillis()), Answered: atAge(ended, told.GetAnsweredAgeMillis()),
+	}, nil
+}
+
+// millisUp returns a time in whole milliseconds, rounded up.
+func millisUp(duration time.Duration) uint32 {
+	return uint32((max(duration, 0) + time.Millisecond - 1) / time.Millisecond)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,6 +24,7 @@
 	suspensions   prometheus.Counter
 	workerCalls   *prometheus.CounterVec
 	limited       prometheus.Gauge
+	limitGrants   *prometheus.CounterVec
 
 	quarantineRefusals prometheus.Counter
 	quarantined        prometheus.Gauge
@@ -115,7 +116,11 @@
 	m.limited = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "tillerfall_gateway_limited_workers", Help: "Workers that name a limit on their requests now.",
 	})
+	m.limitGrants = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tillerfall_gateway_limit_grants_total", Help: "Sends to workers with limits, by whether they were granted.",
+	}, []string{"outcome"})
 	if registry != nil {
+		registry.MustRegister(m.limitGrants)
 		registry.MustRegister(m.workerCalls, m.limited)
 		registry.MustRegister(m.pressure, m.untaken, m.lostRuns, m.suspensions, m.quarantineRefusals, m.quarantined, m.beforeSend)
 		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders, m.unreadable, m.quotaUnits, m.quotaShare,
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -159,6 +159,7 @@
 	g.takeProof(begun, report)
 	g.takeDirectives(begun, report.GetDeliveries())
 	g.takeQuarantineRecords(report.GetQuarantineRecords())
+	g.takeLimits(report, begun)
 }
 
 // answerLoad answers another gateway's report with this one's.
@@ -167,6 +168,11 @@
 	if report.GetQuarantineOnly() {
 		return &rpc.LoadReport{Node: string(g.node), Partial: true, QuarantineOnly: true}
 	}
+	// The report may have taken as long as a call may.
+	g.takeLimits(report, g.now()-limitTimeout)
+	if report.GetLimitsOnly() {
+		return &rpc.LoadReport{Node: string(g.node), Partial: true, LimitsOnly: true, Limits: g.limits.encodedLimits(g.now())}
+	}
 	g.heedPushed(report)
 	if report.GetDeliveriesOnly() {
 		return g.deliveryReport(fleet.NodeID(report.GetNode()))
@@ -202,6 +208,7 @@
 		RequestRate: encodeRate(g.demand.own()),
 		Pressure:    uint32(g.pressure.level()),
 		Named:       g.namedVersions(now),
+		Limits:      g.limits.encodedLimits(now),
 	}
 	report.Loads = g.encodeLoads(g.workers.OwnLoad())
 	for service, work := range g.workers.OwnWork(now) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -48,6 +48,9 @@
 	// Caches answers another process that asks what changed in the caches of this
 	// one's zone, or fails if it doesn't follow them; nil means that it follows none.
 	Caches func(ctx context.Context, request *rpc.CachesRequest) (*rpc.CachesResponse, error)
+	// Limits answers another process that asks for a request to a worker with a limit, or
+	// fails if this one doesn't grant any; nil means that it never does.
+	Limits func(ctx context.Context, question *rpc.LimitQuestion) (*rpc.LimitAnswer, error)
 	// Traffic counts the bytes of calls to other processes; nil counts none.
 	Traffic *traffic.Meter
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -91,3 +91,15 @@
 	}
 	return response, nil
 }
+
+// GrantSend implements rpc.Peer for processes that grant requests to workers with limits.
+func (p *Peer) GrantSend(ctx context.Context, question *rpc.LimitQuestion) (*rpc.LimitAnswer, error) {
+	if p.options.Limits == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this process grants no requests")
+	}
+	answer, err := p.options.Limits(ctx, question)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return answer, nil
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -134,6 +134,11 @@
 	return response, err
 }
 
+// AskGrant asks one member whether a request may be sent to a worker with a limit.
+func (p *Peer) AskGrant(ctx context.Context, address fleet.Address, question *rpc.LimitQuestion) (*rpc.LimitAnswer, error) {
+	return p.client(address).GrantSend(ctx, question)
+}
+
 func (p *Peer) send(messages []membership.Message) {
 	for _, message := range messages {
 		p.enqueue(call{message: message})
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -47,6 +47,9 @@
 	Directory
 	// Quarantine is what nodes tell at once of requests that end workers.
 	Quarantine
+	// Limits are the questions for requests to workers with limits, and what nodes tell at once
+	// of limits.
+	Limits
 	// purposes is the number of purposes.
 	purposes
 )
@@ -54,7 +57,7 @@
 // purposeNames are the purposes' names in metrics and log lines.
 var purposeNames = [purposes]string{
 	"other", "probes", "exchanges", "loads", "announcements", "uses", "watches", "store", "cache_events", "worker_calls",
-	"requests", "callers", "directory", "quarantine",
+	"requests", "callers", "directory", "quarantine", "limits",
 }
 
 // String returns the purpose's name.
--- a/internal/workerlimit/ledger.go
+++ b/internal/workerlimit/ledger.go
@@ -39,6 +39,8 @@
 // entry is the belief on one worker.
 type entry struct {
 	word Word
+	// closed is until when there is no room, by priority.
+	closed [Priorities]time.Duration
 }
 
 // NewLedger returns an empty ledger.
@@ -64,7 +66,11 @@
 	case word.Born > before.Born:
 		known.word = word
 	}
-	return changeOf(&before, &known.word)
+	change := changeOf(&before, &known.word)
+	if change != Unchanged {
+		known.closed = [Priorities]time.Duration{}
+	}
+	return change
 }
 
 // changeOf tells what a belief that takes another's place changes.
@@ -93,6 +99,31 @@
 	return known.word.Rate, true
 }
 
+// Close takes in that a worker with a limit had no room for a request of a priority.
+func (l *Ledger) Close(now time.Duration, worker fleet.EngineID, priority int, refused Grant) {
+	known := l.entries[worker]
+	if known == nil {
+		return
+	}
+	for other := range known.closed {
+		wait := refused.Wait
+		if other < priority {
+			wait = refused.Refill
+		}
+		known.closed[other] = max(known.closed[other], now+wait)
+	}
+}
+
+// Closed returns how long a worker with a limit has no room for a request of a priority, by
+// what was last found; 0 if it may have.
+func (l *Ledger) Closed(now time.Duration, worker fleet.EngineID, priority int) time.Duration {
+	known := l.entries[worker]
+	if known == nil || !known.word.Limited {
+		return 0
+	}
+	return max(known.closed[min(max(priority, 0), Priorities-1)]-now, 0)
+}
+
 // Word returns what is believed of a worker; false if nothing is.
 func (l *Ledger) Word(worker fleet.EngineID) (Word, bool) {
 	known := l.entries[worker]
--- /dev/null
+++ b/internal/workerlimit/meter.go
@@ -0,0 +1,136 @@
+package workerlimit
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Constants of a meter.
+const (
+	// leastRate is sent to a worker whatever less it takes, in requests a second: one that
+	// gets nothing can't say that its limit has ended.
+	leastRate Rate = 0.25
+	// gatherFor is the time for which a worker's rate may gather while nobody asks, besides
+	// one request at any rate, and oneMoreFor the same for one more request: requests come
+	// unevenly, and most at low rates.
+	gatherFor  = 500 * time.Millisecond
+	oneMoreFor = 2 * time.Second
+	// mostSpread bounds by how much later than there is room nodes that found none may ask
+	// again: later, room would be left unused.
+	mostSpread = 400 * time.Millisecond
+	// keptFor is how much longer than it was told to wait room is kept for a request that
+	// is more urgent than others.
+	keptFor = 250 * time.Millisecond
+	// bucketIdle is how long after the last question a worker's bucket is dropped: by then a
+	// new one, which begins empty, allows no more.
+	bucketIdle = 30 * time.Second
+)
+
+// Priorities is the number of priorities, 0 first.
+const Priorities = 10
+
+// Grant answers whether one request may be sent to a worker now.
+type Grant struct {
+	Granted bool
+	// Wait is after how long to ask again for requests of that priority and less urgent
+	// ones, Refill after how long for others: nobody gets room before.
+	Wait   time.Duration
+	Refill time.Duration
+}
+
+// Meter spaces the requests of all nodes to workers at the rates that these name. It belongs
+// to the node that grants them.
+type Meter struct {
+	buckets map[fleet.EngineID]*bucket
+}
+
+// NewMeter returns a meter that has granted nothing.
+func NewMeter() *Meter { return &Meter{buckets: make(map[fleet.EngineID]*bucket)} }
+
+// Ask asks for one request to a worker with a limit, for a part of its rate: 1 unless others
+// may be granting as well.
+func (m *Meter) Ask(now time.Duration, worker fleet.EngineID, rate Rate, part float64, priority int) Grant {
+	known := m.buckets[worker]
+	if known == nil {
+		known = &bucket{at: now}
+		m.buckets[worker] = known
+	}
+	known.refill(now, max(Rate(float64(rate)*part), leastRate))
+	return known.ask(now, min(max(priority, 0), Priorities-1))
+}
+
+// Forget drops a worker's bucket.
+func (m *Meter) Forget(worker fleet.EngineID) { delete(m.buckets, worker) }
+
+// Sweep drops the buckets that nobody asks any more.
+func (m *Meter) Sweep(now time.Duration) {
+	for worker, known := range m.buckets {
+		if now >= known.at+bucketIdle {
+			delete(m.buckets, worker)
+		}
+	}
+}
+
+// bucket holds the requests that one worker may get at once. It begins empty: what the nodes
+// sent before they knew of the limit, or another node granted, is under way.
+type bucket struct {
+	rate  Rate
+	level float64
+	at    time.Duration
+	// promised counts the refusals whose time to ask again hasn't come, so that not all
+	// are told the same time.
+	promised float64
+	// keptPriority is that of a refused request for which the next room is kept until
+	// keptUntil.
+	keptPriority int
+	keptUntil    time.Duration
+}
+
+// size returns how many requests the bucket holds at the most.
+func (b *bucket) size() float64 {
+	rate := float64(b.rate)
+	return 1 + min(1, rate*oneMoreFor.Seconds()) + rate*gatherFor.Seconds()
+}
+
+// refill takes the time since the last call into account, at the rate from now on.
+func (b *bucket) refill(now time.Duration, rate Rate) {
+	b.rate = rate
+	regained := max(now-b.at, 0).Seconds() * float64(rate)
+	b.level = min(b.level+regained, b.size())
+	b.promised = max(b.promised-regained, 0)
+	b.at = max(b.at, now)
+}
+
+func (b *bucket) ask(now time.Duration, priority int) Grant {
+	kept := now < b.keptUntil && priority > b.keptPriority
+	if b.level >= 1 && !kept {
+		b.level--
+		if priority <= b.keptPriority {
+			b.keptUntil = 0
+		}
+		return Grant{Granted: true}
+	}
+	refused := Grant{Refill: b.until(1), Wait: min(b.until(1+b.promised), b.until(1)+b.spread())}
+	if kept {
+		refused.Wait = max(refused.Wait, b.keptUntil-now)
+		return refused
+	}
+	b.promised++
+	if now >= b.keptUntil || priority < b.keptPriority {
+		b.keptPriority, b.keptUntil = priority, now+refused.Wait+keptFor
+	}
+	return refused
+}
+
+// spread returns by how much later than the next room a refused node is to ask, so that each
+// asks at another time.
+func (b *bucket) spread() time.Duration {
+	return time.Duration(float64(mostSpread) * b.promised / (1 + b.promised))
+}
+
+// until returns the time until the bucket has held so many requests, rounded up.
+func (b *bucket) until(level float64) time.Duration {
+	missing := max(level-b.level, 0)
+	return time.Duration(missing/float64(b.rate)*float64(time.Second)) + time.Millisecond
+}
--- a/lab/capacity/calls.go
+++ b/lab/capacity/calls.go
@@ -106,6 +106,11 @@
 	return &rpc.WatchResponse{}, nil
 }
 
+// GrantSend implements rpc.Peer.
+func (f *fixedAnswers) GrantSend(context.Context, *rpc.LimitQuestion) (*rpc.LimitAnswer, error) {
+	return &rpc.LimitAnswer{}, nil
+}
+
 // Caches implements rpc.Peer.
 func (f *fixedAnswers) Caches(context.Context, *rpc.CachesRequest) (*rpc.CachesResponse, error) {
 	return &rpc.CachesResponse{}, nil
