Call an engine that names a limit seldom besides its requests

Callers: an engine in need was asked for its cache's events four times a second by each node that follows it, and up to 12 times a second for its report while new weights are loaded, whatever few requests it takes.

Cause: the calls that nodes make for their own sake go by intervals of their own; nothing of the engine's need reached them either.

Change: the followers of such a cache together make one call in 2 s; the report is asked for each 0.6 s. Both stay within what the rule leaves beside the granted requests (4 x rate + at most 2 + rate/2; the rule 6 x rate + 5).

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -23,6 +23,9 @@
 	// the same at a node that follows none.
 	cacheCheck = 100 * time.Millisecond
 	cacheRest  = 500 * time.Millisecond
+	// limitedEventsPause is the pause between the calls of all that follow the cache of an
+	// engine with a limit on its requests.
+	limitedEventsPause = 2 * time.Second
 )
 
 // cacheRun is one cache that is followed.
@@ -182,10 +185,35 @@
 		restarted := events.Epoch != epoch
 		epoch, since = events.Epoch, events.Next
 		g.takeEvents(cache, events, restarted)
+		g.pauseCache(ctx, cache)
+	}
+}
+
+// pauseCache waits between two calls for a cache's events. These take some of what an engine
+// with a limit takes in all, so that its followers together make few.
+func (g *Gateway) pauseCache(ctx context.Context, cache cacheRun) {
+	sleep(ctx, eventsPause)
+	since := g.now()
+	for ctx.Err() == nil && g.limits.limited(cache.run.Engine, 0) {
+		if g.now() >= since+limitedEventsPause*time.Duration(g.followersOf(cache)) {
+			return
+		}
 		sleep(ctx, eventsPause)
 	}
 }
 
+// followersOf returns how many nodes may follow a cache.
+func (g *Gateway) followersOf(cache cacheRun) int {
+	roles := g.roles.Load()
+	followers := len(roles.CacheSources(cache.zone))
+	for _, member := range roles.Serving {
+		if member.Zone == cache.zone && !slices.Contains(roles.CacheSources(cache.zone), member.Node) {
+			followers++
+		}
+	}
+	return max(followers, 1)
+}
+
 // takeEvents takes in the changes of one cache.
 func (g *Gateway) takeEvents(cache cacheRun, events *CacheEvents, restarted bool) {
 	changes := make([]backends.PartChange, 0, len(events.Events))
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -103,6 +103,12 @@
 	l.drop(worker)
 }
 
+// limited tells whether a worker's run has a limit.
+func (l *workerLimits) limited(worker fleet.EngineID, born backends.StartTime) bool {
+	_, limited := l.word(worker, born)
+	return limited
+}
+
 // word returns what is believed of the limit of a worker's run; false if it has none.
 func (l *workerLimits) word(worker fleet.EngineID, born backends.StartTime) (workerlimit.Word, bool) {
 	if !l.any.Load() {
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -139,7 +139,7 @@
 	orders := int64(-1)
 	failed := 0
 	for g.now() < begun+changeTimeout {
-		wait := reportInterval
+		wait := g.reportInterval(&next.worker)
 		g.noteCall(next.worker.ID, callReport)
 		report, err := g.outside.Engines.Report(g.workerCall(g.context(), next.worker.Zone), next.worker)
 		if err == nil {
@@ -165,7 +165,7 @@
 			ordered = g.now()
 			repeatAt, orders, wait = ordered+repeatAfter(result), report.Orders, loadAtLeast
 			if result == rollout.OrderUncertain {
-				wait = reportInterval
+				wait = g.reportInterval(&next.worker)
 			}
 		}
 		g.keepAway(next.worker.ID)
@@ -175,6 +175,14 @@
 	}
 }
 
+// reportInterval returns the time between two questions to an engine under order.
+func (g *Gateway) reportInterval(worker *backends.Worker) time.Duration {
+	if g.limits.limited(worker.ID, worker.Born) {
+		return limitedReportInterval
+	}
+	return reportInterval
+}
+
 // quiesce keeps requests away from an engine until its runs have ended, for a
 // time at the most. It returns false when the process ends.
 func (g *Gateway) quiesce(begun time.Duration, id fleet.EngineID) bool {
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -50,6 +50,8 @@
 	// time, reportInterval the time between two questions after that.
 	loadAtLeast    = 600 * time.Millisecond
 	reportInterval = 80 * time.Millisecond
+	// limitedReportInterval is the same at an engine with a limit on its requests.
+	limitedReportInterval = 600 * time.Millisecond
 	// maxFailedReports bounds the questions without an answer, after which the
 	// engine is left alone for changeBackoff.
 	maxFailedReports = 2
