--- a/internal/attempt/forwarding_test.go
+++ b/internal/attempt/forwarding_test.go
@@ -196,3 +196,23 @@
 	machine.Began()
 	assert.Equal(t, StepBreak, machine.Barred(resultcode.Quarantined, "held", 0).Kind)
 }
+
+// TestWithheldSendGoesElsewhere for a while, and is then refused as not run with the time at
+// which there is room; a run that goes on elsewhere is broken off if it may not be resumed.
+func TestWithheldSendGoesElsewhere(t *testing.T) {
+	machine := newTestForwarding(ForwardingPolicy{MaxRuns: 1})
+	for range maxWithheld {
+		assert.Equal(t, StepSend, machine.Withheld(0, 2*time.Second).Kind)
+	}
+	step := machine.Withheld(0, 2*time.Second)
+	assert.Equal(t, StepFail, step.Kind)
+	assert.True(t, resultcode.Lookup(step.Code).NotRun)
+	assert.Equal(t, 2*time.Second, step.RetryAfter)
+	assert.Empty(t, machine.Excluded(), "the worker may get it once it has room")
+
+	stream := newTestForwarding(ForwardingPolicy{MaxRuns: 2})
+	stream.Answered(0, workerRun(1), false)
+	stream.Began()
+	assert.Equal(t, StepContinue, stream.Broken(0, workerRun(1), true).Kind)
+	assert.Equal(t, StepBreak, stream.Withheld(0, time.Second).Kind)
+}
--- /dev/null
+++ b/internal/backends/intake_test.go
@@ -0,0 +1,85 @@
+package backends
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// intakeOf has some workers name limits.
+func intakeOf(intakes map[fleet.EngineID]Intake, opensIn time.Duration) func(*Worker) (Intake, time.Duration) {
+	return func(worker *Worker) (Intake, time.Duration) {
+		if intakes[worker.ID] == IntakeClosed {
+			return IntakeClosed, opensIn
+		}
+		return intakes[worker.ID], 0
+	}
+}
+
+// TestWorkerAtItsLimitGetsNothing, also if it is the only one; then it is told when there is room.
+func TestWorkerAtItsLimitGetsNothing(t *testing.T) {
+	registry := withEngines()
+	closed := make(map[fleet.EngineID]Intake)
+	for number := range engineCount - 1 {
+		closed[engineWorker(number, 1).ID] = IntakeClosed
+	}
+	open := engineWorker(engineCount-1, 1).ID
+	request := engineRequest("p")
+	request.Intake = intakeOf(closed, 3*time.Second)
+	for range 20 {
+		placement, refused := registry.Choose(0, request)
+		require.NotNil(t, placement, refused)
+		assert.Equal(t, open, placement.Worker.ID)
+		placement.End(0, Succeeded)
+	}
+	closed[open] = IntakeClosed
+	placement, refused := registry.Choose(0, request)
+	assert.Nil(t, placement)
+	assert.Equal(t, Refusal{Reason: ReasonLimited, RetryAfter: 3 * time.Second}, refused)
+}
+
+// TestWorkerWithALimitIsNotTakenForABadOne, whatever it refuses and however slow it is.
+func TestWorkerWithALimitIsNotTakenForABadOne(t *testing.T) {
+	registry := withEngines()
+	request := engineRequest("p")
+	limited := make(map[fleet.EngineID]Intake)
+	for number := range engineCount {
+		limited[engineWorker(number, 1).ID] = IntakeLimited
+	}
+	request.Intake = intakeOf(limited, 0)
+	now := time.Second
+	for range 10 {
+		placement, refused := registry.Choose(now, request)
+		require.NotNil(t, placement, refused)
+		assert.True(t, placement.Limited)
+		placement.End(now, Refused)
+		assert.Zero(t, registry.workers[placement.Worker.ID].failureRate(now))
+		placement, _ = registry.Choose(now, request)
+		now += 5 * time.Second
+		placement.FirstByte(now)
+		placement.End(now, Succeeded)
+		assert.InDelta(t, 1, registry.workers[placement.Worker.ID].slowness, 0.001)
+	}
+	assert.Zero(t, registry.speedOf(request.Service).slot)
+}
+
+// TestWorkerWithALimitHoldsNoCopy: it may have no room when the run has to go on there.
+func TestWorkerWithALimitHoldsNoCopy(t *testing.T) {
+	registry := withEngines()
+	request := copiedRequest()
+	limited := make(map[fleet.EngineID]Intake)
+	for number := range engineCount / 2 {
+		limited[engineWorker(number, 1).ID] = IntakeLimited
+	}
+	request.Intake = intakeOf(limited, 0)
+	for range 100 {
+		placement, refused := registry.Choose(0, request)
+		require.NotNil(t, placement, refused)
+		assert.Equal(t, IntakeFree, limited[placement.Engine.CopyTo.ID])
+		placement.End(0, Succeeded)
+	}
+}
