Ask the node that reads the store as often as a short bound on revocations needs

Cause: a proof is as old at a node as at the one that reads the store, and then as its own call to that one. Only the first follows the bound; the second waited 0.6 s and paused 0.4 s whatever the bound, and a source counted as good up to 1.3 s, which is 0.1 s short of the bound. Ruled out: limits (the refusals have another reason), the store (it answered), faults (the last one had ended 10 s before), load of the machine (ages rise at all nodes alike).

Change: wait, pause and the age at which another source is asked shrink with a bound below 5 s; from there on all is as before, so no deployment in force changes. The unit test fails without it at 1 and 2 s.

--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -74,3 +74,22 @@
 		assert.Less(t, 2*operatorWaitFor(bound), counts, "bound %s", bound)
 	}
 }
+
+// Ten gateways before a store that revokes keys within 2 s refused one request in seven while
+// nothing was wrong any more: "configuration too old". One of them read the store, the others
+// asked it; ages of 0.9 to 1.0 s in the mean and up to 1.4 s, the bound, at all of them:
+//
+//	event=request_ended reason="configuration too old" result=no_configuration status=503 node=node-9
+//
+// The wait of a call to the store followed the bound, that of a call to the node which reads
+// it didn't, nor the age from which on another one is asked.
+func TestProofsOfAnotherNodeAreRenewedBeforeTheyAreTooOld(t *testing.T) {
+	assert.Equal(t, watchWait, watchWaitFor(5*time.Second))
+	for _, bound := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 5 * time.Second} {
+		counts := time.Duration(float64(bound) * freshPart)
+		oldest := operatorWaitFor(bound) + watchWaitFor(bound) + watchGatherFor(bound)
+		assert.Less(t, oldest, counts*3/4, "bound %s: the last quarter is for the calls", bound)
+		assert.Greater(t, staleAfterFor(bound), operatorWaitFor(bound), "bound %s: a node that reads isn't left", bound)
+		assert.Less(t, staleAfterFor(bound)+watchWaitFor(bound), counts, "bound %s", bound)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,7 +160,9 @@
 	}
 	g.inForce.Store(&settings)
 	g.suspensions = suspension.NewDetector(g.clock, fleet.NewRuntimeClock())
-	g.sources = newSources(g.clock.Now(), relay.Options{Self: g.node, Random: random(), AwaitRole: settings.FirstStart})
+	g.sources = newSources(g.clock.Now(), relay.Options{
+		Self: g.node, Random: random(), AwaitRole: settings.FirstStart, StaleAfter: staleAfterFor(settings.RevokeWithin),
+	})
 	g.tables = g.newTables()
 	g.quarantineTable = g.newQuarantineTable()
 	g.workers = backends.New(backends.Options{
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -10,6 +10,7 @@
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/packed"
+	"github.com/tillerfall/tillerfall/internal/relay"
 	"github.com/tillerfall/tillerfall/internal/rpc"
 	"github.com/tillerfall/tillerfall/internal/traffic"
 	"github.com/tillerfall/tillerfall/internal/watchcache"
@@ -33,6 +34,10 @@
 	watchRetryMax = 500 * time.Millisecond
 	// maxWatchWait bounds what a caller may ask for.
 	maxWatchWait = 2 * time.Second
+	// staleNumerator over staleDenominator is the least age of a proof at which a node counts
+	// as out of the store's reach, in waits of a call to the store.
+	staleNumerator   = 13
+	staleDenominator = 10
 )
 
 // Bounds of encoded rows, in bytes.
@@ -43,6 +48,34 @@
 	maxRowsBytes = 32 << 20
 )
 
+// wholeBound is a bound on revocations from which on the times of watching hold; for shorter
+// ones they are shorter in proportion: a node's proof is as old as that of the node it asks,
+// and then as its own call.
+const wholeBound = 5 * time.Second
+
+func shortenedFor(revokeWithin, duration time.Duration) time.Duration {
+	if revokeWithin >= wholeBound {
+		return duration
+	}
+	return time.Duration(float64(duration) * float64(revokeWithin) / float64(wholeBound))
+}
+
+// watchWaitFor returns the longest wait of one call for a bound on revocations.
+func watchWaitFor(revokeWithin time.Duration) time.Duration {
+	return shortenedFor(revokeWithin, watchWait)
+}
+
+// watchGatherFor returns the pause after news for a bound on revocations.
+func watchGatherFor(revokeWithin time.Duration) time.Duration {
+	return shortenedFor(revokeWithin, watchGather)
+}
+
+// staleAfterFor returns the age of a node's proof from which on another node is asked: more
+// than that of one that reads the store.
+func staleAfterFor(revokeWithin time.Duration) time.Duration {
+	return min(relay.DefaultStaleAfter, operatorWaitFor(revokeWithin)*staleNumerator/staleDenominator)
+}
+
 // watchPeers learns from another node what changes in the store, while this
 // node is to ask one.
 func (g *Gateway) watchPeers() error {
@@ -89,7 +122,7 @@
 	case outcome == watchUseless:
 		return min(time.Duration(useless)*watchRetry, watchRetryMax)
 	case outcome == watchNews && !g.serves():
-		return watchGather
+		return watchGatherFor(g.settings().RevokeWithin)
 	default:
 		return 0
 	}
@@ -104,7 +137,7 @@
 	}
 	request := &rpc.WatchRequest{
 		Node:        string(g.node),
-		WaitMillis:  uint32(watchWait.Milliseconds()),
+		WaitMillis:  uint32(watchWaitFor(g.settings().RevokeWithin).Milliseconds()),
 		RequestRate: encodeRate(g.demand.summed(g.now())),
 	}
 	if _, proven := g.fresh.Age(g.now()); !proven {
