Ask nobody for a send where no node that may grant it answers

Callers: a request whose node is cut off from the others waited up to eight times 0.25 s for grants before it went elsewhere. Read in the code, not played: with all three that may grant passed over, the first was asked again each time.

Change: nothing is granted for half a second then. Limits that change with each answer are told at most each 50 ms, and their log lines are bounded like others.

--- a/internal/gateway/limitgrants.go
+++ b/internal/gateway/limitgrants.go
@@ -29,6 +29,9 @@
 	// it asks one again that has just started and doesn't know its part yet.
 	askAgain      = 20 * time.Millisecond
 	unsettledWait = 200 * time.Millisecond
+	// nobodyWait is the time after which it looks again where none of them answers: it is
+	// cut off, and may not know it yet.
+	nobodyWait = 500 * time.Millisecond
 	// touchMemory is how long the part of a limit is left to members that are gone: they may
 	// be alive beyond a cut, and grant there.
 	touchMemory = 10 * time.Second
@@ -80,7 +83,11 @@
 // that doesn't answer grants nothing, and the next one is asked from then on.
 func (g *Gateway) askGrant(ctx context.Context, word workerlimit.Word, zone fleet.ZoneName, priority int) workerlimit.Grant {
 	granter, found := g.granter(word.Worker, zone)
-	if !found || granter.Node == g.node {
+	if !found {
+		g.metrics.limitGrants.WithLabelValues("unanswered").Inc()
+		return workerlimit.Grant{Wait: nobodyWait, Refill: nobodyWait}
+	}
+	if granter.Node == g.node {
 		answer, err := g.grant(word, priority)
 		if err != nil {
 			g.metrics.limitGrants.WithLabelValues("unsettled").Inc()
@@ -140,14 +147,15 @@
 }
 
 // granter returns the node that grants the requests to a worker: the same for all that know
-// the same members, near the worker. Which nodes callers are sent to changes nothing.
+// the same members, near the worker. Which nodes callers are sent to changes nothing. It
+// returns false while none of those that may answers.
 func (g *Gateway) granter(worker fleet.EngineID, zone fleet.ZoneName) (membership.Member, bool) {
 	view := g.peers.View()
 	near := membership.Location{Region: g.settings().Zones[zone], Zone: zone}
 	return view.Find(g.limits.granter(g.now(), worker, near, view))
 }
 
-// granter returns the first node by rank that isn't passed over; the first if all are.
+// granter returns the first node by rank that isn't passed over; none if all are.
 func (l *workerLimits) granter(now time.Duration, worker fleet.EngineID, near membership.Location, view *membership.View) fleet.NodeID {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -161,10 +169,7 @@
 			return node
 		}
 	}
-	if len(known.nodes) == 0 {
-		return ""
-	}
-	return known.nodes[0]
+	return ""
 }
 
 // grant tells whether a request may be sent to a worker, for any node that asks this one.
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -236,7 +236,7 @@
 
 // logLimit logs a change of what is known of a limit, and from where.
 func (g *Gateway) logLimit(word workerlimit.Word, change workerlimit.Change, source string) {
-	g.logger.Info().Str("worker", string(word.Worker)).Str("change", change.String()).Float64("rate", float64(word.Rate)).
+	g.events.line("worker_limit").Str("worker", string(word.Worker)).Str("change", change.String()).Float64("rate", float64(word.Rate)).
 		Dur("answer_age", g.now()-word.Answered).Str("source", source).Msg("worker_limit")
 }
 
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -133,6 +133,11 @@
 	g.noteSilentGranter(membership.Member{Node: first}, twirp.NewError(twirp.BadRoute, "no handler"))
 	assert.Equal(t, second, g.limits.granter(g.now()+silentFor+time.Second, "w", near, view))
 	assert.Equal(t, first, g.limits.granter(g.now()+unableFor, "w", near, view))
+
+	for g.limits.granter(now, "w", near, view) != "" {
+		g.limits.passOver(g.limits.granter(now, "w", near, view), now+silentFor)
+	}
+	assert.NotEmpty(t, g.limits.granter(now+silentFor, "w", near, view), "none answered a moment ago: nothing is granted")
 }
 
 // TestOneWorkerIsGrantedByTheSameNodeAtAllNodes, whichever they are.
--- a/internal/gateway/limittalk.go
+++ b/internal/gateway/limittalk.go
@@ -17,7 +17,10 @@
 // Constants of the talk about limits.
 const (
 	// limitGather is the time in which changes are gathered before they are told at once.
-	limitGather  = 2 * time.Millisecond
+	limitGather = 2 * time.Millisecond
+	// limitPause is the least time between two rounds of telling: a worker may name another
+	// number in each answer.
+	limitPause   = 50 * time.Millisecond
 	limitTimeout = 250 * time.Millisecond
 	// limitCalls bounds the calls at a time that tell others.
 	limitCalls = 32
@@ -48,6 +51,9 @@
 				g.tellLimits(member, words)
 			}()
 		}
+		if !g.pause(limitPause) {
+			return nil
+		}
 	}
 }
 
