Tell a watcher everything where it is told that this is everything

Cause: rows are compressed once for watchers that ask after the same position. One that had seen as much, but asks for another part of the table, is told everything, under the same key: it got the changes alone, marked as complete, and took all older rows for gone. They don't come back, since their own revision is older. Whoever follows it goes by the same; the holder of the lease did.

Ruled out: limits (the same without them), the store (its readers keep the rows), the revision that counts as complete.

Change: what is told as complete is kept as told from the start.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -344,6 +344,11 @@
 	if size < compressAbove {
 		return message
 	}
+	// A watcher may be told everything though it has seen some, as it asks for another part.
+	// Its rows aren't those of one that is told what has changed since.
+	if update.Complete {
+		after = 0
+	}
 	if compressed, err := t.compress(after, update, part, message.GetRows()); err == nil {
 		message.Rows, message.CompressedRows = nil, compressed
 	}
