--- a/internal/gateway/limitgrants.go
+++ b/internal/gateway/limitgrants.go
@@ -62,7 +62,7 @@
 // permitLimit asks for one request to a worker that names a limit. All that reaches a worker
 // passes here right before it is written: first sends, further ones, and runs that go on.
 func (g *Gateway) permitLimit(ctx context.Context, priority int, worker *backends.Worker) error {
-	word, limited := g.limits.word(worker.ID, worker.Born)
+	observation, limited := g.limits.observation(worker.ID, worker.Born)
 	if !limited {
 		return nil
 	}
@@ -70,7 +70,7 @@
 		g.metrics.limitGrants.WithLabelValues("closed").Inc()
 		return errLimited
 	}
-	answer := g.askGrant(ctx, word, worker.Zone, priority)
+	answer := g.askGrant(ctx, observation, worker.Zone, priority)
 	if answer.Granted {
 		g.metrics.limitGrants.WithLabelValues("granted").Inc()
 		return nil
@@ -81,14 +81,14 @@
 
 // askGrant asks the node that grants the requests to a worker, which may be this one. A node
 // that doesn't answer grants nothing, and the next one is asked from then on.
-func (g *Gateway) askGrant(ctx context.Context, word workerlimit.Word, zone fleet.ZoneName, priority int) workerlimit.Grant {
-	granter, found := g.granter(word.Worker, zone)
+func (g *Gateway) askGrant(ctx context.Context, observation workerlimit.Observation, zone fleet.ZoneName, priority int) workerlimit.Grant {
+	granter, found := g.granter(observation.Worker, zone)
 	if !found {
 		g.metrics.limitGrants.WithLabelValues("unanswered").Inc()
 		return workerlimit.Grant{Wait: nobodyWait, Refill: nobodyWait}
 	}
 	if granter.Node == g.node {
-		answer, err := g.grant(word, priority)
+		answer, err := g.grant(observation, priority)
 		if err != nil {
 			g.metrics.limitGrants.WithLabelValues("unsettled").Inc()
 			return workerlimit.Grant{Wait: unsettledWait, Refill: unsettledWait}
@@ -100,7 +100,7 @@
 	ctx, cancel := context.WithTimeout(traffic.With(ctx, traffic.Limits, distance), grantTimeout)
 	defer cancel()
 	begun := g.now()
-	answer, err := g.peers.AskGrant(ctx, granter.Address, &rpc.LimitQuestion{Limit: encodeLimit(begun, &word), Priority: uint32(max(priority, 0))})
+	answer, err := g.peers.AskGrant(ctx, granter.Address, &rpc.LimitQuestion{Limit: encodeLimit(begun, &observation), Priority: uint32(max(priority, 0))})
 	if err != nil {
 		g.noteSilentGranter(granter, err)
 		return workerlimit.Grant{Wait: askAgain, Refill: askAgain}
@@ -173,55 +173,55 @@
 }
 
 // grant tells whether a request may be sent to a worker, for any node that asks this one.
-func (g *Gateway) grant(word workerlimit.Word, priority int) (workerlimit.Grant, error) {
+func (g *Gateway) grant(observation workerlimit.Observation, priority int) (workerlimit.Grant, error) {
 	if !g.settled.Load() {
 		return workerlimit.Grant{}, errUnsettled
 	}
 	now := g.now()
 	members := len(g.peers.View().Routable())
-	if change := g.limits.observe(word, false); change != workerlimit.Unchanged {
-		g.logLimit(word, change, "asked")
+	if change := g.limits.observe(observation, false); change != workerlimit.Unchanged {
+		g.logLimit(observation, change, "asked")
 	}
-	return g.limits.grant(now, word, members, priority), nil
+	return g.limits.grant(now, observation, members, priority), nil
 }
 
 // grant grants a request by what is believed of the worker. Members that went of late are left
 // their part.
-func (l *workerLimits) grant(now time.Duration, word workerlimit.Word, members, priority int) workerlimit.Grant {
+func (l *workerLimits) grant(now time.Duration, observation workerlimit.Observation, members, priority int) workerlimit.Grant {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	rate, limited := l.ledger.Limit(word.Worker, word.Born)
+	rate, limited := l.ledger.Limit(observation.Worker, observation.Born)
 	if !limited {
 		return workerlimit.Grant{Granted: true}
 	}
-	return l.meter.Ask(now, word.Worker, rate, l.touch.part(now, members), priority)
+	return l.limiter.Ask(now, observation.Worker, rate, l.touch.part(now, members), priority)
 }
 
 // answerGrant answers another node's question.
 func (g *Gateway) answerGrant(_ context.Context, question *rpc.LimitQuestion) (*rpc.LimitAnswer, error) {
 	g.noteSuspension()
-	word, err := decodeLimit(question.GetLimit(), g.now()-grantTimeout, g.now())
+	observation, err := decodeLimit(question.GetLimit(), g.now()-grantTimeout, g.now())
 	if err != nil {
 		return nil, err
 	}
-	answer, err := g.grant(word, int(question.GetPriority()))
+	answer, err := g.grant(observation, int(question.GetPriority()))
 	if err != nil {
 		return nil, err
 	}
 	encoded := &rpc.LimitAnswer{
 		Granted: answer.Granted, WaitMillis: millisUp(answer.Wait), RefillMillis: millisUp(answer.Refill),
 	}
-	if known, found := g.limits.known(word.Worker); found {
+	if known, found := g.limits.known(observation.Worker); found {
 		encoded.Limit = encodeLimit(g.now(), &known)
 	}
 	return encoded, nil
 }
 
 // known returns what is believed of a worker, also that its limit has ended.
-func (l *workerLimits) known(worker fleet.EngineID) (workerlimit.Word, bool) {
+func (l *workerLimits) known(worker fleet.EngineID) (workerlimit.Observation, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.ledger.Word(worker)
+	return l.ledger.Observation(worker)
 }
 
 // limitPriority returns the priority at a worker's limit. A run that goes on has a caller with
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -29,10 +29,10 @@
 
 	mutex  sync.Mutex
 	ledger *workerlimit.Ledger
-	// meter is used for the workers to which this node grants the requests of all.
-	meter   *workerlimit.Meter
-	returns workerlimit.Returns
-	touch   touch
+	// limiter is used for the workers to which this node grants the requests of all.
+	limiter    *workerlimit.Limiter
+	retryTimes workerlimit.RetryTimes
+	touch      touch
 	// calls counts, by worker with a limit, this node's calls since the last line about them.
 	calls map[fleet.EngineID]map[callKind]int
 	// granters holds who grants the requests to a worker, best first, as of a view.
@@ -53,33 +53,33 @@
 
 func newWorkerLimits() *workerLimits {
 	return &workerLimits{
-		ledger: workerlimit.NewLedger(), meter: workerlimit.NewMeter(),
+		ledger: workerlimit.NewLedger(), limiter: workerlimit.NewLimiter(),
 		calls:    make(map[fleet.EngineID]map[callKind]int),
 		granters: make(map[fleet.EngineID]granters), silent: make(map[fleet.NodeID]time.Duration),
 		untold: make(map[fleet.EngineID]bool), announced: make(chan struct{}, 1),
 	}
 }
 
-// observe takes in a word. tell has other nodes told of what it changes.
-func (l *workerLimits) observe(word workerlimit.Word, tell bool) workerlimit.Change {
-	if !word.Limited && !l.any.Load() {
+// observe takes in an observation. tell has other nodes told of what it changes.
+func (l *workerLimits) observe(observation workerlimit.Observation, tell bool) workerlimit.Change {
+	if !observation.Limited && !l.any.Load() {
 		return workerlimit.Unchanged
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.any.Store(true)
-	change := l.ledger.Observe(word)
+	change := l.ledger.Observe(observation)
 	switch change {
 	case workerlimit.Unchanged:
 		return change
 	case workerlimit.Began:
-		l.calls[word.Worker] = make(map[callKind]int)
+		l.calls[observation.Worker] = make(map[callKind]int)
 	case workerlimit.Ended:
-		l.drop(word.Worker)
+		l.drop(observation.Worker)
 	case workerlimit.Altered:
 	}
 	if tell {
-		l.untold[word.Worker] = true
+		l.untold[observation.Worker] = true
 		signal(l.announced)
 	}
 	return change
@@ -89,7 +89,7 @@
 func (l *workerLimits) drop(worker fleet.EngineID) {
 	delete(l.calls, worker)
 	delete(l.granters, worker)
-	l.meter.Forget(worker)
+	l.limiter.Forget(worker)
 }
 
 // forget drops what is known of a worker whose run has ended.
@@ -105,21 +105,21 @@
 
 // limited tells whether a worker's run has a limit.
 func (l *workerLimits) limited(worker fleet.EngineID, born backends.StartTime) bool {
-	_, limited := l.word(worker, born)
+	_, limited := l.observation(worker, born)
 	return limited
 }
 
-// word returns what is believed of the limit of a worker's run; false if it has none.
-func (l *workerLimits) word(worker fleet.EngineID, born backends.StartTime) (workerlimit.Word, bool) {
+// observation returns what is believed of the limit of a worker's run; false if it has none.
+func (l *workerLimits) observation(worker fleet.EngineID, born backends.StartTime) (workerlimit.Observation, bool) {
 	if !l.any.Load() {
-		return workerlimit.Word{}, false
+		return workerlimit.Observation{}, false
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if _, limited := l.ledger.Limit(worker, uint64(born)); !limited {
-		return workerlimit.Word{}, false
+		return workerlimit.Observation{}, false
 	}
-	return l.ledger.Word(worker)
+	return l.ledger.Observation(worker)
 }
 
 // intake tells whether a worker takes a request of a priority, and for how long not.
@@ -155,10 +155,10 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	var rate workerlimit.Rate
-	for _, word := range l.ledger.Words(now) {
-		rate += word.Rate
+	for _, observation := range l.ledger.Observations(now) {
+		rate += observation.Rate
 	}
-	return l.returns.After(now, opensIn, rate/workerlimit.Rate(max(sharers, 1)))
+	return l.retryTimes.After(now, opensIn, rate/workerlimit.Rate(max(sharers, 1)))
 }
 
 // noteCall counts a call to a worker that has a limit.
@@ -175,8 +175,8 @@
 
 // limitUse is what this node has sent to a worker with a limit since the last time.
 type limitUse struct {
-	word  workerlimit.Word
-	calls map[callKind]int
+	observation workerlimit.Observation
+	calls       map[callKind]int
 }
 
 // uses returns what was sent to the workers with limits since the last call, and drops what is
@@ -188,13 +188,13 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	var uses []limitUse
-	for _, word := range l.ledger.Words(now) {
-		if counts := l.calls[word.Worker]; word.Limited && counts != nil {
-			uses = append(uses, limitUse{word: word, calls: counts})
-			l.calls[word.Worker] = make(map[callKind]int)
+	for _, observation := range l.ledger.Observations(now) {
+		if counts := l.calls[observation.Worker]; observation.Limited && counts != nil {
+			uses = append(uses, limitUse{observation: observation, calls: counts})
+			l.calls[observation.Worker] = make(map[callKind]int)
 		}
 	}
-	l.meter.Sweep(now)
+	l.limiter.Sweep(now)
 	l.any.Store(!l.ledger.Empty())
 	return uses
 }
@@ -210,17 +210,17 @@
 	if !saysLimit(info) {
 		return
 	}
-	word := workerlimit.Word{
+	observation := workerlimit.Observation{
 		Worker: worker.ID, Born: uint64(worker.Born),
 		Limited: info.Limit.Kind == workerlimit.Limited, Rate: info.Limit.Rate,
 		Asked: current.sentAt, Answered: g.now(),
 	}
-	if change := g.limits.observe(word, true); change != workerlimit.Unchanged {
-		g.logLimit(word, change, "answer")
+	if change := g.limits.observe(observation, true); change != workerlimit.Unchanged {
+		g.logLimit(observation, change, "answer")
 	}
 }
 
-// saysLimit tells whether an answer is the worker's own word on its limit. One by another run
+// saysLimit tells whether an answer is the worker's own statement on its limit. One by another run
 // says nothing, and one that rejects the request, which need not be the worker's whole answer,
 // doesn't end a limit.
 func saysLimit(info AnswerInfo) bool {
@@ -235,9 +235,9 @@
 }
 
 // logLimit logs a change of what is known of a limit, and from where.
-func (g *Gateway) logLimit(word workerlimit.Word, change workerlimit.Change, source string) {
-	g.events.line("worker_limit").Str("worker", string(word.Worker)).Str("change", change.String()).Float64("rate", float64(word.Rate)).
-		Dur("answer_age", g.now()-word.Answered).Str("source", source).Msg("worker_limit")
+func (g *Gateway) logLimit(observation workerlimit.Observation, change workerlimit.Change, source string) {
+	g.events.line("worker_limit").Str("worker", string(observation.Worker)).Str("change", change.String()).Float64("rate", float64(observation.Rate)).
+		Dur("answer_age", g.now()-observation.Answered).Str("source", source).Msg("worker_limit")
 }
 
 // reportLimits logs what this node has sent to the workers with limits since the last time.
@@ -245,7 +245,7 @@
 	uses := g.limits.uses(g.now())
 	g.metrics.limited.Set(float64(len(uses)))
 	for _, use := range uses {
-		line := g.events.line("worker_limit_use").Str("worker", string(use.word.Worker)).Float64("rate", float64(use.word.Rate))
+		line := g.events.line("worker_limit_use").Str("worker", string(use.observation.Worker)).Float64("rate", float64(use.observation.Rate))
 		for _, kind := range []callKind{callRequest, callCacheEvents, callReport, callOrder} {
 			line = line.Int(string(kind), use.calls[kind])
 		}
--- a/internal/gateway/limits_benchmark_test.go
+++ b/internal/gateway/limits_benchmark_test.go
@@ -30,19 +30,19 @@
 // BenchmarkGrant grants one request, at the node that does.
 func BenchmarkGrant(b *testing.B) {
 	limits := newWorkerLimits()
-	word := limitWord(1000, 0)
-	limits.observe(word, false)
+	observation := limitObservation(1000, 0)
+	limits.observe(observation, false)
 	now := time.Duration(0)
 	for b.Loop() {
 		now += time.Millisecond
-		limits.grant(now, word, 985, 0)
+		limits.grant(now, observation, 985, 0)
 	}
 }
 
 // BenchmarkIntake asks for one candidate of a choice whether it takes the request.
 func BenchmarkIntake(b *testing.B) {
 	limits := newWorkerLimits()
-	limits.observe(limitWord(2, 0), false)
+	limits.observe(limitObservation(2, 0), false)
 	worker := &backends.Worker{ID: "w"}
 	for b.Loop() {
 		limits.intake(0, worker, 5)
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -17,9 +17,9 @@
 	"github.com/tillerfall/tillerfall/internal/workerlimit"
 )
 
-// limitWord is what a worker named at a time.
-func limitWord(rate workerlimit.Rate, at time.Duration) workerlimit.Word {
-	return workerlimit.Word{Worker: "w", Limited: true, Rate: rate, Asked: at, Answered: at}
+// limitObservation is what a worker named at a time.
+func limitObservation(rate workerlimit.Rate, at time.Duration) workerlimit.Observation {
+	return workerlimit.Observation{Worker: "w", Limited: true, Rate: rate, Asked: at, Answered: at}
 }
 
 func TestOnlyAWorkersOwnAnswerTellsOfItsLimit(t *testing.T) {
@@ -33,11 +33,11 @@
 	assert.False(t, saysLimit(AnswerInfo{Signed: true, Limit: workerlimit.Statement{Kind: workerlimit.Unreadable}}))
 }
 
-// TestWordIsNoYoungerAfterACall: what was said within a call may be as old as the call.
-func TestWordIsNoYoungerAfterACall(t *testing.T) {
-	word := limitWord(2, 0)
-	word.Asked, word.Answered = 900*time.Millisecond, 1000*time.Millisecond
-	told := encodeLimit(5*time.Second, &word)
+// TestObservationIsNoYoungerAfterACall: what was said within a call may be as old as the call.
+func TestObservationIsNoYoungerAfterACall(t *testing.T) {
+	observation := limitObservation(2, 0)
+	observation.Asked, observation.Answered = 900*time.Millisecond, 1000*time.Millisecond
+	told := encodeLimit(5*time.Second, &observation)
 	heard, err := decodeLimit(told, 100*time.Second, 100*time.Second+200*time.Millisecond)
 	require.NoError(t, err)
 	assert.Equal(t, 95900*time.Millisecond, heard.Asked)
@@ -55,7 +55,7 @@
 	g := idleGateway(t)
 	assert.Empty(t, g.loadReport("other").GetLimits())
 	assert.False(t, g.limits.any.Load())
-	g.limits.observe(limitWord(2, g.now()), true)
+	g.limits.observe(limitObservation(2, g.now()), true)
 	reported := g.loadReport("other").GetLimits()
 	require.Len(t, reported, 1)
 	assert.True(t, reported[0].GetLimited())
@@ -67,7 +67,7 @@
 	assert.Len(t, g.limits.takeUntold(), 1)
 	assert.Empty(t, other.limits.takeUntold(), "what another node told isn't passed on at once: that one tells all")
 
-	ended := workerlimit.Word{Worker: "w", Asked: g.now() + time.Second, Answered: g.now() + time.Second}
+	ended := workerlimit.Observation{Worker: "w", Asked: g.now() + time.Second, Answered: g.now() + time.Second}
 	g.limits.observe(ended, true)
 	require.Len(t, g.loadReport("other").GetLimits(), 1)
 	assert.False(t, g.loadReport("other").GetLimits()[0].GetLimited())
@@ -93,9 +93,9 @@
 	g := idleGateway(t)
 	g.settled.Store(true)
 	now := g.now() + 10*time.Second
-	g.limits.observe(limitWord(2, now-2*time.Second), false)
-	g.limits.observe(workerlimit.Word{Worker: "w", Asked: now - time.Second, Answered: now}, false)
-	answer, err := g.grant(limitWord(2, now-2*time.Second), 0)
+	g.limits.observe(limitObservation(2, now-2*time.Second), false)
+	g.limits.observe(workerlimit.Observation{Worker: "w", Asked: now - time.Second, Answered: now}, false)
+	answer, err := g.grant(limitObservation(2, now-2*time.Second), 0)
 	require.NoError(t, err)
 	assert.True(t, answer.Granted)
 	known, found := g.limits.known("w")
@@ -156,9 +156,9 @@
 // TestRunsUnderOneNameHaveLimitsOfTheirOwn.
 func TestRunsUnderOneNameHaveLimitsOfTheirOwn(t *testing.T) {
 	g := idleGateway(t)
-	word := limitWord(2, g.now())
-	word.Born = 100
-	g.limits.observe(word, false)
+	observation := limitObservation(2, g.now())
+	observation.Born = 100
+	g.limits.observe(observation, false)
 	intake, _ := g.limits.intake(g.now(), &backends.Worker{ID: "w", Born: 100}, 0)
 	assert.Equal(t, backends.IntakeLimited, intake)
 	intake, _ = g.limits.intake(g.now(), &backends.Worker{ID: "w", Born: 200}, 0)
--- a/internal/gateway/limittalk.go
+++ b/internal/gateway/limittalk.go
@@ -39,8 +39,8 @@
 		if !g.pause(limitGather) {
 			return nil
 		}
-		words := g.limits.takeUntold()
-		for _, member := range g.limitPeers(words) {
+		observations := g.limits.takeUntold()
+		for _, member := range g.limitPeers(observations) {
 			select {
 			case room <- struct{}{}:
 			case <-g.life.Dying():
@@ -48,7 +48,7 @@
 			}
 			go func() {
 				defer func() { <-room }()
-				g.tellLimits(member, words)
+				g.tellLimits(member, observations)
 			}()
 		}
 		if !g.pause(limitPause) {
@@ -58,22 +58,22 @@
 }
 
 // takeUntold returns what is to be told to others.
-func (l *workerLimits) takeUntold() []workerlimit.Word {
+func (l *workerLimits) takeUntold() []workerlimit.Observation {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	words := make([]workerlimit.Word, 0, len(l.untold))
+	observations := make([]workerlimit.Observation, 0, len(l.untold))
 	for worker := range l.untold {
-		if word, known := l.ledger.Word(worker); known {
-			words = append(words, word)
+		if observation, known := l.ledger.Observation(worker); known {
+			observations = append(observations, observation)
 		}
 	}
 	clear(l.untold)
-	return words
+	return observations
 }
 
 // limitPeers returns the nodes that are told of changes at once: those that send to workers,
 // and those that grant.
-func (g *Gateway) limitPeers(words []workerlimit.Word) []membership.Member {
+func (g *Gateway) limitPeers(observations []workerlimit.Observation) []membership.Member {
 	told := make(map[fleet.NodeID]bool)
 	var peers []membership.Member
 	add := func(member membership.Member) {
@@ -88,8 +88,8 @@
 	for _, member := range g.loadPeers() {
 		add(member)
 	}
-	for _, word := range words {
-		if granter, found := g.granter(word.Worker, g.workers.ZoneOf(word.Worker)); found {
+	for _, observation := range observations {
+		if granter, found := g.granter(observation.Worker, g.workers.ZoneOf(observation.Worker)); found {
 			add(granter)
 		}
 	}
@@ -98,11 +98,11 @@
 
 // tellLimits tells one node, and learns what it knows. A node that misses it hears of it with
 // the next report.
-func (g *Gateway) tellLimits(member membership.Member, words []workerlimit.Word) {
+func (g *Gateway) tellLimits(member membership.Member, observations []workerlimit.Observation) {
 	ctx, cancel := context.WithTimeout(g.peerCall(traffic.Limits, member), limitTimeout)
 	defer cancel()
 	begun := g.now()
-	report := &rpc.LoadReport{Node: string(g.node), Partial: true, LimitsOnly: true, Limits: encodeLimits(begun, words)}
+	report := &rpc.LoadReport{Node: string(g.node), Partial: true, LimitsOnly: true, Limits: encodeLimits(begun, observations)}
 	answer, err := g.peers.ExchangeLoad(ctx, member.Address, report)
 	if err != nil {
 		g.metrics.shareFailures.Inc()
@@ -118,7 +118,7 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return encodeLimits(now, l.ledger.Words(now))
+	return encodeLimits(now, l.ledger.Observations(now))
 }
 
 // takeLimits takes in what another node's report tells of limits. begun is a time before it
@@ -129,45 +129,45 @@
 	}
 }
 
-// takeLimit takes in another node's word on a limit; nil says nothing.
+// takeLimit takes in another node's observation of a limit; nil says nothing.
 func (g *Gateway) takeLimit(told *rpc.WorkerLimit, begun time.Duration, source string) {
 	if told == nil {
 		return
 	}
-	word, err := decodeLimit(told, begun, g.now())
+	observation, err := decodeLimit(told, begun, g.now())
 	if err != nil {
 		g.noteUnreadable("", []Unreadable{{Source: "worker_limit", Key: told.GetWorker(), Err: err}})
 		return
 	}
-	if change := g.limits.observe(word, false); change != workerlimit.Unchanged {
-		g.logLimit(word, change, source)
+	if change := g.limits.observe(observation, false); change != workerlimit.Unchanged {
+		g.logLimit(observation, change, source)
 	}
 }
 
-// encodeLimits returns words in their transmitted form.
-func encodeLimits(now time.Duration, words []workerlimit.Word) []*rpc.WorkerLimit {
-	encoded := make([]*rpc.WorkerLimit, len(words))
-	for index := range words {
-		encoded[index] = encodeLimit(now, &words[index])
+// encodeLimits returns observations in their transmitted form.
+func encodeLimits(now time.Duration, observations []workerlimit.Observation) []*rpc.WorkerLimit {
+	encoded := make([]*rpc.WorkerLimit, len(observations))
+	for index := range observations {
+		encoded[index] = encodeLimit(now, &observations[index])
 	}
 	return encoded
 }
 
-// encodeLimit returns a word in its transmitted form.
-func encodeLimit(now time.Duration, word *workerlimit.Word) *rpc.WorkerLimit {
+// encodeLimit returns an observation in its transmitted form.
+func encodeLimit(now time.Duration, observation *workerlimit.Observation) *rpc.WorkerLimit {
 	return &rpc.WorkerLimit{
-		Worker: string(word.Worker), Born: word.Born, Limited: word.Limited, Rate: float64(word.Rate),
-		AskedAgeMillis: millisUp(now - word.Asked), AnsweredAgeMillis: ageMillis(now, word.Answered),
+		Worker: string(observation.Worker), Born: observation.Born, Limited: observation.Limited, Rate: float64(observation.Rate),
+		AskedAgeMillis: millisUp(now - observation.Asked), AnsweredAgeMillis: ageMillis(now, observation.Answered),
 	}
 }
 
-// decodeLimit reads a word that was written between two times.
-func decodeLimit(told *rpc.WorkerLimit, begun, ended time.Duration) (workerlimit.Word, error) {
+// decodeLimit reads an observation that was written between two times.
+func decodeLimit(told *rpc.WorkerLimit, begun, ended time.Duration) (workerlimit.Observation, error) {
 	rate := told.GetRate()
 	if told.GetWorker() == "" || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
-		return workerlimit.Word{}, errors.Errorf("limit of %q: %f", told.GetWorker(), rate)
+		return workerlimit.Observation{}, errors.Errorf("limit of %q: %f", told.GetWorker(), rate)
 	}
-	return workerlimit.Word{
+	return workerlimit.Observation{
 		Worker: fleet.EngineID(told.GetWorker()), Born: told.GetBorn(), Limited: told.GetLimited(), Rate: workerlimit.Rate(rate),
 		Asked: atAge(begun, told.GetAskedAgeMillis()), Answered: atAge(ended, told.GetAnsweredAgeMillis()),
 	}, nil
--- a/internal/workerlimit/ledger.go
+++ b/internal/workerlimit/ledger.go
@@ -12,7 +12,7 @@
 // that a node which still believes in the limit doesn't tell it anew.
 const endedFor = 10 * time.Second
 
-// Change tells what a word has changed.
+// Change tells what an observation has changed.
 type Change uint8
 
 // Changes of a belief.
@@ -38,7 +38,7 @@
 
 // entry is the belief on one worker.
 type entry struct {
-	word Word
+	observation Observation
 	// closed is until when there is no room, by priority.
 	closed [Priorities]time.Duration
 }
@@ -48,25 +48,25 @@
 	return &Ledger{entries: make(map[fleet.EngineID]*entry)}
 }
 
-// Observe takes in a word, this node's own or another's, and tells what it has changed.
-func (l *Ledger) Observe(word Word) Change {
-	known := l.entries[word.Worker]
+// Observe takes in an observation, this node's own or another's, and tells what it has changed.
+func (l *Ledger) Observe(observation Observation) Change {
+	known := l.entries[observation.Worker]
 	if known == nil {
-		if !word.Limited {
+		if !observation.Limited {
 			return Unchanged
 		}
-		l.entries[word.Worker] = &entry{word: word}
+		l.entries[observation.Worker] = &entry{observation: observation}
 		return Began
 	}
-	before := known.word
+	before := known.observation
 	switch {
-	case !otherRun(before.Born, word.Born):
-		known.word = merge(before, word)
-		known.word.Born = max(before.Born, word.Born)
-	case word.Born > before.Born:
-		known.word = word
+	case !otherRun(before.Born, observation.Born):
+		known.observation = merge(before, observation)
+		known.observation.Born = max(before.Born, observation.Born)
+	case observation.Born > before.Born:
+		known.observation = observation
 	}
-	change := changeOf(&before, &known.word)
+	change := changeOf(&before, &known.observation)
 	if change != Unchanged {
 		known.closed = [Priorities]time.Duration{}
 	}
@@ -74,7 +74,7 @@
 }
 
 // changeOf tells what a belief that takes another's place changes.
-func changeOf(before, after *Word) Change {
+func changeOf(before, after *Observation) Change {
 	switch {
 	case after.same(before):
 		return Unchanged
@@ -93,10 +93,10 @@
 // Limit returns the limit of a worker's run; false if it has none.
 func (l *Ledger) Limit(worker fleet.EngineID, born uint64) (Rate, bool) {
 	known := l.entries[worker]
-	if known == nil || !known.word.Limited || otherRun(known.word.Born, born) {
+	if known == nil || !known.observation.Limited || otherRun(known.observation.Born, born) {
 		return 0, false
 	}
-	return known.word.Rate, true
+	return known.observation.Rate, true
 }
 
 // Close takes in that a worker with a limit had no room for a request of a priority.
@@ -118,33 +118,33 @@
 // what was last found; 0 if it may have.
 func (l *Ledger) Closed(now time.Duration, worker fleet.EngineID, priority int) time.Duration {
 	known := l.entries[worker]
-	if known == nil || !known.word.Limited {
+	if known == nil || !known.observation.Limited {
 		return 0
 	}
 	return max(known.closed[min(max(priority, 0), Priorities-1)]-now, 0)
 }
 
-// Word returns what is believed of a worker; false if nothing is.
-func (l *Ledger) Word(worker fleet.EngineID) (Word, bool) {
+// Observation returns what is believed of a worker; false if nothing is.
+func (l *Ledger) Observation(worker fleet.EngineID) (Observation, bool) {
 	known := l.entries[worker]
 	if known == nil {
-		return Word{}, false
+		return Observation{}, false
 	}
-	return known.word, true
+	return known.observation, true
 }
 
-// Words returns what is believed of all workers, by identifier, the ends of late among it.
-func (l *Ledger) Words(now time.Duration) []Word {
-	words := make([]Word, 0, len(l.entries))
+// Observations returns what is believed of all workers, by identifier, the ends of late among it.
+func (l *Ledger) Observations(now time.Duration) []Observation {
+	observations := make([]Observation, 0, len(l.entries))
 	for worker, known := range l.entries {
-		if !known.word.Limited && now >= known.word.Answered+endedFor {
+		if !known.observation.Limited && now >= known.observation.Answered+endedFor {
 			delete(l.entries, worker)
 			continue
 		}
-		words = append(words, known.word)
+		observations = append(observations, known.observation)
 	}
-	slices.SortFunc(words, func(a, b Word) int { return strings.Compare(string(a.Worker), string(b.Worker)) })
-	return words
+	slices.SortFunc(observations, func(a, b Observation) int { return strings.Compare(string(a.Worker), string(b.Worker)) })
+	return observations
 }
 
 // Empty tells whether nothing is believed of any worker.
--- a/internal/workerlimit/ledger_test.go
+++ b/internal/workerlimit/ledger_test.go
@@ -10,38 +10,38 @@
 
 const second = time.Second
 
-func named(rate Rate, asked, answered time.Duration) Word {
-	return Word{Worker: "w", Limited: true, Rate: rate, Asked: asked, Answered: answered}
+func named(rate Rate, asked, answered time.Duration) Observation {
+	return Observation{Worker: "w", Limited: true, Rate: rate, Asked: asked, Answered: answered}
 }
 
-func unnamed(asked, answered time.Duration) Word {
-	return Word{Worker: "w", Asked: asked, Answered: answered}
+func unnamed(asked, answered time.Duration) Observation {
+	return Observation{Worker: "w", Asked: asked, Answered: answered}
 }
 
-func TestWordOnALimitHoldsUntilANewerOne(t *testing.T) {
+func TestObservationOfALimitHoldsUntilANewerOne(t *testing.T) {
 	for name, test := range map[string]struct {
-		words   []Word
-		limited bool
-		rate    Rate
+		observations []Observation
+		limited      bool
+		rate         Rate
 	}{
-		"none named":                    {words: []Word{unnamed(0, second)}},
-		"named":                         {words: []Word{named(2, 0, second)}, limited: true, rate: 2},
-		"ended":                         {words: []Word{named(2, 0, second), unnamed(second, 2*second)}},
-		"ended by one that began then":  {words: []Word{named(2, 0, 2*second), unnamed(second, 3*second)}, limited: true, rate: 2},
-		"head of before comes late":     {words: []Word{named(2, 2*second, 3*second), unnamed(0, second)}, limited: true, rate: 2},
-		"lower, crossing":               {words: []Word{named(5, 0, 2*second), named(2, second, 3*second)}, limited: true, rate: 2},
-		"higher, crossing":              {words: []Word{named(2, 0, 2*second), named(5, second, 3*second)}, limited: true, rate: 2},
-		"higher, newer":                 {words: []Word{named(2, 0, second), named(5, second, 3*second)}, limited: true, rate: 5},
-		"lower, older":                  {words: []Word{named(5, 2*second, 3*second), named(2, 0, second)}, limited: true, rate: 5},
-		"named again after its end":     {words: []Word{named(2, 0, second), unnamed(second, 2*second), named(3, 2*second, 3*second)}, limited: true, rate: 3},
-		"old limit after its end":       {words: []Word{named(2, 0, second), unnamed(2*second, 3*second), named(2, 0, second)}},
-		"renewed, end began in between": {words: []Word{named(2, 0, second), named(2, 3*second, 4*second), unnamed(2*second, 5*second)}, limited: true, rate: 2},
-		"takes nothing":                 {words: []Word{named(0, 0, second)}, limited: true},
+		"none named":                    {observations: []Observation{unnamed(0, second)}},
+		"named":                         {observations: []Observation{named(2, 0, second)}, limited: true, rate: 2},
+		"ended":                         {observations: []Observation{named(2, 0, second), unnamed(second, 2*second)}},
+		"ended by one that began then":  {observations: []Observation{named(2, 0, 2*second), unnamed(second, 3*second)}, limited: true, rate: 2},
+		"head of before comes late":     {observations: []Observation{named(2, 2*second, 3*second), unnamed(0, second)}, limited: true, rate: 2},
+		"lower, crossing":               {observations: []Observation{named(5, 0, 2*second), named(2, second, 3*second)}, limited: true, rate: 2},
+		"higher, crossing":              {observations: []Observation{named(2, 0, 2*second), named(5, second, 3*second)}, limited: true, rate: 2},
+		"higher, newer":                 {observations: []Observation{named(2, 0, second), named(5, second, 3*second)}, limited: true, rate: 5},
+		"lower, older":                  {observations: []Observation{named(5, 2*second, 3*second), named(2, 0, second)}, limited: true, rate: 5},
+		"named again after its end":     {observations: []Observation{named(2, 0, second), unnamed(second, 2*second), named(3, 2*second, 3*second)}, limited: true, rate: 3},
+		"old limit after its end":       {observations: []Observation{named(2, 0, second), unnamed(2*second, 3*second), named(2, 0, second)}},
+		"renewed, end began in between": {observations: []Observation{named(2, 0, second), named(2, 3*second, 4*second), unnamed(2*second, 5*second)}, limited: true, rate: 2},
+		"takes nothing":                 {observations: []Observation{named(0, 0, second)}, limited: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ledger := NewLedger()
-			for _, word := range test.words {
-				ledger.Observe(word)
+			for _, observation := range test.observations {
+				ledger.Observe(observation)
 			}
 			rate, limited := ledger.Limit("w", 0)
 			assert.Equal(t, test.limited, limited)
@@ -75,29 +75,29 @@
 	assert.True(t, ledger.Empty())
 	ledger.Observe(named(2, 0, second))
 	ledger.Observe(unnamed(second, 2*second))
-	assert.Len(t, ledger.Words(2*second), 1, "the end is told")
-	assert.Empty(t, ledger.Words(2*second+endedFor))
+	assert.Len(t, ledger.Observations(2*second), 1, "the end is told")
+	assert.Empty(t, ledger.Observations(2*second+endedFor))
 	assert.True(t, ledger.Empty())
 }
 
-// In whatever order words come, a word that was asked for after all others were answered holds.
-func TestNewestWordHoldsInAnyOrder(t *testing.T) {
+// In whatever order observations come, one that was asked for after all others were answered holds.
+func TestNewestObservationHoldsInAnyOrder(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	for range 2000 {
-		words := make([]Word, 2+random.IntN(5))
-		for index := range words {
+		observations := make([]Observation, 2+random.IntN(5))
+		for index := range observations {
 			asked := time.Duration(random.Int64N(int64(5 * second)))
-			words[index] = unnamed(asked, asked+time.Duration(random.Int64N(int64(3*second))))
+			observations[index] = unnamed(asked, asked+time.Duration(random.Int64N(int64(3*second))))
 			if random.IntN(2) == 0 {
-				words[index].Limited, words[index].Rate = true, Rate(1+random.IntN(3))
+				observations[index].Limited, observations[index].Rate = true, Rate(1+random.IntN(3))
 			}
 		}
 		last := named(7, 9*second, 10*second)
-		words = append(words, last)
-		random.Shuffle(len(words), func(i, j int) { words[i], words[j] = words[j], words[i] })
+		observations = append(observations, last)
+		random.Shuffle(len(observations), func(i, j int) { observations[i], observations[j] = observations[j], observations[i] })
 		ledger := NewLedger()
-		for _, word := range words {
-			ledger.Observe(word)
+		for _, observation := range observations {
+			ledger.Observe(observation)
 		}
 		rate, limited := ledger.Limit("w", 0)
 		assert.True(t, limited)
--- a/internal/workerlimit/meter.go
+++ b/internal/workerlimit/limiter.go
@@ -6,7 +6,7 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
-// Constants of a meter.
+// Constants of a limiter.
 const (
 	// leastRate is sent to a worker whatever less it takes, in requests a second: one that
 	// gets nothing can't say that its limit has ended.
@@ -39,18 +39,18 @@
 	Refill time.Duration
 }
 
-// Meter spaces the requests of all nodes to workers at the rates that these name. It belongs
+// Limiter spaces the requests of all nodes to workers at the rates that these name. It belongs
 // to the node that grants them.
-type Meter struct {
+type Limiter struct {
 	buckets map[fleet.EngineID]*bucket
 }
 
-// NewMeter returns a meter that has granted nothing.
-func NewMeter() *Meter { return &Meter{buckets: make(map[fleet.EngineID]*bucket)} }
+// NewLimiter returns a limiter that has granted nothing.
+func NewLimiter() *Limiter { return &Limiter{buckets: make(map[fleet.EngineID]*bucket)} }
 
 // Ask asks for one request to a worker with a limit, for a part of its rate: 1 unless others
 // may be granting as well.
-func (m *Meter) Ask(now time.Duration, worker fleet.EngineID, rate Rate, part float64, priority int) Grant {
+func (m *Limiter) Ask(now time.Duration, worker fleet.EngineID, rate Rate, part float64, priority int) Grant {
 	known := m.buckets[worker]
 	if known == nil {
 		known = &bucket{at: now}
@@ -61,10 +61,10 @@
 }
 
 // Forget drops a worker's bucket.
-func (m *Meter) Forget(worker fleet.EngineID) { delete(m.buckets, worker) }
+func (m *Limiter) Forget(worker fleet.EngineID) { delete(m.buckets, worker) }
 
 // Sweep drops the buckets that nobody asks any more.
-func (m *Meter) Sweep(now time.Duration) {
+func (m *Limiter) Sweep(now time.Duration) {
 	for worker, known := range m.buckets {
 		if now >= known.at+bucketIdle {
 			delete(m.buckets, worker)
--- a/internal/workerlimit/word.go
+++ b/internal/workerlimit/observation.go
@@ -29,8 +29,8 @@
 	Unreadable
 )
 
-// Word is a statement of a run of a worker and when it was made.
-type Word struct {
+// Observation is a statement of a run of a worker and when it was made.
+type Observation struct {
 	Worker fleet.EngineID
 	// Born is when the run started, by the worker's clock; 0 if that isn't known.
 	Born uint64
@@ -43,26 +43,26 @@
 	Answered time.Duration
 }
 
-// stricter tells whether a word allows less than another.
-func (w *Word) stricter(than *Word) bool {
+// stricter tells whether an observation allows less than another.
+func (o *Observation) stricter(than *Observation) bool {
 	switch {
-	case !w.Limited:
+	case !o.Limited:
 		return false
 	case !than.Limited:
 		return true
 	default:
-		return w.Rate < than.Rate
+		return o.Rate < than.Rate
 	}
 }
 
-// same tells whether two words say the same.
-func (w *Word) same(other *Word) bool {
-	return w.Limited == other.Limited && w.Rate == other.Rate
+// same tells whether two observations say the same.
+func (o *Observation) same(other *Observation) bool {
+	return o.Limited == other.Limited && o.Rate == other.Rate
 }
 
-// merge returns what two words on one run say together. Where neither is certainly the newer,
+// merge returns what two observations of one run say together. Where neither is certainly the newer,
 // the stricter one holds until a request that was sent after it is answered otherwise.
-func merge(known, heard Word) Word {
+func merge(known, heard Observation) Observation {
 	switch {
 	case heard.same(&known):
 		known.Asked, known.Answered = max(known.Asked, heard.Asked), max(known.Answered, heard.Answered)
--- a/internal/workerlimit/ways_test.go
+++ b/internal/workerlimit/ways_test.go
@@ -101,10 +101,10 @@
 }
 
 // apart has each node keep the whole limit for itself.
-type apart struct{ meters []*Meter }
+type apart struct{ limiters []*Limiter }
 
 func (a *apart) request(s *simulation, node, priority int) {
-	if a.meters[node].Ask(s.now, "w", s.rate, 1, priority).Granted {
+	if a.limiters[node].Ask(s.now, "w", s.rate, 1, priority).Granted {
 		s.send(priority)
 	}
 }
@@ -140,15 +140,15 @@
 
 // granted has one node grant the requests of all.
 type granted struct {
-	meter   *Meter
+	limiter *Limiter
 	ledgers []*Ledger
 }
 
 func newGranted(nodes int, rate Rate) *granted {
-	g := &granted{meter: NewMeter()}
+	g := &granted{limiter: NewLimiter()}
 	for range nodes {
 		ledger := NewLedger()
-		ledger.Observe(Word{Worker: "w", Limited: true, Rate: rate})
+		ledger.Observe(Observation{Worker: "w", Limited: true, Rate: rate})
 		g.ledgers = append(g.ledgers, ledger)
 	}
 	return g
@@ -159,7 +159,7 @@
 		return
 	}
 	s.after(func() {
-		answer := g.meter.Ask(s.now, "w", s.rate, 1, priority)
+		answer := g.limiter.Ask(s.now, "w", s.rate, 1, priority)
 		s.after(func() {
 			if answer.Granted {
 				s.send(priority)
@@ -221,7 +221,7 @@
 	for _, rate := range []Rate{0.1, 2, 50} {
 		for _, nodes := range []int{7, 79, 300, 985} {
 			ways := map[string]way{
-				"apart": &apart{meters: meters(nodes)}, "divided": &divided{levels: make([]float64, nodes)},
+				"apart": &apart{limiters: limiters(nodes)}, "divided": &divided{levels: make([]float64, nodes)},
 				"granted": newGranted(nodes, rate),
 			}
 			if nodes <= 300 {
@@ -247,10 +247,10 @@
 	}
 }
 
-func meters(count int) []*Meter {
-	made := make([]*Meter, count)
+func limiters(count int) []*Limiter {
+	made := make([]*Limiter, count)
 	for index := range made {
-		made[index] = NewMeter()
+		made[index] = NewLimiter()
 	}
 	return made
 }
@@ -272,21 +272,21 @@
 
 // Refusals at one moment tell different times to come back.
 func TestRefusalsAreSpread(t *testing.T) {
-	meter := NewMeter()
+	limiter := NewLimiter()
 	waits := map[time.Duration]bool{}
 	for range 3 {
-		answer := meter.Ask(0, "w", 2, 1, 0)
+		answer := limiter.Ask(0, "w", 2, 1, 0)
 		assert.False(t, answer.Granted)
 		waits[answer.Wait] = true
 	}
 	assert.Len(t, waits, 3)
 }
 
-// A grant's meter that takes over from another begins empty.
-func TestNewMeterBeginsEmpty(t *testing.T) {
-	meter := NewMeter()
-	answer := meter.Ask(time.Hour, fleet.EngineID("w"), 2, 1, 0)
+// A limiter that takes over from another begins empty.
+func TestNewLimiterBeginsEmpty(t *testing.T) {
+	limiter := NewLimiter()
+	answer := limiter.Ask(time.Hour, fleet.EngineID("w"), 2, 1, 0)
 	assert.False(t, answer.Granted)
 	assert.Greater(t, answer.Wait, 400*time.Millisecond)
-	assert.True(t, meter.Ask(time.Hour+answer.Wait, "w", 2, 1, 0).Granted)
+	assert.True(t, limiter.Ask(time.Hour+answer.Wait, "w", 2, 1, 0).Granted)
 }
