--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -67,8 +67,8 @@
 	Predicted time.Duration
 	// Baseline is Predicted of an engine that isn't slower than the service's others: one
 	// version's times are compared with another's by it. What waits at the engine belongs
-	// to it: short prompts wait for long ones that an engine with an empty cache reads, and
-	// without it 14 of 72 answers of a good version were taken for slow.
+	// to it: short prompts wait for long ones that an engine with an empty cache reads, which
+	// would have answers of a good version taken for slow.
 	Baseline time.Duration
 	// Prefix names the last shared part of the prompt.
 	Prefix string
--- a/internal/backends/levels.go
+++ b/internal/backends/levels.go
@@ -15,9 +15,8 @@
 )
 
 // levelled is a list of workers by load, so that a choice finds the least loaded of
-// thousands at once. With nearly all slots taken, a choice among those drawn from it was 2 to
-// 5 ms dearer than one among all, and 9 to 12 ms with the same number drawn from the whole
-// list (BenchmarkWays, 1,000 and 3,000 engines).
+// thousands at once: with nearly all slots taken, workers drawn from the whole list are mostly
+// full.
 type levelled struct {
 	members [levels][]*state
 	count   int
--- a/internal/backends/load.go
+++ b/internal/backends/load.go
@@ -89,8 +89,8 @@
 	if reference == nil {
 		return 0
 	}
-	// What too old reports told leaves the levels here, not while they are walked: a gateway
-	// ended by itself on one day of 80.
+	// What too old reports told leaves the levels here, not while they are walked, which
+	// would change the lists under the walk and end the process.
 	r.peers.told(now)
 	used, held := 0, 0
 	for _, known := range r.poolOf(reference.worker.Service).all() {
--- a/internal/backends/peers.go
+++ b/internal/backends/peers.go
@@ -158,8 +158,7 @@
 
 // update takes changed loads into a node's report; without one before, it does
 // nothing. The sum takes in what has changed: nodes tell of each long prompt that they
-// place, and a sum made anew each time took 6 of the 9 ms of a choice among 3,000 engines
-// (BenchmarkChooseWithManyPeers, a busy machine).
+// place, and a sum made anew each time would take most of the time of a choice among thousands.
 func (p *peerReports) update(node fleet.NodeID, loads []Load) {
 	report := p.reports[node]
 	if report == nil {
--- a/internal/backends/refuse.go
+++ b/internal/backends/refuse.go
@@ -12,9 +12,7 @@
 
 // tooLate tells whether a request is to be refused, since it would wait for others for
 // longer than its target allows at each engine. Without that, a fleet that is asked for
-// more than it can do serves all late: with a quarter of the engines down, 0.77 of the
-// worth owed was earned without it and 0.87 with it (90 engines, one day of 34 s,
-// played with and without).
+// more than it can do serves all late.
 func tooLate(engine *EngineRequest, decision *scheduling.Decision) (Refusal, bool) {
 	if !engine.MayRefuse || !decision.Late || engine.Target <= 0 {
 		return Refusal{}, false
--- a/internal/delivery/canaries.go
+++ b/internal/delivery/canaries.go
@@ -112,9 +112,8 @@
 }
 
 // highestRouteShare returns what a rare route may get at the most. Its requests may be the
-// longest: 0.3 of a route with 4 in 5 of all work, at 3 of 60 engines, kept these so busy
-// that a version which took 8 times as long looked like a good one (86 nodes, one of two
-// plays completed it).
+// longest, and keep the few target workers so busy that a version which is far too slow looks
+// like a good one.
 func (s *directed) highestRouteShare(now time.Duration, share float64, targets int) float64 {
 	canaries := min(s.wantedCanaries(now, share, targets), targets)
 	return min(highestShare, max(share, canaryLoad*float64(canaries)/float64(max(targets, 1))))
--- a/internal/gateway/awaitversion.go
+++ b/internal/gateway/awaitversion.go
@@ -11,10 +11,8 @@
 const (
 	// versionPatience is how long a request that was taken away from old weights waits for
 	// an engine that has the new ones: engines are under order then, and are asked each
-	// reportInterval. Without it such a request ended with a failure although an engine was
-	// known to be ready a few milliseconds later (in 3 to 4 of 20 runs of
-	// TestRequestThatWaitsAtOldWeightsIsTakenElsewhere on a machine with four times as many
-	// busy processes as processors).
+	// reportInterval. Without it such a request fails although an engine is known to be ready a few
+	// milliseconds later.
 	versionPatience = 400 * time.Millisecond
 	versionPoll     = 20 * time.Millisecond
 )
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -15,9 +15,7 @@
 
 // mostCopied is the number of prompt tokens up to which a run is copied. A copy moves the
 // memory of the whole prompt and takes as much room at the other engine for as long as the
-// run lasts: with copies of prompts of some 9,000 tokens, memory moved cost 0.005 of worth
-// more and parts that were driven out and read again 0.007, and no more streams were saved
-// (8 gateways, 14 engines; means of five days, played once with and once without).
+// run lasts: those of long prompts drive other parts out and save no more streams.
 const mostCopied = 2048
 
 // wantsCopy tells whether a request's run should be copied to another engine: a stream
--- a/internal/gateway/deliverypeers.go
+++ b/internal/gateway/deliverypeers.go
@@ -117,11 +117,9 @@
 }
 
 // geometricMean returns the time whose ratio to another mean is the mean of two ratios.
-// Versions of engines are compared by the first event and the whole answer together: one with
-// half of its answers 8 times slower took 4 times the expected time to the first event,
-// hardly more than waits do on the old side, and 9 times that of whole answers; but
-// a good one with empty caches took some 10 times that of a whole answer, too, where long
-// prompts were read between its events, and less than twice that to the first.
+// Versions of engines are compared by the first event and the whole answer together: a slow
+// one shows little in the first event, where waits on the old side take as long, and a good one
+// with empty caches looks slow by whole answers, where long prompts are read between its events.
 func geometricMean(one, other time.Duration) time.Duration {
 	return time.Duration(math.Sqrt(float64(one) * float64(other)))
 }
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -10,9 +10,7 @@
 // frontAddresses returns where a caller that asks finds the gateways that serve; none while
 // this node has just started and knows itself alone, since callers then keep the addresses
 // that they have. If each node of a large fleet named itself after a loss of power,
-// small nodes that know neither loads nor caches would carry the requests: of callers'
-// requests in the worst seconds after it 0.62 to 0.69 instead of 0.32 to 0.41 were worth
-// their price (69 nodes, two days and two seeds, played with and without). All gateways
+// small nodes that know neither loads nor caches would carry the requests. All gateways
 // serve on the same ports.
 func (g *Gateway) frontAddresses(query ResolutionQuery) []fleet.Address {
 	if !g.settled.Load() && g.memberCount() == 1 {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -89,8 +89,7 @@
 		q.changed[fingerprint] = now
 	}
 	// Whoever begins to hold a request tells all: nodes that missed one of the words before
-	// would let it through. With a fifth of the words lost 184 workers ended under 60 harmful
-	// requests in place of 243 (TestWaysToHold of package quarantine).
+	// would let it through.
 	if tell || outcome.began {
 		q.untold[fingerprint] = true
 		signal(q.announced)
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -15,7 +15,7 @@
 // Times and bounds of keeping requests that end workers in the store.
 const (
 	// quarantineWait is the longest wait of one call that follows the rows. They prove nothing,
-	// and a change ends the call at once: with 3 s seven nodes made 150 to 240 calls a day more.
+	// and a change ends the call at once, so a shorter wait would only cost calls.
 	quarantineWait = 10 * time.Second
 	// strandedAfter is how long after its last end a held request without a row is written
 	// by any node that reads the store: those that lost runs to it may all be gone.
@@ -50,8 +50,7 @@
 
 // followQuarantine follows the rows while this node reads the store, until the process ends.
 // It begins once this node knows what it needs to serve: until then each node reads, and most
-// are told of the records by a reader a moment later. 86 nodes that restarted at once made
-// 200 to 600 calls more on a day.
+// are told of the records by a reader a moment later.
 func (g *Gateway) followQuarantine() error {
 	select {
 	case <-g.readiness.known:
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -256,8 +256,7 @@
 
 // usePeers returns the nodes that this one tells what it admits: those that share
 // loads, or, if callers aren't sent to it and some of limited tenants have come, those that
-// serve. Requests of others cause no talk: in a fleet of 86 nodes whose idle ones got one
-// such request each 1.5 s, nine tenths of these exchanges' 83 MB in 48 s were theirs.
+// serve. Requests of others cause no talk, which would be most of a large fleet's.
 func (g *Gateway) usePeers() []membership.Member {
 	if peers := g.loadPeers(); len(peers) > 0 {
 		return peers
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -22,9 +22,8 @@
 	joinGrace   = time.Second
 	firstGrace  = 2 * time.Second
 	// planAfter is how long after its start a node plans by equal parts of the places and
-	// keeps no group's size. After a loss of all of 16 nodes 9.7 served in the mean instead
-	// of 6.0, as each had begun to plan at once; they took a fifth more of the processor and
-	// of the bytes between zones in the whole day.
+	// keeps no group's size. After a loss of all nodes each would plan by the little that it has
+	// heard, and more would serve than their requests need.
 	planAfter = 5 * time.Second
 )
 
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -56,8 +56,8 @@
 }
 
 // rolloutMark names a state of the workers and of the named versions. While it is the one in
-// which all engines had the newest ones, there is nothing to look for: a look at 10,000 workers
-// takes 19 ms of a core (BenchmarkLookForChanges), and there are ten a second.
+// which all engines had the newest ones, there is nothing to look for: there are ten looks a second, each at
+// all workers.
 type rolloutMark struct {
 	workers, namings uint64
 }
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -41,8 +41,7 @@
 // noteExchange takes in how an exchange with another node went. A node that doesn't answer is
 // told to be unreachable with this node's watches until it does, so that within some three
 // seconds of a loss nodes at rest name it to no caller. By the membership's gossip alone the last
-// of 86 nodes knew of a loss after 5.2 s (virtual clock, 31 lost at once), and in a day played so the
-// directory still named machines that had been off for seven seconds.
+// of many nodes knows of a loss of many after twice that time.
 func (g *Gateway) noteExchange(node fleet.NodeID, answered bool) {
 	if g.silences.note(node, answered) && !g.stopping() {
 		g.origins.press(g.now(), node, unreachable)
--- a/internal/gateway/standin.go
+++ b/internal/gateway/standin.go
@@ -24,10 +24,8 @@
 
 // dutyWatch notices that engines wait for new weights and nobody changes them, or that
 // nobody directs a delivery. The
-// few candidates for the lease can be out of the store's reach together: then no engine
-// was changed for 12 s, and all requests were refused for 4 s once the old weights were
-// not to be used any more: of the worst seconds' worth 0.35 was earned, and 0.73 with
-// other nodes standing in (86 nodes, 30 of them cut off, one day played with and without).
+// few candidates for the lease can be out of the store's reach together: then no engine is
+// changed, and all requests are refused once the old weights must not be used any more.
 type dutyWatch struct {
 	lookedAt time.Duration
 	// versions are the sums of the engines' versions at the last look.
--- a/internal/gateway/subsets.go
+++ b/internal/gateway/subsets.go
@@ -22,9 +22,9 @@
 
 // readsAll tells whether this node, if it reads the store, is to read all workers: it tells
 // others of them, has to know them, or has had no answer of any peer for long. A node that
-// reads for a moment, since its peers are slow, follows the changes of what it knows: while the
-// store turned a third of 985 nodes away for 9 s, whole reads by such nodes were most of 1 GB and
-// 15,000 calls at the store; without them it was 0.2 GB and 3,500 calls.
+// reads for a moment, since its peers are slow, follows the changes of what it knows: where
+// the store turns a part of a large fleet away, whole reads by such nodes would be most of the
+// store's calls and bytes.
 func (g *Gateway) readsAll() bool {
 	return g.roles.Load().reader || g.knowsAllWorkers() || g.sources.needsAll(g.now())
 }
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -68,8 +68,7 @@
 
 // learn adds a member that wasn't in the table. One that is alive by a whole list isn't passed
 // on: who heard of it at first hand does, and lists bring it to the others. Passed on by all who
-// have just learnt of all, n members would be sent n squared times over for minutes: 300 nodes
-// sent 4.9 KB a second each in place of 0.3 (TestNothingIsPassedOnForLongAfterAStartOfMany).
+// have just learnt of all, n members would be sent n squared times over for minutes.
 func (c *Core) learn(now time.Duration, claim Member, source claimSource) {
 	if buried, found := c.table.tombstones[claim.Node]; found {
 		if claim.Incarnation <= buried {
--- a/internal/membership/reconnect.go
+++ b/internal/membership/reconnect.go
@@ -73,7 +73,7 @@
 // joinSample is the number of members that a node is told which knows few itself, and
 // fewKnown the part of the members, as a divisor, under which it does. A seed of a fleet that
 // starts at once is asked by all: told everything, n nodes are n squared records over one
-// link: the busiest of 600 sent 12.0 MB in place of 4.2. The samples of three seeds and two
+// link. The samples of three seeds and two
 // exchanges with drawn members bring all as well.
 const (
 	joinSample = 96
--- a/internal/nodecapacity/capacity.go
+++ b/internal/nodecapacity/capacity.go
@@ -24,11 +24,10 @@
 	LinkMegabits float64
 }
 
-// What a request takes of a node. Each is rounded up from what was measured, since
-// the capacity is compared with a mean rate.
+// What a request takes of a node, rounded up, since the capacity is compared with a mean
+// rate.
 const (
-	// RequestProcessor is processor time in seconds: 1.6 ms were measured at the busiest
-	// of 16 nodes with a share of 0.12, beyond what a node without requests uses.
+	// RequestProcessor is processor time in seconds, beyond what a node without requests uses.
 	RequestProcessor = 0.002
 	// RequestBytes is what a request sends over the link: its head and body to a worker and
 	// the answer to the caller, 1.1 KB and 1 KB of content in the mean, with heads, ACKs
@@ -40,8 +39,7 @@
 	// requestDescriptors are the connections that a request holds: its caller's and a
 	// worker's.
 	requestDescriptors = 2
-	// requestMemoryMB is the memory of an open request with both connections: 47 KB were
-	// measured for a stream (docs/CAPACITY.md), besides a body of up to some 100 KB.
+	// requestMemoryMB is the memory of an open request with both connections and its body.
 	requestMemoryMB = 0.15
 )
 
@@ -50,7 +48,7 @@
 	// ReservedDescriptors are those kept for files and listeners.
 	ReservedDescriptors = 200
 	// baseDescriptors are the connections to other nodes, to the store and to the caches
-	// that it follows: 475 at the busiest of 30 nodes, 1,239 of 100.
+	// that it follows.
 	baseDescriptors = 1200
 	// baseMemoryMB is the memory of a node that serves, with its index of caches: 24 MB at
 	// the busiest of 30 nodes, 61 MB of 100.
--- a/internal/packed/packed.go
+++ b/internal/packed/packed.go
@@ -1,5 +1,5 @@
 // Package packed compresses messages between nodes. Long lists of members or rows repeat the
-// names of zones, regions and services in each entry: 1,000 members take 17 KB in place of 89.
+// names of zones, regions and services in each entry, and shrink to a fifth.
 package packed
 
 import (
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -186,8 +186,7 @@
 }
 
 // viewPause is the least time between two views for each member. A view takes time and memory
-// for all members, and while many join or leave nearly each message changes one of them: at
-// 985 members a node makes 20 views a second then, in place of hundreds.
+// for all members, and while many join or leave nearly each message changes one of them.
 const viewPause = 50 * time.Microsecond
 
 // outdated tells whether the membership has changed since the view in force; the mutex is held.
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -33,12 +33,11 @@
 // Defaults of Options. Figures are those of TestWaysToHold with 20 seeds of a minute each: 7 nodes,
 // 18 workers of which one ends by itself each 1.5 s, and three harmful requests.
 const (
-	// DefaultThreshold of 3 refused none of 120,025 harmless requests, and 185 workers ended
-	// under the 60 harmful ones; 2 refused 4, and with 4 ended 241.
+	// DefaultThreshold is the least number that refuses no harmless request: few are under way
+	// at three workers that end.
 	DefaultThreshold = 3
-	// DefaultSpokenFor of 10 s refused 411 of 47,966 harmless requests, all of one popular
-	// body of one day, of a service whose four workers often end all at once; 3 s refused
-	// 415, and without any word of whole answers 7,843 were.
+	// DefaultSpokenFor is how long a whole answer speaks for a request: without it popular
+	// ones of a service whose workers end often would be held.
 	DefaultSpokenFor = 10 * time.Second
 	// DefaultHoldFor is long against what a caller waits before it sends again, and short
 	// against the time in which people notice that a request is refused.
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -151,8 +151,7 @@
 // pull raises what this node believes towards a peer's belief that is far above it, as
 // after a partition. A lower belief changes nothing: the peer may not have heard yet what
 // this node has, and a node that follows it lets a flood exceed the limit with every
-// report (with twelve nodes and four times the limit, by up to 493,000 units of 488,000
-// that are tolerated; 210,000 without). Whatever is believed too much drains by itself.
+// report. Whatever is believed too much drains by itself.
 func (a *account) pull(deficit float64) {
 	beyond := deficit - a.fleet.deficit - pullBeyond*a.limit.Burst
 	if beyond > 0 {
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -78,9 +78,7 @@
 
 // noteAsleep sees whether this node did nothing for a while, as a frozen process. Its peers
 // count as silent then, but they were not: without this, all that they have admitted
-// meanwhile would count as used at once, here and, by this node's reports, at all others
-// (one node of 79 that froze for 7.7 s had 2,270 tries of tenants within their limits
-// refused instead of 208).
+// meanwhile would count as used at once, here and, by this node's reports, at all others.
 func (l *Limiter) noteAsleep(now time.Duration) {
 	if now-l.called > asleepAfter {
 		for _, tenant := range l.accounts {
