Don't pass a node over that grants because a caller left

Callers: none saw it; found in reading. A caller that left while its node asked for a send ended the question, which counted as no answer: the node that grants was passed over for 2 s, and the next by rank granted beside it, so that a worker could get twice its limit while callers leave. The unit test fails without the guard (the first node is passed over).

--- a/internal/gateway/limitgrants.go
+++ b/internal/gateway/limitgrants.go
@@ -97,12 +97,12 @@
 		return answer
 	}
 	distance := traffic.Between(g.place(), membership.Location{Zone: granter.Zone, Region: granter.Region})
-	ctx, cancel := context.WithTimeout(traffic.With(ctx, traffic.Limits, distance), grantTimeout)
+	asking, cancel := context.WithTimeout(traffic.With(ctx, traffic.Limits, distance), grantTimeout)
 	defer cancel()
 	begun := g.now()
-	answer, err := g.peers.AskGrant(ctx, granter.Address, &rpc.LimitQuestion{Limit: encodeLimit(begun, &observation), Priority: uint32(max(priority, 0))})
+	answer, err := g.peers.AskGrant(asking, granter.Address, &rpc.LimitQuestion{Limit: encodeLimit(begun, &observation), Priority: uint32(max(priority, 0))})
 	if err != nil {
-		g.noteSilentGranter(granter, err)
+		g.noteSilentGranter(ctx, granter, err)
 		return workerlimit.Grant{Wait: askAgain, Refill: askAgain}
 	}
 	g.takeLimit(answer.GetLimit(), begun, "granter")
@@ -122,8 +122,12 @@
 	}
 }
 
-// noteSilentGranter has a node passed over that didn't answer a question.
-func (g *Gateway) noteSilentGranter(granter membership.Member, err error) {
+// noteSilentGranter has a node passed over that didn't answer a question, unless the request
+// ended meanwhile: then it had no time to, and passing it over would have two nodes grant.
+func (g *Gateway) noteSilentGranter(ctx context.Context, granter membership.Member, err error) {
+	if ctx.Err() != nil {
+		return
+	}
 	g.metrics.limitGrants.WithLabelValues("unanswered").Inc()
 	passedOver := silentFor
 	var failure twirp.Error
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -130,7 +130,7 @@
 	assert.NotEqual(t, first, second)
 	assert.Equal(t, first, g.limits.granter(now+silentFor, "w", near, view))
 
-	g.noteSilentGranter(membership.Member{Node: first}, twirp.NewError(twirp.BadRoute, "no handler"))
+	g.noteSilentGranter(context.Background(), membership.Member{Node: first}, twirp.NewError(twirp.BadRoute, "no handler"))
 	assert.Equal(t, second, g.limits.granter(g.now()+silentFor+time.Second, "w", near, view))
 	assert.Equal(t, first, g.limits.granter(g.now()+unableFor, "w", near, view))
 
@@ -172,3 +172,16 @@
 	g.forgetFormerRun("w")
 	assert.False(t, g.limits.limited("w", 0))
 }
+
+// TestNodeIsNotPassedOverWhereACallerLeaves while it is asked.
+func TestNodeIsNotPassedOverWhereACallerLeaves(t *testing.T) {
+	g := idleGateway(t)
+	near, view := membership.Location{Zone: "z1"}, largeFleet(20)
+	first := g.limits.granter(g.now(), "w", near, view)
+	gone, leave := context.WithCancel(context.Background())
+	leave()
+	g.noteSilentGranter(gone, membership.Member{Node: first}, context.Canceled)
+	assert.Equal(t, first, g.limits.granter(g.now(), "w", near, view))
+	g.noteSilentGranter(context.Background(), membership.Member{Node: first}, context.DeadlineExceeded)
+	assert.NotEqual(t, first, g.limits.granter(g.now(), "w", near, view))
+}
