Read in one place what every answer of a worker says of it, and log it

Callers: nothing changes, no choice goes by it yet. Workers say in their answers that they shut down (Server-Leaving), and in a 503 for how long they want no requests (Retry-After). Neither was read anywhere, and answers to reports, orders and calls for cache events were not looked at for anything of that kind, so that logs couldn't tell whether a gateway had been told.

Each answer to each call is now read for it as soon as its head is there, into one type (gateway.Notice): worker_notice lines and a counter by notice and call. Server- headers that aren't known are logged once a worker and name, so that the next one is seen.

AnswerInfo.Mismatch is Notice.Misdirected now; the tests that named it ask the same.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -31,6 +31,7 @@
 // cacheRun is one cache that is followed.
 type cacheRun struct {
 	run     fleet.EngineRun
+	born    backends.StartTime
 	address fleet.Address
 	zone    fleet.ZoneName
 }
@@ -107,7 +108,7 @@
 	for _, worker := range g.workers.WorkersInUse() {
 		service, known := held.Table.Service(worker.Service)
 		if known && len(worker.Versions) > 0 {
-			take(cacheRun{run: worker.Run(), address: worker.Address, zone: worker.Zone}, service.MaxFollowers)
+			take(cacheRun{run: worker.Run(), born: worker.Born, address: worker.Address, zone: worker.Zone}, service.MaxFollowers)
 		}
 	}
 	for _, store := range held.Table.Stores() {
@@ -160,6 +161,7 @@
 // followCache takes in the changes of one cache until the context ends.
 func (g *Gateway) followCache(ctx context.Context, cache cacheRun) {
 	ctx = traffic.With(ctx, traffic.CacheEvents, g.distanceTo(cache.zone))
+	ctx = g.noticesOf(ctx, noticed{worker: cache.run.Engine, born: cache.born, kind: callCacheEvents})
 	var epoch, since uint64
 	reachable := true
 	for ctx.Err() == nil {
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -108,7 +108,8 @@
 	info := g.outside.Codec.Answer(answer.Status, answer.Header)
 	g.noteUnreadable(current.metadata.RequestID, info.Unreadable)
 	g.noteLimit(current, &placement.Worker, info)
-	if info.HasVersion && placement.Engine != nil && !info.Mismatch {
+	g.noteAnswerNotice(&placement.Worker, info)
+	if info.HasVersion && placement.Engine != nil && !info.Misdirected {
 		g.workers.NoteVersion(placement.Worker.ID, current.metadata.Model, info.Version)
 	}
 	if info.NotExecuted {
@@ -194,7 +195,7 @@
 func (g *Gateway) rejected(current *carried, placement *backends.Placement, answer *upstream.Answer, info AnswerInfo) attempt.Step {
 	drain(answer)
 	outcome := backends.Refused
-	if info.Mismatch {
+	if info.Misdirected {
 		outcome = backends.Mismatched
 	}
 	g.ended(current, placement, outcome, "status "+http.StatusText(answer.Status))
--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -16,7 +16,6 @@
 	"github.com/tillerfall/tillerfall/internal/routes"
 	"github.com/tillerfall/tillerfall/internal/traffic"
 	"github.com/tillerfall/tillerfall/internal/watchcache"
-	"github.com/tillerfall/tillerfall/internal/workerlimit"
 )
 
 // ErrManyRows means that a whole read was given up since it would be a long one.
@@ -160,7 +159,8 @@
 	RemoveQuarantine(ctx context.Context, fingerprint quarantine.Fingerprint, expected fleet.Revision) error
 }
 
-// EngineCalls are the calls to an engine besides requests.
+// EngineCalls are the calls to an engine besides requests. What each answer says of the engine
+// goes to HandleNotice.
 type EngineCalls interface {
 	Report(ctx context.Context, worker backends.Worker) (rollout.Report, error)
 	// CacheEvents returns what changed in the cache of an engine, or of a store of
@@ -225,22 +225,16 @@
 
 // AnswerInfo is what the headers of a worker's answer say.
 type AnswerInfo struct {
+	Notice
+
 	RequestID string
 	// Signed is set if the worker has signed the answer.
 	Signed bool
 	// NotExecuted is the worker's word that it did not run the request.
 	NotExecuted bool
-	// Mismatch is set if another run, or another version, has answered.
-	Mismatch bool
-	Instance fleet.EngineID
 	// Version is the version of the weights, if HasVersion.
 	Version    backends.WeightsVersion
 	HasVersion bool
-	// Limit is what the answer says of the requests that the worker takes.
-	Limit workerlimit.Statement
-
-	// Unreadable lists the headers that couldn't be read.
-	Unreadable []Unreadable
 }
 
 // Paths are the paths of the calls to the gateway's own services.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,7 @@
 	budgets      *budgets
 	quotas       *quotas
 	limits       *workerLimits
+	unknown      *unknownHeaders
 	weights      *weights
 	deliveries   *deliveries
 	peers        *peer.Peer
@@ -156,6 +157,7 @@
 		resumptions:  newResumptions(),
 		deadlines:    newDeadlines(),
 		limits:       newWorkerLimits(),
+		unknown:      &unknownHeaders{},
 		versionsSeen: make(seenVersions),
 	}
 	g.inForce.Store(&settings)
@@ -335,6 +337,7 @@
 		for _, engine := range g.workers.Forget(g.now(), forgetWorkers) {
 			g.upstreams.Forget(engine)
 			g.limits.forget(engine)
+			g.unknown.forget(engine)
 		}
 		g.upstreams.Sweep()
 		g.reportLimits()
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -226,9 +226,9 @@
 func saysLimit(info AnswerInfo) bool {
 	switch info.Limit.Kind {
 	case workerlimit.Limited:
-		return !info.Mismatch
+		return !info.Misdirected
 	case workerlimit.Unlimited:
-		return !info.Mismatch && !info.NotExecuted && info.Signed
+		return !info.Misdirected && !info.NotExecuted && info.Signed
 	default:
 		return false
 	}
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -24,13 +24,13 @@
 
 func TestOnlyAWorkersOwnAnswerTellsOfItsLimit(t *testing.T) {
 	limited := workerlimit.Statement{Kind: workerlimit.Limited, Rate: 2}
-	assert.True(t, saysLimit(AnswerInfo{Signed: true, Limit: limited}))
-	assert.True(t, saysLimit(AnswerInfo{NotExecuted: true, Limit: limited}), "it says so where it rejects as well")
-	assert.False(t, saysLimit(AnswerInfo{Mismatch: true, NotExecuted: true, Limit: limited}), "another run")
+	assert.True(t, saysLimit(AnswerInfo{Signed: true, Notice: Notice{Limit: limited}}))
+	assert.True(t, saysLimit(AnswerInfo{NotExecuted: true, Notice: Notice{Limit: limited}}), "it says so where it rejects as well")
+	assert.False(t, saysLimit(AnswerInfo{NotExecuted: true, Notice: Notice{Misdirected: true, Limit: limited}}), "another run")
 	assert.True(t, saysLimit(AnswerInfo{Signed: true}))
 	assert.False(t, saysLimit(AnswerInfo{}), "it may not be the worker's")
 	assert.False(t, saysLimit(AnswerInfo{NotExecuted: true, Signed: true}))
-	assert.False(t, saysLimit(AnswerInfo{Signed: true, Limit: workerlimit.Statement{Kind: workerlimit.Unreadable}}))
+	assert.False(t, saysLimit(AnswerInfo{Signed: true, Notice: Notice{Limit: workerlimit.Statement{Kind: workerlimit.Unreadable}}}))
 }
 
 // TestObservationIsNoYoungerAfterACall: what was said within a call may be as old as the call.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,7 @@
 	workerCalls   *prometheus.CounterVec
 	limited       prometheus.Gauge
 	limitGrants   *prometheus.CounterVec
+	notices       *prometheus.CounterVec
 
 	quarantineRefusals prometheus.Counter
 	quarantined        prometheus.Gauge
@@ -119,8 +120,11 @@
 	m.limitGrants = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tillerfall_gateway_limit_grants_total", Help: "Sends to workers with limits, by whether they were granted.",
 	}, []string{"outcome"})
+	m.notices = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tillerfall_gateway_worker_notices_total", Help: "Answers in which workers say that they shut down or want no requests, by notice and call.",
+	}, []string{"notice", "call"})
 	if registry != nil {
-		registry.MustRegister(m.limitGrants)
+		registry.MustRegister(m.limitGrants, m.notices)
 		registry.MustRegister(m.workerCalls, m.limited)
 		registry.MustRegister(m.pressure, m.untaken, m.lostRuns, m.suspensions, m.quarantineRefusals, m.quarantined, m.beforeSend)
 		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders, m.unreadable, m.quotaUnits, m.quotaShare,
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -140,8 +140,7 @@
 	failed := 0
 	for g.now() < begun+changeTimeout {
 		wait := g.reportInterval(&next.worker)
-		g.noteCall(next.worker.ID, callReport)
-		report, err := g.outside.Engines.Report(g.workerCall(g.context(), next.worker.Zone), next.worker)
+		report, err := g.outside.Engines.Report(g.workerCall(g.context(), callReport, &next.worker), next.worker)
 		if err == nil {
 			g.noteStart(next.worker.ID, backends.StartTime(report.Born))
 		}
@@ -236,9 +235,8 @@
 		return rollout.OrderUncertain, false
 	}
 	g.keeper.NoteUse()
-	ctx, cancel := context.WithTimeout(g.workerCall(g.context(), next.worker.Zone), orderTimeout)
+	ctx, cancel := context.WithTimeout(g.workerCall(g.context(), callOrder, &next.worker), orderTimeout)
 	defer cancel()
-	g.noteCall(next.worker.ID, callOrder)
 	result, err := g.outside.Engines.OrderVersion(ctx, next.worker, rollout.VersionOrder{
 		Model:          next.model,
 		Version:        next.version,
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/traffic"
@@ -29,9 +30,11 @@
 	return traffic.With(g.context(), purpose, distance)
 }
 
-// workerCall returns a context for a call to a worker of a zone for the gateway's own sake.
-func (g *Gateway) workerCall(ctx context.Context, zone fleet.ZoneName) context.Context {
-	return traffic.With(ctx, traffic.WorkerCalls, g.distanceTo(zone))
+// workerCall counts a call to a worker for the gateway's own sake and returns its context.
+func (g *Gateway) workerCall(ctx context.Context, kind callKind, worker *backends.Worker) context.Context {
+	g.noteCall(worker.ID, kind)
+	ctx = g.noticesOf(ctx, noticed{worker: worker.ID, born: worker.Born, kind: kind})
+	return traffic.With(ctx, traffic.WorkerCalls, g.distanceTo(worker.Zone))
 }
 
 // reportTraffic logs the bytes counted since the start.
