Take a worker out of use once an answer says that it shuts down

Cause: a gateway went by rows alone, and a worker that shuts down while the store refuses writes keeps a row that says ready. The notice is now what the row's state is: the registry takes it in for the run that gave it, and nothing of the same run takes it back, no later row, no return of a row that went, no subset that lacked the worker for a time (the mark outlives being forgotten; a row's own word on draining was lost there as well). Only a later start under the identifier ends it. What goes by Draining goes by it too: choices, runs that go on at copies, orders of weights, deliveries.

Sends are checked right before they are written, before and after the question for a grant: a worker that began to shut down, or whose row went, since the choice gets nothing. Such a send counts as not made, and the request goes elsewhere. Where all workers of a service shut down requests are refused at once, not run.

The end of a worker that shut down blames no request: until now that held where its row went, and not where its address refused connections.

Whose word: signed answers and rejections; not a 421 unless it names the run, nor an answer that names another one.

--- /dev/null
+++ b/internal/backends/draining_test.go
@@ -0,0 +1,102 @@
+package backends
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestDrainingOfARunIsTakenBackByNothing in its run: no row, no return of a row that went, no
+// subset that lacked the worker for a time.
+func TestDrainingOfARunIsTakenBackByNothing(t *testing.T) {
+	registry := withPlain(2)
+	draining := plainWorker(0)
+	placement := choose(registry, &Request{Service: "plain"})
+	assert.Equal(t, Began, registry.ObserveDraining(DrainingRun{Worker: "p0"}))
+	assert.Equal(t, Unchanged, registry.ObserveDraining(DrainingRun{Worker: "p0"}), "said again")
+	placement.End(0, Succeeded)
+	onlyTheOther := func(moment string) {
+		t.Helper()
+		assert.False(t, registry.Sendable(time.Minute, &draining), moment)
+		assert.True(t, registry.Draining("p0"), moment)
+		for range 30 {
+			assert.Equal(t, "p1", string(choosePlain(t, registry, time.Minute).Worker.ID), moment)
+		}
+	}
+	onlyTheOther("said in an answer")
+	registry.Observe(10, draining)
+	onlyTheOther("a later row")
+	registry.ObserveGone(time.Second, 11, "p0")
+	registry.Observe(12, draining)
+	onlyTheOther("a row that came back")
+	registry.ObserveGone(time.Second, 13, "p0")
+	require.Len(t, registry.Forget(time.Minute, time.Second), 1)
+	assert.True(t, registry.Draining("p0"), "forgotten")
+	registry.Observe(14, draining)
+	onlyTheOther("a row after it was forgotten")
+	assert.Equal(t, []DrainingRun{{Worker: "p0"}}, registry.DrainingUnlisted())
+	draining.Draining = true
+	registry.Observe(15, draining)
+	assert.Empty(t, registry.DrainingUnlisted(), "the row says so as well")
+}
+
+// TestDrainingEndsWithItsRun and only with a run that started later.
+func TestDrainingEndsWithItsRun(t *testing.T) {
+	registry := newTestRegistry()
+	worker := plainWorker(0)
+	worker.Born = 1000
+	registry.Observe(1, worker)
+	assert.Equal(t, Unchanged, registry.ObserveDraining(DrainingRun{Worker: "p0", Born: 900}), "another run's word")
+	assert.Equal(t, Began, registry.ObserveDraining(DrainingRun{Worker: "p0", Born: 1000}))
+	worker.Born = 2000
+	assert.Equal(t, Restarted, registry.Observe(2, worker))
+	assert.False(t, registry.Draining("p0"))
+	assert.True(t, registry.Sendable(0, &worker))
+	assert.Equal(t, Unchanged, registry.ObserveDraining(DrainingRun{Worker: "p0", Born: 1000}), "late word of the former")
+
+	registry.ObserveDraining(DrainingRun{Worker: "p0", Born: 2000})
+	registry.ObserveGone(0, 3, "p0")
+	registry.Forget(time.Minute, time.Second)
+	worker.Born = 1500
+	registry.Observe(4, worker)
+	assert.True(t, registry.Draining("p0"), "an older run than the one that drained")
+	registry.ObserveGone(time.Minute, 5, "p0")
+	registry.Forget(time.Hour, time.Second)
+	worker.Born = 3000
+	registry.Observe(6, worker)
+	assert.False(t, registry.Draining("p0"))
+}
+
+// TestDrainingOutlivesASubsetWithoutTheWorker since the row is read anew once it is in use again.
+func TestDrainingOutlivesASubsetWithoutTheWorker(t *testing.T) {
+	registry := withPlain(2)
+	registry.ObserveDraining(DrainingRun{Worker: "p0"})
+	registry.mutex.Lock()
+	registry.drop("p0", registry.workers["p0"])
+	registry.mutex.Unlock()
+	registry.Observe(1, plainWorker(0))
+	assert.True(t, registry.Draining("p0"))
+}
+
+// TestServiceOfWhichAllDrainIsRefusedAtOnce rather than after a time in which nobody comes.
+func TestServiceOfWhichAllDrainIsRefusedAtOnce(t *testing.T) {
+	registry := withPlain(2)
+	for number := range 2 {
+		registry.ObserveDraining(DrainingRun{Worker: plainWorker(number).ID})
+	}
+	placement, refusal := registry.Choose(0, &Request{Service: "plain"})
+	assert.Nil(t, placement)
+	assert.Equal(t, ReasonNoWorker, refusal.Reason)
+}
+
+// TestSendToAWorkerThatWentIsNotMade after the moment for which rows may go by mistake.
+func TestSendToAWorkerThatWentIsNotMade(t *testing.T) {
+	registry := withPlain(1)
+	worker := plainWorker(0)
+	assert.True(t, registry.Sendable(0, &worker))
+	registry.ObserveGone(time.Second, 5, "p0")
+	assert.True(t, registry.Sendable(time.Second+lapseGrace-1, &worker))
+	assert.False(t, registry.Sendable(time.Second+lapseGrace, &worker))
+}
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -56,9 +56,13 @@
 	names   shortNames
 	// tombstones holds the revision at which a row went, for workers forgotten.
 	tombstones map[fleet.EngineID]fleet.Revision
-	peers      *peerReports
-	required   map[fleet.ModelName]WeightsVersion
-	preferred  map[fleet.ModelName]WeightsVersion
+	// unlisted holds the workers that have said that they drain and whose rows haven't, and
+	// drained the start of the run for those forgotten that were draining.
+	unlisted  map[fleet.EngineID]bool
+	drained   map[fleet.EngineID]StartTime
+	peers     *peerReports
+	required  map[fleet.ModelName]WeightsVersion
+	preferred map[fleet.ModelName]WeightsVersion
 	// capacities holds, by service, the memory of an engine in tokens.
 	capacities map[fleet.PoolName]int
 	// speeds holds, by service, how fast its engines are.
@@ -109,6 +113,8 @@
 		workers:    make(map[fleet.EngineID]*state),
 		names:      newShortNames(),
 		tombstones: make(map[fleet.EngineID]fleet.Revision),
+		unlisted:   make(map[fleet.EngineID]bool),
+		drained:    make(map[fleet.EngineID]StartTime),
 		peers:      newPeerReports(),
 		required:   make(map[fleet.ModelName]WeightsVersion),
 		preferred:  make(map[fleet.ModelName]WeightsVersion),
@@ -151,6 +157,11 @@
 			return Unchanged
 		}
 		known = newState(worker, revision)
+		if !worker.Draining && r.wasDraining(worker.ID, worker.Born) {
+			known.worker.Draining = true
+			r.unlisted[worker.ID] = true
+		}
+		delete(r.drained, worker.ID)
 		r.workers[worker.ID] = known
 		r.enlist(known)
 		r.names.add(worker.ID)
@@ -173,6 +184,9 @@
 	case !maps.Equal(known.worker.Versions, worker.Versions):
 		change = NewVersion
 	}
+	if worker.Draining {
+		delete(r.unlisted, worker.ID)
+	}
 	worker.Draining = worker.Draining || known.worker.Draining
 	r.setVersions(known, r.newerVersions(known, worker.Versions))
 	worker.Versions = known.worker.Versions
@@ -192,6 +206,7 @@
 // requests under way stay counted at the former one; the mutex is held.
 func (r *Registry) replaceRun(former *state, worker Worker, revision fleet.Revision) {
 	r.delist(former)
+	delete(r.unlisted, worker.ID)
 	r.parts.clear(worker.Run())
 	next := newState(worker, revision)
 	r.workers[worker.ID] = next
@@ -356,14 +371,6 @@
 	}
 }
 
-// Draining tells whether a worker's row said, when last seen, that it was leaving.
-func (r *Registry) Draining(id fleet.EngineID) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	known := r.workers[id]
-	return known != nil && known.worker.Draining
-}
-
 // ZoneOf returns where a worker is; empty if it isn't known.
 func (r *Registry) ZoneOf(id fleet.EngineID) fleet.ZoneName {
 	r.mutex.Lock()
--- a/internal/backends/subset.go
+++ b/internal/backends/subset.go
@@ -180,6 +180,10 @@
 
 // drop forgets a worker; the mutex is held.
 func (r *Registry) drop(id fleet.EngineID, known *state) {
+	if known.worker.Draining {
+		r.drained[id] = known.worker.Born
+	}
+	delete(r.unlisted, id)
 	r.parts.remove(known.worker.Run())
 	r.delist(known)
 	delete(r.workers, id)
--- a/internal/backends/worker.go
+++ b/internal/backends/worker.go
@@ -36,7 +36,8 @@
 	Zone    fleet.ZoneName
 	Service fleet.PoolName
 	// Slots is the number of requests that it works on at once.
-	Slots    int
+	Slots int
+	// Draining is set once the run has said, in its row or in an answer, that it shuts down.
 	Draining bool
 	// Software is the version of the worker's software; empty if its row names none.
 	Software fleet.SoftwareVersion
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -178,7 +178,8 @@
 	case errors.Is(err, errLimited):
 		g.ended(current, placement, backends.Cancelled, err.Error())
 		return current.machine.Withheld(g.now(), g.limits.closed(g.now(), placement.Worker.ID, limitPriority(current)))
-	case errors.Is(err, upstream.ErrTooManyConnections), errors.Is(err, errNoTarget), errors.Is(err, errUnproven), errors.Is(err, errLateAnswer):
+	case errors.Is(err, upstream.ErrTooManyConnections), errors.Is(err, errNoTarget), errors.Is(err, errUnproven), errors.Is(err, errDraining),
+		errors.Is(err, errLateAnswer):
 		g.ended(current, placement, backends.Cancelled, err.Error())
 		return current.machine.NotSent(g.now(), run)
 	case !sent:
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -32,6 +32,8 @@
 	errForeign = errors.Wrap(upstream.ErrForeignAnswer, "request identifier differs")
 	// errUnproven means that this node's word on keys has become too old.
 	errUnproven = errors.New("configuration too old")
+	// errDraining means that the worker shuts down, or has gone, since it was chosen.
+	errDraining = errors.New("worker shuts down")
 )
 
 // servingPart is the part of a worker's connections that the nodes to which
@@ -98,12 +100,19 @@
 // permitSend is called right before a request is written. It corrects the time left that the
 // worker is told: the making of the connection may have taken its time.
 func (g *Gateway) permitSend(ctx context.Context, current *carried, worker *backends.Worker, dispatch *Dispatch, header http.Header) error {
+	if err := g.permitWorker(worker); err != nil {
+		return err
+	}
 	if err := g.permitLimit(ctx, limitPriority(current), worker); err != nil {
 		return err
 	}
 	if err := g.permit(current, worker); err != nil {
 		return err
 	}
+	// The question for a grant takes time.
+	if err := g.permitWorker(worker); err != nil {
+		return err
+	}
 	if left := current.timeLeft(g.now()); left < dispatch.TimeLeft-timeLeftSlack {
 		dispatch.TimeLeft = left
 		g.outside.Codec.WriteDispatch(header, dispatch)
@@ -112,6 +121,14 @@
 	return nil
 }
 
+// permitWorker returns an error if a worker takes no requests of this node any more.
+func (g *Gateway) permitWorker(worker *backends.Worker) error {
+	if !g.workers.Sendable(g.now(), worker) {
+		return errDraining
+	}
+	return nil
+}
+
 // permit returns an error if a request may not go to its worker any more: a new connection, a
 // process that stood still or a machine that was suspended may have outlived what allowed it.
 func (g *Gateway) permit(current *carried, worker *backends.Worker) error {
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -128,13 +128,22 @@
 // noteDraining takes in that a worker says in an answer that it shuts down.
 func (g *Gateway) noteDraining(about noticed) {
 	g.metrics.notices.WithLabelValues(noticeDraining, string(about.kind)).Inc()
-	g.events.line("worker_notice").Str("worker", string(about.worker)).Str("notice", noticeDraining).Str("call", string(about.kind)).Msg("worker_notice")
+	g.observeDraining(backends.DrainingRun{Worker: about.worker, Born: about.born}, string(about.kind))
+}
+
+// observeDraining takes in that a worker shuts down, by the word of an answer or of a peer.
+func (g *Gateway) observeDraining(run backends.DrainingRun, source string) {
+	if g.workers.ObserveDraining(run) != backends.Began {
+		return
+	}
+	g.upstreams.Forget(run.Worker)
+	g.events.line("worker_notice").Str("worker", string(run.Worker)).Str("notice", noticeDraining).Str("source", source).Msg("worker_notice")
 }
 
 // noteRetryAfter takes in that a worker wants nothing from this node for a time.
 func (g *Gateway) noteRetryAfter(about noticed, wait time.Duration) {
 	g.metrics.notices.WithLabelValues(noticeRetryAfter, string(about.kind)).Inc()
-	g.events.line("worker_notice").Str("worker", string(about.worker)).Str("notice", noticeRetryAfter).Str("call", string(about.kind)).
+	g.events.line("worker_notice").Str("worker", string(about.worker)).Str("notice", noticeRetryAfter).Str("source", string(about.kind)).
 		Dur("retry_after", wait).Msg("worker_notice")
 }
 
--- /dev/null
+++ b/internal/gateway/notice_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/tillerfall/tillerfall/internal/backends"
+)
+
+// TestOnlyAWorkersOwnAnswerTellsThatItDrains: an answer of another run, of whoever has the address
+// now or of nobody known says nothing of it.
+func TestOnlyAWorkersOwnAnswerTellsThatItDrains(t *testing.T) {
+	worker := backends.Worker{ID: "w", Address: "10.0.0.1:1", Service: "app", Slots: 1}
+	for _, test := range []struct {
+		name  string
+		info  AnswerInfo
+		tells bool
+	}{
+		{"signed", AnswerInfo{Signed: true}, true},
+		{"rejected", AnswerInfo{NotExecuted: true}, true},
+		{"named", AnswerInfo{Signed: true, Notice: Notice{Instance: "w"}}, true},
+		{"other weights than expected", AnswerInfo{NotExecuted: true, Notice: Notice{Misdirected: true, Instance: "w"}}, true},
+		{"misdirected", AnswerInfo{NotExecuted: true, Notice: Notice{Misdirected: true}}, false},
+		{"another run", AnswerInfo{Signed: true, Notice: Notice{Instance: "other"}}, false},
+		{"without a signature", AnswerInfo{}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := idleGateway(t)
+			g.workers.Observe(1, worker)
+			test.info.Draining = true
+			g.noteAnswerNotice(&worker, test.info)
+			assert.Equal(t, test.tells, g.workers.Draining("w"))
+		})
+	}
+}
+
+// TestUnknownHeadersAreLoggedOnceAndInBoundedNumber whatever workers send.
+func TestUnknownHeadersAreLoggedOnceAndInBoundedNumber(t *testing.T) {
+	var logged unknownHeaders
+	assert.True(t, logged.first("w", "Server-Wants"))
+	assert.False(t, logged.first("w", "Server-Wants"))
+	for number := range 100 {
+		logged.first("w", fmt.Sprint("Server-", number))
+	}
+	assert.LessOrEqual(t, len(logged.logged["w"]), maxUnknownHeaders)
+	logged.forget("w")
+	assert.True(t, logged.first("w", "Server-Wants"))
+}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -201,8 +201,11 @@
 		Dur("last_end_age", verdict.LastAge).Int("trials", verdict.Trials).Dur("retry_after", verdict.RetryAfter).Msg("request_held")
 }
 
-// blame takes in the requests whose runs ended with their worker.
+// blame takes in the requests whose runs ended with their worker, unless it shut down.
 func (g *Gateway) blame(worker fleet.EngineID, proof quarantine.Proof, fingerprints []quarantine.Fingerprint) {
+	if g.workers.Draining(worker) {
+		return
+	}
 	g.metrics.lostRuns.Add(float64(len(fingerprints)))
 	g.events.line("worker_ended").Str("worker", string(worker)).Str("proof", proof.String()).
 		Int("runs", len(fingerprints)).Str("fingerprints", fingerprintText(fingerprints)).Msg("worker_ended")
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -218,7 +218,7 @@
 	case backends.Restarted:
 		g.forgetFormerRun(worker.ID)
 	}
-	if change == backends.Gone && !g.workers.Draining(worker.ID) {
+	if change == backends.Gone {
 		g.noteWorkerEnded(worker.ID, quarantine.RowGone)
 	}
 }
