Send nothing to a worker for as long as it has asked for in Retry-After

Cause: Retry-After of a worker was read by nobody; a rejection only raised the rate of failures by which a worker is chosen, which halves within 3 s and counts for little where the other workers fail or are loaded too.

Each such word binds to its own end: a shorter one, an answer to a request that was sent before, a later success change nothing. The end is spread by up to a tenth of the time, half a second at most, and one request goes before the others. Sends are checked right before they are written, before and after the question for a grant.

It takes the way of limits through a choice (Request.Intake), so that other workers are taken, workers in doubt before closed ones, and a request for which all are closed is refused at once, not run (workers_in_backoff): callers come back at different times, the more urgent first. Copies of runs don't go to such a worker. Calls for the gateway's own sake wait as well: cache events to the end, orders and reports for 2 s at most, since a worker whose weights are too old gets nothing from any node.

A rejection of that kind (outcome deferred) is no evidence against the worker. It never was any against its version: one whose workers shed all load gets no answers to be judged by, and is rolled back as undecided.

Each node learns it by itself: a worker may reject the requests of one node alone.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -15,8 +15,8 @@
 	// Free tells whether this node has a connection left for a worker; nil
 	// means always.
 	Free func(worker *Worker) bool
-	// Intake tells whether a worker takes more requests by the limit that it names; nil
-	// means that no worker has one.
+	// Intake tells whether a worker takes more requests by what it says of that; nil means
+	// that no worker says anything.
 	Intake func(worker *Worker) (Intake, time.Duration)
 	// Versions limits the choice by the version of the workers' software; nil limits
 	// nothing.
@@ -32,11 +32,11 @@
 
 // Intakes.
 const (
-	// IntakeFree is a worker without a limit.
+	// IntakeFree is a worker that takes requests without a limit.
 	IntakeFree Intake = iota
 	// IntakeLimited is a worker with a limit that may have room.
 	IntakeLimited
-	// IntakeClosed is a worker with a limit that has no room for a time.
+	// IntakeClosed is a worker that takes none for a time.
 	IntakeClosed
 )
 
@@ -62,8 +62,7 @@
 	ReasonUnsettled = "none_ready"
 	ReasonFull      = "full"
 	ReasonVersion   = "none_at_version"
-	// ReasonLimited means that the workers that could get it have no room at the limits that
-	// they name.
+	// ReasonLimited means that the workers that could get it take no requests for a time.
 	ReasonLimited = "at_their_limits"
 	// ReasonLate means that each worker has more to do before the request than its
 	// target allows.
@@ -121,11 +120,13 @@
 	Lost
 	// Cancelled means that this side ended the request.
 	Cancelled
+	// Deferred means that the worker didn't run the request and wants none for a time.
+	Deferred
 )
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
-	return [...]string{"succeeded", "failed", "refused", "mismatched", "unreachable", "lost", "cancelled"}[o]
+	return [...]string{"succeeded", "failed", "refused", "mismatched", "unreachable", "lost", "cancelled", "deferred"}[o]
 }
 
 // Choose chooses a worker and counts the request there. Without one it says why.
@@ -330,6 +331,6 @@
 		if !p.first {
 			known.suspect(now)
 		}
-	case Cancelled:
+	case Cancelled, Deferred:
 	}
 }
--- a/internal/backends/search.go
+++ b/internal/backends/search.go
@@ -39,7 +39,7 @@
 	crowded
 	// doubtful is one that something speaks against right now.
 	doubtful
-	// closed is one that has no room at the limit that it names.
+	// closed is one that takes no requests for a time.
 	closed
 	doubtfulOutdated
 	doubtfulCrowded
@@ -69,7 +69,7 @@
 	kept     func(*state) bool
 	scopes   []*scoped
 	accepted verdict
-	// opensIn is the least time until a worker that is closed has room.
+	// opensIn is the least time until a worker that is closed takes one again.
 	opensIn time.Duration
 }
 
@@ -201,7 +201,7 @@
 	}
 }
 
-// noteClosed notes when a worker that has no room at its limit is to have some.
+// noteClosed notes when a closed worker takes requests again.
 func (s *search) noteClosed(opensIn time.Duration) {
 	if s.opensIn == 0 || opensIn < s.opensIn {
 		s.opensIn = opensIn
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -165,6 +165,7 @@
 	var epoch, since uint64
 	reachable := true
 	for ctx.Err() == nil {
+		g.awaitBackoff(ctx, backoffRun(cache.run.Engine, cache.born))
 		g.noteCall(cache.run.Engine, callCacheEvents)
 		events, err := g.outside.Engines.CacheEvents(ctx, cache.address, since, eventsWait)
 		if err != nil {
--- a/internal/gateway/carry.go
+++ b/internal/gateway/carry.go
@@ -80,7 +80,7 @@
 	placement, refused := g.chooseWorker(ctx, current, choice)
 	if placement == nil {
 		if refused.Reason == backends.ReasonLimited {
-			refused.RetryAfter = g.limits.returnAfter(g.now(), refused.RetryAfter, g.servingCount())
+			refused = g.closedRefusal(current, refused.RetryAfter)
 		}
 		return current.machine.NoWorker(refused.Reason, refused.RetryAfter)
 	}
@@ -108,7 +108,7 @@
 	info := g.outside.Codec.Answer(answer.Status, answer.Header)
 	g.noteUnreadable(current.metadata.RequestID, info.Unreadable)
 	g.noteLimit(current, &placement.Worker, info)
-	g.noteAnswerNotice(&placement.Worker, info)
+	g.noteAnswerNotice(&placement.Worker, current.sentAt, info)
 	if info.HasVersion && placement.Engine != nil && !info.Misdirected {
 		g.workers.NoteVersion(placement.Worker.ID, current.metadata.Model, info.Version)
 	}
@@ -175,6 +175,9 @@
 		g.ended(current, placement, backends.Cancelled, err.Error())
 		verdict := g.quarantines.check(g.now(), current.fingerprint)
 		return current.machine.Barred(resultcode.Quarantined, reasonQuarantined, verdict.RetryAfter)
+	case errors.Is(err, errBackoff):
+		g.ended(current, placement, backends.Cancelled, err.Error())
+		return current.machine.Withheld(g.now(), g.backoffs.closed(g.now(), backoffRun(placement.Worker.ID, placement.Worker.Born)))
 	case errors.Is(err, errLimited):
 		g.ended(current, placement, backends.Cancelled, err.Error())
 		return current.machine.Withheld(g.now(), g.limits.closed(g.now(), placement.Worker.ID, limitPriority(current)))
@@ -196,8 +199,11 @@
 func (g *Gateway) rejected(current *carried, placement *backends.Placement, answer *upstream.Answer, info AnswerInfo) attempt.Step {
 	drain(answer)
 	outcome := backends.Refused
-	if info.Misdirected {
+	switch {
+	case info.Misdirected:
 		outcome = backends.Mismatched
+	case info.RetryAfter > 0:
+		outcome = backends.Deferred
 	}
 	g.ended(current, placement, outcome, "status "+http.StatusText(answer.Status))
 	return current.machine.Rejected(g.now(), placement.Worker.Run())
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -26,10 +26,16 @@
 		Bytes:    messageBytes + int(max(current.request.ContentLength, 0)),
 		Versions: g.versions(current, current.wasAtTarget),
 	}
-	if g.limits.any.Load() {
+	if g.limits.any.Load() || g.backoffs.any.Load() {
 		now, priority := g.now(), limitPriority(current)
+		current.atLimit = false
 		request.Intake = func(worker *backends.Worker) (backends.Intake, time.Duration) {
-			return g.limits.intake(now, worker, priority)
+			intake, opensIn := g.limits.intake(now, worker, priority)
+			current.atLimit = current.atLimit || intake == backends.IntakeClosed
+			if closed := g.backoffs.closed(now, backoffRun(worker.ID, worker.Born)); closed > 0 {
+				return backends.IntakeClosed, max(closed, opensIn)
+			}
+			return intake, opensIn
 		}
 	}
 	if engine := current.service.Engine; engine != nil {
@@ -59,6 +65,15 @@
 	return request
 }
 
+// closedRefusal returns why a request is refused for which all workers are closed, and when its
+// caller is to come back. opensIn is the time until the first of them opens.
+func (g *Gateway) closedRefusal(current *carried, opensIn time.Duration) backends.Refusal {
+	if current.atLimit {
+		return backends.Refusal{Reason: backends.ReasonLimited, RetryAfter: g.limits.returnAfter(g.now(), opensIn, g.servingCount())}
+	}
+	return backends.Refusal{Reason: reasonBackoff, RetryAfter: g.backoffs.returnAfter(opensIn, priorityOf(current))}
+}
+
 // targetLeft returns the time within which an answer should begin; 0 if the route
 // names none.
 func (g *Gateway) targetLeft(current *carried) time.Duration {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -113,6 +113,9 @@
 	if err := g.permitWorker(worker); err != nil {
 		return err
 	}
+	if g.backoffs.begin(g.now(), backoffRun(worker.ID, worker.Born)) > 0 {
+		return errBackoff
+	}
 	if left := current.timeLeft(g.now()); left < dispatch.TimeLeft-timeLeftSlack {
 		dispatch.TimeLeft = left
 		g.outside.Codec.WriteDispatch(header, dispatch)
@@ -126,6 +129,9 @@
 	if !g.workers.Sendable(g.now(), worker) {
 		return errDraining
 	}
+	if g.backoffs.closed(g.now(), backoffRun(worker.ID, worker.Born)) > 0 {
+		return errBackoff
+	}
 	return nil
 }
 
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -69,6 +69,8 @@
 	// request was sent there.
 	forTarget   bool
 	wasAtTarget bool
+	// atLimit is set if the last choice found a worker without room at its limit.
+	atLimit bool
 	// sentAt is when the last send began, events the number of events that it has brought.
 	sentAt time.Duration
 	events int
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,7 @@
 	budgets      *budgets
 	quotas       *quotas
 	limits       *workerLimits
+	backoffs     *workerBackoffs
 	unknown      *unknownHeaders
 	weights      *weights
 	deliveries   *deliveries
@@ -157,6 +158,7 @@
 		resumptions:  newResumptions(),
 		deadlines:    newDeadlines(),
 		limits:       newWorkerLimits(),
+		backoffs:     newWorkerBackoffs(random()),
 		unknown:      &unknownHeaders{},
 		versionsSeen: make(seenVersions),
 	}
@@ -337,10 +339,12 @@
 		for _, engine := range g.workers.Forget(g.now(), forgetWorkers) {
 			g.upstreams.Forget(engine)
 			g.limits.forget(engine)
+			g.backoffs.forget(engine)
 			g.unknown.forget(engine)
 		}
 		g.upstreams.Sweep()
 		g.reportLimits()
+		g.metrics.backingOff.Set(float64(g.backoffs.closing(g.now())))
 		g.idle.sweep(g.now(), g.idleLimit())
 		g.crashes.sweep(g.now())
 		g.sweepQuarantines()
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -124,6 +124,9 @@
 
 // intake tells whether a worker takes a request of a priority, and for how long not.
 func (l *workerLimits) intake(now time.Duration, worker *backends.Worker, priority int) (backends.Intake, time.Duration) {
+	if !l.any.Load() {
+		return backends.IntakeFree, 0
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if _, limited := l.ledger.Limit(worker.ID, uint64(worker.Born)); !limited {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,6 +26,7 @@
 	limited       prometheus.Gauge
 	limitGrants   *prometheus.CounterVec
 	notices       *prometheus.CounterVec
+	backingOff    prometheus.Gauge
 
 	quarantineRefusals prometheus.Counter
 	quarantined        prometheus.Gauge
@@ -123,8 +124,11 @@
 	m.notices = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tillerfall_gateway_worker_notices_total", Help: "Answers in which workers say that they shut down or want no requests, by notice and call.",
 	}, []string{"notice", "call"})
+	m.backingOff = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "tillerfall_gateway_workers_in_backoff", Help: "Workers that have asked this node for no requests and get none now.",
+	})
 	if registry != nil {
-		registry.MustRegister(m.limitGrants, m.notices)
+		registry.MustRegister(m.limitGrants, m.notices, m.backingOff)
 		registry.MustRegister(m.workerCalls, m.limited)
 		registry.MustRegister(m.pressure, m.untaken, m.lostRuns, m.suspensions, m.quarantineRefusals, m.quarantined, m.beforeSend)
 		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.shareFailures, m.connections, m.orders, m.unreadable, m.quotaUnits, m.quotaShare,
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -140,18 +140,16 @@
 	g.events.line("worker_notice").Str("worker", string(run.Worker)).Str("notice", noticeDraining).Str("source", source).Msg("worker_notice")
 }
 
-// noteRetryAfter takes in that a worker wants nothing from this node for a time.
-func (g *Gateway) noteRetryAfter(about noticed, wait time.Duration) {
-	g.metrics.notices.WithLabelValues(noticeRetryAfter, string(about.kind)).Inc()
-	g.events.line("worker_notice").Str("worker", string(about.worker)).Str("notice", noticeRetryAfter).Str("source", string(about.kind)).
-		Dur("retry_after", wait).Msg("worker_notice")
-}
-
-// noteAnswerNotice takes in what an answer to a request says of its worker. What nobody signed and
-// what isn't a worker's word that it didn't run the request isn't known to be the worker's.
-func (g *Gateway) noteAnswerNotice(worker *backends.Worker, info AnswerInfo) {
-	if info.Signed || info.NotExecuted {
-		g.takeNotice(noticed{worker: worker.ID, born: worker.Born, kind: callRequest}, &info.Notice)
+// noteAnswerNotice takes in what an answer to a request that was sent at a time says of its worker.
+// What nobody signed and what isn't a worker's word that it didn't run the request isn't known to
+// be the worker's.
+func (g *Gateway) noteAnswerNotice(worker *backends.Worker, sentAt time.Duration, info AnswerInfo) {
+	if !info.Signed && !info.NotExecuted {
+		return
+	}
+	g.takeNotice(noticed{worker: worker.ID, born: worker.Born, kind: callRequest}, &info.Notice)
+	if info.RetryAfter == 0 && info.saysOf(worker.ID) {
+		g.backoffs.answered(backoffRun(worker.ID, worker.Born), sentAt)
 	}
 }
 
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -30,7 +30,7 @@
 			g := idleGateway(t)
 			g.workers.Observe(1, worker)
 			test.info.Draining = true
-			g.noteAnswerNotice(&worker, test.info)
+			g.noteAnswerNotice(&worker, 0, test.info)
 			assert.Equal(t, test.tells, g.workers.Draining("w"))
 		})
 	}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -139,6 +139,9 @@
 	orders := int64(-1)
 	failed := 0
 	for g.now() < begun+changeTimeout {
+		if !g.pause(g.orderDelayOf(&next.worker, begun)) {
+			return
+		}
 		wait := g.reportInterval(&next.worker)
 		report, err := g.outside.Engines.Report(g.workerCall(g.context(), callReport, &next.worker), next.worker)
 		if err == nil {
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -182,6 +182,7 @@
 	g.upstreams.Forget(worker)
 	g.weights.forgetRun(worker)
 	g.limits.forget(worker)
+	g.backoffs.forget(worker)
 	g.noteWorkerEnded(worker, quarantine.RowGone)
 }
 
