Tell other nodes which workers have said that they shut down

Callers: while the store refuses writes the row of a worker that shuts down says ready, and each node learned of it only by an answer to a request of its own. One that sends there seldom sent its first request at the worker's end: streams are cut, and the end looked like a crash under the requests that ran there.

Nodes list such runs in their load reports as long as the rows don't say so, which also tells a node that has just restarted. A node takes the word for that run alone; nothing a peer tells takes it back.

--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -157,6 +157,8 @@
 const (
 	noticeDraining   = "draining"
 	noticeRetryAfter = "retry_after"
+	// noticeByPeer is the source of what another node tells.
+	noticeByPeer = "peer"
 )
 
 // noticesOf returns a context in which the notices of a worker's answers are taken in.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -224,6 +224,9 @@
 			Worker: string(id), RemainingMillis: uint32(remaining.Milliseconds()),
 		})
 	}
+	for _, run := range g.workers.DrainingUnlisted() {
+		report.Draining = append(report.Draining, &rpc.DrainingRun{Worker: string(run.Worker), Born: uint64(run.Born)})
+	}
 	if _, holds := g.keeper.Fence(); holds {
 		report.Weights = g.versionsFor(now, to)
 	}
@@ -301,6 +304,9 @@
 	g.workers.ObservePeer(now, fleet.NodeID(report.GetNode()), backends.PeerReport{
 		Loads: g.decodeLoads(report.GetLoads()), Suspects: suspects, Orders: orders, Work: work,
 	})
+	for _, run := range report.GetDraining() {
+		g.observeDraining(backends.DrainingRun{Worker: fleet.EngineID(run.GetWorker()), Born: backends.StartTime(run.GetBorn())}, noticeByPeer)
+	}
 	g.learnNamed(report.GetNamed())
 	g.quotas.take(now, report)
 	g.demand.peer(now, fleet.NodeID(report.GetNode()), decodeRate(report.GetRequestRate()))
