Leave the store alone for as long as it asks for in Retry-After

Callers: nothing seen. The feed of a table now waits that long, 30 s at most, and store_notice tells it.

Not covered: the lease, records of deliveries and of held requests, the nodes' rows. They call at intervals of their own, some 1 s and more.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -20,6 +20,7 @@
 	callCacheEvents callKind = "cache_events"
 	callReport      callKind = "report"
 	callOrder       callKind = "order"
+	callStore       callKind = "store"
 )
 
 // workerLimits makes what this node knows of workers' limits safe for concurrent use.
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -153,6 +153,9 @@
 	}
 }
 
+// storeName stands for the store in logs about servers.
+const storeName fleet.EngineID = "store"
+
 // Kinds of notices in logs and metrics.
 const (
 	noticeDraining   = "draining"
--- a/internal/gateway/storefeed.go
+++ b/internal/gateway/storefeed.go
@@ -22,6 +22,9 @@
 	// followRetry is the pause after a call that failed, followRetryMax after many.
 	followRetry    = 100 * time.Millisecond
 	followRetryMax = 400 * time.Millisecond
+	// mostStoreBackoff bounds the pause that the store may ask for: without the store nothing
+	// that it holds can be changed.
+	mostStoreBackoff = 30 * time.Second
 )
 
 // historyKept is a time for which the store keeps its history at the least while
@@ -56,6 +59,8 @@
 	// answered is when the store last answered.
 	answered time.Duration
 	clock    storeClock
+	// asked is for how long the store wanted no calls by its last answer.
+	asked time.Duration
 }
 
 // followStore follows a table until the process ends. Only a call that follows
@@ -82,7 +87,8 @@
 	}
 	calling, stop := g.resumptions.bind(ctx)
 	defer stop()
-	update, err := f.call(calling)
+	f.asked = 0
+	update, err := f.call(WithNotices(calling, f.notice))
 	if ctx.Err() != nil {
 		return 0
 	}
@@ -97,7 +103,7 @@
 		f.since = gapAfter(err, f.failures, begun-f.answered)
 		f.known = f.known && !errors.Is(err, ErrHistoryGone)
 		f.failures++
-		return min(followRetry*time.Duration(f.failures), followRetryMax)
+		return max(min(followRetry*time.Duration(f.failures), followRetryMax), f.asked)
 	}
 	g.noteStore(string(f.table.name), nil, f.failures)
 	f.failures, f.answered = 0, g.now()
@@ -119,6 +125,19 @@
 	return f.table.pause
 }
 
+// notice takes in what an answer of the store says of it.
+func (f *storeFeed) notice(notice Notice) {
+	g := f.gateway
+	g.noteUnreadable("", notice.Unreadable)
+	g.noteUnknown(noticed{worker: storeName, kind: callStore}, notice.Unknown)
+	if notice.RetryAfter == 0 {
+		return
+	}
+	f.asked = min(notice.RetryAfter, mostStoreBackoff)
+	g.metrics.notices.WithLabelValues(noticeRetryAfter, string(callStore)).Inc()
+	g.events.line("store_notice").Str("table", string(f.table.name)).Dur("retry_after", notice.RetryAfter).Msg("store_notice")
+}
+
 // call reads the table, or what changed after its position. The first call
 // after a break doesn't wait, so that there is a proof at once.
 func (f *storeFeed) call(ctx context.Context) (*watchcache.Update, error) {
