Take a worker last that defers several nodes of the own zone

Callers: where a worker rejects all requests and asks for a pause, each node learned it by a rejected request of its own, each of which is a retry out of the budget that all share.

So load reports name such workers, and with two words from the own zone a worker counts as one in doubt: taken where there is nobody else, and where this node has had a sign of life within a second. It isn't doubted as unreachable: orders and deliveries go on.

--- a/internal/backends/peers.go
+++ b/internal/backends/peers.go
@@ -11,6 +11,9 @@
 	Loads []Load
 	// Suspects are the workers that the node couldn't reach of late.
 	Suspects []fleet.EngineID
+	// Deferring are the workers that have asked the node for no requests, if a worker that does
+	// so is likely to ask this node as well.
+	Deferring []fleet.EngineID
 	// Orders holds, by worker under an order of the node, until when it counts as so.
 	Orders map[fleet.EngineID]time.Duration
 	// Work holds the work of the node's requests by service.
@@ -88,6 +91,8 @@
 	Load
 	// suspecting counts the nodes that couldn't reach it of late.
 	suspecting int
+	// deferred counts the nodes that it has asked for no requests.
+	deferred int
 	// orderedUntil is until when it counts as under an order.
 	orderedUntil time.Duration
 }
@@ -136,6 +141,9 @@
 	for _, id := range report.Suspects {
 		p.sum.entry(id).suspecting--
 	}
+	for _, id := range report.Deferring {
+		p.sum.entry(id).deferred--
+	}
 	for service, work := range report.Work {
 		p.sum.work[service] = p.sum.work[service].add(Work{Long: -work.Long, Short: -work.Short})
 	}
@@ -237,6 +245,9 @@
 	for _, id := range report.Suspects {
 		s.entry(id).suspecting++
 	}
+	for _, id := range report.Deferring {
+		s.entry(id).deferred++
+	}
 	for service, work := range report.Work {
 		s.work[service] = s.work[service].add(work)
 	}
@@ -269,7 +280,7 @@
 }
 
 // sharedDoubt is the number of other nodes whose word keeps requests away from a
-// worker: one may be cut off from it alone.
+// worker: one may be cut off from it, or have its requests rejected, alone.
 const sharedDoubt = 2
 
 // settledByPeers tells whether other nodes say nothing that keeps requests away
@@ -282,6 +293,6 @@
 	case now < told.orderedUntil:
 		return false
 	default:
-		return told.suspecting < sharedDoubt || known.trustedSince(now)
+		return told.suspecting+told.deferred < sharedDoubt || known.trustedSince(now)
 	}
 }
--- a/internal/backends/peers_test.go
+++ b/internal/backends/peers_test.go
@@ -51,6 +51,25 @@
 	assert.Equal(t, home.Worker.ID, late.Worker.ID, "old words don't count")
 }
 
+// TestWorkerThatDefersSeveralNodesIsTakenLast, but isn't taken for one that can't be reached.
+func TestWorkerThatDefersSeveralNodesIsTakenLast(t *testing.T) {
+	registry := withPlain(2)
+	deferring := PeerReport{Deferring: []fleet.EngineID{"p0"}}
+	registry.ObservePeer(0, "a", deferring)
+	chosen := make(map[fleet.EngineID]bool)
+	for range 50 {
+		chosen[choosePlain(t, registry, 0).Worker.ID] = true
+	}
+	assert.Len(t, chosen, 2, "it may reject the requests of one node alone")
+	registry.ObservePeer(0, "b", deferring)
+	for range 50 {
+		assert.EqualValues(t, "p1", choosePlain(t, registry, 0).Worker.ID)
+	}
+	assert.Empty(t, registry.Doubtful(0))
+	registry.ObserveDraining(DrainingRun{Worker: "p1"})
+	assert.EqualValues(t, "p0", choosePlain(t, registry, 0).Worker.ID, "there is nobody else")
+}
+
 // TestPlacementToldAtOnceCountsUntilTheNextReport.
 func TestPlacementToldAtOnceCountsUntilTheNextReport(t *testing.T) {
 	reports := newPeerReports()
@@ -89,7 +108,7 @@
 		switch random.IntN(4) {
 		case 0, 1:
 			kept.observe(now, node, PeerReport{
-				Loads: []Load{load, {Engine: "all", InFlight: 1}}, Suspects: []fleet.EngineID{id()},
+				Loads: []Load{load, {Engine: "all", InFlight: 1}}, Suspects: []fleet.EngineID{id()}, Deferring: []fleet.EngineID{id()},
 				Orders: map[fleet.EngineID]time.Duration{id(): now + time.Duration(random.IntN(2000))*time.Millisecond},
 				Work:   map[fleet.PoolName]Work{"s": {Long: time.Duration(random.IntN(50)), Short: 1}},
 			})
--- a/internal/gateway/backoffs.go
+++ b/internal/gateway/backoffs.go
@@ -11,6 +11,7 @@
 
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/rpc"
 	"github.com/tillerfall/tillerfall/internal/workerbackoff"
 )
 
@@ -93,10 +94,10 @@
 	b.any.Store(!b.ledger.Empty())
 }
 
-// closing counts the workers that are to get nothing.
-func (b *workerBackoffs) closing(now time.Duration) int {
+// closing returns the workers that are to get nothing.
+func (b *workerBackoffs) closing(now time.Duration) []fleet.EngineID {
 	if !b.any.Load() {
-		return 0
+		return nil
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -119,6 +120,23 @@
 		Dur("retry_after", wait).Bool("longer", longer).Msg("worker_notice")
 }
 
+// deferringOf returns the workers that have asked another node for no requests, if it is of this
+// node's zone: a worker may reject the requests of one zone alone.
+func (g *Gateway) deferringOf(report *rpc.LoadReport) []fleet.EngineID {
+	if len(report.GetDeferring()) == 0 {
+		return nil
+	}
+	member, found := g.peers.View().Find(fleet.NodeID(report.GetNode()))
+	if !found || member.Zone != g.settings().Zone {
+		return nil
+	}
+	deferring := make([]fleet.EngineID, len(report.GetDeferring()))
+	for index, worker := range report.GetDeferring() {
+		deferring[index] = fleet.EngineID(worker)
+	}
+	return deferring
+}
+
 // awaitBackoff waits until a worker may be called for the gateway's own sake.
 func (g *Gateway) awaitBackoff(ctx context.Context, run workerbackoff.Run) {
 	for ctx.Err() == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -344,7 +344,7 @@
 		}
 		g.upstreams.Sweep()
 		g.reportLimits()
-		g.metrics.backingOff.Set(float64(g.backoffs.closing(g.now())))
+		g.metrics.backingOff.Set(float64(len(g.backoffs.closing(g.now()))))
 		g.idle.sweep(g.now(), g.idleLimit())
 		g.crashes.sweep(g.now())
 		g.sweepQuarantines()
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
 	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
 // TestOnlyAWorkersOwnAnswerTellsThatItDrains: an answer of another run, of whoever has the address
@@ -72,3 +74,30 @@
 	told.workers.Observe(2, worker)
 	assert.Empty(t, told.loadReport("other").GetDraining(), "the row says so")
 }
+
+// TestBackoffsAreToldWithinAZone since a worker may reject the requests of one zone alone.
+func TestBackoffsAreToldWithinAZone(t *testing.T) {
+	g := idleGateway(t)
+	worker := backends.Worker{ID: "w", Address: "10.0.0.1:1", Service: "app", Slots: 1}
+	g.noteAnswerNotice(&worker, 0, AnswerInfo{NotExecuted: true, Notice: Notice{RetryAfter: time.Second}})
+	report := g.loadReport("other")
+	assert.Equal(t, []string{"w"}, report.GetDeferring())
+	assert.Equal(t, []fleet.EngineID{"w"}, g.deferringOf(report))
+	report.Node = "of another zone"
+	assert.Empty(t, g.deferringOf(report))
+}
+
+// TestSuccessSentBeforeABackoffDoesNotEndIt nor does what isn't the worker's own answer.
+func TestSuccessSentBeforeABackoffDoesNotEndIt(t *testing.T) {
+	g := idleGateway(t)
+	worker := backends.Worker{ID: "w", Address: "10.0.0.1:1", Service: "app", Slots: 1}
+	g.noteAnswerNotice(&worker, 0, AnswerInfo{Notice: Notice{RetryAfter: time.Hour}})
+	assert.NoError(t, g.permitWorker(&worker), "nobody signed it")
+	asked := g.now()
+	g.noteAnswerNotice(&worker, asked, AnswerInfo{NotExecuted: true, Notice: Notice{RetryAfter: time.Hour}})
+	g.noteAnswerNotice(&worker, asked-time.Millisecond, AnswerInfo{Signed: true})
+	g.noteAnswerNotice(&worker, asked+time.Minute, AnswerInfo{Signed: true, Notice: Notice{Misdirected: true}})
+	assert.ErrorIs(t, g.permitWorker(&worker), errBackoff)
+	g.forgetFormerRun("w")
+	assert.NoError(t, g.permitWorker(&worker), "another run")
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -224,6 +224,9 @@
 			Worker: string(id), RemainingMillis: uint32(remaining.Milliseconds()),
 		})
 	}
+	for _, worker := range g.backoffs.closing(now) {
+		report.Deferring = append(report.Deferring, string(worker))
+	}
 	for _, run := range g.workers.DrainingUnlisted() {
 		report.Draining = append(report.Draining, &rpc.DrainingRun{Worker: string(run.Worker), Born: uint64(run.Born)})
 	}
@@ -302,7 +305,7 @@
 		}
 	}
 	g.workers.ObservePeer(now, fleet.NodeID(report.GetNode()), backends.PeerReport{
-		Loads: g.decodeLoads(report.GetLoads()), Suspects: suspects, Orders: orders, Work: work,
+		Loads: g.decodeLoads(report.GetLoads()), Suspects: suspects, Orders: orders, Work: work, Deferring: g.deferringOf(report),
 	})
 	for _, run := range report.GetDraining() {
 		g.observeDraining(backends.DrainingRun{Worker: fleet.EngineID(run.GetWorker()), Born: backends.StartTime(run.GetBorn())}, noticeByPeer)
--- a/internal/workerbackoff/ledger.go
+++ b/internal/workerbackoff/ledger.go
@@ -10,6 +10,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
@@ -117,15 +118,16 @@
 // Forget drops the backoff of a worker whose run has ended.
 func (l *Ledger) Forget(worker fleet.EngineID) { delete(l.entries, worker) }
 
-// Closing counts the runs that are to get no request at a time.
-func (l *Ledger) Closing(now time.Duration) int {
-	count := 0
-	for _, known := range l.entries {
+// Closing returns the workers that are to get no request at a time, by identifier.
+func (l *Ledger) Closing(now time.Duration) []fleet.EngineID {
+	var closing []fleet.EngineID
+	for worker, known := range l.entries {
 		if now < known.reopens {
-			count++
+			closing = append(closing, worker)
 		}
 	}
-	return count
+	slices.Sort(closing)
+	return closing
 }
 
 // Empty tells whether no run has a backoff or is half open.
--- a/internal/workerbackoff/ledger_test.go
+++ b/internal/workerbackoff/ledger_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
 func newTestLedger() *Ledger { return NewLedger(rand.New(rand.NewPCG(1, 2))) }
@@ -25,7 +27,7 @@
 	assert.True(t, ledger.Ask(2*time.Second, testRun, 4*time.Second), "a longer one extends it")
 	assert.Positive(t, ledger.Closed(6*time.Second-1, testRun))
 	assert.Zero(t, ledger.Closed(6*time.Second+mostSpread, testRun))
-	assert.Equal(t, 1, ledger.Closing(5*time.Second))
+	assert.Equal(t, []fleet.EngineID{"w"}, ledger.Closing(5*time.Second))
 }
 
 // TestBackoffOfAnyLengthEnds: an hour is an hour, and nothing overflows.
