Count the wait of a call that watches another node once

Cause: the node that is asked tells the age of its proof when it answers, up to the wait of the call after the call came; the one that asks counted that age from the call's start, so that the wait was in it twice: 601 ms instead of 301 for a wait of 300 ms.

The answer now tells for how long the call was held, read before the age of the proof, and never counted beyond the present.

TestProofOfAnotherNodeIsNoOlderForTheWaitOfTheCall fails without it (601 ms).

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -174,8 +174,8 @@
 }
 
 // takeWatch takes a peer's answer in. A peer that proved at its answer what it
-// holds by a proof of an age proves the same here, as of the call's start less
-// that age.
+// holds by a proof of an age proves the same here, as of the call's start and the
+// time for which the peer held the call, less that age.
 func (g *Gateway) takeWatch(source fleet.NodeID, begun time.Duration, response *rpc.WatchResponse) watchOutcome {
 	g.learnNamed(response.GetNamed())
 	g.takeDirectives(begun, response.GetDeliveries())
@@ -204,7 +204,8 @@
 	proven := response.GetProofAgeMillis() > 0
 	age := time.Duration(response.GetProofAgeMillis()) * time.Millisecond
 	if proven {
-		g.fresh.Prove(begun - age)
+		held := time.Duration(response.GetHeldMillis()) * time.Millisecond
+		g.fresh.Prove(min(begun+held, g.now()) - age)
 		g.noteKnown()
 	}
 	if moved := g.sources.answered(g.now(), source, age, proven); moved {
@@ -249,7 +250,8 @@
 // answerWatch answers another node's call: at once if this node knows more than
 // the caller, else when it does or when the wait is over.
 func (g *Gateway) answerWatch(ctx context.Context, request *rpc.WatchRequest) *rpc.WatchResponse {
-	g.sources.watched(g.now())
+	arrived := g.now()
+	g.sources.watched(arrived)
 	g.demand.told(g.now(), decodeRate(request.GetRequestRate()))
 	g.takeOrigins(g.now(), request.GetOrigins(), request.GetPressures())
 	wait := min(time.Duration(request.GetWaitMillis())*time.Millisecond, maxWatchWait)
@@ -261,7 +263,7 @@
 			changed = append(changed, followed.cache.Changed())
 		}
 		redirected := g.deliveries.changedAfter()
-		response, news := g.watchResponse(request)
+		response, news := g.heldResponse(request, arrived)
 		if news {
 			return response
 		}
@@ -270,7 +272,7 @@
 		case <-changed[1]:
 		case <-redirected:
 		case <-timer.C:
-			response, _ = g.watchResponse(request)
+			response, _ = g.heldResponse(request, arrived)
 			return response
 		case <-ctx.Done():
 			return response
@@ -280,6 +282,15 @@
 	}
 }
 
+// heldResponse is watchResponse for a call that has been held since it arrived. The time is read
+// before the age of the proof, so that nobody takes the proof for younger than it is.
+func (g *Gateway) heldResponse(request *rpc.WatchRequest, arrived time.Duration) (*rpc.WatchResponse, bool) {
+	held := g.now() - arrived
+	response, news := g.watchResponse(request)
+	response.HeldMillis = uint32(max(held, 0).Milliseconds())
+	return response, news
+}
+
 // watchResponse returns what this node knows beyond the caller, and whether
 // that is anything.
 func (g *Gateway) watchResponse(request *rpc.WatchRequest) (*rpc.WatchResponse, bool) {
--- /dev/null
+++ b/internal/gateway/watchproof_test.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/rpc"
+)
+
+// TestProofOfAnotherNodeIsNoOlderForTheWaitOfTheCall: the wait of a call would count twice, in the
+// age that the other node tells and in the time of the call.
+func TestProofOfAnotherNodeIsNoOlderForTheWaitOfTheCall(t *testing.T) {
+	const wait, slack = 300 * time.Millisecond, 150 * time.Millisecond
+	reader, asker := idleGateway(t), idleGateway(t)
+	reader.fresh.Prove(reader.now())
+	begun := asker.now()
+	response := reader.answerWatch(context.Background(), &rpc.WatchRequest{WaitMillis: uint32(wait.Milliseconds())})
+	asker.takeWatch("reader", begun, response)
+	age, proven := asker.fresh.Age(asker.now())
+	require.True(t, proven)
+	told, _ := reader.fresh.Age(reader.now())
+	assert.GreaterOrEqual(t, age, wait, "never younger than it is")
+	assert.Less(t, age, wait+slack)
+	assert.GreaterOrEqual(t, age+slack, told)
+}
+
+// TestProofIsNotFromTheFuture whatever another node tells of the time for which it held a call.
+func TestProofIsNotFromTheFuture(t *testing.T) {
+	g := idleGateway(t)
+	g.takeWatch("other", g.now(), &rpc.WatchResponse{ProofAgeMillis: 1, HeldMillis: 1 << 31})
+	age, proven := g.fresh.Age(g.now())
+	require.True(t, proven)
+	assert.GreaterOrEqual(t, age, time.Duration(0))
+}
