Take cached parts from engines that drain until they have gone

Callers: a prompt whose parts only a draining engine held was read again by another one, at some 160 ms for 6,300 tokens instead of some 8 for the move.

A draining engine is a source until its row goes; its follower drops its parts once its cache can't be asked any more. TestPartsAreTakenFromAnEngineThatDrains fails without it.

--- a/internal/backends/draining_test.go
+++ b/internal/backends/draining_test.go
@@ -100,3 +100,19 @@
 	assert.True(t, registry.Sendable(time.Second+lapseGrace-1, &worker))
 	assert.False(t, registry.Sendable(time.Second+lapseGrace, &worker))
 }
+
+// TestPartsAreTakenFromAnEngineThatDrains until it has gone: nobody else may hold them.
+func TestPartsAreTakenFromAnEngineThatDrains(t *testing.T) {
+	registry := withEngines()
+	cold, _ := registry.Choose(0, engineRequest("p"))
+	cold.FirstByte(0)
+	registry.parts.clear(StoreRun(testStore))
+	registry.ObserveDraining(DrainingRun{Worker: cold.Worker.ID})
+	elsewhere, _ := registry.Choose(0, engineRequest("p"))
+	assert.NotEqual(t, cold.Worker.ID, elsewhere.Worker.ID)
+	assert.Equal(t, cold.Worker.Address, elsewhere.Engine.ImportFrom)
+	elsewhere.End(0, Cancelled)
+	registry.ObserveGone(0, 50, cold.Worker.ID)
+	gone, _ := registry.Choose(0, engineRequest("p"))
+	assert.NotEqual(t, cold.Worker.Address, gone.Engine.ImportFrom)
+}
--- a/internal/backends/sources.go
+++ b/internal/backends/sources.go
@@ -61,9 +61,10 @@
 	return best
 }
 
-// sourceFits tells whether an engine may be a source for another one.
+// sourceFits tells whether an engine may be a source for another one. One that drains may be until
+// it has gone.
 func sourceFits(known, target *state, parts *scoped, model fleet.ModelName) bool {
-	return known != nil && known != target && known.listed() && known.worker.Versions[model] == parts.version
+	return known != nil && known != target && !known.gone && known.worker.Versions[model] == parts.version
 }
 
 // movePerToken predicts the time to move a token's KV cache at a bandwidth in Mbit/s over
