Keep stories and measured figures out of comments, and one fan-out for both talks

Figures that stood in comments: a serving node's memory was 24 MB at the busiest of 30 nodes and 61 MB of 100; a request and its answer have 1.1 KB and 1 KB of content in the mean, with heads, acknowledgements and one second try in ten; streams take 0.04 to 1.4 s and connections rest for up to 2 s; a look takes 0.2 to 0.4 us a worker, a hundredth of the time with 40 us a worker.

The talks about limits and about requests that end workers had the same bounded fan-out each.

--- a/internal/backends/peers.go
+++ b/internal/backends/peers.go
@@ -129,8 +129,8 @@
 	p.validUntil = min(p.validUntil, report.at+peerLoadValid)
 }
 
-// exclude takes a report out of the sum. A sum made anew for each report that comes or
-// gets too old took milliseconds of some choices at thousands of engines.
+// exclude takes a report out of the sum: a choice among thousands of engines has no time for a
+// sum made anew.
 func (p *peerReports) exclude(report *heardReport) {
 	report.counted = false
 	p.sum.heard--
--- a/internal/backends/search_spare.go
+++ b/internal/backends/search_spare.go
@@ -12,8 +12,7 @@
 
 const (
 	// lookValidPerWorker is how long a look at all workers of a service counts, for each
-	// of them: looks take about a hundredth of the time then, since one takes 0.2 to
-	// 0.4 µs a worker.
+	// of them, so that looks take a small part of the time at any number of workers.
 	lookValidPerWorker = 40 * time.Microsecond
 	// spares is the number of engines with the shortest waits that such a look keeps,
 	// spareTaken how many of them a choice takes at once.
--- a/internal/gateway/encodedupdate_test.go
+++ b/internal/gateway/encodedupdate_test.go
@@ -11,17 +11,7 @@
 	"github.com/tillerfall/tillerfall/internal/watchcache"
 )
 
-// Within seconds of the start of 79 nodes most of them took 31 workers for gone that were there,
-// and later 26 and 8 more, until the node that orders new weights knew 25 of 90 engines; the others
-// kept theirs. The rows of the store hadn't gone. What was told as complete lacked just the rows of
-// the first read:
-//
-//	event=worker_changed change=added revision=2 … 32 (31 rows) node=front-paldi-hall-4
-//	event=worker_changed change=gone revision=52 (31 rows) node=front-paldi-hall-4
-//
-// A watcher that had seen 31 changes and asked for another part of the table was to be told
-// everything, and got the compressed rows that had been made a moment before for one that had
-// seen 31 changes of the same part: the newer rows alone, marked as complete.
+// TestCompleteUpdateIsNotMadeOfChangesForAnother guards against workers that are taken for gone.
 func TestCompleteUpdateIsNotMadeOfChangesForAnother(t *testing.T) {
 	followed := &table{name: TableWorkers, cache: watchcache.New(0)}
 	value := make([]byte, 100)
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -75,14 +75,8 @@
 	}
 }
 
-// Ten gateways before a store that revokes keys within 2 s refused one request in seven while
-// nothing was wrong any more: "configuration too old". One of them read the store, the others
-// asked it; ages of 0.9 to 1.0 s in the mean and up to 1.4 s, the bound, at all of them:
-//
-//	event=request_ended reason="configuration too old" result=no_configuration status=503 node=node-9
-//
-// The wait of a call to the store followed the bound, that of a call to the node which reads
-// it didn't, nor the age from which on another one is asked.
+// TestProofsOfAnotherNodeAreRenewedBeforeTheyAreTooOld guards against requests that are refused for a
+// configuration too old while the store answers.
 func TestProofsOfAnotherNodeAreRenewedBeforeTheyAreTooOld(t *testing.T) {
 	assert.Equal(t, watchWait, watchWaitFor(5*time.Second))
 	for _, bound := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 5 * time.Second} {
--- a/internal/gateway/limittalk.go
+++ b/internal/gateway/limittalk.go
@@ -29,7 +29,7 @@
 // announceLimits tells others at once of limits that have changed by answers to this node,
 // until the process ends.
 func (g *Gateway) announceLimits() error {
-	room := make(chan struct{}, limitCalls)
+	calls := newFanout(limitCalls)
 	for {
 		select {
 		case <-g.limits.announced:
@@ -40,17 +40,7 @@
 			return nil
 		}
 		observations := g.limits.takeUntold()
-		for _, member := range g.limitPeers(observations) {
-			select {
-			case room <- struct{}{}:
-			case <-g.life.Dying():
-				return nil
-			}
-			go func() {
-				defer func() { <-room }()
-				g.tellLimits(member, observations)
-			}()
-		}
+		calls.call(g.life.Dying(), g.limitPeers(observations), func(member membership.Member) { g.tellLimits(member, observations) })
 		if !g.pause(limitPause) {
 			return nil
 		}
--- a/internal/gateway/quarantinetalk.go
+++ b/internal/gateway/quarantinetalk.go
@@ -61,22 +61,13 @@
 func (g *Gateway) tellQuarantine(records []quarantine.Record) {
 	report := &rpc.LoadReport{Node: string(g.node), Partial: true, QuarantineOnly: true}
 	report.QuarantineRecords = encodeRecords(g.now(), records)
-	room := make(chan struct{}, quarantineCalls)
-	for _, member := range g.quarantinePeers() {
-		select {
-		case room <- struct{}{}:
-		case <-g.life.Dying():
-			return
+	newFanout(quarantineCalls).call(g.life.Dying(), g.quarantinePeers(), func(member membership.Member) {
+		ctx, cancel := context.WithTimeout(g.peerCall(traffic.Quarantine, member), quarantineTimeout)
+		defer cancel()
+		if _, err := g.peers.ExchangeLoad(ctx, member.Address, report); err != nil {
+			g.metrics.shareFailures.Inc()
 		}
-		go func() {
-			defer func() { <-room }()
-			ctx, cancel := context.WithTimeout(g.peerCall(traffic.Quarantine, member), quarantineTimeout)
-			defer cancel()
-			if _, err := g.peers.ExchangeLoad(ctx, member.Address, report); err != nil {
-				g.metrics.shareFailures.Inc()
-			}
-		}()
-	}
+	})
 }
 
 // quarantinePeers returns the other nodes that carry requests, take part in the talk about
--- a/internal/nodecapacity/capacity.go
+++ b/internal/nodecapacity/capacity.go
@@ -30,11 +30,10 @@
 	// RequestProcessor is processor time in seconds, beyond what a node without requests uses.
 	RequestProcessor = 0.002
 	// RequestBytes is what a request sends over the link: its head and body to a worker and
-	// the answer to the caller, 1.1 KB and 1 KB of content in the mean, with heads, ACKs
-	// and one second try in ten.
+	// the answer to the caller, with acknowledgements and some retries.
 	RequestBytes = 4 << 10
-	// RequestSeconds is how long a request holds its connections and buffers. Streams take
-	// 0.04 to 1.4 s; connections rest for up to two seconds between two requests.
+	// RequestSeconds is how long a request holds its connections and buffers, with the time
+	// for which they rest before the next one.
 	RequestSeconds = 4
 	// requestDescriptors are the connections that a request holds: its caller's and a
 	// worker's.
@@ -50,8 +49,7 @@
 	// baseDescriptors are the connections to other nodes, to the store and to the caches
 	// that it follows.
 	baseDescriptors = 1200
-	// baseMemoryMB is the memory of a node that serves, with its index of caches: 24 MB at
-	// the busiest of 30 nodes, 61 MB of 100.
+	// baseMemoryMB is the memory of a node that serves, with its index of caches.
 	baseMemoryMB = 64
 	// talkPart is the part of a link that may be taken by what nodes tell each other.
 	talkPart = 0.5
