Bound what is remembered of draining runs that were forgotten

Found by reading: each draining worker that a node forgets, such as all of a release at a node that knows a subset, left an entry for ever. It goes an hour later; a worker that shuts down has ended by then. TestForgottenDrainingRunsStayBounded. The wait for the end of a backoff looks again each second, since timers stand still while the machine is suspended.

--- a/internal/backends/draining.go
+++ b/internal/backends/draining.go
@@ -8,6 +8,17 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
+// drainedKept is how long a draining run is remembered once it is forgotten otherwise: by then it
+// has ended, also where it served on for long.
+const drainedKept = time.Hour
+
+// drainedRun is a run that was draining when it was forgotten. It is remembered until a time, 0 if
+// that isn't set yet.
+type drainedRun struct {
+	born  StartTime
+	until time.Duration
+}
+
 // DrainingRun names a run that shuts down. Born is 0 if its start isn't known.
 type DrainingRun struct {
 	Worker fleet.EngineID
@@ -21,7 +32,7 @@
 	defer r.mutex.Unlock()
 	known := r.workers[run.Worker]
 	if known == nil {
-		r.drained[run.Worker] = max(r.drained[run.Worker], run.Born)
+		r.drained[run.Worker] = drainedRun{born: max(r.drained[run.Worker].born, run.Born)}
 		return Unchanged
 	}
 	if known.worker.Draining || otherRun(known.worker.Born, run.Born) {
@@ -41,7 +52,20 @@
 // was; the mutex is held.
 func (r *Registry) wasDraining(id fleet.EngineID, born StartTime) bool {
 	drained, found := r.drained[id]
-	return found && (drained == 0 || born <= drained)
+	return found && (drained.born == 0 || born <= drained.born)
+}
+
+// sweepDrained drops the runs that were forgotten long ago; the mutex is held.
+func (r *Registry) sweepDrained(now time.Duration) {
+	for id, drained := range r.drained {
+		switch {
+		case drained.until == 0:
+			drained.until = now + drainedKept
+			r.drained[id] = drained
+		case now >= drained.until:
+			delete(r.drained, id)
+		}
+	}
 }
 
 // Draining tells whether a worker is known to shut down.
--- a/internal/backends/draining_test.go
+++ b/internal/backends/draining_test.go
@@ -80,6 +80,18 @@
 	assert.True(t, registry.Draining("p0"))
 }
 
+// TestForgottenDrainingRunsStayBounded as workers come and go for ever.
+func TestForgottenDrainingRunsStayBounded(t *testing.T) {
+	registry := newTestRegistry()
+	for number := range 500 {
+		registry.ObserveDraining(DrainingRun{Worker: plainWorker(number).ID})
+	}
+	registry.Forget(time.Second, time.Second)
+	assert.Len(t, registry.drained, 500)
+	registry.Forget(time.Second+drainedKept, time.Second)
+	assert.Empty(t, registry.drained)
+}
+
 // TestServiceOfWhichAllDrainIsRefusedAtOnce rather than after a time in which nobody comes.
 func TestServiceOfWhichAllDrainIsRefusedAtOnce(t *testing.T) {
 	registry := withPlain(2)
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -57,9 +57,9 @@
 	// tombstones holds the revision at which a row went, for workers forgotten.
 	tombstones map[fleet.EngineID]fleet.Revision
 	// unlisted holds the workers that have said that they drain and whose rows haven't, and
-	// drained the start of the run for those forgotten that were draining.
+	// drained the runs of those forgotten that were draining.
 	unlisted  map[fleet.EngineID]bool
-	drained   map[fleet.EngineID]StartTime
+	drained   map[fleet.EngineID]drainedRun
 	peers     *peerReports
 	required  map[fleet.ModelName]WeightsVersion
 	preferred map[fleet.ModelName]WeightsVersion
@@ -114,7 +114,7 @@
 		names:      newShortNames(),
 		tombstones: make(map[fleet.EngineID]fleet.Revision),
 		unlisted:   make(map[fleet.EngineID]bool),
-		drained:    make(map[fleet.EngineID]StartTime),
+		drained:    make(map[fleet.EngineID]drainedRun),
 		peers:      newPeerReports(),
 		required:   make(map[fleet.ModelName]WeightsVersion),
 		preferred:  make(map[fleet.ModelName]WeightsVersion),
@@ -311,6 +311,7 @@
 func (r *Registry) Forget(now, keep time.Duration) []fleet.EngineID {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.sweepDrained(now)
 	var forgotten []fleet.EngineID
 	for id, known := range r.workers {
 		if known.gone && known.inFlight == 0 && now >= known.goneAt+keep {
--- a/internal/backends/subset.go
+++ b/internal/backends/subset.go
@@ -181,7 +181,7 @@
 // drop forgets a worker; the mutex is held.
 func (r *Registry) drop(id fleet.EngineID, known *state) {
 	if known.worker.Draining {
-		r.drained[id] = known.worker.Born
+		r.drained[id] = drainedRun{born: known.worker.Born}
 	}
 	delete(r.unlisted, id)
 	r.parts.remove(known.worker.Run())
--- a/internal/gateway/backoffs.go
+++ b/internal/gateway/backoffs.go
@@ -21,6 +21,10 @@
 // reasonBackoff is why a request is refused whose workers all want none.
 const reasonBackoff = "workers_in_backoff"
 
+// backoffCheck is the time between two looks at a backoff: timers stand still while the machine
+// is suspended.
+const backoffCheck = time.Second
+
 // mostOrderDelay bounds how long orders and reports wait for the end of a backoff. An order
 // concerns all nodes: without it the worker gets no requests at all once its weights are too old.
 const mostOrderDelay = 2 * time.Second
@@ -144,7 +148,7 @@
 		if closed == 0 {
 			return
 		}
-		sleep(ctx, closed)
+		sleep(ctx, min(closed, backoffCheck))
 	}
 }
 
