--- a/internal/backends/draining_test.go
+++ b/internal/backends/draining_test.go
@@ -128,3 +128,13 @@
 	gone, _ := registry.Choose(0, engineRequest("p"))
 	assert.NotEqual(t, cold.Worker.Address, gone.Engine.ImportFrom)
 }
+
+// TestDeferredRequestIsNoEvidenceAgainstItsWorker, unlike other rejections: it says when to come again.
+func TestDeferredRequestIsNoEvidenceAgainstItsWorker(t *testing.T) {
+	registry := withPlain(1)
+	choosePlain(t, registry, 0).End(0, Deferred)
+	assert.Zero(t, registry.workers["p0"].failureRate(0))
+	assert.True(t, registry.workers["p0"].settled(0))
+	choosePlain(t, registry, 0).End(0, Refused)
+	assert.Positive(t, registry.workers["p0"].failureRate(0))
+}
--- a/internal/gateway/deliveries_test.go
+++ b/internal/gateway/deliveries_test.go
@@ -229,6 +229,7 @@
 	for outcome, says := range map[backends.Outcome]bool{
 		backends.Succeeded: true, backends.Failed: true, backends.Lost: true,
 		backends.Refused: false, backends.Mismatched: false, backends.Unreachable: false, backends.Cancelled: false,
+		backends.Deferred: false,
 	} {
 		placement, _ := g.workers.Choose(g.now(), &backends.Request{Service: "app"})
 		require.NotNil(t, placement)
