Log the store's epoch, full reads of tables and rows that are dropped as older

The logs of the incident couldn't tell whether an answer of the store lacked the operator's change or held it and it was dropped. Now they can, without a change of what is done:

- store_epoch_changed: the store's answers name a higher epoch (Store-Era), with the gauge tillerfall_gateway_store_epoch;
- table_read: a table was read in full, with its revision and the position that the read replaces;
- rows_dropped: rows of an update are older than the ones held, with both revisions, and the counter tillerfall_gateway_dropped_rows_total.

Ruled out: a line for each dropped row. A full read after a stale one may hold hundreds; the line names the first one and the number.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,7 @@
 	limits            *workerLimits
 	backoffs          *workerBackoffs
 	unknownHeaders    *unknownHeaders
+	storeEpoch        *storeEpoch
 	rollout           *rolloutState
 	deliveries        *deliveryState
 	peers             *peer.Peer
@@ -161,6 +162,7 @@
 		limits:           newWorkerLimits(),
 		backoffs:         newWorkerBackoffs(random()),
 		unknownHeaders:   &unknownHeaders{},
+		storeEpoch:       &storeEpoch{},
 		softwareVersions: make(seenVersions),
 	}
 	g.currentSettings.Store(&settings)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,6 +27,8 @@
 	limitGrants         *prometheus.CounterVec
 	notices             *prometheus.CounterVec
 	workersInBackoff    prometheus.Gauge
+	droppedRows         *prometheus.CounterVec
+	storeEpoch          prometheus.Gauge
 
 	quarantineRefusals prometheus.Counter
 	quarantined        prometheus.Gauge
@@ -128,7 +130,14 @@
 	m.workersInBackoff = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "tillerfall_gateway_workers_in_backoff", Help: "Workers that have asked this node for no requests and get none now.",
 	})
+	m.droppedRows = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tillerfall_gateway_dropped_rows_total", Help: "Rows that were not applied since a newer one is held, by table.",
+	}, []string{"table"})
+	m.storeEpoch = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "tillerfall_gateway_store_epoch", Help: "Highest epoch that the store has reported.",
+	})
 	if registry != nil {
+		registry.MustRegister(m.droppedRows, m.storeEpoch)
 		registry.MustRegister(m.limitGrants, m.notices, m.workersInBackoff)
 		registry.MustRegister(m.workerCalls, m.limitedWorkers)
 		registry.MustRegister(m.pressure, m.refusedConnections, m.runsEndedWithWorker, m.suspensions, m.quarantineRefusals, m.quarantined, m.beforeSend)
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -23,6 +23,8 @@
 	RetryAfter time.Duration
 	// Limit is the request limit that the server advertises.
 	Limit workerlimit.AdvertisedLimit
+	// StoreEpoch is the epoch of the store that sent the response; 0 if it doesn't report one.
+	StoreEpoch fleet.StoreEpoch
 	// Unknown lists the headers about the server that the codec doesn't know.
 	Unknown []string
 	// Invalid lists the headers about the server that could not be decoded.
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -44,6 +44,7 @@
 		applyRows:  g.applyQuarantineRows,
 		onSnapshot: g.applyQuarantineSnapshot,
 		onApplied:  func() {},
+		onDropped:  g.dropHandler(TableQuarantine),
 		onProof:    func(time.Duration) {},
 	}
 }
--- a/internal/gateway/storefollower.go
+++ b/internal/gateway/storefollower.go
@@ -109,6 +109,8 @@
 	provenAt := f.clock.translate(start, f.lastResponse, update.StoreTime)
 	f.table.apply(update, f.gap)
 	if update.Complete {
+		g.logger.Info().Str("table", string(f.table.name)).Uint64("revision", uint64(update.Revision)).
+			Uint64("previous_position", uint64(f.after)).Int("rows", len(update.Rows)).Msg("table_read")
 		f.hasPosition, f.after = true, update.Revision
 		return 0
 	}
@@ -129,6 +131,7 @@
 	g := f.gateway
 	g.reportInvalidInput("", notice.Invalid)
 	g.logUnknownHeaders(noticeSource{worker: storeLogName, kind: callStore}, notice.Unknown)
+	g.observeStoreEpoch(notice.StoreEpoch)
 	if notice.RetryAfter == 0 {
 		return
 	}
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -25,6 +25,8 @@
 	onSnapshot func(update *watchcache.Update)
 	// onApplied is called last, after every update that was applied.
 	onApplied func()
+	// onDropped is called with the rows of an update that were dropped, if there are any.
+	onDropped func(dropped []watchcache.DroppedRow)
 	// onProof is called after each call that followed the changes without a gap, with a time no
 	// later than the response.
 	onProof func(at time.Duration)
@@ -45,11 +47,14 @@
 func (t *table) apply(update *watchcache.Update, changeGap gap) {
 	t.applyMutex.Lock()
 	defer t.applyMutex.Unlock()
-	changed := t.cache.Apply(update)
-	if len(changed) == 0 && !update.Complete {
+	result := t.cache.ApplyWithResult(update)
+	if len(result.Dropped) > 0 {
+		t.onDropped(result.Dropped)
+	}
+	if len(result.Changed) == 0 && !update.Complete {
 		return
 	}
-	t.applyRows(changed, changeGap)
+	t.applyRows(result.Changed, changeGap)
 	if update.Complete && t.onSnapshot != nil {
 		t.onSnapshot(update)
 	}
@@ -65,6 +70,7 @@
 			maxWait:   operatorWaitFor(g.settings().RevokeWithin),
 			applyRows: g.applyOperatorRows,
 			onApplied: g.updateReadiness,
+			onDropped: g.dropHandler(TableOperator),
 			onProof:   g.recordStoreProof,
 		},
 		{
@@ -74,11 +80,23 @@
 			pause:     workersPause,
 			applyRows: g.applyWorkerRows,
 			onApplied: g.updateReadiness,
+			onDropped: g.dropHandler(TableWorkers),
 			onProof:   func(time.Duration) {},
 		},
 	}
 }
 
+// dropHandler returns a function that counts and logs the dropped rows of a table. The line names the
+// first one.
+func (g *Gateway) dropHandler(name Table) func(dropped []watchcache.DroppedRow) {
+	return func(dropped []watchcache.DroppedRow) {
+		g.metrics.droppedRows.WithLabelValues(string(name)).Add(float64(len(dropped)))
+		first := dropped[0]
+		g.events.line("rows_dropped").Str("table", string(name)).Int("rows", len(dropped)).Str("key", first.Key).
+			Uint64("revision", uint64(first.Revision)).Uint64("kept_revision", uint64(first.KeptRevision)).Msg("rows_dropped")
+	}
+}
+
 // recordStoreProof records that this gateway itself has followed the operator table without a gap
 // up to a time.
 func (g *Gateway) recordStoreProof(at time.Duration) {
--- a/internal/watchcache/cache.go
+++ b/internal/watchcache/cache.go
@@ -139,12 +139,35 @@
 	return c.changed
 }
 
+// DroppedRow is a row of an update that was not applied because a newer one is kept.
+type DroppedRow struct {
+	Key      string
+	Revision fleet.Revision
+	// KeptRevision is the revision of the row that is kept.
+	KeptRevision fleet.Revision
+}
+
+// Result is the effect of an update.
+type Result struct {
+	// Changed lists the rows that changed.
+	Changed []Row
+	// Dropped lists the rows that are older than the kept ones.
+	Dropped []DroppedRow
+}
+
 // Apply applies an update and returns the rows that changed.
-func (c *Cache) Apply(update *Update) []Row {
+func (c *Cache) Apply(update *Update) []Row { return c.ApplyWithResult(update).Changed }
+
+// ApplyWithResult applies an update.
+func (c *Cache) ApplyWithResult(update *Update) Result {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	var changedRows []Row
+	var dropped []DroppedRow
 	for _, row := range update.Rows {
+		if existing := c.rows[row.Key]; row.Revision < existing.Revision {
+			dropped = append(dropped, DroppedRow{Key: row.Key, Revision: row.Revision, KeptRevision: existing.Revision})
+		}
 		if c.applyRow(row) {
 			changedRows = append(changedRows, row)
 		}
@@ -162,7 +185,7 @@
 		close(c.changed)
 		c.changed = make(chan struct{})
 	}
-	return changedRows
+	return Result{Changed: changedRows, Dropped: dropped}
 }
 
 // applyRow stores a row if it is newer than the existing one, and reports whether that changes the
--- a/internal/watchcache/cache_test.go
+++ b/internal/watchcache/cache_test.go
@@ -238,3 +238,11 @@
 		assert.LessOrEqual(t, len(cache.changeLog), 2*len(cache.rows)+changeLogSlack)
 	}
 }
+
+func TestDroppedRowsAreReported(t *testing.T) {
+	cache := New(0)
+	cache.Apply(completeUpdate(9, presentRow("a", 9), presentRow("b", 4)))
+	result := cache.ApplyWithResult(incrementalUpdate(9, presentRow("a", 7), presentRow("b", 4), presentRow("c", 8)))
+	assert.Equal(t, []string{"c"}, keys(result.Changed))
+	assert.Equal(t, []DroppedRow{{Key: "a", Revision: 7, KeptRevision: 9}}, result.Dropped, "b is the row that is kept")
+}
