Order rows across a restore of the store by epoch and writer, not by revision alone

What callers saw: after the store had come back from an older copy, gateways applied no configuration any more. Revoked keys went on working, and added keys and routes were refused.

Cause: a row's revision was taken as an order for ever. The store gives out revisions again after a restore, so that all later documents were older than the one held.

Change: - A revision holds the store's epoch in its upper bits. Each response is decoded with the epoch that it states; a response of a former epoch, one without an epoch after one with, and a read whose pages span a restore are refused. - A follower gives its position up when any response states a higher epoch, and doesn't use changes that follow a position of another epoch. - Within an epoch rows are ordered by revision, as before. Across epochs they are ordered by the sequence that their writer puts into them (the configuration's and the model's version, a worker's count), so that the older rows of the copy don't replace what was acknowledged.

Ruled out: dropping all rows at a restore (a gateway would go back to the copy's document until the operator has written again); the document's version as the only order (a row without one has none, and positions would still be mixed up); going by 410 (it doesn't come once the versions have been given out again).

Why it holds: an epoch's numbers are never compared with another's.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,8 +45,9 @@
 // lower ones.
 type Incarnation uint64
 
-// Revision orders accepted configurations; 0 means none. A node never replaces a revision with a
-// lower one.
+// Revision orders accepted configurations and the writes of a store; 0 means none. Its upper bits
+// hold the store's epoch, see StoreEpoch.Revision; they are 0 where there is no store that can be
+// restored. Within an epoch a node never replaces a revision with a lower one.
 type Revision uint64
 
 // FencingToken orders the holders of a lease. An engine rejects an order whose token is lower than
--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -128,8 +128,11 @@
 	// ErrTooManyRows.
 	ReadTable(ctx context.Context, table Table, continueReading func() bool) (*watchcache.Update, error)
 	// FollowTable returns the changes of a table after a revision. It waits until there is a
-	// change, for at most wait.
+	// change, for at most wait. If the store has been restored since it gave out the revision, the
+	// update is of another epoch and may lack changes, unless ErrHistoryExpired is returned.
 	FollowTable(ctx context.Context, table Table, after fleet.Revision, wait time.Duration) (*watchcache.Update, error)
+	// WriterSequence returns the position of a row's value among those that its writer has written.
+	WriterSequence(table Table, key string, value []byte) (watchcache.WriterSequence, error)
 	// DecodeOperator decodes rows of the operator table. It leaves out rows that cannot be decoded
 	// and returns the error of the first one.
 	DecodeOperator(rows []watchcache.Row) (*OperatorRows, error)
--- a/internal/gateway/deliverycodec.go
+++ b/internal/gateway/deliverycodec.go
@@ -16,7 +16,8 @@
 	encoded := &rpc.DeliveryDirective{
 		Service:      string(directive.Service),
 		Target:       string(directive.Target),
-		Revision:     uint64(directive.Revision),
+		Revision:     directive.Revision.Number(),
+		Epoch:        uint32(directive.Revision.Epoch()),
 		Sequence:     directive.Sequence,
 		Stage:        uint32(directive.Stage),
 		Issuer:       string(directive.Issuer),
@@ -49,10 +50,14 @@
 	if stage < delivery.StageCanary || stage > delivery.StageRolledBack || encoded.GetService() == "" || encoded.GetTarget() == "" {
 		return delivery.Directive{}, false
 	}
+	revision, err := decodeRevision(encoded.GetEpoch(), encoded.GetRevision())
+	if err != nil {
+		return delivery.Directive{}, false
+	}
 	directive := delivery.Directive{
 		Service:      fleet.PoolName(encoded.GetService()),
 		Target:       fleet.SoftwareVersion(encoded.GetTarget()),
-		Revision:     fleet.Revision(encoded.GetRevision()),
+		Revision:     revision,
 		Sequence:     encoded.GetSequence(),
 		Stage:        stage,
 		Issuer:       fleet.NodeID(encoded.GetIssuer()),
@@ -81,7 +86,8 @@
 
 func encodeEvidence(evidence *delivery.Evidence) *rpc.DeliveryEvidence {
 	encoded := &rpc.DeliveryEvidence{
-		Service: string(evidence.Service), Revision: uint64(evidence.Revision), Stopped: evidence.Stopped,
+		Service: string(evidence.Service), Stopped: evidence.Stopped,
+		Revision: evidence.Revision.Number(), Epoch: uint32(evidence.Revision.Epoch()),
 	}
 	for route, counts := range evidence.Old {
 		encoded.Counts = append(encoded.Counts, encodeCounts(route, "", counts))
@@ -109,7 +115,7 @@
 func decodeEvidence(encoded *rpc.DeliveryEvidence) delivery.Evidence {
 	evidence := delivery.Evidence{
 		Service:  fleet.PoolName(encoded.GetService()),
-		Revision: fleet.Revision(encoded.GetRevision()),
+		Revision: fleet.StoreEpoch(encoded.GetEpoch()).Revision(encoded.GetRevision()),
 		Old:      make(map[delivery.RouteName]*delivery.Counts),
 		New:      make(map[delivery.RouteName]map[fleet.EngineID]*delivery.Counts),
 		Stopped:  encoded.GetStopped(),
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -38,7 +38,7 @@
 func (g *Gateway) newQuarantineTable() *table {
 	return &table{
 		name:       TableQuarantine,
-		cache:      watchcache.New(0),
+		cache:      watchcache.New(watchcache.Options{}),
 		maxWait:    quarantineWatchWait,
 		pause:      workersPause,
 		applyRows:  g.applyQuarantineRows,
--- a/internal/gateway/storefollower.go
+++ b/internal/gateway/storefollower.go
@@ -58,6 +58,8 @@
 	// lastResponse is the time of the store's last response.
 	lastResponse time.Duration
 	clock        storeClock
+	// epoch is the highest store epoch that a response has stated.
+	epoch fleet.StoreEpoch
 	// backoff is the backoff that the store requested in its last response.
 	backoff time.Duration
 }
@@ -87,6 +89,7 @@
 	callCtx, stop := g.suspensionSignal.bind(ctx)
 	defer stop()
 	f.backoff = 0
+	previousEpoch := f.epoch
 	update, err := f.call(WithNoticeHandler(callCtx, f.handleNotice))
 	if ctx.Err() != nil {
 		return 0
@@ -100,17 +103,27 @@
 	if err != nil {
 		g.recordStoreCall(string(f.table.name), err, f.failures)
 		f.gap = gapAfterFailure(err, f.failures, start-f.lastResponse)
+		if f.epoch != previousEpoch {
+			f.gap = gapUnreachable
+		}
 		f.hasPosition = f.hasPosition && !errors.Is(err, ErrHistoryExpired)
 		f.failures++
 		return max(min(followRetry*time.Duration(f.failures), followRetryMax), f.backoff)
 	}
 	g.recordStoreCall(string(f.table.name), nil, f.failures)
 	f.failures, f.lastResponse = 0, g.now()
+	if !update.Complete && update.Revision.Epoch() != f.after.Epoch() {
+		// The position is of another epoch, so changes may be missing.
+		f.hasPosition = false
+		return 0
+	}
 	provenAt := f.clock.translate(start, f.lastResponse, update.StoreTime)
 	f.table.apply(update, f.gap)
 	if update.Complete {
-		g.logger.Info().Str("table", string(f.table.name)).Uint64("revision", uint64(update.Revision)).
-			Uint64("previous_position", uint64(f.after)).Int("rows", len(update.Rows)).Msg("table_read")
+		g.logger.Info().Str("table", string(f.table.name)).
+			Uint64("epoch", uint64(update.Revision.Epoch())).Uint64("revision", update.Revision.Number()).
+			Uint64("previous_epoch", uint64(f.after.Epoch())).Uint64("previous_position", f.after.Number()).
+			Int("rows", len(update.Rows)).Msg("table_read")
 		f.hasPosition, f.after = true, update.Revision
 		return 0
 	}
@@ -132,6 +145,7 @@
 	g.reportInvalidInput("", notice.Invalid)
 	g.logUnknownHeaders(noticeSource{worker: storeLogName, kind: callStore}, notice.Unknown)
 	g.observeStoreEpoch(notice.StoreEpoch)
+	f.observeEpoch(notice.StoreEpoch)
 	if notice.RetryAfter == 0 {
 		return
 	}
@@ -140,14 +154,27 @@
 	g.events.line("store_notice").Str("table", string(f.table.name)).Dur("retry_after", notice.RetryAfter).Msg("store_notice")
 }
 
+// observeEpoch gives the position up when the store has been restored: the changes since it are
+// unknown, their time is too, and the store's clock may have been set.
+func (f *storeFollower) observeEpoch(epoch fleet.StoreEpoch) {
+	if epoch <= f.epoch {
+		return
+	}
+	f.epoch = epoch
+	f.hasPosition = false
+	f.gap = gapUnreachable
+	f.clock = storeClock{}
+}
+
 // call reads the table, or its changes after the current position. The first call after a gap
 // doesn't wait, so that it renews the freshness proof at once.
 func (f *storeFollower) call(ctx context.Context) (*watchcache.Update, error) {
 	store := f.gateway.dependencies.Store
 	isPartial := f.table.cache.IsPartial()
+	known := f.table.cache.Revision()
 	switch {
-	case isPartial && !f.gateway.shouldReadAllWorkers():
-		f.after, f.hasPosition = f.table.cache.Revision(), true
+	case isPartial && known.Epoch() >= f.epoch && !f.gateway.shouldReadAllWorkers():
+		f.after, f.hasPosition = known, true
 	case isPartial, !f.hasPosition:
 		return store.ReadTable(ctx, f.table.name, f.gateway.roleSettled.Load)
 	}
--- a/internal/gateway/subsets_test.go
+++ b/internal/gateway/subsets_test.go
@@ -32,6 +32,10 @@
 	return decoded, nil
 }
 
+func (workerTable) WriterSequence(Table, string, []byte) (watchcache.WriterSequence, error) {
+	return watchcache.WriterSequence{}, nil
+}
+
 func (workerTable) DecodeOperator([]watchcache.Row) (*OperatorRows, error) {
 	return &OperatorRows{}, nil
 }
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -66,7 +66,7 @@
 	return []*table{
 		{
 			name:      TableOperator,
-			cache:     watchcache.New(0),
+			cache:     watchcache.New(watchcache.Options{WriterSequence: g.writerSequences(TableOperator), LostRows: watchcache.KeepLostRows}),
 			maxWait:   operatorWaitFor(g.settings().RevokeWithin),
 			applyRows: g.applyOperatorRows,
 			onApplied: g.updateReadiness,
@@ -75,7 +75,7 @@
 		},
 		{
 			name:      TableWorkers,
-			cache:     watchcache.New(0),
+			cache:     watchcache.New(watchcache.Options{WriterSequence: g.writerSequences(TableWorkers)}),
 			maxWait:   workersWait,
 			pause:     workersPause,
 			applyRows: g.applyWorkerRows,
@@ -86,6 +86,17 @@
 	}
 }
 
+// writerSequences returns a function that returns the writer's sequence of a row of a table.
+func (g *Gateway) writerSequences(name Table) func(key string, value []byte) watchcache.WriterSequence {
+	return func(key string, value []byte) watchcache.WriterSequence {
+		sequence, err := g.dependencies.Store.WriterSequence(name, key, value)
+		if err != nil {
+			g.reportInvalidInput("", []InvalidInput{{Source: string(name), Key: key, Err: err}})
+		}
+		return sequence
+	}
+}
+
 // dropHandler returns a function that counts and logs the dropped rows of a table. The line names the
 // first one.
 func (g *Gateway) dropHandler(name Table) func(dropped []watchcache.DroppedRow) {
@@ -93,7 +104,8 @@
 		g.metrics.droppedRows.WithLabelValues(string(name)).Add(float64(len(dropped)))
 		first := dropped[0]
 		g.events.line("rows_dropped").Str("table", string(name)).Int("rows", len(dropped)).Str("key", first.Key).
-			Uint64("revision", uint64(first.Revision)).Uint64("kept_revision", uint64(first.KeptRevision)).Msg("rows_dropped")
+			Uint64("epoch", uint64(first.Revision.Epoch())).Uint64("revision", first.Revision.Number()).
+			Uint64("kept_epoch", uint64(first.KeptRevision.Epoch())).Uint64("kept_revision", first.KeptRevision.Number()).Msg("rows_dropped")
 	}
 }
 
@@ -116,7 +128,7 @@
 	for _, desired := range decoded.DesiredVersions {
 		if g.rollout.setDesired(changedAt, ageKnown, desired) {
 			g.logger.Info().Str("model", string(desired.Model)).Uint64("version", uint64(desired.Version)).
-				Uint64("revision", uint64(desired.Revision)).Dur("age", now-changedAt).Bool("age_known", ageKnown).Msg("weights_named")
+				Uint64("epoch", uint64(desired.Revision.Epoch())).Uint64("revision", desired.Revision.Number()).Dur("age", now-changedAt).Bool("age_known", ageKnown).Msg("weights_named")
 		}
 	}
 	if decoded.Document != nil {
@@ -162,7 +174,7 @@
 				g.workers.SetMemoryCapacity(service.Name, service.Engine.CapacityTokens)
 			}
 		}
-		g.logger.Info().Uint64("version", uint64(compiled.Version())).Uint64("revision", uint64(rows.DocumentRevision)).
+		g.logger.Info().Uint64("version", uint64(compiled.Version())).Uint64("epoch", uint64(rows.DocumentRevision.Epoch())).Uint64("revision", rows.DocumentRevision.Number()).
 			Int("routes", len(rows.Document.Routes)).Int("tenants", len(rows.Document.Tenants)).Msg("configuration_in_force")
 	}
 }
@@ -180,7 +192,7 @@
 		g.handleWorkerChange(row.Worker, change)
 		if change != backends.Unchanged && len(decoded) <= maxLoggedWorkers {
 			g.logger.Info().Str("worker", string(row.Worker.ID)).Str("address", string(row.Worker.Address)).
-				Str("service", string(row.Worker.Service)).Uint64("revision", uint64(row.Revision)).
+				Str("service", string(row.Worker.Service)).Uint64("epoch", uint64(row.Revision.Epoch())).Uint64("revision", row.Revision.Number()).
 				Str("change", string(change)).Msg("worker_changed")
 		}
 	}
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -14,7 +14,7 @@
 // A complete update must not be encoded from cached changes: the watcher would drop workers that
 // are still there.
 func TestCompleteUpdateIsNotCachedAsChanges(t *testing.T) {
-	followed := &table{name: TableWorkers, cache: watchcache.New(0)}
+	followed := &table{name: TableWorkers, cache: watchcache.New(watchcache.Options{})}
 	value := make([]byte, 100)
 	write := func(from, to int) {
 		update := &watchcache.Update{}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -340,14 +340,16 @@
 // ask for the same part after the same position.
 func (t *table) encode(after uint64, update *watchcache.Update, part uint64) *rpc.TableUpdate {
 	message := &rpc.TableUpdate{
-		Table: string(t.name), Revision: uint64(update.Revision), Complete: update.Complete, Sequence: update.Sequence,
-		Followed: uint64(update.WatchedRevision),
+		Table: string(t.name), Complete: update.Complete, Sequence: update.Sequence,
+		Revision: update.Revision.Number(), Epoch: uint32(update.Revision.Epoch()),
+		Followed: update.WatchedRevision.Number(), FollowedEpoch: uint32(update.WatchedRevision.Epoch()),
 	}
 	size := 0
 	for _, row := range update.Rows {
 		size += len(row.Key) + len(row.Value)
 		message.Rows = append(message.Rows, &rpc.TableRow{
-			Key: row.Key, Revision: uint64(row.Revision), Value: row.Value, Gone: row.Deleted,
+			Key: row.Key, Value: row.Value, Gone: row.Deleted,
+			Revision: row.Revision.Number(), Epoch: uint32(row.Revision.Epoch()),
 		})
 	}
 	if size < compressThreshold {
@@ -396,14 +398,30 @@
 		}
 		rows = decompressed.GetRows()
 	}
-	update := &watchcache.Update{
-		Revision: fleet.Revision(message.GetRevision()), Complete: message.GetComplete(), Sequence: message.GetSequence(),
-		WatchedRevision: fleet.Revision(message.GetFollowed()),
+	revision, err := decodeRevision(message.GetEpoch(), message.GetRevision())
+	if err != nil {
+		return nil, err
+	}
+	watched, err := decodeRevision(message.GetFollowedEpoch(), message.GetFollowed())
+	if err != nil {
+		return nil, err
 	}
+	update := &watchcache.Update{Revision: revision, Complete: message.GetComplete(), Sequence: message.GetSequence(), WatchedRevision: watched}
 	for _, row := range rows {
-		update.Rows = append(update.Rows, watchcache.Row{
-			Key: row.GetKey(), Revision: fleet.Revision(row.GetRevision()), Value: row.GetValue(), Deleted: row.GetGone(),
-		})
+		written, err := decodeRevision(row.GetEpoch(), row.GetRevision())
+		if err != nil {
+			return nil, errors.Wrapf(err, "row %q", row.GetKey())
+		}
+		update.Rows = append(update.Rows, watchcache.Row{Key: row.GetKey(), Revision: written, Value: row.GetValue(), Deleted: row.GetGone()})
 	}
 	return update, nil
 }
+
+// decodeRevision decodes a revision of the store. A peer that doesn't know of epochs sends 0, the
+// lowest one.
+func decodeRevision(epoch uint32, number uint64) (fleet.Revision, error) {
+	if uint64(epoch) > uint64(fleet.MaxStoreEpoch) || number > fleet.MaxRevisionNumber {
+		return 0, errors.Errorf("revision %d of epoch %d is too high", number, epoch)
+	}
+	return fleet.StoreEpoch(epoch).Revision(number), nil
+}
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -112,6 +112,27 @@
 	assert.Equal(t, time.Second, holder.Current().InstalledAt)
 }
 
+// TestHolderFollowsVersionsOverRestores guards against a restored store's older document that replaces
+// the active table, and against newer ones that are refused for their lower revisions.
+func TestHolderFollowsVersionsOverRestores(t *testing.T) {
+	holder := NewHolder()
+	for _, step := range []struct {
+		epoch     fleet.StoreEpoch
+		number    uint64
+		version   fleet.Revision
+		installed bool
+	}{
+		{1, 57, 21, true}, {2, 45, 9, false}, {2, 50, 21, true}, {1, 57, 21, false}, {2, 52, 25, true}, {1, 58, 23, false}, {1, 60, 27, true}, {2, 53, 25, false},
+	} {
+		document := testDocument()
+		document.Version = step.version
+		table, err := Compile(document)
+		require.NoError(t, err)
+		assert.Equal(t, step.installed, holder.InstallIfNewer(0, step.epoch.Revision(step.number), table), "%+v", step)
+	}
+	assert.EqualValues(t, 27, holder.Current().Table.Version())
+}
+
 // TestLateProofDoesNotRenewFreshness guards against an older proof that arrives late and replaces a
 // newer one.
 func TestLateProofDoesNotRenewFreshness(t *testing.T) {
--- a/internal/watchcache/cache.go
+++ b/internal/watchcache/cache.go
@@ -6,6 +6,11 @@
 // that has seen all changes up to a number misses none, even if the store delivers an older
 // revision late.
 //
+// A store that is restored from an older copy gives out revisions again, in the next epoch. Revisions
+// order rows within an epoch only. Rows of different epochs are ordered by the sequence numbers that
+// their writers put into them, as far as the table has any, so that a restored older row doesn't
+// replace the newer one that the store has lost. See restored.go.
+//
 // The package has no I/O and no clock. A Cache is safe for concurrent use.
 package watchcache
 
@@ -52,8 +57,21 @@
 // DefaultMaxTombstones limits the tombstones of a Cache.
 const DefaultMaxTombstones = 4096
 
+// Options configures a Cache.
+type Options struct {
+	// MaxTombstones limits the tombstones. If it is not positive, the default applies.
+	MaxTombstones int
+	// WriterSequence returns the position that a row's writer has put into its value, or the zero
+	// value if there is none. If nil, no row has one.
+	WriterSequence func(key string, value []byte) WriterSequence
+	// LostRows is what happens to rows that a restored store has lost.
+	LostRows LostRows
+}
+
 // Cache is an in-memory copy of a table, or of a part of it.
 type Cache struct {
+	options Options
+
 	mutex sync.Mutex
 	rows  map[string]entry
 	// snapshotRevision is the highest revision of a complete update; 0 before the first.
@@ -71,14 +89,15 @@
 	sequence       uint64
 	prunedSequence uint64
 	tombstones     int
-	maxTombstones  int
 	changed        chan struct{}
 }
 
-// entry is a row and the sequence number of its last change.
+// entry is a row and the sequence number of its last change in the cache.
 type entry struct {
 	Row
 	sequence uint64
+	// writerSequence is that of the row that a tombstone has replaced.
+	writerSequence WriterSequence
 }
 
 // change is a sequence number and the key of the row that changed.
@@ -87,12 +106,12 @@
 	key      string
 }
 
-// New returns an empty cache. If maxTombstones is not positive, the default applies.
-func New(maxTombstones int) *Cache {
-	if maxTombstones <= 0 {
-		maxTombstones = DefaultMaxTombstones
+// New returns an empty cache.
+func New(options Options) *Cache {
+	if options.MaxTombstones <= 0 {
+		options.MaxTombstones = DefaultMaxTombstones
 	}
-	return &Cache{rows: make(map[string]entry), maxTombstones: maxTombstones, changed: make(chan struct{})}
+	return &Cache{options: options, rows: make(map[string]entry), changed: make(chan struct{})}
 }
 
 // HasSnapshot reports whether the cache has received a complete update.
@@ -153,6 +172,9 @@
 	Changed []Row
 	// Dropped lists the rows that are older than the kept ones.
 	Dropped []DroppedRow
+	// Lost lists the rows of a former epoch that a complete update of a restored store lacks. They
+	// have been treated as Options.LostRows says.
+	Lost []Row
 }
 
 // Apply applies an update and returns the rows that changed.
@@ -165,16 +187,20 @@
 	var changedRows []Row
 	var dropped []DroppedRow
 	for _, row := range update.Rows {
-		if existing := c.rows[row.Key]; row.Revision < existing.Revision {
+		existing, found := c.rows[row.Key]
+		if found && row.Revision != existing.Revision && !c.isNewer(&row, &existing) {
 			dropped = append(dropped, DroppedRow{Key: row.Key, Revision: row.Revision, KeptRevision: existing.Revision})
 		}
 		if c.applyRow(row) {
 			changedRows = append(changedRows, row)
 		}
 	}
+	var lost []Row
 	firstSnapshot := false
 	if update.Complete {
-		changedRows = append(changedRows, c.deleteMissing(update)...)
+		var deleted []Row
+		deleted, lost = c.deleteMissing(update)
+		changedRows = append(changedRows, deleted...)
 		firstSnapshot = c.snapshotRevision == 0
 		c.partial = update.Filter != nil
 		c.snapshotRevision = max(c.snapshotRevision, update.Revision)
@@ -185,14 +211,14 @@
 		close(c.changed)
 		c.changed = make(chan struct{})
 	}
-	return Result{Changed: changedRows, Dropped: dropped}
+	return Result{Changed: changedRows, Dropped: dropped, Lost: lost}
 }
 
 // applyRow stores a row if it is newer than the existing one, and reports whether that changes the
 // content of the table: a tombstone for an absent row does not.
 func (c *Cache) applyRow(row Row) bool {
 	existing, found := c.rows[row.Key]
-	if found && row.Revision <= existing.Revision {
+	if found && !c.isNewer(&row, &existing) {
 		return false
 	}
 	if row.Deleted {
@@ -204,14 +230,18 @@
 
 // storeRow replaces a row, assigns the next sequence number and counts tombstones.
 func (c *Cache) storeRow(row Row) {
-	if existing, found := c.rows[row.Key]; found && existing.Deleted {
+	existing, found := c.rows[row.Key]
+	if found && existing.Deleted {
 		c.tombstones--
 	}
+	stored := entry{Row: row}
 	if row.Deleted {
 		c.tombstones++
+		stored.writerSequence = c.writerSequenceOf(&existing)
 	}
 	c.sequence++
-	c.rows[row.Key] = entry{Row: row, sequence: c.sequence}
+	stored.sequence = c.sequence
+	c.rows[row.Key] = stored
 	c.changeLog = append(c.changeLog, change{sequence: c.sequence, key: row.Key})
 }
 
@@ -228,14 +258,13 @@
 const changeLogSlack = 64
 
 // deleteMissing deletes the rows that a complete update does not list, unless they are newer than
-// the update, and evicts those outside its filter. It returns the deleted rows in order of their
-// keys.
-func (c *Cache) deleteMissing(update *Update) []Row {
+// the update, and evicts those outside its filter. Rows that a restored store has lost are treated
+// as the options say. It returns the deleted and the lost rows in order of their keys.
+func (c *Cache) deleteMissing(update *Update) (deleted, lost []Row) {
 	listed := make(map[string]bool, len(update.Rows))
 	for _, row := range update.Rows {
 		listed[row.Key] = true
 	}
-	var deleted []Row
 	for key, existing := range c.rows {
 		if update.Filter != nil && !update.Filter(key) && !listed[key] {
 			c.evict(key, &existing)
@@ -244,13 +273,29 @@
 		if existing.Deleted || listed[key] || existing.Revision > update.Revision {
 			continue
 		}
+		if existing.Revision.Epoch() != update.Revision.Epoch() {
+			lost = append(lost, existing.Row)
+			if c.options.LostRows != DeleteLostRows {
+				continue
+			}
+		}
 		deleted = append(deleted, Row{Key: key, Revision: max(update.Revision, existing.Revision+1), Deleted: true})
 	}
-	slices.SortFunc(deleted, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	sortByKey(deleted)
+	sortByKey(lost)
 	for _, row := range deleted {
 		c.storeRow(row)
 	}
-	return deleted
+	if c.options.LostRows == EvictLostRows {
+		for _, row := range lost {
+			c.evict(row.Key, &entry{Row: row})
+		}
+	}
+	return deleted, lost
+}
+
+func sortByKey(rows []Row) {
+	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
 }
 
 // evict removes a row without a tombstone: it is not deleted, but no longer kept.
@@ -263,7 +308,7 @@
 
 // pruneTombstones removes the older half of the tombstones if there are too many.
 func (c *Cache) pruneTombstones() {
-	if c.tombstones <= c.maxTombstones {
+	if c.tombstones <= c.options.MaxTombstones {
 		return
 	}
 	sequences := make([]uint64, 0, c.tombstones)
--- a/internal/watchcache/cache_test.go
+++ b/internal/watchcache/cache_test.go
@@ -40,7 +40,7 @@
 }
 
 func TestAfterReturnsChangesSinceSequence(t *testing.T) {
-	cache := New(0)
+	cache := New(Options{})
 	assert.Nil(t, cache.After(0), "no snapshot yet")
 	changed := cache.Changed()
 	assert.Equal(t, []string{"a", "b"}, keys(cache.Apply(completeUpdate(5, presentRow("a", 3), presentRow("b", 5)))))
@@ -58,7 +58,7 @@
 
 // A complete update without rows must count as a snapshot and notify watchers.
 func TestEmptyTableCountsAsSnapshot(t *testing.T) {
-	cache := New(0)
+	cache := New(Options{})
 	changed := cache.Changed()
 	cache.Apply(completeUpdate(3))
 	<-changed
@@ -68,7 +68,7 @@
 
 // Late and stale updates must not replace newer rows.
 func TestStaleUpdatesAreIgnored(t *testing.T) {
-	cache := New(0)
+	cache := New(Options{})
 	cache.Apply(completeUpdate(9, presentRow("a", 9), presentRow("b", 4)))
 	assert.Equal(t, []string{"-b"}, keys(cache.Apply(completeUpdate(6, presentRow("a", 2)))), "b was deleted before 6, a is newer")
 	assert.Empty(t, cache.Apply(incrementalUpdate(8, deletedRow("a", 8))))
@@ -77,7 +77,7 @@
 
 // A change that the store delivers after newer ones must still reach watchers.
 func TestLateOlderRevisionReachesWatchers(t *testing.T) {
-	cache, watcher := New(0), New(0)
+	cache, watcher := New(Options{}), New(Options{})
 	cache.Apply(completeUpdate(5, presentRow("a", 5)))
 	cache.Apply(incrementalUpdate(9, presentRow("b", 9)))
 	seen := cache.After(0)
@@ -89,7 +89,7 @@
 // A complete update must delete the older rows that it does not list, whether it comes from the
 // store or from a cache.
 func TestCompleteUpdateDeletesMissingRows(t *testing.T) {
-	cache, other := New(0), New(0)
+	cache, other := New(Options{}), New(Options{})
 	cache.Apply(completeUpdate(5, presentRow("a", 5), presentRow("b", 5), presentRow("c", 5)))
 	cache.Apply(incrementalUpdate(8, presentRow("c", 8)))
 	assert.Equal(t, []string{"-b"}, keys(cache.Apply(completeUpdate(7, presentRow("a", 5)))), "c is newer than the update")
@@ -99,7 +99,7 @@
 }
 
 func TestPrunedTombstonesForceCompleteUpdate(t *testing.T) {
-	cache := New(4)
+	cache := New(Options{MaxTombstones: 4})
 	cache.Apply(completeUpdate(1, presentRow("x", 1)))
 	sequences := []uint64{cache.After(0).Sequence}
 	for revision := fleet.Revision(2); revision < 12; revision++ {
@@ -117,9 +117,9 @@
 func TestChainedCachesConverge(t *testing.T) {
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		store := New(0)
+		store := New(Options{})
 		store.Apply(completeUpdate(1))
-		chain := []*Cache{store, New(0), New(0)}
+		chain := []*Cache{store, New(Options{}), New(Options{})}
 		positions := make([]uint64, len(chain))
 		var delayed []*Update
 		var delayedTargets []int
@@ -167,7 +167,7 @@
 // An update with a filter must evict the other rows without deleting them, so that they can return
 // at their own revision.
 func TestFilteredUpdateEvictsWithoutDeleting(t *testing.T) {
-	cache := New(0)
+	cache := New(Options{})
 	cache.Apply(completeUpdate(9, presentRow("a1", 1), presentRow("a2", 2), presentRow("b1", 3), deletedRow("b2", 4)))
 	assert.True(t, cache.IsComplete())
 	hasPrefixA := func(key string) bool { return key[0] == 'a' }
@@ -184,7 +184,7 @@
 
 // The revision to watch from must never decrease, and the snapshot's revision must not follow it.
 func TestRevisionNeverDecreases(t *testing.T) {
-	cache := New(0)
+	cache := New(Options{})
 	cache.Apply(completeUpdate(9, presentRow("a", 1)))
 	assert.EqualValues(t, 9, cache.Revision())
 	cache.Advance(12)
@@ -197,7 +197,7 @@
 // A row that the store skipped in a watch, after compacting its history, must not be taken for
 // deleted by a follower that already has it: it could never return at its own revision.
 func TestRowSkippedByWatchIsNotDeleted(t *testing.T) {
-	first, follower := New(0), New(0)
+	first, follower := New(Options{}), New(Options{})
 	first.Apply(completeUpdate(10, presentRow("a", 1)))
 	first.Advance(20)
 	follower.Apply(completeUpdate(16, presentRow("a", 1), presentRow("b", 15)))
@@ -210,7 +210,7 @@
 func TestAfterMatchesFullScan(t *testing.T) {
 	for seed := range uint64(20) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		cache := New(8)
+		cache := New(Options{MaxTombstones: 8})
 		cache.Apply(completeUpdate(1))
 		for step := range 300 {
 			key := strconv.Itoa(random.IntN(30))
@@ -240,7 +240,7 @@
 }
 
 func TestDroppedRowsAreReported(t *testing.T) {
-	cache := New(0)
+	cache := New(Options{})
 	cache.Apply(completeUpdate(9, presentRow("a", 9), presentRow("b", 4)))
 	result := cache.ApplyWithResult(incrementalUpdate(9, presentRow("a", 7), presentRow("b", 4), presentRow("c", 8)))
 	assert.Equal(t, []string{"c"}, keys(result.Changed))
--- /dev/null
+++ b/internal/watchcache/restored.go
@@ -0,0 +1,83 @@
+package watchcache
+
+import "cmp"
+
+// LostRows is what happens to the rows of a former epoch that a complete update of a restored store
+// does not list. Such a row was written after the copy was made, or deleted since the store was
+// restored.
+type LostRows int
+
+// Treatments of lost rows.
+const (
+	// DeleteLostRows deletes them until their writers have written them again.
+	DeleteLostRows LostRows = iota
+	// KeepLostRows keeps them: what the store has acknowledged stays in force, and its writer is to
+	// write it again.
+	KeepLostRows
+	// EvictLostRows removes them without marking them as deleted. The owner of the cache is told,
+	// and writes them again.
+	EvictLostRows
+)
+
+// WriterSequence orders the writes of one row by its writer, across epochs of the store. The zero
+// value means that the position is unknown.
+type WriterSequence struct {
+	// Run orders the runs of a writer that counts its writes from the start of each run; 0 for other
+	// writers.
+	Run uint64
+	// Number increases with each change that the writer makes.
+	Number uint64
+}
+
+// compare returns a negative number if s is before other, and a positive one if it is after.
+func (s WriterSequence) compare(other WriterSequence) int {
+	return cmp.Or(cmp.Compare(s.Run, other.Run), cmp.Compare(s.Number, other.Number))
+}
+
+func (s WriterSequence) isKnown() bool { return s != WriterSequence{} }
+
+// isNewer reports whether a row replaces the existing row or tombstone of its key.
+//
+// In different epochs the writer's sequence decides first. A row with the sequence of the existing
+// one is the same write: it moves the row to its new epoch, but doesn't undo a deletion, since the
+// copy was made before that. Without sequences the higher epoch decides.
+func (c *Cache) isNewer(row *Row, existing *entry) bool {
+	if row.Revision.Epoch() == existing.Revision.Epoch() {
+		return row.Revision > existing.Revision
+	}
+	incoming := c.writerSequenceOf(&entry{Row: *row})
+	kept := c.writerSequenceOf(existing)
+	if !incoming.isKnown() || !kept.isKnown() {
+		return row.Revision > existing.Revision
+	}
+	if order := incoming.compare(kept); order != 0 {
+		return order > 0
+	}
+	return !existing.Deleted && row.Revision > existing.Revision
+}
+
+// writerSequenceOf returns the writer's sequence of a row, or of the row that a tombstone has
+// replaced.
+func (c *Cache) writerSequenceOf(stored *entry) WriterSequence {
+	if stored.Deleted {
+		return stored.writerSequence
+	}
+	if c.options.WriterSequence == nil || stored.Key == "" {
+		return WriterSequence{}
+	}
+	return c.options.WriterSequence(stored.Key, stored.Value)
+}
+
+// IsAheadOfStore reports whether a row is kept that a restored store lacks or holds in an older
+// state.
+func (c *Cache) IsAheadOfStore() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	epoch := c.snapshotRevision.Epoch()
+	for _, row := range c.rows {
+		if !row.Deleted && row.Revision.Epoch() < epoch {
+			return true
+		}
+	}
+	return false
+}
