Keep one holder and rising tokens when the store loses the lease

What callers saw: after a restore of the store nobody gave orders for 7 s, until a gateway that hadn't seen the lost writes stood in; requests were served on replaced model versions meanwhile.

Cause: the lease's client refused a row that had been written fewer times than it had seen ("stale read"), for ever. What would have followed without that: the row of the copy names an earlier holder or none, so that another process takes the lease while the last holder still relies on it; and the next token is one that workers have seen from another holder.

Change: a lease record states the epoch in which it was written. - A row of another epoch than that of its read says nothing of the holder. The last holder writes it again, with its token, while its lease lasts.

Ruled out: taking the lease over at once where the copy's record has expired by the store's clock (the lost renewal may be younger).

The stand-in store's first epoch is 0. With 1 and no first start a lone gateway waits for a lease before its first orders: five tests of deliveries, which begin within that time, failed so.

--- a/internal/gateway/rolloutstate.go
+++ b/internal/gateway/rolloutstate.go
@@ -85,6 +85,7 @@
 		Margin:   duration * leaseMarginNumerator / leaseMarginDenominator,
 		// A machine runs one gateway and counts as one holder.
 		Exclusive: true,
+		NeverHeld: settings.FirstStart,
 	}
 }
 
--- a/internal/gateway/storeepoch.go
+++ b/internal/gateway/storeepoch.go
@@ -27,6 +27,7 @@
 	if !increased {
 		return
 	}
+	g.lease.ObserveEpoch(epoch)
 	g.metrics.storeEpoch.Set(float64(epoch))
 	g.logger.Warn().Uint64("previous", uint64(previous)).Uint64("epoch", uint64(epoch)).Msg("store_epoch_changed")
 }
--- a/internal/lease/doc.go
+++ b/internal/lease/doc.go
@@ -13,5 +13,6 @@
 // "Leases: An Efficient Fault-Tolerant Mechanism for Distributed File Cache Consistency", SOSP
 // 1989.
 //
-// The row must never be deleted, because the tokens would restart from 1.
+// The row must never be deleted, because the tokens would restart from 1. If the table service is
+// restored from an older copy, see restore.go.
 package lease
--- a/internal/lease/election.go
+++ b/internal/lease/election.go
@@ -36,6 +36,8 @@
 type observation struct {
 	record   Record
 	revision uint64
+	// epoch is the epoch of the table service in which the row was read or written.
+	epoch fleet.StoreEpoch
 	// firstSeenAt is the end of the call that first returned this revision. The write happened no
 	// later.
 	firstSeenAt time.Duration
@@ -58,6 +60,13 @@
 
 	row          observation
 	highestToken fleet.FencingToken
+	// heldToken is the token of the last lease that this process held.
+	heldToken fleet.FencingToken
+	// epoch is the highest epoch of the table service that was observed, epochSeenAt when.
+	epoch       fleet.StoreEpoch
+	epochSeenAt time.Duration
+	// sawRestore is set once the row was read in two epochs.
+	sawRestore bool
 	// mustRead is set while the state of the row is unknown.
 	mustRead bool
 	// pendingCommit is the commit in flight.
@@ -102,7 +111,7 @@
 	if !e.IsHeld(now) {
 		return 0, false
 	}
-	return e.row.record.Token, true
+	return e.heldToken, true
 }
 
 // IsHeld reports whether this process holds the lease at now.
@@ -141,19 +150,19 @@
 	if now < e.nextActionAt {
 		return Action{Kind: ActionWait, Until: e.nextActionAt}
 	}
-	if e.ineligible && !e.mustRead && !e.isRecordedHolder() && !e.isHeldByEarlierRun() {
+	if e.ineligible && !e.mustRead && !e.mayContinue(now) {
 		e.nextActionAt = now + e.pollInterval()
 		return Action{Kind: ActionWait, Until: e.nextActionAt}
 	}
-	if e.mustRead || !e.canWrite(now) || e.isStoreClockStale(now) {
+	if e.mustRead || e.row.epoch < e.epoch || !e.canWrite(now) || e.isStoreClockStale(now) {
 		e.readStartedAt = now
 		return Action{Kind: ActionRead}
 	}
-	return e.startCommit(now, e.claim())
+	return e.startCommit(now, e.claim(now))
 }
 
 func (e *Election) nextRelease(now time.Duration) Action {
-	if e.resigned || e.mustRead || !e.isRecordedHolder() {
+	if e.resigned || e.mustRead || !e.isCurrent() || !e.isRecordedHolder() {
 		return Action{Kind: ActionDone}
 	}
 	e.resigned = true
@@ -166,8 +175,19 @@
 // isRecordedHolder reports whether the row as last seen names this process.
 func (e *Election) isRecordedHolder() bool { return e.row.record.Holder == e.holder }
 
+// mayContinue reports whether the lease is this process's or that of an earlier run on this machine.
+func (e *Election) mayContinue(now time.Duration) bool {
+	if !e.isCurrent() {
+		return e.IsHeld(now)
+	}
+	return e.isRecordedHolder() || e.isHeldByEarlierRun()
+}
+
 // canWrite reports whether the row is held by this process, free or expired.
 func (e *Election) canWrite(now time.Duration) bool {
+	if !e.isCurrent() {
+		return e.IsHeld(now) || e.isUnused() || now >= e.expiresAt()
+	}
 	if e.isRecordedHolder() || e.row.record.Holder == "" || e.isHeldByEarlierRun() {
 		return true
 	}
@@ -180,14 +200,19 @@
 }
 
 // claim returns the record that makes or keeps this process the holder.
-func (e *Election) claim() Record {
-	token := e.highestToken
-	if !e.isRecordedHolder() {
-		token++
+func (e *Election) claim(now time.Duration) Record {
+	claimed := Record{Holder: e.holder, DurationMillis: e.settings.Duration.Milliseconds(), Epoch: e.row.epoch}
+	switch {
+	case e.isCurrent() && e.isRecordedHolder():
+		claimed.Token = e.row.record.Token
+	case !e.isCurrent() && e.IsHeld(now):
+		claimed.Token = e.heldToken
+	default:
+		claimed.Token = e.nextToken()
 		e.predecessor = e.row.record.Holder
-		e.idleAtTakeover = time.Duration(e.row.record.IdleMillis) * time.Millisecond
+		e.idleAtTakeover = e.idleTime()
 	}
-	return Record{Holder: e.holder, Token: token, DurationMillis: e.settings.Duration.Milliseconds()}
+	return claimed
 }
 
 func (e *Election) startCommit(now time.Duration, record Record) Action {
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -66,6 +66,13 @@
 	return k.election.Fence(k.clock.Now())
 }
 
+// ObserveEpoch records that the store of the lease is in an epoch now.
+func (k *Keeper) ObserveEpoch(epoch fleet.StoreEpoch) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.election.ObserveEpoch(k.clock.Now(), epoch)
+}
+
 // Observed returns the lease record as last seen, or false before the first read.
 func (k *Keeper) Observed() (Record, bool) {
 	k.mutex.Lock()
--- a/internal/lease/outcome.go
+++ b/internal/lease/outcome.go
@@ -13,7 +13,7 @@
 func (e *Election) ReadDone(now time.Duration, row platform.Row, err error) error {
 	e.recordStoreTime(now, row.StoreTime)
 	if errors.Is(err, platform.ErrNotFound) {
-		e.observe(now, 0, Record{})
+		e.observe(now, row, Record{})
 		return nil
 	}
 	if err != nil {
@@ -25,23 +25,25 @@
 		e.nextActionAt = now + e.pollInterval()
 		return err
 	}
-	e.observe(now, row.Revision, record)
+	e.observe(now, row, record)
 	return nil
 }
 
 // observe records the row as returned by a read.
-func (e *Election) observe(now time.Duration, revision uint64, record Record) {
-	changed := revision != e.row.revision
-	if changed {
-		e.row = observation{record: record, revision: revision, firstSeenAt: now}
+func (e *Election) observe(now time.Duration, row platform.Row, record Record) {
+	e.ObserveEpoch(now, row.Epoch)
+	if row.Epoch != e.row.epoch {
+		e.observeRestoredRow(now, row, record)
+	} else if row.Revision != e.row.revision {
+		e.row = observation{record: record, revision: row.Revision, epoch: row.Epoch, firstSeenAt: now}
 	}
 	e.highestToken = max(e.highestToken, record.Token)
 	e.mustRead = false
 	e.resolveCommit()
-	if !e.isRecordedHolder() {
+	if e.isCurrent() && !e.isRecordedHolder() {
 		e.validUntil = 0
 	}
-	if e.isRecordedHolder() || record.Holder == "" || e.isHeldByEarlierRun() {
+	if e.canWrite(now) {
 		e.nextActionAt = now
 		return
 	}
@@ -56,15 +58,16 @@
 	}
 	tookEffect := e.row.revision == e.unresolvedCommit.expectedRevision+1 && e.row.record == e.unresolvedCommit.record
 	if tookEffect && e.isRecordedHolder() {
-		e.extendFrom(e.unresolvedCommit.startedAt)
+		e.extendFrom(e.unresolvedCommit)
 	}
 	e.unresolvedCommit = nil
 }
 
 // extendFrom extends the lease from a commit's start. The write took effect no earlier, so no
 // challenger's wait began before it.
-func (e *Election) extendFrom(start time.Duration) {
-	e.validUntil = start + e.settings.Duration - e.settings.Margin
+func (e *Election) extendFrom(written *commit) {
+	e.heldToken = written.record.Token
+	e.validUntil = written.startedAt + e.settings.Duration - e.settings.Margin
 }
 
 // CommitDone reports the result of an ActionCommit.
@@ -90,10 +93,10 @@
 }
 
 func (e *Election) applyCommit(now time.Duration, done *commit) {
-	e.row = observation{record: done.record, revision: done.expectedRevision + 1, firstSeenAt: now}
+	e.row = observation{record: done.record, revision: done.expectedRevision + 1, epoch: done.record.Epoch, firstSeenAt: now}
 	e.highestToken = max(e.highestToken, done.record.Token)
 	e.unresolvedCommit = nil
-	e.extendFrom(done.startedAt)
+	e.extendFrom(done)
 	e.nextActionAt = max(now, done.startedAt+e.settings.Duration/renewalsPerDuration)
 }
 
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -36,7 +36,8 @@
 type Record struct {
 	// Holder is empty after a release.
 	Holder HolderID `json:"holder"`
-	// Token increases by one with each change of holder. A release keeps it.
+	// Token increases with each change of holder: by one, or more after the table service was
+	// restored. A release keeps it.
 	Token fleet.FencingToken `json:"token"`
 	// DurationMillis is the lease duration, in milliseconds.
 	DurationMillis int64 `json:"duration_ms"`
@@ -46,6 +47,9 @@
 	// WrittenMillis is an upper bound of the store's time when the record was written, in
 	// milliseconds, or 0 if the writer did not know the store's time.
 	WrittenMillis int64 `json:"written_ms,omitempty"`
+	// Epoch is the epoch of the table service in which the record was written; 0 if it isn't
+	// reported.
+	Epoch fleet.StoreEpoch `json:"epoch,omitempty"`
 }
 
 // Duration returns the lease duration.
--- a/internal/lease/settings.go
+++ b/internal/lease/settings.go
@@ -35,6 +35,9 @@
 	// Exclusive declares that at most one participating process runs on a machine at a time. A
 	// lease held by an earlier run on the same machine is then free immediately.
 	Exclusive bool
+	// NeverHeld declares that no process has held the lease so far. A missing row is then free
+	// immediately.
+	NeverHeld bool
 }
 
 // Validate returns an error if the settings cannot guarantee a single holder.
--- a/internal/lease/storetime.go
+++ b/internal/lease/storetime.go
@@ -56,6 +56,9 @@
 // covers the error of this process's clock in both cases.
 func (e *Election) expiresAt() time.Duration {
 	record := e.row.record
+	if !e.isCurrent() {
+		return e.row.firstSeenAt + max(record.Duration(), e.settings.Duration) + e.settings.Margin
+	}
 	wait := record.Duration() + e.settings.Margin
 	at := e.row.firstSeenAt + wait
 	written := time.Duration(record.WrittenMillis) * time.Millisecond
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -39,6 +39,9 @@
 	// StoreTime is the service's monotonic clock at the time of the response; 0 if it isn't
 	// reported.
 	StoreTime time.Duration `json:"-"`
+	// Epoch counts how often the service has been restored from an older copy; 0 if it isn't
+	// reported. Revisions are given out again in a later epoch.
+	Epoch fleet.StoreEpoch `json:"-"`
 }
 
 // Compare requires a row to have a revision; 0 requires that the row doesn't exist.
