Don't count as current on the word of a restored store alone

What callers would have seen: a key that was revoked while a gateway was frozen or cut off, and whose revocation the store then lost, worked again at that gateway until the operator had written once more.

Cause: a read of the store proved that the configuration is current. A restored store has lost what it acknowledged last, and says so by its epoch alone. Two gateways' proofs were compared by revision besides, which mixes epochs.

Load reports state its version. A gateway whose proofs don't count asks its peers, as before, and so gets the rows that the store has lost. A peer's proof is compared by version.

Ruled out: refusing all keyed requests until the operator has written again (it may have nothing to write; callers would be refused for seconds at each restore).

What remains: a gateway that starts just then serves by the copy until it has heard from a peer; if no gateway that answers has seen the lost write, nobody can know of it.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,6 +8,7 @@
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/routes"
 	"github.com/tillerfall/tillerfall/internal/rpc"
 	"github.com/tillerfall/tillerfall/internal/traffic"
 )
@@ -238,8 +239,9 @@
 	if snapshot := g.configuration.Current(); snapshot != nil {
 		if age, proven := g.freshness.Age(now); proven && age < g.settings().RevokeWithin {
 			report.ProofAgeMillis = uint32(age.Milliseconds()) + 1
-			report.ProofRevision = uint64(snapshot.Revision)
+			report.ProofRevision = snapshot.Revision.Number()
 		}
+		report.ConfigurationVersion = uint64(snapshot.Table.Version())
 	}
 	return report
 }
@@ -289,6 +291,7 @@
 // applyLoadReport applies another gateway's full report.
 func (g *Gateway) applyLoadReport(report *rpc.LoadReport) {
 	now := g.now()
+	g.storeEpoch.observePeerVersion(now, fleet.Revision(report.GetConfigurationVersion()))
 	suspects := make([]fleet.EngineID, 0, len(report.GetSuspects()))
 	for _, suspect := range report.GetSuspects() {
 		suspects = append(suspects, fleet.EngineID(suspect))
@@ -326,9 +329,19 @@
 // configuration was current at start-a.
 func (g *Gateway) applyProof(start time.Duration, report *rpc.LoadReport) {
 	snapshot := g.configuration.Current()
-	if snapshot == nil || report.GetProofRevision() == 0 || report.GetProofRevision() > uint64(snapshot.Revision) {
+	if snapshot == nil || report.GetProofRevision() == 0 || isNewerConfiguration(report, snapshot) {
 		return
 	}
 	g.freshness.Prove(start - time.Duration(report.GetProofAgeMillis())*time.Millisecond)
 	g.updateReadiness()
 }
+
+// isNewerConfiguration reports whether a peer's configuration is newer than a table. A peer that
+// doesn't state the version states the store's revision, which orders configurations in one epoch
+// only.
+func isNewerConfiguration(report *rpc.LoadReport, active *routes.ActiveTable) bool {
+	if version := report.GetConfigurationVersion(); version != 0 {
+		return version > uint64(active.Table.Version())
+	}
+	return active.Revision.Epoch() != 0 || report.GetProofRevision() > active.Revision.Number()
+}
--- a/internal/watchcache/cache.go
+++ b/internal/watchcache/cache.go
@@ -121,6 +121,13 @@
 	return c.snapshotRevision > 0
 }
 
+// SnapshotRevision returns the highest revision of a complete update; 0 before the first.
+func (c *Cache) SnapshotRevision() fleet.Revision {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.snapshotRevision
+}
+
 // Revision returns the store's revision from which to watch for changes; 0 before the first
 // complete update.
 func (c *Cache) Revision() fleet.Revision {
--- a/internal/watchcache/restored.go
+++ b/internal/watchcache/restored.go
@@ -67,17 +67,3 @@
 	}
 	return c.options.WriterSequence(stored.Key, stored.Value)
 }
-
-// IsAheadOfStore reports whether a row is kept that a restored store lacks or holds in an older
-// state.
-func (c *Cache) IsAheadOfStore() bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	epoch := c.snapshotRevision.Epoch()
-	for _, row := range c.rows {
-		if !row.Deleted && row.Revision.Epoch() < epoch {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/watchcache/restored_test.go
+++ b/internal/watchcache/restored_test.go
@@ -59,9 +59,7 @@
 	assert.Equal(t, []DroppedRow{{Key: "a", Revision: inEpoch(2, 45), KeptRevision: inEpoch(1, 57)}}, result.Dropped)
 	assert.Equal(t, []string{"b"}, keys(result.Changed), "b has moved to the new epoch")
 	assert.Equal(t, "21", valueOf(t, cache, "a"))
-	assert.True(t, cache.IsAheadOfStore())
 	assert.Equal(t, []string{"a"}, keys(cache.Apply(incrementalUpdate(inEpoch(2, 50), sequencedRow("a", inEpoch(2, 50), 21)))), "written again")
-	assert.False(t, cache.IsAheadOfStore())
 	assert.Equal(t, []string{"a"}, keys(cache.Apply(incrementalUpdate(inEpoch(2, 52), sequencedRow("a", inEpoch(2, 52), 25)))))
 	assert.Equal(t, "25", valueOf(t, cache, "a"))
 }
@@ -96,7 +94,6 @@
 		assert.Equal(t, []string{"a"}, keys(result.Lost), "%d", treatment)
 		assert.Equal(t, treatment == DeleteLostRows, len(keys(result.Changed)) == 2, "%d: %v", treatment, keys(result.Changed))
 		assert.ElementsMatch(t, remaining, keys(presentRows(cache)), "%d", treatment)
-		assert.Equal(t, treatment == KeepLostRows, cache.IsAheadOfStore(), "%d", treatment)
 		cache.Apply(incrementalUpdate(inEpoch(2, 49), presentRow("a", inEpoch(2, 49))))
 		assert.ElementsMatch(t, []string{"a", "b"}, keys(presentRows(cache)), "%d: written again", treatment)
 	}
