Keep quarantines whose rows a restored store has lost

What callers would have seen: a request that crashes workers was let through again after a restore of the store, and crashed three more.

Cause: a row that is missing from a full read was taken for one that an operator had removed, which ends the quarantine. TestQuarantineLostByStoreIsWrittenAgain failed before: two of three gateways logged quarantine_ended source=row_removed, and no row was written again within 8 s.

Change: rows of a former epoch that the read lacks are forgotten as rows alone. Whoever has the record writes it again as it writes a new one: the gateways that saw the crashes, otherwise any reader after 3 s, under the condition that there is no row, so that the first one counts.

What remains: a quarantine that was ended after the copy was made begins again with the copy's row, until its next trial.

--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -38,7 +39,7 @@
 func (g *Gateway) newQuarantineTable() *table {
 	return &table{
 		name:       TableQuarantine,
-		cache:      watchcache.New(watchcache.Options{}),
+		cache:      watchcache.New(watchcache.Options{LostRows: watchcache.EvictLostRows}),
 		maxWait:    quarantineWatchWait,
 		pause:      workersPause,
 		applyRows:  g.applyQuarantineRows,
@@ -71,12 +72,14 @@
 }
 
 // applyQuarantineSnapshot removes the rows that are missing from a complete read. A row that this
-// gateway wrote before its first read may have been removed in between.
+// gateway wrote before its first read may have been removed in between. Rows that a restored store
+// has lost don't end a quarantine, and are written again.
 func (g *Gateway) applyQuarantineSnapshot(update *watchcache.Update) {
 	present := make(map[string]bool, len(update.Rows))
 	for _, row := range update.Rows {
 		present[row.Key] = true
 	}
+	g.quarantines.forgetLost(update.Revision.Epoch(), present)
 	for _, missing := range g.quarantines.missingFrom(update.Revision, present) {
 		g.applyQuarantineRow(&QuarantineRow{Fingerprint: missing, Deleted: true})
 	}
@@ -96,6 +99,19 @@
 	return missing
 }
 
+// forgetLost forgets the known state of the rows of former epochs that aren't in present.
+func (q *quarantineState) forgetLost(epoch fleet.StoreEpoch, present map[string]bool) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	known := len(q.stored)
+	maps.DeleteFunc(q.stored, func(fingerprint quarantine.Fingerprint, stored storedQuarantine) bool {
+		return stored.version.Epoch() < epoch && !present[fingerprint.String()]
+	})
+	if len(q.stored) < known {
+		signal(q.storeSignal)
+	}
+}
+
 // applyQuarantineRow applies one row. Rows hold no times, so their crashes and trials count as of
 // now. A removed row ends the quarantine: the request was answered, or an operator removed it.
 func (g *Gateway) applyQuarantineRow(row *QuarantineRow) {
