Let the outcome of a delivery hold over a restore of the store

What callers would have seen: after a restore of the store a version that had been rolled back got requests again, and requests went back to the workers of a version that had been replaced, which may be stopped at any time.

Cause: an order was new if its revision was. The operator writes a lost order again, at a revision of the next epoch; the record that says how it ended is lost as well, and a later director knows of nothing else.

Change: - An order for the same target in another epoch continues the one held. - The lease's holder reads the records again after a restore. Where its own directive says how an order ended and the store doesn't, it writes that record and the status again, and issues the final directive once that is stored. - A row without a writer's sequence that the cache has had before is recognized by its former number: the copy's older order doesn't replace the one held, and the copy's quarantine not its end. - Directives and evidence pass the epoch beside the revision; a record states it.

What remains: a gateway that has started since the outcome, and directs, knows of it by its peers' directives alone.

--- a/internal/delivery/director.go
+++ b/internal/delivery/director.go
@@ -123,10 +123,41 @@
 	if state != nil && order.Revision <= state.order.Revision {
 		return nil
 	}
+	if state != nil && state.order.IsContinuedBy(order) {
+		state.order.Revision = order.Revision
+		return nil
+	}
 	d.replaceOrder(now, min(at, now), order)
 	return nil
 }
 
+// Conclude applies the known outcome of the current order of a service, whose record a restored store
+// has lost. The record is then written again.
+func (d *Director) Conclude(now time.Duration, outcome Directive) {
+	state := d.services[outcome.Service]
+	if state == nil || state.stage.IsFinal() || !outcome.Stage.IsFinal() || state.order.Target != outcome.Target {
+		return
+	}
+	state.finish(Record{Stage: outcome.Stage, Reason: ReasonStoreRestored, Rejected: outcome.Rejected}, now)
+	state.verdict = outcome.Stage
+	state.recorded = false
+}
+
+// handleConclusionWritten processes the result of writing the record of Conclude. If the store holds an
+// earlier record of the order, the write is repeated with that one's version.
+func (s *directorState) handleConclusionWritten(now time.Duration, stored *Record, err error) {
+	if s.recorded {
+		return
+	}
+	if err != nil && (stored == nil || !stored.Stage.IsFinal()) {
+		s.nextWriteAt = now + writeRetryInterval
+		return
+	}
+	s.recorded = true
+	s.finalAt = now
+	s.changed = true
+}
+
 // replaceOrder replaces a service's order. The target of the replaced order counts as rolled back,
 // unless it was completed or is the new target too.
 func (d *Director) replaceOrder(now, start time.Duration, order Order) {
@@ -181,7 +212,9 @@
 		return state.refuse(now)
 	}
 	decision := Decision{Event: state.advance(now, observation.Workers)}
-	decision.Directive = state.directive(now, now-d.storeOffset)
+	if !state.stage.IsFinal() || state.recorded {
+		decision.Directive = state.directive(now, now-d.storeOffset)
+	}
 	decision.Write = state.pendingRecord(now, d.storeOffset)
 	return decision
 }
@@ -191,7 +224,11 @@
 // is retried at a later evaluation.
 func (d *Director) HandleWriteResult(now time.Duration, service fleet.PoolName, written Record, stored *Record, err error) {
 	state := d.services[service]
-	if state == nil || state.order.Revision != written.Order.Revision || state.stage.IsFinal() {
+	if state == nil || state.order.Revision != written.Order.Revision {
+		return
+	}
+	if state.stage.IsFinal() {
+		state.handleConclusionWritten(now, stored, err)
 		return
 	}
 	switch {
--- a/internal/delivery/directorstate.go
+++ b/internal/delivery/directorstate.go
@@ -164,7 +164,7 @@
 // pendingRecord returns the record that is to be stored: the start of the delivery or its end. It
 // returns nil if there is none or a write is under way.
 func (s *directorState) pendingRecord(now, storeOffset time.Duration) *Record {
-	if s.stage.IsFinal() || s.recorded && s.verdict == 0 {
+	if s.recorded && (s.stage.IsFinal() || s.verdict == 0) {
 		return nil
 	}
 	if now < s.nextWriteAt {
--- a/internal/delivery/events.go
+++ b/internal/delivery/events.go
@@ -17,6 +17,7 @@
 	ReasonNoOldWorkers       = "no_old_workers"
 	ReasonPaused             = "paused"
 	ReasonNoEvidence         = "no_evidence"
+	ReasonStoreRestored      = "store_restored"
 )
 
 // Names of events.
--- a/internal/delivery/follower.go
+++ b/internal/delivery/follower.go
@@ -68,6 +68,10 @@
 	if previous != nil && revision <= previous.revision {
 		return false
 	}
+	if previous != nil && continues(target, previous.target, revision, previous.revision) {
+		previous.moveTo(revision)
+		return false
+	}
 	next := &followerState{
 		revision: revision,
 		target:   target,
@@ -84,6 +88,14 @@
 	return true
 }
 
+// moveTo gives the order the revision at which it was written again.
+func (s *followerState) moveTo(revision fleet.Revision) {
+	s.revision = revision
+	if s.directive != nil {
+		s.directive.Revision = revision
+	}
+}
+
 // unfinishedTargets returns the previous targets without a known outcome, except next.
 func (s *followerState) unfinishedTargets(next fleet.SoftwareVersion) []fleet.SoftwareVersion {
 	targets := slices.Clone(s.superseded)
@@ -102,6 +114,9 @@
 	directive.IssuedAt = min(directive.IssuedAt, now)
 	f.acceptOrder(directive.Service, directive.Revision, directive.Target)
 	state := f.services[directive.Service]
+	if continues(directive.Target, state.target, directive.Revision, state.revision) {
+		directive.Revision = state.revision
+	}
 	if directive.Revision < state.revision {
 		return false
 	}
--- a/internal/delivery/order.go
+++ b/internal/delivery/order.go
@@ -18,10 +18,23 @@
 	Target fleet.SoftwareVersion
 	// Duration is the time within which the order is completed or rolled back.
 	Duration time.Duration
-	// Revision is the revision of the order's row; a higher one replaces a lower one.
+	// Revision is the revision of the order's row; a higher one replaces a lower one, unless it
+	// continues it.
 	Revision fleet.Revision
 }
 
+// continues reports whether an order for a target continues another one rather than replacing it:
+// the store was restored from an older copy, and the operator has written the order again.
+func continues(target, earlierTarget fleet.SoftwareVersion, revision, earlier fleet.Revision) bool {
+	return target == earlierTarget && revision.Epoch() != earlier.Epoch()
+}
+
+// IsContinuedBy reports whether a later order is this one, written again after the store was
+// restored.
+func (o Order) IsContinuedBy(later Order) bool {
+	return o.Service == later.Service && continues(later.Target, o.Target, later.Revision, o.Revision)
+}
+
 // Validate returns an error if a field is missing or out of range.
 func (o Order) Validate() error {
 	switch {
--- a/internal/gateway/deliveries.go
+++ b/internal/gateway/deliveries.go
@@ -28,6 +28,10 @@
 	orders   map[fleet.PoolName]receivedOrder
 	// finished holds the newest finished order of each service.
 	finished map[fleet.PoolName]fleet.Revision
+	// unrecorded holds the services whose record may have been lost when the store was restored, at
+	// restoredAt.
+	unrecorded map[fleet.PoolName]bool
+	restoredAt time.Duration
 	// storedVersions holds the versions of the stored records, writing the services whose record is
 	// being written. Both are set together with director.
 	storedVersions map[fleet.PoolName]fleet.Revision
@@ -59,6 +63,7 @@
 		follower:       delivery.NewFollower(deliveryOptions(self, settings)),
 		orders:         make(map[fleet.PoolName]receivedOrder),
 		finished:       make(map[fleet.PoolName]fleet.Revision),
+		unrecorded:     make(map[fleet.PoolName]bool),
 		changed:        make(chan struct{}),
 		orderSignal:    make(chan struct{}, 1),
 		announceSignal: make(chan struct{}, 1),
@@ -87,13 +92,20 @@
 func (d *deliveryState) addOrder(now, writtenBy time.Duration, order delivery.Order) (bool, error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if held, found := d.orders[order.Service]; found && held.Revision >= order.Revision {
+	held, found := d.orders[order.Service]
+	if found && held.Revision >= order.Revision {
 		return false, nil
 	}
 	isNew, err := d.follower.SetOrder(now, order)
-	if err != nil || !isNew {
+	if err != nil {
 		return false, err
 	}
+	if found && held.IsContinuedBy(order) {
+		return false, d.continueOrder(now, held, order)
+	}
+	if !isNew {
+		return false, nil
+	}
 	d.orders[order.Service] = receivedOrder{Order: order, writtenBy: writtenBy}
 	d.active.Store(true)
 	signal(d.orderSignal)
@@ -103,13 +115,40 @@
 	return true, nil
 }
 
-// unfinished returns the services whose newest order isn't known to be finished.
+// continueOrder gives an order the revision at which it was written again after the store was
+// restored. The mutex must be held.
+func (d *deliveryState) continueOrder(now time.Duration, held receivedOrder, again delivery.Order) error {
+	if d.finished[held.Service] == held.Revision {
+		d.finished[held.Service] = again.Revision
+	}
+	held.Revision = again.Revision
+	d.orders[held.Service] = held
+	if d.director == nil {
+		return nil
+	}
+	return d.director.SetOrder(now, held.writtenBy, held.Order)
+}
+
+// handleRestore makes the next director read the records again and write those that the restored
+// store has lost.
+func (d *deliveryState) handleRestore(now time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.director = nil
+	d.restoredAt = now
+	for service := range d.orders {
+		d.unrecorded[service] = true
+	}
+	signal(d.orderSignal)
+}
+
+// unfinished returns the services whose newest order isn't known to be finished and recorded.
 func (d *deliveryState) unfinished() []fleet.PoolName {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	var services []fleet.PoolName
 	for service, order := range d.orders {
-		if order.Revision > d.finished[service] {
+		if order.Revision > d.finished[service] || d.unrecorded[service] {
 			services = append(services, service)
 		}
 	}
@@ -200,7 +239,12 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.active.Store(true)
-	if !d.follower.ApplyDirective(now, directive) {
+	changed := d.follower.ApplyDirective(now, directive)
+	if directive.Stage.IsFinal() && directive.IssuedAt >= d.restoredAt {
+		// A director issues it once its record is stored.
+		delete(d.unrecorded, directive.Service)
+	}
+	if !changed {
 		return false
 	}
 	if directive.Stage.IsFinal() {
--- a/internal/gateway/deliverydirector.go
+++ b/internal/gateway/deliverydirector.go
@@ -150,7 +150,7 @@
 		line = g.logger.Warn().Err(err)
 	}
 	line.Str("service", string(service)).Str("target", string(record.Order.Target)).Str("stage", record.Stage.String()).
-		Uint64("revision", uint64(record.Order.Revision)).Uint64("stored_version", uint64(stored.Version)).
+		Uint64("epoch", uint64(record.Order.Revision.Epoch())).Uint64("revision", record.Order.Revision.Number()).Uint64("stored_version", stored.Version.Number()).
 		Str("stored_stage", stored.Stage.String()).Dur("took", g.now()-start).Msg("delivery_recorded")
 	g.deliveries.finishWrite(g.now(), record, stored, err)
 }
@@ -209,6 +209,9 @@
 		if record.Order.Target != "" {
 			records = append(records, record.Record)
 		}
+		if record.Stage.IsFinal() && record.Order.Target == d.orders[record.Order.Service].Target {
+			delete(d.unrecorded, record.Order.Service)
+		}
 	}
 	d.director.Restore(now, records, sinceStore)
 	rejected := make(map[fleet.PoolName]error)
@@ -217,6 +220,9 @@
 			rejected[service] = err
 		}
 	}
+	for _, directive := range d.follower.Directives(now) {
+		d.director.Conclude(now, directive)
+	}
 	return rejected
 }
 
--- a/internal/gateway/deliverypeers.go
+++ b/internal/gateway/deliverypeers.go
@@ -40,7 +40,7 @@
 		}
 		if isNew {
 			g.logger.Info().Str("service", string(order.Service)).Str("target", string(order.Target)).
-				Dur("duration", order.Duration).Uint64("revision", uint64(order.Revision)).Dur("age", now-writtenBy).Msg("delivery_ordered")
+				Dur("duration", order.Duration).Uint64("epoch", uint64(order.Revision.Epoch())).Uint64("revision", order.Revision.Number()).Dur("age", now-writtenBy).Msg("delivery_ordered")
 		}
 	}
 }
@@ -167,7 +167,7 @@
 		return
 	}
 	g.logger.Info().Str("service", string(directive.Service)).Str("target", string(directive.Target)).
-		Str("stage", directive.Stage.String()).Uint64("revision", uint64(directive.Revision)).Uint64("sequence", directive.Sequence).
+		Str("stage", directive.Stage.String()).Uint64("epoch", uint64(directive.Revision.Epoch())).Uint64("revision", directive.Revision.Number()).Uint64("sequence", directive.Sequence).
 		Float64("default_share", directive.DefaultShare).Str("shares", formatShares(directive.Shares)).Int("canaries", len(directive.Canaries)).
 		Str("issuer", string(directive.Issuer)).Dur("age", now-directive.IssuedAt).Msg("delivery_followed")
 }
--- a/internal/gateway/storeepoch.go
+++ b/internal/gateway/storeepoch.go
@@ -84,6 +84,7 @@
 		return
 	}
 	g.lease.ObserveEpoch(epoch)
+	g.deliveries.handleRestore(g.now())
 	g.metrics.storeEpoch.Set(float64(epoch))
 	g.logger.Warn().Uint64("previous", uint64(previous)).Uint64("epoch", uint64(epoch)).Msg("store_epoch_changed")
 }
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -65,8 +65,10 @@
 func (g *Gateway) newTables() []*table {
 	return []*table{
 		{
-			name:      TableOperator,
-			cache:     watchcache.New(watchcache.Options{WriterSequence: g.writerSequences(TableOperator), LostRows: watchcache.KeepLostRows}),
+			name: TableOperator,
+			cache: watchcache.New(watchcache.Options{
+				WriterSequence: g.writerSequences(TableOperator), LostRows: watchcache.KeepLostRows, RemembersRevisions: true,
+			}),
 			maxWait:   operatorWaitFor(g.settings().RevokeWithin),
 			applyRows: g.applyOperatorRows,
 			onApplied: g.updateReadiness,
--- a/internal/watchcache/cache.go
+++ b/internal/watchcache/cache.go
@@ -66,6 +66,9 @@
 	WriterSequence func(key string, value []byte) WriterSequence
 	// LostRows is what happens to rows that a restored store has lost.
 	LostRows LostRows
+	// RemembersRevisions makes the cache recognize earlier states of its rows by their revisions, for
+	// rows without a writer's sequence. It needs memory for each change of a row.
+	RemembersRevisions bool
 }
 
 // Cache is an in-memory copy of a table, or of a part of it.
@@ -98,6 +101,8 @@
 	sequence uint64
 	// writerSequence is that of the row that a tombstone has replaced.
 	writerSequence WriterSequence
+	// earlier holds the revisions of the last states that this one has replaced, oldest first.
+	earlier []fleet.Revision
 }
 
 // change is a sequence number and the key of the row that changed.
@@ -246,6 +251,9 @@
 		c.tombstones++
 		stored.writerSequence = c.writerSequenceOf(&existing)
 	}
+	if found && c.options.RemembersRevisions {
+		stored.earlier = appendRevision(existing.earlier, existing.Revision)
+	}
 	c.sequence++
 	stored.sequence = c.sequence
 	c.rows[row.Key] = stored
--- a/internal/watchcache/restored.go
+++ b/internal/watchcache/restored.go
@@ -1,6 +1,11 @@
 package watchcache
 
-import "cmp"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
 
 // LostRows is what happens to the rows of a former epoch that a complete update of a restored store
 // does not list. Such a row was written after the copy was made, or deleted since the store was
@@ -40,7 +45,8 @@
 //
 // In different epochs the writer's sequence decides first. A row with the sequence of the existing
 // one is the same write: it moves the row to its new epoch, but doesn't undo a deletion, since the
-// copy was made before that. Without sequences the higher epoch decides.
+// copy was made before that. Without sequences the higher epoch decides, except for a row that the
+// cache has had before: the copy's rows have the revisions that they had in the former epoch.
 func (c *Cache) isNewer(row *Row, existing *entry) bool {
 	if row.Revision.Epoch() == existing.Revision.Epoch() {
 		return row.Revision > existing.Revision
@@ -48,7 +54,7 @@
 	incoming := c.writerSequenceOf(&entry{Row: *row})
 	kept := c.writerSequenceOf(existing)
 	if !incoming.isKnown() || !kept.isKnown() {
-		return row.Revision > existing.Revision
+		return row.Revision > existing.Revision && !existing.hadNumber(row.Revision)
 	}
 	if order := incoming.compare(kept); order != 0 {
 		return order > 0
@@ -67,3 +73,22 @@
 	}
 	return c.options.WriterSequence(stored.Key, stored.Value)
 }
+
+// maxEarlierRevisions bounds the revisions that are remembered of a row.
+const maxEarlierRevisions = 8
+
+// appendRevision returns the earlier revisions of a row with another one.
+func appendRevision(earlier []fleet.Revision, revision fleet.Revision) []fleet.Revision {
+	if len(earlier) >= maxEarlierRevisions {
+		earlier = earlier[1:]
+	}
+	return append(slices.Clone(earlier), revision)
+}
+
+// hadNumber reports whether an earlier state of the row had the number of a revision in a former
+// epoch.
+func (e *entry) hadNumber(revision fleet.Revision) bool {
+	return slices.ContainsFunc(e.earlier, func(earlier fleet.Revision) bool {
+		return earlier.Number() == revision.Number() && earlier.Epoch() < revision.Epoch()
+	})
+}
--- a/internal/watchcache/restored_test.go
+++ b/internal/watchcache/restored_test.go
@@ -73,6 +73,20 @@
 	assert.Equal(t, []string{"a"}, keys(cache.Apply(incrementalUpdate(inEpoch(2, 53), sequencedRow("a", inEpoch(2, 53), 8)))), "its writer lives")
 }
 
+// Rows without a writer's sequence are recognized by the revisions that they had before.
+func TestEarlierStateIsRecognizedByRevision(t *testing.T) {
+	cache := New(Options{LostRows: KeepLostRows, RemembersRevisions: true})
+	cache.Apply(completeUpdate(inEpoch(1, 40), presentRow("a", inEpoch(1, 40)), presentRow("b", inEpoch(1, 41))))
+	cache.Apply(incrementalUpdate(inEpoch(1, 57), presentRow("a", inEpoch(1, 57)), deletedRow("b", inEpoch(1, 56))))
+	assert.Empty(t, cache.Apply(completeUpdate(inEpoch(2, 48), presentRow("a", inEpoch(2, 40)), presentRow("b", inEpoch(2, 41)))))
+	assert.Equal(t, "a"+strconv.Itoa(int(inEpoch(1, 57))), valueOf(t, cache, "a"))
+	assert.Equal(t, []string{"a", "b"}, keys(cache.Apply(incrementalUpdate(inEpoch(2, 50), presentRow("a", inEpoch(2, 49)), presentRow("b", inEpoch(2, 50))))))
+	for number := range uint64(20) {
+		cache.Apply(incrementalUpdate(inEpoch(2, 60+number), presentRow("a", inEpoch(2, 60+number))))
+	}
+	assert.Len(t, cache.rows["a"].earlier, maxEarlierRevisions)
+}
+
 // A writer that starts anew under the same key counts from the start.
 func TestLaterRunOfWriterReplacesRow(t *testing.T) {
 	cache := New(Options{WriterSequence: func(_ string, value []byte) WriterSequence {
