Register a gateway again whose row a restored store has lost

What operators would have seen: a gateway that had started shortly before the store was restored was not among those through which later ones join.

Cause: the row is written once, at the start.

Change: a gateway that reads the rows of all, every 15 s, looks for its own after the store's epoch has increased, and writes it again if it is missing. Nothing is read for this. Gateways that don't read have no row, so that many nodes don't write at once.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -44,18 +44,25 @@
 	s.list = addresses
 }
 
+// nodeRegistration is what is known of this gateway's node row in the store.
+type nodeRegistration struct {
+	written bool
+	// epoch is the store's epoch in which the row was last written or seen.
+	epoch fleet.StoreEpoch
+}
+
 // runRegistration writes this gateway's node row and reads those of others. In a large fleet only
 // gateways whose role is to read the store do so, and those that find no others.
 func (g *Gateway) runRegistration() error {
-	registered := false
+	registration := &nodeRegistration{}
 	for {
 		reading := g.roleSettled.Load() && g.roles.Load().isReader
 		alone := g.memberCount() == 1
 		if reading || (alone && g.now() >= joinGracePeriod) {
-			registered = g.registerAndReadSeeds(registered)
+			g.registerAndReadSeeds(registration)
 		}
 		interval := seedRefreshInterval
-		if alone || !g.roleSettled.Load() || (reading && !registered) {
+		if alone || !g.roleSettled.Load() || (reading && !registration.written) {
 			interval = seedRetryInterval
 		}
 		if !g.pause(interval) {
@@ -64,41 +71,59 @@
 	}
 }
 
-// registerAndReadSeeds registers this gateway if it isn't registered yet, reads the seeds, and
-// reports whether this gateway is registered.
-func (g *Gateway) registerAndReadSeeds(registered bool) bool {
+// registerAndReadSeeds registers this gateway if it isn't registered yet, and reads the seeds. If the
+// store was restored and lacks the row, the next call writes it again.
+func (g *Gateway) registerAndReadSeeds(registration *nodeRegistration) {
 	ctx, cancel := context.WithTimeout(g.context(), 2*time.Second)
 	defer cancel()
-	if !registered {
-		err := g.dependencies.Store.RegisterNode(ctx, Node{
-			Name:    g.settings().Node,
-			Address: fleet.Address(g.settings().PeerAddress),
-			Zone:    g.settings().Zone,
-			Region:  g.settings().Region,
-		})
-		if err != nil {
-			g.events.line("node_unregistered").Err(err).Msg("node_unregistered")
-		}
-		registered = err == nil
+	epoch := g.storeEpoch.current()
+	if !registration.written {
+		registration.written = g.registerNode(ctx)
+		registration.epoch = epoch
+	}
+	listed, read := g.readSeeds(ctx)
+	switch {
+	case !read:
+	case listed:
+		registration.epoch = epoch
+	case registration.epoch < epoch:
+		registration.written = false
+	}
+}
+
+// registerNode writes this gateway's node row and reports whether that succeeded.
+func (g *Gateway) registerNode(ctx context.Context) bool {
+	err := g.dependencies.Store.RegisterNode(ctx, Node{
+		Name:    g.settings().Node,
+		Address: fleet.Address(g.settings().PeerAddress),
+		Zone:    g.settings().Zone,
+		Region:  g.settings().Region,
+	})
+	if err != nil {
+		g.events.line("node_unregistered").Err(err).Msg("node_unregistered")
 	}
-	g.readSeeds(ctx)
-	return registered
+	return err == nil
 }
 
-func (g *Gateway) readSeeds(ctx context.Context) {
+// readSeeds reads the addresses of the other gateways. listed reports whether this gateway's own row
+// is among those that were read.
+func (g *Gateway) readSeeds(ctx context.Context) (listed, read bool) {
 	nodes, invalid, err := g.dependencies.Store.ReadNodes(ctx)
 	if err != nil {
 		g.events.line("nodes_unread").Err(err).Msg("nodes_unread")
-		return
+		return false, false
 	}
 	g.reportInvalidInput("", invalid)
 	var addresses []fleet.Address
 	for _, node := range nodes {
-		if node.Address != fleet.Address(g.settings().PeerAddress) {
-			addresses = append(addresses, node.Address)
+		if node.Address == fleet.Address(g.settings().PeerAddress) {
+			listed = true
+			continue
 		}
+		addresses = append(addresses, node.Address)
 	}
 	g.seeds.set(addresses)
+	return listed, true
 }
 
 // exchangeLoads periodically exchanges reports with the other load-sharing gateways: with all of
--- a/internal/gateway/storeepoch.go
+++ b/internal/gateway/storeepoch.go
@@ -54,6 +54,13 @@
 	return previous, increased
 }
 
+// current returns the highest epoch that the store has reported, 0 if none.
+func (s *storeEpoch) current() fleet.StoreEpoch {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.highest
+}
+
 // observePeerVersion records the version of the configuration at a peer.
 func (s *storeEpoch) observePeerVersion(now time.Duration, version fleet.Revision) {
 	s.mutex.Lock()
