Let a starting gateway hear of its peers' configuration before it trusts the store

What callers would have seen: a gateway that started while the restored store still held an older configuration than its peers served a revoked key until the first exchange of load reports. TestRevocationLostByStoreHoldsAtNewGateway failed before ("Should not be: 200", 47 ms after the start).

Change: unless the whole fleet starts for the first time, or the gateway knows of no seeds, its proofs from the store don't count until a peer has stated its configuration, for a second at most. It exchanges load reports with three peers at once as soon as it has joined, in place of 0.6 s later. Public routes are served meanwhile, and a peer's proof counts as before.

Ruled out: to wait only if the store was restored of late (a process that starts can't see that), and to ask the store for who has the newest document (it has lost that).

What remains: if all gateways start at once, nobody knows what the store has lost.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,38 +47,39 @@
 	metrics         *metrics
 	life            tomb.Tomb
 
-	configuration     *routes.Holder
-	freshness         *routes.Freshness
-	workers           *backends.Registry
-	upstreams         *upstream.Pool
-	budgets           *retryBudgets
-	quotas            *quotas
-	limits            *workerLimits
-	backoffs          *workerBackoffs
-	unknownHeaders    *unknownHeaders
-	storeEpoch        *storeEpoch
-	rollout           *rolloutState
-	deliveries        *deliveryState
-	peers             *peer.Peer
-	lease             *lease.Keeper
-	seeds             *seedList
-	pending           *pendingSends
-	tables            []*table
-	sources           *sourceSelector
-	demand            *demandTracker
-	origins           *originTracker
-	unresponsivePeers *peerFailures
-	pressure          *pressureMonitor
-	readiness         *readiness
-	announcer         *announcer
-	reportedVersions  *versionReports
-	cacheLog          *cacheLog
-	zoneFeeds         *zoneFeeds
-	crashes           *crashDetector
-	quarantines       *quarantineState
-	suspensions       *suspension.Detector
-	suspensionSignal  *suspensionSignal
-	deadlines         *deadlineTimers
+	configuration      *routes.Holder
+	freshness          *routes.Freshness
+	workers            *backends.Registry
+	upstreams          *upstream.Pool
+	budgets            *retryBudgets
+	quotas             *quotas
+	limits             *workerLimits
+	backoffs           *workerBackoffs
+	unknownHeaders     *unknownHeaders
+	storeEpoch         *storeEpoch
+	peerConfigurations *peerConfigurations
+	rollout            *rolloutState
+	deliveries         *deliveryState
+	peers              *peer.Peer
+	lease              *lease.Keeper
+	seeds              *seedList
+	pending            *pendingSends
+	tables             []*table
+	sources            *sourceSelector
+	demand             *demandTracker
+	origins            *originTracker
+	unresponsivePeers  *peerFailures
+	pressure           *pressureMonitor
+	readiness          *readiness
+	announcer          *announcer
+	reportedVersions   *versionReports
+	cacheLog           *cacheLog
+	zoneFeeds          *zoneFeeds
+	crashes            *crashDetector
+	quarantines        *quarantineState
+	suspensions        *suspension.Detector
+	suspensionSignal   *suspensionSignal
+	deadlines          *deadlineTimers
 	// quarantineTable is followed only by gateways that read the store.
 	quarantineTable *table
 	roles           atomic.Pointer[nodeRoles]
@@ -163,7 +164,9 @@
 		backoffs:         newWorkerBackoffs(random()),
 		unknownHeaders:   &unknownHeaders{},
 		storeEpoch:       &storeEpoch{},
-		softwareVersions: make(seenVersions),
+
+		peerConfigurations: &peerConfigurations{},
+		softwareVersions:   make(seenVersions),
 	}
 	g.currentSettings.Store(&settings)
 	g.suspensions = suspension.NewDetector(g.clock, fleet.NewRuntimeClock())
@@ -293,6 +296,7 @@
 	g.life.Go(g.maintainRoles)
 	g.life.Go(g.monitorPressure)
 	g.life.Go(g.runRegistration)
+	g.life.Go(g.exchangeAtStart)
 	g.life.Go(g.exchangeLoads)
 	g.life.Go(g.announceLoads)
 	g.life.Go(g.runUsageExchange)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -316,7 +316,7 @@
 // applyLoadReport applies another gateway's full report.
 func (g *Gateway) applyLoadReport(report *rpc.LoadReport) {
 	now := g.now()
-	g.storeEpoch.observePeerVersion(now, fleet.Revision(report.GetConfigurationVersion()))
+	g.peerConfigurations.observe(now, fleet.Revision(report.GetConfigurationVersion()))
 	suspects := make([]fleet.EngineID, 0, len(report.GetSuspects()))
 	for _, suspect := range report.GetSuspects() {
 		suspects = append(suspects, fleet.EngineID(suspect))
--- /dev/null
+++ b/internal/gateway/storeproof.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+)
+
+// A store that is restored from an older copy has lost what it acknowledged last, until the operator
+// writes it again. That this gateway has read such a store therefore doesn't prove that its
+// configuration is current: it may have missed a change that the store has lost. The peers may know
+// of it.
+
+const (
+	// restoreSettleTime is how long a proof from a restored store doesn't count unless the operator
+	// has written again. It covers one exchange of load reports.
+	restoreSettleTime = loadExchangeInterval + loadExchangeTimeout
+	// startSettleTime is how long a gateway that has just started waits at most for the report of a
+	// peer before its proofs from the store count. The store may have been restored shortly before.
+	startSettleTime = restoreSettleTime
+	// startExchangeFanout is the number of peers that it asks at once, startExchangeRetry the pause
+	// between two rounds.
+	startExchangeFanout = 3
+	startExchangeRetry  = 20 * time.Millisecond
+	// peerConfigurationTTL is how long a peer's newer configuration keeps proofs from counting. The
+	// peer may be gone, and its configuration lost with it.
+	peerConfigurationTTL = 10 * time.Second
+)
+
+// Reasons why a proof from the store doesn't count.
+const (
+	reasonStarting  = "no report of a peer yet"
+	reasonRestored  = "store restored"
+	reasonPeerNewer = "peer has a newer configuration"
+)
+
+// peerConfigurations is the newest configuration that a peer has stated. It is safe for concurrent
+// use.
+type peerConfigurations struct {
+	mutex sync.Mutex
+	// version is the highest version of a configuration at a peer, first stated at statedAt; 0 if no
+	// peer has stated one.
+	version  fleet.Revision
+	statedAt time.Duration
+}
+
+// observe records the version of the configuration at a peer, 0 if it has none.
+func (p *peerConfigurations) observe(now time.Duration, version fleet.Revision) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if version > p.version {
+		p.version, p.statedAt = version, now
+	}
+}
+
+// isKnown reports whether a peer has stated a configuration.
+func (p *peerConfigurations) isKnown() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.version > 0
+}
+
+// isNewerThan reports whether a peer has stated a newer configuration than the given version.
+func (p *peerConfigurations) isNewerThan(now time.Duration, version fleet.Revision) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.version > version && now < p.statedAt+peerConfigurationTTL
+}
+
+// reasonAgainstProof returns why a proof from the store doesn't count now; empty if it does.
+func (g *Gateway) reasonAgainstProof() string {
+	now := g.now()
+	snapshot := g.configuration.Current()
+	switch {
+	case snapshot == nil:
+		return ""
+	case g.peerConfigurations.isNewerThan(now, snapshot.Table.Version()):
+		return reasonPeerNewer
+	case g.isStartSettling(now):
+		return reasonStarting
+	case g.storeEpoch.isSettling(now) && !g.isWrittenSinceRead(snapshot.Revision):
+		return reasonRestored
+	default:
+		return ""
+	}
+}
+
+// isWrittenSinceRead reports whether the configuration with a revision was written after the operator
+// table was last read in full, in the same epoch.
+func (g *Gateway) isWrittenSinceRead(revision fleet.Revision) bool {
+	read := g.table(TableOperator).cache.SnapshotRevision()
+	return revision.Epoch() == read.Epoch() && revision > read
+}
+
+// isStartSettling reports whether this gateway has just started and waits for the report of a peer.
+func (g *Gateway) isStartSettling(now time.Duration) bool {
+	return g.mayHavePredecessors() && now < startSettleTime && !g.peerConfigurations.isKnown()
+}
+
+// mayHavePredecessors reports whether other gateways may have run before this one.
+func (g *Gateway) mayHavePredecessors() bool {
+	return !g.settings().FirstStart && len(g.settings().Seeds) > 0
+}
+
+// exchangeAtStart exchanges load reports with some peers as soon as this gateway has joined them.
+func (g *Gateway) exchangeAtStart() error {
+	for g.isStartSettling(g.now()) {
+		peers := g.otherMembers()
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		var group sync.WaitGroup
+		for _, member := range peers[:min(len(peers), startExchangeFanout)] {
+			group.Go(func() { g.exchangeLoad(member) })
+		}
+		group.Wait()
+		if !g.pause(startExchangeRetry) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// otherMembers returns the gateways that this one knows to be reachable.
+func (g *Gateway) otherMembers() []membership.Member {
+	var others []membership.Member
+	for _, member := range g.peers.View().Routable() {
+		if member.Node != g.node {
+			others = append(others, member)
+		}
+	}
+	return others
+}
