Accept a deleted row that its writer has written again unchanged

A row of a later epoch with the writer's sequence of the deleted one was dropped wherever it came from. Only a full read may list it from the copy; one that the store sends as a change was written since. Without this a worker whose row lapsed, and which writes it again with the same count, would have stayed unknown.

--- a/internal/watchcache/cache.go
+++ b/internal/watchcache/cache.go
@@ -200,10 +200,10 @@
 	var dropped []DroppedRow
 	for _, row := range update.Rows {
 		existing, found := c.rows[row.Key]
-		if found && row.Revision != existing.Revision && !c.isNewer(&row, &existing) {
+		if found && row.Revision != existing.Revision && !c.isNewer(&row, &existing, update.Complete) {
 			dropped = append(dropped, DroppedRow{Key: row.Key, Revision: row.Revision, KeptRevision: existing.Revision})
 		}
-		if c.applyRow(row) {
+		if c.applyRow(row, update.Complete) {
 			changedRows = append(changedRows, row)
 		}
 	}
@@ -227,10 +227,11 @@
 }
 
 // applyRow stores a row if it is newer than the existing one, and reports whether that changes the
-// content of the table: a tombstone for an absent row does not.
-func (c *Cache) applyRow(row Row) bool {
+// content of the table: a tombstone for an absent row does not. isListed is set for a row of a
+// complete update.
+func (c *Cache) applyRow(row Row, isListed bool) bool {
 	existing, found := c.rows[row.Key]
-	if found && !c.isNewer(&row, &existing) {
+	if found && !c.isNewer(&row, &existing, isListed) {
 		return false
 	}
 	if row.Deleted {
--- a/internal/watchcache/restored.go
+++ b/internal/watchcache/restored.go
@@ -44,10 +44,10 @@
 // isNewer reports whether a row replaces the existing row or tombstone of its key.
 //
 // In different epochs the writer's sequence decides first. A row with the sequence of the existing
-// one is the same write: it moves the row to its new epoch, but doesn't undo a deletion, since the
-// copy was made before that. Without sequences the higher epoch decides, except for a row that the
+// one is the same write: it moves the row to its new epoch. If it is listed by a complete update, it
+// doesn't undo a deletion, since the copy may have been made before that. Without sequences the higher epoch decides, except for a row that the
 // cache has had before: the copy's rows have the revisions that they had in the former epoch.
-func (c *Cache) isNewer(row *Row, existing *entry) bool {
+func (c *Cache) isNewer(row *Row, existing *entry, isListed bool) bool {
 	if row.Revision.Epoch() == existing.Revision.Epoch() {
 		return row.Revision > existing.Revision
 	}
@@ -59,7 +59,8 @@
 	if order := incoming.compare(kept); order != 0 {
 		return order > 0
 	}
-	return !existing.Deleted && row.Revision > existing.Revision
+	undoesDeletion := isListed && existing.Deleted
+	return row.Revision > existing.Revision && !undoesDeletion
 }
 
 // writerSequenceOf returns the writer's sequence of a row, or of the row that a tombstone has
