Wait for a peer's report at the start no longer than requests are held

The check is right, the wait was too long.

Now 200 ms, less than the 300 ms for which a starting gateway holds requests. The first proof from the store is kept back and counts when a peer has reported, or at the end of that time, in place of the next call's.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,7 @@
 	unknownHeaders     *unknownHeaders
 	storeEpoch         *storeEpoch
 	peerConfigurations *peerConfigurations
+	startProof         *startProof
 	rollout            *rolloutState
 	deliveries         *deliveryState
 	peers              *peer.Peer
@@ -166,6 +167,7 @@
 		storeEpoch:       &storeEpoch{},
 
 		peerConfigurations: &peerConfigurations{},
+		startProof:         &startProof{},
 		softwareVersions:   make(seenVersions),
 	}
 	g.currentSettings.Store(&settings)
--- a/internal/gateway/storeproof.go
+++ b/internal/gateway/storeproof.go
@@ -19,12 +19,13 @@
 	// has written again. It covers one exchange of load reports.
 	restoreSettleTime = loadExchangeInterval + loadExchangeTimeout
 	// startSettleTime is how long a gateway that has just started waits at most for the report of a
-	// peer before its proofs from the store count. The store may have been restored shortly before.
-	startSettleTime = restoreSettleTime
-	// startExchangeFanout is the number of peers that it asks at once, startExchangeRetry the pause
+	// peer before its first proof from the store counts. The store may have been restored shortly
+	// before. It is shorter than startupHold, so that no request is refused for it.
+	startSettleTime = 200 * time.Millisecond
+	// startExchangeFanout is the number of peers that it asks at once, startExchangeRetry the time
 	// between two rounds.
 	startExchangeFanout = 3
-	startExchangeRetry  = 20 * time.Millisecond
+	startExchangeRetry  = 40 * time.Millisecond
 	// peerConfigurationTTL is how long a peer's newer configuration keeps proofs from counting. The
 	// peer may be gone, and its configuration lost with it.
 	peerConfigurationTTL = 10 * time.Second
@@ -32,7 +33,6 @@
 
 // Reasons why a proof from the store doesn't count.
 const (
-	reasonStarting  = "no report of a peer yet"
 	reasonRestored  = "store restored"
 	reasonPeerNewer = "peer has a newer configuration"
 )
@@ -70,6 +70,35 @@
 	return p.version > version && now < p.statedAt+peerConfigurationTTL
 }
 
+// startProof holds a starting gateway's first proof from the store back until a peer has reported its
+// configuration or startSettleTime has passed. It is safe for concurrent use.
+type startProof struct {
+	mutex    sync.Mutex
+	released bool
+	// at is the time of the newest proof that is held back; held is set if there is one.
+	held bool
+	at   time.Duration
+}
+
+// hold holds a proof back, and reports whether it did.
+func (s *startProof) hold(at time.Duration) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.released {
+		return false
+	}
+	s.held, s.at = true, max(s.at, at)
+	return true
+}
+
+// release lets proofs pass from now on. It returns the one that was held back, if any.
+func (s *startProof) release() (at time.Duration, held bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.released = true
+	return s.at, s.held
+}
+
 // reasonAgainstProof returns why a proof from the store doesn't count now; empty if it does.
 func (g *Gateway) reasonAgainstProof() string {
 	now := g.now()
@@ -79,8 +108,6 @@
 		return ""
 	case g.peerConfigurations.isNewerThan(now, snapshot.Table.Version()):
 		return reasonPeerNewer
-	case g.isStartSettling(now):
-		return reasonStarting
 	case g.storeEpoch.isSettling(now) && !g.isWrittenSinceRead(snapshot.Revision):
 		return reasonRestored
 	default:
@@ -95,30 +122,27 @@
 	return revision.Epoch() == read.Epoch() && revision > read
 }
 
-// isStartSettling reports whether this gateway has just started and waits for the report of a peer.
-func (g *Gateway) isStartSettling(now time.Duration) bool {
-	return g.mayHavePredecessors() && now < startSettleTime && !g.peerConfigurations.isKnown()
-}
-
 // mayHavePredecessors reports whether other gateways may have run before this one.
 func (g *Gateway) mayHavePredecessors() bool {
 	return !g.settings().FirstStart && len(g.settings().Seeds) > 0
 }
 
-// exchangeAtStart exchanges load reports with some peers as soon as this gateway has joined them.
+// exchangeAtStart exchanges load reports with some peers as soon as this gateway has joined them, and
+// then lets its proofs from the store count.
 func (g *Gateway) exchangeAtStart() error {
-	for g.isStartSettling(g.now()) {
+	for g.mayHavePredecessors() && g.now() < startSettleTime && !g.peerConfigurations.isKnown() {
 		peers := g.otherMembers()
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		var group sync.WaitGroup
 		for _, member := range peers[:min(len(peers), startExchangeFanout)] {
-			group.Go(func() { g.exchangeLoad(member) })
+			go g.exchangeLoad(member)
 		}
-		group.Wait()
 		if !g.pause(startExchangeRetry) {
 			return nil
 		}
 	}
+	if at, held := g.startProof.release(); held {
+		g.recordStoreProof(at)
+	}
 	return nil
 }
 
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -114,6 +114,9 @@
 // recordStoreProof records that this gateway itself has followed the operator table without a gap
 // up to a time. While a proof doesn't count, the gateway asks its peers, as one without a proof does.
 func (g *Gateway) recordStoreProof(at time.Duration) {
+	if g.startProof.hold(at) {
+		return
+	}
 	if reason := g.reasonAgainstProof(); reason != "" {
 		g.events.line("proof_withheld").Str("reason", reason).Msg("proof_withheld")
 		return
