--- a/internal/gateway/deliverycodec.go
+++ b/internal/gateway/deliverycodec.go
@@ -112,10 +112,15 @@
 	}
 }
 
-func decodeEvidence(encoded *rpc.DeliveryEvidence) delivery.Evidence {
+// decodeEvidence decodes evidence and reports whether it is valid.
+func decodeEvidence(encoded *rpc.DeliveryEvidence) (delivery.Evidence, bool) {
+	revision, err := decodeRevision(encoded.GetEpoch(), encoded.GetRevision())
+	if err != nil {
+		return delivery.Evidence{}, false
+	}
 	evidence := delivery.Evidence{
 		Service:  fleet.PoolName(encoded.GetService()),
-		Revision: fleet.StoreEpoch(encoded.GetEpoch()).Revision(encoded.GetRevision()),
+		Revision: revision,
 		Old:      make(map[delivery.RouteName]*delivery.Counts),
 		New:      make(map[delivery.RouteName]map[fleet.EngineID]*delivery.Counts),
 		Stopped:  encoded.GetStopped(),
@@ -133,5 +138,5 @@
 		}
 		evidence.New[route][fleet.EngineID(entry.GetWorker())] = counts
 	}
-	return evidence
+	return evidence, true
 }
--- a/internal/gateway/deliverycodec_test.go
+++ b/internal/gateway/deliverycodec_test.go
@@ -80,7 +80,9 @@
 		New: map[delivery.RouteName]map[fleet.EngineID]*delivery.Counts{"a": {"w1": counts(9, 1, 4), "w2": counts(8, 0, 3)}},
 	}
 	encoded := encodeEvidence(&sent)
-	assert.Equal(t, sent, decodeEvidence(encoded))
+	received, valid := decodeEvidence(encoded)
+	assert.True(t, valid)
+	assert.Equal(t, sent, received)
 	encoded.Counts[0].Latency = make([]uint32, 1000)
 	assert.NotPanics(t, func() { decodeEvidence(encoded) }, "another release may have more buckets")
 }
--- a/internal/gateway/deliverydirector.go
+++ b/internal/gateway/deliverydirector.go
@@ -249,8 +249,10 @@
 	if d.director == nil {
 		return
 	}
-	for _, evidence := range encoded {
-		d.director.Observe(now, node, decodeEvidence(evidence))
+	for _, message := range encoded {
+		if evidence, valid := decodeEvidence(message); valid {
+			d.director.Observe(now, node, evidence)
+		}
 	}
 }
 
