--- a/internal/watchcache/restored.go
+++ b/internal/watchcache/restored.go
@@ -1,6 +1,7 @@
 package watchcache
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 
@@ -51,6 +52,10 @@
 	if row.Revision.Epoch() == existing.Revision.Epoch() {
 		return row.Revision > existing.Revision
 	}
+	if !row.Deleted && !existing.Deleted && bytes.Equal(row.Value, existing.Value) {
+		// Most rows of a restored table are unchanged, and reading the sequences is slow.
+		return row.Revision > existing.Revision
+	}
 	incoming := c.writerSequenceOf(&entry{Row: *row})
 	kept := c.writerSequenceOf(existing)
 	if !incoming.isKnown() || !kept.isKnown() {
