Learn of a restored store from peers too, and pause after a late row of the lease

In a large fleet the lease's holder may not read the store itself. It learned of a restore by its own calls alone, and wrote no lost outcome of a delivery again. Now an update from a peer that reads the store tells it.

With that, a process may know of an epoch before its own read of the lease shows it. Such a row leads to another read after the usual retry, where it would have been read again at once (TestLateRowOfFormerEpochIsReadAgain fails without).

Both found by reading; no run showed them.

--- a/internal/gateway/storeepoch.go
+++ b/internal/gateway/storeepoch.go
@@ -44,8 +44,9 @@
 	return s.restored && now < s.restoredAt+restoreSettleTime
 }
 
-// observeStoreEpoch records the epoch in a response of the store. If it has increased, the state that
-// this gateway keeps in the store is written again where that is lost.
+// observeStoreEpoch records an epoch of the store, from its own response or from a peer that reads it.
+// If it has increased, the state that this gateway keeps in the store is written again where that is
+// lost.
 func (g *Gateway) observeStoreEpoch(epoch fleet.StoreEpoch) {
 	previous, increased := g.storeEpoch.observe(g.now(), epoch)
 	if !increased {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -189,6 +189,7 @@
 			g.logSourceChange(source, g.sources.recordFailure(g.now(), source), err.Error())
 			return watchFailed
 		}
+		g.observeStoreEpoch(update.LatestEpoch())
 		if followed.name == TableWorkers {
 			g.applyWorkersUpdate(followed, message, update)
 		} else {
--- a/internal/lease/outcome.go
+++ b/internal/lease/outcome.go
@@ -43,6 +43,11 @@
 	if e.isCurrent() && !e.isRecordedHolder() {
 		e.validUntil = 0
 	}
+	if e.row.epoch < e.epoch {
+		// A response of the former epoch has come late.
+		e.nextActionAt = now + e.retryInterval()
+		return
+	}
 	if e.canWrite(now) {
 		e.nextActionAt = now
 		return
--- a/internal/lease/restore_test.go
+++ b/internal/lease/restore_test.go
@@ -271,3 +271,15 @@
 		assert.Greater(t, token, fleet.FencingToken(1<<20), "%s: higher than any token of the former epoch", name)
 	}
 }
+
+// A row of a former epoch that is read after a later one was observed must be read again after a
+// pause, and nothing may be written by it.
+func TestLateRowOfFormerEpochIsReadAgain(t *testing.T) {
+	election := newElection(t, "a", 1)
+	election.ObserveEpoch(time.Second, 2)
+	row := platform.Row{Epoch: 1, Revision: 3, Value: encodeRecord(Record{Token: 7, DurationMillis: 1000, Epoch: 1})}
+	require.NoError(t, election.ReadDone(2*time.Second, row, nil))
+	action := election.Next(2 * time.Second)
+	require.Equal(t, ActionWait, action.Kind)
+	assert.Equal(t, ActionRead, election.Next(action.Until).Kind)
+}
--- a/internal/watchcache/restored.go
+++ b/internal/watchcache/restored.go
@@ -25,6 +25,11 @@
 	EvictLostRows
 )
 
+// LatestEpoch returns the latest epoch of the store that the update is of.
+func (u *Update) LatestEpoch() fleet.StoreEpoch {
+	return max(u.Revision, u.WatchedRevision).Epoch()
+}
+
 // WriterSequence orders the writes of one row by its writer, across epochs of the store. The zero
 // value means that the position is unknown.
 type WriterSequence struct {
