Don't take a lost lease for one that was never held

At the first start of the whole fleet a missing lease row is free at once. A process that was started so went on believing that after the store had been restored from a copy without the row, if the store's epochs begin at 0 or if it had not read the row before: it took the lease while another one held it.

Found by reading; TestAtMostOneHolderOverRestores, with processes of the first start and epochs from 0, failed then: two holders at 3.2 s after one restore. It passes now (300 seeds).

Change: the first epoch that a process hears of, from whichever call, is told to the election; with any later one the lease counts as possibly held.

--- a/internal/gateway/storeepoch.go
+++ b/internal/gateway/storeepoch.go
@@ -17,17 +17,19 @@
 	restoredAt time.Duration
 }
 
-// observe records an epoch. It returns the highest one before and whether it has increased.
-func (s *storeEpoch) observe(now time.Duration, epoch fleet.StoreEpoch) (previous fleet.StoreEpoch, increased bool) {
+// observe records an epoch. It returns the highest one before, whether this is the first one that was
+// reported, and whether the epoch has increased since.
+func (s *storeEpoch) observe(now time.Duration, epoch fleet.StoreEpoch) (previous fleet.StoreEpoch, first, restored bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	previous, increased = s.highest, epoch > s.highest
-	if increased && s.reported {
+	previous, first = s.highest, !s.reported
+	restored = s.reported && epoch > s.highest
+	if restored {
 		s.restored, s.restoredAt = true, now
 	}
 	s.reported = true
 	s.highest = max(s.highest, epoch)
-	return previous, increased
+	return previous, first, restored
 }
 
 // current returns the highest epoch that the store has reported, 0 if none.
@@ -48,12 +50,15 @@
 // If it has increased, the state that this gateway keeps in the store is written again where that is
 // lost.
 func (g *Gateway) observeStoreEpoch(epoch fleet.StoreEpoch) {
-	previous, increased := g.storeEpoch.observe(g.now(), epoch)
-	if !increased {
+	previous, first, restored := g.storeEpoch.observe(g.now(), epoch)
+	if !first && !restored {
 		return
 	}
 	g.lease.ObserveEpoch(epoch)
-	g.deliveries.handleRestore(g.now())
 	g.metrics.storeEpoch.Set(float64(epoch))
+	if !restored {
+		return
+	}
+	g.deliveries.handleRestore(g.now())
 	g.logger.Warn().Uint64("previous", uint64(previous)).Uint64("epoch", uint64(epoch)).Msg("store_epoch_changed")
 }
--- a/internal/lease/election.go
+++ b/internal/lease/election.go
@@ -62,11 +62,12 @@
 	highestToken fleet.FencingToken
 	// heldToken is the token of the last lease that this process held.
 	heldToken fleet.FencingToken
-	// epoch is the highest epoch of the table service that was observed, epochSeenAt when.
-	epoch       fleet.StoreEpoch
-	epochSeenAt time.Duration
-	// sawRestore is set once the row was read in two epochs.
-	sawRestore bool
+	// epoch is the highest epoch of the table service that was observed, epochSeenAt when. sawRestore
+	// is set once a second one was observed.
+	epoch         fleet.StoreEpoch
+	epochSeenAt   time.Duration
+	epochObserved bool
+	sawRestore    bool
 	// mustRead is set while the state of the row is unknown.
 	mustRead bool
 	// pendingCommit is the commit in flight.
--- a/internal/lease/restore.go
+++ b/internal/lease/restore.go
@@ -19,9 +19,12 @@
 // ObserveEpoch records the epoch of the table service as of now. It may be called with an epoch that
 // was learned by other calls to the same store; challengers' waits begin there.
 func (e *Election) ObserveEpoch(now time.Duration, epoch fleet.StoreEpoch) {
-	if epoch > e.epoch {
-		e.epoch, e.epochSeenAt = epoch, now
+	if e.epochObserved && epoch <= e.epoch {
+		return
 	}
+	e.sawRestore = e.epochObserved
+	e.epochObserved = true
+	e.epoch, e.epochSeenAt = epoch, now
 }
 
 // isCurrent reports whether the row was written in the epoch in which it was read. An epoch of 0 is
@@ -37,7 +40,6 @@
 // before whose outcome is unknown is lost. The row of another epoch has been there since the
 // restore.
 func (e *Election) observeRestoredRow(now time.Duration, row platform.Row, record Record) {
-	e.sawRestore = e.sawRestore || e.row.epoch != 0
 	e.unresolvedCommit = nil
 	e.row = observation{record: record, revision: row.Revision, epoch: row.Epoch, firstSeenAt: now}
 	if !e.isCurrent() {
--- a/internal/lease/restore_test.go
+++ b/internal/lease/restore_test.go
@@ -79,9 +79,13 @@
 
 func (s *restoreSimulation) chance(percent int) bool { return s.random.IntN(100) < percent }
 
-func (s *restoreSimulation) newProcess(name string) *restoredProcess {
+// newProcess returns a process that has just started, neverHeld at the first start of all.
+func (s *restoreSimulation) newProcess(name string, neverHeld bool) *restoredProcess {
 	s.runs++
-	return &restoredProcess{election: newElection(s.t, name, s.runs), offset: time.Duration(s.runs) * time.Hour}
+	started := &restoredProcess{election: newElection(s.t, name, s.runs), offset: time.Duration(s.runs)*time.Hour - s.now}
+	started.election.settings.NeverHeld = neverHeld
+	started.election.ObserveEpoch(started.clock(s.now), s.table.epoch)
+	return started
 }
 
 func (p *restoredProcess) clock(now time.Duration) time.Duration { return p.offset + now }
@@ -162,7 +166,7 @@
 		s.delayed = slices.Delete(s.delayed, index, index+1)
 	}
 	if s.chance(1) {
-		s.processes[s.random.IntN(len(s.processes))] = s.newProcess("restarted")
+		s.processes[s.random.IntN(len(s.processes))] = s.newProcess("restarted", false)
 	}
 	if s.chance(5) {
 		s.table.version++
@@ -193,11 +197,12 @@
 	restores, takeovers := 0, 0
 	for seed := range uint64(300) {
 		s := &restoreSimulation{
-			t: t, random: rand.New(rand.NewPCG(seed, 5)), table: restorableTable{epoch: 1}, earlier: restorableTable{epoch: 1},
-			takeovers: make(map[fleet.FencingToken]HolderID),
+			t: t, random: rand.New(rand.NewPCG(seed, 5)), takeovers: make(map[fleet.FencingToken]HolderID),
+			table: restorableTable{epoch: fleet.StoreEpoch(seed % 3)},
 		}
+		s.earlier = s.table
 		for _, name := range []string{"a", "b", "c"} {
-			s.processes = append(s.processes, s.newProcess(name))
+			s.processes = append(s.processes, s.newProcess(name, true))
 		}
 		for range 1500 {
 			s.now += 100 * time.Millisecond
