Log the rows that a restored store has lost

rows_lost names how many rows of a table were held and are missing from the first full read after a restore: what the operator has to write again. The cache returned them, and nobody used it. Logging alone.

--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -45,7 +45,7 @@
 		applyRows:  g.applyQuarantineRows,
 		onSnapshot: g.applyQuarantineSnapshot,
 		onApplied:  func() {},
-		onDropped:  g.dropHandler(TableQuarantine),
+		onResult:   g.logUnapplied(TableQuarantine),
 		onProof:    func(time.Duration) {},
 	}
 }
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -25,8 +25,8 @@
 	onSnapshot func(update *watchcache.Update)
 	// onApplied is called last, after every update that was applied.
 	onApplied func()
-	// onDropped is called with the rows of an update that were dropped, if there are any.
-	onDropped func(dropped []watchcache.DroppedRow)
+	// onResult is called with the result of every update, before the changed rows are applied.
+	onResult func(result *watchcache.Result)
 	// onProof is called after each call that followed the changes without a gap, with a time no
 	// later than the response.
 	onProof func(at time.Duration)
@@ -48,9 +48,7 @@
 	t.applyMutex.Lock()
 	defer t.applyMutex.Unlock()
 	result := t.cache.ApplyWithResult(update)
-	if len(result.Dropped) > 0 {
-		t.onDropped(result.Dropped)
-	}
+	t.onResult(&result)
 	if len(result.Changed) == 0 && !update.Complete {
 		return
 	}
@@ -72,7 +70,7 @@
 			maxWait:   operatorWaitFor(g.settings().RevokeWithin),
 			applyRows: g.applyOperatorRows,
 			onApplied: g.updateReadiness,
-			onDropped: g.dropHandler(TableOperator),
+			onResult:  g.logUnapplied(TableOperator),
 			onProof:   g.recordStoreProof,
 		},
 		{
@@ -82,7 +80,7 @@
 			pause:     workersPause,
 			applyRows: g.applyWorkerRows,
 			onApplied: g.updateReadiness,
-			onDropped: g.dropHandler(TableWorkers),
+			onResult:  g.logUnapplied(TableWorkers),
 			onProof:   func(time.Duration) {},
 		},
 	}
@@ -99,15 +97,20 @@
 	}
 }
 
-// dropHandler returns a function that counts and logs the dropped rows of a table. The line names the
-// first one.
-func (g *Gateway) dropHandler(name Table) func(dropped []watchcache.DroppedRow) {
-	return func(dropped []watchcache.DroppedRow) {
-		g.metrics.droppedRows.WithLabelValues(string(name)).Add(float64(len(dropped)))
-		first := dropped[0]
-		g.events.line("rows_dropped").Str("table", string(name)).Int("rows", len(dropped)).Str("key", first.Key).
-			Uint64("epoch", uint64(first.Revision.Epoch())).Uint64("revision", first.Revision.Number()).
-			Uint64("kept_epoch", uint64(first.KeptRevision.Epoch())).Uint64("kept_revision", first.KeptRevision.Number()).Msg("rows_dropped")
+// logUnapplied returns a function that logs the rows of a table that an update held in an older state
+// than this gateway, and those that a restored store has lost. The lines name the first one.
+func (g *Gateway) logUnapplied(name Table) func(result *watchcache.Result) {
+	return func(result *watchcache.Result) {
+		if dropped := result.Dropped; len(dropped) > 0 {
+			g.metrics.droppedRows.WithLabelValues(string(name)).Add(float64(len(dropped)))
+			first := dropped[0]
+			g.events.line("rows_dropped").Str("table", string(name)).Int("rows", len(dropped)).Str("key", first.Key).
+				Uint64("epoch", uint64(first.Revision.Epoch())).Uint64("revision", first.Revision.Number()).
+				Uint64("kept_epoch", uint64(first.KeptRevision.Epoch())).Uint64("kept_revision", first.KeptRevision.Number()).Msg("rows_dropped")
+		}
+		if lost := result.Lost; len(lost) > 0 {
+			g.logger.Warn().Str("table", string(name)).Int("rows", len(lost)).Str("key", lost[0].Key).Msg("rows_lost")
+		}
 	}
 }
 
--- a/internal/watchcache/restored.go
+++ b/internal/watchcache/restored.go
@@ -21,8 +21,8 @@
 	// KeepLostRows keeps them: what the store has acknowledged stays in force, and its writer is to
 	// write it again.
 	KeepLostRows
-	// EvictLostRows removes them without marking them as deleted. The owner of the cache is told,
-	// and writes them again.
+	// EvictLostRows removes them without marking them as deleted. The owner of the cache finds them
+	// in the result, and writes them again.
 	EvictLostRows
 )
 
