Judge a proof after a restore by its own time, not by when it is read

What callers would have seen: a gateway that was frozen just after it had seen a restore served a revoked key once it went on.

Traced by its log: the store lost the revocation; node-4 saw the restored store at 9.903 s, was frozen from 9.918 to 11.427 s, and found an answer of 10.47 s in its socket. The second in which such an answer proves nothing was over by the process's clock, and the answer counted as proof of 10.47 s, before the operator had written again (10.652 s).

Change: whether a proof falls into that second is decided by the proof's time.

--- a/internal/gateway/storeepoch.go
+++ b/internal/gateway/storeepoch.go
@@ -39,11 +39,11 @@
 	return s.highest
 }
 
-// isSettling reports whether the store was restored less than restoreSettleTime ago.
-func (s *storeEpoch) isSettling(now time.Duration) bool {
+// isSettling reports whether a time is less than restoreSettleTime after the store was restored.
+func (s *storeEpoch) isSettling(at time.Duration) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.restored && now < s.restoredAt+restoreSettleTime
+	return s.restored && at < s.restoredAt+restoreSettleTime
 }
 
 // observeStoreEpoch records an epoch of the store, from its own response or from a peer that reads it.
--- a/internal/gateway/storeproof.go
+++ b/internal/gateway/storeproof.go
@@ -99,16 +99,16 @@
 	return s.at, s.held
 }
 
-// reasonAgainstProof returns why a proof from the store doesn't count now; empty if it does.
-func (g *Gateway) reasonAgainstProof() string {
-	now := g.now()
+// reasonAgainstProof returns why a proof from the store of a time doesn't count; empty if it does. The
+// proof may be older than the process's knowledge of it, if the process was suspended.
+func (g *Gateway) reasonAgainstProof(at time.Duration) string {
 	snapshot := g.configuration.Current()
 	switch {
 	case snapshot == nil:
 		return ""
-	case g.peerConfigurations.isNewerThan(now, snapshot.Table.Version()):
+	case g.peerConfigurations.isNewerThan(g.now(), snapshot.Table.Version()):
 		return reasonPeerNewer
-	case g.storeEpoch.isSettling(now) && !g.isWrittenSinceRead(snapshot.Revision):
+	case g.storeEpoch.isSettling(at) && !g.isWrittenSinceRead(snapshot.Revision):
 		return reasonRestored
 	default:
 		return ""
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -120,7 +120,7 @@
 	if g.startProof.hold(at) {
 		return
 	}
-	if reason := g.reasonAgainstProof(); reason != "" {
+	if reason := g.reasonAgainstProof(at); reason != "" {
 		g.events.line("proof_withheld").Str("reason", reason).Msg("proof_withheld")
 		return
 	}
