--- a/internal/backends/copies.go
+++ b/internal/backends/copies.go
@@ -6,23 +6,35 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
-// copySampleSize is the number of engines that are sampled as targets for a request's copy.
-const copySampleSize = 6
+const (
+	// copySampleSize is the number of engines that are compared as targets for a request's copy.
+	copySampleSize = 6
+	// copySampleAttempts bounds the engines that are drawn to find them, since some can't keep the
+	// copy.
+	copySampleAttempts = 4 * copySampleSize
+)
 
 // copyTarget returns the engine that is to keep a copy of a request's KV cache. Of a random sample
-// of engines with the same model version, it takes the nearest, and among those the one with the
-// most free memory. Engines with a request limit are excluded, since they may not admit the request
-// when it has to be resumed there. It returns an empty worker if there is none. The mutex must be
-// held.
+// of engines with the same model version, drawn without replacement, it takes the nearest, and among
+// those the one with the most free memory. Engines with a request limit are excluded, since they may
+// not admit the request when it has to be resumed there. It returns an empty worker if there is
+// none. The mutex must be held.
 func (s *search) copyTarget(candidates []*workerState, chosen *workerState) Worker {
 	model := s.request.Engine.Model
 	var best *workerState
 	bestDistance, bestTokens := SameZone, 0
-	for range copySampleSize {
-		state := candidates[s.options.Random.IntN(len(candidates))]
+	next, stride := s.options.Random.IntN(len(candidates)), strides[s.options.Random.IntN(len(strides))]
+	compared := 0
+	for range min(len(candidates), copySampleAttempts) {
+		if compared == copySampleSize {
+			break
+		}
+		state := candidates[next]
+		next = (next + stride) % len(candidates)
 		if state == chosen || s.hasLimit(state) || state.worker.Versions[model] != chosen.worker.Versions[model] {
 			continue
 		}
+		compared++
 		distance := s.options.Regions.Between(state.worker.Zone, chosen.worker.Zone)
 		tokens := s.totalLoad(s.now, state).MemoryTokens
 		if best == nil || distance < bestDistance || (distance == bestDistance && tokens < bestTokens) {
--- a/internal/backends/copies_test.go
+++ b/internal/backends/copies_test.go
@@ -45,6 +45,21 @@
 	assert.Empty(t, placement.Engine.CopyTo.ID, "no copy was requested")
 }
 
+// TestEveryRequestGetsCopyTargetInSmallPool guards against requests without a copy although another
+// engine could keep it: the sample could consist of the chosen engine alone.
+func TestEveryRequestGetsCopyTargetInSmallPool(t *testing.T) {
+	registry := newTestRegistry()
+	for number := range 2 {
+		registry.Observe(1, engineWorker(number, 1))
+	}
+	for range 2000 {
+		placement, refusal := registry.Choose(0, copiedRequest())
+		require.NotNil(t, placement, refusal)
+		require.NotEmpty(t, placement.Engine.CopyTo.ID)
+		placement.End(0, Succeeded)
+	}
+}
+
 // TestContinueUsesCopyTarget guards against resuming a request elsewhere than at its copy, or
 // without counting it there.
 func TestContinueUsesCopyTarget(t *testing.T) {
