--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,7 @@
 	invalidInputs       *prometheus.CounterVec
 	quotaUnits          *prometheus.CounterVec
 	quotaShare          *prometheus.GaugeVec
+	quotaDecisions      *quotaDecisionMetrics
 	pressure            prometheus.Gauge
 	refusedConnections  prometheus.Counter
 	runsEndedWithWorker prometheus.Counter
@@ -93,6 +94,7 @@
 			Name: "tillerfall_gateway_delivery_share", Help: "Part of a route's requests that a version's target is asked to get, and part of the answers that it gave.",
 		}, []string{"service", "route", "kind"}),
 	}
+	m.quotaDecisions = newQuotaDecisionMetrics(registry)
 	m.pressure = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "tillerfall_gateway_pressure", Help: "How near the node is to its limits: 0 free, 1 busy, 2 full.",
 	})
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -220,7 +220,7 @@
 		g.workers.UpdatePeerLoads(fleet.NodeID(report.GetNode()), g.decodeLoads(report.GetLoads()))
 		return response
 	}
-	g.quotas.applyReport(g.now(), report)
+	g.applyQuotaReport(g.now(), report)
 	g.quotas.writeReport(g.now(), response, fleet.NodeID(report.GetNode()))
 	return response
 }
@@ -339,7 +339,7 @@
 		g.observeDraining(backends.DrainingRun{Worker: fleet.EngineID(run.GetWorker()), StartTime: backends.StartTime(run.GetBorn())}, noticeSourcePeer)
 	}
 	g.applyPeerVersions(report.GetNamed())
-	g.quotas.applyReport(now, report)
+	g.applyQuotaReport(now, report)
 	g.demand.setPeerRate(now, fleet.NodeID(report.GetNode()), decodeRate(report.GetRequestRate()))
 	g.deliveries.addEvidence(now, fleet.NodeID(report.GetNode()), report.GetDeliveryEvidence())
 	g.origins.setPressure(now, fleet.NodeID(report.GetNode()), decodePressure(report.GetPressure()))
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -54,10 +54,10 @@
 	q.limiter.SetLimits(now, limits)
 }
 
-func (q *quotas) admit(now time.Duration, tenant fleet.TenantName, cost float64) quota.Decision {
+func (q *quotas) admit(now time.Duration, request quota.Request) quota.Decision {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.limiter.Admit(now, tenant, cost)
+	return q.limiter.Admit(now, request)
 }
 
 func (q *quotas) charge(now time.Duration, tenant fleet.TenantName, cost float64) {
@@ -106,7 +106,7 @@
 	report.UsesTold = true
 	report.QuotaNewcomer = q.limiter.IsJoining(now)
 	for _, use := range q.limiter.Usages(now, to) {
-		usage := &rpc.TenantUse{Tenant: string(use.Tenant), Total: use.Total, Deficit: use.Deficit, Heard: use.Acknowledged}
+		usage := &rpc.TenantUse{Tenant: string(use.Tenant), Total: use.Total, Deficit: use.Deficit, Heard: use.Acknowledged, Demand: encodeDemand(use.Demand)}
 		if report.QuotaNewcomer {
 			usage.Recent = use.Recent
 		}
@@ -114,11 +114,13 @@
 	}
 }
 
-// applyReport records another gateway's usage, if its report contains it.
-func (q *quotas) applyReport(now time.Duration, report *rpc.LoadReport) {
+// applyReport records another gateway's usage, if its report contains it. It returns what could not
+// be decoded.
+func (q *quotas) applyReport(now time.Duration, report *rpc.LoadReport) []InvalidInput {
 	if !report.GetUsesTold() {
-		return
+		return nil
 	}
+	var invalid []InvalidInput
 	usage := quota.Report{
 		Node:        fleet.NodeID(report.GetNode()),
 		Machine:     lease.HolderID(report.GetNode()).Machine(),
@@ -129,14 +131,19 @@
 		usage.RequestRate = unknownRate
 	}
 	for _, use := range report.GetTenantUses() {
+		demand, err := decodeDemand(use.GetDemand())
+		if err != nil {
+			invalid = append(invalid, InvalidInput{Source: "tenant_demand", Key: use.GetTenant(), Err: err})
+		}
 		usage.Usages = append(usage.Usages, quota.Usage{
 			Tenant: fleet.TenantName(use.GetTenant()), Total: use.GetTotal(), Recent: use.GetRecent(),
-			Deficit: use.GetDeficit(), Acknowledged: use.GetHeard(),
+			Deficit: use.GetDeficit(), Acknowledged: use.GetHeard(), Demand: demand,
 		})
 	}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.limiter.Observe(now, usage)
+	return invalid
 }
 
 // setPeers sets the gateways that this one shares loads with. Other gateways that have reported
@@ -168,6 +175,16 @@
 	q.limiter.Leave(now)
 }
 
+// quotaRequest returns the request that is decided on by its tenant's quota. The tenant's own priority
+// is the same for all of them and doesn't count.
+func quotaRequest(current *callerRequest, cost float64) quota.Request {
+	request := quota.Request{Tenant: current.tenant.Name, Amount: cost}
+	if current.route != nil {
+		request.Priority = min(max(current.route.Priority, 0), quota.PriorityCount-1)
+	}
+	return request
+}
+
 // chargeQuota charges a request's cost to its tenant's quota. It returns a refusal if the quota is
 // exceeded.
 func (g *Gateway) chargeQuota(current *callerRequest) *refusal {
@@ -176,7 +193,9 @@
 	}
 	g.lastLimitedRequest.Store(int64(g.now()))
 	cost := current.tenant.Quota.Cost(current.metadata.PromptTokens, current.metadata.OutputTokens, current.metadata.HasTokenCounts)
-	decision := g.quotas.admit(g.now(), current.tenant.Name, cost)
+	request := quotaRequest(current, cost)
+	decision := g.quotas.admit(g.now(), request)
+	g.metrics.quotaDecisions.count(decision.Cause)
 	tenant := string(current.tenant.Name)
 	if decision.Admitted {
 		current.quotaCost = cost
@@ -188,6 +207,7 @@
 	g.events.line("tenant_limited").Str("request_id", current.metadata.RequestID).Str("tenant", tenant).
 		Float64("cost", cost).Float64("rate", decision.Limit.Rate).Float64("burst", decision.Limit.Burst).
 		Float64("available", decision.Available).Float64("share", decision.Share).
+		Int("priority", request.Priority).Float64("reserved", decision.Reserved).Stringer("cause", decision.Cause).
 		Dur("retry_after", decision.RetryAfter).Msg("tenant_limited")
 	return &refusal{code: resultcode.QuotaExceeded, reason: "quota exceeded", retryAfter: max(decision.RetryAfter, shortRetryAfter)}
 }
@@ -267,6 +287,11 @@
 	return g.roles.Load().Serving
 }
 
+// applyQuotaReport records another gateway's usage.
+func (g *Gateway) applyQuotaReport(now time.Duration, report *rpc.LoadReport) {
+	g.reportInvalidInput("", g.quotas.applyReport(now, report))
+}
+
 // exchangeUsage reports this gateway's usage to another gateway and records that gateway's usage.
 func (g *Gateway) exchangeUsage(member membership.Member) {
 	if member.Node == g.node {
@@ -281,5 +306,5 @@
 		g.metrics.peerFailures.Inc()
 		return
 	}
-	g.quotas.applyReport(g.now(), response)
+	g.applyQuotaReport(g.now(), response)
 }
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -18,9 +18,15 @@
 	recent float64
 	// lastTakenAt is when it last admitted units.
 	lastTakenAt time.Duration
-	// promised is the units of refused requests that were given a time to retry. It staggers the
-	// retries.
-	promised bucket
+	// demand is what callers ask for.
+	demand demandMeter
+	// minimum is what each priority may use of its minimum share, pace what it may use of the units
+	// that more urgent requests leave.
+	minimum [PriorityCount]credit
+	pace    [PriorityCount]credit
+	// promised is the units of refused requests that were given a time to retry, by priority. It
+	// staggers the retries.
+	promised [PriorityCount]bucket
 	// peerTotals is the total that each peer last reported.
 	peerTotals map[fleet.NodeID]uint64
 	// nearLimit is set while the tenant is near its limit, since nearLimitSince. Only peers with a
@@ -36,7 +42,7 @@
 		limit:      limit,
 		fleet:      bucket{deficit: missing, drainedAt: now},
 		own:        bucket{deficit: missing / assumedJoiningNodes, drainedAt: now},
-		promised:   bucket{drainedAt: now},
+		demand:     newDemandMeter(now),
 		peerTotals: make(map[fleet.NodeID]uint64),
 	}
 }
@@ -46,19 +52,19 @@
 	share := shares.forAccount(a)
 	a.fleet.drain(now, a.limit.Rate*share)
 	a.own.drain(now, a.limit.Rate*shares.joining)
-	a.promised.drain(now, a.limit.Rate*share)
 }
 
 // drainPause drains the buckets for a time in which this node was paused. share is the share of the
 // limit before the pause.
 func (a *account) drainPause(now time.Duration, share float64) {
 	a.fleet.drainPause(now, a.limit.Rate*share)
-	a.promised.drain(now, a.limit.Rate*share)
 }
 
-// updateNearLimit updates nearLimit and returns the share of the limit that applies.
+// updateNearLimit updates nearLimit and returns the share of the limit that applies. Units that are
+// kept for more urgent requests count as used, since their reserve needs recent reports.
 func (a *account) updateNearLimit(now time.Duration, shares shares, slack float64) float64 {
-	near := a.fleet.deficit > a.limit.Burst*shares.reachable*(1-nearLimitFraction)+slack*nearLimitSlackFraction
+	kept := a.reserve(a.leastUrgent(), false, a.limit.Burst*shares.reachable)
+	near := a.fleet.deficit+kept > a.limit.Burst*shares.reachable*(1-nearLimitFraction)+slack*nearLimitSlackFraction
 	if near && !a.nearLimit {
 		a.nearLimitSince = now
 	}
@@ -85,16 +91,6 @@
 	return available+debt >= amount || a.fleet.deficit == 0
 }
 
-// retryAfter returns the time until a request fits after those refused before it.
-func (a *account) retryAfter(amount, available, debt, share float64) time.Duration {
-	rate := a.limit.Rate * share
-	if rate <= 0 {
-		return 0
-	}
-	missing := min(max(amount-debt, 0)-available, a.fleet.deficit)
-	return time.Duration((max(missing, 0) + a.promised.deficit) / rate * float64(time.Second))
-}
-
 func (a *account) take(now time.Duration, amount float64) {
 	a.lastTakenAt = now
 	a.fleet.take(amount)
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -10,5 +10,9 @@
 // joining node doesn't know what was used before its start: it begins with a nearly empty bucket
 // and a small share of the limit until it has synchronized with a peer.
 //
+// Of a tenant's own requests the more urgent go first. Nodes report the demand by priority, and a
+// request is admitted only while more is left than a reserve for the demand of more urgent ones. Each
+// priority has a minimum share of the rate.
+//
 // The package has no I/O and no clock, and isn't safe for concurrent use.
 package quota
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -98,6 +98,8 @@
 	// Acknowledged is the receiver's last Total that the node has received. Deficit includes that
 	// much of the receiver's use.
 	Acknowledged uint64
+	// Demand is the demand at the node, 0 if the tenant isn't near its limit.
+	Demand Demand
 }
 
 // Report is one report of a peer.
@@ -116,13 +118,18 @@
 // Decision is the result of Admit, with what it is based on.
 type Decision struct {
 	Admitted bool
-	// RetryAfter is the time until the bucket can admit the request, if it wasn't admitted.
+	// Cause is why the request was admitted or refused.
+	Cause Cause
+	// RetryAfter is the time until units are free for the request, by what this node knows of more
+	// urgent requests and of those refused before it, if it wasn't admitted. It is at most the window.
 	RetryAfter time.Duration
 	Limit      Limit
 	// Share is the fraction of the limit that belongs to this node and its reachable peers.
 	Share float64
 	// Available is the units left before the request; negative if more than the limit was used.
 	Available float64
+	// Reserved is the units kept from the request for more urgent ones and for returning callers.
+	Reserved float64
 	// NearLimit is set if the tenant is near its limit: the use is to be reported to the peers at
 	// once, and the peers are to be asked for theirs.
 	NearLimit bool
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -25,6 +25,8 @@
 	// this node and its reachable peers at that time.
 	lastUpdateAt   time.Duration
 	reachableShare float64
+	// stalePeers is the memory of shares.stale.
+	stalePeers []stalePeer
 }
 
 // NewLimiter returns a limiter without limits.
@@ -75,26 +77,52 @@
 
 // Admit decides on a tenant's request and takes its units if it is admitted. A tenant without a
 // limit is always admitted.
-func (l *Limiter) Admit(now time.Duration, tenant fleet.TenantName, amount float64) Decision {
-	account := l.accounts[tenant]
+func (l *Limiter) Admit(now time.Duration, request Request) Decision {
+	account := l.accounts[request.Tenant]
 	if account == nil {
 		return Decision{Admitted: true, Share: 1}
 	}
-	shares := l.shares(now)
-	account.drain(now, shares)
-	share := account.updateNearLimit(now, shares, l.options.Slack)
-	available, debt := account.available(share, l.joining), l.debt(share)
-	decision := Decision{Limit: account.limit, Share: share, Available: available, NearLimit: account.nearLimit}
-	if !account.fits(amount, available, debt) {
-		decision.RetryAfter = min(account.retryAfter(amount, available, debt, share), l.options.Window)
-		account.promised.take(amount)
-		return decision
-	}
-	account.take(now, amount)
-	decision.Admitted = true
+	account.demand.ask(now, request.priority(), request.Amount)
+	share := l.updateAccount(now, account, l.shares(now))
+	room := l.room(account, &request, share)
+	decision := Decision{
+		Limit: account.limit, Share: share, Available: room.available, Reserved: room.kept(), NearLimit: account.nearLimit,
+		Cause: room.decide(now),
+	}
+	decision.Admitted = decision.Cause.admits()
+	if decision.Admitted {
+		room.take(now)
+	} else {
+		decision.RetryAfter = room.promise(now, l.options.Window)
+	}
 	return decision
 }
 
+// updateAccount updates an account to now and returns the share of the limit that applies.
+func (l *Limiter) updateAccount(now time.Duration, account *account, shares shares) float64 {
+	account.drain(now, shares)
+	account.demand.decay(now)
+	account.demand.expire(now, time.Duration(l.reportRounds)*demandLifetime)
+	return account.updateNearLimit(now, shares, l.options.Slack)
+}
+
+// room returns what is left of a tenant's limit for a request.
+func (l *Limiter) room(account *account, request *Request, share float64) room {
+	burst := account.limit.Burst * share
+	if l.joining {
+		burst = min(burst, account.limit.Burst/assumedJoiningNodes)
+	}
+	priority := request.priority()
+	return room{
+		account: account, request: request, priority: priority, share: share,
+		available: account.available(share, l.joining),
+		debt:      l.debt(share),
+		burst:     burst,
+		reserve:   account.reserve(priority, request.Returning, burst),
+		holdBack:  request.holdBack(holdBackFraction * burst),
+	}
+}
+
 // debt returns the units by which one request may exceed what is available. Joining nodes share it,
 // since they don't receive each other's reports.
 func (l *Limiter) debt(share float64) float64 {
@@ -130,6 +158,7 @@
 			usages = append(usages, Usage{
 				Tenant: tenant, Total: uint64(account.total), Recent: uint64(account.recent),
 				Deficit: uint64(account.fleet.deficit), Acknowledged: account.peerTotals[to],
+				Demand: account.reportedDemand(now),
 			})
 		}
 	}
@@ -141,8 +170,7 @@
 func (l *Limiter) IsNearLimit(now time.Duration) bool {
 	shares, near := l.shares(now), false
 	for _, account := range l.accounts {
-		account.drain(now, shares)
-		account.updateNearLimit(now, shares, l.options.Slack)
+		l.updateAccount(now, account, shares)
 		near = near || account.nearLimit
 	}
 	return near
--- a/internal/quota/peers.go
+++ b/internal/quota/peers.go
@@ -55,6 +55,7 @@
 	for _, usage := range report.Usages {
 		if account := l.accounts[usage.Tenant]; account != nil {
 			account.observe(now, report, usage, peer.reservedUnits(now, account.limit))
+			account.demand.observe(now, report.Node, usage.Demand, float64(usage.Deficit)-account.fleet.deficit)
 		}
 	}
 	peer.unreachable = false
--- a/internal/quota/property_test.go
+++ b/internal/quota/property_test.go
@@ -47,6 +47,8 @@
 	multiple float64
 	// pickNode chooses the node that gets a request.
 	pickNode func(*simFleet) *simNode
+	// priorityOf returns the priority of a request by its size; nil means that all have the first.
+	priorityOf func(amount float64) int
 	// onStep is called in each step, if set.
 	onStep func(*simFleet)
 }
@@ -62,7 +64,7 @@
 					continue
 				}
 				if node := l.pickNode(f); node.downUntil == 0 {
-					f.request(node, tenant, promptTokens(f.random))
+					f.request(node, l.newRequest(tenant, promptTokens(f.random)))
 				}
 			}
 		}
@@ -73,6 +75,26 @@
 	}
 }
 
+func (l load) newRequest(tenant fleet.TenantName, amount float64) Request {
+	request := Request{Tenant: tenant, Amount: amount}
+	if l.priorityOf != nil {
+		request.Priority = l.priorityOf(amount)
+	}
+	return request
+}
+
+// shortFirst makes short requests urgent and long ones the least urgent.
+func shortFirst(amount float64) int {
+	switch {
+	case amount < 800:
+		return 0
+	case amount < 3000:
+		return 1
+	default:
+		return 2
+	}
+}
+
 // lagFraction is the fraction of a burst by which nodes may underestimate what is left, since reports
 // are delayed.
 const lagFraction = 0.2
@@ -84,7 +106,8 @@
 		limit := testLimits()[bigTenant]
 		f := newSimFleet(seed, 12, testOptions(true), map[fleet.TenantName]Limit{bigTenant: limit}, false)
 		singleBucket := newAccount(f.now, limit, limit.Burst)
-		f.onDecision = func(amount float64, decision Decision) {
+		f.onDecision = func(request Request, decision Decision) {
+			amount := request.Amount
 			singleBucket.drain(f.now, shares{reachable: 1})
 			left := singleBucket.available(1, false)
 			if decision.Admitted {
@@ -125,7 +148,8 @@
 var regressionSeeds = []uint64{1003, 1126}
 
 // TestLimitsHoldUnderFailures guards against exceeded limits under overload while nodes fail or are
-// added, limits change, callers use a few nodes only, or clocks drift by up to 9%.
+// added, limits change, callers use a few nodes only, or clocks drift by up to 9%, with requests of
+// one priority and of several.
 func TestLimitsHoldUnderFailures(t *testing.T) {
 	allSeeds := slices.Clone(regressionSeeds)
 	for seed := range uint64(seedCount) {
@@ -134,17 +158,18 @@
 	for _, seed := range allSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			checkLimitsHold(t, seed)
+			checkLimitsHold(t, seed, nil)
+			checkLimitsHold(t, seed, shortFirst)
 		})
 	}
 }
 
-func checkLimitsHold(t *testing.T, seed uint64) {
+func checkLimitsHold(t *testing.T, seed uint64, priorityOf func(float64) int) {
 	random := rand.New(rand.NewPCG(seed, 2))
 	f := newSimFleet(seed, 3+random.IntN(18), testOptions(random.IntN(2) == 0), testLimits(), random.IntN(2) == 0)
 	failures := newFailurePlan(random)
-	flood := load{multiple: 1 + 3.2*random.Float64(), pickNode: failures.pickNode, onStep: failures.applyDue}
-	load{multiple: 0.55, pickNode: anyNode}.run(f, time.Duration(2+random.IntN(3))*time.Second)
+	flood := load{multiple: 1 + 3.2*random.Float64(), priorityOf: priorityOf, pickNode: failures.pickNode, onStep: failures.applyDue}
+	load{multiple: 0.55, priorityOf: priorityOf, pickNode: anyNode}.run(f, time.Duration(2+random.IntN(3))*time.Second)
 	flood.run(f, 20*time.Second)
 	for tenant, limit := range testLimits() {
 		require.Negative(t, f.excess(tenant, limit, 0), "seed %d, tenant %s, failures %v", seed, tenant, failures.descriptions)
@@ -167,7 +192,7 @@
 		}
 		load{multiple: 0.6, pickNode: pickRunning}.run(f, 7*time.Second)
 		requests, refused := 0, 0
-		f.onDecision = func(_ float64, decision Decision) {
+		f.onDecision = func(_ Request, decision Decision) {
 			requests++
 			if !decision.Admitted {
 				refused++
--- /dev/null
+++ b/internal/quota/room.go
@@ -0,0 +1,117 @@
+package quota
+
+import "time"
+
+// room is what is left of a tenant's limit for one request.
+type room struct {
+	account  *account
+	request  *Request
+	priority int
+	// share is the share of the limit that applies, burst the units of a full bucket with it.
+	share float64
+	burst float64
+	// available is the units left, of which reserve are kept for more urgent requests and holdBack
+	// for returning callers.
+	available float64
+	reserve   float64
+	holdBack  float64
+	// debt is the units by which one request may exceed what is available.
+	debt float64
+}
+
+// kept returns the units kept from the request.
+func (r *room) kept() float64 { return r.reserve + r.holdBack }
+
+// debtBeside returns the units by which one request may exceed what is available while kept units
+// are kept for others. Most of these must remain.
+func (r *room) debtBeside(kept float64) float64 {
+	if kept <= 0 {
+		return r.debt
+	}
+	return min(r.debt, kept*reserveDebtFraction)
+}
+
+func (r *room) fitsBeside(kept float64) bool {
+	return r.account.fits(r.request.Amount, r.available-kept, r.debtBeside(kept))
+}
+
+// decide returns whether the request is admitted, and why.
+func (r *room) decide(now time.Duration) Cause {
+	paced := true
+	if r.reserve > 0 {
+		r.earnMinimum(now)
+		paced = r.isPaced(now)
+	}
+	switch {
+	case paced && r.fitsBeside(r.kept()):
+		return r.admissionCause()
+	case r.fitsMinimum():
+		return ByMinimumShare
+	case r.fitsBeside(0):
+		return KeptForOthers
+	default:
+		return LimitUsed
+	}
+}
+
+// isPaced reports whether this node may admit the request by its part of what all nodes may admit
+// of the priority. Otherwise each node would admit the same units before it hears of the others.
+func (r *room) isPaced(now time.Duration) bool {
+	account, amount := r.account, r.request.Amount
+	pace := &account.pace[r.priority]
+	pace.earn(now, amount, paceMargin*account.freeRate(r.priority, r.share), account.demand.of(r.priority), amount)
+	return pace.spend(amount) || r.request.Returning || r.available-r.kept() > account.unknownUse(r.priority)
+}
+
+// admissionCause returns why a request that fits is admitted.
+func (r *room) admissionCause() Cause {
+	other := *r.request
+	other.Returning = false
+	holdBack := other.holdBack(holdBackFraction * r.burst)
+	least := max(r.account.leastUrgent(), r.priority)
+	switch {
+	case r.fitsBeside(r.account.reserve(least, false, r.burst) + holdBack):
+		return WithinLimit
+	case !r.fitsBeside(r.account.reserve(r.priority, false, r.burst) + holdBack):
+		return AsReturning
+	default:
+		return FromReserve
+	}
+}
+
+// earnMinimum adds what the request brings to the minimum share of its priority.
+func (r *room) earnMinimum(now time.Duration) {
+	rate := minimumShare * r.account.limit.Rate * r.share
+	limit := rate * minimumSharePeriod.Seconds() * r.account.ownFraction(r.priority)
+	r.account.minimum[r.priority].earn(now, r.request.Amount, rate, r.account.demand.of(r.priority), limit)
+}
+
+// fitsMinimum reports whether the minimum share admits the request. It applies only while a reserve
+// does, and may leave the same debt as any request.
+func (r *room) fitsMinimum() bool {
+	return r.reserve > 0 && r.account.minimum[r.priority].units > 0 && r.available+r.debt >= r.request.Amount
+}
+
+// take takes the units of the admitted request.
+func (r *room) take(now time.Duration) {
+	r.account.take(now, r.request.Amount)
+	r.account.minimum[r.priority].spend(r.request.Amount)
+}
+
+// promise returns the time until the refused request fits after those refused before it, at most
+// window, and records that it was told so.
+func (r *room) promise(now, window time.Duration) time.Duration {
+	rate := r.account.freeRate(r.priority, r.share)
+	if rate <= 0 {
+		return 0
+	}
+	// Other nodes promise their part of what is free.
+	ownRate := rate * r.account.ownFraction(r.priority)
+	promised := &r.account.promised[r.priority]
+	promised.drain(now, ownRate)
+	amount := r.request.Amount
+	missing := max(amount-r.debtBeside(r.kept()), 0) - (r.available - r.kept())
+	seconds := max(min(missing, r.account.fleet.deficit), 0)/rate + promised.deficit/ownRate
+	promised.deficit = min(promised.deficit+amount, ownRate*window.Seconds())
+	return time.Duration(min(seconds, window.Seconds()) * float64(time.Second))
+}
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -10,7 +10,7 @@
 	}
 }
 
-// shares holds fractions of a limit.
+// shares holds fractions of a limit. It is valid until the next call of Limiter.shares.
 type shares struct {
 	now time.Duration
 	// reachable is the share of this node and its reachable peers.
@@ -49,7 +49,7 @@
 	l.detectPause(now)
 	l.updateJoining(now)
 	l.detectUnreachable(now)
-	result := shares{now: now, reachable: 1, joining: 1.0 / assumedJoiningNodes}
+	result := shares{now: now, reachable: 1, joining: 1.0 / assumedJoiningNodes, stale: l.stalePeers[:0]}
 	total, reachable := 1.0, 1
 	for _, peer := range l.peers {
 		if peer.unreachable {
@@ -72,7 +72,7 @@
 	if now >= l.started+joinTimeout {
 		result.joining *= isolatedJoiningFraction
 	}
-	l.reachableShare = result.reachable
+	l.reachableShare, l.stalePeers = result.reachable, result.stale
 	return result
 }
 
--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -54,7 +54,7 @@
 	// inFlight holds the reports that aren't delivered yet.
 	inFlight []simReport
 	// onDecision is called for each decision, if set.
-	onDecision func(amount float64, decision Decision)
+	onDecision func(request Request, decision Decision)
 }
 
 type simAdmission struct {
@@ -97,14 +97,14 @@
 }
 
 // request sends a request to a node and returns the node's decision.
-func (f *simFleet) request(node *simNode, tenant fleet.TenantName, amount float64) Decision {
+func (f *simFleet) request(node *simNode, request Request) Decision {
 	node.arrived++
-	decision := node.limiter.Admit(node.clock(f.now), tenant, amount)
+	decision := node.limiter.Admit(node.clock(f.now), request)
 	if decision.Admitted {
-		f.admissions = append(f.admissions, simAdmission{f.now, tenant, amount})
+		f.admissions = append(f.admissions, simAdmission{f.now, request.Tenant, request.Amount})
 	}
 	if f.onDecision != nil {
-		f.onDecision(amount, decision)
+		f.onDecision(request, decision)
 	}
 	return decision
 }
