--- a/internal/quota/request.go
+++ b/internal/quota/request.go
@@ -52,8 +52,6 @@
 	// KeptForOthers means that it was refused since the units left are kept for more urgent requests
 	// or for returning callers.
 	KeptForOthers
-	// CauseCount is the number of causes.
-	CauseCount
 )
 
 // admits reports whether the request was admitted.
@@ -74,7 +72,7 @@
 		return "limit_used"
 	case KeptForOthers:
 		return "kept_for_others"
-	case CauseCount:
+	default:
+		return "unknown"
 	}
-	return "unknown"
 }
