--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/delivery"
+	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
@@ -51,6 +52,8 @@
 	Reason string
 	// RetryAfter is the predicted time until capacity is available; 0 if unknown.
 	RetryAfter time.Duration
+	// Limit is the limit that the request's wait exceeds; zero unless Reason is ReasonLate.
+	Limit engineroom.Limit
 }
 
 // Reasons of a refusal.
@@ -149,7 +152,7 @@
 	search, reason := r.candidates(now, request)
 	switch {
 	case reason == ReasonFull && request.Engine != nil:
-		return nil, Refusal{Reason: reason, RetryAfter: r.slotTime(request.Service)}
+		return nil, r.refuseFull(now, request)
 	case reason == ReasonLimited:
 		return nil, Refusal{Reason: reason, RetryAfter: search.reopensIn}
 	case reason != "":
@@ -283,6 +286,7 @@
 	if p.Engine == nil {
 		return
 	}
+	r.recordFirstToken(now, p)
 	r.recordHeldParts(now, p)
 	if !p.Limited {
 		p.state.recordSlowness(now-p.chosenAt, p.Engine.Predicted)
@@ -302,6 +306,9 @@
 	state := p.state
 	if !p.hasFirstByte {
 		state.endPrefill(p.work)
+		if outcome == Cancelled && p.Engine != nil {
+			r.recordNoFirstToken(now, p)
+		}
 	}
 	state.end(p.work)
 	r.updateLevel(state)
--- a/internal/backends/choose_strategies_test.go
+++ b/internal/backends/choose_strategies_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
 )
@@ -86,13 +87,14 @@
 		return decision, true, time.Since(start)
 	}
 	decision = f.registry.decide(s, prompt)
-	if _, late := tooLate(prompt.engine, &decision); late && variant.name == "few" {
-		if _, added := s.addSpareEngines(allowedWait(prompt.engine, &decision)); added {
+	allowed := engineroom.OnTimeWait(prompt.engine.Target, decision.ServiceTime)
+	isTooLate := func() bool { return prompt.engine.MayRefuse && decision.Late && decision.WaitTime > allowed }
+	if isTooLate() && variant.name == "few" {
+		if _, added := s.addSpareEngines(allowed); added {
 			decision = f.registry.decide(s, prompt)
 		}
 	}
-	_, refused = tooLate(prompt.engine, &decision)
-	return decision, refused, time.Since(start)
+	return decision, isTooLate(), time.Since(start)
 }
 
 // sortEngines sorts the engines by load, and selects those assigned to one node.
--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
 )
@@ -23,6 +24,8 @@
 	Priority int
 	// TimeLeft is the time left until the first event is due; 0 if unknown.
 	TimeLeft time.Duration
+	// Deadline is the time until the caller stops waiting for the response; 0 if unknown.
+	Deadline time.Duration
 	// MayRefuse is set if the request may be refused because it would miss its target.
 	MayRefuse bool
 	// Target is the target for the time to the first event, from the arrival of the request.
@@ -85,8 +88,10 @@
 	// Home is set if the engine is the home of the prompt's shared parts, which all nodes prefer.
 	Home bool
 
-	hashes []fleet.BlockHash
-	store  fleet.EngineRun
+	// expected is nil if the request has no target.
+	expected *expectation
+	hashes   []fleet.BlockHash
+	store    fleet.EngineRun
 }
 
 // outdatedPenalty is the cost of an engine with an outdated model version.
@@ -108,29 +113,44 @@
 )
 
 // chooseEngine lets the scheduler choose among the candidates of a search. If the request would
-// miss its target at all of them, it adds engines with spare capacity before it refuses.
+// wait too long at all of them, it adds engines with spare capacity before it refuses.
 func (r *Registry) chooseEngine(search *search) (*Placement, Refusal) {
 	r.parts.expire(search.now)
 	prompt := r.newPrompt(search)
+	engine := prompt.engine
 	decision := r.decide(search, prompt)
-	for {
-		refusal, late := tooLate(prompt.engine, &decision)
-		if !late {
-			return r.placeAt(search, prompt, &decision), Refusal{}
-		}
-		if search.exhaustive {
-			return nil, refusal
-		}
-		allowed := allowedWait(prompt.engine, &decision)
+	limit, limited := r.waitLimit(search, engine, &decision)
+	if !limited {
+		return r.placeAt(search, prompt, &decision), Refusal{}
+	}
+	onTime := engineroom.OnTimeWait(engine.Target, decision.ServiceTime)
+	due := engine.TimeLeft
+	if limit.Wait < onTime && decision.WaitTime > limit.Wait {
+		due = min(due, limit.Wait+decision.ServiceTime)
+		decision = r.decideBy(search, prompt, due)
+	}
+	shortestWait := r.addSpareEngines(search, prompt, &decision, due, min(onTime, limit.Wait))
+	if decision.Late && shortestWait > limit.Wait {
+		return nil, r.refuseLate(search, engine, &decision, limit, shortestWait)
+	}
+	return r.placeAt(search, prompt, &decision), Refusal{}
+}
+
+// addSpareEngines adds engines with spare capacity to the candidates until the request is predicted
+// to be in time or to wait for at most allowed. It updates the decision and returns the shortest
+// wait that it knows of.
+func (r *Registry) addSpareEngines(search *search, prompt *prompt, decision *scheduling.Decision, due, allowed time.Duration) time.Duration {
+	for decision.Late && decision.WaitTime > allowed && !search.exhaustive {
 		shortestWait, added := search.addSpareEngines(allowed)
 		if !added {
-			return nil, Refusal{Reason: ReasonLate, RetryAfter: shortestWait - allowed}
+			return min(shortestWait, decision.WaitTime)
 		}
 		before := len(r.endpoints)
-		if decision = r.decide(search, prompt); len(r.endpoints) == before {
-			return nil, refusal
+		if *decision = r.decideBy(search, prompt, due); len(r.endpoints) == before {
+			break
 		}
 	}
+	return decision.WaitTime
 }
 
 // prompt holds properties of a request's prompt that are computed once for each choice.
@@ -153,6 +173,12 @@
 
 // decide lets the scheduler compare the candidates.
 func (r *Registry) decide(search *search, prompt *prompt) scheduling.Decision {
+	return r.decideBy(search, prompt, prompt.engine.TimeLeft)
+}
+
+// decideBy lets the scheduler compare the candidates. due is the time left until the first token is
+// due; 0 if unknown.
+func (r *Registry) decideBy(search *search, prompt *prompt, due time.Duration) scheduling.Decision {
 	engine := prompt.engine
 	r.endpoints = r.endpoints[:0]
 	for _, state := range search.candidates() {
@@ -171,7 +197,7 @@
 		Pool:         search.request.Service,
 		PromptTokens: engine.PromptTokens,
 		PartTokens:   prompt.ends,
-		Deadline:     engine.TimeLeft,
+		Deadline:     due,
 	}, r.endpoints, r.options.Random)
 }
 
@@ -182,7 +208,8 @@
 	chosen := candidates[decision.Index]
 	version := chosen.worker.Versions[engine.Model]
 	scoped := search.scopeOf(version)
-	prefill := engine.PromptTokens - decision.CachedTokens - decision.ImportedTokens
+	prefill := uncachedTokens(engine, decision)
+	r.recordUse(search, engine, decision)
 	r.recordWork(now, search.request.Service, engine, prefill)
 	placement := r.begin(now, chosen, len(candidates), placedWork{
 		priority: engine.Priority, prefillTokens: prefill, need: memoryNeedOf(engine, scoped),
@@ -203,6 +230,7 @@
 		StoredParts:    scoped.storedParts,
 		MostHeldParts:  scoped.maxHeldParts(),
 		Home:           chosen == prompt.home,
+		expected:       newExpectation(engine, decision),
 		hashes:         scoped.hashes,
 		store:          StoreRun(engine.Store),
 	}
--- a/internal/backends/late.go
+++ b/internal/backends/late.go
@@ -3,28 +3,103 @@
 import (
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/engineroom"
+	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
 )
 
-// minWaitFraction is the fraction of a request's target for which it may always wait, so that
-// prompts are not refused for their length.
-const minWaitFraction = 0.5
+// roomRequest describes a request to the engine room of its service.
+func roomRequest(engine *EngineRequest, decision *scheduling.Decision) engineroom.Request {
+	return engineroom.Request{
+		Tenant: engine.Tenant, Priority: engine.Priority, Service: decision.ServiceTime,
+		Target: engine.Target, Deadline: engine.Deadline,
+	}
+}
+
+// room returns the engine room of a service and creates it if needed. The mutex must be held.
+func (r *Registry) room(service fleet.PoolName) *engineroom.Room {
+	room := r.rooms[service]
+	if room == nil {
+		room = engineroom.New()
+		r.rooms[service] = room
+	}
+	return room
+}
 
-// tooLate reports whether a request is refused because it would wait for longer than its target
-// allows at every engine. Under overload, refusing some requests lets the others meet their
-// targets.
-func tooLate(engine *EngineRequest, decision *scheduling.Decision) (Refusal, bool) {
-	if !engine.MayRefuse || !decision.Late || engine.Target <= 0 {
-		return Refusal{}, false
+// waitLimit returns the longest wait with which the request may be placed, and false if it may wait
+// for any time.
+func (r *Registry) waitLimit(search *search, engine *EngineRequest, decision *scheduling.Decision) (engineroom.Limit, bool) {
+	if !engine.MayRefuse || engine.Target <= 0 {
+		return engineroom.Limit{}, false
 	}
-	allowed := allowedWait(engine, decision)
-	if decision.WaitTime <= allowed {
-		return Refusal{}, false
+	request := roomRequest(engine, decision)
+	return r.room(search.request.Service).Limit(search.now, &request), true
+}
+
+// refuseLate refuses a request that would wait for longer than its limit.
+func (r *Registry) refuseLate(search *search, engine *EngineRequest, decision *scheduling.Decision, limit engineroom.Limit, wait time.Duration) Refusal {
+	request := roomRequest(engine, decision)
+	cost := r.workOf(search.request.Service, engine, uncachedTokens(engine, decision))
+	r.room(search.request.Service).RecordRefused(search.now, &request, cost, limit.Cause)
+	return Refusal{Reason: ReasonLate, RetryAfter: limit.RetryAfter(wait), Limit: limit}
+}
+
+// refuseFull refuses a request because all engines are full. Its engine time isn't known, since it
+// depends on what the engine has cached.
+func (r *Registry) refuseFull(now time.Duration, request *Request) Refusal {
+	if engine := request.Engine; engine.MayRefuse && engine.Target > 0 {
+		refused := roomRequest(engine, &scheduling.Decision{})
+		r.room(request.Service).RecordRefused(now, &refused, 0, engineroom.CauseDeadline)
 	}
-	return Refusal{Reason: ReasonLate, RetryAfter: decision.WaitTime - allowed}, true
+	return Refusal{Reason: ReasonFull, RetryAfter: r.slotTime(request.Service)}
 }
 
-// allowedWait returns how long a request may wait for other requests.
-func allowedWait(engine *EngineRequest, decision *scheduling.Decision) time.Duration {
-	return max(engine.Target-decision.ServiceTime, time.Duration(minWaitFraction*float64(engine.Target)))
+// recordUse counts the engine time of a placed request for its tenant.
+func (r *Registry) recordUse(search *search, engine *EngineRequest, decision *scheduling.Decision) {
+	request := roomRequest(engine, decision)
+	late := engine.Target > 0 && decision.Late && decision.WaitTime > engineroom.OnTimeWait(engine.Target, decision.ServiceTime)
+	cost := r.workOf(search.request.Service, engine, uncachedTokens(engine, decision))
+	r.room(search.request.Service).RecordPlaced(search.now, &request, cost, late)
+}
+
+// uncachedTokens returns the number of the request's prompt tokens that need prefill.
+func uncachedTokens(engine *EngineRequest, decision *scheduling.Decision) int {
+	return engine.PromptTokens - decision.CachedTokens - decision.ImportedTokens
+}
+
+// expectation is what a placed request was expected to do.
+type expectation struct {
+	request engineroom.Request
+	// firstToken is the predicted time to the first token if the engine serves the request before all
+	// less urgent ones. due is the time left until the target.
+	firstToken, due time.Duration
+}
+
+// newExpectation returns the expectation of a request, or nil if it has no target or is not the first
+// try: what later tries wait for is not due to the engines.
+func newExpectation(engine *EngineRequest, decision *scheduling.Decision) *expectation {
+	if !engine.MayRefuse || engine.Target <= 0 {
+		return nil
+	}
+	return &expectation{
+		request: roomRequest(engine, decision), firstToken: decision.WaitTime + decision.ServiceTime, due: engine.TimeLeft,
+	}
+}
+
+// recordFirstToken compares a placed request's first token with what was expected. The mutex must be
+// held.
+func (r *Registry) recordFirstToken(now time.Duration, placement *Placement) {
+	expected, measured := placement.Engine.expected, now-placement.chosenAt
+	if expected != nil {
+		late := measured > expected.due
+		r.room(placement.Worker.Service).RecordFirstToken(now, &expected.request, expected.firstToken, measured, late)
+	}
+}
+
+// recordNoFirstToken records that a placed request was cancelled after its target without a first
+// token. The mutex must be held.
+func (r *Registry) recordNoFirstToken(now time.Duration, placement *Placement) {
+	if expected := placement.Engine.expected; expected != nil && now-placement.chosenAt > expected.due {
+		r.recordFirstToken(now, placement)
+	}
 }
--- a/internal/backends/peers.go
+++ b/internal/backends/peers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
@@ -18,6 +19,8 @@
 	Cordons map[fleet.EngineID]time.Duration
 	// Work holds the work of the peer's requests by service.
 	Work map[fleet.PoolName]Work
+	// TenantWork holds the engine time of the peer's requests by service and tenant.
+	TenantWork map[fleet.PoolName][]engineroom.Use
 }
 
 // peerReports holds the latest report of each peer, and their totals.
@@ -259,6 +262,8 @@
 func (r *Registry) ObservePeer(now time.Duration, node fleet.NodeID, report PeerReport) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.observePeerUse(now, node, report.TenantWork)
+	report.TenantWork = nil
 	r.peers.observe(now, node, report)
 }
 
@@ -274,6 +279,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.peers.forget(node)
+	for _, room := range r.rooms {
+		room.ForgetPeer(node)
+	}
 }
 
 // suspicionQuorum is the number of peers that must suspect or be deferred by a worker before this
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/prefixindex"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
@@ -69,7 +70,9 @@
 	speedEstimates map[fleet.PoolName]*speedEstimate
 	parts          *partIndex
 	workTrackers   map[fleet.PoolName]*workTracker
-	pools          map[fleet.PoolName]*pool
+	// rooms holds, by service, who uses its engines.
+	rooms map[fleet.PoolName]*engineroom.Room
+	pools map[fleet.PoolName]*pool
 	// subsets are the active subsets, planned the last ones that this node planned, and shortages
 	// the capacity that they lacked. With onlySubsets, workers outside the active subsets are not
 	// tracked.
@@ -122,6 +125,7 @@
 		speedEstimates:      make(map[fleet.PoolName]*speedEstimate),
 		parts:               newPartIndex(options.MaxParts),
 		workTrackers:        make(map[fleet.PoolName]*workTracker),
+		rooms:               make(map[fleet.PoolName]*engineroom.Room),
 		pools:               make(map[fleet.PoolName]*pool),
 		shortages:           make(map[fleet.PoolName]shortage),
 	}
--- a/internal/backends/search.go
+++ b/internal/backends/search.go
@@ -229,12 +229,26 @@
 	if !serves || version < s.required[model] {
 		return verdictOutdated
 	}
-	if limit := maxStreams(state.worker.Slots); limit > 0 && s.totalInFlight(s.now, state) >= limit {
+	if s.isFull(state) {
 		return verdictFull
 	}
 	return verdictEligible
 }
 
+// isFull reports whether an engine has reached its maximum number of streams. For a request with a
+// deadline, less urgent streams don't count: the engine serves the request before them.
+func (s *search) isFull(state *workerState) bool {
+	limit, engine := maxStreams(state.worker.Slots), s.request.Engine
+	inFlight := s.totalInFlight(s.now, state)
+	if limit <= 0 || inFlight < limit {
+		return false
+	}
+	if engine.Deadline <= 0 {
+		return true
+	}
+	return inFlight-int(s.lowerPriorityLoad(s.now, state, engine.Priority).InFlight) >= limit
+}
+
 func readyVerdict(ready bool, verdict, otherwise verdict) verdict {
 	if ready {
 		return verdict
--- a/internal/backends/search_spare.go
+++ b/internal/backends/search_spare.go
@@ -25,6 +25,8 @@
 	model                fleet.ModelName
 	priority             int
 	limited, wantsTarget bool
+	// full is set for scans that have found all workers full.
+	full bool
 }
 
 // scanResult is the result of a full scan of a service's workers.
@@ -96,21 +98,31 @@
 	return key
 }
 
-// anyPriority is used in a scanKey when the result does not depend on the priority, as for full
-// workers.
+// anyPriority is used in a scanKey when the result does not depend on the priority.
 const anyPriority = -1
 
+// fullKey returns the scan key of requests for which the same workers are full.
+func (s *search) fullKey() scanKey {
+	priority := anyPriority
+	if engine := s.request.Engine; engine != nil && engine.Deadline > 0 {
+		priority = engine.Priority
+	}
+	key := s.scanKeyFor(priority)
+	key.full = true
+	return key
+}
+
 // isKnownFull reports whether a valid full scan has found all workers full. It is false for retried
 // requests, which exclude some workers.
 func (s *search) isKnownFull() bool {
-	scan := s.pool.scans[s.scanKeyFor(anyPriority)]
+	scan := s.pool.scans[s.fullKey()]
 	return len(s.request.Excluded) == 0 && scan != nil && s.now < scan.validUntil && s.resolve() == ReasonFull
 }
 
 // recordFull records that a full scan has found all workers full.
 func (s *search) recordFull() {
 	if len(s.request.Excluded) == 0 && s.resolve() == ReasonFull {
-		s.pool.scans[s.scanKeyFor(anyPriority)] = &scanResult{validUntil: s.now + s.scanValidity()}
+		s.pool.scans[s.fullKey()] = &scanResult{validUntil: s.now + s.scanValidity()}
 	}
 }
 
--- a/internal/backends/work.go
+++ b/internal/backends/work.go
@@ -100,6 +100,10 @@
 		current = &workTracker{updatedAt: now}
 		r.workTrackers[service] = current
 	}
-	work := time.Duration(uncached)*r.perToken(service) + time.Duration(engine.OutputTokens)*outputTokenTime
-	current.record(now, r.isLongPrompt(engine), work)
+	current.record(now, r.isLongPrompt(engine), r.workOf(service, engine, uncached))
+}
+
+// workOf returns the engine time of a request. The mutex must be held.
+func (r *Registry) workOf(service fleet.PoolName, engine *EngineRequest, uncached int) time.Duration {
+	return time.Duration(uncached)*r.perToken(service) + time.Duration(engine.OutputTokens)*outputTokenTime
 }
--- /dev/null
+++ b/internal/engineroom/shares.go
@@ -0,0 +1,81 @@
+package engineroom
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// shareInterval is the time between two computations of the share.
+	shareInterval = 50 * time.Millisecond
+	// minUnmetFraction is the fraction of the demand from which on unmet demand counts as shortage.
+	minUnmetFraction = 0.02
+	// nearShare is the fraction of the share from which on a tenant counts as at its share. If only one
+	// tenant wants more, its use is the share itself, so that an exact comparison would depend on
+	// rounding.
+	nearShare = 0.95
+)
+
+// fairShare returns the max-min fair share of a capacity: the amount to which each demand is limited
+// so that their sum is the capacity. It returns 0 if the capacity meets all demands. It sorts the
+// demands.
+func fairShare(demands []time.Duration, capacity time.Duration) time.Duration {
+	slices.Sort(demands)
+	for index, demand := range demands {
+		equal := capacity / time.Duration(len(demands)-index)
+		if demand > equal {
+			return equal
+		}
+		capacity -= demand
+	}
+	return 0
+}
+
+// updateShare computes the totals over all nodes and the share, at most once each shareInterval.
+// While room is short, the capacity is what is used.
+func (r *Room) updateShare(now time.Duration) {
+	if now < r.nextShareAt {
+		return
+	}
+	r.nextShareAt = now + shareInterval
+	r.own.advance(now)
+	clear(r.totals)
+	for tenant, amount := range r.own.tenants {
+		r.totals[tenant] = amount
+	}
+	r.addPeers(now)
+	r.demands = r.demands[:0]
+	var sum amounts
+	for _, amount := range r.totals {
+		r.demands = append(r.demands, amount.demand())
+		sum = sum.plus(amount)
+	}
+	r.share, r.isShort = 0, sum.unmet > 0
+	if sum.unmet > scale(sum.demand(), minUnmetFraction) {
+		r.share = fairShare(r.demands, sum.used)
+	}
+}
+
+// isAtShare reports whether a tenant has used its share while room is short.
+func (r *Room) isAtShare(used time.Duration) bool {
+	return r.share > 0 && used >= scale(r.share, nearShare)
+}
+
+// TenantsAtShare returns the number of tenants that want more than their share while room is short.
+func (r *Room) TenantsAtShare(now time.Duration) int {
+	r.updateShare(now)
+	count := 0
+	for _, amount := range r.totals {
+		if r.isAtShare(amount.used) && amount.demand() > r.share {
+			count++
+		}
+	}
+	return count
+}
+
+// rate converts recent engine time to engine seconds a second. Use at a constant rate adds up to the
+// rate times the mean lifetime, which is the half-life over ln 2.
+func rate(amount time.Duration) float64 {
+	return amount.Seconds() * math.Ln2 / useHalfLife.Seconds()
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -82,6 +82,9 @@
 		if refused.Reason == backends.ReasonLimited {
 			refused = g.unavailableRefusal(current, refused.RetryAfter)
 		}
+		if refused.Reason == backends.ReasonLate {
+			g.reportLateRefusal(current, &refused)
+		}
 		return current.attempts.NoWorker(refused.Reason, refused.RetryAfter)
 	}
 	g.chargeRerun(current)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -151,6 +151,7 @@
 		}
 		known = present
 		g.workers.SetPeerCount(len(peers))
+		g.metrics.room.tenantsAtShare.Set(float64(g.workers.TenantsAtShare(g.now())))
 		g.updateUsagePeers()
 	}
 	return nil
@@ -241,6 +242,7 @@
 			Service: string(service), LongMillis: uint32(work.Long.Milliseconds()), ShortMillis: uint32(work.Short.Milliseconds()),
 		})
 	}
+	report.TenantWork = encodeTenantWork(g.workers.OwnTenantWork(now))
 	for _, suspect := range g.workers.Suspects(now) {
 		report.Suspects = append(report.Suspects, string(suspect))
 	}
@@ -334,6 +336,7 @@
 	}
 	g.workers.ObservePeer(now, fleet.NodeID(report.GetNode()), backends.PeerReport{
 		Loads: g.decodeLoads(report.GetLoads()), Suspects: suspects, Cordons: orders, Work: work, Deferring: g.deferringWorkers(report),
+		TenantWork: g.decodeTenantWork(report.GetTenantWork()),
 	})
 	for _, run := range report.GetDraining() {
 		g.observeDraining(backends.DrainingRun{Worker: fleet.EngineID(run.GetWorker()), StartTime: backends.StartTime(run.GetBorn())}, noticeSourcePeer)
--- a/internal/gateway/placementrequest.go
+++ b/internal/gateway/placementrequest.go
@@ -48,6 +48,7 @@
 			Priority:     priorityOf(current),
 			TimeLeft:     g.latencyTargetLeft(current),
 			Target:       current.route.TargetLatency,
+			Deadline:     g.callerWaits(current),
 			MayRefuse:    current.attempts.Sends() == 0,
 			WantsCopy:    wantsCopy(current),
 			EventTokens:  engine.EventTokens,
