--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -182,8 +182,8 @@
 	return state.isReady(now) && r.isReadyByPeers(now, state)
 }
 
-// choosePlain chooses the worker with the lowest cost, based on its load, failures, slowness and
-// distance.
+// choosePlain chooses the worker with the lowest cost, based on its load, failures, speed
+// and distance.
 func (r *Registry) choosePlain(search *search) *Placement {
 	candidates := search.candidates()
 	minFailures := minFailureRate(search.now, candidates)
@@ -208,7 +208,7 @@
 	load := r.totalLoad(now, state)
 	slots := float64(max(state.worker.Slots, 1))
 	cost := (float64(load.InFlight) + 1) / slots
-	cost *= max(state.slowness, 1)
+	cost *= max(state.speed.Prefill, 1)
 	excess := max(state.failureRate(now)-minFailures, 0)
 	cost *= 1 + excess*8
 	cost += r.options.Distances.Plain[r.distanceTo(state.worker.Zone)]
@@ -285,7 +285,6 @@
 	}
 	r.recordHeldParts(now, p)
 	if !p.Limited {
-		p.state.recordSlowness(now-p.chosenAt, p.Engine.Predicted)
 		r.recordSpeed(p, now-p.chosenAt)
 	}
 }
@@ -310,6 +309,7 @@
 		return
 	case outcome == Succeeded && !p.Limited:
 		r.recordSlotTime(p, now-p.chosenAt)
+		r.recordEngineSpeed(now, p)
 	default:
 	}
 	switch outcome {
--- a/internal/backends/endpoint.go
+++ b/internal/backends/endpoint.go
@@ -42,19 +42,26 @@
 func (r *Registry) endpointLoad(now time.Duration, engine *EngineRequest, state *workerState) scheduling.Endpoint {
 	load := r.totalLoad(now, state)
 	lowerPriority := r.lowerPriorityLoad(now, state, engine.Priority)
+	service, speed := state.worker.Service, state.speed
+	perToken := scaled(r.usualPerToken(service), speed.Prefill)
+	computed := 0
+	if r.isUneven(service) {
+		computed = load.PrefillTokens - state.ahead.update(now, load.PrefillTokens, perToken)
+	}
 	return scheduling.Endpoint{
 		Run:                  state.worker.Run(),
-		Pool:                 state.worker.Service,
+		Pool:                 service,
 		Ready:                true,
 		InFlight:             load.InFlight,
 		MaxStreams:           maxStreams(state.worker.Slots),
 		Slots:                state.worker.Slots,
 		LowerPriorityStreams: int(lowerPriority.InFlight),
-		SlotTime:             r.slotTime(state.worker.Service),
+		SlotTime:             scaled(r.slotTime(service), speed.Step),
 		PrefillTokens:        load.PrefillTokens,
+		ComputedTokens:       computed,
 		LowerPriorityTokens:  int(lowerPriority.PrefillTokens),
-		PrefillPerToken:      time.Duration(float64(r.perToken(state.worker.Service)) * max(state.slowness, 1)),
-		Step:                 r.options.Step,
+		PrefillPerToken:      perToken,
+		Step:                 scaled(r.options.Step, speed.Step),
 		StepTokens:           r.options.StepTokens,
 	}
 }
--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/enginespeed"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
 )
@@ -68,10 +69,12 @@
 	SaveTo fleet.Address
 	// Predicted is the predicted time to the first event.
 	Predicted time.Duration
-	// Baseline is Predicted without the engine's own slowness, as the reference for comparing the
+	// Baseline is Predicted without the engine's own speed, as the reference for comparing the
 	// latency of software versions. It includes the wait for queued prompts, so that waiting does
 	// not make a version look slow.
 	Baseline time.Duration
+	// Speed is the engine's measured speed at the time of the choice.
+	Speed enginespeed.Factors
 	// Prefix is the identifier of the last shared part of the prompt.
 	Prefix string
 	// SharedParts is the number of shared parts of the prompt, and SharedTokens their total size.
@@ -172,6 +175,8 @@
 		PromptTokens: engine.PromptTokens,
 		PartTokens:   prompt.ends,
 		Deadline:     engine.TimeLeft,
+
+		MinTieFraction: r.minTieFraction(search.request.Service),
 	}, r.endpoints, r.options.Random)
 }
 
@@ -195,7 +200,8 @@
 		CachedTokens:   decision.CachedTokens,
 		ImportedTokens: decision.ImportedTokens,
 		Predicted:      decision.FirstToken,
-		Baseline:       time.Duration(float64(decision.FirstToken) / max(chosen.slowness, 1)),
+		Baseline:       scaled(decision.FirstToken, 1/chosen.speed.Prefill),
+		Speed:          chosen.speed,
 		Prefix:         PrefixName(engine.Parts),
 		SharedParts:    prompt.shared,
 		SharedTokens:   sharedTokens(prompt.ends, prompt.shared),
--- /dev/null
+++ b/internal/backends/engine_speed.go
@@ -0,0 +1,187 @@
+package backends
+
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/enginespeed"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// maxAheadFraction is the queued prompt work, as a fraction of a prompt's own, up to which the time
+// to its first token is a measurement of the engine's speed.
+const maxAheadFraction = 0.125
+
+// minColdRatio is the part of the time that an engine is expected to take from which on a prompt
+// with missing shared parts is a measurement. Below, the parts were probably cached there after all.
+const minColdRatio = 0.5
+
+// unevenTieFraction is the tie fraction at engines that differ in speed. With known speeds few
+// engines tie for the lowest cost, and nodes that have not heard of each other's latest placements
+// would all choose these.
+const unevenTieFraction = 0.1
+
+// EngineSpeedChange is a considerable change of an engine's measured speed.
+type EngineSpeedChange struct {
+	Service fleet.PoolName
+	enginespeed.Change
+}
+
+// speedTableOf returns the speeds of a service's engines and creates the table if needed. The mutex
+// must be held.
+func (r *Registry) speedTableOf(service fleet.PoolName) *enginespeed.Table {
+	table := r.speedTables[service]
+	if table == nil {
+		table = enginespeed.New()
+		r.speedTables[service] = table
+	}
+	return table
+}
+
+// isUneven reports whether a service's engines are known to differ in speed. Without a measured
+// difference, choices are made by the mean speed of the service. The mutex must be held.
+func (r *Registry) isUneven(service fleet.PoolName) bool {
+	table := r.speedTables[service]
+	return table != nil && table.IsUneven()
+}
+
+// minTieFraction returns the least tie fraction of a choice among a service's engines. The mutex
+// must be held.
+func (r *Registry) minTieFraction(service fleet.PoolName) float64 {
+	if r.isUneven(service) {
+		return unevenTieFraction
+	}
+	return 0
+}
+
+// usualPerToken returns the prefill time per token of an engine of factor 1. While the engines
+// differ, it is the median over them, since the service's estimate follows the fastest. The mutex
+// must be held.
+func (r *Registry) usualPerToken(service fleet.PoolName) time.Duration {
+	if table := r.speedTables[service]; table != nil && table.IsUneven() && table.Usual(enginespeed.Prefill) > 0 {
+		return time.Duration(table.Usual(enginespeed.Prefill) * float64(r.options.PrefillPerToken))
+	}
+	return r.perToken(service)
+}
+
+// scaled returns a duration multiplied by a factor.
+func scaled(duration time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(duration) * factor)
+}
+
+// speedRun returns the run that the speed table knows a worker by.
+func speedRun(worker *Worker) enginespeed.Run {
+	return enginespeed.Run{Engine: worker.ID, StartTime: uint64(worker.StartTime)}
+}
+
+// recordEngineSpeed adds the time to the first token of a completed request to the engine's speed.
+// Only requests that waited for little else tell the speed. The mutex must be held.
+func (r *Registry) recordEngineSpeed(now time.Duration, placement *Placement) {
+	if placement.Engine == nil || !placement.hasFirstByte || placement.Limited || placement.Engine.ImportFrom != "" || placement.Engine.ContinueAt != "" {
+		return
+	}
+	if placement.Worker.Slots > 0 && placement.InFlight >= placement.Worker.Slots {
+		return
+	}
+	uncached := placement.work.prefillTokens
+	if float64(placement.PrefillTokens) > maxAheadFraction*float64(uncached) {
+		return
+	}
+	delay := r.options.Distances.Delay[r.distanceTo(placement.Worker.Zone)]
+	elapsed := max(placement.timeToFirstByte-delay, 1)
+	prefill := time.Duration(uncached) * r.options.PrefillPerToken
+	table, run := r.speedTableOf(placement.Worker.Service), speedRun(&placement.Worker)
+	switch {
+	case uncached <= shortUncached:
+		table.Observe(now, run, enginespeed.Step, float64(elapsed)/float64(prefill+r.options.Step))
+	case uncached >= longUncached:
+		steps := (uncached + r.options.StepTokens - 1) / r.options.StepTokens
+		inSteps := scaled(time.Duration(steps)*r.options.Step, table.Factors(run).Step)
+		ratio := float64(max(elapsed-inSteps, 1)) / float64(prefill)
+		isCold := placement.Engine.HeldParts < placement.Engine.SharedParts
+		if isCold && ratio < minColdRatio*table.Usual(enginespeed.Prefill)*table.Factors(run).Step {
+			return
+		}
+		table.Observe(now, run, enginespeed.Prefill, ratio)
+	default:
+		return
+	}
+	r.updateSpeed(placement.Worker.ID)
+}
+
+// updateSpeed copies an engine's factors from the table. The mutex must be held.
+func (r *Registry) updateSpeed(id fleet.EngineID) {
+	state := r.workers[id]
+	if state == nil {
+		return
+	}
+	if table := r.speedTables[state.worker.Service]; table != nil {
+		state.speed = table.Factors(speedRun(&state.worker))
+	}
+}
+
+// RefreshSpeeds updates the speeds of all engines relative to each other, and returns the
+// considerable changes. Callers call it about once a second.
+func (r *Registry) RefreshSpeeds(now time.Duration) []EngineSpeedChange {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var changes []EngineSpeedChange
+	for service, table := range r.speedTables {
+		for _, change := range table.Refresh(now) {
+			changes = append(changes, EngineSpeedChange{Service: service, Change: change})
+		}
+	}
+	for id, state := range r.workers {
+		if len(state.worker.Versions) > 0 {
+			r.updateSpeed(id)
+		}
+	}
+	return changes
+}
+
+// OwnSpeeds returns the speeds that this node has measured and that are due to a peer.
+func (r *Registry) OwnSpeeds(now time.Duration, to fleet.NodeID) []enginespeed.Speed {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var speeds []enginespeed.Speed
+	for _, table := range r.speedTables {
+		speeds = append(speeds, table.Report(now, to)...)
+	}
+	return speeds[:min(len(speeds), enginespeed.MaxReported)]
+}
+
+// ObserveSpeeds merges the speeds that a peer has measured. It returns how many of them were left
+// out since the engine is unknown or a value is out of range.
+func (r *Registry) ObserveSpeeds(now time.Duration, node fleet.NodeID, speeds []enginespeed.Speed) (rejected int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, speed := range speeds {
+		state := r.workers[speed.Engine]
+		if state == nil || len(state.worker.Versions) == 0 {
+			rejected++
+			continue
+		}
+		rejected += r.speedTableOf(state.worker.Service).Merge(now, node, []enginespeed.Speed{speed})
+		r.updateSpeed(speed.Engine)
+	}
+	return rejected
+}
+
+// EngineFactors returns the factors of all engines with measurements, for metrics.
+func (r *Registry) EngineFactors() []enginespeed.Factors {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var factors []enginespeed.Factors
+	for _, state := range r.workers {
+		if state.speed.Samples > 0 {
+			factors = append(factors, state.speed)
+		}
+	}
+	return factors
+}
+
+// forgetSpeed drops the speed of an engine that is no longer tracked. The mutex must be held.
+func (r *Registry) forgetSpeed(worker *Worker) {
+	if table := r.speedTables[worker.Service]; table != nil {
+		table.Forget(worker.ID)
+	}
+}
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/enginespeed"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/prefixindex"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
@@ -67,9 +68,11 @@
 	memoryCapacities map[fleet.PoolName]int
 	// speedEstimates holds, by service, the measured speed of its engines.
 	speedEstimates map[fleet.PoolName]*speedEstimate
-	parts          *partIndex
-	workTrackers   map[fleet.PoolName]*workTracker
-	pools          map[fleet.PoolName]*pool
+	// speedTables holds, by service, the speeds of its engines relative to each other.
+	speedTables  map[fleet.PoolName]*enginespeed.Table
+	parts        *partIndex
+	workTrackers map[fleet.PoolName]*workTracker
+	pools        map[fleet.PoolName]*pool
 	// subsets are the active subsets, planned the last ones that this node planned, and shortages
 	// the capacity that they lacked. With onlySubsets, workers outside the active subsets are not
 	// tracked.
@@ -120,6 +123,7 @@
 		preferred:           make(map[fleet.ModelName]ModelVersion),
 		memoryCapacities:    make(map[fleet.PoolName]int),
 		speedEstimates:      make(map[fleet.PoolName]*speedEstimate),
+		speedTables:         make(map[fleet.PoolName]*enginespeed.Table),
 		parts:               newPartIndex(options.MaxParts),
 		workTrackers:        make(map[fleet.PoolName]*workTracker),
 		pools:               make(map[fleet.PoolName]*pool),
@@ -211,6 +215,7 @@
 	r.parts.clear(worker.Run())
 	replacement := newState(worker, revision)
 	r.workers[worker.ID] = replacement
+	r.updateSpeed(worker.ID)
 	r.updatePool(replacement)
 }
 
--- a/internal/backends/short_names.go
+++ b/internal/backends/short_names.go
@@ -49,12 +49,21 @@
 // ShortNames returns the short name of the worker of each load; 0 if the worker is unknown or its
 // short name is ambiguous.
 func (r *Registry) ShortNames(loads []Load) []uint32 {
+	ids := make([]fleet.EngineID, len(loads))
+	for index := range loads {
+		ids[index] = loads[index].Engine
+	}
+	return r.ShortNamesOf(ids)
+}
+
+// ShortNamesOf is like ShortNames, for identifiers.
+func (r *Registry) ShortNamesOf(ids []fleet.EngineID) []uint32 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	short := make([]uint32, len(loads))
-	for index := range loads {
-		name := shortName(loads[index].Engine)
-		if found, only := r.shortNames.find(name); only && found == loads[index].Engine {
+	short := make([]uint32, len(ids))
+	for index, id := range ids {
+		name := shortName(id)
+		if found, only := r.shortNames.find(name); only && found == id {
 			short[index] = name
 		}
 	}
--- a/internal/backends/subset.go
+++ b/internal/backends/subset.go
@@ -183,6 +183,7 @@
 		r.forgottenDraining[id] = drainingRecord{startTime: state.worker.StartTime}
 	}
 	delete(r.unpublishedDraining, id)
+	r.forgetSpeed(&state.worker)
 	r.parts.remove(state.worker.Run())
 	r.removeFromPool(state)
 	delete(r.workers, id)
--- a/internal/backends/worker.go
+++ b/internal/backends/worker.go
@@ -13,6 +13,7 @@
 import (
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/enginespeed"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
@@ -68,10 +69,6 @@
 	mismatchBackoff = 400 * time.Millisecond
 	// peerReportValidity is how long a peer's report counts.
 	peerReportValidity = 1500 * time.Millisecond
-	// slownessWeight is the weight of one sample in a worker's slowness.
-	slownessWeight = 0.1
-	// maxSlowness bounds the slowness.
-	maxSlowness = 8
 )
 
 // workerState is the state tracked for one run of a worker.
@@ -103,8 +100,10 @@
 
 	failureMean   float64
 	failureMeanAt time.Duration
-	// slowness is the moving average of the ratio of measured to predicted time to first byte.
-	slowness float64
+	// speed is the measured speed of an engine.
+	speed enginespeed.Factors
+	// ahead predicts the remaining prompt work of an engine.
+	ahead prefillAhead
 
 	// hash is the hash of the identifier. pool, tier, level and levelIndex are the worker's
 	// position in its pool.
@@ -121,7 +120,7 @@
 
 // newState returns the initial state of a run.
 func newState(worker Worker, revision fleet.Revision) *workerState {
-	return &workerState{worker: worker, revision: revision, slowness: 1, tier: noTier, hash: hashName(string(worker.ID))}
+	return &workerState{worker: worker, revision: revision, speed: enginespeed.Unknown(), tier: noTier, hash: hashName(string(worker.ID))}
 }
 
 // begin counts a request that is placed at the worker.
@@ -204,15 +203,3 @@
 	s.suspicionPeriod = 0
 	s.suspectUntil = 0
 }
-
-// recordSlowness adds a time to first byte to the slowness.
-func (s *workerState) recordSlowness(elapsed, predicted time.Duration) {
-	if predicted <= 0 {
-		return
-	}
-	ratio := min(max(float64(elapsed)/float64(predicted), 1), maxSlowness)
-	if s.slowness == 0 {
-		s.slowness = 1
-	}
-	s.slowness += (ratio - s.slowness) * slownessWeight
-}
--- /dev/null
+++ b/internal/enginespeed/table.go
@@ -0,0 +1,155 @@
+package enginespeed
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// Table holds the speeds of one service's engines.
+type Table struct {
+	engines map[fleet.EngineID]*engine
+	// usual holds the median ratio over the engines; 0 if none was measured.
+	usual  [kindCount]float64
+	uneven bool
+	// contacts holds the peers that reports were sent to.
+	contacts map[fleet.NodeID]*contact
+	buffer   []weightedRatio
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{engines: make(map[fleet.EngineID]*engine), contacts: make(map[fleet.NodeID]*contact)}
+}
+
+// Observe adds a ratio that this node has measured. Ratios out of range are limited to it.
+func (t *Table) Observe(now time.Duration, run Run, kind Kind, ratio float64) {
+	entry := t.entryOf(run)
+	if entry == nil || math.IsNaN(ratio) {
+		return
+	}
+	entry.own[kind].add(now, min(max(ratio, MinRatio), MaxRatio))
+	entry.reported.update(now, entry)
+	entry.combine(now)
+	entry.updateFactors(now, t.usual)
+}
+
+// Merge adds what a peer has measured itself, and returns how many of its entries were out of
+// range. Entries on earlier runs are ignored.
+func (t *Table) Merge(now time.Duration, node fleet.NodeID, speeds []Speed) (invalid int) {
+	for _, speed := range speeds {
+		if !speed.isValid() {
+			invalid++
+			continue
+		}
+		if entry := t.entryOf(speed.Run); entry != nil {
+			entry.merge(now, node, speed)
+			entry.combine(now)
+			entry.updateFactors(now, t.usual)
+		}
+	}
+	return invalid
+}
+
+// entryOf returns the entry of a run. A later run of the same engine replaces the entry; for an
+// earlier one, it returns nil.
+func (t *Table) entryOf(run Run) *engine {
+	entry := t.engines[run.Engine]
+	isLater := entry != nil && entry.startTime != 0 && run.StartTime > entry.startTime
+	switch {
+	case entry == nil || isLater:
+		entry = &engine{startTime: run.StartTime, factors: Unknown(), logged: Unknown()}
+		t.engines[run.Engine] = entry
+	case run.StartTime != 0 && run.StartTime < entry.startTime:
+		return nil
+	case entry.startTime == 0:
+		entry.startTime = run.StartTime
+	}
+	return entry
+}
+
+// Factors returns the factors of a run.
+func (t *Table) Factors(run Run) Factors {
+	entry := t.engines[run.Engine]
+	if entry == nil || (run.StartTime != 0 && entry.startTime != 0 && run.StartTime != entry.startTime) {
+		return Unknown()
+	}
+	return entry.factors
+}
+
+// Usual returns the median ratio of a kind over the service's engines; 0 if none was measured.
+func (t *Table) Usual(kind Kind) float64 { return t.usual[kind] }
+
+// IsUneven reports whether a considerable part of the engines is faster or slower than the others.
+func (t *Table) IsUneven() bool { return t.uneven }
+
+// Len returns the number of engines with estimates.
+func (t *Table) Len() int { return len(t.engines) }
+
+// Forget drops an engine that is no longer in use.
+func (t *Table) Forget(engine fleet.EngineID) { delete(t.engines, engine) }
+
+// Change is a considerable change of an engine's factors.
+type Change struct {
+	Engine   fleet.EngineID
+	From, To Factors
+}
+
+// minLoggedChange is the factor by which a factor changes at least for a Change.
+const minLoggedChange = 1.3
+
+// Refresh drops lapsed estimates, updates the usual ratios and all factors, and returns the
+// considerable changes. Callers call it about once a second.
+func (t *Table) Refresh(now time.Duration) []Change {
+	for id, entry := range t.engines {
+		if entry.hasLapsed(now) {
+			delete(t.engines, id)
+		}
+	}
+	for node, sent := range t.contacts {
+		if now >= sent.last+contactLifetime {
+			delete(t.contacts, node)
+		}
+	}
+	for kind := range kindCount {
+		t.usual[kind] = t.medianOf(now, kind)
+	}
+	var changes []Change
+	sure, different := 0, 0
+	for id, entry := range t.engines {
+		entry.updateFactors(now, t.usual)
+		if entry.factors.Samples < sureWeight {
+			continue
+		}
+		sure++
+		if !entry.factors.isEven() {
+			different++
+		}
+		if differsBy(minLoggedChange, entry.logged.Prefill, entry.factors.Prefill) {
+			changes = append(changes, Change{Engine: id, From: entry.logged, To: entry.factors})
+			entry.logged = entry.factors
+		}
+	}
+	t.uneven = different > 0 && float64(different) >= unevenShare*float64(sure)
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Engine, b.Engine) })
+	return changes
+}
+
+// medianOf returns the median ratio over the engines, each of which counts the same.
+func (t *Table) medianOf(now time.Duration, kind Kind) float64 {
+	t.buffer = t.buffer[:0]
+	for _, entry := range t.engines {
+		if entry.weight(now, kind) >= minWeight {
+			t.buffer = append(t.buffer, weightedRatio{ratio: entry.combined[kind].ratio, weight: 1})
+		}
+	}
+	return median(t.buffer).ratio
+}
+
+// differsBy reports whether two positive values differ by at least a factor.
+func differsBy(factor, one, other float64) bool {
+	return one >= other*factor || other >= one*factor
+}
--- /dev/null
+++ b/internal/enginespeed/table_test.go
@@ -0,0 +1,118 @@
+package enginespeed
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+func runOf(number int) Run {
+	return Run{Engine: fleet.EngineID(fmt.Sprint("e", number)), StartTime: 1000}
+}
+
+// measured returns a table with measurements of engines with the given ratios.
+func measured(samples int, ratios ...float64) *Table {
+	table := New()
+	for number, ratio := range ratios {
+		for range samples {
+			table.Observe(0, runOf(number), Prefill, ratio)
+		}
+	}
+	table.Refresh(0)
+	return table
+}
+
+// TestMomentsOfNoiseAreNotSpeed guards against factors that follow moments in which engines are
+// slowed down to 2.5 times.
+func TestMomentsOfNoiseAreNotSpeed(t *testing.T) {
+	table, random := New(), rand.New(rand.NewPCG(1, 2))
+	speeds := []float64{0.6, 1, 1.6}
+	for sample := range 8 {
+		for number := range 57 {
+			ratio := 1 / speeds[number%3]
+			if random.Float64() < 0.15 {
+				ratio *= 2.5
+			}
+			table.Observe(time.Duration(sample)*time.Second, runOf(number), Prefill, ratio)
+		}
+	}
+	table.Refresh(8 * time.Second)
+	wrong := 0
+	for number := range 57 {
+		if math.Abs(table.Factors(runOf(number)).Prefill*speeds[number%3]-1) > 0.2 {
+			wrong++
+		}
+	}
+	assert.LessOrEqual(t, wrong, 57/5)
+	assert.True(t, table.IsUneven())
+}
+
+// TestEvenEnginesAreNotReported guards against reports of small differences.
+func TestEvenEnginesAreNotReported(t *testing.T) {
+	table := measured(5, 0.95, 1, 1.08, 1.02)
+	assert.False(t, table.IsUneven())
+	assert.Empty(t, table.Report(0, "peer"))
+	assert.InDelta(t, 1, table.Factors(runOf(2)).Prefill, 0)
+}
+
+// TestReportIsBoundedAndHoldsOwnMeasurements guards against peers' measurements that come back as
+// if they were others.
+func TestReportIsBoundedAndHoldsOwnMeasurements(t *testing.T) {
+	ratios := make([]float64, 100)
+	for number := range ratios {
+		ratios[number] = 1 + float64(number%2)
+	}
+	table := measured(3, ratios...)
+	table.Merge(0, "peer", []Speed{{Run: runOf(1000), Ratios: [2]float64{5, 5}, Samples: 9}})
+	report := table.Report(0, "other")
+	assert.Len(t, report, MaxReported)
+	for _, speed := range report {
+		assert.NotEqual(t, runOf(1000).Engine, speed.Engine)
+	}
+	assert.Empty(t, table.Report(reportedFor+introductionPeriod, "other"), "nothing has changed since")
+	assert.NotEmpty(t, table.Report(reportedFor+introductionPeriod, "joining"))
+}
+
+// TestOldSpeedsOfACutOffNodeFade guards against a node that reports what it measured before an
+// engine slowed down.
+func TestOldSpeedsOfACutOffNodeFade(t *testing.T) {
+	cutOff, table := measured(5, 1, 1, 1, 0.5), measured(5, 1, 1, 1, 0.5)
+	old := cutOff.Report(0, "peer")
+	later := 2 * time.Minute
+	for range 5 {
+		table.Observe(later, runOf(3), Prefill, 2)
+	}
+	for index := range old {
+		old[index].Samples = decayed(old[index].Samples, later)
+	}
+	assert.Zero(t, table.Merge(later, "cut-off", old))
+	for number := range 3 {
+		table.Observe(later, runOf(number), Prefill, 1)
+	}
+	table.Refresh(later)
+	assert.Greater(t, table.Factors(runOf(3)).Prefill, 1.6)
+	table.Refresh(later + 10*halfLife)
+	assert.Zero(t, table.Len())
+}
+
+// TestSpeedsOutOfRangeAreLeftOut guards against predictions by malformed reports.
+func TestSpeedsOutOfRangeAreLeftOut(t *testing.T) {
+	table := measured(3, 1, 1, 1)
+	invalid := []Speed{
+		{Run: runOf(0), Ratios: [2]float64{1e6, 1}, Samples: 5},
+		{Run: runOf(0), Ratios: [2]float64{math.NaN(), 1}, Samples: 5},
+		{Run: runOf(0), Ratios: [2]float64{2, -1}, Samples: 5},
+		{Run: runOf(0), Ratios: [2]float64{2, 2}},
+		{Run: runOf(0), Samples: 5},
+	}
+	assert.Equal(t, len(invalid), table.Merge(0, "peer", invalid))
+	table.Merge(0, "peer", []Speed{{Run: runOf(0), Ratios: [2]float64{50, 50}, Samples: 1e9}})
+	table.Refresh(0)
+	assert.LessOrEqual(t, table.Factors(runOf(0)).Samples, 3.0+maxPeerSamples)
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -230,6 +230,7 @@
 	placement.End(g.now(), outcome)
 	g.metrics.attempts.WithLabelValues(string(placement.Worker.Service), outcome.String()).Inc()
 	if outcome == backends.Succeeded {
+		g.observeFirstToken(placement)
 		if current.status < http.StatusMultipleChoices {
 			g.recordCompleteResponse(current)
 		}
@@ -250,7 +251,7 @@
 			Str("save_to", string(engine.SaveTo)).Int("shared", engine.SharedTokens).Int("shared_parts", engine.SharedParts).Int("held_parts", engine.HeldParts).
 			Int("stored_parts", engine.StoredParts).Int("most_held_parts", engine.MostHeldParts).Bool("home", engine.Home).Int("prefill_ahead", placement.PrefillTokens).
 			Int("memory_used", placement.MemoryTokens).Str("copy_to", string(engine.CopyTo.ID)).Bool("continues", engine.ContinueAt != "").
-			Dur("predicted", engine.Predicted)
+			Dur("predicted", engine.Predicted).Float64("speed_factor", engine.Speed.Prefill).Float64("speed_samples", engine.Speed.Samples)
 	}
 	if age, proven := g.freshness.Age(g.now()); proven {
 		line = line.Dur("configuration_age", age)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,6 +37,8 @@
 	deliveryAnswers *prometheus.CounterVec
 	deliveryLatency *prometheus.HistogramVec
 	deliveryShare   *prometheus.GaugeVec
+
+	engineSpeeds *engineSpeedMetrics
 }
 
 // bytesMetric is the name of the metric that counts the bytes of all connections.
@@ -93,6 +95,7 @@
 			Name: "tillerfall_gateway_delivery_share", Help: "Part of a route's requests that a version's target is asked to get, and part of the answers that it gave.",
 		}, []string{"service", "route", "kind"}),
 	}
+	m.engineSpeeds = newEngineSpeedMetrics(registry)
 	m.pressure = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "tillerfall_gateway_pressure", Help: "How near the node is to its limits: 0 free, 1 busy, 2 full.",
 	})
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -131,6 +131,7 @@
 func (g *Gateway) exchangeLoads() error {
 	known := make(map[fleet.NodeID]bool)
 	for round := 0; g.pauseInterval(loadExchangeInterval); round++ {
+		g.refreshEngineSpeeds()
 		peers := g.loadPeers()
 		present := make(map[fleet.NodeID]bool, len(peers))
 		for _, member := range peers {
@@ -236,6 +237,7 @@
 		Limits:      g.limits.encodedLimits(now),
 	}
 	report.Loads = g.encodeLoads(g.workers.OwnLoad())
+	report.Speeds = g.encodeEngineSpeeds(now, to)
 	for service, work := range g.workers.OwnWork(now) {
 		report.Work = append(report.Work, &rpc.ServiceWork{
 			Service: string(service), LongMillis: uint32(work.Long.Milliseconds()), ShortMillis: uint32(work.Short.Milliseconds()),
@@ -335,6 +337,7 @@
 	g.workers.ObservePeer(now, fleet.NodeID(report.GetNode()), backends.PeerReport{
 		Loads: g.decodeLoads(report.GetLoads()), Suspects: suspects, Cordons: orders, Work: work, Deferring: g.deferringWorkers(report),
 	})
+	g.applyEngineSpeeds(now, report)
 	for _, run := range report.GetDraining() {
 		g.observeDraining(backends.DrainingRun{Worker: fleet.EngineID(run.GetWorker()), StartTime: backends.StartTime(run.GetBorn())}, noticeSourcePeer)
 	}
--- a/internal/scheduling/pick.go
+++ b/internal/scheduling/pick.go
@@ -13,7 +13,8 @@
 	if len(inTime) == 0 {
 		return earliest(candidates), true
 	}
-	return s.breakTies(endpoints, inTime, random), false
+	tieFraction := max(s.options.TieFraction, request.MinTieFraction)
+	return breakTies(endpoints, inTime, tieFraction, random), false
 }
 
 // meetingDeadline moves the candidates that meet the deadline to the front and returns them.
@@ -41,10 +42,10 @@
 	return best
 }
 
-// breakTies chooses among the candidates within TieFraction of the cheapest: those with the fewest
+// breakTies chooses among the candidates within tieFraction of the cheapest: those with the fewest
 // streams in flight, then one at random. Reservoir sampling avoids an allocation.
-func (s *Scheduler) breakTies(endpoints []Endpoint, candidates []scoredEndpoint, random *rand.Rand) scoredEndpoint {
-	limit := s.tieLimit(candidates)
+func breakTies(endpoints []Endpoint, candidates []scoredEndpoint, tieFraction float64, random *rand.Rand) scoredEndpoint {
+	limit := tieLimit(candidates, tieFraction)
 	var best scoredEndpoint
 	equal := 0
 	for _, candidate := range candidates {
@@ -66,10 +67,10 @@
 }
 
 // tieLimit returns the highest cost that still counts as equal to the lowest.
-func (s *Scheduler) tieLimit(candidates []scoredEndpoint) time.Duration {
+func tieLimit(candidates []scoredEndpoint, tieFraction float64) time.Duration {
 	lowest := candidates[0].scores.Cost()
 	for _, candidate := range candidates[1:] {
 		lowest = min(lowest, candidate.scores.Cost())
 	}
-	return lowest + time.Duration(float64(lowest)*s.options.TieFraction)
+	return lowest + time.Duration(float64(lowest)*tieFraction)
 }
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -37,6 +37,9 @@
 	// PrefillTokens is the number of uncached prompt tokens queued ahead of a new request: the last
 	// load report, plus requests placed since, minus those that have ended.
 	PrefillTokens int
+	// ComputedTokens is the part of PrefillTokens that the engine is predicted to have computed
+	// since it was reported.
+	ComputedTokens int
 	// LowerPriorityTokens and LowerPriorityStreams are the parts of PrefillTokens and InFlight with
 	// a lower priority than the request. The engine serves the request before them.
 	LowerPriorityTokens  int
@@ -110,6 +113,8 @@
 	Excluded   []fleet.EngineRun
 	// Deadline is the time left until the first token is due; 0 means no deadline.
 	Deadline time.Duration
+	// MinTieFraction is the least tie fraction for this request, if it is above that of the options.
+	MinTieFraction float64
 	// RecomputeDiscount is the fraction of the recomputation price, from 0 to 1, that is waived
 	// because the request has waited for an engine with a warm cache.
 	RecomputeDiscount float64
@@ -160,6 +165,8 @@
 	// LowerPriority is the part of Queue due to lower-priority requests. It does not delay this
 	// request, but counts in its cost because those requests are delayed instead.
 	LowerPriority time.Duration
+	// Computed is the part of Queue that the engine is predicted to have done.
+	Computed time.Duration
 	// ImportedTokens is the number of prompt tokens that are faster to import than to compute.
 	// Import is the time that this takes.
 	ImportedTokens int
@@ -189,8 +196,8 @@
 	Memory time.Duration
 }
 
-// FirstToken returns the predicted time to the first token if the request waits for all queued
-// prompt work.
+// FirstToken returns the time to the first token if the request waits for all queued prompt work,
+// none of which has been computed yet.
 func (s Scores) FirstToken() time.Duration {
 	return s.Queue + s.ServiceTime()
 }
@@ -201,7 +208,7 @@
 
 // WaitTime returns the time for which the request waits for requests of the same or a higher
 // priority.
-func (s Scores) WaitTime() time.Duration { return s.Queue - s.LowerPriority }
+func (s Scores) WaitTime() time.Duration { return max(s.Queue-s.LowerPriority-s.Computed, 0) }
 
 // ServiceTime returns the time that the request takes on an idle engine.
 func (s Scores) ServiceTime() time.Duration { return s.Import + s.Prefill + s.Interference + s.Zone }
--- a/internal/scheduling/score_queue.go
+++ b/internal/scheduling/score_queue.go
@@ -26,5 +26,6 @@
 // PredictedWait returns the time for which a new request waits at an endpoint for requests of the
 // same or a higher priority.
 func PredictedWait(endpoint *Endpoint) time.Duration {
-	return queueTime(endpoint) - prefillTime(endpoint, endpoint.LowerPriorityTokens)
+	wait := queueTime(endpoint) - prefillTime(endpoint, endpoint.LowerPriorityTokens+endpoint.ComputedTokens)
+	return max(wait, 0)
 }
