--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -200,7 +200,7 @@
 		CachedTokens:   decision.CachedTokens,
 		ImportedTokens: decision.ImportedTokens,
 		Predicted:      decision.FirstToken,
-		Baseline:       scaled(decision.FirstToken, 1/chosen.speed.Prefill),
+		Baseline:       r.baseline(chosen, decision.FirstToken),
 		Speed:          chosen.speed,
 		Prefix:         PrefixName(engine.Parts),
 		SharedParts:    prompt.shared,
--- a/internal/backends/engine_speed.go
+++ b/internal/backends/engine_speed.go
@@ -63,6 +63,14 @@
 	return r.perToken(service)
 }
 
+// baseline returns a predicted time without the engine's own speed: at the service's estimate, which
+// doesn't depend on how many engines are slow. The mutex must be held.
+func (r *Registry) baseline(state *workerState, predicted time.Duration) time.Duration {
+	service := state.worker.Service
+	estimated, usual := r.perToken(service), r.usualPerToken(service)
+	return scaled(predicted, float64(estimated)/(float64(max(usual, 1))*state.speed.Prefill))
+}
+
 // scaled returns a duration multiplied by a factor.
 func scaled(duration time.Duration, factor float64) time.Duration {
 	return time.Duration(float64(duration) * factor)
@@ -151,20 +159,20 @@
 }
 
 // ObserveSpeeds merges the speeds that a peer has measured. It returns how many of them were left
-// out since the engine is unknown or a value is out of range.
-func (r *Registry) ObserveSpeeds(now time.Duration, node fleet.NodeID, speeds []enginespeed.Speed) (rejected int) {
+// out since the engine is unknown here, and how many since a value is out of range.
+func (r *Registry) ObserveSpeeds(now time.Duration, node fleet.NodeID, speeds []enginespeed.Speed) (unknown, invalid int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for _, speed := range speeds {
 		state := r.workers[speed.Engine]
 		if state == nil || len(state.worker.Versions) == 0 {
-			rejected++
+			unknown++
 			continue
 		}
-		rejected += r.speedTableOf(state.worker.Service).Merge(now, node, []enginespeed.Speed{speed})
+		invalid += r.speedTableOf(state.worker.Service).Merge(now, node, []enginespeed.Speed{speed})
 		r.updateSpeed(speed.Engine)
 	}
-	return rejected
+	return unknown, invalid
 }
 
 // EngineFactors returns the factors of all engines with measurements, for metrics.
--- a/internal/backends/engine_speed_test.go
+++ b/internal/backends/engine_speed_test.go
@@ -59,14 +59,14 @@
 	worker := engineWorker(0, 1)
 	worker.StartTime = 1000
 	registry.Observe(20, worker)
-	report := func(startTime uint64, ratio float64) int {
+	report := func(startTime uint64, ratio float64) {
 		speeds := []enginespeed.Speed{{Run: enginespeed.Run{Engine: worker.ID, StartTime: startTime}, Ratios: [2]float64{ratio, ratio}, Samples: 9}}
 		for number := 1; number < engineCount; number++ {
 			speeds = append(speeds, enginespeed.Speed{Run: enginespeed.Run{Engine: engineWorker(number, 1).ID}, Ratios: [2]float64{1, 1}, Samples: 9})
 		}
-		rejected := registry.ObserveSpeeds(0, "peer", speeds)
+		unknown, invalid := registry.ObserveSpeeds(0, "peer", speeds)
+		assert.Zero(t, unknown+invalid)
 		registry.RefreshSpeeds(0)
-		return rejected
 	}
 	report(1000, 3)
 	assert.Greater(t, registry.workers[worker.ID].speed.Prefill, 2.0)
@@ -77,7 +77,8 @@
 	assert.Equal(t, enginespeed.Unknown(), registry.workers[worker.ID].speed, "the peer has not heard of the new run")
 	report(2000, 0.5)
 	assert.Less(t, registry.workers[worker.ID].speed.Prefill, 0.7)
-	assert.Equal(t, 1, registry.ObserveSpeeds(0, "peer", []enginespeed.Speed{{Run: enginespeed.Run{Engine: "other"}, Ratios: [2]float64{1, 1}, Samples: 1}}))
+	unknown, _ := registry.ObserveSpeeds(0, "peer", []enginespeed.Speed{{Run: enginespeed.Run{Engine: "other"}, Ratios: [2]float64{1, 1}, Samples: 1}})
+	assert.Equal(t, 1, unknown)
 }
 
 // TestReportedPromptsAreComputedMeanwhile guards against waiting for prompts that an engine has
--- a/internal/gateway/enginespeedmetrics.go
+++ b/internal/gateway/enginespeedmetrics.go
@@ -16,6 +16,12 @@
 	rangeVerySlow  = "much_slower"
 )
 
+// Reasons why reported speeds are left out: the engine is unknown here, or the report is invalid.
+const (
+	rejectedUnknown = "unknown"
+	rejectedInvalid = "invalid"
+)
+
 // predictionBuckets are the bucket bounds of the ratio of the measured to the predicted time to the
 // first token.
 var predictionBuckets = []float64{.25, .5, .8, 1, 1.2, 1.5, 2, 4, 8}
@@ -25,7 +31,7 @@
 	engines     *prometheus.GaugeVec
 	predictions prometheus.Histogram
 	changes     prometheus.Counter
-	rejected    prometheus.Counter
+	rejected    *prometheus.CounterVec
 }
 
 func newEngineSpeedMetrics(registry *prometheus.Registry) *engineSpeedMetrics {
@@ -40,9 +46,9 @@
 		changes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "tillerfall_gateway_engine_speed_changes_total", Help: "Considerable changes of an engine's measured speed.",
 		}),
-		rejected: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "tillerfall_gateway_engine_speeds_rejected_total", Help: "Speeds reported by peers that were left out.",
-		}),
+		rejected: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tillerfall_gateway_engine_speeds_rejected_total", Help: "Speeds reported by peers that were left out, by reason.",
+		}, []string{"reason"}),
 	}
 	if registry != nil {
 		registry.MustRegister(m.engines, m.predictions, m.changes, m.rejected)
--- a/internal/gateway/enginespeeds.go
+++ b/internal/gateway/enginespeeds.go
@@ -15,8 +15,8 @@
 // perMille is the unit of encoded ratios.
 const perMille = 1000
 
-// errRejectedSpeeds means that a peer reported speeds of unknown engines or out of range.
-var errRejectedSpeeds = errors.New("unknown engine or value out of range")
+// errInvalidSpeeds means that a peer reported speeds out of range or too many of them.
+var errInvalidSpeeds = errors.New("value out of range or too many engines")
 
 // refreshEngineSpeeds updates the engines' speeds relative to each other, and logs and counts the
 // considerable changes.
@@ -88,8 +88,8 @@
 	if len(encoded) == 0 {
 		return
 	}
-	rejected := max(len(encoded)-enginespeed.MaxReported, 0)
-	encoded = encoded[:len(encoded)-rejected]
+	surplus := max(len(encoded)-enginespeed.MaxReported, 0)
+	encoded = encoded[:len(encoded)-surplus]
 	shortNames := make([]uint32, len(encoded))
 	for index, speed := range encoded {
 		shortNames[index] = speed.GetShortName()
@@ -102,10 +102,12 @@
 			speeds[index].Engine = fullNames[index]
 		}
 	}
-	rejected += g.workers.ObserveSpeeds(now, fleet.NodeID(report.GetNode()), speeds)
-	if rejected > 0 {
-		g.metrics.engineSpeeds.rejected.Add(float64(rejected))
-		g.events.line("engine_speeds_rejected").Str("peer", report.GetNode()).Int("count", rejected).
-			Err(errRejectedSpeeds).Msg("engine_speeds_rejected")
+	unknown, invalid := g.workers.ObserveSpeeds(now, fleet.NodeID(report.GetNode()), speeds)
+	invalid += surplus
+	g.metrics.engineSpeeds.rejected.WithLabelValues(rejectedUnknown).Add(float64(unknown))
+	g.metrics.engineSpeeds.rejected.WithLabelValues(rejectedInvalid).Add(float64(invalid))
+	if invalid > 0 {
+		g.events.line("engine_speeds_rejected").Str("peer", report.GetNode()).Int("count", invalid).
+			Err(errInvalidSpeeds).Msg("engine_speeds_rejected")
 	}
 }
