--- a/internal/scheduling/score_queue_test.go
+++ b/internal/scheduling/score_queue_test.go
@@ -38,3 +38,33 @@
 	assert.Equal(t, all.ServiceTime, urgent.ServiceTime)
 	assert.Greater(t, urgent.FirstToken, urgent.WaitTime+urgent.ServiceTime)
 }
+
+// TestComputedWorkCountsInTheTimeLimitOnly guards against leaving out an engine whose reported work
+// is done by now, and against filling it up before the next report.
+func TestComputedWorkCountsInTheTimeLimitOnly(t *testing.T) {
+	reported, slow := testEndpoint(0), testEndpoint(1)
+	reported.PrefillTokens, reported.ComputedTokens = 1000, 1000
+	slow.PrefillPerToken *= 3
+	request := testRequest()
+	request.Deadline = 150 * time.Millisecond
+	decision := scheduleOne(t, Options{}, request, reported, slow)
+	assert.False(t, decision.Late)
+	assert.Equal(t, 0, decision.Index)
+	assert.Less(t, decision.FirstToken, request.Deadline)
+	idle := testEndpoint(1)
+	assert.Equal(t, 1, scheduleOne(t, Options{}, request, reported, idle).Index)
+}
+
+// TestMinTieFractionSpreadsRequests guards against all nodes choosing the engine that is slightly
+// faster than the others.
+func TestMinTieFractionSpreadsRequests(t *testing.T) {
+	faster, other := testEndpoint(0), testEndpoint(1)
+	faster.PrefillPerToken = 95 * time.Microsecond
+	request, random, chosen := testRequest(), testRandom(), make(map[int]int)
+	request.MinTieFraction = 0.1
+	for range 100 {
+		decision, _ := New(Options{}).Schedule(request, []Endpoint{faster, other}, random)
+		chosen[decision.Index]++
+	}
+	assert.Greater(t, min(chosen[0], chosen[1]), 20)
+}
