--- a/internal/enginespeed/engine.go
+++ b/internal/enginespeed/engine.go
@@ -22,7 +22,7 @@
 	own       [kindCount]measurements
 	peers     []peerSpeed
 	// combined holds the estimates by the measurements of all nodes, as of combinedAt.
-	combined   [kindCount]weightedRatio
+	combined   [kindCount]estimate
 	combinedAt time.Duration
 	factors    Factors
 	// logged holds the factors that Table.Refresh last returned as a change.
@@ -73,7 +73,7 @@
 				ratios = append(ratios, weightedRatio{ratio: ratio, weight: e.peers[index].samplesAt(now)})
 			}
 		}
-		e.combined[kind] = median(ratios)
+		e.combined[kind] = estimateOf(ratios)
 	}
 	e.combinedAt = now
 }
@@ -108,10 +108,18 @@
 	if weight < minWeight || usual <= 0 {
 		return prior
 	}
-	measured := math.Log(e.combined[kind].ratio / usual)
+	measured := 0.0
+	if e.combined[kind].differsFrom(usual) {
+		measured = math.Log(e.combined[kind].median / usual)
+	}
 	return (weight*measured + priorWeight*prior) / (weight + priorWeight)
 }
 
+// differsFrom reports whether most measurements agree that the ratio is below or above a usual one.
+func (e *estimate) differsFrom(usual float64) bool {
+	return e.low > usual*evenFactor || e.high < usual/evenFactor
+}
+
 // boundedFactor returns the factor with the given logarithm.
 func boundedFactor(logarithm float64) float64 {
 	if math.Abs(logarithm) <= math.Log(evenFactor) {
--- a/internal/enginespeed/enginespeed.go
+++ b/internal/enginespeed/enginespeed.go
@@ -40,7 +40,7 @@
 	// the others.
 	priorWeight = 1
 	// sureWeight is the weight from which an engine's factor counts for Table.IsUneven.
-	sureWeight = 2
+	sureWeight = 3
 	// evenFactor is the factor up to which a difference counts as none, in both directions. It is
 	// within the variation of the prefill time with the length of the context.
 	evenFactor = 1.15
@@ -48,7 +48,7 @@
 	maxFactor = 8
 	// unevenShare is the share of engines with a factor other than 1 from which a service is
 	// uneven.
-	unevenShare = 0.1
+	unevenShare = 1.0 / 3
 )
 
 // MinRatio and MaxRatio bound the valid ratios.
--- a/internal/enginespeed/measurements.go
+++ b/internal/enginespeed/measurements.go
@@ -38,19 +38,55 @@
 	ratio, weight float64
 }
 
-// median returns the weighted median of ratios and their total weight. It sorts them.
-func median(ratios []weightedRatio) weightedRatio {
+// Quantiles of ratios that an estimate consists of.
+const (
+	lowQuantile  = 0.35
+	highQuantile = 0.65
+	// middleShare is the part of the weight around the middle whose mean is the median: with few
+	// ratios, one of them doesn't decide alone.
+	middleShare = 0.2
+)
+
+// estimate is what measurements tell of a ratio.
+type estimate struct {
+	// median is the weighted median, and low and high the quantiles below and above it. Their
+	// distance shows how far the measurements agree.
+	median, low, high float64
+	// weight is the total weight of the measurements.
+	weight float64
+}
+
+// estimateOf returns the estimate by weighted ratios, which it sorts. It is zero if they have too
+// little weight.
+func estimateOf(ratios []weightedRatio) estimate {
 	slices.SortFunc(ratios, func(a, b weightedRatio) int { return cmp.Compare(a.ratio, b.ratio) })
 	total := 0.0
 	for _, entry := range ratios {
 		total += entry.weight
 	}
 	if total < minWeight {
-		return weightedRatio{}
+		return estimate{}
 	}
-	// middleShare is the part of the weight around the middle whose mean is the median: with few
-	// ratios, one of them doesn't decide alone.
-	const middleShare = 0.2
+	return estimate{
+		median: middleMean(ratios, total), low: quantile(ratios, total*lowQuantile),
+		high: quantile(ratios, total*highQuantile), weight: total,
+	}
+}
+
+// quantile returns the first ratio at which the accumulated weight reaches a limit.
+func quantile(ratios []weightedRatio, limit float64) float64 {
+	before := 0.0
+	for _, entry := range ratios {
+		before += entry.weight
+		if before >= limit {
+			return entry.ratio
+		}
+	}
+	return ratios[len(ratios)-1].ratio
+}
+
+// middleMean returns the geometric mean of the ratios around the middle.
+func middleMean(ratios []weightedRatio, total float64) float64 {
 	low, high := total*(1-middleShare)/2, total*(1+middleShare)/2
 	sum, before := 0.0, 0.0
 	for _, entry := range ratios {
@@ -60,5 +96,5 @@
 		}
 		before = after
 	}
-	return weightedRatio{ratio: math.Exp(sum / (high - low)), weight: total}
+	return math.Exp(sum / (high - low))
 }
--- a/internal/enginespeed/report.go
+++ b/internal/enginespeed/report.go
@@ -65,11 +65,11 @@
 	samples := 0.0
 	changed := s.samples == 0 || now >= s.changedAt+renewalInterval
 	for kind := range kindCount {
-		estimate := median(measured.own[kind].appendTo(now, buffer[:0]))
-		ratios[kind] = estimate.ratio
+		own := estimateOf(measured.own[kind].appendTo(now, buffer[:0]))
+		ratios[kind] = own.median
 		changed = changed || differsBy(reportedChange, max(ratios[kind], MinRatio), max(s.ratios[kind], MinRatio))
 		if samples == 0 {
-			samples = estimate.weight
+			samples = own.weight
 		}
 	}
 	if changed || samples >= s.samples*reportedGrowth {
--- a/internal/enginespeed/table.go
+++ b/internal/enginespeed/table.go
@@ -118,24 +118,32 @@
 		t.usual[kind] = t.medianOf(now, kind)
 	}
 	var changes []Change
-	sure, different := 0, 0
 	for id, entry := range t.engines {
 		entry.updateFactors(now, t.usual)
-		if entry.factors.Samples < sureWeight {
+		if entry.factors.Samples >= sureWeight && differsBy(minLoggedChange, entry.logged.Prefill, entry.factors.Prefill) {
+			changes = append(changes, Change{Engine: id, From: entry.logged, To: entry.factors})
+			entry.logged = entry.factors
+		}
+	}
+	t.updateUneven(now)
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Engine, b.Engine) })
+	return changes
+}
+
+// updateUneven decides whether the service is uneven. Only measurements of prefill count: steps
+// also take longer at engines with more requests.
+func (t *Table) updateUneven(now time.Duration) {
+	sure, different := 0, 0
+	for _, entry := range t.engines {
+		if entry.weight(now, Prefill) < sureWeight {
 			continue
 		}
 		sure++
-		if !entry.factors.isEven() {
+		if entry.combined[Prefill].differsFrom(t.usual[Prefill]) {
 			different++
 		}
-		if differsBy(minLoggedChange, entry.logged.Prefill, entry.factors.Prefill) {
-			changes = append(changes, Change{Engine: id, From: entry.logged, To: entry.factors})
-			entry.logged = entry.factors
-		}
 	}
 	t.uneven = different > 0 && float64(different) >= unevenShare*float64(sure)
-	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Engine, b.Engine) })
-	return changes
 }
 
 // medianOf returns the median ratio over the engines, each of which counts the same.
@@ -143,10 +151,10 @@
 	t.buffer = t.buffer[:0]
 	for _, entry := range t.engines {
 		if entry.weight(now, kind) >= minWeight {
-			t.buffer = append(t.buffer, weightedRatio{ratio: entry.combined[kind].ratio, weight: 1})
+			t.buffer = append(t.buffer, weightedRatio{ratio: entry.combined[kind].median, weight: 1})
 		}
 	}
-	return median(t.buffer).ratio
+	return estimateOf(t.buffer).median
 }
 
 // differsBy reports whether two positive values differ by at least a factor.
--- a/internal/enginespeed/table_test.go
+++ b/internal/enginespeed/table_test.go
@@ -53,6 +53,24 @@
 	assert.True(t, table.IsUneven())
 }
 
+// TestNoiseAtEvenEnginesIsNoDifference guards against a fleet of the same speed that counts as uneven
+// while few measurements, some of them noisy, are known.
+func TestNoiseAtEvenEnginesIsNoDifference(t *testing.T) {
+	table, random := New(), rand.New(rand.NewPCG(3, 4))
+	for sample := range 20 {
+		now := time.Duration(sample) * time.Second
+		for number := range 57 {
+			ratio := 1.0
+			if random.Float64() < 0.15 {
+				ratio = 2.5
+			}
+			table.Observe(now, runOf(number), Prefill, ratio)
+		}
+		table.Refresh(now)
+		assert.False(t, table.IsUneven(), sample)
+	}
+}
+
 // TestEvenEnginesAreNotReported guards against reports of small differences.
 func TestEvenEnginesAreNotReported(t *testing.T) {
 	table := measured(5, 0.95, 1, 1.08, 1.02)
