--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/engineroom"
+	"github.com/tillerfall/tillerfall/internal/enginespeed"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
 )
@@ -71,10 +72,12 @@
 	SaveTo fleet.Address
 	// Predicted is the predicted time to the first event.
 	Predicted time.Duration
-	// Baseline is Predicted without the engine's own slowness, as the reference for comparing the
+	// Baseline is Predicted without the engine's own speed, as the reference for comparing the
 	// latency of software versions. It includes the wait for queued prompts, so that waiting does
 	// not make a version look slow.
 	Baseline time.Duration
+	// Speed is the engine's measured speed at the time of the choice.
+	Speed enginespeed.Factors
 	// Prefix is the identifier of the last shared part of the prompt.
 	Prefix string
 	// SharedParts is the number of shared parts of the prompt, and SharedTokens their total size.
@@ -198,6 +201,8 @@
 		PromptTokens: engine.PromptTokens,
 		PartTokens:   prompt.ends,
 		Deadline:     due,
+
+		MinTieFraction: r.minTieFraction(search.request.Service),
 	}, r.endpoints, r.options.Random)
 }
 
@@ -222,7 +227,8 @@
 		CachedTokens:   decision.CachedTokens,
 		ImportedTokens: decision.ImportedTokens,
 		Predicted:      decision.FirstToken,
-		Baseline:       time.Duration(float64(decision.FirstToken) / max(chosen.slowness, 1)),
+		Baseline:       r.baseline(chosen, decision.FirstToken),
+		Speed:          chosen.speed,
 		Prefix:         PrefixName(engine.Parts),
 		SharedParts:    prompt.shared,
 		SharedTokens:   sharedTokens(prompt.ends, prompt.shared),
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/engineroom"
+	"github.com/tillerfall/tillerfall/internal/enginespeed"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/prefixindex"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
@@ -68,8 +69,10 @@
 	memoryCapacities map[fleet.PoolName]int
 	// speedEstimates holds, by service, the measured speed of its engines.
 	speedEstimates map[fleet.PoolName]*speedEstimate
-	parts          *partIndex
-	workTrackers   map[fleet.PoolName]*workTracker
+	// speedTables holds, by service, the speeds of its engines relative to each other.
+	speedTables  map[fleet.PoolName]*enginespeed.Table
+	parts        *partIndex
+	workTrackers map[fleet.PoolName]*workTracker
 	// rooms holds, by service, who uses its engines.
 	rooms map[fleet.PoolName]*engineroom.Room
 	pools map[fleet.PoolName]*pool
@@ -123,6 +126,7 @@
 		preferred:           make(map[fleet.ModelName]ModelVersion),
 		memoryCapacities:    make(map[fleet.PoolName]int),
 		speedEstimates:      make(map[fleet.PoolName]*speedEstimate),
+		speedTables:         make(map[fleet.PoolName]*enginespeed.Table),
 		parts:               newPartIndex(options.MaxParts),
 		workTrackers:        make(map[fleet.PoolName]*workTracker),
 		rooms:               make(map[fleet.PoolName]*engineroom.Room),
@@ -215,6 +219,7 @@
 	r.parts.clear(worker.Run())
 	replacement := newState(worker, revision)
 	r.workers[worker.ID] = replacement
+	r.updateSpeed(worker.ID)
 	r.updatePool(replacement)
 }
 
--- a/internal/backends/room_test.go
+++ b/internal/backends/room_test.go
@@ -14,8 +14,8 @@
 
 // hardLoad replays a day on which a quarter of the engines goes dark, long reviews and then short
 // replies come in bursts, and two tenants send 4.9 times their usual.
-func hardLoad(seed uint64, sharesRoom bool) *replay {
-	r := newReplay(seed, 4, sharesRoom)
+func hardLoad(seed uint64, sharesRoom bool) *roomReplay {
+	r := newRoomReplay(seed, 4, sharesRoom)
 	r.darkAt, r.darkEngines = 2500*time.Millisecond, 5
 	r.flooding, r.flood, r.floodAt, r.floodEnd = []int{1, 4}, 4.9, 6900*time.Millisecond, 12600*time.Millisecond
 	return r.run()
@@ -25,7 +25,7 @@
 // standard error of late.
 type outcomes struct{ inTime, late, lateError, refused, expired float64 }
 
-func outcomesOf(kind int, replays []*replay) outcomes {
+func outcomesOf(kind int, replays []*roomReplay) outcomes {
 	var sum outcomes
 	squares, count := 0.0, float64(len(replays))
 	for _, r := range replays {
@@ -43,7 +43,7 @@
 // most urgent kind, beyond the error of the sample, while less urgent ones use the engines.
 func TestUrgentRequestsAreLateUnderHardLoad(t *testing.T) {
 	const seeds = 6
-	var before, after []*replay
+	var before, after []*roomReplay
 	for seed := range uint64(seeds) {
 		before, after = append(before, hardLoad(seed, false)), append(after, hardLoad(seed, true))
 	}
@@ -57,8 +57,8 @@
 
 // competing replays ten tenants that want more than engines have, one of them four times as much as
 // usual, and six that want little.
-func competing(perSecond float64) *replay {
-	r := newReplay(1, 10, true)
+func competing(perSecond float64) *roomReplay {
+	r := newRoomReplay(1, 10, true)
 	r.kinds = r.kinds[1:]
 	r.kinds[0].perSecond, r.kinds[0].burst, r.kinds[0].things = perSecond, 1, 20
 	for tenant := range r.weights {
@@ -84,9 +84,9 @@
 // TestFloodTakesEngineTimeOfOthers guards against shares by what tenants send, by the number of nodes
 // to which they come, or by what was known before all nodes restarted.
 func TestFloodTakesEngineTimeOfOthers(t *testing.T) {
-	for name, change := range map[string]func(*replay){
-		"anywhere": func(*replay) {},
-		"two at one node each": func(r *replay) {
+	for name, change := range map[string]func(*roomReplay){
+		"anywhere": func(*roomReplay) {},
+		"two at one node each": func(r *roomReplay) {
 			r.nodeOf = func(tenant int) int {
 				if tenant == 9 || tenant == 3 {
 					return tenant
@@ -94,7 +94,7 @@
 				return r.random.IntN(len(r.nodes))
 			}
 		},
-		"restart": func(r *replay) { r.restartAt, r.measureAt = 8*time.Second, 11*time.Second },
+		"restart": func(r *roomReplay) { r.restartAt, r.measureAt = 8*time.Second, 11*time.Second },
 	} {
 		r := competing(500)
 		change(r)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -40,6 +40,8 @@
 	deliveryAnswers *prometheus.CounterVec
 	deliveryLatency *prometheus.HistogramVec
 	deliveryShare   *prometheus.GaugeVec
+
+	engineSpeeds *engineSpeedMetrics
 }
 
 // bytesMetric is the name of the metric that counts the bytes of all connections.
@@ -97,6 +99,7 @@
 		}, []string{"service", "route", "kind"}),
 	}
 	m.quotaDecisions = newQuotaDecisionMetrics(registry)
+	m.engineSpeeds = newEngineSpeedMetrics(registry)
 	m.pressure = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "tillerfall_gateway_pressure", Help: "How near the node is to its limits: 0 free, 1 busy, 2 full.",
 	})
