--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -185,8 +185,8 @@
 	return state.isReady(now) && r.isReadyByPeers(now, state)
 }
 
-// choosePlain chooses the worker with the lowest cost, based on its load, failures, speed
-// and distance.
+// choosePlain chooses the worker with the lowest cost, based on its load, failures, slowness and
+// distance.
 func (r *Registry) choosePlain(search *search) *Placement {
 	candidates := search.candidates()
 	minFailures := minFailureRate(search.now, candidates)
@@ -211,7 +211,7 @@
 	load := r.totalLoad(now, state)
 	slots := float64(max(state.worker.Slots, 1))
 	cost := (float64(load.InFlight) + 1) / slots
-	cost *= max(state.speed.Prefill, 1)
+	cost *= max(state.slowness, 1)
 	excess := max(state.failureRate(now)-minFailures, 0)
 	cost *= 1 + excess*8
 	cost += r.options.Distances.Plain[r.distanceTo(state.worker.Zone)]
@@ -289,6 +289,7 @@
 	r.recordFirstToken(now, p)
 	r.recordHeldParts(now, p)
 	if !p.Limited {
+		p.state.recordSlowness(now-p.chosenAt, p.Engine.Predicted)
 		r.recordSpeed(p, now-p.chosenAt)
 	}
 }
--- a/internal/backends/endpoint.go
+++ b/internal/backends/endpoint.go
@@ -42,7 +42,7 @@
 func (r *Registry) endpointLoad(now time.Duration, engine *EngineRequest, state *workerState) scheduling.Endpoint {
 	load := r.totalLoad(now, state)
 	lowerPriority := r.lowerPriorityLoad(now, state, engine.Priority)
-	service, speed := state.worker.Service, state.speed
+	service, speed := state.worker.Service, r.speedOf(state)
 	perToken := scaled(r.usualPerToken(service), speed.Prefill)
 	computed := 0
 	if r.isUneven(service) {
--- a/internal/backends/engine_speed.go
+++ b/internal/backends/engine_speed.go
@@ -44,6 +44,16 @@
 	return table != nil && table.IsUneven()
 }
 
+// speedOf returns an engine's speed as choices predict it: while the engines are even, by what this
+// node has seen of the engine of late, which includes work that predictions don't know of. The mutex
+// must be held.
+func (r *Registry) speedOf(state *workerState) enginespeed.Factors {
+	if r.isUneven(state.worker.Service) {
+		return state.speed
+	}
+	return enginespeed.Factors{Prefill: max(state.slowness, 1), Step: 1}
+}
+
 // minTieFraction returns the least tie fraction of a choice among a service's engines. The mutex
 // must be held.
 func (r *Registry) minTieFraction(service fleet.PoolName) float64 {
@@ -68,7 +78,7 @@
 func (r *Registry) baseline(state *workerState, predicted time.Duration) time.Duration {
 	service := state.worker.Service
 	estimated, usual := r.perToken(service), r.usualPerToken(service)
-	return scaled(predicted, float64(estimated)/(float64(max(usual, 1))*state.speed.Prefill))
+	return scaled(predicted, float64(estimated)/(float64(max(usual, 1))*r.speedOf(state).Prefill))
 }
 
 // scaled returns a duration multiplied by a factor.
--- a/internal/backends/worker.go
+++ b/internal/backends/worker.go
@@ -69,6 +69,10 @@
 	mismatchBackoff = 400 * time.Millisecond
 	// peerReportValidity is how long a peer's report counts.
 	peerReportValidity = 1500 * time.Millisecond
+	// slownessWeight is the weight of one sample in a worker's slowness.
+	slownessWeight = 0.1
+	// maxSlowness bounds the slowness.
+	maxSlowness = 8
 )
 
 // workerState is the state tracked for one run of a worker.
@@ -100,8 +104,11 @@
 
 	failureMean   float64
 	failureMeanAt time.Duration
-	// speed is the measured speed of an engine.
+	// speed is the measured speed of an engine. It counts while the engines of the service differ.
 	speed enginespeed.Factors
+	// slowness is the moving average of the ratio of measured to predicted time to first byte at this
+	// node. It counts while the engines are even.
+	slowness float64
 	// ahead predicts the remaining prompt work of an engine.
 	ahead prefillAhead
 
@@ -120,7 +127,7 @@
 
 // newState returns the initial state of a run.
 func newState(worker Worker, revision fleet.Revision) *workerState {
-	return &workerState{worker: worker, revision: revision, speed: enginespeed.Unknown(), tier: noTier, hash: hashName(string(worker.ID))}
+	return &workerState{worker: worker, revision: revision, speed: enginespeed.Unknown(), slowness: 1, tier: noTier, hash: hashName(string(worker.ID))}
 }
 
 // begin counts a request that is placed at the worker.
@@ -203,3 +210,15 @@
 	s.suspicionPeriod = 0
 	s.suspectUntil = 0
 }
+
+// recordSlowness adds a time to first byte to the slowness.
+func (s *workerState) recordSlowness(elapsed, predicted time.Duration) {
+	if predicted <= 0 {
+		return
+	}
+	ratio := min(max(float64(elapsed)/float64(predicted), 1), maxSlowness)
+	if s.slowness == 0 {
+		s.slowness = 1
+	}
+	s.slowness += (ratio - s.slowness) * slownessWeight
+}
