--- a/internal/enginespeed/enginespeed.go
+++ b/internal/enginespeed/enginespeed.go
@@ -39,8 +39,9 @@
 	// priorWeight is the weight, in measurements, of the assumption that an engine is as fast as
 	// the others.
 	priorWeight = 1
-	// sureWeight is the weight from which an engine's factor counts for Table.IsUneven.
-	sureWeight = 3
+	// sureWeight is the weight from which an engine counts for Table.IsUneven: two measurements,
+	// less what they have lost meanwhile.
+	sureWeight = 1.5
 	// evenFactor is the factor up to which a difference counts as none, in both directions. It is
 	// within the variation of the prefill time with the length of the context.
 	evenFactor = 1.15
