--- a/internal/backends/engine_speed_replay_test.go
+++ b/internal/backends/engine_speed_replay_test.go
@@ -426,7 +426,7 @@
 			r.nodes[number] = r.newNode(number)
 		}
 	})
-	r.schedule(15*time.Second, func() {
+	r.schedule(13*time.Second, func() {
 		for _, registry := range r.nodes {
 			assert.True(t, registry.isUneven("engines"))
 		}
