--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -19,6 +19,9 @@
 	Admission func(worker *Worker) (Admission, time.Duration)
 	// Software limits the choice by the workers' software version; nil means no limit.
 	Software *delivery.Filter
+	// Repeatable is set if the request may run again elsewhere. Only such requests try engines that
+	// have fallen silent.
+	Repeatable bool
 	// Bytes is the size of the request and its expected response.
 	Bytes int
 	// Engine is set for requests to language model engines.
@@ -118,11 +121,13 @@
 	// Deferred means that the worker did not run the request and asked for no requests for some
 	// time.
 	Deferred
+	// Silent means that this node ended the request since nothing came from its engine.
+	Silent
 )
 
 // String returns the name of the outcome.
 func (o Outcome) String() string {
-	return [...]string{"succeeded", "failed", "refused", "mismatched", "unreachable", "lost", "cancelled", "deferred"}[o]
+	return [...]string{"succeeded", "failed", "refused", "mismatched", "unreachable", "lost", "cancelled", "deferred", "silent"}[o]
 }
 
 // Choose chooses a worker and counts the request there. If there is none, it returns a nil
@@ -237,6 +242,7 @@
 func (r *Registry) begin(now time.Duration, chosen *workerState, candidates int, work placedWork) *Placement {
 	load := r.totalLoad(now, chosen)
 	chosen.begin(work)
+	chosen.silence.Begin(now)
 	r.updateLevel(chosen)
 	return &Placement{
 		Worker:        chosen.worker,
@@ -316,7 +322,7 @@
 	case Succeeded:
 		state.recordOutcome(now, false)
 		state.recordContact(now)
-	case Failed, Refused:
+	case Failed, Refused, Silent:
 		state.recordOutcome(now, true)
 	case Mismatched:
 		state.mismatchUntil = now + mismatchBackoff
--- a/internal/backends/load.go
+++ b/internal/backends/load.go
@@ -117,7 +117,7 @@
 	defer r.mutex.Unlock()
 	var suspects []fleet.EngineID
 	for id, state := range r.workers {
-		if now < state.suspectUntil && !state.gone {
+		if (now < state.suspectUntil || state.silence.IsSuspended(now)) && !state.gone {
 			suspects = append(suspects, id)
 		}
 	}
--- a/internal/backends/search.go
+++ b/internal/backends/search.go
@@ -195,7 +195,7 @@
 		s.recordClosed(reopensIn)
 		return verdictClosed
 	}
-	ready := s.isReady(s.now, state)
+	ready := s.isReady(s.now, state) && state.silence.Allows(s.now, s.request.Repeatable)
 	switch s.assessEngine(state) {
 	case verdictOutdated:
 		return readyVerdict(ready, verdictOutdated, verdictNotReadyOutdated)
--- a/internal/backends/worker.go
+++ b/internal/backends/worker.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/liveness"
 )
 
 // ModelVersion is the version of a model's weights. Higher versions are newer.
@@ -96,6 +97,10 @@
 	suspectUntil    time.Duration
 	lastContact     time.Duration
 	suspicionPeriod time.Duration
+	// probedUntil is the time until which the worker may answer a probe.
+	probedUntil time.Duration
+	// silence suspends requests to an engine that has fallen silent.
+	silence liveness.Suspension
 	mismatchUntil   time.Duration
 	// cordonedUntil is the time until which the worker is cordoned: it counts as not ready because
 	// it is ordered to load a model version.
@@ -158,9 +163,9 @@
 	return s.gone && !s.worker.Draining && now < s.goneAt+lapsedGracePeriod
 }
 
-// isReady reports whether the worker is neither suspected nor mismatched nor cordoned.
+// isReady reports whether the worker is neither suspected nor probed nor mismatched nor cordoned.
 func (s *workerState) isReady(now time.Duration) bool {
-	return now >= s.suspectUntil && now >= s.mismatchUntil && now >= s.cordonedUntil
+	return now >= s.suspectUntil && now >= s.mismatchUntil && now >= s.cordonedUntil && now >= s.probedUntil
 }
 
 // failureRate returns the failure rate at now, from 0 to 1.
@@ -203,6 +208,7 @@
 	s.lastContact = now
 	s.suspicionPeriod = 0
 	s.suspectUntil = 0
+	s.silence.End()
 }
 
 // recordSlowness adds a time to first byte to the slowness.
--- a/internal/gateway/deliverypeers.go
+++ b/internal/gateway/deliverypeers.go
@@ -84,7 +84,7 @@
 // recordDeliveryOutcome counts a response for or against its worker's version. Requests that were
 // refused, not sent or cancelled don't count.
 func (g *Gateway) recordDeliveryOutcome(current *callerRequest, placement *backends.Placement, outcome backends.Outcome) {
-	failed := outcome == backends.Failed || outcome == backends.Lost
+	failed := outcome == backends.Failed || outcome == backends.Lost || outcome == backends.Silent
 	worker := &placement.Worker
 	if g.deliveries.isTarget(worker.Service, worker.Software) {
 		current.sentToTarget = true
