--- a/internal/attempt/forwarding.go
+++ b/internal/attempt/forwarding.go
@@ -61,6 +61,8 @@
 	delivering   bool
 	// continuing is set while a send goes to the engine that holds a copy of the run.
 	continuing bool
+	// prepaid is set if the next retry is already withdrawn from the budget.
+	prepaid bool
 }
 
 // NewForwarding returns the machine of a new request and deposits the request in the retry budget.
@@ -165,7 +167,7 @@
 	}
 	f.possibleRuns++
 	if failed && f.policy.RetryFailures && f.policy.Idempotent && !f.delivering && f.hasRunsLeft() &&
-		f.hasTimeLeft(now) && f.budget.Withdraw(now) {
+		f.hasTimeLeft(now) && f.withdraw(now) {
 		f.exclude(run)
 		return Step{Kind: StepSend}
 	}
@@ -182,7 +184,7 @@
 	if !f.delivering {
 		return f.afterPossibleRun(now)
 	}
-	if copied && f.hasTimeLeft(now) && f.budget.Withdraw(now) {
+	if copied && f.hasTimeLeft(now) && f.withdraw(now) {
 		f.continuing = true
 		return Step{Kind: StepContinue}
 	}
@@ -197,7 +199,7 @@
 
 // resume sends the rest of a resumable stream as a new run.
 func (f *Forwarding) resume(now time.Duration) Step {
-	if !f.policy.Resumable || !f.hasRunsLeft() || !f.hasTimeLeft(now) || !f.budget.Withdraw(now) {
+	if !f.policy.Resumable || !f.hasRunsLeft() || !f.hasTimeLeft(now) || !f.withdraw(now) {
 		return Step{Kind: StepAbort}
 	}
 	return Step{Kind: StepSend}
@@ -261,7 +263,7 @@
 	if !f.hasTimeLeft(now) {
 		return f.Expired()
 	}
-	if chargeBudget && !f.budget.Withdraw(now) {
+	if chargeBudget && !f.withdraw(now) {
 		return f.fail(resultcode.RetryBudget, "retry budget spent")
 	}
 	return Step{Kind: StepSend}
--- a/internal/attempt/forwarding_test.go
+++ b/internal/attempt/forwarding_test.go
@@ -214,3 +214,19 @@
 	assert.Equal(t, StepContinue, stream.Truncated(0, workerRun(1), true).Kind)
 	assert.Equal(t, StepAbort, stream.Throttled(0, time.Second).Kind)
 }
+
+// TestPrepaidRetryIsChargedTwice guards against two charges for one retry, and against a retry that
+// the rules for running again don't allow although it is paid for.
+func TestPrepaidRetryIsChargedTwice(t *testing.T) {
+	budget := NewBudget(BudgetOptions{Initial: -1, Ratio: 1e-9, FloorPerSecond: 1e-9})
+	repeatable := NewForwarding(0, ForwardingPolicy{Idempotent: true, MaxRuns: 3, Deadline: time.Second}, budget)
+	assert.True(t, repeatable.CanRepeat())
+	repeatable.PrepayRetry()
+	assert.Equal(t, StepSend, repeatable.Unanswered(0, fleet.EngineRun{Engine: "a"}).Kind)
+	assert.Equal(t, StepFail, repeatable.Unanswered(0, fleet.EngineRun{Engine: "b"}).Kind)
+	assert.False(t, repeatable.CanRepeat(), "no runs left")
+	once := NewForwarding(0, ForwardingPolicy{MaxRuns: 3, Deadline: time.Second}, budget)
+	assert.False(t, once.CanRepeat())
+	once.PrepayRetry()
+	assert.Equal(t, StepFail, once.Unanswered(0, fleet.EngineRun{Engine: "a"}).Kind)
+}
--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -322,7 +322,7 @@
 	case Succeeded:
 		state.recordOutcome(now, false)
 		state.recordContact(now)
-	case Failed, Refused, Silent:
+	case Failed, Refused:
 		state.recordOutcome(now, true)
 	case Mismatched:
 		state.mismatchUntil = now + mismatchBackoff
@@ -335,5 +335,7 @@
 			state.suspect(now)
 		}
 	case Cancelled, Deferred:
+	case Silent:
+		// The engine's suspension, which ends as soon as it is heard, keeps requests away.
 	}
 }
--- a/internal/backends/silence.go
+++ b/internal/backends/silence.go
@@ -28,13 +28,13 @@
 	}
 }
 
-// ObserveContact records a sign of life from a worker, which ends its suspicion.
+// ObserveContact records a sign of life from an engine, which ends its silence.
 func (r *Registry) ObserveContact(now time.Duration, id fleet.EngineID) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if state := r.workers[id]; state != nil {
-		state.probedUntil = 0
-		state.recordContact(now)
+		state.probedUntil, state.lastContact = 0, now
+		state.silence.End()
 	}
 }
 
--- /dev/null
+++ b/internal/backends/silence_test.go
@@ -0,0 +1,61 @@
+package backends
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+// TestSilentEngineGetsRequests guards against requests to a silent engine except one at a time, and
+// against a silence that outlasts a sign of life.
+func TestSilentEngineGetsRequests(t *testing.T) {
+	registry := newEngineRegistry()
+	choose := func(now time.Duration, repeatable bool) *Placement {
+		request := engineRequest("p")
+		request.Repeatable = repeatable
+		placement, _ := registry.Choose(now, request)
+		require.NotNil(t, placement)
+		return placement
+	}
+	home := choose(0, true)
+	silent := home.Worker.ID
+	home.End(0, Silent)
+	registry.ObserveSilence(0, silent)
+	assert.Equal(t, []fleet.EngineID{silent}, registry.Suspects(0))
+	assert.NotEqual(t, silent, choose(500*time.Millisecond, true).Worker.ID)
+	due := 1100 * time.Millisecond
+	assert.Empty(t, registry.Suspects(due), "other nodes may try it too")
+	assert.NotEqual(t, silent, choose(due, false).Worker.ID, "a request that may run only once")
+	trial := choose(due, true)
+	assert.Equal(t, silent, trial.Worker.ID)
+	assert.Equal(t, []fleet.EngineID{silent}, registry.Suspects(due), "others wait for the trial")
+	assert.NotEqual(t, silent, choose(due, true).Worker.ID)
+	trial.End(due, Silent)
+	registry.ObserveSilence(due, silent)
+	assert.NotEqual(t, silent, choose(due+1500*time.Millisecond, true).Worker.ID, "the delay doubles")
+	registry.ObserveContact(due+1500*time.Millisecond, silent)
+	assert.Equal(t, silent, choose(due+1500*time.Millisecond, false).Worker.ID)
+}
+
+// TestAnnouncedSuspectIsUsed guards against requests to an engine that several peers announce before
+// their next reports, and against an announcement that outlasts the report.
+func TestAnnouncedSuspectIsUsed(t *testing.T) {
+	registry := newEngineRegistry()
+	home, _ := registry.Choose(0, engineRequest("p"))
+	home.End(0, Cancelled)
+	suspects := []fleet.EngineID{home.Worker.ID}
+	for _, peer := range []fleet.NodeID{"a", "b"} {
+		registry.ObservePeer(0, peer, PeerReport{})
+		registry.AddPeerSuspects(peer, suspects)
+		registry.AddPeerSuspects(peer, suspects)
+	}
+	other, _ := registry.Choose(0, engineRequest("p"))
+	assert.NotEqual(t, home.Worker.ID, other.Worker.ID)
+	registry.ObservePeer(0, "a", PeerReport{})
+	again, _ := registry.Choose(0, engineRequest("p"))
+	assert.Equal(t, home.Worker.ID, again.Worker.ID)
+}
--- a/internal/backends/worker.go
+++ b/internal/backends/worker.go
@@ -100,8 +100,8 @@
 	// probedUntil is the time until which the worker may answer a probe.
 	probedUntil time.Duration
 	// silence suspends requests to an engine that has fallen silent.
-	silence liveness.Suspension
-	mismatchUntil   time.Duration
+	silence       liveness.Suspension
+	mismatchUntil time.Duration
 	// cordonedUntil is the time until which the worker is cordoned: it counts as not ready because
 	// it is ordered to load a model version.
 	cordonedUntil time.Duration
--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -184,6 +184,7 @@
 			g.logger.Info().Str("dependency", string(cache.run.Engine)).Msg("dependency_regained")
 		}
 		reachable = true
+		g.observeAnswer(cache.run.Engine)
 		restarted := events.Epoch != epoch
 		epoch, since = events.Epoch, events.Next
 		g.applyCacheEvents(cache, events, restarted)
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -38,7 +38,12 @@
 		return current.attempts.Unanswered(g.now(), placement.Worker.Run())
 	}
 	content, complete, err := bufferResponse(response)
+	if err != nil && current.watched.isMoved() && ctx.Err() == nil {
+		return g.abandonSilent(current, placement, true)
+	}
 	placement.FirstByte(g.now())
+	// The rest of the body can't be sent again.
+	g.unwatchSend(current.watched)
 	if err != nil {
 		return g.handleBodyError(ctx, current, placement, err)
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -100,11 +100,14 @@
 	}
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	current.watched = g.watchSend(current, placement, cancel)
+	defer g.unwatchSend(current.watched)
 	response, err := g.exchangeWith(sending, cancel, current, placement)
 	if err != nil {
 		return g.handleSendError(ctx, sending, current, placement, err)
 	}
 	defer response.Close()
+	g.observeHead(current.watched)
 	info := g.dependencies.Codec.ReadResponse(response.Status, response.Header)
 	g.reportInvalidInput(current.metadata.RequestID, info.Invalid)
 	g.observeLimit(current, &placement.Worker, info)
@@ -155,7 +158,8 @@
 	run := placement.Worker.Run()
 	var failure *upstream.ExchangeError
 	sent := !errors.As(err, &failure) || failure.Stage == upstream.Sent
-	if sent {
+	moved := current.watched.isMoved()
+	if sent && !moved {
 		g.recordLostRun(current, placement, lossOf(sending))
 	}
 	switch {
@@ -168,6 +172,8 @@
 	case ctx.Err() != nil:
 		g.recordOutcome(current, placement, backends.Unreachable, "deadline passed")
 		return current.attempts.Expired()
+	case moved:
+		return g.abandonSilent(current, placement, sent)
 	case (errors.Is(err, errStaleVersion) || errors.Is(err, errQuarantined)) && sent:
 		g.recordOutcome(current, placement, backends.Cancelled, err.Error())
 		return current.attempts.Unanswered(g.now(), run)
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -75,6 +75,10 @@
 	eventCount int
 	// lostPlacement is the placement of a lost run that is to be resumed at another engine.
 	lostPlacement *backends.Placement
+	// watched is the current send, if it is to an engine. moved is set once a send was cancelled
+	// because its engine is silent, which happens once per request.
+	watched *watchedSend
+	moved   bool
 	// quotaCost is what the request was charged to its tenant's quota.
 	quotaCost float64
 	// configurationVersion is the version of the configuration that admitted the request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,7 @@
 	lease              *lease.Keeper
 	seeds              *seedList
 	pending            *pendingSends
+	engineWatch        *engineWatch
 	tables             []*table
 	sources            *sourceSelector
 	demand             *demandTracker
@@ -146,6 +147,7 @@
 		splitter:          routes.NewSplitter(),
 		seeds:             &seedList{},
 		pending:           newPendingSends(),
+		engineWatch:       newEngineWatch(),
 		idleConnections:   newIdleConnections(),
 		demand:            newDemandTracker(),
 		origins:           newOriginTracker(),
@@ -309,6 +311,7 @@
 	g.life.Go(g.announceLimits)
 	g.life.Go(g.syncQuarantineStore)
 	g.life.Go(g.followCaches)
+	g.life.Go(g.watchEngines)
 	g.life.Go(g.housekeep)
 	g.life.Go(g.keepLease)
 	g.life.Go(g.reportTraffic)
@@ -349,6 +352,7 @@
 			g.limits.forget(engine)
 			g.backoffs.forget(engine)
 			g.unknownHeaders.forget(engine)
+			g.forgetEngine(engine)
 		}
 		g.upstreams.CloseExpired()
 		g.logLimitUsage()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,6 +34,8 @@
 	quarantined        prometheus.Gauge
 	beforeSend         prometheus.Histogram
 
+	silence silenceMetrics
+
 	deliveryAnswers *prometheus.CounterVec
 	deliveryLatency *prometheus.HistogramVec
 	deliveryShare   *prometheus.GaugeVec
@@ -136,6 +138,7 @@
 	m.storeEpoch = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "tillerfall_gateway_store_epoch", Help: "Highest epoch that the store has reported.",
 	})
+	m.silence = newSilenceMetrics(registry)
 	if registry != nil {
 		registry.MustRegister(m.droppedRows, m.storeEpoch)
 		registry.MustRegister(m.limitGrants, m.notices, m.workersInBackoff)
--- a/internal/gateway/peerfailures.go
+++ b/internal/gateway/peerfailures.go
@@ -43,6 +43,9 @@
 // gateway answers again, this gateway's reports to its watchers list it, so that idle gateways stop
 // directing callers to it before the membership's gossip has spread its failure.
 func (g *Gateway) recordExchange(node fleet.NodeID, answered bool) {
+	if answered {
+		g.observePeerAnswer()
+	}
 	if g.unresponsivePeers.record(node, answered) && !g.isStopping() {
 		g.origins.setPressure(g.now(), node, pressureUnreachable)
 		g.events.line("node_silent").Str("peer", string(node)).Msg("node_silent")
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -216,6 +216,7 @@
 // the response does too.
 func (g *Gateway) handlePartialReport(report *rpc.LoadReport) *rpc.LoadReport {
 	response := &rpc.LoadReport{Node: string(g.node), Partial: true}
+	g.applyAnnouncedSuspects(report)
 	if !report.GetUsesTold() {
 		g.workers.UpdatePeerLoads(fleet.NodeID(report.GetNode()), g.decodeLoads(report.GetLoads()))
 		return response
--- a/internal/gateway/placementrequest.go
+++ b/internal/gateway/placementrequest.go
@@ -23,8 +23,9 @@
 			destination.Engine, destination.Address = worker.ID, worker.Address
 			return g.upstreams.HasCapacity(destination)
 		},
-		Bytes:    exchangeOverheadBytes + int(max(current.request.ContentLength, 0)),
-		Software: g.allowedVersions(current, current.sentToTarget),
+		Repeatable: !current.moved && current.attempts.CanRepeat(),
+		Bytes:      exchangeOverheadBytes + int(max(current.request.ContentLength, 0)),
+		Software:   g.allowedVersions(current, current.sentToTarget),
 	}
 	if g.limits.active.Load() || g.backoffs.active.Load() {
 		now, priority := g.now(), limitPriority(current)
--- /dev/null
+++ b/internal/gateway/silence.go
@@ -0,0 +1,299 @@
+package gateway
+
+import (
+	"context"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/attempt"
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/liveness"
+	"github.com/tillerfall/tillerfall/internal/routes"
+)
+
+// evaluationInterval is the time between two evaluations while requests are under way at engines. It
+// is well below the time to detect a silent engine.
+const evaluationInterval = 50 * time.Millisecond
+
+// errEngineSilent is the cause of a send that is cancelled because its engine has fallen silent.
+var errEngineSilent = errors.New("engine is silent")
+
+// engineWatch tells a failure detector what is sent to engines and what comes from them. It is safe
+// for concurrent use.
+type engineWatch struct {
+	mutex   sync.Mutex
+	monitor *liveness.Monitor
+	sends   map[*liveness.Run]*watchedSend
+	// silentSince holds when each silent engine was last heard.
+	silentSince map[fleet.EngineID]time.Duration
+	// unannounced holds the silent engines that other gateways have not been told of, announcedAt
+	// when they were last told of some.
+	unannounced []fleet.EngineID
+	announcedAt time.Duration
+	// started holds one element after the first request under way.
+	started chan struct{}
+}
+
+func newEngineWatch() *engineWatch {
+	return &engineWatch{
+		monitor: liveness.New(), sends: make(map[*liveness.Run]*watchedSend),
+		silentSince: make(map[fleet.EngineID]time.Duration), started: make(chan struct{}, 1),
+	}
+}
+
+// watchedSend is a send to an engine. A nil *watchedSend is one that isn't watched.
+type watchedSend struct {
+	run       *liveness.Run
+	cancel    context.CancelCauseFunc
+	service   fleet.PoolName
+	requestID string
+	moved     atomic.Bool
+}
+
+// isMoved reports whether the send was cancelled because its engine is silent.
+func (s *watchedSend) isMoved() bool { return s != nil && s.moved.Load() }
+
+// watchSend begins to watch a send to an engine. The probes of rate-limited engines would count
+// against their limits, so these aren't watched.
+func (g *Gateway) watchSend(current *callerRequest, placement *backends.Placement, cancel context.CancelCauseFunc) *watchedSend {
+	if placement.Engine == nil || placement.Limited {
+		return nil
+	}
+	send := &watchedSend{cancel: cancel, service: current.service.Name, requestID: current.metadata.RequestID}
+	w := g.engineWatch
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	send.run = w.monitor.Begin(g.now(), livenessSend(current, placement))
+	w.sends[send.run] = send
+	select {
+	case w.started <- struct{}{}:
+	default:
+	}
+	return send
+}
+
+// livenessSend describes a send to the failure detector.
+func livenessSend(current *callerRequest, placement *backends.Placement) liveness.Send {
+	hasCopy := placement.Engine.CopyTo.ID != ""
+	send := liveness.Send{
+		Engine: placement.Worker.ID, Gap: current.route.TargetGap, Deadline: current.deadline, Target: current.deadline,
+		Repeatable: !current.moved && current.attempts.CanRepeat(),
+		Resumable:  !current.moved && (current.attempts.CanResume() || hasCopy),
+	}
+	if current.route.TargetLatency > 0 {
+		send.Target = current.startedAt + current.route.TargetLatency
+	}
+	if current.route.Kind == routes.Streaming {
+		send.Expected = placement.Engine.Predicted
+	}
+	return send
+}
+
+// unwatchSend ends the watch of a send.
+func (g *Gateway) unwatchSend(send *watchedSend) {
+	if send == nil {
+		return
+	}
+	w := g.engineWatch
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.monitor.End(send.run)
+	delete(w.sends, send.run)
+}
+
+// observeHead records the head of a watched answer.
+func (g *Gateway) observeHead(send *watchedSend) {
+	g.observeSign(send, func(m *liveness.Monitor, now time.Duration) { m.Head(now, send.run) })
+}
+
+// observeEvent records events of a watched stream. identified is set if it can be resumed after them.
+func (g *Gateway) observeEvent(send *watchedSend, identified bool) {
+	g.observeSign(send, func(m *liveness.Monitor, now time.Duration) { m.Event(now, send.run, identified) })
+}
+
+func (g *Gateway) observeSign(send *watchedSend, record func(*liveness.Monitor, time.Duration)) {
+	if send == nil {
+		return
+	}
+	w, now := g.engineWatch, g.now()
+	w.mutex.Lock()
+	record(w.monitor, now)
+	w.mutex.Unlock()
+	g.endSilence(now, send.run.Engine())
+}
+
+// observeAnswer records that an engine has answered a call other than a request.
+func (g *Gateway) observeAnswer(engine fleet.EngineID) {
+	w, now := g.engineWatch, g.now()
+	w.mutex.Lock()
+	w.monitor.Heard(now, engine)
+	w.mutex.Unlock()
+	g.endSilence(now, engine)
+}
+
+// observePeerAnswer records that another gateway has answered.
+func (g *Gateway) observePeerAnswer() {
+	w := g.engineWatch
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.monitor.PeerHeard(g.now())
+}
+
+// endSilence makes an engine available again if it was silent.
+func (g *Gateway) endSilence(now time.Duration, engine fleet.EngineID) {
+	w := g.engineWatch
+	w.mutex.Lock()
+	since, silent := w.silentSince[engine]
+	delete(w.silentSince, engine)
+	w.mutex.Unlock()
+	if !silent {
+		return
+	}
+	g.workers.ObserveContact(now, engine)
+	g.metrics.silence.silentEngines.Dec()
+	g.events.line("engine_heard").Str("worker", string(engine)).Dur("silent_for", now-since).Msg("engine_heard")
+}
+
+// forgetEngine drops what is known of the silence of a worker that is gone.
+func (g *Gateway) forgetEngine(engine fleet.EngineID) {
+	w := g.engineWatch
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if _, silent := w.silentSince[engine]; silent {
+		delete(w.silentSince, engine)
+		g.metrics.silence.silentEngines.Dec()
+	}
+}
+
+// watchEngines evaluates the failure detector while requests are under way at engines.
+func (g *Gateway) watchEngines() error {
+	for {
+		select {
+		case <-g.engineWatch.started:
+		case <-g.life.Dying():
+			return nil
+		}
+		for g.engineWatch.isBusy() {
+			if !g.pause(evaluationInterval) {
+				return nil
+			}
+			g.evaluateEngines()
+		}
+	}
+}
+
+func (w *engineWatch) isBusy() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.monitor.Runs() > 0
+}
+
+// evaluateEngines carries out the verdict of the failure detector.
+func (g *Gateway) evaluateEngines() {
+	w, now := g.engineWatch, g.now()
+	w.mutex.Lock()
+	verdict := w.monitor.Evaluate(now)
+	w.mutex.Unlock()
+	for _, engine := range verdict.Probes {
+		g.startProbe(now, engine)
+	}
+	for index := range verdict.Silences {
+		g.recordSilence(now, &verdict.Silences[index])
+	}
+	g.moveSends(now, verdict.Moves)
+	g.announceSilences(now)
+}
+
+// startProbe probes a suspected engine. It gets no requests until it has answered or the probe has
+// timed out.
+func (g *Gateway) startProbe(now time.Duration, engine fleet.EngineID) {
+	worker, known := g.workers.Worker(engine)
+	if !known {
+		return
+	}
+	g.workers.ObserveProbe(now, liveness.ProbeTimeout, engine)
+	go g.probeEngine(worker)
+}
+
+// probeEngine requests an engine's report. Any answer is a sign of life.
+func (g *Gateway) probeEngine(worker backends.Worker) {
+	ctx, cancel := context.WithTimeout(g.workerCallContext(g.context(), callReport, &worker), liveness.ProbeTimeout)
+	defer cancel()
+	_, err := g.dependencies.Engines.Report(ctx, worker)
+	var failure *url.Error
+	if errors.As(err, &failure) {
+		g.metrics.silence.probes.WithLabelValues("unanswered").Inc()
+		g.events.line("probe_failed").Str("worker", string(worker.ID)).Err(err).Msg("probe_failed")
+		return
+	}
+	g.metrics.silence.probes.WithLabelValues("answered").Inc()
+	g.observeAnswer(worker.ID)
+	g.workers.ObserveContact(g.now(), worker.ID)
+}
+
+// recordSilence suspends requests to a silent engine.
+func (g *Gateway) recordSilence(now time.Duration, silence *liveness.Silence) {
+	g.workers.ObserveSilence(now, silence.Engine)
+	w := g.engineWatch
+	w.mutex.Lock()
+	_, known := w.silentSince[silence.Engine]
+	if !known {
+		w.silentSince[silence.Engine] = silence.Since
+	}
+	w.unannounced = append(w.unannounced, silence.Engine)
+	w.mutex.Unlock()
+	if !known {
+		g.metrics.silence.silentEngines.Inc()
+	}
+	g.events.line("engine_silent").Str("worker", string(silence.Engine)).Dur("silent_for", now-silence.Since).
+		Int("under_way", silence.UnderWay).Dur("explained", silence.Explained).Bool("again", known).Msg("engine_silent")
+}
+
+// moveSends cancels sends at silent engines, as far as the retry budget allows, so that they are sent
+// elsewhere.
+func (g *Gateway) moveSends(now time.Duration, runs []*liveness.Run) {
+	w := g.engineWatch
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, run := range runs {
+		send := w.sends[run]
+		if send == nil {
+			continue
+		}
+		if !g.budgets.forService(send.service).Withdraw(now) {
+			g.metrics.silence.moves.WithLabelValues("over_budget").Inc()
+			return
+		}
+		w.monitor.Moved(run)
+		send.moved.Store(true)
+		send.cancel(errEngineSilent)
+		g.metrics.silence.moves.WithLabelValues("moved").Inc()
+		g.events.line("send_moved").Str("request_id", send.requestID).Str("worker", string(run.Engine())).
+			Bool("begun", run.HasBegun()).Msg("send_moved")
+	}
+}
+
+// abandonSilent returns the next step after a send was cancelled because its engine is silent. sent is
+// false if no byte of the request was written.
+func (g *Gateway) abandonSilent(current *callerRequest, placement *backends.Placement, sent bool) attempt.Step {
+	current.moved = true
+	g.recordOutcome(current, placement, backends.Silent, errEngineSilent.Error())
+	current.attempts.PrepayRetry()
+	if !sent {
+		return current.attempts.NotSent(g.now(), placement.Worker.Run())
+	}
+	return current.attempts.Unanswered(g.now(), placement.Worker.Run())
+}
+
+// abandonSilentStream is abandonSilent for a stream whose head has arrived.
+func (g *Gateway) abandonSilentStream(current *callerRequest, placement *backends.Placement) attempt.Step {
+	current.moved = true
+	g.recordOutcome(current, placement, backends.Silent, errEngineSilent.Error())
+	current.attempts.PrepayRetry()
+	return current.attempts.Truncated(g.now(), placement.Worker.Run(), current.rememberCopy(placement))
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -33,6 +33,7 @@
 	relay := &eventRelay{response: response, lastID: current.lastEventID}
 	err := relay.run(func(events []byte) error {
 		placement.FirstByte(g.now())
+		g.observeEvent(current.watched, relay.lastID != "")
 		return g.writeEvents(current, response, events)
 	})
 	current.lastEventID = relay.lastID
@@ -53,6 +54,9 @@
 		g.recordLostRun(current, placement, quarantine.Abandoned)
 		g.recordOutcome(current, placement, backends.Lost, "deadline passed")
 		return current.attempts.Expired()
+	case current.watched.isMoved():
+		response.Close()
+		return g.abandonSilentStream(current, placement)
 	default:
 		g.recordLostRun(current, placement, quarantine.ConnectionBroken)
 		g.recordOutcome(current, placement, backends.Lost, "stream: "+err.Error())
--- a/internal/gateway/zonefeeds.go
+++ b/internal/gateway/zonefeeds.go
@@ -213,6 +213,9 @@
 			g.workers.UntrackCache(run)
 			continue
 		}
+		if !update.Reset {
+			g.endSilence(g.now(), update.Cache)
+		}
 		g.workers.ObserveRelayedCache(run, update.Reset, update.Changes())
 	}
 }
