--- a/internal/gateway/silencepeers.go
+++ b/internal/gateway/silencepeers.go
@@ -52,4 +52,14 @@
 		suspects = append(suspects, fleet.EngineID(suspect))
 	}
 	g.workers.AddPeerSuspects(fleet.NodeID(report.GetNode()), suspects)
+	g.engineWatch.addPeerSuspects(suspects)
+}
+
+// addPeerSuspects has late engines probed that another gateway has found silent.
+func (w *engineWatch) addPeerSuspects(suspects []fleet.EngineID) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, engine := range suspects {
+		w.monitor.PeerSuspects(engine)
+	}
 }
--- a/internal/liveness/engine.go
+++ b/internal/liveness/engine.go
@@ -14,6 +14,8 @@
 	lastSign time.Duration
 	// patience multiplies the time that requests explain, from 1 to maxPatience.
 	patience int
+	// peerSuspected is set once another node has found the engine silent, until it is heard.
+	peerSuspected bool
 	// probing is set while a probe may be answered, which was sent at probedAt. unansweredProbes
 	// counts the ones before it.
 	probing          bool
@@ -31,7 +33,7 @@
 
 // heardFromRun records a sign of life by a request, whose progress shows that the queue moves.
 func (e *engine) heardFromRun(now time.Duration) {
-	e.lastSign, e.silent, e.patience = now, false, 1
+	e.lastSign, e.silent, e.peerSuspected, e.patience = now, false, false, 1
 	e.clearSuspicion()
 }
 
@@ -40,7 +42,7 @@
 	if e.probing {
 		e.patience = min(e.patience*2, maxPatience)
 	}
-	e.lastSign, e.silent = now, false
+	e.lastSign, e.silent, e.peerSuspected = now, false, false
 	e.clearSuspicion()
 }
 
--- a/internal/liveness/monitor.go
+++ b/internal/liveness/monitor.go
@@ -22,8 +22,10 @@
 // Parameters of the detector. A caller is served well up to half a second after its objective, so
 // suspicion and probe together may take less than that.
 const (
-	// suspicionFloor is the least time without any sign after which an engine is suspected.
-	suspicionFloor = 200 * time.Millisecond
+	// suspicionFloor and suspicionCeiling bound the time without any sign after which an engine is
+	// suspected. Beyond the ceiling a probe costs less than the wait.
+	suspicionFloor   = 200 * time.Millisecond
+	suspicionCeiling = 300 * time.Millisecond
 	// suspicionFactor is the number of expected intervals after which an engine is suspected.
 	suspicionFactor = 3
 	// ProbeTimeout is how long an engine has to answer a probe, which takes no slot there.
@@ -33,8 +35,9 @@
 	maxPatience = 4
 	// lateFloor and lateFactor define when an engine is late. They are below those of suspicion, so
 	// that a common cause shows at most engines before one of them is suspected.
-	lateFloor  = suspicionFloor / 2
-	lateFactor = 1.5
+	lateFloor   = suspicionFloor / 2
+	lateCeiling = suspicionCeiling / 2
+	lateFactor  = 1.5
 	// MaxEvaluationInterval is the longest time between two evaluations. After a longer one this
 	// process was paused, and signs may wait unread.
 	MaxEvaluationInterval = 150 * time.Millisecond
@@ -53,6 +56,8 @@
 type Monitor struct {
 	engines map[fleet.EngineID]*engine
 	runs    int
+	// begun counts the requests so far, to order them.
+	begun uint64
 	// typicalGap is the moving average of the interval between a stream's events.
 	typicalGap  time.Duration
 	evaluatedAt time.Duration
@@ -100,7 +105,8 @@
 		target = newEngine(send.Engine)
 		m.engines[send.Engine] = target
 	}
-	run := &Run{send: send, engine: target, sentAt: now, lastEvent: now}
+	m.begun++
+	run := &Run{send: send, engine: target, number: m.begun, sentAt: now, lastEvent: now}
 	target.runs[run] = struct{}{}
 	return run
 }
@@ -141,6 +147,13 @@
 // PeerHeard records that another node has answered this one.
 func (m *Monitor) PeerHeard(now time.Duration) { m.contacts.peerAt = now }
 
+// PeerSuspects records that another node has found an engine silent.
+func (m *Monitor) PeerSuspects(id fleet.EngineID) {
+	if target := m.engines[id]; target != nil {
+		target.peerSuspected = true
+	}
+}
+
 // Moved records that a request named in Verdict.Moves is sent elsewhere. Call End once it has ended
 // at its first engine.
 func (m *Monitor) Moved(run *Run) { run.moved = true }
@@ -228,19 +241,22 @@
 	}
 }
 
+// isSuspect reports whether an engine is to be probed: a request there is overdue, or the engine is
+// late and a peer has found it silent.
 func (m *Monitor) isSuspect(now time.Duration, target *engine) bool {
 	for run := range target.runs {
 		if m.isOverdue(now, run) {
 			return true
 		}
 	}
-	return false
+	return target.peerSuspected && m.isLate(now, target)
 }
 
 func (m *Monitor) isLate(now time.Duration, target *engine) bool {
 	for run := range target.runs {
 		expected := m.expected(run)
-		if expected > 0 && m.silenceOf(now, run) >= max(lateFloor, time.Duration(lateFactor*float64(expected))) {
+		allowed := min(max(time.Duration(lateFactor*float64(expected)), lateFloor), lateCeiling)
+		if expected > 0 && m.silenceOf(now, run) >= allowed {
 			return true
 		}
 	}
@@ -264,7 +280,7 @@
 	if expected == 0 {
 		return 0
 	}
-	return time.Duration(run.engine.patience) * max(suspicionFloor, suspicionFactor*expected)
+	return time.Duration(run.engine.patience) * min(max(suspicionFactor*expected, suspicionFloor), suspicionCeiling)
 }
 
 // expected returns the expected time from a request's start or last event to its next event, 0 if
@@ -321,7 +337,7 @@
 			}
 		}
 		slices.SortFunc(moves, func(a, b *Run) int {
-			return cmp.Or(cmp.Compare(a.targetClass(now), b.targetClass(now)), cmp.Compare(a.sentAt, b.sentAt))
+			return cmp.Or(cmp.Compare(a.targetClass(now), b.targetClass(now)), cmp.Compare(a.number, b.number))
 		})
 		verdict.Moves = append(verdict.Moves, moves[:min(len(moves), target.moves)]...)
 		target.moves = min(2*target.moves, maxMoves)
--- a/internal/liveness/run.go
+++ b/internal/liveness/run.go
@@ -29,6 +29,7 @@
 type Run struct {
 	send      Send
 	engine    *engine
+	number    uint64
 	sentAt    time.Duration
 	lastEvent time.Duration
 	// longestGap is the longest interval between two events so far.
