--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -36,6 +36,7 @@
 	beforeSend         prometheus.Histogram
 
 	room *roomMetrics
+	silence silenceMetrics
 
 	deliveryAnswers *prometheus.CounterVec
 	deliveryLatency *prometheus.HistogramVec
@@ -144,6 +145,7 @@
 		Name: "tillerfall_gateway_store_epoch", Help: "Highest epoch that the store has reported.",
 	})
 	m.room = newRoomMetrics(registry)
+	m.silence = newSilenceMetrics(registry)
 	if registry != nil {
 		registry.MustRegister(m.droppedRows, m.storeEpoch)
 		registry.MustRegister(m.limitGrants, m.notices, m.workersInBackoff)
