--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -20,10 +20,12 @@
 	lastTakenAt time.Duration
 	// demand is what callers ask for.
 	demand demandMeter
-	// minimum is what each priority may use of its minimum share, pace what it may use of the units
-	// that more urgent requests leave.
-	minimum [PriorityCount]credit
-	pace    [PriorityCount]credit
+	// sizes is the sizes of the requests of each priority.
+	sizes [PriorityCount]sizeMeter
+	// minimum is what each class of a priority may use of its minimum share, pace what it may use of
+	// the units that more urgent requests leave.
+	minimum [PriorityCount][sizeClassCount]credit
+	pace    [PriorityCount][sizeClassCount]credit
 	// promised is the units of refused requests that were given a time to retry, by priority. It
 	// staggers the retries.
 	promised [PriorityCount]bucket
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -83,8 +83,9 @@
 		return Decision{Admitted: true, Share: 1}
 	}
 	account.demand.ask(now, request.priority(), request.Amount)
+	class := account.sizes[request.priority()].ask(now, request.Amount, account.limit.Burst)
 	share := l.updateAccount(now, account, l.shares(now))
-	room := l.room(account, &request, share)
+	room := l.room(account, &request, class, share)
 	decision := Decision{
 		Limit: account.limit, Share: share, Available: room.available, Reserved: room.kept(), NearLimit: account.nearLimit,
 		Cause: room.decide(now),
@@ -107,14 +108,14 @@
 }
 
 // room returns what is left of a tenant's limit for a request.
-func (l *Limiter) room(account *account, request *Request, share float64) room {
+func (l *Limiter) room(account *account, request *Request, class sizeClass, share float64) room {
 	burst := account.limit.Burst * share
 	if l.joining {
 		burst = min(burst, account.limit.Burst/assumedJoiningNodes)
 	}
 	priority := request.priority()
 	return room{
-		account: account, request: request, priority: priority, share: share,
+		account: account, request: request, priority: priority, class: class, share: share,
 		available: account.available(share, l.joining),
 		debt:      l.debt(share),
 		burst:     burst,
--- a/internal/quota/priority_test.go
+++ b/internal/quota/priority_test.go
@@ -254,7 +254,7 @@
 	limiter := NewLimiter(0, Options{Window: 8 * time.Second, FirstStart: true})
 	limiter.SetLimits(0, map[fleet.TenantName]Limit{tenant: {Rate: 100, Burst: 100}})
 	limiter.Observe(0, Report{Node: "x/1", Machine: "x", Usages: []Usage{{Tenant: tenant, Deficit: 85, Demand: Demand{50}}}})
-	limiter.accounts[tenant].minimum[2] = credit{units: -1000, started: true}
+	limiter.accounts[tenant].minimum[2][usualSize] = credit{units: -1000, started: true}
 	long := Request{Tenant: tenant, Amount: 10, Priority: 2}
 	require.Equal(t, KeptForOthers, limiter.Admit(0, long).Cause)
 	require.Equal(t, FromReserve, limiter.Admit(0, Request{Tenant: tenant, Amount: 10}).Cause)
--- a/internal/quota/property_test.go
+++ b/internal/quota/property_test.go
@@ -95,6 +95,9 @@
 	}
 }
 
+// anySize gives each priority requests of all sizes, so that some are cheap beside others.
+func anySize(amount float64) int { return int(amount) % PriorityCount }
+
 // lagFraction is the fraction of a burst by which nodes may underestimate what is left, since reports
 // are delayed.
 const lagFraction = 0.2
@@ -149,7 +152,7 @@
 
 // TestLimitsHoldUnderFailures guards against exceeded limits under overload while nodes fail or are
 // added, limits change, callers use a few nodes only, or clocks drift by up to 9%, with requests of
-// one priority and of several.
+// one priority, of several by size, and of several with all sizes in each.
 func TestLimitsHoldUnderFailures(t *testing.T) {
 	allSeeds := slices.Clone(regressionSeeds)
 	for seed := range uint64(seedCount) {
@@ -160,6 +163,7 @@
 			t.Parallel()
 			checkLimitsHold(t, seed, nil)
 			checkLimitsHold(t, seed, shortFirst)
+			checkLimitsHold(t, seed, anySize)
 		})
 	}
 }
--- a/internal/quota/request.go
+++ b/internal/quota/request.go
@@ -47,6 +47,8 @@
 	AsReturning
 	// ByMinimumShare means that it was admitted by the minimum share of its priority.
 	ByMinimumShare
+	// AsCheap means that it was admitted before larger requests of its priority.
+	AsCheap
 	// LimitUsed means that it was refused since too few units are left.
 	LimitUsed
 	// KeptForOthers means that it was refused since the units left are kept for more urgent requests
@@ -68,6 +70,8 @@
 		return "returning"
 	case ByMinimumShare:
 		return "minimum_share"
+	case AsCheap:
+		return "cheap"
 	case LimitUsed:
 		return "limit_used"
 	case KeptForOthers:
--- a/internal/quota/room.go
+++ b/internal/quota/room.go
@@ -7,6 +7,7 @@
 	account  *account
 	request  *Request
 	priority int
+	class    sizeClass
 	// share is the share of the limit that applies, burst the units of a full bucket with it.
 	share float64
 	burst float64
@@ -37,14 +38,18 @@
 
 // decide returns whether the request is admitted, and why.
 func (r *room) decide(now time.Duration) Cause {
-	paced := true
+	paced, first := true, false
 	if r.reserve > 0 {
 		r.earnMinimum(now)
-		paced = r.isPaced(now)
+		withinPace := r.spendPace(now)
+		paced = withinPace || r.isPaceless()
+		first = withinPace && r.class == cheapSize
 	}
 	switch {
 	case paced && r.fitsBeside(r.kept()):
 		return r.admissionCause()
+	case first && r.fitsBeside(r.keptFromCheap()):
+		return AsCheap
 	case r.fitsMinimum():
 		return ByMinimumShare
 	case r.fitsBeside(0):
@@ -54,13 +59,38 @@
 	}
 }
 
-// isPaced reports whether this node may admit the request by its part of what all nodes may admit
-// of the priority. Otherwise each node would admit the same units before it hears of the others.
-func (r *room) isPaced(now time.Duration) bool {
+// spendPace reports whether this node may admit the request by its part of what all nodes may admit
+// of its class. Otherwise each node would admit the same units before it hears of the others. Cheap
+// requests have no margin, since they may use units that are kept from the others of their priority.
+func (r *room) spendPace(now time.Duration) bool {
 	account, amount := r.account, r.request.Amount
-	pace := &account.pace[r.priority]
-	pace.earn(now, amount, paceMargin*account.freeRate(r.priority, r.share), account.demand.of(r.priority), amount)
-	return pace.spend(amount) || r.request.Returning || r.available-r.kept() > account.unknownUse(r.priority)
+	rate, limit := account.classRate(r.priority, r.class, account.freeRate(r.priority, r.share)), amount
+	if r.class == cheapSize {
+		// One of the largest cheap requests mustn't hold up smaller ones after it.
+		limit = cheapFraction * account.sizes[r.priority].usual()
+	} else {
+		rate *= paceMargin
+	}
+	pace := &account.pace[r.priority][r.class]
+	pace.earn(now, amount, rate, account.classDemand(r.priority, r.class), limit)
+	return pace.spend(amount)
+}
+
+// isPaceless reports whether the request needs no pace.
+func (r *room) isPaceless() bool {
+	return r.request.Returning || r.available-r.kept() > r.account.unknownUse(r.priority)
+}
+
+// keptFromCheap returns the part of the units kept for others that is kept from a cheap request: as its
+// size to the usual one, and more the more of the free rate cheap requests take, since these together
+// use what the urgent need.
+func (r *room) keptFromCheap() float64 {
+	usual, free := r.account.sizes[r.priority].usual(), r.account.freeRate(r.priority, r.share)
+	if usual <= 0 || free <= 0 {
+		return r.kept()
+	}
+	taken := r.account.cheapUse(r.priority, free) / free
+	return r.kept() * min(max(r.request.Amount/usual, taken), 1)
 }
 
 // admissionCause returns why a request that fits is admitted.
@@ -81,21 +111,21 @@
 
 // earnMinimum adds what the request brings to the minimum share of its priority.
 func (r *room) earnMinimum(now time.Duration) {
-	rate := minimumShare * r.account.limit.Rate * r.share
+	rate := r.account.classRate(r.priority, r.class, minimumShare*r.account.limit.Rate*r.share)
 	limit := rate * minimumSharePeriod.Seconds() * r.account.ownFraction(r.priority)
-	r.account.minimum[r.priority].earn(now, r.request.Amount, rate, r.account.demand.of(r.priority), limit)
+	r.account.minimum[r.priority][r.class].earn(now, r.request.Amount, rate, r.account.classDemand(r.priority, r.class), limit)
 }
 
 // fitsMinimum reports whether the minimum share admits the request. It applies only while a reserve
 // does, and may leave the same debt as any request.
 func (r *room) fitsMinimum() bool {
-	return r.reserve > 0 && r.account.minimum[r.priority].units > 0 && r.available+r.debt >= r.request.Amount
+	return r.reserve > 0 && r.account.minimum[r.priority][r.class].units > 0 && r.available+r.debt >= r.request.Amount
 }
 
 // take takes the units of the admitted request.
 func (r *room) take(now time.Duration) {
 	r.account.take(now, r.request.Amount)
-	r.account.minimum[r.priority].spend(r.request.Amount)
+	r.account.minimum[r.priority][r.class].spend(r.request.Amount)
 }
 
 // promise returns the time until the refused request fits after those refused before it, at most
