--- a/internal/quota/priority_test.go
+++ b/internal/quota/priority_test.go
@@ -281,6 +281,17 @@
 	require.Equal(t, 8*time.Second, atMost)
 }
 
+// TestEmptyRequestIsToldATime guards against a time that isn't a number for a refused request of no units
+// at a node that nobody else asks.
+func TestEmptyRequestIsToldATime(t *testing.T) {
+	limiter := newStandalone(Limit{Rate: 1000, Burst: 1000}, Options{})
+	limiter.accounts[tenant].demand.peerTotal[0] = 500
+	limiter.accounts[tenant].fleet.deficit = 2000
+	decision := limiter.Admit(0, Request{Tenant: tenant})
+	require.False(t, decision.Admitted)
+	require.GreaterOrEqual(t, decision.RetryAfter, time.Duration(0))
+}
+
 // TestReturningCallersComeFirst guards against newcomers that take the units of callers who were told
 // to return now.
 func TestReturningCallersComeFirst(t *testing.T) {
--- a/internal/quota/room.go
+++ b/internal/quota/room.go
@@ -132,11 +132,12 @@
 // window, and records that it was told so.
 func (r *room) promise(now, window time.Duration) time.Duration {
 	rate := r.account.freeRate(r.priority, r.share)
-	if rate <= 0 {
-		return 0
-	}
 	// Other nodes promise their part of what is free.
 	ownRate := rate * r.account.ownFraction(r.priority)
+	if ownRate <= 0 {
+		// Only requests of no units come to this node.
+		return 0
+	}
 	promised := &r.account.promised[r.priority]
 	promised.drain(now, ownRate)
 	amount := r.request.Amount
