--- a/internal/quota/priority_test.go
+++ b/internal/quota/priority_test.go
@@ -254,7 +254,7 @@
 	limiter := NewLimiter(0, Options{Window: 8 * time.Second, FirstStart: true})
 	limiter.SetLimits(0, map[fleet.TenantName]Limit{tenant: {Rate: 100, Burst: 100}})
 	limiter.Observe(0, Report{Node: "x/1", Machine: "x", Usages: []Usage{{Tenant: tenant, Deficit: 85, Demand: Demand{50}}}})
-	limiter.accounts[tenant].minimum[2] = credit{units: -1000, started: true}
+	limiter.accounts[tenant].minimum[2][usualSize] = credit{units: -1000, started: true}
 	long := Request{Tenant: tenant, Amount: 10, Priority: 2}
 	require.Equal(t, KeptForOthers, limiter.Admit(0, long).Cause)
 	require.Equal(t, FromReserve, limiter.Admit(0, Request{Tenant: tenant, Amount: 10}).Cause)
@@ -281,6 +281,17 @@
 	require.Equal(t, 8*time.Second, atMost)
 }
 
+// TestEmptyRequestIsToldATime guards against a time that isn't a number for a refused request of no units
+// at a node that nobody else asks.
+func TestEmptyRequestIsToldATime(t *testing.T) {
+	limiter := newStandalone(Limit{Rate: 1000, Burst: 1000}, Options{})
+	limiter.accounts[tenant].demand.peerTotal[0] = 500
+	limiter.accounts[tenant].fleet.deficit = 2000
+	decision := limiter.Admit(0, Request{Tenant: tenant})
+	require.False(t, decision.Admitted)
+	require.GreaterOrEqual(t, decision.RetryAfter, time.Duration(0))
+}
+
 // TestReturningCallersComeFirst guards against newcomers that take the units of callers who were told
 // to return now.
 func TestReturningCallersComeFirst(t *testing.T) {
