--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -20,6 +20,7 @@
 	require.NoError(t, err)
 	registry := prometheus.NewRegistry()
 	newMetrics(registry, &traffic.Meter{})
+	registerTicketMetrics(registry, newReturnTickets())
 	registered := pagetest.MetricNames(registry)
 	require.NotEmpty(t, registered)
 	for _, name := range registered {
--- a/internal/gateway/readmission.go
+++ b/internal/gateway/readmission.go
@@ -37,13 +37,7 @@
 func (t *returnTickets) claim(now time.Duration, request readmission.Request) (returning bool, holdBack float64) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	switch {
-	case t.book.IsDue(now, request.Signature):
-		return true, 0
-	case t.book.IsEarly(now, request):
-		return false, math.Inf(1)
-	}
-	return false, t.book.HoldBack(now, request.Tenant, request.Priority)
+	return t.book.Claim(now, request)
 }
 
 func (t *returnTickets) use(now time.Duration, request readmission.Request) bool {
--- a/internal/readmission/book.go
+++ b/internal/readmission/book.go
@@ -62,7 +62,7 @@
 
 // Offer returns when a refused request is to return. It makes a ticket if the caller waits so long.
 // A caller that holds a ticket and comes early is told the rest of its time. One that comes when it
-// is due and is refused nevertheless goes before all others once a unit is free.
+// is due and is refused nevertheless gets another ticket before all others.
 func (b *Book) Offer(now time.Duration, request Request, capacity Capacity) Offer {
 	b.expire(now, request.Tenant)
 	if early := b.earlyTicket(now, &request); early != nil {
@@ -126,10 +126,17 @@
 	return b.dueTicket(now, signature) != nil
 }
 
-// IsEarly reports whether a request comes before the time that its caller was told. It gets no units of
-// newcomers, or coming all the time would pay.
-func (b *Book) IsEarly(now time.Duration, request Request) bool {
-	return b.earlyTicket(now, &request) != nil || b.told.left(now, &request) > 0
+// Claim returns whether a request returns when it was told, and otherwise the units that it has to leave
+// for those that do. One that comes early leaves the units of all tickets, or coming all the time would
+// pay.
+func (b *Book) Claim(now time.Duration, request Request) (returning bool, holdBack float64) {
+	if b.IsDue(now, request.Signature) {
+		return true, 0
+	}
+	if b.earlyTicket(now, &request) != nil || b.told.left(now, &request) > 0 {
+		return false, b.holdBack(now, request.Tenant, now+maxReturn, PriorityCount)
+	}
+	return false, b.HoldBack(now, request.Tenant, request.Priority)
 }
 
 // Use uses the ticket of a request that was admitted, if it has one. It reports whether the ticket
@@ -153,12 +160,17 @@
 // those of tickets at least as urgent that soon will be, and what other nodes have probably admitted
 // meanwhile. It is 0 while nobody waits.
 func (b *Book) HoldBack(now time.Duration, tenant fleet.TenantName, priority int) float64 {
+	return b.holdBack(now, tenant, now+holdAhead, clampPriority(priority))
+}
+
+// holdBack is HoldBack for tickets that are due before soon.
+func (b *Book) holdBack(now time.Duration, tenant fleet.TenantName, soon time.Duration, priority int) float64 {
 	b.expire(now, tenant)
 	queue := b.queues[tenant]
 	if queue == nil {
 		return 0
 	}
-	held := queue.held(now, now+holdAhead, clampPriority(priority))
+	held := queue.held(now, soon, priority)
 	if held == 0 {
 		return 0
 	}
--- a/internal/readmission/book_test.go
+++ b/internal/readmission/book_test.go
@@ -42,6 +42,9 @@
 		require.Equal(t, Offer{RetryAfter: due - early, Kept: true}, book.Offer(early, again, testCapacity))
 	}
 	require.Equal(t, 1, book.Waiting())
+	returning, holdBack := book.Claim(due/4, testRequest(1))
+	require.False(t, returning)
+	require.GreaterOrEqual(t, holdBack, 100.0, "an early caller leaves what is kept for itself")
 	require.True(t, book.IsDue(due, 1))
 }
 
@@ -214,8 +217,7 @@
 			book.Expire(now)
 		}
 		start := time.Now()
-		book.IsDue(now, request.Signature)
-		book.HoldBack(now, request.Tenant, 0)
+		book.Claim(now, request)
 		book.Offer(now, request, testCapacity)
 		times = append(times, time.Since(start))
 	}
--- a/internal/readmission/fleet_test.go
+++ b/internal/readmission/fleet_test.go
@@ -15,6 +15,9 @@
 func TestReturnersAreRefusedAgain(t *testing.T) {
 	t.Parallel()
 	for _, nodes := range []int{1, 4, 60} {
+		without := newSimFleet(1, nodes)
+		without.noBook = true
+		t.Logf("%d nodes, 4 times the limit, no tickets: %v", nodes, without.run(8*time.Second, 4))
 		for _, multiple := range []float64{2, 4, 7} {
 			for ranked := range 2 {
 				f := newSimFleet(1, nodes)
--- a/internal/readmission/reports.go
+++ b/internal/readmission/reports.go
@@ -74,11 +74,11 @@
 
 // backlog returns the number of news that some node hasn't been told.
 func (l *newsLog) backlog() int {
-	most := uint64(0)
+	first := len(l.entries)
 	for _, told := range l.told {
-		most = max(most, l.last-told.number)
+		first = min(first, l.index(told.number))
 	}
-	return min(int(most), len(l.entries))
+	return len(l.entries) - first
 }
 
 // Report returns tickets that this node has given, the soonest due first, and the signatures of tickets
--- a/internal/readmission/simulation_test.go
+++ b/internal/readmission/simulation_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -170,11 +169,7 @@
 	request := Request{Signature: caller.signature, Tenant: simTenant, Priority: caller.priority, Units: caller.units, TimeLeft: caller.deadline - f.now}
 	admission := quota.Request{Tenant: simTenant, Amount: caller.units, Priority: caller.priority}
 	if !f.noBook {
-		if node.book.IsEarly(f.now, request) {
-			admission.HoldBack = math.Inf(1)
-		} else {
-			admission.Returning, admission.HoldBack = node.book.IsDue(f.now, caller.signature), node.book.HoldBack(f.now, simTenant, caller.priority)
-		}
+		admission.Returning, admission.HoldBack = node.book.Claim(f.now, request)
 	}
 	decision := node.limiter.Admit(f.now, admission)
 	if decision.Admitted {
