--- a/internal/gateway/readmission.go
+++ b/internal/gateway/readmission.go
@@ -135,7 +135,7 @@
 func readmissionRequest(current *callerRequest, cost float64) readmission.Request {
 	return readmission.Request{
 		Signature: requestSignature(current), Tenant: current.tenant.Name, Priority: routePriority(current), Units: cost,
-		TimeLeft: current.metadata.TimeLeft,
+		Shared: len(current.metadata.Parts) == 0, TimeLeft: current.metadata.TimeLeft,
 	}
 }
 
--- a/internal/readmission/book.go
+++ b/internal/readmission/book.go
@@ -122,15 +122,15 @@
 func phase(signature uint64) float64 { return float64(signature>>11) / (1 << 53) }
 
 // IsDue reports whether a request may use a ticket.
-func (b *Book) IsDue(now time.Duration, signature uint64) bool {
-	return b.dueTicket(now, signature) != nil
+func (b *Book) IsDue(now time.Duration, request Request) bool {
+	return b.dueTicket(now, &request) != nil
 }
 
 // Claim returns whether a request returns when it was told, and otherwise the units that it has to leave
 // for those that do. One that comes early leaves the units of all tickets, or coming all the time would
 // pay.
 func (b *Book) Claim(now time.Duration, request Request) (returning bool, holdBack float64) {
-	if b.IsDue(now, request.Signature) {
+	if b.IsDue(now, request) {
 		return true, 0
 	}
 	if b.earlyTicket(now, &request) != nil || b.told.left(now, &request) > 0 {
@@ -142,7 +142,7 @@
 // Use uses the ticket of a request that was admitted, if it has one. It reports whether the ticket
 // was due: a request that came early and found room is no return.
 func (b *Book) Use(now time.Duration, request Request) bool {
-	if due := b.dueTicket(now, request.Signature); due != nil {
+	if due := b.dueTicket(now, &request); due != nil {
 		b.spend(now, due)
 		b.counts.Used++
 		return true
@@ -177,9 +177,9 @@
 	return held + queue.newcomers.elsewhere(now)
 }
 
-// dueTicket returns the ticket with a signature that has been due for the longest time.
-func (b *Book) dueTicket(now time.Duration, signature uint64) *ticket {
-	return b.find(signature, func(t *ticket) bool { return t.isDue(now) })
+// dueTicket returns the ticket that a request may use and that has been due for the longest time.
+func (b *Book) dueTicket(now time.Duration, request *Request) *ticket {
+	return b.find(request.Signature, func(t *ticket) bool { return t.mayBeUsedBy(now, request) })
 }
 
 // earlyTicket returns the ticket of a caller that comes before it is due.
--- a/internal/readmission/book_test.go
+++ b/internal/readmission/book_test.go
@@ -38,14 +38,14 @@
 	for early := 10 * time.Millisecond; early < due-earlyTolerance; early += 10 * time.Millisecond {
 		again := testRequest(1)
 		again.TimeLeft -= early
-		require.False(t, book.IsDue(early, 1))
+		require.False(t, book.IsDue(early, testRequest(1)))
 		require.Equal(t, Offer{RetryAfter: due - early, Kept: true}, book.Offer(early, again, testCapacity))
 	}
 	require.Equal(t, 1, book.Waiting())
 	returning, holdBack := book.Claim(due/4, testRequest(1))
 	require.False(t, returning)
 	require.GreaterOrEqual(t, holdBack, 100.0, "an early caller leaves what is kept for itself")
-	require.True(t, book.IsDue(due, 1))
+	require.True(t, book.IsDue(due, testRequest(1)))
 }
 
 // TestEqualRequestsShareOneTicket guards against a ticket that serves two equal requests, and against
@@ -57,9 +57,28 @@
 	require.Equal(t, 2, book.Waiting())
 	book.Use(due, testRequest(1))
 	require.Equal(t, 1, book.Waiting())
-	require.True(t, book.IsDue(due, 1))
+	require.True(t, book.IsDue(due, testRequest(1)))
 	book.Use(due, testRequest(1))
-	require.False(t, book.IsDue(due, 1))
+	require.False(t, book.IsDue(due, testRequest(1)))
+}
+
+// TestPlainRequestsTakeEachOthersTickets guards against callers with equal requests that are taken for
+// the one that was told to return.
+func TestPlainRequestsTakeEachOthersTickets(t *testing.T) {
+	giver, other := newTestBook(), newTestBook()
+	request := testRequest(1)
+	request.Shared = true
+	due := offer(t, giver, 0, request)
+	tickets, _ := giver.Report(0, "other")
+	other.Observe(0, "giver", tickets, nil)
+	offer(t, other, due/2, request)
+	require.Equal(t, 2, other.Waiting(), "a newcomer elsewhere isn't the caller that comes early")
+	for _, book := range []*Book{giver, other} {
+		require.False(t, book.IsDue(due-1, request))
+	}
+	require.True(t, other.IsDue(due, request))
+	request.TimeLeft -= due
+	require.True(t, giver.IsDue(due-1, request), "the caller itself")
 }
 
 // TestNewcomersTakeUnitsOfTickets guards against units that aren't kept once a ticket is due, that are
@@ -73,8 +92,8 @@
 	assert.Zero(t, book.HoldBack(due-holdAhead, "a", 1))
 	assert.Equal(t, 100.0, book.HoldBack(due, "a", 0))
 	assert.Zero(t, book.HoldBack(due, "b", 2))
-	require.True(t, book.IsDue(due+grace, 1))
-	assert.False(t, book.IsDue(due+grace+1, 1))
+	require.True(t, book.IsDue(due+grace, testRequest(1)))
+	assert.False(t, book.IsDue(due+grace+1, testRequest(1)))
 	assert.Zero(t, book.HoldBack(due+grace+1, "a", 2))
 	assert.Equal(t, map[fleet.TenantName]int{"a": 1}, book.Expire(due+grace+1))
 	assert.Empty(t, book.Expire(time.Minute))
@@ -103,7 +122,7 @@
 	again := testRequest(1)
 	again.TimeLeft -= due
 	require.Equal(t, minReturn, offer(t, book, due, again))
-	require.False(t, book.IsDue(due, 1), "the ticket was replaced")
+	require.False(t, book.IsDue(due, testRequest(1)), "the ticket was replaced")
 }
 
 // TestBoundsAreExceeded guards against tickets that grow with the requests.
@@ -173,7 +192,7 @@
 	require.Zero(t, giver.Waiting())
 	tickets[0].DueIn = 0
 	other.Observe(due, "giver", tickets, nil)
-	require.False(t, other.IsDue(due, 1))
+	require.False(t, other.IsDue(due, testRequest(1)))
 }
 
 // TestInvalidTicketIsTaken guards against reports that hold what no node gives, or more than a report
--- a/internal/readmission/request.go
+++ b/internal/readmission/request.go
@@ -15,6 +15,9 @@
 	Priority int
 	// Units is the request's cost in units of the tenant's limit.
 	Units float64
+	// Shared is set if different callers send equal requests, as requests without a prompt are. Where
+	// their deadlines aren't known they aren't taken for one caller's.
+	Shared bool
 	// TimeLeft is how long the caller waits for the final response, 0 if unknown.
 	TimeLeft time.Duration
 }
--- a/internal/readmission/ticket.go
+++ b/internal/readmission/ticket.go
@@ -27,18 +27,30 @@
 }
 
 // isDue reports whether the caller may return.
-func (t *ticket) isDue(now time.Duration) bool {
-	return !t.used && now >= t.due-earlyTolerance && !t.hasLapsed(now)
+func (t *ticket) isDue(now time.Duration) bool { return t.isDueWithin(now, earlyTolerance) }
+
+// isDueWithin reports whether the ticket is due or will be within a tolerance.
+func (t *ticket) isDueWithin(now, tolerance time.Duration) bool {
+	return !t.used && now >= t.due-tolerance && !t.hasLapsed(now)
+}
+
+// mayBeUsedBy reports whether a request may return by the ticket now. A shared request for which the
+// caller's deadline isn't known gets no tolerance, or newcomers would use it before its caller comes.
+func (t *ticket) mayBeUsedBy(now time.Duration, request *Request) bool {
+	if t.deadline == 0 && request.Shared {
+		return t.isDueWithin(now, 0)
+	}
+	return t.isDue(now) && (!request.Shared || t.isOf(now, request))
 }
 
 func (t *ticket) hasLapsed(now time.Duration) bool { return now > t.due+grace }
 
-// isOf reports whether a request may be of the ticket's caller. Equal requests of different
-// callers differ in their deadlines, which only the node that gave the ticket knows.
+// isOf reports whether a request may be of the ticket's caller. Equal requests of different callers
+// differ in their deadlines, which only the node that gave the ticket knows.
 func (t *ticket) isOf(now time.Duration, request *Request) bool {
 	deadline := request.deadline(now)
 	if t.deadline == 0 || deadline == 0 {
-		return true
+		return !request.Shared || deadline == 0
 	}
 	return (t.deadline - deadline).Abs() <= deadlineTolerance
 }
