--- a/internal/gateway/readmission.go
+++ b/internal/gateway/readmission.go
@@ -95,18 +95,16 @@
 
 // admitReturning decides on a request by its tenant's quota and the tickets of those who were told to
 // return. If the request isn't admitted, it returns when its caller is to return.
-func (g *Gateway) admitReturning(current *callerRequest, cost float64) (quota.Decision, readmission.Offer) {
-	now, request := g.now(), readmissionRequest(current, cost)
-	returning, holdBack := g.quotas.tickets.claim(now, request)
-	decision := g.quotas.admit(now, quota.Request{
-		Tenant: request.Tenant, Amount: cost, Priority: request.Priority, Returning: returning, HoldBack: holdBack,
-	})
+func (g *Gateway) admitReturning(current *callerRequest, limited quota.Request) (quota.Decision, readmission.Offer) {
+	now, request := g.now(), g.readmissionRequest(current, &limited)
+	limited.Returning, limited.HoldBack = g.quotas.tickets.claim(now, request)
+	decision := g.quotas.admit(now, limited)
 	if !decision.Admitted {
 		return decision, g.offerReturn(now, request, decision)
 	}
-	if (returning || decision.NearLimit) && g.quotas.tickets.use(now, request) {
+	if (limited.Returning || decision.NearLimit) && g.quotas.tickets.use(now, request) {
 		g.events.line("return_admitted").Str("request_id", current.metadata.RequestID).Str("tenant", string(request.Tenant)).
-			Float64("cost", cost).Float64("available", decision.Available).Msg("return_admitted")
+			Float64("cost", request.Units).Float64("available", decision.Available).Msg("return_admitted")
 	}
 	return decision, readmission.Offer{}
 }
@@ -132,21 +130,13 @@
 }
 
 // readmissionRequest describes a request of a tenant with a quota.
-func readmissionRequest(current *callerRequest, cost float64) readmission.Request {
+func (g *Gateway) readmissionRequest(current *callerRequest, limited *quota.Request) readmission.Request {
 	return readmission.Request{
-		Signature: requestSignature(current), Tenant: current.tenant.Name, Priority: routePriority(current), Units: cost,
+		Signature: requestSignature(current), Tenant: limited.Tenant, Priority: limited.Priority, Units: limited.Amount,
 		Shared: len(current.metadata.Parts) == 0, TimeLeft: current.metadata.TimeLeft,
 	}
 }
 
-// routePriority returns a request's priority among its tenant's own.
-func routePriority(current *callerRequest) int {
-	if current.route == nil {
-		return 0
-	}
-	return current.route.Priority
-}
-
 // requestSignature returns a hash by which a request is recognized when it is tried again. Each try
 // has another request identifier. The tenant is part of it, so that no tenant can use another's
 // ticket.
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -98,6 +98,8 @@
 	// Acknowledged is the receiver's last Total that the node has received. Deficit includes that
 	// much of the receiver's use.
 	Acknowledged uint64
+	// Demand is the demand at the node, 0 if the tenant isn't near its limit.
+	Demand Demand
 }
 
 // Report is one report of a peer.
@@ -113,29 +115,21 @@
 	Usages []Usage
 }
 
-// Request is a request of a tenant, as Admit decides on it.
-type Request struct {
-	Tenant fleet.TenantName
-	// Amount is the request's cost in units.
-	Amount float64
-	// Priority is the request's priority among the tenant's own; 0 is the most urgent.
-	Priority int
-	// Returning is set if the request was told to return now. It may use the units of HoldBack.
-	Returning bool
-	// HoldBack is the units to be left for requests that were told to return.
-	HoldBack float64
-}
-
 // Decision is the result of Admit, with what it is based on.
 type Decision struct {
 	Admitted bool
-	// RetryAfter is the time until the bucket can admit the request, if it wasn't admitted.
+	// Cause is why the request was admitted or refused.
+	Cause Cause
+	// RetryAfter is the time until units are free for the request, by what this node knows of more
+	// urgent requests and of those refused before it, if it wasn't admitted. It is at most the window.
 	RetryAfter time.Duration
 	Limit      Limit
 	// Share is the fraction of the limit that belongs to this node and its reachable peers.
 	Share float64
 	// Available is the units left before the request; negative if more than the limit was used.
 	Available float64
+	// Reserved is the units kept from the request for more urgent ones and for returning callers.
+	Reserved float64
 	// NearLimit is set if the tenant is near its limit: the use is to be reported to the peers at
 	// once, and the peers are to be asked for theirs.
 	NearLimit bool
