--- a/internal/gateway/readmission.go
+++ b/internal/gateway/readmission.go
@@ -112,13 +112,12 @@
 // offerReturn returns when a refused caller is to return. While this gateway is joining it doesn't
 // know its part of the limit, so it makes no tickets.
 func (g *Gateway) offerReturn(now time.Duration, request readmission.Request, decision quota.Decision) readmission.Offer {
-	rate := decision.Limit.Rate * decision.Share
 	own := g.quotas.ownFraction(now)
-	if rate <= 0 || own <= 0 {
+	if decision.FreeRate <= 0 || own <= 0 {
 		return readmission.Offer{RetryAfter: decision.RetryAfter}
 	}
 	return g.quotas.tickets.offer(now, request, readmission.Capacity{
-		Rate: rate * own, FreeAfter: time.Duration(max(-decision.Available, 0) / rate * float64(time.Second)),
+		Rate: decision.FreeRate, OwnFraction: own, FreeAfter: decision.FreeAfter, RetryAfter: decision.RetryAfter,
 	})
 }
 
@@ -131,10 +130,14 @@
 
 // readmissionRequest describes a request of a tenant with a quota.
 func (g *Gateway) readmissionRequest(current *callerRequest, limited *quota.Request) readmission.Request {
-	return readmission.Request{
+	request := readmission.Request{
 		Signature: requestSignature(current), Tenant: limited.Tenant, Priority: limited.Priority, Units: limited.Amount,
 		Shared: len(current.metadata.Parts) == 0, TimeLeft: current.metadata.TimeLeft,
 	}
+	if current.route != nil {
+		request.TargetLeft = g.latencyTargetLeft(current)
+	}
+	return request
 }
 
 // requestSignature returns a hash by which a request is recognized when it is tried again. Each try
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -130,6 +130,12 @@
 	Available float64
 	// Reserved is the units kept from the request for more urgent ones and for returning callers.
 	Reserved float64
+	// FreeRate is the units per second that more urgent requests and the minimum shares leave to
+	// this one's priority, and FreeAfter the time until units are free for it as a returning one, without those refused before it.
+	// Both are 0 if it was admitted or
+	// nothing is left.
+	FreeRate  float64
+	FreeAfter time.Duration
 	// NearLimit is set if the tenant is near its limit: the use is to be reported to the peers at
 	// once, and the peers are to be asked for theirs.
 	NearLimit bool
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -94,6 +94,7 @@
 		room.take(now)
 	} else {
 		decision.RetryAfter = room.promise(now, l.options.Window)
+		decision.FreeRate, decision.FreeAfter = room.free(l.options.Window)
 	}
 	return decision
 }
@@ -119,7 +120,7 @@
 		debt:      l.debt(share),
 		burst:     burst,
 		reserve:   account.reserve(priority, request.Returning, burst),
-		holdBack:  request.holdBack(holdBackFraction * burst),
+		holdBack:  request.holdBack(account.holdBackLimit(priority, share, burst)),
 	}
 }
 
--- a/internal/quota/reserve.go
+++ b/internal/quota/reserve.go
@@ -84,6 +84,26 @@
 	return max(rate-a.demand.moreUrgent(priority), minimumShare*rate)
 }
 
+// freeBesideMinimum returns what more urgent requests and the minimum shares leave to a priority.
+func (a *account) freeBesideMinimum(priority int, share float64) float64 {
+	rate, negligible := a.freeRate(priority, share), negligibleDemand*a.limit.Rate
+	for other := max(priority, 1); other < PriorityCount; other++ {
+		if a.demand.of(other) >= negligible && a.demand.moreUrgent(other) >= negligible {
+			rate -= minimumShare * a.limit.Rate * share
+		}
+	}
+	return max(rate, 0)
+}
+
+// holdBackLimit returns the units of a burst that newcomers of a priority leave for returning callers at
+// most: none while the priority asks for less than is free for it, since then nobody need wait.
+func (a *account) holdBackLimit(priority int, share, burst float64) float64 {
+	if a.demand.of(priority) <= a.freeRate(priority, share) {
+		return 0
+	}
+	return holdBackFraction * burst
+}
+
 // ownFraction returns this node's part of the demand of a priority.
 func (a *account) ownFraction(priority int) float64 {
 	total := a.demand.of(priority)
--- a/internal/quota/room.go
+++ b/internal/quota/room.go
@@ -67,7 +67,7 @@
 func (r *room) admissionCause() Cause {
 	other := *r.request
 	other.Returning = false
-	holdBack := other.holdBack(holdBackFraction * r.burst)
+	holdBack := other.holdBack(r.account.holdBackLimit(r.priority, r.share, r.burst))
 	least := max(r.account.leastUrgent(), r.priority)
 	switch {
 	case r.fitsBeside(r.account.reserve(least, false, r.burst) + holdBack):
@@ -110,8 +110,25 @@
 	promised := &r.account.promised[r.priority]
 	promised.drain(now, ownRate)
 	amount := r.request.Amount
-	missing := max(amount-r.debtBeside(r.kept()), 0) - (r.available - r.kept())
-	seconds := max(min(missing, r.account.fleet.deficit), 0)/rate + promised.deficit/ownRate
+	seconds := r.missing(r.kept())/rate + promised.deficit/ownRate
 	promised.deficit = min(promised.deficit+amount, ownRate*window.Seconds())
 	return time.Duration(min(seconds, window.Seconds()) * float64(time.Second))
 }
+
+// free returns the rate at which units become free for the request's priority and the time until they
+// are for the request when it returns, at most window. The rate is 0 if nothing is left beside the
+// minimum shares: which of their callers get those can't be said before.
+func (r *room) free(window time.Duration) (rate float64, after time.Duration) {
+	rate = r.account.freeBesideMinimum(r.priority, r.share)
+	if rate <= 0 {
+		return 0, 0
+	}
+	seconds := r.missing(r.account.reserve(r.priority, true, r.burst)) / rate
+	return rate, time.Duration(min(seconds, window.Seconds()) * float64(time.Second))
+}
+
+// missing returns the units that must become free before the request fits beside kept ones.
+func (r *room) missing(kept float64) float64 {
+	missing := max(r.request.Amount-r.debtBeside(kept), 0) - (r.available - kept)
+	return max(min(missing, r.account.fleet.deficit), 0)
+}
--- a/internal/readmission/book.go
+++ b/internal/readmission/book.go
@@ -71,11 +71,11 @@
 	if left := b.told.left(now, &request); left > 0 {
 		return Offer{RetryAfter: left}
 	}
-	if b.rates[request.Tenant] <= 0 || capacity.Rate <= 0 || request.Units <= 0 {
+	if b.rates[request.Tenant] <= 0 || capacity.ownRate() <= 0 || request.Units <= 0 {
 		b.counts.OfferedWithout++
-		return Offer{RetryAfter: min(max(capacity.FreeAfter, 0), maxReturn)}
+		return Offer{RetryAfter: min(max(capacity.FreeAfter, capacity.RetryAfter, 0), maxReturn)}
 	}
-	b.queue(request.Tenant).newcomers.ownFraction = min(capacity.Rate/b.rates[request.Tenant], 1)
+	b.queue(request.Tenant).newcomers.ownFraction = min(capacity.OwnFraction, 1)
 	due := b.find(request.Signature, func(t *ticket) bool { return t.isDue(now) && t.isOf(now, &request) })
 	if due != nil {
 		return b.postpone(now, due, &request, capacity)
@@ -86,10 +86,8 @@
 // schedule finds the next time for a request and makes a ticket if the caller waits so long.
 func (b *Book) schedule(now time.Duration, request *Request, capacity Capacity) Offer {
 	tenant, priority := b.queue(request.Tenant), request.priority()
-	tenant.demand.add(now, priority, request.Units)
-	rate := tenant.demand.part(capacity.Rate*bookedFraction, priority)
 	start := max(tenant.free(now, capacity, b.rates[request.Tenant]), tenant.bookedUntil[priority])
-	return b.place(now, request, start, serviceTime(request.Units, rate), &tenant.bookedUntil[priority])
+	return b.place(now, request, capacity, booking{start, bookedFraction, &tenant.bookedUntil[priority]})
 }
 
 // postpone replaces a ticket whose request returned in time and was refused. It goes before others in
@@ -97,23 +95,34 @@
 func (b *Book) postpone(now time.Duration, due *ticket, request *Request, capacity Capacity) Offer {
 	tenant := b.queue(request.Tenant)
 	b.spend(now, due)
-	rate := capacity.Rate * (1 - bookedFraction)
+	if request.TargetLeft > 0 {
+		request.TargetLeft = max(request.TargetLeft-(now-due.known), 1)
+	}
 	start := max(tenant.free(now, capacity, b.rates[request.Tenant]), tenant.postponedUntil)
-	return b.place(now, request, start, serviceTime(request.Units, rate), &tenant.postponedUntil)
+	return b.place(now, request, capacity, booking{start, 1 - bookedFraction, &tenant.postponedUntil})
 }
 
-// place makes a ticket for a request whose units become free from start on over duration, and books
-// them. The nodes' tickets are spread over duration.
-func (b *Book) place(now time.Duration, request *Request, start, duration time.Duration, bookedUntil *time.Duration) Offer {
-	tenant := b.queue(request.Tenant)
-	due := max(start+time.Duration(phase(request.Signature)*float64(duration)), b.knownBy(now))
-	if due-now > request.patience() || !b.hasRoom(tenant, request.Signature) {
+// booking is where a ticket is to be placed: from start on, in a fraction of the node's rate. until
+// is when the units booked there become free.
+type booking struct {
+	start    time.Duration
+	fraction float64
+	until    *time.Duration
+}
+
+// place makes a ticket for a request and books its units. The nodes' tickets are spread over the time in
+// which the units become free. A caller that can't be given one is told the limiter's time, which
+// staggers such callers, but none before the tickets.
+func (b *Book) place(now time.Duration, request *Request, capacity Capacity, at booking) Offer {
+	duration := serviceTime(request.Units, capacity.ownRate()*at.fraction)
+	due := max(at.start+time.Duration(phase(request.Signature)*float64(duration)), b.knownBy(now))
+	if due-now > request.ticketWait() || !b.hasRoom(b.queue(request.Tenant), request.Signature) {
 		b.counts.OfferedWithout++
-		wait := min(tenant.stagger(due, duration)-now, maxReturn)
+		wait := min(max(capacity.RetryAfter, at.start-now), maxReturn)
 		b.told.add(now, request, wait)
 		return Offer{RetryAfter: wait}
 	}
-	*bookedUntil = start + duration
+	*at.until = at.start + duration
 	b.give(now, request, due)
 	return Offer{RetryAfter: due - now, Kept: true}
 }
@@ -148,7 +157,6 @@
 		return true
 	}
 	tenant := b.queue(request.Tenant)
-	tenant.demand.add(now, request.priority(), request.Units)
 	tenant.newcomers.add(now, request.Units)
 	if early := b.earlyTicket(now, &request); early != nil && early.deadline != 0 && request.TimeLeft > 0 {
 		b.spend(now, early)
@@ -156,8 +164,8 @@
 	return false
 }
 
-// HoldBack returns the units that a newcomer of a priority has to leave: those of tickets that are due,
-// those of tickets at least as urgent that soon will be, and what other nodes have probably admitted
+// HoldBack returns the units that a newcomer of a priority has to leave: those of tickets that are due
+// or soon will be and are at least as urgent, and what other nodes have probably admitted
 // meanwhile. It is 0 while nobody waits.
 func (b *Book) HoldBack(now time.Duration, tenant fleet.TenantName, priority int) float64 {
 	return b.holdBack(now, tenant, now+holdAhead, clampPriority(priority))
@@ -170,7 +178,7 @@
 	if queue == nil {
 		return 0
 	}
-	held := queue.held(now, soon, priority)
+	held := queue.held(soon, priority)
 	if held == 0 {
 		return 0
 	}
@@ -204,7 +212,7 @@
 func (b *Book) give(now time.Duration, request *Request, due time.Duration) {
 	given := &ticket{
 		signature: request.Signature, tenant: request.Tenant, priority: request.priority(), units: request.Units,
-		due: due, deadline: request.deadline(now),
+		due: due, known: now, deadline: request.deadline(now),
 	}
 	b.add(given)
 	b.given.add(now, given)
--- a/internal/readmission/configuration.go
+++ b/internal/readmission/configuration.go
@@ -26,6 +26,11 @@
 // Forget drops all tickets of a tenant.
 func (b *Book) Forget(tenant fleet.TenantName) {
 	b.reduce(tenant, 0)
+	if queue := b.queues[tenant]; queue != nil {
+		for _, used := range queue.tickets {
+			b.unlink(used)
+		}
+	}
 	delete(b.queues, tenant)
 	delete(b.lapses, tenant)
 }
--- a/internal/readmission/fleet_test.go
+++ b/internal/readmission/fleet_test.go
@@ -32,6 +32,34 @@
 	}
 }
 
+// urgentTarget is the fraction of the urgent requests that are to be served, unless it is missed without
+// tickets, too, and discovery the time until nodes know of a flood.
+const (
+	urgentTarget = 0.98
+	discovery    = time.Second
+)
+
+// TestUrgentRequestsWaitForLessUrgentTickets guards against urgent newcomers that are refused for the
+// units of less urgent callers who were told to return.
+func TestUrgentRequestsWaitForLessUrgentTickets(t *testing.T) {
+	t.Parallel()
+	for _, nodes := range []int{1, 4, 60} {
+		for _, multiple := range []float64{2, 4, 7} {
+			f := newSimFleet(4, nodes)
+			f.ranked = 1
+			f.run(discovery, multiple)
+			result := f.run(6*time.Second, multiple)
+			without := newSimFleet(4, nodes)
+			without.ranked, without.noBook = 1, true
+			without.run(discovery, multiple)
+			bare := without.run(6*time.Second, multiple).urgentFraction()
+			t.Logf("%d nodes, %v times the limit: urgent served %.4f, without tickets %.4f; %v", nodes, multiple, result.urgentFraction(), bare, result)
+			assert.GreaterOrEqual(t, result.urgentFraction(), min(urgentTarget, bare), "%d nodes, %v times", nodes, multiple)
+			assert.Positive(t, result.returned)
+		}
+	}
+}
+
 // TestIgnoringRetryAfterIsOfUse guards against callers that gain by coming all the time.
 func TestIgnoringRetryAfterIsOfUse(t *testing.T) { requireNoUseOfIgnoring(t, 1) }
 
--- a/internal/readmission/limits.go
+++ b/internal/readmission/limits.go
@@ -38,6 +38,9 @@
 	// waitDivisor divides a caller's time left into what it will wait: callers need the rest for the
 	// request itself and further tries.
 	waitDivisor = 3
+	// targetDivisor divides the time left until a latency target into what a ticket may take of it: the
+	// run needs the rest.
+	targetDivisor = 2
 	// holdAhead is how long before a ticket is due newcomers begin to leave its units. Nodes that admit
 	// newcomers at the same time hear of each other only after an exchange.
 	holdAhead = 300 * time.Millisecond
@@ -52,8 +55,6 @@
 	maxUseAge = time.Second
 	// sharingPeriod is how long after its last report a node counts as a peer.
 	sharingPeriod = time.Second
-	// maxStagger bounds the time over which callers without a ticket are spread.
-	maxStagger = time.Second
 )
 
 // bookedFraction is the fraction of the rate that tickets may take. The rest covers runs that are
--- a/internal/readmission/newcomers.go
+++ b/internal/readmission/newcomers.go
@@ -12,6 +12,9 @@
 // average at most: half the time between two exchanges.
 const unreportedPeriod = exchangePeriod / 2
 
+// newcomersPeriod is how long after a newcomer was admitted that counts.
+const newcomersPeriod = time.Second
+
 // newcomers estimates what the other nodes have admitted of a tenant's newcomers since they last
 // reported: as much as this node, in proportion. Without it, each of many nodes would give the same
 // free units to its own newcomers, and callers that return would find none for some time.
--- a/internal/readmission/peers.go
+++ b/internal/readmission/peers.go
@@ -68,7 +68,7 @@
 	}
 	b.add(&ticket{
 		signature: received.Signature, tenant: received.Tenant, priority: received.Priority, units: received.Units,
-		due: due, origin: node, report: b.reports,
+		due: due, known: now, origin: node, report: b.reports,
 	})
 	return true
 }
--- a/internal/readmission/queue.go
+++ b/internal/readmission/queue.go
@@ -14,10 +14,7 @@
 	bookedUntil [PriorityCount]time.Duration
 	// postponedUntil is the same for requests that returned in time and were refused.
 	postponedUntil time.Duration
-	demand         demand
 	newcomers      newcomers
-	// staggeredUntil is when the last caller without a ticket was told to return.
-	staggeredUntil time.Duration
 }
 
 // insert adds a ticket.
@@ -46,27 +43,18 @@
 
 // isIdle reports whether nothing is known of the tenant that matters later.
 func (q *queue) isIdle(now time.Duration) bool {
-	return len(q.tickets) == 0 && now > max(q.staggeredUntil, q.postponedUntil) && now > slices.Max(q.bookedUntil[:]) && now > max(q.demand.at, q.newcomers.at)+demandPeriod
-}
-
-// stagger returns when a caller without a ticket returns whose units are free at due.
-func (q *queue) stagger(due, duration time.Duration) time.Duration {
-	q.staggeredUntil = max(q.staggeredUntil+duration, due)
-	if q.staggeredUntil > due+maxStagger {
-		q.staggeredUntil = due
-	}
-	return q.staggeredUntil
+	return len(q.tickets) == 0 && now > max(q.postponedUntil, slices.Max(q.bookedUntil[:])) && now > q.newcomers.at+newcomersPeriod
 }
 
 // held returns the units that a newcomer leaves: those of tickets as urgent as itself or more urgent
-// that are due before soon, and those of the others once they are due.
-func (q *queue) held(now, soon time.Duration, priority int) float64 {
+// that are due before soon. Less urgent ones have what the urgent leave, also once they are due.
+func (q *queue) held(soon time.Duration, priority int) float64 {
 	units := 0.0
 	for _, ticket := range q.tickets {
 		if ticket.due > soon {
 			break
 		}
-		if !ticket.used && (ticket.priority <= priority || ticket.isDue(now)) {
+		if !ticket.used && ticket.priority <= priority {
 			units += ticket.units
 		}
 	}
--- a/internal/readmission/request.go
+++ b/internal/readmission/request.go
@@ -20,16 +20,25 @@
 	Shared bool
 	// TimeLeft is how long the caller waits for the final response, 0 if unknown.
 	TimeLeft time.Duration
+	// TargetLeft is the time left until the latency target of the request's route, 0 if it has none.
+	TargetLeft time.Duration
 }
 
 // Capacity is what can be given to returning requests.
 type Capacity struct {
-	// Rate is the units per second that callers of the request's priority can be given at this node.
-	Rate float64
-	// FreeAfter is the time until the first unit is free.
+	// Rate is the units per second that more urgent requests leave to the request's priority, at all
+	// nodes. OwnFraction is this node's part of it.
+	Rate        float64
+	OwnFraction float64
+	// FreeAfter is the time until units are free for the request.
 	FreeAfter time.Duration
+	// RetryAfter is what a caller without a ticket is told, which staggers these callers.
+	RetryAfter time.Duration
 }
 
+// ownRate returns the units per second that this node can give.
+func (c *Capacity) ownRate() float64 { return c.Rate * c.OwnFraction }
+
 // Offer is a time to return.
 type Offer struct {
 	RetryAfter time.Duration
@@ -45,6 +54,15 @@
 	return min(r.TimeLeft/waitDivisor, maxReturn)
 }
 
+// ticketWait returns how long the caller may be told to wait by a ticket: it still has the time for the
+// run until its latency target then.
+func (r *Request) ticketWait() time.Duration {
+	if r.TargetLeft <= 0 {
+		return r.patience()
+	}
+	return min(r.patience(), r.TargetLeft/targetDivisor)
+}
+
 // deadline returns when the caller gives up, 0 if unknown.
 func (r *Request) deadline(now time.Duration) time.Duration {
 	if r.TimeLeft <= 0 {
--- a/internal/readmission/ticket.go
+++ b/internal/readmission/ticket.go
@@ -13,6 +13,8 @@
 	priority  int
 	units     float64
 	due       time.Duration
+	// known is when this node gave or received the ticket.
+	known time.Duration
 	// deadline is when the caller gives up, 0 if unknown.
 	deadline time.Duration
 	// origin is the node that gave the ticket, empty for this one.
