--- a/internal/readmission/book.go
+++ b/internal/readmission/book.go
@@ -20,7 +20,7 @@
 	given newsLog
 	uses  newsLog
 	// receivedUses holds the uses that other nodes have reported lately.
-	receivedUses map[useKey]receivedUse
+	receivedUses map[fleet.NodeID]receivedUses
 	told         toldTimes
 	// reports counts the received reports.
 	reports uint64
@@ -49,7 +49,7 @@
 		tickets:      make(map[uint64]*ticket),
 		given:        newNewsLog(),
 		uses:         newNewsLog(),
-		receivedUses: make(map[useKey]receivedUse),
+		receivedUses: make(map[fleet.NodeID]receivedUses),
 		lapses:       make(map[fleet.TenantName]int),
 	}
 }
--- a/internal/readmission/book_test.go
+++ b/internal/readmission/book_test.go
@@ -222,6 +222,25 @@
 	require.False(t, other.IsDue(due, testRequest(1)))
 }
 
+// TestSecondUseIsTakenForTheFirst guards against a second use of equal requests' tickets that other nodes
+// take for the first one, told again.
+func TestSecondUseIsTakenForTheFirst(t *testing.T) {
+	giver, other := newTestBook(), newTestBook()
+	offer(t, giver, 0, testRequest(1))
+	due := time.Second/10 + offer(t, giver, time.Second/10, testRequest(1))
+	tickets, _ := giver.Report(due, "other")
+	other.Observe(due, "giver", tickets, nil)
+	require.Equal(t, 2, other.Waiting())
+	for left := 1; left >= 0; left-- {
+		require.True(t, giver.Use(due, testRequest(1)))
+		for range 3 {
+			_, used := giver.Report(due, "other")
+			other.Observe(due, "giver", nil, used)
+			require.Equal(t, left, other.Waiting())
+		}
+	}
+}
+
 // TestInvalidTicketIsTaken guards against reports that hold what no node gives, or more than a report
 // may.
 func TestInvalidTicketIsTaken(t *testing.T) {
--- a/internal/readmission/fleet_test.go
+++ b/internal/readmission/fleet_test.go
@@ -12,22 +12,26 @@
 
 // TestReturnersAreRefusedAgain guards against newcomers that take the units which callers were told
 // to return for, and against units that are kept for nobody.
-func TestReturnersAreRefusedAgain(t *testing.T) {
+func TestReturnersAreRefusedAgain(t *testing.T) { requireKept(t, 0) }
+
+// TestReturnersAreRefusedAgainBesideUrgentRequests is the same with requests of three priorities.
+func TestReturnersAreRefusedAgainBesideUrgentRequests(t *testing.T) { requireKept(t, 1) }
+
+// requireKept checks at several sizes and loads that callers who return as told are admitted.
+func requireKept(t *testing.T, ranked int) {
 	t.Parallel()
 	for _, nodes := range []int{1, 4, 60} {
 		without := newSimFleet(1, nodes)
 		without.noBook = true
 		t.Logf("%d nodes, 4 times the limit, no tickets: %v", nodes, without.run(8*time.Second, 4))
 		for _, multiple := range []float64{2, 4, 7} {
-			for ranked := range 2 {
-				f := newSimFleet(1, nodes)
-				f.ranked = ranked
-				result := f.run(8*time.Second, multiple)
-				t.Logf("%d nodes, %v times the limit, ranked %d: %v", nodes, multiple, ranked, result)
-				assert.GreaterOrEqual(t, result.keptFraction(), keptTarget, "%d nodes, %v times", nodes, multiple)
-				assert.LessOrEqual(t, result.units, 9*simRate*1.1+simSlack, "%d nodes, %v times", nodes, multiple)
-				assert.GreaterOrEqual(t, result.units, 8*simRate, "%d nodes, %v times", nodes, multiple)
-			}
+			f := newSimFleet(1, nodes)
+			f.ranked = ranked
+			result := f.run(8*time.Second, multiple)
+			t.Logf("%d nodes, %v times the limit, ranked %d: %v", nodes, multiple, ranked, result)
+			assert.GreaterOrEqual(t, result.keptFraction(), keptTarget, "%d nodes, %v times", nodes, multiple)
+			assert.LessOrEqual(t, result.units, 9*simRate*1.1+simSlack, "%d nodes, %v times", nodes, multiple)
+			assert.GreaterOrEqual(t, result.units, 8*simRate, "%d nodes, %v times", nodes, multiple)
 		}
 	}
 }
--- a/internal/readmission/limits.go
+++ b/internal/readmission/limits.go
@@ -18,8 +18,6 @@
 	maxReportedPerRound = 192
 	minReportSize       = 16
 	maxReportSize       = 64
-	// maxReceivedUses bounds the remembered uses at other nodes.
-	maxReceivedUses = 4096
 )
 
 // Times of a ticket.
--- a/internal/readmission/peers.go
+++ b/internal/readmission/peers.go
@@ -17,15 +17,10 @@
 	DueIn time.Duration
 }
 
-// useKey identifies the tickets of one signature that were used at a node.
-type useKey struct {
-	node      fleet.NodeID
-	signature uint64
-}
-
-// receivedUse is how many uses a node has reported, and until when it repeats them.
-type receivedUse struct {
-	count   int
+// receivedUses are the uses that another node's last report told for the first time, by signature, and
+// when they are forgotten. A node tells each use in two reports that follow each other.
+type receivedUses struct {
+	counts  map[uint64]int
 	expires time.Duration
 }
 
@@ -73,24 +68,24 @@
 	return true
 }
 
-// receiveUses marks the tickets that were used at another node. A use is reported several times and
-// counts once.
+// receiveUses marks the tickets that were used at another node. A use is reported twice and counts once.
 func (b *Book) receiveUses(now time.Duration, node fleet.NodeID, used []uint64) {
+	before := b.receivedUses[node].counts
 	if len(used) == 0 {
+		delete(b.receivedUses, node)
 		return
 	}
-	if len(b.receivedUses) >= maxReceivedUses {
-		clear(b.receivedUses)
-	}
-	reported := make(map[uint64]int, len(used))
+	counts := make(map[uint64]int, len(used))
 	for _, signature := range used {
-		reported[signature]++
-		key := useKey{node, signature}
-		if received := b.receivedUses[key]; reported[signature] > received.count {
-			b.receivedUses[key] = receivedUse{count: reported[signature], expires: now + 2*maxUseAge}
+		counts[signature]++
+	}
+	for signature, count := range counts {
+		counts[signature] = max(count-before[signature], 0)
+		for range counts[signature] {
 			b.markFirst(signature)
 		}
 	}
+	b.receivedUses[node] = receivedUses{counts: counts, expires: now + 2*maxUseAge}
 }
 
 // markFirst marks the ticket with a signature that is due first as used.
--- a/internal/readmission/tickets.go
+++ b/internal/readmission/tickets.go
@@ -90,7 +90,7 @@
 		b.expire(now, tenant)
 	}
 	b.expireNews(now)
-	maps.DeleteFunc(b.receivedUses, func(_ useKey, received receivedUse) bool { return now > received.expires })
+	maps.DeleteFunc(b.receivedUses, func(_ fleet.NodeID, received receivedUses) bool { return now > received.expires })
 	lapses := b.lapses
 	if len(lapses) > 0 {
 		b.lapses = make(map[fleet.TenantName]int)
