--- a/internal/gateway/readmission_test.go
+++ b/internal/gateway/readmission_test.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// TestTicketIgnoresTheLatencyTarget guards against tickets that are made without the route's target.
+func TestTicketIgnoresTheLatencyTarget(t *testing.T) {
+	g, tenant := newLimitedGateway(t)
+	current := limitedRequest(tenant, "first")
+	limited := quotaRequest(current, 1)
+	require.Zero(t, g.readmissionRequest(current, &limited).TargetLeft)
+	current.route = &routes.Route{TargetLatency: time.Second}
+	current.startedAt = g.now()
+	left := g.readmissionRequest(current, &limited).TargetLeft
+	require.Positive(t, left)
+	require.LessOrEqual(t, left, time.Second)
+}
+
 // TestRefusedCallerIsNotExpected guards against a refusal that makes no ticket, and against one whose
 // ticket other gateways don't receive.
 func TestRefusedCallerIsNotExpected(t *testing.T) {
--- a/internal/quota/priority_test.go
+++ b/internal/quota/priority_test.go
@@ -295,6 +295,28 @@
 	}
 }
 
+// TestNothingIsHeldBackWithoutNeed guards against newcomers that leave units to returning callers although
+// their priority asks for less than is free for it.
+func TestNothingIsHeldBackWithoutNeed(t *testing.T) {
+	for rate, admitted := range map[float64]bool{10_000: true, 100: false} {
+		limiter := newStandalone(Limit{Rate: rate, Burst: 1000}, Options{})
+		require.True(t, limiter.Admit(0, Request{Tenant: tenant, Amount: 900}).Admitted)
+		newcomer := Request{Tenant: tenant, Amount: 50, HoldBack: 100}
+		require.Equal(t, admitted, limiter.Admit(0, newcomer).Admitted, "rate %v", rate)
+	}
+}
+
+// TestMinimumShareIsPromised guards against times to return that are given from what more urgent requests
+// or the minimum shares take.
+func TestMinimumShareIsPromised(t *testing.T) {
+	for urgent, free := range map[float64]float64{0: 1000, 500: 450, 960: 0} {
+		limiter := newStandalone(Limit{Rate: 1000, Burst: 1000}, Options{})
+		limiter.accounts[tenant].demand.peerTotal[0] = urgent
+		require.True(t, limiter.Admit(0, Request{Tenant: tenant, Amount: 1000, Priority: 2}).Admitted)
+		require.InDelta(t, free, limiter.Admit(0, Request{Tenant: tenant, Amount: 500, Priority: 2}).FreeRate, 1e-6, "urgent %v", urgent)
+	}
+}
+
 // TestInvalidRequestsAreBounded guards against priorities and numbers out of range that keep a whole
 // limit from being used, or crash.
 func TestInvalidRequestsAreBounded(t *testing.T) {
