--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -29,10 +29,12 @@
 type quotas struct {
 	mutex   sync.Mutex
 	limiter *quota.Limiter
+	// tickets are the times to return that refused callers were told.
+	tickets *returnTickets
 }
 
 func newQuotas(now time.Duration, settings Settings) *quotas {
-	return &quotas{limiter: quota.NewLimiter(now, quota.Options{
+	return &quotas{tickets: newReturnTickets(), limiter: quota.NewLimiter(now, quota.Options{
 		Slack:      settings.QuotaSlack,
 		Overshoot:  settings.QuotaOvershoot,
 		Window:     settings.QuotaWindow,
@@ -49,6 +51,7 @@
 			limits[tenants[index].Name] = quota.Limit{Rate: tenantQuota.Rate, Burst: tenantQuota.Burst}
 		}
 	}
+	q.tickets.setLimits(limits)
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.limiter.SetLimits(now, limits)
@@ -60,6 +63,17 @@
 	return q.limiter.Admit(now, request)
 }
 
+// ownFraction returns this gateway's part of a limit that belongs to it and its reachable peers; 0
+// while it is joining.
+func (q *quotas) ownFraction(now time.Duration) float64 {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if q.limiter.IsJoining(now) {
+		return 0
+	}
+	return q.limiter.OwnFraction()
+}
+
 func (q *quotas) charge(now time.Duration, tenant fleet.TenantName, cost float64) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -101,6 +115,7 @@
 
 // writeReport adds this gateway's usage to a report to another gateway.
 func (q *quotas) writeReport(now time.Duration, report *rpc.LoadReport, to fleet.NodeID) {
+	q.tickets.writeReport(now, report, to)
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	report.UsesTold = true
@@ -120,6 +135,7 @@
 	if !report.GetUsesTold() {
 		return nil
 	}
+	q.tickets.applyReport(now, report)
 	var invalid []InvalidInput
 	usage := quota.Report{
 		Node:        fleet.NodeID(report.GetNode()),
@@ -194,7 +210,7 @@
 	g.lastLimitedRequest.Store(int64(g.now()))
 	cost := current.tenant.Quota.Cost(current.metadata.PromptTokens, current.metadata.OutputTokens, current.metadata.HasTokenCounts)
 	request := quotaRequest(current, cost)
-	decision := g.quotas.admit(g.now(), request)
+	decision, offer := g.admitReturning(current, request)
 	g.metrics.quotaDecisions.count(decision.Cause)
 	tenant := string(current.tenant.Name)
 	if decision.Admitted {
@@ -208,8 +224,8 @@
 		Float64("cost", cost).Float64("rate", decision.Limit.Rate).Float64("burst", decision.Limit.Burst).
 		Float64("available", decision.Available).Float64("share", decision.Share).
 		Int("priority", request.Priority).Float64("reserved", decision.Reserved).Stringer("cause", decision.Cause).
-		Dur("retry_after", decision.RetryAfter).Msg("tenant_limited")
-	return &refusal{code: resultcode.QuotaExceeded, reason: "quota exceeded", retryAfter: max(decision.RetryAfter, shortRetryAfter)}
+		Dur("retry_after", offer.RetryAfter).Bool("kept", offer.Kept).Msg("tenant_limited")
+	return &refusal{code: resultcode.QuotaExceeded, reason: "quota exceeded", retryAfter: max(offer.RetryAfter, shortRetryAfter)}
 }
 
 // chargeRerun charges the cost of a further run to the tenant's quota.
@@ -230,6 +246,7 @@
 // quota or this gateway is joining. It does so more often than loads are shared.
 func (g *Gateway) runUsageExchange() error {
 	for g.pauseForUsage() {
+		g.reportLapses()
 		if !g.quotas.isNearLimit(g.now()) && !g.quotas.isJoining(g.now()) {
 			continue
 		}
