--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,7 +35,7 @@
 	quarantined        prometheus.Gauge
 	beforeSend         prometheus.Histogram
 
-	room *roomMetrics
+	room    *roomMetrics
 	silence silenceMetrics
 
 	deliveryAnswers *prometheus.CounterVec
