--- a/internal/backends/silence_test.go
+++ b/internal/backends/silence_test.go
@@ -59,3 +59,31 @@
 	again, _ := registry.Choose(0, engineRequest("p"))
 	assert.Equal(t, home.Worker.ID, again.Worker.ID)
 }
+
+// TestRequestsMoveWithNowhereToGo guards against moving requests while no other engine could take
+// them.
+func TestRequestsMoveWithNowhereToGo(t *testing.T) {
+	registry := newTestRegistry()
+	for number := range 2 {
+		registry.Observe(1, engineWorker(number, 1))
+	}
+	request := engineRequest("p")
+	home, _ := registry.Choose(0, request)
+	silent := home.Worker.ID
+	assert.True(t, registry.HasElsewhere(0, request, silent))
+	var other fleet.EngineID
+	for _, worker := range registry.Workers() {
+		if worker.ID != silent {
+			other = worker.ID
+		}
+	}
+	registry.ObserveSilence(0, other)
+	assert.False(t, registry.HasElsewhere(0, request, silent), "suspended")
+	assert.False(t, registry.HasElsewhere(2*time.Second, request, silent), "trial due")
+	registry.ObserveContact(0, other)
+	registry.ObserveProbe(0, time.Second, other)
+	assert.False(t, registry.HasElsewhere(0, request, silent), "not ready")
+	assert.True(t, registry.HasElsewhere(time.Second, request, silent))
+	registry.ObserveGone(0, 10, other)
+	assert.False(t, registry.HasElsewhere(time.Second, request, silent), "gone")
+}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/url"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/tillerfall/tillerfall/internal/attempt"
 	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/delivery"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/liveness"
 	"github.com/tillerfall/tillerfall/internal/routes"
@@ -52,7 +54,9 @@
 	cancel    context.CancelCauseFunc
 	service   fleet.PoolName
 	requestID string
-	moved     atomic.Bool
+	// hasElsewhere reports whether another engine could take the request now.
+	hasElsewhere func(now time.Duration) bool
+	moved        atomic.Bool
 }
 
 // isMoved reports whether the send was cancelled because its engine is silent.
@@ -64,7 +68,10 @@
 	if placement.Engine == nil || placement.Limited {
 		return nil
 	}
-	send := &watchedSend{cancel: cancel, service: current.service.Name, requestID: current.metadata.RequestID}
+	send := &watchedSend{
+		cancel: cancel, service: current.service.Name, requestID: current.metadata.RequestID,
+		hasElsewhere: g.elsewhere(current, placement),
+	}
 	w := g.engineWatch
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -77,6 +84,22 @@
 	return send
 }
 
+// elsewhere returns the check whether another engine could take a request. It runs beside the
+// request, so it only uses what is known at the send.
+func (g *Gateway) elsewhere(current *callerRequest, placement *backends.Placement) func(time.Duration) bool {
+	request := backends.Request{
+		Service: current.service.Name, Excluded: slices.Clone(current.attempts.Excluded()),
+		Engine: &backends.EngineRequest{
+			Model: current.metadata.Model, Priority: priorityOf(current), Deadline: g.callerWaits(current),
+		},
+	}
+	route, draw, avoidTarget := delivery.RouteName(current.route.Name), current.targetDraw, current.sentToTarget
+	return func(now time.Duration) bool {
+		request.Software = g.deliveries.versionFilter(now, request.Service, route, draw, avoidTarget)
+		return g.workers.HasElsewhere(now, &request, placement.Worker.ID)
+	}
+}
+
 // livenessSend describes a send to the failure detector.
 func livenessSend(current *callerRequest, placement *backends.Placement) liveness.Send {
 	hasCopy := placement.Engine.CopyTo.ID != ""
@@ -262,7 +285,7 @@
 	defer w.mutex.Unlock()
 	for _, run := range runs {
 		send := w.sends[run]
-		if send == nil {
+		if send == nil || !send.hasElsewhere(now) {
 			continue
 		}
 		if !g.budgets.forService(send.service).Withdraw(now) {
--- /dev/null
+++ b/internal/gateway/silence_test.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/liveness"
+)
+
+// watchTestSend watches a repeatable send to an engine, and returns the context that its move ends.
+func watchTestSend(g *Gateway, engine fleet.EngineID) (*watchedSend, context.Context) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	send := &watchedSend{cancel: cancel, service: "engines", hasElsewhere: func(time.Duration) bool { return true }}
+	send.run = g.engineWatch.monitor.Begin(0, liveness.Send{
+		Engine: engine, Expected: 10 * time.Millisecond, Deadline: time.Minute, Target: time.Minute, Repeatable: true,
+	})
+	g.engineWatch.sends[send.run] = send
+	return send, ctx
+}
+
+// fallSilent evaluates the monitor until it names moves. Another engine is heard throughout.
+func fallSilent(t *testing.T, g *Gateway) (time.Duration, liveness.Verdict) {
+	t.Helper()
+	monitor := g.engineWatch.monitor
+	live := monitor.Begin(0, liveness.Send{Engine: "live"})
+	for now := evaluationInterval; now < 2*time.Second; now += evaluationInterval {
+		monitor.Head(now, live)
+		if verdict := monitor.Evaluate(now); len(verdict.Moves) > 0 {
+			return now, verdict
+		}
+	}
+	require.Fail(t, "no engine fell silent")
+	return 0, liveness.Verdict{}
+}
+
+// earnRetries fills the retry budget of a service.
+func earnRetries(g *Gateway, service fleet.PoolName) {
+	for range 1000 {
+		g.budgets.forService(service).Deposit(0)
+	}
+}
+
+// TestSendStaysWithNowhereToGo guards against a send that is broken off while nothing else could
+// take it, and against one that then never moves.
+func TestSendStaysWithNowhereToGo(t *testing.T) {
+	g := newTestGateway(t)
+	earnRetries(g, "engines")
+	send, ctx := watchTestSend(g, "dark")
+	room := false
+	send.hasElsewhere = func(time.Duration) bool { return room }
+	now, verdict := fallSilent(t, g)
+	g.moveSends(now, verdict.Moves)
+	require.NoError(t, ctx.Err())
+	room = true
+	g.moveSends(now, verdict.Moves)
+	assert.ErrorIs(t, context.Cause(ctx), errEngineSilent)
+}
--- a/internal/liveness/suspension.go
+++ b/internal/liveness/suspension.go
@@ -43,6 +43,10 @@
 	return wasActive
 }
 
+// IsActive reports whether the engine hasn't been heard since it was found silent, even if a trial is
+// due.
+func (s *Suspension) IsActive() bool { return s.active }
+
 // IsSuspended reports whether the engine gets no requests: until the trial and while it lasts.
 func (s *Suspension) IsSuspended(now time.Duration) bool {
 	return s.active && (now < s.trialAt || now < s.trialUntil)
