--- a/internal/backends/copies.go
+++ b/internal/backends/copies.go
@@ -48,13 +48,12 @@
 }
 
 // Continue places a request whose engine was lost at the engine that should hold its copy. It
-// returns nil if that engine is draining, gone or has another model version.
+// returns nil if that engine is draining, gone, suspended as silent or has another model version.
 func (r *Registry) Continue(now time.Duration, lost *Placement, model fleet.ModelName) *Placement {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	target := lost.Engine.CopyTo
-	state := r.workers[target.ID]
-	if state == nil || !state.isListed() || state.worker.Versions[model] != lost.Engine.Version {
+	state := r.copyHolder(lost, model)
+	if state == nil {
 		return nil
 	}
 	work := lost.work
@@ -69,3 +68,21 @@
 	}
 	return placement
 }
+
+// CanContinue reports whether Continue would place a request now and the engine is ready.
+func (r *Registry) CanContinue(now time.Duration, lost *Placement, model fleet.ModelName) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	state := r.copyHolder(lost, model)
+	return state != nil && r.isReady(now, state)
+}
+
+// copyHolder returns the engine that should hold the copy of a placement's request, or nil if the
+// request can't continue there. The mutex must be held.
+func (r *Registry) copyHolder(lost *Placement, model fleet.ModelName) *workerState {
+	state := r.workers[lost.Engine.CopyTo.ID]
+	if state == nil || !state.isListed() || state.silence.IsActive() || state.worker.Versions[model] != lost.Engine.Version {
+		return nil
+	}
+	return state
+}
--- a/internal/backends/copies_test.go
+++ b/internal/backends/copies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -99,3 +100,24 @@
 		})
 	}
 }
+
+// TestCopyAtSilentEngineIsNotUsed guards against streams that continue at an engine that is silent
+// too, and against breaking them off for one that isn't ready.
+func TestCopyAtSilentEngineIsNotUsed(t *testing.T) {
+	registry := newTestRegistry()
+	for number := range 2 {
+		registry.Observe(1, engineWorker(number, 1))
+	}
+	lost, _ := registry.Choose(0, copiedRequest())
+	holder := lost.Engine.CopyTo.ID
+	require.NotEmpty(t, holder)
+	assert.True(t, registry.CanContinue(0, lost, testModel))
+	registry.ObserveProbe(0, time.Second, holder)
+	assert.False(t, registry.CanContinue(0, lost, testModel), "not ready")
+	registry.ObserveSilence(0, holder)
+	assert.False(t, registry.CanContinue(2*time.Second, lost, testModel), "trial due")
+	assert.Nil(t, registry.Continue(2*time.Second, lost, testModel))
+	registry.ObserveContact(2*time.Second, holder)
+	assert.True(t, registry.CanContinue(2*time.Second, lost, testModel))
+	assert.NotNil(t, registry.Continue(2*time.Second, lost, testModel))
+}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -56,7 +56,18 @@
 	requestID string
 	// hasElsewhere reports whether another engine could take the request now.
 	hasElsewhere func(now time.Duration) bool
-	moved        atomic.Bool
+	// canContinue reports whether the request can go on at its copy, and is nil if the copy isn't the
+	// only way on after the first event.
+	canContinue func(now time.Duration) bool
+	moved       atomic.Bool
+}
+
+// canMove reports whether there is an engine where the request could go on now.
+func (s *watchedSend) canMove(now time.Duration) bool {
+	if s.run.HasBegun() && s.canContinue != nil {
+		return s.canContinue(now)
+	}
+	return s.hasElsewhere(now)
 }
 
 // isMoved reports whether the send was cancelled because its engine is silent.
@@ -72,6 +83,10 @@
 		cancel: cancel, service: current.service.Name, requestID: current.metadata.RequestID,
 		hasElsewhere: g.elsewhere(current, placement),
 	}
+	if !current.attempts.CanResume() {
+		model := current.metadata.Model
+		send.canContinue = func(now time.Duration) bool { return g.workers.CanContinue(now, placement, model) }
+	}
 	w := g.engineWatch
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -285,7 +300,7 @@
 	defer w.mutex.Unlock()
 	for _, run := range runs {
 		send := w.sends[run]
-		if send == nil || !send.hasElsewhere(now) {
+		if send == nil || !send.canMove(now) {
 			continue
 		}
 		if !g.budgets.forService(send.service).Withdraw(now) {
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -17,7 +17,7 @@
 	ctx, cancel := context.WithCancelCause(context.Background())
 	send := &watchedSend{cancel: cancel, service: "engines", hasElsewhere: func(time.Duration) bool { return true }}
 	send.run = g.engineWatch.monitor.Begin(0, liveness.Send{
-		Engine: engine, Expected: 10 * time.Millisecond, Deadline: time.Minute, Target: time.Minute, Repeatable: true,
+		Engine: engine, Expected: 10 * time.Millisecond, Deadline: time.Minute, Target: time.Minute, Repeatable: true, Resumable: true,
 	})
 	g.engineWatch.sends[send.run] = send
 	return send, ctx
@@ -60,3 +60,22 @@
 	g.moveSends(now, verdict.Moves)
 	assert.ErrorIs(t, context.Cause(ctx), errEngineSilent)
 }
+
+// TestStreamStaysWithoutItsCopy guards against a stream that is broken off although the engine with
+// its copy, its only way on, can't continue it.
+func TestStreamStaysWithoutItsCopy(t *testing.T) {
+	g := newTestGateway(t)
+	earnRetries(g, "engines")
+	send, ctx := watchTestSend(g, "dark")
+	for event := range 3 {
+		g.engineWatch.monitor.Event(time.Duration(event)*time.Millisecond, send.run, true)
+	}
+	usable := false
+	send.canContinue = func(time.Duration) bool { return usable }
+	now, verdict := fallSilent(t, g)
+	g.moveSends(now, verdict.Moves)
+	require.NoError(t, ctx.Err())
+	usable = true
+	g.moveSends(now, verdict.Moves)
+	assert.ErrorIs(t, context.Cause(ctx), errEngineSilent)
+}
