--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -236,13 +236,14 @@
 	w, now := g.engineWatch, g.now()
 	w.mutex.Lock()
 	verdict := w.monitor.Evaluate(now)
+	// Recorded before a sign of life can come between, which would then not end the silence.
+	for index := range verdict.Silences {
+		g.recordSilence(now, &verdict.Silences[index])
+	}
 	w.mutex.Unlock()
 	for _, engine := range verdict.Probes {
 		g.startProbe(now, engine)
 	}
-	for index := range verdict.Silences {
-		g.recordSilence(now, &verdict.Silences[index])
-	}
 	g.moveSends(now, verdict.Moves)
 	g.announceSilences(now)
 }
@@ -274,20 +275,16 @@
 	g.workers.ObserveContact(g.now(), worker.ID)
 }
 
-// recordSilence suspends requests to a silent engine.
+// recordSilence suspends requests to a silent engine. The mutex of engineWatch must be held.
 func (g *Gateway) recordSilence(now time.Duration, silence *liveness.Silence) {
-	g.workers.ObserveSilence(now, silence.Engine)
 	w := g.engineWatch
-	w.mutex.Lock()
 	_, known := w.silentSince[silence.Engine]
 	if !known {
 		w.silentSince[silence.Engine] = silence.Since
-	}
-	w.unannounced = append(w.unannounced, silence.Engine)
-	w.mutex.Unlock()
-	if !known {
 		g.metrics.silence.silentEngines.Inc()
 	}
+	w.unannounced = append(w.unannounced, silence.Engine)
+	g.workers.ObserveSilence(now, silence.Engine)
 	g.events.line("engine_silent").Str("worker", string(silence.Engine)).Dur("silent_for", now-silence.Since).
 		Int("under_way", silence.UnderWay).Dur("explained", silence.Explained).Bool("again", known).Msg("engine_silent")
 }
@@ -300,7 +297,7 @@
 	defer w.mutex.Unlock()
 	for _, run := range runs {
 		send := w.sends[run]
-		if send == nil || !send.canMove(now) {
+		if send == nil || !w.monitor.MayMove(now, run) || !send.canMove(now) {
 			continue
 		}
 		if !g.budgets.forService(send.service).Withdraw(now) {
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -79,3 +79,15 @@
 	g.moveSends(now, verdict.Moves)
 	assert.ErrorIs(t, context.Cause(ctx), errEngineSilent)
 }
+
+// TestSendStaysOnceEngineIsHeard guards against a send that is broken off after a sign of life has
+// come between the verdict and the move.
+func TestSendStaysOnceEngineIsHeard(t *testing.T) {
+	g := newTestGateway(t)
+	earnRetries(g, "engines")
+	send, ctx := watchTestSend(g, "dark")
+	now, verdict := fallSilent(t, g)
+	g.engineWatch.monitor.Head(now, send.run)
+	g.moveSends(now, verdict.Moves)
+	assert.NoError(t, ctx.Err())
+}
--- a/internal/liveness/monitor.go
+++ b/internal/liveness/monitor.go
@@ -154,6 +154,12 @@
 	}
 }
 
+// MayMove reports whether a request named in Verdict.Moves is still to be sent elsewhere: its engine
+// may have been heard since.
+func (m *Monitor) MayMove(now time.Duration, run *Run) bool {
+	return run.engine.silent && m.mayMove(now, run)
+}
+
 // Moved records that a request named in Verdict.Moves is sent elsewhere. Call End once it has ended
 // at its first engine.
 func (m *Monitor) Moved(run *Run) { run.moved = true }
