--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -59,7 +59,9 @@
 	// canContinue reports whether the request can go on at its copy, and is nil if the copy isn't the
 	// only way on after the first event.
 	canContinue func(now time.Duration) bool
-	moved       atomic.Bool
+	// overBudget is set once the send was kept from moving by the retry budget.
+	overBudget bool
+	moved      atomic.Bool
 }
 
 // canMove reports whether there is an engine where the request could go on now.
@@ -289,20 +291,22 @@
 		Int("under_way", silence.UnderWay).Dur("explained", silence.Explained).Bool("again", known).Msg("engine_silent")
 }
 
-// moveSends cancels sends at silent engines, as far as the retry budget allows, so that they are sent
-// elsewhere.
+// moveSends cancels sends at silent engines, as far as the retry budgets of their services allow, so
+// that they are sent elsewhere.
 func (g *Gateway) moveSends(now time.Duration, runs []*liveness.Run) {
 	w := g.engineWatch
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	spent := make(map[fleet.PoolName]bool)
 	for _, run := range runs {
 		send := w.sends[run]
-		if send == nil || !w.monitor.MayMove(now, run) || !send.canMove(now) {
+		if send == nil || spent[send.service] || !w.monitor.MayMove(now, run) || !send.canMove(now) {
 			continue
 		}
 		if !g.budgets.forService(send.service).Withdraw(now) {
-			g.metrics.silence.moves.WithLabelValues("over_budget").Inc()
-			return
+			spent[send.service] = true
+			g.countOverBudget(send)
+			continue
 		}
 		w.monitor.Moved(run)
 		send.moved.Store(true)
@@ -313,6 +317,14 @@
 	}
 }
 
+// countOverBudget counts a send that the retry budget keeps from moving, once however long it waits.
+func (g *Gateway) countOverBudget(send *watchedSend) {
+	if !send.overBudget {
+		send.overBudget = true
+		g.metrics.silence.moves.WithLabelValues("over_budget").Inc()
+	}
+}
+
 // abandonSilent returns the next step after a send was cancelled because its engine is silent. sent is
 // false if no byte of the request was written.
 func (g *Gateway) abandonSilent(current *callerRequest, placement *backends.Placement, sent bool) attempt.Step {
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -91,3 +92,20 @@
 	g.moveSends(now, verdict.Moves)
 	assert.NoError(t, ctx.Err())
 }
+
+// TestSpentBudgetBlocksOtherServices guards against sends of one service that stay because the retry
+// budget of another one is spent, and against counting a waiting send more than once.
+func TestSpentBudgetBlocksOtherServices(t *testing.T) {
+	g := newTestGateway(t)
+	earnRetries(g, "other")
+	_, first := watchTestSend(g, "dark")
+	send, second := watchTestSend(g, "dark")
+	send.service = "other"
+	now, verdict := fallSilent(t, g)
+	require.Len(t, verdict.Moves, 2)
+	g.moveSends(now, verdict.Moves)
+	g.moveSends(now, verdict.Moves)
+	require.NoError(t, first.Err())
+	require.ErrorIs(t, context.Cause(second), errEngineSilent)
+	assert.InDelta(t, 1, testutil.ToFloat64(g.metrics.silence.moves.WithLabelValues("over_budget")), 0)
+}
