--- a/internal/gateway/placementrequest.go
+++ b/internal/gateway/placementrequest.go
@@ -23,7 +23,7 @@
 			destination.Engine, destination.Address = worker.ID, worker.Address
 			return g.upstreams.HasCapacity(destination)
 		},
-		Repeatable: !current.moved && current.attempts.CanRepeat(),
+		Repeatable: mayTry(current),
 		Bytes:      exchangeOverheadBytes + int(max(current.request.ContentLength, 0)),
 		Software:   g.allowedVersions(current, current.sentToTarget),
 	}
@@ -67,6 +67,12 @@
 	return request
 }
 
+// mayTry reports whether a request may try a silent engine. An answer that comes only when it is
+// complete shows too late that the engine is still silent.
+func mayTry(current *callerRequest) bool {
+	return current.route.Kind == routes.Streaming && !current.moved && current.attempts.CanRepeat()
+}
+
 // unavailableRefusal returns the refusal for a request whose candidate workers are all closed, by
 // their limits or in backoff. opensIn is the time until the first of them opens.
 func (g *Gateway) unavailableRefusal(current *callerRequest, opensIn time.Duration) backends.Refusal {
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -9,8 +9,10 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/tillerfall/tillerfall/internal/attempt"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/liveness"
+	"github.com/tillerfall/tillerfall/internal/routes"
 )
 
 // watchTestSend watches a repeatable send to an engine, and returns the context that its move ends.
@@ -109,3 +111,13 @@
 	require.ErrorIs(t, context.Cause(second), errEngineSilent)
 	assert.InDelta(t, 1, testutil.ToFloat64(g.metrics.silence.moves.WithLabelValues("over_budget")), 0)
 }
+
+// TestWholeAnswerTriesSilentEngine guards against a request without events as the trial of a silent
+// engine, where nothing would move it on.
+func TestWholeAnswerTriesSilentEngine(t *testing.T) {
+	policy := attempt.ForwardingPolicy{MaxRuns: 2, Idempotent: true}
+	attempts := attempt.NewForwarding(0, policy, attempt.NewBudget(attempt.BudgetOptions{}))
+	assert.True(t, mayTry(&callerRequest{attempts: attempts, route: &routes.Route{Kind: routes.Streaming}}))
+	assert.False(t, mayTry(&callerRequest{attempts: attempts, route: &routes.Route{Kind: routes.Safe}}))
+	assert.False(t, mayTry(&callerRequest{attempts: attempts, route: &routes.Route{Kind: routes.Streaming}, moved: true}))
+}
