--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -20,8 +20,8 @@
 	Admission func(worker *Worker) (Admission, time.Duration)
 	// Software limits the choice by the workers' software version; nil means no limit.
 	Software *delivery.Filter
-	// Repeatable is set if the request may run again elsewhere and its answer comes in events. Only such requests try engines that
-	// have fallen silent.
+	// Repeatable is set if the request may run again elsewhere and its answer comes in events. Only
+	// such requests try engines that have fallen silent.
 	Repeatable bool
 	// Bytes is the size of the request and its expected response.
 	Bytes int
--- a/internal/backends/silence.go
+++ b/internal/backends/silence.go
@@ -38,6 +38,15 @@
 	}
 }
 
+// ObserveRelayedSign records that another node has heard an engine.
+func (r *Registry) ObserveRelayedSign(now time.Duration, id fleet.EngineID) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if state := r.workers[id]; state != nil {
+		state.silence.Hint(now)
+	}
+}
+
 // Worker returns the current run of a worker.
 func (r *Registry) Worker(id fleet.EngineID) (Worker, bool) {
 	r.mutex.Lock()
--- a/internal/backends/silence_test.go
+++ b/internal/backends/silence_test.go
@@ -87,3 +87,27 @@
 	registry.ObserveGone(0, 10, other)
 	assert.False(t, registry.HasElsewhere(time.Second, request, silent), "gone")
 }
+
+// TestRelayedSignEndsSuspension guards against the end of a suspension by a sign that came by another
+// node, and against trials that such signs bring forward after one has failed.
+func TestRelayedSignEndsSuspension(t *testing.T) {
+	registry := newEngineRegistry()
+	request := engineRequest("p")
+	request.Repeatable = true
+	choose := func(now time.Duration) fleet.EngineID {
+		placement, _ := registry.Choose(now, request)
+		require.NotNil(t, placement)
+		placement.End(now, Cancelled)
+		return placement.Worker.ID
+	}
+	silent := choose(0)
+	registry.ObserveSilence(0, silent)
+	now := 100 * time.Millisecond
+	registry.ObserveRelayedSign(now, silent)
+	assert.Equal(t, silent, choose(now), "trial")
+	registry.ObserveRelayedSign(now, silent)
+	assert.NotEqual(t, silent, choose(now), "others wait for it")
+	registry.ObserveSilence(now, silent)
+	registry.ObserveRelayedSign(now, silent)
+	assert.NotEqual(t, silent, choose(now), "the trial has failed")
+}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -10,6 +10,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tillerfall/tillerfall/internal/attempt"
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/cachefeed"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/liveness"
 	"github.com/tillerfall/tillerfall/internal/routes"
@@ -121,3 +123,15 @@
 	assert.False(t, mayTry(&callerRequest{attempts: attempts, route: &routes.Route{Kind: routes.Safe}}))
 	assert.False(t, mayTry(&callerRequest{attempts: attempts, route: &routes.Route{Kind: routes.Streaming}, moved: true}))
 }
+
+// TestRelayedEventEndsSilence guards against the end of a silence by an event that another gateway
+// has heard.
+func TestRelayedEventEndsSilence(t *testing.T) {
+	g := newTestGateway(t)
+	g.workers.Observe(1, backends.Worker{ID: "dark", Service: "engines"})
+	g.recordSilence(g.now(), &liveness.Silence{Engine: "dark"})
+	require.NotEmpty(t, g.workers.Suspects(g.now()))
+	g.applyCacheUpdates([]cachefeed.Update{{Cache: "dark"}})
+	assert.Contains(t, g.engineWatch.silentSince, fleet.EngineID("dark"))
+	assert.Empty(t, g.workers.Suspects(g.now()), "the trial is due")
+}
--- a/internal/gateway/zonefeeds.go
+++ b/internal/gateway/zonefeeds.go
@@ -214,7 +214,7 @@
 			continue
 		}
 		if !update.Reset {
-			g.endSilence(g.now(), update.Cache)
+			g.workers.ObserveRelayedSign(g.now(), update.Cache)
 		}
 		g.workers.ObserveRelayedCache(run, update.Reset, update.Changes())
 	}
--- a/internal/liveness/suspension.go
+++ b/internal/liveness/suspension.go
@@ -43,6 +43,14 @@
 	return wasActive
 }
 
+// Hint records a sign of life that came by another node. It says nothing of this node's way to the
+// engine, so it only makes the first trial due now.
+func (s *Suspension) Hint(now time.Duration) {
+	if s.active && s.trialUntil == 0 && s.delay == minTrialDelay {
+		s.trialAt = min(s.trialAt, now)
+	}
+}
+
 // IsActive reports whether the engine hasn't been heard since it was found silent, even if a trial is
 // due.
 func (s *Suspension) IsActive() bool { return s.active }
