--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -326,14 +326,15 @@
 }
 
 // abandonSilent returns the next step after a send was cancelled because its engine is silent. sent is
-// false if no byte of the request was written.
+// false if no byte of the request was written: then it can't have run, and may be moved once more.
 func (g *Gateway) abandonSilent(current *callerRequest, placement *backends.Placement, sent bool) attempt.Step {
-	current.moved = true
-	g.recordOutcome(current, placement, backends.Silent, errEngineSilent.Error())
 	current.attempts.PrepayRetry()
 	if !sent {
+		g.recordOutcome(current, placement, backends.Cancelled, errEngineSilent.Error())
 		return current.attempts.NotSent(g.now(), placement.Worker.Run())
 	}
+	current.moved = true
+	g.recordOutcome(current, placement, backends.Silent, errEngineSilent.Error())
 	return current.attempts.Unanswered(g.now(), placement.Worker.Run())
 }
 
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -135,3 +135,25 @@
 	assert.Contains(t, g.engineWatch.silentSince, fleet.EngineID("dark"))
 	assert.Empty(t, g.workers.Suspects(g.now()), "the trial is due")
 }
+
+// TestUnsentMoveCountsAsMove guards against a request that stays at a second silent engine because a
+// send of which no byte was written was moved before, and against holding that send against the engine.
+func TestUnsentMoveCountsAsMove(t *testing.T) {
+	g := newTestGateway(t)
+	g.workers.Observe(1, backends.Worker{ID: "dark", Service: "app", Slots: 1})
+	for _, sent := range []bool{false, true} {
+		placement, refusal := g.workers.Choose(g.now(), &backends.Request{Service: "app"})
+		require.NotNil(t, placement, refusal)
+		policy := attempt.ForwardingPolicy{MaxRuns: 2, Idempotent: true, Deadline: g.now() + time.Minute}
+		current := deliveryRequest()
+		current.attempts = attempt.NewForwarding(g.now(), policy, attempt.NewBudget(attempt.BudgetOptions{}))
+		outcome := backends.Cancelled
+		if sent {
+			outcome = backends.Silent
+		}
+		step := g.abandonSilent(current, placement, sent)
+		assert.Equal(t, attempt.StepSend, step.Kind)
+		assert.Equal(t, sent, current.moved)
+		assert.InDelta(t, 1, testutil.ToFloat64(g.metrics.attempts.WithLabelValues("app", outcome.String())), 0)
+	}
+}
