--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -157,3 +157,15 @@
 		assert.InDelta(t, 1, testutil.ToFloat64(g.metrics.attempts.WithLabelValues("app", outcome.String())), 0)
 	}
 }
+
+// TestHeardEngineIsAnnounced guards against telling other gateways of an engine that has been heard
+// since it was found silent.
+func TestHeardEngineIsAnnounced(t *testing.T) {
+	g := newTestGateway(t)
+	for _, engine := range []fleet.EngineID{"heard", "dark"} {
+		g.recordSilence(0, &liveness.Silence{Engine: engine})
+	}
+	g.observeAnswer("heard")
+	assert.Equal(t, []fleet.EngineID{"dark"}, g.engineWatch.takeUnannounced(time.Second))
+	assert.Empty(t, g.engineWatch.takeUnannounced(time.Minute))
+}
--- a/internal/gateway/silencepeers.go
+++ b/internal/gateway/silencepeers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
@@ -30,10 +31,15 @@
 	}
 }
 
-// takeUnannounced returns the engines to announce now and clears them.
+// takeUnannounced returns the engines to announce now and clears them. Those that have been heard
+// meanwhile are left out.
 func (w *engineWatch) takeUnannounced(now time.Duration) []fleet.EngineID {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	w.unannounced = slices.DeleteFunc(w.unannounced, func(engine fleet.EngineID) bool {
+		_, silent := w.silentSince[engine]
+		return !silent
+	})
 	if len(w.unannounced) == 0 || now < w.announcedAt+silenceAnnounceInterval {
 		return nil
 	}
