--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -353,8 +353,8 @@
 			g.limits.forget(engine)
 			g.backoffs.forget(engine)
 			g.unknownHeaders.forget(engine)
-			g.forgetEngine(engine)
 		}
+		g.sweepSilences()
 		g.upstreams.CloseExpired()
 		g.logLimitUsage()
 		g.metrics.workersInBackoff.Set(float64(len(g.backoffs.workersInBackoff(g.now()))))
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -199,14 +199,17 @@
 	g.events.line("engine_heard").Str("worker", string(engine)).Dur("silent_for", now-since).Msg("engine_heard")
 }
 
-// forgetEngine drops what is known of the silence of a worker that is gone.
-func (g *Gateway) forgetEngine(engine fleet.EngineID) {
+// sweepSilences forgets the silence of workers that the registry no longer knows. A worker may be
+// found silent after it was forgotten, while a request is under way there.
+func (g *Gateway) sweepSilences() {
 	w := g.engineWatch
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if _, silent := w.silentSince[engine]; silent {
-		delete(w.silentSince, engine)
-		g.metrics.silence.silentEngines.Dec()
+	for engine := range w.silentSince {
+		if _, known := g.workers.Worker(engine); !known {
+			delete(w.silentSince, engine)
+			g.metrics.silence.silentEngines.Dec()
+		}
 	}
 }
 
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -169,3 +169,16 @@
 	assert.Equal(t, []fleet.EngineID{"dark"}, g.engineWatch.takeUnannounced(time.Second))
 	assert.Empty(t, g.engineWatch.takeUnannounced(time.Minute))
 }
+
+// TestForgottenWorkerStaysSilent guards against a record and a gauge that keep a worker that is gone.
+func TestForgottenWorkerStaysSilent(t *testing.T) {
+	g := newTestGateway(t)
+	g.workers.Observe(1, backends.Worker{ID: "known", Service: "engines"})
+	for _, engine := range []fleet.EngineID{"known", "gone"} {
+		g.recordSilence(0, &liveness.Silence{Engine: engine})
+	}
+	g.sweepSilences()
+	assert.Len(t, g.engineWatch.silentSince, 1)
+	assert.Contains(t, g.engineWatch.silentSince, fleet.EngineID("known"))
+	assert.InDelta(t, 1, testutil.ToFloat64(g.metrics.silence.silentEngines), 0)
+}
