--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/url"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/tillerfall/tillerfall/internal/attempt"
 	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/delivery"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/liveness"
 	"github.com/tillerfall/tillerfall/internal/routes"
@@ -52,7 +54,22 @@
 	cancel    context.CancelCauseFunc
 	service   fleet.PoolName
 	requestID string
-	moved     atomic.Bool
+	// hasElsewhere reports whether another engine could take the request now.
+	hasElsewhere func(now time.Duration) bool
+	// canContinue reports whether the request can go on at its copy, and is nil if the copy isn't the
+	// only way on after the first event.
+	canContinue func(now time.Duration) bool
+	// overBudget is set once the send was kept from moving by the retry budget.
+	overBudget bool
+	moved      atomic.Bool
+}
+
+// canMove reports whether there is an engine where the request could go on now.
+func (s *watchedSend) canMove(now time.Duration) bool {
+	if s.run.HasBegun() && s.canContinue != nil {
+		return s.canContinue(now)
+	}
+	return s.hasElsewhere(now)
 }
 
 // isMoved reports whether the send was cancelled because its engine is silent.
@@ -64,7 +81,14 @@
 	if placement.Engine == nil || placement.Limited {
 		return nil
 	}
-	send := &watchedSend{cancel: cancel, service: current.service.Name, requestID: current.metadata.RequestID}
+	send := &watchedSend{
+		cancel: cancel, service: current.service.Name, requestID: current.metadata.RequestID,
+		hasElsewhere: g.elsewhere(current, placement),
+	}
+	if !current.attempts.CanResume() {
+		model := current.metadata.Model
+		send.canContinue = func(now time.Duration) bool { return g.workers.CanContinue(now, placement, model) }
+	}
 	w := g.engineWatch
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -77,6 +101,22 @@
 	return send
 }
 
+// elsewhere returns the check whether another engine could take a request. It runs beside the
+// request, so it only uses what is known at the send.
+func (g *Gateway) elsewhere(current *callerRequest, placement *backends.Placement) func(time.Duration) bool {
+	request := backends.Request{
+		Service: current.service.Name, Excluded: slices.Clone(current.attempts.Excluded()),
+		Engine: &backends.EngineRequest{
+			Model: current.metadata.Model, Priority: priorityOf(current), Deadline: g.callerWaits(current),
+		},
+	}
+	route, draw, avoidTarget := delivery.RouteName(current.route.Name), current.targetDraw, current.sentToTarget
+	return func(now time.Duration) bool {
+		request.Software = g.deliveries.versionFilter(now, request.Service, route, draw, avoidTarget)
+		return g.workers.HasElsewhere(now, &request, placement.Worker.ID)
+	}
+}
+
 // livenessSend describes a send to the failure detector.
 func livenessSend(current *callerRequest, placement *backends.Placement) liveness.Send {
 	hasCopy := placement.Engine.CopyTo.ID != ""
@@ -159,14 +199,17 @@
 	g.events.line("engine_heard").Str("worker", string(engine)).Dur("silent_for", now-since).Msg("engine_heard")
 }
 
-// forgetEngine drops what is known of the silence of a worker that is gone.
-func (g *Gateway) forgetEngine(engine fleet.EngineID) {
+// sweepSilences forgets the silence of workers that the registry no longer knows. A worker may be
+// found silent after it was forgotten, while a request is under way there.
+func (g *Gateway) sweepSilences() {
 	w := g.engineWatch
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if _, silent := w.silentSince[engine]; silent {
-		delete(w.silentSince, engine)
-		g.metrics.silence.silentEngines.Dec()
+	for engine := range w.silentSince {
+		if _, known := g.workers.Worker(engine); !known {
+			delete(w.silentSince, engine)
+			g.metrics.silence.silentEngines.Dec()
+		}
 	}
 }
 
@@ -198,13 +241,14 @@
 	w, now := g.engineWatch, g.now()
 	w.mutex.Lock()
 	verdict := w.monitor.Evaluate(now)
+	// Recorded before a sign of life can come between, which would then not end the silence.
+	for index := range verdict.Silences {
+		g.recordSilence(now, &verdict.Silences[index])
+	}
 	w.mutex.Unlock()
 	for _, engine := range verdict.Probes {
 		g.startProbe(now, engine)
 	}
-	for index := range verdict.Silences {
-		g.recordSilence(now, &verdict.Silences[index])
-	}
 	g.moveSends(now, verdict.Moves)
 	g.announceSilences(now)
 }
@@ -236,38 +280,36 @@
 	g.workers.ObserveContact(g.now(), worker.ID)
 }
 
-// recordSilence suspends requests to a silent engine.
+// recordSilence suspends requests to a silent engine. The mutex of engineWatch must be held.
 func (g *Gateway) recordSilence(now time.Duration, silence *liveness.Silence) {
-	g.workers.ObserveSilence(now, silence.Engine)
 	w := g.engineWatch
-	w.mutex.Lock()
 	_, known := w.silentSince[silence.Engine]
 	if !known {
 		w.silentSince[silence.Engine] = silence.Since
-	}
-	w.unannounced = append(w.unannounced, silence.Engine)
-	w.mutex.Unlock()
-	if !known {
 		g.metrics.silence.silentEngines.Inc()
 	}
+	w.unannounced = append(w.unannounced, silence.Engine)
+	g.workers.ObserveSilence(now, silence.Engine)
 	g.events.line("engine_silent").Str("worker", string(silence.Engine)).Dur("silent_for", now-silence.Since).
 		Int("under_way", silence.UnderWay).Dur("explained", silence.Explained).Bool("again", known).Msg("engine_silent")
 }
 
-// moveSends cancels sends at silent engines, as far as the retry budget allows, so that they are sent
-// elsewhere.
+// moveSends cancels sends at silent engines, as far as the retry budgets of their services allow, so
+// that they are sent elsewhere.
 func (g *Gateway) moveSends(now time.Duration, runs []*liveness.Run) {
 	w := g.engineWatch
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	spent := make(map[fleet.PoolName]bool)
 	for _, run := range runs {
 		send := w.sends[run]
-		if send == nil {
+		if send == nil || spent[send.service] || !w.monitor.MayMove(now, run) || !send.canMove(now) {
 			continue
 		}
 		if !g.budgets.forService(send.service).Withdraw(now) {
-			g.metrics.silence.moves.WithLabelValues("over_budget").Inc()
-			return
+			spent[send.service] = true
+			g.countOverBudget(send)
+			continue
 		}
 		w.monitor.Moved(run)
 		send.moved.Store(true)
@@ -278,15 +320,24 @@
 	}
 }
 
+// countOverBudget counts a send that the retry budget keeps from moving, once however long it waits.
+func (g *Gateway) countOverBudget(send *watchedSend) {
+	if !send.overBudget {
+		send.overBudget = true
+		g.metrics.silence.moves.WithLabelValues("over_budget").Inc()
+	}
+}
+
 // abandonSilent returns the next step after a send was cancelled because its engine is silent. sent is
-// false if no byte of the request was written.
+// false if no byte of the request was written: then it can't have run, and may be moved once more.
 func (g *Gateway) abandonSilent(current *callerRequest, placement *backends.Placement, sent bool) attempt.Step {
-	current.moved = true
-	g.recordOutcome(current, placement, backends.Silent, errEngineSilent.Error())
 	current.attempts.PrepayRetry()
 	if !sent {
+		g.recordOutcome(current, placement, backends.Cancelled, errEngineSilent.Error())
 		return current.attempts.NotSent(g.now(), placement.Worker.Run())
 	}
+	current.moved = true
+	g.recordOutcome(current, placement, backends.Silent, errEngineSilent.Error())
 	return current.attempts.Unanswered(g.now(), placement.Worker.Run())
 }
 
--- /dev/null
+++ b/internal/gateway/silence_test.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/attempt"
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/cachefeed"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/liveness"
+	"github.com/tillerfall/tillerfall/internal/routes"
+)
+
+// watchTestSend watches a repeatable send to an engine, and returns the context that its move ends.
+func watchTestSend(g *Gateway, engine fleet.EngineID) (*watchedSend, context.Context) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	send := &watchedSend{cancel: cancel, service: "engines", hasElsewhere: func(time.Duration) bool { return true }}
+	send.run = g.engineWatch.monitor.Begin(0, liveness.Send{
+		Engine: engine, Expected: 10 * time.Millisecond, Deadline: time.Minute, Target: time.Minute, Repeatable: true, Resumable: true,
+	})
+	g.engineWatch.sends[send.run] = send
+	return send, ctx
+}
+
+// fallSilent evaluates the monitor until it names moves. Another engine is heard throughout.
+func fallSilent(t *testing.T, g *Gateway) (time.Duration, liveness.Verdict) {
+	t.Helper()
+	monitor := g.engineWatch.monitor
+	live := monitor.Begin(0, liveness.Send{Engine: "live"})
+	for now := evaluationInterval; now < 2*time.Second; now += evaluationInterval {
+		monitor.Head(now, live)
+		if verdict := monitor.Evaluate(now); len(verdict.Moves) > 0 {
+			return now, verdict
+		}
+	}
+	require.Fail(t, "no engine fell silent")
+	return 0, liveness.Verdict{}
+}
+
+// earnRetries fills the retry budget of a service.
+func earnRetries(g *Gateway, service fleet.PoolName) {
+	for range 1000 {
+		g.budgets.forService(service).Deposit(0)
+	}
+}
+
+// TestSendStaysWithNowhereToGo guards against a send that is broken off while nothing else could
+// take it, and against one that then never moves.
+func TestSendStaysWithNowhereToGo(t *testing.T) {
+	g := newTestGateway(t)
+	earnRetries(g, "engines")
+	send, ctx := watchTestSend(g, "dark")
+	room := false
+	send.hasElsewhere = func(time.Duration) bool { return room }
+	now, verdict := fallSilent(t, g)
+	g.moveSends(now, verdict.Moves)
+	require.NoError(t, ctx.Err())
+	room = true
+	g.moveSends(now, verdict.Moves)
+	assert.ErrorIs(t, context.Cause(ctx), errEngineSilent)
+}
+
+// TestStreamStaysWithoutItsCopy guards against a stream that is broken off although the engine with
+// its copy, its only way on, can't continue it.
+func TestStreamStaysWithoutItsCopy(t *testing.T) {
+	g := newTestGateway(t)
+	earnRetries(g, "engines")
+	send, ctx := watchTestSend(g, "dark")
+	for event := range 3 {
+		g.engineWatch.monitor.Event(time.Duration(event)*time.Millisecond, send.run, true)
+	}
+	usable := false
+	send.canContinue = func(time.Duration) bool { return usable }
+	now, verdict := fallSilent(t, g)
+	g.moveSends(now, verdict.Moves)
+	require.NoError(t, ctx.Err())
+	usable = true
+	g.moveSends(now, verdict.Moves)
+	assert.ErrorIs(t, context.Cause(ctx), errEngineSilent)
+}
+
+// TestSendStaysOnceEngineIsHeard guards against a send that is broken off after a sign of life has
+// come between the verdict and the move.
+func TestSendStaysOnceEngineIsHeard(t *testing.T) {
+	g := newTestGateway(t)
+	earnRetries(g, "engines")
+	send, ctx := watchTestSend(g, "dark")
+	now, verdict := fallSilent(t, g)
+	g.engineWatch.monitor.Head(now, send.run)
+	g.moveSends(now, verdict.Moves)
+	assert.NoError(t, ctx.Err())
+}
+
+// TestSpentBudgetBlocksOtherServices guards against sends of one service that stay because the retry
+// budget of another one is spent, and against counting a waiting send more than once.
+func TestSpentBudgetBlocksOtherServices(t *testing.T) {
+	g := newTestGateway(t)
+	earnRetries(g, "other")
+	_, first := watchTestSend(g, "dark")
+	send, second := watchTestSend(g, "dark")
+	send.service = "other"
+	now, verdict := fallSilent(t, g)
+	require.Len(t, verdict.Moves, 2)
+	g.moveSends(now, verdict.Moves)
+	g.moveSends(now, verdict.Moves)
+	require.NoError(t, first.Err())
+	require.ErrorIs(t, context.Cause(second), errEngineSilent)
+	assert.InDelta(t, 1, testutil.ToFloat64(g.metrics.silence.moves.WithLabelValues("over_budget")), 0)
+}
+
+// TestWholeAnswerTriesSilentEngine guards against a request without events as the trial of a silent
+// engine, where nothing would move it on.
+func TestWholeAnswerTriesSilentEngine(t *testing.T) {
+	policy := attempt.ForwardingPolicy{MaxRuns: 2, Idempotent: true}
+	attempts := attempt.NewForwarding(0, policy, attempt.NewBudget(attempt.BudgetOptions{}))
+	assert.True(t, mayTry(&callerRequest{attempts: attempts, route: &routes.Route{Kind: routes.Streaming}}))
+	assert.False(t, mayTry(&callerRequest{attempts: attempts, route: &routes.Route{Kind: routes.Safe}}))
+	assert.False(t, mayTry(&callerRequest{attempts: attempts, route: &routes.Route{Kind: routes.Streaming}, moved: true}))
+}
+
+// TestRelayedEventEndsSilence guards against the end of a silence by an event that another gateway
+// has heard.
+func TestRelayedEventEndsSilence(t *testing.T) {
+	g := newTestGateway(t)
+	g.workers.Observe(1, backends.Worker{ID: "dark", Service: "engines"})
+	g.recordSilence(g.now(), &liveness.Silence{Engine: "dark"})
+	require.NotEmpty(t, g.workers.Suspects(g.now()))
+	g.applyCacheUpdates([]cachefeed.Update{{Cache: "dark"}})
+	assert.Contains(t, g.engineWatch.silentSince, fleet.EngineID("dark"))
+	assert.Empty(t, g.workers.Suspects(g.now()), "the trial is due")
+}
+
+// TestUnsentMoveCountsAsMove guards against a request that stays at a second silent engine because a
+// send of which no byte was written was moved before, and against holding that send against the engine.
+func TestUnsentMoveCountsAsMove(t *testing.T) {
+	g := newTestGateway(t)
+	g.workers.Observe(1, backends.Worker{ID: "dark", Service: "app", Slots: 1})
+	for _, sent := range []bool{false, true} {
+		placement, refusal := g.workers.Choose(g.now(), &backends.Request{Service: "app"})
+		require.NotNil(t, placement, refusal)
+		policy := attempt.ForwardingPolicy{MaxRuns: 2, Idempotent: true, Deadline: g.now() + time.Minute}
+		current := deliveryRequest()
+		current.attempts = attempt.NewForwarding(g.now(), policy, attempt.NewBudget(attempt.BudgetOptions{}))
+		outcome := backends.Cancelled
+		if sent {
+			outcome = backends.Silent
+		}
+		step := g.abandonSilent(current, placement, sent)
+		assert.Equal(t, attempt.StepSend, step.Kind)
+		assert.Equal(t, sent, current.moved)
+		assert.InDelta(t, 1, testutil.ToFloat64(g.metrics.attempts.WithLabelValues("app", outcome.String())), 0)
+	}
+}
+
+// TestHeardEngineIsAnnounced guards against telling other gateways of an engine that has been heard
+// since it was found silent.
+func TestHeardEngineIsAnnounced(t *testing.T) {
+	g := newTestGateway(t)
+	for _, engine := range []fleet.EngineID{"heard", "dark"} {
+		g.recordSilence(0, &liveness.Silence{Engine: engine})
+	}
+	g.observeAnswer("heard")
+	assert.Equal(t, []fleet.EngineID{"dark"}, g.engineWatch.takeUnannounced(time.Second))
+	assert.Empty(t, g.engineWatch.takeUnannounced(time.Minute))
+}
+
+// TestForgottenWorkerStaysSilent guards against a record and a gauge that keep a worker that is gone.
+func TestForgottenWorkerStaysSilent(t *testing.T) {
+	g := newTestGateway(t)
+	g.workers.Observe(1, backends.Worker{ID: "known", Service: "engines"})
+	for _, engine := range []fleet.EngineID{"known", "gone"} {
+		g.recordSilence(0, &liveness.Silence{Engine: engine})
+	}
+	g.sweepSilences()
+	assert.Len(t, g.engineWatch.silentSince, 1)
+	assert.Contains(t, g.engineWatch.silentSince, fleet.EngineID("known"))
+	assert.InDelta(t, 1, testutil.ToFloat64(g.metrics.silence.silentEngines), 0)
+}
