--- a/internal/backends/engine_speed.go
+++ b/internal/backends/engine_speed.go
@@ -133,6 +133,7 @@
 	if state == nil {
 		return
 	}
+	state.speed = enginespeed.Unknown()
 	if table := r.speedTables[state.worker.Service]; table != nil {
 		state.speed = table.Factors(speedRun(&state.worker))
 	}
@@ -148,9 +149,7 @@
 		for _, change := range table.Refresh(now) {
 			changes = append(changes, EngineSpeedChange{Service: service, Change: change})
 		}
-	}
-	for id, state := range r.workers {
-		if len(state.worker.Versions) > 0 {
+		for _, id := range table.Updated() {
 			r.updateSpeed(id)
 		}
 	}
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -201,6 +201,7 @@
 	worker.Versions = state.worker.Versions
 	worker.StartTime = max(worker.StartTime, state.worker.StartTime)
 	state.worker, state.revision, state.gone = worker, revision, false
+	r.updateSpeed(worker.ID)
 	r.updatePool(state)
 	return change
 }
--- a/internal/enginespeed/engine.go
+++ b/internal/enginespeed/engine.go
@@ -18,16 +18,21 @@
 
 // engine is what is known of the speed of one run.
 type engine struct {
+	id        fleet.EngineID
 	startTime uint64
 	own       [kindCount]measurements
 	peers     []peerSpeed
 	// combined holds the estimates by the measurements of all nodes, as of combinedAt.
 	combined   [kindCount]estimate
 	combinedAt time.Duration
-	factors    Factors
+	// weights holds the weights of the estimates as of the last change or refresh.
+	weights [kindCount]float64
+	factors Factors
 	// logged holds the factors that Table.Refresh last returned as a change.
 	logged   Factors
 	reported reportedSpeed
+	// dropped is set once the table no longer holds the entry.
+	dropped bool
 }
 
 // peerSpeed is a peer's latest report on a run.
@@ -76,35 +81,39 @@
 		e.combined[kind] = estimateOf(ratios)
 	}
 	e.combinedAt = now
+	e.updateWeights(now)
 }
 
-// weight returns the weight of an estimate at now. All measurements lose weight at the same rate,
-// so that the estimate itself doesn't change until the next measurement.
-func (e *engine) weight(now time.Duration, kind Kind) float64 {
-	return decayed(e.combined[kind].weight, now-e.combinedAt)
+// updateWeights computes the weights of the estimates at now. All measurements lose weight at the
+// same rate, so that the estimates themselves don't change until the next measurement.
+func (e *engine) updateWeights(now time.Duration) {
+	left := decayed(1, now-e.combinedAt)
+	for kind := range kindCount {
+		e.weights[kind] = e.combined[kind].weight * left
+	}
 }
 
 // hasLapsed reports whether the estimates have too little weight to be of use.
-func (e *engine) hasLapsed(now time.Duration) bool {
-	return e.weight(now, Prefill) < minWeight && e.weight(now, Step) < minWeight
+func (e *engine) hasLapsed() bool {
+	return e.weights[Prefill] < minWeight && e.weights[Step] < minWeight
 }
 
 // updateFactors computes the factors relative to the service's usual ratios. Until prefill has been
 // measured, the engine is assumed to differ there as it does in its steps.
-func (e *engine) updateFactors(now time.Duration, usual [kindCount]float64) {
-	step := e.logFactor(now, Step, usual[Step], 0)
-	prefill := e.logFactor(now, Prefill, usual[Prefill], step)
-	samples := e.weight(now, Prefill)
+func (e *engine) updateFactors(usual [kindCount]float64) {
+	step := e.logFactor(Step, usual[Step], 0)
+	prefill := e.logFactor(Prefill, usual[Prefill], step)
+	samples := e.weights[Prefill]
 	if samples < minWeight {
-		samples = e.weight(now, Step)
+		samples = e.weights[Step]
 	}
 	e.factors = Factors{Prefill: boundedFactor(prefill), Step: boundedFactor(step), Samples: samples}
 }
 
 // logFactor returns the logarithm of a factor, with a prior that counts as priorWeight
 // measurements.
-func (e *engine) logFactor(now time.Duration, kind Kind, usual, prior float64) float64 {
-	weight := e.weight(now, kind)
+func (e *engine) logFactor(kind Kind, usual, prior float64) float64 {
+	weight := e.weights[kind]
 	if weight < minWeight || usual <= 0 {
 		return prior
 	}
--- a/internal/enginespeed/measurements.go
+++ b/internal/enginespeed/measurements.go
@@ -98,3 +98,50 @@
 	}
 	return math.Exp(sum / (high - low))
 }
+
+// medianOf returns the median of ratios that count the same, as estimateOf does. It reorders them,
+// and is 0 if there are none.
+func medianOf(ratios []float64) float64 {
+	if len(ratios) == 0 {
+		return 0
+	}
+	total := float64(len(ratios))
+	low, high := total*(1-middleShare)/2, total*(1+middleShare)/2
+	first, last := int(low), min(int(high), len(ratios)-1)
+	moveToRank(ratios, first)
+	moveToRank(ratios[first:], last-first)
+	sum := 0.0
+	for index := first; index <= last; index++ {
+		inside := min(float64(index+1), high) - max(float64(index), low)
+		sum += inside * math.Log(ratios[index])
+	}
+	return math.Exp(sum / (high - low))
+}
+
+// moveToRank reorders values so that the one of a rank is at its place, those before it are no
+// larger and those after it no smaller. It takes linear time, unlike a sort.
+func moveToRank(values []float64, rank int) {
+	for low, high := 0, len(values)-1; low < high; {
+		pivot, left, right := values[(low+high)/2], low, high
+		for left <= right {
+			for values[left] < pivot {
+				left++
+			}
+			for values[right] > pivot {
+				right--
+			}
+			if left <= right {
+				values[left], values[right] = values[right], values[left]
+				left, right = left+1, right-1
+			}
+		}
+		switch {
+		case rank <= right:
+			high = right
+		case rank >= left:
+			low = left
+		default:
+			return
+		}
+	}
+}
--- a/internal/enginespeed/report.go
+++ b/internal/enginespeed/report.go
@@ -33,8 +33,6 @@
 // contact records the reports to a peer.
 type contact struct {
 	first, last time.Duration
-	// introduced is the number of engines that were sent while the peer was new.
-	introduced int
 }
 
 // contactWith records a report to a peer.
@@ -82,43 +80,85 @@
 	return s.samples > 0 && now < s.changedAt+reportedFor
 }
 
-// Report returns what to report to a peer: the considerable changes of late in what this node has
-// measured itself, the latest first, or all of it in turn to a new peer. It is empty while all
-// engines are about as fast.
+// updateReportable collects what reports are made of, so that a report only takes a part of it.
+// Nothing is reported while all engines are about as fast.
+func (t *Table) updateReportable(now time.Duration) {
+	clear(t.due)
+	clear(t.reportable)
+	t.due, t.reportable = t.due[:0], t.reportable[:0]
+	for _, entry := range t.sorted {
+		if entry.reported.samples == 0 || (!t.uneven && entry.factors.isEven()) {
+			continue
+		}
+		t.reportable = append(t.reportable, entry)
+		if entry.reported.isDue(now) {
+			t.due = append(t.due, entry)
+		}
+	}
+	slices.SortFunc(t.due, func(a, b *engine) int {
+		return cmp.Or(cmp.Compare(b.reported.changedAt, a.reported.changedAt), compareNames(a, b))
+	})
+}
+
+func compareNames(a, b *engine) int { return cmp.Compare(a.id, b.id) }
+
+// Report returns what to report to a peer, as of the last refresh: the considerable changes of late
+// in what this node has measured itself, the latest first, and to a new peer also the rest in turn.
+// It is empty while all engines are about as fast.
 func (t *Table) Report(now time.Duration, to fleet.NodeID) []Speed {
 	sent := t.contactWith(now, to)
-	var due []fleet.EngineID
-	for id, entry := range t.engines {
-		isDue := entry.reported.isDue(now) || (sent.isNew(now) && entry.reported.samples > 0)
-		if isDue && (t.uneven || !entry.factors.isEven()) {
-			due = append(due, id)
+	if len(t.reportable) == 0 {
+		return nil
+	}
+	room := MaxReported
+	if sent.isNew(now) {
+		// Where changes alone fill reports, peers that are always new would never hear of the rest.
+		room = MaxReported / 2
+	}
+	var speeds []Speed
+	for _, entry := range t.due {
+		if len(speeds) == room || !entry.reported.isDue(now) {
+			break
 		}
+		speeds = t.appendSpeed(speeds, now, entry)
 	}
 	if sent.isNew(now) {
-		due = t.nextIntroduced(due, sent)
-	} else {
-		slices.SortFunc(due, func(a, b fleet.EngineID) int {
-			return cmp.Or(cmp.Compare(t.engines[b].reported.changedAt, t.engines[a].reported.changedAt), cmp.Compare(a, b))
-		})
+		speeds = t.appendInTurn(speeds, now)
 	}
-	speeds := make([]Speed, 0, min(len(due), MaxReported))
-	for _, id := range due[:min(len(due), MaxReported)] {
-		entry := t.engines[id]
-		speeds = append(speeds, Speed{
-			Run: Run{Engine: id, StartTime: entry.startTime}, Ratios: entry.reported.ratios,
-			Samples: decayed(entry.reported.samples, now-entry.reported.changedAt),
-		})
+	return speeds
+}
+
+// appendInTurn fills a report with the engines that follow those last sent in turn. The turn is
+// kept for all peers together: where a peer is met so rarely that it is new each time, a turn of its
+// own would always begin anew.
+func (t *Table) appendInTurn(speeds []Speed, now time.Duration) []Speed {
+	start, found := slices.BinarySearchFunc(t.reportable, t.introduced, func(entry *engine, id fleet.EngineID) int {
+		return cmp.Compare(entry.id, id)
+	})
+	if found {
+		start++
+	}
+	latest := speeds
+	for offset := range t.reportable {
+		if len(speeds) == MaxReported {
+			break
+		}
+		entry := t.reportable[(start+offset)%len(t.reportable)]
+		t.introduced = entry.id
+		if !slices.ContainsFunc(latest, func(speed Speed) bool { return speed.Engine == entry.id }) {
+			speeds = t.appendSpeed(speeds, now, entry)
+		}
 	}
 	return speeds
 }
 
-// nextIntroduced returns the engines that follow those sent to a new peer before.
-func (t *Table) nextIntroduced(due []fleet.EngineID, sent *contact) []fleet.EngineID {
-	if len(due) <= MaxReported {
-		return due
+// appendSpeed appends what this node has measured of an engine, unless it was dropped meanwhile.
+func (t *Table) appendSpeed(speeds []Speed, now time.Duration, entry *engine) []Speed {
+	if entry.dropped {
+		return speeds
 	}
-	slices.Sort(due)
-	start := sent.introduced % len(due)
-	sent.introduced += MaxReported
-	return slices.Concat(due[start:], due[:start])
+	return append(speeds, Speed{
+		Run: Run{Engine: entry.id, StartTime: entry.startTime}, Ratios: entry.reported.ratios,
+		Samples: decayed(entry.reported.samples, now-entry.reported.changedAt),
+	})
 }
--- a/internal/enginespeed/table.go
+++ b/internal/enginespeed/table.go
@@ -1,7 +1,6 @@
 package enginespeed
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -12,12 +11,21 @@
 // Table holds the speeds of one service's engines.
 type Table struct {
 	engines map[fleet.EngineID]*engine
+	// sorted holds the entries by name as of the last refresh, and added those that came since.
+	sorted, added []*engine
 	// usual holds the median ratio over the engines; 0 if none was measured.
 	usual  [kindCount]float64
 	uneven bool
 	// contacts holds the peers that reports were sent to.
 	contacts map[fleet.NodeID]*contact
-	buffer   []weightedRatio
+	// due holds the engines whose estimates changed of late, the latest first, and reportable all
+	// that may be reported, by name. Both are as of the last refresh.
+	due, reportable []*engine
+	// introduced is the engine that was last sent to a new peer in turn.
+	introduced fleet.EngineID
+	// updated holds the engines whose factors the last refresh changed.
+	updated []fleet.EngineID
+	buffer  []float64
 }
 
 // New returns an empty table.
@@ -34,7 +42,7 @@
 	entry.own[kind].add(now, min(max(ratio, MinRatio), MaxRatio))
 	entry.reported.update(now, entry)
 	entry.combine(now)
-	entry.updateFactors(now, t.usual)
+	entry.updateFactors(t.usual)
 }
 
 // Merge adds what a peer has measured itself, and returns how many of its entries were out of
@@ -48,7 +56,7 @@
 		if entry := t.entryOf(speed.Run); entry != nil {
 			entry.merge(now, node, speed)
 			entry.combine(now)
-			entry.updateFactors(now, t.usual)
+			entry.updateFactors(t.usual)
 		}
 	}
 	return invalid
@@ -61,8 +69,10 @@
 	isLater := entry != nil && entry.startTime != 0 && run.StartTime > entry.startTime
 	switch {
 	case entry == nil || isLater:
-		entry = &engine{startTime: run.StartTime, factors: Unknown(), logged: Unknown()}
+		t.Forget(run.Engine)
+		entry = &engine{id: run.Engine, startTime: run.StartTime, factors: Unknown(), logged: Unknown()}
 		t.engines[run.Engine] = entry
+		t.added = append(t.added, entry)
 	case run.StartTime != 0 && run.StartTime < entry.startTime:
 		return nil
 	case entry.startTime == 0:
@@ -90,7 +100,12 @@
 func (t *Table) Len() int { return len(t.engines) }
 
 // Forget drops an engine that is no longer in use.
-func (t *Table) Forget(engine fleet.EngineID) { delete(t.engines, engine) }
+func (t *Table) Forget(engine fleet.EngineID) {
+	if entry := t.engines[engine]; entry != nil {
+		entry.dropped = true
+		delete(t.engines, engine)
+	}
+}
 
 // Change is a considerable change of an engine's factors.
 type Change struct {
@@ -104,9 +119,42 @@
 // Refresh drops lapsed estimates, updates the usual ratios and all factors, and returns the
 // considerable changes. Callers call it about once a second.
 func (t *Table) Refresh(now time.Duration) []Change {
-	for id, entry := range t.engines {
-		if entry.hasLapsed(now) {
-			delete(t.engines, id)
+	t.updated = t.updated[:0]
+	t.dropLapsed(now)
+	t.updateSorted()
+	for kind := range kindCount {
+		t.usual[kind] = t.medianOf(kind)
+	}
+	var changes []Change
+	for _, entry := range t.sorted {
+		before := entry.factors
+		entry.updateFactors(t.usual)
+		if before.Prefill != entry.factors.Prefill || before.Step != entry.factors.Step {
+			t.updated = append(t.updated, entry.id)
+		}
+		if entry.factors.Samples >= sureWeight && differsBy(minLoggedChange, entry.logged.Prefill, entry.factors.Prefill) {
+			changes = append(changes, Change{Engine: entry.id, From: entry.logged, To: entry.factors})
+			entry.logged = entry.factors
+		}
+	}
+	t.updateUneven()
+	t.updateReportable(now)
+	return changes
+}
+
+// Updated returns the engines whose factors the last refresh changed. It is valid until
+// the next refresh.
+func (t *Table) Updated() []fleet.EngineID { return t.updated }
+
+// dropLapsed drops lapsed estimates and contacts and updates the weights of the others.
+func (t *Table) dropLapsed(now time.Duration) {
+	for _, entries := range [][]*engine{t.sorted, t.added} {
+		for _, entry := range entries {
+			entry.updateWeights(now)
+			if !entry.dropped && entry.hasLapsed() {
+				t.Forget(entry.id)
+				t.updated = append(t.updated, entry.id)
+			}
 		}
 	}
 	for node, sent := range t.contacts {
@@ -114,28 +162,35 @@
 			delete(t.contacts, node)
 		}
 	}
-	for kind := range kindCount {
-		t.usual[kind] = t.medianOf(now, kind)
+}
+
+// updateSorted brings the sorted entries up to date. Only those that were added are sorted, since a
+// sort of all takes longer than the rest of a refresh.
+func (t *Table) updateSorted() {
+	isDropped := func(entry *engine) bool { return entry.dropped }
+	t.sorted = slices.DeleteFunc(t.sorted, isDropped)
+	added := slices.DeleteFunc(t.added, isDropped)
+	t.added = nil
+	if len(added) == 0 {
+		return
 	}
-	var changes []Change
-	for id, entry := range t.engines {
-		entry.updateFactors(now, t.usual)
-		if entry.factors.Samples >= sureWeight && differsBy(minLoggedChange, entry.logged.Prefill, entry.factors.Prefill) {
-			changes = append(changes, Change{Engine: id, From: entry.logged, To: entry.factors})
-			entry.logged = entry.factors
-		}
+	slices.SortFunc(added, compareNames)
+	merged := make([]*engine, 0, len(t.sorted)+len(added))
+	rest := t.sorted
+	for _, entry := range added {
+		before, _ := slices.BinarySearchFunc(rest, entry, compareNames)
+		merged = append(append(merged, rest[:before]...), entry)
+		rest = rest[before:]
 	}
-	t.updateUneven(now)
-	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Engine, b.Engine) })
-	return changes
+	t.sorted = append(merged, rest...)
 }
 
 // updateUneven decides whether the service is uneven. Only measurements of prefill count: steps
 // also take longer at engines with more requests.
-func (t *Table) updateUneven(now time.Duration) {
+func (t *Table) updateUneven() {
 	sure, different := 0, 0
-	for _, entry := range t.engines {
-		if entry.weight(now, Prefill) < sureWeight {
+	for _, entry := range t.sorted {
+		if entry.weights[Prefill] < sureWeight {
 			continue
 		}
 		sure++
@@ -147,14 +202,14 @@
 }
 
 // medianOf returns the median ratio over the engines, each of which counts the same.
-func (t *Table) medianOf(now time.Duration, kind Kind) float64 {
+func (t *Table) medianOf(kind Kind) float64 {
 	t.buffer = t.buffer[:0]
-	for _, entry := range t.engines {
-		if entry.weight(now, kind) >= minWeight {
-			t.buffer = append(t.buffer, weightedRatio{ratio: entry.combined[kind].median, weight: 1})
+	for _, entry := range t.sorted {
+		if entry.weights[kind] >= minWeight {
+			t.buffer = append(t.buffer, entry.combined[kind].median)
 		}
 	}
-	return estimateOf(t.buffer).median
+	return medianOf(t.buffer)
 }
 
 // differsBy reports whether two positive values differ by at least a factor.
--- a/internal/enginespeed/table_test.go
+++ b/internal/enginespeed/table_test.go
@@ -134,3 +134,38 @@
 	table.Refresh(0)
 	assert.LessOrEqual(t, table.Factors(runOf(0)).Samples, 3.0+maxPeerSamples)
 }
+
+// TestRarelyMetPeerHearsOfAllEngines guards against a peer that is new at each report and hears of
+// the first engines by name alone.
+func TestRarelyMetPeerHearsOfAllEngines(t *testing.T) {
+	table, heard := New(), make(map[fleet.EngineID]bool)
+	for second := range 400 {
+		now := time.Duration(second) * time.Second
+		for number := range 90 {
+			table.Observe(now, runOf(number), Prefill, 1+float64(number%2))
+		}
+		table.Refresh(now)
+		if second%25 != 0 {
+			continue
+		}
+		for _, speed := range table.Report(now, "peer") {
+			heard[speed.Engine] = true
+		}
+	}
+	assert.Len(t, heard, 90)
+}
+
+// TestMedianOfEnginesIsTheirEstimate guards against a fast median that differs from the estimate by
+// the same ratios.
+func TestMedianOfEnginesIsTheirEstimate(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 6))
+	for count := 1; count < 200; count++ {
+		ratios, weighted := make([]float64, count), make([]weightedRatio, count)
+		for index := range ratios {
+			ratios[index] = math.Round(random.Float64()*50)/10 + 0.1
+			weighted[index] = weightedRatio{ratio: ratios[index], weight: 1}
+		}
+		assert.InDelta(t, estimateOf(weighted).median, medianOf(ratios), 1e-9)
+	}
+	assert.Zero(t, medianOf(nil))
+}
