--- a/internal/enginespeed/report.go
+++ b/internal/enginespeed/report.go
@@ -26,6 +26,9 @@
 	// introductionPeriod is how long a new peer is sent everything that was measured rather than
 	// the changes.
 	introductionPeriod = 3 * time.Second
+	// minReportedSamples is the number of samples below which an estimate isn't reported: reports
+	// hold whole numbers, and it would round to none. It is above minWeight.
+	minReportedSamples = 0.5
 	// contactLifetime is the time without a report after which a peer counts as new.
 	contactLifetime = 10 * time.Second
 )
@@ -87,7 +90,8 @@
 	clear(t.reportable)
 	t.due, t.reportable = t.due[:0], t.reportable[:0]
 	for _, entry := range t.sorted {
-		if entry.reported.samples == 0 || (!t.uneven && entry.factors.isEven()) {
+		samples := decayed(entry.reported.samples, now-entry.reported.changedAt)
+		if samples < minReportedSamples || (!t.uneven && entry.factors.isEven()) {
 			continue
 		}
 		t.reportable = append(t.reportable, entry)
@@ -152,13 +156,15 @@
 	return speeds
 }
 
-// appendSpeed appends what this node has measured of an engine, unless it was dropped meanwhile.
+// appendSpeed appends what this node has measured of an engine, unless it was dropped meanwhile or
+// is too old.
 func (t *Table) appendSpeed(speeds []Speed, now time.Duration, entry *engine) []Speed {
-	if entry.dropped {
+	samples := decayed(entry.reported.samples, now-entry.reported.changedAt)
+	if entry.dropped || samples < minReportedSamples {
 		return speeds
 	}
 	return append(speeds, Speed{
 		Run: Run{Engine: entry.id, StartTime: entry.startTime}, Ratios: entry.reported.ratios,
-		Samples: decayed(entry.reported.samples, now-entry.reported.changedAt),
+		Samples: samples,
 	})
 }
--- a/internal/enginespeed/table_test.go
+++ b/internal/enginespeed/table_test.go
@@ -169,3 +169,16 @@
 	}
 	assert.Zero(t, medianOf(nil))
 }
+
+// TestOldMeasurementsAreNotReported guards against nodes whose reports keep each other's entries
+// alive, long after anyone has measured.
+func TestOldMeasurementsAreNotReported(t *testing.T) {
+	table, later := measured(3, 1, 1, 2, 2), 200*time.Second
+	assert.NotEmpty(t, table.Report(0, "peer"))
+	for number := range 4 {
+		table.Merge(later, "peer", []Speed{{Run: runOf(number), Ratios: [2]float64{1 + float64(number/2), 0}, Samples: 3}})
+	}
+	table.Refresh(later)
+	assert.True(t, table.IsUneven())
+	assert.Empty(t, table.Report(later, "other"))
+}
--- a/internal/gateway/enginespeeds.go
+++ b/internal/gateway/enginespeeds.go
@@ -60,13 +60,14 @@
 	return encoded
 }
 
-// encodeEngineSpeed encodes a speed without the worker's name. The number of samples is rounded up.
+// encodeEngineSpeed encodes a speed without the worker's name. The number of samples is rounded:
+// rounded up, old ones would stay known for as long as nodes report them to each other.
 func encodeEngineSpeed(speed *enginespeed.Speed) *rpc.EngineSpeed {
 	return &rpc.EngineSpeed{
 		Born:            speed.StartTime,
 		PrefillPermille: uint32(math.Round(speed.Ratios[enginespeed.Prefill] * perMille)),
 		StepPermille:    uint32(math.Round(speed.Ratios[enginespeed.Step] * perMille)),
-		Samples:         uint32(math.Ceil(speed.Samples)),
+		Samples:         uint32(math.Round(speed.Samples)),
 	}
 }
 
