--- a/internal/enginespeed/enginespeed.go
+++ b/internal/enginespeed/enginespeed.go
@@ -42,6 +42,12 @@
 	// sureWeight is the weight from which an engine counts for Table.IsUneven: two measurements,
 	// less what they have lost meanwhile.
 	sureWeight = 1.5
+	// minSureEngines is the number of such engines from which two measurements of each are enough:
+	// one engine with slow moments is less than unevenShare of them.
+	minSureEngines = 4
+	// verySureWeight takes the place of sureWeight where there are fewer engines: four measurements,
+	// of which most have to agree.
+	verySureWeight = 3.5
 	// evenFactor is the factor up to which a difference counts as none, in both directions. It is
 	// within the variation of the prefill time with the length of the context.
 	evenFactor = 1.15
@@ -50,6 +56,9 @@
 	// unevenShare is the share of engines with a factor other than 1 from which a service is
 	// uneven.
 	unevenShare = 1.0 / 3
+	// evenShare is the share below which an uneven service is even again. It is lower, so that
+	// choices don't change with each engine that is measured once more or less.
+	evenShare = unevenShare / 2
 )
 
 // MinRatio and MaxRatio bound the valid ratios.
--- a/internal/enginespeed/table.go
+++ b/internal/enginespeed/table.go
@@ -186,19 +186,43 @@
 }
 
 // updateUneven decides whether the service is uneven. Only measurements of prefill count: steps
-// also take longer at engines with more requests.
+// also take longer at engines with more requests. While too few engines are measured to tell, an
+// uneven service stays so until the estimates lapse.
 func (t *Table) updateUneven() {
-	sure, different := 0, 0
+	usual, sure := t.sureMedian(sureWeight)
+	weight := sureWeight
+	if sure < minSureEngines {
+		weight = verySureWeight
+		usual, sure = t.sureMedian(weight)
+	}
+	if sure < 2 {
+		t.uneven = t.uneven && len(t.sorted) > 0
+		return
+	}
+	different := 0
 	for _, entry := range t.sorted {
-		if entry.weights[Prefill] < sureWeight {
-			continue
-		}
-		sure++
-		if entry.combined[Prefill].differsFrom(t.usual[Prefill]) {
+		if entry.weights[Prefill] >= weight && entry.combined[Prefill].differsFrom(usual) {
 			different++
 		}
 	}
-	t.uneven = different > 0 && float64(different) >= unevenShare*float64(sure)
+	share := unevenShare
+	if t.uneven {
+		share = evenShare
+	}
+	t.uneven = different > 0 && float64(different) >= share*float64(sure)
+}
+
+// sureMedian returns the median ratio of prefill over the engines with at least a weight, and their
+// number. Differences are told from these engines alone: next to engines that were measured once,
+// two with slow moments would all be different.
+func (t *Table) sureMedian(weight float64) (median float64, sure int) {
+	t.buffer = t.buffer[:0]
+	for _, entry := range t.sorted {
+		if entry.weights[Prefill] >= weight {
+			t.buffer = append(t.buffer, entry.combined[Prefill].median)
+		}
+	}
+	return medianOf(t.buffer), len(t.buffer)
 }
 
 // medianOf returns the median ratio over the engines, each of which counts the same.
--- a/internal/enginespeed/table_test.go
+++ b/internal/enginespeed/table_test.go
@@ -182,3 +182,43 @@
 	assert.True(t, table.IsUneven())
 	assert.Empty(t, table.Report(later, "other"))
 }
+
+// TestFewSlowMeasurementsAreNoUnevenService guards against a service that counts as uneven by slow
+// moments at two engines, since only these were measured twice.
+func TestFewSlowMeasurementsAreNoUnevenService(t *testing.T) {
+	for _, slow := range []float64{2.5, 1} {
+		table := measured(1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1)
+		for range 2 {
+			table.Observe(0, runOf(20), Prefill, 2.5)
+			table.Observe(0, runOf(21), Prefill, slow)
+		}
+		table.Refresh(0)
+		assert.False(t, table.IsUneven(), slow)
+	}
+}
+
+// TestSmallUnevenServiceIsKnown guards against services of few engines that never count as uneven.
+func TestSmallUnevenServiceIsKnown(t *testing.T) {
+	assert.False(t, measured(2, 1, 2.5).IsUneven())
+	assert.True(t, measured(8, 1, 2.5).IsUneven())
+}
+
+// TestUnevenServiceDoesNotSwitchAtTheThreshold guards against choices that change with each engine
+// that is measured once more or once less.
+func TestUnevenServiceDoesNotSwitchAtTheThreshold(t *testing.T) {
+	table := measured(5, 1, 1, 1, 1, 1, 1, 2, 2, 2)
+	assert.True(t, table.IsUneven())
+	for number := range 3 {
+		for range 2 * maxMeasurements {
+			table.Observe(0, runOf(8-number), Prefill, 1)
+		}
+		table.Refresh(0)
+		assert.Equal(t, number == 0, table.IsUneven(), number)
+	}
+	for range 2 * maxMeasurements {
+		table.Observe(0, runOf(8), Prefill, 2)
+		table.Observe(0, runOf(7), Prefill, 2)
+	}
+	table.Refresh(0)
+	assert.False(t, table.IsUneven(), "two of nine don't make a service uneven")
+}
