--- a/internal/backends/engine_speed.go
+++ b/internal/backends/engine_speed.go
@@ -168,13 +168,15 @@
 }
 
 // ObserveSpeeds merges the speeds that a peer has measured. It returns how many of them were left
-// out since the engine is unknown here, and how many since a value is out of range.
+// out since the engine or its run is unknown here, and how many since a value is out of range. Runs
+// become known by their rows alone: a wild start time in a report would make all measurements of the
+// engine count as those of an earlier run.
 func (r *Registry) ObserveSpeeds(now time.Duration, node fleet.NodeID, speeds []enginespeed.Speed) (unknown, invalid int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for _, speed := range speeds {
 		state := r.workers[speed.Engine]
-		if state == nil || len(state.worker.Versions) == 0 {
+		if state == nil || len(state.worker.Versions) == 0 || speed.StartTime > uint64(state.worker.StartTime) {
 			unknown++
 			continue
 		}
--- a/internal/backends/engine_speed_test.go
+++ b/internal/backends/engine_speed_test.go
@@ -92,3 +92,26 @@
 	assert.InDelta(t, 7000, ahead.update(halfDone, 12_000, perToken), 1, "added prompts have just arrived")
 	assert.Zero(t, ahead.update(halfDone, 0, perToken))
 }
+
+// TestReportOnAnUnknownRunLocksNoMeasurementsOut guards against a report with a wild start time,
+// after which all measurements of the engine would count as those of an earlier run.
+func TestReportOnAnUnknownRunLocksNoMeasurementsOut(t *testing.T) {
+	for _, known := range []StartTime{0, 1000} {
+		registry, worker := newEngineRegistry(), engineWorker(0, 1)
+		worker.StartTime = known
+		registry.Observe(20, worker)
+		report := func(startTime uint64) (unknown, invalid int) {
+			return registry.ObserveSpeeds(0, "peer", []enginespeed.Speed{{
+				Run: enginespeed.Run{Engine: worker.ID, StartTime: startTime}, Ratios: [2]float64{2, 2}, Samples: 9,
+			}})
+		}
+		unknown, invalid := report(1 << 60)
+		assert.Equal(t, 1, unknown)
+		assert.Zero(t, invalid)
+		worker.StartTime = 1000
+		registry.Observe(21, worker)
+		unknown, invalid = report(1000)
+		assert.Zero(t, unknown+invalid)
+		assert.InDelta(t, 9, registry.workers[worker.ID].speed.Samples, 0.01)
+	}
+}
