--- a/internal/backends/engine_speed.go
+++ b/internal/backends/engine_speed.go
@@ -1,6 +1,8 @@
 package backends
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/enginespeed"
@@ -161,10 +163,11 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var speeds []enginespeed.Speed
-	for _, table := range r.speedTables {
-		speeds = append(speeds, table.Report(now, to)...)
+	for _, service := range slices.Sorted(maps.Keys(r.speedTables)) {
+		room := enginespeed.MaxReported - len(speeds)
+		speeds = append(speeds, r.speedTables[service].Report(now, to, room)...)
 	}
-	return speeds[:min(len(speeds), enginespeed.MaxReported)]
+	return speeds
 }
 
 // ObserveSpeeds merges the speeds that a peer has measured. It returns how many of them were left
--- a/internal/backends/engine_speed_test.go
+++ b/internal/backends/engine_speed_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tillerfall/tillerfall/internal/enginespeed"
+	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
 // choicesAtEvenEngines returns a hash of the choices among engines of the same speed.
@@ -115,3 +116,32 @@
 		assert.InDelta(t, 9, registry.workers[worker.ID].speed.Samples, 0.01)
 	}
 }
+
+// TestServicesShareAReport guards against engines that are cut off a report although their turn has
+// passed with it.
+func TestServicesShareAReport(t *testing.T) {
+	registry, heard := New(Options{}), make(map[fleet.EngineID]bool)
+	for number := range 60 {
+		worker := engineWorker(number, 1)
+		worker.Service = "c"
+		if number < 12 {
+			worker.Service = []fleet.PoolName{"a", "b"}[number/6]
+		}
+		registry.Observe(1, worker)
+		for range 5 {
+			registry.speedTableOf(worker.Service).Observe(0, speedRun(&worker), enginespeed.Prefill, 1+float64(number%2))
+		}
+	}
+	// By then no change is due, and a new peer hears of all in turn.
+	later := 5 * time.Second
+	registry.RefreshSpeeds(later)
+	for number := range 6 {
+		speeds := registry.OwnSpeeds(later, fleet.NodeID(fmt.Sprint("peer", number)))
+		assert.Len(t, speeds, enginespeed.MaxReported)
+		for index, speed := range speeds {
+			heard[speed.Engine] = true
+			assert.Equal(t, index < 12, registry.workers[speed.Engine].worker.Service != "c")
+		}
+	}
+	assert.Len(t, heard, 60)
+}
--- a/internal/enginespeed/benchmark_test.go
+++ b/internal/enginespeed/benchmark_test.go
@@ -40,7 +40,7 @@
 			table, number := largeTable(engines), 0
 			for b.Loop() {
 				number++
-				table.Report(time.Second, fleet.NodeID(fmt.Sprint("node", number%985)))
+				table.Report(time.Second, fleet.NodeID(fmt.Sprint("node", number%985)), MaxReported)
 			}
 		})
 	}
--- a/internal/enginespeed/report.go
+++ b/internal/enginespeed/report.go
@@ -106,28 +106,31 @@
 
 func compareNames(a, b *engine) int { return cmp.Compare(a.id, b.id) }
 
-// Report returns what to report to a peer, as of the last refresh: the considerable changes of late
+// Report returns what to report to a peer in a room of at most MaxReported entries, as of the last refresh: the considerable changes of late
 // in what this node has measured itself, the latest first, and to a new peer also the rest in turn.
 // It is empty while all engines are about as fast.
-func (t *Table) Report(now time.Duration, to fleet.NodeID) []Speed {
+func (t *Table) Report(now time.Duration, to fleet.NodeID, room int) []Speed {
+	if room <= 0 {
+		return nil
+	}
 	sent := t.contactWith(now, to)
 	if len(t.reportable) == 0 {
 		return nil
 	}
-	room := MaxReported
+	changes := room
 	if sent.isNew(now) {
 		// Where changes alone fill reports, peers that are always new would never hear of the rest.
-		room = MaxReported / 2
+		changes = room / 2
 	}
 	var speeds []Speed
 	for _, entry := range t.due {
-		if len(speeds) == room || !entry.reported.isDue(now) {
+		if len(speeds) == changes || !entry.reported.isDue(now) {
 			break
 		}
 		speeds = t.appendSpeed(speeds, now, entry)
 	}
 	if sent.isNew(now) {
-		speeds = t.appendInTurn(speeds, now)
+		speeds = t.appendInTurn(speeds, now, room)
 	}
 	return speeds
 }
@@ -135,7 +138,7 @@
 // appendInTurn fills a report with the engines that follow those last sent in turn. The turn is
 // kept for all peers together: where a peer is met so rarely that it is new each time, a turn of its
 // own would always begin anew.
-func (t *Table) appendInTurn(speeds []Speed, now time.Duration) []Speed {
+func (t *Table) appendInTurn(speeds []Speed, now time.Duration, room int) []Speed {
 	start, found := slices.BinarySearchFunc(t.reportable, t.introduced, func(entry *engine, id fleet.EngineID) int {
 		return cmp.Compare(entry.id, id)
 	})
@@ -144,7 +147,7 @@
 	}
 	latest := speeds
 	for offset := range t.reportable {
-		if len(speeds) == MaxReported {
+		if len(speeds) >= room {
 			break
 		}
 		entry := t.reportable[(start+offset)%len(t.reportable)]
--- a/internal/enginespeed/table_test.go
+++ b/internal/enginespeed/table_test.go
@@ -75,7 +75,7 @@
 func TestEvenEnginesAreNotReported(t *testing.T) {
 	table := measured(5, 0.95, 1, 1.08, 1.02)
 	assert.False(t, table.IsUneven())
-	assert.Empty(t, table.Report(0, "peer"))
+	assert.Empty(t, table.Report(0, "peer", MaxReported))
 	assert.InDelta(t, 1, table.Factors(runOf(2)).Prefill, 0)
 }
 
@@ -88,20 +88,20 @@
 	}
 	table := measured(3, ratios...)
 	table.Merge(0, "peer", []Speed{{Run: runOf(1000), Ratios: [2]float64{5, 5}, Samples: 9}})
-	report := table.Report(0, "other")
+	report := table.Report(0, "other", MaxReported)
 	assert.Len(t, report, MaxReported)
 	for _, speed := range report {
 		assert.NotEqual(t, runOf(1000).Engine, speed.Engine)
 	}
-	assert.Empty(t, table.Report(reportedFor+introductionPeriod, "other"), "nothing has changed since")
-	assert.NotEmpty(t, table.Report(reportedFor+introductionPeriod, "joining"))
+	assert.Empty(t, table.Report(reportedFor+introductionPeriod, "other", MaxReported), "nothing has changed since")
+	assert.NotEmpty(t, table.Report(reportedFor+introductionPeriod, "joining", MaxReported))
 }
 
 // TestOldSpeedsOfACutOffNodeFade guards against a node that reports what it measured before an
 // engine slowed down.
 func TestOldSpeedsOfACutOffNodeFade(t *testing.T) {
 	cutOff, table := measured(5, 1, 1, 1, 0.5), measured(5, 1, 1, 1, 0.5)
-	old := cutOff.Report(0, "peer")
+	old := cutOff.Report(0, "peer", MaxReported)
 	later := 2 * time.Minute
 	for range 5 {
 		table.Observe(later, runOf(3), Prefill, 2)
@@ -148,7 +148,7 @@
 		if second%25 != 0 {
 			continue
 		}
-		for _, speed := range table.Report(now, "peer") {
+		for _, speed := range table.Report(now, "peer", MaxReported) {
 			heard[speed.Engine] = true
 		}
 	}
@@ -174,13 +174,13 @@
 // alive, long after anyone has measured.
 func TestOldMeasurementsAreNotReported(t *testing.T) {
 	table, later := measured(3, 1, 1, 2, 2), 200*time.Second
-	assert.NotEmpty(t, table.Report(0, "peer"))
+	assert.NotEmpty(t, table.Report(0, "peer", MaxReported))
 	for number := range 4 {
 		table.Merge(later, "peer", []Speed{{Run: runOf(number), Ratios: [2]float64{1 + float64(number/2), 0}, Samples: 3}})
 	}
 	table.Refresh(later)
 	assert.True(t, table.IsUneven())
-	assert.Empty(t, table.Report(later, "other"))
+	assert.Empty(t, table.Report(later, "other", MaxReported))
 }
 
 // TestFewSlowMeasurementsAreNoUnevenService guards against a service that counts as uneven by slow
