--- a/internal/backends/engine_speed_test.go
+++ b/internal/backends/engine_speed_test.go
@@ -145,3 +145,12 @@
 	}
 	assert.Len(t, heard, 60)
 }
+
+// TestSteadyQueueIsNotComputedMeanwhile guards against a queue that is always as long and counts as
+// empty, since work that takes the place of what was computed doesn't show in the reports.
+func TestSteadyQueueIsNotComputedMeanwhile(t *testing.T) {
+	var ahead prefillAhead
+	for round := range 5 {
+		assert.Equal(t, 10_000, ahead.update(time.Duration(round)*time.Second, 10_000, 10*time.Microsecond))
+	}
+}
