--- a/internal/enginespeed/engine.go
+++ b/internal/enginespeed/engine.go
@@ -129,9 +129,12 @@
 	return e.low > usual*evenFactor || e.high < usual/evenFactor
 }
 
+// logEvenFactor is computed once, since all factors are compared with it at each refresh.
+var logEvenFactor = math.Log(evenFactor)
+
 // boundedFactor returns the factor with the given logarithm.
 func boundedFactor(logarithm float64) float64 {
-	if math.Abs(logarithm) <= math.Log(evenFactor) {
+	if math.Abs(logarithm) <= logEvenFactor {
 		return 1
 	}
 	return min(max(math.Exp(logarithm), 1.0/maxFactor), maxFactor)
--- a/internal/enginespeed/report.go
+++ b/internal/enginespeed/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -12,10 +13,12 @@
 	// MaxReported is the maximum number of engines in a report, so that the speeds take at most
 	// 450 B of it.
 	MaxReported = 20
-	// reportedChange is the factor by which an estimate changes at least to be reported again.
+	// reportedChange is the factor by which an estimate changes at least to be reported again: well
+	// within evenFactor, so that peers agree on which engines differ.
 	reportedChange = 1.05
 	// reportedGrowth is the factor by which the number of samples grows at least to be reported
-	// again.
+	// again: 1, 2, 3, 5, 8 and so on, so that few measurements are known soon and many aren't sent
+	// each time.
 	reportedGrowth = 1.5
 	// renewalInterval is the time after which an engine that is still being measured is reported
 	// again, before peers discount the previous report much.
@@ -57,6 +60,8 @@
 	ratios    [kindCount]float64
 	samples   float64
 	changedAt time.Duration
+	// lapsesAt is when fewer than minReportedSamples are left.
+	lapsesAt time.Duration
 }
 
 // update replaces the values if they have changed considerably.
@@ -75,6 +80,7 @@
 	}
 	if changed || samples >= s.samples*reportedGrowth {
 		*s = reportedSpeed{ratios: ratios, samples: samples, changedAt: now}
+		s.lapsesAt = now + time.Duration(math.Log2(samples/minReportedSamples)*float64(halfLife))
 	}
 }
 
@@ -90,8 +96,7 @@
 	clear(t.reportable)
 	t.due, t.reportable = t.due[:0], t.reportable[:0]
 	for _, entry := range t.sorted {
-		samples := decayed(entry.reported.samples, now-entry.reported.changedAt)
-		if samples < minReportedSamples || (!t.uneven && entry.factors.isEven()) {
+		if now >= entry.reported.lapsesAt || (!t.uneven && entry.factors.isEven()) {
 			continue
 		}
 		t.reportable = append(t.reportable, entry)
@@ -162,12 +167,11 @@
 // appendSpeed appends what this node has measured of an engine, unless it was dropped meanwhile or
 // is too old.
 func (t *Table) appendSpeed(speeds []Speed, now time.Duration, entry *engine) []Speed {
-	samples := decayed(entry.reported.samples, now-entry.reported.changedAt)
-	if entry.dropped || samples < minReportedSamples {
+	if entry.dropped || now >= entry.reported.lapsesAt {
 		return speeds
 	}
 	return append(speeds, Speed{
 		Run: Run{Engine: entry.id, StartTime: entry.startTime}, Ratios: entry.reported.ratios,
-		Samples: samples,
+		Samples: decayed(entry.reported.samples, now-entry.reported.changedAt),
 	})
 }
