--- a/internal/backends/engine_speed.go
+++ b/internal/backends/engine_speed.go
@@ -10,11 +10,13 @@
 )
 
 // maxAheadFraction is the queued prompt work, as a fraction of a prompt's own, up to which the time
-// to its first token is a measurement of the engine's speed.
+// to its first token is a measurement of the engine's speed: more could add a difference of its own
+// near enginespeed's smallest (1.15).
 const maxAheadFraction = 0.125
 
 // minColdRatio is the part of the time that an engine is expected to take from which on a prompt
-// with missing shared parts is a measurement. Below, the parts were probably cached there after all.
+// with missing shared parts is a measurement. Below, the parts were probably cached there after all:
+// they are most of a long prompt, and an engine seldom gets twice as fast.
 const minColdRatio = 0.5
 
 // unevenTieFraction is the tie fraction at engines that differ in speed. With known speeds few
--- a/internal/enginespeed/enginespeed.go
+++ b/internal/enginespeed/enginespeed.go
@@ -34,7 +34,8 @@
 	// halfLife is the time in which a measurement loses half of its weight. Requests come every
 	// few seconds at most engines in use, and a lasting change of speed shows within a minute.
 	halfLife = 30 * time.Second
-	// minWeight is the weight below which an estimate is dropped.
+	// minWeight is the weight, in measurements, below which an estimate is dropped: what two
+	// half-lives leave of a single one.
 	minWeight = 0.25
 	// priorWeight is the weight, in measurements, of the assumption that an engine is as fast as
 	// the others.
@@ -51,17 +52,20 @@
 	// evenFactor is the factor up to which a difference counts as none, in both directions. It is
 	// within the variation of the prefill time with the length of the context.
 	evenFactor = 1.15
-	// maxFactor bounds the factors in both directions.
+	// maxFactor bounds the factors in both directions: engines of one service don't differ more by
+	// their hardware, and beyond it the engine has failed rather than slowed down.
 	maxFactor = 8
 	// unevenShare is the share of engines with a factor other than 1 from which a service is
-	// uneven.
+	// uneven. With fewer, the slowness that each node sees places requests as well.
 	unevenShare = 1.0 / 3
 	// evenShare is the share below which an uneven service is even again. It is lower, so that
 	// choices don't change with each engine that is measured once more or less.
 	evenShare = unevenShare / 2
 )
 
-// MinRatio and MaxRatio bound the valid ratios.
+// MinRatio and MaxRatio bound the valid ratios, measured over assumed time: an engine a hundred times
+// as fast or slow as assumed is a wrong measurement. In thousandths, as they are sent, the lower one
+// is still known to a tenth.
 const (
 	MinRatio = 0.01
 	MaxRatio = 100
--- a/internal/enginespeed/measurements.go
+++ b/internal/enginespeed/measurements.go
@@ -38,8 +38,9 @@
 	ratio, weight float64
 }
 
-// Quantiles of ratios that an estimate consists of.
 const (
+	// lowQuantile and highQuantile are the shares of the weight that bound an estimate: it differs
+	// from a usual ratio if 65% of the measurements agree, which rare moments of noise don't reach.
 	lowQuantile  = 0.35
 	highQuantile = 0.65
 	// middleShare is the part of the weight around the middle whose mean is the median: with few
