--- a/internal/backends/engine_speed.go
+++ b/internal/backends/engine_speed.go
@@ -1,6 +1,8 @@
 package backends
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/enginespeed"
@@ -8,11 +10,13 @@
 )
 
 // maxAheadFraction is the queued prompt work, as a fraction of a prompt's own, up to which the time
-// to its first token is a measurement of the engine's speed.
+// to its first token is a measurement of the engine's speed: more could add a difference of its own
+// near enginespeed's smallest (1.15).
 const maxAheadFraction = 0.125
 
 // minColdRatio is the part of the time that an engine is expected to take from which on a prompt
-// with missing shared parts is a measurement. Below, the parts were probably cached there after all.
+// with missing shared parts is a measurement. Below, the parts were probably cached there after all:
+// they are most of a long prompt, and an engine seldom gets twice as fast.
 const minColdRatio = 0.5
 
 // unevenTieFraction is the tie fraction at engines that differ in speed. With known speeds few
@@ -133,6 +137,7 @@
 	if state == nil {
 		return
 	}
+	state.speed = enginespeed.Unknown()
 	if table := r.speedTables[state.worker.Service]; table != nil {
 		state.speed = table.Factors(speedRun(&state.worker))
 	}
@@ -148,9 +153,7 @@
 		for _, change := range table.Refresh(now) {
 			changes = append(changes, EngineSpeedChange{Service: service, Change: change})
 		}
-	}
-	for id, state := range r.workers {
-		if len(state.worker.Versions) > 0 {
+		for _, id := range table.Updated() {
 			r.updateSpeed(id)
 		}
 	}
@@ -162,20 +165,23 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var speeds []enginespeed.Speed
-	for _, table := range r.speedTables {
-		speeds = append(speeds, table.Report(now, to)...)
+	for _, service := range slices.Sorted(maps.Keys(r.speedTables)) {
+		room := enginespeed.MaxReported - len(speeds)
+		speeds = append(speeds, r.speedTables[service].Report(now, to, room)...)
 	}
-	return speeds[:min(len(speeds), enginespeed.MaxReported)]
+	return speeds
 }
 
 // ObserveSpeeds merges the speeds that a peer has measured. It returns how many of them were left
-// out since the engine is unknown here, and how many since a value is out of range.
+// out since the engine or its run is unknown here, and how many since a value is out of range. Runs
+// become known by their rows alone: a wild start time in a report would make all measurements of the
+// engine count as those of an earlier run.
 func (r *Registry) ObserveSpeeds(now time.Duration, node fleet.NodeID, speeds []enginespeed.Speed) (unknown, invalid int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for _, speed := range speeds {
 		state := r.workers[speed.Engine]
-		if state == nil || len(state.worker.Versions) == 0 {
+		if state == nil || len(state.worker.Versions) == 0 || speed.StartTime > uint64(state.worker.StartTime) {
 			unknown++
 			continue
 		}
--- a/internal/backends/engine_speed_test.go
+++ b/internal/backends/engine_speed_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tillerfall/tillerfall/internal/enginespeed"
+	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
 // choicesAtEvenEngines returns a hash of the choices among engines of the same speed.
@@ -92,3 +93,64 @@
 	assert.InDelta(t, 7000, ahead.update(halfDone, 12_000, perToken), 1, "added prompts have just arrived")
 	assert.Zero(t, ahead.update(halfDone, 0, perToken))
 }
+
+// TestReportOnAnUnknownRunLocksNoMeasurementsOut guards against a report with a wild start time,
+// after which all measurements of the engine would count as those of an earlier run.
+func TestReportOnAnUnknownRunLocksNoMeasurementsOut(t *testing.T) {
+	for _, known := range []StartTime{0, 1000} {
+		registry, worker := newEngineRegistry(), engineWorker(0, 1)
+		worker.StartTime = known
+		registry.Observe(20, worker)
+		report := func(startTime uint64) (unknown, invalid int) {
+			return registry.ObserveSpeeds(0, "peer", []enginespeed.Speed{{
+				Run: enginespeed.Run{Engine: worker.ID, StartTime: startTime}, Ratios: [2]float64{2, 2}, Samples: 9,
+			}})
+		}
+		unknown, invalid := report(1 << 60)
+		assert.Equal(t, 1, unknown)
+		assert.Zero(t, invalid)
+		worker.StartTime = 1000
+		registry.Observe(21, worker)
+		unknown, invalid = report(1000)
+		assert.Zero(t, unknown+invalid)
+		assert.InDelta(t, 9, registry.workers[worker.ID].speed.Samples, 0.01)
+	}
+}
+
+// TestServicesShareAReport guards against engines that are cut off a report although their turn has
+// passed with it.
+func TestServicesShareAReport(t *testing.T) {
+	registry, heard := New(Options{}), make(map[fleet.EngineID]bool)
+	for number := range 60 {
+		worker := engineWorker(number, 1)
+		worker.Service = "c"
+		if number < 12 {
+			worker.Service = []fleet.PoolName{"a", "b"}[number/6]
+		}
+		registry.Observe(1, worker)
+		for range 5 {
+			registry.speedTableOf(worker.Service).Observe(0, speedRun(&worker), enginespeed.Prefill, 1+float64(number%2))
+		}
+	}
+	// By then no change is due, and a new peer hears of all in turn.
+	later := 5 * time.Second
+	registry.RefreshSpeeds(later)
+	for number := range 6 {
+		speeds := registry.OwnSpeeds(later, fleet.NodeID(fmt.Sprint("peer", number)))
+		assert.Len(t, speeds, enginespeed.MaxReported)
+		for index, speed := range speeds {
+			heard[speed.Engine] = true
+			assert.Equal(t, index < 12, registry.workers[speed.Engine].worker.Service != "c")
+		}
+	}
+	assert.Len(t, heard, 60)
+}
+
+// TestSteadyQueueIsNotComputedMeanwhile guards against a queue that is always as long and counts as
+// empty, since work that takes the place of what was computed doesn't show in the reports.
+func TestSteadyQueueIsNotComputedMeanwhile(t *testing.T) {
+	var ahead prefillAhead
+	for round := range 5 {
+		assert.Equal(t, 10_000, ahead.update(time.Duration(round)*time.Second, 10_000, 10*time.Microsecond))
+	}
+}
--- a/internal/enginespeed/table_test.go
+++ b/internal/enginespeed/table_test.go
@@ -75,7 +75,7 @@
 func TestEvenEnginesAreNotReported(t *testing.T) {
 	table := measured(5, 0.95, 1, 1.08, 1.02)
 	assert.False(t, table.IsUneven())
-	assert.Empty(t, table.Report(0, "peer"))
+	assert.Empty(t, table.Report(0, "peer", MaxReported))
 	assert.InDelta(t, 1, table.Factors(runOf(2)).Prefill, 0)
 }
 
@@ -88,20 +88,20 @@
 	}
 	table := measured(3, ratios...)
 	table.Merge(0, "peer", []Speed{{Run: runOf(1000), Ratios: [2]float64{5, 5}, Samples: 9}})
-	report := table.Report(0, "other")
+	report := table.Report(0, "other", MaxReported)
 	assert.Len(t, report, MaxReported)
 	for _, speed := range report {
 		assert.NotEqual(t, runOf(1000).Engine, speed.Engine)
 	}
-	assert.Empty(t, table.Report(reportedFor+introductionPeriod, "other"), "nothing has changed since")
-	assert.NotEmpty(t, table.Report(reportedFor+introductionPeriod, "joining"))
+	assert.Empty(t, table.Report(reportedFor+introductionPeriod, "other", MaxReported), "nothing has changed since")
+	assert.NotEmpty(t, table.Report(reportedFor+introductionPeriod, "joining", MaxReported))
 }
 
 // TestOldSpeedsOfACutOffNodeFade guards against a node that reports what it measured before an
 // engine slowed down.
 func TestOldSpeedsOfACutOffNodeFade(t *testing.T) {
 	cutOff, table := measured(5, 1, 1, 1, 0.5), measured(5, 1, 1, 1, 0.5)
-	old := cutOff.Report(0, "peer")
+	old := cutOff.Report(0, "peer", MaxReported)
 	later := 2 * time.Minute
 	for range 5 {
 		table.Observe(later, runOf(3), Prefill, 2)
@@ -134,3 +134,91 @@
 	table.Refresh(0)
 	assert.LessOrEqual(t, table.Factors(runOf(0)).Samples, 3.0+maxPeerSamples)
 }
+
+// TestRarelyMetPeerHearsOfAllEngines guards against a peer that is new at each report and hears of
+// the first engines by name alone.
+func TestRarelyMetPeerHearsOfAllEngines(t *testing.T) {
+	table, heard := New(), make(map[fleet.EngineID]bool)
+	for second := range 400 {
+		now := time.Duration(second) * time.Second
+		for number := range 90 {
+			table.Observe(now, runOf(number), Prefill, 1+float64(number%2))
+		}
+		table.Refresh(now)
+		if second%25 != 0 {
+			continue
+		}
+		for _, speed := range table.Report(now, "peer", MaxReported) {
+			heard[speed.Engine] = true
+		}
+	}
+	assert.Len(t, heard, 90)
+}
+
+// TestMedianOfEnginesIsTheirEstimate guards against a fast median that differs from the estimate by
+// the same ratios.
+func TestMedianOfEnginesIsTheirEstimate(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 6))
+	for count := 1; count < 200; count++ {
+		ratios, weighted := make([]float64, count), make([]weightedRatio, count)
+		for index := range ratios {
+			ratios[index] = math.Round(random.Float64()*50)/10 + 0.1
+			weighted[index] = weightedRatio{ratio: ratios[index], weight: 1}
+		}
+		assert.InDelta(t, estimateOf(weighted).median, medianOf(ratios), 1e-9)
+	}
+	assert.Zero(t, medianOf(nil))
+}
+
+// TestOldMeasurementsAreNotReported guards against nodes whose reports keep each other's entries
+// alive, long after anyone has measured.
+func TestOldMeasurementsAreNotReported(t *testing.T) {
+	table, later := measured(3, 1, 1, 2, 2), 200*time.Second
+	assert.NotEmpty(t, table.Report(0, "peer", MaxReported))
+	for number := range 4 {
+		table.Merge(later, "peer", []Speed{{Run: runOf(number), Ratios: [2]float64{1 + float64(number/2), 0}, Samples: 3}})
+	}
+	table.Refresh(later)
+	assert.True(t, table.IsUneven())
+	assert.Empty(t, table.Report(later, "other", MaxReported))
+}
+
+// TestFewSlowMeasurementsAreNoUnevenService guards against a service that counts as uneven by slow
+// moments at two engines, since only these were measured twice.
+func TestFewSlowMeasurementsAreNoUnevenService(t *testing.T) {
+	for _, slow := range []float64{2.5, 1} {
+		table := measured(1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1)
+		for range 2 {
+			table.Observe(0, runOf(20), Prefill, 2.5)
+			table.Observe(0, runOf(21), Prefill, slow)
+		}
+		table.Refresh(0)
+		assert.False(t, table.IsUneven(), slow)
+	}
+}
+
+// TestSmallUnevenServiceIsKnown guards against services of few engines that never count as uneven.
+func TestSmallUnevenServiceIsKnown(t *testing.T) {
+	assert.False(t, measured(2, 1, 2.5).IsUneven())
+	assert.True(t, measured(8, 1, 2.5).IsUneven())
+}
+
+// TestUnevenServiceDoesNotSwitchAtTheThreshold guards against choices that change with each engine
+// that is measured once more or once less.
+func TestUnevenServiceDoesNotSwitchAtTheThreshold(t *testing.T) {
+	table := measured(5, 1, 1, 1, 1, 1, 1, 2, 2, 2)
+	assert.True(t, table.IsUneven())
+	for number := range 3 {
+		for range 2 * maxMeasurements {
+			table.Observe(0, runOf(8-number), Prefill, 1)
+		}
+		table.Refresh(0)
+		assert.Equal(t, number == 0, table.IsUneven(), number)
+	}
+	for range 2 * maxMeasurements {
+		table.Observe(0, runOf(8), Prefill, 2)
+		table.Observe(0, runOf(7), Prefill, 2)
+	}
+	table.Refresh(0)
+	assert.False(t, table.IsUneven(), "two of nine don't make a service uneven")
+}
