--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -91,7 +91,7 @@
 	// Home is set if the engine is the home of the prompt's shared parts, which all nodes prefer.
 	Home bool
 
-	// expected is nil if the request has no target.
+	// expected is nil if the request has no target or is not the first try.
 	expected *expectation
 	hashes   []fleet.BlockHash
 	store    fleet.EngineRun
@@ -126,30 +126,29 @@
 	if !limited {
 		return r.placeAt(search, prompt, &decision), Refusal{}
 	}
-	onTime := engineroom.OnTimeWait(engine.Target, decision.ServiceTime)
-	due := engine.TimeLeft
-	if limit.Wait < onTime && decision.WaitTime > limit.Wait {
-		due = min(due, limit.Wait+decision.ServiceTime)
-		decision = r.decideBy(search, prompt, due)
+	if decision.WaitTime > limit.Wait {
+		decision = r.decideWithin(search, prompt, limit.Wait)
 	}
-	shortestWait := r.addSpareEngines(search, prompt, &decision, due, min(onTime, limit.Wait))
-	if decision.Late && shortestWait > limit.Wait {
+	shortestWait := r.addSpareEngines(search, prompt, &decision, limit.Wait)
+	if decision.WaitTime > limit.Wait {
 		return nil, r.refuseLate(search, engine, &decision, limit, shortestWait)
 	}
 	return r.placeAt(search, prompt, &decision), Refusal{}
 }
 
 // addSpareEngines adds engines with spare capacity to the candidates until the request is predicted
-// to be in time or to wait for at most allowed. It updates the decision and returns the shortest
-// wait that it knows of.
-func (r *Registry) addSpareEngines(search *search, prompt *prompt, decision *scheduling.Decision, due, allowed time.Duration) time.Duration {
+// to wait for at most maxWait, and some once if it would miss its target by its waiting even so. It
+// updates the decision and returns the shortest wait that it knows of.
+func (r *Registry) addSpareEngines(search *search, prompt *prompt, decision *scheduling.Decision, maxWait time.Duration) time.Duration {
+	allowed := min(engineroom.OnTimeWait(prompt.engine.Target, decision.ServiceTime), maxWait)
 	for decision.Late && decision.WaitTime > allowed && !search.exhaustive {
 		shortestWait, added := search.addSpareEngines(allowed)
 		if !added {
 			return min(shortestWait, decision.WaitTime)
 		}
 		before := len(r.endpoints)
-		if *decision = r.decideBy(search, prompt, due); len(r.endpoints) == before {
+		*decision = r.decideWithin(search, prompt, maxWait)
+		if len(r.endpoints) == before || decision.WaitTime <= maxWait {
 			break
 		}
 	}
@@ -176,12 +175,16 @@
 
 // decide lets the scheduler compare the candidates.
 func (r *Registry) decide(search *search, prompt *prompt) scheduling.Decision {
-	return r.decideBy(search, prompt, prompt.engine.TimeLeft)
+	return r.decideAmong(search, prompt, 0)
 }
 
-// decideBy lets the scheduler compare the candidates. due is the time left until the first token is
-// due; 0 if unknown.
-func (r *Registry) decideBy(search *search, prompt *prompt, due time.Duration) scheduling.Decision {
+// decideWithin does the same, but takes an engine with a longer wait only if there is no other.
+func (r *Registry) decideWithin(search *search, prompt *prompt, maxWait time.Duration) scheduling.Decision {
+	// The scheduler takes 0 for no limit.
+	return r.decideAmong(search, prompt, max(maxWait, 1))
+}
+
+func (r *Registry) decideAmong(search *search, prompt *prompt, maxWait time.Duration) scheduling.Decision {
 	engine := prompt.engine
 	r.endpoints = r.endpoints[:0]
 	for _, state := range search.candidates() {
@@ -200,7 +203,8 @@
 		Pool:         search.request.Service,
 		PromptTokens: engine.PromptTokens,
 		PartTokens:   prompt.ends,
-		Deadline:     due,
+		Deadline:     engine.TimeLeft,
+		MaxWait:      maxWait,
 
 		MinTieFraction: r.minTieFraction(search.request.Service),
 	}, r.endpoints, r.options.Random)
--- a/internal/backends/late_test.go
+++ b/internal/backends/late_test.go
@@ -6,6 +6,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/engineroom"
+	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
 // targetedRequest returns a request with a target of half a second.
@@ -76,6 +79,27 @@
 	assert.NotNil(t, placement, refusal)
 }
 
+// TestIdleEngineIsPassedOver guards against refusing a request that yields although an idle engine
+// would serve it in time, only not as soon as a busy engine with its prompt cached.
+func TestIdleEngineIsPassedOver(t *testing.T) {
+	registry := newEngineRegistry()
+	for id, state := range registry.workers {
+		state.prefillTokens, state.priorities[1].PrefillTokens = 6_000, 6_000
+		if id == "e1" {
+			state.prefillTokens, state.priorities[1].PrefillTokens = 0, 0
+		}
+	}
+	request := targetedRequest("p", 12_000, 1)
+	request.Engine.Parts = []Part{{"p", 11_900}, {"own", 100}}
+	request.Engine.Store, request.Engine.LinkMegabits = "", 1
+	request.Engine.Target, request.Engine.TimeLeft, request.Engine.Deadline = 600*time.Millisecond, 600*time.Millisecond, time.Second
+	registry.ObserveCache(registry.workers["e0"].worker.Run(), true, []PartChange{{Stored: true, Scope: Scope(testModel, 1, "", false), Part: "p"}})
+	registry.room("engines").RecordRefused(0, &engineroom.Request{Priority: 0}, 0, engineroom.CauseDeadline)
+	placement, refusal := registry.Choose(0, request)
+	require.NotNil(t, placement, refusal)
+	assert.Equal(t, fleet.EngineID("e1"), placement.Worker.ID)
+}
+
 // TestLoadByPriorityIsSummedOverNodes guards against ignoring the load of peers by priority, or not
 // extrapolating it to peers without a report.
 func TestLoadByPriorityIsSummedOverNodes(t *testing.T) {
--- a/internal/scheduling/pick.go
+++ b/internal/scheduling/pick.go
@@ -5,10 +5,16 @@
 	"time"
 )
 
-// pick returns the cheapest candidate among those predicted to meet the deadline, and breaks
-// near-ties by load, then at random. If no candidate meets it, pick returns the one with the
-// earliest first token, and true. candidates must not be empty and may be reordered.
+// pick returns the cheapest candidate among those that wait for at most MaxWait and are predicted to
+// meet the deadline, and breaks near-ties by load, then at random. If there is none, pick returns the
+// one with the earliest first token among those within MaxWait, or among all if none is, and true.
+// candidates must not be empty and may be reordered.
 func (s *Scheduler) pick(request *Request, endpoints []Endpoint, candidates []scoredEndpoint, random *rand.Rand) (scoredEndpoint, bool) {
+	within := waitingAtMost(request.MaxWait, candidates)
+	if len(within) == 0 {
+		return earliest(candidates), true
+	}
+	candidates = within
 	inTime := meetingDeadline(request.Deadline, candidates)
 	if len(inTime) == 0 {
 		return earliest(candidates), true
@@ -22,9 +28,21 @@
 	if deadline <= 0 {
 		return candidates
 	}
+	return moveToFront(candidates, func(scores *Scores) bool { return scores.EarliestFirstToken() <= deadline })
+}
+
+// waitingAtMost does the same with those that wait for at most maxWait; 0 means any time.
+func waitingAtMost(maxWait time.Duration, candidates []scoredEndpoint) []scoredEndpoint {
+	if maxWait <= 0 {
+		return candidates
+	}
+	return moveToFront(candidates, func(scores *Scores) bool { return scores.WaitTime() <= maxWait })
+}
+
+func moveToFront(candidates []scoredEndpoint, isKept func(*Scores) bool) []scoredEndpoint {
 	kept := candidates[:0:len(candidates)]
 	for position := range candidates {
-		if candidates[position].scores.EarliestFirstToken() <= deadline {
+		if isKept(&candidates[position].scores) {
 			candidates[len(kept)], candidates[position] = candidates[position], candidates[len(kept)]
 			kept = candidates[:len(kept)+1]
 		}
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -113,6 +113,8 @@
 	Excluded   []fleet.EngineRun
 	// Deadline is the time left until the first token is due; 0 means no deadline.
 	Deadline time.Duration
+	// MaxWait is the longest wait for requests of the same or a higher priority; 0 means any.
+	MaxWait time.Duration
 	// MinTieFraction is the least tie fraction for this request, if it is above that of the options.
 	MinTieFraction float64
 	// RecomputeDiscount is the fraction of the recomputation price, from 0 to 1, that is waived
@@ -137,8 +139,9 @@
 	// is the time for which it waits for requests of the same or a higher priority.
 	ServiceTime time.Duration
 	WaitTime    time.Duration
-	// Late is set if no candidate is predicted to meet the deadline; the chosen one is the
-	// earliest. The caller should refuse the request.
+	// Late is set if no candidate that waits for at most Request.MaxWait is predicted to meet the
+	// deadline. The chosen one is then the earliest of those, or of all if all wait for longer. The
+	// caller should refuse the request if it waits for too long.
 	Late bool
 	// Candidates explains the decision if Request.Explain is set, with one element for each
 	// endpoint of the snapshot, in order.
