--- a/internal/backends/search_test.go
+++ b/internal/backends/search_test.go
@@ -207,3 +207,29 @@
 	}
 	assert.Less(t, moved, 5*2*prompts/manyEngines)
 }
+
+// TestSpareEnginesRunOut guards against scanning all engines for each request of a shortage, and
+// against passing over engines with spare capacity that other requests have been given.
+func TestSpareEnginesRunOut(t *testing.T) {
+	registry := newLargeRegistry()
+	for _, state := range registry.workers {
+		state.prefillTokens, state.priorities[1].PrefillTokens = 40_000, 40_000
+		registry.updateLevel(state)
+	}
+	for number := range 10 {
+		state := registry.workers[engineWorker(number, 1).ID]
+		state.prefillTokens, state.priorities[1].PrefillTokens = 0, 0
+	}
+	search := registry.newSearch(0, targetedRequest("p", 1000, 1), nil)
+	search.gather()
+	_, added := search.addSpareEngines(time.Millisecond)
+	require.True(t, added)
+	examined := search.examined
+	first := search.pool.scans[search.scanKeyFor(1)]
+	for range 30 {
+		_, added = search.addSpareEngines(time.Millisecond)
+		assert.True(t, added)
+	}
+	assert.Same(t, first, search.pool.scans[search.scanKeyFor(1)])
+	assert.LessOrEqual(t, search.examined-examined, 8, "ten engines have room, of which the first four are known")
+}
