--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -57,6 +57,9 @@
 	RetryAfter time.Duration
 	// Limit is the limit that the request's wait exceeds; zero unless Reason is ReasonLate.
 	Limit engineroom.Limit
+
+	// unmet is nil if the engine room records nothing.
+	unmet *unmetDemand
 }
 
 // Reasons of a refusal.
@@ -68,7 +71,7 @@
 	ReasonVersion  = "none_at_version"
 	// ReasonLimited means that all remaining workers temporarily admit no requests.
 	ReasonLimited = "at_their_limits"
-	// ReasonLate means that the request would miss its target at every worker.
+	// ReasonLate means that the request would wait for longer than its limit at every worker.
 	ReasonLate = "none_in_time"
 )
 
@@ -142,14 +145,16 @@
 	if placement == nil && refusal.Reason != ReasonExcluded {
 		r.recordShortage(now, request.Service)
 	}
-	next := request.Software.Fallback()
-	if placement != nil || next == nil || !request.Software.PrefersTarget() {
-		return placement, refusal
+	if next := request.Software.Fallback(); placement == nil && next != nil && request.Software.PrefersTarget() {
+		// The few workers with the target version may be full or slow while others have capacity.
+		fallback := *request
+		fallback.Software = next
+		placement, refusal = r.choose(now, &fallback)
+	}
+	if placement == nil {
+		r.recordRefusal(now, request.Service, &refusal)
 	}
-	// The few workers with the target version may be full or slow while others have capacity.
-	fallback := *request
-	fallback.Software = next
-	return r.choose(now, &fallback)
+	return placement, refusal
 }
 
 // choose implements Choose. The mutex must be held.
@@ -157,7 +162,7 @@
 	search, reason := r.candidates(now, request)
 	switch {
 	case reason == ReasonFull && request.Engine != nil:
-		return nil, r.refuseFull(now, request)
+		return nil, r.refuseFull(request)
 	case reason == ReasonLimited:
 		return nil, Refusal{Reason: reason, RetryAfter: search.reopensIn}
 	case reason != "":
--- a/internal/backends/late.go
+++ b/internal/backends/late.go
@@ -40,18 +40,34 @@
 func (r *Registry) refuseLate(search *search, engine *EngineRequest, decision *scheduling.Decision, limit engineroom.Limit, wait time.Duration) Refusal {
 	request := roomRequest(engine, decision)
 	cost := r.workOf(search.request.Service, engine, uncachedTokens(engine, decision))
-	r.room(search.request.Service).RecordRefused(search.now, &request, cost, limit.Cause)
-	return Refusal{Reason: ReasonLate, RetryAfter: limit.RetryAfter(wait), Limit: limit}
+	return Refusal{
+		Reason: ReasonLate, RetryAfter: limit.RetryAfter(wait), Limit: limit,
+		unmet: &unmetDemand{request: request, cost: cost, cause: limit.Cause},
+	}
 }
 
 // refuseFull refuses a request because all engines are full. Its engine time isn't known, since it
 // depends on what the engine has cached.
-func (r *Registry) refuseFull(now time.Duration, request *Request) Refusal {
+func (r *Registry) refuseFull(request *Request) Refusal {
+	refusal := Refusal{Reason: ReasonFull, RetryAfter: r.slotTime(request.Service)}
 	if engine := request.Engine; engine.MayRefuse && engine.Target > 0 {
-		refused := roomRequest(engine, &scheduling.Decision{})
-		r.room(request.Service).RecordRefused(now, &refused, 0, engineroom.CauseDeadline)
+		refusal.unmet = &unmetDemand{request: roomRequest(engine, &scheduling.Decision{}), cause: engineroom.CauseDeadline}
+	}
+	return refusal
+}
+
+// unmetDemand is what the engine room records of a refusal.
+type unmetDemand struct {
+	request engineroom.Request
+	cost    time.Duration
+	cause   engineroom.Cause
+}
+
+// recordRefusal records a refusal that no other try follows. The mutex must be held.
+func (r *Registry) recordRefusal(now time.Duration, service fleet.PoolName, refusal *Refusal) {
+	if unmet := refusal.unmet; unmet != nil {
+		r.room(service).RecordRefused(now, &unmet.request, unmet.cost, unmet.cause)
 	}
-	return Refusal{Reason: ReasonFull, RetryAfter: r.slotTime(request.Service)}
 }
 
 // recordUse counts the engine time of a placed request for its tenant.
--- a/internal/backends/late_test.go
+++ b/internal/backends/late_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/tillerfall/tillerfall/internal/delivery"
 	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
@@ -100,6 +101,32 @@
 	assert.Equal(t, fleet.EngineID("e1"), placement.Worker.ID)
 }
 
+// TestRequestPlacedAtOldVersionCountsAsRefused guards against unmet demand of requests that the few
+// engines of a new version can't take and others do.
+func TestRequestPlacedAtOldVersionCountsAsRefused(t *testing.T) {
+	for name, load := range map[string]func(*workerState){
+		"late": func(state *workerState) { state.prefillTokens, state.priorities[1].PrefillTokens = 40_000, 40_000 },
+		"full": func(state *workerState) { state.inFlight = maxStreams(state.worker.Slots) },
+	} {
+		registry := newEngineRegistry()
+		target := engineWorker(0, 1)
+		target.Software = "new"
+		registry.Observe(100, target)
+		load(registry.workers[target.ID])
+		request := targetedRequest("p", 1000, 1)
+		request.Software = delivery.NewFilter("new", true, nil, delivery.NewFilter("new", false, nil, nil))
+		placement, refusal := registry.Choose(0, request)
+		require.NotNil(t, placement, refusal)
+		assert.NotEqual(t, target.ID, placement.Worker.ID, name)
+		assert.Empty(t, registry.OwnTenantWork(time.Second), "nothing is reported while no demand is unmet")
+		room := registry.room("engines")
+		assert.Equal(t, engineroom.CauseDeadline, room.Limit(0, &engineroom.Request{Priority: 2, Target: time.Second, Deadline: time.Second}).Cause, name)
+		request.Software = delivery.NewFilter("new", true, nil, nil)
+		placement, _ = registry.Choose(0, request)
+		assert.Nil(t, placement, name)
+	}
+}
+
 // TestLoadByPriorityIsSummedOverNodes guards against ignoring the load of peers by priority, or not
 // extrapolating it to peers without a report.
 func TestLoadByPriorityIsSummedOverNodes(t *testing.T) {
