--- a/internal/gateway/engineroom.go
+++ b/internal/gateway/engineroom.go
@@ -15,10 +15,10 @@
 // the time that the amounts cover, with room to spare.
 const maxTenantWork = 12 * time.Hour
 
-// callerWaits returns for how long the caller still waits, at least 1 ms, if the route has a timeout
-// and the request a tenant; otherwise 0, and the engine room doesn't limit the request.
+// callerWaits returns for how long the caller still waits, at least 1 ms, if the route has a target and
+// a timeout and the request a tenant; otherwise 0, and the engine room doesn't limit the request.
 func (g *Gateway) callerWaits(current *callerRequest) time.Duration {
-	if current.tenant == nil || current.route.Timeout <= 0 {
+	if current.tenant == nil || current.route.Timeout <= 0 || current.route.TargetLatency <= 0 {
 		return 0
 	}
 	return max(current.timeLeft(g.now()), time.Millisecond)
--- a/internal/gateway/engineroom_test.go
+++ b/internal/gateway/engineroom_test.go
@@ -27,13 +27,14 @@
 }
 
 // TestRoomIsSharedWithoutConfiguration guards against the engine room for requests without a tenant or
-// routes without a timeout.
+// routes without a timeout or a target.
 func TestRoomIsSharedWithoutConfiguration(t *testing.T) {
 	g := newTestGateway(t)
-	waits := func(tenant *routes.Tenant, timeout time.Duration) time.Duration {
-		return g.callerWaits(&callerRequest{tenant: tenant, route: &routes.Route{Timeout: timeout}, deadline: g.now() + time.Hour})
+	waits := func(tenant *routes.Tenant, timeout, target time.Duration) time.Duration {
+		return g.callerWaits(&callerRequest{tenant: tenant, route: &routes.Route{Timeout: timeout, TargetLatency: target}, deadline: g.now() + time.Hour})
 	}
-	assert.Zero(t, waits(nil, time.Second))
-	assert.Zero(t, waits(&routes.Tenant{}, 0))
-	assert.InDelta(t, time.Hour, waits(&routes.Tenant{}, time.Second), float64(time.Minute))
+	assert.Zero(t, waits(nil, time.Second, time.Second))
+	assert.Zero(t, waits(&routes.Tenant{}, 0, time.Second))
+	assert.Zero(t, waits(&routes.Tenant{}, time.Second, 0))
+	assert.InDelta(t, time.Hour, waits(&routes.Tenant{}, time.Second, time.Second), float64(time.Minute))
 }
