--- a/internal/backends/search_spare.go
+++ b/internal/backends/search_spare.go
@@ -25,6 +25,9 @@
 	model                fleet.ModelName
 	priority             int
 	limited, wantsTarget bool
+	// hasDeadline and repeatable are set if the request has a deadline or may run again: streams of less
+	// urgent requests don't make an engine full then, and silent engines may be tried.
+	hasDeadline, repeatable bool
 	// full is set for scans that have found all workers full.
 	full bool
 }
@@ -98,9 +101,11 @@
 
 // scanKeyFor returns the scan key of the request at a priority.
 func (s *search) scanKeyFor(priority int) scanKey {
-	key := scanKey{priority: priority, limited: s.software != nil, wantsTarget: s.software.PrefersTarget()}
-	if s.request.Engine != nil {
-		key.model = s.request.Engine.Model
+	key := scanKey{
+		priority: priority, limited: s.software != nil, wantsTarget: s.software.PrefersTarget(), repeatable: s.request.Repeatable,
+	}
+	if engine := s.request.Engine; engine != nil {
+		key.model, key.hasDeadline = engine.Model, engine.Deadline > 0
 	}
 	return key
 }
--- a/internal/backends/search_test.go
+++ b/internal/backends/search_test.go
@@ -233,3 +233,39 @@
 	assert.Same(t, first, search.pool.scans[search.scanKeyFor(1)])
 	assert.LessOrEqual(t, search.examined-examined, 8, "ten engines have room, of which the first four are known")
 }
+
+// TestScanOfOtherRequestsIsTaken guards against refusing a request as late by the scan of one that may
+// not go to the only engine in time: it is full for requests without a deadline, or silent.
+func TestScanOfOtherRequestsIsTaken(t *testing.T) {
+	withDeadline, repeatable := targetedRequest("p", 1000, 1), targetedRequest("p", 1000, 1)
+	withDeadline.Engine.Deadline, repeatable.Repeatable = time.Second, true
+	now := 1100 * time.Millisecond
+	for name, test := range map[string]struct {
+		request *Request
+		close   func(*Registry, *workerState)
+	}{
+		"full": {withDeadline, func(_ *Registry, state *workerState) {
+			for range maxStreams(state.worker.Slots) {
+				state.begin(placedWork{priority: 5})
+			}
+		}},
+		"silent": {repeatable, func(registry *Registry, state *workerState) {
+			registry.ObserveSilence(0, state.worker.ID)
+		}},
+	} {
+		registry := newLargeRegistry()
+		for id, state := range registry.workers {
+			state.prefillTokens, state.priorities[1].PrefillTokens = 40_000, 40_000
+			if id == "e77" {
+				state.prefillTokens, state.priorities[1].PrefillTokens, state.priorities[5].PrefillTokens = 90_000, 0, 90_000
+				test.close(registry, state)
+			}
+			registry.updateLevel(state)
+		}
+		placement, _ := registry.Choose(now, targetedRequest("p", 1000, 1))
+		require.Nil(t, placement, name)
+		placement, refusal := registry.Choose(now, test.request)
+		require.NotNil(t, placement, "%s: %v", name, refusal)
+		assert.Equal(t, fleet.EngineID("e77"), placement.Worker.ID, name)
+	}
+}
