--- a/internal/backends/late.go
+++ b/internal/backends/late.go
@@ -87,8 +87,14 @@
 type expectation struct {
 	request engineroom.Request
 	// firstToken is the predicted time to the first token if the engine serves the request before all
-	// less urgent ones. due is the time left until the target.
-	firstToken, due time.Duration
+	// less urgent ones.
+	firstToken time.Duration
+}
+
+// isLate reports whether the request has missed its target by its waiting. What it takes on an idle
+// engine is no reason for less urgent ones to yield.
+func (e *expectation) isLate(measured time.Duration) bool {
+	return measured-e.request.Service > engineroom.OnTimeWait(e.request.Target, e.request.Service)
 }
 
 // newExpectation returns the expectation of a request, or nil if it has no target or is not the first
@@ -97,9 +103,7 @@
 	if !engine.MayRefuse || engine.Target <= 0 {
 		return nil
 	}
-	return &expectation{
-		request: roomRequest(engine, decision), firstToken: decision.WaitTime + decision.ServiceTime, due: engine.TimeLeft,
-	}
+	return &expectation{request: roomRequest(engine, decision), firstToken: decision.WaitTime + decision.ServiceTime}
 }
 
 // recordFirstToken compares a placed request's first token with what was expected. The mutex must be
@@ -107,15 +111,14 @@
 func (r *Registry) recordFirstToken(now time.Duration, placement *Placement) {
 	expected, measured := placement.Engine.expected, now-placement.chosenAt
 	if expected != nil {
-		late := measured > expected.due
-		r.room(placement.Worker.Service).RecordFirstToken(now, &expected.request, expected.firstToken, measured, late)
+		r.room(placement.Worker.Service).RecordFirstToken(now, &expected.request, expected.firstToken, measured, expected.isLate(measured))
 	}
 }
 
-// recordNoFirstToken records that a placed request was cancelled after its target without a first
-// token. The mutex must be held.
+// recordNoFirstToken records that a placed request was cancelled without a first token after it had
+// missed its target by its waiting. The mutex must be held.
 func (r *Registry) recordNoFirstToken(now time.Duration, placement *Placement) {
-	if expected := placement.Engine.expected; expected != nil && now-placement.chosenAt > expected.due {
+	if expected := placement.Engine.expected; expected != nil && expected.isLate(now-placement.chosenAt) {
 		r.recordFirstToken(now, placement)
 	}
 }
--- a/internal/backends/late_test.go
+++ b/internal/backends/late_test.go
@@ -127,6 +127,27 @@
 	}
 }
 
+// TestLongPromptIsLateOnAnIdleEngine guards against less urgent requests that yield to one that is late
+// by its own prefill alone, and against none that yield to one that is late by its waiting.
+func TestLongPromptIsLateOnAnIdleEngine(t *testing.T) {
+	for name, finish := range map[string]func(*Placement, time.Duration){
+		"first token": func(placement *Placement, at time.Duration) { placement.FirstByte(at) },
+		"cancelled":   func(placement *Placement, at time.Duration) { placement.End(at, Cancelled) },
+	} {
+		for took, cause := range map[time.Duration]engineroom.Cause{
+			1100 * time.Millisecond: engineroom.CauseDeadline,
+			1500 * time.Millisecond: engineroom.CausePriority,
+		} {
+			registry := newEngineRegistry()
+			placement, refusal := registry.Choose(0, targetedRequest("p", 40_000, 1))
+			require.NotNil(t, placement, refusal)
+			finish(placement, took)
+			limit := registry.room("engines").Limit(took, &engineroom.Request{Priority: 2, Target: time.Second, Deadline: time.Second})
+			assert.Equal(t, cause, limit.Cause, "%s after %v", name, took)
+		}
+	}
+}
+
 // TestLoadByPriorityIsSummedOverNodes guards against ignoring the load of peers by priority, or not
 // extrapolating it to peers without a report.
 func TestLoadByPriorityIsSummedOverNodes(t *testing.T) {
