--- a/internal/backends/endpoint.go
+++ b/internal/backends/endpoint.go
@@ -47,6 +47,8 @@
 	computed := 0
 	if r.isUneven(service) {
 		computed = load.PrefillTokens - state.ahead.update(now, load.PrefillTokens, perToken)
+		// The work of less urgent requests is subtracted from a wait as such.
+		computed = min(max(computed, 0), max(load.PrefillTokens-int(lowerPriority.PrefillTokens), 0))
 	}
 	return scheduling.Endpoint{
 		Run:                  state.worker.Run(),
--- a/internal/backends/engine_speed_test.go
+++ b/internal/backends/engine_speed_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tillerfall/tillerfall/internal/enginespeed"
+	"github.com/tillerfall/tillerfall/internal/scheduling"
 )
 
 // choicesAtEvenEngines returns a hash of the choices among engines of the same speed.
@@ -92,3 +93,26 @@
 	assert.InDelta(t, 7000, ahead.update(halfDone, 12_000, perToken), 1, "added prompts have just arrived")
 	assert.Zero(t, ahead.update(halfDone, 0, perToken))
 }
+
+// TestComputedPromptsAreLessUrgent guards against subtracting the prompts of less urgent requests twice,
+// from a wait for a slot too.
+func TestComputedPromptsAreLessUrgent(t *testing.T) {
+	registry := newEngineRegistry()
+	var speeds []enginespeed.Speed
+	for number := range engineCount {
+		ratio := float64(1 + 2*(number%2))
+		speeds = append(speeds, enginespeed.Speed{Run: enginespeed.Run{Engine: engineWorker(number, 1).ID}, Ratios: [2]float64{ratio, ratio}, Samples: 9})
+	}
+	registry.ObserveSpeeds(0, "peer", speeds)
+	registry.RefreshSpeeds(0)
+	require.True(t, registry.isUneven("engines"))
+	state, engine := registry.workers["e0"], targetedRequest("p", 1000, 1).Engine
+	for range state.worker.Slots {
+		state.begin(placedWork{priority: 1, prefillTokens: 100})
+	}
+	state.begin(placedWork{priority: 5, prefillTokens: 9000})
+	registry.endpointLoad(0, engine, state)
+	endpoint := registry.endpointLoad(time.Minute, engine, state)
+	assert.Equal(t, 100*state.worker.Slots, endpoint.ComputedTokens)
+	assert.Equal(t, endpoint.SlotTime/time.Duration(state.worker.Slots), scheduling.PredictedWait(&endpoint))
+}
