--- a/internal/engineroom/engineroom_test.go
+++ b/internal/engineroom/engineroom_test.go
@@ -88,6 +88,18 @@
 	assert.Equal(t, CauseDeadline, room.Limit(time.Second, less).Cause)
 }
 
+// TestOthersYieldToAFlood guards against less urgent requests of other tenants that yield because one
+// tenant is held to its share.
+func TestOthersYieldToAFlood(t *testing.T) {
+	room := New()
+	for range 100 {
+		room.RecordRefused(0, review("big"), time.Second, CauseShare)
+	}
+	less := review("small")
+	less.Priority = 3
+	assert.Equal(t, CauseDeadline, room.Limit(0, less).Cause)
+}
+
 // TestPredictionsAreTooShort guards against waits that last several times as long as predicted.
 func TestPredictionsAreTooShort(t *testing.T) {
 	room := New()
--- a/internal/engineroom/room.go
+++ b/internal/engineroom/room.go
@@ -67,11 +67,11 @@
 	r.own.add(now, request.Tenant, amount)
 }
 
-// RecordRefused records the engine time of a refused request. A request that yields does not make
-// less urgent ones yield in turn.
+// RecordRefused records the engine time of a refused request. A request that yields, or whose tenant is
+// at its share, does not make less urgent ones yield in turn: they would pay for another tenant's flood.
 func (r *Room) RecordRefused(now time.Duration, request *Request, cost time.Duration, cause Cause) {
 	r.own.add(now, request.Tenant, amounts{unmet: cost})
-	if cause != CausePriority {
+	if cause != CausePriority && cause != CauseShare {
 		r.lateness.record(now, request.Priority, true)
 	}
 }
