--- a/internal/backends/load.go
+++ b/internal/backends/load.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
@@ -22,7 +23,7 @@
 }
 
 // PriorityCount is the number of request priorities; 0 is the most urgent.
-const PriorityCount = 10
+const PriorityCount = engineroom.PriorityCount
 
 // PriorityLoad is the load of the requests of one priority.
 type PriorityLoad struct {
--- a/internal/backends/tenantwork.go
+++ b/internal/backends/tenantwork.go
@@ -8,7 +8,7 @@
 )
 
 // OwnTenantWork returns the recent engine time of this node's requests by service and tenant, the
-// largest amounts only. Services without tenants are omitted.
+// largest amounts only. Services in which no demand is unmet are omitted.
 func (r *Registry) OwnTenantWork(now time.Duration) map[fleet.PoolName][]engineroom.Use {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -21,8 +21,8 @@
 	return work
 }
 
-// TenantsAtShare returns the number of tenants that have used their share of a service's engines
-// while their room is short, summed over the services.
+// TenantsAtShare returns the number of tenants that want more than their share of a service's engines
+// while room is short, summed over the services.
 func (r *Registry) TenantsAtShare(now time.Duration) int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/engineroom/lateness.go
+++ b/internal/engineroom/lateness.go
@@ -10,8 +10,9 @@
 	// ones yield. Callers bear one late request in twenty; the requests that are at engines by the time
 	// the others yield become late as well.
 	tolerableLate = 0.025
-	// latenessWeight is the weight of one request in the fraction, and latenessHalfLife the time in
-	// which the fraction halves without requests.
+	// latenessWeight is the weight of one request in the fraction, which is that of some 25 requests
+	// then. latenessHalfLife is the time in which the fraction halves without requests, so that nobody
+	// yields for long to requests that no longer come.
 	latenessWeight   = 0.04
 	latenessHalfLife = time.Second
 )
--- a/internal/engineroom/ledger.go
+++ b/internal/engineroom/ledger.go
@@ -15,13 +15,15 @@
 	// unmetHalfLife is the same for unmet demand. It is shorter, so that tenants are not held back for
 	// long after the others have stopped asking for more.
 	unmetHalfLife = 500 * time.Millisecond
-	// decayInterval is the time between two decays.
+	// decayInterval is the time between two decays: short against both half-lives, so that it is not
+	// noticed, and long enough for the cost of a decay of all tenants.
 	decayInterval = 50 * time.Millisecond
-	// maxTenants bounds the tenants of a ledger, and of the totals over all nodes.
+	// maxTenants bounds the tenants of a ledger, and of the totals over all nodes, so that their memory
+	// and the time of a decay are bounded.
 	maxTenants = 1024
-	// minUse is the engine time below which a tenant is dropped.
+	// minUse is the engine time below which a tenant is dropped, too little to matter to a share.
 	minUse = time.Millisecond
-	// MaxReported is the maximum number of tenants of a report.
+	// MaxReported is the maximum number of tenants of a report. It bounds what nodes send each other.
 	MaxReported = 32
 )
 
@@ -66,8 +68,8 @@
 	}
 }
 
-// add records engine time. Requests without a tenant have no share and are not recorded. With maxTenants tenants, those not yet known are not recorded and count as
-// without use.
+// add records engine time. Requests without a tenant have no share and are not recorded. With
+// maxTenants tenants, those not yet known are not recorded and count as without use.
 func (l *ledger) add(now time.Duration, tenant fleet.TenantName, amount amounts) {
 	if tenant == "" {
 		return
--- a/internal/engineroom/prediction.go
+++ b/internal/engineroom/prediction.go
@@ -3,10 +3,12 @@
 import "time"
 
 const (
-	// errorWeight is the weight of one measured first token in the prediction error.
+	// errorWeight is the weight of one measured first token in the prediction error, which is the mean of
+	// some ten then.
 	errorWeight = 0.1
-	// maxError bounds the prediction error, and errorHalfLife is the time in which it halves without
-	// samples.
+	// maxError bounds the ratio of a sample, so that a single one doesn't close the service. errorHalfLife
+	// is the time in which the error halves without samples, since a limit that is too short lets no
+	// request through to be measured.
 	maxError      = 8
 	errorHalfLife = 4 * time.Second
 	// minPredicted is the shortest prediction that samples are compared with. Below it, the error is
--- a/internal/engineroom/shares.go
+++ b/internal/engineroom/shares.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// shareInterval is the time between two computations of the share.
+	// shareInterval is the time between two computations of the share: that between two reports.
 	shareInterval = 50 * time.Millisecond
-	// minUnmetFraction is the fraction of the demand from which on unmet demand counts as shortage.
+	// minUnmetFraction is the fraction of the demand above which unmet demand counts as shortage. Single
+	// late requests are none.
 	minUnmetFraction = 0.02
 	// nearShare is the fraction of the share from which on a tenant counts as at its share. If only one
 	// tenant wants more, its use is the share itself, so that an exact comparison would depend on
