--- a/internal/backends/search_spare.go
+++ b/internal/backends/search_spare.go
@@ -37,10 +37,8 @@
 	validUntil time.Duration
 	// shortestWait is the shortest wait at any eligible engine.
 	shortestWait time.Duration
-	// spare holds the engines with the shortest waits, in decreasing order of their waits. The last
-	// taken of them have been given to requests.
+	// spare holds the engines with the shortest waits, in decreasing order of their waits.
 	spare []spareEngine
-	taken int
 }
 
 type spareEngine struct {
@@ -48,17 +46,12 @@
 	wait  time.Duration
 }
 
-// take returns the engines with the shortest waits among those not yet taken. Once all with a wait of
-// at most allowed have been, it begins anew: a choice sees their current load, and another scan would
-// cost more.
-func (r *scanResult) take(allowed time.Duration) []spareEngine {
-	if r.taken >= len(r.spare) || r.spare[len(r.spare)-1-r.taken].wait > allowed {
-		r.taken = 0
-	}
-	to := len(r.spare) - r.taken
-	from := max(to-spareBatch, 0)
-	r.taken += to - from
-	return r.spare[from:to]
+// take removes and returns the engines with the shortest waits.
+func (r *scanResult) take() []spareEngine {
+	from := max(len(r.spare)-spareBatch, 0)
+	taken := r.spare[from:]
+	r.spare = r.spare[:from]
+	return taken
 }
 
 // add adds an engine if its wait is among the shortest.
@@ -85,14 +78,14 @@
 	if scan != nil && s.now < scan.validUntil && scan.shortestWait > allowed {
 		return scan.shortestWait, false
 	}
-	if scan == nil || s.now >= scan.validUntil {
+	if scan == nil || s.now >= scan.validUntil || len(scan.spare) == 0 {
 		scan = s.scanForSpare()
 		s.pool.scans[key] = scan
 	}
 	if scan.shortestWait > allowed {
 		return scan.shortestWait, false
 	}
-	for _, spare := range scan.take(allowed) {
+	for _, spare := range scan.take() {
 		s.examine(spare.state)
 	}
 	s.saveBuffers()
