--- a/internal/backends/late.go
+++ b/internal/backends/late.go
@@ -40,18 +40,34 @@
 func (r *Registry) refuseLate(search *search, engine *EngineRequest, decision *scheduling.Decision, limit engineroom.Limit, wait time.Duration) Refusal {
 	request := roomRequest(engine, decision)
 	cost := r.workOf(search.request.Service, engine, uncachedTokens(engine, decision))
-	r.room(search.request.Service).RecordRefused(search.now, &request, cost, limit.Cause)
-	return Refusal{Reason: ReasonLate, RetryAfter: limit.RetryAfter(wait), Limit: limit}
+	return Refusal{
+		Reason: ReasonLate, RetryAfter: limit.RetryAfter(wait), Limit: limit,
+		unmet: &unmetDemand{request: request, cost: cost, cause: limit.Cause},
+	}
 }
 
 // refuseFull refuses a request because all engines are full. Its engine time isn't known, since it
 // depends on what the engine has cached.
-func (r *Registry) refuseFull(now time.Duration, request *Request) Refusal {
+func (r *Registry) refuseFull(request *Request) Refusal {
+	refusal := Refusal{Reason: ReasonFull, RetryAfter: r.slotTime(request.Service)}
 	if engine := request.Engine; engine.MayRefuse && engine.Target > 0 {
-		refused := roomRequest(engine, &scheduling.Decision{})
-		r.room(request.Service).RecordRefused(now, &refused, 0, engineroom.CauseDeadline)
+		refusal.unmet = &unmetDemand{request: roomRequest(engine, &scheduling.Decision{}), cause: engineroom.CauseDeadline}
+	}
+	return refusal
+}
+
+// unmetDemand is what the engine room records of a refusal.
+type unmetDemand struct {
+	request engineroom.Request
+	cost    time.Duration
+	cause   engineroom.Cause
+}
+
+// recordRefusal records a refusal that no other try follows. The mutex must be held.
+func (r *Registry) recordRefusal(now time.Duration, service fleet.PoolName, refusal *Refusal) {
+	if unmet := refusal.unmet; unmet != nil {
+		r.room(service).RecordRefused(now, &unmet.request, unmet.cost, unmet.cause)
 	}
-	return Refusal{Reason: ReasonFull, RetryAfter: r.slotTime(request.Service)}
 }
 
 // recordUse counts the engine time of a placed request for its tenant.
@@ -71,8 +87,14 @@
 type expectation struct {
 	request engineroom.Request
 	// firstToken is the predicted time to the first token if the engine serves the request before all
-	// less urgent ones. due is the time left until the target.
-	firstToken, due time.Duration
+	// less urgent ones.
+	firstToken time.Duration
+}
+
+// isLate reports whether the request has missed its target by its waiting. What it takes on an idle
+// engine is no reason for less urgent ones to yield.
+func (e *expectation) isLate(measured time.Duration) bool {
+	return measured-e.request.Service > engineroom.OnTimeWait(e.request.Target, e.request.Service)
 }
 
 // newExpectation returns the expectation of a request, or nil if it has no target or is not the first
@@ -81,9 +103,7 @@
 	if !engine.MayRefuse || engine.Target <= 0 {
 		return nil
 	}
-	return &expectation{
-		request: roomRequest(engine, decision), firstToken: decision.WaitTime + decision.ServiceTime, due: engine.TimeLeft,
-	}
+	return &expectation{request: roomRequest(engine, decision), firstToken: decision.WaitTime + decision.ServiceTime}
 }
 
 // recordFirstToken compares a placed request's first token with what was expected. The mutex must be
@@ -91,15 +111,14 @@
 func (r *Registry) recordFirstToken(now time.Duration, placement *Placement) {
 	expected, measured := placement.Engine.expected, now-placement.chosenAt
 	if expected != nil {
-		late := measured > expected.due
-		r.room(placement.Worker.Service).RecordFirstToken(now, &expected.request, expected.firstToken, measured, late)
+		r.room(placement.Worker.Service).RecordFirstToken(now, &expected.request, expected.firstToken, measured, expected.isLate(measured))
 	}
 }
 
-// recordNoFirstToken records that a placed request was cancelled after its target without a first
-// token. The mutex must be held.
+// recordNoFirstToken records that a placed request was cancelled without a first token after it had
+// missed its target by its waiting. The mutex must be held.
 func (r *Registry) recordNoFirstToken(now time.Duration, placement *Placement) {
-	if expected := placement.Engine.expected; expected != nil && now-placement.chosenAt > expected.due {
+	if expected := placement.Engine.expected; expected != nil && expected.isLate(now-placement.chosenAt) {
 		r.recordFirstToken(now, placement)
 	}
 }
--- a/internal/backends/search_test.go
+++ b/internal/backends/search_test.go
@@ -207,3 +207,58 @@
 	}
 	assert.Less(t, moved, 5*2*prompts/manyEngines)
 }
+
+// TestSpareEnginesRunOut guards against refusing requests of a shortage since the engines that a scan has
+// found are full by now while others have room.
+func TestSpareEnginesRunOut(t *testing.T) {
+	registry := newTestRegistry()
+	for number := range 10_000 {
+		registry.Observe(fleet.Revision(number+1), engineWorker(number, 1))
+		state := registry.workers[engineWorker(number, 1).ID]
+		state.prefillTokens, state.priorities[1].PrefillTokens = 40_000, 40_000
+		if number%50 == 0 {
+			state.prefillTokens, state.priorities[1].PrefillTokens, state.priorities[5].PrefillTokens = 90_000, 0, 90_000
+		}
+		registry.updateLevel(state)
+	}
+	for number := range 400 {
+		placement, refusal := registry.Choose(time.Duration(number)*time.Millisecond/2, targetedRequest(fmt.Sprint("p", number), 5000, 1))
+		require.NotNil(t, placement, "request %d: %v", number, refusal)
+	}
+}
+
+// TestScanOfOtherRequestsIsTaken guards against refusing a request as late by the scan of one that may
+// not go to the only engine in time: it is full for requests without a deadline, or silent.
+func TestScanOfOtherRequestsIsTaken(t *testing.T) {
+	withDeadline, repeatable := targetedRequest("p", 1000, 1), targetedRequest("p", 1000, 1)
+	withDeadline.Engine.Deadline, repeatable.Repeatable = time.Second, true
+	now := 1100 * time.Millisecond
+	for name, test := range map[string]struct {
+		request *Request
+		close   func(*Registry, *workerState)
+	}{
+		"full": {withDeadline, func(_ *Registry, state *workerState) {
+			for range maxStreams(state.worker.Slots) {
+				state.begin(placedWork{priority: 5})
+			}
+		}},
+		"silent": {repeatable, func(registry *Registry, state *workerState) {
+			registry.ObserveSilence(0, state.worker.ID)
+		}},
+	} {
+		registry := newLargeRegistry()
+		for id, state := range registry.workers {
+			state.prefillTokens, state.priorities[1].PrefillTokens = 40_000, 40_000
+			if id == "e77" {
+				state.prefillTokens, state.priorities[1].PrefillTokens, state.priorities[5].PrefillTokens = 90_000, 0, 90_000
+				test.close(registry, state)
+			}
+			registry.updateLevel(state)
+		}
+		placement, _ := registry.Choose(now, targetedRequest("p", 1000, 1))
+		require.Nil(t, placement, name)
+		placement, refusal := registry.Choose(now, test.request)
+		require.NotNil(t, placement, "%s: %v", name, refusal)
+		assert.Equal(t, fleet.EngineID("e77"), placement.Worker.ID, name)
+	}
+}
