--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/delivery"
+	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
@@ -19,6 +20,9 @@
 	Admission func(worker *Worker) (Admission, time.Duration)
 	// Software limits the choice by the workers' software version; nil means no limit.
 	Software *delivery.Filter
+	// Repeatable is set if the request may run again elsewhere and its answer comes in events. Only
+	// such requests try engines that have fallen silent.
+	Repeatable bool
 	// Bytes is the size of the request and its expected response.
 	Bytes int
 	// Engine is set for requests to language model engines.
@@ -51,6 +55,11 @@
 	Reason string
 	// RetryAfter is the predicted time until capacity is available; 0 if unknown.
 	RetryAfter time.Duration
+	// Limit is the limit that the request's wait exceeds; zero unless Reason is ReasonLate.
+	Limit engineroom.Limit
+
+	// unmet is nil if the engine room records nothing.
+	unmet *unmetDemand
 }
 
 // Reasons of a refusal.
@@ -62,7 +71,7 @@
 	ReasonVersion  = "none_at_version"
 	// ReasonLimited means that all remaining workers temporarily admit no requests.
 	ReasonLimited = "at_their_limits"
-	// ReasonLate means that the request would miss its target at every worker.
+	// ReasonLate means that the request would wait for longer than its limit at every worker.
 	ReasonLate = "none_in_time"
 )
 
@@ -118,11 +127,13 @@
 	// Deferred means that the worker did not run the request and asked for no requests for some
 	// time.
 	Deferred
+	// Silent means that this node ended the request since nothing came from its engine.
+	Silent
 )
 
 // String returns the name of the outcome.
 func (o Outcome) String() string {
-	return [...]string{"succeeded", "failed", "refused", "mismatched", "unreachable", "lost", "cancelled", "deferred"}[o]
+	return [...]string{"succeeded", "failed", "refused", "mismatched", "unreachable", "lost", "cancelled", "deferred", "silent"}[o]
 }
 
 // Choose chooses a worker and counts the request there. If there is none, it returns a nil
@@ -134,14 +145,16 @@
 	if placement == nil && refusal.Reason != ReasonExcluded {
 		r.recordShortage(now, request.Service)
 	}
-	next := request.Software.Fallback()
-	if placement != nil || next == nil || !request.Software.PrefersTarget() {
-		return placement, refusal
+	if next := request.Software.Fallback(); placement == nil && next != nil && request.Software.PrefersTarget() {
+		// The few workers with the target version may be full or slow while others have capacity.
+		fallback := *request
+		fallback.Software = next
+		placement, refusal = r.choose(now, &fallback)
+	}
+	if placement == nil {
+		r.recordRefusal(now, request.Service, &refusal)
 	}
-	// The few workers with the target version may be full or slow while others have capacity.
-	fallback := *request
-	fallback.Software = next
-	return r.choose(now, &fallback)
+	return placement, refusal
 }
 
 // choose implements Choose. The mutex must be held.
@@ -149,7 +162,7 @@
 	search, reason := r.candidates(now, request)
 	switch {
 	case reason == ReasonFull && request.Engine != nil:
-		return nil, Refusal{Reason: reason, RetryAfter: r.slotTime(request.Service)}
+		return nil, r.refuseFull(request)
 	case reason == ReasonLimited:
 		return nil, Refusal{Reason: reason, RetryAfter: search.reopensIn}
 	case reason != "":
@@ -237,6 +250,7 @@
 func (r *Registry) begin(now time.Duration, chosen *workerState, candidates int, work placedWork) *Placement {
 	load := r.totalLoad(now, chosen)
 	chosen.begin(work)
+	chosen.silence.Begin(now)
 	r.updateLevel(chosen)
 	return &Placement{
 		Worker:        chosen.worker,
@@ -283,6 +297,7 @@
 	if p.Engine == nil {
 		return
 	}
+	r.recordFirstToken(now, p)
 	r.recordHeldParts(now, p)
 	if !p.Limited {
 		p.state.recordSlowness(now-p.chosenAt, p.Engine.Predicted)
@@ -302,6 +317,9 @@
 	state := p.state
 	if !p.hasFirstByte {
 		state.endPrefill(p.work)
+		if outcome == Cancelled && p.Engine != nil {
+			r.recordNoFirstToken(now, p)
+		}
 	}
 	state.end(p.work)
 	r.updateLevel(state)
@@ -310,6 +328,7 @@
 		return
 	case outcome == Succeeded && !p.Limited:
 		r.recordSlotTime(p, now-p.chosenAt)
+		r.recordEngineSpeed(now, p)
 	default:
 	}
 	switch outcome {
@@ -329,5 +348,7 @@
 			state.suspect(now)
 		}
 	case Cancelled, Deferred:
+	case Silent:
+		// The engine's suspension, which ends as soon as it is heard, keeps requests away.
 	}
 }
--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/engineroom"
+	"github.com/tillerfall/tillerfall/internal/enginespeed"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
 )
@@ -23,6 +25,8 @@
 	Priority int
 	// TimeLeft is the time left until the first event is due; 0 if unknown.
 	TimeLeft time.Duration
+	// Deadline is the time until the caller stops waiting for the response; 0 if unknown.
+	Deadline time.Duration
 	// MayRefuse is set if the request may be refused because it would miss its target.
 	MayRefuse bool
 	// Target is the target for the time to the first event, from the arrival of the request.
@@ -68,10 +72,12 @@
 	SaveTo fleet.Address
 	// Predicted is the predicted time to the first event.
 	Predicted time.Duration
-	// Baseline is Predicted without the engine's own slowness, as the reference for comparing the
+	// Baseline is Predicted without the engine's own speed, as the reference for comparing the
 	// latency of software versions. It includes the wait for queued prompts, so that waiting does
 	// not make a version look slow.
 	Baseline time.Duration
+	// Speed is the engine's measured speed at the time of the choice.
+	Speed enginespeed.Factors
 	// Prefix is the identifier of the last shared part of the prompt.
 	Prefix string
 	// SharedParts is the number of shared parts of the prompt, and SharedTokens their total size.
@@ -85,8 +91,10 @@
 	// Home is set if the engine is the home of the prompt's shared parts, which all nodes prefer.
 	Home bool
 
-	hashes []fleet.BlockHash
-	store  fleet.EngineRun
+	// expected is nil if the request has no target or is not the first try.
+	expected *expectation
+	hashes   []fleet.BlockHash
+	store    fleet.EngineRun
 }
 
 // outdatedPenalty is the cost of an engine with an outdated model version.
@@ -108,29 +116,43 @@
 )
 
 // chooseEngine lets the scheduler choose among the candidates of a search. If the request would
-// miss its target at all of them, it adds engines with spare capacity before it refuses.
+// wait too long at all of them, it adds engines with spare capacity before it refuses.
 func (r *Registry) chooseEngine(search *search) (*Placement, Refusal) {
 	r.parts.expire(search.now)
 	prompt := r.newPrompt(search)
+	engine := prompt.engine
 	decision := r.decide(search, prompt)
-	for {
-		refusal, late := tooLate(prompt.engine, &decision)
-		if !late {
-			return r.placeAt(search, prompt, &decision), Refusal{}
-		}
-		if search.exhaustive {
-			return nil, refusal
-		}
-		allowed := allowedWait(prompt.engine, &decision)
+	limit, limited := r.waitLimit(search, engine, &decision)
+	if !limited {
+		return r.placeAt(search, prompt, &decision), Refusal{}
+	}
+	if decision.WaitTime > limit.Wait {
+		decision = r.decideWithin(search, prompt, limit.Wait)
+	}
+	shortestWait := r.addSpareEngines(search, prompt, &decision, limit.Wait)
+	if decision.WaitTime > limit.Wait {
+		return nil, r.refuseLate(search, engine, &decision, limit, shortestWait)
+	}
+	return r.placeAt(search, prompt, &decision), Refusal{}
+}
+
+// addSpareEngines adds engines with spare capacity to the candidates until the request is predicted
+// to wait for at most maxWait, and some once if it would miss its target by its waiting even so. It
+// updates the decision and returns the shortest wait that it knows of.
+func (r *Registry) addSpareEngines(search *search, prompt *prompt, decision *scheduling.Decision, maxWait time.Duration) time.Duration {
+	allowed := min(engineroom.OnTimeWait(prompt.engine.Target, decision.ServiceTime), maxWait)
+	for decision.Late && decision.WaitTime > allowed && !search.exhaustive {
 		shortestWait, added := search.addSpareEngines(allowed)
 		if !added {
-			return nil, Refusal{Reason: ReasonLate, RetryAfter: shortestWait - allowed}
+			return min(shortestWait, decision.WaitTime)
 		}
 		before := len(r.endpoints)
-		if decision = r.decide(search, prompt); len(r.endpoints) == before {
-			return nil, refusal
+		*decision = r.decideWithin(search, prompt, maxWait)
+		if len(r.endpoints) == before || decision.WaitTime <= maxWait {
+			break
 		}
 	}
+	return decision.WaitTime
 }
 
 // prompt holds properties of a request's prompt that are computed once for each choice.
@@ -153,6 +175,16 @@
 
 // decide lets the scheduler compare the candidates.
 func (r *Registry) decide(search *search, prompt *prompt) scheduling.Decision {
+	return r.decideAmong(search, prompt, 0)
+}
+
+// decideWithin does the same, but takes an engine with a longer wait only if there is no other.
+func (r *Registry) decideWithin(search *search, prompt *prompt, maxWait time.Duration) scheduling.Decision {
+	// The scheduler takes 0 for no limit.
+	return r.decideAmong(search, prompt, max(maxWait, 1))
+}
+
+func (r *Registry) decideAmong(search *search, prompt *prompt, maxWait time.Duration) scheduling.Decision {
 	engine := prompt.engine
 	r.endpoints = r.endpoints[:0]
 	for _, state := range search.candidates() {
@@ -172,6 +204,9 @@
 		PromptTokens: engine.PromptTokens,
 		PartTokens:   prompt.ends,
 		Deadline:     engine.TimeLeft,
+		MaxWait:      maxWait,
+
+		MinTieFraction: r.minTieFraction(search.request.Service),
 	}, r.endpoints, r.options.Random)
 }
 
@@ -182,7 +217,8 @@
 	chosen := candidates[decision.Index]
 	version := chosen.worker.Versions[engine.Model]
 	scoped := search.scopeOf(version)
-	prefill := engine.PromptTokens - decision.CachedTokens - decision.ImportedTokens
+	prefill := uncachedTokens(engine, decision)
+	r.recordUse(search, engine, decision)
 	r.recordWork(now, search.request.Service, engine, prefill)
 	placement := r.begin(now, chosen, len(candidates), placedWork{
 		priority: engine.Priority, prefillTokens: prefill, need: memoryNeedOf(engine, scoped),
@@ -195,7 +231,8 @@
 		CachedTokens:   decision.CachedTokens,
 		ImportedTokens: decision.ImportedTokens,
 		Predicted:      decision.FirstToken,
-		Baseline:       time.Duration(float64(decision.FirstToken) / max(chosen.slowness, 1)),
+		Baseline:       r.baseline(chosen, decision.FirstToken),
+		Speed:          chosen.speed,
 		Prefix:         PrefixName(engine.Parts),
 		SharedParts:    prompt.shared,
 		SharedTokens:   sharedTokens(prompt.ends, prompt.shared),
@@ -203,6 +240,7 @@
 		StoredParts:    scoped.storedParts,
 		MostHeldParts:  scoped.maxHeldParts(),
 		Home:           chosen == prompt.home,
+		expected:       newExpectation(engine, decision),
 		hashes:         scoped.hashes,
 		store:          StoreRun(engine.Store),
 	}
--- a/internal/backends/late_test.go
+++ b/internal/backends/late_test.go
@@ -6,6 +6,10 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/delivery"
+	"github.com/tillerfall/tillerfall/internal/engineroom"
+	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
 // targetedRequest returns a request with a target of half a second.
@@ -76,6 +80,74 @@
 	assert.NotNil(t, placement, refusal)
 }
 
+// TestIdleEngineIsPassedOver guards against refusing a request that yields although an idle engine
+// would serve it in time, only not as soon as a busy engine with its prompt cached.
+func TestIdleEngineIsPassedOver(t *testing.T) {
+	registry := newEngineRegistry()
+	for id, state := range registry.workers {
+		state.prefillTokens, state.priorities[1].PrefillTokens = 6_000, 6_000
+		if id == "e1" {
+			state.prefillTokens, state.priorities[1].PrefillTokens = 0, 0
+		}
+	}
+	request := targetedRequest("p", 12_000, 1)
+	request.Engine.Parts = []Part{{"p", 11_900}, {"own", 100}}
+	request.Engine.Store, request.Engine.LinkMegabits = "", 1
+	request.Engine.Target, request.Engine.TimeLeft, request.Engine.Deadline = 600*time.Millisecond, 600*time.Millisecond, time.Second
+	registry.ObserveCache(registry.workers["e0"].worker.Run(), true, []PartChange{{Stored: true, Scope: Scope(testModel, 1, "", false), Part: "p"}})
+	registry.room("engines").RecordRefused(0, &engineroom.Request{Priority: 0}, 0, engineroom.CauseDeadline)
+	placement, refusal := registry.Choose(0, request)
+	require.NotNil(t, placement, refusal)
+	assert.Equal(t, fleet.EngineID("e1"), placement.Worker.ID)
+}
+
+// TestRequestPlacedAtOldVersionCountsAsRefused guards against unmet demand of requests that the few
+// engines of a new version can't take and others do.
+func TestRequestPlacedAtOldVersionCountsAsRefused(t *testing.T) {
+	for name, load := range map[string]func(*workerState){
+		"late": func(state *workerState) { state.prefillTokens, state.priorities[1].PrefillTokens = 40_000, 40_000 },
+		"full": func(state *workerState) { state.inFlight = maxStreams(state.worker.Slots) },
+	} {
+		registry := newEngineRegistry()
+		target := engineWorker(0, 1)
+		target.Software = "new"
+		registry.Observe(100, target)
+		load(registry.workers[target.ID])
+		request := targetedRequest("p", 1000, 1)
+		request.Software = delivery.NewFilter("new", true, nil, delivery.NewFilter("new", false, nil, nil))
+		placement, refusal := registry.Choose(0, request)
+		require.NotNil(t, placement, refusal)
+		assert.NotEqual(t, target.ID, placement.Worker.ID, name)
+		assert.Empty(t, registry.OwnTenantWork(time.Second), "nothing is reported while no demand is unmet")
+		room := registry.room("engines")
+		assert.Equal(t, engineroom.CauseDeadline, room.Limit(0, &engineroom.Request{Priority: 2, Target: time.Second, Deadline: time.Second}).Cause, name)
+		request.Software = delivery.NewFilter("new", true, nil, nil)
+		placement, _ = registry.Choose(0, request)
+		assert.Nil(t, placement, name)
+	}
+}
+
+// TestLongPromptIsLateOnAnIdleEngine guards against less urgent requests that yield to one that is late
+// by its own prefill alone, and against none that yield to one that is late by its waiting.
+func TestLongPromptIsLateOnAnIdleEngine(t *testing.T) {
+	for name, finish := range map[string]func(*Placement, time.Duration){
+		"first token": func(placement *Placement, at time.Duration) { placement.FirstByte(at) },
+		"cancelled":   func(placement *Placement, at time.Duration) { placement.End(at, Cancelled) },
+	} {
+		for took, cause := range map[time.Duration]engineroom.Cause{
+			1100 * time.Millisecond: engineroom.CauseDeadline,
+			1500 * time.Millisecond: engineroom.CausePriority,
+		} {
+			registry := newEngineRegistry()
+			placement, refusal := registry.Choose(0, targetedRequest("p", 40_000, 1))
+			require.NotNil(t, placement, refusal)
+			finish(placement, took)
+			limit := registry.room("engines").Limit(took, &engineroom.Request{Priority: 2, Target: time.Second, Deadline: time.Second})
+			assert.Equal(t, cause, limit.Cause, "%s after %v", name, took)
+		}
+	}
+}
+
 // TestLoadByPriorityIsSummedOverNodes guards against ignoring the load of peers by priority, or not
 // extrapolating it to peers without a report.
 func TestLoadByPriorityIsSummedOverNodes(t *testing.T) {
--- a/internal/backends/load.go
+++ b/internal/backends/load.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
@@ -22,7 +23,7 @@
 }
 
 // PriorityCount is the number of request priorities; 0 is the most urgent.
-const PriorityCount = 10
+const PriorityCount = engineroom.PriorityCount
 
 // PriorityLoad is the load of the requests of one priority.
 type PriorityLoad struct {
@@ -117,7 +118,7 @@
 	defer r.mutex.Unlock()
 	var suspects []fleet.EngineID
 	for id, state := range r.workers {
-		if now < state.suspectUntil && !state.gone {
+		if (now < state.suspectUntil || state.silence.IsSuspended(now)) && !state.gone {
 			suspects = append(suspects, id)
 		}
 	}
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/engineroom"
+	"github.com/tillerfall/tillerfall/internal/enginespeed"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/prefixindex"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
@@ -67,9 +69,13 @@
 	memoryCapacities map[fleet.PoolName]int
 	// speedEstimates holds, by service, the measured speed of its engines.
 	speedEstimates map[fleet.PoolName]*speedEstimate
-	parts          *partIndex
-	workTrackers   map[fleet.PoolName]*workTracker
-	pools          map[fleet.PoolName]*pool
+	// speedTables holds, by service, the speeds of its engines relative to each other.
+	speedTables  map[fleet.PoolName]*enginespeed.Table
+	parts        *partIndex
+	workTrackers map[fleet.PoolName]*workTracker
+	// rooms holds, by service, who uses its engines.
+	rooms map[fleet.PoolName]*engineroom.Room
+	pools map[fleet.PoolName]*pool
 	// subsets are the active subsets, planned the last ones that this node planned, and shortages
 	// the capacity that they lacked. With onlySubsets, workers outside the active subsets are not
 	// tracked.
@@ -120,8 +126,10 @@
 		preferred:           make(map[fleet.ModelName]ModelVersion),
 		memoryCapacities:    make(map[fleet.PoolName]int),
 		speedEstimates:      make(map[fleet.PoolName]*speedEstimate),
+		speedTables:         make(map[fleet.PoolName]*enginespeed.Table),
 		parts:               newPartIndex(options.MaxParts),
 		workTrackers:        make(map[fleet.PoolName]*workTracker),
+		rooms:               make(map[fleet.PoolName]*engineroom.Room),
 		pools:               make(map[fleet.PoolName]*pool),
 		shortages:           make(map[fleet.PoolName]shortage),
 	}
@@ -193,6 +201,7 @@
 	worker.Versions = state.worker.Versions
 	worker.StartTime = max(worker.StartTime, state.worker.StartTime)
 	state.worker, state.revision, state.gone = worker, revision, false
+	r.updateSpeed(worker.ID)
 	r.updatePool(state)
 	return change
 }
@@ -211,6 +220,7 @@
 	r.parts.clear(worker.Run())
 	replacement := newState(worker, revision)
 	r.workers[worker.ID] = replacement
+	r.updateSpeed(worker.ID)
 	r.updatePool(replacement)
 }
 
--- a/internal/backends/worker.go
+++ b/internal/backends/worker.go
@@ -13,7 +13,9 @@
 import (
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/enginespeed"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/liveness"
 )
 
 // ModelVersion is the version of a model's weights. Higher versions are newer.
@@ -96,15 +98,24 @@
 	suspectUntil    time.Duration
 	lastContact     time.Duration
 	suspicionPeriod time.Duration
-	mismatchUntil   time.Duration
+	// probedUntil is the time until which the worker may answer a probe.
+	probedUntil time.Duration
+	// silence suspends requests to an engine that has fallen silent.
+	silence       liveness.Suspension
+	mismatchUntil time.Duration
 	// cordonedUntil is the time until which the worker is cordoned: it counts as not ready because
 	// it is ordered to load a model version.
 	cordonedUntil time.Duration
 
 	failureMean   float64
 	failureMeanAt time.Duration
-	// slowness is the moving average of the ratio of measured to predicted time to first byte.
+	// speed is the measured speed of an engine. It counts while the engines of the service differ.
+	speed enginespeed.Factors
+	// slowness is the moving average of the ratio of measured to predicted time to first byte at this
+	// node. It counts while the engines are even.
 	slowness float64
+	// ahead predicts the remaining prompt work of an engine.
+	ahead prefillAhead
 
 	// hash is the hash of the identifier. pool, tier, level and levelIndex are the worker's
 	// position in its pool.
@@ -121,7 +132,7 @@
 
 // newState returns the initial state of a run.
 func newState(worker Worker, revision fleet.Revision) *workerState {
-	return &workerState{worker: worker, revision: revision, slowness: 1, tier: noTier, hash: hashName(string(worker.ID))}
+	return &workerState{worker: worker, revision: revision, speed: enginespeed.Unknown(), slowness: 1, tier: noTier, hash: hashName(string(worker.ID))}
 }
 
 // begin counts a request that is placed at the worker.
@@ -158,9 +169,9 @@
 	return s.gone && !s.worker.Draining && now < s.goneAt+lapsedGracePeriod
 }
 
-// isReady reports whether the worker is neither suspected nor mismatched nor cordoned.
+// isReady reports whether the worker is neither suspected nor probed nor mismatched nor cordoned.
 func (s *workerState) isReady(now time.Duration) bool {
-	return now >= s.suspectUntil && now >= s.mismatchUntil && now >= s.cordonedUntil
+	return now >= s.suspectUntil && now >= s.mismatchUntil && now >= s.cordonedUntil && now >= s.probedUntil
 }
 
 // failureRate returns the failure rate at now, from 0 to 1.
@@ -203,6 +214,7 @@
 	s.lastContact = now
 	s.suspicionPeriod = 0
 	s.suspectUntil = 0
+	s.silence.End()
 }
 
 // recordSlowness adds a time to first byte to the slowness.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -82,6 +82,9 @@
 		if refused.Reason == backends.ReasonLimited {
 			refused = g.unavailableRefusal(current, refused.RetryAfter)
 		}
+		if refused.Reason == backends.ReasonLate {
+			g.reportLateRefusal(current, &refused)
+		}
 		return current.attempts.NoWorker(refused.Reason, refused.RetryAfter)
 	}
 	g.chargeRerun(current)
@@ -100,11 +103,14 @@
 	}
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	current.watched = g.watchSend(current, placement, cancel)
+	defer g.unwatchSend(current.watched)
 	response, err := g.exchangeWith(sending, cancel, current, placement)
 	if err != nil {
 		return g.handleSendError(ctx, sending, current, placement, err)
 	}
 	defer response.Close()
+	g.observeHead(current.watched)
 	info := g.dependencies.Codec.ReadResponse(response.Status, response.Header)
 	g.reportInvalidInput(current.metadata.RequestID, info.Invalid)
 	g.observeLimit(current, &placement.Worker, info)
@@ -155,7 +161,8 @@
 	run := placement.Worker.Run()
 	var failure *upstream.ExchangeError
 	sent := !errors.As(err, &failure) || failure.Stage == upstream.Sent
-	if sent {
+	moved := current.watched.isMoved()
+	if sent && !moved {
 		g.recordLostRun(current, placement, lossOf(sending))
 	}
 	switch {
@@ -168,6 +175,8 @@
 	case ctx.Err() != nil:
 		g.recordOutcome(current, placement, backends.Unreachable, "deadline passed")
 		return current.attempts.Expired()
+	case moved:
+		return g.abandonSilent(current, placement, sent)
 	case (errors.Is(err, errStaleVersion) || errors.Is(err, errQuarantined)) && sent:
 		g.recordOutcome(current, placement, backends.Cancelled, err.Error())
 		return current.attempts.Unanswered(g.now(), run)
@@ -230,6 +239,7 @@
 	placement.End(g.now(), outcome)
 	g.metrics.attempts.WithLabelValues(string(placement.Worker.Service), outcome.String()).Inc()
 	if outcome == backends.Succeeded {
+		g.observeFirstToken(placement)
 		if current.status < http.StatusMultipleChoices {
 			g.recordCompleteResponse(current)
 		}
@@ -250,7 +260,7 @@
 			Str("save_to", string(engine.SaveTo)).Int("shared", engine.SharedTokens).Int("shared_parts", engine.SharedParts).Int("held_parts", engine.HeldParts).
 			Int("stored_parts", engine.StoredParts).Int("most_held_parts", engine.MostHeldParts).Bool("home", engine.Home).Int("prefill_ahead", placement.PrefillTokens).
 			Int("memory_used", placement.MemoryTokens).Str("copy_to", string(engine.CopyTo.ID)).Bool("continues", engine.ContinueAt != "").
-			Dur("predicted", engine.Predicted)
+			Dur("predicted", engine.Predicted).Float64("speed_factor", engine.Speed.Prefill).Float64("speed_samples", engine.Speed.Samples)
 	}
 	if age, proven := g.freshness.Age(g.now()); proven {
 		line = line.Dur("configuration_age", age)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,7 @@
 	lease              *lease.Keeper
 	seeds              *seedList
 	pending            *pendingSends
+	engineWatch        *engineWatch
 	tables             []*table
 	sources            *sourceSelector
 	demand             *demandTracker
@@ -146,6 +147,7 @@
 		splitter:          routes.NewSplitter(),
 		seeds:             &seedList{},
 		pending:           newPendingSends(),
+		engineWatch:       newEngineWatch(),
 		idleConnections:   newIdleConnections(),
 		demand:            newDemandTracker(),
 		origins:           newOriginTracker(),
@@ -190,6 +192,7 @@
 	})
 	g.budgets = newRetryBudgets(settings, g.retryShare)
 	g.quotas = newQuotas(g.clock.Now(), settings)
+	registerTicketMetrics(registry, g.quotas.tickets)
 	g.rollout = newRolloutState(settings)
 	g.deliveries = newDeliveryState(g.node, settings)
 	var err error
@@ -309,6 +312,7 @@
 	g.life.Go(g.announceLimits)
 	g.life.Go(g.syncQuarantineStore)
 	g.life.Go(g.followCaches)
+	g.life.Go(g.watchEngines)
 	g.life.Go(g.housekeep)
 	g.life.Go(g.keepLease)
 	g.life.Go(g.reportTraffic)
@@ -350,6 +354,7 @@
 			g.backoffs.forget(engine)
 			g.unknownHeaders.forget(engine)
 		}
+		g.sweepSilences()
 		g.upstreams.CloseExpired()
 		g.logLimitUsage()
 		g.metrics.workersInBackoff.Set(float64(len(g.backoffs.workersInBackoff(g.now()))))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,9 +35,14 @@
 	quarantined        prometheus.Gauge
 	beforeSend         prometheus.Histogram
 
+	room    *roomMetrics
+	silence silenceMetrics
+
 	deliveryAnswers *prometheus.CounterVec
 	deliveryLatency *prometheus.HistogramVec
 	deliveryShare   *prometheus.GaugeVec
+
+	engineSpeeds *engineSpeedMetrics
 }
 
 // bytesMetric is the name of the metric that counts the bytes of all connections.
@@ -95,6 +100,7 @@
 		}, []string{"service", "route", "kind"}),
 	}
 	m.quotaDecisions = newQuotaDecisionMetrics(registry)
+	m.engineSpeeds = newEngineSpeedMetrics(registry)
 	m.pressure = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "tillerfall_gateway_pressure", Help: "How near the node is to its limits: 0 free, 1 busy, 2 full.",
 	})
@@ -138,6 +144,8 @@
 	m.storeEpoch = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "tillerfall_gateway_store_epoch", Help: "Highest epoch that the store has reported.",
 	})
+	m.room = newRoomMetrics(registry)
+	m.silence = newSilenceMetrics(registry)
 	if registry != nil {
 		registry.MustRegister(m.droppedRows, m.storeEpoch)
 		registry.MustRegister(m.limitGrants, m.notices, m.workersInBackoff)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -131,6 +131,7 @@
 func (g *Gateway) exchangeLoads() error {
 	known := make(map[fleet.NodeID]bool)
 	for round := 0; g.pauseInterval(loadExchangeInterval); round++ {
+		g.refreshEngineSpeeds()
 		peers := g.loadPeers()
 		present := make(map[fleet.NodeID]bool, len(peers))
 		for _, member := range peers {
@@ -151,6 +152,7 @@
 		}
 		known = present
 		g.workers.SetPeerCount(len(peers))
+		g.metrics.room.tenantsAtShare.Set(float64(g.workers.TenantsAtShare(g.now())))
 		g.updateUsagePeers()
 	}
 	return nil
@@ -216,6 +218,7 @@
 // the response does too.
 func (g *Gateway) handlePartialReport(report *rpc.LoadReport) *rpc.LoadReport {
 	response := &rpc.LoadReport{Node: string(g.node), Partial: true}
+	g.applyAnnouncedSuspects(report)
 	if !report.GetUsesTold() {
 		g.workers.UpdatePeerLoads(fleet.NodeID(report.GetNode()), g.decodeLoads(report.GetLoads()))
 		return response
@@ -236,11 +239,13 @@
 		Limits:      g.limits.encodedLimits(now),
 	}
 	report.Loads = g.encodeLoads(g.workers.OwnLoad())
+	report.Speeds = g.encodeEngineSpeeds(now, to)
 	for service, work := range g.workers.OwnWork(now) {
 		report.Work = append(report.Work, &rpc.ServiceWork{
 			Service: string(service), LongMillis: uint32(work.Long.Milliseconds()), ShortMillis: uint32(work.Short.Milliseconds()),
 		})
 	}
+	report.TenantWork = encodeTenantWork(g.workers.OwnTenantWork(now))
 	for _, suspect := range g.workers.Suspects(now) {
 		report.Suspects = append(report.Suspects, string(suspect))
 	}
@@ -334,7 +339,9 @@
 	}
 	g.workers.ObservePeer(now, fleet.NodeID(report.GetNode()), backends.PeerReport{
 		Loads: g.decodeLoads(report.GetLoads()), Suspects: suspects, Cordons: orders, Work: work, Deferring: g.deferringWorkers(report),
+		TenantWork: g.decodeTenantWork(report.GetTenantWork()),
 	})
+	g.applyEngineSpeeds(now, report)
 	for _, run := range report.GetDraining() {
 		g.observeDraining(backends.DrainingRun{Worker: fleet.EngineID(run.GetWorker()), StartTime: backends.StartTime(run.GetBorn())}, noticeSourcePeer)
 	}
