--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/delivery"
-	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/overload"
 )
 
 // Request holds the properties of a request that the choice of a worker depends on.
@@ -56,9 +56,9 @@
 	// RetryAfter is the predicted time until capacity is available; 0 if unknown.
 	RetryAfter time.Duration
 	// Limit is the limit that the request's wait exceeds; zero unless Reason is ReasonLate.
-	Limit engineroom.Limit
+	Limit overload.Limit
 
-	// unmet is nil if the engine room records nothing.
+	// unmet is nil if the overload control records nothing.
 	unmet *unmetDemand
 }
 
--- a/internal/backends/choose_strategies_test.go
+++ b/internal/backends/choose_strategies_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/overload"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
 )
 
@@ -87,7 +87,7 @@
 		return decision, true, time.Since(start)
 	}
 	decision = f.registry.decide(s, prompt)
-	allowed := engineroom.OnTimeWait(prompt.engine.Target, decision.ServiceTime)
+	allowed := overload.OnTimeWait(prompt.engine.Target, decision.ServiceTime)
 	isTooLate := func() bool { return prompt.engine.MayRefuse && decision.Late && decision.WaitTime > allowed }
 	if isTooLate() && variant.name == "few" {
 		if _, added := s.addSpareEngines(allowed); added {
--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/enginespeed"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/overload"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
 )
 
@@ -140,7 +140,7 @@
 // to wait for at most maxWait, and some once if it would miss its target by its waiting even so. It
 // updates the decision and returns the shortest wait that it knows of.
 func (r *Registry) addSpareEngines(search *search, prompt *prompt, decision *scheduling.Decision, maxWait time.Duration) time.Duration {
-	allowed := min(engineroom.OnTimeWait(prompt.engine.Target, decision.ServiceTime), maxWait)
+	allowed := min(overload.OnTimeWait(prompt.engine.Target, decision.ServiceTime), maxWait)
 	for decision.Late && decision.WaitTime > allowed && !search.exhaustive {
 		shortestWait, added := search.addSpareEngines(allowed)
 		if !added {
--- a/internal/backends/late_test.go
+++ b/internal/backends/late_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tillerfall/tillerfall/internal/delivery"
-	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/overload"
 )
 
 // targetedRequest returns a request with a target of half a second.
@@ -95,7 +95,7 @@
 	request.Engine.Store, request.Engine.LinkMegabits = "", 1
 	request.Engine.Target, request.Engine.TimeLeft, request.Engine.Deadline = 600*time.Millisecond, 600*time.Millisecond, time.Second
 	registry.ObserveCache(registry.workers["e0"].worker.Run(), true, []PartChange{{Stored: true, Scope: Scope(testModel, 1, "", false), Part: "p"}})
-	registry.room("engines").RecordRefused(0, &engineroom.Request{Priority: 0}, 0, engineroom.CauseDeadline)
+	registry.overloadController("engines").RecordRefused(0, &overload.Request{Priority: 0}, 0, overload.CauseDeadline)
 	placement, refusal := registry.Choose(0, request)
 	require.NotNil(t, placement, refusal)
 	assert.Equal(t, fleet.EngineID("e1"), placement.Worker.ID)
@@ -119,8 +119,8 @@
 		require.NotNil(t, placement, refusal)
 		assert.NotEqual(t, target.ID, placement.Worker.ID, name)
 		assert.Empty(t, registry.OwnTenantWork(time.Second), "nothing is reported while no demand is unmet")
-		room := registry.room("engines")
-		assert.Equal(t, engineroom.CauseDeadline, room.Limit(0, &engineroom.Request{Priority: 2, Target: time.Second, Deadline: time.Second}).Cause, name)
+		controller := registry.overloadController("engines")
+		assert.Equal(t, overload.CauseDeadline, controller.Limit(0, &overload.Request{Priority: 2, Target: time.Second, Deadline: time.Second}).Cause, name)
 		request.Software = delivery.NewFilter("new", true, nil, nil)
 		placement, _ = registry.Choose(0, request)
 		assert.Nil(t, placement, name)
@@ -134,15 +134,15 @@
 		"first token": func(placement *Placement, at time.Duration) { placement.FirstByte(at) },
 		"cancelled":   func(placement *Placement, at time.Duration) { placement.End(at, Cancelled) },
 	} {
-		for took, cause := range map[time.Duration]engineroom.Cause{
-			1100 * time.Millisecond: engineroom.CauseDeadline,
-			1500 * time.Millisecond: engineroom.CausePriority,
+		for took, cause := range map[time.Duration]overload.Cause{
+			1100 * time.Millisecond: overload.CauseDeadline,
+			1500 * time.Millisecond: overload.CausePriority,
 		} {
 			registry := newEngineRegistry()
 			placement, refusal := registry.Choose(0, targetedRequest("p", 40_000, 1))
 			require.NotNil(t, placement, refusal)
 			finish(placement, took)
-			limit := registry.room("engines").Limit(took, &engineroom.Request{Priority: 2, Target: time.Second, Deadline: time.Second})
+			limit := registry.overloadController("engines").Limit(took, &overload.Request{Priority: 2, Target: time.Second, Deadline: time.Second})
 			assert.Equal(t, cause, limit.Cause, "%s after %v", name, took)
 		}
 	}
--- a/internal/backends/load.go
+++ b/internal/backends/load.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/overload"
 )
 
 // Load is the load that one node places on a worker.
@@ -23,7 +23,7 @@
 }
 
 // PriorityCount is the number of request priorities; 0 is the most urgent.
-const PriorityCount = engineroom.PriorityCount
+const PriorityCount = overload.PriorityCount
 
 // PriorityLoad is the load of the requests of one priority.
 type PriorityLoad struct {
--- a/internal/backends/room_replay_test.go
+++ b/internal/backends/overload_replay_test.go
@@ -13,7 +13,7 @@
 	"github.com/tillerfall/tillerfall/internal/scheduling"
 )
 
-// Parameters of the roomReplay's engines, from the sheet of the deployment whose load it replays.
+// Parameters of the replay's engines: those of the deployment whose load it replays.
 const (
 	replayChunk    = 2048
 	replayTokensMs = 61.4
@@ -57,8 +57,8 @@
 
 func byPriority(a, b *replayRequest) int { return cmp.Compare(a.kind.priority, b.kind.priority) }
 
-// roomEngine runs a batch of requests. More urgent requests displace the least urgent ones.
-type roomEngine struct {
+// overloadEngine runs a batch of requests. More urgent requests displace the least urgent ones.
+type overloadEngine struct {
 	worker           Worker
 	speed            float64
 	waiting, running []*replayRequest
@@ -67,7 +67,7 @@
 	dark             bool
 }
 
-func (e *roomEngine) admit() {
+func (e *overloadEngine) admit() {
 	slices.SortStableFunc(e.waiting, byPriority)
 	for len(e.waiting) > 0 {
 		next := e.waiting[0]
@@ -91,7 +91,7 @@
 }
 
 // step computes a chunk of prompts, and a token of each stream that is past its prompt.
-func (e *roomEngine) step(now time.Duration, holds func(*replayRequest), done func(*replayRequest)) {
+func (e *overloadEngine) step(now time.Duration, holds func(*replayRequest), done func(*replayRequest)) {
 	e.admit()
 	left := replayChunk
 	for _, request := range slices.Clone(e.running) {
@@ -116,12 +116,12 @@
 	e.stepEnd = now + time.Duration(e.speed*float64(replayStep+time.Duration(len(e.running))*replaySlotStep+prefill))
 }
 
-// roomReplay is a quarter of the fleet under a quarter of the load: 4 nodes before 22 engines.
-type roomReplay struct {
+// overloadReplay is a quarter of the fleet under a quarter of the load: 4 nodes before 22 engines.
+type overloadReplay struct {
 	random   *rand.Rand
 	now, end time.Duration
 	nodes    []*Registry
-	engines  map[fleet.EngineID]*roomEngine
+	engines  map[fleet.EngineID]*overloadEngine
 	kinds    []*replayKind
 	// weights are the tenants' parts of the load, and nodeOf the node to which a request comes.
 	weights []float64
@@ -133,9 +133,10 @@
 	// darkEngines are dark from darkAt on.
 	darkEngines int
 	darkAt      time.Duration
-	// sharesRoom is set if requests carry their caller's deadline, which switches on the engine room.
-	sharesRoom bool
-	returning  map[time.Duration][]*replayRequest
+	// controlsOverload is set if requests carry their caller's deadline, which switches on overload
+	// control.
+	controlsOverload bool
+	returning        map[time.Duration][]*replayRequest
 	// engineTime is what tenants' requests took from measureAt on.
 	engineTime []time.Duration
 	measureAt  time.Duration
@@ -143,10 +144,10 @@
 	restartAt time.Duration
 }
 
-func newRoomReplay(seed uint64, nodes int, sharesRoom bool) *roomReplay {
-	r := &roomReplay{
-		random: rand.New(rand.NewPCG(seed, 1)), end: 25 * time.Second, sharesRoom: sharesRoom, flood: 1,
-		engines: make(map[fleet.EngineID]*roomEngine), returning: make(map[time.Duration][]*replayRequest),
+func newOverloadReplay(seed uint64, nodes int, controlsOverload bool) *overloadReplay {
+	r := &overloadReplay{
+		random: rand.New(rand.NewPCG(seed, 1)), end: 25 * time.Second, controlsOverload: controlsOverload, flood: 1,
+		engines: make(map[fleet.EngineID]*overloadEngine), returning: make(map[time.Duration][]*replayRequest),
 		kinds: []*replayKind{
 			{perSecond: 218, burst: 1.7, burstAt: 14 * time.Second, burstEnd: 17500 * time.Millisecond, priority: 3, things: 900,
 				shared: 55, own: 330, output: 45, target: 500 * time.Millisecond, deadline: 4 * time.Second},
@@ -162,7 +163,7 @@
 	for number := range 22 {
 		worker := engineWorker(number, 1)
 		worker.Slots = replaySlots
-		r.engines[worker.ID] = &roomEngine{worker: worker, speed: []float64{1, 1, 1.3}[number%3], held: make(map[string]time.Duration)}
+		r.engines[worker.ID] = &overloadEngine{worker: worker, speed: []float64{1, 1, 1.3}[number%3], held: make(map[string]time.Duration)}
 	}
 	for number := range nodes {
 		r.nodes = append(r.nodes, r.newNode(number))
@@ -170,7 +171,7 @@
 	return r
 }
 
-func (r *roomReplay) newNode(number int) *Registry {
+func (r *overloadReplay) newNode(number int) *Registry {
 	node := New(Options{
 		Zone: "a", Random: rand.New(rand.NewPCG(uint64(number), 2)), Scheduling: scheduling.DefaultOptions(),
 		PrefillPerToken: 16 * time.Microsecond,
@@ -181,9 +182,9 @@
 	return node
 }
 
-func (r *roomReplay) engineIDs() []fleet.EngineID { return slices.Sorted(maps.Keys(r.engines)) }
+func (r *overloadReplay) engineIDs() []fleet.EngineID { return slices.Sorted(maps.Keys(r.engines)) }
 
-func (r *roomReplay) run() *roomReplay {
+func (r *overloadReplay) run() *overloadReplay {
 	ids := r.engineIDs()
 	for r.now = replayTick; r.now < r.end; r.now += replayTick {
 		if r.now == r.darkAt {
@@ -215,7 +216,7 @@
 	return r
 }
 
-func (r *roomReplay) darken(ids []fleet.EngineID) {
+func (r *overloadReplay) darken(ids []fleet.EngineID) {
 	for _, id := range ids {
 		r.engines[id].dark = true
 		for _, node := range r.nodes {
@@ -224,7 +225,7 @@
 	}
 }
 
-func (r *roomReplay) arrive(kind *replayKind) {
+func (r *overloadReplay) arrive(kind *replayKind) {
 	total := 0.0
 	for _, weight := range r.weights {
 		total += weight
@@ -242,14 +243,14 @@
 }
 
 // place lets a node choose an engine. A refused caller returns once, when it was told to.
-func (r *roomReplay) place(request *replayRequest) {
+func (r *overloadReplay) place(request *replayRequest) {
 	kind, number := request.kind, r.nodeOf(request.tenant)
 	engine := &EngineRequest{
 		Model: testModel, Tenant: fleet.TenantName(fmt.Sprint("t", request.tenant)), PromptTokens: kind.shared + kind.own, OutputTokens: kind.output,
 		TokenBytes: 35_136, LinkMegabits: 180_000, Parts: []Part{{request.prefix, kind.shared}, {fmt.Sprint(r.random.Int()), kind.own}},
 		Priority: kind.priority, EventTokens: 6, Target: kind.target, TimeLeft: kind.target, MayRefuse: true,
 	}
-	if r.sharesRoom {
+	if r.controlsOverload {
 		engine.Deadline = request.arrivedAt + kind.deadline - r.now
 	}
 	placement, refusal := r.nodes[number].Choose(r.now, &Request{Service: "engines", Engine: engine})
@@ -274,7 +275,7 @@
 	}
 }
 
-func (r *roomReplay) complete(request *replayRequest) {
+func (r *overloadReplay) complete(request *replayRequest) {
 	request.placement.End(r.now, Succeeded)
 	if request.firstAt-request.arrivedAt <= request.kind.target {
 		request.kind.inTime++
@@ -285,7 +286,7 @@
 
 // hold keeps a review's shared part in an engine's memory, instead of the one unused for longest, and
 // tells all nodes.
-func (r *roomReplay) hold(engine *roomEngine, request *replayRequest) {
+func (r *overloadReplay) hold(engine *overloadEngine, request *replayRequest) {
 	if request.kind.shared < 1000 {
 		return
 	}
@@ -307,7 +308,7 @@
 }
 
 // expire ends the requests whose callers' deadlines have passed.
-func (r *roomReplay) expire() {
+func (r *overloadReplay) expire() {
 	for _, engine := range r.engines {
 		for _, request := range slices.Concat(engine.waiting, engine.running) {
 			if r.now > request.arrivedAt+request.kind.deadline {
@@ -321,7 +322,7 @@
 
 func nodeID(number int) fleet.NodeID { return fleet.NodeID(fmt.Sprint("n", number)) }
 
-func (r *roomReplay) exchange() {
+func (r *overloadReplay) exchange() {
 	for number, node := range r.nodes {
 		for other, peer := range r.nodes {
 			if other != number {
@@ -332,7 +333,7 @@
 	}
 }
 
-func (r *roomReplay) announce(number int, id fleet.EngineID) {
+func (r *overloadReplay) announce(number int, id fleet.EngineID) {
 	for _, load := range r.nodes[number].OwnLoad() {
 		for other, peer := range r.nodes {
 			if load.Engine == id && other != number {
--- a/internal/backends/room_test.go
+++ b/internal/backends/overload_test.go
@@ -8,14 +8,14 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/overload"
 )
 
 // hardLoad replays a day on which a quarter of the engines goes dark, long reviews and then short
 // replies come in bursts, and two tenants send 4.9 times their usual.
-func hardLoad(seed uint64, sharesRoom bool) *roomReplay {
-	r := newRoomReplay(seed, 4, sharesRoom)
+func hardLoad(seed uint64, controlsOverload bool) *overloadReplay {
+	r := newOverloadReplay(seed, 4, controlsOverload)
 	r.darkAt, r.darkEngines = 2500*time.Millisecond, 5
 	r.flooding, r.flood, r.floodAt, r.floodEnd = []int{1, 4}, 4.9, 6900*time.Millisecond, 12600*time.Millisecond
 	return r.run()
@@ -25,7 +25,7 @@
 // standard error of late.
 type outcomes struct{ inTime, late, lateError, refused, expired float64 }
 
-func outcomesOf(kind int, replays []*roomReplay) outcomes {
+func outcomesOf(kind int, replays []*overloadReplay) outcomes {
 	var sum outcomes
 	squares, count := 0.0, float64(len(replays))
 	for _, r := range replays {
@@ -43,7 +43,7 @@
 // most urgent kind, beyond the error of the sample, while less urgent ones use the engines.
 func TestUrgentRequestsAreLateUnderHardLoad(t *testing.T) {
 	const seeds = 6
-	var before, after []*roomReplay
+	var before, after []*overloadReplay
 	for seed := range uint64(seeds) {
 		before, after = append(before, hardLoad(seed, false)), append(after, hardLoad(seed, true))
 	}
@@ -57,8 +57,8 @@
 
 // competing replays ten tenants that want more than engines have, one of them four times as much as
 // usual, and six that want little.
-func competing(perSecond float64) *roomReplay {
-	r := newRoomReplay(1, 10, true)
+func competing(perSecond float64) *overloadReplay {
+	r := newOverloadReplay(1, 10, true)
 	r.kinds = r.kinds[1:]
 	r.kinds[0].perSecond, r.kinds[0].burst, r.kinds[0].things = perSecond, 1, 20
 	for tenant := range r.weights {
@@ -84,9 +84,9 @@
 // TestFloodTakesEngineTimeOfOthers guards against shares by what tenants send, by the number of nodes
 // to which they come, or by what was known before all nodes restarted.
 func TestFloodTakesEngineTimeOfOthers(t *testing.T) {
-	for name, change := range map[string]func(*roomReplay){
-		"anywhere": func(*roomReplay) {},
-		"two at one node each": func(r *roomReplay) {
+	for name, change := range map[string]func(*overloadReplay){
+		"anywhere": func(*overloadReplay) {},
+		"two at one node each": func(r *overloadReplay) {
 			r.nodeOf = func(tenant int) int {
 				if tenant == 9 || tenant == 3 {
 					return tenant
@@ -94,7 +94,7 @@
 				return r.random.IntN(len(r.nodes))
 			}
 		},
-		"restart": func(r *roomReplay) { r.restartAt, r.measureAt = 8*time.Second, 11*time.Second },
+		"restart": func(r *overloadReplay) { r.restartAt, r.measureAt = 8*time.Second, 11*time.Second },
 	} {
 		r := competing(500)
 		change(r)
@@ -111,9 +111,9 @@
 	assert.Greater(t, r.engineTime[9], 3*r.engineTime[8])
 }
 
-// TestRoomChangesChoicesWithoutShortage guards against other choices than without the engine room
-// while there is room.
-func TestRoomChangesChoicesWithoutShortage(t *testing.T) {
+// TestOverloadControlChangesChoicesWithoutShortage guards against other choices than without
+// overload control while engines can take all requests.
+func TestOverloadControlChangesChoicesWithoutShortage(t *testing.T) {
 	var chosen [2][]fleet.EngineID
 	for index, deadline := range []time.Duration{0, 4 * time.Second} {
 		registry := newEngineRegistry()
@@ -164,14 +164,14 @@
 	placement, _ := one.Choose(0, request)
 	require.NotNil(t, placement)
 	assert.Empty(t, one.OwnTenantWork(0))
-	one.room("engines").RecordRefused(0, &engineroom.Request{Tenant: "busy"}, time.Second, engineroom.CauseDeadline)
+	one.overloadController("engines").RecordRefused(0, &overload.Request{Tenant: "busy"}, time.Second, overload.CauseDeadline)
 	work := one.OwnTenantWork(time.Second)
 	require.Len(t, work["engines"], 1)
 	assert.Equal(t, fleet.TenantName("busy"), work["engines"][0].Tenant)
 	other.ObservePeer(0, "one", PeerReport{TenantWork: work})
-	other.ObservePeer(0, "two", PeerReport{TenantWork: map[fleet.PoolName][]engineroom.Use{"unknown": work["engines"]}})
+	other.ObservePeer(0, "two", PeerReport{TenantWork: map[fleet.PoolName][]overload.Use{"unknown": work["engines"]}})
 	assert.Equal(t, 1, other.TenantsAtShare(0))
-	assert.Len(t, other.rooms, 1)
+	assert.Len(t, other.overloadControllers, 1)
 	other.ForgetPeer("one")
 	assert.Zero(t, other.TenantsAtShare(time.Second))
 }
--- a/internal/backends/peers.go
+++ b/internal/backends/peers.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/overload"
 )
 
 // PeerReport is a peer's report on its load and on the workers.
@@ -20,7 +20,7 @@
 	// Work holds the work of the peer's requests by service.
 	Work map[fleet.PoolName]Work
 	// TenantWork holds the engine time of the peer's requests by service and tenant.
-	TenantWork map[fleet.PoolName][]engineroom.Use
+	TenantWork map[fleet.PoolName][]overload.Use
 }
 
 // peerReports holds the latest report of each peer, and their totals.
@@ -279,8 +279,8 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.peers.forget(node)
-	for _, room := range r.rooms {
-		room.ForgetPeer(node)
+	for _, controller := range r.overloadControllers {
+		controller.ForgetPeer(node)
 	}
 }
 
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
-	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/enginespeed"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/overload"
 	"github.com/tillerfall/tillerfall/internal/prefixindex"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
 )
@@ -73,9 +73,9 @@
 	speedTables  map[fleet.PoolName]*enginespeed.Table
 	parts        *partIndex
 	workTrackers map[fleet.PoolName]*workTracker
-	// rooms holds, by service, who uses its engines.
-	rooms map[fleet.PoolName]*engineroom.Room
-	pools map[fleet.PoolName]*pool
+	// overloadControllers holds, by service, who uses its engines.
+	overloadControllers map[fleet.PoolName]*overload.Controller
+	pools               map[fleet.PoolName]*pool
 	// subsets are the active subsets, planned the last ones that this node planned, and shortages
 	// the capacity that they lacked. With onlySubsets, workers outside the active subsets are not
 	// tracked.
@@ -129,7 +129,7 @@
 		speedTables:         make(map[fleet.PoolName]*enginespeed.Table),
 		parts:               newPartIndex(options.MaxParts),
 		workTrackers:        make(map[fleet.PoolName]*workTracker),
-		rooms:               make(map[fleet.PoolName]*engineroom.Room),
+		overloadControllers: make(map[fleet.PoolName]*overload.Controller),
 		pools:               make(map[fleet.PoolName]*pool),
 		shortages:           make(map[fleet.PoolName]shortage),
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,8 +35,8 @@
 	quarantined        prometheus.Gauge
 	beforeSend         prometheus.Histogram
 
-	room    *roomMetrics
-	silence silenceMetrics
+	overload *overloadMetrics
+	silence  silenceMetrics
 
 	deliveryAnswers *prometheus.CounterVec
 	deliveryLatency *prometheus.HistogramVec
@@ -144,7 +144,7 @@
 	m.storeEpoch = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "tillerfall_gateway_store_epoch", Help: "Highest epoch that the store has reported.",
 	})
-	m.room = newRoomMetrics(registry)
+	m.overload = newOverloadMetrics(registry)
 	m.silence = newSilenceMetrics(registry)
 	if registry != nil {
 		registry.MustRegister(m.droppedRows, m.storeEpoch)
--- a/internal/gateway/engineroom.go
+++ b/internal/gateway/overload.go
@@ -6,8 +6,8 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tillerfall/tillerfall/internal/backends"
-	"github.com/tillerfall/tillerfall/internal/engineroom"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/overload"
 	"github.com/tillerfall/tillerfall/internal/rpc"
 )
 
@@ -16,7 +16,7 @@
 const maxTenantWork = 12 * time.Hour
 
 // callerWaits returns for how long the caller still waits, at least 1 ms, if the route has a target and
-// a timeout and the request a tenant; otherwise 0, and the engine room doesn't limit the request.
+// a timeout and the request a tenant; otherwise 0, and the overload control doesn't limit the request.
 func (g *Gateway) callerWaits(current *callerRequest) time.Duration {
 	if current.tenant == nil || current.route.Timeout <= 0 || current.route.TargetLatency <= 0 {
 		return 0
@@ -26,7 +26,7 @@
 
 // reportLateRefusal counts and logs a request that is refused because it would wait for too long.
 func (g *Gateway) reportLateRefusal(current *callerRequest, refused *backends.Refusal) {
-	g.metrics.room.refusals.WithLabelValues(string(refused.Limit.Cause)).Inc()
+	g.metrics.overload.refusals.WithLabelValues(string(refused.Limit.Cause)).Inc()
 	line := g.events.line("refused_late").Str("request_id", current.metadata.RequestID).Str("route", current.route.Name).
 		Str("cause", string(refused.Limit.Cause)).Int("priority", priorityOf(current)).Dur("allowed_wait", refused.Limit.Wait).
 		Dur("retry_after", refused.RetryAfter)
@@ -37,7 +37,7 @@
 }
 
 // encodeTenantWork returns the engine time of this gateway's requests by service and tenant.
-func encodeTenantWork(work map[fleet.PoolName][]engineroom.Use) []*rpc.TenantWork {
+func encodeTenantWork(work map[fleet.PoolName][]overload.Use) []*rpc.TenantWork {
 	var encoded []*rpc.TenantWork
 	for service, uses := range work {
 		for _, use := range uses {
@@ -55,8 +55,8 @@
 }
 
 // decodeTenantWork decodes a peer's report. Unreadable entries are left out and reported.
-func (g *Gateway) decodeTenantWork(encoded []*rpc.TenantWork) map[fleet.PoolName][]engineroom.Use {
-	work := make(map[fleet.PoolName][]engineroom.Use)
+func (g *Gateway) decodeTenantWork(encoded []*rpc.TenantWork) map[fleet.PoolName][]overload.Use {
+	work := make(map[fleet.PoolName][]overload.Use)
 	for _, entry := range encoded {
 		use, err := decodeUse(entry)
 		if err != nil {
@@ -69,18 +69,18 @@
 	return work
 }
 
-func decodeUse(entry *rpc.TenantWork) (engineroom.Use, error) {
+func decodeUse(entry *rpc.TenantWork) (overload.Use, error) {
 	used, usedErr := decodeMillis(entry.GetMillis())
 	unmet, unmetErr := decodeMillis(entry.GetRefusedMillis())
 	switch {
 	case entry.GetService() == "" || entry.GetTenant() == "":
-		return engineroom.Use{}, errors.New("work without service or tenant")
+		return overload.Use{}, errors.New("work without service or tenant")
 	case usedErr != nil:
-		return engineroom.Use{}, errors.Wrap(usedErr, "work")
+		return overload.Use{}, errors.Wrap(usedErr, "work")
 	case unmetErr != nil:
-		return engineroom.Use{}, errors.Wrap(unmetErr, "refused work")
+		return overload.Use{}, errors.Wrap(unmetErr, "refused work")
 	default:
-		return engineroom.Use{Tenant: fleet.TenantName(entry.GetTenant()), Used: used, Unmet: unmet}, nil
+		return overload.Use{Tenant: fleet.TenantName(entry.GetTenant()), Used: used, Unmet: unmet}, nil
 	}
 }
 
--- a/internal/gateway/roommetrics.go
+++ b/internal/gateway/overloadmetrics.go
@@ -2,14 +2,14 @@
 
 import "github.com/prometheus/client_golang/prometheus"
 
-// roomMetrics are the metrics of the decision whose requests wait for an engine.
-type roomMetrics struct {
+// overloadMetrics are the metrics of the decision whose requests wait for an engine.
+type overloadMetrics struct {
 	refusals       *prometheus.CounterVec
 	tenantsAtShare prometheus.Gauge
 }
 
-func newRoomMetrics(registry *prometheus.Registry) *roomMetrics {
-	m := &roomMetrics{
+func newOverloadMetrics(registry *prometheus.Registry) *overloadMetrics {
+	m := &overloadMetrics{
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tillerfall_gateway_late_refusals_total", Help: "Requests refused since they would have waited too long at every engine, by the rule that limits their wait.",
 		}, []string{"cause"}),
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -152,7 +152,7 @@
 		}
 		known = present
 		g.workers.SetPeerCount(len(peers))
-		g.metrics.room.tenantsAtShare.Set(float64(g.workers.TenantsAtShare(g.now())))
+		g.metrics.overload.tenantsAtShare.Set(float64(g.workers.TenantsAtShare(g.now())))
 		g.updateUsagePeers()
 	}
 	return nil
--- a/internal/engineroom/lateness.go
+++ b/internal/overload/lateness.go
@@ -1,4 +1,4 @@
-package engineroom
+package overload
 
 import (
 	"math"
--- a/internal/engineroom/engineroom.go
+++ b/internal/overload/overload.go
@@ -1,5 +1,5 @@
-// Package engineroom decides how long a request may wait for an engine while the engines of a
-// service have too little room for all requests.
+// Package overload decides how long a request may wait for an engine while the engines of a
+// service are too busy for all requests.
 //
 // It answers with the longest predicted wait with which a request is placed; a request that would
 // wait longer is refused. Without shortage the limit follows from the request's target and its
@@ -9,8 +9,8 @@
 // Shares are of engine time, since that is what is short: a cached token costs none, and a slot that
 // a short prompt holds costs less than one that a long prompt holds.
 //
-// The package does no I/O and has no clock. A Room isn't safe for concurrent use.
-package engineroom
+// The package does no I/O and has no clock. A Controller isn't safe for concurrent use.
+package overload
 
 import (
 	"time"
--- a/internal/engineroom/peers.go
+++ b/internal/overload/peers.go
@@ -1,4 +1,4 @@
-package engineroom
+package overload
 
 import (
 	"time"
@@ -17,22 +17,22 @@
 }
 
 // ObservePeer replaces the report of a peer. Tenants beyond MaxReported are ignored.
-func (r *Room) ObservePeer(now time.Duration, node fleet.NodeID, uses []Use) {
-	r.peers[node] = peerReport{receivedAt: now, uses: uses[:min(len(uses), MaxReported)]}
+func (c *Controller) ObservePeer(now time.Duration, node fleet.NodeID, uses []Use) {
+	c.peers[node] = peerReport{receivedAt: now, uses: uses[:min(len(uses), MaxReported)]}
 }
 
 // ForgetPeer drops the report of a peer.
-func (r *Room) ForgetPeer(node fleet.NodeID) { delete(r.peers, node) }
+func (c *Controller) ForgetPeer(node fleet.NodeID) { delete(c.peers, node) }
 
 // addPeers adds the valid reports to the totals and drops the others.
-func (r *Room) addPeers(now time.Duration) {
-	for node, report := range r.peers {
+func (c *Controller) addPeers(now time.Duration) {
+	for node, report := range c.peers {
 		if now >= report.receivedAt+reportValidity {
-			delete(r.peers, node)
+			delete(c.peers, node)
 			continue
 		}
 		for _, use := range report.uses {
-			addBounded(r.totals, use.Tenant, amounts{used: use.Used, unmet: use.Unmet})
+			addBounded(c.totals, use.Tenant, amounts{used: use.Used, unmet: use.Unmet})
 		}
 	}
 }
--- a/internal/engineroom/shares.go
+++ b/internal/overload/shares.go
@@ -1,4 +1,4 @@
-package engineroom
+package overload
 
 import (
 	"math"
@@ -34,41 +34,41 @@
 }
 
 // updateShare computes the totals over all nodes and the share, at most once each shareInterval.
-// While room is short, the capacity is what is used.
-func (r *Room) updateShare(now time.Duration) {
-	if now < r.nextShareAt {
+// While engine time is short, the capacity is what is used.
+func (c *Controller) updateShare(now time.Duration) {
+	if now < c.nextShareAt {
 		return
 	}
-	r.nextShareAt = now + shareInterval
-	r.own.advance(now)
-	clear(r.totals)
-	for tenant, amount := range r.own.tenants {
-		r.totals[tenant] = amount
+	c.nextShareAt = now + shareInterval
+	c.own.advance(now)
+	clear(c.totals)
+	for tenant, amount := range c.own.tenants {
+		c.totals[tenant] = amount
 	}
-	r.addPeers(now)
-	r.demands = r.demands[:0]
+	c.addPeers(now)
+	c.demands = c.demands[:0]
 	var sum amounts
-	for _, amount := range r.totals {
-		r.demands = append(r.demands, amount.demand())
+	for _, amount := range c.totals {
+		c.demands = append(c.demands, amount.demand())
 		sum = sum.plus(amount)
 	}
-	r.share, r.isShort = 0, sum.unmet > 0
+	c.share, c.isShort = 0, sum.unmet > 0
 	if sum.unmet > scale(sum.demand(), minUnmetFraction) {
-		r.share = fairShare(r.demands, sum.used)
+		c.share = fairShare(c.demands, sum.used)
 	}
 }
 
-// isAtShare reports whether a tenant has used its share while room is short.
-func (r *Room) isAtShare(used time.Duration) bool {
-	return r.share > 0 && used >= scale(r.share, nearShare)
+// isAtShare reports whether a tenant has used its share while engine time is short.
+func (c *Controller) isAtShare(used time.Duration) bool {
+	return c.share > 0 && used >= scale(c.share, nearShare)
 }
 
-// TenantsAtShare returns the number of tenants that want more than their share while room is short.
-func (r *Room) TenantsAtShare(now time.Duration) int {
-	r.updateShare(now)
+// TenantsAtShare returns the number of tenants that want more than their share while engine time is short.
+func (c *Controller) TenantsAtShare(now time.Duration) int {
+	c.updateShare(now)
 	count := 0
-	for _, amount := range r.totals {
-		if r.isAtShare(amount.used) && amount.demand() > r.share {
+	for _, amount := range c.totals {
+		if c.isAtShare(amount.used) && amount.demand() > c.share {
 			count++
 		}
 	}
