--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -85,17 +85,17 @@
 	account.demand.ask(now, request.priority(), request.Amount)
 	class := account.sizes[request.priority()].ask(now, request.Amount, account.limit.Burst)
 	share := l.updateAccount(now, account, l.shares(now))
-	room := l.room(account, &request, class, share)
+	allowance := l.allowance(account, &request, class, share)
 	decision := Decision{
-		Limit: account.limit, Share: share, Available: room.available, Reserved: room.kept(), NearLimit: account.nearLimit,
-		Cause: room.decide(now),
+		Limit: account.limit, Share: share, Available: allowance.available, Reserved: allowance.kept(), NearLimit: account.nearLimit,
+		Cause: allowance.decide(now),
 	}
 	decision.Admitted = decision.Cause.admits()
 	if decision.Admitted {
-		room.take(now)
+		allowance.take(now)
 	} else {
-		decision.RetryAfter = room.promise(now, l.options.Window)
-		decision.FreeRate, decision.FreeAfter = room.free(l.options.Window)
+		decision.RetryAfter = allowance.promise(now, l.options.Window)
+		decision.FreeRate, decision.FreeAfter = allowance.free(l.options.Window)
 	}
 	return decision
 }
@@ -108,14 +108,14 @@
 	return account.updateNearLimit(now, shares, l.options.Slack)
 }
 
-// room returns what is left of a tenant's limit for a request.
-func (l *Limiter) room(account *account, request *Request, class sizeClass, share float64) room {
+// allowance returns what is left of a tenant's limit for a request.
+func (l *Limiter) allowance(account *account, request *Request, class sizeClass, share float64) allowance {
 	burst := account.limit.Burst * share
 	if l.joining {
 		burst = min(burst, account.limit.Burst/assumedJoiningNodes)
 	}
 	priority := request.priority()
-	return room{
+	return allowance{
 		account: account, request: request, priority: priority, class: class, share: share,
 		available: account.available(share, l.joining),
 		debt:      l.debt(share),
--- a/internal/quota/priority_test.go
+++ b/internal/quota/priority_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// urgentTarget is the fraction of the urgent requests within the limit's room that are to be
+	// urgentTarget is the fraction of the urgent requests within the limit that are to be
 	// served, usedTarget the fraction of the limit that is to be used in a flood.
 	urgentTarget = 0.98
 	usedTarget   = 0.95
@@ -105,7 +105,7 @@
 	}
 }
 
-// requireUrgent checks that the urgent requests within the limit's room were served.
+// requireUrgent checks that the urgent requests within the limit were served.
 func (r *tally) requireUrgent(t *testing.T, duration time.Duration, rate float64) {
 	t.Helper()
 	room := min(r.asked[0], rate*duration.Seconds()*(1-minimumShare*(PriorityCount-1)))
