--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -129,11 +129,14 @@
 	Deferred
 	// Silent means that this node ended the request since nothing came from its engine.
 	Silent
+	// Disconnected means that this node's own link to the worker failed, which says nothing of the
+	// worker.
+	Disconnected
 )
 
 // String returns the name of the outcome.
 func (o Outcome) String() string {
-	return [...]string{"succeeded", "failed", "refused", "mismatched", "unreachable", "lost", "cancelled", "deferred", "silent"}[o]
+	return [...]string{"succeeded", "failed", "refused", "mismatched", "unreachable", "lost", "cancelled", "deferred", "silent", "disconnected"}[o]
 }
 
 // Choose chooses a worker and counts the request there. If there is none, it returns a nil
@@ -347,7 +350,7 @@
 		if !p.hasFirstByte {
 			state.suspect(now)
 		}
-	case Cancelled, Deferred:
+	case Cancelled, Deferred, Disconnected:
 	case Silent:
 		// The engine's suspension, which ends as soon as it is heard, keeps requests away.
 	}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -105,7 +105,7 @@
 }
 
 // recordUnreachable records that no connection to a worker could be opened. A refused connection
-// means that the worker has ended.
+// means that the worker has ended, unless this gateway's own link is lost.
 func (g *Gateway) recordUnreachable(worker fleet.EngineID, err error) {
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		g.recordWorkerEnded(worker, quarantine.ConnectionRefused)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
@@ -33,6 +34,8 @@
 	errStaleConfiguration = errors.New("configuration too old")
 	// errDraining means that the worker is draining or gone since it was chosen.
 	errDraining = errors.New("worker shuts down")
+	// errLinkLost means that the connection hangs since this gateway is partitioned from the workers.
+	errLinkLost = errors.New("link to the worker lost")
 )
 
 // servingConnectionFraction is the part of a worker's connections that the serving gateways share;
@@ -62,7 +65,7 @@
 }
 
 // outgoingRequest returns the request as it is sent to a worker.
-func (g *Gateway) outgoingRequest(ctx context.Context, current *callerRequest, placement *backends.Placement) *upstream.Request {
+func (g *Gateway) outgoingRequest(ctx context.Context, current *callerRequest, placement *backends.Placement, send *pendingSend) *upstream.Request {
 	header := forwardedHeader(current.request.Header)
 	g.dependencies.Codec.StripReserved(header)
 	dispatch := &Dispatch{
@@ -83,6 +86,10 @@
 		Host:   current.request.Host,
 		Header: header,
 		Body:   current.body,
+		Connected: func(relay fleet.NodeID) {
+			current.relay = relay
+			send.direct.Store(relay == "")
+		},
 		Permit: func() error { return g.permitSend(ctx, current, &placement.Worker, dispatch, header) },
 		CheckResponse: func(status int, header http.Header) error {
 			info := g.dependencies.Codec.ReadResponse(status, header)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -95,7 +95,7 @@
 // sendTo sends the request to a chosen worker and relays the response.
 func (g *Gateway) sendTo(ctx context.Context, current *callerRequest, placement *backends.Placement) attempt.Step {
 	current.worker = string(placement.Worker.ID)
-	current.sentAt, current.eventCount = g.now(), 0
+	current.sentAt, current.eventCount, current.relay = g.now(), 0, ""
 	g.logPlacement(current, placement)
 	if current.firstSentAt == 0 {
 		current.firstSentAt = g.now()
@@ -110,6 +110,9 @@
 		return g.handleSendError(ctx, sending, current, placement, err)
 	}
 	defer response.Close()
+	if current.relay == "" {
+		g.links.recordHeard(g.now())
+	}
 	g.observeHead(current.watched)
 	info := g.dependencies.Codec.ReadResponse(response.Status, response.Header)
 	g.reportInvalidInput(current.metadata.RequestID, info.Invalid)
@@ -132,14 +135,18 @@
 // the send may be cancelled because the engine's model version has become too old or the request
 // has been quarantined.
 func (g *Gateway) exchangeWith(ctx context.Context, cancel context.CancelCauseFunc, current *callerRequest, placement *backends.Placement) (*upstream.Response, error) {
-	send := &pendingSend{cancel: cancel, fingerprint: current.fingerprint, quarantineTrial: current.quarantineTrial}
+	send := &pendingSend{
+		cancel: cancel, fingerprint: current.fingerprint, quarantineTrial: current.quarantineTrial,
+		repeatable: current.attempts.CanRepeat(),
+	}
 	if placement.Engine != nil {
 		send.model, send.version = current.metadata.Model, placement.Engine.Version
 	}
 	g.pending.add(send)
 	defer g.pending.remove(send)
+	defer g.checkLinkAfter(&placement.Worker)()
 	ctx = traffic.With(ctx, traffic.Requests, g.distanceTo(placement.Worker.Zone))
-	return g.upstreams.Do(ctx, g.destination(current, &placement.Worker), g.outgoingRequest(ctx, current, placement))
+	return g.upstreams.Do(ctx, g.destination(current, &placement.Worker), g.outgoingRequest(ctx, current, placement, send))
 }
 
 // isAcceptable reports whether a worker's response may be passed on. A success must be signed, and
@@ -180,6 +187,12 @@
 	case (errors.Is(err, errStaleVersion) || errors.Is(err, errQuarantined)) && sent:
 		g.recordOutcome(current, placement, backends.Cancelled, err.Error())
 		return current.attempts.Unanswered(g.now(), run)
+	case errors.Is(err, errLinkLost) && sent:
+		g.recordOutcome(current, placement, backends.Disconnected, err.Error())
+		return current.attempts.Unanswered(g.now(), run)
+	case errors.Is(err, errNoPath):
+		g.recordOutcome(current, placement, backends.Disconnected, err.Error())
+		return current.attempts.NoWorker(err.Error(), g.relays.availableIn(g.now()))
 	case errors.Is(err, errQuarantined):
 		g.recordOutcome(current, placement, backends.Cancelled, err.Error())
 		verdict := g.quarantines.check(g.now(), current.fingerprint)
@@ -194,9 +207,12 @@
 		errors.Is(err, errDeadlinePassed):
 		g.recordOutcome(current, placement, backends.Cancelled, err.Error())
 		return current.attempts.NotSent(g.now(), run)
+	case !sent && (current.relay != "" || errors.Is(err, errLinkLost)):
+		g.recordOutcome(current, placement, backends.Disconnected, err.Error())
+		return current.attempts.NotSent(g.now(), run)
 	case !sent:
-		g.recordUnreachable(placement.Worker.ID, err)
 		g.recordOutcome(current, placement, backends.Unreachable, err.Error())
+		g.recordUnreachable(placement.Worker.ID, err)
 		return current.attempts.NotSent(g.now(), run)
 	default:
 		g.recordOutcome(current, placement, backends.Lost, err.Error())
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -13,6 +13,7 @@
 
 	"github.com/tillerfall/tillerfall/internal/attempt"
 	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/nodecapacity"
 	"github.com/tillerfall/tillerfall/internal/quarantine"
 	"github.com/tillerfall/tillerfall/internal/resultcode"
@@ -73,6 +74,8 @@
 	// sentAt is when the last send began, eventCount the number of events received from it.
 	sentAt     time.Duration
 	eventCount int
+	// relay is the gateway through which the current send goes; empty if its connection is direct.
+	relay fleet.NodeID
 	// lostPlacement is the placement of a lost run that is to be resumed at another engine.
 	lostPlacement *backends.Placement
 	// watched is the current send, if it is to an engine. moved is set once a send was cancelled
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,10 +78,14 @@
 	cacheLog           *cacheLog
 	zoneFeeds          *zoneFeeds
 	crashes            *crashDetector
-	quarantines        *quarantineState
-	suspensions        *suspension.Detector
-	suspensionSignal   *suspensionSignal
-	deadlines          *deadlineTimers
+	links              *workerLinks
+	relays             *relays
+	// directDial opens connections to workers and to other gateways' tunnels.
+	directDial       traffic.DialContext
+	quarantines      *quarantineState
+	suspensions      *suspension.Detector
+	suspensionSignal *suspensionSignal
+	deadlines        *deadlineTimers
 	// quarantineTable is followed only by gateways that read the store.
 	quarantineTable *table
 	roles           atomic.Pointer[nodeRoles]
@@ -160,6 +164,8 @@
 		cacheLog:         newCacheLog(rand.Uint64()),
 		zoneFeeds:        newZoneFeeds(),
 		crashes:          newCrashDetector(),
+		links:            newWorkerLinks(),
+		relays:           newRelays(),
 		quarantines:      newQuarantineState(),
 		suspensionSignal: newSuspensionSignal(),
 		deadlines:        newDeadlineTimers(),
@@ -186,9 +192,14 @@
 		Random:     random(),
 		Scheduling: schedulingOptions(),
 	})
+	g.directDial = upstream.NewDial(g.dependencies.Traffic)
 	g.upstreams = upstream.NewPool(upstream.Options{
 		Traffic: g.dependencies.Traffic,
-		OnDial:  func(fleet.EngineID) { g.metrics.connections.Inc() },
+		Dial:    g.dialWorker,
+		KeepsRelayed: func(destination upstream.Destination, relay fleet.NodeID) bool {
+			return g.keepsRelayed(destination.Engine, relay)
+		},
+		OnDial: func(fleet.EngineID) { g.metrics.connections.Inc() },
 	})
 	g.budgets = newRetryBudgets(settings, g.retryShare)
 	g.quotas = newQuotas(g.clock.Now(), settings)
@@ -313,6 +324,7 @@
 	g.life.Go(g.syncQuarantineStore)
 	g.life.Go(g.followCaches)
 	g.life.Go(g.watchEngines)
+	g.life.Go(g.recheckLinks)
 	g.life.Go(g.housekeep)
 	g.life.Go(g.keepLease)
 	g.life.Go(g.reportTraffic)
@@ -353,6 +365,7 @@
 			g.limits.forget(engine)
 			g.backoffs.forget(engine)
 			g.unknownHeaders.forget(engine)
+			g.links.forget(engine)
 		}
 		g.sweepSilences()
 		g.upstreams.CloseExpired()
--- /dev/null
+++ b/internal/gateway/links.go
@@ -0,0 +1,206 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/reachability"
+	"github.com/tillerfall/tillerfall/internal/upstream"
+)
+
+const (
+	// linkCheckDelay is how long a request waits for a sign of life from any worker before a new
+	// connection to its worker is tried. It is well above a round trip; a check costs one connection.
+	linkCheckDelay = 300 * time.Millisecond
+	// linkCheckInterval is the time between two looks at links that are due for a check.
+	linkCheckInterval = 250 * time.Millisecond
+	// linksCheckedAtOnce is how many further links are checked once one was found lost, so that a
+	// partition from all workers is soon told from the loss of one link.
+	linksCheckedAtOnce = 2
+)
+
+// workerLinks holds which links from this gateway to workers are lost. It is safe for concurrent use.
+type workerLinks struct {
+	mutex   sync.Mutex
+	monitor *reachability.Monitor
+	// heardAt is when a worker was last heard on a direct connection.
+	heardAt time.Duration
+	// checking holds the workers to which a connection is being tried as a check.
+	checking map[fleet.EngineID]bool
+}
+
+func newWorkerLinks() *workerLinks {
+	return &workerLinks{monitor: reachability.New(), checking: make(map[fleet.EngineID]bool)}
+}
+
+// isPartitioned reports whether this gateway is partitioned from all workers.
+func (l *workerLinks) isPartitioned() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.monitor.IsPartitioned()
+}
+
+// isLost reports whether the link to a worker is lost.
+func (l *workerLinks) isLost(worker fleet.EngineID) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.monitor.IsLinkLost(worker)
+}
+
+// connectedSince reports whether this gateway has opened a direct connection to a worker since a time.
+func (l *workerLinks) connectedSince(since time.Duration) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.monitor.ConnectedAt() > max(since, 0)
+}
+
+// recordHeard records that a worker was heard on a direct connection.
+func (l *workerLinks) recordHeard(now time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.heardAt = max(l.heardAt, now)
+}
+
+// needsCheck reports whether no worker was heard for linkCheckDelay and no check is under way.
+func (l *workerLinks) needsCheck(now time.Duration) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return now >= l.heardAt+linkCheckDelay && len(l.checking) == 0
+}
+
+func (l *workerLinks) forget(worker fleet.EngineID) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.monitor.Forget(worker)
+}
+
+// beginCheck reports whether no check of the link to a worker is under way, and begins one.
+func (l *workerLinks) beginCheck(worker fleet.EngineID) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.checking[worker] {
+		return false
+	}
+	l.checking[worker] = true
+	return true
+}
+
+func (l *workerLinks) endCheck(worker fleet.EngineID) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.checking, worker)
+}
+
+// recordConnected records that this gateway has opened a direct connection to a worker.
+func (g *Gateway) recordConnected(worker fleet.EngineID) {
+	now := g.now()
+	g.links.mutex.Lock()
+	wasLost := g.links.monitor.IsLinkLost(worker)
+	change := g.links.monitor.Connected(now, worker)
+	g.links.heardAt = max(g.links.heardAt, now)
+	g.links.mutex.Unlock()
+	if !wasLost {
+		return
+	}
+	g.events.line("link_regained").Str("worker", string(worker)).Msg("link_regained")
+	if change == reachability.Healed {
+		g.metrics.links.partitioned.Set(0)
+		g.logger.Info().Msg("partition_healed")
+	}
+}
+
+// recordLinkLost records that another gateway has connected to a worker to which this one couldn't.
+func (g *Gateway) recordLinkLost(worker fleet.EngineID, relay fleet.NodeID) {
+	now, known := g.now(), len(g.workers.Workers())
+	g.links.mutex.Lock()
+	wasLost := g.links.monitor.IsLinkLost(worker)
+	change := g.links.monitor.LinkLost(now, worker, known)
+	g.links.mutex.Unlock()
+	if !wasLost {
+		g.events.line("link_lost").Str("worker", string(worker)).Str("relay", string(relay)).Msg("link_lost")
+		g.checkOtherLinks(worker)
+	}
+	if change == reachability.Partitioned {
+		g.beginPartition(known)
+	}
+}
+
+// beginPartition gives up connections that may hang.
+func (g *Gateway) beginPartition(known int) {
+	g.metrics.links.partitioned.Set(1)
+	g.logger.Warn().Int("workers", known).Msg("partitioned_from_workers")
+	g.upstreams.CloseIdleDirect()
+	g.pending.cancelHanging()
+}
+
+// checkLinkAfter tries a new connection to a worker if a request there has waited for linkCheckDelay
+// and no worker was heard meanwhile: open connections may hang. The returned function ends the wait.
+func (g *Gateway) checkLinkAfter(worker *backends.Worker) (stop func() bool) {
+	timer := time.AfterFunc(linkCheckDelay, func() {
+		if g.links.needsCheck(g.now()) && !g.links.isLost(worker.ID) {
+			g.checkLink(*worker)
+		}
+	})
+	return timer.Stop
+}
+
+// checkLink tries a new connection to a worker, which shows whether the link is lost. The connection is
+// kept for requests.
+func (g *Gateway) checkLink(worker backends.Worker) {
+	if !g.links.beginCheck(worker.ID) {
+		return
+	}
+	defer g.links.endCheck(worker.ID)
+	g.upstreams.Probe(g.context(), upstream.Destination{Engine: worker.ID, Address: worker.Address})
+}
+
+// checkOtherLinks checks some links besides one that was found lost.
+func (g *Gateway) checkOtherLinks(lost fleet.EngineID) {
+	started := 0
+	for _, worker := range g.workers.WorkersInUse() {
+		if started == linksCheckedAtOnce {
+			return
+		}
+		if worker.ID == lost || g.links.isLost(worker.ID) {
+			continue
+		}
+		started++
+		go g.checkLink(worker)
+	}
+}
+
+// recheckLinks tries lost links again, one connection at a time, until the process ends.
+func (g *Gateway) recheckLinks() error {
+	for g.pause(linkCheckInterval) {
+		g.links.mutex.Lock()
+		id, due := g.links.monitor.NextCheck(g.now())
+		g.links.mutex.Unlock()
+		if !due {
+			continue
+		}
+		worker, known := g.workers.Worker(id)
+		if !known {
+			g.links.forget(id)
+			continue
+		}
+		g.recheckLink(worker)
+	}
+	return nil
+}
+
+// recheckLink tries a direct connection to a worker.
+func (g *Gateway) recheckLink(worker backends.Worker) {
+	ctx, cancel := context.WithTimeout(g.context(), upstream.DefaultDialTimeout)
+	defer cancel()
+	conn, err := g.dialDirect(ctx, upstream.Destination{Engine: worker.ID, Address: worker.Address})
+	if err != nil {
+		g.links.mutex.Lock()
+		g.links.monitor.StillLost(g.now(), worker.ID)
+		g.links.mutex.Unlock()
+		return
+	}
+	_ = conn.Close()
+}
--- /dev/null
+++ b/internal/gateway/links_test.go
@@ -0,0 +1,172 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/traffic"
+	"github.com/tillerfall/tillerfall/internal/tunnel"
+	"github.com/tillerfall/tillerfall/internal/upstream"
+)
+
+// linkTestGateway returns a gateway that knows four workers. It isn't started.
+func linkTestGateway(t *testing.T) *Gateway {
+	g := newTestGateway(t)
+	for _, id := range linkTestWorkers {
+		g.workers.Observe(1, backends.Worker{ID: id, Service: "app", Address: "127.0.0.1:1", Slots: 4})
+	}
+	return g
+}
+
+var linkTestWorkers = []fleet.EngineID{"w1", "w2", "w3", "w4"}
+
+// partition makes a gateway lose its links to all workers.
+func partition(g *Gateway) {
+	for _, id := range linkTestWorkers {
+		g.links.monitor.LinkLost(g.now()+time.Nanosecond, id, len(linkTestWorkers))
+	}
+}
+
+// TestHangingSendsGoElsewhereAtAPartition guards against requests that wait for their deadline on
+// connections that hang, and against a second run of those that may run once.
+func TestHangingSendsGoElsewhereAtAPartition(t *testing.T) {
+	g := linkTestGateway(t)
+	begin := func(repeatable, direct bool) context.Context {
+		ctx, cancel := context.WithCancelCause(context.Background())
+		send := &pendingSend{cancel: cancel, repeatable: repeatable}
+		send.direct.Store(direct)
+		g.pending.add(send)
+		return ctx
+	}
+	hanging, once, relayed := begin(true, true), begin(false, true), begin(true, false)
+	g.beginPartition(len(linkTestWorkers))
+	assert.ErrorIs(t, context.Cause(hanging), errLinkLost)
+	assert.NoError(t, once.Err())
+	assert.NoError(t, relayed.Err())
+}
+
+// relayAnswering starts a node that answers requests for tunnels with an error, or opens them if there
+// is none.
+func relayAnswering(t *testing.T, cause error) relayCandidate {
+	node := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		if cause != nil {
+			tunnel.Refuse(writer, cause)
+			return
+		}
+		conn, err := tunnel.Accept(writer)
+		if assert.NoError(t, err) {
+			t.Cleanup(func() { _ = conn.Close() })
+		}
+	}))
+	t.Cleanup(node.Close)
+	return relayCandidate{node: fleet.NodeID(node.URL), address: fleet.Address(node.Listener.Addr().String()), distance: traffic.SameZone}
+}
+
+// raceTo races for a connection to w1 with some gateways to ask.
+func raceTo(g *Gateway, direct traffic.DialContext, candidates ...relayCandidate) (net.Conn, error) {
+	plain := g.directDial
+	g.directDial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if address == "127.0.0.1:1" {
+			return direct(ctx, network, address)
+		}
+		return plain(ctx, network, address)
+	}
+	defer func() { g.directDial = plain }()
+	ctx, cancel := context.WithTimeout(context.Background(), upstream.DefaultDialTimeout)
+	defer cancel()
+	race := &workerDial{
+		gateway: g, destination: upstream.Destination{Engine: "w1", Address: "127.0.0.1:1"}, relays: candidates,
+		results: make(chan dialAttempt, len(candidates)+1), linkLost: g.links.isLost("w1"),
+	}
+	defer race.closeLosers()
+	return race.run(ctx)
+}
+
+func refusedDial(context.Context, string, string) (net.Conn, error) {
+	return nil, syscall.ECONNREFUSED
+}
+
+func hangingDial(ctx context.Context, _, _ string) (net.Conn, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestWorkerReachedByAnotherGatewayLosesNothing guards against a worker that is blamed, or a request
+// that fails, since this gateway's link to it is lost.
+func TestWorkerReachedByAnotherGatewayLosesNothing(t *testing.T) {
+	for name, direct := range map[string]traffic.DialContext{"refused": refusedDial, "hanging": hangingDial} {
+		t.Run(name, func(t *testing.T) {
+			g := linkTestGateway(t)
+			conn, err := raceTo(g, direct, relayAnswering(t, tunnel.ErrUnavailable), relayAnswering(t, nil))
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			relayed, ok := conn.(upstream.RelayedConn)
+			require.True(t, ok)
+			assert.NotEmpty(t, relayed.Relay())
+			assert.True(t, g.links.isLost("w1"))
+			assert.False(t, g.links.isLost("w2"))
+		})
+	}
+}
+
+// TestWorkerRefusedElsewhereTooHasEnded guards against a crash that isn't noticed since another gateway
+// was asked, and against one that is inferred from this gateway's refused connections alone.
+func TestWorkerRefusedElsewhereTooHasEnded(t *testing.T) {
+	g := linkTestGateway(t)
+	_, err := raceTo(g, refusedDial, relayAnswering(t, tunnel.ErrWorkerRefused))
+	assert.ErrorIs(t, err, syscall.ECONNREFUSED)
+	_, err = raceTo(g, refusedDial, relayAnswering(t, tunnel.ErrWorkerUnreachable))
+	assert.NotErrorIs(t, err, syscall.ECONNREFUSED)
+	assert.False(t, g.links.isLost("w1"))
+}
+
+// TestPartitionedGatewayWithoutRelaysRefusesAtOnce guards against requests that wait although no other
+// gateway takes them, and against workers that are blamed for it.
+func TestPartitionedGatewayWithoutRelaysRefusesAtOnce(t *testing.T) {
+	g := linkTestGateway(t)
+	partition(g)
+	start := time.Now()
+	_, err := raceTo(g, hangingDial, relayAnswering(t, tunnel.ErrUnavailable))
+	assert.ErrorIs(t, err, errNoPath)
+	assert.Less(t, time.Since(start), relayDelay)
+	_, err = raceTo(g, hangingDial)
+	assert.ErrorIs(t, err, errNoPath)
+	g.relays.record(g.now(), "other", tunnel.ErrUnavailable, false)
+	assert.Positive(t, g.relays.availableIn(g.now()))
+	assert.LessOrEqual(t, g.relays.availableIn(g.now()), relayBackoff)
+}
+
+// TestGatewayWithoutLinksOpensNoTunnels guards against two gateways without links that confirm each
+// other's failures, and against requests that go through more than two gateways.
+func TestGatewayWithoutLinksOpensNoTunnels(t *testing.T) {
+	g := linkTestGateway(t)
+	g.directDial = refusedDial
+	cause := g.explainDialFailure(context.Background(), "w1", syscall.ECONNREFUSED)
+	assert.ErrorIs(t, cause, tunnel.ErrUnavailable)
+	partition(g)
+	_, err := g.admitTunnel(tunnel.Request{Node: g.node, Worker: "w1"})
+	assert.ErrorIs(t, err, tunnel.ErrUnavailable)
+}
+
+// TestTunnelsAreForMembersOnly guards against tunnels for anybody who reaches the inner address, and to
+// addresses that are no worker's.
+func TestTunnelsAreForMembersOnly(t *testing.T) {
+	g := linkTestGateway(t)
+	_, err := g.admitTunnel(tunnel.Request{Node: "stranger", Worker: "w1"})
+	assert.ErrorIs(t, err, tunnel.ErrUnavailable)
+	_, err = g.admitTunnel(tunnel.Request{Node: g.node, Worker: "unknown"})
+	assert.ErrorIs(t, err, tunnel.ErrUnavailable)
+	destination, err := g.admitTunnel(tunnel.Request{Node: g.node, Worker: "w1"})
+	require.NoError(t, err)
+	assert.Equal(t, fleet.Address("127.0.0.1:1"), destination.Address)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,6 +35,7 @@
 	quarantined        prometheus.Gauge
 	beforeSend         prometheus.Histogram
 
+	links    *linkMetrics
 	overload *overloadMetrics
 	silence  silenceMetrics
 
@@ -144,6 +145,7 @@
 	m.storeEpoch = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "tillerfall_gateway_store_epoch", Help: "Highest epoch that the store has reported.",
 	})
+	m.links = newLinkMetrics(registry)
 	m.overload = newOverloadMetrics(registry)
 	m.silence = newSilenceMetrics(registry)
 	if registry != nil {
--- a/internal/gateway/pending.go
+++ b/internal/gateway/pending.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -36,6 +37,10 @@
 	// quarantineTrial is set if the request is quarantined and this is its single trial.
 	quarantineTrial bool
 	cancel          context.CancelCauseFunc
+	// repeatable is set if the request may be sent again while this send is unanswered. direct is set
+	// once the send has a direct connection.
+	repeatable bool
+	direct     atomic.Bool
 }
 
 func newPendingSends() *pendingSends { return &pendingSends{sends: make(map[*pendingSend]bool)} }
@@ -52,6 +57,18 @@
 	delete(p.sends, send)
 }
 
+// cancelHanging cancels the sends on direct connections that may be made again on another one.
+func (p *pendingSends) cancelHanging() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for send := range p.sends {
+		if send.repeatable && send.direct.Load() {
+			send.cancel(errLinkLost)
+			delete(p.sends, send)
+		}
+	}
+}
+
 // cancelStale cancels the sends that wait at an older version than required.
 func (p *pendingSends) cancelStale(required map[fleet.ModelName]backends.ModelVersion) {
 	p.mutex.Lock()
--- a/internal/gateway/pressure.go
+++ b/internal/gateway/pressure.go
@@ -57,6 +57,8 @@
 	// last measurement.
 	connections       atomic.Int64
 	workerConnections atomic.Int64
+	// tunnels counts the open tunnels that this gateway carries for others.
+	tunnels atomic.Int64
 }
 
 // level returns this gateway's pressure at the last measurement.
@@ -145,7 +147,7 @@
 
 // openDescriptors returns the approximate number of open file descriptors.
 func (p *pressureMonitor) openDescriptors() int {
-	return int(p.connections.Load()+p.workerConnections.Load()) + baseDescriptors
+	return int(p.connections.Load()+p.workerConnections.Load()+p.tunnels.Load()*tunnelDescriptors) + baseDescriptors
 }
 
 // observeConnection is the ConnState hook of all servers.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -47,13 +47,13 @@
 	return err
 }
 
-// awaitDrained waits until callers have left and no request is in flight, or until the grace period
-// is nearly over.
+// awaitDrained waits until callers have left, no request is in flight and other gateways have closed
+// their tunnels, or until the grace period is nearly over.
 func (g *Gateway) awaitDrained(start time.Duration) {
 	end := start + g.settings().StopGrace - stopReserve
 	for g.now() < end {
 		quiet := g.now()-time.Duration(g.lastRequest.Load()) > quietDuration
-		if g.now() > start+leaveDuration && quiet && g.inFlight.Load() == 0 {
+		if g.now() > start+leaveDuration && quiet && g.inFlight.Load() == 0 && g.pressure.tunnels.Load() == 0 {
 			return
 		}
 		time.Sleep(stopPollInterval)
--- /dev/null
+++ b/internal/gateway/workerdial.go
@@ -0,0 +1,231 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/traffic"
+	"github.com/tillerfall/tillerfall/internal/tunnel"
+	"github.com/tillerfall/tillerfall/internal/upstream"
+)
+
+const (
+	// relayDelay is how long a direct connection may take before another gateway is asked for one, as
+	// between address families in RFC 8305.
+	relayDelay = 150 * time.Millisecond
+	// nextRelayDelay is the time between the first and the next gateways that are asked.
+	nextRelayDelay = 100 * time.Millisecond
+	// maxRelaysAsked bounds the gateways that are asked for one connection.
+	maxRelaysAsked = 4
+)
+
+// errNoPath means that this gateway's link to a worker is lost and no other gateway opens a tunnel. It
+// says nothing of the worker.
+var errNoPath = errors.New("no path to the worker")
+
+// relayedConn is a connection to a worker through another gateway.
+type relayedConn struct {
+	*tunnel.Conn
+	system syscall.Conn
+	relay  fleet.NodeID
+}
+
+var _ upstream.RelayedConn = (*relayedConn)(nil)
+
+// Relay implements upstream.RelayedConn.
+func (c *relayedConn) Relay() fleet.NodeID { return c.relay }
+
+// SyscallConn implements syscall.Conn.
+func (c *relayedConn) SyscallConn() (syscall.RawConn, error) { return c.system.SyscallConn() }
+
+// dialAttempt is the result of one way to connect to a worker.
+type dialAttempt struct {
+	conn net.Conn
+	err  error
+	// relay is the gateway that was asked; empty for the direct attempt.
+	relay fleet.NodeID
+}
+
+// workerDial is the state of one race for a connection to a worker.
+type workerDial struct {
+	gateway     *Gateway
+	destination upstream.Destination
+	// results has room for all attempts, so that none blocks.
+	results chan dialAttempt
+	running int
+	// relays are the gateways that haven't been asked.
+	relays []relayCandidate
+	// directErr is the error of the direct attempt, unless linkLost is set: then there is none.
+	directErr error
+	linkLost  bool
+	// reached is set once another gateway has answered for the worker, and refused once that answer was
+	// that the worker refuses connections.
+	reached, refused bool
+}
+
+// dialWorker opens a connection to a worker: a direct one or, if that fails or takes long, one through
+// another gateway. While the link to the worker is lost, only other gateways are asked.
+func (g *Gateway) dialWorker(ctx context.Context, destination upstream.Destination) (net.Conn, error) {
+	dialing, cancel := context.WithCancel(ctx)
+	race := &workerDial{
+		gateway: g, destination: destination, relays: g.relays.candidates(g.now(), maxRelaysAsked, g.relayMembers()),
+		results: make(chan dialAttempt, maxRelaysAsked+1), linkLost: g.links.isLost(destination.Engine),
+	}
+	conn, err := race.run(dialing)
+	cancel()
+	go race.closeLosers()
+	return conn, err
+}
+
+// run makes attempts one after the other until one succeeds or none is left.
+func (d *workerDial) run(ctx context.Context) (net.Conn, error) {
+	delay := relayDelay
+	if d.linkLost {
+		delay = 0
+	} else {
+		d.start(func() dialAttempt {
+			conn, err := d.gateway.dialDirect(ctx, d.destination)
+			return dialAttempt{conn: conn, err: err}
+		})
+	}
+	next := time.NewTimer(delay)
+	defer next.Stop()
+	for {
+		select {
+		case attempt := <-d.results:
+			d.running--
+			if attempt.err == nil {
+				d.recordWinner(attempt)
+				return attempt.conn, nil
+			}
+			d.recordFailure(attempt)
+			if d.reached {
+				return nil, d.failure(nil)
+			}
+			next.Reset(0)
+		case <-next.C:
+			if d.askNextRelay(ctx) {
+				next.Reset(nextRelayDelay)
+			}
+		case <-ctx.Done():
+			return nil, d.failure(context.Cause(ctx))
+		}
+		if d.running == 0 && len(d.relays) == 0 {
+			return nil, d.failure(nil)
+		}
+	}
+}
+
+func (d *workerDial) start(attempt func() dialAttempt) {
+	d.running++
+	go func() { d.results <- attempt() }()
+}
+
+// askNextRelay asks the next gateway for a tunnel. It returns false if none is left.
+func (d *workerDial) askNextRelay(ctx context.Context) bool {
+	if len(d.relays) == 0 {
+		return false
+	}
+	candidate := d.relays[0]
+	d.relays = d.relays[1:]
+	d.start(func() dialAttempt {
+		conn, err := d.gateway.dialRelayed(ctx, candidate, d.destination.Engine)
+		return dialAttempt{conn: conn, err: err, relay: candidate.node}
+	})
+	return true
+}
+
+// recordWinner records what a connection through another gateway says of this gateway's link. If the
+// direct attempt is still running, it has taken longer than a way through two machines.
+func (d *workerDial) recordWinner(won dialAttempt) {
+	if won.relay == "" {
+		return
+	}
+	d.gateway.metrics.links.relayedDials.WithLabelValues("opened").Inc()
+	if !d.linkLost {
+		d.gateway.recordLinkLost(d.destination.Engine, won.relay)
+	}
+}
+
+func (d *workerDial) recordFailure(failed dialAttempt) {
+	switch {
+	case failed.relay == "":
+		d.directErr = failed.err
+	case errors.Is(failed.err, tunnel.ErrWorkerRefused):
+		d.reached, d.refused = true, true
+	case errors.Is(failed.err, tunnel.ErrWorkerUnreachable):
+		d.reached = true
+	}
+}
+
+// failure returns the error of a race without a winner. If a gateway with sound links couldn't connect
+// to the worker either, the failure is the worker's; otherwise, if the link is lost, it is this
+// gateway's own.
+func (d *workerDial) failure(cause error) error {
+	switch {
+	case d.refused:
+		return errors.Wrap(tunnel.ErrWorkerRefused, "asked another gateway")
+	case d.reached:
+		return errors.Wrap(tunnel.ErrWorkerUnreachable, "asked another gateway")
+	case d.directErr != nil:
+		return d.directErr
+	case d.linkLost:
+		d.gateway.metrics.links.relayedDials.WithLabelValues("no_path").Inc()
+		return errNoPath
+	default:
+		return errors.Wrap(cause, "connect")
+	}
+}
+
+// closeLosers closes the connections that lost the race.
+func (d *workerDial) closeLosers() {
+	for ; d.running > 0; d.running-- {
+		if attempt := <-d.results; attempt.conn != nil {
+			_ = attempt.conn.Close()
+		}
+	}
+}
+
+// dialDirect opens a direct connection to a worker.
+func (g *Gateway) dialDirect(ctx context.Context, destination upstream.Destination) (net.Conn, error) {
+	conn, err := g.directDial(ctx, "tcp4", string(destination.Address))
+	if err == nil {
+		g.recordConnected(destination.Engine)
+	}
+	return conn, err
+}
+
+// dialRelayed opens a connection to a worker through another gateway.
+func (g *Gateway) dialRelayed(ctx context.Context, candidate relayCandidate, worker fleet.EngineID) (net.Conn, error) {
+	conn, err := g.openTunnel(ctx, candidate, worker)
+	if err != nil && ctx.Err() == nil {
+		g.metrics.links.relayedDials.WithLabelValues("failed").Inc()
+	}
+	g.relays.record(g.now(), candidate.node, err, ctx.Err() != nil)
+	if err != nil {
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (g *Gateway) openTunnel(ctx context.Context, candidate relayCandidate, worker fleet.EngineID) (*relayedConn, error) {
+	plain, err := g.directDial(traffic.With(ctx, traffic.Requests, candidate.distance), "tcp4", string(candidate.address))
+	if err != nil {
+		return nil, err
+	}
+	system, ok := plain.(syscall.Conn)
+	if !ok {
+		_ = plain.Close()
+		return nil, errors.New("connection has no file descriptor")
+	}
+	opened, err := tunnel.Open(ctx, plain, tunnel.Request{Node: g.node, Worker: worker})
+	if err != nil {
+		return nil, err
+	}
+	return &relayedConn{Conn: opened, system: system, relay: candidate.node}, nil
+}
--- /dev/null
+++ b/internal/tunnel/tunnel.go
@@ -0,0 +1,221 @@
+// Package tunnel carries one connection to a worker through another node.
+//
+// The node that needs the connection sends an HTTP/1.1 upgrade request (RFC 9110, section 7.8), which
+// names the worker. After the 101 response, bytes to the worker follow unchanged, and bytes from it in
+// chunked coding (RFC 9112, section 7.1): a connection that the worker has closed ends with the last
+// chunk, and one that broke on the way doesn't, so that an answer which ends with its connection can't
+// be cut short without notice.
+package tunnel
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
+
+const (
+	// Path is the path of the upgrade request at a node's address for other nodes.
+	Path = "/tunnel"
+	// protocol is the name of the protocol in the Upgrade header.
+	protocol = "tillerfall-tunnel"
+	// workerParameter and nodeParameter name the worker and the requesting node in the query.
+	workerParameter = "worker"
+	nodeParameter   = "node"
+	// bufferSize is the size of the buffers of each direction, in bytes.
+	bufferSize = 4 << 10
+)
+
+// Request is what a node asks for.
+type Request struct {
+	// Node is the node that asks.
+	Node   fleet.NodeID
+	Worker fleet.EngineID
+}
+
+// Errors of Open. Any other one means that the other node could not be asked.
+var (
+	// ErrWorkerRefused means that the worker refused the other node's connection as well.
+	ErrWorkerRefused = errors.Wrap(syscall.ECONNREFUSED, "worker")
+	// ErrWorkerUnreachable means that the other node could not connect to the worker either.
+	ErrWorkerUnreachable = errors.New("worker not reached by the other node")
+	// ErrUnavailable means that the other node opens no tunnels to this worker now.
+	ErrUnavailable = errors.New("other node opens no tunnel")
+	// ErrUnsupported means that the other node's release knows no tunnels.
+	ErrUnsupported = errors.New("other node knows no tunnels")
+)
+
+// errorsByStatus holds the statuses by which a node refuses a tunnel.
+var errorsByStatus = map[int]error{
+	http.StatusBadGateway:         ErrWorkerRefused,
+	http.StatusGatewayTimeout:     ErrWorkerUnreachable,
+	http.StatusServiceUnavailable: ErrUnavailable,
+	http.StatusNotFound:           ErrUnsupported,
+}
+
+// Open asks the node at the other end of a connection for a tunnel, and returns the connection to the
+// worker. It closes conn if there is an error.
+func Open(ctx context.Context, conn net.Conn, request Request) (*Conn, error) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	reader, err := handshake(conn, request)
+	if !stop() && err == nil {
+		err = context.Cause(ctx)
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &Conn{Conn: conn, buffered: reader, chunks: httputil.NewChunkedReader(reader)}, nil
+}
+
+func handshake(conn net.Conn, request Request) (*bufio.Reader, error) {
+	query := url.Values{workerParameter: {string(request.Worker)}, nodeParameter: {string(request.Node)}}
+	upgrade, err := http.NewRequest(http.MethodGet, "http://"+conn.RemoteAddr().String()+Path+"?"+query.Encode(), nil)
+	if err != nil {
+		return nil, err
+	}
+	upgrade.Header.Set("Connection", "Upgrade")
+	upgrade.Header.Set("Upgrade", protocol)
+	upgrade.Header.Set("User-Agent", "")
+	if err := upgrade.Write(conn); err != nil {
+		return nil, errors.Wrap(err, "request tunnel")
+	}
+	reader := bufio.NewReaderSize(conn, bufferSize)
+	response, err := http.ReadResponse(reader, upgrade)
+	if err != nil {
+		return nil, errors.Wrap(err, "request tunnel")
+	}
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return reader, nil
+	}
+	if known := errorsByStatus[response.StatusCode]; known != nil {
+		return nil, known
+	}
+	return nil, errors.Errorf("request tunnel: status %d", response.StatusCode)
+}
+
+// Conn is a connection to a worker through another node.
+type Conn struct {
+	net.Conn
+	buffered *bufio.Reader
+	chunks   io.Reader
+}
+
+// Read returns bytes from the worker, io.EOF once the worker has closed the connection, and
+// io.ErrUnexpectedEOF if the tunnel broke.
+func (c *Conn) Read(into []byte) (int, error) { return c.chunks.Read(into) }
+
+// Buffered returns the number of bytes that have been received and not been read.
+func (c *Conn) Buffered() int { return c.buffered.Buffered() }
+
+// ReadRequest returns what an upgrade request asks for, false if it isn't one for a tunnel.
+func ReadRequest(request *http.Request) (Request, bool) {
+	if request.Method != http.MethodGet || request.URL.Path != Path || request.Header.Get("Upgrade") != protocol {
+		return Request{}, false
+	}
+	query := request.URL.Query()
+	return Request{Node: fleet.NodeID(query.Get(nodeParameter)), Worker: fleet.EngineID(query.Get(workerParameter))}, true
+}
+
+// Refuse answers an upgrade request with the status of one of the errors of Open.
+func Refuse(writer http.ResponseWriter, cause error) {
+	for status, known := range errorsByStatus {
+		if errors.Is(cause, known) {
+			writer.WriteHeader(status)
+			return
+		}
+	}
+	writer.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// Accept answers an upgrade request with 101 and takes over its connection.
+func Accept(writer http.ResponseWriter) (net.Conn, error) {
+	conn, buffered, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		return nil, errors.Wrap(err, "take over connection")
+	}
+	_ = conn.SetDeadline(time.Time{})
+	_, err = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n")
+	if err == nil && buffered.Reader.Buffered() > 0 {
+		err = errors.New("bytes before the tunnel was open")
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// Carry copies between a requesting node and a worker until either end is closed, and closes both.
+func Carry(node, worker net.Conn) {
+	var group sync.WaitGroup
+	group.Go(func() {
+		// The requesting node never closes one direction alone: its end means that the caller has left.
+		_, _ = io.CopyBuffer(onlyWriter{worker}, onlyReader{node}, make([]byte, bufferSize))
+		_ = worker.Close()
+	})
+	if copyChunked(node, worker) == nil {
+		closeWrite(node)
+	} else {
+		reset(node)
+	}
+	group.Wait()
+	_ = node.Close()
+}
+
+// onlyWriter and onlyReader hide the other methods of a connection, by which io.Copy would use
+// splice(2).
+type (
+	onlyWriter struct{ io.Writer }
+	onlyReader struct{ io.Reader }
+)
+
+// copyChunked copies the bytes of a worker in chunked coding. It returns nil once the worker has closed
+// its connection and the last chunk was written.
+func copyChunked(to io.Writer, from io.Reader) error {
+	buffered := bufio.NewWriterSize(to, bufferSize+64)
+	chunks := httputil.NewChunkedWriter(buffered)
+	buffer := make([]byte, bufferSize)
+	for {
+		count, err := from.Read(buffer)
+		if count > 0 {
+			if _, writeErr := chunks.Write(buffer[:count]); writeErr != nil {
+				return writeErr
+			}
+		}
+		if err == io.EOF {
+			err = chunks.Close()
+			return errors.Join(err, buffered.Flush())
+		}
+		if err != nil {
+			return err
+		}
+		if err := buffered.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// reset closes a connection so that the peer can't take its end for a regular one.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+func closeWrite(conn net.Conn) {
+	if half, ok := conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+}
--- /dev/null
+++ b/internal/tunnel/tunnel_test.go
@@ -0,0 +1,123 @@
+package tunnel
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// openTunnel opens a tunnel through a node whose connection to the worker is the returned worker end.
+// carrier is the node's connection to the asking one.
+func openTunnel(t *testing.T) (asking *Conn, worker, carrier net.Conn) {
+	far, near := tcpPair(t)
+	accepted := make(chan net.Conn, 1)
+	node := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		asked, found := ReadRequest(request)
+		assert.True(t, found)
+		assert.Equal(t, Request{Node: "node/1", Worker: "i-7&x"}, asked)
+		conn, err := Accept(writer)
+		if assert.NoError(t, err) {
+			accepted <- conn
+			Carry(conn, near)
+		}
+	}))
+	t.Cleanup(node.Close)
+	conn, err := net.Dial("tcp4", node.Listener.Addr().String())
+	require.NoError(t, err)
+	asking, err = Open(context.Background(), conn, Request{Node: "node/1", Worker: "i-7&x"})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = asking.Close() })
+	return asking, far, <-accepted
+}
+
+func tcpPair(t *testing.T) (one, other net.Conn) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	one, err = net.Dial("tcp4", listener.Addr().String())
+	require.NoError(t, err)
+	other, err = listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _, _ = one.Close(), other.Close() })
+	return one, other
+}
+
+// TestTunnelPassesBytesUnchanged guards against bytes that are lost or held back on the way.
+func TestTunnelPassesBytesUnchanged(t *testing.T) {
+	asking, worker, _ := openTunnel(t)
+	_, err := io.WriteString(asking, "question")
+	require.NoError(t, err)
+	buffer := make([]byte, 64)
+	count, err := worker.Read(buffer)
+	require.NoError(t, err)
+	assert.Equal(t, "question", string(buffer[:count]))
+	for _, part := range []string{"event 1", "event 2"} {
+		_, err = io.WriteString(worker, part)
+		require.NoError(t, err)
+		count, err = asking.Read(buffer)
+		require.NoError(t, err)
+		assert.Equal(t, part, string(buffer[:count]), "before the next one is sent")
+	}
+}
+
+// TestTunnelEndsAsTheWorkersConnection guards against an answer without a length that looks complete
+// although the tunnel or the worker's connection broke.
+func TestTunnelEndsAsTheWorkersConnection(t *testing.T) {
+	for name, test := range map[string]struct {
+		end      func(worker, carrier net.Conn)
+		complete bool
+	}{
+		"closed by the worker": {func(worker, _ net.Conn) { _ = worker.Close() }, true},
+		"reset by the worker":  {func(worker, _ net.Conn) { reset(worker) }, false},
+		"node ended":           {func(_, carrier net.Conn) { _ = carrier.Close() }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			asking, worker, carrier := openTunnel(t)
+			_, err := io.WriteString(worker, "answer")
+			require.NoError(t, err)
+			buffer := make([]byte, 6)
+			_, err = io.ReadFull(asking, buffer)
+			require.NoError(t, err)
+			test.end(worker, carrier)
+			_, err = asking.Read(buffer)
+			if test.complete {
+				assert.Equal(t, io.EOF, err)
+				return
+			}
+			require.Error(t, err)
+			assert.NotEqual(t, io.EOF, err)
+		})
+	}
+}
+
+// TestWorkerHearsThatTheCallerHasLeft guards against runs that go on after the asking node has closed
+// its end.
+func TestWorkerHearsThatTheCallerHasLeft(t *testing.T) {
+	asking, worker, _ := openTunnel(t)
+	require.NoError(t, asking.Close())
+	require.NoError(t, worker.SetReadDeadline(time.Now().Add(time.Second)))
+	_, err := worker.Read(make([]byte, 1))
+	require.Error(t, err)
+	assert.NotErrorIs(t, err, os.ErrDeadlineExceeded, "within a second")
+}
+
+// TestRefusalsAreTold guards against a refusal that is taken for another one, and against a node of an
+// earlier release that is asked again and again.
+func TestRefusalsAreTold(t *testing.T) {
+	for _, cause := range errorsByStatus {
+		node := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { Refuse(writer, cause) }))
+		conn, err := net.Dial("tcp4", node.Listener.Addr().String())
+		require.NoError(t, err)
+		_, err = Open(context.Background(), conn, Request{Node: "n", Worker: "w"})
+		assert.ErrorIs(t, err, cause)
+		node.Close()
+	}
+}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/traffic"
 )
 
 // readBufferSize is the size of a connection's read buffer, in bytes.
@@ -24,8 +25,10 @@
 type connection struct {
 	engine  fleet.EngineID
 	address fleet.Address
-	raw     net.Conn
-	reader  *bufio.Reader
+	// relay is the node through which the connection goes; empty if it is direct.
+	relay  fleet.NodeID
+	raw    net.Conn
+	reader *bufio.Reader
 	// keepAlive is how long the connection may stay idle.
 	keepAlive time.Duration
 	expires   time.Time
@@ -46,6 +49,9 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	if relayed, ok := c.raw.(RelayedConn); ok && relayed.Buffered() > 0 {
+		return false
+	}
 	system, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return true
@@ -79,6 +85,29 @@
 	}
 }
 
+// RelayedConn is a connection to a worker that goes through another node.
+type RelayedConn interface {
+	net.Conn
+	// Relay returns the other node.
+	Relay() fleet.NodeID
+	// Buffered returns the number of bytes that have been received and not been read.
+	Buffered() int
+}
+
+// relayOf returns the node through which a connection goes; empty if it is direct.
+func relayOf(conn net.Conn) fleet.NodeID {
+	if relayed, ok := conn.(RelayedConn); ok {
+		return relayed.Relay()
+	}
+	return ""
+}
+
+// NewDial returns a function that opens connections to workers directly, with the timeouts of a pool.
+// The meter counts their bytes; it may be nil.
+func NewDial(meter *traffic.Meter) traffic.DialContext {
+	return meter.Dial(newDialer(DefaultUserTimeout).DialContext)
+}
+
 // newDialer returns a dialer whose connections detect an unresponsive peer.
 func newDialer(userTimeout time.Duration) *net.Dialer {
 	return &net.Dialer{
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -89,6 +89,9 @@
 	if err != nil {
 		return nil, &ExchangeError{Stage: NotSent, Cause: err}
 	}
+	if request.Connected != nil {
+		request.Connected(conn.relay)
+	}
 	if request.Permit != nil {
 		if err := request.Permit(); err != nil {
 			p.release(conn)
@@ -140,7 +143,7 @@
 func (p *Pool) dial(ctx context.Context, destination Destination) (*connection, error) {
 	dialing, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
 	defer cancel()
-	raw, err := p.options.Dial(dialing, destination.Address)
+	raw, err := p.options.Dial(dialing, destination)
 	if err != nil {
 		p.noteClosed(destination.Engine)
 		return nil, errors.Wrap(err, "connect")
@@ -151,6 +154,7 @@
 	return &connection{
 		engine:    destination.Engine,
 		address:   destination.Address,
+		relay:     relayOf(raw),
 		raw:       raw,
 		reader:    bufio.NewReaderSize(raw, readBufferSize),
 		keepAlive: p.options.IdleTimeout,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -29,7 +29,10 @@
 	// considered dead (TCP_USER_TIMEOUT).
 	UserTimeout time.Duration
 	// Dial opens a connection; nil uses TCP.
-	Dial func(ctx context.Context, address fleet.Address) (net.Conn, error)
+	Dial func(ctx context.Context, destination Destination) (net.Conn, error)
+	// KeepsRelayed reports whether connections through another node are kept for reuse; nil keeps
+	// them.
+	KeepsRelayed func(destination Destination, relay fleet.NodeID) bool
 	// Traffic counts the bytes of connections opened by the default Dial; nil disables counting.
 	Traffic *traffic.Meter
 	// OnDial is called for each connection opened; may be nil.
@@ -63,9 +66,9 @@
 		options.UserTimeout = DefaultUserTimeout
 	}
 	if options.Dial == nil {
-		dial := options.Traffic.Dial(newDialer(options.UserTimeout).DialContext)
-		options.Dial = func(ctx context.Context, address fleet.Address) (net.Conn, error) {
-			return dial(ctx, "tcp4", string(address))
+		dial := NewDial(options.Traffic)
+		options.Dial = func(ctx context.Context, destination Destination) (net.Conn, error) {
+			return dial(ctx, "tcp4", string(destination.Address))
 		}
 	}
 	return &Pool{options: options, workers: make(map[fleet.EngineID]*worker)}
@@ -112,6 +115,37 @@
 	}
 }
 
+// keepsRelayed reports whether a connection is direct, or may be kept although it is relayed.
+func (p *Pool) keepsRelayed(conn *connection) bool {
+	if conn.relay == "" || p.options.KeepsRelayed == nil {
+		return true
+	}
+	return p.options.KeepsRelayed(Destination{Engine: conn.engine, Address: conn.address}, conn.relay)
+}
+
+// CloseIdleDirect closes the idle connections that don't go through another node.
+func (p *Pool) CloseIdleDirect() {
+	p.closeIdleIf(func(conn *connection) bool { return conn.relay == "" })
+}
+
+// closeIdleIf closes the idle connections that match.
+func (p *Pool) closeIdleIf(matches func(conn *connection) bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, state := range p.workers {
+		kept := state.idle[:0]
+		for _, idle := range state.idle {
+			if !matches(idle) {
+				kept = append(kept, idle)
+				continue
+			}
+			idle.raw.Close()
+			state.open--
+		}
+		state.idle = kept
+	}
+}
+
 // CloseIdle closes all idle connections.
 func (p *Pool) CloseIdle() {
 	p.mutex.Lock()
@@ -135,7 +169,7 @@
 	for len(state.idle) > 0 {
 		last := state.idle[len(state.idle)-1]
 		state.idle = state.idle[:len(state.idle)-1]
-		if last.address == destination.Address && now.Before(last.expires) && last.isUsable() {
+		if last.address == destination.Address && now.Before(last.expires) && p.keepsRelayed(last) && last.isUsable() {
 			return last, true
 		}
 		last.raw.Close()
@@ -200,19 +234,6 @@
 
 // CloseExpired closes the idle connections that have expired.
 func (p *Pool) CloseExpired() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
 	now := time.Now()
-	for _, state := range p.workers {
-		kept := state.idle[:0]
-		for _, idle := range state.idle {
-			if now.Before(idle.expires) {
-				kept = append(kept, idle)
-				continue
-			}
-			idle.raw.Close()
-			state.open--
-		}
-		state.idle = kept
-	}
+	p.closeIdleIf(func(conn *connection) bool { return !now.Before(conn.expires) || !p.keepsRelayed(conn) })
 }
--- a/internal/upstream/timeout_test.go
+++ b/internal/upstream/timeout_test.go
@@ -43,7 +43,7 @@
 
 // A failure to connect must be reported as not sent.
 func TestDialFailureIsReportedAsNotSent(t *testing.T) {
-	pool := NewPool(Options{Dial: func(context.Context, fleet.Address) (net.Conn, error) { return nil, os.ErrDeadlineExceeded }})
+	pool := NewPool(Options{Dial: func(context.Context, Destination) (net.Conn, error) { return nil, os.ErrDeadlineExceeded }})
 	_, err := pool.Do(context.Background(), Destination{Engine: "w"}, &Request{Method: http.MethodGet, Target: "/", Header: http.Header{}})
 	var failure *ExchangeError
 	require.ErrorAs(t, err, &failure)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -68,6 +68,9 @@
 	// Permit is called once the connection is available, right before the request is sent. If it
 	// returns an error, nothing is sent. nil permits every request.
 	Permit func() error
+	// Connected is called once the connection is available, with the node through which it goes, which
+	// is empty for a direct one; may be nil.
+	Connected func(relay fleet.NodeID)
 	// CheckResponse returns an error for a response that belongs to another request; may be nil.
 	CheckResponse func(status int, header http.Header) error
 }
