Don't hold a gateway's own lost links against the workers

Change: a gateway reports a suspicion only if another one that does reach workers couldn't connect either; a response lost on a tunnel or on a link that is known to be lost is no outcome of the worker (Disconnected) and no lost run; at a partition earlier suspicions, silences and failure rates are withdrawn, and peers get a report at once. Two partitioned gateways don't confirm each other, since one answers for a worker only while it connects to another.

Five tests in gateway/links_test.go, one for each thing that a gateway says, failed before: TestOwnLostLinksAreNotHeldAgainstWorkers, TestOwnLostLinksAreNoEvidenceOfAVersion, TestBrokenTunnelsAreNotHeldAgainstWorkers, TestOnlyConfirmedSuspicionsAreReported, TestPartitionWithdrawsEarlierSuspicions.

--- a/internal/backends/load.go
+++ b/internal/backends/load.go
@@ -126,6 +126,44 @@
 	return suspects
 }
 
+// ConfirmSuspicion records that another node couldn't connect to a suspected worker either. Only such
+// suspicions are reported: others may be due to this node's own links.
+func (r *Registry) ConfirmSuspicion(id fleet.EngineID) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if state := r.workers[id]; state != nil {
+		state.suspicionConfirmed = true
+	}
+}
+
+// ReportedSuspects returns the suspects that this node reports to others, sorted by identifier: those
+// that another node has confirmed, and silent engines.
+func (r *Registry) ReportedSuspects(now time.Duration) []fleet.EngineID {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var suspects []fleet.EngineID
+	for id, state := range r.workers {
+		confirmed := now < state.suspectUntil && state.suspicionConfirmed
+		if (confirmed || state.silence.IsSuspended(now)) && !state.gone {
+			suspects = append(suspects, id)
+		}
+	}
+	slices.Sort(suspects)
+	return suspects
+}
+
+// ClearSuspicions withdraws what this node holds against workers since it couldn't reach them, because
+// its own links have failed.
+func (r *Registry) ClearSuspicions() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, state := range r.workers {
+		state.suspectUntil, state.suspicionPeriod, state.probedUntil = 0, 0, 0
+		state.failureMean = 0
+		state.silence.End()
+	}
+}
+
 // AllSuspects returns the workers that this node or any peer recently failed to reach.
 func (r *Registry) AllSuspects(now time.Duration) map[fleet.EngineID]bool {
 	suspects := make(map[fleet.EngineID]bool)
--- a/internal/backends/worker.go
+++ b/internal/backends/worker.go
@@ -98,6 +98,8 @@
 	suspectUntil    time.Duration
 	lastContact     time.Duration
 	suspicionPeriod time.Duration
+	// suspicionConfirmed is set if another node couldn't connect to the worker either.
+	suspicionConfirmed bool
 	// probedUntil is the time until which the worker may answer a probe.
 	probedUntil time.Duration
 	// silence suspends requests to an engine that has fallen silent.
@@ -199,6 +201,7 @@
 func (s *workerState) suspect(now time.Duration) {
 	s.suspicionPeriod = min(max(s.suspicionPeriod*2, minSuspicion), maxSuspicion)
 	s.suspectUntil = now + s.suspicionPeriod
+	s.suspicionConfirmed = false
 }
 
 // contactValidity is how long this node's own contact with a worker outweighs the reports of peers.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -12,6 +12,7 @@
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/quarantine"
+	"github.com/tillerfall/tillerfall/internal/tunnel"
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
@@ -80,6 +81,9 @@
 // has the worker probed.
 func (g *Gateway) recordLostRun(current *callerRequest, placement *backends.Placement, loss quarantine.Loss) {
 	worker := placement.Worker.ID
+	if g.isOwnFailure(worker, current.relay) {
+		return
+	}
 	suspected, probe := g.crashes.recordLoss(g.now(), worker, current.fingerprint, loss)
 	switch {
 	case suspected:
@@ -110,6 +114,9 @@
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		g.recordWorkerEnded(worker, quarantine.ConnectionRefused)
 	}
+	if errors.Is(err, tunnel.ErrWorkerRefused) || errors.Is(err, tunnel.ErrWorkerUnreachable) {
+		g.workers.ConfirmSuspicion(worker)
+	}
 }
 
 // recordWorkerEnded records that a worker has ended without announcing its shutdown.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -249,8 +249,12 @@
 	}
 }
 
-// recordOutcome records and logs the outcome of a send.
+// recordOutcome records and logs the outcome of a send. A response that was lost on a link of this
+// gateway isn't held against its worker.
 func (g *Gateway) recordOutcome(current *callerRequest, placement *backends.Placement, outcome backends.Outcome, cause string) {
+	if outcome == backends.Lost && g.isOwnFailure(placement.Worker.ID, current.relay) {
+		outcome = backends.Disconnected
+	}
 	g.recordDeliveryOutcome(current, placement, outcome)
 	placement.End(g.now(), outcome)
 	g.metrics.attempts.WithLabelValues(string(placement.Worker.Service), outcome.String()).Inc()
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -128,12 +128,16 @@
 	}
 }
 
-// beginPartition gives up connections that may hang.
+// beginPartition gives up connections that may hang, withdraws what this gateway holds against workers,
+// since its own links have failed, and tells the other gateways.
 func (g *Gateway) beginPartition(known int) {
 	g.metrics.links.partitioned.Set(1)
 	g.logger.Warn().Int("workers", known).Msg("partitioned_from_workers")
 	g.upstreams.CloseIdleDirect()
 	g.pending.cancelHanging()
+	g.workers.ClearSuspicions()
+	g.clearSilences()
+	g.announcer.addAll()
 }
 
 // checkLinkAfter tries a new connection to a worker if a request there has waited for linkCheckDelay
@@ -204,3 +208,9 @@
 	}
 	_ = conn.Close()
 }
+
+// isOwnFailure reports whether a connection that broke says nothing of its worker: it went through
+// another gateway, or this gateway's link to the worker is lost.
+func (g *Gateway) isOwnFailure(worker fleet.EngineID, relay fleet.NodeID) bool {
+	return relay != "" || g.links.isLost(worker)
+}
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -9,11 +9,15 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/quarantine"
+	"github.com/tillerfall/tillerfall/internal/routes"
 	"github.com/tillerfall/tillerfall/internal/traffic"
 	"github.com/tillerfall/tillerfall/internal/tunnel"
 	"github.com/tillerfall/tillerfall/internal/upstream"
@@ -37,6 +41,94 @@
 	}
 }
 
+// place places a request of a plain service.
+func place(t *testing.T, g *Gateway) (*callerRequest, *backends.Placement) {
+	placement, refused := g.workers.Choose(g.now(), &backends.Request{Service: "app"})
+	require.NotNil(t, placement, refused.Reason)
+	return &callerRequest{
+		request: httptest.NewRequest(http.MethodGet, "/", nil), route: &routes.Route{Name: "r"}, service: &routes.Service{Name: "app"},
+		fingerprint: quarantine.Fingerprint{1},
+	}, placement
+}
+
+// TestOwnLostLinksAreNotHeldAgainstWorkers guards against suspicions, failure rates and crash evidence
+// from responses that were lost on this gateway's own links.
+func TestOwnLostLinksAreNotHeldAgainstWorkers(t *testing.T) {
+	g := linkTestGateway(t)
+	partition(g)
+	for range 20 {
+		current, placement := place(t, g)
+		g.recordLostRun(current, placement, quarantine.ConnectionBroken)
+		g.recordOutcome(current, placement, backends.Lost, "reset")
+	}
+	assert.Empty(t, g.workers.Suspects(g.now()))
+	_, placement := place(t, g)
+	assert.Zero(t, placement.FailureRate)
+	for _, worker := range linkTestWorkers {
+		assert.Empty(t, g.crashes.markCrashed(g.now(), worker, quarantine.ConnectionRefused), "no run is attributed to %s", worker)
+	}
+}
+
+// TestOwnLostLinksAreNoEvidenceOfAVersion guards against a delivery that is rolled back since a gateway
+// has lost its links.
+func TestOwnLostLinksAreNoEvidenceOfAVersion(t *testing.T) {
+	g := deliveryGateway(t)
+	for _, id := range linkTestWorkers {
+		g.workers.Observe(1, backends.Worker{ID: id, Service: "app", Address: "127.0.0.1:1", Slots: 4, Software: "v2"})
+	}
+	current, placement := place(t, g)
+	g.recordOutcome(current, placement, backends.Lost, "reset")
+	require.Equal(t, 1, testutil.CollectAndCount(g.metrics.deliveryAnswers))
+	g.metrics.deliveryAnswers.Reset()
+	partition(g)
+	current, placement = place(t, g)
+	g.recordOutcome(current, placement, backends.Lost, "reset")
+	assert.Zero(t, testutil.CollectAndCount(g.metrics.deliveryAnswers))
+}
+
+// TestBrokenTunnelsAreNotHeldAgainstWorkers guards against suspicions of a worker since the gateway
+// between has ended.
+func TestBrokenTunnelsAreNotHeldAgainstWorkers(t *testing.T) {
+	g := linkTestGateway(t)
+	current, placement := place(t, g)
+	current.relay = "other"
+	g.recordLostRun(current, placement, quarantine.ConnectionBroken)
+	g.recordOutcome(current, placement, backends.Lost, "reset")
+	assert.Empty(t, g.workers.Suspects(g.now()))
+	assert.Empty(t, g.crashes.markCrashed(g.now(), placement.Worker.ID, quarantine.ConnectionRefused))
+}
+
+// TestOnlyConfirmedSuspicionsAreReported guards against gateways without links that make others avoid
+// sound workers.
+func TestOnlyConfirmedSuspicionsAreReported(t *testing.T) {
+	g := linkTestGateway(t)
+	current, placement := place(t, g)
+	g.recordOutcome(current, placement, backends.Unreachable, "refused")
+	g.recordUnreachable(placement.Worker.ID, errors.New("i/o timeout"))
+	assert.Len(t, g.workers.Suspects(g.now()), 1, "avoided here")
+	assert.Empty(t, g.loadReport("peer").GetSuspects())
+	g.recordUnreachable(placement.Worker.ID, errors.Wrap(tunnel.ErrWorkerUnreachable, "asked"))
+	assert.Equal(t, []string{string(placement.Worker.ID)}, g.loadReport("peer").GetSuspects())
+}
+
+// TestPartitionWithdrawsEarlierSuspicions guards against workers that stay avoided, here and at others,
+// for failures before the partition was known.
+func TestPartitionWithdrawsEarlierSuspicions(t *testing.T) {
+	g := linkTestGateway(t)
+	current, placement := place(t, g)
+	g.recordOutcome(current, placement, backends.Unreachable, "refused")
+	g.recordUnreachable(placement.Worker.ID, errors.Wrap(tunnel.ErrWorkerUnreachable, "asked"))
+	g.workers.ObserveSilence(g.now(), "w1")
+	g.engineWatch.silentSince["w1"] = 0
+	g.engineWatch.unannounced = []fleet.EngineID{"w1"}
+	g.beginPartition(len(linkTestWorkers))
+	assert.Empty(t, g.workers.Suspects(g.now()))
+	assert.Empty(t, g.loadReport("peer").GetSuspects())
+	assert.Empty(t, g.engineWatch.takeUnannounced(time.Hour))
+	_, all := g.announcer.take()
+	assert.True(t, all, "others are told")
+}
+
 // TestHangingSendsGoElsewhereAtAPartition guards against requests that wait for their deadline on
 // connections that hang, and against a second run of those that may run once.
 func TestHangingSendsGoElsewhereAtAPartition(t *testing.T) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -246,7 +246,7 @@
 		})
 	}
 	report.TenantWork = encodeTenantWork(g.workers.OwnTenantWork(now))
-	for _, suspect := range g.workers.Suspects(now) {
+	for _, suspect := range g.workers.ReportedSuspects(now) {
 		report.Suspects = append(report.Suspects, string(suspect))
 	}
 	for id, remaining := range g.rollout.cordonedEngines(now) {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -199,6 +199,16 @@
 	g.events.line("engine_heard").Str("worker", string(engine)).Dur("silent_for", now-since).Msg("engine_heard")
 }
 
+// clearSilences withdraws all silences, since this gateway's own links have failed.
+func (g *Gateway) clearSilences() {
+	w := g.engineWatch
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	g.metrics.silence.silentEngines.Sub(float64(len(w.silentSince)))
+	clear(w.silentSince)
+	w.unannounced = nil
+}
+
 // sweepSilences forgets the silence of workers that the registry no longer knows. A worker may be
 // found silent after it was forgotten, while a request is under way there.
 func (g *Gateway) sweepSilences() {
