Give the rollout lease up while partitioned from the engines

A lease holder that is partitioned from the engines kept the lease, and no engine got a new model version until its links healed. Its orders can't go through another gateway: an engine would get the orders of one holder from two machines.

The holder now releases the lease while it is partitioned, without leaving the election. TestYieldedLeaseIsTakenOverAndBack, and 300 seeds of the restore simulation with processes that yield at random (their own source, so that the draws of the existing seeds are unchanged).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,6 +100,8 @@
 	// candidate for the rollout lease because the regular candidates make no progress.
 	progress          progressMonitor
 	fallbackCandidate atomic.Bool
+	// yieldsLease is used by runRollout alone.
+	yieldsLease bool
 
 	splitMutex sync.Mutex
 	splitter   *routes.Splitter
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -27,6 +27,7 @@
 		g.pending.cancelStale(g.rollout.dueVersions(now, staleVersionMargin))
 		g.updateFallbackCandidate(now)
 		g.lease.SetEligible(g.isRolloutCandidate())
+		g.yieldLease(g.links.isPartitioned())
 		token, isHolder := g.lease.Fence()
 		if isHolder && !wasHolder {
 			firstOrderAt = now + g.orderDelay(token)
@@ -121,6 +122,15 @@
 	return nil
 }
 
+// yieldLease gives the lease up while this gateway is partitioned from the engines: its orders don't
+// reach them, and through another gateway they would come from two machines.
+func (g *Gateway) yieldLease(partitioned bool) {
+	if g.yieldsLease != partitioned {
+		g.yieldsLease = partitioned
+		g.lease.SetYielding(partitioned)
+	}
+}
+
 // isRolloutCandidate reports whether this gateway may take the lease.
 func (g *Gateway) isRolloutCandidate() bool {
 	return !g.isStopping() && g.roleSettled.Load() && (g.roles.Load().isCandidate || g.fallbackCandidate.Load())
--- a/internal/lease/election.go
+++ b/internal/lease/election.go
@@ -90,6 +90,7 @@
 	nextActionAt time.Duration
 	validUntil   time.Duration
 	ineligible   bool
+	yielding     bool
 	resigning    bool
 	resigned     bool
 }
@@ -116,7 +117,9 @@
 }
 
 // IsHeld reports whether this process holds the lease at now.
-func (e *Election) IsHeld(now time.Duration) bool { return !e.resigning && now < e.validUntil }
+func (e *Election) IsHeld(now time.Duration) bool {
+	return !e.resigning && !e.yielding && now < e.validUntil
+}
 
 // Observed returns the lease record as last seen, or false before the first read.
 func (e *Election) Observed() (Record, bool) { return e.row.record, e.row.revision != 0 }
@@ -143,6 +146,15 @@
 // commit that releases it if the process is certain to hold it. Otherwise the lease expires.
 func (e *Election) Resign() { e.resigning = true }
 
+// SetYielding sets whether the process gives the lease up: it no longer holds it locally and releases
+// it if it is certain to hold it. Unlike after Resign, it may take the lease again once it stops yielding.
+func (e *Election) SetYielding(now time.Duration, yielding bool) {
+	if yielding && !e.yielding {
+		e.nextActionAt = now
+	}
+	e.yielding = yielding
+}
+
 // Next returns the action to perform at now.
 func (e *Election) Next(now time.Duration) Action {
 	if e.resigning {
@@ -151,6 +163,9 @@
 	if now < e.nextActionAt {
 		return Action{Kind: ActionWait, Until: e.nextActionAt}
 	}
+	if e.yielding {
+		return e.nextYield(now)
+	}
 	if e.ineligible && !e.mustRead && !e.mayContinue(now) {
 		e.nextActionAt = now + e.pollInterval()
 		return Action{Kind: ActionWait, Until: e.nextActionAt}
@@ -167,10 +182,31 @@
 		return Action{Kind: ActionDone}
 	}
 	e.resigned = true
+	return e.startCommit(now, e.released(now))
+}
+
+// nextYield returns the action of a process that yields: to release the lease if it holds it.
+func (e *Election) nextYield(now time.Duration) Action {
+	switch {
+	case e.mustRead || e.row.epoch < e.epoch:
+		e.readStartedAt = now
+		return Action{Kind: ActionRead}
+	case e.isCurrent() && e.isRecordedHolder():
+		// The release may take effect late, after this process has ceased to yield.
+		e.validUntil = 0
+		return e.startCommit(now, e.released(now))
+	default:
+		e.nextActionAt = now + e.pollInterval()
+		return Action{Kind: ActionWait, Until: e.nextActionAt}
+	}
+}
+
+// released returns the record by which this process releases the lease.
+func (e *Election) released(now time.Duration) Record {
 	released := e.row.record
 	released.Holder = ""
 	released.IdleMillis = max(now-e.lastUsedAt, 0).Milliseconds()
-	return e.startCommit(now, released)
+	return released
 }
 
 // isRecordedHolder reports whether the row as last seen names this process.
--- a/internal/lease/election_test.go
+++ b/internal/lease/election_test.go
@@ -217,6 +217,23 @@
 	assert.EqualValues(t, 2, h.token(b))
 }
 
+// TestYieldedLeaseIsTakenOverAndBack guards against a holder that keeps the lease although it can't use
+// it, and against one that never takes it again.
+func TestYieldedLeaseIsTakenOverAndBack(t *testing.T) {
+	h := newHarness(t)
+	a, b := newElection(t, "a", 1), newElection(t, "b", 2)
+	h.run(time.Second, a, b)
+	require.True(t, a.IsHeld(h.now))
+	a.SetYielding(h.now, true)
+	require.False(t, a.IsHeld(h.now))
+	h.run(5*time.Second, a, b)
+	assert.EqualValues(t, 2, h.token(b))
+	a.SetYielding(h.now, false)
+	b.SetYielding(h.now, true)
+	h.run(5*time.Second, a, b)
+	assert.EqualValues(t, 3, h.token(a))
+}
+
 func TestIneligibleProcessMakesNoCalls(t *testing.T) {
 	h := newHarness(t)
 	a := newElection(t, "a", 1)
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -117,6 +117,17 @@
 	}
 }
 
+// SetYielding sets whether this process gives the lease up, without leaving the election.
+func (k *Keeper) SetYielding(yielding bool) {
+	k.mutex.Lock()
+	k.election.SetYielding(k.clock.Now(), yielding)
+	k.mutex.Unlock()
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
 func (k *Keeper) run() error {
 	for {
 		action := k.next()
--- a/internal/lease/outcome.go
+++ b/internal/lease/outcome.go
@@ -101,6 +101,11 @@
 	e.row = observation{record: done.record, revision: done.expectedRevision + 1, epoch: done.record.Epoch, firstSeenAt: now}
 	e.highestToken = max(e.highestToken, done.record.Token)
 	e.unresolvedCommit = nil
+	if !e.isRecordedHolder() {
+		e.validUntil = 0
+		e.nextActionAt = now + e.pollInterval()
+		return
+	}
 	e.extendFrom(done)
 	e.nextActionAt = max(now, done.startedAt+e.settings.Duration/renewalsPerDuration)
 }
--- a/internal/lease/restore_test.go
+++ b/internal/lease/restore_test.go
@@ -75,6 +75,8 @@
 	takeovers map[fleet.FencingToken]HolderID
 	// highest is the highest token with which a command was sent.
 	highest fleet.FencingToken
+	// yields draws when processes begin and cease to yield; nil if none does.
+	yields *rand.Rand
 }
 
 func (s *restoreSimulation) chance(percent int) bool { return s.random.IntN(100) < percent }
@@ -97,6 +99,9 @@
 	if s.chance(3) {
 		p.resumesAt = s.now + time.Duration(s.random.Int64N(int64(15*time.Second)))
 	}
+	if s.yields != nil && s.yields.IntN(100) < 3 {
+		p.election.SetYielding(p.clock(s.now), s.yields.IntN(2) == 0)
+	}
 	action := p.election.Next(p.clock(s.now))
 	switch action.Kind {
 	case ActionRead:
@@ -193,13 +198,22 @@
 
 // A lease that the store has lost must not be given out to a second holder while the first one holds
 // it, and no token may be used twice.
-func TestAtMostOneHolderOverRestores(t *testing.T) {
+func TestAtMostOneHolderOverRestores(t *testing.T) { simulateRestores(t, false) }
+
+// TestAtMostOneHolderWhileSomeYield guards against a lease that is held by two processes, or used
+// without being held, after one of them has given it up.
+func TestAtMostOneHolderWhileSomeYield(t *testing.T) { simulateRestores(t, true) }
+
+func simulateRestores(t *testing.T, yielding bool) {
 	restores, takeovers := 0, 0
 	for seed := range uint64(300) {
 		s := &restoreSimulation{
 			t: t, random: rand.New(rand.NewPCG(seed, 5)), takeovers: make(map[fleet.FencingToken]HolderID),
 			table: restorableTable{epoch: fleet.StoreEpoch(seed % 3)},
 		}
+		if yielding {
+			s.yields = rand.New(rand.NewPCG(seed, 6))
+		}
 		s.earlier = s.table
 		for _, name := range []string{"a", "b", "c"} {
 			s.processes = append(s.processes, s.newProcess(name, true))
