Send engines' reports and cache events through other gateways too

A gateway whose links are lost stopped following the caches of its zone, told its peers that they were lost, and its probes of engines went unanswered. These calls now open their connections as requests do; orders stay direct.

TestCallsToWorkersGoThroughTunnels failed before (the calls dialed themselves); TestOrdersAreSentDirectly keeps orders from following.

--- a/internal/gateway/caches.go
+++ b/internal/gateway/caches.go
@@ -161,6 +161,7 @@
 func (g *Gateway) followCache(ctx context.Context, cache followedCache) {
 	ctx = traffic.With(ctx, traffic.CacheEvents, g.distanceTo(cache.zone))
 	ctx = g.withNoticesFrom(ctx, noticeSource{worker: cache.run.Engine, startTime: cache.startTime, kind: callCacheEvents})
+	ctx = g.withWorkerDial(ctx, cache.run.Engine)
 	var epoch, since uint64
 	reachable := true
 	for ctx.Err() == nil {
--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -174,6 +174,18 @@
 	OrderVersion(ctx context.Context, worker backends.Worker, order rollout.VersionOrder) (rollout.OrderResult, error)
 }
 
+// workerDialKey is the context key of the function that opens a call's connection.
+type workerDialKey struct{}
+
+// WorkerDial returns the function that opens the connection of a call to a worker, or fallback if the
+// call has none.
+func WorkerDial(ctx context.Context, fallback traffic.DialContext) traffic.DialContext {
+	if dial, found := ctx.Value(workerDialKey{}).(traffic.DialContext); found {
+		return dial
+	}
+	return fallback
+}
+
 // CacheEvents is a list of cache changes in order.
 type CacheEvents struct {
 	// Epoch changes with each restart, which empties the cache.
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -262,3 +262,36 @@
 	require.NoError(t, err)
 	assert.Equal(t, fleet.Address("127.0.0.1:1"), destination.Address)
 }
+
+// callConnection reports whether a call of a kind would open its connection by itself, and the error
+// if not.
+func callConnection(g *Gateway, kind callKind) (direct bool, err error) {
+	worker, _ := g.workers.Worker("w1")
+	ctx := g.workerCallContext(context.Background(), kind, &worker)
+	_, err = WorkerDial(ctx, func(context.Context, string, string) (net.Conn, error) {
+		direct = true
+		return nil, syscall.ECONNREFUSED
+	})(ctx, "tcp4", string(worker.Address))
+	return direct, err
+}
+
+// TestCallsToWorkersGoThroughTunnels guards against engines that count as silent, and caches that count
+// as unknown, since this gateway's links are lost.
+func TestCallsToWorkersGoThroughTunnels(t *testing.T) {
+	g := linkTestGateway(t)
+	partition(g)
+	for _, kind := range []callKind{callReport, callCacheEvents} {
+		direct, err := callConnection(g, kind)
+		assert.False(t, direct)
+		assert.ErrorIs(t, err, errNoPath, "no other gateway is known")
+	}
+}
+
+// TestOrdersAreSentDirectly guards against orders of one lease holder that reach an engine from two
+// machines.
+func TestOrdersAreSentDirectly(t *testing.T) {
+	g := linkTestGateway(t)
+	partition(g)
+	direct, _ := callConnection(g, callOrder)
+	assert.True(t, direct)
+}
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/traffic"
+	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
 // trafficLogInterval is the time between two log lines with the counted bytes.
@@ -35,9 +37,23 @@
 func (g *Gateway) workerCallContext(ctx context.Context, kind callKind, worker *backends.Worker) context.Context {
 	g.countCall(worker.ID, kind)
 	ctx = g.withNoticesFrom(ctx, noticeSource{worker: worker.ID, startTime: worker.StartTime, kind: kind})
+	if kind != callOrder {
+		ctx = g.withWorkerDial(ctx, worker.ID)
+	}
 	return traffic.With(ctx, traffic.WorkerCalls, g.distanceTo(worker.Zone))
 }
 
+// withWorkerDial returns a context for calls to a worker whose connection may go through another
+// gateway. Orders must not: a worker would get those of one holder from two machines.
+func (g *Gateway) withWorkerDial(ctx context.Context, worker fleet.EngineID) context.Context {
+	var dial traffic.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, upstream.DefaultDialTimeout)
+		defer cancel()
+		return g.dialWorker(ctx, upstream.Destination{Engine: worker, Address: fleet.Address(address)})
+	}
+	return context.WithValue(ctx, workerDialKey{}, dial)
+}
+
 // reportTraffic periodically logs the bytes counted since the start.
 func (g *Gateway) reportTraffic() error {
 	for g.pause(trafficLogInterval) {
