Keep requests in flight within the slots of workers that bear few rejections

What callers saw: with workers that advertise Server-Brittle, nothing was served under a flood: each worker that rejected more than it bears fell, the others got its requests, and each that returned was met by all gateways.

Cause: the header was unknown, and rejections counted as harmless; each gateway sent as if it were alone.

Change: while any worker of a service advertises the limit (learned from any answer, and from peers' reports), the workers' slots are dealt out to the serving gateways by a rule that each applies alone, and no request may wait at a worker. What doesn't fit is refused at once, with a time by which the share can serve those refused. A rejection closes the worker for this gateway for the second that it counts.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -18,6 +18,9 @@
 	// Admission returns whether a worker admits requests, and for how long not; nil means that all
 	// workers admit requests without a limit.
 	Admission func(worker *Worker) (Admission, time.Duration)
+	// InFlightLimit returns the limit on requests in flight at a worker, false if it has none; nil
+	// means that no worker has one.
+	InFlightLimit func(worker *Worker) (InFlightLimit, bool)
 	// Software limits the choice by the workers' software version; nil means no limit.
 	Software *delivery.Filter
 	// Repeatable is set if the request may run again elsewhere and its answer comes in events. Only
@@ -29,6 +32,17 @@
 	Engine *EngineRequest
 }
 
+// InFlightLimit limits the requests in flight at a worker at which none may wait. A worker at its limit
+// is closed.
+type InFlightLimit struct {
+	// Own is the limit on this node's requests, and Total the one on those of all nodes, as far as this
+	// node knows them.
+	Own   int
+	Total int
+	// ReopensIn is the expected time until a worker at its limit has room.
+	ReopensIn time.Duration
+}
+
 // Admission is whether a worker admits requests.
 type Admission uint8
 
--- a/internal/backends/search.go
+++ b/internal/backends/search.go
@@ -195,6 +195,10 @@
 		s.recordClosed(reopensIn)
 		return verdictClosed
 	}
+	if reopensIn, closed := s.isAtInFlightLimit(state); closed {
+		s.recordClosed(reopensIn)
+		return verdictClosed
+	}
 	ready := s.isReady(s.now, state) && state.silence.Allows(s.now, s.request.Repeatable)
 	switch s.assessEngine(state) {
 	case verdictOutdated:
@@ -206,6 +210,25 @@
 	}
 }
 
+// isAtInFlightLimit reports whether another request would exceed the limit on requests in flight at a
+// worker, or an engine's memory, and when there may be room again.
+func (s *search) isAtInFlightLimit(state *workerState) (time.Duration, bool) {
+	if s.request.InFlightLimit == nil {
+		return 0, false
+	}
+	limit, limited := s.request.InFlightLimit(&state.worker)
+	if !limited {
+		return 0, false
+	}
+	load := s.totalLoad(s.now, state)
+	full := state.inFlight >= limit.Own || load.InFlight >= limit.Total
+	if engine := s.request.Engine; engine != nil && load.InFlight > 0 {
+		capacity := s.memoryCapacities[state.worker.Service]
+		full = full || capacity > 0 && load.MemoryTokens+engine.PromptTokens+engine.OutputTokens > capacity
+	}
+	return limit.ReopensIn, full
+}
+
 // recordClosed records after what time a closed worker admits requests again.
 func (s *search) recordClosed(reopensIn time.Duration) {
 	if s.reopensIn == 0 || reopensIn < s.reopensIn {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -224,6 +224,9 @@
 func (g *Gateway) handleRejection(current *callerRequest, placement *backends.Placement, response *upstream.Response, info ResponseInfo) attempt.Step {
 	drainResponse(response)
 	outcome := backends.Refused
+	if !info.Misdirected && info.RetryAfter == 0 {
+		g.rejections.recordRejection(g.now(), &placement.Worker)
+	}
 	switch {
 	case info.Misdirected:
 		outcome = backends.Mismatched
@@ -259,6 +262,7 @@
 	placement.End(g.now(), outcome)
 	g.metrics.attempts.WithLabelValues(string(placement.Worker.Service), outcome.String()).Inc()
 	if outcome == backends.Succeeded {
+		g.rejections.recordDuration(placement.Worker.Service, g.now()-current.sentAt)
 		g.observeFirstToken(placement)
 		if current.status < http.StatusMultipleChoices {
 			g.recordCompleteResponse(current)
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -71,6 +71,8 @@
 	sentToTarget    bool
 	// atLimit is set if the last placement found a worker at its request limit.
 	atLimit bool
+	// atShare is set if the last placement found a worker at this gateway's share of its slots.
+	atShare bool
 	// sentAt is when the last send began, eventCount the number of events received from it.
 	sentAt     time.Duration
 	eventCount int
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,7 @@
 	quotas             *quotas
 	limits             *workerLimits
 	backoffs           *workerBackoffs
+	rejections         *rejectionLimits
 	unknownHeaders     *unknownHeaders
 	storeEpoch         *storeEpoch
 	peerConfigurations *peerConfigurations
@@ -173,6 +174,7 @@
 		deadlines:        newDeadlineTimers(),
 		limits:           newWorkerLimits(),
 		backoffs:         newWorkerBackoffs(random()),
+		rejections:       newRejectionLimits(),
 		unknownHeaders:   &unknownHeaders{},
 		storeEpoch:       &storeEpoch{},
 
@@ -372,6 +374,7 @@
 		g.sweepSilences()
 		g.upstreams.CloseExpired()
 		g.logLimitUsage()
+		g.sweepRejectionLimits()
 		g.metrics.workersInBackoff.Set(float64(len(g.backoffs.workersInBackoff(g.now()))))
 		g.idleConnections.sweep(g.now(), g.idleTimeout())
 		g.crashes.sweep(g.now())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -30,6 +30,7 @@
 	workersInBackoff    prometheus.Gauge
 	droppedRows         *prometheus.CounterVec
 	storeEpoch          prometheus.Gauge
+	rejectionLimits     prometheus.Gauge
 
 	quarantineRefusals prometheus.Counter
 	quarantined        prometheus.Gauge
@@ -142,6 +143,9 @@
 	m.droppedRows = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tillerfall_gateway_dropped_rows_total", Help: "Rows that were not applied since a newer one is held, by table.",
 	}, []string{"table"})
+	m.rejectionLimits = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "tillerfall_gateway_rejection_limits", Help: "Services whose workers bear few rejections now.",
+	})
 	m.storeEpoch = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "tillerfall_gateway_store_epoch", Help: "Highest epoch that the store has reported.",
 	})
@@ -149,7 +153,7 @@
 	m.overload = newOverloadMetrics(registry)
 	m.silence = newSilenceMetrics(registry)
 	if registry != nil {
-		registry.MustRegister(m.droppedRows, m.storeEpoch)
+		registry.MustRegister(m.droppedRows, m.storeEpoch, m.rejectionLimits)
 		registry.MustRegister(m.limitGrants, m.notices, m.workersInBackoff)
 		registry.MustRegister(m.workerCalls, m.limitedWorkers)
 		registry.MustRegister(m.pressure, m.refusedConnections, m.runsEndedWithWorker, m.suspensions, m.quarantineRefusals, m.quarantined, m.beforeSend)
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -23,6 +23,8 @@
 	RetryAfter time.Duration
 	// Limit is the request limit that the server advertises.
 	Limit workerlimit.AdvertisedLimit
+	// RejectionLimit is how many rejections in a second the server bears.
+	RejectionLimit AdvertisedRejections
 	// StoreEpoch is the epoch of the store that sent the response; 0 if it doesn't report one.
 	StoreEpoch fleet.StoreEpoch
 	// Unknown lists the headers about the server that the codec doesn't know.
@@ -31,6 +33,13 @@
 	Invalid []InvalidInput
 }
 
+// AdvertisedRejections is how many rejections in a second a server advertises that it bears.
+type AdvertisedRejections struct {
+	// Advertised is set if the response states a number.
+	Advertised bool
+	Count      int
+}
+
 // appliesTo reports whether the notice can be about the given worker. A misdirected call may have
 // been answered by another run that has taken over the address.
 func (n *Notice) appliesTo(worker fleet.EngineID) bool {
@@ -118,6 +127,9 @@
 	if notice.RetryAfter > 0 {
 		g.recordRetryAfter(source, notice.RetryAfter)
 	}
+	if notice.RejectionLimit.Advertised {
+		g.recordRejectionLimit(source, notice.RejectionLimit.Count)
+	}
 }
 
 // logUnknownHeaders logs each unknown header of a worker once.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -257,6 +257,7 @@
 	for _, worker := range g.backoffs.workersInBackoff(now) {
 		report.Deferring = append(report.Deferring, string(worker))
 	}
+	report.RejectionLimits = g.rejections.encoded(now)
 	for _, run := range g.workers.UnpublishedDraining() {
 		report.Draining = append(report.Draining, &rpc.DrainingRun{Worker: string(run.Worker), Born: uint64(run.StartTime)})
 	}
@@ -345,6 +346,7 @@
 	for _, run := range report.GetDraining() {
 		g.observeDraining(backends.DrainingRun{Worker: fleet.EngineID(run.GetWorker()), StartTime: backends.StartTime(run.GetBorn())}, noticeSourcePeer)
 	}
+	g.applyRejectionLimits(now, report.GetRejectionLimits())
 	g.applyPeerVersions(report.GetNamed())
 	g.applyQuotaReport(now, report)
 	g.demand.setPeerRate(now, fleet.NodeID(report.GetNode()), decodeRate(report.GetRequestRate()))
--- a/internal/gateway/placementrequest.go
+++ b/internal/gateway/placementrequest.go
@@ -39,6 +39,8 @@
 			return admission, opensIn
 		}
 	}
+	current.atShare = false
+	request.InFlightLimit = g.inFlightLimit(current)
 	if engine := current.service.Engine; engine != nil {
 		request.Engine = &backends.EngineRequest{
 			ID:           fleet.RequestID(current.metadata.RequestID),
@@ -76,6 +78,9 @@
 // unavailableRefusal returns the refusal for a request whose candidate workers are all closed, by
 // their limits or in backoff. opensIn is the time until the first of them opens.
 func (g *Gateway) unavailableRefusal(current *callerRequest, opensIn time.Duration) backends.Refusal {
+	if current.atShare {
+		return backends.Refusal{Reason: reasonAtShare, RetryAfter: g.rejections.retryAfter(g.now(), current.service.Name, opensIn)}
+	}
 	if current.atLimit {
 		return backends.Refusal{Reason: backends.ReasonLimited, RetryAfter: g.limits.retryAfter(g.now(), opensIn, g.servingCount())}
 	}
