Tolerate two seconds of silence from a sound worker on quiet connections

A worker may be silent for a second or so and go on. Connections to workers were probed after 2 s without a packet, and ended at 3 s, since TCP_USER_TIMEOUT also decides when probes give up, whatever their count: a silence that began just before the first probe ended the connection, and the stream on it, after 1 s.

The first probe now goes out after 1 s, which leaves 2 s. Callers' connections (5 s, probes after 2 s) already leave 3 s; calls to the store, to peers and to engines set no such timeout.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -105,15 +105,15 @@
 // NewDial returns a function that opens connections to workers directly, with the timeouts of a pool.
 // The meter counts their bytes; it may be nil.
 func NewDial(meter *traffic.Meter) traffic.DialContext {
-	return meter.Dial(newDialer(DefaultUserTimeout).DialContext)
+	return meter.Dial(newDialer().DialContext)
 }
 
 // newDialer returns a dialer whose connections detect an unresponsive peer.
-func newDialer(userTimeout time.Duration) *net.Dialer {
+func newDialer() *net.Dialer {
 	return &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
-			Idle:     DefaultKeepAliveIdle,
+			Idle:     keepAliveIdle,
 			Interval: time.Second,
 			Count:    3,
 		},
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -14,8 +14,13 @@
 const (
 	DefaultDialTimeout   = 500 * time.Millisecond
 	DefaultIdleTimeout   = 10 * time.Second
-	DefaultUserTimeout   = 3 * time.Second
-	DefaultKeepAliveIdle = 2 * time.Second
+	// userTimeout is how long written bytes may stay unacknowledged before a connection counts as dead
+	// (TCP_USER_TIMEOUT). It also ends a connection of which keep-alive probes go unanswered, once
+	// that long has passed since its last packet.
+	userTimeout = 3 * time.Second
+	// keepAliveIdle is how long a connection is quiet before the first probe. A sound worker may be
+	// silent for the rest of userTimeout.
+	keepAliveIdle = time.Second
 )
 
 // Options configures a Pool. Zero fields take their defaults.
@@ -25,9 +30,6 @@
 	// IdleTimeout limits the time that a connection stays idle. A shorter keep-alive timeout of the
 	// worker takes precedence.
 	IdleTimeout time.Duration
-	// UserTimeout is how long written bytes may stay unacknowledged before the connection is
-	// considered dead (TCP_USER_TIMEOUT).
-	UserTimeout time.Duration
 	// Dial opens a connection; nil uses TCP.
 	Dial func(ctx context.Context, destination Destination) (net.Conn, error)
 	// KeepsRelayed reports whether connections through another node are kept for reuse; nil keeps
@@ -62,9 +64,6 @@
 	if options.IdleTimeout <= 0 {
 		options.IdleTimeout = DefaultIdleTimeout
 	}
-	if options.UserTimeout <= 0 {
-		options.UserTimeout = DefaultUserTimeout
-	}
 	if options.Dial == nil {
 		dial := NewDial(options.Traffic)
 		options.Dial = func(ctx context.Context, destination Destination) (net.Conn, error) {
