--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,8 +12,8 @@
 
 // Defaults of Options.
 const (
-	DefaultDialTimeout   = 500 * time.Millisecond
-	DefaultIdleTimeout   = 10 * time.Second
+	DefaultDialTimeout = 500 * time.Millisecond
+	DefaultIdleTimeout = 10 * time.Second
 	// userTimeout is how long written bytes may stay unacknowledged before a connection counts as dead
 	// (TCP_USER_TIMEOUT). It also ends a connection of which keep-alive probes go unanswered, once
 	// that long has passed since its last packet.
