Tell the loss of some links from a partition, and ask further gateways

One refusal for one worker kept a gateway from being asked for any, and one other gateway that couldn't connect made a sound worker count as unreachable.

Now a partitioned gateway also tries workers drawn from all; a refusal for one worker doesn't count for the others; up to six gateways are asked, 30 ms apart; a worker is unreachable once two others confirm it. After a partition each lost link is tried at once instead of all counting as sound, and a request tries a lost link itself if nobody can be asked: TestHealedLinksAreUsedAgain found 503 while some links hadn't been tried yet.

Tests: TestWorkerCutOffFromTwoGatewaysIsReachedByAThird and two of reachability failed before.

--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -15,8 +16,10 @@
 	// linkCheckDelay is how long a request waits for a sign of life from any worker before a new
 	// connection to its worker is tried. It is well above a round trip; a check costs one connection.
 	linkCheckDelay = 300 * time.Millisecond
-	// linkCheckInterval is the time between two looks at links that are due for a check.
-	linkCheckInterval = 250 * time.Millisecond
+	// linkCheckInterval is the time between two rounds of checks of lost links, and linkChecksPerRound
+	// how many links are checked in one.
+	linkCheckInterval  = 250 * time.Millisecond
+	linkChecksPerRound = 4
 	// linksCheckedAtOnce is how many further links are checked once one was found lost, so that a
 	// partition from all workers is soon told from the loss of one link.
 	linksCheckedAtOnce = 2
@@ -176,37 +179,43 @@
 	}
 }
 
-// recheckLinks tries lost links again, one connection at a time, until the process ends.
+// recheckLinks tries lost links again until the process ends.
 func (g *Gateway) recheckLinks() error {
 	for g.pause(linkCheckInterval) {
 		g.links.mutex.Lock()
-		id, due := g.links.monitor.NextCheck(g.now())
+		due := g.links.monitor.NextChecks(g.now(), linkChecksPerRound)
+		partitioned := g.links.monitor.IsPartitioned()
 		g.links.mutex.Unlock()
-		if !due {
-			continue
+		for _, id := range due {
+			if worker, known := g.workers.Worker(id); known {
+				go g.recheckLink(worker)
+			} else {
+				g.links.forget(id)
+			}
 		}
-		worker, known := g.workers.Worker(id)
-		if !known {
-			g.links.forget(id)
-			continue
+		if partitioned {
+			g.checkAnyLink()
 		}
-		g.recheckLink(worker)
 	}
 	return nil
 }
 
+// checkAnyLink tries a direct connection to a worker drawn from all: in a partition that was inferred from
+// some links, others may work.
+func (g *Gateway) checkAnyLink() {
+	if workers := g.workers.WorkersInUse(); len(workers) > 0 {
+		go g.recheckLink(workers[rand.IntN(len(workers))])
+	}
+}
+
 // recheckLink tries a direct connection to a worker.
 func (g *Gateway) recheckLink(worker backends.Worker) {
 	ctx, cancel := context.WithTimeout(g.context(), upstream.DefaultDialTimeout)
 	defer cancel()
 	conn, err := g.dialDirect(ctx, upstream.Destination{Engine: worker.ID, Address: worker.Address})
-	if err != nil {
-		g.links.mutex.Lock()
-		g.links.monitor.StillLost(g.now(), worker.ID)
-		g.links.mutex.Unlock()
-		return
+	if err == nil {
+		_ = conn.Close()
 	}
-	_ = conn.Close()
 }
 
 // isOwnFailure reports whether a connection that broke says nothing of its worker: it went through
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -178,7 +178,7 @@
 	defer cancel()
 	race := &workerDial{
 		gateway: g, destination: upstream.Destination{Engine: "w1", Address: "127.0.0.1:1"}, relays: candidates,
-		results: make(chan dialAttempt, len(candidates)+1), linkLost: g.links.isLost("w1"),
+		results: make(chan dialAttempt, len(candidates)+1), linkLost: g.links.isLost("w1"), known: len(candidates),
 	}
 	defer race.closeLosers()
 	return race.run(ctx)
@@ -211,13 +211,34 @@
 	}
 }
 
+// TestWorkerCutOffFromTwoGatewaysIsReachedByAThird guards against a worker that is blamed since one other
+// gateway is cut off from it too.
+func TestWorkerCutOffFromTwoGatewaysIsReachedByAThird(t *testing.T) {
+	g := linkTestGateway(t)
+	for _, cause := range []error{tunnel.ErrWorkerUnreachable, tunnel.ErrNoLink} {
+		conn, err := raceTo(g, refusedDial, relayAnswering(t, cause), relayAnswering(t, nil))
+		require.NoError(t, err)
+		_ = conn.Close()
+	}
+}
+
 // TestWorkerRefusedElsewhereTooHasEnded guards against a crash that isn't noticed since another gateway
 // was asked, and against one that is inferred from this gateway's refused connections alone.
 func TestWorkerRefusedElsewhereTooHasEnded(t *testing.T) {
 	g := linkTestGateway(t)
-	_, err := raceTo(g, refusedDial, relayAnswering(t, tunnel.ErrWorkerRefused))
-	assert.ErrorIs(t, err, syscall.ECONNREFUSED)
-	_, err = raceTo(g, refusedDial, relayAnswering(t, tunnel.ErrWorkerUnreachable))
+	refuses, timesOut := relayAnswering(t, tunnel.ErrWorkerRefused), relayAnswering(t, tunnel.ErrWorkerUnreachable)
+	for name, test := range map[string]struct {
+		relays    []relayCandidate
+		confirmed error
+	}{
+		"only other":    {[]relayCandidate{refuses}, tunnel.ErrWorkerRefused},
+		"two others":    {[]relayCandidate{refuses, refuses}, tunnel.ErrWorkerRefused},
+		"one times out": {[]relayCandidate{refuses, timesOut}, tunnel.ErrWorkerUnreachable},
+	} {
+		_, err := raceTo(g, refusedDial, test.relays...)
+		assert.ErrorIs(t, err, test.confirmed, name)
+	}
+	_, err := raceTo(g, refusedDial, timesOut)
 	assert.NotErrorIs(t, err, syscall.ECONNREFUSED)
 	assert.False(t, g.links.isLost("w1"))
 }
@@ -257,7 +278,7 @@
 	_, err := g.admitTunnel(tunnel.Request{Node: "stranger", Worker: "w1"})
 	assert.ErrorIs(t, err, tunnel.ErrUnavailable)
 	_, err = g.admitTunnel(tunnel.Request{Node: g.node, Worker: "unknown"})
-	assert.ErrorIs(t, err, tunnel.ErrUnavailable)
+	assert.ErrorIs(t, err, tunnel.ErrNoLink)
 	destination, err := g.admitTunnel(tunnel.Request{Node: g.node, Worker: "w1"})
 	require.NoError(t, err)
 	assert.Equal(t, fleet.Address("127.0.0.1:1"), destination.Address)
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -70,7 +70,7 @@
 	switch {
 	case err == nil:
 		delete(r.skippedUntil, node)
-	case errors.Is(err, tunnel.ErrWorkerRefused), errors.Is(err, tunnel.ErrWorkerUnreachable), abandoned:
+	case errors.Is(err, tunnel.ErrWorkerRefused), errors.Is(err, tunnel.ErrWorkerUnreachable), errors.Is(err, tunnel.ErrNoLink), abandoned:
 	case errors.Is(err, tunnel.ErrUnsupported):
 		r.skippedUntil[node] = now + unsupportedRelayBackoff
 	default:
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -77,12 +77,12 @@
 	if g.isStopping() || g.pressure.level() == nodecapacity.Full || !g.hasConnectionRoom() {
 		return upstream.Destination{}, errors.Wrap(tunnel.ErrUnavailable, "no capacity")
 	}
-	if g.links.isLost(asked.Worker) {
-		return upstream.Destination{}, errors.Wrap(tunnel.ErrUnavailable, "link to the worker is lost here too")
+	if g.links.isPartitioned() {
+		return upstream.Destination{}, errors.Wrap(tunnel.ErrUnavailable, "partitioned from the workers")
 	}
 	address, known := g.addressOf(asked.Worker)
-	if !known {
-		return upstream.Destination{}, errors.Wrap(tunnel.ErrUnavailable, "unknown worker")
+	if !known || g.links.isLost(asked.Worker) {
+		return upstream.Destination{}, errors.Wrap(tunnel.ErrNoLink, "worker unknown or its link lost")
 	}
 	return upstream.Destination{Engine: asked.Worker, Address: address}, nil
 }
--- a/internal/gateway/workerdial.go
+++ b/internal/gateway/workerdial.go
@@ -18,10 +18,14 @@
 	// relayDelay is how long a direct connection may take before another gateway is asked for one, as
 	// between address families in RFC 8305.
 	relayDelay = 150 * time.Millisecond
-	// nextRelayDelay is the time between the first and the next gateways that are asked.
-	nextRelayDelay = 100 * time.Millisecond
+	// nextRelayDelay is the time between the first and the next gateways that are asked. It exceeds the
+	// time to open a tunnel within a region.
+	nextRelayDelay = 30 * time.Millisecond
 	// maxRelaysAsked bounds the gateways that are asked for one connection.
-	maxRelaysAsked = 4
+	maxRelaysAsked = 6
+	// confirmations is the number of other gateways that must fail to connect to a worker, if there are
+	// as many, before it counts as unreachable: some workers may be cut off from some gateways.
+	confirmations = 2
 )
 
 // errNoPath means that this gateway's link to a worker is lost and no other gateway opens a tunnel. It
@@ -58,14 +62,15 @@
 	// results has room for all attempts, so that none blocks.
 	results chan dialAttempt
 	running int
-	// relays are the gateways that haven't been asked.
+	// relays are the gateways that haven't been asked, and known how many there were.
 	relays []relayCandidate
+	known  int
 	// directErr is the error of the direct attempt, unless linkLost is set: then there is none.
 	directErr error
 	linkLost  bool
-	// reached is set once another gateway has answered for the worker, and refused once that answer was
-	// that the worker refuses connections.
-	reached, refused bool
+	// unreached counts the other gateways with sound links that couldn't connect to the worker, refused
+	// those of them whose connections it refused.
+	unreached, refused int
 }
 
 // dialWorker opens a connection to a worker: a direct one or, if that fails or takes long, one through
@@ -76,6 +81,7 @@
 		gateway: g, destination: destination, relays: g.relays.candidates(g.now(), maxRelaysAsked, g.relayMembers()),
 		results: make(chan dialAttempt, maxRelaysAsked+1), linkLost: g.links.isLost(destination.Engine),
 	}
+	race.known = len(race.relays)
 	conn, err := race.run(dialing)
 	cancel()
 	go race.closeLosers()
@@ -88,10 +94,7 @@
 	if d.linkLost {
 		delay = 0
 	} else {
-		d.start(func() dialAttempt {
-			conn, err := d.gateway.dialDirect(ctx, d.destination)
-			return dialAttempt{conn: conn, err: err}
-		})
+		d.startDirect(ctx)
 	}
 	next := time.NewTimer(delay)
 	defer next.Stop()
@@ -104,7 +107,7 @@
 				return attempt.conn, nil
 			}
 			d.recordFailure(attempt)
-			if d.reached {
+			if d.isConfirmed() {
 				return nil, d.failure(nil)
 			}
 			next.Reset(0)
@@ -115,12 +118,25 @@
 		case <-ctx.Done():
 			return nil, d.failure(context.Cause(ctx))
 		}
-		if d.running == 0 && len(d.relays) == 0 {
+		if d.running > 0 || len(d.relays) > 0 {
+			continue
+		}
+		if !d.linkLost || d.gateway.links.isPartitioned() {
 			return nil, d.failure(nil)
 		}
+		// The link was found lost up to a check's interval ago, and nobody else can be asked.
+		d.linkLost = false
+		d.startDirect(ctx)
 	}
 }
 
+func (d *workerDial) startDirect(ctx context.Context) {
+	d.start(func() dialAttempt {
+		conn, err := d.gateway.dialDirect(ctx, d.destination)
+		return dialAttempt{conn: conn, err: err}
+	})
+}
+
 func (d *workerDial) start(attempt func() dialAttempt) {
 	d.running++
 	go func() { d.results <- attempt() }()
@@ -157,20 +173,25 @@
 	case failed.relay == "":
 		d.directErr = failed.err
 	case errors.Is(failed.err, tunnel.ErrWorkerRefused):
-		d.reached, d.refused = true, true
+		d.unreached++
+		d.refused++
 	case errors.Is(failed.err, tunnel.ErrWorkerUnreachable):
-		d.reached = true
+		d.unreached++
 	}
 }
 
-// failure returns the error of a race without a winner. If a gateway with sound links couldn't connect
-// to the worker either, the failure is the worker's; otherwise, if the link is lost, it is this
-// gateway's own.
+// isConfirmed reports whether enough other gateways couldn't connect to the worker either.
+func (d *workerDial) isConfirmed() bool {
+	return d.unreached > 0 && d.unreached >= min(confirmations, d.known)
+}
+
+// failure returns the error of a race without a winner. If other gateways couldn't connect to the
+// worker either, the failure is the worker's; otherwise, if the link is lost, it is this gateway's own.
 func (d *workerDial) failure(cause error) error {
 	switch {
-	case d.refused:
+	case d.isConfirmed() && d.refused == d.unreached:
 		return errors.Wrap(tunnel.ErrWorkerRefused, "asked another gateway")
-	case d.reached:
+	case d.isConfirmed():
 		return errors.Wrap(tunnel.ErrWorkerUnreachable, "asked another gateway")
 	case d.directErr != nil:
 		return d.directErr
--- a/internal/reachability/monitor.go
+++ b/internal/reachability/monitor.go
@@ -10,6 +10,7 @@
 package reachability
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -20,8 +21,8 @@
 	// minLostLinks is the number of workers to which the links must be lost before the node counts as
 	// partitioned from all, if there are as many. Some workers may be cut off from some nodes alone.
 	minLostLinks = 3
-	// checkInterval is the time between two checks of lost links. Each check tries one connection.
-	checkInterval = 500 * time.Millisecond
+	// checkInterval is the time between two checks of the same lost link. Each check tries one connection.
+	checkInterval = time.Second
 )
 
 // Change is what an observation changes about the node.
@@ -38,35 +39,41 @@
 
 // Monitor tracks which links from this node to workers are lost.
 type Monitor struct {
-	// lost holds when a link was last found lost, by worker.
-	lost map[fleet.EngineID]time.Duration
+	// lost holds the links that are lost, by worker.
+	lost map[fleet.EngineID]lostLink
 	// connectedAt is when this node last opened a connection to a worker itself; 0 before the first.
 	connectedAt time.Duration
 	partitioned bool
-	// checkedAt is when a lost link was last handed out for a check.
-	checkedAt time.Duration
+}
+
+// lostLink is a link that is lost.
+type lostLink struct {
+	// foundAt is when it was last found lost, checkAt when it is due for a check.
+	foundAt, checkAt time.Duration
 }
 
 // New returns a monitor for a node whose links are assumed to work.
-func New() *Monitor { return &Monitor{lost: make(map[fleet.EngineID]time.Duration)} }
+func New() *Monitor { return &Monitor{lost: make(map[fleet.EngineID]lostLink)} }
 
-// Connected records that this node has opened a connection to a worker itself. That ends a partition,
-// after which all links are tried again.
+// Connected records that this node has opened a connection to a worker itself. That ends a partition;
+// links that were found lost one by one stay so until each is checked, which is due at once.
 func (m *Monitor) Connected(now time.Duration, worker fleet.EngineID) Change {
 	m.connectedAt = max(m.connectedAt, now)
+	delete(m.lost, worker)
 	if !m.partitioned {
-		delete(m.lost, worker)
 		return Unchanged
 	}
 	m.partitioned = false
-	clear(m.lost)
+	for other, link := range m.lost {
+		m.lost[other] = lostLink{foundAt: link.foundAt, checkAt: now}
+	}
 	return Healed
 }
 
 // LinkLost records that another node has connected to a worker to which this one couldn't. known is the
 // number of workers that this node knows.
 func (m *Monitor) LinkLost(now time.Duration, worker fleet.EngineID, known int) Change {
-	m.lost[worker] = now
+	m.lost[worker] = lostLink{foundAt: now, checkAt: now + checkInterval}
 	if m.partitioned || m.lostSinceConnected() < min(minLostLinks, max(known, 1)) {
 		return Unchanged
 	}
@@ -78,8 +85,8 @@
 // worker.
 func (m *Monitor) lostSinceConnected() int {
 	count := 0
-	for _, at := range m.lost {
-		if at > m.connectedAt {
+	for _, link := range m.lost {
+		if link.foundAt > m.connectedAt {
 			count++
 		}
 	}
@@ -101,24 +108,21 @@
 // ConnectedAt returns when this node last opened a connection to a worker itself; 0 before the first.
 func (m *Monitor) ConnectedAt() time.Duration { return m.connectedAt }
 
-// NextCheck returns the worker whose link has been lost for longest without a check, if a check is due.
-// The caller is to try a connection and to report it by Connected or StillLost.
-func (m *Monitor) NextCheck(now time.Duration) (fleet.EngineID, bool) {
-	if len(m.lost) == 0 || now < m.checkedAt+checkInterval {
-		return "", false
-	}
-	m.checkedAt = now
-	workers := make([]fleet.EngineID, 0, len(m.lost))
-	for worker := range m.lost {
-		workers = append(workers, worker)
+// NextChecks returns the workers whose links are due for a check, at most limit. The caller is to try a
+// connection to each, and reports those that succeed by Connected.
+func (m *Monitor) NextChecks(now time.Duration, limit int) []fleet.EngineID {
+	var due []fleet.EngineID
+	for worker, link := range m.lost {
+		if now >= link.checkAt {
+			due = append(due, worker)
+		}
 	}
-	slices.Sort(workers)
-	return slices.MinFunc(workers, func(a, b fleet.EngineID) int { return int(m.lost[a] - m.lost[b]) }), true
-}
-
-// StillLost records that a checked link is still lost.
-func (m *Monitor) StillLost(now time.Duration, worker fleet.EngineID) {
-	if _, lost := m.lost[worker]; lost {
-		m.lost[worker] = now
+	slices.SortFunc(due, func(a, b fleet.EngineID) int {
+		return cmp.Or(cmp.Compare(m.lost[a].checkAt, m.lost[b].checkAt), cmp.Compare(a, b))
+	})
+	due = due[:min(len(due), limit)]
+	for _, worker := range due {
+		m.lost[worker] = lostLink{foundAt: m.lost[worker].foundAt, checkAt: now + checkInterval}
 	}
+	return due
 }
--- a/internal/reachability/monitor_test.go
+++ b/internal/reachability/monitor_test.go
@@ -40,34 +40,39 @@
 	}
 }
 
-// TestOneConnectionHealsAPartition guards against links that stay unused after they have healed.
+// TestOneConnectionHealsAPartition guards against links that stay unused after they have healed, and
+// against requests that try each lost link again while only some have healed.
 func TestOneConnectionHealsAPartition(t *testing.T) {
 	m := New()
 	for _, worker := range []string{"a", "b", "c"} {
-		m.LinkLost(second, fleet.EngineID(worker), 3)
+		m.LinkLost(second, fleet.EngineID(worker), 20)
 	}
 	assert.Equal(t, Healed, m.Connected(2*second, "b"))
 	assert.False(t, m.IsPartitioned())
-	assert.False(t, m.IsLinkLost("a"), "tried again by the next request")
-	_, due := m.NextCheck(3 * second)
-	assert.False(t, due)
+	assert.False(t, m.IsLinkLost("b"))
+	assert.False(t, m.IsLinkLost("d"), "never found lost")
+	assert.True(t, m.IsLinkLost("a"))
+	assert.Equal(t, []fleet.EngineID{"a", "c"}, m.NextChecks(2*second, 4), "due at once")
 }
 
 // TestLostLinksAreCheckedInTurn guards against checks by each request, and against a worker that is
 // never checked.
 func TestLostLinksAreCheckedInTurn(t *testing.T) {
 	m := New()
-	m.LinkLost(1*second, "a", 20)
-	m.LinkLost(2*second, "b", 20)
-	var checked []string
-	checks := 0
-	for now := 3 * second; now < 7*second; now += 50 * time.Millisecond {
-		if worker, due := m.NextCheck(now); due {
-			checked = append(checked, string(worker))
-			m.StillLost(now, worker)
-			checks++
+	for _, worker := range []string{"a", "b", "c", "d", "e"} {
+		m.LinkLost(second, fleet.EngineID(worker), 20)
+	}
+	checks := map[fleet.EngineID]int{}
+	for now := 2 * second; now < 6*second; now += 250 * time.Millisecond {
+		due := m.NextChecks(now, 2)
+		assert.LessOrEqual(t, len(due), 2)
+		for _, worker := range due {
+			checks[worker]++
 		}
 	}
-	assert.Equal(t, []string{"a", "b", "a", "b"}, checked[:4])
-	assert.LessOrEqual(t, checks, int(4*second/checkInterval))
+	assert.Len(t, checks, 5)
+	for worker, count := range checks {
+		assert.LessOrEqual(t, count, int(4*second/checkInterval), worker)
+		assert.GreaterOrEqual(t, count, 3, worker)
+	}
 }
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -49,7 +49,9 @@
 	ErrWorkerRefused = errors.Wrap(syscall.ECONNREFUSED, "worker")
 	// ErrWorkerUnreachable means that the other node could not connect to the worker either.
 	ErrWorkerUnreachable = errors.New("worker not reached by the other node")
-	// ErrUnavailable means that the other node opens no tunnels to this worker now.
+	// ErrNoLink means that the other node can't reach this worker by its own links either.
+	ErrNoLink = errors.New("other node has no link to the worker")
+	// ErrUnavailable means that the other node opens no tunnels now.
 	ErrUnavailable = errors.New("other node opens no tunnel")
 	// ErrUnsupported means that the other node's release knows no tunnels.
 	ErrUnsupported = errors.New("other node knows no tunnels")
@@ -59,6 +61,7 @@
 var errorsByStatus = map[int]error{
 	http.StatusBadGateway:         ErrWorkerRefused,
 	http.StatusGatewayTimeout:     ErrWorkerUnreachable,
+	http.StatusConflict:           ErrNoLink,
 	http.StatusServiceUnavailable: ErrUnavailable,
 	http.StatusNotFound:           ErrUnsupported,
 }
