Find gateways to ask and slot shares only when they are needed

Each new connection to a worker listed all members, though few connections need another gateway, and a service's slot share was derived again with each row that a worker wrote, thousands a second in a large fleet. The members are now listed when the direct attempt fails or takes long, and a share is derived at most each 200 ms.

--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -177,8 +177,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), upstream.DefaultDialTimeout)
 	defer cancel()
 	race := &workerDial{
-		gateway: g, destination: upstream.Destination{Engine: "w1", Address: "127.0.0.1:1"}, relays: candidates,
-		results: make(chan dialAttempt, len(candidates)+1), linkLost: g.links.isLost("w1"), known: len(candidates),
+		gateway: g, destination: upstream.Destination{Engine: "w1", Address: "127.0.0.1:1"},
+		results: make(chan dialAttempt, len(candidates)+1), linkLost: g.links.isLost("w1"),
+		findRelays: func() []relayCandidate { return candidates },
 	}
 	defer race.closeLosers()
 	return race.run(ctx)
--- a/internal/gateway/rejections.go
+++ b/internal/gateway/rejections.go
@@ -20,6 +20,9 @@
 	reasonAtShare = "slots_in_use"
 	// durationWeight is the weight of one request in the moving average of durations.
 	durationWeight = 0.1
+	// shareInterval is the time between two derivations of a share. Workers change with each row that
+	// they write.
+	shareInterval = 200 * time.Millisecond
 	// assumedDuration is the duration of a request until one was measured.
 	assumedDuration = 100 * time.Millisecond
 )
@@ -38,9 +41,11 @@
 // serviceLimit is the state of one service whose workers bear few rejections.
 type serviceLimit struct {
 	share slotShare
-	// roles and changes identify the state of the members and the workers that share was derived from.
-	roles   *nodeRoles
-	changes uint64
+	// roles and changes identify the state of the members and the workers that share was derived from, at
+	// derivedAt.
+	roles     *nodeRoles
+	changes   uint64
+	derivedAt time.Duration
 	// duration is the moving average of the time that a request takes.
 	duration   time.Duration
 	retryTimes workerlimit.RetryScheduler
@@ -169,7 +174,8 @@
 		l.mutex.Unlock()
 		return slotShare{}, false
 	}
-	current, isDerived := state.share, state.roles == roles && state.changes == changes
+	current := state.share
+	isDerived := state.roles != nil && (now < state.derivedAt+shareInterval || state.roles == roles && state.changes == changes)
 	current.duration = state.duration
 	l.mutex.Unlock()
 	if isDerived {
@@ -179,7 +185,7 @@
 	derived.duration = current.duration
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	state.share, state.roles, state.changes = derived, roles, changes
+	state.share, state.roles, state.changes, state.derivedAt = derived, roles, changes, now
 	return derived, true
 }
 
--- a/internal/gateway/workerdial.go
+++ b/internal/gateway/workerdial.go
@@ -62,7 +62,9 @@
 	// results has room for all attempts, so that none blocks.
 	results chan dialAttempt
 	running int
-	// relays are the gateways that haven't been asked, and known how many there were.
+	// findRelays returns the gateways to ask. It is called once, when the first one is to be asked.
+	findRelays func() []relayCandidate
+	// relays are those that haven't been asked, and known how many there were.
 	relays []relayCandidate
 	known  int
 	// directErr is the error of the direct attempt, unless linkLost is set: then there is none.
@@ -78,10 +80,9 @@
 func (g *Gateway) dialWorker(ctx context.Context, destination upstream.Destination) (net.Conn, error) {
 	dialing, cancel := context.WithCancel(ctx)
 	race := &workerDial{
-		gateway: g, destination: destination, relays: g.relays.candidates(g.now(), maxRelaysAsked, g.relayMembers()),
-		results: make(chan dialAttempt, maxRelaysAsked+1), linkLost: g.links.isLost(destination.Engine),
+		gateway: g, destination: destination, results: make(chan dialAttempt, maxRelaysAsked+1), linkLost: g.links.isLost(destination.Engine),
+		findRelays: func() []relayCandidate { return g.relays.candidates(g.now(), maxRelaysAsked, g.relayMembers()) },
 	}
-	race.known = len(race.relays)
 	conn, err := race.run(dialing)
 	cancel()
 	go race.closeLosers()
@@ -110,8 +111,10 @@
 			if d.isConfirmed() {
 				return nil, d.failure(nil)
 			}
+			d.requireRelays()
 			next.Reset(0)
 		case <-next.C:
+			d.requireRelays()
 			if d.askNextRelay(ctx) {
 				next.Reset(nextRelayDelay)
 			}
@@ -142,6 +145,16 @@
 	go func() { d.results <- attempt() }()
 }
 
+// requireRelays finds the gateways to ask. Most connections need none.
+func (d *workerDial) requireRelays() {
+	if d.findRelays == nil {
+		return
+	}
+	d.relays = d.findRelays()
+	d.known = len(d.relays)
+	d.findRelays = nil
+}
+
 // askNextRelay asks the next gateway for a tunnel. It returns false if none is left.
 func (d *workerDial) askNextRelay(ctx context.Context) bool {
 	if len(d.relays) == 0 {
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -70,7 +70,8 @@
 // worker. It closes conn if there is an error.
 func Open(ctx context.Context, conn net.Conn, request Request) (*Conn, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	reader, err := handshake(conn, request)
+	opened := newConn(conn)
+	err := opened.handshake(request)
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
 	}
@@ -78,33 +79,39 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return &Conn{Conn: conn, buffered: reader, chunks: httputil.NewChunkedReader(reader)}, nil
+	return opened, nil
 }
 
-func handshake(conn net.Conn, request Request) (*bufio.Reader, error) {
+// newConn returns the connection to a worker that a connection to another node carries.
+func newConn(conn net.Conn) *Conn {
+	buffered := bufio.NewReaderSize(conn, bufferSize)
+	return &Conn{Conn: conn, buffered: buffered, chunks: httputil.NewChunkedReader(buffered)}
+}
+
+// handshake makes the upgrade request.
+func (c *Conn) handshake(request Request) error {
 	query := url.Values{workerParameter: {string(request.Worker)}, nodeParameter: {string(request.Node)}}
-	upgrade, err := http.NewRequest(http.MethodGet, "http://"+conn.RemoteAddr().String()+Path+"?"+query.Encode(), nil)
+	upgrade, err := http.NewRequest(http.MethodGet, "http://"+c.RemoteAddr().String()+Path+"?"+query.Encode(), nil)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	upgrade.Header.Set("Connection", "Upgrade")
 	upgrade.Header.Set("Upgrade", protocol)
 	upgrade.Header.Set("User-Agent", "")
-	if err := upgrade.Write(conn); err != nil {
-		return nil, errors.Wrap(err, "request tunnel")
+	if err := upgrade.Write(c.Conn); err != nil {
+		return errors.Wrap(err, "request tunnel")
 	}
-	reader := bufio.NewReaderSize(conn, bufferSize)
-	response, err := http.ReadResponse(reader, upgrade)
+	response, err := http.ReadResponse(c.buffered, upgrade)
 	if err != nil {
-		return nil, errors.Wrap(err, "request tunnel")
+		return errors.Wrap(err, "request tunnel")
 	}
 	if response.StatusCode == http.StatusSwitchingProtocols {
-		return reader, nil
+		return nil
 	}
 	if known := errorsByStatus[response.StatusCode]; known != nil {
-		return nil, known
+		return known
 	}
-	return nil, errors.Errorf("request tunnel: status %d", response.StatusCode)
+	return errors.Errorf("request tunnel: status %d", response.StatusCode)
 }
 
 // Conn is a connection to a worker through another node.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -38,7 +38,7 @@
 	return asking, far, <-accepted
 }
 
-func tcpPair(t *testing.T) (one, other net.Conn) {
+func tcpPair(t testing.TB) (one, other net.Conn) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }()
