Close idle tunnels at a gateway that loses its own links

A gateway without links keeps idle connections through others. When one of those lost its links too, a request sent on such a connection hung. Lost links are looked at only while there are any, so that a gateway at rest doesn't wake up for them.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,7 @@
 	crashes            *crashDetector
 	links              *workerLinks
 	relays             *relays
+	carriers           *openCarriers
 	// directDial opens connections to workers and to other gateways' tunnels.
 	directDial       traffic.DialContext
 	quarantines      *quarantineState
@@ -169,6 +170,7 @@
 		crashes:          newCrashDetector(),
 		links:            newWorkerLinks(),
 		relays:           newRelays(),
+		carriers:         newOpenCarriers(),
 		quarantines:      newQuarantineState(),
 		suspensionSignal: newSuspensionSignal(),
 		deadlines:        newDeadlineTimers(),
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -31,12 +31,14 @@
 	monitor *reachability.Monitor
 	// heardAt is when a worker was last heard on a direct connection.
 	heardAt time.Duration
+	// lostSignal holds one element after a link was found lost.
+	lostSignal chan struct{}
 	// checking holds the workers to which a connection is being tried as a check.
 	checking map[fleet.EngineID]bool
 }
 
 func newWorkerLinks() *workerLinks {
-	return &workerLinks{monitor: reachability.New(), checking: make(map[fleet.EngineID]bool)}
+	return &workerLinks{monitor: reachability.New(), lostSignal: make(chan struct{}, 1), checking: make(map[fleet.EngineID]bool)}
 }
 
 // isPartitioned reports whether this gateway is partitioned from all workers.
@@ -60,6 +62,13 @@
 	return l.monitor.ConnectedAt() > max(since, 0)
 }
 
+// hasLost reports whether any link is lost.
+func (l *workerLinks) hasLost() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.monitor.HasLostLinks()
+}
+
 // recordHeard records that a worker was heard on a direct connection.
 func (l *workerLinks) recordHeard(now time.Duration) {
 	l.mutex.Lock()
@@ -122,6 +131,7 @@
 	wasLost := g.links.monitor.IsLinkLost(worker)
 	change := g.links.monitor.LinkLost(now, worker, known)
 	g.links.mutex.Unlock()
+	signal(g.links.lostSignal)
 	if !wasLost {
 		g.events.line("link_lost").Str("worker", string(worker)).Str("relay", string(relay)).Msg("link_lost")
 		g.checkOtherLinks(worker)
@@ -181,23 +191,38 @@
 
 // recheckLinks tries lost links again until the process ends.
 func (g *Gateway) recheckLinks() error {
-	for g.pause(linkCheckInterval) {
-		g.links.mutex.Lock()
-		due := g.links.monitor.NextChecks(g.now(), linkChecksPerRound)
-		partitioned := g.links.monitor.IsPartitioned()
-		g.links.mutex.Unlock()
-		for _, id := range due {
-			if worker, known := g.workers.Worker(id); known {
-				go g.recheckLink(worker)
-			} else {
-				g.links.forget(id)
+	for {
+		select {
+		case <-g.links.lostSignal:
+		case <-g.life.Dying():
+			return nil
+		}
+		for g.links.hasLost() {
+			if !g.pause(linkCheckInterval) {
+				return nil
 			}
+			g.recheckDueLinks()
 		}
-		if partitioned {
-			g.checkAnyLink()
+	}
+}
+
+// recheckDueLinks makes one round of checks.
+func (g *Gateway) recheckDueLinks() {
+	g.links.mutex.Lock()
+	due := g.links.monitor.NextChecks(g.now(), linkChecksPerRound)
+	partitioned := g.links.monitor.IsPartitioned()
+	g.links.mutex.Unlock()
+	for _, id := range due {
+		if worker, known := g.workers.Worker(id); known {
+			go g.recheckLink(worker)
+		} else {
+			g.links.forget(id)
 		}
 	}
-	return nil
+	if partitioned {
+		g.checkAnyLink()
+		g.carriers.closeIdle()
+	}
 }
 
 // checkAnyLink tries a direct connection to a worker drawn from all: in a partition that was inferred from
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -78,6 +78,13 @@
 	}
 }
 
+// isSkipped reports whether a gateway isn't asked at the moment.
+func (r *relays) isSkipped(now time.Duration, node fleet.NodeID) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return now < r.skippedUntil[node]
+}
+
 // availableIn returns the time until a gateway may be asked again, at most relayBackoff.
 func (r *relays) availableIn(now time.Duration) time.Duration {
 	r.mutex.Lock()
@@ -110,8 +117,8 @@
 }
 
 // keepsRelayed reports whether an idle connection through another gateway may still be used: the link
-// to its worker is lost and the other gateway isn't stopping.
+// to its worker is lost, and the other gateway isn't stopping and has refused no tunnel of late.
 func (g *Gateway) keepsRelayed(worker fleet.EngineID, relay fleet.NodeID) bool {
 	member, found := g.peers.View().Find(relay)
-	return found && member.IsRoutable() && g.links.isLost(worker)
+	return found && member.IsRoutable() && g.links.isLost(worker) && !g.relays.isSkipped(g.now(), relay)
 }
--- a/internal/reachability/monitor.go
+++ b/internal/reachability/monitor.go
@@ -108,6 +108,9 @@
 // ConnectedAt returns when this node last opened a connection to a worker itself; 0 before the first.
 func (m *Monitor) ConnectedAt() time.Duration { return m.connectedAt }
 
+// HasLostLinks reports whether any link is lost or the node is partitioned.
+func (m *Monitor) HasLostLinks() bool { return m.partitioned || len(m.lost) > 0 }
+
 // NextChecks returns the workers whose links are due for a check, at most limit. The caller is to try a
 // connection to each, and reports those that succeed by Connected.
 func (m *Monitor) NextChecks(now time.Duration, limit int) []fleet.EngineID {
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -16,6 +16,7 @@
 	"net/http/httputil"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -166,29 +167,64 @@
 	return conn, nil
 }
 
-// Carry copies between a requesting node and a worker until either end is closed, and closes both.
-func Carry(node, worker net.Conn) {
+// Carrier copies between a requesting node and a worker.
+type Carrier struct {
+	node, worker net.Conn
+	openedAt     time.Time
+	// lastByteAt is when bytes last came from either end, in nanoseconds since openedAt. awaitsWorker is
+	// set while the last ones came from the node.
+	lastByteAt   atomic.Int64
+	awaitsWorker atomic.Bool
+}
+
+// NewCarrier returns a carrier between two connections, which it takes over.
+func NewCarrier(node, worker net.Conn) *Carrier {
+	return &Carrier{node: node, worker: worker, openedAt: time.Now()}
+}
+
+// Run copies until either end is closed, and closes both.
+func (c *Carrier) Run() {
 	var group sync.WaitGroup
 	group.Go(func() {
 		// The requesting node never closes one direction alone: its end means that the caller has left.
-		_, _ = io.CopyBuffer(onlyWriter{worker}, onlyReader{node}, make([]byte, bufferSize))
-		_ = worker.Close()
+		_, _ = io.CopyBuffer(onlyWriter{c.worker}, c.observe(c.node, true), make([]byte, bufferSize))
+		_ = c.worker.Close()
 	})
-	if copyChunked(node, worker) == nil {
-		closeWrite(node)
+	if copyChunked(c.node, c.observe(c.worker, false)) == nil {
+		closeWrite(c.node)
 	} else {
-		reset(node)
+		reset(c.node)
 	}
 	group.Wait()
-	_ = node.Close()
+	_ = c.node.Close()
 }
 
-// onlyWriter and onlyReader hide the other methods of a connection, by which io.Copy would use
-// splice(2).
-type (
-	onlyWriter struct{ io.Writer }
-	onlyReader struct{ io.Reader }
-)
+// CloseIfIdle closes the tunnel if nothing has come from either end for a duration, and the last bytes
+// came from the worker: then no request waits for an answer.
+func (c *Carrier) CloseIfIdle(duration time.Duration) {
+	if !c.awaitsWorker.Load() && time.Since(c.openedAt)-time.Duration(c.lastByteAt.Load()) >= duration {
+		_ = c.worker.Close()
+	}
+}
+
+// observe returns a reader of a connection that records when bytes come from it.
+func (c *Carrier) observe(conn net.Conn, fromNode bool) io.Reader {
+	return readerFunc(func(into []byte) (int, error) {
+		count, err := conn.Read(into)
+		if count > 0 {
+			c.lastByteAt.Store(int64(time.Since(c.openedAt)))
+			c.awaitsWorker.Store(fromNode)
+		}
+		return count, err
+	})
+}
+
+type readerFunc func(into []byte) (int, error)
+
+func (f readerFunc) Read(into []byte) (int, error) { return f(into) }
+
+// onlyWriter hides the other methods of a connection, by which io.Copy would use splice(2).
+type onlyWriter struct{ io.Writer }
 
 // copyChunked copies the bytes of a worker in chunked coding. It returns nil once the worker has closed
 // its connection and the last chunk was written.
--- a/internal/tunnel/tunnel_benchmark_test.go
+++ b/internal/tunnel/tunnel_benchmark_test.go
@@ -12,7 +12,7 @@
 	const eventBytes = 200
 	worker, near := tcpPair(b)
 	node, far := tcpPair(b)
-	go Carry(far, near)
+	go NewCarrier(far, near).Run()
 	asking := newConn(node)
 	event, buffer := make([]byte, eventBytes), make([]byte, eventBytes)
 	b.SetBytes(eventBytes)
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -26,7 +26,7 @@
 		conn, err := Accept(writer)
 		if assert.NoError(t, err) {
 			accepted <- conn
-			Carry(conn, near)
+			NewCarrier(conn, near).Run()
 		}
 	}))
 	t.Cleanup(node.Close)
@@ -109,6 +109,34 @@
 	assert.NotErrorIs(t, err, os.ErrDeadlineExceeded, "within a second")
 }
 
+// TestOnlyIdleTunnelsAreClosed guards against idle tunnels that stay open though the worker can't be
+// reached any more, and against an answer that is broken off since it is late.
+func TestOnlyIdleTunnelsAreClosed(t *testing.T) {
+	far, worker := tcpPair(t)
+	node, asking := tcpPair(t)
+	carrier := NewCarrier(node, worker)
+	go carrier.Run()
+	buffer := make([]byte, 64)
+	exchange := func(from, to net.Conn) {
+		_, err := io.WriteString(from, "x")
+		require.NoError(t, err)
+		require.NoError(t, to.SetReadDeadline(time.Now().Add(time.Second)))
+		_, err = to.Read(buffer)
+		require.NoError(t, err)
+	}
+	exchange(asking, far)
+	time.Sleep(20 * time.Millisecond)
+	carrier.CloseIfIdle(10 * time.Millisecond)
+	exchange(far, asking)
+	carrier.CloseIfIdle(time.Minute)
+	exchange(far, asking)
+	time.Sleep(20 * time.Millisecond)
+	carrier.CloseIfIdle(10 * time.Millisecond)
+	require.NoError(t, far.SetReadDeadline(time.Now().Add(time.Second)))
+	_, err := far.Read(buffer)
+	assert.ErrorIs(t, err, io.EOF)
+}
+
 // TestRefusalsAreTold guards against a refusal that is taken for another one, and against a node of an
 // earlier release that is asked again and again.
 func TestRefusalsAreTold(t *testing.T) {
