--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"syscall"
 	"time"
 
@@ -23,8 +22,6 @@
 	tunnelDialTimeout = 200 * time.Millisecond
 	// tunnelDescriptors is the number of descriptors that a tunnel uses.
 	tunnelDescriptors = 2
-	// idleTunnel is how long nothing passes through a tunnel that counts as idle.
-	idleTunnel = time.Second
 	// recentConnection is the age up to which this gateway's last direct connection to a worker shows
 	// that its links work.
 	recentConnection = 100 * time.Millisecond
@@ -75,36 +72,6 @@
 	carrier.Run()
 }
 
-// openCarriers holds the tunnels that this gateway carries for others. It is safe for concurrent use.
-type openCarriers struct {
-	mutex sync.Mutex
-	open  map[*tunnel.Carrier]bool
-}
-
-func newOpenCarriers() *openCarriers { return &openCarriers{open: make(map[*tunnel.Carrier]bool)} }
-
-func (c *openCarriers) add(carrier *tunnel.Carrier) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.open[carrier] = true
-}
-
-func (c *openCarriers) remove(carrier *tunnel.Carrier) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	delete(c.open, carrier)
-}
-
-// closeIdle closes the tunnels that nobody uses, so that no request is sent on one whose connection to
-// the worker hangs.
-func (c *openCarriers) closeIdle() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for carrier := range c.open {
-		carrier.CloseIfIdle(idleTunnel)
-	}
-}
-
 // admitTunnel returns the worker's destination if this gateway opens a tunnel to it for another.
 func (g *Gateway) admitTunnel(asked tunnel.Request) (upstream.Destination, error) {
 	if _, member := g.peers.View().Find(asked.Node); !member {
