--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -164,25 +164,25 @@
 	return relayCandidate{node: fleet.NodeID(node.URL), address: fleet.Address(node.Listener.Addr().String()), distance: traffic.SameZone}
 }
 
-// raceTo races for a connection to w1 with some gateways to ask.
+// raceTo races for a connection to w1 with some gateways to ask. It replaces the gateway's direct dial.
 func raceTo(g *Gateway, direct traffic.DialContext, candidates ...relayCandidate) (net.Conn, error) {
-	plain := g.directDial
+	plain := upstream.NewDial(nil)
 	g.directDial = func(ctx context.Context, network, address string) (net.Conn, error) {
 		if address == "127.0.0.1:1" {
 			return direct(ctx, network, address)
 		}
 		return plain(ctx, network, address)
 	}
-	defer func() { g.directDial = plain }()
 	ctx, cancel := context.WithTimeout(context.Background(), upstream.DefaultDialTimeout)
-	defer cancel()
 	race := &workerDial{
 		gateway: g, destination: upstream.Destination{Engine: "w1", Address: "127.0.0.1:1"},
 		results: make(chan dialAttempt, len(candidates)+1), linkLost: g.links.isLost("w1"),
 		findRelays: func() []relayCandidate { return candidates },
 	}
-	defer race.closeLosers()
-	return race.run(ctx)
+	conn, err := race.run(ctx)
+	cancel()
+	race.closeLosers()
+	return conn, err
 }
 
 func refusedDial(context.Context, string, string) (net.Conn, error) {
@@ -215,8 +215,8 @@
 // TestWorkerCutOffFromTwoGatewaysIsReachedByAThird guards against a worker that is blamed since one other
 // gateway is cut off from it too.
 func TestWorkerCutOffFromTwoGatewaysIsReachedByAThird(t *testing.T) {
-	g := linkTestGateway(t)
 	for _, cause := range []error{tunnel.ErrWorkerUnreachable, tunnel.ErrNoLink} {
+		g := linkTestGateway(t)
 		conn, err := raceTo(g, refusedDial, relayAnswering(t, cause), relayAnswering(t, nil))
 		require.NoError(t, err)
 		_ = conn.Close()
