Refuse requests at once while no gateway reaches any worker

What callers saw: with the links of all gateways silent, each request tried up to five workers in turn, 0.5 s each, and ended with 503 after 2.5 s or at its caller's deadline, though the gateway knew that nobody can serve it.

Once no way was found to three workers (or all), no gateway that was asked knew one to any other, and no worker was heard since by any way, requests are refused with a time after the next checks. One connection each 0.25 s, directly or through others, ends it.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -19,6 +19,9 @@
 // report the missed deadline itself.
 const deadlineGrace = 40 * time.Millisecond
 
+// reasonUnreachable is the reason for refusing a request while no gateway reaches any worker.
+const reasonUnreachable = "no_worker_reachable"
+
 // errDeadlinePassed is the cause of a send that is cancelled at its deadline.
 var errDeadlinePassed = errors.New("deadline passed")
 
@@ -74,6 +77,9 @@
 	if current.tenant != nil && !g.canServeKeyed() {
 		return current.attempts.NoWorker("configuration too old", 0)
 	}
+	if wait, unreachable := g.refuseUnreachable(); unreachable {
+		return current.attempts.NoWorker(reasonUnreachable, wait)
+	}
 	g.refreshDueVersions(now)
 	request := g.placementRequest(current)
 	current.placedForTarget = request.Software.PrefersTarget()
@@ -110,9 +116,7 @@
 		return g.handleSendError(ctx, sending, current, placement, err)
 	}
 	defer response.Close()
-	if current.relay == "" {
-		g.links.recordHeard(g.now())
-	}
+	g.links.recordHeard(g.now(), current.relay)
 	g.observeHead(current.watched)
 	info := g.dependencies.Codec.ReadResponse(response.Status, response.Header)
 	g.reportInvalidInput(current.metadata.RequestID, info.Invalid)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -20,6 +20,9 @@
 	// how many links are checked in one.
 	linkCheckInterval  = 250 * time.Millisecond
 	linkChecksPerRound = 4
+	// unreachableRetryAfter is when callers are to return while no gateway reaches any worker: after two
+	// rounds of checks.
+	unreachableRetryAfter = 2 * linkCheckInterval
 	// linksCheckedAtOnce is how many further links are checked once one was found lost, so that a
 	// partition from all workers is soon told from the loss of one link.
 	linksCheckedAtOnce = 2
@@ -69,11 +72,21 @@
 	return l.monitor.HasLostLinks()
 }
 
-// recordHeard records that a worker was heard on a direct connection.
-func (l *workerLinks) recordHeard(now time.Duration) {
+// recordHeard records that a worker was heard, on a direct connection or through another gateway.
+func (l *workerLinks) recordHeard(now time.Duration, relay fleet.NodeID) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.heardAt = max(l.heardAt, now)
+	l.monitor.Reached()
+	if relay == "" {
+		l.heardAt = max(l.heardAt, now)
+	}
+}
+
+// isNoneReachable reports whether no gateway that was asked reaches any worker.
+func (l *workerLinks) isNoneReachable() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.monitor.IsNoneReachable()
 }
 
 // needsCheck reports whether no worker was heard for linkCheckDelay and no check is under way.
@@ -141,6 +154,28 @@
 	}
 }
 
+// recordUnreached records that no way to a worker was found, and no gateway that was asked knew one to any
+// other.
+func (g *Gateway) recordUnreached(worker fleet.EngineID) {
+	known := len(g.workers.Workers())
+	g.links.mutex.Lock()
+	began := g.links.monitor.Unreached(worker, known)
+	g.links.mutex.Unlock()
+	if began {
+		signal(g.links.lostSignal)
+		g.events.line("workers_unreachable").Int("workers", known).Msg("workers_unreachable")
+	}
+}
+
+// refuseUnreachable returns the time after which a caller is to return while no gateway reaches any worker,
+// false if one may be reached.
+func (g *Gateway) refuseUnreachable() (time.Duration, bool) {
+	if !g.links.isNoneReachable() {
+		return 0, false
+	}
+	return unreachableRetryAfter, true
+}
+
 // beginPartition gives up connections that may hang, withdraws what this gateway holds against workers,
 // since its own links have failed, and tells the other gateways.
 func (g *Gateway) beginPartition(known int) {
@@ -219,9 +254,12 @@
 			g.links.forget(id)
 		}
 	}
-	if partitioned {
+	switch {
+	case partitioned:
 		g.checkAnyLink()
 		g.carriers.closeIdle()
+	case len(due) == 0:
+		g.checkAnyPath()
 	}
 }
 
@@ -233,6 +271,13 @@
 	}
 }
 
+// checkAnyPath tries a connection to a worker drawn from all, directly or through another gateway.
+func (g *Gateway) checkAnyPath() {
+	if workers := g.workers.WorkersInUse(); len(workers) > 0 {
+		go g.checkLink(workers[rand.IntN(len(workers))])
+	}
+}
+
 // recheckLink tries a direct connection to a worker.
 func (g *Gateway) recheckLink(worker backends.Worker) {
 	ctx, cancel := context.WithTimeout(g.context(), upstream.DefaultDialTimeout)
--- a/internal/gateway/workerdial.go
+++ b/internal/gateway/workerdial.go
@@ -84,8 +84,12 @@
 		findRelays: func() []relayCandidate { return g.relays.candidates(g.now(), maxRelaysAsked, g.relayMembers()) },
 	}
 	conn, err := race.run(dialing)
+	isCancelled := errors.Is(context.Cause(ctx), context.Canceled)
 	cancel()
 	go race.closeLosers()
+	if err != nil && race.unreached == 0 && !isCancelled {
+		g.recordUnreached(destination.Engine)
+	}
 	return conn, err
 }
 
--- a/internal/reachability/monitor.go
+++ b/internal/reachability/monitor.go
@@ -3,7 +3,8 @@
 //
 // A worker that this node can't connect to, but another node can, has lost nothing: the link from here
 // to it is lost. A node that has lost its links to several workers and has connected to none since is
-// partitioned from all of them. Its failures then say nothing of any worker.
+// partitioned from all of them. Its failures then say nothing of any worker. While neither this node nor
+// any other reaches a worker, nobody is partitioned, and no request can be served.
 //
 // The package has no I/O and no clock: callers pass in the monotonic time. Its types are not safe for
 // concurrent use.
@@ -44,6 +45,10 @@
 	// connectedAt is when this node last opened a connection to a worker itself; 0 before the first.
 	connectedAt time.Duration
 	partitioned bool
+	// unreached holds the workers to which no way was found since one was last reached.
+	unreached map[fleet.EngineID]bool
+	// noneReachable is set while there are enough of them.
+	noneReachable bool
 }
 
 // lostLink is a link that is lost.
@@ -53,12 +58,15 @@
 }
 
 // New returns a monitor for a node whose links are assumed to work.
-func New() *Monitor { return &Monitor{lost: make(map[fleet.EngineID]lostLink)} }
+func New() *Monitor {
+	return &Monitor{lost: make(map[fleet.EngineID]lostLink), unreached: make(map[fleet.EngineID]bool)}
+}
 
 // Connected records that this node has opened a connection to a worker itself. That ends a partition;
 // links that were found lost one by one stay so until each is checked, which is due at once.
 func (m *Monitor) Connected(now time.Duration, worker fleet.EngineID) Change {
 	m.connectedAt = max(m.connectedAt, now)
+	m.Reached()
 	delete(m.lost, worker)
 	if !m.partitioned {
 		return Unchanged
@@ -73,6 +81,7 @@
 // LinkLost records that another node has connected to a worker to which this one couldn't. known is the
 // number of workers that this node knows.
 func (m *Monitor) LinkLost(now time.Duration, worker fleet.EngineID, known int) Change {
+	m.Reached()
 	m.lost[worker] = lostLink{foundAt: now, checkAt: now + checkInterval}
 	if m.partitioned || m.lostSinceConnected() < min(minLostLinks, max(known, 1)) {
 		return Unchanged
@@ -93,8 +102,33 @@
 	return count
 }
 
+// Reached records that any worker was reached or heard, by this node or through another one.
+func (m *Monitor) Reached() {
+	clear(m.unreached)
+	m.noneReachable = false
+}
+
+// Unreached records that neither this node nor another one that was asked found a way to a worker, nor to
+// any other. known is the number of workers that this node knows. It reports whether none can be reached
+// from now on.
+func (m *Monitor) Unreached(worker fleet.EngineID, known int) bool {
+	m.unreached[worker] = true
+	if m.noneReachable || len(m.unreached) < min(minLostLinks, max(known, 1)) {
+		return false
+	}
+	m.noneReachable = true
+	return true
+}
+
+// IsNoneReachable reports whether no way was found to several workers, or to all if there are fewer, since
+// one was last reached.
+func (m *Monitor) IsNoneReachable() bool { return m.noneReachable }
+
 // Forget drops a worker that is gone.
-func (m *Monitor) Forget(worker fleet.EngineID) { delete(m.lost, worker) }
+func (m *Monitor) Forget(worker fleet.EngineID) {
+	delete(m.lost, worker)
+	delete(m.unreached, worker)
+}
 
 // IsPartitioned reports whether the node is partitioned from all workers.
 func (m *Monitor) IsPartitioned() bool { return m.partitioned }
@@ -108,8 +142,10 @@
 // ConnectedAt returns when this node last opened a connection to a worker itself; 0 before the first.
 func (m *Monitor) ConnectedAt() time.Duration { return m.connectedAt }
 
-// HasLostLinks reports whether any link is lost or the node is partitioned.
-func (m *Monitor) HasLostLinks() bool { return m.partitioned || len(m.lost) > 0 }
+// HasLostLinks reports whether there is anything to check: a lost link, or a worker without a way.
+func (m *Monitor) HasLostLinks() bool {
+	return m.partitioned || m.noneReachable || len(m.lost) > 0
+}
 
 // NextChecks returns the workers whose links are due for a check, at most limit. The caller is to try a
 // connection to each, and reports those that succeed by Connected.
--- a/internal/reachability/monitor_test.go
+++ b/internal/reachability/monitor_test.go
@@ -76,3 +76,25 @@
 		assert.GreaterOrEqual(t, count, 3, worker)
 	}
 }
+
+// TestNoneIsReachableUntilOneIs guards against requests that wait though no node reaches any worker, and
+// against a node that goes on refusing once one is reached, by any way.
+func TestNoneIsReachableUntilOneIs(t *testing.T) {
+	for name, reach := range map[string]func(m *Monitor){
+		"connected": func(m *Monitor) { m.Connected(second, "z") },
+		"relayed":   func(m *Monitor) { m.LinkLost(second, "z", 20) },
+		"heard":     func(m *Monitor) { m.Reached() },
+	} {
+		m := New()
+		assert.False(t, m.Unreached("a", 20))
+		assert.False(t, m.Unreached("a", 20), "the same worker")
+		assert.False(t, m.Unreached("b", 20))
+		assert.True(t, m.Unreached("c", 20))
+		assert.False(t, m.Unreached("d", 20), "known already")
+		assert.True(t, m.IsNoneReachable())
+		assert.True(t, m.HasLostLinks())
+		reach(m)
+		assert.False(t, m.IsNoneReachable(), name)
+	}
+	assert.True(t, New().Unreached("a", 1), "the only worker")
+}
