--- a/internal/backends/inflightlimit_test.go
+++ b/internal/backends/inflightlimit_test.go
@@ -28,3 +28,20 @@
 	placement, _ = registry.Choose(0, request)
 	assert.Nil(t, placement, "in flight over all nodes")
 }
+
+// TestEnginesAtTheirInFlightLimitKeepMemoryFree guards against requests that wait for memory at an engine
+// which has free slots.
+func TestEnginesAtTheirInFlightLimitKeepMemoryFree(t *testing.T) {
+	registry := newTestRegistry()
+	registry.Observe(1, engineWorker(0, 1))
+	registry.SetMemoryCapacity("engines", 20_000)
+	request := engineRequest("p")
+	request.InFlightLimit = func(*Worker) (InFlightLimit, bool) { return InFlightLimit{Own: 8, Total: 8}, true }
+	placed := 0
+	for ; placed < 8; placed++ {
+		if placement, _ := registry.Choose(0, request); placement == nil {
+			break
+		}
+	}
+	assert.Equal(t, 2, placed, "the third would need up to 9,000 of 8,000 tokens; its shared parts count anew")
+}
