Log the software version of a placement and what a request resumes

The codec reads the identifier of the resumed attempt now; it is bounded like the request's own. No decision uses it yet.

--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -213,6 +213,9 @@
 	TimeLeft time.Duration
 	// LastEventID is the last event that the caller received of an interrupted stream.
 	LastEventID string
+	// Resumes identifies the caller's earlier request that brought the first event of the stream that
+	// this one resumes; empty if it isn't specified.
+	Resumes string
 
 	Model        fleet.ModelName
 	Parts        []backends.Part
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -280,7 +280,8 @@
 
 func (g *Gateway) logPlacement(current *callerRequest, placement *backends.Placement) {
 	line := g.events.line("placed").Str("request_id", current.metadata.RequestID).Str("worker", string(placement.Worker.ID)).
-		Int("in_flight", placement.InFlight).Int("candidates", placement.Candidates).Int("looked_at", placement.Examined).Float64("failure_rate", placement.FailureRate)
+		Int("in_flight", placement.InFlight).Int("candidates", placement.Candidates).Int("looked_at", placement.Examined).Float64("failure_rate", placement.FailureRate).
+		Str("software", string(placement.Worker.Software)).Str("after_event", current.lastEventID)
 	if engine := placement.Engine; engine != nil {
 		line = line.Uint64("version", uint64(engine.Version)).Int("cached", engine.CachedTokens).
 			Int("imported", engine.ImportedTokens).Int("prompt", current.metadata.PromptTokens).
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -23,7 +23,7 @@
 // Limits on callers' requests.
 const (
 	defaultMaxBodyBytes = 4 << 20
-	// maxRequestIDLength bounds a caller's request identifier, in bytes.
+	// maxRequestIDLength bounds the request identifiers that a caller sends, in bytes.
 	maxRequestIDLength = 128
 	// bodyTimeout bounds the time for reading a request's body.
 	bodyTimeout = 5 * time.Second
@@ -151,7 +151,7 @@
 	if err != nil {
 		return &refusal{code: resultcode.HeaderInvalid, reason: err.Error()}
 	}
-	if len(metadata.RequestID) > maxRequestIDLength || !strings.HasPrefix(current.request.RequestURI, "/") {
+	if len(metadata.RequestID) > maxRequestIDLength || len(metadata.Resumes) > maxRequestIDLength || !strings.HasPrefix(current.request.RequestURI, "/") {
 		return &refusal{code: resultcode.HeaderInvalid, reason: "malformed request"}
 	}
 	if g.refusesRequests() {
@@ -341,6 +341,9 @@
 	if current.attempts != nil {
 		line = line.Int("sends", current.attempts.Sends()).Str("worker", current.worker)
 	}
+	if current.metadata.Resumes != "" {
+		line = line.Str("resumes", current.metadata.Resumes)
+	}
 	if current.fingerprint != (quarantine.Fingerprint{}) {
 		line = line.Str("fingerprint", current.fingerprint.Short())
 	}
