Send the rest of a stream to a worker of the version that began it

Cause: the rest of an answer was placed like a new request. The version of the worker that sent the first event was known at that gateway and was no condition of the next choice.

Change: the new package streamorigin holds what a stream is bound to. The gateway binds an answer at its first relayed event; the registry asks for it where it assesses a worker, so Choose, its fallbacks, HasElsewhere and quarantine trials all do, and no fallback of a delivery's filter widens it. Results of full scans are kept apart by it. A silent engine's stream moves only within its version once it has begun. Copies of runs are kept at, and continue at, engines of the same software version. A stream of a delivery's target may go on there as long as any request goes there, whatever share is drawn, and not after the rollback; the shortage of one version doesn't widen the subsets.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -7,6 +7,7 @@
 	"github.com/tillerfall/tillerfall/internal/delivery"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/overload"
+	"github.com/tillerfall/tillerfall/internal/streamorigin"
 )
 
 // Request holds the properties of a request that the choice of a worker depends on.
@@ -23,6 +24,9 @@
 	InFlightLimit func(worker *Worker) (InFlightLimit, bool)
 	// Software limits the choice by the workers' software version; nil means no limit.
 	Software *delivery.Filter
+	// Origin limits the choice to the software version that began the stream which the request goes on
+	// with. Unlike Software, it has no fallback; both must allow a worker.
+	Origin streamorigin.Constraint
 	// Repeatable is set if the request may run again elsewhere and its answer comes in events. Only
 	// such requests try engines that have fallen silent.
 	Repeatable bool
@@ -159,7 +163,8 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	placement, refusal := r.choose(now, request)
-	if placement == nil && refusal.Reason != ReasonExcluded {
+	// That the workers of one version are short says nothing of the service's other workers.
+	if placement == nil && refusal.Reason != ReasonExcluded && request.Origin.IsAny() {
 		r.recordShortage(now, request.Service)
 	}
 	if next := request.Software.Fallback(); placement == nil && next != nil && request.Software.PrefersTarget() {
--- a/internal/backends/copies.go
+++ b/internal/backends/copies.go
@@ -16,7 +16,7 @@
 )
 
 // copyTarget returns the engine that is to keep a copy of a request's KV cache. Of a random sample
-// of engines with the same model version, drawn without replacement, it takes the nearest, and among
+// of engines with the same model and software versions, drawn without replacement, it takes the nearest, and among
 // those the one with the most free memory. Engines with a request limit are excluded, since they may
 // not admit the request when it has to be resumed there. It returns an empty worker if there is
 // none. The mutex must be held.
@@ -32,7 +32,8 @@
 		}
 		state := candidates[next]
 		next = (next + stride) % len(candidates)
-		if state == chosen || s.hasLimit(state) || state.worker.Versions[model] != chosen.worker.Versions[model] {
+		if state == chosen || s.hasLimit(state) || state.worker.Software != chosen.worker.Software ||
+			state.worker.Versions[model] != chosen.worker.Versions[model] {
 			continue
 		}
 		compared++
@@ -49,7 +50,8 @@
 }
 
 // Continue places a request whose engine was lost at the engine that should hold its copy. It
-// returns nil if that engine is draining, gone, suspended as silent or has another model version.
+// returns nil if that engine is draining, gone, suspended as silent or has another model or software
+// version.
 func (r *Registry) Continue(now time.Duration, lost *Placement, model fleet.ModelName) *Placement {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -82,7 +84,8 @@
 // request can't continue there. The mutex must be held.
 func (r *Registry) copyHolder(lost *Placement, model fleet.ModelName) *workerState {
 	state := r.workers[lost.Engine.CopyTo.ID]
-	if state == nil || !state.isListed() || state.silence.IsActive() || state.worker.Versions[model] != lost.Engine.Version {
+	if state == nil || !state.isListed() || state.silence.IsActive() || state.worker.Software != lost.Worker.Software ||
+		state.worker.Versions[model] != lost.Engine.Version {
 		return nil
 	}
 	return state
--- a/internal/backends/search.go
+++ b/internal/backends/search.go
@@ -27,7 +27,8 @@
 type verdict uint8
 
 const (
-	// verdictIneligible: the worker is gone, or the request may not go to its software version.
+	// verdictIneligible: the worker is gone, or neither the request nor its stream may go to its software
+	// version.
 	verdictIneligible verdict = iota
 	// verdictExcluded: the request was already sent to the run. verdictNoConnection: this node has no
 	// free connection to the worker.
@@ -184,7 +185,8 @@
 // assess returns the verdict on a worker.
 func (s *search) assess(state *workerState) verdict {
 	switch {
-	case state.gone && !state.isLapsed(s.now), !s.software.Allows(state.worker.ID, state.worker.Software):
+	case state.gone && !state.isLapsed(s.now), !s.software.Allows(state.worker.ID, state.worker.Software),
+		!s.request.Origin.Allows(state.worker.Software):
 		return verdictIneligible
 	case slices.Contains(s.request.Excluded, state.worker.Run()):
 		return verdictExcluded
--- a/internal/backends/search_spare.go
+++ b/internal/backends/search_spare.go
@@ -8,6 +8,7 @@
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/scheduling"
+	"github.com/tillerfall/tillerfall/internal/streamorigin"
 )
 
 const (
@@ -25,6 +26,8 @@
 	model                fleet.ModelName
 	priority             int
 	limited, wantsTarget bool
+	// origin is the version that the request is limited to.
+	origin streamorigin.Constraint
 	// hasDeadline and repeatable are set if the request has a deadline or may run again: streams of less
 	// urgent requests don't make an engine full then, and silent engines may be tried.
 	hasDeadline, repeatable bool
@@ -96,6 +99,7 @@
 func (s *search) scanKeyFor(priority int) scanKey {
 	key := scanKey{
 		priority: priority, limited: s.software != nil, wantsTarget: s.software.PrefersTarget(), repeatable: s.request.Repeatable,
+		origin: s.request.Origin,
 	}
 	if engine := s.request.Engine; engine != nil {
 		key.model, key.hasDeadline = engine.Model, engine.Deadline > 0
--- a/internal/delivery/directive.go
+++ b/internal/delivery/directive.go
@@ -74,6 +74,16 @@
 // target instead.
 func (f *Filter) PrefersTarget() bool { return f != nil && f.targetOnly && !f.completed }
 
+// WithoutFallback returns a copy of the filter that is never widened.
+func (f *Filter) WithoutFallback() *Filter {
+	if f == nil {
+		return nil
+	}
+	strict := *f
+	strict.fallback = nil
+	return &strict
+}
+
 // Fallback returns the filter that applies if no listed worker is allowed, or nil.
 func (f *Filter) Fallback() *Filter {
 	if f == nil {
--- a/internal/gateway/deliveries_test.go
+++ b/internal/gateway/deliveries_test.go
@@ -15,6 +15,7 @@
 	"github.com/tillerfall/tillerfall/internal/platform"
 	"github.com/tillerfall/tillerfall/internal/routes"
 	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/internal/streamorigin"
 )
 
 // deliveryGateway returns a gateway that isn't started and has received an order.
@@ -266,3 +267,27 @@
 	g.deliveries.applyDirective(3*time.Second, directive)
 	assert.False(t, g.deliveries.isShifting(3*time.Second), "completed")
 }
+
+// TestDeliveryLetsStreamsGoOnAtTheirVersion guards against streams of the target or of the old version
+// that are refused by the share drawn for new requests, and against ones that reach a rolled-back target.
+func TestDeliveryLetsStreamsGoOnAtTheirVersion(t *testing.T) {
+	g := deliveryGateway(t)
+	directive := testDirective(g.now())
+	directive.Stage = delivery.StageCanary
+	g.applyDirective(directive)
+	request := deliveryRequest()
+	request.targetDraw = 1
+	request.origin = streamorigin.Only("v2")
+	assert.True(t, g.allowedVersions(request, true).PrefersTarget())
+	request.targetDraw = 0
+	request.origin = streamorigin.Only("v1")
+	assert.True(t, g.allowedVersions(request, false).Allows("w", "v1"))
+
+	directive.Sequence++
+	directive.Stage, directive.Rejected = delivery.StageRolledBack, append(directive.Rejected, "v2")
+	g.applyDirective(directive)
+	request.origin = streamorigin.Only("v2")
+	for filter := g.allowedVersions(request, false); filter != nil; filter = filter.Fallback() {
+		assert.False(t, filter.Allows("w", "v2"))
+	}
+}
--- a/internal/gateway/deliverypeers.go
+++ b/internal/gateway/deliverypeers.go
@@ -54,7 +54,25 @@
 // allowedVersions returns the restriction of a request to versions of its service. avoidTarget is
 // set if the request was sent to the target and is to be retried elsewhere.
 func (g *Gateway) allowedVersions(current *callerRequest, avoidTarget bool) *delivery.Filter {
-	return g.deliveries.versionFilter(g.now(), current.service.Name, delivery.RouteName(current.route.Name), current.targetDraw, avoidTarget)
+	now, service, route := g.now(), current.service.Name, delivery.RouteName(current.route.Name)
+	origin, bound := current.origin.Version()
+	if !bound {
+		return g.deliveries.versionFilter(now, service, route, current.targetDraw, avoidTarget)
+	}
+	return g.deliveries.originFilter(now, service, route, origin)
+}
+
+// originFilter returns the restriction on a stream that may only go on at its origin. It may go to the
+// target of a delivery as long as any request does, and to no other version that gets none.
+func (d *deliveryState) originFilter(now time.Duration, service fleet.PoolName, route delivery.RouteName, origin fleet.SoftwareVersion) *delivery.Filter {
+	if !d.isTarget(service, origin) {
+		return d.versionFilter(now, service, route, 1, false)
+	}
+	filter := d.versionFilter(now, service, route, 0, false)
+	if filter.Allows("", origin) || filter.PrefersTarget() {
+		return filter
+	}
+	return filter.WithoutFallback()
 }
 
 // errTargetNotAllowed is returned if the directive that allowed a request to go to the target is no
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -18,6 +18,7 @@
 	"github.com/tillerfall/tillerfall/internal/quarantine"
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/routes"
+	"github.com/tillerfall/tillerfall/internal/streamorigin"
 )
 
 // Limits on callers' requests.
@@ -89,6 +90,9 @@
 	// configurationVersion is the version of the configuration that admitted the request.
 	configurationVersion uint64
 
+	// origin limits the request to the software version that began its stream, once the caller has
+	// received an event of it.
+	origin streamorigin.Constraint
 	// lastEventID identifies the last event that the caller received.
 	lastEventID string
 	// firstSentAt is when the request was first sent to a worker.
--- a/internal/gateway/placementrequest.go
+++ b/internal/gateway/placementrequest.go
@@ -26,6 +26,7 @@
 		Repeatable: mayTry(current),
 		Bytes:      exchangeOverheadBytes + int(max(current.request.ContentLength, 0)),
 		Software:   g.allowedVersions(current, current.sentToTarget),
+		Origin:     current.origin,
 	}
 	if g.limits.active.Load() || g.backoffs.active.Load() {
 		now, priority := g.now(), limitPriority(current)
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -16,6 +16,7 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/liveness"
 	"github.com/tillerfall/tillerfall/internal/routes"
+	"github.com/tillerfall/tillerfall/internal/streamorigin"
 )
 
 // evaluationInterval is the time between two evaluations while requests are under way at engines. It
@@ -54,8 +55,12 @@
 	cancel    context.CancelCauseFunc
 	service   fleet.PoolName
 	requestID string
-	// hasElsewhere reports whether another engine could take the request now.
-	hasElsewhere func(now time.Duration) bool
+	// hasElsewhere reports whether another engine could take the request now, within a constraint.
+	hasElsewhere func(now time.Duration, origin streamorigin.Constraint) bool
+	// origin limits the request before the first event of this send, and software is the version of the
+	// engine, which limits it from then on.
+	origin   streamorigin.Constraint
+	software fleet.SoftwareVersion
 	// canContinue reports whether the request can go on at its copy, and is nil if the copy isn't the
 	// only way on after the first event.
 	canContinue func(now time.Duration) bool
@@ -66,10 +71,14 @@
 
 // canMove reports whether there is an engine where the request could go on now.
 func (s *watchedSend) canMove(now time.Duration) bool {
-	if s.run.HasBegun() && s.canContinue != nil {
+	switch {
+	case !s.run.HasBegun():
+		return s.hasElsewhere(now, s.origin)
+	case s.canContinue != nil:
 		return s.canContinue(now)
+	default:
+		return s.hasElsewhere(now, streamorigin.Only(s.software))
 	}
-	return s.hasElsewhere(now)
 }
 
 // isMoved reports whether the send was cancelled because its engine is silent.
@@ -83,7 +92,7 @@
 	}
 	send := &watchedSend{
 		cancel: cancel, service: current.service.Name, requestID: current.metadata.RequestID,
-		hasElsewhere: g.elsewhere(current, placement),
+		hasElsewhere: g.elsewhere(current, placement), origin: current.origin, software: placement.Worker.Software,
 	}
 	if !current.attempts.CanResume() {
 		model := current.metadata.Model
@@ -103,7 +112,7 @@
 
 // elsewhere returns the check whether another engine could take a request. It runs beside the
 // request, so it only uses what is known at the send.
-func (g *Gateway) elsewhere(current *callerRequest, placement *backends.Placement) func(time.Duration) bool {
+func (g *Gateway) elsewhere(current *callerRequest, placement *backends.Placement) func(time.Duration, streamorigin.Constraint) bool {
 	request := backends.Request{
 		Service: current.service.Name, Excluded: slices.Clone(current.attempts.Excluded()),
 		Engine: &backends.EngineRequest{
@@ -111,7 +120,9 @@
 		},
 	}
 	route, draw, avoidTarget := delivery.RouteName(current.route.Name), current.targetDraw, current.sentToTarget
-	return func(now time.Duration) bool {
+	return func(now time.Duration, origin streamorigin.Constraint) bool {
+		request := request
+		request.Origin = origin
 		request.Software = g.deliveries.versionFilter(now, request.Service, route, draw, avoidTarget)
 		return g.workers.HasElsewhere(now, &request, placement.Worker.ID)
 	}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -15,12 +15,13 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/liveness"
 	"github.com/tillerfall/tillerfall/internal/routes"
+	"github.com/tillerfall/tillerfall/internal/streamorigin"
 )
 
 // watchTestSend watches a repeatable send to an engine, and returns the context that its move ends.
 func watchTestSend(g *Gateway, engine fleet.EngineID) (*watchedSend, context.Context) {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	send := &watchedSend{cancel: cancel, service: "engines", hasElsewhere: func(time.Duration) bool { return true }}
+	send := &watchedSend{cancel: cancel, service: "engines", hasElsewhere: func(time.Duration, streamorigin.Constraint) bool { return true }}
 	send.run = g.engineWatch.monitor.Begin(0, liveness.Send{
 		Engine: engine, Expected: 10 * time.Millisecond, Deadline: time.Minute, Target: time.Minute, Repeatable: true, Resumable: true,
 	})
@@ -57,7 +58,7 @@
 	earnRetries(g, "engines")
 	send, ctx := watchTestSend(g, "dark")
 	room := false
-	send.hasElsewhere = func(time.Duration) bool { return room }
+	send.hasElsewhere = func(time.Duration, streamorigin.Constraint) bool { return room }
 	now, verdict := fallSilent(t, g)
 	g.moveSends(now, verdict.Moves)
 	require.NoError(t, ctx.Err())
@@ -182,3 +183,16 @@
 	assert.Contains(t, g.engineWatch.silentSince, fleet.EngineID("known"))
 	assert.InDelta(t, 1, testutil.ToFloat64(g.metrics.silence.silentEngines), 0)
 }
+
+// TestBegunStreamMovesOnlyWithinItsVersion guards against a send that is broken off since an engine of
+// another software version has room.
+func TestBegunStreamMovesOnlyWithinItsVersion(t *testing.T) {
+	monitor := liveness.New()
+	send := &watchedSend{run: monitor.Begin(0, liveness.Send{Engine: "e"}), software: "v1"}
+	send.hasElsewhere = func(_ time.Duration, origin streamorigin.Constraint) bool { return origin.Allows("v2") }
+	assert.True(t, send.canMove(0))
+	monitor.Event(0, send.run, true)
+	assert.False(t, send.canMove(0))
+	send.software = "v2"
+	assert.True(t, send.canMove(0))
+}
