Resume callers' streams at the software version that began them

Cause: the identifier of the resumed request wasn't read, and only the node that relayed the first event knew where it came from.

Change: when a stream's first event arrives, the node records its service and version and hands the record to two nodes chosen by rendezvous hashing of tenant and request; the event goes on once one holds it (100 ms at most). A node that gets a resumption asks itself, else four nodes at once (150 ms at most). streamorigin.Evidence.Decide is the one place that decides: a record, or a single version for as long as a stream can live, observed by some node for that time, denied by none, with another node answering. Otherwise 503 origin_unknown at once. Records are left out while a service has had a single version for longer than that; when a second one appears, nodes send those that they kept to themselves. A route split over services resumes at the service of the record.

Why it holds: a record never changes, since it is written once the first event is there; an earlier send of the request leaves none. Two records that differ are ambiguous and refuse.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -88,6 +88,9 @@
 		if refused.Reason == backends.ReasonLimited {
 			refused = g.unavailableRefusal(current, refused.RetryAfter)
 		}
+		if refused.Reason == backends.ReasonNoWorker && !current.origin.IsAny() {
+			refused = backends.Refusal{Reason: reasonNoneAtOrigin, RetryAfter: longRetryAfter}
+		}
 		if refused.Reason == backends.ReasonLate {
 			g.reportLateRefusal(current, &refused)
 		}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -142,6 +142,10 @@
 		g.refuse(current, *refused)
 		return
 	}
+	if refused := g.bindToOrigin(current); refused != nil {
+		g.refuse(current, *refused)
+		return
+	}
 	g.forward(current)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,8 @@
 	// directDial opens connections to workers and to other gateways' tunnels.
 	directDial       traffic.DialContext
 	quarantines      *quarantineState
+	streamOrigins    *streamOrigins
+	recordQueues     *recordQueues
 	suspensions      *suspension.Detector
 	suspensionSignal *suspensionSignal
 	deadlines        *deadlineTimers
@@ -172,6 +174,7 @@
 		relays:           newRelays(),
 		carriers:         newOpenCarriers(),
 		quarantines:      newQuarantineState(),
+		recordQueues:     newRecordQueues(),
 		suspensionSignal: newSuspensionSignal(),
 		deadlines:        newDeadlineTimers(),
 		limits:           newWorkerLimits(),
@@ -212,6 +215,7 @@
 	registerTicketMetrics(registry, g.quotas.tickets)
 	g.rollout = newRolloutState(settings)
 	g.deliveries = newDeliveryState(g.node, settings)
+	g.streamOrigins = newStreamOrigins(g.clock.Now(), settings)
 	var err error
 	if g.peers, err = g.newPeer(random()); err != nil {
 		return nil, err
@@ -263,6 +267,8 @@
 		HandleWatch:         g.handleWatch,
 		HandleCaches:        g.handleCaches,
 		HandleLimitQuestion: g.handleGrantRequest,
+		HandleStreamRecords: g.handleStreamRecords,
+		HandleStreamQuery:   g.handleStreamQuery,
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
@@ -381,6 +387,7 @@
 		g.idleConnections.sweep(g.now(), g.idleTimeout())
 		g.crashes.sweep(g.now())
 		g.sweepQuarantines()
+		g.streamOrigins.expire(g.now())
 		g.planSubsets(nil)
 		g.events.logDropped()
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -36,9 +36,10 @@
 	quarantined        prometheus.Gauge
 	beforeSend         prometheus.Histogram
 
-	links    *linkMetrics
-	overload *overloadMetrics
-	silence  silenceMetrics
+	links         *linkMetrics
+	streamOrigins *streamOriginMetrics
+	overload      *overloadMetrics
+	silence       silenceMetrics
 
 	deliveryAnswers *prometheus.CounterVec
 	deliveryLatency *prometheus.HistogramVec
@@ -150,6 +151,7 @@
 		Name: "tillerfall_gateway_store_epoch", Help: "Highest epoch that the store has reported.",
 	})
 	m.links = newLinkMetrics(registry)
+	m.streamOrigins = newStreamOriginMetrics(registry)
 	m.overload = newOverloadMetrics(registry)
 	m.silence = newSilenceMetrics(registry)
 	if registry != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,7 +12,6 @@
 	"github.com/tillerfall/tillerfall/internal/attempt"
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/quarantine"
-	"github.com/tillerfall/tillerfall/internal/streamorigin"
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
@@ -34,7 +33,9 @@
 	relay := &eventRelay{response: response, lastID: current.lastEventID}
 	err := relay.run(func(events []byte) error {
 		placement.FirstByte(g.now())
-		current.origin = streamorigin.Only(placement.Worker.Software)
+		if current.origin.IsAny() {
+			g.beginStream(ctx, current, placement)
+		}
 		g.observeEvent(current.watched, relay.lastID != "")
 		return g.writeEvents(current, response, events)
 	})
--- /dev/null
+++ b/internal/gateway/streamoriginpeers.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/membership"
+	"github.com/tillerfall/tillerfall/internal/rpc"
+	"github.com/tillerfall/tillerfall/internal/streamorigin"
+	"github.com/tillerfall/tillerfall/internal/traffic"
+)
+
+const (
+	// originReplicas is the number of other gateways that hold a record. With the gateway that wrote it,
+	// two may be lost at once.
+	originReplicas = 2
+	// originCandidates is the number of gateways that are asked for a record: more than hold it, since
+	// restarted gateways may have taken the places of some holders.
+	originCandidates = originReplicas + 2
+	// recordCallTimeout bounds a call that hands records over, and originAnswerTimeout the time to find out
+	// where a stream began, after which the caller is refused.
+	recordCallTimeout   = 250 * time.Millisecond
+	originAnswerTimeout = 150 * time.Millisecond
+)
+
+// recordQueues holds the records that are to be sent to other gateways. While a call to one is under way,
+// its further records wait and are sent together. It is safe for concurrent use.
+type recordQueues struct {
+	mutex  sync.Mutex
+	queues map[fleet.NodeID][]queuedRecord
+}
+
+type queuedRecord struct {
+	key    streamorigin.Key
+	origin streamorigin.Origin
+	kept   *keptSignal
+}
+
+// keptSignal tells that at least one other gateway holds a record.
+type keptSignal struct {
+	once sync.Once
+	held chan struct{}
+}
+
+func (k *keptSignal) notify() { k.once.Do(func() { close(k.held) }) }
+
+func newRecordQueues() *recordQueues {
+	return &recordQueues{queues: make(map[fleet.NodeID][]queuedRecord)}
+}
+
+// add queues a record and reports whether the caller must begin to send.
+func (q *recordQueues) add(to fleet.NodeID, record queuedRecord) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	queue, sending := q.queues[to]
+	q.queues[to] = append(queue, record)
+	return !sending
+}
+
+// take returns the queued records. If there is none, sending ends.
+func (q *recordQueues) take(to fleet.NodeID) []queuedRecord {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	taken := q.queues[to]
+	if len(taken) == 0 {
+		delete(q.queues, to)
+		return nil
+	}
+	q.queues[to] = []queuedRecord{}
+	return taken
+}
+
+// replicateRecord sends a record to the gateways that are to hold it. It returns nil if there is none.
+func (g *Gateway) replicateRecord(key streamorigin.Key, origin streamorigin.Origin) *keptSignal {
+	holders := membership.TopMembers(uint64(key), g.peers.View().Members(), g.node, originReplicas)
+	if len(holders) == 0 {
+		return nil
+	}
+	kept := &keptSignal{held: make(chan struct{})}
+	for _, member := range holders {
+		if g.recordQueues.add(member.Node, queuedRecord{key: key, origin: origin, kept: kept}) {
+			go g.sendRecords(member)
+		}
+	}
+	return kept
+}
+
+// sendRecords sends the records that are queued for a gateway until there are no more.
+func (g *Gateway) sendRecords(member membership.Member) {
+	for records := g.recordQueues.take(member.Node); len(records) > 0; records = g.recordQueues.take(member.Node) {
+		ctx, cancel := context.WithTimeout(g.peerCallContext(traffic.StreamRecords, member), recordCallTimeout)
+		err := g.peers.SendStreamRecords(ctx, member.Address, encodeRecords(records))
+		cancel()
+		if err != nil {
+			g.metrics.peerFailures.Inc()
+			g.logger.Debug().Err(err).Str("peer", string(member.Node)).Int("records", len(records)).Msg("stream_records_unsent")
+			continue
+		}
+		for _, record := range records {
+			record.kept.notify()
+		}
+	}
+}
+
+// replicatePrivate sends the records of a service's streams that no other gateway holds, since a second
+// version of the service has appeared.
+func (g *Gateway) replicatePrivate(service fleet.PoolName) {
+	records := g.streamOrigins.takePrivate(service)
+	g.events.line("stream_records_replicated").Str("service", string(service)).Int("records", len(records)).Msg("stream_records_replicated")
+	for key, origin := range records {
+		g.replicateRecord(key, origin)
+	}
+}
+
+func encodeRecords(records []queuedRecord) *rpc.StreamRecords {
+	byOrigin := make(map[streamorigin.Origin]*rpc.StreamOrigin)
+	message := &rpc.StreamRecords{}
+	for _, record := range records {
+		encoded := byOrigin[record.origin]
+		if encoded == nil {
+			encoded = &rpc.StreamOrigin{Service: string(record.origin.Service), Version: string(record.origin.Version)}
+			byOrigin[record.origin] = encoded
+			message.Origins = append(message.Origins, encoded)
+		}
+		encoded.Keys = append(encoded.Keys, uint64(record.key))
+	}
+	return message
+}
+
+func decodeOrigin(message *rpc.StreamOrigin) streamorigin.Origin {
+	return streamorigin.Origin{Service: fleet.PoolName(message.GetService()), Version: fleet.SoftwareVersion(message.GetVersion())}
+}
+
+// handleStreamRecords holds records of another gateway.
+func (g *Gateway) handleStreamRecords(message *rpc.StreamRecords) {
+	now := g.now()
+	for _, encoded := range message.GetOrigins() {
+		origin := decodeOrigin(encoded)
+		for _, key := range encoded.GetKeys() {
+			g.streamOrigins.addReplica(now, streamorigin.Key(key), origin)
+		}
+	}
+}
+
+// handleStreamQuery answers another gateway that looks for the origin of a stream.
+func (g *Gateway) handleStreamQuery(query *rpc.StreamQuery) *rpc.StreamAnswer {
+	answer := g.streamOrigins.answer(g.now(), streamorigin.Key(query.GetKey()), fleet.PoolName(query.GetService()))
+	encoded := &rpc.StreamAnswer{Complete: answer.Complete}
+	for _, version := range answer.Versions {
+		encoded.Versions = append(encoded.Versions, string(version))
+	}
+	if answer.HasRecord {
+		origin := answer.Record.Origin
+		encoded.Origin = &rpc.StreamOrigin{Service: string(origin.Service), Version: string(origin.Version)}
+		encoded.Ambiguous = answer.Record.Ambiguous
+	}
+	return encoded
+}
+
+func decodeStreamAnswer(message *rpc.StreamAnswer) streamorigin.Answer {
+	answer := streamorigin.Answer{Complete: message.GetComplete()}
+	for _, version := range message.GetVersions() {
+		answer.Versions = append(answer.Versions, fleet.SoftwareVersion(version))
+	}
+	if origin := message.GetOrigin(); origin != nil {
+		answer.HasRecord = true
+		answer.Record = streamorigin.Record{Origin: decodeOrigin(origin), Ambiguous: message.GetAmbiguous()}
+	}
+	return answer
+}
+
+// findStream asks the gateways that may hold the record of a stream where it began. It returns the
+// answers that came before the timeout, up to the first one with a record, and how many were asked.
+func (g *Gateway) findStream(ctx context.Context, key streamorigin.Key, service fleet.PoolName) (answers []streamorigin.Answer, asked int) {
+	members := membership.TopMembers(uint64(key), g.peers.View().Members(), g.node, originCandidates)
+	query := &rpc.StreamQuery{Key: uint64(key), Service: string(service)}
+	received := make(chan *streamorigin.Answer, len(members))
+	for _, member := range members {
+		go func() { received <- g.queryStream(member, query) }()
+	}
+	timer := time.NewTimer(originAnswerTimeout)
+	defer timer.Stop()
+	for range members {
+		select {
+		case answer := <-received:
+			if answer != nil {
+				answers = append(answers, *answer)
+			}
+			if answer != nil && answer.HasRecord {
+				return answers, len(members)
+			}
+		case <-timer.C:
+			return answers, len(members)
+		case <-ctx.Done():
+			return answers, len(members)
+		}
+	}
+	return answers, len(members)
+}
+
+// queryStream asks one gateway where a stream began. It returns nil if there is no answer. A gateway of an
+// earlier release doesn't know the call, which shows that this one isn't partitioned from it.
+func (g *Gateway) queryStream(member membership.Member, query *rpc.StreamQuery) *streamorigin.Answer {
+	ctx, cancel := context.WithTimeout(g.peerCallContext(traffic.StreamRecords, member), originAnswerTimeout)
+	defer cancel()
+	message, err := g.peers.QueryStream(ctx, member.Address, query)
+	var failure twirp.Error
+	switch {
+	case errors.As(err, &failure) && failure.Code() == twirp.BadRoute:
+		return &streamorigin.Answer{}
+	case err != nil:
+		g.metrics.peerFailures.Inc()
+		g.logger.Debug().Err(err).Str("peer", string(member.Node)).Msg("stream_origin_unanswered")
+		return nil
+	}
+	answer := decodeStreamAnswer(message)
+	return &answer
+}
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -181,6 +181,7 @@
 	}
 	if g.configuration.InstallIfNewer(now, rows.DocumentRevision, compiled) {
 		g.quotas.setLimits(now, compiled.Tenants())
+		g.streamOrigins.setLongestTimeout(compiled.LongestResumable())
 		for _, service := range rows.Document.Services {
 			if service.Engine != nil {
 				g.workers.SetMemoryCapacity(service.Name, service.Engine.CapacityTokens)
@@ -214,6 +215,9 @@
 			Int("unusable", counts[backends.Unusable]).Int("version", counts[backends.NewVersion]).Msg("workers_changed")
 	}
 	g.observeVersions(now, decoded)
+	for _, service := range g.streamOrigins.observeRows(now, decoded) {
+		g.replicatePrivate(service)
+	}
 	g.workersKnown.Store(true)
 }
 
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -166,3 +166,26 @@
 	hash = (hash ^ (hash >> 27)) * 0x94d049bb133111eb
 	return hash ^ (hash >> 31)
 }
+
+// TopMembers returns the routable members other than self with the highest rendezvous weights for a key,
+// at most count, best first. Unlike Rank it doesn't sort all members.
+func TopMembers(key uint64, members []Member, self fleet.NodeID, count int) []Member {
+	top := make([]scoredMember, 0, count+1)
+	for _, member := range members {
+		if member.Node == self || !member.IsRoutable() {
+			continue
+		}
+		score := weightedScore(mix(key^xxhash.Sum64String(string(member.Node))), 1)
+		if len(top) == count && score <= top[count-1].score {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(top, score, func(other scoredMember, score float64) int { return cmp.Compare(score, other.score) })
+		top = slices.Insert(top, at, scoredMember{member: member, score: score})
+		top = top[:min(len(top), count)]
+	}
+	chosen := make([]Member, len(top))
+	for index := range top {
+		chosen[index] = top[index].member
+	}
+	return chosen
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -52,6 +52,10 @@
 	// limit. It returns an error if this process does not grant requests. If it is nil, such calls
 	// fail as unimplemented.
 	HandleLimitQuestion func(ctx context.Context, question *rpc.LimitQuestion) (*rpc.LimitAnswer, error)
+	// HandleStreamRecords holds records of where streams began, and HandleStreamQuery answers where one
+	// did. If they are nil, such calls fail as unimplemented.
+	HandleStreamRecords func(records *rpc.StreamRecords)
+	HandleStreamQuery   func(query *rpc.StreamQuery) *rpc.StreamAnswer
 	// Traffic counts the bytes of calls to other processes, unless it is nil.
 	Traffic *traffic.Meter
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -104,3 +104,20 @@
 	}
 	return answer, nil
 }
+
+// RecordStreams implements rpc.Peer.
+func (p *Peer) RecordStreams(_ context.Context, records *rpc.StreamRecords) (*rpc.StreamRecordsKept, error) {
+	if p.options.HandleStreamRecords == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this process holds no records of streams")
+	}
+	p.options.HandleStreamRecords(records)
+	return &rpc.StreamRecordsKept{}, nil
+}
+
+// FindStream implements rpc.Peer.
+func (p *Peer) FindStream(_ context.Context, query *rpc.StreamQuery) (*rpc.StreamAnswer, error) {
+	if p.options.HandleStreamQuery == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this process holds no records of streams")
+	}
+	return p.options.HandleStreamQuery(query), nil
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -139,6 +139,17 @@
 	return p.client(address).GrantSend(ctx, question)
 }
 
+// SendStreamRecords makes a member hold records of where streams began.
+func (p *Peer) SendStreamRecords(ctx context.Context, address fleet.Address, records *rpc.StreamRecords) error {
+	_, err := p.client(address).RecordStreams(ctx, records)
+	return err
+}
+
+// QueryStream asks a member where a stream began.
+func (p *Peer) QueryStream(ctx context.Context, address fleet.Address, query *rpc.StreamQuery) (*rpc.StreamAnswer, error) {
+	return p.client(address).FindStream(ctx, query)
+}
+
 func (p *Peer) send(messages []membership.Message) {
 	for _, message := range messages {
 		p.enqueue(call{message: message})
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -40,6 +40,7 @@
 	QuotaExceeded     Code = 2012
 	NodeFull          Code = 2013
 	Quarantined       Code = 2014
+	OriginUnknown     Code = 2015
 
 	OutcomeUnknown    Code = 3001
 	StreamInterrupted Code = 3002
@@ -104,6 +105,7 @@
 	{QuotaExceeded, "quota_exceeded", http.StatusTooManyRequests, true, "The tenant has used its quota; come back after Retry-After."},
 	{NodeFull, "node_full", http.StatusServiceUnavailable, true, "The node is short of memory or descriptors; come back, to another one."},
 	{Quarantined, "request_quarantined", http.StatusServiceUnavailable, true, "Workers ended each time that they ran this request; it is kept from them until Retry-After. Change it, or ask the operator."},
+	{OriginUnknown, "origin_unknown", http.StatusServiceUnavailable, true, "The stream can't be resumed: it isn't known at which software version it began. Begin it anew."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, false, "The request may have run; it isn't repeatable and its engine can't be asked."},
 	{StreamInterrupted, "stream_interrupted", http.StatusBadGateway, false, "The stream broke and could not be continued; it is incomplete."},
 	{DeadlineExceeded, "deadline_exceeded", http.StatusGatewayTimeout, false, "The deadline passed while the request ran."},
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -14,6 +15,8 @@
 	hosts    map[string][]*Route
 	services map[fleet.PoolName]*Service
 	keys     map[string]*Tenant
+	// longestResumable is the longest timeout of a route whose streams may be resumed.
+	longestResumable time.Duration
 }
 
 // Compile validates a document and compiles it for lookups.
@@ -33,6 +36,9 @@
 		if err := table.checkRoute(route); err != nil {
 			return nil, errors.Wrapf(err, "route %q", route.Name)
 		}
+		if route.Kind == Streaming && route.Resumable {
+			table.longestResumable = max(table.longestResumable, route.Timeout)
+		}
 		host := strings.ToLower(route.Host)
 		table.hosts[host] = append(table.hosts[host], route)
 	}
@@ -71,6 +77,10 @@
 // Version returns the document's version.
 func (t *Table) Version() fleet.Revision { return t.document.Version }
 
+// LongestResumable returns the longest timeout of a route whose streams may be resumed, 0 if none has
+// one.
+func (t *Table) LongestResumable() time.Duration { return t.longestResumable }
+
 // Limits returns the limits on what callers may send.
 func (t *Table) Limits() Limits { return t.document.Limits }
 
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -48,6 +48,8 @@
 	Quarantine
 	// Limits is requests for grants to workers with rate limits, and immediate reports of such limits.
 	Limits
+	// StreamRecords is records of where streams began, and queries for them.
+	StreamRecords
 	// purposeCount is the number of purposes.
 	purposeCount
 )
@@ -55,7 +57,7 @@
 // purposeNames are the purposes' names in metrics and log lines.
 var purposeNames = [purposeCount]string{
 	"other", "probes", "exchanges", "loads", "announcements", "uses", "watches", "store", "cache_events", "worker_calls",
-	"requests", "callers", "directory", "quarantine", "limits",
+	"requests", "callers", "directory", "quarantine", "limits", "stream_records",
 }
 
 // String returns the purpose's name.
--- a/lab/capacity/calls.go
+++ b/lab/capacity/calls.go
@@ -116,6 +116,16 @@
 	return &rpc.LimitAnswer{}, nil
 }
 
+// RecordStreams implements rpc.Peer.
+func (f *fixedResponses) RecordStreams(context.Context, *rpc.StreamRecords) (*rpc.StreamRecordsKept, error) {
+	return &rpc.StreamRecordsKept{}, nil
+}
+
+// FindStream implements rpc.Peer.
+func (f *fixedResponses) FindStream(context.Context, *rpc.StreamQuery) (*rpc.StreamAnswer, error) {
+	return &rpc.StreamAnswer{}, nil
+}
+
 // Caches implements rpc.Peer.
 func (f *fixedResponses) Caches(context.Context, *rpc.CachesRequest) (*rpc.CachesResponse, error) {
 	return &rpc.CachesResponse{}, nil
