Keep the versions that streams may have begun at in the store

Change: the nodes that read the store keep a row for each service with resumable streams: the versions in use, and those that were for as long as a stream can live. A version is written as soon as it appears; a row costs a read at each start of a reader and a write for each change. A node that has read the row knows the origin of streams older than itself; a node that hasn't asks one that reads the store besides the four that may hold a record.

The history is now fed by the versions of the workers that may get requests, from the registry, instead of by all rows: in a large fleet most nodes know the workers in use alone, while the readers, who know all, would name versions that no stream begins at.

--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,8 +25,10 @@
 	ring    ring
 	// versionCounts counts the listed workers by model version.
 	versionCounts map[versionKey]int
-	scans         map[scanKey]*scanResult
-	windowBuffer  []weightedEngine
+	// softwareCounts counts the workers that may get requests by software version.
+	softwareCounts map[fleet.SoftwareVersion]int
+	scans          map[scanKey]*scanResult
+	windowBuffer   []weightedEngine
 }
 
 // versionKey identifies a version of a model.
@@ -64,7 +67,7 @@
 func (r *Registry) poolOf(service fleet.PoolName) *pool {
 	servicePool := r.pools[service]
 	if servicePool == nil {
-		servicePool = &pool{service: service, versionCounts: make(map[versionKey]int), scans: make(map[scanKey]*scanResult)}
+		servicePool = &pool{service: service, versionCounts: make(map[versionKey]int), softwareCounts: make(map[fleet.SoftwareVersion]int), scans: make(map[scanKey]*scanResult)}
 		r.pools[service] = servicePool
 	}
 	return servicePool
@@ -95,6 +98,7 @@
 	target := r.poolOf(state.worker.Service)
 	state.pool, state.tier = target, tier
 	target.tiers[tier].add(state, r.levelOf(state))
+	target.softwareCounts[state.worker.Software]++
 	if tier != lapsedTier {
 		target.ring.add(state)
 		target.countVersions(state.worker.Versions, 1)
@@ -108,6 +112,7 @@
 		return
 	}
 	current.tiers[state.tier].remove(state)
+	current.countSoftwareRemoved(state.worker.Software)
 	if state.tier != lapsedTier {
 		current.ring.remove(state)
 		current.countVersions(state.worker.Versions, -1)
@@ -124,6 +129,26 @@
 	state.worker.Versions = versions
 }
 
+// countSoftwareRemoved counts one worker of a software version less.
+func (p *pool) countSoftwareRemoved(version fleet.SoftwareVersion) {
+	p.softwareCounts[version]--
+	if p.softwareCounts[version] == 0 {
+		delete(p.softwareCounts, version)
+	}
+}
+
+// SoftwareVersions returns, by service, the software versions of the workers that may get requests, in
+// order.
+func (r *Registry) SoftwareVersions() map[fleet.PoolName][]fleet.SoftwareVersion {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	versions := make(map[fleet.PoolName][]fleet.SoftwareVersion, len(r.pools))
+	for service, servicePool := range r.pools {
+		versions[service] = slices.Sorted(maps.Keys(servicePool.softwareCounts))
+	}
+	return versions
+}
+
 // countVersions adds change to the count of each version.
 func (p *pool) countVersions(versions map[fleet.ModelName]ModelVersion, change int) {
 	for model, version := range versions {
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -200,6 +200,9 @@
 	r.setVersions(state, r.mergeVersions(state, worker.Versions))
 	worker.Versions = state.worker.Versions
 	worker.StartTime = max(worker.StartTime, state.worker.StartTime)
+	if worker.Software != state.worker.Software {
+		r.removeFromPool(state)
+	}
 	state.worker, state.revision, state.gone = worker, revision, false
 	r.updateSpeed(worker.ID)
 	r.updatePool(state)
--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -157,6 +157,12 @@
 	// It returns the row with its new version, or the stored row and platform.ErrConflict. After
 	// any other error the outcome is unknown.
 	WriteQuarantine(ctx context.Context, row QuarantineRow, expected fleet.Revision) (QuarantineRow, error)
+	// ReadSoftware returns the rows of software versions, except those that cannot be decoded.
+	ReadSoftware(ctx context.Context) ([]SoftwareRow, []InvalidInput, error)
+	// WriteSoftware writes a row if the stored row still has its revision. It returns the row with its
+	// new revision, or the stored row and platform.ErrConflict. After any other error the outcome is
+	// unknown.
+	WriteSoftware(ctx context.Context, row SoftwareRow) (SoftwareRow, error)
 	// RemoveQuarantine removes a row if it still has the expected version. It returns
 	// platform.ErrConflict if it does not.
 	RemoveQuarantine(ctx context.Context, fingerprint quarantine.Fingerprint, expected fleet.Revision) error
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,6 +87,7 @@
 	quarantines      *quarantineState
 	streamOrigins    *streamOrigins
 	recordQueues     *recordQueues
+	storedSoftware   *storedSoftware
 	suspensions      *suspension.Detector
 	suspensionSignal *suspensionSignal
 	deadlines        *deadlineTimers
@@ -175,6 +176,7 @@
 		carriers:         newOpenCarriers(),
 		quarantines:      newQuarantineState(),
 		recordQueues:     newRecordQueues(),
+		storedSoftware:   newStoredSoftware(),
 		suspensionSignal: newSuspensionSignal(),
 		deadlines:        newDeadlineTimers(),
 		limits:           newWorkerLimits(),
@@ -334,6 +336,7 @@
 	g.life.Go(g.announceQuarantine)
 	g.life.Go(g.announceLimits)
 	g.life.Go(g.syncQuarantineStore)
+	g.life.Go(g.syncSoftware)
 	g.life.Go(g.followCaches)
 	g.life.Go(g.watchEngines)
 	g.life.Go(g.recheckLinks)
@@ -387,6 +390,7 @@
 		g.idleConnections.sweep(g.now(), g.idleTimeout())
 		g.crashes.sweep(g.now())
 		g.sweepQuarantines()
+		g.observeSoftware()
 		g.streamOrigins.expire(g.now())
 		g.planSubsets(nil)
 		g.events.logDropped()
--- a/internal/gateway/streamoriginpeers.go
+++ b/internal/gateway/streamoriginpeers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -174,10 +175,26 @@
 	return answer
 }
 
+// originCandidates returns the gateways that may hold the record of a stream, and one that reads the store:
+// after a restart of all, the readers learn first which versions there were.
+func (g *Gateway) originCandidates(key streamorigin.Key) []membership.Member {
+	view := g.peers.View()
+	members := membership.TopMembers(uint64(key), view.Members(), g.node, originCandidates)
+	for _, reader := range g.roles.Load().readerOrder {
+		if slices.ContainsFunc(members, func(member membership.Member) bool { return member.Node == reader }) {
+			break
+		}
+		if member, found := view.Find(reader); found && reader != g.node {
+			return append(members, member)
+		}
+	}
+	return members
+}
+
 // findStream asks the gateways that may hold the record of a stream where it began. It returns the
 // answers that came before the timeout, up to the first one with a record, and how many were asked.
 func (g *Gateway) findStream(ctx context.Context, key streamorigin.Key, service fleet.PoolName) (answers []streamorigin.Answer, asked int) {
-	members := membership.TopMembers(uint64(key), g.peers.View().Members(), g.node, originCandidates)
+	members := g.originCandidates(key)
 	query := &rpc.StreamQuery{Key: uint64(key), Service: string(service)}
 	received := make(chan *streamorigin.Answer, len(members))
 	for _, member := range members {
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -55,26 +55,38 @@
 	s.lifetime = max(s.lifetime, lifetimesPerTimeout*timeout)
 }
 
-// observeRows records listed and removed workers. It returns the services in which a second version has
+// observe records the versions in use by service. It returns the services in which a second one has
 // appeared.
-func (s *streamOrigins) observeRows(now time.Duration, rows []WorkerRow) []fleet.PoolName {
+func (s *streamOrigins) observe(now time.Duration, inUse map[fleet.PoolName][]fleet.SoftwareVersion) []fleet.PoolName {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	var changed []fleet.PoolName
-	for index := range rows {
-		worker := &rows[index].Worker
-		if rows[index].Deleted || rows[index].Unusable {
-			s.history.Removed(now, worker.ID)
-			continue
-		}
-		origin := streamorigin.Origin{Service: worker.Service, Version: worker.Software}
-		if s.history.Listed(now, s.lifetime, worker.ID, origin) && !slices.Contains(changed, worker.Service) {
-			changed = append(changed, worker.Service)
+	for service, versions := range inUse {
+		if s.history.Observe(now, s.lifetime, service, versions) {
+			changed = append(changed, service)
 		}
 	}
 	return changed
 }
 
+// adopt adds the versions of a service that were stored.
+func (s *streamOrigins) adopt(now time.Duration, service fleet.PoolName, versions []fleet.SoftwareVersion) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.history.Adopt(now, service, versions)
+}
+
+// allVersions returns, in order, the versions that streams of a service may have begun at, and whether
+// these are all.
+func (s *streamOrigins) allVersions(now time.Duration, service fleet.PoolName) ([]fleet.SoftwareVersion, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	window := s.lifetime + recordMargin
+	versions := s.history.Versions(now, window, service)
+	slices.Sort(versions)
+	return versions, s.history.IsComplete(now, window, service)
+}
+
 // expire drops the versions that no stream can have begun at any more.
 func (s *streamOrigins) expire(now time.Duration) {
 	s.mutex.Lock()
@@ -88,7 +100,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	window := s.lifetime + recordMargin
-	mustReplicate = !s.history.IsComplete(now, window) || len(s.history.Versions(now, window, origin.Service)) != 1
+	versions := s.history.Versions(now, window, origin.Service)
+	isSingle := len(versions) == 1 && versions[0] == origin.Version
+	mustReplicate = !isSingle || !s.history.IsComplete(now, window, origin.Service)
 	s.records.Add(now, s.lifetime, key, origin, !mustReplicate)
 	return mustReplicate
 }
@@ -114,12 +128,20 @@
 	defer s.mutex.Unlock()
 	answer := streamorigin.Answer{
 		Versions: s.history.Versions(now, s.lifetime, service),
-		Complete: s.history.IsComplete(now, s.lifetime),
+		Complete: s.history.IsComplete(now, s.lifetime, service),
 	}
 	answer.Record, answer.HasRecord = s.records.Find(key)
 	return answer
 }
 
+// observeSoftware records the software versions in use, after a change of the workers and regularly.
+func (g *Gateway) observeSoftware() {
+	for _, service := range g.streamOrigins.observe(g.now(), g.workers.SoftwareVersions()) {
+		signal(g.storedSoftware.changed)
+		g.replicatePrivate(service)
+	}
+}
+
 // keepsOrigins reports whether a caller may resume the streams of a request's route.
 func keepsOrigins(current *callerRequest) bool {
 	return current.route.Kind == routes.Streaming && current.route.Resumable
--- a/internal/gateway/subsets.go
+++ b/internal/gateway/subsets.go
@@ -51,6 +51,7 @@
 	if !g.workers.SetSubsets(subsets, all) {
 		return
 	}
+	g.observeSoftware()
 	for _, service := range sortedServices(subsets) {
 		if previous[service] != subsets[service] {
 			g.logger.Info().Str("service", string(service)).Uint8("halvings", uint8(subsets[service])).Msg("subset_in_force")
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -215,9 +215,7 @@
 			Int("unusable", counts[backends.Unusable]).Int("version", counts[backends.NewVersion]).Msg("workers_changed")
 	}
 	g.observeVersions(now, decoded)
-	for _, service := range g.streamOrigins.observeRows(now, decoded) {
-		g.replicatePrivate(service)
-	}
+	g.observeSoftware()
 	g.workersKnown.Store(true)
 }
 
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -17,6 +18,8 @@
 	keys     map[string]*Tenant
 	// longestResumable is the longest timeout of a route whose streams may be resumed.
 	longestResumable time.Duration
+	// resumableServices are the services of such routes, in order.
+	resumableServices []fleet.PoolName
 }
 
 // Compile validates a document and compiles it for lookups.
@@ -38,6 +41,7 @@
 		}
 		if route.Kind == Streaming && route.Resumable {
 			table.longestResumable = max(table.longestResumable, route.Timeout)
+			table.addResumable(route)
 		}
 		host := strings.ToLower(route.Host)
 		table.hosts[host] = append(table.hosts[host], route)
@@ -77,6 +81,19 @@
 // Version returns the document's version.
 func (t *Table) Version() fleet.Revision { return t.document.Version }
 
+// addResumable adds the services of a route whose streams may be resumed.
+func (t *Table) addResumable(route *Route) {
+	for _, share := range route.Split {
+		at, found := slices.BinarySearch(t.resumableServices, share.Service)
+		if !found {
+			t.resumableServices = slices.Insert(t.resumableServices, at, share.Service)
+		}
+	}
+}
+
+// ResumableServices returns the services whose streams may be resumed, in order.
+func (t *Table) ResumableServices() []fleet.PoolName { return t.resumableServices }
+
 // LongestResumable returns the longest timeout of a route whose streams may be resumed, 0 if none has
 // one.
 func (t *Table) LongestResumable() time.Duration { return t.longestResumable }
--- a/internal/streamorigin/history.go
+++ b/internal/streamorigin/history.go
@@ -7,95 +7,81 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
-// History holds which software versions of each service have been listed, and until when. As long as a
+// History holds which software versions of each service took new requests, and until when. As long as a
 // service has had a single one, the origin of each of its streams is known without a record.
 type History struct {
-	// completeSince is the time from which on every listed worker was observed.
+	// completeSince is the time from which on the versions in use were observed.
 	completeSince time.Duration
 	// wasEmpty is set if there were no streams before completeSince.
 	wasEmpty bool
-	workers  map[fleet.EngineID]*presence
-	services map[fleet.PoolName][]*presence
+	services map[fleet.PoolName][]usedVersion
+	// adopted holds the services whose earlier versions were adopted from a complete history.
+	adopted map[fleet.PoolName]bool
 }
 
-// presence is the time in which workers of one version of a service were listed.
-type presence struct {
-	origin Origin
-	// listed is the number of listed workers, and lastListed when the last one was removed.
-	listed     int
-	lastListed time.Duration
+// usedVersion is a version with the last time at which it was in use.
+type usedVersion struct {
+	version fleet.SoftwareVersion
+	lastAt  time.Duration
 }
 
 // NewHistory returns a history that begins now. first is set if the fleet has just started for the first
 // time, so that no stream is older.
 func NewHistory(now time.Duration, first bool) *History {
-	return &History{
-		completeSince: now, wasEmpty: first,
-		workers: make(map[fleet.EngineID]*presence), services: make(map[fleet.PoolName][]*presence),
-	}
+	return &History{completeSince: now, wasEmpty: first, services: make(map[fleet.PoolName][]usedVersion), adopted: make(map[fleet.PoolName]bool)}
 }
 
-// Listed records that a worker is listed. It reports whether its version is the second one of its service
-// within the window, so that the origins of the service's streams are no longer evident.
-func (h *History) Listed(now, window time.Duration, worker fleet.EngineID, origin Origin) bool {
-	previous := h.workers[worker]
-	if previous != nil && previous.origin == origin {
-		return false
-	}
-	before := len(h.Versions(now, window, origin.Service))
-	current := h.presenceOf(origin)
-	current.listed++
-	h.workers[worker] = current
-	if previous != nil {
-		previous.remove(now)
+// Observe records the versions of a service that are in use now. It reports whether there is more than
+// one within the window since this observation, so that the origins of the service's streams are no longer
+// evident.
+func (h *History) Observe(now, window time.Duration, service fleet.PoolName, versions []fleet.SoftwareVersion) bool {
+	before := len(h.Versions(now, window, service))
+	for _, version := range versions {
+		h.use(now, service, version)
 	}
-	return before == 1 && len(h.Versions(now, window, origin.Service)) > 1
+	return before == 1 && len(h.Versions(now, window, service)) > 1
 }
 
-// Removed records that a worker is no longer listed.
-func (h *History) Removed(now time.Duration, worker fleet.EngineID) {
-	if current := h.workers[worker]; current != nil {
-		current.remove(now)
-		delete(h.workers, worker)
+func (h *History) use(now time.Duration, service fleet.PoolName, version fleet.SoftwareVersion) {
+	used := h.services[service]
+	at := slices.IndexFunc(used, func(known usedVersion) bool { return known.version == version })
+	if at >= 0 {
+		used[at].lastAt = now
+		return
 	}
+	h.services[service] = append(used, usedVersion{version: version, lastAt: now})
 }
 
-func (p *presence) remove(now time.Duration) {
-	p.listed--
-	p.lastListed = now
-}
-
-func (h *History) presenceOf(origin Origin) *presence {
-	for _, known := range h.services[origin.Service] {
-		if known.origin == origin {
-			return known
-		}
-	}
-	added := &presence{origin: origin}
-	h.services[origin.Service] = append(h.services[origin.Service], added)
-	return added
-}
-
-// Versions returns the versions of a service that are listed or were within the window before now.
+// Versions returns the versions of a service that were in use within the window before now.
 func (h *History) Versions(now, window time.Duration, service fleet.PoolName) []fleet.SoftwareVersion {
 	var versions []fleet.SoftwareVersion
-	for _, known := range h.services[service] {
-		if known.listed > 0 || now < known.lastListed+window {
-			versions = append(versions, known.origin.Version)
+	for _, used := range h.services[service] {
+		if now < used.lastAt+window {
+			versions = append(versions, used.version)
 		}
 	}
 	return versions
 }
 
-// IsComplete reports whether all workers that were listed within the window before now were observed.
-func (h *History) IsComplete(now, window time.Duration) bool {
-	return h.wasEmpty || now >= h.completeSince+window
+// Adopt adds the versions of a service that another complete history has recorded, as if they were in use
+// now.
+func (h *History) Adopt(now time.Duration, service fleet.PoolName, versions []fleet.SoftwareVersion) {
+	for _, version := range versions {
+		h.use(now, service, version)
+	}
+	h.adopted[service] = true
+}
+
+// IsComplete reports whether the versions of a service that were in use during the whole window before now
+// are known.
+func (h *History) IsComplete(now, window time.Duration, service fleet.PoolName) bool {
+	return h.wasEmpty || h.adopted[service] || now >= h.completeSince+window
 }
 
-// Expire drops the versions that were last listed before the window.
+// Expire drops the versions that were last in use before the window.
 func (h *History) Expire(now, window time.Duration) {
-	for service, known := range h.services {
-		kept := slices.DeleteFunc(known, func(p *presence) bool { return p.listed == 0 && now >= p.lastListed+window })
+	for service, used := range h.services {
+		kept := slices.DeleteFunc(used, func(known usedVersion) bool { return now >= known.lastAt+window })
 		if len(kept) == 0 {
 			delete(h.services, service)
 			continue
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -115,25 +115,37 @@
 // version while streams of the version before can still be resumed.
 func TestLeftVersionCountsForAStreamsLifetime(t *testing.T) {
 	history := NewHistory(0, false)
-	assert.False(t, history.Listed(0, testLifetime, "w1", oldOrigin))
-	assert.False(t, history.Listed(0, testLifetime, "w1", oldOrigin))
-	assert.False(t, history.Listed(0, testLifetime, "w2", oldOrigin))
-	assert.True(t, history.Listed(time.Second, testLifetime, "w3", newOrigin))
-	assert.False(t, history.Listed(time.Second, testLifetime, "w4", Origin{Service: "s", Version: "v3"}), "a third one changes nothing")
-	history.Removed(time.Second, "w4")
-	history.Removed(2*time.Second, "w1")
-	history.Removed(2*time.Second, "w1")
-	assert.ElementsMatch(t, []fleet.SoftwareVersion{"v1", "v2", "v3"}, history.Versions(2*time.Second, testLifetime, "s"))
-	history.Removed(3*time.Second, "w2")
-	assert.ElementsMatch(t, []fleet.SoftwareVersion{"v1", "v2"}, history.Versions(testLifetime+2*time.Second, testLifetime, "s"))
-	assert.Equal(t, []fleet.SoftwareVersion{"v2"}, history.Versions(testLifetime+3*time.Second, testLifetime, "s"))
+	one, both, two := []fleet.SoftwareVersion{"v1"}, []fleet.SoftwareVersion{"v1", "v2"}, []fleet.SoftwareVersion{"v2"}
+	assert.False(t, history.Observe(0, testLifetime, "s", one), "the first version")
+	assert.False(t, history.Observe(time.Second, testLifetime, "s", one))
+	assert.True(t, history.Observe(2*time.Second, testLifetime, "s", both))
+	assert.False(t, history.Observe(3*time.Second, testLifetime, "s", append(both, "v3")), "a third one changes nothing")
+	assert.False(t, history.Observe(testLifetime+time.Second, testLifetime, "s", two))
+	assert.ElementsMatch(t, []fleet.SoftwareVersion{"v1", "v2", "v3"}, history.Versions(testLifetime+2*time.Second, testLifetime, "s"))
+	assert.Equal(t, two, history.Versions(testLifetime+3*time.Second, testLifetime, "s"))
+	assert.Empty(t, history.Versions(testLifetime, testLifetime, "other"))
 	history.Expire(testLifetime+3*time.Second, testLifetime)
 	assert.Len(t, history.services["s"], 1)
-	assert.True(t, history.Listed(testLifetime+4*time.Second, testLifetime, "w1", oldOrigin))
+	assert.True(t, history.Observe(testLifetime+4*time.Second, testLifetime, "s", both), "the former version returns")
+	history.Expire(3*testLifetime, testLifetime)
+	assert.Empty(t, history.services)
 
-	assert.False(t, history.IsComplete(testLifetime-1, testLifetime))
-	assert.True(t, history.IsComplete(testLifetime, testLifetime))
-	assert.True(t, NewHistory(0, true).IsComplete(0, testLifetime), "no stream is older than the fleet")
+	assert.False(t, history.IsComplete(testLifetime-1, testLifetime, "s"))
+	assert.True(t, history.IsComplete(testLifetime, testLifetime, "s"))
+	assert.True(t, NewHistory(0, true).IsComplete(0, testLifetime, "s"), "no stream is older than the fleet")
+}
+
+// TestAdoptedVersionsCompleteTheHistory guards against streams that can't be resumed after a restart
+// although the versions before it are known, and against ones that are taken for streams of the versions
+// since.
+func TestAdoptedVersionsCompleteTheHistory(t *testing.T) {
+	history := NewHistory(0, false)
+	history.Observe(0, testLifetime, "s", []fleet.SoftwareVersion{"v2"})
+	assert.False(t, history.IsComplete(0, testLifetime, "s"))
+	history.Adopt(time.Second, "s", []fleet.SoftwareVersion{"v1", "v2"})
+	assert.True(t, history.IsComplete(time.Second, testLifetime, "s"))
+	assert.False(t, history.IsComplete(time.Second, testLifetime, "other"))
+	assert.ElementsMatch(t, []fleet.SoftwareVersion{"v1", "v2"}, history.Versions(testLifetime, testLifetime, "s"))
 }
 
 // TestConstraintAllowsItsVersionOnly guards against a constraint that is wider than the stream's version.
