Place streams that go on before new ones at engines

A stream that goes on can only do so at the workers of its version, which may be the last two; a new one can begin elsewhere. The overload control refused both alike, and both waited at the engine by the route's priority. A bound request isn't refused for being late now, and has its tenant's most urgent priority at the engine.

Tried and dropped: at plain workers, new requests left half of the slots of versions with a quarter of the workers or fewer.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -156,12 +156,17 @@
 }
 
 // priorityOf returns a request's priority at an engine. The tenant's rank takes precedence over the
-// route's priority.
+// route's priority. A stream that goes on is as urgent as the tenant's most urgent requests: a new one could
+// begin at other engines.
 func priorityOf(current *callerRequest) int {
 	rank := defaultPriority
 	if current.tenant != nil && current.tenant.HasPriority {
 		rank = current.tenant.Priority
 	}
-	priority := rank*tenantRankWidth + min(current.route.Priority, tenantRankWidth-1)
+	within := min(current.route.Priority, tenantRankWidth-1)
+	if !current.origin.IsAny() {
+		within = 0
+	}
+	priority := rank*tenantRankWidth + within
 	return min(max(priority, 0), maxPriority)
 }
--- a/internal/gateway/placementrequest.go
+++ b/internal/gateway/placementrequest.go
@@ -53,7 +53,7 @@
 			TimeLeft:     g.latencyTargetLeft(current),
 			Target:       current.route.TargetLatency,
 			Deadline:     g.callerWaits(current),
-			MayRefuse:    current.attempts.Sends() == 0,
+			MayRefuse:    current.attempts.Sends() == 0 && current.origin.IsAny(),
 			WantsCopy:    wantsCopy(current),
 			EventTokens:  engine.EventTokens,
 			TokenBytes:   engine.TokenBytes,
