Know the origin without a record only where no route has moved and others are heard

- The single version of a service was taken for the origin of a stream whose route had moved there from another service after the stream began.
Where the resumable routes have changed within a stream's lifetime, a record is needed; records kept by one node are handed over when they change, and streams since then are recorded at others.
- A node that is cut off from the store and from all others takes itself for the only member after some seconds, and its own old list sufficed.
Without other members it must now follow the store; else the stream is refused.

Tests: TestStreamsOfARouteThatMovesNeedARecord, TestPartitionedGatewayTrustsNoListOfItsOwn (the second fails where the number of members alone decides; without the change neither compiles).

--- a/internal/gateway/streamoriginpeers.go
+++ b/internal/gateway/streamoriginpeers.go
@@ -131,8 +131,8 @@
 	return errors.As(err, &failure) && failure.Code() == twirp.BadRoute
 }
 
-// replicatePrivate sends the records of a service's streams that no other gateway holds, since a second
-// version of the service has appeared.
+// replicatePrivate sends the records of a service's streams that no other gateway holds, since their origins
+// are no longer evident.
 func (g *Gateway) replicatePrivate(service fleet.PoolName) {
 	records := g.streamOrigins.takePrivate(service)
 	queues := make(map[fleet.NodeID][]queuedRecord)
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -40,6 +41,11 @@
 	history *streamorigin.History
 	// lifetime is how long a stream can be resumed after it began.
 	lifetime time.Duration
+	// routes names the services of each resumable route, services are all of them, and routesChangedAt is when that last changed; 0 if
+	// it hasn't. After a change, streams may have begun at a service that their route has left.
+	routes          map[string]string
+	services        []fleet.PoolName
+	routesChangedAt time.Duration
 }
 
 func newStreamOrigins(now time.Duration, settings Settings) *streamOrigins {
@@ -48,11 +54,31 @@
 	}
 }
 
-// setLongestTimeout sets the longest timeout of a route with resumable streams.
-func (s *streamOrigins) setLongestTimeout(timeout time.Duration) {
+// observeRoutes records the resumable routes of a configuration that comes into force. It returns the
+// services of the former ones if they have changed.
+func (s *streamOrigins) observeRoutes(now time.Duration, table *routes.Table) (former []fleet.PoolName) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.lifetime = max(s.lifetime, lifetimesPerTimeout*timeout)
+	s.lifetime = max(s.lifetime, lifetimesPerTimeout*table.LongestResumable())
+	current := table.ResumableRoutes()
+	if s.routes != nil && !maps.Equal(s.routes, current) {
+		s.routesChangedAt = now
+		former = s.services
+	}
+	s.routes, s.services = current, table.ResumableServices()
+	return former
+}
+
+// haveRoutesChanged reports whether streams that can still be resumed may have begun at a service that their
+// route has left.
+func (s *streamOrigins) haveRoutesChanged(now time.Duration) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.routesChangedWithin(now, s.lifetime)
+}
+
+func (s *streamOrigins) routesChangedWithin(now, window time.Duration) bool {
+	return s.routesChangedAt > 0 && now < s.routesChangedAt+window
 }
 
 // observe records the versions in use by service. It returns the services in which a second one has
@@ -95,14 +121,15 @@
 }
 
 // add records the origin of a stream that began at this gateway. It reports whether other nodes must hold
-// the record too: unless the service has had a single version for longer than a stream can live.
+// the record too: unless the route has had a single service, and that a single version, for longer than a
+// stream can live.
 func (s *streamOrigins) add(now time.Duration, key streamorigin.Key, origin streamorigin.Origin) (mustReplicate bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	window := s.lifetime + recordMargin
 	versions := s.history.Versions(now, window, origin.Service)
 	isSingle := len(versions) == 1 && versions[0] == origin.Version
-	mustReplicate = !isSingle || !s.history.IsComplete(now, window, origin.Service)
+	mustReplicate = !isSingle || !s.history.IsComplete(now, window, origin.Service) || s.routesChangedWithin(now, window)
 	s.records.Add(now, s.lifetime, key, origin, !mustReplicate)
 	return mustReplicate
 }
@@ -142,6 +169,13 @@
 	}
 }
 
+// observeRoutes records the resumable routes of a configuration that comes into force.
+func (g *Gateway) observeRoutes(now time.Duration, table *routes.Table) {
+	for _, service := range g.streamOrigins.observeRoutes(now, table) {
+		go g.replicatePrivate(service)
+	}
+}
+
 // keepsOrigins reports whether a caller may resume the streams of a request's route.
 func keepsOrigins(current *callerRequest) bool {
 	return current.route.Kind == routes.Streaming && current.route.Resumable
@@ -195,12 +229,12 @@
 	}
 	key := streamKey(current, current.metadata.Resumes)
 	evidence := streamorigin.Evidence{
-		Service: current.service.Name, OnlyService: len(current.route.Split) == 1,
-		Own:      g.streamOrigins.answer(g.now(), key, current.service.Name),
-		HasPeers: g.memberCount() > 1,
+		Service: current.service.Name, OnlyService: len(current.route.Split) == 1 && !g.streamOrigins.haveRoutesChanged(g.now()),
+		Own:         g.streamOrigins.answer(g.now(), key, current.service.Name),
+		NeedsAnswer: g.mayHaveMissedVersions(),
 	}
 	asked := 0
-	if evidence.NeedsPeers() {
+	if evidence.ShouldAsk() {
 		evidence.Others, asked = g.findStream(current.request.Context(), key, current.service.Name)
 	}
 	origin, known := evidence.Decide()
@@ -215,6 +249,18 @@
 	return nil
 }
 
+// maxAloneProofAge is how old the proof from the store may be with which a gateway that knows no other member
+// counts as the only one left.
+const maxAloneProofAge = 2 * time.Second
+
+// mayHaveMissedVersions reports whether other gateways may know of versions that this one doesn't. One without
+// other members is alone if it follows the store, else it may be partitioned.
+func (g *Gateway) mayHaveMissedVersions() bool {
+	settings := g.settings()
+	isAlone := g.memberCount() <= 1
+	return !isAlone || settings.hasOtherSeeds() && !g.freshness.IsWithin(g.now(), maxAloneProofAge)
+}
+
 // moveToService makes a request go to a service of its route, and reports whether it can: the services of
 // a split route serve different streams.
 func (g *Gateway) moveToService(current *callerRequest, name fleet.PoolName) bool {
--- a/internal/gateway/streamorigins_simulation_test.go
+++ b/internal/gateway/streamorigins_simulation_test.go
@@ -211,9 +211,9 @@
 		return
 	}
 	evidence := streamorigin.Evidence{
-		Service: simulatedService, OnlyService: true, HasPeers: true, Own: node.origins.answer(s.now, stream.key, simulatedService),
+		Service: simulatedService, OnlyService: true, NeedsAnswer: true, Own: node.origins.answer(s.now, stream.key, simulatedService),
 	}
-	if evidence.NeedsPeers() {
+	if evidence.ShouldAsk() {
 		for _, other := range s.ranked(node, stream.key, originCandidates) {
 			evidence.Others = append(evidence.Others, other.origins.answer(s.now, stream.key, simulatedService))
 		}
--- a/internal/gateway/streamorigins_test.go
+++ b/internal/gateway/streamorigins_test.go
@@ -101,6 +101,60 @@
 	assert.NotNil(t, g.bindToOrigin(current))
 }
 
+// tableOfRoute returns a configuration with one resumable route to a service.
+func tableOfRoute(t *testing.T, service fleet.PoolName) *routes.Table {
+	table, err := routes.Compile(routes.Document{
+		Routes: []routes.Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: routes.Streaming, Resumable: true, MaxAttempts: 1, Public: true,
+			Timeout: 2 * time.Minute, Split: []routes.Share{{Service: service, Weight: 1}},
+		}},
+		Services: []routes.Service{{Name: "app"}, {Name: "other"}},
+	})
+	require.NoError(t, err)
+	return table
+}
+
+// TestStreamsOfARouteThatMovesNeedARecord guards against streams that go on at the service that their route
+// has moved to, since that has a single version, and against streams since then that can't be resumed.
+func TestStreamsOfARouteThatMovesNeedARecord(t *testing.T) {
+	origins := newStreamOrigins(0, Settings{FirstStart: true})
+	app, other := streamorigin.Origin{Service: "app", Version: "v1"}, streamorigin.Origin{Service: "other", Version: "v1"}
+	origins.observe(0, map[fleet.PoolName][]fleet.SoftwareVersion{"app": {"v1"}, "other": {"v1"}})
+	assert.Empty(t, origins.observeRoutes(0, tableOfRoute(t, "app")))
+	assert.Empty(t, origins.observeRoutes(time.Second, tableOfRoute(t, "app")))
+	assert.False(t, origins.add(time.Second, 1, app))
+	assert.False(t, origins.haveRoutesChanged(time.Second))
+
+	assert.Equal(t, []fleet.PoolName{"app"}, origins.observeRoutes(2*time.Second, tableOfRoute(t, "other")))
+	assert.Equal(t, map[streamorigin.Key]streamorigin.Origin{1: app}, origins.takePrivate("app"))
+	assert.True(t, origins.haveRoutesChanged(3*time.Second))
+	assert.True(t, origins.add(3*time.Second, 2, other))
+	later := 2*time.Second + lifetimesPerTimeout*2*time.Minute
+	origins.observe(later, map[fleet.PoolName][]fleet.SoftwareVersion{"app": {"v1"}, "other": {"v1"}})
+	assert.False(t, origins.haveRoutesChanged(later))
+	assert.True(t, origins.add(later, 3, other), "nodes observe the end at different times")
+	assert.False(t, origins.add(later+recordMargin, 4, other))
+}
+
+// TestPartitionedGatewayTrustsNoListOfItsOwn guards against streams that go on at the single version that a
+// gateway knows of while it is cut off from the store and from all other gateways.
+func TestPartitionedGatewayTrustsNoListOfItsOwn(t *testing.T) {
+	g := newTestGateway(t)
+	assert.False(t, g.mayHaveMissedVersions(), "a gateway without others")
+	settings := *g.settings()
+	settings.Seeds = []fleet.Address{"127.0.0.1:9"}
+	g.currentSettings.Store(&settings)
+	assert.True(t, g.mayHaveMissedVersions())
+	g.freshness.Prove(g.now())
+	assert.False(t, g.mayHaveMissedVersions(), "it follows the store, and nobody else does")
+
+	g.streamOrigins = newStreamOrigins(0, Settings{FirstStart: true})
+	g.streamOrigins.observe(g.now(), map[fleet.PoolName][]fleet.SoftwareVersion{"app": {"v1"}})
+	require.Nil(t, g.bindToOrigin(resumingRequest("tenant")))
+	g.freshness = routes.NewFreshness()
+	assert.NotNil(t, g.bindToOrigin(resumingRequest("tenant")))
+}
+
 // TestResumptionGoesBeforeNewStreams guards against streams that are refused at the few engines where they
 // can go on, or wait there behind new ones that could begin elsewhere.
 func TestResumptionGoesBeforeNewStreams(t *testing.T) {
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -181,7 +181,7 @@
 	}
 	if g.configuration.InstallIfNewer(now, rows.DocumentRevision, compiled) {
 		g.quotas.setLimits(now, compiled.Tenants())
-		g.streamOrigins.setLongestTimeout(compiled.LongestResumable())
+		g.observeRoutes(now, compiled)
 		for _, service := range rows.Document.Services {
 			if service.Engine != nil {
 				g.workers.SetMemoryCapacity(service.Name, service.Engine.CapacityTokens)
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -91,6 +91,25 @@
 	}
 }
 
+// ResumableRoutes returns the services of each route whose streams may be resumed, by host and prefix.
+func (t *Table) ResumableRoutes() map[string]string {
+	found := make(map[string]string)
+	for host, listed := range t.hosts {
+		for _, route := range listed {
+			if route.Kind != Streaming || !route.Resumable {
+				continue
+			}
+			names := make([]string, len(route.Split))
+			for index, share := range route.Split {
+				names[index] = string(share.Service)
+			}
+			slices.Sort(names)
+			found[host+route.Prefix] = strings.Join(names, " ")
+		}
+	}
+	return found
+}
+
 // ResumableServices returns the services whose streams may be resumed, in order.
 func (t *Table) ResumableServices() []fleet.PoolName { return t.resumableServices }
 
--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -23,12 +23,13 @@
 	// answers without knowing anything.
 	Own    Answer
 	Others []Answer
-	// HasPeers is set if there are other nodes.
-	HasPeers bool
+	// NeedsAnswer is set if a single version counts only with an answer of another node: unless there is no
+	// other node.
+	NeedsAnswer bool
 }
 
-// NeedsPeers reports whether the answers of other nodes are needed for the decision.
-func (e *Evidence) NeedsPeers() bool { return e.HasPeers && !e.Own.HasRecord }
+// ShouldAsk reports whether other nodes are to be asked before the decision.
+func (e *Evidence) ShouldAsk() bool { return e.NeedsAnswer && !e.Own.HasRecord }
 
 // Decide returns where the stream began, false if that isn't known. This is the only place that decides
 // where a caller's stream may go on.
@@ -41,7 +42,7 @@
 	if origin, recorded, consistent := e.recorded(); recorded {
 		return origin, consistent
 	}
-	if e.HasPeers && len(e.Others) == 0 || !e.OnlyService {
+	if e.NeedsAnswer && len(e.Others) == 0 || !e.OnlyService {
 		return Origin{}, false
 	}
 	version, single := e.singleVersion()
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -35,20 +35,20 @@
 		want     Origin
 		known    bool
 	}{
-		"own record":                         {Evidence{Own: recorded(oldOrigin), HasPeers: true}, oldOrigin, true},
-		"a peer's record":                    {Evidence{HasPeers: true, Others: []Answer{observed(true, "v2"), recorded(oldOrigin)}}, oldOrigin, true},
+		"own record":                         {Evidence{Own: recorded(oldOrigin), NeedsAnswer: true}, oldOrigin, true},
+		"a peer's record":                    {Evidence{NeedsAnswer: true, Others: []Answer{observed(true, "v2"), recorded(oldOrigin)}}, oldOrigin, true},
 		"a record of another service":        {Evidence{Service: "other", Own: recorded(oldOrigin)}, oldOrigin, true},
-		"two records":                        {Evidence{HasPeers: true, Others: []Answer{recorded(newOrigin), recorded(oldOrigin)}}, newOrigin, false},
-		"ambiguous record":                   {Evidence{HasPeers: true, Others: []Answer{ambiguous}}, oldOrigin, false},
+		"two records":                        {Evidence{NeedsAnswer: true, Others: []Answer{recorded(newOrigin), recorded(oldOrigin)}}, newOrigin, false},
+		"ambiguous record":                   {Evidence{NeedsAnswer: true, Others: []Answer{ambiguous}}, oldOrigin, false},
 		"single version, alone":              {Evidence{Own: observed(true, "v1"), OnlyService: true}, oldOrigin, true},
-		"single version, but no answer":      {Evidence{Own: observed(true, "v1"), OnlyService: true, HasPeers: true}, oldOrigin, false},
-		"single version, and a peer's":       {Evidence{Own: observed(true, "v1"), OnlyService: true, HasPeers: true, Others: []Answer{observed(false, "v1")}}, oldOrigin, true},
-		"observed by a peer alone":           {Evidence{Own: observed(false, "v1"), OnlyService: true, HasPeers: true, Others: []Answer{observed(true, "v1")}}, oldOrigin, true},
-		"a peer of an earlier release":       {Evidence{Own: observed(true, "v1"), OnlyService: true, HasPeers: true, Others: []Answer{{}}}, oldOrigin, true},
-		"observed by nobody for long enough": {Evidence{Own: observed(false, "v1"), OnlyService: true, HasPeers: true, Others: []Answer{observed(false, "v1")}}, oldOrigin, false},
-		"a peer knows of another version":    {Evidence{Own: observed(true, "v1"), OnlyService: true, HasPeers: true, Others: []Answer{observed(true, "v1", "v2")}}, oldOrigin, false},
+		"single version, but no answer":      {Evidence{Own: observed(true, "v1"), OnlyService: true, NeedsAnswer: true}, oldOrigin, false},
+		"single version, and a peer's":       {Evidence{Own: observed(true, "v1"), OnlyService: true, NeedsAnswer: true, Others: []Answer{observed(false, "v1")}}, oldOrigin, true},
+		"observed by a peer alone":           {Evidence{Own: observed(false, "v1"), OnlyService: true, NeedsAnswer: true, Others: []Answer{observed(true, "v1")}}, oldOrigin, true},
+		"a peer of an earlier release":       {Evidence{Own: observed(true, "v1"), OnlyService: true, NeedsAnswer: true, Others: []Answer{{}}}, oldOrigin, true},
+		"observed by nobody for long enough": {Evidence{Own: observed(false, "v1"), OnlyService: true, NeedsAnswer: true, Others: []Answer{observed(false, "v1")}}, oldOrigin, false},
+		"a peer knows of another version":    {Evidence{Own: observed(true, "v1"), OnlyService: true, NeedsAnswer: true, Others: []Answer{observed(true, "v1", "v2")}}, oldOrigin, false},
 		"two versions":                       {Evidence{Own: observed(true, "v1", "v2"), OnlyService: true}, oldOrigin, false},
-		"a route of several services":        {Evidence{Own: observed(true, "v1"), HasPeers: true, Others: []Answer{observed(true, "v1")}}, oldOrigin, false},
+		"a route of several services":        {Evidence{Own: observed(true, "v1"), NeedsAnswer: true, Others: []Answer{observed(true, "v1")}}, oldOrigin, false},
 		"no version":                         {Evidence{Own: observed(true), OnlyService: true}, oldOrigin, false},
 	} {
 		if tested.evidence.Service == "" {
