Name the parts of resuming streams apart, and keep the contract's rows together

Read as a newcomer: a method and a constant had the same name (originCandidates), origin stood for replicas of records, the row of software versions lay beside its loop instead of with the store's other rows, and counts of software versions were added in one way and taken off in another. No behaviour changes.

--- a/internal/backends/copies.go
+++ b/internal/backends/copies.go
@@ -16,8 +16,8 @@
 )
 
 // copyTarget returns the engine that is to keep a copy of a request's KV cache. Of a random sample
-// of engines with the same model and software versions, drawn without replacement, it takes the nearest, and among
-// those the one with the most free memory. Engines with a request limit are excluded, since they may
+// of engines with the same model and software versions, drawn without replacement, it takes the
+// nearest, and among those the one with the most free memory. Engines with a request limit are excluded, since they may
 // not admit the request when it has to be resumed there. It returns an empty worker if there is
 // none. The mutex must be held.
 func (s *search) copyTarget(candidates []*workerState, chosen *workerState) Worker {
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -67,7 +67,10 @@
 func (r *Registry) poolOf(service fleet.PoolName) *pool {
 	servicePool := r.pools[service]
 	if servicePool == nil {
-		servicePool = &pool{service: service, versionCounts: make(map[versionKey]int), softwareCounts: make(map[fleet.SoftwareVersion]int), scans: make(map[scanKey]*scanResult)}
+		servicePool = &pool{
+			service: service, versionCounts: make(map[versionKey]int), softwareCounts: make(map[fleet.SoftwareVersion]int),
+			scans: make(map[scanKey]*scanResult),
+		}
 		r.pools[service] = servicePool
 	}
 	return servicePool
@@ -98,7 +101,7 @@
 	target := r.poolOf(state.worker.Service)
 	state.pool, state.tier = target, tier
 	target.tiers[tier].add(state, r.levelOf(state))
-	target.softwareCounts[state.worker.Software]++
+	target.countSoftware(state.worker.Software, 1)
 	if tier != lapsedTier {
 		target.ring.add(state)
 		target.countVersions(state.worker.Versions, 1)
@@ -112,7 +115,7 @@
 		return
 	}
 	current.tiers[state.tier].remove(state)
-	current.countSoftwareRemoved(state.worker.Software)
+	current.countSoftware(state.worker.Software, -1)
 	if state.tier != lapsedTier {
 		current.ring.remove(state)
 		current.countVersions(state.worker.Versions, -1)
@@ -129,9 +132,9 @@
 	state.worker.Versions = versions
 }
 
-// countSoftwareRemoved counts one worker of a software version less.
-func (p *pool) countSoftwareRemoved(version fleet.SoftwareVersion) {
-	p.softwareCounts[version]--
+// countSoftware adds change to the count of a software version.
+func (p *pool) countSoftware(version fleet.SoftwareVersion, change int) {
+	p.softwareCounts[version] += change
 	if p.softwareCounts[version] == 0 {
 		delete(p.softwareCounts, version)
 	}
--- a/internal/backends/search.go
+++ b/internal/backends/search.go
@@ -27,8 +27,8 @@
 type verdict uint8
 
 const (
-	// verdictIneligible: the worker is gone, or neither the request nor its stream may go to its software
-	// version.
+	// verdictIneligible: the worker is gone, or the request may not go to its software version, by a delivery
+	// or since its stream began at another one.
 	verdictIneligible verdict = iota
 	// verdictExcluded: the request was already sent to the run. verdictNoConnection: this node has no
 	// free connection to the worker.
--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -98,6 +98,15 @@
 	StoreTime time.Duration
 }
 
+// SoftwareRow is the row of a service's software versions: all that streams which can still be resumed may
+// have begun at.
+type SoftwareRow struct {
+	Service  fleet.PoolName
+	Versions []fleet.SoftwareVersion
+	// Revision is that of the row, 0 for a row that isn't stored.
+	Revision fleet.Revision
+}
+
 // QuarantineRow is the stored row of one request that workers failed on. It contains no times,
 // since the clocks of gateways differ and the row outlives their processes.
 type QuarantineRow struct {
--- a/internal/gateway/deliverypeers.go
+++ b/internal/gateway/deliverypeers.go
@@ -62,13 +62,14 @@
 	return g.deliveries.originFilter(now, service, route, origin)
 }
 
-// originFilter returns the restriction on a stream that may only go on at its origin. It may go to the
-// target of a delivery as long as any request does, and to no other version that gets none.
+// originFilter returns the restriction on a stream that may only go on at its origin. If that is the target of
+// a delivery, the stream goes there whatever share of new requests does, but not once no request does.
 func (d *deliveryState) originFilter(now time.Duration, service fleet.PoolName, route delivery.RouteName, origin fleet.SoftwareVersion) *delivery.Filter {
+	const drawnLast, drawnFirst = 1, 0
 	if !d.isTarget(service, origin) {
-		return d.versionFilter(now, service, route, 1, false)
+		return d.versionFilter(now, service, route, drawnLast, false)
 	}
-	filter := d.versionFilter(now, service, route, 0, false)
+	filter := d.versionFilter(now, service, route, drawnFirst, false)
 	if filter.Allows("", origin) || filter.PrefersTarget() {
 		return filter
 	}
--- a/internal/gateway/softwaretable.go
+++ b/internal/gateway/softwaretable.go
@@ -25,15 +25,6 @@
 	softwareRetryInterval = 300 * time.Millisecond
 )
 
-// SoftwareRow is the row of a service's software versions: all that streams which can still be resumed may
-// have begun at.
-type SoftwareRow struct {
-	Service  fleet.PoolName
-	Versions []fleet.SoftwareVersion
-	// Revision is that of the row, 0 for a row that isn't stored.
-	Revision fleet.Revision
-}
-
 // storedSoftware holds the rows as this gateway last read or wrote them. It is used by syncSoftware alone,
 // except for changed.
 type storedSoftware struct {
--- a/internal/gateway/streamoriginpeers.go
+++ b/internal/gateway/streamoriginpeers.go
@@ -17,12 +17,12 @@
 )
 
 const (
-	// originReplicas is the number of other gateways that hold a record. Of a few gateways more than half may
+	// recordReplicas is the number of other gateways that hold a record. Of a few gateways more than half may
 	// be lost at once, with the one that relayed the first event among them.
-	originReplicas = 3
-	// originCandidates is the number of gateways that are asked for a record: more than hold it, since
+	recordReplicas = 3
+	// recordCandidates is the number of gateways that are asked for a record: more than hold it, since
 	// restarted gateways may have taken the places of some holders.
-	originCandidates = originReplicas + 2
+	recordCandidates = recordReplicas + 2
 	// recordCallTimeout bounds a call that hands records over, and originAnswerTimeout the time to find out
 	// where a stream began, after which the caller is refused.
 	recordCallTimeout   = 250 * time.Millisecond
@@ -97,7 +97,7 @@
 
 // recordHolders returns the other gateways that are to hold the record of a stream.
 func (g *Gateway) recordHolders(key streamorigin.Key) []membership.Member {
-	return membership.TopMembers(uint64(key), g.peers.View().Members(), g.node, originReplicas)
+	return membership.TopMembers(uint64(key), g.peers.View().Members(), g.node, recordReplicas)
 }
 
 // sendRecords sends the records that are queued for a gateway until there are no more.
@@ -208,11 +208,11 @@
 	return answer
 }
 
-// originCandidates returns the gateways that may hold the record of a stream, and one that reads the store:
+// streamCandidates returns the gateways that may hold the record of a stream, and one that reads the store:
 // after a restart of all, the readers learn first which versions there were.
-func (g *Gateway) originCandidates(key streamorigin.Key) []membership.Member {
+func (g *Gateway) streamCandidates(key streamorigin.Key) []membership.Member {
 	view := g.peers.View()
-	members := membership.TopMembers(uint64(key), view.Members(), g.node, originCandidates)
+	members := membership.TopMembers(uint64(key), view.Members(), g.node, recordCandidates)
 	for _, reader := range g.roles.Load().readerOrder {
 		if slices.ContainsFunc(members, func(member membership.Member) bool { return member.Node == reader }) {
 			break
@@ -227,7 +227,7 @@
 // findStream asks the gateways that may hold the record of a stream where it began. It returns the
 // answers that came before the timeout, up to the first one with a record, and how many were asked.
 func (g *Gateway) findStream(ctx context.Context, key streamorigin.Key, service fleet.PoolName) (answers []streamorigin.Answer, asked int) {
-	members := g.originCandidates(key)
+	members := g.streamCandidates(key)
 	query := &rpc.StreamQuery{Key: uint64(key), Service: string(service)}
 	received := make(chan *streamorigin.Answer, len(members))
 	for _, member := range members {
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -261,8 +261,8 @@
 	return !isAlone || settings.hasOtherSeeds() && !g.freshness.IsWithin(g.now(), maxAloneProofAge)
 }
 
-// moveToService makes a request go to a service of its route, and reports whether it can: the services of
-// a split route serve different streams.
+// moveToService makes a request go to the service that began its stream, which may be another one than a
+// split route has drawn. It reports whether the route still has that service.
 func (g *Gateway) moveToService(current *callerRequest, name fleet.PoolName) bool {
 	if current.service.Name == name {
 		return true
--- a/internal/gateway/streamorigins_simulation_test.go
+++ b/internal/gateway/streamorigins_simulation_test.go
@@ -183,7 +183,7 @@
 }
 
 func (s *originSimulation) replicate(node *simulatedNode, key streamorigin.Key, origin streamorigin.Origin) {
-	for _, holder := range s.ranked(node, key, originReplicas) {
+	for _, holder := range s.ranked(node, key, recordReplicas) {
 		holder.origins.addReplica(s.now, key, origin)
 	}
 }
@@ -214,7 +214,7 @@
 		Service: simulatedService, OnlyService: true, NeedsAnswer: true, Own: node.origins.answer(s.now, stream.key, simulatedService),
 	}
 	if evidence.ShouldAsk() {
-		for _, other := range s.ranked(node, stream.key, originCandidates) {
+		for _, other := range s.ranked(node, stream.key, recordCandidates) {
 			evidence.Others = append(evidence.Others, other.origins.answer(s.now, stream.key, simulatedService))
 		}
 	}
--- a/internal/streamorigin/records.go
+++ b/internal/streamorigin/records.go
@@ -39,7 +39,7 @@
 type entry struct {
 	origin    int32
 	ambiguous bool
-	// private is set while no other node was sent the record.
+	// private is set as long as no other node has been sent the record.
 	private bool
 }
 
