Count a frame that answers no known operation as proof that its stream began

Traced: the frame had operation 0. handleStale returns for events without an operation before it records that a late frame proves the stream's acceptance, and took an answer to operation 0 for such an event. Operations begin at 1, so no agent has sent a request twice by this; the event is told by whether it is an answer now.

--- a/internal/attempt/machine.go
+++ b/internal/attempt/machine.go
@@ -183,8 +183,7 @@
 // handleStale counts an event of a finished operation. If it is a grant, its router is informed
 // that the grant is abandoned.
 func (m *Machine) handleStale(event Event) {
-	operation, _ := answeredOperation(event)
-	if operation == 0 {
+	if _, phases := answeredOperation(event); phases == nil {
 		return
 	}
 	m.stats.DroppedEvents++
