Name the shared parts of prompts where requests end and sends fail

No line named the parts of a prompt: fingerprints differ for each of these requests, and a prefix's name is that of one part.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -277,7 +277,8 @@
 		return
 	}
 	g.events.line("send_failed").Str("request_id", current.metadata.RequestID).Str("worker", string(placement.Worker.ID)).
-		Str("address", string(placement.Worker.Address)).Str("fingerprint", current.fingerprint.Short()).Str("outcome", outcome.String()).Str("cause", cause).
+		Str("address", string(placement.Worker.Address)).Str("fingerprint", current.fingerprint.Short()).
+		Str("parts", partNames(sharedParts(current.metadata.Parts))).Str("outcome", outcome.String()).Str("cause", cause).
 		Dur("left", current.timeLeft(g.now())).Msg("send_failed")
 }
 
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -355,6 +355,9 @@
 	if current.fingerprint != (quarantine.Fingerprint{}) {
 		line = line.Str("fingerprint", current.fingerprint.Short())
 	}
+	if shared := sharedParts(current.metadata.Parts); len(shared) > 0 {
+		line = line.Str("parts", partNames(shared))
+	}
 	if current.firstSentAt > 0 {
 		line = line.Dur("before_send", current.firstSentAt-current.startedAt)
 	}
