--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -34,7 +34,7 @@
 	TableOperator Table = "operator"
 	// TableWorkers holds a row for each worker.
 	TableWorkers Table = "workers"
-	// TableQuarantine holds a row for each request that several workers failed on.
+	// TableQuarantine holds a row for each request, and each part of prompts, that several workers failed on.
 	TableQuarantine Table = "quarantine"
 )
 
@@ -107,10 +107,13 @@
 	Revision fleet.Revision
 }
 
-// QuarantineRow is the stored row of one request that workers failed on. It contains no times,
+// QuarantineRow is the stored row of one request, or one part of prompts, that workers failed on. It contains no times,
 // since the clocks of gateways differ and the row outlives their processes.
 type QuarantineRow struct {
+	// Fingerprint is that of the request, or of the part of prompts.
 	Fingerprint quarantine.Fingerprint
+	// Condemned is set if it is a part that is quarantined.
+	Condemned bool
 	// Workers are the workers that crashed. Trials counts how often the request was let through
 	// after it had been quarantined.
 	Workers []fleet.EngineID
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -33,13 +33,13 @@
 
 func newCrashDetector() *crashDetector { return &crashDetector{lostRuns: quarantine.NewLostRuns()} }
 
-func (c *crashDetector) recordLoss(now time.Duration, worker fleet.EngineID, fingerprint quarantine.Fingerprint, loss quarantine.Loss) (suspected, probe bool) {
+func (c *crashDetector) recordLoss(now time.Duration, worker fleet.EngineID, subject quarantine.Subject, loss quarantine.Loss) (suspected, probe bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.lostRuns.Observe(now, worker, fingerprint, loss)
+	return c.lostRuns.Observe(now, worker, subject, loss)
 }
 
-func (c *crashDetector) markCrashed(now time.Duration, worker fleet.EngineID, evidence quarantine.Evidence) []quarantine.Fingerprint {
+func (c *crashDetector) markCrashed(now time.Duration, worker fleet.EngineID, evidence quarantine.Evidence) []quarantine.Subject {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.lostRuns.WorkerCrashed(now, worker, evidence)
@@ -84,10 +84,10 @@
 	if g.isOwnFailure(worker, current.relay) {
 		return
 	}
-	suspected, probe := g.crashes.recordLoss(g.now(), worker, current.fingerprint, loss)
+	suspected, probe := g.crashes.recordLoss(g.now(), worker, current.subject(), loss)
 	switch {
 	case suspected:
-		g.recordWorkerCrash(worker, quarantine.ConnectionRefused, []quarantine.Fingerprint{current.fingerprint})
+		g.recordWorkerCrash(worker, quarantine.ConnectionRefused, []quarantine.Subject{current.subject()})
 	case probe:
 		go g.probeWorker(g.destination(current, &placement.Worker))
 	}
@@ -121,18 +121,18 @@
 
 // recordWorkerEnded records that a worker has ended without announcing its shutdown.
 func (g *Gateway) recordWorkerEnded(worker fleet.EngineID, evidence quarantine.Evidence) {
-	if suspects := g.crashes.markCrashed(g.now(), worker, evidence); len(suspects) > 0 {
-		g.recordWorkerCrash(worker, evidence, suspects)
+	if lost := g.crashes.markCrashed(g.now(), worker, evidence); len(lost) > 0 {
+		g.recordWorkerCrash(worker, evidence, lost)
 	}
 }
 
-// shortFingerprints returns the first fingerprints of a list in their short form, separated by
-// commas.
-func shortFingerprints(fingerprints []quarantine.Fingerprint) string {
-	logged := fingerprints[:min(len(fingerprints), maxLoggedFingerprints)]
+// shortFingerprints returns the fingerprints of the first requests of a list in their short form,
+// separated by commas.
+func shortFingerprints(lost []quarantine.Subject) string {
+	logged := lost[:min(len(lost), maxLoggedFingerprints)]
 	texts := make([]string, len(logged))
-	for index, fingerprint := range logged {
-		texts[index] = fingerprint.Short()
+	for index := range logged {
+		texts[index] = logged[index].Request.Short()
 	}
 	return strings.Join(texts, ",")
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -70,9 +70,13 @@
 		return attempt.Step{Kind: attempt.StepAbort}
 	}
 	g.checkSuspension()
-	if verdict, quarantined := g.quarantineVerdict(current); quarantined {
+	verdict, quarantined := g.quarantineVerdict(current)
+	if quarantined {
 		return current.attempts.Denied(resultcode.Quarantined, reasonQuarantined, verdict.RetryAfter)
 	}
+	if verdict.Suspected && current.attempts.MayHaveRun() {
+		return current.attempts.Denied(resultcode.EngineFailed, reasonSuspected, 0)
+	}
 	now := g.now()
 	if current.tenant != nil && !g.canServeKeyed() {
 		return current.attempts.NoWorker("configuration too old", 0)
@@ -143,7 +147,7 @@
 // has been quarantined.
 func (g *Gateway) exchangeWith(ctx context.Context, cancel context.CancelCauseFunc, current *callerRequest, placement *backends.Placement) (*upstream.Response, error) {
 	send := &pendingSend{
-		cancel: cancel, fingerprint: current.fingerprint, quarantineTrial: current.quarantineTrial,
+		cancel: cancel, subject: current.subject(), quarantineTrial: current.quarantineTrial,
 		repeatable: current.attempts.CanRepeat(),
 	}
 	if placement.Engine != nil {
@@ -202,7 +206,7 @@
 		return current.attempts.NoWorker(err.Error(), g.relays.availableIn(g.now()))
 	case errors.Is(err, errQuarantined):
 		g.recordOutcome(current, placement, backends.Cancelled, err.Error())
-		verdict := g.quarantines.check(g.now(), current.fingerprint)
+		verdict := g.quarantines.check(g.now(), current.subject())
 		return current.attempts.Denied(resultcode.Quarantined, reasonQuarantined, verdict.RetryAfter)
 	case errors.Is(err, errBackoff):
 		g.recordOutcome(current, placement, backends.Cancelled, err.Error())
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -55,10 +55,14 @@
 	service  *routes.Service
 	tenant   *routes.Tenant
 	body     []byte
-	// fingerprint is set once the body has been read.
+	// fingerprint is set once the body has been read, parts with it: the fingerprints of the shared parts
+	// of the prompt.
 	fingerprint quarantine.Fingerprint
-	// quarantineTrial is set if the request is quarantined and may be tried once.
+	parts       []quarantine.Fingerprint
+	// quarantineTrial is set if the request is quarantined and may be tried once, trialOf is what it
+	// shows of then: the request or a part.
 	quarantineTrial bool
+	trialOf         quarantine.Fingerprint
 	startedAt       time.Duration
 	// deadline is when the final response is due.
 	deadline time.Duration
@@ -138,6 +142,8 @@
 		return
 	}
 	current.fingerprint = fingerprintOf(current)
+	current.parts = partFingerprints(current)
+	g.awaitQuarantine(current.request.Context())
 	if refused := g.checkQuarantine(current); refused != nil {
 		g.refuse(current, *refused)
 		return
@@ -373,6 +379,11 @@
 	}
 }
 
+// subject returns what the request may have in common with others that crash workers.
+func (c *callerRequest) subject() quarantine.Subject {
+	return quarantine.Subject{Request: c.fingerprint, Parts: c.parts}
+}
+
 // isComplete reports whether the whole response was sent.
 func (c *callerRequest) isComplete() bool { return c.status != 0 && c.reason == "" }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -174,7 +174,7 @@
 		links:            newWorkerLinks(),
 		relays:           newRelays(),
 		carriers:         newOpenCarriers(),
-		quarantines:      newQuarantineState(),
+		quarantines:      newQuarantineState(fleet.NodeID(holderID)),
 		recordQueues:     newRecordQueues(),
 		storedSoftware:   newStoredSoftware(),
 		suspensionSignal: newSuspensionSignal(),
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -191,9 +191,9 @@
 
 // handleLoadReport applies another gateway's report and returns this one's.
 func (g *Gateway) handleLoadReport(_ context.Context, report *rpc.LoadReport) *rpc.LoadReport {
-	g.mergeQuarantineRecords(report.GetQuarantineRecords())
+	replies := g.mergeQuarantineRecords(report.GetQuarantineRecords())
 	if report.GetQuarantineOnly() {
-		return &rpc.LoadReport{Node: string(g.node), Partial: true, QuarantineOnly: true}
+		return &rpc.LoadReport{Node: string(g.node), Partial: true, QuarantineOnly: true, QuarantineRecords: replies}
 	}
 	// The call may have taken up to its timeout.
 	g.applyLimits(report, g.now()-limitCallTimeout)
--- a/internal/gateway/pending.go
+++ b/internal/gateway/pending.go
@@ -31,9 +31,9 @@
 // pendingSend is one send to a worker.
 type pendingSend struct {
 	// model and version are those that the engine is expected to run; empty for other workers.
-	model       fleet.ModelName
-	version     backends.ModelVersion
-	fingerprint quarantine.Fingerprint
+	model   fleet.ModelName
+	version backends.ModelVersion
+	subject quarantine.Subject
 	// quarantineTrial is set if the request is quarantined and this is its single trial.
 	quarantineTrial bool
 	cancel          context.CancelCauseFunc
@@ -81,14 +81,13 @@
 	}
 }
 
-// cancelQuarantined cancels the sends of a request that has been quarantined and returns their
-// number.
-func (p *pendingSends) cancelQuarantined(fingerprint quarantine.Fingerprint) int {
+// cancelQuarantined cancels the sends of requests that have been quarantined and returns their number.
+func (p *pendingSends) cancelQuarantined(isQuarantined func(subject *quarantine.Subject) bool) int {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	cancelled := 0
 	for send := range p.sends {
-		if send.fingerprint == fingerprint && !send.quarantineTrial {
+		if !send.quarantineTrial && isQuarantined(&send.subject) {
 			send.cancel(errQuarantined)
 			delete(p.sends, send)
 			cancelled++
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -87,7 +87,8 @@
 	for number := range quarantine.DefaultThreshold {
 		record.Crashes = append(record.Crashes, quarantine.Crash{Worker: fleet.EngineID(fmt.Sprint("w", number)), At: g.now() - ago})
 	}
-	g.handleQuarantineChange(current.fingerprint, "peer", g.quarantines.merge(g.now(), &record))
+	change, _ := g.quarantines.merge(g.now(), &record)
+	g.handleQuarantineChange("peer", change)
 	return current
 }
 
@@ -154,7 +155,7 @@
 	current := quarantinedRequest(g, 0)
 	sync(true, true)
 	assert.Empty(t, store.rows, "other gateways write it")
-	g.recordWorkerCrash("w3", quarantine.ConnectionRefused, []quarantine.Fingerprint{current.fingerprint})
+	g.recordWorkerCrash("w3", quarantine.ConnectionRefused, []quarantine.Subject{current.subject()})
 	store.failed = errors.Wrap(platform.ErrUnavailable, "down")
 	sync(false, false)
 	store.failed = nil
@@ -215,12 +216,14 @@
 	current := quarantinedRequest(g, time.Second)
 	var causes []error
 	for _, send := range []*pendingSend{
-		{fingerprint: current.fingerprint}, {fingerprint: current.fingerprint, quarantineTrial: true}, {fingerprint: quarantine.Fingerprint{1}},
+		{subject: current.subject()}, {subject: current.subject(), quarantineTrial: true}, {subject: quarantine.Subject{Request: quarantine.Fingerprint{1}}},
 	} {
 		send.cancel = func(cause error) { causes = append(causes, cause) }
 		g.pending.add(send)
 	}
-	assert.Equal(t, 1, g.pending.cancelQuarantined(current.fingerprint))
+	assert.Equal(t, 1, g.pending.cancelQuarantined(func(subject *quarantine.Subject) bool {
+		return g.quarantines.check(g.now(), *subject).Quarantined
+	}))
 	require.Len(t, causes, 1)
 	assert.ErrorIs(t, causes[0], errQuarantined)
 }
@@ -233,7 +236,7 @@
 	one.quarantines.merge(one.now(), &single)
 	assert.Empty(t, one.loadReport("other").QuarantineRecords, "crash seen by another gateway")
 	assert.Zero(t, one.loadReport("other").QuarantineDigest)
-	one.recordWorkerCrash("v", quarantine.ConnectionRefused, []quarantine.Fingerprint{{8}})
+	one.recordWorkerCrash("v", quarantine.ConnectionRefused, []quarantine.Subject{{Request: quarantine.Fingerprint{8}}})
 	assert.Len(t, one.loadReport("other").QuarantineRecords, 1)
 	one.quarantines.mutex.Lock()
 	clear(one.quarantines.changedAt)
@@ -269,8 +272,9 @@
 	g.recordCompleteResponse(current)
 	assert.Empty(t, g.quarantines.takePendingBroadcast())
 	record := quarantine.Record{Fingerprint: current.fingerprint, Crashes: []quarantine.Crash{{Worker: "a", At: g.now()}, {Worker: "b", At: g.now()}, {Worker: "c", At: g.now()}}}
-	g.handleQuarantineChange(current.fingerprint, "peer", g.quarantines.merge(g.now(), &record))
-	assert.False(t, g.quarantines.check(g.now(), current.fingerprint).Quarantined)
+	change, _ := g.quarantines.merge(g.now(), &record)
+	g.handleQuarantineChange("peer", change)
+	assert.False(t, g.quarantines.check(g.now(), current.subject()).Quarantined)
 	broadcast := g.quarantines.takePendingBroadcast()
 	require.Len(t, broadcast, 1, "response broadcast")
 	assert.True(t, broadcast[0].Answered)
@@ -297,7 +301,7 @@
 		worker := backends.Worker{ID: "w", Service: "app", Address: "127.0.0.1:9"}
 		worker.Draining = draining
 		g.workers.Observe(1, worker)
-		g.crashes.recordLoss(g.now(), "w", quarantine.Fingerprint{1}, quarantine.ConnectionBroken)
+		g.crashes.recordLoss(g.now(), "w", quarantine.Subject{Request: quarantine.Fingerprint{1}}, quarantine.ConnectionBroken)
 		g.handleWorkerChange(worker, g.workers.ObserveGone(g.now(), 2, "w"))
 		_, recorded := g.quarantines.record(quarantine.Fingerprint{1})
 		assert.Equal(t, !draining, recorded)
--- a/internal/gateway/quarantinepeers.go
+++ b/internal/gateway/quarantinepeers.go
@@ -63,8 +63,13 @@
 	newFanout(maxQuarantineCalls).call(g.life.Dying(), g.quarantinePeers(), func(member membership.Member) {
 		ctx, cancel := context.WithTimeout(g.peerCallContext(traffic.Quarantine, member), quarantineCallTimeout)
 		defer cancel()
-		if _, err := g.peers.ExchangeLoad(ctx, member.Address, report); err != nil {
+		response, err := g.peers.ExchangeLoad(ctx, member.Address, report)
+		if err != nil {
 			g.metrics.peerFailures.Inc()
+			return
+		}
+		for _, record := range g.decodeQuarantineRecords(response.GetQuarantineRecords()) {
+			g.handleQuarantineChange("peer", g.quarantines.mergeReply(g.now(), &record))
 		}
 	})
 }
@@ -126,17 +131,36 @@
 	return encodeQuarantineRecords(now, q.tracker.RecordsWithCrashes(sharedCrashes))
 }
 
-// mergeQuarantineRecords merges records of another gateway.
-func (g *Gateway) mergeQuarantineRecords(encoded []*rpc.QuarantineRecord) {
+// mergeQuarantineRecords merges records of another gateway. It returns this gateway's records of parts that
+// the other one is to learn.
+func (g *Gateway) mergeQuarantineRecords(encoded []*rpc.QuarantineRecord) []*rpc.QuarantineRecord {
+	var replies []quarantine.Record
+	for _, record := range g.decodeQuarantineRecords(encoded) {
+		change, ahead := g.quarantines.merge(g.now(), &record)
+		g.handleQuarantineChange("peer", change)
+		if !ahead || !record.Fingerprint.IsPart() {
+			continue
+		}
+		if own, known := g.quarantines.record(record.Fingerprint); known {
+			replies = append(replies, own)
+		}
+	}
+	return encodeQuarantineRecords(g.now(), replies)
+}
+
+// decodeQuarantineRecords decodes records of another gateway and leaves out those that are invalid.
+func (g *Gateway) decodeQuarantineRecords(encoded []*rpc.QuarantineRecord) []quarantine.Record {
 	now := g.now()
+	records := make([]quarantine.Record, 0, len(encoded))
 	for _, message := range encoded {
 		record, err := decodeQuarantineRecord(now, message)
 		if err != nil {
 			g.reportInvalidInput("", []InvalidInput{{Source: "quarantine_record", Err: err}})
 			continue
 		}
-		g.handleQuarantineChange(record.Fingerprint, "peer", g.quarantines.merge(now, &record))
+		records = append(records, record)
 	}
+	return records
 }
 
 func encodeQuarantineRecords(now time.Duration, records []quarantine.Record) []*rpc.QuarantineRecord {
@@ -146,6 +170,11 @@
 		message := &rpc.QuarantineRecord{
 			Fingerprint: record.Fingerprint[:],
 			Trials:      uint32(max(record.Trials, 0)),
+			Clearances:  uint32(max(record.Clearances, 0)),
+			Condemned:   record.Condemned,
+		}
+		for node, count := range record.Answers {
+			message.Answers = append(message.Answers, &rpc.QuarantineAnswers{Node: string(node), Count: uint32(max(count, 0))})
 		}
 		if record.Trials > 0 {
 			message.TriedAgeMillis = ageMillis(now, record.LastTrialAt)
@@ -174,7 +203,15 @@
 	if err != nil {
 		return quarantine.Record{}, err
 	}
-	record := quarantine.Record{Fingerprint: fingerprint, Trials: int(message.GetTrials())}
+	record := quarantine.Record{
+		Fingerprint: fingerprint, Trials: int(message.GetTrials()), Clearances: int(message.GetClearances()), Condemned: message.GetCondemned(),
+	}
+	if answers := message.GetAnswers(); len(answers) > 0 {
+		record.Answers = make(map[fleet.NodeID]int, len(answers))
+		for _, from := range answers {
+			record.Answers[fleet.NodeID(from.GetNode())] = int(from.GetCount())
+		}
+	}
 	if record.Trials > 0 {
 		record.LastTrialAt = timeFromAge(now, message.GetTriedAgeMillis())
 	}
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -32,6 +32,7 @@
 	version     fleet.Revision
 	workerCount int
 	trials      int
+	condemned   bool
 }
 
 // newQuarantineTable returns the table of quarantined requests. It isn't part of g.tables: gateways
@@ -50,17 +51,8 @@
 	}
 }
 
-// followQuarantine follows the rows while this gateway reads the store, until the process stops. It
-// starts once the gateway is ready: until then every gateway reads the store, and most receive the
-// records from a peer shortly after.
-func (g *Gateway) followQuarantine() error {
-	select {
-	case <-g.readiness.ready:
-		return g.followStore(g.quarantineTable)
-	case <-g.life.Dying():
-		return nil
-	}
-}
+// followQuarantine follows the rows while this gateway reads the store, until the process stops.
+func (g *Gateway) followQuarantine() error { return g.followStore(g.quarantineTable) }
 
 // applyQuarantineRows applies changed rows.
 func (g *Gateway) applyQuarantineRows(rows []watchcache.Row, _ gap) {
@@ -83,6 +75,7 @@
 	for _, missing := range g.quarantines.missingFrom(update.Revision, present) {
 		g.applyQuarantineRow(&QuarantineRow{Fingerprint: missing, Deleted: true})
 	}
+	g.recordQuarantineKnown()
 }
 
 // missingFrom returns the requests whose known row is at most as new as a revision and isn't in
@@ -118,26 +111,21 @@
 	now := g.now()
 	if row.Deleted {
 		if g.quarantines.deleteStored(row.Fingerprint) {
-			g.handleQuarantineChange(row.Fingerprint, "row_removed", g.quarantines.release(now, row.Fingerprint))
+			g.handleQuarantineChange("row_removed", g.quarantines.release(now, row.Fingerprint))
 		}
 		return
 	}
 	g.quarantines.setStored(row)
-	record := quarantine.Record{Fingerprint: row.Fingerprint, Trials: row.Trials}
-	if row.Trials > 0 {
-		record.LastTrialAt = now
-	}
-	for _, worker := range row.Workers {
-		record.Crashes = append(record.Crashes, quarantine.Crash{Worker: worker, At: now})
-	}
-	g.handleQuarantineChange(row.Fingerprint, "store", g.quarantines.merge(now, &record))
+	record := quarantine.StoredRecord(now, row.Fingerprint, row.Workers, row.Trials, row.Condemned)
+	change, _ := g.quarantines.merge(now, &record)
+	g.handleQuarantineChange("store", change)
 }
 
 // setStored records the state of a stored row.
 func (q *quarantineState) setStored(row *QuarantineRow) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.stored[row.Fingerprint] = storedQuarantine{version: row.Version, workerCount: len(row.Workers), trials: row.Trials}
+	q.stored[row.Fingerprint] = storedQuarantine{version: row.Version, workerCount: len(row.Workers), trials: row.Trials, condemned: row.Condemned}
 }
 
 // deleteStored records that the store holds no row of a request, and reports whether one was known.
@@ -178,7 +166,8 @@
 		verdict := q.tracker.Check(now, record.Fingerprint)
 		orphaned := isReader && verdict.Quarantined && verdict.LastAge > orphanedAfter
 		known := q.stored[record.Fingerprint]
-		outdated := known.workerCount < min(verdict.Crashes, q.tracker.Threshold()) || known.trials < record.Trials
+		outdated := known.workerCount < min(verdict.Crashes, q.tracker.Threshold(), len(record.Crashes)) || known.trials < record.Trials ||
+			(record.Condemned && !known.condemned)
 		if outdated && (q.local[record.Fingerprint] || orphaned) && len(changes.write) < maxStoreChanges {
 			changes.write = append(changes.write, rowFromRecord(&record, verdict.Crashes))
 		}
@@ -191,10 +180,10 @@
 	return changes
 }
 
-// rowFromRecord returns the row of a record with its last counted crashes.
+// rowFromRecord returns the row of a record with its last crashes, as many as count against it.
 func rowFromRecord(record *quarantine.Record, counted int) QuarantineRow {
-	row := QuarantineRow{Fingerprint: record.Fingerprint, Trials: record.Trials}
-	for _, crash := range record.Crashes[len(record.Crashes)-counted:] {
+	row := QuarantineRow{Fingerprint: record.Fingerprint, Trials: record.Trials, Condemned: record.Condemned}
+	for _, crash := range record.Crashes[max(len(record.Crashes)-counted, 0):] {
 		row.Workers = append(row.Workers, crash.Worker)
 	}
 	return row
@@ -263,7 +252,7 @@
 // acquireTrial reports whether this gateway may try a quarantined request now. The conditional
 // write to the store ensures that no other gateway runs the same trial.
 func (g *Gateway) acquireTrial(current *callerRequest, verdict quarantine.Verdict) bool {
-	record, known := g.quarantines.record(current.fingerprint)
+	record, known := g.quarantines.record(verdict.Fingerprint)
 	if !known {
 		return false
 	}
@@ -271,17 +260,17 @@
 	defer cancel()
 	row := rowFromRecord(&record, verdict.Crashes)
 	row.Trials = verdict.Trials + 1
-	stored, err := g.dependencies.Store.WriteQuarantine(ctx, row, g.quarantines.storedVersion(current.fingerprint))
+	stored, err := g.dependencies.Store.WriteQuarantine(ctx, row, g.quarantines.storedVersion(verdict.Fingerprint))
 	if errors.Is(err, platform.ErrConflict) && stored.Trials == verdict.Trials {
 		stored, err = g.dependencies.Store.WriteQuarantine(ctx, row, stored.Version)
 	}
-	line := g.logger.Warn().Str("request_id", current.metadata.RequestID).Str("fingerprint", current.fingerprint.String()).Int("trial", row.Trials)
+	line := g.logger.Warn().Str("request_id", current.metadata.RequestID).Str("fingerprint", verdict.Fingerprint.String()).Int("trial", row.Trials)
 	if err != nil {
 		line.Err(err).Msg("quarantine_trial_refused")
 		return false
 	}
 	g.quarantines.setStored(&stored)
-	g.quarantines.beginTrial(g.now(), current.fingerprint, row.Trials)
+	g.quarantines.beginTrial(g.now(), verdict.Fingerprint, row.Trials)
 	line.Msg("quarantine_trial")
 	return true
 }
--- a/internal/gateway/sharedparts.go
+++ b/internal/gateway/sharedparts.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/quarantine"
 )
 
 const (
@@ -11,6 +13,8 @@
 	// of each, in bytes: callers name them.
 	maxLoggedParts      = 8
 	maxLoggedPartLength = 24
+	// maxSuspectParts bounds the parts of a prompt that are looked at for harmful ones.
+	maxSuspectParts = 32
 )
 
 // sharedParts returns the parts of a prompt that other requests may have too: all but the last, which
@@ -26,3 +30,19 @@
 	}
 	return strings.Join(names, ",")
 }
+
+// partFingerprints returns the fingerprints of the first shared parts of a request's prompt.
+func partFingerprints(current *callerRequest) []quarantine.Fingerprint {
+	shared := sharedParts(current.metadata.Parts)
+	if len(shared) == 0 {
+		return nil
+	}
+	service := string(current.service.Name)
+	fingerprints := make([]quarantine.Fingerprint, 0, min(len(shared), maxSuspectParts))
+	for _, part := range shared[:cap(fingerprints)] {
+		if fingerprint := quarantine.PartFingerprint(service, part.ID); !slices.Contains(fingerprints, fingerprint) {
+			fingerprints = append(fingerprints, fingerprint)
+		}
+	}
+	return fingerprints
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -179,6 +179,9 @@
 	g.applyDirectives(start, response.GetDeliveries())
 	g.deliveries.setSeenChanges(source, response.GetDeliveriesSeen())
 	g.mergeQuarantineRecords(response.GetQuarantineRecords())
+	if response.GetQuarantineKnown() {
+		g.recordQuarantineKnown()
+	}
 	for _, message := range response.GetUpdates() {
 		followed := g.table(Table(message.GetTable()))
 		if followed == nil {
@@ -302,6 +305,8 @@
 	}
 	changed := g.deliveries.writeWatchResponse(now, request, response)
 	response.Origins, response.Pressures = g.originReport(now)
+	// Whether the records are known must be read before them.
+	response.QuarantineKnown = g.isQuarantineKnown()
 	response.QuarantineRecords = g.quarantines.missingRecords(now, request.GetQuarantineDigest())
 	if proven {
 		response.ProofAgeMillis = uint32(max(age, 0).Milliseconds()) + 1
--- a/internal/quarantine/answercache.go
+++ b/internal/quarantine/answercache.go
@@ -21,6 +21,7 @@
 	at  time.Duration
 }
 
+// answerKey returns the first half of a fingerprint: for a part, its service's hash and half of its own.
 func answerKey(fingerprint Fingerprint) uint64 { return binary.BigEndian.Uint64(fingerprint[:]) }
 
 // add records that a request was answered completely.
@@ -35,3 +36,41 @@
 	found := a.slots[key%answerSlots]
 	return found.at, found.key == key && key != 0
 }
+
+// partAnswerSlots is the number of parts whose recent answers are remembered, in 48 KB.
+const partAnswerSlots = 2048
+
+// partAnswerCache remembers how many requests with a part were recently answered completely. It is
+// direct-mapped like answerCache.
+type partAnswerCache struct {
+	slots [partAnswerSlots]partAnswers
+}
+
+// partAnswers counts the answers to requests with one part, each at most partGracePeriod after the one
+// before; key 0 marks an empty slot.
+type partAnswers struct {
+	key   uint64
+	count int
+	last  time.Duration
+}
+
+// add records that a request with a part was answered completely.
+func (a *partAnswerCache) add(now time.Duration, part Fingerprint) {
+	key := answerKey(part)
+	slot := &a.slots[key%partAnswerSlots]
+	if slot.key != key || now > slot.last+partGracePeriod {
+		*slot = partAnswers{key: key}
+	}
+	slot.count++
+	slot.last = now
+}
+
+// recent returns the number of recent answers to requests with a part.
+func (a *partAnswerCache) recent(now time.Duration, part Fingerprint) int {
+	key := answerKey(part)
+	slot := &a.slots[key%partAnswerSlots]
+	if slot.key != key || now > slot.last+partGracePeriod {
+		return 0
+	}
+	return slot.count
+}
--- a/internal/quarantine/lostruns.go
+++ b/internal/quarantine/lostruns.go
@@ -38,9 +38,9 @@
 
 // lostRun is a run without a complete answer.
 type lostRun struct {
-	fingerprint Fingerprint
-	loss        Loss
-	at          time.Duration
+	subject Subject
+	loss    Loss
+	at      time.Duration
 }
 
 // workerLosses holds the lost runs and the state of one worker.
@@ -68,7 +68,7 @@
 // Observe records a run that was lost at a worker. crashed reports that the worker is known to have
 // crashed and the run counts at once. probe reports that the caller is to probe the worker and
 // call WorkerCrashed, WorkerAlive or ProbeInconclusive afterwards.
-func (l *LostRuns) Observe(now time.Duration, worker fleet.EngineID, fingerprint Fingerprint, loss Loss) (crashed, probe bool) {
+func (l *LostRuns) Observe(now time.Duration, worker fleet.EngineID, subject Subject, loss Loss) (crashed, probe bool) {
 	losses := l.lossesOf(worker)
 	if losses == nil {
 		return false, false
@@ -77,7 +77,7 @@
 		return true, false
 	}
 	if len(losses.runs) < maxRunsPerWorker {
-		losses.runs = append(losses.runs, lostRun{fingerprint: fingerprint, loss: loss, at: now})
+		losses.runs = append(losses.runs, lostRun{subject: subject, loss: loss, at: now})
 	}
 	if loss != ConnectionBroken || losses.probing {
 		return false, false
@@ -124,9 +124,8 @@
 	return rowRemovalLag
 }
 
-// WorkerCrashed records that a worker has crashed and returns the fingerprints of the requests that
-// were in flight there.
-func (l *LostRuns) WorkerCrashed(now time.Duration, worker fleet.EngineID, evidence Evidence) []Fingerprint {
+// WorkerCrashed records that a worker has crashed and returns the requests that were in flight there.
+func (l *LostRuns) WorkerCrashed(now time.Duration, worker fleet.EngineID, evidence Evidence) []Subject {
 	losses := l.workers[worker]
 	if losses == nil {
 		return nil
@@ -136,17 +135,17 @@
 	if crashedAt < 0 {
 		crashedAt = now - evidence.lag()
 	}
-	var fingerprints []Fingerprint
+	var subjects []Subject
 	for _, run := range losses.runs {
 		broken := run.loss == ConnectionBroken && now < run.at+lossWindow
 		abandoned := run.loss == Abandoned && run.at >= crashedAt-abandonedWindow
 		if broken || abandoned {
-			fingerprints = append(fingerprints, run.fingerprint)
+			subjects = append(subjects, run.subject)
 		}
 	}
 	losses.runs = nil
 	losses.crashed, losses.crashedAt = true, now
-	return fingerprints
+	return subjects
 }
 
 // firstBreak returns when the first connection broke within lossWindow; a negative time if none
--- a/internal/quarantine/lostruns_test.go
+++ b/internal/quarantine/lostruns_test.go
@@ -16,19 +16,22 @@
 	return one.Fingerprint()
 }
 
+// subjectFor returns a request with a distinct fingerprint for each number.
+func subjectFor(number int) Subject { return Subject{Request: fingerprintFor(number)} }
+
 const second = time.Second
 
 // TestRunsAtCrashedWorkerCount guards against lost runs that are missed or counted twice when their
 // worker crashes, and against repeated probes.
 func TestRunsAtCrashedWorkerCount(t *testing.T) {
 	lost := NewLostRuns()
-	crashed, probe := lost.Observe(10*second, "w", fingerprintFor(1), ConnectionBroken)
+	crashed, probe := lost.Observe(10*second, "w", subjectFor(1), ConnectionBroken)
 	assert.False(t, crashed)
 	assert.True(t, probe, "the first broken connection triggers a probe")
-	_, probe = lost.Observe(10*second, "w", fingerprintFor(2), ConnectionBroken)
+	_, probe = lost.Observe(10*second, "w", subjectFor(2), ConnectionBroken)
 	assert.False(t, probe, "a probe is running")
-	assert.Equal(t, []Fingerprint{fingerprintFor(1), fingerprintFor(2)}, lost.WorkerCrashed(10*second, "w", ConnectionRefused))
-	crashed, probe = lost.Observe(11*second, "w", fingerprintFor(3), ConnectionBroken)
+	assert.Equal(t, []Subject{subjectFor(1), subjectFor(2)}, lost.WorkerCrashed(10*second, "w", ConnectionRefused))
+	crashed, probe = lost.Observe(11*second, "w", subjectFor(3), ConnectionBroken)
 	assert.True(t, crashed, "a later break of a connection to the same process")
 	assert.False(t, probe)
 	assert.Empty(t, lost.WorkerCrashed(11*second, "w", RowRemoved), "each run counts once")
@@ -38,10 +41,10 @@
 // answers that are taken for crashes.
 func TestBrokenConnectionsAtLivingWorkerDontCount(t *testing.T) {
 	lost := NewLostRuns()
-	lost.Observe(0, "w", fingerprintFor(1), ConnectionBroken)
+	lost.Observe(0, "w", subjectFor(1), ConnectionBroken)
 	lost.WorkerAlive("w")
 	assert.Empty(t, lost.WorkerCrashed(second, "w", RowRemoved))
-	_, probe := lost.Observe(2*second, "w", fingerprintFor(1), ConnectionBroken)
+	_, probe := lost.Observe(2*second, "w", subjectFor(1), ConnectionBroken)
 	assert.True(t, probe, "the next break triggers another probe")
 }
 
@@ -49,10 +52,10 @@
 // fails, or count for a later crash.
 func TestRowRemovalCountsAfterInconclusiveProbe(t *testing.T) {
 	lost := NewLostRuns()
-	lost.Observe(0, "w", fingerprintFor(1), ConnectionBroken)
+	lost.Observe(0, "w", subjectFor(1), ConnectionBroken)
 	lost.ProbeInconclusive("w")
-	assert.Equal(t, []Fingerprint{fingerprintFor(1)}, lost.WorkerCrashed(1700*time.Millisecond, "w", RowRemoved))
-	lost.Observe(0, "v", fingerprintFor(1), ConnectionBroken)
+	assert.Equal(t, []Subject{subjectFor(1)}, lost.WorkerCrashed(1700*time.Millisecond, "w", RowRemoved))
+	lost.Observe(0, "v", subjectFor(1), ConnectionBroken)
 	assert.Empty(t, lost.WorkerCrashed(lossWindow, "v", RowRemoved), "too long before this crash")
 	assert.Empty(t, lost.WorkerCrashed(0, "unknown", ConnectionRefused))
 }
@@ -61,15 +64,15 @@
 // whose caller had just left, and against attribution of earlier ones.
 func TestAbandonedRunsCountShortlyBeforeCrash(t *testing.T) {
 	lost := NewLostRuns()
-	_, probe := lost.Observe(0, "w", fingerprintFor(1), Abandoned)
+	_, probe := lost.Observe(0, "w", subjectFor(1), Abandoned)
 	assert.False(t, probe, "a caller that leaves is no sign of a crash")
-	lost.Observe(2*second, "w", fingerprintFor(2), Abandoned)
-	lost.Observe(2100*time.Millisecond, "w", fingerprintFor(3), ConnectionBroken)
-	assert.Equal(t, []Fingerprint{fingerprintFor(2), fingerprintFor(3)}, lost.WorkerCrashed(2200*time.Millisecond, "w", ConnectionRefused))
+	lost.Observe(2*second, "w", subjectFor(2), Abandoned)
+	lost.Observe(2100*time.Millisecond, "w", subjectFor(3), ConnectionBroken)
+	assert.Equal(t, []Subject{subjectFor(2), subjectFor(3)}, lost.WorkerCrashed(2200*time.Millisecond, "w", ConnectionRefused))
 
-	lost.Observe(0, "v", fingerprintFor(1), Abandoned)
-	assert.Equal(t, []Fingerprint{fingerprintFor(1)}, lost.WorkerCrashed(2500*time.Millisecond, "v", RowRemoved))
-	lost.Observe(0, "u", fingerprintFor(1), Abandoned)
+	lost.Observe(0, "v", subjectFor(1), Abandoned)
+	assert.Equal(t, []Subject{subjectFor(1)}, lost.WorkerCrashed(2500*time.Millisecond, "v", RowRemoved))
+	lost.Observe(0, "u", subjectFor(1), Abandoned)
 	assert.Empty(t, lost.WorkerCrashed(2500*time.Millisecond, "u", ConnectionRefused))
 }
 
@@ -78,7 +81,7 @@
 func TestLostRunsStayBounded(t *testing.T) {
 	lost := NewLostRuns()
 	for number := range 100_000 {
-		lost.Observe(0, fleet.EngineID(fmt.Sprint(number%2000)), fingerprintFor(number), ConnectionBroken)
+		lost.Observe(0, fleet.EngineID(fmt.Sprint(number%2000)), subjectFor(number), ConnectionBroken)
 	}
 	assert.Len(t, lost.workers, maxWorkers)
 	for _, losses := range lost.workers {
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -45,6 +45,20 @@
 	rate           float64
 	// harmful is the number of harmful requests, each of which is sent repeatedly.
 	harmful int
+	// parts gives prompts shared parts: one of everybody, one of 40 topics and that of a session. With it
+	// the harmful requests are all different, and one part of each of harmful kinds crashes workers.
+	parts bool
+	// rareBeside is set if each harmful part comes beside a part that is rare elsewhere.
+	rareBeside bool
+	// topicLifetime is how long a topic lasts before another one takes its place; 0 means always.
+	topicLifetime time.Duration
+	// answeredShare is the share of runs with a harmful part that don't crash their worker.
+	answeredShare float64
+	// withoutParts has trackers ignore parts.
+	withoutParts bool
+	// attempts is the number of workers to which a request with a harmful part is sent at once, one
+	// after the other; 0 means 1.
+	attempts int
 	// crashInterval is the mean time between crashes of single workers, rackCrashInterval between
 	// crashes of a quarter of them; 0 means none.
 	crashInterval, rackCrashInterval time.Duration
@@ -77,7 +91,7 @@
 	running    [][]*simulatedRun
 
 	outcome simulationOutcome
-	// thirdCrashAt is, by harmful body, when it crashed the third worker. harmfulCounts counts the
+	// thirdCrashAt is, by harmful body, when it crashed the third worker, or the fifth by a part. harmfulCounts counts the
 	// crashes by harmful body, and its late arrivals under a prefixed key.
 	thirdCrashAt  map[string]time.Duration
 	harmfulCounts map[string]int
@@ -86,16 +100,39 @@
 // simulatedRun is a request that was sent to a worker.
 type simulatedRun struct {
 	body  string
+	parts []string
 	node  int
 	tries int
 }
 
+// subject returns what the trackers know a run by.
+func (r *simulatedRun) subject() *Subject {
+	subject := &Subject{Request: fingerprintOf(r.body)}
+	for _, part := range r.parts {
+		subject.Parts = append(subject.Parts, PartFingerprint("service", part))
+	}
+	return subject
+}
+
+// harmKey returns what makes a run harmful: its body, or its harmful part; empty if it is harmless.
+func (r *simulatedRun) harmKey() string {
+	for _, part := range r.parts {
+		if isHarmful(part) {
+			return part
+		}
+	}
+	if len(r.parts) == 0 && isHarmful(r.body) {
+		return r.body
+	}
+	return ""
+}
+
 // simulationOutcome is the result of a simulation.
 type simulationOutcome struct {
 	harmless, refused       int
 	crashes, harmfulCrashes int
 	// lateArrivals counts the harmful requests that reached workers more than three seconds after
-	// the third crash, maxLateArrivals the most of one body.
+	// the third crash, or the fifth one of a part, maxLateArrivals the most of one body or part.
 	lateArrivals              int
 	maxLateArrivals, messages int
 }
@@ -105,8 +142,10 @@
 		simulationConfig: config, random: rand.New(rand.NewPCG(config.seed, 1)),
 		thirdCrashAt: make(map[string]time.Duration), harmfulCounts: make(map[string]int),
 	}
-	for range config.nodes {
-		s.trackers = append(s.trackers, NewTracker(config.options))
+	for number := range config.nodes {
+		options := config.options
+		options.Node = fleet.NodeID(fmt.Sprint("node-", number))
+		s.trackers = append(s.trackers, NewTracker(options))
 	}
 	for range config.workers {
 		s.up = append(s.up, true)
@@ -146,18 +185,53 @@
 		body = fmt.Sprint("hot-", s.random.IntN(3))
 	}
 	s.outcome.harmless++
-	s.send(&simulatedRun{body: body, node: s.random.IntN(s.nodes)})
+	s.send(&simulatedRun{body: body, parts: s.drawParts(), node: s.random.IntN(s.nodes)})
 	s.schedule(s.exponential(time.Duration(float64(time.Second)/s.rate)), func() { s.arrive(number + 1) })
 }
 
-// arriveHarmful sends a harmful request repeatedly, to random nodes.
-func (s *simulation) arriveHarmful(body string) {
-	s.schedule(s.exponential(1500*time.Millisecond), func() {
-		s.send(&simulatedRun{body: body, node: s.random.IntN(s.nodes)})
-		s.arriveHarmful(body)
+// drawParts draws the shared parts of a harmless prompt, nil without parts. A topic is the more popular
+// the lower its number; a session asks some times a minute.
+func (s *simulation) drawParts() []string {
+	if !s.parts {
+		return nil
+	}
+	const sessions = 400
+	parts := []string{"everybody's", s.topic(min(int(s.random.ExpFloat64()*10), 39))}
+	if s.rareBeside && s.random.Float64() < 0.02 {
+		return append(parts, "rare")
+	}
+	return append(parts, fmt.Sprint("session-", s.random.IntN(sessions)))
+}
+
+// topic returns the name of a topic now.
+func (s *simulation) topic(number int) string {
+	if s.topicLifetime <= 0 {
+		return fmt.Sprint("topic-", number)
+	}
+	return fmt.Sprint("topic-", number, "-", int(s.now/s.topicLifetime))
+}
+
+// arriveHarmful sends a harmful request, or requests with a harmful part, repeatedly to random nodes.
+func (s *simulation) arriveHarmful(name string) {
+	interval := 1500 * time.Millisecond
+	if s.parts {
+		interval = 300 * time.Millisecond
+	}
+	s.schedule(s.exponential(interval), func() {
+		run := &simulatedRun{body: name, node: s.random.IntN(s.nodes)}
+		if s.parts {
+			run.body = fmt.Sprint(name, "-", s.scheduled)
+			run.parts = []string{"everybody's", name, s.topic(s.random.IntN(3))}
+			if s.rareBeside {
+				run.parts[2] = "rare"
+			}
+		}
+		s.send(run)
+		s.arriveHarmful(name)
 	})
 }
 
+// isHarmful reports whether a body, or a part, crashes workers.
 func isHarmful(body string) bool { return len(body) > 7 && body[:7] == "harmful" }
 
 func fingerprintOf(body string) Fingerprint {
@@ -167,41 +241,57 @@
 
 // send sends a request to a random worker unless it is quarantined. It is lost if the worker is down.
 func (s *simulation) send(run *simulatedRun) {
-	if s.trackers[run.node].Check(s.now, fingerprintOf(run.body)).Quarantined {
-		if !isHarmful(run.body) {
+	harm := run.harmKey()
+	subject := run.subject()
+	if s.withoutParts {
+		subject.Parts = nil
+	}
+	verdict := s.trackers[run.node].CheckRequest(s.now, subject)
+	if verdict.Quarantined {
+		if harm == "" {
 			s.outcome.refused++
 		}
 		return
 	}
+	if run.tries > 0 && verdict.Suspected {
+		return
+	}
 	worker := s.random.IntN(s.workers)
 	if !s.up[worker] {
 		return
 	}
 	s.running[worker] = append(s.running[worker], run)
-	if !isHarmful(run.body) {
+	if harm == "" || s.random.Float64() < s.answeredShare {
 		s.schedule(s.exponential(400*time.Millisecond), func() { s.answer(worker, run) })
 		return
 	}
-	if third, found := s.thirdCrashAt[run.body]; found && s.now > third+3*time.Second {
+	if third, found := s.thirdCrashAt[harm]; found && s.now > third+3*time.Second {
 		s.outcome.lateArrivals++
-		s.harmfulCounts["late "+run.body]++
-		s.outcome.maxLateArrivals = max(s.outcome.maxLateArrivals, s.harmfulCounts["late "+run.body])
+		s.harmfulCounts["late "+harm]++
+		s.outcome.maxLateArrivals = max(s.outcome.maxLateArrivals, s.harmfulCounts["late "+harm])
 	}
 	runNumber := s.runNumbers[worker]
 	s.schedule(30*time.Millisecond+s.exponential(80*time.Millisecond), func() {
 		if s.runNumbers[worker] == runNumber && s.up[worker] {
-			s.countHarmfulCrash(run.body)
+			s.countHarmfulCrash(harm)
 			s.crash(worker)
+			if run.tries+1 < s.attempts {
+				s.send(&simulatedRun{body: run.body, parts: run.parts, node: run.node, tries: run.tries + 1})
+			}
 		}
 	})
 }
 
-// countHarmfulCrash counts the workers that a harmful request has crashed.
-func (s *simulation) countHarmfulCrash(body string) {
+// countHarmfulCrash counts the workers that a harmful request, or a part, has crashed.
+func (s *simulation) countHarmfulCrash(harm string) {
+	crashesAllowed := 3
+	if s.parts {
+		crashesAllowed = 5
+	}
 	s.outcome.harmfulCrashes++
-	s.harmfulCounts[body]++
-	if s.harmfulCounts[body] == 3 {
-		s.thirdCrashAt[body] = s.now
+	s.harmfulCounts[harm]++
+	if s.harmfulCounts[harm] == crashesAllowed {
+		s.thirdCrashAt[harm] = s.now
 	}
 }
 
@@ -216,6 +306,11 @@
 	if s.trackers[run.node].ObserveAnswer(s.now, fingerprint) {
 		s.notifyPeers(run.node, fingerprint)
 	}
+	for _, part := range run.subject().Parts {
+		if s.trackers[run.node].ObservePartAnswer(s.now, part) {
+			s.notifyPeers(run.node, part)
+		}
+	}
 }
 
 // scheduleCrashes crashes count workers at once at random times, interval apart on average.
@@ -250,9 +345,15 @@
 			if s.trackers[run.node].ObserveCrash(s.now, fingerprint, name) {
 				s.notifyPeers(run.node, fingerprint)
 			}
+			for _, part := range run.subject().Parts {
+				changed := s.trackers[run.node].ObserveCrash(s.now, part, name)
+				if changed && s.trackers[run.node].Check(s.now, part).Crashes > 0 {
+					s.notifyPeers(run.node, part)
+				}
+			}
 		})
-		if run.tries < 3 && !isHarmful(run.body) && s.random.Float64() < 0.5 {
-			again := &simulatedRun{body: run.body, node: s.random.IntN(s.nodes), tries: run.tries + 1}
+		if run.tries < 3 && run.harmKey() == "" && s.random.Float64() < 0.5 {
+			again := &simulatedRun{body: run.body, parts: run.parts, node: s.random.IntN(s.nodes), tries: run.tries + 1}
 			s.schedule(time.Duration(s.random.IntN(3))*300*time.Millisecond, func() { s.send(again) })
 		}
 	}
@@ -272,25 +373,43 @@
 			continue
 		}
 		sent := s.now
-		s.schedule(time.Duration(5+s.random.IntN(60))*time.Millisecond, func() { s.receive(to, &record, s.now-sent) })
+		s.schedule(time.Duration(5+s.random.IntN(60))*time.Millisecond, func() { s.receive(from, to, &record, s.now-sent) })
 	}
 }
 
 // receive merges a record at a node. The delay adds to its ages.
-func (s *simulation) receive(to int, sent *Record, delay time.Duration) {
+func (s *simulation) receive(from, to int, sent *Record, delay time.Duration) {
 	received := sent.clone()
 	for index := range received.Crashes {
 		received.Crashes[index].At += delay
 	}
 	received.AnsweredAt += delay
 	before := s.trackers[to].Check(s.now, sent.Fingerprint).Quarantined
-	s.trackers[to].Merge(&received)
+	s.trackers[to].Merge(s.now, &received)
 	quarantinedNow := !before && s.trackers[to].Check(s.now, sent.Fingerprint).Quarantined
-	if s.trackers[to].IsAheadOf(&received) || (quarantinedNow && !s.withoutForwarding) {
+	ahead := s.trackers[to].IsAheadOf(&received)
+	if ahead && sent.Fingerprint.IsPart() {
+		s.reply(to, from, sent.Fingerprint)
+		ahead = false
+	}
+	if ahead || (quarantinedNow && !s.withoutForwarding) {
 		s.notifyPeers(to, sent.Fingerprint)
 	}
 }
 
+// reply returns a node's record of a part to the node that told of it, which tells all of its own if that
+// matters to them.
+func (s *simulation) reply(from, to int, part Fingerprint) {
+	record, _ := s.trackers[from].Record(part)
+	s.outcome.messages++
+	s.schedule(time.Duration(5+s.random.IntN(30))*time.Millisecond, func() {
+		before, _ := s.trackers[to].Record(part)
+		if s.trackers[to].Merge(s.now, &record) && s.trackers[to].MustShareAnswers(&before) {
+			s.notifyPeers(to, part)
+		}
+	})
+}
+
 // defaultConfig returns a fleet with single and rack-wide crashes and popular requests.
 func defaultConfig(seed uint64) simulationConfig {
 	return simulationConfig{
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -10,6 +10,8 @@
 
 // Options configures a Tracker; zero fields take the defaults.
 type Options struct {
+	// Node names this node in what it tells others.
+	Node fleet.NodeID
 	// Threshold is the number of workers that must have crashed while running a request before it
 	// is quarantined.
 	Threshold int
@@ -19,9 +21,12 @@
 	// trial multiplies the delay of the next one by TrialDelayFactor.
 	TrialDelay       time.Duration
 	TrialDelayFactor int
-	// MaxTrials bounds the trials. After the last one the request stays quarantined until its
-	// record is dropped.
-	MaxTrials int
+	// PartTrialDelay and PartTrialDelayFactor are the same for a part.
+	PartTrialDelay       time.Duration
+	PartTrialDelayFactor int
+	// MaxTrials bounds the trials of a request, MaxPartTrials those of a part. After the last one the
+	// quarantine lasts until the record is dropped.
+	MaxTrials, MaxPartTrials int
 	// QuarantineRetention is how long after its last change the record of a quarantined request is
 	// kept.
 	QuarantineRetention time.Duration
@@ -31,6 +36,10 @@
 	MaxRecords int
 }
 
+// partGracePeriod is how long after the answers to requests with a part outweighed its crashes further
+// ones don't count. It is shorter than that of a request, since the answers are counted.
+const partGracePeriod = 2 * time.Second
+
 // Defaults of Options.
 const (
 	// DefaultThreshold is high enough that a harmless request is rarely in flight at as many
@@ -39,9 +48,15 @@
 	// DefaultGracePeriod protects popular requests of a service whose workers crash often.
 	DefaultGracePeriod = 10 * time.Second
 	// DefaultTrialDelay exceeds the usual delays between the retries of a caller.
-	DefaultTrialDelay          = 2 * time.Minute
-	DefaultTrialDelayFactor    = 5
-	DefaultMaxTrials           = 3
+	DefaultTrialDelay       = 2 * time.Minute
+	DefaultTrialDelayFactor = 5
+	// DefaultPartTrialDelay is shorter: many sound requests may have the part.
+	DefaultPartTrialDelay       = 30 * time.Second
+	DefaultPartTrialDelayFactor = 20
+	DefaultMaxTrials            = 3
+	// DefaultMaxPartTrials is lower: requests with the part may still be under way when it is
+	// quarantined, and count as well.
+	DefaultMaxPartTrials       = 2
 	DefaultQuarantineRetention = 24 * time.Hour
 	DefaultSuspectRetention    = 30 * time.Minute
 	DefaultMaxRecords          = 2048
@@ -53,6 +68,7 @@
 		fallback time.Duration
 	}{
 		{&o.GracePeriod, DefaultGracePeriod}, {&o.TrialDelay, DefaultTrialDelay},
+		{&o.PartTrialDelay, DefaultPartTrialDelay},
 		{&o.QuarantineRetention, DefaultQuarantineRetention}, {&o.SuspectRetention, DefaultSuspectRetention},
 	} {
 		if *option.field <= 0 {
@@ -63,8 +79,8 @@
 		field    *int
 		fallback int
 	}{
-		{&o.Threshold, DefaultThreshold}, {&o.TrialDelayFactor, DefaultTrialDelayFactor},
-		{&o.MaxTrials, DefaultMaxTrials}, {&o.MaxRecords, DefaultMaxRecords},
+		{&o.Threshold, DefaultThreshold}, {&o.TrialDelayFactor, DefaultTrialDelayFactor}, {&o.PartTrialDelayFactor, DefaultPartTrialDelayFactor},
+		{&o.MaxTrials, DefaultMaxTrials}, {&o.MaxPartTrials, DefaultMaxPartTrials}, {&o.MaxRecords, DefaultMaxRecords},
 	} {
 		if *option.field <= 0 {
 			*option.field = option.fallback
@@ -72,10 +88,15 @@
 	}
 }
 
-// Verdict is the state of a request: whether it may be sent to a worker, and if not, why.
+// Verdict is the state of a request or a part: whether it may be sent to a worker, and if not, why.
 type Verdict struct {
+	// Fingerprint is that of the request, or of the part, which decides.
+	Fingerprint Fingerprint
 	// Quarantined is set if the request must not be sent to a worker.
 	Quarantined bool
+	// Suspected is set if the request isn't quarantined, but its prompt holds a part that was in flight
+	// at a crash, and no request with it was answered. It may run at one worker only.
+	Suspected bool
 	// TrialDue is set if the request is quarantined and may be tried once, by the node that claims
 	// the trial in the store.
 	TrialDue bool
@@ -90,18 +111,20 @@
 	RetryAfter time.Duration
 }
 
-// Tracker holds a node's records of requests that were in flight at crashed workers. It isn't safe
-// for concurrent use.
+// Tracker holds a node's records of requests, and of parts of prompts, that were in flight at crashed
+// workers. It isn't safe for concurrent use.
 type Tracker struct {
-	options Options
-	records map[Fingerprint]*Record
-	answers answerCache
+	options     Options
+	records     map[Fingerprint]*Record
+	answers     answerCache
+	partAnswers partAnswerCache
+	parts       partVerdicts
 }
 
 // NewTracker returns an empty tracker.
 func NewTracker(options Options) *Tracker {
 	options.setDefaults()
-	return &Tracker{options: options, records: make(map[Fingerprint]*Record)}
+	return &Tracker{options: options, records: make(map[Fingerprint]*Record), parts: newPartVerdicts()}
 }
 
 // ObserveAnswer records that a request was answered completely. It reports whether crashes counted
@@ -112,33 +135,60 @@
 	if record == nil {
 		return false
 	}
-	suspected := len(record.countedCrashes(t.options.GracePeriod)) > 0
+	suspected := len(t.countedCrashes(record)) > 0
+	t.settle(now, t.explainedCrashes(record))
 	record.Answered, record.AnsweredAt = true, now
+	t.recordChanged(record)
 	return suspected
 }
 
+// countedCrashes returns the crashes that count against a request or a part.
+func (t *Tracker) countedCrashes(record *Record) []Crash {
+	return record.countedCrashes(t.gracePeriod(record))
+}
+
+func (t *Tracker) gracePeriod(record *Record) time.Duration {
+	if record.Fingerprint.IsPart() {
+		return partGracePeriod
+	}
+	return t.options.GracePeriod
+}
+
 // ObserveCrash records that a worker crashed while a request was in flight there. It reports
 // whether the record has changed.
 func (t *Tracker) ObserveCrash(now time.Duration, fingerprint Fingerprint, worker fleet.EngineID) bool {
-	return t.Merge(&Record{Fingerprint: fingerprint, Crashes: []Crash{{Worker: worker, At: now}}})
+	return t.Merge(now, &Record{Fingerprint: fingerprint, Crashes: []Crash{{Worker: worker, At: now}}})
 }
 
 // Merge merges another node's record and reports whether this node's record has changed.
-func (t *Tracker) Merge(other *Record) bool {
+func (t *Tracker) Merge(now time.Duration, other *Record) bool {
 	record := t.records[other.Fingerprint]
 	if record == nil {
 		record = t.add(other.Fingerprint)
 	}
-	return record.merge(other)
+	wasSuspected := len(t.countedCrashes(record)) > 0
+	explained := t.explainedCrashes(record)
+	changed := record.merge(other)
+	if !wasSuspected {
+		t.countRecentAnswers(now, record)
+	}
+	if len(t.countedCrashes(record)) == 0 {
+		t.settle(now, explained)
+	}
+	t.clearIfAnswered(now, record)
+	t.recordChanged(record)
+	return changed
 }
 
-// add creates a record, with the last answer of the request that this node remembers.
+// add creates a record, with the answers that this node remembers.
 func (t *Tracker) add(fingerprint Fingerprint) *Record {
 	if len(t.records) >= t.options.MaxRecords {
 		t.evict()
 	}
 	record := &Record{Fingerprint: fingerprint}
-	record.AnsweredAt, record.Answered = t.answers.last(fingerprint)
+	if !fingerprint.IsPart() {
+		record.AnsweredAt, record.Answered = t.answers.last(fingerprint)
+	}
 	t.records[fingerprint] = record
 	return record
 }
@@ -158,15 +208,34 @@
 	})
 	const evictionDivisor = 16
 	for _, record := range all[:max(len(all)/evictionDivisor, 1)] {
-		delete(t.records, record.Fingerprint)
+		t.drop(record.Fingerprint)
 	}
 }
 
+// drop forgets a record.
+func (t *Tracker) drop(fingerprint Fingerprint) {
+	delete(t.records, fingerprint)
+	t.parts.forget(fingerprint)
+}
+
+// crashCount returns the number of crashes against a request. For a part it is the evidence that answers
+// and other explanations leave, in crashes.
 func (t *Tracker) crashCount(record *Record) int {
-	return len(record.countedCrashes(t.options.GracePeriod))
+	if record.Fingerprint.IsPart() {
+		return t.partCrashCount(record)
+	}
+	return len(t.countedCrashes(record))
 }
 
-// Check returns the verdict on a request at now.
+// isQuarantined reports whether a request or a part is quarantined.
+func (t *Tracker) isQuarantined(record *Record) bool {
+	if record.Fingerprint.IsPart() {
+		return t.isPartQuarantined(record.Fingerprint)
+	}
+	return t.crashCount(record) >= t.options.Threshold
+}
+
+// Check returns the verdict on a request, or on a part, at now.
 func (t *Tracker) Check(now time.Duration, fingerprint Fingerprint) Verdict {
 	record := t.records[fingerprint]
 	if record == nil {
@@ -176,14 +245,16 @@
 }
 
 func (t *Tracker) verdict(now time.Duration, record *Record) Verdict {
-	counted := record.countedCrashes(t.options.GracePeriod)
-	if len(counted) == 0 {
+	counted := t.countedCrashes(record)
+	count := t.crashCount(record)
+	if len(counted) == 0 || count == 0 {
 		return Verdict{}
 	}
 	last := counted[len(counted)-1].At
 	verdict := Verdict{
-		Quarantined: len(counted) >= t.options.Threshold,
-		Crashes:     len(counted),
+		Fingerprint: record.Fingerprint,
+		Quarantined: t.isQuarantined(record),
+		Crashes:     count,
 		FirstAge:    max(now-counted[0].At, 0),
 		LastAge:     max(now-last, 0),
 		Trials:      record.Trials,
@@ -192,20 +263,30 @@
 		return verdict
 	}
 	due := t.trialDueAt(record, last)
-	if record.Trials >= t.options.MaxTrials {
+	if record.Trials >= t.maxTrials(record) {
 		due = record.lastChange() + t.options.QuarantineRetention
 	}
-	verdict.TrialDue = record.Trials < t.options.MaxTrials && now >= due
+	verdict.TrialDue = record.Trials < t.maxTrials(record) && now >= due
 	verdict.RetryAfter = max(due-now, 0)
 	return verdict
 }
 
+func (t *Tracker) maxTrials(record *Record) int {
+	if record.Fingerprint.IsPart() {
+		return t.options.MaxPartTrials
+	}
+	return t.options.MaxTrials
+}
+
 // trialDueAt returns when the next trial of a quarantined request is due. The delay counts from the
 // last crash or the last trial, whichever is later.
 func (t *Tracker) trialDueAt(record *Record, lastCrash time.Duration) time.Duration {
-	delay := t.options.TrialDelay
+	delay, factor := t.options.TrialDelay, t.options.TrialDelayFactor
+	if record.Fingerprint.IsPart() {
+		delay, factor = t.options.PartTrialDelay, t.options.PartTrialDelayFactor
+	}
 	for range record.Trials {
-		delay *= time.Duration(t.options.TrialDelayFactor)
+		delay *= time.Duration(factor)
 	}
 	since := lastCrash
 	if record.Trials > 0 {
@@ -222,15 +303,22 @@
 	}
 }
 
-// Release lifts the quarantine of a request, since its row was removed from the store. Crashes from
-// now on count at once, without the grace period that follows an answer. It reports whether any
-// crashes counted against the request.
+// Release lifts the quarantine of a request or a part, since its trial was answered or its row removed
+// from the store. Crashes from now on count at once, without the grace period that follows an answer.
+// It reports whether any crashes counted against it.
 func (t *Tracker) Release(now time.Duration, fingerprint Fingerprint) bool {
 	record := t.records[fingerprint]
 	if record == nil || t.crashCount(record) == 0 {
 		return false
 	}
-	record.Answered, record.AnsweredAt = true, now-t.options.GracePeriod
+	released := now - t.gracePeriod(record)
+	t.settle(now, t.explainedCrashes(record))
+	if fingerprint.IsPart() {
+		record.clear(released)
+	} else {
+		record.Answered, record.AnsweredAt = true, released
+	}
+	t.recordChanged(record)
 	return true
 }
 
@@ -257,22 +345,27 @@
 }
 
 // IsAheadOf reports whether this node has information that another node's record lacks: an answer
-// that clears a request which is still suspect there, or a trial. It doesn't compare times: ages
+// that clears a request which is still suspect there, answers that speak for a part, or a trial. It doesn't compare times: ages
 // grow with each message, so nodes would notify each other endlessly.
 func (t *Tracker) IsAheadOf(other *Record) bool {
 	record := t.records[other.Fingerprint]
 	if record == nil {
 		return false
 	}
-	cleared := len(other.countedCrashes(t.options.GracePeriod)) > 0 && t.crashCount(record) == 0
-	return cleared || record.Trials > other.Trials
+	suspected := len(t.countedCrashes(other)) > 0
+	if other.Fingerprint.IsPart() {
+		later := record.Clearances > other.Clearances
+		more := record.Clearances == other.Clearances && record.answerCount() > other.answerCount()
+		return (suspected && (later || more)) || record.Trials > other.Trials
+	}
+	return (suspected && t.crashCount(record) == 0) || record.Trials > other.Trials
 }
 
 // QuarantinedCount returns the number of quarantined requests.
 func (t *Tracker) QuarantinedCount() int {
 	quarantined := 0
 	for _, record := range t.records {
-		if t.crashCount(record) >= t.options.Threshold {
+		if t.isQuarantined(record) {
 			quarantined++
 		}
 	}
@@ -306,9 +399,10 @@
 
 // Sweep drops expired records and returns the fingerprints of those that were quarantined.
 func (t *Tracker) Sweep(now time.Duration) []Fingerprint {
+	t.parts.sweep(now - t.options.SuspectRetention)
 	var released []Fingerprint
 	for fingerprint, record := range t.records {
-		quarantined := t.crashCount(record) >= t.options.Threshold
+		quarantined := t.isQuarantined(record)
 		retention := t.options.SuspectRetention
 		if quarantined {
 			retention = t.options.QuarantineRetention
@@ -316,7 +410,7 @@
 		if now < record.lastChange()+retention {
 			continue
 		}
-		delete(t.records, fingerprint)
+		t.drop(fingerprint)
 		if quarantined {
 			released = append(released, fingerprint)
 		}
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -32,10 +32,10 @@
 	assert.False(t, tracker.ObserveCrash(11*second, fingerprintFor(1), "a"), "two runs at one worker count as one crash")
 	tracker.ObserveCrash(11*second, fingerprintFor(1), "b")
 	assert.False(t, tracker.Check(11*second, fingerprintFor(1)).Quarantined)
-	tracker.Merge(&Record{Fingerprint: fingerprintFor(1), Crashes: []Crash{crashAt("c", 9*second), crashAt("b", 10500*time.Millisecond)}})
+	tracker.Merge(0, &Record{Fingerprint: fingerprintFor(1), Crashes: []Crash{crashAt("c", 9*second), crashAt("b", 10500*time.Millisecond)}})
 	verdict := tracker.Check(12*second, fingerprintFor(1))
 	assert.Equal(t, Verdict{
-		Quarantined: true, Crashes: 3, FirstAge: 3 * second, LastAge: 1500 * time.Millisecond,
+		Fingerprint: fingerprintFor(1), Quarantined: true, Crashes: 3, FirstAge: 3 * second, LastAge: 1500 * time.Millisecond,
 		RetryAfter: DefaultTrialDelay - 1500*time.Millisecond,
 	}, verdict)
 	assert.False(t, tracker.Check(12*second, fingerprintFor(2)).Quarantined, "another request")
@@ -79,7 +79,7 @@
 	for round := range 50 {
 		tracker := NewTracker(Options{})
 		for _, index := range append(random.Perm(len(records)), random.Perm(len(records))...) {
-			tracker.Merge(&records[index])
+			tracker.Merge(0, &records[index])
 		}
 		merged, known := tracker.Record(fingerprintFor(1))
 		assert.True(t, known)
@@ -159,7 +159,7 @@
 	one.ObserveCrash(second, fingerprintFor(1), "c")
 	assert.NotEqual(t, one.Digest(2), other.Digest(2))
 	for _, record := range one.RecordsWithCrashes(2) {
-		other.Merge(&record)
+		other.Merge(0, &record)
 	}
 	assert.Equal(t, one.Digest(2), other.Digest(2))
 	one.BeginTrial(5*second, fingerprintFor(1), 1)
