Probe the worker before an answer that ends with its connection counts as whole

Cause: the end of a connection was taken for the end of the answer, also of one that has neither a length nor chunks; short ones even got a length that was made up.

A refused or unanswered probe means that the answer was broken off: retried, resumed or cut visibly, as one with a broken connection, and its run counts as lost. Events go on at once, and an answer without a length gets none.

Not covered: a gateway that is suspended for seconds and finds the worker's successor alive at the address.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -38,6 +38,9 @@
 		return current.attempts.Unanswered(g.now(), placement.Worker.Run())
 	}
 	content, complete, err := bufferResponse(response)
+	if err == nil && complete {
+		err = g.confirmEnd(ctx, current, placement, response)
+	}
 	if err != nil && current.watched.isMoved() && ctx.Err() == nil {
 		return g.abandonSilent(current, placement, true)
 	}
@@ -53,14 +56,17 @@
 		g.recordOutcome(current, placement, backends.Failed, "status "+strconv.Itoa(response.Status))
 		return step
 	}
-	length := response.ContentLength
-	if complete && current.request.Method != http.MethodHead {
-		length = int64(len(content))
-	}
-	g.sendHead(current, response, length)
+	g.sendHead(current, response, responseLength(current, response, content, complete))
 	_, writeErr := current.writer.Write(content)
 	if writeErr == nil && !complete {
 		writeErr = copyRemaining(current.writer, response)
+		if writeErr == nil {
+			writeErr = g.confirmEnd(ctx, current, placement, response)
+		}
+	}
+	if writeErr == nil && response.EndsWithConnection {
+		// Without it, net/http would add a length to a short body.
+		writeErr = flushToCaller(current)
 	}
 	switch {
 	case writeErr == nil && failed:
@@ -79,6 +85,23 @@
 	return step
 }
 
+// responseLength returns the length that the caller is told of a response's body. One that ends with its
+// connection has none.
+func responseLength(current *callerRequest, response *upstream.Response, content []byte, complete bool) int64 {
+	if complete && current.request.Method != http.MethodHead && !response.EndsWithConnection {
+		return int64(len(content))
+	}
+	return response.ContentLength
+}
+
+// flushToCaller sends what was written to the caller.
+func flushToCaller(current *callerRequest) error {
+	if err := http.NewResponseController(current.writer).Flush(); err != nil {
+		return errors.Wrap(errCallerWrite, err.Error())
+	}
+	return nil
+}
+
 func isEventStream(current *callerRequest, response *upstream.Response) bool {
 	return current.route.Kind == routes.Streaming && response.Status == http.StatusOK &&
 		strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,7 @@
 	refusedConnections  prometheus.Counter
 	runsEndedWithWorker prometheus.Counter
 	suspensions         prometheus.Counter
+	probedEnds          *prometheus.CounterVec
 	workerCalls         *prometheus.CounterVec
 	limitedWorkers      prometheus.Gauge
 	limitGrants         *prometheus.CounterVec
@@ -113,6 +114,9 @@
 	m.runsEndedWithWorker = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tillerfall_gateway_runs_ended_with_worker_total", Help: "Runs that were under way at a worker when it ended.",
 	})
+	m.probedEnds = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tillerfall_gateway_probed_ends_total", Help: "Answers that ended with their connection, by what a probe of their worker showed.",
+	}, []string{"worker"})
 	m.suspensions = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tillerfall_gateway_suspensions_total", Help: "Times that the machine was found to have been suspended.",
 	})
@@ -158,7 +162,7 @@
 		registry.MustRegister(m.droppedRows, m.storeEpoch, m.rejectionLimits)
 		registry.MustRegister(m.limitGrants, m.notices, m.workersInBackoff)
 		registry.MustRegister(m.workerCalls, m.limitedWorkers)
-		registry.MustRegister(m.pressure, m.refusedConnections, m.runsEndedWithWorker, m.suspensions, m.quarantineRefusals, m.quarantined, m.beforeSend)
+		registry.MustRegister(m.pressure, m.refusedConnections, m.runsEndedWithWorker, m.probedEnds, m.suspensions, m.quarantineRefusals, m.quarantined, m.beforeSend)
 		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.peerFailures, m.connections, m.orders, m.invalidInputs, m.quotaUnits, m.quotaShare,
 			m.deliveryAnswers, m.deliveryLatency, m.deliveryShare, traffic.NewCollector(meter, bytesMetric))
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net/http"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -39,6 +38,9 @@
 		g.observeEvent(current.watched, relay.lastID != "")
 		return g.writeEvents(current, response, events)
 	})
+	if err == nil {
+		err = g.confirmEnd(ctx, current, placement, response)
+	}
 	current.lastEventID = relay.lastID
 	switch {
 	case err == nil && current.headSent:
@@ -82,10 +84,7 @@
 	if _, err := current.writer.Write(events); err != nil {
 		return errors.Wrap(errCallerWrite, err.Error())
 	}
-	if err := http.NewResponseController(current.writer).Flush(); err != nil {
-		return errors.Wrap(errCallerWrite, err.Error())
-	}
-	return nil
+	return flushToCaller(current)
 }
 
 // eventRelay reads a stream of events and relays complete ones.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -30,6 +30,9 @@
 	ContentLength int64
 	// Reused is set if the connection had carried an earlier exchange.
 	Reused bool
+	// EndsWithConnection is set if the body has neither a length nor chunks (RFC 9112, section 6.3): a
+	// body that a crash of the worker cut can't be told from a complete one by its bytes.
+	EndsWithConnection bool
 
 	exchange *exchange
 	body     io.ReadCloser
@@ -186,6 +189,8 @@
 		ContentLength: response.ContentLength,
 		exchange:      e,
 		body:          response.Body,
+
+		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && request.Method != http.MethodHead,
 	}, nil
 }
 
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -20,6 +21,41 @@
 	Dead
 )
 
+// String returns the name of the result.
+func (l Liveness) String() string {
+	switch l {
+	case Alive:
+		return "alive"
+	case Dead:
+		return "dead"
+	default:
+		return "unknown"
+	}
+}
+
+// ProbeRun finds out whether a run of a worker is still alive. An open idle connection to it is proof, since
+// a crash closes all of them; otherwise it opens a new one, also if MaxConnections are open.
+func (p *Pool) ProbeRun(ctx context.Context, destination Destination) Liveness {
+	if p.hasOpenIdle(destination) {
+		return Alive
+	}
+	destination.MaxConnections = 0
+	return p.Probe(ctx, destination)
+}
+
+// hasOpenIdle reports whether an idle connection to a run of a worker is open.
+func (p *Pool) hasOpenIdle(destination Destination) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	state := p.workers[destination.Engine]
+	if state == nil {
+		return false
+	}
+	return slices.ContainsFunc(state.idle, func(idle *connection) bool {
+		return idle.address == destination.Address && idle.isUsable()
+	})
+}
+
 // Probe opens a connection to a worker to find out whether it is alive. The connection is kept for
 // the next exchange.
 func (p *Pool) Probe(ctx context.Context, destination Destination) Liveness {
