--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -173,6 +173,10 @@
 		}
 	}
 	for fingerprint := range q.stored {
+		// What explains a part's crashes may change; its row goes once answers do or it is released.
+		if fingerprint.IsPart() && !q.tracker.IsCleared(fingerprint) {
+			continue
+		}
 		if !shared[fingerprint] && (isHolder || q.local[fingerprint]) && len(changes.remove) < maxStoreChanges {
 			changes.remove = append(changes.remove, fingerprint)
 		}
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -144,6 +144,13 @@
 	return suspected
 }
 
+// IsCleared reports whether no crash counts against a part any more, since answers outweigh them, it was
+// released or its record has expired.
+func (t *Tracker) IsCleared(part Fingerprint) bool {
+	record := t.records[part]
+	return record == nil || len(t.countedCrashes(record)) == 0
+}
+
 // MustShareAnswers reports whether the answers that this node has learnt of a part since an earlier state
 // of its record matter to all nodes: they clear the part, or several crashes count against it.
 func (t *Tracker) MustShareAnswers(earlier *Record) bool {
