Refuse requests with a quarantined part before they are charged to anything

They were charged to their tenant's quota, counted for demand and read whole first; most was refunded later. The headers are enough to refuse them.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -142,8 +142,6 @@
 		return
 	}
 	current.fingerprint = fingerprintOf(current)
-	current.parts = partFingerprints(current)
-	g.awaitQuarantine(current.request.Context())
 	if refused := g.checkQuarantine(current); refused != nil {
 		g.refuse(current, *refused)
 		return
@@ -192,6 +190,9 @@
 	if refused := g.chooseService(current, snapshot.Table); refused != nil {
 		return refused
 	}
+	if refused := g.refuseQuarantinedParts(current); refused != nil {
+		return refused
+	}
 	return g.chargeQuota(current)
 }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -230,6 +230,21 @@
 	return released, q.tracker.QuarantinedCount()
 }
 
+// refuseQuarantinedParts returns a refusal if the prompt of a request holds a quarantined part whose trial
+// isn't due. It comes before the request is charged to anything, and before its body is read.
+func (g *Gateway) refuseQuarantinedParts(current *callerRequest) *refusal {
+	g.awaitQuarantine(current.request.Context())
+	current.parts = partFingerprints(current)
+	if len(current.parts) == 0 {
+		return nil
+	}
+	verdict := g.quarantines.check(g.now(), quarantine.Subject{Parts: current.parts})
+	if !verdict.Quarantined || verdict.TrialDue {
+		return nil
+	}
+	return g.refuseQuarantined(current, verdict)
+}
+
 // checkQuarantine returns a refusal if a request is quarantined. A request whose trial is due
 // passes if this gateway acquires the trial.
 func (g *Gateway) checkQuarantine(current *callerRequest) *refusal {
@@ -241,6 +256,11 @@
 		current.quarantineTrial, current.trialOf = true, verdict.Fingerprint
 		return nil
 	}
+	return g.refuseQuarantined(current, verdict)
+}
+
+// refuseQuarantined returns the refusal of a quarantined request, and logs it.
+func (g *Gateway) refuseQuarantined(current *callerRequest, verdict quarantine.Verdict) *refusal {
 	g.recordQuarantinedRequest(current, verdict)
 	return &refusal{code: resultcode.Quarantined, reason: reasonQuarantined, retryAfter: max(verdict.RetryAfter, longRetryAfter)}
 }
