Count runs that were lost behind another gateway, and don't clear them by a late probe

Crash evidence was thrown away in two cases: where the run went through another gateway or the link to the worker counts as lost, and where the probe of the worker came so late that its successor at the same address took the connection. So harmful requests at a gateway without links of its own crashed workers without being counted.

Such runs are remembered now, and count once other gateways are refused as well or the worker's row goes without word; a connection refused here still shows nothing then (the tests of lost links are unchanged). A probe a second after the loss or later clears nothing. Found by reading; TestRunsLostBehindAnotherNodeNeedOtherEvidence and TestLateProbeMayFindASuccessor.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -45,10 +45,10 @@
 	return c.lostRuns.WorkerCrashed(now, worker, evidence)
 }
 
-func (c *crashDetector) markAlive(worker fleet.EngineID) {
+func (c *crashDetector) markAlive(now time.Duration, worker fleet.EngineID) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.lostRuns.WorkerAlive(worker)
+	c.lostRuns.WorkerAlive(now, worker)
 }
 
 func (c *crashDetector) markInconclusive(worker fleet.EngineID) {
@@ -81,8 +81,8 @@
 // has the worker probed.
 func (g *Gateway) recordLostRun(current *callerRequest, placement *backends.Placement, loss quarantine.Loss) {
 	worker := placement.Worker.ID
-	if g.isOwnFailure(worker, current.relay) {
-		return
+	if loss == quarantine.ConnectionBroken && g.isOwnFailure(worker, current.relay) {
+		loss = quarantine.PathBroken
 	}
 	suspected, probe := g.crashes.recordLoss(g.now(), worker, current.subject(), loss)
 	switch {
@@ -100,14 +100,23 @@
 	}
 	switch g.upstreams.Probe(g.context(), destination) {
 	case upstream.Alive:
-		g.crashes.markAlive(destination.Engine)
+		g.crashes.markAlive(g.now(), destination.Engine)
 	case upstream.Dead:
-		g.recordWorkerEnded(destination.Engine, quarantine.ConnectionRefused)
+		g.recordWorkerEnded(destination.Engine, g.refusalEvidence(destination.Engine))
 	default:
 		g.crashes.markInconclusive(destination.Engine)
 	}
 }
 
+// refusalEvidence returns what a refused connection to a worker shows. While the link to it is lost, only
+// other gateways have tried.
+func (g *Gateway) refusalEvidence(worker fleet.EngineID) quarantine.Evidence {
+	if g.links.isLost(worker) {
+		return quarantine.RefusedElsewhere
+	}
+	return quarantine.ConnectionRefused
+}
+
 // recordUnreachable records that no connection to a worker could be opened. A refused connection
 // means that the worker has ended, unless this gateway's own link is lost.
 func (g *Gateway) recordUnreachable(worker fleet.EngineID, err error) {
--- a/internal/quarantine/lostruns.go
+++ b/internal/quarantine/lostruns.go
@@ -15,6 +15,9 @@
 	// abandonedWindow is how long before a crash an abandoned run counts: the worker may still have
 	// been processing it.
 	abandonedWindow = time.Second
+	// successorDelay is the least time from a worker's crash until another one may accept connections at
+	// its address.
+	successorDelay = time.Second
 	// rowRemovalLag is the longest time from a worker's crash to the removal of its row.
 	rowRemovalLag = 2 * time.Second
 	// crashRetention is how long a crashed worker is remembered, since its connections may be seen
@@ -34,8 +37,14 @@
 	ConnectionBroken Loss = iota
 	// Abandoned means that this side closed it while the worker may have been processing the run.
 	Abandoned
+	// PathBroken means that the connection broke and went through another node, or that this node's link
+	// to the worker is lost: a connection that is refused here shows nothing of the worker.
+	PathBroken
 )
 
+// isBroken reports whether the connection broke.
+func (l Loss) isBroken() bool { return l != Abandoned }
+
 // lostRun is a run without a complete answer.
 type lostRun struct {
 	subject Subject
@@ -73,13 +82,13 @@
 	if losses == nil {
 		return false, false
 	}
-	if losses.crashed && loss == ConnectionBroken && now < losses.crashedAt+crashRetention {
+	if losses.crashed && loss.isBroken() && now < losses.crashedAt+crashRetention {
 		return true, false
 	}
 	if len(losses.runs) < maxRunsPerWorker {
 		losses.runs = append(losses.runs, lostRun{subject: subject, loss: loss, at: now})
 	}
-	if loss != ConnectionBroken || losses.probing {
+	if !loss.isBroken() || losses.probing {
 		return false, false
 	}
 	losses.probing = true
@@ -106,24 +115,33 @@
 	ConnectionRefused Evidence = iota
 	// RowRemoved means that the worker's row was removed and it had not announced that it leaves.
 	RowRemoved
+	// RefusedElsewhere means that the worker's address refuses connections of other nodes.
+	RefusedElsewhere
 )
 
 // String returns the name of the evidence.
 func (e Evidence) String() string {
-	if e == ConnectionRefused {
+	switch e {
+	case ConnectionRefused:
 		return "refused"
+	case RefusedElsewhere:
+		return "refused_elsewhere"
+	default:
+		return "row_gone"
 	}
-	return "row_gone"
 }
 
 // lag returns the longest time from the crash to the evidence.
 func (e Evidence) lag() time.Duration {
-	if e == ConnectionRefused {
-		return 0
+	if e == RowRemoved {
+		return rowRemovalLag
 	}
-	return rowRemovalLag
+	return 0
 }
 
+// shows reports whether the evidence shows that a run which was lost in a way ended with its worker.
+func (e Evidence) shows(loss Loss) bool { return loss != PathBroken || e != ConnectionRefused }
+
 // WorkerCrashed records that a worker has crashed and returns the requests that were in flight there.
 func (l *LostRuns) WorkerCrashed(now time.Duration, worker fleet.EngineID, evidence Evidence) []Subject {
 	losses := l.workers[worker]
@@ -137,7 +155,7 @@
 	}
 	var subjects []Subject
 	for _, run := range losses.runs {
-		broken := run.loss == ConnectionBroken && now < run.at+lossWindow
+		broken := run.loss.isBroken() && evidence.shows(run.loss) && now < run.at+lossWindow
 		abandoned := run.loss == Abandoned && run.at >= crashedAt-abandonedWindow
 		if broken || abandoned {
 			subjects = append(subjects, run.subject)
@@ -152,15 +170,26 @@
 // did.
 func (w *workerLosses) firstBreak(now time.Duration) time.Duration {
 	for _, run := range w.runs {
-		if run.loss == ConnectionBroken && now < run.at+lossWindow {
+		if run.loss.isBroken() && now < run.at+lossWindow {
 			return run.at
 		}
 	}
 	return -1
 }
 
-// WorkerAlive records that a worker accepts new connections, so its lost runs don't count.
-func (l *LostRuns) WorkerAlive(worker fleet.EngineID) { delete(l.workers, worker) }
+// WorkerAlive records that a worker accepts new connections, so its lost runs don't count. Long after they
+// were lost it says nothing: another worker may have taken the address.
+func (l *LostRuns) WorkerAlive(now time.Duration, worker fleet.EngineID) {
+	losses := l.workers[worker]
+	if losses == nil {
+		return
+	}
+	if broken := losses.firstBreak(now); broken >= 0 && now >= broken+successorDelay {
+		losses.probing = false
+		return
+	}
+	delete(l.workers, worker)
+}
 
 // ProbeInconclusive records that a probe gave no result. The lost runs still count if the worker's
 // row is removed.
--- a/internal/quarantine/lostruns_test.go
+++ b/internal/quarantine/lostruns_test.go
@@ -42,7 +42,7 @@
 func TestBrokenConnectionsAtLivingWorkerDontCount(t *testing.T) {
 	lost := NewLostRuns()
 	lost.Observe(0, "w", subjectFor(1), ConnectionBroken)
-	lost.WorkerAlive("w")
+	lost.WorkerAlive(0, "w")
 	assert.Empty(t, lost.WorkerCrashed(second, "w", RowRemoved))
 	_, probe := lost.Observe(2*second, "w", subjectFor(1), ConnectionBroken)
 	assert.True(t, probe, "the next break triggers another probe")
@@ -93,3 +93,23 @@
 	lost.Sweep(lossWindow)
 	assert.Empty(t, lost.workers)
 }
+
+// TestLateProbeMayFindASuccessor guards against crash evidence that is thrown away since the probe came late
+// and found another worker at the address.
+func TestLateProbeMayFindASuccessor(t *testing.T) {
+	lost := NewLostRuns()
+	lost.Observe(0, "w", subjectFor(1), ConnectionBroken)
+	lost.WorkerAlive(successorDelay, "w")
+	assert.Equal(t, []Subject{subjectFor(1)}, lost.WorkerCrashed(successorDelay+100*time.Millisecond, "w", RowRemoved))
+}
+
+// TestRunsLostBehindAnotherNodeNeedOtherEvidence guards against crashes that don't count since the run went
+// through another node, and against a refusal on a lost link that is taken for one of the worker.
+func TestRunsLostBehindAnotherNodeNeedOtherEvidence(t *testing.T) {
+	for evidence, counts := range map[Evidence]bool{ConnectionRefused: false, RefusedElsewhere: true, RowRemoved: true} {
+		lost := NewLostRuns()
+		_, probe := lost.Observe(0, "w", subjectFor(1), PathBroken)
+		assert.True(t, probe)
+		assert.Equal(t, counts, len(lost.WorkerCrashed(100*time.Millisecond, "w", evidence)) > 0, evidence)
+	}
+}
