Read the quarantined requests once before a gateway is ready, and follow them only afterwards

Following them from the start on costs each gateway that restarts a call or two more that wait for nothing. Tried first: going on from the position of the first read. A row that was written and removed while nobody followed was unknown to the cache, so that its removal released nothing (TestRemovedRowEndsQuarantine); so those that go on read again, as before.

--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -51,8 +51,21 @@
 	}
 }
 
-// followQuarantine follows the rows while this gateway reads the store, until the process stops.
-func (g *Gateway) followQuarantine() error { return g.followStore(g.quarantineTable) }
+// followQuarantine follows the rows while this gateway reads the store, until the process stops. Before the
+// gateway is ready it reads them once: until then every gateway reads the store, and most receive later
+// changes from a peer. Those that go on begin with another read, since rows may have come and gone meanwhile.
+func (g *Gateway) followQuarantine() error {
+	first := newStoreFollower(g, g.quarantineTable)
+	if err := first.run(func() bool { return first.hasPosition }); err != nil {
+		return err
+	}
+	select {
+	case <-g.readiness.ready:
+		return g.followStore(g.quarantineTable)
+	case <-g.life.Dying():
+		return nil
+	}
+}
 
 // applyQuarantineRows applies changed rows.
 func (g *Gateway) applyQuarantineRows(rows []watchcache.Row, _ gap) {
--- a/internal/gateway/storefollower.go
+++ b/internal/gateway/storefollower.go
@@ -68,16 +68,26 @@
 // followStore follows a table until the process ends. Only calls that follow changes renew the
 // freshness proof, since a full read may return old rows.
 func (g *Gateway) followStore(followed *table) error {
-	follower := &storeFollower{gateway: g, table: followed, gap: gapUnreachable}
-	for {
+	return newStoreFollower(g, followed).run(func() bool { return false })
+}
+
+func newStoreFollower(gateway *Gateway, followed *table) *storeFollower {
+	return &storeFollower{gateway: gateway, table: followed, gap: gapUnreachable}
+}
+
+// run makes calls while this gateway has the reader role, until the process ends or done returns true.
+func (f *storeFollower) run(done func() bool) error {
+	g := f.gateway
+	for !done() {
 		if !g.awaitReading() {
 			return nil
 		}
-		pause := follower.step(g.context())
+		pause := f.step(g.context())
 		if !g.pause(pause) {
 			return nil
 		}
 	}
+	return nil
 }
 
 // step makes one call and returns the pause until the next one.
