Hold parts together that were in flight at mostly the same crashes, and let all nodes agree on requests

Two parts that always come together, each with one earlier crash of its own, stayed equally strong with different crashes, so that neither was ever held (found by reading; TestEquallyStrongSuspectsAreHeldTogether). Of quarantined requests that explain as many crashes of a part each node took any; they are ordered by fingerprint now.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -98,17 +98,21 @@
 	return slices.ContainsFunc(s.crashes, func(crash Crash) bool { return (crash.At - at).Abs() < sameCause })
 }
 
-// crashedSame reports whether the crashes of two suspects are the same.
-func (s *suspect) crashedSame(other *suspect) bool {
-	return len(s.crashes) == len(other.crashes) && s.sharedCrashes(other.crashes) == len(s.crashes)
+// crashedMostly reports whether the crashes of two suspects are the same, or enough of them for a quarantine.
+func (s *suspect) crashedMostly(other *suspect) bool {
+	shared := s.sharedCrashes(other.crashes)
+	if len(shared) == len(s.crashes) && len(shared) == len(other.crashes) {
+		return true
+	}
+	return crashEvidence*countCauses(shared) >= quarantineEvidence
 }
 
-// sharedCrashes returns how many of the suspect's crashes are among others.
-func (s *suspect) sharedCrashes(others []Crash) int {
-	shared := 0
+// sharedCrashes returns those of the suspect's crashes that are among others.
+func (s *suspect) sharedCrashes(others []Crash) []Crash {
+	var shared []Crash
 	for _, crash := range s.crashes {
 		if containsWorker(others, crash.Worker) {
-			shared++
+			shared = append(shared, crash)
 		}
 	}
 	return shared
@@ -130,9 +134,10 @@
 }
 
 // findHarmful returns the groups of parts that crash workers. The parts of a group can't be told apart,
-// since they were in flight at the same crashes. A crash has one cause: what the strongest suspect
-// explains doesn't count against the others. Where two equally strong ones explain different crashes
-// that overlap, neither is quarantined before the next crash tells them apart.
+// since they were in flight at the same crashes, or at enough of them for a quarantine. A crash has one
+// cause: what the strongest suspect explains doesn't count against the others. Where two equally strong
+// ones explain crashes of which few are the same, neither is quarantined before the next crash tells them
+// apart.
 func findHarmful(suspects []*suspect) [][]*suspect {
 	var groups [][]*suspect
 	for {
@@ -142,17 +147,18 @@
 		}
 		var group, rivals, others []*suspect
 		for _, other := range suspects {
-			equal := other.evidence() == strongest.evidence()
+			// A part that was told from others and quarantined has no equals among them.
+			equal := other.evidence() == strongest.evidence() && (other.record.Condemned || !strongest.record.Condemned)
 			switch {
-			case equal && other.crashedSame(strongest):
+			case equal && other.crashedMostly(strongest):
 				group = append(group, other)
-			case equal && other.sharedCrashes(strongest.crashes) > 0 && !strongest.record.Condemned:
+			case equal && !strongest.record.Condemned && len(other.sharedCrashes(strongest.crashes)) > 0:
 				rivals = append(rivals, other)
 			default:
 				others = append(others, other)
 			}
 		}
-		if len(rivals) == 0 {
+		if len(rivals) == 0 || len(group) > 1 {
 			groups = append(groups, group)
 		}
 		for _, other := range others {
@@ -210,7 +216,7 @@
 	var most []Crash
 	for _, request := range requests {
 		crashes := request.countedCrashes(gracePeriod)
-		if s.sharedCrashes(crashes) > s.sharedCrashes(most) {
+		if len(s.sharedCrashes(crashes)) > len(s.sharedCrashes(most)) {
 			most = crashes
 		}
 	}
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -310,6 +310,8 @@
 			requests = append(requests, record)
 		}
 	}
+	// Of requests that explain as many crashes all nodes take the same.
+	slices.SortFunc(requests, func(a, b *Record) int { return slices.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
 	for _, weighed := range suspects {
 		weighed.known = t.parts.knownInOrder()
 		weighed.crashes = slices.DeleteFunc(slices.Clone(weighed.crashes), func(crash Crash) bool {
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -114,6 +114,22 @@
 	assert.False(t, isHeld(tracker, 13*second, "companion"))
 }
 
+// TestEquallyStrongSuspectsAreHeldTogether guards against a harmful part that is never held, since a part
+// that comes with it was in flight at as many crashes, of which one is another.
+func TestEquallyStrongSuspectsAreHeldTogether(t *testing.T) {
+	tracker := NewTracker(Options{Node: "a"})
+	crashWith(tracker, 9*second, "x", "bad")
+	crashWith(tracker, 9500*time.Millisecond, "y", "companion")
+	for number := range 6 {
+		crashWith(tracker, time.Duration(10+number)*second, fmt.Sprint("w", number), "bad", "companion")
+	}
+	assert.True(t, isHeld(tracker, 16*second, "bad", "companion"))
+	assert.False(t, isHeld(tracker, 16*second, "bad"))
+	crashWith(tracker, 17*second, "z", "bad")
+	assert.True(t, isHeld(tracker, 18*second, "bad"))
+	assert.False(t, isHeld(tracker, 18*second, "companion"))
+}
+
 // TestTwoHarmfulPartsAreBothHeld guards against a harmful part that goes on while another one is held.
 func TestTwoHarmfulPartsAreBothHeld(t *testing.T) {
 	tracker := NewTracker(Options{Node: "a"})
