Blame all parts of a crash at once, and weigh single answers instead of clearing parts

- The records of one crash changed one after the other, so that a part was held alone for a moment, which stayed so and broke off sends of sound requests.
They change together now, also those of one message.
An answer counts two bits now.
Nothing is cleared but by a release; records keep the latest 32 answers by node and number beside the latest 16 crashes, and the answers before the first kept crash don't count.
A node replies only if its own evidence is lower.
- A quarantined request explains a part's crashes only if it was in flight at all of them.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -75,52 +75,72 @@
 	ended []quarantine.Fingerprint
 }
 
-// quarantined returns the quarantined parts, and the given request or part if it is quarantined. The mutex
-// must be held.
-func (q *quarantineState) quarantined(now time.Duration, fingerprint quarantine.Fingerprint) []quarantine.Fingerprint {
-	var held []quarantine.Fingerprint
-	for _, group := range q.tracker.QuarantinedParts() {
-		held = append(held, group...)
-	}
-	if !fingerprint.IsPart() && q.tracker.Check(now, fingerprint).Quarantined {
-		held = append(held, fingerprint)
+// quarantined returns the quarantined parts, and those of some requests that are quarantined. The mutex must
+// be held.
+func (q *quarantineState) quarantined(now time.Duration, fingerprints []quarantine.Fingerprint) []quarantine.Fingerprint {
+	held := slices.Concat(q.tracker.QuarantinedParts()...)
+	for _, fingerprint := range fingerprints {
+		if !fingerprint.IsPart() && q.tracker.Check(now, fingerprint).Quarantined {
+			held = append(held, fingerprint)
+		}
 	}
 	return held
 }
 
-// update applies a change to the record of a request or a part and returns its effect. The record is
-// broadcast if change returns true, and any that becomes quarantined.
-func (q *quarantineState) update(now time.Duration, fingerprint quarantine.Fingerprint, change func(*quarantine.Tracker) (broadcast bool)) quarantineChange {
+// update applies a change to the records of some requests and parts, and returns its effect. It applies all
+// before it looks at the effect, since a crash blames several. A record is broadcast if change returns true,
+// and any that becomes quarantined.
+func (q *quarantineState) update(
+	now time.Duration, fingerprints []quarantine.Fingerprint, change func(tracker *quarantine.Tracker, fingerprint quarantine.Fingerprint) (broadcast bool),
+) quarantineChange {
 	q.active.Store(true)
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	before, heldBefore := q.tracker.Check(now, fingerprint), q.quarantined(now, fingerprint)
-	broadcast := change(q.tracker)
-	after := q.tracker.Check(now, fingerprint)
-	outcome := q.compare(now, heldBefore, q.quarantined(now, fingerprint))
-	// A single crash that another gateway saw is reported by that gateway alone. Otherwise a
-	// failure of many runs would be reported by each gateway to all others.
-	relevant := q.local[fingerprint] || after.Crashes >= sharedCrashes
-	if broadcast || (before.Crashes != after.Crashes && relevant) {
-		q.changedAt[fingerprint] = now
+	heldBefore := q.quarantined(now, fingerprints)
+	crashesBefore := make([]int, len(fingerprints))
+	for index, fingerprint := range fingerprints {
+		crashesBefore[index] = q.tracker.Check(now, fingerprint).Crashes
 	}
-	if broadcast {
-		q.pendingBroadcast[fingerprint] = true
+	broadcast := make([]bool, len(fingerprints))
+	for index, fingerprint := range fingerprints {
+		broadcast[index] = change(q.tracker, fingerprint)
+	}
+	for index, fingerprint := range fingerprints {
+		q.announceChange(now, fingerprint, crashesBefore[index], broadcast[index])
 	}
+	outcome := q.compare(now, heldBefore, q.quarantined(now, fingerprints))
 	// Broadcast the start of a quarantine: gateways that missed an earlier update would otherwise
 	// let the request pass.
 	for _, began := range outcome.began {
 		q.pendingBroadcast[began.Fingerprint] = true
 	}
-	if broadcast || len(outcome.began) > 0 {
+	if len(q.pendingBroadcast) > 0 {
 		signal(q.announceSignal)
 	}
-	if after.Crashes >= sharedCrashes || len(outcome.ended) > 0 {
+	if len(outcome.ended) > 0 {
 		signal(q.storeSignal)
 	}
 	return outcome
 }
 
+// announceChange has a changed record broadcast, reported and stored as far as others need it. The mutex must
+// be held.
+func (q *quarantineState) announceChange(now time.Duration, fingerprint quarantine.Fingerprint, crashesBefore int, broadcast bool) {
+	crashes := q.tracker.Check(now, fingerprint).Crashes
+	// A single crash that another gateway saw is reported by that gateway alone. Otherwise a
+	// failure of many runs would be reported by each gateway to all others.
+	relevant := q.local[fingerprint] || crashes >= sharedCrashes
+	if broadcast || (crashesBefore != crashes && relevant) {
+		q.changedAt[fingerprint] = now
+	}
+	if broadcast {
+		q.pendingBroadcast[fingerprint] = true
+	}
+	if crashes >= sharedCrashes {
+		signal(q.storeSignal)
+	}
+}
+
 // compare returns what is quarantined or released between two states. The mutex must be held.
 func (q *quarantineState) compare(now time.Duration, before, after []quarantine.Fingerprint) quarantineChange {
 	var change quarantineChange
@@ -137,18 +157,18 @@
 	return change
 }
 
-// recordCrash records that a worker crashed while this gateway had a request, or one with a part, in flight
-// there. A crash that answers outweigh is of no use to other gateways.
-func (q *quarantineState) recordCrash(now time.Duration, fingerprint quarantine.Fingerprint, worker fleet.EngineID) quarantineChange {
-	return q.update(now, fingerprint, func(tracker *quarantine.Tracker) bool {
+// recordCrash records that a worker crashed while this gateway had requests in flight there, with their
+// parts. A crash of a part that answers outweigh is of no use to other gateways.
+func (q *quarantineState) recordCrash(now time.Duration, fingerprints []quarantine.Fingerprint, worker fleet.EngineID) quarantineChange {
+	return q.update(now, fingerprints, func(tracker *quarantine.Tracker, fingerprint quarantine.Fingerprint) bool {
 		q.local[fingerprint] = true
 		changed := tracker.ObserveCrash(now, fingerprint, worker)
-		return changed && (!fingerprint.IsPart() || tracker.Check(now, fingerprint).Crashes > 0)
+		return changed && (!fingerprint.IsPart() || tracker.IsSuspect(fingerprint))
 	})
 }
 
 // recordResponse records that this gateway received a complete response to a request.
-func (q *quarantineState) recordResponse(now time.Duration, subject quarantine.Subject) []quarantineChange {
+func (q *quarantineState) recordResponse(now time.Duration, subject quarantine.Subject) quarantineChange {
 	if !q.active.Load() {
 		q.mutex.Lock()
 		defer q.mutex.Unlock()
@@ -156,21 +176,14 @@
 		for _, part := range subject.Parts {
 			q.tracker.ObservePartAnswer(now, part)
 		}
-		return nil
+		return quarantineChange{}
 	}
-	changes := []quarantineChange{q.recordAnswer(now, subject.Request, (*quarantine.Tracker).ObserveAnswer)}
-	for _, part := range subject.Parts {
-		changes = append(changes, q.recordAnswer(now, part, (*quarantine.Tracker).ObservePartAnswer))
-	}
-	return changes
-}
-
-// recordAnswer records a complete response to a request, or to one with a part.
-func (q *quarantineState) recordAnswer(
-	now time.Duration, fingerprint quarantine.Fingerprint, observe func(*quarantine.Tracker, time.Duration, quarantine.Fingerprint) bool,
-) quarantineChange {
-	return q.update(now, fingerprint, func(tracker *quarantine.Tracker) bool {
-		suspected := observe(tracker, now, fingerprint)
+	return q.update(now, subject.Fingerprints(), func(tracker *quarantine.Tracker, fingerprint quarantine.Fingerprint) bool {
+		observe := tracker.ObserveAnswer
+		if fingerprint.IsPart() {
+			observe = tracker.ObservePartAnswer
+		}
+		suspected := observe(now, fingerprint)
 		if suspected {
 			q.local[fingerprint] = true
 		}
@@ -178,31 +191,53 @@
 	})
 }
 
-// merge merges a record of another gateway or the store. ahead is set if this gateway knows of a response
-// or a trial that the record does not contain. It broadcasts its own record of a request then; that of a
-// part goes to the other gateway alone, since many gateways have answers to requests with it.
-func (q *quarantineState) merge(now time.Duration, record *quarantine.Record) (change quarantineChange, ahead bool) {
-	change = q.update(now, record.Fingerprint, func(tracker *quarantine.Tracker) bool {
+// merge merges records of another gateway or the store. If this gateway knows of a response or a trial that
+// one does not contain, it broadcasts its own record of a request. That of a part is returned instead, for
+// the other gateway alone, since many gateways have answers to requests with it.
+func (q *quarantineState) merge(now time.Duration, records ...quarantine.Record) (change quarantineChange, replies []quarantine.Record) {
+	return q.mergeEach(now, records, func(tracker *quarantine.Tracker, record *quarantine.Record) bool {
 		tracker.Merge(now, record)
-		ahead = tracker.IsAheadOf(record)
-		return ahead && !record.Fingerprint.IsPart()
-	})
-	return change, ahead
+		if !tracker.IsAheadOf(record) {
+			return false
+		}
+		if own, known := tracker.Record(record.Fingerprint); known && record.Fingerprint.IsPart() {
+			replies = append(replies, own)
+		}
+		return !record.Fingerprint.IsPart()
+	}), replies
 }
 
-// mergeReply merges a record that another gateway returned for one of this gateway's. Answers that clear
-// a part, or that speak for one which several crashes count against, are broadcast.
-func (q *quarantineState) mergeReply(now time.Duration, record *quarantine.Record) quarantineChange {
-	return q.update(now, record.Fingerprint, func(tracker *quarantine.Tracker) bool {
+// mergeReplies merges the records that another gateway returned for those of this gateway. Answers that
+// clear a part, or that speak for one which several crashes count against, are broadcast.
+func (q *quarantineState) mergeReplies(now time.Duration, records []quarantine.Record) quarantineChange {
+	return q.mergeEach(now, records, func(tracker *quarantine.Tracker, record *quarantine.Record) bool {
 		earlier, known := tracker.Record(record.Fingerprint)
 		changed := tracker.Merge(now, record)
 		return known && changed && record.Fingerprint.IsPart() && tracker.MustShareAnswers(&earlier)
 	})
 }
 
-// release ends the quarantine of a request.
+// mergeEach calls merge for each of some records, which must have different fingerprints, in one update.
+func (q *quarantineState) mergeEach(now time.Duration, records []quarantine.Record, merge func(tracker *quarantine.Tracker, record *quarantine.Record) (broadcast bool)) quarantineChange {
+	byFingerprint := make(map[quarantine.Fingerprint]*quarantine.Record, len(records))
+	fingerprints := make([]quarantine.Fingerprint, 0, len(records))
+	for index := range records {
+		fingerprint := records[index].Fingerprint
+		if byFingerprint[fingerprint] == nil {
+			fingerprints = append(fingerprints, fingerprint)
+		}
+		byFingerprint[fingerprint] = &records[index]
+	}
+	return q.update(now, fingerprints, func(tracker *quarantine.Tracker, fingerprint quarantine.Fingerprint) bool {
+		return merge(tracker, byFingerprint[fingerprint])
+	})
+}
+
+// release ends the quarantine of a request or a part.
 func (q *quarantineState) release(now time.Duration, fingerprint quarantine.Fingerprint) quarantineChange {
-	return q.update(now, fingerprint, func(tracker *quarantine.Tracker) bool { return tracker.Release(now, fingerprint) })
+	return q.update(now, []quarantine.Fingerprint{fingerprint}, func(tracker *quarantine.Tracker, _ quarantine.Fingerprint) bool {
+		return tracker.Release(now, fingerprint)
+	})
 }
 
 // sweep drops expired records, and returns the released requests and the number of those still
@@ -301,23 +336,23 @@
 	g.metrics.runsEndedWithWorker.Add(float64(len(lost)))
 	g.events.line("worker_ended").Str("worker", string(worker)).Str("proof", evidence.String()).
 		Int("runs", len(lost)).Str("fingerprints", shortFingerprints(lost)).Msg("worker_ended")
+	var suspects []quarantine.Fingerprint
 	seen := make(map[quarantine.Fingerprint]bool)
 	for index := range lost {
-		for _, fingerprint := range append([]quarantine.Fingerprint{lost[index].Request}, lost[index].Parts...) {
+		for _, fingerprint := range lost[index].Fingerprints() {
 			if !seen[fingerprint] {
 				seen[fingerprint] = true
-				g.handleQuarantineChange("worker_ended", g.quarantines.recordCrash(g.now(), fingerprint, worker))
+				suspects = append(suspects, fingerprint)
 			}
 		}
 	}
+	g.handleQuarantineChange("worker_ended", g.quarantines.recordCrash(g.now(), suspects, worker))
 }
 
 // recordCompleteResponse records a complete response to a request. That to the trial of a part ends the
 // part's quarantine, although it is only one answer.
 func (g *Gateway) recordCompleteResponse(current *callerRequest) {
-	for _, change := range g.quarantines.recordResponse(g.now(), current.subject()) {
-		g.handleQuarantineChange("answered", change)
-	}
+	g.handleQuarantineChange("answered", g.quarantines.recordResponse(g.now(), current.subject()))
 	if current.quarantineTrial && current.trialOf.IsPart() {
 		g.handleQuarantineChange("answered", g.quarantines.release(g.now(), current.trialOf))
 	}
--- a/internal/gateway/quarantinepeers.go
+++ b/internal/gateway/quarantinepeers.go
@@ -68,9 +68,8 @@
 			g.metrics.peerFailures.Inc()
 			return
 		}
-		for _, record := range g.decodeQuarantineRecords(response.GetQuarantineRecords()) {
-			g.handleQuarantineChange("peer", g.quarantines.mergeReply(g.now(), &record))
-		}
+		replies := g.decodeQuarantineRecords(response.GetQuarantineRecords())
+		g.handleQuarantineChange("peer", g.quarantines.mergeReplies(g.now(), replies))
 	})
 }
 
@@ -134,17 +133,11 @@
 // mergeQuarantineRecords merges records of another gateway. It returns this gateway's records of parts that
 // the other one is to learn.
 func (g *Gateway) mergeQuarantineRecords(encoded []*rpc.QuarantineRecord) []*rpc.QuarantineRecord {
-	var replies []quarantine.Record
-	for _, record := range g.decodeQuarantineRecords(encoded) {
-		change, ahead := g.quarantines.merge(g.now(), &record)
-		g.handleQuarantineChange("peer", change)
-		if !ahead || !record.Fingerprint.IsPart() {
-			continue
-		}
-		if own, known := g.quarantines.record(record.Fingerprint); known {
-			replies = append(replies, own)
-		}
+	if len(encoded) == 0 {
+		return nil
 	}
+	change, replies := g.quarantines.merge(g.now(), g.decodeQuarantineRecords(encoded)...)
+	g.handleQuarantineChange("peer", change)
 	return encodeQuarantineRecords(g.now(), replies)
 }
 
@@ -170,11 +163,13 @@
 		message := &rpc.QuarantineRecord{
 			Fingerprint: record.Fingerprint[:],
 			Trials:      uint32(max(record.Trials, 0)),
-			Clearances:  uint32(max(record.Clearances, 0)),
+			Releases:    uint32(max(record.Releases, 0)),
 			Condemned:   record.Condemned,
 		}
-		for node, count := range record.Answers {
-			message.Answers = append(message.Answers, &rpc.QuarantineAnswers{Node: string(node), Count: uint32(max(count, 0))})
+		for _, answer := range record.Answers {
+			message.Answers = append(message.Answers, &rpc.QuarantineAnswer{
+				Node: string(answer.Node), Sequence: answer.Sequence, AgeMillis: ageMillis(now, answer.At),
+			})
 		}
 		if record.Trials > 0 {
 			message.TriedAgeMillis = ageMillis(now, record.LastTrialAt)
@@ -204,13 +199,12 @@
 		return quarantine.Record{}, err
 	}
 	record := quarantine.Record{
-		Fingerprint: fingerprint, Trials: int(message.GetTrials()), Clearances: int(message.GetClearances()), Condemned: message.GetCondemned(),
+		Fingerprint: fingerprint, Trials: int(message.GetTrials()), Releases: int(message.GetReleases()), Condemned: message.GetCondemned(),
 	}
-	if answers := message.GetAnswers(); len(answers) > 0 {
-		record.Answers = make(map[fleet.NodeID]int, len(answers))
-		for _, from := range answers {
-			record.Answers[fleet.NodeID(from.GetNode())] = int(from.GetCount())
-		}
+	for _, answer := range message.GetAnswers() {
+		record.Answers = append(record.Answers, quarantine.PartAnswer{
+			Node: fleet.NodeID(answer.GetNode()), Sequence: answer.GetSequence(), At: timeFromAge(now, answer.GetAgeMillis()),
+		})
 	}
 	if record.Trials > 0 {
 		record.LastTrialAt = timeFromAge(now, message.GetTriedAgeMillis())
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -130,7 +130,7 @@
 	}
 	g.quarantines.setStored(row)
 	record := quarantine.StoredRecord(now, row.Fingerprint, row.Workers, row.Trials, row.Condemned)
-	change, _ := g.quarantines.merge(now, &record)
+	change, _ := g.quarantines.merge(now, record)
 	g.handleQuarantineChange("store", change)
 }
 
@@ -187,7 +187,7 @@
 	}
 	for fingerprint := range q.stored {
 		// What explains a part's crashes may change; its row goes once answers do or it is released.
-		if fingerprint.IsPart() && !q.tracker.IsCleared(fingerprint) {
+		if fingerprint.IsPart() && q.tracker.IsSuspect(fingerprint) {
 			continue
 		}
 		if !shared[fingerprint] && (isHolder || q.local[fingerprint]) && len(changes.remove) < maxStoreChanges {
@@ -301,7 +301,7 @@
 
 // beginTrial records that this gateway tries a quarantined request.
 func (q *quarantineState) beginTrial(now time.Duration, fingerprint quarantine.Fingerprint, trials int) {
-	q.update(now, fingerprint, func(tracker *quarantine.Tracker) bool {
+	q.update(now, []quarantine.Fingerprint{fingerprint}, func(tracker *quarantine.Tracker, _ quarantine.Fingerprint) bool {
 		tracker.BeginTrial(now, fingerprint, trials)
 		return true
 	})
--- a/internal/quarantine/answercache.go
+++ b/internal/quarantine/answercache.go
@@ -46,7 +46,7 @@
 	slots [partAnswerSlots]partAnswers
 }
 
-// partAnswers counts the answers to requests with one part, each at most partGracePeriod after the one
+// partAnswers counts the answers to requests with one part, each at most recentAnswers after the one
 // before; key 0 marks an empty slot.
 type partAnswers struct {
 	key   uint64
@@ -58,7 +58,7 @@
 func (a *partAnswerCache) add(now time.Duration, part Fingerprint) {
 	key := answerKey(part)
 	slot := &a.slots[key%partAnswerSlots]
-	if slot.key != key || now > slot.last+partGracePeriod {
+	if slot.key != key || now > slot.last+recentAnswers {
 		*slot = partAnswers{key: key}
 	}
 	slot.count++
@@ -69,8 +69,8 @@
 func (a *partAnswerCache) recent(now time.Duration, part Fingerprint) int {
 	key := answerKey(part)
 	slot := &a.slots[key%partAnswerSlots]
-	if slot.key != key || now > slot.last+partGracePeriod {
+	if slot.key != key || now > slot.last+recentAnswers {
 		return 0
 	}
-	return slot.count
+	return min(slot.count, maxRecentAnswers)
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -10,11 +10,11 @@
 )
 
 // Evidence for a part of prompts that crashes workers is a log likelihood ratio, in bits. A run with a
-// harmful part crashes its worker at least every other time, so an answer is one bit against it. A run
-// with a sound one is in flight at a crash once in 16 times at most, so a crash is three bits for it.
+// harmful part crashes its worker at least three times in four, so an answer is two bits against it. A run
+// with a sound one is in flight at a crash once in ten times at most, so a crash is three bits for it.
 const (
 	crashEvidence  = 3
-	answerEvidence = 1
+	answerEvidence = 2
 	// quarantineEvidence is the evidence from which on a part is quarantined.
 	quarantineEvidence = 9
 	// condemnedEvidence is the evidence down to which a part that was quarantined stays so: that another
@@ -25,6 +25,8 @@
 	unrelatedEvidence = 2
 	// otherServiceEvidence is added if the part is quarantined at another service.
 	otherServiceEvidence = 6
+	// acquittalEvidence is the evidence from which on further answers to requests with a part aren't counted.
+	acquittalEvidence = -15
 	// rivalEvidence is the evidence from which on a part may explain crashes before it is quarantined.
 	rivalEvidence = quarantineEvidence + crashEvidence
 	// sameCause is the time within which crashes count as one: workers that crash at once have one cause,
@@ -37,6 +39,8 @@
 	record *Record
 	// crashes are those that count and that nothing else explains, the earliest first.
 	crashes []Crash
+	// answers is the number of answers to requests with the part since shortly before its first crash.
+	answers int
 	// priorEvidence is the evidence beside crashes and answers.
 	priorEvidence int
 	// known are all crashes that this node knows, the earliest first; the suspect's own are among them.
@@ -49,7 +53,7 @@
 	if len(s.crashes) == 0 {
 		return 0
 	}
-	return s.priorEvidence + crashEvidence*countCauses(s.crashes) - answerEvidence*s.record.answerCount()
+	return s.priorEvidence + crashEvidence*countCauses(s.crashes) - answerEvidence*s.answers
 }
 
 // countCauses returns the number of crashes, of which those at the same time count as one.
@@ -147,8 +151,7 @@
 		}
 		var group, rivals, others []*suspect
 		for _, other := range suspects {
-			// A part that was told from others and quarantined has no equals among them.
-			equal := other.evidence() == strongest.evidence() && (other.record.Condemned || !strongest.record.Condemned)
+			equal := other.evidence() == strongest.evidence()
 			switch {
 			case equal && other.crashedMostly(strongest):
 				group = append(group, other)
@@ -210,15 +213,14 @@
 	}
 }
 
-// explainByRequest removes the crashes that one quarantined request explains, the one that explains most.
-// Several quarantined requests with the same part speak against the part.
+// explainByRequest removes the part's crashes if one quarantined request was in flight at all of them. A part
+// that was in flight at more is the better explanation of those of the request.
 func (s *suspect) explainByRequest(requests []*Record, gracePeriod time.Duration) {
-	var most []Crash
 	for _, request := range requests {
 		crashes := request.countedCrashes(gracePeriod)
-		if len(s.sharedCrashes(crashes)) > len(s.sharedCrashes(most)) {
-			most = crashes
+		if len(s.sharedCrashes(crashes)) == len(s.crashes) {
+			s.explain(crashes)
+			return
 		}
 	}
-	s.explain(most)
 }
--- a/internal/quarantine/partfingerprint.go
+++ b/internal/quarantine/partfingerprint.go
@@ -48,6 +48,11 @@
 	Parts []Fingerprint
 }
 
+// Fingerprints returns those of the request and of its prompt's parts.
+func (s *Subject) Fingerprints() []Fingerprint {
+	return append([]Fingerprint{s.Request}, s.Parts...)
+}
+
 // holdsAll reports whether the request's prompt holds all of some parts.
 func (s *Subject) holdsAll(parts []Fingerprint) bool {
 	for _, part := range parts {
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -31,6 +31,8 @@
 	// earliest first, or nil if they have changed.
 	known   map[fleet.EngineID]time.Duration
 	inOrder []Crash
+	// answers counts the answers that were counted for parts.
+	answers uint64
 	// settled holds the workers whose crashes are explained by what was quarantined and released since, and
 	// when that was.
 	settled map[fleet.EngineID]time.Duration
@@ -113,6 +115,7 @@
 // newSuspect returns a part with all crashes that count against it.
 func (t *Tracker) newSuspect(record *Record) *suspect {
 	weighed := &suspect{record: record, crashes: t.countedCrashes(record)}
+	weighed.answers = record.answersFor(weighed.crashes)
 	if t.isCondemnedElsewhere(record.Fingerprint) {
 		weighed.priorEvidence = otherServiceEvidence
 	}
@@ -137,18 +140,19 @@
 	if record == nil || len(t.countedCrashes(record)) == 0 {
 		return false
 	}
-	suspected := t.crashCount(record) >= minRepeatedCrashes
-	record.setAnswers(t.options.Node, record.Answers[t.options.Node]+1)
-	t.clearIfAnswered(now, record)
+	weighed := t.newSuspect(record)
+	if weighed.evidence() <= acquittalEvidence {
+		return false
+	}
+	t.countAnswer(now, record)
 	t.recordChanged(record)
-	return suspected
+	return weighed.evidence() > 0 && countCauses(weighed.crashes) >= minRepeatedCrashes
 }
 
-// IsCleared reports whether no crash counts against a part any more, since answers outweigh them, it was
-// released or its record has expired.
-func (t *Tracker) IsCleared(part Fingerprint) bool {
-	record := t.records[part]
-	return record == nil || len(t.countedCrashes(record)) == 0
+// countAnswer counts an answer to a request with a part.
+func (t *Tracker) countAnswer(at time.Duration, record *Record) {
+	t.parts.answers++
+	record.addAnswer(PartAnswer{Node: t.options.Node, Sequence: t.parts.answers, At: at})
 }
 
 // MustShareAnswers reports whether the answers that this node has learnt of a part since an earlier state
@@ -158,27 +162,24 @@
 	if record == nil {
 		return false
 	}
-	return record.Clearances > earlier.Clearances || t.crashCount(record) >= minRepeatedCrashes
+	suspected := t.newSuspect(earlier).evidence() > 0
+	return suspected && (record.Releases > earlier.Releases || countCauses(t.countedCrashes(record)) >= minRepeatedCrashes)
 }
 
-// countRecentAnswers adds the answers before a part's first crash that this node remembers.
-func (t *Tracker) countRecentAnswers(now time.Duration, record *Record) {
-	if !record.Fingerprint.IsPart() {
-		return
-	}
-	if count := t.partAnswers.recent(now, record.Fingerprint); count > record.Answers[t.options.Node] {
-		record.setAnswers(t.options.Node, count)
-	}
+// IsSuspect reports whether answers don't outweigh the crashes that count against a part, whatever else may
+// explain them.
+func (t *Tracker) IsSuspect(part Fingerprint) bool {
+	record := t.records[part]
+	return record != nil && t.newSuspect(record).evidence() > 0
 }
 
-// clearIfAnswered clears a part whose answers outweigh its crashes.
-func (t *Tracker) clearIfAnswered(now time.Duration, record *Record) {
+// countRecentAnswers adds the answers before a part's first crash that this node remembers.
+func (t *Tracker) countRecentAnswers(now time.Duration, record *Record) {
 	if !record.Fingerprint.IsPart() {
 		return
 	}
-	weighed := t.newSuspect(record)
-	if len(weighed.crashes) > 0 && record.answerCount() > 0 && weighed.evidence() <= 0 {
-		record.clear(now)
+	for range t.partAnswers.recent(now, record.Fingerprint) {
+		t.countAnswer(now, record)
 	}
 }
 
@@ -192,7 +193,8 @@
 		return slices.Clone(t.countedCrashes(record))
 	}
 	isSole := func(group []Fingerprint) bool { return len(group) == 1 && group[0] == record.Fingerprint }
-	if slices.ContainsFunc(t.QuarantinedParts(), isSole) {
+	// As of the last derivation: records of one crash change one after the other.
+	if slices.ContainsFunc(t.parts.groups, isSole) {
 		return slices.Clone(t.countedCrashes(record))
 	}
 	return nil
@@ -230,7 +232,7 @@
 // with it was answered since.
 func (t *Tracker) isSuspected(part Fingerprint) bool {
 	record := t.records[part]
-	return record != nil && record.answerCount() == 0 && t.crashCount(record) > 0
+	return record != nil && t.newSuspect(record).answers == 0 && t.crashCount(record) > 0
 }
 
 // QuarantinedParts returns the groups of quarantined parts. A request is quarantined if its prompt holds
@@ -310,8 +312,6 @@
 			requests = append(requests, record)
 		}
 	}
-	// Of requests that explain as many crashes all nodes take the same.
-	slices.SortFunc(requests, func(a, b *Record) int { return slices.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
 	for _, weighed := range suspects {
 		weighed.known = t.parts.knownInOrder()
 		weighed.crashes = slices.DeleteFunc(slices.Clone(weighed.crashes), func(crash Crash) bool {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -2,15 +2,18 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
-// maxCrashes bounds the crashes that are kept per request. It is well above the default threshold.
-const maxCrashes = 8
+// maxCrashes and maxPartCrashes bound the crashes that are kept per request and per part. They are well
+// above the default threshold; a part may need more, beside many crashes with other causes.
+const (
+	maxCrashes     = 8
+	maxPartCrashes = 16
+)
 
 // Crash is the crash of a worker while a request was in flight there.
 type Crash struct {
@@ -19,6 +22,17 @@
 	At time.Duration
 }
 
+// maxPartAnswers bounds the answers that are kept per part. They outweigh maxPartCrashes crashes.
+const maxPartAnswers = 32
+
+// PartAnswer is a complete answer to a request with a part.
+type PartAnswer struct {
+	// Node received it, as the Sequence-th answer to any request with a suspected part.
+	Node     fleet.NodeID
+	Sequence uint64
+	At       time.Duration
+}
+
 // Record is the history of one request, or of one part of prompts, that was in flight at crashed
 // workers. Merging the records of several nodes is commutative and idempotent, up to differences
 // between the ages that the nodes report.
@@ -26,14 +40,14 @@
 	Fingerprint Fingerprint
 	// Crashes holds one crash per worker, the earliest first.
 	Crashes []Crash
-	// AnsweredAt is when the request was last answered completely, or when the answers to requests
-	// with the part last outweighed its crashes. It is valid only if Answered is set.
+	// AnsweredAt is when the request was last answered completely, or when the part was last released. It
+	// is valid only if Answered is set.
 	Answered   bool
 	AnsweredAt time.Duration
-	// Clearances counts how often the answers to requests with a part outweighed its crashes. Answers
-	// counts those since then, by the node that received them.
-	Clearances int
-	Answers    map[fleet.NodeID]int
+	// Releases counts how often a part was released. Answers are the latest answers to requests with it, the
+	// earliest first.
+	Releases int
+	Answers  []PartAnswer
 	// Condemned is set once a part is quarantined.
 	Condemned bool
 	// Trials counts how often the request was let through after it was quarantined; the last trial
@@ -63,48 +77,63 @@
 }
 
 // mergeAnswers adds what another record of the same part says of answers, and reports whether anything
-// has changed. The record that was cleared more often is the later one.
+// has changed. The record that was released more often is the later one.
 func (r *Record) mergeAnswers(other *Record) bool {
-	if other.Clearances < r.Clearances {
+	if other.Releases < r.Releases {
 		return false
 	}
-	if other.Clearances > r.Clearances {
-		r.Clearances, r.Answers, r.Condemned = other.Clearances, maps.Clone(other.Answers), other.Condemned
+	if other.Releases > r.Releases {
+		r.Releases, r.Answers, r.Condemned = other.Releases, slices.Clone(other.Answers), other.Condemned
 		r.Answered, r.AnsweredAt = other.Answered, other.AnsweredAt
 		return true
 	}
 	changed := other.Condemned && !r.Condemned
 	r.Condemned = r.Condemned || other.Condemned
-	for node, count := range other.Answers {
-		if count > r.Answers[node] {
-			r.setAnswers(node, count)
-			changed = true
-		}
+	for _, answer := range other.Answers {
+		changed = r.addAnswer(answer) || changed
 	}
 	return changed
 }
 
-// setAnswers sets how many answers a node has received. Few nodes are kept, since a record is cleared
-// once its answers outweigh its crashes.
-func (r *Record) setAnswers(node fleet.NodeID, count int) {
-	if r.Answers == nil {
-		r.Answers = make(map[fleet.NodeID]int)
+// addAnswer adds an answer and reports whether it is new to the record. Only the latest are kept.
+func (r *Record) addAnswer(answer PartAnswer) bool {
+	if r.hasAnswer(answer) {
+		return false
+	}
+	if len(r.Answers) >= maxPartAnswers && answer.At <= r.Answers[0].At {
+		return false
 	}
-	r.Answers[node] = count
+	r.Answers = append(r.Answers, answer)
+	slices.SortFunc(r.Answers, func(a, b PartAnswer) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Node, b.Node), cmp.Compare(a.Sequence, b.Sequence))
+	})
+	r.Answers = r.Answers[max(len(r.Answers)-maxPartAnswers, 0):]
+	return true
 }
 
-// answerCount returns the number of answers that are known of all nodes.
-func (r *Record) answerCount() int {
-	total := 0
-	for _, count := range r.Answers {
-		total += count
+func (r *Record) hasAnswer(answer PartAnswer) bool {
+	return slices.ContainsFunc(r.Answers, func(known PartAnswer) bool {
+		return known.Node == answer.Node && known.Sequence == answer.Sequence
+	})
+}
+
+// answersFor returns the number of answers since shortly before the first of some crashes.
+func (r *Record) answersFor(crashes []Crash) int {
+	if len(crashes) == 0 {
+		return 0
+	}
+	count := 0
+	for _, answer := range r.Answers {
+		if answer.At >= crashes[0].At-recentAnswers {
+			count++
+		}
 	}
-	return total
+	return count
 }
 
-// clear records that the answers to requests with a part outweigh its crashes.
-func (r *Record) clear(at time.Duration) {
-	r.Clearances++
+// release forgets a part's crashes and answers.
+func (r *Record) release(at time.Duration) {
+	r.Releases++
 	r.Answered, r.AnsweredAt = true, at
 	r.Answers, r.Condemned = nil, false
 }
@@ -122,9 +151,11 @@
 	slices.SortFunc(r.Crashes, func(a, b Crash) int {
 		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Worker, b.Worker))
 	})
-	if len(r.Crashes) > maxCrashes {
-		r.Crashes = r.Crashes[len(r.Crashes)-maxCrashes:]
+	limit := maxCrashes
+	if r.Fingerprint.IsPart() {
+		limit = maxPartCrashes
 	}
+	r.Crashes = r.Crashes[max(len(r.Crashes)-limit, 0):]
 	return true
 }
 
@@ -175,6 +206,6 @@
 func (r *Record) clone() Record {
 	copied := *r
 	copied.Crashes = slices.Clone(r.Crashes)
-	copied.Answers = maps.Clone(r.Answers)
+	copied.Answers = slices.Clone(r.Answers)
 	return copied
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -36,9 +36,12 @@
 	MaxRecords int
 }
 
-// partGracePeriod is how long after the answers to requests with a part outweighed its crashes further
-// ones don't count. It is shorter than that of a request, since the answers are counted.
-const partGracePeriod = 2 * time.Second
+const (
+	// recentAnswers is how long before a part's first crash the answers to requests with it speak for it,
+	// and maxRecentAnswers how many of them at one node: it may have become harmful since.
+	recentAnswers    = 2 * time.Second
+	maxRecentAnswers = 2
+)
 
 // Defaults of Options.
 const (
@@ -149,7 +152,7 @@
 
 func (t *Tracker) gracePeriod(record *Record) time.Duration {
 	if record.Fingerprint.IsPart() {
-		return partGracePeriod
+		return 0 // its answers are counted
 	}
 	return t.options.GracePeriod
 }
@@ -175,7 +178,6 @@
 	if len(t.countedCrashes(record)) == 0 {
 		t.settle(now, explained)
 	}
-	t.clearIfAnswered(now, record)
 	t.recordChanged(record)
 	return changed
 }
@@ -314,7 +316,7 @@
 	released := now - t.gracePeriod(record)
 	t.settle(now, t.explainedCrashes(record))
 	if fingerprint.IsPart() {
-		record.clear(released)
+		record.release(released)
 	} else {
 		record.Answered, record.AnsweredAt = true, released
 	}
@@ -352,12 +354,12 @@
 	if record == nil {
 		return false
 	}
-	suspected := len(t.countedCrashes(other)) > 0
 	if other.Fingerprint.IsPart() {
-		later := record.Clearances > other.Clearances
-		more := record.Clearances == other.Clearances && record.answerCount() > other.answerCount()
-		return (suspected && (later || more)) || record.Trials > other.Trials
+		// Nodes that keep different answers must not tell each other of them endlessly.
+		theirs, own := t.newSuspect(other).evidence(), t.newSuspect(record).evidence()
+		return (theirs > 0 && own < theirs) || record.Trials > other.Trials
 	}
+	suspected := len(t.countedCrashes(other)) > 0
 	return (suspected && t.crashCount(record) == 0) || record.Trials > other.Trials
 }
 
