Resume a begun stream although a part of its prompt is suspected

A stream whose caller has received an event has shown that its prompt doesn't crash workers as they begin to answer; where a rare part of it was in flight at two crashes it was broken off in place of being resumed. Found by reading.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -74,7 +74,7 @@
 	if quarantined {
 		return current.attempts.Denied(resultcode.Quarantined, reasonQuarantined, verdict.RetryAfter)
 	}
-	if verdict.Suspected && current.attempts.MayHaveRun() {
+	if verdict.Suspected && current.attempts.MayHaveRun() && !current.headSent {
 		return current.attempts.Denied(resultcode.EngineFailed, reasonSuspected, 0)
 	}
 	now := g.now()
