--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -112,8 +112,8 @@
 type QuarantineRow struct {
 	// Fingerprint is that of the request, or of the part of prompts.
 	Fingerprint quarantine.Fingerprint
-	// Condemned is set if it is a part that is quarantined.
-	Condemned bool
+	// Quarantined is set if it is a part that is quarantined.
+	Quarantined bool
 	// Workers are the workers that crashed. Trials counts how often the request was let through
 	// after it had been quarantined.
 	Workers []fleet.EngineID
--- a/internal/gateway/quarantineparts_test.go
+++ b/internal/gateway/quarantineparts_test.go
@@ -145,7 +145,7 @@
 	before.applyStoreChanges(&changes)
 	row, found := store.rows[part]
 	require.True(t, found)
-	assert.True(t, row.Condemned)
+	assert.True(t, row.Quarantined)
 	after.applyQuarantineRow(&row)
 	assert.NotNil(t, after.checkQuarantine(requestOfParts(1, "bad")))
 	assert.Empty(t, after.quarantines.pendingStoreChanges(after.now(), true, true).write, "nothing new")
--- a/internal/gateway/quarantinepeers.go
+++ b/internal/gateway/quarantinepeers.go
@@ -164,7 +164,7 @@
 			Fingerprint: record.Fingerprint[:],
 			Trials:      uint32(max(record.Trials, 0)),
 			Releases:    uint32(max(record.Releases, 0)),
-			Condemned:   record.Condemned,
+			Quarantined: record.Quarantined,
 		}
 		for _, answer := range record.Answers {
 			message.Answers = append(message.Answers, &rpc.QuarantineAnswer{
@@ -199,7 +199,7 @@
 		return quarantine.Record{}, err
 	}
 	record := quarantine.Record{
-		Fingerprint: fingerprint, Trials: int(message.GetTrials()), Releases: int(message.GetReleases()), Condemned: message.GetCondemned(),
+		Fingerprint: fingerprint, Trials: int(message.GetTrials()), Releases: int(message.GetReleases()), Quarantined: message.GetQuarantined(),
 	}
 	for _, answer := range message.GetAnswers() {
 		record.Answers = append(record.Answers, quarantine.PartAnswer{
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -32,7 +32,7 @@
 	version     fleet.Revision
 	workerCount int
 	trials      int
-	condemned   bool
+	quarantined bool
 }
 
 // newQuarantineTable returns the table of quarantined requests. It isn't part of g.tables: gateways
@@ -129,7 +129,7 @@
 		return
 	}
 	g.quarantines.setStored(row)
-	record := quarantine.StoredRecord(now, row.Fingerprint, row.Workers, row.Trials, row.Condemned)
+	record := quarantine.StoredRecord(now, row.Fingerprint, row.Workers, row.Trials, row.Quarantined)
 	change, _ := g.quarantines.merge(now, record)
 	g.handleQuarantineChange("store", change)
 }
@@ -138,7 +138,7 @@
 func (q *quarantineState) setStored(row *QuarantineRow) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.stored[row.Fingerprint] = storedQuarantine{version: row.Version, workerCount: len(row.Workers), trials: row.Trials, condemned: row.Condemned}
+	q.stored[row.Fingerprint] = storedQuarantine{version: row.Version, workerCount: len(row.Workers), trials: row.Trials, quarantined: row.Quarantined}
 }
 
 // deleteStored records that the store holds no row of a request, and reports whether one was known.
@@ -180,7 +180,7 @@
 		orphaned := isReader && verdict.Quarantined && verdict.LastAge > orphanedAfter
 		known := q.stored[record.Fingerprint]
 		outdated := known.workerCount < min(verdict.Crashes, q.tracker.Threshold(), len(record.Crashes)) || known.trials < record.Trials ||
-			(record.Condemned && !known.condemned)
+			(record.Quarantined && !known.quarantined)
 		if outdated && (q.local[record.Fingerprint] || orphaned) && len(changes.write) < maxStoreChanges {
 			changes.write = append(changes.write, rowFromRecord(&record, verdict.Crashes))
 		}
@@ -199,7 +199,7 @@
 
 // rowFromRecord returns the row of a record with its last crashes, as many as count against it.
 func rowFromRecord(record *quarantine.Record, counted int) QuarantineRow {
-	row := QuarantineRow{Fingerprint: record.Fingerprint, Trials: record.Trials, Condemned: record.Condemned}
+	row := QuarantineRow{Fingerprint: record.Fingerprint, Trials: record.Trials, Quarantined: record.Quarantined}
 	for _, crash := range record.Crashes[max(len(record.Crashes)-counted, 0):] {
 		row.Workers = append(row.Workers, crash.Worker)
 	}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -17,16 +17,16 @@
 	answerEvidence = 2
 	// quarantineEvidence is the evidence from which on a part is quarantined.
 	quarantineEvidence = 9
-	// condemnedEvidence is the evidence down to which a part that was quarantined stays so: that another
-	// explanation for one of its crashes appears doesn't acquit it.
-	condemnedEvidence = quarantineEvidence - crashEvidence
+	// releaseEvidence is the evidence down to which a quarantined part stays so. Hysteresis keeps it
+	// quarantined if another explanation for one of its crashes appears.
+	releaseEvidence = quarantineEvidence - crashEvidence
 	// unrelatedEvidence is what a doubling of the crashes without the part adds to both: the more there
 	// are, the more of the many sound parts are in flight at several by chance.
 	unrelatedEvidence = 2
 	// otherServiceEvidence is added if the part is quarantined at another service.
 	otherServiceEvidence = 6
-	// acquittalEvidence is the evidence from which on further answers to requests with a part aren't counted.
-	acquittalEvidence = -15
+	// evidenceFloor is the evidence below which answers to requests with a part aren't counted.
+	evidenceFloor = -15
 	// rivalEvidence is the evidence from which on a part may explain crashes before it is quarantined.
 	rivalEvidence = quarantineEvidence + crashEvidence
 	// sameCause is the time within which crashes count as one: workers that crash at once have one cause,
@@ -71,8 +71,8 @@
 // isHarmful reports whether the evidence suffices for a quarantine.
 func (s *suspect) isHarmful() bool {
 	required := quarantineEvidence
-	if s.record.Condemned {
-		required = condemnedEvidence
+	if s.record.Quarantined {
+		required = releaseEvidence
 	}
 	if s.evidence() < required {
 		return false
@@ -155,7 +155,7 @@
 			switch {
 			case equal && other.crashedMostly(strongest):
 				group = append(group, other)
-			case equal && !strongest.record.Condemned && len(other.sharedCrashes(strongest.crashes)) > 0:
+			case equal && !strongest.record.Quarantined && len(other.sharedCrashes(strongest.crashes)) > 0:
 				rivals = append(rivals, other)
 			default:
 				others = append(others, other)
@@ -165,9 +165,8 @@
 			groups = append(groups, group)
 		}
 		for _, other := range others {
-			other.explain(strongest.crashes)
-			for _, rival := range rivals {
-				other.explain(rival.crashes)
+			for _, explaining := range slices.Concat(group, rivals) {
+				other.explain(explaining.crashes)
 			}
 		}
 		suspects = others
@@ -188,14 +187,14 @@
 	return strongest
 }
 
-// isStrongerThan compares by evidence. Among equals, one that was quarantined before goes first, and the
+// isStrongerThan compares by evidence. Of equals, one that is quarantined already is the stronger, then the
 // fingerprint decides, so that all nodes with the same records agree.
 func (s *suspect) isStrongerThan(other *suspect) bool {
 	if difference := s.evidence() - other.evidence(); difference != 0 {
 		return difference > 0
 	}
-	if s.record.Condemned != other.record.Condemned {
-		return s.record.Condemned
+	if s.record.Quarantined != other.record.Quarantined {
+		return s.record.Quarantined
 	}
 	return slices.Compare(s.record.Fingerprint[:], other.record.Fingerprint[:]) < 0
 }
@@ -203,7 +202,7 @@
 // ignoreRivals has crashes ignored for which others are suspected at least as much: two harmful parts must
 // not hide each other.
 func (s *suspect) ignoreRivals(suspects []*suspect) {
-	if s.evidence() < condemnedEvidence {
+	if s.evidence() < releaseEvidence {
 		return
 	}
 	for _, other := range suspects {
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -33,16 +33,16 @@
 	inOrder []Crash
 	// answers counts the answers that were counted for parts.
 	answers uint64
-	// settled holds the workers whose crashes are explained by what was quarantined and released since, and
+	// explained holds the workers whose crashes are explained by what was quarantined and released since, and
 	// when that was.
-	settled map[fleet.EngineID]time.Duration
+	explained map[fleet.EngineID]time.Duration
 }
 
 func newPartVerdicts() partVerdicts {
 	return partVerdicts{
 		candidates: make(map[Fingerprint]*Record),
 		known:      make(map[fleet.EngineID]time.Duration),
-		settled:    make(map[fleet.EngineID]time.Duration),
+		explained:  make(map[fleet.EngineID]time.Duration),
 	}
 }
 
@@ -53,10 +53,10 @@
 	}
 }
 
-// sweep forgets the crashes before a time, and those that were settled before it.
+// sweep forgets the crashes before a time, and those that were explained before it.
 func (p *partVerdicts) sweep(before time.Duration) {
 	p.inOrder = nil
-	for _, crashes := range []map[fleet.EngineID]time.Duration{p.known, p.settled} {
+	for _, crashes := range []map[fleet.EngineID]time.Duration{p.known, p.explained} {
 		maps.DeleteFunc(crashes, func(_ fleet.EngineID, at time.Duration) bool { return at < before })
 	}
 }
@@ -100,6 +100,7 @@
 		t.parts.outdated = true
 		return
 	}
+	record.Quarantined = false
 	t.parts.forget(record.Fingerprint)
 }
 
@@ -109,21 +110,21 @@
 		return t.isQuarantined(record)
 	}
 	weighed := t.newSuspect(record)
-	return weighed.evidence() >= condemnedEvidence
+	return weighed.evidence() >= releaseEvidence
 }
 
 // newSuspect returns a part with all crashes that count against it.
 func (t *Tracker) newSuspect(record *Record) *suspect {
 	weighed := &suspect{record: record, crashes: t.countedCrashes(record)}
 	weighed.answers = record.answersFor(weighed.crashes)
-	if t.isCondemnedElsewhere(record.Fingerprint) {
+	if t.isQuarantinedElsewhere(record.Fingerprint) {
 		weighed.priorEvidence = otherServiceEvidence
 	}
 	return weighed
 }
 
-// isCondemnedElsewhere reports whether a part is quarantined at another service.
-func (t *Tracker) isCondemnedElsewhere(part Fingerprint) bool {
+// isQuarantinedElsewhere reports whether a part is quarantined at another service.
+func (t *Tracker) isQuarantinedElsewhere(part Fingerprint) bool {
 	for _, group := range t.parts.groups {
 		if slices.ContainsFunc(group, part.isSamePart) {
 			return true
@@ -141,7 +142,7 @@
 		return false
 	}
 	weighed := t.newSuspect(record)
-	if weighed.evidence() <= acquittalEvidence {
+	if weighed.evidence() <= evidenceFloor {
 		return false
 	}
 	t.countAnswer(now, record)
@@ -200,10 +201,10 @@
 	return nil
 }
 
-// settle remembers that crashes are explained.
-func (t *Tracker) settle(now time.Duration, crashes []Crash) {
+// rememberExplained remembers that crashes are explained.
+func (t *Tracker) rememberExplained(now time.Duration, crashes []Crash) {
 	for _, crash := range crashes {
-		t.parts.settled[crash.Worker] = now
+		t.parts.explained[crash.Worker] = now
 	}
 }
 
@@ -265,7 +266,7 @@
 	groups := findHarmful(suspects)
 	t.parts.counts = make(map[Fingerprint]int, len(suspects))
 	for _, weighed := range suspects {
-		weighed.record.Condemned = false
+		weighed.record.Quarantined = false
 		t.parts.counts[weighed.record.Fingerprint] = max(weighed.evidence(), 0) / crashEvidence
 	}
 	before := t.parts.groups
@@ -273,7 +274,7 @@
 	for _, group := range groups {
 		var parts []Fingerprint
 		for _, harmful := range group {
-			harmful.record.Condemned = true
+			harmful.record.Quarantined = true
 			parts = append(parts, harmful.record.Fingerprint)
 		}
 		slices.SortFunc(parts, func(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) })
@@ -295,7 +296,7 @@
 		return
 	}
 	for fingerprint, record := range t.records {
-		if began[fingerprint.partID()] && len(t.countedCrashes(record)) > 0 && t.isCondemnedElsewhere(fingerprint) {
+		if began[fingerprint.partID()] && len(t.countedCrashes(record)) > 0 && t.isQuarantinedElsewhere(fingerprint) {
 			t.recordChanged(record)
 		}
 	}
@@ -315,8 +316,8 @@
 	for _, weighed := range suspects {
 		weighed.known = t.parts.knownInOrder()
 		weighed.crashes = slices.DeleteFunc(slices.Clone(weighed.crashes), func(crash Crash) bool {
-			_, settled := t.parts.settled[crash.Worker]
-			return settled
+			_, explained := t.parts.explained[crash.Worker]
+			return explained
 		})
 		weighed.explainByRequest(requests, t.options.GracePeriod)
 	}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -48,8 +48,8 @@
 	// earliest first.
 	Releases int
 	Answers  []PartAnswer
-	// Condemned is set once a part is quarantined.
-	Condemned bool
+	// Quarantined is set once a part is quarantined.
+	Quarantined bool
 	// Trials counts how often the request was let through after it was quarantined; the last trial
 	// began at LastTrialAt.
 	Trials      int
@@ -83,12 +83,12 @@
 		return false
 	}
 	if other.Releases > r.Releases {
-		r.Releases, r.Answers, r.Condemned = other.Releases, slices.Clone(other.Answers), other.Condemned
+		r.Releases, r.Answers, r.Quarantined = other.Releases, slices.Clone(other.Answers), other.Quarantined
 		r.Answered, r.AnsweredAt = other.Answered, other.AnsweredAt
 		return true
 	}
-	changed := other.Condemned && !r.Condemned
-	r.Condemned = r.Condemned || other.Condemned
+	changed := other.Quarantined && !r.Quarantined
+	r.Quarantined = r.Quarantined || other.Quarantined
 	for _, answer := range other.Answers {
 		changed = r.addAnswer(answer) || changed
 	}
@@ -135,7 +135,7 @@
 func (r *Record) release(at time.Duration) {
 	r.Releases++
 	r.Answered, r.AnsweredAt = true, at
-	r.Answers, r.Condemned = nil, false
+	r.Answers, r.Quarantined = nil, false
 }
 
 // addCrash adds the crash of a worker and reports whether that worker is new to the record. Of
@@ -187,8 +187,8 @@
 
 // StoredRecord returns the record of a stored row, which holds no times: its crashes and trials count as of
 // now. Those of a part count one by one.
-func StoredRecord(now time.Duration, fingerprint Fingerprint, workers []fleet.EngineID, trials int, condemned bool) Record {
-	record := Record{Fingerprint: fingerprint, Trials: trials, Condemned: condemned}
+func StoredRecord(now time.Duration, fingerprint Fingerprint, workers []fleet.EngineID, trials int, quarantined bool) Record {
+	record := Record{Fingerprint: fingerprint, Trials: trials, Quarantined: quarantined}
 	if trials > 0 {
 		record.LastTrialAt = now
 	}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -139,7 +139,7 @@
 		return false
 	}
 	suspected := len(t.countedCrashes(record)) > 0
-	t.settle(now, t.explainedCrashes(record))
+	t.rememberExplained(now, t.explainedCrashes(record))
 	record.Answered, record.AnsweredAt = true, now
 	t.recordChanged(record)
 	return suspected
@@ -176,7 +176,7 @@
 		t.countRecentAnswers(now, record)
 	}
 	if len(t.countedCrashes(record)) == 0 {
-		t.settle(now, explained)
+		t.rememberExplained(now, explained)
 	}
 	t.recordChanged(record)
 	return changed
@@ -314,7 +314,7 @@
 		return false
 	}
 	released := now - t.gracePeriod(record)
-	t.settle(now, t.explainedCrashes(record))
+	t.rememberExplained(now, t.explainedCrashes(record))
 	if fingerprint.IsPart() {
 		record.release(released)
 	} else {
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -104,7 +104,7 @@
 	{StaleWeights, "stale_weights", http.StatusServiceUnavailable, true, "The version was retired while the request waited."},
 	{QuotaExceeded, "quota_exceeded", http.StatusTooManyRequests, true, "The tenant has used its quota; come back after Retry-After."},
 	{NodeFull, "node_full", http.StatusServiceUnavailable, true, "The node is short of memory or descriptors; come back, to another one."},
-	{Quarantined, "request_quarantined", http.StatusServiceUnavailable, true, "Workers ended each time that they ran this request; it is kept from them until Retry-After. Change it, or ask the operator."},
+	{Quarantined, "request_quarantined", http.StatusServiceUnavailable, true, "Workers ended each time that they ran this request, or requests with a part of its prompt; it is kept from them until Retry-After. Change it, or ask the operator."},
 	{OriginUnknown, "origin_unknown", http.StatusServiceUnavailable, true, "The stream can't be resumed: it isn't known at which software version it began. Begin it anew."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, false, "The request may have run; it isn't repeatable and its engine can't be asked."},
 	{StreamInterrupted, "stream_interrupted", http.StatusBadGateway, false, "The stream broke and could not be continued; it is incomplete."},
