Look for harmful parts at the service that a resumed stream moves to

On a split route a resumption may go to another service than was drawn; its prompt's parts were looked up for the one that was drawn. TestResumptionMovesToTheServiceOfItsStream failed before.

--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -275,6 +275,7 @@
 	service, found := snapshot.Table.Service(name)
 	if found {
 		current.service = service
+		current.parts = partFingerprints(current)
 	}
 	return found
 }
--- a/internal/gateway/streamorigins_test.go
+++ b/internal/gateway/streamorigins_test.go
@@ -92,8 +92,10 @@
 	current := resumingRequest("tenant")
 	current.service = &routes.Service{Name: "other"}
 	current.route.Split = append(current.route.Split, routes.Share{Service: "other", Weight: 1})
+	current.metadata.Parts = []backends.Part{{ID: "shared"}, {ID: "own"}}
 	require.Nil(t, g.bindToOrigin(current))
 	assert.Equal(t, fleet.PoolName("app"), current.service.Name)
+	assert.Equal(t, partFingerprints(current), current.parts, "parts are looked at for the service that it goes to")
 
 	current = resumingRequest("tenant")
 	current.service = &routes.Service{Name: "other"}
