Keep what is known of a harmful part when a request that was held for the same crashes is answered

The answer took those crashes for explained, so that the part lost them. Found by reading; TestAnsweredBystanderDoesntReleaseAPart failed before.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -185,18 +185,25 @@
 }
 
 // explainedCrashes returns the crashes that a quarantined request or part explains. They must not turn
-// against parts once it is released. Of parts that can't be told apart none explains them.
+// against parts once it is released. Of parts that can't be told apart none explains them, and a request
+// doesn't explain those of a part that stays quarantined. Groups are as of the last derivation, since
+// records of one crash change one after the other.
 func (t *Tracker) explainedCrashes(record *Record) []Crash {
 	if t.parts.candidates[record.Fingerprint] == nil {
 		return nil
 	}
+	explained := slices.Clone(t.countedCrashes(record))
 	if !record.Fingerprint.IsPart() {
-		return slices.Clone(t.countedCrashes(record))
+		for _, part := range slices.Concat(t.parts.groups...) {
+			if held := t.records[part]; held != nil {
+				explained = without(explained, held.Crashes)
+			}
+		}
+		return explained
 	}
 	isSole := func(group []Fingerprint) bool { return len(group) == 1 && group[0] == record.Fingerprint }
-	// As of the last derivation: records of one crash change one after the other.
 	if slices.ContainsFunc(t.parts.groups, isSole) {
-		return slices.Clone(t.countedCrashes(record))
+		return explained
 	}
 	return nil
 }
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -158,6 +158,23 @@
 	assert.False(t, isHeld(tracker, 14*second, "topic"))
 }
 
+// TestAnsweredBystanderDoesntReleaseAPart guards against a harmful part that is forgotten since a request was
+// held for the same crashes, and is answered.
+func TestAnsweredBystanderDoesntReleaseAPart(t *testing.T) {
+	tracker := NewTracker(Options{Node: "a"})
+	for number := range 4 {
+		at, worker := time.Duration(10+number)*second, fmt.Sprint("w", number)
+		crashWith(tracker, at, worker, "bad")
+		if number < 3 {
+			tracker.ObserveCrash(at, fingerprintFor(1), fleet.EngineID(worker))
+		}
+	}
+	assert.True(t, tracker.Check(15*second, fingerprintFor(1)).Quarantined)
+	assert.True(t, isHeld(tracker, 15*second, "bad"))
+	tracker.ObserveAnswer(16*second, fingerprintFor(1))
+	assert.True(t, isHeld(tracker, 16*second, "bad"))
+}
+
 // TestManyCrashesElsewhereRaiseTheBar guards against a hold of one of many rare parts that is in flight at
 // some of many crashes by chance.
 func TestManyCrashesElsewhereRaiseTheBar(t *testing.T) {
