Let a gateway that starts just after a restore of the store wait like its peers

The store had lost the revocation before any gateway had read it. The running gateways withheld their proofs for a second, until the operator had written again; the started one served by the copy for 0.1 to 0.2 s.

Cause: that the store was restored is seen as a rise of its epoch, by the process that sees both epochs alone. A process that starts after the rise takes the new epoch for the first one, so that its first read of the restored store counts as a proof. Its peers' reports said their configuration's version, the copy's too here, and nothing of the restore.

Ruled out: that a peer had the revocation (no gateway logs version 6 before it is written again); that the exchange of reports at the start came too late (a peer had answered 30 ms after the start in the test's logs).

Change: load reports tell the epoch that their sender knows and, for a second, how long ago it learnt that it had begun. A gateway that started after the restore waits until its peers' second is over; if a peer doesn't know the epoch yet, a second from its own first response. Ages count from before the call and own sight wins, so that reports can't prolong it; epochs that nobody saw begin of late, and reports of earlier releases, change nothing. Public routes and callers with a young proof of a peer are served as before.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -182,6 +182,7 @@
 		g.metrics.peerFailures.Inc()
 		return
 	}
+	g.applyPeerEpoch(start, report)
 	g.applyLoadReport(report)
 	g.applyProof(start, report)
 	g.applyDirectives(start, report.GetDeliveries())
@@ -207,6 +208,7 @@
 	if report.GetPartial() {
 		return g.handlePartialReport(report)
 	}
+	g.applyPeerEpoch(g.now()-loadExchangeTimeout, report)
 	g.applyLoadReport(report)
 	response := g.loadReport(fleet.NodeID(report.GetNode()))
 	missing := g.quarantines.missingRecords(g.now(), report.GetQuarantineDigest())
@@ -267,6 +269,7 @@
 	g.quotas.writeReport(now, report, to)
 	g.deliveries.writeReport(now, report, to)
 	g.quarantines.writeReport(now, report)
+	g.writeStoreEpoch(now, report)
 	if snapshot := g.configuration.Current(); snapshot != nil {
 		if age, proven := g.freshness.Age(now); proven && age < g.settings().RevokeWithin {
 			report.ProofAgeMillis = uint32(age.Milliseconds()) + 1
