Give quarantine trials a policy of their own

Tracker held two sets of trial options, for requests and for parts, and chose between them field by field. TrialPolicy holds one set and says when a trial is due; the options move into a file of their own, recentAnswers to the cache that it bounds.

--- a/internal/quarantine/answercache.go
+++ b/internal/quarantine/answercache.go
@@ -5,6 +5,13 @@
 	"time"
 )
 
+const (
+	// recentAnswers is how long before a part's first crash the answers to requests with it speak for it,
+	// and maxRecentAnswers how many of them at one node: it may have become harmful since.
+	recentAnswers    = 2 * time.Second
+	maxRecentAnswers = 2
+)
+
 // answerSlots is the number of recent answers that are remembered: those of about ten seconds at
 // 200 requests per second, in 32 KB.
 const answerSlots = 2048
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -8,89 +8,6 @@
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
-// Options configures a Tracker; zero fields take the defaults.
-type Options struct {
-	// Node names this node in what it tells others.
-	Node fleet.NodeID
-	// Threshold is the number of workers that must have crashed while running a request before it
-	// is quarantined.
-	Threshold int
-	// GracePeriod is how long after a complete answer crashes don't count against the request.
-	GracePeriod time.Duration
-	// TrialDelay is how long after its last crash a quarantined request may be tried once. Each
-	// trial multiplies the delay of the next one by TrialDelayFactor.
-	TrialDelay       time.Duration
-	TrialDelayFactor int
-	// PartTrialDelay and PartTrialDelayFactor are the same for a part.
-	PartTrialDelay       time.Duration
-	PartTrialDelayFactor int
-	// MaxTrials bounds the trials of a request, MaxPartTrials those of a part. After the last one the
-	// quarantine lasts until the record is dropped.
-	MaxTrials, MaxPartTrials int
-	// QuarantineRetention is how long after its last change the record of a quarantined request is
-	// kept.
-	QuarantineRetention time.Duration
-	// SuspectRetention is how long after its last change the record of any other request is kept.
-	SuspectRetention time.Duration
-	// MaxRecords bounds the number of records.
-	MaxRecords int
-}
-
-const (
-	// recentAnswers is how long before a part's first crash the answers to requests with it speak for it,
-	// and maxRecentAnswers how many of them at one node: it may have become harmful since.
-	recentAnswers    = 2 * time.Second
-	maxRecentAnswers = 2
-)
-
-// Defaults of Options.
-const (
-	// DefaultThreshold is high enough that a harmless request is rarely in flight at as many
-	// crashing workers.
-	DefaultThreshold = 3
-	// DefaultGracePeriod protects popular requests of a service whose workers crash often.
-	DefaultGracePeriod = 10 * time.Second
-	// DefaultTrialDelay exceeds the usual delays between the retries of a caller.
-	DefaultTrialDelay       = 2 * time.Minute
-	DefaultTrialDelayFactor = 5
-	// DefaultPartTrialDelay is shorter: many sound requests may have the part.
-	DefaultPartTrialDelay       = 30 * time.Second
-	DefaultPartTrialDelayFactor = 20
-	DefaultMaxTrials            = 3
-	// DefaultMaxPartTrials is lower: requests with the part may still be under way when it is
-	// quarantined, and count as well.
-	DefaultMaxPartTrials       = 2
-	DefaultQuarantineRetention = 24 * time.Hour
-	DefaultSuspectRetention    = 30 * time.Minute
-	DefaultMaxRecords          = 2048
-)
-
-func (o *Options) setDefaults() {
-	for _, option := range []struct {
-		field    *time.Duration
-		fallback time.Duration
-	}{
-		{&o.GracePeriod, DefaultGracePeriod}, {&o.TrialDelay, DefaultTrialDelay},
-		{&o.PartTrialDelay, DefaultPartTrialDelay},
-		{&o.QuarantineRetention, DefaultQuarantineRetention}, {&o.SuspectRetention, DefaultSuspectRetention},
-	} {
-		if *option.field <= 0 {
-			*option.field = option.fallback
-		}
-	}
-	for _, option := range []struct {
-		field    *int
-		fallback int
-	}{
-		{&o.Threshold, DefaultThreshold}, {&o.TrialDelayFactor, DefaultTrialDelayFactor}, {&o.PartTrialDelayFactor, DefaultPartTrialDelayFactor},
-		{&o.MaxTrials, DefaultMaxTrials}, {&o.MaxPartTrials, DefaultMaxPartTrials}, {&o.MaxRecords, DefaultMaxRecords},
-	} {
-		if *option.field <= 0 {
-			*option.field = option.fallback
-		}
-	}
-}
-
 // Verdict is the state of a request or a part: whether it may be sent to a worker, and if not, why.
 type Verdict struct {
 	// Fingerprint is that of the request, or of the part, which decides.
@@ -264,37 +181,22 @@
 	if !verdict.Quarantined {
 		return verdict
 	}
-	due := t.trialDueAt(record, last)
-	if record.Trials >= t.maxTrials(record) {
-		due = record.lastChange() + t.options.QuarantineRetention
+	trials := t.trialPolicy(record)
+	if !trials.allowsAnother(record) {
+		verdict.RetryAfter = max(record.lastChange()+t.options.QuarantineRetention-now, 0)
+		return verdict
 	}
-	verdict.TrialDue = record.Trials < t.maxTrials(record) && now >= due
+	due := trials.dueAt(record, last)
+	verdict.TrialDue = now >= due
 	verdict.RetryAfter = max(due-now, 0)
 	return verdict
 }
 
-func (t *Tracker) maxTrials(record *Record) int {
+func (t *Tracker) trialPolicy(record *Record) *TrialPolicy {
 	if record.Fingerprint.IsPart() {
-		return t.options.MaxPartTrials
-	}
-	return t.options.MaxTrials
-}
-
-// trialDueAt returns when the next trial of a quarantined request is due. The delay counts from the
-// last crash or the last trial, whichever is later.
-func (t *Tracker) trialDueAt(record *Record, lastCrash time.Duration) time.Duration {
-	delay, factor := t.options.TrialDelay, t.options.TrialDelayFactor
-	if record.Fingerprint.IsPart() {
-		delay, factor = t.options.PartTrialDelay, t.options.PartTrialDelayFactor
-	}
-	for range record.Trials {
-		delay *= time.Duration(factor)
-	}
-	since := lastCrash
-	if record.Trials > 0 {
-		since = max(since, record.LastTrialAt)
+		return &t.options.PartTrials
 	}
-	return since + delay
+	return &t.options.RequestTrials
 }
 
 // BeginTrial records that a quarantined request is let through for the trials-th time. All other
@@ -347,8 +249,8 @@
 }
 
 // IsAheadOf reports whether this node has information that another node's record lacks: an answer
-// that clears a request which is still suspect there, answers that speak for a part, or a trial. It doesn't compare times: ages
-// grow with each message, so nodes would notify each other endlessly.
+// that clears a request which is still suspect there, answers that speak for a part, or a trial. It
+// doesn't compare times: ages grow with each message, so nodes would notify each other endlessly.
 func (t *Tracker) IsAheadOf(other *Record) bool {
 	record := t.records[other.Fingerprint]
 	if record == nil {
@@ -383,7 +285,8 @@
 	digest := uint64(0)
 	for _, record := range t.records {
 		if crashes := t.crashCount(record); crashes >= minCrashes {
-			state := min(crashes, t.options.Threshold)*(t.options.MaxTrials+1) + min(record.Trials, t.options.MaxTrials)
+			maxTrials := t.options.RequestTrials.Max
+			state := min(crashes, t.options.Threshold)*(maxTrials+1) + min(record.Trials, maxTrials)
 			digest ^= mix(binary.BigEndian.Uint64(record.Fingerprint[:]) + uint64(state))
 		}
 	}
