Look once more, right before a send, whether the caller has left

Between the look at the caller's connection and the write lie the choice of a worker, the wait for a grant of its limit, and a new connection, some milliseconds on a busy machine; the process may be stopped anywhere in between. All other conditions of a send were already checked again at its end (permitRequest); the caller wasn't.

Change: permitRequest looks at the caller's connection too, one more recv with MSG_PEEK a send. TestRequestIsNotSentOnceItsCallerHasLeft failed before.

--- /dev/null
+++ b/internal/gateway/callerconn_test.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A request whose caller leaves after it was placed, while a connection is opened or the process is
+// suspended, must not be sent.
+func TestRequestIsNotSentOnceItsCallerHasLeft(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	caller, err := net.Dial("tcp4", listener.Addr().String())
+	require.NoError(t, err)
+	served, err := listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = served.Close() })
+	g := newTestGateway(t)
+	request := httptest.NewRequest("GET", "/a", nil)
+	current := &callerRequest{request: request.WithContext(withCallerConn(request.Context(), served)), deadline: g.now() + time.Minute}
+	require.NoError(t, g.permitRequest(current, nil))
+	require.NoError(t, caller.Close())
+	require.Eventually(t, current.isCallerGone, time.Second, time.Millisecond)
+	assert.Error(t, g.permitRequest(current, nil))
+}
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -111,7 +111,7 @@
 func (g *Gateway) handleBodyError(ctx context.Context, current *callerRequest, placement *backends.Placement, err error) attempt.Step {
 	g.recordLostRun(current, placement, lossOf(ctx))
 	if current.isCallerGone() {
-		g.recordOutcome(current, placement, backends.Cancelled, "caller gone")
+		g.recordOutcome(current, placement, backends.Cancelled, errCallerGone.Error())
 		return attempt.Step{Kind: attempt.StepAbort}
 	}
 	g.recordOutcome(current, placement, backends.Lost, "body: "+err.Error())
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -32,6 +32,8 @@
 	errForeignResponse = errors.Wrap(upstream.ErrResponseMismatch, "request identifier differs")
 	// errStaleConfiguration means that the configuration is too old to check keys.
 	errStaleConfiguration = errors.New("configuration too old")
+	// errCallerGone means that the caller has disconnected since the worker was chosen.
+	errCallerGone = errors.New("caller gone")
 	// errDraining means that the worker is draining or gone since it was chosen.
 	errDraining = errors.New("worker shuts down")
 	// errLinkLost means that the connection hangs since this gateway is partitioned from the workers.
@@ -143,6 +145,9 @@
 // at its placement may have changed while a connection was opened, or while the process or the
 // machine was suspended.
 func (g *Gateway) permitRequest(current *callerRequest, worker *backends.Worker) error {
+	if current.isCallerGone() {
+		return errCallerGone
+	}
 	if current.timeLeft(g.now()) <= 0 {
 		return errDeadlinePassed
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -51,14 +51,14 @@
 			return
 		case attempt.StepAbort:
 			if current.isCallerGone() {
-				current.reason = "caller gone"
+				current.reason = errCallerGone.Error()
 				panic(http.ErrAbortHandler)
 			}
 			current.result, current.reason = resultcode.StreamInterrupted, "answer broke off"
 			panic(http.ErrAbortHandler)
 		}
 		if current.isCallerGone() {
-			current.reason = "caller gone"
+			current.reason = errCallerGone.Error()
 			panic(http.ErrAbortHandler)
 		}
 	}
@@ -184,8 +184,8 @@
 		g.recordLostRun(current, placement, lossOf(sending))
 	}
 	switch {
-	case current.isCallerGone():
-		g.recordOutcome(current, placement, backends.Cancelled, "caller gone")
+	case errors.Is(err, errCallerGone) || current.isCallerGone():
+		g.recordOutcome(current, placement, backends.Cancelled, errCallerGone.Error())
 		return attempt.Step{Kind: attempt.StepAbort}
 	case ctx.Err() != nil && sent:
 		g.recordOutcome(current, placement, backends.Lost, "deadline passed")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -53,7 +53,7 @@
 		return step
 	case current.isCallerGone() || errors.Is(err, errCallerWrite):
 		g.recordLostRun(current, placement, quarantine.Abandoned)
-		g.recordOutcome(current, placement, backends.Cancelled, "caller gone")
+		g.recordOutcome(current, placement, backends.Cancelled, errCallerGone.Error())
 		return attempt.Step{Kind: attempt.StepAbort}
 	case ctx.Err() != nil:
 		g.recordLostRun(current, placement, quarantine.Abandoned)
