Ask which run answers if the process was paused before an answer ended with its connection

What callers saw: at a gateway that was stopped for 2.2 s while 32 answers without a length were under way, whose workers crashed and returned to their addresses meanwhile, 31 or 32 of 32 cut answers came with 200 as whole ones, and 32 of 32 streams (three runs each).

Cause: the end of such an answer counts if its worker takes a new connection 20 ms later. That shows that the run lives only as long as a crashed worker can't have a successor at its address; a process that was stopped reads the end and probes seconds after the crash.

Ruled out: the time between two reads of the body as a sign (what came before the stop is read after it, without a gap); the machine's own suspension detector (it compares two clocks, which both go on while a process is stopped).

Change: suspension.PauseDetector tells of pauses by the delay of the loop that maintains roles, and at once after them, before the loop has run again. After a pause since the request was sent, only a connection from before the request proves the run; without one the worker is asked on its health path with the expected identifier, and a successor answers 421. A pause counts from 500 ms of delay on, so that with the loop's longest interval one of a second is never missed. Without a pause nothing changes.

TestAnswerCutWhileTheGatewayIsStoppedIsNotWhole failed in each of three runs before and passed in each of three after, and in 12 in four processes at once. A first form of it stopped the gateway 40 ms after the sends: beside load some hadn't reached a worker by then.

--- a/internal/gateway/answerend.go
+++ b/internal/gateway/answerend.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/rollout"
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
@@ -14,6 +15,9 @@
 // a process that crashes closes its connections and its listener one after the other.
 const endProbeDelay = 20 * time.Millisecond
 
+// runCheckTimeout bounds the time that a worker has to tell its run. A full one may take a while.
+const runCheckTimeout = 500 * time.Millisecond
+
 // errEndUnproven means that a response ended with its connection and its worker no longer answers.
 var errEndUnproven = errors.New("connection closed, and the worker can't be reached")
 
@@ -30,10 +34,40 @@
 	case <-ctx.Done():
 		return context.Cause(ctx)
 	}
-	liveness := g.upstreams.ProbeRun(ctx, g.destination(current, &placement.Worker))
+	liveness := g.probeEnd(ctx, current, &placement.Worker)
 	g.metrics.probedEnds.WithLabelValues(liveness.String()).Inc()
 	if liveness != upstream.Alive {
 		return errEndUnproven
 	}
 	return nil
 }
+
+// probeEnd finds out whether the run that sent a response to a request is alive. If the process was paused
+// meanwhile, another worker may have taken its address: a new connection proves nothing then.
+func (g *Gateway) probeEnd(ctx context.Context, current *callerRequest, worker *backends.Worker) upstream.Liveness {
+	destination, now := g.destination(current, worker), g.now()
+	switch {
+	case !g.pauses.PausedSince(current.sentAt, now):
+		return g.upstreams.ProbeRun(ctx, destination)
+	case g.upstreams.HasOpenSince(destination, now-current.sentAt):
+		return upstream.Alive
+	default:
+		return g.checkRun(ctx, worker, current.service.HealthPath)
+	}
+}
+
+// checkRun asks a worker which run it is.
+func (g *Gateway) checkRun(ctx context.Context, worker *backends.Worker, healthPath string) upstream.Liveness {
+	ctx, cancel := context.WithTimeout(g.workerCallContext(ctx, callHealth, worker), runCheckTimeout)
+	defer cancel()
+	err := g.dependencies.Engines.CheckRun(ctx, *worker, healthPath)
+	switch {
+	case err == nil:
+		return upstream.Alive
+	case errors.Is(err, rollout.ErrDifferentRun):
+		return upstream.Dead
+	default:
+		g.events.line("run_unchecked").Str("worker", string(worker.ID)).Err(err).Msg("run_unchecked")
+		return upstream.LivenessUnknown
+	}
+}
--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -184,6 +184,9 @@
 // responses to HandleNotice.
 type EngineClient interface {
 	Report(ctx context.Context, worker backends.Worker) (rollout.Report, error)
+	// CheckRun returns nil if a run of a worker of any kind answers at its address, and
+	// rollout.ErrDifferentRun if another one does. healthPath is that of the worker's service.
+	CheckRun(ctx context.Context, worker backends.Worker, healthPath string) error
 	// CacheEvents returns the changes in the cache of an engine or of a KV cache store after a
 	// position. It waits for a change, for at most wait.
 	CacheEvents(ctx context.Context, address fleet.Address, since uint64, wait time.Duration) (*CacheEvents, error)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,12 +83,14 @@
 	relays             *relays
 	carriers           *openCarriers
 	// directDial opens connections to workers and to other gateways' tunnels.
-	directDial       traffic.DialContext
-	quarantines      *quarantineState
-	streamOrigins    *streamOrigins
-	recordQueues     *recordQueues
-	storedSoftware   *storedSoftware
-	suspensions      *suspension.Detector
+	directDial     traffic.DialContext
+	quarantines    *quarantineState
+	streamOrigins  *streamOrigins
+	recordQueues   *recordQueues
+	storedSoftware *storedSoftware
+	suspensions    *suspension.Detector
+	// pauses tells of times in which the process didn't run.
+	pauses           *suspension.PauseDetector
 	suspensionSignal *suspensionSignal
 	deadlines        *deadlineTimers
 	// quarantineTable is followed only by gateways that read the store.
@@ -191,6 +193,7 @@
 	}
 	g.currentSettings.Store(&settings)
 	g.suspensions = suspension.NewDetector(g.clock, fleet.NewRuntimeClock())
+	g.pauses = suspension.NewPauseDetector(minPause)
 	g.sources = newSourceSelector(g.clock.Now(), relay.Options{
 		Self: g.node, Random: random(), AwaitRole: settings.FirstStart, StaleAfter: staleAfterFor(settings.RevokeWithin),
 	})
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -18,6 +18,7 @@
 	callRequest     callKind = "request"
 	callCacheEvents callKind = "cache_events"
 	callReport      callKind = "report"
+	callHealth      callKind = "health"
 	callOrder       callKind = "order"
 	callStore       callKind = "store"
 )
@@ -250,7 +251,7 @@
 	g.metrics.limitedWorkers.Set(float64(len(uses)))
 	for _, use := range uses {
 		line := g.events.line("worker_limit_use").Str("worker", string(use.observation.Worker)).Float64("rate", float64(use.observation.Rate))
-		for _, kind := range []callKind{callRequest, callCacheEvents, callReport, callOrder} {
+		for _, kind := range []callKind{callRequest, callCacheEvents, callReport, callHealth, callOrder} {
 			line = line.Int(string(kind), use.calls[kind])
 		}
 		line.Msg("worker_limit_use")
--- a/internal/gateway/roles.go
+++ b/internal/gateway/roles.go
@@ -137,6 +137,7 @@
 	for {
 		g.checkSuspension()
 		now := g.now()
+		g.pauses.Observe(now, rolesInterval)
 		g.demand.measure(now)
 		g.updateRoles(now)
 		if !g.pauseInterval(rolesInterval) {
--- a/internal/gateway/suspension.go
+++ b/internal/gateway/suspension.go
@@ -5,8 +5,14 @@
 	"sync"
 
 	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/quarantine"
 )
 
+// minPause is the shortest delay of a periodic loop that counts as a pause of the process. With the longest
+// interval of the loop it is no longer than a crashed worker needs for a successor.
+const minPause = quarantine.SuccessorDelay - idleTick
+
 // errResumed is the cancellation cause of calls that were in progress when the machine was
 // suspended.
 var errResumed = errors.New("machine was suspended")
--- a/internal/quarantine/lostruns.go
+++ b/internal/quarantine/lostruns.go
@@ -15,9 +15,9 @@
 	// abandonedWindow is how long before a crash an abandoned run counts: the worker may still have
 	// been processing it.
 	abandonedWindow = time.Second
-	// successorDelay is the least time from a worker's crash until another one may accept connections at
+	// SuccessorDelay is the least time from a worker's crash until another one may accept connections at
 	// its address.
-	successorDelay = time.Second
+	SuccessorDelay = time.Second
 	// rowRemovalLag is the longest time from a worker's crash to the removal of its row.
 	rowRemovalLag = 2 * time.Second
 	// crashRetention is how long a crashed worker is remembered, since its connections may be seen
@@ -184,7 +184,7 @@
 	if losses == nil {
 		return
 	}
-	if broken := losses.firstBreak(now); broken >= 0 && now >= broken+successorDelay {
+	if broken := losses.firstBreak(now); broken >= 0 && now >= broken+SuccessorDelay {
 		losses.probing = false
 		return
 	}
--- a/internal/quarantine/lostruns_test.go
+++ b/internal/quarantine/lostruns_test.go
@@ -99,8 +99,8 @@
 func TestLateProbeMayFindASuccessor(t *testing.T) {
 	lost := NewLostRuns()
 	lost.Observe(0, "w", subjectFor(1), ConnectionBroken)
-	lost.WorkerAlive(successorDelay, "w")
-	assert.Equal(t, []Subject{subjectFor(1)}, lost.WorkerCrashed(successorDelay+100*time.Millisecond, "w", RowRemoved))
+	lost.WorkerAlive(SuccessorDelay, "w")
+	assert.Equal(t, []Subject{subjectFor(1)}, lost.WorkerCrashed(SuccessorDelay+100*time.Millisecond, "w", RowRemoved))
 }
 
 // TestRunsLostBehindAnotherNodeNeedOtherEvidence guards against crashes that don't count since the run went
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -29,6 +29,8 @@
 	relay  fleet.NodeID
 	raw    net.Conn
 	reader *bufio.Reader
+	// openedAt is when the connection was opened.
+	openedAt time.Time
 	// keepAlive is how long the connection may stay idle.
 	keepAlive time.Duration
 	expires   time.Time
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -159,6 +160,7 @@
 		address:   destination.Address,
 		relay:     relayOf(raw),
 		raw:       raw,
+		openedAt:  time.Now(),
 		reader:    bufio.NewReaderSize(raw, readBufferSize),
 		keepAlive: p.options.IdleTimeout,
 	}, nil
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -36,15 +37,17 @@
 // ProbeRun finds out whether a run of a worker is still alive. An open idle connection to it is proof, since
 // a crash closes all of them; otherwise it opens a new one, also if MaxConnections are open.
 func (p *Pool) ProbeRun(ctx context.Context, destination Destination) Liveness {
-	if p.hasOpenIdle(destination) {
+	if p.HasOpenSince(destination, 0) {
 		return Alive
 	}
 	destination.MaxConnections = 0
 	return p.Probe(ctx, destination)
 }
 
-// hasOpenIdle reports whether an idle connection to a run of a worker is open.
-func (p *Pool) hasOpenIdle(destination Destination) bool {
+// HasOpenSince reports whether an idle connection to a run of a worker is open that was opened at least some
+// time ago.
+func (p *Pool) HasOpenSince(destination Destination, age time.Duration) bool {
+	now := time.Now()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	state := p.workers[destination.Engine]
@@ -52,7 +55,7 @@
 		return false
 	}
 	return slices.ContainsFunc(state.idle, func(idle *connection) bool {
-		return idle.address == destination.Address && idle.isUsable()
+		return idle.address == destination.Address && now.Sub(idle.openedAt) >= age && idle.isUsable()
 	})
 }
 
