--- a/internal/gateway/suspension.go
+++ b/internal/gateway/suspension.go
@@ -9,8 +9,8 @@
 	"github.com/tillerfall/tillerfall/internal/quarantine"
 )
 
-// minPause is the shortest delay of a periodic loop that counts as a pause of the process. With the longest
-// interval of the loop it is no longer than a crashed worker needs for a successor.
+// minPause is the shortest delay of a turn of maintainRoles that counts as a pause of the process. The loop
+// may sleep for idleTick, so that a pause as long as a crashed worker needs for a successor always counts.
 const minPause = quarantine.SuccessorDelay - idleTick
 
 // errResumed is the cancellation cause of calls that were in progress when the machine was
