Continue a stream at its copy whatever this gateway's share of connections

Cause: the send that continues the run at the copy found all connections of this gateway's share in use ("not_sent: too many connections", 10 of 100 here, while several runs moved at once), and there is no other place to go. The share is a tenth of what the worker takes, or less, so that gateways don't exhaust it together; a run that can go on nowhere else is worth one more.

Change: such a send opens a connection beyond the share.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -157,7 +157,12 @@
 	defer g.pending.remove(send)
 	defer g.checkLinkAfter(&placement.Worker)()
 	ctx = traffic.With(ctx, traffic.Requests, g.distanceTo(placement.Worker.Zone))
-	return g.upstreams.Do(ctx, g.destination(current, &placement.Worker), g.outgoingRequest(ctx, current, placement, send))
+	destination := g.destination(current, &placement.Worker)
+	if placement.Engine != nil && placement.Engine.ContinueAt != "" {
+		// No other engine can continue the run, so this gateway's share of connections doesn't apply.
+		destination.MaxConnections = 0
+	}
+	return g.upstreams.Do(ctx, destination, g.outgoingRequest(ctx, current, placement, send))
 }
 
 // isAcceptable reports whether a worker's response may be passed on. A success must be signed, and
