Log and count the decisions of retry budgets

The event retry_decision tells spent, allowed, requests, slack, members and serving; two metrics count the decisions and tell what is left.

--- a/internal/attempt/window.go
+++ b/internal/attempt/window.go
@@ -61,6 +61,20 @@
 	return true
 }
 
+// Usage is the state of a WindowBudget.
+type Usage struct {
+	// Attempts and Retries are those in the window, and Allowed is the number of retries allowed there.
+	Attempts int
+	Retries  int
+	Allowed  float64
+}
+
+// Usage returns the state of the budget at now.
+func (b *WindowBudget) Usage(now time.Duration) Usage {
+	b.advance(now)
+	return Usage{Attempts: sum(b.attempts[:]), Retries: sum(b.retries[:]), Allowed: b.allowed(now)}
+}
+
 // allowed returns the number of retries that the window allows.
 func (b *WindowBudget) allowed(now time.Duration) float64 {
 	slack := b.options.Slack
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -34,7 +34,7 @@
 		MaxRuns:       current.route.MaxAttempts,
 		Deadline:      current.deadline,
 		RetryAfter:    shortRetryAfter,
-	}, g.budgets.forService(current.service.Name))
+	}, g.budgets.forRequest(current.service.Name, current.metadata.RequestID))
 	ctx, cancel := g.deadlines.withDeadline(current.request.Context(), g.now(), current.deadline+deadlineGrace)
 	defer cancel()
 	step := attempt.Step{Kind: attempt.StepSend}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,6 +47,7 @@
 	deliveryShare   *prometheus.GaugeVec
 
 	engineSpeeds *engineSpeedMetrics
+	retryBudgets *retryMetrics
 }
 
 // bytesMetric is the name of the metric that counts the bytes of all connections.
@@ -105,6 +106,7 @@
 	}
 	m.quotaDecisions = newQuotaDecisionMetrics(registry)
 	m.engineSpeeds = newEngineSpeedMetrics(registry)
+	m.retryBudgets = newRetryMetrics(registry)
 	m.pressure = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "tillerfall_gateway_pressure", Help: "How near the node is to its limits: 0 free, 1 busy, 2 full.",
 	})
--- a/internal/gateway/retrybudgets.go
+++ b/internal/gateway/retrybudgets.go
@@ -30,13 +30,27 @@
 type retryBudgets struct {
 	settings Settings
 	// share returns this gateway's share of the slack.
-	share    func() float64
-	mutex    sync.Mutex
-	services map[fleet.PoolName]*attempt.WindowBudget
+	share func() float64
+	// onDecision is called for each retry that is granted or refused, without the mutex.
+	onDecision func(retryDecision)
+	mutex      sync.Mutex
+	services   map[fleet.PoolName]*attempt.WindowBudget
 }
 
-func newRetryBudgets(settings Settings, share func() float64) *retryBudgets {
-	return &retryBudgets{settings: settings, share: share, services: make(map[fleet.PoolName]*attempt.WindowBudget)}
+// retryDecision tells whether a budget granted a retry, and from what.
+type retryDecision struct {
+	service   fleet.PoolName
+	requestID string
+	granted   bool
+	usage     attempt.Usage
+	// slack is this gateway's part of the slack, in retries per window.
+	slack float64
+}
+
+func newRetryBudgets(settings Settings, share func() float64, onDecision func(retryDecision)) *retryBudgets {
+	return &retryBudgets{
+		settings: settings, share: share, onDecision: onDecision, services: make(map[fleet.PoolName]*attempt.WindowBudget),
+	}
 }
 
 // retryShare returns this gateway's share of the slack.
@@ -55,8 +69,8 @@
 	b.settings = settings
 }
 
-// forService returns the budget of a service.
-func (b *retryBudgets) forService(service fleet.PoolName) attempt.RetryBudget {
+// forRequest returns the budget of a service, for the retries of one request.
+func (b *retryBudgets) forRequest(service fleet.PoolName, requestID string) attempt.RetryBudget {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	slack := max(b.settings.RetrySlack*b.share(), 1)
@@ -69,13 +83,16 @@
 		b.services[service] = budget
 	}
 	budget.SetSlack(slack, slack*initialSlackFraction)
-	return &sharedBudget{owner: b, budget: budget}
+	return &sharedBudget{owner: b, budget: budget, service: service, requestID: requestID, slack: slack}
 }
 
 // sharedBudget is a budget that all requests of a service share. It is safe for concurrent use.
 type sharedBudget struct {
-	owner  *retryBudgets
-	budget *attempt.WindowBudget
+	owner     *retryBudgets
+	budget    *attempt.WindowBudget
+	service   fleet.PoolName
+	requestID string
+	slack     float64
 }
 
 // Deposit implements attempt.RetryBudget.
@@ -87,7 +104,16 @@
 
 // Withdraw implements attempt.RetryBudget.
 func (s *sharedBudget) Withdraw(now time.Duration) bool {
+	granted, usage := s.withdraw(now)
+	s.owner.onDecision(retryDecision{
+		service: s.service, requestID: s.requestID, granted: granted, usage: usage, slack: s.slack,
+	})
+	return granted
+}
+
+func (s *sharedBudget) withdraw(now time.Duration) (bool, attempt.Usage) {
 	s.owner.mutex.Lock()
 	defer s.owner.mutex.Unlock()
-	return s.budget.Withdraw(now)
+	granted := s.budget.Withdraw(now)
+	return granted, s.budget.Usage(now)
 }
--- /dev/null
+++ b/internal/gateway/retrymetrics.go
@@ -0,0 +1,45 @@
+package gateway
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Outcomes of asking a retry budget.
+const (
+	retryGranted = "granted"
+	retryRefused = "refused"
+)
+
+// retryMetrics are the metrics of retry budgets.
+type retryMetrics struct {
+	retries   *prometheus.CounterVec
+	remaining *prometheus.GaugeVec
+}
+
+func newRetryMetrics(registry *prometheus.Registry) *retryMetrics {
+	m := &retryMetrics{
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tillerfall_gateway_retries_total", Help: "Retries asked of the retry budget, by service and outcome.",
+		}, []string{"service", "outcome"}),
+		remaining: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "tillerfall_gateway_retry_budget_remaining", Help: "Retries left in the budget when it was last asked, by service.",
+		}, []string{"service"}),
+	}
+	if registry != nil {
+		registry.MustRegister(m.retries, m.remaining)
+	}
+	return m
+}
+
+// recordRetryDecision logs and counts the answer of a retry budget.
+func (g *Gateway) recordRetryDecision(decision retryDecision) {
+	outcome := retryRefused
+	if decision.granted {
+		outcome = retryGranted
+	}
+	usage := decision.usage
+	g.metrics.retryBudgets.retries.WithLabelValues(string(decision.service), outcome).Inc()
+	g.metrics.retryBudgets.remaining.WithLabelValues(string(decision.service)).Set(usage.Allowed - float64(usage.Retries))
+	g.events.line("retry_decision").Str("service", string(decision.service)).Str("request_id", decision.requestID).
+		Str("outcome", outcome).Int("spent", usage.Retries).Float64("allowed", usage.Allowed).Int("requests", usage.Attempts).
+		Float64("slack", decision.slack).Int("members", g.memberCount()).Int("serving", g.servingCount()).
+		Bool("serves", g.isServing()).Msg("retry_decision")
+}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -327,7 +327,7 @@
 		if send == nil || spent[send.service] || !w.monitor.MayMove(now, run) || !send.canMove(now) {
 			continue
 		}
-		if !g.budgets.forService(send.service).Withdraw(now) {
+		if !g.budgets.forRequest(send.service, send.requestID).Withdraw(now) {
 			spent[send.service] = true
 			g.countOverBudget(send)
 			continue
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -47,7 +47,7 @@
 // earnRetries fills the retry budget of a service.
 func earnRetries(g *Gateway, service fleet.PoolName) {
 	for range 1000 {
-		g.budgets.forService(service).Deposit(0)
+		g.budgets.forRequest(service, "r1").Deposit(0)
 	}
 }
 
--- a/internal/gateway/streamorigins_test.go
+++ b/internal/gateway/streamorigins_test.go
@@ -163,7 +163,7 @@
 	g := newTestGateway(t)
 	current := resumingRequest("tenant")
 	current.service.Engine = &routes.EngineService{}
-	current.attempts = attempt.NewForwarding(0, attempt.ForwardingPolicy{Deadline: time.Minute}, g.budgets.forService("app"))
+	current.attempts = attempt.NewForwarding(0, attempt.ForwardingPolicy{Deadline: time.Minute}, g.budgets.forRequest("app", "r1"))
 	before := g.placementRequest(current)
 	assert.True(t, before.Engine.MayRefuse)
 	current.origin = streamorigin.Only("v1")
