--- a/internal/gateway/retrybudgets.go
+++ b/internal/gateway/retrybudgets.go
@@ -6,114 +6,95 @@
 
 	"github.com/tillerfall/tillerfall/internal/attempt"
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/retrybudget"
 )
 
-// Shares of the retry budget that all gateways may spend together.
-const (
-	// ratioFraction is the part of the allowed retry ratio that a gateway spends.
-	ratioFraction = 0.95
-	// servingSlackFraction is the part of the allowed slack that the serving gateways spend
-	// together, with a margin since some gateways may not count a new one yet. The other gateways
-	// have idleSlackFraction together.
-	servingSlackFraction = 0.6
-	idleSlackFraction    = 0.2
-	// initialSlackFraction is the part of its slack that a gateway has at its start. All gateways
-	// may restart within one window, after they have spent their slack.
-	initialSlackFraction = 0.5
-	// minSlackSharers is the least number of gateways among which the slack is divided.
-	minSlackSharers = 8
-)
-
-// retryBudgets holds a retry budget for each service. Each gateway spends a fixed share of the
-// global budget, so the gateways need no coordination; a gateway that has just started gets part of
-// its share.
+// retryBudgets holds a retry budget for each service. It is safe for concurrent use.
 type retryBudgets struct {
-	settings Settings
-	// share returns this gateway's share of the slack.
-	share func() float64
+	// counts returns the numbers of gateways by which the slack is divided.
+	counts func() retrybudget.Counts
 	// onDecision is called for each retry that is granted or refused, without the mutex.
 	onDecision func(retryDecision)
-	mutex      sync.Mutex
-	services   map[fleet.PoolName]*attempt.WindowBudget
+
+	mutex    sync.Mutex
+	limits   retrybudget.Limits
+	share    retrybudget.Share
+	services map[fleet.PoolName]*retrybudget.Budget
 }
 
-// retryDecision tells whether a budget granted a retry, and from what.
+// retryDecision is the decision on a retry of a request, and the counts that it depended on.
 type retryDecision struct {
+	retrybudget.Decision
 	service   fleet.PoolName
 	requestID string
-	granted   bool
-	usage     attempt.Usage
-	// slack is this gateway's part of the slack, in retries per window.
-	slack float64
+	counts    retrybudget.Counts
 }
 
-func newRetryBudgets(settings Settings, share func() float64, onDecision func(retryDecision)) *retryBudgets {
+func newRetryBudgets(settings Settings, counts func() retrybudget.Counts, onDecision func(retryDecision)) *retryBudgets {
 	return &retryBudgets{
-		settings: settings, share: share, onDecision: onDecision, services: make(map[fleet.PoolName]*attempt.WindowBudget),
+		counts: counts, onDecision: onDecision, limits: retryLimits(settings),
+		services: make(map[fleet.PoolName]*retrybudget.Budget),
 	}
 }
 
-// retryShare returns this gateway's share of the slack.
-func (g *Gateway) retryShare() float64 {
-	members, serving := g.memberCount(), g.servingCount()
-	if g.isServing() {
-		return servingSlackFraction / float64(max(serving, minSlackSharers))
-	}
-	return idleSlackFraction / float64(max(members-serving, minSlackSharers))
+func retryLimits(settings Settings) retrybudget.Limits {
+	return retrybudget.Limits{Window: settings.RetryWindow, Ratio: settings.RetryRatio, Slack: settings.RetrySlack}
+}
+
+// retryCounts returns the numbers of gateways that this one knows.
+func (g *Gateway) retryCounts() retrybudget.Counts {
+	return retrybudget.Counts{Members: g.memberCount(), Serving: g.servingCount(), Serves: g.isServing()}
 }
 
-// setSettings replaces the bounds. Window and ratio apply only to services that have no budget yet.
+// setSettings replaces the limits. Window and ratio apply only to services that have no budget yet.
 func (b *retryBudgets) setSettings(settings Settings) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.settings = settings
+	b.limits = retryLimits(settings)
+	for _, budget := range b.services {
+		budget.SetSlack(settings.RetrySlack)
+	}
 }
 
 // forRequest returns the budget of a service, for the retries of one request.
 func (b *retryBudgets) forRequest(service fleet.PoolName, requestID string) attempt.RetryBudget {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	slack := max(b.settings.RetrySlack*b.share(), 1)
+	return &requestBudget{owner: b, service: service, requestID: requestID}
+}
+
+// budget returns the budget of a service. The mutex must be held.
+func (b *retryBudgets) budget(service fleet.PoolName) *retrybudget.Budget {
 	budget := b.services[service]
 	if budget == nil {
-		budget = attempt.NewWindowBudget(attempt.WindowOptions{
-			Window: b.settings.RetryWindow,
-			Ratio:  b.settings.RetryRatio * ratioFraction,
-		})
+		budget = retrybudget.New(b.limits)
 		b.services[service] = budget
 	}
-	budget.SetSlack(slack, slack*initialSlackFraction)
-	return &sharedBudget{owner: b, budget: budget, service: service, requestID: requestID, slack: slack}
+	return budget
 }
 
-// sharedBudget is a budget that all requests of a service share. It is safe for concurrent use.
-type sharedBudget struct {
+// requestBudget is the budget of a service as one request uses it.
+type requestBudget struct {
 	owner     *retryBudgets
-	budget    *attempt.WindowBudget
 	service   fleet.PoolName
 	requestID string
-	slack     float64
 }
 
 // Deposit implements attempt.RetryBudget.
-func (s *sharedBudget) Deposit(now time.Duration) {
-	s.owner.mutex.Lock()
-	defer s.owner.mutex.Unlock()
-	s.budget.Deposit(now)
+func (r *requestBudget) Deposit(now time.Duration) {
+	r.owner.mutex.Lock()
+	defer r.owner.mutex.Unlock()
+	r.owner.budget(r.service).RecordRequest(now)
 }
 
 // Withdraw implements attempt.RetryBudget.
-func (s *sharedBudget) Withdraw(now time.Duration) bool {
-	granted, usage := s.withdraw(now)
-	s.owner.onDecision(retryDecision{
-		service: s.service, requestID: s.requestID, granted: granted, usage: usage, slack: s.slack,
-	})
-	return granted
+func (r *requestBudget) Withdraw(now time.Duration) bool {
+	counts := r.owner.counts()
+	decision := r.take(now, counts)
+	r.owner.onDecision(retryDecision{Decision: decision, service: r.service, requestID: r.requestID, counts: counts})
+	return decision.Granted
 }
 
-func (s *sharedBudget) withdraw(now time.Duration) (bool, attempt.Usage) {
-	s.owner.mutex.Lock()
-	defer s.owner.mutex.Unlock()
-	granted := s.budget.Withdraw(now)
-	return granted, s.budget.Usage(now)
+func (r *requestBudget) take(now time.Duration, counts retrybudget.Counts) retrybudget.Decision {
+	r.owner.mutex.Lock()
+	defer r.owner.mutex.Unlock()
+	return r.owner.budget(r.service).TakeRetry(now, r.owner.share.At(now, counts))
 }
--- a/internal/gateway/retrymetrics.go
+++ b/internal/gateway/retrymetrics.go
@@ -29,17 +29,16 @@
 	return m
 }
 
-// recordRetryDecision logs and counts the answer of a retry budget.
+// recordRetryDecision logs and counts the decision of a retry budget.
 func (g *Gateway) recordRetryDecision(decision retryDecision) {
 	outcome := retryRefused
-	if decision.granted {
+	if decision.Granted {
 		outcome = retryGranted
 	}
-	usage := decision.usage
 	g.metrics.retryBudgets.retries.WithLabelValues(string(decision.service), outcome).Inc()
-	g.metrics.retryBudgets.remaining.WithLabelValues(string(decision.service)).Set(usage.Allowed - float64(usage.Retries))
+	g.metrics.retryBudgets.remaining.WithLabelValues(string(decision.service)).Set(decision.Allowed - float64(decision.Spent))
 	g.events.line("retry_decision").Str("service", string(decision.service)).Str("request_id", decision.requestID).
-		Str("outcome", outcome).Int("spent", usage.Retries).Float64("allowed", usage.Allowed).Int("requests", usage.Attempts).
-		Float64("slack", decision.slack).Int("members", g.memberCount()).Int("serving", g.servingCount()).
-		Bool("serves", g.isServing()).Msg("retry_decision")
+		Str("outcome", outcome).Int("spent", decision.Spent).Float64("allowed", decision.Allowed).Int("requests", decision.Requests).
+		Float64("share", decision.Share).Int("members", decision.counts.Members).Int("serving", decision.counts.Serving).
+		Bool("serves", decision.counts.Serves).Msg("retry_decision")
 }
