Let a retry budget grant only what its own process has earned

Callers saw nothing of it: the workers of a service that rejected requests got more repeated sends than the operator allows, when gateways were killed.

Cause: a budget allowed the retries of a whole window of requests at once, and was kept by the process alone. A killed gateway had spent what the requests of the last 10 s allow; its successor, or the gateways that took over its callers, began again with the requests after that. In 10 s around a kill the ratio is granted up to twice, the slack once more for each process.

Change: a budget begins empty. Each request earns 0.65 of the ratio, the slack is earned evenly, and what may be saved is bounded by the rest. Then whatever is granted in a window was earned in it or carried into it, whichever processes lived: 0.65 of the ratio and 0.25 of the slack, and 0.33 and 0.75 carried. Where less than one retry can be saved, the fraction is its chance.

Tests of the former policy are replaced: a new budget grants nothing (it granted half of its slack), what is saved is granted at once (a whole window's ratio was).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -215,7 +215,7 @@
 		},
 		OnDial: func(fleet.EngineID) { g.metrics.connections.Inc() },
 	})
-	g.budgets = newRetryBudgets(settings, g.retryCounts, g.recordRetryDecision)
+	g.budgets = newRetryBudgets(settings, random(), g.retryCounts, g.recordRetryDecision)
 	g.quotas = newQuotas(g.clock.Now(), settings)
 	registerTicketMetrics(registry, g.quotas.tickets)
 	g.rollout = newRolloutState(settings)
--- a/internal/gateway/retrybudgets.go
+++ b/internal/gateway/retrybudgets.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	onDecision func(retryDecision)
 
 	mutex    sync.Mutex
+	random   *rand.Rand
 	limits   retrybudget.Limits
 	share    retrybudget.Share
 	services map[fleet.PoolName]*retrybudget.Budget
@@ -30,9 +32,9 @@
 	counts    retrybudget.Counts
 }
 
-func newRetryBudgets(settings Settings, counts func() retrybudget.Counts, onDecision func(retryDecision)) *retryBudgets {
+func newRetryBudgets(settings Settings, random *rand.Rand, counts func() retrybudget.Counts, onDecision func(retryDecision)) *retryBudgets {
 	return &retryBudgets{
-		counts: counts, onDecision: onDecision, limits: retryLimits(settings),
+		counts: counts, onDecision: onDecision, random: random, limits: retryLimits(settings),
 		services: make(map[fleet.PoolName]*retrybudget.Budget),
 	}
 }
@@ -65,7 +67,7 @@
 func (b *retryBudgets) budget(service fleet.PoolName) *retrybudget.Budget {
 	budget := b.services[service]
 	if budget == nil {
-		budget = retrybudget.New(b.limits)
+		budget = retrybudget.New(b.limits, b.random)
 		b.services[service] = budget
 	}
 	return budget
@@ -80,9 +82,10 @@
 
 // Deposit implements attempt.RetryBudget.
 func (r *requestBudget) Deposit(now time.Duration) {
+	counts := r.owner.counts()
 	r.owner.mutex.Lock()
 	defer r.owner.mutex.Unlock()
-	r.owner.budget(r.service).RecordRequest(now)
+	r.owner.budget(r.service).RecordRequest(now, r.owner.share.At(now, counts))
 }
 
 // Withdraw implements attempt.RetryBudget.
--- a/internal/gateway/retrymetrics.go
+++ b/internal/gateway/retrymetrics.go
@@ -36,9 +36,9 @@
 		outcome = retryGranted
 	}
 	g.metrics.retryBudgets.retries.WithLabelValues(string(decision.service), outcome).Inc()
-	g.metrics.retryBudgets.remaining.WithLabelValues(string(decision.service)).Set(decision.Allowed - float64(decision.Spent))
+	g.metrics.retryBudgets.remaining.WithLabelValues(string(decision.service)).Set(decision.Available)
 	g.events.line("retry_decision").Str("service", string(decision.service)).Str("request_id", decision.requestID).
-		Str("outcome", outcome).Int("spent", decision.Spent).Float64("allowed", decision.Allowed).Int("requests", decision.Requests).
+		Str("outcome", outcome).Float64("available", decision.Available).Float64("capacity", decision.Capacity).Int("requests", decision.Requests).
 		Float64("share", decision.Share).Int("members", decision.counts.Members).Int("serving", decision.counts.Serving).
 		Bool("serves", decision.counts.Serves).Msg("retry_decision")
 }
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -1,20 +1,22 @@
 package retrybudget
 
-import "time"
-
-// A window is counted in windowSlots slots. The ring has one more, so that it always covers the
-// whole window.
-const (
-	windowSlots = 20
-	ringSlots   = windowSlots + 1
+import (
+	"math/rand/v2"
+	"time"
 )
 
+// Fractions of the limits. The retries in a window are paid from what the window itself earned and
+// from what was carried into it, whichever processes lived then. So each fraction of what is earned
+// and the corresponding one of what is carried add up to less than one.
 const (
-	// ratioFraction is the part of the allowed retry ratio that a gateway spends.
-	ratioFraction = 0.95
-	// initialSlackFraction is the part of its slack that a gateway has at its start. All gateways
-	// may restart within one window, after they have spent their slack.
-	initialSlackFraction = 0.5
+	// earnedRatio is the part of the ratio that each request earns, and carriedRatio the part for the
+	// requests of the last window that may be carried.
+	earnedRatio  = 0.65
+	carriedRatio = 0.33
+	// earnedSlack is the part of a gateway's slack that it earns evenly over a window, and
+	// carriedSlack the part that may be carried.
+	earnedSlack  = 0.25
+	carriedSlack = 0.75
 )
 
 // Limits bound the retries of all gateways together.
@@ -30,80 +32,73 @@
 // Decision is the answer of a budget that is asked for a retry.
 type Decision struct {
 	Granted bool
-	// Requests and Spent are the requests and the retries in the gateway's window, with this one.
+	// Available is the number of retries left, and Capacity the number that may be saved.
+	Available float64
+	Capacity  float64
+	// Requests is the number of requests in the gateway's window, and Share its part of the slack.
 	Requests int
-	Spent    int
-	// Allowed is the number of retries that the gateway may send in the window, and Share its part
-	// of the slack.
-	Allowed float64
-	Share   float64
+	Share    float64
 }
 
-// Budget is one gateway's budget for the retries at one service.
+// Budget is one gateway's budget for the retries at one service. A new one is empty, so that nothing
+// is granted twice when a process is replaced.
 type Budget struct {
-	limits   Limits
-	requests [ringSlots]int
-	retries  [ringSlots]int
-	// newestSlot is the number of the current slot, counted from the clock's zero.
-	newestSlot  int64
-	startTime   time.Duration
-	initialized bool
+	limits    Limits
+	random    *rand.Rand
+	requests  requestWindow
+	available float64
+	// updatedAt is the time of the last update, and share the part of the slack then.
+	updatedAt time.Duration
+	share     float64
 }
 
-// New returns a budget without recorded requests or retries.
-func New(limits Limits) *Budget {
-	return &Budget{limits: limits}
+// New returns an empty budget. random decides on retries where less than one can be saved.
+func New(limits Limits, random *rand.Rand) *Budget {
+	return &Budget{limits: limits, random: random, requests: requestWindow{length: limits.Window}}
 }
 
 // SetSlack replaces the slack of the limits.
 func (b *Budget) SetSlack(slack float64) { b.limits.Slack = slack }
 
-// RecordRequest counts a request for the service.
-func (b *Budget) RecordRequest(now time.Duration) {
-	b.advance(now)
-	b.requests[b.newestSlot%ringSlots]++
+// RecordRequest counts a request for the service. share is the gateway's part of the slack.
+func (b *Budget) RecordRequest(now time.Duration, share float64) {
+	b.requests.add(now)
+	b.available += earnedRatio * b.limits.Ratio
+	b.update(now, share)
 }
 
 // TakeRetry asks for a retry. share is the gateway's part of the slack.
 func (b *Budget) TakeRetry(now time.Duration, share float64) Decision {
-	b.advance(now)
-	allowed := b.allowed(now, max(b.limits.Slack*share, 1))
-	granted := float64(sum(b.retries[:])+1) <= allowed
-	if granted {
-		b.retries[b.newestSlot%ringSlots]++
-	}
+	capacity := b.update(now, share)
+	granted := b.take(capacity)
 	return Decision{
-		Granted: granted, Requests: sum(b.requests[:]), Spent: sum(b.retries[:]), Allowed: allowed, Share: share,
-	}
-}
-
-// allowed returns the number of retries that the window allows.
-func (b *Budget) allowed(now time.Duration, slack float64) float64 {
-	if now < b.startTime+b.limits.Window {
-		slack *= initialSlackFraction
+		Granted: granted, Available: b.available, Capacity: capacity, Requests: b.requests.count(now), Share: share,
 	}
-	// The oldest slot is only partly in the window: its retries count, its requests don't.
-	oldest := (b.newestSlot + 1) % ringSlots
-	return b.limits.Ratio*ratioFraction*float64(sum(b.requests[:])-b.requests[oldest]) + slack
 }
 
-// advance clears the slots that have left the window.
-func (b *Budget) advance(now time.Duration) {
-	newest := int64(now / (b.limits.Window / windowSlots))
-	if !b.initialized {
-		b.initialized, b.startTime, b.newestSlot = true, now, newest
-		return
+// take takes a retry if there is one. Where less than one can be saved, what is there is the chance of
+// one, and is used up.
+func (b *Budget) take(capacity float64) bool {
+	switch {
+	case b.available >= 1:
+		b.available--
+		return true
+	case capacity >= 1:
+		return false
+	default:
+		granted := b.random.Float64() < b.available
+		b.available = 0
+		return granted
 	}
-	for next := max(b.newestSlot+1, newest-ringSlots+1); next <= newest; next++ {
-		b.requests[next%ringSlots], b.retries[next%ringSlots] = 0, 0
-	}
-	b.newestSlot = max(b.newestSlot, newest)
 }
 
-func sum(counts []int) int {
-	total := 0
-	for _, count := range counts {
-		total += count
-	}
-	return total
+// update adds what the slack has earned since the last update and returns the capacity, to which it
+// limits what is available.
+func (b *Budget) update(now time.Duration, share float64) float64 {
+	elapsed := max(now-b.updatedAt, 0).Seconds()
+	b.available += earnedSlack * b.limits.Slack * min(share, b.share) * elapsed / b.limits.Window.Seconds()
+	b.updatedAt, b.share = max(now, b.updatedAt), share
+	capacity := carriedRatio*b.limits.Ratio*float64(b.requests.count(now)) + carriedSlack*b.limits.Slack*share
+	b.available = min(b.available, capacity)
+	return capacity
 }
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -10,33 +10,58 @@
 )
 
 func newTestBudget() *Budget {
-	return New(Limits{Window: 10 * time.Second, Ratio: 0.2, Slack: 4})
+	return New(Limits{Window: 10 * time.Second, Ratio: 0.2, Slack: 4}, rand.New(rand.NewPCG(1, 1)))
 }
 
-func spend(budget *Budget, now time.Duration) int {
+func spend(budget *Budget, now time.Duration, share float64) int {
 	spent := 0
-	for budget.TakeRetry(now, 1).Granted {
+	for budget.TakeRetry(now, share).Granted {
 		spent++
 	}
 	return spent
 }
 
-func TestBudgetAllowsBurst(t *testing.T) {
+// TestNewBudgetGrantsNothing guards against a process that spends what the one before it may have spent.
+func TestNewBudgetGrantsNothing(t *testing.T) {
+	for _, now := range []time.Duration{0, time.Second, time.Minute} {
+		assert.Zero(t, spend(newTestBudget(), now, 1), "at %s", now)
+	}
+}
+
+// TestSavedRetriesAreGrantedAtOnce guards against a budget that can't pay for the loss of a worker with
+// many requests in flight.
+func TestSavedRetriesAreGrantedAtOnce(t *testing.T) {
 	budget := newTestBudget()
-	for number := range 100 {
-		budget.RecordRequest(time.Duration(number) * 100 * time.Millisecond)
+	for number := range 200 {
+		budget.RecordRequest(time.Duration(number)*100*time.Millisecond, 1)
 	}
-	assert.Equal(t, 21, spend(budget, 9900*time.Millisecond), "0.19 times 100 attempts and the initial slack")
-	assert.Zero(t, spend(budget, 15*time.Second), "the budget is spent and half of the attempts have left the window")
-	assert.Equal(t, 4, spend(budget, 20500*time.Millisecond), "only the slack")
+	capacity := carriedRatio*0.2*100 + carriedSlack*4
+	assert.InDelta(t, capacity, spend(budget, 19900*time.Millisecond, 1), 1)
+	assert.Zero(t, spend(budget, 19950*time.Millisecond, 1))
+	assert.Equal(t, 2, spend(budget, 40*time.Second, 1), "earned by the slack alone, up to what may be carried of it")
 }
 
-func TestFirstWindowHasInitialSlack(t *testing.T) {
+// TestSlackIsEarnedAtTheSmallerShare guards against a gateway that becomes a serving one and then earns
+// for the time before.
+func TestSlackIsEarnedAtTheSmallerShare(t *testing.T) {
+	budget := New(Limits{Window: 10 * time.Second, Ratio: 0.2, Slack: 1000}, rand.New(rand.NewPCG(1, 1)))
+	budget.RecordRequest(0, 0.001)
+	assert.LessOrEqual(t, spend(budget, 20*time.Second, 1), 1)
+}
+
+// TestFractionsOfRetriesAverageOut guards against a gateway with too few requests to save one retry that
+// never sends any, or sends one for each request.
+func TestFractionsOfRetriesAverageOut(t *testing.T) {
+	granted := 0
 	budget := newTestBudget()
-	assert.Equal(t, 2, spend(budget, time.Minute))
-	assert.Equal(t, 4, spend(budget, time.Minute+11*time.Second))
-	budget.SetSlack(1)
-	assert.Equal(t, 1, spend(budget, time.Minute+30*time.Second))
+	for number := range 10_000 {
+		now := time.Duration(number) * 4 * time.Second
+		budget.RecordRequest(now, 0)
+		if budget.TakeRetry(now, 0).Granted {
+			granted++
+		}
+	}
+	assert.InDelta(t, 10_000*0.2*min(earnedRatio, 3*carriedRatio), granted, 200)
 }
 
 // No span as long as the window may contain more retries than the ratio and the slack allow.
@@ -52,12 +77,13 @@
 				now += 2 * time.Second
 			}
 			if random.IntN(3) > 0 {
-				budget.RecordRequest(now)
+				budget.RecordRequest(now, 1)
 				attempts = append(attempts, now)
 			} else if budget.TakeRetry(now, 1).Granted {
 				retries = append(retries, now)
 			}
 		}
+		require.NotEmpty(t, retries)
 		for _, end := range retries {
 			inWindow := func(times []time.Duration) int {
 				count := 0
@@ -73,3 +99,13 @@
 		}
 	}
 }
+
+// TestLongPauseEarnsNoMoreThanTheCapacity guards against a clock that jumps, such as after a suspension.
+func TestLongPauseEarnsNoMoreThanTheCapacity(t *testing.T) {
+	budget := newTestBudget()
+	for number := range 100 {
+		budget.RecordRequest(time.Duration(number)*50*time.Millisecond, 1)
+	}
+	assert.LessOrEqual(t, spend(budget, 24*time.Hour, 1), 4)
+	assert.LessOrEqual(t, spend(budget, time.Hour, 1), 0, "a clock that goes back earns nothing")
+}
--- a/internal/retrybudget/fleet_simulation_test.go
+++ b/internal/retrybudget/fleet_simulation_test.go
@@ -90,7 +90,7 @@
 }
 
 func (s *simulation) newProcess() *process {
-	return &process{budget: New(s.fleet.limits), startedAt: s.now}
+	return &process{budget: New(s.fleet.limits, s.random), startedAt: s.now}
 }
 
 // kill ends the process of a machine without notice. Another one starts after the given time.
@@ -245,7 +245,7 @@
 		return
 	}
 	clock := at - process.startedAt
-	process.budget.RecordRequest(clock)
+	process.budget.RecordRequest(clock, process.share.At(clock, machine.counts))
 	for try := range maxRetries {
 		if s.random.Float64() >= s.retryChance {
 			return
