Let gateways report rejections at workers to each other

A load report names the workers that have rejected requests of the sender in the last 5 s, with the counts of rejected and served ones since then. The receiver adds what is new in them to the worker's failure rate, with less weight than its own outcomes: a worker may reject the requests of some gateways alone. At most 64 workers a report, 20 bytes each, none while no worker rejects.

--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -356,9 +356,13 @@
 	switch outcome {
 	case Succeeded:
 		state.recordOutcome(now, false)
+		state.recordServed()
 		state.recordContact(now)
-	case Failed, Refused:
+	case Failed:
 		state.recordOutcome(now, true)
+	case Refused:
+		state.recordOutcome(now, true)
+		r.recordRejection(now, state)
 	case Mismatched:
 		state.mismatchUntil = now + mismatchBackoff
 	case Unreachable:
--- a/internal/backends/peers.go
+++ b/internal/backends/peers.go
@@ -19,6 +19,8 @@
 	Cordons map[fleet.EngineID]time.Duration
 	// Work holds the work of the peer's requests by service.
 	Work map[fleet.PoolName]Work
+	// Outcomes are those at workers that have rejected requests of the peer.
+	Outcomes []Outcomes
 	// TenantWork holds the engine time of the peer's requests by service and tenant.
 	TenantWork map[fleet.PoolName][]overload.Use
 }
@@ -263,7 +265,8 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.observePeerUse(now, node, report.TenantWork)
-	report.TenantWork = nil
+	r.observePeerOutcomes(now, node, report.Outcomes)
+	report.TenantWork, report.Outcomes = nil, nil
 	r.peers.observe(now, node, report)
 }
 
@@ -279,6 +282,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.peers.forget(node)
+	delete(r.peerOutcomes, node)
 	for _, controller := range r.overloadControllers {
 		controller.ForgetPeer(node)
 	}
--- a/internal/backends/registry.go
+++ b/internal/backends/registry.go
@@ -63,8 +63,12 @@
 	unpublishedDraining map[fleet.EngineID]bool
 	forgottenDraining   map[fleet.EngineID]drainingRecord
 	peers               *peerReports
-	required            map[fleet.ModelName]ModelVersion
-	preferred           map[fleet.ModelName]ModelVersion
+	// rejecting are the workers that have rejected requests of this node of late, and peerOutcomes the
+	// outcomes that each peer last reported.
+	rejecting    map[fleet.EngineID]bool
+	peerOutcomes map[fleet.NodeID]map[fleet.EngineID]Outcomes
+	required     map[fleet.ModelName]ModelVersion
+	preferred    map[fleet.ModelName]ModelVersion
 	// memoryCapacities holds, by service, the KV cache capacity of an engine in tokens.
 	memoryCapacities map[fleet.PoolName]int
 	// speedEstimates holds, by service, the measured speed of its engines.
@@ -122,6 +126,8 @@
 		unpublishedDraining: make(map[fleet.EngineID]bool),
 		forgottenDraining:   make(map[fleet.EngineID]drainingRecord),
 		peers:               newPeerReports(),
+		rejecting:           make(map[fleet.EngineID]bool),
+		peerOutcomes:        make(map[fleet.NodeID]map[fleet.EngineID]Outcomes),
 		required:            make(map[fleet.ModelName]ModelVersion),
 		preferred:           make(map[fleet.ModelName]ModelVersion),
 		memoryCapacities:    make(map[fleet.PoolName]int),
--- a/internal/backends/worker.go
+++ b/internal/backends/worker.go
@@ -111,6 +111,8 @@
 
 	failureMean   float64
 	failureMeanAt time.Duration
+	// outcomes are reported to other nodes while the worker rejects requests.
+	outcomes outcomeCounts
 	// speed is the measured speed of an engine. It counts while the engines of the service differ.
 	speed enginespeed.Factors
 	// slowness is the moving average of the ratio of measured to predicted time to first byte at this
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -242,6 +242,7 @@
 	}
 	report.Loads = g.encodeLoads(g.workers.OwnLoad())
 	report.Speeds = g.encodeEngineSpeeds(now, to)
+	report.Outcomes = g.encodeOutcomes(now)
 	for service, work := range g.workers.OwnWork(now) {
 		report.Work = append(report.Work, &rpc.ServiceWork{
 			Service: string(service), LongMillis: uint32(work.Long.Milliseconds()), ShortMillis: uint32(work.Short.Milliseconds()),
@@ -344,7 +345,7 @@
 	}
 	g.workers.ObservePeer(now, fleet.NodeID(report.GetNode()), backends.PeerReport{
 		Loads: g.decodeLoads(report.GetLoads()), Suspects: suspects, Cordons: orders, Work: work, Deferring: g.deferringWorkers(report),
-		TenantWork: g.decodeTenantWork(report.GetTenantWork()),
+		TenantWork: g.decodeTenantWork(report.GetTenantWork()), Outcomes: g.decodeOutcomes(report.GetOutcomes()),
 	})
 	g.applyEngineSpeeds(now, report)
 	for _, run := range report.GetDraining() {
