Don't take a reset that the writer saw for the end of an answer

Cause: the body of a request over 2 KB is written by a goroutine of its own. The kernel reports a reset once, to whichever of the two asks first. If that is the writer, the reader sees the end of the file, which is the regular end of an answer without a length; the writer's error only decided whether the connection is used again. The node between does the same in a tunnel, where the end was passed on as the last chunk.

Change: an answer that ends with its connection is complete only if the request was written without an error. The write is given 0.5 s after the end. Carrier does the same before it passes the end on.

Answers with a length or chunks, and short requests, were right: their end shows by itself, and only the reader asks.

--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -35,6 +35,8 @@
 	nodeParameter   = "node"
 	// bufferSize is the size of the buffers of each direction, in bytes.
 	bufferSize = 4 << 10
+	// endWriteTimeout is how long a write to the worker may go on after the worker's end.
+	endWriteTimeout = 500 * time.Millisecond
 )
 
 // Request is what a node asks for.
@@ -175,6 +177,9 @@
 	// set while the last ones came from the node.
 	lastByteAt   atomic.Int64
 	awaitsWorker atomic.Bool
+	// writing is held while bytes are written to the worker, and writeErr is the error of the last write.
+	writing  sync.Mutex
+	writeErr error
 }
 
 // NewCarrier returns a carrier between two connections, which it takes over.
@@ -187,10 +192,10 @@
 	var group sync.WaitGroup
 	group.Go(func() {
 		// The requesting node never closes one direction alone: its end means that the caller has left.
-		_, _ = io.CopyBuffer(onlyWriter{c.worker}, c.observe(c.node, true), make([]byte, bufferSize))
+		_, _ = io.CopyBuffer(writerFunc(c.writeToWorker), c.observe(c.node, true), make([]byte, bufferSize))
 		_ = c.worker.Close()
 	})
-	if copyChunked(c.node, c.observe(c.worker, false)) == nil {
+	if copyChunked(c.node, c.observeEnd()) == nil {
 		closeWrite(c.node)
 	} else {
 		reset(c.node)
@@ -219,12 +224,44 @@
 	})
 }
 
+// writeToWorker writes to the worker and keeps the error for observeEnd.
+func (c *Carrier) writeToWorker(content []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	count, err := c.worker.Write(content)
+	if err != nil {
+		c.writeErr = err
+	}
+	return count, err
+}
+
+// observeEnd returns a reader of the worker's bytes that ends with the error of a write, if there is one. A
+// reset is reported to the writer or to the reader, not to both: the reader then sees a regular end.
+func (c *Carrier) observeEnd() io.Reader {
+	worker := c.observe(c.worker, false)
+	return readerFunc(func(into []byte) (int, error) {
+		count, err := worker.Read(into)
+		if err != io.EOF {
+			return count, err
+		}
+		_ = c.worker.SetWriteDeadline(time.Now().Add(endWriteTimeout))
+		c.writing.Lock()
+		defer c.writing.Unlock()
+		if c.writeErr != nil {
+			return count, c.writeErr
+		}
+		return count, io.EOF
+	})
+}
+
 type readerFunc func(into []byte) (int, error)
 
 func (f readerFunc) Read(into []byte) (int, error) { return f(into) }
 
-// onlyWriter hides the other methods of a connection, by which io.Copy would use splice(2).
-type onlyWriter struct{ io.Writer }
+// writerFunc has no other methods, by which io.Copy would use splice(2).
+type writerFunc func(content []byte) (int, error)
+
+func (f writerFunc) Write(content []byte) (int, error) { return f(content) }
 
 // copyChunked copies the bytes of a worker in chunked coding. It returns nil once the worker has closed
 // its connection and the last chunk was written.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -98,6 +98,27 @@
 	}
 }
 
+// TestResetWhileTheRequestIsWrittenBreaksTheTunnel guards against an answer that looks complete, since the
+// node between wrote the request when the worker's connection was reset, and its reader saw a regular end.
+func TestResetWhileTheRequestIsWrittenBreaksTheTunnel(t *testing.T) {
+	for range 20 {
+		asking, worker, _ := openTunnel(t)
+		require.NoError(t, worker.(*net.TCPConn).SetReadBuffer(4<<10))
+		go func() { _, _ = asking.Write(make([]byte, 8<<20)) }()
+		_, err := io.WriteString(worker, "answer")
+		require.NoError(t, err)
+		buffer := make([]byte, 6)
+		_, err = io.ReadFull(asking, buffer)
+		require.NoError(t, err)
+		time.Sleep(5 * time.Millisecond)
+		reset(worker)
+		_, err = asking.Read(buffer)
+		require.Error(t, err)
+		require.NotEqual(t, io.EOF, err)
+		_ = asking.Close()
+	}
+}
+
 // TestWorkerHearsThatTheCallerHasLeft guards against runs that go on after the asking node has closed
 // its end.
 func TestWorkerHearsThatTheCallerHasLeft(t *testing.T) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -22,6 +22,10 @@
 // writeBufferSize is the size of the write buffer of a request, in bytes.
 const writeBufferSize = 4 << 10
 
+// endWriteTimeout is how long the write of a body may go on after the response has ended with its
+// connection.
+const endWriteTimeout = 500 * time.Millisecond
+
 // Response is a worker's response whose body is still to be read. Close must be called; the
 // connection is reused only if the body was read to its end.
 type Response struct {
@@ -43,6 +47,11 @@
 // Read reads from the body. It returns io.EOF only at the regular end of the body.
 func (r *Response) Read(into []byte) (int, error) {
 	count, err := r.body.Read(into)
+	if err == io.EOF && r.EndsWithConnection {
+		if cause := r.exchange.awaitWrite(); cause != nil {
+			return count, errors.Wrap(cause, "connection ended before the request was written")
+		}
+	}
 	if err == io.EOF {
 		r.complete = true
 	}
@@ -65,6 +74,19 @@
 	once      sync.Once
 }
 
+// awaitWrite returns the error of a concurrent write of the body, which it ends after endWriteTimeout. A
+// reset is reported to the writer or to the reader, not to both: the reader then sees a regular end.
+func (e *exchange) awaitWrite() error {
+	if e.writeDone == nil {
+		return nil
+	}
+	if err := e.conn.raw.SetWriteDeadline(time.Now().Add(endWriteTimeout)); err != nil {
+		return err
+	}
+	<-e.writeDone
+	return e.writeErr
+}
+
 // finish releases the connection for reuse or closes it.
 func (e *exchange) finish(reuse bool) {
 	e.once.Do(func() {
