Don't use a connection again after an answer that names no request

Cause: a rejection was matched to its request by the absence of an identifier, and its connection carried further requests.

Change: Identify tells whether a response names its request. One that names none (a rejection, or the answer to a request without an identifier) counts only since all earlier ones on its connection were identified, and closes it. Answers that name another request end the exchange as before; the request may have run.

Left: the client for engines' cache events keeps a connection whose answers have no identifier; calls, reports and health checks open one for each.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -28,8 +28,6 @@
 
 // Causes of sends that are not made or whose response is discarded.
 var (
-	// errForeignResponse means that a response belongs to another request.
-	errForeignResponse = errors.Wrap(upstream.ErrResponseMismatch, "request identifier differs")
 	// errStaleConfiguration means that the configuration is too old to check keys.
 	errStaleConfiguration = errors.New("configuration too old")
 	// errCallerGone means that the caller has disconnected since the worker was chosen.
@@ -93,16 +91,25 @@
 			send.direct.Store(relay == "")
 		},
 		Permit: func() error { return g.permitSend(ctx, current, &placement.Worker, dispatch, header) },
-		CheckResponse: func(status int, header http.Header) error {
-			info := g.dependencies.Codec.ReadResponse(status, header)
-			if info.RequestID != id && (info.RequestID != "" || !info.NotExecuted) {
-				return errForeignResponse
-			}
-			return nil
+		Identify: func(status int, header http.Header) upstream.Identity {
+			return identify(id, g.dependencies.Codec.ReadResponse(status, header))
 		},
 	}
 }
 
+// identify tells whether a response answers the request with an identifier. Only rejections may lack one,
+// and the responses to requests that have none.
+func identify(id string, info ResponseInfo) upstream.Identity {
+	switch {
+	case info.RequestID == id && id != "":
+		return upstream.Identified
+	case info.RequestID == "" && (info.NotExecuted || id == ""):
+		return upstream.Unidentified
+	default:
+		return upstream.Foreign
+	}
+}
+
 // permitSend checks, right before a request is written, whether it may still be sent. It corrects
 // the time left in the header, since opening the connection may have taken long.
 func (g *Gateway) permitSend(ctx context.Context, current *callerRequest, worker *backends.Worker, dispatch *Dispatch, header http.Header) error {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -33,6 +33,8 @@
 	Header http.Header
 	// ContentLength is the length of the body in bytes, or -1 if unknown.
 	ContentLength int64
+	// Unidentified is set if the response names no request. Its connection carries no other exchange.
+	Unidentified bool
 	// Reused is set if the connection had carried an earlier exchange.
 	Reused bool
 	// EndsWithConnection is set if the body has neither a length nor chunks (RFC 9112, section 6.3): a
@@ -200,15 +202,18 @@
 	if response.StatusCode < http.StatusOK {
 		return nil, errors.Errorf("unexpected interim response %d", response.StatusCode)
 	}
-	if request.CheckResponse != nil {
-		if err := request.CheckResponse(response.StatusCode, response.Header); err != nil {
-			return nil, err
-		}
+	identity := Identified
+	if request.Identify != nil {
+		identity = request.Identify(response.StatusCode, response.Header)
+	}
+	if identity == Foreign {
+		return nil, ErrResponseMismatch
 	}
 	e.conn.applyKeepAlive(response.Header)
-	e.reusable = !response.Close && e.conn.keepAlive > 0
+	e.reusable = identity == Identified && !response.Close && e.conn.keepAlive > 0
 	return &Response{
 		Status:        response.StatusCode,
+		Unidentified:  identity == Unidentified,
 		Header:        response.Header,
 		ContentLength: response.ContentLength,
 		exchange:      e,
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -39,7 +39,7 @@
 	// ErrTooManyConnections means that MaxConnections to the worker are in use.
 	ErrTooManyConnections = errors.New("too many connections")
 	// ErrResponseMismatch means that the response belongs to another request.
-	ErrResponseMismatch = errors.New("response to another request")
+	ErrResponseMismatch = errors.New("response to another request: identifier differs")
 	// ErrUnsolicitedData means that an idle connection received data.
 	ErrUnsolicitedData = errors.New("unsolicited data on idle connection")
 )
@@ -71,10 +71,24 @@
 	// Connected is called once the connection is available, with the node through which it goes, which
 	// is empty for a direct one; may be nil.
 	Connected func(relay fleet.NodeID)
-	// CheckResponse returns an error for a response that belongs to another request; may be nil.
-	CheckResponse func(status int, header http.Header) error
+	// Identify tells whether a response answers this request. nil takes every response for its answer.
+	Identify func(status int, header http.Header) Identity
 }
 
+// Identity tells whether a response answers a request.
+type Identity int
+
+// Identities of a response.
+const (
+	// Identified means that the response names the request.
+	Identified Identity = iota
+	// Unidentified means that the response names no request. It is the answer if all earlier responses
+	// on its connection were identified; a later one there could be a copy of it.
+	Unidentified
+	// Foreign means that the response names another request, or none where it must.
+	Foreign
+)
+
 // Destination is one run of one worker.
 type Destination struct {
 	Engine  fleet.EngineID
