Bound the head of a worker's response

Cause: the head of a response was read by http.ReadResponse from the bare connection, which buffers a line, and all lines of the header, whatever their length; net/http's own client bounds it.

Change: 64 KB for the head, counted on the connection and only while a head is due. What exceeds it ends that exchange alone: the request may have run, so it goes on to another worker only if it may be repeated, else the caller gets 502. The event response_head_too_large names the worker and the limit; tillerfall_gateway_unreadable_total{source="response_head"} counts.

Elsewhere, by reading: an event has 256 KB, a response is buffered up to 64 KB, chunk lines have 4 KB and trailers the read buffer (net/http), bodies from the platform and from workers' calls maxResponseBytes, callers' heads max_header_bytes. Replies between gateways have no bound.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -22,6 +22,9 @@
 // reasonUnreachable is the reason for refusing a request while no gateway reaches any worker.
 const reasonUnreachable = "no_worker_reachable"
 
+// inputResponseHead is the source of an invalid input in the metrics: the head of a worker's response.
+const inputResponseHead = "response_head"
+
 // errDeadlinePassed is the cause of a send that is cancelled at its deadline.
 var errDeadlinePassed = errors.New("deadline passed")
 
@@ -184,6 +187,7 @@
 	run := placement.Worker.Run()
 	var failure *upstream.ExchangeError
 	sent := !errors.As(err, &failure) || failure.Stage == upstream.Sent
+	g.reportOversizedHead(current, placement, err)
 	moved := current.watched.isMoved()
 	if sent && !moved {
 		g.recordLostRun(current, placement, lossOf(sending))
@@ -236,6 +240,16 @@
 	}
 }
 
+// reportOversizedHead logs and counts a response whose head exceeds its bound.
+func (g *Gateway) reportOversizedHead(current *callerRequest, placement *backends.Placement, err error) {
+	if !errors.Is(err, upstream.ErrHeadTooLarge) {
+		return
+	}
+	g.metrics.invalidInputs.WithLabelValues(inputResponseHead).Inc()
+	g.events.line("response_head_too_large").Str("request_id", current.metadata.RequestID).Str("worker", string(placement.Worker.ID)).
+		Str("address", string(placement.Worker.Address)).Int("limit", upstream.MaxResponseHeadBytes).Msg("response_head_too_large")
+}
+
 // handleRejection returns the next step after a worker reported that it did not run the request.
 func (g *Gateway) handleRejection(current *callerRequest, placement *backends.Placement, response *upstream.Response, info ResponseInfo) attempt.Step {
 	drainResponse(response)
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -21,6 +21,31 @@
 // that no request is sent while the worker closes it.
 const keepAliveMargin = 700 * time.Millisecond
 
+// MaxResponseHeadBytes bounds the head of a response, with all interim ones, in bytes. What a worker sends
+// beyond it would be buffered until the request's deadline.
+const MaxResponseHeadBytes = 64 << 10
+
+// headLimiter reads from a connection and bounds what is read while a response head is due.
+type headLimiter struct {
+	conn net.Conn
+	// limited is set while a head is read, and remaining is the number of bytes that it may still have.
+	limited   bool
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(into []byte) (int, error) {
+	if !l.limited {
+		return l.conn.Read(into)
+	}
+	if l.remaining <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	count, err := l.conn.Read(into[:min(len(into), l.remaining)])
+	l.remaining -= count
+	return count, err
+}
+
 // connection is one connection to a worker.
 type connection struct {
 	engine  fleet.EngineID
@@ -29,6 +54,8 @@
 	relay  fleet.NodeID
 	raw    net.Conn
 	reader *bufio.Reader
+	// head is what reader reads from.
+	head *headLimiter
 	// openedAt is when the connection was opened.
 	openedAt time.Time
 	// keepAlive is how long the connection may stay idle.
@@ -45,6 +72,13 @@
 	return count, err
 }
 
+// readHead reads the head of the response to a request.
+func (c *connection) readHead(request *http.Request) (*http.Response, error) {
+	c.head.limited, c.head.remaining = true, MaxResponseHeadBytes
+	defer func() { c.head.limited = false }()
+	return http.ReadResponse(c.reader, request)
+}
+
 // isUsable reports whether an idle connection is open and has nothing to read. Unsolicited bytes
 // may be a late response, which must not be taken for the response to the next request.
 func (c *connection) isUsable() bool {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -179,13 +179,15 @@
 	if p.options.OnDial != nil {
 		p.options.OnDial(destination.Engine)
 	}
+	head := &headLimiter{conn: raw}
 	return &connection{
+		head:      head,
 		engine:    destination.Engine,
 		address:   destination.Address,
 		relay:     relayOf(raw),
 		raw:       raw,
 		openedAt:  time.Now(),
-		reader:    bufio.NewReaderSize(raw, readBufferSize),
+		reader:    bufio.NewReaderSize(head, readBufferSize),
 		keepAlive: p.options.IdleTimeout,
 	}, nil
 }
@@ -195,7 +197,7 @@
 	if err := e.send(outgoing, len(request.Body)); err != nil {
 		return nil, err
 	}
-	response, err := http.ReadResponse(e.conn.reader, outgoing)
+	response, err := e.conn.readHead(outgoing)
 	if err != nil {
 		return nil, errors.Wrap(err, "read response")
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -40,6 +40,8 @@
 	ErrTooManyConnections = errors.New("too many connections")
 	// ErrResponseMismatch means that the response belongs to another request.
 	ErrResponseMismatch = errors.New("response to another request: identifier differs")
+	// ErrHeadTooLarge means that the head of a response exceeds MaxResponseHeadBytes.
+	ErrHeadTooLarge = errors.New("response head too large")
 	// ErrUnsolicitedData means that an idle connection received data.
 	ErrUnsolicitedData = errors.New("unsolicited data on idle connection")
 )
