Bound the memory that the bodies of requests take together

80 callers with bodies of 4 MB, within max_body_bytes, took a gateway with a memory_mb of 134 to 278 and 280 MB; it would have been killed with all that it had under way. The pressure that refuses new requests is measured each second and knows nothing of bodies that are still being read.

Change: package bodymemory, a number of bytes that requests hold from the first byte of their body to their end: half of what memory_mb has beyond 64 MB, 8 MB at least. A body that doesn't fit waits, the more urgent first, for a quarter of its time and 1 s at most, and is then refused with 503 before it is read. A body of unknown length takes more as it grows, without waiting. What a refused caller still sends is read and dropped for 2 s, so that it sees the refusal.

Evidence: TestLargeBodiesStayWithinTheMemory (a gateway process) failed before (278 and 280 MB); now 83 to 92 MB, with a length 26 and 27 served and 53 and 54 refused, in chunks 8 and 72. TestBudgetIsNeverExceeded, TestUrgentBodiesAreReadFirst, TestAbandonedBodyBlocksNobody.

Failed try: without reading on after the refusal 29 to 37 of the 80 callers saw a broken connection in place of it.

Left: responses that are buffered (64 KB each) and events (256 KB each) aren't counted in a sum.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -89,6 +89,8 @@
 	// because its engine is silent, which happens once per request.
 	watched *watchedSend
 	moved   bool
+	// bodyBytes is the memory that the request holds for its body.
+	bodyBytes int64
 	// quotaCost is what the request was charged to its tenant's quota.
 	quotaCost float64
 	// configurationVersion is the version of the configuration that admitted the request.
@@ -118,6 +120,8 @@
 	code       resultcode.Code
 	reason     string
 	retryAfter time.Duration
+	// unreadBody is set if the caller may still be sending its body.
+	unreadBody bool
 }
 
 // serveFront handles one request of a caller.
@@ -130,6 +134,7 @@
 	g.lastRequest.Store(int64(now))
 	current := &callerRequest{writer: writer, request: request, startedAt: now, targetDraw: rand.Float64()}
 	defer g.finish(current)
+	defer g.releaseBody(current)
 	if refused := g.admit(current); refused != nil {
 		g.refuse(current, *refused)
 		return
@@ -257,55 +262,6 @@
 	return nil
 }
 
-// readBody reads the caller's whole body, so that the request can be sent again and goes to the
-// worker with a Content-Length.
-func (g *Gateway) readBody(current *callerRequest) *refusal {
-	request := current.request
-	if request.Body == nil || request.Body == http.NoBody || request.ContentLength == 0 {
-		return nil
-	}
-	limit := int64(defaultMaxBodyBytes)
-	if snapshot := g.configuration.Current(); snapshot != nil && snapshot.Table.Limits().MaxBodyBytes > 0 {
-		limit = snapshot.Table.Limits().MaxBodyBytes
-	}
-	if request.ContentLength > limit {
-		return &refusal{code: resultcode.BodyTooLarge, reason: "body of " + strconv.FormatInt(request.ContentLength, 10) + " bytes"}
-	}
-	control := http.NewResponseController(current.writer)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := readAll(request.Body, request.ContentLength, limit)
-	_ = control.SetReadDeadline(time.Time{})
-	switch {
-	case errors.Is(err, errBodyTooLarge):
-		return &refusal{code: resultcode.BodyTooLarge, reason: "body too large"}
-	case err != nil:
-		return &refusal{code: resultcode.BodyTimeout, reason: "body incomplete: " + err.Error()}
-	}
-	current.body = body
-	return nil
-}
-
-var errBodyTooLarge = errors.New("body too large")
-
-// readAll reads a body of the given length, or of up to limit bytes if length isn't positive.
-func readAll(body io.Reader, length, limit int64) ([]byte, error) {
-	if length > 0 {
-		content := make([]byte, length)
-		if _, err := io.ReadFull(body, content); err != nil {
-			return nil, err
-		}
-		return content, nil
-	}
-	content, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(content)) > limit {
-		return nil, errBodyTooLarge
-	}
-	return content, nil
-}
-
 // refuse answers with the gateway's own error. It aborts the connection if the head of a response
 // was already sent.
 func (g *Gateway) refuse(current *callerRequest, refused refusal) {
@@ -317,7 +273,7 @@
 	header := current.writer.Header()
 	g.dependencies.Codec.WriteRefusal(header, current.metadata.RequestID, refused.retryAfter)
 	g.closeAfterResponse(header)
-	if refused.code == resultcode.BodyTimeout || refused.code == resultcode.BodyTooLarge {
+	if refused.code == resultcode.BodyTimeout || refused.code == resultcode.BodyTooLarge || refused.unreadBody {
 		header.Set("Connection", "close")
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
@@ -326,6 +282,9 @@
 	current.status = entry.Status
 	current.writer.WriteHeader(entry.Status)
 	_, _ = io.WriteString(current.writer, body)
+	if refused.unreadBody {
+		discardBody(current)
+	}
 }
 
 // finish logs and counts a request that has ended.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/bodymemory"
 	"github.com/tillerfall/tillerfall/internal/config"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/lease"
@@ -52,6 +53,7 @@
 	workers            *backends.Registry
 	upstreams          *upstream.Pool
 	budgets            *retryBudgets
+	bodies             *bodymemory.Budget
 	quotas             *quotas
 	limits             *workerLimits
 	backoffs           *workerBackoffs
@@ -215,6 +217,7 @@
 		},
 		OnDial: func(fleet.EngineID) { g.metrics.connections.Inc() },
 	})
+	g.bodies = bodymemory.New(settings.Limits.BodyBytes())
 	g.budgets = newRetryBudgets(settings, random(), g.retryCounts, g.recordRetryDecision)
 	g.quotas = newQuotas(g.clock.Now(), settings)
 	registerTicketMetrics(registry, g.quotas.tickets)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,7 @@
 	quotaDecisions      *quotaDecisionMetrics
 	pressure            prometheus.Gauge
 	refusedConnections  prometheus.Counter
+	bodiesRefused       prometheus.Counter
 	runsEndedWithWorker prometheus.Counter
 	suspensions         prometheus.Counter
 	probedEnds          *prometheus.CounterVec
@@ -110,6 +111,9 @@
 	m.pressure = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "tillerfall_gateway_pressure", Help: "How near the node is to its limits: 0 free, 1 busy, 2 full.",
 	})
+	m.bodiesRefused = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "tillerfall_gateway_bodies_refused_total", Help: "Requests refused since the bodies under way left no memory for theirs.",
+	})
 	m.refusedConnections = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tillerfall_gateway_untaken_connections_total", Help: "Connections of callers closed for want of descriptors.",
 	})
@@ -165,7 +169,7 @@
 		registry.MustRegister(m.limitGrants, m.notices, m.workersInBackoff)
 		registry.MustRegister(m.workerCalls, m.limitedWorkers)
 		registry.MustRegister(m.pressure, m.refusedConnections, m.runsEndedWithWorker, m.probedEnds, m.suspensions, m.quarantineRefusals, m.quarantined, m.beforeSend)
-		registry.MustRegister(m.requests, m.latency, m.attempts, m.storeFailures, m.peerFailures, m.connections, m.orders, m.invalidInputs, m.quotaUnits, m.quotaShare,
+		registry.MustRegister(m.bodiesRefused, m.requests, m.latency, m.attempts, m.storeFailures, m.peerFailures, m.connections, m.orders, m.invalidInputs, m.quotaUnits, m.quotaShare,
 			m.deliveryAnswers, m.deliveryLatency, m.deliveryShare, traffic.NewCollector(meter, bytesMetric))
 	}
 	return m
--- a/internal/nodecapacity/capacity.go
+++ b/internal/nodecapacity/capacity.go
@@ -54,6 +54,24 @@
 
 const bytesPerMegabit = 1e6 / 8
 
+// Shares of the memory for the bodies of requests.
+const (
+	// bodyFraction is the part of the memory beyond baseMemoryMB that bodies may take. The rest is for
+	// answers, connections and what the garbage collector hasn't freed yet.
+	bodyFraction = 0.5
+	// minBodyMB is what bodies may take on the smallest machines.
+	minBodyMB = 8
+)
+
+// BodyBytes returns the memory that the bodies of all requests may take together, in bytes; 0 if the
+// memory is unknown.
+func (l Limits) BodyBytes() int64 {
+	if l.MemoryMB <= 0 {
+		return 0
+	}
+	return int64(max(bodyFraction*float64(l.MemoryMB-baseMemoryMB), minBodyMB) * (1 << 20))
+}
+
 // Validate returns an error that names the first invalid limit.
 func (l Limits) Validate() error {
 	switch {
