--- a/internal/upstream/exchange_fuzz_test.go
+++ b/internal/upstream/exchange_fuzz_test.go
@@ -59,7 +59,7 @@
 		handled := make(chan struct{}, 4)
 		destination := newWorker(t, func(conn *net.TCPConn) {
 			defer func() { handled <- struct{}{} }()
-			defer conn.Close()
+			defer func() { _ = conn.Close() }()
 			reader := bufio.NewReader(conn)
 			if _, err := http.ReadRequest(reader); err != nil {
 				return
