--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -12,6 +13,12 @@
 	"github.com/stretchr/testify/require"
 )
 
+// The drawn schedules: by hand, more of them from another seed on.
+var (
+	fleetSeed  = flag.Uint64("fleet-seed", 0, "first seed of the drawn schedules")
+	fleetSeeds = flag.Uint64("fleet-seeds", 0, "number of drawn schedules of each fleet; 0 means a few")
+)
+
 // simulatedFleets are fleets of four sizes, with limits and rates as their operators set them.
 var simulatedFleets = []simulatedFleet{
 	{gateways: 8, serving: 8, rate: 62, limits: Limits{Window: 10 * time.Second, Ratio: 0.2, Slack: 56}},
@@ -168,7 +175,10 @@
 			if fleet.gateways > 100 {
 				seeds = 6
 			}
-			for seed := range seeds {
+			if *fleetSeeds > 0 {
+				seeds = *fleetSeeds
+			}
+			for seed := *fleetSeed; seed < *fleetSeed+seeds; seed++ {
 				random := rand.New(rand.NewPCG(seed, 68))
 				s := newSimulation(fleet, 2*fleet.gateways, random)
 				play(s, drawSchedule(random), 45*time.Second)
