Let the only gateway of a fleet retry from its first request on

A new budget is empty since its predecessor may have spent the fleet's.

Change: a gateway without others has its share at once, and saved up. That is one of eight shares, so that eight processes in a row within one window stay within the slack (TestOnlyGatewayRetriesItsFirstRequest).

Failed try: to fill the budgets of a whole fleet that starts for the first time.

--- a/internal/gateway/retrybudgets.go
+++ b/internal/gateway/retrybudgets.go
@@ -22,8 +22,10 @@
 	// onDecision is called for each retry that is granted or refused, without the mutex.
 	onDecision func(retryDecision)
 
-	mutex    sync.Mutex
-	random   *rand.Rand
+	mutex  sync.Mutex
+	random *rand.Rand
+	// isOnly is set if there are no other gateways.
+	isOnly   bool
 	limits   retrybudget.Limits
 	share    *retrybudget.Share
 	services map[fleet.PoolName]*retrybudget.Budget
@@ -38,9 +40,14 @@
 }
 
 func newRetryBudgets(settings Settings, random *rand.Rand, counts func() retrybudget.Counts, onDecision func(retryDecision)) *retryBudgets {
+	share := retrybudget.NewShare(settings.FirstStart)
+	isOnly := len(settings.Seeds) == 0
+	if isOnly {
+		share = retrybudget.NewShareOfOne()
+	}
 	return &retryBudgets{
 		counts: counts, onDecision: onDecision, random: random, limits: retryLimits(settings),
-		share:    retrybudget.NewShare(settings.FirstStart || len(settings.Seeds) == 0),
+		isOnly: isOnly, share: share,
 		services: make(map[fleet.PoolName]*retrybudget.Budget),
 	}
 }
@@ -76,11 +83,14 @@
 	return &requestBudget{owner: b, service: service, requestID: requestID}
 }
 
-// budget returns the budget of a service. The mutex must be held.
-func (b *retryBudgets) budget(service fleet.PoolName) *retrybudget.Budget {
+// budget returns the budget of a service. share is this gateway's part of the slack. The mutex must be held.
+func (b *retryBudgets) budget(now time.Duration, service fleet.PoolName, share float64) *retrybudget.Budget {
 	budget := b.services[service]
 	if budget == nil {
 		budget = retrybudget.New(b.limits, b.random)
+		if b.isOnly {
+			budget.Fill(now, share)
+		}
 		b.services[service] = budget
 	}
 	return budget
@@ -98,7 +108,8 @@
 	counts := r.owner.counts()
 	r.owner.mutex.Lock()
 	defer r.owner.mutex.Unlock()
-	r.owner.budget(r.service).RecordRequest(now, r.owner.share.At(now, counts))
+	share := r.owner.share.At(now, counts)
+	r.owner.budget(now, r.service, share).RecordRequest(now, share)
 }
 
 // Withdraw implements attempt.RetryBudget.
@@ -112,7 +123,8 @@
 func (r *requestBudget) take(now time.Duration, counts retrybudget.Counts) retrybudget.Decision {
 	r.owner.mutex.Lock()
 	defer r.owner.mutex.Unlock()
-	return r.owner.budget(r.service).TakeRetry(now, r.owner.share.At(now, counts))
+	share := r.owner.share.At(now, counts)
+	return r.owner.budget(now, r.service, share).TakeRetry(now, share)
 }
 
 // writeReport adds the highest counts of gateways to a report, if this one knows the whole fleet.
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -1,6 +1,7 @@
 package retrybudget
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -41,7 +42,7 @@
 }
 
 // Budget is one gateway's budget for the retries at one service. A new one is empty, so that nothing
-// is granted twice when a process is replaced.
+// is granted twice when a process is replaced, unless it is filled.
 type Budget struct {
 	limits    Limits
 	random    *rand.Rand
@@ -57,6 +58,13 @@
 	return &Budget{limits: limits, random: random, requests: requestWindow{length: limits.Window}}
 }
 
+// Fill saves as much as may be saved. It is for the only gateway of a fleet: its share of the slack is so
+// small that several processes in a row may each have it. share is the gateway's part of the slack.
+func (b *Budget) Fill(now time.Duration, share float64) {
+	b.available = math.Inf(1)
+	b.update(now, share)
+}
+
 // SetSlack replaces the slack of the limits.
 func (b *Budget) SetSlack(slack float64) { b.limits.Slack = slack }
 
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -28,6 +28,24 @@
 	}
 }
 
+// TestOnlyGatewayRetriesItsFirstRequest guards against a fleet of one that refuses the retry of its only
+// request, and against one that exceeds the limit by restarts.
+func TestOnlyGatewayRetriesItsFirstRequest(t *testing.T) {
+	const restarts = 8
+	limits := Limits{Window: 10 * time.Second, Ratio: 0.2, Slack: 56}
+	total := 0
+	for range restarts {
+		budget := New(limits, rand.New(rand.NewPCG(1, 1)))
+		share := NewShareOfOne().At(0, Counts{Members: 1, Serving: 1, Serves: true})
+		budget.Fill(0, share)
+		budget.RecordRequest(0, share)
+		granted := spend(budget, 0, share)
+		assert.Positive(t, granted)
+		total += granted
+	}
+	assert.LessOrEqual(t, float64(total), limits.Slack+limits.Ratio*restarts)
+}
+
 // TestSavedRetriesAreGrantedAtOnce guards against a budget that can't pay for the loss of a worker with
 // many requests in flight.
 func TestSavedRetriesAreGrantedAtOnce(t *testing.T) {
--- a/internal/retrybudget/share.go
+++ b/internal/retrybudget/share.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// settlingTime is the time after its start for which a gateway has no share: its counts are
-	// incomplete, and the process before it may still be counted.
+	// settlingTime is the time after its start for which a restarted gateway has no share: its counts are
+	// incomplete, and the process before it may still be finishing.
 	settlingTime = 5 * time.Second
 	// peakMemory is the least time for which the highest counts are remembered. Gateways that are cut
 	// off still have their shares on the other side.
@@ -45,11 +45,17 @@
 	idle    peak
 	// complete is set once the counts are known to be those of the whole fleet.
 	complete bool
+	// usableFrom is the time from which the gateway has a share.
+	usableFrom time.Duration
 }
 
-// NewShare returns the share of a gateway that has just started. seesFleet is set if the whole fleet
-// starts with it, or if it is the only one.
-func NewShare(seesFleet bool) *Share { return &Share{complete: seesFleet} }
+// NewShare returns the share of a gateway that has just started. seesFleet is set if the whole fleet starts
+// with it for the first time.
+func NewShare(seesFleet bool) *Share { return &Share{complete: seesFleet, usableFrom: settlingTime} }
+
+// NewShareOfOne returns the share of the only gateway. As it has no more than that of one of minSlackSharers,
+// it needs not wait for the process before it.
+func NewShareOfOne() *Share { return &Share{complete: true} }
 
 // Learn records the highest counts of late of a gateway that knows the whole fleet. Only the first ones
 // count: gateways would keep each other's alive otherwise.
@@ -87,7 +93,7 @@
 // isUsable reports whether the counts are good enough for a share. What a process has seen for as long
 // as counts are remembered is taken for the fleet.
 func (s *Share) isUsable(now time.Duration) bool {
-	return now >= settlingTime && (s.complete || now >= peakMemory)
+	return now >= s.usableFrom && (s.complete || now >= peakMemory)
 }
 
 func (s *Share) observe(now time.Duration, counts Counts) {
