Don't take an answer whose connection is reset after its end for whole

What callers saw: 200 with the worker's signature, half of the body and a regular end, where an answer without a length was cut on the way.

Cause: the fix before asks the writer of the request for its error. Here no write fails: the body is in the kernel's hands, the reader sees the FIN, and the reset that follows is reported to nobody. The end of file was taken for the end of the answer as soon as the worker answered a probe.

Ruled out: another reader of the socket's error (isUsable looks at idle connections alone; nothing reads SO_ERROR), and the tunnel's chunks (an answer through a gateway whose own link breaks ends without the last chunk).

Change: package tcpend reads the kernel's state of the connection (TCP_INFO) after the end of file: a reset one is closed, one whose peer has closed only its direction waits for our own close. While data is unacknowledged a reset may still come, and is waited for up to 500 ms. Gateways look before they probe the worker, carriers of tunnels before they pass the end on. Where the kernel doesn't tell the state of an open connection, nothing changes. end_unproven logs why an end wasn't taken for one.

Tried and reverted: data that is still unacknowledged after 500 ms as a sign of a cut.

A worker that ends its answer, and then closes the connection with a part of the request unread, resets it too. Its answer counts as cut, as before where the reset came first: a reset on the way leaves an answer incomplete.

--- a/internal/gateway/answerend.go
+++ b/internal/gateway/answerend.go
@@ -11,37 +11,38 @@
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
-// endProbeDelay is how long after the end of a response that ends with its connection the worker is probed:
-// a process that crashes closes its connections and its listener one after the other.
-const endProbeDelay = 20 * time.Millisecond
-
 // runCheckTimeout bounds the time that a worker has to tell its run. A full one may take a while.
 const runCheckTimeout = 500 * time.Millisecond
 
 // errEndUnproven means that a response ended with its connection and its worker no longer answers.
 var errEndUnproven = errors.New("connection closed, and the worker can't be reached")
 
-// confirmEnd returns an error if a response that ended with its connection may have been cut, since its
-// worker doesn't answer any more. All other responses show their end themselves.
+// confirmEnd returns an error if a response that ended with its connection may have been cut: the connection
+// was reset, or the worker doesn't answer any more. All other responses show their end themselves.
 func (g *Gateway) confirmEnd(ctx context.Context, current *callerRequest, placement *backends.Placement, response *upstream.Response) error {
 	if !response.EndsWithConnection {
 		return nil
 	}
-	timer := time.NewTimer(endProbeDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-		return context.Cause(ctx)
+	worker := &placement.Worker
+	// A process that crashes closes its connections and its listener one after the other, so the probe comes last.
+	if err := response.AwaitEnd(ctx); err != nil {
+		g.logUnprovenEnd(current, worker, err)
+		return err
 	}
-	liveness := g.probeEnd(ctx, current, &placement.Worker)
+	liveness := g.probeEnd(ctx, current, worker)
 	g.metrics.probedEnds.WithLabelValues(liveness.String()).Inc()
 	if liveness != upstream.Alive {
+		g.logUnprovenEnd(current, worker, errEndUnproven)
 		return errEndUnproven
 	}
 	return nil
 }
 
+func (g *Gateway) logUnprovenEnd(current *callerRequest, worker *backends.Worker, cause error) {
+	g.events.line("end_unproven").Str("request", current.metadata.RequestID).Str("worker", string(worker.ID)).
+		Str("relay", string(current.relay)).Err(cause).Msg("end_unproven")
+}
+
 // probeEnd finds out whether the run that sent a response to a request is alive. If the process was paused
 // meanwhile, another worker may have taken its address: a new connection proves nothing then.
 func (g *Gateway) probeEnd(ctx context.Context, current *callerRequest, worker *backends.Worker) upstream.Liveness {
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -23,6 +23,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/tcpend"
 )
 
 const (
@@ -172,7 +173,9 @@
 // Carrier copies between a requesting node and a worker.
 type Carrier struct {
 	node, worker net.Conn
-	openedAt     time.Time
+	// end tells how the connection to the worker ended.
+	end      tcpend.Observer
+	openedAt time.Time
 	// lastByteAt is when bytes last came from either end, in nanoseconds since openedAt. awaitsWorker is
 	// set while the last ones came from the node.
 	lastByteAt   atomic.Int64
@@ -184,7 +187,7 @@
 
 // NewCarrier returns a carrier between two connections, which it takes over.
 func NewCarrier(node, worker net.Conn) *Carrier {
-	return &Carrier{node: node, worker: worker, openedAt: time.Now()}
+	return &Carrier{node: node, worker: worker, end: tcpend.Observe(worker), openedAt: time.Now()}
 }
 
 // Run copies until either end is closed, and closes both.
@@ -235,8 +238,7 @@
 	return count, err
 }
 
-// observeEnd returns a reader of the worker's bytes that ends with the error of a write, if there is one. A
-// reset is reported to the writer or to the reader, not to both: the reader then sees a regular end.
+// observeEnd returns a reader of the worker's bytes that returns io.EOF only after an orderly end.
 func (c *Carrier) observeEnd() io.Reader {
 	worker := c.observe(c.worker, false)
 	return readerFunc(func(into []byte) (int, error) {
@@ -244,16 +246,27 @@
 		if err != io.EOF {
 			return count, err
 		}
-		_ = c.worker.SetWriteDeadline(time.Now().Add(endWriteTimeout))
-		c.writing.Lock()
-		defer c.writing.Unlock()
-		if c.writeErr != nil {
-			return count, c.writeErr
+		if err := c.awaitWrite(); err != nil {
+			return count, err
+		}
+		if err := c.end.Await(context.Background()); err != nil {
+			return count, err
 		}
 		return count, io.EOF
 	})
 }
 
+// awaitWrite returns the error of the last write to the worker, which it ends after endWriteTimeout. A reset is
+// reported to the writer or to the reader, not to both: the reader then sees a regular end.
+func (c *Carrier) awaitWrite() error {
+	if err := c.worker.SetWriteDeadline(time.Now().Add(endWriteTimeout)); err != nil {
+		return err
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeErr
+}
+
 type readerFunc func(into []byte) (int, error)
 
 func (f readerFunc) Read(into []byte) (int, error) { return f(into) }
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -77,7 +77,11 @@
 	}{
 		"closed by the worker": {func(worker, _ net.Conn) { _ = worker.Close() }, true},
 		"reset by the worker":  {func(worker, _ net.Conn) { reset(worker) }, false},
-		"node ended":           {func(_, carrier net.Conn) { _ = carrier.Close() }, false},
+		"closed and then reset by the worker": {func(worker, _ net.Conn) {
+			closeWrite(worker)
+			reset(worker)
+		}, false},
+		"node ended": {func(_, carrier net.Conn) { _ = carrier.Close() }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			asking, worker, carrier := openTunnel(t)
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/tcpend"
 	"github.com/tillerfall/tillerfall/internal/traffic"
 )
 
@@ -56,6 +57,8 @@
 	reader *bufio.Reader
 	// head is what reader reads from.
 	head *headLimiter
+	// end tells how a direct connection ended.
+	end tcpend.Observer
 	// openedAt is when the connection was opened.
 	openedAt time.Time
 	// keepAlive is how long the connection may stay idle.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/tcpend"
 )
 
 // maxSyncBodySize is the size, in bytes, up to which a body is written before the response is read.
@@ -60,6 +62,10 @@
 	return count, err
 }
 
+// AwaitEnd returns an error if the connection of a response that has been read to its end was reset right after
+// it. Where EndsWithConnection is set, such a response may have been cut.
+func (r *Response) AwaitEnd(ctx context.Context) error { return r.exchange.conn.end.Await(ctx) }
+
 // Close ends the exchange and releases or closes its connection.
 func (r *Response) Close() { r.exchange.finish(r.complete && r.exchange.reusable) }
 
@@ -182,6 +188,7 @@
 	head := &headLimiter{conn: raw}
 	return &connection{
 		head:      head,
+		end:       tcpend.Observe(raw),
 		engine:    destination.Engine,
 		address:   destination.Address,
 		relay:     relayOf(raw),
