Tell a restarted worker from the one that answered by its start time

Cause: after a pause probeEnd asks the worker for its identifier alone.

Ruled out: the idle connections of the pool (HasOpenSince counts only those that are older than the send), and the pause's detection (workers with new identifiers were told apart before, too).

Change: where the identifier fits, the worker's row is read and its start time compared with the one that the request was placed by. That is a call to the store for each such answer after a pause, none otherwise. A row that can't be read, or is gone, proves nothing, and the answer counts as cut. Workers without a start time are told by their identifiers, as before.

Left: a worker that answers before its row is written anew is taken for its former run.

--- a/internal/gateway/answerend.go
+++ b/internal/gateway/answerend.go
@@ -53,15 +53,19 @@
 	case g.upstreams.HasOpenSince(destination, now-current.sentAt):
 		return upstream.Alive
 	default:
-		return g.checkRun(ctx, worker, current.service.HealthPath)
+		return g.identifyRun(ctx, worker, current.service.HealthPath)
 	}
 }
 
-// checkRun asks a worker which run it is.
-func (g *Gateway) checkRun(ctx context.Context, worker *backends.Worker, healthPath string) upstream.Liveness {
+// identifyRun finds out whether the run at a worker's address is the one that was known before. A worker tells
+// its identifier, which a restarted one may have kept. Its row tells when it started.
+func (g *Gateway) identifyRun(ctx context.Context, worker *backends.Worker, healthPath string) upstream.Liveness {
 	ctx, cancel := context.WithTimeout(g.workerCallContext(ctx, callHealth, worker), runCheckTimeout)
 	defer cancel()
 	err := g.dependencies.Engines.CheckRun(ctx, *worker, healthPath)
+	if err == nil {
+		err = g.checkStartTime(ctx, worker)
+	}
 	switch {
 	case err == nil:
 		return upstream.Alive
@@ -72,3 +76,19 @@
 		return upstream.LivenessUnknown
 	}
 }
+
+// checkStartTime returns rollout.ErrDifferentRun unless a worker's row still has the start time that was known
+// before. A worker whose start time isn't known has a new identifier after each restart.
+func (g *Gateway) checkStartTime(ctx context.Context, worker *backends.Worker) error {
+	if worker.StartTime == 0 {
+		return nil
+	}
+	row, err := g.dependencies.Store.ReadWorker(ctx, worker.ID)
+	if err != nil {
+		return errors.Wrap(err, "read row")
+	}
+	if row.Deleted || row.Worker.StartTime != worker.StartTime {
+		return rollout.ErrDifferentRun
+	}
+	return nil
+}
--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -151,6 +151,8 @@
 	// DecodeWorkers decodes rows of the workers table. It leaves out rows that cannot be decoded;
 	// the state of their workers stays unchanged.
 	DecodeWorkers(rows []watchcache.Row) ([]WorkerRow, []InvalidInput)
+	// ReadWorker returns the present row of a worker, Deleted if there is none.
+	ReadWorker(ctx context.Context, id fleet.EngineID) (WorkerRow, error)
 	// RegisterNode writes the row of this gateway.
 	RegisterNode(ctx context.Context, node Node) error
 	// ReadNodes returns all gateways that have ever registered, except rows that cannot be decoded.
