Ask for the run where an answer's connection was silent before its end

What callers saw: 200 with half of a body and a regular end, where an answer without a length was cut by a crash whose end of the connection came late, after another worker had taken the address (1 of 1 in the new test).

Cause: the end is confirmed by a new connection to the address of the worker. That proves something only while no successor can be there. The code knew one way in which it can be, a pause of the gateway. Packets that are lost for a time are another: the FIN of the crashed worker's kernel is sent again until it arrives, while keep-alive probes (1 s idle, 3 s) haven't given the connection up.

Change: a response knows for how long nothing had arrived before its end. From SuccessorDelay on (1 s) the run is identified, as after a pause: an idle connection that is older than the send, or identifier and start time. Answers that arrive and end at once cost nothing more.

Test: TestCutAnswerThatASuccessorConfirmsIsNotWhole, "another worker" failed before (200 instead of 502); an answer of the same run after the same silence is passed on.

--- a/internal/gateway/answerend.go
+++ b/internal/gateway/answerend.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/quarantine"
 	"github.com/tillerfall/tillerfall/internal/rollout"
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
@@ -29,7 +30,7 @@
 		g.logUnprovenEnd(current, worker, err)
 		return err
 	}
-	liveness := g.probeEnd(ctx, current, worker)
+	liveness := g.probeEnd(ctx, current, worker, response.SilenceBeforeEnd())
 	g.metrics.probedEnds.WithLabelValues(liveness.String()).Inc()
 	if liveness != upstream.Alive {
 		g.logUnprovenEnd(current, worker, errEndUnproven)
@@ -43,12 +44,14 @@
 		Str("relay", string(current.relay)).Err(cause).Msg("end_unproven")
 }
 
-// probeEnd finds out whether the run that sent a response to a request is alive. If the process was paused
-// meanwhile, another worker may have taken its address: a new connection proves nothing then.
-func (g *Gateway) probeEnd(ctx context.Context, current *callerRequest, worker *backends.Worker) upstream.Liveness {
+// probeEnd finds out whether the run that sent a response to a request is alive. Another worker may have taken its
+// address if the process was paused meanwhile, or if the connection was silent for long before its end, as it is
+// while packets are lost. A new connection proves nothing then.
+func (g *Gateway) probeEnd(ctx context.Context, current *callerRequest, worker *backends.Worker, silence time.Duration) upstream.Liveness {
 	destination, now := g.destination(current, worker), g.now()
+	mayHaveSuccessor := silence >= quarantine.SuccessorDelay || g.pauses.PausedSince(current.sentAt, now)
 	switch {
-	case !g.pauses.PausedSince(current.sentAt, now):
+	case !mayHaveSuccessor:
 		return g.upstreams.ProbeRun(ctx, destination)
 	case g.upstreams.HasOpenSince(destination, now-current.sentAt):
 		return upstream.Alive
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -46,11 +46,21 @@
 	exchange *exchange
 	body     io.ReadCloser
 	complete bool
+	// lastBytesAt is when the last bytes arrived, and silence the time from then to the end. Both are kept only
+	// where EndsWithConnection is set.
+	lastBytesAt time.Time
+	silence     time.Duration
 }
 
+// SilenceBeforeEnd returns how long nothing had arrived when the response ended with its connection.
+func (r *Response) SilenceBeforeEnd() time.Duration { return r.silence }
+
 // Read reads from the body. It returns io.EOF only at the regular end of the body.
 func (r *Response) Read(into []byte) (int, error) {
 	count, err := r.body.Read(into)
+	if r.EndsWithConnection {
+		r.observeRead(count)
+	}
 	if err == io.EOF && r.EndsWithConnection {
 		if cause := r.exchange.awaitWrite(); cause != nil {
 			return count, errors.Wrap(cause, "connection ended before the request was written")
@@ -62,6 +72,15 @@
 	return count, err
 }
 
+// observeRead records that a read has returned a number of bytes.
+func (r *Response) observeRead(count int) {
+	now := time.Now()
+	if count > 0 {
+		r.lastBytesAt = now
+	}
+	r.silence = now.Sub(r.lastBytesAt)
+}
+
 // AwaitEnd returns an error if the connection of a response that has been read to its end was reset right after
 // it. Where EndsWithConnection is set, such a response may have been cut.
 func (r *Response) AwaitEnd(ctx context.Context) error { return r.exchange.conn.end.Await(ctx) }
@@ -227,6 +246,7 @@
 		ContentLength: response.ContentLength,
 		exchange:      e,
 		body:          response.Body,
+		lastBytesAt:   time.Now(),
 
 		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && request.Method != http.MethodHead,
 	}, nil
