--- a/internal/gateway/answerend.go
+++ b/internal/gateway/answerend.go
@@ -15,6 +15,9 @@
 // runCheckTimeout bounds the time that a worker has to tell its run. A full one may take a while.
 const runCheckTimeout = 500 * time.Millisecond
 
+// labelReset is the value of the metric's label for a connection that was reset after its end.
+const labelReset = "reset"
+
 // errEndUnproven means that a response ended with its connection and its worker no longer answers.
 var errEndUnproven = errors.New("connection closed, and the worker can't be reached")
 
@@ -27,6 +30,7 @@
 	worker := &placement.Worker
 	// A process that crashes closes its connections and its listener one after the other, so the probe comes last.
 	if err := response.AwaitEnd(ctx); err != nil {
+		g.metrics.probedEnds.WithLabelValues(labelReset).Inc()
 		g.logUnprovenEnd(current, worker, err)
 		return err
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -121,7 +121,7 @@
 		Name: "tillerfall_gateway_runs_ended_with_worker_total", Help: "Runs that were under way at a worker when it ended.",
 	})
 	m.probedEnds = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "tillerfall_gateway_probed_ends_total", Help: "Answers that ended with their connection, by what a probe of their worker showed.",
+		Name: "tillerfall_gateway_probed_ends_total", Help: "Answers that ended with their connection, by what the connection and a probe of their worker showed.",
 	}, []string{"worker"})
 	m.suspensions = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tillerfall_gateway_suspensions_total", Help: "Times that the machine was found to have been suspended.",
