Refuse requests that may outlast a stopping gateway

Change: from 3 s on, when no caller can hold a directory response from before the stop any more, a request is refused (503, not run, to come again at once) if its deadline lies beyond the end of the stop. Earlier ones are taken as before: their callers can't know of it yet.

Ruled out: refusing such requests from the start. Callers with old directory responses would be refused for three seconds at each planned stop.

Test: TestStopAcceptsNoRequestThatItWouldCut failed before (status 0, a closed connection, instead of 503; the request had reached its worker).

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -195,6 +195,9 @@
 	if refused := g.chooseService(current, snapshot.Table); refused != nil {
 		return refused
 	}
+	if g.mayOutlastStop(current) {
+		return &refusal{code: resultcode.Stopping, reason: "may outlast the stop", retryAfter: shortRetryAfter}
+	}
 	if refused := g.refuseQuarantinedParts(current); refused != nil {
 		return refused
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// leaveDuration is how long requests are still accepted after a stop began. Callers may keep a
-	// directory response for up to three times its TTL.
-	leaveDuration = 3*directoryTTL + 500*time.Millisecond
+	// noticeDuration is how long after a stop began callers may not know of it. They may keep a directory
+	// response for up to three times its TTL.
+	noticeDuration = 3 * directoryTTL
+	// leaveDuration is how long requests are still accepted after a stop began.
+	leaveDuration = noticeDuration + 500*time.Millisecond
 	// quietDuration is the time without a request after which no more are expected.
 	quietDuration = 700 * time.Millisecond
 	// stopReserve is how long before the end of the grace period the process ends.
@@ -82,6 +84,16 @@
 	return since != 0 && g.now() > time.Duration(since)+leaveDuration+quietDuration
 }
 
+// mayOutlastStop reports whether a request may still be under way at the end of the grace period, when it would be
+// cut. Requests of callers that can't know of the stop yet are accepted all the same.
+func (g *Gateway) mayOutlastStop(current *callerRequest) bool {
+	since := time.Duration(g.stoppingSince.Load())
+	if since == 0 || current.startedAt <= since+noticeDuration {
+		return false
+	}
+	return current.deadline > since+g.settings().StopGrace-stopReserve
+}
+
 // closeAfterResponse asks the caller to open a new connection for its next request if this gateway
 // is stopping or full.
 func (g *Gateway) closeAfterResponse(header http.Header) {
