Bound the messages that gateways take from each other

Generated clients and servers read whole bodies, and net/http 10 MB of a head. A process read 128 MB of an answer, or of a call, without end (all that the tests sent); compressed lists had a bound, their carriers had none.

Change: one transport and one handler in package peer end messages beyond 8 MB, and heads beyond 16 KB, with an error. The longest message that is known, all rows of 9,998 workers uncompressed, has 3 MB.

Tests: TestEndlessAnswerOfAMemberIsNotRead and TestEndlessCallOfAMemberIsNotRead failed before (134,217,728 bytes read); TestLargeMessagesPass holds 4 MB in both directions.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -48,7 +48,7 @@
 		{g.settings().FrontAddress, g.front, traffic.Callers},
 		{g.settings().DirectoryAddress, &http.Server{Handler: g.directoryHandler()}, traffic.Directory},
 		{g.settings().ReadyAddress, &http.Server{Handler: g.readinessHandler()}, traffic.Other},
-		{g.settings().PeerAddress, &http.Server{Handler: g.withTunnels(peer.MinimalResponseHeaders(rpc.NewPeerServer(g.peers)))}, traffic.Other},
+		{g.settings().PeerAddress, &http.Server{Handler: g.withTunnels(peer.LimitRequests(peer.MinimalResponseHeaders(rpc.NewPeerServer(g.peers))))}, traffic.Other},
 	}
 	for _, entry := range handlers {
 		listener, err := listenTCP(entry.address)
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -29,14 +29,16 @@
 // call.
 func newHTTPClient(meter *traffic.Meter, keep bool) *http.Client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &http.Client{Transport: minimalHeaders{next: traffic.RoundTripper{Next: &http.Transport{
+	return &http.Client{Transport: limitedResponses{next: minimalHeaders{next: traffic.RoundTripper{Next: &http.Transport{
 		DialContext:         meter.Dial(dialer.DialContext),
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 		DisableKeepAlives:   !keep,
-	}}}}
+
+		MaxResponseHeaderBytes: maxResponseHeadBytes,
+	}}}}}
 }
 
 // pooledMembersLimit is the number of members from which gossip uses single-use connections. A
