Bound the memory of buffered answers together

With 1,200 answers of 60 KB under way at once, each short of its last byte, a gateway with a limit of 134 MB takes 138 MB, and the platform would kill it with all of them.

Cause: answers are buffered up to 64 KB each, so that one that breaks off can be retried. Nothing bounded their sum; bodies of requests have had a budget since.

Change: buffered answers share a fifth of the memory beyond the base (14 of 134 MB), 4 KB of each free. An answer that finds none is passed on as it comes: it is not lost, but can no longer be retried when it breaks off.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -17,10 +17,6 @@
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
-// maxBufferedBytes is the size up to which a response is read completely before its head is sent to
-// the caller. Until then a response that breaks off can be retried.
-const maxBufferedBytes = 64 << 10
-
 // copyBufferBytes is the size of the buffer through which longer responses are copied.
 const copyBufferBytes = 16 << 10
 
@@ -37,7 +33,9 @@
 		g.recordOutcome(current, placement, backends.Lost, "resumption answered with status "+strconv.Itoa(response.Status))
 		return current.attempts.Unanswered(g.now(), placement.Worker.Run())
 	}
-	content, complete, err := bufferResponse(response)
+	buffer := answerBuffer{memory: g.answers}
+	defer buffer.release()
+	content, complete, err := buffer.read(response)
 	if err == nil && complete {
 		err = g.confirmEnd(ctx, current, placement, response)
 	}
@@ -121,28 +119,6 @@
 	return current.attempts.Unanswered(g.now(), placement.Worker.Run())
 }
 
-// bufferResponse reads a response up to maxBufferedBytes. complete is false if more may follow.
-func bufferResponse(response *upstream.Response) (content []byte, complete bool, err error) {
-	if response.ContentLength >= 0 && response.ContentLength <= maxBufferedBytes {
-		content = make([]byte, 0, response.ContentLength+1)
-	}
-	for len(content) < maxBufferedBytes {
-		if len(content) == cap(content) {
-			content = append(content, 0)[:len(content)]
-		}
-		end := min(cap(content), maxBufferedBytes)
-		count, err := response.Read(content[len(content):end])
-		content = content[:len(content)+count]
-		if err == io.EOF {
-			return content, true, nil
-		}
-		if err != nil {
-			return content, false, err
-		}
-	}
-	return content, false, nil
-}
-
 // copyRemaining copies the rest of a response. A failed write returns errCallerWrite; any other
 // error is the worker's.
 func copyRemaining(writer io.Writer, response *upstream.Response) error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,7 @@
 	upstreams          *upstream.Pool
 	budgets            *retryBudgets
 	bodies             *bodymemory.Budget
+	answers            *bodymemory.Budget
 	quotas             *quotas
 	limits             *workerLimits
 	backoffs           *workerBackoffs
@@ -218,6 +219,7 @@
 		OnDial: func(fleet.EngineID) { g.metrics.connections.Inc() },
 	})
 	g.bodies = bodymemory.New(settings.Limits.BodyBytes())
+	g.answers = bodymemory.New(settings.Limits.AnswerBytes())
 	g.budgets = newRetryBudgets(settings, random(), g.retryCounts, g.recordRetryDecision)
 	g.quotas = newQuotas(g.clock.Now(), settings)
 	registerTicketMetrics(registry, g.quotas.tickets)
--- a/internal/nodecapacity/capacity.go
+++ b/internal/nodecapacity/capacity.go
@@ -54,22 +54,32 @@
 
 const bytesPerMegabit = 1e6 / 8
 
-// Shares of the memory for the bodies of requests.
+// Shares of the memory for the bodies of requests and for answers.
 const (
 	// bodyFraction is the part of the memory beyond baseMemoryMB that bodies may take. The rest is for
 	// answers, connections and what the garbage collector hasn't freed yet.
 	bodyFraction = 0.5
 	// minBodyMB is what bodies may take on the smallest machines.
 	minBodyMB = 8
+	// answerFraction and minAnswerMB are the same for answers that are buffered.
+	answerFraction = 0.2
+	minAnswerMB    = 4
 )
 
 // BodyBytes returns the memory that the bodies of all requests may take together, in bytes; 0 if the
 // memory is unknown.
-func (l Limits) BodyBytes() int64 {
+func (l Limits) BodyBytes() int64 { return l.memoryShare(bodyFraction, minBodyMB) }
+
+// AnswerBytes returns the memory that all buffered answers may take together, in bytes; 0 if the memory is
+// unknown.
+func (l Limits) AnswerBytes() int64 { return l.memoryShare(answerFraction, minAnswerMB) }
+
+// memoryShare returns a part of the memory beyond baseMemoryMB, in bytes; 0 if the memory is unknown.
+func (l Limits) memoryShare(fraction, minMB float64) int64 {
 	if l.MemoryMB <= 0 {
 		return 0
 	}
-	return int64(max(bodyFraction*float64(l.MemoryMB-baseMemoryMB), minBodyMB) * (1 << 20))
+	return int64(max(fraction*float64(l.MemoryMB-baseMemoryMB), minMB) * (1 << 20))
 }
 
 // Validate returns an error that names the first invalid limit.
