Reset the connection of a caller with HTTP/1.0 whose answer breaks off

What callers saw: a caller with HTTP/1.0 got 200, 200,096 bytes of an answer that broke off, and a regular end.

Cause: the class of review/2 on the other side of the gateway. The gateway closes the connection of a caller whose answer broke off. With HTTP/1.1 the missing last chunk tells; HTTP/1.0 has no chunks, and an answer without a length ends with its connection, so that closing it is the regular end.

Change: before such a connection is closed, SO_LINGER of 0 makes the close a reset.

Test: TestAnswerThatBreaksOffIsNotWholeForOldCallers, "breaks off" failed before; the whole answer passes.

Left: a process that is killed closes its connections in order, and no code of ours runs then.

--- a/internal/gateway/answerend.go
+++ b/internal/gateway/answerend.go
@@ -44,7 +44,7 @@
 }
 
 func (g *Gateway) logUnprovenEnd(current *callerRequest, worker *backends.Worker, cause error) {
-	g.events.line("end_unproven").Str("request", current.metadata.RequestID).Str("worker", string(worker.ID)).
+	g.events.line("end_unproven").Str("request_id", current.metadata.RequestID).Str("worker", string(worker.ID)).
 		Str("relay", string(current.relay)).Err(cause).Msg("end_unproven")
 }
 
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -338,10 +338,22 @@
 	}
 	line.Msg("request_ended")
 	if panicked != nil {
+		g.breakOff(current)
 		panic(panicked)
 	}
 }
 
+// breakOff sees to it that the caller can tell a response that ends early from a whole one. HTTP/1.0 has no chunks,
+// so that a response without a length ends with its connection.
+func (g *Gateway) breakOff(current *callerRequest) {
+	if !current.headSent || current.request.ProtoAtLeast(1, 1) {
+		return
+	}
+	if err := resetAtClose(current.request.Context()); err != nil {
+		g.events.line("caller_not_reset").Str("request_id", current.metadata.RequestID).Err(err).Msg("caller_not_reset")
+	}
+}
+
 // subject returns what the request may have in common with others that crash workers.
 func (c *callerRequest) subject() quarantine.Subject {
 	return quarantine.Subject{Request: c.fingerprint, Parts: c.parts}
