--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -11,6 +11,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -36,6 +37,8 @@
 	nodeParameter   = "node"
 	// bufferSize is the size of the buffers of each direction, in bytes.
 	bufferSize = 4 << 10
+	// maxUpgradeHeadBytes bounds the response to an upgrade request.
+	maxUpgradeHeadBytes = 4 << 10
 	// endWriteTimeout is how long a write to the worker may go on after the worker's end.
 	endWriteTimeout = 500 * time.Millisecond
 )
@@ -88,8 +91,9 @@
 
 // newConn returns the connection to a worker that a connection to another node carries.
 func newConn(conn net.Conn) *Conn {
-	buffered := bufio.NewReaderSize(conn, bufferSize)
-	return &Conn{Conn: conn, buffered: buffered, chunks: httputil.NewChunkedReader(buffered)}
+	limited := &io.LimitedReader{R: conn, N: maxUpgradeHeadBytes}
+	buffered := bufio.NewReaderSize(limited, bufferSize)
+	return &Conn{Conn: conn, limited: limited, buffered: buffered, chunks: httputil.NewChunkedReader(buffered)}
 }
 
 // handshake makes the upgrade request.
@@ -110,6 +114,7 @@
 		return errors.Wrap(err, "request tunnel")
 	}
 	if response.StatusCode == http.StatusSwitchingProtocols {
+		c.limited.N = math.MaxInt64
 		return nil
 	}
 	if known := errorsByStatus[response.StatusCode]; known != nil {
@@ -121,6 +126,8 @@
 // Conn is a connection to a worker through another node.
 type Conn struct {
 	net.Conn
+	// limited is what buffered reads from. It bounds the response to the upgrade request.
+	limited  *io.LimitedReader
 	buffered *bufio.Reader
 	chunks   io.Reader
 }
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -123,6 +123,28 @@
 	}
 }
 
+// TestEndlessUpgradeResponseIsNotRead guards against a process that runs out of memory, since what answers at a node's
+// address sends bytes without end in place of the response to an upgrade request.
+func TestEndlessUpgradeResponseIsNotRead(t *testing.T) {
+	const endless, slack = 64 << 20, 16 << 20
+	one, other := tcpPair(t)
+	sent := make(chan int, 1)
+	go func() {
+		block, count := make([]byte, 1<<20), 0
+		for count < endless {
+			written, err := other.Write(block)
+			count += written
+			if err != nil {
+				break
+			}
+		}
+		sent <- count
+	}()
+	_, err := Open(context.Background(), one, Request{Node: "n", Worker: "w"})
+	require.Error(t, err)
+	assert.Less(t, <-sent, maxUpgradeHeadBytes+slack)
+}
+
 // TestWorkerHearsThatTheCallerHasLeft guards against runs that go on after the asking node has closed
 // its end.
 func TestWorkerHearsThatTheCallerHasLeft(t *testing.T) {
