Bound the messages that agents and routers take

An agent read 256 MB of a router's answer without end (all that the test sent). A router's client for other routers has the same bound now; that one was found by reading alone.

Change: the bound that peers got moves to a package of its own, boundedhttp, which agents and routers use too: 32 MB a message, since one may hold the configuration and the list of machines. Heads of responses are bounded to 64 KB in all clients (gateways' messages to each other had 16 KB).

--- a/internal/agent/routers.go
+++ b/internal/agent/routers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/tillerfall/tillerfall/internal/affinity"
+	"github.com/tillerfall/tillerfall/internal/boundedhttp"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/rpc"
@@ -21,6 +22,8 @@
 	routerConnectTimeout = time.Second
 	routerIdleTimeout    = time.Minute
 	maxIdleConnections   = 64
+	// maxRouterMessageBytes bounds one message from a router.
+	maxRouterMessageBytes = 32 << 20
 	// initialBackoff is the backoff after a router's first failure.
 	initialBackoff = 200 * time.Millisecond
 )
@@ -71,13 +74,15 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     routerIdleTimeout,
+
+		MaxResponseHeaderBytes: boundedhttp.MaxHeadBytes,
 	}
 	return &routerSet{
 		clock:      clock,
 		ranking:    ranking,
 		seeds:      seeds,
 		backoffMax: backoffMax,
-		client:     &http.Client{Transport: transport},
+		client:     &http.Client{Transport: boundedhttp.Transport{Next: transport, MaxBodyBytes: maxRouterMessageBytes}},
 		states:     make(map[fleet.Address]*routerState),
 		rotation:   rand.IntN(math.MaxInt32),
 	}
--- a/internal/engine/connections.go
+++ b/internal/engine/connections.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/tillerfall/tillerfall/internal/boundedhttp"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
@@ -84,6 +85,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     time.Minute,
+
+		MaxResponseHeaderBytes: boundedhttp.MaxHeadBytes,
 	}
 	if disableKeepAlives {
 		transport.ResponseHeaderTimeout = options.HeaderTimeout
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -12,6 +12,7 @@
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tillerfall/tillerfall/internal/boundedhttp"
 	"github.com/tillerfall/tillerfall/internal/config"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
@@ -29,7 +30,7 @@
 // call.
 func newHTTPClient(meter *traffic.Meter, keep bool) *http.Client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &http.Client{Transport: limitedResponses{next: minimalHeaders{next: traffic.RoundTripper{Next: &http.Transport{
+	transport := &http.Transport{
 		DialContext:         meter.Dial(dialer.DialContext),
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: 2,
@@ -37,8 +38,12 @@
 		DisableCompression:  true,
 		DisableKeepAlives:   !keep,
 
-		MaxResponseHeaderBytes: maxResponseHeadBytes,
-	}}}}}
+		MaxResponseHeaderBytes: boundedhttp.MaxHeadBytes,
+	}
+	return &http.Client{Transport: boundedhttp.Transport{
+		Next:         minimalHeaders{next: traffic.RoundTripper{Next: transport}},
+		MaxBodyBytes: maxMessageBytes,
+	}}
 }
 
 // pooledMembersLimit is the number of members from which gossip uses single-use connections. A
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/boundedhttp"
 )
 
 const (
@@ -33,6 +35,8 @@
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdleConnections,
 			IdleConnTimeout:     idleTimeout,
+
+			MaxResponseHeaderBytes: boundedhttp.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
--- a/internal/router/peerfetch.go
+++ b/internal/router/peerfetch.go
@@ -8,12 +8,17 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tillerfall/tillerfall/internal/boundedhttp"
 	"github.com/tillerfall/tillerfall/internal/config"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/membership"
 	"github.com/tillerfall/tillerfall/internal/rpc"
 )
 
+// maxFetchedBytes bounds one message from another router, which may hold the whole configuration and the list of
+// machines.
+const maxFetchedBytes = 32 << 20
+
 // peerFetcher fetches configurations and the list of machines from other routers.
 type peerFetcher struct {
 	router *Router
@@ -23,7 +28,8 @@
 var _ config.Peers = (*peerFetcher)(nil)
 
 func newPeerFetcher(r *Router) *peerFetcher {
-	return &peerFetcher{router: r, http: &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute}}}
+	transport := &http.Transport{IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: boundedhttp.MaxHeadBytes}
+	return &peerFetcher{router: r, http: &http.Client{Transport: boundedhttp.Transport{Next: transport, MaxBodyBytes: maxFetchedBytes}}}
 }
 
 // Count implements config.Peers. It includes configured and listed routers, since a restarted
