--- a/internal/gateway/answerend.go
+++ b/internal/gateway/answerend.go
@@ -9,6 +9,7 @@
 	"github.com/tillerfall/tillerfall/internal/backends"
 	"github.com/tillerfall/tillerfall/internal/quarantine"
 	"github.com/tillerfall/tillerfall/internal/rollout"
+	"github.com/tillerfall/tillerfall/internal/tcpend"
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
@@ -30,8 +31,11 @@
 	worker := &placement.Worker
 	// A process that crashes closes its connections and its listener one after the other, so the probe comes last.
 	if err := response.AwaitEnd(ctx); err != nil {
-		g.metrics.probedEnds.WithLabelValues(labelReset).Inc()
-		g.logUnprovenEnd(current, worker, err)
+		// Any other error means that the request itself has ended.
+		if errors.Is(err, tcpend.ErrReset) {
+			g.metrics.probedEnds.WithLabelValues(labelReset).Inc()
+			g.logUnprovenEnd(current, worker, err)
+		}
 		return err
 	}
 	liveness := g.probeEnd(ctx, current, worker, response.SilenceBeforeEnd())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,11 +48,12 @@
 	metrics         *metrics
 	life            tomb.Tomb
 
-	configuration      *routes.Holder
-	freshness          *routes.Freshness
-	workers            *backends.Registry
-	upstreams          *upstream.Pool
-	budgets            *retryBudgets
+	configuration *routes.Holder
+	freshness     *routes.Freshness
+	workers       *backends.Registry
+	upstreams     *upstream.Pool
+	budgets       *retryBudgets
+	// bodies and answers are the memory for the bodies of requests and for buffered answers.
 	bodies             *bodymemory.Budget
 	answers            *bodymemory.Budget
 	quotas             *quotas
