Keep a moved stream open until another engine has taken it over

Cause: a move closed the connection to the silent engine, and only then asked the engine with the copy to continue the run. The silent engine had gone on meanwhile and often ended the run, which releases the copy; the continuation was refused with 503 (not run), and there was no way back. In the first case traced the way to the engine came back 36 ms before the move, with the rest of the answer. The move gave up a certain answer for an uncertain one.

A later verdict of silence only moves the bound: 1.8 s are sound too, and engines that are dark for 12 s would be left later.

Change: a stream that has begun is held: its relay, which now runs in a goroutine of its own, stops before the next event, and the connection stays open until another engine has sent the head of its answer. If none takes the stream, or bytes of it arrive before the other send is written, it goes on where it was. If the other send was written and got no valid answer, a stream that may run once isn't returned to, since two engines could be running it.

Why it holds: at each moment exactly one connection is relayed, and the caller gets nothing from the first one between the request to continue after an event and its outcome.

--- a/internal/attempt/forwarding.go
+++ b/internal/attempt/forwarding.go
@@ -61,6 +61,8 @@
 	delivering   bool
 	// continuing is set while a send goes to the engine that holds a copy of the run.
 	continuing bool
+	// maybeContinued is set once a copy may have been continued by a send that brought no valid answer.
+	maybeContinued bool
 	// prepaid is set if the next retry is already withdrawn from the budget.
 	prepaid bool
 }
@@ -152,6 +154,7 @@
 	f.exclude(run)
 	f.sends++
 	if f.continuing {
+		f.maybeContinued = true
 		return f.continuationFailed(now)
 	}
 	f.possibleRuns++
--- a/internal/attempt/forwarding_test.go
+++ b/internal/attempt/forwarding_test.go
@@ -230,3 +230,28 @@
 	once.PrepayRetry()
 	assert.Equal(t, StepFail, once.Unanswered(0, fleet.EngineRun{Engine: "a"}).Kind)
 }
+
+// TestStreamRunsTwiceAfterFailedMove guards against a stream that goes on at its engine although another one may
+// be running it, and against one that breaks off although no other engine can be.
+func TestStreamRunsTwiceAfterFailedMove(t *testing.T) {
+	for name, test := range map[string]struct {
+		resumable bool
+		fail      func(machine *Forwarding) Step
+		canReturn bool
+	}{
+		"rejected":             {fail: func(f *Forwarding) Step { return f.Rejected(0, workerRun(2)) }, canReturn: true},
+		"not sent":             {fail: func(f *Forwarding) Step { return f.NotSent(0, workerRun(2)) }, canReturn: true},
+		"called off":           {fail: (*Forwarding).CalledOff, canReturn: true},
+		"unanswered":           {fail: func(f *Forwarding) Step { return f.Unanswered(0, workerRun(2)) }},
+		"resumable unanswered": {resumable: true, fail: func(f *Forwarding) Step { return f.Unanswered(0, workerRun(2)) }, canReturn: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			machine := newTestForwarding(ForwardingPolicy{Idempotent: test.resumable, Resumable: test.resumable, MaxRuns: 1})
+			require.Equal(t, StepDeliver, machine.Answered(0, workerRun(1), false).Kind)
+			machine.DeliveryStarted()
+			require.Equal(t, StepContinue, machine.Truncated(0, workerRun(1), true).Kind)
+			assert.Equal(t, StepAbort, test.fail(machine).Kind)
+			assert.Equal(t, test.canReturn, machine.CanReturn())
+		})
+	}
+}
--- a/internal/attempt/moving.go
+++ b/internal/attempt/moving.go
@@ -20,6 +20,16 @@
 	return f.policy.Resumable && f.possibleRuns+1 < f.policy.MaxRuns
 }
 
+// CanReturn reports whether a stream that was to continue elsewhere may go on at its engine after all: it may
+// run more than once, or no other engine can have continued it.
+func (f *Forwarding) CanReturn() bool { return f.policy.Resumable || !f.maybeContinued }
+
+// CalledOff records that a send isn't made, since the stream goes on at its engine.
+func (f *Forwarding) CalledOff() Step {
+	f.continuing = false
+	return Step{Kind: StepAbort}
+}
+
 // PrepayRetry records that the next retry has already been withdrawn from the budget.
 func (f *Forwarding) PrepayRetry() { f.prepaid = true }
 
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -24,9 +24,10 @@
 var errCallerWrite = errors.New("caller's connection failed")
 
 // deliver relays a worker's response to the caller.
-func (g *Gateway) deliver(ctx context.Context, current *callerRequest, placement *backends.Placement, response *upstream.Response) attempt.Step {
+func (g *Gateway) deliver(ctx context.Context, current *callerRequest, send *openSend) attempt.Step {
+	placement, response := send.placement, send.response
 	if isEventStream(current, response) {
-		return g.deliverStream(ctx, current, placement, response)
+		return g.deliverStream(ctx, current, send)
 	}
 	if current.headSent {
 		// The worker answered the resumption of a stream with something else.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -158,6 +158,9 @@
 	if current.timeLeft(g.now()) <= 0 {
 		return errDeadlinePassed
 	}
+	if current.isHeldStreamHeard() {
+		return errEngineHeard
+	}
 	if current.tenant != nil && !g.canServeKeyed() {
 		return errStaleConfiguration
 	}
--- /dev/null
+++ b/internal/gateway/eventrelay.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tillerfall/tillerfall/internal/upstream"
+)
+
+// maxEventBytes bounds the size of one event of a stream.
+const maxEventBytes = 256 << 10
+
+// Causes of the end of a relay.
+var (
+	// errPartialEvent means that a stream ended within an event.
+	errPartialEvent = errors.New("stream ended within an event")
+	// errReplaced means that another engine has taken the stream over.
+	errReplaced = errors.New("stream continues elsewhere")
+)
+
+// eventRelay reads a stream of events and relays complete ones, unless it's held.
+type eventRelay struct {
+	response *upstream.Response
+	// gate is locked while events are relayed, and while the relay is held.
+	gate sync.Mutex
+	// replaced is set once no further event is to be relayed. gate guards it.
+	replaced bool
+	// waiting is set while bytes or the end of the stream have arrived and aren't relayed yet.
+	waiting atomic.Bool
+	// lastID is the identifier of the last relayed event. gate guards it.
+	lastID string
+	buffer []byte
+}
+
+// hold keeps the relay from relaying until release or replace is called. It reports false, and does nothing, if
+// bytes have arrived that aren't relayed yet.
+func (r *eventRelay) hold() bool {
+	if r.waiting.Load() {
+		return false
+	}
+	r.gate.Lock()
+	if r.waiting.Load() {
+		r.gate.Unlock()
+		return false
+	}
+	return true
+}
+
+// release ends a hold.
+func (r *eventRelay) release() { r.gate.Unlock() }
+
+// replace ends a hold, and the relay with errReplaced.
+func (r *eventRelay) replace() {
+	r.replaced = true
+	r.gate.Unlock()
+}
+
+// run reads until the end of the stream and calls relay with complete events. It returns nil if the
+// stream ended at the end of an event.
+func (r *eventRelay) run(relay func(events []byte) error) error {
+	const chunk = 4 << 10
+	for {
+		if cap(r.buffer)-len(r.buffer) < chunk/4 {
+			grown := make([]byte, len(r.buffer), len(r.buffer)+chunk)
+			copy(grown, r.buffer)
+			r.buffer = grown
+		}
+		count, err := r.response.Read(r.buffer[len(r.buffer):cap(r.buffer)])
+		r.buffer = r.buffer[:len(r.buffer)+count]
+		r.waiting.Store(count > 0 || err == io.EOF)
+		if relayErr := r.relayCompleteEvents(relay); relayErr != nil {
+			return relayErr
+		}
+		switch {
+		case err == io.EOF && len(bytes.TrimSpace(r.buffer)) > 0:
+			return errPartialEvent
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return err
+		case len(r.buffer) > maxEventBytes:
+			return errors.New("event exceeds the size limit")
+		}
+	}
+}
+
+// relayCompleteEvents relays the complete events in the buffer and removes them from it.
+func (r *eventRelay) relayCompleteEvents(relay func(events []byte) error) error {
+	r.gate.Lock()
+	defer r.gate.Unlock()
+	r.waiting.Store(false)
+	if r.replaced {
+		return errReplaced
+	}
+	end := lastEventEnd(r.buffer)
+	if end == 0 {
+		return nil
+	}
+	events := r.buffer[:end]
+	if id, found := findLastEventID(events); found {
+		r.lastID = id
+	}
+	if err := relay(events); err != nil {
+		return err
+	}
+	r.buffer = append(r.buffer[:0], r.buffer[end:]...)
+	return nil
+}
+
+// lastEventEnd returns the end of the last complete event in the buffer, 0 if there is none. A
+// blank line ends an event.
+func lastEventEnd(buffer []byte) int {
+	end := 0
+	if at := bytes.LastIndex(buffer, []byte("\n\n")); at >= 0 {
+		end = at + len("\n\n")
+	}
+	if at := bytes.LastIndex(buffer, []byte("\n\r\n")); at >= 0 {
+		end = max(end, at+len("\n\r\n"))
+	}
+	return end
+}
+
+// findLastEventID returns the last event identifier in complete events.
+func findLastEventID(events []byte) (string, bool) {
+	const field = "id:"
+	at := bytes.LastIndex(events, []byte("\n"+field))
+	start := at + 1
+	if at < 0 {
+		if !bytes.HasPrefix(events, []byte(field)) {
+			return "", false
+		}
+		start = 0
+	}
+	line, _, _ := bytes.Cut(events[start+len(field):], []byte("\n"))
+	return strings.TrimSpace(string(line)), true
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -40,8 +40,12 @@
 	}, g.budgets.forRequest(current.service.Name, current.metadata.RequestID))
 	ctx, cancel := g.deadlines.withDeadline(current.request.Context(), g.now(), current.deadline+deadlineGrace)
 	defer cancel()
+	defer g.dropHeldStream(current)
 	step := attempt.Step{Kind: attempt.StepSend}
 	for {
+		if step.Kind != attempt.StepAbort && current.isHeldStreamHeard() {
+			step = current.attempts.CalledOff()
+		}
 		switch step.Kind {
 		case attempt.StepSend:
 			step = g.send(ctx, current)
@@ -53,6 +57,10 @@
 			g.refuse(current, refusal{code: step.Code, reason: step.Reason, retryAfter: step.RetryAfter})
 			return
 		case attempt.StepAbort:
+			if current.canReturn(ctx) {
+				step = g.returnToHeldStream(ctx, current)
+				break
+			}
 			if current.isCallerGone() {
 				current.reason = errCallerGone.Error()
 				panic(http.ErrAbortHandler)
@@ -118,14 +126,14 @@
 		g.metrics.beforeSend.Observe((current.firstSentAt - current.startedAt).Seconds())
 	}
 	sending, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	current.watched = g.watchSend(current, placement, cancel)
-	defer g.unwatchSend(current.watched)
+	send := &openSend{placement: placement, cancel: cancel, watched: current.watched}
+	defer g.endSend(current, send)
 	response, err := g.exchangeWith(sending, cancel, current, placement)
 	if err != nil {
 		return g.handleSendError(ctx, sending, current, placement, err)
 	}
-	defer response.Close()
+	send.response = response
 	g.links.recordHeard(g.now(), current.relay)
 	g.observeHead(current.watched)
 	info := g.dependencies.Codec.ReadResponse(response.Status, response.Header)
@@ -142,7 +150,28 @@
 		g.recordOutcome(current, placement, backends.Lost, "answer without signature")
 		return current.attempts.Unanswered(g.now(), placement.Worker.Run())
 	}
-	return g.deliver(ctx, current, placement, response)
+	return g.deliver(ctx, current, send)
+}
+
+// openSend is a send with what is to be released at its end.
+type openSend struct {
+	placement *backends.Placement
+	// response is nil until its head has arrived.
+	response *upstream.Response
+	watched  *watchedSend
+	cancel   context.CancelCauseFunc
+}
+
+// endSend releases a send unless it's held open.
+func (g *Gateway) endSend(current *callerRequest, send *openSend) {
+	if current.held != nil && current.held.send == send {
+		return
+	}
+	if send.response != nil {
+		send.response.Close()
+	}
+	g.unwatchSend(send.watched)
+	send.cancel(nil)
 }
 
 // exchangeWith sends the request and waits for the head of the response. Until the head arrives,
@@ -210,6 +239,9 @@
 	case errors.Is(err, errLinkLost) && sent:
 		g.recordOutcome(current, placement, backends.Disconnected, err.Error())
 		return current.attempts.Unanswered(g.now(), run)
+	case errors.Is(err, errEngineHeard):
+		g.recordOutcome(current, placement, backends.Cancelled, err.Error())
+		return current.attempts.CalledOff()
 	case errors.Is(err, errNoPath):
 		g.recordOutcome(current, placement, backends.Disconnected, err.Error())
 		return current.attempts.NoWorker(err.Error(), g.relays.availableIn(g.now()))
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -78,17 +78,14 @@
 	atLimit bool
 	// atShare is set if the last placement found a worker at this gateway's share of its slots.
 	atShare bool
-	// sentAt is when the last send began, eventCount the number of events received from it.
-	sentAt     time.Duration
-	eventCount int
-	// relay is the gateway through which the current send goes; empty if its connection is direct.
-	relay fleet.NodeID
+	// sendState is that of the current send.
+	sendState
+	// held is a stream that another engine is to take over, until it has.
+	held *openStream
 	// lostPlacement is the placement of a lost run that is to be resumed at another engine.
 	lostPlacement *backends.Placement
-	// watched is the current send, if it is to an engine. moved is set once a send was cancelled
-	// because its engine is silent, which happens once per request.
-	watched *watchedSend
-	moved   bool
+	// moved is set once a send was moved because its engine is silent, which happens once per request.
+	moved bool
 	// bodyBytes is the memory that the request holds for its body.
 	bodyBytes int64
 	// quotaCost is what the request was charged to its tenant's quota.
@@ -110,11 +107,22 @@
 	lastEventAt     time.Duration
 	longestEventGap time.Duration
 	status          int
-	worker          string
 	result          resultcode.Code
 	reason          string
 }
 
+// sendState is the state of one send of a request to a worker.
+type sendState struct {
+	worker string
+	// sentAt is when the send began, eventCount the number of events received from it.
+	sentAt     time.Duration
+	eventCount int
+	// relay is the gateway through which the send goes; empty if its connection is direct.
+	relay fleet.NodeID
+	// watched is the send as the failure detector knows it; nil if it isn't to an engine.
+	watched *watchedSend
+}
+
 // refusal is an error response that the gateway itself generates.
 type refusal struct {
 	code       resultcode.Code
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -64,6 +64,8 @@
 	// canContinue reports whether the request can go on at its copy, and is nil if the copy isn't the
 	// only way on after the first event.
 	canContinue func(now time.Duration) bool
+	// moves receives an element when a stream that has begun is to continue elsewhere.
+	moves chan struct{}
 	// overBudget is set once the send was kept from moving by the retry budget.
 	overBudget bool
 	moved      atomic.Bool
@@ -93,6 +95,7 @@
 	send := &watchedSend{
 		cancel: cancel, service: current.service.Name, requestID: current.metadata.RequestID,
 		hasElsewhere: g.elsewhere(current, placement), origin: current.origin, software: placement.Worker.Software,
+		moves: make(chan struct{}, 1),
 	}
 	if !current.attempts.CanResume() {
 		model := current.metadata.Model
@@ -315,8 +318,8 @@
 		Int("under_way", silence.UnderWay).Dur("explained", silence.Explained).Bool("again", known).Msg("engine_silent")
 }
 
-// moveSends cancels sends at silent engines, as far as the retry budgets of their services allow, so
-// that they are sent elsewhere.
+// moveSends has sends at silent engines made elsewhere, as far as the retry budgets of their services
+// allow.
 func (g *Gateway) moveSends(now time.Duration, runs []*liveness.Run) {
 	w := g.engineWatch
 	w.mutex.Lock()
@@ -333,14 +336,24 @@
 			continue
 		}
 		w.monitor.Moved(run)
-		send.moved.Store(true)
-		send.cancel(errEngineSilent)
+		send.move()
 		g.metrics.silence.moves.WithLabelValues("moved").Inc()
 		g.events.line("send_moved").Str("request_id", send.requestID).Str("worker", string(run.Engine())).
 			Bool("begun", run.HasBegun()).Msg("send_moved")
 	}
 }
 
+// move has a send made elsewhere. It's cancelled first, but for a stream that has begun: no other engine may
+// take that over.
+func (s *watchedSend) move() {
+	if s.run.HasBegun() {
+		signal(s.moves)
+		return
+	}
+	s.moved.Store(true)
+	s.cancel(errEngineSilent)
+}
+
 // countOverBudget counts a send that the retry budget keeps from moving, once however long it waits.
 func (g *Gateway) countOverBudget(send *watchedSend) {
 	if !send.overBudget {
@@ -362,7 +375,7 @@
 	return current.attempts.Unanswered(g.now(), placement.Worker.Run())
 }
 
-// abandonSilentStream is abandonSilent for a stream whose head has arrived.
+// abandonSilentStream is abandonSilent for a stream whose head has arrived, without an event.
 func (g *Gateway) abandonSilentStream(current *callerRequest, placement *backends.Placement) attempt.Step {
 	current.moved = true
 	g.recordOutcome(current, placement, backends.Silent, errEngineSilent.Error())
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
-	"strings"
 
 	"github.com/go-faster/errors"
 
@@ -14,43 +12,78 @@
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
-// maxEventBytes bounds the size of one event of a stream.
-const maxEventBytes = 256 << 10
-
-// errPartialEvent means that a stream ended within an event.
-var errPartialEvent = errors.New("stream ended within an event")
+// openStream is a stream of events from a worker, whose head has arrived.
+type openStream struct {
+	send  *openSend
+	relay *eventRelay
+	// ended receives the result of the relay.
+	ended chan error
+	// state is that of the send while the stream is held.
+	state sendState
+}
 
 // deliverStream relays the complete events of a stream as they arrive. A stream that breaks off may
 // be resumed at another worker.
-func (g *Gateway) deliverStream(ctx context.Context, current *callerRequest, placement *backends.Placement, response *upstream.Response) attempt.Step {
-	run := placement.Worker.Run()
-	step := current.attempts.Answered(g.now(), run, false)
+func (g *Gateway) deliverStream(ctx context.Context, current *callerRequest, send *openSend) attempt.Step {
+	step := current.attempts.Answered(g.now(), send.placement.Worker.Run(), false)
 	if step.Kind != attempt.StepDeliver {
-		g.recordOutcome(current, placement, backends.Failed, "not delivered")
+		g.recordOutcome(current, send.placement, backends.Failed, "not delivered")
 		return step
 	}
-	relay := &eventRelay{response: response, lastID: current.lastEventID}
-	err := relay.run(func(events []byte) error {
-		placement.FirstByte(g.now())
-		if current.origin.IsAny() {
-			g.beginStream(ctx, current, placement)
+	g.endHeldStream(current, backends.Silent, errEngineSilent.Error())
+	return g.awaitStream(ctx, current, g.startRelay(ctx, current, send))
+}
+
+// startRelay begins to relay a stream. The relay uses the request's state until the stream has ended or is held.
+func (g *Gateway) startRelay(ctx context.Context, current *callerRequest, send *openSend) *openStream {
+	relay := &eventRelay{response: send.response, lastID: current.lastEventID}
+	stream := &openStream{send: send, relay: relay, ended: make(chan error, 1)}
+	go func() {
+		stream.ended <- relay.run(func(events []byte) error {
+			send.placement.FirstByte(g.now())
+			if current.origin.IsAny() {
+				g.beginStream(ctx, current, send.placement)
+			}
+			g.observeEvent(send.watched, relay.lastID != "")
+			return g.writeEvents(current, send.response, events)
+		})
+	}()
+	return stream
+}
+
+// awaitStream waits until a stream has ended or is to continue elsewhere.
+func (g *Gateway) awaitStream(ctx context.Context, current *callerRequest, stream *openStream) attempt.Step {
+	var moves chan struct{}
+	if watched := stream.send.watched; watched != nil {
+		moves = watched.moves
+	}
+	for {
+		select {
+		case err := <-stream.ended:
+			return g.finishStream(ctx, current, stream, err)
+		case <-moves:
+			if g.holdStream(current, stream) {
+				return g.replaceHeldStream(current)
+			}
 		}
-		g.observeEvent(current.watched, relay.lastID != "")
-		return g.writeEvents(current, response, events)
-	})
+	}
+}
+
+// finishStream returns the next step after a stream has ended, with the error of its relay.
+func (g *Gateway) finishStream(ctx context.Context, current *callerRequest, stream *openStream, err error) attempt.Step {
+	placement, response := stream.send.placement, stream.send.response
 	if err == nil {
 		err = g.confirmEnd(ctx, current, placement, response)
 	}
-	current.lastEventID = relay.lastID
+	current.lastEventID = stream.relay.lastID
 	switch {
-	case err == nil && current.headSent:
-		g.recordOutcome(current, placement, backends.Succeeded, "")
-		return step
 	case err == nil:
-		// A stream without events is passed on as an empty body.
-		g.sendHead(current, response, 0)
+		if !current.headSent {
+			// A stream without events is passed on as an empty body.
+			g.sendHead(current, response, 0)
+		}
 		g.recordOutcome(current, placement, backends.Succeeded, "")
-		return step
+		return attempt.Step{Kind: attempt.StepDeliver}
 	case current.isCallerGone() || errors.Is(err, errCallerWrite):
 		g.recordLostRun(current, placement, quarantine.Abandoned)
 		g.recordOutcome(current, placement, backends.Cancelled, errCallerGone.Error())
@@ -66,7 +99,7 @@
 		g.recordLostRun(current, placement, quarantine.ConnectionBroken)
 		g.recordOutcome(current, placement, backends.Lost, "stream: "+err.Error())
 		response.Close()
-		return current.attempts.Truncated(g.now(), run, current.rememberCopy(placement))
+		return current.attempts.Truncated(g.now(), placement.Worker.Run(), current.rememberCopy(placement))
 	}
 }
 
@@ -86,84 +119,3 @@
 	}
 	return flushToCaller(current)
 }
-
-// eventRelay reads a stream of events and relays complete ones.
-type eventRelay struct {
-	response *upstream.Response
-	// lastID is the identifier of the last relayed event.
-	lastID string
-	buffer []byte
-}
-
-// run reads until the end of the stream and calls relay with complete events. It returns nil if the
-// stream ended at the end of an event.
-func (r *eventRelay) run(relay func(events []byte) error) error {
-	const chunk = 4 << 10
-	for {
-		if cap(r.buffer)-len(r.buffer) < chunk/4 {
-			grown := make([]byte, len(r.buffer), len(r.buffer)+chunk)
-			copy(grown, r.buffer)
-			r.buffer = grown
-		}
-		count, err := r.response.Read(r.buffer[len(r.buffer):cap(r.buffer)])
-		r.buffer = r.buffer[:len(r.buffer)+count]
-		if relayErr := r.relayCompleteEvents(relay); relayErr != nil {
-			return relayErr
-		}
-		switch {
-		case err == io.EOF && len(bytes.TrimSpace(r.buffer)) > 0:
-			return errPartialEvent
-		case err == io.EOF:
-			return nil
-		case err != nil:
-			return err
-		case len(r.buffer) > maxEventBytes:
-			return errors.New("event exceeds the size limit")
-		}
-	}
-}
-
-// relayCompleteEvents relays the complete events in the buffer and removes them from it.
-func (r *eventRelay) relayCompleteEvents(relay func(events []byte) error) error {
-	end := lastEventEnd(r.buffer)
-	if end == 0 {
-		return nil
-	}
-	events := r.buffer[:end]
-	if id, found := findLastEventID(events); found {
-		r.lastID = id
-	}
-	if err := relay(events); err != nil {
-		return err
-	}
-	r.buffer = append(r.buffer[:0], r.buffer[end:]...)
-	return nil
-}
-
-// lastEventEnd returns the end of the last complete event in the buffer, 0 if there is none. A
-// blank line ends an event.
-func lastEventEnd(buffer []byte) int {
-	end := 0
-	if at := bytes.LastIndex(buffer, []byte("\n\n")); at >= 0 {
-		end = at + len("\n\n")
-	}
-	if at := bytes.LastIndex(buffer, []byte("\n\r\n")); at >= 0 {
-		end = max(end, at+len("\n\r\n"))
-	}
-	return end
-}
-
-// findLastEventID returns the last event identifier in complete events.
-func findLastEventID(events []byte) (string, bool) {
-	const field = "id:"
-	at := bytes.LastIndex(events, []byte("\n"+field))
-	start := at + 1
-	if at < 0 {
-		if !bytes.HasPrefix(events, []byte(field)) {
-			return "", false
-		}
-		start = 0
-	}
-	line, _, _ := bytes.Cut(events[start+len(field):], []byte("\n"))
-	return strings.TrimSpace(string(line)), true
-}
--- a/internal/liveness/monitor.go
+++ b/internal/liveness/monitor.go
@@ -161,9 +161,17 @@
 }
 
 // Moved records that a request named in Verdict.Moves is sent elsewhere. Call End once it has ended
-// at its first engine.
+// at its first engine, or Stay if it goes on there.
 func (m *Monitor) Moved(run *Run) { run.moved = true }
 
+// Stay records that a moved request goes on at its engine after all. It may be moved again at movableAt.
+func (m *Monitor) Stay(run *Run, movableAt time.Duration) {
+	run.moved, run.movableAt = false, movableAt
+}
+
+// IsSilent reports whether nothing has come from a request's engine since it was found silent.
+func (m *Monitor) IsSilent(run *Run) bool { return run.engine.silent }
+
 // End records that a request has ended at its engine.
 func (m *Monitor) End(run *Run) {
 	if _, present := run.engine.runs[run]; !present {
@@ -353,7 +361,7 @@
 // mayMove reports whether a request at a silent engine is to be sent elsewhere.
 func (m *Monitor) mayMove(now time.Duration, run *Run) bool {
 	switch {
-	case run.moved, now+run.send.Expected >= run.send.Deadline:
+	case run.moved, now < run.movableAt, now+run.send.Expected >= run.send.Deadline:
 		return false
 	case run.sentAt > run.engine.silentAt && !m.isOverdue(now, run):
 		return false
--- a/internal/liveness/monitor_test.go
+++ b/internal/liveness/monitor_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
 )
@@ -31,3 +32,27 @@
 	assert.Equal(t, suspicionCeiling, probedAt(false))
 	assert.Equal(t, lateCeiling, probedAt(true))
 }
+
+// TestFailedMoveIsRepeatedAtOnce guards against a request that no other engine takes and that is moved again with
+// each evaluation, or never again.
+func TestFailedMoveIsRepeatedAtOnce(t *testing.T) {
+	const movableAt = 2 * time.Second
+	monitor := New()
+	run := monitor.Begin(0, Send{Engine: "dark", Expected: 50 * time.Millisecond, Deadline: time.Minute, Repeatable: true})
+	live := monitor.Begin(0, Send{Engine: "live"})
+	var moves []time.Duration
+	for now := 50 * time.Millisecond; now < movableAt+500*time.Millisecond; now += 50 * time.Millisecond {
+		monitor.Head(now, live)
+		for range monitor.Evaluate(now).Moves {
+			moves = append(moves, now)
+			monitor.Moved(run)
+			monitor.Stay(run, movableAt)
+		}
+	}
+	require.NotEmpty(t, moves)
+	assert.Less(t, moves[0], time.Second)
+	assert.GreaterOrEqual(t, moves[1], movableAt)
+	assert.True(t, monitor.IsSilent(run))
+	monitor.Head(movableAt, run)
+	assert.False(t, monitor.IsSilent(run))
+}
--- a/internal/liveness/run.go
+++ b/internal/liveness/run.go
@@ -37,6 +37,8 @@
 	begun      bool
 	identified bool
 	moved      bool
+	// movableAt is when the request may be moved again, after a move that failed.
+	movableAt time.Duration
 	// trialFailed is set once the request has shown that an engine is still silent.
 	trialFailed bool
 }
