Log the end of a held stream

How its relay ended was dropped. The new line tells whether the first engine's connection had broken by itself before another engine took the stream over.

--- a/internal/gateway/heldstream.go
+++ b/internal/gateway/heldstream.go
@@ -80,8 +80,8 @@
 	current.held = nil
 	stream.relay.replace()
 	stream.send.cancel(errEngineSilent)
-	// Whatever ended the relay, the stream has been replaced.
-	_ = <-stream.ended
+	g.events.line("held_stream_closed").Str("request_id", current.metadata.RequestID).Str("worker", stream.state.worker).
+		AnErr("relay_ended", <-stream.ended).Msg("held_stream_closed")
 	g.endSend(current, stream.send)
 	now := current.sendState
 	current.sendState = stream.state
