Leave it to TCP_USER_TIMEOUT when a quiet connection to a worker is dead

Cause: connections to workers allowed three unanswered keep-alive probes, one a second.

Change: 60 probes, so that TCP_USER_TIMEOUT (3 s without a packet or an acknowledgement) alone decides, as it does on Linux, where it takes precedence over the count. Nothing else changes there.

TestTwoShortSilencesEndConnection fails before (4 s, where 30 s are asked).

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -153,8 +153,8 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveIdle,
-			Interval: time.Second,
-			Count:    3,
+			Interval: keepAliveInterval,
+			Count:    keepAliveProbes,
 		},
 		Control: LimitUnacknowledged(userTimeout),
 	}
--- a/internal/upstream/keepalive_test.go
+++ b/internal/upstream/keepalive_test.go
@@ -14,6 +14,9 @@
 // minToleratedSilence is how long a sound worker may send nothing, not even acknowledgements.
 const minToleratedSilence = 2 * time.Second
 
+// longestRequest is the longest time that a route of the users gives a request. Unanswered probes may add up over it.
+const longestRequest = 30 * time.Second
+
 // socketOption returns a TCP option of a connection.
 func socketOption(t *testing.T, conn net.Conn, option int) int {
 	raw, err := conn.(*net.TCPConn).SyscallConn()
@@ -42,3 +45,18 @@
 	assert.GreaterOrEqual(t, userTimeout, minToleratedSilence, "unacknowledged bytes")
 	assert.GreaterOrEqual(t, userTimeout-idle, minToleratedSilence, "keep-alive probes")
 }
+
+// TestTwoShortSilencesEndConnection guards against a stream that is cut since its worker was silent for a second
+// twice, a few seconds apart: each time, a keep-alive probe went unanswered.
+func TestTwoShortSilencesEndConnection(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	conn, err := NewDial(nil)(context.Background(), "tcp4", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	idle := time.Duration(socketOption(t, conn, syscall.TCP_KEEPIDLE)) * time.Second
+	interval := time.Duration(socketOption(t, conn, syscall.TCP_KEEPINTVL)) * time.Second
+	probes := socketOption(t, conn, syscall.TCP_KEEPCNT)
+	assert.Greater(t, idle+time.Duration(probes)*interval, longestRequest)
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -21,6 +21,10 @@
 	// keepAliveIdle is how long a connection is quiet before the first probe. A sound worker may be
 	// silent for the rest of userTimeout.
 	keepAliveIdle = time.Second
+	// keepAliveInterval is the time between two probes. keepAliveProbes, the number of unanswered ones that ends a
+	// connection, is so high that userTimeout alone decides: several short silences may add up to a small number.
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 60
 )
 
 // Options configures a Pool. Zero fields take their defaults.
