Send requests that run once on connections that stay open during a short silence

Cause: they were sent during a silence on reused connections that had been idle for 8.1 to 10.0 s. The worker closed these, as it does after 10 s, before the request arrived. The margin of 0.7 s is for travel, not for a silence. That a request wasn't run can't be told then.

Which connection a failed request was sent on couldn't be seen: the new line exchange_failed tells whether it was reused, for how long it had been idle and through which node it went. All failures above were on direct, reused connections, so tunnels are ruled out.

Change: a request that must not run twice takes an idle connection only if that is valid for another 1.5 s, or if no further one may be opened. Others keep the margin of 0.7 s: they are sent again.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -42,9 +42,17 @@
 // the other gateways share the rest.
 const servingConnectionFraction = 0.6
 
+// minRemainingOnce is for how long an idle connection must still be valid to carry a request that runs at most
+// once. A worker that is silent for a second or so may close it before the request arrives, which can't be told
+// from a run.
+const minRemainingOnce = 1500 * time.Millisecond
+
 // destination returns a worker's address with this gateway's share of its connections.
 func (g *Gateway) destination(current *callerRequest, worker *backends.Worker) upstream.Destination {
 	destination := upstream.Destination{Engine: worker.ID, Address: worker.Address}
+	if current.attempts != nil && !current.attempts.CanRepeat() {
+		destination.MinRemaining = minRemainingOnce
+	}
 	if limit := current.service.MaxConnections; limit > 0 {
 		destination.MaxConnections = max(int(float64(limit)*g.connectionShare()), 1)
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -216,6 +216,10 @@
 	run := placement.Worker.Run()
 	var failure *upstream.ExchangeError
 	sent := !errors.As(err, &failure) || failure.Stage == upstream.Sent
+	if failure != nil && sent {
+		g.events.line("exchange_failed").Str("request_id", current.metadata.RequestID).Str("worker", string(placement.Worker.ID)).
+			Str("relay", string(current.relay)).Bool("reused", failure.Reused).Dur("idle", failure.Idle).Err(failure.Cause).Msg("exchange_failed")
+	}
 	g.reportOversizedHead(current, placement, err)
 	moved := current.watched.isMoved()
 	if sent && !moved {
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -61,13 +61,22 @@
 	end tcpend.Observer
 	// openedAt is when the connection was opened.
 	openedAt time.Time
-	// keepAlive is how long the connection may stay idle.
+	// keepAlive is how long the connection may stay idle, and idleSince when it was last released.
 	keepAlive time.Duration
+	idleSince time.Time
 	expires   time.Time
 	// written counts the bytes written.
 	written atomic.Int64
 }
 
+// idleFor returns for how long the connection has been idle, 0 if it has carried no exchange yet.
+func (c *connection) idleFor(now time.Time) time.Duration {
+	if c.idleSince.IsZero() {
+		return 0
+	}
+	return now.Sub(c.idleSince)
+}
+
 // Write implements io.Writer and counts the bytes written.
 func (c *connection) Write(content []byte) (int, error) {
 	count, err := c.raw.Write(content)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -151,6 +151,7 @@
 			return nil, &ExchangeError{Stage: NotSent, Cause: err}
 		}
 	}
+	idle := conn.idleFor(time.Now())
 	current := &exchange{pool: p, conn: conn}
 	current.stopWatch = context.AfterFunc(ctx, func() { conn.raw.Close() })
 	before := conn.written.Load()
@@ -164,10 +165,11 @@
 	if ctx.Err() != nil {
 		err = context.Cause(ctx)
 	}
+	stage := Sent
 	if conn.written.Load() == before {
-		return nil, &ExchangeError{Stage: NotSent, Cause: err}
+		stage = NotSent
 	}
-	return nil, &ExchangeError{Stage: Sent, Cause: err}
+	return nil, &ExchangeError{Stage: stage, Cause: err, Reused: reused, Idle: idle}
 }
 
 // onExchangeFailed closes all idle connections to the worker if a reused connection failed by
@@ -204,6 +206,11 @@
 	if p.options.OnDial != nil {
 		p.options.OnDial(destination.Engine)
 	}
+	return newConnection(destination, raw, p.options.IdleTimeout), nil
+}
+
+// newConnection returns a connection that may stay idle for a time.
+func newConnection(destination Destination, raw net.Conn, keepAlive time.Duration) *connection {
 	head := &headLimiter{conn: raw}
 	return &connection{
 		head:      head,
@@ -214,8 +221,8 @@
 		raw:       raw,
 		openedAt:  time.Now(),
 		reader:    bufio.NewReaderSize(head, readBufferSize),
-		keepAlive: p.options.IdleTimeout,
-	}, nil
+		keepAlive: keepAlive,
+	}
 }
 
 func (e *exchange) run(request *Request) (*Response, error) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -171,6 +171,10 @@
 	now := time.Now()
 	for len(state.idle) > 0 {
 		last := state.idle[len(state.idle)-1]
+		if destination.MinRemaining > 0 && now.Add(destination.MinRemaining).After(last.expires) && state.reserve(destination.MaxConnections) {
+			// The others have been idle for longer.
+			return nil, true
+		}
 		state.idle = state.idle[:len(state.idle)-1]
 		if last.address == destination.Address && now.Before(last.expires) && p.keepsRelayed(last) && last.isUsable() {
 			return last, true
@@ -217,7 +221,8 @@
 		conn.raw.Close()
 		return
 	}
-	conn.expires = time.Now().Add(min(conn.keepAlive, p.options.IdleTimeout))
+	conn.idleSince = time.Now()
+	conn.expires = conn.idleSince.Add(min(conn.keepAlive, p.options.IdleTimeout))
 	state.idle = append(state.idle, conn)
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -8,6 +8,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -50,6 +51,9 @@
 type ExchangeError struct {
 	Stage Stage
 	Cause error
+	// Reused is set if the connection had carried an earlier exchange. It was idle for Idle before this one.
+	Reused bool
+	Idle   time.Duration
 }
 
 // Error implements error.
@@ -97,4 +101,7 @@
 	Address fleet.Address
 	// MaxConnections limits the connections of this process to the worker; 0 means no limit.
 	MaxConnections int
+	// MinRemaining is for how long an idle connection must still be valid to be reused, unless no further one may be
+	// opened.
+	MinRemaining time.Duration
 }
