Allow for retransmissions when a request that runs once reuses a connection

TCP sends lost bytes again after 0.2, 0.6, 1.4 and 3.0 s, so a silence of 1.8 s delays a request by up to 3 s.

The connection must be valid for 3 s now, or for half of its keep-alive time-out, so that workers with short ones don't get a new connection for each request.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -44,8 +44,8 @@
 
 // minRemainingOnce is for how long an idle connection must still be valid to carry a request that runs at most
 // once. A worker that is silent for a second or so may close it before the request arrives, which can't be told
-// from a run.
-const minRemainingOnce = 1500 * time.Millisecond
+// from a run. TCP's retransmissions, each after twice the time, delay the request beyond the silence.
+const minRemainingOnce = 3 * time.Second
 
 // destination returns a worker's address with this gateway's share of its connections.
 func (g *Gateway) destination(current *callerRequest, worker *backends.Worker) upstream.Destination {
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -77,6 +77,11 @@
 	return now.Sub(c.idleSince)
 }
 
+// minRemaining returns for how long the connection must still be valid to be reused for a destination.
+func (c *connection) minRemaining(destination Destination) time.Duration {
+	return min(destination.MinRemaining, c.keepAlive/2)
+}
+
 // Write implements io.Writer and counts the bytes written.
 func (c *connection) Write(content []byte) (int, error) {
 	count, err := c.raw.Write(content)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -171,7 +171,7 @@
 	now := time.Now()
 	for len(state.idle) > 0 {
 		last := state.idle[len(state.idle)-1]
-		if destination.MinRemaining > 0 && now.Add(destination.MinRemaining).After(last.expires) && state.reserve(destination.MaxConnections) {
+		if last.expires.Sub(now) < last.minRemaining(destination) && state.reserve(destination.MaxConnections) {
 			// The others have been idle for longer.
 			return nil, true
 		}
--- a/internal/upstream/reuse_test.go
+++ b/internal/upstream/reuse_test.go
@@ -25,7 +25,8 @@
 	pool := NewPool(Options{})
 	anyRequest := Destination{Engine: "w"}
 	once := Destination{Engine: "w", MinRemaining: time.Second}
-	old := newIdleConnection(t, pool, anyRequest, 500*time.Millisecond)
+	old := newIdleConnection(t, pool, anyRequest, 10*time.Second)
+	old.expires = time.Now().Add(500 * time.Millisecond)
 	taken, room := pool.acquire(once)
 	assert.Nil(t, taken)
 	assert.True(t, room)
@@ -41,7 +42,18 @@
 func TestRequestIsNotSentForWantOfAFreshConnection(t *testing.T) {
 	pool := NewPool(Options{})
 	once := Destination{Engine: "w", MaxConnections: 1, MinRemaining: time.Second}
-	old := newIdleConnection(t, pool, once, 500*time.Millisecond)
+	old := newIdleConnection(t, pool, once, 10*time.Second)
+	old.expires = time.Now().Add(500 * time.Millisecond)
 	taken, _ := pool.acquire(once)
 	assert.Same(t, old, taken)
 }
+
+// TestShortKeepAliveIsNeverReused guards against a new connection for each request to a worker that keeps idle
+// ones for a short time only.
+func TestShortKeepAliveIsNeverReused(t *testing.T) {
+	pool := NewPool(Options{})
+	once := Destination{Engine: "w", MinRemaining: 3 * time.Second}
+	fresh := newIdleConnection(t, pool, once, time.Second)
+	taken, _ := pool.acquire(once)
+	assert.Same(t, fresh, taken)
+}
