Report each close of a caller's idle connection

A caller's request that met the close of its idle connection left no line at any gateway, so that a request without an answer could only be explained with a patched gateway.

A line idle_connection_closed names the caller's address, the rest and the cause (idle, scarce resources, a planned stop), within the limit of lines of an event; a counter has all of them.

TestCloseOfIdleConnectionIsReported checks both; the old code has neither.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -396,7 +396,7 @@
 		g.logLimitUsage()
 		g.sweepRejectionLimits()
 		g.metrics.workersInBackoff.Set(float64(len(g.backoffs.workersInBackoff(g.now()))))
-		g.idleConnections.sweep(g.now(), g.idleTimeout(), g.pressure.scarce.Load())
+		g.sweepIdleConnections()
 		g.crashes.sweep(g.now())
 		g.sweepQuarantines()
 		g.observeSoftware()
--- a/internal/gateway/idleconnections.go
+++ b/internal/gateway/idleconnections.go
@@ -91,6 +91,11 @@
 	unused bool
 }
 
+// closeAt describes the close of the connection at now.
+func (r restingConnection) closeAt(now time.Duration, conn net.Conn) idleClose {
+	return idleClose{caller: conn.RemoteAddr().String(), rested: now - r.since, unused: r.unused}
+}
+
 // idleConnections tracks callers' connections without a request and closes those that rest for too
 // long. The limit may change with each configuration, unlike http.Server.IdleTimeout.
 type idleConnections struct {
@@ -122,12 +127,34 @@
 	}
 }
 
+// idleClose is the close of a connection while it rested.
+type idleClose struct {
+	caller string
+	rested time.Duration
+	unused bool
+}
+
 // sweep closes the connections that have rested for too long, except those on which a request is
-// arriving. scarce is set while descriptors or memory run short.
-func (i *idleConnections) sweep(now, limit time.Duration, scarce bool) {
+// arriving, and returns the closes. scarce is set while descriptors or memory run short.
+func (i *idleConnections) sweep(now, limit time.Duration, scarce bool) []idleClose {
+	var closes []idleClose
 	for conn, resting := range i.expired(now, limit, scarce) {
-		i.closeIfResting(conn, resting)
+		if i.closeIfResting(conn, resting) {
+			closes = append(closes, resting.closeAt(now, conn))
+		}
 	}
+	return closes
+}
+
+// closesAtStop returns the closes of all resting connections, which a stop is about to close.
+func (i *idleConnections) closesAtStop(now time.Duration) []idleClose {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	closes := make([]idleClose, 0, len(i.resting))
+	for conn, resting := range i.resting {
+		closes = append(closes, resting.closeAt(now, conn))
+	}
+	return closes
 }
 
 // expired returns the connections that have rested for too long.
@@ -144,15 +171,16 @@
 }
 
 // closeIfResting closes a connection unless a request, or a part of one, has arrived on it since it
-// began to rest.
-func (i *idleConnections) closeIfResting(conn net.Conn, expected restingConnection) {
+// began to rest. It reports whether it did.
+func (i *idleConnections) closeIfResting(conn net.Conn, expected restingConnection) bool {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	if resting, found := i.resting[conn]; !found || resting != expected || isReceiving(conn) {
-		return
+		return false
 	}
 	delete(i.resting, conn)
 	_ = conn.Close()
+	return true
 }
 
 // isReceiving reports whether a part of a request was read from a connection without a request, or
@@ -177,3 +205,29 @@
 		return max(idleCloseFactor*limit, limit+idleCloseMargin), true
 	}
 }
+
+// Causes of the close of a connection while it rested.
+const (
+	closeCauseIdle     = "idle"
+	closeCauseScarce   = "scarce"
+	closeCauseStopping = "stopping"
+)
+
+// sweepIdleConnections closes callers' connections that have rested for too long.
+func (g *Gateway) sweepIdleConnections() {
+	scarce, cause := g.pressure.scarce.Load(), closeCauseIdle
+	if scarce {
+		cause = closeCauseScarce
+	}
+	g.recordIdleCloses(g.idleConnections.sweep(g.now(), g.idleTimeout(), scarce), cause)
+}
+
+// recordIdleCloses counts and logs callers' connections that are closed while they rest, since a
+// request that is on its way to one gets no answer and leaves no other line.
+func (g *Gateway) recordIdleCloses(closes []idleClose, cause string) {
+	for _, closed := range closes {
+		g.metrics.idleCloses.WithLabelValues(cause).Inc()
+		g.events.line("idle_connection_closed").Str("caller_address", closed.caller).Dur("rested", closed.rested).Bool("unused", closed.unused).
+			Str("cause", cause).Msg("idle_connection_closed")
+	}
+}
--- a/internal/gateway/idleconnections_test.go
+++ b/internal/gateway/idleconnections_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +12,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -247,3 +251,22 @@
 		assert.NoError(t, err, name)
 	}
 }
+
+// Guards against closes of idle connections that leave neither a line nor a count, so that a request
+// which meets one can't be told from one that never came.
+func TestCloseOfIdleConnectionIsReported(t *testing.T) {
+	server := newIdleServer(t, testWait, ok)
+	conn := server.dial()
+	require.NoError(t, exchange(conn))
+	server.awaitResting(1)
+	var log bytes.Buffer
+	g := newTestGateway(t)
+	g.events = newEventLog(zerolog.New(&log))
+	g.recordIdleCloses(server.idle.closesAtStop(time.Second), closeCauseStopping)
+	assert.Empty(t, server.idle.sweep(testIdleLimit, testIdleLimit, false))
+	g.recordIdleCloses(server.idle.sweep(time.Minute, testIdleLimit, false), closeCauseIdle)
+	line := `{"level":"info","caller_address":"` + conn.LocalAddr().String() + `","rested":%s,"unused":false,"cause":"%s","message":"idle_connection_closed"}` + "\n"
+	assert.Equal(t, fmt.Sprintf(line, "1000", "stopping")+fmt.Sprintf(line, "60000", "idle"), log.String())
+	assert.InDelta(t, 1, testutil.ToFloat64(g.metrics.idleCloses.WithLabelValues(closeCauseIdle)), 0)
+	assert.InDelta(t, 1, testutil.ToFloat64(g.metrics.idleCloses.WithLabelValues(closeCauseStopping)), 0)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,7 @@
 	quotaDecisions      *quotaDecisionMetrics
 	pressure            prometheus.Gauge
 	refusedConnections  prometheus.Counter
+	idleCloses          *prometheus.CounterVec
 	bodiesRefused       prometheus.Counter
 	runsEndedWithWorker prometheus.Counter
 	suspensions         prometheus.Counter
@@ -117,6 +118,9 @@
 	m.refusedConnections = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tillerfall_gateway_untaken_connections_total", Help: "Connections of callers closed for want of descriptors.",
 	})
+	m.idleCloses = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tillerfall_gateway_idle_connections_closed_total", Help: "Connections of callers closed while they carried no request, by cause.",
+	}, []string{"cause"})
 	m.runsEndedWithWorker = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tillerfall_gateway_runs_ended_with_worker_total", Help: "Runs that were under way at a worker when it ended.",
 	})
@@ -168,7 +172,7 @@
 		registry.MustRegister(m.droppedRows, m.storeEpoch, m.rejectionLimits)
 		registry.MustRegister(m.limitGrants, m.notices, m.workersInBackoff)
 		registry.MustRegister(m.workerCalls, m.limitedWorkers)
-		registry.MustRegister(m.pressure, m.refusedConnections, m.runsEndedWithWorker, m.probedEnds, m.suspensions, m.quarantineRefusals, m.quarantined, m.beforeSend)
+		registry.MustRegister(m.pressure, m.refusedConnections, m.idleCloses, m.runsEndedWithWorker, m.probedEnds, m.suspensions, m.quarantineRefusals, m.quarantined, m.beforeSend)
 		registry.MustRegister(m.bodiesRefused, m.requests, m.latency, m.attempts, m.storeFailures, m.peerFailures, m.connections, m.orders, m.invalidInputs, m.quotaUnits, m.quotaShare,
 			m.deliveryAnswers, m.deliveryLatency, m.deliveryShare, traffic.NewCollector(meter, bytesMetric))
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -67,6 +67,7 @@
 	remaining := max(start+g.settings().StopGrace-stopReserve/2-g.now(), stopPollInterval)
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
+	g.recordIdleCloses(g.idleConnections.closesAtStop(g.now()), closeCauseStopping)
 	var group sync.WaitGroup
 	for _, server := range g.servers {
 		group.Go(func() {
