Always log the end of a request without a complete answer

A request that got no answer, or one that broke off, or whose caller left before it was complete, could end without a line: request_ended is limited to 60 lines a second, whatever they tell.

Such ends have a further limit of 1,000 lines a second, more than a node carries requests; lines beyond it are counted as dropped, as before.

On the old code: --- FAIL: TestRequestWithoutCompleteAnswerIsAlwaysLogged expected: 1, actual: 0 (no-answer, aborted, broken-off, caller-gone) --- FAIL: TestLinesAboutFailuresAreBounded "121" is not greater than or equal to "2120"

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -294,14 +294,18 @@
 	}
 }
 
-// finish logs and counts a request that has ended.
+// resultCallerGone is the result of a request whose caller left before its response was complete.
+const resultCallerGone = "caller_gone"
+
+// finish logs and counts a request that has ended. A request without a complete response always
+// leaves its line, since a caller may ask what became of it.
 func (g *Gateway) finish(current *callerRequest) {
 	panicked := recover()
 	g.refundIfNotRun(current)
 	duration := g.now() - current.startedAt
 	result := current.result.String()
 	if current.request.Context().Err() != nil && current.result == resultcode.OK && !current.isComplete() {
-		result = "caller_gone"
+		result = resultCallerGone
 	}
 	route := ""
 	if current.route != nil {
@@ -311,7 +315,11 @@
 	if current.firstByteAt > 0 {
 		g.metrics.latency.WithLabelValues(route).Observe((current.firstByteAt - current.startedAt).Seconds())
 	}
-	line := g.events.line("request_ended").Str("request_id", current.metadata.RequestID).Str("route", route).
+	newLine := g.events.line
+	if panicked != nil || current.status == 0 || result == resultCallerGone {
+		newLine = g.events.failureLine
+	}
+	line := newLine("request_ended").Str("request_id", current.metadata.RequestID).Str("route", route).
 		Str("result", result).Int("status", current.status).Dur("took", duration).Uint64("configuration", current.configurationVersion)
 	if current.reason != "" {
 		line = line.Str("reason", current.reason)
