Say when a request's caller was found gone

A request that ended because its caller's connection was found closed didn't say at which point, and its line said result=ok as long as the server hadn't cancelled the request's context, which it does some time after the socket shows the close. So an end without any answer looked like a whole one.

The reason now names the point (before placement, while waiting for the head, while relaying), and the result is caller_gone in the line and the metrics.

On the old code: --- FAIL: TestCallerGoneIsLoggedWithItsPoint "request_id":"left" ... "result":"ok","status":0 ... "reason":"caller gone"

--- a/internal/gateway/callerconn_test.go
+++ b/internal/gateway/callerconn_test.go
@@ -10,17 +10,24 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A request whose caller leaves after it was placed, while a connection is opened or the process is
-// suspended, must not be sent.
-func TestRequestIsNotSentOnceItsCallerHasLeft(t *testing.T) {
+// newConnectedPair returns both ends of a connection.
+func newConnectedPair(t *testing.T) (caller, served net.Conn) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	caller, err := net.Dial("tcp4", listener.Addr().String())
+	caller, err = net.Dial("tcp4", listener.Addr().String())
 	require.NoError(t, err)
-	served, err := listener.Accept()
+	t.Cleanup(func() { _ = caller.Close() })
+	served, err = listener.Accept()
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = served.Close() })
+	return caller, served
+}
+
+// A request whose caller leaves after it was placed, while a connection is opened or the process is
+// suspended, must not be sent.
+func TestRequestIsNotSentOnceItsCallerHasLeft(t *testing.T) {
+	caller, served := newConnectedPair(t)
 	g := newTestGateway(t)
 	request := httptest.NewRequest("GET", "/a", nil)
 	current := &callerRequest{request: request.WithContext(withCallerConn(request.Context(), served)), deadline: g.now() + time.Minute}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -54,14 +54,14 @@
 			return
 		case attempt.StepAbort:
 			if current.isCallerGone() {
-				current.reason = errCallerGone.Error()
+				current.noteCallerGone()
 				panic(http.ErrAbortHandler)
 			}
 			current.result, current.reason = resultcode.StreamInterrupted, "answer broke off"
 			panic(http.ErrAbortHandler)
 		}
 		if current.isCallerGone() {
-			current.reason = errCallerGone.Error()
+			current.noteCallerGone()
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -113,6 +113,8 @@
 	worker          string
 	result          resultcode.Code
 	reason          string
+	// callerGone is set once the caller was found to have disconnected.
+	callerGone bool
 }
 
 // refusal is an error response that the gateway itself generates.
@@ -304,7 +306,7 @@
 	g.refundIfNotRun(current)
 	duration := g.now() - current.startedAt
 	result := current.result.String()
-	if current.request.Context().Err() != nil && current.result == resultcode.OK && !current.isComplete() {
+	if (current.callerGone || current.request.Context().Err() != nil) && current.result == resultcode.OK && !current.isComplete() {
 		result = resultCallerGone
 	}
 	route := ""
@@ -381,3 +383,17 @@
 func (c *callerRequest) isCallerGone() bool {
 	return errors.Is(c.request.Context().Err(), context.Canceled) || hasDisconnected(c.request.Context())
 }
+
+// noteCallerGone records that the caller was found to have disconnected, and how far its request had
+// come.
+func (c *callerRequest) noteCallerGone() {
+	c.callerGone = true
+	point := "before placement"
+	switch {
+	case c.headSent:
+		point = "while relaying"
+	case c.firstSentAt > 0:
+		point = "while waiting for the head"
+	}
+	c.reason = errCallerGone.Error() + " " + point
+}
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -7,10 +7,13 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/routes"
 )
 
 // newLoggedGateway returns a gateway whose lines about requests go to a buffer.
@@ -71,3 +74,30 @@
 	assert.Less(t, logged, failures)
 	assert.Equal(t, failures-logged, g.events.dropped["request_ended"])
 }
+
+// Guards against requests whose callers were found gone that are logged as answered, or without the
+// point at which that was.
+func TestCallerGoneIsLoggedWithItsPoint(t *testing.T) {
+	for point, change := range map[string]func(*callerRequest){
+		"before placement":           func(*callerRequest) {},
+		"while waiting for the head": func(current *callerRequest) { current.firstSentAt = 1 },
+		"while relaying": func(current *callerRequest) {
+			current.firstSentAt, current.headSent, current.status = 1, true, http.StatusOK
+		},
+	} {
+		g, log := newLoggedGateway(t)
+		caller, served := newConnectedPair(t)
+		current := newEndedRequest("left", change)
+		current.request = current.request.WithContext(withCallerConn(current.request.Context(), served))
+		current.route = &routes.Route{}
+		current.service = &routes.Service{}
+		require.NoError(t, caller.Close())
+		require.Eventually(t, current.isCallerGone, testWait, time.Millisecond)
+		require.Panics(t, func() {
+			defer g.finish(current)
+			g.forward(current)
+		}, point)
+		assert.Contains(t, log.String(), `"result":"caller_gone"`, point)
+		assert.Contains(t, log.String(), `"reason":"caller gone `+point+`"`)
+	}
+}
--- a/internal/gateway/idleconnections_test.go
+++ b/internal/gateway/idleconnections_test.go
@@ -152,18 +152,11 @@
 
 // Guards against the close of an idle connection whose next request has arrived but wasn't read.
 func TestIdleConnectionIsNotClosedWithUnreadRequest(t *testing.T) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	caller, err := net.Dial("tcp4", listener.Addr().String())
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = caller.Close() })
-	served, err := callerListener{Listener: listener}.Accept()
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = served.Close() })
+	caller, accepted := newConnectedPair(t)
+	served := &callerConn{callerStream: accepted.(callerStream)}
 	idle := newIdleConnections()
 	idle.observe(0, served, http.StateIdle)
-	_, err = io.WriteString(caller, testHead)
+	_, err := io.WriteString(caller, testHead)
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return isReceiving(served) }, testWait, time.Millisecond)
 	idle.sweep(time.Hour, testIdleLimit, false)
