--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -109,6 +109,8 @@
 	status          int
 	result          resultcode.Code
 	reason          string
+	// callerGone is set once the caller was found to have disconnected.
+	callerGone bool
 }
 
 // sendState is the state of one send of a request to a worker.
@@ -143,6 +145,10 @@
 	current := &callerRequest{writer: writer, request: request, startedAt: now, targetDraw: rand.Float64()}
 	defer g.finish(current)
 	defer g.releaseBody(current)
+	if hasRestedLongerThan(request.Context(), g.idleTimeout()) {
+		// The connection ends in order instead of being closed while it rests again.
+		writer.Header().Set("Connection", "close")
+	}
 	if refused := g.admit(current); refused != nil {
 		g.refuse(current, *refused)
 		return
@@ -298,14 +304,18 @@
 	}
 }
 
-// finish logs and counts a request that has ended.
+// resultCallerGone is the result of a request whose caller left before its response was complete.
+const resultCallerGone = "caller_gone"
+
+// finish logs and counts a request that has ended. A request without a complete response always
+// leaves its line, since a caller may ask what became of it.
 func (g *Gateway) finish(current *callerRequest) {
 	panicked := recover()
 	g.refundIfNotRun(current)
 	duration := g.now() - current.startedAt
 	result := current.result.String()
-	if current.request.Context().Err() != nil && current.result == resultcode.OK && !current.isComplete() {
-		result = "caller_gone"
+	if (current.callerGone || current.request.Context().Err() != nil) && current.result == resultcode.OK && !current.isComplete() {
+		result = resultCallerGone
 	}
 	route := ""
 	if current.route != nil {
@@ -315,7 +325,11 @@
 	if current.firstByteAt > 0 {
 		g.metrics.latency.WithLabelValues(route).Observe((current.firstByteAt - current.startedAt).Seconds())
 	}
-	line := g.events.line("request_ended").Str("request_id", current.metadata.RequestID).Str("route", route).
+	newLine := g.events.line
+	if panicked != nil || current.status == 0 || result == resultCallerGone {
+		newLine = g.events.failureLine
+	}
+	line := newLine("request_ended").Str("request_id", current.metadata.RequestID).Str("route", route).
 		Str("result", result).Int("status", current.status).Dur("took", duration).Uint64("configuration", current.configurationVersion)
 	if current.reason != "" {
 		line = line.Str("reason", current.reason)
@@ -377,3 +391,17 @@
 func (c *callerRequest) isCallerGone() bool {
 	return errors.Is(c.request.Context().Err(), context.Canceled) || hasDisconnected(c.request.Context())
 }
+
+// noteCallerGone records that the caller was found to have disconnected, and how far its request had
+// come.
+func (c *callerRequest) noteCallerGone() {
+	c.callerGone = true
+	point := "before placement"
+	switch {
+	case c.headSent:
+		point = "while relaying"
+	case c.firstSentAt > 0:
+		point = "while waiting for the head"
+	}
+	c.reason = errCallerGone.Error() + " " + point
+}
