Let TCP_USER_TIMEOUT alone end the connections of silent callers and peers

The listeners for callers, the directory and other gateways had the same count of three keep-alive probes as connections to workers: probes lost in two short silences add up to the end of a connection. Not seen at a caller; found by the search for the same cause elsewhere.

All listeners use the number of probes of connections to workers. A caller that vanishes is still given up after 5 s without a packet.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -107,7 +107,7 @@
 // listenTCP listens on an address with a timeout for unacknowledged bytes.
 func listenTCP(address string) (net.Listener, error) {
 	settings := net.ListenConfig{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: upstream.KeepAliveProbes},
 		Control:         upstream.LimitUnacknowledged(callerUserTimeout),
 	}
 	return settings.Listen(context.Background(), "tcp4", address)
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -168,7 +168,7 @@
 			Enable:   true,
 			Idle:     keepAliveIdle,
 			Interval: keepAliveInterval,
-			Count:    keepAliveProbes,
+			Count:    KeepAliveProbes,
 		},
 		Control: LimitUnacknowledged(userTimeout),
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -20,13 +20,14 @@
 	userTimeout = 3 * time.Second
 	// keepAliveIdle is how long a connection is quiet before the first probe. A sound worker may be
 	// silent for the rest of userTimeout.
-	keepAliveIdle = time.Second
-	// keepAliveInterval is the time between two probes. keepAliveProbes, the number of unanswered ones that ends a
-	// connection, is so high that userTimeout alone decides: several short silences may add up to a small number.
+	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
-	keepAliveProbes   = 60
 )
 
+// KeepAliveProbes is the number of unanswered keep-alive probes that ends a connection. It's so high that
+// TCP_USER_TIMEOUT alone decides: probes lost in several short silences may add up to a small number.
+const KeepAliveProbes = 60
+
 // Options configures a Pool. Zero fields take their defaults.
 type Options struct {
 	// DialTimeout limits the time to open a connection.
