Tell requests cut by a stop from those whose callers have left

Whether callers that are still there are ever taken for gone couldn't be seen from the log.

Such a request now ends with result=stream_interrupted and reason='cut by the stop'. The cut itself is as before. The new test can't be built before the change.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -62,14 +62,14 @@
 				break
 			}
 			if current.isCallerGone() {
-				current.noteCallerGone()
+				g.recordCallerGone(current)
 				panic(http.ErrAbortHandler)
 			}
 			current.result, current.reason = resultcode.StreamInterrupted, "answer broke off"
 			panic(http.ErrAbortHandler)
 		}
 		if current.isCallerGone() {
-			current.noteCallerGone()
+			g.recordCallerGone(current)
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -392,16 +392,26 @@
 	return errors.Is(c.request.Context().Err(), context.Canceled) || hasDisconnected(c.request.Context())
 }
 
-// noteCallerGone records that the caller was found to have disconnected, and how far its request had
+// recordCallerGone records that the caller's connection was found closed, and how far its request had
 // come.
-func (c *callerRequest) noteCallerGone() {
-	c.callerGone = true
-	point := "before placement"
+func (g *Gateway) recordCallerGone(current *callerRequest) {
+	current.reason = errCallerGone.Error()
+	if g.serversClosed.Load() {
+		current.result, current.reason = resultcode.StreamInterrupted, "cut by the stop"
+	} else {
+		current.callerGone = true
+	}
+	current.reason += " " + current.progress()
+}
+
+// progress tells how far a request has come.
+func (c *callerRequest) progress() string {
 	switch {
 	case c.headSent:
-		point = "while relaying"
+		return "while relaying"
 	case c.firstSentAt > 0:
-		point = "while waiting for the head"
+		return "while waiting for the head"
+	default:
+		return "before placement"
 	}
-	c.reason = errCallerGone.Error() + " " + point
 }
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -101,3 +101,18 @@
 		assert.Contains(t, log.String(), `"reason":"caller gone `+point+`"`)
 	}
 }
+
+// TestCutByStopIsLoggedAsCallerGone guards against requests cut at the end of a planned stop that are logged as if
+// their callers had left.
+func TestCutByStopIsLoggedAsCallerGone(t *testing.T) {
+	g, log := newLoggedGateway(t)
+	g.serversClosed.Store(true)
+	current := newEndedRequest("cut", func(current *callerRequest) { current.headSent, current.status = true, http.StatusOK })
+	g.recordCallerGone(current)
+	require.Panics(t, func() {
+		defer g.finish(current)
+		panic(http.ErrAbortHandler)
+	})
+	assert.Contains(t, log.String(), `"result":"stream_interrupted"`)
+	assert.Contains(t, log.String(), `"reason":"cut by the stop while relaying"`)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,6 +122,8 @@
 	// stoppingSince is the start of the planned stop in nanoseconds of the steady clock, 0 before
 	// it.
 	stoppingSince atomic.Int64
+	// serversClosed is set once a planned stop closes the connections of requests that are still under way.
+	serversClosed atomic.Bool
 	inFlight      atomic.Int64
 	// requestCount counts the requests since the process started.
 	requestCount atomic.Int64
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -72,6 +72,7 @@
 	for _, server := range g.servers {
 		group.Go(func() {
 			if server.Shutdown(ctx) != nil {
+				g.serversClosed.Store(true)
 				_ = server.Close()
 			}
 		})
