--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -77,9 +77,13 @@
 	return now.Sub(c.idleSince)
 }
 
+// alwaysReusable is how long an idle connection is reused whatever a destination asks, up to half of its keep-alive
+// timeout: workers with short timeouts would get a new connection for each request.
+const alwaysReusable = time.Second
+
 // minRemaining returns for how long the connection must still be valid to be reused for a destination.
 func (c *connection) minRemaining(destination Destination) time.Duration {
-	return min(destination.MinRemaining, c.keepAlive/2)
+	return min(destination.MinRemaining, max(c.keepAlive/2, c.keepAlive-alwaysReusable))
 }
 
 // Write implements io.Writer and counts the bytes written.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -101,7 +101,7 @@
 	Address fleet.Address
 	// MaxConnections limits the connections of this process to the worker; 0 means no limit.
 	MaxConnections int
-	// MinRemaining is for how long an idle connection must still be valid to be reused, half of its keep-alive timeout at
-	// most, unless no further one may be opened.
+	// MinRemaining is for how long an idle connection must still be valid to be reused, unless it was used a moment ago
+	// or no further one may be opened.
 	MinRemaining time.Duration
 }
