Let no two engines work on a stream that is handed over

An engine that is to continue a run now has 250 ms to refuse; then the first connection is closed. - A stream that had ended whole, or broken, between the detector's verdict and the move was held and sent elsewhere. The relay's end is now marked under its gate. - A stream that returned because its engine was heard, or because the copy's engine couldn't be reached, never moved again. Only a refusal of the copy's engine keeps it there now. - The retry budget was charged each second for moves that no run was left for, and for moves that were called off. - A change of the model's version cancelled a send that continues a run, as if the run began there.

Kept as it is: a whole 500 of the engine that was to continue a run that may run once breaks the stream off. That engine has run it, so going on at the first one would be a second run (a case of TestUnansweredMoveRunsTwice).

--- a/internal/attempt/forwarding.go
+++ b/internal/attempt/forwarding.go
@@ -63,6 +63,8 @@
 	continuing bool
 	// maybeContinued is set once a copy may have been continued by a send that brought no valid answer.
 	maybeContinued bool
+	// copyRefused is set once the engine that should hold a copy has refused to continue the run.
+	copyRefused bool
 	// prepaid is set if the next retry is already withdrawn from the budget.
 	prepaid bool
 }
@@ -140,6 +142,7 @@
 	f.exclude(run)
 	f.sends++
 	if f.continuing {
+		f.copyRefused = true
 		return f.continuationFailed(now)
 	}
 	f.rejections++
--- a/internal/attempt/forwarding_test.go
+++ b/internal/attempt/forwarding_test.go
@@ -241,7 +241,8 @@
 	}{
 		"rejected":             {fail: func(f *Forwarding) Step { return f.Rejected(0, workerRun(2)) }, canReturn: true},
 		"not sent":             {fail: func(f *Forwarding) Step { return f.NotSent(0, workerRun(2)) }, canReturn: true},
-		"called off":           {fail: (*Forwarding).CalledOff, canReturn: true},
+		"called off":           {fail: func(f *Forwarding) Step { return f.CalledOff(workerRun(2), false) }, canReturn: true},
+		"called off late":      {fail: func(f *Forwarding) Step { return f.CalledOff(workerRun(2), true) }},
 		"unanswered":           {fail: func(f *Forwarding) Step { return f.Unanswered(0, workerRun(2)) }},
 		"resumable unanswered": {resumable: true, fail: func(f *Forwarding) Step { return f.Unanswered(0, workerRun(2)) }, canReturn: true},
 	} {
@@ -255,3 +256,26 @@
 		})
 	}
 }
+
+// TestReturnedStreamMovesInVain guards against moves, which are charged, of a stream that no other engine may take.
+func TestReturnedStreamMovesInVain(t *testing.T) {
+	resumable := newTestForwarding(ForwardingPolicy{Idempotent: true, Resumable: true, MaxRuns: 2})
+	require.Equal(t, StepDeliver, resumable.Answered(0, workerRun(1), false).Kind)
+	resumable.DeliveryStarted()
+	require.Equal(t, StepSend, resumable.Truncated(0, workerRun(1), false).Kind)
+	assert.True(t, resumable.CanMoveAgain())
+	require.Equal(t, StepAbort, resumable.Unanswered(0, workerRun(2)).Kind)
+	assert.False(t, resumable.CanMoveAgain(), "no run is left")
+	copied := newTestForwarding(ForwardingPolicy{MaxRuns: 1})
+	require.Equal(t, StepDeliver, copied.Answered(0, workerRun(1), false).Kind)
+	copied.DeliveryStarted()
+	for _, refused := range []bool{false, true} {
+		require.Equal(t, StepContinue, copied.Truncated(0, workerRun(1), true).Kind)
+		if refused {
+			copied.Rejected(0, workerRun(2))
+		} else {
+			copied.NotSent(0, workerRun(2))
+		}
+		assert.Equal(t, !refused, copied.CanMoveAgain(), "its copy may still be there")
+	}
+}
--- a/internal/attempt/moving.go
+++ b/internal/attempt/moving.go
@@ -1,6 +1,10 @@
 package attempt
 
-import "time"
+import (
+	"time"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
+)
 
 // CanRepeat reports whether the next send may be abandoned without an answer and sent again to
 // another worker.
@@ -24,8 +28,26 @@
 // run more than once, or no other engine can have continued it.
 func (f *Forwarding) CanReturn() bool { return f.policy.Resumable || !f.maybeContinued }
 
-// CalledOff records that a send isn't made, since the stream goes on at its engine.
-func (f *Forwarding) CalledOff() Step {
+// CanMoveAgain reports whether a stream that returned to its engine may continue elsewhere later: by another run, or
+// from its copy unless the engine that should hold it has refused.
+func (f *Forwarding) CanMoveAgain() bool {
+	if f.policy.Resumable {
+		return f.hasRunsLeft()
+	}
+	return !f.copyRefused
+}
+
+// CalledOff records that a send to a run is given up, since the stream goes on at its engine. sent is set if the
+// run may have begun.
+func (f *Forwarding) CalledOff(run fleet.EngineRun, sent bool) Step {
+	if sent {
+		f.exclude(run)
+		f.sends++
+		f.maybeContinued = f.maybeContinued || f.continuing
+		if !f.continuing {
+			f.possibleRuns++
+		}
+	}
 	f.continuing = false
 	return Step{Kind: StepAbort}
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// outgoingRequest returns the request as it is sent to a worker.
-func (g *Gateway) outgoingRequest(ctx context.Context, current *callerRequest, placement *backends.Placement, send *pendingSend) *upstream.Request {
+// outgoingRequest returns the request as it is sent to a worker, by a send that cancel ends.
+func (g *Gateway) outgoingRequest(ctx context.Context, cancel context.CancelCauseFunc, current *callerRequest, placement *backends.Placement, send *pendingSend) *upstream.Request {
 	header := forwardedHeader(current.request.Header)
 	g.dependencies.Codec.StripReserved(header)
 	dispatch := &Dispatch{
@@ -98,7 +98,13 @@
 			current.relay = relay
 			send.direct.Store(relay == "")
 		},
-		Permit: func() error { return g.permitSend(ctx, current, &placement.Worker, dispatch, header) },
+		Permit: func() error {
+			err := g.permitSend(ctx, current, &placement.Worker, dispatch, header)
+			if err == nil {
+				current.beginHandover(cancel)
+			}
+			return err
+		},
 		Identify: func(status int, header http.Header) upstream.Identity {
 			return identify(id, g.dependencies.Codec.ReadResponse(status, header))
 		},
--- a/internal/gateway/eventrelay.go
+++ b/internal/gateway/eventrelay.go
@@ -30,21 +30,28 @@
 	gate sync.Mutex
 	// replaced is set once no further event is to be relayed. gate guards it.
 	replaced bool
-	// waiting is set while bytes or the end of the stream have arrived and aren't relayed yet.
+	// waiting is set while bytes have arrived that aren't relayed yet, and from the regular end of the stream on.
 	waiting atomic.Bool
+	// onHeard, if set, is called once waiting is set. heardMutex guards it.
+	heardMutex sync.Mutex
+	onHeard    func()
+	// atEnd is set from the regular end on. It's the relay's own.
+	atEnd bool
+	// ended is set once the relay has ended. gate guards it.
+	ended bool
 	// lastID is the identifier of the last relayed event. gate guards it.
 	lastID string
 	buffer []byte
 }
 
 // hold keeps the relay from relaying until release or replace is called. It reports false, and does nothing, if
-// bytes have arrived that aren't relayed yet.
+// bytes or the end of the stream have arrived, or the relay has ended.
 func (r *eventRelay) hold() bool {
 	if r.waiting.Load() {
 		return false
 	}
 	r.gate.Lock()
-	if r.waiting.Load() {
+	if r.waiting.Load() || r.ended {
 		r.gate.Unlock()
 		return false
 	}
@@ -60,9 +67,37 @@
 	r.gate.Unlock()
 }
 
+// notifyHeard has a function called once bytes or the end of the stream have arrived, also if they have already. nil
+// has none called any more.
+func (r *eventRelay) notifyHeard(notify func()) {
+	r.heardMutex.Lock()
+	defer r.heardMutex.Unlock()
+	r.onHeard = notify
+	if notify != nil && r.waiting.Load() {
+		notify()
+	}
+}
+
+func (r *eventRelay) recordHeard() {
+	r.heardMutex.Lock()
+	defer r.heardMutex.Unlock()
+	r.waiting.Store(true)
+	if r.onHeard != nil {
+		r.onHeard()
+	}
+}
+
 // run reads until the end of the stream and calls relay with complete events. It returns nil if the
 // stream ended at the end of an event.
 func (r *eventRelay) run(relay func(events []byte) error) error {
+	err := r.relayAll(relay)
+	r.gate.Lock()
+	defer r.gate.Unlock()
+	r.ended = true
+	return err
+}
+
+func (r *eventRelay) relayAll(relay func(events []byte) error) error {
 	const chunk = 4 << 10
 	for {
 		if cap(r.buffer)-len(r.buffer) < chunk/4 {
@@ -72,7 +107,10 @@
 		}
 		count, err := r.response.Read(r.buffer[len(r.buffer):cap(r.buffer)])
 		r.buffer = r.buffer[:len(r.buffer)+count]
-		r.waiting.Store(count > 0 || err == io.EOF)
+		r.atEnd = err == io.EOF
+		if count > 0 || r.atEnd {
+			r.recordHeard()
+		}
 		if relayErr := r.relayCompleteEvents(relay); relayErr != nil {
 			return relayErr
 		}
@@ -93,7 +131,7 @@
 func (r *eventRelay) relayCompleteEvents(relay func(events []byte) error) error {
 	r.gate.Lock()
 	defer r.gate.Unlock()
-	r.waiting.Store(false)
+	r.waiting.Store(r.atEnd)
 	if r.replaced {
 		return errReplaced
 	}
--- a/internal/gateway/eventrelay_test.go
+++ b/internal/gateway/eventrelay_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -100,3 +101,22 @@
 	r.relay.release()
 	require.ErrorIs(t, <-r.ended, io.ErrUnexpectedEOF)
 }
+
+// TestEndedStreamIsHeld guards against a whole stream that is sent to another engine once more, since its end came
+// between its last event and the move.
+func TestEndedStreamIsHeld(t *testing.T) {
+	r := newRelayTest(t)
+	r.write("id: 1\ndata: a\n\n")
+	<-r.events
+	r.write(strings.Repeat(" ", 1000-len("id: 1\ndata: a\n\n")))
+	require.NoError(t, <-r.ended)
+	assert.False(t, r.relay.hold())
+}
+
+// TestBrokenStreamIsHeld guards against a stream whose connection broke that moves as if its engine were silent.
+func TestBrokenStreamIsHeld(t *testing.T) {
+	r := newRelayTest(t)
+	require.NoError(t, r.worker.Close())
+	require.Error(t, <-r.ended)
+	assert.False(t, r.relay.hold())
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/tillerfall/tillerfall/internal/attempt"
 	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/resultcode"
 	"github.com/tillerfall/tillerfall/internal/routes"
 	"github.com/tillerfall/tillerfall/internal/traffic"
@@ -44,7 +45,7 @@
 	step := attempt.Step{Kind: attempt.StepSend}
 	for {
 		if step.Kind != attempt.StepAbort && current.isHeldStreamHeard() {
-			step = current.attempts.CalledOff()
+			step = current.attempts.CalledOff(fleet.EngineRun{}, false)
 		}
 		switch step.Kind {
 		case attempt.StepSend:
@@ -134,6 +135,10 @@
 		return g.handleSendError(ctx, sending, current, placement, err)
 	}
 	send.response = response
+	if errors.Is(context.Cause(sending), errEngineHeard) {
+		g.recordOutcome(current, placement, backends.Cancelled, errEngineHeard.Error())
+		return current.attempts.CalledOff(placement.Worker.Run(), true)
+	}
 	g.links.recordHeard(g.now(), current.relay)
 	g.observeHead(current.watched)
 	info := g.dependencies.Codec.ReadResponse(response.Status, response.Header)
@@ -182,7 +187,7 @@
 		cancel: cancel, subject: current.subject(), quarantineTrial: current.quarantineTrial,
 		repeatable: current.attempts.CanRepeat(),
 	}
-	if placement.Engine != nil {
+	if placement.Engine != nil && placement.Engine.ContinueAt == "" {
 		send.model, send.version = current.metadata.Model, placement.Engine.Version
 	}
 	g.pending.add(send)
@@ -194,7 +199,8 @@
 		// No other engine can continue the run, so this gateway's share of connections doesn't apply.
 		destination.MaxConnections = 0
 	}
-	return g.upstreams.Do(ctx, destination, g.outgoingRequest(ctx, current, placement, send))
+	defer current.endHandover()
+	return g.upstreams.Do(ctx, destination, g.outgoingRequest(ctx, cancel, current, placement, send))
 }
 
 // isAcceptable reports whether a worker's response may be passed on. A success must be signed, and
@@ -222,7 +228,7 @@
 	}
 	g.reportOversizedHead(current, placement, err)
 	moved := current.watched.isMoved()
-	if sent && !moved {
+	if sent && !moved && !errors.Is(err, errEngineHeard) {
 		g.recordLostRun(current, placement, lossOf(sending))
 	}
 	switch {
@@ -245,7 +251,7 @@
 		return current.attempts.Unanswered(g.now(), run)
 	case errors.Is(err, errEngineHeard):
 		g.recordOutcome(current, placement, backends.Cancelled, err.Error())
-		return current.attempts.CalledOff()
+		return current.attempts.CalledOff(run, sent)
 	case errors.Is(err, errNoPath):
 		g.recordOutcome(current, placement, backends.Disconnected, err.Error())
 		return current.attempts.NoWorker(err.Error(), g.relays.availableIn(g.now()))
--- a/internal/gateway/heldstream.go
+++ b/internal/gateway/heldstream.go
@@ -10,26 +10,35 @@
 	"github.com/tillerfall/tillerfall/internal/backends"
 )
 
-// moveAgainDelay is how long a stream that no other engine has taken over stays at its engine at least.
-const moveAgainDelay = time.Second
+const (
+	// moveAgainDelay is how long a stream that no other engine has taken over stays at its engine at least.
+	moveAgainDelay = time.Second
+	// handoverTimeout is how long an engine that is to continue a run has to refuse. After it, it may have begun, and
+	// the first one must not go on beside it.
+	handoverTimeout = 250 * time.Millisecond
+)
 
-// errEngineHeard means that a send isn't made, since the engine whose stream it was to continue is heard again.
+// errEngineHeard means that a send is given up, since the engine whose stream it was to continue is heard again.
 var errEngineHeard = errors.New("silent engine heard")
 
 // A stream that has begun is handed over to another engine before its connection is closed: it's held, without
 // relaying further events, until another engine has sent the head of its response. If none takes it over, it goes
 // on where it was.
+//
+// Two engines must not work on the stream for long. Once its own engine is heard, a send of a stream that may be
+// resumed is given up. One that continues a run elsewhere can't be: the first connection is closed after
+// handoverTimeout.
 
 // holdStream holds a stream whose engine is silent. It reports false if the engine has been heard meanwhile.
 func (g *Gateway) holdStream(current *callerRequest, stream *openStream) bool {
 	watched := stream.send.watched
 	if !stream.relay.hold() {
-		g.stayAtEngine(watched, g.now())
+		g.callOffMove(watched)
 		return false
 	}
 	if !g.isSilent(watched) {
 		stream.relay.release()
-		g.stayAtEngine(watched, g.now())
+		g.callOffMove(watched)
 		return false
 	}
 	stream.state, current.held = current.sendState, stream
@@ -47,12 +56,36 @@
 
 // isHeldStreamHeard reports whether a held stream can go on where it was, since bytes of it have arrived.
 func (c *callerRequest) isHeldStreamHeard() bool {
-	return c.held != nil && c.held.relay.waiting.Load() && c.attempts.CanReturn()
+	return c.held != nil && c.held.relay.waiting.Load() && !c.held.abandoned && c.attempts.CanReturn()
 }
 
 // canReturn reports whether a held stream may go on where it was.
 func (c *callerRequest) canReturn(ctx context.Context) bool {
-	return c.held != nil && ctx.Err() == nil && !c.isCallerGone() && c.attempts.CanReturn()
+	return c.held != nil && ctx.Err() == nil && !c.held.abandoned && !c.isCallerGone() && c.attempts.CanReturn()
+}
+
+// beginHandover records that another engine is asked to take a held stream over, by a send that cancel ends.
+func (c *callerRequest) beginHandover(cancel context.CancelCauseFunc) {
+	switch {
+	case c.held == nil || c.held.abandoned:
+	case c.route.Resumable:
+		c.held.relay.notifyHeard(func() { cancel(errEngineHeard) })
+	default:
+		send := c.held.send
+		c.held.handover = time.AfterFunc(handoverTimeout, func() { send.cancel(errEngineSilent) })
+	}
+}
+
+// endHandover records that the other engine has answered, or can't be asked.
+func (c *callerRequest) endHandover() {
+	if c.held == nil {
+		return
+	}
+	c.held.relay.notifyHeard(nil)
+	if c.held.handover != nil {
+		c.held.abandoned = c.held.abandoned || !c.held.handover.Stop()
+		c.held.handover = nil
+	}
 }
 
 // returnToHeldStream goes on with a held stream that no other engine has taken over.
@@ -60,13 +93,16 @@
 	stream := current.held
 	current.held, current.moved, current.sendState = nil, false, stream.state
 	defer g.endSend(current, stream.send)
-	if current.route.Resumable {
-		// The copy of a stream that can't be resumed won't come back.
-		g.stayAtEngine(stream.send.watched, g.now()+moveAgainDelay)
+	heard, movableAt := stream.relay.waiting.Load(), g.now()
+	if !heard {
+		movableAt += moveAgainDelay
+	}
+	if current.attempts.CanMoveAgain() {
+		g.stayAtEngine(stream.send.watched, movableAt)
 	}
 	g.metrics.silence.moves.WithLabelValues("returned").Inc()
 	g.events.line("send_returned").Str("request_id", current.metadata.RequestID).Str("worker", current.worker).
-		Bool("heard", stream.relay.waiting.Load()).Msg("send_returned")
+		Bool("heard", heard).Msg("send_returned")
 	stream.relay.release()
 	return g.awaitStream(ctx, current, stream)
 }
@@ -91,6 +127,10 @@
 
 // dropHeldStream closes a held stream that remains at the end of its request.
 func (g *Gateway) dropHeldStream(current *callerRequest) {
+	if current.held != nil && current.held.abandoned {
+		g.endHeldStream(current, backends.Silent, errEngineSilent.Error())
+		return
+	}
 	g.endHeldStream(current, backends.Cancelled, "request ended")
 }
 
@@ -102,6 +142,15 @@
 	return w.monitor.IsSilent(send.run)
 }
 
+// callOffMove records that nothing was done for a move that the retry budget was charged for.
+func (g *Gateway) callOffMove(send *watchedSend) {
+	w := g.engineWatch
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.monitor.Stay(send.run, g.now())
+	send.isPaid = true
+}
+
 // stayAtEngine records that a send that was to be moved goes on at its engine. It may be moved again at
 // movableAt.
 func (g *Gateway) stayAtEngine(send *watchedSend, movableAt time.Duration) {
--- a/internal/gateway/pending.go
+++ b/internal/gateway/pending.go
@@ -30,7 +30,8 @@
 
 // pendingSend is one send to a worker.
 type pendingSend struct {
-	// model and version are those that the engine is expected to run; empty for other workers.
+	// model and version are those that the engine is expected to run; empty for other workers, and for a run that
+	// continues.
 	model   fleet.ModelName
 	version backends.ModelVersion
 	subject quarantine.Subject
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -66,6 +66,8 @@
 	canContinue func(now time.Duration) bool
 	// moves receives an element when a stream that has begun is to continue elsewhere.
 	moves chan struct{}
+	// isPaid is set if the budget was charged for a move that wasn't made.
+	isPaid bool
 	// overBudget is set once the send was kept from moving by the retry budget.
 	overBudget bool
 	moved      atomic.Bool
@@ -330,12 +332,13 @@
 		if send == nil || spent[send.service] || !w.monitor.MayMove(now, run) || !send.canMove(now) {
 			continue
 		}
-		if !g.budgets.forRequest(send.service, send.requestID).Withdraw(now) {
+		if !send.isPaid && !g.budgets.forRequest(send.service, send.requestID).Withdraw(now) {
 			spent[send.service] = true
 			g.countOverBudget(send)
 			continue
 		}
 		w.monitor.Moved(run)
+		send.isPaid = false
 		send.move()
 		g.metrics.silence.moves.WithLabelValues("moved").Inc()
 		g.events.line("send_moved").Str("request_id", send.requestID).Str("worker", string(run.Engine())).
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -20,6 +21,10 @@
 	ended chan error
 	// state is that of the send while the stream is held.
 	state sendState
+	// handover runs while another engine is asked to take the held stream over, and closes it at its end. abandoned is
+	// set once it may have been closed.
+	handover  *time.Timer
+	abandoned bool
 }
 
 // deliverStream relays the complete events of a stream as they arrive. A stream that breaks off may
