Log which crashes a stored row of a quarantine lists

TestHarmfulPartsUnderFaults refused 65 of 845 sound requests once, and nothing in the log could have said why: a part that is held after a restart is held by what its row lists, and the line of a written row gave the number of its workers alone. Two rows that list different crashes of the same harmful part look the same there.

quarantine_recorded names the workers, and whether the row holds the part as quarantined.

--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -245,13 +246,23 @@
 	case errors.Is(err, platform.ErrConflict):
 		g.quarantines.deleteStored(row.Fingerprint)
 	}
-	line := g.events.line("quarantine_recorded").Str("fingerprint", row.Fingerprint.String()).Int("ends", len(row.Workers)).Int("trials", row.Trials)
+	line := g.events.line("quarantine_recorded").Str("fingerprint", row.Fingerprint.String()).Int("ends", len(row.Workers)).
+		Str("workers", workerNames(row.Workers)).Bool("quarantined", row.Quarantined).Int("trials", row.Trials)
 	if err != nil {
 		line = line.Err(err)
 	}
 	line.Msg("quarantine_recorded")
 }
 
+// workerNames returns the workers of a row for a log line, separated by commas.
+func workerNames(workers []fleet.EngineID) string {
+	names := make([]string, len(workers))
+	for index, worker := range workers {
+		names[index] = string(worker)
+	}
+	return strings.Join(names, ",")
+}
+
 func (g *Gateway) removeQuarantine(fingerprint quarantine.Fingerprint) {
 	ctx, cancel := context.WithTimeout(g.context(), deliveryCallTimeout)
 	defer cancel()
