Don't remove a quarantine's row that is being read

What callers would have seen: a harmful part, or a request that crashes workers, is released at all gateways right after it was held, and crashes workers again; a sound part that came with it keeps its crashes and may be held in its place.

Cause: applyQuarantineRow noted that the store holds the row and merged what the row says under two locks. The writer of rows, which runs beside it and is woken by the same rows, could look in between: a stored row, no record, so of no use to anybody. The gateway with the lease removed it, and the removal of a row releases its part everywhere.

Both happen in one update now (mergeRow).

TestRowThatIsBeingReadIsNotRemoved reads 20 times 50 rows beside the writer. Before: failed 10 times of 10 ("Should be zero, but was 63"; 12, 78). After: 0 of 10. internal/gateway passes, the tests of quarantine with -race too.

--- a/internal/gateway/quarantineparts_test.go
+++ b/internal/gateway/quarantineparts_test.go
@@ -150,3 +150,32 @@
 	assert.NotNil(t, after.checkQuarantine(requestOfParts(1, "bad")))
 	assert.Empty(t, after.quarantines.pendingStoreChanges(after.now(), true, true).write, "nothing new")
 }
+
+// TestRowThatIsBeingReadIsNotRemoved guards against a held part that is released everywhere: the gateway with the
+// lease removed a row that it had just read, since it didn't know yet what the row says.
+func TestRowThatIsBeingReadIsNotRemoved(t *testing.T) {
+	const rounds, rowsPerRound = 20, 50
+	for round := range rounds {
+		g := quarantineGateway(t, newQuarantineStore())
+		crashOnPart(g, 1, "first")
+		read, removed := make(chan struct{}), make(chan int)
+		go func() {
+			count := 0
+			for isReading := true; isReading; {
+				select {
+				case <-read:
+					isReading = false
+				default:
+				}
+				count += len(g.quarantines.pendingStoreChanges(g.now(), false, true).remove)
+			}
+			removed <- count
+		}()
+		for number := range rowsPerRound {
+			part := quarantine.PartFingerprint("app", fmt.Sprint("bad-", number))
+			g.applyQuarantineRow(&QuarantineRow{Fingerprint: part, Workers: []fleet.EngineID{"w1", "w2", "w3"}, Version: 5, Quarantined: true})
+		}
+		close(read)
+		require.Zero(t, <-removed, round)
+	}
+}
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -129,16 +129,29 @@
 		}
 		return
 	}
-	g.quarantines.setStored(row)
-	record := quarantine.StoredRecord(now, row.Fingerprint, row.Workers, row.Trials, row.Quarantined)
-	change, _ := g.quarantines.merge(now, record)
-	g.handleQuarantineChange("store", change)
+	g.handleQuarantineChange("store", g.quarantines.mergeRow(now, row))
+}
+
+// mergeRow records the state of a stored row and merges what it says, both at once: a known row without a record
+// would be removed as one of no use.
+func (q *quarantineState) mergeRow(now time.Duration, row *QuarantineRow) quarantineChange {
+	return q.update(now, []quarantine.Fingerprint{row.Fingerprint}, func(tracker *quarantine.Tracker, fingerprint quarantine.Fingerprint) bool {
+		q.rememberStored(row)
+		record := quarantine.StoredRecord(now, fingerprint, row.Workers, row.Trials, row.Quarantined)
+		tracker.Merge(now, &record)
+		return !fingerprint.IsPart() && tracker.IsAheadOf(&record)
+	})
 }
 
 // setStored records the state of a stored row.
 func (q *quarantineState) setStored(row *QuarantineRow) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	q.rememberStored(row)
+}
+
+// rememberStored is setStored for callers that hold the mutex.
+func (q *quarantineState) rememberStored(row *QuarantineRow) {
 	q.stored[row.Fingerprint] = storedQuarantine{version: row.Version, workerCount: len(row.Workers), trials: row.Trials, quarantined: row.Quarantined}
 }
 
