Keep in a quarantine's row which workers crashed at once

Cause: a row listed as many workers as crashes count, the last ones. Workers that crash at once count as one, so that the row of a harmful part left out workers, and the row of a sound part that was held beside it listed others. Once all gateways restart the rows are all that is known, without answers: the harmful part no longer explains the sound one's crashes, and as the sound one is marked as quarantined, two of them suffice. It gets no answers from then on, and the harmful one no crashes, so nothing ends it before the trial after 30 s. Where a row is read beside a living record, workers that crashed at once counted one by one as well, which holds a sound part for a moment.

Change: a row lists all workers of the crashes that count, and in "causes" how many in turn crashed at once, if any did.

--- a/internal/gateway/contract.go
+++ b/internal/gateway/contract.go
@@ -114,10 +114,10 @@
 	Fingerprint quarantine.Fingerprint
 	// Quarantined is set if it is a part that is quarantined.
 	Quarantined bool
-	// Workers are the workers that crashed. Trials counts how often the request was let through
+	// StoredCrashes are the crashes of workers. Trials counts how often the request was let through
 	// after it had been quarantined.
-	Workers []fleet.EngineID
-	Trials  int
+	quarantine.StoredCrashes
+	Trials int
 	// Version is the version of the row, 0 if there is none.
 	Version fleet.Revision
 	Deleted bool
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -72,6 +72,18 @@
 	return g
 }
 
+// record returns the record of a request, if any.
+func (q *quarantineState) record(fingerprint quarantine.Fingerprint) (quarantine.Record, bool) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.tracker.Record(fingerprint)
+}
+
+// storedCrashes returns what a row lists of workers that crashed one after the other.
+func storedCrashes(workers ...fleet.EngineID) quarantine.StoredCrashes {
+	return quarantine.StoredCrashes{Workers: workers}
+}
+
 // quarantinedRequest returns a request that is quarantined at the gateway, with crashes that long
 // ago.
 func quarantinedRequest(g *Gateway, ago time.Duration) *callerRequest {
@@ -138,7 +150,7 @@
 	store := newQuarantineStore()
 	g := quarantineGateway(t, store)
 	current := quarantinedRequest(g, quarantine.DefaultTrialDelay+time.Second)
-	store.rows[current.fingerprint] = QuarantineRow{Fingerprint: current.fingerprint, Workers: []fleet.EngineID{"w0", "w1"}, Version: 9}
+	store.rows[current.fingerprint] = QuarantineRow{Fingerprint: current.fingerprint, StoredCrashes: storedCrashes("w0", "w1"), Version: 9}
 	store.version = 9
 	assert.Nil(t, g.checkQuarantine(current))
 	assert.Equal(t, 1, store.rows[current.fingerprint].Trials)
@@ -177,7 +189,7 @@
 	current := quarantinedRequest(g, orphanedAfter+time.Second)
 	assert.Empty(t, g.quarantines.pendingStoreChanges(g.now(), false, true).write)
 	assert.Len(t, g.quarantines.pendingStoreChanges(g.now(), true, false).write, 1)
-	g.applyQuarantineRow(&QuarantineRow{Fingerprint: current.fingerprint, Workers: []fleet.EngineID{"w0", "w1", "w2"}, Version: 3})
+	g.applyQuarantineRow(&QuarantineRow{Fingerprint: current.fingerprint, StoredCrashes: storedCrashes("w0", "w1", "w2"), Version: 3})
 	assert.Empty(t, g.quarantines.pendingStoreChanges(g.now(), true, false).write)
 }
 
@@ -185,7 +197,7 @@
 func TestRemovedRowEndsQuarantine(t *testing.T) {
 	g := quarantineGateway(t, newQuarantineStore())
 	current := quarantinedRequest(g, time.Second)
-	row := QuarantineRow{Fingerprint: current.fingerprint, Workers: []fleet.EngineID{"w0", "w1", "w2"}, Version: 3}
+	row := QuarantineRow{Fingerprint: current.fingerprint, StoredCrashes: storedCrashes("w0", "w1", "w2"), Version: 3}
 	gone := QuarantineRow{Fingerprint: current.fingerprint, Version: 4, Deleted: true}
 	g.applyQuarantineRow(&gone)
 	assert.NotNil(t, g.checkQuarantine(current), "no row known yet")
@@ -203,7 +215,7 @@
 func TestRowMissingFromSnapshotEndsQuarantine(t *testing.T) {
 	g := quarantineGateway(t, newQuarantineStore())
 	current := quarantinedRequest(g, time.Second)
-	g.quarantines.setStored(&QuarantineRow{Fingerprint: current.fingerprint, Workers: []fleet.EngineID{"w0", "w1", "w2"}, Version: 7})
+	g.quarantines.setStored(&QuarantineRow{Fingerprint: current.fingerprint, StoredCrashes: storedCrashes("w0", "w1", "w2"), Version: 7})
 	g.quarantineTable.apply(&watchcache.Update{Revision: 6, Complete: true}, gapNone)
 	assert.NotNil(t, g.checkQuarantine(current))
 	g.quarantineTable.apply(&watchcache.Update{Revision: 8, Complete: true}, gapNone)
--- a/internal/gateway/quarantineparts_test.go
+++ b/internal/gateway/quarantineparts_test.go
@@ -173,9 +173,77 @@
 		}()
 		for number := range rowsPerRound {
 			part := quarantine.PartFingerprint("app", fmt.Sprint("bad-", number))
-			g.applyQuarantineRow(&QuarantineRow{Fingerprint: part, Workers: []fleet.EngineID{"w1", "w2", "w3"}, Version: 5, Quarantined: true})
+			g.applyQuarantineRow(&QuarantineRow{Fingerprint: part, StoredCrashes: storedCrashes("w1", "w2", "w3"), Version: 5, Quarantined: true})
 		}
 		close(read)
 		require.Zero(t, <-removed, round)
 	}
 }
+
+// TestWorkersThatCrashedAtOnceCountOnceWhenARowIsRead guards against a sound part that is held since a row lists
+// workers that crashed at once, which count one by one where it is read.
+func TestWorkersThatCrashedAtOnceCountOnceWhenARowIsRead(t *testing.T) {
+	store := newQuarantineStore()
+	writer, reader := quarantineGateway(t, store), quarantineGateway(t, store)
+	part := quarantine.PartFingerprint("app", "sound")
+	record := quarantine.Record{Fingerprint: part}
+	for number, ago := range []time.Duration{3 * time.Second, time.Second, time.Second, time.Second} {
+		record.Crashes = append(record.Crashes, quarantine.Crash{Worker: fleet.EngineID(fmt.Sprint("w", number)), At: writer.now() - ago})
+	}
+	writer.quarantines.local[part] = true
+	_, _ = writer.quarantines.merge(writer.now(), record)
+	changes := writer.quarantines.pendingStoreChanges(writer.now(), false, false)
+	writer.applyStoreChanges(&changes)
+	row, found := store.rows[part]
+	require.True(t, found)
+	record.Crashes = record.Crashes[:2]
+	_, _ = reader.quarantines.merge(reader.now(), record)
+	reader.applyQuarantineRow(&row)
+	assert.Nil(t, reader.checkQuarantine(requestOfParts(1, "sound")))
+	restarted := quarantineGateway(t, store)
+	restarted.applyQuarantineRow(&row)
+	assert.Equal(t, 2, restarted.quarantines.check(restarted.now(), quarantine.Subject{Request: part}).Crashes)
+}
+
+// TestPartBesideAHeldOneIsServedAfterARestart guards against a sound part that is held once all gateways have
+// restarted, since the row of the harmful part beside it doesn't list the crashes that both were in flight at.
+func TestPartBesideAHeldOneIsServedAfterARestart(t *testing.T) {
+	store := newQuarantineStore()
+	before, after := quarantineGateway(t, store), quarantineGateway(t, store)
+	began := before.now() - 5*time.Second
+	for number, crash := range []struct {
+		after time.Duration
+		parts []string
+	}{
+		{0, []string{"bad", "sound"}},
+		{50 * time.Millisecond, []string{"bad", "sound"}},
+		{100 * time.Millisecond, []string{"bad", "sound"}},
+		{150 * time.Millisecond, []string{"bad"}},
+		{400 * time.Millisecond, []string{"bad", "sound"}},
+		{650 * time.Millisecond, []string{"bad"}},
+		{700 * time.Millisecond, []string{"bad", "sound"}},
+	} {
+		blameParts(before, fmt.Sprint("w", number), began+crash.after, crash.parts...)
+	}
+	for _, row := range store.rows {
+		after.applyQuarantineRow(&row)
+	}
+	for _, g := range []*Gateway{before, after} {
+		assert.NotNil(t, g.checkQuarantine(requestOfParts(1, "bad", "sound")), "either may be the harmful one")
+		assert.Nil(t, g.checkQuarantine(requestOfParts(2, "sound")))
+	}
+}
+
+// blameParts records that a worker crashed at a time under requests with some parts, and writes the rows.
+func blameParts(g *Gateway, worker string, at time.Duration, parts ...string) {
+	var records []quarantine.Record
+	for _, part := range parts {
+		fingerprint := quarantine.PartFingerprint("app", part)
+		g.quarantines.local[fingerprint] = true
+		crash := quarantine.Crash{Worker: fleet.EngineID(worker), At: at}
+		records = append(records, quarantine.Record{Fingerprint: fingerprint, Crashes: []quarantine.Crash{crash}})
+	}
+	_, _ = g.quarantines.merge(g.now(), records...)
+	changes := g.quarantines.pendingStoreChanges(g.now(), false, false)
+	g.applyStoreChanges(&changes)
+}
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -137,7 +137,7 @@
 func (q *quarantineState) mergeRow(now time.Duration, row *QuarantineRow) quarantineChange {
 	return q.update(now, []quarantine.Fingerprint{row.Fingerprint}, func(tracker *quarantine.Tracker, fingerprint quarantine.Fingerprint) bool {
 		q.rememberStored(row)
-		record := quarantine.StoredRecord(now, fingerprint, row.Workers, row.Trials, row.Quarantined)
+		record := tracker.StoredRecord(now, fingerprint, row.StoredCrashes, row.Trials, row.Quarantined)
 		tracker.Merge(now, &record)
 		return !fingerprint.IsPart() && tracker.IsAheadOf(&record)
 	})
@@ -193,10 +193,10 @@
 		verdict := q.tracker.Check(now, record.Fingerprint)
 		orphaned := isReader && verdict.Quarantined && verdict.LastAge > orphanedAfter
 		known := q.stored[record.Fingerprint]
-		outdated := known.workerCount < min(verdict.Crashes, q.tracker.Threshold(), len(record.Crashes)) || known.trials < record.Trials ||
-			(record.Quarantined && !known.quarantined)
+		row := q.rowFromRecord(&record)
+		outdated := known.workerCount < min(len(row.Workers), q.tracker.Threshold()) || known.trials < record.Trials || (record.Quarantined && !known.quarantined)
 		if outdated && (q.local[record.Fingerprint] || orphaned) && len(changes.write) < maxStoreChanges {
-			changes.write = append(changes.write, rowFromRecord(&record, verdict.Crashes))
+			changes.write = append(changes.write, row)
 		}
 	}
 	for fingerprint := range q.stored {
@@ -211,13 +211,11 @@
 	return changes
 }
 
-// rowFromRecord returns the row of a record with its last crashes, as many as count against it.
-func rowFromRecord(record *quarantine.Record, counted int) QuarantineRow {
-	row := QuarantineRow{Fingerprint: record.Fingerprint, Trials: record.Trials, Quarantined: record.Quarantined}
-	for _, crash := range record.Crashes[max(len(record.Crashes)-counted, 0):] {
-		row.Workers = append(row.Workers, crash.Worker)
+// rowFromRecord returns the row of a record. The mutex must be held.
+func (q *quarantineState) rowFromRecord(record *quarantine.Record) QuarantineRow {
+	return QuarantineRow{
+		Fingerprint: record.Fingerprint, StoredCrashes: q.tracker.StoredCrashes(record), Trials: record.Trials, Quarantined: record.Quarantined,
 	}
-	return row
 }
 
 // syncQuarantineStore keeps the store's rows up to date until the process stops. Failed writes are
@@ -293,13 +291,12 @@
 // acquireTrial reports whether this gateway may try a quarantined request now. The conditional
 // write to the store ensures that no other gateway runs the same trial.
 func (g *Gateway) acquireTrial(current *callerRequest, verdict quarantine.Verdict) bool {
-	record, known := g.quarantines.record(verdict.Fingerprint)
+	row, known := g.quarantines.row(verdict.Fingerprint)
 	if !known {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(current.request.Context(), trialTimeout)
 	defer cancel()
-	row := rowFromRecord(&record, verdict.Crashes)
 	row.Trials = verdict.Trials + 1
 	stored, err := g.dependencies.Store.WriteQuarantine(ctx, row, g.quarantines.storedVersion(verdict.Fingerprint))
 	if errors.Is(err, platform.ErrConflict) && stored.Trials == verdict.Trials {
@@ -316,11 +313,15 @@
 	return true
 }
 
-// record returns the record of a request, if any.
-func (q *quarantineState) record(fingerprint quarantine.Fingerprint) (quarantine.Record, bool) {
+// row returns the row of a request's record, if there is a record.
+func (q *quarantineState) row(fingerprint quarantine.Fingerprint) (QuarantineRow, bool) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.tracker.Record(fingerprint)
+	record, known := q.tracker.Record(fingerprint)
+	if !known {
+		return QuarantineRow{}, false
+	}
+	return q.rowFromRecord(&record), true
 }
 
 // beginTrial records that this gateway tries a quarantined request.
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -58,16 +58,22 @@
 
 // countCauses returns the number of crashes, of which those at the same time count as one.
 func countCauses(crashes []Crash) int {
-	causes, began := 0, time.Duration(0)
-	for _, crash := range crashes {
-		if causes == 0 || crash.At >= began+sameCause {
-			causes++
-			began = crash.At
-		}
+	causes := 0
+	for ; len(crashes) > 0; causes++ {
+		crashes = crashes[firstCauseSize(crashes):]
 	}
 	return causes
 }
 
+// firstCauseSize returns how many of some crashes were at the same time as the first.
+func firstCauseSize(crashes []Crash) int {
+	size := 1
+	for size < len(crashes) && crashes[size].At < crashes[0].At+sameCause {
+		size++
+	}
+	return size
+}
+
 // isHarmful reports whether the evidence suffices for a quarantine.
 func (s *suspect) isHarmful() bool {
 	required := quarantineEvidence
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -254,7 +254,7 @@
 func TestStoredPartIsHeldAtOnce(t *testing.T) {
 	tracker := NewTracker(Options{Node: "a"})
 	for _, part := range []string{"bad", "worse"} {
-		stored := StoredRecord(second, partOf(part), []fleet.EngineID{"shared", fleet.EngineID(part + "-1"), fleet.EngineID(part + "-2")}, 1, true)
+		stored := tracker.StoredRecord(second, partOf(part), StoredCrashes{Workers: []fleet.EngineID{"shared", fleet.EngineID(part + "-1"), fleet.EngineID(part + "-2")}}, 1, true)
 		tracker.Merge(second, &stored)
 	}
 	assert.True(t, isHeld(tracker, second, "bad"))
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -185,23 +185,6 @@
 	return last
 }
 
-// StoredRecord returns the record of a stored row, which holds no times: its crashes and trials count as of
-// now. Those of a part count one by one.
-func StoredRecord(now time.Duration, fingerprint Fingerprint, workers []fleet.EngineID, trials int, quarantined bool) Record {
-	record := Record{Fingerprint: fingerprint, Trials: trials, Quarantined: quarantined}
-	if trials > 0 {
-		record.LastTrialAt = now
-	}
-	var apart time.Duration
-	if fingerprint.IsPart() {
-		apart = sameCause
-	}
-	for index, worker := range workers {
-		record.Crashes = append(record.Crashes, Crash{Worker: worker, At: now - time.Duration(len(workers)-1-index)*apart})
-	}
-	return record
-}
-
 // clone returns a deep copy.
 func (r *Record) clone() Record {
 	copied := *r
