Add later crashes of a held part to its row

What callers would have seen: a sound part is refused from a restart of all gateways on, until its trial after 30 s. The row of the harmful part beside it was written when that was held and not again, with the first crashes alone. If the crashes of a sound part were known some ms before those of the harmful one it was held for that time, and its row lists later crashes, which nothing explained after the restart.

Change: the row of a held part lists all crashes that are kept (16 at the most) and is written again when there are more. A held part crashes few workers, so these are few writes.

TestCrashesAfterTheHoldExplainAfterARestart: before, "Expected nil, but got: &gateway.refusal{... request is quarantined}", 5 of 5 runs; after, 0 of 5.

--- a/internal/gateway/quarantineparts_test.go
+++ b/internal/gateway/quarantineparts_test.go
@@ -247,3 +247,29 @@
 	changes := g.quarantines.pendingStoreChanges(g.now(), false, false)
 	g.applyStoreChanges(&changes)
 }
+
+// TestCrashesAfterTheHoldExplainAfterARestart guards against a sound part that was held for a moment, until it was
+// known that a held one had crashed the workers, and is held for good once all gateways have restarted.
+func TestCrashesAfterTheHoldExplainAfterARestart(t *testing.T) {
+	store := newQuarantineStore()
+	before, after := quarantineGateway(t, store), quarantineGateway(t, store)
+	began := before.now() - 10*time.Second
+	crash := func(number int, parts ...string) {
+		blameParts(before, fmt.Sprint("w", number), began+time.Duration(number)*time.Second, parts...)
+	}
+	for number := range 3 {
+		crash(number, "bad")
+	}
+	for number := 3; number < 6; number++ {
+		crash(number, "sound")
+	}
+	for number := 3; number < 6; number++ {
+		crash(number, "bad")
+	}
+	require.Nil(t, before.checkQuarantine(requestOfParts(1, "sound")))
+	for _, row := range store.rows {
+		after.applyQuarantineRow(&row)
+	}
+	assert.NotNil(t, after.checkQuarantine(requestOfParts(2, "bad")))
+	assert.Nil(t, after.checkQuarantine(requestOfParts(3, "sound")))
+}
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -194,7 +194,7 @@
 		orphaned := isReader && verdict.Quarantined && verdict.LastAge > orphanedAfter
 		known := q.stored[record.Fingerprint]
 		row := q.rowFromRecord(&record)
-		outdated := known.workerCount < min(len(row.Workers), q.tracker.Threshold()) || known.trials < record.Trials || (record.Quarantined && !known.quarantined)
+		outdated := known.workerCount < q.requiredWorkers(&row) || known.trials < record.Trials || (record.Quarantined && !known.quarantined)
 		if outdated && (q.local[record.Fingerprint] || orphaned) && len(changes.write) < maxStoreChanges {
 			changes.write = append(changes.write, row)
 		}
@@ -218,6 +218,15 @@
 	}
 }
 
+// requiredWorkers returns how many workers a stored row must list. That of a quarantined part lists all, so
+// that it still explains the crashes of other parts after a restart.
+func (q *quarantineState) requiredWorkers(row *QuarantineRow) int {
+	if row.Quarantined {
+		return len(row.Workers)
+	}
+	return min(len(row.Workers), q.tracker.Threshold())
+}
+
 // syncQuarantineStore keeps the store's rows up to date until the process stops. Failed writes are
 // retried when the periodic sweep signals again.
 func (g *Gateway) syncQuarantineStore() error {
--- a/internal/quarantine/storedrecord.go
+++ b/internal/quarantine/storedrecord.go
@@ -40,13 +40,14 @@
 	return causes
 }
 
-// StoredCrashes returns what the row of a record lists: its last crashes, as many as count against it.
+// StoredCrashes returns what the row of a record lists: its last crashes, as many as count against it. Of a
+// quarantined part it lists all, since they explain those of parts that came with it.
 func (t *Tracker) StoredCrashes(record *Record) StoredCrashes {
 	crashes := t.countedCrashes(record)
 	if !record.Fingerprint.IsPart() {
 		return StoredCrashes{Workers: workersOf(crashes)}
 	}
-	for counted := t.crashCount(record); countCauses(crashes) > counted; {
+	for counted := t.crashCount(record); !record.Quarantined && countCauses(crashes) > counted; {
 		crashes = crashes[firstCauseSize(crashes):]
 	}
 	stored := StoredCrashes{Workers: workersOf(crashes)}
