Bound the platform's answers by what their kind can hold

Clients of the platform in routers and agents took 64 MB of any answer, also of an error and of a write. Whoever answers in the platform's place decided how much memory a router or an agent takes.

A read that goes over its bound fails with ErrTooLarge. Changes of the configuration that are too large for one page count as a gap, so that the whole configuration is read: a process would ask for the same page for ever.

--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -141,9 +141,12 @@
 }
 
 // LoadChanges returns up to MaxLoggedChanges changes after a revision. It returns ErrRevisionGap if
-// the next change is no longer retained; the caller should then use Load.
+// the next change is no longer retained, or the changes are too large for one page; the caller should then use Load.
 func (s *Store) LoadChanges(ctx context.Context, after fleet.Revision) ([]Change, error) {
 	rows, err := s.tables.List(ctx, prefixChange, changeKey(after), MaxLoggedChanges)
+	if errors.Is(err, platform.ErrTooLarge) {
+		return nil, ErrRevisionGap
+	}
 	if err != nil {
 		return nil, errors.Wrap(err, "list changes")
 	}
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -289,3 +289,18 @@
 	assert.Equal(t, resultcode.RevisionConflict, refused.Code)
 	assert.Equal(t, refused, outcome)
 }
+
+// largePageTables has pages of rows that are too large to read.
+type largePageTables struct{ platform.Tables }
+
+func (t largePageTables) List(context.Context, string, string, int) ([]platform.Row, error) {
+	return nil, errors.Join(platform.ErrUnavailable, platform.ErrTooLarge)
+}
+
+// TestChangesTooLargeForAPageAreAGap guards against a process that never takes over a configuration again, since
+// what has changed is too large for one answer.
+func TestChangesTooLargeForAPageAreAGap(t *testing.T) {
+	store := NewStore(largePageTables{newFakeTables()}, nil, StoreOptions{})
+	_, err := store.LoadChanges(context.Background(), 1)
+	assert.ErrorIs(t, err, ErrRevisionGap)
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -67,7 +67,7 @@
 // Get implements Tables.
 func (c *Client) Get(ctx context.Context, key string) (Row, error) {
 	query := url.Values{ParameterKey: {key}}
-	body, err := c.read(ctx, PathRow, query)
+	body, err := c.read(ctx, PathRow, query, maxRowBytes)
 	if err != nil {
 		return Row{}, errors.Wrap(err, "get row")
 	}
@@ -82,7 +82,7 @@
 		ParameterAfter:  {after},
 		ParameterLimit:  {strconv.Itoa(limit)},
 	}
-	body, err := c.read(ctx, PathRows, query)
+	body, err := c.read(ctx, PathRows, query, maxPageBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "list rows")
 	}
@@ -101,7 +101,7 @@
 
 // GetObject implements Objects.
 func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
-	body, err := c.read(ctx, PathObject, url.Values{ParameterName: {name}})
+	body, err := c.read(ctx, PathObject, url.Values{ParameterName: {name}}, maxPageBytes)
 	return body, wrap(err, "get object")
 }
 
@@ -114,7 +114,7 @@
 
 // ListMachines implements Machines.
 func (c *Client) ListMachines(ctx context.Context) ([]Machine, error) {
-	body, err := c.read(ctx, PathMachines, nil)
+	body, err := c.read(ctx, PathMachines, nil, maxPageBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "list machines")
 	}
@@ -124,7 +124,7 @@
 
 // WeightStore returns the current load of the weight store.
 func (c *Client) WeightStore(ctx context.Context) (WeightStoreStatus, error) {
-	body, err := c.read(ctx, PathWeights, nil)
+	body, err := c.read(ctx, PathWeights, nil, maxStatusBytes)
 	if err != nil {
 		return WeightStoreStatus{}, errors.Wrap(err, "weight store status")
 	}
@@ -140,14 +140,17 @@
 	return errors.Wrap(err, operation)
 }
 
-// read sends a GET request and returns the response body. Since reads have no effect, failures
+// read sends a GET request and returns the response body of at most maxBytes. Since reads have no effect, failures
 // without a conclusive response are ErrUnavailable rather than ErrUnknownOutcome.
-func (c *Client) read(ctx context.Context, path string, query url.Values) ([]byte, error) {
-	result, err := c.do(ctx, http.MethodGet, path, query, nil, ErrUnavailable)
+func (c *Client) read(ctx context.Context, path string, query url.Values, maxBytes int64) ([]byte, error) {
+	result, err := c.do(ctx, http.MethodGet, path, query, nil, maxBytes, ErrUnavailable)
 	if err != nil {
 		return nil, err
 	}
 	if result.status == http.StatusOK {
+		if errors.Is(result.bodyErr, ErrTooLarge) {
+			return nil, errors.Join(ErrUnavailable, result.bodyErr)
+		}
 		if result.bodyErr != nil {
 			return nil, errors.Wrap(ErrUnavailable, result.bodyErr.Error())
 		}
@@ -163,7 +166,7 @@
 // write sends a request that has an effect. The status alone determines success, so an incomplete
 // response body is ignored.
 func (c *Client) write(ctx context.Context, method, path string, query url.Values, body []byte) error {
-	result, err := c.do(ctx, method, path, query, bytes.NewReader(body), ErrUnknownOutcome)
+	result, err := c.do(ctx, method, path, query, bytes.NewReader(body), maxStatusBytes, ErrUnknownOutcome)
 	if err != nil {
 		return err
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -26,6 +26,9 @@
 	// ErrUnavailable means that the request certainly had no effect: it did not reach the service,
 	// the service rejected it before processing, or it was a read.
 	ErrUnavailable = errors.New("platform unavailable")
+	// ErrTooLarge means that a read failed since its response is larger than this client takes. It is an
+	// ErrUnavailable too.
+	ErrTooLarge = errors.New("answer too large")
 	// ErrInvalid means that the service rejected the request as malformed.
 	ErrInvalid = errors.New("invalid request")
 )
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -17,8 +17,13 @@
 )
 
 const (
-	// maxResponseBytes limits the size of a response body.
-	maxResponseBytes = 64 << 20
+	// maxPageBytes bounds a page of rows, an object and the list of machines: as much as the service takes in one
+	// call, and a list of 100,000 machines.
+	maxPageBytes = 16 << 20
+	// maxRowBytes bounds one row, which holds a configuration of up to 256 KB.
+	maxRowBytes = 1 << 20
+	// maxStatusBytes bounds all other responses: to writes, of errors, and on the weight store.
+	maxStatusBytes = 64 << 10
 	// maxIdleConnections limits the idle connections to the service.
 	maxIdleConnections = 4
 	// idleTimeout is the time after which idle connections are closed. It should be shorter than
@@ -51,9 +56,9 @@
 	bodyErr error
 }
 
-// do sends one request. It fails with ErrUnavailable if no connection could be obtained, and with
+// do sends one request and reads at most maxBytes of its response, of an error less. It fails with ErrUnavailable if no connection could be obtained, and with
 // lostError after that, because net/http doesn't report reliably whether any byte was sent.
-func (c *Client) do(ctx context.Context, method, path string, query url.Values, body *bytes.Reader, lostError error) (httpResult, error) {
+func (c *Client) do(ctx context.Context, method, path string, query url.Values, body *bytes.Reader, maxBytes int64, lostError error) (httpResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var connected atomic.Bool
@@ -72,7 +77,10 @@
 		return httpResult{}, errors.Wrap(ErrUnavailable, err.Error())
 	}
 	defer response.Body.Close()
-	content, err := readBounded(response.Body)
+	if response.StatusCode != http.StatusOK {
+		maxBytes = maxStatusBytes
+	}
+	content, err := readBounded(response.Body, maxBytes)
 	return httpResult{status: response.StatusCode, body: content, bodyErr: err}, nil
 }
 
@@ -95,14 +103,14 @@
 	return request, nil
 }
 
-// readBounded reads a body of at most maxResponseBytes.
-func readBounded(body io.Reader) ([]byte, error) {
-	content, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
+// readBounded reads a body of at most maxBytes.
+func readBounded(body io.Reader, maxBytes int64) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(body, maxBytes+1))
 	if err != nil {
 		return nil, err
 	}
-	if len(content) > maxResponseBytes {
-		return nil, errors.Errorf("answer exceeds %d bytes", maxResponseBytes)
+	if int64(len(content)) > maxBytes {
+		return nil, errors.Wrapf(ErrTooLarge, "more than %d bytes", maxBytes)
 	}
 	return content, nil
 }
