--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -128,16 +129,29 @@
 		}
 		return
 	}
-	g.quarantines.setStored(row)
-	record := quarantine.StoredRecord(now, row.Fingerprint, row.Workers, row.Trials, row.Quarantined)
-	change, _ := g.quarantines.merge(now, record)
-	g.handleQuarantineChange("store", change)
+	g.handleQuarantineChange("store", g.quarantines.mergeRow(now, row))
+}
+
+// mergeRow records the state of a stored row and merges what it says, both at once: a known row without a record
+// would be removed as one of no use.
+func (q *quarantineState) mergeRow(now time.Duration, row *QuarantineRow) quarantineChange {
+	return q.update(now, []quarantine.Fingerprint{row.Fingerprint}, func(tracker *quarantine.Tracker, fingerprint quarantine.Fingerprint) bool {
+		q.rememberStored(row)
+		record := tracker.StoredRecord(now, fingerprint, row.StoredCrashes, row.Trials, row.Quarantined)
+		tracker.Merge(now, &record)
+		return !fingerprint.IsPart() && tracker.IsAheadOf(&record)
+	})
 }
 
 // setStored records the state of a stored row.
 func (q *quarantineState) setStored(row *QuarantineRow) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	q.rememberStored(row)
+}
+
+// rememberStored is setStored for callers that hold the mutex.
+func (q *quarantineState) rememberStored(row *QuarantineRow) {
 	q.stored[row.Fingerprint] = storedQuarantine{version: row.Version, workerCount: len(row.Workers), trials: row.Trials, quarantined: row.Quarantined}
 }
 
@@ -179,10 +193,10 @@
 		verdict := q.tracker.Check(now, record.Fingerprint)
 		orphaned := isReader && verdict.Quarantined && verdict.LastAge > orphanedAfter
 		known := q.stored[record.Fingerprint]
-		outdated := known.workerCount < min(verdict.Crashes, q.tracker.Threshold(), len(record.Crashes)) || known.trials < record.Trials ||
-			(record.Quarantined && !known.quarantined)
+		row := q.rowFromRecord(&record)
+		outdated := known.workerCount < q.requiredWorkers(&row) || known.trials < record.Trials || (record.Quarantined && !known.quarantined)
 		if outdated && (q.local[record.Fingerprint] || orphaned) && len(changes.write) < maxStoreChanges {
-			changes.write = append(changes.write, rowFromRecord(&record, verdict.Crashes))
+			changes.write = append(changes.write, row)
 		}
 	}
 	for fingerprint := range q.stored {
@@ -197,13 +211,20 @@
 	return changes
 }
 
-// rowFromRecord returns the row of a record with its last crashes, as many as count against it.
-func rowFromRecord(record *quarantine.Record, counted int) QuarantineRow {
-	row := QuarantineRow{Fingerprint: record.Fingerprint, Trials: record.Trials, Quarantined: record.Quarantined}
-	for _, crash := range record.Crashes[max(len(record.Crashes)-counted, 0):] {
-		row.Workers = append(row.Workers, crash.Worker)
+// rowFromRecord returns the row of a record. The mutex must be held.
+func (q *quarantineState) rowFromRecord(record *quarantine.Record) QuarantineRow {
+	return QuarantineRow{
+		Fingerprint: record.Fingerprint, StoredCrashes: q.tracker.StoredCrashes(record), Trials: record.Trials, Quarantined: record.Quarantined,
 	}
-	return row
+}
+
+// requiredWorkers returns how many workers a stored row must list. That of a quarantined part lists all, so
+// that it still explains the crashes of other parts after a restart.
+func (q *quarantineState) requiredWorkers(row *QuarantineRow) int {
+	if row.Quarantined {
+		return len(row.Workers)
+	}
+	return min(len(row.Workers), q.tracker.Threshold())
 }
 
 // syncQuarantineStore keeps the store's rows up to date until the process stops. Failed writes are
@@ -245,13 +266,23 @@
 	case errors.Is(err, platform.ErrConflict):
 		g.quarantines.deleteStored(row.Fingerprint)
 	}
-	line := g.events.line("quarantine_recorded").Str("fingerprint", row.Fingerprint.String()).Int("ends", len(row.Workers)).Int("trials", row.Trials)
+	line := g.events.line("quarantine_recorded").Str("fingerprint", row.Fingerprint.String()).Int("ends", len(row.Workers)).
+		Str("workers", workerNames(row.Workers)).Bool("quarantined", row.Quarantined).Int("trials", row.Trials)
 	if err != nil {
 		line = line.Err(err)
 	}
 	line.Msg("quarantine_recorded")
 }
 
+// workerNames returns the workers of a row for a log line, separated by commas.
+func workerNames(workers []fleet.EngineID) string {
+	names := make([]string, len(workers))
+	for index, worker := range workers {
+		names[index] = string(worker)
+	}
+	return strings.Join(names, ",")
+}
+
 func (g *Gateway) removeQuarantine(fingerprint quarantine.Fingerprint) {
 	ctx, cancel := context.WithTimeout(g.context(), deliveryCallTimeout)
 	defer cancel()
@@ -269,13 +300,12 @@
 // acquireTrial reports whether this gateway may try a quarantined request now. The conditional
 // write to the store ensures that no other gateway runs the same trial.
 func (g *Gateway) acquireTrial(current *callerRequest, verdict quarantine.Verdict) bool {
-	record, known := g.quarantines.record(verdict.Fingerprint)
+	row, known := g.quarantines.row(verdict.Fingerprint)
 	if !known {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(current.request.Context(), trialTimeout)
 	defer cancel()
-	row := rowFromRecord(&record, verdict.Crashes)
 	row.Trials = verdict.Trials + 1
 	stored, err := g.dependencies.Store.WriteQuarantine(ctx, row, g.quarantines.storedVersion(verdict.Fingerprint))
 	if errors.Is(err, platform.ErrConflict) && stored.Trials == verdict.Trials {
@@ -292,11 +322,15 @@
 	return true
 }
 
-// record returns the record of a request, if any.
-func (q *quarantineState) record(fingerprint quarantine.Fingerprint) (quarantine.Record, bool) {
+// row returns the row of a request's record, if there is a record.
+func (q *quarantineState) row(fingerprint quarantine.Fingerprint) (QuarantineRow, bool) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.tracker.Record(fingerprint)
+	record, known := q.tracker.Record(fingerprint)
+	if !known {
+		return QuarantineRow{}, false
+	}
+	return q.rowFromRecord(&record), true
 }
 
 // beginTrial records that this gateway tries a quarantined request.
