Ask a silent worker for its run until the request's deadline

What callers saw: an answer without a length that was whole broke off, or became a 502, if its worker was silent for a second or so right after its last byte.

Cause: such an answer counts as whole only if its worker's run is known to be alive. One connection was tried for 0.5 s, or one call on the health path for 0.5 s, and no answer was taken for a crash. Time-outs that end something when they pass are the class.

Change: the worker is asked again until the request's deadline. A refused connection, another run or a reset still breaks the answer off at once. A request that may be sent elsewhere is, after 2.5 s of silence. Since asking takes longer now, another worker may have taken the address meanwhile: the time since the last bytes is looked at after each connection too, and the health path is asked with the identifier from quarantine.SuccessorDelay on. The wait for a reset before the first probe (up to 0.52 s) wasn't counted for that before.

A connection that doesn't open within 0.5 s ends in a 503 that is true: the request is never run, and the caller is served when it comes again.

--- a/internal/attempt/forwarding_test.go
+++ b/internal/attempt/forwarding_test.go
@@ -230,3 +230,28 @@
 	once.PrepayRetry()
 	assert.Equal(t, StepFail, once.Unanswered(0, fleet.EngineRun{Engine: "a"}).Kind)
 }
+
+// TestOnlyAnswersThatCanBeReplacedMayBreakOff guards against an answer that is given up though no other run may
+// take its place.
+func TestOnlyAnswersThatCanBeReplacedMayBreakOff(t *testing.T) {
+	for name, test := range map[string]struct {
+		policy     ForwardingPolicy
+		delivering bool
+		want       bool
+	}{
+		"idempotent":              {ForwardingPolicy{Idempotent: true, MaxRuns: 2}, false, true},
+		"idempotent, only one":    {ForwardingPolicy{Idempotent: true, MaxRuns: 1}, false, false},
+		"idempotent, begun":       {ForwardingPolicy{Idempotent: true, MaxRuns: 2}, true, false},
+		"not idempotent":          {ForwardingPolicy{MaxRuns: 2}, false, false},
+		"resumable, begun":        {ForwardingPolicy{Idempotent: true, Resumable: true, MaxRuns: 2}, true, true},
+		"resumable, its last run": {ForwardingPolicy{Idempotent: true, Resumable: true, MaxRuns: 1}, true, false},
+	} {
+		test.policy.Deadline = time.Second
+		forwarding := NewForwarding(0, test.policy, NewBudget(BudgetOptions{}))
+		if test.delivering {
+			forwarding.Answered(0, fleet.EngineRun{Engine: "a"}, false)
+			forwarding.DeliveryStarted()
+		}
+		assert.Equal(t, test.want, forwarding.CanBreakOff(), name)
+	}
+}
--- a/internal/attempt/moving.go
+++ b/internal/attempt/moving.go
@@ -20,6 +20,15 @@
 	return f.policy.Resumable && f.possibleRuns+1 < f.policy.MaxRuns
 }
 
+// CanBreakOff reports whether the answer of the current send may be broken off and the request sent again, or its
+// stream continued, if the retry budget allows.
+func (f *Forwarding) CanBreakOff() bool {
+	if f.delivering {
+		return f.policy.Resumable && f.hasRunsLeft()
+	}
+	return f.CanRepeat()
+}
+
 // PrepayRetry records that the next retry has already been withdrawn from the budget.
 func (f *Forwarding) PrepayRetry() { f.prepaid = true }
 
--- a/internal/gateway/answerend.go
+++ b/internal/gateway/answerend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -13,8 +14,17 @@
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
-// runCheckTimeout bounds the time that a worker has to tell its run. A full one may take a while.
-const runCheckTimeout = 500 * time.Millisecond
+const (
+	// runCheckTimeout bounds the first question for a worker's run, which a full worker answers once it has a
+	// slot. It doubles with each further one up to maxRunCheckTimeout.
+	runCheckTimeout    = 500 * time.Millisecond
+	maxRunCheckTimeout = 4 * time.Second
+	// runCheckPause is the time between two attempts to find out whether a run is alive.
+	runCheckPause = 100 * time.Millisecond
+	// maxWorkerSilence exceeds the time for which a sound worker may be silent. Beyond it, a request that may run
+	// again is sent elsewhere.
+	maxWorkerSilence = 2500 * time.Millisecond
+)
 
 // labelReset is the value of the metric's label for a connection that was reset after its end.
 const labelReset = "reset"
@@ -28,7 +38,7 @@
 	if !response.EndsWithConnection {
 		return nil
 	}
-	worker := &placement.Worker
+	worker, lastBytesAt := &placement.Worker, g.now()-response.SilenceBeforeEnd()
 	// A process that crashes closes its connections and its listener one after the other, so the probe comes last.
 	if err := response.AwaitEnd(ctx); err != nil {
 		// Any other error means that the request itself has ended.
@@ -38,7 +48,7 @@
 		}
 		return err
 	}
-	liveness := g.probeEnd(ctx, current, worker, response.SilenceBeforeEnd())
+	liveness := g.awaitRun(ctx, current, worker, lastBytesAt)
 	g.metrics.probedEnds.WithLabelValues(liveness.String()).Inc()
 	if liveness != upstream.Alive {
 		g.logUnprovenEnd(current, worker, errEndUnproven)
@@ -47,40 +57,71 @@
 	return nil
 }
 
+// awaitRun finds out whether the run that sent a response is alive. A silent worker is asked until the request
+// ends, or for maxWorkerSilence if the request may be sent elsewhere.
+func (g *Gateway) awaitRun(ctx context.Context, current *callerRequest, worker *backends.Worker, lastBytesAt time.Duration) upstream.Liveness {
+	if current.attempts.CanBreakOff() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, maxWorkerSilence)
+		defer cancel()
+	}
+	for timeout := runCheckTimeout; ; timeout = min(2*timeout, maxRunCheckTimeout) {
+		liveness := g.probeEnd(ctx, current, worker, lastBytesAt, timeout)
+		if liveness != upstream.LivenessUnknown {
+			return liveness
+		}
+		select {
+		case <-time.After(runCheckPause):
+		case <-ctx.Done():
+			return upstream.LivenessUnknown
+		}
+	}
+}
+
 func (g *Gateway) logUnprovenEnd(current *callerRequest, worker *backends.Worker, cause error) {
 	g.events.line("end_unproven").Str("request_id", current.metadata.RequestID).Str("worker", string(worker.ID)).
 		Str("relay", string(current.relay)).Err(cause).Msg("end_unproven")
 }
 
-// probeEnd finds out whether the run that sent a response to a request is alive. Another worker may have taken its
-// address if the process was paused meanwhile, or if the connection was silent for long before its end, as it is
-// while packets are lost. A new connection proves nothing then.
-func (g *Gateway) probeEnd(ctx context.Context, current *callerRequest, worker *backends.Worker, silence time.Duration) upstream.Liveness {
-	destination, now := g.destination(current, worker), g.now()
-	mayHaveSuccessor := silence >= quarantine.SuccessorDelay || g.pauses.PausedSince(current.sentAt, now)
-	switch {
-	case !mayHaveSuccessor:
-		return g.upstreams.ProbeRun(ctx, destination)
-	case g.upstreams.HasOpenSince(destination, now-current.sentAt):
+// probeEnd finds out whether the run that sent a response to a request is alive. lastBytesAt is when the last
+// bytes of the response arrived.
+func (g *Gateway) probeEnd(ctx context.Context, current *callerRequest, worker *backends.Worker, lastBytesAt, timeout time.Duration) upstream.Liveness {
+	destination := g.destination(current, worker)
+	if !g.mayHaveSuccessor(current, lastBytesAt) {
+		// A successor may have come while the connection was being opened.
+		liveness := g.upstreams.ProbeRun(ctx, destination)
+		if liveness != upstream.Alive || !g.mayHaveSuccessor(current, lastBytesAt) {
+			return liveness
+		}
+	}
+	if g.upstreams.HasOpenSince(destination, g.now()-current.sentAt) {
 		return upstream.Alive
-	default:
-		return g.identifyRun(ctx, worker, current.service.HealthPath)
 	}
+	return g.identifyRun(ctx, worker, current.service.HealthPath, timeout)
+}
+
+// mayHaveSuccessor reports whether another worker may have taken the address of the one that sent a response: the
+// process was paused, or the last bytes came long ago, as they have while packets are lost. A new connection
+// proves nothing then.
+func (g *Gateway) mayHaveSuccessor(current *callerRequest, lastBytesAt time.Duration) bool {
+	now := g.now()
+	return now >= lastBytesAt+quarantine.SuccessorDelay || g.pauses.PausedSince(current.sentAt, now)
 }
 
 // identifyRun finds out whether the run at a worker's address is the one that was known before. A worker tells
 // its identifier, which a restarted one may have kept. Its row tells when it started.
-func (g *Gateway) identifyRun(ctx context.Context, worker *backends.Worker, healthPath string) upstream.Liveness {
-	ctx, cancel := context.WithTimeout(g.workerCallContext(ctx, callHealth, worker), runCheckTimeout)
+func (g *Gateway) identifyRun(ctx context.Context, worker *backends.Worker, healthPath string, timeout time.Duration) upstream.Liveness {
+	ctx, cancel := context.WithTimeout(g.workerCallContext(ctx, callHealth, worker), timeout)
 	defer cancel()
 	err := g.dependencies.Engines.CheckRun(ctx, *worker, healthPath)
+	isRefused := errors.Is(err, syscall.ECONNREFUSED)
 	if err == nil {
 		err = g.checkStartTime(ctx, worker)
 	}
 	switch {
 	case err == nil:
 		return upstream.Alive
-	case errors.Is(err, rollout.ErrDifferentRun):
+	case isRefused, errors.Is(err, rollout.ErrDifferentRun):
 		return upstream.Dead
 	default:
 		g.events.line("run_unchecked").Str("worker", string(worker.ID)).Err(err).Msg("run_unchecked")
