Give up a hanging send only for a retry that is certain

What callers saw: repeatable requests of a gateway whose links to several workers were silent for a second became 502 after 0.26 to 0.46 s, though their workers were sound and went on.

Cause: a gateway that finds its links lost counts itself as partitioned and cancels all repeatable sends that hang on direct connections. Whether they may be sent again was decided after that: with the retry budget spent, or with no other worker of the service, the request failed ("retry budget spent", "all_tried"), and the certain answer of its first worker was gone.

Ruled out: the time-out of connections (all opened through other gateways within 0.2 s); a silence of one worker, or of everything, which makes no partition.

Change: a send is cancelled only if another worker could take the request and the retry has been taken from the budget, as when the engine of a stream is silent. All others wait for their answer, until their deadline or the connection's own time-out.

The unit test of hanging sends has a new case and the others as before.

In forward.go three lines change: the send is described by its way on, and its retry counts as paid.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -151,7 +151,7 @@
 func (g *Gateway) exchangeWith(ctx context.Context, cancel context.CancelCauseFunc, current *callerRequest, placement *backends.Placement) (*upstream.Response, error) {
 	send := &pendingSend{
 		cancel: cancel, subject: current.subject(), quarantineTrial: current.quarantineTrial,
-		repeatable: current.attempts.CanRepeat(),
+		reserveMove: g.reserveMove(current, placement),
 	}
 	if placement.Engine != nil {
 		send.model, send.version = current.metadata.Model, placement.Engine.Version
@@ -208,6 +208,7 @@
 		g.recordOutcome(current, placement, backends.Cancelled, err.Error())
 		return current.attempts.Unanswered(g.now(), run)
 	case errors.Is(err, errLinkLost) && sent:
+		current.attempts.PrepayRetry()
 		g.recordOutcome(current, placement, backends.Disconnected, err.Error())
 		return current.attempts.Unanswered(g.now(), run)
 	case errors.Is(err, errNoPath):
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -182,9 +182,9 @@
 	g.metrics.links.partitioned.Set(1)
 	g.logger.Warn().Int("workers", known).Msg("partitioned_from_workers")
 	g.upstreams.CloseIdleDirect()
-	g.pending.cancelHanging()
 	g.workers.ClearSuspicions()
 	g.clearSilences()
+	g.pending.cancelHanging(g.now())
 	g.announcer.addAll()
 }
 
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -130,21 +130,24 @@
 }
 
 // TestHangingSendsGoElsewhereAtAPartition guards against requests that wait for their deadline on
-// connections that hang, and against a second run of those that may run once.
+// connections that hang, against a second run of those that may run once, and against sends that are given up
+// though no other worker or no retry is left.
 func TestHangingSendsGoElsewhereAtAPartition(t *testing.T) {
 	g := linkTestGateway(t)
-	begin := func(repeatable, direct bool) context.Context {
+	begin := func(reserveMove func(time.Duration) bool, direct bool) context.Context {
 		ctx, cancel := context.WithCancelCause(context.Background())
-		send := &pendingSend{cancel: cancel, repeatable: repeatable}
+		send := &pendingSend{cancel: cancel, reserveMove: reserveMove}
 		send.direct.Store(direct)
 		g.pending.add(send)
 		return ctx
 	}
-	hanging, once, relayed := begin(true, true), begin(false, true), begin(true, false)
+	always, never := func(time.Duration) bool { return true }, func(time.Duration) bool { return false }
+	hanging, once, relayed, nowhereElse := begin(always, true), begin(nil, true), begin(always, false), begin(never, true)
 	g.beginPartition(len(linkTestWorkers))
 	assert.ErrorIs(t, context.Cause(hanging), errLinkLost)
 	assert.NoError(t, once.Err())
 	assert.NoError(t, relayed.Err())
+	assert.NoError(t, nowhereElse.Err())
 }
 
 // relayAnswering starts a node that answers requests for tunnels with an error, or opens them if there
--- a/internal/gateway/pending.go
+++ b/internal/gateway/pending.go
@@ -37,10 +37,11 @@
 	// quarantineTrial is set if the request is quarantined and this is its single trial.
 	quarantineTrial bool
 	cancel          context.CancelCauseFunc
-	// repeatable is set if the request may be sent again while this send is unanswered. direct is set
-	// once the send has a direct connection.
-	repeatable bool
-	direct     atomic.Bool
+	// reserveMove reports whether another worker could take the request now, and takes the retry from the
+	// budget. It is nil if the request must not be sent again while this send is unanswered.
+	reserveMove func(now time.Duration) bool
+	// direct is set once the send has a direct connection.
+	direct atomic.Bool
 }
 
 func newPendingSends() *pendingSends { return &pendingSends{sends: make(map[*pendingSend]bool)} }
@@ -57,12 +58,13 @@
 	delete(p.sends, send)
 }
 
-// cancelHanging cancels the sends on direct connections that may be made again on another one.
-func (p *pendingSends) cancelHanging() {
+// cancelHanging cancels the sends on direct connections that can be made again on another one. All others wait:
+// their workers may be sound and answer once the links are back.
+func (p *pendingSends) cancelHanging(now time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for send := range p.sends {
-		if send.repeatable && send.direct.Load() {
+		if send.direct.Load() && send.reserveMove != nil && send.reserveMove(now) {
 			send.cancel(errLinkLost)
 			delete(p.sends, send)
 		}
--- a/internal/gateway/placementrequest.go
+++ b/internal/gateway/placementrequest.go
@@ -76,6 +76,27 @@
 	return current.route.Kind == routes.Streaming && !current.moved && current.attempts.CanRepeat()
 }
 
+// reserveMove returns the check whether another worker could take a request while a send of it is unanswered. The
+// check takes the retry from the budget, and must be called only while the send is pending. It is nil if the request
+// must not be sent again.
+func (g *Gateway) reserveMove(current *callerRequest, placement *backends.Placement) func(now time.Duration) bool {
+	if !current.attempts.CanRepeat() {
+		return nil
+	}
+	avoidTarget := current.sentToTarget
+	return func(now time.Duration) bool {
+		request := backends.Request{
+			Service: current.service.Name, Excluded: current.attempts.Excluded(), Origin: current.origin,
+			Software: g.allowedVersions(current, avoidTarget),
+		}
+		if placement.Engine != nil {
+			request.Engine = &backends.EngineRequest{Model: current.metadata.Model, Priority: priorityOf(current)}
+		}
+		return g.workers.HasElsewhere(now, &request, placement.Worker.ID) &&
+			g.budgets.forRequest(current.service.Name, current.metadata.RequestID).Withdraw(now)
+	}
+}
+
 // unavailableRefusal returns the refusal for a request whose candidate workers are all closed, by
 // their limits or in backoff. opensIn is the time until the first of them opens.
 func (g *Gateway) unavailableRefusal(current *callerRequest, opensIn time.Duration) backends.Refusal {
