Let a silent worker read the rest of a request after its answer

What callers saw: a whole answer without a length, which its worker ends before it has read a long body, broke off or became a 502 if the worker was silent for a second or so before it read on.

Cause: the write of the rest could go on for 0.5 s after the end of the answer, at the gateway and at one that carries a tunnel, and its time-out counted as a broken connection.

Change: it may go on for fleet.MaxSilence, 2.5 s, which is the name for what a sound worker's silence doesn't exceed; the check of a worker's run uses it too. A reset ends the write at once, as before. A worker that never reads on still breaks its answer off within 3 s (TestHalfClosedAnswerIsNotAwaitedForLong, unchanged).

TestShortSilenceKeepsAnAnswerBeforeItsRequest of upstream and of tunnel, on the old code, with silences of 1.0 and 1.8 s:

upstream: connection ended before the request was written: i/o timeout tunnel: read: connection reset by peer

--- a/internal/gateway/answerend.go
+++ b/internal/gateway/answerend.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tillerfall/tillerfall/internal/backends"
+	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/quarantine"
 	"github.com/tillerfall/tillerfall/internal/rollout"
 	"github.com/tillerfall/tillerfall/internal/tcpend"
@@ -21,9 +22,6 @@
 	maxRunCheckTimeout = 4 * time.Second
 	// runCheckPause is the time between two attempts to find out whether a run is alive.
 	runCheckPause = 100 * time.Millisecond
-	// maxWorkerSilence exceeds the time for which a sound worker may be silent. Beyond it, a request that may run
-	// again is sent elsewhere.
-	maxWorkerSilence = 2500 * time.Millisecond
 )
 
 // labelReset is the value of the metric's label for a connection that was reset after its end.
@@ -58,11 +56,11 @@
 }
 
 // awaitRun finds out whether the run that sent a response is alive. A silent worker is asked until the request
-// ends, or for maxWorkerSilence if the request may be sent elsewhere.
+// ends, or for fleet.MaxSilence if the request may be sent elsewhere.
 func (g *Gateway) awaitRun(ctx context.Context, current *callerRequest, worker *backends.Worker, lastBytesAt time.Duration) upstream.Liveness {
 	if current.attempts.CanBreakOff() {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, maxWorkerSilence)
+		ctx, cancel = context.WithTimeout(ctx, fleet.MaxSilence)
 		defer cancel()
 	}
 	for timeout := runCheckTimeout; ; timeout = min(2*timeout, maxRunCheckTimeout) {
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -39,8 +39,9 @@
 	bufferSize = 4 << 10
 	// maxUpgradeHeadBytes bounds the response to an upgrade request.
 	maxUpgradeHeadBytes = 4 << 10
-	// endWriteTimeout is how long a write to the worker may go on after the worker's end.
-	endWriteTimeout = 500 * time.Millisecond
+	// endWriteTimeout is how long a write to the worker may go on after the worker's end. The worker may have been
+	// silent before it reads on.
+	endWriteTimeout = fleet.MaxSilence
 )
 
 // Request is what a node asks for.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -123,6 +123,28 @@
 	}
 }
 
+// TestShortSilenceKeepsAnAnswerBeforeItsRequest guards against a whole answer that is broken off, since its worker
+// ended it early and was silent for a second or so before it read the rest of the request.
+func TestShortSilenceKeepsAnAnswerBeforeItsRequest(t *testing.T) {
+	for _, silence := range []time.Duration{time.Second, 1800 * time.Millisecond} {
+		t.Run(silence.String(), func(t *testing.T) {
+			t.Parallel()
+			asking, worker, _ := openTunnel(t)
+			go func() { _, _ = asking.Write(make([]byte, 32<<20)) }()
+			_, err := io.WriteString(worker, "answer")
+			require.NoError(t, err)
+			require.NoError(t, worker.(*net.TCPConn).CloseWrite())
+			go func() {
+				time.Sleep(silence)
+				_, _ = io.Copy(io.Discard, worker)
+			}()
+			received, err := io.ReadAll(asking)
+			require.NoError(t, err)
+			assert.Equal(t, "answer", string(received))
+		})
+	}
+}
+
 // TestEndlessUpgradeResponseIsNotRead guards against a process that runs out of memory, since what answers at a node's
 // address sends bytes without end in place of the response to an upgrade request.
 func TestEndlessUpgradeResponseIsNotRead(t *testing.T) {
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -121,3 +121,28 @@
 	require.Error(t, err)
 	assert.Less(t, time.Since(start), 3*time.Second)
 }
+
+// TestShortSilenceKeepsAnAnswerBeforeItsRequest guards against a whole answer that is broken off, since its worker
+// ended it early and was silent for a second or so before it read the rest of the body.
+func TestShortSilenceKeepsAnAnswerBeforeItsRequest(t *testing.T) {
+	for _, silence := range []time.Duration{time.Second, 1800 * time.Millisecond} {
+		t.Run(silence.String(), func(t *testing.T) {
+			t.Parallel()
+			destination := newWorker(t, func(conn *net.TCPConn) {
+				_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n\r\nall of it")
+				_ = conn.CloseWrite()
+				time.Sleep(silence)
+				_, _ = io.Copy(io.Discard, conn)
+				_ = conn.Close()
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			response, err := NewPool(Options{}).Do(ctx, destination, postRequest(strings.Repeat("x", 16<<20)))
+			require.NoError(t, err)
+			defer response.Close()
+			body, err := io.ReadAll(response)
+			require.NoError(t, err)
+			assert.Equal(t, "all of it", string(body))
+		})
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/tcpend"
 )
 
@@ -25,8 +26,8 @@
 const writeBufferSize = 4 << 10
 
 // endWriteTimeout is how long the write of a body may go on after the response has ended with its
-// connection.
-const endWriteTimeout = 500 * time.Millisecond
+// connection. The worker may have been silent before it reads on.
+const endWriteTimeout = fleet.MaxSilence
 
 // Response is a worker's response whose body is still to be read. Close must be called; the
 // connection is reused only if the body was read to its end.
