Keep tunnels in which an answer pauses for a short silence

What callers saw: an answer through another gateway broke off in its middle, if its worker was silent for a second while that gateway counted itself as partitioned.

Cause: a partitioned gateway closes the tunnels it carries that nobody uses. A tunnel counted as unused once nothing had passed for 1 s and the last bytes came from the worker, which is so in the middle of an answer too: the carrier doesn't parse what passes.

Change: after fleet.MaxSilence.

--- a/internal/gateway/carriers.go
+++ b/internal/gateway/carriers.go
@@ -2,13 +2,14 @@
 
 import (
 	"sync"
-	"time"
 
+	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/tunnel"
 )
 
-// idleTunnel is how long nothing passes through a tunnel that counts as idle.
-const idleTunnel = time.Second
+// idleTunnel is how long nothing passes through a tunnel that counts as idle. An answer may be under way there, whose
+// worker is silent.
+const idleTunnel = fleet.MaxSilence
 
 // openCarriers holds the tunnels that this gateway carries for others. It is safe for concurrent use.
 type openCarriers struct {
