Look for the end of an event only in what is new

What callers saw: while a worker sent one event that never ends, other requests of the gateway got 503 "configuration too old" on a busy machine, since the process had no time to confirm its tables.

Cause: after each read of a stream the whole buffer was searched for the end of an event, backwards and twice. An event of 256 KB, the bound, costs bytes squared over the size of a piece: a worker decides how much processor time the gateway takes.

Change: what was searched is remembered, but for the two bytes in which an end may have begun. The buffer grows by half instead of by 4 KB.

TestEventsInPiecesAreRelayedWhole holds on both.

stream.go: eventRelay alone; deliverStream is as before.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -93,6 +93,8 @@
 	// lastID is the identifier of the last relayed event.
 	lastID string
 	buffer []byte
+	// scanned is the number of bytes at the beginning of buffer within which no event ends.
+	scanned int
 }
 
 // run reads until the end of the stream and calls relay with complete events. It returns nil if the
@@ -101,7 +103,7 @@
 	const chunk = 4 << 10
 	for {
 		if cap(r.buffer)-len(r.buffer) < chunk/4 {
-			grown := make([]byte, len(r.buffer), len(r.buffer)+chunk)
+			grown := make([]byte, len(r.buffer), len(r.buffer)+max(chunk, len(r.buffer)/2))
 			copy(grown, r.buffer)
 			r.buffer = grown
 		}
@@ -125,10 +127,14 @@
 
 // relayCompleteEvents relays the complete events in the buffer and removes them from it.
 func (r *eventRelay) relayCompleteEvents(relay func(events []byte) error) error {
-	end := lastEventEnd(r.buffer)
+	// The end of an event may have begun in the bytes before.
+	from := max(r.scanned-len("\n\r"), 0)
+	r.scanned = len(r.buffer)
+	end := lastEventEnd(r.buffer[from:])
 	if end == 0 {
 		return nil
 	}
+	end += from
 	events := r.buffer[:end]
 	if id, found := findLastEventID(events); found {
 		r.lastID = id
@@ -137,6 +143,7 @@
 		return err
 	}
 	r.buffer = append(r.buffer[:0], r.buffer[end:]...)
+	r.scanned = len(r.buffer)
 	return nil
 }
 
