Close idle connections on which bytes come within a second

What workers in trouble could do: send bytes without end after a whole answer. The answer was passed on, but the connection stayed open, its buffers in the kernel full, until the next request took it or it expired, up to 10 s later. No log line named the worker.

Change: the check of expired connections, each second, closes those on which bytes have come, and those that their workers have closed. On connections through another gateway nothing is told: what is left there may be the other's framing.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -218,6 +218,8 @@
 			return g.keepsRelayed(destination.Engine, relay)
 		},
 		OnDial: func(fleet.EngineID) { g.metrics.connections.Inc() },
+
+		OnUnsolicited: g.reportUnsolicited,
 	})
 	g.bodies = bodymemory.New(settings.Limits.BodyBytes())
 	g.answers = bodymemory.New(settings.Limits.AnswerBytes())
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -82,31 +82,59 @@
 	return http.ReadResponse(c.reader, request)
 }
 
-// isUsable reports whether an idle connection is open and has nothing to read. Unsolicited bytes
-// may be a late response, which must not be taken for the response to the next request.
-func (c *connection) isUsable() bool {
+// idleState is the state of an idle connection.
+type idleState int
+
+const (
+	idleUsable idleState = iota
+	// idleClosed means that the worker has closed the connection, or that its state can't be read.
+	idleClosed
+	// idleUnsolicited means that bytes have come although no response was due. They may be a late one, which must
+	// not be taken for the response to the next request.
+	idleUnsolicited
+)
+
+// isUsable reports whether an idle connection is open and has nothing to read.
+func (c *connection) isUsable() bool { return c.idleState() == idleUsable }
+
+// hasBuffered reports whether bytes have been received and not been read.
+func (c *connection) hasBuffered() bool {
 	if c.reader.Buffered() > 0 {
-		return false
+		return true
 	}
-	if relayed, ok := c.raw.(RelayedConn); ok && relayed.Buffered() > 0 {
-		return false
+	relayed, ok := c.raw.(RelayedConn)
+	return ok && relayed.Buffered() > 0
+}
+
+// idleState returns the state of an idle connection.
+func (c *connection) idleState() idleState {
+	if c.hasBuffered() {
+		return idleUnsolicited
 	}
 	system, ok := c.raw.(syscall.Conn)
 	if !ok {
-		return true
+		return idleUsable
 	}
 	raw, err := system.SyscallConn()
 	if err != nil {
-		return false
+		return idleClosed
 	}
-	usable := false
+	state := idleClosed
 	err = raw.Read(func(descriptor uintptr) bool {
 		var probe [1]byte
 		count, _, peekErr := syscall.Recvfrom(int(descriptor), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		usable = count <= 0 && (peekErr == syscall.EAGAIN || peekErr == syscall.EWOULDBLOCK)
+		switch {
+		case count > 0:
+			state = idleUnsolicited
+		case peekErr == syscall.EAGAIN || peekErr == syscall.EWOULDBLOCK:
+			state = idleUsable
+		}
 		return true
 	})
-	return err == nil && usable
+	if err != nil {
+		return idleClosed
+	}
+	return state
 }
 
 // applyKeepAlive sets keepAlive from the timeout in the worker's Keep-Alive header, if present.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -127,9 +127,12 @@
 				reuse = false
 			}
 		}
-		if reuse && stopped && e.conn.reader.Buffered() == 0 {
-			e.pool.release(e.conn)
-			return
+		if reuse && stopped {
+			if !e.conn.hasBuffered() {
+				e.pool.release(e.conn)
+				return
+			}
+			e.pool.reportUnsolicited(e.conn)
 		}
 		e.conn.raw.Close()
 		e.pool.noteClosed(e.conn.engine)
--- a/internal/upstream/limits_test.go
+++ b/internal/upstream/limits_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/tillerfall/tillerfall/internal/fleet"
 )
 
 // TestEndlessHeadIsNotBuffered guards against a worker that decides how much memory this process takes, by
@@ -75,3 +77,42 @@
 		response.Close()
 	}
 }
+
+// TestBytesAfterAnAnswerCloseItsConnection guards against a connection that stays open for as long as an idle one
+// may, while its worker sends bytes without end after a whole answer.
+func TestBytesAfterAnAnswerCloseItsConnection(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"at once": 0, "later": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			closed := make(chan struct{})
+			destination := newWorker(t, func(conn *net.TCPConn) {
+				defer close(closed)
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+				time.Sleep(pause)
+				for block := make([]byte, 64<<10); ; {
+					if _, err := conn.Write(block); err != nil {
+						return
+					}
+				}
+			})
+			unsolicited := make(chan fleet.EngineID, 1)
+			pool := NewPool(Options{OnUnsolicited: func(engine fleet.EngineID, _ fleet.Address) { unsolicited <- engine }})
+			response, err := pool.Do(context.Background(), destination, postRequest(""))
+			require.NoError(t, err)
+			content, err := io.ReadAll(response)
+			require.NoError(t, err)
+			assert.Equal(t, "whole", string(content))
+			response.Close()
+			for pool.OpenConnections() > 0 {
+				time.Sleep(10 * time.Millisecond)
+				pool.CloseExpired()
+			}
+			select {
+			case <-closed:
+			case <-time.After(time.Second):
+				require.Fail(t, "the connection stays open")
+			}
+			assert.Equal(t, destination.Engine, <-unsolicited)
+		})
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -39,6 +39,9 @@
 	Traffic *traffic.Meter
 	// OnDial is called for each connection opened; may be nil.
 	OnDial func(engine fleet.EngineID)
+	// OnUnsolicited is called for each direct connection that is closed because bytes came on it although
+	// no response was due; may be nil. It must not call the pool.
+	OnUnsolicited func(engine fleet.EngineID, address fleet.Address)
 }
 
 // Pool holds idle connections by worker run. It is safe for concurrent use.
@@ -168,7 +171,7 @@
 	for len(state.idle) > 0 {
 		last := state.idle[len(state.idle)-1]
 		state.idle = state.idle[:len(state.idle)-1]
-		if last.address == destination.Address && now.Before(last.expires) && p.keepsRelayed(last) && last.isUsable() {
+		if last.address == destination.Address && now.Before(last.expires) && p.keepsRelayed(last) && p.checkIdle(last) {
 			return last, true
 		}
 		last.raw.Close()
@@ -231,8 +234,27 @@
 	}
 }
 
-// CloseExpired closes the idle connections that have expired.
+// CloseExpired closes the idle connections that have expired, that their workers have closed, or on which bytes came.
 func (p *Pool) CloseExpired() {
 	now := time.Now()
-	p.closeIdleIf(func(conn *connection) bool { return !now.Before(conn.expires) || !p.keepsRelayed(conn) })
+	p.closeIdleIf(func(conn *connection) bool {
+		return !now.Before(conn.expires) || !p.keepsRelayed(conn) || !p.checkIdle(conn)
+	})
+}
+
+// checkIdle reports whether an idle connection is usable, and reports unsolicited bytes.
+func (p *Pool) checkIdle(conn *connection) bool {
+	state := conn.idleState()
+	if state == idleUnsolicited {
+		p.reportUnsolicited(conn)
+	}
+	return state == idleUsable
+}
+
+// reportUnsolicited reports unsolicited bytes on a direct connection. What is left on a relayed one may be the other
+// node's framing.
+func (p *Pool) reportUnsolicited(conn *connection) {
+	if p.options.OnUnsolicited != nil && conn.relay == "" {
+		p.options.OnUnsolicited(conn.engine, conn.address)
+	}
 }
