Ask for a worker's run less often the longer it doesn't tell

A worker that sends bytes without end on its health path was asked ten times a second until the request's deadline. The time between two attempts doubles from 100 to 500 ms now.

TestShortSilenceLosesNoAnswer, TestCutAnswerIsNotWholeAfterASilence and TestEndlessBytesOnTheHealthPathEndInTime pass.

--- a/internal/gateway/answerend.go
+++ b/internal/gateway/answerend.go
@@ -20,8 +20,10 @@
 	// slot. It doubles with each further one up to maxRunCheckTimeout.
 	runCheckTimeout    = 500 * time.Millisecond
 	maxRunCheckTimeout = 4 * time.Second
-	// runCheckPause is the time between two attempts to find out whether a run is alive.
-	runCheckPause = 100 * time.Millisecond
+	// runCheckPause is the time between the first two attempts to find out whether a run is alive. It doubles up to
+	// maxRunCheckPause.
+	runCheckPause    = 100 * time.Millisecond
+	maxRunCheckPause = 500 * time.Millisecond
 )
 
 // labelReset is the value of the metric's label for a connection that was reset after its end.
@@ -63,16 +65,18 @@
 		ctx, cancel = context.WithTimeout(ctx, fleet.MaxSilence)
 		defer cancel()
 	}
-	for timeout := runCheckTimeout; ; timeout = min(2*timeout, maxRunCheckTimeout) {
+	timeout, pause := runCheckTimeout, runCheckPause
+	for {
 		liveness := g.probeEnd(ctx, current, worker, lastBytesAt, timeout)
 		if liveness != upstream.LivenessUnknown {
 			return liveness
 		}
 		select {
-		case <-time.After(runCheckPause):
+		case <-time.After(pause):
 		case <-ctx.Done():
 			return upstream.LivenessUnknown
 		}
+		timeout, pause = min(2*timeout, maxRunCheckTimeout), min(2*pause, maxRunCheckPause)
 	}
 }
 
