--- a/internal/gateway/eventrelay.go
+++ b/internal/gateway/eventrelay.go
@@ -42,6 +42,8 @@
 	// lastID is the identifier of the last relayed event. gate guards it.
 	lastID string
 	buffer []byte
+	// scanned is the number of bytes at the beginning of buffer within which no event ends.
+	scanned int
 }
 
 // hold keeps the relay from relaying until release or replace is called. It reports false, and does nothing, if
@@ -101,7 +103,7 @@
 	const chunk = 4 << 10
 	for {
 		if cap(r.buffer)-len(r.buffer) < chunk/4 {
-			grown := make([]byte, len(r.buffer), len(r.buffer)+chunk)
+			grown := make([]byte, len(r.buffer), len(r.buffer)+max(chunk, len(r.buffer)/2))
 			copy(grown, r.buffer)
 			r.buffer = grown
 		}
@@ -135,10 +137,14 @@
 	if r.replaced {
 		return errReplaced
 	}
-	end := lastEventEnd(r.buffer)
+	// The end of an event may have begun in the bytes before.
+	from := max(r.scanned-len("\n\r"), 0)
+	r.scanned = len(r.buffer)
+	end := lastEventEnd(r.buffer[from:])
 	if end == 0 {
 		return nil
 	}
+	end += from
 	events := r.buffer[:end]
 	if id, found := findLastEventID(events); found {
 		r.lastID = id
@@ -147,6 +153,7 @@
 		return err
 	}
 	r.buffer = append(r.buffer[:0], r.buffer[end:]...)
+	r.scanned = len(r.buffer)
 	return nil
 }
 
