Find out whether a held stream has ended before it's given up

If the whole rest has arrived, the first engine works on it no more: the send elsewhere is given up, and the stream is delivered. If the first engine is heard and the rest isn't there within 150 ms, its connection is closed, as two engines may be working on the run then. If it isn't heard, it isn't reached either, and stays.

--- a/internal/gateway/eventrelay_test.go
+++ b/internal/gateway/eventrelay_test.go
@@ -35,7 +35,7 @@
 	}()
 	response, err := pool.Do(context.Background(), upstream.Destination{Engine: "e"}, &upstream.Request{Method: http.MethodGet, Target: "/", Header: http.Header{}})
 	require.NoError(t, err)
-	r := &relayTest{t: t, relay: &eventRelay{response: response}, worker: far, events: make(chan string, 10), ended: make(chan error, 1)}
+	r := &relayTest{t: t, relay: &eventRelay{response: response, closeConnection: func() { _ = near.Close() }}, worker: far, events: make(chan string, 10), ended: make(chan error, 1)}
 	go func() {
 		r.ended <- r.relay.run(func(events []byte) error {
 			r.events <- string(events)
@@ -120,3 +120,36 @@
 	require.Error(t, <-r.ended)
 	assert.False(t, r.relay.hold())
 }
+
+// TestEndOfHeldStreamIsUnknown guards against a run that is continued elsewhere although the whole rest of its stream
+// has arrived, more than one read brings.
+func TestEndOfHeldStreamIsUnknown(t *testing.T) {
+	r := newRelayTest(t)
+	r.write("id: 1\ndata: a\n\n")
+	<-r.events
+	require.True(t, r.relay.hold())
+	arrivals := make(chan struct{}, 100)
+	r.relay.notifyArrival(func() { arrivals <- struct{}{} })
+	rest := "id: 2\ndata: b\n\n" + strings.Repeat(" ", 1000-2*len("id: 1\ndata: a\n\n"))
+	for _, part := range []string{rest[:10], rest[10:20], rest[20:]} {
+		r.write(part)
+	}
+	require.Eventually(t, r.relay.endArrived.Load, time.Second, time.Millisecond)
+	assert.GreaterOrEqual(t, len(arrivals), 3)
+	assert.Empty(t, r.events)
+	r.relay.release()
+	assert.Equal(t, "id: 2\ndata: b\n\n", <-r.events)
+	assert.NoError(t, <-r.ended)
+}
+
+// TestPartialEventEndsHeldStream guards against a stream cut within an event that counts as whole while it's held.
+func TestPartialEventEndsHeldStream(t *testing.T) {
+	r := newRelayTest(t)
+	require.True(t, r.relay.hold())
+	r.write("id: 1\ndata: a\n\nid: 2" + strings.Repeat("x", 1000-len("id: 1\ndata: a\n\nid: 2")))
+	require.Eventually(t, r.relay.waiting.Load, time.Second, time.Millisecond)
+	r.relay.release()
+	<-r.events
+	require.ErrorIs(t, <-r.ended, errPartialEvent)
+	assert.False(t, r.relay.endArrived.Load())
+}
--- a/internal/gateway/heldstream.go
+++ b/internal/gateway/heldstream.go
@@ -13,9 +13,9 @@
 const (
 	// moveAgainDelay is how long a stream that no other engine has taken over stays at its engine at least.
 	moveAgainDelay = time.Second
-	// handoverTimeout is how long an engine that is to continue a run has to refuse. After it, it may have begun, and
-	// the first one must not go on beside it.
-	handoverTimeout = 250 * time.Millisecond
+	// handoverTimeout is how long an engine that is heard again may go on with a run that another one may be
+	// continuing. It suffices for the rest of an answer that had ended in the silence, and for a refusal.
+	handoverTimeout = 150 * time.Millisecond
 )
 
 // errEngineHeard means that a send is given up, since the engine whose stream it was to continue is heard again.
@@ -26,8 +26,8 @@
 // on where it was.
 //
 // Two engines must not work on the stream for long. Once its own engine is heard, a send of a stream that may be
-// resumed is given up. One that continues a run elsewhere can't be: the first connection is closed after
-// handoverTimeout.
+// resumed is given up. One that continues a run elsewhere isn't, as that run may have begun: the first connection is
+// closed after handoverTimeout, unless the whole rest of the stream has arrived on it.
 
 // holdStream holds a stream whose engine is silent. It reports false if the engine has been heard meanwhile.
 func (g *Gateway) holdStream(current *callerRequest, stream *openStream) bool {
@@ -56,24 +56,38 @@
 
 // isHeldStreamHeard reports whether a held stream can go on where it was, since bytes of it have arrived.
 func (c *callerRequest) isHeldStreamHeard() bool {
-	return c.held != nil && c.held.relay.waiting.Load() && !c.held.abandoned && c.attempts.CanReturn()
+	return c.held != nil && c.held.relay.waiting.Load() && c.mayReturn()
 }
 
 // canReturn reports whether a held stream may go on where it was.
 func (c *callerRequest) canReturn(ctx context.Context) bool {
-	return c.held != nil && ctx.Err() == nil && !c.held.abandoned && !c.isCallerGone() && c.attempts.CanReturn()
+	return c.held != nil && ctx.Err() == nil && !c.isCallerGone() && c.mayReturn()
+}
+
+// mayReturn reports whether a held stream is open, and would not run beside another run of it.
+func (c *callerRequest) mayReturn() bool {
+	return !c.held.abandoned.Load() && (c.held.relay.endArrived.Load() || c.attempts.CanReturn())
 }
 
 // beginHandover records that another engine is asked to take a held stream over, by a send that cancel ends.
 func (c *callerRequest) beginHandover(cancel context.CancelCauseFunc) {
-	switch {
-	case c.held == nil || c.held.abandoned:
-	case c.route.Resumable:
-		c.held.relay.notifyHeard(func() { cancel(errEngineHeard) })
-	default:
-		send := c.held.send
-		c.held.handover = time.AfterFunc(handoverTimeout, func() { send.cancel(errEngineSilent) })
+	held := c.held
+	if held == nil {
+		return
 	}
+	giveUp := func() { cancel(errEngineHeard) }
+	if c.route.Resumable {
+		held.relay.notifyArrival(giveUp)
+		return
+	}
+	held.relay.notifyArrival(func() {
+		switch {
+		case held.relay.endArrived.Load():
+			giveUp()
+		case held.closing == nil:
+			held.closing = newStoppableTimer(handoverTimeout, held.abandon)
+		}
+	})
 }
 
 // endHandover records that the other engine has answered, or can't be asked.
@@ -81,10 +95,38 @@
 	if c.held == nil {
 		return
 	}
-	c.held.relay.notifyHeard(nil)
-	if c.held.handover != nil {
-		c.held.abandoned = c.held.abandoned || !c.held.handover.Stop()
-		c.held.handover = nil
+	c.held.relay.notifyArrival(nil)
+	if c.held.closing != nil {
+		c.held.closing.stop()
+		c.held.closing = nil
+	}
+}
+
+// abandon closes a held stream whose run another engine may be continuing.
+func (s *openStream) abandon() {
+	s.abandoned.Store(true)
+	s.send.cancel(errEngineSilent)
+}
+
+// stoppableTimer calls a function once after a time.
+type stoppableTimer struct {
+	timer *time.Timer
+	done  chan struct{}
+}
+
+func newStoppableTimer(delay time.Duration, call func()) *stoppableTimer {
+	s := &stoppableTimer{done: make(chan struct{})}
+	s.timer = time.AfterFunc(delay, func() {
+		defer close(s.done)
+		call()
+	})
+	return s
+}
+
+// stop ends the timer. The function has returned by then, or won't be called.
+func (s *stoppableTimer) stop() {
+	if !s.timer.Stop() {
+		<-s.done
 	}
 }
 
@@ -127,7 +169,7 @@
 
 // dropHeldStream closes a held stream that remains at the end of its request.
 func (g *Gateway) dropHeldStream(current *callerRequest) {
-	if current.held != nil && current.held.abandoned {
+	if current.held != nil && current.held.abandoned.Load() {
 		g.endHeldStream(current, backends.Silent, errEngineSilent.Error())
 		return
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"time"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
 
@@ -21,10 +21,11 @@
 	ended chan error
 	// state is that of the send while the stream is held.
 	state sendState
-	// handover runs while another engine is asked to take the held stream over, and closes it at its end. abandoned is
-	// set once it may have been closed.
-	handover  *time.Timer
-	abandoned bool
+	// closing runs from the time at which the engine of the held stream is heard while another one is asked to
+	// continue its run, and closes the stream at its end.
+	closing *stoppableTimer
+	// abandoned is set once the held stream has been closed for the other engine's sake.
+	abandoned atomic.Bool
 }
 
 // deliverStream relays the complete events of a stream as they arrive. A stream that breaks off may
@@ -41,7 +42,7 @@
 
 // startRelay begins to relay a stream. The relay uses the request's state until the stream has ended or is held.
 func (g *Gateway) startRelay(ctx context.Context, current *callerRequest, send *openSend) *openStream {
-	relay := &eventRelay{response: send.response, lastID: current.lastEventID}
+	relay := &eventRelay{response: send.response, lastID: current.lastEventID, closeConnection: func() { send.cancel(errRelayEnded) }}
 	stream := &openStream{send: send, relay: relay, ended: make(chan error, 1)}
 	go func() {
 		stream.ended <- relay.run(func(events []byte) error {
