--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -84,7 +84,8 @@
 	held *openStream
 	// lostPlacement is the placement of a lost run that is to be resumed at another engine.
 	lostPlacement *backends.Placement
-	// moved is set once a send was moved because its engine is silent, which happens once per request.
+	// moved is set once a send was moved because its engine is silent, which happens once per request unless the
+	// stream returns to that engine.
 	moved bool
 	// bodyBytes is the memory that the request holds for its body.
 	bodyBytes int64
--- a/internal/gateway/heldstream.go
+++ b/internal/gateway/heldstream.go
@@ -158,13 +158,15 @@
 	current.held = nil
 	stream.relay.replace()
 	stream.send.cancel(errEngineSilent)
+	relayErr := <-stream.ended
 	g.events.line("held_stream_closed").Str("request_id", current.metadata.RequestID).Str("worker", stream.state.worker).
-		AnErr("relay_ended", <-stream.ended).Msg("held_stream_closed")
+		AnErr("relay_ended", relayErr).Msg("held_stream_closed")
 	g.endSend(current, stream.send)
-	now := current.sendState
+	// The outcome is that of the held send, not of the current one.
+	currentState := current.sendState
 	current.sendState = stream.state
 	g.recordOutcome(current, stream.send.placement, outcome, cause)
-	current.sendState = now
+	current.sendState = currentState
 }
 
 // dropHeldStream closes a held stream that remains at the end of its request.
