Keep a request at its silent engine while no connection elsewhere is free

Cause: a move looks first whether another engine could take the request. That check knew nothing of this gateway's connections, of request limits and of the share of the slots; the placement after the move does. Traced with the counts of the search that refused: 1 engine excluded (the silent one), all 5 or 6 others without a free connection. Several connections are held by requests at the silent engines' neighbours, so there are none for as long as the silence lasts.

Change: package gateway's capacity holds the three checks. The placement, moves from silent engines and moves from hanging links all use it.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -74,10 +74,8 @@
 	// the request was sent to it.
 	placedForTarget bool
 	sentToTarget    bool
-	// atLimit is set if the last placement found a worker at its request limit.
-	atLimit bool
-	// atShare is set if the last placement found a worker at this gateway's share of its slots.
-	atShare bool
+	// capacity is what the last placement considered; nil before the first one.
+	capacity *capacity
 	// sendState is that of the current send.
 	sendState
 	// held is a stream that another engine is to take over, until it has.
--- a/internal/gateway/placementrequest.go
+++ b/internal/gateway/placementrequest.go
@@ -15,33 +15,16 @@
 
 // placementRequest describes a caller's request to the worker registry.
 func (g *Gateway) placementRequest(current *callerRequest) *backends.Request {
-	destination := g.destination(current, &backends.Worker{})
 	request := &backends.Request{
-		Service:  current.service.Name,
-		Excluded: current.attempts.Excluded(),
-		HasConnection: func(worker *backends.Worker) bool {
-			destination.Engine, destination.Address = worker.ID, worker.Address
-			return g.upstreams.HasCapacity(destination)
-		},
+		Service:    current.service.Name,
+		Excluded:   current.attempts.Excluded(),
 		Repeatable: mayTry(current),
 		Bytes:      exchangeOverheadBytes + int(max(current.request.ContentLength, 0)),
 		Software:   g.allowedVersions(current, current.sentToTarget),
 		Origin:     current.origin,
 	}
-	if g.limits.active.Load() || g.backoffs.active.Load() {
-		now, priority := g.now(), limitPriority(current)
-		current.atLimit = false
-		request.Admission = func(worker *backends.Worker) (backends.Admission, time.Duration) {
-			admission, opensIn := g.limits.admission(now, worker, priority)
-			current.atLimit = current.atLimit || admission == backends.AdmissionClosed
-			if backoff := g.backoffs.remaining(now, backoffRun(worker.ID, worker.StartTime)); backoff > 0 {
-				return backends.AdmissionClosed, max(backoff, opensIn)
-			}
-			return admission, opensIn
-		}
-	}
-	current.atShare = false
-	request.InFlightLimit = g.inFlightLimit(current)
+	current.capacity = g.capacityFor(current)
+	current.capacity.restrict(g.now(), request)
 	if engine := current.service.Engine; engine != nil {
 		request.Engine = &backends.EngineRequest{
 			ID:           fleet.RequestID(current.metadata.RequestID),
@@ -83,7 +66,7 @@
 	if !current.attempts.CanRepeat() {
 		return nil
 	}
-	avoidTarget := current.sentToTarget
+	avoidTarget, capacity := current.sentToTarget, g.capacityFor(current)
 	return func(now time.Duration) bool {
 		request := backends.Request{
 			Service: current.service.Name, Excluded: current.attempts.Excluded(), Origin: current.origin,
@@ -92,6 +75,7 @@
 		if placement.Engine != nil {
 			request.Engine = &backends.EngineRequest{Model: current.metadata.Model, Priority: priorityOf(current)}
 		}
+		capacity.restrict(now, &request)
 		return g.workers.HasElsewhere(now, &request, placement.Worker.ID) &&
 			g.budgets.forRequest(current.service.Name, current.metadata.RequestID).Withdraw(now)
 	}
@@ -100,10 +84,10 @@
 // unavailableRefusal returns the refusal for a request whose candidate workers are all closed, by
 // their limits or in backoff. opensIn is the time until the first of them opens.
 func (g *Gateway) unavailableRefusal(current *callerRequest, opensIn time.Duration) backends.Refusal {
-	if current.atShare {
+	if current.capacity.atShare {
 		return backends.Refusal{Reason: reasonAtShare, RetryAfter: g.rejections.retryAfter(g.now(), current.service.Name, opensIn)}
 	}
-	if current.atLimit {
+	if current.capacity.atLimit {
 		return backends.Refusal{Reason: backends.ReasonLimited, RetryAfter: g.limits.retryAfter(g.now(), opensIn, g.servingCount())}
 	}
 	return backends.Refusal{Reason: reasonBackoff, RetryAfter: g.backoffs.retryAfter(opensIn, priorityOf(current))}
--- a/internal/gateway/rejections.go
+++ b/internal/gateway/rejections.go
@@ -119,27 +119,6 @@
 	return encoded
 }
 
-// inFlightLimit returns the limit on requests in flight at the workers of a request's service, or nil if
-// there is none.
-func (g *Gateway) inFlightLimit(current *callerRequest) func(worker *backends.Worker) (backends.InFlightLimit, bool) {
-	l, now := g.rejections, g.now()
-	if !l.active.Load() {
-		return nil
-	}
-	share, active := g.currentShare(now, current.service.Name)
-	if !active {
-		return nil
-	}
-	return func(worker *backends.Worker) (backends.InFlightLimit, bool) {
-		limit := share.limitAt(worker)
-		if closed := l.closedFor(now, worker.ID); closed > 0 {
-			limit.Own, limit.ReopensIn = 0, closed
-		}
-		current.atShare = true
-		return limit, true
-	}
-}
-
 // currentShare returns this gateway's share of a service's slots, false if the service has no limit. The
 // workers are read without the lock, which is taken while the registry's is held.
 func (g *Gateway) currentShare(now time.Duration, service fleet.PoolName) (slotShare, bool) {
--- a/internal/gateway/rejections_test.go
+++ b/internal/gateway/rejections_test.go
@@ -23,8 +23,8 @@
 // fillShare places requests until none is admitted any more, and returns how many were.
 func fillShare(t *testing.T, g *Gateway) (placed int, refused backends.Refusal) {
 	for placed = 0; placed < 100; placed++ {
-		current := &callerRequest{service: &routes.Service{Name: "app"}}
-		placement, reason := g.workers.Choose(g.now(), &backends.Request{Service: "app", InFlightLimit: g.inFlightLimit(current)})
+		current := &callerRequest{service: &routes.Service{Name: "app"}, capacity: &capacity{gateway: g, service: "app"}}
+		placement, reason := g.workers.Choose(g.now(), &backends.Request{Service: "app", InFlightLimit: current.capacity.inFlightLimit(g.now())})
 		if placement == nil {
 			return placed, g.unavailableRefusal(current, reason.RetryAfter)
 		}
@@ -64,7 +64,7 @@
 // free slot, and against callers that are all told the same time to return.
 func TestRequestsBeyondTheShareAreRefusedAtOnce(t *testing.T) {
 	g := linkTestGateway(t)
-	assert.Nil(t, g.inFlightLimit(&callerRequest{service: &routes.Service{Name: "app"}}))
+	assert.Nil(t, (&capacity{gateway: g, service: "app"}).inFlightLimit(g.now()))
 	limitService(g)
 	placed, refused := fillShare(t, g)
 	assert.Equal(t, 4*4, placed, "the only gateway has all slots")
@@ -94,11 +94,11 @@
 	limitService(g)
 	report := g.loadReport("peer")
 	peer.applyRejectionLimits(peer.now(), report.GetRejectionLimits())
-	assert.NotNil(t, peer.inFlightLimit(&callerRequest{service: &routes.Service{Name: "app"}}))
+	assert.NotNil(t, (&capacity{gateway: peer, service: "app"}).inFlightLimit(peer.now()))
 	for _, limit := range report.GetRejectionLimits() {
 		limit.AgeMillis = uint32((time.Hour).Milliseconds())
 	}
 	other := linkTestGateway(t)
 	other.applyRejectionLimits(other.now(), report.GetRejectionLimits())
-	assert.Nil(t, other.inFlightLimit(&callerRequest{service: &routes.Service{Name: "app"}}))
+	assert.Nil(t, (&capacity{gateway: other, service: "app"}).inFlightLimit(other.now()))
 }
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -124,11 +124,13 @@
 			Model: current.metadata.Model, Priority: priorityOf(current), Deadline: g.callerWaits(current),
 		},
 	}
+	capacity := g.capacityFor(current)
 	route, draw, avoidTarget := delivery.RouteName(current.route.Name), current.targetDraw, current.sentToTarget
 	return func(now time.Duration, origin streamorigin.Constraint) bool {
 		request := request
 		request.Origin = origin
 		request.Software = g.deliveries.versionFilter(now, request.Service, route, draw, avoidTarget)
+		capacity.restrict(now, &request)
 		return g.workers.HasElsewhere(now, &request, placement.Worker.ID)
 	}
 }
