Ask only an engine that answers for a copy, and close the first connection in time

What callers saw: nothing.

Cause: a stream is held while the engine with its copy is asked to continue it, and its first connection was closed only once its engine was heard. An engine that is silent by itself works on, and if the other one is late, both do.

Ruled out: to close the first connection 250 ms after the other engine is asked, alone.

Change: the engine with the copy is asked only if it was heard within 150 ms; else it is probed, and the stream stays where it is until the probe is answered. The first connection is closed 250 ms after the other engine was asked, unless that one has refused or the whole rest has arrived. Whether the stream goes on or the other send does is decided once: the timer and the arrival can't both win.

TestUnheardEngineIsAskedForACopy is new.

What remains: if the other engine falls silent just after its probe, and has to refuse, the answer still breaks off.

--- a/internal/gateway/heldstream.go
+++ b/internal/gateway/heldstream.go
@@ -13,9 +13,19 @@
 const (
 	// moveAgainDelay is how long a stream that no other engine has taken over stays at its engine at least.
 	moveAgainDelay = time.Second
-	// handoverTimeout is how long an engine that is heard again may go on with a run that another one may be
-	// continuing. It suffices for the rest of an answer that had ended in the silence, and for a refusal.
-	handoverTimeout = 150 * time.Millisecond
+	// handoverTimeout is how long a silent engine may go on with a run after another one was asked to continue it.
+	// With the way of the close it stays below the 400 ms for which two engines may work on a run. A refusal comes
+	// much sooner from an engine that answers.
+	handoverTimeout = 250 * time.Millisecond
+)
+
+// States of a handover, from handoverOpen on. A stream whose handover is forced never goes on.
+const (
+	handoverOpen int32 = iota
+	// handoverOff means that the other engine's send was given up.
+	handoverOff
+	// handoverForced means that the stream was closed, since the other engine may be continuing its run.
+	handoverForced
 )
 
 // errEngineHeard means that a send is given up, since the engine whose stream it was to continue is heard again.
@@ -25,9 +35,9 @@
 // relaying further events, until another engine has sent the head of its response. If none takes it over, it goes
 // on where it was.
 //
-// Two engines must not work on the stream for long. Once its own engine is heard, a send of a stream that may be
-// resumed is given up. One that continues a run elsewhere isn't, as that run may have begun: the first connection is
-// closed after handoverTimeout, unless the whole rest of the stream has arrived on it.
+// A stream that may be resumed goes on as soon as its engine is heard; the other send is given up. Two engines must not
+// work on a run that another one may be continuing from its copy: its first connection is closed handoverTimeout after
+// that one was asked, unless it has refused or the whole rest of the stream has arrived.
 
 // holdStream holds a stream whose engine is silent. It reports false if the engine has been heard meanwhile.
 func (g *Gateway) holdStream(current *callerRequest, stream *openStream) bool {
@@ -42,6 +52,7 @@
 		return false
 	}
 	stream.state, current.held = current.sendState, stream
+	stream.handover.Store(handoverOpen)
 	return true
 }
 
@@ -66,26 +77,22 @@
 
 // mayReturn reports whether a held stream is open, and would not run beside another run of it.
 func (c *callerRequest) mayReturn() bool {
-	return !c.held.abandoned.Load() && (c.held.relay.endArrived.Load() || c.attempts.CanReturn())
+	return !c.held.isAbandoned() && (c.held.relay.endArrived.Load() || c.attempts.CanReturn())
 }
 
 // beginHandover records that another engine is asked to take a held stream over, by a send that cancel ends.
 func (c *callerRequest) beginHandover(cancel context.CancelCauseFunc) {
 	held := c.held
-	if held == nil {
+	if held == nil || held.isAbandoned() {
 		return
 	}
-	giveUp := func() { cancel(errEngineHeard) }
-	if c.route.Resumable {
-		held.relay.notifyArrival(giveUp)
-		return
+	if !c.route.Resumable {
+		held.closing = newStoppableTimer(handoverTimeout, held.abandon)
 	}
 	held.relay.notifyArrival(func() {
-		switch {
-		case held.relay.endArrived.Load():
-			giveUp()
-		case held.closing == nil:
-			held.closing = newStoppableTimer(handoverTimeout, held.abandon)
+		isKept := held.relay.endArrived.Load() || c.route.Resumable
+		if isKept && held.handover.CompareAndSwap(handoverOpen, handoverOff) {
+			cancel(errEngineHeard)
 		}
 	})
 }
@@ -102,12 +109,16 @@
 	}
 }
 
-// abandon closes a held stream whose run another engine may be continuing.
+// abandon closes a held stream whose run another engine may be continuing, unless that one's send was given up.
 func (s *openStream) abandon() {
-	s.abandoned.Store(true)
-	s.send.cancel(errEngineSilent)
+	if s.handover.CompareAndSwap(handoverOpen, handoverForced) {
+		s.send.cancel(errEngineSilent)
+	}
 }
 
+// isAbandoned reports whether the stream was closed for the other engine's sake.
+func (s *openStream) isAbandoned() bool { return s.handover.Load() == handoverForced }
+
 // stoppableTimer calls a function once after a time.
 type stoppableTimer struct {
 	timer *time.Timer
@@ -171,7 +182,7 @@
 
 // dropHeldStream closes a held stream that remains at the end of its request.
 func (g *Gateway) dropHeldStream(current *callerRequest) {
-	if current.held != nil && current.held.abandoned.Load() {
+	if current.held != nil && current.held.isAbandoned() {
 		g.endHeldStream(current, backends.Silent, errEngineSilent.Error())
 		return
 	}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -64,6 +64,8 @@
 	// canContinue reports whether the request can go on at its copy, and is nil if the copy isn't the
 	// only way on after the first event.
 	canContinue func(now time.Duration) bool
+	// copyHolder is the engine with the copy that canContinue is about.
+	copyHolder fleet.EngineID
 	// moves receives an element when a stream that has begun is to continue elsewhere.
 	moves chan struct{}
 	// isPaid is set if the budget was charged for a move that wasn't made.
@@ -85,6 +87,15 @@
 	}
 }
 
+// unheardHolder returns the engine with the copy that is the send's only way on, unless it was heard just now; empty
+// if there is none. A copy is asked for only where a refusal would come at once.
+func (g *Gateway) unheardHolder(now time.Duration, send *watchedSend) fleet.EngineID {
+	if !send.run.HasBegun() || send.canContinue == nil || g.workers.HeardSince(now-liveness.MaxEvaluationInterval, send.copyHolder) {
+		return ""
+	}
+	return send.copyHolder
+}
+
 // isMoved reports whether the send was cancelled because its engine is silent.
 func (s *watchedSend) isMoved() bool { return s != nil && s.moved.Load() }
 
@@ -102,6 +113,7 @@
 	if !current.attempts.CanResume() {
 		model := current.metadata.Model
 		send.canContinue = func(now time.Duration) bool { return g.workers.CanContinue(now, placement, model) }
+		send.copyHolder = placement.Engine.CopyTo.ID
 	}
 	w := g.engineWatch
 	w.mutex.Lock()
@@ -277,7 +289,9 @@
 	for _, engine := range verdict.Probes {
 		g.startProbe(now, engine)
 	}
-	g.moveSends(now, verdict.Moves)
+	for _, engine := range g.moveSends(now, verdict.Moves) {
+		g.startProbe(now, engine)
+	}
 	g.announceSilences(now)
 }
 
@@ -323,17 +337,24 @@
 }
 
 // moveSends has sends at silent engines made elsewhere, as far as the retry budgets of their services
-// allow.
-func (g *Gateway) moveSends(now time.Duration, runs []*liveness.Run) {
+// allow. It returns the engines that are to be heard before a stream continues there.
+func (g *Gateway) moveSends(now time.Duration, runs []*liveness.Run) []fleet.EngineID {
 	w := g.engineWatch
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	spent := make(map[fleet.PoolName]bool)
+	var unheard []fleet.EngineID
 	for _, run := range runs {
 		send := w.sends[run]
 		if send == nil || spent[send.service] || !w.monitor.MayMove(now, run) || !send.canMove(now) {
 			continue
 		}
+		if holder := g.unheardHolder(now, send); holder != "" {
+			if !slices.Contains(unheard, holder) {
+				unheard = append(unheard, holder)
+			}
+			continue
+		}
 		if !send.isPaid && !g.budgets.forRequest(send.service, send.requestID).Withdraw(now) {
 			spent[send.service] = true
 			g.countOverBudget(send)
@@ -346,6 +367,7 @@
 		g.events.line("send_moved").Str("request_id", send.requestID).Str("worker", string(run.Engine())).
 			Bool("begun", run.HasBegun()).Msg("send_moved")
 	}
+	return unheard
 }
 
 // move has a send made elsewhere. It's cancelled first, but for a stream that has begun: no other engine may
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -80,9 +80,11 @@
 		g.engineWatch.monitor.Event(time.Duration(event)*time.Millisecond, send.run, true)
 	}
 	usable := false
-	send.canContinue = func(time.Duration) bool { return usable }
+	send.canContinue, send.copyHolder = func(time.Duration) bool { return usable }, "holder"
+	g.workers.Observe(1, backends.Worker{ID: "holder", Service: "engines"})
 	now, verdict := fallSilent(t, g)
-	g.moveSends(now, verdict.Moves)
+	g.workers.ObserveContact(now, "holder")
+	assert.Empty(t, g.moveSends(now, verdict.Moves))
 	require.Empty(t, send.moves)
 	usable = true
 	g.moveSends(now, verdict.Moves)
@@ -90,6 +92,26 @@
 	assert.NoError(t, ctx.Err(), "the stream stays open until another engine has taken it over")
 }
 
+// TestUnheardEngineIsAskedForACopy guards against a stream that an engine is asked to continue which is silent too, so
+// that its refusal comes after the close of the first connection.
+func TestUnheardEngineIsAskedForACopy(t *testing.T) {
+	g := newTestGateway(t)
+	earnRetries(g, "engines")
+	send, _ := watchTestSend(g, "dark")
+	for event := range 3 {
+		g.engineWatch.monitor.Event(time.Duration(event)*time.Millisecond, send.run, true)
+	}
+	send.canContinue, send.copyHolder = func(time.Duration) bool { return true }, "holder"
+	g.workers.Observe(1, backends.Worker{ID: "holder", Service: "engines"})
+	now, verdict := fallSilent(t, g)
+	g.workers.ObserveContact(now-liveness.MaxEvaluationInterval-time.Millisecond, "holder")
+	assert.Equal(t, []fleet.EngineID{"holder"}, g.moveSends(now, verdict.Moves), "it is to be probed first")
+	assert.Empty(t, send.moves)
+	g.workers.ObserveContact(now, "holder")
+	assert.Empty(t, g.moveSends(now, verdict.Moves))
+	assert.Len(t, send.moves, 1)
+}
+
 // TestSendStaysOnceEngineIsHeard guards against a send that is broken off after a sign of life has
 // come between the verdict and the move.
 func TestSendStaysOnceEngineIsHeard(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -21,11 +21,10 @@
 	ended chan error
 	// state is that of the send while the stream is held.
 	state sendState
-	// closing runs from the time at which the engine of the held stream is heard while another one is asked to
-	// continue its run, and closes the stream at its end.
+	// closing runs while another engine is asked to continue the held stream's run, and closes the stream at its end.
 	closing *stoppableTimer
-	// abandoned is set once the held stream has been closed for the other engine's sake.
-	abandoned atomic.Bool
+	// handover is the state of the handover to another engine while the stream is held.
+	handover atomic.Int32
 }
 
 // deliverStream relays the complete events of a stream as they arrive. A stream that breaks off may
