Ask for a copy right after its engine has answered a probe

Cause: 150 ms is a sixth of a silence; the engine may fall silent between.

Change: an engine that was heard within 25 ms is asked. Any other is probed, and the streams that wait for it move as soon as the probe is answered, not with the next evaluation.

TestUnheardEngineIsAskedForACopy covers both. What remains is an engine that falls silent within these 25 ms.

--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -19,6 +19,10 @@
 	"github.com/tillerfall/tillerfall/internal/streamorigin"
 )
 
+// maxHolderAge is how long ago an engine may have been heard that is asked for a copy. One that falls silent between
+// may refuse too late.
+const maxHolderAge = 25 * time.Millisecond
+
 // evaluationInterval is the time between two evaluations while requests are under way at engines. It
 // is well below the time to detect a silent engine.
 const evaluationInterval = 50 * time.Millisecond
@@ -38,6 +42,8 @@
 	// when they were last told of some.
 	unannounced []fleet.EngineID
 	announcedAt time.Duration
+	// awaiting holds the sends that go on at an engine's copies once it has answered a probe.
+	awaiting map[fleet.EngineID][]*liveness.Run
 	// started holds one element after the first request under way.
 	started chan struct{}
 }
@@ -45,7 +51,8 @@
 func newEngineWatch() *engineWatch {
 	return &engineWatch{
 		monitor: liveness.New(), sends: make(map[*liveness.Run]*watchedSend),
-		silentSince: make(map[fleet.EngineID]time.Duration), started: make(chan struct{}, 1),
+		silentSince: make(map[fleet.EngineID]time.Duration), awaiting: make(map[fleet.EngineID][]*liveness.Run),
+		started: make(chan struct{}, 1),
 	}
 }
 
@@ -90,7 +97,7 @@
 // unheardHolder returns the engine with the copy that is the send's only way on, unless it was heard just now; empty
 // if there is none. A copy is asked for only where a refusal would come at once.
 func (g *Gateway) unheardHolder(now time.Duration, send *watchedSend) fleet.EngineID {
-	if !send.run.HasBegun() || send.canContinue == nil || g.workers.HeardSince(now-liveness.MaxEvaluationInterval, send.copyHolder) {
+	if !send.run.HasBegun() || send.canContinue == nil || g.workers.HeardSince(now-maxHolderAge, send.copyHolder) {
 		return ""
 	}
 	return send.copyHolder
@@ -295,11 +302,31 @@
 	g.announceSilences(now)
 }
 
+// moveToHolder moves the sends that have waited for an engine with their copies, which has answered a probe now.
+func (g *Gateway) moveToHolder(now time.Duration, holder fleet.EngineID) {
+	w := g.engineWatch
+	w.mutex.Lock()
+	runs := w.awaiting[holder]
+	delete(w.awaiting, holder)
+	w.mutex.Unlock()
+	if len(runs) > 0 {
+		g.moveSends(now, runs)
+	}
+}
+
+// dropAwaiting forgets the sends that wait for an engine. The next evaluation names them again.
+func (w *engineWatch) dropAwaiting(holder fleet.EngineID) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	delete(w.awaiting, holder)
+}
+
 // startProbe probes a suspected engine. It gets no requests until it has answered or the probe has
 // timed out.
 func (g *Gateway) startProbe(now time.Duration, engine fleet.EngineID) {
 	worker, known := g.workers.Worker(engine)
 	if !known {
+		g.engineWatch.dropAwaiting(engine)
 		return
 	}
 	g.workers.ObserveProbe(now, liveness.ProbeTimeout, engine)
@@ -313,13 +340,16 @@
 	_, err := g.dependencies.Engines.Report(ctx, worker)
 	var failure *url.Error
 	if errors.As(err, &failure) {
+		g.engineWatch.dropAwaiting(worker.ID)
 		g.metrics.silence.probes.WithLabelValues("unanswered").Inc()
 		g.events.line("probe_failed").Str("worker", string(worker.ID)).Err(err).Msg("probe_failed")
 		return
 	}
 	g.metrics.silence.probes.WithLabelValues("answered").Inc()
 	g.observeAnswer(worker.ID)
-	g.workers.ObserveContact(g.now(), worker.ID)
+	now := g.now()
+	g.workers.ObserveContact(now, worker.ID)
+	g.moveToHolder(now, worker.ID)
 }
 
 // recordSilence suspends requests to a silent engine. The mutex of engineWatch must be held.
@@ -337,7 +367,7 @@
 }
 
 // moveSends has sends at silent engines made elsewhere, as far as the retry budgets of their services
-// allow. It returns the engines that are to be heard before a stream continues there.
+// allow. It returns the engines to be probed, since they must be heard before a stream continues there.
 func (g *Gateway) moveSends(now time.Duration, runs []*liveness.Run) []fleet.EngineID {
 	w := g.engineWatch
 	w.mutex.Lock()
@@ -352,7 +382,9 @@
 		if holder := g.unheardHolder(now, send); holder != "" {
 			if !slices.Contains(unheard, holder) {
 				unheard = append(unheard, holder)
+				w.awaiting[holder] = nil
 			}
+			w.awaiting[holder] = append(w.awaiting[holder], run)
 			continue
 		}
 		if !send.isPaid && !g.budgets.forRequest(send.service, send.requestID).Withdraw(now) {
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -104,12 +104,13 @@
 	send.canContinue, send.copyHolder = func(time.Duration) bool { return true }, "holder"
 	g.workers.Observe(1, backends.Worker{ID: "holder", Service: "engines"})
 	now, verdict := fallSilent(t, g)
-	g.workers.ObserveContact(now-liveness.MaxEvaluationInterval-time.Millisecond, "holder")
+	g.workers.ObserveContact(now-maxHolderAge-time.Millisecond, "holder")
 	assert.Equal(t, []fleet.EngineID{"holder"}, g.moveSends(now, verdict.Moves), "it is to be probed first")
 	assert.Empty(t, send.moves)
 	g.workers.ObserveContact(now, "holder")
-	assert.Empty(t, g.moveSends(now, verdict.Moves))
+	g.moveToHolder(now, "holder")
 	assert.Len(t, send.moves, 1)
+	assert.Empty(t, g.engineWatch.awaiting)
 }
 
 // TestSendStaysOnceEngineIsHeard guards against a send that is broken off after a sign of life has
