Wait out a second silence for requests that run once

Its worker's link was silent for 1.8 s and, 1.2 s later, for 1.5 s.

Cause: the packets of the request were sent again after 0.2, 0.6, 1.4 and 3.0 s, each time in one of the two silences. The next time is after 6.2 s, and TCP_USER_TIMEOUT ended the connection after 5 s. For a request that may not be sent again that gains nothing: a worker's silence is no reason to end an answer sooner.

Change: TCP_USER_TIMEOUT is 30 s during exchanges that may not be repeated, on direct connections. Others keep 5 s, and go to another worker then. It's set only when it changes.

Left: connections through another gateway, and those to callers (6 s).

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -51,7 +51,7 @@
 func (g *Gateway) destination(current *callerRequest, worker *backends.Worker) upstream.Destination {
 	destination := upstream.Destination{Engine: worker.ID, Address: worker.Address}
 	if current.attempts != nil && !current.attempts.CanRepeat() {
-		destination.MinRemaining = minRemainingOnce
+		destination.MinRemaining, destination.Patient = minRemainingOnce, true
 	}
 	if limit := current.service.MaxConnections; limit > 0 {
 		destination.MaxConnections = max(int(float64(limit)*g.connectionShare()), 1)
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/tcpend"
 	"github.com/tillerfall/tillerfall/internal/traffic"
@@ -67,6 +69,30 @@
 	expires   time.Time
 	// written counts the bytes written.
 	written atomic.Int64
+	// patient is set while the connection has patientUserTimeout.
+	patient bool
+}
+
+// setPatient sets for how long bytes that are written may stay unacknowledged. Connections through another node stay
+// as they are.
+func (c *connection) setPatient(patient bool) error {
+	system, ok := c.raw.(syscall.Conn)
+	if !ok || c.relay != "" || patient == c.patient {
+		return nil
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "set user timeout")
+	}
+	limit := userTimeout
+	if patient {
+		limit = patientUserTimeout
+	}
+	if err := setUserTimeout(raw, limit); err != nil {
+		return errors.Wrap(err, "set user timeout")
+	}
+	c.patient = patient
+	return nil
 }
 
 // idleFor returns for how long the connection has been idle, 0 if it has carried no exchange yet.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -155,6 +155,11 @@
 			return nil, &ExchangeError{Stage: NotSent, Cause: err}
 		}
 	}
+	if err := conn.setPatient(destination.Patient); err != nil {
+		conn.raw.Close()
+		p.noteClosed(destination.Engine)
+		return nil, &ExchangeError{Stage: NotSent, Cause: err}
+	}
 	idle := conn.idleFor(time.Now())
 	current := &exchange{pool: p, conn: conn}
 	current.stopWatch = context.AfterFunc(ctx, func() { conn.raw.Close() })
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -21,6 +21,9 @@
 	// A sound worker may be silent for two seconds: the last packet may have come keepAliveIdle before, and the next
 	// probe goes up to keepAliveInterval after. The kernel sends none once userTimeout has passed.
 	userTimeout = 5 * time.Second
+	// patientUserTimeout is userTimeout during the exchanges of patient destinations. A retransmission that falls into
+	// a second short silence is followed by one only 6 s after the first packet; most deadlines come sooner than this.
+	patientUserTimeout = 30 * time.Second
 	// keepAliveIdle is how long a connection is quiet before the first probe, keepAliveInterval the time between two.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"testing"
@@ -12,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/lab/loopback"
 )
 
@@ -91,3 +94,40 @@
 	_, err := bufio.NewReader(near).ReadString('\n')
 	return err
 }
+
+// TestTwoSilencesEndARequestThatRunsOnce guards against a request that fails since its worker was silent twice, and the
+// packet that was to arrive between was sent in the second silence.
+func TestTwoSilencesEndARequestThatRunsOnce(t *testing.T) {
+	host, err := loopback.Host()
+	require.NoError(t, err)
+	listener, err := net.Listen("tcp4", host+":0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		// Retransmissions come 0.2, 0.6, 1.4, 3.0 and 6.2 s after the first packet.
+		setSilent(t, conn, true)
+		time.Sleep(1800 * time.Millisecond)
+		setSilent(t, conn, false)
+		time.Sleep(800 * time.Millisecond)
+		setSilent(t, conn, true)
+		time.Sleep(time.Second)
+		setSilent(t, conn, false)
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	}()
+	pool := NewPool(Options{})
+	address := fleet.Address(listener.Addr().String())
+	// The connection is silent from its beginning on: the listener accepts it before it is.
+	response, err := pool.Do(t.Context(), Destination{Engine: "w", Address: address, Patient: true}, &Request{
+		Method: http.MethodPost, Target: "/", Header: http.Header{}, Permit: func() error { time.Sleep(50 * time.Millisecond); return nil },
+	})
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, response.Status)
+	response.Close()
+}
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -13,14 +13,17 @@
 // fails. It detects peers that vanish without closing, such as by power loss or a network
 // partition.
 func LimitUnacknowledged(limit time.Duration) func(network, address string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var optionErr error
-		err := raw.Control(func(descriptor uintptr) {
-			optionErr = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(limit.Milliseconds()))
-		})
-		if err != nil {
-			return err
-		}
-		return optionErr
+	return func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, limit) }
+}
+
+// setUserTimeout sets TCP_USER_TIMEOUT.
+func setUserTimeout(raw syscall.RawConn, limit time.Duration) error {
+	var optionErr error
+	err := raw.Control(func(descriptor uintptr) {
+		optionErr = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(limit.Milliseconds()))
+	})
+	if err != nil {
+		return err
 	}
+	return optionErr
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -104,4 +104,7 @@
 	// MinRemaining is for how long an idle connection must still be valid to be reused, unless it was used a moment ago
 	// or no further one may be opened.
 	MinRemaining time.Duration
+	// Patient is set if a timeout of the connection gains nothing, since the request may not be sent again. Written
+	// bytes may then stay unacknowledged for longer.
+	Patient bool
 }
