Let moves see the memory and the versions that placements see

A request at a silent engine or on a hanging link is cancelled for a place elsewhere that its placement then refuses, and gets 502.

TestRequestMovesWithoutMemoryElsewhere and TestRequestMovesToTheVersionThatItLeaves fail without the change.

--- a/internal/backends/elsewhere.go
+++ b/internal/backends/elsewhere.go
@@ -16,32 +16,40 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.peers.totalsAt(now)
+	for software := request.Software; ; software = software.Fallback() {
+		s := &search{Registry: r, now: now, request: request, software: software}
+		eligible, allowed := s.looksElsewhere(from)
+		switch {
+		case eligible:
+			return true
+		case software.Fallback() == nil, allowed && !software.PrefersTarget():
+			// As in a choice, others get the request only if there is no worker of an allowed version.
+			return false
+		}
+	}
+}
+
+// looksElsewhere reports whether a worker other than the given one is eligible, and whether any is of an allowed
+// version.
+func (s *search) looksElsewhere(from fleet.EngineID) (eligible, allowed bool) {
 	checked := 0
-	for _, state := range r.poolOf(request.Service).all() {
-		if state.worker.ID == from || !state.isListed() || state.silence.IsActive() {
+	for _, state := range s.poolOf(s.request.Service).all() {
+		if !state.isListed() {
+			continue
+		}
+		if state.worker.ID == from || state.silence.IsActive() {
+			allowed = allowed || s.assess(state) != verdictIneligible
 			continue
 		}
 		if checked == maxElsewhereChecks {
 			break
 		}
 		checked++
-		if r.canTake(now, request, state) {
-			return true
-		}
-	}
-	return false
-}
-
-// canTake reports whether a worker is eligible under one of the software choices of a request. The
-// mutex must be held.
-func (r *Registry) canTake(now time.Duration, request *Request, state *workerState) bool {
-	for software := request.Software; ; software = software.Fallback() {
-		s := &search{Registry: r, now: now, request: request, software: software}
-		if s.assess(state) == verdictEligible {
-			return true
-		}
-		if software.Fallback() == nil {
-			return false
+		result := s.assess(state)
+		if result == verdictEligible {
+			return true, true
 		}
+		allowed = allowed || result != verdictIneligible
 	}
+	return false, allowed
 }
--- a/internal/gateway/placementrequest.go
+++ b/internal/gateway/placementrequest.go
@@ -66,14 +66,17 @@
 	if !current.attempts.CanRepeat() {
 		return nil
 	}
-	avoidTarget, capacity := current.sentToTarget, g.capacityFor(current)
+	avoidTarget, capacity := g.avoidsTargetAfter(current, placement), g.capacityFor(current)
 	return func(now time.Duration) bool {
 		request := backends.Request{
 			Service: current.service.Name, Excluded: current.attempts.Excluded(), Origin: current.origin,
 			Software: g.allowedVersions(current, avoidTarget),
 		}
 		if placement.Engine != nil {
-			request.Engine = &backends.EngineRequest{Model: current.metadata.Model, Priority: priorityOf(current)}
+			request.Engine = &backends.EngineRequest{
+				Model: current.metadata.Model, Priority: priorityOf(current),
+				PromptTokens: current.metadata.PromptTokens, OutputTokens: current.metadata.OutputTokens,
+			}
 		}
 		capacity.restrict(now, &request)
 		return g.workers.HasElsewhere(now, &request, placement.Worker.ID) &&
@@ -81,6 +84,11 @@
 	}
 }
 
+// avoidsTargetAfter reports whether the placement after the given one avoids the target version.
+func (g *Gateway) avoidsTargetAfter(current *callerRequest, placement *backends.Placement) bool {
+	return current.sentToTarget || g.deliveries.isTarget(placement.Worker.Service, placement.Worker.Software)
+}
+
 // unavailableRefusal returns the refusal for a request whose candidate workers are all closed, by
 // their limits or in backoff. opensIn is the time until the first of them opens.
 func (g *Gateway) unavailableRefusal(current *callerRequest, opensIn time.Duration) backends.Refusal {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -141,10 +141,11 @@
 		Service: current.service.Name, Excluded: slices.Clone(current.attempts.Excluded()),
 		Engine: &backends.EngineRequest{
 			Model: current.metadata.Model, Priority: priorityOf(current), Deadline: g.callerWaits(current),
+			PromptTokens: current.metadata.PromptTokens, OutputTokens: current.metadata.OutputTokens,
 		},
 	}
-	capacity := g.capacityFor(current)
-	route, draw, avoidTarget := delivery.RouteName(current.route.Name), current.targetDraw, current.sentToTarget
+	capacity, avoidTarget := g.capacityFor(current), g.avoidsTargetAfter(current, placement)
+	route, draw := delivery.RouteName(current.route.Name), current.targetDraw
 	return func(now time.Duration, origin streamorigin.Constraint) bool {
 		request := request
 		request.Origin = origin
