Wait for room with fresh checks, at limits too, and only a few requests at once

Change: each choice describes the request anew. A request also waits while all others are at their limits, if one opens within the second. 16 wait at most. A caller that has left, and a deadline, end the wait as such.

TestRequestThatMayHaveRunFailsForWantOfRoom has the case of the limit now; TestWaitsForRoomAreUnbounded is new.

Left: the wait isn't fair to requests that come meanwhile, which may take the place.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -97,10 +97,18 @@
 		return current.attempts.NoWorker(reasonUnreachable, wait)
 	}
 	g.refreshDueVersions(now)
-	request := g.placementRequest(current)
-	current.placedForTarget = request.Software.PrefersTarget()
-	placement, refused := g.chooseWorker(ctx, current, request)
+	placement, refused := g.chooseWorker(ctx, current, func() *backends.Request {
+		request := g.placementRequest(current)
+		current.placedForTarget = request.Software.PrefersTarget()
+		return request
+	})
 	if placement == nil {
+		if current.isCallerGone() {
+			return attempt.Step{Kind: attempt.StepAbort}
+		}
+		if ctx.Err() != nil {
+			return current.attempts.Expired()
+		}
 		if refused.Reason == backends.ReasonLimited {
 			refused = g.unavailableRefusal(current, refused.RetryAfter)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,8 @@
 	workers       *backends.Registry
 	upstreams     *upstream.Pool
 	budgets       *retryBudgets
+	// roomWaits counts the requests that wait for a worker with room.
+	roomWaits atomic.Int32
 	// bodies and answers are the memory for the bodies of requests and for buffered answers.
 	bodies             *bodymemory.Budget
 	answers            *bodymemory.Budget
