Probe engines with copies without taking them out of use

Besides, a probed engine got no requests meanwhile, so that its neighbours looked full; it was probed again and again for streams that no retry was left for; and events that came from it didn't count as heard.

Change: such a probe has a second, as the stream can go on where it is meanwhile; one is under way at a time, it doesn't take the engine out of use, and the retry comes before it. What the failure detector has heard counts. A stream whose own engine is silent for longer than a sound one doesn't wait for the probe.

TestSlowReportKeepsStreamAtALostEngine, TestStreamStaysAtALostEngine and TestStreamingEngineIsProbedForACopy are new.

--- a/internal/backends/silence.go
+++ b/internal/backends/silence.go
@@ -38,14 +38,6 @@
 	}
 }
 
-// HeardSince reports whether this node has had a response of a worker, or a sign of life of a probed one, since a time.
-func (r *Registry) HeardSince(since time.Duration, id fleet.EngineID) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	state := r.workers[id]
-	return state != nil && state.lastContact > 0 && state.lastContact >= since
-}
-
 // ObserveRelayedSign records that another node has heard an engine.
 func (r *Registry) ObserveRelayedSign(now time.Duration, id fleet.EngineID) {
 	r.mutex.Lock()
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -19,10 +19,6 @@
 	"github.com/tillerfall/tillerfall/internal/streamorigin"
 )
 
-// maxHolderAge is how long ago an engine may have been heard that is asked for a copy. One that falls silent between
-// may refuse too late.
-const maxHolderAge = 25 * time.Millisecond
-
 // evaluationInterval is the time between two evaluations while requests are under way at engines. It
 // is well below the time to detect a silent engine.
 const evaluationInterval = 50 * time.Millisecond
@@ -42,7 +38,7 @@
 	// when they were last told of some.
 	unannounced []fleet.EngineID
 	announcedAt time.Duration
-	// awaiting holds the sends that go on at an engine's copies once it has answered a probe.
+	// awaiting holds the sends that go on from an engine's copies once it has answered the probe under way.
 	awaiting map[fleet.EngineID][]*liveness.Run
 	// started holds one element after the first request under way.
 	started chan struct{}
@@ -94,15 +90,6 @@
 	}
 }
 
-// unheardHolder returns the engine with the copy that is the send's only way on, unless it was heard just now; empty
-// if there is none. A copy is asked for only where a refusal would come at once.
-func (g *Gateway) unheardHolder(now time.Duration, send *watchedSend) fleet.EngineID {
-	if !send.run.HasBegun() || send.canContinue == nil || g.workers.HeardSince(now-maxHolderAge, send.copyHolder) {
-		return ""
-	}
-	return send.copyHolder
-}
-
 // isMoved reports whether the send was cancelled because its engine is silent.
 func (s *watchedSend) isMoved() bool { return s != nil && s.moved.Load() }
 
@@ -297,37 +284,15 @@
 	for _, engine := range verdict.Probes {
 		g.startProbe(now, engine)
 	}
-	for _, engine := range g.moveSends(now, verdict.Moves) {
-		g.startProbe(now, engine)
-	}
+	g.moveSends(now, verdict.Moves)
 	g.announceSilences(now)
 }
 
-// moveToHolder moves the sends that have waited for an engine with their copies, which has answered a probe now.
-func (g *Gateway) moveToHolder(now time.Duration, holder fleet.EngineID) {
-	w := g.engineWatch
-	w.mutex.Lock()
-	runs := w.awaiting[holder]
-	delete(w.awaiting, holder)
-	w.mutex.Unlock()
-	if len(runs) > 0 {
-		g.moveSends(now, runs)
-	}
-}
-
-// dropAwaiting forgets the sends that wait for an engine. The next evaluation names them again.
-func (w *engineWatch) dropAwaiting(holder fleet.EngineID) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	delete(w.awaiting, holder)
-}
-
 // startProbe probes a suspected engine. It gets no requests until it has answered or the probe has
 // timed out.
 func (g *Gateway) startProbe(now time.Duration, engine fleet.EngineID) {
 	worker, known := g.workers.Worker(engine)
 	if !known {
-		g.engineWatch.dropAwaiting(engine)
 		return
 	}
 	g.workers.ObserveProbe(now, liveness.ProbeTimeout, engine)
@@ -341,16 +306,13 @@
 	_, err := g.dependencies.Engines.Report(ctx, worker)
 	var failure *url.Error
 	if errors.As(err, &failure) {
-		g.engineWatch.dropAwaiting(worker.ID)
 		g.metrics.silence.probes.WithLabelValues("unanswered").Inc()
 		g.events.line("probe_failed").Str("worker", string(worker.ID)).Err(err).Msg("probe_failed")
 		return
 	}
 	g.metrics.silence.probes.WithLabelValues("answered").Inc()
 	g.observeAnswer(worker.ID)
-	now := g.now()
-	g.workers.ObserveContact(now, worker.ID)
-	g.moveToHolder(now, worker.ID)
+	g.workers.ObserveContact(g.now(), worker.ID)
 }
 
 // recordSilence suspends requests to a silent engine. The mutex of engineWatch must be held.
@@ -368,31 +330,29 @@
 }
 
 // moveSends has sends at silent engines made elsewhere, as far as the retry budgets of their services
-// allow. It returns the engines to be probed, since they must be heard before a stream continues there.
-func (g *Gateway) moveSends(now time.Duration, runs []*liveness.Run) []fleet.EngineID {
+// allow.
+func (g *Gateway) moveSends(now time.Duration, runs []*liveness.Run) { g.moveSendsAfter(now, runs, "") }
+
+// moveSendsAfter is moveSends right after an engine with copies has answered a probe.
+func (g *Gateway) moveSendsAfter(now time.Duration, runs []*liveness.Run, answered fleet.EngineID) {
 	w := g.engineWatch
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	spent := make(map[fleet.PoolName]bool)
-	var unheard []fleet.EngineID
 	for _, run := range runs {
 		send := w.sends[run]
 		if send == nil || spent[send.service] || !w.monitor.MayMove(now, run) || !send.canMove(now) {
 			continue
 		}
-		if holder := g.unheardHolder(now, send); holder != "" {
-			if !slices.Contains(unheard, holder) {
-				unheard = append(unheard, holder)
-				w.awaiting[holder] = nil
-			}
-			w.awaiting[holder] = append(w.awaiting[holder], run)
-			continue
-		}
 		if !send.isPaid && !g.budgets.forRequest(send.service, send.requestID).Withdraw(now) {
 			spent[send.service] = true
 			g.countOverBudget(send)
 			continue
 		}
+		send.isPaid = true
+		if g.awaitHolder(now, send, answered) {
+			continue
+		}
 		w.monitor.Moved(run)
 		send.isPaid = false
 		send.move()
@@ -400,7 +360,6 @@
 		g.events.line("send_moved").Str("request_id", send.requestID).Str("worker", string(run.Engine())).
 			Bool("begun", run.HasBegun()).Msg("send_moved")
 	}
-	return unheard
 }
 
 // move has a send made elsewhere. It's cancelled first, but for a stream that has begun: no other engine may
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/url"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/tillerfall/tillerfall/internal/cachefeed"
 	"github.com/tillerfall/tillerfall/internal/fleet"
 	"github.com/tillerfall/tillerfall/internal/liveness"
+	"github.com/tillerfall/tillerfall/internal/rollout"
 	"github.com/tillerfall/tillerfall/internal/routes"
 	"github.com/tillerfall/tillerfall/internal/streamorigin"
 )
@@ -83,36 +85,98 @@
 	send.canContinue, send.copyHolder = func(time.Duration) bool { return usable }, "holder"
 	g.workers.Observe(1, backends.Worker{ID: "holder", Service: "engines"})
 	now, verdict := fallSilent(t, g)
-	g.workers.ObserveContact(now, "holder")
-	assert.Empty(t, g.moveSends(now, verdict.Moves))
+	g.moveSends(now, verdict.Moves)
 	require.Empty(t, send.moves)
 	usable = true
-	g.moveSends(now, verdict.Moves)
+	g.moveSendsAfter(now, verdict.Moves, "holder")
 	assert.Len(t, send.moves, 1)
 	assert.NoError(t, ctx.Err(), "the stream stays open until another engine has taken it over")
 }
 
-// TestUnheardEngineIsAskedForACopy guards against a stream that an engine is asked to continue which is silent too, so
-// that its refusal comes after the close of the first connection.
-func TestUnheardEngineIsAskedForACopy(t *testing.T) {
-	g := newTestGateway(t)
-	earnRetries(g, "engines")
+// beginCopiedStream watches a stream whose only way on is its copy, after some events. A probe of the engine with the
+// copy is under way.
+func beginCopiedStream(g *Gateway) *watchedSend {
 	send, _ := watchTestSend(g, "dark")
 	for event := range 3 {
 		g.engineWatch.monitor.Event(time.Duration(event)*time.Millisecond, send.run, true)
 	}
 	send.canContinue, send.copyHolder = func(time.Duration) bool { return true }, "holder"
 	g.workers.Observe(1, backends.Worker{ID: "holder", Service: "engines"})
+	g.engineWatch.awaiting["holder"] = nil
+	return send
+}
+
+// TestUnheardEngineIsAskedForACopy guards against a stream that an engine is asked to continue which is silent too, so
+// that its refusal comes after the close of the first connection.
+func TestUnheardEngineIsAskedForACopy(t *testing.T) {
+	g := newTestGateway(t)
+	earnRetries(g, "engines")
+	send := beginCopiedStream(g)
 	now, verdict := fallSilent(t, g)
-	g.workers.ObserveContact(now-maxHolderAge-time.Millisecond, "holder")
-	assert.Equal(t, []fleet.EngineID{"holder"}, g.moveSends(now, verdict.Moves), "it is to be probed first")
+	g.recordSilence(now, &liveness.Silence{Engine: "dark", Since: now - time.Second})
+	g.moveSends(now, verdict.Moves)
 	assert.Empty(t, send.moves)
-	g.workers.ObserveContact(now, "holder")
-	g.moveToHolder(now, "holder")
-	assert.Len(t, send.moves, 1)
+	g.moveSendsAfter(now, g.engineWatch.takeAwaiting("holder"), "holder")
+	assert.Len(t, send.moves, 1, "moved with the answer")
 	assert.Empty(t, g.engineWatch.awaiting)
 }
 
+// slowEngines answers a call for a report after a time.
+type slowEngines struct {
+	EngineClient
+	delay time.Duration
+}
+
+func (e slowEngines) Report(ctx context.Context, _ backends.Worker) (rollout.Report, error) {
+	if !pauseWithContext(ctx, e.delay) {
+		return rollout.Report{}, &url.Error{Op: "Get", Err: ctx.Err()}
+	}
+	return rollout.Report{}, nil
+}
+
+// TestSlowReportKeepsStreamAtALostEngine guards against a stream that waits at a dark engine, since the engine with its
+// copy takes longer to report than a suspected one may.
+func TestSlowReportKeepsStreamAtALostEngine(t *testing.T) {
+	g := newTestGateway(t)
+	g.dependencies.Engines = slowEngines{delay: liveness.ProbeTimeout + 50*time.Millisecond}
+	earnRetries(g, "engines")
+	send := beginCopiedStream(g)
+	delete(g.engineWatch.awaiting, "holder")
+	now, verdict := fallSilent(t, g)
+	g.recordSilence(now, &liveness.Silence{Engine: "dark", Since: now})
+	g.moveSends(now, verdict.Moves)
+	assert.Empty(t, send.moves)
+	assert.Eventually(t, func() bool { return len(send.moves) == 1 }, time.Second, time.Millisecond)
+}
+
+// TestStreamStaysAtALostEngine guards against a stream that waits for ever for a sign of the engine with its copy,
+// though its own engine is silent for longer than a sound one.
+func TestStreamStaysAtALostEngine(t *testing.T) {
+	g := newTestGateway(t)
+	earnRetries(g, "engines")
+	send := beginCopiedStream(g)
+	now, verdict := fallSilent(t, g)
+	g.recordSilence(now, &liveness.Silence{Engine: "dark", Since: now})
+	g.moveSends(now+fleet.MaxSilence, verdict.Moves)
+	assert.Empty(t, send.moves)
+	g.moveSends(now+fleet.MaxSilence+time.Millisecond, verdict.Moves)
+	assert.Len(t, send.moves, 1)
+}
+
+// TestStreamingEngineIsProbedForACopy guards against a probe, and the wait for it, of an engine whose events come in.
+func TestStreamingEngineIsProbedForACopy(t *testing.T) {
+	g := newTestGateway(t)
+	earnRetries(g, "engines")
+	send := beginCopiedStream(g)
+	other := g.engineWatch.monitor.Begin(0, liveness.Send{Engine: "holder"})
+	now, verdict := fallSilent(t, g)
+	g.recordSilence(now, &liveness.Silence{Engine: "dark", Since: now})
+	g.engineWatch.monitor.Event(now-maxHolderAge, other, true)
+	g.moveSends(now, verdict.Moves)
+	assert.Len(t, send.moves, 1)
+	assert.Empty(t, g.engineWatch.awaiting["holder"])
+}
+
 // TestSendStaysOnceEngineIsHeard guards against a send that is broken off after a sign of life has
 // come between the verdict and the move.
 func TestSendStaysOnceEngineIsHeard(t *testing.T) {
--- a/internal/liveness/monitor.go
+++ b/internal/liveness/monitor.go
@@ -144,6 +144,12 @@
 	}
 }
 
+// HeardSince reports whether anything has come since a time from an engine with requests under way.
+func (m *Monitor) HeardSince(id fleet.EngineID, since time.Duration) bool {
+	target := m.engines[id]
+	return target != nil && target.lastSign > 0 && target.lastSign >= since
+}
+
 // PeerHeard records that another node has answered this one.
 func (m *Monitor) PeerHeard(now time.Duration) { m.contacts.peerAt = now }
 
