Try other workers after five that have just ended

What callers saw: 503 "workers unreachable" after 52 ms and with 2.4 s left, though the request was sent nowhere and seven other workers were ready.

Ruled out: the retry budget (nothing was sent, so nothing is withdrawn), a partition (two other gateways were refused by each of the five too), a quarantine.

Change: a request that was sent nowhere tries up to 17 workers. From the fifth on it does so only while they cost it little: less than 2 s since the first one, which is what four connections that hang take, and unless more than four of them were avoided already and chosen since all workers were. So connections that hang, and a service whose workers are all gone, end as soon as before; and while no gateway reaches any worker, requests are refused before all this.

Why it holds: no request tries fewer workers than before, so none is refused that was served. A worker that can't be reached is avoided from the first try on, so the further tries find a crashed worker once per gateway and suspicion, not once per request.

TestRequestIsRefusedAfterFiveWorkersThatRefuseAtOnce fails before: refused at the fifth worker. TestUnreachableWorkersAreTriedForTooLong guards the bounds that stay; it passes before.

--- a/internal/attempt/forwarding.go
+++ b/internal/attempt/forwarding.go
@@ -9,8 +9,14 @@
 
 // Limits of attempts that do not count as runs.
 const (
-	// maxUnreachable limits the workers that cannot be reached, per request.
-	maxUnreachable = 4
+	// minUnreachable is the number of workers that cannot be reached after which a request tries others
+	// only while they cost it little, and maxUnreachable the limit. With half of the workers gone unnoticed,
+	// one request of 30 meets more than the first and one of 10^5 more than the second.
+	minUnreachable = 4
+	maxUnreachable = 16
+	// unreachableTime is the time, since the first worker that cannot be reached, from which no more than
+	// minUnreachable are tried. It is that of minUnreachable connections that hang.
+	unreachableTime = 2 * time.Second
 	// maxRejections limits the workers that reject a request without running it.
 	maxRejections = 3
 	// minTimeLeft is the time before the deadline below which no further attempt is made.
@@ -54,8 +60,12 @@
 	excluded    []fleet.EngineRun
 	sends       int
 	unreachable int
-	rejections  int
-	throttled   int
+	// avoided counts those of the unreachable workers that were avoided, firstUnreachableAt is when the
+	// first of all was found.
+	avoided            int
+	firstUnreachableAt time.Duration
+	rejections         int
+	throttled          int
 	// possibleRuns counts the sends that may have run.
 	possibleRuns int
 	delivering   bool
@@ -111,19 +121,38 @@
 	RetryAfter time.Duration
 }
 
-// NotSent records that no byte of a send was written.
+// NotSent records that no byte of a send was written. However many workers have just ended, which are avoided
+// as soon as one request has found them, others may be reachable.
 func (f *Forwarding) NotSent(now time.Duration, run fleet.EngineRun) Step {
 	f.exclude(run)
 	if f.continuing {
 		return f.continuationFailed(now)
 	}
+	if f.unreachable == 0 {
+		f.firstUnreachableAt = now
+	}
 	f.unreachable++
-	if f.unreachable > maxUnreachable {
+	if f.isUnreachable(now) {
 		return f.fail(resultcode.NoEngine, "workers unreachable")
 	}
 	return f.retry(now, false)
 }
 
+// AvoidedNotSent is NotSent for a worker that was chosen although it was avoided, since all were. That it can't
+// be reached is no news, and the others can hardly be.
+func (f *Forwarding) AvoidedNotSent(now time.Duration, run fleet.EngineRun) Step {
+	f.avoided++
+	return f.NotSent(now, run)
+}
+
+// isUnreachable reports whether no further worker is tried after those that could not be reached.
+func (f *Forwarding) isUnreachable(now time.Duration) bool {
+	if f.unreachable <= minUnreachable {
+		return false
+	}
+	return f.unreachable > maxUnreachable || f.avoided > minUnreachable || now >= f.firstUnreachableAt+unreachableTime
+}
+
 // Throttled records that a send was withheld because the worker is at its limit. retryAfter is the
 // time until the worker may have capacity; the same worker may be chosen again.
 func (f *Forwarding) Throttled(now time.Duration, retryAfter time.Duration) Step {
--- a/internal/attempt/forwarding_test.go
+++ b/internal/attempt/forwarding_test.go
@@ -117,6 +117,40 @@
 	assert.False(t, resultcode.Lookup(step.Code).NotRun)
 }
 
+// TestRequestIsRefusedAfterFiveWorkersThatRefuseAtOnce guards against a request that is refused, though it was sent
+// nowhere and other workers are there, since it met five that had just ended.
+func TestRequestIsRefusedAfterFiveWorkersThatRefuseAtOnce(t *testing.T) {
+	machine := newTestForwarding(ForwardingPolicy{MaxRuns: 1})
+	for number := range maxUnreachable {
+		require.Equal(t, StepSend, machine.NotSent(time.Duration(number)*time.Millisecond, workerRun(number)).Kind)
+	}
+	step := machine.NotSent(maxUnreachable*time.Millisecond, workerRun(maxUnreachable))
+	assert.Equal(t, StepFail, step.Kind, "bounded")
+	assert.True(t, resultcode.Lookup(step.Code).NotRun)
+}
+
+// TestUnreachableWorkersAreTriedForTooLong guards against a request that waits for one hanging connection after the
+// other, and against one that tries many workers that were avoided already, since all are.
+func TestUnreachableWorkersAreTriedForTooLong(t *testing.T) {
+	for name, test := range map[string]struct {
+		interval time.Duration
+		notSent  func(f *Forwarding, now time.Duration, run fleet.EngineRun) Step
+	}{
+		"hanging": {500 * time.Millisecond, (*Forwarding).NotSent},
+		"avoided": {time.Millisecond, (*Forwarding).AvoidedNotSent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			machine := newTestForwarding(ForwardingPolicy{MaxRuns: 1, Deadline: time.Minute})
+			for number := 1; number <= minUnreachable; number++ {
+				require.Equal(t, StepSend, test.notSent(machine, time.Duration(number)*test.interval, workerRun(number)).Kind)
+			}
+			step := test.notSent(machine, (minUnreachable+1)*test.interval, workerRun(minUnreachable+1))
+			assert.Equal(t, StepFail, step.Kind)
+			assert.Equal(t, resultcode.NoEngine, step.Code)
+		})
+	}
+}
+
 func TestRetryNeedsTimeAndBudget(t *testing.T) {
 	machine := newTestForwarding(ForwardingPolicy{MaxRuns: 1})
 	step := machine.Rejected(time.Second-minTimeLeft, workerRun(1))
--- a/internal/backends/backends_test.go
+++ b/internal/backends/backends_test.go
@@ -162,8 +162,10 @@
 
 func TestOnlyWorkerIsUsedWhileSuspected(t *testing.T) {
 	registry := newPlainRegistry(1)
-	choosePlain(t, registry, 0).End(0, Unreachable)
-	choosePlain(t, registry, 0)
+	first := choosePlain(t, registry, 0)
+	first.End(0, Unreachable)
+	assert.False(t, first.Avoided)
+	assert.True(t, choosePlain(t, registry, 0).Avoided)
 }
 
 func TestFailingWorkerGetsFewerRequests(t *testing.T) {
--- a/internal/backends/choose.go
+++ b/internal/backends/choose.go
@@ -107,6 +107,8 @@
 	Examined   int
 	// FailureRate is the worker's failure rate at the time of the choice.
 	FailureRate float64
+	// Avoided is set if the worker was avoided and chosen since no other was ready.
+	Avoided bool
 	// Engine is set for engines.
 	Engine *EnginePlacement
 	// Limited is set if the worker has a request limit. Its refusals and latency then say nothing
@@ -231,8 +233,7 @@
 		}
 	}
 	placement := r.begin(search.now, best, len(candidates), placedWork{})
-	placement.Examined = search.examined
-	placement.Limited = search.hasLimit(best)
+	search.describe(placement)
 	return placement
 }
 
--- a/internal/backends/engine.go
+++ b/internal/backends/engine.go
@@ -223,8 +223,7 @@
 	placement := r.begin(now, chosen, len(candidates), placedWork{
 		priority: engine.Priority, prefillTokens: prefill, need: memoryNeedOf(engine, scoped),
 	})
-	placement.Examined = search.examined
-	placement.Limited = search.hasLimit(chosen)
+	search.describe(placement)
 	placement.Engine = &EnginePlacement{
 		Version:        version,
 		Scope:          scoped.scope,
--- a/internal/backends/search.go
+++ b/internal/backends/search.go
@@ -129,6 +129,13 @@
 	return s.eligible
 }
 
+// describe adds to a placement what the search has found.
+func (s *search) describe(placement *Placement) {
+	placement.Examined = s.examined
+	placement.Limited = s.hasLimit(placement.state)
+	placement.Avoided = s.acceptedVerdict == verdictNotReady
+}
+
 // needsLapsed reports whether no listed worker may get the request, not even once it has capacity
 // or is ready.
 func (s *search) needsLapsed() bool {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -269,20 +269,28 @@
 	case errors.Is(err, upstream.ErrTooManyConnections), errors.Is(err, errTargetNotAllowed), errors.Is(err, errStaleConfiguration), errors.Is(err, errDraining),
 		errors.Is(err, errDeadlinePassed):
 		g.recordOutcome(current, placement, backends.Cancelled, err.Error())
-		return current.attempts.NotSent(g.now(), run)
+		return g.notSent(current, placement)
 	case !sent && (current.relay != "" || errors.Is(err, errLinkLost)):
 		g.recordOutcome(current, placement, backends.Disconnected, err.Error())
-		return current.attempts.NotSent(g.now(), run)
+		return g.notSent(current, placement)
 	case !sent:
 		g.recordOutcome(current, placement, backends.Unreachable, err.Error())
 		g.recordUnreachable(placement.Worker.ID, err)
-		return current.attempts.NotSent(g.now(), run)
+		return g.notSent(current, placement)
 	default:
 		g.recordOutcome(current, placement, backends.Lost, err.Error())
 		return current.attempts.Unanswered(g.now(), run)
 	}
 }
 
+// notSent returns the next step after a send of which no byte was written.
+func (g *Gateway) notSent(current *callerRequest, placement *backends.Placement) attempt.Step {
+	if placement.Avoided {
+		return current.attempts.AvoidedNotSent(g.now(), placement.Worker.Run())
+	}
+	return current.attempts.NotSent(g.now(), placement.Worker.Run())
+}
+
 // reportOversizedHead logs and counts a response whose head exceeds its bound.
 func (g *Gateway) reportOversizedHead(current *callerRequest, placement *backends.Placement, err error) {
 	if !errors.Is(err, upstream.ErrHeadTooLarge) {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -395,7 +395,7 @@
 	current.attempts.PrepayRetry()
 	if !sent {
 		g.recordOutcome(current, placement, backends.Cancelled, errEngineSilent.Error())
-		return current.attempts.NotSent(g.now(), placement.Worker.Run())
+		return g.notSent(current, placement)
 	}
 	current.moved = true
 	g.recordOutcome(current, placement, backends.Silent, errEngineSilent.Error())
