Avoid a worker that has refused a tunnel for another gateway

Each try costs a connection and two tunnels, and under load up to 60 ms.

Cause: a gateway that fails to connect to a worker asks two others, which are refused as well. These answered and forgot it, and found the worker again by requests of their own.

Ruled out: to rely on the reports of peers.

Change: a gateway that is refused by a worker as it tries for another one, and reaches a different worker itself, avoids it like after a failed send of its own. Several gateways may ask at once, so this neither prolongs a suspicion nor adds to it. It isn't reported to others: whether a second gateway was refused isn't known here.

Why it holds: a refusal shows that nothing listens there, and a gateway without links of its own is told from it as before (explainDialFailure). Workers that time out are not avoided, since the try for another gateway lasts 0.2 s only.

TestWorkerThatRefusedATunnelIsChosen fails before: nothing is suspected.

--- a/internal/backends/load.go
+++ b/internal/backends/load.go
@@ -126,6 +126,17 @@
 	return suspects
 }
 
+// ObserveRefusal records that a worker refused a connection that this node tried for another one. Unlike a
+// failed send it doesn't prolong a suspicion, since several nodes may ask at once.
+func (r *Registry) ObserveRefusal(now time.Duration, id fleet.EngineID) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if state := r.workers[id]; state != nil && now >= state.suspectUntil {
+		state.recordOutcome(now, true)
+		state.suspect(now)
+	}
+}
+
 // ConfirmSuspicion records that another node couldn't connect to a suspected worker either. Only such
 // suspicions are reported: others may be due to this node's own links.
 func (r *Registry) ConfirmSuspicion(id fleet.EngineID) {
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -275,6 +275,34 @@
 	assert.ErrorIs(t, err, tunnel.ErrUnavailable)
 }
 
+// TestWorkerThatRefusedATunnelIsChosen guards against requests that meet worker after worker which this gateway has
+// found gone for others, and against a worker that is avoided or reported since this gateway has lost its links.
+func TestWorkerThatRefusedATunnelIsChosen(t *testing.T) {
+	for name, test := range map[string]struct {
+		err      error
+		linkless bool
+		suspects []fleet.EngineID
+	}{
+		"refused":            {err: syscall.ECONNREFUSED, suspects: []fleet.EngineID{"w1"}},
+		"timed out":          {err: context.DeadlineExceeded},
+		"own links are lost": {err: syscall.ECONNREFUSED, linkless: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := linkTestGateway(t)
+			g.directDial = refusedDial
+			if !test.linkless {
+				g.recordConnected("w2")
+			}
+			for range 3 {
+				require.Error(t, g.explainDialFailure(context.Background(), "w1", test.err))
+			}
+			assert.Equal(t, test.suspects, g.workers.Suspects(g.now()))
+			assert.Empty(t, g.workers.ReportedSuspects(g.now()), "no other gateway has confirmed it")
+			assert.Empty(t, g.workers.Suspects(g.now()+500*time.Millisecond), "three that ask at once are one failure")
+		})
+	}
+}
+
 // TestTunnelsAreForMembersOnly guards against tunnels for anybody who reaches the inner address, and to
 // addresses that are no worker's.
 func TestTunnelsAreForMembersOnly(t *testing.T) {
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -108,12 +108,14 @@
 }
 
 // explainDialFailure returns the answer for a failed connection to a worker. Unless this gateway can
-// connect to another worker, its own links may be lost as well, and it says nothing of the worker.
+// connect to another worker, its own links may be lost as well, and it says nothing of the worker. A worker
+// that has refused is avoided here too, so that not each gateway finds it by requests of its own.
 func (g *Gateway) explainDialFailure(ctx context.Context, worker fleet.EngineID, err error) error {
 	if !g.canConnectElsewhere(ctx, worker) {
 		return errors.Wrap(tunnel.ErrUnavailable, "no other worker reached")
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
+		g.workers.ObserveRefusal(g.now(), worker)
 		return tunnel.ErrWorkerRefused
 	}
 	return tunnel.ErrWorkerUnreachable
