Show that links work by workers that haven't just ended

Cause: a gateway that can't connect to a worker for another one tries two further workers, drawn from all that are listed, to tell its own links from the worker. With several workers just ended both may be among these. The answer then says nothing of the worker, and the gateway isn't asked for 0.5 s, so that a crash is confirmed later or not at all.

Change: workers that this gateway suspects are tried last.

Why it holds: the order among the others is random as before, and a gateway whose links are lost reaches none of them. Where all are suspected nothing changes.

TestEndedWorkersHideTheOthersFromAGateway fails before: with two of three ended, the two are drawn within 50 tries.

--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -303,6 +303,28 @@
 	}
 }
 
+// TestEndedWorkersHideTheOthersFromAGateway guards against a gateway that takes its links for lost, and isn't asked
+// again for a while, since the two other workers that it tried are known to have ended.
+func TestEndedWorkersHideTheOthersFromAGateway(t *testing.T) {
+	g := linkTestGateway(t)
+	for _, ended := range []fleet.EngineID{"w2", "w3"} {
+		g.workers.ObserveRefusal(g.now(), ended)
+	}
+	g.workers.Observe(2, backends.Worker{ID: "w4", Service: "app", Address: "127.0.0.1:4", Slots: 4})
+	g.directDial = func(_ context.Context, _, address string) (net.Conn, error) {
+		if address != "127.0.0.1:4" {
+			return nil, syscall.ECONNREFUSED
+		}
+		here, there := net.Pipe()
+		t.Cleanup(func() { _ = there.Close() })
+		return here, nil
+	}
+	for range 50 {
+		g.links = newWorkerLinks()
+		require.True(t, g.canConnectElsewhere(context.Background(), "w1"))
+	}
+}
+
 // TestTunnelsAreForMembersOnly guards against tunnels for anybody who reaches the inner address, and to
 // addresses that are no worker's.
 func TestTunnelsAreForMembersOnly(t *testing.T) {
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -128,8 +129,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, otherWorkerTimeout)
 	defer cancel()
-	workers := g.workers.WorkersInUse()
-	rand.Shuffle(len(workers), func(a, b int) { workers[a], workers[b] = workers[b], workers[a] })
+	workers := g.likelyReachable()
 	results := make(chan bool, otherWorkersTried)
 	started := 0
 	for _, worker := range workers {
@@ -153,6 +153,25 @@
 	return false
 }
 
+// likelyReachable returns the workers in use in random order, those that are suspected last: they may have ended,
+// and say nothing of this gateway's links.
+func (g *Gateway) likelyReachable() []backends.Worker {
+	workers, suspects := g.workers.WorkersInUse(), g.workers.Suspects(g.now())
+	rand.Shuffle(len(workers), func(a, b int) { workers[a], workers[b] = workers[b], workers[a] })
+	slices.SortStableFunc(workers, func(a, b backends.Worker) int {
+		return suspicionRank(suspects, a.ID) - suspicionRank(suspects, b.ID)
+	})
+	return workers
+}
+
+// suspicionRank returns 1 for a worker among the suspects, which are sorted, and 0 for another.
+func suspicionRank(suspects []fleet.EngineID, id fleet.EngineID) int {
+	if _, suspected := slices.BinarySearch(suspects, id); suspected {
+		return 1
+	}
+	return 0
+}
+
 func (g *Gateway) refuseTunnel(writer http.ResponseWriter, asked tunnel.Request, cause error) {
 	g.metrics.links.tunnels.WithLabelValues("refused").Inc()
 	g.events.line("tunnel_refused").Str("peer", string(asked.Node)).Str("worker", string(asked.Worker)).Err(cause).Msg("tunnel_refused")
