Bound the memory of unfinished events together

What callers saw: none in a trace.

Cause: each event is buffered until it is complete, up to 256 KB, and a held stream up to 64 KB. Their sum had no bound.

Change: a relay's buffer takes memory from the budget of the buffered answers, in doubling steps beyond 4 KB, and returns it once the event has been passed on and when the relay ends. Where an event gets none, it is passed on in parts. Until its end the stream is neither held nor continued elsewhere: a part would come twice, or be joined with another run's. If it breaks off there, it is broken off for the caller. Identifiers count once their event is complete; one that is cut between parts isn't known, and its stream can't continue until the next one. A held stream passes nothing on; it isn't read on without memory. The bound of 256 KB an event holds for events in parts, too.

Ruled out: to break streams off for want of memory, and to let them wait for it. A stream that waits keeps its memory until its engine goes on, and many of them would wait for each other.

Why it holds: all that a relay keeps is in its buffer and in two chunks read ahead, of 4 KB each, at most. A move decides under the relay's lock, and the first part of an event counts as the beginning of the answer under the lock of the engine watch: a request that was moved before passes no part on, and one that has passed a part on isn't cancelled for a move.

The tests of the relay read its buffer under a new name and check the same.

What remains: an event's identifier is kept whole whatever its length, for each stream.

--- a/internal/gateway/answerbuffer.go
+++ b/internal/gateway/answerbuffer.go
@@ -17,7 +17,7 @@
 	initialBufferBytes = 512
 )
 
-// answerBuffer buffers one response. All of them share a budget of memory.
+// answerBuffer buffers one response. All of them share a budget of memory, with the events of streams.
 type answerBuffer struct {
 	memory *bodymemory.Budget
 	// held is the memory taken, in bytes.
--- a/internal/gateway/eventrelay.go
+++ b/internal/gateway/eventrelay.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
-
-	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
 const (
@@ -17,8 +15,13 @@
 	maxEventBytes = 256 << 10
 	// maxHeldBytes bounds what is read of a stream while it's held, apart from one chunk.
 	maxHeldBytes = 64 << 10
-	// relayChunkBytes is the most that is read of a stream at once.
+	// relayChunkBytes is the most that is read ahead of a stream at once.
 	relayChunkBytes = 4 << 10
+	// maxKeptLineBytes bounds the unfinished line that isn't passed on with the part of an event before it, so that an
+	// identifier is found whole. Longer lines are cut.
+	maxKeptLineBytes = 2 << 10
+	// idField begins the line with an event's identifier.
+	idField = "id:"
 )
 
 // Causes of the end of a relay.
@@ -27,24 +30,29 @@
 	errPartialEvent = errors.New("stream ended within an event")
 	// errReplaced means that another engine has taken the stream over.
 	errReplaced = errors.New("stream continues elsewhere")
+	// errEventTooLong means that an event exceeds maxEventBytes.
+	errEventTooLong = errors.New("event exceeds the size limit")
 	// errRelayEnded is the cause of the close of a connection on which bytes may still come.
 	errRelayEnded = errors.New("relay ended")
 )
 
 // eventRelay reads a stream of events and relays complete ones. While it's held it relays none, but reads on to find
-// out whether the stream has ended.
+// out whether the stream has ended. An event that gets no memory is relayed in parts.
 type eventRelay struct {
-	response *upstream.Response
+	response io.Reader
 	// closeConnection ends reads that are under way.
 	closeConnection func()
-	// mutex is locked while events are relayed. It guards released, replaced, ended and lastID.
+	// mutex is locked while events are relayed. It guards released, replaced, ended, lastID, isIDLost and partial.
 	mutex sync.Mutex
 	// released is closed at the end of a hold; nil while the relay isn't held.
 	released chan struct{}
 	// replaced is set once no further event is to be relayed, ended once the relay has ended.
 	replaced, ended bool
-	// lastID is the identifier of the last relayed event.
-	lastID string
+	// lastID is the identifier of the last relayed event. isIDLost is set if that isn't known, since it was cut.
+	lastID   string
+	isIDLost bool
+	// partial is the event of which only a part has been relayed.
+	partial partialEvent
 	// waiting is set while bytes have arrived that aren't relayed yet, and from the regular end of the stream on.
 	waiting atomic.Bool
 	// endArrived is set once the stream has ended at the end of an event, relayed or not.
@@ -55,7 +63,7 @@
 
 	// The rest belongs to the goroutine that runs the relay.
 
-	buffer []byte
+	buffer eventBuffer
 	// scanned is the number of bytes at the beginning of buffer within which no event ends.
 	scanned int
 	// readErr is the error of the last read.
@@ -64,9 +72,24 @@
 	ahead *readAhead
 }
 
+// partialEvent is what is known of an event of which a part has been relayed.
+type partialEvent struct {
+	// bytes is the size of that part; 0 if there is no such event.
+	bytes int
+	// id is the identifier in that part, if hasID is set. isIDLost is set if it was cut.
+	id              string
+	hasID, isIDLost bool
+}
+
+// relayFunc passes complete events on, or a part of one.
+type relayFunc func(events []byte, isPart bool) error
+
 // readAhead reads a response in a goroutine of its own.
 type readAhead struct {
 	chunks chan readChunk
+	// unread is what has been received of chunks and not been read, if hasUnread is set.
+	unread    readChunk
+	hasUnread bool
 	// stopped is closed once no further chunk is received, done once the goroutine has ended.
 	stopped, done chan struct{}
 }
@@ -77,13 +100,13 @@
 	err     error
 }
 
-func startReadAhead(response *upstream.Response) *readAhead {
+func startReadAhead(response io.Reader) *readAhead {
 	a := &readAhead{chunks: make(chan readChunk), stopped: make(chan struct{}), done: make(chan struct{})}
 	go a.run(response)
 	return a
 }
 
-func (a *readAhead) run(response *upstream.Response) {
+func (a *readAhead) run(response io.Reader) {
 	defer close(a.done)
 	for {
 		content := make([]byte, relayChunkBytes)
@@ -99,6 +122,32 @@
 	}
 }
 
+// await waits for something to read. It reports false if released is closed before.
+func (a *readAhead) await(released <-chan struct{}) bool {
+	if a.hasUnread {
+		return true
+	}
+	select {
+	case a.unread = <-a.chunks:
+		a.hasUnread = true
+		return true
+	case <-released:
+		return false
+	}
+}
+
+// Read implements io.Reader.
+func (a *readAhead) Read(into []byte) (int, error) {
+	a.await(nil)
+	count := copy(into, a.unread.content)
+	a.unread.content = a.unread.content[count:]
+	if len(a.unread.content) > 0 {
+		return count, nil
+	}
+	a.hasUnread = false
+	return count, a.unread.err
+}
+
 // stop waits for the end of the reads, which the end of the connection must bring about.
 func (a *readAhead) stop() {
 	close(a.stopped)
@@ -106,20 +155,24 @@
 }
 
 // hold keeps the relay from relaying until release or replace is called. It reports false, and does nothing, if
-// bytes or the end of the stream have arrived, or the relay has ended.
+// bytes or the end of the stream have arrived, the stream can't continue elsewhere, or the relay has ended.
 func (r *eventRelay) hold() bool {
 	if r.waiting.Load() {
 		return false
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.waiting.Load() || r.ended {
+	if r.waiting.Load() || r.ended || !r.canContinue() {
 		return false
 	}
 	r.released = make(chan struct{})
 	return true
 }
 
+// canContinue reports whether the stream can continue elsewhere after what has been relayed. The mutex must be held
+// until the relay has ended.
+func (r *eventRelay) canContinue() bool { return r.partial.bytes == 0 && !r.isIDLost }
+
 // release ends a hold.
 func (r *eventRelay) release() {
 	r.mutex.Lock()
@@ -151,9 +204,10 @@
 	}
 }
 
-// run reads until the end of the stream and calls relay with complete events. It returns nil if the
-// stream ended at the end of an event.
-func (r *eventRelay) run(relay func(events []byte) error) error {
+// run reads until the end of the stream and calls relay with complete events, and with parts of those that get no
+// memory. It returns nil if the stream ended at the end of an event.
+func (r *eventRelay) run(relay relayFunc) error {
+	defer r.buffer.release()
 	err := r.relayAll(relay)
 	if r.ahead != nil {
 		if r.readErr == nil {
@@ -167,10 +221,10 @@
 	return err
 }
 
-func (r *eventRelay) relayAll(relay func(events []byte) error) error {
+func (r *eventRelay) relayAll(relay relayFunc) error {
 	for {
 		r.read()
-		if err := r.relayCompleteEvents(relay); err != nil {
+		if err := r.relayArrived(relay); err != nil {
 			return err
 		}
 		switch {
@@ -180,34 +234,22 @@
 			return nil
 		case r.readErr != nil:
 			return r.readErr
-		case len(r.buffer) > maxEventBytes:
-			return errors.New("event exceeds the size limit")
 		}
 	}
 }
 
 // read reads the next bytes of the stream.
 func (r *eventRelay) read() {
+	// Only the first read may find no room: relayArrived makes it for the next one.
+	r.buffer.makeRoom()
+	source := r.response
 	if r.ahead != nil {
-		r.add(<-r.ahead.chunks)
-		return
-	}
-	if cap(r.buffer)-len(r.buffer) < relayChunkBytes/4 {
-		grown := make([]byte, len(r.buffer), len(r.buffer)+max(relayChunkBytes, len(r.buffer)/2))
-		copy(grown, r.buffer)
-		r.buffer = grown
+		source = r.ahead
 	}
-	count, err := r.response.Read(r.buffer[len(r.buffer):cap(r.buffer)])
-	r.buffer = r.buffer[:len(r.buffer)+count]
+	count, err := r.buffer.readFrom(source)
 	r.recordArrival(count, err)
 }
 
-// add takes what was read ahead.
-func (r *eventRelay) add(chunk readChunk) {
-	r.buffer = append(r.buffer, chunk.content...)
-	r.recordArrival(len(chunk.content), chunk.err)
-}
-
 func (r *eventRelay) recordArrival(count int, err error) {
 	r.readErr = err
 	if count == 0 && err != io.EOF {
@@ -224,9 +266,13 @@
 	}
 }
 
-// isAtEventEnd reports whether the buffer ends at the end of an event.
+// isAtEventEnd reports whether what has been read ends at the end of an event.
 func (r *eventRelay) isAtEventEnd() bool {
-	return len(bytes.TrimSpace(r.buffer[lastEventEnd(r.buffer):])) == 0
+	end := lastEventEnd(r.buffer.content)
+	if end == 0 && r.partial.bytes > 0 {
+		return false
+	}
+	return len(bytes.TrimSpace(r.buffer.content[end:])) == 0
 }
 
 // lock locks the mutex once the relay isn't held.
@@ -242,50 +288,117 @@
 	}
 }
 
-// readWhileHeld reads on until a hold ends.
+// readWhileHeld reads on until a hold ends, as far as there is memory.
 func (r *eventRelay) readWhileHeld(released chan struct{}) {
 	if r.ahead == nil && r.readErr == nil {
 		r.ahead = startReadAhead(r.response)
 	}
-	for r.readErr == nil && len(r.buffer) < maxHeldBytes {
-		select {
-		case chunk := <-r.ahead.chunks:
-			r.add(chunk)
-		case <-released:
+	for r.readErr == nil && len(r.buffer.content) < maxHeldBytes && r.buffer.makeRoom() {
+		if !r.ahead.await(released) {
 			return
 		}
+		r.read()
 	}
 	<-released
 }
 
-// relayCompleteEvents relays the complete events in the buffer and removes them from it.
-func (r *eventRelay) relayCompleteEvents(relay func(events []byte) error) error {
+// relayArrived relays what can be relayed of the bytes that have arrived, and makes room for the next read.
+func (r *eventRelay) relayArrived(relay relayFunc) error {
 	r.lock()
 	defer r.mutex.Unlock()
 	r.waiting.Store(r.readErr == io.EOF)
 	if r.replaced {
 		return errReplaced
 	}
+	if err := r.relayCompleteEvents(relay); err != nil {
+		return err
+	}
+	switch {
+	case r.readErr != nil:
+		return nil
+	case r.partial.bytes+len(r.buffer.content) > maxEventBytes:
+		return errEventTooLong
+	case r.partial.bytes > 0 && r.buffer.hasRoom():
+		return nil
+	case r.partial.bytes == 0 && r.buffer.makeRoom():
+		return nil
+	default:
+		return r.relayPart(relay)
+	}
+}
+
+// relayCompleteEvents relays the complete events in the buffer and removes them from it.
+func (r *eventRelay) relayCompleteEvents(relay relayFunc) error {
+	content := r.buffer.content
 	// The end of an event may have begun in the bytes before.
 	from := max(r.scanned-len("\n\r"), 0)
-	r.scanned = len(r.buffer)
-	end := lastEventEnd(r.buffer[from:])
+	r.scanned = len(content)
+	end := lastEventEnd(content[from:])
 	if end == 0 {
 		return nil
 	}
 	end += from
-	events := r.buffer[:end]
-	if id, found := findLastEventID(events); found {
-		r.lastID = id
+	events := content[:end]
+	id, found := findLastEventID(events, r.partial.bytes == 0)
+	switch {
+	case found:
+		r.lastID, r.isIDLost = id, false
+	case r.partial.isIDLost:
+		r.isIDLost = true
+	case r.partial.hasID:
+		r.lastID, r.isIDLost = r.partial.id, false
+	}
+	r.partial = partialEvent{}
+	return r.pass(relay, events, false)
+}
+
+// relayPart relays the beginning of an event, or more of one whose beginning is relayed.
+func (r *eventRelay) relayPart(relay relayFunc) error {
+	content, next := r.buffer.content, r.partial
+	end := partEnd(content)
+	isLineStart := next.bytes == 0
+	if id, found := findLastEventID(content[:end], isLineStart); found {
+		next.id, next.hasID, next.isIDLost = id, true, false
 	}
-	if err := relay(events); err != nil {
+	if cutsID(content, end, isLineStart) {
+		next.isIDLost = true
+	}
+	next.bytes += end
+	if err := r.pass(relay, content[:end], true); err != nil {
+		return err
+	}
+	r.partial = next
+	return nil
+}
+
+// pass relays the beginning of the buffer and removes it.
+func (r *eventRelay) pass(relay relayFunc, events []byte, isPart bool) error {
+	if err := relay(events, isPart); err != nil {
 		return err
 	}
-	r.buffer = append(r.buffer[:0], r.buffer[end:]...)
-	r.scanned = len(r.buffer)
+	r.buffer.discard(len(events))
+	r.scanned = len(r.buffer.content)
 	return nil
 }
 
+// partEnd returns up to where a full buffer with an unfinished event is relayed. The last line stays, unless it's
+// long: it may be the beginning of an identifier or of the event's end. Its line break stays as well, so that what
+// stays begins with a line break or within a line.
+func partEnd(content []byte) int {
+	at := bytes.LastIndexByte(content, '\n')
+	if at <= 0 || len(content)-at > maxKeptLineBytes {
+		return len(content)
+	}
+	return at
+}
+
+// cutsID reports whether a line with an identifier is cut at the end of a part. isLineStart is set if the content
+// begins with a line.
+func cutsID(content []byte, end int, isLineStart bool) bool {
+	at := bytes.LastIndexByte(content, '\n')
+	return end > at && (at >= 0 || isLineStart) && bytes.HasPrefix(content[at+1:], []byte(idField))
+}
+
 // lastEventEnd returns the end of the last complete event in the buffer, 0 if there is none. A
 // blank line ends an event.
 func lastEventEnd(buffer []byte) int {
@@ -299,17 +412,16 @@
 	return end
 }
 
-// findLastEventID returns the last event identifier in complete events.
-func findLastEventID(events []byte) (string, bool) {
-	const field = "id:"
-	at := bytes.LastIndex(events, []byte("\n"+field))
+// findLastEventID returns the last event identifier in events. isLineStart is set if they begin with a line.
+func findLastEventID(events []byte, isLineStart bool) (string, bool) {
+	at := bytes.LastIndex(events, []byte("\n"+idField))
 	start := at + 1
 	if at < 0 {
-		if !bytes.HasPrefix(events, []byte(field)) {
+		if !isLineStart || !bytes.HasPrefix(events, []byte(idField)) {
 			return "", false
 		}
 		start = 0
 	}
-	line, _, _ := bytes.Cut(events[start+len(field):], []byte("\n"))
+	line, _, _ := bytes.Cut(events[start+len(idField):], []byte("\n"))
 	return strings.TrimSpace(string(line)), true
 }
--- a/internal/gateway/eventrelay_test.go
+++ b/internal/gateway/eventrelay_test.go
@@ -13,16 +13,18 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/tillerfall/tillerfall/internal/bodymemory"
 	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
 // relayTest is a relay whose worker is the test.
 type relayTest struct {
-	t      *testing.T
-	relay  *eventRelay
-	worker net.Conn
-	events chan string
-	ended  chan error
+	t        *testing.T
+	relay    *eventRelay
+	response *upstream.Response
+	worker   net.Conn
+	events   chan string
+	ended    chan error
 }
 
 func newRelayTest(t *testing.T) *relayTest {
@@ -35,9 +37,9 @@
 	}()
 	response, err := pool.Do(context.Background(), upstream.Destination{Engine: "e"}, &upstream.Request{Method: http.MethodGet, Target: "/", Header: http.Header{}})
 	require.NoError(t, err)
-	r := &relayTest{t: t, relay: &eventRelay{response: response, closeConnection: func() { _ = near.Close() }}, worker: far, events: make(chan string, 10), ended: make(chan error, 1)}
+	r := &relayTest{t: t, response: response, relay: &eventRelay{response: response, buffer: eventBuffer{memory: bodymemory.New(0)}, closeConnection: func() { _ = near.Close() }}, worker: far, events: make(chan string, 10), ended: make(chan error, 1)}
 	go func() {
-		r.ended <- r.relay.run(func(events []byte) error {
+		r.ended <- r.relay.run(func(events []byte, _ bool) error {
 			r.events <- string(events)
 			return nil
 		})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,7 +53,7 @@
 	workers       *backends.Registry
 	upstreams     *upstream.Pool
 	budgets       *retryBudgets
-	// bodies and answers are the memory for the bodies of requests and for buffered answers.
+	// bodies and answers are the memory for the bodies of requests, and for buffered answers and events.
 	bodies             *bodymemory.Budget
 	answers            *bodymemory.Budget
 	quotas             *quotas
--- a/internal/gateway/heldstream_test.go
+++ b/internal/gateway/heldstream_test.go
@@ -37,7 +37,7 @@
 		route: &routes.Route{Kind: routes.Streaming}, attempts: attempt.NewForwarding(0, policy, attempt.NewBudget(attempt.BudgetOptions{})),
 	}
 	r := newRelayTest(t)
-	stream := &openStream{send: &openSend{placement: placement, watched: watched, response: r.relay.response, cancel: func(error) {}}, relay: r.relay, ended: r.ended}
+	stream := &openStream{send: &openSend{placement: placement, watched: watched, response: r.response, cancel: func(error) {}}, relay: r.relay, ended: r.ended}
 	require.True(t, g.holdStream(current, stream))
 	r.write("id: 1\ndata: a\n\n")
 	require.Eventually(t, current.isHeldStreamHeard, time.Second, time.Millisecond)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,7 +28,7 @@
 }
 
 // deliverStream relays the complete events of a stream as they arrive. A stream that breaks off may
-// be resumed at another worker.
+// be resumed at another worker, unless it breaks off within an event that is passed on in parts.
 func (g *Gateway) deliverStream(ctx context.Context, current *callerRequest, send *openSend) attempt.Step {
 	step := current.attempts.Answered(g.now(), send.placement.Worker.Run(), false)
 	if step.Kind != attempt.StepDeliver {
@@ -41,21 +41,48 @@
 
 // startRelay begins to relay a stream. The relay uses the request's state until the stream has ended or is held.
 func (g *Gateway) startRelay(ctx context.Context, current *callerRequest, send *openSend) *openStream {
-	relay := &eventRelay{response: send.response, lastID: current.lastEventID, closeConnection: func() { send.cancel(errRelayEnded) }}
+	relay := &eventRelay{
+		response: send.response, lastID: current.lastEventID, buffer: eventBuffer{memory: g.answers},
+		closeConnection: func() { send.cancel(errRelayEnded) },
+	}
 	stream := &openStream{send: send, relay: relay, ended: make(chan error, 1)}
 	go func() {
-		stream.ended <- relay.run(func(events []byte) error {
+		stream.ended <- relay.run(func(events []byte, isPart bool) error {
+			if isPart {
+				if err := g.observePart(current, send, relay.partial.bytes == 0); err != nil {
+					return err
+				}
+			}
 			send.placement.FirstByte(g.now())
 			if current.origin.IsAny() {
 				g.beginStream(ctx, current, send.placement)
 			}
-			g.observeEvent(send.watched, relay.lastID != "")
+			if !isPart {
+				g.observeEvent(send.watched, relay.lastID != "" && !relay.isIDLost)
+			}
 			return g.writeEvents(current, send.response, events)
 		})
 	}()
 	return stream
 }
 
+// observePart records that an event is passed on in parts, since there is no memory for it. The first part isn't passed
+// on if the request was moved before: it's sent again as a whole.
+func (g *Gateway) observePart(current *callerRequest, send *openSend, isFirst bool) error {
+	if !isFirst {
+		g.observeHead(send.watched)
+		return nil
+	}
+	// From here on the send counts as begun, and isn't moved without asking the relay.
+	g.observeEvent(send.watched, false)
+	if send.watched.isMoved() {
+		return errEngineSilent
+	}
+	g.events.line("event_in_parts").Str("request_id", current.metadata.RequestID).Str("worker", string(send.placement.Worker.ID)).
+		Int64("answer_memory", g.answers.Used()).Msg("event_in_parts")
+	return nil
+}
+
 // awaitStream waits until a stream has ended or is to continue elsewhere.
 func (g *Gateway) awaitStream(ctx context.Context, current *callerRequest, stream *openStream) attempt.Step {
 	var moves chan struct{}
@@ -104,11 +131,14 @@
 		g.recordLostRun(current, placement, quarantine.ConnectionBroken)
 		g.recordOutcome(current, placement, backends.Lost, "stream: "+err.Error())
 		response.Close()
+		if !stream.relay.canContinue() {
+			return attempt.Step{Kind: attempt.StepAbort}
+		}
 		return current.attempts.Truncated(g.now(), placement.Worker.Run(), current.rememberCopy(placement))
 	}
 }
 
-// writeEvents writes complete events to the caller and flushes them.
+// writeEvents writes events to the caller and flushes them.
 func (g *Gateway) writeEvents(current *callerRequest, response *upstream.Response, events []byte) error {
 	if !current.headSent {
 		g.sendHead(current, response, unknownLength)
--- a/internal/nodecapacity/capacity.go
+++ b/internal/nodecapacity/capacity.go
@@ -61,7 +61,7 @@
 	bodyFraction = 0.5
 	// minBodyMB is what bodies may take on the smallest machines.
 	minBodyMB = 8
-	// answerFraction and minAnswerMB are the same for answers that are buffered.
+	// answerFraction and minAnswerMB are the same for answers and events that are buffered.
 	answerFraction = 0.2
 	minAnswerMB    = 4
 )
@@ -70,7 +70,7 @@
 // memory is unknown.
 func (l Limits) BodyBytes() int64 { return l.memoryShare(bodyFraction, minBodyMB) }
 
-// AnswerBytes returns the memory that all buffered answers may take together, in bytes; 0 if the memory is
+// AnswerBytes returns the memory that all buffered answers and events may take together, in bytes; 0 if the memory is
 // unknown.
 func (l Limits) AnswerBytes() int64 { return l.memoryShare(answerFraction, minAnswerMB) }
 
