Search the ends and identifiers of events by line breaks

What callers saw: nothing.

Cause: 85 in 100 samples of the profile, before and after, are in bytes.LastIndex of two and more bytes, which has no fast path from the end.

Change: both searches go back from line break to line break.

Why it holds: the end of the last event is after the last line break that follows another one, or one and a carriage return, as before. TestEventsInPiecesAreRelayedWhole and TestEventInPartsIsAltered check both searches at each place.

--- a/internal/gateway/eventrelay.go
+++ b/internal/gateway/eventrelay.go
@@ -402,26 +402,29 @@
 // lastEventEnd returns the end of the last complete event in the buffer, 0 if there is none. A
 // blank line ends an event.
 func lastEventEnd(buffer []byte) int {
-	end := 0
-	if at := bytes.LastIndex(buffer, []byte("\n\n")); at >= 0 {
-		end = at + len("\n\n")
-	}
-	if at := bytes.LastIndex(buffer, []byte("\n\r\n")); at >= 0 {
-		end = max(end, at+len("\n\r\n"))
+	// A search for line breaks takes a fraction of the time of one for longer patterns from the end.
+	for at := bytes.LastIndexByte(buffer, '\n'); at > 0; at = bytes.LastIndexByte(buffer[:at], '\n') {
+		before := at - 1
+		if buffer[before] == '\r' {
+			before--
+		}
+		if before >= 0 && buffer[before] == '\n' {
+			return at + 1
+		}
 	}
-	return end
+	return 0
 }
 
 // findLastEventID returns the last event identifier in events. isLineStart is set if they begin with a line.
 func findLastEventID(events []byte, isLineStart bool) (string, bool) {
-	at := bytes.LastIndex(events, []byte("\n"+idField))
-	start := at + 1
-	if at < 0 {
-		if !isLineStart || !bytes.HasPrefix(events, []byte(idField)) {
-			return "", false
+	for end := len(events); end >= 0; {
+		at := bytes.LastIndexByte(events[:end], '\n')
+		line := events[at+1:]
+		if (at >= 0 || isLineStart) && bytes.HasPrefix(line, []byte(idField)) {
+			value, _, _ := bytes.Cut(line[len(idField):], []byte("\n"))
+			return strings.TrimSpace(string(value)), true
 		}
-		start = 0
+		end = at
 	}
-	line, _, _ := bytes.Cut(events[start+len(idField):], []byte("\n"))
-	return strings.TrimSpace(string(line)), true
+	return "", false
 }
