Bound the identifiers of events that are kept

What callers saw: nothing in a trace. Of each stream the identifier of its last event is kept, for a resumption: up to 256 KB, again without a sum, and each line of a placement after it holds it (after_event).

Cause: the bound of an event was the only one of its identifier.

Change: identifiers of up to 1 KB are kept. A stream whose last one is longer isn't held nor continued elsewhere until the next event with one, as where one is cut between parts. That doesn't depend on the memory any more.

TestLongIdentifierIsKept failed before with 1,025 bytes and, with memory, with 100 KB.

--- a/internal/gateway/eventparts_test.go
+++ b/internal/gateway/eventparts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http/httptest"
@@ -134,6 +135,23 @@
 	}
 }
 
+// TestLongIdentifierIsKept guards against a worker that decides how much memory its streams take, and how long the lines
+// of the log are, by the identifiers of its events. Whether a stream can continue doesn't depend on the memory.
+func TestLongIdentifierIsKept(t *testing.T) {
+	for name, memory := range map[string]*bodymemory.Budget{"no memory": takenMemory(), "memory": bodymemory.New(0)} {
+		for _, size := range []int{maxEventIDBytes, maxEventIDBytes + 1, 100 << 10} {
+			t.Run(fmt.Sprint(name, ", ", size), func(t *testing.T) {
+				isKept := size <= maxEventIDBytes
+				relay := &eventRelay{response: strings.NewReader("id: " + strings.Repeat("i", size) + "\n\n"), buffer: eventBuffer{memory: memory}}
+				require.NoError(t, relay.run(func([]byte, bool) error { return nil }))
+				assert.Equal(t, isKept, relay.canContinue())
+				assert.Equal(t, isKept, len(relay.lastID) == size)
+				assert.LessOrEqual(t, len(relay.lastID), maxEventIDBytes)
+			})
+		}
+	}
+}
+
 // TestEndWithinEventInPartsIsRegular guards against a stream cut within an event that counts as whole, since all of what
 // came has been passed on.
 func TestEndWithinEventInPartsIsRegular(t *testing.T) {
--- a/internal/gateway/eventrelay.go
+++ b/internal/gateway/eventrelay.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -20,6 +19,9 @@
 	// maxKeptLineBytes bounds the unfinished line that isn't passed on with the part of an event before it, so that an
 	// identifier is found whole. Longer lines are cut.
 	maxKeptLineBytes = 2 << 10
+	// maxEventIDBytes bounds the identifiers of events that are kept. It's below maxKeptLineBytes, so that each of them is
+	// found whole.
+	maxEventIDBytes = 1 << 10
 	// idField begins the line with an event's identifier.
 	idField = "id:"
 )
@@ -48,7 +50,7 @@
 	released chan struct{}
 	// replaced is set once no further event is to be relayed, ended once the relay has ended.
 	replaced, ended bool
-	// lastID is the identifier of the last relayed event. isIDLost is set if that isn't known, since it was cut.
+	// lastID is the identifier of the last relayed event. isIDLost is set if that isn't known, since it was too long.
 	lastID   string
 	isIDLost bool
 	// partial is the event of which only a part has been relayed.
@@ -76,9 +78,15 @@
 type partialEvent struct {
 	// bytes is the size of that part; 0 if there is no such event.
 	bytes int
-	// id is the identifier in that part, if hasID is set. isIDLost is set if it was cut.
-	id              string
-	hasID, isIDLost bool
+	// id is the identifier in that part, if hasID is set.
+	id    eventID
+	hasID bool
+}
+
+// eventID is the identifier of an event. isLost is set if it was too long to be kept.
+type eventID struct {
+	value  string
+	isLost bool
 }
 
 // relayFunc passes complete events on, or a part of one.
@@ -340,13 +348,11 @@
 	end += from
 	events := content[:end]
 	id, found := findLastEventID(events, r.partial.bytes == 0)
-	switch {
-	case found:
-		r.lastID, r.isIDLost = id, false
-	case r.partial.isIDLost:
-		r.isIDLost = true
-	case r.partial.hasID:
-		r.lastID, r.isIDLost = r.partial.id, false
+	if !found {
+		id, found = r.partial.id, r.partial.hasID
+	}
+	if found {
+		r.lastID, r.isIDLost = id.value, id.isLost
 	}
 	r.partial = partialEvent{}
 	return r.pass(relay, events, false)
@@ -358,10 +364,10 @@
 	end := partEnd(content)
 	isLineStart := next.bytes == 0
 	if id, found := findLastEventID(content[:end], isLineStart); found {
-		next.id, next.hasID, next.isIDLost = id, true, false
+		next.id, next.hasID = id, true
 	}
 	if cutsID(content, end, isLineStart) {
-		next.isIDLost = true
+		next.id, next.hasID = eventID{isLost: true}, true
 	}
 	next.bytes += end
 	if err := r.pass(relay, content[:end], true); err != nil {
@@ -416,15 +422,22 @@
 }
 
 // findLastEventID returns the last event identifier in events. isLineStart is set if they begin with a line.
-func findLastEventID(events []byte, isLineStart bool) (string, bool) {
+func findLastEventID(events []byte, isLineStart bool) (eventID, bool) {
 	for end := len(events); end >= 0; {
 		at := bytes.LastIndexByte(events[:end], '\n')
 		line := events[at+1:]
 		if (at >= 0 || isLineStart) && bytes.HasPrefix(line, []byte(idField)) {
 			value, _, _ := bytes.Cut(line[len(idField):], []byte("\n"))
-			return strings.TrimSpace(string(value)), true
+			return newEventID(bytes.TrimSpace(value)), true
 		}
 		end = at
 	}
-	return "", false
+	return eventID{}, false
+}
+
+func newEventID(value []byte) eventID {
+	if len(value) > maxEventIDBytes {
+		return eventID{isLost: true}
+	}
+	return eventID{value: string(value)}
 }
