Check that a replaced stream returns its memory

What callers saw: nothing. TestMemoryOfAReplacedStreamIsKept is new, and fails without the release at the end of a relay. Two comments are mended.

--- a/internal/gateway/eventparts_test.go
+++ b/internal/gateway/eventparts_test.go
@@ -268,6 +268,23 @@
 	}
 }
 
+// TestMemoryOfAReplacedStreamIsKept guards against memory that a held stream took and that isn't returned once another
+// engine has taken the stream over.
+func TestMemoryOfAReplacedStreamIsKept(t *testing.T) {
+	memory := bodymemory.New(1 << 20)
+	near, far := io.Pipe()
+	held := &eventRelay{response: near, buffer: eventBuffer{memory: memory}, closeConnection: func() { _ = near.Close() }}
+	ended := make(chan error, 1)
+	go func() { ended <- held.run(func([]byte, bool) error { return nil }) }()
+	require.True(t, held.hold())
+	_, err := io.WriteString(far, strings.Repeat("x", 20<<10))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return memory.Used() > 0 }, time.Second, time.Millisecond)
+	held.replace()
+	require.ErrorIs(t, <-ended, errReplaced)
+	assert.Zero(t, memory.Used())
+}
+
 // TestStreamMovesWithinAnEvent guards against a stream that is held within an event of which the caller has a part, and
 // against one that isn't after that event.
 func TestStreamMovesWithinAnEvent(t *testing.T) {
--- a/internal/gateway/eventrelay.go
+++ b/internal/gateway/eventrelay.go
@@ -12,7 +12,7 @@
 const (
 	// maxEventBytes bounds the size of one event of a stream.
 	maxEventBytes = 256 << 10
-	// maxHeldBytes bounds what is read of a stream while it's held, apart from one chunk.
+	// maxHeldBytes bounds what is read of a stream while it's held, apart from two chunks read ahead.
 	maxHeldBytes = 64 << 10
 	// relayChunkBytes is the most that is read ahead of a stream at once.
 	relayChunkBytes = 4 << 10
@@ -435,6 +435,7 @@
 	return eventID{}, false
 }
 
+// newEventID returns the identifier with a value, unless that's too long.
 func newEventID(value []byte) eventID {
 	if len(value) > maxEventIDBytes {
 		return eventID{isLost: true}
