--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,7 +55,7 @@
 	budgets       *retryBudgets
 	// roomWaits counts the requests that wait for a worker with room.
 	roomWaits atomic.Int32
-	// bodies and answers are the memory for the bodies of requests and for buffered answers.
+	// bodies and answers are the memory for the bodies of requests, and for buffered answers and events.
 	bodies             *bodymemory.Budget
 	answers            *bodymemory.Budget
 	quotas             *quotas
