Pause between failed writes of the quarantine's rows

What was reported: in a restarted fleet whose store was down each gateway sent its rows of the quarantine to the store again and again without a pause, so that a store that came back was met by the writes of all.

Cause: the goroutine that writes the rows makes a pass at each signal, and each crash, each record of a peer and each answer to a suspected request gives one, whether the pass before had failed or not. A pass went on after a failed call, so it made one call for each due row.

Ruled out: the pass itself gives no signal after a failure, so it didn't spin by itself; a conflict applies the stored row and is written once more with its version.

Change: a failed pass is followed by a pause of 100 ms on average that grows to 1 s (half to one and a half of it at random, the backoff that the routers use for the platform), then by another pass without a signal. A pass ends at the first call that the store doesn't take; only a row that it calls invalid doesn't end it. The rows are written in random order, so that one that always fails doesn't keep others back.

Why it holds: what is due is derived from the records at each pass, so that a pass left out loses nothing, and a failed one always has a successor within 1.5 s.

--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -24,6 +25,8 @@
 // quarantineStore is a store with quarantine rows alone.
 type quarantineStore struct {
 	Store
+	// mutex guards the rest in tests with a goroutine that writes rows.
+	mutex   sync.Mutex
 	rows    map[quarantine.Fingerprint]QuarantineRow
 	version fleet.Revision
 	failed  error
@@ -35,6 +38,8 @@
 }
 
 func (s *quarantineStore) WriteQuarantine(_ context.Context, row QuarantineRow, expected fleet.Revision) (QuarantineRow, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	s.calls++
 	if s.failed != nil {
 		return QuarantineRow{}, s.failed
@@ -50,6 +55,8 @@
 }
 
 func (s *quarantineStore) RemoveQuarantine(_ context.Context, fingerprint quarantine.Fingerprint, expected fleet.Revision) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	s.calls++
 	if s.failed != nil {
 		return s.failed
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"strings"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
@@ -24,6 +26,12 @@
 	orphanedAfter = 3 * time.Second
 	// maxStoreChanges bounds the rows that one pass writes, and those that it removes.
 	maxStoreChanges = 16
+	// quarantineRetryMin is the mean pause after a failed pass over the rows to write. It grows with each one up
+	// to quarantineRetryMax, which a store that is back waits for at most half as long again: answers and reports
+	// of peers ask for a pass at any rate, and many gateways that retried at each would use up the rates of the
+	// store.
+	quarantineRetryMin = 100 * time.Millisecond
+	quarantineRetryMax = time.Second
 	// trialTimeout bounds the store calls that acquire a trial.
 	trialTimeout = 500 * time.Millisecond
 )
@@ -227,9 +235,10 @@
 	return min(len(row.Workers), q.tracker.Threshold())
 }
 
-// syncQuarantineStore keeps the store's rows up to date until the process stops. Failed writes are
-// retried when the periodic sweep signals again.
+// syncQuarantineStore keeps the store's rows up to date until the process stops. After a failed pass it makes
+// another one by itself, since nothing else may change.
 func (g *Gateway) syncQuarantineStore() error {
+	pauses := newQuarantineBackoff()
 	for {
 		select {
 		case <-g.quarantines.storeSignal:
@@ -239,22 +248,58 @@
 		_, isHolder := g.lease.Fence()
 		isReader, _ := g.sources.readsStore()
 		changes := g.quarantines.pendingStoreChanges(g.now(), isReader, isHolder)
-		g.applyStoreChanges(&changes)
+		if g.applyStoreChanges(&changes) {
+			pauses.Reset()
+			continue
+		}
+		signal(g.quarantines.storeSignal)
+		if !g.pause(pauses.NextBackOff()) {
+			return nil
+		}
 	}
 }
 
-// applyStoreChanges writes and removes rows.
-func (g *Gateway) applyStoreChanges(changes *storeChanges) {
+// newQuarantineBackoff returns the pauses between failed passes, each half to one and a half times its mean, so
+// that the gateways don't retry in lockstep.
+func newQuarantineBackoff() *backoff.ExponentialBackOff {
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval, pauses.MaxInterval = quarantineRetryMin, quarantineRetryMax
+	return pauses
+}
+
+// applyStoreChanges writes and removes rows, and reports whether no call failed. It leaves the rest to the next
+// pass once the store doesn't take calls. The order is random, so that a row on which the store always fails
+// doesn't keep the others back.
+func (g *Gateway) applyStoreChanges(changes *storeChanges) bool {
+	rand.Shuffle(len(changes.write), func(one, other int) {
+		changes.write[one], changes.write[other] = changes.write[other], changes.write[one]
+	})
+	succeeded := true
 	for _, row := range changes.write {
-		g.writeQuarantine(row)
+		err := g.writeQuarantine(row)
+		if takesNoCalls(err) {
+			return false
+		}
+		succeeded = succeeded && !isFailedWrite(err)
 	}
 	for _, fingerprint := range changes.remove {
-		g.removeQuarantine(fingerprint)
+		err := g.removeQuarantine(fingerprint)
+		if takesNoCalls(err) {
+			return false
+		}
+		succeeded = succeeded && !isFailedWrite(err)
 	}
+	return succeeded
 }
 
+// isFailedWrite reports whether a write is to be repeated. After a conflict the stored row counts.
+func isFailedWrite(err error) bool { return err != nil && !errors.Is(err, platform.ErrConflict) }
+
+// takesNoCalls reports whether further writes are likely to fail like one that returned err.
+func takesNoCalls(err error) bool { return isFailedWrite(err) && !errors.Is(err, platform.ErrInvalid) }
+
 // writeQuarantine writes one row. On a conflict it applies the stored row.
-func (g *Gateway) writeQuarantine(row QuarantineRow) {
+func (g *Gateway) writeQuarantine(row QuarantineRow) error {
 	ctx, cancel := context.WithTimeout(g.context(), deliveryCallTimeout)
 	defer cancel()
 	stored, err := g.dependencies.Store.WriteQuarantine(ctx, row, g.quarantines.storedVersion(row.Fingerprint))
@@ -272,6 +317,7 @@
 		line = line.Err(err)
 	}
 	line.Msg("quarantine_recorded")
+	return err
 }
 
 // workerNames returns the workers of a row for a log line, separated by commas.
@@ -283,7 +329,8 @@
 	return strings.Join(names, ",")
 }
 
-func (g *Gateway) removeQuarantine(fingerprint quarantine.Fingerprint) {
+// removeQuarantine removes the row of a request.
+func (g *Gateway) removeQuarantine(fingerprint quarantine.Fingerprint) error {
 	ctx, cancel := context.WithTimeout(g.context(), deliveryCallTimeout)
 	defer cancel()
 	err := g.dependencies.Store.RemoveQuarantine(ctx, fingerprint, g.quarantines.storedVersion(fingerprint))
@@ -295,6 +342,7 @@
 		line = line.Err(err)
 	}
 	line.Msg("quarantine_removed")
+	return err
 }
 
 // acquireTrial reports whether this gateway may try a quarantined request now. The conditional
