Have internal/upstream judge the answers to polls

Package platform decided whether an answer with cache events belongs to its call, and closed the connection. It is to translate names and formats only.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -4,6 +4,8 @@
 // It does not use net/http.Transport, which retries requests on idle connections that have died and
 // does not report whether any byte was written. Requests are written and responses parsed by
 // net/http.
+//
+// Polls for changes, which may be repeated, are made by clients of net/http. Poll judges their responses.
 package upstream
 
 import (
