Take no late answer of an engine for that to the next poll

What could happen: a router polls an engine for cache events on a kept connection, and answers name no request. A copy of an answer, or a late one, that came once the next poll was written was taken for its answer, and each answer from then on for that of the poll after its own. An empty one hid the events. After a rejection or an answer that couldn't be decoded the same connection went on.

Cause: nothing looked at whose an answer is. Polls also shared their connections with the other calls to the engine, orders among them.

Ruled out: bytes that come while no answer is due. net/http closes the connection then; the case "surplus" passes on the code before too.

Change: polls have connections of their own, and upstream.Poll judges their answers as it does for gateways. Events after the position prove the poll. Others on a reused connection fail it (ErrorProtocol), and the connection is closed; so it is after any failure. An answer without events is taken, and its connection is closed, since the protocol has no position that would prove it. An engine without changes gets a connection for each long poll (5 s by default), therefore.

What remains: net/http may give a connection that was just closed to the next poll if that comes before its reader has seen the close. Bytes that it had read ahead are then taken for the answer, as far as their numbers allow. Polls wait before the next one (50 ms by default, after a failure at least as long), so that only event_pause: 0 makes this likely.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -17,6 +17,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tillerfall/tillerfall/internal/fleet"
+	"github.com/tillerfall/tillerfall/internal/upstream"
 )
 
 // Client sends requests to one engine. It is safe for concurrent use. It doesn't retry; net/http
@@ -26,6 +27,8 @@
 	options Options
 	streams *http.Client
 	control *http.Client
+	// events has connections of its own: they are closed after an answer of which it isn't known whose it is.
+	events *http.Client
 }
 
 // NewClient returns a client for the engine at address with its own connection pool.
@@ -38,6 +41,7 @@
 func (c *Client) CloseIdle() {
 	c.streams.CloseIdleConnections()
 	c.control.CloseIdleConnections()
+	c.events.CloseIdleConnections()
 }
 
 // Dispatch starts a stream. The context covers both the request and reading the stream. On failure,
@@ -83,14 +87,32 @@
 	return status, err
 }
 
-// PollCacheEvents long-polls for cache events with a sequence number above after, for up to wait.
+// PollCacheEvents long-polls for cache events with a sequence number above after, for up to wait. Answers name no
+// request, so those that prove nothing end their connection.
 func (c *Client) PollCacheEvents(ctx context.Context, after uint64, wait time.Duration) (CacheEvents, error) {
 	var events CacheEvents
 	path := fmt.Sprintf("%s?after=%d&wait_ms=%d", PathEvents, after, wait.Milliseconds())
 	ctx, cancel := context.WithTimeout(ctx, wait+c.options.HeaderTimeout)
 	defer cancel()
-	err := c.call(ctx, http.MethodGet, path, nil, &events)
-	return events, err
+	ctx, poll := upstream.TrackPoll(ctx, after)
+	err := c.callWith(ctx, c.events, http.MethodGet, path, nil, &events)
+	err = poll.Finish(events.changes(), err)
+	if errors.Is(err, upstream.ErrOtherPoll) {
+		err = &Error{Code: ErrorProtocol, Message: err.Error(), Sent: true, Cause: err}
+	}
+	if err != nil {
+		return CacheEvents{}, err
+	}
+	return events, nil
+}
+
+// changes returns what an answer says about positions. One without events says nothing.
+func (e *CacheEvents) changes() upstream.Changes {
+	changes := upstream.Changes{Numbers: make([]uint64, len(e.Events))}
+	for index := range e.Events {
+		changes.Numbers[index] = e.Events[index].Sequence
+	}
+	return changes
 }
 
 // CacheSnapshot returns all cached blocks of the engine.
@@ -127,15 +149,20 @@
 	return strings.Replace(pattern, ":id", url.PathEscape(string(id)), 1)
 }
 
-// call sends a request and decodes the JSON response, of at most MaxBodyBytes, into result unless
-// that is nil. Without a context deadline it times out after HeaderTimeout.
+// call is callWith for calls that aren't polls.
 func (c *Client) call(ctx context.Context, method, path string, body, result any) error {
+	return c.callWith(ctx, c.control, method, path, body, result)
+}
+
+// callWith sends a request and decodes the JSON response, of at most MaxBodyBytes, into result unless
+// that is nil. Without a context deadline it times out after HeaderTimeout.
+func (c *Client) callWith(ctx context.Context, client *http.Client, method, path string, body, result any) error {
 	if _, hasDeadline := ctx.Deadline(); !hasDeadline {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, c.options.HeaderTimeout)
 		defer cancel()
 	}
-	response, err := c.do(ctx, c.control, method, path, body)
+	response, err := c.do(ctx, client, method, path, body)
 	if err != nil {
 		return err
 	}
--- a/internal/engine/connections.go
+++ b/internal/engine/connections.go
@@ -52,6 +52,7 @@
 	options Options
 	streams *http.Client
 	control *http.Client
+	events  *http.Client
 }
 
 // NewConnectionPool returns a pool without open connections.
@@ -61,6 +62,7 @@
 		options: options,
 		streams: newHTTPClient(options, true),
 		control: newHTTPClient(options, false),
+		events:  newHTTPClient(options, false),
 	}
 }
 
@@ -71,6 +73,7 @@
 		options: c.options,
 		streams: c.streams,
 		control: c.control,
+		events:  c.events,
 	}
 }
 
