Show review/6 by a broken-off answer, and review/4 with a longer crash

Rules TWICE and MIXED. review/6: its disruption is garble (a faulty worker breaks an answer off, and works on as some do) in place of a reset, which RULES may count as one of the machine's own connections; two of six engines, 1 in 50 answers, 5.4 s; ONLY=reset keeps the former one.

--- a/review/scenarios-2/ends.go
+++ b/review/scenarios-2/ends.go
@@ -252,8 +252,8 @@
 	slowReadInterval = 100 * time.Millisecond
 	// slowDeadline is the client's deadline for it.
 	slowDeadline = 12 * time.Second
-	// crashedFor is how long the worker is down.
-	crashedFor = 500 * time.Millisecond
+	// crashedFor is how long the worker is down, as on a day of the site file.
+	crashedFor = time.Second
 )
 
 // otherRequests is the number of requests right before, whose answers have a length: 20 and more for each worker, so that one
--- a/review/standins-2/twoengines.go
+++ b/review/standins-2/twoengines.go
@@ -12,24 +12,28 @@
 	// twoWorkAfter is how long after a request goes on at another worker the worker before may still work on it.
 	twoWorkAfter = 400 * time.Millisecond
 	longStream   = 73
-	// lostAtEvent is the event at which an answer is lost, and lostEvery the number of those engines' requests of which one
-	// loses its answer.
-	lostAtEvent = 12
-	lostEvery   = 20
+	// brokenAtEvent is the event at which an answer is broken off, and brokenEvery the number of the faulty engines' requests
+	// of which one is: as the sheet's garble, 0.02 of the answers. With ONLY=reset it's lostEvery, as for answer_lost.
+	brokenAtEvent = 12
+	brokenEvery   = 50
+	lostEvery     = 20
 	// streamGap is the time between two requests.
-	streamGap    = 25 * time.Millisecond
-	warmUpOnce   = 160
-	troubledOnce = 160
-	// lossesLast is how long the engines lose answers: less than the 4 s of the site file.
+	streamGap    = 20 * time.Millisecond
+	warmUpOnce   = 200
+	troubledOnce = 280
+	// breaksLast is how long the engines break answers off, and lossesLast how long they lose them: less than the 5.5 s and
+	// 4 s of the site file.
+	breaksLast = 5400 * time.Millisecond
 	lossesLast = 3900 * time.Millisecond
-	// faultyEngines is the number of engines, of onceEngines, that lose answers and work on after a connection has closed. The
-	// others drop a request then, as most do.
+	// faultyEngines is the number of engines, of onceEngines, that break answers off and work on after a connection has closed.
+	// The others drop a request then, as most do.
 	faultyEngines = 2
-	onceEngines   = 5
+	onceEngines   = 6
 )
 
-// runTwoEngines has two engines of five lose some of their answers: the connection is reset in the middle of the stream,
-// and the engine runs the request to its end. A stream that may run once must not go on at another engine meanwhile.
+// runTwoEngines has two engines of six break some of their answers off: the connection is closed in the middle of the stream,
+// and the engine runs the request to its end. A stream that may run once must not go on at another engine meanwhile. With
+// ONLY=reset the answers are lost by a reset instead.
 func runTwoEngines(env *environment) outcome {
 	host := newHost()
 	platform, err := newStore(host)
@@ -37,6 +41,10 @@
 		return outcome{err: err}
 	}
 	platform.put("op", "config", onceConfig())
+	every, last := int64(brokenEvery), breaksLast
+	if env.only == "reset" {
+		every, last = lostEvery, lossesLast
+	}
 	var isTrouble atomic.Bool
 	var streams atomic.Int64
 	var engines []*engine
@@ -48,11 +56,13 @@
 		added.streamEvents, added.eventGap, added.keepsOn = longStream, 20*time.Millisecond, number <= faultyEngines
 		if number <= faultyEngines {
 			added.atEvent = func(engine *engine, conn net.Conn, id string, event int) {
-				if event != lostAtEvent || !isTrouble.Load() || streams.Add(1)%lostEvery != 0 {
+				if event != brokenAtEvent || !isTrouble.Load() || streams.Add(1)%every != 0 {
 					return
 				}
-				env.record.line("the answer of %s to %s is lost: its connection is reset", engine.id, id)
-				_ = conn.(*net.TCPConn).SetLinger(0)
+				env.record.line("%s breaks the answer to %s off, and works on", engine.id, id)
+				if env.only == "reset" {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
 				_ = conn.Close()
 			}
 		}
@@ -74,7 +84,7 @@
 	for number := range warmUpOnce + troubledOnce {
 		if number == warmUpOnce {
 			isTrouble.Store(env.trouble)
-			time.AfterFunc(lossesLast, func() { isTrouble.Store(false) })
+			time.AfterFunc(last, func() { isTrouble.Store(false) })
 		}
 		group.Go(func() { sendPrompt(env.record, process.front, "other", fmt.Sprintf("once-%d", number)) })
 		time.Sleep(streamGap)
