Let the answer of review/4 have 16 MB

With 10 MB, read at 2 MB a second, it failed 4 of 5: once the whole answer was in the buffers before the crash.

--- a/review/scenarios-2/ends.go
+++ b/review/scenarios-2/ends.go
@@ -246,7 +246,7 @@
 
 const (
 	// longAnswer is the size of an answer that fills the buffers on the way to a client that reads slowly, in bytes.
-	longAnswer = 10 << 20
+	longAnswer = 16 << 20
 	// slowRead is how much such a client reads in slowReadInterval: 2 MB a second.
 	slowRead         = 200 << 10
 	slowReadInterval = 100 * time.Millisecond
